--- /dev/null
+++ b/packages/platform/src/platform.ts
@@ -0,0 +1,82 @@
+/**
+ * What the system needs of the platform. The users' own interface takes the
+ * place of the stand-in's by another subclass.
+ */
+
+import type {
+  EndpointOrder,
+  ListedEndpoint,
+  ListedInstance,
+  OrderResult,
+  ReportResult,
+  UsageReport,
+} from '@snipestage/types/platform_messages.js';
+import type {
+  ReadResult,
+  TableTransaction,
+  TransactionResult,
+} from '@snipestage/types/table.js';
+
+/** A list, or the reason why none could be had. */
+export type ListResult<Item> =
+  | {readonly kind: 'listed'; readonly items: readonly Item[]}
+  | {readonly kind: 'unavailable'; readonly reason: string};
+
+/** An object of the object store. */
+export type ObjectResult =
+  | {readonly kind: 'found'; readonly body: Buffer}
+  | {readonly kind: 'absent'}
+  | {readonly kind: 'unavailable'; readonly reason: string};
+
+/** How a put ended; `unknown` may have taken effect. */
+export type PutResult =
+  | {readonly kind: 'stored'}
+  | {readonly kind: 'unknown'; readonly reason: string};
+
+/**
+ * Answers never throw: each says by its kind what is known. No call repeats
+ * itself; whether to ask again is the caller's decision.
+ */
+export abstract class Platform {
+  /** Reads rows by key; absent rows are left out. */
+  abstract readRows(keys: readonly string[]): Promise<ReadResult>;
+
+  /** Reads all rows whose key starts with the prefix, in key order. */
+  abstract scanRows(prefix: string): Promise<ReadResult>;
+
+  /** Commits all writes if all checks hold. */
+  abstract transact(transaction: TableTransaction): Promise<TransactionResult>;
+
+  abstract getObject(key: string): Promise<ObjectResult>;
+
+  abstract putObject(key: string, body: Buffer): Promise<PutResult>;
+
+  /**
+   * Orders endpoints. `mayStillSend` is asked in the same turn of the event
+   * loop in which the bytes are handed to the connection; when it says no,
+   * nothing is sent and the order is `refused`. `signal` resets the connection,
+   * so that the kernel can't deliver the order after the lease's term.
+   */
+  abstract orderEndpoints(
+    order: EndpointOrder,
+    guard: SendGuard,
+  ): Promise<OrderResult>;
+
+  /** Reports a sealed window, guarded like an order. */
+  abstract reportUsage(
+    report: UsageReport,
+    guard: SendGuard,
+  ): Promise<ReportResult>;
+
+  /** Entry instances; the list lags. */
+  abstract listInstances(): Promise<ListResult<ListedInstance>>;
+
+  /** Endpoints that the platform runs or is about to; the list lags. */
+  abstract listEndpoints(): Promise<ListResult<ListedEndpoint>>;
+}
+
+/** Lets a send happen only within a lease's term. */
+export interface SendGuard {
+  readonly mayStillSend: () => boolean;
+  readonly signal: AbortSignal;
+}
