--- /dev/null
+++ b/packages/agreement/src/models/world_model.ts
@@ -0,0 +1,87 @@
+/** A table whose answers get lost and whose transactions arrive late. */
+
+import type {TableTransaction} from '@snipestage/types/table.js';
+import type {TableEffect, TableEvent} from '../table_effects.js';
+import {carryOut, commitTo, type TableModel} from './table_model.js';
+
+/** The table, what is still on its way to it, and how much may yet go wrong. */
+export interface World {
+  readonly table: TableModel;
+  readonly late: readonly TableTransaction[];
+  readonly lossesLeft: number;
+}
+
+/**
+ * - `answered`: it takes effect and its answer arrives.
+ * - `answer_lost`: it takes effect and its answer does not arrive.
+ * - `delayed`: it is taken for lost, and takes effect at any later time or
+ *   never.
+ */
+export type Delivery = 'answered' | 'answer_lost' | 'delayed';
+
+/**
+ * What can become of an effect.
+ *
+ * @example
+ * listDeliveries(world, effect); // ['answered', 'answer_lost', 'delayed']
+ */
+export function listDeliveries(
+  world: World,
+  effect: TableEffect,
+): readonly Delivery[] {
+  if (effect.kind === 'wait' || world.lossesLeft === 0) {
+    return ['answered'];
+  }
+  return effect.kind === 'transact'
+    ? ['answered', 'answer_lost', 'delayed']
+    : ['answered', 'answer_lost'];
+}
+
+/** The world after a delivery, and what the process hears. */
+export interface DeliveryStep {
+  readonly world: World;
+  readonly event: TableEvent;
+}
+
+/**
+ * Lets a delivery happen.
+ *
+ * @example
+ * const {world, event} = deliver(before, effect, 'answer_lost', nowMs);
+ */
+export function deliver(
+  world: World,
+  effect: TableEffect,
+  delivery: Delivery,
+  nowMs: number,
+): DeliveryStep {
+  const done = carryOut(world.table, effect, nowMs);
+  if (delivery === 'answered') {
+    return {world: {...world, table: done.table}, event: done.event};
+  }
+  const lossesLeft = world.lossesLeft - 1;
+  const {call} = effect;
+  if (effect.kind !== 'transact') {
+    const result = {kind: 'unavailable', reason: 'lost'} as const;
+    const event = {kind: 'read_answered', call, result, nowMs} as const;
+    return {world: {...world, lossesLeft}, event};
+  }
+  const result = {kind: 'unknown', reason: 'lost'} as const;
+  const event = {kind: 'transaction_answered', call, result, nowMs} as const;
+  const next =
+    delivery === 'answer_lost'
+      ? {...world, lossesLeft, table: done.table}
+      : {...world, lossesLeft, late: [...world.late, effect.transaction]};
+  return {world: next, event};
+}
+
+/**
+ * Lets a delayed transaction arrive after all.
+ *
+ * @example
+ * const next = deliverLate(world, 0);
+ */
+export function deliverLate(world: World, index: number): World {
+  const {table} = commitTo(world.table, world.late[index]);
+  return {...world, table, late: world.late.filter((_, i) => i !== index)};
+}
