Hold leases with fencing tokens and give orders under them

Cause: two processes that both believe they are in charge must never order endpoints, whatever is lost, late or paused. Change: the holder's term counts from before its renewal was sent, less a margin; a challenger waits for a term and a margin of an unchanged row on its own clock; an unknown write is read back and lengthens nothing; a release lets the successor take over at once. A fence row changes only with the holder, so that guarded transactions don't collide with renewals. Orders are absolute, one at a time: intent row, order under the same id, row deleted; a new holder settles open intents under their own ids first. Engines that check tokens need no intent; for the others it is written as for the platform. Found: two renewals with one number could not be told apart when read back, and one that was given up and arrived late lengthened the term of the later one. Each write of the lease row now has a number of its own; the former rule stays as a mutant.

--- /dev/null
+++ b/packages/agreement/src/lease.test.ts
@@ -0,0 +1,151 @@
+import {brandAs, type FencingToken} from '@snipestage/types/ids.js';
+import test from 'ava';
+import {
+  beginLease,
+  leaseInForce,
+  transitionLease,
+  type LeaseEvent,
+  type LeaseState,
+  type LeaseStep,
+  type LeaseValue,
+} from './lease.js';
+import {explore} from './models/explore.js';
+import {createLeaseModel} from './models/lease_model.js';
+import {carryOut, EMPTY_TABLE, type TableModel} from './models/table_model.js';
+import type {TableEffect} from './table_effects.js';
+
+const LIMIT = 300_000;
+
+function begin(instance: string): LeaseState {
+  return beginLease({
+    name: brandAs('usage'),
+    instance: brandAs(instance),
+    incarnation: brandAs(instance),
+    termMs: 3000,
+    marginMs: 500,
+    renewEveryMs: 1000,
+    pollEveryMs: 1000,
+  });
+}
+
+/** Feeds an event, answering the table's effects at once. */
+function feed(table: TableModel, state: LeaseState, event: LeaseEvent) {
+  let step = transitionLease(state, event);
+  const heard = [];
+  for (;;) {
+    heard.push(...step.effects.filter(({kind}) => !CALLS.includes(kind)));
+    const call = step.effects.find(({kind}) => CALLS.includes(kind));
+    if (call === undefined) {
+      return {table, state: step.state, heard: heard.map(({kind}) => kind)};
+    }
+    const done = carryOut(table, call as TableEffect, event.nowMs);
+    table = done.table;
+    step = transitionLease(step.state, done.event);
+  }
+}
+
+const CALLS = ['read', 'scan', 'transact'];
+const tick = (nowMs: number) => ({kind: 'tick', nowMs}) as const;
+
+test('a graceful hand-over does not make the successor wait', t => {
+  const polled = feed(EMPTY_TABLE, begin('a'), tick(0));
+  const taken = feed(polled.table, polled.state, tick(1));
+  t.deepEqual(taken.heard, ['acquired']);
+  const waiting = feed(taken.table, begin('b'), tick(10));
+  t.deepEqual(feed(waiting.table, waiting.state, tick(11)).heard, []);
+  const left = feed(taken.table, taken.state, {kind: 'retire', nowMs: 100});
+  t.deepEqual(left.heard, ['lost']);
+  const seen = feed(left.table, waiting.state, tick(1010));
+  const successor = feed(seen.table, seen.state, tick(1011));
+  t.deepEqual(successor.heard, ['acquired']);
+  t.is(successor.state.held?.fencingToken, brandAs<FencingToken>(2));
+});
+
+// The holder's process is stopped for longer than its term, then goes on. Were
+// it to go on in the lease's name, the platform would get orders from two.
+test('a paused holder finds its term over, a challenger waits for that', t => {
+  const polled = feed(EMPTY_TABLE, begin('a'), tick(0));
+  const taken = feed(polled.table, polled.state, tick(1));
+  t.truthy(leaseInForce(taken.state, 2500));
+  t.is(leaseInForce(taken.state, 2501), undefined);
+  let other = feed(taken.table, begin('b'), tick(10));
+  for (const nowMs of [1010, 2010, 3010, 3509]) {
+    other = feed(other.table, other.state, tick(nowMs));
+    t.deepEqual(other.heard, []);
+  }
+  other = feed(other.table, other.state, tick(3510));
+  t.deepEqual(other.heard, ['acquired']);
+  const resumed = feed(other.table, taken.state, tick(9000));
+  t.deepEqual(resumed.heard, ['lost']);
+});
+
+test('an unknown renewal does not lengthen the term', t => {
+  const polled = feed(EMPTY_TABLE, begin('a'), tick(0));
+  const taken = feed(polled.table, polled.state, tick(1));
+  const renewing = transitionLease(taken.state, tick(1500));
+  const result = {kind: 'unknown', reason: 'lost'} as const;
+  const {call} = renewing.state;
+  const event = {
+    kind: 'transaction_answered',
+    call,
+    result,
+    nowMs: 2000,
+  } as const;
+  const asked = transitionLease(renewing.state, event);
+  t.is(asked.state.held?.termEndsAtMs, 2501);
+});
+
+// Answers are lost, renewals arrive late, clocks drift, processes pause: at no
+// time may two instances act in the name of one lease.
+test('no order of losses, pauses and drift puts two in charge', t => {
+  const sizes = [
+    {lastToken: 1, losses: 1, driftMs: 1},
+    {lastToken: 2, losses: 0, driftMs: 1},
+    {lastToken: 1, losses: 0, driftMs: 1, retire: true},
+  ];
+  for (const size of sizes) {
+    const model = createLeaseModel({...size, orders: false});
+    const {states, transitions, violation, trace} = explore(model, LIMIT);
+    t.log(JSON.stringify(size), states, 'states', transitions, 'transitions');
+    t.is(violation, undefined, JSON.stringify(trace));
+  }
+});
+
+test('the model finds a margin that was dropped', t => {
+  const mutant = createLeaseModel({orders: false, marginMs: 0, losses: 0});
+  const {violation, trace} = explore(mutant, LIMIT);
+  t.log(violation, 'after', trace.length, 'actions');
+  t.is(violation, 'two believe that they are in charge');
+});
+
+/** A renewal that counts up from the row, so that two can look alike. */
+function countFromRow(step: LeaseStep): LeaseStep {
+  const {pending, seen} = step.state;
+  if (pending?.kind !== 'write') {
+    return step;
+  }
+  const former = seen?.row.value as LeaseValue | null | undefined;
+  const wanted = {...pending.wanted, renewals: (former?.renewals ?? 0) + 1};
+  const effects = step.effects.map(effect => {
+    if (effect.kind !== 'transact') {
+      return effect;
+    }
+    const [lease, ...rest] = effect.transaction.writes;
+    const writes = [{...lease, value: wanted}, ...rest];
+    return {...effect, transaction: {...effect.transaction, writes}};
+  });
+  return {state: {...step.state, pending: {...pending, wanted}}, effects};
+}
+
+test('the model finds renewals that can not be told apart', t => {
+  const mutant = createLeaseModel({
+    orders: false,
+    lastToken: 1,
+    losses: 1,
+    driftMs: 2,
+    mutateLease: countFromRow,
+  });
+  const {violation, trace} = explore(mutant, LIMIT);
+  t.log(violation, 'after', trace.length, 'actions');
+  t.is(violation, 'two believe that they are in charge');
+});
--- a/packages/agreement/src/models/explore.ts
+++ b/packages/agreement/src/models/explore.ts
@@ -13,6 +13,8 @@
   next(state: State, action: Action): State;
   /** What is wrong with a state; undefined if nothing is. */
   findViolation(state: State): string | undefined;
+  /** The same text for states that behave alike; JSON if absent. */
+  serialize?(state: State): string;
 }
 
 /** What an exploration found. */
@@ -43,34 +45,47 @@
     (state: State, action: Action) => model.next(state, action),
     model.initial,
   );
+  const keyOf = cacheKeys<State>(
+    state => model.serialize?.(state) ?? JSON.stringify(state),
+  );
   let violating: {key: string; message: string} | undefined;
   const map = getAdjacencyMap(logic, {
     limit,
-    serializeState: snapshot => JSON.stringify(snapshot.context),
+    serializeState: snapshot => keyOf(snapshot.context),
     events: snapshot =>
       violating ? [] : [...model.listActions(snapshot.context)],
-    stopWhen: snapshot => {
-      const message = model.findViolation(snapshot.context);
+    stopWhen: ({context}) => {
+      const message = model.findViolation(context);
       if (message !== undefined) {
-        violating ??= {key: JSON.stringify(snapshot.context), message};
+        violating ??= {key: keyOf(context), message};
       }
       return message !== undefined;
     },
   });
-  const arrivals = new Map<string, Arrival<Action>>();
   const transitions = adjacencyMapToArray(map);
-  for (const {state, event, nextState} of transitions) {
-    const key = JSON.stringify(nextState.context);
+  const arrivals = new Map<string, Arrival<Action>>();
+  for (const {state, event, nextState} of violating ? transitions : []) {
+    const key = keyOf(nextState.context);
     if (!arrivals.has(key)) {
-      const from = JSON.stringify(state.context);
-      arrivals.set(key, {from, action: event});
+      arrivals.set(key, {from: keyOf(state.context), action: event});
     }
   }
   return {
     states: Object.keys(map).length,
     transitions: transitions.length,
     violation: violating?.message,
-    trace: traceTo(violating?.key, JSON.stringify(model.initial), arrivals),
+    trace: traceTo(violating?.key, keyOf(model.initial), arrivals),
+  };
+}
+
+function cacheKeys<State extends object>(
+  serialize: (state: State) => string,
+): (state: State) => string {
+  const keys = new WeakMap<State, string>();
+  return state => {
+    const key = keys.get(state) ?? serialize(state);
+    keys.set(state, key);
+    return key;
   };
 }
 
--- /dev/null
+++ b/packages/agreement/src/order_rows.ts
@@ -0,0 +1,97 @@
+/** Orders to the platform and to engines, and the rows that announce them. */
+
+import type {
+  EndpointId,
+  FencingToken,
+  LeaseName,
+  ModelId,
+  OrderId,
+} from '@snipestage/types/ids.js';
+import {brandAs} from '@snipestage/types/ids.js';
+import type {EndpointOrder} from '@snipestage/types/platform_messages.js';
+
+/** An order to a model engine. */
+export interface EngineOrder {
+  readonly id: OrderId;
+  readonly fencingToken: FencingToken;
+  readonly endpoint: EndpointId;
+  readonly action: 'load_model' | 'unload_model' | 'change_role';
+  readonly model?: ModelId;
+  readonly role?: string;
+}
+
+/** An order with its id and token, as it is sent. */
+export type Order =
+  | {readonly kind: 'endpoints'; readonly order: EndpointOrder}
+  | {readonly kind: 'engine'; readonly order: EngineOrder};
+
+/** What is to be ordered: the absolute state of one target. */
+export type OrderContent =
+  | {
+      readonly kind: 'endpoints';
+      readonly order: Omit<EndpointOrder, 'id' | 'fencingToken'>;
+    }
+  | {
+      readonly kind: 'engine';
+      readonly order: Omit<EngineOrder, 'id' | 'fencingToken'>;
+      /** Whether the engine itself refuses orders with an old token. */
+      readonly checksFencing: boolean;
+    };
+
+/** Value of an intent row: the order as it is or was to be sent. */
+export interface IntentValue {
+  readonly order: Order;
+}
+
+const NUMBER_DIGITS = 12;
+
+/**
+ * What an order sets; a later order for the same target replaces it.
+ *
+ * @example
+ * targetOf(content); // 'endpoints/akl-a/repair/cheap'
+ */
+export function targetOf(content: OrderContent): string {
+  if (content.kind === 'endpoints') {
+    const {dataCentre, model, kind} = content.order;
+    return `endpoints/${dataCentre}/${model}/${kind}`;
+  }
+  const {endpoint, action, model} = content.order;
+  const subject = action === 'change_role' ? 'role' : `model/${model}`;
+  return `engines/${endpoint}/${subject}`;
+}
+
+/**
+ * Prefix of the open intents under a lease; scans give the oldest first.
+ *
+ * @example
+ * intentPrefix(brandAs<LeaseName>('orders/akl-a')); // 'intents/orders/akl-a/'
+ */
+export function intentPrefix(lease: LeaseName): string {
+  return `intents/${lease}/`;
+}
+
+/**
+ * Key of an order's intent row; its id is what follows `intents/`.
+ *
+ * @example
+ * const key = intentKey(order.id);
+ */
+export function intentKey(id: OrderId): string {
+  return `intents/${id}`;
+}
+
+/**
+ * An id that no other holder and no other order has.
+ *
+ * @example
+ * composeOrderId(lease, fencingToken, 3);
+ */
+export function composeOrderId(
+  lease: LeaseName,
+  fencingToken: FencingToken,
+  sequence: number,
+): OrderId {
+  const pad = (part: number) => String(part).padStart(NUMBER_DIGITS, '0');
+  return brandAs<OrderId>(`${lease}/${pad(fencingToken)}/${pad(sequence)}`);
+}
--- /dev/null
+++ b/packages/agreement/src/orders.test.ts
@@ -0,0 +1,111 @@
+import {
+  brandAs,
+  type EndpointId,
+  type FencingToken,
+} from '@snipestage/types/ids.js';
+import test from 'ava';
+import {explore} from './models/explore.js';
+import {createLeaseModel} from './models/lease_model.js';
+import {carryOut, EMPTY_TABLE, type TableModel} from './models/table_model.js';
+import type {OrderContent} from './order_rows.js';
+import {
+  beginOrders,
+  transitionOrders,
+  type OrderAnswer,
+  type OrdersEvent,
+  type OrdersState,
+} from './orders.js';
+
+const LIMIT = 300_000;
+const HELD = {fencingToken: brandAs<FencingToken>(1), fenceVersion: 0};
+
+function engineContent(checksFencing: boolean): OrderContent {
+  const endpoint = brandAs<EndpointId>('akl-a-1');
+  const order = {endpoint, action: 'change_role', role: 'decode'} as const;
+  return {kind: 'engine', checksFencing, order};
+}
+
+/** Feeds events; orders get the answers in turn, then no more is done. */
+function run(events: OrdersEvent[], answers: OrderAnswer[]) {
+  let table: TableModel = EMPTY_TABLE;
+  let state: OrdersState = beginOrders(brandAs('orders/akl-a'));
+  const seen: string[] = [];
+  const queue = [...events];
+  while (queue.length > 0) {
+    const step = transitionOrders(state, queue.shift()!);
+    state = step.state;
+    for (const effect of step.effects) {
+      seen.push(effect.kind);
+      if (effect.kind === 'order') {
+        const {call} = effect;
+        const answer = answers.shift();
+        queue.push(...(answer ? [orderAnswered(call, answer)] : []));
+      } else if (effect.kind !== 'refused') {
+        const done = carryOut(table, effect, 0);
+        table = done.table;
+        queue.push(done.event);
+      }
+    }
+  }
+  return {seen, state, table};
+}
+
+function orderAnswered(call: number, answer: OrderAnswer): OrdersEvent {
+  return {kind: 'order_answered', call, answer};
+}
+
+test('an order is announced, sent, repeated until known, and cleared', t => {
+  const desired = {kind: 'desired', contents: [engineContent(false)]} as const;
+  const acquired = {kind: 'acquired', held: HELD} as const;
+  const {seen, table} = run(
+    [acquired, desired],
+    [{kind: 'unknown', reason: 'lost'}, {kind: 'not_sent'}, {kind: 'accepted'}],
+  );
+  const sending = ['order', 'wait', 'order', 'wait', 'order'];
+  t.deepEqual(seen, ['scan', 'transact', ...sending, 'transact']);
+  t.deepEqual(Object.keys(table), []);
+});
+
+test('an engine that checks tokens needs no intent; refusals are told', t => {
+  const desired = {kind: 'desired', contents: [engineContent(true)]} as const;
+  const events = [{kind: 'acquired', held: HELD} as const, desired, desired];
+  const refused = {kind: 'refused', reason: 'no memory'} as const;
+  const {seen} = run(events, [refused, {kind: 'accepted'}]);
+  t.deepEqual(seen, ['scan', 'order', 'refused']);
+  const again = run([...events.slice(0, 2)], [{kind: 'stale_token'}]);
+  t.is(again.state.term, undefined);
+});
+
+// A holder is paused with an order on its way, another takes over and orders
+// something else, then the first order arrives. The firm would get back the
+// endpoints that it had just given up.
+test('no late order undoes one of a later holder', t => {
+  const sizes = [
+    {lastToken: 2, losses: 0},
+    {lastToken: 1, losses: 1},
+  ];
+  for (const size of sizes) {
+    const model = createLeaseModel({...size, driftMs: 0, renewals: false});
+    const {states, transitions, violation, trace} = explore(model, LIMIT);
+    t.log(JSON.stringify(size), states, 'states', transitions, 'transitions');
+    t.is(violation, undefined, JSON.stringify(trace));
+  }
+});
+
+test('the model finds open intents that are not settled', t => {
+  const mutant = createLeaseModel({
+    losses: 0,
+    driftMs: 0,
+    renewals: false,
+    mutateOrders: (event, state) =>
+      event.kind === 'read_answered' && state.scanning
+        ? {...event, result: {kind: 'rows', rows: []}}
+        : event,
+  });
+  const {violation, trace} = explore(mutant, LIMIT);
+  t.log(violation, 'after', trace.length, 'actions');
+  t.is(
+    violation,
+    'an order of an earlier holder took effect after a later one',
+  );
+});
--- /dev/null
+++ b/packages/agreement/src/orders.ts
@@ -0,0 +1,375 @@
+/**
+ * Orders in the name of a lease, one at a time: an intent row first, conditional
+ * on the fence row, then the order under the same id, then the row is deleted.
+ * A new holder settles its predecessor's open intents under their own ids
+ * before anything new, so that an order of the predecessor which arrives late
+ * has an id that was carried out and changes nothing.
+ *
+ * Engines that check fencing tokens get the order without an intent row: a late
+ * older one is refused by the engine itself. For those that don't, the row is
+ * written as for the platform. An engine does not promise to carry an id out
+ * once; there the reset of the connection at the term's end is what keeps a
+ * late order out, and a process frozen across it is the remaining gap.
+ *
+ * Store calls: two writes an order (none for an engine that checks tokens), one
+ * scan for each change of holder.
+ */
+
+import type {FencingToken, LeaseName} from '@snipestage/types/ids.js';
+import type {OrderResult} from '@snipestage/types/platform_messages.js';
+import type {
+  ReadResult,
+  RowWrite,
+  TransactionResult,
+} from '@snipestage/types/table.js';
+import {canonicalJson} from './canonical_json.js';
+import {fenceKey} from './lease.js';
+import {
+  composeOrderId,
+  intentKey,
+  intentPrefix,
+  targetOf,
+  type IntentValue,
+  type Order,
+  type OrderContent,
+} from './order_rows.js';
+import {
+  findRow,
+  retryDelayMs,
+  type Step,
+  type TableEffect,
+  type TableEvent,
+} from './table_effects.js';
+
+/** How an order ended. */
+export type OrderAnswer =
+  | OrderResult
+  /** The guard said no: no byte of it left. */
+  | {readonly kind: 'not_sent'}
+  /** The receiver knows a higher token: this holder is not in charge. */
+  | {readonly kind: 'stale_token'};
+
+/** The term in which orders are given. */
+export interface OrderTerm {
+  readonly fencingToken: FencingToken;
+  readonly fenceVersion: number;
+}
+
+export type OrdersEvent =
+  | TableEvent
+  | {readonly kind: 'acquired'; readonly held: OrderTerm}
+  | {readonly kind: 'lost'}
+  /** All that should be so; given again, it retries what was refused. */
+  | {readonly kind: 'desired'; readonly contents: readonly OrderContent[]}
+  | {
+      readonly kind: 'order_answered';
+      readonly call: number;
+      readonly answer: OrderAnswer;
+    };
+
+export type OrdersEffect =
+  | TableEffect
+  /** Send it if `leaseInForce` in the turn in which its bytes leave. */
+  | {readonly kind: 'order'; readonly call: number; readonly order: Order}
+  | {
+      readonly kind: 'refused';
+      readonly order: Order;
+      readonly reason: string;
+    };
+
+/** The order being worked on. */
+export interface CurrentOrder {
+  readonly order: Order;
+  readonly phase: 'recording' | 'sending' | 'clearing';
+  /** Version of its intent row; 0 if it has none (yet). */
+  readonly version: number;
+  readonly recorded: boolean;
+  /** Absent for a predecessor's. */
+  readonly content: OrderContent | undefined;
+  readonly tries: number;
+}
+
+/** What a holder, or one who isn't, knows of its orders. */
+export interface OrdersState {
+  readonly lease: LeaseName;
+  readonly term: OrderTerm | undefined;
+  readonly call: number;
+  readonly sequence: number;
+  readonly scanning: boolean;
+  /** Predecessors' intents that are still to be settled. */
+  readonly open: readonly CurrentOrder[];
+  readonly current: CurrentOrder | undefined;
+  readonly desired: readonly OrderContent[];
+  /** By target: the content that was accepted in this term. */
+  readonly accepted: Readonly<Record<string, string>>;
+  readonly refusedTargets: readonly string[];
+}
+
+export type OrdersStep = Step<OrdersState, OrdersEffect>;
+
+/**
+ * @example
+ * let state = beginOrders(brandAs<LeaseName>('orders/akl-a'));
+ */
+export function beginOrders(lease: LeaseName): OrdersState {
+  return {
+    lease,
+    term: undefined,
+    call: 0,
+    sequence: 0,
+    scanning: false,
+    open: [],
+    current: undefined,
+    desired: [],
+    accepted: {},
+    refusedTargets: [],
+  };
+}
+
+/**
+ * Takes in what became of the lease, of an effect, or of the plan.
+ *
+ * @example
+ * ({state, effects} = transitionOrders(state, {kind: 'desired', contents}));
+ */
+export function transitionOrders(
+  state: OrdersState,
+  event: OrdersEvent,
+): OrdersStep {
+  switch (event.kind) {
+    case 'acquired':
+      return scan({...standDown(state), term: event.held});
+    case 'lost':
+      return {state: standDown(state), effects: []};
+    case 'desired':
+      return startNext({
+        ...state,
+        desired: event.contents,
+        refusedTargets: [],
+      });
+    default:
+      return state.term !== undefined && event.call === state.call
+        ? takeResult(state, event)
+        : {state, effects: []};
+  }
+}
+
+type OrderResultEvent = Exclude<
+  OrdersEvent,
+  {readonly kind: 'acquired' | 'lost' | 'desired'}
+>;
+
+function takeResult(state: OrdersState, event: OrderResultEvent): OrdersStep {
+  switch (event.kind) {
+    case 'waited':
+      return repeat(state);
+    case 'read_answered':
+      return takeIntents(state, event.result);
+    case 'order_answered':
+      return takeAnswer(state, event.answer);
+    case 'transaction_answered':
+      return takeCommit(state, event.result);
+  }
+}
+
+/** The call number rises, so that results of the former term pass unheard. */
+function standDown(state: OrdersState): OrdersState {
+  const empty = beginOrders(state.lease);
+  return {...empty, call: state.call + 1, desired: state.desired};
+}
+
+function scan(state: OrdersState): OrdersStep {
+  const call = state.call + 1;
+  const prefix = intentPrefix(state.lease);
+  return {
+    state: {...state, call, scanning: true},
+    effects: [{kind: 'scan', call, prefix}],
+  };
+}
+
+function takeIntents(state: OrdersState, result: ReadResult): OrdersStep {
+  if (result.kind === 'unavailable') {
+    return waitToRepeat(state, 1);
+  }
+  const open = result.rows.map(({value, version}): CurrentOrder => ({
+    order: (value as IntentValue).order,
+    phase: 'sending',
+    version,
+    recorded: true,
+    content: undefined,
+    tries: 0,
+  }));
+  return startNext({...state, scanning: false, open});
+}
+
+function startNext(state: OrdersState): OrdersStep {
+  if (!state.term || state.scanning || state.current) {
+    return {state, effects: []};
+  }
+  if (state.open.length > 0) {
+    const [current, ...open] = state.open;
+    return perform({...state, open, current});
+  }
+  const content = state.desired.find(each => isOutstanding(state, each));
+  if (content === undefined) {
+    return {state, effects: []};
+  }
+  return perform(composeNext(state, state.term, content));
+}
+
+function isOutstanding(state: OrdersState, content: OrderContent): boolean {
+  const target = targetOf(content);
+  const accepted = state.accepted[target] === canonicalJson(content);
+  return !accepted && !state.refusedTargets.includes(target);
+}
+
+function composeNext(
+  state: OrdersState,
+  {fencingToken}: OrderTerm,
+  content: OrderContent,
+): OrdersState {
+  const sequence = state.sequence + 1;
+  const id = composeOrderId(state.lease, fencingToken, sequence);
+  const order: Order =
+    content.kind === 'endpoints'
+      ? {kind: 'endpoints', order: {...content.order, id, fencingToken}}
+      : {kind: 'engine', order: {...content.order, id, fencingToken}};
+  const recorded = content.kind === 'endpoints' || !content.checksFencing;
+  const phase = recorded ? 'recording' : 'sending';
+  const current = {
+    order,
+    phase,
+    version: 0,
+    recorded,
+    content,
+    tries: 0,
+  } as const;
+  return {...state, sequence, current};
+}
+
+/** Carries out, or repeats, the phase that the current order is in. */
+function perform(state: OrdersState): OrdersStep {
+  const {current} = state;
+  const call = state.call + 1;
+  const next = {...state, call};
+  switch (current?.phase) {
+    case undefined:
+      return {state, effects: []};
+    case 'sending':
+      return {
+        state: next,
+        effects: [{kind: 'order', call, order: current.order}],
+      };
+    case 'recording':
+      return transact(next, current, {order: current.order});
+    case 'clearing':
+      return transact(next, current, null);
+  }
+}
+
+/** Writes the intent row, if the lease has not changed hands. */
+function transact(
+  state: OrdersState,
+  current: CurrentOrder,
+  value: IntentValue | null,
+): OrdersStep {
+  const {call, lease, term} = state;
+  const key = intentKey(current.order.order.id);
+  const write: RowWrite = {key, value};
+  const checks = [
+    {key: fenceKey(lease), version: term!.fenceVersion},
+    {key, version: current.version},
+  ];
+  const transaction = {checks, writes: [write]};
+  return {state, effects: [{kind: 'transact', call, transaction}]};
+}
+
+function takeCommit(state: OrdersState, result: TransactionResult): OrdersStep {
+  const current = state.current!;
+  const key = intentKey(current.order.order.id);
+  switch (result.kind) {
+    case 'committed':
+      return advance(state, result.versions[key]);
+    case 'conflict': {
+      const fence = fenceKey(state.lease);
+      if (result.rows.some(row => row.key === fence)) {
+        return {state: standDown(state), effects: []};
+      }
+      // Only this holder writes the row: an earlier try, taken for lost, did.
+      return advance(state, findRow(result.rows, key).version);
+    }
+    case 'unknown':
+      // Sent without its intent, the order would be unknown to a successor and
+      // could arrive after the successor's own. The same write is tried again;
+      // a conflict on its own row then tells that it had taken effect.
+      return waitToRepeat(state, current.tries + 1);
+  }
+}
+
+/** The row is written or deleted. */
+function advance(state: OrdersState, version: number): OrdersStep {
+  const current = state.current!;
+  if (current.phase === 'recording') {
+    const sending = {...current, phase: 'sending', version, tries: 0} as const;
+    return perform({...state, current: sending});
+  }
+  return startNext({...state, current: undefined});
+}
+
+function takeAnswer(state: OrdersState, answer: OrderAnswer): OrdersStep {
+  const current = state.current!;
+  switch (answer.kind) {
+    case 'accepted':
+      return clear(noteAccepted(state, current));
+    case 'refused': {
+      const {order} = current;
+      const step = clear(noteRefused(state, current));
+      const told = {kind: 'refused', order, reason: answer.reason} as const;
+      return {...step, effects: [told, ...step.effects]};
+    }
+    case 'stale_token':
+      return {state: standDown(state), effects: []};
+    default:
+      return waitToRepeat(state, current.tries + 1);
+  }
+}
+
+function noteAccepted(
+  state: OrdersState,
+  {content}: CurrentOrder,
+): OrdersState {
+  if (content === undefined) {
+    return state;
+  }
+  const target = targetOf(content);
+  const accepted = {...state.accepted, [target]: canonicalJson(content)};
+  return {...state, accepted};
+}
+
+function noteRefused(state: OrdersState, {content}: CurrentOrder): OrdersState {
+  const targets = content === undefined ? [] : [targetOf(content)];
+  return {...state, refusedTargets: [...state.refusedTargets, ...targets]};
+}
+
+function clear(state: OrdersState): OrdersStep {
+  const current = state.current!;
+  if (!current.recorded) {
+    return startNext({...state, current: undefined});
+  }
+  const clearing = {...current, phase: 'clearing', tries: 0} as const;
+  return perform({...state, current: clearing});
+}
+
+function waitToRepeat(state: OrdersState, tries: number): OrdersStep {
+  const call = state.call + 1;
+  const current = state.current && {...state.current, tries};
+  const delayMs = retryDelayMs(tries);
+  return {
+    state: {...state, call, current},
+    effects: [{kind: 'wait', call, delayMs}],
+  };
+}
+
+function repeat(state: OrdersState): OrdersStep {
+  return state.scanning ? scan(state) : perform(state);
+}
