Count usage per window, seal it once and report the seal

Cause: the bill must match what was served; a reporter may die or be paused between any two steps, and counters come late. Change: each instance writes cumulative counters under its incarnation, by conditional writes, so that repeated and late ones change nothing; a peer's copy is written only where the row has less. The reporter seals a window in one transaction conditional on the fence, the progress and the absent seal; the part of each counter that is in a seal is written with it, so that what comes later goes into the next one exactly. Reports are read from the seal. Whatever is unknown ends the round, and the next one starts from the table. Ruled out: checking each counter row in the seal (counters that are still being written would put it off); reporting from the figures at hand.

--- a/packages/agreement/src/lease.ts
+++ b/packages/agreement/src/lease.ts
@@ -60,11 +60,15 @@
   readonly pollEveryMs: number;
 }
 
-/** A term of one's own. */
-export interface HeldLease {
+/** The term in whose name something is done. */
+export interface LeaseTerm {
   readonly fencingToken: FencingToken;
   /** Version of the fence row: what a guarded transaction checks. */
   readonly fenceVersion: number;
+}
+
+/** A term of one's own. */
+export interface HeldLease extends LeaseTerm {
   /** From here on the lease may be another's. */
   readonly termEndsAtMs: number;
   readonly renewedAtMs: number;
--- /dev/null
+++ b/packages/agreement/src/models/usage_model.ts
@@ -0,0 +1,363 @@
+/**
+ * Specification of usage windows: an instance that counts and writes late, a
+ * peer with a copy, two reporters of which the former may not know that it was
+ * replaced, over a table that loses answers. A crash is an instance whose
+ * actions no longer come. No window is reported with two sets of figures, and
+ * what is sealed is, to the unit, what the counters had.
+ */
+
+import {
+  brandAs,
+  type FencingToken,
+  type LeaseName,
+} from '@snipestage/types/ids.js';
+import {fenceKey} from '../lease.js';
+import type {TableEffect} from '../table_effects.js';
+import {
+  beginReporter,
+  transitionReporter,
+  type ReporterEffect,
+  type ReporterEvent,
+  type ReporterState,
+  type ReporterStep,
+} from '../usage.js';
+import {
+  beginCounters,
+  listCopies,
+  planCopyWrite,
+  transitionCounters,
+  type CountersState,
+  type CountersStep,
+} from '../usage_counters.js';
+import type {AccountedValue, CounterValue, SealValue} from '../usage_rows.js';
+import type {Model} from './explore.js';
+import {commitTo, type TableModel} from './table_model.js';
+import {
+  deliver,
+  deliverLate,
+  listDeliveries,
+  type Delivery,
+  type World,
+} from './world_model.js';
+
+interface Reporter {
+  readonly state: ReporterState;
+  readonly pending: ReporterEffect | undefined;
+}
+
+type Copy = ReturnType<typeof listCopies>[number];
+
+export interface UsageWorld {
+  readonly world: World;
+  /** Windows are one unit long; the current one. */
+  readonly nowEpochMs: number;
+  readonly counter: CountersState;
+  readonly counterCall: TableEffect | undefined;
+  readonly copies: readonly Copy[];
+  readonly counted: number;
+  readonly reporters: readonly Reporter[];
+  /** Distinct reports that the platform got, by window. */
+  readonly reported: Readonly<Record<string, readonly string[]>>;
+}
+
+export type UsageAction =
+  | {readonly type: 'count' | 'flush' | 'copy' | 'write_copies'}
+  | {readonly type: 'window_ends' | 'take_over'}
+  | {readonly type: 'late'; readonly index: number}
+  | {readonly type: 'tick'; readonly reporter: number}
+  | {
+      readonly type: 'deliver';
+      readonly to: 'counter' | 0 | 1;
+      readonly delivery: Delivery;
+    };
+
+/** How large the model is, and the rule that a mutant breaks. */
+export interface UsageModelOptions {
+  readonly windows?: number;
+  readonly counts?: number;
+  readonly losses?: number;
+  readonly takesOver?: boolean;
+  readonly peer?: boolean;
+  readonly mutateStep?: (step: ReporterStep) => ReporterStep;
+}
+
+const LEASE = brandAs<LeaseName>('usage');
+const LINE = {
+  clientAccount: 'gear-menders',
+  requestClass: 'counter',
+  requests: 1,
+  promptTokens: 0,
+  outputTokens: 0,
+};
+
+/**
+ * The specification over the production functions.
+ *
+ * @example
+ * explore(createUsageModel(), 300_000).violation; // undefined
+ */
+export function createUsageModel(
+  options: UsageModelOptions = {},
+): Model<UsageWorld, UsageAction> {
+  const limits = {
+    windows: 1,
+    counts: 2,
+    takesOver: true,
+    peer: false,
+    ...options,
+  };
+  const initial: UsageWorld = {
+    world: {table: fence({}, 1), late: [], lossesLeft: options.losses ?? 0},
+    nowEpochMs: 0,
+    counter: beginCounters({
+      instance: brandAs('akl-a-1'),
+      incarnation: brandAs('1'),
+      windowMs: 1,
+    }),
+    counterCall: undefined,
+    copies: [],
+    counted: 0,
+    reporters: [holdTerm(1), {state: beginIdle(), pending: undefined}],
+    reported: {},
+  };
+  return {
+    initial,
+    listActions: state => listUsageActions(state, limits),
+    next: (state, action) => nextUsageWorld(state, action, options),
+    findViolation: findUsageViolation,
+    serialize: state =>
+      JSON.stringify(state, (field, value: unknown) =>
+        field === 'call' || field === 'options' ? undefined : value,
+      ),
+  };
+}
+
+function beginIdle(): ReporterState {
+  return beginReporter({lease: LEASE, windowMs: 1, graceMs: 0});
+}
+
+function holdTerm(token: number): Reporter {
+  const fencingToken = brandAs<FencingToken>(token);
+  const held = {fencingToken, fenceVersion: token};
+  const {state} = transitionReporter(beginIdle(), {kind: 'acquired', held});
+  return {state, pending: undefined};
+}
+
+function fence(table: TableModel, token: number): TableModel {
+  const value = {fencingToken: token};
+  const writes = [{key: fenceKey(LEASE), value}];
+  return commitTo(table, {checks: [], writes}).table;
+}
+
+function listUsageActions(
+  state: UsageWorld,
+  limits: Required<Omit<UsageModelOptions, 'losses' | 'mutateStep'>>,
+): readonly UsageAction[] {
+  const actions: UsageAction[] = state.world.late.map((_, index) => ({
+    type: 'late',
+    index,
+  }));
+  if (state.counted < limits.counts) {
+    actions.push({type: 'count'});
+  }
+  if (state.nowEpochMs < limits.windows) {
+    actions.push({type: 'window_ends'});
+  }
+  if (limits.takesOver && state.reporters[1].state.term === undefined) {
+    actions.push({type: 'take_over'});
+  }
+  actions.push({type: 'flush'});
+  if (limits.peer) {
+    actions.push({type: 'copy'}, {type: 'write_copies'});
+  }
+  state.reporters.forEach(({pending}, reporter) => {
+    if (pending === undefined) {
+      actions.push({type: 'tick', reporter});
+    }
+    actions.push(...listDeliveriesTo(state, reporter as 0 | 1, pending));
+  });
+  actions.push(...listDeliveriesTo(state, 'counter', state.counterCall));
+  return actions;
+}
+
+function listDeliveriesTo(
+  state: UsageWorld,
+  to: 'counter' | 0 | 1,
+  effect: ReporterEffect | undefined,
+): readonly UsageAction[] {
+  if (effect === undefined || effect.kind === 'report_refused') {
+    return [];
+  }
+  if (effect.kind !== 'report') {
+    const deliveries = listDeliveries(state.world, effect);
+    return deliveries.map(delivery => ({type: 'deliver', to, delivery}));
+  }
+  const lost = {type: 'deliver', to, delivery: 'answer_lost'} as const;
+  return [
+    {type: 'deliver', to, delivery: 'answered'},
+    ...(state.world.lossesLeft > 0 ? [lost] : []),
+  ];
+}
+
+function nextUsageWorld(
+  state: UsageWorld,
+  action: UsageAction,
+  options: UsageModelOptions,
+): UsageWorld {
+  const {world, nowEpochMs, counter} = state;
+  switch (action.type) {
+    case 'late':
+      return {...state, world: deliverLate(world, action.index)};
+    case 'count': {
+      const event = {kind: 'count', line: LINE, nowEpochMs} as const;
+      const counted = state.counted + 1;
+      return onCounter({...state, counted}, transitionCounters(counter, event));
+    }
+    case 'flush':
+      return onCounter(state, transitionCounters(counter, {kind: 'flush'}));
+    case 'copy':
+      return {...state, copies: listCopies(counter)};
+    case 'write_copies':
+      return writeCopies(state);
+    case 'window_ends':
+      return {...state, nowEpochMs: nowEpochMs + 1};
+    case 'take_over': {
+      const reporters = [state.reporters[0], holdTerm(2)];
+      const table = fence(world.table, 2);
+      return {...state, reporters, world: {...world, table}};
+    }
+    case 'tick': {
+      const event = {kind: 'tick', nowEpochMs} as const;
+      return onReporter(state, action.reporter, event, options);
+    }
+    case 'deliver':
+      return deliverTo(state, action, options);
+  }
+}
+
+function onCounter(state: UsageWorld, step: CountersStep): UsageWorld {
+  const counterCall = step.effects[0] ?? state.counterCall;
+  return {...state, counter: step.state, counterCall};
+}
+
+function writeCopies(state: UsageWorld): UsageWorld {
+  let {table} = state.world;
+  for (const {key, value} of state.copies) {
+    const row = table[key] ?? {key, version: 0, value: null};
+    const transaction = planCopyWrite(row, value);
+    table = transaction ? commitTo(table, transaction).table : table;
+  }
+  return {...state, world: {...state.world, table}};
+}
+
+function onReporter(
+  state: UsageWorld,
+  index: number,
+  event: ReporterEvent,
+  options: UsageModelOptions,
+): UsageWorld {
+  const mutate = options.mutateStep ?? (each => each);
+  const former = state.reporters[index];
+  const step = mutate(transitionReporter(former.state, event));
+  const pending = step.effects[0] ?? former.pending;
+  if (pending?.kind === 'read') {
+    // Answered at once: what a read row says is checked by its version when it
+    // is acted on, and seals are never rewritten. Scans, which are not checked,
+    // take their time.
+    const {event: answer} = deliver(state.world, pending, 'answered', 0);
+    return onReporter(
+      withReporter(state, index, step.state),
+      index,
+      answer,
+      options,
+    );
+  }
+  return withReporter(state, index, step.state, pending);
+}
+
+function withReporter(
+  state: UsageWorld,
+  index: number,
+  next: ReporterState,
+  pending?: ReporterEffect,
+): UsageWorld {
+  const reporters = state.reporters.map((each, i) =>
+    i === index ? {state: next, pending} : each,
+  );
+  return {...state, reporters};
+}
+
+function deliverTo(
+  state: UsageWorld,
+  {to, delivery}: UsageAction & {readonly type: 'deliver'},
+  options: UsageModelOptions,
+): UsageWorld {
+  if (to === 'counter') {
+    const done = deliver(state.world, state.counterCall!, delivery, 0);
+    const idle = {...state, counterCall: undefined, world: done.world};
+    return onCounter(idle, transitionCounters(state.counter, done.event));
+  }
+  const effect = state.reporters[to].pending!;
+  const idle = withReporter(state, to, state.reporters[to].state);
+  if (effect.kind === 'report') {
+    return deliverReport(idle, to, effect, delivery, options);
+  }
+  const done = deliver(state.world, effect as TableEffect, delivery, 0);
+  return onReporter({...idle, world: done.world}, to, done.event, options);
+}
+
+function deliverReport(
+  state: UsageWorld,
+  to: 0 | 1,
+  effect: ReporterEffect & {readonly kind: 'report'},
+  delivery: Delivery,
+  options: UsageModelOptions,
+): UsageWorld {
+  const {window, lines} = effect.report;
+  const figures = JSON.stringify(lines);
+  const former = state.reported[window] ?? [];
+  const distinct = [...new Set([...former, figures])];
+  const lost = delivery !== 'answered';
+  const lossesLeft = state.world.lossesLeft - (lost ? 1 : 0);
+  const next: UsageWorld = {
+    ...state,
+    world: {...state.world, lossesLeft},
+    reported: {...state.reported, [window]: distinct},
+  };
+  const result = lost
+    ? ({kind: 'unknown', reason: 'lost'} as const)
+    : ({kind: 'accepted'} as const);
+  const {call} = effect;
+  return onReporter(next, to, {kind: 'report_answered', call, result}, options);
+}
+
+function findUsageViolation(state: UsageWorld): string | undefined {
+  const different = Object.values(state.reported).some(
+    ({length}) => length > 1,
+  );
+  if (different) {
+    return 'a window was reported with different figures';
+  }
+  const rows = Object.values(state.world.table);
+  const sum = (prefix: string, requests: (value: unknown) => number) =>
+    rows
+      .filter(row => row.key.startsWith(prefix))
+      .reduce((total, row) => total + requests(row.value), 0);
+  const ofLines = (lines: SealValue['lines']) =>
+    lines.reduce((total, line) => total + line.requests, 0);
+  const sealed = sum('usage/seals/', value =>
+    ofLines((value as SealValue).lines),
+  );
+  const accounted = sum('usage/accounted/', value =>
+    Object.values((value as AccountedValue).counters)
+      .map(ofLines)
+      .reduce((total, requests) => total + requests, 0),
+  );
+  const counters = sum('usage/counters/', value =>
+    ofLines((value as CounterValue).lines),
+  );
+  if (sealed !== accounted || sealed > counters || counters > state.counted) {
+    return 'what is sealed is not what was counted';
+  }
+  return undefined;
+}
--- a/packages/agreement/src/orders.ts
+++ b/packages/agreement/src/orders.ts
@@ -15,7 +15,7 @@
  * scan for each change of holder.
  */
 
-import type {FencingToken, LeaseName} from '@snipestage/types/ids.js';
+import type {LeaseName} from '@snipestage/types/ids.js';
 import type {OrderResult} from '@snipestage/types/platform_messages.js';
 import type {
   ReadResult,
@@ -23,7 +23,7 @@
   TransactionResult,
 } from '@snipestage/types/table.js';
 import {canonicalJson} from './canonical_json.js';
-import {fenceKey} from './lease.js';
+import {fenceKey, type LeaseTerm} from './lease.js';
 import {
   composeOrderId,
   intentKey,
@@ -49,15 +49,9 @@
   /** The receiver knows a higher token: this holder is not in charge. */
   | {readonly kind: 'stale_token'};
 
-/** The term in which orders are given. */
-export interface OrderTerm {
-  readonly fencingToken: FencingToken;
-  readonly fenceVersion: number;
-}
-
 export type OrdersEvent =
   | TableEvent
-  | {readonly kind: 'acquired'; readonly held: OrderTerm}
+  | {readonly kind: 'acquired'; readonly held: LeaseTerm}
   | {readonly kind: 'lost'}
   /** All that should be so; given again, it retries what was refused. */
   | {readonly kind: 'desired'; readonly contents: readonly OrderContent[]}
@@ -92,7 +86,7 @@
 /** What a holder, or one who isn't, knows of its orders. */
 export interface OrdersState {
   readonly lease: LeaseName;
-  readonly term: OrderTerm | undefined;
+  readonly term: LeaseTerm | undefined;
   readonly call: number;
   readonly sequence: number;
   readonly scanning: boolean;
@@ -225,7 +219,7 @@
 
 function composeNext(
   state: OrdersState,
-  {fencingToken}: OrderTerm,
+  {fencingToken}: LeaseTerm,
   content: OrderContent,
 ): OrdersState {
   const sequence = state.sequence + 1;
--- /dev/null
+++ b/packages/agreement/src/usage.test.ts
@@ -0,0 +1,159 @@
+import {
+  brandAs,
+  type FencingToken,
+  type Incarnation,
+  type InstanceId,
+  type LeaseName,
+} from '@snipestage/types/ids.js';
+import type {UsageReport} from '@snipestage/types/platform_messages.js';
+import test from 'ava';
+import {explore} from './models/explore.js';
+import {
+  carryOut,
+  EMPTY_TABLE,
+  scanTable,
+  type TableModel,
+} from './models/table_model.js';
+import {createUsageModel} from './models/usage_model.js';
+import type {TableEffect} from './table_effects.js';
+import {
+  beginReporter,
+  transitionReporter,
+  type ReporterState,
+  type ReporterStep,
+} from './usage.js';
+import {
+  areCountersWritten,
+  beginCounters,
+  transitionCounters,
+  type CountersState,
+} from './usage_counters.js';
+import {planUsageCleanup} from './usage_seal.js';
+
+const LIMIT = 300_000;
+
+function lineOf(requests: number, clientAccount = 'shop') {
+  const tokens = {promptTokens: 10 * requests, outputTokens: 0};
+  return {clientAccount, requestClass: 'quote', requests, ...tokens};
+}
+
+function count(state: CountersState, nowEpochMs: number, requests: number) {
+  const event = {kind: 'count', line: lineOf(requests), nowEpochMs} as const;
+  return transitionCounters(state, event).state;
+}
+
+function flush(table: TableModel, state: CountersState) {
+  const step = transitionCounters(state, {kind: 'flush'});
+  const done = carryOut(table, step.effects[0], 0);
+  const next = transitionCounters(step.state, done.event).state;
+  return {table: done.table, state: next};
+}
+
+/** Ticks until there is nothing to do; gives what was reported. */
+function reportAll(table: TableModel, nowEpochMs: number) {
+  const options = {
+    lease: brandAs<LeaseName>('usage'),
+    windowMs: 100,
+    graceMs: 10,
+  };
+  const held = {fencingToken: brandAs<FencingToken>(1), fenceVersion: 0};
+  const acquired = {kind: 'acquired', held} as const;
+  let state: ReporterState = beginReporter(options);
+  state = transitionReporter(state, acquired).state;
+  const reports: UsageReport[] = [];
+  for (;;) {
+    const before = table;
+    let step: ReporterStep = transitionReporter(state, {
+      kind: 'tick',
+      nowEpochMs,
+    });
+    while (step.effects.length > 0) {
+      const [effect] = step.effects;
+      if (effect.kind === 'report') {
+        reports.push(effect.report);
+        const result = {kind: 'accepted'} as const;
+        const {call} = effect;
+        const event = {kind: 'report_answered', call, result} as const;
+        step = transitionReporter(step.state, event);
+      } else {
+        const done = carryOut(table, effect as TableEffect, 0);
+        table = done.table;
+        step = transitionReporter(step.state, done.event);
+      }
+    }
+    state = step.state;
+    if (table === before) {
+      return {table, reports};
+    }
+  }
+}
+
+test('late counters go into the next window, to the unit', t => {
+  const start = reportAll(EMPTY_TABLE, 50).table;
+  const options = {
+    instance: brandAs<InstanceId>('a'),
+    incarnation: brandAs<Incarnation>('1'),
+  };
+  const begun = beginCounters({...options, windowMs: 100});
+  const one = flush(start, count(begun, 50, 3));
+  const early = reportAll(one.table, 110);
+  t.deepEqual(
+    early.reports.map(({lines}) => lines),
+    [[lineOf(3)]],
+  );
+  // Two more of the first window are written after its seal, then one of the next.
+  const late = count(count(one.state, 60, 2), 150, 1);
+  t.false(areCountersWritten(late));
+  const two = flush(early.table, late);
+  t.true(areCountersWritten(two.state));
+  const next = reportAll(two.table, 210);
+  t.deepEqual(
+    next.reports.map(({lines}) => lines),
+    [[lineOf(3)]],
+  );
+  t.like(next.reports[0], {startEpochMs: 100, endEpochMs: 200});
+  const counters = scanTable(next.table, 'usage/counters/');
+  const accounted = scanTable(next.table, 'usage/accounted/');
+  t.is(planUsageCleanup(counters, accounted, 100).length, 1);
+  t.is(planUsageCleanup(counters, accounted, 0).length, 0);
+});
+
+// A reporter is paused or dies between any two steps while another goes on;
+// seals and reports are lost or late. A client account would be billed twice,
+// or with figures that differ between two reports.
+test('no order of losses and takeovers reports a window with two figures', t => {
+  const sizes = [
+    {windows: 2, counts: 2},
+    {windows: 1, counts: 1, losses: 1},
+    {windows: 1, counts: 1, losses: 1, peer: true, takesOver: false},
+  ];
+  for (const size of sizes) {
+    const {states, transitions, violation, trace} = explore(
+      createUsageModel(size),
+      LIMIT,
+    );
+    t.log(JSON.stringify(size), states, 'states', transitions, 'transitions');
+    t.is(violation, undefined, JSON.stringify(trace));
+  }
+});
+
+/** A seal that is written whatever the table says. */
+function dropChecks(step: ReporterStep): ReporterStep {
+  const effects = step.effects.map(effect =>
+    effect.kind === 'transact'
+      ? {...effect, transaction: {...effect.transaction, checks: []}}
+      : effect,
+  );
+  return {...step, effects};
+}
+
+test('the model finds a seal that is not conditional', t => {
+  const mutant = createUsageModel({
+    windows: 1,
+    counts: 2,
+    mutateStep: dropChecks,
+  });
+  const {violation, trace} = explore(mutant, LIMIT);
+  t.log(violation, 'after', trace.length, 'actions');
+  t.is(violation, 'what is sealed is not what was counted');
+});
--- /dev/null
+++ b/packages/agreement/src/usage.ts
@@ -0,0 +1,347 @@
+/**
+ * The usage reporter: under its lease it seals one window after another and
+ * reports each by its seal, under the window's id. A successor goes on where
+ * the table says that its predecessor came to, with the same figures.
+ *
+ * Store calls a window, by the one holder: three reads of the progress row (one
+ * with a seal), two scans, two transactions; while there is nothing to do, one
+ * read a tick. A seal's transaction has the lines of the window and the parts
+ * of all counters of it: with `n` instances that each serve `a` pairs of client
+ * account and class, about `n a` lines of some 100 bytes.
+ */
+
+import type {LeaseName, UsageWindowId} from '@snipestage/types/ids.js';
+import type {
+  ReportResult,
+  UsageReport,
+} from '@snipestage/types/platform_messages.js';
+import type {ReadResult, Row} from '@snipestage/types/table.js';
+import {fenceKey, type LeaseTerm} from './lease.js';
+import {
+  findRow,
+  type Step,
+  type TableEffect,
+  type TableEvent,
+} from './table_effects.js';
+import {composeSeal} from './usage_seal.js';
+import {
+  ACCOUNTED_PREFIX,
+  COUNTERS_PREFIX,
+  PROGRESS_KEY,
+  sealKey,
+  windowAt,
+  windowStart,
+  type ProgressValue,
+  type SealValue,
+} from './usage_rows.js';
+
+/** How windows are cut and reported. */
+export interface ReporterOptions {
+  readonly lease: LeaseName;
+  readonly windowMs: number;
+  /** How long after its end a window waits for counters. */
+  readonly graceMs: number;
+}
+
+/** Where the reporter stands; each phase awaits the call numbered `call`. */
+export type ReporterPhase =
+  | {readonly kind: 'idle'}
+  | {readonly kind: 'reading_progress'; readonly nowEpochMs: number}
+  | {
+      readonly kind: 'scanning_counters';
+      readonly progress: Row;
+    }
+  | {
+      readonly kind: 'scanning_accounted';
+      readonly progress: Row;
+      readonly counters: readonly Row[];
+    }
+  | {readonly kind: 'writing'}
+  | {readonly kind: 'reading_seal'; readonly progress: Row}
+  | {readonly kind: 'reporting'; readonly progress: Row};
+
+export interface ReporterState {
+  readonly options: ReporterOptions;
+  readonly term: LeaseTerm | undefined;
+  readonly call: number;
+  readonly phase: ReporterPhase;
+}
+
+export type ReporterEvent =
+  | TableEvent
+  | {readonly kind: 'acquired'; readonly held: LeaseTerm}
+  | {readonly kind: 'lost'}
+  /** To be given every second or so; `nowEpochMs` only says what has ended. */
+  | {readonly kind: 'tick'; readonly nowEpochMs: number}
+  | {
+      readonly kind: 'report_answered';
+      readonly call: number;
+      /** `not_sent`: the guard said no. */
+      readonly result: ReportResult | {readonly kind: 'not_sent'};
+    };
+
+export type ReporterEffect =
+  | TableEffect
+  /** Send it if `leaseInForce` in the turn in which its bytes leave. */
+  | {
+      readonly kind: 'report';
+      readonly call: number;
+      readonly report: UsageReport;
+    }
+  | {
+      readonly kind: 'report_refused';
+      readonly window: UsageWindowId;
+      readonly reason: string;
+    };
+
+export type ReporterStep = Step<ReporterState, ReporterEffect>;
+
+/**
+ * @example
+ * let state = beginReporter({lease, windowMs: 60_000, graceMs: 15_000});
+ */
+export function beginReporter(options: ReporterOptions): ReporterState {
+  return {options, term: undefined, call: 0, phase: {kind: 'idle'}};
+}
+
+/**
+ * Takes in a tick, what became of the lease, or a result. Whatever fails or is
+ * unknown ends the round; the next tick begins with what the table says.
+ *
+ * @example
+ * ({state, effects} = transitionReporter(state, {kind: 'tick', nowEpochMs}));
+ */
+export function transitionReporter(
+  state: ReporterState,
+  event: ReporterEvent,
+): ReporterStep {
+  switch (event.kind) {
+    case 'acquired':
+      return end({...state, call: state.call + 1, term: event.held});
+    case 'lost':
+      return end({...state, call: state.call + 1, term: undefined});
+    case 'tick':
+      return state.term !== undefined && state.phase.kind === 'idle'
+        ? readProgress(state, event.nowEpochMs)
+        : {state, effects: []};
+    default:
+      return event.call === state.call && state.term !== undefined
+        ? takeResult(state, state.term, event)
+        : {state, effects: []};
+  }
+}
+
+type ResultEvent = Exclude<
+  ReporterEvent,
+  {readonly kind: 'acquired' | 'lost' | 'tick'}
+>;
+
+function takeResult(
+  state: ReporterState,
+  term: LeaseTerm,
+  event: ResultEvent,
+): ReporterStep {
+  switch (event.kind) {
+    case 'read_answered':
+      return takeRows(state, term, event.result);
+    case 'report_answered':
+      return takeReported(state, term, event.result);
+    case 'transaction_answered':
+      // Committed, in conflict or unknown: the next tick reads which.
+      return end(state);
+    case 'waited':
+      return {state, effects: []};
+  }
+}
+
+function end(state: ReporterState): ReporterStep {
+  return {state: {...state, phase: {kind: 'idle'}}, effects: []};
+}
+
+/** Goes on to a phase whose effect is numbered anew. */
+function enter(
+  state: ReporterState,
+  phase: ReporterPhase,
+  effectOf: (call: number) => ReporterEffect,
+): ReporterStep {
+  const call = state.call + 1;
+  return {state: {...state, call, phase}, effects: [effectOf(call)]};
+}
+
+function readProgress(state: ReporterState, nowEpochMs: number): ReporterStep {
+  return enter(state, {kind: 'reading_progress', nowEpochMs}, call => ({
+    kind: 'read',
+    call,
+    keys: [PROGRESS_KEY],
+  }));
+}
+
+function takeRows(
+  state: ReporterState,
+  term: LeaseTerm,
+  result: ReadResult,
+): ReporterStep {
+  const {phase} = state;
+  if (result.kind === 'unavailable') {
+    return end(state);
+  }
+  const {rows} = result;
+  switch (phase.kind) {
+    case 'reading_progress':
+      return chooseNext(
+        state,
+        term,
+        findRow(rows, PROGRESS_KEY),
+        phase.nowEpochMs,
+      );
+    case 'scanning_counters':
+      return enter(
+        state,
+        {...phase, kind: 'scanning_accounted', counters: rows},
+        call => ({kind: 'scan', call, prefix: ACCOUNTED_PREFIX}),
+      );
+    case 'scanning_accounted':
+      return seal(state, term, {...phase, accounted: rows});
+    case 'reading_seal':
+      return report(state, phase.progress, rows);
+    default:
+      return {state, effects: []};
+  }
+}
+
+function chooseNext(
+  state: ReporterState,
+  term: LeaseTerm,
+  progress: Row,
+  nowEpochMs: number,
+): ReporterStep {
+  const {windowMs, graceMs} = state.options;
+  const value = progress.value as ProgressValue | null;
+  if (value === null) {
+    // The first window ever sealed takes in whatever was counted before it.
+    const startMs = windowStart(windowAt(nowEpochMs, windowMs));
+    return writeProgress(state, term, progress, {
+      nextToSealEpochMs: startMs,
+      nextToReportEpochMs: startMs,
+    });
+  }
+  if (value.nextToReportEpochMs < value.nextToSealEpochMs) {
+    const window = windowAt(value.nextToReportEpochMs, windowMs);
+    return enter(state, {kind: 'reading_seal', progress}, call => ({
+      kind: 'read',
+      call,
+      keys: [sealKey(window)],
+    }));
+  }
+  if (value.nextToSealEpochMs + windowMs + graceMs > nowEpochMs) {
+    return end(state);
+  }
+  return enter(state, {kind: 'scanning_counters', progress}, call => ({
+    kind: 'scan',
+    call,
+    prefix: COUNTERS_PREFIX,
+  }));
+}
+
+function seal(
+  state: ReporterState,
+  term: LeaseTerm,
+  read: {
+    readonly progress: Row;
+    readonly counters: readonly Row[];
+    readonly accounted: readonly Row[];
+  },
+): ReporterStep {
+  const {lease, windowMs} = state.options;
+  const {nextToSealEpochMs} = read.progress.value as ProgressValue;
+  const {progress, counters, accounted} = read;
+  const transaction = composeSeal({
+    progress,
+    counters,
+    accounted,
+    windowMs,
+    window: windowAt(nextToSealEpochMs, windowMs),
+    fence: {key: fenceKey(lease), version: term.fenceVersion},
+  });
+  return enter(state, {kind: 'writing'}, call => ({
+    kind: 'transact',
+    call,
+    transaction,
+  }));
+}
+
+/**
+ * Reports from the seal as the table has it, never from figures at hand: a seal
+ * whose outcome was unknown may be another's, with other figures.
+ */
+function report(
+  state: ReporterState,
+  progress: Row,
+  rows: readonly Row[],
+): ReporterStep {
+  const {windowMs} = state.options;
+  const {nextToReportEpochMs} = progress.value as ProgressValue;
+  const window = windowAt(nextToReportEpochMs, windowMs);
+  const value = findRow(rows, sealKey(window)).value as SealValue | null;
+  if (value === null) {
+    return end(state);
+  }
+  const usageReport: UsageReport = {
+    window,
+    startEpochMs: nextToReportEpochMs,
+    endEpochMs: nextToReportEpochMs + windowMs,
+    lines: value.lines,
+  };
+  return enter(state, {kind: 'reporting', progress}, call => ({
+    kind: 'report',
+    call,
+    report: usageReport,
+  }));
+}
+
+function takeReported(
+  state: ReporterState,
+  term: LeaseTerm,
+  result: ReportResult | {readonly kind: 'not_sent'},
+): ReporterStep {
+  const {phase} = state;
+  const settled = result.kind === 'accepted' || result.kind === 'refused';
+  if (phase.kind !== 'reporting' || !settled) {
+    // May have been taken in; the same report goes out again next time.
+    return end(state);
+  }
+  const value = phase.progress.value as ProgressValue;
+  const {windowMs} = state.options;
+  const step = writeProgress(state, term, phase.progress, {
+    ...value,
+    nextToReportEpochMs: value.nextToReportEpochMs + windowMs,
+  });
+  if (result.kind === 'accepted') {
+    return step;
+  }
+  const window = windowAt(value.nextToReportEpochMs, windowMs);
+  const {reason} = result;
+  const told = {kind: 'report_refused', window, reason} as const;
+  return {...step, effects: [told, ...step.effects]};
+}
+
+function writeProgress(
+  state: ReporterState,
+  term: LeaseTerm,
+  progress: Row,
+  value: ProgressValue,
+): ReporterStep {
+  const fence = fenceKey(state.options.lease);
+  const transaction = {
+    checks: [
+      {key: fence, version: term.fenceVersion},
+      {key: PROGRESS_KEY, version: progress.version},
+    ],
+    writes: [{key: PROGRESS_KEY, value}],
+  };
+  return enter(state, {kind: 'writing'}, call => ({
+    kind: 'transact',
+    call,
+    transaction,
+  }));
+}
