--- a/packages/agreement/src/models/claim_model.ts
+++ b/packages/agreement/src/models/claim_model.ts
@@ -22,7 +22,9 @@
   deliver,
   deliverLate,
   listDeliveries,
+  listLate,
   type Delivery,
+  type LateAction,
   type World,
 } from './world_model.js';
 
@@ -49,7 +51,7 @@
       readonly attempt: number;
       readonly delivery: Delivery;
     }
-  | {readonly type: 'late'; readonly index: number}
+  | LateAction
   | {
       readonly type: 'end';
       readonly attempt: number;
@@ -98,10 +100,7 @@
 }
 
 function listClaimActions(state: ClaimWorld): readonly ClaimAction[] {
-  const actions: ClaimAction[] = state.world.late.map((_, index) => ({
-    type: 'late',
-    index,
-  }));
+  const actions: ClaimAction[] = [...listLate(state.world)];
   state.attempts.forEach((item, attempt) => {
     if (item.state === undefined) {
       actions.push({type: 'begin', attempt});
--- a/packages/agreement/src/models/lease_model.ts
+++ b/packages/agreement/src/models/lease_model.ts
@@ -38,7 +38,9 @@
   deliver,
   deliverLate,
   listDeliveries,
+  listLate,
   type Delivery,
+  type LateAction,
   type World,
 } from './world_model.js';
 
@@ -78,7 +80,7 @@
       readonly of: 'leaseCall' | 'ordersCall';
       readonly delivery: Delivery;
     }
-  | {readonly type: 'late'; readonly index: number}
+  | LateAction
   | {readonly type: 'send'; readonly process: number}
   | {
       readonly type: 'arrive';
@@ -181,7 +183,7 @@
     actions.push({type: 'time_passes', fasterBy: 0});
     actions.push({type: 'time_passes', fasterBy: 1});
   }
-  state.world.late.forEach((_, index) => actions.push({type: 'late', index}));
+  actions.push(...listLate(state.world));
   state.sent.forEach((_, index) => {
     actions.push({type: 'arrive', index, answered: true});
     if (state.world.lossesLeft > 0) {
--- a/packages/agreement/src/models/usage_model.ts
+++ b/packages/agreement/src/models/usage_model.ts
@@ -36,7 +36,9 @@
   deliver,
   deliverLate,
   listDeliveries,
+  listLate,
   type Delivery,
+  type LateAction,
   type World,
 } from './world_model.js';
 
@@ -63,7 +65,7 @@
 export type UsageAction =
   | {readonly type: 'count' | 'flush' | 'copy' | 'write_copies'}
   | {readonly type: 'window_ends' | 'take_over'}
-  | {readonly type: 'late'; readonly index: number}
+  | LateAction
   | {readonly type: 'tick'; readonly reporter: number}
   | {
       readonly type: 'deliver';
@@ -153,10 +155,7 @@
   state: UsageWorld,
   limits: Required<Omit<UsageModelOptions, 'losses' | 'mutateStep'>>,
 ): readonly UsageAction[] {
-  const actions: UsageAction[] = state.world.late.map((_, index) => ({
-    type: 'late',
-    index,
-  }));
+  const actions: UsageAction[] = [...listLate(state.world)];
   if (state.counted < limits.counts) {
     actions.push({type: 'count'});
   }
--- a/packages/agreement/src/models/world_model.ts
+++ b/packages/agreement/src/models/world_model.ts
@@ -85,3 +85,19 @@
   const {table} = commitTo(world.table, world.late[index]);
   return {...world, table, late: world.late.filter((_, i) => i !== index)};
 }
+
+/** A delayed transaction arrives after all. */
+export interface LateAction {
+  readonly type: 'late';
+  readonly index: number;
+}
+
+/**
+ * The delayed transactions, each of which may arrive next.
+ *
+ * @example
+ * const actions: Action[] = [...listLate(world)];
+ */
+export function listLate(world: World): readonly LateAction[] {
+  return world.late.map((_, index) => ({type: 'late', index}));
+}
