--- a/packages/agreement/src/claim_rows.ts
+++ b/packages/agreement/src/claim_rows.ts
@@ -48,7 +48,7 @@
   readonly status: ClaimStatus;
 }
 
-const PREFIX = 'claims/';
+export const CLAIMS_PREFIX = 'claims/';
 const SHARD_DIGITS = 2;
 
 /** Number of prefixes that {@link claimShardPrefix} tells apart. */
@@ -65,7 +65,7 @@
   idempotencyKey: IdempotencyKey,
 ): string {
   const digest = digestOf([clientAccount, idempotencyKey]);
-  return `${PREFIX}${digest.slice(0, SHARD_DIGITS)}/${digest}`;
+  return `${CLAIMS_PREFIX}${digest.slice(0, SHARD_DIGITS)}/${digest}`;
 }
 
 /**
@@ -75,7 +75,7 @@
  * claimShardPrefix(255); // 'claims/ff/'
  */
 export function claimShardPrefix(shard: number): string {
-  return `${PREFIX}${shard.toString(16).padStart(SHARD_DIGITS, '0')}/`;
+  return `${CLAIMS_PREFIX}${shard.toString(16).padStart(SHARD_DIGITS, '0')}/`;
 }
 
 /**
--- a/packages/agreement/src/models/claim_model.ts
+++ b/packages/agreement/src/models/claim_model.ts
@@ -14,10 +14,10 @@
   type ClaimState,
   type ClaimStep,
 } from '../claim.js';
-import type {ClaimValue} from '../claim_rows.js';
+import {CLAIMS_PREFIX, type ClaimValue} from '../claim_rows.js';
 import type {TableEffect} from '../table_effects.js';
 import type {Model} from './explore.js';
-import {EMPTY_TABLE} from './table_model.js';
+import {EMPTY_TABLE, scanTable} from './table_model.js';
 import {
   deliver,
   deliverLate,
@@ -241,6 +241,8 @@
       (ended === 'not_run' ||
         (ended === 'no' && (!state || state.phase === 'done'))),
   );
-  const values = Object.values(world.table).map(row => row.value as ClaimValue);
+  const values = scanTable(world.table, CLAIMS_PREFIX).map(
+    row => row.value as ClaimValue,
+  );
   return settled && values.some(({status}) => status.kind !== 'released');
 }
