--- /dev/null
+++ b/packages/connection/src/fresh_connection.test.ts
@@ -0,0 +1,78 @@
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import test from 'ava';
+import {FreshConnection} from './fresh_connection.js';
+
+async function startServer(): Promise<{
+  port: number;
+  hits: () => number;
+  server: http.Server;
+}> {
+  let hits = 0;
+  const server = http.createServer((request, response) => {
+    hits += 1;
+    response.end('ok');
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  return {port, hits: () => hits, server};
+}
+
+async function openOrFail(
+  port: number,
+  mayStillSend?: () => boolean,
+): Promise<FreshConnection> {
+  const connection = await FreshConnection.open({
+    host: '127.0.0.1',
+    port,
+    mayStillSend,
+  });
+  if (connection.kind === 'failed') throw new Error(connection.reason);
+  return connection;
+}
+
+function get(connection: FreshConnection): Promise<number | string> {
+  return new Promise(resolve => {
+    http
+      .request(
+        {path: '/', createConnection: connection.createConnection},
+        response => {
+          response.resume();
+          response.on('end', () => resolve(response.statusCode ?? 0));
+        },
+      )
+      .on('error', (error: NodeJS.ErrnoException) =>
+        resolve(error.code ?? error.message),
+      )
+      .end();
+  });
+}
+
+test('a request over an open connection may have run', async t => {
+  const {port, server} = await startServer();
+  const connection = await openOrFail(port);
+  t.is(connection.verdict, 'not_run');
+  t.is(await get(connection), 200);
+  t.is(connection.verdict, 'may_have_run');
+  server.close();
+});
+
+test('a send forbidden at the last moment has not run', async t => {
+  // A lease ends between the opening of the connection and the send. Without
+  // the guard the platform would get an order from a process that is no longer
+  // in charge.
+  const {port, hits, server} = await startServer();
+  const connection = await openOrFail(port, () => false);
+  t.not(await get(connection), 200);
+  t.is(connection.verdict, 'not_run');
+  t.true(connection.wasForbidden);
+  t.is(hits(), 0);
+  server.close();
+});
+
+test('nobody listening means that nothing has run', async t => {
+  const {port, server} = await startServer();
+  await new Promise(resolve => server.close(resolve));
+  const connection = await FreshConnection.open({host: '127.0.0.1', port});
+  t.is(connection.kind, 'failed');
+});
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -54,7 +54,7 @@
   /**
    * Orders endpoints. `mayStillSend` is asked in the same turn of the event
    * loop in which the bytes are handed to the connection; when it says no,
-   * nothing is sent and the order is `refused`. `signal` resets the connection,
+   * nothing is sent and the order is `not_sent`. `signal` resets the connection,
    * so that the kernel can't deliver the order after the lease's term.
    */
   abstract orderEndpoints(
--- /dev/null
+++ b/packages/platform/src/wire_schemas.ts
@@ -0,0 +1,41 @@
+/** What the platform's answers must look like; others count as no answer. */
+
+import {z} from 'zod';
+
+const row = z.object({
+  key: z.string(),
+  version: z.int().min(0),
+  value: z.unknown(),
+});
+
+export const rowsSchema = z.object({rows: z.array(row)});
+
+export const versionsSchema = z.object({
+  versions: z.record(z.string(), z.int()),
+});
+
+export const conflictSchema = z.object({rows: z.array(row)});
+
+export const listedInstancesSchema = z.object({
+  items: z.array(
+    z.object({
+      id: z.string(),
+      dataCentre: z.string(),
+      peerAddress: z.string(),
+      state: z.enum(['live', 'leaving']),
+    }),
+  ),
+});
+
+export const listedEndpointsSchema = z.object({
+  items: z.array(
+    z.object({
+      id: z.string(),
+      dataCentre: z.string(),
+      model: z.string(),
+      kind: z.enum(['regular', 'cheap']),
+      url: z.string(),
+      state: z.enum(['starting', 'live', 'leaving']),
+    }),
+  ),
+});
--- a/packages/types/src/platform_messages.ts
+++ b/packages/types/src/platform_messages.ts
@@ -30,6 +30,8 @@
 export type OrderResult =
   | {readonly kind: 'accepted'}
   | {readonly kind: 'refused'; readonly reason: string}
+  /** No byte left: no connection, or the lease had ended. */
+  | {readonly kind: 'not_sent'; readonly reason: string}
   /** May have been carried out. */
   | {readonly kind: 'unknown'; readonly reason: string};
 
@@ -56,6 +58,7 @@
 export type ReportResult =
   | {readonly kind: 'accepted'}
   | {readonly kind: 'refused'; readonly reason: string}
+  | {readonly kind: 'not_sent'; readonly reason: string}
   | {readonly kind: 'unknown'; readonly reason: string};
 
 export type InstanceState = 'live' | 'leaving';
