--- /dev/null
+++ b/packages/entry/src/answer/stream_sink.ts
@@ -0,0 +1,79 @@
+/** Sends an answer as server-sent events, piece by piece. */
+
+import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
+import type {RequestId} from '@snipestage/types/ids.js';
+import type {Refusal} from '@snipestage/types/refusal.js';
+import {AnswerSink, type AnswerPiece, type AnswerUsage} from './answer_sink.js';
+import {refusalBody, sendRefusal} from './refusal_response.js';
+
+/** Options of {@link StreamSink}. */
+export interface StreamSinkOptions {
+  readonly response: ServerResponse;
+  readonly requestId: RequestId;
+  /** Whether the caller asked for a last chunk with the usage. */
+  readonly includeUsage?: boolean;
+}
+
+/** An answer that ends without `[DONE]` is not whole. */
+export class StreamSink extends AnswerSink {
+  private readonly response: ServerResponse;
+
+  constructor(private readonly options: StreamSinkOptions) {
+    super();
+    this.response = options.response;
+  }
+
+  get hasBegun(): boolean {
+    return this.response.headersSent;
+  }
+
+  async write(piece: AnswerPiece): Promise<void> {
+    this.begin();
+    await this.send({...piece.chunk, id: this.options.requestId});
+  }
+
+  async finish(usage: AnswerUsage): Promise<void> {
+    this.begin();
+    if (this.options.includeUsage) {
+      await this.send({
+        id: this.options.requestId,
+        choices: [],
+        usage: {
+          prompt_tokens: usage.promptTokens,
+          completion_tokens: usage.outputTokens,
+          total_tokens: usage.promptTokens + usage.outputTokens,
+        },
+      });
+    }
+    this.response.end('data: [DONE]\n\n');
+  }
+
+  fail(refusal: Refusal): void {
+    const {requestId} = this.options;
+    if (!this.hasBegun) {
+      sendRefusal(this.response, refusal, requestId);
+      return;
+    }
+    const body = JSON.stringify(refusalBody(refusal, requestId));
+    this.response.end(`data: ${body}\n\n`);
+  }
+
+  private begin(): void {
+    if (this.response.headersSent) return;
+    this.response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-cache',
+      'x-request-id': this.options.requestId,
+    });
+  }
+
+  private async send(chunk: object): Promise<void> {
+    if (this.response.destroyed) return;
+    const hasRoom = this.response.write(`data: ${JSON.stringify(chunk)}\n\n`);
+    if (hasRoom) return;
+    const closed = once(this.response, 'close');
+    const drained = once(this.response, 'drain');
+    await Promise.race([drained, closed]);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/listen/read_body.ts
@@ -0,0 +1,71 @@
+/** Reads a request's body up to a limit. */
+
+import type {IncomingMessage} from 'node:http';
+import {RequestError} from '@snipestage/errors/request_error.js';
+
+/**
+ * Collects the body.
+ *
+ * @throws RequestError `body_too_large` past the limit, `invalid_request` when
+ * the caller stops midway; verdict `not_run`.
+ * @example
+ * const body = await readBody(request, 1_048_576);
+ */
+export async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer> {
+  const declaredBytes = Number(request.headers['content-length'] ?? 0);
+  if (declaredBytes > maxBytes) throw tooLarge(maxBytes);
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const part of request) {
+      bytes += (part as Buffer).length;
+      if (bytes > maxBytes) throw tooLarge(maxBytes);
+      parts.push(part as Buffer);
+    }
+  } catch (error) {
+    if (error instanceof RequestError) throw error;
+    throw new RequestError('The body ended before it was whole.', {
+      code: 'invalid_request',
+      verdict: 'not_run',
+      cause: error,
+    });
+  }
+  return Buffer.concat(parts);
+}
+
+/**
+ * Parses a body as a JSON object.
+ *
+ * @throws RequestError `invalid_request`, verdict `not_run`.
+ * @example
+ * const body = parseJsonObject(Buffer.from('{"model":"repair"}'));
+ */
+export function parseJsonObject(body: Buffer): Record<string, unknown> {
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(body.toString('utf8'));
+  } catch (cause) {
+    throw new RequestError('The body is not JSON.', {
+      code: 'invalid_request',
+      verdict: 'not_run',
+      cause,
+    });
+  }
+  if (typeof parsed !== 'object' || parsed === null || Array.isArray(parsed)) {
+    throw new RequestError('The body is not a JSON object.', {
+      code: 'invalid_request',
+      verdict: 'not_run',
+    });
+  }
+  return parsed as Record<string, unknown>;
+}
+
+function tooLarge(maxBytes: number): RequestError {
+  return new RequestError(`The body is larger than ${maxBytes} bytes.`, {
+    code: 'body_too_large',
+    verdict: 'not_run',
+  });
+}
