--- /dev/null
+++ b/packages/configuration/src/ticket_schema.ts
@@ -0,0 +1,101 @@
+/** Checks change tickets and tells all their faults together. */
+
+import type {Fault} from '@snipestage/errors/request_error.js';
+import {pathOf, toFaults} from '@snipestage/errors/schema_faults.js';
+import type {
+  ChangeTicket,
+  ObjectKind,
+} from '@snipestage/types/configuration.js';
+import {z} from 'zod';
+import {idSchemas, objectSchemas} from './object_schemas.js';
+
+const LONGEST_TEXT = 1000;
+
+function changeOf<Kind extends ObjectKind>(kind: Kind) {
+  return z.strictObject({
+    kind: z.literal(kind),
+    id: idSchemas[kind],
+    state: objectSchemas[kind].nullable(),
+  });
+}
+
+const change = z.discriminatedUnion('kind', [
+  changeOf('data_centre'),
+  changeOf('request_class'),
+  changeOf('client_account'),
+  changeOf('model'),
+  changeOf('service'),
+  changeOf('endpoint'),
+  changeOf('endpoint_pool'),
+]);
+
+const text = z.string().trim().min(1).max(LONGEST_TEXT);
+
+/** The schema of a change ticket; unknown fields are faults. */
+export const ticketSchema = z.strictObject({
+  number: z.int().positive(),
+  author: text,
+  reason: text,
+  changes: z.array(change).min(1, 'must have at least one change'),
+});
+
+/** As much of a change as the rules on ids need; the rest may be wrong. */
+const namedObject = z.object({kind: z.string(), id: z.string()});
+const stateWithId = z.object({state: z.object({id: z.string()})});
+
+/** A ticket, or everything that is wrong with it. */
+export type CheckedTicket =
+  {readonly ticket: ChangeTicket} | {readonly faults: readonly Fault[]};
+
+/**
+ * Checks a ticket by itself. What it refers to is checked against the
+ * configuration, see `checkReferences`.
+ *
+ * @example
+ * const checked = checkTicket(JSON.parse(body));
+ * if ('faults' in checked) return refuse(checked.faults);
+ * submit(checked.ticket);
+ */
+export function checkTicket(input: unknown): CheckedTicket {
+  const result = ticketSchema.safeParse(input);
+  const faults = [
+    ...(result.success ? [] : toFaults(result.error.issues)),
+    ...findIdFaults(input),
+  ];
+  if (faults.length > 0) return {faults};
+  return {ticket: result.data as unknown as ChangeTicket};
+}
+
+/**
+ * Judged on the raw input, since the schema leaves off rules on a whole ticket
+ * once one field of it is wrong, and the operator would be told of these
+ * faults only after mending the others.
+ */
+function findIdFaults(input: unknown): Fault[] {
+  const ticket = z.object({changes: z.array(z.unknown())}).safeParse(input);
+  if (!ticket.success) return [];
+  const faults: Fault[] = [];
+  const firstIndexes = new Map<string, number>();
+  ticket.data.changes.forEach((each, index) => {
+    const named = namedObject.safeParse(each);
+    if (!named.success) return;
+    const objectPath = `${named.data.kind}/${named.data.id}`;
+    const firstIndex = firstIndexes.get(objectPath);
+    if (firstIndex === undefined) {
+      firstIndexes.set(objectPath, index);
+    } else {
+      faults.push({
+        path: pathOf(['changes', index]),
+        message: `${objectPath} is already in changes[${firstIndex}]`,
+      });
+    }
+    const stated = stateWithId.safeParse(each);
+    if (stated.success && stated.data.state.id !== named.data.id) {
+      faults.push({
+        path: pathOf(['changes', index, 'state', 'id']),
+        message: `must equal the id of the change, ${named.data.id}`,
+      });
+    }
+  });
+  return faults;
+}
--- a/packages/settings/src/entry_settings.ts
+++ b/packages/settings/src/entry_settings.ts
@@ -2,24 +2,17 @@
 
 import type {DataCentreId, InstanceId, KeyHash} from '@snipestage/types/ids.js';
 import {z} from 'zod';
+import {
+  durationMsSchema as durationMs,
+  ipNumberSchema as ipNumber,
+  keyHashSchema as keyHash,
+  nameSchema as name,
+} from './field_schemas.js';
 
-const LONGEST_NAME = 64;
 const MAX_PORT = 65535;
 const KILOBYTE = 1024;
 
-const name = z
-  .string()
-  .regex(
-    /^[a-z0-9][a-z0-9-]*$/,
-    'must be lower-case letters, digits and hyphens',
-  )
-  .max(LONGEST_NAME);
-const ipNumber = z.union([z.ipv4(), z.ipv6()]);
 const port = z.int().min(0).max(MAX_PORT);
-const durationMs = z.int().positive();
-const keyHash = z
-  .string()
-  .regex(/^sha256:[0-9a-f]{64}$/, 'must come from `snipestage keys hash`');
 
 const callers = z.strictObject({
   host: ipNumber.default('127.0.0.1'),
--- a/packages/settings/src/read_settings.ts
+++ b/packages/settings/src/read_settings.ts
@@ -1,8 +1,8 @@
 /** Reads settings from a file and tells all their faults together. */
 
 import {readFileSync} from 'node:fs';
-import {InputError, type Fault} from '@snipestage/errors/request_error.js';
-import type {z} from 'zod';
+import {InputError} from '@snipestage/errors/request_error.js';
+import {toFaults} from '@snipestage/errors/schema_faults.js';
 import {entrySettingsSchema, type EntrySettings} from './entry_settings.js';
 
 /**
@@ -16,7 +16,7 @@
   const result = entrySettingsSchema.safeParse(input);
   if (!result.success) {
     throw new InputError('The settings are not valid.', {
-      faults: result.error.issues.flatMap(faultsOf),
+      faults: toFaults(result.error.issues),
     });
   }
   return result.data as unknown as EntrySettings;
@@ -42,21 +42,3 @@
   }
   return checkEntrySettings(parsed);
 }
-
-function faultsOf(issue: z.core.$ZodIssue): Fault[] {
-  if (issue.code === 'unrecognized_keys') {
-    return issue.keys.map(key => ({
-      path: pathOf([...issue.path, key]),
-      message: 'is not a known setting',
-    }));
-  }
-  return [{path: pathOf(issue.path), message: issue.message}];
-}
-
-/** `['changes', 2, 'tier']` reads `changes[2].tier`. */
-export function pathOf(path: readonly PropertyKey[]): string {
-  return path.reduce<string>((text, part) => {
-    if (typeof part === 'number') return `${text}[${part}]`;
-    return text === '' ? String(part) : `${text}.${String(part)}`;
-  }, '');
-}
