Tell the owner of a cell what starts under an allotment

An allotment lets an instance start without asking, so its owner can't know from asks what runs. Added to the messages: `started`, `allotment_applied` (what an older, larger allotment gave may go to others only after the instance has said that it keeps to the newer one), and optional fields on PermitInUse and Allotment. Ruled out: the whole in_use list as acknowledgement, for it grows with what runs.

--- a/packages/policy/src/cell_messages.ts
+++ b/packages/policy/src/cell_messages.ts
@@ -57,6 +57,22 @@
       readonly instance: InstanceId;
       readonly permits: readonly PermitInUse[];
     }
+  /** Attempts that an instance began under its allotment, without asking. */
+  | {
+      readonly kind: 'started';
+      readonly instance: InstanceId;
+      readonly permits: readonly PermitInUse[];
+    }
+  /**
+   * The instance keeps to the allotment of this sequence: what an older one gave
+   * and this one does not may go to others. Comes after what was begun under
+   * the older one.
+   */
+  | {
+      readonly kind: 'allotment_applied';
+      readonly instance: InstanceId;
+      readonly sequence: number;
+    }
   | {readonly kind: 'instance_joined'; readonly instance: InstanceId}
   | {readonly kind: 'instance_gone'; readonly instance: InstanceId}
   | {readonly kind: 'endpoints'; readonly endpoints: readonly CellEndpoint[]}
--- a/packages/types/src/permits.ts
+++ b/packages/types/src/permits.ts
@@ -73,6 +73,8 @@
   readonly endpoints: ReadonlyArray<{
     readonly endpoint: EndpointId;
     readonly permits: number;
+    /** The endpoint's whole limit as learnt, for when no owner is reached. */
+    readonly limit?: number;
   }>;
 }
 
@@ -85,4 +87,8 @@
   readonly requestClass: RequestClassId;
   readonly tier: number;
   readonly outputTokens: number;
+  /** Begun under an allotment of the owner that is told; false if absent. */
+  readonly underAllotment?: boolean;
+  /** It must run alone; false if absent. */
+  readonly suspect?: boolean;
 }
