--- /dev/null
+++ b/packages/entry/src/configure/configuration_store.ts
@@ -0,0 +1,55 @@
+/** The configuration in force at this instance. */
+
+import {emptyConfiguration} from '@snipestage/configuration/configuration.js';
+import {KeyIndex} from '@snipestage/configuration/key_hash.js';
+import type {Configuration} from '@snipestage/types/configuration.js';
+import type {Revision} from '@snipestage/types/ids.js';
+
+/** Is told of each new configuration. */
+export type ConfigurationListener = (configuration: Configuration) => void;
+
+/** Holds the newest configuration seen; never goes back. */
+export class ConfigurationStore {
+  private configuration = emptyConfiguration();
+  private index = new KeyIndex(this.configuration);
+  private readonly listeners: ConfigurationListener[] = [];
+  private confirmedAtMs = Number.NEGATIVE_INFINITY;
+
+  get current(): Configuration {
+    return this.configuration;
+  }
+
+  get revision(): Revision {
+    return this.configuration.revision;
+  }
+
+  get keys(): KeyIndex {
+    return this.index;
+  }
+
+  /** When the platform, or a peer that reached it, last confirmed it. */
+  get lastConfirmedAtMs(): number {
+    return this.confirmedAtMs;
+  }
+
+  /**
+   * Puts a configuration in force if it is newer. Pushes, gossip and reads
+   * overtake one another; an older one put in force late would bring a
+   * withdrawn key back.
+   */
+  apply(configuration: Configuration): boolean {
+    if (configuration.revision <= this.configuration.revision) return false;
+    this.configuration = configuration;
+    this.index = new KeyIndex(configuration);
+    for (const listener of this.listeners) listener(configuration);
+    return true;
+  }
+
+  confirm(atMs: number): void {
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
+  }
+
+  onChange(listener: ConfigurationListener): void {
+    this.listeners.push(listener);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/send/model_runner.ts
@@ -0,0 +1,273 @@
+/** Runs a model request: permit, attempt, and attempts after failures. */
+
+import {RequestError} from '@snipestage/errors/request_error.js';
+import type {RequestClass} from '@snipestage/types/configuration.js';
+import {
+  brandAs,
+  type AttemptId,
+  type EndpointId,
+  type RequestId,
+} from '@snipestage/types/ids.js';
+import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
+import type {AnswerSink, AnswerUsage} from '../answer/answer_sink.js';
+import type {Permit, PermitRequest, Permits} from '../choose/permits.js';
+import type {MonotonicClock} from '../clock.js';
+import {AttemptMeter} from './attempt_meter.js';
+import {continuationBody} from './continuation.js';
+import {EndpointError} from './endpoint_error.js';
+import type {CompletionPath, EngineDriver, EngineEvent} from './engine_driver.js';
+import {outcomeOf} from './attempt_outcome.js';
+import type {RetryDecision, RetryPolicy} from './retry_policy.js';
+
+const SLOWEST_FIRST_TOKEN_FACTOR = 10;
+const MIN_FIRST_TOKEN_TIMEOUT_MS = 5000;
+
+/** What has to be run for a caller. */
+export interface ModelWork {
+  readonly requestId: RequestId;
+  readonly path: CompletionPath;
+  readonly body: Readonly<Record<string, unknown>>;
+  readonly requestClass: RequestClass;
+  readonly arrivedAtMs: number;
+  /** Aborts when the caller hangs up or its key is withdrawn. */
+  readonly signal: AbortSignal;
+  /** All but what changes from attempt to attempt. */
+  readonly permit: Omit<PermitRequest, 'attempt' | 'remainingMs' | 'excluded'>;
+  /** Told when the first attempt has leave to run. */
+  readonly onStart?: () => void;
+}
+
+/** Options of {@link ModelRunner}. */
+export interface ModelRunnerOptions {
+  readonly permits: Permits;
+  readonly driver: EngineDriver;
+  readonly retryPolicy: RetryPolicy;
+  readonly clock: MonotonicClock;
+  readonly chunkTimeoutMs: number;
+}
+
+/** How far a request has come over all its attempts. */
+interface Progress {
+  text: string;
+  outputTokens: number;
+  promptTokens: number;
+  attempts: number;
+  verdict: Verdict;
+  readonly excluded: EndpointId[];
+}
+
+/** Gives each caller its own, whole answer, whatever breaks on the way. */
+export class ModelRunner {
+  constructor(private readonly options: ModelRunnerOptions) {}
+
+  /**
+   * Runs until the answer is whole.
+   *
+   * @throws RequestError with the verdict over all attempts.
+   */
+  async run(work: ModelWork, sink: AnswerSink): Promise<AnswerUsage> {
+    const progress: Progress = {
+      text: '',
+      outputTokens: 0,
+      promptTokens: 0,
+      attempts: 0,
+      verdict: 'not_run',
+      excluded: [],
+    };
+    for (;;) {
+      const permit = await this.acquire(work, progress);
+      work.onStart?.();
+      const error = await this.attempt(work, permit, progress, sink);
+      if (error === undefined) return usageOf(progress);
+      progress.verdict = worseVerdict(progress.verdict, error.verdict);
+      progress.excluded.push(permit.endpoint.id);
+      await this.decide(work, progress, error);
+    }
+  }
+
+  private async acquire(work: ModelWork, progress: Progress): Promise<Permit> {
+    progress.attempts += 1;
+    const {deadlineMs} = work.requestClass;
+    const elapsedMs = this.options.clock() - work.arrivedAtMs;
+    try {
+      return await this.options.permits.acquire(
+        {
+          ...work.permit,
+          attempt: attemptId(work.requestId, progress.attempts),
+          remainingMs: deadlineMs - elapsedMs,
+          excluded: progress.excluded,
+        },
+        work.signal,
+      );
+    } catch (error) {
+      if (!(error instanceof RequestError)) throw error;
+      throw new RequestError(error.refusal.message, {
+        code: error.refusal.code,
+        verdict: worseVerdict(progress.verdict, error.refusal.verdict),
+        retryAfterMs: error.refusal.retryAfterMs,
+        cause: error,
+      });
+    }
+  }
+
+  /** One attempt, with one try to resume it at the same engine. */
+  private async attempt(
+    work: ModelWork,
+    permit: Permit,
+    progress: Progress,
+    sink: AnswerSink,
+  ): Promise<EndpointError | undefined> {
+    const meter = new AttemptMeter(this.options.clock);
+    let error = await this.read(work, permit, progress, sink, meter);
+    if (error !== undefined && mayResume(error, meter)) {
+      const resumed = await this.read(work, permit, progress, sink, meter);
+      error = resumed === undefined ? undefined : error;
+    }
+    if (error?.kind === 'cancelled') {
+      const attempt = attemptId(work.requestId, progress.attempts);
+      void this.options.driver.cancel(permit.endpoint.url, attempt);
+    }
+    permit.release({
+      outcome: error === undefined ? 'ok' : outcomeOf(error),
+      promptTokens: progress.promptTokens,
+      outputTokens: meter.outputTokens,
+      firstTokenMs: meter.firstTokenMs,
+      betweenTokensMs: meter.betweenTokensMs,
+    });
+    if (error === undefined) await sink.finish(usageOf(progress));
+    return error;
+  }
+
+  private async read(
+    work: ModelWork,
+    permit: Permit,
+    progress: Progress,
+    sink: AnswerSink,
+    meter: AttemptMeter,
+  ): Promise<EndpointError | undefined> {
+    const resumeOffset =
+      meter.outputTokens > 0 ? meter.outputTokens : undefined;
+    const batches = this.options.driver.stream({
+      url: permit.endpoint.url,
+      path: work.path,
+      attempt: attemptId(work.requestId, progress.attempts),
+      body: continuationBody(work.path, work.body, progress),
+      tier: work.requestClass.tier,
+      signal: work.signal,
+      firstTokenTimeoutMs: firstTokenTimeoutMs(work.requestClass),
+      chunkTimeoutMs: this.options.chunkTimeoutMs,
+      resumeOffset,
+    });
+    try {
+      for await (const events of batches) {
+        for (const event of events) {
+          await this.take(event, progress, sink, meter);
+        }
+        permit.progress(meter.outputTokens);
+      }
+      return undefined;
+    } catch (error) {
+      if (error instanceof EndpointError) return error;
+      throw error;
+    }
+  }
+
+  private async take(
+    event: EngineEvent,
+    progress: Progress,
+    sink: AnswerSink,
+    meter: AttemptMeter,
+  ): Promise<void> {
+    if (event.kind === 'usage') {
+      progress.promptTokens = event.promptTokens;
+      return;
+    }
+    const {chunk, finishReason} = event;
+    const text = event.kind === 'token' ? event.text : '';
+    if (event.kind === 'token') {
+      meter.token();
+      progress.text += text;
+      progress.outputTokens += 1;
+    }
+    await sink.write({text, finishReason, chunk});
+  }
+
+  /** Returns when there is to be another attempt; throws the refusal if not. */
+  private async decide(
+    work: ModelWork,
+    progress: Progress,
+    error: EndpointError,
+  ): Promise<void> {
+    if (work.signal.aborted) throw abortReason(work.signal, progress.verdict);
+    const elapsedMs = this.options.clock() - work.arrivedAtMs;
+    const decision: RetryDecision = this.options.retryPolicy.decide({
+      requestClass: work.requestClass.id,
+      verdict: progress.verdict,
+      repeatable: work.permit.repeatable,
+      attempts: progress.attempts,
+      remainingMs: work.requestClass.deadlineMs - elapsedMs,
+      cause: error.kind,
+    });
+    if (decision.kind === 'stop') {
+      throw new RequestError(`The endpoint failed: ${error.message}`, {
+        code: 'endpoint_failed',
+        verdict: progress.verdict,
+        retryAfterMs: decision.retryAfterMs,
+        cause: error,
+      });
+    }
+    await delay(decision.afterMs, work.signal);
+  }
+}
+
+function usageOf(progress: Progress): AnswerUsage {
+  return {
+    promptTokens: progress.promptTokens,
+    outputTokens: progress.outputTokens,
+  };
+}
+
+/** Each attempt has an id of its own, so that answers can't be crossed. */
+function attemptId(request: RequestId, attempt: number): AttemptId {
+  return brandAs<AttemptId>(`${request}.${attempt}`);
+}
+
+function mayResume(error: EndpointError, meter: AttemptMeter): boolean {
+  const isLinkFault = error.kind === 'broken' || error.kind === 'silent';
+  return isLinkFault && meter.outputTokens > 0;
+}
+
+function firstTokenTimeoutMs(requestClass: RequestClass): number {
+  return Math.max(
+    MIN_FIRST_TOKEN_TIMEOUT_MS,
+    requestClass.firstTokenTargetMs * SLOWEST_FIRST_TOKEN_FACTOR,
+  );
+}
+
+/** The abort's own refusal, with the verdict as it really is. */
+function abortReason(signal: AbortSignal, verdict: Verdict): RequestError {
+  const reason: unknown = signal.reason;
+  if (!(reason instanceof RequestError)) {
+    return new RequestError('The caller hung up.', {
+      code: 'internal',
+      verdict,
+    });
+  }
+  return new RequestError(reason.refusal.message, {
+    code: reason.refusal.code,
+    verdict,
+    retryAfterMs: reason.refusal.retryAfterMs,
+  });
+}
+
+function delay(ms: number, signal: AbortSignal): Promise<void> {
+  if (ms <= 0) return Promise.resolve();
+  return new Promise(resolve => {
+    const timer = setTimeout(resolve, ms);
+    const stop = () => {
+      clearTimeout(timer);
+      resolve();
+    };
+    signal.addEventListener('abort', stop, {once: true});
+  });
+}
