Add stand-ins for the platform, an engine and a plain service

Cause: the router can't be tried without the systems that it meets. Change: in-memory platform, streaming engine with one batch and a booking service, each as a class and as a process through one script. A completion is worked out from its prompt, so that a crossed, cut or doubled answer shows in the text, also after a stream was continued elsewhere; the request id stands in the header and in each chunk. Ruled out: random text, which would need the engine's log to be compared with. Conclusion: the thin path can be built against them.

--- /dev/null
+++ b/packages/stand_ins/src/engine/batch.ts
@@ -0,0 +1,124 @@
+/** Continuous batching: each step gives every running sequence one token. */
+
+import type {Sequence} from './sequence.js';
+
+/** How fast a batch is. */
+export interface BatchOptions {
+  readonly maxBatch?: number;
+  /** Time between tokens of a sequence that runs alone. */
+  readonly betweenTokensMs?: number;
+  /** Added to it for each further sequence that runs. */
+  readonly betweenTokensPerRunningMs?: number;
+  /** Time to work through one prompt token that is not cached. */
+  readonly prefillPerTokenMs?: number;
+}
+
+/** What the batch asks and tells. */
+export interface BatchHooks {
+  /** Prompt tokens to be worked through when a sequence is taken in. */
+  readonly countPrefillTokens: (sequence: Sequence) => number;
+  readonly onToken: (sequence: Sequence) => void;
+  readonly onFinished: (sequence: Sequence) => void;
+}
+
+const DEFAULT_MAX_BATCH = 16;
+const DEFAULT_BETWEEN_TOKENS_MS = 10;
+const DEFAULT_PER_RUNNING_MS = 0.5;
+const DEFAULT_PREFILL_MS = 0.05;
+
+/** Waiting sequences by priority, then arrival; running ones in steps. */
+export class Batch {
+  /** Multiplies every step, for an engine that has become slow. */
+  slowFactor = 1;
+  private readonly options: Required<BatchOptions>;
+  private readonly hooks: BatchHooks;
+  private readonly waitingSequences: Sequence[] = [];
+  private readonly runningSequences = new Set<Sequence>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(options: BatchOptions, hooks: BatchHooks) {
+    this.hooks = hooks;
+    this.options = {
+      maxBatch: options.maxBatch ?? DEFAULT_MAX_BATCH,
+      betweenTokensMs: options.betweenTokensMs ?? DEFAULT_BETWEEN_TOKENS_MS,
+      betweenTokensPerRunningMs:
+        options.betweenTokensPerRunningMs ?? DEFAULT_PER_RUNNING_MS,
+      prefillPerTokenMs: options.prefillPerTokenMs ?? DEFAULT_PREFILL_MS,
+    };
+  }
+
+  get running(): number {
+    return this.runningSequences.size;
+  }
+
+  get waiting(): number {
+    return this.waitingSequences.length;
+  }
+
+  /**
+   * Puts a sequence behind those of its priority; 0 goes first.
+   *
+   * @example
+   * batch.add(sequence);
+   */
+  add(sequence: Sequence): void {
+    const priority = sequence.options.priority;
+    const place = this.waitingSequences.findIndex(
+      other => other.options.priority > priority,
+    );
+    const at = place === -1 ? this.waitingSequences.length : place;
+    this.waitingSequences.splice(at, 0, sequence);
+    if (this.timer === undefined) this.scheduleStep();
+  }
+
+  /** Takes a sequence out; false when it was not there. */
+  remove(sequence: Sequence): boolean {
+    const at = this.waitingSequences.indexOf(sequence);
+    if (at >= 0) this.waitingSequences.splice(at, 1);
+    return this.runningSequences.delete(sequence) || at >= 0;
+  }
+
+  /** Drops all, as a crash does. */
+  clear(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    this.waitingSequences.length = 0;
+    this.runningSequences.clear();
+  }
+
+  private scheduleStep(): void {
+    const prefillMs = this.takeIn() * this.options.prefillPerTokenMs;
+    if (this.running === 0) {
+      this.timer = undefined;
+      return;
+    }
+    const {betweenTokensMs, betweenTokensPerRunningMs} = this.options;
+    const others = this.running - 1;
+    const stepMs =
+      betweenTokensMs + betweenTokensPerRunningMs * others + prefillMs;
+    this.timer = setTimeout(() => this.step(), stepMs * this.slowFactor);
+  }
+
+  private takeIn(): number {
+    let prefillTokens = 0;
+    while (this.running < this.options.maxBatch) {
+      const next = this.waitingSequences.shift();
+      if (next === undefined) break;
+      this.runningSequences.add(next);
+      prefillTokens += this.hooks.countPrefillTokens(next);
+    }
+    return prefillTokens;
+  }
+
+  private step(): void {
+    for (const sequence of this.runningSequences) {
+      sequence.produceToken();
+      this.hooks.onToken(sequence);
+      if (sequence.isFinished) {
+        this.runningSequences.delete(sequence);
+        this.hooks.onFinished(sequence);
+      }
+    }
+    this.scheduleStep();
+  }
+}
--- /dev/null
+++ b/packages/stand_ins/src/engine/sequence.ts
@@ -0,0 +1,103 @@
+/** One request at an engine stand-in, from arrival to its last token. */
+
+import type {ServerResponse} from 'node:http';
+import {tagOf, tokenWithTag} from './completion.js';
+
+/** The kinds of answer that an engine streams. */
+export type CompletionFormat = 'chat' | 'text';
+
+/** What a {@link Sequence} is made from. */
+export interface SequenceOptions {
+  readonly requestId: string;
+  readonly model: string;
+  readonly format: CompletionFormat;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly firstIndex: number;
+  /** Tokens to produce. */
+  readonly length: number;
+  readonly priority: number;
+}
+
+/** Produces its tokens one by one into the connection that it has, if any. */
+export class Sequence {
+  readonly options: SequenceOptions;
+  /** Tokens produced so far. */
+  produced = 0;
+  private readonly tag: string;
+  private response: ServerResponse | undefined;
+
+  constructor(options: SequenceOptions) {
+    this.options = options;
+    this.tag = tagOf(options.prompt);
+  }
+
+  get isFinished(): boolean {
+    return this.produced >= this.options.length;
+  }
+
+  get isAttached(): boolean {
+    return this.response !== undefined;
+  }
+
+  /** Streams to the response, beginning with the tokens from `offset` on. */
+  attach(response: ServerResponse, offset = 0): void {
+    this.response = response;
+    response.writeHead(200, {
+      'Content-Type': 'text/event-stream',
+      'Cache-Control': 'no-store',
+      'X-Request-Id': this.options.requestId,
+    });
+    response.flushHeaders();
+    for (let index = offset; index < this.produced; index++) {
+      this.write(this.chunkOf(index));
+    }
+    if (this.isFinished) this.finish();
+  }
+
+  detach(): void {
+    this.response = undefined;
+  }
+
+  produceToken(): void {
+    this.write(this.chunkOf(this.produced));
+    this.produced += 1;
+    if (this.isFinished) this.finish();
+  }
+
+  private finish(): void {
+    const {promptTokens} = this.options;
+    const usage = {
+      prompt_tokens: promptTokens,
+      completion_tokens: this.produced,
+      total_tokens: promptTokens + this.produced,
+    };
+    this.write({...this.envelope(), choices: [], usage});
+    this.response?.end('data: [DONE]\n\n');
+    this.response = undefined;
+  }
+
+  private chunkOf(index: number): object {
+    const {firstIndex, format, length} = this.options;
+    const text = tokenWithTag(this.tag, firstIndex + index);
+    const content =
+      format === 'chat' ? {delta: {role: 'assistant', content: text}} : {text};
+    const finishReason = index === length - 1 ? 'stop' : null;
+    const choice = {index: 0, ...content, finish_reason: finishReason};
+    return {...this.envelope(), choices: [choice]};
+  }
+
+  private envelope(): object {
+    const {format, model, requestId} = this.options;
+    return {
+      id: requestId,
+      object: format === 'chat' ? 'chat.completion.chunk' : 'text_completion',
+      created: 0,
+      model,
+    };
+  }
+
+  private write(event: object): void {
+    this.response?.write(`data: ${JSON.stringify(event)}\n\n`);
+  }
+}
--- /dev/null
+++ b/packages/stand_ins/src/platform/table.ts
@@ -0,0 +1,74 @@
+/** The transactional table of the platform stand-in, in memory. */
+
+import type {Row, TableTransaction} from '@snipestage/types/table.js';
+
+/** How a transaction ended. */
+export type TableOutcome =
+  | {
+      readonly kind: 'committed';
+      readonly versions: Readonly<Record<string, number>>;
+    }
+  | {readonly kind: 'conflict'; readonly rows: readonly Row[]};
+
+interface StoredRow {
+  /** Goes on rising when the row is deleted and written again. */
+  version: number;
+  value: unknown;
+}
+
+/** Rows with versions; `null` stands for a deleted one. */
+export class Table {
+  private readonly stored = new Map<string, StoredRow>();
+
+  /**
+   * Reads rows by key; absent ones are left out.
+   *
+   * @example
+   * table.read(['configuration/head']);
+   */
+  read(keys: readonly string[]): Row[] {
+    return keys.map(key => this.rowOf(key)).filter(row => row.version > 0);
+  }
+
+  /**
+   * Reads the rows whose keys start with the prefix, in key order.
+   *
+   * @example
+   * table.scan('lease/');
+   */
+  scan(prefix: string): Row[] {
+    const keys = [...this.stored.keys()].filter(key => key.startsWith(prefix));
+    return this.read(keys.sort());
+  }
+
+  /**
+   * Writes everything if all checks hold, else nothing.
+   *
+   * @example
+   * table.transact({
+   *   checks: [{key: 'lease/orders', version: 0}],
+   *   writes: [{key: 'lease/orders', value: {holder: 'akl-a-1'}}],
+   * });
+   */
+  transact(transaction: TableTransaction): TableOutcome {
+    const failed = transaction.checks
+      .filter(check => this.rowOf(check.key).version !== check.version)
+      .map(check => this.rowOf(check.key));
+    if (failed.length > 0) return {kind: 'conflict', rows: failed};
+    const versions: Record<string, number> = {};
+    for (const {key, value} of transaction.writes) {
+      const version = (this.stored.get(key)?.version ?? 0) + 1;
+      this.stored.set(key, {version, value});
+      versions[key] = version;
+    }
+    return {kind: 'committed', versions};
+  }
+
+  private rowOf(key: string): Row {
+    const row = this.stored.get(key);
+    if (row === undefined || row.value === null) {
+      return {key, version: 0, value: null};
+    }
+    return {key, version: row.version, value: row.value};
+  }
+}
