--- a/packages/entry/src/admit/in_flight_requests.ts
+++ b/packages/entry/src/admit/in_flight_requests.ts
@@ -20,7 +20,7 @@
   /** Aborting it ends the request; the reason is a `RequestError`. */
   readonly abort: AbortController;
   /** Whether it may be ended while it runs. */
-  readonly mayBeCut: boolean;
+  mayBeCut: boolean;
   phase: RequestPhase;
 }
 
--- /dev/null
+++ b/packages/entry/src/admit/request_intake.ts
@@ -0,0 +1,133 @@
+/** Takes a request in: id, caller, registration, and one answer in any case. */
+
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {RequestError} from '@snipestage/errors/request_error.js';
+import type {Logger} from '@snipestage/log/logger.js';
+import {brandAs, type RequestId} from '@snipestage/types/ids.js';
+import {refusalOf, sendRefusal} from '../answer/refusal_response.js';
+import type {MonotonicClock} from '../clock.js';
+import type {ConfigurationStore} from '../configure/configuration_store.js';
+import {identify, type Caller} from '../identify/identify.js';
+import type {InFlightRequest, InFlightRequests} from './in_flight_requests.js';
+
+/** A request whose caller is known. */
+export interface AdmittedRequest {
+  readonly id: RequestId;
+  readonly caller: Caller;
+  readonly arrivedAtMs: number;
+  /** Aborts when the request is to end. */
+  readonly signal: AbortSignal;
+  readonly inFlight: InFlightRequest;
+}
+
+/** Serves an admitted request; what it throws becomes the refusal. */
+export type RequestHandler = (admitted: AdmittedRequest) => Promise<void>;
+
+/** Options of {@link RequestIntake}. */
+export interface RequestIntakeOptions {
+  readonly store: ConfigurationStore;
+  readonly inFlight: InFlightRequests;
+  readonly clock: MonotonicClock;
+  readonly logger: Logger;
+  readonly isReady: () => boolean;
+}
+
+/** The start of every request's way. */
+export class RequestIntake {
+  constructor(private readonly options: RequestIntakeOptions) {}
+
+  async serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    handler: RequestHandler,
+  ): Promise<void> {
+    const id = brandAs<RequestId>(randomUUID());
+    try {
+      const admitted = this.admit(id, request);
+      const stopWatching = watchForHangUp(response, admitted);
+      try {
+        await handler(admitted);
+      } finally {
+        stopWatching();
+        this.options.inFlight.remove(id);
+      }
+    } catch (error) {
+      this.report(id, error);
+      sendRefusal(response, refusalOf(error), id);
+    }
+  }
+
+  private admit(id: RequestId, request: IncomingMessage): AdmittedRequest {
+    const {store, clock, inFlight, isReady} = this.options;
+    if (!isReady()) {
+      throw new RequestError('This instance is not ready.', {
+        code: 'not_ready',
+        verdict: 'not_run',
+        retryAfterMs: 1000,
+      });
+    }
+    const arrivedAtMs = clock();
+    const caller = identify(request.headers, store, arrivedAtMs);
+    this.checkInFlightLimit(caller);
+    const entry: InFlightRequest = {
+      id,
+      clientAccount: caller.clientAccount.id,
+      keyHash: caller.keyHash,
+      requestClass: caller.requestClass.id,
+      arrivedAtMs,
+      abort: new AbortController(),
+      mayBeCut: true,
+      phase: 'waiting',
+    };
+    inFlight.add(entry);
+    const {signal} = entry.abort;
+    return {id, caller, arrivedAtMs, signal, inFlight: entry};
+  }
+
+  private checkInFlightLimit({clientAccount}: Caller): void {
+    const limit = clientAccount.maxInFlightPerInstance;
+    if (limit === undefined) return;
+    if (this.options.inFlight.countOf(clientAccount.id) < limit) return;
+    throw new RequestError('The client account has too many requests open.', {
+      code: 'overloaded',
+      verdict: 'not_run',
+      retryAfterMs: 1000,
+    });
+  }
+
+  private report(id: RequestId, error: unknown): void {
+    const refusal = refusalOf(error);
+    const fields = {
+      requestId: id,
+      code: refusal.code,
+      verdict: refusal.verdict,
+    };
+    if (refusal.code === 'internal' && !(error instanceof RequestError)) {
+      this.options.logger.error('request_failed', {
+        ...fields,
+        error: error instanceof Error ? error.stack : String(error),
+      });
+    } else {
+      this.options.logger.debug('request_refused', fields);
+    }
+  }
+}
+
+/**
+ * Ends a request whose caller has hung up, so that no engine works for nobody.
+ * One that may not be repeated and has started goes on: cutting it would leave
+ * its outcome unknown for good.
+ */
+function watchForHangUp(
+  response: ServerResponse,
+  admitted: AdmittedRequest,
+): () => void {
+  const onClose = () => {
+    const {inFlight} = admitted;
+    if (inFlight.phase !== 'waiting' && !inFlight.mayBeCut) return;
+    inFlight.abort.abort();
+  };
+  response.once('close', onClose);
+  return () => response.off('close', onClose);
+}
--- a/packages/entry/src/answer/answer_sink.ts
+++ b/packages/entry/src/answer/answer_sink.ts
@@ -19,6 +19,9 @@
   /** True once the caller has got something that can't be taken back. */
   abstract get hasBegun(): boolean;
 
+  /** Tokens that the caller has got, whether or not the answer got whole. */
+  abstract get deliveredTokens(): number;
+
   /** Takes a piece; waits while the caller reads slowly. */
   abstract write(piece: AnswerPiece): Promise<void>;
 
--- a/packages/entry/src/answer/stream_sink.ts
+++ b/packages/entry/src/answer/stream_sink.ts
@@ -18,6 +18,7 @@
 /** An answer that ends without `[DONE]` is not whole. */
 export class StreamSink extends AnswerSink {
   private readonly response: ServerResponse;
+  private tokens = 0;
 
   constructor(private readonly options: StreamSinkOptions) {
     super();
@@ -28,8 +29,13 @@
     return this.response.headersSent;
   }
 
+  get deliveredTokens(): number {
+    return this.tokens;
+  }
+
   async write(piece: AnswerPiece): Promise<void> {
     this.begin();
+    if (piece.text !== '') this.tokens += 1;
     await this.send({...piece.chunk, id: this.options.requestId});
   }
 
--- a/packages/entry/src/answer/whole_sink.ts
+++ b/packages/entry/src/answer/whole_sink.ts
@@ -21,6 +21,7 @@
 export class WholeSink extends AnswerSink {
   private text = '';
   private finishReason = 'stop';
+  private delivered = 0;
 
   constructor(private readonly options: WholeSinkOptions) {
     super();
@@ -30,6 +31,10 @@
     return this.options.response.headersSent;
   }
 
+  get deliveredTokens(): number {
+    return this.delivered;
+  }
+
   async write(piece: AnswerPiece): Promise<void> {
     this.text += piece.text;
     if (piece.finishReason !== undefined) {
@@ -40,6 +45,7 @@
   async finish(usage: AnswerUsage): Promise<void> {
     const {response, requestId} = this.options;
     if (response.destroyed) return;
+    this.delivered = usage.outputTokens;
     response.writeHead(200, {
       'content-type': 'application/json',
       'x-request-id': requestId,
--- /dev/null
+++ b/packages/entry/src/choose/acquire_permit.ts
@@ -0,0 +1,44 @@
+/** Asks for a permit on behalf of a request that may have had attempts. */
+
+import {RequestError} from '@snipestage/errors/request_error.js';
+import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
+import type {Permit, PermitRequest, Permits} from './permits.js';
+
+/**
+ * A refusal speaks only of the attempt it refuses. One that says "not run"
+ * after an earlier attempt may have run would be untrue, so it takes on the
+ * verdict of the whole request.
+ *
+ * @throws RequestError with the verdict over all attempts.
+ * @example
+ * const permit = await acquirePermit(permits, request, signal, 'not_run');
+ */
+export async function acquirePermit(
+  permits: Permits,
+  request: PermitRequest,
+  signal: AbortSignal,
+  verdictSoFar: Verdict,
+): Promise<Permit> {
+  try {
+    return await permits.acquire(request, signal);
+  } catch (error) {
+    if (!(error instanceof RequestError)) throw error;
+    throw withVerdict(error, verdictSoFar);
+  }
+}
+
+/**
+ * The same refusal, with the worse of its verdict and the one given.
+ *
+ * @example
+ * throw withVerdict(error, 'may_have_run');
+ */
+export function withVerdict(error: RequestError, verdict: Verdict): RequestError {
+  const {refusal} = error;
+  return new RequestError(refusal.message, {
+    code: refusal.code,
+    verdict: worseVerdict(verdict, refusal.verdict),
+    retryAfterMs: refusal.retryAfterMs,
+    cause: error,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/identify/fingerprint.ts
@@ -0,0 +1,43 @@
+/** Hashes by which requests and prompts are known again. */
+
+import {createHash} from 'node:crypto';
+import {
+  brandAs,
+  type ClientAccountId,
+  type Fingerprint,
+} from '@snipestage/types/ids.js';
+
+const PREFIX_CHARACTERS = 2048;
+const PREFIX_HASH_DIGITS = 16;
+
+/**
+ * Fingerprint of a request's content within its client account.
+ *
+ * @example
+ * const fingerprint = fingerprintOf(account.id, body);
+ */
+export function fingerprintOf(
+  clientAccount: ClientAccountId,
+  ...parts: ReadonlyArray<Buffer | string>
+): Fingerprint {
+  const hash = createHash('sha256').update(clientAccount);
+  for (const part of parts) hash.update('\0').update(part);
+  return brandAs<Fingerprint>(hash.digest('hex'));
+}
+
+/**
+ * Hash of a prompt's start: engines keep what they computed for a prefix, so
+ * requests that share it are cheaper at the same engine.
+ *
+ * @example
+ * const prefixHash = prefixHashOf({messages});
+ */
+export function prefixHashOf(
+  body: Readonly<Record<string, unknown>>,
+): string | undefined {
+  const prompt = body.messages ?? body.prompt;
+  if (prompt === undefined) return undefined;
+  const start = JSON.stringify(prompt).slice(0, PREFIX_CHARACTERS);
+  const digest = createHash('sha256').update(start).digest('hex');
+  return digest.slice(0, PREFIX_HASH_DIGITS);
+}
--- /dev/null
+++ b/packages/entry/src/listen/service_handler.ts
@@ -0,0 +1,119 @@
+/** Passes calls on to plain services. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {RequestError} from '@snipestage/errors/request_error.js';
+import type {Service} from '@snipestage/types/configuration.js';
+import type {UsageCounters} from '../account/usage_counters.js';
+import type {AdmittedRequest} from '../admit/request_intake.js';
+import type {ConfigurationStore} from '../configure/configuration_store.js';
+import {fingerprintOf} from '../identify/fingerprint.js';
+import {forwardedRequestHeaders} from '../send/forwarded_headers.js';
+import type {ServiceAnswer} from '../send/service_driver.js';
+import type {ServiceRunner, ServiceWork} from '../send/service_runner.js';
+import {readBody} from './read_body.js';
+import {findOperation, parseServicePath} from './service_path.js';
+
+/** Options of {@link ServiceHandler}. */
+export interface ServiceHandlerOptions {
+  readonly store: ConfigurationStore;
+  readonly runner: ServiceRunner;
+  readonly usage: UsageCounters;
+  readonly maxBodyBytes: number;
+}
+
+/** Every method, path and body below `/services/<service>/`. */
+export class ServiceHandler {
+  constructor(private readonly options: ServiceHandlerOptions) {}
+
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    admitted: AdmittedRequest,
+  ): Promise<void> {
+    const {serviceName, path} = parseServicePath(request.url ?? '');
+    const service = this.findService(serviceName);
+    const body = await readBody(request, this.options.maxBodyBytes);
+    const work = composeWork({request, admitted, service, path, body});
+    admitted.inFlight.mayBeCut = work.permit.repeatable;
+    const answer = await this.options.runner.run(work);
+    this.options.usage.add({
+      clientAccount: admitted.caller.clientAccount.id,
+      requestClass: admitted.caller.requestClass.id,
+      requests: 1,
+      promptTokens: 0,
+      outputTokens: 0,
+    });
+    sendAnswer(response, answer, admitted);
+  }
+
+  private findService(name: string): Service {
+    const service = this.options.store.current.services.get(name);
+    if (service !== undefined) return service;
+    throw new RequestError(`There is no service "${name}".`, {
+      code: 'service_not_found',
+      verdict: 'not_run',
+    });
+  }
+}
+
+function composeWork(call: {
+  readonly request: IncomingMessage;
+  readonly admitted: AdmittedRequest;
+  readonly service: Service;
+  readonly path: string;
+  readonly body: Buffer;
+}): ServiceWork {
+  const {request, admitted, service, path, body} = call;
+  const {clientAccount, requestClass} = admitted.caller;
+  const method = request.method ?? 'GET';
+  const key = keyOf(request);
+  if (decodeURIComponent(path).includes(key)) {
+    throw new RequestError('The path holds the API key.', {
+      code: 'invalid_request',
+      verdict: 'not_run',
+    });
+  }
+  const operation = findOperation(service, method, path);
+  return {
+    requestId: admitted.id,
+    method,
+    path,
+    headers: forwardedRequestHeaders(request.headers, key),
+    body,
+    timeoutMs: service.timeoutMs,
+    requestClass,
+    arrivedAtMs: admitted.arrivedAtMs,
+    signal: admitted.signal,
+    onStart: () => {
+      admitted.inFlight.phase = 'running';
+    },
+    permit: {
+      target: {kind: 'service', service: service.id},
+      clientAccount,
+      requestClass,
+      expectedTokens: 1,
+      fingerprint: fingerprintOf(clientAccount.id, method, path, body),
+      suspect: false,
+      repeatable: operation?.idempotent === true,
+    },
+  };
+}
+
+function keyOf(request: IncomingMessage): string {
+  const [, key = ''] = (request.headers.authorization ?? '').split(/ +/);
+  return key;
+}
+
+function sendAnswer(
+  response: ServerResponse,
+  answer: ServiceAnswer,
+  admitted: AdmittedRequest,
+): void {
+  if (response.destroyed) return;
+  response.writeHead(answer.status, {
+    ...answer.headers,
+    'x-request-id': admitted.id,
+    'content-length': answer.body.length,
+  });
+  response.end(answer.body);
+}
--- /dev/null
+++ b/packages/entry/src/operate/ticket_desk.ts
@@ -0,0 +1,88 @@
+/** Accepts change tickets on behalf of operators. */
+
+import {
+  beginTicket,
+  transitionTicket,
+  type TicketOutcome,
+} from '@snipestage/agreement/tickets.js';
+import {
+  TICKETS_PREFIX,
+  ticketKey,
+  type TicketValue,
+} from '@snipestage/agreement/ticket_rows.js';
+import {applyChanges} from '@snipestage/configuration/configuration.js';
+import {checkReferences} from '@snipestage/configuration/references.js';
+import {checkTicket} from '@snipestage/configuration/ticket_schema.js';
+import type {Fault} from '@snipestage/errors/request_error.js';
+import type {Platform} from '@snipestage/platform/platform.js';
+import type {ChangeTicket} from '@snipestage/types/configuration.js';
+import type {ChangeTicketNumber} from '@snipestage/types/ids.js';
+import type {ConfigurationStore} from '../configure/configuration_store.js';
+import type {RevisionTask} from '../configure/revision_task.js';
+import type {TableExecutor} from '../configure/table_executor.js';
+
+/** What the operator hears. */
+export type SubmitOutcome =
+  | TicketOutcome
+  | {readonly kind: 'malformed'; readonly faults: readonly Fault[]};
+
+/** Accepted tickets, or the reason why they can't be read. */
+export type TicketList =
+  | {readonly kind: 'tickets'; readonly tickets: readonly ChangeTicket[]}
+  | {readonly kind: 'unavailable'; readonly reason: string};
+
+/** Options of {@link TicketDesk}. */
+export interface TicketDeskOptions {
+  readonly platform: Platform;
+  readonly executor: TableExecutor;
+  readonly store: ConfigurationStore;
+  readonly revisions: RevisionTask;
+}
+
+/** Each call is one operator's; they may race with any others. */
+export class TicketDesk {
+  constructor(private readonly options: TicketDeskOptions) {}
+
+  /** All that is wrong with a ticket, as far as this instance can tell. */
+  validate(input: unknown): readonly Fault[] {
+    const checked = checkTicket(input);
+    if ('faults' in checked) return checked.faults;
+    return this.checkAgainstCurrent(checked.ticket);
+  }
+
+  /**
+   * Accepts a ticket whole or not at all. The references are checked here
+   * against what is in force, for a good message, and in the transaction
+   * against the table, for the truth.
+   */
+  async submit(input: unknown): Promise<SubmitOutcome> {
+    const checked = checkTicket(input);
+    if ('faults' in checked) return {kind: 'malformed', faults: checked.faults};
+    let step = beginTicket({ticket: checked.ticket});
+    while (step.state.outcome === undefined) {
+      const event = await this.options.executor.carryOut(step.effects[0]);
+      step = transitionTicket(step.state, event);
+    }
+    this.options.revisions.poll();
+    return step.state.outcome;
+  }
+
+  async list(): Promise<TicketList> {
+    const result = await this.options.platform.scanRows(TICKETS_PREFIX);
+    if (result.kind === 'unavailable') return result;
+    const tickets = result.rows.map(row => (row.value as TicketValue).ticket);
+    return {kind: 'tickets', tickets: tickets.reverse()};
+  }
+
+  async show(number: ChangeTicketNumber): Promise<TicketList> {
+    const result = await this.options.platform.readRows([ticketKey(number)]);
+    if (result.kind === 'unavailable') return result;
+    const tickets = result.rows.map(row => (row.value as TicketValue).ticket);
+    return {kind: 'tickets', tickets};
+  }
+
+  private checkAgainstCurrent(ticket: ChangeTicket): readonly Fault[] {
+    const {current, revision} = this.options.store;
+    return checkReferences(applyChanges(current, ticket.changes, revision));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/send/forwarded_headers.ts
@@ -0,0 +1,64 @@
+/** Which headers pass between caller and plain service. */
+
+import type {IncomingHttpHeaders} from 'node:http';
+
+/** Hop-by-hop (RFC 9110, 7.6.1), set anew, or for the router alone. */
+const NOT_FORWARDED: ReadonlySet<string> = new Set([
+  'authorization',
+  'proxy-authorization',
+  'proxy-connection',
+  'connection',
+  'keep-alive',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+  'host',
+  'content-length',
+  'x-request-class',
+  'x-request-id',
+  'x-request-priority',
+]);
+
+/** Headers as plain text, several of one name as a list. */
+export type PlainHeaders = Record<string, string | string[]>;
+
+/**
+ * The caller's headers without those of the connection and without any that
+ * holds the key: whatever header a caller puts its key in, no endpoint may see
+ * it.
+ *
+ * @example
+ * const headers = forwardedRequestHeaders(request.headers, key);
+ */
+export function forwardedRequestHeaders(
+  headers: IncomingHttpHeaders,
+  key: string,
+): PlainHeaders {
+  return keepHeaders(headers, value => !value.includes(key));
+}
+
+/**
+ * The service's headers for the caller.
+ *
+ * @example
+ * response.writeHead(status, forwardedResponseHeaders(answer.headers));
+ */
+export function forwardedResponseHeaders(
+  headers: IncomingHttpHeaders,
+): PlainHeaders {
+  return keepHeaders(headers, () => true);
+}
+
+function keepHeaders(
+  headers: IncomingHttpHeaders,
+  isAllowed: (value: string) => boolean,
+): PlainHeaders {
+  const kept: PlainHeaders = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || NOT_FORWARDED.has(name)) continue;
+    if ([value].flat().every(isAllowed)) kept[name] = value;
+  }
+  return kept;
+}
--- /dev/null
+++ b/packages/entry/src/send/http_service_driver.ts
@@ -0,0 +1,107 @@
+/** Calls plain services over HTTP. */
+
+import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
+import {got, type Method, type Response} from 'got';
+import {EndpointError} from './endpoint_error.js';
+import {forwardedResponseHeaders} from './forwarded_headers.js';
+import {
+  ServiceDriver,
+  type ServiceAnswer,
+  type ServiceCall,
+} from './service_driver.js';
+
+const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
+
+/** Options of {@link HttpServiceDriver}. */
+export interface HttpServiceDriverOptions {
+  readonly connectTimeoutMs?: number;
+}
+
+/** One send on a connection of its own; `got` never repeats it. */
+export class HttpServiceDriver extends ServiceDriver {
+  private readonly connectTimeoutMs: number;
+
+  constructor(options: HttpServiceDriverOptions = {}) {
+    super();
+    this.connectTimeoutMs =
+      options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
+  }
+
+  async call(call: ServiceCall): Promise<ServiceAnswer> {
+    const connection = await this.open(call);
+    const timeout = AbortSignal.timeout(call.timeoutMs);
+    timeout.addEventListener('abort', () => connection.reset());
+    try {
+      const response = await send(call, connection);
+      checkEcho(response, call);
+      return {
+        status: response.statusCode,
+        headers: forwardedResponseHeaders(response.headers),
+        body: response.rawBody,
+      };
+    } catch (error) {
+      throw errorOf(error, call, connection, timeout);
+    } finally {
+      connection.reset();
+    }
+  }
+
+  private async open(call: ServiceCall): Promise<FreshConnection> {
+    const url = new URL(call.url);
+    const connection = await FreshConnection.open({
+      host: url.hostname,
+      port: Number(url.port),
+      connectTimeoutMs: this.connectTimeoutMs,
+      signal: call.signal,
+    });
+    if (connection.kind === 'open') return connection;
+    throw new EndpointError(`No connection: ${connection.reason}`, {
+      kind: call.signal.aborted ? 'cancelled' : 'unreachable',
+      verdict: 'not_run',
+    });
+  }
+}
+
+function send(
+  call: ServiceCall,
+  connection: FreshConnection,
+): Promise<Response<Buffer>> {
+  return got(new URL(call.path, call.url), {
+    method: call.method as Method,
+    headers: {...call.headers, 'x-request-id': call.attempt},
+    body: call.body.length > 0 ? call.body : undefined,
+    allowGetBody: true,
+    createConnection: connection.createConnection,
+    responseType: 'buffer',
+    retry: {limit: 0},
+    followRedirect: false,
+    throwHttpErrors: false,
+    decompress: false,
+  });
+}
+
+/** A service that echoes another id has answered another request. */
+function checkEcho(response: Response<Buffer>, call: ServiceCall): void {
+  const echoed = response.headers['x-request-id'];
+  if (echoed === undefined || echoed === call.attempt) return;
+  throw new EndpointError('The answer is to another request.', {
+    kind: 'mismatched',
+    verdict: 'may_have_run',
+  });
+}
+
+function errorOf(
+  error: unknown,
+  call: ServiceCall,
+  connection: FreshConnection,
+  timeout: AbortSignal,
+): EndpointError {
+  if (error instanceof EndpointError) return error;
+  const {verdict} = connection;
+  const message = error instanceof Error ? error.message : String(error);
+  if (call.signal.aborted) {
+    return new EndpointError('Cancelled.', {kind: 'cancelled', verdict});
+  }
+  const kind = timeout.aborted ? 'silent' : 'broken';
+  return new EndpointError(message, {kind, verdict, cause: error});
+}
--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -8,8 +8,10 @@
   type EndpointId,
   type RequestId,
 } from '@snipestage/types/ids.js';
+import type {AttemptOutcome} from '@snipestage/types/permits.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerSink, AnswerUsage} from '../answer/answer_sink.js';
+import {acquirePermit, withVerdict} from '../choose/acquire_permit.js';
 import type {Permit, PermitRequest, Permits} from '../choose/permits.js';
 import type {MonotonicClock} from '../clock.js';
 import {AttemptMeter} from './attempt_meter.js';
@@ -78,7 +80,11 @@
       const permit = await this.acquire(work, progress);
       work.onStart?.();
       const error = await this.attempt(work, permit, progress, sink);
-      if (error === undefined) return usageOf(progress);
+      if (error === undefined) {
+        const usage = usageOf(progress);
+        await sink.finish(usage);
+        return usage;
+      }
       progress.verdict = worseVerdict(progress.verdict, error.verdict);
       progress.excluded.push(permit.endpoint.id);
       await this.decide(work, progress, error);
@@ -89,25 +95,17 @@
     progress.attempts += 1;
     const {deadlineMs} = work.requestClass;
     const elapsedMs = this.options.clock() - work.arrivedAtMs;
-    try {
-      return await this.options.permits.acquire(
-        {
-          ...work.permit,
-          attempt: attemptId(work.requestId, progress.attempts),
-          remainingMs: deadlineMs - elapsedMs,
-          excluded: progress.excluded,
-        },
-        work.signal,
-      );
-    } catch (error) {
-      if (!(error instanceof RequestError)) throw error;
-      throw new RequestError(error.refusal.message, {
-        code: error.refusal.code,
-        verdict: worseVerdict(progress.verdict, error.refusal.verdict),
-        retryAfterMs: error.refusal.retryAfterMs,
-        cause: error,
-      });
-    }
+    return acquirePermit(
+      this.options.permits,
+      {
+        ...work.permit,
+        attempt: attemptId(work.requestId, progress.attempts),
+        remainingMs: deadlineMs - elapsedMs,
+        excluded: progress.excluded,
+      },
+      work.signal,
+      progress.verdict,
+    );
   }
 
   /** One attempt, with one try to resume it at the same engine. */
@@ -118,24 +116,40 @@
     sink: AnswerSink,
   ): Promise<EndpointError | undefined> {
     const meter = new AttemptMeter(this.options.clock);
-    let error = await this.read(work, permit, progress, sink, meter);
-    if (error !== undefined && mayResume(error, meter)) {
-      const resumed = await this.read(work, permit, progress, sink, meter);
-      error = resumed === undefined ? undefined : error;
-    }
-    if (error?.kind === 'cancelled') {
-      const attempt = attemptId(work.requestId, progress.attempts);
-      void this.options.driver.cancel(permit.endpoint.url, attempt);
+    let outcome: AttemptOutcome = 'failed';
+    try {
+      const error = await this.readOrResume(work, permit, progress, sink, meter);
+      outcome = error === undefined ? 'ok' : outcomeOf(error);
+      if (error?.kind === 'cancelled') this.cancel(work, permit, progress);
+      return error;
+    } finally {
+      permit.release({
+        outcome,
+        promptTokens: progress.promptTokens,
+        outputTokens: meter.outputTokens,
+        firstTokenMs: meter.firstTokenMs,
+        betweenTokensMs: meter.betweenTokensMs,
+      });
     }
-    permit.release({
-      outcome: error === undefined ? 'ok' : outcomeOf(error),
-      promptTokens: progress.promptTokens,
-      outputTokens: meter.outputTokens,
-      firstTokenMs: meter.firstTokenMs,
-      betweenTokensMs: meter.betweenTokensMs,
-    });
-    if (error === undefined) await sink.finish(usageOf(progress));
-    return error;
+  }
+
+  /** An engine keeps a broken stream for a while, and may still hold it. */
+  private async readOrResume(
+    work: ModelWork,
+    permit: Permit,
+    progress: Progress,
+    sink: AnswerSink,
+    meter: AttemptMeter,
+  ): Promise<EndpointError | undefined> {
+    const error = await this.read(work, permit, progress, sink, meter);
+    if (error === undefined || !mayResume(error, meter)) return error;
+    const again = await this.read(work, permit, progress, sink, meter);
+    return again === undefined ? undefined : error;
+  }
+
+  private cancel(work: ModelWork, permit: Permit, progress: Progress): void {
+    const attempt = attemptId(work.requestId, progress.attempts);
+    void this.options.driver.cancel(permit.endpoint.url, attempt);
   }
 
   private async read(
@@ -145,8 +159,7 @@
     sink: AnswerSink,
     meter: AttemptMeter,
   ): Promise<EndpointError | undefined> {
-    const resumeOffset =
-      meter.outputTokens > 0 ? meter.outputTokens : undefined;
+    const resumeOffset = meter.outputTokens || undefined;
     const batches = this.options.driver.stream({
       url: permit.endpoint.url,
       path: work.path,
@@ -247,17 +260,8 @@
 /** The abort's own refusal, with the verdict as it really is. */
 function abortReason(signal: AbortSignal, verdict: Verdict): RequestError {
   const reason: unknown = signal.reason;
-  if (!(reason instanceof RequestError)) {
-    return new RequestError('The caller hung up.', {
-      code: 'internal',
-      verdict,
-    });
-  }
-  return new RequestError(reason.refusal.message, {
-    code: reason.refusal.code,
-    verdict,
-    retryAfterMs: reason.refusal.retryAfterMs,
-  });
+  if (reason instanceof RequestError) return withVerdict(reason, verdict);
+  return new RequestError('The caller hung up.', {code: 'internal', verdict});
 }
 
 function delay(ms: number, signal: AbortSignal): Promise<void> {
--- /dev/null
+++ b/packages/entry/src/send/service_driver.ts
@@ -0,0 +1,34 @@
+/** What the router needs of a plain service. */
+
+import type {AttemptId} from '@snipestage/types/ids.js';
+import type {PlainHeaders} from './forwarded_headers.js';
+
+/** One attempt at a service. */
+export interface ServiceCall {
+  readonly url: string;
+  readonly method: string;
+  /** Path and query at the service. */
+  readonly path: string;
+  readonly headers: PlainHeaders;
+  readonly body: Buffer;
+  readonly attempt: AttemptId;
+  readonly signal: AbortSignal;
+  readonly timeoutMs: number;
+}
+
+/** The service's whole answer. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: PlainHeaders;
+  readonly body: Buffer;
+}
+
+/** A kind of plain service. */
+export abstract class ServiceDriver {
+  /**
+   * Makes one attempt.
+   *
+   * @throws EndpointError when no whole answer to this attempt came.
+   */
+  abstract call(call: ServiceCall): Promise<ServiceAnswer>;
+}
