Serve one request end to end as separate processes

Cause: the whole path has to stand before any part of it is widened. Change: the entry daemon, put together with inversify: callers' and operators' listeners, the configuration followed from the table, graceful shutdown, state dump.

--- /dev/null
+++ b/packages/entry/bin/snipestage_entry.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- a/packages/entry/src/choose/acquire_permit.ts
+++ b/packages/entry/src/choose/acquire_permit.ts
@@ -33,7 +33,10 @@
  * @example
  * throw withVerdict(error, 'may_have_run');
  */
-export function withVerdict(error: RequestError, verdict: Verdict): RequestError {
+export function withVerdict(
+  error: RequestError,
+  verdict: Verdict,
+): RequestError {
   const {refusal} = error;
   return new RequestError(refusal.message, {
     code: refusal.code,
--- a/packages/entry/src/configure/table_executor.ts
+++ b/packages/entry/src/configure/table_executor.ts
@@ -1,6 +1,9 @@
 /** Carries out what the agreement protocols ask of the platform's table. */
 
-import type {TableEffect, TableEvent} from '@snipestage/agreement/table_effects.js';
+import type {
+  TableEffect,
+  TableEvent,
+} from '@snipestage/agreement/table_effects.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import type {MonotonicClock} from '../clock.js';
 
--- /dev/null
+++ b/packages/entry/src/entry_process.ts
@@ -0,0 +1,153 @@
+/** The entry daemon: its tasks, started and ended in order. */
+
+import {Logger} from '@snipestage/log/logger.js';
+import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
+import type {Container} from 'inversify';
+import {UsageCounters} from './account/usage_counters.js';
+import {InFlightRequests} from './admit/in_flight_requests.js';
+import {RequestIntake} from './admit/request_intake.js';
+import {monotonicNowMs} from './clock.js';
+import {ConfigurationStore} from './configure/configuration_store.js';
+import {RevisionTask} from './configure/revision_task.js';
+import {createContainer} from './container.js';
+import {CallersServer} from './listen/callers_server.js';
+import {ModelHandler} from './listen/model_handler.js';
+import {ServiceHandler} from './listen/service_handler.js';
+import {AdminServer} from './operate/admin_server.js';
+import {Shutdown} from './operate/shutdown.js';
+import {StateDump} from './operate/state_dump.js';
+import {TicketDesk} from './operate/ticket_desk.js';
+
+/** One running instance. */
+export class EntryProcess {
+  private readonly container: Container;
+  private readonly callers: CallersServer;
+  private readonly admin: AdminServer;
+  private readonly shutdown: Shutdown;
+  private readonly logger: Logger;
+
+  constructor(private readonly settings: EntrySettings) {
+    this.container = createContainer(
+      settings,
+      () => this.container.get(RevisionTask).isLoaded,
+    );
+    this.logger = this.container.get(Logger);
+    this.callers = this.createCallersServer();
+    this.shutdown = this.createShutdown();
+    this.admin = this.createAdminServer();
+    this.addDumpParts();
+    this.followConfiguration();
+  }
+
+  async start(): Promise<void> {
+    const callers = await this.callers.start();
+    const admin = await this.admin.start();
+    this.container.get(RevisionTask).start();
+    this.logger.info('started', {
+      dataCentre: this.settings.dataCentre,
+      callersPort: callers.port,
+      adminPort: admin.port,
+    });
+  }
+
+  /** Resolves when nothing is left to do. */
+  stop(): Promise<void> {
+    return this.shutdown.begin();
+  }
+
+  private createCallersServer(): CallersServer {
+    const {host, port} = this.settings.callers;
+    return new CallersServer({
+      host,
+      port,
+      store: this.container.get(ConfigurationStore),
+      intake: this.container.get(RequestIntake),
+      models: this.container.get(ModelHandler),
+      services: this.container.get(ServiceHandler),
+      notReadyReason: () => this.notReadyReason(),
+    });
+  }
+
+  private createAdminServer(): AdminServer {
+    const {host, port, operatorKeyHashes} = this.settings.admin;
+    return new AdminServer({
+      host,
+      port,
+      operatorKeyHashes,
+      tickets: this.container.get(TicketDesk),
+      status: () => this.status(),
+      dump: () => this.container.get(StateDump).read(),
+      usage: () => ({open: this.container.get(UsageCounters).read()}),
+      drain: () => void this.stop(),
+    });
+  }
+
+  private createShutdown(): Shutdown {
+    const {balancerLagMs, graceMs} = this.settings.shutdown;
+    return new Shutdown({
+      balancerLagMs,
+      graceMs,
+      inFlight: this.container.get(InFlightRequests),
+      logger: this.logger.forComponent('shutdown'),
+      onBegin: () => this.callers.beginDraining(),
+      onNoNewWork: () => this.callers.stopListening(),
+      onIdle: () => this.closeAll(),
+    });
+  }
+
+  private closeAll(): void {
+    this.container.get(RevisionTask).stop();
+    this.callers.closeAllConnections();
+    this.admin.stop();
+  }
+
+  private followConfiguration(): void {
+    const store = this.container.get(ConfigurationStore);
+    const inFlight = this.container.get(InFlightRequests);
+    store.onChange(configuration => {
+      this.logger.info('configuration_in_force', {
+        revision: configuration.revision,
+      });
+      inFlight.endThoseWithout(
+        hash => store.keys.findByHash(hash) !== undefined,
+      );
+    });
+  }
+
+  private notReadyReason(): string | undefined {
+    if (this.shutdown.hasBegun) return 'shutting down';
+    if (this.container.get(RevisionTask).isLoaded) return undefined;
+    return 'no configuration yet: neither the platform nor a peer answers';
+  }
+
+  private status(): object {
+    const {instance, dataCentre} = this.settings;
+    const reason = this.notReadyReason();
+    return {
+      instance,
+      dataCentre,
+      ready: reason === undefined,
+      reason,
+      revision: this.container.get(ConfigurationStore).revision,
+      inFlight: this.container.get(InFlightRequests).count,
+    };
+  }
+
+  private addDumpParts(): void {
+    const dump = this.container.get(StateDump);
+    const inFlight = this.container.get(InFlightRequests);
+    dump.add('status', () => this.status());
+    dump.add('inFlight', () => inFlight.snapshot(monotonicNowMs()));
+    dump.add('usage', () => this.container.get(UsageCounters).read());
+    dump.add('configuration', () => {
+      const {current, lastConfirmedAtMs} =
+        this.container.get(ConfigurationStore);
+      return {
+        revision: current.revision,
+        confirmedAgeMs: Math.round(monotonicNowMs() - lastConfirmedAtMs),
+        endpoints: [...current.endpoints.keys()],
+        clientAccounts: [...current.clientAccounts.keys()],
+      };
+    });
+  }
+}
--- a/packages/entry/src/identify/identify.ts
+++ b/packages/entry/src/identify/identify.ts
@@ -3,7 +3,10 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {hashKey} from '@snipestage/configuration/key_hash.js';
 import {RequestError} from '@snipestage/errors/request_error.js';
-import type {ClientAccount, RequestClass} from '@snipestage/types/configuration.js';
+import type {
+  ClientAccount,
+  RequestClass,
+} from '@snipestage/types/configuration.js';
 import type {KeyHash} from '@snipestage/types/ids.js';
 import type {ConfigurationStore} from '../configure/configuration_store.js';
 
--- a/packages/entry/src/listen/model_handler.ts
+++ b/packages/entry/src/listen/model_handler.ts
@@ -113,8 +113,7 @@
     return new WholeSink({response, requestId, path, model: model.id});
   }
   const streamOptions = body.stream_options as
-    | {include_usage?: boolean}
-    | undefined;
+    {include_usage?: boolean} | undefined;
   const includeUsage = streamOptions?.include_usage === true;
   return new StreamSink({response, requestId, includeUsage});
 }
--- a/packages/entry/src/listen/service_path.ts
+++ b/packages/entry/src/listen/service_path.ts
@@ -1,7 +1,10 @@
 /** Reads `/services/<service>/<path>` and finds the operation it calls. */
 
 import {RequestError} from '@snipestage/errors/request_error.js';
-import type {Service, ServiceOperation} from '@snipestage/types/configuration.js';
+import type {
+  Service,
+  ServiceOperation,
+} from '@snipestage/types/configuration.js';
 
 const SERVICE_URL = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 
--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -17,7 +17,11 @@
 import {AttemptMeter} from './attempt_meter.js';
 import {continuationBody} from './continuation.js';
 import {EndpointError} from './endpoint_error.js';
-import type {CompletionPath, EngineDriver, EngineEvent} from './engine_driver.js';
+import type {
+  CompletionPath,
+  EngineDriver,
+  EngineEvent,
+} from './engine_driver.js';
 import {outcomeOf} from './attempt_outcome.js';
 import type {RetryDecision, RetryPolicy} from './retry_policy.js';
 
@@ -118,7 +122,13 @@
     const meter = new AttemptMeter(this.options.clock);
     let outcome: AttemptOutcome = 'failed';
     try {
-      const error = await this.readOrResume(work, permit, progress, sink, meter);
+      const error = await this.readOrResume(
+        work,
+        permit,
+        progress,
+        sink,
+        meter,
+      );
       outcome = error === undefined ? 'ok' : outcomeOf(error);
       if (error?.kind === 'cancelled') this.cancel(work, permit, progress);
       return error;
