--- /dev/null
+++ b/packages/policy/src/baseline_choices.ts
@@ -0,0 +1,25 @@
+/** Endpoint choices kept for comparison. */
+
+import type {PermitAsk} from '@snipestage/types/permits.js';
+import {EndpointChoice, type EndpointView} from './endpoint_choice.js';
+
+/** Each endpoint in its turn. */
+export class RoundRobinChoice extends EndpointChoice {
+  private last = '';
+
+  choose(_ask: PermitAsk, candidates: readonly EndpointView[]): EndpointView {
+    const sorted = [...candidates].sort((a, b) => (a.id < b.id ? -1 : 1));
+    const next = sorted.find(({id}) => id > this.last) ?? sorted[0];
+    this.last = next.id;
+    return next;
+  }
+}
+
+/** The endpoint with the fewest requests in flight. */
+export class LeastInFlightChoice extends EndpointChoice {
+  choose(_ask: PermitAsk, candidates: readonly EndpointView[]): EndpointView {
+    return candidates.reduce((best, view) =>
+      view.inFlight < best.inFlight ? view : best,
+    );
+  }
+}
--- /dev/null
+++ b/packages/policy/src/cell_endpoints.ts
@@ -0,0 +1,232 @@
+/** The endpoints of a cell with their limits, and which may run a request. */
+
+import type {AttemptId, EndpointId} from '@snipestage/types/ids.js';
+import type {PermitAsk} from '@snipestage/types/permits.js';
+import type {CellEndpoint, ReportedLoad} from './cell_messages.js';
+import {isEligible, type EndpointView} from './endpoint_choice.js';
+import type {CellLatency, LimitPolicy, LimitSnapshot} from './limit_policy.js';
+import type {PermitBook} from './permit_book.js';
+import type {PolicySet} from './policy_set.js';
+
+/** An endpoint as the state dump shows it. */
+export interface EndpointSnapshot extends LimitSnapshot {
+  readonly endpoint: EndpointId;
+  readonly kind: CellEndpoint['kind'];
+  readonly leaving: boolean;
+  readonly inFlight: number;
+  readonly reserved: number;
+  /** The suspect that has the endpoint for itself, or is to get it. */
+  readonly suspect?: AttemptId;
+  readonly reportedLoad?: ReportedLoad;
+}
+
+interface EndpointState {
+  config: CellEndpoint;
+  readonly limit: LimitPolicy;
+  suspect?: AttemptId;
+  reportedLoad?: ReportedLoad;
+}
+
+/** Keeps a limit for each endpoint, and the endpoints that suspects run on. */
+export class CellEndpoints {
+  /** False until the owner has been told of any endpoints. */
+  known = false;
+  private readonly states = new Map<EndpointId, EndpointState>();
+
+  constructor(
+    private readonly policy: PolicySet,
+    private readonly book: PermitBook,
+  ) {}
+
+  configure(endpoints: readonly CellEndpoint[]): void {
+    this.known = true;
+    const present = new Set(endpoints.map(({id}) => id));
+    for (const config of endpoints) this.configureOne(config);
+    for (const id of this.states.keys()) {
+      if (!present.has(id)) this.states.delete(id);
+    }
+  }
+
+  limitOf(endpoint: EndpointId): LimitPolicy | undefined {
+    return this.states.get(endpoint)?.limit;
+  }
+
+  reported(load: ReportedLoad): void {
+    const state = this.states.get(load.endpoint);
+    if (state !== undefined) state.reportedLoad = load;
+  }
+
+  /** Permits of all endpoints that may get work now. */
+  totalPermits(nowMs: number): number {
+    let total = 0;
+    for (const {config, limit} of this.states.values()) {
+      if (!config.leaving) total += limit.permits(nowMs);
+    }
+    return total;
+  }
+
+  /** Permits that may be used without asking, before any is in use. */
+  allottable(nowMs: number): Map<EndpointId, number> {
+    const permits = new Map<EndpointId, number>();
+    for (const {config, limit, suspect} of this.states.values()) {
+      const open = !config.leaving && suspect === undefined;
+      permits.set(config.id, open ? limit.permits(nowMs) : 0);
+    }
+    return permits;
+  }
+
+  /** Whether any endpoint could ever run the request. */
+  canEverRun(ask: PermitAsk): boolean {
+    return [...this.states.values()].some(({config}) =>
+      isEligible(ask, config),
+    );
+  }
+
+  /** When the first endpoint that could run the request may get work again. */
+  usableAtMs(ask: PermitAsk, nowMs: number): number {
+    let earliest = Infinity;
+    for (const {config, limit} of this.states.values()) {
+      if (!isEligible(ask, config)) continue;
+      earliest = Math.min(earliest, limit.usableAtMs(nowMs));
+    }
+    return earliest;
+  }
+
+  /** Endpoints that have a permit free for others than suspects. */
+  freeViews(nowMs: number): EndpointView[] {
+    const reserved = this.book.reserved();
+    const inFlight = this.book.inFlight();
+    const views: EndpointView[] = [];
+    for (const {config, limit, suspect} of this.states.values()) {
+      if (config.leaving || suspect !== undefined) continue;
+      const permits = limit.permits(nowMs);
+      const free = permits - (reserved.get(config.id) ?? 0);
+      if (free <= 0) continue;
+      const running = inFlight.get(config.id) ?? 0;
+      const {id, kind} = config;
+      views.push({id, kind, limit: permits, inFlight: running, free});
+    }
+    return views;
+  }
+
+  /** Which of the views may run the request. */
+  eligible(ask: PermitAsk, views: readonly EndpointView[]): EndpointView[] {
+    return views.filter(view => this.isEligibleAt(ask, view.id));
+  }
+
+  /**
+   * An endpoint on which a suspect can run alone, once it is empty. Until then
+   * the endpoint is kept from others: with work always waiting it would never
+   * become empty by chance, and the suspect would never run.
+   */
+  claimForSuspect(ask: PermitAsk, nowMs: number): EndpointId | undefined {
+    const reserved = this.book.reserved();
+    const claimed = this.claimOf(ask) ?? this.claimLeastUsed(ask, reserved);
+    if (claimed === undefined) return undefined;
+    const {id} = claimed.config;
+    if ((reserved.get(id) ?? 0) > 0) return undefined;
+    return claimed.limit.permits(nowMs) > 0 ? id : undefined;
+  }
+
+  /** A suspect has been found running at an endpoint. */
+  occupy(endpoint: EndpointId, suspect: AttemptId): void {
+    const state = this.states.get(endpoint);
+    if (state !== undefined) state.suspect = suspect;
+  }
+
+  /** The suspect has ended, or waits no more. */
+  releaseSuspect(attempt: AttemptId): void {
+    for (const state of this.states.values()) {
+      if (state.suspect === attempt) state.suspect = undefined;
+    }
+  }
+
+  /** Lets each limit compare its endpoint with what is typical in the cell. */
+  compare(nowMs: number): void {
+    const latency = this.typicalLatency(nowMs);
+    for (const {limit} of this.states.values()) limit.compare(latency, nowMs);
+  }
+
+  snapshot(nowMs: number): EndpointSnapshot[] {
+    const reserved = this.book.reserved();
+    const inFlight = this.book.inFlight();
+    return [...this.states.values()].map(state => ({
+      ...state.limit.snapshot(nowMs),
+      endpoint: state.config.id,
+      kind: state.config.kind,
+      leaving: state.config.leaving,
+      inFlight: inFlight.get(state.config.id) ?? 0,
+      reserved: reserved.get(state.config.id) ?? 0,
+      suspect: state.suspect,
+      reportedLoad: state.reportedLoad,
+    }));
+  }
+
+  private configureOne(config: CellEndpoint): void {
+    const state = this.states.get(config.id);
+    const {maxConcurrency} = config;
+    if (state === undefined) {
+      const limit = this.policy.createLimit({maxConcurrency});
+      this.states.set(config.id, {config, limit});
+      return;
+    }
+    state.config = config;
+    state.limit.reconfigure(maxConcurrency);
+  }
+
+  private isEligibleAt(ask: PermitAsk, endpoint: EndpointId): boolean {
+    const state = this.states.get(endpoint);
+    return state !== undefined && isEligible(ask, state.config);
+  }
+
+  private claimOf(ask: PermitAsk): EndpointState | undefined {
+    for (const state of this.states.values()) {
+      if (state.suspect !== ask.attempt) continue;
+      if (isEligible(ask, state.config)) return state;
+      state.suspect = undefined;
+    }
+    return undefined;
+  }
+
+  /** One claim at a time: suspects must not take the whole cell. */
+  private claimLeastUsed(
+    ask: PermitAsk,
+    reserved: ReadonlyMap<EndpointId, number>,
+  ): EndpointState | undefined {
+    const states = [...this.states.values()];
+    if (states.some(({suspect}) => suspect !== undefined)) return undefined;
+    const [least] = states
+      .filter(({config}) => isEligible(ask, config))
+      .sort((a, b) => used(a, reserved) - used(b, reserved));
+    if (least !== undefined) least.suspect = ask.attempt;
+    return least;
+  }
+
+  private typicalLatency(nowMs: number): CellLatency {
+    const snapshots = [...this.states.values()].map(({limit}) =>
+      limit.snapshot(nowMs),
+    );
+    return {
+      firstTokenMs: median(snapshots.map(({firstTokenMs}) => firstTokenMs)),
+      betweenTokensMs: median(
+        snapshots.map(({betweenTokensMs}) => betweenTokensMs),
+      ),
+    };
+  }
+}
+
+function used(
+  {config}: EndpointState,
+  reserved: ReadonlyMap<EndpointId, number>,
+): number {
+  return reserved.get(config.id) ?? 0;
+}
+
+/** The lower median: of two endpoints, the slower one is not the typical one. */
+function median(
+  numbers: ReadonlyArray<number | undefined>,
+): number | undefined {
+  const known = numbers.filter(number => number !== undefined);
+  known.sort((a, b) => a - b);
+  return known[Math.floor((known.length - 1) / 2)];
+}
--- /dev/null
+++ b/packages/policy/src/cell_owner.test.ts
@@ -0,0 +1,145 @@
+import test from 'ava';
+import type {CellEndpoint} from './cell_messages.js';
+import {CellOwner, type CellOwnerOptions} from './cell_owner.js';
+import {createSeededRandom} from './random_source.js';
+import {
+  CELL,
+  FIRST,
+  SECOND,
+  grantedOf,
+  makeAsk,
+  makeClass,
+  makeEndpoint,
+  makeRelease,
+  refusedOf,
+} from './test_fixtures.js';
+
+function createOwner(
+  endpoints: readonly CellEndpoint[],
+  options: Partial<CellOwnerOptions> = {},
+): CellOwner {
+  const owner = new CellOwner({
+    cell: CELL,
+    random: createSeededRandom(1),
+    startedAtMs: 0,
+    graceMs: 0,
+    standingAllotments: false,
+    ...options,
+  });
+  const classes = [0, 1, 2].map(tier => makeClass(tier));
+  owner.receive({kind: 'classes', classes}, 0);
+  owner.receive({kind: 'endpoints', endpoints}, 0);
+  return owner;
+}
+
+test('the lowest tier number is granted first, whoever came first', t => {
+  const owner = createOwner([makeEndpoint('e1', {maxConcurrency: 1})]);
+  const first = makeAsk('running');
+  owner.receive({kind: 'ask', ask: first}, 0);
+  for (const tier of [2, 1, 0]) {
+    owner.receive({kind: 'ask', ask: makeAsk(`waits-${tier}`, {tier})}, 1);
+  }
+  const order: string[] = [];
+  let attempt = 'running';
+  for (let turn = 0; turn < 3; turn++) {
+    const release = makeRelease(attempt, 'e1');
+    const input = {kind: 'release', instance: FIRST, release} as const;
+    [attempt] = grantedOf(owner.receive(input, 10 + turn));
+    order.push(attempt);
+  }
+  t.deepEqual(order, ['waits-0', 'waits-1', 'waits-2']);
+});
+
+test('an ask that comes again is answered alike, not granted twice', t => {
+  const owner = createOwner([makeEndpoint('e1', {maxConcurrency: 2})]);
+  const ask = makeAsk('one');
+  const before = owner.receive({kind: 'ask', ask}, 0);
+  const again = owner.receive({kind: 'ask', ask}, 5);
+  t.deepEqual(again, before);
+  t.is(owner.snapshot(5).permits.length, 1);
+});
+
+test('a full queue refuses the newest of the lowest tier', t => {
+  const owner = createOwner([makeEndpoint('e1', {maxConcurrency: 1})], {
+    maxWaiting: 2,
+  });
+  const told = ['running', 'low-old', 'low-new'].flatMap((name, index) =>
+    owner.receive(
+      {kind: 'ask', ask: makeAsk(name, {tier: index === 0 ? 0 : 2})},
+      index,
+    ),
+  );
+  t.deepEqual(refusedOf(told), []);
+  const ask = makeAsk('high', {tier: 0});
+  t.deepEqual(refusedOf(owner.receive({kind: 'ask', ask}, 9)), [
+    'low-new overloaded',
+  ]);
+});
+
+test('what cannot be served in time is refused at once', t => {
+  // A burst fills the queue. Without this a caller would wait until its deadline
+  // only to hear that it was never served.
+  const owner = createOwner([makeEndpoint('e1', {maxConcurrency: 1})]);
+  owner.receive({kind: 'ask', ask: makeAsk('a')}, 0);
+  const release = makeRelease('a', 'e1');
+  owner.receive({kind: 'release', instance: FIRST, release}, 1000);
+  for (let index = 0; index < 5; index++) {
+    owner.receive({kind: 'ask', ask: makeAsk(`b${index}`)}, 1000);
+  }
+  const ask = makeAsk('hurried', {remainingMs: 2000});
+  const outputs = owner.receive({kind: 'ask', ask}, 1000);
+  t.deepEqual(refusedOf(outputs), ['hurried deadline_unreachable']);
+  const [output] = outputs;
+  t.true(output.kind === 'refuse' && output.refusal.retryAfterMs >= 2000);
+});
+
+test('a request that no endpoint could ever run is refused at once', t => {
+  const owner = createOwner([
+    makeEndpoint('cheap', {kind: 'cheap'}),
+    makeEndpoint('leaving', {leaving: true}),
+  ]);
+  const outputs = owner.receive({kind: 'ask', ask: makeAsk('a')}, 0);
+  t.deepEqual(refusedOf(outputs), ['a no_endpoint']);
+});
+
+test('a suspect runs alone', t => {
+  // A request was in flight where an endpoint crashed. Were it to run beside
+  // others, the next crash would end their streams as well.
+  const owner = createOwner([makeEndpoint('e1'), makeEndpoint('e2')]);
+  const ask = makeAsk('suspect', {suspect: true});
+  const [grant] = owner.receive({kind: 'ask', ask}, 0);
+  t.is(grant.kind, 'grant');
+  const endpoints = new Set<string>();
+  for (let index = 0; index < 6; index++) {
+    const other = makeAsk(`other-${index}`);
+    for (const output of owner.receive({kind: 'ask', ask: other}, 1)) {
+      if (output.kind === 'grant') endpoints.add(output.grant.endpoint);
+    }
+  }
+  t.is(endpoints.size, 1);
+  t.is(owner.snapshot(1).waiting, 2);
+});
+
+test('a new owner grants nothing until the instances have told what runs', t => {
+  // The former owner is lost while its endpoint is full. Granting at once would
+  // double the load there and break every latency target.
+  const owner = createOwner([makeEndpoint('e1', {maxConcurrency: 1})], {
+    graceMs: 1500,
+  });
+  owner.receive({kind: 'instance_joined', instance: FIRST}, 0);
+  owner.receive({kind: 'instance_joined', instance: SECOND}, 0);
+  t.deepEqual(
+    grantedOf(owner.receive({kind: 'ask', ask: makeAsk('new')}, 1)),
+    [],
+  );
+  const running = makeAsk('old');
+  const permit = {...running, endpoint: makeEndpoint('e1').id, outputTokens: 3};
+  const told = {kind: 'in_use', instance: FIRST, permits: [permit]} as const;
+  owner.receive(told, 2);
+  owner.receive({kind: 'in_use', instance: SECOND, permits: []}, 3);
+  t.is(owner.snapshot(4).holdingBack, false);
+  t.deepEqual(grantedOf(owner.tick(5)), []);
+  const release = makeRelease('old', 'e1');
+  const input = {kind: 'release', instance: FIRST, release} as const;
+  t.deepEqual(grantedOf(owner.receive(input, 6)), ['new']);
+});
--- /dev/null
+++ b/packages/policy/src/client_allotment.ts
@@ -0,0 +1,70 @@
+/** What one instance may start at a cell without asking. */
+
+import type {EndpointId} from '@snipestage/types/ids.js';
+import type {Allotment, PermitAsk} from '@snipestage/types/permits.js';
+import type {CellEndpoint} from './cell_messages.js';
+import {isEligible, type EndpointView} from './endpoint_choice.js';
+
+/** The allotment in force and how much of it is used. */
+export class ClientAllotment {
+  private sequence = 0;
+  private permits = new Map<EndpointId, number>();
+  private readonly used = new Map<EndpointId, number>();
+  /** Whole limits of the endpoints as the owner has learnt them. */
+  readonly learntLimits = new Map<EndpointId, number>();
+
+  /** Takes over a newer allotment; false if it is not newer. */
+  apply(allotment: Allotment): boolean {
+    if (allotment.sequence <= this.sequence) return false;
+    this.sequence = allotment.sequence;
+    this.permits = new Map(
+      allotment.endpoints.map(({endpoint, permits}) => [endpoint, permits]),
+    );
+    for (const {endpoint, limit} of allotment.endpoints) {
+      if (limit !== undefined && limit > 0) {
+        this.learntLimits.set(endpoint, limit);
+      }
+    }
+    return true;
+  }
+
+  /** Another owner counts anew; what runs it is told one by one. */
+  reset(): void {
+    this.sequence = 0;
+    this.permits.clear();
+    this.used.clear();
+  }
+
+  use(endpoint: EndpointId): void {
+    this.used.set(endpoint, (this.used.get(endpoint) ?? 0) + 1);
+  }
+
+  giveBack(endpoint: EndpointId): void {
+    this.used.set(endpoint, Math.max(0, (this.used.get(endpoint) ?? 0) - 1));
+  }
+
+  /** Endpoints where the request may start at once. */
+  viewsFor(ask: PermitAsk, endpoints: readonly CellEndpoint[]): EndpointView[] {
+    const views: EndpointView[] = [];
+    for (const endpoint of endpoints) {
+      const {id, kind} = endpoint;
+      const limit = this.permits.get(id) ?? 0;
+      const inFlight = this.used.get(id) ?? 0;
+      if (inFlight >= limit || !isEligible(ask, endpoint)) continue;
+      views.push({id, kind, limit, inFlight, free: limit - inFlight});
+    }
+    return views;
+  }
+
+  snapshot(): {
+    sequence: number;
+    endpoints: Array<{endpoint: EndpointId; permits: number; used: number}>;
+  } {
+    const endpoints = [...this.permits].map(([endpoint, permits]) => ({
+      endpoint,
+      permits,
+      used: this.used.get(endpoint) ?? 0,
+    }));
+    return {sequence: this.sequence, endpoints};
+  }
+}
--- /dev/null
+++ b/packages/policy/src/limit_policy.ts
@@ -0,0 +1,104 @@
+/** How many requests one endpoint may run at once. */
+
+import type {AttemptOutcome} from '@snipestage/types/permits.js';
+
+/** What the tightest class served at an endpoint asks for. */
+export interface LatencyTargets {
+  readonly firstTokenTargetMs: number;
+  readonly betweenTokensTargetMs: number;
+}
+
+/** An attempt that has ended, as measured by the entry instance. */
+export interface LimitSample {
+  readonly outcome: AttemptOutcome;
+  readonly outputTokens: number;
+  readonly firstTokenMs?: number;
+  readonly betweenTokensMs?: number;
+  readonly targets?: LatencyTargets;
+}
+
+/** Typical latencies over the endpoints of the cell. */
+export interface CellLatency {
+  readonly firstTokenMs?: number;
+  readonly betweenTokensMs?: number;
+}
+
+/** A limit, and why it is so, for the state dump. */
+export interface LimitSnapshot {
+  readonly permits: number;
+  readonly health: 'healthy' | 'slow' | 'probing' | 'failed';
+  readonly firstTokenMs?: number;
+  readonly betweenTokensMs?: number;
+}
+
+/** What a {@link LimitPolicy} is made from. */
+export interface LimitPolicyOptions {
+  /** Never more at once than this. */
+  readonly maxConcurrency: number;
+}
+
+/** The limit of one endpoint; how it is found is the policy. */
+export abstract class LimitPolicy {
+  protected maxConcurrency: number;
+
+  constructor(options: LimitPolicyOptions) {
+    this.maxConcurrency = options.maxConcurrency;
+  }
+
+  /** Permits at once at this moment; 0 while it gets no work. */
+  abstract permits(nowMs: number): number;
+
+  /** When it may get work again; `nowMs` while it does, else maybe never. */
+  abstract usableAtMs(nowMs: number): number;
+
+  /** The endpoint runs this many now, one more than before. */
+  abstract started(inFlight: number, nowMs: number): void;
+
+  /** An attempt has ended there. */
+  abstract finished(sample: LimitSample, nowMs: number): void;
+
+  /** Time between tokens of an attempt that still runs. */
+  abstract progressed(
+    betweenTokensMs: number,
+    targets: LatencyTargets | undefined,
+    nowMs: number,
+  ): void;
+
+  /** Called from time to time with what is typical in the cell. */
+  abstract compare(cell: CellLatency, nowMs: number): void;
+
+  abstract snapshot(nowMs: number): LimitSnapshot;
+
+  /** The endpoint is configured anew. */
+  reconfigure(maxConcurrency: number): void {
+    this.maxConcurrency = maxConcurrency;
+  }
+}
+
+/**
+ * Always as many as the endpoint is built for.
+ *
+ * @example
+ * new FixedLimit({maxConcurrency: 8}).permits(); // 8
+ */
+export class FixedLimit extends LimitPolicy {
+  permits(): number {
+    return this.maxConcurrency;
+  }
+
+  usableAtMs(nowMs: number): number {
+    return this.maxConcurrency > 0 ? nowMs : Infinity;
+  }
+
+  started(): void {}
+
+  finished(): void {}
+
+  progressed(): void {}
+
+  compare(): void {}
+
+  snapshot(): LimitSnapshot {
+    return {permits: this.maxConcurrency, health: 'healthy'};
+  }
+}
--- /dev/null
+++ b/packages/policy/src/permit_client.test.ts
@@ -0,0 +1,121 @@
+import test from 'ava';
+import type {CellOutput} from './cell_messages.js';
+import {PermitClient, type ClientOutput} from './permit_client.js';
+import {createSeededRandom} from './random_source.js';
+import {
+  CELL,
+  FIRST,
+  SECOND,
+  makeAsk,
+  makeClass,
+  makeEndpoint,
+  makeRelease,
+} from './test_fixtures.js';
+
+const ENDPOINT = makeEndpoint('e1');
+
+function createClient(): PermitClient {
+  const client = new PermitClient({
+    cell: CELL,
+    instance: FIRST,
+    random: createSeededRandom(1),
+  });
+  client.configure({kind: 'classes', classes: [makeClass(0)]}, 0);
+  client.configure({kind: 'endpoints', endpoints: [ENDPOINT]}, 0);
+  client.configure({kind: 'instance_joined', instance: SECOND}, 0);
+  return client;
+}
+
+function allot(permits: number, sequence: number): CellOutput {
+  const endpoints = [{endpoint: ENDPOINT.id, permits}];
+  const allotment = {cell: CELL, sequence, endpoints};
+  return {kind: 'allot', instance: FIRST, allotment};
+}
+
+/** `start a`, `refused b`, `ask`, `in_use 1` and so on. */
+function describe(outputs: readonly ClientOutput[]): string[] {
+  return outputs.map(output => {
+    if (output.kind !== 'tell_owner') return `${output.kind} ${output.attempt}`;
+    const {input} = output;
+    if (input.kind === 'ask') return `ask ${input.ask.attempt}`;
+    if (input.kind === 'in_use') return `in_use ${input.permits.length}`;
+    return input.kind;
+  });
+}
+
+test('a request starts unasked within the allotment, and asks beyond it', t => {
+  const client = createClient();
+  client.ownerChanged(SECOND, 0);
+  client.receive(allot(1, 1), SECOND, 0);
+  t.deepEqual(describe(client.request(makeAsk('a'), 1)), [
+    'start a',
+    'started',
+  ]);
+  t.deepEqual(describe(client.request(makeAsk('b'), 2)), ['ask b']);
+});
+
+test('an allotment that shrinks stops new starts and nothing that runs', t => {
+  const client = createClient();
+  client.ownerChanged(SECOND, 0);
+  client.receive(allot(3, 1), SECOND, 0);
+  client.request(makeAsk('a'), 1);
+  t.deepEqual(describe(client.receive(allot(0, 2), SECOND, 2)), [
+    'allotment_applied',
+  ]);
+  t.deepEqual(describe(client.request(makeAsk('b'), 3)), ['ask b']);
+  t.is(client.snapshot(3).running, 1);
+  client.receive(allot(3, 1), SECOND, 4);
+  t.is(client.snapshot(4).allotment.sequence, 2);
+});
+
+test('a new owner is told what runs and asked again for what waits', t => {
+  // The owner's process is killed. A caller whose request waited there must not
+  // wait until its deadline, and one whose stream runs must notice nothing.
+  const client = createClient();
+  client.ownerChanged(SECOND, 0);
+  client.receive(allot(1, 1), SECOND, 0);
+  client.request(makeAsk('runs'), 1);
+  client.request(makeAsk('waits'), 2);
+  const outputs = client.ownerChanged(FIRST, 10);
+  t.deepEqual(describe(outputs), ['in_use 1', 'ask waits']);
+});
+
+test('without an owner the instance runs its own share of the limit', t => {
+  // All other instances are cut off. Requests go on, but no more of them than
+  // this instance's part of the endpoint, for the others do the same.
+  const client = createClient();
+  client.ownerChanged(SECOND, 0);
+  client.request(makeAsk('a'), 1);
+  const outputs = client.ownerChanged(null, 10);
+  t.deepEqual(describe(outputs), ['start a']);
+  t.deepEqual(describe(client.request(makeAsk('b'), 11)), ['start b']);
+  t.deepEqual(describe(client.request(makeAsk('c'), 12)), []);
+  t.deepEqual(describe(client.release(makeRelease('a', 'e1'), 20)), [
+    'start c',
+  ]);
+});
+
+test('an owner that answers nothing is done without until it is heard', t => {
+  // The owner's process is frozen, and the membership has not noticed yet.
+  // Callers would wait seconds for a grant that does not come.
+  const client = createClient();
+  client.ownerChanged(SECOND, 0);
+  client.request(makeAsk('a'), 0);
+  t.deepEqual(describe(client.tick(1000)), ['ask a']);
+  t.deepEqual(describe(client.tick(1500)), ['ask a', 'start a']);
+  const grant = {attempt: makeAsk('a').attempt, endpoint: ENDPOINT.id};
+  const thawed: CellOutput = {kind: 'grant', instance: FIRST, grant};
+  t.deepEqual(describe(client.receive(thawed, SECOND, 1600)), ['in_use 1']);
+});
+
+test('a grant that is of no use any more is given back', t => {
+  // The caller hangs up while the grant is on its way. Kept, the permit would
+  // never come free, and the endpoint would serve one request less for good.
+  const client = createClient();
+  client.ownerChanged(SECOND, 0);
+  client.request(makeAsk('a'), 0);
+  client.withdraw(makeAsk('a').attempt, 1);
+  const grant = {attempt: makeAsk('a').attempt, endpoint: ENDPOINT.id};
+  const late: CellOutput = {kind: 'grant', instance: FIRST, grant};
+  t.deepEqual(describe(client.receive(late, SECOND, 2)), ['release']);
+});
--- /dev/null
+++ b/packages/policy/src/permit_client.ts
@@ -0,0 +1,520 @@
+/** The entry instance's side of a cell: from a request to leave to run it. */
+
+import type {RequestClass} from '@snipestage/types/configuration.js';
+import type {
+  AttemptId,
+  CellId,
+  EndpointId,
+  InstanceId,
+} from '@snipestage/types/ids.js';
+import type {
+  Allotment,
+  PermitAsk,
+  PermitGrant,
+  PermitInUse,
+  PermitRefusal,
+  PermitRelease,
+} from '@snipestage/types/permits.js';
+import type {
+  AttemptProgress,
+  CellEndpoint,
+  CellInput,
+  CellOutput,
+} from './cell_messages.js';
+import type {CellSnapshot} from './cell_owner.js';
+import {ClientAllotment} from './client_allotment.js';
+import {FallbackOwner} from './fallback_owner.js';
+import {
+  createPolicySet,
+  type PolicyName,
+  type PolicySet,
+} from './policy_set.js';
+import type {RandomSource} from './random_source.js';
+
+const DEFAULT_OWNER_SILENT_AFTER_MS = 1500;
+const DEFAULT_REPEAT_ASK_MS = 500;
+const DEFAULT_REPEAT_IN_USE_MS = 5000;
+/** Asks said again in one tick. */
+const MAX_REPEATED_ASKS = 20;
+/** How long past its deadline a request waits for the owner's refusal. */
+const LATE_REFUSAL_MS = 1000;
+const LATE_RETRY_AFTER_MS = 1000;
+
+/** What a {@link PermitClient} is made from. */
+export interface PermitClientOptions {
+  readonly cell: CellId;
+  /** This entry instance. */
+  readonly instance: InstanceId;
+  readonly random: RandomSource;
+  readonly policy?: PolicyName;
+  readonly maxWaiting?: number;
+  /** Silence of an owner that was asked, after which it is taken as lost. */
+  readonly ownerSilentAfterMs?: number;
+  readonly repeatAskMs?: number;
+  readonly repeatInUseMs?: number;
+}
+
+/** What the entry process has to do next. */
+export type ClientOutput =
+  /** Send the attempt to the endpoint; {@link PermitClient.release} must follow. */
+  | {
+      readonly kind: 'start';
+      readonly attempt: AttemptId;
+      readonly endpoint: EndpointId;
+    }
+  /** The attempt has not run and waits no more. */
+  | {
+      readonly kind: 'refused';
+      readonly attempt: AttemptId;
+      readonly refusal: PermitRefusal;
+    }
+  | {
+      readonly kind: 'tell_owner';
+      readonly owner: InstanceId;
+      readonly input: CellInput;
+    };
+
+/** What an instance is told of a cell from configuration and membership. */
+export type CellConfiguration = Extract<
+  CellInput,
+  {kind: 'endpoints' | 'classes' | 'instance_joined' | 'instance_gone'}
+>;
+
+/** Plain data for the state dump. */
+export interface PermitClientSnapshot {
+  readonly cell: CellId;
+  readonly owner: InstanceId | null;
+  readonly waiting: number;
+  readonly running: number;
+  readonly allotment: ReturnType<ClientAllotment['snapshot']>;
+  /** Present while the instance decides alone. */
+  readonly fallback?: CellSnapshot;
+}
+
+interface WaitingAsk {
+  readonly ask: PermitAsk;
+  readonly deadlineAtMs: number;
+  askedAtMs: number;
+}
+
+/**
+ * Starts requests under the instance's allotment, asks the owner otherwise, and
+ * decides alone, over its own share, while no owner answers. What runs keeps
+ * running through every change of owner.
+ *
+ * @example
+ * const client = new PermitClient({cell, instance, random: Math.random});
+ * client.configure({kind: 'endpoints', endpoints}, nowMs);
+ * client.ownerChanged(owner, nowMs);
+ * const outputs = client.request(ask, nowMs);
+ */
+export class PermitClient {
+  private readonly options: Required<PermitClientOptions>;
+  private readonly policy: PolicySet;
+  private readonly allotment = new ClientAllotment();
+  private readonly waiting = new Map<AttemptId, WaitingAsk>();
+  private readonly running = new Map<AttemptId, PermitInUse>();
+  private readonly instances = new Set<InstanceId>();
+  private endpoints: readonly CellEndpoint[] = [];
+  private classes: readonly RequestClass[] = [];
+  private owner: InstanceId | null = null;
+  private fallback: FallbackOwner | undefined;
+  /** When the owner was first asked since it was last heard. */
+  private unansweredSinceMs: number | undefined;
+  private toldInUseAtMs = -Infinity;
+  private outputs: ClientOutput[] = [];
+
+  constructor(options: PermitClientOptions) {
+    this.options = {
+      policy: 'tiered',
+      maxWaiting: 2000,
+      ownerSilentAfterMs: DEFAULT_OWNER_SILENT_AFTER_MS,
+      repeatAskMs: DEFAULT_REPEAT_ASK_MS,
+      repeatInUseMs: DEFAULT_REPEAT_IN_USE_MS,
+      ...options,
+    };
+    this.policy = createPolicySet(this.options.policy);
+    this.instances.add(options.instance);
+  }
+
+  /**
+   * Takes in the endpoints, classes and live instances of the cell.
+   *
+   * @example
+   * client.configure({kind: 'instance_gone', instance}, nowMs);
+   */
+  configure(input: CellConfiguration, nowMs: number): ClientOutput[] {
+    if (input.kind === 'endpoints') this.endpoints = input.endpoints;
+    if (input.kind === 'classes') this.classes = input.classes;
+    if (input.kind === 'instance_joined') this.instances.add(input.instance);
+    if (input.kind === 'instance_gone') this.instances.delete(input.instance);
+    this.instances.add(this.options.instance);
+    this.configureFallback(nowMs);
+    return this.takeOutputs();
+  }
+
+  /**
+   * A request wants to run. Ends in `start` or `refused`, at once or later,
+   * unless it is withdrawn.
+   *
+   * @example
+   * const outputs = client.request(ask, performance.now());
+   */
+  request(ask: PermitAsk, nowMs: number): ClientOutput[] {
+    if (this.waiting.has(ask.attempt) || this.running.has(ask.attempt)) {
+      return [];
+    }
+    if (!this.startUnasked(ask)) {
+      const deadlineAtMs = nowMs + ask.remainingMs;
+      const request = {ask, deadlineAtMs, askedAtMs: nowMs};
+      this.waiting.set(ask.attempt, request);
+      this.askFor(request, nowMs);
+    }
+    return this.takeOutputs();
+  }
+
+  /**
+   * The caller has hung up or its key was withdrawn while the request waited.
+   *
+   * @example
+   * client.withdraw(attempt, nowMs);
+   */
+  withdraw(attempt: AttemptId, nowMs: number): ClientOutput[] {
+    if (this.waiting.delete(attempt)) {
+      this.tell({kind: 'withdraw', attempt}, nowMs);
+    }
+    return this.takeOutputs();
+  }
+
+  /**
+   * Takes a decision of an owner.
+   *
+   * @example
+   * client.receive(output, ownerInstance, nowMs);
+   */
+  receive(output: CellOutput, from: InstanceId, nowMs: number): ClientOutput[] {
+    if (from !== this.owner) {
+      if (output.kind === 'grant') this.giveBackUnused(output.grant, from);
+      return this.takeOutputs();
+    }
+    this.unansweredSinceMs = undefined;
+    if (this.fallback !== undefined) this.joinOwner(nowMs);
+    if (output.kind === 'grant') this.granted(output.grant, from);
+    if (output.kind === 'refuse') this.refused(output.refusal);
+    if (output.kind === 'allot') this.allotted(output.allotment, nowMs);
+    return this.takeOutputs();
+  }
+
+  /**
+   * An attempt that was started has ended, however it ended.
+   *
+   * @example
+   * client.release(release, nowMs);
+   */
+  release(release: PermitRelease, nowMs: number): ClientOutput[] {
+    const permit = this.running.get(release.attempt);
+    if (permit === undefined) return [];
+    this.running.delete(release.attempt);
+    if (permit.underAllotment) this.allotment.giveBack(permit.endpoint);
+    const {instance} = this.options;
+    this.tell({kind: 'release', instance, release}, nowMs);
+    return this.takeOutputs();
+  }
+
+  /**
+   * Tokens that running attempts have produced so far.
+   *
+   * @example
+   * client.progress([{attempt, outputTokens: 40}], nowMs);
+   */
+  progress(all: readonly AttemptProgress[], nowMs: number): ClientOutput[] {
+    const known = all.filter(({attempt}) => this.running.has(attempt));
+    for (const {attempt, outputTokens} of known) {
+      const permit = this.running.get(attempt)!;
+      this.running.set(attempt, {...permit, outputTokens});
+    }
+    const {instance} = this.options;
+    if (known.length > 0) {
+      this.tell({kind: 'progress', instance, progress: known}, nowMs);
+    }
+    return this.takeOutputs();
+  }
+
+  /**
+   * Another instance owns the cell, or the same one anew after a restart or a
+   * broken connection; `null` when none can be reached.
+   *
+   * @example
+   * client.ownerChanged(null, nowMs); // decides alone from now on
+   */
+  ownerChanged(owner: InstanceId | null, nowMs: number): ClientOutput[] {
+    this.owner = owner;
+    this.unansweredSinceMs = undefined;
+    this.dropAllotment();
+    if (owner === null) this.decideAlone(nowMs);
+    else this.joinOwner(nowMs);
+    return this.takeOutputs();
+  }
+
+  /**
+   * Lets time pass.
+   *
+   * @example
+   * setInterval(() => carryOut(client.tick(performance.now())), 50);
+   */
+  tick(nowMs: number): ClientOutput[] {
+    if (this.fallback !== undefined) {
+      this.carryOut(this.fallback.tick(nowMs));
+    }
+    this.refuseLate(nowMs);
+    if (this.owner === null) return this.takeOutputs();
+    this.repeatInUse(nowMs);
+    if (this.fallback === undefined) {
+      this.repeatAsks(nowMs);
+      this.noticeSilence(nowMs);
+    }
+    return this.takeOutputs();
+  }
+
+  /** Plain data for the state dump. */
+  snapshot(nowMs: number): PermitClientSnapshot {
+    return {
+      cell: this.options.cell,
+      owner: this.owner,
+      waiting: this.waiting.size,
+      running: this.running.size,
+      allotment: this.allotment.snapshot(),
+      fallback: this.fallback?.snapshot(nowMs),
+    };
+  }
+
+  /**
+   * Only while nothing of this instance waits: what waits has asked, and an
+   * equal or lower tier must not pass it.
+   */
+  private startUnasked(ask: PermitAsk): boolean {
+    if (this.fallback !== undefined || this.owner === null) return false;
+    if (ask.suspect || this.waiting.size > 0) return false;
+    const views = this.allotment.viewsFor(ask, this.endpoints);
+    if (views.length === 0) return false;
+    const {random, instance} = this.options;
+    const {id} = this.policy.choice.choose(ask, views, random);
+    this.allotment.use(id);
+    const permit = this.start(ask, id, true);
+    this.send({kind: 'started', instance, permits: [permit]});
+    return true;
+  }
+
+  private start(
+    ask: PermitAsk,
+    endpoint: EndpointId,
+    underAllotment: boolean,
+  ): PermitInUse {
+    const permit: PermitInUse = {
+      attempt: ask.attempt,
+      cell: this.options.cell,
+      endpoint,
+      clientAccount: ask.clientAccount,
+      requestClass: ask.requestClass,
+      tier: ask.tier,
+      outputTokens: 0,
+      underAllotment,
+      suspect: ask.suspect,
+    };
+    this.running.set(ask.attempt, permit);
+    this.outputs.push({kind: 'start', attempt: ask.attempt, endpoint});
+    return permit;
+  }
+
+  private askFor(request: WaitingAsk, nowMs: number): void {
+    request.askedAtMs = nowMs;
+    const remainingMs = Math.max(0, request.deadlineAtMs - nowMs);
+    const input: CellInput = {kind: 'ask', ask: {...request.ask, remainingMs}};
+    if (this.fallback !== undefined) {
+      this.carryOut(this.fallback.receive(input, nowMs));
+      return;
+    }
+    if (this.owner === null) return this.decideAlone(nowMs);
+    this.unansweredSinceMs ??= nowMs;
+    this.send(input);
+  }
+
+  private granted(grant: PermitGrant, from: InstanceId): void {
+    const request = this.waiting.get(grant.attempt);
+    if (request === undefined) return this.giveBackUnused(grant, from);
+    this.waiting.delete(grant.attempt);
+    this.start(request.ask, grant.endpoint, false);
+  }
+
+  /**
+   * A permit for an attempt that has ended, or runs elsewhere because its owner
+   * was silent: kept, it would never come free.
+   */
+  private giveBackUnused(grant: PermitGrant, from: InstanceId): void {
+    const {attempt, endpoint} = grant;
+    const inUse = this.running.get(attempt);
+    if (inUse?.endpoint === endpoint && from === this.owner) return;
+    const {cell, instance} = this.options;
+    const release: PermitRelease = {
+      attempt,
+      cell,
+      endpoint,
+      outcome: 'cancelled',
+      outputTokens: 0,
+      promptTokens: 0,
+    };
+    const input: CellInput = {kind: 'release', instance, release};
+    this.outputs.push({kind: 'tell_owner', owner: from, input});
+    if (inUse !== undefined && from === this.owner) this.sendInUse();
+  }
+
+  private refused(refusal: PermitRefusal): void {
+    const {attempt} = refusal;
+    if (!this.waiting.delete(attempt)) return;
+    this.outputs.push({kind: 'refused', attempt, refusal});
+  }
+
+  private allotted(allotment: Allotment, nowMs: number): void {
+    if (!this.allotment.apply(allotment)) return;
+    const {instance} = this.options;
+    const {sequence} = allotment;
+    this.tell({kind: 'allotment_applied', instance, sequence}, nowMs);
+  }
+
+  /** What runs under it is from now on told one by one. */
+  private dropAllotment(): void {
+    this.allotment.reset();
+    for (const [attempt, permit] of this.running) {
+      if (!permit.underAllotment) continue;
+      this.running.set(attempt, {...permit, underAllotment: false});
+    }
+  }
+
+  private joinOwner(nowMs: number): void {
+    this.fallback = undefined;
+    this.sendInUse();
+    this.toldInUseAtMs = nowMs;
+    for (const request of this.waiting.values()) this.askFor(request, nowMs);
+  }
+
+  private decideAlone(nowMs: number): void {
+    const {cell, instance, random, policy, maxWaiting} = this.options;
+    this.dropAllotment();
+    this.fallback = new FallbackOwner({
+      cell,
+      instance,
+      random,
+      startedAtMs: nowMs,
+      policy,
+      maxWaiting,
+    });
+    const permits = [...this.running.values()];
+    this.fallback.receive({kind: 'in_use', instance, permits}, nowMs);
+    this.configureFallback(nowMs);
+    for (const request of [...this.waiting.values()]) {
+      this.askFor(request, nowMs);
+    }
+  }
+
+  private configureFallback(nowMs: number): void {
+    if (this.fallback === undefined) return;
+    const view = {
+      endpoints: this.endpoints,
+      classes: this.classes,
+      instances: [...this.instances],
+      learntLimits: this.allotment.learntLimits,
+    };
+    this.carryOut(this.fallback.configure(view, nowMs));
+  }
+
+  /** Does what the instance has decided alone. */
+  private carryOut(decisions: readonly CellOutput[]): void {
+    for (const decision of decisions) {
+      if (decision.kind === 'grant') {
+        this.granted(decision.grant, this.options.instance);
+      }
+      if (decision.kind === 'refuse') {
+        this.refused(this.asOwnShare(decision.refusal));
+      }
+    }
+  }
+
+  /** No endpoint in this instance's share is not the same as none at all. */
+  private asOwnShare(refusal: PermitRefusal): PermitRefusal {
+    const ask = this.waiting.get(refusal.attempt)?.ask;
+    if (refusal.reason !== 'no_endpoint' || ask === undefined) return refusal;
+    const served = this.endpoints.some(({leaving}) => !leaving);
+    return served ? {...refusal, reason: 'overloaded'} : refusal;
+  }
+
+  private repeatInUse(nowMs: number): void {
+    const everyMs =
+      this.fallback === undefined
+        ? this.options.repeatInUseMs
+        : this.options.repeatAskMs;
+    if (nowMs - this.toldInUseAtMs < everyMs) return;
+    this.toldInUseAtMs = nowMs;
+    this.sendInUse();
+  }
+
+  /**
+   * A lost ask would wait for ever; and an owner that has nothing to say can't
+   * be told from a dead one unless it is asked something that it answers.
+   */
+  private repeatAsks(nowMs: number): void {
+    let repeated = 0;
+    for (const request of this.waiting.values()) {
+      if (nowMs - request.askedAtMs < this.options.repeatAskMs) continue;
+      this.askFor(request, nowMs);
+      if (++repeated >= MAX_REPEATED_ASKS) return;
+    }
+  }
+
+  /**
+   * A frozen owner keeps its place in the membership for a while, and callers
+   * would wait for it all that time.
+   */
+  private noticeSilence(nowMs: number): void {
+    if (this.unansweredSinceMs === undefined) return;
+    const silentMs = nowMs - this.unansweredSinceMs;
+    if (silentMs >= this.options.ownerSilentAfterMs) this.decideAlone(nowMs);
+  }
+
+  /** Refuses what its owner should have refused, and did not. */
+  private refuseLate(nowMs: number): void {
+    for (const [attempt, {deadlineAtMs}] of [...this.waiting]) {
+      if (nowMs < deadlineAtMs + LATE_REFUSAL_MS) continue;
+      this.tell({kind: 'withdraw', attempt}, nowMs);
+      this.refused({
+        attempt,
+        reason: 'deadline_unreachable',
+        retryAfterMs: LATE_RETRY_AFTER_MS,
+      });
+    }
+  }
+
+  /** Tells whoever decides; the owner too when it is only silent. */
+  private tell(input: CellInput, nowMs: number): void {
+    if (this.fallback !== undefined) {
+      this.carryOut(this.fallback.receive(input, nowMs));
+    }
+    this.send(input);
+  }
+
+  private sendInUse(): void {
+    const {instance} = this.options;
+    const permits = [...this.running.values()];
+    this.send({kind: 'in_use', instance, permits});
+  }
+
+  private send(input: CellInput): void {
+    if (this.owner === null) return;
+    this.outputs.push({kind: 'tell_owner', owner: this.owner, input});
+  }
+
+  private takeOutputs(): ClientOutput[] {
+    const outputs = this.outputs;
+    this.outputs = [];
+    return outputs;
+  }
+}
--- /dev/null
+++ b/packages/policy/src/standing_allotments.ts
@@ -0,0 +1,238 @@
+/** When instances may start requests without asking, and how many. */
+
+import type {EndpointId, InstanceId} from '@snipestage/types/ids.js';
+import {planAllotments, type InstanceUse} from './allotment_plan.js';
+import type {CellEndpoints} from './cell_endpoints.js';
+import type {CellOutput} from './cell_messages.js';
+import type {PermitBook, PermitCounts} from './permit_book.js';
+import type {CellId} from '@snipestage/types/ids.js';
+
+/** Kept back for instances that have used up their allotment and ask. */
+const ASKED_PART = 0.25;
+/** A change smaller than this is not worth a message. */
+const MIN_CHANGE = 2;
+const MIN_CHANGE_PART = 0.25;
+/** Weight of the newest count in the mean use of an instance. */
+const USE_WEIGHT = 0.1;
+
+/** What {@link StandingAllotments} are made from. */
+export interface StandingAllotmentsOptions {
+  readonly cell: CellId;
+  readonly book: PermitBook;
+  readonly endpoints: CellEndpoints;
+  /** How long nothing must have waited before permits are allotted again. */
+  readonly openAfterMs?: number;
+  readonly planEveryMs?: number;
+  readonly resendAfterMs?: number;
+}
+
+/**
+ * Divides free permits while nothing waits. As soon as something waits in the
+ * cell it takes back all that is not in use, for an instance that starts under
+ * an allotment can't know that a higher tier waits at another one.
+ */
+export class StandingAllotments {
+  private readonly options: Required<StandingAllotmentsOptions>;
+  private readonly recentUse = new Map<InstanceId, number>();
+  private waitedAtMs = -Infinity;
+  private plannedAtMs = -Infinity;
+
+  constructor(options: StandingAllotmentsOptions) {
+    this.options = {
+      openAfterMs: 500,
+      planEveryMs: 250,
+      resendAfterMs: 1000,
+      ...options,
+    };
+  }
+
+  join(instance: InstanceId): void {
+    if (!this.recentUse.has(instance)) this.recentUse.set(instance, 0);
+  }
+
+  leave(instance: InstanceId): void {
+    this.recentUse.delete(instance);
+  }
+
+  instances(): InstanceId[] {
+    return [...this.recentUse.keys()];
+  }
+
+  /** Something waits: takes back what has been allotted. */
+  close(nowMs: number): CellOutput[] {
+    this.waitedAtMs = nowMs;
+    const outputs: CellOutput[] = [];
+    for (const instance of this.instances()) {
+      const {permits} = this.options.book.latest(instance) ?? {};
+      if (permits === undefined || total(permits) === 0) continue;
+      outputs.push(this.send(instance, emptied(permits), nowMs));
+    }
+    return outputs;
+  }
+
+  tick(nowMs: number): CellOutput[] {
+    this.measureUse();
+    const outputs = this.resendLost(nowMs);
+    const quietMs = nowMs - this.waitedAtMs;
+    if (quietMs < this.options.openAfterMs) return outputs;
+    if (nowMs - this.plannedAtMs < this.options.planEveryMs) return outputs;
+    this.plannedAtMs = nowMs;
+    return [...outputs, ...this.replan(nowMs)];
+  }
+
+  /** The allotment in force, said again to one who may have missed it. */
+  repeat(instance: InstanceId, nowMs: number): CellOutput[] {
+    const latest = this.options.book.latest(instance);
+    const sequence = latest?.sequence ?? 0;
+    const permits = latest?.permits ?? new Map<EndpointId, number>();
+    return [this.message(instance, sequence, permits, nowMs)];
+  }
+
+  private replan(nowMs: number): CellOutput[] {
+    const {book} = this.options;
+    const free = this.freePermits(nowMs);
+    const plan = planAllotments(this.divisible(nowMs), this.uses());
+    const outputs: CellOutput[] = [];
+    for (const [instance, target] of plan) {
+      const permits = this.affordable(instance, target, free);
+      const current = book.latest(instance)?.permits;
+      if (!isWorthSending(current, permits, free)) continue;
+      this.spend(instance, permits, free);
+      outputs.push(this.send(instance, permits, nowMs));
+    }
+    return outputs;
+  }
+
+  /** Grows no further than permits that no one else may be using. */
+  private affordable(
+    instance: InstanceId,
+    target: PermitCounts,
+    free: PermitCounts,
+  ): Map<EndpointId, number> {
+    const permits = new Map<EndpointId, number>();
+    for (const [endpoint, wanted] of target) {
+      const ceiling = this.options.book.ceiling(instance, endpoint);
+      const most = ceiling + Math.max(0, free.get(endpoint) ?? 0);
+      permits.set(endpoint, Math.min(wanted, most));
+    }
+    return permits;
+  }
+
+  private spend(
+    instance: InstanceId,
+    permits: PermitCounts,
+    free: Map<EndpointId, number>,
+  ): void {
+    for (const [endpoint, count] of permits) {
+      const ceiling = this.options.book.ceiling(instance, endpoint);
+      const growth = Math.max(0, count - ceiling);
+      free.set(endpoint, (free.get(endpoint) ?? 0) - growth);
+    }
+  }
+
+  /** Limit less all that is reserved; negative where the limit has fallen. */
+  private freePermits(nowMs: number): Map<EndpointId, number> {
+    const reserved = this.options.book.reserved();
+    const free = this.options.endpoints.allottable(nowMs);
+    for (const [endpoint, permits] of free) {
+      free.set(endpoint, permits - (reserved.get(endpoint) ?? 0));
+    }
+    return free;
+  }
+
+  private divisible(nowMs: number) {
+    const granted = new Map<EndpointId, number>();
+    for (const {endpoint, underAllotment} of this.options.book.all()) {
+      if (underAllotment) continue;
+      granted.set(endpoint, (granted.get(endpoint) ?? 0) + 1);
+    }
+    const allottable = this.options.endpoints.allottable(nowMs);
+    return [...allottable].map(([endpoint, limit]) => {
+      const left = Math.max(0, limit - (granted.get(endpoint) ?? 0));
+      return {endpoint, permits: Math.floor(left * (1 - ASKED_PART))};
+    });
+  }
+
+  private uses(): InstanceUse[] {
+    return [...this.recentUse].map(([instance, recentUse]) => ({
+      instance,
+      recentUse,
+    }));
+  }
+
+  private measureUse(): void {
+    const counts = new Map<InstanceId, number>();
+    for (const {instance} of this.options.book.all()) {
+      counts.set(instance, (counts.get(instance) ?? 0) + 1);
+    }
+    for (const [instance, mean] of this.recentUse) {
+      const count = counts.get(instance) ?? 0;
+      this.recentUse.set(instance, mean + (count - mean) * USE_WEIGHT);
+    }
+  }
+
+  /** Without this, permits of an allotment lost on the way stay reserved. */
+  private resendLost(nowMs: number): CellOutput[] {
+    const {book, resendAfterMs} = this.options;
+    return this.instances().flatMap(instance => {
+      const latest = book.latest(instance);
+      if (latest === undefined || !book.isPending(instance)) return [];
+      if (nowMs - latest.sentAtMs < resendAfterMs) return [];
+      return [this.send(instance, latest.permits, nowMs)];
+    });
+  }
+
+  private send(
+    instance: InstanceId,
+    permits: PermitCounts,
+    nowMs: number,
+  ): CellOutput {
+    const sequence = this.options.book.allot(instance, permits, nowMs);
+    return this.message(instance, sequence, permits, nowMs);
+  }
+
+  private message(
+    instance: InstanceId,
+    sequence: number,
+    permits: PermitCounts,
+    nowMs: number,
+  ): CellOutput {
+    const limits = this.options.endpoints.allottable(nowMs);
+    const endpoints = [...permits].map(([endpoint, count]) => ({
+      endpoint,
+      permits: count,
+      limit: limits.get(endpoint),
+    }));
+    const {cell} = this.options;
+    return {kind: 'allot', instance, allotment: {cell, sequence, endpoints}};
+  }
+}
+
+function isWorthSending(
+  current: PermitCounts | undefined,
+  next: PermitCounts,
+  free: PermitCounts,
+): boolean {
+  if (current === undefined) return true;
+  for (const endpoint of new Set([...current.keys(), ...next.keys()])) {
+    const before = current.get(endpoint) ?? 0;
+    const after = next.get(endpoint) ?? 0;
+    if (after === before) continue;
+    const overLimit = (free.get(endpoint) ?? -1) < 0;
+    if (overLimit && after < before) return true;
+    const change = Math.max(MIN_CHANGE, before * MIN_CHANGE_PART);
+    if (Math.abs(after - before) >= change) return true;
+    if (before === 0 || after === 0) return true;
+  }
+  return false;
+}
+
+function emptied(permits: PermitCounts): PermitCounts {
+  return new Map([...permits.keys()].map(endpoint => [endpoint, 0]));
+}
+
+function total(permits: PermitCounts): number {
+  let sum = 0;
+  for (const count of permits.values()) sum += count;
+  return sum;
+}
--- /dev/null
+++ b/packages/policy/src/tiered_choice.ts
@@ -0,0 +1,84 @@
+/** The product's endpoint choice. */
+
+import type {PermitAsk} from '@snipestage/types/permits.js';
+import {
+  EndpointChoice,
+  compareLoad,
+  type EndpointView,
+} from './endpoint_choice.js';
+import type {RandomSource} from './random_source.js';
+import {rankByRendezvous} from './rendezvous.js';
+
+/** An endpoint gets no work by affinity beyond this times the mean load. */
+const AFFINITY_LOAD_BOUND = 1.25;
+
+/** What a {@link TieredChoice} is made from. */
+export interface TieredChoiceOptions {
+  readonly affinityLoadBound?: number;
+}
+
+/**
+ * Requests that may run on cheap endpoints go there first. Of those left, the
+ * endpoint that has seen the prompt's start before, unless it is loaded beyond a
+ * bound (consistent hashing with bounded loads, Mirrokni et al. 2016), else the
+ * better of two taken at random.
+ */
+export class TieredChoice extends EndpointChoice {
+  private readonly bound: number;
+
+  constructor(options: TieredChoiceOptions = {}) {
+    super();
+    this.bound = options.affinityLoadBound ?? AFFINITY_LOAD_BOUND;
+  }
+
+  choose(
+    ask: PermitAsk,
+    candidates: readonly EndpointView[],
+    random: RandomSource,
+  ): EndpointView {
+    const preferred = preferCheap(ask, candidates);
+    if (ask.prefixHash === undefined) return betterOfTwo(preferred, random);
+    return this.byAffinity(ask.prefixHash, preferred);
+  }
+
+  private byAffinity(
+    prefixHash: string,
+    views: readonly EndpointView[],
+  ): EndpointView {
+    const byId = new Map(views.map(view => [view.id, view]));
+    const inFlight = sum(views.map(view => view.inFlight)) + 1;
+    const limits = sum(views.map(({limit}) => limit));
+    for (const id of rankByRendezvous(prefixHash, byId.keys())) {
+      const view = byId.get(id)!;
+      const fairLoad = (inFlight * view.limit) / limits;
+      if (view.inFlight + 1 <= Math.ceil(fairLoad * this.bound)) return view;
+    }
+    return [...views].sort(compareLoad)[0];
+  }
+}
+
+function preferCheap(
+  ask: PermitAsk,
+  candidates: readonly EndpointView[],
+): readonly EndpointView[] {
+  if (!ask.cheapAllowed) return candidates;
+  const cheap = candidates.filter(({kind}) => kind === 'cheap');
+  return cheap.length > 0 ? cheap : candidates;
+}
+
+function betterOfTwo(
+  views: readonly EndpointView[],
+  random: RandomSource,
+): EndpointView {
+  if (views.length === 1) return views[0];
+  const first = Math.floor(random() * views.length);
+  const step = 1 + Math.floor(random() * (views.length - 1));
+  const second = (first + step) % views.length;
+  return compareLoad(views[first], views[second]) <= 0
+    ? views[first]
+    : views[second];
+}
+
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, number) => total + number, 0);
+}
--- /dev/null
+++ b/packages/policy/src/virtual_counters.ts
@@ -0,0 +1,84 @@
+/**
+ * Virtual token counters (Sheng et al., "Fairness in Serving Large Language
+ * Models", OSDI 2024): each client account has a count of the tokens produced
+ * for it, and the lowest count is served next.
+ */
+
+import type {ClientAccountId} from '@snipestage/types/ids.js';
+
+/** Counters that fall idle beyond this many are forgotten, the lowest first. */
+const MAX_IDLE_COUNTERS = 512;
+
+/** The counters of the client accounts of one request class. */
+export class VirtualCounters {
+  private readonly counters = new Map<ClientAccountId, number>();
+  private readonly active = new Set<ClientAccountId>();
+  private lastLeft: ClientAccountId | undefined;
+
+  get(account: ClientAccountId): number {
+    return this.counters.get(account) ?? 0;
+  }
+
+  /**
+   * An account begins to wait. One that was away keeps no credit from that time:
+   * its counter is lifted to the lowest of those that wait, else to that of the
+   * last one that waited.
+   */
+  activate(account: ClientAccountId): void {
+    if (this.active.has(account)) return;
+    const floor = this.lowestActive() ?? this.lastCounter();
+    this.counters.set(account, Math.max(this.get(account), floor));
+    this.active.add(account);
+  }
+
+  /** The account has nothing waiting any more. */
+  deactivate(account: ClientAccountId): void {
+    if (!this.active.delete(account)) return;
+    this.lastLeft = account;
+    this.forgetIdle();
+  }
+
+  /**
+   * Adds tokens produced for the account; negative ones correct an expectation.
+   * A correction does not take it below the least served of those that wait:
+   * what it was charged may since have been covered by a lift, and it would jump
+   * ahead of accounts that have waited all along.
+   */
+  charge(account: ClientAccountId, tokens: number): void {
+    const before = this.get(account);
+    const floor = Math.min(before, this.lowestActive(account) ?? 0);
+    this.counters.set(account, Math.max(floor, before + tokens));
+  }
+
+  /** Accounts that wait, the least served first. */
+  inOrder(): ClientAccountId[] {
+    const accounts = [...this.active];
+    return accounts.sort((a, b) => this.get(a) - this.get(b));
+  }
+
+  private lowestActive(except?: ClientAccountId): number | undefined {
+    let lowest: number | undefined;
+    for (const account of this.active) {
+      if (account === except) continue;
+      lowest = Math.min(lowest ?? Infinity, this.get(account));
+    }
+    return lowest;
+  }
+
+  private lastCounter(): number {
+    return this.lastLeft === undefined ? 0 : this.get(this.lastLeft);
+  }
+
+  private forgetIdle(): void {
+    const idle = this.counters.size - this.active.size;
+    if (idle <= MAX_IDLE_COUNTERS) return;
+    let lowest: ClientAccountId | undefined;
+    for (const account of this.counters.keys()) {
+      if (this.active.has(account) || account === this.lastLeft) continue;
+      if (lowest === undefined || this.get(account) < this.get(lowest)) {
+        lowest = account;
+      }
+    }
+    if (lowest !== undefined) this.counters.delete(lowest);
+  }
+}
