--- a/packages/policy/src/client_allotment.ts
+++ b/packages/policy/src/client_allotment.ts
@@ -5,6 +5,16 @@
 import type {CellEndpoint} from './cell_messages.js';
 import {isEligible, type EndpointView} from './endpoint_choice.js';
 
+/** An allotment and its use, for the state dump. */
+export interface AllotmentSnapshot {
+  readonly sequence: number;
+  readonly endpoints: ReadonlyArray<{
+    readonly endpoint: EndpointId;
+    readonly permits: number;
+    readonly used: number;
+  }>;
+}
+
 /** The allotment in force and how much of it is used. */
 export class ClientAllotment {
   private sequence = 0;
@@ -43,6 +53,15 @@
     this.used.set(endpoint, Math.max(0, (this.used.get(endpoint) ?? 0) - 1));
   }
 
+  /** Requests that could start without asking. */
+  get free(): number {
+    let free = 0;
+    for (const [endpoint, permits] of this.permits) {
+      free += Math.max(0, permits - (this.used.get(endpoint) ?? 0));
+    }
+    return free;
+  }
+
   /** Endpoints where the request may start at once. */
   viewsFor(ask: PermitAsk, endpoints: readonly CellEndpoint[]): EndpointView[] {
     const views: EndpointView[] = [];
@@ -56,10 +75,7 @@
     return views;
   }
 
-  snapshot(): {
-    sequence: number;
-    endpoints: Array<{endpoint: EndpointId; permits: number; used: number}>;
-  } {
+  snapshot(): AllotmentSnapshot {
     const endpoints = [...this.permits].map(([endpoint, permits]) => ({
       endpoint,
       permits,
--- /dev/null
+++ b/packages/policy/src/client_messages.ts
@@ -0,0 +1,49 @@
+/** What a permit client is told and what it has the entry process do. */
+
+import type {
+  AttemptId,
+  CellId,
+  EndpointId,
+  InstanceId,
+} from '@snipestage/types/ids.js';
+import type {PermitRefusal} from '@snipestage/types/permits.js';
+import type {CellInput} from './cell_messages.js';
+import type {CellSnapshot} from './cell_owner.js';
+import type {AllotmentSnapshot} from './client_allotment.js';
+
+/** What the entry process has to do next. */
+export type ClientOutput =
+  /** Send the attempt to the endpoint; a release must follow, however it ends. */
+  | {
+      readonly kind: 'start';
+      readonly attempt: AttemptId;
+      readonly endpoint: EndpointId;
+    }
+  /** The attempt has not run and waits no more. */
+  | {
+      readonly kind: 'refused';
+      readonly attempt: AttemptId;
+      readonly refusal: PermitRefusal;
+    }
+  | {
+      readonly kind: 'tell_owner';
+      readonly owner: InstanceId;
+      readonly input: CellInput;
+    };
+
+/** What an instance is told of a cell from configuration and membership. */
+export type CellConfiguration = Extract<
+  CellInput,
+  {kind: 'endpoints' | 'classes' | 'instance_joined' | 'instance_gone'}
+>;
+
+/** Plain data for the state dump. */
+export interface PermitClientSnapshot {
+  readonly cell: CellId;
+  readonly owner: InstanceId | null;
+  readonly waiting: number;
+  readonly running: number;
+  readonly allotment: AllotmentSnapshot;
+  /** Present while the instance decides alone. */
+  readonly fallback?: CellSnapshot;
+}
--- a/packages/policy/src/permit_client.test.ts
+++ b/packages/policy/src/permit_client.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import type {CellOutput} from './cell_messages.js';
-import {PermitClient, type ClientOutput} from './permit_client.js';
+import type {ClientOutput} from './client_messages.js';
+import {PermitClient} from './permit_client.js';
 import {createSeededRandom} from './random_source.js';
 import {
   CELL,
--- a/packages/policy/src/permit_client.ts
+++ b/packages/policy/src/permit_client.ts
@@ -21,8 +21,13 @@
   CellInput,
   CellOutput,
 } from './cell_messages.js';
-import type {CellSnapshot} from './cell_owner.js';
+import type {CellLoad} from './cell_choice.js';
 import {ClientAllotment} from './client_allotment.js';
+import type {
+  CellConfiguration,
+  ClientOutput,
+  PermitClientSnapshot,
+} from './client_messages.js';
 import {FallbackOwner} from './fallback_owner.js';
 import {
   createPolicySet,
@@ -30,6 +35,7 @@
   type PolicySet,
 } from './policy_set.js';
 import type {RandomSource} from './random_source.js';
+import {WaitingAsks, type WaitingAsk} from './waiting_asks.js';
 
 const DEFAULT_OWNER_SILENT_AFTER_MS = 1500;
 const DEFAULT_REPEAT_ASK_MS = 500;
@@ -54,49 +60,6 @@
   readonly repeatInUseMs?: number;
 }
 
-/** What the entry process has to do next. */
-export type ClientOutput =
-  /** Send the attempt to the endpoint; {@link PermitClient.release} must follow. */
-  | {
-      readonly kind: 'start';
-      readonly attempt: AttemptId;
-      readonly endpoint: EndpointId;
-    }
-  /** The attempt has not run and waits no more. */
-  | {
-      readonly kind: 'refused';
-      readonly attempt: AttemptId;
-      readonly refusal: PermitRefusal;
-    }
-  | {
-      readonly kind: 'tell_owner';
-      readonly owner: InstanceId;
-      readonly input: CellInput;
-    };
-
-/** What an instance is told of a cell from configuration and membership. */
-export type CellConfiguration = Extract<
-  CellInput,
-  {kind: 'endpoints' | 'classes' | 'instance_joined' | 'instance_gone'}
->;
-
-/** Plain data for the state dump. */
-export interface PermitClientSnapshot {
-  readonly cell: CellId;
-  readonly owner: InstanceId | null;
-  readonly waiting: number;
-  readonly running: number;
-  readonly allotment: ReturnType<ClientAllotment['snapshot']>;
-  /** Present while the instance decides alone. */
-  readonly fallback?: CellSnapshot;
-}
-
-interface WaitingAsk {
-  readonly ask: PermitAsk;
-  readonly deadlineAtMs: number;
-  askedAtMs: number;
-}
-
 /**
  * Starts requests under the instance's allotment, asks the owner otherwise, and
  * decides alone, over its own share, while no owner answers. What runs keeps
@@ -112,7 +75,7 @@
   private readonly options: Required<PermitClientOptions>;
   private readonly policy: PolicySet;
   private readonly allotment = new ClientAllotment();
-  private readonly waiting = new Map<AttemptId, WaitingAsk>();
+  private readonly waiting = new WaitingAsks();
   private readonly running = new Map<AttemptId, PermitInUse>();
   private readonly instances = new Set<InstanceId>();
   private endpoints: readonly CellEndpoint[] = [];
@@ -164,12 +127,8 @@
     if (this.waiting.has(ask.attempt) || this.running.has(ask.attempt)) {
       return [];
     }
-    if (!this.startUnasked(ask)) {
-      const deadlineAtMs = nowMs + ask.remainingMs;
-      const request = {ask, deadlineAtMs, askedAtMs: nowMs};
-      this.waiting.set(ask.attempt, request);
-      this.askFor(request, nowMs);
-    }
+    if (this.startUnasked(ask)) this.waiting.startedAtOnce(nowMs);
+    else this.askFor(this.waiting.add(ask, nowMs), nowMs);
     return this.takeOutputs();
   }
 
@@ -180,7 +139,7 @@
    * client.withdraw(attempt, nowMs);
    */
   withdraw(attempt: AttemptId, nowMs: number): ClientOutput[] {
-    if (this.waiting.delete(attempt)) {
+    if (this.waiting.remove(attempt) !== undefined) {
       this.tell({kind: 'withdraw', attempt}, nowMs);
     }
     return this.takeOutputs();
@@ -199,7 +158,7 @@
     }
     this.unansweredSinceMs = undefined;
     if (this.fallback !== undefined) this.joinOwner(nowMs);
-    if (output.kind === 'grant') this.granted(output.grant, from);
+    if (output.kind === 'grant') this.granted(output.grant, from, nowMs);
     if (output.kind === 'refuse') this.refused(output.refusal);
     if (output.kind === 'allot') this.allotted(output.allotment, nowMs);
     return this.takeOutputs();
@@ -264,7 +223,7 @@
    */
   tick(nowMs: number): ClientOutput[] {
     if (this.fallback !== undefined) {
-      this.carryOut(this.fallback.tick(nowMs));
+      this.carryOut(this.fallback.tick(nowMs), nowMs);
     }
     this.refuseLate(nowMs);
     if (this.owner === null) return this.takeOutputs();
@@ -276,6 +235,21 @@
     return this.takeOutputs();
   }
 
+  /**
+   * What a request that is sent to this cell now has to expect.
+   *
+   * @example
+   * chooseCell({loads: clients.map(client => client.load(nowMs)), random});
+   */
+  load(nowMs: number): CellLoad {
+    return {
+      cell: this.options.cell,
+      freePermits: this.allotment.free,
+      waiting: this.waiting.size,
+      expectedWaitMs: this.waiting.expectedWaitMs(nowMs),
+    };
+  }
+
   /** Plain data for the state dump. */
   snapshot(nowMs: number): PermitClientSnapshot {
     return {
@@ -331,7 +305,7 @@
     const remainingMs = Math.max(0, request.deadlineAtMs - nowMs);
     const input: CellInput = {kind: 'ask', ask: {...request.ask, remainingMs}};
     if (this.fallback !== undefined) {
-      this.carryOut(this.fallback.receive(input, nowMs));
+      this.carryOut(this.fallback.receive(input, nowMs), nowMs);
       return;
     }
     if (this.owner === null) return this.decideAlone(nowMs);
@@ -339,10 +313,9 @@
     this.send(input);
   }
 
-  private granted(grant: PermitGrant, from: InstanceId): void {
-    const request = this.waiting.get(grant.attempt);
+  private granted(grant: PermitGrant, from: InstanceId, nowMs: number): void {
+    const request = this.waiting.started(grant.attempt, nowMs);
     if (request === undefined) return this.giveBackUnused(grant, from);
-    this.waiting.delete(grant.attempt);
     this.start(request.ask, grant.endpoint, false);
   }
 
@@ -370,7 +343,7 @@
 
   private refused(refusal: PermitRefusal): void {
     const {attempt} = refusal;
-    if (!this.waiting.delete(attempt)) return;
+    if (this.waiting.remove(attempt) === undefined) return;
     this.outputs.push({kind: 'refused', attempt, refusal});
   }
 
@@ -394,7 +367,7 @@
     this.fallback = undefined;
     this.sendInUse();
     this.toldInUseAtMs = nowMs;
-    for (const request of this.waiting.values()) this.askFor(request, nowMs);
+    for (const request of this.waiting.all()) this.askFor(request, nowMs);
   }
 
   private decideAlone(nowMs: number): void {
@@ -411,7 +384,7 @@
     const permits = [...this.running.values()];
     this.fallback.receive({kind: 'in_use', instance, permits}, nowMs);
     this.configureFallback(nowMs);
-    for (const request of [...this.waiting.values()]) {
+    for (const request of this.waiting.all()) {
       this.askFor(request, nowMs);
     }
   }
@@ -424,14 +397,14 @@
       instances: [...this.instances],
       learntLimits: this.allotment.learntLimits,
     };
-    this.carryOut(this.fallback.configure(view, nowMs));
+    this.carryOut(this.fallback.configure(view, nowMs), nowMs);
   }
 
   /** Does what the instance has decided alone. */
-  private carryOut(decisions: readonly CellOutput[]): void {
+  private carryOut(decisions: readonly CellOutput[], nowMs: number): void {
     for (const decision of decisions) {
       if (decision.kind === 'grant') {
-        this.granted(decision.grant, this.options.instance);
+        this.granted(decision.grant, this.options.instance, nowMs);
       }
       if (decision.kind === 'refuse') {
         this.refused(this.asOwnShare(decision.refusal));
@@ -463,7 +436,7 @@
    */
   private repeatAsks(nowMs: number): void {
     let repeated = 0;
-    for (const request of this.waiting.values()) {
+    for (const request of this.waiting.all()) {
       if (nowMs - request.askedAtMs < this.options.repeatAskMs) continue;
       this.askFor(request, nowMs);
       if (++repeated >= MAX_REPEATED_ASKS) return;
@@ -482,8 +455,9 @@
 
   /** Refuses what its owner should have refused, and did not. */
   private refuseLate(nowMs: number): void {
-    for (const [attempt, {deadlineAtMs}] of [...this.waiting]) {
+    for (const {ask, deadlineAtMs} of this.waiting.all()) {
       if (nowMs < deadlineAtMs + LATE_REFUSAL_MS) continue;
+      const {attempt} = ask;
       this.tell({kind: 'withdraw', attempt}, nowMs);
       this.refused({
         attempt,
@@ -496,7 +470,7 @@
   /** Tells whoever decides; the owner too when it is only silent. */
   private tell(input: CellInput, nowMs: number): void {
     if (this.fallback !== undefined) {
-      this.carryOut(this.fallback.receive(input, nowMs));
+      this.carryOut(this.fallback.receive(input, nowMs), nowMs);
     }
     this.send(input);
   }
