Give permits from cell owners and run keyed requests at most once

Cause: each instance chose endpoints by its own view, and a keyed request could run again at another instance. Change: the map of cells from configuration and members, owners and clients of the policy package as tasks, a search over data centres that spills after the class's first-token target; claims before sending, answers kept and replayed byte for byte, keyed requests that finish though their caller hangs up. Ruled out: keeping a parsed answer (a stream asked again must be the same bytes).

--- /dev/null
+++ b/packages/entry/src/admit/response_recorder.ts
@@ -0,0 +1,97 @@
+/** Keeps a copy of an answer while it is sent. */
+
+import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
+
+/** An answer as the caller got it. */
+export interface RecordedAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+}
+
+const NOT_KEPT: ReadonlySet<string> = new Set([
+  'x-request-id',
+  'connection',
+  'content-length',
+  'transfer-encoding',
+  'date',
+  'server',
+]);
+
+type Write = (chunk: unknown, ...rest: unknown[]) => unknown;
+
+const recorded = new WeakSet<ServerResponse>();
+
+/**
+ * Whether an answer need not be written any further: its caller has hung up
+ * and it is not kept for another time either.
+ *
+ * @example
+ * if (mayDiscard(response)) return;
+ */
+export function mayDiscard(response: ServerResponse): boolean {
+  return response.destroyed && !recorded.has(response);
+}
+
+/**
+ * Taps the writes of one response. It goes on to record after the caller has
+ * hung up, since that caller will ask again under its key.
+ */
+export class ResponseRecorder {
+  private readonly chunks: Buffer[] = [];
+  private headers: Record<string, string> = {};
+  private status = 0;
+  private ended = false;
+
+  constructor(private readonly response: ServerResponse) {
+    recorded.add(response);
+    this.tapHeaders();
+    this.tap('write');
+    this.tap('end');
+  }
+
+  /** What was sent; `undefined` unless it was ended. */
+  read(): RecordedAnswer | undefined {
+    if (!this.ended) return undefined;
+    return {
+      status: this.status,
+      headers: this.headers,
+      body: Buffer.concat(this.chunks),
+    };
+  }
+
+  private tapHeaders(): void {
+    const {response} = this;
+    const writeHead = response.writeHead.bind(response);
+    response.writeHead = (status: number, ...rest: unknown[]) => {
+      const headers = rest.find(part => typeof part === 'object');
+      this.headers = keptHeaders((headers ?? {}) as OutgoingHttpHeaders);
+      this.status = status;
+      if (response.destroyed) return response;
+      return writeHead(status, headers as OutgoingHttpHeaders);
+    };
+  }
+
+  private tap(method: 'write' | 'end'): void {
+    const original = this.response[method].bind(this.response) as Write;
+    const tapped: Write = (chunk, ...rest) => {
+      if (typeof chunk === 'string' || Buffer.isBuffer(chunk)) {
+        this.chunks.push(Buffer.from(chunk));
+      }
+      if (method === 'end') this.ended = true;
+      if (this.response.destroyed) return true;
+      return original(chunk, ...rest);
+    };
+    this.response[method] = tapped as ServerResponse['end'] &
+      ServerResponse['write'];
+  }
+}
+
+function keptHeaders(headers: OutgoingHttpHeaders): Record<string, string> {
+  const kept: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || NOT_KEPT.has(name.toLowerCase())) continue;
+    kept[name] = String(value);
+  }
+  return kept;
+}
--- a/packages/entry/src/answer/stream_sink.ts
+++ b/packages/entry/src/answer/stream_sink.ts
@@ -4,6 +4,7 @@
 import type {ServerResponse} from 'node:http';
 import type {RequestId} from '@snipestage/types/ids.js';
 import type {Refusal} from '@snipestage/types/refusal.js';
+import {mayDiscard} from '../admit/response_recorder.js';
 import {AnswerSink, type AnswerPiece, type AnswerUsage} from './answer_sink.js';
 import {refusalBody, sendRefusal} from './refusal_response.js';
 
@@ -75,9 +76,9 @@
   }
 
   private async send(chunk: object): Promise<void> {
-    if (this.response.destroyed) return;
+    if (mayDiscard(this.response)) return;
     const hasRoom = this.response.write(`data: ${JSON.stringify(chunk)}\n\n`);
-    if (hasRoom) return;
+    if (hasRoom || this.response.destroyed) return;
     const closed = once(this.response, 'close');
     const drained = once(this.response, 'drain');
     await Promise.race([drained, closed]);
--- a/packages/entry/src/answer/whole_sink.ts
+++ b/packages/entry/src/answer/whole_sink.ts
@@ -3,6 +3,7 @@
 import type {ServerResponse} from 'node:http';
 import type {RequestId} from '@snipestage/types/ids.js';
 import type {Refusal} from '@snipestage/types/refusal.js';
+import {mayDiscard} from '../admit/response_recorder.js';
 import type {CompletionPath} from '../send/engine_driver.js';
 import {AnswerSink, type AnswerPiece, type AnswerUsage} from './answer_sink.js';
 import {sendRefusal} from './refusal_response.js';
@@ -44,7 +45,7 @@
 
   async finish(usage: AnswerUsage): Promise<void> {
     const {response, requestId} = this.options;
-    if (response.destroyed) return;
+    if (mayDiscard(response)) return;
     this.delivered = usage.outputTokens;
     response.writeHead(200, {
       'content-type': 'application/json',
--- /dev/null
+++ b/packages/entry/src/choose/cell_map.ts
@@ -0,0 +1,121 @@
+/** All cells, from the configuration and the live instances. */
+
+import {planCells, type Cell} from '@snipestage/policy/cells.js';
+import type {CellEndpoint} from '@snipestage/policy/cell_messages.js';
+import type {
+  Configuration,
+  Endpoint,
+  EndpointTarget,
+} from '@snipestage/types/configuration.js';
+import type {
+  CellId,
+  DataCentreId,
+  EndpointId,
+  InstanceId,
+} from '@snipestage/types/ids.js';
+import type {Member} from '@snipestage/types/member.js';
+import {instancesIn} from './cluster_view.js';
+
+/** What a {@link CellMap} is made from. */
+export interface CellMapOptions {
+  readonly configuration: Configuration;
+  readonly members: readonly Member[];
+  readonly dataCentre: DataCentreId;
+  readonly endpointsPerCell?: number;
+  /** Endpoints that the platform's list shows as leaving. */
+  readonly leaving?: ReadonlySet<EndpointId>;
+}
+
+/** Made anew whenever the configuration or the members change. */
+export class CellMap {
+  private readonly cells = new Map<CellId, Cell>();
+
+  constructor(private readonly options: CellMapOptions) {
+    for (const dataCentre of this.dataCentres()) {
+      for (const cell of this.planDataCentre(dataCentre)) {
+        this.cells.set(cell.id, cell);
+      }
+    }
+  }
+
+  all(): IterableIterator<Cell> {
+    return this.cells.values();
+  }
+
+  get(cell: CellId): Cell | undefined {
+    return this.cells.get(cell);
+  }
+
+  /** Cells that serve a target, by data centre; the own one comes first. */
+  serving(target: EndpointTarget): Cell[][] {
+    const byDataCentre = new Map<DataCentreId, Cell[]>();
+    for (const cell of this.cells.values()) {
+      if (!isSameTarget(cell.target, target)) continue;
+      const cells = byDataCentre.get(cell.dataCentre) ?? [];
+      byDataCentre.set(cell.dataCentre, [...cells, cell]);
+    }
+    return this.dataCentres()
+      .map(id => byDataCentre.get(id) ?? [])
+      .filter(cells => cells.length > 0);
+  }
+
+  ownedBy(instance: InstanceId): Cell[] {
+    return [...this.cells.values()].filter(cell => cell.owner === instance);
+  }
+
+  /** The cell's endpoints as its owner is to know them. */
+  endpointsOf(cell: Cell): CellEndpoint[] {
+    return cell.endpoints
+      .map(id => this.options.configuration.endpoints.get(id))
+      .filter(endpoint => endpoint !== undefined)
+      .map(endpoint => this.toCellEndpoint(endpoint));
+  }
+
+  private toCellEndpoint(endpoint: Endpoint): CellEndpoint {
+    const isListedLeaving = this.options.leaving?.has(endpoint.id) ?? false;
+    return {
+      id: endpoint.id,
+      kind: endpoint.kind,
+      maxConcurrency: endpoint.maxConcurrency,
+      leaving: endpoint.leaving || isListedLeaving,
+    };
+  }
+
+  /** The own one, then those of the same region, then all others. */
+  private dataCentres(): DataCentreId[] {
+    const {configuration, dataCentre: own} = this.options;
+    const ownRegion = configuration.dataCentres.get(own)?.region;
+    const distanceOf = (id: DataCentreId, region: string) => {
+      if (id === own) return 0;
+      return region === ownRegion ? 1 : 2;
+    };
+    return [...configuration.dataCentres.values()]
+      .map(({id, region}) => ({id, distance: distanceOf(id, region)}))
+      .sort((a, b) => a.distance - b.distance || (a.id < b.id ? -1 : 1))
+      .map(({id}) => id);
+  }
+
+  /**
+   * A data centre whose entry instances are all gone still has endpoints; the
+   * instances of the others look after its cells then.
+   */
+  private planDataCentre(dataCentre: DataCentreId): Cell[] {
+    const {configuration, members, endpointsPerCell} = this.options;
+    const local = instancesIn(members, dataCentre);
+    const instances =
+      local.length > 0 ? local : members.map(member => member.id);
+    return planCells({
+      dataCentre,
+      endpoints: configuration.endpoints.values(),
+      instances,
+      endpointsPerCell,
+    });
+  }
+}
+
+function isSameTarget(left: EndpointTarget, right: EndpointTarget): boolean {
+  if (left.kind === 'model') {
+    return right.kind === 'model' && left.model === right.model;
+  }
+  return right.kind === 'service' && left.service === right.service;
+}
--- /dev/null
+++ b/packages/entry/src/choose/cell_owners.ts
@@ -0,0 +1,129 @@
+/** The cells that this instance owns. */
+
+import type {
+  CellInput,
+  CellOutput,
+  ReportedLoad,
+} from '@snipestage/policy/cell_messages.js';
+import {CellOwner} from '@snipestage/policy/cell_owner.js';
+import type {Cell} from '@snipestage/policy/cells.js';
+import {
+  createPolicySet,
+  type PolicyName,
+} from '@snipestage/policy/policy_set.js';
+import type {RequestClass} from '@snipestage/types/configuration.js';
+import type {CellId, InstanceId} from '@snipestage/types/ids.js';
+import type {MonotonicClock} from '../clock.js';
+import type {CellMap} from './cell_map.js';
+import type {PermitRouter} from './permit_router.js';
+
+/** Options of {@link CellOwners}. */
+export interface CellOwnersOptions {
+  readonly self: InstanceId;
+  readonly router: PermitRouter;
+  readonly clock: MonotonicClock;
+  readonly policy?: PolicyName;
+  readonly maxWaiting?: number;
+}
+
+interface OwnedCell {
+  readonly owner: CellOwner;
+  readonly instances: Set<InstanceId>;
+}
+
+/** Creates an owner for each cell that falls to this instance. */
+export class CellOwners {
+  private readonly owned = new Map<CellId, OwnedCell>();
+
+  constructor(private readonly options: CellOwnersOptions) {}
+
+  /** Takes in a new map: cells come and go, so do their instances. */
+  configure(
+    map: CellMap,
+    classes: readonly RequestClass[],
+    live: ReadonlySet<InstanceId>,
+  ): void {
+    const cells = map.ownedBy(this.options.self);
+    const kept = new Set(cells.map(cell => cell.id));
+    for (const id of this.owned.keys()) {
+      if (!kept.has(id)) this.owned.delete(id);
+    }
+    for (const cell of cells) {
+      const owned = this.owned.get(cell.id) ?? this.create(cell.id);
+      this.feed(cell.id, owned, {kind: 'classes', classes});
+      const endpoints = map.endpointsOf(cell);
+      this.feed(cell.id, owned, {kind: 'endpoints', endpoints});
+      this.updateInstances(cell, owned, live);
+    }
+  }
+
+  receive(cell: CellId, input: CellInput, from: InstanceId): void {
+    const owned = this.owned.get(cell);
+    // Meant for an owner that is no more; the client asks the new one.
+    if (owned === undefined) return;
+    if (!owned.instances.has(from)) this.join(cell, owned, from);
+    this.feed(cell, owned, input);
+  }
+
+  tick(): void {
+    for (const [cell, {owner}] of this.owned) {
+      this.sendAll(cell, owner.tick(this.options.clock()));
+    }
+  }
+
+  reportLoad(cell: CellId, load: ReportedLoad): void {
+    const owned = this.owned.get(cell);
+    if (owned !== undefined) this.feed(cell, owned, {kind: 'load', load});
+  }
+
+  snapshot(): object[] {
+    const nowMs = this.options.clock();
+    return [...this.owned.values()].map(({owner}) => owner.snapshot(nowMs));
+  }
+
+  private create(cell: CellId): OwnedCell {
+    const {clock, policy, maxWaiting} = this.options;
+    const owner = new CellOwner({
+      cell,
+      random: Math.random,
+      startedAtMs: clock(),
+      policy: createPolicySet(policy ?? 'tiered'),
+      maxWaiting: maxWaiting ?? 2000,
+    });
+    const owned = {owner, instances: new Set<InstanceId>()};
+    this.owned.set(cell, owned);
+    return owned;
+  }
+
+  /** Instances of other data centres have joined by asking; they stay. */
+  private updateInstances(
+    cell: Cell,
+    owned: OwnedCell,
+    live: ReadonlySet<InstanceId>,
+  ): void {
+    for (const instance of cell.instances) {
+      if (!owned.instances.has(instance)) this.join(cell.id, owned, instance);
+    }
+    for (const instance of owned.instances) {
+      if (live.has(instance)) continue;
+      owned.instances.delete(instance);
+      this.feed(cell.id, owned, {kind: 'instance_gone', instance});
+    }
+  }
+
+  private join(cell: CellId, owned: OwnedCell, instance: InstanceId): void {
+    owned.instances.add(instance);
+    this.feed(cell, owned, {kind: 'instance_joined', instance});
+  }
+
+  private feed(cell: CellId, owned: OwnedCell, input: CellInput): void {
+    this.sendAll(cell, owned.owner.receive(input, this.options.clock()));
+  }
+
+  private sendAll(cell: CellId, outputs: readonly CellOutput[]): void {
+    for (const output of outputs) {
+      const record = {kind: 'to_client', cell, output} as const;
+      this.options.router.send(output.instance, record);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/choose/cell_permits.ts
@@ -0,0 +1,223 @@
+/** Permits from the owners of cells, own data centre first. */
+
+import {RequestError} from '@snipestage/errors/request_error.js';
+import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
+import type {Cell} from '@snipestage/policy/cells.js';
+import type {RequestClass} from '@snipestage/types/configuration.js';
+import {
+  brandAs,
+  type AttemptId,
+  type DataCentreId,
+  type EndpointId,
+  type InstanceId,
+} from '@snipestage/types/ids.js';
+import type {PermitAsk, PermitRefusal} from '@snipestage/types/permits.js';
+import type {MonotonicClock} from '../clock.js';
+import type {ConfigurationStore} from '../configure/configuration_store.js';
+import {CellClients} from './cell_clients.js';
+import {CellMap} from './cell_map.js';
+import {CellOwners} from './cell_owners.js';
+import type {ClusterView} from './cluster_view.js';
+import {PermitSearch, type SearchedCell} from './permit_search.js';
+import type {PermitRecord, PermitRouter} from './permit_router.js';
+import {
+  Permits,
+  type AttemptReport,
+  type Permit,
+  type PermitRequest,
+} from './permits.js';
+
+/** Options of {@link CellPermits}. */
+export interface CellPermitsOptions {
+  readonly self: InstanceId;
+  readonly dataCentre: DataCentreId;
+  readonly store: ConfigurationStore;
+  readonly view: ClusterView;
+  readonly router: PermitRouter;
+  readonly owners: CellOwners;
+  readonly clients: CellClients;
+  readonly clock: MonotonicClock;
+  readonly tickMs: number;
+  readonly endpointsPerCell?: number;
+}
+
+const NO_ENDPOINT_RETRY_AFTER_MS = 2000;
+
+/** Keeps the map of cells up to date and finds each request its permit. */
+export class CellPermits extends Permits {
+  private map: CellMap;
+  private leaving: ReadonlySet<EndpointId> = new Set();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: CellPermitsOptions) {
+    super();
+    const {store, view, router} = options;
+    this.map = this.createMap();
+    router.connect((from, record) => this.receive(from, record));
+    store.onChange(() => this.reconfigure());
+    view.onChange(() => this.reconfigure());
+  }
+
+  start(): void {
+    const {owners, clients, tickMs} = this.options;
+    this.timer = setInterval(() => {
+      owners.tick();
+      clients.tick();
+    }, tickMs);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Takes in a record from a peer. */
+  receive(from: InstanceId, record: PermitRecord): void {
+    const {owners, clients} = this.options;
+    if (record.kind === 'to_owner') {
+      owners.receive(record.cell, record.input, from);
+    } else {
+      clients.receive(record.cell, record.output, from);
+    }
+  }
+
+  /** Endpoints that the platform takes away; they get no new work. */
+  setLeaving(leaving: ReadonlySet<EndpointId>): void {
+    this.leaving = leaving;
+    this.reconfigure();
+  }
+
+  get cells(): CellMap {
+    return this.map;
+  }
+
+  async acquire(request: PermitRequest, signal: AbortSignal): Promise<Permit> {
+    const groups = this.map.serving(request.target);
+    if (groups.length === 0) throw noEndpoint();
+    const search = new PermitSearch({
+      clients: this.options.clients,
+      clock: this.options.clock,
+      cells: groups.map((cells, rank) => this.pick(cells, request, rank)),
+      spillAfterMs: request.requestClass.firstTokenTargetMs,
+    });
+    const result = await search.run(signal);
+    if (result.kind === 'refused') throw refusalError(result.refusal);
+    return this.hold(request, result.found);
+  }
+
+  snapshot(): object {
+    return {
+      owned: this.options.owners.snapshot(),
+      clients: this.options.clients.snapshot(),
+    };
+  }
+
+  /** Requests that share a prompt's start meet in the same cell. */
+  private pick(
+    cells: readonly Cell[],
+    request: PermitRequest,
+    rank: number,
+  ): SearchedCell {
+    const key = request.prefixHash ?? request.attempt;
+    const ids = cells.map(cell => cell.id);
+    const [cell] = rankByRendezvous(key, ids);
+    const attempt = brandAs<AttemptId>(
+      rank === 0 ? request.attempt : `${request.attempt}@${rank}`,
+    );
+    return {cell, ask: this.composeAsk(request, attempt, cell)};
+  }
+
+  private composeAsk(
+    request: PermitRequest,
+    attempt: AttemptId,
+    cell: Cell['id'],
+  ): PermitAsk {
+    const {requestClass} = request;
+    return {
+      attempt,
+      cell,
+      instance: this.options.self,
+      clientAccount: request.clientAccount.id,
+      requestClass: requestClass.id,
+      tier: requestClass.tier,
+      expectedTokens: request.expectedTokens,
+      remainingMs: request.remainingMs,
+      prefixHash: request.prefixHash,
+      fingerprint: request.fingerprint,
+      suspect: request.suspect,
+      cheapAllowed: request.repeatable && requestClass.cheapEndpointsAllowed,
+      excluded: request.excluded,
+    };
+  }
+
+  private hold(
+    request: PermitRequest,
+    {cell, ask, endpointId}: SearchedCell & {readonly endpointId: EndpointId},
+  ): Permit {
+    const {clients, store} = this.options;
+    const {attempt} = ask;
+    const release = (report: AttemptReport) =>
+      clients.release({
+        attempt,
+        cell,
+        endpoint: endpointId,
+        outcome: report.outcome,
+        promptTokens: report.promptTokens ?? 0,
+        outputTokens: report.outputTokens ?? 0,
+        firstTokenMs: report.firstTokenMs,
+        betweenTokensMs: report.betweenTokensMs,
+      });
+    const endpoint = store.current.endpoints.get(endpointId);
+    if (endpoint === undefined) {
+      // Removed by a ticket between the grant and now.
+      release({outcome: 'cancelled'});
+      throw noEndpoint();
+    }
+    return {
+      endpoint,
+      release,
+      progress: tokens => clients.progress(cell, attempt, tokens),
+    };
+  }
+
+  private reconfigure(): void {
+    const {store, view, owners, clients} = this.options;
+    this.map = this.createMap();
+    const classes: RequestClass[] = [...store.current.requestClasses.values()];
+    const live = new Set(view.live().map(member => member.id));
+    owners.configure(this.map, classes, live);
+    clients.configure(this.map, classes);
+  }
+
+  private createMap(): CellMap {
+    const {store, view, dataCentre, endpointsPerCell} = this.options;
+    return new CellMap({
+      configuration: store.current,
+      members: view.live(),
+      dataCentre,
+      endpointsPerCell,
+      leaving: this.leaving,
+    });
+  }
+}
+
+function noEndpoint(): RequestError {
+  return new RequestError('No endpoint serves this now.', {
+    code: 'no_endpoint',
+    verdict: 'not_run',
+    retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS,
+  });
+}
+
+const MESSAGES: Readonly<Record<PermitRefusal['reason'], string>> = {
+  overloaded: 'There is more work than the endpoints can take.',
+  deadline_unreachable: 'The request can not start before its deadline.',
+  no_endpoint: 'No endpoint can take the request now.',
+};
+
+function refusalError(refusal: PermitRefusal): RequestError {
+  return new RequestError(MESSAGES[refusal.reason], {
+    code: refusal.reason,
+    verdict: 'not_run',
+    retryAfterMs: refusal.retryAfterMs,
+  });
+}
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -1,15 +1,28 @@
 /** Puts the process together. */
 
 import 'reflect-metadata';
+import {randomUUID} from 'node:crypto';
 import {Logger} from '@snipestage/log/logger.js';
 import {HttpPlatform} from '@snipestage/platform/http_platform.js';
 import {Platform} from '@snipestage/platform/platform.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
+import {
+  brandAs,
+  type Incarnation,
+  type Revision,
+} from '@snipestage/types/ids.js';
+import type {Member} from '@snipestage/types/member.js';
 import {Container, type ServiceIdentifier} from 'inversify';
 import {UsageCounters} from './account/usage_counters.js';
+import {ClaimDesk} from './admit/claim_desk.js';
+import {KeptAnswers} from './admit/kept_answers.js';
 import {InFlightRequests} from './admit/in_flight_requests.js';
 import {RequestIntake} from './admit/request_intake.js';
-import {DirectPermits} from './choose/direct_permits.js';
+import {CellClients} from './choose/cell_clients.js';
+import {CellOwners} from './choose/cell_owners.js';
+import {CellPermits} from './choose/cell_permits.js';
+import {AloneView, ClusterView} from './choose/cluster_view.js';
+import {PermitRouter} from './choose/permit_router.js';
 import {Permits} from './choose/permits.js';
 import {monotonicNowMs} from './clock.js';
 import {ConfigurationStore} from './configure/configuration_store.js';
@@ -57,11 +70,26 @@
   container.bind(ConfigurationStore).toConstantValue(new ConfigurationStore());
   container.bind(StateDump).toConstantValue(new StateDump());
   bindPlatform(container, settings);
+  container.bind(ClusterView).toConstantValue(new AloneView(selfOf(settings)));
+  bindClaims(container);
+  bindPermits(container, settings);
   bindSending(container, settings);
   bindHandlers(container, settings);
   return container;
 }
 
+function selfOf(settings: EntrySettings): Member {
+  return {
+    id: settings.instance,
+    incarnation: brandAs<Incarnation>(randomUUID()),
+    dataCentre: settings.dataCentre,
+    peerAddress: '',
+    state: 'alive',
+    heartbeat: 0,
+    revision: brandAs<Revision>(0),
+  };
+}
+
 function bindPlatform(container: Container, settings: EntrySettings): void {
   const clock = monotonicNowMs;
   container.bind(Platform).toConstantValue(new HttpPlatform(settings.platform));
@@ -100,12 +128,6 @@
     .bind(ServiceDriver)
     .toConstantValue(new HttpServiceDriver({connectTimeoutMs}));
   container.bind(RetryPolicy).toConstantValue(new LimitedRetries());
-  container
-    .bind(Permits)
-    .toResolvedValue(
-      store => new DirectPermits({store, dataCentre: settings.dataCentre}),
-      [ConfigurationStore],
-    );
   container
     .bind(ModelRunner)
     .toResolvedValue(
@@ -122,6 +144,57 @@
     );
 }
 
+function bindClaims(container: Container): void {
+  container
+    .bind(KeptAnswers)
+    .toResolvedValue(platform => new KeptAnswers(platform), [Platform]);
+  container
+    .bind(ClaimDesk)
+    .toResolvedValue(
+      (executor, view, answers) => new ClaimDesk({executor, view, answers}),
+      [TableExecutor, ClusterView, KeptAnswers],
+    );
+}
+
+/** Permits: the router, the owned cells and the clients of all others. */
+function bindPermits(container: Container, settings: EntrySettings): void {
+  const clock = monotonicNowMs;
+  const self = settings.instance;
+  const {policy, maxWaitingPerCell: maxWaiting} = settings.routing;
+  container
+    .bind(PermitRouter)
+    .toConstantValue(new PermitRouter({self, sendRemote: () => {}}));
+  container
+    .bind(CellOwners)
+    .toResolvedValue(
+      router => new CellOwners({self, router, clock, policy, maxWaiting}),
+      [PermitRouter],
+    );
+  container
+    .bind(CellClients)
+    .toResolvedValue(
+      router => new CellClients({self, router, clock, policy, maxWaiting}),
+      [PermitRouter],
+    );
+  container.bind(CellPermits).toResolvedValue(
+    (store, view, router, owners, clients) =>
+      new CellPermits({
+        self,
+        dataCentre: settings.dataCentre,
+        store,
+        view,
+        router,
+        owners,
+        clients,
+        clock,
+        tickMs: settings.peer.tickMs,
+        endpointsPerCell: settings.routing.endpointsPerCell,
+      }),
+    [ConfigurationStore, ClusterView, PermitRouter, CellOwners, CellClients],
+  );
+  container.bind(Permits).toService(CellPermits);
+}
+
 function bindHandlers(container: Container, settings: EntrySettings): void {
   const {maxBodyBytes} = settings.callers;
   container.bind(RequestIntake).toResolvedValue(
@@ -138,15 +211,15 @@
   container
     .bind(ModelHandler)
     .toResolvedValue(
-      (store, runner, usage) =>
-        new ModelHandler({store, runner, usage, maxBodyBytes}),
-      [ConfigurationStore, ModelRunner, UsageCounters],
+      (store, runner, claims, usage) =>
+        new ModelHandler({store, runner, claims, usage, maxBodyBytes}),
+      [ConfigurationStore, ModelRunner, ClaimDesk, UsageCounters],
     );
   container
     .bind(ServiceHandler)
     .toResolvedValue(
-      (store, runner, usage) =>
-        new ServiceHandler({store, runner, usage, maxBodyBytes}),
-      [ConfigurationStore, ServiceRunner, UsageCounters],
+      (store, runner, claims, usage) =>
+        new ServiceHandler({store, runner, claims, usage, maxBodyBytes}),
+      [ConfigurationStore, ServiceRunner, ClaimDesk, UsageCounters],
     );
 }
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -4,8 +4,10 @@
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
 import {UsageCounters} from './account/usage_counters.js';
+import {ClaimDesk} from './admit/claim_desk.js';
 import {InFlightRequests} from './admit/in_flight_requests.js';
 import {RequestIntake} from './admit/request_intake.js';
+import {CellPermits} from './choose/cell_permits.js';
 import {monotonicNowMs} from './clock.js';
 import {ConfigurationStore} from './configure/configuration_store.js';
 import {RevisionTask} from './configure/revision_task.js';
@@ -43,6 +45,7 @@
     const callers = await this.callers.start();
     const admin = await this.admin.start();
     this.container.get(RevisionTask).start();
+    this.container.get(CellPermits).start();
     this.logger.info('started', {
       dataCentre: this.settings.dataCentre,
       callersPort: callers.port,
@@ -95,8 +98,10 @@
     });
   }
 
-  private closeAll(): void {
+  private async closeAll(): Promise<void> {
+    await this.container.get(ClaimDesk).whenSettled();
     this.container.get(RevisionTask).stop();
+    this.container.get(CellPermits).stop();
     this.callers.closeAllConnections();
     this.admin.stop();
   }
@@ -138,6 +143,10 @@
     const inFlight = this.container.get(InFlightRequests);
     dump.add('status', () => this.status());
     dump.add('inFlight', () => inFlight.snapshot(monotonicNowMs()));
+    dump.add('cells', () => this.container.get(CellPermits).snapshot());
+    dump.add('claims', () => ({
+      settling: this.container.get(ClaimDesk).settlingCount,
+    }));
     dump.add('usage', () => this.container.get(UsageCounters).read());
     dump.add('configuration', () => {
       const {current, lastConfirmedAtMs} =
--- a/packages/entry/src/listen/model_handler.ts
+++ b/packages/entry/src/listen/model_handler.ts
@@ -4,6 +4,8 @@
 import {RequestError} from '@snipestage/errors/request_error.js';
 import type {Model} from '@snipestage/types/configuration.js';
 import type {UsageCounters} from '../account/usage_counters.js';
+import type {ClaimDesk} from '../admit/claim_desk.js';
+import {idempotencyKeyOf} from '../identify/idempotency_key.js';
 import type {AdmittedRequest} from '../admit/request_intake.js';
 import type {AnswerSink} from '../answer/answer_sink.js';
 import {refusalOf} from '../answer/refusal_response.js';
@@ -19,6 +21,7 @@
 export interface ModelHandlerOptions {
   readonly store: ConfigurationStore;
   readonly runner: ModelRunner;
+  readonly claims: ClaimDesk;
   readonly usage: UsageCounters;
   readonly maxBodyBytes: number;
 }
@@ -46,7 +49,19 @@
     const model = this.findModel(body);
     const parsed: ModelRequest = {path, model, body, bodyBytes};
     const sink = createSink(parsed, response, admitted);
-    await this.run(parsed, admitted, sink);
+    const run = () => this.run(parsed, admitted, sink);
+    const idempotencyKey = idempotencyKeyOf(request.headers);
+    if (idempotencyKey === undefined) {
+      await run();
+      return;
+    }
+    admitted.inFlight.mayBeCut = false;
+    const {id} = admitted.caller.clientAccount;
+    const fingerprint = fingerprintOf(id, path, bodyBytes);
+    await this.options.claims.runOnce(
+      {key: idempotencyKey, fingerprint, admitted, response},
+      run,
+    );
   }
 
   private findModel(body: Readonly<Record<string, unknown>>): Model {
@@ -78,8 +93,8 @@
       );
       promptTokens = usage.promptTokens;
     } catch (error) {
-      if (!sink.hasBegun) throw error;
-      sink.fail(refusalOf(error));
+      if (sink.hasBegun) sink.fail(refusalOf(error));
+      throw error;
     } finally {
       this.count(admitted, sink.deliveredTokens, promptTokens);
     }
--- a/packages/entry/src/listen/service_handler.ts
+++ b/packages/entry/src/listen/service_handler.ts
@@ -4,6 +4,9 @@
 import {RequestError} from '@snipestage/errors/request_error.js';
 import type {Service} from '@snipestage/types/configuration.js';
 import type {UsageCounters} from '../account/usage_counters.js';
+import type {ClaimDesk} from '../admit/claim_desk.js';
+import {mayDiscard} from '../admit/response_recorder.js';
+import {idempotencyKeyOf} from '../identify/idempotency_key.js';
 import type {AdmittedRequest} from '../admit/request_intake.js';
 import type {ConfigurationStore} from '../configure/configuration_store.js';
 import {fingerprintOf} from '../identify/fingerprint.js';
@@ -17,6 +20,7 @@
 export interface ServiceHandlerOptions {
   readonly store: ConfigurationStore;
   readonly runner: ServiceRunner;
+  readonly claims: ClaimDesk;
   readonly usage: UsageCounters;
   readonly maxBodyBytes: number;
 }
@@ -34,7 +38,26 @@
     const service = this.findService(serviceName);
     const body = await readBody(request, this.options.maxBodyBytes);
     const work = composeWork({request, admitted, service, path, body});
-    admitted.inFlight.mayBeCut = work.permit.repeatable;
+    const idempotencyKey = idempotencyKeyOf(request.headers);
+    admitted.inFlight.mayBeCut =
+      work.permit.repeatable && idempotencyKey === undefined;
+    const run = () => this.run(work, response, admitted);
+    if (idempotencyKey === undefined) {
+      await run();
+      return;
+    }
+    const {fingerprint} = work.permit;
+    await this.options.claims.runOnce(
+      {key: idempotencyKey, fingerprint, admitted, response},
+      run,
+    );
+  }
+
+  private async run(
+    work: ServiceWork,
+    response: ServerResponse,
+    admitted: AdmittedRequest,
+  ): Promise<void> {
     const answer = await this.options.runner.run(work);
     this.options.usage.add({
       clientAccount: admitted.caller.clientAccount.id,
@@ -109,7 +132,7 @@
   answer: ServiceAnswer,
   admitted: AdmittedRequest,
 ): void {
-  if (response.destroyed) return;
+  if (mayDiscard(response)) return;
   response.writeHead(answer.status, {
     ...answer.headers,
     'x-request-id': admitted.id,
