Add the operators' command

Cause: nothing could be asked of an instance, and no ticket sent, without writing HTTP by hand.

One class a command, bound by inversify; reading commands share one base.

Ruled out: retries of got (they would repeat a drain); failing over a drain (it would take down a healthy instance in place of a hung one); hashing short keys (hashes carry no salt).

--- /dev/null
+++ b/packages/cli/src/commands/reading_command.ts
@@ -0,0 +1,35 @@
+/** Commands that read one thing from an instance and print it. */
+
+import {injectFromBase, injectable} from 'inversify';
+import type {z} from 'zod';
+import {readAnswer} from '../admin/admin_client.js';
+import {EXIT_OK, type ExitCode} from '../exit_codes.js';
+import {
+  CliCommand,
+  openAdminClient,
+  type CommandContext,
+} from './cli_command.js';
+
+/** Reads from the first instance that answers. */
+@injectable()
+@injectFromBase()
+export abstract class ReadingCommand<
+  Schema extends z.ZodType,
+> extends CliCommand {
+  /** After `/admin/v1`. */
+  protected abstract readonly path: string;
+  protected abstract readonly schema: Schema;
+
+  /** The answer as a person reads it. */
+  protected abstract format(answer: z.output<Schema>): string;
+
+  protected async execute(context: CommandContext): Promise<ExitCode> {
+    const reply = await openAdminClient(context).read({
+      method: 'GET',
+      path: this.path,
+    });
+    const answer = readAnswer(reply, this.schema);
+    context.reporter.result(answer, this.format(answer));
+    return EXIT_OK;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/composition.ts
@@ -0,0 +1,41 @@
+/** Puts the program together. */
+
+import 'reflect-metadata';
+import {Container} from 'inversify';
+import type {CliCommand} from './commands/cli_command.js';
+import {Drain} from './commands/drain/drain.js';
+import {Dump} from './commands/dump/dump.js';
+import {KeysHash} from './commands/keys_hash/keys_hash.js';
+import {SettingsCheck} from './commands/settings_check/settings_check.js';
+import {Status} from './commands/status/status.js';
+import {TicketList} from './commands/ticket_list/ticket_list.js';
+import {TicketShow} from './commands/ticket_show/ticket_show.js';
+import {TicketSubmit} from './commands/ticket_submit/ticket_submit.js';
+import {TicketValidate} from './commands/ticket_validate/ticket_validate.js';
+import {Usage} from './commands/usage/usage.js';
+import type {Terminal} from './terminal.js';
+import {COMMAND, TERMINAL} from './tokens.js';
+
+/** In the order in which `--help` lists them. */
+const COMMANDS = [
+  TicketSubmit,
+  TicketValidate,
+  TicketShow,
+  TicketList,
+  Status,
+  Dump,
+  Usage,
+  Drain,
+  KeysHash,
+  SettingsCheck,
+];
+
+/** All commands, made for one terminal. */
+export function assembleCommands(terminal: Terminal): CliCommand[] {
+  const container = new Container();
+  container.bind<Terminal>(TERMINAL).toConstantValue(terminal);
+  for (const command of COMMANDS) {
+    container.bind<CliCommand>(COMMAND).to(command);
+  }
+  return container.getAll<CliCommand>(COMMAND);
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,64 @@
+/** The `snipestage` command. */
+
+import {Command, CommanderError} from 'commander';
+import {assembleCommands} from './composition.js';
+import {
+  EXIT_CODE_MEANINGS,
+  EXIT_INTERNAL,
+  EXIT_OK,
+  EXIT_USAGE,
+  type ExitCode,
+} from './exit_codes.js';
+import {addGlobalOptions} from './options.js';
+import {ProcessTerminal, type Terminal} from './terminal.js';
+
+/**
+ * Runs one command line, without the names of runtime and program.
+ *
+ * @returns the exit code.
+ * @example
+ * process.exitCode = await runCommandLine(['status', '--json']);
+ */
+export async function runCommandLine(
+  args: readonly string[],
+  terminal: Terminal = new ProcessTerminal(),
+): Promise<ExitCode> {
+  let exitCode: ExitCode = EXIT_INTERNAL;
+  const program = assembleProgram(terminal, code => {
+    exitCode = code;
+  });
+  try {
+    await program.parseAsync([...args], {from: 'user'});
+  } catch (error) {
+    if (!(error instanceof CommanderError)) throw error;
+    // Help that was asked for ends this way too, with 0.
+    return error.exitCode === 0 ? EXIT_OK : EXIT_USAGE;
+  }
+  return exitCode;
+}
+
+function assembleProgram(
+  terminal: Terminal,
+  finish: (exitCode: ExitCode) => void,
+): Command {
+  const program = addGlobalOptions(new Command('snipestage'))
+    .description('operate a snipestage router')
+    .configureOutput({
+      writeOut: text => terminal.writeOut(text),
+      writeErr: text => terminal.writeError(text),
+    })
+    .showHelpAfterError('(--help shows how it is used)')
+    .exitOverride()
+    .addHelpText('after', describeExitCodes());
+  for (const command of assembleCommands(terminal)) {
+    command.addTo(program, finish);
+  }
+  return program;
+}
+
+function describeExitCodes(): string {
+  const lines = Object.entries(EXIT_CODE_MEANINGS).map(
+    ([code, meaning]) => `  ${code}  ${meaning}`,
+  );
+  return `\nExit codes:\n${lines.join('\n')}`;
+}
--- /dev/null
+++ b/packages/cli/src/options.ts
@@ -0,0 +1,44 @@
+/** Options that every command takes. */
+
+import type {Command} from 'commander';
+
+export const DEFAULT_ADMIN_URL = 'http://127.0.0.1:8081';
+export const KEY_VARIABLE = 'SNIPESTAGE_OPERATOR_KEY';
+
+/** The values of these options. */
+export interface GlobalOptions {
+  readonly json: boolean;
+  /** In the order in which they are tried. */
+  readonly adminUrl: readonly string[];
+  readonly keyFile?: string;
+}
+
+/** Adds the options to the root of the program. */
+export function addGlobalOptions(program: Command): Command {
+  return program
+    .option('--json', 'print JSON, for scripts', false)
+    .option(
+      '--admin-url <url>',
+      'administration address of an instance; repeat it to name others, ' +
+        `tried in turn (default: ${DEFAULT_ADMIN_URL})`,
+      collect,
+    )
+    .option(
+      '--key-file <file>',
+      `file with the operator key (default: the variable ${KEY_VARIABLE})`,
+    );
+}
+
+/** The options as given to a command or any of its parents. */
+export function readGlobalOptions(command: Command): GlobalOptions {
+  const given = command.optsWithGlobals<Partial<GlobalOptions>>();
+  return {
+    json: given.json ?? false,
+    adminUrl: given.adminUrl ?? [DEFAULT_ADMIN_URL],
+    keyFile: given.keyFile,
+  };
+}
+
+function collect(value: string, earlier: string[] = []): string[] {
+  return [...earlier, value];
+}
--- /dev/null
+++ b/packages/cli/src/tokens.ts
@@ -0,0 +1,4 @@
+/** Tokens by which the container hands out what commands are made from. */
+
+export const TERMINAL = Symbol('Terminal');
+export const COMMAND = Symbol('CliCommand');
