Test broken, crossed, silent and abandoned answers

Cause: the ways an answer can go wrong need tests at the driver and the runner. Change: a scripted engine at the wire and a scripted driver under the runner.

--- /dev/null
+++ b/packages/entry/src/send/http_engine_driver.test.ts
@@ -0,0 +1,126 @@
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {brandAs} from '@snipestage/types/ids.js';
+import test, {type ExecutionContext} from 'ava';
+import {EndpointError} from './endpoint_error.js';
+import type {EngineCall, EngineEvent} from './engine_driver.js';
+import {HttpEngineDriver} from './http_engine_driver.js';
+
+type Responder = (response: http.ServerResponse) => void;
+
+async function startEngine(
+  t: ExecutionContext,
+  respond: Responder,
+): Promise<string> {
+  const server = http.createServer((request, response) => {
+    request.resume();
+    respond(response);
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function callTo(url: string, overrides: Partial<EngineCall> = {}): EngineCall {
+  return {
+    url,
+    path: '/v1/completions',
+    attempt: brandAs('r.1'),
+    body: {prompt: 'hi'},
+    tier: 0,
+    signal: new AbortController().signal,
+    firstTokenTimeoutMs: 60_000,
+    chunkTimeoutMs: 60_000,
+    ...overrides,
+  };
+}
+
+function chunk(id: string, text: string): string {
+  return `data: ${JSON.stringify({id, choices: [{text}]})}\n\n`;
+}
+
+async function read(call: EngineCall): Promise<EngineEvent[]> {
+  const events: EngineEvent[] = [];
+  for await (const batch of new HttpEngineDriver().stream(call)) {
+    events.push(...batch);
+  }
+  return events;
+}
+
+const OWN_HEADERS = {'x-request-id': 'r.1'};
+
+test('a whole stream ends with its end mark', async t => {
+  const url = await startEngine(t, response => {
+    response.writeHead(200, OWN_HEADERS);
+    response.end(`${chunk('r.1', 'a')}${chunk('r.1', 'é')}data: [DONE]\n\n`);
+  });
+  const events = await read(callTo(url));
+  const text = events.map(event => (event.kind === 'token' ? event.text : ''));
+  t.is(text.join(''), 'aé');
+});
+
+test('a chunk of another request never gets through', async t => {
+  // An engine crosses two answers in the middle of a stream. The caller would
+  // read a stranger's repair quote.
+  const url = await startEngine(t, response => {
+    response.writeHead(200, OWN_HEADERS);
+    response.end(`${chunk('r.2', 'stranger')}data: [DONE]\n\n`);
+  });
+  const error = await t.throwsAsync(read(callTo(url)), {
+    instanceOf: EndpointError,
+  });
+  t.is(error.kind, 'mismatched');
+});
+
+test('an answer whose header names another request is dropped', async t => {
+  // A late answer to an earlier request arrives on this connection.
+  const url = await startEngine(t, response => {
+    response.writeHead(200, {'x-request-id': 'r.0'});
+    response.end(`${chunk('r.1', 'a')}data: [DONE]\n\n`);
+  });
+  const error = await t.throwsAsync(read(callTo(url)), {
+    instanceOf: EndpointError,
+  });
+  t.is(error.kind, 'mismatched');
+});
+
+test('a stream that ends without its end mark is broken', async t => {
+  // An engine crashes and its system closes the connection in good order. The
+  // caller would take half an answer for a whole one.
+  const url = await startEngine(t, response => {
+    response.writeHead(200, OWN_HEADERS);
+    response.end(chunk('r.1', 'a'));
+  });
+  const error = await t.throwsAsync(read(callTo(url)), {
+    instanceOf: EndpointError,
+  });
+  t.is(error.kind, 'broken');
+  t.is(error.verdict, 'may_have_run');
+});
+
+test('a connection that has gone silent is given up', async t => {
+  // Something between the two ends has lost track of the connection. No error
+  // ever comes; the caller would wait for ever.
+  const url = await startEngine(t, response => {
+    response.writeHead(200, OWN_HEADERS);
+    response.write(chunk('r.1', 'a'));
+  });
+  const error = await t.throwsAsync(read(callTo(url, {chunkTimeoutMs: 50})), {
+    instanceOf: EndpointError,
+  });
+  t.is(error.kind, 'silent');
+});
+
+test('an engine that turns a request away has not run it', async t => {
+  const url = await startEngine(t, response => {
+    response.writeHead(503);
+    response.end();
+  });
+  const error = await t.throwsAsync(read(callTo(url)), {
+    instanceOf: EndpointError,
+  });
+  t.is(error.verdict, 'not_run');
+});
--- /dev/null
+++ b/packages/entry/src/send/model_runner.test.ts
@@ -0,0 +1,204 @@
+import {RequestError} from '@snipestage/errors/request_error.js';
+import type {
+  ClientAccount,
+  Endpoint,
+  RequestClass,
+} from '@snipestage/types/configuration.js';
+import {brandAs, type AttemptId} from '@snipestage/types/ids.js';
+import test from 'ava';
+import {
+  AnswerSink,
+  type AnswerPiece,
+  type AnswerUsage,
+} from '../answer/answer_sink.js';
+import {
+  Permits,
+  type AttemptReport,
+  type Permit,
+  type PermitRequest,
+} from '../choose/permits.js';
+import {EndpointError, type EndpointErrorKind} from './endpoint_error.js';
+import {
+  EngineDriver,
+  type EngineCall,
+  type EngineEvent,
+} from './engine_driver.js';
+import {LimitedRetries} from './limited_retries.js';
+import {ModelRunner, type ModelWork} from './model_runner.js';
+
+/** One connection to an engine: tokens, then an end or a failure. */
+interface Script {
+  readonly tokens: readonly string[];
+  readonly fails?: EndpointErrorKind;
+}
+
+class ScriptedDriver extends EngineDriver {
+  readonly calls: EngineCall[] = [];
+  readonly cancelled: string[] = [];
+
+  constructor(private readonly scripts: Script[]) {
+    super();
+  }
+
+  async *stream(call: EngineCall): AsyncGenerator<readonly EngineEvent[]> {
+    this.calls.push(call);
+    const script = this.scripts.shift();
+    if (script === undefined) throw new Error('one call too many');
+    for (const text of script.tokens) {
+      yield [{kind: 'token', text, chunk: {}}];
+    }
+    if (script.fails !== undefined) {
+      const isUnsent = ['unreachable', 'refused'].includes(script.fails);
+      const verdict = isUnsent ? 'not_run' : 'may_have_run';
+      throw new EndpointError('scripted', {kind: script.fails, verdict});
+    }
+    yield [{kind: 'usage', promptTokens: 3, outputTokens: 9}];
+  }
+
+  async cancel(url: string, attempt: string): Promise<void> {
+    this.cancelled.push(attempt);
+  }
+}
+
+class CountingPermits extends Permits {
+  readonly requests: PermitRequest[] = [];
+  readonly reports: AttemptReport[] = [];
+
+  async acquire(request: PermitRequest): Promise<Permit> {
+    this.requests.push(request);
+    const endpoint = {
+      id: `e${this.requests.length}`,
+      url: 'http://127.0.0.1:1',
+    } as unknown as Endpoint;
+    return {
+      endpoint,
+      progress: () => {},
+      release: report => this.reports.push(report),
+    };
+  }
+}
+
+class TextSink extends AnswerSink {
+  text = '';
+  finished = false;
+
+  get hasBegun(): boolean {
+    return this.text !== '';
+  }
+
+  get deliveredTokens(): number {
+    return 0;
+  }
+
+  async write(piece: AnswerPiece): Promise<void> {
+    this.text += piece.text;
+  }
+
+  async finish(): Promise<void> {
+    this.finished = true;
+  }
+
+  fail(): void {}
+}
+
+const REQUEST_CLASS = {
+  id: 'counter',
+  tier: 0,
+  firstTokenTargetMs: 310,
+  deadlineMs: 30_000,
+} as unknown as RequestClass;
+
+function workWith(signal: AbortSignal): ModelWork {
+  return {
+    requestId: brandAs('r'),
+    path: '/v1/chat/completions',
+    body: {messages: [{role: 'user', content: 'hi'}], max_tokens: 10},
+    requestClass: REQUEST_CLASS,
+    arrivedAtMs: 0,
+    signal,
+    permit: {
+      target: {kind: 'model', model: brandAs('repair')},
+      clientAccount: {id: 'shop'} as unknown as ClientAccount,
+      requestClass: REQUEST_CLASS,
+      expectedTokens: 5,
+      fingerprint: brandAs('f'),
+      suspect: false,
+      repeatable: true,
+    },
+  };
+}
+
+function createWorld(...scripts: Script[]) {
+  const driver = new ScriptedDriver(scripts);
+  const permits = new CountingPermits();
+  const runner = new ModelRunner({
+    permits,
+    driver,
+    retryPolicy: new LimitedRetries(),
+    clock: () => 0,
+    chunkTimeoutMs: 1000,
+  });
+  const sink = new TextSink();
+  const abort = new AbortController();
+  const run = (): Promise<AnswerUsage> =>
+    runner.run(workWith(abort.signal), sink);
+  return {driver, permits, sink, abort, run};
+}
+
+test('a broken stream is resumed at the same engine', async t => {
+  // The connection to an engine is reset while the engine goes on working. The
+  // caller notices nothing and no token is made twice.
+  const world = createWorld(
+    {tokens: ['a', 'b'], fails: 'broken'},
+    {tokens: ['c']},
+  );
+  const usage = await world.run();
+  t.is(world.sink.text, 'abc');
+  t.deepEqual(usage, {promptTokens: 3, outputTokens: 3});
+  t.is(world.driver.calls[1].resumeOffset, 2);
+  t.is(world.driver.calls[1].attempt, world.driver.calls[0].attempt);
+  t.is(world.permits.reports.length, 1);
+});
+
+test('another engine goes on where a crashed one broke off', async t => {
+  // An engine crashes in the middle of an answer. The caller gets the rest from
+  // another engine, each token once.
+  const world = createWorld(
+    {tokens: ['a', 'b'], fails: 'broken'},
+    {tokens: [], fails: 'unreachable'},
+    {tokens: ['c']},
+  );
+  await world.run();
+  t.is(world.sink.text, 'abc');
+  const {body, attempt} = world.driver.calls[2];
+  t.is(attempt, brandAs<AttemptId>('r.2'));
+  t.like(body, {max_tokens: 8, continue_final_message: true});
+  t.deepEqual((body.messages as object[])[1], {
+    role: 'assistant',
+    content: 'ab',
+  });
+  t.deepEqual(world.permits.requests[1].excluded, [brandAs('e1')]);
+  t.is(world.permits.reports[0].outcome, 'crashed');
+});
+
+test('a request that fails everywhere is refused with its true verdict', async t => {
+  const world = createWorld(
+    {tokens: [], fails: 'unreachable'},
+    {tokens: [], fails: 'errored'},
+    {tokens: [], fails: 'unreachable'},
+  );
+  const error = await t.throwsAsync(world.run(), {instanceOf: RequestError});
+  t.is(error.refusal.code, 'endpoint_failed');
+  t.is(error.refusal.verdict, 'may_have_run');
+  t.is(world.permits.reports.length, 3);
+});
+
+test('a caller that hangs up has its engine stopped', async t => {
+  // A tramper walks away in the middle of an answer. Without the cancel the
+  // engine would go on producing tokens for nobody.
+  const world = createWorld({tokens: ['a'], fails: 'cancelled'});
+  world.abort.abort();
+  await t.throwsAsync(world.run());
+  t.deepEqual(world.driver.cancelled, ['r.1']);
+  t.is(world.permits.reports[0].outcome, 'cancelled');
+});
