Hand engine events over without async iterators

Change: the driver calls a listener, which gives a promise only to hold it up. Found on the way: data that came after a failure woke the silence timer again and kept the process alive; the listener is taken off now.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,6 +1,6 @@
 export default {
   files: ['packages/*/dist/**/*.test.js'],
   workerThreads: false,
-  timeout: '5m',
+  timeout: '60s',
   concurrency: 4,
 };
--- a/packages/entry/src/answer/answer_sink.ts
+++ b/packages/entry/src/answer/answer_sink.ts
@@ -22,8 +22,8 @@
   /** Tokens that the caller has got, whether or not the answer got whole. */
   abstract get deliveredTokens(): number;
 
-  /** Takes a piece; waits while the caller reads slowly. */
-  abstract write(piece: AnswerPiece): Promise<void>;
+  /** Takes a piece; gives a promise when the caller reads slowly. */
+  abstract write(piece: AnswerPiece): Promise<void> | undefined;
 
   /** The answer is whole. */
   abstract finish(usage: AnswerUsage): Promise<void>;
--- a/packages/entry/src/answer/stream_sink.ts
+++ b/packages/entry/src/answer/stream_sink.ts
@@ -1,6 +1,5 @@
 /** Sends an answer as server-sent events, piece by piece. */
 
-import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import type {RequestId} from '@snipestage/types/ids.js';
 import type {Refusal} from '@snipestage/types/refusal.js';
@@ -34,10 +33,10 @@
     return this.tokens;
   }
 
-  async write(piece: AnswerPiece): Promise<void> {
+  write(piece: AnswerPiece): Promise<void> | undefined {
     this.begin();
     if (piece.text !== '') this.tokens += 1;
-    await this.send({...piece.chunk, id: this.options.requestId});
+    return this.send({...piece.chunk, id: this.options.requestId});
   }
 
   async finish(usage: AnswerUsage): Promise<void> {
@@ -75,12 +74,17 @@
     });
   }
 
-  private async send(chunk: object): Promise<void> {
-    if (mayDiscard(this.response)) return;
+  private send(chunk: object): Promise<void> | undefined {
+    if (mayDiscard(this.response)) return undefined;
     const hasRoom = this.response.write(`data: ${JSON.stringify(chunk)}\n\n`);
-    if (hasRoom || this.response.destroyed) return;
-    const closed = once(this.response, 'close');
-    const drained = once(this.response, 'drain');
-    await Promise.race([drained, closed]);
+    if (hasRoom || this.response.destroyed) return undefined;
+    return untilDrained(this.response);
   }
 }
+
+async function untilDrained(response: ServerResponse): Promise<void> {
+  await new Promise<void>(resolve => {
+    response.once('drain', resolve);
+    response.once('close', resolve);
+  });
+}
--- a/packages/entry/src/answer/whole_sink.ts
+++ b/packages/entry/src/answer/whole_sink.ts
@@ -36,11 +36,12 @@
     return this.delivered;
   }
 
-  async write(piece: AnswerPiece): Promise<void> {
+  write(piece: AnswerPiece): undefined {
     this.text += piece.text;
     if (piece.finishReason !== undefined) {
       this.finishReason = piece.finishReason;
     }
+    return undefined;
   }
 
   async finish(usage: AnswerUsage): Promise<void> {
--- a/packages/entry/src/send/engine_driver.ts
+++ b/packages/entry/src/send/engine_driver.ts
@@ -43,14 +43,22 @@
       readonly outputTokens: number;
     };
 
+/** Takes events that arrived together; a promise holds up the next ones. */
+export type EngineListener = (
+  events: readonly EngineEvent[],
+) => Promise<void> | void;
+
 /** A kind of model engine. */
 export abstract class EngineDriver {
   /**
-   * Runs an attempt. Events come in batches, as they arrive together.
+   * Runs an attempt to its end mark. Events are handed over as they come rather
+   * than through an async iterator, whose turns of the microtask queue for each
+   * token and layer cost more than the token's own work.
    *
-   * @throws EndpointError when the answer did not come whole.
+   * @throws EndpointError when the answer did not come whole, and whatever the
+   * listener throws.
    */
-  abstract stream(call: EngineCall): AsyncIterable<readonly EngineEvent[]>;
+  abstract run(call: EngineCall, listener: EngineListener): Promise<void>;
 
   /** Tells the engine to stop; never throws, since nothing hangs on it. */
   abstract cancel(url: string, attempt: AttemptId): Promise<void>;
--- a/packages/entry/src/send/http_engine_driver.test.ts
+++ b/packages/entry/src/send/http_engine_driver.test.ts
@@ -44,9 +44,7 @@
 
 async function read(call: EngineCall): Promise<EngineEvent[]> {
   const events: EngineEvent[] = [];
-  for await (const batch of new HttpEngineDriver().stream(call)) {
-    events.push(...batch);
-  }
+  await new HttpEngineDriver().run(call, batch => void events.push(...batch));
   return events;
 }
 
--- a/packages/entry/src/send/http_engine_driver.ts
+++ b/packages/entry/src/send/http_engine_driver.ts
@@ -2,17 +2,17 @@
 
 import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import type {AttemptId} from '@snipestage/types/ids.js';
-import {createParser} from 'eventsource-parser';
 import {got, type Request} from 'got';
 import {EndpointError} from './endpoint_error.js';
 import {
   EngineDriver,
   type EngineCall,
-  type EngineEvent,
+  type EngineListener,
 } from './engine_driver.js';
-import {readCompletionChunk, STREAM_END} from './completion_chunk.js';
+import {EventReader} from './event_reader.js';
 import {SilenceTimer} from './silence_timer.js';
 
+const ENDED_EARLY = 'The stream ended before its end mark.';
 const OK = 200;
 const CLIENT_ERROR = 400;
 const TOO_MANY_REQUESTS = 429;
@@ -35,19 +35,21 @@
       options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
   }
 
-  async *stream(call: EngineCall): AsyncGenerator<readonly EngineEvent[]> {
+  async run(call: EngineCall, listener: EngineListener): Promise<void> {
     const connection = await this.open(call);
-    const request = startRequest(call, connection);
     const silence = new SilenceTimer(call.firstTokenTimeoutMs, () =>
       connection.reset(),
     );
+    const request = startRequest(call, connection);
     try {
-      yield* readEvents(request, call, silence);
+      await readEvents(request, {call, silence, listener});
     } catch (error) {
-      throw failureOf(error, call, connection, silence);
+      throw errorOf(error, call, connection, silence);
     } finally {
-      silence.stop();
+      // What still comes must neither be read nor wake the timer again.
+      request.removeAllListeners('data');
       request.destroy();
+      silence.stop();
       connection.reset();
     }
   }
@@ -100,9 +102,6 @@
     throwHttpErrors: false,
     decompress: false,
   });
-  // The reader below hears of errors; without a listener of its own an error
-  // after the last read would end the process.
-  request.on('error', () => {});
   request.setEncoding('utf8');
   return request;
 }
@@ -111,52 +110,59 @@
   return call.resumeOffset === undefined ? call.path : '/v1/resume';
 }
 
+interface Reading {
+  readonly call: EngineCall;
+  readonly silence: SilenceTimer;
+  readonly listener: EngineListener;
+}
+
 /** Passes on events until the stream's end mark; an end without it is broken. */
-async function* readEvents(
-  request: Request,
-  call: EngineCall,
-  silence: SilenceTimer,
-): AsyncGenerator<readonly EngineEvent[]> {
-  let batch: EngineEvent[] = [];
-  let ended = false;
-  const parser = createParser({
-    onEvent: message => {
-      if (message.data === STREAM_END) ended = true;
-      else batch.push(...readCompletionChunk(message.data, call.attempt));
-    },
-  });
-  let checked = false;
-  for await (const text of request) {
-    if (!checked) {
-      checkResponse(request, call.attempt);
-      checked = true;
-    }
-    silence.restart(call.chunkTimeoutMs);
-    parser.feed(text as string);
-    if (batch.length > 0) {
-      const events = batch;
-      batch = [];
+function readEvents(request: Request, reading: Reading): Promise<void> {
+  const {call, silence, listener} = reading;
+  const events = new EventReader(call.attempt);
+  return new Promise((resolve, reject) => {
+    const take = (text: string) => {
+      silence.restart(call.chunkTimeoutMs);
+      const batch = events.feed(text);
+      const taken = batch.length > 0 ? listener(batch) : undefined;
+      if (taken === undefined) {
+        if (events.hasEnded) resolve();
+        return;
+      }
       // A caller that reads slowly holds us here; the engine is not silent
       // then.
       silence.stop();
-      yield events;
-      silence.restart(call.chunkTimeoutMs);
-    }
-    if (ended) return;
-  }
-  if (!checked) checkResponse(request, call.attempt);
-  throw new EndpointError('The stream ended before its end mark.', {
-    kind: 'broken',
-    verdict: 'may_have_run',
+      request.pause();
+      taken.then(() => {
+        if (events.hasEnded) resolve();
+        silence.restart(call.chunkTimeoutMs);
+        request.resume();
+      }, reject);
+    };
+    request.on('response', () => {
+      attempt(() => checkResponse(request, call.attempt), reject);
+    });
+    request.on('data', text => attempt(() => take(text as string), reject));
+    request.on('error', reject);
+    request.on('end', () => reject(new EndpointError(ENDED_EARLY)));
+    request.on('close', () => reject(new EndpointError(ENDED_EARLY)));
   });
 }
 
+function attempt(step: () => void, reject: (error: unknown) => void): void {
+  try {
+    step();
+  } catch (error) {
+    reject(error);
+  }
+}
+
 /** Turns away error statuses and answers to another request. */
 function checkResponse(request: Request, attempt: AttemptId): void {
   const response = request.response;
   if (response === undefined) return;
   const status = response.statusCode;
-  if (status !== OK) throw statusFailure(status);
+  if (status !== OK) throw statusError(status);
   const echoed = response.headers['x-request-id'];
   if (echoed !== attempt) {
     throw new EndpointError('The answer is to another request.', {
@@ -166,7 +172,7 @@
   }
 }
 
-function statusFailure(status: number): EndpointError {
+function statusError(status: number): EndpointError {
   const didNoWork =
     status === TOO_MANY_REQUESTS ||
     status === UNAVAILABLE ||
@@ -178,7 +184,7 @@
   });
 }
 
-function failureOf(
+function errorOf(
   error: unknown,
   call: EngineCall,
   connection: FreshConnection,
--- a/packages/entry/src/send/model_runner.test.ts
+++ b/packages/entry/src/send/model_runner.test.ts
@@ -21,7 +21,7 @@
 import {
   EngineDriver,
   type EngineCall,
-  type EngineEvent,
+  type EngineListener,
 } from './engine_driver.js';
 import {LimitedRetries} from './limited_retries.js';
 import {ModelRunner, type ModelWork} from './model_runner.js';
@@ -40,19 +40,19 @@
     super();
   }
 
-  async *stream(call: EngineCall): AsyncGenerator<readonly EngineEvent[]> {
+  async run(call: EngineCall, listener: EngineListener): Promise<void> {
     this.calls.push(call);
     const script = this.scripts.shift();
     if (script === undefined) throw new Error('one call too many');
     for (const text of script.tokens) {
-      yield [{kind: 'token', text, chunk: {}}];
+      await listener([{kind: 'token', text, chunk: {}}]);
     }
     if (script.fails !== undefined) {
       const isUnsent = ['unreachable', 'refused'].includes(script.fails);
       const verdict = isUnsent ? 'not_run' : 'may_have_run';
       throw new EndpointError('scripted', {kind: script.fails, verdict});
     }
-    yield [{kind: 'usage', promptTokens: 3, outputTokens: 9}];
+    await listener([{kind: 'usage', promptTokens: 3, outputTokens: 9}]);
   }
 
   async cancel(url: string, attempt: string): Promise<void> {
@@ -90,8 +90,9 @@
     return 0;
   }
 
-  async write(piece: AnswerPiece): Promise<void> {
+  write(piece: AnswerPiece): undefined {
     this.text += piece.text;
+    return undefined;
   }
 
   async finish(): Promise<void> {
--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -19,6 +19,7 @@
 import {EndpointError} from './endpoint_error.js';
 import type {
   CompletionPath,
+  EngineCall,
   EngineDriver,
   EngineEvent,
 } from './engine_driver.js';
@@ -170,7 +171,7 @@
     meter: AttemptMeter,
   ): Promise<EndpointError | undefined> {
     const resumeOffset = meter.outputTokens || undefined;
-    const batches = this.options.driver.stream({
+    const call: EngineCall = {
       url: permit.endpoint.url,
       path: work.path,
       attempt: attemptId(work.requestId, progress.attempts),
@@ -180,14 +181,16 @@
       firstTokenTimeoutMs: firstTokenTimeoutMs(work.requestClass),
       chunkTimeoutMs: this.options.chunkTimeoutMs,
       resumeOffset,
-    });
+    };
     try {
-      for await (const events of batches) {
-        for (const event of events) {
-          await this.take(event, progress, sink, meter);
-        }
+      await this.options.driver.run(call, events => {
+        const written = events.map(event =>
+          this.take(event, progress, sink, meter),
+        );
         permit.progress(meter.outputTokens);
-      }
+        const slow = written.filter(wait => wait !== undefined);
+        return slow.length === 0 ? undefined : waitForAll(slow);
+      });
       return undefined;
     } catch (error) {
       if (error instanceof EndpointError) return error;
@@ -195,15 +198,16 @@
     }
   }
 
-  private async take(
+  /** A promise only when the caller reads slowly. */
+  private take(
     event: EngineEvent,
     progress: Progress,
     sink: AnswerSink,
     meter: AttemptMeter,
-  ): Promise<void> {
+  ): Promise<void> | undefined {
     if (event.kind === 'usage') {
       progress.promptTokens = event.promptTokens;
-      return;
+      return undefined;
     }
     const {chunk, finishReason} = event;
     const text = event.kind === 'token' ? event.text : '';
@@ -212,7 +216,7 @@
       progress.text += text;
       progress.outputTokens += 1;
     }
-    await sink.write({text, finishReason, chunk});
+    return sink.write({text, finishReason, chunk});
   }
 
   /** Returns when there is to be another attempt; throws the refusal if not. */
@@ -243,6 +247,10 @@
   }
 }
 
+async function waitForAll(waits: ReadonlyArray<Promise<void>>): Promise<void> {
+  await Promise.all(waits);
+}
+
 function usageOf(progress: Progress): AnswerUsage {
   return {
     promptTokens: progress.promptTokens,
