Carry records and gossip between instances over one stream a pair

Cause: entry instances had no way to ask for permits, to spread a configuration or to know who else is there.

Change: one gRPC service with one two-way stream a pair of processes; a frame carries all records of a tick. Each side proves with an HMAC over a nonce that it knows the shared secret, which is never sent; TLS with client certificates can be laid below. Streams are kept between fixed neighbours (two rings in a data centre, one of delegates across) and opened on demand for records. Membership after SWIM, without probes of random members.

The peer package now depends on the types of the settings package.

Found on the way: a network that was stopping dialled its neighbours again; the test of a leaving instance failed on it.

Not yet tested: silent connections, frozen processes, one-way cuts; their code is there.

--- /dev/null
+++ b/packages/peer/src/dialled_link.ts
@@ -0,0 +1,87 @@
+/** A link that this process opened, on a connection of its own. */
+
+import {
+  makeGenericClientConstructor,
+  type ChannelCredentials,
+  type ChannelOptions,
+  type Client,
+  type ClientDuplexStream,
+  type Metadata,
+  type ServiceDefinition,
+} from '@grpc/grpc-js';
+import type {Frame__Output as WireFrameOutput} from './generated/snipestage/peer/Frame.js';
+import type {Frame as WireFrame} from './generated/snipestage/peer/Frame.js';
+import {isListenerProven, proveCaller} from './peer_credentials.js';
+import {PeerLink, type LinkOwner} from './peer_link.js';
+
+/** Largest message either side takes: a whole configuration fits. */
+export const MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
+
+const KEEPALIVE_EVERY_MS = 20_000;
+const KEEPALIVE_TIMEOUT_MS = 2000;
+
+/** What a {@link DialledLink} is made from. */
+export interface DialOptions {
+  readonly owner: LinkOwner;
+  readonly address: string;
+  readonly credentials: ChannelCredentials;
+  readonly sharedSecret: string;
+  readonly service: ServiceDefinition;
+  readonly nowMs: number;
+  /** Called when the listener has proven itself: time to say hello. */
+  readonly onProven: (link: DialledLink) => void;
+}
+
+/**
+ * A stream that is to replace a silent one must not land on the same socket:
+ * it would be just as silent. grpc-js shares sockets between channels to one
+ * address unless told otherwise, hence the local pool and a channel a link.
+ * The pings go on after a channel is closed, so that the socket of a silent
+ * connection is destroyed instead of waiting for an answer to its goodbye.
+ */
+const CHANNEL_OPTIONS: ChannelOptions = {
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.enable_retries': 0,
+  'grpc.enable_http_proxy': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+  'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+  'grpc.keepalive_time_ms': KEEPALIVE_EVERY_MS,
+  'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
+  'grpc.keepalive_permit_without_calls': 1,
+};
+
+type ExchangeClient = Client & {
+  Exchange(metadata: Metadata): ClientDuplexStream<WireFrame, WireFrameOutput>;
+};
+
+export class DialledLink extends PeerLink {
+  readonly isDialled = true;
+  private readonly client: ExchangeClient;
+  private readonly call: ClientDuplexStream<WireFrame, WireFrameOutput>;
+
+  constructor(options: DialOptions) {
+    super(options.owner, options.nowMs);
+    const PeerClient = makeGenericClientConstructor(options.service, 'Peer');
+    this.client = new PeerClient(
+      options.address,
+      options.credentials,
+      CHANNEL_OPTIONS,
+    ) as unknown as ExchangeClient;
+    const shown = proveCaller(options.sharedSecret);
+    this.call = this.client.Exchange(shown);
+    this.attach(this.call);
+    this.call.on('metadata', (answer: Metadata) => {
+      if (isListenerProven(options.sharedSecret, shown, answer)) {
+        options.onProven(this);
+      } else {
+        this.end('refused', 'The listener does not know the shared secret.');
+      }
+    });
+  }
+
+  protected release(): void {
+    this.call.cancel();
+    this.client.close();
+  }
+}
--- /dev/null
+++ b/packages/peer/src/overlay.ts
@@ -0,0 +1,71 @@
+/**
+ * Which instances keep a stream open for heartbeats and gossip. Every instance
+ * works it out alone from the members it knows.
+ *
+ * Two rings in each data centre, in unrelated orders, make a random graph of
+ * degree four: whichever instances fail, the rest stays connected and news
+ * takes few hops. A few delegates of each data centre form a third ring across
+ * data centres. The cost of an instance does not grow with their number.
+ */
+
+import type {InstanceId} from '@snipestage/types/ids.js';
+import type {Member} from '@snipestage/types/member.js';
+import {hash32, rankMembers} from './rendezvous.js';
+
+const RINGS_PER_DATA_CENTRE = 2;
+const DELEGATES_PER_DATA_CENTRE = 3;
+
+/**
+ * The instances next to `self`. Dead members are no part of the graph.
+ *
+ * @example
+ * const neighbours = findNeighbours(self, members);
+ */
+export function findNeighbours(
+  self: Member,
+  members: readonly Member[],
+): InstanceId[] {
+  const present = members.filter(
+    member => member.state !== 'dead' && member.id !== self.id,
+  );
+  const everyone = [...present, self];
+  const local = everyone.filter(
+    member => member.dataCentre === self.dataCentre,
+  );
+  const found = new Set<InstanceId>();
+  for (let ring = 0; ring < RINGS_PER_DATA_CENTRE; ring += 1) {
+    const order = rankMembers(`ring-${ring}`, local);
+    for (const next of findAdjacent(self, order)) found.add(next.id);
+  }
+  for (const next of findAdjacent(self, orderDelegates(everyone))) {
+    if (next.dataCentre !== self.dataCentre) found.add(next.id);
+  }
+  return [...found].sort();
+}
+
+function findAdjacent(self: Member, ring: readonly Member[]): Member[] {
+  const at = ring.findIndex(member => member.id === self.id);
+  if (at === -1 || ring.length < 2) return [];
+  const before = ring[(at - 1 + ring.length) % ring.length];
+  const after = ring[(at + 1) % ring.length];
+  return [before, after];
+}
+
+/** The first delegate of each data centre, then each second, and so on. */
+function orderDelegates(members: readonly Member[]): Member[] {
+  const dataCentres = [...new Set(members.map(member => member.dataCentre))];
+  dataCentres.sort((a, b) => hash32(a) - hash32(b));
+  const ranked = dataCentres.map(dataCentre =>
+    rankMembers(
+      'delegate',
+      members.filter(member => member.dataCentre === dataCentre),
+    ),
+  );
+  const ring: Member[] = [];
+  for (let place = 0; place < DELEGATES_PER_DATA_CENTRE; place += 1) {
+    for (const order of ranked) {
+      if (place < order.length) ring.push(order[place]);
+    }
+  }
+  return ring;
+}
--- /dev/null
+++ b/packages/peer/src/peer_network.test.ts
@@ -0,0 +1,231 @@
+import type {
+  AttemptId,
+  CellId,
+  ClientAccountId,
+  EndpointId,
+  Fingerprint,
+  InstanceId,
+  RequestClassId,
+  Revision,
+  UsageWindowId,
+} from '@snipestage/types/ids.js';
+import type {ListedInstance} from '@snipestage/types/platform_messages.js';
+import test from 'ava';
+import type {PeerRecord} from './records.js';
+import {
+  aliveIn,
+  FAST_SETTINGS,
+  listOf,
+  startNetwork,
+  waitUntil,
+} from './test_support/networks.js';
+
+const ATTEMPT = 'attempt-1' as AttemptId;
+const CELL = 'akl-a/repair/0' as CellId;
+const ENDPOINT = 'akl-a-repair-1' as EndpointId;
+const PERMIT = {
+  attempt: ATTEMPT,
+  cell: CELL,
+  endpoint: ENDPOINT,
+  clientAccount: 'shop-1' as ClientAccountId,
+  requestClass: 'counter' as RequestClassId,
+  tier: 0,
+  outputTokens: 7,
+};
+
+/** One of each kind, with the optional fields absent in some. */
+const EVERY_RECORD: readonly PeerRecord[] = [
+  {
+    kind: 'ask',
+    ask: {
+      attempt: ATTEMPT,
+      cell: CELL,
+      instance: 'akl-a-1' as InstanceId,
+      clientAccount: 'shop-1' as ClientAccountId,
+      requestClass: 'counter' as RequestClassId,
+      tier: 1,
+      expectedTokens: 200,
+      remainingMs: 1234.5,
+      fingerprint: 'f1' as Fingerprint,
+      suspect: false,
+      cheapAllowed: true,
+      excluded: [ENDPOINT],
+    },
+  },
+  {kind: 'withdraw', cell: CELL, attempt: ATTEMPT},
+  {
+    kind: 'release',
+    release: {
+      attempt: ATTEMPT,
+      cell: CELL,
+      endpoint: ENDPOINT,
+      outcome: 'ok',
+      outputTokens: 12,
+      promptTokens: 30,
+      firstTokenMs: 80.25,
+    },
+  },
+  {
+    kind: 'progress',
+    cell: CELL,
+    progress: [{attempt: ATTEMPT, outputTokens: 3}],
+  },
+  {kind: 'in_use', cell: CELL, permits: [PERMIT]},
+  {kind: 'grant', grant: {attempt: ATTEMPT, endpoint: ENDPOINT}},
+  {
+    kind: 'refuse',
+    refusal: {attempt: ATTEMPT, reason: 'overloaded', retryAfterMs: 1500},
+  },
+  {
+    kind: 'allot',
+    allotment: {
+      cell: CELL,
+      sequence: 4,
+      endpoints: [{endpoint: ENDPOINT, permits: 2}],
+    },
+  },
+  {
+    kind: 'configuration',
+    revision: 9 as Revision,
+    payload: Buffer.from('{"a":1}'),
+  },
+  {kind: 'configuration_pull', aboveRevision: 8 as Revision},
+  {
+    kind: 'suspect_request',
+    suspect: {fingerprint: 'f1' as Fingerprint, crashes: 1, expiresInMs: 60000},
+  },
+  {
+    kind: 'usage_copy',
+    window: 'w-1' as UsageWindowId,
+    json: Buffer.from('[]'),
+  },
+  {kind: 'extension', name: 'load', json: Buffer.from('{}')},
+];
+
+test('every kind of record arrives whole and in order', async t => {
+  const first = await startNetwork('akl-a-1');
+  const second = await startNetwork('akl-a-2');
+  const received: PeerRecord[] = [];
+  second.onRecords(record => received.push(record));
+  first.seed(listOf([second]));
+  await waitUntil('two members', () => aliveIn(first).length === 2);
+  for (const record of EVERY_RECORD) {
+    t.true(first.send(second.self().id, record));
+  }
+  await waitUntil('all', () => received.length === EVERY_RECORD.length);
+  t.deepEqual(received, EVERY_RECORD);
+  t.false(first.send('nobody' as InstanceId, EVERY_RECORD[1]));
+  first.stop();
+  second.stop();
+});
+
+test('records queued in one tick share one frame', async t => {
+  const first = await startNetwork('akl-a-1');
+  const second = await startNetwork('akl-a-2');
+  const received: PeerRecord[] = [];
+  second.onRecords(record => received.push(record));
+  first.seed(listOf([second]));
+  await waitUntil('two members', () => aliveIn(first).length === 2);
+  await waitUntil('a stream', () => first.isConnected(second.self().id));
+  const before = first.snapshot().framesSent;
+  for (let i = 0; i < 100; i += 1)
+    first.send(second.self().id, EVERY_RECORD[1]);
+  await waitUntil('all', () => received.length === 100);
+  // One for the records; a heartbeat and gossip may fall between.
+  t.true(first.snapshot().framesSent - before <= 4);
+  first.stop();
+  second.stop();
+});
+
+test('five instances find each other from one that the list names', async t => {
+  const networks = await Promise.all(
+    [1, 2, 3, 4, 5].map(n => startNetwork(`akl-a-${n}`)),
+  );
+  for (const network of networks.slice(1)) network.seed(listOf([networks[0]]));
+  for (const network of networks) {
+    await waitUntil('five members', () => aliveIn(network).length === 5);
+  }
+  // A rumour reaches each of the others once.
+  const heard: string[] = [];
+  for (const network of networks) {
+    network.onRecords(() => heard.push(network.self().id));
+  }
+  networks[4].broadcast(EVERY_RECORD[10]);
+  await waitUntil('four heard', () => heard.length >= 4);
+  t.deepEqual([...heard].sort(), ['akl-a-1', 'akl-a-2', 'akl-a-3', 'akl-a-4']);
+  for (const network of networks) network.stop();
+});
+
+test('a leaving instance is seen to leave, then to be gone', async t => {
+  const networks = await Promise.all(
+    [1, 2, 3].map(n => startNetwork(`akl-a-${n}`)),
+  );
+  const [first, second, third] = networks;
+  for (const network of networks) network.seed(listOf(networks));
+  for (const network of networks) {
+    await waitUntil('three members', () => aliveIn(network).length === 3);
+  }
+  const stateOfThird = () =>
+    first.members().find(({id}) => id === third.self().id)?.state;
+  third.leave();
+  await waitUntil('leaving', () => stateOfThird() === 'leaving');
+  third.stop();
+  await waitUntil('dead', () => stateOfThird() === 'dead');
+  t.deepEqual(aliveIn(second), ['akl-a-1', 'akl-a-2']);
+  first.stop();
+  second.stop();
+});
+
+// A process of another firm, or one with old settings, reaches the peer port.
+// Were it let in, it could hand out permits and configurations; operators would
+// see members that they never started.
+test('a stranger without the shared secret is turned away', async t => {
+  const peer = await startNetwork('akl-a-1');
+  const events: string[] = [];
+  const stranger = await startNetwork('akl-a-2', {
+    settings: {...FAST_SETTINGS, sharedSecret: 'another secret of others'},
+    log: (event, fields) => events.push(`${event} ${String(fields.reason)}`),
+  });
+  stranger.seed(listOf([peer]));
+  await waitUntil('refusal', () => peer.snapshot().strangersRefused > 1);
+  t.deepEqual(aliveIn(peer), ['akl-a-1']);
+  t.deepEqual(aliveIn(stranger), ['akl-a-2']);
+  t.true(events.includes('link_ended refused'));
+  peer.stop();
+  stranger.stop();
+});
+
+// An instance is replaced: its successor starts under the same name, perhaps
+// before the others noticed that the first one was gone. Were it taken for the
+// same life, the permits of the dead process would stay in use for ever.
+test('a restart under the same name is a new member', async t => {
+  const first = await startNetwork('akl-a-1');
+  const second = await startNetwork('akl-a-2');
+  const third = await startNetwork('akl-a-3');
+  const lives: string[] = [];
+  third.onMembersChanged(changes => {
+    for (const {member, previous} of changes) {
+      if (previous === undefined) continue;
+      if (previous.incarnation !== member.incarnation) lives.push(member.id);
+    }
+  });
+  const all: ListedInstance[] = listOf([first, second, third]);
+  for (const network of [first, second, third]) network.seed(all);
+  await waitUntil('three members', () => aliveIn(third).length === 3);
+  second.stop();
+  const successor = await startNetwork('akl-a-2');
+  successor.seed(all);
+  const {incarnation} = successor.self();
+  for (const network of [first, third]) {
+    await waitUntil('the new life', () =>
+      network
+        .members()
+        .some(
+          member =>
+            member.incarnation === incarnation && member.state === 'alive',
+        ),
+    );
+  }
+  t.deepEqual(lives, ['akl-a-2']);
+  for (const network of [first, third, successor]) network.stop();
+});
--- /dev/null
+++ b/packages/peer/src/peer_network.ts
@@ -0,0 +1,476 @@
+/**
+ * Messages between this entry instance and the others, and who they are. The
+ * task owns its listener, its streams, its queues and its timers.
+ */
+
+import {randomBytes} from 'node:crypto';
+import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
+import type {
+  DataCentreId,
+  Incarnation,
+  InstanceId,
+  Revision,
+} from '@snipestage/types/ids.js';
+import type {Member} from '@snipestage/types/member.js';
+import type {ListedInstance} from '@snipestage/types/platform_messages.js';
+import {ActiveClock} from './active_clock.js';
+import {FrameCounter} from './frame_counter.js';
+import type {Hello, PeerFrame} from './frame_codec.js';
+import {LinkKeeper} from './link_keeper.js';
+import {firstHeartbeat} from './member_rules.js';
+import {Membership, type MemberChange} from './membership.js';
+import {describeNetwork, type NetworkSnapshot} from './network_snapshot.js';
+import {findNeighbours} from './overlay.js';
+import type {PeerContact} from './peer_contact.js';
+import {readPeerCredentials} from './peer_credentials.js';
+import type {LinkEnd, PeerLink} from './peer_link.js';
+import {AcceptedLink, PeerListener} from './peer_listener.js';
+import type {PeerIdentity, PeerRecord} from './records.js';
+import {RumourLog} from './rumour_log.js';
+import {SeedList} from './seed_list.js';
+
+const INCARNATION_BYTES = 8;
+const IDLE_CLOSE_MS = 60_000;
+/** A stream carries a heartbeat every second beat. */
+const BEATS_PER_HEARTBEAT = 2;
+const SILENT_AFTER_BEATS = 3.5;
+const CONNECT_TIMEOUT_BEATS = 2;
+/** Timers come a little early or late; a heartbeat due so soon goes now. */
+const BEAT_SLACK_MS = 100;
+/** Kinds that may wait for the next tick, to save frames. */
+const PATIENT_KINDS: ReadonlySet<PeerRecord['kind']> = new Set([
+  'progress',
+  'in_use',
+  'usage_copy',
+]);
+
+/** Told for each record, in the order of its sender. */
+export type RecordHandler = (record: PeerRecord, from: PeerIdentity) => void;
+export type MemberChangeHandler = (changes: readonly MemberChange[]) => void;
+/** Told when a peer is seen to have a revision in force. */
+export type RevisionHandler = (revision: Revision, from: InstanceId) => void;
+/** Told of records that were not handed to the connection. */
+export type UndeliveredHandler = (
+  instance: InstanceId,
+  records: readonly PeerRecord[],
+) => void;
+export type LogHandler = (
+  event: string,
+  fields: Readonly<Record<string, unknown>>,
+) => void;
+
+/** What a {@link PeerNetwork} is made from. */
+export interface PeerNetworkOptions {
+  readonly settings: EntrySettings['peer'];
+  readonly id: InstanceId;
+  readonly dataCentre: DataCentreId;
+  /** Default: a random one. */
+  readonly incarnation?: Incarnation;
+  readonly random?: () => number;
+  readonly readMonotonicMs?: () => number;
+  readonly readEpochMs?: () => number;
+  readonly log?: LogHandler;
+}
+
+/** Random name of one life of an instance. */
+export function createIncarnation(): Incarnation {
+  return randomBytes(INCARNATION_BYTES).toString('hex') as Incarnation;
+}
+
+/** This instance as it starts; its address is known once it listens. */
+function describeStart(
+  options: PeerNetworkOptions,
+  incarnation: Incarnation,
+): Member {
+  const readEpochMs = options.readEpochMs ?? Date.now;
+  return {
+    id: options.id,
+    incarnation,
+    dataCentre: options.dataCentre,
+    peerAddress: '',
+    state: 'alive',
+    heartbeat: firstHeartbeat(readEpochMs()),
+    revision: 0 as Revision,
+  };
+}
+
+/**
+ * @example
+ * const network = new PeerNetwork({settings: settings.peer, id, dataCentre});
+ * network.onRecords((record, from) => handle(record, from.id));
+ * await network.start();
+ * network.seed(listed);
+ * network.send(owner, {kind: 'ask', ask});
+ */
+export class PeerNetwork {
+  private readonly settings: EntrySettings['peer'];
+  private readonly id: InstanceId;
+  private readonly clock: ActiveClock;
+  private readonly random: () => number;
+  private readonly log: LogHandler;
+  private readonly counter = new FrameCounter();
+  private readonly keeper: LinkKeeper;
+  private readonly listener: PeerListener;
+  private readonly rumours: RumourLog;
+  private readonly seeds: SeedList;
+  private readonly recordHandlers: RecordHandler[] = [];
+  private readonly changeHandlers: MemberChangeHandler[] = [];
+  private readonly revisionHandlers: RevisionHandler[] = [];
+  private readonly undeliveredHandlers: UndeliveredHandler[] = [];
+  private readonly membership: Membership;
+  private neighbours: ReadonlySet<InstanceId> = new Set();
+  private beatTimer?: NodeJS.Timeout;
+  private flushTimer?: NodeJS.Timeout;
+  private flushDueMs = Infinity;
+  private lastFlushMs = -Infinity;
+  private strangers = 0;
+
+  constructor(private readonly options: PeerNetworkOptions) {
+    const {settings, id} = options;
+    this.settings = settings;
+    this.id = id;
+    this.random = options.random ?? Math.random;
+    this.log = options.log ?? (() => undefined);
+    this.clock = new ActiveClock({
+      readMonotonicMs: options.readMonotonicMs,
+      longestGapMs: settings.heartbeatMs * 2,
+    });
+    this.seeds = new SeedList(id, this.random);
+    const incarnation = options.incarnation ?? createIncarnation();
+    this.rumours = new RumourLog(incarnation);
+    this.membership = new Membership({
+      self: describeStart(options, incarnation),
+      suspectAfterMs: settings.suspectAfterMs,
+      deadAfterMs: settings.deadAfterMs,
+    });
+    const credentials = readPeerCredentials(settings.tls);
+    const service = this.counter.wrapDefinition();
+    this.listener = new PeerListener({
+      host: settings.host,
+      port: settings.port,
+      credentials: credentials.server,
+      sharedSecret: settings.sharedSecret,
+      service,
+      onAccepted: call => {
+        this.keeper.accept(
+          new AcceptedLink(this.keeper, call, this.clock.readMs()),
+        );
+      },
+      onStranger: address => this.noteStranger(address),
+    });
+    this.keeper = new LinkKeeper({
+      events: {
+        readNowMs: () => this.clock.readMs(),
+        describeSelf: () => this.describeSelf(),
+        sayHello: link => this.sayHello(link),
+        onOpened: (contact, hello) => this.noteOpened(contact, hello),
+        onFrame: (contact, frame) => this.handleFrame(contact, frame),
+        onLost: (contact, reason) => this.noteLost(contact, reason),
+        onUnreachable: contact => this.dropOutgoing(contact),
+        log: this.log,
+      },
+      credentials,
+      sharedSecret: settings.sharedSecret,
+      service,
+      random: this.random,
+      connectTimeoutMs: settings.heartbeatMs * CONNECT_TIMEOUT_BEATS,
+      silentAfterMs: settings.heartbeatMs * SILENT_AFTER_BEATS,
+      idleCloseMs: IDLE_CLOSE_MS,
+    });
+  }
+
+  /** Listens and starts to beat. Rejects when the port can't be had. */
+  async start(): Promise<void> {
+    await this.listener.listen();
+    this.membership.setAddress(this.address());
+    this.beatTimer = setInterval(() => this.beat(), this.settings.heartbeatMs);
+    this.log('peer_listening', {address: this.address()});
+  }
+
+  /** Where other instances reach this one. */
+  address(): string {
+    return this.settings.advertisedAddress ?? this.listener.address;
+  }
+
+  /** Tells the others that this instance is about to stop; it goes on. */
+  leave(): void {
+    this.membership.leave();
+    this.flush();
+  }
+
+  /** Sends what is queued and closes everything. */
+  stop(): void {
+    this.flush();
+    clearInterval(this.beatTimer);
+    clearTimeout(this.flushTimer);
+    this.keeper.close();
+    this.listener.close();
+  }
+
+  onRecords(handler: RecordHandler): void {
+    this.recordHandlers.push(handler);
+  }
+
+  onMembersChanged(handler: MemberChangeHandler): void {
+    this.changeHandlers.push(handler);
+  }
+
+  onRevisionSeen(handler: RevisionHandler): void {
+    this.revisionHandlers.push(handler);
+  }
+
+  onUndelivered(handler: UndeliveredHandler): void {
+    this.undeliveredHandlers.push(handler);
+  }
+
+  self(): Member {
+    return this.membership.self;
+  }
+
+  /** All known members, this instance first; dead ones too for a while. */
+  members(): Member[] {
+    return [this.membership.self, ...this.membership.others()];
+  }
+
+  /** Whether a stream to the instance is open. */
+  isConnected(instance: InstanceId): boolean {
+    return this.keeper.contacts.get(instance)?.isConnected ?? false;
+  }
+
+  /** The platform's list of instances: where to look for members. */
+  seed(listed: readonly ListedInstance[]): void {
+    this.seeds.replace(listed);
+    if (this.membership.others().length === 0) this.dialSeeds();
+  }
+
+  /** This instance has the revision in force; told with the next frames. */
+  setRevision(revision: Revision): void {
+    if (revision <= this.membership.self.revision) return;
+    this.membership.setRevision(revision);
+    for (const contact of this.keeper.contacts.values()) {
+      contact.owesRevision = contact.isConnected;
+    }
+    this.scheduleFlush(true);
+  }
+
+  /**
+   * Queues a record for one instance and opens a stream to it if there is none.
+   * False when the instance is not known, is held dead or reads too slowly:
+   * the record is not sent.
+   */
+  send(instance: InstanceId, record: PeerRecord): boolean {
+    const member = this.membership.get(instance);
+    if (member === undefined || member.state === 'dead') return false;
+    const contact = this.keeper.contactOf(instance);
+    if (!contact.queue(record)) return false;
+    this.keeper.dial(contact, member.peerAddress);
+    this.scheduleFlush(!PATIENT_KINDS.has(record.kind));
+    return true;
+  }
+
+  /** Queues a record for the neighbours: a few instances, whatever the size. */
+  sendToNeighbours(record: PeerRecord): void {
+    for (const neighbour of this.neighbours) this.send(neighbour, record);
+  }
+
+  /** Tells all instances, by way of the neighbours; each hears it once. */
+  broadcast(record: PeerRecord): void {
+    const rumour = {id: this.rumours.issueId(), record};
+    for (const contact of this.linked()) contact.queueRumour(rumour);
+    this.scheduleFlush(true);
+  }
+
+  /** What the dump shows. */
+  snapshot(): NetworkSnapshot {
+    return describeNetwork({
+      address: this.address(),
+      members: this.members(),
+      neighbours: [...this.neighbours],
+      keeper: this.keeper,
+      counter: this.counter,
+      nowMs: this.clock.readMs(),
+      strangersRefused: this.strangers,
+      refutations: this.membership.refutationCount,
+      pausedMs: this.clock.totalPausedMs,
+    });
+  }
+
+  private describeSelf(): Hello {
+    const {id, incarnation, dataCentre, peerAddress, heartbeat} =
+      this.membership.self;
+    const knownMembers = this.membership.others().length + 1;
+    return {id, incarnation, dataCentre, peerAddress, heartbeat, knownMembers};
+  }
+
+  private sayHello(link: PeerLink): void {
+    const hello = this.describeSelf();
+    const {revision} = this.membership.self;
+    const frame = {hello, revision, members: [], records: []};
+    link.send(frame, this.clock.readMs());
+  }
+
+  private noteOpened(contact: PeerContact, hello: Hello): void {
+    this.membership.openStream(hello, this.clock.readMs());
+    this.publishChanges();
+    if (contact.hasOutgoing || this.membership.hasNews(contact.id)) {
+      this.scheduleFlush(true);
+    }
+  }
+
+  private noteLost(contact: PeerContact, reason: LinkEnd): void {
+    this.membership.closeStream(contact.id);
+    const isWanted = this.neighbours.has(contact.id) || contact.hasOutgoing;
+    if (reason !== 'idle' && isWanted) this.dialMember(contact.id);
+  }
+
+  private noteStranger(address: string): void {
+    this.strangers += 1;
+    this.log('peer_refused', {address, reason: 'wrong shared secret'});
+  }
+
+  private dropOutgoing(contact: PeerContact): void {
+    contact.takeRumours();
+    const records = contact.takeRecords();
+    if (records.length === 0) return;
+    for (const handler of this.undeliveredHandlers) {
+      handler(contact.id, records);
+    }
+  }
+
+  private handleFrame(contact: PeerContact, frame: PeerFrame): void {
+    const from = contact.link?.peer;
+    if (from === undefined) return;
+    const nowMs = this.clock.readMs();
+    this.membership.hear(from, frame.revision, nowMs);
+    this.membership.merge(frame.members, from.id, nowMs);
+    this.publishChanges();
+    // A life that another one has replaced must not be answered.
+    const member = this.membership.get(from.id);
+    if (member?.incarnation !== from.incarnation) return;
+    for (const handler of this.revisionHandlers) {
+      handler(frame.revision, from.id);
+    }
+    for (const record of frame.records) this.handleRecord(record, from);
+    for (const rumour of frame.rumours ?? []) {
+      if (!this.rumours.noteSeen(rumour.id)) continue;
+      this.handleRecord(rumour.record, from);
+      for (const other of this.linked()) {
+        if (other !== contact) other.queueRumour(rumour);
+      }
+      this.scheduleFlush(true);
+    }
+    const hasNews = [...this.linked()].some(other =>
+      this.membership.hasNews(other.id),
+    );
+    if (hasNews) this.scheduleFlush(true);
+  }
+
+  private handleRecord(record: PeerRecord, from: PeerIdentity): void {
+    const {id, incarnation} = from;
+    for (const handler of this.recordHandlers) {
+      handler(record, {id, incarnation});
+    }
+  }
+
+  private publishChanges(): void {
+    const changes = this.membership.takeChanges();
+    if (changes.length === 0) return;
+    this.neighbours = new Set(
+      findNeighbours(this.membership.self, this.membership.others()),
+    );
+    for (const handler of this.changeHandlers) handler(changes);
+  }
+
+  private *linked(): Generator<PeerContact> {
+    for (const contact of this.keeper.contacts.values()) {
+      if (contact.link?.isWritable) yield contact;
+    }
+  }
+
+  /** Once every heartbeat interval. */
+  private beat(): void {
+    const nowMs = this.clock.readMs();
+    this.keeper.sweep(this.neighbours);
+    const watched = new Set(this.neighbours);
+    const spared = new Set<InstanceId>();
+    for (const contact of this.keeper.contacts.values()) {
+      if (contact.isConnected) watched.add(contact.id);
+      const isFirstDial = contact.failedDials === 0;
+      if (contact.dialling && isFirstDial) spared.add(contact.id);
+    }
+    this.membership.tick(nowMs, watched, spared);
+    this.publishChanges();
+    this.dialNeighbours(nowMs);
+    this.dialSeeds();
+    this.keeper.forget(id => this.membership.get(id) !== undefined);
+    this.flush(true);
+  }
+
+  /** The lower id dials; the other one does when that has led to nothing. */
+  private dialNeighbours(nowMs: number): void {
+    for (const id of this.neighbours) {
+      const contact = this.keeper.contactOf(id);
+      if (contact.isConnected) continue;
+      contact.wantedMs ??= nowMs;
+      const waitedMs = nowMs - contact.wantedMs;
+      const isOverdue = waitedMs >= this.settings.heartbeatMs;
+      if (this.id < id || isOverdue) this.dialMember(id);
+    }
+  }
+
+  private dialMember(id: InstanceId): void {
+    const member = this.membership.get(id);
+    if (member === undefined) return;
+    this.keeper.dial(this.keeper.contactOf(id), member.peerAddress);
+  }
+
+  private dialSeeds(): void {
+    const nowMs = this.clock.readMs();
+    const others = this.membership.others();
+    for (const seed of this.seeds.choose(others, nowMs)) {
+      this.keeper.dial(this.keeper.contactOf(seed.id), seed.peerAddress);
+    }
+  }
+
+  private scheduleFlush(isUrgent: boolean): void {
+    const nowMs = this.clock.readMs();
+    const nextTickMs = this.lastFlushMs + this.settings.tickMs;
+    const earliestMs = isUrgent ? nextTickMs : nowMs + this.settings.tickMs;
+    const dueMs = Math.max(earliestMs, nowMs);
+    if (dueMs >= this.flushDueMs) return;
+    clearTimeout(this.flushTimer);
+    this.flushDueMs = dueMs;
+    this.flushTimer = setTimeout(() => this.flush(), dueMs - nowMs);
+  }
+
+  /** One frame to each instance for which there is something. */
+  private flush(isBeat = false): void {
+    const nowMs = this.clock.readMs();
+    clearTimeout(this.flushTimer);
+    this.flushDueMs = Infinity;
+    this.lastFlushMs = nowMs;
+    const heartbeatMs = this.settings.heartbeatMs * BEATS_PER_HEARTBEAT;
+    let hasMore = false;
+    for (const contact of this.linked()) {
+      const link = contact.link!;
+      const silentMs = nowMs - link.lastSentMs;
+      const isHeartbeat = isBeat && silentMs >= heartbeatMs - BEAT_SLACK_MS;
+      const hasNews = this.membership.hasNews(contact.id);
+      const isOwed = contact.hasOutgoing || contact.owesRevision || hasNews;
+      if (!isHeartbeat && !isOwed) continue;
+      link.send(this.composeFrame(contact, isHeartbeat), nowMs);
+      hasMore ||= this.membership.hasNews(contact.id);
+    }
+    if (hasMore) this.scheduleFlush(true);
+  }
+
+  private composeFrame(contact: PeerContact, isHeartbeat: boolean): PeerFrame {
+    contact.owesRevision = false;
+    return {
+      revision: this.membership.self.revision,
+      members: this.membership.takeUpdates(contact.id, isHeartbeat),
+      records: contact.takeRecords(),
+      rumours: contact.takeRumours(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/peer/src/records.ts
@@ -0,0 +1,76 @@
+/** What entry instances tell each other, besides gossip. */
+
+import type {AttemptProgress} from '@snipestage/policy/cell_messages.js';
+import type {
+  AttemptId,
+  CellId,
+  Fingerprint,
+  Incarnation,
+  InstanceId,
+  Revision,
+  UsageWindowId,
+} from '@snipestage/types/ids.js';
+import type {
+  Allotment,
+  PermitAsk,
+  PermitGrant,
+  PermitInUse,
+  PermitRefusal,
+  PermitRelease,
+} from '@snipestage/types/permits.js';
+
+/** A request that was in flight where an endpoint crashed. */
+export interface SuspectRequest {
+  readonly fingerprint: Fingerprint;
+  /** Crashes it has been part of, as the sender counts. */
+  readonly crashes: number;
+  /** How long the receiver is to remember it. */
+  readonly expiresInMs: number;
+}
+
+/**
+ * One record. Records to one instance arrive in the order in which they were
+ * sent, at most once; a stream that breaks loses those not yet delivered.
+ */
+export type PeerRecord =
+  | {readonly kind: 'ask'; readonly ask: PermitAsk}
+  | {
+      readonly kind: 'withdraw';
+      readonly cell: CellId;
+      readonly attempt: AttemptId;
+    }
+  | {readonly kind: 'release'; readonly release: PermitRelease}
+  | {
+      readonly kind: 'progress';
+      readonly cell: CellId;
+      readonly progress: readonly AttemptProgress[];
+    }
+  | {
+      readonly kind: 'in_use';
+      readonly cell: CellId;
+      readonly permits: readonly PermitInUse[];
+    }
+  | {readonly kind: 'grant'; readonly grant: PermitGrant}
+  | {readonly kind: 'refuse'; readonly refusal: PermitRefusal}
+  | {readonly kind: 'allot'; readonly allotment: Allotment}
+  | {
+      readonly kind: 'configuration';
+      readonly revision: Revision;
+      readonly payload: Buffer;
+    }
+  /** Asks for the configuration in force if it is above this revision. */
+  | {readonly kind: 'configuration_pull'; readonly aboveRevision: Revision}
+  | {readonly kind: 'suspect_request'; readonly suspect: SuspectRequest}
+  | {
+      readonly kind: 'usage_copy';
+      readonly window: UsageWindowId;
+      readonly json: Buffer;
+    }
+  /** A record of a kind that this package need not know. */
+  | {readonly kind: 'extension'; readonly name: string; readonly json: Buffer};
+
+/** One life of one instance, as the sender of records. */
+export interface PeerIdentity {
+  readonly id: InstanceId;
+  readonly incarnation: Incarnation;
+}
--- /dev/null
+++ b/packages/peer/src/test_support/networks.ts
@@ -0,0 +1,68 @@
+/** Small worlds of networks for the tests of this package. */
+
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
+import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
+import type {ListedInstance} from '@snipestage/types/platform_messages.js';
+import {PeerNetwork, type PeerNetworkOptions} from '../peer_network.js';
+
+const POLL_MS = 20;
+/** Long enough for a busy machine; a test that gets there has failed. */
+const GIVE_UP_AFTER_MS = 60_000;
+
+/** Settings with short times, for a listener on a free port. */
+export const FAST_SETTINGS: EntrySettings['peer'] = {
+  host: '127.0.0.1',
+  port: 0,
+  sharedSecret: 'a secret of the peers',
+  tickMs: 10,
+  heartbeatMs: 100,
+  suspectAfterMs: 400,
+  deadAfterMs: 1000,
+};
+
+/** Waits until the condition holds. Rejects when it never does. */
+export async function waitUntil(
+  what: string,
+  holds: () => boolean,
+): Promise<void> {
+  const startMs = performance.now();
+  while (!holds()) {
+    if (performance.now() - startMs > GIVE_UP_AFTER_MS) {
+      throw new Error(`It did not come about: ${what}.`);
+    }
+    await sleep(POLL_MS);
+  }
+}
+
+/** A started network in data centre `akl-a`, unless told otherwise. */
+export async function startNetwork(
+  id: string,
+  options: Partial<PeerNetworkOptions> = {},
+): Promise<PeerNetwork> {
+  const network = new PeerNetwork({
+    settings: FAST_SETTINGS,
+    id: id as InstanceId,
+    dataCentre: 'akl-a' as DataCentreId,
+    ...options,
+  });
+  await network.start();
+  return network;
+}
+
+/** The platform's list, were it up to date. */
+export function listOf(networks: readonly PeerNetwork[]): ListedInstance[] {
+  return networks.map(network => {
+    const {id, dataCentre} = network.self();
+    return {id, dataCentre, peerAddress: network.address(), state: 'live'};
+  });
+}
+
+/** Ids that the network holds alive, itself included. */
+export function aliveIn(network: PeerNetwork): string[] {
+  return network
+    .members()
+    .filter(member => member.state === 'alive')
+    .map(member => member.id)
+    .sort();
+}
