--- a/packages/policy/src/cell_endpoints.ts
+++ b/packages/policy/src/cell_endpoints.ts
@@ -4,7 +4,7 @@
 import type {PermitAsk} from '@snipestage/types/permits.js';
 import type {CellEndpoint, ReportedLoad} from './cell_messages.js';
 import {isEligible, type EndpointView} from './endpoint_choice.js';
-import type {CellLatency, LimitPolicy, LimitSnapshot} from './limit_policy.js';
+import type {LimitPolicy, LimitSnapshot} from './limit_policy.js';
 import type {PermitBook} from './permit_book.js';
 import type {PolicySet} from './policy_set.js';
 
@@ -104,7 +104,8 @@
       if (free <= 0) continue;
       const running = inFlight.get(config.id) ?? 0;
       const {id, kind} = config;
-      views.push({id, kind, limit: permits, inFlight: running, free});
+      const probing = limit.isProbing(nowMs);
+      views.push({id, kind, limit: permits, inFlight: running, free, probing});
     }
     return views;
   }
@@ -141,10 +142,14 @@
     }
   }
 
-  /** Lets each limit compare its endpoint with what is typical in the cell. */
-  compare(nowMs: number): void {
-    const latency = this.typicalLatency(nowMs);
-    for (const {limit} of this.states.values()) limit.compare(latency, nowMs);
+  /** Lets each limit look at its endpoint beside the others. */
+  review(nowMs: number): void {
+    const inFlight = this.book.inFlight();
+    const typicalBetweenTokensMs = this.typicalBetweenTokensMs(nowMs);
+    for (const {config, limit} of this.states.values()) {
+      const running = inFlight.get(config.id) ?? 0;
+      limit.review({inFlight: running, typicalBetweenTokensMs}, nowMs);
+    }
   }
 
   snapshot(nowMs: number): EndpointSnapshot[] {
@@ -202,16 +207,13 @@
     return least;
   }
 
-  private typicalLatency(nowMs: number): CellLatency {
-    const snapshots = [...this.states.values()].map(({limit}) =>
-      limit.snapshot(nowMs),
-    );
-    return {
-      firstTokenMs: median(snapshots.map(({firstTokenMs}) => firstTokenMs)),
-      betweenTokensMs: median(
-        snapshots.map(({betweenTokensMs}) => betweenTokensMs),
-      ),
-    };
+  /** The lower median: of two endpoints, the slower one is not typical. */
+  private typicalBetweenTokensMs(nowMs: number): number | undefined {
+    const known = [...this.states.values()]
+      .map(({limit}) => limit.snapshot(nowMs).betweenTokensMs)
+      .filter(betweenTokensMs => betweenTokensMs !== undefined)
+      .sort((a, b) => a - b);
+    return known[Math.floor((known.length - 1) / 2)];
   }
 }
 
@@ -221,12 +223,3 @@
 ): number {
   return reserved.get(config.id) ?? 0;
 }
-
-/** The lower median: of two endpoints, the slower one is not the typical one. */
-function median(
-  numbers: ReadonlyArray<number | undefined>,
-): number | undefined {
-  const known = numbers.filter(number => number !== undefined);
-  known.sort((a, b) => a - b);
-  return known[Math.floor((known.length - 1) / 2)];
-}
--- a/packages/policy/src/cell_owner.ts
+++ b/packages/policy/src/cell_owner.ts
@@ -31,7 +31,7 @@
 
 const DEFAULT_MAX_WAITING = 2000;
 const DEFAULT_GRACE_MS = 1500;
-const DEFAULT_COMPARE_EVERY_MS = 500;
+const REVIEW_EVERY_MS = 500;
 const REGRANT_AFTER_MS = 1000;
 const UNKNOWN_WAIT_MS = 1000;
 
@@ -103,17 +103,17 @@
     withdrawn: 0,
   };
   private holdingBack: boolean;
-  private comparedAtMs = -Infinity;
+  private reviewedAtMs = -Infinity;
   private arrivals = 0;
   private outputs: CellOutput[] = [];
 
   constructor(options: CellOwnerOptions) {
     this.options = {
-      policy: createPolicySet('tiered'),
-      maxWaiting: DEFAULT_MAX_WAITING,
-      graceMs: DEFAULT_GRACE_MS,
-      standingAllotments: true,
       ...options,
+      policy: options.policy ?? createPolicySet('tiered'),
+      maxWaiting: options.maxWaiting ?? DEFAULT_MAX_WAITING,
+      graceMs: options.graceMs ?? DEFAULT_GRACE_MS,
+      standingAllotments: options.standingAllotments ?? true,
     };
     this.policy = this.options.policy;
     this.holdingBack = this.options.graceMs > 0;
@@ -149,9 +149,9 @@
     this.endHoldingBack(nowMs);
     this.refuseLate(nowMs);
     this.dispatchAll(nowMs);
-    if (nowMs - this.comparedAtMs >= DEFAULT_COMPARE_EVERY_MS) {
-      this.comparedAtMs = nowMs;
-      this.endpoints.compare(nowMs);
+    if (nowMs - this.reviewedAtMs >= REVIEW_EVERY_MS) {
+      this.reviewedAtMs = nowMs;
+      this.endpoints.review(nowMs);
     }
     if (this.options.standingAllotments && !this.holdingBack) {
       this.outputs.push(...this.allotments.tick(nowMs));
--- a/packages/policy/src/client_allotment.ts
+++ b/packages/policy/src/client_allotment.ts
@@ -70,7 +70,8 @@
       const limit = this.permits.get(id) ?? 0;
       const inFlight = this.used.get(id) ?? 0;
       if (inFlight >= limit || !isEligible(ask, endpoint)) continue;
-      views.push({id, kind, limit, inFlight, free: limit - inFlight});
+      const free = limit - inFlight;
+      views.push({id, kind, limit, inFlight, free, probing: false});
     }
     return views;
   }
--- a/packages/policy/src/endpoint_choice.ts
+++ b/packages/policy/src/endpoint_choice.ts
@@ -14,6 +14,8 @@
   readonly inFlight: number;
   /** Permits that can be given now, at least 1. */
   readonly free: number;
+  /** Its next request tells whether it has recovered. */
+  readonly probing: boolean;
 }
 
 /** Chooses among endpoints that may run a request and have a permit free. */
--- a/packages/policy/src/limit_policy.ts
+++ b/packages/policy/src/limit_policy.ts
@@ -17,17 +17,28 @@
   readonly targets?: LatencyTargets;
 }
 
-/** Typical latencies over the endpoints of the cell. */
-export interface CellLatency {
-  readonly firstTokenMs?: number;
-  readonly betweenTokensMs?: number;
+/** What an endpoint's limit is looked over with from time to time. */
+export interface LimitReview {
+  /** Requests that run at the endpoint. */
+  readonly inFlight: number;
+  /** Typical of the cell's endpoints; absent while nothing was measured. */
+  readonly typicalBetweenTokensMs?: number;
 }
 
+/**
+ * - `healthy`: gets as much as its limit.
+ * - `slow`: slower than the others and past its target; one request at a time.
+ * - `stalled`: what runs there produces nothing; no new work.
+ * - `failed`: crashed or failing; no work until the next probe is due.
+ * - `probing`: one request tells whether it has recovered.
+ */
+export type EndpointCondition =
+  'healthy' | 'slow' | 'stalled' | 'failed' | 'probing';
+
 /** A limit, and why it is so, for the state dump. */
 export interface LimitSnapshot {
   readonly permits: number;
-  readonly health: 'healthy' | 'slow' | 'probing' | 'failed';
-  readonly firstTokenMs?: number;
+  readonly health: EndpointCondition;
   readonly betweenTokensMs?: number;
 }
 
@@ -51,6 +62,9 @@
   /** When it may get work again; `nowMs` while it does, else maybe never. */
   abstract usableAtMs(nowMs: number): number;
 
+  /** Whether the next request there may well fail or be slow. */
+  abstract isProbing(nowMs: number): boolean;
+
   /** The endpoint runs this many now, one more than before. */
   abstract started(inFlight: number, nowMs: number): void;
 
@@ -64,8 +78,8 @@
     nowMs: number,
   ): void;
 
-  /** Called from time to time with what is typical in the cell. */
-  abstract compare(cell: CellLatency, nowMs: number): void;
+  /** Called every half second or so. */
+  abstract review(review: LimitReview, nowMs: number): void;
 
   abstract snapshot(nowMs: number): LimitSnapshot;
 
@@ -90,13 +104,17 @@
     return this.maxConcurrency > 0 ? nowMs : Infinity;
   }
 
+  isProbing(): boolean {
+    return false;
+  }
+
   started(): void {}
 
   finished(): void {}
 
   progressed(): void {}
 
-  compare(): void {}
+  review(): void {}
 
   snapshot(): LimitSnapshot {
     return {permits: this.maxConcurrency, health: 'healthy'};
--- a/packages/policy/src/permit_client.test.ts
+++ b/packages/policy/src/permit_client.test.ts
@@ -96,6 +96,17 @@
   ]);
 });
 
+test('without an owner what exceeds the share waits by default', t => {
+  // An option left open once took the place of its default, so that a cut-off
+  // instance refused each request that could not start at once.
+  const client = createClient();
+  client.ownerChanged(null, 0);
+  for (const attempt of ['a', 'b', 'c', 'd']) {
+    client.request(makeAsk(attempt), 1);
+  }
+  t.is(client.snapshot(1).waiting, 2);
+});
+
 test('an owner that answers nothing is done without until it is heard', t => {
   // The owner's process is frozen, and the membership has not noticed yet.
   // Callers would wait seconds for a grant that does not come.
--- a/packages/policy/src/permit_client.ts
+++ b/packages/policy/src/permit_client.ts
@@ -37,6 +37,7 @@
 import type {RandomSource} from './random_source.js';
 import {WaitingAsks, type WaitingAsk} from './waiting_asks.js';
 
+const DEFAULT_MAX_WAITING = 2000;
 const DEFAULT_OWNER_SILENT_AFTER_MS = 1500;
 const DEFAULT_REPEAT_ASK_MS = 500;
 const DEFAULT_REPEAT_IN_USE_MS = 5000;
@@ -89,12 +90,13 @@
 
   constructor(options: PermitClientOptions) {
     this.options = {
-      policy: 'tiered',
-      maxWaiting: 2000,
-      ownerSilentAfterMs: DEFAULT_OWNER_SILENT_AFTER_MS,
-      repeatAskMs: DEFAULT_REPEAT_ASK_MS,
-      repeatInUseMs: DEFAULT_REPEAT_IN_USE_MS,
       ...options,
+      policy: options.policy ?? 'tiered',
+      maxWaiting: options.maxWaiting ?? DEFAULT_MAX_WAITING,
+      ownerSilentAfterMs:
+        options.ownerSilentAfterMs ?? DEFAULT_OWNER_SILENT_AFTER_MS,
+      repeatAskMs: options.repeatAskMs ?? DEFAULT_REPEAT_ASK_MS,
+      repeatInUseMs: options.repeatInUseMs ?? DEFAULT_REPEAT_IN_USE_MS,
     };
     this.policy = createPolicySet(this.options.policy);
     this.instances.add(options.instance);
--- a/packages/policy/src/policy_set.ts
+++ b/packages/policy/src/policy_set.ts
@@ -1,5 +1,6 @@
 /** The policies of a cell that can be chosen by name. */
 
+import {AdaptiveLimit} from './adaptive_limit.js';
 import {LeastInFlightChoice, RoundRobinChoice} from './baseline_choices.js';
 import type {DispatchQueue} from './dispatch_queue.js';
 import type {EndpointChoice} from './endpoint_choice.js';
@@ -36,7 +37,7 @@
         name,
         queue: new TieredQueue(),
         choice: new TieredChoice(),
-        createLimit: options => new FixedLimit(options),
+        createLimit: options => new AdaptiveLimit(options),
       };
     case 'round_robin':
       return createBaseline(name, new RoundRobinChoice());
--- a/packages/policy/src/standing_allotments.ts
+++ b/packages/policy/src/standing_allotments.ts
@@ -12,6 +12,9 @@
 /** A change smaller than this is not worth a message. */
 const MIN_CHANGE = 2;
 const MIN_CHANGE_PART = 0.25;
+const DEFAULT_OPEN_AFTER_MS = 500;
+const DEFAULT_PLAN_EVERY_MS = 250;
+const DEFAULT_RESEND_AFTER_MS = 1000;
 /** Weight of the newest count in the mean use of an instance. */
 const USE_WEIGHT = 0.1;
 
@@ -39,10 +42,10 @@
 
   constructor(options: StandingAllotmentsOptions) {
     this.options = {
-      openAfterMs: 500,
-      planEveryMs: 250,
-      resendAfterMs: 1000,
       ...options,
+      openAfterMs: options.openAfterMs ?? DEFAULT_OPEN_AFTER_MS,
+      planEveryMs: options.planEveryMs ?? DEFAULT_PLAN_EVERY_MS,
+      resendAfterMs: options.resendAfterMs ?? DEFAULT_RESEND_AFTER_MS,
     };
   }
 
--- a/packages/policy/src/tiered_choice.ts
+++ b/packages/policy/src/tiered_choice.ts
@@ -36,7 +36,7 @@
     candidates: readonly EndpointView[],
     random: RandomSource,
   ): EndpointView {
-    const preferred = preferCheap(ask, candidates);
+    const preferred = preferCheap(ask, spareProbes(ask, candidates));
     if (ask.prefixHash === undefined) return betterOfTwo(preferred, random);
     return this.byAffinity(ask.prefixHash, preferred);
   }
@@ -57,6 +57,16 @@
   }
 }
 
+/** The top tier does not find out for others whether an endpoint recovered. */
+function spareProbes(
+  ask: PermitAsk,
+  candidates: readonly EndpointView[],
+): readonly EndpointView[] {
+  if (ask.tier > 0) return candidates;
+  const proven = candidates.filter(({probing}) => !probing);
+  return proven.length > 0 ? proven : candidates;
+}
+
 function preferCheap(
   ask: PermitAsk,
   candidates: readonly EndpointView[],
