Refuse what could only get its first token too late

What waits is now refused when less than the first token takes from the grant is left: mean and two mean deviations, the way of the grant included.

--- a/packages/policy/src/cell_meter.ts
+++ b/packages/policy/src/cell_meter.ts
@@ -7,6 +7,8 @@
 const SAMPLE_WEIGHT = 0.1;
 /** Window of a rate of arrivals. */
 const RATE_WINDOW_MS = 2000;
+/** Mean deviations added to a mean, as for a retransmission timeout (RFC 6298). */
+const SPREAD_MARGIN = 2;
 const MIN_RETRY_AFTER_MS = 200;
 const MAX_RETRY_AFTER_MS = 30_000;
 
@@ -23,7 +25,8 @@
  */
 export class CellMeter implements CellRates {
   private heldMs: number | undefined;
-  private firstTokenMs: number | undefined;
+  private meanFirstTokenMs: number | undefined;
+  private firstTokenSpreadMs = 0;
   private permits = 0;
   private nowMs = 0;
   private readonly arrivals = new Map<number, RateCount>();
@@ -33,9 +36,14 @@
     return (this.permits / this.heldMs) * MS_PER_SECOND;
   }
 
-  /** How long a request takes to its first token once it runs. */
-  get typicalFirstTokenMs(): number {
-    return this.firstTokenMs ?? 0;
+  /**
+   * How long it takes from a grant to the first token, with a margin for its
+   * spread: granted later than that before its deadline, a request would run for
+   * nothing.
+   */
+  get firstTokenMs(): number {
+    if (this.meanFirstTokenMs === undefined) return 0;
+    return this.meanFirstTokenMs + SPREAD_MARGIN * this.firstTokenSpreadMs;
   }
 
   /** Sets the time and the permits of the cell at that time. */
@@ -54,11 +62,15 @@
     this.arrivals.set(tier, rate);
   }
 
-  released(heldMs: number, firstTokenMs: number | undefined): void {
+  released(heldMs: number): void {
     this.heldMs = blend(this.heldMs, heldMs);
-    if (firstTokenMs !== undefined) {
-      this.firstTokenMs = blend(this.firstTokenMs, firstTokenMs);
-    }
+  }
+
+  /** First token after the grant, the way of the grant included. */
+  firstTokenCame(afterMs: number): void {
+    const error = Math.abs(afterMs - (this.meanFirstTokenMs ?? afterMs));
+    this.meanFirstTokenMs = blend(this.meanFirstTokenMs, afterMs);
+    this.firstTokenSpreadMs = blend(this.firstTokenSpreadMs, error);
   }
 
   arrivalsAbove(tier: number): number {
--- a/packages/policy/src/cell_owner.ts
+++ b/packages/policy/src/cell_owner.ts
@@ -250,7 +250,7 @@
       this.refuse(request, 'no_endpoint', usableAtMs - nowMs);
       return true;
     }
-    const firstTokenAtMs = nowMs + waitMs + this.meter.typicalFirstTokenMs;
+    const firstTokenAtMs = nowMs + waitMs + this.meter.firstTokenMs;
     if (firstTokenAtMs <= deadlineAtMs) return false;
     this.removeWaiting(ask.attempt);
     this.refuse(request, 'deadline_unreachable', firstTokenAtMs - deadlineAtMs);
@@ -269,8 +269,9 @@
 
   private refuseLate(nowMs: number): void {
     const {queue} = this.policy;
+    const latestMs = nowMs + this.meter.firstTokenMs;
     const late = [...queue.inDispatchOrder()].filter(
-      ({deadlineAtMs}) => deadlineAtMs <= nowMs,
+      ({deadlineAtMs}) => deadlineAtMs <= latestMs,
     );
     for (const request of late) {
       const waitMs = queue.expectedWaitMs(request, this.meter);
@@ -323,9 +324,7 @@
     this.endpoints.releaseSuspect(release.attempt);
     const {promptTokens, outputTokens, outcome} = release;
     settleCharge(this.policy.queue, permit, promptTokens, outputTokens);
-    if (outcome === 'ok') {
-      this.meter.released(nowMs - permit.sinceMs, release.firstTokenMs);
-    }
+    if (outcome === 'ok') this.meterRelease(permit, release, nowMs);
     const sample = {
       outcome,
       outputTokens,
@@ -336,6 +335,22 @@
     this.endpoints.limitOf(permit.endpoint)?.finished(sample, nowMs);
   }
 
+  /** What the permit was held beyond the stream is the way there and back. */
+  private meterRelease(
+    permit: HeldPermit,
+    release: PermitRelease,
+    nowMs: number,
+  ): void {
+    const heldMs = nowMs - permit.sinceMs;
+    this.meter.released(heldMs);
+    if (release.firstTokenMs === undefined || permit.underAllotment) return;
+    const betweenMs = release.betweenTokensMs ?? 0;
+    const restMs = betweenMs * Math.max(0, release.outputTokens - 1);
+    const streamMs = release.firstTokenMs + restMs;
+    const oneWayMs = Math.max(0, heldMs - streamMs) / 2;
+    this.meter.firstTokenCame(release.firstTokenMs + oneWayMs);
+  }
+
   private progress(all: readonly AttemptProgress[], nowMs: number): void {
     for (const {attempt, outputTokens} of all) {
       const permit = this.book.get(attempt);
