Let the stand-ins fail on command

Cause: the router's promises are about failures, which have to be brought about one at a time and the same way each time. Change: faults by area, count and key; lagging lists and load reports; a log of orders and usage reports; endpoints started and reclaimed by order; engines with priorities, a bounded prefix cache, resume, cancel, crashes, hangs, crossed and late answers; a TCP relay that loses track of connections. Node.js can't reset a connection whose own end is shut down already and leaves its handle open (a test did not exit); such a connection is closed instead. Ruled out: answering control calls under the faults themselves, which would lock a test out of a stand-in that is down. Conclusion: the faults of the interfaces can be brought about by tests.

--- a/packages/stand_ins/src/engine/batch.ts
+++ b/packages/stand_ins/src/engine/batch.ts
@@ -19,6 +19,8 @@
   readonly countPrefillTokens: (sequence: Sequence) => number;
   readonly onToken: (sequence: Sequence) => void;
   readonly onFinished: (sequence: Sequence) => void;
+  /** A sequence takes its engine down; the batch must be cleared. */
+  readonly onPoison: () => void;
 }
 
 const DEFAULT_MAX_BATCH = 16;
@@ -79,11 +81,13 @@
   }
 
   /** Drops all, as a crash does. */
-  clear(): void {
+  clear(): Sequence[] {
     clearTimeout(this.timer);
     this.timer = undefined;
+    const dropped = [...this.runningSequences, ...this.waitingSequences];
     this.waitingSequences.length = 0;
     this.runningSequences.clear();
+    return dropped;
   }
 
   private scheduleStep(): void {
@@ -112,6 +116,11 @@
 
   private step(): void {
     for (const sequence of this.runningSequences) {
+      if (sequence.isPoison) {
+        this.hooks.onPoison();
+        return;
+      }
+      if (sequence.isHung) continue;
       sequence.produceToken();
       this.hooks.onToken(sequence);
       if (sequence.isFinished) {
--- a/packages/stand_ins/src/engine/sequence.ts
+++ b/packages/stand_ins/src/engine/sequence.ts
@@ -16,7 +16,14 @@
   readonly firstIndex: number;
   /** Tokens to produce. */
   readonly length: number;
+  /** 0 goes first. */
   readonly priority: number;
+  /** Tokens after which it crashes its engine; never when absent. */
+  readonly crashAfterTokens?: number;
+  /** Tokens after which it stops for good; never when absent. */
+  readonly hangAfterTokens?: number;
+  /** Whose answer it streams instead of its own, by mistake. */
+  readonly answersFor?: Pick<SequenceOptions, 'requestId' | 'prompt'>;
 }
 
 /** Produces its tokens one by one into the connection that it has, if any. */
@@ -25,19 +32,25 @@
   /** Tokens produced so far. */
   produced = 0;
   private readonly tag: string;
+  private readonly shownId: string;
   private response: ServerResponse | undefined;
 
   constructor(options: SequenceOptions) {
     this.options = options;
-    this.tag = tagOf(options.prompt);
+    this.tag = tagOf((options.answersFor ?? options).prompt);
+    this.shownId = (options.answersFor ?? options).requestId;
   }
 
   get isFinished(): boolean {
     return this.produced >= this.options.length;
   }
 
-  get isAttached(): boolean {
-    return this.response !== undefined;
+  get isHung(): boolean {
+    return this.produced === this.options.hangAfterTokens;
+  }
+
+  get isPoison(): boolean {
+    return this.produced === this.options.crashAfterTokens;
   }
 
   /** Streams to the response, beginning with the tokens from `offset` on. */
@@ -46,7 +59,7 @@
     response.writeHead(200, {
       'Content-Type': 'text/event-stream',
       'Cache-Control': 'no-store',
-      'X-Request-Id': this.options.requestId,
+      'X-Request-Id': this.shownId,
     });
     response.flushHeaders();
     for (let index = offset; index < this.produced; index++) {
@@ -59,6 +72,12 @@
     this.response = undefined;
   }
 
+  /** Ends the stream without usage or `[DONE]`. */
+  endEarly(): void {
+    this.response?.end();
+    this.response = undefined;
+  }
+
   produceToken(): void {
     this.write(this.chunkOf(this.produced));
     this.produced += 1;
@@ -88,9 +107,9 @@
   }
 
   private envelope(): object {
-    const {format, model, requestId} = this.options;
+    const {format, model} = this.options;
     return {
-      id: requestId,
+      id: this.shownId,
       object: format === 'chat' ? 'chat.completion.chunk' : 'text_completion',
       created: 0,
       model,
--- /dev/null
+++ b/packages/stand_ins/src/engine/sequence_factory.ts
@@ -0,0 +1,105 @@
+/** Makes sequences from requests, with the faults that are to hit them. */
+
+import {randomUUID} from 'node:crypto';
+import {headerOf, parseJson} from '../http/exchange.js';
+import type {Call} from '../http/stand_in_server.js';
+import {seededRandom, type RandomSource} from '../random.js';
+import {countTokens, promptOf, type CompletionRequest} from './completion.js';
+import type {EngineControl} from './engine_control.js';
+import {drawLength} from './output_length.js';
+import {
+  Sequence,
+  type CompletionFormat,
+  type SequenceOptions,
+} from './sequence.js';
+
+/** How answers are made. */
+export interface SequenceFactoryOptions {
+  readonly seed?: number;
+  /** Mean length of answers whose request sets no `max_tokens`. */
+  readonly meanOutputTokens?: number;
+  /** A prompt that holds it crashes the engine. */
+  readonly poisonMark?: string;
+}
+
+/** A sequence and how long its answer is held back. */
+export interface MadeSequence {
+  readonly sequence: Sequence;
+  readonly lateMs: number;
+}
+
+export const DEFAULT_POISON_MARK = '<<poison>>';
+const DEFAULT_MEAN_OUTPUT_TOKENS = 32;
+const LOWEST_PRIORITY = 1000;
+/** A poison request crashes its engine after 0 to 3 tokens. */
+const POISON_TOKENS = 4;
+
+/** Counts down the faults that hit only the next requests. */
+export class SequenceFactory {
+  private readonly options: SequenceFactoryOptions;
+  private readonly random: RandomSource;
+  private hang = {afterTokens: 0, count: 0};
+  private late = {delayMs: 0, count: 0};
+  private crossNext = 0;
+  private previous: SequenceOptions | undefined;
+
+  constructor(options: SequenceFactoryOptions) {
+    this.options = options;
+    this.random = seededRandom(options.seed ?? 0);
+  }
+
+  control(command: EngineControl): void {
+    if (command.hang !== undefined) this.hang = {...command.hang};
+    if (command.late !== undefined) this.late = {...command.late};
+    this.crossNext = command.crossNext ?? this.crossNext;
+  }
+
+  /** Makes the sequence that answers a call. */
+  make(call: Call, format: CompletionFormat): MadeSequence {
+    const options: SequenceOptions = {
+      ...this.optionsFor(call, format),
+      answersFor: this.takeCrossed(),
+      hangAfterTokens: takeOne(this.hang) ? this.hang.afterTokens : undefined,
+    };
+    this.previous = options;
+    const lateMs = takeOne(this.late) ? this.late.delayMs : 0;
+    return {sequence: new Sequence(options), lateMs};
+  }
+
+  private optionsFor(call: Call, format: CompletionFormat): SequenceOptions {
+    const body = parseJson<CompletionRequest>(call.body);
+    const {text, firstIndex} = promptOf(body);
+    const mean = this.options.meanOutputTokens ?? DEFAULT_MEAN_OUTPUT_TOKENS;
+    const drawn = drawLength(text, this.options.seed ?? 0, mean) - firstIndex;
+    const priority = headerOf(call.request, 'x-request-priority');
+    return {
+      requestId: headerOf(call.request, 'x-request-id') ?? randomUUID(),
+      model: body.model,
+      format,
+      prompt: text,
+      promptTokens: countTokens(text) + firstIndex,
+      firstIndex,
+      length: Math.max(1, body.max_tokens ?? drawn),
+      priority: priority === undefined ? LOWEST_PRIORITY : Number(priority),
+      crashAfterTokens: this.drawCrash(text),
+    };
+  }
+
+  private drawCrash(prompt: string): number | undefined {
+    const mark = this.options.poisonMark ?? DEFAULT_POISON_MARK;
+    if (!prompt.includes(mark)) return undefined;
+    return Math.floor(this.random() * POISON_TOKENS);
+  }
+
+  private takeCrossed(): SequenceOptions | undefined {
+    if (this.crossNext === 0 || this.previous === undefined) return undefined;
+    this.crossNext -= 1;
+    return this.previous;
+  }
+}
+
+function takeOne(fault: {count: number}): boolean {
+  if (fault.count === 0) return false;
+  fault.count -= 1;
+  return true;
+}
--- a/packages/stand_ins/src/http/exchange.ts
+++ b/packages/stand_ins/src/http/exchange.ts
@@ -2,7 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-/** A body that is no JSON, or not of the shape asked for. */
+/** A body that is no JSON. */
 export class BadBodyError extends Error {}
 
 /**
@@ -18,14 +18,14 @@
 }
 
 /**
- * Reads a JSON body; an empty one is `{}`.
+ * Parses a JSON body; an empty one is `{}`.
  *
  * @throws BadBodyError when it is no JSON.
  * @example
- * const {keys} = await readJson<{keys: string[]}>(request);
+ * const {keys} = parseJson<{keys: string[]}>(body);
  */
-export async function readJson<T>(request: IncomingMessage): Promise<T> {
-  const text = (await readBody(request)).toString('utf8');
+export function parseJson<T>(body: Buffer): T {
+  const text = body.toString('utf8');
   try {
     return JSON.parse(text === '' ? '{}' : text) as T;
   } catch (cause) {
--- a/packages/stand_ins/src/http/stand_in_server.ts
+++ b/packages/stand_ins/src/http/stand_in_server.ts
@@ -1,8 +1,13 @@
-/** What every stand-in shares: a listener that can be cut off and come back. */
+/** What every stand-in shares: a listener, faults and a control call. */
 
 import type {Server as HttpServer} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
-import restify, {type Server} from 'restify';
+import type {Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import restify, {type Request, type Response, type Server} from 'restify';
+import {headerOf, parseJson, readBody, sendJson} from './exchange.js';
+import {FaultBoard, type Fault} from './faults.js';
+import {listenOn} from './listen.js';
+import {resetConnection} from './reset.js';
 
 /** Where a stand-in listens. */
 export interface ListenOptions {
@@ -11,10 +16,39 @@
   readonly port?: number;
 }
 
+/** A call that has been read. */
+export interface Call {
+  readonly request: Request;
+  readonly response: Response;
+  readonly body: Buffer;
+  readonly fault: Fault;
+}
+
+/** What a call is answered. */
+export interface Answer {
+  readonly status: number;
+  /** Bytes as they are; anything else as JSON. */
+  readonly body: unknown;
+}
+
+/** One call of a stand-in's interface. */
+export interface Route {
+  readonly method: 'get' | 'post' | 'put';
+  readonly path: string;
+  /** Faults are set by area. */
+  readonly area: string;
+  /** Keys that the call touches, for faults which hit some keys only. */
+  readonly keysOf?: (request: Request, body: Buffer) => readonly string[];
+  /** Carries it out; without an answer it has written the response itself. */
+  readonly run: (call: Call) => Answer | undefined | Promise<Answer>;
+}
+
 const DEFAULT_HOST = '127.0.0.1';
+const CONTROL_PATH = '/control';
 
 /** A restify server whose connections can all be reset at once. */
 export abstract class StandInServer {
+  readonly faults = new FaultBoard();
   protected readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private readonly host: string;
@@ -28,6 +62,12 @@
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
     });
+    this.server.post(CONTROL_PATH, async (request, response) => {
+      await this.answerControl(request, response);
+    });
+    this.server.get(`${CONTROL_PATH}/log`, async (_request, response) => {
+      sendJson(response, 200, this.report());
+    });
   }
 
   /**
@@ -48,14 +88,7 @@
    * await engine.start();
    */
   async start(): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.httpServer.once('error', reject);
-      this.httpServer.listen(this.port, this.host, () => {
-        this.httpServer.off('error', reject);
-        resolve();
-      });
-    });
-    this.port = (this.httpServer.address() as AddressInfo).port;
+    this.port = await listenOn(this.httpServer, this.port, this.host);
   }
 
   /**
@@ -71,12 +104,96 @@
     await closed;
   }
 
+  /** Carries out the body of a control call; throws when it is wrong. */
+  protected abstract obey(command: unknown): void;
+
+  /** What `GET /control/log` answers. */
+  protected abstract report(): object;
+
+  /** The `Authorization` that every call must show; none when absent. */
+  protected get requiredAuthorization(): string | undefined {
+    return undefined;
+  }
+
+  /** Serves a route under the faults of its area. */
+  protected serve(route: Route): void {
+    const mount = this.server[route.method].bind(this.server);
+    mount(route.path, async (request: Request, response: Response) => {
+      const body = await readBody(request);
+      const keys = route.keysOf?.(request, body) ?? [];
+      const fault = this.faults.take(route.area, keys);
+      const call = {request, response, body, fault};
+      if (!this.isAuthorized(call) || !(await passes(call))) return;
+      const answer = await route.run(call);
+      if (answer === undefined) return;
+      if (fault.mode === 'lose_answer') resetSocket(call);
+      else sendAnswer(response, answer);
+    });
+  }
+
   /** Callers see `ECONNRESET`, as when a process is killed. */
   protected resetConnections(): void {
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of this.sockets) resetConnection(socket);
+  }
+
+  private isAuthorized({request, response}: Call): boolean {
+    const required = this.requiredAuthorization;
+    if (required === undefined) return true;
+    if (headerOf(request, 'authorization') === required) return true;
+    sendJson(response, 401, {reason: 'The bearer token is wrong.'});
+    return false;
+  }
+
+  private async answerControl(
+    request: Request,
+    response: Response,
+  ): Promise<void> {
+    try {
+      this.obey(parseJson(await readBody(request)));
+      sendJson(response, 200, {});
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      sendJson(response, 400, {message});
+    }
   }
 
   private get httpServer(): HttpServer {
     return this.server.server as HttpServer;
   }
 }
+
+/** Resets the connection that a call came on. */
+export function resetSocket(call: Call): void {
+  resetConnection(call.request.socket);
+}
+
+/** Shows the faults that come before anything takes effect. */
+async function passes(call: Call): Promise<boolean> {
+  const {mode, delayMs = 0} = call.fault;
+  switch (mode) {
+    case 'down':
+      resetSocket(call);
+      return false;
+    case 'silent':
+      return false;
+    case 'error':
+      sendJson(call.response, 503, {reason: 'The fault `error` is set.'});
+      return false;
+    case 'slow':
+      await delay(delayMs);
+      return true;
+    default:
+      return true;
+  }
+}
+
+function sendAnswer(response: Response, answer: Answer): void {
+  if (!Buffer.isBuffer(answer.body)) {
+    sendJson(response, answer.status, answer.body);
+    return;
+  }
+  response.writeHead(answer.status, {
+    'Content-Type': 'application/octet-stream',
+  });
+  response.end(answer.body);
+}
--- a/packages/stand_ins/src/main.ts
+++ b/packages/stand_ins/src/main.ts
@@ -2,7 +2,7 @@
 
 import {Command} from 'commander';
 import {EngineStandIn} from './engine/engine_stand_in.js';
-import type {StandInServer} from './http/stand_in_server.js';
+import {Link} from './link/link.js';
 import {PlatformStandIn} from './platform/platform_stand_in.js';
 import {ServiceStandIn} from './service/service_stand_in.js';
 
@@ -10,7 +10,9 @@
   readonly port: string;
 }
 
-async function serve(standIns: readonly StandInServer[]): Promise<void> {
+type StandIn = Pick<EngineStandIn, 'start' | 'stop' | 'url'>;
+
+async function serve(standIns: readonly StandIn[]): Promise<void> {
   await Promise.all(standIns.map(standIn => standIn.start()));
   const urls = standIns.map(standIn => standIn.url);
   console.log(JSON.stringify({url: urls[0], urls}));
@@ -50,8 +52,18 @@
     const length = Number(options.count);
     await serve(Array.from({length}, () => new EngineStandIn()));
   });
-addCommand('service', 'a plain service').action(async (options: PortOption) => {
-  await serve([new ServiceStandIn({port: Number(options.port)})]);
-});
+addCommand('service', 'a plain service')
+  .option('--resource <name>', 'path of its records', 'bookings')
+  .action(async (options: PortOption & {resource: string}) => {
+    const {port, resource} = options;
+    await serve([new ServiceStandIn({port: Number(port), resource})]);
+  });
+addCommand('link', 'a TCP relay')
+  .requiredOption('--target-port <number>', 'port that it relays to')
+  .action(async (options: PortOption & {targetPort: string}) => {
+    const {port, targetPort} = options;
+    const ports = {port: Number(port), targetPort: Number(targetPort)};
+    await serve([new Link(ports)]);
+  });
 
 await program.parseAsync();
--- a/packages/stand_ins/src/platform/platform_stand_in.test.ts
+++ b/packages/stand_ins/src/platform/platform_stand_in.test.ts
@@ -1,5 +1,7 @@
+import {brandAs, type DataCentreId} from '@snipestage/types/ids.js';
 import test from 'ava';
 import got from 'got';
+import {EngineStandIn} from '../engine/engine_stand_in.js';
 import {PlatformStandIn} from './platform_stand_in.js';
 
 async function startPlatform() {
@@ -62,3 +64,64 @@
   t.is((await client.get('v1/objects/none')).statusCode, 404);
   await platform.stop();
 });
+
+test('a write takes effect though its answer is lost, for some keys', async t => {
+  const {platform, client} = await startPlatform();
+  const write = (key: string) =>
+    client.post('v1/table/transact', {
+      json: {checks: [], writes: [{key, value: 1}]},
+    });
+  platform.control({
+    faults: {table: {mode: 'lose_answer', count: 1, keyPrefix: 'lease/'}},
+  });
+  t.is((await write('usage/1')).statusCode, 200);
+  await t.throwsAsync(write('lease/1'), {code: 'ECONNRESET'});
+  t.is(platform.table.read(['lease/1']).length, 1);
+  t.is((await write('lease/1')).statusCode, 200);
+  await platform.stop();
+});
+
+test('lists lag', async t => {
+  const {platform, client} = await startPlatform();
+  const instance = {id: 'akl-a-1', dataCentre: 'akl-a', state: 'live'};
+  const list = () => client.get('v1/instances').json<object>();
+  await client.post('control', {json: {instances: [instance]}});
+  await client.post('control', {json: {listLagMs: 60_000, instances: []}});
+  t.deepEqual(await list(), {items: [instance]});
+  await client.post('control', {json: {listLagMs: 0}});
+  t.deepEqual(await list(), {items: []});
+  await platform.stop();
+});
+
+test('an order is carried out once and cheap endpoints can be reclaimed', async t => {
+  const platform = new PlatformStandIn({
+    endpoints: {makeEndpoint: () => new EngineStandIn(), startDelayMs: 0},
+  });
+  await platform.start();
+  const order = (id: string, targetCount: number) =>
+    got.post(`${platform.url}/v1/endpoint-orders`, {
+      headers: {authorization: `Bearer ${platform.token}`, 'x-instance': 'i1'},
+      json: {
+        id,
+        dataCentre: 'akl-a',
+        model: 'repair',
+        kind: 'cheap',
+        targetCount,
+        release: [],
+        fencingToken: 1,
+      },
+      throwHttpErrors: false,
+    });
+  await order('o1', 2);
+  await order('o1', 2);
+  const isLive = () =>
+    platform.provisioner.listed.every(({state}) => state === 'live');
+  while (!isLive()) await new Promise(setImmediate);
+  t.is(platform.provisioner.listed.length, 2);
+  t.is(platform.log.orders[1].headers['x-instance'], 'i1');
+  platform.control({reclaimCheap: brandAs<DataCentreId>('akl-a')});
+  t.deepEqual(platform.provisioner.listed, []);
+  platform.control({cheapAvailable: false});
+  t.is((await order('o2', 2)).statusCode, 422);
+  await platform.stop();
+});
--- a/packages/stand_ins/src/service/service_stand_in.ts
+++ b/packages/stand_ins/src/service/service_stand_in.ts
@@ -1,49 +1,78 @@
 /** Takes a plain service's place: a booking app whose doubles can be seen. */
 
-import type {ServerResponse} from 'node:http';
 import type {Request} from 'restify';
-import {headerOf, readJson, sendJson} from '../http/exchange.js';
-import {StandInServer, type ListenOptions} from '../http/stand_in_server.js';
+import {z} from 'zod';
+import {headerOf, parseJson} from '../http/exchange.js';
+import {EVERY_AREA, faultSchema} from '../http/faults.js';
+import {
+  StandInServer,
+  type Answer,
+  type ListenOptions,
+} from '../http/stand_in_server.js';
 
-/** A booking as the app keeps it. */
-export interface Booking {
+/** How a service stand-in starts. */
+export interface ServiceStandInOptions extends ListenOptions {
+  /** Path under which records are made, such as `work-orders`. */
+  readonly resource?: string;
+}
+
+/** A booking or work order as the service keeps it. */
+export interface ServiceRecord {
   readonly id: string;
   readonly requestId: string | undefined;
   readonly content: unknown;
 }
 
+/** The schema of the control call. */
+export const serviceControlSchema = z.strictObject({
+  faults: z
+    .partialRecord(z.enum([EVERY_AREA, 'records', 'stock']), faultSchema)
+    .optional(),
+});
+
+export type ServiceControl = z.output<typeof serviceControlSchema>;
+
+const DEFAULT_RESOURCE = 'bookings';
 const STOCK_OF_EVERY_ITEM = 3;
 
-/** Each `POST /bookings` that reaches it makes a booking, also a repeated one. */
+/** Each POST that reaches it makes a record, a repeated one as well. */
 export class ServiceStandIn extends StandInServer {
-  readonly bookings: Booking[] = [];
+  readonly records: ServiceRecord[] = [];
+  private readonly resource: string;
   private running = 0;
 
-  constructor(options: ListenOptions = {}) {
+  constructor(options: ServiceStandInOptions = {}) {
     super(options);
+    this.resource = options.resource ?? DEFAULT_RESOURCE;
     this.server.use((request, response, next) => {
       this.running += 1;
       response.once('close', () => (this.running -= 1));
-      echoRequestId(request, response);
+      const requestId = headerOf(request, 'x-request-id');
+      if (requestId !== undefined) {
+        response.setHeader('X-Request-Id', requestId);
+      }
       next();
     });
-    this.server.post('/bookings', async (request, response) => {
-      sendJson(response, 201, this.book(request, await readJson(request)));
-    });
-    this.server.get('/bookings', async (_request, response) => {
-      sendJson(response, 200, {bookings: this.bookings});
-    });
-    this.server.get('/stock/:item', async (request, response) => {
-      const item = String(request.params.item);
-      sendJson(response, 200, {item, inStock: STOCK_OF_EVERY_ITEM});
+    this.serveRecords();
+    this.serve({
+      method: 'get',
+      path: '/stock/:item',
+      area: 'stock',
+      run: ({request}) => {
+        const item = String(request.params.item);
+        return {status: 200, body: {item, inStock: STOCK_OF_EVERY_ITEM}};
+      },
     });
-    this.server.get('/load', async (_request, response) => {
-      sendJson(response, 200, {running: this.running});
+    this.serve({
+      method: 'get',
+      path: '/load',
+      area: 'load',
+      run: () => ({status: 200, body: {running: this.running}}),
     });
   }
 
   /**
-   * Contents that were booked more than once; each is a fault of the router
+   * Contents that were recorded more than once; each is a fault of the router
    * when its callers sent it once.
    *
    * @example
@@ -51,8 +80,8 @@
    */
   doubles(): unknown[] {
     const seen = new Set<string>();
-    return this.bookings
-      .map(booking => booking.content)
+    return this.records
+      .map(record => record.content)
       .filter(content => {
         const text = JSON.stringify(content);
         const again = seen.has(text);
@@ -61,16 +90,45 @@
       });
   }
 
-  private book(request: Request, content: unknown): Booking {
-    const id = `booking-${this.bookings.length + 1}`;
-    const requestId = headerOf(request, 'x-request-id');
-    const booking = {id, requestId, content};
-    this.bookings.push(booking);
-    return booking;
+  /**
+   * Sets faults.
+   *
+   * @example
+   * service.control({faults: {records: {mode: 'lose_answer', count: 1}}});
+   */
+  control(command: ServiceControl): void {
+    for (const [area, fault] of Object.entries(command.faults ?? {})) {
+      this.faults.set(area, fault);
+    }
+  }
+
+  protected override obey(command: unknown): void {
+    this.control(serviceControlSchema.parse(command));
   }
-}
 
-function echoRequestId(request: Request, response: ServerResponse): void {
-  const requestId = headerOf(request, 'x-request-id');
-  if (requestId !== undefined) response.setHeader('X-Request-Id', requestId);
+  protected override report(): object {
+    return {records: this.records, doubles: this.doubles()};
+  }
+
+  private serveRecords(): void {
+    const place = {path: `/${this.resource}`, area: 'records'};
+    this.serve({
+      ...place,
+      method: 'post',
+      run: ({request, body}) => this.record(request, parseJson(body)),
+    });
+    this.serve({
+      ...place,
+      method: 'get',
+      run: () => ({status: 200, body: {[this.resource]: this.records}}),
+    });
+  }
+
+  private record(request: Request, content: unknown): Answer {
+    const id = `${this.resource}-${this.records.length + 1}`;
+    const requestId = headerOf(request, 'x-request-id');
+    const record = {id, requestId, content};
+    this.records.push(record);
+    return {status: 201, body: record};
+  }
 }
