--- a/packages/stand_ins/src/main.ts
+++ b/packages/stand_ins/src/main.ts
@@ -1,13 +1,23 @@
 /** Runs one stand-in as a process of its own. */
 
 import {Command} from 'commander';
-import {EngineStandIn} from './engine/engine_stand_in.js';
+import {
+  EngineStandIn,
+  type EngineStandInOptions,
+} from './engine/engine_stand_in.js';
 import {Link} from './link/link.js';
-import {PlatformStandIn} from './platform/platform_stand_in.js';
+import type {EndpointProvisionerOptions} from './platform/endpoint_provisioner.js';
+import {
+  PlatformStandIn,
+  type PlatformStandInOptions,
+} from './platform/platform_stand_in.js';
 import {ServiceStandIn} from './service/service_stand_in.js';
 
-interface PortOption {
+/** Options as the command line gives them. */
+interface CommandOptions {
   readonly port: string;
+  /** JSON with options of the class. */
+  readonly options: string;
 }
 
 type StandIn = Pick<EngineStandIn, 'start' | 'stop' | 'url'>;
@@ -25,11 +35,30 @@
   process.once('SIGINT', stop);
 }
 
+interface PlatformCommandOptions extends CommandOptions {
+  readonly token?: string;
+  readonly engine?: string;
+}
+
+function provisioningBy(
+  given: PlatformCommandOptions,
+): EndpointProvisionerOptions {
+  const {endpoints} = optionsOf<PlatformStandInOptions>(given);
+  if (given.engine === undefined) return {...endpoints};
+  const engine = JSON.parse(given.engine) as EngineStandInOptions;
+  return {...endpoints, makeEndpoint: () => new EngineStandIn(engine)};
+}
+
 function addCommand(name: string, about: string): Command {
   return program
     .command(name)
     .description(about)
-    .option('--port <number>', 'port to listen on, 0 for any', '0');
+    .option('--port <number>', 'port to listen on, 0 for any', '0')
+    .option('--options <json>', 'further options of the class', '{}');
+}
+
+function optionsOf<T>(given: CommandOptions): T {
+  return {...JSON.parse(given.options), port: Number(given.port)} as T;
 }
 
 const program = new Command('stand_ins').description(
@@ -37,33 +66,35 @@
 );
 addCommand('platform', 'the platform')
   .option('--token <text>', 'bearer token that callers must show')
-  .action(async (options: PortOption & {token?: string}) => {
-    const {port, token} = options;
-    await serve([new PlatformStandIn({port: Number(port), token})]);
+  .option('--engine <json>', 'carry orders out by engines with these options')
+  .action(async (given: PlatformCommandOptions) => {
+    const {token} = given;
+    const endpoints = provisioningBy(given);
+    await serve([new PlatformStandIn({...optionsOf(given), token, endpoints})]);
   });
-addCommand('engine', 'one model engine').action(async (options: PortOption) => {
-  await serve([new EngineStandIn({port: Number(options.port)})]);
-});
-program
-  .command('engines')
-  .description('several model engines in one process')
+addCommand('engine', 'one model engine').action(
+  async (given: CommandOptions) => {
+    await serve([new EngineStandIn(optionsOf(given))]);
+  },
+);
+addCommand('engines', 'several model engines in one process')
   .option('--count <number>', 'how many', '8')
-  .action(async (options: {count: string}) => {
-    const length = Number(options.count);
-    await serve(Array.from({length}, () => new EngineStandIn()));
+  .action(async (given: CommandOptions & {count: string}) => {
+    const length = Number(given.count);
+    const options = optionsOf<EngineStandInOptions>({...given, port: '0'});
+    await serve(Array.from({length}, () => new EngineStandIn(options)));
   });
 addCommand('service', 'a plain service')
   .option('--resource <name>', 'path of its records', 'bookings')
-  .action(async (options: PortOption & {resource: string}) => {
-    const {port, resource} = options;
-    await serve([new ServiceStandIn({port: Number(port), resource})]);
+  .action(async (given: CommandOptions & {resource: string}) => {
+    const {resource} = given;
+    await serve([new ServiceStandIn({...optionsOf(given), resource})]);
   });
 addCommand('link', 'a TCP relay')
   .requiredOption('--target-port <number>', 'port that it relays to')
-  .action(async (options: PortOption & {targetPort: string}) => {
-    const {port, targetPort} = options;
-    const ports = {port: Number(port), targetPort: Number(targetPort)};
-    await serve([new Link(ports)]);
+  .action(async (given: CommandOptions & {targetPort: string}) => {
+    const targetPort = Number(given.targetPort);
+    await serve([new Link({...optionsOf(given), targetPort})]);
   });
 
 await program.parseAsync();
