Read the administration API as the entry process speaks it

Cause: the command expected lists under another name than the entry process gives, and a try by hand of every command against an entry process and the platform stand-in showed that each failed try to submit was announced as "asking again", the last one too.

Change: answers are read as the entry process gives them; the announcement comes only before another round. A key that two accounts claim is nobody's in KeyIndex, whatever order the accounts came in.

Ruled out: letting the first account keep a doubled key: maps differ in order between instances, so that one key would mean two customers.

--- a/packages/cli/src/admin/admin_answers.ts
+++ b/packages/cli/src/admin/admin_answers.ts
@@ -16,7 +16,7 @@
 
 export const validateAnswer = z.looseObject({faults: z.array(fault)});
 
-export const ticketAnswer = z.looseObject({
+const ticketAnswer = z.looseObject({
   number: z.number(),
   author: z.string(),
   reason: z.string(),
@@ -25,45 +25,48 @@
   ),
 });
 
-export const ticketListAnswer = z.looseObject({items: z.array(ticketAnswer)});
+/** A list, or the one ticket that was asked for. */
+export const ticketsAnswer = z.looseObject({tickets: z.array(ticketAnswer)});
 
 export const statusAnswer = z.looseObject({
   instance: z.string(),
   ready: z.boolean(),
   reason: z.string().optional(),
   revision: z.number(),
-  members: z.array(
-    z.looseObject({
-      id: z.string(),
-      dataCentre: z.string().optional(),
-      state: z.string().optional(),
-      revision: z.number().optional(),
-    }),
-  ),
+  members: z
+    .array(
+      z.looseObject({
+        id: z.string(),
+        dataCentre: z.string().optional(),
+        state: z.string().optional(),
+        revision: z.number().optional(),
+      }),
+    )
+    .default([]),
   roles: z.array(z.string()).default([]),
 });
 
+const usageLine = z.looseObject({
+  clientAccount: z.string(),
+  requestClass: z.string(),
+  requests: z.number(),
+  promptTokens: z.number(),
+  outputTokens: z.number(),
+});
+
 export const usageAnswer = z.looseObject({
-  windows: z.array(
-    z.looseObject({
-      id: z.string(),
-      state: z.string(),
-      lines: z
-        .array(
-          z.looseObject({
-            clientAccount: z.string(),
-            requestClass: z.string(),
-            requests: z.number(),
-            promptTokens: z.number(),
-            outputTokens: z.number(),
-          }),
-        )
-        .default([]),
-    }),
-  ),
+  /** Of this instance, not yet in a sealed window. */
+  open: z.array(usageLine).default([]),
+  windows: z
+    .array(
+      z.looseObject({
+        id: z.string(),
+        state: z.string(),
+        lines: z.array(usageLine).default([]),
+      }),
+    )
+    .default([]),
 });
 
 /** Refusals of the listener itself, such as for a wrong key. */
-export const errorAnswer = z.looseObject({
-  error: z.looseObject({message: z.string()}),
-});
+export const errorAnswer = z.looseObject({message: z.string()});
--- a/packages/cli/src/admin/admin_client.ts
+++ b/packages/cli/src/admin/admin_client.ts
@@ -153,7 +153,7 @@
 export function describeStatus(reply: AnsweredReply): string {
   const parsed = errorAnswer.safeParse(reply.body);
   return parsed.success
-    ? `status ${reply.status}, ${parsed.data.error.message}`
+    ? `status ${reply.status}, ${parsed.data.message}`
     : `status ${reply.status}`;
 }
 
--- a/packages/cli/src/commands/ticket_list/ticket_list.ts
+++ b/packages/cli/src/commands/ticket_list/ticket_list.ts
@@ -2,7 +2,7 @@
 
 import {injectFromBase, injectable} from 'inversify';
 import type {z} from 'zod';
-import {ticketListAnswer} from '../../admin/admin_answers.js';
+import {ticketsAnswer} from '../../admin/admin_answers.js';
 import {formatTable} from '../../output/format_table.js';
 import type {CommandDescription} from '../cli_command.js';
 import {ReadingCommand} from '../reading_command.js';
@@ -11,7 +11,7 @@
 
 @injectable()
 @injectFromBase()
-export class TicketList extends ReadingCommand<typeof ticketListAnswer> {
+export class TicketList extends ReadingCommand<typeof ticketsAnswer> {
   readonly description: CommandDescription = {
     group: 'ticket',
     name: 'list',
@@ -19,10 +19,10 @@
     examples: ['ticket list', 'ticket list --json'],
   };
   protected readonly path = '/tickets';
-  protected readonly schema = ticketListAnswer;
+  protected readonly schema = ticketsAnswer;
 
-  protected format(answer: z.output<typeof ticketListAnswer>): string {
-    const rows = answer.items.map(ticket => [
+  protected format(answer: z.output<typeof ticketsAnswer>): string {
+    const rows = answer.tickets.map(ticket => [
       ticket.number,
       ticket.author,
       ticket.reason,
--- a/packages/cli/src/commands/ticket_show/ticket_show.ts
+++ b/packages/cli/src/commands/ticket_show/ticket_show.ts
@@ -2,7 +2,7 @@
 
 import type {Command} from 'commander';
 import {injectFromBase, injectable} from 'inversify';
-import {ticketAnswer} from '../../admin/admin_answers.js';
+import {ticketsAnswer} from '../../admin/admin_answers.js';
 import {readAnswer} from '../../admin/admin_client.js';
 import {CommandError} from '../../command_error.js';
 import {
@@ -57,7 +57,7 @@
       {exitCode: EXIT_REFUSED},
     );
   }
-  const ticket = readAnswer(reply, ticketAnswer);
+  const [ticket] = readAnswer(reply, ticketsAnswer).tickets;
   context.reporter.result(ticket, `${JSON.stringify(ticket, null, 2)}\n`);
   return EXIT_OK;
 }
--- a/packages/cli/src/commands/ticket_submit/submit_ticket.ts
+++ b/packages/cli/src/commands/ticket_submit/submit_ticket.ts
@@ -62,7 +62,10 @@
   let inDoubt = false;
   let reasons: string[] = [];
   for (let round = 0; round < rounds; round++) {
-    if (round > 0) await options.sleep(delayMsOf(round));
+    if (round > 0) {
+      options.onProgress?.(`${reasons.join('; ')}; asking again.\n`);
+      await options.sleep(delayMsOf(round));
+    }
     reasons = [];
     for (const url of client.urls) {
       const call = {method: 'POST', path: '/tickets', body: ticket} as const;
@@ -72,7 +75,6 @@
       // says nothing about what the first one did.
       inDoubt ||= leavesDoubt(reply);
       reasons.push(`${url}: ${reasonOf(reply)}`);
-      options.onProgress?.(`${url}: ${reasonOf(reply)}; asking again.\n`);
     }
   }
   return {kind: inDoubt ? 'unknown' : 'unavailable', reasons};
--- a/packages/cli/src/commands/usage/usage.ts
+++ b/packages/cli/src/commands/usage/usage.ts
@@ -29,7 +29,8 @@
   protected readonly schema = usageAnswer;
 
   protected format(answer: z.output<typeof usageAnswer>): string {
-    const rows = answer.windows.flatMap(window =>
+    const open = {id: '-', state: 'open', lines: answer.open};
+    const rows = [open, ...answer.windows].flatMap(window =>
       window.lines.map(line => [
         window.id,
         window.state,
--- a/packages/cli/src/main.test.ts
+++ b/packages/cli/src/main.test.ts
@@ -18,7 +18,7 @@
 };
 
 test('ticket list prints a line a ticket', async t => {
-  const admin = await startAdmin(t, {items: [TICKET]});
+  const admin = await startAdmin(t, {tickets: [TICKET]});
   const run = await runCommand(['ticket', 'list', '--admin-url', admin.url]);
   t.is(run.exitCode, 0);
   t.is(
@@ -28,6 +28,13 @@
   );
 });
 
+test('ticket show prints the ticket as it was submitted', async t => {
+  const admin = await startAdmin(t, {tickets: [TICKET]});
+  const args = ['ticket', 'show', '7', '--admin-url', admin.url];
+  t.deepEqual(JSON.parse((await runCommand(args)).out), TICKET);
+  t.is(admin.seen[0].call, 'GET /admin/v1/tickets/7');
+});
+
 test('status prints what an instance sees', async t => {
   const admin = await startAdmin(t, {
     instance: 'akl-a-1',
@@ -57,9 +64,12 @@
     outputTokens: 40,
   };
   const window = {id: 'w-1', state: 'sealed', lines: [line]};
-  const admin = await startAdmin(t, {windows: [window]});
+  const admin = await startAdmin(t, {open: [line], windows: [window]});
   const run = await runCommand(['usage', '--admin-url', admin.url]);
-  t.regex(run.out, /w-1 +sealed +gear-menders +counter +2 +30 +40\n$/);
+  t.regex(
+    run.out,
+    /- +open +gear-menders .*\nw-1 +sealed +gear-menders +counter +2 +30 +40\n$/,
+  );
 });
 
 test('dump prints all that it is given', async t => {
--- a/packages/configuration/src/configuration.test.ts
+++ b/packages/configuration/src/configuration.test.ts
@@ -105,14 +105,16 @@
   t.is(shares(0.2, 0.2, 0.2).length, 1);
 });
 
-test('one key in two accounts is a fault', t => {
+// Two operators at once give one key to two accounts. Calls with it would run
+// for one customer at this instance and for another at the next.
+test('one key in two accounts is a fault and opens neither', t => {
   const account = {requestClasses: [], keyHashes: [hashKey(KEY)]};
-  const faults = checkReferences(
-    apply(
-      changeTo('client_account', {id: 'one', ...account}),
-      changeTo('client_account', {id: 'two', ...account}),
-    ),
+  const configuration = apply(
+    changeTo('client_account', {id: 'one', ...account}),
+    changeTo('client_account', {id: 'two', ...account}),
   );
+  t.is(new KeyIndex(configuration).find(KEY), undefined);
+  const faults = checkReferences(configuration);
   t.deepEqual(
     faults.map(fault => fault.path),
     ['client_account/two.keyHashes[0]'],
--- a/packages/configuration/src/key_hash.ts
+++ b/packages/configuration/src/key_hash.ts
@@ -44,20 +44,29 @@
   return `sk-${randomBytes(KEY_BYTES).toString('base64url')}`;
 }
 
+/** `undefined` stands for a key that more than one account claims. */
+interface KeyOwner {
+  readonly hash: KeyHash;
+  readonly account: ClientAccount | undefined;
+}
+
 /**
  * Finds the client account of a key; built anew for each configuration, so
  * that a withdrawn key is gone with the revision that withdrew it.
+ *
+ * A key in two accounts is nobody's: instances could otherwise pick different
+ * ones, and a request would run for an account, and on a bill, that is not the
+ * caller's. `checkReferences` refuses such a ticket; two racing tickets can
+ * still bring it about.
  */
 export class KeyIndex {
-  private readonly accounts = new Map<
-    KeyHash,
-    {readonly hash: KeyHash; readonly account: ClientAccount}
-  >();
+  private readonly owners = new Map<KeyHash, KeyOwner>();
 
   constructor(configuration: Configuration) {
     for (const account of configuration.clientAccounts.values()) {
-      for (const hash of account.keyHashes) {
-        this.accounts.set(hash, {hash, account});
+      for (const hash of new Set(account.keyHashes)) {
+        const isClaimed = this.owners.has(hash);
+        this.owners.set(hash, {hash, account: isClaimed ? undefined : account});
       }
     }
   }
@@ -82,9 +91,9 @@
    * if (index.findByHash(request.keyHash) === undefined) stop(request);
    */
   findByHash(hash: KeyHash): ClientAccount | undefined {
-    const entry = this.accounts.get(hash);
-    if (entry === undefined || !hashesEqual(hash, entry.hash)) return undefined;
-    return entry.account;
+    const owner = this.owners.get(hash);
+    if (owner === undefined || !hashesEqual(hash, owner.hash)) return undefined;
+    return owner.account;
   }
 }
 
