Find requests that crash endpoints

Cause: a request that crashes each endpoint it runs on, sent again by its caller, could empty a data centre; nothing remembered what was in flight at a crash.

Change: SuspectTable keeps crashes with what was in flight, and works all else out from them: suspects run alone, a request in two crashes is refused for ten minutes, finishing clears. Two that shared all their crashes run alone until one finishes. Three endpoints of a data centre lost within five seconds count as reclaimed and make suspects only of who was at several. Crashes are told to other instances by age, bounded in number and time; a property test shows that instances judge alike whatever the order they hear in.

Ruled out: counting blame when a crash is seen (instances then differ by the order of news); refusing all who were in two crashes (innocents beside a poisonous request would be lost); a second fingerprint function (the entry process has one).

--- /dev/null
+++ b/packages/policy/src/suspects.test.ts
@@ -0,0 +1,156 @@
+import {
+  brandAs,
+  type DataCentreId,
+  type EndpointId,
+  type Fingerprint,
+} from '@snipestage/types/ids.js';
+import test from 'ava';
+import fc from 'fast-check';
+import {SuspectTable, type ReportedCrash} from './suspects.js';
+
+const SEED = 20_261_202;
+const MINUTE_MS = 60_000;
+
+/** `crashOf('e1', 'p', 'a')`: endpoint e1 crashes with p and a in flight. */
+function crashOf(endpoint: string, ...inFlight: string[]): ReportedCrash {
+  return {
+    id: `akl-a-1/${endpoint}/${inFlight.join()}`,
+    endpoint: brandAs<EndpointId>(endpoint),
+    dataCentre: brandAs<DataCentreId>('akl-a'),
+    ageMs: 0,
+    inFlight: inFlight.map(print),
+    cleared: [],
+  };
+}
+
+function print(name: string): Fingerprint {
+  return brandAs<Fingerprint>(name);
+}
+
+function judgements(table: SuspectTable, nowMs: number, ...names: string[]) {
+  return names.map(name => table.judge(print(name), nowMs).kind);
+}
+
+// A request crashes the engine it runs on, with others beside it. Its caller
+// sends it again, and it would take the next engine down too.
+test('a request that crashes endpoints is refused after two', t => {
+  const table = new SuspectTable();
+  table.merge([crashOf('e1', 'poison', 'a', 'b')], 0);
+  t.deepEqual(judgements(table, 0, 'poison', 'a', 'other'), [
+    'run_alone',
+    'run_alone',
+    'clear',
+  ]);
+  table.finish(print('a'));
+  table.merge([crashOf('e2', 'poison')], 8000);
+  t.deepEqual(judgements(table, 8000, 'poison', 'a', 'b'), [
+    'refuse',
+    'clear',
+    'run_alone',
+  ]);
+  t.like(table.judge(print('poison'), MINUTE_MS + 8000), {
+    retryAfterMs: 9 * MINUTE_MS,
+  });
+});
+
+test('the refusal ends, then the memory of it', t => {
+  const table = new SuspectTable();
+  table.merge([crashOf('e1', 'p'), crashOf('e2', 'p')], 0);
+  t.deepEqual(judgements(table, 10 * MINUTE_MS - 1, 'p'), ['refuse']);
+  t.deepEqual(judgements(table, 10 * MINUTE_MS, 'p'), ['run_alone']);
+  t.deepEqual(judgements(table, 20 * MINUTE_MS, 'p'), ['clear']);
+  t.is(table.size, 0);
+});
+
+// Two crashes come so close together that the first one's suspects still run
+// beside each other. Refusing all of them would lose innocent callers' work.
+test('two who were in both crashes run alone until it shows who it was', t => {
+  const table = new SuspectTable();
+  table.merge([crashOf('e1', 'p', 'a'), crashOf('e2', 'p', 'a')], 0);
+  t.deepEqual(judgements(table, 0, 'p', 'a'), ['run_alone', 'run_alone']);
+  table.finish(print('a'));
+  t.deepEqual(judgements(table, 0, 'p', 'a'), ['refuse', 'clear']);
+});
+
+test('one crash that two instances saw counts once', t => {
+  const table = new SuspectTable();
+  const crash = crashOf('e1', 'p');
+  table.merge([crash, {...crash, id: 'akl-a-2/e1', ageMs: 900}], 1000);
+  t.deepEqual(judgements(table, 1000, 'p'), ['run_alone']);
+});
+
+// The platform takes back all cheap endpoints of a data centre at once. If what
+// ran there had to run alone from now on, most of it would miss its deadline.
+test('a data centre reclaimed makes no suspects, but for who was in several', t => {
+  const table = new SuspectTable();
+  table.merge([crashOf('e1', 'a', 'p'), crashOf('e2', 'b')], 0);
+  table.merge([crashOf('e3', 'c', 'p')], 3000);
+  t.deepEqual(judgements(table, 3000, 'a', 'b', 'c', 'p'), [
+    'clear',
+    'clear',
+    'clear',
+    'refuse',
+  ]);
+});
+
+test('memory is bounded, the oldest crash goes first', t => {
+  const table = new SuspectTable({maxCrashes: 2});
+  ['e1', 'e2', 'e3'].forEach((endpoint, index) =>
+    table.merge([crashOf(endpoint, `p${index}`)], index * 10_000),
+  );
+  t.is(table.size, 2);
+  t.deepEqual(judgements(table, 30_000, 'p0', 'p2'), ['clear', 'run_alone']);
+});
+
+test('others are told what is new once, and of clearances', t => {
+  const table = new SuspectTable();
+  const other = new SuspectTable();
+  table.merge([crashOf('e1', 'p', 'a')], 1000);
+  other.merge(table.takeChanges(1500), 500_000);
+  t.deepEqual(judgements(other, 500_000, 'p'), ['run_alone']);
+  t.deepEqual(table.takeChanges(1600), []);
+  table.finish(print('a'));
+  other.merge(table.takeChanges(1700), 500_300);
+  t.deepEqual(judgements(other, 500_300, 'a'), ['clear']);
+  t.is(other.readAll(500_300)[0].ageMs, 800);
+});
+
+test('instances judge alike in whatever order they are told', t => {
+  const names = ['a', 'b', 'c', 'd'];
+  const crash = fc
+    .record({
+      endpoint: fc.constantFrom('e1', 'e2', 'e3', 'e4'),
+      inFlight: fc.uniqueArray(fc.constantFrom(...names), {minLength: 1}),
+      cleared: fc.subarray(names),
+      ageMs: fc.integer({min: 0, max: 30_000}),
+    })
+    .map(({endpoint, inFlight, cleared, ageMs}) => ({
+      ...crashOf(endpoint, ...inFlight),
+      id: `${endpoint}/${inFlight.join()}/${ageMs}`,
+      cleared: cleared.map(print),
+      ageMs,
+    }));
+  const property = fc.property(
+    fc.array(crash, {maxLength: 8}),
+    fc.infiniteStream(fc.integer({min: 0, max: 7})),
+    (crashes, positions) => {
+      const [inOrder, shuffled] = [new SuspectTable(), new SuspectTable()];
+      inOrder.merge(crashes, 40_000);
+      const rest = [...crashes];
+      while (rest.length > 0) {
+        const next = rest.splice(
+          (positions.next().value ?? 0) % rest.length,
+          1,
+        );
+        shuffled.merge(next, 40_000);
+        shuffled.merge(next, 40_000);
+      }
+      t.deepEqual(
+        judgements(shuffled, 40_000, ...names),
+        judgements(inOrder, 40_000, ...names),
+      );
+    },
+  );
+  fc.assert(property, {seed: SEED});
+  t.pass();
+});
