--- a/packages/entry/src/choose/cell_owners.ts
+++ b/packages/entry/src/choose/cell_owners.ts
@@ -41,7 +41,7 @@
   configure(
     map: CellMap,
     classes: readonly RequestClass[],
-    live: ReadonlySet<InstanceId>,
+    present: ReadonlySet<InstanceId>,
   ): void {
     const cells = map.ownedBy(this.options.self);
     const kept = new Set(cells.map(cell => cell.id));
@@ -53,7 +53,7 @@
       this.feed(cell.id, owned, {kind: 'classes', classes});
       const endpoints = map.endpointsOf(cell);
       this.feed(cell.id, owned, {kind: 'endpoints', endpoints});
-      this.updateInstances(cell, owned, live);
+      this.updateInstances(cell, owned, present);
     }
   }
 
@@ -99,13 +99,13 @@
   private updateInstances(
     cell: Cell,
     owned: OwnedCell,
-    live: ReadonlySet<InstanceId>,
+    present: ReadonlySet<InstanceId>,
   ): void {
     for (const instance of cell.instances) {
       if (!owned.instances.has(instance)) this.join(cell.id, owned, instance);
     }
     for (const instance of owned.instances) {
-      if (live.has(instance)) continue;
+      if (present.has(instance)) continue;
       owned.instances.delete(instance);
       this.feed(cell.id, owned, {kind: 'instance_gone', instance});
     }
--- a/packages/entry/src/choose/cell_permits.ts
+++ b/packages/entry/src/choose/cell_permits.ts
@@ -183,8 +183,8 @@
     const {store, view, owners, clients} = this.options;
     this.map = this.createMap();
     const classes: RequestClass[] = [...store.current.requestClasses.values()];
-    const live = new Set(view.live().map(member => member.id));
-    owners.configure(this.map, classes, live);
+    const present = new Set(view.present().map(member => member.id));
+    owners.configure(this.map, classes, present);
     clients.configure(this.map, classes);
   }
 
--- a/packages/entry/src/choose/cluster_view.ts
+++ b/packages/entry/src/choose/cluster_view.ts
@@ -10,9 +10,12 @@
 export abstract class ClusterView {
   abstract get self(): Member;
 
-  /** Members that take part, this instance among them. */
+  /** Members that take on work, this instance among them. */
   abstract live(): readonly Member[];
 
+  /** These and the leaving ones, whose requests still run. */
+  abstract present(): readonly Member[];
+
   abstract onChange(listener: ClusterListener): void;
 }
 
@@ -26,6 +29,10 @@
     return [this.self];
   }
 
+  present(): readonly Member[] {
+    return [this.self];
+  }
+
   onChange(): void {}
 }
 
--- a/packages/entry/src/configure/revision_task.ts
+++ b/packages/entry/src/configure/revision_task.ts
@@ -11,15 +11,16 @@
   buildConfiguration,
   type ConfigurationDelta,
 } from '@snipestage/agreement/snapshots.js';
-import type {Revision} from '@snipestage/types/ids.js';
-import type {InstanceId} from '@snipestage/types/ids.js';
+import type {InstanceId, Revision} from '@snipestage/types/ids.js';
 import type {ConfigurationStore} from './configuration_store.js';
 import type {TableExecutor} from './table_executor.js';
 
 /** How a revision reaches the peers. */
 export interface RevisionPeers {
-  /** Told of what has just come into force here. */
+  /** Told of what this instance has learnt from the table. */
   push(delta: ConfigurationDelta): void;
+  /** Told of each revision that has come into force here. */
+  applied(revision: Revision): void;
   /** Asks one peer for what came after a revision. */
   ask(peer: InstanceId, from: Revision): void;
 }
@@ -78,17 +79,23 @@
   handle(event: RevisionEvent): void {
     const step = transitionRevisions(this.state, event);
     this.state = step.state;
-    for (const effect of step.effects) void this.carryOut(effect);
+    // What peers told is on its way to all of them already.
+    const isFromTable = event.kind === 'read_answered';
+    for (const effect of step.effects) void this.carryOut(effect, isFromTable);
     if (this.state.confirmedAtMs !== undefined) {
       this.options.store.confirm(this.state.confirmedAtMs);
     }
   }
 
-  private async carryOut(effect: RevisionEffect): Promise<void> {
+  private async carryOut(
+    effect: RevisionEffect,
+    isFromTable: boolean,
+  ): Promise<void> {
     switch (effect.kind) {
       case 'apply':
         this.options.store.apply(buildConfiguration(effect.snapshot));
-        this.peers?.push(effect.delta);
+        this.peers?.applied(effect.snapshot.revision);
+        if (isFromTable) this.peers?.push(effect.delta);
         return;
       case 'ask_peer':
         this.peers?.ask(effect.peer, effect.from);
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -1,17 +1,11 @@
 /** Puts the process together. */
 
 import 'reflect-metadata';
-import {randomUUID} from 'node:crypto';
 import {Logger} from '@snipestage/log/logger.js';
 import {HttpPlatform} from '@snipestage/platform/http_platform.js';
+import {PeerNetwork} from '@snipestage/peer/peer_network.js';
 import {Platform} from '@snipestage/platform/platform.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
-import {
-  brandAs,
-  type Incarnation,
-  type Revision,
-} from '@snipestage/types/ids.js';
-import type {Member} from '@snipestage/types/member.js';
 import {Container, type ServiceIdentifier} from 'inversify';
 import {UsageCounters} from './account/usage_counters.js';
 import {ClaimDesk} from './admit/claim_desk.js';
@@ -21,7 +15,7 @@
 import {CellClients} from './choose/cell_clients.js';
 import {CellOwners} from './choose/cell_owners.js';
 import {CellPermits} from './choose/cell_permits.js';
-import {AloneView, ClusterView} from './choose/cluster_view.js';
+import {ClusterView} from './choose/cluster_view.js';
 import {PermitRouter} from './choose/permit_router.js';
 import {Permits} from './choose/permits.js';
 import {monotonicNowMs} from './clock.js';
@@ -32,6 +26,10 @@
 import {ServiceHandler} from './listen/service_handler.js';
 import {StateDump} from './operate/state_dump.js';
 import {TicketDesk} from './operate/ticket_desk.js';
+import {ConfigurationPeers} from './peers/configuration_peers.js';
+import {PeerClusterView} from './peers/peer_cluster_view.js';
+import {PeerTask} from './peers/peer_task.js';
+import {toPeerRecord} from './peers/permit_records.js';
 import {EngineDriver} from './send/engine_driver.js';
 import {HttpEngineDriver} from './send/http_engine_driver.js';
 import {HttpServiceDriver} from './send/http_service_driver.js';
@@ -70,7 +68,7 @@
   container.bind(ConfigurationStore).toConstantValue(new ConfigurationStore());
   container.bind(StateDump).toConstantValue(new StateDump());
   bindPlatform(container, settings);
-  container.bind(ClusterView).toConstantValue(new AloneView(selfOf(settings)));
+  bindPeers(container, settings);
   bindClaims(container);
   bindPermits(container, settings);
   bindSending(container, settings);
@@ -78,16 +76,48 @@
   return container;
 }
 
-function selfOf(settings: EntrySettings): Member {
-  return {
-    id: settings.instance,
-    incarnation: brandAs<Incarnation>(randomUUID()),
-    dataCentre: settings.dataCentre,
-    peerAddress: '',
-    state: 'alive',
-    heartbeat: 0,
-    revision: brandAs<Revision>(0),
-  };
+function bindPeers(container: Container, settings: EntrySettings): void {
+  container.bind(PeerNetwork).toResolvedValue(
+    logger => {
+      const peerLogger = logger.forComponent('peer');
+      return new PeerNetwork({
+        settings: settings.peer,
+        id: settings.instance,
+        dataCentre: settings.dataCentre,
+        log: (event, fields) => peerLogger.info(event, fields),
+      });
+    },
+    [Logger],
+  );
+  container
+    .bind(ClusterView)
+    .toResolvedValue(network => new PeerClusterView(network), [PeerNetwork]);
+  container
+    .bind(ConfigurationPeers)
+    .toResolvedValue(
+      (network, revisions) =>
+        new ConfigurationPeers({network, revisions, clock: monotonicNowMs}),
+      [PeerNetwork, RevisionTask],
+    );
+  container.bind(PeerTask).toResolvedValue(
+    (network, view, platform, permits, configuration, logger) =>
+      new PeerTask({
+        network,
+        view,
+        platform,
+        permits,
+        configuration,
+        logger: logger.forComponent('peer'),
+      }),
+    [
+      PeerNetwork,
+      ClusterView,
+      Platform,
+      CellPermits,
+      ConfigurationPeers,
+      Logger,
+    ],
+  );
 }
 
 function bindPlatform(container: Container, settings: EntrySettings): void {
@@ -161,9 +191,14 @@
   const clock = monotonicNowMs;
   const self = settings.instance;
   const {policy, maxWaitingPerCell: maxWaiting} = settings.routing;
-  container
-    .bind(PermitRouter)
-    .toConstantValue(new PermitRouter({self, sendRemote: () => {}}));
+  container.bind(PermitRouter).toResolvedValue(
+    network =>
+      new PermitRouter({
+        self,
+        sendRemote: (to, record) => network.send(to, toPeerRecord(record)),
+      }),
+    [PeerNetwork],
+  );
   container
     .bind(CellOwners)
     .toResolvedValue(
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -1,6 +1,7 @@
 /** The entry daemon: its tasks, started and ended in order. */
 
 import {Logger} from '@snipestage/log/logger.js';
+import {PeerNetwork} from '@snipestage/peer/peer_network.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
 import {UsageCounters} from './account/usage_counters.js';
@@ -17,6 +18,7 @@
 import {ServiceHandler} from './listen/service_handler.js';
 import {AdminServer} from './operate/admin_server.js';
 import {Shutdown} from './operate/shutdown.js';
+import {PeerTask} from './peers/peer_task.js';
 import {StateDump} from './operate/state_dump.js';
 import {TicketDesk} from './operate/ticket_desk.js';
 
@@ -44,6 +46,7 @@
   async start(): Promise<void> {
     const callers = await this.callers.start();
     const admin = await this.admin.start();
+    await this.container.get(PeerTask).start();
     this.container.get(RevisionTask).start();
     this.container.get(CellPermits).start();
     this.logger.info('started', {
@@ -93,7 +96,10 @@
       inFlight: this.container.get(InFlightRequests),
       logger: this.logger.forComponent('shutdown'),
       onBegin: () => this.callers.beginDraining(),
-      onNoNewWork: () => this.callers.stopListening(),
+      onNoNewWork: () => {
+        this.callers.stopListening();
+        this.container.get(PeerTask).leave();
+      },
       onIdle: () => this.closeAll(),
     });
   }
@@ -102,6 +108,7 @@
     await this.container.get(ClaimDesk).whenSettled();
     this.container.get(RevisionTask).stop();
     this.container.get(CellPermits).stop();
+    this.container.get(PeerTask).stop();
     this.callers.closeAllConnections();
     this.admin.stop();
   }
@@ -144,6 +151,7 @@
     dump.add('status', () => this.status());
     dump.add('inFlight', () => inFlight.snapshot(monotonicNowMs()));
     dump.add('cells', () => this.container.get(CellPermits).snapshot());
+    dump.add('peers', () => this.container.get(PeerNetwork).snapshot());
     dump.add('claims', () => ({
       settling: this.container.get(ClaimDesk).settlingCount,
     }));
--- /dev/null
+++ b/packages/entry/src/peers/peer_task.ts
@@ -0,0 +1,118 @@
+/** Connects the process's tasks to the peer network. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {PeerNetwork} from '@snipestage/peer/peer_network.js';
+import type {PeerRecord} from '@snipestage/peer/records.js';
+import type {Platform} from '@snipestage/platform/platform.js';
+import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
+import type {InstanceId} from '@snipestage/types/ids.js';
+import type {CellPermits} from '../choose/cell_permits.js';
+import {instancesIn, type ClusterView} from '../choose/cluster_view.js';
+import type {ConfigurationPeers} from './configuration_peers.js';
+import {fromPeerRecord} from './permit_records.js';
+
+const READERS_PER_DATA_CENTRE = 2;
+const SEED_EVERY_MS = 5000;
+
+/** Takes records of a kind that a task has brought in. */
+export type ExtensionHandler = (json: Buffer, from: InstanceId) => void;
+
+/** Options of {@link PeerTask}. */
+export interface PeerTaskOptions {
+  readonly network: PeerNetwork;
+  readonly view: ClusterView;
+  readonly platform: Platform;
+  readonly permits: CellPermits;
+  readonly configuration: ConfigurationPeers;
+  readonly logger: Logger;
+}
+
+/** Hands each record to the task that it concerns. */
+export class PeerTask {
+  private readonly extensions = new Map<string, ExtensionHandler>();
+  private seedTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: PeerTaskOptions) {
+    options.network.onRecords((record, from) => this.receive(record, from.id));
+  }
+
+  /**
+   * Registers who takes records of an extension.
+   *
+   * @example
+   * peers.onExtension('suspects', (json, from) => suspects.take(json));
+   */
+  onExtension(name: string, handler: ExtensionHandler): void {
+    this.extensions.set(name, handler);
+  }
+
+  async start(): Promise<void> {
+    await this.options.network.start();
+    this.options.configuration.startConfirming(() => this.rank() === 0);
+    void this.seed();
+    this.seedTimer = setInterval(() => void this.seed(), SEED_EVERY_MS);
+  }
+
+  /** Tells the others to send nothing new here. */
+  leave(): void {
+    this.options.network.leave();
+  }
+
+  stop(): void {
+    clearInterval(this.seedTimer);
+    this.options.configuration.stop();
+    this.options.network.stop();
+  }
+
+  /**
+   * Whether this instance reads the table for its data centre. Were all to do
+   * so, 380 instances would take a fifth of what the table can give.
+   */
+  shouldReadTable(): boolean {
+    return this.rank() < READERS_PER_DATA_CENTRE;
+  }
+
+  private rank(): number {
+    const {view} = this.options;
+    const {dataCentre, id} = view.self;
+    const instances = instancesIn(view.live(), dataCentre);
+    const rank = rankByRendezvous(`read/${dataCentre}`, instances).indexOf(id);
+    // One that is leaving is not ranked; it follows the others.
+    return rank < 0 ? Number.POSITIVE_INFINITY : rank;
+  }
+
+  private async seed(): Promise<void> {
+    const {network, platform, view} = this.options;
+    const isAlone = view.live().length <= 1;
+    if (!isAlone && !this.shouldReadTable()) return;
+    const list = await platform.listInstances();
+    if (list.kind === 'listed') network.seed(list.items);
+  }
+
+  private receive(record: PeerRecord, from: InstanceId): void {
+    try {
+      this.dispatch(record, from);
+    } catch (error) {
+      // A peer of another version may send what can't be read here; that must
+      // not end the process.
+      const {logger} = this.options;
+      logger.warn('peer_record_unreadable', {
+        from,
+        kind: record.kind,
+        error: String(error),
+      });
+    }
+  }
+
+  private dispatch(record: PeerRecord, from: InstanceId): void {
+    const {permits, configuration} = this.options;
+    const permit = fromPeerRecord(record, from);
+    if (permit !== undefined) {
+      permits.receive(from, permit);
+      return;
+    }
+    configuration.receive(record, from);
+    if (record.kind !== 'extension') return;
+    this.extensions.get(record.name)?.(record.json, from);
+  }
+}
