--- a/packages/policy/src/cell_owner.test.ts
+++ b/packages/policy/src/cell_owner.test.ts
@@ -120,6 +120,15 @@
   t.is(owner.snapshot(1).waiting, 2);
 });
 
+test('a new owner makes itself known to the instances that join', t => {
+  const owner = createOwner([makeEndpoint('e1')], {graceMs: 1500});
+  const joined = {kind: 'instance_joined', instance: FIRST} as const;
+  t.deepEqual(
+    owner.receive(joined, 0).map(({kind}) => kind),
+    ['allot'],
+  );
+});
+
 test('a new owner grants nothing until the instances have told what runs', t => {
   // The former owner is lost while its endpoint is full. Granting at once would
   // double the load there and break every latency target.
--- a/packages/policy/src/permit_book.ts
+++ b/packages/policy/src/permit_book.ts
@@ -49,10 +49,6 @@
   private readonly allotments = new Map<InstanceId, SentAllotment[]>();
   private lastSequence = 0;
 
-  get heldCount(): number {
-    return this.held.size;
-  }
-
   hold(permit: HeldPermit): void {
     this.held.set(permit.attempt, permit);
   }
@@ -140,12 +136,9 @@
     return counts;
   }
 
-  /** Forgets an instance; gives the permits that it held. */
-  dropInstance(instance: InstanceId): HeldPermit[] {
-    const dropped = this.heldBy(instance);
-    for (const {attempt} of dropped) this.held.delete(attempt);
+  /** Forgets the allotments of an instance. */
+  forgetInstance(instance: InstanceId): void {
     this.allotments.delete(instance);
-    return dropped;
   }
 
   /** Running under allotments, by instance and endpoint; 0 where only allotted. */
--- a/packages/policy/src/permit_client.test.ts
+++ b/packages/policy/src/permit_client.test.ts
@@ -81,6 +81,24 @@
   t.deepEqual(describe(outputs), ['in_use 1', 'ask waits']);
 });
 
+test('an owner that restarted under its name is told all anew', t => {
+  // The owner's process dies and another takes its name before anyone notices.
+  // Its allotments count from one again; taken for old ones they would be passed
+  // over, and each request would have to ask.
+  const client = createClient();
+  client.ownerChanged(SECOND, 0);
+  const ofTerm = (term: number, sequence: number) => {
+    const output = allot(2, sequence);
+    if (output.kind !== 'allot') throw new Error('not an allotment');
+    return {...output, allotment: {...output.allotment, term}};
+  };
+  client.receive(ofTerm(1, 8), SECOND, 0);
+  client.request(makeAsk('runs'), 1);
+  const outputs = client.receive(ofTerm(2, 1), SECOND, 2);
+  t.deepEqual(describe(outputs), ['in_use 1', 'allotment_applied']);
+  t.is(client.snapshot(2).allotment.sequence, 1);
+});
+
 test('without an owner the instance runs its own share of the limit', t => {
   // All other instances are cut off. Requests go on, but no more of them than
   // this instance's part of the endpoint, for the others do the same.
--- a/packages/policy/src/permit_client.ts
+++ b/packages/policy/src/permit_client.ts
@@ -1,12 +1,7 @@
 /** The entry instance's side of a cell: from a request to leave to run it. */
 
 import type {RequestClass} from '@snipestage/types/configuration.js';
-import type {
-  AttemptId,
-  CellId,
-  EndpointId,
-  InstanceId,
-} from '@snipestage/types/ids.js';
+import type {AttemptId, CellId, InstanceId} from '@snipestage/types/ids.js';
 import type {
   Allotment,
   PermitAsk,
@@ -34,7 +29,9 @@
   type PolicyName,
   type PolicySet,
 } from './policy_set.js';
+import {OwnerWatch} from './owner_watch.js';
 import type {RandomSource} from './random_source.js';
+import {RunningAttempts, type AttemptStart} from './running_attempts.js';
 import {WaitingAsks, type WaitingAsk} from './waiting_asks.js';
 
 const DEFAULT_MAX_WAITING = 2000;
@@ -75,16 +72,17 @@
 export class PermitClient {
   private readonly options: Required<PermitClientOptions>;
   private readonly policy: PolicySet;
+  private readonly watch: OwnerWatch;
   private readonly allotment = new ClientAllotment();
   private readonly waiting = new WaitingAsks();
-  private readonly running = new Map<AttemptId, PermitInUse>();
+  private readonly running = new RunningAttempts();
   private readonly instances = new Set<InstanceId>();
   private endpoints: readonly CellEndpoint[] = [];
   private classes: readonly RequestClass[] = [];
   private owner: InstanceId | null = null;
   private fallback: FallbackOwner | undefined;
-  /** When the owner was first asked since it was last heard. */
-  private unansweredSinceMs: number | undefined;
+  /** Which life of the owner the allotment is from. */
+  private ownerTerm: number | undefined;
   private toldInUseAtMs = -Infinity;
   private outputs: ClientOutput[] = [];
 
@@ -99,6 +97,7 @@
       repeatInUseMs: options.repeatInUseMs ?? DEFAULT_REPEAT_IN_USE_MS,
     };
     this.policy = createPolicySet(this.options.policy);
+    this.watch = new OwnerWatch(this.options.ownerSilentAfterMs);
     this.instances.add(options.instance);
   }
 
@@ -126,7 +125,7 @@
    * const outputs = client.request(ask, performance.now());
    */
   request(ask: PermitAsk, nowMs: number): ClientOutput[] {
-    if (this.waiting.has(ask.attempt) || this.running.has(ask.attempt)) {
+    if (this.waiting.has(ask.attempt) || this.running.get(ask.attempt)) {
       return [];
     }
     if (this.startUnasked(ask)) this.waiting.startedAtOnce(nowMs);
@@ -158,7 +157,7 @@
       if (output.kind === 'grant') this.giveBackUnused(output.grant, from);
       return this.takeOutputs();
     }
-    this.unansweredSinceMs = undefined;
+    this.watch.heard();
     if (this.fallback !== undefined) this.joinOwner(nowMs);
     if (output.kind === 'grant') this.granted(output.grant, from, nowMs);
     if (output.kind === 'refuse') this.refused(output.refusal);
@@ -173,9 +172,8 @@
    * client.release(release, nowMs);
    */
   release(release: PermitRelease, nowMs: number): ClientOutput[] {
-    const permit = this.running.get(release.attempt);
+    const permit = this.running.end(release.attempt);
     if (permit === undefined) return [];
-    this.running.delete(release.attempt);
     if (permit.underAllotment) this.allotment.giveBack(permit.endpoint);
     const {instance} = this.options;
     this.tell({kind: 'release', instance, release}, nowMs);
@@ -189,11 +187,7 @@
    * client.progress([{attempt, outputTokens: 40}], nowMs);
    */
   progress(all: readonly AttemptProgress[], nowMs: number): ClientOutput[] {
-    const known = all.filter(({attempt}) => this.running.has(attempt));
-    for (const {attempt, outputTokens} of known) {
-      const permit = this.running.get(attempt)!;
-      this.running.set(attempt, {...permit, outputTokens});
-    }
+    const known = this.running.progress(all);
     const {instance} = this.options;
     if (known.length > 0) {
       this.tell({kind: 'progress', instance, progress: known}, nowMs);
@@ -209,8 +203,11 @@
    * client.ownerChanged(null, nowMs); // decides alone from now on
    */
   ownerChanged(owner: InstanceId | null, nowMs: number): ClientOutput[] {
+    const alreadyAlone = owner === null && this.fallback !== undefined;
     this.owner = owner;
-    this.unansweredSinceMs = undefined;
+    this.ownerTerm = undefined;
+    this.watch.heard();
+    if (alreadyAlone) return [];
     this.dropAllotment();
     if (owner === null) this.decideAlone(nowMs);
     else this.joinOwner(nowMs);
@@ -232,7 +229,7 @@
     this.repeatInUse(nowMs);
     if (this.fallback === undefined) {
       this.repeatAsks(nowMs);
-      this.noticeSilence(nowMs);
+      if (this.watch.isSilent(nowMs)) this.decideAlone(nowMs);
     }
     return this.takeOutputs();
   }
@@ -276,30 +273,15 @@
     const {random, instance} = this.options;
     const {id} = this.policy.choice.choose(ask, views, random);
     this.allotment.use(id);
-    const permit = this.start(ask, id, true);
+    const permit = this.start({ask, endpoint: id, underAllotment: true});
     this.send({kind: 'started', instance, permits: [permit]});
     return true;
   }
 
-  private start(
-    ask: PermitAsk,
-    endpoint: EndpointId,
-    underAllotment: boolean,
-  ): PermitInUse {
-    const permit: PermitInUse = {
-      attempt: ask.attempt,
-      cell: this.options.cell,
-      endpoint,
-      clientAccount: ask.clientAccount,
-      requestClass: ask.requestClass,
-      tier: ask.tier,
-      outputTokens: 0,
-      underAllotment,
-      suspect: ask.suspect,
-    };
-    this.running.set(ask.attempt, permit);
+  private start(start: AttemptStart): PermitInUse {
+    const {ask, endpoint} = start;
     this.outputs.push({kind: 'start', attempt: ask.attempt, endpoint});
-    return permit;
+    return this.running.start(start);
   }
 
   private askFor(request: WaitingAsk, nowMs: number): void {
@@ -311,14 +293,15 @@
       return;
     }
     if (this.owner === null) return this.decideAlone(nowMs);
-    this.unansweredSinceMs ??= nowMs;
+    this.watch.asked(nowMs);
     this.send(input);
   }
 
   private granted(grant: PermitGrant, from: InstanceId, nowMs: number): void {
     const request = this.waiting.started(grant.attempt, nowMs);
     if (request === undefined) return this.giveBackUnused(grant, from);
-    this.start(request.ask, grant.endpoint, false);
+    const {ask} = request;
+    this.start({ask, endpoint: grant.endpoint, underAllotment: false});
   }
 
   /**
@@ -350,19 +333,30 @@
   }
 
   private allotted(allotment: Allotment, nowMs: number): void {
+    this.noticeTerm(allotment, nowMs);
     if (!this.allotment.apply(allotment)) return;
     const {instance} = this.options;
     const {sequence} = allotment;
     this.tell({kind: 'allotment_applied', instance, sequence}, nowMs);
   }
 
+  /**
+   * The owner's process has restarted under its old name, which the membership
+   * may not show. Its new life counts allotments from the start and knows nothing
+   * of what runs; unnoticed, its allotments would be taken for old ones.
+   */
+  private noticeTerm({term}: Allotment, nowMs: number): void {
+    const restarted = this.ownerTerm !== undefined && this.ownerTerm !== term;
+    this.ownerTerm = term;
+    if (!restarted) return;
+    this.dropAllotment();
+    this.joinOwner(nowMs);
+  }
+
   /** What runs under it is from now on told one by one. */
   private dropAllotment(): void {
     this.allotment.reset();
-    for (const [attempt, permit] of this.running) {
-      if (!permit.underAllotment) continue;
-      this.running.set(attempt, {...permit, underAllotment: false});
-    }
+    this.running.leaveAllotment();
   }
 
   private joinOwner(nowMs: number): void {
@@ -383,7 +377,7 @@
       policy,
       maxWaiting,
     });
-    const permits = [...this.running.values()];
+    const permits = this.running.all();
     this.fallback.receive({kind: 'in_use', instance, permits}, nowMs);
     this.configureFallback(nowMs);
     for (const request of this.waiting.all()) {
@@ -445,16 +439,6 @@
     }
   }
 
-  /**
-   * A frozen owner keeps its place in the membership for a while, and callers
-   * would wait for it all that time.
-   */
-  private noticeSilence(nowMs: number): void {
-    if (this.unansweredSinceMs === undefined) return;
-    const silentMs = nowMs - this.unansweredSinceMs;
-    if (silentMs >= this.options.ownerSilentAfterMs) this.decideAlone(nowMs);
-  }
-
   /** Refuses what its owner should have refused, and did not. */
   private refuseLate(nowMs: number): void {
     for (const {ask, deadlineAtMs} of this.waiting.all()) {
@@ -479,7 +463,7 @@
 
   private sendInUse(): void {
     const {instance} = this.options;
-    const permits = [...this.running.values()];
+    const permits = this.running.all();
     this.send({kind: 'in_use', instance, permits});
   }
 
--- a/packages/policy/src/standing_allotments.ts
+++ b/packages/policy/src/standing_allotments.ts
@@ -21,6 +21,8 @@
 /** What {@link StandingAllotments} are made from. */
 export interface StandingAllotmentsOptions {
   readonly cell: CellId;
+  /** Tells this owner's allotments from those of another life. */
+  readonly term: number;
   readonly book: PermitBook;
   readonly endpoints: CellEndpoints;
   /** How long nothing must have waited before permits are allotted again. */
@@ -206,8 +208,9 @@
       permits: count,
       limit: limits.get(endpoint),
     }));
-    const {cell} = this.options;
-    return {kind: 'allot', instance, allotment: {cell, sequence, endpoints}};
+    const {cell, term} = this.options;
+    const allotment = {cell, sequence, term, endpoints};
+    return {kind: 'allot', instance, allotment};
   }
 }
 
--- a/packages/types/src/permits.ts
+++ b/packages/types/src/permits.ts
@@ -70,6 +70,8 @@
   readonly cell: CellId;
   /** Rises with each change by the same owner. */
   readonly sequence: number;
+  /** Tells one life of the owner from the next; 32 bits. */
+  readonly term?: number;
   readonly endpoints: ReadonlyArray<{
     readonly endpoint: EndpointId;
     readonly permits: number;
