--- /dev/null
+++ b/packages/policy/src/client_fallback.ts
@@ -0,0 +1,96 @@
+/** Carries out what an instance decides alone while no owner is reached. */
+
+import type {PermitRefusal} from '@snipestage/types/permits.js';
+import type {CellInput, CellOutput} from './cell_messages.js';
+import type {CellSnapshot} from './cell_owner.js';
+import type {ClientState} from './client_state.js';
+import {FallbackOwner} from './fallback_owner.js';
+import type {PolicyName} from './policy_set.js';
+import type {RandomSource} from './random_source.js';
+
+/** What a {@link ClientFallback} is made from. */
+export interface ClientFallbackOptions {
+  readonly state: ClientState;
+  readonly random: RandomSource;
+  readonly policy: PolicyName;
+  readonly maxWaiting: number;
+}
+
+/** Has an owner of its own while it is active. */
+export class ClientFallback {
+  private readonly state: ClientState;
+  private owner: FallbackOwner | undefined;
+
+  constructor(private readonly options: ClientFallbackOptions) {
+    this.state = options.state;
+  }
+
+  get isActive(): boolean {
+    return this.owner !== undefined;
+  }
+
+  /** Begins with what runs; what waits is to be asked for again. */
+  begin(nowMs: number): void {
+    const {random, policy, maxWaiting} = this.options;
+    const {cell, instance, running} = this.state;
+    this.owner = new FallbackOwner({
+      cell,
+      instance,
+      random,
+      startedAtMs: nowMs,
+      policy,
+      maxWaiting,
+    });
+    const permits = running.all();
+    this.receive({kind: 'in_use', instance, permits}, nowMs);
+    this.configure(nowMs);
+  }
+
+  end(): void {
+    this.owner = undefined;
+  }
+
+  configure(nowMs: number): void {
+    if (this.owner === undefined) return;
+    const {endpoints, classes, instances, allotment} = this.state;
+    const view = {
+      endpoints,
+      classes,
+      instances: [...instances],
+      learntLimits: allotment.learntLimits,
+    };
+    this.carryOut(this.owner.configure(view, nowMs), nowMs);
+  }
+
+  receive(input: CellInput, nowMs: number): void {
+    if (this.owner === undefined) return;
+    this.carryOut(this.owner.receive(input, nowMs), nowMs);
+  }
+
+  tick(nowMs: number): void {
+    if (this.owner === undefined) return;
+    this.carryOut(this.owner.tick(nowMs), nowMs);
+  }
+
+  snapshot(nowMs: number): CellSnapshot | undefined {
+    return this.owner?.snapshot(nowMs);
+  }
+
+  private carryOut(decisions: readonly CellOutput[], nowMs: number): void {
+    for (const decision of decisions) {
+      if (decision.kind === 'grant') {
+        this.state.granted(decision.grant, this.state.instance, nowMs);
+      }
+      if (decision.kind === 'refuse') {
+        this.state.refused(this.asOwnShare(decision.refusal));
+      }
+    }
+  }
+
+  /** No endpoint in this instance's share is not the same as none at all. */
+  private asOwnShare(refusal: PermitRefusal): PermitRefusal {
+    const served = this.state.endpoints.some(({leaving}) => !leaving);
+    if (refusal.reason !== 'no_endpoint' || !served) return refusal;
+    return {...refusal, reason: 'overloaded'};
+  }
+}
--- a/packages/policy/src/permit_client.ts
+++ b/packages/policy/src/permit_client.ts
@@ -1,38 +1,28 @@
 /** The entry instance's side of a cell: from a request to leave to run it. */
 
-import type {RequestClass} from '@snipestage/types/configuration.js';
 import type {AttemptId, CellId, InstanceId} from '@snipestage/types/ids.js';
 import type {
   Allotment,
   PermitAsk,
-  PermitGrant,
-  PermitInUse,
-  PermitRefusal,
   PermitRelease,
 } from '@snipestage/types/permits.js';
-import type {
-  AttemptProgress,
-  CellEndpoint,
-  CellInput,
-  CellOutput,
-} from './cell_messages.js';
 import type {CellLoad} from './cell_choice.js';
-import {ClientAllotment} from './client_allotment.js';
+import type {AttemptProgress, CellInput, CellOutput} from './cell_messages.js';
+import {ClientFallback} from './client_fallback.js';
 import type {
   CellConfiguration,
   ClientOutput,
   PermitClientSnapshot,
 } from './client_messages.js';
-import {FallbackOwner} from './fallback_owner.js';
+import {ClientState} from './client_state.js';
+import {OwnerWatch} from './owner_watch.js';
 import {
   createPolicySet,
   type PolicyName,
   type PolicySet,
 } from './policy_set.js';
-import {OwnerWatch} from './owner_watch.js';
 import type {RandomSource} from './random_source.js';
-import {RunningAttempts, type AttemptStart} from './running_attempts.js';
-import {WaitingAsks, type WaitingAsk} from './waiting_asks.js';
+import type {WaitingAsk} from './waiting_asks.js';
 
 const DEFAULT_MAX_WAITING = 2000;
 const DEFAULT_OWNER_SILENT_AFTER_MS = 1500;
@@ -72,19 +62,12 @@
 export class PermitClient {
   private readonly options: Required<PermitClientOptions>;
   private readonly policy: PolicySet;
+  private readonly state: ClientState;
+  private readonly fallback: ClientFallback;
   private readonly watch: OwnerWatch;
-  private readonly allotment = new ClientAllotment();
-  private readonly waiting = new WaitingAsks();
-  private readonly running = new RunningAttempts();
-  private readonly instances = new Set<InstanceId>();
-  private endpoints: readonly CellEndpoint[] = [];
-  private classes: readonly RequestClass[] = [];
-  private owner: InstanceId | null = null;
-  private fallback: FallbackOwner | undefined;
   /** Which life of the owner the allotment is from. */
   private ownerTerm: number | undefined;
   private toldInUseAtMs = -Infinity;
-  private outputs: ClientOutput[] = [];
 
   constructor(options: PermitClientOptions) {
     this.options = {
@@ -96,9 +79,11 @@
       repeatAskMs: options.repeatAskMs ?? DEFAULT_REPEAT_ASK_MS,
       repeatInUseMs: options.repeatInUseMs ?? DEFAULT_REPEAT_IN_USE_MS,
     };
-    this.policy = createPolicySet(this.options.policy);
-    this.watch = new OwnerWatch(this.options.ownerSilentAfterMs);
-    this.instances.add(options.instance);
+    const {policy, ownerSilentAfterMs} = this.options;
+    this.policy = createPolicySet(policy);
+    this.state = new ClientState(options);
+    this.fallback = new ClientFallback({...this.options, state: this.state});
+    this.watch = new OwnerWatch(ownerSilentAfterMs);
   }
 
   /**
@@ -108,13 +93,9 @@
    * client.configure({kind: 'instance_gone', instance}, nowMs);
    */
   configure(input: CellConfiguration, nowMs: number): ClientOutput[] {
-    if (input.kind === 'endpoints') this.endpoints = input.endpoints;
-    if (input.kind === 'classes') this.classes = input.classes;
-    if (input.kind === 'instance_joined') this.instances.add(input.instance);
-    if (input.kind === 'instance_gone') this.instances.delete(input.instance);
-    this.instances.add(this.options.instance);
-    this.configureFallback(nowMs);
-    return this.takeOutputs();
+    this.state.configure(input);
+    this.fallback.configure(nowMs);
+    return this.state.takeOutputs();
   }
 
   /**
@@ -125,12 +106,11 @@
    * const outputs = client.request(ask, performance.now());
    */
   request(ask: PermitAsk, nowMs: number): ClientOutput[] {
-    if (this.waiting.has(ask.attempt) || this.running.get(ask.attempt)) {
-      return [];
-    }
-    if (this.startUnasked(ask)) this.waiting.startedAtOnce(nowMs);
-    else this.askFor(this.waiting.add(ask, nowMs), nowMs);
-    return this.takeOutputs();
+    const {state} = this;
+    if (state.isKnown(ask.attempt)) return [];
+    if (this.startUnasked(ask)) state.waiting.startedAtOnce(nowMs);
+    else this.askFor(state.waiting.add(ask, nowMs), nowMs);
+    return state.takeOutputs();
   }
 
   /**
@@ -140,10 +120,10 @@
    * client.withdraw(attempt, nowMs);
    */
   withdraw(attempt: AttemptId, nowMs: number): ClientOutput[] {
-    if (this.waiting.remove(attempt) !== undefined) {
+    if (this.state.waiting.remove(attempt) !== undefined) {
       this.tell({kind: 'withdraw', attempt}, nowMs);
     }
-    return this.takeOutputs();
+    return this.state.takeOutputs();
   }
 
   /**
@@ -153,16 +133,17 @@
    * client.receive(output, ownerInstance, nowMs);
    */
   receive(output: CellOutput, from: InstanceId, nowMs: number): ClientOutput[] {
-    if (from !== this.owner) {
-      if (output.kind === 'grant') this.giveBackUnused(output.grant, from);
-      return this.takeOutputs();
+    const {state} = this;
+    if (from !== state.owner) {
+      if (output.kind === 'grant') state.giveBackUnused(output.grant, from);
+      return state.takeOutputs();
     }
     this.watch.heard();
-    if (this.fallback !== undefined) this.joinOwner(nowMs);
-    if (output.kind === 'grant') this.granted(output.grant, from, nowMs);
-    if (output.kind === 'refuse') this.refused(output.refusal);
+    if (this.fallback.isActive) this.joinOwner(nowMs);
+    if (output.kind === 'grant') state.granted(output.grant, from, nowMs);
+    if (output.kind === 'refuse') state.refused(output.refusal);
     if (output.kind === 'allot') this.allotted(output.allotment, nowMs);
-    return this.takeOutputs();
+    return state.takeOutputs();
   }
 
   /**
@@ -172,12 +153,12 @@
    * client.release(release, nowMs);
    */
   release(release: PermitRelease, nowMs: number): ClientOutput[] {
-    const permit = this.running.end(release.attempt);
+    const {allotment, instance, running} = this.state;
+    const permit = running.end(release.attempt);
     if (permit === undefined) return [];
-    if (permit.underAllotment) this.allotment.giveBack(permit.endpoint);
-    const {instance} = this.options;
+    if (permit.underAllotment) allotment.giveBack(permit.endpoint);
     this.tell({kind: 'release', instance, release}, nowMs);
-    return this.takeOutputs();
+    return this.state.takeOutputs();
   }
 
   /**
@@ -187,12 +168,12 @@
    * client.progress([{attempt, outputTokens: 40}], nowMs);
    */
   progress(all: readonly AttemptProgress[], nowMs: number): ClientOutput[] {
-    const known = this.running.progress(all);
-    const {instance} = this.options;
-    if (known.length > 0) {
-      this.tell({kind: 'progress', instance, progress: known}, nowMs);
+    const {instance, running} = this.state;
+    const progress = running.progress(all);
+    if (progress.length > 0) {
+      this.tell({kind: 'progress', instance, progress}, nowMs);
     }
-    return this.takeOutputs();
+    return this.state.takeOutputs();
   }
 
   /**
@@ -203,15 +184,15 @@
    * client.ownerChanged(null, nowMs); // decides alone from now on
    */
   ownerChanged(owner: InstanceId | null, nowMs: number): ClientOutput[] {
-    const alreadyAlone = owner === null && this.fallback !== undefined;
-    this.owner = owner;
+    const alreadyAlone = owner === null && this.fallback.isActive;
+    this.state.owner = owner;
     this.ownerTerm = undefined;
     this.watch.heard();
     if (alreadyAlone) return [];
-    this.dropAllotment();
+    this.state.dropAllotment();
     if (owner === null) this.decideAlone(nowMs);
     else this.joinOwner(nowMs);
-    return this.takeOutputs();
+    return this.state.takeOutputs();
   }
 
   /**
@@ -221,17 +202,10 @@
    * setInterval(() => carryOut(client.tick(performance.now())), 50);
    */
   tick(nowMs: number): ClientOutput[] {
-    if (this.fallback !== undefined) {
-      this.carryOut(this.fallback.tick(nowMs), nowMs);
-    }
+    this.fallback.tick(nowMs);
     this.refuseLate(nowMs);
-    if (this.owner === null) return this.takeOutputs();
-    this.repeatInUse(nowMs);
-    if (this.fallback === undefined) {
-      this.repeatAsks(nowMs);
-      if (this.watch.isSilent(nowMs)) this.decideAlone(nowMs);
-    }
-    return this.takeOutputs();
+    if (this.state.owner !== null) this.remindOwner(nowMs);
+    return this.state.takeOutputs();
   }
 
   /**
@@ -241,23 +215,25 @@
    * chooseCell({loads: clients.map(client => client.load(nowMs)), random});
    */
   load(nowMs: number): CellLoad {
+    const {cell, allotment, waiting} = this.state;
     return {
-      cell: this.options.cell,
-      freePermits: this.allotment.free,
-      waiting: this.waiting.size,
-      expectedWaitMs: this.waiting.expectedWaitMs(nowMs),
+      cell,
+      freePermits: allotment.free,
+      waiting: waiting.size,
+      expectedWaitMs: waiting.expectedWaitMs(nowMs),
     };
   }
 
   /** Plain data for the state dump. */
   snapshot(nowMs: number): PermitClientSnapshot {
+    const {cell, owner, waiting, running, allotment} = this.state;
     return {
-      cell: this.options.cell,
-      owner: this.owner,
-      waiting: this.waiting.size,
-      running: this.running.size,
-      allotment: this.allotment.snapshot(),
-      fallback: this.fallback?.snapshot(nowMs),
+      cell,
+      owner,
+      waiting: waiting.size,
+      running: running.size,
+      allotment: allotment.snapshot(),
+      fallback: this.fallback.snapshot(nowMs),
     };
   }
 
@@ -266,76 +242,33 @@
    * equal or lower tier must not pass it.
    */
   private startUnasked(ask: PermitAsk): boolean {
-    if (this.fallback !== undefined || this.owner === null) return false;
-    if (ask.suspect || this.waiting.size > 0) return false;
-    const views = this.allotment.viewsFor(ask, this.endpoints);
+    const {allotment, endpoints, instance, owner, waiting} = this.state;
+    if (this.fallback.isActive || owner === null) return false;
+    if (ask.suspect || waiting.size > 0) return false;
+    const views = allotment.viewsFor(ask, endpoints);
     if (views.length === 0) return false;
-    const {random, instance} = this.options;
-    const {id} = this.policy.choice.choose(ask, views, random);
-    this.allotment.use(id);
-    const permit = this.start({ask, endpoint: id, underAllotment: true});
-    this.send({kind: 'started', instance, permits: [permit]});
+    const chosen = this.policy.choice.choose(ask, views, this.options.random);
+    allotment.use(chosen.id);
+    const start = {ask, endpoint: chosen.id, underAllotment: true};
+    const permits = [this.state.start(start)];
+    this.state.send({kind: 'started', instance, permits});
     return true;
   }
 
-  private start(start: AttemptStart): PermitInUse {
-    const {ask, endpoint} = start;
-    this.outputs.push({kind: 'start', attempt: ask.attempt, endpoint});
-    return this.running.start(start);
-  }
-
   private askFor(request: WaitingAsk, nowMs: number): void {
     request.askedAtMs = nowMs;
     const remainingMs = Math.max(0, request.deadlineAtMs - nowMs);
     const input: CellInput = {kind: 'ask', ask: {...request.ask, remainingMs}};
-    if (this.fallback !== undefined) {
-      this.carryOut(this.fallback.receive(input, nowMs), nowMs);
-      return;
-    }
-    if (this.owner === null) return this.decideAlone(nowMs);
+    if (this.fallback.isActive) return this.fallback.receive(input, nowMs);
+    if (this.state.owner === null) return this.decideAlone(nowMs);
     this.watch.asked(nowMs);
-    this.send(input);
-  }
-
-  private granted(grant: PermitGrant, from: InstanceId, nowMs: number): void {
-    const request = this.waiting.started(grant.attempt, nowMs);
-    if (request === undefined) return this.giveBackUnused(grant, from);
-    const {ask} = request;
-    this.start({ask, endpoint: grant.endpoint, underAllotment: false});
-  }
-
-  /**
-   * A permit for an attempt that has ended, or runs elsewhere because its owner
-   * was silent: kept, it would never come free.
-   */
-  private giveBackUnused(grant: PermitGrant, from: InstanceId): void {
-    const {attempt, endpoint} = grant;
-    const inUse = this.running.get(attempt);
-    if (inUse?.endpoint === endpoint && from === this.owner) return;
-    const {cell, instance} = this.options;
-    const release: PermitRelease = {
-      attempt,
-      cell,
-      endpoint,
-      outcome: 'cancelled',
-      outputTokens: 0,
-      promptTokens: 0,
-    };
-    const input: CellInput = {kind: 'release', instance, release};
-    this.outputs.push({kind: 'tell_owner', owner: from, input});
-    if (inUse !== undefined && from === this.owner) this.sendInUse();
-  }
-
-  private refused(refusal: PermitRefusal): void {
-    const {attempt} = refusal;
-    if (this.waiting.remove(attempt) === undefined) return;
-    this.outputs.push({kind: 'refused', attempt, refusal});
+    this.state.send(input);
   }
 
   private allotted(allotment: Allotment, nowMs: number): void {
     this.noticeTerm(allotment, nowMs);
-    if (!this.allotment.apply(allotment)) return;
-    const {instance} = this.options;
+    if (!this.state.allotment.apply(allotment)) return;
+    const {instance} = this.state;
     const {sequence} = allotment;
     this.tell({kind: 'allotment_applied', instance, sequence}, nowMs);
   }
@@ -349,81 +282,43 @@
     const restarted = this.ownerTerm !== undefined && this.ownerTerm !== term;
     this.ownerTerm = term;
     if (!restarted) return;
-    this.dropAllotment();
+    this.state.dropAllotment();
     this.joinOwner(nowMs);
   }
 
-  /** What runs under it is from now on told one by one. */
-  private dropAllotment(): void {
-    this.allotment.reset();
-    this.running.leaveAllotment();
-  }
-
   private joinOwner(nowMs: number): void {
-    this.fallback = undefined;
-    this.sendInUse();
+    this.fallback.end();
+    this.state.sendInUse();
     this.toldInUseAtMs = nowMs;
-    for (const request of this.waiting.all()) this.askFor(request, nowMs);
+    this.askForAll(nowMs);
   }
 
   private decideAlone(nowMs: number): void {
-    const {cell, instance, random, policy, maxWaiting} = this.options;
-    this.dropAllotment();
-    this.fallback = new FallbackOwner({
-      cell,
-      instance,
-      random,
-      startedAtMs: nowMs,
-      policy,
-      maxWaiting,
-    });
-    const permits = this.running.all();
-    this.fallback.receive({kind: 'in_use', instance, permits}, nowMs);
-    this.configureFallback(nowMs);
-    for (const request of this.waiting.all()) {
-      this.askFor(request, nowMs);
-    }
-  }
-
-  private configureFallback(nowMs: number): void {
-    if (this.fallback === undefined) return;
-    const view = {
-      endpoints: this.endpoints,
-      classes: this.classes,
-      instances: [...this.instances],
-      learntLimits: this.allotment.learntLimits,
-    };
-    this.carryOut(this.fallback.configure(view, nowMs), nowMs);
+    this.state.dropAllotment();
+    this.fallback.begin(nowMs);
+    this.askForAll(nowMs);
   }
 
-  /** Does what the instance has decided alone. */
-  private carryOut(decisions: readonly CellOutput[], nowMs: number): void {
-    for (const decision of decisions) {
-      if (decision.kind === 'grant') {
-        this.granted(decision.grant, this.options.instance, nowMs);
-      }
-      if (decision.kind === 'refuse') {
-        this.refused(this.asOwnShare(decision.refusal));
-      }
+  private askForAll(nowMs: number): void {
+    for (const request of this.state.waiting.all()) {
+      this.askFor(request, nowMs);
     }
   }
 
-  /** No endpoint in this instance's share is not the same as none at all. */
-  private asOwnShare(refusal: PermitRefusal): PermitRefusal {
-    const ask = this.waiting.get(refusal.attempt)?.ask;
-    if (refusal.reason !== 'no_endpoint' || ask === undefined) return refusal;
-    const served = this.endpoints.some(({leaving}) => !leaving);
-    return served ? {...refusal, reason: 'overloaded'} : refusal;
+  /** Says again what may have been lost, and notices an owner that is silent. */
+  private remindOwner(nowMs: number): void {
+    this.repeatInUse(nowMs);
+    if (this.fallback.isActive) return;
+    this.repeatAsks(nowMs);
+    if (this.watch.isSilent(nowMs)) this.decideAlone(nowMs);
   }
 
   private repeatInUse(nowMs: number): void {
-    const everyMs =
-      this.fallback === undefined
-        ? this.options.repeatInUseMs
-        : this.options.repeatAskMs;
+    const {repeatAskMs, repeatInUseMs} = this.options;
+    const everyMs = this.fallback.isActive ? repeatAskMs : repeatInUseMs;
     if (nowMs - this.toldInUseAtMs < everyMs) return;
     this.toldInUseAtMs = nowMs;
-    this.sendInUse();
+    this.state.sendInUse();
   }
 
   /**
@@ -431,21 +326,22 @@
    * be told from a dead one unless it is asked something that it answers.
    */
   private repeatAsks(nowMs: number): void {
-    let repeated = 0;
-    for (const request of this.waiting.all()) {
-      if (nowMs - request.askedAtMs < this.options.repeatAskMs) continue;
+    const {repeatAskMs} = this.options;
+    const due = this.state.waiting
+      .all()
+      .filter(({askedAtMs}) => nowMs - askedAtMs >= repeatAskMs);
+    for (const request of due.slice(0, MAX_REPEATED_ASKS)) {
       this.askFor(request, nowMs);
-      if (++repeated >= MAX_REPEATED_ASKS) return;
     }
   }
 
   /** Refuses what its owner should have refused, and did not. */
   private refuseLate(nowMs: number): void {
-    for (const {ask, deadlineAtMs} of this.waiting.all()) {
+    for (const {ask, deadlineAtMs} of this.state.waiting.all()) {
       if (nowMs < deadlineAtMs + LATE_REFUSAL_MS) continue;
       const {attempt} = ask;
       this.tell({kind: 'withdraw', attempt}, nowMs);
-      this.refused({
+      this.state.refused({
         attempt,
         reason: 'deadline_unreachable',
         retryAfterMs: LATE_RETRY_AFTER_MS,
@@ -455,26 +351,7 @@
 
   /** Tells whoever decides; the owner too when it is only silent. */
   private tell(input: CellInput, nowMs: number): void {
-    if (this.fallback !== undefined) {
-      this.carryOut(this.fallback.receive(input, nowMs), nowMs);
-    }
-    this.send(input);
-  }
-
-  private sendInUse(): void {
-    const {instance} = this.options;
-    const permits = this.running.all();
-    this.send({kind: 'in_use', instance, permits});
-  }
-
-  private send(input: CellInput): void {
-    if (this.owner === null) return;
-    this.outputs.push({kind: 'tell_owner', owner: this.owner, input});
-  }
-
-  private takeOutputs(): ClientOutput[] {
-    const outputs = this.outputs;
-    this.outputs = [];
-    return outputs;
+    this.fallback.receive(input, nowMs);
+    this.state.send(input);
   }
 }
