Add the quickstart with sample tickets of both firms

Cause: a newcomer needs the whole path running from one command. Change: three entry processes, stand-ins, one sample ticket for each firm sent by the operators' command, two streamed answers, a booking and a work order each sent twice under one idempotency key, and a refusal; then the commands to go on by hand. Ruled out: keys and fixed ports in the sample files; both are filled in at the start.

--- /dev/null
+++ b/packages/stand_ins/src/launch/deployment.ts
@@ -0,0 +1,137 @@
+/** Several entry processes at one platform, as a test or script sees them. */
+
+import {setTimeout as delay} from 'node:timers/promises';
+import type {ObjectChange} from '@snipestage/types/configuration.js';
+import got from 'got';
+import {
+  makeEntrySettings,
+  type EntrySettingsInput,
+} from './entry_settings_input.js';
+import type {LaunchedEntry, Launcher} from './launcher.js';
+
+/** What a {@link Deployment} consists of. */
+export interface DeploymentOptions {
+  readonly launcher: Launcher;
+  readonly platformUrl: string;
+  readonly operatorKey: string;
+  /** One for each instance: the data centre it is in. */
+  readonly dataCentres: readonly string[];
+  /** Sections of the settings to be changed in each instance. */
+  readonly changes?: Partial<EntrySettingsInput>;
+}
+
+/** Answer to a ticket that was accepted. */
+interface Accepted {
+  readonly revision: number;
+}
+
+const POLL_EVERY_MS = 50;
+const IN_FORCE_TIMEOUT_MS = 30_000;
+
+/** Entry processes that were started and are ready. */
+export class Deployment {
+  readonly entries: LaunchedEntry[] = [];
+  private readonly options: DeploymentOptions;
+  private lastTicket = 0;
+
+  private constructor(options: DeploymentOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Starts the entry processes and waits until each takes requests.
+   *
+   * @example
+   * const deployment = await Deployment.start({
+   *   launcher,
+   *   platformUrl: platform.url,
+   *   operatorKey,
+   *   dataCentres: ['akl-a', 'akl-b', 'akl-c'],
+   * });
+   */
+  static async start(options: DeploymentOptions): Promise<Deployment> {
+    const deployment = new Deployment(options);
+    for (const dataCentre of options.dataCentres) {
+      await deployment.addEntry(dataCentre);
+    }
+    const {launcher} = options;
+    await Promise.all(
+      deployment.entries.map(entry => launcher.waitUntilReady(entry)),
+    );
+    return deployment;
+  }
+
+  /**
+   * Submits a change ticket with the next number and waits until it is in
+   * force everywhere.
+   *
+   * @throws Error with the refusal.
+   * @example
+   * await deployment.submit([{kind: 'model', id: 'repair', state}]);
+   */
+  async submit(changes: readonly ObjectChange[]): Promise<void> {
+    this.lastTicket += 1;
+    const ticket = {
+      number: this.lastTicket,
+      author: 'stand-ins',
+      reason: 'set the stage',
+      changes,
+    };
+    const response = await got.post(
+      `${this.entries[0].adminUrl}/admin/v1/tickets`,
+      {
+        json: ticket,
+        headers: this.authorization,
+        retry: {limit: 0},
+        throwHttpErrors: false,
+      },
+    );
+    if (response.statusCode !== 200) throw new Error(response.body);
+    await this.waitForRevision(
+      (JSON.parse(response.body) as Accepted).revision,
+    );
+  }
+
+  /**
+   * Waits until every running instance has a revision in force.
+   *
+   * @throws Error when half a minute was not enough.
+   * @example
+   * await deployment.waitForRevision(2);
+   */
+  async waitForRevision(revision: number): Promise<void> {
+    const deadlineMs = performance.now() + IN_FORCE_TIMEOUT_MS;
+    for (const entry of this.entries) {
+      while ((await this.revisionOf(entry)) < revision) {
+        if (performance.now() > deadlineMs) {
+          const {instance} = entry.settings;
+          throw new Error(`${instance} lacks revision ${revision}`);
+        }
+        await delay(POLL_EVERY_MS);
+      }
+    }
+  }
+
+  private async addEntry(dataCentre: string): Promise<void> {
+    const {changes, launcher, operatorKey, platformUrl} = this.options;
+    const settings = await makeEntrySettings({
+      instance: `${dataCentre}-${this.entries.length + 1}`,
+      dataCentre,
+      platformUrl,
+      operatorKey,
+      changes,
+    });
+    this.entries.push(await launcher.launchEntry({settings}));
+  }
+
+  private async revisionOf(entry: LaunchedEntry): Promise<number> {
+    const status = await got(`${entry.adminUrl}/admin/v1/status`, {
+      headers: this.authorization,
+    }).json<{revision: number}>();
+    return status.revision;
+  }
+
+  private get authorization(): Record<string, string> {
+    return {authorization: `Bearer ${this.options.operatorKey}`};
+  }
+}
--- a/packages/stand_ins/src/launch/launched_process.ts
+++ b/packages/stand_ins/src/launch/launched_process.ts
@@ -73,6 +73,12 @@
     return this.exited;
   }
 
+  /** Ends it as Ctrl-C does, and waits until it has. */
+  async interrupt(): Promise<Exit> {
+    this.child.kill('SIGINT');
+    return this.exited;
+  }
+
   /** Stops it where it is, as a long pause does. */
   freeze(): void {
     this.child.kill('SIGSTOP');
@@ -90,13 +96,22 @@
    * @example
    * const {url} = await standIn.firstJsonLine<{url: string}>();
    */
-  async firstJsonLine<T>(): Promise<T> {
-    for (;;) {
-      const line = this.stdout.split('\n').slice(0, -1).find(isObjectText);
-      if (line !== undefined) return JSON.parse(line) as T;
-      if (!this.isRunning) throw this.endedError();
-      await this.nextOutput();
-    }
+  firstJsonLine<T>(): Promise<T> {
+    return this.findInOutput(stdout => {
+      const line = stdout.split('\n').slice(0, -1).find(isObjectText);
+      return line === undefined ? undefined : (JSON.parse(line) as T);
+    });
+  }
+
+  /**
+   * Waits until its standard output matches.
+   *
+   * @throws Error with its output when it ends before.
+   * @example
+   * await quickstart.outputMatching(/Ctrl-C/);
+   */
+  outputMatching(pattern: RegExp): Promise<RegExpExecArray> {
+    return this.findInOutput(stdout => pattern.exec(stdout) ?? undefined);
   }
 
   /** An error that tells how it ended. */
@@ -107,6 +122,17 @@
     );
   }
 
+  private async findInOutput<T>(
+    find: (stdout: string) => T | undefined,
+  ): Promise<T> {
+    for (;;) {
+      const found = find(this.stdout);
+      if (found !== undefined) return found;
+      if (!this.isRunning) throw this.endedError();
+      await this.nextOutput();
+    }
+  }
+
   private nextOutput(): Promise<void> {
     return new Promise(resolve => {
       this.watchers.add(resolve);
--- /dev/null
+++ b/packages/stand_ins/src/quickstart/main.ts
@@ -0,0 +1,70 @@
+/** Starts everything on this machine, makes sample calls and stays up. */
+
+import {Command} from 'commander';
+import {Launcher} from '../launch/launcher.js';
+import {describeNextSteps} from './next_steps.js';
+import {makeSampleCalls} from './sample_calls.js';
+import {readSampleTicket} from './sample_ticket.js';
+import {startSurroundings, type Surroundings} from './surroundings.js';
+
+const SAMPLES = ['kowhai_ticket', 'trilha_ticket'];
+
+async function submitSamples(
+  launcher: Launcher,
+  {deployment, operatorKey, sampleValues}: Surroundings,
+): Promise<boolean> {
+  let allAccepted = true;
+  for (const name of SAMPLES) {
+    const file = launcher.writeFile(readSampleTicket(name, sampleValues));
+    const {adminUrl} = deployment.entries[0];
+    const result = await launcher.runCommand(
+      ['ticket', 'submit', file, '--admin-url', adminUrl],
+      {env: {SNIPESTAGE_OPERATOR_KEY: operatorKey}},
+    );
+    console.log(`snipestage ticket submit samples/${name}.json`);
+    console.log(`  ${(result.stdout + result.stderr).trim()}`);
+    allAccepted &&= result.code === 0;
+  }
+  return allAccepted;
+}
+
+async function runSamples(
+  launcher: Launcher,
+  surroundings: Surroundings,
+): Promise<boolean> {
+  const accepted = await submitSamples(launcher, surroundings);
+  if (!accepted) return false;
+  await surroundings.deployment.waitForRevision(SAMPLES.length);
+  const outcomes = await makeSampleCalls(surroundings);
+  for (const {detail, ok, title} of outcomes) {
+    console.log(`${ok ? 'ok' : 'NOT OK'}: ${title}\n  ${detail}`);
+  }
+  return outcomes.every(({ok}) => ok);
+}
+
+async function run(options: {readonly once?: boolean}): Promise<void> {
+  const launcher = new Launcher();
+  const close = (): void => void launcher.close();
+  process.once('SIGINT', close);
+  process.once('SIGTERM', close);
+  try {
+    console.log('Starting stand-ins and three entry processes ...');
+    const surroundings = await startSurroundings(launcher);
+    const allOk = await runSamples(launcher, surroundings);
+    if (options.once === true) {
+      process.exitCode = allOk ? 0 : 1;
+      await launcher.close();
+      return;
+    }
+    console.log(`\n${describeNextSteps(surroundings)}\n\nCtrl-C ends it all.`);
+  } catch (error) {
+    await launcher.close();
+    throw error;
+  }
+}
+
+await new Command('quickstart')
+  .description('Runs snipestage with stand-ins on this machine.')
+  .option('--once', 'end after the sample calls; 0 when all went well')
+  .action(run)
+  .parseAsync();
