Plan endpoints by demand, price, limits and leaving dates

Cause: nothing decided how many endpoints each data centre should run, what to do when cheap ones vanish or can't be had, nor how a data centre is left.

Change: planEndpoints, pure and without chance. Counts rise at once and fall late, regular ones not before their cheap replacements are live. Data centres leave one after another, scheduled backwards from the dates; each drains when the pools that stay have all they need live, or when its time is up, which is told as a shortfall. Ordered counts fall only by idle endpoints.

Ruled out: draining at a fixed time before the date (drains before the replacements serve); ordering the lower count at once (the platform would take endpoints that still answer); giving moved work to a data centre that has a leaving date itself while another has room.

--- /dev/null
+++ b/packages/policy/src/endpoint_plan.ts
@@ -0,0 +1,292 @@
+/**
+ * How many endpoints of each kind each data centre shall have. Pure and without
+ * chance: instances with the same input come to the same plan, and a new holder
+ * of the lease goes on where the last one stopped.
+ */
+
+import type {DataCentreId, ModelId} from '@snipestage/types/ids.js';
+import {
+  findDepartures,
+  hasLeft,
+  scheduleDepartures,
+  type ScheduledDeparture,
+} from './endpoint_plan_departures.js';
+import {divideDemand, type PoolDemand} from './endpoint_plan_demand.js';
+import {presentOf, targetOf} from './endpoint_plan_drain.js';
+import {
+  DEFAULT_PLAN_OPTIONS,
+  EMPTY_PLAN_MEMORY,
+  type Departure,
+  type EndpointPlan,
+  type PlanInput,
+  type PlanMemory,
+  type PlanOptions,
+  type PoolMemory,
+  type PoolTarget,
+  type Shortfall,
+} from './endpoint_plan_input.js';
+import {holdCount, noteCheap} from './endpoint_plan_memory.js';
+import {
+  planSupply,
+  type PoolNeed,
+  type Supply,
+} from './endpoint_plan_supply.js';
+
+/** The input with what is worked out of it first. */
+interface Context {
+  readonly input: PlanInput;
+  readonly options: PlanOptions;
+  readonly memory: PlanMemory;
+  readonly begun: readonly ScheduledDeparture[];
+}
+
+/**
+ * Plans targets from demand, prices, limits and leaving dates. A data centre
+ * that leaves keeps its endpoints until the others can carry its work, then
+ * drains. A data centre that can't be reached gets no target: its own instances
+ * go on with what it has.
+ *
+ * @example
+ * const plan = planEndpoints({...input, memory: lastPlan.memory});
+ */
+export function planEndpoints(input: PlanInput): EndpointPlan {
+  const context = createContext(input);
+  const {demands, unserved} = divideDemand(
+    input,
+    new Set(context.begun.map(departure => departure.dataCentre)),
+    context.options,
+  );
+  const cheap = noteCheapOfAll(context);
+  const supply = planSupply(
+    demands,
+    demand => cheapLimitOf(demand, context, cheap),
+    context.options,
+  );
+  const departures = decideDepartures(context, supply);
+  const pools = holdAll(context, supply, cheap);
+  return {
+    targets: [
+      ...supply.needs.flatMap(need => stayingTargets(need, context, pools)),
+      ...departures.flatMap(departure => leavingTargets(departure, context)),
+    ],
+    shortfalls: [
+      ...supply.shortfalls,
+      ...unserved.map(({model, concurrency}) => ({
+        model,
+        reason: 'no_data_centre' as const,
+        missing: endpointsFor(model, concurrency, context),
+      })),
+      ...findLate(context, departures, supply),
+    ],
+    departures,
+    memory: {
+      pools,
+      draining: departures
+        .filter(departure => departure.phase === 'draining')
+        .map(departure => departure.dataCentre),
+    },
+  };
+}
+
+function createContext(input: PlanInput): Context {
+  const options = {...DEFAULT_PLAN_OPTIONS, ...input.options};
+  const schedule = scheduleDepartures(input.dataCentres, options);
+  const begun = findDepartures(
+    schedule,
+    input.endpoints,
+    input.nowEpochMs,
+    options,
+  );
+  return {input, options, memory: input.memory ?? EMPTY_PLAN_MEMORY, begun};
+}
+
+function noteCheapOfAll({input, options, memory}: Context) {
+  const notes = input.pools.map(pool => {
+    const have = presentOf(pool, 'cheap', input.endpoints).length;
+    const before = memory.pools[pool.id] ?? {};
+    const note = noteCheap(before, have, input.nowEpochMs, options);
+    return [pool.id, note] as const;
+  });
+  return new Map<string, PoolMemory>(notes);
+}
+
+/** Where none are to be had, those that are there still count. */
+function cheapLimitOf(
+  {pool}: PoolDemand,
+  {input}: Context,
+  cheap: ReadonlyMap<string, PoolMemory>,
+): number {
+  if (cheap.get(pool.id)?.cheapAwayUntilEpochMs === undefined) {
+    return pool.maxCheap;
+  }
+  const have = presentOf(pool, 'cheap', input.endpoints).length;
+  return Math.min(pool.maxCheap, have);
+}
+
+function holdAll(
+  {input, options, memory}: Context,
+  supply: Supply,
+  cheap: ReadonlyMap<string, PoolMemory>,
+): Record<string, PoolMemory> {
+  const {nowEpochMs} = input;
+  const entries = supply.needs.map(need => {
+    const {pool} = need.demand;
+    const before = memory.pools[pool.id] ?? {};
+    const note = cheap.get(pool.id) ?? {};
+    const isAway = note.cheapAwayUntilEpochMs !== undefined;
+    // Without memory, what is there counts as what was planned.
+    const count = presentOf(pool, 'regular', input.endpoints).length;
+    const regularBefore = before.regular ?? {count};
+    // Regular ones stay until the cheap ones in their place are there.
+    const isWaiting = !isCheapLive(supply, pool.model, input);
+    const regular = isWaiting
+      ? {count: Math.max(need.regular, regularBefore.count)}
+      : holdCount(regularBefore, need.regular, nowEpochMs, options);
+    const cheapHeld = isAway
+      ? {count: need.cheap}
+      : holdCount(before.cheap, need.cheap, nowEpochMs, options);
+    return [pool.id, {...note, regular, cheap: cheapHeld}] as const;
+  });
+  return Object.fromEntries(entries);
+}
+
+function isCheapLive(
+  supply: Supply,
+  model: ModelId,
+  input: PlanInput,
+): boolean {
+  const needs = supply.needs.filter(need => need.demand.pool.model === model);
+  const needed = needs.reduce((sum, need) => sum + need.cheap, 0);
+  const live = needs.reduce(
+    (sum, need) => sum + countLive(need, 'cheap', input),
+    0,
+  );
+  return live >= needed;
+}
+
+function countLive(
+  need: PoolNeed,
+  kind: 'regular' | 'cheap',
+  input: PlanInput,
+): number {
+  const present = presentOf(need.demand.pool, kind, input.endpoints);
+  return present.filter(endpoint => endpoint.state === 'live').length;
+}
+
+function decideDepartures(
+  {input, memory, begun}: Context,
+  supply: Supply,
+): Departure[] {
+  return begun.map(({dataCentre, drainByEpochMs}) => {
+    if (hasLeft(dataCentre, input.endpoints)) {
+      return {dataCentre, phase: 'left' as const};
+    }
+    const isDraining =
+      memory.draining.includes(dataCentre) ||
+      input.nowEpochMs >= drainByEpochMs ||
+      modelsOf(dataCentre, input).every(model =>
+        isReplaced(model, supply, input),
+      );
+    const phase = isDraining ? ('draining' as const) : ('preparing' as const);
+    return {dataCentre, phase};
+  });
+}
+
+function modelsOf(dataCentre: DataCentreId, input: PlanInput): ModelId[] {
+  const here = input.endpoints.filter(each => each.dataCentre === dataCentre);
+  return [...new Set(here.map(endpoint => endpoint.model))];
+}
+
+/** Whether every pool that stays has all it needs live, not just ordered. */
+function isReplaced(model: ModelId, supply: Supply, input: PlanInput): boolean {
+  const needs = supply.needs.filter(need => need.demand.pool.model === model);
+  const isShort = supply.shortfalls.some(each => each.model === model);
+  if (needs.length === 0 || isShort) return false;
+  return needs.every(need => {
+    const regular = countLive(need, 'regular', input);
+    const cheap = countLive(need, 'cheap', input);
+    return (
+      regular >= need.regular && regular + cheap >= need.regular + need.cheap
+    );
+  });
+}
+
+function stayingTargets(
+  need: PoolNeed,
+  {input}: Context,
+  pools: Readonly<Record<string, PoolMemory>>,
+): PoolTarget[] {
+  const {pool} = need.demand;
+  const held = pools[pool.id];
+  const regular = Math.min(pool.maxRegular, held.regular?.count ?? 0);
+  const cheap = Math.min(pool.maxCheap, held.cheap?.count ?? 0);
+  return [
+    targetOf(pool, 'regular', regular, input.endpoints),
+    targetOf(pool, 'cheap', cheap, input.endpoints),
+  ];
+}
+
+function leavingTargets(
+  {dataCentre, phase}: Departure,
+  {input}: Context,
+): PoolTarget[] {
+  const centre = input.dataCentres.find(each => each.id === dataCentre);
+  if (centre?.reachable !== true) return [];
+  const pools = input.pools.filter(pool => pool.dataCentre === dataCentre);
+  const kinds = ['regular', 'cheap'] as const;
+  return pools.flatMap(pool =>
+    kinds.map(kind => {
+      // What is lost while the others prepare is replaced there, not here.
+      const present = presentOf(pool, kind, input.endpoints).length;
+      const desired = phase === 'preparing' ? present : 0;
+      return targetOf(pool, kind, desired, input.endpoints);
+    }),
+  );
+}
+
+/** Data centres that drain though what replaces them is not all there. */
+function findLate(
+  {input, begun}: Context,
+  departures: readonly Departure[],
+  supply: Supply,
+): Shortfall[] {
+  const forced = departures.filter(
+    ({phase}, index) =>
+      phase === 'draining' && input.nowEpochMs >= begun[index].drainByEpochMs,
+  );
+  return forced.flatMap(({dataCentre}) =>
+    modelsOf(dataCentre, input)
+      .filter(model => !isReplaced(model, supply, input))
+      .map(model => ({
+        model,
+        dataCentre,
+        reason: 'not_ready_in_time' as const,
+        missing: countMissing(model, supply, input),
+      })),
+  );
+}
+
+function countMissing(
+  model: ModelId,
+  supply: Supply,
+  input: PlanInput,
+): number {
+  return supply.needs
+    .filter(need => need.demand.pool.model === model)
+    .map(need => {
+      const regular = countLive(need, 'regular', input);
+      const cheap = countLive(need, 'cheap', input);
+      return Math.max(0, need.regular + need.cheap - regular - cheap);
+    })
+    .reduce((total, missing) => total + missing, 0);
+}
+
+function endpointsFor(
+  model: ModelId,
+  concurrency: number,
+  {input, options}: Context,
+): number {
+  const pool = input.pools.find(each => each.model === model);
+  const perEndpoint = pool?.maxConcurrencyPerEndpoint ?? 1;
+  return Math.ceil(concurrency / (perEndpoint * options.utilisation));
+}
--- /dev/null
+++ b/packages/policy/src/endpoint_plan_demand.ts
@@ -0,0 +1,108 @@
+/** Divides what is asked for over the pools that can serve it. */
+
+import type {EndpointPool} from '@snipestage/types/configuration.js';
+import type {DataCentreId, ModelId, RegionId} from '@snipestage/types/ids.js';
+import type {
+  DemandLine,
+  PlanInput,
+  PlanOptions,
+} from './endpoint_plan_input.js';
+
+/** What one pool is to carry, in requests at once. */
+export interface PoolDemand {
+  readonly pool: EndpointPool;
+  readonly region: RegionId | undefined;
+  /** Whether its data centre has a leaving date too. */
+  readonly isTemporary: boolean;
+  /** Planned for one endpoint of the pool. */
+  readonly perEndpoint: number;
+  /** Must not depend on cheap endpoints. */
+  strict: number;
+  /** May run on cheap endpoints. */
+  flexible: number;
+}
+
+/** What no pool is left for. */
+export interface UnservedDemand {
+  readonly model: ModelId;
+  readonly concurrency: number;
+}
+
+/**
+ * Gives each line to its own data centre, or to others when its own is leaving,
+ * gone or has no pool: in its region first, then anywhere; and rather to those
+ * without a leaving date, so that no work moves twice.
+ */
+export function divideDemand(
+  input: PlanInput,
+  leaving: ReadonlySet<DataCentreId>,
+  options: PlanOptions,
+): {demands: PoolDemand[]; unserved: UnservedDemand[]} {
+  const centres = new Map(input.dataCentres.map(each => [each.id, each]));
+  const demands = input.pools
+    .filter(({dataCentre}) => {
+      const centre = centres.get(dataCentre);
+      return centre?.reachable === true && !leaving.has(dataCentre);
+    })
+    .map(pool => ({
+      pool,
+      region: centres.get(pool.dataCentre)?.region,
+      isTemporary: centres.get(pool.dataCentre)?.leaveByEpochMs !== undefined,
+      perEndpoint: concurrencyPlanned(pool, input, options),
+      strict: 0,
+      flexible: 0,
+    }));
+  const unserved: UnservedDemand[] = [];
+  for (const line of input.demand) {
+    const region = centres.get(line.dataCentre)?.region;
+    const hosts = chooseHosts(demands, line, region);
+    addTo(hosts, line, options);
+    if (hosts.length === 0) unserved.push(line);
+  }
+  return {demands, unserved};
+}
+
+function concurrencyPlanned(
+  pool: EndpointPool,
+  input: PlanInput,
+  options: PlanOptions,
+): number {
+  const concurrency =
+    input.concurrencyWithinTargets?.get(pool.id) ??
+    pool.maxConcurrencyPerEndpoint;
+  return Math.max(concurrency * options.utilisation, Number.EPSILON);
+}
+
+function chooseHosts(
+  demands: readonly PoolDemand[],
+  line: DemandLine,
+  region: RegionId | undefined,
+): PoolDemand[] {
+  const able = demands.filter(
+    ({pool}) => pool.model === line.model && roomOf(pool) > 0,
+  );
+  const own = able.filter(({pool}) => pool.dataCentre === line.dataCentre);
+  if (own.length > 0) return own;
+  const near = able.filter(demand => demand.region === region);
+  const hosts = near.length > 0 ? near : able;
+  const lasting = hosts.filter(demand => !demand.isTemporary);
+  return lasting.length > 0 ? lasting : hosts;
+}
+
+function addTo(
+  hosts: readonly PoolDemand[],
+  line: DemandLine,
+  options: PlanOptions,
+): void {
+  const isStrict = !line.cheapAllowed || line.tier <= options.protectedTier;
+  const room = hosts.reduce((sum, {pool}) => sum + roomOf(pool), 0);
+  for (const host of hosts) {
+    const concurrency = (line.concurrency * roomOf(host.pool)) / room;
+    if (isStrict) host.strict += concurrency;
+    else host.flexible += concurrency;
+  }
+}
+
+function roomOf(pool: EndpointPool): number {
+  return pool.maxRegular + pool.maxCheap;
+}
--- /dev/null
+++ b/packages/policy/src/endpoint_plan_supply.ts
@@ -0,0 +1,170 @@
+/** How many endpoints of each kind carry a demand. */
+
+import type {ModelId, RegionId} from '@snipestage/types/ids.js';
+import type {PoolDemand} from './endpoint_plan_demand.js';
+import type {PlanOptions, Shortfall} from './endpoint_plan_input.js';
+
+/** Absorbs rounding, so that 2.0000001 endpoints are 2. */
+const ROUNDING = 1e-6;
+
+/** What one pool needs. */
+export interface PoolNeed {
+  readonly demand: PoolDemand;
+  regular: number;
+  cheap: number;
+  /** Requests at once that its regular ones are to carry. */
+  regularLoad: number;
+  /** Most cheap ones that can be had there now. */
+  readonly cheapLimit: number;
+}
+
+/** Needs and what could not be placed. */
+export interface Supply {
+  readonly needs: readonly PoolNeed[];
+  readonly shortfalls: readonly Shortfall[];
+}
+
+/**
+ * Cheap endpoints for the work that may run there, spread over data centres so
+ * that one data centre's loss takes a bounded share; regular ones for all else.
+ * Regular ones alone carry the strict work: if every cheap endpoint vanishes at
+ * once, the top tiers don't notice.
+ */
+export function planSupply(
+  demands: readonly PoolDemand[],
+  cheapLimitOf: (demand: PoolDemand) => number,
+  options: PlanOptions,
+): Supply {
+  const needs = demands.map(demand => ({
+    demand,
+    regular: 0,
+    cheap: 0,
+    regularLoad: 0,
+    cheapLimit: isWorthIt(demand, options) ? cheapLimitOf(demand) : 0,
+  }));
+  const shortfalls: Shortfall[] = [];
+  for (const group of groupByModelAndRegion(needs)) {
+    const uncovered = spreadCheap(group, options);
+    addRegular(group, uncovered);
+  }
+  for (const model of new Set(demands.map(({pool}) => pool.model))) {
+    const group = needs.filter(need => need.demand.pool.model === model);
+    const missing = moveOverflow(group);
+    if (missing > 0) shortfalls.push({model, reason: 'pool_limit', missing});
+  }
+  return {needs, shortfalls};
+}
+
+function isWorthIt({pool}: PoolDemand, options: PlanOptions): boolean {
+  const {cheapPricePerHour, regularPricePerHour} = pool;
+  return cheapPricePerHour * options.cheapPriceFactor < regularPricePerHour;
+}
+
+function groupByModelAndRegion(needs: readonly PoolNeed[]): PoolNeed[][] {
+  const groups = new Map<ModelId, Map<RegionId | undefined, PoolNeed[]>>();
+  for (const need of needs) {
+    const {pool, region} = need.demand;
+    const regions = groups.get(pool.model) ?? new Map();
+    groups.set(pool.model, regions);
+    regions.set(region, [...(regions.get(region) ?? []), need]);
+  }
+  return [...groups.values()].flatMap(regions => [...regions.values()]);
+}
+
+/**
+ * Adds cheap endpoints one by one where there are fewest.
+ *
+ * @returns the share of the flexible work that is left for regular ones.
+ */
+function spreadCheap(group: readonly PoolNeed[], options: PlanOptions): number {
+  const total = sum(group, need => need.demand.flexible);
+  const mostPerPool = total * options.maxCheapShare;
+  let uncovered = total;
+  while (uncovered > ROUNDING) {
+    const open = group.filter(need => hasRoomForCheap(need, mostPerPool));
+    if (open.length === 0) break;
+    const next = open.reduce((best, need) =>
+      comesBefore(need, best) ? need : best,
+    );
+    next.cheap += 1;
+    uncovered -= next.demand.perEndpoint;
+  }
+  return total > 0 ? Math.max(0, uncovered) / total : 0;
+}
+
+/** The first is always allowed: regular endpoints take over if it goes. */
+function hasRoomForCheap(need: PoolNeed, mostPerPool: number): boolean {
+  if (need.cheap >= need.cheapLimit) return false;
+  const after = (need.cheap + 1) * need.demand.perEndpoint;
+  return need.cheap === 0 || after <= mostPerPool + ROUNDING;
+}
+
+function comesBefore(left: PoolNeed, right: PoolNeed): boolean {
+  const [a, b] = [left.demand.pool, right.demand.pool];
+  return (
+    (left.cheap - right.cheap ||
+      a.cheapPricePerHour - b.cheapPricePerHour ||
+      a.id.localeCompare(b.id)) < 0
+  );
+}
+
+function addRegular(group: readonly PoolNeed[], uncovered: number): void {
+  for (const need of group) {
+    const {strict, flexible, perEndpoint, pool} = need.demand;
+    need.regularLoad = strict + flexible * uncovered;
+    const needed = Math.ceil(need.regularLoad / perEndpoint - ROUNDING);
+    need.regular = Math.max(pool.minRegular, needed);
+  }
+}
+
+/**
+ * Moves what a pool may not hold to endpoints that others have to spare, then
+ * to new ones where there is most room.
+ *
+ * @returns endpoints for which there is no room anywhere.
+ */
+function moveOverflow(group: readonly PoolNeed[]): number {
+  let overflow = sum(group, cutToLimit);
+  for (const need of group) {
+    const moved = Math.min(overflow, spareOf(need));
+    need.regularLoad += moved;
+    overflow -= moved;
+  }
+  while (overflow > ROUNDING) {
+    const roomiest = group.reduce((best, need) =>
+      roomFor(need) > roomFor(best) ? need : best,
+    );
+    if (roomFor(roomiest) <= 0) break;
+    roomiest.regular += 1;
+    const moved = Math.min(overflow, spareOf(roomiest));
+    roomiest.regularLoad += moved;
+    overflow -= moved;
+  }
+  if (overflow <= ROUNDING) return 0;
+  const largest = Math.max(...group.map(need => need.demand.perEndpoint));
+  return Math.ceil(overflow / largest - ROUNDING);
+}
+
+/** @returns the load beyond what the pool may hold. */
+function cutToLimit(need: PoolNeed): number {
+  const {pool, perEndpoint} = need.demand;
+  const surplus = Math.max(0, need.regularLoad - pool.maxRegular * perEndpoint);
+  need.regular = Math.min(need.regular, pool.maxRegular);
+  need.regularLoad -= surplus;
+  return surplus;
+}
+
+function spareOf(need: PoolNeed): number {
+  return Math.max(0, need.regular * need.demand.perEndpoint - need.regularLoad);
+}
+
+function roomFor(need: PoolNeed): number {
+  return need.demand.pool.maxRegular - need.regular;
+}
+
+function sum<Item>(
+  items: readonly Item[],
+  valueOf: (item: Item) => number,
+): number {
+  return items.reduce((total, item) => total + valueOf(item), 0);
+}
