Hold retries to a budget and guard against requests that crash endpoints

Cause: three attempts for everything would triple the load on what is left when many endpoints fail, and a request that crashes its engine would go through all. Change: the retry budget per class; a guard around the permits that keeps what was in flight at a crash, judges each request, tells all other instances and asks one for what it knows. Ruled out: spreading what was learnt from peers again (each instance would flood the same crash).

--- a/packages/entry/src/choose/cell_permits.ts
+++ b/packages/entry/src/choose/cell_permits.ts
@@ -143,7 +143,7 @@
       remainingMs: request.remainingMs,
       prefixHash: request.prefixHash,
       fingerprint: request.fingerprint,
-      suspect: request.suspect,
+      suspect: request.suspect ?? false,
       cheapAllowed: request.repeatable && requestClass.cheapEndpointsAllowed,
       excluded: request.excluded,
     };
--- a/packages/entry/src/choose/permits.ts
+++ b/packages/entry/src/choose/permits.ts
@@ -24,7 +24,8 @@
   readonly remainingMs: number;
   readonly prefixHash?: string;
   readonly fingerprint: Fingerprint;
-  readonly suspect: boolean;
+  /** It was in flight at a crash and must run alone; false if absent. */
+  readonly suspect?: boolean;
   /** Whether a repetition does no harm. */
   readonly repeatable: boolean;
   readonly excluded: readonly EndpointId[];
@@ -33,6 +34,8 @@
 /** What was measured of an attempt when it ended. */
 export interface AttemptReport {
   readonly outcome: AttemptOutcome;
+  /** The connection ended in the middle, as when the endpoint crashes. */
+  readonly brokeOff?: boolean;
   readonly promptTokens?: number;
   readonly outputTokens?: number;
   readonly firstTokenMs?: number;
--- /dev/null
+++ b/packages/entry/src/choose/suspect_guard.ts
@@ -0,0 +1,127 @@
+/** Keeps requests that crash endpoints from doing so again and again. */
+
+import {RequestError} from '@snipestage/errors/request_error.js';
+import {SuspectTable, type ReportedCrash} from '@snipestage/policy/suspects.js';
+import type {
+  EndpointId,
+  Fingerprint,
+  Incarnation,
+  InstanceId,
+} from '@snipestage/types/ids.js';
+import type {MonotonicClock} from '../clock.js';
+import {
+  Permits,
+  type AttemptReport,
+  type Permit,
+  type PermitRequest,
+} from './permits.js';
+
+/** Options of {@link SuspectGuard}. */
+export interface SuspectGuardOptions {
+  readonly permits: Permits;
+  readonly self: InstanceId;
+  readonly incarnation: () => Incarnation;
+  readonly clock: MonotonicClock;
+  /** Told of what other instances should know. */
+  readonly spread: (crashes: readonly ReportedCrash[]) => void;
+}
+
+/**
+ * A request that crashes its endpoint is sent again by its caller, and by the
+ * router itself to the next endpoint, until none is left. So whatever was in
+ * flight at a crash runs alone from then on, which shows who it was, and is
+ * refused after a second crash. Others are cleared by finishing.
+ */
+export class SuspectGuard extends Permits {
+  private readonly table = new SuspectTable();
+  private readonly inFlight = new Map<EndpointId, Fingerprint[]>();
+  private crashes = 0;
+
+  constructor(private readonly options: SuspectGuardOptions) {
+    super();
+  }
+
+  async acquire(request: PermitRequest, signal: AbortSignal): Promise<Permit> {
+    const {permits, clock} = this.options;
+    const {fingerprint} = request;
+    const judgement = this.table.judge(fingerprint, clock());
+    if (judgement.kind === 'refuse') {
+      throw suspectedCrash(judgement.retryAfterMs);
+    }
+    const suspect = judgement.kind === 'run_alone';
+    const permit = await permits.acquire({...request, suspect}, signal);
+    const endpoint = permit.endpoint.id;
+    this.enter(endpoint, fingerprint);
+    return {
+      endpoint: permit.endpoint,
+      progress: tokens => permit.progress(tokens),
+      release: report => {
+        this.settle(permit, fingerprint, report);
+        this.leave(endpoint, fingerprint);
+        permit.release(report);
+      },
+    };
+  }
+
+  /** Takes in what another instance tells. */
+  take(crashes: readonly ReportedCrash[]): void {
+    const nowMs = this.options.clock();
+    this.table.merge(crashes, nowMs);
+    // It is on its way to all; only what is seen here is to be told from here.
+    this.table.takeChanges(nowMs);
+  }
+
+  /** All that is known, for an instance that has just started. */
+  readAll(): ReportedCrash[] {
+    return this.table.readAll(this.options.clock());
+  }
+
+  snapshot(): object {
+    return {crashes: this.readAll()};
+  }
+
+  private settle(
+    permit: Permit,
+    fingerprint: Fingerprint,
+    report: AttemptReport,
+  ): void {
+    if (report.outcome === 'ok') this.table.finish(fingerprint);
+    if (report.brokeOff === true) this.reportCrash(permit);
+    const nowMs = this.options.clock();
+    const changes = this.table.takeChanges(nowMs);
+    if (changes.length > 0) this.options.spread(changes);
+  }
+
+  private reportCrash({endpoint}: Permit): void {
+    const {self, incarnation, clock} = this.options;
+    this.crashes += 1;
+    const crash: ReportedCrash = {
+      id: `${self}/${incarnation()}/${this.crashes}`,
+      endpoint: endpoint.id,
+      dataCentre: endpoint.dataCentre,
+      ageMs: 0,
+      inFlight: [...new Set(this.inFlight.get(endpoint.id))],
+      cleared: [],
+    };
+    this.table.merge([crash], clock());
+  }
+
+  private enter(endpoint: EndpointId, fingerprint: Fingerprint): void {
+    const inFlight = this.inFlight.get(endpoint) ?? [];
+    this.inFlight.set(endpoint, [...inFlight, fingerprint]);
+  }
+
+  private leave(endpoint: EndpointId, fingerprint: Fingerprint): void {
+    const inFlight = [...(this.inFlight.get(endpoint) ?? [])];
+    inFlight.splice(inFlight.indexOf(fingerprint), 1);
+    if (inFlight.length > 0) this.inFlight.set(endpoint, inFlight);
+    else this.inFlight.delete(endpoint);
+  }
+}
+
+function suspectedCrash(retryAfterMs: number): RequestError {
+  return new RequestError(
+    'Endpoints have crashed under this request; it is not run for a while.',
+    {code: 'suspected_crash', verdict: 'not_run', retryAfterMs},
+  );
+}
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -18,6 +18,7 @@
 import {ClusterView} from './choose/cluster_view.js';
 import {PermitRouter} from './choose/permit_router.js';
 import {Permits} from './choose/permits.js';
+import {SuspectGuard} from './choose/suspect_guard.js';
 import {monotonicNowMs} from './clock.js';
 import {ConfigurationStore} from './configure/configuration_store.js';
 import {RevisionTask} from './configure/revision_task.js';
@@ -29,11 +30,12 @@
 import {ConfigurationPeers} from './peers/configuration_peers.js';
 import {PeerClusterView} from './peers/peer_cluster_view.js';
 import {PeerTask} from './peers/peer_task.js';
+import {toSuspectRecord} from './peers/suspect_records.js';
 import {toPeerRecord} from './peers/permit_records.js';
+import {BudgetedRetries} from './send/budgeted_retries.js';
 import {EngineDriver} from './send/engine_driver.js';
 import {HttpEngineDriver} from './send/http_engine_driver.js';
 import {HttpServiceDriver} from './send/http_service_driver.js';
-import {LimitedRetries} from './send/limited_retries.js';
 import {ModelRunner} from './send/model_runner.js';
 import {RetryPolicy} from './send/retry_policy.js';
 import {ServiceDriver} from './send/service_driver.js';
@@ -157,7 +159,7 @@
   container
     .bind(ServiceDriver)
     .toConstantValue(new HttpServiceDriver({connectTimeoutMs}));
-  container.bind(RetryPolicy).toConstantValue(new LimitedRetries());
+  container.bind(RetryPolicy).toConstantValue(new BudgetedRetries({clock}));
   container
     .bind(ModelRunner)
     .toResolvedValue(
@@ -227,7 +229,18 @@
       }),
     [ConfigurationStore, ClusterView, PermitRouter, CellOwners, CellClients],
   );
-  container.bind(Permits).toService(CellPermits);
+  container.bind(SuspectGuard).toResolvedValue(
+    (permits, network) =>
+      new SuspectGuard({
+        permits,
+        self,
+        incarnation: () => network.self().incarnation,
+        clock,
+        spread: crashes => network.broadcast(toSuspectRecord(crashes)),
+      }),
+    [CellPermits, PeerNetwork],
+  );
+  container.bind(Permits).toService(SuspectGuard);
 }
 
 function bindHandlers(container: Container, settings: EntrySettings): void {
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -9,6 +9,7 @@
 import {InFlightRequests} from './admit/in_flight_requests.js';
 import {RequestIntake} from './admit/request_intake.js';
 import {CellPermits} from './choose/cell_permits.js';
+import {SuspectGuard} from './choose/suspect_guard.js';
 import {monotonicNowMs} from './clock.js';
 import {ConfigurationStore} from './configure/configuration_store.js';
 import {RevisionTask} from './configure/revision_task.js';
@@ -19,6 +20,7 @@
 import {AdminServer} from './operate/admin_server.js';
 import {Shutdown} from './operate/shutdown.js';
 import {PeerTask} from './peers/peer_task.js';
+import {connectSuspects} from './peers/suspect_records.js';
 import {StateDump} from './operate/state_dump.js';
 import {TicketDesk} from './operate/ticket_desk.js';
 
@@ -41,6 +43,11 @@
     this.admin = this.createAdminServer();
     this.addDumpParts();
     this.followConfiguration();
+    connectSuspects(
+      this.container.get(PeerTask),
+      this.container.get(PeerNetwork),
+      this.container.get(SuspectGuard),
+    );
   }
 
   async start(): Promise<void> {
@@ -151,6 +158,7 @@
     dump.add('status', () => this.status());
     dump.add('inFlight', () => inFlight.snapshot(monotonicNowMs()));
     dump.add('cells', () => this.container.get(CellPermits).snapshot());
+    dump.add('suspects', () => this.container.get(SuspectGuard).snapshot());
     dump.add('peers', () => this.container.get(PeerNetwork).snapshot());
     dump.add('claims', () => ({
       settling: this.container.get(ClaimDesk).settlingCount,
--- a/packages/entry/src/listen/model_handler.ts
+++ b/packages/entry/src/listen/model_handler.ts
@@ -158,7 +158,6 @@
       expectedTokens,
       prefixHash: prefixHashOf(body),
       fingerprint: fingerprintOf(clientAccount.id, parsed.bodyBytes),
-      suspect: false,
       repeatable: true,
     },
   };
--- a/packages/entry/src/listen/service_handler.ts
+++ b/packages/entry/src/listen/service_handler.ts
@@ -116,7 +116,6 @@
       requestClass,
       expectedTokens: 1,
       fingerprint: fingerprintOf(clientAccount.id, method, path, body),
-      suspect: false,
       repeatable: operation?.idempotent === true,
     },
   };
--- /dev/null
+++ b/packages/entry/src/peers/suspect_records.ts
@@ -0,0 +1,48 @@
+/** Tells other instances of requests that were in flight at a crash. */
+
+import type {PeerNetwork} from '@snipestage/peer/peer_network.js';
+import type {PeerRecord} from '@snipestage/peer/records.js';
+import type {ReportedCrash} from '@snipestage/policy/suspects.js';
+import type {SuspectGuard} from '../choose/suspect_guard.js';
+import type {PeerTask} from './peer_task.js';
+
+const CRASHES = 'crashes';
+const CRASHES_WANTED = 'crashes_wanted';
+
+/**
+ * @example
+ * network.broadcast(toSuspectRecord(crashes));
+ */
+export function toSuspectRecord(crashes: readonly ReportedCrash[]): PeerRecord {
+  const json = Buffer.from(JSON.stringify(crashes));
+  return {kind: 'extension', name: CRASHES, json};
+}
+
+/**
+ * Takes in what others tell, and asks the first instance met for all that it
+ * knows: a caller sends a request again to whichever instance the balancer
+ * picks, also to one that has just started.
+ *
+ * @example
+ * connectSuspects(peerTask, network, guard);
+ */
+export function connectSuspects(
+  peers: PeerTask,
+  network: PeerNetwork,
+  guard: SuspectGuard,
+): void {
+  peers.onExtension(CRASHES, json => {
+    guard.take(JSON.parse(json.toString('utf8')) as ReportedCrash[]);
+  });
+  peers.onExtension(CRASHES_WANTED, (json, from) => {
+    network.send(from, toSuspectRecord(guard.readAll()));
+  });
+  let hasAsked = false;
+  network.onMembersChanged(() => {
+    const other = network.members().find(({id}) => id !== network.self().id);
+    if (hasAsked || other === undefined) return;
+    const json = Buffer.from('{}');
+    const record = {kind: 'extension', name: CRASHES_WANTED, json} as const;
+    hasAsked = network.send(other.id, record);
+  });
+}
--- /dev/null
+++ b/packages/entry/src/send/budgeted_retries.ts
@@ -0,0 +1,49 @@
+/** Further attempts within a budget per request class. */
+
+import {
+  ClassBudgets,
+  DEFAULT_RETRY_BUDGET,
+  mayRetry,
+} from '@snipestage/policy/retry_budget.js';
+import type {RequestClassId} from '@snipestage/types/ids.js';
+import type {MonotonicClock} from '../clock.js';
+import {
+  RetryPolicy,
+  type FailedAttempt,
+  type RetryDecision,
+} from './retry_policy.js';
+
+/** Options of {@link BudgetedRetries}. */
+export interface BudgetedRetriesOptions {
+  readonly clock: MonotonicClock;
+  readonly random?: () => number;
+}
+
+/**
+ * When many endpoints fail, retries without a budget multiply the load on those
+ * that are left until they fail too.
+ */
+export class BudgetedRetries extends RetryPolicy {
+  private readonly budgets = new ClassBudgets(DEFAULT_RETRY_BUDGET);
+
+  constructor(private readonly options: BudgetedRetriesOptions) {
+    super();
+  }
+
+  countRequest(requestClass: RequestClassId): void {
+    this.budgets.countRequest(requestClass, this.options.clock());
+  }
+
+  decide(failed: FailedAttempt): RetryDecision {
+    return mayRetry({
+      verdict: failed.verdict,
+      idempotent: failed.repeatable,
+      attempts: failed.attempts,
+      remainingMs: failed.remainingMs,
+      cause: failed.cause,
+      budget: this.budgets.of(failed.requestClass),
+      nowMs: this.options.clock(),
+      random: this.options.random ?? Math.random,
+    });
+  }
+}
--- a/packages/entry/src/send/model_runner.test.ts
+++ b/packages/entry/src/send/model_runner.test.ts
@@ -17,13 +17,13 @@
   type Permit,
   type PermitRequest,
 } from '../choose/permits.js';
+import {BudgetedRetries} from './budgeted_retries.js';
 import {EndpointError, type EndpointErrorKind} from './endpoint_error.js';
 import {
   EngineDriver,
   type EngineCall,
   type EngineListener,
 } from './engine_driver.js';
-import {LimitedRetries} from './limited_retries.js';
 import {ModelRunner, type ModelWork} from './model_runner.js';
 
 /** One connection to an engine: tokens, then an end or a failure. */
@@ -123,7 +123,6 @@
       requestClass: REQUEST_CLASS,
       expectedTokens: 5,
       fingerprint: brandAs('f'),
-      suspect: false,
       repeatable: true,
     },
   };
@@ -135,7 +134,7 @@
   const runner = new ModelRunner({
     permits,
     driver,
-    retryPolicy: new LimitedRetries(),
+    retryPolicy: new BudgetedRetries({clock: () => 0, random: () => 0}),
     clock: () => 0,
     chunkTimeoutMs: 1000,
   });
--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -81,6 +81,7 @@
       verdict: 'not_run',
       excluded: [],
     };
+    this.options.retryPolicy.countRequest(work.requestClass.id);
     for (;;) {
       const permit = await this.acquire(work, progress);
       work.onStart?.();
@@ -122,6 +123,7 @@
   ): Promise<EndpointError | undefined> {
     const meter = new AttemptMeter(this.options.clock);
     let outcome: AttemptOutcome = 'failed';
+    let brokeOff = false;
     try {
       const error = await this.readOrResume(
         work,
@@ -131,11 +133,13 @@
         meter,
       );
       outcome = error === undefined ? 'ok' : outcomeOf(error);
+      brokeOff = error?.kind === 'broken';
       if (error?.kind === 'cancelled') this.cancel(work, permit, progress);
       return error;
     } finally {
       permit.release({
         outcome,
+        brokeOff,
         promptTokens: progress.promptTokens,
         outputTokens: meter.outputTokens,
         firstTokenMs: meter.firstTokenMs,
--- a/packages/entry/src/send/service_runner.ts
+++ b/packages/entry/src/send/service_runner.ts
@@ -60,6 +60,7 @@
   async run(work: ServiceWork): Promise<ServiceAnswer> {
     const excluded: EndpointId[] = [];
     let verdict: Verdict = 'not_run';
+    this.options.retryPolicy.countRequest(work.requestClass.id);
     for (let attempts = 1; ; attempts += 1) {
       const attempt = brandAs<AttemptId>(`${work.requestId}.${attempts}`);
       const permit = await this.acquire(work, attempt, excluded, verdict);
@@ -113,7 +114,8 @@
         permit.release({outcome: 'failed'});
         throw error;
       }
-      permit.release({outcome: outcomeOf(error)});
+      const brokeOff = error.kind === 'broken';
+      permit.release({outcome: outcomeOf(error), brokeOff});
       return {kind: 'failed', error};
     }
   }
