--- a/packages/policy/src/standing_allotments.ts
+++ b/packages/policy/src/standing_allotments.ts
@@ -12,12 +12,17 @@
 /** A change smaller than this is not worth a message. */
 const MIN_CHANGE = 2;
 const MIN_CHANGE_PART = 0.25;
+const DEFAULT_OPEN_AFTER_MS = 500;
+const DEFAULT_PLAN_EVERY_MS = 250;
+const DEFAULT_RESEND_AFTER_MS = 1000;
 /** Weight of the newest count in the mean use of an instance. */
 const USE_WEIGHT = 0.1;
 
 /** What {@link StandingAllotments} are made from. */
 export interface StandingAllotmentsOptions {
   readonly cell: CellId;
+  /** Tells this owner's allotments from those of another life. */
+  readonly term: number;
   readonly book: PermitBook;
   readonly endpoints: CellEndpoints;
   /** How long nothing must have waited before permits are allotted again. */
@@ -39,10 +44,10 @@
 
   constructor(options: StandingAllotmentsOptions) {
     this.options = {
-      openAfterMs: 500,
-      planEveryMs: 250,
-      resendAfterMs: 1000,
       ...options,
+      openAfterMs: options.openAfterMs ?? DEFAULT_OPEN_AFTER_MS,
+      planEveryMs: options.planEveryMs ?? DEFAULT_PLAN_EVERY_MS,
+      resendAfterMs: options.resendAfterMs ?? DEFAULT_RESEND_AFTER_MS,
     };
   }
 
@@ -203,8 +208,9 @@
       permits: count,
       limit: limits.get(endpoint),
     }));
-    const {cell} = this.options;
-    return {kind: 'allot', instance, allotment: {cell, sequence, endpoints}};
+    const {cell, term} = this.options;
+    const allotment = {cell, sequence, term, endpoints};
+    return {kind: 'allot', instance, allotment};
   }
 }
 
