--- a/packages/entry/src/admit/claim_desk.ts
+++ b/packages/entry/src/admit/claim_desk.ts
@@ -26,6 +26,8 @@
 
 const RETENTION_MS = 24 * 60 * 60 * 1000;
 const MAX_KEY_LENGTH = 255;
+/** A store that is slow or down holds up the end of an answer no longer. */
+const LONGEST_HOLD_MS = 500;
 
 /** A request under a key. */
 export interface KeyedRequest {
@@ -43,9 +45,10 @@
 }
 
 /**
- * Sends a keyed request only under its claim. Claims are settled after the
- * answer has gone out, so that a slow store holds up no answer; until then the
- * key is answered with "in progress".
+ * Sends a keyed request only under its claim. The end of the answer goes out
+ * once the claim is settled, or after a short while: a slow store must not hold
+ * up answers. In the latter case the key is answered with "in progress" until
+ * the claim is settled.
  */
 export class ClaimDesk {
   private readonly settling = new Set<Promise<void>>();
@@ -84,7 +87,9 @@
       end = endOf(error);
       throw error;
     } finally {
-      this.settleLater(claimed.state, request, recorder, end);
+      const settled = this.settle(claimed.state, request, recorder, end);
+      await Promise.race([settled, sleep(LONGEST_HOLD_MS)]);
+      recorder.release();
     }
   }
 
@@ -109,7 +114,7 @@
       const decision = decisionIn(step);
       if (decision !== undefined) {
         const finished = this.finish(step);
-        if (decision.kind !== 'send') this.track(finished);
+        if (decision.kind !== 'send') void this.track(finished);
         return {state: step.state, decision};
       }
       step = await this.advance(step);
@@ -125,18 +130,18 @@
     await this.options.answers.replay(decision.answer, response, admitted.id);
   }
 
-  private settleLater(
+  private settle(
     state: ClaimState,
     request: KeyedRequest,
     recorder: ResponseRecorder,
     failedEnd: AttemptEnd | undefined,
-  ): void {
+  ): Promise<void> {
     const settle = async () => {
       const end = failedEnd ?? (await this.keptEnd(request, recorder));
       const event: ClaimEvent = {kind: 'attempt_ended', end, nowMs: 0};
       await this.finish(transitionClaim(state, event));
     };
-    this.track(settle());
+    return this.track(settle());
   }
 
   private async keptEnd(
@@ -166,12 +171,16 @@
     return transitionClaim(step.state, event);
   }
 
-  private track(work: Promise<void>): void {
+  private track(work: Promise<void>): Promise<void> {
     this.settling.add(work);
-    void work.finally(() => this.settling.delete(work));
+    return work.finally(() => this.settling.delete(work));
   }
 }
 
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms).unref());
+}
+
 function attemptOf({admitted}: KeyedRequest): AttemptId {
   return brandAs<AttemptId>(admitted.id);
 }
--- a/packages/entry/src/admit/response_recorder.ts
+++ b/packages/entry/src/admit/response_recorder.ts
@@ -42,6 +42,8 @@
   private headers: Record<string, string> = {};
   private status = 0;
   private ended = false;
+  private isReleased = false;
+  private heldEnd: (() => void) | undefined;
 
   constructor(private readonly response: ServerResponse) {
     recorded.add(response);
@@ -50,6 +52,16 @@
     this.tap('end');
   }
 
+  /**
+   * Lets the answer's end go out. Until then it is held: a caller who has the
+   * whole answer may ask again at once, and must then find it kept.
+   */
+  release(): void {
+    this.isReleased = true;
+    this.heldEnd?.();
+    this.heldEnd = undefined;
+  }
+
   /** What was sent; `undefined` unless it was ended. */
   read(): RecordedAnswer | undefined {
     if (!this.ended) return undefined;
@@ -60,6 +72,16 @@
     };
   }
 
+  private end(send: () => unknown): ServerResponse {
+    this.ended = true;
+    const sendIfOpen = () => {
+      if (!this.response.destroyed) send();
+    };
+    if (this.isReleased) sendIfOpen();
+    else this.heldEnd = sendIfOpen;
+    return this.response;
+  }
+
   private tapHeaders(): void {
     const {response} = this;
     const writeHead = response.writeHead.bind(response);
@@ -78,8 +100,8 @@
       if (typeof chunk === 'string' || Buffer.isBuffer(chunk)) {
         this.chunks.push(Buffer.from(chunk));
       }
-      if (method === 'end') this.ended = true;
-      if (this.response.destroyed) return true;
+      if (this.response.destroyed && method !== 'end') return true;
+      if (method === 'end') return this.end(() => original(chunk, ...rest));
       return original(chunk, ...rest);
     };
     this.response[method] = tapped as ServerResponse['end'] &
