Look limits over more often, and not by first tokens alone

Where tokens are streamed a first token can now only lower it, and what has ended stands in for progress that was not told. Reviews are 250 ms apart, progress is told every 500 ms by the client itself, however often it is called: told at each tick, 30 running requests would cost 600 records a second.

--- /dev/null
+++ b/packages/policy/src/adaptive_limit.test.ts
@@ -0,0 +1,123 @@
+import test from 'ava';
+import {AdaptiveLimit} from './adaptive_limit.js';
+import type {LimitSample} from './limit_policy.js';
+
+const TARGETS = {firstTokenTargetMs: 1000, betweenTokensTargetMs: 50};
+const OK: LimitSample = {
+  outcome: 'ok',
+  outputTokens: 100,
+  firstTokenMs: 100,
+  targets: TARGETS,
+};
+const CRASHED: LimitSample = {outcome: 'crashed', outputTokens: 0};
+
+/** An engine whose step takes 15 ms and 1.2 ms for each request it runs. */
+function stepMs(inFlight: number): number {
+  return 15 + 1.2 * inFlight;
+}
+
+/** Runs as many as the limit allows, and reviews it each time. */
+function saturate(limit: AdaptiveLimit, reviews: number): number[] {
+  return Array.from({length: reviews}, (_, index) => {
+    const nowMs = index * 500;
+    const inFlight = limit.permits(nowMs);
+    limit.started(inFlight, nowMs);
+    limit.progressed(stepMs(inFlight), TARGETS, nowMs);
+    limit.review({inFlight}, nowMs);
+    return limit.permits(nowMs);
+  });
+}
+
+test('settles at the batch that just meets the target', t => {
+  const limit = new AdaptiveLimit({maxConcurrency: 64});
+  const permits = saturate(limit, 20);
+  // 45 ms, the target less its margin, is met up to a batch of 25.
+  t.true(permits.slice(-5).every(count => count >= 24 && count <= 26));
+});
+
+test('does not rise above what the endpoint is built for', t => {
+  const limit = new AdaptiveLimit({maxConcurrency: 8});
+  t.deepEqual(new Set(saturate(limit, 20)), new Set([8]));
+});
+
+test('does not rise while it is not used up', t => {
+  const limit = new AdaptiveLimit({maxConcurrency: 64});
+  limit.progressed(90, TARGETS, 0);
+  limit.review({inFlight: 20}, 0);
+  const lowered = limit.permits(0);
+  limit.started(2, 500);
+  limit.progressed(stepMs(2), TARGETS, 500);
+  limit.review({inFlight: 2}, 500);
+  t.true(lowered < 20);
+  t.is(limit.permits(500), lowered);
+});
+
+test('a first token in time does not raise the limit of a slow stream', t => {
+  // Reports of progress come less often than the limit is looked over. First
+  // tokens came early in between, the limit went up to the utmost each time, and
+  // callers of the top tier got every token after them too late.
+  const limit = new AdaptiveLimit({maxConcurrency: 64});
+  limit.progressed(90, TARGETS, 0);
+  limit.review({inFlight: 20}, 0);
+  const lowered = limit.permits(0);
+  limit.started(lowered, 100);
+  limit.finished(OK, 100);
+  limit.review({inFlight: lowered}, 100);
+  t.is(limit.permits(100), lowered);
+});
+
+test('a crash takes the endpoint out until one probe succeeds', t => {
+  // The engine crashes while its last load report says that it is idle. By load
+  // alone it would get every request that comes.
+  const limit = new AdaptiveLimit({maxConcurrency: 8});
+  limit.finished(CRASHED, 0);
+  limit.finished(CRASHED, 10);
+  t.is(limit.permits(999), 0);
+  t.is(limit.permits(1000), 1);
+  t.true(limit.isProbing());
+  limit.finished(CRASHED, 1100);
+  t.is(limit.permits(3000), 0);
+  t.is(limit.usableAtMs(3000), 3100);
+  limit.finished(OK, 3200);
+  t.is(limit.permits(3200), 4);
+});
+
+test('one failure is borne, three in a row are not', t => {
+  const limit = new AdaptiveLimit({maxConcurrency: 8});
+  const failed: LimitSample = {outcome: 'failed', outputTokens: 0};
+  limit.finished(failed, 0);
+  limit.finished(failed, 1);
+  t.is(limit.permits(1), 8);
+  limit.finished(failed, 2);
+  t.is(limit.permits(2), 0);
+});
+
+test('an endpoint slower than the others gets one request at a time', t => {
+  // One engine slows down five times while its load report lags. Requests that
+  // go there would miss their target for nothing.
+  const limit = new AdaptiveLimit({maxConcurrency: 8});
+  const review = (inFlight: number, nowMs: number) => {
+    limit.progressed(120, TARGETS, nowMs);
+    limit.review({inFlight, typicalBetweenTokensMs: 25}, nowMs);
+  };
+  for (const inFlight of [6, 3, 2, 1, 1]) review(inFlight, 0);
+  t.is(limit.snapshot(0).health, 'slow');
+  t.is(limit.permits(500), 0);
+  t.is(limit.permits(1000), 1);
+  limit.progressed(25, TARGETS, 1500);
+  limit.review({inFlight: 1, typicalBetweenTokensMs: 25}, 1500);
+  t.is(limit.snapshot(1500).health, 'healthy');
+});
+
+test('an engine that hangs gets no new work until it produces again', t => {
+  // The engine hangs with its connections open. Nothing fails until the time
+  // limit between chunks, and until then it would be given more and more.
+  const limit = new AdaptiveLimit({maxConcurrency: 8});
+  limit.started(1, 0);
+  limit.progressed(20, TARGETS, 500);
+  limit.review({inFlight: 2}, 500);
+  limit.review({inFlight: 2}, 4000);
+  t.is(limit.permits(4000), 0);
+  limit.progressed(20, TARGETS, 5000);
+  t.true(limit.permits(5000) > 0);
+});
--- a/packages/policy/src/adaptive_limit.ts
+++ b/packages/policy/src/adaptive_limit.ts
@@ -49,7 +49,9 @@
   private readonly targetSeenAtMs = new Map<number, number>();
   private limit: number;
   private mostInFlight = 0;
-  private betweenSamples: number[] = [];
+  /** Times between tokens of what runs, and of what has ended. */
+  private runningSamples: number[] = [];
+  private endedSamples: number[] = [];
   private firstTokenRatios: number[] = [];
   private betweenTokensMs: number | undefined;
   private lastTokenAtMs: number | undefined;
@@ -91,6 +93,9 @@
     this.stalled = false;
     const recovered = this.health.finished(sample.outcome, nowMs);
     if (recovered) this.limit = Math.max(MIN_LIMIT, this.limit / 2);
+    if (sample.betweenTokensMs !== undefined) {
+      this.endedSamples.push(sample.betweenTokensMs);
+    }
     if (sample.targets === undefined) return;
     this.remember(sample.targets, nowMs);
     if (sample.firstTokenMs !== undefined) {
@@ -106,7 +111,7 @@
   ): void {
     this.lastTokenAtMs = nowMs;
     this.stalled = false;
-    this.betweenSamples.push(betweenTokensMs);
+    this.runningSamples.push(betweenTokensMs);
     if (targets !== undefined) this.remember(targets, nowMs);
   }
 
@@ -140,16 +145,32 @@
     return this.isSlow ? 'slow' : 'healthy';
   }
 
-  /** Measured over target since the last review; above 1 it is too slow. */
+  /**
+   * Measured over target since the last review; above 1 it is too slow. Where
+   * tokens are streamed, a first token in time does not show that more fit: it
+   * comes early however slowly the others follow. Taken alone it raised limits
+   * to the utmost between two reports of progress.
+   */
   private takeRatio(nowMs: number): number | undefined {
-    const between = mean(this.betweenSamples);
+    const between = this.takeBetweenTokensMs();
     const firstToken = mean(this.firstTokenRatios);
-    this.betweenSamples = [];
     this.firstTokenRatios = [];
-    if (between !== undefined) this.betweenTokensMs = between;
     const targetMs = this.tightestTargetMs(nowMs);
-    if (between === undefined || targetMs === undefined) return firstToken;
-    return Math.max(between / (targetMs * TARGET_MARGIN), firstToken ?? 0);
+    if (between !== undefined && targetMs !== undefined) {
+      return Math.max(between / (targetMs * TARGET_MARGIN), firstToken ?? 0);
+    }
+    const streams = this.betweenTokensMs !== undefined;
+    const tooSlow = firstToken !== undefined && firstToken > 1;
+    return !streams || tooSlow ? firstToken : undefined;
+  }
+
+  /** What runs tells of now; what has ended, of its whole time. */
+  private takeBetweenTokensMs(): number | undefined {
+    const between = mean(this.runningSamples) ?? mean(this.endedSamples);
+    this.runningSamples = [];
+    this.endedSamples = [];
+    if (between !== undefined) this.betweenTokensMs = between;
+    return between;
   }
 
   /** Rises only when it was used up: an idle engine's speed proves nothing. */
--- a/packages/policy/src/cell_owner.ts
+++ b/packages/policy/src/cell_owner.ts
@@ -19,7 +19,7 @@
 
 const DEFAULT_MAX_WAITING = 2000;
 const DEFAULT_GRACE_MS = 1500;
-const REVIEW_EVERY_MS = 500;
+const REVIEW_EVERY_MS = 250;
 
 /** What a {@link CellOwner} is made from. */
 export interface CellOwnerOptions {
--- a/packages/policy/src/limit_policy.ts
+++ b/packages/policy/src/limit_policy.ts
@@ -78,7 +78,7 @@
     nowMs: number,
   ): void;
 
-  /** Called every half second or so. */
+  /** Called a few times a second. */
   abstract review(review: LimitReview, nowMs: number): void;
 
   abstract snapshot(nowMs: number): LimitSnapshot;
--- a/packages/policy/src/permit_client.ts
+++ b/packages/policy/src/permit_client.ts
@@ -28,6 +28,7 @@
 const DEFAULT_OWNER_SILENT_AFTER_MS = 1500;
 const DEFAULT_REPEAT_ASK_MS = 500;
 const DEFAULT_REPEAT_IN_USE_MS = 5000;
+const DEFAULT_PROGRESS_EVERY_MS = 500;
 /** Asks said again in one tick. */
 const MAX_REPEATED_ASKS = 20;
 /** How long past its deadline a request waits for the owner's refusal. */
@@ -46,6 +47,8 @@
   readonly ownerSilentAfterMs?: number;
   readonly repeatAskMs?: number;
   readonly repeatInUseMs?: number;
+  /** How often the owner is told of tokens produced. */
+  readonly progressEveryMs?: number;
 }
 
 /**
@@ -68,6 +71,7 @@
   /** Which life of the owner the allotment is from. */
   private ownerTerm: number | undefined;
   private toldInUseAtMs = -Infinity;
+  private toldProgressAtMs = -Infinity;
 
   constructor(options: PermitClientOptions) {
     this.options = {
@@ -78,6 +82,7 @@
         options.ownerSilentAfterMs ?? DEFAULT_OWNER_SILENT_AFTER_MS,
       repeatAskMs: options.repeatAskMs ?? DEFAULT_REPEAT_ASK_MS,
       repeatInUseMs: options.repeatInUseMs ?? DEFAULT_REPEAT_IN_USE_MS,
+      progressEveryMs: options.progressEveryMs ?? DEFAULT_PROGRESS_EVERY_MS,
     };
     const {policy, ownerSilentAfterMs} = this.options;
     this.policy = createPolicySet(policy);
@@ -162,17 +167,15 @@
   }
 
   /**
-   * Tokens that running attempts have produced so far.
+   * Tokens that running attempts have produced so far. Told to the owner from
+   * time to time, so that it may be called for each token.
    *
    * @example
    * client.progress([{attempt, outputTokens: 40}], nowMs);
    */
   progress(all: readonly AttemptProgress[], nowMs: number): ClientOutput[] {
-    const {instance, running} = this.state;
-    const progress = running.progress(all);
-    if (progress.length > 0) {
-      this.tell({kind: 'progress', instance, progress}, nowMs);
-    }
+    this.state.running.progress(all);
+    this.tellProgress(nowMs);
     return this.state.takeOutputs();
   }
 
@@ -202,6 +205,7 @@
    * setInterval(() => carryOut(client.tick(performance.now())), 50);
    */
   tick(nowMs: number): ClientOutput[] {
+    this.tellProgress(nowMs);
     this.fallback.tick(nowMs);
     this.refuseLate(nowMs);
     if (this.state.owner !== null) this.remindOwner(nowMs);
@@ -313,6 +317,15 @@
     if (this.watch.isSilent(nowMs)) this.decideAlone(nowMs);
   }
 
+  private tellProgress(nowMs: number): void {
+    if (nowMs - this.toldProgressAtMs < this.options.progressEveryMs) return;
+    this.toldProgressAtMs = nowMs;
+    const progress = this.state.running.takeProgress();
+    if (progress.length === 0) return;
+    const {instance} = this.state;
+    this.tell({kind: 'progress', instance, progress}, nowMs);
+  }
+
   private repeatInUse(nowMs: number): void {
     const {repeatAskMs, repeatInUseMs} = this.options;
     const everyMs = this.fallback.isActive ? repeatAskMs : repeatInUseMs;
--- a/packages/policy/src/running_attempts.ts
+++ b/packages/policy/src/running_attempts.ts
@@ -14,6 +14,7 @@
 /** Keeps what an owner, and a new one after it, has to be told. */
 export class RunningAttempts {
   private readonly permits = new Map<AttemptId, PermitInUse>();
+  private readonly progressed = new Set<AttemptId>();
 
   get size(): number {
     return this.permits.size;
@@ -46,17 +47,30 @@
   end(attempt: AttemptId): PermitInUse | undefined {
     const permit = this.permits.get(attempt);
     this.permits.delete(attempt);
+    this.progressed.delete(attempt);
     return permit;
   }
 
-  /** Takes in tokens produced; gives the reports on attempts that still run. */
-  progress(all: readonly AttemptProgress[]): AttemptProgress[] {
-    return all.filter(({attempt, outputTokens}) => {
+  /** Takes in tokens produced by attempts that still run. */
+  progress(all: readonly AttemptProgress[]): void {
+    for (const {attempt, outputTokens} of all) {
       const permit = this.permits.get(attempt);
-      if (permit === undefined) return false;
+      if (permit === undefined) continue;
       this.permits.set(attempt, {...permit, outputTokens});
-      return true;
-    });
+      this.progressed.add(attempt);
+    }
+  }
+
+  /** Attempts that have produced tokens since this was last asked. */
+  takeProgress(): AttemptProgress[] {
+    const progress: AttemptProgress[] = [];
+    for (const attempt of this.progressed) {
+      const permit = this.permits.get(attempt);
+      if (permit === undefined) continue;
+      progress.push({attempt, outputTokens: permit.outputTokens});
+    }
+    this.progressed.clear();
+    return progress;
   }
 
   /** The allotment they began under is void: each counts by itself. */
--- a/packages/policy/src/simulation/cell_simulation.ts
+++ b/packages/policy/src/simulation/cell_simulation.ts
@@ -24,7 +24,7 @@
 const TICK_MS = 50;
 /** For what came last to finish. */
 const DRAIN_MS = 60_000;
-const PROGRESS_EVERY_MS = 500;
+const PROGRESS_EVERY_MS = 50;
 
 /** Something that happens to the cell at an instant. */
 export interface SimulatedEvent {
