Write the operators' page and check it against the code

Cause: settings, refusal codes, metrics and exit codes were told nowhere but in the source; and settings that can't work together (a lease renewed later than it lapses) were taken.

Change: docs/OPERATIONS.md with a settings reference from the schema, tickets by example, refusal codes, metrics, exit codes, the dump, a runbook for each failure, and how a data centre is left; what no process does yet is listed first and marked where it is used. A test compares the tables with the code and checks the examples by the schemas. Each setting carries its description; peer and lease times are checked against each other.

Ruled out: a generator that writes the page (prose and tables would drift apart in two places; the test keeps one page true).

--- /dev/null
+++ b/packages/cli/src/operations_page.test.ts
@@ -0,0 +1,58 @@
+import {readFileSync} from 'node:fs';
+import {checkTicket} from '@snipestage/configuration/ticket_schema.js';
+import {METRICS} from '@snipestage/log/metric_names.js';
+import {checkEntrySettings} from '@snipestage/settings/read_settings.js';
+import {listSettings} from '@snipestage/settings/settings_reference.js';
+import {REFUSAL_CODES, statusOf} from '@snipestage/types/refusal.js';
+import test from 'ava';
+import {EXIT_CODE_MEANINGS} from './exit_codes.js';
+
+const PAGE = readFileSync(
+  new URL('../../../docs/OPERATIONS.md', import.meta.url),
+  'utf8',
+);
+
+/** Cells of each table row by the first one, without quotes of code. */
+const ROWS = new Map(
+  PAGE.split('\n')
+    .filter(line => line.startsWith('|'))
+    .map(line => line.split('|').map(cell => cell.trim().replace(/`/g, '')))
+    .map(cells => [cells[1], cells.slice(2, -1)]),
+);
+
+const EXAMPLES = [...PAGE.matchAll(/```json\n(.*?)```/gs)].map(([, text]) =>
+  JSON.parse(text),
+);
+
+test('the page lists each setting with its default', t => {
+  for (const {path, standard, description} of listSettings()) {
+    const plain = description.replace(/`/g, '');
+    t.deepEqual(ROWS.get(path), [standard, plain], path);
+  }
+});
+
+test('the page lists each refusal code with its status', t => {
+  for (const code of REFUSAL_CODES) {
+    t.is(ROWS.get(code)?.[0], String(statusOf(code)), code);
+  }
+});
+
+test('the page lists each metric', t => {
+  for (const [name, {kind, unit}] of Object.entries(METRICS)) {
+    t.deepEqual(ROWS.get(name)?.slice(0, 2), [kind, unit], name);
+  }
+});
+
+test('the page lists each exit code', t => {
+  for (const [code, meaning] of Object.entries(EXIT_CODE_MEANINGS)) {
+    t.deepEqual(ROWS.get(code), [meaning]);
+  }
+});
+
+test('the examples on the page are valid', t => {
+  const tickets = EXAMPLES.filter(example => 'changes' in example);
+  t.is(tickets.length, 4);
+  for (const ticket of tickets) t.false('faults' in checkTicket(ticket));
+  const [settings] = EXAMPLES.filter(example => 'callers' in example);
+  t.notThrows(() => checkEntrySettings(settings));
+});
--- a/packages/settings/src/read_settings.test.ts
+++ b/packages/settings/src/read_settings.test.ts
@@ -31,3 +31,22 @@
   const paths = error.faults.map(fault => fault.path).sort();
   t.deepEqual(paths, ['callers.port', 'callers.prot', 'dataCentre']);
 });
+
+// A lease that is renewed too seldom lapses between two renewals; the role
+// would wander from instance to instance and nothing would get done.
+test('settings that can not work together are told', t => {
+  const error = t.throws(
+    () =>
+      checkEntrySettings({
+        ...VALID,
+        lease: {termMs: 2000},
+        peer: {...VALID.peer, heartbeatMs: 3000, deadAfterMs: 1000},
+      }),
+    {instanceOf: InputError},
+  );
+  t.deepEqual(error.faults.map(fault => fault.path).sort(), [
+    'lease.termMs',
+    'peer.heartbeatMs',
+    'peer.suspectAfterMs',
+  ]);
+});
--- a/packages/types/src/refusal.ts
+++ b/packages/types/src/refusal.ts
@@ -59,6 +59,9 @@
   internal: 500,
 };
 
+/** All codes, for documentation and checks. */
+export const REFUSAL_CODES = Object.keys(STATUS) as readonly RefusalCode[];
+
 /**
  * The HTTP status that goes with a refusal code (RFC 9110).
  *
