Plan and order endpoints under a lease per data centre

Cause: endpoints have to be ordered, loaded, drained and released without two processes doing so at once. Ruled out: demand from every instance to every planner (76 frames a second at 380 instances).

--- /dev/null
+++ b/packages/entry/src/agree/lease_task.ts
@@ -0,0 +1,152 @@
+/** Holds one lease, or waits to. */
+
+import {
+  beginLease,
+  leaseInForce,
+  transitionLease,
+  type HeldLease,
+  type LeaseEffect,
+  type LeaseEvent,
+  type LeaseOptions,
+  type LeaseState,
+} from '@snipestage/agreement/lease.js';
+import type {Logger} from '@snipestage/log/logger.js';
+import type {SendGuard} from '@snipestage/platform/platform.js';
+import type {MonotonicClock} from '../clock.js';
+import type {TableExecutor} from '../configure/table_executor.js';
+
+const TICKS_PER_RENEWAL = 10;
+
+/** Is told when a term begins and when it ends. */
+export interface LeaseListener {
+  acquired(held: HeldLease): void;
+  lost(): void;
+}
+
+/** Options of {@link LeaseTask}. */
+export interface LeaseTaskOptions {
+  readonly lease: LeaseOptions;
+  readonly executor: TableExecutor;
+  readonly clock: MonotonicClock;
+  readonly logger: Logger;
+  /** Only a few instances of a data centre stand for a lease. */
+  readonly isCandidate: () => boolean;
+}
+
+/** Owns the lease's state; everything done in its name asks it for a guard. */
+export class LeaseTask {
+  private state: LeaseState;
+  private timer: NodeJS.Timeout | undefined;
+  private termTimer: NodeJS.Timeout | undefined;
+  private term = new AbortController();
+  private isRetiring = false;
+  private readonly listeners: LeaseListener[] = [];
+
+  constructor(private readonly options: LeaseTaskOptions) {
+    this.state = beginLease(options.lease);
+    this.term.abort();
+  }
+
+  listen(listener: LeaseListener): void {
+    this.listeners.push(listener);
+  }
+
+  get held(): HeldLease | undefined {
+    return leaseInForce(this.state, this.options.clock());
+  }
+
+  /** Lets sends happen only within the term that is in force now. */
+  guard(): SendGuard {
+    const token = this.held?.fencingToken;
+    return {
+      mayStillSend: () =>
+        token !== undefined && this.held?.fencingToken === token,
+      signal: this.term.signal,
+    };
+  }
+
+  start(): void {
+    const everyMs = this.options.lease.renewEveryMs / TICKS_PER_RENEWAL;
+    this.timer = setInterval(() => this.tick(), everyMs);
+  }
+
+  /** Gives the lease up, so that a successor need not wait for its end. */
+  async retire(): Promise<void> {
+    clearInterval(this.timer);
+    this.isRetiring = true;
+    await this.handle({kind: 'retire', nowMs: this.options.clock()});
+    clearTimeout(this.termTimer);
+  }
+
+  snapshot(): object {
+    const {held} = this;
+    const nowMs = this.options.clock();
+    return {
+      name: this.options.lease.name,
+      held: held !== undefined,
+      fencingToken: held?.fencingToken,
+      endsInMs: held && Math.round(held.termEndsAtMs - nowMs),
+    };
+  }
+
+  private tick(): void {
+    if (this.isRetiring) return;
+    // One that is no candidate any more keeps what it has and renews it; it
+    // only does not challenge.
+    if (this.state.held === undefined && !this.options.isCandidate()) return;
+    void this.handle({kind: 'tick', nowMs: this.options.clock()});
+  }
+
+  private async handle(event: LeaseEvent): Promise<void> {
+    const step = transitionLease(this.state, event);
+    this.state = step.state;
+    await Promise.all(step.effects.map(effect => this.carryOut(effect)));
+  }
+
+  private async carryOut(effect: LeaseEffect): Promise<void> {
+    switch (effect.kind) {
+      case 'acquired':
+        this.beginTerm(effect.held);
+        return;
+      case 'extended':
+        this.watchTerm(effect.held);
+        return;
+      case 'lost':
+        this.endTerm();
+        return;
+      default:
+        await this.handle(await this.options.executor.carryOut(effect));
+    }
+  }
+
+  private beginTerm(held: HeldLease): void {
+    this.term = new AbortController();
+    this.watchTerm(held);
+    this.options.logger.info('lease_acquired', {
+      lease: this.options.lease.name,
+      fencingToken: held.fencingToken,
+    });
+    for (const listener of this.listeners) listener.acquired(held);
+  }
+
+  private endTerm(): void {
+    clearTimeout(this.termTimer);
+    this.term.abort();
+    this.options.logger.info('lease_lost', {lease: this.options.lease.name});
+    for (const listener of this.listeners) listener.lost();
+  }
+
+  /**
+   * Bytes handed to a connection may still lie in the kernel when the term
+   * ends. The connection is reset then, or an order could arrive after the
+   * successor's.
+   */
+  private watchTerm(held: HeldLease): void {
+    clearTimeout(this.termTimer);
+    const leftMs = held.termEndsAtMs - this.options.clock();
+    this.termTimer = setTimeout(
+      () => void this.handle({kind: 'tick', nowMs: this.options.clock()}),
+      Math.max(0, leftMs) + 1,
+    );
+  }
+}
--- a/packages/entry/src/choose/cell_map.ts
+++ b/packages/entry/src/choose/cell_map.ts
@@ -7,23 +7,18 @@
   Endpoint,
   EndpointTarget,
 } from '@snipestage/types/configuration.js';
-import type {
-  CellId,
-  DataCentreId,
-  EndpointId,
-  InstanceId,
-} from '@snipestage/types/ids.js';
+import type {CellId, DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 import type {Member} from '@snipestage/types/member.js';
 import {instancesIn} from './cluster_view.js';
 
 /** What a {@link CellMap} is made from. */
 export interface CellMapOptions {
   readonly configuration: Configuration;
+  /** Configured ones and those that the platform runs. */
+  readonly endpoints: ReadonlyMap<string, Endpoint>;
   readonly members: readonly Member[];
   readonly dataCentre: DataCentreId;
   readonly endpointsPerCell?: number;
-  /** Endpoints that the platform's list shows as leaving. */
-  readonly leaving?: ReadonlySet<EndpointId>;
 }
 
 /** Made anew whenever the configuration or the members change. */
@@ -66,19 +61,14 @@
   /** The cell's endpoints as its owner is to know them. */
   endpointsOf(cell: Cell): CellEndpoint[] {
     return cell.endpoints
-      .map(id => this.options.configuration.endpoints.get(id))
+      .map(id => this.options.endpoints.get(id))
       .filter(endpoint => endpoint !== undefined)
-      .map(endpoint => this.toCellEndpoint(endpoint));
-  }
-
-  private toCellEndpoint(endpoint: Endpoint): CellEndpoint {
-    const isListedLeaving = this.options.leaving?.has(endpoint.id) ?? false;
-    return {
-      id: endpoint.id,
-      kind: endpoint.kind,
-      maxConcurrency: endpoint.maxConcurrency,
-      leaving: endpoint.leaving || isListedLeaving,
-    };
+      .map(({id, kind, maxConcurrency, leaving}) => ({
+        id,
+        kind,
+        maxConcurrency,
+        leaving,
+      }));
   }
 
   /** The own one, then those of the same region, then all others. */
@@ -100,13 +90,13 @@
    * instances of the others look after its cells then.
    */
   private planDataCentre(dataCentre: DataCentreId): Cell[] {
-    const {configuration, members, endpointsPerCell} = this.options;
+    const {endpoints, members, endpointsPerCell} = this.options;
     const local = instancesIn(members, dataCentre);
     const instances =
       local.length > 0 ? local : members.map(member => member.id);
     return planCells({
       dataCentre,
-      endpoints: configuration.endpoints.values(),
+      endpoints: endpoints.values(),
       instances,
       endpointsPerCell,
     });
--- a/packages/entry/src/choose/cell_owners.ts
+++ b/packages/entry/src/choose/cell_owners.ts
@@ -5,7 +5,7 @@
   CellOutput,
   ReportedLoad,
 } from '@snipestage/policy/cell_messages.js';
-import {CellOwner} from '@snipestage/policy/cell_owner.js';
+import {CellOwner, type CellSnapshot} from '@snipestage/policy/cell_owner.js';
 import type {Cell} from '@snipestage/policy/cells.js';
 import {
   createPolicySet,
@@ -76,7 +76,7 @@
     if (owned !== undefined) this.feed(cell, owned, {kind: 'load', load});
   }
 
-  snapshot(): object[] {
+  snapshot(): CellSnapshot[] {
     const nowMs = this.options.clock();
     return [...this.owned.values()].map(({owner}) => owner.snapshot(nowMs));
   }
--- a/packages/entry/src/choose/cell_permits.ts
+++ b/packages/entry/src/choose/cell_permits.ts
@@ -14,6 +14,7 @@
 import type {PermitAsk, PermitRefusal} from '@snipestage/types/permits.js';
 import type {MonotonicClock} from '../clock.js';
 import type {ConfigurationStore} from '../configure/configuration_store.js';
+import type {EndpointDirectory} from '../endpoints/endpoint_directory.js';
 import {CellClients} from './cell_clients.js';
 import {CellMap} from './cell_map.js';
 import {CellOwners} from './cell_owners.js';
@@ -32,6 +33,7 @@
   readonly self: InstanceId;
   readonly dataCentre: DataCentreId;
   readonly store: ConfigurationStore;
+  readonly directory: EndpointDirectory;
   readonly view: ClusterView;
   readonly router: PermitRouter;
   readonly owners: CellOwners;
@@ -46,15 +48,15 @@
 /** Keeps the map of cells up to date and finds each request its permit. */
 export class CellPermits extends Permits {
   private map: CellMap;
-  private leaving: ReadonlySet<EndpointId> = new Set();
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: CellPermitsOptions) {
     super();
-    const {store, view, router} = options;
+    const {directory, view, router} = options;
     this.map = this.createMap();
     router.connect((from, record) => this.receive(from, record));
-    store.onChange(() => this.reconfigure());
+    // The directory changes with each new configuration too.
+    directory.onChange(() => this.reconfigure());
     view.onChange(() => this.reconfigure());
   }
 
@@ -80,12 +82,6 @@
     }
   }
 
-  /** Endpoints that the platform takes away; they get no new work. */
-  setLeaving(leaving: ReadonlySet<EndpointId>): void {
-    this.leaving = leaving;
-    this.reconfigure();
-  }
-
   get cells(): CellMap {
     return this.map;
   }
@@ -153,7 +149,7 @@
     request: PermitRequest,
     {cell, ask, endpointId}: SearchedCell & {readonly endpointId: EndpointId},
   ): Permit {
-    const {clients, store} = this.options;
+    const {clients, directory} = this.options;
     const {attempt} = ask;
     const release = (report: AttemptReport) =>
       clients.release({
@@ -166,7 +162,7 @@
         firstTokenMs: report.firstTokenMs,
         betweenTokensMs: report.betweenTokensMs,
       });
-    const endpoint = store.current.endpoints.get(endpointId);
+    const endpoint = directory.endpoints.get(endpointId);
     if (endpoint === undefined) {
       // Removed by a ticket between the grant and now.
       release({outcome: 'cancelled'});
@@ -189,13 +185,13 @@
   }
 
   private createMap(): CellMap {
-    const {store, view, dataCentre, endpointsPerCell} = this.options;
+    const {store, directory, view, dataCentre, endpointsPerCell} = this.options;
     return new CellMap({
       configuration: store.current,
       members: view.live(),
       dataCentre,
       endpointsPerCell,
-      leaving: this.leaving,
+      endpoints: directory.endpoints,
     });
   }
 }
--- /dev/null
+++ b/packages/entry/src/compose/bind_handlers.ts
@@ -0,0 +1,65 @@
+/** Binds the serving of callers. */
+
+import {Logger} from '@snipestage/log/logger.js';
+import {Platform} from '@snipestage/platform/platform.js';
+import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
+import type {Container} from 'inversify';
+import {UsageCounters} from '../account/usage_counters.js';
+import {ClaimDesk} from '../admit/claim_desk.js';
+import {InFlightRequests} from '../admit/in_flight_requests.js';
+import {KeptAnswers} from '../admit/kept_answers.js';
+import {RequestIntake} from '../admit/request_intake.js';
+import {ClusterView} from '../choose/cluster_view.js';
+import {monotonicNowMs} from '../clock.js';
+import {ConfigurationStore} from '../configure/configuration_store.js';
+import {TableExecutor} from '../configure/table_executor.js';
+import {ModelHandler} from '../listen/model_handler.js';
+import {ServiceHandler} from '../listen/service_handler.js';
+import {ModelRunner} from '../send/model_runner.js';
+import {ServiceRunner} from '../send/service_runner.js';
+import {IS_READY} from './tokens.js';
+
+function bindClaims(container: Container): void {
+  container
+    .bind(KeptAnswers)
+    .toResolvedValue(platform => new KeptAnswers(platform), [Platform]);
+  container
+    .bind(ClaimDesk)
+    .toResolvedValue(
+      (executor, view, answers) => new ClaimDesk({executor, view, answers}),
+      [TableExecutor, ClusterView, KeptAnswers],
+    );
+}
+
+export function bindHandlers(
+  container: Container,
+  settings: EntrySettings,
+): void {
+  bindClaims(container);
+  const {maxBodyBytes} = settings.callers;
+  container.bind(RequestIntake).toResolvedValue(
+    (store, inFlight, logger, isReady) =>
+      new RequestIntake({
+        store,
+        inFlight,
+        clock: monotonicNowMs,
+        logger: logger.forComponent('callers'),
+        isReady,
+      }),
+    [ConfigurationStore, InFlightRequests, Logger, IS_READY],
+  );
+  container
+    .bind(ModelHandler)
+    .toResolvedValue(
+      (store, runner, claims, usage) =>
+        new ModelHandler({store, runner, claims, usage, maxBodyBytes}),
+      [ConfigurationStore, ModelRunner, ClaimDesk, UsageCounters],
+    );
+  container
+    .bind(ServiceHandler)
+    .toResolvedValue(
+      (store, runner, claims, usage) =>
+        new ServiceHandler({store, runner, claims, usage, maxBodyBytes}),
+      [ConfigurationStore, ServiceRunner, ClaimDesk, UsageCounters],
+    );
+}
--- /dev/null
+++ b/packages/entry/src/compose/bind_permits.ts
@@ -0,0 +1,83 @@
+/** Binds the choice of endpoints. */
+
+import {PeerNetwork} from '@snipestage/peer/peer_network.js';
+import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
+import type {Container} from 'inversify';
+import {CellClients} from '../choose/cell_clients.js';
+import {CellOwners} from '../choose/cell_owners.js';
+import {CellPermits} from '../choose/cell_permits.js';
+import {ClusterView} from '../choose/cluster_view.js';
+import {PermitRouter} from '../choose/permit_router.js';
+import {Permits} from '../choose/permits.js';
+import {SuspectGuard} from '../choose/suspect_guard.js';
+import {monotonicNowMs} from '../clock.js';
+import {ConfigurationStore} from '../configure/configuration_store.js';
+import {EndpointDirectory} from '../endpoints/endpoint_directory.js';
+import {toPeerRecord} from '../peers/permit_records.js';
+import {toSuspectRecord} from '../peers/suspect_records.js';
+
+/** Permits: the router, the owned cells and the clients of all others. */
+export function bindPermits(
+  container: Container,
+  settings: EntrySettings,
+): void {
+  const clock = monotonicNowMs;
+  const self = settings.instance;
+  const {policy, maxWaitingPerCell: maxWaiting} = settings.routing;
+  container.bind(PermitRouter).toResolvedValue(
+    network =>
+      new PermitRouter({
+        self,
+        sendRemote: (to, record) => network.send(to, toPeerRecord(record)),
+      }),
+    [PeerNetwork],
+  );
+  container
+    .bind(CellOwners)
+    .toResolvedValue(
+      router => new CellOwners({self, router, clock, policy, maxWaiting}),
+      [PermitRouter],
+    );
+  container
+    .bind(CellClients)
+    .toResolvedValue(
+      router => new CellClients({self, router, clock, policy, maxWaiting}),
+      [PermitRouter],
+    );
+  container.bind(CellPermits).toResolvedValue(
+    (store, directory, view, router, owners, clients) =>
+      new CellPermits({
+        self,
+        dataCentre: settings.dataCentre,
+        store,
+        directory,
+        view,
+        router,
+        owners,
+        clients,
+        clock,
+        tickMs: settings.peer.tickMs,
+        endpointsPerCell: settings.routing.endpointsPerCell,
+      }),
+    [
+      ConfigurationStore,
+      EndpointDirectory,
+      ClusterView,
+      PermitRouter,
+      CellOwners,
+      CellClients,
+    ],
+  );
+  container.bind(SuspectGuard).toResolvedValue(
+    (permits, network) =>
+      new SuspectGuard({
+        permits,
+        self,
+        incarnation: () => network.self().incarnation,
+        clock,
+        spread: crashes => network.broadcast(toSuspectRecord(crashes)),
+      }),
+    [CellPermits, PeerNetwork],
+  );
+  container.bind(Permits).toService(SuspectGuard);
+}
--- /dev/null
+++ b/packages/entry/src/compose/bind_platform.ts
@@ -0,0 +1,42 @@
+/** Binds the platform and what follows its table. */
+
+import {HttpPlatform} from '@snipestage/platform/http_platform.js';
+import {Platform} from '@snipestage/platform/platform.js';
+import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
+import type {Container} from 'inversify';
+import {monotonicNowMs} from '../clock.js';
+import {ConfigurationStore} from '../configure/configuration_store.js';
+import {RevisionTask} from '../configure/revision_task.js';
+import {TableExecutor} from '../configure/table_executor.js';
+import {TicketDesk} from '../operate/ticket_desk.js';
+
+export function bindPlatform(
+  container: Container,
+  settings: EntrySettings,
+): void {
+  const clock = monotonicNowMs;
+  container.bind(Platform).toConstantValue(new HttpPlatform(settings.platform));
+  container
+    .bind(TableExecutor)
+    .toResolvedValue(
+      platform => new TableExecutor({platform, clock}),
+      [Platform],
+    );
+  container.bind(RevisionTask).toResolvedValue(
+    (store, executor) =>
+      new RevisionTask({
+        store,
+        executor,
+        clock,
+        pollMs: settings.platform.pollMs,
+      }),
+    [ConfigurationStore, TableExecutor],
+  );
+  container
+    .bind(TicketDesk)
+    .toResolvedValue(
+      (platform, executor, store, revisions) =>
+        new TicketDesk({platform, executor, store, revisions}),
+      [Platform, TableExecutor, ConfigurationStore, RevisionTask],
+    );
+}
--- /dev/null
+++ b/packages/entry/src/compose/container.ts
@@ -0,0 +1,51 @@
+/** Puts the process together. */
+
+import 'reflect-metadata';
+import {Logger} from '@snipestage/log/logger.js';
+import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
+import {Container} from 'inversify';
+import {UsageCounters} from '../account/usage_counters.js';
+import {InFlightRequests} from '../admit/in_flight_requests.js';
+
+import {ConfigurationStore} from '../configure/configuration_store.js';
+import {StateDump} from '../operate/state_dump.js';
+import {bindEndpoints} from './bind_endpoints.js';
+import {bindHandlers} from './bind_handlers.js';
+import {bindPeers} from './bind_peers.js';
+import {bindPermits} from './bind_permits.js';
+import {bindPlatform} from './bind_platform.js';
+import {bindSending} from './bind_sending.js';
+import {IS_READY, SETTINGS} from './tokens.js';
+
+/**
+ * Binds every part of the process to how it is made.
+ *
+ * @example
+ * const container = createContainer(settings, () => process.isReady);
+ * const intake = container.get(RequestIntake);
+ */
+export function createContainer(
+  settings: EntrySettings,
+  isReady: () => boolean,
+): Container {
+  const container = new Container({defaultScope: 'Singleton'});
+  container.bind(SETTINGS).toConstantValue(settings);
+  container.bind(IS_READY).toConstantValue(isReady);
+  container.bind(Logger).toConstantValue(
+    new Logger({
+      component: 'entry',
+      fields: {instance: settings.instance},
+    }),
+  );
+  container.bind(UsageCounters).toConstantValue(new UsageCounters());
+  container.bind(InFlightRequests).toConstantValue(new InFlightRequests());
+  container.bind(ConfigurationStore).toConstantValue(new ConfigurationStore());
+  container.bind(StateDump).toConstantValue(new StateDump());
+  bindPlatform(container, settings);
+  bindPeers(container, settings);
+  bindEndpoints(container, settings);
+  bindPermits(container, settings);
+  bindSending(container, settings);
+  bindHandlers(container, settings);
+  return container;
+}
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -4,6 +4,7 @@
 import {PeerNetwork} from '@snipestage/peer/peer_network.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
+import {OrderTask} from './agree/order_task.js';
 import {UsageCounters} from './account/usage_counters.js';
 import {ClaimDesk} from './admit/claim_desk.js';
 import {InFlightRequests} from './admit/in_flight_requests.js';
@@ -13,13 +14,19 @@
 import {monotonicNowMs} from './clock.js';
 import {ConfigurationStore} from './configure/configuration_store.js';
 import {RevisionTask} from './configure/revision_task.js';
-import {createContainer} from './container.js';
+import {createContainer} from './compose/container.js';
+import {ORDERS_LEASE} from './compose/tokens.js';
+import {DemandTask} from './endpoints/demand_task.js';
+import {EndpointDirectory} from './endpoints/endpoint_directory.js';
+import {EndpointListTask} from './endpoints/endpoint_list_task.js';
+import {PlanTask} from './endpoints/plan_task.js';
 import {CallersServer} from './listen/callers_server.js';
 import {ModelHandler} from './listen/model_handler.js';
 import {ServiceHandler} from './listen/service_handler.js';
 import {AdminServer} from './operate/admin_server.js';
 import {Shutdown} from './operate/shutdown.js';
 import {PeerTask} from './peers/peer_task.js';
+import {connectEndpoints} from './peers/endpoint_records.js';
 import {connectSuspects} from './peers/suspect_records.js';
 import {StateDump} from './operate/state_dump.js';
 import {TicketDesk} from './operate/ticket_desk.js';
@@ -48,14 +55,21 @@
       this.container.get(PeerNetwork),
       this.container.get(SuspectGuard),
     );
+    connectEndpoints(
+      this.container.get(PeerTask),
+      this.container.get(EndpointDirectory),
+      this.container.get(DemandTask),
+    );
   }
 
   async start(): Promise<void> {
     const callers = await this.callers.start();
     const admin = await this.admin.start();
     await this.container.get(PeerTask).start();
+    this.container.get(ORDERS_LEASE).start();
     this.container.get(RevisionTask).start();
     this.container.get(CellPermits).start();
+    for (const task of this.backgroundTasks()) task.start();
     this.logger.info('started', {
       dataCentre: this.settings.dataCentre,
       callersPort: callers.port,
@@ -103,9 +117,10 @@
       inFlight: this.container.get(InFlightRequests),
       logger: this.logger.forComponent('shutdown'),
       onBegin: () => this.callers.beginDraining(),
-      onNoNewWork: () => {
+      onNoNewWork: async () => {
         this.callers.stopListening();
         this.container.get(PeerTask).leave();
+        await this.container.get(ORDERS_LEASE).retire();
       },
       onIdle: () => this.closeAll(),
     });
@@ -115,11 +130,21 @@
     await this.container.get(ClaimDesk).whenSettled();
     this.container.get(RevisionTask).stop();
     this.container.get(CellPermits).stop();
+    for (const task of this.backgroundTasks()) task.stop();
     this.container.get(PeerTask).stop();
     this.callers.closeAllConnections();
     this.admin.stop();
   }
 
+  /** Tasks of the endpoints; none is needed to serve a request. */
+  private backgroundTasks(): Array<{start(): void; stop(): void}> {
+    return [
+      this.container.get(EndpointListTask),
+      this.container.get(DemandTask),
+      this.container.get(PlanTask),
+    ];
+  }
+
   private followConfiguration(): void {
     const store = this.container.get(ConfigurationStore);
     const inFlight = this.container.get(InFlightRequests);
@@ -159,6 +184,12 @@
     dump.add('inFlight', () => inFlight.snapshot(monotonicNowMs()));
     dump.add('cells', () => this.container.get(CellPermits).snapshot());
     dump.add('suspects', () => this.container.get(SuspectGuard).snapshot());
+    dump.add('endpoints', () =>
+      this.container.get(EndpointDirectory).snapshot(),
+    );
+    dump.add('leases', () => [this.container.get(ORDERS_LEASE).snapshot()]);
+    dump.add('orders', () => this.container.get(OrderTask).snapshot());
+    dump.add('plan', () => this.container.get(PlanTask).snapshot());
     dump.add('peers', () => this.container.get(PeerNetwork).snapshot());
     dump.add('claims', () => ({
       settling: this.container.get(ClaimDesk).settlingCount,
