Measure scenarios with real entry processes against the stand-ins

Cause: decisions under load and faults are to be judged by figures, each next to the baselines from the same invocation. Change: ten scenarios as data, seeded open-loop arrivals with latency from the intended instant, a balancer, attainment by class and phase, goodput, wasted tokens, worst-served account, spend, cheap share, wrong answers, untrue refusals, doubled and lost service calls, usage reported against delivered; a table, JSON and a plot as SVG. Ruled out: lengths of answers by max_tokens, which would tell the router what it can't know; a mark in the prompt sets the mean from which the engine draws.

--- a/packages/stand_ins/src/client/stream_client.ts
+++ b/packages/stand_ins/src/client/stream_client.ts
@@ -1,6 +1,10 @@
 /** Calls a completion and notes what came back, for tests and load. */
 
-import {request as sendRequest, type IncomingMessage} from 'node:http';
+import {
+  request as sendRequest,
+  type Agent,
+  type IncomingMessage,
+} from 'node:http';
 import {
   StreamReader,
   textOfChunk,
@@ -17,6 +21,8 @@
   readonly body: object;
   readonly signal?: AbortSignal;
   readonly onToken?: (atMs: number) => void;
+  /** Connections to be used; one of its own when absent. */
+  readonly agent?: Agent;
 }
 
 /** What came back. */
@@ -41,7 +47,7 @@
 const DEFAULT_PATH = '/v1/chat/completions';
 
 /**
- * Streams one completion on a connection of its own; never throws.
+ * Streams one completion; never throws.
  *
  * @example
  * const result = await streamCompletion({
@@ -71,7 +77,7 @@
       new URL(call.path ?? DEFAULT_PATH, call.url),
       {
         method: 'POST',
-        agent: false,
+        agent: call.agent ?? false,
         signal: call.signal,
         headers: {
           ...call.headers,
--- a/packages/stand_ins/src/engine/sequence_factory.ts
+++ b/packages/stand_ins/src/engine/sequence_factory.ts
@@ -6,7 +6,7 @@
 import {seededRandom, type RandomSource} from '../random.js';
 import {countTokens, promptOf, type CompletionRequest} from './completion.js';
 import type {EngineControl} from './engine_control.js';
-import {drawLength} from './output_length.js';
+import {drawLength, markedMean} from './output_length.js';
 import {
   Sequence,
   type CompletionFormat,
@@ -69,8 +69,10 @@
   private optionsFor(call: Call, format: CompletionFormat): SequenceOptions {
     const body = parseJson<CompletionRequest>(call.body);
     const {text, firstIndex} = promptOf(body);
-    const mean = this.options.meanOutputTokens ?? DEFAULT_MEAN_OUTPUT_TOKENS;
-    const drawn = drawLength(text, this.options.seed ?? 0, mean) - firstIndex;
+    const {meanOutputTokens = DEFAULT_MEAN_OUTPUT_TOKENS, seed = 0} =
+      this.options;
+    const mean = markedMean(text) ?? meanOutputTokens;
+    const drawn = drawLength(text, seed, mean) - firstIndex;
     const priority = headerOf(call.request, 'x-request-priority');
     return {
       requestId: headerOf(call.request, 'x-request-id') ?? randomUUID(),
--- /dev/null
+++ b/packages/stand_ins/src/measure/main.ts
@@ -0,0 +1,75 @@
+/** Measures scenarios with real entry processes against the stand-ins. */
+
+import {writeFileSync} from 'node:fs';
+import type {PolicyName} from '@snipestage/policy/policy_set.js';
+import {Command, Option} from 'commander';
+import type {RunFigures} from './figures.js';
+import {runScenario} from './run_scenario.js';
+import type {Scenario} from './scenario.js';
+import {SCENARIOS} from './scenarios.js';
+import {drawAttainment, type Panel} from './svg.js';
+import {assembleRows, formatRows} from './table.js';
+
+interface MeasureOptions {
+  readonly scenario: string;
+  readonly policy?: PolicyName;
+  readonly runs: string;
+  readonly json?: boolean;
+  readonly svg?: string;
+}
+
+const POLICIES: readonly PolicyName[] = [
+  'tiered',
+  'round_robin',
+  'least_in_flight',
+];
+
+async function measureScenario(
+  scenario: Scenario,
+  options: MeasureOptions,
+): Promise<void> {
+  const policies = options.policy === undefined ? POLICIES : [options.policy];
+  const runs: Record<string, RunFigures[]> = {};
+  const panels: Panel[] = [];
+  for (let run = 1; run <= Number(options.runs); run++) {
+    for (const policy of policies) {
+      console.error(`${scenario.name}: run ${run}, ${policy}`);
+      const {figures, outcomes} = await runScenario(scenario, policy);
+      if (run === 1) panels.push({title: policy, outcomes});
+      runs[policy] = [...(runs[policy] ?? []), figures];
+    }
+  }
+  if (options.svg !== undefined) {
+    writeFileSync(options.svg, drawAttainment(scenario, panels));
+  }
+  if (options.json === true) {
+    console.log(JSON.stringify({scenario: scenario.name, runs}, null, 2));
+    return;
+  }
+  console.log(`${scenario.name}: ${scenario.about}`);
+  console.log(formatRows(assembleRows(runs)));
+}
+
+async function measure(options: MeasureOptions): Promise<void> {
+  const scenario = SCENARIOS.get(options.scenario);
+  if (scenario === undefined) {
+    const names = [...SCENARIOS.keys()].join(', ');
+    throw new Error(`There is no ${options.scenario}; there are ${names}.`);
+  }
+  await measureScenario(scenario, options);
+}
+
+await new Command('measure')
+  .description('Measures the router against stand-ins on this machine.')
+  .requiredOption('--scenario <name>', 'what is to be measured')
+  .addOption(
+    new Option(
+      '--policy <name>',
+      'one policy only; all three side by side when absent',
+    ).choices(POLICIES),
+  )
+  .option('--runs <number>', 'how often; medians are shown', '1')
+  .option('--svg <file>', 'draw attainment over time of the first run')
+  .option('--json', 'print all figures of all runs')
+  .action(measure)
+  .parseAsync();
