--- a/packages/cli/src/admin/admin_answers.ts
+++ b/packages/cli/src/admin/admin_answers.ts
@@ -5,6 +5,7 @@
 /** Unknown fields pass, so that a newer instance can be asked. */
 const fault = z.looseObject({path: z.string(), message: z.string()});
 
+/** How a submitted ticket ended. */
 export const submitAnswer = z.looseObject({
   outcome: z.string(),
   revision: z.number().optional(),
@@ -14,6 +15,7 @@
   by: z.number().optional(),
 });
 
+/** All faults of a ticket. */
 export const validateAnswer = z.looseObject({faults: z.array(fault)});
 
 const ticketAnswer = z.looseObject({
@@ -28,6 +30,7 @@
 /** A list, or the one ticket that was asked for. */
 export const ticketsAnswer = z.looseObject({tickets: z.array(ticketAnswer)});
 
+/** What an instance sees and does. */
 export const statusAnswer = z.looseObject({
   instance: z.string(),
   ready: z.boolean(),
@@ -54,6 +57,7 @@
   outputTokens: z.number(),
 });
 
+/** Usage by window, client account and class. */
 export const usageAnswer = z.looseObject({
   /** Of this instance, not yet in a sealed window. */
   open: z.array(usageLine).default([]),
--- a/packages/cli/src/admin/admin_client.ts
+++ b/packages/cli/src/admin/admin_client.ts
@@ -46,6 +46,7 @@
       readonly reason: string;
     };
 
+/** A reply with a status. */
 export type AnsweredReply = Extract<AdminReply, {kind: 'answered'}>;
 
 /** What an {@link AdminClient} is made from. */
@@ -111,7 +112,12 @@
   }
 }
 
-/** The error for a call that no instance answered. */
+/**
+ * The error for a call that no instance answered.
+ *
+ * @example
+ * throw unreachable(['http://10.0.0.1:8081: connect ECONNREFUSED']);
+ */
 export function unreachable(reasons: readonly string[]): CommandError {
   return new CommandError(
     'No instance answered. Check that one is up and that --admin-url names ' +
@@ -120,7 +126,12 @@
   );
 }
 
-/** @throws CommandError when the operator key is not accepted. */
+/**
+ * @throws CommandError when the operator key is not accepted.
+ *
+ * @example
+ * throwIfKeyRefused(reply);
+ */
 export function throwIfKeyRefused(reply: AnsweredReply): void {
   if (reply.status !== 401 && reply.status !== 403) return;
   throw new CommandError(
@@ -134,6 +145,8 @@
  * Reads an answer by its schema.
  *
  * @throws CommandError when the instance said something else.
+ * @example
+ * const {faults} = readAnswer(reply, validateAnswer);
  */
 export function readAnswer<Schema extends z.ZodType>(
   reply: AnsweredReply,
@@ -149,7 +162,12 @@
   );
 }
 
-/** The status and, where there is one, the message of an answer. */
+/**
+ * The status and, where there is one, the message of an answer.
+ *
+ * @example
+ * describeStatus(reply); // 'status 503, The platform can not be read.'
+ */
 export function describeStatus(reply: AnsweredReply): string {
   const parsed = errorAnswer.safeParse(reply.body);
   return parsed.success
--- a/packages/cli/src/commands/cli_command.ts
+++ b/packages/cli/src/commands/cli_command.ts
@@ -85,7 +85,12 @@
   }
 }
 
-/** @throws CommandError when there is no key or an address is wrong. */
+/**
+ * @throws CommandError when there is no key or an address is wrong.
+ *
+ * @example
+ * const reply = await openAdminClient(context).read(call);
+ */
 export function openAdminClient(context: CommandContext): AdminClient {
   return new AdminClient({
     urls: context.options.adminUrl,
@@ -93,7 +98,12 @@
   });
 }
 
-/** Prints the faults of an input; nothing of it took effect. */
+/**
+ * Prints the faults of an input; nothing of it took effect.
+ *
+ * @example
+ * return reportFaults(reporter, 'The ticket has faults.', faults);
+ */
 export function reportFaults(
   reporter: Reporter,
   message: string,
--- a/packages/cli/src/commands/drain/drain.ts
+++ b/packages/cli/src/commands/drain/drain.ts
@@ -20,6 +20,7 @@
   type CommandDescription,
 } from '../cli_command.js';
 
+/** Shuts down the one instance that is named. */
 @injectable()
 @injectFromBase()
 export class Drain extends CliCommand {
--- a/packages/cli/src/commands/keys_hash/keys_hash.ts
+++ b/packages/cli/src/commands/keys_hash/keys_hash.ts
@@ -14,6 +14,7 @@
 /** Hashes carry no salt, which only random keys of some length can do without. */
 const SHORTEST_KEY = 24;
 
+/** Hashes or makes a key; asks no instance. */
 @injectable()
 @injectFromBase()
 export class KeysHash extends CliCommand {
--- a/packages/cli/src/commands/settings_check/settings_check.ts
+++ b/packages/cli/src/commands/settings_check/settings_check.ts
@@ -10,6 +10,7 @@
   type CommandDescription,
 } from '../cli_command.js';
 
+/** Checks a settings file; asks no instance. */
 @injectable()
 @injectFromBase()
 export class SettingsCheck extends CliCommand {
--- a/packages/cli/src/commands/status/status.ts
+++ b/packages/cli/src/commands/status/status.ts
@@ -9,6 +9,7 @@
 
 const HEADINGS = ['member', 'data centre', 'state', 'revision'];
 
+/** Prints what one instance sees. */
 @injectable()
 @injectFromBase()
 export class Status extends ReadingCommand<typeof statusAnswer> {
--- a/packages/cli/src/commands/ticket_list/ticket_list.ts
+++ b/packages/cli/src/commands/ticket_list/ticket_list.ts
@@ -9,6 +9,7 @@
 
 const HEADINGS = ['number', 'author', 'reason', 'changes'];
 
+/** Lists the accepted tickets. */
 @injectable()
 @injectFromBase()
 export class TicketList extends ReadingCommand<typeof ticketsAnswer> {
--- a/packages/cli/src/commands/ticket_show/ticket_show.ts
+++ b/packages/cli/src/commands/ticket_show/ticket_show.ts
@@ -18,6 +18,7 @@
   type CommandDescription,
 } from '../cli_command.js';
 
+/** Prints one accepted ticket. */
 @injectable()
 @injectFromBase()
 export class TicketShow extends CliCommand {
--- a/packages/cli/src/commands/ticket_submit/ticket_submit.ts
+++ b/packages/cli/src/commands/ticket_submit/ticket_submit.ts
@@ -20,6 +20,7 @@
 } from '../cli_command.js';
 import {submitTicket, type SubmitOutcome} from './submit_ticket.js';
 
+/** Submits a ticket and waits for its outcome. */
 @injectable()
 @injectFromBase()
 export class TicketSubmit extends CliCommand {
--- a/packages/cli/src/commands/ticket_validate/ticket_validate.ts
+++ b/packages/cli/src/commands/ticket_validate/ticket_validate.ts
@@ -15,6 +15,7 @@
   type CommandDescription,
 } from '../cli_command.js';
 
+/** Tells a ticket’s faults. */
 @injectable()
 @injectFromBase()
 export class TicketValidate extends CliCommand {
--- a/packages/cli/src/commands/usage/usage.ts
+++ b/packages/cli/src/commands/usage/usage.ts
@@ -17,6 +17,7 @@
   'output tokens',
 ];
 
+/** Prints the usage windows. */
 @injectable()
 @injectFromBase()
 export class Usage extends ReadingCommand<typeof usageAnswer> {
--- a/packages/cli/src/composition.ts
+++ b/packages/cli/src/composition.ts
@@ -30,7 +30,12 @@
   SettingsCheck,
 ];
 
-/** All commands, made for one terminal. */
+/**
+ * All commands, made for one terminal.
+ *
+ * @example
+ * for (const command of assembleCommands(terminal)) command.addTo(program, finish);
+ */
 export function assembleCommands(terminal: Terminal): CliCommand[] {
   const container = new Container();
   container.bind<Terminal>(TERMINAL).toConstantValue(terminal);
--- a/packages/cli/src/exit_codes.ts
+++ b/packages/cli/src/exit_codes.ts
@@ -1,5 +1,6 @@
 /** The exit codes of `snipestage`; scripts may rely on them. */
 
+/** Done. */
 export const EXIT_OK = 0;
 /** A fault of the program itself. */
 export const EXIT_INTERNAL = 1;
@@ -12,6 +13,7 @@
 /** No instance could be reached, or whether it took effect is not known. */
 export const EXIT_UNREACHABLE = 5;
 
+/** Any of the codes above. */
 export type ExitCode =
   | typeof EXIT_OK
   | typeof EXIT_INTERNAL
--- a/packages/cli/src/input/read_input.ts
+++ b/packages/cli/src/input/read_input.ts
@@ -37,6 +37,8 @@
  * The operator key, from the file if one is named, else from the environment.
  *
  * @throws CommandError when there is none.
+ * @example
+ * const key = readOperatorKey(options, terminal);
  */
 export function readOperatorKey(
   options: GlobalOptions,
--- a/packages/cli/src/options.ts
+++ b/packages/cli/src/options.ts
@@ -2,7 +2,9 @@
 
 import type {Command} from 'commander';
 
+/** Asked when no address is given. */
 export const DEFAULT_ADMIN_URL = 'http://127.0.0.1:8081';
+/** Environment variable with the operator key. */
 export const KEY_VARIABLE = 'SNIPESTAGE_OPERATOR_KEY';
 
 /** The values of these options. */
@@ -13,7 +15,12 @@
   readonly keyFile?: string;
 }
 
-/** Adds the options to the root of the program. */
+/**
+ * Adds the options to the root of the program.
+ *
+ * @example
+ * addGlobalOptions(new Command('snipestage'));
+ */
 export function addGlobalOptions(program: Command): Command {
   return program
     .option('--json', 'print JSON, for scripts', false)
@@ -29,7 +36,12 @@
     );
 }
 
-/** The options as given to a command or any of its parents. */
+/**
+ * The options as given to a command or any of its parents.
+ *
+ * @example
+ * const {json, adminUrl} = readGlobalOptions(command);
+ */
 export function readGlobalOptions(command: Command): GlobalOptions {
   const given = command.optsWithGlobals<Partial<GlobalOptions>>();
   return {
--- a/packages/log/src/logger.ts
+++ b/packages/log/src/logger.ts
@@ -6,6 +6,7 @@
 /** From the least to the most grave. */
 export const LOG_LEVELS = ['debug', 'info', 'warn', 'error'] as const;
 
+/** One of {@link LOG_LEVELS}. */
 export type LogLevel = (typeof LOG_LEVELS)[number];
 
 /** What a line tells besides its event, such as `requestId`. */
--- a/packages/log/src/metric_names.ts
+++ b/packages/log/src/metric_names.ts
@@ -231,9 +231,13 @@
     : never;
 }[keyof typeof METRICS];
 
+/** Metrics that only rise. */
 export type CounterName = NameOfKind<'counter'>;
+/** Metrics of durations. */
 export type TimingName = NameOfKind<'timing'>;
+/** Metrics of a state. */
 export type GaugeName = NameOfKind<'gauge'>;
+/** Any metric. */
 export type MetricName = keyof typeof METRICS;
 
 /** The tags of one metric; each may be left out, no other may be given. */
--- a/packages/policy/src/endpoint_plan_demand.ts
+++ b/packages/policy/src/endpoint_plan_demand.ts
@@ -32,6 +32,9 @@
  * Gives each line to its own data centre, or to others when its own is leaving,
  * gone or has no pool: in its region first, then anywhere; and rather to those
  * without a leaving date, so that no work moves twice.
+ *
+ * @example
+ * const {demands, unserved} = divideDemand(input, leaving, options);
  */
 export function divideDemand(
   input: PlanInput,
--- a/packages/policy/src/endpoint_plan_departures.ts
+++ b/packages/policy/src/endpoint_plan_departures.ts
@@ -54,6 +54,9 @@
 /**
  * Those that have begun to leave. One whose time has come waits for the one
  * before it to be gone, but not beyond the time that its own move takes.
+ *
+ * @example
+ * const begun = findDepartures(schedule, endpoints, nowEpochMs, options);
  */
 export function findDepartures(
   schedule: readonly ScheduledDeparture[],
@@ -75,7 +78,12 @@
   return begun;
 }
 
-/** Whether no endpoint is left in the data centre. */
+/**
+ * Whether no endpoint is left in the data centre.
+ *
+ * @example
+ * if (hasLeft(dataCentre, endpoints)) return 'left';
+ */
 export function hasLeft(
   dataCentre: DataCentreId,
   endpoints: readonly ObservedEndpoint[],
--- a/packages/policy/src/endpoint_plan_drain.ts
+++ b/packages/policy/src/endpoint_plan_drain.ts
@@ -36,7 +36,12 @@
   };
 }
 
-/** The pool's endpoints of a kind that are not on their way out already. */
+/**
+ * The pool's endpoints of a kind that are not on their way out already.
+ *
+ * @example
+ * const have = presentOf(pool, 'cheap', endpoints).length;
+ */
 export function presentOf(
   {dataCentre, model}: EndpointPool,
   kind: EndpointKind,
--- a/packages/policy/src/endpoint_plan_input.ts
+++ b/packages/policy/src/endpoint_plan_input.ts
@@ -58,6 +58,7 @@
 
 const MINUTE_MS = 60_000;
 
+/** Used where the input gives no others. */
 export const DEFAULT_PLAN_OPTIONS: PlanOptions = {
   utilisation: 0.7,
   protectedTier: 0,
@@ -93,6 +94,7 @@
   readonly draining: readonly DataCentreId[];
 }
 
+/** Before the first plan. */
 export const EMPTY_PLAN_MEMORY: PlanMemory = {pools: {}, draining: []};
 
 /** All that a plan is made from. */
--- a/packages/policy/src/endpoint_plan_memory.ts
+++ b/packages/policy/src/endpoint_plan_memory.ts
@@ -40,6 +40,8 @@
  * long that none are to be had; after a while they are asked for again.
  *
  * @param have cheap endpoints that start or are live.
+ * @example
+ * const note = noteCheap(memory, have, nowEpochMs, options);
  */
 export function noteCheap(
   memory: PoolMemory,
--- a/packages/policy/src/endpoint_plan_supply.ts
+++ b/packages/policy/src/endpoint_plan_supply.ts
@@ -29,6 +29,9 @@
  * that one data centre's loss takes a bounded share; regular ones for all else.
  * Regular ones alone carry the strict work: if every cheap endpoint vanishes at
  * once, the top tiers don't notice.
+ *
+ * @example
+ * const {needs, shortfalls} = planSupply(demands, cheapLimitOf, options);
  */
 export function planSupply(
   demands: readonly PoolDemand[],
--- a/packages/policy/src/hedging.ts
+++ b/packages/policy/src/hedging.ts
@@ -32,6 +32,7 @@
   readonly leastDelayMs: number;
 }
 
+/** Half as long again as the slowest twentieth. */
 export const DEFAULT_HEDGE_LIMITS: HedgeLimits = {
   quantile: 0.95,
   factor: 1.5,
@@ -85,6 +86,7 @@
   readonly nowMs: number;
 }
 
+/** Whether the second attempt goes out, or why not. */
 export type HedgeDecision =
   | {readonly kind: 'hedge'}
   | {
--- a/packages/policy/src/retry_budget.ts
+++ b/packages/policy/src/retry_budget.ts
@@ -83,6 +83,7 @@
   readonly maxBackoffMs: number;
 }
 
+/** Three attempts, backing off from 50 ms to 1 s. */
 export const DEFAULT_RETRY_LIMITS: RetryLimits = {
   maxAttempts: 3,
   leastUsefulMs: 100,
