Do not build errors for streams that ended well

Cause: the end and close events of each finished stream made an error with its stack trace, 0.3 ms a request in the profile. Change: a stream settles once and takes its listeners off.

--- a/packages/entry/src/send/http_engine_driver.ts
+++ b/packages/entry/src/send/http_engine_driver.ts
@@ -46,9 +46,6 @@
     } catch (error) {
       throw errorOf(error, call, connection, silence);
     } finally {
-      // What still comes must neither be read nor wake the timer again.
-      request.removeAllListeners('data');
-      request.destroy();
       silence.stop();
       connection.reset();
     }
@@ -121,12 +118,27 @@
   const {call, silence, listener} = reading;
   const events = new EventReader(call.attempt);
   return new Promise((resolve, reject) => {
+    // What still comes must neither be read nor wake the timer again; an error
+    // after this one must not end the process.
+    const stop = () => {
+      request.removeAllListeners();
+      request.on('error', () => {});
+      request.destroy();
+    };
+    const succeed = () => {
+      stop();
+      resolve();
+    };
+    const fail = (error: unknown) => {
+      stop();
+      reject(error);
+    };
     const take = (text: string) => {
       silence.restart(call.chunkTimeoutMs);
       const batch = events.feed(text);
       const taken = batch.length > 0 ? listener(batch) : undefined;
       if (taken === undefined) {
-        if (events.hasEnded) resolve();
+        if (events.hasEnded) succeed();
         return;
       }
       // A caller that reads slowly holds us here; the engine is not silent
@@ -134,18 +146,22 @@
       silence.stop();
       request.pause();
       taken.then(() => {
-        if (events.hasEnded) resolve();
+        if (events.hasEnded) {
+          succeed();
+          return;
+        }
         silence.restart(call.chunkTimeoutMs);
         request.resume();
-      }, reject);
+      }, fail);
     };
+    const failEarly = () => fail(new EndpointError(ENDED_EARLY));
     request.on('response', () => {
-      attempt(() => checkResponse(request, call.attempt), reject);
+      attempt(() => checkResponse(request, call.attempt), fail);
     });
-    request.on('data', text => attempt(() => take(text as string), reject));
-    request.on('error', reject);
-    request.on('end', () => reject(new EndpointError(ENDED_EARLY)));
-    request.on('close', () => reject(new EndpointError(ENDED_EARLY)));
+    request.on('data', text => attempt(() => take(text as string), fail));
+    request.on('error', fail);
+    request.on('end', failEarly);
+    request.on('close', failEarly);
   });
 }
 
