--- a/packages/policy/src/adaptive_limit.test.ts
+++ b/packages/policy/src/adaptive_limit.test.ts
@@ -28,6 +28,16 @@
   });
 }
 
+/** A limit that slow streams have brought down. */
+function lowerLimit(): AdaptiveLimit {
+  const limit = new AdaptiveLimit({maxConcurrency: 64});
+  for (let review = 0; review < 10; review++) {
+    limit.progressed(90, TARGETS, 0);
+    limit.review({inFlight: 20}, 0);
+  }
+  return limit;
+}
+
 test('settles at the batch that just meets the target', t => {
   const limit = new AdaptiveLimit({maxConcurrency: 64});
   const permits = saturate(limit, 20);
@@ -41,9 +51,7 @@
 });
 
 test('does not rise while it is not used up', t => {
-  const limit = new AdaptiveLimit({maxConcurrency: 64});
-  limit.progressed(90, TARGETS, 0);
-  limit.review({inFlight: 20}, 0);
+  const limit = lowerLimit();
   const lowered = limit.permits(0);
   limit.started(2, 500);
   limit.progressed(stepMs(2), TARGETS, 500);
@@ -52,13 +60,21 @@
   t.is(limit.permits(500), lowered);
 });
 
+test('one long prompt does not bring the limit down', t => {
+  // An idle engine reads a long prompt, and the few others wait for it. Taken as
+  // the speed of the engine, this left requests asking for permits in an idle
+  // cell, and their first tokens came later.
+  const limit = new AdaptiveLimit({maxConcurrency: 32});
+  limit.progressed(90, TARGETS, 0);
+  limit.review({inFlight: 1, typicalBetweenTokensMs: 20}, 0);
+  t.true(limit.permits(0) >= 25);
+});
+
 test('a first token in time does not raise the limit of a slow stream', t => {
   // Reports of progress come less often than the limit is looked over. First
   // tokens came early in between, the limit went up to the utmost each time, and
   // callers of the top tier got every token after them too late.
-  const limit = new AdaptiveLimit({maxConcurrency: 64});
-  limit.progressed(90, TARGETS, 0);
-  limit.review({inFlight: 20}, 0);
+  const limit = lowerLimit();
   const lowered = limit.permits(0);
   limit.started(lowered, 100);
   limit.finished(OK, 100);
--- a/packages/policy/src/adaptive_limit.ts
+++ b/packages/policy/src/adaptive_limit.ts
@@ -27,10 +27,14 @@
 const MIN_LIMIT = 1;
 /** Part of the way to the estimate that a rising limit goes in one review. */
 const RISE_PART = 0.5;
+/** What is left of a limit after a review, at least. */
+const MAX_FALL = 0.8;
 /** How long a class counts as served after its last measurement. */
 const TARGET_MEMORY_MS = 10_000;
 /** Slower than the others by this much is slow, if it misses its target too. */
 const SLOW_RATIO = 1.5;
+/** Reviews in a row after which an endpoint is taken as slower than others. */
+const SLOWER_REVIEWS = 3;
 const STALLED_AFTER_MS = 3000;
 const FIRST_SLOW_PROBE_MS = 1000;
 const MAX_SLOW_PROBE_MS = 8000;
@@ -56,6 +60,7 @@
   private betweenTokensMs: number | undefined;
   private lastTokenAtMs: number | undefined;
   private stalled = false;
+  private slowerReviews = 0;
   private slowProbeEveryMs = 0;
   private slowProbeAtMs = 0;
 
@@ -119,8 +124,12 @@
     this.noticeStall(review, nowMs);
     const ratio = this.takeRatio(nowMs);
     if (ratio !== undefined && review.inFlight > 0) {
-      this.adapt(review.inFlight, ratio);
-      this.compareWithOthers(review, ratio, nowMs);
+      this.slowerReviews = this.isSlowerThanOthers(review, ratio)
+        ? this.slowerReviews + 1
+        : 0;
+      const slower = this.slowerReviews >= SLOWER_REVIEWS;
+      this.adapt(review.inFlight, ratio, slower);
+      this.probeSlow(slower, nowMs);
     }
     this.mostInFlight = review.inFlight;
   }
@@ -174,10 +183,14 @@
   }
 
   /** Rises only when it was used up: an idle engine's speed proves nothing. */
-  private adapt(inFlight: number, ratio: number): void {
+  private adapt(inFlight: number, ratio: number, slower: boolean): void {
     const estimate = inFlight / ratio;
     if (ratio > 1) {
-      this.limit = Math.max(MIN_LIMIT, Math.min(this.limit, estimate));
+      // With little running, one long prompt makes a review look too slow. An
+      // engine that is slower than the others is another matter.
+      const least = slower ? MIN_LIMIT : this.limit * MAX_FALL;
+      const lowered = Math.max(least, estimate, MIN_LIMIT);
+      this.limit = Math.min(this.limit, lowered);
       return;
     }
     const binding = this.mostInFlight >= Math.floor(this.limit);
@@ -186,19 +199,21 @@
     this.limit = Math.min(this.maxConcurrency, this.limit + rise);
   }
 
+  private isSlowerThanOthers(
+    {typicalBetweenTokensMs}: LimitReview,
+    ratio: number,
+  ): boolean {
+    const own = this.betweenTokensMs;
+    if (own === undefined || typicalBetweenTokensMs === undefined) return false;
+    return ratio > 1 && own > typicalBetweenTokensMs * SLOW_RATIO;
+  }
+
   /**
    * At the smallest limit and still too slow, while others are not: requests
    * would miss their target there for nothing, so it gets one at a time, with
    * growing pauses, until one is served as fast as elsewhere.
    */
-  private compareWithOthers(
-    {typicalBetweenTokensMs}: LimitReview,
-    ratio: number,
-    nowMs: number,
-  ): void {
-    const own = this.betweenTokensMs;
-    if (own === undefined || typicalBetweenTokensMs === undefined) return;
-    const slower = own > typicalBetweenTokensMs * SLOW_RATIO && ratio > 1;
+  private probeSlow(slower: boolean, nowMs: number): void {
     if (!slower) {
       this.slowProbeEveryMs = 0;
       return;
