Replace silent streams and stand by members through freezes and cuts

Cause: a connection of which something between its ends has lost track stays open for the kernel; whoever waits on it waits for ever.

Change: a stream over which nothing came for 3.5 heartbeat intervals is ended and dialled again on a channel and socket of its own; HTTP/2 pings let the old socket go. A duplicate is read for a little longer before it ends, and the higher id waits a beat before it dials. Time during which the process was frozen does not count. Tests with a TCP relay and a process under SIGSTOP.

Ruled out: identifying dead sockets by grpc-js keepalive alone (it can't be tied to a stream, and shares sockets between channels by default).

--- a/packages/peer/src/dialled_link.ts
+++ b/packages/peer/src/dialled_link.ts
@@ -17,8 +17,22 @@
 /** Largest message either side takes: a whole configuration fits. */
 export const MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
 
-const KEEPALIVE_EVERY_MS = 20_000;
-const KEEPALIVE_TIMEOUT_MS = 2000;
+/**
+ * HTTP/2 pings for a socket that no stream speaks for any more. Streams have
+ * heartbeats of their own.
+ *
+ * @example
+ * const options = describeKeepalive(settings.heartbeatMs);
+ */
+export function describeKeepalive(heartbeatMs: number): ChannelOptions {
+  return {
+    'grpc.keepalive_time_ms': heartbeatMs * BEATS_PER_KEEPALIVE,
+    'grpc.keepalive_timeout_ms': heartbeatMs * BEATS_PER_KEEPALIVE_ANSWER,
+  };
+}
+
+const BEATS_PER_KEEPALIVE = 40;
+const BEATS_PER_KEEPALIVE_ANSWER = 4;
 
 /** What a {@link DialledLink} is made from. */
 export interface DialOptions {
@@ -28,6 +42,7 @@
   readonly sharedSecret: string;
   readonly service: ServiceDefinition;
   readonly nowMs: number;
+  readonly heartbeatMs: number;
   /** Called when the listener has proven itself: time to say hello. */
   readonly onProven: (link: DialledLink) => void;
 }
@@ -46,8 +61,6 @@
   'grpc.service_config_disable_resolution': 1,
   'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
   'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
-  'grpc.keepalive_time_ms': KEEPALIVE_EVERY_MS,
-  'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
   'grpc.keepalive_permit_without_calls': 1,
 };
 
@@ -63,11 +76,10 @@
   constructor(options: DialOptions) {
     super(options.owner, options.nowMs);
     const PeerClient = makeGenericClientConstructor(options.service, 'Peer');
-    this.client = new PeerClient(
-      options.address,
-      options.credentials,
-      CHANNEL_OPTIONS,
-    ) as unknown as ExchangeClient;
+    this.client = new PeerClient(options.address, options.credentials, {
+      ...CHANNEL_OPTIONS,
+      ...describeKeepalive(options.heartbeatMs),
+    }) as unknown as ExchangeClient;
     const shown = proveCaller(options.sharedSecret);
     this.call = this.client.Exchange(shown);
     this.attach(this.call);
--- a/packages/peer/src/link_keeper.ts
+++ b/packages/peer/src/link_keeper.ts
@@ -11,13 +11,21 @@
 import {PeerContact} from './peer_contact.js';
 import type {LinkEnd, LinkOwner, PeerLink} from './peer_link.js';
 
+const SILENT_AFTER_BEATS = 3.5;
+const CONNECT_TIMEOUT_BEATS = 2;
+const IDLE_CLOSE_MS = 60_000;
+
 /** What the keeper asks of and tells the network. */
 export interface LinkEvents {
   readonly readNowMs: () => number;
   readonly describeSelf: () => Hello;
   readonly sayHello: (link: PeerLink) => void;
   readonly onOpened: (contact: PeerContact, hello: Hello) => void;
-  readonly onFrame: (contact: PeerContact, frame: PeerFrame) => void;
+  readonly onFrame: (
+    contact: PeerContact,
+    from: Hello,
+    frame: PeerFrame,
+  ) => void;
   readonly onLost: (contact: PeerContact, reason: LinkEnd) => void;
   /** Every dial to it failed: what was queued for it is not delivered. */
   readonly onUnreachable: (contact: PeerContact) => void;
@@ -34,9 +42,7 @@
   readonly sharedSecret: string;
   readonly service: ServiceDefinition;
   readonly random: () => number;
-  readonly connectTimeoutMs: number;
-  readonly silentAfterMs: number;
-  readonly idleCloseMs: number;
+  readonly heartbeatMs: number;
 }
 
 export class LinkKeeper implements LinkOwner {
@@ -46,6 +52,8 @@
   /** Links over which nobody has said hello yet. */
   private readonly anonymous = new Set<PeerLink>();
   private readonly dialledTo = new Map<PeerLink, PeerContact>();
+  /** Duplicates that are still read, with the time at which they end. */
+  private readonly retiring = new Map<PeerLink, number>();
   private isClosed = false;
 
   constructor(private readonly options: LinkKeeperOptions) {}
@@ -73,6 +81,7 @@
       sharedSecret,
       service,
       nowMs,
+      heartbeatMs: this.options.heartbeatMs,
       onProven: proven => events.sayHello(proven),
     });
     contact.dialling = link;
@@ -89,13 +98,16 @@
     if (frame.records.length > 0) link.lastRecordMs = link.lastHeardMs;
     if (link.peer === undefined && !this.open(link, frame.hello)) return;
     const contact = this.contacts.get(link.peer!.id);
-    if (contact !== undefined) this.options.events.onFrame(contact, frame);
+    if (contact !== undefined) {
+      this.options.events.onFrame(contact, link.peer!, frame);
+    }
   }
 
   onEnd(link: PeerLink, reason: LinkEnd, detail: string): void {
     const {events, random} = this.options;
     this.ends[reason] = (this.ends[reason] ?? 0) + 1;
     this.anonymous.delete(link);
+    this.retiring.delete(link);
     const contact =
       this.dialledTo.get(link) ??
       (link.peer && this.contacts.get(link.peer.id));
@@ -114,7 +126,9 @@
 
   /** Ends what has gone silent, timed out or is no longer used. */
   sweep(neighbours: ReadonlySet<InstanceId>): void {
-    const {events, connectTimeoutMs, silentAfterMs, idleCloseMs} = this.options;
+    const {events, heartbeatMs} = this.options;
+    const connectTimeoutMs = heartbeatMs * CONNECT_TIMEOUT_BEATS;
+    const silentAfterMs = heartbeatMs * SILENT_AFTER_BEATS;
     const nowMs = events.readNowMs();
     const opening = [...this.anonymous, ...this.dialledTo.keys()];
     for (const link of opening) {
@@ -122,6 +136,9 @@
       if (nowMs - link.openedMs < connectTimeoutMs) continue;
       link.end('connect_timeout');
     }
+    for (const [link, endMs] of this.retiring) {
+      if (nowMs >= endMs) link.end('duplicate');
+    }
     for (const contact of this.contacts.values()) {
       const {link} = contact;
       if (link === undefined) continue;
@@ -130,7 +147,7 @@
       // requests that wait for ever.
       if (nowMs - link.lastHeardMs > silentAfterMs) link.end('silent');
       else if (!link.isDialled || neighbours.has(contact.id)) continue;
-      else if (nowMs - link.lastRecordMs > idleCloseMs) link.end('idle');
+      else if (nowMs - link.lastRecordMs > IDLE_CLOSE_MS) link.end('idle');
     }
   }
 
@@ -146,12 +163,25 @@
   close(): void {
     this.isClosed = true;
     for (const link of this.anonymous) link.end('closed');
+    for (const link of this.retiring.keys()) link.end('closed');
     for (const contact of this.contacts.values()) {
       contact.dialling?.end('closed');
       contact.link?.end('closed');
     }
   }
 
+  /**
+   * Both sides choose the same stream of two, though not at the same moment:
+   * until it has seen both, one may send over the one that is to go. Ended at
+   * once, the loser would take those records along, and a request would wait
+   * for an answer to what was never heard. So it is read for a little longer.
+   */
+  private retire(link: PeerLink): void {
+    const {events, heartbeatMs} = this.options;
+    const lingerMs = heartbeatMs * CONNECT_TIMEOUT_BEATS;
+    this.retiring.set(link, events.readNowMs() + lingerMs);
+  }
+
   /** The first frame has come. False when the link is not to be used. */
   private open(link: PeerLink, hello: Hello | undefined): boolean {
     const {events} = this.options;
@@ -171,7 +201,7 @@
       dialled.noteFailedDial(events.readNowMs(), this.options.random);
     }
     const loser = contact.adopt(link, self.id, events.readNowMs());
-    loser?.end('duplicate');
+    if (loser !== undefined) this.retire(loser);
     if (loser === link) return false;
     this.dialledTo.delete(link);
     events.log('link_opened', {peer: hello.id, isDialled: link.isDialled});
--- a/packages/peer/src/network_snapshot.ts
+++ b/packages/peer/src/network_snapshot.ts
@@ -16,7 +16,10 @@
 }
 
 export interface NetworkSnapshot {
+  /** Where others reach it. */
   readonly address: string;
+  /** Where it listens. */
+  readonly listenAddress: string;
   readonly members: readonly Member[];
   /** With whom a stream is kept open for heartbeats and gossip. */
   readonly neighbours: readonly InstanceId[];
@@ -36,7 +39,10 @@
 
 /** What {@link describeNetwork} reads. */
 export interface SnapshotSource {
+  /** Where others reach it. */
   readonly address: string;
+  /** Where it listens. */
+  readonly listenAddress: string;
   readonly members: readonly Member[];
   readonly neighbours: readonly InstanceId[];
   readonly keeper: LinkKeeper;
--- /dev/null
+++ b/packages/peer/src/peer_faults.test.ts
@@ -0,0 +1,206 @@
+import {spawn} from 'node:child_process';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+import type {AttemptId, EndpointId} from '@snipestage/types/ids.js';
+import type {MemberState} from '@snipestage/types/member.js';
+import test, {type ExecutionContext} from 'ava';
+import type {PeerNetwork} from './peer_network.js';
+import {
+  aliveIn,
+  FAST_SETTINGS,
+  listOf,
+  startNetwork,
+  waitUntil,
+} from './test_support/networks.js';
+import {Relay, type Passage} from './test_support/relay.js';
+
+const CHILD = fileURLToPath(
+  new URL('./test_support/network_child.js', import.meta.url),
+);
+const GRANT = {
+  kind: 'grant',
+  grant: {
+    attempt: 'attempt-1' as AttemptId,
+    endpoint: 'akl-a-repair-1' as EndpointId,
+  },
+} as const;
+
+/** A network that the others reach only through the relay. */
+async function startBehind(
+  t: ExecutionContext,
+  relay: Relay,
+  id: string,
+): Promise<PeerNetwork> {
+  const advertisedAddress = await relay.listen();
+  t.teardown(() => relay.close());
+  const network = await startNetwork(t, id, {
+    settings: {...FAST_SETTINGS, advertisedAddress},
+  });
+  relay.setTarget(network.snapshot().listenAddress);
+  return network;
+}
+
+/** All states in which the network has seen the other instances. */
+function noteStates(network: PeerNetwork): MemberState[] {
+  const states: MemberState[] = [];
+  network.onMembersChanged(changes => {
+    for (const {member} of changes) states.push(member.state);
+  });
+  return states;
+}
+
+function countEnds(network: PeerNetwork): number {
+  const counts = Object.values(network.snapshot().linkEnds);
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
+function stateIn(network: PeerNetwork, other: PeerNetwork): MemberState {
+  const {id} = other.self();
+  return network.members().find(member => member.id === id)!.state;
+}
+
+// A firewall between two instances forgets their connection: what either sends
+// is dropped without a word, while a new connection would work. A user notices
+// requests that wait for a permit until their deadline.
+test('a silent connection is replaced by one on a new socket', async t => {
+  const relays = [new Relay(), new Relay()];
+  const first = await startBehind(t, relays[0], 'akl-a-1');
+  const second = await startBehind(t, relays[1], 'akl-a-2');
+  const states = [...noteStates(first), ...noteStates(second)];
+  let received = 0;
+  second.onRecords(() => (received += 1));
+  first.seed(listOf([second]));
+  await waitUntil('a stream', () => first.isConnected(second.self().id));
+  const before = relays.flatMap(relay => relay.connections);
+  const endsBefore = countEnds(first);
+  for (const relay of relays) relay.setPassage('none');
+  const silentEnds = () =>
+    (first.snapshot().linkEnds.silent ?? 0) +
+    (second.snapshot().linkEnds.silent ?? 0);
+  await waitUntil('silence noticed', () => silentEnds() > 0);
+  // The first may hear of it later than the second; what it sends until then is
+  // lost with the stream.
+  await waitUntil('the old stream ended', () => countEnds(first) > endsBefore);
+  await waitUntil('a new stream', () => first.isConnected(second.self().id));
+  first.send(second.self().id, GRANT);
+  await waitUntil('a record', () => received > 0);
+  const after = relays.flatMap(relay => relay.connections);
+  t.true(after.length > before.length);
+  t.false(states.includes('dead'));
+  // Nor does the lost connection keep its socket.
+  await waitUntil('old sockets closed', () =>
+    before.every(({caller}) => caller.destroyed),
+  );
+});
+
+interface ThreeBehindRelays {
+  readonly networks: PeerNetwork[];
+  /** Changes what passes between the third instance and the others. */
+  setThird(passages: readonly Passage[]): void;
+}
+
+/** Three that know each other; the first two keep their own connection. */
+async function startThree(t: ExecutionContext): Promise<ThreeBehindRelays> {
+  const relays = [new Relay(), new Relay(), new Relay()];
+  const [first, second] = [
+    await startBehind(t, relays[0], 'akl-a-1'),
+    await startBehind(t, relays[1], 'akl-a-2'),
+  ];
+  first.seed(listOf([second]));
+  await waitUntil('a stream', () => first.isConnected(second.self().id));
+  const kept = new Set(relays.flatMap(relay => relay.connections));
+  // With the lowest id its own dials hold, so that each relay sees whose they are.
+  const third = await startBehind(t, relays[2], 'akl-a-0');
+  const networks = [first, second, third];
+  third.seed(listOf([first, second]));
+  for (const network of networks) {
+    await waitUntil('three members', () => aliveIn(network).length === 3);
+  }
+  await waitUntil('streams of the third', () =>
+    [first, second].every(other => third.isConnected(other.self().id)),
+  );
+  const setThird = (passages: readonly Passage[]) => {
+    for (const [n, relay] of relays.entries()) {
+      relay.passageOfNew = passages[n];
+      for (const connection of relay.connections) {
+        if (!kept.has(connection)) connection.passage = passages[n];
+      }
+    }
+  };
+  return {networks, setThird};
+}
+
+// An instance loses its network for a while, in both directions and for new
+// connections too. The others have to do without it, and it without them; when
+// the network is back, nobody restarts anything and all have to meet again.
+test('an instance that was cut off is found again', async t => {
+  const {networks, setThird} = await startThree(t);
+  const [first, second, third] = networks;
+  setThird(['none', 'none', 'none']);
+  for (const other of [first, second]) {
+    await waitUntil('found dead', () => stateIn(other, third) === 'dead');
+  }
+  await waitUntil('alone', () => aliveIn(third).length === 1);
+  t.deepEqual(aliveIn(first), ['akl-a-1', 'akl-a-2']);
+  setThird(['both', 'both', 'both']);
+  for (const network of networks) {
+    await waitUntil('all again', () => aliveIn(network).length === 3);
+  }
+});
+
+// What one instance sends to another is lost, while all else passes. The one
+// that hears nothing would hold the other dead, and the two would tell the
+// rest opposite things; one would see owners of cells change back and forth.
+test('a one-way cut between two is outvoted by the third', async t => {
+  const {networks, setThird} = await startThree(t);
+  const [first, second, third] = networks;
+  const states = networks.map(noteStates);
+  // The third reaches the second, but hears nothing from it.
+  setThird(['both', 'to_target', 'to_caller']);
+  const silentEnds = () => third.snapshot().linkEnds.silent ?? 0;
+  await waitUntil('silence noticed', () => silentEnds() > 0);
+  await waitUntil('suspicion', () => second.snapshot().refutations > 0);
+  await waitUntil('refutation', () => stateIn(third, second) === 'alive');
+  t.false(states.flat().includes('dead'));
+  t.is(stateIn(first, third), 'alive');
+  setThird(['both', 'both', 'both']);
+  await waitUntil('a stream', () => third.isConnected(second.self().id));
+  t.false(states.flat().includes('dead'));
+});
+
+// An instance is stopped by its hypervisor for longer than it takes to be held
+// dead, and goes on as if nothing had been. It must be taken back; and it must
+// not hold all others dead because it has heard nothing from them meanwhile,
+// which would move every role to it.
+test('a frozen process comes back and suspects nobody', async t => {
+  const first = await startNetwork(t, 'akl-a-1');
+  const second = await startNetwork(t, 'akl-a-2');
+  first.seed(listOf([second]));
+  const child = spawn(
+    process.execPath,
+    [CHILD, 'akl-a-3', 'akl-a-1', first.address()],
+    {stdio: ['pipe', 'pipe', 'inherit']},
+  );
+  t.teardown(() => child.kill('SIGKILL'));
+  const seen: string[] = [];
+  createInterface(child.stdout).on('line', line => seen.push(line));
+  for (const network of [first, second]) {
+    await waitUntil('three members', () => aliveIn(network).length === 3);
+  }
+  await waitUntil('the view of the child', () => seen.length === 2);
+  child.kill('SIGSTOP');
+  for (const network of [first, second]) {
+    await waitUntil('it is missed', () => aliveIn(network).length === 2);
+    await waitUntil('it is held dead', () =>
+      network.members().some(member => member.state === 'dead'),
+    );
+  }
+  child.kill('SIGCONT');
+  for (const network of [first, second]) {
+    await waitUntil('it is back', () => aliveIn(network).length === 3);
+  }
+  t.deepEqual(
+    seen.filter(line => !line.includes('"alive"')),
+    [],
+  );
+});
--- a/packages/peer/src/peer_listener.ts
+++ b/packages/peer/src/peer_listener.ts
@@ -8,15 +8,12 @@
   type ServerDuplexStream,
   type ServiceDefinition,
 } from '@grpc/grpc-js';
-import {MAX_MESSAGE_BYTES} from './dialled_link.js';
+import {describeKeepalive, MAX_MESSAGE_BYTES} from './dialled_link.js';
 import type {Frame__Output as WireFrameOutput} from './generated/snipestage/peer/Frame.js';
 import type {Frame as WireFrame} from './generated/snipestage/peer/Frame.js';
 import {answerCaller} from './peer_credentials.js';
 import {PeerLink, type LinkOwner} from './peer_link.js';
 
-const KEEPALIVE_EVERY_MS = 20_000;
-const KEEPALIVE_TIMEOUT_MS = 2000;
-
 type AcceptedCall = ServerDuplexStream<WireFrameOutput, WireFrame>;
 
 /** A link that another process opened. */
@@ -45,6 +42,7 @@
   readonly credentials: ServerCredentials;
   readonly sharedSecret: string;
   readonly service: ServiceDefinition;
+  readonly heartbeatMs: number;
   readonly onAccepted: (call: AcceptedCall) => void;
   readonly onStranger: (address: string) => void;
 }
@@ -60,8 +58,7 @@
       'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
       // A connection that went silent is never closed by its other end: these
       // pings let the socket go.
-      'grpc.keepalive_time_ms': KEEPALIVE_EVERY_MS,
-      'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
+      ...describeKeepalive(options.heartbeatMs),
     });
     this.server.addService(options.service, {
       Exchange: (call: AcceptedCall) => this.accept(call),
--- a/packages/peer/src/peer_network.test.ts
+++ b/packages/peer/src/peer_network.test.ts
@@ -103,8 +103,8 @@
 ];
 
 test('every kind of record arrives whole and in order', async t => {
-  const first = await startNetwork('akl-a-1');
-  const second = await startNetwork('akl-a-2');
+  const first = await startNetwork(t, 'akl-a-1');
+  const second = await startNetwork(t, 'akl-a-2');
   const received: PeerRecord[] = [];
   second.onRecords(record => received.push(record));
   first.seed(listOf([second]));
@@ -115,13 +115,11 @@
   await waitUntil('all', () => received.length === EVERY_RECORD.length);
   t.deepEqual(received, EVERY_RECORD);
   t.false(first.send('nobody' as InstanceId, EVERY_RECORD[1]));
-  first.stop();
-  second.stop();
 });
 
 test('records queued in one tick share one frame', async t => {
-  const first = await startNetwork('akl-a-1');
-  const second = await startNetwork('akl-a-2');
+  const first = await startNetwork(t, 'akl-a-1');
+  const second = await startNetwork(t, 'akl-a-2');
   const received: PeerRecord[] = [];
   second.onRecords(record => received.push(record));
   first.seed(listOf([second]));
@@ -133,13 +131,11 @@
   await waitUntil('all', () => received.length === 100);
   // One for the records; a heartbeat and gossip may fall between.
   t.true(first.snapshot().framesSent - before <= 4);
-  first.stop();
-  second.stop();
 });
 
 test('five instances find each other from one that the list names', async t => {
   const networks = await Promise.all(
-    [1, 2, 3, 4, 5].map(n => startNetwork(`akl-a-${n}`)),
+    [1, 2, 3, 4, 5].map(n => startNetwork(t, `akl-a-${n}`)),
   );
   for (const network of networks.slice(1)) network.seed(listOf([networks[0]]));
   for (const network of networks) {
@@ -153,12 +149,11 @@
   networks[4].broadcast(EVERY_RECORD[10]);
   await waitUntil('four heard', () => heard.length >= 4);
   t.deepEqual([...heard].sort(), ['akl-a-1', 'akl-a-2', 'akl-a-3', 'akl-a-4']);
-  for (const network of networks) network.stop();
 });
 
 test('a leaving instance is seen to leave, then to be gone', async t => {
   const networks = await Promise.all(
-    [1, 2, 3].map(n => startNetwork(`akl-a-${n}`)),
+    [1, 2, 3].map(n => startNetwork(t, `akl-a-${n}`)),
   );
   const [first, second, third] = networks;
   for (const network of networks) network.seed(listOf(networks));
@@ -172,17 +167,15 @@
   third.stop();
   await waitUntil('dead', () => stateOfThird() === 'dead');
   t.deepEqual(aliveIn(second), ['akl-a-1', 'akl-a-2']);
-  first.stop();
-  second.stop();
 });
 
 // A process of another firm, or one with old settings, reaches the peer port.
 // Were it let in, it could hand out permits and configurations; operators would
 // see members that they never started.
 test('a stranger without the shared secret is turned away', async t => {
-  const peer = await startNetwork('akl-a-1');
+  const peer = await startNetwork(t, 'akl-a-1');
   const events: string[] = [];
-  const stranger = await startNetwork('akl-a-2', {
+  const stranger = await startNetwork(t, 'akl-a-2', {
     settings: {...FAST_SETTINGS, sharedSecret: 'another secret of others'},
     log: (event, fields) => events.push(`${event} ${String(fields.reason)}`),
   });
@@ -191,17 +184,15 @@
   t.deepEqual(aliveIn(peer), ['akl-a-1']);
   t.deepEqual(aliveIn(stranger), ['akl-a-2']);
   t.true(events.includes('link_ended refused'));
-  peer.stop();
-  stranger.stop();
 });
 
 // An instance is replaced: its successor starts under the same name, perhaps
 // before the others noticed that the first one was gone. Were it taken for the
 // same life, the permits of the dead process would stay in use for ever.
 test('a restart under the same name is a new member', async t => {
-  const first = await startNetwork('akl-a-1');
-  const second = await startNetwork('akl-a-2');
-  const third = await startNetwork('akl-a-3');
+  const first = await startNetwork(t, 'akl-a-1');
+  const second = await startNetwork(t, 'akl-a-2');
+  const third = await startNetwork(t, 'akl-a-3');
   const lives: string[] = [];
   third.onMembersChanged(changes => {
     for (const {member, previous} of changes) {
@@ -213,7 +204,7 @@
   for (const network of [first, second, third]) network.seed(all);
   await waitUntil('three members', () => aliveIn(third).length === 3);
   second.stop();
-  const successor = await startNetwork('akl-a-2');
+  const successor = await startNetwork(t, 'akl-a-2');
   successor.seed(all);
   const {incarnation} = successor.self();
   for (const network of [first, third]) {
@@ -227,5 +218,4 @@
     );
   }
   t.deepEqual(lives, ['akl-a-2']);
-  for (const network of [first, third, successor]) network.stop();
 });
--- a/packages/peer/src/peer_network.ts
+++ b/packages/peer/src/peer_network.ts
@@ -3,22 +3,26 @@
  * task owns its listener, its streams, its queues and its timers.
  */
 
-import {randomBytes} from 'node:crypto';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
-import type {
-  DataCentreId,
-  Incarnation,
-  InstanceId,
-  Revision,
-} from '@snipestage/types/ids.js';
+import type {InstanceId, Revision} from '@snipestage/types/ids.js';
 import type {Member} from '@snipestage/types/member.js';
 import type {ListedInstance} from '@snipestage/types/platform_messages.js';
 import {ActiveClock} from './active_clock.js';
+import {FrameTicker} from './frame_ticker.js';
 import {FrameCounter} from './frame_counter.js';
 import type {Hello, PeerFrame} from './frame_codec.js';
 import {LinkKeeper} from './link_keeper.js';
-import {firstHeartbeat} from './member_rules.js';
-import {Membership, type MemberChange} from './membership.js';
+import {Membership} from './membership.js';
+import {
+  createIncarnation,
+  describeStart,
+  type LogHandler,
+  type MemberChangeHandler,
+  type PeerNetworkOptions,
+  type RecordHandler,
+  type RevisionHandler,
+  type UndeliveredHandler,
+} from './network_options.js';
 import {describeNetwork, type NetworkSnapshot} from './network_snapshot.js';
 import {findNeighbours} from './overlay.js';
 import type {PeerContact} from './peer_contact.js';
@@ -29,12 +33,8 @@
 import {RumourLog} from './rumour_log.js';
 import {SeedList} from './seed_list.js';
 
-const INCARNATION_BYTES = 8;
-const IDLE_CLOSE_MS = 60_000;
 /** A stream carries a heartbeat every second beat. */
 const BEATS_PER_HEARTBEAT = 2;
-const SILENT_AFTER_BEATS = 3.5;
-const CONNECT_TIMEOUT_BEATS = 2;
 /** Timers come a little early or late; a heartbeat due so soon goes now. */
 const BEAT_SLACK_MS = 100;
 /** Kinds that may wait for the next tick, to save frames. */
@@ -44,56 +44,6 @@
   'usage_copy',
 ]);
 
-/** Told for each record, in the order of its sender. */
-export type RecordHandler = (record: PeerRecord, from: PeerIdentity) => void;
-export type MemberChangeHandler = (changes: readonly MemberChange[]) => void;
-/** Told when a peer is seen to have a revision in force. */
-export type RevisionHandler = (revision: Revision, from: InstanceId) => void;
-/** Told of records that were not handed to the connection. */
-export type UndeliveredHandler = (
-  instance: InstanceId,
-  records: readonly PeerRecord[],
-) => void;
-export type LogHandler = (
-  event: string,
-  fields: Readonly<Record<string, unknown>>,
-) => void;
-
-/** What a {@link PeerNetwork} is made from. */
-export interface PeerNetworkOptions {
-  readonly settings: EntrySettings['peer'];
-  readonly id: InstanceId;
-  readonly dataCentre: DataCentreId;
-  /** Default: a random one. */
-  readonly incarnation?: Incarnation;
-  readonly random?: () => number;
-  readonly readMonotonicMs?: () => number;
-  readonly readEpochMs?: () => number;
-  readonly log?: LogHandler;
-}
-
-/** Random name of one life of an instance. */
-export function createIncarnation(): Incarnation {
-  return randomBytes(INCARNATION_BYTES).toString('hex') as Incarnation;
-}
-
-/** This instance as it starts; its address is known once it listens. */
-function describeStart(
-  options: PeerNetworkOptions,
-  incarnation: Incarnation,
-): Member {
-  const readEpochMs = options.readEpochMs ?? Date.now;
-  return {
-    id: options.id,
-    incarnation,
-    dataCentre: options.dataCentre,
-    peerAddress: '',
-    state: 'alive',
-    heartbeat: firstHeartbeat(readEpochMs()),
-    revision: 0 as Revision,
-  };
-}
-
 /**
  * @example
  * const network = new PeerNetwork({settings: settings.peer, id, dataCentre});
@@ -109,6 +59,7 @@
   private readonly random: () => number;
   private readonly log: LogHandler;
   private readonly counter = new FrameCounter();
+  private readonly ticker: FrameTicker;
   private readonly keeper: LinkKeeper;
   private readonly listener: PeerListener;
   private readonly rumours: RumourLog;
@@ -120,9 +71,6 @@
   private readonly membership: Membership;
   private neighbours: ReadonlySet<InstanceId> = new Set();
   private beatTimer?: NodeJS.Timeout;
-  private flushTimer?: NodeJS.Timeout;
-  private flushDueMs = Infinity;
-  private lastFlushMs = -Infinity;
   private strangers = 0;
 
   constructor(private readonly options: PeerNetworkOptions) {
@@ -135,6 +83,11 @@
       readMonotonicMs: options.readMonotonicMs,
       longestGapMs: settings.heartbeatMs * 2,
     });
+    this.ticker = new FrameTicker({
+      tickMs: settings.tickMs,
+      readNowMs: () => this.clock.readMs(),
+      onTick: () => this.flush(),
+    });
     this.seeds = new SeedList(id, this.random);
     const incarnation = options.incarnation ?? createIncarnation();
     this.rumours = new RumourLog(incarnation);
@@ -151,6 +104,7 @@
       credentials: credentials.server,
       sharedSecret: settings.sharedSecret,
       service,
+      heartbeatMs: settings.heartbeatMs,
       onAccepted: call => {
         this.keeper.accept(
           new AcceptedLink(this.keeper, call, this.clock.readMs()),
@@ -164,7 +118,8 @@
         describeSelf: () => this.describeSelf(),
         sayHello: link => this.sayHello(link),
         onOpened: (contact, hello) => this.noteOpened(contact, hello),
-        onFrame: (contact, frame) => this.handleFrame(contact, frame),
+        onFrame: (contact, from, frame) =>
+          this.handleFrame(contact, from, frame),
         onLost: (contact, reason) => this.noteLost(contact, reason),
         onUnreachable: contact => this.dropOutgoing(contact),
         log: this.log,
@@ -173,9 +128,7 @@
       sharedSecret: settings.sharedSecret,
       service,
       random: this.random,
-      connectTimeoutMs: settings.heartbeatMs * CONNECT_TIMEOUT_BEATS,
-      silentAfterMs: settings.heartbeatMs * SILENT_AFTER_BEATS,
-      idleCloseMs: IDLE_CLOSE_MS,
+      heartbeatMs: settings.heartbeatMs,
     });
   }
 
@@ -202,7 +155,7 @@
   stop(): void {
     this.flush();
     clearInterval(this.beatTimer);
-    clearTimeout(this.flushTimer);
+    this.ticker.stop();
     this.keeper.close();
     this.listener.close();
   }
@@ -250,7 +203,7 @@
     for (const contact of this.keeper.contacts.values()) {
       contact.owesRevision = contact.isConnected;
     }
-    this.scheduleFlush(true);
+    this.ticker.schedule(true);
   }
 
   /**
@@ -264,7 +217,7 @@
     const contact = this.keeper.contactOf(instance);
     if (!contact.queue(record)) return false;
     this.keeper.dial(contact, member.peerAddress);
-    this.scheduleFlush(!PATIENT_KINDS.has(record.kind));
+    this.ticker.schedule(!PATIENT_KINDS.has(record.kind));
     return true;
   }
 
@@ -277,13 +230,14 @@
   broadcast(record: PeerRecord): void {
     const rumour = {id: this.rumours.issueId(), record};
     for (const contact of this.linked()) contact.queueRumour(rumour);
-    this.scheduleFlush(true);
+    this.ticker.schedule(true);
   }
 
   /** What the dump shows. */
   snapshot(): NetworkSnapshot {
     return describeNetwork({
       address: this.address(),
+      listenAddress: this.listener.address,
       members: this.members(),
       neighbours: [...this.neighbours],
       keeper: this.keeper,
@@ -313,13 +267,15 @@
     this.membership.openStream(hello, this.clock.readMs());
     this.publishChanges();
     if (contact.hasOutgoing || this.membership.hasNews(contact.id)) {
-      this.scheduleFlush(true);
+      this.ticker.schedule(true);
     }
   }
 
   private noteLost(contact: PeerContact, reason: LinkEnd): void {
     this.membership.closeStream(contact.id);
-    const isWanted = this.neighbours.has(contact.id) || contact.hasOutgoing;
+    // The higher id waits a beat, lest both dial at the same moment.
+    const isTurn = this.neighbours.has(contact.id) && this.id < contact.id;
+    const isWanted = isTurn || contact.hasOutgoing;
     if (reason !== 'idle' && isWanted) this.dialMember(contact.id);
   }
 
@@ -337,9 +293,11 @@
     }
   }
 
-  private handleFrame(contact: PeerContact, frame: PeerFrame): void {
-    const from = contact.link?.peer;
-    if (from === undefined) return;
+  private handleFrame(
+    contact: PeerContact,
+    from: PeerIdentity,
+    frame: PeerFrame,
+  ): void {
     const nowMs = this.clock.readMs();
     this.membership.hear(from, frame.revision, nowMs);
     this.membership.merge(frame.members, from.id, nowMs);
@@ -357,12 +315,12 @@
       for (const other of this.linked()) {
         if (other !== contact) other.queueRumour(rumour);
       }
-      this.scheduleFlush(true);
+      this.ticker.schedule(true);
     }
     const hasNews = [...this.linked()].some(other =>
       this.membership.hasNews(other.id),
     );
-    if (hasNews) this.scheduleFlush(true);
+    if (hasNews) this.ticker.schedule(true);
   }
 
   private handleRecord(record: PeerRecord, from: PeerIdentity): void {
@@ -432,23 +390,10 @@
     }
   }
 
-  private scheduleFlush(isUrgent: boolean): void {
-    const nowMs = this.clock.readMs();
-    const nextTickMs = this.lastFlushMs + this.settings.tickMs;
-    const earliestMs = isUrgent ? nextTickMs : nowMs + this.settings.tickMs;
-    const dueMs = Math.max(earliestMs, nowMs);
-    if (dueMs >= this.flushDueMs) return;
-    clearTimeout(this.flushTimer);
-    this.flushDueMs = dueMs;
-    this.flushTimer = setTimeout(() => this.flush(), dueMs - nowMs);
-  }
-
   /** One frame to each instance for which there is something. */
   private flush(isBeat = false): void {
     const nowMs = this.clock.readMs();
-    clearTimeout(this.flushTimer);
-    this.flushDueMs = Infinity;
-    this.lastFlushMs = nowMs;
+    this.ticker.noteTick(nowMs);
     const heartbeatMs = this.settings.heartbeatMs * BEATS_PER_HEARTBEAT;
     let hasMore = false;
     for (const contact of this.linked()) {
@@ -461,7 +406,7 @@
       link.send(this.composeFrame(contact, isHeartbeat), nowMs);
       hasMore ||= this.membership.hasNews(contact.id);
     }
-    if (hasMore) this.scheduleFlush(true);
+    if (hasMore) this.ticker.schedule(true);
   }
 
   private composeFrame(contact: PeerContact, isHeartbeat: boolean): PeerFrame {
--- a/packages/peer/src/test_support/networks.ts
+++ b/packages/peer/src/test_support/networks.ts
@@ -4,11 +4,12 @@
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 import type {ListedInstance} from '@snipestage/types/platform_messages.js';
-import {PeerNetwork, type PeerNetworkOptions} from '../peer_network.js';
+import type {PeerNetworkOptions} from '../network_options.js';
+import {PeerNetwork} from '../peer_network.js';
 
 const POLL_MS = 20;
 /** Long enough for a busy machine; a test that gets there has failed. */
-const GIVE_UP_AFTER_MS = 60_000;
+const GIVE_UP_AFTER_MS = 30_000;
 
 /** Settings with short times, for a listener on a free port. */
 export const FAST_SETTINGS: EntrySettings['peer'] = {
@@ -35,8 +36,14 @@
   }
 }
 
+/** What ends with a test. */
+export interface TestScope {
+  teardown(end: () => void): void;
+}
+
 /** A started network in data centre `akl-a`, unless told otherwise. */
 export async function startNetwork(
+  scope: TestScope,
   id: string,
   options: Partial<PeerNetworkOptions> = {},
 ): Promise<PeerNetwork> {
@@ -47,6 +54,7 @@
     ...options,
   });
   await network.start();
+  scope.teardown(() => network.stop());
   return network;
 }
 
