Give up a drained endpoint only once every instance has heard of it

Cause: the plan released a drained endpoint as soon as it looked idle. An instance that had not heard of the drain could still send it a request, which the platform would then cut; and which endpoints were drained changed with each plan as their loads changed.

Change: the plan remembers since when each endpoint is drained, releases it after settleMs (15 s) and idle, and keeps to those it has drained already. What compares the plan with what is live moves to a module of its own.

Ruled out: releasing at once and trusting the permits' owners (an instance cut off from its owner goes on by its last allotment).

--- a/packages/policy/src/endpoint_plan.ts
+++ b/packages/policy/src/endpoint_plan.ts
@@ -4,7 +4,7 @@
  * of the lease goes on where the last one stopped.
  */
 
-import type {DataCentreId, ModelId} from '@snipestage/types/ids.js';
+import type {ModelId} from '@snipestage/types/ids.js';
 import {
   findDepartures,
   hasLeft,
@@ -12,7 +12,12 @@
   type ScheduledDeparture,
 } from './endpoint_plan_departures.js';
 import {divideDemand, type PoolDemand} from './endpoint_plan_demand.js';
-import {presentOf, targetOf} from './endpoint_plan_drain.js';
+import {
+  noteDrained,
+  presentOf,
+  targetOf,
+  type DrainState,
+} from './endpoint_plan_drain.js';
 import {
   DEFAULT_PLAN_OPTIONS,
   EMPTY_PLAN_MEMORY,
@@ -26,6 +31,12 @@
   type Shortfall,
 } from './endpoint_plan_input.js';
 import {holdCount, noteCheap} from './endpoint_plan_memory.js';
+import {
+  countMissing,
+  isCheapLive,
+  isReplaced,
+  modelsOf,
+} from './endpoint_plan_readiness.js';
 import {
   planSupply,
   type PoolNeed,
@@ -38,6 +49,7 @@
   readonly options: PlanOptions;
   readonly memory: PlanMemory;
   readonly begun: readonly ScheduledDeparture[];
+  readonly drainState: DrainState;
 }
 
 /**
@@ -64,11 +76,12 @@
   );
   const departures = decideDepartures(context, supply);
   const pools = holdAll(context, supply, cheap);
+  const targets = [
+    ...supply.needs.flatMap(need => stayingTargets(need, context, pools)),
+    ...departures.flatMap(departure => leavingTargets(departure, context)),
+  ];
   return {
-    targets: [
-      ...supply.needs.flatMap(need => stayingTargets(need, context, pools)),
-      ...departures.flatMap(departure => leavingTargets(departure, context)),
-    ],
+    targets,
     shortfalls: [
       ...supply.shortfalls,
       ...unserved.map(({model, concurrency}) => ({
@@ -84,6 +97,7 @@
       draining: departures
         .filter(departure => departure.phase === 'draining')
         .map(departure => departure.dataCentre),
+      drainedSinceEpochMs: noteDrained(targets, context.drainState),
     },
   };
 }
@@ -97,7 +111,13 @@
     input.nowEpochMs,
     options,
   );
-  return {input, options, memory: input.memory ?? EMPTY_PLAN_MEMORY, begun};
+  const memory = input.memory ?? EMPTY_PLAN_MEMORY;
+  const drainState = {
+    nowEpochMs: input.nowEpochMs,
+    settleMs: options.settleMs,
+    drainedSinceEpochMs: memory.drainedSinceEpochMs,
+  };
+  return {input, options, memory, begun, drainState};
 }
 
 function noteCheapOfAll({input, options, memory}: Context) {
@@ -150,29 +170,6 @@
   return Object.fromEntries(entries);
 }
 
-function isCheapLive(
-  supply: Supply,
-  model: ModelId,
-  input: PlanInput,
-): boolean {
-  const needs = supply.needs.filter(need => need.demand.pool.model === model);
-  const needed = needs.reduce((sum, need) => sum + need.cheap, 0);
-  const live = needs.reduce(
-    (sum, need) => sum + countLive(need, 'cheap', input),
-    0,
-  );
-  return live >= needed;
-}
-
-function countLive(
-  need: PoolNeed,
-  kind: 'regular' | 'cheap',
-  input: PlanInput,
-): number {
-  const present = presentOf(need.demand.pool, kind, input.endpoints);
-  return present.filter(endpoint => endpoint.state === 'live').length;
-}
-
 function decideDepartures(
   {input, memory, begun}: Context,
   supply: Supply,
@@ -192,28 +189,9 @@
   });
 }
 
-function modelsOf(dataCentre: DataCentreId, input: PlanInput): ModelId[] {
-  const here = input.endpoints.filter(each => each.dataCentre === dataCentre);
-  return [...new Set(here.map(endpoint => endpoint.model))];
-}
-
-/** Whether every pool that stays has all it needs live, not just ordered. */
-function isReplaced(model: ModelId, supply: Supply, input: PlanInput): boolean {
-  const needs = supply.needs.filter(need => need.demand.pool.model === model);
-  const isShort = supply.shortfalls.some(each => each.model === model);
-  if (needs.length === 0 || isShort) return false;
-  return needs.every(need => {
-    const regular = countLive(need, 'regular', input);
-    const cheap = countLive(need, 'cheap', input);
-    return (
-      regular >= need.regular && regular + cheap >= need.regular + need.cheap
-    );
-  });
-}
-
 function stayingTargets(
   need: PoolNeed,
-  {input}: Context,
+  {input, drainState}: Context,
   pools: Readonly<Record<string, PoolMemory>>,
 ): PoolTarget[] {
   const {pool} = need.demand;
@@ -221,14 +199,14 @@
   const regular = Math.min(pool.maxRegular, held.regular?.count ?? 0);
   const cheap = Math.min(pool.maxCheap, held.cheap?.count ?? 0);
   return [
-    targetOf(pool, 'regular', regular, input.endpoints),
-    targetOf(pool, 'cheap', cheap, input.endpoints),
+    targetOf(pool, 'regular', regular, input.endpoints, drainState),
+    targetOf(pool, 'cheap', cheap, input.endpoints, drainState),
   ];
 }
 
 function leavingTargets(
   {dataCentre, phase}: Departure,
-  {input}: Context,
+  {input, drainState}: Context,
 ): PoolTarget[] {
   const centre = input.dataCentres.find(each => each.id === dataCentre);
   if (centre?.reachable !== true) return [];
@@ -239,7 +217,7 @@
       // What is lost while the others prepare is replaced there, not here.
       const present = presentOf(pool, kind, input.endpoints).length;
       const desired = phase === 'preparing' ? present : 0;
-      return targetOf(pool, kind, desired, input.endpoints);
+      return targetOf(pool, kind, desired, input.endpoints, drainState);
     }),
   );
 }
@@ -266,21 +244,6 @@
   );
 }
 
-function countMissing(
-  model: ModelId,
-  supply: Supply,
-  input: PlanInput,
-): number {
-  return supply.needs
-    .filter(need => need.demand.pool.model === model)
-    .map(need => {
-      const regular = countLive(need, 'regular', input);
-      const cheap = countLive(need, 'cheap', input);
-      return Math.max(0, need.regular + need.cheap - regular - cheap);
-    })
-    .reduce((total, missing) => total + missing, 0);
-}
-
 function endpointsFor(
   model: ModelId,
   concurrency: number,
--- a/packages/policy/src/endpoint_plan_drain.ts
+++ b/packages/policy/src/endpoint_plan_drain.ts
@@ -7,35 +7,72 @@
 import type {EndpointId} from '@snipestage/types/ids.js';
 import type {ObservedEndpoint, PoolTarget} from './endpoint_plan_input.js';
 
+/** What is known of endpoints that are drained already. */
+export interface DrainState {
+  readonly nowEpochMs: number;
+  readonly settleMs: number;
+  readonly drainedSinceEpochMs: Readonly<Record<string, number>>;
+}
+
 /**
  * The target for one kind of a pool's endpoints. Surplus ones first get no new
  * work; the count that is ordered falls only as they become idle, since the
- * platform would otherwise take one that still answers a caller.
+ * platform would otherwise take one that still answers a caller. One that has
+ * only just been drained may look idle while another instance, which has not
+ * heard of it, sends it a request; so it is given up some time later.
  *
  * @example
- * const target = targetOf(pool, 'regular', 2, endpoints);
+ * const target = targetOf(pool, 'regular', 2, endpoints, state);
  */
 export function targetOf(
   pool: EndpointPool,
   kind: EndpointKind,
   desired: number,
   endpoints: readonly ObservedEndpoint[],
+  state: DrainState,
 ): PoolTarget {
   const {dataCentre, model} = pool;
   const present = presentOf(pool, kind, endpoints);
   const surplus = Math.max(0, present.length - desired);
-  const drained = [...present].sort(compareForDraining).slice(0, surplus);
-  const idle = drained.filter(endpoint => endpoint.running === 0);
+  const drained = [...present]
+    .sort((left, right) => compareForDraining(left, right, state))
+    .slice(0, surplus);
+  const released = drained.filter(endpoint => isIdle(endpoint, state));
   return {
     dataCentre,
     model,
     kind,
-    targetCount: desired + drained.length - idle.length,
+    targetCount: desired + drained.length - released.length,
     drain: idsOf(drained),
-    release: idsOf(idle),
+    release: idsOf(released),
   };
 }
 
+/**
+ * Since when each drained endpoint has been, for the next plan.
+ *
+ * @example
+ * const drainedSinceEpochMs = noteDrained(targets, state);
+ */
+export function noteDrained(
+  targets: readonly PoolTarget[],
+  state: DrainState,
+): Record<string, number> {
+  const drained = targets.flatMap(target => target.drain);
+  const entries = drained.map(id => [
+    id,
+    state.drainedSinceEpochMs[id] ?? state.nowEpochMs,
+  ]);
+  return Object.fromEntries(entries);
+}
+
+function isIdle(endpoint: ObservedEndpoint, state: DrainState): boolean {
+  if (endpoint.state === 'starting') return true;
+  const since = state.drainedSinceEpochMs[endpoint.id] ?? state.nowEpochMs;
+  const hasSettled = state.nowEpochMs - since >= state.settleMs;
+  return hasSettled && endpoint.running === 0;
+}
+
 /**
  * The pool's endpoints of a kind that are not on their way out already.
  *
@@ -72,20 +109,22 @@
   return new Set([...idsOf(leaving), ...drained]);
 }
 
-/** Starting ones first, then those with least to finish. */
+/** Those drained already, then starting ones, then by what is to finish. */
 function compareForDraining(
   left: ObservedEndpoint,
   right: ObservedEndpoint,
+  state: DrainState,
 ): number {
   return (
-    rankOf(left) - rankOf(right) ||
+    rankOf(left, state) - rankOf(right, state) ||
     left.running - right.running ||
     left.id.localeCompare(right.id)
   );
 }
 
-function rankOf(endpoint: ObservedEndpoint): number {
-  return endpoint.state === 'starting' ? 0 : 1;
+function rankOf(endpoint: ObservedEndpoint, state: DrainState): number {
+  if (endpoint.id in state.drainedSinceEpochMs) return 0;
+  return endpoint.state === 'starting' ? 1 : 2;
 }
 
 function idsOf(endpoints: readonly ObservedEndpoint[]): EndpointId[] {
--- a/packages/policy/src/endpoint_plan_input.ts
+++ b/packages/policy/src/endpoint_plan_input.ts
@@ -25,7 +25,7 @@
   readonly kind: EndpointKind;
   /** `leaving` by ticket or by the platform, whichever came first. */
   readonly state: 'starting' | 'live' | 'leaving';
-  /** Requests in flight there. */
+  /** Requests in flight there, the most that any source tells. */
   readonly running: number;
 }
 
@@ -48,6 +48,8 @@
   readonly replaceMs: number;
   /** From the last new work until idle; above the longest deadline. */
   readonly drainMs: number;
+  /** From the plan until no instance sends new work; above the load's lag. */
+  readonly settleMs: number;
   /** Need must have been lower for so long before endpoints are given up. */
   readonly scaleDownAfterMs: number;
   /** How long cheap endpoints may fail to appear. */
@@ -66,6 +68,7 @@
   cheapPriceFactor: 1.1,
   replaceMs: 20 * MINUTE_MS,
   drainMs: 10 * MINUTE_MS,
+  settleMs: 15_000,
   scaleDownAfterMs: 10 * MINUTE_MS,
   cheapWaitMs: 3 * MINUTE_MS,
   cheapRetryMs: 10 * MINUTE_MS,
@@ -92,10 +95,16 @@
   readonly pools: Readonly<Record<string, PoolMemory>>;
   /** Data centres that have begun to drain; they don't turn back. */
   readonly draining: readonly DataCentreId[];
+  /** Since when endpoints have been drained by the plan. */
+  readonly drainedSinceEpochMs: Readonly<Record<string, number>>;
 }
 
 /** Before the first plan. */
-export const EMPTY_PLAN_MEMORY: PlanMemory = {pools: {}, draining: []};
+export const EMPTY_PLAN_MEMORY: PlanMemory = {
+  pools: {},
+  draining: [],
+  drainedSinceEpochMs: {},
+};
 
 /** All that a plan is made from. */
 export interface PlanInput {
@@ -123,7 +132,7 @@
   readonly targetCount: number;
   /** Get no new work from now on. */
   readonly drain: readonly EndpointId[];
-  /** Those of them that are idle, to be given up first. */
+  /** Those of them that are idle for good, to be given up first. */
   readonly release: readonly EndpointId[];
 }
 
