Count, seal and report usage windows

Cause: served work has to be billed once, also what an instance served just before it died. Change: counters written every few seconds under the incarnation, copies at a peer that writes them when the instance is gone, sealing and reporting under the usage lease, sealed windows for operators.

--- /dev/null
+++ b/packages/entry/src/account/usage_report_task.ts
@@ -0,0 +1,93 @@
+/** Seals and reports usage windows while the usage lease is held. */
+
+import {
+  beginReporter,
+  transitionReporter,
+  type ReporterEffect,
+  type ReporterEvent,
+  type ReporterState,
+} from '@snipestage/agreement/usage.js';
+import type {Logger} from '@snipestage/log/logger.js';
+import type {Platform} from '@snipestage/platform/platform.js';
+import type {LeaseName} from '@snipestage/types/ids.js';
+import type {LeaseTask} from '../agree/lease_task.js';
+import type {TableExecutor} from '../configure/table_executor.js';
+
+const TICK_EVERY_MS = 1000;
+
+/** Options of {@link UsageReportTask}. */
+export interface UsageReportTaskOptions {
+  readonly name: LeaseName;
+  readonly lease: LeaseTask;
+  readonly windowMs: number;
+  readonly graceMs: number;
+  readonly executor: TableExecutor;
+  readonly platform: Platform;
+  readonly logger: Logger;
+  readonly nowEpochMs?: () => number;
+}
+
+/** Carries out what the protocol of usage windows returns. */
+export class UsageReportTask {
+  private state: ReporterState;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: UsageReportTaskOptions) {
+    const {name: lease, windowMs, graceMs} = options;
+    this.state = beginReporter({lease, windowMs, graceMs});
+    options.lease.listen({
+      acquired: held => this.handle({kind: 'acquired', held}),
+      lost: () => this.handle({kind: 'lost'}),
+    });
+  }
+
+  start(): void {
+    this.timer = setInterval(() => this.tick(), TICK_EVERY_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  snapshot(): object {
+    return {
+      inCharge: this.state.term !== undefined,
+      phase: this.state.phase.kind,
+    };
+  }
+
+  private tick(): void {
+    const nowEpochMs = (this.options.nowEpochMs ?? Date.now)();
+    this.handle({kind: 'tick', nowEpochMs});
+  }
+
+  private handle(event: ReporterEvent): void {
+    const step = transitionReporter(this.state, event);
+    this.state = step.state;
+    for (const effect of step.effects) void this.carryOut(effect);
+  }
+
+  private async carryOut(effect: ReporterEffect): Promise<void> {
+    const {platform, lease, logger, executor} = this.options;
+    switch (effect.kind) {
+      case 'report': {
+        const {report, call} = effect;
+        const result = await platform.reportUsage(report, lease.guard());
+        logger.info('usage_reported', {
+          window: report.window,
+          result: result.kind,
+        });
+        this.handle({kind: 'report_answered', call, result});
+        return;
+      }
+      case 'report_refused':
+        logger.error('usage_report_refused', {
+          window: effect.window,
+          reason: effect.reason,
+        });
+        return;
+      default:
+        this.handle(await executor.carryOut(effect));
+    }
+  }
+}
--- a/packages/entry/src/compose/bind_handlers.ts
+++ b/packages/entry/src/compose/bind_handlers.ts
@@ -4,7 +4,7 @@
 import {Platform} from '@snipestage/platform/platform.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
-import {UsageCounters} from '../account/usage_counters.js';
+import {UsageCounterTask} from '../account/usage_counter_task.js';
 import {ClaimDesk} from '../admit/claim_desk.js';
 import {InFlightRequests} from '../admit/in_flight_requests.js';
 import {KeptAnswers} from '../admit/kept_answers.js';
@@ -53,13 +53,13 @@
     .toResolvedValue(
       (store, runner, claims, usage) =>
         new ModelHandler({store, runner, claims, usage, maxBodyBytes}),
-      [ConfigurationStore, ModelRunner, ClaimDesk, UsageCounters],
+      [ConfigurationStore, ModelRunner, ClaimDesk, UsageCounterTask],
     );
   container
     .bind(ServiceHandler)
     .toResolvedValue(
       (store, runner, claims, usage) =>
         new ServiceHandler({store, runner, claims, usage, maxBodyBytes}),
-      [ConfigurationStore, ServiceRunner, ClaimDesk, UsageCounters],
+      [ConfigurationStore, ServiceRunner, ClaimDesk, UsageCounterTask],
     );
 }
--- a/packages/entry/src/compose/container.ts
+++ b/packages/entry/src/compose/container.ts
@@ -4,7 +4,6 @@
 import {Logger} from '@snipestage/log/logger.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import {Container} from 'inversify';
-import {UsageCounters} from '../account/usage_counters.js';
 import {InFlightRequests} from '../admit/in_flight_requests.js';
 
 import {ConfigurationStore} from '../configure/configuration_store.js';
@@ -14,6 +13,7 @@
 import {bindPeers} from './bind_peers.js';
 import {bindPermits} from './bind_permits.js';
 import {bindPlatform} from './bind_platform.js';
+import {bindUsage} from './bind_usage.js';
 import {bindSending} from './bind_sending.js';
 import {IS_READY, SETTINGS} from './tokens.js';
 
@@ -37,7 +37,6 @@
       fields: {instance: settings.instance},
     }),
   );
-  container.bind(UsageCounters).toConstantValue(new UsageCounters());
   container.bind(InFlightRequests).toConstantValue(new InFlightRequests());
   container.bind(ConfigurationStore).toConstantValue(new ConfigurationStore());
   container.bind(StateDump).toConstantValue(new StateDump());
@@ -46,6 +45,7 @@
   bindEndpoints(container, settings);
   bindPermits(container, settings);
   bindSending(container, settings);
+  bindUsage(container, settings);
   bindHandlers(container, settings);
   return container;
 }
--- a/packages/entry/src/compose/tokens.ts
+++ b/packages/entry/src/compose/tokens.ts
@@ -9,3 +9,5 @@
 export const IS_READY: ServiceIdentifier<() => boolean> = Symbol('IsReady');
 /** The lease for endpoint orders of this data centre. */
 export const ORDERS_LEASE: ServiceIdentifier<LeaseTask> = Symbol('OrdersLease');
+/** The lease for sealing and reporting usage windows. */
+export const USAGE_LEASE: ServiceIdentifier<LeaseTask> = Symbol('UsageLease');
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -2,10 +2,14 @@
 
 import {Logger} from '@snipestage/log/logger.js';
 import {PeerNetwork} from '@snipestage/peer/peer_network.js';
+import {Platform} from '@snipestage/platform/platform.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
+import type {LeaseTask} from './agree/lease_task.js';
 import {OrderTask} from './agree/order_task.js';
-import {UsageCounters} from './account/usage_counters.js';
+import {UsageCopies} from './account/usage_copies.js';
+import {UsageReportTask} from './account/usage_report_task.js';
+import {UsageCounterTask} from './account/usage_counter_task.js';
 import {ClaimDesk} from './admit/claim_desk.js';
 import {InFlightRequests} from './admit/in_flight_requests.js';
 import {RequestIntake} from './admit/request_intake.js';
@@ -15,7 +19,7 @@
 import {ConfigurationStore} from './configure/configuration_store.js';
 import {RevisionTask} from './configure/revision_task.js';
 import {createContainer} from './compose/container.js';
-import {ORDERS_LEASE} from './compose/tokens.js';
+import {ORDERS_LEASE, USAGE_LEASE} from './compose/tokens.js';
 import {DemandTask} from './endpoints/demand_task.js';
 import {EndpointDirectory} from './endpoints/endpoint_directory.js';
 import {EndpointListTask} from './endpoints/endpoint_list_task.js';
@@ -27,10 +31,14 @@
 import {Shutdown} from './operate/shutdown.js';
 import {PeerTask} from './peers/peer_task.js';
 import {connectEndpoints} from './peers/endpoint_records.js';
+import {connectUsageCopies} from './peers/usage_records.js';
 import {connectSuspects} from './peers/suspect_records.js';
+import {readSealedWindows} from './operate/usage_reader.js';
 import {StateDump} from './operate/state_dump.js';
 import {TicketDesk} from './operate/ticket_desk.js';
 
+const LAST_WRITES_PATIENCE_MS = 5000;
+
 /** One running instance. */
 export class EntryProcess {
   private readonly container: Container;
@@ -55,6 +63,11 @@
       this.container.get(PeerNetwork),
       this.container.get(SuspectGuard),
     );
+    connectUsageCopies(
+      this.container.get(PeerTask),
+      this.container.get(PeerNetwork),
+      this.container.get(UsageCopies),
+    );
     connectEndpoints(
       this.container.get(PeerTask),
       this.container.get(EndpointDirectory),
@@ -66,7 +79,8 @@
     const callers = await this.callers.start();
     const admin = await this.admin.start();
     await this.container.get(PeerTask).start();
-    this.container.get(ORDERS_LEASE).start();
+    for (const lease of this.leases()) lease.start();
+    this.container.get(UsageCounterTask).start();
     this.container.get(RevisionTask).start();
     this.container.get(CellPermits).start();
     for (const task of this.backgroundTasks()) task.start();
@@ -104,7 +118,7 @@
       tickets: this.container.get(TicketDesk),
       status: () => this.status(),
       dump: () => this.container.get(StateDump).read(),
-      usage: () => ({open: this.container.get(UsageCounters).read()}),
+      usage: () => this.usage(),
       drain: () => void this.stop(),
     });
   }
@@ -120,7 +134,7 @@
       onNoNewWork: async () => {
         this.callers.stopListening();
         this.container.get(PeerTask).leave();
-        await this.container.get(ORDERS_LEASE).retire();
+        await Promise.all(this.leases().map(lease => lease.retire()));
       },
       onIdle: () => this.closeAll(),
     });
@@ -128,6 +142,7 @@
 
   private async closeAll(): Promise<void> {
     await this.container.get(ClaimDesk).whenSettled();
+    await this.container.get(UsageCounterTask).stop(LAST_WRITES_PATIENCE_MS);
     this.container.get(RevisionTask).stop();
     this.container.get(CellPermits).stop();
     for (const task of this.backgroundTasks()) task.stop();
@@ -136,12 +151,27 @@
     this.admin.stop();
   }
 
-  /** Tasks of the endpoints; none is needed to serve a request. */
+  private leases(): LeaseTask[] {
+    return [this.container.get(ORDERS_LEASE), this.container.get(USAGE_LEASE)];
+  }
+
+  private async usage(): Promise<object> {
+    const {windowMs} = this.settings.usage;
+    const platform = this.container.get(Platform);
+    return {
+      counters: this.container.get(UsageCounterTask).snapshot(),
+      sealed: await readSealedWindows(platform, windowMs),
+    };
+  }
+
+  /** Tasks beside the requests; none is needed to serve one. */
   private backgroundTasks(): Array<{start(): void; stop(): void}> {
     return [
       this.container.get(EndpointListTask),
       this.container.get(DemandTask),
       this.container.get(PlanTask),
+      this.container.get(UsageCopies),
+      this.container.get(UsageReportTask),
     ];
   }
 
@@ -187,14 +217,18 @@
     dump.add('endpoints', () =>
       this.container.get(EndpointDirectory).snapshot(),
     );
-    dump.add('leases', () => [this.container.get(ORDERS_LEASE).snapshot()]);
+    dump.add('leases', () => this.leases().map(lease => lease.snapshot()));
     dump.add('orders', () => this.container.get(OrderTask).snapshot());
     dump.add('plan', () => this.container.get(PlanTask).snapshot());
     dump.add('peers', () => this.container.get(PeerNetwork).snapshot());
     dump.add('claims', () => ({
       settling: this.container.get(ClaimDesk).settlingCount,
     }));
-    dump.add('usage', () => this.container.get(UsageCounters).read());
+    dump.add('usage', () => ({
+      counters: this.container.get(UsageCounterTask).snapshot(),
+      copies: this.container.get(UsageCopies).snapshot(),
+      reporting: this.container.get(UsageReportTask).snapshot(),
+    }));
     dump.add('configuration', () => {
       const {current, lastConfirmedAtMs} =
         this.container.get(ConfigurationStore);
--- a/packages/entry/src/listen/model_handler.ts
+++ b/packages/entry/src/listen/model_handler.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {RequestError} from '@snipestage/errors/request_error.js';
 import type {Model} from '@snipestage/types/configuration.js';
-import type {UsageCounters} from '../account/usage_counters.js';
+import type {UsageCounterTask} from '../account/usage_counter_task.js';
 import type {ClaimDesk} from '../admit/claim_desk.js';
 import {idempotencyKeyOf} from '../identify/idempotency_key.js';
 import type {AdmittedRequest} from '../admit/request_intake.js';
@@ -22,7 +22,7 @@
   readonly store: ConfigurationStore;
   readonly runner: ModelRunner;
   readonly claims: ClaimDesk;
-  readonly usage: UsageCounters;
+  readonly usage: UsageCounterTask;
   readonly maxBodyBytes: number;
 }
 
--- a/packages/entry/src/listen/service_handler.ts
+++ b/packages/entry/src/listen/service_handler.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {RequestError} from '@snipestage/errors/request_error.js';
 import type {Service} from '@snipestage/types/configuration.js';
-import type {UsageCounters} from '../account/usage_counters.js';
+import type {UsageCounterTask} from '../account/usage_counter_task.js';
 import type {ClaimDesk} from '../admit/claim_desk.js';
 import {mayDiscard} from '../admit/response_recorder.js';
 import {idempotencyKeyOf} from '../identify/idempotency_key.js';
@@ -21,7 +21,7 @@
   readonly store: ConfigurationStore;
   readonly runner: ServiceRunner;
   readonly claims: ClaimDesk;
-  readonly usage: UsageCounters;
+  readonly usage: UsageCounterTask;
   readonly maxBodyBytes: number;
 }
 
