--- /dev/null
+++ b/packages/entry/src/send/http_engine_driver.ts
@@ -0,0 +1,222 @@
+/** Speaks to OpenAI-compatible engines, as docs/INTERFACES.md describes them. */
+
+import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
+import type {AttemptId} from '@snipestage/types/ids.js';
+import {got, type Request} from 'got';
+import {EndpointError} from './endpoint_error.js';
+import {
+  EngineDriver,
+  type EngineCall,
+  type EngineListener,
+} from './engine_driver.js';
+import {EventReader} from './event_reader.js';
+import {SilenceTimer} from './silence_timer.js';
+
+const ENDED_EARLY = 'The stream ended before its end mark.';
+const OK = 200;
+const CLIENT_ERROR = 400;
+const TOO_MANY_REQUESTS = 429;
+const UNAVAILABLE = 503;
+const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
+const CANCEL_TIMEOUT_MS = 1000;
+
+/** Options of {@link HttpEngineDriver}. */
+export interface HttpEngineDriverOptions {
+  readonly connectTimeoutMs?: number;
+}
+
+/** Every attempt has a connection of its own; see `FreshConnection`. */
+export class HttpEngineDriver extends EngineDriver {
+  private readonly connectTimeoutMs: number;
+
+  constructor(options: HttpEngineDriverOptions = {}) {
+    super();
+    this.connectTimeoutMs =
+      options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
+  }
+
+  async run(call: EngineCall, listener: EngineListener): Promise<void> {
+    const connection = await this.open(call);
+    const silence = new SilenceTimer(call.firstTokenTimeoutMs, () =>
+      connection.reset(),
+    );
+    const request = startRequest(call, connection);
+    try {
+      await readEvents(request, {call, silence, listener});
+    } catch (error) {
+      throw errorOf(error, call, connection, silence);
+    } finally {
+      silence.stop();
+      connection.reset();
+    }
+  }
+
+  async cancel(url: string, attempt: AttemptId): Promise<void> {
+    try {
+      await got.post(new URL('/v1/cancel', url), {
+        json: {requestId: attempt},
+        retry: {limit: 0},
+        timeout: {request: CANCEL_TIMEOUT_MS},
+      });
+    } catch {
+      // The engine also stops when the connection closes.
+    }
+  }
+
+  private async open(call: EngineCall): Promise<FreshConnection> {
+    const url = new URL(call.url);
+    const connection = await FreshConnection.open({
+      host: url.hostname,
+      port: Number(url.port),
+      connectTimeoutMs: this.connectTimeoutMs,
+      signal: call.signal,
+    });
+    if (connection.kind === 'open') return connection;
+    throw new EndpointError(`No connection: ${connection.reason}`, {
+      kind: call.signal.aborted ? 'cancelled' : 'unreachable',
+      verdict: 'not_run',
+    });
+  }
+}
+
+function startRequest(call: EngineCall, connection: FreshConnection): Request {
+  const resuming = call.resumeOffset !== undefined;
+  const request = got.stream(new URL(bodyPath(call), call.url), {
+    method: 'POST',
+    headers: {
+      'x-request-id': call.attempt,
+      'x-request-priority': String(call.tier),
+    },
+    json: resuming
+      ? {requestId: call.attempt, offset: call.resumeOffset}
+      : {
+          ...call.body,
+          stream: true,
+          stream_options: {include_usage: true},
+        },
+    createConnection: connection.createConnection,
+    retry: {limit: 0},
+    throwHttpErrors: false,
+    decompress: false,
+  });
+  request.setEncoding('utf8');
+  return request;
+}
+
+function bodyPath(call: EngineCall): string {
+  return call.resumeOffset === undefined ? call.path : '/v1/resume';
+}
+
+interface Reading {
+  readonly call: EngineCall;
+  readonly silence: SilenceTimer;
+  readonly listener: EngineListener;
+}
+
+/** Passes on events until the stream's end mark; an end without it is broken. */
+function readEvents(request: Request, reading: Reading): Promise<void> {
+  const {call, silence, listener} = reading;
+  const events = new EventReader(call.attempt);
+  return new Promise((resolve, reject) => {
+    // What still comes must neither be read nor wake the timer again; an error
+    // after this one must not end the process.
+    const stop = () => {
+      request.removeAllListeners();
+      request.on('error', () => {});
+      request.destroy();
+    };
+    const succeed = () => {
+      stop();
+      resolve();
+    };
+    const fail = (error: unknown) => {
+      stop();
+      reject(error);
+    };
+    const take = (text: string) => {
+      silence.restart(call.chunkTimeoutMs);
+      const batch = events.feed(text);
+      const taken = batch.length > 0 ? listener(batch) : undefined;
+      if (taken === undefined) {
+        if (events.hasEnded) succeed();
+        return;
+      }
+      // A caller that reads slowly holds us here; the engine is not silent
+      // then.
+      silence.stop();
+      request.pause();
+      taken.then(() => {
+        if (events.hasEnded) {
+          succeed();
+          return;
+        }
+        silence.restart(call.chunkTimeoutMs);
+        request.resume();
+      }, fail);
+    };
+    const failEarly = () => fail(new EndpointError(ENDED_EARLY));
+    request.on('response', () => {
+      attempt(() => checkResponse(request, call.attempt), fail);
+    });
+    request.on('data', text => attempt(() => take(text as string), fail));
+    request.on('error', fail);
+    request.on('end', failEarly);
+    request.on('close', failEarly);
+  });
+}
+
+function attempt(step: () => void, reject: (error: unknown) => void): void {
+  try {
+    step();
+  } catch (error) {
+    reject(error);
+  }
+}
+
+/** Turns away error statuses and answers to another request. */
+function checkResponse(request: Request, attempt: AttemptId): void {
+  const response = request.response;
+  if (response === undefined) return;
+  const status = response.statusCode;
+  if (status !== OK) throw statusError(status);
+  const echoed = response.headers['x-request-id'];
+  if (echoed !== attempt) {
+    throw new EndpointError('The answer is to another request.', {
+      kind: 'mismatched',
+      verdict: 'may_have_run',
+    });
+  }
+}
+
+function statusError(status: number): EndpointError {
+  const didNoWork =
+    status === TOO_MANY_REQUESTS ||
+    status === UNAVAILABLE ||
+    (status >= CLIENT_ERROR && status < 500);
+  return new EndpointError(`The engine answered with status ${status}.`, {
+    kind: didNoWork ? 'refused' : 'errored',
+    verdict: didNoWork ? 'not_run' : 'may_have_run',
+    status,
+  });
+}
+
+function errorOf(
+  error: unknown,
+  call: EngineCall,
+  connection: FreshConnection,
+  silence: SilenceTimer,
+): EndpointError {
+  if (error instanceof EndpointError) return error;
+  const message = error instanceof Error ? error.message : String(error);
+  const options = {verdict: connection.verdict, cause: error};
+  if (call.signal.aborted) {
+    return new EndpointError('Cancelled.', {...options, kind: 'cancelled'});
+  }
+  if (silence.hasFired) {
+    return new EndpointError('The engine fell silent.', {
+      ...options,
+      kind: 'silent',
+    });
+  }
+  return new EndpointError(message, {...options, kind: 'broken'});
+}
--- a/packages/types/src/permits.ts
+++ b/packages/types/src/permits.ts
@@ -70,9 +70,13 @@
   readonly cell: CellId;
   /** Rises with each change by the same owner. */
   readonly sequence: number;
+  /** Tells one life of the owner from the next; 32 bits. */
+  readonly term?: number;
   readonly endpoints: ReadonlyArray<{
     readonly endpoint: EndpointId;
     readonly permits: number;
+    /** The endpoint's whole limit as learnt, for when no owner is reached. */
+    readonly limit?: number;
   }>;
 }
 
@@ -85,4 +89,8 @@
   readonly requestClass: RequestClassId;
   readonly tier: number;
   readonly outputTokens: number;
+  /** Begun under an allotment of the owner that is told; false if absent. */
+  readonly underAllotment?: boolean;
+  /** It must run alone; false if absent. */
+  readonly suspect?: boolean;
 }
