Release a lease after what was under way; split long modules

Cause: a process that stops gives no more ticks, so that a lease whose renewal was under way when it was told to retire stayed unreleased, and its successor waited for a whole term. lease.ts, orders.ts and the lease model were long. Change: to retire stops acting at once and releases as soon as the pending call has ended. Ruled out: repeating a failed release without a tick, which would spin while the store is down.

--- a/packages/agreement/src/lease.test.ts
+++ b/packages/agreement/src/lease.test.ts
@@ -7,8 +7,8 @@
   type LeaseEvent,
   type LeaseState,
   type LeaseStep,
-  type LeaseValue,
 } from './lease.js';
+import type {LeaseValue} from './lease_rows.js';
 import {explore} from './models/explore.js';
 import {createLeaseModel} from './models/lease_model.js';
 import {carryOut, EMPTY_TABLE, type TableModel} from './models/table_model.js';
@@ -61,6 +61,20 @@
   t.is(successor.state.held?.fencingToken, brandAs<FencingToken>(2));
 });
 
+// A holder is told to stop while its renewal is on the way, and ticks no more.
+// Without the release its successor would leave orders lying for a whole term.
+test('a lease is released after a renewal that was under way', t => {
+  const polled = feed(EMPTY_TABLE, begin('a'), tick(0));
+  const taken = feed(polled.table, polled.state, tick(1));
+  const renewing = transitionLease(taken.state, tick(1500));
+  const told = transitionLease(renewing.state, {kind: 'retire', nowMs: 1501});
+  t.like(told.effects, [{kind: 'lost'}]);
+  const effect = renewing.effects[0] as TableEffect;
+  const done = carryOut(taken.table, effect, 1502);
+  const left = feed(done.table, told.state, done.event);
+  t.true((left.table['leases/usage'].value as LeaseValue).released);
+});
+
 // The holder's process is stopped for longer than its term, then goes on. Were
 // it to go on in the lease's name, the platform would get orders from two.
 test('a paused holder finds its term over, a challenger waits for that', t => {
--- a/packages/agreement/src/lease.ts
+++ b/packages/agreement/src/lease.ts
@@ -19,13 +19,19 @@
   InstanceId,
   LeaseName,
 } from '@snipestage/types/ids.js';
-import {brandAs} from '@snipestage/types/ids.js';
 import type {
   ReadResult,
   Row,
-  TableTransaction,
   TransactionResult,
 } from '@snipestage/types/table.js';
+import {
+  fenceKey,
+  leaseKey,
+  versionOfOwn,
+  type LeaseTerm,
+  type LeaseValue,
+} from './lease_rows.js';
+import {lose, renew, retire, take} from './lease_writes.js';
 import {
   findRow,
   type Step,
@@ -33,22 +39,6 @@
   type TableEvent,
 } from './table_effects.js';
 
-/** Value of a lease row; it is never deleted, so that tokens only rise. */
-export interface LeaseValue {
-  readonly holder: InstanceId;
-  readonly incarnation: Incarnation;
-  readonly fencingToken: FencingToken;
-  /** Unlike in any two writes of one incarnation; rises. */
-  readonly renewals: number;
-  /** Given up by its holder: a successor need not wait. */
-  readonly released: boolean;
-}
-
-/** Value of a fence row, which changes only when the lease changes hands. */
-export interface FenceValue {
-  readonly fencingToken: FencingToken;
-}
-
 /** How a lease is kept. */
 export interface LeaseOptions {
   readonly name: LeaseName;
@@ -60,13 +50,6 @@
   readonly pollEveryMs: number;
 }
 
-/** The term in whose name something is done. */
-export interface LeaseTerm {
-  readonly fencingToken: FencingToken;
-  /** Version of the fence row: what a guarded transaction checks. */
-  readonly fenceVersion: number;
-}
-
 /** A term of one's own. */
 export interface HeldLease extends LeaseTerm {
   /** From here on the lease may be another's. */
@@ -117,25 +100,6 @@
 
 export type LeaseStep = Step<LeaseState, LeaseEffect>;
 
-/**
- * @example
- * leaseKey(brandAs<LeaseName>('orders/akl-a')); // 'leases/orders/akl-a'
- */
-export function leaseKey(name: LeaseName): string {
-  return `leases/${name}`;
-}
-
-/**
- * Key of the row that transactions in the lease's name check. Renewals leave it
- * alone, so they don't make such transactions fail.
- *
- * @example
- * fenceKey(brandAs<LeaseName>('orders/akl-a')); // 'fences/orders/akl-a'
- */
-export function fenceKey(name: LeaseName): string {
-  return `fences/${name}`;
-}
-
 /**
  * @example
  * let state = beginLease(options);
@@ -180,16 +144,38 @@
   const state = event.kind === 'retire' ? {...before, retiring: true} : before;
   const lapsed = dropLapsed(state, event.nowMs);
   const step = react(lapsed.state, event);
-  return {...step, effects: [...lapsed.effects, ...step.effects]};
+  const last = releaseAfter(state.pending, step, event.nowMs);
+  const effects = [...lapsed.effects, ...step.effects, ...last.effects];
+  return {state: last.state, effects};
+}
+
+/**
+ * A process that stops gives no more ticks: what was under way when it was told
+ * to retire is followed by the release at once, or the successor would wait for
+ * the whole term. A release that failed is left to a tick, if there is one.
+ */
+function releaseAfter(
+  former: PendingLeaseCall | undefined,
+  {state}: LeaseStep,
+  nowMs: number,
+): LeaseStep {
+  const ended = former !== undefined && state.pending === undefined;
+  const wasRelease = former?.kind !== 'poll' && former?.wanted.released;
+  return state.retiring && ended && !wasRelease
+    ? retire(state, nowMs)
+    : {state, effects: []};
 }
 
 function react(state: LeaseState, event: LeaseEvent): LeaseStep {
   switch (event.kind) {
     case 'tick':
-    case 'retire':
       return state.pending === undefined
         ? act(state, event.nowMs)
         : {state, effects: []};
+    case 'retire':
+      return state.pending === undefined
+        ? act(state, event.nowMs)
+        : lose(state);
     case 'read_answered':
       return event.call === state.call
         ? takeRows(state, event.result, event.nowMs)
@@ -209,17 +195,6 @@
   return lapsed ? lose(state) : {state, effects: []};
 }
 
-function lose(state: LeaseState): LeaseStep {
-  if (state.held === undefined) {
-    return {state, effects: []};
-  }
-  const {fencingToken} = state.held;
-  return {
-    state: {...state, held: undefined},
-    effects: [{kind: 'lost', fencingToken}],
-  };
-}
-
 /** Nothing is under way: renew, release, take, poll, or leave it. */
 function act(state: LeaseState, nowMs: number): LeaseStep {
   const {options, held, seen, polledAtMs} = state;
@@ -263,69 +238,6 @@
   };
 }
 
-function take(state: LeaseState, row: Row, nowMs: number): LeaseStep {
-  const former = (row.value as LeaseValue | null)?.fencingToken ?? 0;
-  const {instance: holder, incarnation} = state.options;
-  const wanted = {
-    holder,
-    incarnation,
-    fencingToken: brandAs<FencingToken>(former + 1),
-    released: false,
-  };
-  return write(state, row, {wanted, takes: true, nowMs});
-}
-
-function renew(state: LeaseState, row: Row, nowMs: number): LeaseStep {
-  const wanted = row.value as LeaseValue;
-  return write(state, row, {wanted, takes: false, nowMs});
-}
-
-/** Gives the lease up, if the row is still one's own. */
-function retire(state: LeaseState, nowMs: number): LeaseStep {
-  const row = state.seen?.row;
-  const value = (row?.value ?? null) as LeaseValue | null;
-  const own = value?.incarnation === state.options.incarnation;
-  // A successor may act as soon as the row says so: stop first, then write.
-  const lost = lose(state);
-  if (row === undefined || !own || value.released) {
-    return lost;
-  }
-  const wanted = {...value, released: true};
-  const step = write(lost.state, row, {wanted, takes: false, nowMs});
-  return {...step, effects: [...lost.effects, ...step.effects]};
-}
-
-function write(
-  state: LeaseState,
-  row: Row,
-  what: {
-    readonly wanted: Omit<LeaseValue, 'renewals'>;
-    readonly takes: boolean;
-    readonly nowMs: number;
-  },
-): LeaseStep {
-  const call = state.call + 1;
-  const {name} = state.options;
-  const {takes} = what;
-  // Two renewals that look alike could not be told apart when read back: one
-  // that was given up and arrived late would be taken for the later one, and
-  // the term counted from too late. So each write has a number of its own.
-  const wanted: LeaseValue = {...what.wanted, renewals: call};
-  const fence: FenceValue = {fencingToken: wanted.fencingToken};
-  const transaction: TableTransaction = {
-    checks: [{key: leaseKey(name), version: row.version}],
-    writes: [
-      {key: leaseKey(name), value: wanted},
-      ...(takes ? [{key: fenceKey(name), value: fence}] : []),
-    ],
-  };
-  const pending = {kind: 'write', wanted, takes, sentAtMs: what.nowMs} as const;
-  return {
-    state: {...state, call, pending},
-    effects: [{kind: 'transact', call, transaction}],
-  };
-}
-
 function takeWrite(
   state: LeaseState,
   result: TransactionResult,
@@ -372,13 +284,6 @@
   return {state: noteRow(state, row, nowMs), effects: []};
 }
 
-/** The fence's version, unless it has changed hands since the row was read. */
-function versionOfOwn(fence: Row, row: Row): number | undefined {
-  const token = (fence.value as FenceValue | null)?.fencingToken;
-  const own = (row.value as LeaseValue | null)?.fencingToken === token;
-  return own ? fence.version : undefined;
-}
-
 /** The row is known after a write; a term counts from before it was sent. */
 function settleWrite(
   state: LeaseState,
--- /dev/null
+++ b/packages/agreement/src/lease_rows.ts
@@ -0,0 +1,92 @@
+/**
+ * Rows of a lease: `leases/<name>`, rewritten by each renewal, and
+ * `fences/<name>`, which changes only when the lease changes hands.
+ */
+
+import type {
+  FencingToken,
+  Incarnation,
+  InstanceId,
+  LeaseName,
+} from '@snipestage/types/ids.js';
+import type {Row, TableTransaction} from '@snipestage/types/table.js';
+
+/** Value of a lease row; it is never deleted, so that tokens only rise. */
+export interface LeaseValue {
+  readonly holder: InstanceId;
+  readonly incarnation: Incarnation;
+  readonly fencingToken: FencingToken;
+  /** Unlike in any two writes of one incarnation; rises. */
+  readonly renewals: number;
+  /** Given up by its holder: a successor need not wait. */
+  readonly released: boolean;
+}
+
+/** Value of a fence row, which changes only when the lease changes hands. */
+export interface FenceValue {
+  readonly fencingToken: FencingToken;
+}
+
+/** The term in whose name something is done. */
+export interface LeaseTerm {
+  readonly fencingToken: FencingToken;
+  /** Version of the fence row: what a guarded transaction checks. */
+  readonly fenceVersion: number;
+}
+
+/**
+ * @example
+ * leaseKey(brandAs<LeaseName>('orders/akl-a')); // 'leases/orders/akl-a'
+ */
+export function leaseKey(name: LeaseName): string {
+  return `leases/${name}`;
+}
+
+/**
+ * Key of the row that transactions in the lease's name check. Renewals leave it
+ * alone, so they don't make such transactions fail.
+ *
+ * @example
+ * fenceKey(brandAs<LeaseName>('orders/akl-a')); // 'fences/orders/akl-a'
+ */
+export function fenceKey(name: LeaseName): string {
+  return `fences/${name}`;
+}
+
+/**
+ * The fence's version, unless the lease changed hands after its row was read.
+ *
+ * @example
+ * const fenceVersion = versionOfOwn(fence, row);
+ */
+export function versionOfOwn(fence: Row, row: Row): number | undefined {
+  const token = (fence.value as FenceValue | null)?.fencingToken;
+  const own = (row.value as LeaseValue | null)?.fencingToken === token;
+  return own ? fence.version : undefined;
+}
+
+/**
+ * The transaction that takes, renews or releases a lease, if its row is still
+ * as it was read.
+ *
+ * @example
+ * const transaction = composeLeaseWrite({name, row, wanted, takes: true});
+ */
+export function composeLeaseWrite(options: {
+  readonly name: LeaseName;
+  readonly row: Row;
+  readonly wanted: LeaseValue;
+  /** Starts a term under a new token, so that the fence changes too. */
+  readonly takes: boolean;
+}): TableTransaction {
+  const {name, row, wanted, takes} = options;
+  const key = leaseKey(name);
+  const fence: FenceValue = {fencingToken: wanted.fencingToken};
+  return {
+    checks: [{key, version: row.version}],
+    writes: [
+      {key, value: wanted},
+      ...(takes ? [{key: fenceKey(name), value: fence}] : []),
+    ],
+  };
+}
--- /dev/null
+++ b/packages/agreement/src/lease_writes.ts
@@ -0,0 +1,76 @@
+/** The writes of a lease row: taking, renewing and releasing it. */
+
+import {brandAs, type FencingToken} from '@snipestage/types/ids.js';
+import type {Row} from '@snipestage/types/table.js';
+import type {LeaseState, LeaseStep} from './lease.js';
+import {composeLeaseWrite, type LeaseValue} from './lease_rows.js';
+
+/** Stops acting in the lease's name. */
+export function lose(state: LeaseState): LeaseStep {
+  if (state.held === undefined) {
+    return {state, effects: []};
+  }
+  const {fencingToken} = state.held;
+  return {
+    state: {...state, held: undefined},
+    effects: [{kind: 'lost', fencingToken}],
+  };
+}
+
+/** Begins a term under the next token; the row must be free to take. */
+export function take(state: LeaseState, row: Row, nowMs: number): LeaseStep {
+  const former = (row.value as LeaseValue | null)?.fencingToken ?? 0;
+  const {instance: holder, incarnation} = state.options;
+  const wanted = {
+    holder,
+    incarnation,
+    fencingToken: brandAs<FencingToken>(former + 1),
+    released: false,
+  };
+  return write(state, row, {wanted, takes: true, nowMs});
+}
+
+/** Prolongs the term. */
+export function renew(state: LeaseState, row: Row, nowMs: number): LeaseStep {
+  const wanted = row.value as LeaseValue;
+  return write(state, row, {wanted, takes: false, nowMs});
+}
+
+/** Gives the lease up, if the row is still one's own. */
+export function retire(state: LeaseState, nowMs: number): LeaseStep {
+  const row = state.seen?.row;
+  const value = (row?.value ?? null) as LeaseValue | null;
+  const own = value?.incarnation === state.options.incarnation;
+  // A successor may act as soon as the row says so: stop first, then write.
+  const lost = lose(state);
+  if (row === undefined || !own || value.released) {
+    return lost;
+  }
+  const wanted = {...value, released: true};
+  const step = write(lost.state, row, {wanted, takes: false, nowMs});
+  return {...step, effects: [...lost.effects, ...step.effects]};
+}
+
+function write(
+  state: LeaseState,
+  row: Row,
+  what: {
+    readonly wanted: Omit<LeaseValue, 'renewals'>;
+    readonly takes: boolean;
+    readonly nowMs: number;
+  },
+): LeaseStep {
+  const call = state.call + 1;
+  const {name} = state.options;
+  const {takes} = what;
+  // Two renewals that look alike could not be told apart when read back: one
+  // that was given up and arrived late would be taken for the later one, and
+  // the term counted from too late. So each write has a number of its own.
+  const wanted: LeaseValue = {...what.wanted, renewals: call};
+  const transaction = composeLeaseWrite({name, row, wanted, takes});
+  const pending = {kind: 'write', wanted, takes, sentAtMs: what.nowMs} as const;
+  return {
+    state: {...state, call, pending},
+    effects: [{kind: 'transact', call, transaction}],
+  };
+}
--- a/packages/agreement/src/models/lease_model.ts
+++ b/packages/agreement/src/models/lease_model.ts
@@ -15,13 +15,12 @@
 import {
   beginLease,
   leaseInForce,
-  leaseKey,
   transitionLease,
   type LeaseEvent,
   type LeaseState,
   type LeaseStep,
-  type LeaseValue,
 } from '../lease.js';
+import {leaseKey, type LeaseValue} from '../lease_rows.js';
 import type {Order, OrderContent} from '../order_rows.js';
 import {
   beginOrders,
@@ -33,6 +32,7 @@
 } from '../orders.js';
 import type {TableEffect} from '../table_effects.js';
 import type {Model} from './explore.js';
+import {serializeLeaseWorld} from './lease_model_key.js';
 import {EMPTY_TABLE} from './table_model.js';
 import {
   deliver,
@@ -424,70 +424,3 @@
     ? 'an order of an earlier holder took effect after a later one'
     : undefined;
 }
-
-/**
- * States behave alike if they differ only in when they come about and in how
- * far counters have risen: instants are told relative to the process's clock,
- * and versions, renewals and call numbers by their order.
- */
-function serializeLeaseWorld(state: LeaseWorld): string {
-  const processes = state.processes.map(serializeTimes);
-  const text = JSON.stringify({...state, processes}, (field, value: unknown) =>
-    RETRY_FIELDS.includes(field) ? undefined : value,
-  );
-  const values = new Map<string, Set<number>>();
-  for (const [, name, digits] of text.matchAll(COUNTERS)) {
-    const counter = COUNTER_OF[name];
-    values.set(counter, (values.get(counter) ?? new Set()).add(Number(digits)));
-  }
-  const sorted = new Map(
-    [...values].map(([counter, set]) => [
-      counter,
-      [0, ...[...set].filter(Boolean).sort((left, right) => left - right)],
-    ]),
-  );
-  return text.replaceAll(COUNTERS, (_, name: string, digits: string) => {
-    const rank = sorted.get(COUNTER_OF[name])!.indexOf(Number(digits));
-    return `"${name}":${rank}`;
-  });
-}
-
-/** They only set how long to wait, which is left to the exploration. */
-const RETRY_FIELDS = ['tries', 'delayMs'];
-const COUNTERS = /"(version|fenceVersion|renewals|call)":(\d+)/g;
-const COUNTER_OF: Readonly<Record<string, string>> = {
-  version: 'version',
-  fenceVersion: 'version',
-  renewals: 'renewals',
-  call: 'call',
-};
-
-function serializeTimes(process: Process): unknown {
-  const {lease, nowMs} = process;
-  const {options, held, seen, pending, polledAtMs} = lease;
-  const age = (sinceMs: number | undefined, mostMs: number) =>
-    sinceMs === undefined ? undefined : Math.min(nowMs - sinceMs, mostMs);
-  return {
-    ...process,
-    nowMs: 0,
-    lease: {
-      ...lease,
-      options: undefined,
-      call: undefined,
-      polledAtMs: age(polledAtMs, options.pollEveryMs),
-      held: held && {
-        ...held,
-        termEndsAtMs: Math.max(0, held.termEndsAtMs - nowMs),
-        renewedAtMs: age(held.renewedAtMs, options.termMs),
-      },
-      seen: seen && {
-        ...seen,
-        sinceMs: age(seen.sinceMs, options.termMs + options.marginMs),
-      },
-      pending:
-        pending?.kind === 'poll' || pending === undefined
-          ? pending
-          : {...pending, sentAtMs: age(pending.sentAtMs, options.termMs)},
-    },
-  };
-}
--- a/packages/agreement/src/models/usage_model.ts
+++ b/packages/agreement/src/models/usage_model.ts
@@ -11,7 +11,7 @@
   type FencingToken,
   type LeaseName,
 } from '@snipestage/types/ids.js';
-import {fenceKey} from '../lease.js';
+import {fenceKey} from '../lease_rows.js';
 import type {TableEffect} from '../table_effects.js';
 import {
   beginReporter,
--- a/packages/agreement/src/order_rows.ts
+++ b/packages/agreement/src/order_rows.ts
@@ -95,3 +95,30 @@
   const pad = (part: number) => String(part).padStart(NUMBER_DIGITS, '0');
   return brandAs<OrderId>(`${lease}/${pad(fencingToken)}/${pad(sequence)}`);
 }
+
+/**
+ * The order as it is sent.
+ *
+ * @example
+ * const order = composeOrder(content, id, fencingToken);
+ */
+export function composeOrder(
+  content: OrderContent,
+  id: OrderId,
+  fencingToken: FencingToken,
+): Order {
+  return content.kind === 'endpoints'
+    ? {kind: 'endpoints', order: {...content.order, id, fencingToken}}
+    : {kind: 'engine', order: {...content.order, id, fencingToken}};
+}
+
+/**
+ * Whether it has to be announced before it is sent: its receiver does not
+ * refuse old tokens by itself.
+ *
+ * @example
+ * needsIntent(content); // true for the platform
+ */
+export function needsIntent(content: OrderContent): boolean {
+  return content.kind === 'endpoints' || !content.checksFencing;
+}
--- a/packages/agreement/src/orders.ts
+++ b/packages/agreement/src/orders.ts
@@ -23,11 +23,13 @@
   TransactionResult,
 } from '@snipestage/types/table.js';
 import {canonicalJson} from './canonical_json.js';
-import {fenceKey, type LeaseTerm} from './lease.js';
+import {fenceKey, type LeaseTerm} from './lease_rows.js';
 import {
+  composeOrder,
   composeOrderId,
   intentKey,
   intentPrefix,
+  needsIntent,
   targetOf,
   type IntentValue,
   type Order,
@@ -224,11 +226,8 @@
 ): OrdersState {
   const sequence = state.sequence + 1;
   const id = composeOrderId(state.lease, fencingToken, sequence);
-  const order: Order =
-    content.kind === 'endpoints'
-      ? {kind: 'endpoints', order: {...content.order, id, fencingToken}}
-      : {kind: 'engine', order: {...content.order, id, fencingToken}};
-  const recorded = content.kind === 'endpoints' || !content.checksFencing;
+  const order = composeOrder(content, id, fencingToken);
+  const recorded = needsIntent(content);
   const phase = recorded ? 'recording' : 'sending';
   const current = {
     order,
--- a/packages/agreement/src/usage.ts
+++ b/packages/agreement/src/usage.ts
@@ -16,7 +16,7 @@
   UsageReport,
 } from '@snipestage/types/platform_messages.js';
 import type {ReadResult, Row} from '@snipestage/types/table.js';
-import {fenceKey, type LeaseTerm} from './lease.js';
+import {fenceKey, type LeaseTerm} from './lease_rows.js';
 import {
   findRow,
   type Step,
