Clear up usage counters with the seal, without billing twice

Cause: the reporter scanned every counter ever written, and nothing deleted them; with windows of a minute that grows without bound. Deleting apart from the seal could hit a row written anew under the same version. What is accounted holds the counter's sequence. planUsageCleanup, which nothing called, is gone; its test is replaced by one over the whole round. Found: a peer's older copy, written where a newer row had been sealed and cleared up, took the difference off the bill; the test failed with -2 requests, and passes with the sequence compared.

--- a/packages/agreement/src/usage.ts
+++ b/packages/agreement/src/usage.ts
@@ -3,11 +3,12 @@
  * reports each by its seal, under the window's id. A successor goes on where
  * the table says that its predecessor came to, with the same figures.
  *
- * Store calls a window, by the one holder: three reads of the progress row (one
- * with a seal), two scans, two transactions; while there is nothing to do, one
- * read a tick. A seal's transaction has the lines of the window and the parts
- * of all counters of it: with `n` instances that each serve `a` pairs of client
- * account and class, about `n a` lines of some 100 bytes.
+ * Store calls a window, by the one holder: two reads of the progress row, one of
+ * the seal, one of the accounted rows, one scan, two transactions; while there
+ * is nothing to do, one read a tick. With `n` instances that each serve `a`
+ * pairs of client account and class in a window, the scan gives some `n` rows
+ * for each of the windows whose counters are kept, and the seal's transaction
+ * has about `n a` lines of some 100 bytes.
  */
 
 import type {LeaseName, UsageWindowId} from '@snipestage/types/ids.js';
@@ -25,11 +26,12 @@
 } from './table_effects.js';
 import {composeSeal} from './usage_seal.js';
 import {
-  ACCOUNTED_PREFIX,
+  accountedKey,
   COUNTERS_PREFIX,
   PROGRESS_KEY,
   sealKey,
   windowAt,
+  windowOfKey,
   windowStart,
   type ProgressValue,
   type SealValue,
@@ -41,8 +43,15 @@
   readonly windowMs: number;
   /** How long after its end a window waits for counters. */
   readonly graceMs: number;
+  /** See {@link SealOptions}; ten windows if absent. */
+  readonly keepCountersMs?: number;
+  /** See {@link SealOptions}; seven days if absent. */
+  readonly keepAccountedMs?: number;
 }
 
+const KEPT_WINDOWS = 10;
+const SEVEN_DAYS_MS = 7 * 24 * 60 * 60 * 1000;
+
 /** Where the reporter stands; each phase awaits the call numbered `call`. */
 export type ReporterPhase =
   | {readonly kind: 'idle'}
@@ -52,7 +61,7 @@
       readonly progress: Row;
     }
   | {
-      readonly kind: 'scanning_accounted';
+      readonly kind: 'reading_accounted';
       readonly progress: Row;
       readonly counters: readonly Row[];
     }
@@ -197,10 +206,10 @@
     case 'scanning_counters':
       return enter(
         state,
-        {...phase, kind: 'scanning_accounted', counters: rows},
-        call => ({kind: 'scan', call, prefix: ACCOUNTED_PREFIX}),
+        {...phase, kind: 'reading_accounted', counters: rows},
+        call => ({kind: 'read', call, keys: listAccountedKeys(rows)}),
       );
-    case 'scanning_accounted':
+    case 'reading_accounted':
       return seal(state, term, {...phase, accounted: rows});
     case 'reading_seal':
       return report(state, phase.progress, rows);
@@ -243,6 +252,11 @@
   }));
 }
 
+function listAccountedKeys(counters: readonly Row[]): readonly string[] {
+  const keys = counters.map(({key}) => accountedKey(windowOfKey(key)));
+  return [...new Set(keys)];
+}
+
 function seal(
   state: ReporterState,
   term: LeaseTerm,
@@ -252,7 +266,7 @@
     readonly accounted: readonly Row[];
   },
 ): ReporterStep {
-  const {lease, windowMs} = state.options;
+  const {lease, windowMs, keepCountersMs, keepAccountedMs} = state.options;
   const {nextToSealEpochMs} = read.progress.value as ProgressValue;
   const {progress, counters, accounted} = read;
   const transaction = composeSeal({
@@ -260,6 +274,8 @@
     counters,
     accounted,
     windowMs,
+    keepCountersMs: keepCountersMs ?? KEPT_WINDOWS * windowMs,
+    keepAccountedMs: keepAccountedMs ?? SEVEN_DAYS_MS,
     window: windowAt(nextToSealEpochMs, windowMs),
     fence: {key: fenceKey(lease), version: term.fenceVersion},
   });
--- a/packages/agreement/src/usage_rows.ts
+++ b/packages/agreement/src/usage_rows.ts
@@ -20,7 +20,7 @@
 } from '@snipestage/types/platform_messages.js';
 
 export const COUNTERS_PREFIX = 'usage/counters/';
-export const ACCOUNTED_PREFIX = 'usage/accounted/';
+const ACCOUNTED_PREFIX = 'usage/accounted/';
 export const PROGRESS_KEY = 'usage/progress';
 const SEALS_PREFIX = 'usage/seals/';
 const EPOCH_DIGITS = 15;
@@ -36,9 +36,9 @@
   readonly lines: readonly UsageLine[];
 }
 
-/** Value of an accounted row: by counter key, the part that is in seals. */
+/** Value of an accounted row: by counter key, the value that is in seals. */
 export interface AccountedValue {
-  readonly counters: Readonly<Record<string, readonly UsageLine[]>>;
+  readonly counters: Readonly<Record<string, CounterValue>>;
 }
 
 /** Value of the progress row: starts of the next windows to deal with. */
--- a/packages/agreement/src/usage_seal.ts
+++ b/packages/agreement/src/usage_seal.ts
@@ -2,6 +2,13 @@
  * What a seal contains: the window's counters, and what came late for windows
  * that were sealed before. Each part of a counter is in exactly one seal: how
  * much of it is, is written in the same transaction as the seal.
+ *
+ * The same transaction also clears up, so that scans stay short: counters of
+ * former windows that are in seals, and what was accounted of a window long
+ * past. A counter that is written again after its row was deleted is still only
+ * sealed for what is not accounted. Deleting apart from the seal would not do:
+ * a deletion that arrives late could hit a row that was written anew under the
+ * same version; a seal takes effect once for each state of the progress row.
  */
 
 import type {UsageWindowId} from '@snipestage/types/ids.js';
@@ -13,6 +20,7 @@
   addLines,
   PROGRESS_KEY,
   sealKey,
+  windowAt,
   windowOfKey,
   windowStart,
   type AccountedValue,
@@ -29,6 +37,14 @@
   readonly accounted: readonly Row[];
   readonly progress: Row;
   readonly fence: {readonly key: string; readonly version: number};
+  /** How long after its window's start a counter that is in seals is kept. */
+  readonly keepCountersMs: number;
+  /**
+   * How long after its window's start it is known what was accounted. A counter
+   * that comes still later would be billed again: instances must be gone by
+   * then.
+   */
+  readonly keepAccountedMs: number;
 }
 
 /**
@@ -40,10 +56,14 @@
  */
 export function composeSeal(options: SealOptions): TableTransaction {
   const {window, progress, fence} = options;
-  const parts = options.counters
+  const counters = options.counters
     .filter(row => windowOfKey(row.key) <= window)
-    .map(row => ({row, missing: findMissing(row, options.accounted)}))
-    .filter(({missing}) => missing.length > 0);
+    .map(row => ({row, missing: findMissing(row, options.accounted)}));
+  const parts = counters.filter(({missing}) => missing.length > 0);
+  const settled = counters.filter(({missing}) => missing.length === 0);
+  const old = settled
+    .map(({row}) => row)
+    .filter(row => isOlder(row, window, options.keepCountersMs));
   const lines = parts.reduce<readonly UsageLine[]>(
     (sum, {missing}) => addLines(sum, missing),
     [],
@@ -59,8 +79,11 @@
       {key: fence.key, version: fence.version},
       {key: PROGRESS_KEY, version: progress.version},
       {key: sealKey(window), version: 0},
+      ...old.map(({key, version}) => ({key, version})),
     ],
     writes: [
+      ...old.map(({key}) => ({key, value: null})),
+      ...forgetWindow(options),
       {key: sealKey(window), value: seal},
       {key: PROGRESS_KEY, value: next},
       ...composeAccounted(
@@ -75,8 +98,15 @@
   row: Row,
   accounted: readonly Row[],
 ): readonly UsageLine[] {
-  const sealed = accountedOf(windowOfKey(row.key), accounted)[row.key] ?? [];
-  return addLines((row.value as CounterValue).lines, sealed, -1);
+  const counter = row.value as CounterValue;
+  const sealed = accountedOf(windowOfKey(row.key), accounted)[row.key];
+  if (sealed === undefined) {
+    return counter.lines;
+  }
+  // A peer's older copy may stand where a newer row was sealed and cleared up;
+  // the difference would be taken off the bill.
+  const newer = counter.sequence > sealed.sequence;
+  return newer ? addLines(counter.lines, sealed.lines, -1) : [];
 }
 
 function accountedOf(
@@ -96,38 +126,23 @@
     const counters = {...accountedOf(window, accounted)};
     for (const {key, value} of changed) {
       if (windowOfKey(key) === window) {
-        counters[key] = (value as CounterValue).lines;
+        counters[key] = value as CounterValue;
       }
     }
     return {key: accountedKey(window), value: {counters}};
   });
 }
 
-/**
- * Transactions that delete the counters of windows that began before an
- * instant, with what was accounted of them, one a window, conditional on each
- * row as read; a window with counters that are in no seal yet is kept.
- * Instances must have given up counters of such age: seven days and more.
- *
- * @example
- * planUsageCleanup(counters, accounted, nowEpochMs - 7 * 24 * 3_600_000);
- */
-export function planUsageCleanup(
-  counters: readonly Row[],
-  accounted: readonly Row[],
-  beforeEpochMs: number,
-): readonly TableTransaction[] {
-  const windows = new Set(counters.map(row => windowOfKey(row.key)));
-  return [...windows]
-    .filter(window => windowStart(window) < beforeEpochMs)
-    .map(window => counters.filter(row => windowOfKey(row.key) === window))
-    .filter(rows => rows.every(row => findMissing(row, accounted).length === 0))
-    .map(rows => {
-      const parts = accountedKey(windowOfKey(rows[0].key));
-      const all = [...rows, findRow(accounted, parts)];
-      return {
-        checks: all.map(({key, version}) => ({key, version})),
-        writes: all.map(({key}) => ({key, value: null})),
-      };
-    });
+function isOlder(row: Row, than: UsageWindowId, byMs: number): boolean {
+  return windowStart(windowOfKey(row.key)) + byMs <= windowStart(than);
+}
+
+/** Windows are sealed one after another, so each is once the one to forget. */
+function forgetWindow(options: SealOptions): readonly RowWrite[] {
+  const {window, windowMs, keepAccountedMs} = options;
+  const startMs = windowStart(window) - keepAccountedMs;
+  if (startMs < 0) {
+    return [];
+  }
+  return [{key: accountedKey(windowAt(startMs, windowMs)), value: null}];
 }
