Prove what happens when owners, instances and engines are lost

Cause: the first run of these tests showed two faults. (1) With more instances than permits an instance without a share refused its waiting requests at once when the owner was lost (429, Retry-After 30 s). (2) An owner that had been frozen measured its own pause as service time and refused twelve requests of which all could be served. Ruled out: a larger share (two instances would then both run over the limit).

--- a/packages/entry/src/choose/cell_owners.ts
+++ b/packages/entry/src/choose/cell_owners.ts
@@ -26,6 +26,15 @@
   readonly maxWaiting?: number;
 }
 
+/** A longer time between two ticks means that the process stood still. */
+const LONGEST_PAUSE_MS = 1000;
+
+interface OwnersConfiguration {
+  readonly map: CellMap;
+  readonly classes: readonly RequestClass[];
+  readonly present: ReadonlySet<InstanceId>;
+}
+
 interface OwnedCell {
   readonly owner: CellOwner;
   readonly instances: Set<InstanceId>;
@@ -34,6 +43,8 @@
 /** Creates an owner for each cell that falls to this instance. */
 export class CellOwners {
   private readonly owned = new Map<CellId, OwnedCell>();
+  private configuration: OwnersConfiguration | undefined;
+  private tickedAtMs = Number.POSITIVE_INFINITY;
 
   constructor(private readonly options: CellOwnersOptions) {}
 
@@ -43,6 +54,7 @@
     classes: readonly RequestClass[],
     present: ReadonlySet<InstanceId>,
   ): void {
+    this.configuration = {map, classes, present};
     const cells = map.ownedBy(this.options.self);
     const kept = new Set(cells.map(cell => cell.id));
     for (const id of this.owned.keys()) {
@@ -66,6 +78,10 @@
   }
 
   tick(): void {
+    const nowMs = this.options.clock();
+    const gapMs = nowMs - this.tickedAtMs;
+    this.tickedAtMs = nowMs;
+    if (gapMs > LONGEST_PAUSE_MS) this.startAnew();
     for (const [cell, {owner}] of this.owned) {
       this.sendAll(cell, owner.tick(this.options.clock()));
     }
@@ -81,6 +97,18 @@
     return [...this.owned.values()].map(({owner}) => owner.snapshot(nowMs));
   }
 
+  /**
+   * A process that was frozen comes back with queues long served elsewhere and
+   * with times that measure its own pause: it would refuse what could well be
+   * served. Its owners begin anew, as those of another instance would.
+   */
+  private startAnew(): void {
+    this.owned.clear();
+    if (this.configuration === undefined) return;
+    const {map, classes, present} = this.configuration;
+    this.configure(map, classes, present);
+  }
+
   private create(cell: CellId): OwnedCell {
     const {clock, policy, maxWaiting} = this.options;
     const owner = new CellOwner({
--- /dev/null
+++ b/packages/entry/src/sessions/failover.test.ts
@@ -0,0 +1,138 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import test from 'ava';
+import {TestWorld, waitUntil, type Answer} from './test_world.js';
+
+interface CellOwnerDump {
+  readonly cells: {readonly owned: ReadonlyArray<{readonly cell: string}>};
+}
+
+/** Index of the entry that owns the model's cell. */
+async function findOwner(world: TestWorld, entries: number): Promise<number> {
+  for (let entry = 0; entry < entries; entry++) {
+    const {cells} = (await world.dump(entry)) as unknown as CellOwnerDump;
+    if (cells.owned.some(({cell}) => cell.includes('model/repair'))) {
+      return entry;
+    }
+  }
+  throw new Error('nobody owns the cell');
+}
+
+/** More requests than fit at once, through one entry. */
+function burst(world: TestWorld, entry: number): Promise<Answer[]> {
+  return Promise.all(
+    Array.from({length: 12}, (_, index) =>
+      world.chat(entry, `question ${index}`, {tokens: 40}),
+    ),
+  );
+}
+
+const THREE_ENTRIES = {
+  entries: ['akl-a', 'akl-a', 'akl-a'],
+  maxConcurrency: 2,
+};
+
+test('requests go on when the owner of their cell is killed', async t => {
+  // The instance that decides which request runs next is killed while requests
+  // of another instance wait and run. Callers should notice a short delay.
+  const world = await TestWorld.start(THREE_ENTRIES);
+  t.teardown(() => world.close());
+  const owner = await findOwner(world, 3);
+  const other = (owner + 1) % 3;
+  const answers = burst(world, other);
+  await delay(100);
+  await world.entries[owner].process.kill();
+  for (const {status, body} of await answers) t.is(status, 200, body);
+});
+
+test('requests go on when the owner of their cell freezes', async t => {
+  // The owner's machine stops for a while without closing a connection, then
+  // comes back and takes itself for the owner still.
+  const world = await TestWorld.start(THREE_ENTRIES);
+  t.teardown(() => world.close());
+  const owner = await findOwner(world, 3);
+  const other = (owner + 1) % 3;
+  const answers = burst(world, other);
+  await delay(100);
+  world.entries[owner].process.freeze();
+  for (const {status, body} of await answers) t.is(status, 200, body);
+  world.entries[owner].process.thaw();
+  for (const {status, body} of await burst(world, other))
+    t.is(status, 200, body);
+});
+
+test('a data centre without entry instances still has its endpoints used', async t => {
+  // All entry instances of a data centre are lost; its engine is the only one.
+  const world = await TestWorld.start({
+    entries: ['akl-a', 'akl-b'],
+    engines: ['akl-b'],
+  });
+  t.teardown(() => world.close());
+  await world.entries[1].process.kill();
+  await waitUntil(
+    async () => (await world.chat(0, 'anyone there?')).status === 200,
+  );
+  t.pass();
+});
+
+test('an engine that is lost does not lose its requests', async t => {
+  // One of two engines is killed in the middle of answers. Each caller still
+  // gets its whole answer, each token once.
+  const world = await TestWorld.start({engines: ['akl-a', 'akl-b']});
+  t.teardown(() => world.close());
+  const answers = Promise.all(
+    Array.from({length: 6}, (_, index) =>
+      world.chat(0, `question ${index}`, {tokens: 60, stream: true}),
+    ),
+  );
+  await delay(500);
+  const crash = {crash: {restartAfterMs: null}};
+  // The crash resets the connection that orders it, too.
+  await world.control({url: world.engines.urls[0]}, crash).catch(() => {});
+  for (const {status, body} of await answers) {
+    t.is(status, 200);
+    t.true(body.endsWith('data: [DONE]\n\n'));
+    const numbers = [...body.matchAll(/-(\d+)"/g)].map(([, n]) => Number(n));
+    t.deepEqual(
+      numbers,
+      Array.from({length: 60}, (_, index) => index),
+    );
+  }
+});
+
+test('a request that crashes engines is stopped after two', async t => {
+  // A prompt makes each engine that runs it crash, and its caller sends it
+  // again and again, to whichever instance. Without the guard it would take
+  // down every engine; innocent requests beside it must be served.
+  const world = await TestWorld.start({
+    entries: ['akl-a', 'akl-b'],
+    engines: ['akl-a', 'akl-a', 'akl-b', 'akl-b'],
+  });
+  t.teardown(() => world.close());
+  const poison = '<<poison>>';
+  const innocents = Promise.all(
+    Array.from({length: 6}, (_, index) =>
+      world.chat(index % 2, `innocent ${index}`, {tokens: 60}),
+    ),
+  );
+  const first = await world.chat(0, poison);
+  t.is(first.status, 422);
+  t.like(JSON.parse(first.body).error, {
+    code: 'suspected_crash',
+    verdict: 'may_have_run',
+  });
+  await waitUntil(async () => {
+    const {suspects} = await world.dump(1);
+    return (suspects as {crashes: object[]}).crashes.length >= 2;
+  });
+  const again = await world.chat(1, poison);
+  t.like(JSON.parse(again.body).error, {
+    code: 'suspected_crash',
+    verdict: 'not_run',
+  });
+  for (const {status} of await innocents) t.is(status, 200);
+  let crashes = 0;
+  for (const url of world.engines.urls) {
+    crashes += Number((await world.log({url})).crashes ?? 0);
+  }
+  t.true(crashes <= 2, `${crashes} engines crashed`);
+});
--- a/packages/policy/src/client_fallback.ts
+++ b/packages/policy/src/client_fallback.ts
@@ -81,16 +81,27 @@
       if (decision.kind === 'grant') {
         this.state.granted(decision.grant, this.state.instance, nowMs);
       }
-      if (decision.kind === 'refuse') {
-        this.state.refused(this.asOwnShare(decision.refusal));
+      if (decision.kind === 'refuse' && !this.mayRunLater(decision.refusal)) {
+        this.state.refused(decision.refusal);
       }
     }
   }
 
-  /** No endpoint in this instance's share is not the same as none at all. */
-  private asOwnShare(refusal: PermitRefusal): PermitRefusal {
-    const served = this.state.endpoints.some(({leaving}) => !leaving);
-    if (refusal.reason !== 'no_endpoint' || !served) return refusal;
-    return {...refusal, reason: 'overloaded'};
+  /**
+   * With more instances than permits some have no share of an endpoint at all.
+   * Their requests wait for the next owner, or for a share, rather than be
+   * refused by the dozen whenever an owner is lost; they are asked for again as
+   * lost asks are, and refused at their deadline.
+   */
+  private mayRunLater(refusal: PermitRefusal): boolean {
+    const waiting = this.state.waiting.get(refusal.attempt);
+    if (refusal.reason !== 'no_endpoint' || waiting === undefined) return false;
+    const {excluded, cheapAllowed} = waiting.ask;
+    return this.state.endpoints.some(
+      ({id, kind, leaving}) =>
+        !leaving &&
+        !excluded.includes(id) &&
+        (kind === 'regular' || cheapAllowed),
+    );
   }
 }
--- a/packages/policy/src/permit_client.ts
+++ b/packages/policy/src/permit_client.ts
@@ -208,6 +208,7 @@
     this.tellProgress(nowMs);
     this.fallback.tick(nowMs);
     this.refuseLate(nowMs);
+    this.repeatAsks(nowMs);
     if (this.state.owner !== null) this.remindOwner(nowMs);
     return this.state.takeOutputs();
   }
@@ -313,7 +314,6 @@
   private remindOwner(nowMs: number): void {
     this.repeatInUse(nowMs);
     if (this.fallback.isActive) return;
-    this.repeatAsks(nowMs);
     if (this.watch.isSilent(nowMs)) this.decideAlone(nowMs);
   }
 
