--- a/packages/peer/src/member_rules.ts
+++ b/packages/peer/src/member_rules.ts
@@ -1,6 +1,7 @@
 /**
- * Which of two accounts of a member holds. The order is total and merging is
- * commutative, so that instances which heard the same agree.
+ * Which of two accounts of a member holds, so that instances which heard the
+ * same agree. Two incarnations with the same heartbeat are left as they are
+ * until the member itself, which hears of it, raises its own.
  *
  * The higher heartbeat holds, whichever the incarnation: an instance starts
  * from the epoch's milliseconds, so that a new life is above the old one, and
