--- a/packages/peer/src/link_keeper.ts
+++ b/packages/peer/src/link_keeper.ts
@@ -13,7 +13,10 @@
 
 const SILENT_AFTER_BEATS = 3.5;
 const CONNECT_TIMEOUT_BEATS = 2;
+/** A stream over which records went may well be used again. */
 const IDLE_CLOSE_MS = 60_000;
+/** One that was opened to find members has done its part. */
+const UNUSED_CLOSE_BEATS = 10;
 
 /** What the keeper asks of and tells the network. */
 export interface LinkEvents {
@@ -147,10 +150,18 @@
       // requests that wait for ever.
       if (nowMs - link.lastHeardMs > silentAfterMs) link.end('silent');
       else if (!link.isDialled || neighbours.has(contact.id)) continue;
-      else if (nowMs - link.lastRecordMs > IDLE_CLOSE_MS) link.end('idle');
+      else if (this.isIdle(link, nowMs)) link.end('idle');
     }
   }
 
+  private isIdle(link: PeerLink, nowMs: number): boolean {
+    if (link.lastRecordMs !== undefined) {
+      return nowMs - link.lastRecordMs > IDLE_CLOSE_MS;
+    }
+    const unusedCloseMs = this.options.heartbeatMs * UNUSED_CLOSE_BEATS;
+    return nowMs - link.openedMs > unusedCloseMs;
+  }
+
   /** Forgets contacts that hold nothing. */
   forget(isKnown: (id: InstanceId) => boolean): void {
     for (const [id, contact] of this.contacts) {
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -41,7 +41,8 @@
   peer?: Hello;
   lastHeardMs: number;
   lastSentMs = -Infinity;
-  lastRecordMs: number;
+  /** When a record last went over it, either way; absent when none has. */
+  lastRecordMs?: number;
   framesSent = 0;
   framesReceived = 0;
   private hasEnded = false;
@@ -53,7 +54,6 @@
     readonly openedMs: number,
   ) {
     this.lastHeardMs = openedMs;
-    this.lastRecordMs = openedMs;
   }
 
   /** Ends the stream and closes its socket. */
