Judge a crash by all that was in flight, however it is reported

Cause: an instance reports a crash as each attempt breaks off, with what is still in flight there, and each instance reports its own. Whoever broke off last seemed to have run alone; in two shared crashes an innocent request was refused and the one that crashed the endpoints was not.

Change: reports of one endpoint within five seconds count as one crash with everything that any of them names.

Ruled out: waiting to report until all attempts have ended (a frozen attempt would hold the news back).

--- a/packages/policy/src/suspects.test.ts
+++ b/packages/policy/src/suspects.test.ts
@@ -72,6 +72,24 @@
   t.deepEqual(judgements(table, 0, 'p', 'a'), ['refuse', 'clear']);
 });
 
+// An endpoint crashes and the attempts there break off one by one; another
+// instance had attempts there too. Who is last in the reports must not be taken
+// for the one who ran alone, and lose its request to another's fault.
+test('a crash that is reported in pieces is one crash of all of them', t => {
+  const table = new SuspectTable();
+  const pieces = ['e1', 'e2'].flatMap(endpoint => [
+    crashOf(endpoint, 'p', 'a'),
+    crashOf(endpoint, 'a'),
+    {...crashOf(endpoint, 'b'), id: `akl-a-2/${endpoint}`, ageMs: 100},
+  ]);
+  table.merge(pieces, 1000);
+  t.deepEqual(judgements(table, 1000, 'p', 'a', 'b'), [
+    'run_alone',
+    'run_alone',
+    'run_alone',
+  ]);
+});
+
 test('one crash that two instances saw counts once', t => {
   const table = new SuspectTable();
   const crash = crashOf('e1', 'p');
--- a/packages/policy/src/suspects.ts
+++ b/packages/policy/src/suspects.ts
@@ -179,7 +179,7 @@
   ): boolean {
     if (countDistinct(crashes) < CRASHES_UNTIL_REFUSAL) return false;
     return crashes.some(crash =>
-      [...crash.inFlight].every(
+      this.companyAt(crash).every(
         other =>
           other === fingerprint ||
           countDistinct(this.crashesHeldAgainst(other)) < CRASHES_UNTIL_REFUSAL,
@@ -187,6 +187,20 @@
     );
   }
 
+  /**
+   * All that was in flight when the endpoint crashed. One crash is reported in
+   * pieces, by each instance and as each attempt breaks off; by the last piece
+   * alone, whoever broke off last would seem to have run there alone.
+   */
+  private companyAt(crash: Crash): Fingerprint[] {
+    const pieces = [...this.crashes.values()].filter(
+      other =>
+        other.endpoint === crash.endpoint &&
+        Math.abs(other.atMs - crash.atMs) <= SAME_CRASH_MS,
+    );
+    return pieces.flatMap(piece => [...piece.inFlight]);
+  }
+
   private crashesHeldAgainst(fingerprint: Fingerprint): Crash[] {
     const crashes = this.byFingerprint.get(fingerprint);
     if (crashes === undefined) return [];
