Order endpoints for demand that lasts, not for a moment's peak

Cause: demand is told as what runs and waits at that moment, every few seconds, and the plan rose at once: each peak would have been ordered and paid for at least ten minutes. A new holder of the lease took the cheap endpoints that were there for none planned.

Change: a count rises to what was needed throughout 30 s, falls to the most needed throughout 10 minutes, and starts from what is there.

Ruled out: averaging the demand (a mean lags in both directions and hides how long a need has lasted).

--- a/packages/policy/src/endpoint_plan.ts
+++ b/packages/policy/src/endpoint_plan.ts
@@ -4,6 +4,7 @@
  * of the lease goes on where the last one stopped.
  */
 
+import type {EndpointKind} from '@snipestage/types/configuration.js';
 import type {ModelId} from '@snipestage/types/ids.js';
 import {
   findDepartures,
@@ -23,6 +24,7 @@
   EMPTY_PLAN_MEMORY,
   type Departure,
   type EndpointPlan,
+  type HeldCount,
   type PlanInput,
   type PlanMemory,
   type PlanOptions,
@@ -154,22 +156,34 @@
     const before = memory.pools[pool.id] ?? {};
     const note = cheap.get(pool.id) ?? {};
     const isAway = note.cheapAwayUntilEpochMs !== undefined;
-    // Without memory, what is there counts as what was planned.
-    const count = presentOf(pool, 'regular', input.endpoints).length;
-    const regularBefore = before.regular ?? {count};
     // Regular ones stay until the cheap ones in their place are there.
-    const isWaiting = !isCheapLive(supply, pool.model, input);
-    const regular = isWaiting
-      ? {count: Math.max(need.regular, regularBefore.count)}
-      : holdCount(regularBefore, need.regular, nowEpochMs, options);
+    const mayFall = isCheapLive(supply, pool.model, input);
+    const regular = holdCount(
+      before.regular ?? presentCount(need, 'regular', input),
+      need.regular,
+      nowEpochMs,
+      options,
+      mayFall,
+    );
+    const cheapBefore = before.cheap ?? presentCount(need, 'cheap', input);
     const cheapHeld = isAway
       ? {count: need.cheap}
-      : holdCount(before.cheap, need.cheap, nowEpochMs, options);
+      : holdCount(cheapBefore, need.cheap, nowEpochMs, options);
     return [pool.id, {...note, regular, cheap: cheapHeld}] as const;
   });
   return Object.fromEntries(entries);
 }
 
+/** A new holder of the lease takes what is there for what was planned. */
+function presentCount(
+  {demand}: PoolNeed,
+  kind: EndpointKind,
+  input: PlanInput,
+): HeldCount | undefined {
+  const count = presentOf(demand.pool, kind, input.endpoints).length;
+  return count === 0 ? undefined : {count};
+}
+
 function decideDepartures(
   {input, memory, begun}: Context,
   supply: Supply,
--- a/packages/policy/src/endpoint_plan_input.ts
+++ b/packages/policy/src/endpoint_plan_input.ts
@@ -50,6 +50,8 @@
   readonly drainMs: number;
   /** From the plan until no instance sends new work; above the load's lag. */
   readonly settleMs: number;
+  /** Need must have been higher for so long before more are ordered. */
+  readonly scaleUpAfterMs: number;
   /** Need must have been lower for so long before endpoints are given up. */
   readonly scaleDownAfterMs: number;
   /** How long cheap endpoints may fail to appear. */
@@ -69,17 +71,21 @@
   replaceMs: 20 * MINUTE_MS,
   drainMs: 10 * MINUTE_MS,
   settleMs: 15_000,
+  scaleUpAfterMs: 30_000,
   scaleDownAfterMs: 10 * MINUTE_MS,
   cheapWaitMs: 3 * MINUTE_MS,
   cheapRetryMs: 10 * MINUTE_MS,
 };
 
-/** A count that does not fall at once. */
+/** A count that changes only after a while. */
 export interface HeldCount {
   readonly count: number;
-  /** Since when less has been needed, and the most needed since. */
-  readonly lowerSinceEpochMs?: number;
-  readonly highestSince?: number;
+  /** Another count that has been needed since, at least as far from this one. */
+  readonly other?: {
+    readonly isRise: boolean;
+    readonly sinceEpochMs: number;
+    readonly closest: number;
+  };
 }
 
 /** What the next plan needs of this one for one pool. */
--- a/packages/policy/src/endpoint_plan_memory.ts
+++ b/packages/policy/src/endpoint_plan_memory.ts
@@ -7,10 +7,13 @@
 } from './endpoint_plan_input.js';
 
 /**
- * Rises at once and falls late: loading a model takes minutes, so endpoints
- * given up in a short lull are missed in the next burst. After the wait it
- * falls to the most that was needed meanwhile.
+ * Rises soon and falls late. Demand is measured in moments: a peak of a few
+ * seconds would be paid for as long as a count is held, so it rises only to what
+ * has been needed throughout a short wait. And loading a model takes minutes,
+ * so endpoints given up in a lull are missed in the next burst; it falls to the
+ * most that was needed throughout a long wait.
  *
+ * @param mayFall false while what is to take over is not there yet.
  * @example
  * const held = holdCount(memory.regular, need, nowEpochMs, options);
  */
@@ -19,14 +22,20 @@
   need: number,
   nowEpochMs: number,
   options: PlanOptions,
+  mayFall = true,
 ): HeldCount {
-  if (previous === undefined || need >= previous.count) return {count: need};
-  const {count, lowerSinceEpochMs = nowEpochMs, highestSince = 0} = previous;
-  const highest = Math.max(highestSince, need);
-  if (nowEpochMs - lowerSinceEpochMs >= options.scaleDownAfterMs) {
-    return {count: highest};
-  }
-  return {count, lowerSinceEpochMs, highestSince: highest};
+  if (previous === undefined) return {count: need};
+  const {count} = previous;
+  if (need === count || (need < count && !mayFall)) return {count};
+  const isRise = need > count;
+  const other = previous.other?.isRise === isRise ? previous.other : undefined;
+  const sinceEpochMs = other?.sinceEpochMs ?? nowEpochMs;
+  const closest = isRise
+    ? Math.min(other?.closest ?? need, need)
+    : Math.max(other?.closest ?? need, need);
+  const waitMs = isRise ? options.scaleUpAfterMs : options.scaleDownAfterMs;
+  if (nowEpochMs - sinceEpochMs >= waitMs) return {count: closest};
+  return {count, other: {isRise, sinceEpochMs, closest}};
 }
 
 /** What is remembered of a pool's cheap endpoints. */
