Keep limits through a change of owner; measure by the instance's clock

Progress now says how long the attempt has run by the instance's clock, and is measured over 200 ms at least. - A new owner began with the configured concurrency.

An owner is taken as silent 700 ms after the first unanswered repetition (was 1500 ms after a first ask, which it need not answer: a caller that hung up could make a sound owner look dead; the property test found it). Two asks a tick are repeated at most: 20 would cost 400 records a second in a long queue.

--- a/packages/policy/src/adaptive_limit.ts
+++ b/packages/policy/src/adaptive_limit.ts
@@ -29,6 +29,8 @@
 const RISE_PART = 0.5;
 /** What is left of a limit after a review, at least. */
 const MAX_FALL = 0.8;
+/** Where little runs, a limit is taken over at this part of the utmost. */
+const LEAST_TAKEN_OVER_PART = 0.25;
 /** How long a class counts as served after its last measurement. */
 const TARGET_MEMORY_MS = 10_000;
 /** Slower than the others by this much is slow, if it misses its target too. */
@@ -120,6 +122,16 @@
     if (targets !== undefined) this.remember(targets, nowMs);
   }
 
+  /**
+   * What runs is about what the former owner held right. Begun at the utmost, the
+   * limit would let in a whole batch too many, and all streams would miss their
+   * target until the next few reviews.
+   */
+  takeOver(inFlight: number): void {
+    const least = this.maxConcurrency * LEAST_TAKEN_OVER_PART;
+    this.limit = Math.min(this.limit, Math.max(inFlight, least, MIN_LIMIT));
+  }
+
   review(review: LimitReview, nowMs: number): void {
     this.noticeStall(review, nowMs);
     const ratio = this.takeRatio(nowMs);
--- a/packages/policy/src/cell_dispatch.ts
+++ b/packages/policy/src/cell_dispatch.ts
@@ -65,7 +65,6 @@
       confirmed: false,
       chargedTokens: 0,
       outputTokens: 0,
-      progressAtMs: nowMs,
     };
     chargeExpected(state.policy.queue, permit, ask.expectedTokens);
     state.policy.queue.dispatch(ask.attempt);
--- a/packages/policy/src/cell_endpoints.ts
+++ b/packages/policy/src/cell_endpoints.ts
@@ -152,6 +152,15 @@
     }
   }
 
+  /** All instances have told what runs. */
+  takeOver(): void {
+    const inFlight = this.book.inFlight();
+    if (inFlight.size === 0) return;
+    for (const {config, limit} of this.states.values()) {
+      limit.takeOver(inFlight.get(config.id) ?? 0);
+    }
+  }
+
   snapshot(nowMs: number): EndpointSnapshot[] {
     const reserved = this.book.reserved();
     const inFlight = this.book.inFlight();
--- a/packages/policy/src/cell_messages.ts
+++ b/packages/policy/src/cell_messages.ts
@@ -34,6 +34,8 @@
 export interface AttemptProgress {
   readonly attempt: AttemptId;
   readonly outputTokens: number;
+  /** From the start to the last of them, by the instance's clock. */
+  readonly elapsedMs?: number;
 }
 
 /** A message to the owner of a cell. */
--- a/packages/policy/src/cell_owner.ts
+++ b/packages/policy/src/cell_owner.ts
@@ -241,7 +241,9 @@
       instances.length > 0 &&
       instances.every(instance => this.heardFrom.has(instance));
     const heldMs = nowMs - this.options.startedAtMs;
-    if (allHeard || heldMs >= this.options.graceMs) this.holdingBack = false;
+    if (!allHeard && heldMs < this.options.graceMs) return;
+    this.holdingBack = false;
+    this.state.endpoints.takeOver();
   }
 
   private dispatchAll(nowMs: number): void {
--- a/packages/policy/src/client_allotment.ts
+++ b/packages/policy/src/client_allotment.ts
@@ -25,16 +25,12 @@
 
   /** Takes over a newer allotment; false if it is not newer. */
   apply(allotment: Allotment): boolean {
+    this.learnLimits(allotment);
     if (allotment.sequence <= this.sequence) return false;
     this.sequence = allotment.sequence;
     this.permits = new Map(
       allotment.endpoints.map(({endpoint, permits}) => [endpoint, permits]),
     );
-    for (const {endpoint, limit} of allotment.endpoints) {
-      if (limit !== undefined && limit > 0) {
-        this.learntLimits.set(endpoint, limit);
-      }
-    }
     return true;
   }
 
@@ -76,6 +72,15 @@
     return views;
   }
 
+  /** An allotment that is said again has the limits of now. */
+  private learnLimits({endpoints}: Allotment): void {
+    for (const {endpoint, limit} of endpoints) {
+      if (limit !== undefined && limit > 0) {
+        this.learntLimits.set(endpoint, limit);
+      }
+    }
+  }
+
   snapshot(): AllotmentSnapshot {
     const endpoints = [...this.permits].map(([endpoint, permits]) => ({
       endpoint,
--- a/packages/policy/src/client_state.ts
+++ b/packages/policy/src/client_state.ts
@@ -67,7 +67,8 @@
     const request = this.waiting.started(grant.attempt, nowMs);
     if (request === undefined) return this.giveBackUnused(grant, from);
     const {ask} = request;
-    this.start({ask, endpoint: grant.endpoint, underAllotment: false});
+    const {endpoint} = grant;
+    this.start({ask, endpoint, underAllotment: false, nowMs});
   }
 
   /**
--- a/packages/policy/src/limit_policy.ts
+++ b/packages/policy/src/limit_policy.ts
@@ -81,6 +81,9 @@
   /** Called a few times a second. */
   abstract review(review: LimitReview, nowMs: number): void;
 
+  /** A new owner begins with this many in flight there, and knows no more. */
+  abstract takeOver(inFlight: number): void;
+
   abstract snapshot(nowMs: number): LimitSnapshot;
 
   /** The endpoint is configured anew. */
@@ -116,6 +119,8 @@
 
   review(): void {}
 
+  takeOver(): void {}
+
   snapshot(): LimitSnapshot {
     return {permits: this.maxConcurrency, health: 'healthy'};
   }
--- a/packages/policy/src/owner_watch.ts
+++ b/packages/policy/src/owner_watch.ts
@@ -7,7 +7,10 @@
 
   constructor(private readonly silentAfterMs: number) {}
 
-  /** The owner was asked something that it answers. */
+  /**
+   * The owner was told something that it always answers: what is in use, or an
+   * ask for the second time. It may have nothing to say to a first one.
+   */
   asked(nowMs: number): void {
     this.askedAtMs ??= nowMs;
   }
--- a/packages/policy/src/permit_book.ts
+++ b/packages/policy/src/permit_book.ts
@@ -8,6 +8,12 @@
   RequestClassId,
 } from '@snipestage/types/ids.js';
 
+/** How far an attempt had come after how long. */
+export interface TokenMark {
+  readonly outputTokens: number;
+  readonly elapsedMs: number;
+}
+
 /** A permit that an attempt holds. */
 export interface HeldPermit {
   readonly attempt: AttemptId;
@@ -25,7 +31,8 @@
   /** Tokens that its client account was charged so far, weighted. */
   chargedTokens: number;
   outputTokens: number;
-  progressAtMs: number;
+  /** From where the time between tokens is measured; absent before any. */
+  measuredFrom?: TokenMark;
 }
 
 /** Permits by endpoint. */
--- a/packages/policy/src/permit_client.ts
+++ b/packages/policy/src/permit_client.ts
@@ -25,12 +25,12 @@
 import type {WaitingAsk} from './waiting_asks.js';
 
 const DEFAULT_MAX_WAITING = 2000;
-const DEFAULT_OWNER_SILENT_AFTER_MS = 1500;
-const DEFAULT_REPEAT_ASK_MS = 500;
+const DEFAULT_OWNER_SILENT_AFTER_MS = 700;
+const DEFAULT_REPEAT_ASK_MS = 300;
 const DEFAULT_REPEAT_IN_USE_MS = 5000;
 const DEFAULT_PROGRESS_EVERY_MS = 500;
 /** Asks said again in one tick. */
-const MAX_REPEATED_ASKS = 20;
+const MAX_REPEATED_ASKS = 2;
 /** How long past its deadline a request waits for the owner's refusal. */
 const LATE_REFUSAL_MS = 1000;
 const LATE_RETRY_AFTER_MS = 1000;
@@ -43,7 +43,7 @@
   readonly random: RandomSource;
   readonly policy?: PolicyName;
   readonly maxWaiting?: number;
-  /** Silence of an owner that was asked, after which it is taken as lost. */
+  /** Silence after what an owner always answers; then it is taken as lost. */
   readonly ownerSilentAfterMs?: number;
   readonly repeatAskMs?: number;
   readonly repeatInUseMs?: number;
@@ -113,7 +113,7 @@
   request(ask: PermitAsk, nowMs: number): ClientOutput[] {
     const {state} = this;
     if (state.isKnown(ask.attempt)) return [];
-    if (this.startUnasked(ask)) state.waiting.startedAtOnce(nowMs);
+    if (this.startUnasked(ask, nowMs)) state.waiting.startedAtOnce(nowMs);
     else this.askFor(state.waiting.add(ask, nowMs), nowMs);
     return state.takeOutputs();
   }
@@ -174,7 +174,7 @@
    * client.progress([{attempt, outputTokens: 40}], nowMs);
    */
   progress(all: readonly AttemptProgress[], nowMs: number): ClientOutput[] {
-    this.state.running.progress(all);
+    this.state.running.progress(all, nowMs);
     this.tellProgress(nowMs);
     return this.state.takeOutputs();
   }
@@ -245,7 +245,7 @@
    * Only while nothing of this instance waits: what waits has asked, and an
    * equal or lower tier must not pass it.
    */
-  private startUnasked(ask: PermitAsk): boolean {
+  private startUnasked(ask: PermitAsk, nowMs: number): boolean {
     const {allotment, endpoints, instance, owner, waiting} = this.state;
     if (this.fallback.isActive || owner === null) return false;
     if (ask.suspect || waiting.size > 0) return false;
@@ -253,7 +253,7 @@
     if (views.length === 0) return false;
     const chosen = this.policy.choice.choose(ask, views, this.options.random);
     allotment.use(chosen.id);
-    const start = {ask, endpoint: chosen.id, underAllotment: true};
+    const start = {ask, endpoint: chosen.id, underAllotment: true, nowMs};
     const permits = [this.state.start(start)];
     this.state.send({kind: 'started', instance, permits});
     return true;
@@ -265,7 +265,6 @@
     const input: CellInput = {kind: 'ask', ask: {...request.ask, remainingMs}};
     if (this.fallback.isActive) return this.fallback.receive(input, nowMs);
     if (this.state.owner === null) return this.decideAlone(nowMs);
-    this.watch.asked(nowMs);
     this.state.send(input);
   }
 
@@ -292,8 +291,7 @@
 
   private joinOwner(nowMs: number): void {
     this.fallback.end();
-    this.state.sendInUse();
-    this.toldInUseAtMs = nowMs;
+    this.tellInUse(nowMs);
     this.askForAll(nowMs);
   }
 
@@ -329,8 +327,12 @@
   private repeatInUse(nowMs: number): void {
     const {repeatAskMs, repeatInUseMs} = this.options;
     const everyMs = this.fallback.isActive ? repeatAskMs : repeatInUseMs;
-    if (nowMs - this.toldInUseAtMs < everyMs) return;
+    if (nowMs - this.toldInUseAtMs >= everyMs) this.tellInUse(nowMs);
+  }
+
+  private tellInUse(nowMs: number): void {
     this.toldInUseAtMs = nowMs;
+    this.watch.asked(nowMs);
     this.state.sendInUse();
   }
 
@@ -344,6 +346,7 @@
       .all()
       .filter(({askedAtMs}) => nowMs - askedAtMs >= repeatAskMs);
     for (const request of due.slice(0, MAX_REPEATED_ASKS)) {
+      this.watch.asked(nowMs);
       this.askFor(request, nowMs);
     }
   }
--- a/packages/policy/src/permit_reports.ts
+++ b/packages/policy/src/permit_reports.ts
@@ -4,11 +4,13 @@
 import type {PermitInUse, PermitRelease} from '@snipestage/types/permits.js';
 import type {AttemptProgress} from './cell_messages.js';
 import type {CellState} from './cell_state.js';
-import type {HeldPermit} from './permit_book.js';
+import type {HeldPermit, TokenMark} from './permit_book.js';
 import {chargeProgress, settleCharge} from './token_costs.js';
 
 /** How long a grant may be under way before it is sent again. */
 const REGRANT_AFTER_MS = 1000;
+/** The least time over which the time between tokens is measured. */
+const MIN_MEASURED_MS = 200;
 
 /** Keeps permits, charges and measurements in step with the reports. */
 export class PermitReports {
@@ -34,13 +36,15 @@
   }
 
   progress(all: readonly AttemptProgress[], nowMs: number): void {
-    for (const {attempt, outputTokens} of all) {
-      const permit = this.state.book.get(attempt);
+    for (const progress of all) {
+      const permit = this.state.book.get(progress.attempt);
       if (permit === undefined) continue;
+      const {outputTokens} = progress;
       permit.confirmed = true;
-      if (outputTokens > permit.outputTokens) {
-        this.advance(permit, outputTokens, nowMs);
-      }
+      permit.outputTokens = Math.max(permit.outputTokens, outputTokens);
+      chargeProgress(this.state.policy.queue, permit);
+      const elapsedMs = progress.elapsedMs ?? nowMs - permit.sinceMs;
+      this.measure(permit, {outputTokens, elapsedMs}, nowMs);
     }
   }
 
@@ -68,23 +72,25 @@
     this.state.counters.startedUnasked += permits.length;
   }
 
-  private advance(
-    permit: HeldPermit,
-    outputTokens: number,
-    nowMs: number,
-  ): void {
-    const {policy, endpoints} = this.state;
-    const isFirst = permit.outputTokens === 0;
-    const tokens = outputTokens - permit.outputTokens;
-    const betweenTokensMs = (nowMs - permit.progressAtMs) / tokens;
-    permit.outputTokens = outputTokens;
-    permit.progressAtMs = nowMs;
-    chargeProgress(policy.queue, permit);
-    // The first report spans the wait for the first token.
-    if (isFirst) return;
+  /**
+   * Time between tokens since the last mark. It is taken by the instance's clock
+   * and over a minimum of time: reports that were held up arrive together, and by
+   * their arrival the second would show an engine of endless speed.
+   */
+  private measure(permit: HeldPermit, mark: TokenMark, nowMs: number): void {
+    if (mark.outputTokens === 0) return;
+    const from = permit.measuredFrom;
+    if (from === undefined) {
+      permit.measuredFrom = mark;
+      return;
+    }
+    const tokens = mark.outputTokens - from.outputTokens;
+    const spanMs = mark.elapsedMs - from.elapsedMs;
+    if (tokens <= 0 || spanMs < MIN_MEASURED_MS) return;
+    permit.measuredFrom = mark;
     const targets = this.state.targetsOf(permit.requestClass);
-    const limit = endpoints.limitOf(permit.endpoint);
-    limit?.progressed(betweenTokensMs, targets, nowMs);
+    const limit = this.state.endpoints.limitOf(permit.endpoint);
+    limit?.progressed(spanMs / tokens, targets, nowMs);
   }
 
   /** What the permit was held beyond the stream is the way there and back. */
@@ -145,7 +151,6 @@
       confirmed: true,
       chargedTokens: 0,
       outputTokens: told.outputTokens,
-      progressAtMs: nowMs,
     };
     this.state.hold(permit, nowMs);
     chargeProgress(this.state.policy.queue, permit);
--- a/packages/policy/src/running_attempts.ts
+++ b/packages/policy/src/running_attempts.ts
@@ -9,26 +9,34 @@
   readonly ask: PermitAsk;
   readonly endpoint: EndpointId;
   readonly underAllotment: boolean;
+  readonly nowMs: number;
+}
+
+interface RunningAttempt {
+  permit: PermitInUse;
+  readonly startedAtMs: number;
+  /** When the last tokens were told. */
+  progressAtMs: number;
 }
 
 /** Keeps what an owner, and a new one after it, has to be told. */
 export class RunningAttempts {
-  private readonly permits = new Map<AttemptId, PermitInUse>();
+  private readonly attempts = new Map<AttemptId, RunningAttempt>();
   private readonly progressed = new Set<AttemptId>();
 
   get size(): number {
-    return this.permits.size;
+    return this.attempts.size;
   }
 
   get(attempt: AttemptId): PermitInUse | undefined {
-    return this.permits.get(attempt);
+    return this.attempts.get(attempt)?.permit;
   }
 
   all(): PermitInUse[] {
-    return [...this.permits.values()];
+    return [...this.attempts.values()].map(({permit}) => permit);
   }
 
-  start({ask, endpoint, underAllotment}: AttemptStart): PermitInUse {
+  start({ask, endpoint, underAllotment, nowMs}: AttemptStart): PermitInUse {
     const permit: PermitInUse = {
       attempt: ask.attempt,
       cell: ask.cell,
@@ -40,23 +48,25 @@
       underAllotment,
       suspect: ask.suspect,
     };
-    this.permits.set(ask.attempt, permit);
+    const times = {startedAtMs: nowMs, progressAtMs: nowMs};
+    this.attempts.set(ask.attempt, {permit, ...times});
     return permit;
   }
 
   end(attempt: AttemptId): PermitInUse | undefined {
-    const permit = this.permits.get(attempt);
-    this.permits.delete(attempt);
+    const permit = this.get(attempt);
+    this.attempts.delete(attempt);
     this.progressed.delete(attempt);
     return permit;
   }
 
   /** Takes in tokens produced by attempts that still run. */
-  progress(all: readonly AttemptProgress[]): void {
+  progress(all: readonly AttemptProgress[], nowMs: number): void {
     for (const {attempt, outputTokens} of all) {
-      const permit = this.permits.get(attempt);
-      if (permit === undefined) continue;
-      this.permits.set(attempt, {...permit, outputTokens});
+      const running = this.attempts.get(attempt);
+      if (running === undefined) continue;
+      running.permit = {...running.permit, outputTokens};
+      running.progressAtMs = nowMs;
       this.progressed.add(attempt);
     }
   }
@@ -65,9 +75,11 @@
   takeProgress(): AttemptProgress[] {
     const progress: AttemptProgress[] = [];
     for (const attempt of this.progressed) {
-      const permit = this.permits.get(attempt);
-      if (permit === undefined) continue;
-      progress.push({attempt, outputTokens: permit.outputTokens});
+      const running = this.attempts.get(attempt);
+      if (running === undefined) continue;
+      const {outputTokens} = running.permit;
+      const elapsedMs = running.progressAtMs - running.startedAtMs;
+      progress.push({attempt, outputTokens, elapsedMs});
     }
     this.progressed.clear();
     return progress;
@@ -75,9 +87,8 @@
 
   /** The allotment they began under is void: each counts by itself. */
   leaveAllotment(): void {
-    for (const [attempt, permit] of this.permits) {
-      if (!permit.underAllotment) continue;
-      this.permits.set(attempt, {...permit, underAllotment: false});
+    for (const running of this.attempts.values()) {
+      running.permit = {...running.permit, underAllotment: false};
     }
   }
 }
--- a/packages/policy/src/simulation/scenarios.ts
+++ b/packages/policy/src/simulation/scenarios.ts
@@ -70,8 +70,8 @@
     name: 'slow_engine',
     sources: ORDINARY,
     events: [
-      {atMs: 15_000, endpoint: 'e2', slowness: 5},
-      {atMs: 45_000, endpoint: 'e2', slowness: 1},
+      {kind: 'slow', atMs: 15_000, endpoint: 'e2', factor: 5},
+      {kind: 'slow', atMs: 45_000, endpoint: 'e2', factor: 1},
     ],
     watched: TOP,
   },
@@ -79,12 +79,30 @@
     name: 'crashes',
     sources: ORDINARY,
     events: [20_000, 21_000, 22_000, 23_000, 24_000].map(atMs => ({
+      kind: 'crash',
       atMs,
       endpoint: 'e3',
-      crash: true,
     })),
     watched: TOP,
   },
+  {
+    name: 'owner_frozen',
+    sources: ORDINARY.map(source => burstIf(source, QUOTE)),
+    events: [
+      {kind: 'freeze_owner', atMs: 25_000},
+      {kind: 'thaw_owner', atMs: 35_000},
+    ],
+    watched: TOP,
+  },
+  {
+    name: 'owner_killed',
+    sources: ORDINARY.map(source => burstIf(source, QUOTE)),
+    events: [
+      {kind: 'freeze_owner', atMs: 25_000},
+      {kind: 'replace_owner', atMs: 30_000},
+    ],
+    watched: TOP,
+  },
 ];
 
 /** Accounts of one class, each with the same small rate. */
