Make the owner of a cell cheaper under contention

Counts of reserved permits are kept until something changes, lateness is looked up without ordering the queue, and the next account is found without sorting all.

--- a/packages/policy/src/cell_owner.ts
+++ b/packages/policy/src/cell_owner.ts
@@ -222,7 +222,7 @@
     this.heardFrom.delete(instance);
     for (const {attempt} of book.heldBy(instance)) this.state.free(attempt);
     book.forgetInstance(instance);
-    for (const request of [...policy.queue.inDispatchOrder()]) {
+    for (const request of policy.queue.all()) {
       if (request.instance !== instance) continue;
       this.state.removeWaiting(request.ask.attempt);
       this.state.counters.withdrawn++;
--- a/packages/policy/src/cell_refusals.ts
+++ b/packages/policy/src/cell_refusals.ts
@@ -31,7 +31,7 @@
 
   /** Looks over all that waits after a change of the endpoints. */
   refuseAllUnservable(): void {
-    for (const request of [...this.state.policy.queue.inDispatchOrder()]) {
+    for (const request of this.state.policy.queue.all()) {
       this.refuseUnservable(request);
     }
   }
@@ -69,7 +69,7 @@
   refuseLate(nowMs: number): void {
     const {policy, meter} = this.state;
     const latestMs = nowMs + meter.firstTokenMs;
-    for (const request of [...policy.queue.inDispatchOrder()]) {
+    for (const request of policy.queue.all()) {
       if (request.deadlineAtMs > latestMs) continue;
       const waitMs = policy.queue.expectedWaitMs(request, meter);
       this.refuse(request, 'deadline_unreachable', waitMs);
--- a/packages/policy/src/cell_state.ts
+++ b/packages/policy/src/cell_state.ts
@@ -87,7 +87,7 @@
     const {attempt, endpoint, suspect} = permit;
     this.book.hold(permit);
     if (suspect) this.endpoints.occupy(endpoint, attempt);
-    const inFlight = this.book.heldAt(endpoint).length;
+    const inFlight = this.book.inFlight().get(endpoint) ?? 0;
     this.endpoints.limitOf(endpoint)?.started(inFlight, nowMs);
   }
 
--- a/packages/policy/src/class_queue.ts
+++ b/packages/policy/src/class_queue.ts
@@ -62,7 +62,12 @@
   }
 
   *inDispatchOrder(): Iterable<WaitingRequest> {
+    const least = this.counters.leastServed();
+    if (least === undefined) return;
+    yield* this.accounts.get(least)?.values() ?? [];
+    // Seldom reached: only when none of these can be placed.
     for (const account of this.counters.inOrder()) {
+      if (account === least) continue;
       yield* this.accounts.get(account)?.values() ?? [];
     }
   }
--- a/packages/policy/src/dispatch_queue.ts
+++ b/packages/policy/src/dispatch_queue.ts
@@ -60,6 +60,9 @@
   /** Takes out a request that is not to be dispatched. */
   abstract remove(attempt: AttemptId): WaitingRequest | undefined;
 
+  /** All that wait, in no order that matters; a copy. */
+  abstract all(): WaitingRequest[];
+
   /** All that wait, the next to be dispatched first. */
   abstract inDispatchOrder(): Iterable<WaitingRequest>;
 
--- a/packages/policy/src/fifo_queue.ts
+++ b/packages/policy/src/fifo_queue.ts
@@ -36,6 +36,10 @@
     return request;
   }
 
+  all(): WaitingRequest[] {
+    return [...this.waiting.values()];
+  }
+
   inDispatchOrder(): Iterable<WaitingRequest> {
     return this.waiting.values();
   }
--- a/packages/policy/src/permit_book.ts
+++ b/packages/policy/src/permit_book.ts
@@ -55,14 +55,25 @@
   private readonly held = new Map<AttemptId, HeldPermit>();
   private readonly allotments = new Map<InstanceId, SentAllotment[]>();
   private lastSequence = 0;
+  /** Kept until a permit or an allotment changes; asked for far more often. */
+  private reservedCounts: PermitCounts | undefined;
+  private inFlightCounts: PermitCounts | undefined;
 
   hold(permit: HeldPermit): void {
     this.held.set(permit.attempt, permit);
+    this.forgetCounts();
+  }
+
+  /** The instance has told again under what it holds a permit. */
+  confirm(permit: HeldPermit, underAllotment: boolean): void {
+    permit.confirmed = true;
+    permit.underAllotment = underAllotment;
+    this.forgetCounts();
   }
 
   free(attempt: AttemptId): HeldPermit | undefined {
     const permit = this.held.get(attempt);
-    this.held.delete(attempt);
+    if (this.held.delete(attempt)) this.forgetCounts();
     return permit;
   }
 
@@ -80,18 +91,13 @@
     );
   }
 
-  heldAt(endpoint: EndpointId): HeldPermit[] {
-    return [...this.held.values()].filter(
-      permit => permit.endpoint === endpoint,
-    );
-  }
-
   /** Records an allotment that is being sent; gives its sequence. */
   allot(instance: InstanceId, permits: PermitCounts, nowMs: number): number {
     const sequence = ++this.lastSequence;
     const sent = this.allotments.get(instance) ?? [];
     sent.push({sequence, permits, sentAtMs: nowMs});
     this.allotments.set(instance, sent);
+    this.forgetCounts();
     return sequence;
   }
 
@@ -99,7 +105,9 @@
   applied(instance: InstanceId, sequence: number): void {
     const sent = this.allotments.get(instance) ?? [];
     const newer = sent.filter(allotment => allotment.sequence >= sequence);
-    if (newer.length > 0) this.allotments.set(instance, newer);
+    if (newer.length === 0 || newer.length === sent.length) return;
+    this.allotments.set(instance, newer);
+    this.forgetCounts();
   }
 
   latest(instance: InstanceId): SentAllotment | undefined {
@@ -121,7 +129,23 @@
   }
 
   /** Permits of each endpoint that are in use or may be without asking. */
-  reserved(): Map<EndpointId, number> {
+  reserved(): PermitCounts {
+    this.reservedCounts ??= this.countReserved();
+    return this.reservedCounts;
+  }
+
+  /** Permits held at each endpoint. */
+  inFlight(): PermitCounts {
+    this.inFlightCounts ??= this.countInFlight();
+    return this.inFlightCounts;
+  }
+
+  private forgetCounts(): void {
+    this.reservedCounts = undefined;
+    this.inFlightCounts = undefined;
+  }
+
+  private countReserved(): PermitCounts {
     const reserved = new Map<EndpointId, number>();
     const unasked = this.countUnasked();
     for (const {endpoint, underAllotment} of this.held.values()) {
@@ -136,8 +160,7 @@
     return reserved;
   }
 
-  /** Permits held at each endpoint. */
-  inFlight(): Map<EndpointId, number> {
+  private countInFlight(): PermitCounts {
     const counts = new Map<EndpointId, number>();
     for (const {endpoint} of this.held.values()) add(counts, endpoint, 1);
     return counts;
@@ -146,6 +169,7 @@
   /** Forgets the allotments of an instance. */
   forgetInstance(instance: InstanceId): void {
     this.allotments.delete(instance);
+    this.forgetCounts();
   }
 
   /** Running under allotments, by instance and endpoint; 0 where only allotted. */
--- a/packages/policy/src/permit_reports.ts
+++ b/packages/policy/src/permit_reports.ts
@@ -134,8 +134,7 @@
     this.state.removeWaiting(told.attempt);
     const known = this.state.book.get(told.attempt);
     if (known !== undefined && known.endpoint === told.endpoint) {
-      known.confirmed = true;
-      known.underAllotment = told.underAllotment ?? false;
+      this.state.book.confirm(known, told.underAllotment ?? false);
       return;
     }
     const permit: HeldPermit = {
--- a/packages/policy/src/tiered_queue.ts
+++ b/packages/policy/src/tiered_queue.ts
@@ -69,6 +69,10 @@
     return request;
   }
 
+  all(): WaitingRequest[] {
+    return [...this.waiting.values()];
+  }
+
   *inDispatchOrder(): Iterable<WaitingRequest> {
     const byTier = this.waitingClasses();
     const owed = byTier
@@ -109,7 +113,7 @@
   countAgainstLimit(): number {
     let reserved = 0;
     for (const queue of this.classes.values()) {
-      if (this.reserved(queue) !== undefined) reserved++;
+      if (queue.guaranteedShare > 0 && queue.size > 0) reserved++;
     }
     return this.waiting.size - reserved;
   }
--- a/packages/policy/src/virtual_counters.ts
+++ b/packages/policy/src/virtual_counters.ts
@@ -50,6 +50,19 @@
     this.counters.set(account, Math.max(floor, before + tokens));
   }
 
+  /** The first of {@link inOrder}, without ordering the others. */
+  leastServed(): ClientAccountId | undefined {
+    let least: ClientAccountId | undefined;
+    let leastTokens = Infinity;
+    for (const account of this.active) {
+      const tokens = this.get(account);
+      if (tokens >= leastTokens) continue;
+      least = account;
+      leastTokens = tokens;
+    }
+    return least;
+  }
+
   /** Accounts that wait, the least served first. */
   inOrder(): ClientAccountId[] {
     const accounts = [...this.active];
