--- a/packages/cli/src/commands/usage/usage.ts
+++ b/packages/cli/src/commands/usage/usage.ts
@@ -17,6 +17,7 @@
   'output tokens',
 ];
 
+/** Prints the usage windows. */
 @injectable()
 @injectFromBase()
 export class Usage extends ReadingCommand<typeof usageAnswer> {
@@ -29,7 +30,8 @@
   protected readonly schema = usageAnswer;
 
   protected format(answer: z.output<typeof usageAnswer>): string {
-    const rows = answer.windows.flatMap(window =>
+    const open = {id: '-', state: 'open', lines: answer.open};
+    const rows = [open, ...answer.windows].flatMap(window =>
       window.lines.map(line => [
         window.id,
         window.state,
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -1,25 +1,44 @@
 /** The entry daemon: its tasks, started and ended in order. */
 
 import {Logger} from '@snipestage/log/logger.js';
+import {PeerNetwork} from '@snipestage/peer/peer_network.js';
+import {Platform} from '@snipestage/platform/platform.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
-import {UsageCounters} from './account/usage_counters.js';
+import type {LeaseTask} from './agree/lease_task.js';
+import {OrderTask} from './agree/order_task.js';
+import {UsageCopies} from './account/usage_copies.js';
+import {UsageReportTask} from './account/usage_report_task.js';
+import {UsageCounterTask} from './account/usage_counter_task.js';
 import {ClaimDesk} from './admit/claim_desk.js';
 import {InFlightRequests} from './admit/in_flight_requests.js';
 import {RequestIntake} from './admit/request_intake.js';
 import {CellPermits} from './choose/cell_permits.js';
+import {SuspectGuard} from './choose/suspect_guard.js';
 import {monotonicNowMs} from './clock.js';
 import {ConfigurationStore} from './configure/configuration_store.js';
 import {RevisionTask} from './configure/revision_task.js';
-import {createContainer} from './container.js';
+import {createContainer} from './compose/container.js';
+import {ORDERS_LEASE, USAGE_LEASE} from './compose/tokens.js';
+import {DemandTask} from './endpoints/demand_task.js';
+import {EndpointDirectory} from './endpoints/endpoint_directory.js';
+import {EndpointListTask} from './endpoints/endpoint_list_task.js';
+import {PlanTask} from './endpoints/plan_task.js';
 import {CallersServer} from './listen/callers_server.js';
 import {ModelHandler} from './listen/model_handler.js';
 import {ServiceHandler} from './listen/service_handler.js';
 import {AdminServer} from './operate/admin_server.js';
 import {Shutdown} from './operate/shutdown.js';
+import {PeerTask} from './peers/peer_task.js';
+import {connectEndpoints} from './peers/endpoint_records.js';
+import {connectUsageCopies} from './peers/usage_records.js';
+import {connectSuspects} from './peers/suspect_records.js';
+import {readSealedWindows} from './operate/usage_reader.js';
 import {StateDump} from './operate/state_dump.js';
 import {TicketDesk} from './operate/ticket_desk.js';
 
+const LAST_WRITES_PATIENCE_MS = 5000;
+
 /** One running instance. */
 export class EntryProcess {
   private readonly container: Container;
@@ -39,13 +58,32 @@
     this.admin = this.createAdminServer();
     this.addDumpParts();
     this.followConfiguration();
+    connectSuspects(
+      this.container.get(PeerTask),
+      this.container.get(PeerNetwork),
+      this.container.get(SuspectGuard),
+    );
+    connectUsageCopies(
+      this.container.get(PeerTask),
+      this.container.get(PeerNetwork),
+      this.container.get(UsageCopies),
+    );
+    connectEndpoints(
+      this.container.get(PeerTask),
+      this.container.get(EndpointDirectory),
+      this.container.get(DemandTask),
+    );
   }
 
   async start(): Promise<void> {
     const callers = await this.callers.start();
     const admin = await this.admin.start();
+    await this.container.get(PeerTask).start();
+    for (const lease of this.leases()) lease.start();
+    this.container.get(UsageCounterTask).start();
     this.container.get(RevisionTask).start();
     this.container.get(CellPermits).start();
+    for (const task of this.backgroundTasks()) task.start();
     this.logger.info('started', {
       dataCentre: this.settings.dataCentre,
       callersPort: callers.port,
@@ -80,7 +118,7 @@
       tickets: this.container.get(TicketDesk),
       status: () => this.status(),
       dump: () => this.container.get(StateDump).read(),
-      usage: () => ({open: this.container.get(UsageCounters).read()}),
+      usage: () => this.usage(),
       drain: () => void this.stop(),
     });
   }
@@ -93,19 +131,50 @@
       inFlight: this.container.get(InFlightRequests),
       logger: this.logger.forComponent('shutdown'),
       onBegin: () => this.callers.beginDraining(),
-      onNoNewWork: () => this.callers.stopListening(),
+      onNoNewWork: async () => {
+        this.callers.stopListening();
+        this.container.get(PeerTask).leave();
+        await Promise.all(this.leases().map(lease => lease.retire()));
+      },
       onIdle: () => this.closeAll(),
     });
   }
 
   private async closeAll(): Promise<void> {
     await this.container.get(ClaimDesk).whenSettled();
+    await this.container.get(UsageCounterTask).stop(LAST_WRITES_PATIENCE_MS);
     this.container.get(RevisionTask).stop();
     this.container.get(CellPermits).stop();
+    for (const task of this.backgroundTasks()) task.stop();
+    this.container.get(PeerTask).stop();
     this.callers.closeAllConnections();
     this.admin.stop();
   }
 
+  private leases(): LeaseTask[] {
+    return [this.container.get(ORDERS_LEASE), this.container.get(USAGE_LEASE)];
+  }
+
+  private async usage(): Promise<object> {
+    const {windowMs} = this.settings.usage;
+    const platform = this.container.get(Platform);
+    return {
+      counters: this.container.get(UsageCounterTask).snapshot(),
+      sealed: await readSealedWindows(platform, windowMs),
+    };
+  }
+
+  /** Tasks beside the requests; none is needed to serve one. */
+  private backgroundTasks(): Array<{start(): void; stop(): void}> {
+    return [
+      this.container.get(EndpointListTask),
+      this.container.get(DemandTask),
+      this.container.get(PlanTask),
+      this.container.get(UsageCopies),
+      this.container.get(UsageReportTask),
+    ];
+  }
+
   private followConfiguration(): void {
     const store = this.container.get(ConfigurationStore);
     const inFlight = this.container.get(InFlightRequests);
@@ -144,10 +213,22 @@
     dump.add('status', () => this.status());
     dump.add('inFlight', () => inFlight.snapshot(monotonicNowMs()));
     dump.add('cells', () => this.container.get(CellPermits).snapshot());
+    dump.add('suspects', () => this.container.get(SuspectGuard).snapshot());
+    dump.add('endpoints', () =>
+      this.container.get(EndpointDirectory).snapshot(),
+    );
+    dump.add('leases', () => this.leases().map(lease => lease.snapshot()));
+    dump.add('orders', () => this.container.get(OrderTask).snapshot());
+    dump.add('plan', () => this.container.get(PlanTask).snapshot());
+    dump.add('peers', () => this.container.get(PeerNetwork).snapshot());
     dump.add('claims', () => ({
       settling: this.container.get(ClaimDesk).settlingCount,
     }));
-    dump.add('usage', () => this.container.get(UsageCounters).read());
+    dump.add('usage', () => ({
+      counters: this.container.get(UsageCounterTask).snapshot(),
+      copies: this.container.get(UsageCopies).snapshot(),
+      reporting: this.container.get(UsageReportTask).snapshot(),
+    }));
     dump.add('configuration', () => {
       const {current, lastConfirmedAtMs} =
         this.container.get(ConfigurationStore);
--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -19,6 +19,7 @@
 import {EndpointError} from './endpoint_error.js';
 import type {
   CompletionPath,
+  EngineCall,
   EngineDriver,
   EngineEvent,
 } from './engine_driver.js';
@@ -80,6 +81,7 @@
       verdict: 'not_run',
       excluded: [],
     };
+    this.options.retryPolicy.countRequest(work.requestClass.id);
     for (;;) {
       const permit = await this.acquire(work, progress);
       work.onStart?.();
@@ -121,6 +123,7 @@
   ): Promise<EndpointError | undefined> {
     const meter = new AttemptMeter(this.options.clock);
     let outcome: AttemptOutcome = 'failed';
+    let brokeOff = false;
     try {
       const error = await this.readOrResume(
         work,
@@ -130,11 +133,13 @@
         meter,
       );
       outcome = error === undefined ? 'ok' : outcomeOf(error);
+      brokeOff = error?.kind === 'broken';
       if (error?.kind === 'cancelled') this.cancel(work, permit, progress);
       return error;
     } finally {
       permit.release({
         outcome,
+        brokeOff,
         promptTokens: progress.promptTokens,
         outputTokens: meter.outputTokens,
         firstTokenMs: meter.firstTokenMs,
@@ -170,7 +175,7 @@
     meter: AttemptMeter,
   ): Promise<EndpointError | undefined> {
     const resumeOffset = meter.outputTokens || undefined;
-    const batches = this.options.driver.stream({
+    const call: EngineCall = {
       url: permit.endpoint.url,
       path: work.path,
       attempt: attemptId(work.requestId, progress.attempts),
@@ -180,14 +185,16 @@
       firstTokenTimeoutMs: firstTokenTimeoutMs(work.requestClass),
       chunkTimeoutMs: this.options.chunkTimeoutMs,
       resumeOffset,
-    });
+    };
     try {
-      for await (const events of batches) {
-        for (const event of events) {
-          await this.take(event, progress, sink, meter);
-        }
+      await this.options.driver.run(call, events => {
+        const written = events.map(event =>
+          this.take(event, progress, sink, meter),
+        );
         permit.progress(meter.outputTokens);
-      }
+        const slow = written.filter(wait => wait !== undefined);
+        return slow.length === 0 ? undefined : waitForAll(slow);
+      });
       return undefined;
     } catch (error) {
       if (error instanceof EndpointError) return error;
@@ -195,15 +202,16 @@
     }
   }
 
-  private async take(
+  /** A promise only when the caller reads slowly. */
+  private take(
     event: EngineEvent,
     progress: Progress,
     sink: AnswerSink,
     meter: AttemptMeter,
-  ): Promise<void> {
+  ): Promise<void> | undefined {
     if (event.kind === 'usage') {
       progress.promptTokens = event.promptTokens;
-      return;
+      return undefined;
     }
     const {chunk, finishReason} = event;
     const text = event.kind === 'token' ? event.text : '';
@@ -212,7 +220,7 @@
       progress.text += text;
       progress.outputTokens += 1;
     }
-    await sink.write({text, finishReason, chunk});
+    return sink.write({text, finishReason, chunk});
   }
 
   /** Returns when there is to be another attempt; throws the refusal if not. */
@@ -243,6 +251,10 @@
   }
 }
 
+async function waitForAll(waits: ReadonlyArray<Promise<void>>): Promise<void> {
+  await Promise.all(waits);
+}
+
 function usageOf(progress: Progress): AnswerUsage {
   return {
     promptTokens: progress.promptTokens,
