--- a/packages/peer/src/peer_network.test.ts
+++ b/packages/peer/src/peer_network.test.ts
@@ -162,9 +162,13 @@
   }
   const stateOfThird = () =>
     first.members().find(({id}) => id === third.self().id)?.state;
+  let received = 0;
+  first.onRecords(() => (received += 1));
   third.leave();
   await waitUntil('leaving', () => stateOfThird() === 'leaving');
-  third.stop();
+  third.send(first.self().id, EVERY_RECORD[2]);
+  await third.stop();
+  await waitUntil('its last release', () => received === 1);
   await waitUntil('dead', () => stateOfThird() === 'dead');
   t.deepEqual(aliveIn(second), ['akl-a-1', 'akl-a-2']);
 });
@@ -186,6 +190,26 @@
   t.true(events.includes('link_ended refused'));
 });
 
+// The owner of a cell has just died and nobody knows it yet. Were asks to wait
+// for a stream that never comes, their callers would wait to their deadlines.
+test('records that can not be delivered are handed back', async t => {
+  const first = await startNetwork(t, 'akl-a-1');
+  const second = await startNetwork(t, 'akl-a-2');
+  const returned: PeerRecord[] = [];
+  first.onUndelivered((instance, records) => returned.push(...records));
+  first.seed(listOf([second]));
+  await waitUntil('a stream', () => first.isConnected(second.self().id));
+  await second.stop();
+  await waitUntil('no stream', () => !first.isConnected(second.self().id));
+  t.true(first.send(second.self().id, EVERY_RECORD[0]));
+  await waitUntil('the record', () => returned.length === 1);
+  t.deepEqual(returned, [EVERY_RECORD[0]]);
+  await waitUntil('dead', () => aliveIn(first).length === 1);
+  const isDead = () => first.members().some(({state}) => state === 'dead');
+  await waitUntil('dead', isDead);
+  t.false(first.send(second.self().id, EVERY_RECORD[0]));
+});
+
 // An instance is replaced: its successor starts under the same name, perhaps
 // before the others noticed that the first one was gone. Were it taken for the
 // same life, the permits of the dead process would stay in use for ever.
@@ -203,7 +227,7 @@
   const all: ListedInstance[] = listOf([first, second, third]);
   for (const network of [first, second, third]) network.seed(all);
   await waitUntil('three members', () => aliveIn(third).length === 3);
-  second.stop();
+  await second.stop();
   const successor = await startNetwork(t, 'akl-a-2');
   successor.seed(all);
   const {incarnation} = successor.self();
--- a/packages/peer/src/peer_network.ts
+++ b/packages/peer/src/peer_network.ts
@@ -3,6 +3,7 @@
  * task owns its listener, its streams, its queues and its timers.
  */
 
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {InstanceId, Revision} from '@snipestage/types/ids.js';
 import type {Member} from '@snipestage/types/member.js';
@@ -10,9 +11,11 @@
 import {ActiveClock} from './active_clock.js';
 import {FrameTicker} from './frame_ticker.js';
 import {FrameCounter} from './frame_counter.js';
-import type {Hello, PeerFrame} from './frame_codec.js';
+import type {Hello, PeerFrame, Rumour} from './frame_codec.js';
 import {LinkKeeper} from './link_keeper.js';
+import {MemberDialler} from './member_dialler.js';
 import {Membership} from './membership.js';
+import {NetworkHandlers} from './network_handlers.js';
 import {
   createIncarnation,
   describeStart,
@@ -31,7 +34,6 @@
 import {AcceptedLink, PeerListener} from './peer_listener.js';
 import type {PeerIdentity, PeerRecord} from './records.js';
 import {RumourLog} from './rumour_log.js';
-import {SeedList} from './seed_list.js';
 
 /** A stream carries a heartbeat every second beat. */
 const BEATS_PER_HEARTBEAT = 2;
@@ -56,28 +58,25 @@
   private readonly settings: EntrySettings['peer'];
   private readonly id: InstanceId;
   private readonly clock: ActiveClock;
-  private readonly random: () => number;
   private readonly log: LogHandler;
   private readonly counter = new FrameCounter();
   private readonly ticker: FrameTicker;
   private readonly keeper: LinkKeeper;
   private readonly listener: PeerListener;
   private readonly rumours: RumourLog;
-  private readonly seeds: SeedList;
-  private readonly recordHandlers: RecordHandler[] = [];
-  private readonly changeHandlers: MemberChangeHandler[] = [];
-  private readonly revisionHandlers: RevisionHandler[] = [];
-  private readonly undeliveredHandlers: UndeliveredHandler[] = [];
+  private readonly dialler: MemberDialler;
+  private readonly handlers = new NetworkHandlers();
   private readonly membership: Membership;
   private neighbours: ReadonlySet<InstanceId> = new Set();
   private beatTimer?: NodeJS.Timeout;
   private strangers = 0;
+  private isStopping = false;
 
   constructor(private readonly options: PeerNetworkOptions) {
     const {settings, id} = options;
     this.settings = settings;
     this.id = id;
-    this.random = options.random ?? Math.random;
+    const random = options.random ?? Math.random;
     this.log = options.log ?? (() => undefined);
     this.clock = new ActiveClock({
       readMonotonicMs: options.readMonotonicMs,
@@ -88,7 +87,6 @@
       readNowMs: () => this.clock.readMs(),
       onTick: () => this.flush(),
     });
-    this.seeds = new SeedList(id, this.random);
     const incarnation = options.incarnation ?? createIncarnation();
     this.rumours = new RumourLog(incarnation);
     this.membership = new Membership({
@@ -127,7 +125,13 @@
       credentials,
       sharedSecret: settings.sharedSecret,
       service,
-      random: this.random,
+      random,
+      heartbeatMs: settings.heartbeatMs,
+    });
+    this.dialler = new MemberDialler({
+      membership: this.membership,
+      keeper: this.keeper,
+      random,
       heartbeatMs: settings.heartbeatMs,
     });
   }
@@ -151,29 +155,35 @@
     this.flush();
   }
 
-  /** Sends what is queued and closes everything. */
-  stop(): void {
-    this.flush();
+  /** Sends what is queued, gives it a tick to leave, and closes everything. */
+  async stop(): Promise<void> {
+    if (this.isStopping) return;
+    this.isStopping = true;
     clearInterval(this.beatTimer);
+    this.flush();
+    // Closing a stream resets it. Frames that are not with the kernel by then
+    // would be lost, the last releases among them, and their permits stay in
+    // use until the owner misses this instance.
+    await sleep(this.settings.tickMs);
     this.ticker.stop();
     this.keeper.close();
     this.listener.close();
   }
 
   onRecords(handler: RecordHandler): void {
-    this.recordHandlers.push(handler);
+    this.handlers.onRecords.push(handler);
   }
 
   onMembersChanged(handler: MemberChangeHandler): void {
-    this.changeHandlers.push(handler);
+    this.handlers.onMembersChanged.push(handler);
   }
 
   onRevisionSeen(handler: RevisionHandler): void {
-    this.revisionHandlers.push(handler);
+    this.handlers.onRevisionSeen.push(handler);
   }
 
   onUndelivered(handler: UndeliveredHandler): void {
-    this.undeliveredHandlers.push(handler);
+    this.handlers.onUndelivered.push(handler);
   }
 
   self(): Member {
@@ -192,8 +202,7 @@
 
   /** The platform's list of instances: where to look for members. */
   seed(listed: readonly ListedInstance[]): void {
-    this.seeds.replace(listed);
-    if (this.membership.others().length === 0) this.dialSeeds();
+    this.dialler.seed(listed, this.clock.readMs());
   }
 
   /** This instance has the revision in force; told with the next frames. */
@@ -276,7 +285,7 @@
     // The higher id waits a beat, lest both dial at the same moment.
     const isTurn = this.neighbours.has(contact.id) && this.id < contact.id;
     const isWanted = isTurn || contact.hasOutgoing;
-    if (reason !== 'idle' && isWanted) this.dialMember(contact.id);
+    if (reason !== 'idle' && isWanted) this.dialler.dialMember(contact.id);
   }
 
   private noteStranger(address: string): void {
@@ -286,11 +295,7 @@
 
   private dropOutgoing(contact: PeerContact): void {
     contact.takeRumours();
-    const records = contact.takeRecords();
-    if (records.length === 0) return;
-    for (const handler of this.undeliveredHandlers) {
-      handler(contact.id, records);
-    }
+    this.handlers.tellUndelivered(contact.id, contact.takeRecords());
   }
 
   private handleFrame(
@@ -305,28 +310,28 @@
     // A life that another one has replaced must not be answered.
     const member = this.membership.get(from.id);
     if (member?.incarnation !== from.incarnation) return;
-    for (const handler of this.revisionHandlers) {
-      handler(frame.revision, from.id);
-    }
-    for (const record of frame.records) this.handleRecord(record, from);
-    for (const rumour of frame.rumours ?? []) {
-      if (!this.rumours.noteSeen(rumour.id)) continue;
-      this.handleRecord(rumour.record, from);
-      for (const other of this.linked()) {
-        if (other !== contact) other.queueRumour(rumour);
-      }
-      this.ticker.schedule(true);
-    }
+    this.handlers.tellRevision(frame.revision, from.id);
+    for (const record of frame.records) this.handlers.tellRecord(record, from);
+    this.handleRumours(contact, from, frame.rumours ?? []);
     const hasNews = [...this.linked()].some(other =>
       this.membership.hasNews(other.id),
     );
     if (hasNews) this.ticker.schedule(true);
   }
 
-  private handleRecord(record: PeerRecord, from: PeerIdentity): void {
-    const {id, incarnation} = from;
-    for (const handler of this.recordHandlers) {
-      handler(record, {id, incarnation});
+  /** Each rumour is heard here once, and passed on. */
+  private handleRumours(
+    contact: PeerContact,
+    from: PeerIdentity,
+    rumours: readonly Rumour[],
+  ): void {
+    for (const rumour of rumours) {
+      if (!this.rumours.noteSeen(rumour.id)) continue;
+      this.handlers.tellRecord(rumour.record, from);
+      for (const other of this.linked()) {
+        if (other !== contact) other.queueRumour(rumour);
+      }
+      this.ticker.schedule(true);
     }
   }
 
@@ -336,7 +341,14 @@
     this.neighbours = new Set(
       findNeighbours(this.membership.self, this.membership.others()),
     );
-    for (const handler of this.changeHandlers) handler(changes);
+    for (const {member, previous} of changes) {
+      const isOtherLife = previous?.incarnation !== member.incarnation;
+      if (member.state !== 'dead' && !isOtherLife) continue;
+      // What was queued for a life that has ended means nothing to the next.
+      const contact = this.keeper.contacts.get(member.id);
+      if (contact !== undefined) this.dropOutgoing(contact);
+    }
+    this.handlers.tellChanges(changes);
   }
 
   private *linked(): Generator<PeerContact> {
@@ -358,38 +370,13 @@
     }
     this.membership.tick(nowMs, watched, spared);
     this.publishChanges();
-    this.dialNeighbours(nowMs);
-    this.dialSeeds();
+    this.dialler.dialNeighbours(this.neighbours, nowMs);
+    this.dialler.dialWaiting();
+    this.dialler.dialSeeds(nowMs);
     this.keeper.forget(id => this.membership.get(id) !== undefined);
     this.flush(true);
   }
 
-  /** The lower id dials; the other one does when that has led to nothing. */
-  private dialNeighbours(nowMs: number): void {
-    for (const id of this.neighbours) {
-      const contact = this.keeper.contactOf(id);
-      if (contact.isConnected) continue;
-      contact.wantedMs ??= nowMs;
-      const waitedMs = nowMs - contact.wantedMs;
-      const isOverdue = waitedMs >= this.settings.heartbeatMs;
-      if (this.id < id || isOverdue) this.dialMember(id);
-    }
-  }
-
-  private dialMember(id: InstanceId): void {
-    const member = this.membership.get(id);
-    if (member === undefined) return;
-    this.keeper.dial(this.keeper.contactOf(id), member.peerAddress);
-  }
-
-  private dialSeeds(): void {
-    const nowMs = this.clock.readMs();
-    const others = this.membership.others();
-    for (const seed of this.seeds.choose(others, nowMs)) {
-      this.keeper.dial(this.keeper.contactOf(seed.id), seed.peerAddress);
-    }
-  }
-
   /** One frame to each instance for which there is something. */
   private flush(isBeat = false): void {
     const nowMs = this.clock.readMs();
--- a/packages/peer/src/test_support/networks.ts
+++ b/packages/peer/src/test_support/networks.ts
@@ -38,7 +38,7 @@
 
 /** What ends with a test. */
 export interface TestScope {
-  teardown(end: () => void): void;
+  teardown(end: () => void | Promise<void>): void;
 }
 
 /** A started network in data centre `akl-a`, unless told otherwise. */
