Measure overhead, capacity and control cost of an entry process

Cause: what the router adds and costs has to be known beside what it gains. Change: first-token latency added, streams a second through one process and the cost of idle processes among 9, 20 and 40 with a fitted line, read from proc(5) and the platform's log. Ruled out: reading network counters, which belong to the whole machine; bytes of system calls are nearly all on sockets.

--- a/packages/stand_ins/src/launch/deployment.ts
+++ b/packages/stand_ins/src/launch/deployment.ts
@@ -51,9 +51,13 @@
    */
   static async start(options: DeploymentOptions): Promise<Deployment> {
     const deployment = new Deployment(options);
-    for (const dataCentre of options.dataCentres) {
-      await deployment.addEntry(dataCentre);
-    }
+    deployment.entries.push(
+      ...(await Promise.all(
+        options.dataCentres.map((dataCentre, at) =>
+          deployment.launchEntry(dataCentre, at + 1),
+        ),
+      )),
+    );
     const {launcher} = options;
     await Promise.all(
       deployment.entries.map(entry => launcher.waitUntilReady(entry)),
@@ -112,16 +116,19 @@
     }
   }
 
-  private async addEntry(dataCentre: string): Promise<void> {
+  private async launchEntry(
+    dataCentre: string,
+    number: number,
+  ): Promise<LaunchedEntry> {
     const {changes, launcher, operatorKey, platformUrl} = this.options;
     const settings = await makeEntrySettings({
-      instance: `${dataCentre}-${this.entries.length + 1}`,
+      instance: `${dataCentre}-${number}`,
       dataCentre,
       platformUrl,
       operatorKey,
       changes,
     });
-    this.entries.push(await launcher.launchEntry({settings}));
+    return launcher.launchEntry({settings});
   }
 
   private async revisionOf(entry: LaunchedEntry): Promise<number> {
--- a/packages/stand_ins/src/launch/free_ports.ts
+++ b/packages/stand_ins/src/launch/free_ports.ts
@@ -7,6 +7,8 @@
 /** Below the range from which the system takes ports for outgoing calls. */
 const LOWEST_PORT = 12_000;
 const HIGHEST_PORT = 32_000;
+/** Given out by this process, though their listeners may not be up yet. */
+const taken = new Set<number>();
 
 /**
  * Picks ports that nobody listens on. They lie outside of the range of outgoing
@@ -17,12 +19,14 @@
  * const [callersPort, adminPort, peerPort] = await pickFreePorts(3);
  */
 export async function pickFreePorts(count: number): Promise<number[]> {
-  const ports = new Set<number>();
-  while (ports.size < count) {
+  const ports: number[] = [];
+  while (ports.length < count) {
     const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
-    if (await isFree(port)) ports.add(port);
+    if (taken.has(port)) continue;
+    taken.add(port);
+    if (await isFree(port)) ports.push(port);
   }
-  return [...ports];
+  return ports;
 }
 
 async function isFree(port: number): Promise<boolean> {
--- a/packages/stand_ins/src/measure/load.ts
+++ b/packages/stand_ins/src/measure/load.ts
@@ -55,6 +55,8 @@
 
 const LONGEST_SLEEP_MS = 50;
 const MOST_TRIES = 3;
+/** The measurement itself ended the exchange. */
+const GIVEN_UP = 'given_up';
 
 /** Sends one run's requests. */
 export class Load {
@@ -158,10 +160,15 @@
       requestId: result.requestId,
       refusal: result.error?.code,
       verdict: result.error?.verdict,
-      failure: result.failure,
+      failure: this.failureOf(result),
     };
   }
 
+  private failureOf({failure}: StreamResult): string | undefined {
+    if (failure === undefined) return undefined;
+    return this.abort.signal.aborted ? GIVEN_UP : failure;
+  }
+
   private expectedText(arrival: Arrival): string {
     const prompt = textOf(messagesOf(arrival));
     const {engineSeed} = this.options;
--- a/packages/stand_ins/src/measure/main.ts
+++ b/packages/stand_ins/src/measure/main.ts
@@ -3,7 +3,11 @@
 import {writeFileSync} from 'node:fs';
 import type {PolicyName} from '@snipestage/policy/policy_set.js';
 import {Command, Option} from 'commander';
+import {measureCapacity} from './capacity.js';
+import {measureControlCost} from './control_cost.js';
+import {formatExperiment, type ExperimentRow} from './experiment.js';
 import type {RunFigures} from './figures.js';
+import {measureOverhead} from './overhead.js';
 import {runScenario} from './run_scenario.js';
 import type {Scenario} from './scenario.js';
 import {SCENARIOS} from './scenarios.js';
@@ -24,6 +28,13 @@
   'least_in_flight',
 ];
 
+const EXPERIMENTS: ReadonlyMap<string, () => Promise<ExperimentRow[]>> =
+  new Map([
+    ['overhead', measureOverhead],
+    ['capacity', measureCapacity],
+    ['control_cost', measureControlCost],
+  ]);
+
 async function measureScenario(
   scenario: Scenario,
   options: MeasureOptions,
@@ -50,10 +61,29 @@
   console.log(formatRows(assembleRows(runs)));
 }
 
+async function measureExperiment(
+  run: () => Promise<ExperimentRow[]>,
+  options: MeasureOptions,
+): Promise<void> {
+  for (let number = 1; number <= Number(options.runs); number++) {
+    const rows = await run();
+    console.log(
+      options.json === true
+        ? JSON.stringify({experiment: options.scenario, rows}, null, 2)
+        : formatExperiment(rows),
+    );
+  }
+}
+
 async function measure(options: MeasureOptions): Promise<void> {
+  const experiment = EXPERIMENTS.get(options.scenario);
+  if (experiment !== undefined) {
+    await measureExperiment(experiment, options);
+    return;
+  }
   const scenario = SCENARIOS.get(options.scenario);
   if (scenario === undefined) {
-    const names = [...SCENARIOS.keys()].join(', ');
+    const names = [...SCENARIOS.keys(), ...EXPERIMENTS.keys()].join(', ');
     throw new Error(`There is no ${options.scenario}; there are ${names}.`);
   }
   await measureScenario(scenario, options);
--- /dev/null
+++ b/packages/stand_ins/src/measure/overhead.ts
@@ -0,0 +1,104 @@
+/** First-token latency that the router adds on an idle machine. */
+
+import {Agent} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {build as buildHistogram, type Histogram} from 'hdr-histogram-js';
+import {streamCompletion} from '../client/stream_client.js';
+import {Launcher} from '../launch/launcher.js';
+import {
+  EXPERIMENT_ACCOUNT,
+  EXPERIMENT_MODEL,
+  idleScenario,
+  type ExperimentRow,
+} from './experiment.js';
+import {setStage} from './stage.js';
+
+const CALLS = 600;
+const WARM_UP_CALLS = 100;
+const PAUSE_MS = 20;
+const TOKENS = 4;
+const MICROSECONDS_PER_MS = 1000;
+
+/**
+ * Calls the engine directly and through one entry process in turns, one call
+ * at a time, so that both meet the same state of the machine. The direct row
+ * shows the machine's own noise.
+ *
+ * @example
+ * console.log(formatExperiment(await measureOverhead()));
+ */
+export async function measureOverhead(): Promise<ExperimentRow[]> {
+  const launcher = new Launcher();
+  const agent = new Agent({keepAlive: true});
+  try {
+    const scenario = idleScenario({
+      dataCentres: ['akl-a'],
+      entriesPerDataCentre: 1,
+      enginesPerDataCentre: 1,
+      engine: {batch: {betweenTokensMs: 5, prefillPerTokenMs: 0}},
+      maxConcurrency: 16,
+    });
+    const stage = await setStage(launcher, scenario, 'tiered');
+    const key = stage.accountKeys[EXPERIMENT_ACCOUNT];
+    const headers = {authorization: `Bearer ${key}`};
+    const routerUrl = stage.deployment.entries[0].callersUrl;
+    const direct = newHistogram();
+    const routed = newHistogram();
+    for (let call = 0; call < WARM_UP_CALLS + CALLS; call++) {
+      const directMs = await firstTokenMs(stage.engines[0].url, {}, agent);
+      const routedMs = await firstTokenMs(routerUrl, headers, agent);
+      if (call < WARM_UP_CALLS) continue;
+      direct.recordValue(Math.round(directMs * MICROSECONDS_PER_MS));
+      routed.recordValue(Math.round(routedMs * MICROSECONDS_PER_MS));
+    }
+    return rowsOf(direct, routed);
+  } finally {
+    agent.destroy();
+    await launcher.close();
+  }
+}
+
+async function firstTokenMs(
+  url: string,
+  headers: Readonly<Record<string, string>>,
+  agent: Agent,
+): Promise<number> {
+  await delay(PAUSE_MS);
+  const sentAtMs = performance.now();
+  const result = await streamCompletion({
+    url,
+    headers,
+    agent,
+    body: {
+      model: EXPERIMENT_MODEL,
+      max_tokens: TOKENS,
+      messages: [{role: 'user', content: 'Patch a tent'}],
+    },
+  });
+  if (!result.isWhole) {
+    throw new Error(`A call failed: ${result.status} ${result.failure}`);
+  }
+  return result.tokenAtMs[0] - sentAtMs;
+}
+
+function rowsOf(direct: Histogram, routed: Histogram): ExperimentRow[] {
+  const at = (histogram: Histogram, percentile: number): number =>
+    histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
+  const figures = (valueAt: (percentile: number) => number) => ({
+    p50Ms: valueAt(50),
+    p90Ms: valueAt(90),
+    p99Ms: valueAt(99),
+  });
+  return [
+    {name: 'direct', figures: figures(each => at(direct, each))},
+    {name: 'router', figures: figures(each => at(routed, each))},
+    {
+      name: 'added',
+      figures: figures(each => at(routed, each) - at(direct, each)),
+    },
+  ];
+}
+
+function newHistogram(): Histogram {
+  return buildHistogram({numberOfSignificantValueDigits: 3});
+}
--- a/packages/stand_ins/src/measure/run_scenario.ts
+++ b/packages/stand_ins/src/measure/run_scenario.ts
@@ -24,7 +24,8 @@
   readonly outcomes: readonly Outcome[];
 }
 
-const DRAIN_MS = 15_000;
+/** Beyond the longest deadline, for refusals to arrive. */
+const DRAIN_MARGIN_MS = 5000;
 /** Beyond the windows themselves, for the reporter's rounds. */
 const REPORT_MARGIN_MS = 2000;
 
@@ -57,7 +58,7 @@
     accountKeys: stage.accountKeys,
     model: scenario.model,
     engineSeed: scenario.engines.options.seed ?? 0,
-    drainMs: DRAIN_MS,
+    drainMs: longestDeadlineMs(scenario) + DRAIN_MARGIN_MS,
   };
   const startedAtMs = performance.now();
   const stopEvents = scheduleEvents(stage, scenario.events ?? []);
@@ -85,6 +86,14 @@
   return {figures, outcomes};
 }
 
+/** What runs until then is the router's to end, not the measurement's. */
+function longestDeadlineMs(scenario: Scenario): number {
+  const deadlines = Object.values(scenario.classes).map(
+    ({deadlineMs}) => deadlineMs,
+  );
+  return Math.max(...deadlines);
+}
+
 async function readUsage(
   stage: Stage,
   outcomes: readonly Outcome[],
--- a/packages/stand_ins/src/measure/stage.ts
+++ b/packages/stand_ins/src/measure/stage.ts
@@ -36,6 +36,7 @@
   launcher: Launcher,
   scenario: Scenario,
   policy: PolicyName,
+  entryCount = scenario.dataCentres.length * scenario.entriesPerDataCentre,
 ): Promise<Stage> {
   const platform = await launcher.launchStandIn('platform');
   const {engineHosts, engines} = await startEngines(launcher, scenario);
@@ -45,8 +46,9 @@
     launcher,
     platformUrl: platform.url,
     operatorKey: generateKey(),
-    dataCentres: scenario.dataCentres.flatMap(dataCentre =>
-      Array.from({length: scenario.entriesPerDataCentre}, () => dataCentre),
+    dataCentres: Array.from(
+      {length: entryCount},
+      (_, at) => scenario.dataCentres[at % scenario.dataCentres.length],
     ),
     changes: {
       routing: {policy, maxWaitingPerCell: MAX_WAITING_PER_CELL},
--- a/packages/stand_ins/src/measure/table.ts
+++ b/packages/stand_ins/src/measure/table.ts
@@ -12,6 +12,8 @@
 
 const NAME_WIDTH = 44;
 const VALUE_WIDTH = 24;
+/** Left to the JSON. */
+const DETAIL = /byPhase\.\w+\.(firstToken|betweenTokens|deadline)$/;
 
 /**
  * Lays the figures of all runs out by measure.
@@ -40,15 +42,16 @@
 }
 
 /**
- * The rows as text: the median, and the lowest and highest of several runs.
+ * The rows as text, less the details of phases: the median, and the lowest and highest of several runs.
  *
  * @example
  * console.log(formatRows(rows));
  */
 export function formatRows(rows: readonly MeasureRow[]): string {
+  const shown = rows.filter(({name}) => !DETAIL.test(name));
   const policies = Object.keys(rows[0]?.values ?? {});
   const head = ['measure'.padEnd(NAME_WIDTH), ...policies.map(pad)].join('');
-  const lines = rows.map(row => {
+  const lines = shown.map(row => {
     const cells = policies.map(policy => pad(formatCell(row.values[policy])));
     return [row.name.padEnd(NAME_WIDTH), ...cells].join('');
   });
