List the instances of a deployment at the platform stand-in

Change: the deployment fills the list before it starts the processes. Conclusion: the scenarios now run instances that know each other.

--- a/packages/stand_ins/src/launch/deployment.ts
+++ b/packages/stand_ins/src/launch/deployment.ts
@@ -51,14 +51,18 @@
    */
   static async start(options: DeploymentOptions): Promise<Deployment> {
     const deployment = new Deployment(options);
+    const settings = await Promise.all(
+      options.dataCentres.map((dataCentre, at) =>
+        deployment.settingsOf(dataCentre, at + 1),
+      ),
+    );
+    await deployment.listInstances(settings);
+    const {launcher} = options;
     deployment.entries.push(
       ...(await Promise.all(
-        options.dataCentres.map((dataCentre, at) =>
-          deployment.launchEntry(dataCentre, at + 1),
-        ),
+        settings.map(each => launcher.launchEntry({settings: each})),
       )),
     );
-    const {launcher} = options;
     await Promise.all(
       deployment.entries.map(entry => launcher.waitUntilReady(entry)),
     );
@@ -116,19 +120,32 @@
     }
   }
 
-  private async launchEntry(
+  private settingsOf(
     dataCentre: string,
     number: number,
-  ): Promise<LaunchedEntry> {
-    const {changes, launcher, operatorKey, platformUrl} = this.options;
-    const settings = await makeEntrySettings({
-      instance: `${dataCentre}-${number}`,
+  ): Promise<EntrySettingsInput> {
+    const {changes, operatorKey, platformUrl} = this.options;
+    const instance = `${dataCentre}-${number}`;
+    return makeEntrySettings({
+      instance,
       dataCentre,
       platformUrl,
       operatorKey,
       changes,
     });
-    return launcher.launchEntry({settings});
+  }
+
+  /** The platform's list is where instances first hear of each other. */
+  private async listInstances(
+    settings: readonly EntrySettingsInput[],
+  ): Promise<void> {
+    const instances = settings.map(({dataCentre, instance, peer}) => ({
+      id: instance,
+      dataCentre,
+      peerAddress: `127.0.0.1:${peer.port}`,
+      state: 'live',
+    }));
+    await got.post(`${this.options.platformUrl}/control`, {json: {instances}});
   }
 
   private async revisionOf(entry: LaunchedEntry): Promise<number> {
