Follow what the processes do by now, in the command and the operators' page

Cause: the entry process now orders endpoints, reports usage, refuses suspects and budgets retries; the command could not read its usage windows, and the page listed all of that as not built. The command printed "roles none" for an instance that does not tell its roles.

The test of the page looks up rows by section, since a part of the dump and a metric have one name.

--- a/packages/cli/src/admin/admin_answers.ts
+++ b/packages/cli/src/admin/admin_answers.ts
@@ -36,6 +36,7 @@
   ready: z.boolean(),
   reason: z.string().optional(),
   revision: z.number(),
+  /** Absent where the instance does not tell. */
   members: z
     .array(
       z.looseObject({
@@ -45,8 +46,8 @@
         revision: z.number().optional(),
       }),
     )
-    .default([]),
-  roles: z.array(z.string()).default([]),
+    .optional(),
+  roles: z.array(z.string()).optional(),
 });
 
 const usageLine = z.looseObject({
@@ -57,19 +58,24 @@
   outputTokens: z.number(),
 });
 
+const usageWindow = z.looseObject({
+  /** Its start, in milliseconds since the epoch. */
+  window: z.string(),
+  lines: z.array(usageLine),
+  reported: z.boolean().optional(),
+});
+
 /** Usage by window, client account and class. */
 export const usageAnswer = z.looseObject({
-  /** Of this instance, not yet in a sealed window. */
-  open: z.array(usageLine).default([]),
-  windows: z
-    .array(
-      z.looseObject({
-        id: z.string(),
-        state: z.string(),
-        lines: z.array(usageLine).default([]),
-      }),
-    )
-    .default([]),
+  /** What this instance has counted and no seal has taken in yet. */
+  counters: z.looseObject({windows: z.array(usageWindow)}),
+  sealed: z.discriminatedUnion('kind', [
+    z.looseObject({
+      kind: z.literal('windows'),
+      windows: z.array(usageWindow),
+    }),
+    z.looseObject({kind: z.literal('unavailable'), reason: z.string()}),
+  ]),
 });
 
 /** Refusals of the listener itself, such as for a wrong key. */
--- a/packages/cli/src/commands/status/status.ts
+++ b/packages/cli/src/commands/status/status.ts
@@ -22,21 +22,29 @@
   protected readonly schema = statusAnswer;
 
   protected format(answer: z.output<typeof statusAnswer>): string {
-    const why = answer.reason === undefined ? '' : `: ${answer.reason}`;
-    const roles = answer.roles.length === 0 ? 'none' : answer.roles.join(', ');
-    const members = answer.members.map(member => [
-      member.id,
-      member.dataCentre,
-      member.state,
-      member.revision,
-    ]);
-    return [
-      `instance  ${answer.instance}`,
-      `ready     ${answer.ready ? 'yes' : `no${why}`}`,
-      `revision  ${answer.revision}`,
-      `roles     ${roles}`,
-      '',
-      formatTable(HEADINGS, members),
-    ].join('\n');
+    const {instance, ready, reason, revision, roles, members} = answer;
+    const why = reason === undefined ? '' : `: ${reason}`;
+    const lines = [
+      `instance  ${instance}`,
+      `ready     ${ready ? 'yes' : `no${why}`}`,
+      `revision  ${revision}`,
+    ];
+    if (roles !== undefined) {
+      lines.push(`roles     ${roles.length === 0 ? 'none' : roles.join(', ')}`);
+    }
+    if (members !== undefined) lines.push('', formatMembers(members));
+    return `${lines.join('\n').trimEnd()}\n`;
   }
 }
+
+function formatMembers(
+  members: NonNullable<z.output<typeof statusAnswer>['members']>,
+): string {
+  const rows = members.map(member => [
+    member.id,
+    member.dataCentre,
+    member.state,
+    member.revision,
+  ]);
+  return formatTable(HEADINGS, rows);
+}
--- a/packages/cli/src/commands/usage/usage.ts
+++ b/packages/cli/src/commands/usage/usage.ts
@@ -7,8 +7,10 @@
 import type {CommandDescription} from '../cli_command.js';
 import {ReadingCommand} from '../reading_command.js';
 
+type UsageAnswer = z.output<typeof usageAnswer>;
+
 const HEADINGS = [
-  'window',
+  'window from',
   'state',
   'client account',
   'class',
@@ -29,19 +31,32 @@
   protected readonly path = '/usage';
   protected readonly schema = usageAnswer;
 
-  protected format(answer: z.output<typeof usageAnswer>): string {
-    const open = {id: '-', state: 'open', lines: answer.open};
-    const rows = [open, ...answer.windows].flatMap(window =>
-      window.lines.map(line => [
-        window.id,
-        window.state,
-        line.clientAccount,
-        line.requestClass,
-        line.requests,
-        line.promptTokens,
-        line.outputTokens,
-      ]),
+  protected format(answer: UsageAnswer): string {
+    const {counters, sealed} = answer;
+    const open = counters.windows.flatMap(window => rowsOf(window, 'open'));
+    if (sealed.kind === 'unavailable') {
+      const why = `Sealed windows can't be read now: ${sealed.reason}\n`;
+      return formatTable(HEADINGS, open) + why;
+    }
+    const closed = sealed.windows.flatMap(window =>
+      rowsOf(window, window.reported === true ? 'reported' : 'sealed'),
     );
-    return formatTable(HEADINGS, rows);
+    return formatTable(HEADINGS, [...open, ...closed]);
   }
 }
+
+function rowsOf(
+  {window, lines}: UsageAnswer['counters']['windows'][number],
+  state: 'open' | 'sealed' | 'reported',
+): Array<Array<string | number>> {
+  const start = new Date(Number(window)).toISOString();
+  return lines.map(line => [
+    start,
+    state,
+    line.clientAccount,
+    line.requestClass,
+    line.requests,
+    line.promptTokens,
+    line.outputTokens,
+  ]);
+}
--- a/packages/cli/src/main.test.ts
+++ b/packages/cli/src/main.test.ts
@@ -41,6 +41,7 @@
     ready: false,
     reason: 'no configuration yet',
     revision: 4,
+    roles: [],
     members: [{id: 'akl-b-1', dataCentre: 'akl-b', state: 'alive'}],
   });
   const run = await runCommand(['status', '--admin-url', admin.url]);
@@ -63,12 +64,17 @@
     promptTokens: 30,
     outputTokens: 40,
   };
-  const window = {id: 'w-1', state: 'sealed', lines: [line]};
-  const admin = await startAdmin(t, {open: [line], windows: [window]});
+  const window = {window: '000000000060000', lines: [line]};
+  const admin = await startAdmin(t, {
+    counters: {windows: [{...window, unwritten: 1}]},
+    sealed: {kind: 'windows', windows: [{...window, reported: true}]},
+  });
   const run = await runCommand(['usage', '--admin-url', admin.url]);
+  const start = '1970-01-01T00:01:00.000Z';
+  const rest = 'gear-menders +counter +2 +30 +40';
   t.regex(
     run.out,
-    /- +open +gear-menders .*\nw-1 +sealed +gear-menders +counter +2 +30 +40\n$/,
+    new RegExp(`${start} +open +${rest}\n${start} +reported +${rest}\n$`),
   );
 });
 
--- a/packages/cli/src/operations_page.test.ts
+++ b/packages/cli/src/operations_page.test.ts
@@ -12,40 +12,46 @@
   'utf8',
 );
 
-/** Cells of each table row by the first one, without quotes of code. */
-const ROWS = new Map(
-  PAGE.split('\n')
+/** Cells of the tables under a heading by the first one, without quotes. */
+function rowsUnder(heading: string): Map<string, string[]> {
+  const section = PAGE.split(/^## /m).find(each => each.startsWith(heading));
+  const rows = (section ?? '')
+    .split('\n')
     .filter(line => line.startsWith('|'))
-    .map(line => line.split('|').map(cell => cell.trim().replace(/`/g, '')))
-    .map(cells => [cells[1], cells.slice(2, -1)]),
-);
+    .map(line => line.split('|').map(cell => cell.trim().replace(/`/g, '')));
+  return new Map(rows.map(cells => [cells[1], cells.slice(2, -1)]));
+}
 
 const EXAMPLES = [...PAGE.matchAll(/```json\n(.*?)```/gs)].map(([, text]) =>
   JSON.parse(text),
 );
 
 test('the page lists each setting with its default', t => {
+  const rows = rowsUnder('Settings');
   for (const {path, standard, description} of listSettings()) {
     const plain = description.replace(/`/g, '');
-    t.deepEqual(ROWS.get(path), [standard, plain], path);
+    t.deepEqual(rows.get(path), [standard, plain], path);
   }
 });
 
 test('the page lists each refusal code with its status', t => {
+  const rows = rowsUnder('What callers are told');
   for (const code of REFUSAL_CODES) {
-    t.is(ROWS.get(code)?.[0], String(statusOf(code)), code);
+    t.is(rows.get(code)?.[0], String(statusOf(code)), code);
   }
 });
 
 test('the page lists each metric', t => {
+  const rows = rowsUnder('Metrics');
   for (const [name, {kind, unit}] of Object.entries(METRICS)) {
-    t.deepEqual(ROWS.get(name)?.slice(0, 2), [kind, unit], name);
+    t.deepEqual(rows.get(name)?.slice(0, 2), [kind, unit], name);
   }
 });
 
 test('the page lists each exit code', t => {
+  const rows = rowsUnder('The command');
   for (const [code, meaning] of Object.entries(EXIT_CODE_MEANINGS)) {
-    t.deepEqual(ROWS.get(code), [meaning]);
+    t.deepEqual(rows.get(code), [meaning]);
   }
 });
 
