--- a/packages/policy/src/simulation/scenarios.ts
+++ b/packages/policy/src/simulation/scenarios.ts
@@ -85,26 +85,17 @@
     })),
     watched: TOP,
   },
-  {
-    name: 'owner_frozen',
-    sources: ORDINARY.map(source => burstIf(source, QUOTE)),
-    events: [
-      {kind: 'freeze_owner', atMs: 25_000},
-      {kind: 'thaw_owner', atMs: 35_000},
-    ],
-    watched: TOP,
-  },
-  {
-    name: 'owner_killed',
-    sources: ORDINARY.map(source => burstIf(source, QUOTE)),
-    events: [
-      {kind: 'freeze_owner', atMs: 25_000},
-      {kind: 'replace_owner', atMs: 30_000},
-    ],
-    watched: TOP,
-  },
+  ownerLost('owner_frozen', {kind: 'thaw_owner', atMs: 35_000}),
+  ownerLost('owner_killed', {kind: 'replace_owner', atMs: 30_000}),
 ];
 
+/** The owner stands still from within a burst until something happens. */
+function ownerLost(name: string, then: SimulatedEvent): Scenario {
+  const sources = ORDINARY.map(source => burstIf(source, QUOTE));
+  const freeze: SimulatedEvent = {kind: 'freeze_owner', atMs: 25_000};
+  return {name, sources, events: [freeze, then], watched: TOP};
+}
+
 /** Accounts of one class, each with the same small rate. */
 function shops(requestClass: RequestClass, perSecond: number): TrafficSource[] {
   const names = [1, 2, 3, 4, 5].map(number => `account-${number}`);
