Measure prefix affinity, and let it load an endpoint to 1.5 of the mean

The engine of the simulation remembers the starts of six prompts; a scenario of long prompts with 20 shared starts compares bounds on the load by affinity.

--- a/packages/policy/src/simulation/cell_simulation.ts
+++ b/packages/policy/src/simulation/cell_simulation.ts
@@ -216,6 +216,7 @@
       expectedTokens: meanOutputTokens,
       remainingMs: requestClass.firstTokenTargetMs,
       cheapAllowed: requestClass.cheapEndpointsAllowed,
+      prefixHash: arrival.prefixHash,
     });
     this.live.set(ask.attempt, {arrival, attempt: ask.attempt, instance});
     this.carryOut(this.clients.get(instance)!.request(ask, nowMs), nowMs);
@@ -316,9 +317,10 @@
   private start(attempt: AttemptId, endpoint: string, nowMs: number): void {
     const request = this.live.get(attempt)!;
     request.endpoint = endpoint;
-    const {promptTokens, outputTokens} = request.arrival;
+    const {prefixHash, promptTokens, outputTokens} = request.arrival;
     this.engines.get(endpoint)!.submit({
       attempt,
+      prefixHash,
       promptTokens,
       outputTokens,
       submittedAtMs: nowMs,
--- a/packages/policy/src/simulation/scenarios.ts
+++ b/packages/policy/src/simulation/scenarios.ts
@@ -85,6 +85,15 @@
     })),
     watched: TOP,
   },
+  {
+    name: 'long_prompts',
+    sources: ORDINARY.map(source => ({
+      ...source,
+      meanPromptTokens: 4000,
+      sharedPrefixes: 20,
+    })),
+    watched: TOP,
+  },
   ownerLost('owner_frozen', {kind: 'thaw_owner', atMs: 35_000}),
   ownerLost('owner_killed', {kind: 'replace_owner', atMs: 30_000}),
 ];
--- a/packages/policy/src/simulation/simulated_engine.ts
+++ b/packages/policy/src/simulation/simulated_engine.ts
@@ -14,6 +14,10 @@
   readonly perPromptTokenMs: number;
   /** Requests beyond wait inside the engine. */
   readonly maxBatch: number;
+  /** Starts of prompts that it remembers, the latest used. */
+  readonly cachedPrefixes: number;
+  /** What is left of a prompt's time if its start is remembered. */
+  readonly cachedPromptPart: number;
 }
 
 /**
@@ -27,11 +31,14 @@
   kneeBatch: 16,
   perPromptTokenMs: 0.05,
   maxBatch: 32,
+  cachedPrefixes: 6,
+  cachedPromptPart: 0.1,
 };
 
 /** What one attempt has come to. */
 export interface EngineAttempt {
   readonly attempt: AttemptId;
+  readonly prefixHash?: string;
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly submittedAtMs: number;
@@ -46,7 +53,8 @@
   slowness = 1;
   private readonly batch = new Map<AttemptId, EngineAttempt>();
   private readonly queue: EngineAttempt[] = [];
-  private joined: EngineAttempt[] = [];
+  private joinedPromptTokens = 0;
+  private readonly prefixes = new Set<string>();
   private stepEndsAtMs: number | undefined;
 
   constructor(private readonly speed: EngineSpeed = DEFAULT_SPEED) {}
@@ -82,26 +90,37 @@
   }
 
   private beginStep(atMs: number): void {
-    this.joined = [];
+    this.joinedPromptTokens = 0;
     while (this.batch.size < this.speed.maxBatch && this.queue.length > 0) {
       const next = this.queue.shift()!;
       this.batch.set(next.attempt, next);
-      this.joined.push(next);
+      this.joinedPromptTokens += this.readPrompt(next);
     }
     this.stepEndsAtMs =
       this.batch.size > 0 ? atMs + this.stepMs() * this.slowness : undefined;
   }
 
+  /** Tokens of the prompt that have to be read. */
+  private readPrompt({prefixHash, promptTokens}: EngineAttempt): number {
+    if (prefixHash === undefined) return promptTokens;
+    const cached = this.prefixes.delete(prefixHash);
+    this.prefixes.add(prefixHash);
+    if (this.prefixes.size > this.speed.cachedPrefixes) {
+      const [oldest] = this.prefixes;
+      this.prefixes.delete(oldest);
+    }
+    return cached ? promptTokens * this.speed.cachedPromptPart : promptTokens;
+  }
+
   private stepMs(): number {
     const {baseStepMs, perRequestMs, beyondKneeMs, kneeBatch} = this.speed;
     const size = this.batch.size;
     const beyond = Math.max(0, size - kneeBatch);
-    const prompts = this.joined.reduce((sum, one) => sum + one.promptTokens, 0);
     return (
       baseStepMs +
       perRequestMs * size +
       beyondKneeMs * beyond +
-      this.speed.perPromptTokenMs * prompts
+      this.speed.perPromptTokenMs * this.joinedPromptTokens
     );
   }
 
--- a/packages/policy/src/simulation/workload.ts
+++ b/packages/policy/src/simulation/workload.ts
@@ -12,6 +12,8 @@
   readonly perSecond: number;
   readonly meanPromptTokens: number;
   readonly meanOutputTokens: number;
+  /** Prompts begin with one of so many texts; each differs if absent. */
+  readonly sharedPrefixes?: number;
   /** Times the rate between two instants; none if absent. */
   readonly burst?: {
     readonly factor: number;
@@ -24,6 +26,7 @@
 export interface Arrival {
   readonly atMs: number;
   readonly source: TrafficSource;
+  readonly prefixHash?: string;
   readonly promptTokens: number;
   readonly outputTokens: number;
 }
@@ -55,10 +58,19 @@
     if (atMs >= durationMs) return arrivals;
     const promptTokens = length(source.meanPromptTokens, random);
     const outputTokens = length(source.meanOutputTokens, random);
-    arrivals.push({atMs, source, promptTokens, outputTokens});
+    const prefixHash = choosePrefix(source, random);
+    arrivals.push({atMs, source, prefixHash, promptTokens, outputTokens});
   }
 }
 
+function choosePrefix(
+  {sharedPrefixes}: TrafficSource,
+  random: RandomSource,
+): string | undefined {
+  if (sharedPrefixes === undefined) return undefined;
+  return `prefix-${Math.floor(random() * sharedPrefixes)}`;
+}
+
 function rateAt({burst, perSecond}: TrafficSource, atMs: number): number {
   const bursting =
     burst !== undefined && atMs >= burst.fromMs && atMs < burst.untilMs;
--- a/packages/policy/src/tiered_choice.ts
+++ b/packages/policy/src/tiered_choice.ts
@@ -10,7 +10,7 @@
 import {rankByRendezvous} from './rendezvous.js';
 
 /** An endpoint gets no work by affinity beyond this times the mean load. */
-const AFFINITY_LOAD_BOUND = 1.25;
+const AFFINITY_LOAD_BOUND = 1.5;
 
 /** What a {@link TieredChoice} is made from. */
 export interface TieredChoiceOptions {
