--- a/packages/policy/src/simulation/scenarios.ts
+++ b/packages/policy/src/simulation/scenarios.ts
@@ -70,8 +70,8 @@
     name: 'slow_engine',
     sources: ORDINARY,
     events: [
-      {atMs: 15_000, endpoint: 'e2', slowness: 5},
-      {atMs: 45_000, endpoint: 'e2', slowness: 1},
+      {kind: 'slow', atMs: 15_000, endpoint: 'e2', factor: 5},
+      {kind: 'slow', atMs: 45_000, endpoint: 'e2', factor: 1},
     ],
     watched: TOP,
   },
@@ -79,14 +79,32 @@
     name: 'crashes',
     sources: ORDINARY,
     events: [20_000, 21_000, 22_000, 23_000, 24_000].map(atMs => ({
+      kind: 'crash',
       atMs,
       endpoint: 'e3',
-      crash: true,
     })),
     watched: TOP,
   },
+  {
+    name: 'long_prompts',
+    sources: ORDINARY.map(source => ({
+      ...source,
+      meanPromptTokens: 4000,
+      sharedPrefixes: 20,
+    })),
+    watched: TOP,
+  },
+  ownerLost('owner_frozen', {kind: 'thaw_owner', atMs: 35_000}),
+  ownerLost('owner_killed', {kind: 'replace_owner', atMs: 30_000}),
 ];
 
+/** The owner stands still from within a burst until something happens. */
+function ownerLost(name: string, then: SimulatedEvent): Scenario {
+  const sources = ORDINARY.map(source => burstIf(source, QUOTE));
+  const freeze: SimulatedEvent = {kind: 'freeze_owner', atMs: 25_000};
+  return {name, sources, events: [freeze, then], watched: TOP};
+}
+
 /** Accounts of one class, each with the same small rate. */
 function shops(requestClass: RequestClass, perSecond: number): TrafficSource[] {
   const names = [1, 2, 3, 4, 5].map(number => `account-${number}`);
