Read the revision of an accepted ticket after its row

Cause: rows asked for in one call need not have been read at one moment; a head read before the ticket was committed would be told as a revision that lacks it. Change: once the ticket's row was seen, the head is read after it. If that can't be done the outcome is "unknown", never "unavailable". Cost: one read more for a ticket that is asked again.

--- a/packages/agreement/src/ticket_plan.ts
+++ b/packages/agreement/src/ticket_plan.ts
@@ -66,7 +66,7 @@
 export type TicketPlan =
   | TicketRefusal
   | {readonly kind: 'commit'; readonly transaction: TableTransaction}
-  | {readonly kind: 'already_accepted'; readonly headVersion: number};
+  | {readonly kind: 'already_accepted'};
 
 /**
  * The rows to read before a ticket can be decided.
@@ -113,7 +113,7 @@
   const {ticket, rows, objects, strategy} = options;
   const accepted = findRow(rows, ticketKey(ticket.number));
   if (accepted.version > 0) {
-    return comparePlan(ticket, accepted, findRow(rows, HEAD_KEY).version);
+    return comparePlan(ticket, accepted);
   }
   const newer = findNewerTicket(ticket, rows);
   if (newer !== undefined) {
@@ -129,14 +129,10 @@
   return {kind: 'commit', transaction: composeCommit(ticket, rows, strategy)};
 }
 
-function comparePlan(
-  ticket: ChangeTicket,
-  accepted: Row,
-  headVersion: number,
-): TicketPlan {
+function comparePlan(ticket: ChangeTicket, accepted: Row): TicketPlan {
   const value = accepted.value as TicketValue;
   if (value.digest === digestOf(ticket)) {
-    return {kind: 'already_accepted', headVersion};
+    return {kind: 'already_accepted'};
   }
   return {kind: 'conflict'};
 }
--- a/packages/agreement/src/tickets.test.ts
+++ b/packages/agreement/src/tickets.test.ts
@@ -89,6 +89,23 @@
   t.is(submit(EMPTY_TABLE, ticket, allLost).outcome.kind, 'unknown');
 });
 
+// The table goes down between the reading of the ticket and of its revision. An
+// operator told "unavailable" would believe that nothing had taken effect.
+test('a ticket that was seen accepted is never told unavailable', t => {
+  const ticket = ticketOf(5, modelChange('repair', 100));
+  const {table} = submit(EMPTY_TABLE, ticket);
+  const begun = beginTicket({ticket, maxAttempts: 1});
+  const read = carryOut(table, begun.effects[0], 0);
+  const seen = transitionTicket(begun.state, read.event);
+  const {state} = transitionTicket(seen.state, {
+    kind: 'read_answered',
+    call: seen.state.call,
+    result: {kind: 'unavailable', reason: 'down'},
+    nowMs: 0,
+  });
+  t.is(state.outcome?.kind, 'unknown');
+});
+
 // One operator removes a model while another orders a pool of endpoints for it.
 // Were both accepted, the pool would ask for a model that does not exist.
 test('of a removal and a new reference to it only one is accepted', t => {
--- a/packages/agreement/src/tickets.ts
+++ b/packages/agreement/src/tickets.ts
@@ -17,6 +17,7 @@
   TransactionResult,
 } from '@snipestage/types/table.js';
 import {
+  findRow,
   retryDelayMs,
   type Step,
   type TableEffect,
@@ -53,7 +54,13 @@
   readonly attempt: number;
   /** Number of the call whose result is awaited; others are late. */
   readonly call: number;
-  readonly phase: 'reading' | 'scanning' | 'committing' | 'waiting' | 'done';
+  readonly phase:
+    | 'reading'
+    | 'scanning'
+    | 'committing'
+    | 'reading_revision'
+    | 'waiting'
+    | 'done';
   readonly rows: readonly Row[];
   /** A transaction was sent whose result is not known. */
   readonly inDoubt: boolean;
@@ -123,7 +130,14 @@
 
 function takeRows(state: TicketState, result: ReadResult): TicketStep {
   if (result.kind === 'unavailable') {
-    return retry(state);
+    // Once the ticket's row was seen, "nothing took effect" would be untrue.
+    const seen = state.phase === 'reading_revision';
+    return retry({...state, inDoubt: state.inDoubt || seen});
+  }
+  if (state.phase === 'reading_revision') {
+    const {version} = findRow(result.rows, HEAD_KEY);
+    const kind = state.inDoubt ? 'accepted' : 'already_accepted';
+    return finish(state, {kind, revision: brandAs<Revision>(version)});
   }
   if (state.phase === 'reading' && needsObjects(state.ticket)) {
     const call = state.call + 1;
@@ -152,9 +166,13 @@
       };
     }
     case 'already_accepted': {
-      const revision = brandAs<Revision>(plan.headVersion);
-      const kind = state.inDoubt ? 'accepted' : 'already_accepted';
-      return finish(state, {kind, revision});
+      // The rows need not have been read at one moment: a head read before the
+      // ticket was committed would be a revision that does not contain it.
+      const call = state.call + 1;
+      return {
+        state: {...state, call, phase: 'reading_revision'},
+        effects: [{kind: 'read', call, keys: [HEAD_KEY]}],
+      };
     }
     default:
       // True even while a transaction is in doubt: what was read since differs
