--- a/packages/entry/src/account/usage_copies.ts
+++ b/packages/entry/src/account/usage_copies.ts
@@ -2,11 +2,14 @@
 
 import {findRow} from '@snipestage/agreement/table_effects.js';
 import {planCopyWrite} from '@snipestage/agreement/usage_counters.js';
+import type {CounterValue} from '@snipestage/agreement/usage_rows.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import type {Incarnation} from '@snipestage/types/ids.js';
-import type {UsageCopy} from './usage_counter_task.js';
+import {applyChange, type UsageCopyChange} from './usage_copy.js';
 
 const CHECK_EVERY_MS = 1000;
+/** Windows kept of one life; more only while the table is away for long. */
+const MOST_WINDOWS = 60;
 
 /** Options of {@link UsageCopies}. */
 export interface UsageCopiesOptions {
@@ -17,7 +20,7 @@
 
 /** The newest copies of each life of an instance. */
 export class UsageCopies {
-  private readonly copies = new Map<Incarnation, readonly UsageCopy[]>();
+  private readonly copies = new Map<Incarnation, Map<string, CounterValue>>();
   private timer: NodeJS.Timeout | undefined;
   private isWriting = false;
 
@@ -31,9 +34,16 @@
     clearInterval(this.timer);
   }
 
-  /** The last word of an instance replaces its earlier ones. */
-  take(incarnation: Incarnation, copies: readonly UsageCopy[]): void {
+  /** Takes in what has changed in the counters of one life. */
+  take(incarnation: Incarnation, changes: readonly UsageCopyChange[]): void {
+    const copies = this.copies.get(incarnation) ?? new Map();
     this.copies.set(incarnation, copies);
+    for (const change of changes) {
+      const value = applyChange(copies.get(change.key), change);
+      if (value === undefined) copies.delete(change.key);
+      else copies.set(change.key, value);
+    }
+    forgetFormer(copies);
   }
 
   snapshot(): object {
@@ -54,12 +64,14 @@
     }
   }
 
-  private async writeAll(copies: readonly UsageCopy[]): Promise<boolean> {
-    const keys = copies.map(({key}) => key);
+  private async writeAll(
+    copies: ReadonlyMap<string, CounterValue>,
+  ): Promise<boolean> {
+    const keys = [...copies.keys()];
     const result = await this.options.platform.readRows(keys);
     if (result.kind === 'unavailable') return false;
     let isWritten = true;
-    for (const {key, value} of copies) {
+    for (const [key, value] of copies) {
       const transaction = planCopyWrite(findRow(result.rows, key), value);
       if (transaction === undefined) continue;
       // Whatever comes of it, the rows are read again before they are left.
@@ -69,3 +81,9 @@
     return isWritten;
   }
 }
+
+/** Windows follow one another, and old ones have long been written. */
+function forgetFormer(copies: Map<string, CounterValue>): void {
+  const keys = [...copies.keys()].sort();
+  for (const key of keys.slice(0, -MOST_WINDOWS)) copies.delete(key);
+}
--- a/packages/entry/src/account/usage_counter_task.ts
+++ b/packages/entry/src/account/usage_counter_task.ts
@@ -12,16 +12,14 @@
 import type {Incarnation, InstanceId} from '@snipestage/types/ids.js';
 import type {UsageLine} from '@snipestage/types/platform_messages.js';
 import type {TableExecutor} from '../configure/table_executor.js';
+import {composeChanges, type UsageCopyChange} from './usage_copy.js';
 
-const COPY_EVERY_MS = 1000;
+/** Figures younger than this are lost with their instance. */
+const COPY_AFTER_MS = 250;
+/** Sent whole so often, in case a message was lost. */
+const WHOLE_COPY_EVERY_MS = 5000;
 const LAST_WRITE_RETRY_MS = 200;
 
-/** Counters of one window as a peer keeps them. */
-export interface UsageCopy {
-  readonly key: string;
-  readonly value: CounterValue;
-}
-
 /** Options of {@link UsageCounterTask}. */
 export interface UsageCounterTaskOptions {
   readonly instance: InstanceId;
@@ -29,8 +27,12 @@
   readonly windowMs: number;
   readonly writeEveryMs: number;
   readonly executor: TableExecutor;
-  /** Hands the counters to the peer that keeps a copy. */
-  readonly sendCopies: (copies: readonly UsageCopy[]) => void;
+  /** The peer that keeps a copy; none when this instance is alone. */
+  readonly findKeeper: () => InstanceId | undefined;
+  readonly sendCopies: (
+    keeper: InstanceId,
+    changes: readonly UsageCopyChange[],
+  ) => void;
   readonly nowEpochMs?: () => number;
 }
 
@@ -42,7 +44,9 @@
   private state: CountersState;
   private flushTimer: NodeJS.Timeout | undefined;
   private copyTimer: NodeJS.Timeout | undefined;
-  private hasNews = false;
+  private wholeTimer: NodeJS.Timeout | undefined;
+  private keeper: InstanceId | undefined;
+  private readonly lastSent = new Map<string, CounterValue>();
 
   constructor(private readonly options: UsageCounterTaskOptions) {
     this.state = beginCounters(options);
@@ -51,7 +55,10 @@
   start(): void {
     const {writeEveryMs} = this.options;
     this.flushTimer = setInterval(() => void this.flush(), writeEveryMs);
-    this.copyTimer = setInterval(() => this.copy(), COPY_EVERY_MS);
+    this.wholeTimer = setInterval(() => {
+      this.lastSent.clear();
+      this.copy();
+    }, WHOLE_COPY_EVERY_MS);
   }
 
   /** Counts a served request in the window of its end. */
@@ -62,7 +69,7 @@
       line,
       nowEpochMs,
     }).state;
-    this.hasNews = true;
+    this.copyTimer ??= setTimeout(() => this.copy(), COPY_AFTER_MS);
   }
 
   /**
@@ -71,7 +78,7 @@
    */
   async stop(patienceMs: number): Promise<void> {
     clearInterval(this.flushTimer);
-    clearInterval(this.copyTimer);
+    clearInterval(this.wholeTimer);
     this.copy();
     const deadlineMs = performance.now() + patienceMs;
     while (!areCountersWritten(this.state) && performance.now() < deadlineMs) {
@@ -97,9 +104,17 @@
   }
 
   private copy(): void {
-    if (!this.hasNews) return;
-    this.hasNews = false;
-    this.options.sendCopies(listCopies(this.state));
+    clearTimeout(this.copyTimer);
+    this.copyTimer = undefined;
+    const keeper = this.options.findKeeper();
+    if (keeper !== this.keeper) this.lastSent.clear();
+    this.keeper = keeper;
+    if (keeper === undefined) return;
+    const copies = listCopies(this.state);
+    const changes = composeChanges(this.lastSent, copies);
+    this.lastSent.clear();
+    for (const {key, value} of copies) this.lastSent.set(key, value);
+    if (changes.length > 0) this.options.sendCopies(keeper, changes);
   }
 
   private async handle(event: CountersEvent): Promise<void> {
--- a/packages/entry/src/compose/bind_usage.ts
+++ b/packages/entry/src/compose/bind_usage.ts
@@ -11,7 +11,7 @@
 import {UsageReportTask} from '../account/usage_report_task.js';
 import {ClusterView} from '../choose/cluster_view.js';
 import {TableExecutor} from '../configure/table_executor.js';
-import {sendUsageCopies} from '../peers/usage_records.js';
+import {findUsageKeeper, toUsageRecord} from '../peers/usage_records.js';
 import {createLeaseTask} from './create_lease_task.js';
 import {USAGE_LEASE} from './tokens.js';
 
@@ -25,7 +25,9 @@
         windowMs: settings.usage.windowMs,
         writeEveryMs: settings.usage.writeEveryMs,
         executor,
-        sendCopies: copies => sendUsageCopies(network, view, copies),
+        findKeeper: () => findUsageKeeper(view),
+        sendCopies: (keeper, changes) =>
+          network.send(keeper, toUsageRecord(changes)),
       }),
     [TableExecutor, ClusterView, PeerNetwork],
   );
--- a/packages/entry/src/peers/usage_records.ts
+++ b/packages/entry/src/peers/usage_records.ts
@@ -1,34 +1,38 @@
 /** Brings copies of usage counters to a peer that keeps them. */
 
 import type {PeerNetwork} from '@snipestage/peer/peer_network.js';
+import type {PeerRecord} from '@snipestage/peer/records.js';
 import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
+import type {InstanceId} from '@snipestage/types/ids.js';
 import type {UsageCopies} from '../account/usage_copies.js';
-import type {UsageCopy} from '../account/usage_counter_task.js';
+import type {UsageCopyChange} from '../account/usage_copy.js';
 import {instancesIn, type ClusterView} from '../choose/cluster_view.js';
 import type {PeerTask} from './peer_task.js';
 
 const COPIES = 'usage_copies';
 
 /**
- * Sends an instance's counters to the peer that keeps them: one of its own data
- * centre if there is one, always the same while it lives.
+ * The peer that keeps this instance's counters: one of its own data centre if
+ * there is one, always the same while it lives.
  *
  * @example
- * sendUsageCopies(network, view, copies);
+ * const keeper = findUsageKeeper(view);
  */
-export function sendUsageCopies(
-  network: PeerNetwork,
-  view: ClusterView,
-  copies: readonly UsageCopy[],
-): void {
+export function findUsageKeeper(view: ClusterView): InstanceId | undefined {
   const {id, dataCentre} = view.self;
   const others = view.live().filter(member => member.id !== id);
   const near = instancesIn(others, dataCentre);
   const candidates = near.length > 0 ? near : others.map(other => other.id);
-  const keeper = rankByRendezvous(`usage/${id}`, candidates)[0];
-  if (keeper === undefined) return;
-  const json = Buffer.from(JSON.stringify(copies));
-  network.send(keeper, {kind: 'extension', name: COPIES, json});
+  return rankByRendezvous(`usage/${id}`, candidates)[0];
+}
+
+/**
+ * @example
+ * network.send(keeper, toUsageRecord(changes));
+ */
+export function toUsageRecord(changes: readonly UsageCopyChange[]): PeerRecord {
+  const json = Buffer.from(JSON.stringify(changes));
+  return {kind: 'extension', name: COPIES, json};
 }
 
 /**
@@ -45,7 +49,7 @@
   peers.onExtension(COPIES, (json, from) => {
     const sender = network.members().find(member => member.id === from);
     if (sender === undefined) return;
-    const told = JSON.parse(json.toString('utf8')) as UsageCopy[];
+    const told = JSON.parse(json.toString('utf8')) as UsageCopyChange[];
     copies.take(sender.incarnation, told);
   });
 }
--- a/packages/entry/src/sessions/test_world.ts
+++ b/packages/entry/src/sessions/test_world.ts
@@ -159,6 +159,18 @@
     return await got(`${standIn.url}/control/log`).json();
   }
 
+  /** Rows of the platform's table, as the platform itself has them. */
+  async scanTable(
+    prefix: string,
+  ): Promise<Array<{key: string; value: unknown}>> {
+    const {token} = this.entries[0].settings.platform;
+    const answer = await got.post(`${this.platform.url}/v1/table/scan`, {
+      headers: {authorization: `Bearer ${token}`},
+      json: {prefix},
+    });
+    return JSON.parse(answer.body).rows;
+  }
+
   async status(entry: number): Promise<Record<string, unknown>> {
     return JSON.parse((await this.admin(entry, 'GET', 'status')).body);
   }
