Wait for the peer network's last frames when an entry process stops

Cause: `PeerNetwork.stop` became a promise; the entry process closed on without it.

Change: `PeerTask.stop` returns the promise and the shutdown waits for it.

--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -146,7 +146,7 @@
     this.container.get(RevisionTask).stop();
     this.container.get(CellPermits).stop();
     for (const task of this.backgroundTasks()) task.stop();
-    this.container.get(PeerTask).stop();
+    await this.container.get(PeerTask).stop();
     this.callers.closeAllConnections();
     this.admin.stop();
   }
--- a/packages/entry/src/peers/peer_task.ts
+++ b/packages/entry/src/peers/peer_task.ts
@@ -58,10 +58,11 @@
     this.options.network.leave();
   }
 
-  stop(): void {
+  /** Resolves when the last records have left. */
+  async stop(): Promise<void> {
     clearInterval(this.seedTimer);
     this.options.configuration.stop();
-    this.options.network.stop();
+    await this.options.network.stop();
   }
 
   /**
