Send one and the same poison request in the poison scenario

Cause: the scenario sent sixty different requests that each crash an engine; what happens is that one does and that its caller sends it again. Change: the poison stream repeats one prompt. Conclusion: the scenario now asks the question that it is named for.

--- a/packages/stand_ins/src/measure/arrivals.ts
+++ b/packages/stand_ins/src/measure/arrivals.ts
@@ -101,10 +101,11 @@
 function makeArrival(stream: RequestStream, draw: Draw): Arrival {
   const {account, atMs, number, random} = draw;
   const {requestClass, meanOutputTokens} = stream;
-  const manual = Math.floor(random() * MANUALS_PER_ACCOUNT);
-  const shared = words(`${account}-m${manual}`, stream.sharedWords);
-  const question = words(`${requestClass}-q${number}`, QUESTION_WORDS);
   const isPoison = stream.isPoison ?? false;
+  const manual = isPoison ? 0 : Math.floor(random() * MANUALS_PER_ACCOUNT);
+  const shared = words(`${account}-m${manual}`, stream.sharedWords);
+  const asked = isPoison ? 'poison' : `q${number}`;
+  const question = words(`${requestClass}-${asked}`, QUESTION_WORDS);
   const marks = [meanMark(meanOutputTokens)];
   if (isPoison) marks.push(DEFAULT_POISON_MARK);
   const prompt = `${shared} ${question} ${marks.join(' ')}`;
--- a/packages/stand_ins/src/measure/scenario.ts
+++ b/packages/stand_ins/src/measure/scenario.ts
@@ -32,7 +32,7 @@
   /** Words of the manual or history at the start of each prompt. */
   readonly sharedWords: number;
   readonly rateChanges?: readonly RateChange[];
-  /** Each of its requests crashes the engine that runs it. */
+  /** One request, sent again and again, that crashes what runs it. */
   readonly isPoison?: boolean;
 }
 
--- a/packages/stand_ins/src/measure/scenarios.ts
+++ b/packages/stand_ins/src/measure/scenarios.ts
@@ -264,7 +264,7 @@
 const POISON: Scenario = {
   ...KOWHAI_DAY,
   name: 'poison',
-  about: 'Requests that crash each engine that runs them, two in a second',
+  about: 'One request crashes each engine that runs it and is sent again',
   streams: [
     ...KOWHAI_STREAMS,
     {
