Refuse a ticket that breaks shared rules by itself

Cause: submitting checks references in the transaction only; a ticket that gives one key to two accounts, or guarantees more than half of the dispatches, was accepted (seen by hand against an entry process).

Change: checkTicket applies the ticket to an empty configuration and tells shared keys and the sum of shares, with paths in the ticket.

Ruled out: validating at the instance before each submit (a ticket sent again after its answer was lost may by then not fit any more, though it was accepted).

--- a/packages/configuration/src/references.ts
+++ b/packages/configuration/src/references.ts
@@ -36,6 +36,19 @@
     ...listReferences(configuration).flatMap(reference =>
       checkReference(configuration, reference),
     ),
+    ...checkSharedRules(configuration),
+  ];
+}
+
+/**
+ * Checks what objects share: keys, and the dispatches that are guaranteed. A
+ * ticket that breaks one of these by itself breaks it in any configuration.
+ *
+ * @example
+ * const faults = checkSharedRules(configuration);
+ */
+export function checkSharedRules(configuration: Configuration): Fault[] {
+  return [
     ...checkSharedKeys(configuration),
     ...checkGuaranteedShares(configuration),
   ];
--- a/packages/configuration/src/ticket_schema.test.ts
+++ b/packages/configuration/src/ticket_schema.test.ts
@@ -91,6 +91,19 @@
   ]);
 });
 
+test('what can hold in no configuration is a fault of the ticket', t => {
+  const shares = ['a', 'b', 'c'].map(id =>
+    change('request_class', {...CLASS, id, guaranteedShare: 0.2}),
+  );
+  const accounts = ['one', 'one.two'].map(id =>
+    change('client_account', {...ACCOUNT, id}),
+  );
+  t.deepEqual(pathsOf(ticketOf(...shares, ...accounts)), [
+    'changes[4].state.keyHashes[0]',
+    'changes',
+  ]);
+});
+
 for (const url of [
   'ftp://10.0.0.1:8000',
   'http://10.0.0.1:8000/v1',
--- a/packages/configuration/src/ticket_schema.ts
+++ b/packages/configuration/src/ticket_schema.ts
@@ -4,12 +4,17 @@
 import {pathOf, toFaults} from '@snipestage/errors/schema_faults.js';
 import type {
   ChangeTicket,
+  ObjectChange,
   ObjectKind,
 } from '@snipestage/types/configuration.js';
+import {type Revision, brandAs} from '@snipestage/types/ids.js';
 import {z} from 'zod';
+import {applyChanges, emptyConfiguration} from './configuration.js';
 import {idSchemas, objectSchemas} from './object_schemas.js';
+import {checkSharedRules} from './references.js';
 
 const LONGEST_TEXT = 1000;
+const NO_REVISION = brandAs<Revision>(0);
 
 function changeOf<Kind extends ObjectKind>(kind: Kind) {
   return z.strictObject({
@@ -58,12 +63,33 @@
  */
 export function checkTicket(input: unknown): CheckedTicket {
   const result = ticketSchema.safeParse(input);
-  const faults = [
-    ...(result.success ? [] : toFaults(result.error.issues)),
-    ...findIdFaults(input),
-  ];
-  if (faults.length > 0) return {faults};
-  return {ticket: result.data as unknown as ChangeTicket};
+  const idFaults = findIdFaults(input);
+  if (!result.success) {
+    return {faults: [...toFaults(result.error.issues), ...idFaults]};
+  }
+  const ticket = result.data as unknown as ChangeTicket;
+  const faults = [...idFaults, ...findSharedFaults(ticket)];
+  return faults.length > 0 ? {faults} : {ticket};
+}
+
+/** Paths of objects become paths in the ticket. */
+function findSharedFaults({changes}: ChangeTicket): Fault[] {
+  const objects = applyChanges(emptyConfiguration(), changes, NO_REVISION);
+  return checkSharedRules(objects).map(({path, message}) => ({
+    path: ticketPathOf(path, changes),
+    message,
+  }));
+}
+
+function ticketPathOf(path: string, changes: readonly ObjectChange[]): string {
+  const prefixes = changes.map(({kind, id}) => `${kind}/${id}`);
+  // Ids may have dots in them, so that one can look like another's field.
+  const [prefix] = prefixes
+    .filter(each => path.startsWith(`${each}.`))
+    .sort((left, right) => right.length - left.length);
+  if (prefix === undefined) return 'changes';
+  const state = pathOf(['changes', prefixes.indexOf(prefix), 'state']);
+  return state + path.slice(prefix.length);
 }
 
 /**
