--- a/packages/agreement/src/models/claim_model.ts
+++ b/packages/agreement/src/models/claim_model.ts
@@ -14,15 +14,17 @@
   type ClaimState,
   type ClaimStep,
 } from '../claim.js';
-import type {ClaimValue} from '../claim_rows.js';
+import {CLAIMS_PREFIX, type ClaimValue} from '../claim_rows.js';
 import type {TableEffect} from '../table_effects.js';
 import type {Model} from './explore.js';
-import {EMPTY_TABLE} from './table_model.js';
+import {EMPTY_TABLE, scanTable} from './table_model.js';
 import {
   deliver,
   deliverLate,
   listDeliveries,
+  listLate,
   type Delivery,
+  type LateAction,
   type World,
 } from './world_model.js';
 
@@ -49,7 +51,7 @@
       readonly attempt: number;
       readonly delivery: Delivery;
     }
-  | {readonly type: 'late'; readonly index: number}
+  | LateAction
   | {
       readonly type: 'end';
       readonly attempt: number;
@@ -98,10 +100,7 @@
 }
 
 function listClaimActions(state: ClaimWorld): readonly ClaimAction[] {
-  const actions: ClaimAction[] = state.world.late.map((_, index) => ({
-    type: 'late',
-    index,
-  }));
+  const actions: ClaimAction[] = [...listLate(state.world)];
   state.attempts.forEach((item, attempt) => {
     if (item.state === undefined) {
       actions.push({type: 'begin', attempt});
@@ -242,6 +241,8 @@
       (ended === 'not_run' ||
         (ended === 'no' && (!state || state.phase === 'done'))),
   );
-  const values = Object.values(world.table).map(row => row.value as ClaimValue);
+  const values = scanTable(world.table, CLAIMS_PREFIX).map(
+    row => row.value as ClaimValue,
+  );
   return settled && values.some(({status}) => status.kind !== 'released');
 }
--- a/packages/policy/src/cell_owner.ts
+++ b/packages/policy/src/cell_owner.ts
@@ -222,7 +222,7 @@
     this.heardFrom.delete(instance);
     for (const {attempt} of book.heldBy(instance)) this.state.free(attempt);
     book.forgetInstance(instance);
-    for (const request of [...policy.queue.inDispatchOrder()]) {
+    for (const request of policy.queue.all()) {
       if (request.instance !== instance) continue;
       this.state.removeWaiting(request.ask.attempt);
       this.state.counters.withdrawn++;
@@ -241,7 +241,9 @@
       instances.length > 0 &&
       instances.every(instance => this.heardFrom.has(instance));
     const heldMs = nowMs - this.options.startedAtMs;
-    if (allHeard || heldMs >= this.options.graceMs) this.holdingBack = false;
+    if (!allHeard && heldMs < this.options.graceMs) return;
+    this.holdingBack = false;
+    this.state.endpoints.takeOver();
   }
 
   private dispatchAll(nowMs: number): void {
