Send metrics, choose cells by expected wait, tell members and roles

Cause: metrics were described and not sent; a cell was chosen by hash alone; the compact records for progress and use lost the times and marks by which an owner learns limits and knows suspects; a deadline left no time for the answer itself.

--- a/packages/entry/src/admit/in_flight_requests.ts
+++ b/packages/entry/src/admit/in_flight_requests.ts
@@ -41,6 +41,17 @@
     return count;
   }
 
+  countByClass(): Map<RequestClassId, {waiting: number; all: number}> {
+    const counts = new Map<RequestClassId, {waiting: number; all: number}>();
+    for (const {requestClass, phase} of this.requests.values()) {
+      const count = counts.get(requestClass) ?? {waiting: 0, all: 0};
+      count.all += 1;
+      if (phase === 'waiting') count.waiting += 1;
+      counts.set(requestClass, count);
+    }
+    return counts;
+  }
+
   add(request: InFlightRequest): void {
     this.requests.set(request.id, request);
   }
--- a/packages/entry/src/admit/request_intake.ts
+++ b/packages/entry/src/admit/request_intake.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {RequestError} from '@snipestage/errors/request_error.js';
 import type {Logger} from '@snipestage/log/logger.js';
+import type {Metrics} from '@snipestage/log/metrics.js';
 import {brandAs, type RequestId} from '@snipestage/types/ids.js';
 import {refusalOf, sendRefusal} from '../answer/refusal_response.js';
 import type {MonotonicClock} from '../clock.js';
@@ -30,6 +31,7 @@
   readonly inFlight: InFlightRequests;
   readonly clock: MonotonicClock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly isReady: () => boolean;
 }
 
@@ -43,17 +45,19 @@
     handler: RequestHandler,
   ): Promise<void> {
     const id = brandAs<RequestId>(randomUUID());
+    let admitted: AdmittedRequest | undefined;
     try {
-      const admitted = this.admit(id, request);
+      admitted = this.admit(id, request);
       const stopWatching = watchForHangUp(response, admitted);
       try {
         await handler(admitted);
+        this.measure(admitted);
       } finally {
         stopWatching();
         this.options.inFlight.remove(id);
       }
     } catch (error) {
-      this.report(id, error);
+      this.report(id, error, admitted);
       sendRefusal(response, refusalOf(error), id);
     }
   }
@@ -96,8 +100,29 @@
     });
   }
 
-  private report(id: RequestId, error: unknown): void {
+  private measure(admitted: AdmittedRequest): void {
+    const {metrics, clock} = this.options;
+    const tags = {class: admitted.caller.requestClass.id};
+    metrics.count('requests', 1, {...tags, outcome: 'ok'});
+    metrics.timing('request_ms', clock() - admitted.arrivedAtMs, tags);
+  }
+
+  private report(
+    id: RequestId,
+    error: unknown,
+    admitted: AdmittedRequest | undefined,
+  ): void {
     const refusal = refusalOf(error);
+    const requestClass = admitted?.caller.requestClass.id ?? 'unknown';
+    this.options.metrics.count('requests', 1, {
+      class: requestClass,
+      outcome: refusal.code,
+    });
+    this.options.metrics.count('refusals', 1, {
+      class: requestClass,
+      code: refusal.code,
+      verdict: refusal.verdict,
+    });
     const fields = {
       requestId: id,
       code: refusal.code,
--- a/packages/entry/src/agree/lease_task.ts
+++ b/packages/entry/src/agree/lease_task.ts
@@ -12,6 +12,7 @@
 } from '@snipestage/agreement/lease.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {SendGuard} from '@snipestage/platform/platform.js';
+import type {LeaseName} from '@snipestage/types/ids.js';
 import type {MonotonicClock} from '../clock.js';
 import type {TableExecutor} from '../configure/table_executor.js';
 
@@ -51,6 +52,10 @@
     this.listeners.push(listener);
   }
 
+  get name(): LeaseName {
+    return this.options.lease.name;
+  }
+
   get held(): HeldLease | undefined {
     return leaseInForce(this.state, this.options.clock());
   }
--- a/packages/entry/src/choose/cell_clients.ts
+++ b/packages/entry/src/choose/cell_clients.ts
@@ -1,6 +1,7 @@
 /** This instance's side of the cells that it sends requests to. */
 
 import type {CellOutput} from '@snipestage/policy/cell_messages.js';
+import type {CellLoad} from '@snipestage/policy/cell_choice.js';
 import type {Cell} from '@snipestage/policy/cells.js';
 import {PermitClient} from '@snipestage/policy/permit_client.js';
 import type {PolicyName} from '@snipestage/policy/policy_set.js';
@@ -68,6 +69,11 @@
     this.carryOut(ask.cell, client.request(ask, this.options.clock()));
   }
 
+  /** What a request that goes to the cell now has to expect. */
+  load(cell: CellId): CellLoad {
+    return this.cellOf(cell).client.load(this.options.clock());
+  }
+
   withdraw(cell: CellId, attempt: AttemptId): void {
     this.listeners.delete(attempt);
     const {client} = this.cellOf(cell);
--- a/packages/entry/src/choose/cell_owners.ts
+++ b/packages/entry/src/choose/cell_owners.ts
@@ -48,6 +48,10 @@
 
   constructor(private readonly options: CellOwnersOptions) {}
 
+  get count(): number {
+    return this.owned.size;
+  }
+
   /** Takes in a new map: cells come and go, so do their instances. */
   configure(
     map: CellMap,
--- a/packages/entry/src/choose/cell_permits.ts
+++ b/packages/entry/src/choose/cell_permits.ts
@@ -1,12 +1,14 @@
 /** Permits from the owners of cells, own data centre first. */
 
 import {RequestError} from '@snipestage/errors/request_error.js';
+import {chooseCell} from '@snipestage/policy/cell_choice.js';
 import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
 import type {Cell} from '@snipestage/policy/cells.js';
 import type {RequestClass} from '@snipestage/types/configuration.js';
 import {
   brandAs,
   type AttemptId,
+  type CellId,
   type DataCentreId,
   type EndpointId,
   type InstanceId,
@@ -107,25 +109,39 @@
     };
   }
 
-  /** Requests that share a prompt's start meet in the same cell. */
   private pick(
     cells: readonly Cell[],
     request: PermitRequest,
     rank: number,
   ): SearchedCell {
+    const cell = rank === 0 ? this.pickNear(cells, request) : undefined;
     const key = request.prefixHash ?? request.attempt;
-    const ids = cells.map(cell => cell.id);
-    const [cell] = rankByRendezvous(key, ids);
+    const ids = cells.map(({id}) => id);
+    const chosen = cell ?? rankByRendezvous(key, ids)[0];
     const attempt = brandAs<AttemptId>(
       rank === 0 ? request.attempt : `${request.attempt}@${rank}`,
     );
-    return {cell, ask: this.composeAsk(request, attempt, cell)};
+    return {cell: chosen, ask: this.composeAsk(request, attempt, chosen)};
+  }
+
+  /** By expected wait, among the cells that this instance works with. */
+  private pickNear(
+    cells: readonly Cell[],
+    request: PermitRequest,
+  ): CellId | undefined {
+    const {self, clients} = this.options;
+    const own = cells.filter(({instances}) => instances.includes(self));
+    return chooseCell({
+      loads: own.map(({id}) => clients.load(id)),
+      prefixHash: request.prefixHash,
+      random: Math.random,
+    });
   }
 
   private composeAsk(
     request: PermitRequest,
     attempt: AttemptId,
-    cell: Cell['id'],
+    cell: CellId,
   ): PermitAsk {
     const {requestClass} = request;
     return {
--- a/packages/entry/src/compose/bind_handlers.ts
+++ b/packages/entry/src/compose/bind_handlers.ts
@@ -1,6 +1,7 @@
 /** Binds the serving of callers. */
 
 import {Logger} from '@snipestage/log/logger.js';
+import {Metrics} from '@snipestage/log/metrics.js';
 import {Platform} from '@snipestage/platform/platform.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
@@ -38,15 +39,16 @@
   bindClaims(container);
   const {maxBodyBytes} = settings.callers;
   container.bind(RequestIntake).toResolvedValue(
-    (store, inFlight, logger, isReady) =>
+    (store, inFlight, logger, metrics, isReady) =>
       new RequestIntake({
         store,
         inFlight,
         clock: monotonicNowMs,
         logger: logger.forComponent('callers'),
+        metrics,
         isReady,
       }),
-    [ConfigurationStore, InFlightRequests, Logger, IS_READY],
+    [ConfigurationStore, InFlightRequests, Logger, Metrics, IS_READY],
   );
   container
     .bind(ModelHandler)
--- a/packages/entry/src/compose/bind_permits.ts
+++ b/packages/entry/src/compose/bind_permits.ts
@@ -1,5 +1,6 @@
 /** Binds the choice of endpoints. */
 
+import {Metrics} from '@snipestage/log/metrics.js';
 import {PeerNetwork} from '@snipestage/peer/peer_network.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
@@ -7,6 +8,7 @@
 import {CellOwners} from '../choose/cell_owners.js';
 import {CellPermits} from '../choose/cell_permits.js';
 import {ClusterView} from '../choose/cluster_view.js';
+import {MeteredPermits} from '../choose/metered_permits.js';
 import {PermitRouter} from '../choose/permit_router.js';
 import {Permits} from '../choose/permits.js';
 import {SuspectGuard} from '../choose/suspect_guard.js';
@@ -79,5 +81,10 @@
       }),
     [CellPermits, PeerNetwork],
   );
-  container.bind(Permits).toService(SuspectGuard);
+  container
+    .bind(Permits)
+    .toResolvedValue(
+      (permits, metrics) => new MeteredPermits({permits, metrics, clock}),
+      [SuspectGuard, Metrics],
+    );
 }
--- a/packages/entry/src/compose/bind_platform.ts
+++ b/packages/entry/src/compose/bind_platform.ts
@@ -1,11 +1,13 @@
 /** Binds the platform and what follows its table. */
 
+import {Metrics} from '@snipestage/log/metrics.js';
 import {HttpPlatform} from '@snipestage/platform/http_platform.js';
 import {Platform} from '@snipestage/platform/platform.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
 import {monotonicNowMs} from '../clock.js';
 import {ConfigurationStore} from '../configure/configuration_store.js';
+import {MeteredPlatform} from '../configure/metered_platform.js';
 import {RevisionTask} from '../configure/revision_task.js';
 import {TableExecutor} from '../configure/table_executor.js';
 import {TicketDesk} from '../operate/ticket_desk.js';
@@ -15,7 +17,15 @@
   settings: EntrySettings,
 ): void {
   const clock = monotonicNowMs;
-  container.bind(Platform).toConstantValue(new HttpPlatform(settings.platform));
+  container.bind(Platform).toResolvedValue(
+    metrics =>
+      new MeteredPlatform({
+        platform: new HttpPlatform(settings.platform),
+        metrics,
+        clock,
+      }),
+    [Metrics],
+  );
   container
     .bind(TableExecutor)
     .toResolvedValue(
--- a/packages/entry/src/compose/bind_sending.ts
+++ b/packages/entry/src/compose/bind_sending.ts
@@ -1,5 +1,6 @@
 /** Binds the sending of requests to endpoints. */
 
+import {Metrics} from '@snipestage/log/metrics.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
 import {Permits} from '../choose/permits.js';
@@ -25,7 +26,12 @@
   container
     .bind(ServiceDriver)
     .toConstantValue(new HttpServiceDriver({connectTimeoutMs}));
-  container.bind(RetryPolicy).toConstantValue(new BudgetedRetries({clock}));
+  container
+    .bind(RetryPolicy)
+    .toResolvedValue(
+      metrics => new BudgetedRetries({clock, metrics}),
+      [Metrics],
+    );
   container
     .bind(ModelRunner)
     .toResolvedValue(
--- a/packages/entry/src/compose/container.ts
+++ b/packages/entry/src/compose/container.ts
@@ -2,6 +2,7 @@
 
 import 'reflect-metadata';
 import {Logger} from '@snipestage/log/logger.js';
+import {Metrics, NoMetrics, StatsDMetrics} from '@snipestage/log/metrics.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import {Container} from 'inversify';
 import {InFlightRequests} from '../admit/in_flight_requests.js';
@@ -37,6 +38,7 @@
       fields: {instance: settings.instance},
     }),
   );
+  container.bind(Metrics).toConstantValue(createMetrics(settings));
   container.bind(InFlightRequests).toConstantValue(new InFlightRequests());
   container.bind(ConfigurationStore).toConstantValue(new ConfigurationStore());
   container.bind(StateDump).toConstantValue(new StateDump());
@@ -49,3 +51,10 @@
   bindHandlers(container, settings);
   return container;
 }
+
+function createMetrics(settings: EntrySettings): Metrics {
+  if (settings.metrics === undefined) return new NoMetrics();
+  const {instance, dataCentre: data_centre} = settings;
+  const globalTags = {instance, data_centre};
+  return new StatsDMetrics({...settings.metrics, globalTags});
+}
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -1,6 +1,7 @@
 /** The entry daemon: its tasks, started and ended in order. */
 
 import {Logger} from '@snipestage/log/logger.js';
+import {Metrics} from '@snipestage/log/metrics.js';
 import {PeerNetwork} from '@snipestage/peer/peer_network.js';
 import {Platform} from '@snipestage/platform/platform.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
@@ -13,7 +14,9 @@
 import {ClaimDesk} from './admit/claim_desk.js';
 import {InFlightRequests} from './admit/in_flight_requests.js';
 import {RequestIntake} from './admit/request_intake.js';
+import {CellOwners} from './choose/cell_owners.js';
 import {CellPermits} from './choose/cell_permits.js';
+import {ClusterView} from './choose/cluster_view.js';
 import {SuspectGuard} from './choose/suspect_guard.js';
 import {monotonicNowMs} from './clock.js';
 import {ConfigurationStore} from './configure/configuration_store.js';
@@ -34,6 +37,7 @@
 import {connectUsageCopies} from './peers/usage_records.js';
 import {connectSuspects} from './peers/suspect_records.js';
 import {readSealedWindows} from './operate/usage_reader.js';
+import {GaugeTask} from './operate/gauge_task.js';
 import {StateDump} from './operate/state_dump.js';
 import {TicketDesk} from './operate/ticket_desk.js';
 
@@ -46,6 +50,7 @@
   private readonly admin: AdminServer;
   private readonly shutdown: Shutdown;
   private readonly logger: Logger;
+  private readonly gauges: GaugeTask;
 
   constructor(private readonly settings: EntrySettings) {
     this.container = createContainer(
@@ -53,6 +58,7 @@
       () => this.container.get(RevisionTask).isLoaded,
     );
     this.logger = this.container.get(Logger);
+    this.gauges = this.createGaugeTask();
     this.callers = this.createCallersServer();
     this.shutdown = this.createShutdown();
     this.admin = this.createAdminServer();
@@ -123,6 +129,17 @@
     });
   }
 
+  private createGaugeTask(): GaugeTask {
+    return new GaugeTask({
+      metrics: this.container.get(Metrics),
+      store: this.container.get(ConfigurationStore),
+      view: this.container.get(ClusterView),
+      owners: this.container.get(CellOwners),
+      inFlight: this.container.get(InFlightRequests),
+      leases: this.leases(),
+    });
+  }
+
   private createShutdown(): Shutdown {
     const {balancerLagMs, graceMs} = this.settings.shutdown;
     return new Shutdown({
@@ -148,6 +165,7 @@
     for (const task of this.backgroundTasks()) task.stop();
     await this.container.get(PeerTask).stop();
     this.callers.closeAllConnections();
+    await this.container.get(Metrics).close();
     this.admin.stop();
   }
 
@@ -172,6 +190,7 @@
       this.container.get(PlanTask),
       this.container.get(UsageCopies),
       this.container.get(UsageReportTask),
+      this.gauges,
     ];
   }
 
@@ -204,6 +223,18 @@
       reason,
       revision: this.container.get(ConfigurationStore).revision,
       inFlight: this.container.get(InFlightRequests).count,
+      roles: this.leases()
+        .filter(lease => lease.held !== undefined)
+        .map(lease => lease.name),
+      members: this.container
+        .get(PeerNetwork)
+        .members()
+        .map(({id, dataCentre, state, revision}) => ({
+          id,
+          dataCentre,
+          state,
+          revision,
+        })),
     };
   }
 
--- a/packages/entry/src/operate/ticket_desk.ts
+++ b/packages/entry/src/operate/ticket_desk.ts
@@ -12,6 +12,7 @@
 } from '@snipestage/agreement/ticket_rows.js';
 import {applyChanges} from '@snipestage/configuration/configuration.js';
 import {checkReferences} from '@snipestage/configuration/references.js';
+import {checkSharedRules} from '@snipestage/configuration/references.js';
 import {checkTicket} from '@snipestage/configuration/ticket_schema.js';
 import type {Fault} from '@snipestage/errors/request_error.js';
 import type {Platform} from '@snipestage/platform/platform.js';
@@ -58,6 +59,8 @@
   async submit(input: unknown): Promise<SubmitOutcome> {
     const checked = checkTicket(input);
     if ('faults' in checked) return {kind: 'malformed', faults: checked.faults};
+    const shared = this.checkShared(checked.ticket);
+    if (shared.length > 0) return {kind: 'malformed', faults: shared};
     let step = beginTicket({ticket: checked.ticket});
     while (step.state.outcome === undefined) {
       const event = await this.options.executor.carryOut(step.effects[0]);
@@ -81,6 +84,16 @@
     return {kind: 'tickets', tickets};
   }
 
+  /**
+   * What concerns objects that do not refer to one another, such as one key in
+   * two accounts, is checked by what is in force here. Two tickets that race
+   * can still bring it about; such a key then opens neither account.
+   */
+  private checkShared(ticket: ChangeTicket): readonly Fault[] {
+    const {current, revision} = this.options.store;
+    return checkSharedRules(applyChanges(current, ticket.changes, revision));
+  }
+
   private checkAgainstCurrent(ticket: ChangeTicket): readonly Fault[] {
     const {current, revision} = this.options.store;
     return checkReferences(applyChanges(current, ticket.changes, revision));
--- a/packages/entry/src/peers/permit_records.ts
+++ b/packages/entry/src/peers/permit_records.ts
@@ -24,11 +24,9 @@
       return {kind: 'withdraw', cell, attempt: input.attempt};
     case 'release':
       return {kind: 'release', release: input.release};
-    case 'progress':
-      return {kind: 'progress', cell, progress: input.progress};
-    case 'in_use':
-      return {kind: 'in_use', cell, permits: input.permits};
     default:
+      // Progress and what is in use too: their compact forms lack the times
+      // and marks by which an owner learns limits and knows suspects.
       return extend(record);
   }
 }
@@ -58,18 +56,6 @@
         instance: from,
         release: record.release,
       });
-    case 'progress':
-      return toOwner(record.cell, {
-        kind: 'progress',
-        instance: from,
-        progress: record.progress,
-      });
-    case 'in_use':
-      return toOwner(record.cell, {
-        kind: 'in_use',
-        instance: from,
-        permits: record.permits,
-      });
     case 'extension':
       return record.name === PERMIT_EXTENSION
         ? unextend(record.json, from)
--- a/packages/entry/src/send/budgeted_retries.ts
+++ b/packages/entry/src/send/budgeted_retries.ts
@@ -1,9 +1,11 @@
 /** Further attempts within a budget per request class. */
 
+import type {Metrics} from '@snipestage/log/metrics.js';
 import {
   ClassBudgets,
   DEFAULT_RETRY_BUDGET,
   mayRetry,
+  type RetryDecision as BudgetDecision,
 } from '@snipestage/policy/retry_budget.js';
 import type {RequestClassId} from '@snipestage/types/ids.js';
 import type {MonotonicClock} from '../clock.js';
@@ -17,6 +19,7 @@
 export interface BudgetedRetriesOptions {
   readonly clock: MonotonicClock;
   readonly random?: () => number;
+  readonly metrics?: Metrics;
 }
 
 /**
@@ -35,7 +38,7 @@
   }
 
   decide(failed: FailedAttempt): RetryDecision {
-    return mayRetry({
+    const decision = mayRetry({
       verdict: failed.verdict,
       idempotent: failed.repeatable,
       attempts: failed.attempts,
@@ -45,5 +48,18 @@
       nowMs: this.options.clock(),
       random: this.options.random ?? Math.random,
     });
+    this.measure(failed, decision);
+    return decision;
+  }
+
+  private measure(failed: FailedAttempt, decision: BudgetDecision): void {
+    const {metrics} = this.options;
+    const tags = {class: failed.requestClass};
+    if (decision.kind === 'retry') {
+      metrics?.count('retries', 1, {...tags, cause: failed.cause});
+    } else {
+      const {reason} = decision;
+      metrics?.count('retries_stopped', 1, {...tags, reason});
+    }
   }
 }
--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -24,6 +24,7 @@
   EngineEvent,
 } from './engine_driver.js';
 import {outcomeOf} from './attempt_outcome.js';
+import {timeToStartMs} from './time_to_start.js';
 import type {RetryDecision, RetryPolicy} from './retry_policy.js';
 
 const SLOWEST_FIRST_TOKEN_FACTOR = 10;
@@ -99,14 +100,15 @@
 
   private async acquire(work: ModelWork, progress: Progress): Promise<Permit> {
     progress.attempts += 1;
-    const {deadlineMs} = work.requestClass;
+    const {expectedTokens} = work.permit;
     const elapsedMs = this.options.clock() - work.arrivedAtMs;
+    const time = {elapsedMs, expectedTokens};
     return acquirePermit(
       this.options.permits,
       {
         ...work.permit,
         attempt: attemptId(work.requestId, progress.attempts),
-        remainingMs: deadlineMs - elapsedMs,
+        remainingMs: timeToStartMs(work.requestClass, time),
         excluded: progress.excluded,
       },
       work.signal,
