--- a/packages/settings/src/entry_settings.ts
+++ b/packages/settings/src/entry_settings.ts
@@ -155,8 +155,6 @@
   connectTimeoutMs: durationMs
     .default(1000)
     .describe('for a connection to an endpoint'),
-    .default(30_000)
-    .describe('after which a connection to an endpoint is replaced'),
 });
 
 /** The schema; unknown fields are faults. */
