Leave the flooding account out of the worst-served figure

Cause: in the flood scenario the account that floods is itself served worst, and hid how the others fare. Change: accounts whose own rate is raised are left out of the comparison. Conclusion: the figure now tells how the other accounts fare; flood was not run again after the change.

--- a/packages/stand_ins/src/measure/figures.ts
+++ b/packages/stand_ins/src/measure/figures.ts
@@ -32,7 +32,10 @@
   readonly wastedShare: number;
   /** Tokens lost in crashes, over all tokens produced. */
   readonly crashLostShare: number;
-  /** Attainment of the worst-served account over the median account's. */
+  /**
+   * Attainment of the worst-served account over the median account's, less
+   * the one that floods.
+   */
   readonly worstAccountOverMedian: number;
   /** Fewest whole answers of the lowest class in any 10 s of the run. */
   readonly lowestClassLeastPer10S: number;
@@ -211,7 +214,12 @@
   scenario: Scenario,
   outcomes: readonly Outcome[],
 ): number {
-  const accounts = new Set(outcomes.map(({arrival}) => arrival.account));
+  const flooding = floodingAccounts(scenario);
+  const accounts = new Set(
+    outcomes
+      .map(({arrival}) => arrival.account)
+      .filter(account => !flooding.has(account)),
+  );
   const shares = [...accounts].map(account => {
     const own = outcomes.filter(({arrival}) => arrival.account === account);
     return attainmentOf(scenario, innocent(own)).all;
@@ -220,6 +228,12 @@
   return median === 0 ? 0 : Math.min(...shares) / median;
 }
 
+/** Served worst by its own doing; the others are to be told. */
+function floodingAccounts(scenario: Scenario): Set<string | undefined> {
+  const changes = scenario.streams.flatMap(stream => stream.rateChanges ?? []);
+  return new Set(changes.map(({account}) => account));
+}
+
 function leastPerWindow(
   scenario: Scenario,
   outcomes: readonly Outcome[],
