Run one copy of a suspected request at a time

Change: a trial of a fingerprint is told to all instances; copies wait for its end and are then judged anew. Ruled out: refusing copies at once (an innocent request sent twice would be refused for the other's crash).

--- a/packages/entry/src/choose/suspect_guard.ts
+++ b/packages/entry/src/choose/suspect_guard.ts
@@ -15,6 +15,9 @@
   type Permit,
   type PermitRequest,
 } from './permits.js';
+import type {SuspectTrials} from './suspect_trials.js';
+
+const TRIAL_RETRY_AFTER_MS = 5000;
 
 /** Options of {@link SuspectGuard}. */
 export interface SuspectGuardOptions {
@@ -22,6 +25,7 @@
   readonly self: InstanceId;
   readonly incarnation: () => Incarnation;
   readonly clock: MonotonicClock;
+  readonly trials: SuspectTrials;
   /** Told of what other instances should know. */
   readonly spread: (crashes: readonly ReportedCrash[]) => void;
 }
@@ -35,21 +39,25 @@
 export class SuspectGuard extends Permits {
   private readonly table = new SuspectTable();
   private readonly inFlight = new Map<EndpointId, Fingerprint[]>();
+  private readonly trials: SuspectTrials;
   private crashes = 0;
 
   constructor(private readonly options: SuspectGuardOptions) {
     super();
+    this.trials = options.trials;
   }
 
   async acquire(request: PermitRequest, signal: AbortSignal): Promise<Permit> {
-    const {permits, clock} = this.options;
+    const {permits} = this.options;
     const {fingerprint} = request;
-    const judgement = this.table.judge(fingerprint, clock());
-    if (judgement.kind === 'refuse') {
-      throw suspectedCrash(judgement.retryAfterMs);
+    const suspect = await this.waitForTurn(request, signal);
+    let permit: Permit;
+    try {
+      permit = await permits.acquire({...request, suspect}, signal);
+    } catch (error) {
+      if (suspect) this.trials.end(fingerprint);
+      throw error;
     }
-    const suspect = judgement.kind === 'run_alone';
-    const permit = await permits.acquire({...request, suspect}, signal);
     const endpoint = permit.endpoint.id;
     this.enter(endpoint, fingerprint);
     return {
@@ -57,12 +65,36 @@
       progress: tokens => permit.progress(tokens),
       release: report => {
         this.settle(permit, fingerprint, report);
+        if (suspect) this.trials.end(fingerprint);
         this.leave(endpoint, fingerprint);
         permit.release(report);
       },
     };
   }
 
+  /** True when the request must run alone; its trial has begun then. */
+  private async waitForTurn(
+    {fingerprint, remainingMs}: PermitRequest,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const {clock} = this.options;
+    const deadlineMs = clock() + remainingMs;
+    for (;;) {
+      const judgement = this.table.judge(fingerprint, clock());
+      if (judgement.kind === 'refuse') {
+        throw suspectedCrash(judgement.retryAfterMs);
+      }
+      if (judgement.kind === 'clear') return false;
+      if (!this.trials.isRunning(fingerprint)) break;
+      if (clock() > deadlineMs) throw suspectedCrash(TRIAL_RETRY_AFTER_MS);
+      await this.trials.lookAgainLater(signal);
+      // The permits below refuse what has been aborted.
+      if (signal.aborted) return false;
+    }
+    this.trials.begin(fingerprint);
+    return true;
+  }
+
   /** Takes in what another instance tells. */
   take(crashes: readonly ReportedCrash[]): void {
     const nowMs = this.options.clock();
--- a/packages/entry/src/compose/bind_permits.ts
+++ b/packages/entry/src/compose/bind_permits.ts
@@ -11,12 +11,13 @@
 import {MeteredPermits} from '../choose/metered_permits.js';
 import {PermitRouter} from '../choose/permit_router.js';
 import {Permits} from '../choose/permits.js';
+import {SuspectTrials} from '../choose/suspect_trials.js';
 import {SuspectGuard} from '../choose/suspect_guard.js';
 import {monotonicNowMs} from '../clock.js';
 import {ConfigurationStore} from '../configure/configuration_store.js';
 import {EndpointDirectory} from '../endpoints/endpoint_directory.js';
 import {toPeerRecord} from '../peers/permit_records.js';
-import {toSuspectRecord} from '../peers/suspect_records.js';
+import {toSuspectRecord, toTrialRecord} from '../peers/suspect_records.js';
 
 /** Permits: the router, the owned cells and the clients of all others. */
 export function bindPermits(
@@ -70,16 +71,26 @@
       CellClients,
     ],
   );
+  container.bind(SuspectTrials).toResolvedValue(
+    network =>
+      new SuspectTrials({
+        self,
+        clock,
+        spread: news => network.broadcast(toTrialRecord(news)),
+      }),
+    [PeerNetwork],
+  );
   container.bind(SuspectGuard).toResolvedValue(
-    (permits, network) =>
+    (permits, trials, network) =>
       new SuspectGuard({
         permits,
+        trials,
         self,
         incarnation: () => network.self().incarnation,
         clock,
         spread: crashes => network.broadcast(toSuspectRecord(crashes)),
       }),
-    [CellPermits, PeerNetwork],
+    [CellPermits, SuspectTrials, PeerNetwork],
   );
   container
     .bind(Permits)
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -17,6 +17,7 @@
 import {CellOwners} from './choose/cell_owners.js';
 import {CellPermits} from './choose/cell_permits.js';
 import {ClusterView} from './choose/cluster_view.js';
+import {SuspectTrials} from './choose/suspect_trials.js';
 import {SuspectGuard} from './choose/suspect_guard.js';
 import {monotonicNowMs} from './clock.js';
 import {ConfigurationStore} from './configure/configuration_store.js';
@@ -68,6 +69,7 @@
       this.container.get(PeerTask),
       this.container.get(PeerNetwork),
       this.container.get(SuspectGuard),
+      this.container.get(SuspectTrials),
     );
     connectUsageCopies(
       this.container.get(PeerTask),
--- a/packages/entry/src/peers/suspect_records.ts
+++ b/packages/entry/src/peers/suspect_records.ts
@@ -4,9 +4,11 @@
 import type {PeerRecord} from '@snipestage/peer/records.js';
 import type {ReportedCrash} from '@snipestage/policy/suspects.js';
 import type {SuspectGuard} from '../choose/suspect_guard.js';
+import type {SuspectTrials, TrialNews} from '../choose/suspect_trials.js';
 import type {PeerTask} from './peer_task.js';
 
 const CRASHES = 'crashes';
+const TRIAL = 'suspect_trial';
 const CRASHES_WANTED = 'crashes_wanted';
 
 /**
@@ -18,19 +20,32 @@
   return {kind: 'extension', name: CRASHES, json};
 }
 
+/**
+ * @example
+ * network.broadcast(toTrialRecord({fingerprint, running: true}));
+ */
+export function toTrialRecord(news: TrialNews): PeerRecord {
+  const json = Buffer.from(JSON.stringify(news));
+  return {kind: 'extension', name: TRIAL, json};
+}
+
 /**
  * Takes in what others tell, and asks the first instance met for all that it
  * knows: a caller sends a request again to whichever instance the balancer
  * picks, also to one that has just started.
  *
  * @example
- * connectSuspects(peerTask, network, guard);
+ * connectSuspects(peerTask, network, guard, trials);
  */
 export function connectSuspects(
   peers: PeerTask,
   network: PeerNetwork,
   guard: SuspectGuard,
+  trials: SuspectTrials,
 ): void {
+  peers.onExtension(TRIAL, (json, from) => {
+    trials.take(JSON.parse(json.toString('utf8')) as TrialNews, from);
+  });
   peers.onExtension(CRASHES, json => {
     guard.take(JSON.parse(json.toString('utf8')) as ReportedCrash[]);
   });
