Know a prompt that crashes engines again whatever else the request says

By reading: a crash while running alone on an engine that is back within 5 s was taken for the crash before. Change: the fingerprint covers account, model and prompt; a crash while alone counts by itself. The key test asks for longer answers, so that they still run on a busy machine when the key is withdrawn.

--- a/packages/entry/src/choose/suspect_guard.ts
+++ b/packages/entry/src/choose/suspect_guard.ts
@@ -64,7 +64,7 @@
       endpoint: permit.endpoint,
       progress: tokens => permit.progress(tokens),
       release: report => {
-        this.settle(permit, fingerprint, report);
+        this.settle(permit, {fingerprint, alone: suspect}, report);
         if (suspect) this.trials.end(fingerprint);
         this.leave(endpoint, fingerprint);
         permit.release(report);
@@ -114,17 +114,17 @@
 
   private settle(
     permit: Permit,
-    fingerprint: Fingerprint,
+    ran: {readonly fingerprint: Fingerprint; readonly alone: boolean},
     report: AttemptReport,
   ): void {
-    if (report.outcome === 'ok') this.table.finish(fingerprint);
-    if (report.brokeOff === true) this.reportCrash(permit);
+    if (report.outcome === 'ok') this.table.finish(ran.fingerprint);
+    if (report.brokeOff === true) this.reportCrash(permit, ran.alone);
     const nowMs = this.options.clock();
     const changes = this.table.takeChanges(nowMs);
     if (changes.length > 0) this.options.spread(changes);
   }
 
-  private reportCrash({endpoint}: Permit): void {
+  private reportCrash({endpoint}: Permit, alone: boolean): void {
     const {self, incarnation, clock} = this.options;
     this.crashes += 1;
     const crash: ReportedCrash = {
@@ -133,6 +133,7 @@
       dataCentre: endpoint.dataCentre,
       ageMs: 0,
       inFlight: [...new Set(this.inFlight.get(endpoint.id))],
+      alone,
       cleared: [],
     };
     this.table.merge([crash], clock());
--- a/packages/entry/src/identify/fingerprint.ts
+++ b/packages/entry/src/identify/fingerprint.ts
@@ -25,6 +25,22 @@
   return brandAs<Fingerprint>(hash.digest('hex'));
 }
 
+/**
+ * Fingerprint of what an engine is asked to work on. Without the sampling
+ * parameters: a prompt that crashes engines does so whatever length is asked
+ * for, and callers change such fields when they try again.
+ *
+ * @example
+ * const fingerprint = promptFingerprintOf(account.id, body);
+ */
+export function promptFingerprintOf(
+  clientAccount: ClientAccountId,
+  body: Readonly<Record<string, unknown>>,
+): Fingerprint {
+  const prompt = JSON.stringify(body.messages ?? body.prompt ?? null);
+  return fingerprintOf(clientAccount, String(body.model), prompt);
+}
+
 /**
  * Hash of a prompt's start: engines keep what they computed for a prefix, so
  * requests that share it are cheaper at the same engine.
--- a/packages/entry/src/listen/model_handler.ts
+++ b/packages/entry/src/listen/model_handler.ts
@@ -12,7 +12,11 @@
 import {StreamSink} from '../answer/stream_sink.js';
 import {WholeSink} from '../answer/whole_sink.js';
 import type {ConfigurationStore} from '../configure/configuration_store.js';
-import {fingerprintOf, prefixHashOf} from '../identify/fingerprint.js';
+import {
+  fingerprintOf,
+  prefixHashOf,
+  promptFingerprintOf,
+} from '../identify/fingerprint.js';
 import type {CompletionPath} from '../send/engine_driver.js';
 import type {ModelRunner, ModelWork} from '../send/model_runner.js';
 import {parseJsonObject, readBody} from './read_body.js';
@@ -157,7 +161,7 @@
       requestClass,
       expectedTokens,
       prefixHash: prefixHashOf(body),
-      fingerprint: fingerprintOf(clientAccount.id, parsed.bodyBytes),
+      fingerprint: promptFingerprintOf(clientAccount.id, body),
       repeatable: true,
     },
   };
--- a/packages/entry/src/sessions/keys.test.ts
+++ b/packages/entry/src/sessions/keys.test.ts
@@ -7,7 +7,7 @@
   type Answer,
 } from './test_world.js';
 
-const MANY_TOKENS = 400;
+const MANY_TOKENS = 4000;
 
 test('a withdrawn key stops for new, waiting and running work', async t => {
   // A shop's key has leaked and is withdrawn while its requests run and wait at
--- a/packages/policy/src/suspects.test.ts
+++ b/packages/policy/src/suspects.test.ts
@@ -172,3 +172,32 @@
   fc.assert(property, {seed: SEED});
   t.pass();
 });
+
+test('a crash while running alone counts though the endpoint is back at once', t => {
+  // An engine crashes under a request, is back within a second and crashes
+  // again under the same request running there alone. Taken for one crash, the
+  // request would take the engine down again and again.
+  const table = new SuspectTable();
+  const crash = (number: number, atMs: number, alone: boolean) =>
+    table.merge(
+      [
+        {
+          id: `akl-a-1/life/${number}`,
+          endpoint: brandAs('e1'),
+          dataCentre: brandAs('akl-a'),
+          ageMs: 0,
+          inFlight: alone
+            ? [brandAs('poison')]
+            : [brandAs('poison'), brandAs('innocent')],
+          alone,
+          cleared: [],
+        },
+      ],
+      atMs,
+    );
+  crash(1, 0, false);
+  t.is(table.judge(brandAs('poison'), 100).kind, 'run_alone');
+  crash(2, 1000, true);
+  t.is(table.judge(brandAs('poison'), 1100).kind, 'refuse');
+  t.is(table.judge(brandAs('innocent'), 1100).kind, 'run_alone');
+});
--- a/packages/policy/src/suspects.ts
+++ b/packages/policy/src/suspects.ts
@@ -24,6 +24,8 @@
   readonly ageMs: number;
   /** What that instance had in flight there. */
   readonly inFlight: readonly Fingerprint[];
+  /** The one in flight had the endpoint to itself; false if absent. */
+  readonly alone?: boolean;
   /** Those of them that have since finished at another endpoint. */
   readonly cleared: readonly Fingerprint[];
 }
@@ -62,6 +64,7 @@
   readonly dataCentre: DataCentreId;
   atMs: number;
   readonly inFlight: ReadonlySet<Fingerprint>;
+  readonly alone: boolean;
   readonly cleared: Set<Fingerprint>;
 }
 
@@ -155,10 +158,10 @@
   }
 
   private add(reported: ReportedCrash, atMs: number): Crash {
-    const {id, endpoint, dataCentre} = reported;
+    const {id, endpoint, dataCentre, alone = false} = reported;
     const inFlight = new Set(reported.inFlight);
     const cleared = new Set<Fingerprint>();
-    const crash = {id, endpoint, dataCentre, atMs, inFlight, cleared};
+    const crash = {id, endpoint, dataCentre, atMs, inFlight, alone, cleared};
     this.crashes.set(id, crash);
     this.changed.add(crash);
     for (const fingerprint of inFlight) {
@@ -193,8 +196,10 @@
    * alone, whoever broke off last would seem to have run there alone.
    */
   private companyAt(crash: Crash): Fingerprint[] {
+    if (crash.alone) return [...crash.inFlight];
     const pieces = [...this.crashes.values()].filter(
       other =>
+        !other.alone &&
         other.endpoint === crash.endpoint &&
         Math.abs(other.atMs - crash.atMs) <= SAME_CRASH_MS,
     );
@@ -253,7 +258,13 @@
   const inOrder = [...crashes].sort((left, right) => left.atMs - right.atMs);
   const lastAtMs = new Map<EndpointId, number>();
   let count = 0;
-  for (const {endpoint, atMs} of inOrder) {
+  for (const {endpoint, atMs, alone} of inOrder) {
+    // Nobody else was there to report it too; and the endpoint may have come
+    // back so soon that this crash would else be taken for the one before.
+    if (alone) {
+      count += 1;
+      continue;
+    }
     const last = lastAtMs.get(endpoint);
     if (last === undefined || atMs - last > SAME_CRASH_MS) count += 1;
     lastAtMs.set(endpoint, atMs);
@@ -268,6 +279,7 @@
     dataCentre: crash.dataCentre,
     ageMs: Math.max(0, nowMs - crash.atMs),
     inFlight: [...crash.inFlight],
+    alone: crash.alone,
     cleared: [...crash.cleared],
   };
 }
