Read the table from two instances a data centre again

Cause: control cost grew by 1.1 table reads a second per process: the choice of readers had got lost when the container was split, so every instance polled. Change: the choice is wired again. Ruled out: lease candidates (they are three a data centre at every size). Conclusion: kept; the idle cost stays open.

--- a/packages/entry/src/compose/bind_platform.ts
+++ b/packages/entry/src/compose/bind_platform.ts
@@ -11,6 +11,7 @@
 import {RevisionTask} from '../configure/revision_task.js';
 import {TableExecutor} from '../configure/table_executor.js';
 import {TicketDesk} from '../operate/ticket_desk.js';
+import {PeerTask} from '../peers/peer_task.js';
 
 export function bindPlatform(
   container: Container,
@@ -39,6 +40,7 @@
         executor,
         clock,
         pollMs: settings.platform.pollMs,
+        shouldPoll: () => container.get(PeerTask).shouldReadTable(),
       }),
     [ConfigurationStore, TableExecutor],
   );
