--- a/packages/entry/src/compose/bind_usage.ts
+++ b/packages/entry/src/compose/bind_usage.ts
@@ -9,6 +9,7 @@
 import {UsageCopies} from '../account/usage_copies.js';
 import {UsageCounterTask} from '../account/usage_counter_task.js';
 import {UsageReportTask} from '../account/usage_report_task.js';
+import {ClaimCleanupTask} from '../admit/claim_cleanup_task.js';
 import {ClusterView} from '../choose/cluster_view.js';
 import {TableExecutor} from '../configure/table_executor.js';
 import {findUsageKeeper, toUsageRecord} from '../peers/usage_records.js';
@@ -57,6 +58,14 @@
       }),
     [TableExecutor, ClusterView, Logger],
   );
+  container.bind(ClaimCleanupTask).toResolvedValue(
+    (lease, platform) =>
+      new ClaimCleanupTask({
+        platform,
+        isInCharge: () => lease.held !== undefined,
+      }),
+    [USAGE_LEASE, Platform],
+  );
   container.bind(UsageReportTask).toResolvedValue(
     (lease, executor, platform, logger) =>
       new UsageReportTask({
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -11,6 +11,7 @@
 import {UsageCopies} from './account/usage_copies.js';
 import {UsageReportTask} from './account/usage_report_task.js';
 import {UsageCounterTask} from './account/usage_counter_task.js';
+import {ClaimCleanupTask} from './admit/claim_cleanup_task.js';
 import {ClaimDesk} from './admit/claim_desk.js';
 import {InFlightRequests} from './admit/in_flight_requests.js';
 import {RequestIntake} from './admit/request_intake.js';
@@ -192,6 +193,7 @@
       this.container.get(PlanTask),
       this.container.get(UsageCopies),
       this.container.get(UsageReportTask),
+      this.container.get(ClaimCleanupTask),
       this.gauges,
     ];
   }
