Keep a permit within its allotment when a list does not say

The compact form of in_use on the wire leaves underAllotment out, and the owner took that for false: the request then counted beside the allotment that it is part of, and half the permits lay idle until the next plan. Absent now means as known. Found by reading; not measured.

--- a/packages/policy/src/cell_owner.test.ts
+++ b/packages/policy/src/cell_owner.test.ts
@@ -120,6 +120,18 @@
   t.is(betweenTokensMs, 100);
 });
 
+test('a list that does not say so leaves a permit within its allotment', t => {
+  // The field is lost on the way. Counted besides the allotment that it is part
+  // of, each running request would take two permits of its endpoint.
+  const owner = createOwner([makeEndpoint('e1')]);
+  const permit = {...makeAsk('a'), endpoint: makeEndpoint('e1').id};
+  const told = {...permit, outputTokens: 0, underAllotment: true};
+  owner.receive({kind: 'started', instance: FIRST, permits: [told]}, 0);
+  const listed = {...told, underAllotment: undefined};
+  owner.receive({kind: 'in_use', instance: FIRST, permits: [listed]}, 1);
+  t.true(owner.snapshot(1).permits[0].underAllotment);
+});
+
 test('a suspect runs alone', t => {
   // A request was in flight where an endpoint crashed. Were it to run beside
   // others, the next crash would end their streams as well.
--- a/packages/policy/src/permit_reports.ts
+++ b/packages/policy/src/permit_reports.ts
@@ -134,7 +134,8 @@
     this.state.removeWaiting(told.attempt);
     const known = this.state.book.get(told.attempt);
     if (known !== undefined && known.endpoint === told.endpoint) {
-      this.state.book.confirm(known, told.underAllotment ?? false);
+      const {underAllotment = known.underAllotment} = told;
+      this.state.book.confirm(known, underAllotment);
       return;
     }
     const permit: HeldPermit = {
