--- a/packages/entry/src/send/http_engine_driver.ts
+++ b/packages/entry/src/send/http_engine_driver.ts
@@ -1,6 +1,6 @@
 /** Speaks to OpenAI-compatible engines, as docs/INTERFACES.md describes them. */
 
-import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
+import type {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import type {AttemptId} from '@snipestage/types/ids.js';
 import {got, type Request} from 'got';
 import {EndpointError} from './endpoint_error.js';
@@ -10,6 +10,7 @@
   type EngineListener,
 } from './engine_driver.js';
 import {EventReader} from './event_reader.js';
+import {openEndpoint} from './open_endpoint.js';
 import {SilenceTimer} from './silence_timer.js';
 
 const ENDED_EARLY = 'The stream ended before its end mark.';
@@ -36,7 +37,11 @@
   }
 
   async run(call: EngineCall, listener: EngineListener): Promise<void> {
-    const connection = await this.open(call);
+    const connection = await openEndpoint({
+      url: call.url,
+      connectTimeoutMs: this.connectTimeoutMs,
+      signal: call.signal,
+    });
     const silence = new SilenceTimer(call.firstTokenTimeoutMs, () =>
       connection.reset(),
     );
@@ -62,21 +67,6 @@
       // The engine also stops when the connection closes.
     }
   }
-
-  private async open(call: EngineCall): Promise<FreshConnection> {
-    const url = new URL(call.url);
-    const connection = await FreshConnection.open({
-      host: url.hostname,
-      port: Number(url.port),
-      connectTimeoutMs: this.connectTimeoutMs,
-      signal: call.signal,
-    });
-    if (connection.kind === 'open') return connection;
-    throw new EndpointError(`No connection: ${connection.reason}`, {
-      kind: call.signal.aborted ? 'cancelled' : 'unreachable',
-      verdict: 'not_run',
-    });
-  }
 }
 
 function startRequest(call: EngineCall, connection: FreshConnection): Request {
--- a/packages/entry/src/send/http_service_driver.ts
+++ b/packages/entry/src/send/http_service_driver.ts
@@ -1,9 +1,10 @@
 /** Calls plain services over HTTP. */
 
-import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
+import type {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import {got, type Method, type Response} from 'got';
 import {EndpointError} from './endpoint_error.js';
 import {forwardedResponseHeaders} from './forwarded_headers.js';
+import {openEndpoint} from './open_endpoint.js';
 import {
   ServiceDriver,
   type ServiceAnswer,
@@ -28,7 +29,11 @@
   }
 
   async call(call: ServiceCall): Promise<ServiceAnswer> {
-    const connection = await this.open(call);
+    const connection = await openEndpoint({
+      url: call.url,
+      connectTimeoutMs: this.connectTimeoutMs,
+      signal: call.signal,
+    });
     const timeout = AbortSignal.timeout(call.timeoutMs);
     timeout.addEventListener('abort', () => connection.reset());
     try {
@@ -45,21 +50,6 @@
       connection.reset();
     }
   }
-
-  private async open(call: ServiceCall): Promise<FreshConnection> {
-    const url = new URL(call.url);
-    const connection = await FreshConnection.open({
-      host: url.hostname,
-      port: Number(url.port),
-      connectTimeoutMs: this.connectTimeoutMs,
-      signal: call.signal,
-    });
-    if (connection.kind === 'open') return connection;
-    throw new EndpointError(`No connection: ${connection.reason}`, {
-      kind: call.signal.aborted ? 'cancelled' : 'unreachable',
-      verdict: 'not_run',
-    });
-  }
 }
 
 function send(
