Tell when a request begins to answer, and test withdrawal by that

Cause: the state dump said 'running' from the permit on, before a byte had left for the engine; 'answering' was declared and never set. The test took 'running' for 'the stream has begun', so beside busy processes it withdrew the key before the first token, and those two requests were rightly refused with 401.

Ruled out: a false verdict. The verdict comes from the connection: 'not_run' only while no byte has left. A new test withdraws the key while the engine's own log says that it runs the request and before its first token: the answer says 'may_have_run'.

Change: the phase becomes 'answering' with the first token; the test waits for two requests in that phase.

--- a/packages/entry/src/admit/in_flight_requests.ts
+++ b/packages/entry/src/admit/in_flight_requests.ts
@@ -8,6 +8,11 @@
   RequestId,
 } from '@snipestage/types/ids.js';
 
+/**
+ * - `waiting`: for leave to run; no byte has left for an endpoint.
+ * - `running`: it has leave; an endpoint may have it, or may be about to.
+ * - `answering`: the caller has got the start of its answer.
+ */
 export type RequestPhase = 'waiting' | 'running' | 'answering';
 
 /** One request in progress. */
--- a/packages/entry/src/listen/model_handler.ts
+++ b/packages/entry/src/listen/model_handler.ts
@@ -155,6 +155,9 @@
     onStart: () => {
       admitted.inFlight.phase = 'running';
     },
+    onFirstToken: () => {
+      admitted.inFlight.phase = 'answering';
+    },
     permit: {
       target: {kind: 'model', model: model.id},
       clientAccount,
--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -43,6 +43,8 @@
   readonly permit: Omit<PermitRequest, 'attempt' | 'remainingMs' | 'excluded'>;
   /** Told when the first attempt has leave to run. */
   readonly onStart?: () => void;
+  /** Told when the first token is on its way to the caller. */
+  readonly onFirstToken?: () => void;
 }
 
 /** Options of {@link ModelRunner}. */
@@ -193,6 +195,7 @@
         const written = events.map(event =>
           this.take(event, progress, sink, meter),
         );
+        if (meter.outputTokens > 0) work.onFirstToken?.();
         permit.progress(meter.outputTokens);
         const slow = written.filter(wait => wait !== undefined);
         return slow.length === 0 ? undefined : waitForAll(slow);
--- a/packages/entry/src/sessions/keys.test.ts
+++ b/packages/entry/src/sessions/keys.test.ts
@@ -28,7 +28,7 @@
   await waitUntil(async () => (await inFlight(world, 1)).length === 4);
   await waitUntil(async () => {
     const phases = (await inFlight(world, 1)).map(({phase}) => phase);
-    return phases.filter(phase => phase === 'running').length === 2;
+    return phases.filter(phase => phase === 'answering').length === 2;
   });
   t.is((await world.submit([account('other')])).status, 200);
   const answers = await Promise.all(calls);
@@ -49,6 +49,28 @@
   t.is(engineLog.running, 0);
 });
 
+test('a key withdrawn before the first token ends a request truthfully', async t => {
+  // The engine has a request and has not said a word yet when the key is
+  // withdrawn. A caller that is told "not run" books the work again, and pays
+  // twice if the engine had begun.
+  const world = await TestWorld.start({entries: ['akl-a']});
+  t.teardown(() => world.close());
+  await world.control(world.engines, {slowFactor: 5000});
+  const call = world.chat(0, 'a', {key: OTHER_KEY, tokens: 5, stream: true});
+  await waitUntil(async () => {
+    const {running} = await world.log(world.engines);
+    return running === 1;
+  });
+  t.like(await inFlight(world, 0), [{phase: 'running'}]);
+  t.is((await world.submit([account('other')])).status, 200);
+  const {status, body} = await call;
+  t.is(status, 401);
+  t.like(JSON.parse(body).error, {
+    code: 'key_withdrawn',
+    verdict: 'may_have_run',
+  });
+});
+
 async function inFlight(
   world: TestWorld,
   entry: number,
