--- /dev/null
+++ b/packages/gateway/src/admission.ts
@@ -0,0 +1,81 @@
+/** Who sent a request, where it goes, and whether it may. */
+
+import type {RouteTable} from '@snipestage/routing/route_table.js';
+import type {Route} from '@snipestage/routing/route.js';
+import type {ClientAccountId, ServiceId} from '@snipestage/types/ids.js';
+import type {CallerRequest} from './pass_through_protocol.js';
+
+/** A request that may go on. */
+export interface Admission {
+  readonly route: Route;
+  readonly service: ServiceId;
+  readonly clientAccount: ClientAccountId | undefined;
+  readonly tier: number;
+}
+
+/** Or why it may not. */
+export type AdmissionResult =
+  | {readonly kind: 'admitted'; readonly admission: Admission}
+  | {
+      readonly kind: 'turned_away';
+      readonly status: 401 | 404 | 503;
+      readonly reason: string;
+    };
+
+/** What is asked about. */
+export interface AdmissionInput {
+  readonly table: RouteTable | undefined;
+  readonly host: string;
+  readonly path: string;
+  readonly request: CallerRequest;
+  /** At least 0 and below 1; picks among weighted targets. */
+  readonly random: number;
+}
+
+/**
+ * Each request is identified anew, by the configuration of this moment: a key
+ * that was withdrawn stops working on open connections too.
+ *
+ * @example
+ * const result = admit({table, host, path, request, random: Math.random()});
+ */
+export function admit(input: AdmissionInput): AdmissionResult {
+  const {table, host, path, request} = input;
+  if (table === undefined) return turnAway(503, 'no_configuration');
+  const route = table.findRoute(host, path);
+  if (route === undefined) return turnAway(404, 'no_route');
+  const account =
+    request.key === undefined ? undefined : table.findAccount(request.key);
+  const isOpen = route.isPublic || !table.needsKeys;
+  if (account === undefined && !isOpen) return turnAway(401, 'unknown_key');
+  return {
+    kind: 'admitted',
+    admission: {
+      route,
+      service: pickTarget(route, input.random),
+      clientAccount: account?.id,
+      tier: account?.tier ?? route.tier,
+    },
+  };
+}
+
+/**
+ * A target by weight.
+ *
+ * @param random at least 0 and below 1.
+ * @example
+ * const service = pickTarget(route, Math.random());
+ */
+export function pickTarget(route: Route, random: number): ServiceId {
+  const total = route.targets.reduce((sum, {weight}) => sum + weight, 0);
+  let left = random * total;
+  for (const {service, weight} of route.targets) {
+    left -= weight;
+    if (left < 0) return service;
+  }
+  return route.targets[route.targets.length - 1].service;
+}
+
+function turnAway(status: 401 | 404 | 503, reason: string): AdmissionResult {
+  return {kind: 'turned_away', status, reason};
+}
--- /dev/null
+++ b/packages/gateway/src/answer_writer.ts
@@ -0,0 +1,106 @@
+/** Writes one answer to one caller. */
+
+import type {ServerResponse} from 'node:http';
+import type {FlatHeaders} from './pass_through_protocol.js';
+
+/** An answer of an endpoint that is whole. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly headers: FlatHeaders;
+  readonly body: Buffer;
+}
+
+/** Owns the caller's response. */
+export class AnswerWriter {
+  private callerLeft = false;
+  private ended = false;
+  events = 0;
+  lastEventId: string | undefined;
+
+  constructor(
+    private readonly response: ServerResponse,
+    /** Whether the connection has to close after this answer. */
+    private readonly mustClose: () => boolean,
+    onCallerLeft: () => void,
+  ) {
+    response.on('close', () => {
+      if (this.ended) return;
+      this.callerLeft = true;
+      onCallerLeft();
+    });
+    // A caller that resets its connection is seen by 'close' as well.
+    response.on('error', () => response.destroy());
+  }
+
+  get hasBegun(): boolean {
+    return this.response.headersSent;
+  }
+
+  /** Whether nothing more can be told: ended, or the caller is gone. */
+  get isOver(): boolean {
+    return this.ended || this.callerLeft;
+  }
+
+  get hasCallerLeft(): boolean {
+    return this.callerLeft;
+  }
+
+  sendWhole(answer: WholeAnswer): void {
+    if (this.isOver) return;
+    const length = String(answer.body.length);
+    const headers = [...answer.headers, 'Content-Length', length];
+    this.writeHead(answer.status, headers);
+    this.end(answer.body);
+  }
+
+  beginStream(status: number, headers: FlatHeaders): void {
+    if (this.isOver) return;
+    this.writeHead(status, headers);
+  }
+
+  /** @returns false when the caller reads slowly; see {@link whenDrained}. */
+  write(bytes: Buffer): boolean {
+    if (this.isOver) return true;
+    return this.response.write(bytes);
+  }
+
+  whenDrained(resume: () => void): void {
+    this.response.once('drain', resume);
+  }
+
+  finish(): void {
+    if (this.isOver) return;
+    this.end();
+  }
+
+  /** An answer that can't be completed must not look complete. */
+  breakOff(): void {
+    if (this.isOver) return;
+    this.ended = true;
+    this.response.destroy();
+  }
+
+  /** The system's own failure; tells when to come back if that helps. */
+  fail(status: number, headers: Readonly<Record<string, string>>): void {
+    if (this.isOver) return;
+    if (this.hasBegun) {
+      this.breakOff();
+      return;
+    }
+    const flat = Object.entries(headers).flat();
+    this.writeHead(status, [...flat, 'Content-Length', '0']);
+    this.end();
+  }
+
+  private writeHead(status: number, headers: readonly string[]): void {
+    const all = this.mustClose()
+      ? [...headers, 'Connection', 'close']
+      : [...headers];
+    this.response.writeHead(status, all);
+  }
+
+  private end(body?: Buffer): void {
+    this.ended = true;
+    this.response.end(body);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/capacity_duty.ts
@@ -0,0 +1,171 @@
+/** Orders endpoints by the plan, in the name of the lease. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {Platform} from '@snipestage/platform/platform.js';
+import {
+  countPresent,
+  planCapacity,
+  type CapacityTarget,
+} from '@snipestage/routing/capacity_plan.js';
+import type {Service} from '@snipestage/routing/route.js';
+import {
+  brandAs,
+  type DataCentreId,
+  type ModelId,
+  type OrderId,
+  type ServiceId,
+} from '@snipestage/types/ids.js';
+import type {DutyTerm} from './duty_term.js';
+import type {RoutingState} from './routing_state.js';
+
+/** What a {@link CapacityDuty} is made from. */
+export interface CapacityDutyOptions {
+  readonly platform: Platform;
+  readonly term: DutyTerm;
+  readonly state: RoutingState;
+  readonly nowMs: () => number;
+  readonly logger: Logger;
+}
+
+const TICK_MS = 1000;
+/** How long after a refusal cheap ones are asked for again. */
+const DRY_FOR_MS = 3000;
+/** An order that isn't met so long after the boot time is given again. */
+const REPEAT_AFTER_BOOT_MS = 3000;
+
+interface Ordered {
+  readonly count: number;
+  readonly atMs: number;
+  readonly token: number;
+}
+
+/** Owns what was ordered; a new holder orders everything anew. */
+export class CapacityDuty {
+  private timer: NodeJS.Timeout | undefined;
+  private isBusy = false;
+  private readonly ordered = new Map<string, Ordered>();
+  private readonly dryAtMs = new Map<string, number>();
+  private readonly needed = new Map<ServiceId, number>();
+  private orders = 0;
+
+  constructor(private readonly options: CapacityDutyOptions) {}
+
+  start(): void {
+    this.timer = setInterval(() => void this.tick(), TICK_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  async tick(): Promise<void> {
+    if (this.isBusy || this.options.term.token === undefined) return;
+    this.isBusy = true;
+    try {
+      for (const service of this.scaledServices()) {
+        for (const target of this.plan(service)) await this.order(target);
+      }
+    } finally {
+      this.isBusy = false;
+    }
+  }
+
+  private scaledServices(): readonly Service[] {
+    const {table} = this.options.state;
+    const services = table?.configuration.services ?? [];
+    return services.filter(({scaling}) => scaling !== undefined);
+  }
+
+  private plan(service: Service): readonly CapacityTarget[] {
+    const {state} = this.options;
+    const {scaling} = service;
+    if (scaling === undefined) return [];
+    const endpoints = state.directory
+      .readAll()
+      .filter(endpoint => endpoint.service === service.id);
+    const dataCentres = this.dataCentresOf(endpoints);
+    if (endpoints.length === 0) return [];
+    // What the operators began with is what they held to be needed.
+    const needed = this.needed.get(service.id) ?? endpoints.length;
+    this.needed.set(service.id, needed);
+    return planCapacity({
+      service: service.id,
+      scaling,
+      dataCentres,
+      endpoints,
+      needed,
+      withoutCheap: this.withoutCheap(service.id, dataCentres),
+    });
+  }
+
+  private readonly seenDataCentres = new Set<DataCentreId>();
+
+  /** Data centres once seen stay: all endpoints of one may be away. */
+  private dataCentresOf(
+    endpoints: ReadonlyArray<{readonly dataCentre: DataCentreId}>,
+  ): readonly DataCentreId[] {
+    for (const {dataCentre} of endpoints) this.seenDataCentres.add(dataCentre);
+    return [...this.seenDataCentres].sort();
+  }
+
+  private withoutCheap(
+    service: ServiceId,
+    dataCentres: readonly DataCentreId[],
+  ): ReadonlySet<DataCentreId> {
+    const atMs = this.options.nowMs();
+    const dry = dataCentres.filter(dataCentre => {
+      const sinceMs = atMs - (this.dryAtMs.get(`${service}/${dataCentre}`) ?? -Infinity);
+      return sinceMs < DRY_FOR_MS;
+    });
+    return new Set(dry);
+  }
+
+  private async order(target: CapacityTarget): Promise<void> {
+    const {platform, term, nowMs, logger} = this.options;
+    const {token} = term;
+    if (token === undefined || !this.isDue(target, token)) return;
+    const place = `${target.service}/${target.dataCentre}`;
+    this.orders += 1;
+    const result = await platform.orderEndpoints(
+      {
+        id: brandAs<OrderId>(`${token}.${this.orders}`),
+        dataCentre: target.dataCentre,
+        model: brandAs<ModelId>(target.service),
+        kind: target.isCheap ? 'cheap' : 'regular',
+        targetCount: target.count,
+        release: [],
+        fencingToken: token,
+      },
+      term.guard(),
+    );
+    logger.info('endpoints_ordered', {
+      place,
+      cheap: target.isCheap,
+      count: target.count,
+      outcome: result.kind,
+      reason: result.kind === 'accepted' ? undefined : result.reason,
+    });
+    if (result.kind === 'accepted') {
+      const ordered = {count: target.count, atMs: nowMs(), token};
+      this.ordered.set(keyOf(target), ordered);
+    }
+    if (result.kind === 'refused' && target.isCheap) {
+      this.dryAtMs.set(place, nowMs());
+    }
+  }
+
+  private isDue(target: CapacityTarget, token: number): boolean {
+    const {state, nowMs} = this.options;
+    const ordered = this.ordered.get(keyOf(target));
+    if (ordered === undefined || ordered.token !== token) return true;
+    if (ordered.count !== target.count) return true;
+    const bootMs = state.table?.findService(target.service)?.scaling?.bootMs;
+    const patienceMs = (bootMs ?? 0) + REPEAT_AFTER_BOOT_MS;
+    const present = countPresent(state.directory.readAll(), target);
+    return present < target.count && nowMs() - ordered.atMs > patienceMs;
+  }
+}
+
+function keyOf({service, dataCentre, isCheap}: CapacityTarget): string {
+  return `${service}/${dataCentre}/${isCheap ? 'cheap' : 'regular'}`;
+}
--- /dev/null
+++ b/packages/gateway/src/clock_keeper.ts
@@ -0,0 +1,56 @@
+/** Ties the store's clock to the time of day, once for all instances. */
+
+import {findRow} from '@snipestage/agreement/table_effects.js';
+import type {Logger} from '@snipestage/log/logger.js';
+import type {Platform} from '@snipestage/platform/platform.js';
+import type {AgreedClock} from '@snipestage/routing/agreed_clock.js';
+
+const TIE_KEY = 'clock/tie';
+const TRY_EVERY_MS = 500;
+
+interface TieValue {
+  readonly tieMs: number;
+}
+
+/**
+ * The first instance that finds no row proposes its own time of day; all others
+ * take what the row says. It is written once and never changed, for a change
+ * would move requests between windows that are counted already.
+ */
+export class ClockKeeper {
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly clock: AgreedClock,
+    private readonly logger: Logger,
+  ) {}
+
+  start(): void {
+    this.timer = setInterval(() => void this.tryOnce(), TRY_EVERY_MS);
+    void this.tryOnce();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  async tryOnce(): Promise<void> {
+    const result = await this.platform.readRows([TIE_KEY]);
+    if (result.kind === 'unavailable') return;
+    const value = findRow(result.rows, TIE_KEY).value as TieValue | null;
+    if (value !== null) {
+      this.clock.tie(value.tieMs);
+      this.stop();
+      this.logger.info('clock_tied', {tieMs: value.tieMs});
+      return;
+    }
+    const tieMs = this.clock.proposeTie();
+    if (tieMs === undefined) return;
+    // Lost against another instance or to an outage: the next try reads it.
+    await this.platform.transact({
+      checks: [{key: TIE_KEY, version: 0}],
+      writes: [{key: TIE_KEY, value: {tieMs}}],
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/crash_reporter.ts
@@ -0,0 +1,79 @@
+/** Learns of crashes, tells other instances, and judges requests by them. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {
+  ReportedCrash,
+  SuspectJudgement,
+} from '@snipestage/policy/suspects.js';
+import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import type {Fingerprint, InstanceId} from '@snipestage/types/ids.js';
+import type {RoutingState} from './routing_state.js';
+
+/** What a {@link CrashReporter} is made from. */
+export interface CrashReporterOptions {
+  readonly state: RoutingState;
+  readonly instance: InstanceId;
+  readonly incarnation: string;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** Tells all instances; failures are logged by it. */
+  readonly publish: (crashes: readonly ReportedCrash[]) => void;
+}
+
+/** Crashes seen here have ids that no other instance gives. */
+export class CrashReporter {
+  private count = 0;
+
+  constructor(private readonly options: CrashReporterOptions) {}
+
+  judge(fingerprint: Fingerprint): SuspectJudgement {
+    return this.options.state.suspects.judge(fingerprint, this.options.nowMs());
+  }
+
+  noteBroken(endpoint: ServingEndpoint, fingerprint: Fingerprint): void {
+    const {state, nowMs} = this.options;
+    state.crashes.noteBroken(endpoint.id, fingerprint, nowMs());
+  }
+
+  noteSound(
+    endpoint: ServingEndpoint,
+    fingerprint: Fingerprint | undefined,
+  ): void {
+    const {state} = this.options;
+    state.crashes.noteSound(endpoint.id);
+    if (fingerprint === undefined) return;
+    state.suspects.finish(fingerprint);
+    this.publishChanges();
+  }
+
+  /** The endpoint refused a connection, or began a new life. */
+  noteUnreachable(endpoint: ServingEndpoint): void {
+    const {state, nowMs, instance, incarnation, logger} = this.options;
+    const inFlight = state.crashes.confirm(endpoint.id, nowMs());
+    if (inFlight.length === 0) return;
+    this.count += 1;
+    const id = `${instance}/${incarnation}/${this.count}`;
+    const {dataCentre} = endpoint;
+    const crash = {id, endpoint: endpoint.id, dataCentre, ageMs: 0};
+    state.suspects.merge([{...crash, inFlight, cleared: []}], nowMs());
+    logger.warn('endpoint_crashed', {
+      endpoint: endpoint.id,
+      suspects: inFlight.length,
+    });
+    this.publishChanges();
+  }
+
+  /** Crashes that another instance told. */
+  learn(crashes: readonly ReportedCrash[]): void {
+    const {state, nowMs} = this.options;
+    state.suspects.merge(crashes, nowMs());
+    // What came from others is not to be told again.
+    state.suspects.takeChanges(nowMs());
+  }
+
+  private publishChanges(): void {
+    const {state, nowMs, publish} = this.options;
+    const changes = state.suspects.takeChanges(nowMs());
+    if (changes.length > 0) publish(changes);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/endpoint_call.ts
@@ -0,0 +1,117 @@
+/** One attempt at one endpoint over a connection of its own. */
+
+import {
+  request as httpRequest,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
+import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
+import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
+import type {Verdict} from '@snipestage/types/verdict.js';
+
+/** What goes to the endpoint. */
+export interface EndpointCallOptions {
+  readonly address: EndpointAddress;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+  readonly connectTimeoutMs: number;
+}
+
+/** Why there was no answer. */
+export type CallFailureReason = 'unreachable' | 'broken' | 'cancelled';
+
+/** How a call's head ended. */
+export type CallHead =
+  | {readonly kind: 'head'; readonly response: IncomingMessage}
+  | {
+      readonly kind: 'failed';
+      readonly reason: CallFailureReason;
+      readonly verdict: Verdict;
+      readonly message: string;
+    };
+
+/**
+ * A connection is never shared or reused. One that was idle may have gone
+ * silent, or bring a late answer to the request before: then a request that may
+ * not be repeated would be lost, or a caller get another's answer.
+ */
+export class EndpointCall {
+  private readonly cancellation = new AbortController();
+  private connection: FreshConnection | undefined;
+  private request: ClientRequest | undefined;
+  readonly head: Promise<CallHead>;
+
+  constructor(private readonly options: EndpointCallOptions) {
+    this.head = this.run();
+  }
+
+  /** `not_run` until bytes have been handed to an open connection. */
+  get verdict(): Verdict {
+    return this.connection?.verdict ?? 'not_run';
+  }
+
+  /** Ends the attempt; endpoints stop work when the connection closes. */
+  cancel(): void {
+    this.cancellation.abort();
+    this.request?.destroy();
+  }
+
+  private async run(): Promise<CallHead> {
+    const [host, port] = splitAddress(this.options.address);
+    const connection = await FreshConnection.open({
+      host,
+      port,
+      connectTimeoutMs: this.options.connectTimeoutMs,
+      signal: this.cancellation.signal,
+    });
+    if (connection.kind === 'failed') {
+      return this.failed('unreachable', connection.reason);
+    }
+    this.connection = connection;
+    if (this.cancellation.signal.aborted) return this.failed('broken', '');
+    return this.send(connection);
+  }
+
+  private send(connection: FreshConnection): Promise<CallHead> {
+    const {method, path, headers, body} = this.options;
+    const request = httpRequest({
+      method,
+      path,
+      headers,
+      setHost: false,
+      createConnection: connection.createConnection,
+    });
+    this.request = request;
+    return new Promise(resolve => {
+      request.once('response', response => resolve({kind: 'head', response}));
+      request.on('error', error =>
+        resolve(this.failed('broken', error.message)),
+      );
+      request.once('close', () =>
+        resolve(this.failed('broken', 'closed without an answer')),
+      );
+      request.end(body);
+    });
+  }
+
+  private failed(reason: CallFailureReason, message: string): CallHead {
+    const isCancelled = this.cancellation.signal.aborted;
+    return {
+      kind: 'failed',
+      reason: isCancelled ? 'cancelled' : reason,
+      verdict: this.verdict,
+      message,
+    };
+  }
+}
+
+/**
+ * @example
+ * splitAddress('10.0.0.1:80'); // ['10.0.0.1', 80]
+ */
+export function splitAddress(address: string): [string, number] {
+  const colon = address.lastIndexOf(':');
+  return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/packages/gateway/src/event_relay.ts
@@ -0,0 +1,73 @@
+/** Passes a stream of events on to the caller as they come. */
+
+import type {IncomingMessage} from 'node:http';
+import type {AnswerWriter} from './answer_writer.js';
+import {EventSplitter, type WholeEvent} from './event_splitter.js';
+import type {FlatHeaders} from './pass_through_protocol.js';
+
+/** What an {@link EventRelay} is made from. */
+export interface EventRelayOptions {
+  readonly response: IncomingMessage;
+  readonly writer: AnswerWriter;
+  readonly status: number;
+  readonly headers: FlatHeaders;
+  readonly onEvent: () => void;
+}
+
+/**
+ * The head goes out with the first event, so that until then another endpoint
+ * may take over under its own head. A stream that goes on after a break keeps
+ * the head of its first endpoint, and events that the caller has already are
+ * left out.
+ */
+export class EventRelay {
+  private readonly splitter = new EventSplitter();
+
+  constructor(private readonly options: EventRelayOptions) {}
+
+  /** @returns whether the stream came to its proper end. */
+  run(): Promise<boolean> {
+    const {response, writer} = this.options;
+    return new Promise(resolve => {
+      response.on('data', (chunk: Buffer) => {
+        for (const event of this.splitter.push(chunk)) this.pass(event);
+      });
+      response.on('end', () => {
+        if (!response.complete) {
+          resolve(false);
+          return;
+        }
+        this.begin();
+        const rest = this.splitter.takeRest();
+        if (rest.length > 0) writer.write(rest);
+        writer.finish();
+        resolve(true);
+      });
+      response.on('error', () => resolve(false));
+      response.on('close', () => resolve(false));
+    });
+  }
+
+  private pass(event: WholeEvent): void {
+    const {response, writer} = this.options;
+    if (isRepeated(event, writer.lastEventId)) return;
+    this.begin();
+    this.options.onEvent();
+    writer.events += 1;
+    if (event.id !== undefined) writer.lastEventId = event.id;
+    if (writer.write(event.bytes)) return;
+    response.pause();
+    writer.whenDrained(() => response.resume());
+  }
+
+  private begin(): void {
+    const {writer, status, headers} = this.options;
+    if (!writer.hasBegun) writer.beginStream(status, headers);
+  }
+}
+
+function isRepeated(event: WholeEvent, lastId: string | undefined): boolean {
+  if (event.id === undefined || lastId === undefined) return false;
+  const [id, last] = [Number(event.id), Number(lastId)];
+  return Number.isFinite(id) && Number.isFinite(last) && id <= last;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -0,0 +1,74 @@
+/** Counters and latency histograms, served as text. */
+
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** From a millisecond to the longest time that callers wait. */
+const LATENCY_BUCKETS_MS = [
+  1, 3, 10, 30, 60, 100, 200, 300, 400, 600, 1000, 2000, 4000, 8000, 16_000,
+];
+
+/** Owns the registry of one process. */
+export class GatewayMetrics {
+  private readonly registry = new Registry();
+  private readonly requests = new Counter({
+    name: 'snipestage_requests_total',
+    help: 'Requests of callers by route and status; 0 when the caller left.',
+    labelNames: ['route', 'status'],
+    registers: [this.registry],
+  });
+  private readonly attempts = new Counter({
+    name: 'snipestage_attempts_total',
+    help: 'Attempts at endpoints by service and outcome.',
+    labelNames: ['service', 'outcome'],
+    registers: [this.registry],
+  });
+  private readonly latency = new Histogram({
+    name: 'snipestage_request_duration_ms',
+    help: 'Time from the head of a request to the end of its answer.',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [this.registry],
+  });
+  private readonly storeCalls = new Counter({
+    name: 'snipestage_store_calls_total',
+    help: 'Calls to the platform by call and outcome.',
+    labelNames: ['call', 'outcome'],
+    registers: [this.registry],
+  });
+  private readonly version = new Gauge({
+    name: 'snipestage_configuration_version',
+    help: 'Version of the configuration in force.',
+    registers: [this.registry],
+  });
+  private readonly lines = new Gauge({
+    name: 'snipestage_log_lines_dropped',
+    help: 'Log lines left out since the start.',
+    registers: [this.registry],
+  });
+
+  countRequest(route: string, status: number, durationMs: number): void {
+    this.requests.inc({route, status});
+    this.latency.observe({route}, durationMs);
+  }
+
+  countAttempt(service: string, outcome: string): void {
+    this.attempts.inc({service, outcome});
+  }
+
+  countStoreCall(call: string, outcome: string): void {
+    this.storeCalls.inc({call, outcome});
+  }
+
+  setConfigurationVersion(version: number): void {
+    this.version.set(version);
+  }
+
+  setDroppedLines(count: number): void {
+    this.lines.set(count);
+  }
+
+  /** Prometheus text format. */
+  render(): Promise<string> {
+    return this.registry.metrics();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_settings.ts
@@ -0,0 +1,36 @@
+/** Settings of the pass-through door. */
+
+import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
+
+/** `<IP number>:<port>`. */
+export type ListenAddress = string;
+
+export interface GatewaySettings {
+  readonly instance: InstanceId;
+  readonly dataCentre: DataCentreId;
+  readonly callersAddress: ListenAddress;
+  readonly readinessAddress: ListenAddress;
+  readonly metricsAddress: ListenAddress | undefined;
+  readonly retry: {
+    /** Further attempts for each request, over all instances. */
+    readonly ratio: number;
+    readonly windowMs: number;
+  };
+  readonly shutdown: {
+    /** After this the process is killed. */
+    readonly graceMs: number;
+  };
+  readonly lease: {
+    /** Two holders may not act by turns within this time. */
+    readonly termMs: number;
+  };
+  readonly usage: {
+    readonly windowMs: number;
+    /** A window's report is due so long after its end. */
+    readonly dueAfterMs: number;
+  };
+  readonly duties: {
+    readonly reportsUsage: boolean;
+    readonly ordersEndpoints: boolean;
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/operations_server.ts
@@ -0,0 +1,47 @@
+/** Serves readiness, and on another address metrics and a dump of state. */
+
+import {createServer, type Server} from 'node:http';
+import {splitAddress} from './endpoint_call.js';
+
+/** A page by its path; undefined when there is none. */
+export type PageRenderer = (
+  path: string,
+) => Promise<OperationsPage | undefined>;
+
+export interface OperationsPage {
+  readonly status: number;
+  readonly type: string;
+  readonly body: string;
+}
+
+/** Small pages for machines and operators. */
+export class OperationsServer {
+  private readonly server: Server;
+
+  constructor(
+    private readonly address: string,
+    render: PageRenderer,
+  ) {
+    this.server = createServer((request, response) => {
+      void render(request.url ?? '/').then(page => {
+        response.writeHead(page?.status ?? 404, {
+          'Content-Type': page?.type ?? 'text/plain',
+        });
+        response.end(page?.body ?? 'There is no such page.\n');
+      });
+    });
+  }
+
+  async start(): Promise<void> {
+    const [host, port] = splitAddress(this.address);
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({host, port}, resolve);
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/read_request_body.ts
@@ -0,0 +1,45 @@
+/** Reads the body of a caller's request. */
+
+import type {IncomingMessage} from 'node:http';
+
+/** The bytes, nothing, or why there are none. */
+export type RequestBody = Buffer | undefined | 'too_large' | 'broken';
+
+/**
+ * Reads the whole body before an endpoint is chosen: an endpoint that answers
+ * early and reads on later then gets the rest that is due, and another endpoint
+ * can be offered the same bytes.
+ *
+ * @example
+ * const body = await readRequestBody(request, limits.maxBodyBytes);
+ */
+export function readRequestBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<RequestBody> {
+  const {headers} = request;
+  const hasBody =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  if (!hasBody) {
+    request.resume();
+    return Promise.resolve(undefined);
+  }
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) {
+        resolve('too_large');
+        request.removeAllListeners('data');
+        request.resume();
+        return;
+      }
+      chunks.push(chunk);
+    });
+    request.on('end', () => resolve(Buffer.concat(chunks)));
+    request.on('error', () => resolve('broken'));
+    request.on('close', () => resolve('broken'));
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/routing_state.ts
@@ -0,0 +1,68 @@
+/** What an instance knows and believes, shared by its tasks. */
+
+import {SuspectTable} from '@snipestage/policy/suspects.js';
+import {CrashWatch} from '@snipestage/routing/crash_watch.js';
+import {DemandMeter} from '@snipestage/routing/demand_meter.js';
+import {EndpointDirectory} from '@snipestage/routing/endpoint_directory.js';
+import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
+import {LeastLoadedPlacement} from '@snipestage/routing/least_loaded_placement.js';
+import type {Placement} from '@snipestage/routing/placement.js';
+import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
+import {RefusalDelay} from '@snipestage/routing/refusal_delay.js';
+import type {RouteTable} from '@snipestage/routing/route_table.js';
+import {
+  WindowBudget,
+  type WindowBudgetOptions,
+} from '@snipestage/routing/window_budget.js';
+import type {ServiceId} from '@snipestage/types/ids.js';
+
+/** Made anew with each process. */
+export class RoutingState {
+  /** Undefined until the first configuration is known. */
+  table: RouteTable | undefined;
+  readonly directory = new EndpointDirectory();
+  readonly monitor = new EndpointMonitor();
+  readonly demand = new DemandMeter();
+  readonly suspects = new SuspectTable();
+  readonly crashes = new CrashWatch();
+  private readonly plainPlacement: Placement;
+  private readonly promptPlacement: Placement;
+  private readonly budgets = new Map<ServiceId, WindowBudget>();
+  private readonly refusalDelays = new Map<ServiceId, RefusalDelay>();
+
+  constructor(private retry: WindowBudgetOptions) {
+    const {monitor, demand} = this;
+    this.plainPlacement = new LeastLoadedPlacement({monitor});
+    this.promptPlacement = new PromptPlacement({monitor, demand});
+  }
+
+  placementFor(service: ServiceId): Placement {
+    const isEngine = this.table?.findService(service)?.engine !== undefined;
+    return isEngine ? this.promptPlacement : this.plainPlacement;
+  }
+
+  budgetFor(service: ServiceId): WindowBudget {
+    const existing = this.budgets.get(service);
+    if (existing !== undefined) return existing;
+    const budget = new WindowBudget(this.retry);
+    this.budgets.set(service, budget);
+    return budget;
+  }
+
+  refusalDelayFor(service: ServiceId): RefusalDelay {
+    const existing = this.refusalDelays.get(service);
+    if (existing !== undefined) return existing;
+    const delay = new RefusalDelay();
+    this.refusalDelays.set(service, delay);
+    return delay;
+  }
+
+  /** New settings; what was spent in the window before is forgotten. */
+  changeRetry(retry: WindowBudgetOptions): void {
+    const isSame =
+      retry.ratio === this.retry.ratio && retry.windowMs === this.retry.windowMs;
+    if (isSame) return;
+    this.retry = retry;
+    this.budgets.clear();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/table_follower.ts
@@ -0,0 +1,192 @@
+/** Follows a table of the platform by long polls. */
+
+import type {StoreClockReading} from '@snipestage/routing/agreed_clock.js';
+import type {Logger} from '@snipestage/log/logger.js';
+
+/** A row that exists, or one that is gone. */
+export interface FollowedRow {
+  readonly key: string;
+  readonly version: number;
+  /** Undefined when the row was removed. */
+  readonly data: Buffer | undefined;
+}
+
+/** What a read of a table brought. */
+export type TableReading =
+  | {
+      readonly kind: 'rows';
+      readonly rows: readonly FollowedRow[];
+      /** The store's version that the rows show. */
+      readonly version: number;
+      readonly clock: StoreClockReading | undefined;
+    }
+  /** The history since the version asked for is no longer there. */
+  | {readonly kind: 'history_gone'}
+  | {readonly kind: 'unavailable'; readonly reason: string};
+
+/** A table that can be read whole and then followed. */
+export abstract class FollowedTable {
+  abstract readonly name: string;
+  abstract readAll(): Promise<TableReading>;
+  /** Answers as soon as something has changed, at the latest after the wait. */
+  abstract waitForChanges(
+    sinceVersion: number,
+    waitMs: number,
+  ): Promise<TableReading>;
+}
+
+/** Is told what changed. */
+export interface TableListener {
+  /** All rows of the table. */
+  replaced(rows: readonly FollowedRow[]): void;
+  changed(rows: readonly FollowedRow[]): void;
+  /** The store did not answer, or only with a failure. */
+  disturbed(): void;
+}
+
+/** What a {@link TableFollower} is made from; defaults in the brackets. */
+export interface TableFollowerOptions {
+  readonly table: FollowedTable;
+  readonly listener: TableListener;
+  readonly logger: Logger;
+  readonly waitMs: number;
+  readonly onClock?: (reading: StoreClockReading) => void;
+  /** First pause after a failure (100 ms); doubles. */
+  readonly firstBackoffMs?: number;
+  /** Longest pause (800 ms). */
+  readonly maxBackoffMs?: number;
+  /** At least 0 and below 1. */
+  readonly random?: () => number;
+}
+
+const DEFAULT_FIRST_BACKOFF_MS = 100;
+const DEFAULT_MAX_BACKOFF_MS = 800;
+/** Pause before a whole read is asked for again that was older than we are. */
+const STALE_READ_PAUSE_MS = 250;
+
+/** Owns the loop; what was learnt never goes back to an older version. */
+export class TableFollower {
+  private version: number | undefined;
+  private failures = 0;
+  private isStopped = false;
+  private readonly random: () => number;
+
+  constructor(private readonly options: TableFollowerOptions) {
+    this.random = options.random ?? Math.random;
+  }
+
+  get isDisturbed(): boolean {
+    return this.failures > 0;
+  }
+
+  /** Version of the store that is known; undefined before the first read. */
+  get knownVersion(): number | undefined {
+    return this.version;
+  }
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isStopped) {
+      const pauseMs = await this.readOnce();
+      if (pauseMs > 0) await new Promise(done => setTimeout(done, pauseMs));
+    }
+  }
+
+  /** @returns the pause before the next read. */
+  async readOnce(): Promise<number> {
+    const {table, waitMs} = this.options;
+    const since = this.version;
+    const reading =
+      since === undefined
+        ? await table.readAll()
+        : await table.waitForChanges(since, waitMs);
+    if (this.isStopped) return 0;
+    return this.take(reading, since);
+  }
+
+  private take(reading: TableReading, since: number | undefined): number {
+    switch (reading.kind) {
+      case 'unavailable':
+        return this.fail(reading.reason);
+      case 'history_gone':
+        this.options.logger.warn('table_history_gone', {
+          table: this.options.table.name,
+          sinceVersion: since,
+        });
+        this.options.listener.disturbed();
+        return this.rereadWhole(since);
+      case 'rows':
+        this.recover();
+        if (reading.clock !== undefined) this.options.onClock?.(reading.clock);
+        return this.takeRows(reading, since);
+    }
+  }
+
+  private minVersion = 0;
+
+  /** A whole read that is older than what is known must not replace it. */
+  private rereadWhole(since: number | undefined): number {
+    this.minVersion = Math.max(this.minVersion, since ?? 0);
+    this.version = undefined;
+    return 0;
+  }
+
+  private takeRows(
+    reading: Extract<TableReading, {kind: 'rows'}>,
+    since: number | undefined,
+  ): number {
+    const {listener, table, logger} = this.options;
+    if (since !== undefined) {
+      if (reading.version < since) return STALE_READ_PAUSE_MS;
+      this.version = reading.version;
+      if (reading.rows.length > 0) listener.changed(reading.rows);
+      return 0;
+    }
+    if (reading.version < this.minVersion) {
+      logger.warn('table_read_stale', {
+        table: table.name,
+        version: reading.version,
+        knownVersion: this.minVersion,
+      });
+      return STALE_READ_PAUSE_MS;
+    }
+    this.version = reading.version;
+    listener.replaced(reading.rows);
+    logger.info('table_read', {
+      table: table.name,
+      version: reading.version,
+      rows: reading.rows.length,
+    });
+    return 0;
+  }
+
+  private fail(reason: string): number {
+    const {table, logger, listener} = this.options;
+    if (this.failures === 0) {
+      logger.warn('store_lost', {table: table.name, reason});
+    }
+    this.failures += 1;
+    listener.disturbed();
+    const firstMs = this.options.firstBackoffMs ?? DEFAULT_FIRST_BACKOFF_MS;
+    const maxMs = this.options.maxBackoffMs ?? DEFAULT_MAX_BACKOFF_MS;
+    const backoffMs = Math.min(maxMs, firstMs * 2 ** (this.failures - 1));
+    return backoffMs * (0.5 + this.random() / 2);
+  }
+
+  private recover(): void {
+    if (this.failures === 0) return;
+    this.options.logger.info('store_regained', {
+      table: this.options.table.name,
+      failures: this.failures,
+    });
+    this.failures = 0;
+    this.options.listener.disturbed();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/usage_reporter.ts
@@ -0,0 +1,166 @@
+/** Reports the usage of each window once, with one figure. */
+
+import {fenceKey} from '@snipestage/agreement/lease_rows.js';
+import {findRow} from '@snipestage/agreement/table_effects.js';
+import type {Logger} from '@snipestage/log/logger.js';
+import type {Platform, SendGuard} from '@snipestage/platform/platform.js';
+import type {AgreedClock} from '@snipestage/routing/agreed_clock.js';
+import {
+  sumCounts,
+  windowAt,
+  type UsageCounts,
+  type WindowNumber,
+} from '@snipestage/routing/usage_windows.js';
+import {brandAs, type LeaseName, type UsageWindowId} from '@snipestage/types/ids.js';
+import type {LeaseTask} from '@snipestage/entry/agree/lease_task.js';
+import type {DutyTerm} from './duty_term.js';
+import {
+  countsPrefix,
+  fromCountsValue,
+  sealKey,
+  toCountsValue,
+} from './usage_rows.js';
+
+/** What a {@link UsageReporter} is made from. */
+export interface UsageReporterOptions {
+  readonly platform: Platform;
+  readonly lease: Pick<LeaseTask, 'held'>;
+  readonly leaseName: LeaseName;
+  readonly term: DutyTerm;
+  readonly clock: AgreedClock;
+  readonly windowMs: number;
+  readonly dueAfterMs: number;
+  readonly nowMs: () => number;
+  readonly logger: Logger;
+}
+
+const TICK_MS = 500;
+/** Share of the time until a report is due that waits for late counts. */
+const COLLECT_SHARE = 0.35;
+/** A new holder looks so far back for windows that nobody has reported. */
+const LOOK_BACK_DUES = 3;
+
+/**
+ * The figure is sealed in the store before it is sent, in a transaction that
+ * checks the lease's fence. Whoever comes later reports the same seal, so that
+ * no window ever gets two figures, and a repeat is the exact same.
+ */
+export class UsageReporter {
+  private timer: NodeJS.Timeout | undefined;
+  private isBusy = false;
+  private nextWindow: WindowNumber | undefined;
+  private tokenOfNext: number | undefined;
+
+  constructor(private readonly options: UsageReporterOptions) {}
+
+  start(): void {
+    this.timer = setInterval(() => void this.tick(), TICK_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** One look for a window whose time has come. */
+  async tick(): Promise<void> {
+    const {term, clock, nowMs} = this.options;
+    const {token} = term;
+    if (this.isBusy || token === undefined || !clock.isTied) return;
+    this.isBusy = true;
+    try {
+      const window = this.chooseWindow(token, clock.epochAt(nowMs()));
+      if (window !== undefined) await this.handle(window);
+    } finally {
+      this.isBusy = false;
+    }
+  }
+
+  private chooseWindow(
+    token: number,
+    epochMs: number,
+  ): WindowNumber | undefined {
+    const {windowMs, dueAfterMs} = this.options;
+    if (this.tokenOfNext !== token || this.nextWindow === undefined) {
+      const first = windowAt(epochMs - LOOK_BACK_DUES * dueAfterMs, windowMs);
+      this.nextWindow = first;
+      this.tokenOfNext = token;
+    }
+    const endsAtMs = (this.nextWindow + 1) * windowMs;
+    const isReady = epochMs >= endsAtMs + COLLECT_SHARE * dueAfterMs;
+    return isReady ? this.nextWindow : undefined;
+  }
+
+  private async handle(window: WindowNumber): Promise<void> {
+    const guard = this.options.term.guard();
+    const sealed = (await this.readSeal(window)) ?? (await this.seal(window));
+    if (sealed === undefined) return;
+    if (sealed.size === 0 || (await this.report(window, sealed, guard))) {
+      this.nextWindow = (window + 1) as WindowNumber;
+    }
+  }
+
+  private async readSeal(
+    window: WindowNumber,
+  ): Promise<UsageCounts | undefined> {
+    const key = sealKey(window);
+    const result = await this.options.platform.readRows([key]);
+    if (result.kind === 'unavailable') {
+      this.options.logger.warn('seal_not_read', {window, reason: result.reason});
+      return undefined;
+    }
+    return fromCountsValue(findRow(result.rows, key).value);
+  }
+
+  /** @returns undefined when the seal isn't certain; the next tick reads it. */
+  private async seal(window: WindowNumber): Promise<UsageCounts | undefined> {
+    const {platform, lease, leaseName, logger} = this.options;
+    const result = await platform.scanRows(countsPrefix(window));
+    const {held} = lease;
+    if (result.kind === 'unavailable' || held === undefined) return undefined;
+    const parts = result.rows.map(row => fromCountsValue(row.value));
+    const total = sumCounts(parts.filter(part => part !== undefined));
+    const key = sealKey(window);
+    const fence = {key: fenceKey(leaseName), version: held.fenceVersion};
+    const outcome = await platform.transact({
+      checks: [{key, version: 0}, fence],
+      writes: [{key, value: toCountsValue(total)}],
+    });
+    logger.info('usage_sealed', {
+      window,
+      writers: parts.length,
+      outcome: outcome.kind,
+      requests: [...total.values()].reduce((sum, count) => sum + count, 0),
+    });
+    return outcome.kind === 'committed' ? total : undefined;
+  }
+
+  private async report(
+    window: WindowNumber,
+    counts: UsageCounts,
+    guard: SendGuard,
+  ): Promise<boolean> {
+    const {platform, windowMs, logger} = this.options;
+    const lines = [...counts].map(([clientAccount, requests]) => ({
+      clientAccount,
+      requestClass: '',
+      requests,
+      promptTokens: 0,
+      outputTokens: 0,
+    }));
+    const result = await platform.reportUsage(
+      {
+        window: brandAs<UsageWindowId>(String(window)),
+        startEpochMs: window * windowMs,
+        endEpochMs: (window + 1) * windowMs,
+        lines,
+      },
+      guard,
+    );
+    logger.info('usage_reported', {
+      window,
+      outcome: result.kind,
+      reason: result.kind === 'accepted' ? undefined : result.reason,
+    });
+    return result.kind === 'accepted';
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/usage_rows.ts
@@ -0,0 +1,43 @@
+/** Rows that hold the counts of windows. */
+
+import type {
+  UsageCounts,
+  WindowNumber,
+} from '@snipestage/routing/usage_windows.js';
+import type {ClientAccountId} from '@snipestage/types/ids.js';
+
+/** Value of a row of counts, and of a seal. */
+export interface CountsValue {
+  readonly counts: Readonly<Record<string, number>>;
+}
+
+/**
+ * Key of what one life of an instance counted in a window.
+ *
+ * @example
+ * countsKey(window, 'akl-a-1.k3x9'); // 'usage/353445120/akl-a-1.k3x9'
+ */
+export function countsKey(window: WindowNumber, writer: string): string {
+  return `${countsPrefix(window)}${writer}`;
+}
+
+/** Start of the keys of all that was counted in a window. */
+export function countsPrefix(window: WindowNumber): string {
+  return `usage/${window}/`;
+}
+
+/** Key of the one figure of a window that is ever reported. */
+export function sealKey(window: WindowNumber): string {
+  return `seals/${window}`;
+}
+
+export function toCountsValue(counts: UsageCounts): CountsValue {
+  return {counts: Object.fromEntries(counts)};
+}
+
+/** @returns undefined when the value is of another form. */
+export function fromCountsValue(value: unknown): UsageCounts | undefined {
+  const counts = (value as CountsValue | null)?.counts;
+  if (typeof counts !== 'object' || counts === null) return undefined;
+  return new Map(Object.entries(counts) as Array<[ClientAccountId, number]>);
+}
--- /dev/null
+++ b/packages/gateway/src/usage_writer.ts
@@ -0,0 +1,125 @@
+/** Writes what this instance counted, so that the reporter can add it up. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {Platform} from '@snipestage/platform/platform.js';
+import type {AgreedClock} from '@snipestage/routing/agreed_clock.js';
+import {
+  windowAt,
+  type UsageWindows,
+  type WindowNumber,
+} from '@snipestage/routing/usage_windows.js';
+import {countsKey, toCountsValue} from './usage_rows.js';
+
+/** What a {@link UsageWriter} is made from. */
+export interface UsageWriterOptions {
+  readonly platform: Platform;
+  readonly windows: UsageWindows;
+  readonly clock: AgreedClock;
+  /** Unlike that of any other life of any instance. */
+  readonly writer: string;
+  readonly windowMs: number;
+  /** How often the window that runs is written. */
+  readonly writeEveryMs: number;
+  readonly nowMs: () => number;
+  readonly logger: Logger;
+}
+
+/** How often it looks for what is to be written. */
+const TICK_MS = 250;
+/** Windows are kept in memory for so long after their end. */
+const KEEP_WINDOWS = 6;
+
+interface Written {
+  readonly total: number;
+  readonly atMs: number;
+}
+
+/**
+ * A window that has ended is written at once; one that runs, now and then, so
+ * that an instance that is killed takes little with it.
+ */
+export class UsageWriter {
+  private readonly written = new Map<WindowNumber, Written>();
+  private timer: NodeJS.Timeout | undefined;
+  private isWriting = false;
+
+  constructor(private readonly options: UsageWriterOptions) {}
+
+  start(): void {
+    this.timer = setInterval(() => void this.tick(), TICK_MS);
+  }
+
+  /** Writes everything that is not written yet. */
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    for (const window of this.options.windows.list()) await this.write(window);
+  }
+
+  private async tick(): Promise<void> {
+    if (this.isWriting) return;
+    this.isWriting = true;
+    try {
+      for (const window of this.options.windows.list()) {
+        if (this.isDue(window)) await this.write(window);
+      }
+      this.forget();
+    } finally {
+      this.isWriting = false;
+    }
+  }
+
+  private isDue(window: WindowNumber): boolean {
+    const {windows, clock, nowMs, windowMs, writeEveryMs} = this.options;
+    const total = totalOf(windows.read(window));
+    const written = this.written.get(window);
+    if (written?.total === total) return false;
+    const atMs = nowMs();
+    const hasEnded = windowAt(clock.epochAt(atMs), windowMs) > window;
+    const lastAtMs = written?.atMs ?? this.firstLookAt(window, atMs);
+    return hasEnded || atMs - lastAtMs >= writeEveryMs;
+  }
+
+  private readonly firstLook = new Map<WindowNumber, number>();
+
+  private firstLookAt(window: WindowNumber, atMs: number): number {
+    const known = this.firstLook.get(window) ?? atMs;
+    this.firstLook.set(window, known);
+    return known;
+  }
+
+  private async write(window: WindowNumber): Promise<void> {
+    const {platform, windows, writer, nowMs, logger} = this.options;
+    const counts = windows.read(window);
+    const total = totalOf(counts);
+    if (this.written.get(window)?.total === total) return;
+    const key = countsKey(window, writer);
+    const result = await platform.transact({
+      checks: [],
+      writes: [{key, value: toCountsValue(counts)}],
+    });
+    if (result.kind === 'committed') {
+      this.written.set(window, {total, atMs: nowMs()});
+      return;
+    }
+    logger.warn('usage_not_written', {
+      window,
+      total,
+      reason: result.kind === 'unknown' ? result.reason : result.kind,
+    });
+  }
+
+  private forget(): void {
+    const {windows, clock, nowMs, windowMs} = this.options;
+    const current = windowAt(clock.epochAt(nowMs()), windowMs);
+    for (const window of windows.list()) {
+      if (window + KEEP_WINDOWS >= current) continue;
+      windows.forget(window);
+      this.written.delete(window);
+      this.firstLook.delete(window);
+    }
+  }
+}
+
+function totalOf(counts: ReadonlyMap<string, number>): number {
+  return [...counts.values()].reduce((sum, count) => sum + count, 0);
+}
--- /dev/null
+++ b/packages/routing/src/crash_watch.ts
@@ -0,0 +1,65 @@
+/** Tells crashes of endpoints from answers that were merely lost. */
+
+import type {EndpointId, Fingerprint} from '@snipestage/types/ids.js';
+
+/** What a {@link CrashWatch} is made from; default in the brackets. */
+export interface CrashWatchOptions {
+  /**
+   * An endpoint that breaks off answers and can't be reached within this time
+   * has crashed (3,000 ms): endpoints are back after some seconds.
+   */
+  readonly confirmWithinMs?: number;
+}
+
+const DEFAULT_CONFIRM_WITHIN_MS = 3000;
+
+interface BrokenRequest {
+  readonly fingerprint: Fingerprint;
+  readonly atMs: number;
+}
+
+/**
+ * A request that crashes each endpoint that runs it comes again and empties a
+ * data centre, one endpoint at a time. A broken answer alone is no crash:
+ * networks lose answers of sound endpoints too, and whoever sends the same
+ * request twice would be refused. Only an endpoint that then refuses
+ * connections, or begins a new life, has crashed.
+ */
+export class CrashWatch {
+  private readonly broken = new Map<EndpointId, BrokenRequest[]>();
+  private readonly confirmWithinMs: number;
+
+  constructor(options: CrashWatchOptions = {}) {
+    this.confirmWithinMs = options.confirmWithinMs ?? DEFAULT_CONFIRM_WITHIN_MS;
+  }
+
+  /** An answer broke off. */
+  noteBroken(id: EndpointId, fingerprint: Fingerprint, nowMs: number): void {
+    const requests = this.recent(id, nowMs);
+    requests.push({fingerprint, atMs: nowMs});
+    this.broken.set(id, requests);
+  }
+
+  /** The endpoint answered: what broke off before was no crash. */
+  noteSound(id: EndpointId): void {
+    this.broken.delete(id);
+  }
+
+  /**
+   * The endpoint refused a connection or began a new life.
+   *
+   * @returns the requests that were there when it crashed; empty if none.
+   * @example
+   * const suspects = watch.confirm(endpoint.id, nowMs);
+   */
+  confirm(id: EndpointId, nowMs: number): readonly Fingerprint[] {
+    const requests = this.recent(id, nowMs);
+    this.broken.delete(id);
+    return [...new Set(requests.map(({fingerprint}) => fingerprint))];
+  }
+
+  private recent(id: EndpointId, nowMs: number): BrokenRequest[] {
+    const requests = this.broken.get(id) ?? [];
+    return requests.filter(({atMs}) => nowMs - atMs < this.confirmWithinMs);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/demand_meter.ts
@@ -0,0 +1,95 @@
+/** How much work the routes of a service bring, as one instance sees it. */
+
+import type {ServiceId} from '@snipestage/types/ids.js';
+import {workOf, type Prompt} from './prompt.js';
+import type {Route, RouteId} from './route.js';
+
+/** What a {@link DemandMeter} is made from; defaults in the brackets. */
+export interface DemandMeterOptions {
+  /** Half-life of what was seen (4,000 ms), about as long as a burst. */
+  readonly halfLifeMs?: number;
+}
+
+const DEFAULT_HALF_LIFE_MS = 4000;
+
+interface Demand {
+  route: Route;
+  /** Faded sums over requests. */
+  work: number;
+  requests: number;
+  promptTokens: number;
+  atMs: number;
+}
+
+/** Faded demand of a route. */
+export interface RouteDemand {
+  readonly route: Route;
+  /** Prompt tokens and their equivalents, a second. */
+  readonly workPerS: number;
+  readonly requestsPerS: number;
+  readonly meanPromptTokens: number;
+}
+
+/** Fades by half-life; times are of one clock that does not go back. */
+export class DemandMeter {
+  private readonly demands = new Map<ServiceId, Map<RouteId, Demand>>();
+  private readonly halfLifeMs: number;
+
+  constructor(options: DemandMeterOptions = {}) {
+    this.halfLifeMs = options.halfLifeMs ?? DEFAULT_HALF_LIFE_MS;
+  }
+
+  /**
+   * A request arrived.
+   *
+   * @example
+   * meter.count(service, route, prompt, nowMs);
+   */
+  count(
+    service: ServiceId,
+    route: Route,
+    prompt: Prompt | undefined,
+    nowMs: number,
+  ): void {
+    const demand = this.of(service, route, nowMs);
+    this.fade(demand, nowMs);
+    demand.route = route;
+    demand.requests += 1;
+    demand.work += prompt === undefined ? 1 : workOf(prompt, true);
+    demand.promptTokens += prompt?.tokens ?? 0;
+  }
+
+  /** Demand of each route of a service that had requests lately. */
+  read(service: ServiceId, nowMs: number): readonly RouteDemand[] {
+    const routes = this.demands.get(service);
+    if (routes === undefined) return [];
+    const perS = (Math.LN2 * 1000) / this.halfLifeMs;
+    return [...routes.values()].map(demand => {
+      this.fade(demand, nowMs);
+      return {
+        route: demand.route,
+        workPerS: demand.work * perS,
+        requestsPerS: demand.requests * perS,
+        meanPromptTokens: demand.promptTokens / Math.max(1e-9, demand.requests),
+      };
+    });
+  }
+
+  private of(service: ServiceId, route: Route, nowMs: number): Demand {
+    const routes = this.demands.get(service) ?? new Map<RouteId, Demand>();
+    this.demands.set(service, routes);
+    const existing = routes.get(route.id);
+    if (existing !== undefined) return existing;
+    const demand = {route, work: 0, requests: 0, promptTokens: 0, atMs: nowMs};
+    routes.set(route.id, demand);
+    return demand;
+  }
+
+  private fade(demand: Demand, nowMs: number): void {
+    const share = 0.5 ** ((nowMs - demand.atMs) / this.halfLifeMs);
+    demand.work *= share;
+    demand.requests *= share;
+    demand.promptTokens *= share;
+    demand.atMs = nowMs;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/endpoint_directory.ts
@@ -0,0 +1,159 @@
+/** The endpoints that may get requests, from the changes of their list. */
+
+import type {EndpointId, ServiceId} from '@snipestage/types/ids.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
+
+/** A row of the list that changed. */
+export type EndpointChange =
+  | {readonly kind: 'listed'; readonly endpoint: ServingEndpoint}
+  /** Its row is gone. */
+  | {readonly kind: 'removed'; readonly id: EndpointId}
+  /** Its row can't be read: it names no endpoint to use. */
+  | {readonly kind: 'unreadable'; readonly id: EndpointId};
+
+/** What a {@link EndpointDirectory} is made from; defaults in the brackets. */
+export interface EndpointDirectoryOptions {
+  /**
+   * How long an endpoint stays in use whose row vanished while the list's
+   * store was disturbed (1,900 ms). The store expires rows that it could not
+   * renew, and endpoints write theirs again within two seconds of its return.
+   */
+  readonly keepVanishedMs?: number;
+  /**
+   * How long after the store last failed a vanished row counts as lapsed
+   * rather than removed (2,000 ms).
+   */
+  readonly disturbedForMs?: number;
+}
+
+const DEFAULT_KEEP_VANISHED_MS = 1900;
+const DEFAULT_DISTURBED_FOR_MS = 2000;
+
+/**
+ * Keeps endpoints by service.
+ *
+ * A row that vanishes in calm times means that its endpoint has left, and it
+ * gets nothing from then on. After an outage of the store all rows may have
+ * lapsed while the endpoints are alive; without a delay, an instance would
+ * refuse everything for two seconds after each outage.
+ */
+export class EndpointDirectory {
+  private readonly endpoints = new Map<EndpointId, ServingEndpoint>();
+  private readonly vanishedAtMs = new Map<EndpointId, number>();
+  private byService = new Map<ServiceId, ServingEndpoint[]>();
+  private disturbedAtMs = Number.NEGATIVE_INFINITY;
+  private readonly keepVanishedMs: number;
+  private readonly disturbedForMs: number;
+
+  constructor(options: EndpointDirectoryOptions = {}) {
+    this.keepVanishedMs = options.keepVanishedMs ?? DEFAULT_KEEP_VANISHED_MS;
+    this.disturbedForMs = options.disturbedForMs ?? DEFAULT_DISTURBED_FOR_MS;
+  }
+
+  /** The store of the list failed to answer, or answered with a failure. */
+  noteDisturbance(nowMs: number): void {
+    this.disturbedAtMs = nowMs;
+  }
+
+  /**
+   * Takes in changes in their order.
+   *
+   * @example
+   * directory.apply([{kind: 'listed', endpoint}], nowMs);
+   */
+  apply(changes: readonly EndpointChange[], nowMs: number): void {
+    for (const change of changes) this.applyOne(change, nowMs);
+    this.index();
+  }
+
+  /**
+   * Takes in the whole list; what isn't in it has vanished.
+   *
+   * @example
+   * directory.replace(endpoints, nowMs);
+   */
+  replace(endpoints: readonly ServingEndpoint[], nowMs: number): void {
+    const listed = new Set(endpoints.map(({id}) => id));
+    for (const id of this.endpoints.keys()) {
+      if (!listed.has(id)) this.vanish(id, nowMs);
+    }
+    for (const endpoint of endpoints) this.list(endpoint);
+    this.index();
+  }
+
+  /**
+   * Endpoints of a service that may get new requests.
+   *
+   * @example
+   * const candidates = directory.findServing(service, nowMs);
+   */
+  findServing(service: ServiceId, nowMs: number): readonly ServingEndpoint[] {
+    this.dropLapsed(nowMs);
+    return this.byService.get(service) ?? [];
+  }
+
+  find(id: EndpointId): ServingEndpoint | undefined {
+    return this.endpoints.get(id);
+  }
+
+  /** All that are listed, leaving ones too. */
+  readAll(): readonly ServingEndpoint[] {
+    return [...this.endpoints.values()];
+  }
+
+  private applyOne(change: EndpointChange, nowMs: number): void {
+    switch (change.kind) {
+      case 'listed':
+        this.list(change.endpoint);
+        return;
+      case 'removed':
+        this.vanish(change.id, nowMs);
+        return;
+      case 'unreadable':
+        this.remove(change.id);
+        return;
+    }
+  }
+
+  private list(endpoint: ServingEndpoint): void {
+    this.vanishedAtMs.delete(endpoint.id);
+    this.endpoints.set(endpoint.id, endpoint);
+  }
+
+  private vanish(id: EndpointId, nowMs: number): void {
+    const endpoint = this.endpoints.get(id);
+    if (endpoint === undefined) return;
+    const isDisturbed = nowMs - this.disturbedAtMs < this.disturbedForMs;
+    if (!isDisturbed || endpoint.isLeaving) {
+      this.remove(id);
+      return;
+    }
+    if (!this.vanishedAtMs.has(id)) this.vanishedAtMs.set(id, nowMs);
+  }
+
+  private dropLapsed(nowMs: number): void {
+    if (this.vanishedAtMs.size === 0) return;
+    for (const [id, vanishedAtMs] of this.vanishedAtMs) {
+      if (nowMs - vanishedAtMs >= this.keepVanishedMs) this.remove(id);
+    }
+    this.index();
+  }
+
+  private remove(id: EndpointId): void {
+    this.vanishedAtMs.delete(id);
+    this.endpoints.delete(id);
+  }
+
+  private index(): void {
+    this.byService = new Map();
+    for (const endpoint of this.endpoints.values()) {
+      if (endpoint.isLeaving) continue;
+      const others = this.byService.get(endpoint.service);
+      if (others === undefined) {
+        this.byService.set(endpoint.service, [endpoint]);
+      } else {
+        others.push(endpoint);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/routing/src/least_loaded_placement.ts
@@ -0,0 +1,75 @@
+/** Placement for plain services. */
+
+import type {EndpointMonitor} from './endpoint_monitor.js';
+import {
+  findUsable,
+  leastBy,
+  Placement,
+  type PlacementRequest,
+} from './placement.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
+
+/** What a {@link LeastLoadedPlacement} is made from. */
+export interface LeastLoadedPlacementOptions {
+  readonly monitor: EndpointMonitor;
+  /** At least 0 and below 1; spreads instances that know the same. */
+  readonly random?: () => number;
+}
+
+/**
+ * A failed request costs its caller about as much as waiting behind this many
+ * others, so that an endpoint that fails everything is tried last.
+ */
+const FAILURE_COST_IN_REQUESTS = 12;
+/** Another data centre is about a hundredth of a request's work away. */
+const REMOTE_COST_IN_REQUESTS = 0.2;
+const RANDOM_COST_IN_REQUESTS = 0.1;
+
+/** The endpoint with the shortest expected wait, the slow and failing last. */
+export class LeastLoadedPlacement extends Placement {
+  private readonly monitor: EndpointMonitor;
+  private readonly random: () => number;
+
+  constructor(options: LeastLoadedPlacementOptions) {
+    super();
+    this.monitor = options.monitor;
+    this.random = options.random ?? Math.random;
+  }
+
+  choose(
+    candidates: readonly ServingEndpoint[],
+    request: PlacementRequest,
+  ): ServingEndpoint | undefined {
+    const usable = findUsable(candidates, request, this.monitor);
+    const typicalMs = this.typicalDurationMs(usable);
+    return leastBy(usable, endpoint =>
+      this.costOf(endpoint, request, typicalMs),
+    );
+  }
+
+  private costOf(
+    endpoint: ServingEndpoint,
+    {dataCentre, nowMs}: PlacementRequest,
+    typicalMs: number,
+  ): number {
+    const {id} = endpoint;
+    const load = this.monitor.estimateLoad(id, nowMs);
+    const ownMs = this.monitor.meanDurationMs(id) ?? typicalMs;
+    const slowness = Math.max(1, ownMs / typicalMs);
+    const failures = this.monitor.failureShare(id, nowMs);
+    return (
+      (load + 1) * slowness +
+      failures * FAILURE_COST_IN_REQUESTS +
+      (endpoint.dataCentre === dataCentre ? 0 : REMOTE_COST_IN_REQUESTS) +
+      this.random() * RANDOM_COST_IN_REQUESTS
+    );
+  }
+
+  /** The least mean duration: what a sound endpoint takes. */
+  private typicalDurationMs(endpoints: readonly ServingEndpoint[]): number {
+    const means = endpoints
+      .map(({id}) => this.monitor.meanDurationMs(id))
+      .filter(mean => mean !== undefined);
+    return means.length === 0 ? 1 : Math.max(1, Math.min(...means));
+  }
+}
--- /dev/null
+++ b/packages/routing/src/placement.ts
@@ -0,0 +1,66 @@
+/** Where a request goes. */
+
+import type {DataCentreId, EndpointId} from '@snipestage/types/ids.js';
+import type {EndpointMonitor} from './endpoint_monitor.js';
+import type {Prompt} from './prompt.js';
+import type {Route} from './route.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
+
+/** A request that needs an endpoint. */
+export interface PlacementRequest {
+  readonly route: Route;
+  readonly prompt: Prompt | undefined;
+  /** Of the instance that asks. */
+  readonly dataCentre: DataCentreId;
+  /** Asked already for this request. */
+  readonly excluded: ReadonlySet<EndpointId>;
+  readonly nowMs: number;
+}
+
+/** Picks an endpoint for a request; it keeps no state of its own requests. */
+export abstract class Placement {
+  /** @returns undefined when no candidate is left. */
+  abstract choose(
+    candidates: readonly ServingEndpoint[],
+    request: PlacementRequest,
+  ): ServingEndpoint | undefined;
+}
+
+/**
+ * Candidates that were not asked yet and could be reached lately. When none
+ * could, all that were not asked: a wrong belief must not refuse a request.
+ *
+ * @example
+ * const usable = findUsable(candidates, request, monitor);
+ */
+export function findUsable(
+  candidates: readonly ServingEndpoint[],
+  request: PlacementRequest,
+  monitor: EndpointMonitor,
+): readonly ServingEndpoint[] {
+  const untried = candidates.filter(({id}) => !request.excluded.has(id));
+  const up = untried.filter(({id}) => !monitor.isDown(id, request.nowMs));
+  return up.length > 0 ? up : untried;
+}
+
+/**
+ * The item with the least cost; the first of equals.
+ *
+ * @example
+ * const nearest = leastBy(endpoints, endpoint => load(endpoint));
+ */
+export function leastBy<Item>(
+  items: readonly Item[],
+  costOf: (item: Item) => number,
+): Item | undefined {
+  let best: Item | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const item of items) {
+    const cost = costOf(item);
+    if (best === undefined || cost < bestCost) {
+      best = item;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/routing/src/prompt.ts
@@ -0,0 +1,54 @@
+/** What a request for a model engine says about its prompt. */
+
+import type {Branded} from '@snipestage/types/ids.js';
+
+/** Identifies a part of a prompt; requests share parts. */
+export type PromptPartId = Branded<string, 'PromptPartId'>;
+
+export interface PromptPart {
+  readonly id: PromptPartId;
+  readonly tokens: number;
+}
+
+export interface Prompt {
+  readonly tokens: number;
+  readonly maxOutputTokens: number;
+  /** The caller's own estimate; right at the median, often far off. */
+  readonly expectedOutputTokens: number | undefined;
+  /** In order; the last belongs to this request or its session alone. */
+  readonly parts: readonly PromptPart[];
+}
+
+/**
+ * The deepest part that other requests may share. An engine that has it in its
+ * cache has all parts before it as well.
+ *
+ * @example
+ * const shared = deepestSharedPart(prompt);
+ */
+export function deepestSharedPart(prompt: Prompt): PromptPart | undefined {
+  return prompt.parts[prompt.parts.length - 2];
+}
+
+/** Tokens before the last part: what a warm cache saves. */
+export function countSharedTokens(prompt: Prompt): number {
+  const shared = prompt.parts.slice(0, -1);
+  return shared.reduce((sum, part) => sum + part.tokens, 0);
+}
+
+/**
+ * Work in units of prompt tokens. A generated token takes a whole step of the
+ * batch, which an engine shares between its requests; the platform's own
+ * tariff counts one as ten prompt tokens, and that ratio is used here.
+ *
+ * @param cached whether the shared parts are in the engine's cache.
+ * @example
+ * const work = workOf(prompt, true);
+ */
+export function workOf(prompt: Prompt, cached: boolean): number {
+  const promptTokens = prompt.tokens - (cached ? countSharedTokens(prompt) : 0);
+  const output = prompt.expectedOutputTokens ?? prompt.maxOutputTokens;
+  return promptTokens + PROMPT_TOKENS_PER_OUTPUT_TOKEN * output;
+}
+
+const PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10;
--- /dev/null
+++ b/packages/routing/src/prompt_placement.ts
@@ -0,0 +1,186 @@
+/** Placement of prompts on model engines. */
+
+import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
+import type {EndpointId} from '@snipestage/types/ids.js';
+import type {DemandMeter, RouteDemand} from './demand_meter.js';
+import type {EndpointMonitor} from './endpoint_monitor.js';
+import {
+  findUsable,
+  leastBy,
+  Placement,
+  type PlacementRequest,
+} from './placement.js';
+import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
+import type {RouteId} from './route.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
+
+/** What a {@link PromptPlacement} is made from. */
+export interface PromptPlacementOptions {
+  readonly monitor: EndpointMonitor;
+  readonly demand: DemandMeter;
+  /** At least 0 and below 1. */
+  readonly random?: () => number;
+}
+
+/** All instances order the engines alike by this key. */
+const PARTITION_KEY = 'short-pauses';
+/**
+ * A route counts as one of short pauses when it may pause for at most this
+ * share of what the most patient route of its service may. An engine that reads
+ * long prompts pauses for some 35 to 55 ms a token, whatever its requests need.
+ */
+const SHORT_PAUSE_SHARE = 0.5;
+/** Prompts of at most this share of the mean disturb little. */
+const SHORT_PROMPT_SHARE = 0.5;
+/** An engine takes at most so many times the mean load for its prefixes. */
+const LOAD_BOUND = 1.5;
+/** Requests above the bounded mean before it holds, for small numbers. */
+const LOAD_SLACK = 3;
+/** Below this a cached prefix saves less than an uneven load costs. */
+const MIN_SHARED_TOKENS = 1000;
+const FAILURE_COST_IN_REQUESTS = 12;
+const RANDOM_COST_IN_REQUESTS = 0.5;
+
+/**
+ * Answers two load patterns.
+ *
+ * Long prompts beside streams with short pauses: an engine reads prompts between
+ * the tokens of all that it runs, so one long prompt makes dozens of streams
+ * late. The engines are split: the first few in an order that all instances
+ * share serve routes with short pauses and short prompts, the rest all others,
+ * by the share of work that each group brings.
+ *
+ * Many prompts that share a long beginning: an engine that has it in its cache
+ * reads a fraction. Rendezvous hashing sends them to the same engine from all
+ * instances without a call, unless that engine has more than its share.
+ */
+export class PromptPlacement extends Placement {
+  private readonly monitor: EndpointMonitor;
+  private readonly demand: DemandMeter;
+  private readonly random: () => number;
+
+  constructor(options: PromptPlacementOptions) {
+    super();
+    this.monitor = options.monitor;
+    this.demand = options.demand;
+    this.random = options.random ?? Math.random;
+  }
+
+  choose(
+    candidates: readonly ServingEndpoint[],
+    request: PlacementRequest,
+  ): ServingEndpoint | undefined {
+    const usable = findUsable(candidates, request, this.monitor);
+    if (usable.length <= 1) return usable[0];
+    const group = this.groupFor(usable, request);
+    const {prompt} = request;
+    const hasPrefix =
+      prompt !== undefined && countSharedTokens(prompt) >= MIN_SHARED_TOKENS;
+    return hasPrefix
+      ? this.chooseByPrefix(group, request, prompt)
+      : this.chooseByLoad(group, request);
+  }
+
+  /** The engines of the request's side of the split. */
+  private groupFor(
+    usable: readonly ServingEndpoint[],
+    request: PlacementRequest,
+  ): readonly ServingEndpoint[] {
+    const service = usable[0].service;
+    const demands = this.demand.read(service, request.nowMs);
+    const shortRoutes = findShortRoutes(demands);
+    if (shortRoutes.size === 0 || shortRoutes.size === demands.length) {
+      return usable;
+    }
+    const share = shareOfWork(demands, shortRoutes);
+    const shortCount = splitCount(usable.length, share);
+    const byId = new Map(usable.map(endpoint => [endpoint.id, endpoint]));
+    const ordered = rankByRendezvous(PARTITION_KEY, byId.keys()).map(
+      id => byId.get(id)!,
+    );
+    return shortRoutes.has(request.route.id)
+      ? ordered.slice(0, shortCount)
+      : ordered.slice(shortCount);
+  }
+
+  private chooseByPrefix(
+    group: readonly ServingEndpoint[],
+    request: PlacementRequest,
+    prompt: Prompt,
+  ): ServingEndpoint | undefined {
+    const part = deepestSharedPart(prompt);
+    if (part === undefined) return this.chooseByLoad(group, request);
+    const {nowMs} = request;
+    const loads = new Map<EndpointId, number>(
+      group.map(({id}) => [id, this.monitor.estimateLoad(id, nowMs)]),
+    );
+    const total = [...loads.values()].reduce((sum, load) => sum + load, 0);
+    const bound = (LOAD_BOUND * (total + 1)) / group.length + LOAD_SLACK;
+    const byId = new Map(group.map(endpoint => [endpoint.id, endpoint]));
+    for (const id of rankByRendezvous(part.id, byId.keys())) {
+      const isSound = this.monitor.failureShare(id, nowMs) < 0.5;
+      if (isSound && loads.get(id)! < bound) return byId.get(id);
+    }
+    return this.chooseByLoad(group, request);
+  }
+
+  private chooseByLoad(
+    group: readonly ServingEndpoint[],
+    {nowMs}: PlacementRequest,
+  ): ServingEndpoint | undefined {
+    return leastBy(
+      group,
+      ({id}) =>
+        this.monitor.estimateLoad(id, nowMs) +
+        this.monitor.failureShare(id, nowMs) * FAILURE_COST_IN_REQUESTS +
+        this.random() * RANDOM_COST_IN_REQUESTS,
+    );
+  }
+}
+
+/**
+ * Routes that need short pauses and bring short prompts.
+ *
+ * @example
+ * const short = findShortRoutes(demand.read(service, nowMs));
+ */
+export function findShortRoutes(
+  demands: readonly RouteDemand[],
+): ReadonlySet<RouteId> {
+  const pauses = demands.map(({route}) => route.pauseTargetMs ?? 0);
+  const longestPauseMs = Math.max(0, ...pauses);
+  const requests = demands.reduce((sum, each) => sum + each.requestsPerS, 0);
+  const tokens = demands.reduce(
+    (sum, each) => sum + each.meanPromptTokens * each.requestsPerS,
+    0,
+  );
+  const meanTokens = tokens / Math.max(1e-9, requests);
+  const short = demands.filter(
+    ({route, meanPromptTokens}) =>
+      route.pauseTargetMs !== undefined &&
+      route.pauseTargetMs <= longestPauseMs * SHORT_PAUSE_SHARE &&
+      meanPromptTokens <= meanTokens * SHORT_PROMPT_SHARE,
+  );
+  return new Set(short.map(({route}) => route.id));
+}
+
+function shareOfWork(
+  demands: readonly RouteDemand[],
+  routes: ReadonlySet<RouteId>,
+): number {
+  const total = demands.reduce((sum, each) => sum + each.workPerS, 0);
+  const own = demands
+    .filter(({route}) => routes.has(route.id))
+    .reduce((sum, each) => sum + each.workPerS, 0);
+  return own / Math.max(1e-9, total);
+}
+
+/**
+ * How many of the engines serve the short side; neither side is ever empty.
+ *
+ * @example
+ * splitCount(8, 0.4); // 3
+ */
+export function splitCount(engines: number, share: number): number {
+  return Math.min(engines - 1, Math.max(1, Math.round(engines * share)));
+}
