Order endpoints by what operators began with, kept in the store

Change: the holder waits until the list has been unchanged for 2.5 s and writes the number down; later holders read it. Empty windows are neither sealed nor reported.

--- a/packages/gateway/src/capacity_duty.ts
+++ b/packages/gateway/src/capacity_duty.ts
@@ -1,5 +1,6 @@
 /** Orders endpoints by the plan, in the name of the lease. */
 
+import {findRow} from '@snipestage/agreement/table_effects.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import {
@@ -28,11 +29,22 @@
 }
 
 const TICK_MS = 1000;
+/**
+ * The list of endpoints has to be unchanged for so long before what is there is
+ * taken for all that operators began with: endpoints write their rows one after
+ * the other, each within a heartbeat.
+ */
+const SETTLED_AFTER_MS = 2500;
 /** How long after a refusal cheap ones are asked for again. */
 const DRY_FOR_MS = 3000;
 /** An order that isn't met so long after the boot time is given again. */
 const REPEAT_AFTER_BOOT_MS = 3000;
 
+/** Value of the row that keeps what a service began with. */
+interface NeededValue {
+  readonly endpoints: number;
+}
+
 interface Ordered {
   readonly count: number;
   readonly atMs: number;
@@ -63,6 +75,7 @@
     this.isBusy = true;
     try {
       for (const service of this.scaledServices()) {
+        await this.learnNeeded(service.id);
         for (const target of this.plan(service)) await this.order(target);
       }
     } finally {
@@ -84,10 +97,8 @@
       .readAll()
       .filter(endpoint => endpoint.service === service.id);
     const dataCentres = this.dataCentresOf(endpoints);
-    if (endpoints.length === 0) return [];
-    // What the operators began with is what they held to be needed.
-    const needed = this.needed.get(service.id) ?? endpoints.length;
-    this.needed.set(service.id, needed);
+    const needed = this.needed.get(service.id);
+    if (needed === undefined) return [];
     return planCapacity({
       service: service.id,
       scaling,
@@ -98,6 +109,33 @@
     });
   }
 
+  /**
+   * What the operators began with is what they held to be needed. The first
+   * holder writes it down, or the next would take what is left of its orders
+   * for the beginning.
+   */
+  private async learnNeeded(service: ServiceId): Promise<void> {
+    if (this.needed.has(service)) return;
+    const {platform, state, nowMs} = this.options;
+    const key = `capacity/${service}`;
+    const result = await platform.readRows([key]);
+    if (result.kind === 'unavailable') return;
+    const value = findRow(result.rows, key).value as NeededValue | null;
+    if (value !== null) {
+      this.needed.set(service, value.endpoints);
+      return;
+    }
+    const {directory} = state;
+    if (nowMs() - directory.changedAtMs < SETTLED_AFTER_MS) return;
+    const endpoints = directory.findServing(service, nowMs()).length;
+    if (endpoints === 0) return;
+    // Lost against another holder or an outage: the next tick reads it.
+    await platform.transact({
+      checks: [{key, version: 0}],
+      writes: [{key, value: {endpoints}}],
+    });
+  }
+
   private readonly seenDataCentres = new Set<DataCentreId>();
 
   /** Data centres once seen stay: all endpoints of one may be away. */
@@ -114,7 +152,8 @@
   ): ReadonlySet<DataCentreId> {
     const atMs = this.options.nowMs();
     const dry = dataCentres.filter(dataCentre => {
-      const sinceMs = atMs - (this.dryAtMs.get(`${service}/${dataCentre}`) ?? -Infinity);
+      const sinceMs =
+        atMs - (this.dryAtMs.get(`${service}/${dataCentre}`) ?? -Infinity);
       return sinceMs < DRY_FOR_MS;
     });
     return new Set(dry);
--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -25,14 +25,18 @@
    * for (const event of splitter.push(chunk)) response.write(event.bytes);
    */
   push(chunk: Buffer): WholeEvent[] {
-    const bytes = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const bytes =
+      this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
     const events: WholeEvent[] = [];
     let begin = 0;
     for (;;) {
       const end = findEventEnd(bytes, begin);
       if (end === undefined) break;
       const event = bytes.subarray(begin, end);
-      events.push({bytes: event, id: ID_FIELD.exec(event.toString('latin1'))?.[1]});
+      events.push({
+        bytes: event,
+        id: ID_FIELD.exec(event.toString('latin1'))?.[1],
+      });
       begin = end;
     }
     this.rest = bytes.subarray(begin);
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -276,7 +276,12 @@
     wasSilent: boolean,
   ): AttemptResult {
     if (wasSilent) {
-      return {kind: 'failed', verdict: head.verdict, sign: 'silent', reason: 'silent'};
+      return {
+        kind: 'failed',
+        verdict: head.verdict,
+        sign: 'silent',
+        reason: 'silent',
+      };
     }
     const {reason, verdict} = head;
     if (reason === 'cancelled') {
@@ -293,7 +298,10 @@
     silence: SilenceWatch,
   ): Promise<AttemptResult> {
     const {protocol, state, nowMs} = this.context;
-    const head = protocol.readAnswer(response.statusCode ?? 0, response.headers);
+    const head = protocol.readAnswer(
+      response.statusCode ?? 0,
+      response.headers,
+    );
     if (head.load !== undefined) {
       state.monitor.noteLoad(endpoint.id, head.load, nowMs());
     }
@@ -314,7 +322,12 @@
     }
     if (body === undefined) return this.brokenAnswer(silence.hasFired);
     if (!isOwn || !head.isSigned) {
-      return {kind: 'failed', verdict: 'ran', sign: 'failed', reason: 'foreign_answer'};
+      return {
+        kind: 'failed',
+        verdict: 'ran',
+        sign: 'failed',
+        reason: 'foreign_answer',
+      };
     }
     return this.takeWhole(head, response, body);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,7 +7,10 @@
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import type {ReportedCrash} from '@snipestage/policy/suspects.js';
-import {AgreedClock, type StoreClockReading} from '@snipestage/routing/agreed_clock.js';
+import {
+  AgreedClock,
+  type StoreClockReading,
+} from '@snipestage/routing/agreed_clock.js';
 import type {EndpointChange} from '@snipestage/routing/endpoint_directory.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
 import {RouteTable} from '@snipestage/routing/route_table.js';
@@ -388,7 +391,10 @@
   ): Promise<void> {
     const result = await this.options.platform.transact({
       checks: [],
-      writes: crashes.map(crash => ({key: `crashes/${crash.id}`, value: crash})),
+      writes: crashes.map(crash => ({
+        key: `crashes/${crash.id}`,
+        value: crash,
+      })),
     });
     if (result.kind === 'committed') return;
     this.options.logger.warn('crash_not_told', {
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -61,10 +61,7 @@
     forwarded: ForwardedRequest,
   ): string[];
 
-  abstract readAnswer(
-    status: number,
-    headers: IncomingHttpHeaders,
-  ): AnswerHead;
+  abstract readAnswer(status: number, headers: IncomingHttpHeaders): AnswerHead;
 
   /** The endpoint's headers without hop-by-hop ones. */
   abstract composeAnswer(rawHeaders: FlatHeaders): string[];
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -2,10 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {fingerprintOf} from '@snipestage/entry/identify/fingerprint.js';
-import type {
-  ClientAccountId,
-  Fingerprint,
-} from '@snipestage/types/ids.js';
+import type {ClientAccountId, Fingerprint} from '@snipestage/types/ids.js';
 import {admit, type Admission} from './admission.js';
 import {AnswerWriter} from './answer_writer.js';
 import {readRequestBody} from './read_request_body.js';
@@ -157,7 +154,10 @@
     const judgement = this.options.crashes.judge(fingerprint);
     if (judgement.kind !== 'refuse') return false;
     const {protocol} = this.options;
-    writer.fail(UNAVAILABLE, protocol.composeRetryAfter(judgement.retryAfterMs));
+    writer.fail(
+      UNAVAILABLE,
+      protocol.composeRetryAfter(judgement.retryAfterMs),
+    );
     return true;
   }
 
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -60,7 +60,8 @@
   /** New settings; what was spent in the window before is forgotten. */
   changeRetry(retry: WindowBudgetOptions): void {
     const isSame =
-      retry.ratio === this.retry.ratio && retry.windowMs === this.retry.windowMs;
+      retry.ratio === this.retry.ratio &&
+      retry.windowMs === this.retry.windowMs;
     if (isSame) return;
     this.retry = retry;
     this.budgets.clear();
--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -11,7 +11,11 @@
   type UsageCounts,
   type WindowNumber,
 } from '@snipestage/routing/usage_windows.js';
-import {brandAs, type LeaseName, type UsageWindowId} from '@snipestage/types/ids.js';
+import {
+  brandAs,
+  type LeaseName,
+  type UsageWindowId,
+} from '@snipestage/types/ids.js';
 import type {LeaseTask} from '@snipestage/entry/agree/lease_task.js';
 import type {DutyTerm} from './duty_term.js';
 import {
@@ -105,7 +109,10 @@
     const key = sealKey(window);
     const result = await this.options.platform.readRows([key]);
     if (result.kind === 'unavailable') {
-      this.options.logger.warn('seal_not_read', {window, reason: result.reason});
+      this.options.logger.warn('seal_not_read', {
+        window,
+        reason: result.reason,
+      });
       return undefined;
     }
     return fromCountsValue(findRow(result.rows, key).value);
@@ -118,6 +125,7 @@
     const {held} = lease;
     if (result.kind === 'unavailable' || held === undefined) return undefined;
     const parts = result.rows.map(row => fromCountsValue(row.value));
+    if (parts.length === 0) return new Map();
     const total = sumCounts(parts.filter(part => part !== undefined));
     const key = sealKey(window);
     const fence = {key: fenceKey(leaseName), version: held.fenceVersion};
--- a/packages/routing/src/attempt_policy.ts
+++ b/packages/routing/src/attempt_policy.ts
@@ -43,8 +43,7 @@
  */
 export function decideAfterFailure(failed: FailedAttempt): AttemptDecision {
   const {route, verdict, runs, offers, leftMs, untried} = failed;
-  const isOver =
-    untried === 0 || offers >= MAX_OFFERS || leftMs < MIN_LEFT_MS;
+  const isOver = untried === 0 || offers >= MAX_OFFERS || leftMs < MIN_LEFT_MS;
   if (isOver) return {kind: 'give_up'};
   if (verdict === 'not_run') return {kind: 'retry', needsBudget: true};
   if (!mayRunAgain(route) || runs >= route.maxAttempts) {
@@ -56,7 +55,8 @@
 /** Whether a request of the route may run more than once. */
 export function mayRunAgain(route: Route): boolean {
   return (
-    route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable)
+    route.kind === 'idempotent' ||
+    (route.kind === 'stream' && route.isResumable)
   );
 }
 
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -50,6 +50,9 @@
     this.disturbedForMs = options.disturbedForMs ?? DEFAULT_DISTURBED_FOR_MS;
   }
 
+  /** When an endpoint last came or went. */
+  changedAtMs = Number.NEGATIVE_INFINITY;
+
   /** The store of the list failed to answer, or answered with a failure. */
   noteDisturbance(nowMs: number): void {
     this.disturbedAtMs = nowMs;
@@ -64,6 +67,7 @@
   apply(changes: readonly EndpointChange[], nowMs: number): void {
     for (const change of changes) this.applyOne(change, nowMs);
     this.index();
+    this.changedAtMs = nowMs;
   }
 
   /**
@@ -79,6 +83,7 @@
     }
     for (const endpoint of endpoints) this.list(endpoint);
     this.index();
+    this.changedAtMs = nowMs;
   }
 
   /**
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -95,8 +95,8 @@
     const share = shareOfWork(demands, shortRoutes);
     const shortCount = splitCount(usable.length, share);
     const byId = new Map(usable.map(endpoint => [endpoint.id, endpoint]));
-    const ordered = rankByRendezvous(PARTITION_KEY, byId.keys()).map(
-      id => byId.get(id)!,
+    const ordered = rankByRendezvous(PARTITION_KEY, byId.keys()).map(id =>
+      byId.get(id)!,
     );
     return shortRoutes.has(request.route.id)
       ? ordered.slice(0, shortCount)
