--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/dist/**/*.test.js'],
+  files: ['packages/*/dist/**/*.test.js', 'platform/dist/**/*.test.js'],
   workerThreads: false,
   timeout: '60s',
   concurrency: 4,
--- /dev/null
+++ b/packages/routing/src/duties.test.ts
@@ -0,0 +1,144 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  brandAs,
+  type ClientAccountId,
+  type DataCentreId,
+  type EndpointId,
+  type Fingerprint,
+} from '@snipestage/types/ids.js';
+import {AgreedClock} from './agreed_clock.js';
+import {planCapacity} from './capacity_plan.js';
+import {CrashWatch} from './crash_watch.js';
+import {RefusalDelay} from './refusal_delay.js';
+import {SuspensionWatch} from './suspension_watch.js';
+import {REPAIR} from './test_support/fixtures.js';
+import {sumCounts, UsageWindows, windowAt} from './usage_windows.js';
+
+test('instances whose times of day differ count by one clock', t => {
+  // The time of day of one machine jumps by two seconds. Its requests would be
+  // billed in the wrong window, and two bills would be wrong.
+  const right = new AgreedClock(0, 1_000_000);
+  const wrong = new AgreedClock(0, 1_002_400);
+  const reading = {storeMs: 500, sentAtMs: 10, receivedAtMs: 14};
+  right.noteReading(reading);
+  wrong.noteReading(reading);
+  const tieMs = right.proposeTie()!;
+  right.tie(tieMs);
+  wrong.tie(tieMs);
+  t.is(right.epochAt(100), wrong.epochAt(100));
+  t.true(Math.abs(right.epochAt(100) - 1_000_100) < 5);
+});
+
+test('the reading with the shortest way counts', t => {
+  const clock = new AgreedClock(0, 0);
+  clock.noteReading({storeMs: 102, sentAtMs: 0, receivedAtMs: 4});
+  clock.noteReading({storeMs: 900, sentAtMs: 10, receivedAtMs: 510});
+  clock.tie(0);
+  t.is(clock.epochAt(10), 110);
+});
+
+test('a suspension shows by the time of day', t => {
+  const watch = new SuspensionWatch(0, 1000);
+  t.false(watch.hasJumped(5000, 6010));
+  t.true(watch.hasJumped(5001, 9000));
+  t.false(watch.hasJumped(5002, 9001));
+});
+
+test('a broken answer alone is no crash', t => {
+  // A network loses every second answer of a sound endpoint for a while. Callers
+  // that ask again would be refused as if they had crashed it.
+  const watch = new CrashWatch({confirmWithinMs: 1000});
+  const one = brandAs<EndpointId>('one');
+  const request = brandAs<Fingerprint>('f');
+  watch.noteBroken(one, request, 0);
+  watch.noteSound(one);
+  t.deepEqual(watch.confirm(one, 100), []);
+  watch.noteBroken(one, request, 200);
+  t.deepEqual(watch.confirm(one, 300), [request]);
+  watch.noteBroken(one, request, 400);
+  t.deepEqual(watch.confirm(one, 1500), []);
+});
+
+test('the plan bears the loss of any one data centre of cheap endpoints', t => {
+  // All cheap endpoints of a data centre are reclaimed at once. What is left
+  // has to carry the demand, or the callers wait until new ones have booted.
+  fc.assert(
+    fc.property(
+      fc.integer({min: 2, max: 5}),
+      fc.integer({min: 1, max: 20}),
+      (centres, needed) => {
+        const dataCentres = Array.from({length: centres}, (_, index) =>
+          brandAs<DataCentreId>(`dc-${index}`),
+        );
+        const targets = planCapacity({
+          service: REPAIR,
+          scaling: {
+            minCount: 1,
+            maxCount: 50,
+            bootMs: 4000,
+            cheapPriceRatio: 0.2,
+            priceByDataCentre: new Map(),
+          },
+          dataCentres,
+          endpoints: [],
+          needed,
+          withoutCheap: new Set(),
+        });
+        for (const lost of dataCentres) {
+          const left = targets.filter(
+            target => !(target.isCheap && target.dataCentre === lost),
+          );
+          const count = left.reduce((sum, target) => sum + target.count, 0);
+          if (count < needed) return false;
+        }
+        return true;
+      },
+    ),
+  );
+  t.pass();
+});
+
+test('the plan keeps to the limits of a data centre', t => {
+  const targets = planCapacity({
+    service: REPAIR,
+    scaling: {
+      minCount: 1,
+      maxCount: 4,
+      bootMs: 0,
+      cheapPriceRatio: 0.2,
+      priceByDataCentre: new Map(),
+    },
+    dataCentres: [brandAs<DataCentreId>('a'), brandAs<DataCentreId>('b')],
+    endpoints: [],
+    needed: 40,
+    withoutCheap: new Set(),
+  });
+  const inA = targets.filter(({dataCentre}) => dataCentre === 'a');
+  t.is(
+    inA.reduce((sum, {count}) => sum + count, 0),
+    4,
+  );
+});
+
+test('counts of windows add up over instances', t => {
+  const shop = brandAs<ClientAccountId>('shop');
+  const one = new UsageWindows(5000);
+  const two = new UsageWindows(5000);
+  one.count(shop, 12_000);
+  one.count(shop, 14_999);
+  one.count(shop, 15_000);
+  two.count(shop, 10_000);
+  const window = windowAt(12_300, 5000);
+  t.is(sumCounts([one.read(window), two.read(window)]).get(shop), 3);
+});
+
+test('the more are refused, the later the next is told to return', t => {
+  const delay = new RefusalDelay({minMs: 100, maxMs: 3000});
+  for (let count = 0; count < 20; count++) delay.noteServed(0);
+  const first = delay.adviseMs(0);
+  let last = first;
+  for (let count = 0; count < 30; count++) last = delay.adviseMs(0);
+  t.true(last > 2 * first);
+  t.true(last <= 3000);
+});
--- /dev/null
+++ b/packages/routing/src/endpoint_directory.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava';
+import {EndpointDirectory} from './endpoint_directory.js';
+import {makeEndpoint, REPAIR} from './test_support/fixtures.js';
+
+const ONE = makeEndpoint('one');
+
+function idsAt(directory: EndpointDirectory, nowMs: number): string[] {
+  return directory.findServing(REPAIR, nowMs).map(({id}) => id);
+}
+
+test('a leaving endpoint gets nothing from the moment it is known', t => {
+  // An endpoint is about to go away for good. A request sent to it now may be
+  // cut in the middle when it does.
+  const directory = new EndpointDirectory();
+  directory.apply([{kind: 'listed', endpoint: ONE}], 0);
+  t.deepEqual(idsAt(directory, 0), ['one']);
+  directory.apply([{kind: 'listed', endpoint: {...ONE, isLeaving: true}}], 1);
+  t.deepEqual(idsAt(directory, 1), []);
+});
+
+test('a removed row ends its endpoint at once in calm times', t => {
+  const directory = new EndpointDirectory();
+  directory.apply([{kind: 'listed', endpoint: ONE}], 0);
+  directory.apply([{kind: 'removed', id: ONE.id}], 5000);
+  t.deepEqual(idsAt(directory, 5000), []);
+});
+
+test('rows that lapse in an outage of the store keep their endpoints', t => {
+  // The store was away and expired the rows that nobody could renew. The
+  // endpoints are alive and write theirs again in a moment; refusing meanwhile
+  // would turn each outage into two seconds of refusals.
+  const directory = new EndpointDirectory();
+  directory.replace([ONE], 0);
+  directory.noteDisturbance(9000);
+  directory.replace([], 9100);
+  t.deepEqual(idsAt(directory, 10_000), ['one']);
+  t.deepEqual(idsAt(directory, 11_100), []);
+});
+
+test('a row that came back in time stays', t => {
+  const directory = new EndpointDirectory();
+  directory.replace([ONE], 0);
+  directory.noteDisturbance(9000);
+  directory.replace([], 9100);
+  directory.apply([{kind: 'listed', endpoint: ONE}], 10_000);
+  t.deepEqual(idsAt(directory, 20_000), ['one']);
+});
+
+test('an outage does not bring back an endpoint that was leaving', t => {
+  const directory = new EndpointDirectory();
+  directory.replace([{...ONE, isLeaving: true}], 0);
+  directory.noteDisturbance(9000);
+  directory.replace([], 9100);
+  t.is(directory.find(ONE.id), undefined);
+});
+
+test('a row that can not be read names no endpoint; the others hold', t => {
+  const directory = new EndpointDirectory();
+  const two = makeEndpoint('two');
+  directory.replace([ONE, two], 0);
+  directory.apply([{kind: 'unreadable', id: ONE.id}], 1);
+  t.deepEqual(idsAt(directory, 1), ['two']);
+});
--- /dev/null
+++ b/packages/routing/src/endpoint_monitor.test.ts
@@ -0,0 +1,47 @@
+import test from 'ava';
+import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
+import {EndpointMonitor} from './endpoint_monitor.js';
+
+const ONE = brandAs<EndpointId>('one');
+
+test('an endpoint that can not be reached is left alone, then tried again', t => {
+  const monitor = new EndpointMonitor({firstBackoffMs: 100, maxBackoffMs: 300});
+  monitor.note(ONE, 'unreachable', 0);
+  t.true(monitor.isDown(ONE, 99));
+  t.false(monitor.isDown(ONE, 100));
+  monitor.note(ONE, 'unreachable', 100);
+  t.true(monitor.isDown(ONE, 299));
+  monitor.note(ONE, 'unreachable', 300);
+  t.true(monitor.isDown(ONE, 599));
+  t.false(monitor.isDown(ONE, 600));
+  monitor.note(ONE, 'answered', 600);
+  monitor.note(ONE, 'unreachable', 700);
+  t.false(monitor.isDown(ONE, 800));
+});
+
+test('failures fade, so that no endpoint is starved for ever', t => {
+  const monitor = new EndpointMonitor({failureHalfLifeMs: 1000});
+  for (let count = 0; count < 10; count++) monitor.note(ONE, 'failed', 0);
+  t.true(monitor.failureShare(ONE, 0) > 0.9);
+  t.true(monitor.failureShare(ONE, 4000) < 0.1);
+});
+
+test('a told load counts the requests of others, and fades', t => {
+  const monitor = new EndpointMonitor({loadHalfLifeMs: 1000});
+  monitor.begin(ONE, 1);
+  monitor.noteLoad(ONE, {running: 5, waiting: 2, capacity: 8}, 0);
+  t.is(monitor.estimateLoad(ONE, 0), 7);
+  monitor.begin(ONE, 1);
+  t.is(monitor.estimateLoad(ONE, 0), 8);
+  t.is(monitor.estimateLoad(ONE, 1000), 5);
+  monitor.end(ONE, 1);
+  monitor.end(ONE, 1);
+  t.is(monitor.inFlight(ONE), 0);
+});
+
+test('endpoints that are gone are forgotten', t => {
+  const monitor = new EndpointMonitor();
+  monitor.note(ONE, 'unreachable', 0);
+  monitor.retain(new Set());
+  t.false(monitor.isDown(ONE, 1));
+});
--- /dev/null
+++ b/packages/routing/src/prompt_placement.test.ts
@@ -0,0 +1,107 @@
+import test from 'ava';
+import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
+import {DemandMeter} from './demand_meter.js';
+import {EndpointMonitor} from './endpoint_monitor.js';
+import type {Prompt} from './prompt.js';
+import {
+  findShortRoutes,
+  PromptPlacement,
+  splitCount,
+} from './prompt_placement.js';
+import type {Route, RouteId} from './route.js';
+import {
+  AKL_A,
+  makeEndpoint,
+  makePrompt,
+  makeRoute,
+  REPAIR,
+} from './test_support/fixtures.js';
+
+const QUOTE = makeRoute({id: brandAs<RouteId>('quote'), pauseTargetMs: 600});
+const COUNTER = makeRoute({
+  id: brandAs<RouteId>('counter'),
+  pauseTargetMs: 150,
+});
+const ENGINES = Array.from({length: 8}, (_, index) =>
+  makeEndpoint(`engine-${index}`),
+);
+
+/** Many requests of both routes, over some seconds. */
+function makePlacement(monitor = new EndpointMonitor()): PromptPlacement {
+  const demand = new DemandMeter();
+  for (let index = 0; index < 100; index++) {
+    const nowMs = index * 50;
+    demand.count(REPAIR, QUOTE, makePrompt(`q${index}`, 13_000, 3700), nowMs);
+    demand.count(REPAIR, COUNTER, makePrompt('c', 300, 1100), nowMs);
+  }
+  return new PromptPlacement({monitor, demand, random: () => 0});
+}
+
+function place(
+  placement: PromptPlacement,
+  route: Route,
+  prompt: Prompt,
+  engines = ENGINES,
+): string | undefined {
+  return placement.choose(engines, {
+    route,
+    prompt,
+    dataCentre: AKL_A,
+    excluded: new Set(),
+    nowMs: 5000,
+  })?.id;
+}
+
+test('long prompts keep away from engines that serve short pauses', t => {
+  // An engine reads a long prompt between the tokens of all its streams. On a
+  // counter a customer sees the answer stutter for half a second each time.
+  const placement = makePlacement();
+  const quotes = new Set<string | undefined>();
+  for (let index = 0; index < 200; index++) {
+    const prompt = makePrompt(`q${index}`, 13_000, 3700);
+    quotes.add(place(placement, QUOTE, prompt));
+  }
+  const counter = place(placement, COUNTER, makePrompt('c', 300, 1100));
+  t.false(quotes.has(counter));
+  t.true(quotes.size >= 3);
+});
+
+test('requests that share a beginning go to the same engine', t => {
+  const prompt = makePrompt('manual-7', 13_000, 3700);
+  const first = place(makePlacement(), QUOTE, prompt);
+  const other = place(makePlacement(), QUOTE, prompt);
+  t.is(first, other);
+});
+
+test('a hot beginning spills over when its engine has more than its share', t => {
+  // One manual becomes popular within a minute. Sent to the engine that has it
+  // alone, all its readers would wait in one queue beside idle engines.
+  const monitor = new EndpointMonitor();
+  const placement = makePlacement(monitor);
+  const prompt = makePrompt('hot', 13_000, 3700);
+  const home = place(placement, QUOTE, prompt)!;
+  const busy = {running: 60, waiting: 10, capacity: 64};
+  monitor.noteLoad(brandAs<EndpointId>(home), busy, 5000);
+  t.not(place(placement, QUOTE, prompt), home);
+});
+
+test('neither side of the split is ever empty', t => {
+  t.is(splitCount(8, 0.01), 1);
+  t.is(splitCount(8, 0.99), 7);
+  t.is(splitCount(8, 0.4), 3);
+});
+
+test('one route alone uses all engines', t => {
+  const demand = new DemandMeter();
+  demand.count(REPAIR, COUNTER, makePrompt('c', 300, 1100), 0);
+  t.is(findShortRoutes(demand.read(REPAIR, 0)).size, 0);
+});
+
+test('a failing home engine is passed over', t => {
+  const monitor = new EndpointMonitor();
+  const placement = makePlacement(monitor);
+  const prompt = makePrompt('manual-7', 13_000, 3700);
+  const home = brandAs<EndpointId>(place(placement, QUOTE, prompt)!);
+  for (let count = 0; count < 5; count++) monitor.note(home, 'failed', 5000);
+  t.not(place(placement, QUOTE, prompt), home);
+});
--- /dev/null
+++ b/packages/routing/src/route_table.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava';
+import {brandAs, type ClientAccountId} from '@snipestage/types/ids.js';
+import type {RouteId, RoutingConfiguration} from './route.js';
+import {RouteTable} from './route_table.js';
+import {makeRoute} from './test_support/fixtures.js';
+
+function makeTable(changes: Partial<RoutingConfiguration> = {}): RouteTable {
+  const route = (id: string, pathPrefix: string) =>
+    makeRoute({id: brandAs<RouteId>(id), pathPrefix});
+  return new RouteTable({
+    version: 1,
+    routes: [route('root', '/'), route('a', '/a/'), route('ab', '/a/b/')],
+    services: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+    clientAccounts: [
+      {id: brandAs<ClientAccountId>('shop'), keys: ['k'], tier: undefined},
+    ],
+    ...changes,
+  });
+}
+
+test('the longest prefix that begins the path wins', t => {
+  const table = makeTable();
+  const find = (path: string): string | undefined =>
+    table.findRoute('SHOP.example:80', path)?.id;
+  t.is(find('/a/b/c'), 'ab');
+  t.is(find('/a/bc'), 'a');
+  t.is(find('/a/b?x=/a/b/c/'), 'a');
+  t.is(find('/ab/'), 'root');
+  t.is(table.findRoute('other.example', '/a/'), undefined);
+});
+
+test('a key that was withdrawn is known no more in the next version', t => {
+  // A shop's key has leaked and the operator takes it away. If an instance
+  // kept old keys, whoever found it would go on at the shop's expense.
+  t.like(makeTable().findAccount('k'), {id: 'shop'});
+  t.is(makeTable({clientAccounts: []}).findAccount('k'), undefined);
+  t.true(makeTable({clientAccounts: []}).needsKeys);
+  t.false(makeTable({clientAccounts: undefined}).needsKeys);
+});
--- /dev/null
+++ b/packages/routing/src/test_support/fixtures.ts
@@ -0,0 +1,68 @@
+/** Small values for tests. */
+
+import {
+  brandAs,
+  type DataCentreId,
+  type EndpointId,
+  type ServiceId,
+} from '@snipestage/types/ids.js';
+import type {Prompt, PromptPartId} from '../prompt.js';
+import type {Route, RouteId} from '../route.js';
+import type {EndpointAddress, ServingEndpoint} from '../serving_endpoint.js';
+
+export const REPAIR = brandAs<ServiceId>('repair');
+export const AKL_A = brandAs<DataCentreId>('akl-a');
+
+/** A resumable stream with two attempts, with changes. */
+export function makeRoute(changes: Partial<Route> = {}): Route {
+  return {
+    id: brandAs<RouteId>('summary'),
+    host: 'shop.example',
+    pathPrefix: '/summary/',
+    kind: 'stream',
+    targets: [{service: REPAIR, weight: 1}],
+    timeoutMs: 6000,
+    latencyTargetMs: 600,
+    pauseTargetMs: 250,
+    tier: 1,
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: true,
+    ...changes,
+  };
+}
+
+/** An endpoint of {@link REPAIR} in {@link AKL_A}, with changes. */
+export function makeEndpoint(
+  id: string,
+  changes: Partial<ServingEndpoint> = {},
+): ServingEndpoint {
+  return {
+    id: brandAs<EndpointId>(id),
+    service: REPAIR,
+    address: brandAs<EndpointAddress>('127.0.0.1:1'),
+    dataCentre: AKL_A,
+    capacity: 64,
+    isLeaving: false,
+    isCheap: false,
+    bornEpochMs: 1,
+    ...changes,
+  };
+}
+
+/** A prompt of one shared part and one of its own. */
+export function makePrompt(
+  shared: string,
+  sharedTokens: number,
+  ownTokens: number,
+): Prompt {
+  return {
+    tokens: sharedTokens + ownTokens,
+    maxOutputTokens: 100,
+    expectedOutputTokens: undefined,
+    parts: [
+      {id: brandAs<PromptPartId>(shared), tokens: sharedTokens},
+      {id: brandAs<PromptPartId>(`own-${shared}`), tokens: ownTokens},
+    ],
+  };
+}
