Don't reset a connection that is shutting down

Cause: the endpoint answered and closed, our side was closing as well, and the attempt was then cancelled with a reset. Node.js 20 gets EINVAL from the system for that, leaves the handle open, and epoll reports it for ever: a process at 100% of a core (seen: the test process after 'all full' never ended, at 103%).

Ruled out: timers and loops of our own (bisected by test; only the two tests in which an endpoint rejects and closes hung).

Change: such a connection is closed instead; it has nothing more to send.

--- a/packages/connection/src/fresh_connection.test.ts
+++ b/packages/connection/src/fresh_connection.test.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import type {AddressInfo} from 'node:net';
+import net, {type AddressInfo} from 'node:net';
 import test from 'ava';
 import {FreshConnection} from './fresh_connection.js';
 
@@ -76,3 +76,23 @@
   const connection = await FreshConnection.open({host: '127.0.0.1', port});
   t.is(connection.kind, 'failed');
 });
+
+test('a reset while the connection shuts down leaves nothing behind', async t => {
+  // Both ends close at about the same time and the reset comes in between. The
+  // handle would stay open and keep a whole processor busy from then on, while
+  // requests still seem to be served.
+  const server = net.createServer(socket => socket.end('bye'));
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const connection = await openOrFail(port);
+  const socket = connection.createConnection();
+  const hasClosed = new Promise(resolve => socket.once('close', resolve));
+  socket.once('data', () => {
+    socket.end();
+    connection.reset();
+  });
+  await hasClosed;
+  t.true(socket.destroyed);
+  t.is((socket as unknown as {_handle: unknown})._handle, null);
+  server.close();
+});
--- a/packages/connection/src/fresh_connection.ts
+++ b/packages/connection/src/fresh_connection.ts
@@ -62,7 +62,7 @@
       port: options.port,
       noDelay: true,
     });
-    const reset = () => socket.resetAndDestroy();
+    const reset = () => resetSocket(socket);
     signal?.addEventListener('abort', reset, {once: true});
     socket.once('close', () => signal?.removeEventListener('abort', reset));
     const failure = await waitUntilOpen(
@@ -94,7 +94,7 @@
 
   /** Resets the connection. */
   reset(): void {
-    this.socket.resetAndDestroy();
+    resetSocket(this.socket);
   }
 
   /**
@@ -109,7 +109,7 @@
     const guarded = (...args: unknown[]): boolean => {
       if (!this.mayStillSend()) {
         this.sendForbidden = true;
-        this.socket.resetAndDestroy();
+        resetSocket(this.socket);
         return false;
       }
       this.bytesHandedOver = true;
@@ -119,6 +119,17 @@
   }
 }
 
+/**
+ * A socket whose sending side is being shut down can't be reset: Node.js (20)
+ * gets an error from the system and leaves the handle open, which then keeps a
+ * processor busy for as long as the process lives. Such a socket has nothing
+ * more to send, so that closing it is as good.
+ */
+function resetSocket(socket: net.Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 function waitUntilOpen(
   socket: net.Socket,
   timeoutMs: number,
--- /dev/null
+++ b/packages/gateway/src/duty_term.test.ts
@@ -0,0 +1,85 @@
+import test from 'ava';
+import type {HeldLease} from '@snipestage/agreement/lease.js';
+import type {LeaseListener} from '@snipestage/entry/agree/lease_task.js';
+import {brandAs, type FencingToken} from '@snipestage/types/ids.js';
+import {DutyTerm} from './duty_term.js';
+
+/** A lease that a test gives and takes. */
+class ScriptedLease {
+  held: HeldLease | undefined;
+  private listener: LeaseListener | undefined;
+
+  listen(listener: LeaseListener): void {
+    this.listener = listener;
+  }
+
+  guard() {
+    const signal = new AbortController().signal;
+    return {mayStillSend: () => this.held !== undefined, signal};
+  }
+
+  acquire(token: number, atMs: number): void {
+    this.held = {
+      fencingToken: brandAs<FencingToken>(token),
+      fenceVersion: 1,
+      termEndsAtMs: atMs + 3000,
+      renewedAtMs: atMs,
+    };
+    this.listener?.acquired(this.held);
+  }
+}
+
+function makeTerm() {
+  const lease = new ScriptedLease();
+  const time = {nowMs: 0, epochMs: 0};
+  const term = new DutyTerm({
+    lease,
+    apartMs: 3000,
+    nowMs: () => time.nowMs,
+    nowEpochMs: () => time.epochMs,
+  });
+  const pass = (ms: number) => {
+    time.nowMs += ms;
+    time.epochMs += ms;
+  };
+  return {lease, time, term, pass};
+}
+
+test('the first holder ever acts at once, the next one waits', t => {
+  // An instance is stopped and hands its duties over; moments later its
+  // successor is stopped and hands them back. To the provider the two would
+  // seem to give orders at the same time.
+  const {lease, term, pass} = makeTerm();
+  lease.acquire(1, 0);
+  t.is(term.token, brandAs<FencingToken>(1));
+  lease.acquire(2, 0);
+  t.is(term.token, undefined);
+  pass(3000);
+  t.is(term.token, brandAs<FencingToken>(2));
+});
+
+test('after a suspension nothing is sent before a renewal', t => {
+  // A machine is suspended for four seconds. Its steady clock stood still, so
+  // its lease seems in force; another instance has taken over long since.
+  const {lease, time, term, pass} = makeTerm();
+  lease.acquire(1, 0);
+  pass(100);
+  const guard = term.guard();
+  t.true(guard.mayStillSend());
+  time.epochMs += 4000;
+  t.false(guard.mayStillSend());
+  t.is(term.token, undefined);
+  pass(200);
+  lease.held = {...lease.held!, renewedAtMs: time.nowMs};
+  pass(1);
+  t.is(term.token, brandAs<FencingToken>(1));
+});
+
+test('a guard holds for the token it was made under only', t => {
+  const {lease, term, pass} = makeTerm();
+  lease.acquire(1, 0);
+  const guard = term.guard();
+  lease.acquire(2, 0);
+  pass(5000);
+  t.false(guard.mayStillSend());
+});
--- /dev/null
+++ b/packages/gateway/src/table_follower.test.ts
@@ -0,0 +1,94 @@
+import test from 'ava';
+import {
+  FollowedTable,
+  TableFollower,
+  type FollowedRow,
+  type TableReading,
+} from './table_follower.js';
+import {NoOutput} from './test_support/no_output.js';
+
+/** Gives prepared readings one after the other. */
+class ScriptedTable extends FollowedTable {
+  readonly name = 'scripted';
+  readonly calls: string[] = [];
+
+  constructor(private readonly readings: TableReading[]) {
+    super();
+  }
+
+  readAll(): Promise<TableReading> {
+    this.calls.push('all');
+    return Promise.resolve(this.readings.shift()!);
+  }
+
+  waitForChanges(since: number): Promise<TableReading> {
+    this.calls.push(`since ${since}`);
+    return Promise.resolve(this.readings.shift()!);
+  }
+}
+
+function rows(version: number, ...keys: string[]): TableReading {
+  const list = keys.map(key => ({key, version, data: Buffer.from('')}));
+  return {kind: 'rows', rows: list, version, clock: undefined};
+}
+
+async function follow(readings: TableReading[]) {
+  const table = new ScriptedTable([...readings]);
+  const told: string[] = [];
+  const keysOf = (list: readonly FollowedRow[]) =>
+    list.map(({key}) => key).join(',');
+  const output = new NoOutput();
+  const follower = new TableFollower({
+    table,
+    waitMs: 1000,
+    logger: output.logger,
+    random: () => 1,
+    listener: {
+      replaced: list => told.push(`replaced ${keysOf(list)}`),
+      changed: list => told.push(`changed ${keysOf(list)}`),
+      disturbed: () => told.push('disturbed'),
+    },
+  });
+  const pauses: number[] = [];
+  for (const _ of readings) pauses.push(await follower.readOnce());
+  return {table, told, pauses, lines: output.lines};
+}
+
+test('reads whole once, then only what changed since', async t => {
+  const {table, told} = await follow([rows(5, 'a'), rows(7, 'b'), rows(9)]);
+  t.deepEqual(table.calls, ['all', 'since 5', 'since 7']);
+  t.deepEqual(told, ['replaced a', 'changed b']);
+});
+
+test('a history that is gone is made up for by a whole read', async t => {
+  const {table, told} = await follow([
+    rows(5, 'a'),
+    {kind: 'history_gone'},
+    rows(9, 'b'),
+  ]);
+  t.deepEqual(table.calls, ['all', 'since 5', 'all']);
+  t.deepEqual(told, ['replaced a', 'disturbed', 'replaced b']);
+});
+
+test('a whole read older than what is known changes nothing', async t => {
+  // The store dropped its history, and the read that makes up for it comes from
+  // a copy that lags. Taken as it is, keys withdrawn a moment ago would open
+  // again and endpoints that have left come back.
+  const {told, pauses} = await follow([
+    rows(5, 'a'),
+    {kind: 'history_gone'},
+    rows(3, 'old'),
+    rows(6, 'new'),
+  ]);
+  t.deepEqual(told, ['replaced a', 'disturbed', 'replaced new']);
+  t.true(pauses[2] > 0);
+});
+
+test('failures are waited out ever longer, and told once', async t => {
+  const away: TableReading = {kind: 'unavailable', reason: 'timeout'};
+  const {pauses, lines, told} = await follow([away, away, away, rows(1, 'a')]);
+  t.deepEqual(pauses, [100, 200, 400, 0]);
+  t.is(lines.filter(line => line.includes('store_lost')).length, 1);
+  t.is(lines.filter(line => line.includes('store_regained')).length, 1);
+  t.is(told.at(-1), 'replaced a');
+});
--- /dev/null
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -0,0 +1,71 @@
+/** A protocol of few headers, for tests. */
+
+import type {IncomingHttpHeaders} from 'node:http';
+import {brandAs, type RequestId} from '@snipestage/types/ids.js';
+import {
+  PassThroughProtocol,
+  type AnswerHead,
+  type CallerRequest,
+  type FlatHeaders,
+  type ForwardedRequest,
+} from '../pass_through_protocol.js';
+
+export class PlainProtocol extends PassThroughProtocol {
+  readRequest(headers: IncomingHttpHeaders): CallerRequest {
+    const waits = headers['x-waits-ms'];
+    return {
+      requestId: brandAs<RequestId>(String(headers['x-request-id'] ?? '')),
+      waitsForMs: waits === undefined ? undefined : Number(waits),
+      key: headers['x-key'] as string | undefined,
+      prompt: undefined,
+      lastEventId: undefined,
+    };
+  }
+
+  composeForwarded(
+    rawHeaders: FlatHeaders,
+    forwarded: ForwardedRequest,
+  ): string[] {
+    const id = rawHeaders.findIndex(
+      (name, index) => index % 2 === 0 && name.toLowerCase() === 'x-request-id',
+    );
+    const headers = ['X-Request-Id', rawHeaders[id + 1], 'Host', 'test'];
+    headers.push('X-Time-Left-Ms', String(forwarded.timeLeftMs));
+    if (forwarded.lastEventId !== undefined) {
+      headers.push('Last-Event-Id', forwarded.lastEventId);
+    }
+    if (forwarded.bodyBytes !== undefined) {
+      headers.push('Content-Length', String(forwarded.bodyBytes));
+    }
+    return headers;
+  }
+
+  readAnswer(status: number, headers: IncomingHttpHeaders): AnswerHead {
+    return {
+      status,
+      requestId: headers['x-request-id'] as string | undefined,
+      isSigned: headers['x-signature'] !== undefined,
+      isNotRun: headers['x-not-run'] !== undefined,
+      isMisdirected: status === 421,
+      isEncoded: headers['content-encoding'] !== undefined,
+      load: undefined,
+    };
+  }
+
+  composeAnswer(rawHeaders: FlatHeaders): string[] {
+    const kept: string[] = [];
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+      const name = rawHeaders[index].toLowerCase();
+      const isFraming =
+        name === 'content-length' ||
+        name === 'transfer-encoding' ||
+        name === 'connection';
+      if (!isFraming) kept.push(rawHeaders[index], rawHeaders[index + 1]);
+    }
+    return kept;
+  }
+
+  composeRetryAfter(retryAfterMs: number): Record<string, string> {
+    return {'Retry-After': String(retryAfterMs / 1000)};
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/test_support/test_door.ts
@@ -0,0 +1,251 @@
+/** A door on loopback with scripted endpoints behind it, for tests. */
+
+import {once} from 'node:events';
+import http from 'node:http';
+import net, {type AddressInfo, type Socket} from 'node:net';
+import {NoOutput} from './no_output.js';
+import {
+  brandAs,
+  type DataCentreId,
+  type EndpointId,
+  type InstanceId,
+  type ServiceId,
+} from '@snipestage/types/ids.js';
+import type {Route, RouteId} from '@snipestage/routing/route.js';
+import {RouteTable} from '@snipestage/routing/route_table.js';
+import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
+import type {Admission} from '../admission.js';
+import {CrashReporter} from '../crash_reporter.js';
+import {GatewayMetrics} from '../gateway_metrics.js';
+import {RequestHandler} from '../request_handler.js';
+import {RoutingState} from '../routing_state.js';
+import {PlainProtocol} from './plain_protocol.js';
+
+const SERVICE = brandAs<ServiceId>('service');
+const DATA_CENTRE = brandAs<DataCentreId>('akl-a');
+
+/** What an endpoint does with a request, given the bytes so far. */
+export type Script = (socket: Socket, request: string) => void;
+
+/** An answer as bytes, with the id and the signature that belong to it. */
+export function answerBytes(
+  id: string,
+  options: {
+    readonly status?: number;
+    readonly headers?: readonly string[];
+    readonly body?: string;
+  } = {},
+): string {
+  const {status = 200, headers = [], body = 'whole'} = options;
+  const lines = [
+    `HTTP/1.1 ${status} Status`,
+    `X-Request-Id: ${id}`,
+    'X-Signature: proof',
+    `Content-Length: ${body.length}`,
+    ...headers,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
+}
+
+/** The head of an answer whose body is a series of chunks. */
+export function streamHead(id: string): string {
+  return [
+    'HTTP/1.1 200 OK',
+    `X-Request-Id: ${id}`,
+    'X-Signature: proof',
+    'Content-Type: text/event-stream',
+    'Transfer-Encoding: chunked',
+    '\r\n',
+  ].join('\r\n');
+}
+
+/** One chunk of a chunked body; an empty one ends it. */
+export function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** False when the connection broke off before the answer's end. */
+  readonly isComplete: boolean;
+}
+
+/** One door; its endpoints see raw bytes and answer with raw bytes. */
+export class TestDoor {
+  readonly state = new RoutingState({ratio: 1, windowMs: 10_000, floor: 10});
+  /** First lines and headers that endpoints received, by endpoint. */
+  readonly received: Array<{endpoint: string; request: string}> = [];
+  readonly begun: Admission[] = [];
+  /** Endpoints whose connections were closed by the door. */
+  readonly closed: string[] = [];
+  isDraining = false;
+  private readonly servers: Array<http.Server | net.Server> = [];
+  private readonly sockets = new Set<Socket>();
+  private port = 0;
+
+  static async start(
+    route: Partial<Route>,
+    scripts: readonly Script[],
+  ): Promise<TestDoor> {
+    const door = new TestDoor();
+    await door.listen();
+    for (const [index, script] of scripts.entries()) {
+      await door.addEndpoint(`endpoint-${index}`, script);
+    }
+    door.configure(route);
+    return door;
+  }
+
+  close(): void {
+    for (const socket of this.sockets) socket.destroy();
+    for (const server of this.servers) server.close();
+  }
+
+  /** Puts one route in force. */
+  configure(changes: Partial<Route>): void {
+    const route: Route = {
+      id: brandAs<RouteId>('route'),
+      host: 'test',
+      pathPrefix: '/r/',
+      kind: 'non_idempotent',
+      targets: [{service: SERVICE, weight: 1}],
+      timeoutMs: 5000,
+      latencyTargetMs: 500,
+      pauseTargetMs: 300,
+      tier: 0,
+      maxAttempts: 1,
+      isPublic: true,
+      isResumable: false,
+      ...changes,
+    };
+    this.state.table = new RouteTable({
+      version: 1,
+      routes: [route],
+      services: [{id: SERVICE, engine: undefined, scaling: undefined}],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1000,
+        headerTimeoutMs: 3000,
+        idleTimeoutMs: 15_000,
+      },
+      clientAccounts: undefined,
+    });
+  }
+
+  /** A call as a caller makes it. */
+  call(
+    id: string,
+    options: {
+      readonly body?: string;
+      readonly headers?: Record<string, string>;
+      readonly signal?: AbortSignal;
+    } = {},
+  ): Promise<CallerAnswer> {
+    const {body, headers, signal} = options;
+    return new Promise((resolve, reject) => {
+      const request = http.request(
+        {
+          host: '127.0.0.1',
+          port: this.port,
+          path: '/r/x',
+          method: body === undefined ? 'GET' : 'POST',
+          headers: {Host: 'test', 'X-Request-Id': id, ...headers},
+          agent: false,
+          signal,
+        },
+        response => {
+          let text = '';
+          const settle = () =>
+            resolve({
+              status: response.statusCode ?? 0,
+              headers: response.headers,
+              body: text,
+              isComplete: response.complete,
+            });
+          response.on('data', (data: Buffer) => (text += data.toString()));
+          response.on('error', settle);
+          response.on('close', settle);
+        },
+      );
+      request.on('error', reject);
+      request.end(body);
+    });
+  }
+
+  async addEndpoint(id: string, script: Script): Promise<void> {
+    const server = net.createServer(socket => {
+      this.sockets.add(socket);
+      let text = '';
+      socket.on('data', data => {
+        text += data.toString('latin1');
+        if (!isWholeRequest(text)) return;
+        const request = text;
+        text = '';
+        this.received.push({endpoint: id, request});
+        script(socket, request);
+      });
+      socket.on('error', () => undefined);
+      socket.on('close', () => this.closed.push(id));
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    this.servers.push(server);
+    const {port} = server.address() as AddressInfo;
+    this.list(id, `127.0.0.1:${port}`);
+  }
+
+  /** Lists an endpoint under an address. */
+  list(id: string, address: string): void {
+    const endpoint = {
+      id: brandAs<EndpointId>(id),
+      service: SERVICE,
+      address: brandAs<EndpointAddress>(address),
+      dataCentre: DATA_CENTRE,
+      capacity: 4,
+      isLeaving: false,
+      isCheap: false,
+      bornEpochMs: 1,
+    };
+    this.state.directory.apply([{kind: 'listed', endpoint}], 0);
+  }
+
+  private async listen(): Promise<void> {
+    const logger = new NoOutput().logger;
+    const handler = new RequestHandler({
+      state: this.state,
+      protocol: new PlainProtocol(),
+      dataCentre: DATA_CENTRE,
+      crashes: new CrashReporter({
+        state: this.state,
+        instance: brandAs<InstanceId>('test'),
+        incarnation: '1',
+        logger,
+        nowMs: () => performance.now(),
+        publish: () => undefined,
+      }),
+      logger,
+      metrics: new GatewayMetrics(),
+      nowMs: () => performance.now(),
+      connectTimeoutMs: 1000,
+      onBegun: admission => this.begun.push(admission),
+      isDraining: () => this.isDraining,
+    });
+    const server = http.createServer(
+      (request, response) => void handler.handle(request, response),
+    );
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    server.on('connection', (socket: Socket) => this.sockets.add(socket));
+    this.servers.push(server);
+    this.port = (server.address() as AddressInfo).port;
+  }
+}
+
+function isWholeRequest(text: string): boolean {
+  const end = text.indexOf('\r\n\r\n');
+  if (end < 0) return false;
+  const length = /content-length: (\d+)/i.exec(text)?.[1] ?? '0';
+  return text.length >= end + 4 + Number(length);
+}
