--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -50,7 +50,9 @@
     },
   });
   const pauses: number[] = [];
-  for (const _ of readings) pauses.push(await follower.readOnce());
+  while (pauses.length < readings.length) {
+    pauses.push(await follower.readOnce());
+  }
   return {table, told, pauses, lines: output.lines};
 }
 
