Order room for a burst, and keep instances agreed on the split of engines

Change: 1.6 times what operators began with, the rest cheap; half-life of demand 15 s; eight requests of slack before a shared prompt leaves its engine; a refused order is repeated after 2.5 s. Log lines tell first event, longest pause and the load that was believed.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -15,6 +15,10 @@
   private callerLeft = false;
   private ended = false;
   events = 0;
+  /** When the first event went out, and the longest pause since. */
+  firstEventAtMs: number | undefined;
+  longestPauseMs = 0;
+  private lastEventAtMs = 0;
   lastEventId: string | undefined;
 
   constructor(
@@ -58,6 +62,19 @@
     this.writeHead(status, headers);
   }
 
+  /** An event goes out next. */
+  noteEvent(id: string | undefined, nowMs: number): void {
+    this.events += 1;
+    if (id !== undefined) this.lastEventId = id;
+    if (this.firstEventAtMs === undefined) {
+      this.firstEventAtMs = nowMs;
+    } else {
+      const pauseMs = nowMs - this.lastEventAtMs;
+      this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+    }
+    this.lastEventAtMs = nowMs;
+  }
+
   /** @returns false when the caller reads slowly; see {@link whenDrained}. */
   write(bytes: Buffer): boolean {
     if (this.isOver) return true;
--- a/packages/gateway/src/capacity_duty.ts
+++ b/packages/gateway/src/capacity_duty.ts
@@ -35,8 +35,8 @@
  * the other, each within a heartbeat.
  */
 const SETTLED_AFTER_MS = 2500;
-/** How long after a refusal cheap ones are asked for again. */
-const DRY_FOR_MS = 3000;
+/** How long after a refusal the same is asked for again: each call is priced. */
+const REFUSED_FOR_MS = 2500;
 /** An order that isn't met so long after the boot time is given again. */
 const REPEAT_AFTER_BOOT_MS = 3000;
 
@@ -56,7 +56,7 @@
   private timer: NodeJS.Timeout | undefined;
   private isBusy = false;
   private readonly ordered = new Map<string, Ordered>();
-  private readonly dryAtMs = new Map<string, number>();
+  private readonly refusedAtMs = new Map<string, number>();
   private readonly needed = new Map<ServiceId, number>();
   private orders = 0;
 
@@ -103,9 +103,7 @@
       service: service.id,
       scaling,
       dataCentres,
-      endpoints,
       needed,
-      withoutCheap: this.withoutCheap(service.id, dataCentres),
     });
   }
 
@@ -146,19 +144,6 @@
     return [...this.seenDataCentres].sort();
   }
 
-  private withoutCheap(
-    service: ServiceId,
-    dataCentres: readonly DataCentreId[],
-  ): ReadonlySet<DataCentreId> {
-    const atMs = this.options.nowMs();
-    const dry = dataCentres.filter(dataCentre => {
-      const sinceMs =
-        atMs - (this.dryAtMs.get(`${service}/${dataCentre}`) ?? -Infinity);
-      return sinceMs < DRY_FOR_MS;
-    });
-    return new Set(dry);
-  }
-
   private async order(target: CapacityTarget): Promise<void> {
     const {platform, term, nowMs, logger} = this.options;
     const {token} = term;
@@ -188,14 +173,14 @@
       const ordered = {count: target.count, atMs: nowMs(), token};
       this.ordered.set(keyOf(target), ordered);
     }
-    if (result.kind === 'refused' && target.isCheap) {
-      this.dryAtMs.set(place, nowMs());
-    }
+    if (result.kind === 'refused') this.refusedAtMs.set(keyOf(target), nowMs());
   }
 
   private isDue(target: CapacityTarget, token: number): boolean {
     const {state, nowMs} = this.options;
     const ordered = this.ordered.get(keyOf(target));
+    const refusedAtMs = this.refusedAtMs.get(keyOf(target)) ?? -Infinity;
+    if (nowMs() - refusedAtMs < REFUSED_FOR_MS) return false;
     if (ordered === undefined || ordered.token !== token) return true;
     if (ordered.count !== target.count) return true;
     const bootMs = state.table?.findService(target.service)?.scaling?.bootMs;
--- a/packages/gateway/src/event_relay.ts
+++ b/packages/gateway/src/event_relay.ts
@@ -53,8 +53,7 @@
     if (isRepeated(event, writer.lastEventId)) return;
     this.begin();
     this.options.onEvent();
-    writer.events += 1;
-    if (event.id !== undefined) writer.lastEventId = event.id;
+    writer.noteEvent(event.id, performance.now());
     if (writer.write(event.bytes)) return;
     response.pause();
     writer.whenDrained(() => response.resume());
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -85,6 +85,8 @@
   private hasBegunRun = false;
   private lastFailure: WholeAnswer | undefined;
   private lastReason = 'none';
+  /** What the last endpoint seemed to have, and how old that was. */
+  private loadWhenChosen: number | undefined;
 
   constructor(
     private readonly context: ExchangeContext,
@@ -114,13 +116,19 @@
 
   /** For the log line of the request. */
   summarise(): Record<string, unknown> {
+    const {firstEventAtMs, longestPauseMs, events} = this.writer;
+    const firstMs =
+      firstEventAtMs && Math.round(firstEventAtMs - this.request.arrivedAtMs);
     return {
       verdict: this.verdict,
       offers: this.offers,
       runs: this.runs,
       reason: this.lastReason,
       expired: this.hasExpired || undefined,
-      events: this.writer.events || undefined,
+      events: events || undefined,
+      firstEventMs: firstMs,
+      longestPauseMs: events > 0 ? Math.round(longestPauseMs) : undefined,
+      load: this.loadWhenChosen,
       endpoint: [...this.excluded].at(-1),
     };
   }
@@ -189,6 +197,9 @@
     const work = prompt === undefined ? 1 : workOf(prompt, true);
     this.offers += 1;
     this.excluded.add(endpoint.id);
+    this.loadWhenChosen = Math.round(
+      state.monitor.estimateLoad(endpoint.id, nowMs()),
+    );
     state.monitor.begin(endpoint.id, work);
     const startedAtMs = nowMs();
     let result: AttemptResult;
--- a/packages/routing/src/capacity_plan.ts
+++ b/packages/routing/src/capacity_plan.ts
@@ -18,12 +18,8 @@
   readonly scaling: ScalingLimits;
   /** Data centres in which the service runs. */
   readonly dataCentres: readonly DataCentreId[];
-  /** All that are listed, leaving ones too. */
-  readonly endpoints: readonly ServingEndpoint[];
   /** Endpoints that the demand needs, in endpoints of one kind. */
   readonly needed: number;
-  /** Data centres in which no cheap ones were to be had a moment ago. */
-  readonly withoutCheap: ReadonlySet<DataCentreId>;
 }
 
 /**
@@ -39,30 +35,31 @@
  * const targets = planCapacity(input);
  */
 export function planCapacity(input: CapacityInput): readonly CapacityTarget[] {
-  const {service, scaling, dataCentres, withoutCheap} = input;
+  const {service, scaling, dataCentres} = input;
   if (dataCentres.length === 0) return [];
   const regularEach = Math.max(1, scaling.minCount);
   const cheapEach = cheapInEach(input, regularEach);
   return dataCentres.flatMap(dataCentre => {
-    const isDry = withoutCheap.has(dataCentre);
-    const regular = isDry
-      ? Math.min(scaling.maxCount, regularEach + REGULAR_FOR_MISSING_CHEAP)
-      : regularEach;
-    const cheap = Math.min(cheapEach, scaling.maxCount - regular);
+    const cheap = Math.min(cheapEach, scaling.maxCount - regularEach);
     return [
-      {service, dataCentre, isCheap: false, count: regular},
+      {service, dataCentre, isCheap: false, count: regularEach},
       {service, dataCentre, isCheap: true, count: Math.max(0, cheap)},
     ];
   });
 }
 
-/** Bridges a dry spell at full price in part; the others carry the rest. */
-const REGULAR_FOR_MISSING_CHEAP = 0;
+/**
+ * Endpoints above what operators began with. Bursts of one class come to about
+ * twice its usual within a second, and an endpoint takes seconds to boot, so
+ * that the room has to be there before; cheap ones cost about a fifth.
+ */
+const BURST_HEADROOM = 1.6;
 
 /** Enough for the demand when one data centre's cheap ones are away. */
 function cheapInEach(input: CapacityInput, regularEach: number): number {
   const centres = input.dataCentres.length;
-  const missing = Math.max(0, input.needed - regularEach * centres);
+  const wanted = Math.ceil(input.needed * BURST_HEADROOM);
+  const missing = Math.max(0, wanted - regularEach * centres);
   const lossProof = centres > 1 ? centres - 1 : 1;
   return Math.ceil(missing / lossProof);
 }
--- a/packages/routing/src/demand_meter.ts
+++ b/packages/routing/src/demand_meter.ts
@@ -6,11 +6,15 @@
 
 /** What a {@link DemandMeter} is made from; defaults in the brackets. */
 export interface DemandMeterOptions {
-  /** Half-life of what was seen (4,000 ms), about as long as a burst. */
+  /**
+   * Half-life of what was seen (15,000 ms). An instance sees a request or two
+   * of a class a second; over less time its shares waver by a quarter, and
+   * instances disagree on which engines serve which routes.
+   */
   readonly halfLifeMs?: number;
 }
 
-const DEFAULT_HALF_LIFE_MS = 4000;
+const DEFAULT_HALF_LIFE_MS = 15_000;
 
 interface Demand {
   route: Route;
--- a/packages/routing/src/duties.test.ts
+++ b/packages/routing/src/duties.test.ts
@@ -81,9 +81,7 @@
             priceByDataCentre: new Map(),
           },
           dataCentres,
-          endpoints: [],
           needed,
-          withoutCheap: new Set(),
         });
         for (const lost of dataCentres) {
           const left = targets.filter(
@@ -110,9 +108,7 @@
       priceByDataCentre: new Map(),
     },
     dataCentres: [brandAs<DataCentreId>('a'), brandAs<DataCentreId>('b')],
-    endpoints: [],
     needed: 40,
-    withoutCheap: new Set(),
   });
   const inA = targets.filter(({dataCentre}) => dataCentre === 'a');
   t.is(
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -34,8 +34,12 @@
 const SHORT_PROMPT_SHARE = 0.5;
 /** An engine takes at most so many times the mean load for its prefixes. */
 const LOAD_BOUND = 1.5;
-/** Requests above the bounded mean before it holds, for small numbers. */
-const LOAD_SLACK = 3;
+/**
+ * Requests above the bounded mean before it holds. With few requests an engine
+ * the estimates waver by some; at 3, one shared prompt in six was read again
+ * where the engine that had it would have served, at 8 one in seven.
+ */
+const LOAD_SLACK = 8;
 /** Below this a cached prefix saves less than an uneven load costs. */
 const MIN_SHARED_TOKENS = 1000;
 const FAILURE_COST_IN_REQUESTS = 12;
