Fetch a prompt's beginning from the engine that has it; poll less

Change: a request with a long shared beginning names the next engine in rank as the place to fetch it from. Lease polls come before a lapse; the wait of long polls follows from the settings; what an instance counted is written every 2.5 s.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -9,6 +9,7 @@
 } from '@snipestage/routing/attempt_policy.js';
 import type {EndpointSign} from '@snipestage/routing/endpoint_monitor.js';
 import {workOf} from '@snipestage/routing/prompt.js';
+import type {Placed} from '@snipestage/routing/placement.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {
   DataCentreId,
@@ -144,18 +145,18 @@
   private async attemptUntilAnswered(): Promise<void> {
     for (;;) {
       if (this.writer.isOver) return;
-      const endpoint = this.choose();
-      if (endpoint === undefined) {
+      const placed = this.choose();
+      if (placed === undefined) {
         this.lastReason = this.offers === 0 ? 'no_endpoint' : this.lastReason;
         return this.fail();
       }
-      const result = await this.attempt(endpoint);
+      const result = await this.attempt(placed);
       if (result.kind === 'answered' || this.writer.isOver) return;
       if (!this.mayGoOn(result)) return this.fail();
     }
   }
 
-  private choose(): ServingEndpoint | undefined {
+  private choose(): Placed | undefined {
     const {state, dataCentre, nowMs} = this.context;
     const {route, service} = this.request.admission;
     const atMs = nowMs();
@@ -191,7 +192,8 @@
     return state.budgetFor(service).tryTake(nowMs());
   }
 
-  private async attempt(endpoint: ServingEndpoint): Promise<AttemptResult> {
+  private async attempt(placed: Placed): Promise<AttemptResult> {
+    const {endpoint} = placed;
     const {state, nowMs} = this.context;
     const {prompt} = this.request.caller;
     const work = prompt === undefined ? 1 : workOf(prompt, true);
@@ -204,7 +206,7 @@
     const startedAtMs = nowMs();
     let result: AttemptResult;
     try {
-      result = await this.send(endpoint);
+      result = await this.send(placed);
     } finally {
       state.monitor.end(endpoint.id, work);
       this.call = undefined;
@@ -253,7 +255,8 @@
     });
   }
 
-  private async send(endpoint: ServingEndpoint): Promise<AttemptResult> {
+  private async send(placed: Placed): Promise<AttemptResult> {
+    const {endpoint, cacheSource} = placed;
     const {protocol, nowMs, connectTimeoutMs} = this.context;
     const {request, writer} = this;
     const timeLeftMs = Math.max(1, Math.floor(request.endsAtMs - nowMs()));
@@ -267,6 +270,7 @@
         timeLeftMs,
         tier: request.admission.tier,
         lastEventId: writer.lastEventId ?? request.caller.lastEventId,
+        cacheSource: cacheSource?.address,
         bodyBytes: request.body?.length,
       }),
       body: request.body,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -69,22 +69,27 @@
 
 const DUTIES_LEASE = brandAs<LeaseName>('duties');
 /**
- * A long poll ends after this at the latest: a connection that has gone silent
- * shows by that, within the time in which a configuration has to be in force.
+ * A long poll ends after this share of the time in which a change has to be
+ * known, whatever happens to a connection: one that has gone silent shows by
+ * that, and the rest is left for a new one.
  */
-const FOLLOW_WAIT_MS = 2500;
+const FOLLOW_WAIT_SHARE = 0.7;
 /** Crashes are rare, and the third of a request may be known seconds later. */
-const FOLLOW_CRASHES_WAIT_MS = 4000;
+const FOLLOW_CRASHES_WAIT_MS = 8000;
 /** Share of the lease's term by which a holder stops before its end. */
 const LEASE_MARGIN_SHARE = 0.15;
 /** Renewals in a term: two may be lost. */
 const RENEWALS_PER_TERM = 2.5;
-/** A lost holder is noticed so much later; each poll is a priced call. */
+/**
+ * Each poll is a priced call. It has to come before a lease that was seen last
+ * seems to have lapsed, or each challenger writes in vain once a term: at two
+ * terms, half of all calls were such writes and the reads after them.
+ */
 const POLL_TERMS = 1;
 /** No handshake on these links takes this long unless its packet was lost. */
 const CONNECT_TIMEOUT_MS = 350;
 /** What a killed instance may take with it of a window's counts. */
-const USAGE_WRITE_EVERY_MS = 1500;
+const USAGE_WRITE_EVERY_MS = 2500;
 /** The balancer asks each second and acts on the second miss. */
 const BALANCER_LAG_MS = 2200;
 const DRAIN_CHECK_EVERY_MS = 100;
@@ -297,12 +302,14 @@
     const {tables} = this.options;
     const apply = (rows: readonly FollowedRow[]) =>
       this.applyConfiguration(rows);
-    this.follow(tables.configuration, FOLLOW_WAIT_MS, {
+    const waitMs =
+      this.options.settings.changes.knownWithinMs * FOLLOW_WAIT_SHARE;
+    this.follow(tables.configuration, waitMs, {
       replaced: apply,
       changed: apply,
       disturbed: () => undefined,
     });
-    this.follow(tables.endpoints, FOLLOW_WAIT_MS, {
+    this.follow(tables.endpoints, waitMs, {
       replaced: rows => this.replaceEndpoints(rows),
       changed: rows => this.changeEndpoints(rows),
       disturbed: () => this.state.directory.noteDisturbance(performance.now()),
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -16,6 +16,10 @@
     readonly ratio: number;
     readonly windowMs: number;
   };
+  readonly changes: {
+    /** A change has to be known so soon, also over a connection that broke. */
+    readonly knownWithinMs: number;
+  };
   readonly shutdown: {
     /** After this the process is killed. */
     readonly graceMs: number;
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import type {ReportedLoad} from '@snipestage/routing/endpoint_monitor.js';
+import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
 import type {Prompt} from '@snipestage/routing/prompt.js';
 import type {
   ClientAccountId,
@@ -29,6 +30,8 @@
   readonly tier: number;
   /** A stream goes on after this event. */
   readonly lastEventId: string | undefined;
+  /** Whose cache may have the start of the prompt. */
+  readonly cacheSource: EndpointAddress | undefined;
   readonly bodyBytes: number | undefined;
 }
 
--- /dev/null
+++ b/packages/gateway/src/usage_reporter.test.ts
@@ -0,0 +1,133 @@
+import test from 'ava';
+import {AgreedClock} from '@snipestage/routing/agreed_clock.js';
+import type {WindowNumber} from '@snipestage/routing/usage_windows.js';
+import {
+  brandAs,
+  type FencingToken,
+  type LeaseName,
+} from '@snipestage/types/ids.js';
+import type {DutyTerm} from './duty_term.js';
+import {MemoryPlatform} from './test_support/memory_platform.js';
+import {NoOutput} from './test_support/no_output.js';
+import {countsKey} from './usage_rows.js';
+import {UsageReporter} from './usage_reporter.js';
+
+const LEASE = brandAs<LeaseName>('duties');
+const WINDOW_MS = 5000;
+
+/** A reporter that holds the lease under a token, at a time of day. */
+function makeReporter(
+  platform: MemoryPlatform,
+  token: number,
+  epochMs: number,
+) {
+  const clock = new AgreedClock(0, epochMs);
+  clock.noteReading({storeMs: 0, sentAtMs: 0, receivedAtMs: 0});
+  clock.tie(epochMs);
+  const signal = new AbortController().signal;
+  const fencingToken = brandAs<FencingToken>(token);
+  const term = {
+    token: fencingToken,
+    guard: () => ({mayStillSend: () => true, signal}),
+  } as unknown as DutyTerm;
+  const version = platform.rows.get('fences/duties')?.version ?? 0;
+  return new UsageReporter({
+    platform,
+    lease: {
+      held: {
+        fencingToken,
+        fenceVersion: version,
+        termEndsAtMs: 9e9,
+        renewedAtMs: 0,
+      },
+    },
+    leaseName: LEASE,
+    term,
+    clock,
+    windowMs: WINDOW_MS,
+    dueAfterMs: 10_000,
+    nowMs: () => 0,
+    logger: new NoOutput().logger,
+  });
+}
+
+async function writeCounts(
+  platform: MemoryPlatform,
+  window: number,
+  writer: string,
+  count: number,
+): Promise<void> {
+  const key = countsKey(window as WindowNumber, writer);
+  const value = {counts: {shop: count}};
+  await platform.transact({checks: [], writes: [{key, value}]});
+}
+
+async function takeFence(platform: MemoryPlatform): Promise<void> {
+  const write = {key: 'fences/duties', value: {}};
+  await platform.transact({checks: [], writes: [write]});
+}
+
+function figures(platform: MemoryPlatform): string[] {
+  return platform.reports.map(
+    ({window, lines}) => `${window}: ${lines[0].requests}`,
+  );
+}
+
+test('the counts of all instances make one figure', async t => {
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  await writeCounts(platform, 100, 'a', 3);
+  await writeCounts(platform, 100, 'b', 4);
+  const reporter = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
+  for (let tick = 0; tick < 12; tick++) await reporter.tick();
+  t.deepEqual(figures(platform), ['100: 7']);
+});
+
+test('a successor reports the same figure, whatever came in meanwhile', async t => {
+  // The holder sealed a window, reported it and was killed before it could tell
+  // anybody. Late counts came in. Another figure for the same window would make
+  // two bills of one.
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  await writeCounts(platform, 100, 'a', 3);
+  const first = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
+  for (let tick = 0; tick < 12; tick++) await first.tick();
+  await writeCounts(platform, 100, 'late', 5);
+  await takeFence(platform);
+  const second = makeReporter(platform, 2, 101 * WINDOW_MS + 9000);
+  for (let tick = 0; tick < 12; tick++) await second.tick();
+  t.deepEqual(figures(platform), ['100: 3', '100: 3']);
+});
+
+test('a seal whose answer was lost is read back, not made anew', async t => {
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  await writeCounts(platform, 100, 'a', 3);
+  const reporter = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
+  // Windows before have no counts: a read and a scan each, then this one's.
+  for (let tick = 0; tick < 6; tick++) await reporter.tick();
+  const transact = platform.transact.bind(platform);
+  let lost = 0;
+  platform.transact = async transaction => {
+    const result = await transact(transaction);
+    lost += 1;
+    return lost === 1 ? {kind: 'unknown', reason: 'lost'} : result;
+  };
+  await writeCounts(platform, 100, 'b', 4);
+  for (let tick = 0; tick < 6; tick++) await reporter.tick();
+  t.is(platform.reports.length, 1);
+  t.is([...platform.rows.keys()].filter(key => key === 'seals/100').length, 1);
+});
+
+test('a holder whose fence has changed seals nothing', async t => {
+  // It was suspended while another took over. Its seal would fix a figure in the
+  // name of a lease that it no longer has.
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  await writeCounts(platform, 100, 'a', 3);
+  const stale = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
+  await takeFence(platform);
+  for (let tick = 0; tick < 12; tick++) await stale.tick();
+  t.deepEqual(platform.reports, []);
+  t.false(platform.rows.has('seals/100'));
+});
--- a/packages/routing/src/least_loaded_placement.ts
+++ b/packages/routing/src/least_loaded_placement.ts
@@ -5,6 +5,7 @@
   findUsable,
   leastBy,
   Placement,
+  type Placed,
   type PlacementRequest,
 } from './placement.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
@@ -39,12 +40,13 @@
   choose(
     candidates: readonly ServingEndpoint[],
     request: PlacementRequest,
-  ): ServingEndpoint | undefined {
+  ): Placed | undefined {
     const usable = findUsable(candidates, request, this.monitor);
     const typicalMs = this.typicalDurationMs(usable);
-    return leastBy(usable, endpoint =>
-      this.costOf(endpoint, request, typicalMs),
+    const endpoint = leastBy(usable, each =>
+      this.costOf(each, request, typicalMs),
     );
+    return endpoint && {endpoint};
   }
 
   private costOf(
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -17,13 +17,20 @@
   readonly nowMs: number;
 }
 
+/** Where a request goes. */
+export interface Placed {
+  readonly endpoint: ServingEndpoint;
+  /** Another endpoint that may have the start of the prompt in its cache. */
+  readonly cacheSource?: ServingEndpoint;
+}
+
 /** Picks an endpoint for a request; it keeps no state of its own requests. */
 export abstract class Placement {
   /** @returns undefined when no candidate is left. */
   abstract choose(
     candidates: readonly ServingEndpoint[],
     request: PlacementRequest,
-  ): ServingEndpoint | undefined;
+  ): Placed | undefined;
 }
 
 /**
--- a/packages/routing/src/prompt_placement.test.ts
+++ b/packages/routing/src/prompt_placement.test.ts
@@ -49,7 +49,7 @@
     dataCentre: AKL_A,
     excluded: new Set(),
     nowMs: 5000,
-  })?.id;
+  })?.endpoint.id;
 }
 
 test('long prompts keep away from engines that serve short pauses', t => {
@@ -105,3 +105,21 @@
   for (let count = 0; count < 5; count++) monitor.note(home, 'failed', 5000);
   t.not(place(placement, QUOTE, prompt), home);
 });
+
+test('an engine that lacks a beginning can fetch it from the next in rank', t => {
+  // An engine has just booted and is the home of a seventh of all manuals from
+  // now on. Reading them anew would hold up everything else on it, while the
+  // engines that served them until now have them in their caches.
+  const placement = makePlacement();
+  const prompt = makePrompt('manual-7', 13_000, 3700);
+  const request = {
+    route: QUOTE,
+    prompt,
+    dataCentre: AKL_A,
+    excluded: new Set<EndpointId>(),
+    nowMs: 5000,
+  };
+  const placed = placement.choose(ENGINES, request)!;
+  const without = ENGINES.filter(({id}) => id !== placed.endpoint.id);
+  t.is(placed.cacheSource?.id, placement.choose(without, request)?.endpoint.id);
+});
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -8,6 +8,7 @@
   findUsable,
   leastBy,
   Placement,
+  type Placed,
   type PlacementRequest,
 } from './placement.js';
 import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
@@ -44,6 +45,8 @@
 const MIN_SHARED_TOKENS = 1000;
 const FAILURE_COST_IN_REQUESTS = 12;
 const RANDOM_COST_IN_REQUESTS = 0.5;
+/** An engine that fails every second request is nobody's home. */
+const MAX_FAILURE_SHARE = 0.5;
 
 /**
  * Answers two load patterns.
@@ -73,16 +76,16 @@
   choose(
     candidates: readonly ServingEndpoint[],
     request: PlacementRequest,
-  ): ServingEndpoint | undefined {
+  ): Placed | undefined {
     const usable = findUsable(candidates, request, this.monitor);
-    if (usable.length <= 1) return usable[0];
+    if (usable.length === 0) return undefined;
     const group = this.groupFor(usable, request);
     const {prompt} = request;
     const hasPrefix =
       prompt !== undefined && countSharedTokens(prompt) >= MIN_SHARED_TOKENS;
-    return hasPrefix
-      ? this.chooseByPrefix(group, request, prompt)
-      : this.chooseByLoad(group, request);
+    if (hasPrefix) return this.chooseByPrefix(group, request, prompt);
+    const endpoint = this.chooseByLoad(group, request);
+    return endpoint && {endpoint};
   }
 
   /** The engines of the request's side of the split. */
@@ -111,21 +114,36 @@
     group: readonly ServingEndpoint[],
     request: PlacementRequest,
     prompt: Prompt,
-  ): ServingEndpoint | undefined {
-    const part = deepestSharedPart(prompt);
-    if (part === undefined) return this.chooseByLoad(group, request);
+  ): Placed | undefined {
+    const ranked = this.rankByPrefix(group, prompt);
     const {nowMs} = request;
     const loads = new Map<EndpointId, number>(
-      group.map(({id}) => [id, this.monitor.estimateLoad(id, nowMs)]),
+      ranked.map(({id}) => [id, this.monitor.estimateLoad(id, nowMs)]),
     );
     const total = [...loads.values()].reduce((sum, load) => sum + load, 0);
     const bound = (LOAD_BOUND * (total + 1)) / group.length + LOAD_SLACK;
+    const sound = ranked.filter(
+      ({id}) => this.monitor.failureShare(id, nowMs) < MAX_FAILURE_SHARE,
+    );
+    const endpoint =
+      sound.find(({id}) => loads.get(id)! < bound) ??
+      this.chooseByLoad(group, request);
+    if (endpoint === undefined) return undefined;
+    // The first of the others: its home when the prompt spills over, else who
+    // was its home before an endpoint came.
+    return {endpoint, cacheSource: sound.find(({id}) => id !== endpoint.id)};
+  }
+
+  /** All instances rank the engines alike for a shared beginning. */
+  private rankByPrefix(
+    group: readonly ServingEndpoint[],
+    prompt: Prompt,
+  ): readonly ServingEndpoint[] {
+    const part = deepestSharedPart(prompt);
     const byId = new Map(group.map(endpoint => [endpoint.id, endpoint]));
-    for (const id of rankByRendezvous(part.id, byId.keys())) {
-      const isSound = this.monitor.failureShare(id, nowMs) < 0.5;
-      if (isSound && loads.get(id)! < bound) return byId.get(id);
-    }
-    return this.chooseByLoad(group, request);
+    return rankByRendezvous(part?.id ?? '', byId.keys()).map(id =>
+      byId.get(id)!,
+    );
   }
 
   private chooseByLoad(
