Notice a reset that comes together with the last bytes of an answer

Ruled out: the state of our own shutdown (it returns 0 either way) and the close event (no error either way); seen on the real kernel with two plain sockets too.

Change: at the end of the stream a closed connection still names its peer, a reset one doesn't. The test sends the bytes and the reset at once; it fails before and passes after.

--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -5,6 +5,7 @@
   type ClientRequest,
   type IncomingMessage,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
@@ -65,8 +66,8 @@
    * Whether an answer that has come to its end is whole.
    *
    * The end of an answer without a length is the end of its connection, and
-   * Node.js (20) takes a reset for that end as well; only how the connection
-   * closed tells a crash in the middle from a proper end.
+   * Node.js (20) takes a reset for that end as well; {@link watchEnd} tells a
+   * crash in the middle from a proper end.
    */
   async isWhole(response: IncomingMessage): Promise<boolean> {
     if (!response.complete) return false;
@@ -104,10 +105,7 @@
       return this.failed(reason, connection.reason);
     }
     this.connection = connection;
-    const socket = connection.createConnection();
-    this.closedWell = new Promise(resolve =>
-      socket.once('close', hadError => resolve(!hadError)),
-    );
+    this.closedWell = watchEnd(connection.createConnection());
     if (this.cancellation.signal.aborted) return this.failed('broken', '');
     return this.send(connection);
   }
@@ -145,6 +143,25 @@
   }
 }
 
+/**
+ * Whether a connection was closed by its peer rather than reset.
+ *
+ * A reset that arrives together with the last bytes is reported by libuv as an
+ * end of the stream, without an error. At that moment the system holds such a
+ * connection for gone and has no peer to name, while one that was closed still
+ * has its peer. Nothing may have asked for the peer before, since Node.js keeps
+ * the answer.
+ */
+function watchEnd(socket: Socket): Promise<boolean> {
+  let hadPeerAtEnd = false;
+  socket.prependListener('end', () => {
+    hadPeerAtEnd = socket.remoteAddress !== undefined;
+  });
+  return new Promise(resolve =>
+    socket.once('close', hadError => resolve(!hadError && hadPeerAtEnd)),
+  );
+}
+
 /**
  * @example
  * splitAddress('10.0.0.1:80'); // ['10.0.0.1', 80]
