Take back the moving of runs off leaving engines

Tried: a stream on a cheap engine that was told to leave moved with its memory to another, if it was expected to outlast three fifths of the notice (drain time).

--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -49,7 +49,6 @@
   private readonly cancellation = new AbortController();
   private connection: FreshConnection | undefined;
   private request: ClientRequest | undefined;
-  private mayStopEarly = false;
   private closedWell: Promise<boolean> = Promise.resolve(false);
   readonly head: Promise<CallHead>;
 
@@ -75,15 +74,7 @@
     const hasLength =
       headers['content-length'] !== undefined ||
       headers['transfer-encoding'] !== undefined;
-    return hasLength || (!this.mayStopEarly && this.closedWell);
-  }
-
-  /**
-   * The endpoint was asked to stop: the end of its connection is no longer the
-   * end of an answer without a length.
-   */
-  expectStop(): void {
-    this.mayStopEarly = true;
+    return hasLength || this.closedWell;
   }
 
   /** Ends the attempt; endpoints stop work when the connection closes. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -7,7 +7,6 @@
   failureFor,
   mayRunAgain,
 } from '@snipestage/routing/attempt_policy.js';
-import {shouldMove} from '@snipestage/routing/evacuation.js';
 import type {EndpointSign} from '@snipestage/routing/endpoint_monitor.js';
 import {workOf} from '@snipestage/routing/prompt.js';
 import type {Placed} from '@snipestage/routing/placement.js';
@@ -27,10 +26,7 @@
 import type {
   AnswerHead,
   CallerRequest,
-  EngineControl,
-  MoveResult,
   PassThroughProtocol,
-  RunMemory,
 } from './pass_through_protocol.js';
 import {readWhole} from './read_whole.js';
 import type {RoutingState} from './routing_state.js';
@@ -40,7 +36,6 @@
 export interface ExchangeContext {
   readonly state: RoutingState;
   readonly protocol: PassThroughProtocol;
-  readonly engines: EngineControl;
   readonly dataCentre: DataCentreId;
   readonly crashes: CrashReporter;
   readonly logger: Logger;
@@ -65,18 +60,6 @@
   readonly endsAtMs: number;
 }
 
-/** The next attempt, which may go on from the memory of the one before. */
-interface Attempt extends Placed {
-  readonly memory?: RunMemory;
-}
-
-/** A run that is on its way from one engine to another. */
-interface Evacuation {
-  readonly source: ServingEndpoint;
-  readonly destination: ServingEndpoint;
-  readonly result: Promise<MoveResult>;
-}
-
 /** How an attempt ended. */
 type AttemptResult =
   | {readonly kind: 'answered'}
@@ -102,8 +85,6 @@
   private hasExpired = false;
   private hasBegunRun = false;
   private lastFailure: WholeAnswer | undefined;
-  private endpoint: ServingEndpoint | undefined;
-  private evacuation: Evacuation | undefined;
   private lastReason = 'none';
   /** What the last endpoint seemed to have, and how old that was. */
   private loadWhenChosen: number | undefined;
@@ -169,82 +150,12 @@
         this.lastReason = this.offers === 0 ? 'no_endpoint' : this.lastReason;
         return this.fail();
       }
-      let result = await this.attempt(placed);
+      const result = await this.attempt(placed);
       if (result.kind === 'answered' || this.writer.isOver) return;
-      const moved = await this.takeMoved();
-      if (moved !== undefined) {
-        result = await this.attempt(moved);
-        if (result.kind === 'answered' || this.writer.isOver) return;
-      }
       if (!this.mayGoOn(result)) return this.fail();
     }
   }
 
-  /**
-   * Moves the run to another engine if this one will be gone before its end.
-   * The engine closes the stream when it has stopped the run; the attempt under
-   * way ends by that, and the next one goes on from the memory.
-   */
-  evacuate(source: ServingEndpoint): void {
-    const {state, engines, logger, nowMs} = this.context;
-    const {caller, admission} = this.request;
-    const isHere = this.endpoint?.id === source.id;
-    if (!isHere || this.evacuation !== undefined) return;
-    if (!this.wouldBeCut(source)) return;
-    const destination = this.choose()?.endpoint;
-    if (destination === undefined) return;
-    if (!state.budgetFor(admission.service).tryTake(nowMs())) return;
-    logger.info('run_moving', {
-      requestId: caller.requestId,
-      from: source.id,
-      to: destination.id,
-      events: this.writer.events,
-      leavesInMs: source.leavesInMs,
-    });
-    this.call?.expectStop();
-    const result = engines.moveRun(
-      source.address,
-      caller.requestId,
-      destination.address,
-    );
-    this.evacuation = {source, destination, result};
-  }
-
-  private wouldBeCut(source: ServingEndpoint): boolean {
-    const {state, nowMs} = this.context;
-    const {service} = this.request.admission;
-    const engine = state.table?.findService(service)?.engine;
-    const {firstEventAtMs, events} = this.writer;
-    if (engine?.canMoveRuns !== true || source.leavesInMs === undefined) {
-      return false;
-    }
-    if (firstEventAtMs === undefined) return false;
-    const progress = {
-      prompt: this.request.caller.prompt,
-      tokensPerEvent: engine.tokensPerEvent,
-      events,
-      sinceFirstMs: nowMs() - firstEventAtMs,
-    };
-    return shouldMove(progress, source.leavesInMs);
-  }
-
-  /** The attempt that goes on from a moved run, if there is one. */
-  private async takeMoved(): Promise<Attempt | undefined> {
-    const {evacuation} = this;
-    if (evacuation === undefined) return undefined;
-    this.evacuation = undefined;
-    const result = await evacuation.result;
-    this.context.logger.info('run_moved', {
-      requestId: this.request.caller.requestId,
-      outcome: result.kind,
-      reason: result.kind === 'failed' ? result.reason : undefined,
-    });
-    if (result.kind === 'failed') return undefined;
-    const {source, destination} = evacuation;
-    const endpoint = result.kind === 'moved' ? destination : source;
-    return {endpoint, memory: result.memory};
-  }
-
   private choose(): Placed | undefined {
     const {state, dataCentre, nowMs} = this.context;
     const {route, service} = this.request.admission;
@@ -281,7 +192,7 @@
     return state.budgetFor(service).tryTake(nowMs());
   }
 
-  private async attempt(placed: Attempt): Promise<AttemptResult> {
+  private async attempt(placed: Placed): Promise<AttemptResult> {
     const {endpoint} = placed;
     const {state, nowMs} = this.context;
     const {prompt} = this.request.caller;
@@ -291,7 +202,6 @@
     this.loadWhenChosen = Math.round(
       state.monitor.estimateLoad(endpoint.id, nowMs()),
     );
-    this.endpoint = endpoint;
     state.monitor.begin(endpoint.id, work);
     const startedAtMs = nowMs();
     let result: AttemptResult;
@@ -359,8 +269,8 @@
     }
   }
 
-  private async send(placed: Attempt): Promise<AttemptResult> {
-    const {endpoint, cacheSource, memory} = placed;
+  private async send(placed: Placed): Promise<AttemptResult> {
+    const {endpoint, cacheSource} = placed;
     const {protocol, nowMs, connectTimeoutMs} = this.context;
     const {request, writer} = this;
     const timeLeftMs = Math.max(1, Math.floor(request.endsAtMs - nowMs()));
@@ -375,7 +285,6 @@
         tier: request.admission.tier,
         lastEventId: writer.lastEventId ?? request.caller.lastEventId,
         cacheSource: cacheSource?.address,
-        memory,
         bodyBytes: request.body?.length,
       }),
       body: request.body,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,10 +29,7 @@
 import {GatewayMetrics} from './gateway_metrics.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {OperationsServer, type OperationsPage} from './operations_server.js';
-import type {
-  EngineControl,
-  PassThroughProtocol,
-} from './pass_through_protocol.js';
+import type {PassThroughProtocol} from './pass_through_protocol.js';
 import {RequestHandler} from './request_handler.js';
 import {RoutingState} from './routing_state.js';
 import {
@@ -59,7 +56,6 @@
   readonly settings: GatewaySettings;
   readonly platform: Platform;
   readonly protocol: PassThroughProtocol;
-  readonly engines: EngineControl;
   readonly decoder: RowDecoder;
   readonly tables: {
     readonly configuration: FollowedTable;
@@ -121,7 +117,7 @@
   private isStopping = false;
 
   constructor(private readonly options: GatewayOptions) {
-    const {settings, platform, protocol, engines, logger, metrics} = options;
+    const {settings, platform, protocol, logger, metrics} = options;
     const nowMs = () => performance.now();
     this.state = new RoutingState(settings.retry);
     this.clock = new AgreedClock(nowMs(), Date.now());
@@ -138,7 +134,6 @@
     this.handler = new RequestHandler({
       state: this.state,
       protocol,
-      engines,
       dataCentre: settings.dataCentre,
       crashes: this.crashes,
       logger: logger.forComponent('callers'),
@@ -382,10 +377,6 @@
       }
     }
     this.state.directory.apply(changes, performance.now());
-    for (const change of changes) {
-      if (change.kind !== 'listed' || !change.endpoint.isLeaving) continue;
-      this.handler.evacuate(change.endpoint);
-    }
   }
 
   private noteNewLife(
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -32,18 +32,9 @@
   readonly lastEventId: string | undefined;
   /** Whose cache may have the start of the prompt. */
   readonly cacheSource: EndpointAddress | undefined;
-  /** The memory of the same run, which goes on from it. */
-  readonly memory: RunMemory | undefined;
   readonly bodyBytes: number | undefined;
 }
 
-/** The memory of a run that stopped, and where it lies. */
-export interface RunMemory {
-  /** Of the engine that stopped the run. */
-  readonly address: EndpointAddress;
-  readonly handle: string;
-}
-
 /** What an answer's head says. */
 export interface AnswerHead {
   readonly status: number;
@@ -81,22 +72,3 @@
   /** Headers of a refusal that says when to come back. */
   abstract composeRetryAfter(retryAfterMs: number): Record<string, string>;
 }
-
-/** What moving a run came to. */
-export type MoveResult =
-  /** The run has stopped and its memory lies at the destination. */
-  | {readonly kind: 'moved'; readonly memory: RunMemory}
-  /** The run has stopped and its memory is still where it was. */
-  | {readonly kind: 'stopped'; readonly memory: RunMemory}
-  /** Nothing is known to have changed. */
-  | {readonly kind: 'failed'; readonly reason: string};
-
-/** Calls to engines besides requests. */
-export abstract class EngineControl {
-  /** Stops a run and copies its memory to another engine. */
-  abstract moveRun(
-    source: EndpointAddress,
-    request: RequestId,
-    destination: EndpointAddress,
-  ): Promise<MoveResult>;
-}
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -3,7 +3,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {fingerprintOf} from '@snipestage/entry/identify/fingerprint.js';
 import type {ClientAccountId, Fingerprint} from '@snipestage/types/ids.js';
-import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import {admit, type Admission} from './admission.js';
 import {AnswerWriter} from './answer_writer.js';
 import {readRequestBody} from './read_request_body.js';
@@ -29,7 +28,6 @@
 /** Keeps count of the requests in progress. */
 export class RequestHandler {
   private count = 0;
-  private readonly exchanges = new Set<Exchange>();
   private readonly random: () => number;
 
   constructor(private readonly options: RequestHandlerOptions) {
@@ -41,11 +39,6 @@
     return this.count;
   }
 
-  /** Moves what would be cut when a leaving endpoint is gone. */
-  evacuate(endpoint: ServingEndpoint): void {
-    for (const exchange of this.exchanges) exchange.evacuate(endpoint);
-  }
-
   async handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -59,7 +52,6 @@
     const line: Record<string, unknown> = {};
     try {
       exchange = await this.prepare(request, writer, arrivedAtMs, line);
-      if (exchange !== undefined) this.exchanges.add(exchange);
       await exchange?.run();
     } catch (error) {
       this.options.logger.error('request_failed', {
@@ -69,7 +61,6 @@
       writer.fail(502, {});
     } finally {
       this.count -= 1;
-      if (exchange !== undefined) this.exchanges.delete(exchange);
       this.account(writer, response, exchange, arrivedAtMs, line);
     }
   }
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -17,14 +17,7 @@
       requestId: brandAs<RequestId>(String(headers['x-request-id'] ?? '')),
       waitsForMs: waits === undefined ? undefined : Number(waits),
       key: headers['x-key'] as string | undefined,
-      prompt: headers['x-tokens']
-        ? {
-            tokens: 10,
-            maxOutputTokens: Number(headers['x-tokens']),
-            expectedOutputTokens: undefined,
-            parts: [],
-          }
-        : undefined,
+      prompt: undefined,
       lastEventId: undefined,
     };
   }
@@ -41,9 +34,6 @@
     if (forwarded.lastEventId !== undefined) {
       headers.push('Last-Event-Id', forwarded.lastEventId);
     }
-    if (forwarded.memory !== undefined) {
-      headers.push('X-Memory', forwarded.memory.handle);
-    }
     if (forwarded.bodyBytes !== undefined) {
       headers.push('Content-Length', String(forwarded.bodyBytes));
     }
--- a/packages/routing/src/route.ts
+++ b/packages/routing/src/route.ts
@@ -66,10 +66,6 @@
   /** Requests that one engine works on at once. */
   readonly batchSize: number;
   readonly cacheTokens: number;
-  /** Tokens that one event of a stream holds. */
-  readonly tokensPerEvent: number;
-  /** Whether a run can be moved to another engine. */
-  readonly canMoveRuns: boolean;
 }
 
 export interface Service {
--- a/packages/routing/src/serving_endpoint.ts
+++ b/packages/routing/src/serving_endpoint.ts
@@ -18,8 +18,6 @@
   /** Requests that it works on at once. */
   readonly capacity: number;
   readonly isLeaving: boolean;
-  /** From its notice until it is gone; undefined when it didn't say. */
-  readonly leavesInMs: number | undefined;
   /** May be taken away at short notice. */
   readonly isCheap: boolean;
   /**
