Wait for counts of instances that are cut off; follow on oneself at once

A window was sealed 3.5 s after its end while two instances were cut off from the store for 8 s with up to 42 requests each; and after an outage the former holder waited a whole term before it acted, though nobody could have acted in between.

Ruled out: the lease (each take-over took one term and a margin, as it should).

Change: an instance marks its last write of a window; the reporter waits until all who wrote before have done so, at most 0.65 of the time until the report is due. A holder whose token follows on its own goes on at once. A write that failed pauses for a second, and is logged once for each try.

--- a/packages/gateway/src/duty_term.test.ts
+++ b/packages/gateway/src/duty_term.test.ts
@@ -52,9 +52,18 @@
   const {lease, term, pass} = makeTerm();
   lease.acquire(1, 0);
   t.is(term.token, brandAs<FencingToken>(1));
-  lease.acquire(2, 0);
+  lease.acquire(3, 0);
   t.is(term.token, undefined);
   pass(3000);
+  t.is(term.token, brandAs<FencingToken>(3));
+});
+
+test('a holder that follows on itself goes on at once', t => {
+  // The store was away for longer than a term. Nobody could take the lease, and
+  // reports that wait any longer now would come too late.
+  const {lease, term} = makeTerm();
+  lease.acquire(1, 0);
+  lease.acquire(2, 0);
   t.is(term.token, brandAs<FencingToken>(2));
 });
 
--- a/packages/gateway/src/duty_term.ts
+++ b/packages/gateway/src/duty_term.ts
@@ -31,13 +31,18 @@
   private readonly watch: SuspensionWatch;
   private jumpedAtMs = Number.NEGATIVE_INFINITY;
   private acquiredAtMs = Number.NEGATIVE_INFINITY;
+  /** The token of the last term, and of the one before it. */
+  private lastToken: number | undefined;
+  private tokenBefore: number | undefined;
 
   constructor(private readonly options: DutyTermOptions) {
     const {lease, nowMs, nowEpochMs} = options;
     this.watch = new SuspensionWatch(nowMs(), nowEpochMs());
     lease.listen({
-      acquired: () => {
+      acquired: held => {
         this.acquiredAtMs = nowMs();
+        this.tokenBefore = this.lastToken;
+        this.lastToken = held.fencingToken;
       },
       lost: () => undefined,
     });
@@ -53,10 +58,19 @@
       return undefined;
     }
     const isSettled =
-      held.fencingToken === FIRST_TOKEN || atMs - this.acquiredAtMs >= apartMs;
+      this.isNextAfterOwn(held.fencingToken) ||
+      atMs - this.acquiredAtMs >= apartMs;
     return isSettled ? held.fencingToken : undefined;
   }
 
+  /**
+   * Nobody else can have acted since this process did: tokens rise by one with
+   * each term. After an outage of the store the former holder goes on at once.
+   */
+  private isNextAfterOwn(token: number): boolean {
+    return token === FIRST_TOKEN || token - 1 === this.tokenBefore;
+  }
+
   /** For one send under the token that is in force now. */
   guard(): SendGuard {
     const guard = this.options.lease.guard();
--- a/packages/gateway/src/usage_reporter.test.ts
+++ b/packages/gateway/src/usage_reporter.test.ts
@@ -56,9 +56,10 @@
   window: number,
   writer: string,
   count: number,
+  isFinal = true,
 ): Promise<void> {
   const key = countsKey(window as WindowNumber, writer);
-  const value = {counts: {shop: count}};
+  const value = {counts: {shop: count}, isFinal};
   await platform.transact({checks: [], writes: [{key, value}]});
 }
 
@@ -131,3 +132,18 @@
   t.deepEqual(platform.reports, []);
   t.false(platform.rows.has('seals/100'));
 });
+
+test('an instance that still counts is waited for, but not for ever', async t => {
+  // An instance is cut off from the store for some seconds, with forty requests
+  // that it could not write down. Sealed at once, they would never be billed.
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  await writeCounts(platform, 100, 'a', 3);
+  await writeCounts(platform, 100, 'cut-off', 1, false);
+  const early = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
+  for (let tick = 0; tick < 12; tick++) await early.tick();
+  t.deepEqual(platform.reports, []);
+  const late = makeReporter(platform, 1, 101 * WINDOW_MS + 6600);
+  for (let tick = 0; tick < 12; tick++) await late.tick();
+  t.deepEqual(figures(platform), ['100: 4']);
+});
--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -16,6 +16,7 @@
   type LeaseName,
   type UsageWindowId,
 } from '@snipestage/types/ids.js';
+import type {Row} from '@snipestage/types/table.js';
 import type {LeaseTask} from '@snipestage/entry/agree/lease_task.js';
 import type {DutyTerm} from './duty_term.js';
 import {
@@ -23,6 +24,8 @@
   fromCountsValue,
   sealKey,
   toCountsValue,
+  writerOf,
+  type CountsValue,
 } from './usage_rows.js';
 
 /** What a {@link UsageReporter} is made from. */
@@ -39,8 +42,15 @@
 }
 
 const TICK_MS = 500;
-/** Share of the time until a report is due that waits for late counts. */
-const COLLECT_SHARE = 0.35;
+/** Between two looks for counts that are missing: each is two priced calls. */
+const PAUSE_MS = 1000;
+/** Share of the time until a report is due in which all may have written. */
+const COLLECT_SHARE = 0.2;
+/**
+ * Share of it that waits for instances that have not: they may be cut off from
+ * the store and write as soon as they are back. The rest is for the report.
+ */
+const PATIENCE_SHARE = 0.65;
 /** A new holder looks so far back for windows that nobody has reported. */
 const LOOK_BACK_DUES = 3;
 
@@ -52,8 +62,11 @@
 export class UsageReporter {
   private timer: NodeJS.Timeout | undefined;
   private isBusy = false;
+  private pausedUntilMs = 0;
   private nextWindow: WindowNumber | undefined;
   private tokenOfNext: number | undefined;
+  /** Who wrote the window before; they are expected to write again. */
+  private writers: ReadonlySet<string> = new Set();
 
   constructor(private readonly options: UsageReporterOptions) {}
 
@@ -69,7 +82,8 @@
   async tick(): Promise<void> {
     const {term, clock, nowMs} = this.options;
     const {token} = term;
-    if (this.isBusy || token === undefined || !clock.isTied) return;
+    const isPaused = this.isBusy || nowMs() < this.pausedUntilMs;
+    if (isPaused || token === undefined || !clock.isTied) return;
     this.isBusy = true;
     try {
       const window = this.chooseWindow(token, clock.epochAt(nowMs()));
@@ -124,6 +138,7 @@
     const result = await platform.scanRows(countsPrefix(window));
     const {held} = lease;
     if (result.kind === 'unavailable' || held === undefined) return undefined;
+    if (!this.isComplete(window, result.rows)) return undefined;
     const parts = result.rows.map(row => fromCountsValue(row.value));
     if (parts.length === 0) return new Map();
     const total = sumCounts(parts.filter(part => part !== undefined));
@@ -131,7 +146,7 @@
     const fence = {key: fenceKey(leaseName), version: held.fenceVersion};
     const outcome = await platform.transact({
       checks: [{key, version: 0}, fence],
-      writes: [{key, value: toCountsValue(total)}],
+      writes: [{key, value: toCountsValue(total, true)}],
     });
     logger.info('usage_sealed', {
       window,
@@ -142,6 +157,24 @@
     return outcome.kind === 'committed' ? total : undefined;
   }
 
+  /** Everybody has written for the last time, or it is too late to wait. */
+  private isComplete(window: WindowNumber, rows: readonly Row[]): boolean {
+    const {clock, nowMs, windowMs, dueAfterMs} = this.options;
+    const final = rows.filter(({value}) => (value as CountsValue).isFinal);
+    const finished = new Set(final.map(({key}) => writerOf(key)));
+    const isAllThere =
+      final.length === rows.length &&
+      [...this.writers].every(writer => finished.has(writer));
+    const endedAtMs = (window + 1) * windowMs;
+    const waitedMs = clock.epochAt(nowMs()) - endedAtMs;
+    if (!isAllThere && waitedMs < PATIENCE_SHARE * dueAfterMs) {
+      this.pausedUntilMs = nowMs() + PAUSE_MS;
+      return false;
+    }
+    this.writers = new Set(rows.map(({key}) => writerOf(key)));
+    return true;
+  }
+
   private async report(
     window: WindowNumber,
     counts: UsageCounts,
--- a/packages/gateway/src/usage_rows.ts
+++ b/packages/gateway/src/usage_rows.ts
@@ -9,6 +9,8 @@
 /** Value of a row of counts, and of a seal. */
 export interface CountsValue {
   readonly counts: Readonly<Record<string, number>>;
+  /** Written after the window's end: no more will come from this writer. */
+  readonly isFinal: boolean;
 }
 
 /**
@@ -31,8 +33,16 @@
   return `seals/${window}`;
 }
 
-export function toCountsValue(counts: UsageCounts): CountsValue {
-  return {counts: Object.fromEntries(counts)};
+export function toCountsValue(
+  counts: UsageCounts,
+  isFinal: boolean,
+): CountsValue {
+  return {counts: Object.fromEntries(counts), isFinal};
+}
+
+/** Who wrote a row of counts. */
+export function writerOf(key: string): string {
+  return key.slice(key.lastIndexOf('/') + 1);
 }
 
 /** @returns undefined when the value is of another form. */
--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -29,8 +29,12 @@
 /** Windows are kept in memory for so long after their end. */
 const KEEP_WINDOWS = 6;
 
+/** Pause after a write that failed: the store is told to be away once. */
+const PAUSE_AFTER_FAILURE_MS = 1000;
+
 interface Written {
   readonly total: number;
+  readonly isFinal: boolean;
   readonly atMs: number;
 }
 
@@ -42,6 +46,8 @@
   private readonly written = new Map<WindowNumber, Written>();
   private timer: NodeJS.Timeout | undefined;
   private isWriting = false;
+  private pausedUntilMs = 0;
+  private isStopping = false;
 
   constructor(private readonly options: UsageWriterOptions) {}
 
@@ -52,15 +58,20 @@
   /** Writes everything that is not written yet. */
   async stop(): Promise<void> {
     clearInterval(this.timer);
+    this.isStopping = true;
     for (const window of this.options.windows.list()) await this.write(window);
   }
 
   private async tick(): Promise<void> {
-    if (this.isWriting) return;
+    const {nowMs} = this.options;
+    if (this.isWriting || nowMs() < this.pausedUntilMs) return;
     this.isWriting = true;
+    // An instance without requests says so: the reporter would wait for it.
+    this.options.windows.open(this.currentWindow());
     try {
       for (const window of this.options.windows.list()) {
-        if (this.isDue(window)) await this.write(window);
+        if (!this.isDue(window)) continue;
+        if (!(await this.write(window))) break;
       }
       this.forget();
     } finally {
@@ -69,14 +80,23 @@
   }
 
   private isDue(window: WindowNumber): boolean {
-    const {windows, clock, nowMs, windowMs, writeEveryMs} = this.options;
+    const {windows, nowMs, writeEveryMs} = this.options;
     const total = totalOf(windows.read(window));
     const written = this.written.get(window);
-    if (written?.total === total) return false;
+    const isSame = (written?.total ?? 0) === total;
+    if (this.hasEnded(window)) return !isSame || written?.isFinal !== true;
     const atMs = nowMs();
-    const hasEnded = windowAt(clock.epochAt(atMs), windowMs) > window;
     const lastAtMs = written?.atMs ?? this.firstLookAt(window, atMs);
-    return hasEnded || atMs - lastAtMs >= writeEveryMs;
+    return !isSame && atMs - lastAtMs >= writeEveryMs;
+  }
+
+  private hasEnded(window: WindowNumber): boolean {
+    return this.currentWindow() > window;
+  }
+
+  private currentWindow(): WindowNumber {
+    const {clock, nowMs, windowMs} = this.options;
+    return windowAt(clock.epochAt(nowMs()), windowMs);
   }
 
   private readonly firstLook = new Map<WindowNumber, number>();
@@ -87,30 +107,35 @@
     return known;
   }
 
-  private async write(window: WindowNumber): Promise<void> {
+  /** @returns whether the store has it. */
+  private async write(window: WindowNumber): Promise<boolean> {
     const {platform, windows, writer, nowMs, logger} = this.options;
     const counts = windows.read(window);
     const total = totalOf(counts);
-    if (this.written.get(window)?.total === total) return;
+    const isFinal = this.isStopping || this.hasEnded(window);
+    const written = this.written.get(window);
+    if (written?.total === total && written.isFinal) return true;
     const key = countsKey(window, writer);
     const result = await platform.transact({
       checks: [],
-      writes: [{key, value: toCountsValue(counts)}],
+      writes: [{key, value: toCountsValue(counts, isFinal)}],
     });
     if (result.kind === 'committed') {
-      this.written.set(window, {total, atMs: nowMs()});
-      return;
+      this.written.set(window, {total, isFinal, atMs: nowMs()});
+      return true;
     }
+    this.pausedUntilMs = nowMs() + PAUSE_AFTER_FAILURE_MS;
     logger.warn('usage_not_written', {
       window,
       total,
       reason: result.kind === 'unknown' ? result.reason : result.kind,
     });
+    return false;
   }
 
   private forget(): void {
-    const {windows, clock, nowMs, windowMs} = this.options;
-    const current = windowAt(clock.epochAt(nowMs()), windowMs);
+    const {windows} = this.options;
+    const current = this.currentWindow();
     for (const window of windows.list()) {
       if (window + KEEP_WINDOWS >= current) continue;
       windows.forget(window);
--- a/packages/routing/src/usage_windows.ts
+++ b/packages/routing/src/usage_windows.ts
@@ -30,6 +30,11 @@
     this.windows.set(window, counts);
   }
 
+  /** Begins a window, so that it is listed without any requests too. */
+  open(window: WindowNumber): void {
+    if (!this.windows.has(window)) this.windows.set(window, new Map());
+  }
+
   /** Counts of a window so far. */
   read(window: WindowNumber): UsageCounts {
     return this.windows.get(window) ?? new Map();
