Split the engines by demand that all instances agree upon

Change: each instance adds what it saw to the counts that it writes at the end of a window; the holder of the duties adds them up and tells all by a row that they follow, if shares moved by four in a hundred. Before that an instance goes by its own. A restarted instance knows the split at once.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -100,7 +100,9 @@
     const {state, nowMs} = this.context;
     const {service, route} = this.request.admission;
     state.budgetFor(service).countRequest(nowMs());
-    state.demand.count(service, route, this.request.caller.prompt, nowMs());
+    const {prompt} = this.request.caller;
+    state.demand.count(service, route, prompt, nowMs());
+    state.demandToTell.count(service, route, prompt, nowMs());
     const leftMs = Math.max(0, this.request.endsAtMs - nowMs());
     const timer = setTimeout(() => this.expire(), leftMs);
     try {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,11 +6,11 @@
 import type {BoundedOutput} from '@snipestage/log/bounded_output.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
-import type {ReportedCrash} from '@snipestage/policy/suspects.js';
 import {
   AgreedClock,
   type StoreClockReading,
 } from '@snipestage/routing/agreed_clock.js';
+import type {RouteDemand} from '@snipestage/routing/demand_meter.js';
 import type {EndpointChange} from '@snipestage/routing/endpoint_directory.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
 import {RouteTable} from '@snipestage/routing/route_table.js';
@@ -32,6 +32,7 @@
 import type {PassThroughProtocol} from './pass_through_protocol.js';
 import {RequestHandler} from './request_handler.js';
 import {RoutingState} from './routing_state.js';
+import {readFact, SharedFacts} from './shared_facts.js';
 import {
   TableFollower,
   type FollowedRow,
@@ -47,8 +48,6 @@
     row: FollowedRow,
   ): RoutingConfiguration | undefined;
   abstract decodeEndpoint(row: FollowedRow): EndpointChange;
-  /** @returns undefined when the row can't be read. */
-  abstract decodeCrash(row: FollowedRow): ReportedCrash | undefined;
 }
 
 /** What a {@link Gateway} is made from. */
@@ -60,7 +59,8 @@
   readonly tables: {
     readonly configuration: FollowedTable;
     readonly endpoints: FollowedTable;
-    readonly crashes: FollowedTable;
+    /** Ours, for what instances tell each other. */
+    readonly shared: FollowedTable;
   };
   readonly logger: Logger;
   readonly output: BoundedOutput;
@@ -75,7 +75,7 @@
  */
 const FOLLOW_WAIT_SHARE = 0.7;
 /** Crashes are rare, and the third of a request may be known seconds later. */
-const FOLLOW_CRASHES_WAIT_MS = 8000;
+const FOLLOW_FACTS_WAIT_MS = 8000;
 /** Share of the lease's term by which a holder stops before its end. */
 const LEASE_MARGIN_SHARE = 0.15;
 /** Renewals in a term: two may be lost. */
@@ -112,6 +112,7 @@
   private readonly reporter: UsageReporter;
   private readonly capacity: CapacityDuty;
   private readonly crashes: CrashReporter;
+  private readonly facts: SharedFacts;
   private readonly incarnation = randomUUID().slice(0, 8);
   private hasEndpoints = false;
   private isStopping = false;
@@ -123,13 +124,17 @@
     this.clock = new AgreedClock(nowMs(), Date.now());
     this.windows = new UsageWindows(settings.usage.windowMs);
     this.keeper = new ClockKeeper(platform, this.clock, logger);
+    this.facts = new SharedFacts({
+      platform,
+      logger: logger.forComponent('facts'),
+    });
     this.crashes = new CrashReporter({
       state: this.state,
       instance: settings.instance,
       incarnation: this.incarnation,
       logger: logger.forComponent('crashes'),
       nowMs,
-      publish: crashes => void this.publishCrashes(crashes),
+      publish: crashes => void this.facts.tellCrashes(crashes),
     });
     this.handler = new RequestHandler({
       state: this.state,
@@ -167,6 +172,7 @@
       writeEveryMs: USAGE_WRITE_EVERY_MS,
       nowMs,
       logger: logger.forComponent('usage'),
+      readDemands: () => this.readDemands(),
     });
     this.reporter = new UsageReporter({
       platform,
@@ -178,6 +184,7 @@
       dueAfterMs: settings.usage.dueAfterMs,
       nowMs,
       logger: logger.forComponent('usage'),
+      onRows: rows => void this.facts.tellDemands(rows),
     });
     this.capacity = new CapacityDuty({
       platform,
@@ -314,8 +321,8 @@
       changed: rows => this.changeEndpoints(rows),
       disturbed: () => this.state.directory.noteDisturbance(performance.now()),
     });
-    const learn = (rows: readonly FollowedRow[]) => this.learnCrashes(rows);
-    this.follow(tables.crashes, FOLLOW_CRASHES_WAIT_MS, {
+    const learn = (rows: readonly FollowedRow[]) => this.learnFacts(rows);
+    this.follow(tables.shared, FOLLOW_FACTS_WAIT_MS, {
       replaced: learn,
       changed: learn,
       disturbed: () => undefined,
@@ -388,26 +395,30 @@
     if (isNewLife) this.crashes.noteUnreachable(endpoint);
   }
 
-  private learnCrashes(rows: readonly FollowedRow[]): void {
-    const crashes = rows.map(row => this.options.decoder.decodeCrash(row));
-    this.crashes.learn(crashes.filter(crash => crash !== undefined));
+  private learnFacts(rows: readonly FollowedRow[]): void {
+    const facts = rows.map(readFact).filter(fact => fact !== undefined);
+    for (const fact of facts) {
+      if (fact.kind === 'crash') {
+        this.crashes.learn([fact.crash]);
+        continue;
+      }
+      const {service, demands} = fact;
+      this.state.agreedDemand.learn(service, demands, performance.now());
+      this.options.logger.info('demand_learnt', {
+        service,
+        routes: demands.length,
+      });
+    }
   }
 
-  private async publishCrashes(
-    crashes: readonly ReportedCrash[],
-  ): Promise<void> {
-    const result = await this.options.platform.transact({
-      checks: [],
-      writes: crashes.map(crash => ({
-        key: `crashes/${crash.id}`,
-        value: crash,
-      })),
-    });
-    if (result.kind === 'committed') return;
-    this.options.logger.warn('crash_not_told', {
-      crashes: crashes.length,
-      outcome: result.kind,
-    });
+  private readDemands(): Record<string, readonly RouteDemand[]> {
+    const {demandToTell, table} = this.state;
+    const services = demandToTell
+      .listServices()
+      .filter(id => table?.findService(id)?.engine !== undefined);
+    const nowMs = performance.now();
+    const entries = services.map(id => [id, demandToTell.read(id, nowMs)]);
+    return Object.fromEntries(entries);
   }
 
   private addOperations(): void {
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -1,6 +1,7 @@
 /** What an instance knows and believes, shared by its tasks. */
 
 import {SuspectTable} from '@snipestage/policy/suspects.js';
+import {AgreedDemand} from '@snipestage/routing/agreed_demand.js';
 import {CrashWatch} from '@snipestage/routing/crash_watch.js';
 import {DataCentreReach} from '@snipestage/routing/data_centre_reach.js';
 import {DemandMeter} from '@snipestage/routing/demand_meter.js';
@@ -17,6 +18,9 @@
 } from '@snipestage/routing/window_budget.js';
 import type {ServiceId} from '@snipestage/types/ids.js';
 
+/** About as long as a burst; over all instances the figures are steady. */
+const TOLD_DEMAND_HALF_LIFE_MS = 5000;
+
 /** Made anew with each process. */
 export class RoutingState {
   /** Undefined until the first configuration is known. */
@@ -25,6 +29,11 @@
   readonly monitor = new EndpointMonitor();
   readonly reach = new DataCentreReach();
   readonly demand = new DemandMeter();
+  /** Shorter-lived: it is added up over all instances. */
+  readonly demandToTell = new DemandMeter({
+    halfLifeMs: TOLD_DEMAND_HALF_LIFE_MS,
+  });
+  readonly agreedDemand = new AgreedDemand({own: this.demand});
   readonly suspects = new SuspectTable();
   readonly crashes = new CrashWatch();
   private readonly plainPlacement: Placement;
@@ -33,7 +42,7 @@
   private readonly refusalDelays = new Map<ServiceId, RefusalDelay>();
 
   constructor(private retry: WindowBudgetOptions) {
-    const {monitor, reach, demand} = this;
+    const {monitor, reach, agreedDemand: demand} = this;
     this.plainPlacement = new LeastLoadedPlacement({monitor, reach});
     this.promptPlacement = new PromptPlacement({monitor, reach, demand});
   }
--- /dev/null
+++ b/packages/gateway/src/shared_facts.ts
@@ -0,0 +1,98 @@
+/** What instances tell each other by rows of one table that all follow. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {Platform} from '@snipestage/platform/platform.js';
+import type {ReportedCrash} from '@snipestage/policy/suspects.js';
+import {hasMoved, sumDemands} from '@snipestage/routing/agreed_demand.js';
+import type {RouteDemand} from '@snipestage/routing/demand_meter.js';
+import {brandAs, type ServiceId} from '@snipestage/types/ids.js';
+import type {FollowedRow} from './table_follower.js';
+import type {CountsValue} from './usage_rows.js';
+
+/** A fact that came in. */
+export type SharedFact =
+  | {readonly kind: 'crash'; readonly crash: ReportedCrash}
+  | {
+      readonly kind: 'demand';
+      readonly service: ServiceId;
+      readonly demands: readonly RouteDemand[];
+    };
+
+const CRASH = 'crash/';
+const DEMAND = 'demand/';
+
+/** What a {@link SharedFacts} is made from. */
+export interface SharedFactsOptions {
+  readonly platform: Platform;
+  readonly logger: Logger;
+}
+
+/** Writes facts; a write that fails is logged and left to the next one. */
+export class SharedFacts {
+  private readonly told = new Map<ServiceId, readonly RouteDemand[]>();
+
+  constructor(private readonly options: SharedFactsOptions) {}
+
+  async tellCrashes(crashes: readonly ReportedCrash[]): Promise<void> {
+    const rows = crashes.map(crash => ({
+      key: `shared/${CRASH}${crash.id}`,
+      value: crash,
+    }));
+    await this.write('crash', rows);
+  }
+
+  /** Adds up what all instances wrote, and tells it where it has changed. */
+  async tellDemands(rows: readonly CountsValue[]): Promise<void> {
+    const services = new Set(
+      rows.flatMap(({demands}) => Object.keys(demands ?? {})),
+    );
+    const changed: Array<{key: string; value: unknown}> = [];
+    for (const name of services) {
+      const service = brandAs<ServiceId>(name);
+      const total = sumDemands(rows.map(({demands}) => demands?.[name] ?? []));
+      if (!hasMoved(this.told.get(service), total)) continue;
+      this.told.set(service, total);
+      changed.push({key: `shared/${DEMAND}${name}`, value: total});
+    }
+    if (changed.length > 0) await this.write('demand', changed);
+  }
+
+  private async write(
+    kind: SharedFact['kind'],
+    writes: ReadonlyArray<{readonly key: string; readonly value: unknown}>,
+  ): Promise<void> {
+    const result = await this.options.platform.transact({checks: [], writes});
+    this.options.logger.info('fact_told', {
+      kind,
+      rows: writes.length,
+      outcome: result.kind,
+    });
+  }
+}
+
+/**
+ * @returns undefined when the row is gone or can't be read.
+ * @example
+ * const fact = readFact(row);
+ */
+export function readFact(row: FollowedRow): SharedFact | undefined {
+  const value = parseJson(row.data);
+  if (row.key.startsWith(CRASH)) {
+    const crash = value as ReportedCrash | undefined;
+    const isWhole =
+      typeof crash?.id === 'string' && Array.isArray(crash.inFlight);
+    return isWhole ? {kind: 'crash', crash} : undefined;
+  }
+  if (!row.key.startsWith(DEMAND) || !Array.isArray(value)) return undefined;
+  const service = brandAs<ServiceId>(row.key.slice(DEMAND.length));
+  return {kind: 'demand', service, demands: value as RouteDemand[]};
+}
+
+function parseJson(data: Buffer | undefined): unknown {
+  if (data === undefined) return undefined;
+  try {
+    return JSON.parse(data.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -39,6 +39,8 @@
   readonly dueAfterMs: number;
   readonly nowMs: () => number;
   readonly logger: Logger;
+  /** Told what all instances saw when they wrote a window's counts. */
+  readonly onRows?: (rows: readonly CountsValue[]) => void;
 }
 
 const TICK_MS = 500;
@@ -139,6 +141,7 @@
     const {held} = lease;
     if (result.kind === 'unavailable' || held === undefined) return undefined;
     if (!this.isComplete(window, result.rows)) return undefined;
+    this.options.onRows?.(result.rows.map(row => row.value as CountsValue));
     const parts = result.rows.map(row => fromCountsValue(row.value));
     if (parts.length === 0) return new Map();
     const total = sumCounts(parts.filter(part => part !== undefined));
--- a/packages/gateway/src/usage_rows.ts
+++ b/packages/gateway/src/usage_rows.ts
@@ -1,5 +1,6 @@
 /** Rows that hold the counts of windows. */
 
+import type {RouteDemand} from '@snipestage/routing/demand_meter.js';
 import type {
   UsageCounts,
   WindowNumber,
@@ -11,6 +12,8 @@
   readonly counts: Readonly<Record<string, number>>;
   /** Written after the window's end: no more will come from this writer. */
   readonly isFinal: boolean;
+  /** What the writer saw of each service's routes by then. */
+  readonly demands?: Readonly<Record<string, readonly RouteDemand[]>>;
 }
 
 /**
@@ -36,8 +39,9 @@
 export function toCountsValue(
   counts: UsageCounts,
   isFinal: boolean,
+  demands: CountsValue['demands'] = {},
 ): CountsValue {
-  return {counts: Object.fromEntries(counts), isFinal};
+  return {counts: Object.fromEntries(counts), isFinal, demands};
 }
 
 /** Who wrote a row of counts. */
--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -8,7 +8,7 @@
   type UsageWindows,
   type WindowNumber,
 } from '@snipestage/routing/usage_windows.js';
-import {countsKey, toCountsValue} from './usage_rows.js';
+import {countsKey, toCountsValue, type CountsValue} from './usage_rows.js';
 
 /** What a {@link UsageWriter} is made from. */
 export interface UsageWriterOptions {
@@ -22,6 +22,8 @@
   readonly writeEveryMs: number;
   readonly nowMs: () => number;
   readonly logger: Logger;
+  /** What this instance sees of each service's routes. */
+  readonly readDemands: () => CountsValue['demands'];
 }
 
 /** How often it looks for what is to be written. */
@@ -118,7 +120,12 @@
     const key = countsKey(window, writer);
     const result = await platform.transact({
       checks: [],
-      writes: [{key, value: toCountsValue(counts, isFinal)}],
+      writes: [
+        {
+          key,
+          value: toCountsValue(counts, isFinal, this.options.readDemands()),
+        },
+      ],
     });
     if (result.kind === 'committed') {
       this.written.set(window, {total, isFinal, atMs: nowMs()});
--- /dev/null
+++ b/packages/routing/src/agreed_demand.ts
@@ -0,0 +1,118 @@
+/** Demand over all instances, as one of them added it up for all. */
+
+import type {ServiceId} from '@snipestage/types/ids.js';
+import {DemandSource, type RouteDemand} from './demand_meter.js';
+import type {RouteId} from './route.js';
+
+/** What a {@link AgreedDemand} is made from. */
+export interface AgreedDemandOptions {
+  /** What this instance sees itself, until it has heard of the whole. */
+  readonly own: DemandSource;
+  /** How long a sum is gone by (60,000 ms): a dozen windows without one. */
+  readonly validForMs?: number;
+}
+
+const DEFAULT_VALID_FOR_MS = 60_000;
+
+interface Told {
+  readonly demands: readonly RouteDemand[];
+  readonly atMs: number;
+}
+
+/**
+ * Instances that go by the same figures split the engines alike. By their own
+ * figures, a request or two of a route a second each, they disagree on some
+ * engines, which then get long prompts from one and short pauses from another:
+ * of streams with short pauses one in ten was late by that, against one in
+ * twenty-four with the same figures everywhere.
+ */
+export class AgreedDemand extends DemandSource {
+  private readonly told = new Map<ServiceId, Told>();
+  private readonly own: DemandSource;
+  private readonly validForMs: number;
+
+  constructor(options: AgreedDemandOptions) {
+    super();
+    this.own = options.own;
+    this.validForMs = options.validForMs ?? DEFAULT_VALID_FOR_MS;
+  }
+
+  /**
+   * Takes in a sum over all instances.
+   *
+   * @example
+   * agreed.learn(service, demands, nowMs);
+   */
+  learn(
+    service: ServiceId,
+    demands: readonly RouteDemand[],
+    nowMs: number,
+  ): void {
+    this.told.set(service, {demands, atMs: nowMs});
+  }
+
+  read(service: ServiceId, nowMs: number): readonly RouteDemand[] {
+    const told = this.told.get(service);
+    const isValid = told !== undefined && nowMs - told.atMs < this.validForMs;
+    return isValid ? told.demands : this.own.read(service, nowMs);
+  }
+}
+
+/**
+ * Adds up what several instances saw of a service's routes.
+ *
+ * @example
+ * const total = sumDemands([mine, theirs]);
+ */
+export function sumDemands(
+  all: Iterable<readonly RouteDemand[]>,
+): readonly RouteDemand[] {
+  const total = new Map<RouteId, RouteDemand>();
+  for (const demands of all) {
+    for (const demand of demands) {
+      const before = total.get(demand.route);
+      total.set(demand.route, before ? addDemand(before, demand) : demand);
+    }
+  }
+  return [...total.values()];
+}
+
+function addDemand(left: RouteDemand, right: RouteDemand): RouteDemand {
+  const requestsPerS = left.requestsPerS + right.requestsPerS;
+  const tokensPerS =
+    left.meanPromptTokens * left.requestsPerS +
+    right.meanPromptTokens * right.requestsPerS;
+  return {
+    ...left,
+    workPerS: left.workPerS + right.workPerS,
+    requestsPerS,
+    meanPromptTokens: tokensPerS / Math.max(1e-9, requestsPerS),
+  };
+}
+
+/**
+ * Whether shares have moved so far that others should hear of it.
+ *
+ * @example
+ * if (hasMoved(told, now)) tellAll(now);
+ */
+export function hasMoved(
+  before: readonly RouteDemand[] | undefined,
+  now: readonly RouteDemand[],
+): boolean {
+  if (before?.length !== now.length) return true;
+  return now.some(({route, workPerS}) => {
+    const former = before.find(each => each.route === route);
+    if (former === undefined) return true;
+    const change =
+      workPerS / totalWork(now) - former.workPerS / totalWork(before);
+    return Math.abs(change) > MIN_SHARE_CHANGE;
+  });
+}
+
+/** Half an engine of a dozen: less would not change the split. */
+const MIN_SHARE_CHANGE = 0.04;
+
+function totalWork(demands: readonly RouteDemand[]): number {
+  return demands.reduce((sum, {workPerS}) => sum + workPerS, 1e-9);
+}
--- a/packages/routing/src/demand_meter.ts
+++ b/packages/routing/src/demand_meter.ts
@@ -27,19 +27,26 @@
 
 /** Faded demand of a route. */
 export interface RouteDemand {
-  readonly route: Route;
+  readonly route: RouteId;
+  readonly pauseTargetMs: number | undefined;
   /** Prompt tokens and their equivalents, a second. */
   readonly workPerS: number;
   readonly requestsPerS: number;
   readonly meanPromptTokens: number;
 }
 
+/** Where placements learn what the routes of a service bring. */
+export abstract class DemandSource {
+  abstract read(service: ServiceId, nowMs: number): readonly RouteDemand[];
+}
+
 /** Fades by half-life; times are of one clock that does not go back. */
-export class DemandMeter {
+export class DemandMeter extends DemandSource {
   private readonly demands = new Map<ServiceId, Map<RouteId, Demand>>();
   private readonly halfLifeMs: number;
 
   constructor(options: DemandMeterOptions = {}) {
+    super();
     this.halfLifeMs = options.halfLifeMs ?? DEFAULT_HALF_LIFE_MS;
   }
 
@@ -63,6 +70,11 @@
     demand.promptTokens += prompt?.tokens ?? 0;
   }
 
+  /** Services that had requests lately. */
+  listServices(): readonly ServiceId[] {
+    return [...this.demands.keys()];
+  }
+
   /** Demand of each route of a service that had requests lately. */
   read(service: ServiceId, nowMs: number): readonly RouteDemand[] {
     const routes = this.demands.get(service);
@@ -71,7 +83,8 @@
     return [...routes.values()].map(demand => {
       this.fade(demand, nowMs);
       return {
-        route: demand.route,
+        route: demand.route.id,
+        pauseTargetMs: demand.route.pauseTargetMs,
         workPerS: demand.work * perS,
         requestsPerS: demand.requests * perS,
         meanPromptTokens: demand.promptTokens / Math.max(1e-9, demand.requests),
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -2,7 +2,7 @@
 
 import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
 import type {EndpointId} from '@snipestage/types/ids.js';
-import type {DemandMeter, RouteDemand} from './demand_meter.js';
+import type {DemandSource, RouteDemand} from './demand_meter.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
 import {
   findUsable,
@@ -18,7 +18,7 @@
 
 /** What a {@link PromptPlacement} is made from. */
 export interface PromptPlacementOptions extends PlacementBeliefs {
-  readonly demand: DemandMeter;
+  readonly demand: DemandSource;
   /** At least 0 and below 1. */
   readonly random?: () => number;
 }
@@ -63,7 +63,7 @@
  */
 export class PromptPlacement extends Placement {
   private readonly monitor: EndpointMonitor;
-  private readonly demand: DemandMeter;
+  private readonly demand: DemandSource;
   private readonly random: () => number;
 
   constructor(private readonly options: PromptPlacementOptions) {
@@ -169,7 +169,7 @@
 export function findShortRoutes(
   demands: readonly RouteDemand[],
 ): ReadonlySet<RouteId> {
-  const pauses = demands.map(({route}) => route.pauseTargetMs ?? 0);
+  const pauses = demands.map(({pauseTargetMs}) => pauseTargetMs ?? 0);
   const longestPauseMs = Math.max(0, ...pauses);
   const requests = demands.reduce((sum, each) => sum + each.requestsPerS, 0);
   const tokens = demands.reduce(
@@ -178,12 +178,12 @@
   );
   const meanTokens = tokens / Math.max(1e-9, requests);
   const short = demands.filter(
-    ({route, meanPromptTokens}) =>
-      route.pauseTargetMs !== undefined &&
-      route.pauseTargetMs <= longestPauseMs * SHORT_PAUSE_SHARE &&
+    ({pauseTargetMs, meanPromptTokens}) =>
+      pauseTargetMs !== undefined &&
+      pauseTargetMs <= longestPauseMs * SHORT_PAUSE_SHARE &&
       meanPromptTokens <= meanTokens * SHORT_PROMPT_SHARE,
   );
-  return new Set(short.map(({route}) => route.id));
+  return new Set(short.map(({route}) => route));
 }
 
 function shareOfWork(
@@ -192,7 +192,7 @@
 ): number {
   const total = demands.reduce((sum, each) => sum + each.workPerS, 0);
   const own = demands
-    .filter(({route}) => routes.has(route.id))
+    .filter(({route}) => routes.has(route))
     .reduce((sum, each) => sum + each.workPerS, 0);
   return own / Math.max(1e-9, total);
 }
