Report in time after an outage of the store

Ruled out: the counts (all nine writers were there) and the provider (it accepted).

Change: a held lease says whether it follows on a release; only then its holder waits, since after a lapse nobody has acted for a margin at least. The first window that is not yet reported stands in a row, which a successor reads.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,15 @@
 const gts = createRequire(import.meta.url)('gts');
 
 export default [
-  {ignores: ['**/dist/', '**/node_modules/', '**/generated/']},
+  {
+    ignores: [
+      '**/dist/',
+      'target/',
+      'journal/',
+      '**/node_modules/',
+      '**/generated/',
+    ],
+  },
   ...gts,
   {
     files: ['**/*.ts'],
--- a/packages/agreement/src/lease.ts
+++ b/packages/agreement/src/lease.ts
@@ -55,6 +55,8 @@
   /** From here on the lease may be another's. */
   readonly termEndsAtMs: number;
   readonly renewedAtMs: number;
+  /** The holder before gave it up; it may have acted a moment ago. */
+  readonly followsRelease: boolean;
 }
 
 /** What one instance knows of a lease. */
@@ -82,6 +84,8 @@
   /** Starts a term under a new token, rather than prolongs one. */
   readonly takes: boolean;
   readonly sentAtMs: number;
+  /** See {@link HeldLease.followsRelease}. */
+  readonly followsRelease: boolean;
 }
 
 export type LeaseEvent =
@@ -309,7 +313,7 @@
 
 function startTerm(
   state: LeaseState,
-  {wanted, takes, sentAtMs}: PendingLeaseWrite,
+  {wanted, takes, sentAtMs, followsRelease}: PendingLeaseWrite,
   fenceVersion: number | undefined,
   nowMs: number,
 ): LeaseStep {
@@ -325,6 +329,7 @@
     fenceVersion: version,
     termEndsAtMs,
     renewedAtMs: sentAtMs,
+    followsRelease,
   };
   const kind = takes ? 'acquired' : 'extended';
   return {state: {...state, held}, effects: [{kind, held}]};
--- a/packages/agreement/src/lease_writes.ts
+++ b/packages/agreement/src/lease_writes.ts
@@ -68,7 +68,18 @@
   // the term counted from too late. So each write has a number of its own.
   const wanted: LeaseValue = {...what.wanted, renewals: call};
   const transaction = composeLeaseWrite({name, row, wanted, takes});
-  const pending = {kind: 'write', wanted, takes, sentAtMs: what.nowMs} as const;
+  const former = row.value as LeaseValue | null;
+  const followsRelease = takes
+    ? former?.released === true
+    : state.held?.followsRelease === true;
+  const sentAtMs = what.nowMs;
+  const pending = {
+    kind: 'write',
+    wanted,
+    takes,
+    sentAtMs,
+    followsRelease,
+  } as const;
   return {
     state: {...state, call, pending},
     effects: [{kind: 'transact', call, transaction}],
--- a/packages/gateway/src/duty_term.test.ts
+++ b/packages/gateway/src/duty_term.test.ts
@@ -18,12 +18,13 @@
     return {mayStillSend: () => this.held !== undefined, signal};
   }
 
-  acquire(token: number, atMs: number): void {
+  acquire(token: number, atMs: number, followsRelease = false): void {
     this.held = {
       fencingToken: brandAs<FencingToken>(token),
       fenceVersion: 1,
       termEndsAtMs: atMs + 3000,
       renewedAtMs: atMs,
+      followsRelease,
     };
     this.listener?.acquired(this.held);
   }
@@ -45,22 +46,22 @@
   return {lease, time, term, pass};
 }
 
-test('the first holder ever acts at once, the next one waits', t => {
+test('whoever follows on a release waits first', t => {
   // An instance is stopped and hands its duties over; moments later its
   // successor is stopped and hands them back. To the provider the two would
   // seem to give orders at the same time.
   const {lease, term, pass} = makeTerm();
   lease.acquire(1, 0);
   t.is(term.token, brandAs<FencingToken>(1));
-  lease.acquire(3, 0);
+  lease.acquire(3, 0, true);
   t.is(term.token, undefined);
   pass(3000);
   t.is(term.token, brandAs<FencingToken>(3));
 });
 
-test('a holder that follows on itself goes on at once', t => {
-  // The store was away for longer than a term. Nobody could take the lease, and
-  // reports that wait any longer now would come too late.
+test('whoever follows on a lapse acts at once', t => {
+  // The store was away for longer than a term, or the holder was killed. Nobody
+  // has acted for a while, and reports that wait longer now come too late.
   const {lease, term} = makeTerm();
   lease.acquire(1, 0);
   lease.acquire(2, 0);
--- a/packages/gateway/src/duty_term.ts
+++ b/packages/gateway/src/duty_term.ts
@@ -14,9 +14,6 @@
   readonly nowEpochMs: () => number;
 }
 
-/** The first token ever: nobody can have acted before. */
-const FIRST_TOKEN = 1;
-
 /**
  * Guards what a lease alone does not.
  *
@@ -24,25 +21,20 @@
  * clock stood still; after a jump of the clocks nothing is sent until a renewal
  * that began later has been granted. And a lease that is released and taken
  * again at once would let two instances act by turns within moments, which an
- * outsider can't tell from two that are both in charge; a new holder waits
- * first.
+ * outsider can't tell from two that are both in charge; whoever follows on a
+ * release waits first. After a lapse nobody has acted for a margin at least.
  */
 export class DutyTerm {
   private readonly watch: SuspensionWatch;
   private jumpedAtMs = Number.NEGATIVE_INFINITY;
   private acquiredAtMs = Number.NEGATIVE_INFINITY;
-  /** The token of the last term, and of the one before it. */
-  private lastToken: number | undefined;
-  private tokenBefore: number | undefined;
 
   constructor(private readonly options: DutyTermOptions) {
     const {lease, nowMs, nowEpochMs} = options;
     this.watch = new SuspensionWatch(nowMs(), nowEpochMs());
     lease.listen({
-      acquired: held => {
+      acquired: () => {
         this.acquiredAtMs = nowMs();
-        this.tokenBefore = this.lastToken;
-        this.lastToken = held.fencingToken;
       },
       lost: () => undefined,
     });
@@ -58,19 +50,10 @@
       return undefined;
     }
     const isSettled =
-      this.isNextAfterOwn(held.fencingToken) ||
-      atMs - this.acquiredAtMs >= apartMs;
+      !held.followsRelease || atMs - this.acquiredAtMs >= apartMs;
     return isSettled ? held.fencingToken : undefined;
   }
 
-  /**
-   * Nobody else can have acted since this process did: tokens rise by one with
-   * each term. After an outage of the store the former holder goes on at once.
-   */
-  private isNextAfterOwn(token: number): boolean {
-    return token === FIRST_TOKEN || token - 1 === this.tokenBefore;
-  }
-
   /** For one send under the token that is in force now. */
   guard(): SendGuard {
     const guard = this.options.lease.guard();
--- a/packages/gateway/src/usage_reporter.test.ts
+++ b/packages/gateway/src/usage_reporter.test.ts
@@ -39,6 +39,7 @@
         fenceVersion: version,
         termEndsAtMs: 9e9,
         renewedAtMs: 0,
+        followsRelease: false,
       },
     },
     leaseName: LEASE,
@@ -93,6 +94,7 @@
   await writeCounts(platform, 100, 'a', 3);
   const first = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
   for (let tick = 0; tick < 12; tick++) await first.tick();
+  platform.rows.delete('progress/usage');
   await writeCounts(platform, 100, 'late', 5);
   await takeFence(platform);
   const second = makeReporter(platform, 2, 101 * WINDOW_MS + 9000);
@@ -100,6 +102,21 @@
   t.deepEqual(figures(platform), ['100: 3', '100: 3']);
 });
 
+test('a successor leaves out what is known to be reported', async t => {
+  // After an outage several windows are due within a second. Reports that were
+  // accepted long ago would push those behind them past their time.
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  await writeCounts(platform, 100, 'a', 3);
+  const first = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
+  for (let tick = 0; tick < 12; tick++) await first.tick();
+  await writeCounts(platform, 101, 'a', 5);
+  await takeFence(platform);
+  const second = makeReporter(platform, 2, 102 * WINDOW_MS + 4000);
+  await second.tick();
+  t.deepEqual(figures(platform), ['100: 3', '101: 5']);
+});
+
 test('a seal whose answer was lost is read back, not made anew', async t => {
   const platform = new MemoryPlatform();
   await takeFence(platform);
--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -21,6 +21,8 @@
 import type {DutyTerm} from './duty_term.js';
 import {
   countsPrefix,
+  PROGRESS_KEY,
+  type ProgressValue,
   fromCountsValue,
   sealKey,
   toCountsValue,
@@ -88,21 +90,23 @@
     if (isPaused || token === undefined || !clock.isTied) return;
     this.isBusy = true;
     try {
-      const window = this.chooseWindow(token, clock.epochAt(nowMs()));
+      const window = await this.chooseWindow(token, clock.epochAt(nowMs()));
       if (window !== undefined) await this.handle(window);
     } finally {
       this.isBusy = false;
     }
   }
 
-  private chooseWindow(
+  private async chooseWindow(
     token: number,
     epochMs: number,
-  ): WindowNumber | undefined {
+  ): Promise<WindowNumber | undefined> {
     const {windowMs, dueAfterMs} = this.options;
     if (this.tokenOfNext !== token || this.nextWindow === undefined) {
+      const next = await this.readProgress();
+      if (next === undefined) return undefined;
       const first = windowAt(epochMs - LOOK_BACK_DUES * dueAfterMs, windowMs);
-      this.nextWindow = first;
+      this.nextWindow = Math.max(first, next) as WindowNumber;
       this.tokenOfNext = token;
     }
     const endsAtMs = (this.nextWindow + 1) * windowMs;
@@ -110,13 +114,32 @@
     return isReady ? this.nextWindow : undefined;
   }
 
+  /** @returns undefined when the store doesn't say. */
+  private async readProgress(): Promise<number | undefined> {
+    const result = await this.options.platform.readRows([PROGRESS_KEY]);
+    if (result.kind === 'unavailable') return undefined;
+    const row = findRow(result.rows, PROGRESS_KEY);
+    return (row.value as ProgressValue | null)?.next ?? 0;
+  }
+
+  /** Only saves a successor time: a report that is repeated does no harm. */
+  private async writeProgress(next: WindowNumber): Promise<void> {
+    await this.options.platform.transact({
+      checks: [],
+      writes: [{key: PROGRESS_KEY, value: {next}}],
+    });
+  }
+
   private async handle(window: WindowNumber): Promise<void> {
     const guard = this.options.term.guard();
     const sealed = (await this.readSeal(window)) ?? (await this.seal(window));
     if (sealed === undefined) return;
-    if (sealed.size === 0 || (await this.report(window, sealed, guard))) {
-      this.nextWindow = (window + 1) as WindowNumber;
-    }
+    const isDone =
+      sealed.size === 0 || (await this.report(window, sealed, guard));
+    if (!isDone) return;
+    const next = (window + 1) as WindowNumber;
+    this.nextWindow = next;
+    if (sealed.size > 0) await this.writeProgress(next);
   }
 
   private async readSeal(
--- a/packages/gateway/src/usage_rows.ts
+++ b/packages/gateway/src/usage_rows.ts
@@ -55,3 +55,11 @@
   if (typeof counts !== 'object' || counts === null) return undefined;
   return new Map(Object.entries(counts) as Array<[ClientAccountId, number]>);
 }
+
+/** Key of the first window that is not known to be reported. */
+export const PROGRESS_KEY = 'progress/usage';
+
+/** Value of the row at {@link PROGRESS_KEY}. */
+export interface ProgressValue {
+  readonly next: number;
+}
