Spare the store calls: gather changes, few challengers, counts once a window

Every change of an endpoint answered every instance's poll, every instance polled the lease, and wrote its counts twice a window.

Change: after changes a follower waits for those that come next, eight in a hundred of the time in which a change has to be known; some eight instances by a hash of their names stand for the lease, once the holder has told how many there are; where one instance holds less of the counts than a report may be off by, it writes them at the window's end only.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import type {BoundedOutput} from '@snipestage/log/bounded_output.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
+import {hashText} from '@snipestage/policy/rendezvous.js';
 import {
   AgreedClock,
   type StoreClockReading,
@@ -88,8 +89,17 @@
 const POLL_TERMS = 1;
 /** No handshake on these links takes this long unless its packet was lost. */
 const CONNECT_TIMEOUT_MS = 350;
-/** What a killed instance may take with it of a window's counts. */
-const USAGE_WRITE_EVERY_MS = 2500;
+/** Share of a window after which its counts so far are written. */
+const USAGE_WRITE_SHARE = 0.5;
+/** Some may be cut off from the store, or killed, and one is to be left. */
+const LEASE_CANDIDATES = 8;
+/** Hashes are 32 bits. */
+const HASH_RANGE = 2 ** 32;
+/**
+ * Share of the time in which a change has to be known that is left for others
+ * to come in with the same answer.
+ */
+const GATHER_SHARE = 0.08;
 /** The balancer asks each second and acts on the second miss. */
 const BALANCER_LAG_MS = 2200;
 const DRAIN_CHECK_EVERY_MS = 100;
@@ -115,6 +125,8 @@
   private readonly facts: SharedFacts;
   private readonly incarnation = randomUUID().slice(0, 8);
   private hasEndpoints = false;
+  /** As the holder of the duties counted them; undefined until it is known. */
+  private instances: number | undefined;
   private isStopping = false;
 
   constructor(private readonly options: GatewayOptions) {
@@ -169,7 +181,7 @@
       clock: this.clock,
       writer: `${settings.instance}.${this.incarnation}`,
       windowMs: settings.usage.windowMs,
-      writeEveryMs: USAGE_WRITE_EVERY_MS,
+      writeEveryMs: () => this.usageWriteEveryMs,
       nowMs,
       logger: logger.forComponent('usage'),
       readDemands: () => this.readDemands(),
@@ -204,6 +216,11 @@
     );
   }
 
+  /** Version in force; undefined before the first. */
+  get configurationVersion(): number | undefined {
+    return this.state.table?.configuration.version;
+  }
+
   async start(): Promise<void> {
     for (const follower of this.followers) follower.start();
     for (const server of this.operations) await server.start();
@@ -259,7 +276,9 @@
     void this.lease.retire();
     await this.drain(beganAtMs);
     this.callers.stopListening();
+    this.callers.closeAll();
     await this.finishUsage();
+    for (const server of this.operations) server.close();
     this.options.logger.info('stopped', {
       inProgress: this.handler.inProgress,
       tookMs: Math.round(performance.now() - beganAtMs),
@@ -301,10 +320,33 @@
       executor: new TableExecutor({platform, clock: nowMs}),
       clock: nowMs,
       logger: logger.forComponent('lease'),
-      isCandidate: () => this.isReady,
+      isCandidate: () => this.isReady && this.standsForLease(),
     });
   }
 
+  /**
+   * A few stand for the lease; each of them polls its row. By a hash of their
+   * names, which instances share without a call; all while none has counted.
+   */
+  private standsForLease(): boolean {
+    const {instances} = this;
+    if (instances === undefined) return true;
+    const {instance} = this.options.settings;
+    const place = hashText(`${DUTIES_LEASE}/${instance}`) / HASH_RANGE;
+    return place < LEASE_CANDIDATES / instances;
+  }
+
+  /**
+   * What a killed instance takes with it of a window that runs. Where one holds
+   * less than reports may be off by, it isn't worth a call of each.
+   */
+  private get usageWriteEveryMs(): number {
+    const {windowMs, tolerance} = this.options.settings.usage;
+    const isNegligible =
+      this.instances !== undefined && 1 / this.instances < tolerance;
+    return isNegligible ? windowMs : windowMs * USAGE_WRITE_SHARE;
+  }
+
   private addFollowers(): void {
     const {tables} = this.options;
     const apply = (rows: readonly FollowedRow[]) =>
@@ -336,8 +378,9 @@
   ): void {
     const logger = this.options.logger.forComponent('store');
     const onClock = this.clock.noteReading.bind(this.clock);
+    const gatherMs = this.options.settings.changes.knownWithinMs * GATHER_SHARE;
     this.followers.push(
-      new TableFollower({table, listener, logger, waitMs, onClock}),
+      new TableFollower({table, listener, logger, waitMs, gatherMs, onClock}),
     );
   }
 
@@ -402,11 +445,13 @@
         this.crashes.learn([fact.crash]);
         continue;
       }
-      const {service, demands} = fact;
+      const {service, demands, instances} = fact;
+      this.instances = instances;
       this.state.agreedDemand.learn(service, demands, performance.now());
       this.options.logger.info('demand_learnt', {
         service,
         routes: demands.length,
+        instances,
       });
     }
   }
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -32,6 +32,8 @@
     readonly windowMs: number;
     /** A window's report is due so long after its end. */
     readonly dueAfterMs: number;
+    /** Share by which a figure may be off. */
+    readonly tolerance: number;
   };
   readonly duties: {
     readonly reportsUsage: boolean;
--- /dev/null
+++ b/packages/gateway/src/shared_facts.test.ts
@@ -0,0 +1,69 @@
+import test from 'ava';
+import {
+  brandAs,
+  type EndpointId,
+  type DataCentreId,
+  type Fingerprint,
+} from '@snipestage/types/ids.js';
+import type {RouteDemand} from '@snipestage/routing/demand_meter.js';
+import type {RouteId} from '@snipestage/routing/route.js';
+import {readFact, SharedFacts} from './shared_facts.js';
+import {MemoryPlatform} from './test_support/memory_platform.js';
+import {NoOutput} from './test_support/no_output.js';
+
+function written(workPerS: number) {
+  const demand: RouteDemand = {
+    route: brandAs<RouteId>('r'),
+    pauseTargetMs: 150,
+    workPerS,
+    requestsPerS: 1,
+    meanPromptTokens: 10,
+  };
+  return {counts: {}, isFinal: true, demands: {repair: [demand]}};
+}
+
+function read(platform: MemoryPlatform, key: string) {
+  const row = platform.rows.get(`shared/${key}`)!;
+  const data = Buffer.from(JSON.stringify(row.value));
+  return readFact({key, version: row.version, data});
+}
+
+test('what all instances saw is added up and told once', async t => {
+  const platform = new MemoryPlatform();
+  const {logger} = new NoOutput();
+  const facts = new SharedFacts({platform, logger});
+  await facts.tellDemands([written(10), written(30)]);
+  const fact = read(platform, 'demand/repair');
+  t.like(fact, {kind: 'demand', service: 'repair', instances: 2});
+  const {version} = platform.rows.get('shared/demand/repair')!;
+  await facts.tellDemands([written(20), written(60)]);
+  t.is(platform.rows.get('shared/demand/repair')!.version, version);
+  await facts.tellDemands([written(20), written(60), written(1)]);
+  t.like(read(platform, 'demand/repair'), {instances: 3});
+});
+
+test('a crash is told to all instances', async t => {
+  // A request takes down one engine after the other, and comes in at another
+  // instance each time. None of them alone sees more than one crash.
+  const platform = new MemoryPlatform();
+  const facts = new SharedFacts({platform, logger: new NoOutput().logger});
+  const crash = {
+    id: 'a/1/1',
+    endpoint: brandAs<EndpointId>('e'),
+    dataCentre: brandAs<DataCentreId>('akl-a'),
+    ageMs: 0,
+    inFlight: [brandAs<Fingerprint>('f')],
+    cleared: [],
+  };
+  await facts.tellCrashes([crash]);
+  t.deepEqual(read(platform, 'crash/a/1/1'), {kind: 'crash', crash});
+});
+
+test('rows of another form are no facts', t => {
+  const row = (key: string, text: string) =>
+    readFact({key, version: 1, data: Buffer.from(text)});
+  t.is(row('demand/repair', '[]'), undefined);
+  t.is(row('crash/x', '{"id": 1}'), undefined);
+  t.is(row('crash/x', 'no json'), undefined);
+  t.is(row('other', '{}'), undefined);
+});
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -16,11 +16,22 @@
       readonly kind: 'demand';
       readonly service: ServiceId;
       readonly demands: readonly RouteDemand[];
+      /** Instances that wrote what they saw. */
+      readonly instances: number;
     };
 
 const CRASH = 'crash/';
 const DEMAND = 'demand/';
 
+/** Value of a row of demand. */
+interface DemandValue {
+  readonly demands: readonly RouteDemand[];
+  readonly instances: number;
+}
+
+/** A change of the number of instances that others should hear of. */
+const INSTANCES_CHANGE = 0.25;
+
 /** What a {@link SharedFacts} is made from. */
 export interface SharedFactsOptions {
   readonly platform: Platform;
@@ -29,7 +40,7 @@
 
 /** Writes facts; a write that fails is logged and left to the next one. */
 export class SharedFacts {
-  private readonly told = new Map<ServiceId, readonly RouteDemand[]>();
+  private readonly told = new Map<ServiceId, DemandValue>();
 
   constructor(private readonly options: SharedFactsOptions) {}
 
@@ -50,9 +61,10 @@
     for (const name of services) {
       const service = brandAs<ServiceId>(name);
       const total = sumDemands(rows.map(({demands}) => demands?.[name] ?? []));
-      if (!hasMoved(this.told.get(service), total)) continue;
-      this.told.set(service, total);
-      changed.push({key: `shared/${DEMAND}${name}`, value: total});
+      const value = {demands: total, instances: rows.length};
+      if (!isNews(this.told.get(service), value)) continue;
+      this.told.set(service, value);
+      changed.push({key: `shared/${DEMAND}${name}`, value});
     }
     if (changed.length > 0) await this.write('demand', changed);
   }
@@ -83,9 +95,18 @@
       typeof crash?.id === 'string' && Array.isArray(crash.inFlight);
     return isWhole ? {kind: 'crash', crash} : undefined;
   }
-  if (!row.key.startsWith(DEMAND) || !Array.isArray(value)) return undefined;
+  const told = value as DemandValue | undefined;
+  const isDemand = row.key.startsWith(DEMAND) && Array.isArray(told?.demands);
+  if (!isDemand) return undefined;
   const service = brandAs<ServiceId>(row.key.slice(DEMAND.length));
-  return {kind: 'demand', service, demands: value as RouteDemand[]};
+  return {kind: 'demand', service, ...told};
+}
+
+function isNews(before: DemandValue | undefined, now: DemandValue): boolean {
+  if (before === undefined || hasMoved(before.demands, now.demands))
+    return true;
+  const change = Math.abs(now.instances - before.instances);
+  return change > INSTANCES_CHANGE * before.instances;
 }
 
 function parseJson(data: Buffer | undefined): unknown {
--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -32,7 +32,7 @@
   return {kind: 'rows', rows: list, version, clock: undefined};
 }
 
-async function follow(readings: TableReading[]) {
+async function follow(readings: TableReading[], gatherMs = 0) {
   const table = new ScriptedTable([...readings]);
   const told: string[] = [];
   const keysOf = (list: readonly FollowedRow[]) =>
@@ -41,6 +41,7 @@
   const follower = new TableFollower({
     table,
     waitMs: 1000,
+    gatherMs,
     logger: output.logger,
     random: () => 1,
     listener: {
@@ -94,3 +95,8 @@
   t.is(lines.filter(line => line.includes('store_regained')).length, 1);
   t.is(told.at(-1), 'replaced a');
 });
+
+test('after a change it waits for those that follow on it', async t => {
+  const {pauses} = await follow([rows(5, 'a'), rows(7, 'b'), rows(9)], 300);
+  t.deepEqual(pauses, [0, 300, 0]);
+});
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -51,6 +51,11 @@
   readonly logger: Logger;
   readonly waitMs: number;
   readonly onClock?: (reading: StoreClockReading) => void;
+  /**
+   * Pause after changes came (0): what comes meanwhile is in the next answer.
+   * Endpoints register one by one, and each change answers every instance's poll.
+   */
+  readonly gatherMs?: number;
   /** First pause after a failure (100 ms); doubles. */
   readonly firstBackoffMs?: number;
   /** Longest pause (800 ms). */
@@ -67,6 +72,7 @@
 /** Owns the loop; what was learnt never goes back to an older version. */
 export class TableFollower {
   private version: number | undefined;
+  private minVersion = 0;
   private failures = 0;
   private isStopped = false;
   private readonly random: () => number;
@@ -129,8 +135,6 @@
     }
   }
 
-  private minVersion = 0;
-
   /** A whole read that is older than what is known must not replace it. */
   private rereadWhole(since: number | undefined): number {
     this.minVersion = Math.max(this.minVersion, since ?? 0);
@@ -146,8 +150,9 @@
     if (since !== undefined) {
       if (reading.version < since) return STALE_READ_PAUSE_MS;
       this.version = reading.version;
-      if (reading.rows.length > 0) listener.changed(reading.rows);
-      return 0;
+      if (reading.rows.length === 0) return 0;
+      listener.changed(reading.rows);
+      return this.options.gatherMs ?? 0;
     }
     if (reading.version < this.minVersion) {
       logger.warn('table_read_stale', {
--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -19,7 +19,7 @@
   readonly writer: string;
   readonly windowMs: number;
   /** How often the window that runs is written. */
-  readonly writeEveryMs: number;
+  readonly writeEveryMs: () => number;
   readonly nowMs: () => number;
   readonly logger: Logger;
   /** What this instance sees of each service's routes. */
@@ -89,7 +89,7 @@
     if (this.hasEnded(window)) return !isSame || written?.isFinal !== true;
     const atMs = nowMs();
     const lastAtMs = written?.atMs ?? this.firstLookAt(window, atMs);
-    return !isSame && atMs - lastAtMs >= writeEveryMs;
+    return !isSame && atMs - lastAtMs >= writeEveryMs();
   }
 
   private hasEnded(window: WindowNumber): boolean {
--- /dev/null
+++ b/packages/log/src/bounded_output.test.ts
@@ -0,0 +1,47 @@
+import {fork} from 'node:child_process';
+import {once} from 'node:events';
+import {openSync, readFileSync, unlinkSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import test from 'ava';
+import {BoundedOutput} from './bounded_output.js';
+
+const FLOOD = fileURLToPath(
+  new URL('./test_support/flood.js', import.meta.url),
+);
+
+test('a reader of the logs that stalls does not stall the process', async t => {
+  // The program that collects the logs hangs. Node.js writes to a pipe
+  // synchronously, so that every request would hang with it.
+  const child = fork(FLOOD, {stdio: ['ignore', 'pipe', 'inherit', 'ipc']});
+  t.teardown(() => child.kill('SIGKILL'));
+  // Nobody reads from child.stdout.
+  const [told] = (await once(child, 'message')) as [
+    {dropped: number; rounds: number},
+  ];
+  t.is(told.rounds, 40);
+  t.true(told.dropped > 0);
+});
+
+test('lines beyond the rate are left out, counted and told', async t => {
+  const path = join(tmpdir(), `bounded_output_${process.pid}.log`);
+  t.teardown(() => unlinkSync(path));
+  let nowMs = 0;
+  const output = new BoundedOutput({
+    fd: openSync(path, 'w'),
+    maxLinesPerS: 3,
+    nowMs: () => nowMs,
+  });
+  for (let index = 0; index < 10; index++) output.write(`line ${index}\n`);
+  t.is(output.dropped, 7);
+  nowMs = 1000;
+  output.write('next second\n');
+  const closed = output.whenClosed();
+  output.close();
+  await closed;
+  t.is(
+    readFileSync(path, 'utf8'),
+    'line 0\nline 1\nline 2\n{"event":"log_lines_dropped","count":7}\nnext second\n',
+  );
+});
--- a/packages/log/src/bounded_output.ts
+++ b/packages/log/src/bounded_output.ts
@@ -1,6 +1,6 @@
 /** Standard output for log lines that never holds up the process. */
 
-import {SonicBoom} from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 
 /** What a {@link BoundedOutput} is made from; defaults in the brackets. */
 export interface BoundedOutputOptions {
@@ -30,7 +30,7 @@
  * what doesn't fit is dropped and counted.
  */
 export class BoundedOutput {
-  private readonly destination: SonicBoom;
+  private readonly destination: sonicBoom.SonicBoom;
   private readonly maxLinesPerS: number;
   private readonly nowMs: () => number;
   private secondBeganAtMs = Number.NEGATIVE_INFINITY;
@@ -41,7 +41,7 @@
   constructor(options: BoundedOutputOptions = {}) {
     this.maxLinesPerS = options.maxLinesPerS ?? DEFAULT_MAX_LINES_PER_S;
     this.nowMs = options.nowMs ?? (() => performance.now());
-    this.destination = new SonicBoom({
+    this.destination = new sonicBoom.SonicBoom({
       fd: options.fd ?? STANDARD_OUTPUT,
       sync: false,
       minLength: MIN_WRITE_BYTES,
@@ -75,6 +75,11 @@
     this.destination.write(line);
   };
 
+  /** Resolves when all that was buffered is written, after {@link close}. */
+  async whenClosed(): Promise<void> {
+    await new Promise(resolve => this.destination.once('close', resolve));
+  }
+
   /** Writes what is buffered, at the end of the process. */
   close(): void {
     this.destination.end();
