Call an attempt that never got a connection a connect timeout

Found while tracing a refused lookup by its id: its log line said that an endpoint behind a cut was 'silent' after 351 ms, with the verdict 'not_run'. The limit on silence ran out before the connect timeout.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -307,11 +307,14 @@
     wasSilent: boolean,
   ): AttemptResult {
     if (wasSilent) {
+      // Given up before the connection stood: nobody was silent, there was no
+      // way, as with a connect timeout of our own.
+      const hadNoWay = head.verdict === 'not_run';
       return {
         kind: 'failed',
         verdict: head.verdict,
-        sign: 'silent',
-        reason: 'silent',
+        sign: hadNoWay ? 'unreachable' : 'silent',
+        reason: hadNoWay ? 'connect_timeout' : 'silent',
       };
     }
     const {reason, verdict} = head;
