--- a/packages/routing/src/data_centre_reach.test.ts
+++ b/packages/routing/src/data_centre_reach.test.ts
@@ -18,6 +18,11 @@
   reach.noteUnreached(AKL_A, TWO, 20);
   t.true(reach.isCut(AKL_A, 519));
   t.false(reach.isCut(AKL_A, 520));
+  // The next try fails as well; those under way meanwhile tell nothing new.
+  reach.noteUnreached(AKL_A, ONE, 600);
+  reach.noteUnreached(AKL_A, TWO, 700);
+  t.true(reach.isCut(AKL_A, 1599));
+  t.false(reach.isCut(AKL_A, 1600));
 });
 
 test('one that is reached clears its data centre', t => {
--- a/packages/routing/src/data_centre_reach.ts
+++ b/packages/routing/src/data_centre_reach.ts
@@ -8,30 +8,36 @@
   readonly afterEndpoints?: number;
   /** How long its endpoints are left alone before one is tried (600 ms). */
   readonly pauseMs?: number;
+  /** The pause doubles up to this (2,400 ms): cuts last for seconds. */
+  readonly maxPauseMs?: number;
 }
 
 const DEFAULT_AFTER_ENDPOINTS = 2;
 const DEFAULT_PAUSE_MS = 600;
+const DEFAULT_MAX_PAUSE_MS = 2400;
 
 interface Reach {
   readonly unreached: Set<EndpointId>;
   cutUntilMs: number;
+  nextPauseMs: number;
 }
 
 /**
  * When the way to a data centre is cut, each of its endpoints has to be found
  * unreachable by a request of its own, which waits out a whole connect timeout
  * for that. Two in a row without an answer from there tell about the others;
- * after a pause the next request tries again.
+ * after a pause, which doubles, the next request tries again.
  */
 export class DataCentreReach {
   private readonly centres = new Map<DataCentreId, Reach>();
   private readonly afterEndpoints: number;
   private readonly pauseMs: number;
+  private readonly maxPauseMs: number;
 
   constructor(options: DataCentreReachOptions = {}) {
     this.afterEndpoints = options.afterEndpoints ?? DEFAULT_AFTER_ENDPOINTS;
     this.pauseMs = options.pauseMs ?? DEFAULT_PAUSE_MS;
+    this.maxPauseMs = options.maxPauseMs ?? DEFAULT_MAX_PAUSE_MS;
   }
 
   /** An endpoint there gave a connection. */
@@ -48,10 +54,14 @@
     const reach = this.centres.get(dataCentre) ?? {
       unreached: new Set<EndpointId>(),
       cutUntilMs: 0,
+      nextPauseMs: this.pauseMs,
     };
     reach.unreached.add(endpoint);
-    if (reach.unreached.size >= this.afterEndpoints) {
-      reach.cutUntilMs = nowMs + this.pauseMs;
+    // Requests that were under way when it was held for cut are no new tries.
+    const isNews = nowMs >= reach.cutUntilMs;
+    if (reach.unreached.size >= this.afterEndpoints && isNews) {
+      reach.cutUntilMs = nowMs + reach.nextPauseMs;
+      reach.nextPauseMs = Math.min(this.maxPauseMs, 2 * reach.nextPauseMs);
     }
     this.centres.set(dataCentre, reach);
   }
