Divide the gateway and the exchange by their jobs

Two changes of behaviour, both small: an answer of an endpoint that says that it failed counts as begun for usage; an endpoint's own failure is passed on also when a later endpoint could not be reached.

--- /dev/null
+++ b/packages/gateway/src/attempt.ts
@@ -0,0 +1,205 @@
+/** One attempt of a request at one endpoint. */
+
+import type {IncomingMessage} from 'node:http';
+import type {Placed} from '@snipestage/routing/placement.js';
+import type {Verdict} from '@snipestage/types/verdict.js';
+import type {AnswerWriter} from './answer_writer.js';
+import {EndpointCall, type CallFailureReason} from './endpoint_call.js';
+import {EventRelay} from './event_relay.js';
+import type {
+  AttemptResult,
+  ExchangeContext,
+  ReadRequest,
+} from './exchange_context.js';
+import type {AnswerHead} from './pass_through_protocol.js';
+import {readWhole} from './read_whole.js';
+import {limitsOnSilence} from './silence_limits.js';
+import {SilenceWatch} from './silence_watch.js';
+
+/** Statuses that promise that a request has not run; only we may say so. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** What an {@link Attempt} is made from. */
+export interface AttemptOptions {
+  readonly context: ExchangeContext;
+  readonly request: ReadRequest;
+  readonly writer: AnswerWriter;
+  readonly placed: Placed;
+  /** Whether another endpoint may be asked if this one is silent. */
+  readonly maySwitch: () => boolean;
+  /** The endpoint has begun to run the request. */
+  readonly onBegun: () => void;
+}
+
+/** Owns the call; tells how it ended and leaves what follows to its owner. */
+export class Attempt {
+  private readonly call: EndpointCall;
+  private readonly silence: SilenceWatch;
+
+  constructor(private readonly options: AttemptOptions) {
+    const {context, request, writer, placed} = options;
+    const {protocol, nowMs, connectTimeoutMs} = context;
+    const timeLeftMs = Math.max(1, Math.floor(request.endsAtMs - nowMs()));
+    this.call = new EndpointCall({
+      address: placed.endpoint.address,
+      method: request.method,
+      path: request.path,
+      headers: protocol.composeForwarded(request.rawHeaders, {
+        endpoint: placed.endpoint.id,
+        clientAccount: request.admission.clientAccount,
+        timeLeftMs,
+        tier: request.admission.tier,
+        lastEventId: writer.lastEventId ?? request.caller.lastEventId,
+        cacheSource: placed.cacheSource?.address,
+        bodyBytes: request.body?.length,
+      }),
+      body: request.body,
+      connectTimeoutMs: Math.min(connectTimeoutMs, timeLeftMs),
+    });
+    const limits = limitsOnSilence(request.admission.route, timeLeftMs);
+    this.silence = new SilenceWatch(limits, () => this.leaveSilent());
+  }
+
+  /** Whether the request may have run, as far as its sending tells. */
+  get verdict(): Verdict {
+    return this.call.verdict;
+  }
+
+  /** Ends it at once; endpoints stop work when the connection closes. */
+  cancel(): void {
+    this.call.cancel();
+  }
+
+  /** Passes the answer on, or tells why there is none to pass on. */
+  async run(): Promise<AttemptResult> {
+    const head = await this.call.head;
+    const result =
+      head.kind === 'failed'
+        ? this.failedWithoutHead(head)
+        : await this.takeHead(head.response);
+    this.silence.stop();
+    return result;
+  }
+
+  /**
+   * Ends an attempt that has been silent for too long, where another may take
+   * over. Where none may, silence is no reason to end anything.
+   */
+  private leaveSilent(): boolean {
+    if (!this.options.maySwitch()) return false;
+    this.call.cancel();
+    return true;
+  }
+
+  private failedWithoutHead(head: {
+    readonly reason: CallFailureReason;
+    readonly verdict: Verdict;
+  }): AttemptResult {
+    if (this.silence.hasFired) {
+      // Given up before the connection stood: nobody was silent, there was no
+      // way, as with a connect timeout of our own.
+      const hadNoWay = head.verdict === 'not_run';
+      return {
+        kind: 'failed',
+        verdict: head.verdict,
+        sign: hadNoWay ? 'unreachable' : 'silent',
+        reason: hadNoWay ? 'connect_timeout' : 'silent',
+      };
+    }
+    const {reason, verdict} = head;
+    if (reason === 'cancelled') {
+      return {kind: 'failed', verdict, sign: undefined, reason};
+    }
+    const sign = reason === 'broken' ? 'failed' : 'unreachable';
+    return {kind: 'failed', verdict, sign, reason};
+  }
+
+  private async takeHead(response: IncomingMessage): Promise<AttemptResult> {
+    const {context, request, placed} = this.options;
+    const {protocol, state, nowMs} = context;
+    const head = protocol.readAnswer(
+      response.statusCode ?? 0,
+      response.headers,
+    );
+    if (head.load !== undefined) {
+      state.monitor.noteLoad(placed.endpoint.id, head.load, nowMs());
+    }
+    const isOwn =
+      head.requestId === request.caller.requestId && !head.isEncoded;
+    const isSuccess = head.status >= 200 && head.status < 300;
+    const isStream = request.admission.route.kind === 'stream';
+    if (isStream && isSuccess && isOwn && head.isSigned) {
+      return this.relay(response, head);
+    }
+    const body = await readWhole(this.call, response);
+    if (head.isNotRun || head.isMisdirected) {
+      this.call.cancel();
+      const sign = head.isMisdirected ? 'unreachable' : 'rejected';
+      const reason = head.isMisdirected ? 'misdirected' : 'rejected';
+      return {kind: 'failed', verdict: 'not_run', sign, reason};
+    }
+    if (body === undefined) return this.brokenAnswer();
+    if (!isOwn || !head.isSigned) {
+      return {
+        kind: 'failed',
+        verdict: 'ran',
+        sign: 'failed',
+        reason: 'foreign_answer',
+      };
+    }
+    return this.takeWhole(head, response, body);
+  }
+
+  private brokenAnswer(): AttemptResult {
+    const wasSilent = this.silence.hasFired;
+    const reason = wasSilent ? 'silent' : 'broken';
+    const sign = wasSilent ? 'silent' : 'failed';
+    return {kind: 'failed', verdict: 'ran', sign, reason};
+  }
+
+  private takeWhole(
+    head: AnswerHead,
+    response: IncomingMessage,
+    body: Buffer,
+  ): AttemptResult {
+    const {context, writer, onBegun} = this.options;
+    // Whatever it says, it has begun to run the request.
+    onBegun();
+    const headers = context.protocol.composeAnswer(response.rawHeaders);
+    const answer = {status: head.status, headers, body};
+    const isFinal = head.status < 500 && !PROMISING_STATUSES.has(head.status);
+    if (isFinal && !writer.hasBegun) {
+      writer.sendWhole(answer);
+      return {kind: 'answered'};
+    }
+    return {
+      kind: 'failed',
+      verdict: 'ran',
+      sign: 'failed',
+      reason: `status_${head.status}`,
+      answer: PROMISING_STATUSES.has(head.status) ? undefined : answer,
+    };
+  }
+
+  private async relay(
+    response: IncomingMessage,
+    head: AnswerHead,
+  ): Promise<AttemptResult> {
+    const {context, writer, onBegun} = this.options;
+    const relay = new EventRelay({
+      call: this.call,
+      response,
+      writer,
+      status: head.status,
+      headers: context.protocol.composeAnswer(response.rawHeaders),
+      onEvent: () => {
+        this.silence.restart();
+        onBegun();
+      },
+    });
+    const isWhole = await relay.run();
+    if (isWhole) return {kind: 'answered'};
+    this.call.cancel();
+    return this.brokenAnswer();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/duties.ts
@@ -0,0 +1,196 @@
+/** What one instance does for all: it reports usage and orders endpoints. */
+
+import {LeaseTask} from '@snipestage/entry/agree/lease_task.js';
+import {TableExecutor} from '@snipestage/entry/configure/table_executor.js';
+import type {Logger} from '@snipestage/log/logger.js';
+import type {Platform} from '@snipestage/platform/platform.js';
+import {hashText} from '@snipestage/policy/rendezvous.js';
+import type {AgreedClock} from '@snipestage/routing/agreed_clock.js';
+import {UsageWindows} from '@snipestage/routing/usage_windows.js';
+import {
+  brandAs,
+  type ClientAccountId,
+  type FencingToken,
+  type Incarnation,
+  type LeaseName,
+} from '@snipestage/types/ids.js';
+import {CapacityDuty} from './capacity_duty.js';
+import {ClockKeeper} from './clock_keeper.js';
+import {DutyTerm} from './duty_term.js';
+import type {GatewaySettings} from './gateway_settings.js';
+import type {RoutingState} from './routing_state.js';
+import type {SharedFacts} from './shared_facts.js';
+import {UsageReporter} from './usage_reporter.js';
+import {UsageWriter} from './usage_writer.js';
+
+/** What {@link Duties} are made from. */
+export interface DutiesOptions {
+  readonly settings: GatewaySettings;
+  readonly incarnation: string;
+  readonly platform: Platform;
+  readonly state: RoutingState;
+  readonly clock: AgreedClock;
+  readonly facts: SharedFacts;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** Only a ready instance stands for the lease. */
+  readonly isReady: () => boolean;
+}
+
+const DUTIES_LEASE = brandAs<LeaseName>('duties');
+/** Share of the lease's term by which a holder stops before its end. */
+const LEASE_MARGIN_SHARE = 0.15;
+/** Renewals in a term: two may be lost. */
+const RENEWALS_PER_TERM = 2.5;
+/**
+ * Each poll is a priced call. It has to come before a lease that was seen last
+ * seems to have lapsed, or each challenger writes in vain once a term: at two
+ * terms, half of all calls were such writes and the reads after them.
+ */
+const POLL_TERMS = 1;
+/** Share of a window after which its counts so far are written. */
+const USAGE_WRITE_SHARE = 0.5;
+/** Some may be cut off from the store, or killed, and one is to be left. */
+const LEASE_CANDIDATES = 8;
+/** Hashes are 32 bits. */
+const HASH_RANGE = 2 ** 32;
+
+/** Owns the lease and the tasks that are done in its name. */
+export class Duties {
+  private readonly windows: UsageWindows;
+  private readonly keeper: ClockKeeper;
+  private readonly lease: LeaseTask;
+  private readonly term: DutyTerm;
+  private readonly writer: UsageWriter;
+  private readonly reporter: UsageReporter;
+  private readonly capacity: CapacityDuty;
+
+  constructor(private readonly options: DutiesOptions) {
+    const {settings, platform, state, clock, facts, nowMs} = options;
+    const {windowMs, dueAfterMs} = settings.usage;
+    const logger = options.logger.forComponent('usage');
+    this.windows = new UsageWindows(windowMs);
+    this.keeper = new ClockKeeper(platform, clock, logger);
+    this.lease = this.createLease();
+    this.term = new DutyTerm({
+      lease: this.lease,
+      apartMs: settings.lease.termMs,
+      nowMs,
+      nowEpochMs: Date.now,
+    });
+    this.writer = new UsageWriter({
+      platform,
+      windows: this.windows,
+      clock,
+      writer: `${settings.instance}.${options.incarnation}`,
+      windowMs,
+      writeEveryMs: () => this.usageWriteEveryMs,
+      nowMs,
+      logger,
+      readDemands: () => state.readDemands(nowMs()),
+    });
+    this.reporter = new UsageReporter({
+      platform,
+      lease: this.lease,
+      leaseName: DUTIES_LEASE,
+      term: this.term,
+      clock,
+      windowMs,
+      dueAfterMs,
+      nowMs,
+      logger,
+      onRows: rows => void facts.tellDemands(rows),
+    });
+    this.capacity = new CapacityDuty({
+      platform,
+      term: this.term,
+      state,
+      nowMs,
+      logger: options.logger.forComponent('capacity'),
+    });
+  }
+
+  /** Under which duties are carried out now. */
+  get token(): FencingToken | undefined {
+    return this.term.token;
+  }
+
+  /** A request of an account began to run. */
+  countUsage(account: ClientAccountId, atMs: number): void {
+    this.windows.count(account, this.options.clock.epochAt(atMs));
+  }
+
+  start(): void {
+    const {reportsUsage, ordersEndpoints} = this.options.settings.duties;
+    if (reportsUsage) {
+      this.keeper.start();
+      this.writer.start();
+      this.reporter.start();
+    }
+    if (ordersEndpoints) this.capacity.start();
+    if (reportsUsage || ordersEndpoints) this.lease.start();
+  }
+
+  /** Hands over to a successor; what is counted from now on is still written. */
+  handOver(): void {
+    this.keeper.stop();
+    this.reporter.stop();
+    this.capacity.stop();
+    void this.lease.retire();
+  }
+
+  /** Writes what was counted and not yet written. */
+  finishUsage(): Promise<void> {
+    return this.writer.stop();
+  }
+
+  snapshot(): object {
+    return {
+      lease: this.lease.snapshot(),
+      isClockTied: this.options.clock.isTied,
+    };
+  }
+
+  private createLease(): LeaseTask {
+    const {settings, platform, logger, nowMs, incarnation} = this.options;
+    const {termMs} = settings.lease;
+    return new LeaseTask({
+      lease: {
+        name: DUTIES_LEASE,
+        instance: settings.instance,
+        incarnation: brandAs<Incarnation>(incarnation),
+        termMs,
+        marginMs: termMs * LEASE_MARGIN_SHARE,
+        renewEveryMs: termMs / RENEWALS_PER_TERM,
+        pollEveryMs: termMs * POLL_TERMS,
+      },
+      executor: new TableExecutor({platform, clock: nowMs}),
+      clock: nowMs,
+      logger: logger.forComponent('lease'),
+      isCandidate: () => this.options.isReady() && this.standsForLease(),
+    });
+  }
+
+  /**
+   * A few stand for the lease; each of them polls its row. By a hash of their
+   * names, which instances share without a call; all while none has counted.
+   */
+  private standsForLease(): boolean {
+    const {instances} = this.options.state;
+    if (instances === undefined) return true;
+    const {instance} = this.options.settings;
+    const place = hashText(`${DUTIES_LEASE}/${instance}`) / HASH_RANGE;
+    return place < LEASE_CANDIDATES / instances;
+  }
+
+  /**
+   * What a killed instance takes with it of a window that runs. Where one holds
+   * less than reports may be off by, it isn't worth a call of each.
+   */
+  private get usageWriteEveryMs(): number {
+    const {windowMs, tolerance} = this.options.settings.usage;
+    const {instances} = this.options.state;
+    const isNegligible = instances !== undefined && 1 / instances < tolerance;
+    return isNegligible ? windowMs : windowMs * USAGE_WRITE_SHARE;
+  }
+}
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -12,8 +12,9 @@
   type InstanceId,
   type ServiceId,
 } from '@snipestage/types/ids.js';
-import {Gateway, RowDecoder} from './gateway.js';
+import {Gateway} from './gateway.js';
 import {GatewayMetrics} from './gateway_metrics.js';
+import {RowDecoder} from './state_follower.js';
 import {
   FollowedTable,
   type FollowedRow,
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -6,7 +6,8 @@
 import {admit, type Admission} from './admission.js';
 import {AnswerWriter} from './answer_writer.js';
 import {readRequestBody} from './read_request_body.js';
-import {Exchange, type ExchangeContext} from './exchange.js';
+import {Exchange} from './exchange.js';
+import type {ExchangeContext} from './exchange_context.js';
 import type {CallerRequest} from './pass_through_protocol.js';
 
 /** What a {@link RequestHandler} is made from. */
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -4,7 +4,10 @@
 import {AgreedDemand} from '@snipestage/routing/agreed_demand.js';
 import {CrashWatch} from '@snipestage/routing/crash_watch.js';
 import {DataCentreReach} from '@snipestage/routing/data_centre_reach.js';
-import {DemandMeter} from '@snipestage/routing/demand_meter.js';
+import {
+  DemandMeter,
+  type RouteDemand,
+} from '@snipestage/routing/demand_meter.js';
 import {EndpointDirectory} from '@snipestage/routing/endpoint_directory.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {LeastLoadedPlacement} from '@snipestage/routing/least_loaded_placement.js';
@@ -26,6 +29,8 @@
   /** Undefined until the first configuration is known. */
   table: RouteTable | undefined;
   readonly directory = new EndpointDirectory();
+  /** As the holder of the duties counted them; undefined until it is known. */
+  instances: number | undefined;
   readonly monitor = new EndpointMonitor();
   readonly reach = new DataCentreReach();
   readonly demand = new DemandMeter();
@@ -47,6 +52,15 @@
     this.promptPlacement = new PromptPlacement({monitor, reach, demand});
   }
 
+  /** What this instance sees of each engine service's routes. */
+  readDemands(nowMs: number): Record<string, readonly RouteDemand[]> {
+    const services = this.demandToTell
+      .listServices()
+      .filter(id => this.table?.findService(id)?.engine !== undefined);
+    const entries = services.map(id => [id, this.demandToTell.read(id, nowMs)]);
+    return Object.fromEntries(entries);
+  }
+
   placementFor(service: ServiceId): Placement {
     const isEngine = this.table?.findService(service)?.engine !== undefined;
     return isEngine ? this.promptPlacement : this.plainPlacement;
--- /dev/null
+++ b/packages/gateway/src/silence_watch.ts
@@ -0,0 +1,32 @@
+/** Times the silence of an endpoint. */
+
+import type {SilenceLimits} from './silence_limits.js';
+
+/** Times the silence before the first event and between events. */
+export class SilenceWatch {
+  private timer: NodeJS.Timeout | undefined;
+  hasFired = false;
+
+  constructor(
+    private readonly limits: SilenceLimits,
+    /** @returns whether the attempt was ended. */
+    private readonly onSilent: () => boolean,
+  ) {
+    this.arm(limits.firstMs);
+  }
+
+  restart(): void {
+    this.arm(this.limits.nextMs);
+  }
+
+  stop(): void {
+    clearTimeout(this.timer);
+  }
+
+  private arm(delayMs: number): void {
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      this.hasFired = this.onSilent();
+    }, delayMs);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/state_follower.ts
@@ -0,0 +1,194 @@
+/** Keeps what an instance knows in step with the platform's tables. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {AgreedClock} from '@snipestage/routing/agreed_clock.js';
+import type {EndpointChange} from '@snipestage/routing/endpoint_directory.js';
+import type {RoutingConfiguration} from '@snipestage/routing/route.js';
+import {RouteTable} from '@snipestage/routing/route_table.js';
+import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import type {CrashReporter} from './crash_reporter.js';
+import type {RoutingState} from './routing_state.js';
+import {readFact} from './shared_facts.js';
+import {
+  TableFollower,
+  type FollowedRow,
+  type FollowedTable,
+} from './table_follower.js';
+
+/** Turns rows of the platform's tables into the product's types. */
+export abstract class RowDecoder {
+  /** @returns undefined when the row is no configuration. */
+  abstract decodeConfiguration(
+    row: FollowedRow,
+  ): RoutingConfiguration | undefined;
+  abstract decodeEndpoint(row: FollowedRow): EndpointChange;
+}
+
+/** The tables that an instance follows. */
+export interface FollowedTables {
+  readonly configuration: FollowedTable;
+  readonly endpoints: FollowedTable;
+  /** Ours, for what instances tell each other. */
+  readonly shared: FollowedTable;
+}
+
+/** What a {@link StateFollower} is made from. */
+export interface StateFollowerOptions {
+  readonly tables: FollowedTables;
+  readonly decoder: RowDecoder;
+  readonly state: RoutingState;
+  readonly clock: AgreedClock;
+  readonly crashes: CrashReporter;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** A change has to be known so soon, also over a connection that broke. */
+  readonly knownWithinMs: number;
+  readonly onConfiguration: (configuration: RoutingConfiguration) => void;
+}
+
+/**
+ * A long poll ends after this share of the time in which a change has to be
+ * known, whatever happens to a connection: one that has gone silent shows by
+ * that, and the rest is left for a new one.
+ */
+const FOLLOW_WAIT_SHARE = 0.7;
+/** Crashes are rare, and the third of a request may be known seconds later. */
+const FOLLOW_FACTS_WAIT_MS = 8000;
+/**
+ * Share of the time in which a change has to be known that is left for others
+ * to come in with the same answer.
+ */
+const GATHER_SHARE = 0.08;
+
+/** Owns the followers. */
+export class StateFollower {
+  private readonly followers: TableFollower[] = [];
+  private hasEndpoints = false;
+
+  constructor(private readonly options: StateFollowerOptions) {
+    this.addFollowers();
+  }
+
+  /** The configuration and the endpoints are known. */
+  get isComplete(): boolean {
+    return this.options.state.table !== undefined && this.hasEndpoints;
+  }
+
+  start(): void {
+    for (const follower of this.followers) follower.start();
+  }
+
+  stop(): void {
+    for (const follower of this.followers) follower.stop();
+  }
+
+  private addFollowers(): void {
+    const {tables, knownWithinMs} = this.options;
+    const apply = (rows: readonly FollowedRow[]) =>
+      this.applyConfiguration(rows);
+    const waitMs = knownWithinMs * FOLLOW_WAIT_SHARE;
+    this.follow(tables.configuration, waitMs, {
+      replaced: apply,
+      changed: apply,
+      disturbed: () => undefined,
+    });
+    this.follow(tables.endpoints, waitMs, {
+      replaced: rows => this.replaceEndpoints(rows),
+      changed: rows => this.changeEndpoints(rows),
+      disturbed: () =>
+        this.options.state.directory.noteDisturbance(this.options.nowMs()),
+    });
+    const learn = (rows: readonly FollowedRow[]) => this.learnFacts(rows);
+    this.follow(tables.shared, FOLLOW_FACTS_WAIT_MS, {
+      replaced: learn,
+      changed: learn,
+      disturbed: () => undefined,
+    });
+  }
+
+  private follow(
+    table: FollowedTable,
+    waitMs: number,
+    listener: TableFollower['options']['listener'],
+  ): void {
+    const logger = this.options.logger.forComponent('store');
+    const onClock = this.options.clock.noteReading.bind(this.options.clock);
+    const gatherMs = this.options.knownWithinMs * GATHER_SHARE;
+    this.followers.push(
+      new TableFollower({table, listener, logger, waitMs, gatherMs, onClock}),
+    );
+  }
+
+  /** A version only rises; an older one is a read that came late. */
+  private applyConfiguration(rows: readonly FollowedRow[]): void {
+    for (const row of rows) {
+      const configuration = this.options.decoder.decodeConfiguration(row);
+      const current = this.options.state.table?.configuration.version ?? -1;
+      if (configuration === undefined || configuration.version <= current) {
+        continue;
+      }
+      this.options.state.table = new RouteTable(configuration);
+      this.options.onConfiguration(configuration);
+      this.options.logger.info('configuration_applied', {
+        version: configuration.version,
+        before: current,
+        rowVersion: row.version,
+        routes: configuration.routes.length,
+      });
+    }
+  }
+
+  private replaceEndpoints(rows: readonly FollowedRow[]): void {
+    const endpoints = rows.flatMap(row => {
+      const change = this.options.decoder.decodeEndpoint(row);
+      return change.kind === 'listed' ? [change.endpoint] : [];
+    });
+    this.options.state.directory.replace(endpoints, this.options.nowMs());
+    this.hasEndpoints = true;
+    this.options.logger.info('endpoints_read', {count: endpoints.length});
+  }
+
+  private changeEndpoints(rows: readonly FollowedRow[]): void {
+    const changes = rows.map(row => this.options.decoder.decodeEndpoint(row));
+    const {logger} = this.options;
+    for (const change of changes) {
+      if (change.kind === 'listed') {
+        const {id, isLeaving, service} = change.endpoint;
+        this.noteNewLife(change.endpoint);
+        logger.info('endpoint_listed', {endpoint: id, isLeaving, service});
+      } else {
+        logger.info(`endpoint_${change.kind}`, {endpoint: change.id});
+      }
+    }
+    this.options.state.directory.apply(changes, this.options.nowMs());
+  }
+
+  private noteNewLife(endpoint: ServingEndpoint): void {
+    const known = this.options.state.directory.find(endpoint.id);
+    if (known === undefined) return;
+    const isNewLife = known.bornEpochMs !== endpoint.bornEpochMs;
+    if (isNewLife) this.options.crashes.noteUnreachable(endpoint);
+  }
+
+  private learnFacts(rows: readonly FollowedRow[]): void {
+    const facts = rows.map(readFact).filter(fact => fact !== undefined);
+    for (const fact of facts) {
+      if (fact.kind === 'crash') {
+        this.options.crashes.learn([fact.crash]);
+        continue;
+      }
+      const {service, demands, instances} = fact;
+      this.options.state.instances = instances;
+      this.options.state.agreedDemand.learn(
+        service,
+        demands,
+        this.options.nowMs(),
+      );
+      this.options.logger.info('demand_learnt', {
+        service,
+        routes: demands.length,
+        instances,
+      });
+    }
+  }
+}
