--- /dev/null
+++ b/packages/gateway/src/parse_json.ts
@@ -0,0 +1,16 @@
+/** Reads JSON that somebody else wrote. */
+
+/**
+ * @returns undefined when there are no bytes, or when they are no JSON; whoever
+ *   asks logs what could not be read.
+ * @example
+ * const value = parseJson(row.data);
+ */
+export function parseJson(bytes: Buffer | undefined): unknown {
+  if (bytes === undefined) return undefined;
+  try {
+    return JSON.parse(bytes.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -6,6 +6,7 @@
 import {hasMoved, sumDemands} from '@snipestage/routing/agreed_demand.js';
 import type {RouteDemand} from '@snipestage/routing/demand_meter.js';
 import {brandAs, type ServiceId} from '@snipestage/types/ids.js';
+import {parseJson} from './parse_json.js';
 import type {FollowedRow} from './table_follower.js';
 import type {CountsValue} from './usage_rows.js';
 
@@ -108,12 +109,3 @@
   const change = Math.abs(now.instances - before.instances);
   return change > INSTANCES_CHANGE * before.instances;
 }
-
-function parseJson(data: Buffer | undefined): unknown {
-  if (data === undefined) return undefined;
-  try {
-    return JSON.parse(data.toString('utf8'));
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -124,9 +124,14 @@
     for (const row of rows) {
       const configuration = this.options.decoder.decodeConfiguration(row);
       const current = this.options.state.table?.configuration.version ?? -1;
-      if (configuration === undefined || configuration.version <= current) {
+      if (configuration === undefined) {
+        this.options.logger.error('configuration_unreadable', {
+          rowVersion: row.version,
+          inForce: current,
+        });
         continue;
       }
+      if (configuration.version <= current) continue;
       this.options.state.table = new RouteTable(configuration);
       this.options.onConfiguration(configuration);
       this.options.logger.info('configuration_applied', {
