Don't hold endpoints that left during a cut for lapsed

The long poll that it sent at about 10.2 s hung until its timeout at 15.6 s, 2.6 s after the cut had healed. The answer then told of endpoints that had drained and left; their rows were gone, the store had 'failed' a moment before, so they were kept in use for another 1.9 s as if their rows had merely lapsed. A request reached one of them 3.9 s after its notice.

Ruled out: the feed (it delivered the row as removed, version 859 of 508 to 980) and the limit on rows of an answer (118 rows, no more to come).

Change: while the store is not known to be back, polls are short (100 ms, so that one that hangs is given up after 0.6 s); a missing row counts as lapsed until 2.3 s after the last failed call, not for 1.9 s from when it is missed. A history that is gone or the first success is no failure.

--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -66,6 +66,8 @@
 
 const DEFAULT_FIRST_BACKOFF_MS = 100;
 const DEFAULT_MAX_BACKOFF_MS = 800;
+/** Wait of a poll while the store is not known to be back. */
+const PROBE_WAIT_MS = 100;
 /** Pause before a whole read is asked for again that was older than we are. */
 const STALE_READ_PAUSE_MS = 250;
 
@@ -107,7 +109,10 @@
 
   /** @returns the pause before the next read. */
   async readOnce(): Promise<number> {
-    const {table, waitMs} = this.options;
+    const {table} = this.options;
+    // After a failure a short call: a long poll that was sent into a cut would
+    // hang for its whole wait after the cut has healed.
+    const waitMs = this.isDisturbed ? PROBE_WAIT_MS : this.options.waitMs;
     const since = this.version;
     const reading =
       since === undefined
@@ -126,7 +131,6 @@
           table: this.options.table.name,
           sinceVersion: since,
         });
-        this.options.listener.disturbed();
         return this.rereadWhole(since);
       case 'rows':
         this.recover();
@@ -192,6 +196,5 @@
       failures: this.failures,
     });
     this.failures = 0;
-    this.options.listener.disturbed();
   }
 }
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -14,20 +14,17 @@
 /** What a {@link EndpointDirectory} is made from; defaults in the brackets. */
 export interface EndpointDirectoryOptions {
   /**
-   * How long an endpoint stays in use whose row vanished while the list's
-   * store was disturbed (1,900 ms). The store expires rows that it could not
-   * renew, and endpoints write theirs again within two seconds of its return.
+   * How long after the store last failed a vanished row counts as lapsed rather
+   * than removed (2,300 ms). The store expires rows that could not be renewed;
+   * endpoints write theirs again within two seconds of its return. Counted from
+   * the failure and not from when the row was missed: to an instance that was cut
+   * off, endpoints that have left look the same, and they must not get requests
+   * for long once it is back.
    */
   readonly keepVanishedMs?: number;
-  /**
-   * How long after the store last failed a vanished row counts as lapsed
-   * rather than removed (2,000 ms).
-   */
-  readonly disturbedForMs?: number;
 }
 
-const DEFAULT_KEEP_VANISHED_MS = 1900;
-const DEFAULT_DISTURBED_FOR_MS = 2000;
+const DEFAULT_KEEP_VANISHED_MS = 2300;
 
 /**
  * Keeps endpoints by service.
@@ -39,15 +36,13 @@
  */
 export class EndpointDirectory {
   private readonly endpoints = new Map<EndpointId, ServingEndpoint>();
-  private readonly vanishedAtMs = new Map<EndpointId, number>();
+  private readonly vanished = new Set<EndpointId>();
   private byService = new Map<ServiceId, ServingEndpoint[]>();
   private disturbedAtMs = Number.NEGATIVE_INFINITY;
   private readonly keepVanishedMs: number;
-  private readonly disturbedForMs: number;
 
   constructor(options: EndpointDirectoryOptions = {}) {
     this.keepVanishedMs = options.keepVanishedMs ?? DEFAULT_KEEP_VANISHED_MS;
-    this.disturbedForMs = options.disturbedForMs ?? DEFAULT_DISTURBED_FOR_MS;
   }
 
   /** When an endpoint last came or went. */
@@ -121,31 +116,29 @@
   }
 
   private list(endpoint: ServingEndpoint): void {
-    this.vanishedAtMs.delete(endpoint.id);
+    this.vanished.delete(endpoint.id);
     this.endpoints.set(endpoint.id, endpoint);
   }
 
   private vanish(id: EndpointId, nowMs: number): void {
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined) return;
-    const isDisturbed = nowMs - this.disturbedAtMs < this.disturbedForMs;
-    if (!isDisturbed || endpoint.isLeaving) {
-      this.remove(id);
-      return;
-    }
-    if (!this.vanishedAtMs.has(id)) this.vanishedAtMs.set(id, nowMs);
+    if (this.mayHaveLapsed(nowMs) && !endpoint.isLeaving) this.vanished.add(id);
+    else this.remove(id);
+  }
+
+  private mayHaveLapsed(nowMs: number): boolean {
+    return nowMs - this.disturbedAtMs < this.keepVanishedMs;
   }
 
   private dropLapsed(nowMs: number): void {
-    if (this.vanishedAtMs.size === 0) return;
-    for (const [id, vanishedAtMs] of this.vanishedAtMs) {
-      if (nowMs - vanishedAtMs >= this.keepVanishedMs) this.remove(id);
-    }
+    if (this.vanished.size === 0 || this.mayHaveLapsed(nowMs)) return;
+    for (const id of this.vanished) this.remove(id);
     this.index();
   }
 
   private remove(id: EndpointId): void {
-    this.vanishedAtMs.delete(id);
+    this.vanished.delete(id);
     this.endpoints.delete(id);
   }
 
