--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -16,7 +16,7 @@
   ServiceId,
 } from './ids.js';
 
-/** A zone with its own entry instances and endpoints. */
+/** Instances and endpoints that can be cut off from all others as a whole. */
 export interface DataCentre {
   readonly id: DataCentreId;
   readonly region: RegionId;
