Gather changes by the time in which they are in force; tell whole demand only

Cause: after a change each instance polls again after 0.08 of contact time plus configuration time, 0.56 s on the grown deployments, so that endpoints that come and go by turns answer every instance's poll nearly twice a second. And the reporter told the demand also of windows that it sealed after its patience, without the instances that had not written.

Demand is told of complete windows only.

The new test of the reporter fails before (told 2 and 1 rows) and passes after.

--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -111,7 +111,7 @@
       readinessAddress: `127.0.0.1:${readiness}`,
       metricsAddress: undefined,
       retry: {ratio: 0.2, windowMs: 10_000},
-      changes: {knownWithinMs: 500},
+      changes: {knownWithinMs: 500, inForceWithinMs: 200},
       shutdown: {graceMs: 4000},
       lease: {termMs: 3000},
       usage: {windowMs: 5000, dueAfterMs: 10_000, tolerance: 0.05},
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -100,7 +100,7 @@
       crashes,
       logger: logger.forComponent('store'),
       nowMs,
-      knownWithinMs: settings.changes.knownWithinMs,
+      ...settings.changes,
       onConfiguration: configuration => this.applyConfiguration(configuration),
     });
     this.addOperations();
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -19,6 +19,8 @@
   readonly changes: {
     /** A change has to be known so soon, also over a connection that broke. */
     readonly knownWithinMs: number;
+    /** A change has to be in force so soon after the store has taken it. */
+    readonly inForceWithinMs: number;
   };
   readonly shutdown: {
     /** After this the process is killed. */
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -43,6 +43,8 @@
   readonly nowMs: () => number;
   /** A change has to be known so soon, also over a connection that broke. */
   readonly knownWithinMs: number;
+  /** A change has to be in force so soon after the store has taken it. */
+  readonly inForceWithinMs: number;
   readonly onConfiguration: (configuration: RoutingConfiguration) => void;
 }
 
@@ -55,10 +57,13 @@
 /** Crashes are rare, and the third of a request may be known seconds later. */
 const FOLLOW_FACTS_WAIT_MS = 8000;
 /**
- * Share of the time in which a change has to be known that is left for others
- * to come in with the same answer.
+ * After a change, the next poll waits for this share of the time in which a
+ * change has to be in force, so that those that follow come in one answer. A
+ * poll that is sent then is answered within milliseconds; the rest is left for
+ * a slow store. Endpoints that come and go by turns change a row every few
+ * hundred milliseconds, and each answer is a priced call of every instance.
  */
-const GATHER_SHARE = 0.08;
+const GATHER_SHARE = 0.35;
 
 /** Owns the followers. */
 export class StateFollower {
@@ -113,7 +118,7 @@
   ): void {
     const logger = this.options.logger.forComponent('store');
     const onClock = this.options.clock.noteReading.bind(this.options.clock);
-    const gatherMs = this.options.knownWithinMs * GATHER_SHARE;
+    const gatherMs = this.options.inForceWithinMs * GATHER_SHARE;
     this.followers.push(
       new TableFollower({table, listener, logger, waitMs, gatherMs, onClock}),
     );
--- a/packages/gateway/src/usage_reporter.test.ts
+++ b/packages/gateway/src/usage_reporter.test.ts
@@ -10,7 +10,7 @@
 import {MemoryPlatform} from './test_support/memory_platform.js';
 import {NoOutput} from './test_support/no_output.js';
 import {countsKey} from './usage_rows.js';
-import {UsageReporter} from './usage_reporter.js';
+import {UsageReporter, type UsageReporterOptions} from './usage_reporter.js';
 
 const LEASE = brandAs<LeaseName>('duties');
 const WINDOW_MS = 5000;
@@ -20,6 +20,7 @@
   platform: MemoryPlatform,
   token: number,
   epochMs: number,
+  onRows?: UsageReporterOptions['onRows'],
 ) {
   const clock = new AgreedClock(0, epochMs);
   clock.noteReading({storeMs: 0, sentAtMs: 0, receivedAtMs: 0});
@@ -49,6 +50,7 @@
     dueAfterMs: 10_000,
     nowMs: () => 0,
     logger: new NoOutput().logger,
+    onRows,
   });
 }
 
@@ -164,3 +166,21 @@
   for (let tick = 0; tick < 12; tick++) await late.tick();
   t.deepEqual(figures(platform), ['100: 4']);
 });
+
+test('demand is told only when every instance has written', async t => {
+  // Some instances are cut off from the store for a while. The sum of the others
+  // would be taken for the demand of all; the engines would be split anew on all
+  // instances, and again after the cut, each time away from their caches.
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  await writeCounts(platform, 100, 'a', 3);
+  await writeCounts(platform, 100, 'b', 4);
+  await writeCounts(platform, 101, 'a', 3);
+  const told: number[] = [];
+  const reporter = makeReporter(platform, 1, 102 * WINDOW_MS + 9000, rows =>
+    told.push(rows.length),
+  );
+  for (let tick = 0; tick < 12; tick++) await reporter.tick();
+  t.deepEqual(figures(platform), ['100: 7', '101: 3']);
+  t.deepEqual(told, [2]);
+});
--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -41,10 +41,13 @@
   readonly dueAfterMs: number;
   readonly nowMs: () => number;
   readonly logger: Logger;
-  /** Told what all instances saw when they wrote a window's counts. */
+  /** Told what all instances saw, once each has written a window's counts. */
   readonly onRows?: (rows: readonly CountsValue[]) => void;
 }
 
+/** How far the rows of a window are. */
+type Readiness = 'waiting' | 'complete' | 'late';
+
 const TICK_MS = 500;
 /** Between two looks for counts that are missing: each is two priced calls. */
 const PAUSE_MS = 1000;
@@ -163,10 +166,15 @@
     const result = await platform.scanRows(countsPrefix(window));
     const {held} = lease;
     if (result.kind === 'unavailable' || held === undefined) return undefined;
-    if (!this.isComplete(window, result.rows)) return undefined;
-    this.options.onRows?.(result.rows.map(row => row.value as CountsValue));
+    const readiness = this.judge(window, result.rows);
+    if (readiness === 'waiting') return undefined;
     const parts = result.rows.map(row => fromCountsValue(row.value));
     if (parts.length === 0) return new Map();
+    // The demand of some of the instances would shift the split of the engines
+    // for all of them, and back again when the rest has written.
+    if (readiness === 'complete') {
+      this.options.onRows?.(result.rows.map(row => row.value as CountsValue));
+    }
     const total = sumCounts(parts.filter(part => part !== undefined));
     const key = sealKey(window);
     const fence = {key: fenceKey(leaseName), version: held.fenceVersion};
@@ -183,8 +191,8 @@
     return outcome.kind === 'committed' ? total : undefined;
   }
 
-  /** Everybody has written for the last time, or it is too late to wait. */
-  private isComplete(window: WindowNumber, rows: readonly Row[]): boolean {
+  /** Whether everybody has written, or it is too late to wait for the rest. */
+  private judge(window: WindowNumber, rows: readonly Row[]): Readiness {
     const {clock, nowMs, windowMs, dueAfterMs} = this.options;
     const final = rows.filter(({value}) => (value as CountsValue).isFinal);
     const finished = new Set(final.map(({key}) => writerOf(key)));
@@ -195,10 +203,10 @@
     const waitedMs = clock.epochAt(nowMs()) - endedAtMs;
     if (!isAllThere && waitedMs < PATIENCE_SHARE * dueAfterMs) {
       this.pausedUntilMs = nowMs() + PAUSE_MS;
-      return false;
+      return 'waiting';
     }
     this.writers = new Set(rows.map(({key}) => writerOf(key)));
-    return true;
+    return isAllThere ? 'complete' : 'late';
   }
 
   private async report(
