A fault soak of our own, with stand-ins that speak the platform's protocol

platform/stand_ins serves the store's table and feed, the provider and endpoints over HTTP, each with the faults that it may have. packages/soak starts the real program in separate processes before them, draws overlapping series of faults from a seed (signals, loopback proxies, a time of day that jumps, the store, endpoints, changes by the operator) and checks 19 promises from what callers, endpoints and the provider saw.

Each run builds a file of its own now.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,9 @@
 export default {
-  files: ['packages/*/dist/**/*.test.js', 'platform/dist/**/*.test.js'],
+  files: [
+    'packages/*/dist/**/*.test.js',
+    'platform/dist/**/*.test.js',
+    'platform/stand_ins/dist/**/*.test.js',
+  ],
   workerThreads: false,
   timeout: '60s',
   concurrency: 4,
--- /dev/null
+++ b/packages/soak/src/checks/all_checks.ts
@@ -0,0 +1,60 @@
+/** Every promise that a soak checks. */
+
+import type {History} from '../history.js';
+import {
+  AnswerInTime,
+  AtMostOnce,
+  NoFalseDenial,
+  OwnWholeAnswer,
+  TrueRefusal,
+  UnchangedRequest,
+} from './answers.js';
+import {
+  LeavingEndpoints,
+  RisingConfiguration,
+  TimelyConfiguration,
+  WithdrawnKeys,
+} from './changes.js';
+import type {Check, Finding} from './check.js';
+import {OneFigure, OneHolder} from './duties.js';
+import {
+  MaxAttempts,
+  NothingForNobody,
+  RetryBudget,
+  TimeHandedOn,
+} from './limits.js';
+import {NothingLost, ProperEnds, ServesAgain} from './stops.js';
+
+export const ALL_CHECKS: readonly Check[] = [
+  new AtMostOnce(),
+  new TrueRefusal(),
+  new OwnWholeAnswer(),
+  new UnchangedRequest(),
+  new AnswerInTime(),
+  new NoFalseDenial(),
+  new MaxAttempts(),
+  new TimeHandedOn(),
+  new RetryBudget(),
+  new NothingForNobody(),
+  new WithdrawnKeys(),
+  new LeavingEndpoints(),
+  new TimelyConfiguration(),
+  new RisingConfiguration(),
+  new OneFigure(),
+  new OneHolder(),
+  new NothingLost(),
+  new ProperEnds(),
+  new ServesAgain(),
+];
+
+/**
+ * All promises that were broken, the earliest first.
+ *
+ * @example
+ * const findings = checkAll(history);
+ */
+export function checkAll(history: History): readonly Finding[] {
+  return ALL_CHECKS.flatMap(check => check.find(history)).sort(
+    (left, right) => left.atMs - right.atMs,
+  );
+}
--- /dev/null
+++ b/packages/soak/src/checks/changes.ts
@@ -0,0 +1,105 @@
+/** What the operator and the endpoints change is in force in time, for good. */
+
+import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
+import type {History, SentRequest} from '../history.js';
+import {Check, type Finding} from './check.js';
+
+const NOT_FOUND = 404;
+
+/** A key that was withdrawn opens nothing. */
+export class WithdrawnKeys extends Check {
+  readonly name = 'withdrawn_keys';
+
+  find(history: History): readonly Finding[] {
+    return history.requests.flatMap(request => {
+      const withdrawnAtMs = history.keyWithdrawals.get(request.key);
+      if (withdrawnAtMs === undefined) return [];
+      const {sentAtMs, instance, requestId} = request;
+      const isBound =
+        sentAtMs > withdrawnAtMs + history.bounds.configurationMs &&
+        history.isInTouch(instance, sentAtMs);
+      const hasRun = history.runsOf(requestId).length > 0;
+      return isBound && hasRun
+        ? [this.foundFor(request, 'ran under a withdrawn key')]
+        : [];
+    });
+  }
+}
+
+/** An endpoint that has said that it leaves gets no new requests. */
+export class LeavingEndpoints extends Check {
+  readonly name = 'leaving_endpoints';
+
+  find(history: History): readonly Finding[] {
+    const known = new Map(history.requests.map(each => [each.requestId, each]));
+    return history.runs.flatMap(run => {
+      const noticedAtMs = history.leavingNotices.get(run.endpoint);
+      const request = known.get(run.requestId);
+      if (noticedAtMs === undefined || request === undefined) return [];
+      const lateMs = run.arrivedAtMs - noticedAtMs - history.bounds.drainMs;
+      const isBound =
+        lateMs > 0 &&
+        history.isInTouch(request.instance, run.arrivedAtMs) &&
+        history.isCalm(
+          ['store', brandAs<EndpointId>(run.endpoint)],
+          noticedAtMs - history.bounds.contactMs,
+          noticedAtMs,
+        );
+      if (!isBound) return [];
+      const what = `reached ${run.endpoint} ${Math.round(lateMs)} ms too late`;
+      return [this.foundFor(request, what)];
+    });
+  }
+}
+
+/** A new version is in force in time where the store can be reached. */
+export class TimelyConfiguration extends Check {
+  readonly name = 'timely_configuration';
+
+  find(history: History): readonly Finding[] {
+    return history.requests.flatMap(request => {
+      const addedAtMs = history.markers.get(request.marker ?? -1);
+      if (addedAtMs === undefined || !isUnknown(request)) return [];
+      const {sentAtMs, instance} = request;
+      const isBound =
+        sentAtMs > addedAtMs + history.bounds.configurationMs &&
+        history.isInTouch(instance, sentAtMs);
+      return isBound ? [this.foundFor(request, 'not yet known')] : [];
+    });
+  }
+}
+
+/** How long after the first sight of a version an older one may still show. */
+const ROLLBACK_SLACK_MS = 250;
+
+/** In one life of a process the configuration never goes back. */
+export class RisingConfiguration extends Check {
+  readonly name = 'rising_configuration';
+
+  find(history: History): readonly Finding[] {
+    const firstSeenMs = new Map<string, number>();
+    for (const request of history.requests) {
+      const {marker, outcome, endedAtMs = Infinity} = request;
+      if (marker === undefined || outcome?.kind !== 'answered') continue;
+      if (outcome.status !== 200) continue;
+      const key = keyOf(request, marker);
+      const before = firstSeenMs.get(key) ?? Infinity;
+      firstSeenMs.set(key, Math.min(before, endedAtMs));
+    }
+    return history.requests.flatMap(request => {
+      if (request.marker === undefined || !isUnknown(request)) return [];
+      const seenMs = firstSeenMs.get(keyOf(request, request.marker));
+      if (seenMs === undefined) return [];
+      const isBack = request.sentAtMs > seenMs + ROLLBACK_SLACK_MS;
+      return isBack ? [this.foundFor(request, 'no longer known')] : [];
+    });
+  }
+}
+
+function isUnknown({outcome}: SentRequest): boolean {
+  return outcome?.kind === 'answered' && outcome.status === NOT_FOUND;
+}
+
+function keyOf({instance, life}: SentRequest, marker: number): string {
+  return `${instance} ${life} ${marker}`;
+}
--- /dev/null
+++ b/packages/soak/src/checks/checks.test.ts
@@ -0,0 +1,249 @@
+import test from 'ava';
+import type {History, SentRequest} from '../history.js';
+import {
+  INSTANCE,
+  makeHistory,
+  makeRequest,
+  makeRun,
+} from '../test_support/small_history.js';
+import {ALL_CHECKS, checkAll} from './all_checks.js';
+
+const REFUSED = {
+  kind: 'answered',
+  status: 503,
+  signature: undefined,
+  answersRequest: undefined,
+  bodyDigest: '',
+} as const;
+const SOUND_ANSWER = makeRequest().outcome!;
+
+/** Names of the checks that find something. */
+function findersIn(history: History): string[] {
+  return [...new Set(checkAll(history).map(({check}) => check))];
+}
+
+/** Names of the checks that find something in one request and its runs. */
+function findersOf(
+  request: Partial<SentRequest>,
+  runs = [makeRun()],
+  prepare: (history: History) => void = () => undefined,
+): string[] {
+  const history = makeHistory([makeRequest(request)], runs);
+  prepare(history);
+  return findersIn(history);
+}
+
+test('a request that was answered well breaks nothing', t => {
+  t.deepEqual(findersOf({}), []);
+});
+
+test('every check has a name of its own', t => {
+  const names = ALL_CHECKS.map(({name}) => name);
+  t.is(new Set(names).size, names.length);
+});
+
+test('a booking that two endpoints ran is found', t => {
+  // The customer is charged twice.
+  const runs = [makeRun(), makeRun({endpoint: 'booking-1.1', signature: 's2'})];
+  t.deepEqual(findersOf({}, runs), ['at_most_once']);
+  t.deepEqual(findersOf({kind: 'idempotent'}, runs), []);
+});
+
+test('a refusal of what has run is found', t => {
+  // The caller comes back, as it was told, and books a second time.
+  t.deepEqual(findersOf({outcome: REFUSED}), ['true_refusal']);
+  t.deepEqual(findersOf({outcome: REFUSED}, [makeRun({hasRun: false})]), []);
+});
+
+test('answers that are cut, foreign or made up are found', t => {
+  const changes = [
+    {bodyDigest: 'half'},
+    {signature: undefined},
+    {signature: 'of another'},
+    {answersRequest: 'r2'},
+    {status: 201},
+  ];
+  for (const change of changes) {
+    const outcome = {...SOUND_ANSWER, ...change} as SentRequest['outcome'];
+    t.deepEqual(
+      findersOf({outcome}),
+      ['own_whole_answer'],
+      JSON.stringify(change),
+    );
+  }
+});
+
+test('requests that changed on their way are found', t => {
+  const changes = [
+    {path: '/book/2'},
+    {bodyDigest: 'other'},
+    {hasKey: true},
+    {clientAccount: 'shop-2'},
+    {requestId: 'r9', hasRun: false},
+  ];
+  for (const change of changes) {
+    const runs = [
+      makeRun(),
+      makeRun({signature: 's2', hasRun: false, ...change}),
+    ];
+    t.deepEqual(findersOf({}, runs), ['unchanged_request']);
+  }
+});
+
+test('a caller that is left without an answer is found, unless cut off', t => {
+  const unanswered = {outcome: {kind: 'unanswered'}} as const;
+  t.deepEqual(findersOf(unanswered), ['answer_in_time']);
+  const cut = (history: History) => {
+    history.disturb(INSTANCE, 'store_way_cut', 9000);
+  };
+  t.deepEqual(findersOf(unanswered, [makeRun()], cut), []);
+});
+
+test('a proper request that is denied is found', t => {
+  const outcome = {...REFUSED, status: 401};
+  t.deepEqual(findersOf({outcome}, []), ['no_false_denial']);
+  const withdraw = (history: History) => {
+    history.keyWithdrawals.set('key-1', 9000);
+  };
+  t.deepEqual(findersOf({outcome}, [], withdraw), []);
+});
+
+test('more runs and more time than allowed are found', t => {
+  const runs = ['a', 'b', 'c'].map(signature => makeRun({signature}));
+  t.deepEqual(
+    findersOf({kind: 'idempotent', outcome: {kind: 'not_connected'}}, runs),
+    ['max_attempts'],
+  );
+  t.deepEqual(findersOf({}, [makeRun({timeLeftMs: 5000})]), ['time_handed_on']);
+  t.deepEqual(findersOf({}, [makeRun({timeLeftMs: undefined})]), [
+    'time_handed_on',
+  ]);
+});
+
+test('further attempts beyond their budget are found', t => {
+  // Each of 60 requests goes to an endpoint a second time, which fails it too.
+  const names = Array.from({length: 60}, (_, index) => `r${index}`);
+  const requests = names.map(requestId =>
+    makeRequest({
+      requestId,
+      kind: 'idempotent',
+      outcome: {kind: 'not_connected'},
+    }),
+  );
+  const runs = names.flatMap(requestId => [
+    makeRun({requestId}),
+    makeRun({requestId, signature: 's2'}),
+  ]);
+  t.deepEqual(findersIn(makeHistory(requests, runs)), ['retry_budget']);
+});
+
+test('work that is begun for a caller that has left is found', t => {
+  const left = {outcome: {kind: 'left'}, endedAtMs: 10_100} as const;
+  t.deepEqual(findersOf(left, [makeRun({arrivedAtMs: 10_300})]), []);
+  t.deepEqual(
+    findersOf(left, [makeRun({arrivedAtMs: 10_700, timeLeftMs: 500})]),
+    ['nothing_for_nobody'],
+  );
+});
+
+test('a withdrawn key that still works is found where it had to be known', t => {
+  const withdrawn = (atMs: number) => (history: History) => {
+    history.keyWithdrawals.set('key-1', atMs);
+  };
+  t.deepEqual(findersOf({}, [makeRun()], withdrawn(7000)), ['withdrawn_keys']);
+  t.deepEqual(findersOf({}, [makeRun()], withdrawn(9000)), []);
+});
+
+test('an endpoint that gets work long after its notice is found', t => {
+  const noticed = (atMs: number) => (history: History) => {
+    history.leavingNotices.set('booking-0.1', atMs);
+  };
+  t.deepEqual(findersOf({}, [makeRun()], noticed(7900)), ['leaving_endpoints']);
+  t.deepEqual(findersOf({}, [makeRun()], noticed(8500)), []);
+});
+
+test('a configuration that comes late or goes back is found', t => {
+  const unknown = {marker: 3, outcome: {...REFUSED, status: 404}};
+  const added = (atMs: number) => (history: History) => {
+    history.markers.set(3, atMs);
+  };
+  t.deepEqual(findersOf(unknown, [], added(7000)), ['timely_configuration']);
+  t.deepEqual(findersOf(unknown, [], added(9000)), []);
+  const seen = makeRequest({marker: 3, requestId: 'r2', sentAtMs: 9000});
+  const history = makeHistory(
+    [{...seen, endedAtMs: 9100}, makeRequest(unknown)],
+    [],
+  );
+  t.true(findersIn(history).includes('rising_configuration'));
+});
+
+test('two figures for one window are found', t => {
+  const call = {subject: 'usage', holder: INSTANCE, token: 1, atMs: 20_000};
+  const history = makeHistory([], []);
+  const report = {window: 5, figure: '[1]'};
+  history.dutyCalls.push({...call, report}, {...call, report});
+  t.deepEqual(findersIn(history), []);
+  history.dutyCalls.push({...call, report: {window: 5, figure: '[2]'}});
+  t.deepEqual(findersIn(history), ['one_figure']);
+});
+
+test('holders that act by turns or under an old token are found', t => {
+  const acts = (...calls: Array<[string, number, number]>) => {
+    const history = makeHistory([], []);
+    for (const [holder, token, atMs] of calls) {
+      history.dutyCalls.push({subject: 'usage', holder, token, atMs});
+    }
+    return findersIn(history);
+  };
+  t.deepEqual(acts(['a', 1, 20_000], ['b', 2, 21_000]), []);
+  t.deepEqual(acts(['a', 2, 20_000], ['b', 1, 21_000]), ['one_holder']);
+  t.deepEqual(acts(['a', 1, 20_000], ['b', 1, 21_000]), ['one_holder']);
+  t.deepEqual(acts(['a', 1, 20_000], ['b', 2, 21_000], ['a', 3, 22_000]), [
+    'one_holder',
+  ]);
+});
+
+test('a request that a planned stop loses is found, one cut by a kill is not', t => {
+  const broken = {outcome: {kind: 'broken'}, endedAtMs: 11_000} as const;
+  const stopped = (kind: string) => (history: History) => {
+    history.disturb(INSTANCE, kind, 10_500);
+  };
+  t.deepEqual(findersOf(broken, [makeRun()], stopped('terminated')), [
+    'nothing_lost',
+  ]);
+  t.deepEqual(findersOf(broken, [makeRun()], stopped('killed')), []);
+  t.deepEqual(findersOf(broken, [], stopped('terminated')), ['nothing_lost']);
+  const crossed = {...broken, endedAtMs: 10_100};
+  t.deepEqual(findersOf(crossed, [], stopped('terminated')), []);
+});
+
+test('processes that end by themselves, late or with an error are found', t => {
+  const end = {
+    instance: INSTANCE,
+    life: 1,
+    cause: 'terminated',
+    code: 0,
+    tookMs: 3000,
+    atMs: 20_000,
+    lastError: '',
+  } as const;
+  const ends = (changes: object) => {
+    const history = makeHistory([], []);
+    history.ends.push({...end, ...changes});
+    return findersIn(history);
+  };
+  t.deepEqual(ends({}), []);
+  t.deepEqual(ends({cause: 'killed', code: null}), []);
+  t.deepEqual(ends({cause: undefined}), ['proper_ends']);
+  t.deepEqual(ends({code: 1}), ['proper_ends']);
+  t.deepEqual(ends({tookMs: 9000}), ['proper_ends']);
+});
+
+test('a system that does not recover is found', t => {
+  const history = makeHistory(
+    [makeRequest({sentAtMs: 30_000, outcome: {kind: 'not_connected'}})],
+    [],
+  );
+  history.quietFromMs = 20_000;
+  t.deepEqual(findersIn(history), ['serves_again']);
+});
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,115 @@
+/** Command line of the soak. */
+
+import {Command} from 'commander';
+import {MUTANTS, type Mutant} from './mutations.js';
+import {runSoak, type SoakResult} from './soak.js';
+import {buildProgram} from './world/program.js';
+
+const PRINTED_FINDINGS = 12;
+const SECOND_MS = 1000;
+/** Mutants show under a few kinds of faults, which come more often. */
+const MUTANT_SERIES_EVERY_MS = 900;
+const ALL = 'all';
+
+/** Prints a run. @returns whether nothing was found. */
+function report(result: SoakResult): boolean {
+  const {seed, findings, history, faults, startedAtMs} = result;
+  const served = history.requests.filter(
+    ({outcome}) => outcome?.kind === 'answered' && outcome.status === 200,
+  );
+  console.log(
+    `seed ${seed}: ${findings.length} findings; ` +
+      `${served.length} of ${history.requests.length} served, ` +
+      `${history.ends.length} ends of processes, ${faults.length} faults, ` +
+      `${history.dutyCalls.length} calls of duties`,
+  );
+  for (const {check, what, atMs, requestId} of findings.slice(
+    0,
+    PRINTED_FINDINGS,
+  )) {
+    const sinceMs = Math.round(atMs - startedAtMs);
+    console.log(`  ${sinceMs} ms ${check}: ${what} ${requestId ?? ''}`);
+  }
+  if (findings.length > 0) {
+    for (const line of faults) console.log(`    ${line}`);
+  }
+  return findings.length === 0;
+}
+
+interface Options {
+  readonly seed: string;
+  readonly runs: string;
+  readonly seconds: string;
+  readonly instances: string;
+  readonly engines: string;
+  readonly services: string;
+  readonly rate: string;
+  readonly mutant?: string;
+}
+
+/** Runs one mutant. @returns whether the check that is to find it has. */
+async function runMutant(mutant: Mutant, options: Options): Promise<boolean> {
+  const {findings} = await runSoak({
+    ...sizesOf(options),
+    seed: Number(options.seed),
+    program: await buildProgram(mutant),
+    kinds: mutant.kinds,
+    seriesEveryMs: MUTANT_SERIES_EVERY_MS,
+  });
+  const own = findings.filter(({check}) => check === mutant.check);
+  const verdict = own.length > 0 ? 'found' : 'MISSED';
+  const first = own[0]?.what ?? `${findings.length} others`;
+  console.log(`${mutant.name}: ${verdict} by ${mutant.check}: ${first}`);
+  return own.length > 0;
+}
+
+async function runMutants(options: Options): Promise<boolean> {
+  const chosen = MUTANTS.filter(
+    ({name}) => options.mutant === ALL || options.mutant === name,
+  );
+  let areFound = chosen.length > 0;
+  for (const mutant of chosen) {
+    areFound = (await runMutant(mutant, options)) && areFound;
+  }
+  return areFound;
+}
+
+async function runSeeds(options: Options): Promise<boolean> {
+  const program = await buildProgram();
+  let isClean = true;
+  for (let run = 0; run < Number(options.runs); run += 1) {
+    const seed = Number(options.seed) + run;
+    const result = await runSoak({...sizesOf(options), seed, program});
+    isClean = report(result) && isClean;
+  }
+  return isClean;
+}
+
+function sizesOf(options: Options) {
+  return {
+    faultsForMs: Number(options.seconds) * SECOND_MS,
+    instances: Number(options.instances),
+    engines: Number(options.engines),
+    services: Number(options.services),
+    requestsPerS: Number(options.rate),
+  };
+}
+
+async function main(): Promise<void> {
+  const command = new Command('soak')
+    .description('Runs real processes under random faults and checks them.')
+    .option('--seed <number>', 'first seed', '1')
+    .option('--runs <number>', 'runs, each with the next seed', '1')
+    .option('--seconds <number>', 'how long faults come', '20')
+    .option('--instances <number>', 'processes of the program', '6')
+    .option('--engines <number>', 'model engines', '6')
+    .option('--services <number>', 'endpoints of the plain service', '4')
+    .option('--rate <number>', 'requests a second', '60')
+    .option('--mutant <name>', `run a program with a seeded fault, or ${ALL}`)
+    .parse();
+  const options = command.opts<Options>();
+  const run = options.mutant === undefined ? runSeeds : runMutants;
+  process.exitCode = (await run(options)) ? 0 : 1;
+}
+
+await main();
--- /dev/null
+++ b/packages/soak/src/mutations.ts
@@ -0,0 +1,250 @@
+/** Seeded faults of the program; a soak of each must find it. */
+
+import type {FaultKind} from './fault_plan.js';
+import type {Mutation} from './world/program.js';
+
+/** A mutation, what has to happen for it to show, and who is to find it. */
+export interface Mutant extends Mutation {
+  readonly check: string;
+  /** The faults under which it shows; all when absent. */
+  readonly kinds?: readonly FaultKind[];
+}
+
+const STOPS = ['instance_terminate'] as const;
+const CHANGES = ['add_marker', 'withdraw_key'] as const;
+const KILLS_AND_CUTS = ['instance_kill', 'store_way_cut'] as const;
+const BROKEN_ENDPOINTS = [
+  'endpoint_failing',
+  'endpoint_resetting',
+  'endpoint_truncating',
+] as const;
+
+export const MUTANTS: readonly Mutant[] = [
+  {
+    name: 'repeats_everything',
+    check: 'at_most_once',
+    kinds: BROKEN_ENDPOINTS,
+    edits: [
+      {
+        module: 'routing/dist/attempt_policy.js',
+        from: "return (route.kind === 'idempotent' ||",
+        to: "return (route.kind !== '' ||",
+      },
+    ],
+  },
+  {
+    name: 'promises_what_it_does_not_know',
+    check: 'true_refusal',
+    kinds: ['endpoint_resetting'],
+    edits: [
+      {
+        module: 'routing/dist/attempt_policy.js',
+        from: "if (verdict === 'not_run') {",
+        to: "if (verdict !== 'ran') {",
+      },
+    ],
+  },
+  {
+    name: 'takes_a_cut_stream_for_whole',
+    check: 'own_whole_answer',
+    kinds: ['endpoint_truncating'],
+    edits: [
+      {
+        module: 'gateway/dist/event_relay.js',
+        from: "response.on('error', () => resolve(false));",
+        to: "response.on('error', () => { this.finish(); resolve(true); });",
+      },
+    ],
+  },
+  {
+    name: 'passes_keys_on',
+    check: 'unchanged_request',
+    kinds: CHANGES,
+    edits: [
+      {
+        module: 'platform/dist/header_protocol.js',
+        from: "    'authorization',",
+        to: '',
+      },
+    ],
+  },
+  {
+    name: 'denies_now_and_then',
+    check: 'no_false_denial',
+    kinds: CHANGES,
+    edits: [
+      {
+        module: 'gateway/dist/admission.js',
+        from: 'if (account === undefined && !isOpen)',
+        to: 'if (Math.random() < 0.02)',
+      },
+    ],
+  },
+  {
+    name: 'never_expires',
+    check: 'answer_in_time',
+    kinds: ['endpoint_silent'],
+    edits: [
+      {
+        module: 'gateway/dist/exchange.js',
+        from: 'this.hasExpired = true;',
+        to: 'return;',
+      },
+    ],
+  },
+  {
+    name: 'asks_all_endpoints',
+    check: 'max_attempts',
+    kinds: BROKEN_ENDPOINTS,
+    edits: [
+      {
+        module: 'routing/dist/attempt_policy.js',
+        from: 'runs >= route.maxAttempts',
+        to: 'runs >= 9',
+      },
+      {
+        module: 'routing/dist/endpoint_monitor.js',
+        from: 'const isFailure =',
+        to: 'const isFailure = false &&',
+      },
+    ],
+  },
+  {
+    name: 'hands_on_a_minute',
+    check: 'time_handed_on',
+    kinds: CHANGES,
+    edits: [
+      {
+        module: 'platform/dist/header_protocol.js',
+        from: 'String(forwarded.timeLeftMs)',
+        to: "'60000'",
+      },
+    ],
+  },
+  {
+    name: 'skips_versions',
+    check: 'timely_configuration',
+    kinds: CHANGES,
+    edits: [
+      {
+        module: 'gateway/dist/state_follower.js',
+        from: 'if (configuration.version <= current)',
+        to: 'if (current > 2)',
+      },
+    ],
+  },
+  {
+    name: 'keeps_keys',
+    check: 'withdrawn_keys',
+    kinds: ['withdraw_key'],
+    edits: [
+      {
+        module: 'gateway/dist/state_follower.js',
+        from: 'if (configuration.version <= current)',
+        to: 'if (current > 2)',
+      },
+    ],
+  },
+  {
+    name: 'goes_back',
+    check: 'rising_configuration',
+    kinds: ['add_marker'],
+    edits: [
+      {
+        module: 'gateway/dist/state_follower.js',
+        from: 'this.options.onConfiguration(configuration);',
+        to: `const before = this.options.state.table;
+          setTimeout(() => { this.options.state.table = this.first ?? before; }, 900);
+          this.first ??= before;
+          this.options.onConfiguration(configuration);`,
+      },
+    ],
+  },
+  {
+    name: 'uses_leaving_endpoints',
+    check: 'leaving_endpoints',
+    kinds: ['endpoint_replace'],
+    edits: [
+      {
+        module: 'routing/dist/endpoint_directory.js',
+        from: 'if (endpoint.isLeaving)',
+        to: 'if (false)',
+      },
+    ],
+  },
+  {
+    name: 'seals_again',
+    check: 'one_figure',
+    kinds: KILLS_AND_CUTS,
+    edits: [
+      {
+        module: 'gateway/dist/usage_reporter.js',
+        from: '(await this.readSeal(window)) ??',
+        to: 'undefined ??',
+      },
+      {
+        module: 'gateway/dist/usage_reporter.js',
+        from: 'checks: [{ key, version: 0 }, fence],',
+        to: 'checks: [],',
+      },
+      {
+        module: 'gateway/dist/usage_reporter.js',
+        from: 'Math.max(first, next)',
+        to: 'first',
+      },
+    ],
+  },
+  {
+    name: 'acts_without_a_lease',
+    check: 'one_holder',
+    kinds: CHANGES,
+    edits: [
+      {
+        module: 'gateway/dist/duty_term.js',
+        from: 'get token() {',
+        to: 'get token() { return 1;',
+      },
+      {
+        module: 'gateway/dist/duty_term.js',
+        from: 'mayStillSend: () =>',
+        to: 'mayStillSend: () => true ||',
+      },
+    ],
+  },
+  {
+    name: 'stops_at_once',
+    check: 'nothing_lost',
+    kinds: STOPS,
+    edits: [
+      {
+        module: 'gateway/dist/gateway.js',
+        from: 'await this.drain(beganAtMs);',
+        to: '',
+      },
+    ],
+  },
+  {
+    name: 'ends_with_an_error',
+    check: 'proper_ends',
+    kinds: STOPS,
+    edits: [
+      {
+        module: 'platform/dist/main.js',
+        from: 'process.exit(0)',
+        to: 'process.exit(3)',
+      },
+    ],
+  },
+  {
+    name: 'never_listens_again',
+    check: 'serves_again',
+    kinds: ['instance_reload'],
+    edits: [
+      {
+        module: 'platform/dist/main.js',
+        from: "process.on('SIGHUP', () => reload(gateway, path));",
+        to: "process.on('SIGHUP', () => { gateway.callers.stopListening(); gateway.callers.closeAll(); });",
+      },
+    ],
+  },
+];
--- /dev/null
+++ b/packages/soak/src/world/operator.ts
@@ -0,0 +1,170 @@
+/** The operator: routes, keys and their changes. */
+
+import {writeConfiguration} from '@snipestage/platform_stand_ins/operator_rows.js';
+import type {StoreStandIn} from '@snipestage/platform_stand_ins/store_stand_in.js';
+import type {
+  Route,
+  RouteId,
+  RouteKind,
+  Service,
+} from '@snipestage/routing/route.js';
+import {
+  brandAs,
+  type ClientAccountId,
+  type ServiceId,
+} from '@snipestage/types/ids.js';
+import type {History} from '../history.js';
+
+export const HOST = 'soak.example';
+export const ENGINES = brandAs<ServiceId>('engines');
+export const BOOKINGS = brandAs<ServiceId>('bookings');
+
+/** A key and the account that holds it. */
+export interface IssuedKey {
+  readonly key: string;
+  readonly clientAccount: ClientAccountId;
+}
+
+const ACCOUNTS = 6;
+const KEYS_EACH = 3;
+const ENGINE_BATCH = 32;
+const ENGINE_CACHE_TOKENS = 500_000;
+const TIMEOUT_MS = 4000;
+const MAX_ENGINES = 4;
+const LIMITS = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 1_000_000,
+  headerTimeoutMs: 5000,
+  idleTimeoutMs: 30_000,
+};
+
+/** What each route of the soak is for. */
+export const ROUTES: readonly Route[] = [
+  describeRoute('look-up', 'idempotent', BOOKINGS),
+  describeRoute('book', 'non_idempotent', BOOKINGS),
+  describeRoute('write', 'stream', ENGINES),
+  {...describeRoute('draft', 'stream', ENGINES), isResumable: true},
+];
+
+/** Path of the route that a marker adds. */
+export function markerPath(marker: number): string {
+  return `/marker-${marker}/`;
+}
+
+/** Owns the configuration; each change is a new version. */
+export class Operator {
+  private version = 1;
+  private markers = 0;
+  private readonly issued: IssuedKey[] = [];
+  private readonly withdrawn = new Set<string>();
+
+  constructor(
+    private readonly store: StoreStandIn,
+    private readonly history: History,
+    private readonly nowMs: () => number,
+  ) {
+    for (let account = 1; account <= ACCOUNTS; account += 1) {
+      for (let key = 1; key <= KEYS_EACH; key += 1) {
+        const clientAccount = brandAs<ClientAccountId>(`shop-${account}`);
+        this.issued.push({key: `key-${account}-${key}`, clientAccount});
+      }
+    }
+  }
+
+  /** All keys that were ever valid. */
+  get keys(): readonly IssuedKey[] {
+    return this.issued;
+  }
+
+  /** Markers so far, from 1. */
+  get markerCount(): number {
+    return this.markers;
+  }
+
+  /** Puts the configuration in force. */
+  write(): void {
+    this.version += 1 + (this.version % 3);
+    writeConfiguration(this.store, {
+      version: this.version,
+      routes: [...ROUTES, ...this.markerRoutes()],
+      services: [
+        this.engines(),
+        {id: BOOKINGS, engine: undefined, scaling: undefined},
+      ],
+      limits: LIMITS,
+      clientAccounts: this.accounts(),
+    });
+  }
+
+  /** A route that shows on which version an instance is. */
+  addMarker(): void {
+    this.markers += 1;
+    this.write();
+    this.history.markers.set(this.markers, this.nowMs());
+  }
+
+  /** Takes a key away; each account keeps its first. */
+  withdrawKey(target: number): void {
+    const left = this.issued.filter(
+      ({key}) => !this.withdrawn.has(key) && !key.endsWith('-1'),
+    );
+    if (left.length === 0) return;
+    const {key} = left[target % left.length];
+    this.withdrawn.add(key);
+    this.write();
+    this.history.keyWithdrawals.set(key, this.nowMs());
+  }
+
+  private markerRoutes(): Route[] {
+    return Array.from({length: this.markers}, (_, index) => ({
+      ...describeRoute(`marker-${index + 1}`, 'idempotent', BOOKINGS),
+    }));
+  }
+
+  private engines(): Service {
+    return {
+      id: ENGINES,
+      engine: {batchSize: ENGINE_BATCH, cacheTokens: ENGINE_CACHE_TOKENS},
+      scaling: {
+        minCount: 1,
+        maxCount: MAX_ENGINES,
+        bootMs: 1000,
+        cheapPriceRatio: 0.2,
+        priceByDataCentre: new Map(),
+      },
+    };
+  }
+
+  private accounts() {
+    const valid = this.issued.filter(({key}) => !this.withdrawn.has(key));
+    const ids = new Set(this.issued.map(({clientAccount}) => clientAccount));
+    return [...ids].map(id => ({
+      id,
+      keys: valid
+        .filter(({clientAccount}) => clientAccount === id)
+        .map(({key}) => key),
+      tier: undefined,
+    }));
+  }
+}
+
+function describeRoute(
+  name: string,
+  kind: RouteKind,
+  service: ServiceId,
+): Route {
+  return {
+    id: brandAs<RouteId>(name),
+    host: HOST,
+    pathPrefix: `/${name}/`,
+    kind,
+    targets: [{service, weight: 1}],
+    timeoutMs: TIMEOUT_MS,
+    latencyTargetMs: 500,
+    pauseTargetMs: kind === 'stream' ? 400 : undefined,
+    tier: 1,
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: false,
+  };
+}
--- /dev/null
+++ b/packages/soak/src/world/program.ts
@@ -0,0 +1,87 @@
+/** Builds the program that the soak runs: the real one, in one file. */
+
+import {mkdirSync, readFileSync} from 'node:fs';
+import {build, type Plugin} from 'esbuild';
+
+/** A seeded fault of the program, to see that a check finds it. */
+export interface Mutation {
+  readonly name: string;
+  readonly edits: readonly Edit[];
+}
+
+/** A change of the text of one compiled module. */
+export interface Edit {
+  /** End of its path. */
+  readonly module: string;
+  readonly from: string;
+  readonly to: string;
+}
+
+const ENTRY = 'platform/dist/main.js';
+const FOLDER = 'target/soak';
+/** File that says by how much the time of day is off, in milliseconds. */
+export const CLOCK_FILE_VARIABLE = 'SOAK_CLOCK_FILE';
+
+/**
+ * The time of day of one process can't be set from outside. This puts a clock
+ * before the program that jumps when a signal comes; the program is untouched.
+ */
+const JUMPING_CLOCK = `{
+  const now = Date.now;
+  let offsetMs = 0;
+  Date.now = () => now() + offsetMs;
+  process.on('SIGUSR2', () => {
+    const file = process.env.${CLOCK_FILE_VARIABLE};
+    offsetMs = Number(require('fs').readFileSync(file, 'utf8'));
+  });
+}`;
+
+/**
+ * @returns the path of the built program.
+ * @throws Error when an edit's text is not in its module.
+ * @example
+ * const program = await buildProgram();
+ */
+export async function buildProgram(mutation?: Mutation): Promise<string> {
+  mkdirSync(FOLDER, {recursive: true});
+  // Runs side by side each build their own: one that starts a file while another
+  // writes it gets a part of a program, which ends at once without an error.
+  const outfile = `${FOLDER}/${mutation?.name ?? 'snipestage'}.${process.pid}.cjs`;
+  await build({
+    entryPoints: [ENTRY],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    format: 'cjs',
+    target: 'node20',
+    logLevel: 'warning',
+    banner: {js: JUMPING_CLOCK},
+    plugins: mutation === undefined ? [] : [mutate(mutation)],
+  });
+  return outfile;
+}
+
+function mutate({name, edits}: Mutation): Plugin {
+  const open = new Set(edits);
+  return {
+    name: 'mutate',
+    setup(build) {
+      build.onLoad({filter: /\.js$/}, ({path}) => {
+        const own = edits.filter(({module}) => path.endsWith(module));
+        if (own.length === 0) return undefined;
+        let contents = readFileSync(path, 'utf8');
+        for (const edit of own) {
+          if (!contents.includes(edit.from)) continue;
+          contents = contents.replace(edit.from, edit.to);
+          open.delete(edit);
+        }
+        return {contents, loader: 'js'};
+      });
+      build.onEnd(() => {
+        const [edit] = open;
+        if (edit === undefined) return;
+        throw new Error(`Mutation ${name}: nothing to edit in ${edit.module}.`);
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/world/world.ts
@@ -0,0 +1,154 @@
+/** Everything that one run of the soak consists of. */
+
+import {randomLcg} from 'd3-random';
+import {ProviderStandIn} from '@snipestage/platform_stand_ins/provider_stand_in.js';
+import type {Bounds} from '@snipestage/platform_stand_ins/settings_text.js';
+import {StoreStandIn} from '@snipestage/platform_stand_ins/store_stand_in.js';
+import {pickFreePorts} from '@snipestage/stand_ins/launch/free_ports.js';
+import {Link} from '@snipestage/stand_ins/link/link.js';
+import {
+  brandAs,
+  type DataCentreId,
+  type InstanceId,
+} from '@snipestage/types/ids.js';
+import {History} from '../history.js';
+import {Endpoint} from './endpoint.js';
+import {Instance} from './instance.js';
+import {BOOKINGS, ENGINES, Operator} from './operator.js';
+
+/** The size of a run. */
+export interface WorldOptions {
+  readonly seed: number;
+  readonly program: string;
+  readonly instances: number;
+  readonly engines: number;
+  readonly services: number;
+}
+
+/** Figures like those of the smaller deployments. */
+export const BOUNDS: Bounds = {
+  contactMs: 3000,
+  configurationMs: 2000,
+  drainMs: 2000,
+  graceMs: 8000,
+  lossSlackMs: 200,
+  leaseMs: 3000,
+  usageWindowMs: 5000,
+  usageDelayMs: 10_000,
+};
+
+const DATA_CENTRES = ['akl-a', 'akl-b', 'akl-c'].map(name =>
+  brandAs<DataCentreId>(name),
+);
+const ENGINE_CAPACITY = 32;
+const SERVICE_CAPACITY = 12;
+const READY_WITHIN_MS = 60_000;
+const POLL_MS = 100;
+
+/** Owns the stand-ins and the processes. */
+export class World {
+  readonly history = new History(BOUNDS);
+  readonly store: StoreStandIn;
+  readonly provider: ProviderStandIn;
+  readonly operator: Operator;
+  readonly instances: Instance[] = [];
+  readonly endpoints: Endpoint[] = [];
+  private readonly random: () => number;
+  readonly nowMs = () => performance.now();
+
+  constructor(private readonly options: WorldOptions) {
+    this.random = randomLcg(options.seed + 1);
+    this.store = new StoreStandIn(this.random);
+    this.provider = new ProviderStandIn(this.random);
+    this.operator = new Operator(this.store, this.history, this.nowMs);
+  }
+
+  /** Resolves when every instance is ready. */
+  async start(): Promise<void> {
+    const storePort = await this.store.start();
+    const providerPort = await this.provider.start();
+    this.operator.write();
+    await this.addEndpoints();
+    await this.addInstances(storePort, `127.0.0.1:${providerPort}`);
+    await Promise.all(this.instances.map(instance => instance.start()));
+    for (const instance of this.instances) await this.untilReady(instance);
+  }
+
+  /** Ends all that was started and gathers what was seen. */
+  async close(): Promise<void> {
+    await Promise.all(this.instances.map(instance => instance.close()));
+    for (const endpoint of this.endpoints) endpoint.close();
+    this.store.stop();
+    this.provider.stop();
+    this.history.dutyCalls.push(...this.provider.calls);
+  }
+
+  private async addEndpoints(): Promise<void> {
+    const {engines, services} = this.options;
+    for (let index = 0; index < engines + services; index += 1) {
+      const isEngine = index < engines;
+      const endpoint = new Endpoint({
+        place: isEngine ? `engine-${index}` : `booking-${index}`,
+        service: isEngine ? ENGINES : BOOKINGS,
+        dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
+        capacity: isEngine ? ENGINE_CAPACITY : SERVICE_CAPACITY,
+        isEngine,
+        store: this.store,
+        history: this.history,
+        random: this.random,
+        nowMs: this.nowMs,
+      });
+      await endpoint.start();
+      this.endpoints.push(endpoint);
+    }
+  }
+
+  /** Each has a loopback address of its own: they share fixed ports. */
+  private async addInstances(
+    storePort: number,
+    providerAddress: string,
+  ): Promise<void> {
+    const network = this.drawNetwork();
+    for (let index = 0; index < this.options.instances; index += 1) {
+      const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length];
+      const storeWay = new Link({targetPort: storePort});
+      // Its address is known once it listens.
+      await storeWay.start();
+      const [callersPort, readinessPort] = await pickFreePorts(2);
+      this.instances.push(
+        new Instance({
+          settings: {
+            instance: brandAs<InstanceId>(`${dataCentre}-${index + 1}`),
+            dataCentre,
+            host: `${network}.${index + 1}`,
+            callersPort,
+            readinessPort,
+            storeAddress: storeWay.address,
+            providerAddress,
+            bounds: BOUNDS,
+          },
+          program: this.options.program,
+          history: this.history,
+          storeWay,
+          nowMs: this.nowMs,
+        }),
+      );
+    }
+  }
+
+  /** Runs side by side must not meet: the process's id tells them apart. */
+  private drawNetwork(): string {
+    const [low, high] = [process.pid % 250, Math.floor(process.pid / 250)];
+    return `127.${2 + (high % 250)}.${low}`;
+  }
+
+  private async untilReady(instance: Instance): Promise<void> {
+    const startedAtMs = this.nowMs();
+    while (!(await instance.isReady())) {
+      if (this.nowMs() - startedAtMs > READY_WITHIN_MS) {
+        throw new Error(`${instance.id} does not get ready.`);
+      }
+      await new Promise(done => setTimeout(done, POLL_MS));
+    }
+  }
+}
