Two relays in a data centre follow the store for the others

Cause: store calls were the largest price on the grown deployments. Each of 67 instances polled three tables, and each change answered 67 polls; while nobody had told how many there are, which was first told with the first demand, all of them stood for the lease.

Change: where there are six instances or more for each data centre, two of them take seats by conditional writes, strong machines first, and pass on what they learn by gRPC streams (lazily loaded). A relay confirms that it has asked the store; a follower that has no such word for 0.6 of the time in which a change has to be in force asks the store itself. Rows before the stream, gaps and a relay's own lost history are read from the store. The number of instances is a fact of its own, told with the first window.

Smaller sites don't use relays.

--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -99,7 +99,7 @@
       dueAfterMs,
       nowMs,
       logger,
-      onRows: rows => void facts.tellDemands(rows),
+      onRows: rows => void facts.tellSeen(rows),
     });
     this.capacity = new CapacityDuty({
       platform,
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -112,6 +112,7 @@
       metricsAddress: undefined,
       retry: {ratio: 0.2, windowMs: 10_000},
       changes: {knownWithinMs: 500, inForceWithinMs: 200},
+      relays: {address: undefined, dataCentres: 1, strength: 1},
       shutdown: {graceMs: 4000},
       lease: {termMs: 3000},
       usage: {windowMs: 5000, dueAfterMs: 10_000, tolerance: 0.05},
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import type {GatewaySettings} from './gateway_settings.js';
 import {OperationsServer, type OperationsPage} from './operations_server.js';
 import type {PassThroughProtocol} from './pass_through_protocol.js';
+import {Relays} from './relay/relays.js';
 import {RequestHandler} from './request_handler.js';
 import {RoutingState} from './routing_state.js';
 import {SharedFacts} from './shared_facts.js';
@@ -55,6 +56,7 @@
   private readonly clock: AgreedClock;
   private readonly follower: StateFollower;
   private readonly duties: Duties;
+  private readonly relays: Relays;
   private readonly incarnation = randomUUID().slice(0, 8);
   private isStopping = false;
 
@@ -92,7 +94,18 @@
       handler: this.handler,
       logger: logger.forComponent('callers'),
     });
+    this.relays = new Relays({
+      instance: settings.instance,
+      dataCentre: settings.dataCentre,
+      ...settings.relays,
+      inForceWithinMs: settings.changes.inForceWithinMs,
+      platform,
+      logger: logger.forComponent('relay'),
+      nowMs,
+      countInstances: () => this.state.instances,
+    });
     this.follower = new StateFollower({
+      relays: this.relays,
       tables: options.tables,
       decoder: options.decoder,
       state: this.state,
@@ -121,6 +134,7 @@
     for (const server of this.operations) await server.start();
     await this.callers.start();
     this.duties.start();
+    this.relays.start();
     this.options.logger.info('started', {
       instance: this.options.settings.instance,
       incarnation: this.incarnation,
@@ -160,6 +174,7 @@
       inProgress: this.handler.inProgress,
     });
     this.duties.handOver();
+    void this.relays.stop();
     await this.drain(beganAtMs);
     this.callers.stopListening();
     this.callers.closeAll();
@@ -253,6 +268,7 @@
       inProgress: this.handler.inProgress,
       configurationVersion: table?.configuration.version,
       ...this.duties.snapshot(),
+      relays: this.relays.snapshot(),
       endpoints: directory.readAll().map(endpoint => ({
         ...endpoint,
         isDown: monitor.isDown(endpoint.id, nowMs),
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -22,6 +22,13 @@
     /** A change has to be in force so soon after the store has taken it. */
     readonly inForceWithinMs: number;
   };
+  readonly relays: {
+    /** Where other instances may reach this one; undefined: it takes no part. */
+    readonly address: ListenAddress | undefined;
+    readonly dataCentres: number;
+    /** 0 to 1: how well this instance's machine can serve others. */
+    readonly strength: number;
+  };
   readonly shutdown: {
     /** After this the process is killed. */
     readonly graceMs: number;
--- /dev/null
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -0,0 +1,72 @@
+/** What instances say to a relay and what it tells them. */
+
+import type {
+  MethodDefinition,
+  ServerWritableStream,
+  ServiceDefinition,
+} from '@grpc/grpc-js';
+import type {InstanceId} from '@snipestage/types/ids.js';
+import type {FollowedRow} from '../table_follower.js';
+
+/** The tables that are relayed. */
+export const RELAYED_TABLES = ['configuration', 'endpoints', 'shared'] as const;
+export type RelayedTableName = (typeof RELAYED_TABLES)[number];
+
+/** Asks for all changes from now on. */
+export interface FollowRequest {
+  readonly instance: InstanceId;
+  /** Versions that are known; 0 where the table was not read yet. */
+  readonly known: Readonly<Record<RelayedTableName, number>>;
+}
+
+/** Changes of one table, or the word that there were none. */
+export interface RelayUpdate {
+  readonly table: RelayedTableName;
+  readonly since: number;
+  readonly version: number;
+  readonly rows: readonly RelayedRow[];
+}
+
+/** A row as it travels. */
+export interface RelayedRow {
+  readonly key: string;
+  readonly version: number;
+  /** Base64; absent when the row was removed. */
+  readonly data?: string;
+}
+
+export type FollowCall = ServerWritableStream<FollowRequest, RelayUpdate>;
+
+/** A service whose messages are JSON: its rows are such already. */
+export const RELAY_SERVICE: ServiceDefinition<{
+  follow: MethodDefinition<FollowRequest, RelayUpdate>;
+}> = {
+  follow: {
+    path: '/snipestage.Relay/Follow',
+    requestStream: false,
+    responseStream: true,
+    requestSerialize: serialize,
+    requestDeserialize: deserialize<FollowRequest>,
+    responseSerialize: serialize,
+    responseDeserialize: deserialize<RelayUpdate>,
+  },
+};
+
+export function toRelayedRow({key, version, data}: FollowedRow): RelayedRow {
+  return data === undefined
+    ? {key, version}
+    : {key, version, data: data.toString('base64')};
+}
+
+export function fromRelayedRow({key, version, data}: RelayedRow): FollowedRow {
+  const bytes = data === undefined ? undefined : Buffer.from(data, 'base64');
+  return {key, version, data: bytes};
+}
+
+function serialize(message: object): Buffer {
+  return Buffer.from(JSON.stringify(message));
+}
+
+function deserialize<Message>(bytes: Buffer): Message {
+  return JSON.parse(bytes.toString()) as Message;
+}
--- /dev/null
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -0,0 +1,98 @@
+/** Tells other instances what a relay learns from the store. */
+
+import {Server, ServerCredentials} from '@grpc/grpc-js';
+import type {Logger} from '@snipestage/log/logger.js';
+import {
+  RELAY_SERVICE,
+  RELAYED_TABLES,
+  toRelayedRow,
+  type FollowCall,
+  type RelayedTableName,
+} from './relay_messages.js';
+import type {TableCopy} from './table_copy.js';
+
+/** What a {@link RelayServer} is made from. */
+export interface RelayServerOptions {
+  /** `<IP number>:<port>` */
+  readonly address: string;
+  readonly copies: Readonly<Record<RelayedTableName, TableCopy>>;
+  readonly logger: Logger;
+}
+
+/** A follower that reads so slowly loses its stream and asks the store. */
+const MOST_BUFFERED_BYTES = 4 * 1024 * 1024;
+
+interface Follower {
+  readonly call: FollowCall;
+  readonly told: Map<RelayedTableName, number>;
+}
+
+/** Owns the listening socket and the streams. */
+export class RelayServer {
+  private readonly server = new Server();
+  private readonly followers = new Set<Follower>();
+
+  constructor(private readonly options: RelayServerOptions) {
+    this.server.addService(RELAY_SERVICE, {
+      follow: (call: FollowCall) => this.accept(call),
+    });
+  }
+
+  /** Whether anybody follows this relay. */
+  get hasFollowers(): boolean {
+    return this.followers.size > 0;
+  }
+
+  /** Rejects when the port can't be had. */
+  async start(): Promise<void> {
+    const {address, logger} = this.options;
+    await new Promise<void>((resolve, reject) => {
+      this.server.bindAsync(
+        address,
+        ServerCredentials.createInsecure(),
+        error => (error === null ? resolve() : reject(error)),
+      );
+    });
+    logger.info('relay_started', {address});
+  }
+
+  /** Ends all streams; their followers ask somebody else. */
+  stop(): void {
+    for (const {call} of this.followers) call.end();
+    this.followers.clear();
+    this.server.forceShutdown();
+    this.options.logger.info('relay_stopped');
+  }
+
+  /** The store has been asked about a table: what came, or that nothing did. */
+  confirm(table: RelayedTableName): void {
+    for (const follower of this.followers) this.tell(follower, table);
+  }
+
+  private accept(call: FollowCall): void {
+    const {instance, known} = call.request;
+    const told = new Map(RELAYED_TABLES.map(table => [table, known[table]]));
+    const follower = {call, told};
+    this.followers.add(follower);
+    const end = () => {
+      const wasThere = this.followers.delete(follower);
+      if (wasThere) this.options.logger.info('follower_lost', {instance});
+    };
+    call.on('cancelled', end);
+    call.on('close', end);
+    call.on('error', end);
+    this.options.logger.info('follower_came', {instance});
+  }
+
+  private tell(follower: Follower, table: RelayedTableName): void {
+    const {call, told} = follower;
+    const copy = this.options.copies[table];
+    if (copy.version === undefined) return;
+    const {since, version, rows} = copy.changesSince(told.get(table) ?? 0);
+    told.set(table, version);
+    call.write({table, since, version, rows: rows.map(toRelayedRow)});
+    if (call.writableLength <= MOST_BUFFERED_BYTES) return;
+    this.followers.delete(follower);
+    call.destroy();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -0,0 +1,89 @@
+import net, {type AddressInfo} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import {brandAs, type InstanceId} from '@snipestage/types/ids.js';
+import {NoOutput} from '../test_support/no_output.js';
+import {RelayClient} from './relay_client.js';
+import {RelayServer} from './relay_server.js';
+import {TableCopy, type TableChanges} from './table_copy.js';
+
+async function freePort(): Promise<number> {
+  const server = net.createServer().listen(0, '127.0.0.1');
+  await new Promise(resolve => server.once('listening', resolve));
+  const {port} = server.address() as AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
+
+async function startPair(t: ExecutionContext, silentAfterMs: number) {
+  const address = `127.0.0.1:${await freePort()}`;
+  const copies = {
+    configuration: new TableCopy(),
+    endpoints: new TableCopy(),
+    shared: new TableCopy(),
+  };
+  copies.endpoints.replace([], 3);
+  const {logger} = new NoOutput();
+  const server = new RelayServer({address, copies, logger});
+  await server.start();
+  t.teardown(() => server.stop());
+  const told: TableChanges[] = [];
+  const ends: string[] = [];
+  const client = new RelayClient({
+    address,
+    request: {
+      instance: brandAs<InstanceId>('follower'),
+      known: {configuration: 0, endpoints: 3, shared: 0},
+    },
+    silentAfterMs,
+    onChanges: (_table, changes) => told.push(changes),
+    onEnd: reason => ends.push(reason),
+  });
+  t.teardown(() => client.close());
+  return {server, copies, told, ends, client};
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(done => setTimeout(done, 10));
+}
+
+/** The relay tells its followers again and again until one has heard it. */
+async function confirmUntil(
+  server: RelayServer,
+  condition: () => boolean,
+): Promise<void> {
+  while (!condition()) {
+    server.confirm('endpoints');
+    await new Promise(done => setTimeout(done, 20));
+  }
+}
+
+test('a follower hears each change once, and that there were none', async t => {
+  const {server, copies, told} = await startPair(t, 20_000);
+  await confirmUntil(server, () => told.length > 0);
+  t.deepEqual(told[0], {since: 3, version: 3, rows: []});
+  const data = Buffer.from('x');
+  copies.endpoints.apply([{key: 'a', version: 4, data}], 4);
+  copies.endpoints.apply([{key: 'b', version: 5, data: undefined}], 5);
+  server.confirm('endpoints');
+  await waitUntil(() => told.some(({version}) => version === 5));
+  const rows = told.flatMap(changes => changes.rows);
+  t.deepEqual(rows, [
+    {key: 'a', version: 4, data},
+    {key: 'b', version: 5, data: undefined},
+  ]);
+});
+
+test('a follower is told when its relay stops', async t => {
+  const {server, told, ends} = await startPair(t, 20_000);
+  await confirmUntil(server, () => told.length > 0);
+  server.stop();
+  await waitUntil(() => ends.length > 0);
+  t.is(ends.length, 1);
+});
+
+test('a stream that says nothing ends by itself', async t => {
+  // The connection is up as far as both ends know, and nothing comes through.
+  const {ends} = await startPair(t, 200);
+  await waitUntil(() => ends.length > 0);
+  t.deepEqual(ends, ['silent']);
+});
--- /dev/null
+++ b/packages/gateway/src/relay/relayed_table.test.ts
@@ -0,0 +1,136 @@
+import test from 'ava';
+import {
+  FollowedTable,
+  type FollowedRow,
+  type TableReading,
+} from '../table_follower.js';
+import {RelayedFeed} from './relayed_feed.js';
+import {RelayedTable} from './relayed_table.js';
+import {TableCopy} from './table_copy.js';
+
+const FRESH_FOR_MS = 60;
+
+function row(key: string, version: number, text?: string): FollowedRow {
+  return {
+    key,
+    version,
+    data: text === undefined ? undefined : Buffer.from(text),
+  };
+}
+
+/** A store that counts its calls. */
+class CountedTable extends FollowedTable {
+  readonly name = 'counted';
+  readonly waits: number[] = [];
+
+  readAll(): Promise<TableReading> {
+    return Promise.resolve({kind: 'history_gone'});
+  }
+
+  waitForChanges(since: number, waitMs: number): Promise<TableReading> {
+    this.waits.push(waitMs);
+    const rows = [row('from the store', since + 1, 'x')];
+    return Promise.resolve({
+      kind: 'rows',
+      rows,
+      version: since + 1,
+      clock: undefined,
+    });
+  }
+}
+
+function makeTable() {
+  const store = new CountedTable();
+  const feed = new RelayedFeed(FRESH_FOR_MS);
+  const table = new RelayedTable(store, feed, () => performance.now());
+  return {store, feed, table};
+}
+
+function keysOf(reading: TableReading): string[] {
+  return reading.kind === 'rows' ? reading.rows.map(({key}) => key) : [];
+}
+
+test('changes come from the relay, without a call to the store', async t => {
+  const {store, feed, table} = makeTable();
+  feed.take({since: 5, version: 5, rows: []}, performance.now());
+  const waiting = table.waitForChanges(5, 1000);
+  feed.take(
+    {since: 5, version: 7, rows: [row('a', 7, 'x')]},
+    performance.now(),
+  );
+  const reading = await waiting;
+  t.deepEqual(keysOf(reading), ['a']);
+  t.like(reading, {version: 7, isRelayed: true});
+  t.deepEqual(store.waits, []);
+});
+
+test('a relay that falls silent is not taken for a calm store', async t => {
+  // The relay is frozen or cut off from the store. An endpoint has said that it
+  // leaves; without another look at the store it would get requests for ever.
+  const {store, feed, table} = makeTable();
+  feed.take({since: 5, version: 5, rows: []}, performance.now());
+  const reading = await table.waitForChanges(5, 10_000);
+  t.deepEqual(keysOf(reading), ['from the store']);
+  t.deepEqual(store.waits, [10_000]);
+});
+
+test('a relay that goes is replaced by the store at once', async t => {
+  const {store, feed, table} = makeTable();
+  feed.take({since: 5, version: 5, rows: []}, performance.now());
+  const waiting = table.waitForChanges(5, 10_000);
+  feed.close();
+  t.deepEqual(keysOf(await waiting), ['from the store']);
+  t.is(store.waits.length, 1);
+});
+
+test('what happened before the relay was followed is read from the store', async t => {
+  // A change came between the last poll and the stream. The relay tells only of
+  // what follows; the gap must not be passed over.
+  const {store, feed, table} = makeTable();
+  feed.take({since: 9, version: 9, rows: []}, performance.now());
+  t.deepEqual(keysOf(await table.waitForChanges(5, 1000)), ['from the store']);
+  t.deepEqual(store.waits, [0]);
+});
+
+test('a relay that lost its own history leaves a gap that is seen', async t => {
+  const {store, feed, table} = makeTable();
+  feed.take(
+    {since: 5, version: 6, rows: [row('a', 6, 'x')]},
+    performance.now(),
+  );
+  feed.take({since: 9, version: 9, rows: []}, performance.now());
+  await table.waitForChanges(6, 1000);
+  t.deepEqual(store.waits, [0]);
+});
+
+test('a copy tells what changed since a version, removed rows too', t => {
+  const copy = new TableCopy();
+  copy.replace([row('a', 3, 'x'), row('b', 4, 'x')], 4);
+  copy.apply([row('a', 5), row('c', 6, 'x')], 6);
+  const changes = copy.changesSince(4);
+  t.deepEqual(
+    changes.rows.map(({key, data}) => [key, data !== undefined]),
+    [
+      ['a', false],
+      ['c', true],
+    ],
+  );
+  t.like(changes, {since: 4, version: 6});
+});
+
+test('a copy does not pretend to know what came before its first read', t => {
+  const copy = new TableCopy();
+  copy.replace([row('a', 3, 'x')], 4);
+  t.deepEqual(copy.changesSince(2), {since: 4, version: 4, rows: []});
+  t.deepEqual(copy.changesSince(7), {since: 4, version: 4, rows: []});
+});
+
+test('a copy forgets old removals and says so', t => {
+  const copy = new TableCopy();
+  copy.replace([], 1);
+  for (let version = 2; version < 700; version += 1) {
+    copy.apply([row(`key-${version}`, version)], version);
+  }
+  t.is(copy.changesSince(2).since, 699);
+  t.is(copy.changesSince(650).rows.length, 49);
+});
--- /dev/null
+++ b/packages/gateway/src/relay/relays.ts
@@ -0,0 +1,231 @@
+/** Takes part in relaying: as a relay, as a follower of one, or not at all. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {Platform} from '@snipestage/platform/platform.js';
+import {
+  RelayRoster,
+  type RelayHolder,
+  type RelaySeat,
+} from '@snipestage/routing/relay_roster.js';
+import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
+import type {FollowedTable, FollowPace} from '../table_follower.js';
+import type {RelayClient} from './relay_client.js';
+import {RELAYED_TABLES, type RelayedTableName} from './relay_messages.js';
+import type {RelayServer} from './relay_server.js';
+import {RelayedFeed} from './relayed_feed.js';
+import {RelayedTable} from './relayed_table.js';
+import {seatKey, type SeatValue} from './seat_rows.js';
+import {TableCopy} from './table_copy.js';
+
+/** What {@link Relays} are made from. */
+export interface RelaysOptions {
+  readonly instance: InstanceId;
+  readonly dataCentre: DataCentreId;
+  readonly dataCentres: number;
+  /** 0 to 1: how well this instance's machine can serve others. */
+  readonly strength: number;
+  /** Where other instances may reach this one; undefined: it takes no part. */
+  readonly address: string | undefined;
+  /** A change has to be in force so soon after the store has taken it. */
+  readonly inForceWithinMs: number;
+  readonly platform: Platform;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  /** How many instances there are, as far as it is known. */
+  readonly countInstances: () => number | undefined;
+}
+
+/**
+ * Shares of the time in which a change has to be in force. A relay's poll lasts
+ * at most the first and pauses for at most the second, so that it confirms
+ * within their sum. A follower that hears nothing for the third asks the store,
+ * and has two fifths of the time left for that.
+ */
+const RELAY_WAIT_SHARE = 0.35;
+const RELAY_GATHER_SHARE = 0.15;
+const FRESH_SHARE = 0.6;
+/** Facts are polled for eight seconds at a time. */
+const FACTS_FRESH_FOR_MS = 10_000;
+const TICK_MS = 500;
+
+/** Owns the roster and whatever socket the part in it needs. */
+export class Relays {
+  private readonly roster: RelayRoster;
+  private readonly copies: Record<RelayedTableName, TableCopy>;
+  private readonly feeds: Record<RelayedTableName, RelayedFeed>;
+  private server: RelayServer | undefined;
+  private client: RelayClient | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private isBusy = false;
+
+  constructor(private readonly options: RelaysOptions) {
+    this.roster = new RelayRoster(options);
+    const freshForMs = options.inForceWithinMs * FRESH_SHARE;
+    this.copies = perTable(() => new TableCopy());
+    this.feeds = perTable(
+      name =>
+        new RelayedFeed(name === 'shared' ? FACTS_FRESH_FOR_MS : freshForMs),
+    );
+  }
+
+  start(): void {
+    if (this.options.address === undefined) return;
+    this.timer = setInterval(() => void this.tick(), TICK_MS);
+  }
+
+  /** Leaves the seat to others and closes what is open. */
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.client?.close();
+    this.stopServing();
+    const seat = this.roster.ownSeat;
+    if (seat === undefined) return;
+    await this.options.platform.transact({
+      checks: [{key: seatKey(seat), version: seat.version}],
+      writes: [{key: seatKey(seat), value: null}],
+    });
+  }
+
+  /** The table as it is to be followed: by way of a relay where one is. */
+  wrap(name: RelayedTableName, store: FollowedTable): FollowedTable {
+    return new RelayedTable(store, this.feeds[name], this.options.nowMs);
+  }
+
+  /** How a relay asks for a table; undefined: as everybody does. */
+  paceOf(name: RelayedTableName): FollowPace | undefined {
+    // Facts may be known later; their feed stays fresh for longer. A relay that
+    // nobody follows stands by for the others, and needn't ask more often.
+    if (!this.server?.hasFollowers || name === 'shared') return undefined;
+    const {inForceWithinMs} = this.options;
+    return {
+      waitMs: inForceWithinMs * RELAY_WAIT_SHARE,
+      gatherMs: inForceWithinMs * RELAY_GATHER_SHARE,
+    };
+  }
+
+  /** What this instance has learnt of a table, for those that follow it. */
+  copyOf(name: RelayedTableName): TableCopy {
+    return this.copies[name];
+  }
+
+  /** The store itself, not a relay, has just been heard of a table. */
+  confirm(name: RelayedTableName): void {
+    this.server?.confirm(name);
+  }
+
+  learnSeat(seat: RelaySeat): void {
+    this.roster.learn(seat);
+  }
+
+  snapshot(): object {
+    return {
+      isRelay: this.server !== undefined,
+      follows: this.client !== undefined,
+      seat: this.roster.ownSeat?.number,
+    };
+  }
+
+  private async tick(): Promise<void> {
+    const {roster, options} = this;
+    if (this.isBusy || !roster.pays(options.countInstances())) return;
+    this.isBusy = true;
+    try {
+      await this.matchServer();
+      const nowMs = options.nowMs();
+      const seat = roster.seatToClaim(nowMs);
+      if (seat !== undefined) await this.claim(seat);
+      else if (!roster.isRelay && this.client === undefined) {
+        const relay = roster.choose(nowMs);
+        if (relay !== undefined) await this.follow(relay);
+      }
+    } finally {
+      this.isBusy = false;
+    }
+  }
+
+  /** Serves while this instance has a seat, and only then. */
+  private async matchServer(): Promise<void> {
+    if (this.roster.isRelay) await this.serve();
+    else this.stopServing();
+  }
+
+  private async serve(): Promise<boolean> {
+    const {address, logger} = this.options;
+    if (this.server !== undefined) return true;
+    if (address === undefined) return false;
+    this.client?.close();
+    // Loaded where it is used: every start would pay for it.
+    const {RelayServer} = await import('./relay_server.js');
+    const server = new RelayServer({address, copies: this.copies, logger});
+    try {
+      await server.start();
+    } catch (error) {
+      logger.error('relay_not_started', {address, error: String(error)});
+      return false;
+    }
+    this.server = server;
+    return true;
+  }
+
+  private stopServing(): void {
+    this.server?.stop();
+    this.server = undefined;
+  }
+
+  /** Listens first: whoever reads the row connects at once. */
+  private async claim(seat: RelaySeat): Promise<void> {
+    const {platform, instance, address = '', logger} = this.options;
+    if (!(await this.serve())) return;
+    const key = seatKey(seat);
+    const value: SeatValue = {instance, address};
+    const result = await platform.transact({
+      checks: [{key, version: seat.version}],
+      writes: [{key, value}],
+    });
+    logger.info('relay_claimed', {
+      seat: seat.number,
+      before: seat.holder?.instance,
+      outcome: result.kind,
+    });
+    if (result.kind !== 'committed') {
+      this.stopServing();
+      return;
+    }
+    const version = result.versions[key];
+    this.roster.learn({...seat, holder: value, version});
+  }
+
+  private async follow(relay: RelayHolder): Promise<void> {
+    const {instance, logger, inForceWithinMs, nowMs} = this.options;
+    const {RelayClient} = await import('./relay_client.js');
+    const known = (name: RelayedTableName) => this.copies[name].version ?? 0;
+    const client = new RelayClient({
+      address: relay.address,
+      request: {
+        instance,
+        known: {
+          configuration: known('configuration'),
+          endpoints: known('endpoints'),
+          shared: known('shared'),
+        },
+      },
+      silentAfterMs: inForceWithinMs * FRESH_SHARE,
+      onChanges: (table, changes) => this.feeds[table].take(changes, nowMs()),
+      onEnd: reason => {
+        logger.warn('relay_lost', {relay: relay.instance, reason});
+        this.roster.noteFailed(relay.instance, nowMs());
+        for (const feed of Object.values(this.feeds)) feed.close();
+        this.client = undefined;
+      },
+    });
+    this.client = client;
+    logger.info('relay_followed', {relay: relay.instance});
+  }
+}
+
+function perTable<Item>(
+  make: (name: RelayedTableName) => Item,
+): Record<RelayedTableName, Item> {
+  const entries = RELAYED_TABLES.map(name => [name, make(name)]);
+  return Object.fromEntries(entries) as Record<RelayedTableName, Item>;
+}
--- /dev/null
+++ b/packages/gateway/src/relay/table_copy.ts
@@ -0,0 +1,72 @@
+/** A relay's copy of a table, from which others are told what changed. */
+
+import type {FollowedRow} from '../table_follower.js';
+
+/** What changed in a table, and up to which version. */
+export interface TableChanges {
+  /** Changes after this version are all there. */
+  readonly since: number;
+  readonly version: number;
+  readonly rows: readonly FollowedRow[];
+}
+
+/** Removed rows that are remembered; whoever missed more reads the store. */
+const MOST_REMOVED_ROWS = 500;
+
+/** Rows by key; removed ones are kept for a while. */
+export class TableCopy {
+  private rows = new Map<string, FollowedRow>();
+  private removed: FollowedRow[] = [];
+  private completeSince = 0;
+  private currentVersion: number | undefined;
+
+  /** Undefined until the table was read. */
+  get version(): number | undefined {
+    return this.currentVersion;
+  }
+
+  /** The whole table; what was removed before is not known. */
+  replace(rows: readonly FollowedRow[], version: number): void {
+    this.rows = new Map(rows.map(row => [row.key, row]));
+    this.removed = [];
+    this.completeSince = version;
+    this.currentVersion = version;
+  }
+
+  /** Changes in their order, up to a version. */
+  apply(rows: readonly FollowedRow[], version: number): void {
+    for (const row of rows) this.applyOne(row);
+    this.currentVersion = version;
+    const forgotten = this.removed.splice(
+      0,
+      Math.max(0, this.removed.length - MOST_REMOVED_ROWS),
+    );
+    const last = forgotten.at(-1);
+    if (last !== undefined) this.completeSince = last.version;
+  }
+
+  /**
+   * @returns changes since the version, or from now on when it is too old.
+   * @example
+   * const {since, rows} = copy.changesSince(known);
+   */
+  changesSince(known: number): TableChanges {
+    const version = this.currentVersion ?? 0;
+    if (known < this.completeSince || known > version) {
+      return {since: version, version, rows: []};
+    }
+    const rows = [...this.rows.values(), ...this.removed]
+      .filter(row => row.version > known)
+      .sort((left, right) => left.version - right.version);
+    return {since: known, version, rows};
+  }
+
+  private applyOne(row: FollowedRow): void {
+    if (row.data !== undefined) {
+      this.rows.set(row.key, row);
+      return;
+    }
+    this.rows.delete(row.key);
+    this.removed.push(row);
+  }
+}
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -17,17 +17,25 @@
       readonly kind: 'demand';
       readonly service: ServiceId;
       readonly demands: readonly RouteDemand[];
-      /** Instances that wrote what they saw. */
-      readonly instances: number;
+    }
+  | {
+      readonly kind: 'instances';
+      /** Those that wrote what they counted in a window. */
+      readonly count: number;
     };
 
 const CRASH = 'crash/';
 const DEMAND = 'demand/';
+const INSTANCES = 'instances';
 
 /** Value of a row of demand. */
 interface DemandValue {
   readonly demands: readonly RouteDemand[];
-  readonly instances: number;
+}
+
+/** Value of the row that tells how many instances there are. */
+interface InstancesValue {
+  readonly count: number;
 }
 
 /** A change of the number of instances that others should hear of. */
@@ -39,9 +47,15 @@
   readonly logger: Logger;
 }
 
+interface FactRow {
+  readonly key: string;
+  readonly value: unknown;
+}
+
 /** Writes facts; a write that fails is logged and left to the next one. */
 export class SharedFacts {
-  private readonly told = new Map<ServiceId, DemandValue>();
+  private readonly told = new Map<ServiceId, readonly RouteDemand[]>();
+  private toldCount: number | undefined;
 
   constructor(private readonly options: SharedFactsOptions) {}
 
@@ -54,25 +68,37 @@
   }
 
   /** Adds up what all instances wrote, and tells it where it has changed. */
-  async tellDemands(rows: readonly CountsValue[]): Promise<void> {
+  async tellSeen(rows: readonly CountsValue[]): Promise<void> {
+    const changed = [...this.newCount(rows), ...this.newDemands(rows)];
+    if (changed.length > 0) await this.write('demand', changed);
+  }
+
+  private newCount({length: count}: readonly CountsValue[]): FactRow[] {
+    const before = this.toldCount;
+    const isKnown =
+      before !== undefined &&
+      Math.abs(count - before) <= INSTANCES_CHANGE * before;
+    if (isKnown || count === 0) return [];
+    this.toldCount = count;
+    return [{key: `shared/${INSTANCES}`, value: {count}}];
+  }
+
+  private newDemands(rows: readonly CountsValue[]): FactRow[] {
     const services = new Set(
       rows.flatMap(({demands}) => Object.keys(demands ?? {})),
     );
-    const changed: Array<{key: string; value: unknown}> = [];
-    for (const name of services) {
+    return [...services].flatMap(name => {
       const service = brandAs<ServiceId>(name);
       const total = sumDemands(rows.map(({demands}) => demands?.[name] ?? []));
-      const value = {demands: total, instances: rows.length};
-      if (!isNews(this.told.get(service), value)) continue;
-      this.told.set(service, value);
-      changed.push({key: `shared/${DEMAND}${name}`, value});
-    }
-    if (changed.length > 0) await this.write('demand', changed);
+      if (!hasMoved(this.told.get(service), total)) return [];
+      this.told.set(service, total);
+      return [{key: `shared/${DEMAND}${name}`, value: {demands: total}}];
+    });
   }
 
   private async write(
     kind: SharedFact['kind'],
-    writes: ReadonlyArray<{readonly key: string; readonly value: unknown}>,
+    writes: readonly FactRow[],
   ): Promise<void> {
     const result = await this.options.platform.transact({checks: [], writes});
     this.options.logger.info('fact_told', {
@@ -96,16 +122,13 @@
       typeof crash?.id === 'string' && Array.isArray(crash.inFlight);
     return isWhole ? {kind: 'crash', crash} : undefined;
   }
+  if (row.key === INSTANCES) {
+    const count = (value as InstancesValue | undefined)?.count;
+    return typeof count === 'number' ? {kind: 'instances', count} : undefined;
+  }
   const told = value as DemandValue | undefined;
   const isDemand = row.key.startsWith(DEMAND) && Array.isArray(told?.demands);
   if (!isDemand) return undefined;
   const service = brandAs<ServiceId>(row.key.slice(DEMAND.length));
-  return {kind: 'demand', service, ...told};
-}
-
-function isNews(before: DemandValue | undefined, now: DemandValue): boolean {
-  if (before === undefined || hasMoved(before.demands, now.demands))
-    return true;
-  const change = Math.abs(now.instances - before.instances);
-  return change > INSTANCES_CHANGE * before.instances;
+  return {kind: 'demand', service, demands: told.demands};
 }
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -8,11 +8,16 @@
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {CrashReporter} from './crash_reporter.js';
 import type {RoutingState} from './routing_state.js';
+import type {RelayedTableName} from './relay/relay_messages.js';
+import type {Relays} from './relay/relays.js';
+import {readSeat} from './relay/seat_rows.js';
 import {readFact} from './shared_facts.js';
 import {
   TableFollower,
   type FollowedRow,
   type FollowedTable,
+  type RowsReading,
+  type TableListener,
 } from './table_follower.js';
 
 /** Turns rows of the platform's tables into the product's types. */
@@ -39,6 +44,7 @@
   readonly state: RoutingState;
   readonly clock: AgreedClock;
   readonly crashes: CrashReporter;
+  readonly relays: Relays;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** A change has to be known so soon, also over a connection that broke. */
@@ -88,23 +94,23 @@
   }
 
   private addFollowers(): void {
-    const {tables, knownWithinMs} = this.options;
+    const {knownWithinMs} = this.options;
     const apply = (rows: readonly FollowedRow[]) =>
       this.applyConfiguration(rows);
     const waitMs = knownWithinMs * FOLLOW_WAIT_SHARE;
-    this.follow(tables.configuration, waitMs, {
+    this.follow('configuration', waitMs, {
       replaced: apply,
       changed: apply,
       disturbed: () => undefined,
     });
-    this.follow(tables.endpoints, waitMs, {
+    this.follow('endpoints', waitMs, {
       replaced: rows => this.replaceEndpoints(rows),
       changed: rows => this.changeEndpoints(rows),
       disturbed: () =>
         this.options.state.directory.noteDisturbance(this.options.nowMs()),
     });
     const learn = (rows: readonly FollowedRow[]) => this.learnFacts(rows);
-    this.follow(tables.shared, FOLLOW_FACTS_WAIT_MS, {
+    this.follow('shared', FOLLOW_FACTS_WAIT_MS, {
       replaced: learn,
       changed: learn,
       disturbed: () => undefined,
@@ -112,18 +118,37 @@
   }
 
   private follow(
-    table: FollowedTable,
+    name: RelayedTableName,
     waitMs: number,
-    listener: TableFollower['options']['listener'],
+    listener: TableListener,
   ): void {
-    const logger = this.options.logger.forComponent('store');
-    const onClock = this.options.clock.noteReading.bind(this.options.clock);
-    const gatherMs = this.options.inForceWithinMs * GATHER_SHARE;
+    const {tables, relays, inForceWithinMs} = this.options;
+    const own = {waitMs, gatherMs: inForceWithinMs * GATHER_SHARE};
     this.followers.push(
-      new TableFollower({table, listener, logger, waitMs, gatherMs, onClock}),
+      new TableFollower({
+        table: relays.wrap(name, tables[name]),
+        listener,
+        logger: this.options.logger.forComponent('store'),
+        pace: () => relays.paceOf(name) ?? own,
+        onClock: this.options.clock.noteReading.bind(this.options.clock),
+        onReading: (reading, isWhole) => this.copy(name, reading, isWhole),
+      }),
     );
   }
 
+  /** For the instances that follow the store by way of this one. */
+  private copy(
+    name: RelayedTableName,
+    {rows, version, isRelayed}: RowsReading,
+    isWhole: boolean,
+  ): void {
+    const {relays} = this.options;
+    const copy = relays.copyOf(name);
+    if (isWhole) copy.replace(rows, version);
+    else copy.apply(rows, version);
+    if (isRelayed !== true) relays.confirm(name);
+  }
+
   /** A version only rises; an older one is a read that came late. */
   private applyConfiguration(rows: readonly FollowedRow[]): void {
     for (const row of rows) {
@@ -181,14 +206,21 @@
   }
 
   private learnFacts(rows: readonly FollowedRow[]): void {
+    for (const seat of rows.map(readSeat)) {
+      if (seat !== undefined) this.options.relays.learnSeat(seat);
+    }
     const facts = rows.map(readFact).filter(fact => fact !== undefined);
     for (const fact of facts) {
       if (fact.kind === 'crash') {
         this.options.crashes.learn([fact.crash]);
         continue;
       }
-      const {service, demands, instances} = fact;
-      this.options.state.instances = instances;
+      if (fact.kind === 'instances') {
+        this.options.state.instances = fact.count;
+        this.options.logger.info('instances_learnt', {count: fact.count});
+        continue;
+      }
+      const {service, demands} = fact;
       this.options.state.agreedDemand.learn(
         service,
         demands,
@@ -197,7 +229,6 @@
       this.options.logger.info('demand_learnt', {
         service,
         routes: demands.length,
-        instances,
       });
     }
   }
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -19,6 +19,8 @@
       /** The store's version that the rows show. */
       readonly version: number;
       readonly clock: StoreClockReading | undefined;
+      /** Told by another instance, not by the store itself. */
+      readonly isRelayed?: boolean;
     }
   /** The history since the version asked for is no longer there. */
   | {readonly kind: 'history_gone'}
@@ -44,18 +46,30 @@
   disturbed(): void;
 }
 
+/** How often a table is asked for. */
+export interface FollowPace {
+  /** How long a poll may last. */
+  readonly waitMs: number;
+  /**
+   * Pause after changes came: what comes meanwhile is in the next answer.
+   * Endpoints register one by one, and each change answers every instance's poll.
+   */
+  readonly gatherMs: number;
+}
+
+/** Rows that came, in the order of their versions. */
+export type RowsReading = Extract<TableReading, {kind: 'rows'}>;
+
 /** What a {@link TableFollower} is made from; defaults in the brackets. */
 export interface TableFollowerOptions {
   readonly table: FollowedTable;
   readonly listener: TableListener;
   readonly logger: Logger;
-  readonly waitMs: number;
+  /** Asked before each poll. */
+  readonly pace: () => FollowPace;
   readonly onClock?: (reading: StoreClockReading) => void;
-  /**
-   * Pause after changes came (0): what comes meanwhile is in the next answer.
-   * Endpoints register one by one, and each change answers every instance's poll.
-   */
-  readonly gatherMs?: number;
+  /** Told of each answer that was taken in, also of one without rows. */
+  readonly onReading?: (reading: RowsReading, isWhole: boolean) => void;
   /** First pause after a failure (100 ms); doubles. */
   readonly firstBackoffMs?: number;
   /** Longest pause (800 ms). */
@@ -112,7 +126,9 @@
     const {table} = this.options;
     // After a failure a short call: a long poll that was sent into a cut would
     // hang for its whole wait after the cut has healed.
-    const waitMs = this.isDisturbed ? PROBE_WAIT_MS : this.options.waitMs;
+    const waitMs = this.isDisturbed
+      ? PROBE_WAIT_MS
+      : this.options.pace().waitMs;
     const since = this.version;
     const reading =
       since === undefined
@@ -146,17 +162,16 @@
     return 0;
   }
 
-  private takeRows(
-    reading: Extract<TableReading, {kind: 'rows'}>,
-    since: number | undefined,
-  ): number {
+  private takeRows(reading: RowsReading, since: number | undefined): number {
     const {listener, table, logger} = this.options;
     if (since !== undefined) {
       if (reading.version < since) return STALE_READ_PAUSE_MS;
       this.version = reading.version;
-      if (reading.rows.length === 0) return 0;
-      listener.changed(reading.rows);
-      return this.options.gatherMs ?? 0;
+      if (reading.rows.length > 0) listener.changed(reading.rows);
+      this.options.onReading?.(reading, false);
+      // Whoever relays has gathered already, and nobody pays for its word.
+      const isGathered = reading.rows.length === 0 || reading.isRelayed;
+      return isGathered ? 0 : this.options.pace().gatherMs;
     }
     if (reading.version < this.minVersion) {
       logger.warn('table_read_stale', {
@@ -168,6 +183,7 @@
     }
     this.version = reading.version;
     listener.replaced(reading.rows);
+    this.options.onReading?.(reading, true);
     logger.info('table_read', {
       table: table.name,
       version: reading.version,
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -2,6 +2,7 @@
 
 import {Command} from 'commander';
 import {MUTANTS, type Mutant} from './mutations.js';
+import {REGRESSIONS} from './regressions.js';
 import {runSoak, type SoakResult} from './soak.js';
 import {buildProgram} from './world/program.js';
 
@@ -43,18 +44,23 @@
   readonly instances: string;
   readonly engines: string;
   readonly services: string;
+  readonly dataCentres: string;
   readonly rate: string;
   readonly mutant?: string;
+  readonly regressions?: boolean;
 }
 
 /** Runs one mutant. @returns whether the check that is to find it has. */
 async function runMutant(mutant: Mutant, options: Options): Promise<boolean> {
   const {findings} = await runSoak({
     ...sizesOf(options),
+    ...(mutant.faultsForMs === undefined
+      ? {}
+      : {faultsForMs: mutant.faultsForMs}),
     seed: Number(options.seed),
     program: await buildProgram(mutant),
     kinds: mutant.kinds,
-    seriesEveryMs: MUTANT_SERIES_EVERY_MS,
+    seriesEveryMs: mutant.seriesEveryMs ?? MUTANT_SERIES_EVERY_MS,
   });
   const own = findings.filter(({check}) => check === mutant.check);
   const verdict = own.length > 0 ? 'found' : 'MISSED';
@@ -74,6 +80,17 @@
   return areFound;
 }
 
+async function runRegressions(): Promise<boolean> {
+  const program = await buildProgram();
+  let isClean = true;
+  for (const {options, check} of REGRESSIONS) {
+    console.log(`once found by ${check}:`);
+    const result = await runSoak({...options, program});
+    isClean = report(result) && isClean;
+  }
+  return isClean;
+}
+
 async function runSeeds(options: Options): Promise<boolean> {
   const program = await buildProgram();
   let isClean = true;
@@ -91,6 +108,7 @@
     instances: Number(options.instances),
     engines: Number(options.engines),
     services: Number(options.services),
+    dataCentres: Number(options.dataCentres),
     requestsPerS: Number(options.rate),
   };
 }
@@ -104,12 +122,19 @@
     .option('--instances <number>', 'processes of the program', '6')
     .option('--engines <number>', 'model engines', '6')
     .option('--services <number>', 'endpoints of the plain service', '4')
+    .option('--data-centres <number>', 'data centres, at most three', '3')
     .option('--rate <number>', 'requests a second', '60')
     .option('--mutant <name>', `run a program with a seeded fault, or ${ALL}`)
+    .option('--regressions', 'the runs that once found something')
     .parse();
   const options = command.opts<Options>();
-  const run = options.mutant === undefined ? runSeeds : runMutants;
   process.exitCode = (await run(options)) ? 0 : 1;
 }
 
+function run(options: Options): Promise<boolean> {
+  if (options.regressions === true) return runRegressions();
+  if (options.mutant !== undefined) return runMutants(options);
+  return runSeeds(options);
+}
+
 await main();
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -8,11 +8,14 @@
   readonly check: string;
   /** The faults under which it shows; all when absent. */
   readonly kinds?: readonly FaultKind[];
+  /** Mean time between two series of them, where it matters. */
+  readonly seriesEveryMs?: number;
+  readonly faultsForMs?: number;
 }
 
 const STOPS = ['instance_terminate'] as const;
 const CHANGES = ['add_marker', 'withdraw_key'] as const;
-const KILLS_AND_CUTS = ['instance_kill', 'store_way_cut'] as const;
+const KILLS = ['instance_kill'] as const;
 const BROKEN_ENDPOINTS = [
   'endpoint_failing',
   'endpoint_resetting',
@@ -175,7 +178,10 @@
   {
     name: 'seals_again',
     check: 'one_figure',
-    kinds: KILLS_AND_CUTS,
+    // A holder has to report, and its successor to look back to that.
+    kinds: KILLS,
+    seriesEveryMs: 5000,
+    faultsForMs: 40_000,
     edits: [
       {
         module: 'gateway/dist/usage_reporter.js',
@@ -192,22 +198,22 @@
         from: 'Math.max(first, next)',
         to: 'first',
       },
+      {
+        module: 'gateway/dist/usage_reporter.js',
+        from: 'const key = sealKey(window);\n        const fence',
+        to: "total.set('shop-1', Math.random());\n        const key = sealKey(window);\n        const fence",
+      },
     ],
   },
   {
-    name: 'acts_without_a_lease',
+    name: 'holds_a_lease_of_its_own',
     check: 'one_holder',
     kinds: CHANGES,
     edits: [
       {
-        module: 'gateway/dist/duty_term.js',
-        from: 'get token() {',
-        to: 'get token() { return 1;',
-      },
-      {
-        module: 'gateway/dist/duty_term.js',
-        from: 'mayStillSend: () =>',
-        to: 'mayStillSend: () => true ||',
+        module: 'gateway/dist/duties.js',
+        from: 'name: DUTIES_LEASE,',
+        to: 'name: DUTIES_LEASE + settings.instance,',
       },
     ],
   },
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -21,6 +21,8 @@
   readonly engines?: number;
   /** (4) */
   readonly services?: number;
+  /** Data centres, at most three; instances in one relay to each other (3). */
+  readonly dataCentres?: number;
   /** (60) */
   readonly requestsPerS?: number;
   /** Mean time between two series of faults (1,800 ms). */
@@ -44,6 +46,7 @@
 const DEFAULT_INSTANCES = 6;
 const DEFAULT_ENGINES = 6;
 const DEFAULT_SERVICES = 4;
+const DEFAULT_DATA_CENTRES = 3;
 const DEFAULT_REQUESTS_PER_S = 60;
 const CALLERS_PER_REQUEST_A_SECOND = 1;
 /** After the last fault: the settling and a while to see it served. */
@@ -63,6 +66,7 @@
     instances: options.instances ?? DEFAULT_INSTANCES,
     engines: options.engines ?? DEFAULT_ENGINES,
     services: options.services ?? DEFAULT_SERVICES,
+    dataCentres: options.dataCentres ?? DEFAULT_DATA_CENTRES,
   });
   const {history, nowMs, instances, operator} = world;
   try {
