Learn how long a connection takes; one request at a time tries a cut data centre

After each pause all requests that came within the timeout tried the way again.

Ruled out: the list of endpoints (they were there and sound, behind the cut).

Change: the timeout is learnt from handshakes as TCP learns its own (RFC 6298), between 100 and 350 ms; after a pause one request tries the data centre while the others go elsewhere; a request that found no way into a data centre goes to another next.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -38,7 +38,7 @@
 
   constructor(private readonly options: AttemptOptions) {
     const {context, request, writer, placed} = options;
-    const {protocol, nowMs, connectTimeoutMs} = context;
+    const {protocol, nowMs, connectPatience} = context;
     const timeLeftMs = Math.max(1, Math.floor(request.endsAtMs - nowMs()));
     this.call = new EndpointCall({
       address: placed.endpoint.address,
@@ -54,7 +54,8 @@
         bodyBytes: request.body?.length,
       }),
       body: request.body,
-      connectTimeoutMs: Math.min(connectTimeoutMs, timeLeftMs),
+      connectTimeoutMs: Math.min(connectPatience.timeoutMs, timeLeftMs),
+      onConnected: tookMs => connectPatience.note(tookMs),
     });
     const limits = limitsOnSilence(request.admission.route, timeLeftMs);
     this.silence = new SilenceWatch(limits, () => this.leaveSilent());
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -18,6 +18,8 @@
   readonly headers: string[];
   readonly body: Buffer | undefined;
   readonly connectTimeoutMs: number;
+  /** The connection stood after so long. */
+  readonly onConnected?: (tookMs: number) => void;
 }
 
 /**
@@ -85,6 +87,7 @@
 
   private async run(): Promise<CallHead> {
     const [host, port] = splitAddress(this.options.address);
+    const startedAtMs = performance.now();
     const connection = await FreshConnection.open({
       host,
       port,
@@ -95,6 +98,7 @@
       const reason = connection.timedOut ? 'connect_timeout' : 'unreachable';
       return this.failed(reason, connection.reason);
     }
+    this.options.onConnected?.(performance.now() - startedAtMs);
     this.connection = connection;
     this.closedWell = watchEnd(connection.createConnection());
     if (this.cancellation.signal.aborted) return this.failed('broken', '');
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -8,7 +8,7 @@
 import {workOf} from '@snipestage/routing/prompt.js';
 import type {Placed} from '@snipestage/routing/placement.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
-import type {EndpointId} from '@snipestage/types/ids.js';
+import type {DataCentreId, EndpointId} from '@snipestage/types/ids.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
 import {Attempt} from './attempt.js';
@@ -22,6 +22,7 @@
 /** Owns the attempts of one request; at most one is under way. */
 export class Exchange {
   private readonly excluded = new Set<EndpointId>();
+  private readonly avoided = new Set<DataCentreId>();
   private verdict: Verdict = 'not_run';
   private runs = 0;
   private offers = 0;
@@ -112,6 +113,7 @@
       prompt: this.request.caller.prompt,
       dataCentre,
       excluded: this.excluded,
+      avoided: this.avoided,
       nowMs: atMs,
     });
   }
@@ -149,6 +151,7 @@
       state.monitor.estimateLoad(endpoint.id, nowMs()),
     );
     state.monitor.begin(endpoint.id, work);
+    state.reach.noteTrial(endpoint.dataCentre, nowMs());
     const startedAtMs = nowMs();
     let result: AttemptResult;
     try {
@@ -239,6 +242,7 @@
     const {reach} = this.context.state;
     if (result.kind === 'failed' && result.reason === 'connect_timeout') {
       reach.noteUnreached(endpoint.dataCentre, endpoint.id, nowMs);
+      this.avoided.add(endpoint.dataCentre);
     } else if (result.kind === 'answered') {
       reach.noteReached(endpoint.dataCentre);
     }
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -1,6 +1,7 @@
 /** What a request's handling goes by, and how one attempt of it ended. */
 
 import type {Logger} from '@snipestage/log/logger.js';
+import type {ConnectPatience} from '@snipestage/routing/connect_patience.js';
 import type {EndpointSign} from '@snipestage/routing/endpoint_monitor.js';
 import type {DataCentreId, Fingerprint} from '@snipestage/types/ids.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
@@ -23,7 +24,7 @@
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   readonly nowMs: () => number;
-  readonly connectTimeoutMs: number;
+  readonly connectPatience: ConnectPatience;
   /** A request of the account began to run at this time of our clock. */
   readonly onBegun: (admission: Admission, atMs: number) => void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
   AgreedClock,
   type StoreClockReading,
 } from '@snipestage/routing/agreed_clock.js';
+import {ConnectPatience} from '@snipestage/routing/connect_patience.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
 import type {FencingToken} from '@snipestage/types/ids.js';
 import {CallersServer} from './callers_server.js';
@@ -39,8 +40,6 @@
   readonly metrics: GatewayMetrics;
 }
 
-/** No handshake on these links takes this long unless its packet was lost. */
-const CONNECT_TIMEOUT_MS = 350;
 /** The balancer asks each second and acts on the second miss. */
 const BALANCER_LAG_MS = 2200;
 const DRAIN_CHECK_EVERY_MS = 100;
@@ -218,7 +217,7 @@
       logger: logger.forComponent('callers'),
       metrics,
       nowMs,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      connectPatience: new ConnectPatience(),
       onBegun: ({clientAccount}, atMs) => {
         if (clientAccount === undefined) return;
         this.duties.countUsage(clientAccount, atMs);
--- a/packages/gateway/src/test_support/test_door.ts
+++ b/packages/gateway/src/test_support/test_door.ts
@@ -11,6 +11,7 @@
   type InstanceId,
   type ServiceId,
 } from '@snipestage/types/ids.js';
+import {ConnectPatience} from '@snipestage/routing/connect_patience.js';
 import type {Route, RouteId} from '@snipestage/routing/route.js';
 import {RouteTable} from '@snipestage/routing/route_table.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
@@ -228,7 +229,7 @@
       logger,
       metrics: new GatewayMetrics(),
       nowMs: () => performance.now(),
-      connectTimeoutMs: 1000,
+      connectPatience: new ConnectPatience({maxMs: 1000}),
       onBegun: admission => this.begun.push(admission),
       isDraining: () => this.isDraining,
     });
--- /dev/null
+++ b/packages/routing/src/connect_patience.ts
@@ -0,0 +1,57 @@
+/** How long to wait for a connection before another endpoint is asked. */
+
+/** What a {@link ConnectPatience} is made from; defaults in the brackets. */
+export interface ConnectPatienceOptions {
+  /** (100 ms): well above what a busy process of ours loses on its timers. */
+  readonly minMs?: number;
+  /** (350 ms): also where nothing is known yet. */
+  readonly maxMs?: number;
+}
+
+const DEFAULT_MIN_MS = 100;
+const DEFAULT_MAX_MS = 350;
+/** Weights and factor of RFC 6298, section 2, for retransmission timers. */
+const MEAN_WEIGHT = 1 / 8;
+const DEVIATION_WEIGHT = 1 / 4;
+const DEVIATIONS = 4;
+
+/**
+ * Learns how long handshakes take, as TCP learns its retransmission timeout. On
+ * links of some milliseconds a handshake that takes a tenth of a second has lost
+ * a packet, which is sent again after a second; a request that has to begin
+ * within 300 ms can still do so elsewhere. A slow machine sees slow handshakes
+ * and waits longer.
+ */
+export class ConnectPatience {
+  private meanMs: number | undefined;
+  private deviationMs = 0;
+  private readonly minMs: number;
+  private readonly maxMs: number;
+
+  constructor(options: ConnectPatienceOptions = {}) {
+    this.minMs = options.minMs ?? DEFAULT_MIN_MS;
+    this.maxMs = options.maxMs ?? DEFAULT_MAX_MS;
+  }
+
+  /** A connection stood after so long. */
+  note(tookMs: number): void {
+    if (this.meanMs === undefined) {
+      this.meanMs = tookMs;
+      this.deviationMs = tookMs / 2;
+      return;
+    }
+    const error = tookMs - this.meanMs;
+    this.deviationMs += DEVIATION_WEIGHT * (Math.abs(error) - this.deviationMs);
+    this.meanMs += MEAN_WEIGHT * error;
+  }
+
+  /**
+   * @example
+   * const timer = setTimeout(giveUp, patience.timeoutMs);
+   */
+  get timeoutMs(): number {
+    if (this.meanMs === undefined) return this.maxMs;
+    const learntMs = this.meanMs + DEVIATIONS * this.deviationMs;
+    return Math.min(this.maxMs, Math.max(this.minMs, learntMs));
+  }
+}
--- a/packages/routing/src/data_centre_reach.ts
+++ b/packages/routing/src/data_centre_reach.ts
@@ -15,10 +15,14 @@
 const DEFAULT_AFTER_ENDPOINTS = 2;
 const DEFAULT_PAUSE_MS = 600;
 const DEFAULT_MAX_PAUSE_MS = 2400;
+/** A trial has failed by then: connections are waited for no longer. */
+const TRIAL_MS = 350;
 
 interface Reach {
   readonly unreached: Set<EndpointId>;
   cutUntilMs: number;
+  /** Somebody is finding out whether the way is open again. */
+  trialUntilMs: number;
   nextPauseMs: number;
 }
 
@@ -45,6 +49,16 @@
     this.centres.delete(dataCentre);
   }
 
+  /**
+   * A request is sent there. Where the data centre was held for cut, this one
+   * tries the way for all: others that come before it is known go elsewhere.
+   */
+  noteTrial(dataCentre: DataCentreId, nowMs: number): void {
+    const reach = this.centres.get(dataCentre);
+    if (reach === undefined || !this.isSuspected(reach)) return;
+    reach.trialUntilMs = nowMs + TRIAL_MS;
+  }
+
   /** No connection to an endpoint there. */
   noteUnreached(
     dataCentre: DataCentreId,
@@ -54,12 +68,13 @@
     const reach = this.centres.get(dataCentre) ?? {
       unreached: new Set<EndpointId>(),
       cutUntilMs: 0,
+      trialUntilMs: 0,
       nextPauseMs: this.pauseMs,
     };
     reach.unreached.add(endpoint);
     // Requests that were under way when it was held for cut are no new tries.
     const isNews = nowMs >= reach.cutUntilMs;
-    if (reach.unreached.size >= this.afterEndpoints && isNews) {
+    if (this.isSuspected(reach) && isNews) {
       reach.cutUntilMs = nowMs + reach.nextPauseMs;
       reach.nextPauseMs = Math.min(this.maxPauseMs, 2 * reach.nextPauseMs);
     }
@@ -72,6 +87,11 @@
    */
   isCut(dataCentre: DataCentreId, nowMs: number): boolean {
     const reach = this.centres.get(dataCentre);
-    return reach !== undefined && nowMs < reach.cutUntilMs;
+    if (reach === undefined) return false;
+    return nowMs < Math.max(reach.cutUntilMs, reach.trialUntilMs);
+  }
+
+  private isSuspected({unreached}: Reach): boolean {
+    return unreached.size >= this.afterEndpoints;
   }
 }
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -15,6 +15,8 @@
   readonly dataCentre: DataCentreId;
   /** Asked already for this request. */
   readonly excluded: ReadonlySet<EndpointId>;
+  /** Data centres into which this request has found no way. */
+  readonly avoided: ReadonlySet<DataCentreId>;
   readonly nowMs: number;
 }
 
@@ -52,12 +54,14 @@
   request: PlacementRequest,
   {monitor, reach}: PlacementBeliefs,
 ): readonly ServingEndpoint[] {
-  const {excluded, nowMs} = request;
+  const {excluded, avoided, nowMs} = request;
   const untried = candidates.filter(({id}) => !excluded.has(id));
   const up = untried.filter(
     ({id, dataCentre}) =>
       !monitor.isDown(id, nowMs) && !reach.isCut(dataCentre, nowMs),
   );
+  const open = up.filter(({dataCentre}) => !avoided.has(dataCentre));
+  if (open.length > 0) return open;
   return up.length > 0 ? up : untried;
 }
 
