Spread both sides of the split over the data centres

Cause: the engines were split by rank alone, whatever their data centre. When one is lost, engines change sides and have none of the prompts in their caches that they get from then on: 0.66 of 10 on average (200 namings of 15 engines), and some namings had one side nearly whole in one data centre.

Change: each data centre's engines are spread evenly over the common order; 0.35 of 10 change sides.

--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -1,7 +1,7 @@
 /** Placement of prompts on model engines. */
 
 import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
-import type {EndpointId} from '@snipestage/types/ids.js';
+import type {DataCentreId, EndpointId} from '@snipestage/types/ids.js';
 import type {DemandSource, RouteDemand} from './demand_meter.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
 import {
@@ -101,10 +101,7 @@
     }
     const share = shareOfWork(demands, shortRoutes);
     const shortCount = splitCount(usable.length, share);
-    const byId = new Map(usable.map(endpoint => [endpoint.id, endpoint]));
-    const ordered = rankByRendezvous(PARTITION_KEY, byId.keys()).map(id =>
-      byId.get(id)!,
-    );
+    const ordered = orderForSplit(usable);
     return shortRoutes.has(request.route.id)
       ? ordered.slice(0, shortCount)
       : ordered.slice(shortCount);
@@ -186,6 +183,35 @@
   return new Set(short.map(({route}) => route));
 }
 
+/**
+ * An order that all instances share, with each data centre's engines spread
+ * evenly over it. When a data centre is lost, both sides lose the same share of
+ * their engines and hardly any engine changes sides: one that does has none of
+ * the prompts that it gets from then on in its cache.
+ *
+ * @example
+ * const shortSide = orderForSplit(engines).slice(0, 3);
+ */
+export function orderForSplit(
+  engines: readonly ServingEndpoint[],
+): readonly ServingEndpoint[] {
+  const byId = new Map(engines.map(engine => [engine.id, engine]));
+  const sizes = new Map<DataCentreId, number>();
+  for (const {dataCentre} of engines) {
+    sizes.set(dataCentre, (sizes.get(dataCentre) ?? 0) + 1);
+  }
+  const seen = new Map<DataCentreId, number>();
+  const placed = rankByRendezvous(PARTITION_KEY, byId.keys()).map(id => {
+    const engine = byId.get(id)!;
+    const before = seen.get(engine.dataCentre) ?? 0;
+    seen.set(engine.dataCentre, before + 1);
+    return {engine, place: (before + 0.5) / sizes.get(engine.dataCentre)!};
+  });
+  // The sort is stable: equal places stay in the order of their ranks.
+  placed.sort((left, right) => left.place - right.place);
+  return placed.map(({engine}) => engine);
+}
+
 function shareOfWork(
   demands: readonly RouteDemand[],
   routes: ReadonlySet<RouteId>,
