--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -18,6 +18,7 @@
 import {ClockKeeper} from './clock_keeper.js';
 import {DutyTerm} from './duty_term.js';
 import type {GatewaySettings} from './gateway_settings.js';
+import type {Relays} from './relay/relays.js';
 import type {RoutingState} from './routing_state.js';
 import type {SharedFacts} from './shared_facts.js';
 import {UsageReporter} from './usage_reporter.js';
@@ -31,6 +32,7 @@
   readonly state: RoutingState;
   readonly clock: AgreedClock;
   readonly facts: SharedFacts;
+  readonly relays: Pick<Relays, 'write'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** Only a ready instance stands for the lease. */
@@ -87,6 +89,7 @@
       writeEveryMs: () => this.usageWriteEveryMs,
       nowMs,
       logger,
+      writeTogether: (key, value) => options.relays.write(key, value),
       readDemands: () => state.readDemands(nowMs()),
     });
     this.reporter = new UsageReporter({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -76,6 +76,16 @@
       nowMs,
       publish: reported => void facts.tellCrashes(reported),
     });
+    this.relays = new Relays({
+      instance: settings.instance,
+      dataCentre: settings.dataCentre,
+      ...settings.relays,
+      inForceWithinMs: settings.changes.inForceWithinMs,
+      platform,
+      logger: logger.forComponent('relay'),
+      nowMs,
+      countInstances: () => this.state.instances,
+    });
     this.duties = new Duties({
       settings,
       incarnation: this.incarnation,
@@ -83,6 +93,7 @@
       state: this.state,
       clock: this.clock,
       facts,
+      relays: this.relays,
       logger,
       nowMs,
       isReady: () => this.isReady,
@@ -93,16 +104,6 @@
       handler: this.handler,
       logger: logger.forComponent('callers'),
     });
-    this.relays = new Relays({
-      instance: settings.instance,
-      dataCentre: settings.dataCentre,
-      ...settings.relays,
-      inForceWithinMs: settings.changes.inForceWithinMs,
-      platform,
-      logger: logger.forComponent('relay'),
-      nowMs,
-      countInstances: () => this.state.instances,
-    });
     this.follower = new StateFollower({
       relays: this.relays,
       tables: options.tables,
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -2,6 +2,8 @@
 
 import type {
   MethodDefinition,
+  sendUnaryData,
+  ServerUnaryCall,
   ServerWritableStream,
   ServiceDefinition,
 } from '@grpc/grpc-js';
@@ -35,11 +37,25 @@
   readonly data?: string;
 }
 
+/** Asks the relay to write a row to the store together with those of others. */
+export interface WriteRequest {
+  readonly key: string;
+  readonly value: unknown;
+}
+
+/** Whether the store has the row. */
+export interface WriteAnswer {
+  readonly isWritten: boolean;
+}
+
+export type WriteCall = ServerUnaryCall<WriteRequest, WriteAnswer>;
+export type WriteReply = sendUnaryData<WriteAnswer>;
 export type FollowCall = ServerWritableStream<FollowRequest, RelayUpdate>;
 
 /** A service whose messages are JSON: its rows are such already. */
 export const RELAY_SERVICE: ServiceDefinition<{
   follow: MethodDefinition<FollowRequest, RelayUpdate>;
+  write: MethodDefinition<WriteRequest, WriteAnswer>;
 }> = {
   follow: {
     path: '/snipestage.Relay/Follow',
@@ -50,6 +66,15 @@
     responseSerialize: serialize,
     responseDeserialize: deserialize<RelayUpdate>,
   },
+  write: {
+    path: '/snipestage.Relay/Write',
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: serialize,
+    requestDeserialize: deserialize<WriteRequest>,
+    responseSerialize: serialize,
+    responseDeserialize: deserialize<WriteAnswer>,
+  },
 };
 
 export function toRelayedRow({key, version, data}: FollowedRow): RelayedRow {
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -8,14 +8,18 @@
   toRelayedRow,
   type FollowCall,
   type RelayedTableName,
+  type WriteCall,
+  type WriteReply,
 } from './relay_messages.js';
 import type {TableCopy} from './table_copy.js';
+import type {WriteGatherer} from './write_gatherer.js';
 
 /** What a {@link RelayServer} is made from. */
 export interface RelayServerOptions {
   /** `<IP number>:<port>` */
   readonly address: string;
   readonly copies: Readonly<Record<RelayedTableName, TableCopy>>;
+  readonly writes: WriteGatherer;
   readonly logger: Logger;
 }
 
@@ -35,6 +39,9 @@
   constructor(private readonly options: RelayServerOptions) {
     this.server.addService(RELAY_SERVICE, {
       follow: (call: FollowCall) => this.accept(call),
+      write: (call: WriteCall, reply: WriteReply) => {
+        void this.write(call, reply);
+      },
     });
   }
 
@@ -69,6 +76,12 @@
     for (const follower of this.followers) this.tell(follower, table);
   }
 
+  private async write(call: WriteCall, reply: WriteReply): Promise<void> {
+    const isWanted = () => !call.cancelled;
+    const isWritten = await this.options.writes.add(call.request, isWanted);
+    reply(null, {isWritten});
+  }
+
   private accept(call: FollowCall): void {
     const {instance, known} = call.request;
     const told = new Map(RELAYED_TABLES.map(table => [table, known[table]]));
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -1,10 +1,12 @@
 import net, {type AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {brandAs, type InstanceId} from '@snipestage/types/ids.js';
+import {MemoryPlatform} from '../test_support/memory_platform.js';
 import {NoOutput} from '../test_support/no_output.js';
 import {RelayClient} from './relay_client.js';
 import {RelayServer} from './relay_server.js';
 import {TableCopy, type TableChanges} from './table_copy.js';
+import {WriteGatherer} from './write_gatherer.js';
 
 async function freePort(): Promise<number> {
   const server = net.createServer().listen(0, '127.0.0.1');
@@ -23,7 +25,9 @@
   };
   copies.endpoints.replace([], 3);
   const {logger} = new NoOutput();
-  const server = new RelayServer({address, copies, logger});
+  const platform = new MemoryPlatform();
+  const writes = new WriteGatherer(platform);
+  const server = new RelayServer({address, copies, writes, logger});
   await server.start();
   t.teardown(() => server.stop());
   const told: TableChanges[] = [];
@@ -36,10 +40,10 @@
     },
     silentAfterMs,
     onChanges: (_table, changes) => told.push(changes),
-    onEnd: reason => ends.push(reason),
+    onEnd: ({reason}) => ends.push(reason),
   });
   t.teardown(() => client.close());
-  return {server, copies, told, ends, client};
+  return {server, copies, told, ends, client, platform};
 }
 
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -87,3 +91,12 @@
   await waitUntil(() => ends.length > 0);
   t.deepEqual(ends, ['silent']);
 });
+
+test('a relay writes for its follower, and the follower knows whether it has', async t => {
+  const {client, server, platform} = await startPair(t, 20_000);
+  const row = {key: 'usage/1/follower', value: {counts: {shop: 3}}};
+  t.true(await client.write(row));
+  t.deepEqual(platform.rows.get(row.key)?.value, row.value);
+  server.stop();
+  t.false(await client.write({...row, key: 'usage/2/follower'}));
+});
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -9,13 +9,14 @@
 } from '@snipestage/routing/relay_roster.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 import type {FollowedTable, FollowPace} from '../table_follower.js';
-import type {RelayClient} from './relay_client.js';
+import type {RelayClient, RelayEnd} from './relay_client.js';
 import {RELAYED_TABLES, type RelayedTableName} from './relay_messages.js';
 import type {RelayServer} from './relay_server.js';
 import {RelayedFeed} from './relayed_feed.js';
 import {RelayedTable} from './relayed_table.js';
 import {seatKey, type SeatValue} from './seat_rows.js';
 import {TableCopy} from './table_copy.js';
+import {WriteGatherer} from './write_gatherer.js';
 
 /** What {@link Relays} are made from. */
 export interface RelaysOptions {
@@ -46,6 +47,12 @@
 const FRESH_SHARE = 0.6;
 /** Facts are polled for eight seconds at a time. */
 const FACTS_FRESH_FOR_MS = 10_000;
+/**
+ * A stream over which nothing has come for so long is given up. Until then the
+ * store is asked instead; a relay that had no followers answers its own poll of
+ * some seconds first.
+ */
+const SILENT_AFTER_MS = 10_000;
 const TICK_MS = 500;
 
 /** Owns the roster and whatever socket the part in it needs. */
@@ -53,13 +60,16 @@
   private readonly roster: RelayRoster;
   private readonly copies: Record<RelayedTableName, TableCopy>;
   private readonly feeds: Record<RelayedTableName, RelayedFeed>;
+  private readonly writes: WriteGatherer;
   private server: RelayServer | undefined;
   private client: RelayClient | undefined;
   private timer: NodeJS.Timeout | undefined;
   private isBusy = false;
+  private isStopping = false;
 
   constructor(private readonly options: RelaysOptions) {
     this.roster = new RelayRoster(options);
+    this.writes = new WriteGatherer(options.platform);
     const freshForMs = options.inForceWithinMs * FRESH_SHARE;
     this.copies = perTable(() => new TableCopy());
     this.feeds = perTable(
@@ -75,6 +85,7 @@
 
   /** Leaves the seat to others and closes what is open. */
   async stop(): Promise<void> {
+    this.isStopping = true;
     clearInterval(this.timer);
     this.client?.close();
     this.stopServing();
@@ -113,6 +124,18 @@
     this.server?.confirm(name);
   }
 
+  /**
+   * Writes a row together with those of others, where that saves a call.
+   *
+   * @returns whether the store has it; if not, write it in another way.
+   */
+  async write(key: string, value: unknown): Promise<boolean> {
+    if (this.server !== undefined) {
+      return this.writes.add({key, value}, () => true);
+    }
+    return (await this.client?.write({key, value})) ?? false;
+  }
+
   learnSeat(seat: RelaySeat): void {
     this.roster.learn(seat);
   }
@@ -152,13 +175,18 @@
   private async serve(): Promise<boolean> {
     const {address, logger} = this.options;
     if (this.server !== undefined) return true;
-    if (address === undefined) return false;
+    if (address === undefined || this.isStopping) return false;
     this.client?.close();
     // Loaded where it is used: every start would pay for it.
     const {RelayServer} = await import('./relay_server.js');
-    const server = new RelayServer({address, copies: this.copies, logger});
+    const {copies, writes} = this;
+    const server = new RelayServer({address, copies, writes, logger});
     try {
       await server.start();
+      if (this.isStopping) {
+        server.stop();
+        return false;
+      }
     } catch (error) {
       logger.error('relay_not_started', {address, error: String(error)});
       return false;
@@ -196,8 +224,9 @@
   }
 
   private async follow(relay: RelayHolder): Promise<void> {
-    const {instance, logger, inForceWithinMs, nowMs} = this.options;
+    const {instance, logger, nowMs} = this.options;
     const {RelayClient} = await import('./relay_client.js');
+    if (this.isStopping) return;
     const known = (name: RelayedTableName) => this.copies[name].version ?? 0;
     const client = new RelayClient({
       address: relay.address,
@@ -209,18 +238,21 @@
           shared: known('shared'),
         },
       },
-      silentAfterMs: inForceWithinMs * FRESH_SHARE,
+      silentAfterMs: SILENT_AFTER_MS,
       onChanges: (table, changes) => this.feeds[table].take(changes, nowMs()),
-      onEnd: reason => {
-        logger.warn('relay_lost', {relay: relay.instance, reason});
-        this.roster.noteFailed(relay.instance, nowMs());
-        for (const feed of Object.values(this.feeds)) feed.close();
-        this.client = undefined;
-      },
+      onEnd: reason => this.loseRelay(relay, reason),
     });
     this.client = client;
     logger.info('relay_followed', {relay: relay.instance});
   }
+
+  private loseRelay({instance}: RelayHolder, reason: RelayEnd): void {
+    const {logger, nowMs} = this.options;
+    logger.warn('relay_lost', {relay: instance, ...reason});
+    if (!reason.isOwn) this.roster.noteFailed(instance, nowMs());
+    for (const feed of Object.values(this.feeds)) feed.close();
+    this.client = undefined;
+  }
 }
 
 function perTable<Item>(
--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -22,6 +22,8 @@
   readonly writeEveryMs: () => number;
   readonly nowMs: () => number;
   readonly logger: Logger;
+  /** Writes a row with those of others; false: it has to be written alone. */
+  readonly writeTogether?: (key: string, value: unknown) => Promise<boolean>;
   /** What this instance sees of each service's routes. */
   readonly readDemands: () => CountsValue['demands'];
 }
@@ -118,15 +120,10 @@
     const written = this.written.get(window);
     if (written?.total === total && written.isFinal) return true;
     const key = countsKey(window, writer);
-    const result = await platform.transact({
-      checks: [],
-      writes: [
-        {
-          key,
-          value: toCountsValue(counts, isFinal, this.options.readDemands()),
-        },
-      ],
-    });
+    const value = toCountsValue(counts, isFinal, this.options.readDemands());
+    const result = (await this.writeTogether(key, value))
+      ? ({kind: 'committed'} as const)
+      : await platform.transact({checks: [], writes: [{key, value}]});
     if (result.kind === 'committed') {
       this.written.set(window, {total, isFinal, atMs: nowMs()});
       return true;
@@ -140,6 +137,18 @@
     return false;
   }
 
+  /**
+   * Only what stays as it is: a row that was given to another instance may be
+   * written later than a newer one.
+   */
+  private async writeTogether(
+    key: string,
+    value: CountsValue,
+  ): Promise<boolean> {
+    if (!value.isFinal || this.isStopping) return false;
+    return (await this.options.writeTogether?.(key, value)) ?? false;
+  }
+
   private forget(): void {
     const {windows} = this.options;
     const current = this.currentWindow();
