--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -1,5 +1,4 @@
 import http from 'node:http';
-import net, {type AddressInfo} from 'node:net';
 import test from 'ava';
 import {BoundedOutput} from '@snipestage/log/bounded_output.js';
 import type {EndpointChange} from '@snipestage/routing/endpoint_directory.js';
@@ -21,6 +20,7 @@
   type TableReading,
 } from './table_follower.js';
 import {MemoryPlatform} from './test_support/memory_platform.js';
+import {freePort} from './test_support/free_port.js';
 import {NoOutput} from './test_support/no_output.js';
 import {PlainProtocol} from './test_support/plain_protocol.js';
 
@@ -92,14 +92,6 @@
   }
 }
 
-async function freePort(): Promise<number> {
-  const server = net.createServer().listen(0, '127.0.0.1');
-  await new Promise(resolve => server.once('listening', resolve));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
-
 async function startGateway() {
   const [callers, readiness] = [await freePort(), await freePort()];
   const configuration = new TestTable('configuration');
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -1,21 +1,13 @@
-import net, {type AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {brandAs, type InstanceId} from '@snipestage/types/ids.js';
 import {MemoryPlatform} from '../test_support/memory_platform.js';
+import {freePort} from '../test_support/free_port.js';
 import {NoOutput} from '../test_support/no_output.js';
 import {RelayClient} from './relay_client.js';
 import {RelayServer} from './relay_server.js';
 import {TableCopy, type TableChanges} from './table_copy.js';
 import {WriteGatherer} from './write_gatherer.js';
 
-async function freePort(): Promise<number> {
-  const server = net.createServer().listen(0, '127.0.0.1');
-  await new Promise(resolve => server.once('listening', resolve));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
-
 async function startPair(t: ExecutionContext, silentAfterMs: number) {
   const address = `127.0.0.1:${await freePort()}`;
   const copies = {
--- a/packages/peer/src/overlay.ts
+++ b/packages/peer/src/overlay.ts
@@ -8,9 +8,10 @@
  * data centres. The cost of an instance does not grow with their number.
  */
 
+import {hashText} from '@snipestage/policy/rendezvous.js';
 import type {InstanceId} from '@snipestage/types/ids.js';
 import type {Member} from '@snipestage/types/member.js';
-import {hash32, rankMembers} from './rendezvous.js';
+import {rankMembers} from './rendezvous.js';
 
 const RINGS_PER_DATA_CENTRE = 2;
 const DELEGATES_PER_DATA_CENTRE = 3;
@@ -54,7 +55,7 @@
 /** The first delegate of each data centre, then each second, and so on. */
 function orderDelegates(members: readonly Member[]): Member[] {
   const dataCentres = [...new Set(members.map(member => member.dataCentre))];
-  dataCentres.sort((a, b) => hash32(a) - hash32(b));
+  dataCentres.sort((a, b) => hashText(a) - hashText(b));
   const ranked = dataCentres.map(dataCentre =>
     rankMembers(
       'delegate',
--- a/packages/soak/src/test_support/small_history.ts
+++ b/packages/soak/src/test_support/small_history.ts
@@ -1,27 +1,16 @@
 /** A history with one request, to be bent by tests. */
 
 import type {Run} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
-import type {Bounds} from '@snipestage/platform_stand_ins/settings_text.js';
 import {
   brandAs,
   type ClientAccountId,
   type InstanceId,
   type ServiceId,
 } from '@snipestage/types/ids.js';
+import {BOUNDS} from '../bounds.js';
 import {History, type SentRequest} from '../history.js';
 
 export const INSTANCE = brandAs<InstanceId>('akl-a-1');
-const BOUNDS: Bounds = {
-  contactMs: 3000,
-  configurationMs: 2000,
-  drainMs: 2000,
-  graceMs: 8000,
-  lossSlackMs: 200,
-  leaseMs: 3000,
-  usageWindowMs: 5000,
-  usageDelayMs: 10_000,
-};
-
 /** A request that was sent at 10 s and answered, as far as nothing else is said. */
 export function makeRequest(changes: Partial<SentRequest> = {}): SentRequest {
   return {
--- a/packages/soak/src/world/world.ts
+++ b/packages/soak/src/world/world.ts
@@ -2,7 +2,6 @@
 
 import {randomLcg} from 'd3-random';
 import {ProviderStandIn} from '@snipestage/platform_stand_ins/provider_stand_in.js';
-import type {Bounds} from '@snipestage/platform_stand_ins/settings_text.js';
 import {StoreStandIn} from '@snipestage/platform_stand_ins/store_stand_in.js';
 import {pickFreePorts} from '@snipestage/stand_ins/launch/free_ports.js';
 import {Link} from '@snipestage/stand_ins/link/link.js';
@@ -11,6 +10,7 @@
   type DataCentreId,
   type InstanceId,
 } from '@snipestage/types/ids.js';
+import {BOUNDS} from '../bounds.js';
 import {History} from '../history.js';
 import {Endpoint} from './endpoint.js';
 import {Instance} from './instance.js';
@@ -27,18 +27,6 @@
   readonly dataCentres: number;
 }
 
-/** Figures like those of the smaller deployments. */
-export const BOUNDS: Bounds = {
-  contactMs: 3000,
-  configurationMs: 2000,
-  drainMs: 2000,
-  graceMs: 8000,
-  lossSlackMs: 200,
-  leaseMs: 3000,
-  usageWindowMs: 5000,
-  usageDelayMs: 10_000,
-};
-
 const DATA_CENTRES = ['akl-a', 'akl-b', 'akl-c'].map(name =>
   brandAs<DataCentreId>(name),
 );
