A relay's word counts from the ping that it brings back

Supposed from the code, not seen in a log: a hundred followers and thousands of rows fill a relay's link (8 MB/s at the busiest instance); updates wait there for seconds, and each was taken for the state of the store at its arrival, so that the follower did not ask the store.

Change: followers ping their relay, an update brings back the last ping that had arrived before it was made, and its word counts from when that ping left. A follower that has not read 64 KB yet is told no more until it has.

--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -4,12 +4,13 @@
   credentials,
   makeGenericClientConstructor,
   type Client,
-  type ClientReadableStream,
+  type ClientDuplexStream,
   type ServiceError,
 } from '@grpc/grpc-js';
 import {
   fromRelayedRow,
   RELAY_SERVICE,
+  type FollowerMessage,
   type FollowRequest,
   type RelayedTableName,
   type RelayUpdate,
@@ -30,15 +31,27 @@
   /** `<IP number>:<port>` */
   readonly address: string;
   readonly request: FollowRequest;
-  readonly onChanges: (table: RelayedTableName, changes: TableChanges) => void;
+  /** Changes that show the store as it was at this time, or later. */
+  readonly onChanges: (
+    table: RelayedTableName,
+    changes: TableChanges,
+    asOfMs: number,
+  ) => void;
+  readonly pingEveryMs: number;
+  readonly nowMs: () => number;
   /** Called once. */
   readonly onEnd: (end: RelayEnd) => void;
   /** Ends the stream when nothing has come for so long. */
   readonly silentAfterMs: number;
 }
 
+interface SentPing {
+  readonly number: number;
+  readonly atMs: number;
+}
+
 interface FollowClient extends Client {
-  follow(request: FollowRequest): ClientReadableStream<RelayUpdate>;
+  follow(): ClientDuplexStream<FollowerMessage, RelayUpdate>;
   write(
     request: WriteRequest,
     options: {deadline: number},
@@ -53,7 +66,10 @@
 /** A new one for each stream. */
 export class RelayClient {
   private readonly client: FollowClient;
-  private readonly stream: ClientReadableStream<RelayUpdate>;
+  private readonly stream: ClientDuplexStream<FollowerMessage, RelayUpdate>;
+  private readonly pings: SentPing[] = [];
+  private pingCount = 0;
+  private readonly pinging: NodeJS.Timeout;
   private silence: NodeJS.Timeout | undefined;
   private hasEnded = false;
 
@@ -63,7 +79,9 @@
       address,
       credentials.createInsecure(),
     ) as unknown as FollowClient;
-    this.stream = this.client.follow(request);
+    this.stream = this.client.follow();
+    this.stream.write(request);
+    this.pinging = setInterval(() => this.ping(), options.pingEveryMs);
     this.stream.on('data', (update: RelayUpdate) => this.take(update));
     this.stream.on('error', error => this.end(error.message));
     this.stream.on('end', () => this.end('ended by the relay'));
@@ -84,14 +102,31 @@
     });
   }
 
-  private take({table, since, version, rows}: RelayUpdate): void {
+  private ping(): void {
+    this.pingCount += 1;
+    const number = this.pingCount;
+    this.pings.push({number, atMs: this.options.nowMs()});
+    this.stream.write({kind: 'ping', number});
+  }
+
+  private take({ping, table, since, version, rows}: RelayUpdate): void {
     if (this.hasEnded) return;
     this.watchSilence();
-    this.options.onChanges(table, {
-      since,
-      version,
-      rows: rows.map(fromRelayedRow),
-    });
+    const changes = {since, version, rows: rows.map(fromRelayedRow)};
+    this.options.onChanges(table, changes, this.sentAt(ping));
+  }
+
+  /**
+   * When a ping left. An update may have waited for seconds behind others; it
+   * shows the store as it was after the ping that it brings back, and nothing
+   * newer can be concluded from its arrival.
+   */
+  private sentAt(number: number): number {
+    while (this.pings.length > 0 && this.pings[0].number < number) {
+      this.pings.shift();
+    }
+    const isKnown = this.pings[0]?.number === number;
+    return isKnown ? this.pings[0].atMs : Number.NEGATIVE_INFINITY;
   }
 
   /** A stream may go silent for good without an error. */
@@ -105,6 +140,7 @@
     if (this.hasEnded) return;
     this.hasEnded = true;
     clearTimeout(this.silence);
+    clearInterval(this.pinging);
     this.stream.cancel();
     this.client.close();
     this.options.onEnd({reason, isOwn});
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -4,7 +4,7 @@
   MethodDefinition,
   sendUnaryData,
   ServerUnaryCall,
-  ServerWritableStream,
+  ServerDuplexStream,
   ServiceDefinition,
 } from '@grpc/grpc-js';
 import type {InstanceId} from '@snipestage/types/ids.js';
@@ -14,15 +14,27 @@
 export const RELAYED_TABLES = ['configuration', 'endpoints', 'shared'] as const;
 export type RelayedTableName = (typeof RELAYED_TABLES)[number];
 
-/** Asks for all changes from now on. */
+/** Asks for all changes from now on; the first message of a follower. */
 export interface FollowRequest {
+  readonly kind: 'follow';
   readonly instance: InstanceId;
   /** Versions that are known; 0 where the table was not read yet. */
   readonly known: Readonly<Record<RelayedTableName, number>>;
 }
 
+/** Comes back with the updates that were made after it had arrived. */
+export interface Ping {
+  readonly kind: 'ping';
+  /** Counts from 1. */
+  readonly number: number;
+}
+
+export type FollowerMessage = FollowRequest | Ping;
+
 /** Changes of one table, or the word that there were none. */
 export interface RelayUpdate {
+  /** The last ping that had arrived before it was made; 0: none. */
+  readonly ping: number;
   readonly table: RelayedTableName;
   readonly since: number;
   readonly version: number;
@@ -50,19 +62,19 @@
 
 export type WriteCall = ServerUnaryCall<WriteRequest, WriteAnswer>;
 export type WriteReply = sendUnaryData<WriteAnswer>;
-export type FollowCall = ServerWritableStream<FollowRequest, RelayUpdate>;
+export type FollowCall = ServerDuplexStream<FollowerMessage, RelayUpdate>;
 
 /** A service whose messages are JSON: its rows are such already. */
 export const RELAY_SERVICE: ServiceDefinition<{
-  follow: MethodDefinition<FollowRequest, RelayUpdate>;
+  follow: MethodDefinition<FollowerMessage, RelayUpdate>;
   write: MethodDefinition<WriteRequest, WriteAnswer>;
 }> = {
   follow: {
     path: '/snipestage.Relay/Follow',
-    requestStream: false,
+    requestStream: true,
     responseStream: true,
     requestSerialize: serialize,
-    requestDeserialize: deserialize<FollowRequest>,
+    requestDeserialize: deserialize<FollowerMessage>,
     responseSerialize: serialize,
     responseDeserialize: deserialize<RelayUpdate>,
   },
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -7,6 +7,8 @@
   RELAYED_TABLES,
   toRelayedRow,
   type FollowCall,
+  type FollowerMessage,
+  type FollowRequest,
   type RelayedTableName,
   type WriteCall,
   type WriteReply,
@@ -23,12 +25,17 @@
   readonly logger: Logger;
 }
 
-/** A follower that reads so slowly loses its stream and asks the store. */
-const MOST_BUFFERED_BYTES = 4 * 1024 * 1024;
+/**
+ * A follower for which so much waits is told no more until it has read: what
+ * comes later goes in one update, and it asks the store meanwhile, as its pings
+ * come back late.
+ */
+const MOST_BUFFERED_BYTES = 64 * 1024;
 
 interface Follower {
   readonly call: FollowCall;
   readonly told: Map<RelayedTableName, number>;
+  ping: number;
 }
 
 /** Owns the listening socket and the streams. */
@@ -83,9 +90,17 @@
   }
 
   private accept(call: FollowCall): void {
-    const {instance, known} = call.request;
+    let follower: Follower | undefined;
+    call.on('data', (message: FollowerMessage) => {
+      if (message.kind === 'follow') follower ??= this.add(call, message);
+      else if (follower !== undefined) follower.ping = message.number;
+    });
+    call.on('end', () => call.end());
+  }
+
+  private add(call: FollowCall, {instance, known}: FollowRequest): Follower {
     const told = new Map(RELAYED_TABLES.map(table => [table, known[table]]));
-    const follower = {call, told};
+    const follower = {call, told, ping: 0};
     this.followers.add(follower);
     const end = () => {
       const wasThere = this.followers.delete(follower);
@@ -95,17 +110,16 @@
     call.on('close', end);
     call.on('error', end);
     this.options.logger.info('follower_came', {instance});
+    return follower;
   }
 
   private tell(follower: Follower, table: RelayedTableName): void {
-    const {call, told} = follower;
+    const {call, told, ping} = follower;
     const copy = this.options.copies[table];
-    if (copy.version === undefined) return;
+    const isBehind = call.writableLength > MOST_BUFFERED_BYTES;
+    if (copy.version === undefined || isBehind) return;
     const {since, version, rows} = copy.changesSince(told.get(table) ?? 0);
     told.set(table, version);
-    call.write({table, since, version, rows: rows.map(toRelayedRow)});
-    if (call.writableLength <= MOST_BUFFERED_BYTES) return;
-    this.followers.delete(follower);
-    call.destroy();
+    call.write({ping, table, since, version, rows: rows.map(toRelayedRow)});
   }
 }
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -23,19 +23,26 @@
   await server.start();
   t.teardown(() => server.stop());
   const told: TableChanges[] = [];
+  const times: number[] = [];
   const ends: string[] = [];
   const client = new RelayClient({
     address,
     request: {
+      kind: 'follow',
       instance: brandAs<InstanceId>('follower'),
       known: {configuration: 0, endpoints: 3, shared: 0},
     },
     silentAfterMs,
-    onChanges: (_table, changes) => told.push(changes),
+    pingEveryMs: 10,
+    nowMs: () => performance.now(),
+    onChanges: (_table, changes, asOfMs) => {
+      told.push(changes);
+      times.push(asOfMs);
+    },
     onEnd: ({reason}) => ends.push(reason),
   });
   t.teardown(() => client.close());
-  return {server, copies, told, ends, client, platform};
+  return {server, copies, told, times, ends, client, platform};
 }
 
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -92,3 +99,20 @@
   server.stop();
   t.false(await client.write({...row, key: 'usage/2/follower'}));
 });
+
+test('a word of the relay counts from the ping that it brings back', async t => {
+  // Updates wait for seconds behind others on the relay's link. Were each taken
+  // for the state of the store at its arrival, an endpoint that has long said
+  // that it leaves would go on getting requests.
+  const {server, told, times} = await startPair(t, 20_000);
+  await confirmUntil(server, () => times.some(Number.isFinite));
+  const last = times.at(-1)!;
+  const count = told.length;
+  // The relay makes an update, and nothing is read until much later.
+  server.confirm('endpoints');
+  const madeAtMs = performance.now();
+  while (performance.now() - madeAtMs < 300);
+  await waitUntil(() => told.length > count);
+  t.true(times[count] >= last);
+  t.true(times[count] <= madeAtMs);
+});
--- a/packages/gateway/src/relay/relayed_feed.ts
+++ b/packages/gateway/src/relay/relayed_feed.ts
@@ -27,15 +27,19 @@
     return version >= this.coveredFrom;
   }
 
-  /** The relay's word: changes, or that there were none. */
-  take(changes: TableChanges, nowMs: number): void {
+  /**
+   * The relay's word: changes, or that there were none.
+   *
+   * @param asOfMs the store is shown as it was at this time, or later.
+   */
+  take(changes: TableChanges, asOfMs: number): void {
     if (changes.since > this.version || !this.covers(changes.since)) {
       this.rows = [];
       this.coveredFrom = changes.since;
     }
     this.rows.push(...changes.rows);
     this.version = changes.version;
-    this.confirmedAtMs = nowMs;
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, asOfMs);
     this.wake();
   }
 
--- a/packages/gateway/src/relay/relayed_table.test.ts
+++ b/packages/gateway/src/relay/relayed_table.test.ts
@@ -134,3 +134,13 @@
   t.is(copy.changesSince(2).since, 699);
   t.is(copy.changesSince(650).rows.length, 49);
 });
+
+test('an update that was long under way makes nothing fresh', async t => {
+  const {store, feed, table} = makeTable();
+  feed.take(
+    {since: 5, version: 5, rows: []},
+    performance.now() - 2 * FRESH_FOR_MS,
+  );
+  await table.waitForChanges(5, 10_000);
+  t.deepEqual(store.waits, [10_000]);
+});
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -39,12 +39,14 @@
 /**
  * Shares of the time in which a change has to be in force. A relay's poll lasts
  * at most the first and pauses for at most the second, so that it confirms
- * within their sum. A follower that hears nothing for the third asks the store,
- * and has two fifths of the time left for that.
+ * within their sum; a follower pings it each third. Together they stay below the
+ * fourth, for which a word of the relay holds, counted from the ping that it
+ * brings back; then the follower asks the store, and has the rest for that.
  */
-const RELAY_WAIT_SHARE = 0.35;
+const RELAY_WAIT_SHARE = 0.3;
 const RELAY_GATHER_SHARE = 0.15;
-const FRESH_SHARE = 0.6;
+const PING_SHARE = 0.1;
+const FRESH_SHARE = 0.65;
 /** Facts are polled for eight seconds at a time. */
 const FACTS_FRESH_FOR_MS = 10_000;
 /**
@@ -224,13 +226,14 @@
   }
 
   private async follow(relay: RelayHolder): Promise<void> {
-    const {instance, logger, nowMs} = this.options;
+    const {instance, logger, inForceWithinMs, nowMs} = this.options;
     const {RelayClient} = await import('./relay_client.js');
     if (this.isStopping) return;
     const known = (name: RelayedTableName) => this.copies[name].version ?? 0;
     const client = new RelayClient({
       address: relay.address,
       request: {
+        kind: 'follow',
         instance,
         known: {
           configuration: known('configuration'),
@@ -239,7 +242,10 @@
         },
       },
       silentAfterMs: SILENT_AFTER_MS,
-      onChanges: (table, changes) => this.feeds[table].take(changes, nowMs()),
+      pingEveryMs: inForceWithinMs * PING_SHARE,
+      nowMs,
+      onChanges: (table, changes, asOfMs) =>
+        this.feeds[table].take(changes, asOfMs),
       onEnd: reason => this.loseRelay(relay, reason),
     });
     this.client = client;
