--- a/packages/peer/src/peer_network.ts
+++ b/packages/peer/src/peer_network.ts
@@ -9,9 +9,10 @@
 import type {Member} from '@snipestage/types/member.js';
 import type {ListedInstance} from '@snipestage/types/platform_messages.js';
 import {ActiveClock} from './active_clock.js';
-import {FrameTicker} from './frame_ticker.js';
+import type {Hello} from './frame_codec.js';
 import {FrameCounter} from './frame_counter.js';
-import type {Hello, PeerFrame, Rumour} from './frame_codec.js';
+import {FrameReceiver} from './frame_receiver.js';
+import {FrameSender} from './frame_sender.js';
 import {LinkKeeper} from './link_keeper.js';
 import {MemberDialler} from './member_dialler.js';
 import {Membership} from './membership.js';
@@ -32,13 +33,9 @@
 import {readPeerCredentials} from './peer_credentials.js';
 import type {LinkEnd, PeerLink} from './peer_link.js';
 import {AcceptedLink, PeerListener} from './peer_listener.js';
-import type {PeerIdentity, PeerRecord} from './records.js';
+import type {PeerRecord} from './records.js';
 import {RumourLog} from './rumour_log.js';
 
-/** A stream carries a heartbeat every second beat. */
-const BEATS_PER_HEARTBEAT = 2;
-/** Timers come a little early or late; a heartbeat due so soon goes now. */
-const BEAT_SLACK_MS = 100;
 /** Kinds that may wait for the next tick, to save frames. */
 const PATIENT_KINDS: ReadonlySet<PeerRecord['kind']> = new Set([
   'progress',
@@ -60,7 +57,8 @@
   private readonly clock: ActiveClock;
   private readonly log: LogHandler;
   private readonly counter = new FrameCounter();
-  private readonly ticker: FrameTicker;
+  private readonly sender: FrameSender;
+  private readonly receiver: FrameReceiver;
   private readonly keeper: LinkKeeper;
   private readonly listener: PeerListener;
   private readonly rumours: RumourLog;
@@ -82,11 +80,6 @@
       readMonotonicMs: options.readMonotonicMs,
       longestGapMs: settings.heartbeatMs * 2,
     });
-    this.ticker = new FrameTicker({
-      tickMs: settings.tickMs,
-      readNowMs: () => this.clock.readMs(),
-      onTick: () => this.flush(),
-    });
     const incarnation = options.incarnation ?? createIncarnation();
     this.rumours = new RumourLog(incarnation);
     this.membership = new Membership({
@@ -117,7 +110,7 @@
         sayHello: link => this.sayHello(link),
         onOpened: (contact, hello) => this.noteOpened(contact, hello),
         onFrame: (contact, from, frame) =>
-          this.handleFrame(contact, from, frame),
+          this.receiver.take(contact, from, frame),
         onLost: (contact, reason) => this.noteLost(contact, reason),
         onUnreachable: contact => this.dropOutgoing(contact),
         log: this.log,
@@ -128,6 +121,22 @@
       random,
       heartbeatMs: settings.heartbeatMs,
     });
+    const readNowMs = () => this.clock.readMs();
+    this.sender = new FrameSender({
+      membership: this.membership,
+      keeper: this.keeper,
+      tickMs: settings.tickMs,
+      heartbeatMs: settings.heartbeatMs,
+      readNowMs,
+    });
+    this.receiver = new FrameReceiver({
+      membership: this.membership,
+      handlers: this.handlers,
+      rumours: this.rumours,
+      sender: this.sender,
+      readNowMs,
+      publishChanges: () => this.publishChanges(),
+    });
     this.dialler = new MemberDialler({
       membership: this.membership,
       keeper: this.keeper,
@@ -152,7 +161,7 @@
   /** Tells the others that this instance is about to stop; it goes on. */
   leave(): void {
     this.membership.leave();
-    this.flush();
+    this.sender.flush();
   }
 
   /** Sends what is queued, gives it a tick to leave, and closes everything. */
@@ -160,12 +169,12 @@
     if (this.isStopping) return;
     this.isStopping = true;
     clearInterval(this.beatTimer);
-    this.flush();
+    this.sender.flush();
     // Closing a stream resets it. Frames that are not with the kernel by then
     // would be lost, the last releases among them, and their permits stay in
     // use until the owner misses this instance.
     await sleep(this.settings.tickMs);
-    this.ticker.stop();
+    this.sender.stop();
     this.keeper.close();
     this.listener.close();
   }
@@ -212,7 +221,7 @@
     for (const contact of this.keeper.contacts.values()) {
       contact.owesRevision = contact.isConnected;
     }
-    this.ticker.schedule(true);
+    this.sender.schedule(true);
   }
 
   /**
@@ -226,7 +235,7 @@
     const contact = this.keeper.contactOf(instance);
     if (!contact.queue(record)) return false;
     this.keeper.dial(contact, member.peerAddress);
-    this.ticker.schedule(!PATIENT_KINDS.has(record.kind));
+    this.sender.schedule(!PATIENT_KINDS.has(record.kind));
     return true;
   }
 
@@ -238,8 +247,8 @@
   /** Tells all instances, by way of the neighbours; each hears it once. */
   broadcast(record: PeerRecord): void {
     const rumour = {id: this.rumours.issueId(), record};
-    for (const contact of this.linked()) contact.queueRumour(rumour);
-    this.ticker.schedule(true);
+    for (const contact of this.sender.linked()) contact.queueRumour(rumour);
+    this.sender.schedule(true);
   }
 
   /** What the dump shows. */
@@ -276,7 +285,7 @@
     this.membership.openStream(hello, this.clock.readMs());
     this.publishChanges();
     if (contact.hasOutgoing || this.membership.hasNews(contact.id)) {
-      this.ticker.schedule(true);
+      this.sender.schedule(true);
     }
   }
 
@@ -298,43 +307,6 @@
     this.handlers.tellUndelivered(contact.id, contact.takeRecords());
   }
 
-  private handleFrame(
-    contact: PeerContact,
-    from: PeerIdentity,
-    frame: PeerFrame,
-  ): void {
-    const nowMs = this.clock.readMs();
-    this.membership.hear(from, frame.revision, nowMs);
-    this.membership.merge(frame.members, from.id, nowMs);
-    this.publishChanges();
-    // A life that another one has replaced must not be answered.
-    const member = this.membership.get(from.id);
-    if (member?.incarnation !== from.incarnation) return;
-    this.handlers.tellRevision(frame.revision, from.id);
-    for (const record of frame.records) this.handlers.tellRecord(record, from);
-    this.handleRumours(contact, from, frame.rumours ?? []);
-    const hasNews = [...this.linked()].some(other =>
-      this.membership.hasNews(other.id),
-    );
-    if (hasNews) this.ticker.schedule(true);
-  }
-
-  /** Each rumour is heard here once, and passed on. */
-  private handleRumours(
-    contact: PeerContact,
-    from: PeerIdentity,
-    rumours: readonly Rumour[],
-  ): void {
-    for (const rumour of rumours) {
-      if (!this.rumours.noteSeen(rumour.id)) continue;
-      this.handlers.tellRecord(rumour.record, from);
-      for (const other of this.linked()) {
-        if (other !== contact) other.queueRumour(rumour);
-      }
-      this.ticker.schedule(true);
-    }
-  }
-
   private publishChanges(): void {
     const changes = this.membership.takeChanges();
     if (changes.length === 0) return;
@@ -351,12 +323,6 @@
     this.handlers.tellChanges(changes);
   }
 
-  private *linked(): Generator<PeerContact> {
-    for (const contact of this.keeper.contacts.values()) {
-      if (contact.link?.isWritable) yield contact;
-    }
-  }
-
   /** Once every heartbeat interval. */
   private beat(): void {
     const nowMs = this.clock.readMs();
@@ -374,35 +340,6 @@
     this.dialler.dialWaiting();
     this.dialler.dialSeeds(nowMs);
     this.keeper.forget(id => this.membership.get(id) !== undefined);
-    this.flush(true);
-  }
-
-  /** One frame to each instance for which there is something. */
-  private flush(isBeat = false): void {
-    const nowMs = this.clock.readMs();
-    this.ticker.noteTick(nowMs);
-    const heartbeatMs = this.settings.heartbeatMs * BEATS_PER_HEARTBEAT;
-    let hasMore = false;
-    for (const contact of this.linked()) {
-      const link = contact.link!;
-      const silentMs = nowMs - link.lastSentMs;
-      const isHeartbeat = isBeat && silentMs >= heartbeatMs - BEAT_SLACK_MS;
-      const hasNews = this.membership.hasNews(contact.id);
-      const isOwed = contact.hasOutgoing || contact.owesRevision || hasNews;
-      if (!isHeartbeat && !isOwed) continue;
-      link.send(this.composeFrame(contact, isHeartbeat), nowMs);
-      hasMore ||= this.membership.hasNews(contact.id);
-    }
-    if (hasMore) this.ticker.schedule(true);
-  }
-
-  private composeFrame(contact: PeerContact, isHeartbeat: boolean): PeerFrame {
-    contact.owesRevision = false;
-    return {
-      revision: this.membership.self.revision,
-      members: this.membership.takeUpdates(contact.id, isHeartbeat),
-      records: contact.takeRecords(),
-      rumours: contact.takeRumours(),
-    };
+    this.sender.flush(true);
   }
 }
