Take no new connections once the balancer must have noticed a stop

Ruled out: connections that were open (they close with their answers, resting ones after 2.2 s).

Change: it stops listening 2.2 s after the signal, when the balancer has had its two misses; what is under way goes on.

Test: gateway.test.ts, 'takes no new connections', fails before (answered) and passes after.

--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -67,9 +67,9 @@
     this.server.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
   }
 
-  /** Takes no new connections. */
+  /** Takes no new connections; those that are open go on. */
   stopListening(): void {
-    this.server.close();
+    if (this.server.listening) this.server.close();
   }
 
   /** Closes connections that wait for a request. */
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -2,7 +2,11 @@
 import test from 'ava';
 import {BoundedOutput} from '@snipestage/log/bounded_output.js';
 import type {EndpointChange} from '@snipestage/routing/endpoint_directory.js';
-import type {RoutingConfiguration} from '@snipestage/routing/route.js';
+import type {
+  Route,
+  RouteId,
+  RoutingConfiguration,
+} from '@snipestage/routing/route.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
 import {
   brandAs,
@@ -24,6 +28,21 @@
 import {NoOutput} from './test_support/no_output.js';
 import {PlainProtocol} from './test_support/plain_protocol.js';
 
+const SLOW_ROUTE: Route = {
+  id: brandAs<RouteId>('slow'),
+  host: 'slow.example',
+  pathPrefix: '/',
+  kind: 'non_idempotent',
+  targets: [{service: brandAs<ServiceId>('s'), weight: 1}],
+  timeoutMs: 10_000,
+  latencyTargetMs: 10_000,
+  pauseTargetMs: undefined,
+  tier: 1,
+  maxAttempts: 1,
+  isPublic: true,
+  isResumable: false,
+};
+
 /** A table to which a test adds rows; polls wait until it does. */
 class TestTable extends FollowedTable {
   private version = 1;
@@ -63,7 +82,7 @@
   decodeConfiguration({key}: FollowedRow): RoutingConfiguration {
     return {
       version: Number(key),
-      routes: [],
+      routes: [SLOW_ROUTE],
       services: [],
       limits: {
         maxHeaderBytes: 16_384,
@@ -95,6 +114,7 @@
 async function startGateway() {
   const [callers, readiness] = [await freePort(), await freePort()];
   const configuration = new TestTable('configuration');
+  const endpoints = new TestTable('endpoints');
   const gateway = new Gateway({
     settings: {
       instance: brandAs<InstanceId>('one'),
@@ -115,7 +135,7 @@
     decoder: new TestDecoder(),
     tables: {
       configuration,
-      endpoints: new TestTable('endpoints'),
+      endpoints,
       shared: new TestTable('shared'),
     },
     logger: new NoOutput().logger,
@@ -123,14 +143,18 @@
     metrics: new GatewayMetrics(),
   });
   await gateway.start();
-  return {gateway, configuration, callers, readiness};
+  return {gateway, configuration, endpoints, callers, readiness};
 }
 
-function get(port: number, agent?: http.Agent): Promise<http.IncomingMessage> {
+function get(
+  port: number,
+  agent?: http.Agent,
+  headers: http.OutgoingHttpHeaders = {},
+): Promise<http.IncomingMessage> {
   return new Promise((resolve, reject) => {
     http
       .get(
-        {host: '127.0.0.1', port, path: '/x', agent: agent ?? false},
+        {host: '127.0.0.1', port, path: '/x', agent: agent ?? false, headers},
         response => {
           response.resume();
           response.on('end', () => resolve(response));
@@ -183,3 +207,40 @@
   t.is(gateway.configurationVersion, 9);
   await gateway.stop();
 });
+
+/** An endpoint that takes its time with each answer. */
+async function startSlowEndpoint(answerAfterMs: number) {
+  const begun: string[] = [];
+  const server = http.createServer((request, response) => {
+    const id = String(request.headers['x-request-id']);
+    begun.push(id);
+    setTimeout(() => {
+      response.writeHead(200, {'X-Request-Id': id, 'X-Signature': 'proof'});
+      response.end('done');
+    }, answerAfterMs);
+  });
+  const port = await freePort();
+  await new Promise<void>(done => server.listen(port, '127.0.0.1', done));
+  return {server, begun, address: `127.0.0.1:${port}`};
+}
+
+test('an instance that still works on its last requests takes no new connections', async t => {
+  // A long answer keeps an instance that was told to stop from ending. A caller
+  // that opens a connection in its last second would see it closed under its
+  // request, with an unknown outcome.
+  const {gateway, configuration, endpoints, callers} = await startGateway();
+  const endpoint = await startSlowEndpoint(3000);
+  t.teardown(() => endpoint.server.close());
+  configuration.put('1');
+  endpoints.put(endpoint.address);
+  await waitUntil(() => gateway.isReady);
+  const headers = {host: SLOW_ROUTE.host, 'x-request-id': 'last'};
+  const last = get(callers, undefined, headers);
+  await waitUntil(() => endpoint.begun.length > 0);
+  const stopped = gateway.stop();
+  const stoppingAtMs = performance.now();
+  await waitUntil(() => performance.now() - stoppingAtMs > 2500);
+  await t.throwsAsync(get(callers), {code: 'ECONNREFUSED'});
+  t.is((await last).statusCode, 200);
+  await stopped;
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -194,6 +194,8 @@
       const sinceMs = performance.now() - beganAtMs;
       if (sinceMs >= graceMs - GRACE_MARGIN_MS) return;
       if (sinceMs < BALANCER_LAG_MS) continue;
+      // What came from now on might not be finished within the grace time.
+      this.callers.stopListening();
       this.callers.closeIdle();
       if (this.handler.inProgress === 0) return;
     }
