--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -217,6 +217,18 @@
   t.deepEqual(findersOf(crossed, [], stopped('terminated')), []);
 });
 
+test('a request that is taken late in the grace time and cut off is found', t => {
+  // An instance that was told to stop has seconds of work left and takes on more.
+  const broken = {outcome: {kind: 'broken'}, endedAtMs: 11_000} as const;
+  const stoppedAt = (atMs: number) => (history: History) => {
+    history.disturb(INSTANCE, 'terminated', atMs);
+  };
+  const late = {...broken, endedAtMs: 10_500};
+  t.deepEqual(findersOf(late, [makeRun()], stoppedAt(3000)), ['nothing_lost']);
+  const early = {...broken, endedAtMs: 15_000, waitsForMs: 9000};
+  t.deepEqual(findersOf(early, [makeRun()], stoppedAt(8000)), []);
+});
+
 test('processes that end by themselves, late or with an error are found', t => {
   const end = {
     instance: INSTANCE,
--- a/packages/soak/src/checks/stops.ts
+++ b/packages/soak/src/checks/stops.ts
@@ -7,6 +7,8 @@
 const TERMINATED = 'terminated';
 /** A part of the grace time in which what still runs may be cut off. */
 const LAST_SHARE_OF_GRACE = 1 / 6;
+/** Provided that it was sent when nobody could have noticed the stop. */
+const SENT_WITHIN_MS = 3000;
 
 /**
  * A request that was read has its answer, also around a planned stop. A
@@ -53,11 +55,12 @@
 
   private wasCutByGrace(history: History, request: SentRequest): boolean {
     const {graceMs} = history.bounds;
-    const {instance, endedAtMs = Infinity} = request;
+    const {instance, sentAtMs, endedAtMs = Infinity} = request;
     return history.disturbances.some(
       ({subject, kind, fromMs}) =>
         subject === instance &&
         kind === TERMINATED &&
+        sentAtMs <= fromMs + SENT_WITHIN_MS &&
         endedAtMs > fromMs + graceMs * (1 - LAST_SHARE_OF_GRACE),
     );
   }
--- a/packages/soak/src/world/operator.ts
+++ b/packages/soak/src/world/operator.ts
@@ -29,7 +29,7 @@
 const KEYS_EACH = 3;
 const ENGINE_BATCH = 32;
 const ENGINE_CACHE_TOKENS = 500_000;
-const TIMEOUT_MS = 4000;
+const TIMEOUT_MS = 12_000;
 const MAX_ENGINES = 4;
 const LIMITS = {
   maxHeaderBytes: 16_384,
--- a/packages/soak/src/world/traffic.ts
+++ b/packages/soak/src/world/traffic.ts
@@ -24,8 +24,8 @@
 const MISSES = 2;
 const MARKER_SHARE = 0.1;
 const LEAVING_SHARE = 0.05;
-/** Some do not wait for as long as the route allows. */
-const PATIENCES_MS = [1500, 2500, 3500] as const;
+/** Some wait for longer than an instance that stops may go on. */
+const PATIENCES_MS = [1500, 2500, 9000] as const;
 const BODY_CHARACTERS = 600;
 const PROMPT_TOKENS = [400, 1500, 6000] as const;
 
