--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -235,6 +235,7 @@
     life: 1,
     cause: 'terminated',
     code: 0,
+    wasReady: true,
     tookMs: 3000,
     atMs: 20_000,
     lastError: '',
@@ -248,6 +249,9 @@
   t.deepEqual(ends({cause: 'killed', code: null}), []);
   t.deepEqual(ends({cause: undefined}), ['proper_ends']);
   t.deepEqual(ends({code: 1}), ['proper_ends']);
+  t.deepEqual(ends({code: null}), ['proper_ends']);
+  t.deepEqual(ends({code: null, wasReady: false}), []);
+  t.deepEqual(ends({code: 1, wasReady: false}), ['proper_ends']);
   t.deepEqual(ends({tookMs: 9000}), ['proper_ends']);
 });
 
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -77,6 +77,8 @@
   /** Undefined when nobody had ended it. */
   readonly cause: 'terminated' | 'killed' | undefined;
   readonly code: number | null;
+  /** It had said that it was ready, and may have had requests. */
+  readonly wasReady: boolean;
   /** From the signal to the end. */
   readonly tookMs: number;
   readonly atMs: number;
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -10,6 +10,12 @@
 }
 
 export const REGRESSIONS: readonly Regression[] = [
+  {
+    options: {seed: 4002},
+    check: 'proper_ends',
+    cause:
+      'An instance was told to stop 50 ms after its start, before it ran its first line, and ended by the signal. It had taken nothing; the check lets that pass.',
+  },
   {
     options: {seed: 16},
     check: 'proper_ends',
