Let the log tell how late in a stop a request came, and on what connection

A lost request's lines could not tell whether the balancer had sent it on a new connection or its caller had kept one: its line had neither the time since the signal nor anything on its connection. And a request that was cut at the end of the grace time read like one whose caller had left, while the line 'stopped' counted none in progress.

No change of logic: the times of a stop move into a pure module, with the same figures.

--- a/packages/gateway/src/answers.test.ts
+++ b/packages/gateway/src/answers.test.ts
@@ -292,7 +292,7 @@
   const door = await TestDoor.start({}, [answerWhole]);
   t.teardown(() => door.close());
   t.is((await door.call('one', {body: 'x'.repeat(1001)})).status, 413);
-  door.isDraining = true;
+  door.shutdown.begin(performance.now());
   const answer = await door.call('two', {body: 'order'});
   t.is(answer.status, 200);
   t.is(answer.headers.connection, 'close');
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -43,6 +43,7 @@
       (request, response) => void handler.handle(request, response),
     );
     this.server.requestTimeout = 0;
+    this.server.on('connection', socket => handler.noteConnection(socket));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       logger.debug('caller_connection_error', {error: error.code});
       if (!socket.writable || error.code === 'ECONNRESET') {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 } from '@snipestage/routing/agreed_clock.js';
 import {ConnectPatience} from '@snipestage/routing/connect_patience.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
+import {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {FencingToken} from '@snipestage/types/ids.js';
 import {CallersServer} from './callers_server.js';
 import {CrashReporter} from './crash_reporter.js';
@@ -40,11 +41,9 @@
   readonly metrics: GatewayMetrics;
 }
 
-/** The balancer asks each second and acts on the second miss. */
-const BALANCER_LAG_MS = 2200;
 const DRAIN_CHECK_EVERY_MS = 100;
-/** The end of the grace time is left to write what was counted. */
-const GRACE_MARGIN_MS = 600;
+/** Half of what a stop leaves after the last requests. */
+const FINISH_USAGE_MS = 300;
 
 /** Owns all tasks of the process. */
 export class Gateway {
@@ -57,12 +56,13 @@
   private readonly duties: Duties;
   private readonly relays: Relays;
   private readonly incarnation = randomUUID().slice(0, 8);
-  private isStopping = false;
+  private readonly shutdown: Shutdown;
 
   constructor(private readonly options: GatewayOptions) {
     const {settings, platform, logger} = options;
     const nowMs = () => performance.now();
     this.state = new RoutingState(settings.retry);
+    this.shutdown = new Shutdown(settings.shutdown);
     this.clock = new AgreedClock(nowMs(), Date.now());
     const facts = new SharedFacts({
       platform,
@@ -121,7 +121,7 @@
 
   /** Ready as soon as the configuration and the endpoints are known. */
   get isReady(): boolean {
-    return !this.isStopping && this.follower.isComplete;
+    return !this.shutdown.isStopping && this.follower.isComplete;
   }
 
   /** Version in force; undefined before the first. */
@@ -167,15 +167,15 @@
    * in progress; their connections close with their answers.
    */
   async stop(): Promise<void> {
-    if (this.isStopping) return;
-    this.isStopping = true;
+    if (this.shutdown.isStopping) return;
     const beganAtMs = performance.now();
+    this.shutdown.begin(beganAtMs);
     this.options.logger.info('stopping', {
       inProgress: this.handler.inProgress,
     });
     this.duties.handOver();
     void this.relays.stop();
-    await this.drain(beganAtMs);
+    await this.drain();
     this.callers.stopListening();
     this.callers.closeAll();
     await this.finishUsage();
@@ -187,13 +187,16 @@
     this.options.output.close();
   }
 
-  private async drain(beganAtMs: number): Promise<void> {
-    const {graceMs} = this.options.settings.shutdown;
+  private async drain(): Promise<void> {
     for (;;) {
       await new Promise(done => setTimeout(done, DRAIN_CHECK_EVERY_MS));
-      const sinceMs = performance.now() - beganAtMs;
-      if (sinceMs >= graceMs - GRACE_MARGIN_MS) return;
-      if (sinceMs < BALANCER_LAG_MS) continue;
+      const nowMs = performance.now();
+      if (this.shutdown.isGraceOver(nowMs)) {
+        const {inProgress} = this.handler;
+        this.options.logger.warn('grace_time_over', {inProgress});
+        return;
+      }
+      if (!this.shutdown.hasBalancerNoticed(nowMs)) continue;
       // What came from now on might not be finished within the grace time.
       this.callers.stopListening();
       this.callers.closeIdle();
@@ -202,7 +205,7 @@
   }
 
   private async finishUsage(): Promise<void> {
-    const limit = new Promise(done => setTimeout(done, GRACE_MARGIN_MS / 2));
+    const limit = new Promise(done => setTimeout(done, FINISH_USAGE_MS));
     await Promise.race([this.duties.finishUsage(), limit]);
     this.follower.stop();
   }
@@ -225,7 +228,7 @@
         if (clientAccount === undefined) return;
         this.duties.countUsage(clientAccount, atMs);
       },
-      isDraining: () => this.isStopping,
+      shutdown: this.shutdown,
     });
   }
 
@@ -266,7 +269,7 @@
       instance: this.options.settings.instance,
       incarnation: this.incarnation,
       isReady: this.isReady,
-      isStopping: this.isStopping,
+      isStopping: this.shutdown.isStopping,
       inProgress: this.handler.inProgress,
       configurationVersion: table?.configuration.version,
       ...this.duties.snapshot(),
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -1,10 +1,13 @@
 /** Takes a caller's request from its head to its final answer. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {fingerprintOf} from '@snipestage/entry/identify/fingerprint.js';
+import type {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {ClientAccountId, Fingerprint} from '@snipestage/types/ids.js';
 import {admit, type Admission} from './admission.js';
 import {AnswerWriter} from './answer_writer.js';
+import {CallerConnections} from './caller_connections.js';
 import {readRequestBody} from './read_request_body.js';
 import {Exchange} from './exchange.js';
 import type {ExchangeContext} from './exchange_context.js';
@@ -12,8 +15,7 @@
 
 /** What a {@link RequestHandler} is made from. */
 export interface RequestHandlerOptions extends ExchangeContext {
-  /** Whether answers have to close their connections. */
-  readonly isDraining: () => boolean;
+  readonly shutdown: Shutdown;
   readonly random?: () => number;
 }
 
@@ -29,6 +31,7 @@
 /** Keeps count of the requests in progress. */
 export class RequestHandler {
   private count = 0;
+  private readonly connections = new CallerConnections();
   private readonly random: () => number;
 
   constructor(private readonly options: RequestHandlerOptions) {
@@ -40,17 +43,25 @@
     return this.count;
   }
 
+  /** A caller has opened a connection. */
+  noteConnection(socket: Socket): void {
+    this.connections.noteOpened(socket, this.options.nowMs());
+  }
+
   async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const arrivedAtMs = this.options.nowMs();
     let exchange: Exchange | undefined;
-    const writer = new AnswerWriter(response, this.options.isDraining, () =>
-      exchange?.cancel(),
+    const {shutdown} = this.options;
+    const writer = new AnswerWriter(
+      response,
+      () => shutdown.isStopping,
+      () => exchange?.cancel(),
     );
     this.count += 1;
-    const line: Record<string, unknown> = {};
+    const line = this.describeArrival(request, arrivedAtMs);
     try {
       exchange = await this.prepare(request, writer, arrivedAtMs, line);
       await exchange?.run();
@@ -66,6 +77,24 @@
     }
   }
 
+  /**
+   * While the instance stops, the line says how late the request came and on
+   * what kind of connection.
+   */
+  private describeArrival(
+    {socket}: IncomingMessage,
+    nowMs: number,
+  ): Record<string, unknown> {
+    const facts = this.connections.noteRequest(socket, nowMs);
+    const sinceStopMs = this.options.shutdown.sinceMs(nowMs);
+    if (sinceStopMs === undefined) return {};
+    return {
+      sinceStopMs: Math.round(sinceStopMs),
+      connectionAgeMs: Math.round(nowMs - facts.openedAtMs),
+      connectionRequests: facts.requests,
+    };
+  }
+
   /** @returns undefined when the request has its answer already. */
   private async prepare(
     request: IncomingMessage,
--- a/packages/gateway/src/test_support/test_door.ts
+++ b/packages/gateway/src/test_support/test_door.ts
@@ -14,6 +14,7 @@
 import {ConnectPatience} from '@snipestage/routing/connect_patience.js';
 import type {Route, RouteId} from '@snipestage/routing/route.js';
 import {RouteTable} from '@snipestage/routing/route_table.js';
+import {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
 import type {Admission} from '../admission.js';
 import {CrashReporter} from '../crash_reporter.js';
@@ -81,7 +82,7 @@
   readonly begun: Admission[] = [];
   /** Endpoints whose connections were closed by the door. */
   readonly closed: string[] = [];
-  isDraining = false;
+  readonly shutdown = new Shutdown({graceMs: 8000});
   private readonly servers: Array<http.Server | net.Server> = [];
   private readonly sockets = new Set<Socket>();
   private port = 0;
@@ -231,14 +232,17 @@
       nowMs: () => performance.now(),
       connectPatience: new ConnectPatience({maxMs: 1000}),
       onBegun: admission => this.begun.push(admission),
-      isDraining: () => this.isDraining,
+      shutdown: this.shutdown,
     });
     const server = http.createServer(
       (request, response) => void handler.handle(request, response),
     );
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
-    server.on('connection', (socket: Socket) => this.sockets.add(socket));
+    server.on('connection', (socket: Socket) => {
+      handler.noteConnection(socket);
+      this.sockets.add(socket);
+    });
     this.servers.push(server);
     this.port = (server.address() as AddressInfo).port;
   }
--- /dev/null
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -0,0 +1,225 @@
+/** A whole gateway on loopback whose tables and endpoints a test writes. */
+
+import http from 'node:http';
+import {BoundedOutput} from '@snipestage/log/bounded_output.js';
+import type {EndpointChange} from '@snipestage/routing/endpoint_directory.js';
+import type {
+  Route,
+  RouteId,
+  RoutingConfiguration,
+} from '@snipestage/routing/route.js';
+import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
+import {
+  brandAs,
+  type DataCentreId,
+  type EndpointId,
+  type InstanceId,
+  type ServiceId,
+} from '@snipestage/types/ids.js';
+import {Gateway} from '../gateway.js';
+import {GatewayMetrics} from '../gateway_metrics.js';
+import {RowDecoder} from '../state_follower.js';
+import {
+  FollowedTable,
+  type FollowedRow,
+  type TableReading,
+} from '../table_follower.js';
+import {freePort} from './free_port.js';
+import {MemoryPlatform} from './memory_platform.js';
+import {NoOutput} from './no_output.js';
+import {PlainProtocol} from './plain_protocol.js';
+
+/** Answers may take their time, and it may not be repeated. */
+export const SLOW_ROUTE: Route = {
+  id: brandAs<RouteId>('slow'),
+  host: 'slow.example',
+  pathPrefix: '/',
+  kind: 'non_idempotent',
+  targets: [{service: brandAs<ServiceId>('s'), weight: 1}],
+  timeoutMs: 10_000,
+  latencyTargetMs: 10_000,
+  pauseTargetMs: undefined,
+  tier: 1,
+  maxAttempts: 1,
+  isPublic: true,
+  isResumable: false,
+};
+
+/** A table to which a test adds rows; polls wait until it does. */
+class TestTable extends FollowedTable {
+  private version = 1;
+  private rows: FollowedRow[] = [];
+  private wake: (() => void) | undefined;
+
+  constructor(readonly name: string) {
+    super();
+  }
+
+  put(key: string): void {
+    this.version += 1;
+    const data = Buffer.from(key);
+    this.rows.push({key, version: this.version, data});
+    this.wake?.();
+  }
+
+  readAll(): Promise<TableReading> {
+    return Promise.resolve(this.reading(0));
+  }
+
+  async waitForChanges(since: number): Promise<TableReading> {
+    if (since === this.version) {
+      await new Promise<void>(resolve => (this.wake = resolve));
+    }
+    return this.reading(since);
+  }
+
+  private reading(since: number): TableReading {
+    const rows = this.rows.filter(({version}) => version > since);
+    return {kind: 'rows', rows, version: this.version, clock: undefined};
+  }
+}
+
+/** Rows stand for versions `1`, `2`, ... and for endpoints by their address. */
+class TestDecoder extends RowDecoder {
+  constructor(private readonly routes: readonly Route[]) {
+    super();
+  }
+
+  decodeConfiguration({key}: FollowedRow): RoutingConfiguration {
+    return {
+      version: Number(key),
+      routes: this.routes,
+      services: [],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1000,
+        headerTimeoutMs: 3000,
+        idleTimeoutMs: 15_000,
+      },
+      clientAccounts: undefined,
+    };
+  }
+
+  decodeEndpoint({key}: FollowedRow): EndpointChange {
+    return {
+      kind: 'listed',
+      endpoint: {
+        id: brandAs<EndpointId>(key),
+        service: brandAs<ServiceId>('s'),
+        address: brandAs<EndpointAddress>(key),
+        dataCentre: brandAs<DataCentreId>('akl-a'),
+        capacity: 1,
+        isLeaving: false,
+        isCheap: false,
+        bornEpochMs: 1,
+      },
+    };
+  }
+}
+
+/** What a test gateway is made from; defaults in the brackets. */
+export interface TestGatewayOptions {
+  /** Time that a stop may take (4,000 ms). */
+  readonly graceMs?: number;
+  /** In force with each configuration ({@link SLOW_ROUTE}). */
+  readonly routes?: readonly Route[];
+}
+
+/**
+ * Starts a gateway without a configuration.
+ *
+ * @example
+ * const {gateway, configuration} = await startGateway({graceMs: 4000});
+ * configuration.put('1');
+ */
+export async function startGateway(options: TestGatewayOptions = {}) {
+  const {graceMs = 4000, routes = [SLOW_ROUTE]} = options;
+  const [callers, readiness] = [await freePort(), await freePort()];
+  const configuration = new TestTable('configuration');
+  const endpoints = new TestTable('endpoints');
+  const {logger, lines} = new NoOutput();
+  const gateway = new Gateway({
+    settings: {
+      instance: brandAs<InstanceId>('one'),
+      dataCentre: brandAs<DataCentreId>('akl-a'),
+      callersAddress: `127.0.0.1:${callers}`,
+      readinessAddress: `127.0.0.1:${readiness}`,
+      metricsAddress: undefined,
+      retry: {ratio: 0.2, windowMs: 10_000},
+      changes: {knownWithinMs: 500, inForceWithinMs: 200},
+      relays: {address: undefined, dataCentres: 1, strength: 1},
+      shutdown: {graceMs},
+      lease: {termMs: 3000},
+      usage: {windowMs: 5000, dueAfterMs: 10_000, tolerance: 0.05},
+      duties: {reportsUsage: false, ordersEndpoints: false},
+    },
+    platform: new MemoryPlatform(),
+    protocol: new PlainProtocol(),
+    decoder: new TestDecoder(routes),
+    tables: {
+      configuration,
+      endpoints,
+      shared: new TestTable('shared'),
+    },
+    logger,
+    output: new BoundedOutput({fd: 2}),
+    metrics: new GatewayMetrics(),
+  });
+  await gateway.start();
+  return {gateway, configuration, endpoints, callers, readiness, lines};
+}
+
+/** One call, told once its answer is whole. */
+export function get(
+  port: number,
+  agent?: http.Agent,
+  headers: http.OutgoingHttpHeaders = {},
+): Promise<http.IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    http
+      .get(
+        {host: '127.0.0.1', port, path: '/x', agent: agent ?? false, headers},
+        response => {
+          response.resume();
+          response.on('end', () => resolve(response));
+        },
+      )
+      .on('error', reject);
+  });
+}
+
+/** Looks again until a condition holds. */
+export async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(done => setTimeout(done, 10));
+}
+
+/** An endpoint of the gateway's service. */
+export class TestEndpoint {
+  /** Ids of the requests that it has begun. */
+  readonly begun: string[] = [];
+  private readonly server: http.Server;
+  private port = 0;
+
+  constructor(answer: (response: http.ServerResponse, id: string) => void) {
+    this.server = http.createServer((request, response) => {
+      const id = String(request.headers['x-request-id']);
+      this.begun.push(id);
+      answer(response, id);
+    });
+  }
+
+  async start(): Promise<void> {
+    this.port = await freePort();
+    const {server, port} = this;
+    await new Promise<void>(done => server.listen(port, '127.0.0.1', done));
+  }
+
+  get address(): string {
+    return `127.0.0.1:${this.port}`;
+  }
+
+  close(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+}
