--- a/packages/gateway/src/stop.test.ts
+++ b/packages/gateway/src/stop.test.ts
@@ -1,4 +1,6 @@
+import {once} from 'node:events';
 import http from 'node:http';
+import net from 'node:net';
 import test from 'ava';
 import {
   get,
@@ -82,3 +84,113 @@
   t.true(described[1].sinceStopMs >= 0);
   t.true(described[1].connectionAgeMs >= described[1].sinceStopMs);
 });
+
+test('a request on a connection that a stream kept is not taken late in a stop', async t => {
+  // A stream whose head went out before the signal has not told its caller that
+  // the connection closes. The caller sends its next request the moment the
+  // stream ends, seconds after the signal. Seen: the instance passed it on and
+  // closed the connection under it when the grace time was over; a booking may
+  // have run or not.
+  let endStream: () => void = () => undefined;
+  const endpoint = new TestEndpoint((response, id) => {
+    if (id === 'last') setTimeout(() => response.destroy(), 3000);
+    if (id !== 'stream') return;
+    response.writeHead(200, {'X-Request-Id': id, 'X-Signature': 'proof'});
+    response.write('id: 1\ndata: a\n\n');
+    endStream = () => response.end();
+  });
+  const {gateway, callers} = await startWithEndpoint(endpoint, {
+    kind: 'stream',
+  });
+  t.teardown(() => endpoint.close());
+  const agent = new http.Agent({keepAlive: true, maxSockets: 1});
+  t.teardown(() => agent.destroy());
+  const stream = get(callers, agent, headersOf('stream'));
+  await waitUntil(() => endpoint.begun.length === 1);
+  const last = get(callers, undefined, headersOf('last')).catch(() => 'broken');
+  await waitUntil(() => endpoint.begun.length === 2);
+  const stopped = gateway.stop();
+  await pause(LATE_IN_A_STOP_MS);
+  const next = get(callers, agent, headersOf('next')).catch(
+    (error: NodeJS.ErrnoException) => error.code,
+  );
+  endStream();
+  t.is((await stream).headers.connection, 'keep-alive');
+  await Promise.all([next, last, stopped]);
+  t.deepEqual(endpoint.begun, ['stream', 'last']);
+});
+
+test('a first request that comes late in a stop is refused truthfully and at once', async t => {
+  // A caller opens a connection ahead of need and sends its first request much
+  // later, when the instance has been told to stop meanwhile. Seen: the request
+  // was passed on and its connection closed under it when the grace time was
+  // over.
+  const endpoint = new TestEndpoint((response, id) => {
+    if (id === 'last') setTimeout(() => response.destroy(), 3000);
+  });
+  const {gateway, callers} = await startWithEndpoint(endpoint);
+  t.teardown(() => endpoint.close());
+  const early = net.connect(callers, '127.0.0.1');
+  t.teardown(() => early.destroy());
+  let answer = '';
+  early.on('data', data => (answer += data.toString()));
+  const last = get(callers, undefined, headersOf('last')).catch(() => 'broken');
+  await waitUntil(() => endpoint.begun.length > 0);
+  const stopped = gateway.stop();
+  await pause(LATE_IN_A_STOP_MS);
+  const lines = Object.entries(headersOf('late')).map(
+    ([name, value]) => `${name}: ${value}`,
+  );
+  early.write(['GET /x HTTP/1.1', ...lines, '\r\n'].join('\r\n'));
+  await pause(100);
+  t.deepEqual(endpoint.begun, ['last']);
+  t.regex(answer, /^HTTP\/1.1 503 /);
+  t.regex(answer, /\r\nRetry-After: /i);
+  t.regex(answer, /\r\nConnection: close\r\n/i);
+  await Promise.all([last, stopped]);
+});
+
+test('a request that surely ends within the grace time is still taken', async t => {
+  // Late in a stop a caller with little patience sends a request on its open
+  // connection. It can have its answer; a refusal would cost it a second way.
+  const endpoint = new TestEndpoint((response, id) => {
+    const delayMs = id === 'last' ? 3000 : 20;
+    setTimeout(() => {
+      response.writeHead(200, {'X-Request-Id': id, 'X-Signature': 'proof'});
+      response.end('done');
+    }, delayMs);
+  });
+  const {gateway, callers} = await startWithEndpoint(endpoint);
+  t.teardown(() => endpoint.close());
+  const last = get(callers, undefined, headersOf('last'));
+  await waitUntil(() => endpoint.begun.length > 0);
+  const socket = net.connect(callers, '127.0.0.1');
+  await once(socket, 'connect');
+  const agent = new http.Agent();
+  agent.createConnection = () => socket;
+  const stopped = gateway.stop();
+  await pause(LATE_IN_A_STOP_MS);
+  const answer = await get(callers, agent, headersOf('short', 500));
+  t.is(answer.statusCode, 200);
+  t.is((await last).statusCode, 200);
+  await stopped;
+});
+
+test('what has no answer at the end of the grace time gets a final one', async t => {
+  // An endpoint hangs on the last request of an instance that stops. Seen: the
+  // connection was closed without a word, and the log read as if the caller had
+  // left.
+  const endpoint = new TestEndpoint(() => undefined);
+  const {gateway, callers, lines} = await startWithEndpoint(endpoint);
+  t.teardown(() => endpoint.close());
+  const hanging = get(callers, undefined, headersOf('hanging')).catch(
+    (error: NodeJS.ErrnoException) => error.code,
+  );
+  await waitUntil(() => endpoint.begun.length > 0);
+  await gateway.stop();
+  t.like(await hanging, {statusCode: 502});
+  const line = lines
+    .map(text => JSON.parse(text))
+    .find(({event}) => event === 'request');
+  t.like(line, {status: 502, reason: 'grace_time_over'});
+});
