Take late in a stop only what surely ends within the grace time

What callers saw: a request that came on an open connection seconds after the instance had been told to stop was passed on, and its connection closed under it at the end of the grace time.

Cause: a stopping instance admitted work without asking whether it could be finished in the time that is left. Closing the listening socket, the earlier mend, stops one of three ways: a stream whose head went out before the signal leaves its connection open, and Node.js doesn't count a connection without a request yet as idle.

Change: one decision in a pure module, asked for each request on whatever connection: what ends for sure is taken, what does not is refused as not run, at once, with a Retry-After of 0 since any other instance has room. Until the balancer has noticed, what usually ends in time (nine of ten recent answers of its route) is taken too. A connection that a stream kept closes with the stream.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -118,6 +118,17 @@
 
   private end(body?: Buffer): void {
     this.ended = true;
+    if (this.mustClose()) this.closeAfterAnswer();
     this.response.end(body);
   }
+
+  /**
+   * The head of a stream may have gone out before the instance was told to
+   * stop: then its caller has not been told that the connection closes, and
+   * would send its next request here.
+   */
+  private closeAfterAnswer(): void {
+    const {socket} = this.response;
+    this.response.once('finish', () => socket?.destroySoon());
+  }
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -207,6 +207,7 @@
       this.verdict = 'ran';
       state.monitor.note(endpoint.id, 'answered', atMs);
       state.refusalDelayFor(admission.service).noteServed(atMs);
+      state.durations.note(admission.route.id, atMs - this.request.arrivedAtMs);
       crashes.noteSound(endpoint, fingerprint);
       if (admission.route.kind !== 'stream') {
         state.monitor.noteDuration(endpoint.id, durationMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -232,8 +232,10 @@
     });
   }
 
-  private applyConfiguration({limits, version}: RoutingConfiguration): void {
+  private applyConfiguration(configuration: RoutingConfiguration): void {
+    const {limits, routes, version} = configuration;
     this.callers.applyLimits(limits);
+    this.state.durations.keepOnly(new Set(routes.map(({id}) => id)));
     this.options.metrics.setConfigurationVersion(version);
   }
 
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -25,6 +25,8 @@
 const UNAVAILABLE = 503;
 /** Advice where nothing is known of the service: a start takes about that. */
 const DEFAULT_RETRY_AFTER_MS = 500;
+/** Nothing to wait for: another instance takes the request now. */
+const ELSEWHERE_MS = 0;
 /** No account: a public route. */
 const ANYONE = '' as ClientAccountId;
 
@@ -136,6 +138,12 @@
       line.reason = 'caller_left';
       return undefined;
     }
+    const endsAtMs = arrivedAtMs + patienceMs(caller, admission);
+    if (!this.mayTake(admission, endsAtMs)) {
+      line.reason = 'stopping';
+      writer.fail(UNAVAILABLE, protocol.composeRetryAfter(ELSEWHERE_MS));
+      return undefined;
+    }
     const fingerprint = this.fingerprint(request, admission, body);
     if (this.isRefusedAsSuspect(fingerprint, writer)) {
       line.reason = 'suspected_crash';
@@ -152,7 +160,7 @@
         body,
         fingerprint,
         arrivedAtMs,
-        endsAtMs: arrivedAtMs + patienceMs(caller, admission),
+        endsAtMs,
       },
       writer,
     );
@@ -166,6 +174,12 @@
     writer.fail(status, headers);
   }
 
+  private mayTake({route}: Admission, endsAtMs: number): boolean {
+    const {shutdown, state, nowMs} = this.options;
+    const usualMs = state.durations.usualMs(route.id);
+    return shutdown.mayTake({nowMs: nowMs(), endsAtMs, usualMs});
+  }
+
   /** Requests without a body say too little to be known again. */
   private fingerprint(
     request: IncomingMessage,
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -15,6 +15,7 @@
 import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
 import {RefusalDelay} from '@snipestage/routing/refusal_delay.js';
 import type {RouteTable} from '@snipestage/routing/route_table.js';
+import {UsualDurations} from '@snipestage/routing/usual_durations.js';
 import {
   WindowBudget,
   type WindowBudgetOptions,
@@ -41,6 +42,7 @@
   readonly agreedDemand = new AgreedDemand({own: this.demand});
   readonly suspects = new SuspectTable();
   readonly crashes = new CrashWatch();
+  readonly durations = new UsualDurations();
   private readonly plainPlacement: Placement;
   private readonly promptPlacement: Placement;
   private readonly budgets = new Map<ServiceId, WindowBudget>();
