Give what is left at the end of the grace time its final answer

What callers saw: a request that an endpoint had not answered when the grace time of a stop was over was cut without a word; in the log it read as if the caller had left (status 0).

Cause: the stop closed all connections without asking what waited on them.

Change: each request in progress gets its final answer first: 503 with a time to come back where it has certainly not run, 502 where it may have; a stream that has begun breaks off. 100 ms later the connections close. Its log line says 'grace_time_over'.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -62,6 +62,15 @@
     this.current?.cancel();
   }
 
+  /** The instance ends before an answer has come: tells what is known. */
+  giveUp(reason: string): void {
+    if (this.writer.isOver) return;
+    this.lastReason = reason;
+    // The answer goes first: what the endpoint did is unknown once we hang up.
+    this.fail();
+    this.current?.cancel();
+  }
+
   /** For the log line of the request. */
   summarise(): Record<string, unknown> {
     const {firstEventAtMs, longestPauseMs, events} = this.writer;
@@ -83,10 +92,7 @@
 
   private expire(): void {
     this.hasExpired = true;
-    this.lastReason = 'timeout';
-    // The answer goes first: what the endpoint did is unknown once we hang up.
-    this.fail();
-    this.current?.cancel();
+    this.giveUp('timeout');
   }
 
   private async attemptUntilAnswered(): Promise<void> {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,8 @@
 }
 
 const DRAIN_CHECK_EVERY_MS = 100;
+/** Some round trips to callers, and small against what a stop leaves. */
+const FLUSH_MS = 100;
 /** Half of what a stop leaves after the last requests. */
 const FINISH_USAGE_MS = 300;
 
@@ -192,9 +194,7 @@
       await new Promise(done => setTimeout(done, DRAIN_CHECK_EVERY_MS));
       const nowMs = performance.now();
       if (this.shutdown.isGraceOver(nowMs)) {
-        const {inProgress} = this.handler;
-        this.options.logger.warn('grace_time_over', {inProgress});
-        return;
+        return this.giveUpRest();
       }
       if (!this.shutdown.hasBalancerNoticed(nowMs)) continue;
       // What came from now on might not be finished within the grace time.
@@ -204,6 +204,14 @@
     }
   }
 
+  private async giveUpRest(): Promise<void> {
+    const {inProgress} = this.handler;
+    this.options.logger.warn('grace_time_over', {inProgress});
+    this.handler.giveUpAll();
+    // Whatever is written on a connection is lost with it when it closes now.
+    await new Promise(done => setTimeout(done, FLUSH_MS));
+  }
+
   private async finishUsage(): Promise<void> {
     const limit = new Promise(done => setTimeout(done, FINISH_USAGE_MS));
     await Promise.race([this.duties.finishUsage(), limit]);
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -33,6 +33,7 @@
 /** Keeps count of the requests in progress. */
 export class RequestHandler {
   private count = 0;
+  private readonly exchanges = new Set<Exchange>();
   private readonly connections = new CallerConnections();
   private readonly random: () => number;
 
@@ -50,6 +51,15 @@
     this.connections.noteOpened(socket, this.options.nowMs());
   }
 
+  /**
+   * Ends what is in progress with its final answer, since the instance ends. A
+   * connection that closes without one leaves its caller to guess whether the
+   * request was read.
+   */
+  giveUpAll(): void {
+    for (const exchange of this.exchanges) exchange.giveUp('grace_time_over');
+  }
+
   async handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -66,7 +76,7 @@
     const line = this.describeArrival(request, arrivedAtMs);
     try {
       exchange = await this.prepare(request, writer, arrivedAtMs, line);
-      await exchange?.run();
+      if (exchange !== undefined) await this.run(exchange);
     } catch (error) {
       this.options.logger.error('request_failed', {
         ...line,
@@ -79,6 +89,15 @@
     }
   }
 
+  private async run(exchange: Exchange): Promise<void> {
+    this.exchanges.add(exchange);
+    try {
+      await exchange.run();
+    } finally {
+      this.exchanges.delete(exchange);
+    }
+  }
+
   /**
    * While the instance stops, the line says how late the request came and on
    * what kind of connection.
