Don't hold it against an endpoint that its caller left or the instance ended

What callers saw: after many callers had given up, or an instance had given up its last streams, endpoints that served well were asked less, and a request of one of these callers could be taken for one that crashes endpoints.

Cause: a stream that this side broke off counted as one that the endpoint broke off: 0.3 of its failure share for each, and a mark for the request in the watch for crashes.

Ruled out: answers without a head; they were told apart already.

Change: an attempt that was cancelled from this side says 'cancelled'. Where the endpoint had been silent for longer than it may be, the caller's leaving still tells of it.

Tests: answers.test.ts, 'a caller that leaves in the middle of a stream' (failed before with a share of 0.29995, passes after) and 'that has gone silent' (passed before too).

--- a/packages/gateway/src/answers.test.ts
+++ b/packages/gateway/src/answers.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {waitUntil} from './test_support/test_gateway.js';
 import {
   answerBytes,
   chunk,
@@ -308,3 +309,47 @@
   t.is(answer.status, 503);
   t.true(Number(answer.headers['retry-after']) > 0);
 });
+
+/** An engine that sends one event and then nothing. */
+const sendOneEvent: Script = (socket, request) => {
+  socket.write(streamHead(idOf(request)));
+  socket.write(chunk('id: 1\ndata: a\n\n'));
+};
+
+/** A caller takes the first event of a stream and leaves some time later. */
+async function leaveStream(door: TestDoor, afterMs: number) {
+  const caller = new AbortController();
+  const call = door.call('one', {body: 'prompt', signal: caller.signal});
+  const ended = call.catch(() => 'left');
+  await waitUntil(() => door.begun.length > 0);
+  const [endpoint] = door.state.directory.readAll();
+  await new Promise(done => setTimeout(done, afterMs));
+  caller.abort();
+  await ended;
+  await waitUntil(() => door.state.monitor.inFlight(endpoint.id) === 0);
+  return endpoint;
+}
+
+test('a caller that leaves in the middle of a stream is not held against the endpoint', async t => {
+  // Many callers give up at once, or an instance that stops gives up what is
+  // left. Seen: each stream that broke off by this counted as a failure of its
+  // endpoint, which was asked less from then on, and its request as one that may
+  // have crashed it.
+  const door = await TestDoor.start({kind: 'stream'}, [sendOneEvent]);
+  t.teardown(() => door.close());
+  const {id} = await leaveStream(door, 0);
+  t.is(door.state.monitor.failureShare(id, performance.now()), 0);
+  t.deepEqual(door.state.crashes.confirm(id, performance.now()), []);
+});
+
+test('a caller that leaves an endpoint that has gone silent tells of it', async t => {
+  // An engine hangs in the middle of a stream that may not go on elsewhere. Its
+  // callers leave one after the other; nothing else tells the others to ask
+  // another engine.
+  const door = await TestDoor.start({kind: 'stream', pauseTargetMs: 20}, [
+    sendOneEvent,
+  ]);
+  t.teardown(() => door.close());
+  const {id} = await leaveStream(door, 300);
+  t.true(door.state.monitor.failureShare(id, performance.now()) > 0);
+});
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -9,6 +9,7 @@
 import type {
   AttemptResult,
   ExchangeContext,
+  FailedResult,
   ReadRequest,
 } from './exchange_context.js';
 import type {AnswerHead} from './pass_through_protocol.js';
@@ -151,11 +152,21 @@
     return this.takeWhole(head, response, body);
   }
 
-  private brokenAnswer(): AttemptResult {
-    const wasSilent = this.silence.hasFired;
-    const reason = wasSilent ? 'silent' : 'broken';
-    const sign = wasSilent ? 'silent' : 'failed';
-    return {kind: 'failed', verdict: 'ran', sign, reason};
+  /**
+   * A caller that leaves, or an instance that ends, breaks off answers of sound
+   * endpoints: held against them, a wave of callers that give up would turn the
+   * others away from endpoints that serve well, and mark requests as ones that
+   * crash endpoints. Who leaves an endpoint that had gone silent tells of it.
+   */
+  private brokenAnswer(): FailedResult {
+    const failed = {kind: 'failed', verdict: 'ran'} as const;
+    const {hasFired, isSilent} = this.silence;
+    if (hasFired) return {...failed, sign: 'silent', reason: 'silent'};
+    if (!this.call.isCancelled) {
+      return {...failed, sign: 'failed', reason: 'broken'};
+    }
+    const sign = isSilent ? 'silent' : undefined;
+    return {...failed, sign, reason: 'cancelled'};
   }
 
   private takeWhole(
@@ -200,7 +211,8 @@
     });
     const isWhole = await relay.run();
     if (isWhole) return {kind: 'answered'};
+    const result = this.brokenAnswer();
     this.call.cancel();
-    return this.brokenAnswer();
+    return result;
   }
 }
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -79,6 +79,11 @@
     return hasLength || this.closedWell;
   }
 
+  /** Whether it was ended from this side. */
+  get isCancelled(): boolean {
+    return this.cancellation.signal.aborted;
+  }
+
   /** Ends the attempt; endpoints stop work when the connection closes. */
   cancel(): void {
     this.cancellation.abort();
@@ -101,7 +106,7 @@
     this.options.onConnected?.(performance.now() - startedAtMs);
     this.connection = connection;
     this.closedWell = watchEnd(connection.createConnection());
-    if (this.cancellation.signal.aborted) return this.failed('broken', '');
+    if (this.isCancelled) return this.failed('broken', '');
     return this.send(connection);
   }
 
@@ -128,7 +133,7 @@
   }
 
   private failed(reason: CallFailureReason, message: string): CallHead {
-    const isCancelled = this.cancellation.signal.aborted;
+    const {isCancelled} = this;
     return {
       kind: 'failed',
       reason: isCancelled ? 'cancelled' : reason,
