Let a slow caller have its whole answer before the instance ends

What callers saw: an answer that broke off in the middle although the endpoint had sent all of it, on a weak link, when the instance was told to stop (stop.test.ts: 3,919,872 of 25,165,824 bytes came).

Cause, three of the same kind: an answer that had been handed to its connection counted as given, so that the stop saw nothing in progress and closed all connections; and both closeIdleConnections and close of Node.js' HTTP server take such a connection for idle.

Ruled out: any one of the three alone; the test failed with the same number of bytes until all were mended.

Change: a request is in progress until the system has the last byte of its answer. Resting connections are told by what is under way on each, and the listening socket is closed by the TCP server's own close.

--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -1,5 +1,6 @@
-/** What is known of callers' connections. */
+/** Callers' connections, and what is under way on each. */
 
+import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 /** One connection, as of its latest request. */
@@ -9,26 +10,53 @@
   readonly requests: number;
 }
 
+interface Connection {
+  readonly openedAtMs: number;
+  requests: number;
+  /** Answers of which the system doesn't have the last byte yet. */
+  openAnswers: number;
+}
+
 /**
  * Tells a request on a new connection from one on a connection that was kept
  * or opened early: which of these a stopping instance should not have taken
  * can't be told from the request alone.
  */
 export class CallerConnections {
-  private readonly bySocket = new WeakMap<Socket, ConnectionFacts>();
+  private readonly bySocket = new Map<Socket, Connection>();
 
   noteOpened(socket: Socket, nowMs: number): void {
-    this.bySocket.set(socket, {openedAtMs: nowMs, requests: 0});
+    const connection = {openedAtMs: nowMs, requests: 0, openAnswers: 0};
+    this.bySocket.set(socket, connection);
+    socket.once('close', () => this.bySocket.delete(socket));
   }
 
   /** @returns the facts with this request counted. */
-  noteRequest(socket: Socket, nowMs: number): ConnectionFacts {
-    const {openedAtMs, requests} = this.bySocket.get(socket) ?? {
-      openedAtMs: nowMs,
-      requests: 0,
-    };
-    const facts = {openedAtMs, requests: requests + 1};
-    this.bySocket.set(socket, facts);
-    return facts;
+  noteRequest({socket}: ServerResponse, nowMs: number): ConnectionFacts {
+    const connection = socket && this.bySocket.get(socket);
+    if (!connection) return {openedAtMs: nowMs, requests: 1};
+    connection.requests += 1;
+    return {...connection};
+  }
+
+  /** Follows an answer until the system has its last byte. */
+  followAnswer(response: ServerResponse): void {
+    const connection = response.socket && this.bySocket.get(response.socket);
+    if (!connection) return;
+    connection.openAnswers += 1;
+    response.once('close', () => (connection.openAnswers -= 1));
+  }
+
+  /**
+   * Closes the connections that were used and rest now.
+   *
+   * `closeIdleConnections` of Node.js (20) takes an answer for given once it has
+   * been handed to its connection. A slow caller has part of it then, and would
+   * see it break off.
+   */
+  closeResting(): void {
+    for (const [socket, {requests, openAnswers}] of this.bySocket) {
+      if (requests > 0 && openAnswers === 0) socket.destroy();
+    }
   }
 }
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -1,6 +1,7 @@
 /** Listens to callers. */
 
 import {createServer, type Server} from 'node:http';
+import {Server as TcpServer} from 'node:net';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {CallerLimits} from '@snipestage/routing/route.js';
 import {splitAddress} from './endpoint_call.js';
@@ -43,7 +44,9 @@
       (request, response) => void handler.handle(request, response),
     );
     this.server.requestTimeout = 0;
-    this.server.on('connection', socket => handler.noteConnection(socket));
+    this.server.on('connection', socket =>
+      handler.connections.noteOpened(socket, performance.now()),
+    );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       logger.debug('caller_connection_error', {error: error.code});
       if (!socket.writable || error.code === 'ECONNRESET') {
@@ -68,17 +71,25 @@
     this.server.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
   }
 
-  /** Takes no new connections; those that are open go on. */
+  /**
+   * Takes no new connections; those that are open go on.
+   *
+   * An HTTP server of Node.js (20) closes connections that it takes for idle
+   * when it is closed, among them those on which the end of an answer is still
+   * on its way; the server below it does not.
+   */
   stopListening(): void {
-    if (this.server.listening) this.server.close();
+    if (this.server.listening) TcpServer.prototype.close.call(this.server);
   }
 
-  /** Closes connections that wait for a request. */
-  closeIdle(): void {
-    this.server.closeIdleConnections();
+  /** Closes connections that wait for another request. */
+  closeResting(): void {
+    this.options.handler.connections.closeResting();
   }
 
   closeAll(): void {
+    // Ends the server's own timers too.
+    this.server.close();
     this.server.closeAllConnections();
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -199,7 +199,7 @@
       if (!this.shutdown.hasBalancerNoticed(nowMs)) continue;
       // What came from now on might not be finished within the grace time.
       this.callers.stopListening();
-      this.callers.closeIdle();
+      this.callers.closeResting();
       if (this.handler.inProgress === 0) return;
     }
   }
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -1,7 +1,6 @@
 /** Takes a caller's request from its head to its final answer. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
 import {fingerprintOf} from '@snipestage/entry/identify/fingerprint.js';
 import type {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {ClientAccountId, Fingerprint} from '@snipestage/types/ids.js';
@@ -32,25 +31,24 @@
 
 /** Keeps count of the requests in progress. */
 export class RequestHandler {
+  readonly connections = new CallerConnections();
   private count = 0;
   private readonly exchanges = new Set<Exchange>();
-  private readonly connections = new CallerConnections();
   private readonly random: () => number;
 
   constructor(private readonly options: RequestHandlerOptions) {
     this.random = options.random ?? Math.random;
   }
 
-  /** Requests that have no final answer yet. */
+  /**
+   * Requests whose callers don't have their final answer yet. Given to a
+   * connection is not enough: with a slow caller most of an answer may still
+   * wait here, and would be cut if the instance ended.
+   */
   get inProgress(): number {
     return this.count;
   }
 
-  /** A caller has opened a connection. */
-  noteConnection(socket: Socket): void {
-    this.connections.noteOpened(socket, this.options.nowMs());
-  }
-
   /**
    * Ends what is in progress with its final answer, since the instance ends. A
    * connection that closes without one leaves its caller to guess whether the
@@ -73,7 +71,9 @@
       () => exchange?.cancel(),
     );
     this.count += 1;
-    const line = this.describeArrival(request, arrivedAtMs);
+    response.once('close', () => (this.count -= 1));
+    const line = this.describeArrival(response, arrivedAtMs);
+    this.connections.followAnswer(response);
     try {
       exchange = await this.prepare(request, writer, arrivedAtMs, line);
       if (exchange !== undefined) await this.run(exchange);
@@ -84,7 +84,6 @@
       });
       writer.fail(502, {});
     } finally {
-      this.count -= 1;
       this.account(writer, response, exchange, arrivedAtMs, line);
     }
   }
@@ -103,10 +102,10 @@
    * what kind of connection.
    */
   private describeArrival(
-    {socket}: IncomingMessage,
+    response: ServerResponse,
     nowMs: number,
   ): Record<string, unknown> {
-    const facts = this.connections.noteRequest(socket, nowMs);
+    const facts = this.connections.noteRequest(response, nowMs);
     const sinceStopMs = this.options.shutdown.sinceMs(nowMs);
     if (sinceStopMs === undefined) return {};
     return {
--- a/packages/gateway/src/stop.test.ts
+++ b/packages/gateway/src/stop.test.ts
@@ -34,6 +34,14 @@
   };
 }
 
+/** A request as it goes out on a connection of the test's own. */
+function requestBytes(id: string): string {
+  const lines = Object.entries(headersOf(id)).map(
+    ([name, value]) => `${name}: ${value}`,
+  );
+  return ['GET /x HTTP/1.1', ...lines, '\r\n'].join('\r\n');
+}
+
 /** Answers in one piece. */
 function answersAfter(delayMs: number): TestEndpoint {
   return new TestEndpoint((response, id) => {
@@ -138,10 +146,7 @@
   await waitUntil(() => endpoint.begun.length > 0);
   const stopped = gateway.stop();
   await pause(LATE_IN_A_STOP_MS);
-  const lines = Object.entries(headersOf('late')).map(
-    ([name, value]) => `${name}: ${value}`,
-  );
-  early.write(['GET /x HTTP/1.1', ...lines, '\r\n'].join('\r\n'));
+  early.write(requestBytes('late'));
   await pause(100);
   t.deepEqual(endpoint.begun, ['last']);
   t.regex(answer, /^HTTP\/1.1 503 /);
@@ -194,3 +199,28 @@
     .find(({event}) => event === 'request');
   t.like(line, {status: 502, reason: 'grace_time_over'});
 });
+
+test('an answer that is on its way to a slow caller is not cut', async t => {
+  // A caller on a weak link reads slowly. Seen: with nothing else to do the
+  // instance took the answer for given once the endpoint had sent it all, and
+  // closed the connection in the middle of it.
+  const whole = Buffer.alloc(24 * 1024 * 1024, 'x');
+  const endpoint = new TestEndpoint((response, id) => {
+    response.writeHead(200, {'X-Request-Id': id, 'X-Signature': 'proof'});
+    response.end(whole);
+  });
+  const {gateway, callers} = await startWithEndpoint(endpoint);
+  t.teardown(() => endpoint.close());
+  const slow = net.connect(callers, '127.0.0.1');
+  t.teardown(() => slow.destroy());
+  let receivedBytes = 0;
+  slow.on('data', data => (receivedBytes += data.length));
+  slow.write(requestBytes('slow'));
+  await once(slow, 'data');
+  slow.pause();
+  const stopped = gateway.stop();
+  await pause(LATE_IN_A_STOP_MS);
+  slow.resume();
+  await Promise.all([stopped, once(slow, 'close')]);
+  t.true(receivedBytes > whole.length, String(receivedBytes));
+});
--- a/packages/gateway/src/test_support/test_door.ts
+++ b/packages/gateway/src/test_support/test_door.ts
@@ -240,7 +240,7 @@
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     server.on('connection', (socket: Socket) => {
-      handler.noteConnection(socket);
+      handler.connections.noteOpened(socket, performance.now());
       this.sockets.add(socket);
     });
     this.servers.push(server);
