Take what silence and hearsay say of a member out of the membership

Hard to read: membership.ts kept the view, the gossip and the queue of changes, and between them decided when a silent member is suspected, dead or forgotten. Five instants of an entry were compared in a method that also changed the entry and told of it, so that the rule could not be read without its effects. A death that was only told of was treated in the middle of a merge, with a branch of its own for dead members.

Reads better: silence_rules.ts holds the instants and gives a verdict from them and the time; member_rules.ts says what state hearsay leads to, beside the rule of which account holds. The branch for dead members goes: replacing an entry by one of the same state is what it did. The membership applies the verdicts, as before.

--- a/packages/peer/src/member_rules.ts
+++ b/packages/peer/src/member_rules.ts
@@ -43,7 +43,31 @@
 export function needsRefutation(told: Member, self: Member): boolean {
   if (told.heartbeat < self.heartbeat) return false;
   if (told.incarnation !== self.incarnation) return true;
-  return told.state === 'suspect' || told.state === 'dead';
+  return isAccusation(told);
+}
+
+/**
+ * Whether an account says that its member fails.
+ *
+ * @example
+ * if (isAccusation(told)) accusations.set(told.id, told);
+ */
+export function isAccusation({state}: Member): boolean {
+  return state === 'suspect' || state === 'dead';
+}
+
+/**
+ * The state that a newer account by another member leads to. A death that was
+ * only told of starts a suspicion, so that the member has time to refute it;
+ * one that was leaving is gone, and one found dead here stays dead.
+ *
+ * @example
+ * stateOnHearsay({...told, state: 'dead'}, known); // 'suspect' if it was alive
+ */
+export function stateOnHearsay(told: Member, known: Member): MemberState {
+  if (known.state === 'dead' && isAccusation(told)) return 'dead';
+  const isDeathOnlyTold = told.state === 'dead' && known.state !== 'leaving';
+  return isDeathOnlyTold ? 'suspect' : told.state;
 }
 
 /** A new life's first heartbeat, see above. */
--- a/packages/peer/src/membership.ts
+++ b/packages/peer/src/membership.ts
@@ -13,8 +13,18 @@
 import type {Member} from '@snipestage/types/member.js';
 import type {Hello} from './frame_codec.js';
 import {GossipQueue} from './gossip_queue.js';
-import {isNewer, needsRefutation} from './member_rules.js';
+import {
+  isAccusation,
+  isNewer,
+  needsRefutation,
+  stateOnHearsay,
+} from './member_rules.js';
 import type {PeerIdentity} from './records.js';
+import {
+  judgeSilence,
+  type KnownMember,
+  type SilenceLimits,
+} from './silence_rules.js';
 
 const DEFAULT_FORGET_AFTER_MS = 600_000;
 const LONGEST_SUSPICION_WAIT_MS = 60_000;
@@ -22,14 +32,8 @@
 const IN_TURN_PER_HEARTBEAT = 3;
 
 /** What a {@link Membership} is made from. */
-export interface MembershipOptions {
+export interface MembershipOptions extends SilenceLimits {
   readonly self: Member;
-  /** Silence of a watched member after which it is suspected. */
-  readonly suspectAfterMs: number;
-  /** Silence after which it is held dead. */
-  readonly deadAfterMs: number;
-  /** How long a dead member is remembered. */
-  readonly forgetAfterMs?: number;
 }
 
 /** One change of the view. */
@@ -39,23 +43,10 @@
   readonly previous?: Member;
 }
 
-interface Entry {
-  member: Member;
-  /** When a frame last came from the member itself. */
-  heardMs: number;
-  /** Since when its frames are expected; absent when they are not. */
-  watchedMs?: number;
-  /** When it last refuted a suspicion. */
-  refutedMs: number;
-  suspicionWaitMs: number;
-  /** When it was first suspected, or found dead. */
-  sinceMs: number;
-}
-
 /** The view of one instance. */
 export class Membership {
   private readonly options: Required<MembershipOptions>;
-  private readonly entries = new Map<InstanceId, Entry>();
+  private readonly entries = new Map<InstanceId, KnownMember>();
   /** Rumours against members that are heard directly, for them to refute. */
   private readonly accusations = new Map<InstanceId, Member>();
   private readonly gossip = new GossipQueue();
@@ -239,7 +230,7 @@
     this.changes.push({member, previous: previous?.member});
   }
 
-  private replace(entry: Entry, member: Member, nowMs: number): void {
+  private replace(entry: KnownMember, member: Member, nowMs: number): void {
     const previous = entry.member;
     entry.member = member;
     if (member.state === previous.state) return;
@@ -273,10 +264,9 @@
     this.gossip.add(told.id, from);
   }
 
-  private mergeNewer(entry: Entry, told: Member, nowMs: number): void {
+  private mergeNewer(entry: KnownMember, told: Member, nowMs: number): void {
     const known = entry.member;
-    const isAgainst = told.state === 'suspect' || told.state === 'dead';
-    const revision = Math.max(told.revision, known.revision) as Revision;
+    const isAgainst = isAccusation(told);
     if (isAgainst && this.isHeard(entry, nowMs)) {
       this.accusations.set(told.id, told);
       return;
@@ -286,42 +276,25 @@
       const longerMs = entry.suspicionWaitMs * 2;
       entry.suspicionWaitMs = Math.min(longerMs, LONGEST_SUSPICION_WAIT_MS);
     }
-    // A leaving member that others found gone needs no suspicion.
-    const isDeathOnlyTold = told.state === 'dead' && known.state !== 'leaving';
-    const state = isDeathOnlyTold ? 'suspect' : told.state;
-    if (known.state === 'dead' && isAgainst) {
-      entry.member = {...told, revision, state: 'dead'};
-      return;
-    }
+    const state = stateOnHearsay(told, known);
+    const revision = Math.max(told.revision, known.revision) as Revision;
     this.replace(entry, {...told, revision, state}, nowMs);
   }
 
-  private isHeard(entry: Entry, nowMs: number): boolean {
+  private isHeard(entry: KnownMember, nowMs: number): boolean {
     return nowMs - entry.heardMs <= this.options.suspectAfterMs;
   }
 
-  private judge(entry: Entry, nowMs: number): void {
-    const {suspectAfterMs, deadAfterMs, forgetAfterMs} = this.options;
-    const {member, sinceMs} = entry;
-    if (member.state === 'dead') {
-      if (nowMs - sinceMs > forgetAfterMs) this.entries.delete(member.id);
-      return;
-    }
-    if (member.state === 'suspect') {
-      if (nowMs - sinceMs < deadAfterMs - suspectAfterMs) return;
-      this.replace(entry, {...member, state: 'dead'}, nowMs);
+  private judge(entry: KnownMember, nowMs: number): void {
+    const {member} = entry;
+    const verdict = judgeSilence(entry, nowMs, this.options);
+    if (verdict === 'keep') return;
+    if (verdict === 'forget') {
+      this.entries.delete(member.id);
       return;
     }
-    if (entry.watchedMs === undefined) return;
-    const {heardMs, watchedMs, refutedMs} = entry;
-    const silentMs = nowMs - Math.max(heardMs, watchedMs, refutedMs);
-    if (member.state === 'leaving') {
-      if (silentMs < deadAfterMs) return;
-      this.replace(entry, {...member, state: 'dead'}, nowMs);
-      this.gossip.add(member.id);
-    } else if (silentMs >= entry.suspicionWaitMs) {
-      this.replace(entry, {...member, state: 'suspect'}, nowMs);
-      this.gossip.add(member.id);
-    }
+    this.replace(entry, {...member, state: verdict}, nowMs);
+    // Others have heard of the suspicion, and wait for its end by themselves.
+    if (member.state !== 'suspect') this.gossip.add(member.id);
   }
 }
