Number the calls of all protocols in one place

Hard to read: why a call number rises, and that a result under a former one passes unheard, stood nowhere; the five lines that raise it, put it into the state and again into the effect stood fifteen times, in six protocols, twice as a function with another name. One that forgot one of the two places would have awaited a result that never comes.

Reads better: startCall in table_effects.ts says it once and does both; each transition now shows only what it reads, writes or waits for. No behaviour changes.

--- a/packages/agreement/src/claim.ts
+++ b/packages/agreement/src/claim.ts
@@ -29,6 +29,7 @@
 import {
   findRow,
   retryDelayMs,
+  startCall,
   type Step,
   type TableEffect,
   type TableEvent,
@@ -144,22 +145,20 @@
 
 /** Writes the goal, on the row as it was last seen. */
 function write(state: ClaimState): ClaimStep {
-  const call = state.call + 1;
   const value: ClaimValue = {...state.owner, status: state.goal};
   const transaction: TableTransaction = {
     checks: [{key: state.key, version: state.version}],
     writes: [{key: state.key, value}],
   };
-  const next = {...state, call, tries: state.tries + 1};
-  return {state: next, effects: [{kind: 'transact', call, transaction}]};
+  return startCall({...state, tries: state.tries + 1}, call => ({
+    kind: 'transact',
+    call,
+    transaction,
+  }));
 }
 
 function readBack(state: ClaimState): ClaimStep {
-  const call = state.call + 1;
-  return {
-    state: {...state, call},
-    effects: [{kind: 'read', call, keys: [state.key]}],
-  };
+  return startCall(state, call => ({kind: 'read', call, keys: [state.key]}));
 }
 
 function takeWrite(state: ClaimState, result: TransactionResult): ClaimStep {
@@ -274,10 +273,10 @@
   if (state.phase === 'claiming' && state.tries >= MAX_CLAIM_TRIES) {
     return abandon(state);
   }
-  const call = state.call + 1;
   const delayMs = retryDelayMs(Math.max(1, state.tries));
-  return {
-    state: {...state, call, tries: state.tries + 1},
-    effects: [{kind: 'wait', call, delayMs}],
-  };
+  return startCall({...state, tries: state.tries + 1}, call => ({
+    kind: 'wait',
+    call,
+    delayMs,
+  }));
 }
--- a/packages/agreement/src/lease.ts
+++ b/packages/agreement/src/lease.ts
@@ -34,6 +34,7 @@
 import {lose, renew, retire, take} from './lease_writes.js';
 import {
   findRow,
+  startCall,
   type Step,
   type TableEffect,
   type TableEvent,
@@ -234,12 +235,13 @@
 }
 
 function poll(state: LeaseState, nowMs: number): LeaseStep {
-  const call = state.call + 1;
   const keys = [leaseKey(state.options.name)];
-  return {
-    state: {...state, call, polledAtMs: nowMs, pending: {kind: 'poll'}},
-    effects: [{kind: 'read', call, keys}],
-  };
+  const polling = {
+    ...state,
+    polledAtMs: nowMs,
+    pending: {kind: 'poll'},
+  } as const;
+  return startCall(polling, call => ({kind: 'read', call, keys}));
 }
 
 function takeWrite(
@@ -263,12 +265,10 @@
 }
 
 function readBack(state: LeaseState, write: PendingLeaseWrite): LeaseStep {
-  const call = state.call + 1;
   const {name} = state.options;
-  return {
-    state: {...state, call, pending: {...write, kind: 'read_back'}},
-    effects: [{kind: 'read', call, keys: [leaseKey(name), fenceKey(name)]}],
-  };
+  const keys = [leaseKey(name), fenceKey(name)];
+  const pending = {...write, kind: 'read_back'} as const;
+  return startCall({...state, pending}, call => ({kind: 'read', call, keys}));
 }
 
 function takeRows(
--- a/packages/agreement/src/orders.ts
+++ b/packages/agreement/src/orders.ts
@@ -38,6 +38,7 @@
 import {
   findRow,
   retryDelayMs,
+  startCall,
   type Step,
   type TableEffect,
   type TableEvent,
@@ -175,12 +176,12 @@
 }
 
 function scan(state: OrdersState): OrdersStep {
-  const call = state.call + 1;
   const prefix = intentPrefix(state.lease);
-  return {
-    state: {...state, call, scanning: true},
-    effects: [{kind: 'scan', call, prefix}],
-  };
+  return startCall({...state, scanning: true}, call => ({
+    kind: 'scan',
+    call,
+    prefix,
+  }));
 }
 
 function takeIntents(state: OrdersState, result: ReadResult): OrdersStep {
@@ -243,20 +244,17 @@
 /** Carries out, or repeats, the phase that the current order is in. */
 function perform(state: OrdersState): OrdersStep {
   const {current} = state;
-  const call = state.call + 1;
-  const next = {...state, call};
   switch (current?.phase) {
     case undefined:
       return {state, effects: []};
-    case 'sending':
-      return {
-        state: next,
-        effects: [{kind: 'order', call, order: current.order}],
-      };
+    case 'sending': {
+      const {order} = current;
+      return startCall(state, call => ({kind: 'order', call, order}));
+    }
     case 'recording':
-      return transact(next, current, {order: current.order});
+      return transact(state, current, {order: current.order});
     case 'clearing':
-      return transact(next, current, null);
+      return transact(state, current, null);
   }
 }
 
@@ -266,7 +264,7 @@
   current: CurrentOrder,
   value: IntentValue | null,
 ): OrdersStep {
-  const {call, lease, term} = state;
+  const {lease, term} = state;
   const key = intentKey(current.order.order.id);
   const write: RowWrite = {key, value};
   const checks = [
@@ -274,7 +272,7 @@
     {key, version: current.version},
   ];
   const transaction = {checks, writes: [write]};
-  return {state, effects: [{kind: 'transact', call, transaction}]};
+  return startCall(state, call => ({kind: 'transact', call, transaction}));
 }
 
 function takeCommit(state: OrdersState, result: TransactionResult): OrdersStep {
@@ -354,13 +352,13 @@
 }
 
 function waitToRepeat(state: OrdersState, tries: number): OrdersStep {
-  const call = state.call + 1;
   const current = state.current && {...state.current, tries};
   const delayMs = retryDelayMs(tries);
-  return {
-    state: {...state, call, current},
-    effects: [{kind: 'wait', call, delayMs}],
-  };
+  return startCall({...state, current}, call => ({
+    kind: 'wait',
+    call,
+    delayMs,
+  }));
 }
 
 function repeat(state: OrdersState): OrdersStep {
--- a/packages/agreement/src/revisions.ts
+++ b/packages/agreement/src/revisions.ts
@@ -22,6 +22,7 @@
 } from './snapshots.js';
 import {
   findRow,
+  startCall,
   type Step,
   type TableEffect,
   type TableEvent,
@@ -335,6 +336,5 @@
   poll: PollState,
   effectOf: (call: number) => TableEffect,
 ): RevisionStep {
-  const next = state.call + 1;
-  return {state: {...state, call: next, poll}, effects: [effectOf(next)]};
+  return startCall({...state, poll}, effectOf);
 }
--- a/packages/agreement/src/table_effects.ts
+++ b/packages/agreement/src/table_effects.ts
@@ -48,6 +48,21 @@
   readonly effects: readonly Effect[];
 }
 
+/**
+ * Starts the one call that a state awaits, under the next number: the result of
+ * an earlier call that comes late has a number that is no longer awaited.
+ *
+ * @example
+ * startCall({...state, phase: 'reading'}, call => ({kind: 'read', call, keys}));
+ */
+export function startCall<State extends {readonly call: number}, Effect>(
+  state: State,
+  effectOf: (call: number) => Effect,
+): Step<State, Effect> {
+  const call = state.call + 1;
+  return {state: {...state, call}, effects: [effectOf(call)]};
+}
+
 /**
  * The row of a key among rows read; absent ones have version 0.
  *
--- a/packages/agreement/src/tickets.ts
+++ b/packages/agreement/src/tickets.ts
@@ -19,6 +19,7 @@
 import {
   findRow,
   retryDelayMs,
+  startCall,
   type Step,
   type TableEffect,
   type TableEvent,
@@ -119,13 +120,10 @@
 }
 
 function startAttempt(state: TicketState): TicketStep {
-  const {attempt, call} = state;
-  const next = {...state, attempt: attempt + 1, call: call + 1, rows: []};
   const keys = listTicketKeys(state.ticket);
-  return {
-    state: {...next, phase: 'reading'},
-    effects: [{kind: 'read', call: next.call, keys}],
-  };
+  const attempt = state.attempt + 1;
+  const reading = {...state, attempt, rows: [], phase: 'reading'} as const;
+  return startCall(reading, call => ({kind: 'read', call, keys}));
 }
 
 function takeRows(state: TicketState, result: ReadResult): TicketStep {
@@ -140,11 +138,10 @@
     return finish(state, {kind, revision: brandAs<Revision>(version)});
   }
   if (state.phase === 'reading' && needsObjects(state.ticket)) {
-    const call = state.call + 1;
-    return {
-      state: {...state, call, phase: 'scanning', rows: result.rows},
-      effects: [{kind: 'scan', call, prefix: OBJECTS_PREFIX}],
-    };
+    const {rows} = result;
+    const scanning = {...state, phase: 'scanning', rows} as const;
+    const prefix = OBJECTS_PREFIX;
+    return startCall(scanning, call => ({kind: 'scan', call, prefix}));
   }
   const scanned = state.phase === 'scanning';
   const plan = planTicket({
@@ -159,20 +156,21 @@
 function follow(state: TicketState, plan: TicketPlan): TicketStep {
   switch (plan.kind) {
     case 'commit': {
-      const call = state.call + 1;
-      return {
-        state: {...state, call, phase: 'committing'},
-        effects: [{kind: 'transact', call, transaction: plan.transaction}],
-      };
+      const {transaction} = plan;
+      return startCall({...state, phase: 'committing'}, call => ({
+        kind: 'transact',
+        call,
+        transaction,
+      }));
     }
     case 'already_accepted': {
       // The rows need not have been read at one moment: a head read before the
       // ticket was committed would be a revision that does not contain it.
-      const call = state.call + 1;
-      return {
-        state: {...state, call, phase: 'reading_revision'},
-        effects: [{kind: 'read', call, keys: [HEAD_KEY]}],
-      };
+      return startCall({...state, phase: 'reading_revision'}, call => ({
+        kind: 'read',
+        call,
+        keys: [HEAD_KEY],
+      }));
     }
     default:
       // True even while a transaction is in doubt: what was read since differs
@@ -205,12 +203,12 @@
   if (state.attempt >= state.maxAttempts) {
     return giveUp(state);
   }
-  const call = state.call + 1;
   const delayMs = retryDelayMs(state.attempt);
-  return {
-    state: {...state, call, phase: 'waiting'},
-    effects: [{kind: 'wait', call, delayMs}],
-  };
+  return startCall({...state, phase: 'waiting'}, call => ({
+    kind: 'wait',
+    call,
+    delayMs,
+  }));
 }
 
 function giveUp(state: TicketState): TicketStep {
--- a/packages/agreement/src/usage.ts
+++ b/packages/agreement/src/usage.ts
@@ -20,6 +20,7 @@
 import {fenceKey, type LeaseTerm} from './lease_rows.js';
 import {
   findRow,
+  startCall,
   type Step,
   type TableEffect,
   type TableEvent,
@@ -173,8 +174,7 @@
   phase: ReporterPhase,
   effectOf: (call: number) => ReporterEffect,
 ): ReporterStep {
-  const call = state.call + 1;
-  return {state: {...state, call, phase}, effects: [effectOf(call)]};
+  return startCall({...state, phase}, effectOf);
 }
 
 function readProgress(state: ReporterState, nowEpochMs: number): ReporterStep {
--- a/packages/agreement/src/usage_counters.ts
+++ b/packages/agreement/src/usage_counters.ts
@@ -22,6 +22,7 @@
 } from '@snipestage/types/table.js';
 import {
   findRow,
+  startCall,
   type Step,
   type TableEffect,
   type TableEvent,
@@ -170,13 +171,13 @@
   if (dirty.length === 0) {
     return {state, effects: []};
   }
-  const call = state.call + 1;
   if (state.inDoubt) {
     const keys = dirty.map(({key}) => key);
-    return {
-      state: {...state, call, pending: 'reading'},
-      effects: [{kind: 'read', call, keys}],
-    };
+    return startCall({...state, pending: 'reading'}, call => ({
+      kind: 'read',
+      call,
+      keys,
+    }));
   }
   const transaction: TableTransaction = {
     checks: dirty.map(({key, version}) => ({key, version})),
@@ -188,10 +189,11 @@
       ? {...each, writtenSequence: each.value.sequence}
       : each,
   );
-  return {
-    state: {...state, call, pending: 'writing', windows},
-    effects: [{kind: 'transact', call, transaction}],
-  };
+  return startCall({...state, pending: 'writing', windows}, call => ({
+    kind: 'transact',
+    call,
+    transaction,
+  }));
 }
 
 function takeCommit(
