Split the specification of lease and orders by what it describes

Hard to read: lease_model.ts had 426 lines. One looks in it for what may happen and for what must hold; both stood at its ends, and between them how one instance feeds its lease and orders, and what becomes of an order on its way. The key of its states imported its type back from it.

The specification is the same.

--- a/packages/agreement/src/models/lease_model_key.ts
+++ b/packages/agreement/src/models/lease_model_key.ts
@@ -1,8 +1,6 @@
 /** Which states of the specification of lease and orders behave alike. */
 
-import type {LeaseWorld} from './lease_model.js';
-
-type Process = LeaseWorld['processes'][number];
+import type {LeaseWorld, Process} from './lease_world.js';
 
 /**
  * States behave alike if they differ only in when they come about and in how
--- /dev/null
+++ b/packages/agreement/src/models/lease_world.ts
@@ -0,0 +1,88 @@
+/**
+ * What there is in the specification of lease and orders, and what may happen.
+ */
+
+import type {LeaseState, LeaseStep} from '../lease.js';
+import type {Order} from '../order_rows.js';
+import type {OrdersEvent, OrdersState} from '../orders.js';
+import type {TableEffect} from '../table_effects.js';
+import {type Delivery, type LateAction, type World} from './world_model.js';
+
+/** An order that awaits its answer under `call`. */
+export interface OrderEffect {
+  readonly call: number;
+  readonly order: Order;
+}
+
+/** One instance: its clock, its lease, its orders, and what they wait for. */
+export interface Process {
+  readonly nowMs: number;
+  readonly lease: LeaseState;
+  readonly leaseCall: TableEffect | undefined;
+  readonly orders: OrdersState;
+  readonly ordersCall: TableEffect | undefined;
+  readonly toSend: OrderEffect | undefined;
+}
+
+/** An order whose bytes have left; the process `from` awaits its answer. */
+export interface SentOrder extends OrderEffect {
+  readonly from: number;
+}
+
+export interface LeaseWorld {
+  readonly world: World;
+  readonly processes: readonly Process[];
+  readonly sent: readonly SentOrder[];
+  /** Ids that the platform carried out, and their tokens in that order. */
+  readonly carriedOut: readonly string[];
+  readonly tokens: readonly number[];
+  readonly driftLeftMs: number;
+}
+
+export type LeaseAction =
+  | {readonly type: 'time_passes'; readonly fasterBy?: number}
+  | {readonly type: 'tick'; readonly process: number}
+  | {readonly type: 'retire'; readonly process: number}
+  | {
+      readonly type: 'deliver';
+      readonly process: number;
+      readonly of: 'leaseCall' | 'ordersCall';
+      readonly delivery: Delivery;
+    }
+  | LateAction
+  | {readonly type: 'send'; readonly process: number}
+  | {
+      readonly type: 'arrive';
+      readonly index: number;
+      readonly answered: boolean;
+    }
+  | {readonly type: 'answer_late'; readonly index: number};
+
+/** How large the model is, and the rule that a mutant breaks. */
+export interface LeaseModelOptions {
+  /** No time passes after this fencing token. */
+  readonly lastToken?: number;
+  readonly marginMs?: number;
+  readonly losses?: number;
+  readonly driftMs?: number;
+  readonly orders?: boolean;
+  readonly retire?: boolean;
+  readonly renewals?: boolean;
+  readonly mutateLease?: (step: LeaseStep) => LeaseStep;
+  readonly mutateOrders?: (
+    event: OrdersEvent,
+    state: OrdersState,
+  ) => OrdersEvent;
+}
+
+/** The world with another state of one process. */
+export function replaceProcess(
+  state: LeaseWorld,
+  index: number,
+  next: Process,
+): LeaseWorld {
+  const processes = state.processes.map((each, i) =>
+    i === index ? next : each,
+  );
+  return {...state, processes};
+}
