Take what an instance tells a cell's owner out of the permit client

Hard to read: permit_client.ts decided who grants permits, and beside that when each message is due again, with the instants of the last ones, five timings and the watch for a silent owner in its fields. That an ask goes to one who decides, while all else goes to both, showed only by comparing two private methods.

Reads better: owner_messages.ts has the messages, their timings and the silence that they show; permit_client.ts follows a request and says who decides. Where nobody has decided yet is asked in one place. No behaviour changes.

--- a/packages/policy/src/permit_client.ts
+++ b/packages/policy/src/permit_client.ts
@@ -7,7 +7,7 @@
   PermitRelease,
 } from '@snipestage/types/permits.js';
 import type {CellLoad} from './cell_choice.js';
-import type {AttemptProgress, CellInput, CellOutput} from './cell_messages.js';
+import type {AttemptProgress, CellOutput} from './cell_messages.js';
 import {ClientFallback} from './client_fallback.js';
 import type {
   CellConfiguration,
@@ -15,7 +15,7 @@
   PermitClientSnapshot,
 } from './client_messages.js';
 import {ClientState} from './client_state.js';
-import {OwnerWatch} from './owner_watch.js';
+import {OwnerMessages, type OwnerMessageTimes} from './owner_messages.js';
 import {
   createPolicySet,
   type PolicyName,
@@ -25,30 +25,18 @@
 import type {WaitingAsk} from './waiting_asks.js';
 
 const DEFAULT_MAX_WAITING = 2000;
-const DEFAULT_OWNER_SILENT_AFTER_MS = 700;
-const DEFAULT_REPEAT_ASK_MS = 300;
-const DEFAULT_REPEAT_IN_USE_MS = 5000;
-const DEFAULT_PROGRESS_EVERY_MS = 500;
-/** Asks said again in one tick. */
-const MAX_REPEATED_ASKS = 2;
 /** How long past its deadline a request waits for the owner's refusal. */
 const LATE_REFUSAL_MS = 1000;
 const LATE_RETRY_AFTER_MS = 1000;
 
 /** What a {@link PermitClient} is made from. */
-export interface PermitClientOptions {
+export interface PermitClientOptions extends OwnerMessageTimes {
   readonly cell: CellId;
   /** This entry instance. */
   readonly instance: InstanceId;
   readonly random: RandomSource;
   readonly policy?: PolicyName;
   readonly maxWaiting?: number;
-  /** Silence after what an owner always answers; then it is taken as lost. */
-  readonly ownerSilentAfterMs?: number;
-  readonly repeatAskMs?: number;
-  readonly repeatInUseMs?: number;
-  /** How often the owner is told of tokens produced. */
-  readonly progressEveryMs?: number;
 }
 
 /**
@@ -63,32 +51,27 @@
  * const outputs = client.request(ask, nowMs);
  */
 export class PermitClient {
-  private readonly options: Required<PermitClientOptions>;
+  private readonly random: RandomSource;
   private readonly policy: PolicySet;
   private readonly state: ClientState;
   private readonly fallback: ClientFallback;
-  private readonly watch: OwnerWatch;
+  private readonly messages: OwnerMessages;
   /** Which life of the owner the allotment is from. */
   private ownerTerm: number | undefined;
-  private toldInUseAtMs = -Infinity;
-  private toldProgressAtMs = -Infinity;
 
   constructor(options: PermitClientOptions) {
-    this.options = {
-      ...options,
-      policy: options.policy ?? 'tiered',
-      maxWaiting: options.maxWaiting ?? DEFAULT_MAX_WAITING,
-      ownerSilentAfterMs:
-        options.ownerSilentAfterMs ?? DEFAULT_OWNER_SILENT_AFTER_MS,
-      repeatAskMs: options.repeatAskMs ?? DEFAULT_REPEAT_ASK_MS,
-      repeatInUseMs: options.repeatInUseMs ?? DEFAULT_REPEAT_IN_USE_MS,
-      progressEveryMs: options.progressEveryMs ?? DEFAULT_PROGRESS_EVERY_MS,
-    };
-    const {policy, ownerSilentAfterMs} = this.options;
+    const {
+      random,
+      policy = 'tiered',
+      maxWaiting = DEFAULT_MAX_WAITING,
+    } = options;
+    const state = new ClientState(options);
+    const fallback = new ClientFallback({state, random, policy, maxWaiting});
+    this.random = random;
     this.policy = createPolicySet(policy);
-    this.state = new ClientState(options);
-    this.fallback = new ClientFallback({...this.options, state: this.state});
-    this.watch = new OwnerWatch(ownerSilentAfterMs);
+    this.state = state;
+    this.fallback = fallback;
+    this.messages = new OwnerMessages({...options, state, fallback});
   }
 
   /**
@@ -126,7 +109,7 @@
    */
   withdraw(attempt: AttemptId, nowMs: number): ClientOutput[] {
     if (this.state.waiting.remove(attempt) !== undefined) {
-      this.tell({kind: 'withdraw', attempt}, nowMs);
+      this.messages.tell({kind: 'withdraw', attempt}, nowMs);
     }
     return this.state.takeOutputs();
   }
@@ -143,7 +126,7 @@
       if (output.kind === 'grant') state.giveBackUnused(output.grant, from);
       return state.takeOutputs();
     }
-    this.watch.heard();
+    this.messages.heard();
     if (this.fallback.isActive) this.joinOwner(nowMs);
     if (output.kind === 'grant') state.granted(output.grant, from, nowMs);
     if (output.kind === 'refuse') state.refused(output.refusal);
@@ -162,7 +145,7 @@
     const permit = running.end(release.attempt);
     if (permit === undefined) return [];
     if (permit.underAllotment) allotment.giveBack(permit.endpoint);
-    this.tell({kind: 'release', instance, release}, nowMs);
+    this.messages.tell({kind: 'release', instance, release}, nowMs);
     return this.state.takeOutputs();
   }
 
@@ -175,7 +158,7 @@
    */
   progress(all: readonly AttemptProgress[], nowMs: number): ClientOutput[] {
     this.state.running.progress(all, nowMs);
-    this.tellProgress(nowMs);
+    this.messages.tellProgress(nowMs);
     return this.state.takeOutputs();
   }
 
@@ -190,7 +173,7 @@
     const alreadyAlone = owner === null && this.fallback.isActive;
     this.state.owner = owner;
     this.ownerTerm = undefined;
-    this.watch.heard();
+    this.messages.heard();
     if (alreadyAlone) return [];
     this.state.dropAllotment();
     if (owner === null) this.decideAlone(nowMs);
@@ -205,10 +188,10 @@
    * setInterval(() => carryOut(client.tick(performance.now())), 50);
    */
   tick(nowMs: number): ClientOutput[] {
-    this.tellProgress(nowMs);
+    this.messages.tellProgress(nowMs);
     this.fallback.tick(nowMs);
     this.refuseLate(nowMs);
-    this.repeatAsks(nowMs);
+    this.messages.repeatAsks(nowMs);
     if (this.state.owner !== null) this.remindOwner(nowMs);
     return this.state.takeOutputs();
   }
@@ -252,7 +235,7 @@
     if (ask.suspect || waiting.size > 0) return false;
     const views = allotment.viewsFor(ask, endpoints);
     if (views.length === 0) return false;
-    const chosen = this.policy.choice.choose(ask, views, this.options.random);
+    const chosen = this.policy.choice.choose(ask, views, this.random);
     allotment.use(chosen.id);
     const start = {ask, endpoint: chosen.id, underAllotment: true, nowMs};
     const permits = [this.state.start(start)];
@@ -261,12 +244,9 @@
   }
 
   private askFor(request: WaitingAsk, nowMs: number): void {
-    request.askedAtMs = nowMs;
-    const remainingMs = Math.max(0, request.deadlineAtMs - nowMs);
-    const input: CellInput = {kind: 'ask', ask: {...request.ask, remainingMs}};
-    if (this.fallback.isActive) return this.fallback.receive(input, nowMs);
-    if (this.state.owner === null) return this.decideAlone(nowMs);
-    this.state.send(input);
+    const nobodyDecides = this.state.owner === null && !this.fallback.isActive;
+    if (nobodyDecides) this.decideAlone(nowMs);
+    else this.messages.ask(request, nowMs);
   }
 
   private allotted(allotment: Allotment, nowMs: number): void {
@@ -274,7 +254,7 @@
     if (!this.state.allotment.apply(allotment)) return;
     const {instance} = this.state;
     const {sequence} = allotment;
-    this.tell({kind: 'allotment_applied', instance, sequence}, nowMs);
+    this.messages.tell({kind: 'allotment_applied', instance, sequence}, nowMs);
   }
 
   /**
@@ -292,63 +272,21 @@
 
   private joinOwner(nowMs: number): void {
     this.fallback.end();
-    this.tellInUse(nowMs);
-    this.askForAll(nowMs);
+    this.messages.tellInUse(nowMs);
+    this.messages.askForAll(nowMs);
   }
 
   private decideAlone(nowMs: number): void {
     this.state.dropAllotment();
     this.fallback.begin(nowMs);
-    this.askForAll(nowMs);
-  }
-
-  private askForAll(nowMs: number): void {
-    for (const request of this.state.waiting.all()) {
-      this.askFor(request, nowMs);
-    }
+    this.messages.askForAll(nowMs);
   }
 
   /** Says again what may have been lost, and notices an owner that is silent. */
   private remindOwner(nowMs: number): void {
-    this.repeatInUse(nowMs);
+    this.messages.repeatInUse(nowMs);
     if (this.fallback.isActive) return;
-    if (this.watch.isSilent(nowMs)) this.decideAlone(nowMs);
-  }
-
-  private tellProgress(nowMs: number): void {
-    if (nowMs - this.toldProgressAtMs < this.options.progressEveryMs) return;
-    this.toldProgressAtMs = nowMs;
-    const progress = this.state.running.takeProgress();
-    if (progress.length === 0) return;
-    const {instance} = this.state;
-    this.tell({kind: 'progress', instance, progress}, nowMs);
-  }
-
-  private repeatInUse(nowMs: number): void {
-    const {repeatAskMs, repeatInUseMs} = this.options;
-    const everyMs = this.fallback.isActive ? repeatAskMs : repeatInUseMs;
-    if (nowMs - this.toldInUseAtMs >= everyMs) this.tellInUse(nowMs);
-  }
-
-  private tellInUse(nowMs: number): void {
-    this.toldInUseAtMs = nowMs;
-    this.watch.asked(nowMs);
-    this.state.sendInUse();
-  }
-
-  /**
-   * A lost ask would wait for ever; and an owner that has nothing to say can't
-   * be told from a dead one unless it is asked something that it answers.
-   */
-  private repeatAsks(nowMs: number): void {
-    const {repeatAskMs} = this.options;
-    const due = this.state.waiting
-      .all()
-      .filter(({askedAtMs}) => nowMs - askedAtMs >= repeatAskMs);
-    for (const request of due.slice(0, MAX_REPEATED_ASKS)) {
-      this.watch.asked(nowMs);
-      this.askFor(request, nowMs);
-    }
+    if (this.messages.isOwnerSilent(nowMs)) this.decideAlone(nowMs);
   }
 
   /** Refuses what its owner should have refused, and did not. */
@@ -356,7 +294,7 @@
     for (const {ask, deadlineAtMs} of this.state.waiting.all()) {
       if (nowMs < deadlineAtMs + LATE_REFUSAL_MS) continue;
       const {attempt} = ask;
-      this.tell({kind: 'withdraw', attempt}, nowMs);
+      this.messages.tell({kind: 'withdraw', attempt}, nowMs);
       this.state.refused({
         attempt,
         reason: 'deadline_unreachable',
@@ -364,10 +302,4 @@
       });
     }
   }
-
-  /** Tells whoever decides; the owner too when it is only silent. */
-  private tell(input: CellInput, nowMs: number): void {
-    this.fallback.receive(input, nowMs);
-    this.state.send(input);
-  }
 }
