Give the simulated cell's owner and results modules of their own

Hard to read: the simulation kept the owner, whether it is frozen, and the frames both ways in fields that six methods changed; in which order a frame is taken in decides what is heard when, and that order had to be found among the clients' and engines' part of a tick.

Reads better: simulated_owner.ts has the owner, its faults and the two halves of a tick; request_result.ts turns what an attempt has come to into times and a result. cell_simulation.ts is arrivals, events, clients and engines. No behaviour changes.

--- a/packages/policy/src/simulation/cell_simulation.ts
+++ b/packages/policy/src/simulation/cell_simulation.ts
@@ -10,15 +10,20 @@
   type InstanceId,
 } from '@snipestage/types/ids.js';
 import type {AttemptOutcome} from '@snipestage/types/permits.js';
-import type {CellEndpoint, CellInput, CellOutput} from '../cell_messages.js';
-import {CellOwner} from '../cell_owner.js';
+import type {CellEndpoint} from '../cell_messages.js';
 import type {ClientOutput} from '../client_messages.js';
 import {PermitClient} from '../permit_client.js';
-import {createPolicySet, type PolicyName} from '../policy_set.js';
+import type {PolicyName} from '../policy_set.js';
 import {createSeededRandom} from '../random_source.js';
 import {CELL, makeAsk} from '../test_fixtures.js';
 import type {RequestResult} from './attainment.js';
+import {
+  describeServed,
+  describeUnserved,
+  measureAttempt,
+} from './request_result.js';
 import {SimulatedEngine, type EngineAttempt} from './simulated_engine.js';
+import {SimulatedOwner} from './simulated_owner.js';
 import type {Arrival} from './workload.js';
 
 const STEP_MS = 5;
@@ -64,38 +69,38 @@
 }
 
 class CellSimulation {
-  private owner: CellOwner;
-  private ownerFrozen = false;
+  private readonly owner: SimulatedOwner;
   private readonly clients = new Map<InstanceId, PermitClient>();
   private readonly engines = new Map<string, SimulatedEngine>();
   private readonly live = new Map<AttemptId, LiveRequest>();
   private readonly results: RequestResult[] = [];
-  private toOwner: CellInput[] = [];
-  private toClients: CellOutput[] = [];
   private readonly owningInstance: InstanceId;
   private readonly classes: readonly RequestClass[];
   private nextArrival = 0;
   private nextEvent = 0;
 
   constructor(private readonly options: CellSimulationOptions) {
+    const {policy, maxWaiting, arrivals, instances = 3} = options;
     const random = createSeededRandom(options.seed);
-    this.owner = this.createOwner(0);
-    for (let index = 1; index <= (options.instances ?? 3); index++) {
+    for (let index = 1; index <= instances; index++) {
       const instance = brandAs<InstanceId>(`akl-a-${index}`);
-      const {policy, maxWaiting} = options;
       this.clients.set(
         instance,
         new PermitClient({cell: CELL, instance, random, policy, maxWaiting}),
       );
     }
     [this.owningInstance] = this.clients.keys();
-    const {arrivals} = options;
     this.classes = [
       ...new Set(arrivals.map(({source}) => source.requestClass)),
     ];
     for (const {id} of options.endpoints) {
       this.engines.set(id, new SimulatedEngine());
     }
+    this.owner = new SimulatedOwner({
+      ...options,
+      classes: this.classes,
+      instances: [...this.clients.keys()],
+    });
   }
 
   run(): RequestResult[] {
@@ -109,26 +114,14 @@
       if (nowMs % PROGRESS_EVERY_MS === 0) this.tellProgress(nowMs);
       if (nowMs % TICK_MS === 0) this.tick(nowMs);
     }
-    for (const request of this.live.values()) {
-      this.results.push(unserved(request, 'unfinished'));
+    for (const {arrival} of this.live.values()) {
+      this.results.push(describeUnserved(arrival, 'unfinished'));
     }
     return this.results;
   }
 
-  private createOwner(startedAtMs: number): CellOwner {
-    const {policy, maxWaiting, seed} = this.options;
-    return new CellOwner({
-      cell: CELL,
-      random: createSeededRandom(seed),
-      startedAtMs,
-      policy: createPolicySet(policy),
-      maxWaiting,
-    });
-  }
-
   private configure(): void {
     const {endpoints} = this.options;
-    this.configureOwner(0);
     for (const client of this.clients.values()) {
       client.configure({kind: 'classes', classes: this.classes}, 0);
       client.configure({kind: 'endpoints', endpoints}, 0);
@@ -140,21 +133,6 @@
     for (let round = 0; round < 4; round++) this.tick(0);
   }
 
-  private configureOwner(nowMs: number): void {
-    const {endpoints} = this.options;
-    const inputs: CellInput[] = [
-      {kind: 'classes', classes: this.classes},
-      {kind: 'endpoints', endpoints},
-      ...[...this.clients.keys()].map((instance): CellInput => ({
-        kind: 'instance_joined',
-        instance,
-      })),
-    ];
-    for (const input of inputs) {
-      this.toClients.push(...this.owner.receive(input, nowMs));
-    }
-  }
-
   private tellOwner(nowMs: number): void {
     for (const client of this.clients.values()) {
       this.carryOut(client.ownerChanged(this.owningInstance, nowMs), nowMs);
@@ -182,15 +160,13 @@
         }
         return;
       case 'freeze_owner':
+        this.owner.freeze();
+        return;
       case 'thaw_owner':
-        this.ownerFrozen = event.kind === 'freeze_owner';
+        this.owner.thaw();
         return;
       case 'replace_owner':
-        this.ownerFrozen = false;
-        this.toOwner = [];
-        this.toClients = [];
-        this.owner = this.createOwner(nowMs);
-        this.configureOwner(nowMs);
+        this.owner.replace(nowMs);
         this.tellOwner(nowMs);
     }
   }
@@ -235,7 +211,7 @@
   ): void {
     const request = this.live.get(done.attempt)!;
     this.live.delete(done.attempt);
-    const measured = measure(done);
+    const measured = measureAttempt(done);
     const release = {
       attempt: done.attempt,
       cell: CELL,
@@ -247,19 +223,12 @@
     };
     const client = this.clients.get(request.instance)!;
     this.carryOut(client.release(release, nowMs), nowMs);
-    if (outcome === 'ok') this.served(request, done);
-    else this.results.push(unserved(request, 'refused', done.produced));
-  }
-
-  private served({arrival}: LiveRequest, done: EngineAttempt): void {
-    this.results.push({
-      arrival,
-      outcome: 'served',
-      firstTokenMs: done.firstTokenAtMs! - arrival.atMs,
-      betweenTokensMs: measure(done).betweenTokensMs,
-      totalMs: done.lastTokenAtMs! - arrival.atMs,
-      producedTokens: done.produced,
-    });
+    const {arrival} = request;
+    this.results.push(
+      outcome === 'ok'
+        ? describeServed(arrival, done)
+        : describeUnserved(arrival, 'refused', done.produced),
+    );
   }
 
   private tellProgress(nowMs: number): void {
@@ -283,17 +252,11 @@
 
   /** One frame each way, then time passes for all. */
   private tick(nowMs: number): void {
-    const outputs = this.toClients;
-    this.toClients = [];
-    const inputs = this.ownerFrozen ? [] : this.toOwner.splice(0);
-    for (const output of outputs) {
+    for (const output of this.owner.beginTick()) {
       const client = this.clients.get(output.instance)!;
       this.carryOut(client.receive(output, this.owningInstance, nowMs), nowMs);
     }
-    for (const input of inputs) {
-      this.toClients.push(...this.owner.receive(input, nowMs));
-    }
-    if (!this.ownerFrozen) this.toClients.push(...this.owner.tick(nowMs));
+    this.owner.endTick(nowMs);
     for (const client of this.clients.values()) {
       this.carryOut(client.tick(nowMs), nowMs);
     }
@@ -301,7 +264,7 @@
 
   private carryOut(outputs: readonly ClientOutput[], nowMs: number): void {
     for (const output of outputs) {
-      if (output.kind === 'tell_owner') this.toOwner.push(output.input);
+      if (output.kind === 'tell_owner') this.owner.queue(output.input);
       if (output.kind === 'refused') this.refused(output.attempt);
       if (output.kind === 'start') {
         this.start(output.attempt, output.endpoint, nowMs);
@@ -310,7 +273,8 @@
   }
 
   private refused(attempt: AttemptId): void {
-    this.results.push(unserved(this.live.get(attempt)!, 'refused'));
+    const {arrival} = this.live.get(attempt)!;
+    this.results.push(describeUnserved(arrival, 'refused'));
     this.live.delete(attempt);
   }
 
@@ -328,22 +292,3 @@
     });
   }
 }
-
-function measure(done: EngineAttempt): {
-  firstTokenMs?: number;
-  betweenTokensMs?: number;
-} {
-  if (done.firstTokenAtMs === undefined) return {};
-  const firstTokenMs = done.firstTokenAtMs - done.submittedAtMs;
-  if (done.produced < 2) return {firstTokenMs};
-  const spanMs = done.lastTokenAtMs! - done.firstTokenAtMs;
-  return {firstTokenMs, betweenTokensMs: spanMs / (done.produced - 1)};
-}
-
-function unserved(
-  {arrival}: LiveRequest,
-  outcome: 'refused' | 'unfinished',
-  producedTokens = 0,
-): RequestResult {
-  return {arrival, outcome, producedTokens};
-}
