Take what is still to be ordered out of the steps of an order

Hard to read: orders.ts follows one order through its intent, its send and its clearing, and between these steps compared desired contents with accepted and refused ones, and put together the row of an intent.

Reads better: outstanding_orders.ts says which content is next and what an answer means for its target, with no call among it; order_rows.ts composes the transaction of an intent beside its key and value, as lease_rows.ts does for a lease. orders.ts is the steps. No behaviour changes.

--- a/packages/agreement/src/order_rows.ts
+++ b/packages/agreement/src/order_rows.ts
@@ -9,6 +9,8 @@
 } from '@snipestage/types/ids.js';
 import {brandAs} from '@snipestage/types/ids.js';
 import type {EndpointOrder} from '@snipestage/types/platform_messages.js';
+import type {TableTransaction} from '@snipestage/types/table.js';
+import {fenceKey} from './lease_rows.js';
 
 /** An order to a model engine. */
 export interface EngineOrder {
@@ -81,6 +83,31 @@
   return `intents/${id}`;
 }
 
+/**
+ * The transaction that writes an order's intent row, or deletes it with `null`,
+ * if the lease has not changed hands and the row is still at `version`.
+ *
+ * @example
+ * composeIntentWrite({lease, fenceVersion, id, version: 0, value: {order}});
+ */
+export function composeIntentWrite(options: {
+  readonly lease: LeaseName;
+  readonly fenceVersion: number;
+  readonly id: OrderId;
+  readonly version: number;
+  readonly value: IntentValue | null;
+}): TableTransaction {
+  const {lease, fenceVersion, id, version, value} = options;
+  const key = intentKey(id);
+  return {
+    checks: [
+      {key: fenceKey(lease), version: fenceVersion},
+      {key, version},
+    ],
+    writes: [{key, value}],
+  };
+}
+
 /**
  * An id that no other holder and no other order has.
  *
--- a/packages/agreement/src/orders.ts
+++ b/packages/agreement/src/orders.ts
@@ -17,24 +17,22 @@
 
 import type {LeaseName} from '@snipestage/types/ids.js';
 import type {OrderResult} from '@snipestage/types/platform_messages.js';
-import type {
-  ReadResult,
-  RowWrite,
-  TransactionResult,
-} from '@snipestage/types/table.js';
-import {canonicalJson} from './canonical_json.js';
+import type {ReadResult, TransactionResult} from '@snipestage/types/table.js';
 import {fenceKey, type LeaseTerm} from './lease_rows.js';
 import {
-  composeOrder,
-  composeOrderId,
   intentKey,
   intentPrefix,
-  needsIntent,
-  targetOf,
   type IntentValue,
   type Order,
   type OrderContent,
+  composeIntentWrite,
 } from './order_rows.js';
+import {
+  findOutstanding,
+  noteAccepted,
+  noteRefused,
+  takeUp,
+} from './outstanding_orders.js';
 import {
   findRow,
   retryDelayMs,
@@ -207,38 +205,11 @@
     const [current, ...open] = state.open;
     return perform({...state, open, current});
   }
-  const content = state.desired.find(each => isOutstanding(state, each));
+  const content = findOutstanding(state);
   if (content === undefined) {
     return {state, effects: []};
   }
-  return perform(composeNext(state, state.term, content));
-}
-
-function isOutstanding(state: OrdersState, content: OrderContent): boolean {
-  const target = targetOf(content);
-  const accepted = state.accepted[target] === canonicalJson(content);
-  return !accepted && !state.refusedTargets.includes(target);
-}
-
-function composeNext(
-  state: OrdersState,
-  {fencingToken}: LeaseTerm,
-  content: OrderContent,
-): OrdersState {
-  const sequence = state.sequence + 1;
-  const id = composeOrderId(state.lease, fencingToken, sequence);
-  const order = composeOrder(content, id, fencingToken);
-  const recorded = needsIntent(content);
-  const phase = recorded ? 'recording' : 'sending';
-  const current = {
-    order,
-    phase,
-    version: 0,
-    recorded,
-    content,
-    tries: 0,
-  } as const;
-  return {...state, sequence, current};
+  return perform(takeUp(state, state.term, content));
 }
 
 /** Carries out, or repeats, the phase that the current order is in. */
@@ -265,13 +236,13 @@
   value: IntentValue | null,
 ): OrdersStep {
   const {lease, term} = state;
-  const key = intentKey(current.order.order.id);
-  const write: RowWrite = {key, value};
-  const checks = [
-    {key: fenceKey(lease), version: term!.fenceVersion},
-    {key, version: current.version},
-  ];
-  const transaction = {checks, writes: [write]};
+  const transaction = composeIntentWrite({
+    lease,
+    fenceVersion: term!.fenceVersion,
+    id: current.order.order.id,
+    version: current.version,
+    value,
+  });
   return startCall(state, call => ({kind: 'transact', call, transaction}));
 }
 
@@ -325,23 +296,6 @@
   }
 }
 
-function noteAccepted(
-  state: OrdersState,
-  {content}: CurrentOrder,
-): OrdersState {
-  if (content === undefined) {
-    return state;
-  }
-  const target = targetOf(content);
-  const accepted = {...state.accepted, [target]: canonicalJson(content)};
-  return {...state, accepted};
-}
-
-function noteRefused(state: OrdersState, {content}: CurrentOrder): OrdersState {
-  const targets = content === undefined ? [] : [targetOf(content)];
-  return {...state, refusedTargets: [...state.refusedTargets, ...targets]};
-}
-
 function clear(state: OrdersState): OrdersStep {
   const current = state.current!;
   if (!current.recorded) {
--- /dev/null
+++ b/packages/agreement/src/outstanding_orders.ts
@@ -0,0 +1,68 @@
+/**
+ * What is still to be ordered: the contents that are desired, less those that
+ * were accepted, or refused since they were last desired.
+ */
+
+import {canonicalJson} from './canonical_json.js';
+import type {LeaseTerm} from './lease_rows.js';
+import {
+  composeOrder,
+  composeOrderId,
+  needsIntent,
+  targetOf,
+  type OrderContent,
+} from './order_rows.js';
+import type {CurrentOrder, OrdersState} from './orders.js';
+
+/** The next content to order; undefined when all is as desired. */
+export function findOutstanding(state: OrdersState): OrderContent | undefined {
+  return state.desired.find(content => {
+    const target = targetOf(content);
+    const accepted = state.accepted[target] === canonicalJson(content);
+    return !accepted && !state.refusedTargets.includes(target);
+  });
+}
+
+/** Makes the content the current order, under an id of its own. */
+export function takeUp(
+  state: OrdersState,
+  {fencingToken}: LeaseTerm,
+  content: OrderContent,
+): OrdersState {
+  const sequence = state.sequence + 1;
+  const id = composeOrderId(state.lease, fencingToken, sequence);
+  const order = composeOrder(content, id, fencingToken);
+  const recorded = needsIntent(content);
+  const phase = recorded ? 'recording' : 'sending';
+  const current = {
+    order,
+    phase,
+    version: 0,
+    recorded,
+    content,
+    tries: 0,
+  } as const;
+  return {...state, sequence, current};
+}
+
+/** The target is as the order said; a predecessor's order says nothing of it. */
+export function noteAccepted(
+  state: OrdersState,
+  {content}: CurrentOrder,
+): OrdersState {
+  if (content === undefined) {
+    return state;
+  }
+  const target = targetOf(content);
+  const accepted = {...state.accepted, [target]: canonicalJson(content)};
+  return {...state, accepted};
+}
+
+/** Leaves the target alone until it is desired again. */
+export function noteRefused(
+  state: OrdersState,
+  {content}: CurrentOrder,
+): OrdersState {
+  const targets = content === undefined ? [] : [targetOf(content)];
+  return {...state, refusedTargets: [...state.refusedTargets, ...targets]};
+}
