Split what an instance reads of revisions from what it hears

The rule stood between the phases and the peers, where one could take it for part of a poll.

Reads better: revision_poll.ts reads the table, revision_adoption.ts is the one way into force, revisions.ts has the state, the events and the peers. No behaviour changes.

--- a/packages/agreement/src/revisions.ts
+++ b/packages/agreement/src/revisions.ts
@@ -8,32 +8,18 @@
  * revisions from peers read nothing.
  */
 
-import type {ChangeTicketNumber, InstanceId} from '@snipestage/types/ids.js';
-import {brandAs, type Revision} from '@snipestage/types/ids.js';
-import type {ReadResult, Row} from '@snipestage/types/table.js';
+import type {InstanceId, Revision} from '@snipestage/types/ids.js';
+import type {Row} from '@snipestage/types/table.js';
+import {adoptSnapshot, confirm} from './revision_adoption.js';
+import {startPoll, takeRows} from './revision_poll.js';
 import {
   applyDelta,
-  diffSnapshots,
   EMPTY_SNAPSHOT,
   joinDeltas,
-  snapshotFromRows,
   type ConfigurationDelta,
   type ConfigurationSnapshot,
 } from './snapshots.js';
-import {
-  findRow,
-  startCall,
-  type Step,
-  type TableEffect,
-  type TableEvent,
-} from './table_effects.js';
-import {
-  HEAD_KEY,
-  OBJECTS_PREFIX,
-  ticketKey,
-  type HeadValue,
-  type TicketValue,
-} from './ticket_rows.js';
+import type {Step, TableEffect, TableEvent} from './table_effects.js';
 
 /** What an instance knows of the configuration. */
 export interface RevisionState {
@@ -114,9 +100,6 @@
 
 export type RevisionStep = Step<RevisionState, RevisionEffect>;
 
-const MAX_RECENT_DELTAS = 64;
-const MAX_SCANS_PER_POLL = 5;
-
 /**
  * An instance that knows nothing yet.
  *
@@ -150,11 +133,9 @@
     case 'peer_revision':
       return hearRevision(state, event);
     case 'peer_delta':
-      return event.delta.from > state.snapshot.revision
-        ? askPeer(state, event.peer)
-        : adopt(state, applyDelta(state.snapshot, event.delta), event.delta);
+      return hearDelta(state, event);
     case 'peer_snapshot':
-      return adopt(state, event.snapshot);
+      return adoptSnapshot(state, event.snapshot);
     case 'read_answered':
       return event.call === state.call
         ? takeRows(state, event.result)
@@ -181,130 +162,6 @@
   return joinDeltas(state.recentDeltas, from) ?? state.snapshot;
 }
 
-function startPoll(state: RevisionState, nowMs: number): RevisionStep {
-  // A poll that was not answered is given up: its call number is not awaited
-  // any more, so that a very late answer can't pass for a fresh one.
-  return call(state, {phase: 'reading_head', sentAtMs: nowMs}, next => ({
-    kind: 'read',
-    call: next,
-    keys: [HEAD_KEY],
-  }));
-}
-
-function takeRows(state: RevisionState, result: ReadResult): RevisionStep {
-  const {poll} = state;
-  if (result.kind === 'unavailable' || poll.phase === 'idle') {
-    return {state: {...state, poll: {phase: 'idle'}}, effects: []};
-  }
-  switch (poll.phase) {
-    case 'reading_head':
-      return followHead(state, findRow(result.rows, HEAD_KEY), poll.sentAtMs);
-    case 'reading_ticket':
-      return takeTicket(state, poll.head, result.rows, poll.sentAtMs);
-    case 'scanning':
-      return call(
-        state,
-        {...poll, phase: 'confirming', objects: result.rows},
-        next => ({kind: 'read', call: next, keys: [HEAD_KEY]}),
-      );
-    case 'confirming':
-      return confirmScan(state, poll, findRow(result.rows, HEAD_KEY));
-  }
-}
-
-function followHead(
-  state: RevisionState,
-  head: Row,
-  sentAtMs: number,
-): RevisionStep {
-  const behindBy = head.version - state.snapshot.revision;
-  if (behindBy <= 0) {
-    const poll: PollState = {phase: 'idle'};
-    return {state: confirm({...state, poll}, sentAtMs), effects: []};
-  }
-  if (behindBy > 1 || !state.loaded) {
-    return scan(state, head, sentAtMs, 1);
-  }
-  // Each ticket raises the head's version, so one step is exactly one ticket,
-  // and its row, which is never rewritten, holds all that changed.
-  const key = ticketKey((head.value as HeadValue).ticket);
-  return call(state, {phase: 'reading_ticket', sentAtMs, head}, next => ({
-    kind: 'read',
-    call: next,
-    keys: [key],
-  }));
-}
-
-function takeTicket(
-  state: RevisionState,
-  head: Row,
-  rows: readonly Row[],
-  sentAtMs: number,
-): RevisionStep {
-  const number: ChangeTicketNumber = (head.value as HeadValue).ticket;
-  const row = findRow(rows, ticketKey(number));
-  if (row.version === 0 || head.version !== state.snapshot.revision + 1) {
-    return scan(state, head, sentAtMs, 1);
-  }
-  const delta: ConfigurationDelta = {
-    from: state.snapshot.revision,
-    to: brandAs<Revision>(head.version),
-    changes: (row.value as TicketValue).ticket.changes,
-  };
-  const idle: RevisionState = {...state, poll: {phase: 'idle'}};
-  const step = adopt(idle, applyDelta(state.snapshot, delta), delta);
-  return {...step, state: confirm(step.state, sentAtMs)};
-}
-
-function scan(
-  state: RevisionState,
-  head: Row,
-  sentAtMs: number,
-  scans: number,
-): RevisionStep {
-  return call(state, {phase: 'scanning', sentAtMs, head, scans}, next => ({
-    kind: 'scan',
-    call: next,
-    prefix: OBJECTS_PREFIX,
-  }));
-}
-
-function confirmScan(
-  state: RevisionState,
-  poll: PollState & {readonly phase: 'confirming'},
-  head: Row,
-): RevisionStep {
-  // A ticket accepted during the scan would leave a mix of two revisions in
-  // force, such as an endpoint whose model is missing. Every ticket raises the
-  // head's version, so an unchanged head means that the scan met none.
-  if (head.version !== poll.head.version) {
-    return poll.scans < MAX_SCANS_PER_POLL
-      ? scan(state, head, poll.sentAtMs, poll.scans + 1)
-      : {state: {...state, poll: {phase: 'idle'}}, effects: []};
-  }
-  const revision = brandAs<Revision>(head.version);
-  const snapshot = snapshotFromRows(poll.objects, revision);
-  const step = adopt({...state, poll: {phase: 'idle'}}, snapshot);
-  return {...step, state: confirm(step.state, poll.sentAtMs)};
-}
-
-/** The only place where a snapshot comes into force, and only a higher one. */
-function adopt(
-  state: RevisionState,
-  snapshot: ConfigurationSnapshot,
-  knownDelta?: ConfigurationDelta,
-): RevisionStep {
-  if (snapshot.revision <= state.snapshot.revision) {
-    return {state, effects: []};
-  }
-  const delta = knownDelta ?? diffSnapshots(state.snapshot, snapshot);
-  const recentDeltas = [...state.recentDeltas, delta].slice(-MAX_RECENT_DELTAS);
-  return {
-    state: {...state, snapshot, recentDeltas, loaded: true},
-    effects: [{kind: 'apply', snapshot, delta}],
-  };
-}
-
 function hearRevision(
   state: RevisionState,
   event: RevisionEvent & {readonly kind: 'peer_revision'},
@@ -321,20 +178,16 @@
   };
 }
 
+function hearDelta(
+  state: RevisionState,
+  {delta, peer}: RevisionEvent & {readonly kind: 'peer_delta'},
+): RevisionStep {
+  return delta.from > state.snapshot.revision
+    ? askPeer(state, peer)
+    : adoptSnapshot(state, applyDelta(state.snapshot, delta), delta);
+}
+
 function askPeer(state: RevisionState, peer: InstanceId): RevisionStep {
   const from = state.snapshot.revision;
   return {state, effects: [{kind: 'ask_peer', peer, from}]};
 }
-
-function confirm(state: RevisionState, atMs: number): RevisionState {
-  const confirmedAtMs = Math.max(state.confirmedAtMs ?? -Infinity, atMs);
-  return {...state, loaded: true, confirmedAtMs};
-}
-
-function call(
-  state: RevisionState,
-  poll: PollState,
-  effectOf: (call: number) => TableEffect,
-): RevisionStep {
-  return startCall({...state, poll}, effectOf);
-}
