--- a/packages/agreement/src/orders.ts
+++ b/packages/agreement/src/orders.ts
@@ -17,27 +17,26 @@
 
 import type {LeaseName} from '@snipestage/types/ids.js';
 import type {OrderResult} from '@snipestage/types/platform_messages.js';
-import type {
-  ReadResult,
-  RowWrite,
-  TransactionResult,
-} from '@snipestage/types/table.js';
-import {canonicalJson} from './canonical_json.js';
+import type {ReadResult, TransactionResult} from '@snipestage/types/table.js';
 import {fenceKey, type LeaseTerm} from './lease_rows.js';
 import {
-  composeOrder,
-  composeOrderId,
   intentKey,
   intentPrefix,
-  needsIntent,
-  targetOf,
   type IntentValue,
   type Order,
   type OrderContent,
+  composeIntentWrite,
 } from './order_rows.js';
+import {
+  findOutstanding,
+  noteAccepted,
+  noteRefused,
+  takeUp,
+} from './outstanding_orders.js';
 import {
   findRow,
   retryDelayMs,
+  startCall,
   type Step,
   type TableEffect,
   type TableEvent,
@@ -175,12 +174,12 @@
 }
 
 function scan(state: OrdersState): OrdersStep {
-  const call = state.call + 1;
   const prefix = intentPrefix(state.lease);
-  return {
-    state: {...state, call, scanning: true},
-    effects: [{kind: 'scan', call, prefix}],
-  };
+  return startCall({...state, scanning: true}, call => ({
+    kind: 'scan',
+    call,
+    prefix,
+  }));
 }
 
 function takeIntents(state: OrdersState, result: ReadResult): OrdersStep {
@@ -206,57 +205,27 @@
     const [current, ...open] = state.open;
     return perform({...state, open, current});
   }
-  const content = state.desired.find(each => isOutstanding(state, each));
+  const content = findOutstanding(state);
   if (content === undefined) {
     return {state, effects: []};
   }
-  return perform(composeNext(state, state.term, content));
-}
-
-function isOutstanding(state: OrdersState, content: OrderContent): boolean {
-  const target = targetOf(content);
-  const accepted = state.accepted[target] === canonicalJson(content);
-  return !accepted && !state.refusedTargets.includes(target);
-}
-
-function composeNext(
-  state: OrdersState,
-  {fencingToken}: LeaseTerm,
-  content: OrderContent,
-): OrdersState {
-  const sequence = state.sequence + 1;
-  const id = composeOrderId(state.lease, fencingToken, sequence);
-  const order = composeOrder(content, id, fencingToken);
-  const recorded = needsIntent(content);
-  const phase = recorded ? 'recording' : 'sending';
-  const current = {
-    order,
-    phase,
-    version: 0,
-    recorded,
-    content,
-    tries: 0,
-  } as const;
-  return {...state, sequence, current};
+  return perform(takeUp(state, state.term, content));
 }
 
 /** Carries out, or repeats, the phase that the current order is in. */
 function perform(state: OrdersState): OrdersStep {
   const {current} = state;
-  const call = state.call + 1;
-  const next = {...state, call};
   switch (current?.phase) {
     case undefined:
       return {state, effects: []};
-    case 'sending':
-      return {
-        state: next,
-        effects: [{kind: 'order', call, order: current.order}],
-      };
+    case 'sending': {
+      const {order} = current;
+      return startCall(state, call => ({kind: 'order', call, order}));
+    }
     case 'recording':
-      return transact(next, current, {order: current.order});
+      return transact(state, current, {order: current.order});
     case 'clearing':
-      return transact(next, current, null);
+      return transact(state, current, null);
   }
 }
 
@@ -266,15 +235,15 @@
   current: CurrentOrder,
   value: IntentValue | null,
 ): OrdersStep {
-  const {call, lease, term} = state;
-  const key = intentKey(current.order.order.id);
-  const write: RowWrite = {key, value};
-  const checks = [
-    {key: fenceKey(lease), version: term!.fenceVersion},
-    {key, version: current.version},
-  ];
-  const transaction = {checks, writes: [write]};
-  return {state, effects: [{kind: 'transact', call, transaction}]};
+  const {lease, term} = state;
+  const transaction = composeIntentWrite({
+    lease,
+    fenceVersion: term!.fenceVersion,
+    id: current.order.order.id,
+    version: current.version,
+    value,
+  });
+  return startCall(state, call => ({kind: 'transact', call, transaction}));
 }
 
 function takeCommit(state: OrdersState, result: TransactionResult): OrdersStep {
@@ -327,23 +296,6 @@
   }
 }
 
-function noteAccepted(
-  state: OrdersState,
-  {content}: CurrentOrder,
-): OrdersState {
-  if (content === undefined) {
-    return state;
-  }
-  const target = targetOf(content);
-  const accepted = {...state.accepted, [target]: canonicalJson(content)};
-  return {...state, accepted};
-}
-
-function noteRefused(state: OrdersState, {content}: CurrentOrder): OrdersState {
-  const targets = content === undefined ? [] : [targetOf(content)];
-  return {...state, refusedTargets: [...state.refusedTargets, ...targets]};
-}
-
 function clear(state: OrdersState): OrdersStep {
   const current = state.current!;
   if (!current.recorded) {
@@ -354,13 +306,13 @@
 }
 
 function waitToRepeat(state: OrdersState, tries: number): OrdersStep {
-  const call = state.call + 1;
   const current = state.current && {...state.current, tries};
   const delayMs = retryDelayMs(tries);
-  return {
-    state: {...state, call, current},
-    effects: [{kind: 'wait', call, delayMs}],
-  };
+  return startCall({...state, current}, call => ({
+    kind: 'wait',
+    call,
+    delayMs,
+  }));
 }
 
 function repeat(state: OrdersState): OrdersStep {
