Go on with the same stop when told to stop again

What callers saw: answers cut in the middle when an instance that was already stopping got a second SIGTERM, as those send who replace instances that take their time.

Cause: the second stop resolved at once, since one was under way, and the process ends when a stop has resolved.

Change: both get the same stop.

Test: stop.test.ts, 'a second signal', fails before and passes after.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -59,6 +59,7 @@
   private readonly relays: Relays;
   private readonly incarnation = randomUUID().slice(0, 8);
   private readonly shutdown: Shutdown;
+  private stopped: Promise<void> | undefined;
 
   constructor(private readonly options: GatewayOptions) {
     const {settings, platform, logger} = options;
@@ -166,10 +167,16 @@
 
   /**
    * Lets the balancer notice, hands the duties over and waits for the requests
-   * in progress; their connections close with their answers.
+   * in progress; their connections close with their answers. Told again, it
+   * goes on with the same stop: the process ends when this resolves, and a
+   * second signal would cut whatever is in progress if it resolved at once.
    */
-  async stop(): Promise<void> {
-    if (this.shutdown.isStopping) return;
+  stop(): Promise<void> {
+    this.stopped ??= this.stopOnce();
+    return this.stopped;
+  }
+
+  private async stopOnce(): Promise<void> {
     const beganAtMs = performance.now();
     this.shutdown.begin(beganAtMs);
     this.options.logger.info('stopping', {
--- a/packages/gateway/src/stop.test.ts
+++ b/packages/gateway/src/stop.test.ts
@@ -224,3 +224,21 @@
   await Promise.all([stopped, once(slow, 'close')]);
   t.true(receivedBytes > whole.length, String(receivedBytes));
 });
+
+test('a second signal does not cut what is in progress', async t => {
+  // Whoever replaces instances signals one again that takes its time. Seen: the
+  // second stop was over at once, and the process ended with it in the middle
+  // of its last answers.
+  const endpoint = answersAfter(2800);
+  const {gateway, callers} = await startWithEndpoint(endpoint);
+  t.teardown(() => endpoint.close());
+  const last = get(callers, undefined, headersOf('last'));
+  let hasAnswer = false;
+  void last.then(() => (hasAnswer = true));
+  await waitUntil(() => endpoint.begun.length > 0);
+  const first = gateway.stop();
+  await gateway.stop();
+  t.true(hasAnswer);
+  t.is((await last).statusCode, 200);
+  await first;
+});
