Take the choice of the next usage window out of the reporter's phases

Hard to read: usage.ts decided whether to begin, to report, to seal or to rest from two instants of the progress row, and in the same function started the read or scan that the choice calls for; what was read for a seal was put together in the middle, with its defaults far from where their meaning is told.

Reads better: usage_progress.ts chooses from the row and the time alone and writes the row; usage_seal.ts has the report beside the seal that it tells, and the defaults beside their options. usage.ts is the phases, one call each. No behaviour changes.

--- a/packages/agreement/src/usage.ts
+++ b/packages/agreement/src/usage.ts
@@ -25,7 +25,12 @@
   type TableEffect,
   type TableEvent,
 } from './table_effects.js';
-import {composeSeal} from './usage_seal.js';
+import {
+  advanceReported,
+  chooseTask,
+  composeProgressWrite,
+} from './usage_progress.js';
+import {composeReport, composeSeal} from './usage_seal.js';
 import {
   accountedKey,
   COUNTERS_PREFIX,
@@ -33,7 +38,6 @@
   sealKey,
   windowAt,
   windowOfKey,
-  windowStart,
   type ProgressValue,
   type SealValue,
 } from './usage_rows.js';
@@ -50,9 +54,6 @@
   readonly keepAccountedMs?: number;
 }
 
-const KEPT_WINDOWS = 10;
-const SEVEN_DAYS_MS = 7 * 24 * 60 * 60 * 1000;
-
 /** Where the reporter stands; each phase awaits the call numbered `call`. */
 export type ReporterPhase =
   | {readonly kind: 'idle'}
@@ -197,7 +198,7 @@
   const {rows} = result;
   switch (phase.kind) {
     case 'reading_progress':
-      return chooseNext(
+      return startTask(
         state,
         term,
         findRow(rows, PROGRESS_KEY),
@@ -218,38 +219,34 @@
   }
 }
 
-function chooseNext(
+function startTask(
   state: ReporterState,
   term: LeaseTerm,
   progress: Row,
   nowEpochMs: number,
 ): ReporterStep {
-  const {windowMs, graceMs} = state.options;
   const value = progress.value as ProgressValue | null;
-  if (value === null) {
-    // The first window ever sealed takes in whatever was counted before it.
-    const startMs = windowStart(windowAt(nowEpochMs, windowMs));
-    return writeProgress(state, term, progress, {
-      nextToSealEpochMs: startMs,
-      nextToReportEpochMs: startMs,
-    });
-  }
-  if (value.nextToReportEpochMs < value.nextToSealEpochMs) {
-    const window = windowAt(value.nextToReportEpochMs, windowMs);
-    return enter(state, {kind: 'reading_seal', progress}, call => ({
-      kind: 'read',
-      call,
-      keys: [sealKey(window)],
-    }));
-  }
-  if (value.nextToSealEpochMs + windowMs + graceMs > nowEpochMs) {
-    return end(state);
+  const task = chooseTask(value, nowEpochMs, state.options);
+  switch (task.kind) {
+    case 'begin':
+      return writeProgress(state, term, progress, task.progress);
+    case 'report': {
+      const keys = [sealKey(task.window)];
+      return enter(state, {kind: 'reading_seal', progress}, call => ({
+        kind: 'read',
+        call,
+        keys,
+      }));
+    }
+    case 'seal':
+      return enter(state, {kind: 'scanning_counters', progress}, call => ({
+        kind: 'scan',
+        call,
+        prefix: COUNTERS_PREFIX,
+      }));
+    case 'rest':
+      return end(state);
   }
-  return enter(state, {kind: 'scanning_counters', progress}, call => ({
-    kind: 'scan',
-    call,
-    prefix: COUNTERS_PREFIX,
-  }));
 }
 
 function listAccountedKeys(counters: readonly Row[]): readonly string[] {
@@ -268,14 +265,11 @@
 ): ReporterStep {
   const {lease, windowMs, keepCountersMs, keepAccountedMs} = state.options;
   const {nextToSealEpochMs} = read.progress.value as ProgressValue;
-  const {progress, counters, accounted} = read;
   const transaction = composeSeal({
-    progress,
-    counters,
-    accounted,
+    ...read,
     windowMs,
-    keepCountersMs: keepCountersMs ?? KEPT_WINDOWS * windowMs,
-    keepAccountedMs: keepAccountedMs ?? SEVEN_DAYS_MS,
+    keepCountersMs,
+    keepAccountedMs,
     window: windowAt(nextToSealEpochMs, windowMs),
     fence: {key: fenceKey(lease), version: term.fenceVersion},
   });
@@ -302,16 +296,10 @@
   if (value === null) {
     return end(state);
   }
-  const usageReport: UsageReport = {
-    window,
-    startEpochMs: nextToReportEpochMs,
-    endEpochMs: nextToReportEpochMs + windowMs,
-    lines: value.lines,
-  };
   return enter(state, {kind: 'reporting', progress}, call => ({
     kind: 'report',
     call,
-    report: usageReport,
+    report: composeReport(nextToReportEpochMs, windowMs, value),
   }));
 }
 
@@ -328,10 +316,8 @@
   }
   const value = phase.progress.value as ProgressValue;
   const {windowMs} = state.options;
-  const step = writeProgress(state, term, phase.progress, {
-    ...value,
-    nextToReportEpochMs: value.nextToReportEpochMs + windowMs,
-  });
+  const next = advanceReported(value, windowMs);
+  const step = writeProgress(state, term, phase.progress, next);
   if (result.kind === 'accepted') {
     return step;
   }
@@ -347,14 +333,8 @@
   progress: Row,
   value: ProgressValue,
 ): ReporterStep {
-  const fence = fenceKey(state.options.lease);
-  const transaction = {
-    checks: [
-      {key: fence, version: term.fenceVersion},
-      {key: PROGRESS_KEY, version: progress.version},
-    ],
-    writes: [{key: PROGRESS_KEY, value}],
-  };
+  const {lease} = state.options;
+  const transaction = composeProgressWrite({lease, term, progress, value});
   return enter(state, {kind: 'writing'}, call => ({
     kind: 'transact',
     call,
--- a/packages/agreement/src/usage_seal.ts
+++ b/packages/agreement/src/usage_seal.ts
@@ -12,7 +12,10 @@
  */
 
 import type {UsageWindowId} from '@snipestage/types/ids.js';
-import type {UsageLine} from '@snipestage/types/platform_messages.js';
+import type {
+  UsageLine,
+  UsageReport,
+} from '@snipestage/types/platform_messages.js';
 import type {Row, RowWrite, TableTransaction} from '@snipestage/types/table.js';
 import {findRow} from './table_effects.js';
 import {
@@ -29,6 +32,9 @@
   type SealValue,
 } from './usage_rows.js';
 
+const KEPT_WINDOWS = 10;
+const SEVEN_DAYS_MS = 7 * 24 * 60 * 60 * 1000;
+
 /** What a seal is made from. */
 export interface SealOptions {
   readonly window: UsageWindowId;
@@ -37,14 +43,17 @@
   readonly accounted: readonly Row[];
   readonly progress: Row;
   readonly fence: {readonly key: string; readonly version: number};
-  /** How long after its window's start a counter that is in seals is kept. */
-  readonly keepCountersMs: number;
+  /**
+   * How long after its window's start a counter that is in seals is kept; ten
+   * windows if absent.
+   */
+  readonly keepCountersMs?: number;
   /**
    * How long after its window's start it is known what was accounted. A counter
    * that comes still later would be billed again: instances must be gone by
-   * then.
+   * then. Seven days if absent.
    */
-  readonly keepAccountedMs: number;
+  readonly keepAccountedMs?: number;
 }
 
 /**
@@ -55,7 +64,8 @@
  * const transaction = composeSeal(options);
  */
 export function composeSeal(options: SealOptions): TableTransaction {
-  const {window, progress, fence} = options;
+  const {window, windowMs, progress, fence} = options;
+  const {keepCountersMs = KEPT_WINDOWS * windowMs} = options;
   const counters = options.counters
     .filter(row => windowOfKey(row.key) <= window)
     .map(row => ({row, missing: findMissing(row, options.accounted)}));
@@ -63,7 +73,7 @@
   const settled = counters.filter(({missing}) => missing.length === 0);
   const old = settled
     .map(({row}) => row)
-    .filter(row => isOlder(row, window, options.keepCountersMs));
+    .filter(row => isOlder(row, window, keepCountersMs));
   const lines = parts.reduce<readonly UsageLine[]>(
     (sum, {missing}) => addLines(sum, missing),
     [],
@@ -72,7 +82,7 @@
   const former = progress.value as ProgressValue;
   const next: ProgressValue = {
     ...former,
-    nextToSealEpochMs: windowStart(window) + options.windowMs,
+    nextToSealEpochMs: windowStart(window) + windowMs,
   };
   return {
     checks: [
@@ -94,6 +104,22 @@
   };
 }
 
+/**
+ * The report of the window that begins at `startEpochMs`, with the figures of
+ * its seal.
+ *
+ * @example
+ * const report = composeReport(nextToReportEpochMs, windowMs, seal);
+ */
+export function composeReport(
+  startEpochMs: number,
+  windowMs: number,
+  {lines}: SealValue,
+): UsageReport {
+  const window = windowAt(startEpochMs, windowMs);
+  return {window, startEpochMs, endEpochMs: startEpochMs + windowMs, lines};
+}
+
 function findMissing(
   row: Row,
   accounted: readonly Row[],
@@ -139,7 +165,7 @@
 
 /** Windows are sealed one after another, so each is once the one to forget. */
 function forgetWindow(options: SealOptions): readonly RowWrite[] {
-  const {window, windowMs, keepAccountedMs} = options;
+  const {window, windowMs, keepAccountedMs = SEVEN_DAYS_MS} = options;
   const startMs = windowStart(window) - keepAccountedMs;
   if (startMs < 0) {
     return [];
