--- a/packages/agreement/src/models/usage_model.ts
+++ b/packages/agreement/src/models/usage_model.ts
@@ -19,70 +19,31 @@
   type ReporterEffect,
   type ReporterEvent,
   type ReporterState,
-  type ReporterStep,
 } from '../usage.js';
 import {
   beginCounters,
   listCopies,
   planCopyWrite,
   transitionCounters,
-  type CountersState,
   type CountersStep,
 } from '../usage_counters.js';
-import type {AccountedValue, SealValue} from '../usage_rows.js';
 import type {Model} from './explore.js';
-import {commitTo, scanTable, type TableModel} from './table_model.js';
+import {findUsageViolation} from './usage_model_rules.js';
+import type {
+  UsageAction,
+  UsageModelOptions,
+  UsageWorld,
+  Reporter,
+} from './usage_world.js';
+import {commitTo, type TableModel} from './table_model.js';
 import {
   deliver,
   deliverLate,
   listDeliveries,
   listLate,
   type Delivery,
-  type LateAction,
-  type World,
 } from './world_model.js';
 
-interface Reporter {
-  readonly state: ReporterState;
-  readonly pending: ReporterEffect | undefined;
-}
-
-type Copy = ReturnType<typeof listCopies>[number];
-
-export interface UsageWorld {
-  readonly world: World;
-  /** Windows are one unit long; the current one. */
-  readonly nowEpochMs: number;
-  readonly counter: CountersState;
-  readonly counterCall: TableEffect | undefined;
-  readonly copies: readonly Copy[];
-  readonly counted: number;
-  readonly reporters: readonly Reporter[];
-  /** Distinct reports that the platform got, by window. */
-  readonly reported: Readonly<Record<string, readonly string[]>>;
-}
-
-export type UsageAction =
-  | {readonly type: 'count' | 'flush' | 'copy' | 'write_copies'}
-  | {readonly type: 'window_ends' | 'take_over'}
-  | LateAction
-  | {readonly type: 'tick'; readonly reporter: number}
-  | {
-      readonly type: 'deliver';
-      readonly to: 'counter' | 0 | 1;
-      readonly delivery: Delivery;
-    };
-
-/** How large the model is, and the rule that a mutant breaks. */
-export interface UsageModelOptions {
-  readonly windows?: number;
-  readonly counts?: number;
-  readonly losses?: number;
-  readonly takesOver?: boolean;
-  readonly peer?: boolean;
-  readonly mutateStep?: (step: ReporterStep) => ReporterStep;
-}
-
 const LEASE = brandAs<LeaseName>('usage');
 const LINE = {
   clientAccount: 'gear-menders',
@@ -334,37 +295,3 @@
   const {call} = effect;
   return onReporter(next, to, {kind: 'report_answered', call, result}, options);
 }
-
-function findUsageViolation(state: UsageWorld): string | undefined {
-  const different = Object.values(state.reported).some(
-    ({length}) => length > 1,
-  );
-  if (different) {
-    return 'a window was reported with different figures';
-  }
-  const rows = Object.values(state.world.table);
-  const sum = (prefix: string, requests: (value: unknown) => number) =>
-    rows
-      .filter(row => row.key.startsWith(prefix))
-      .reduce((total, row) => total + requests(row.value), 0);
-  const ofLines = (lines: SealValue['lines']) =>
-    lines.reduce((total, line) => total + line.requests, 0);
-  const sealed = sum('usage/seals/', value =>
-    ofLines((value as SealValue).lines),
-  );
-  const accounted = sum('usage/accounted/', value =>
-    Object.values((value as AccountedValue).counters)
-      .map(({lines}) => ofLines(lines))
-      .reduce((total, requests) => total + requests, 0),
-  );
-  const negative = scanTable(state.world.table, 'usage/seals/')
-    .flatMap(row => (row.value as SealValue).lines)
-    .some(({requests}) => requests < 0);
-  if (negative) {
-    return 'a seal takes back what was billed';
-  }
-  if (sealed !== accounted || sealed > state.counted) {
-    return 'what is sealed is not what was counted';
-  }
-  return undefined;
-}
