Send the soak's callers where the platform's balancer would

Callers met instances seconds after these had been told to stop; the requests were taken, passed on and cut off at the end of the grace time. The soak did not show it: its balancer counted over all instances rather than by data centre, hardly a stop overlapped with another, and few requests lasted long enough to keep an instance alive until the end of its grace time.

The balancer now uses all instances of a data centre of which fewer than half are in rotation, and the next data centre where none is (`balancer_rule.ts`, with a table of cases). Stops come in turns of one data centre beside the drawn faults, which stay as they were for each seed. Callers open connections early, have streams of three to five seconds and go on over a connection the moment such a stream has ended. A refused connection is refused: the way in front accepts it, so the caller asks the instance itself first, and goes elsewhere. The default is two data centres of three instances; with two instances each, fewer than half are none.

A finding of `nothing_lost` says when the connection was opened, and the new mutant `listens_to_the_end` counts as found only with connections opened 3 s or more after the stop: connections from before show another fault.

--- a/packages/soak/src/checks/answers.ts
+++ b/packages/soak/src/checks/answers.ts
@@ -73,7 +73,7 @@
     }
     const expected =
       request.kind === 'stream' && isSuccess
-        ? digest(wholeStream(request.requestId))
+        ? digest(wholeStream(request.requestId, request.path))
         : run.answerDigest;
     return bodyDigest === expected ? undefined : 'not the whole answer';
   }
--- a/packages/soak/src/checks/stops.ts
+++ b/packages/soak/src/checks/stops.ts
@@ -27,7 +27,10 @@
       const isFair = history.isCalm(subjects, fromMs, endedAtMs, [TERMINATED]);
       if (!isFair || this.wasCutByGrace(history, request)) return [];
       const fault = this.faultOf(history, request);
-      return fault === undefined ? [] : [this.foundFor(request, fault)];
+      if (fault === undefined) return [];
+      return [
+        this.foundFor(request, `${fault}${describeStop(history, request)}`),
+      ];
     });
   }
 
@@ -66,6 +69,19 @@
   }
 }
 
+/** Tells a new connection to an instance that stops from an old one. */
+function describeStop(history: History, request: SentRequest): string {
+  const {instance, sentAtMs, connectedAtMs} = request;
+  const stop = history.disturbances.findLast(
+    ({subject, kind, fromMs}) =>
+      subject === instance && kind === TERMINATED && fromMs <= sentAtMs,
+  );
+  if (stop === undefined || connectedAtMs === undefined) return '';
+  const sentMs = Math.round(sentAtMs - stop.fromMs);
+  const connectedMs = Math.round(connectedAtMs - stop.fromMs);
+  return `, sent ${sentMs} ms after a stop, connected ${connectedMs} ms after it`;
+}
+
 /** Processes end when they are told to, in time, and never by themselves. */
 export class ProperEnds extends Check {
   readonly name = 'proper_ends';
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -64,6 +64,8 @@
   readonly marker: number | undefined;
   readonly waitsForMs: number;
   readonly sentAtMs: number;
+  /** When the connection was opened over which it was sent. */
+  connectedAtMs?: number;
   /** When its last byte had been handed to the system. */
   lastByteAtMs?: number;
   endedAtMs?: number;
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -62,8 +62,11 @@
     kinds: mutant.kinds,
     seriesEveryMs: mutant.seriesEveryMs ?? MUTANT_SERIES_EVERY_MS,
   });
-  const own = findings.filter(({check}) => check === mutant.check);
-  const verdict = own.length > 0 ? 'found' : 'MISSED';
+  const {says = /./} = mutant;
+  const own = findings.filter(
+    ({check, what}) => check === mutant.check && says.test(what),
+  );
+  const verdict = own.length > 0 ? `found ${own.length} times` : 'MISSED';
   console.log(`${mutant.name}: ${verdict} by ${mutant.check}`);
   for (const {check, what} of [...own, ...findings].slice(0, 2)) {
     console.log(`  ${check}: ${what}`);
@@ -124,7 +127,7 @@
     .option('--instances <number>', 'processes of the program', '6')
     .option('--engines <number>', 'model engines', '6')
     .option('--services <number>', 'endpoints of the plain service', '4')
-    .option('--data-centres <number>', 'data centres, at most three', '3')
+    .option('--data-centres <number>', 'data centres, at most three', '2')
     .option('--rate <number>', 'requests a second', '60')
     .option('--mutant <name>', `run a program with a seeded fault, or ${ALL}`)
     .option('--regressions', 'the runs that once found something')
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -6,6 +6,8 @@
 /** A mutation, what has to happen for it to show, and who is to find it. */
 export interface Mutant extends Mutation {
   readonly check: string;
+  /** What the finding has to say, where faults of another kind would show too. */
+  readonly says?: RegExp;
   /** The faults under which it shows; all when absent. */
   readonly kinds?: readonly FaultKind[];
   /** Mean time between two series of them, where it matters. */
@@ -229,6 +231,20 @@
       },
     ],
   },
+  {
+    name: 'listens_to_the_end',
+    check: 'nothing_lost',
+    // Connections from before show another fault than listening.
+    says: /connected [3-9]\d{3} ms after/,
+    kinds: STOPS,
+    edits: [
+      {
+        module: 'gateway/dist/callers_server.js',
+        from: 'if (this.server.listening)',
+        to: 'if (false)',
+      },
+    ],
+  },
   {
     name: 'ends_with_an_error',
     check: 'proper_ends',
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -11,13 +11,13 @@
 
 export const REGRESSIONS: readonly Regression[] = [
   {
-    options: {seed: 4002},
+    options: {seed: 4002, dataCentres: 3},
     check: 'proper_ends',
     cause:
       'An instance was told to stop 50 ms after its start, before it ran its first line, and ended by the signal. It had taken nothing; the check lets that pass.',
   },
   {
-    options: {seed: 16},
+    options: {seed: 16, dataCentres: 3},
     check: 'proper_ends',
     cause:
       'Two soaks built the program into one file; processes that started a part of it ended at once. Each soak builds its own.',
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -14,6 +14,7 @@
     faultsForMs: 6000,
     seriesEveryMs: 900,
     instances: 3,
+    dataCentres: 1,
     engines: 3,
     services: 3,
     requestsPerS: 25,
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -2,8 +2,13 @@
 
 import {checkAll} from './checks/all_checks.js';
 import type {Finding} from './checks/check.js';
-import {drawFaultPlan, type FaultKind} from './fault_plan.js';
+import {
+  drawFaultPlan,
+  type FaultKind,
+  type PlannedFault,
+} from './fault_plan.js';
 import type {History} from './history.js';
+import {drawStopTurns} from './stop_turns.js';
 import {FaultInjector} from './world/fault_injector.js';
 import {StallWatch} from './world/stall_watch.js';
 import {Traffic} from './world/traffic.js';
@@ -21,12 +26,14 @@
   readonly engines?: number;
   /** (4) */
   readonly services?: number;
-  /** Data centres, at most three; instances in one relay to each other (3). */
+  /** Data centres, at most three; instances in one relay to each other (2). */
   readonly dataCentres?: number;
   /** (60) */
   readonly requestsPerS?: number;
   /** Mean time between two series of faults (1,800 ms). */
   readonly seriesEveryMs?: number;
+  /** Mean time between turns in which a data centre's instances stop (15 s). */
+  readonly stopTurnsEveryMs?: number;
   /** Kinds of faults that may come (all). */
   readonly kinds?: readonly FaultKind[];
 }
@@ -46,9 +53,11 @@
 const DEFAULT_INSTANCES = 6;
 const DEFAULT_ENGINES = 6;
 const DEFAULT_SERVICES = 4;
-const DEFAULT_DATA_CENTRES = 3;
+/** With three instances each: one that is left is fewer than half of them. */
+const DEFAULT_DATA_CENTRES = 2;
 const DEFAULT_REQUESTS_PER_S = 60;
-const CALLERS_PER_REQUEST_A_SECOND = 1;
+/** Many wait for long streams or keep an open connection. */
+const CALLERS_PER_REQUEST_A_SECOND = 2;
 /** After the last fault: the settling and a while to see it served. */
 const QUIET_FOR_MS = 9000;
 
@@ -82,13 +91,10 @@
       nowMs,
     });
     const injector = new FaultInjector(world, startedAtMs);
-    const {seriesEveryMs, kinds} = options;
     const stalls = new StallWatch(history, nowMs);
     stalls.start();
     traffic.start();
-    injector.start(
-      drawFaultPlan({seed, forMs: faultsForMs, seriesEveryMs, kinds}),
-    );
+    injector.start(drawPlan(options, faultsForMs, world));
     await pause(faultsForMs);
     injector.stop();
     history.quietFromMs = nowMs();
@@ -104,6 +110,30 @@
   }
 }
 
+/** Stops in turn come beside the other faults, where stops may come. */
+function drawPlan(
+  options: SoakOptions,
+  forMs: number,
+  {instances}: World,
+): PlannedFault[] {
+  const {seed, seriesEveryMs, stopTurnsEveryMs, kinds} = options;
+  const faults = drawFaultPlan({seed, forMs, seriesEveryMs, kinds});
+  if (kinds?.includes('instance_terminate') === false) return faults;
+  const dataCentres = [...new Set(instances.map(each => each.dataCentre))];
+  const places = dataCentres.map(dataCentre =>
+    [...instances.keys()].filter(
+      index => instances[index].dataCentre === dataCentre,
+    ),
+  );
+  const turns = drawStopTurns({
+    seed,
+    forMs,
+    dataCentres: places,
+    everyMs: stopTurnsEveryMs,
+  });
+  return [...faults, ...turns];
+}
+
 function pause(ms: number): Promise<void> {
   return new Promise(done => setTimeout(done, ms));
 }
--- a/packages/soak/src/world/caller.ts
+++ b/packages/soak/src/world/caller.ts
@@ -1,6 +1,6 @@
 /** A caller that keeps its connection open for as long as it lasts. */
 
-import {Agent, request as httpRequest, type IncomingMessage} from 'node:http';
+import {request as httpRequest, type IncomingMessage} from 'node:http';
 import {
   composeCallerHeaders,
   readRequestId,
@@ -8,63 +8,69 @@
 } from '@snipestage/platform_stand_ins/caller_headers.js';
 import {digest} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
 import {brandAs, type RequestId} from '@snipestage/types/ids.js';
-import type {Outcome, SentRequest} from '../history.js';
+import type {Outcome} from '../history.js';
+import {CallerConnection} from './caller_connection.js';
 import type {Instance} from './instance.js';
 import {HOST} from './operator.js';
-
-/** How one request is sent. */
-export interface SendOptions {
-  readonly request: SentRequest;
-  readonly body: string;
-  readonly promptTokens: number | undefined;
-  /** The caller hangs up so long after its send. */
-  readonly leavesAfterMs: number | undefined;
-  readonly nowMs: () => number;
-}
+import type {DrawnRequest} from './request_draw.js';
 
 /** After its time a caller waits so much longer, to see a late answer. */
 const PATIENCE_MS = 1500;
 
 /** Sends one request at a time. */
 export class Caller {
-  instance: Instance | undefined;
   isBusy = false;
-  private agent = new Agent({keepAlive: true, maxSockets: 1});
+  private connection: CallerConnection | undefined;
+  private current: Instance | undefined;
+  private connectedAtMs = 0;
+
+  constructor(private readonly nowMs: () => number) {}
+
+  /** Whose connection it has or had last. */
+  get instance(): Instance | undefined {
+    return this.current;
+  }
 
-  /** Whether an open connection is left from the request before. */
+  /** Whether a connection is open that carries no request. */
   get hasConnection(): boolean {
-    return Object.keys(this.agent.freeSockets).length > 0;
+    return this.connection?.isFree === true;
   }
 
-  /** Uses another instance, over a new connection. */
-  moveTo(instance: Instance): void {
-    this.agent.destroy();
-    this.agent = new Agent({keepAlive: true, maxSockets: 1});
-    this.instance = instance;
+  /**
+   * Opens a connection in place of the one before, without a request.
+   *
+   * @returns false when it was refused.
+   */
+  async connectTo(instance: Instance): Promise<boolean> {
+    this.close();
+    this.current = instance;
+    // The way in front of an instance accepts also when the instance refuses.
+    if (!(await instance.isListening())) return false;
+    const connection = new CallerConnection(instance.callersWay.address);
+    this.connection = connection;
+    this.connectedAtMs = this.nowMs();
+    return connection.opened();
   }
 
   /** Resolves when the request has ended one way or another. */
-  async send(options: SendOptions): Promise<void> {
-    const {request, nowMs} = options;
-    this.isBusy = true;
-    request.outcome = await this.exchange(options);
-    request.endedAtMs = nowMs();
-    this.isBusy = false;
+  async send(drawn: DrawnRequest): Promise<void> {
+    const {request} = drawn;
+    request.connectedAtMs = this.connectedAtMs;
+    request.outcome = await this.exchange(drawn);
+    request.endedAtMs = this.nowMs();
   }
 
   close(): void {
-    this.agent.destroy();
+    this.connection?.close();
+    this.connection = undefined;
   }
 
-  private exchange(options: SendOptions): Promise<Outcome> {
-    const {request, body, nowMs} = options;
-    const [host, port] = this.instance!.callersWay.address.split(':');
+  private exchange(drawn: DrawnRequest): Promise<Outcome> {
+    const {request, body, promptTokens, leavesAfterMs} = drawn;
     return new Promise(resolve => {
       let hasSent = false;
       const call = httpRequest({
-        agent: this.agent,
-        host,
-        port: Number(port),
+        agent: this.connection,
         method: body === '' ? 'GET' : 'POST',
         path: request.path,
         headers: composeCallerHeaders({
@@ -72,7 +78,7 @@
           host: HOST,
           waitsForMs: request.waitsForMs,
           key: request.key,
-          promptTokens: options.promptTokens,
+          promptTokens,
         }),
       });
       const end = (outcome: Outcome) => {
@@ -86,12 +92,12 @@
         request.waitsForMs + PATIENCE_MS,
       );
       const leave =
-        options.leavesAfterMs === undefined
+        leavesAfterMs === undefined
           ? undefined
-          : setTimeout(() => end({kind: 'left'}), options.leavesAfterMs);
+          : setTimeout(() => end({kind: 'left'}), leavesAfterMs);
       call.once('finish', () => {
         hasSent = true;
-        request.lastByteAtMs = nowMs();
+        request.lastByteAtMs = this.nowMs();
       });
       call.on('response', response => void readAnswer(response).then(end));
       call.on('error', () => end({kind: hasSent ? 'broken' : 'not_connected'}));
--- a/packages/soak/src/world/instance.ts
+++ b/packages/soak/src/world/instance.ts
@@ -2,6 +2,7 @@
 
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {get} from 'node:http';
+import {connect} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {READINESS_PATH} from '@snipestage/platform_stand_ins/caller_headers.js';
@@ -11,7 +12,7 @@
 } from '@snipestage/platform_stand_ins/settings_text.js';
 import {LaunchedProcess} from '@snipestage/stand_ins/launch/launched_process.js';
 import {Link} from '@snipestage/stand_ins/link/link.js';
-import type {InstanceId} from '@snipestage/types/ids.js';
+import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 import type {Disturbance, History, ProcessEnd} from '../history.js';
 import {CLOCK_FILE_VARIABLE} from './program.js';
 
@@ -30,6 +31,7 @@
 const KILL_MARGIN_MS = 300;
 const POLL_MS = 100;
 const PROBE_TIMEOUT_MS = 800;
+const LISTEN_CHECK_MS = 300;
 const SETTINGS_VARIABLE = 'SNIPESTAGE_SETTINGS';
 const MOST_ERROR_CHARACTERS = 400;
 
@@ -54,6 +56,10 @@
     this.callersWay = new Link({targetHost: host, targetPort: callersPort});
   }
 
+  get dataCentre(): DataCentreId {
+    return this.options.settings.dataCentre;
+  }
+
   get storeWay(): Link {
     return this.options.storeWay;
   }
@@ -121,6 +127,26 @@
     this.signal('SIGUSR2');
   }
 
+  /** Whether it does not refuse callers' connections. */
+  isListening(): Promise<boolean> {
+    const {host, callersPort} = this.options.settings;
+    return new Promise(resolve => {
+      const socket = connect({
+        host,
+        port: callersPort,
+        timeout: LISTEN_CHECK_MS,
+      });
+      const end = (isListening: boolean) => {
+        socket.destroy();
+        resolve(isListening);
+      };
+      socket.once('connect', () => end(true));
+      socket.once('error', () => end(false));
+      // Nobody refused it: a process that is frozen accepts later.
+      socket.once('timeout', () => end(true));
+    });
+  }
+
   /** Whether it says that it is ready. */
   isReady(): Promise<boolean> {
     const {host, readinessPort} = this.options.settings;
--- a/packages/soak/src/world/traffic.ts
+++ b/packages/soak/src/world/traffic.ts
@@ -1,12 +1,14 @@
-/** Callers that come at random and go to instances that are in rotation. */
+/** Callers that come at random and go where the balancer sends them. */
 
-import {randomExponential, randomInt, randomLcg} from 'd3-random';
-import {digest} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
-import type {Route} from '@snipestage/routing/route.js';
-import type {History, SentRequest} from '../history.js';
+import {setMaxListeners} from 'node:events';
+import {setTimeout as pause} from 'node:timers/promises';
+import {randomExponential, randomLcg} from 'd3-random';
+import type {History} from '../history.js';
 import {Caller} from './caller.js';
 import type {Instance} from './instance.js';
-import {HOST, markerPath, ROUTES, type Operator} from './operator.js';
+import type {Operator} from './operator.js';
+import {RequestDraw, type DrawnRequest} from './request_draw.js';
+import {Rotation} from './rotation.js';
 
 /** What {@link Traffic} is made from. */
 export interface TrafficOptions {
@@ -19,44 +21,52 @@
   readonly nowMs: () => number;
 }
 
-const PROBE_EVERY_MS = 1000;
-/** Misses in a row after which an instance is out of rotation. */
-const MISSES = 2;
-const MARKER_SHARE = 0.1;
-const LEAVING_SHARE = 0.05;
-/** Some wait for longer than an instance that stops may go on. */
-const PATIENCES_MS = [1500, 2500, 9000] as const;
-const BODY_CHARACTERS = 600;
-const PROMPT_TOKENS = [400, 1500, 6000] as const;
+/** The others use the connection that they have, as long as it lasts. */
+const NEW_CONNECTION_SHARE = 0.3;
+/** Of the new connections: the first request comes later. */
+const EARLY_SHARE = 0.2;
+/** As long as an instance may go on after it has been told to stop. */
+const LONGEST_EARLY_MS = 7500;
+/** After a long stream: its caller sends the next over the same connection. */
+const NEXT_AT_ONCE_SHARE = 0.5;
 
 /** Draws arrivals and sends them; owns the callers. */
 export class Traffic {
   private readonly callers: Caller[];
-  private readonly misses = new Map<Instance, number>();
   private readonly source: () => number;
   private readonly nextArrivalMs: () => number;
+  private readonly rotation: Rotation;
+  private readonly draw: RequestDraw;
+  private readonly stopping = new AbortController();
   private timer: NodeJS.Timeout | undefined;
-  private probe: NodeJS.Timeout | undefined;
-  private sent = 0;
   private readonly underWay = new Set<Promise<void>>();
 
   constructor(private readonly options: TrafficOptions) {
-    this.callers = Array.from({length: options.callers}, () => new Caller());
-    this.source = randomLcg(options.seed);
+    const {seed, operator, nowMs, instances, requestsPerS} = options;
+    this.callers = Array.from(
+      {length: options.callers},
+      () => new Caller(nowMs),
+    );
+    this.source = randomLcg(seed);
+    // Each caller that waits before its first request listens.
+    setMaxListeners(0, this.stopping.signal);
+    this.draw = new RequestDraw({seed, source: this.source, operator, nowMs});
+    this.rotation = new Rotation(instances);
     this.nextArrivalMs = randomExponential.source(this.source)(
-      options.requestsPerS / 1000,
+      requestsPerS / 1000,
     );
   }
 
   start(): void {
-    this.probe = setInterval(() => void this.probeAll(), PROBE_EVERY_MS);
+    this.rotation.start();
     this.scheduleNext();
   }
 
   /** Sends no more and waits for what is under way. */
   async stop(): Promise<void> {
     clearTimeout(this.timer);
-    clearInterval(this.probe);
+    this.rotation.stop();
+    this.stopping.abort();
     await Promise.all(this.underWay);
     for (const caller of this.callers) caller.close();
   }
@@ -70,80 +80,77 @@
     }, this.nextArrivalMs());
   }
 
-  /** An instance is out after two misses, and in again with the next hit. */
-  private async probeAll(): Promise<void> {
-    await Promise.all(
-      this.options.instances.map(async instance => {
-        const isReady = await instance.isReady();
-        const misses = this.misses.get(instance) ?? 0;
-        this.misses.set(instance, isReady ? 0 : misses + 1);
-      }),
-    );
-  }
-
   private async sendOne(): Promise<void> {
     const idle = this.callers.filter(({isBusy}) => !isBusy);
     if (idle.length === 0) return;
     const caller = this.pick(idle);
-    if (!caller.hasConnection) caller.moveTo(this.pick(this.inRotation()));
-    const route = this.pick(ROUTES);
-    const isMarker =
-      this.options.operator.markerCount > 0 && this.source() < MARKER_SHARE;
-    const body = isMarker || route.kind === 'idempotent' ? '' : this.drawBody();
-    const request = this.describe(caller, route, isMarker, body);
-    const mayLeave = !isMarker && this.source() < LEAVING_SHARE;
-    this.options.history.requests.push(request);
-    await caller.send({
-      request,
-      body,
-      promptTokens:
-        request.kind === 'stream' ? this.pick(PROMPT_TOKENS) : undefined,
-      leavesAfterMs: mayLeave ? this.source() * request.waitsForMs : undefined,
-      nowMs: this.options.nowMs,
-    });
+    caller.isBusy = true;
+    if (await this.findConnection(caller)) await this.useConnection(caller);
+    else this.noteUnreached(caller);
+    caller.isBusy = false;
+  }
+
+  /** Keeps the connection that it has or opens one. */
+  private async findConnection(caller: Caller): Promise<boolean> {
+    const isKept =
+      caller.hasConnection && this.source() >= NEW_CONNECTION_SHARE;
+    if (isKept) return true;
+    if (!(await this.connect(caller))) return false;
+    if (this.source() >= EARLY_SHARE) return true;
+    await this.waitBeforeFirst();
+    return caller.hasConnection || this.connect(caller);
   }
 
-  private describe(
-    caller: Caller,
-    route: Route,
-    isMarker: boolean,
-    body: string,
-  ): SentRequest {
-    const {operator, nowMs, seed} = this.options;
-    const instance = caller.instance!;
-    const marker = isMarker
-      ? 1 + randomInt.source(this.source)(operator.markerCount)()
-      : undefined;
-    this.sent += 1;
-    const prefix = marker === undefined ? route.pathPrefix : markerPath(marker);
-    return {
-      requestId: `r${seed}-${this.sent}`,
-      instance: instance.id,
-      life: instance.life,
-      kind: isMarker ? 'idempotent' : route.kind,
-      isResumable: !isMarker && route.isResumable,
-      maxAttempts: route.maxAttempts,
-      path: `${prefix}${this.sent}?host=${HOST}`,
-      bodyDigest: digest(body),
-      ...this.pick(operator.keys),
-      marker,
-      waitsForMs: this.pick(PATIENCES_MS),
-      sentAtMs: nowMs(),
-    };
+  private async waitBeforeFirst(): Promise<void> {
+    const {signal} = this.stopping;
+    await pause(this.source() * LONGEST_EARLY_MS, undefined, {signal}).catch(
+      () => undefined,
+    );
   }
 
-  private inRotation(): readonly Instance[] {
-    const {instances} = this.options;
-    const ready = instances.filter(
-      instance => (this.misses.get(instance) ?? 0) < MISSES,
+  /** Where its connection is refused a caller opens one more, elsewhere. */
+  private async connect(caller: Caller): Promise<boolean> {
+    const candidates = this.rotation.candidatesFor(
+      this.callers.indexOf(caller),
     );
-    // With fewer than half in rotation the balancer uses all.
-    return ready.length * 2 < instances.length ? instances : ready;
+    const first = this.pick(candidates);
+    if (await caller.connectTo(first)) return true;
+    const isElsewhere = (instance: Instance) => instance !== first;
+    const others = candidates.filter(isElsewhere);
+    const next =
+      others.length > 0 ? others : this.options.instances.filter(isElsewhere);
+    return next.length > 0 && caller.connectTo(this.pick(next));
   }
 
-  private drawBody(): string {
-    const length = Math.ceil(this.source() * BODY_CHARACTERS);
-    return this.source().toString(36).padEnd(length, 'x');
+  private async useConnection(caller: Caller): Promise<void> {
+    let drawn = this.draw.drawFor(caller.instance!);
+    await this.send(caller, drawn);
+    while (await this.goesOn(caller, drawn)) {
+      drawn = this.draw.drawLongStream(caller.instance!);
+      await this.send(caller, drawn);
+    }
+  }
+
+  private async send(caller: Caller, drawn: DrawnRequest): Promise<void> {
+    this.options.history.requests.push(drawn.request);
+    await caller.send(drawn);
+  }
+
+  /** Whether a caller sends the next request the moment its stream has ended. */
+  private async goesOn(caller: Caller, drawn: DrawnRequest): Promise<boolean> {
+    const {outcome} = drawn.request;
+    if (!drawn.isLong || outcome?.kind !== 'answered') return false;
+    if (this.stopping.signal.aborted) return false;
+    // Node.js frees the connection after it has told of the answer's end.
+    await new Promise(done => setImmediate(done));
+    return caller.hasConnection && this.source() < NEXT_AT_ONCE_SHARE;
+  }
+
+  private noteUnreached(caller: Caller): void {
+    const {request} = this.draw.drawFor(caller.instance!);
+    request.outcome = {kind: 'not_connected'};
+    request.endedAtMs = request.sentAtMs;
+    this.options.history.requests.push(request);
   }
 
   private pick<Item>(items: readonly Item[]): Item {
