Give each run of the soak addresses that nobody else calls

A run beside other tests reported 547 requests that nobody had sent, from before its start on, and further attempts beyond the budget: the requests had no id.

An instance whose soak is killed lives on and asks for its store, at 127.0.0.1 and a port that the system had chosen. The system gives such ports to any listener in turn, also to an endpoint of another soak. Measured: a soak was killed, and a listener on the store ports of its two instances counted 184 and 80 requests without an id in 10 s; 547 in 30 s is the rate of one. That it was such an instance in that run is supposed, as the paths were not kept. Ruled out: the ports that the soak picks itself, which lie below the system's range (32768 to 60999) and on addresses of the run.

Endpoints, store, provider and the ways to them now listen on the run's own loopback network. An instance ends when its soak is gone: after the same kill none of three was left 3 s later, two of three before. A request that nobody sent is reported with its path and endpoint.

--- a/packages/soak/src/checks/answers.ts
+++ b/packages/soak/src/checks/answers.ts
@@ -88,7 +88,9 @@
     return history.runs.flatMap(run => {
       const request = known.get(run.requestId);
       if (request === undefined) {
-        return [this.found(`nobody sent ${run.requestId}`, run.arrivedAtMs)];
+        const where = `${run.path} at ${run.endpoint}`;
+        const what = `nobody sent ${run.requestId} (${where})`;
+        return [this.found(what, run.arrivedAtMs)];
       }
       const faults = [
         run.path === request.path ? undefined : 'another path',
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -25,6 +25,8 @@
 /** What an {@link Endpoint} is made from. */
 export interface EndpointOptions {
   readonly place: string;
+  /** Where its lives and the ways to them listen. */
+  readonly host: string;
   readonly service: ServiceId;
   readonly dataCentre: DataCentreId;
   readonly capacity: number;
@@ -60,7 +62,7 @@
   /** A new life under a new id, at an address of its own. */
   async start(): Promise<void> {
     this.life += 1;
-    const {service, capacity, isEngine, random} = this.options;
+    const {service, capacity, isEngine, random, host} = this.options;
     const standIn = new EndpointStandIn({
       id: this.id,
       service,
@@ -69,7 +71,8 @@
       random,
     });
     this.standIn = standIn;
-    const way = new Link({targetPort: await standIn.start()});
+    const targetPort = await standIn.start(host);
+    const way = new Link({host, targetHost: host, targetPort});
     await way.start();
     this.way = way;
     this.closing.push(() => {
--- a/packages/soak/src/world/instance.ts
+++ b/packages/soak/src/world/instance.ts
@@ -53,7 +53,11 @@
   constructor(private readonly options: InstanceOptions) {
     const {instance, host, callersPort} = options.settings;
     this.id = instance;
-    this.callersWay = new Link({targetHost: host, targetPort: callersPort});
+    this.callersWay = new Link({
+      host,
+      targetHost: host,
+      targetPort: callersPort,
+    });
   }
 
   get dataCentre(): DataCentreId {
--- a/packages/soak/src/world/program.ts
+++ b/packages/soak/src/world/program.ts
@@ -22,11 +22,13 @@
 /** File that says by how much the time of day is off, in milliseconds. */
 export const CLOCK_FILE_VARIABLE = 'SOAK_CLOCK_FILE';
 
+const PARENT_CHECK_EVERY_MS = 1000;
 /**
- * The time of day of one process can't be set from outside. This puts a clock
- * before the program that jumps when a signal comes; the program is untouched.
+ * Put before the program, which is untouched. The time of day of one process
+ * can't be set from outside: a clock that jumps when a signal comes. And an
+ * instance whose soak was killed would go on for good: it goes as well.
  */
-const JUMPING_CLOCK = `{
+const PREAMBLE = `{
   const now = Date.now;
   let offsetMs = 0;
   Date.now = () => now() + offsetMs;
@@ -34,6 +36,10 @@
     const file = process.env.${CLOCK_FILE_VARIABLE};
     offsetMs = Number(require('fs').readFileSync(file, 'utf8'));
   });
+  const parent = process.ppid;
+  setInterval(() => {
+    if (process.ppid !== parent) process.exit();
+  }, ${PARENT_CHECK_EVERY_MS}).unref();
 }`;
 
 /**
@@ -55,7 +61,7 @@
     format: 'cjs',
     target: 'node20',
     logLevel: 'warning',
-    banner: {js: JUMPING_CLOCK},
+    banner: {js: PREAMBLE},
     plugins: mutation === undefined ? [] : [mutate(mutation)],
   });
   return outfile;
--- a/packages/soak/src/world/world.ts
+++ b/packages/soak/src/world/world.ts
@@ -15,6 +15,7 @@
 import {Endpoint} from './endpoint.js';
 import {Instance} from './instance.js';
 import {BOOKINGS, ENGINES, Operator} from './operator.js';
+import {networkOf} from './own_network.js';
 
 /** The size of a run. */
 export interface WorldOptions {
@@ -34,6 +35,8 @@
 const SERVICE_CAPACITY = 12;
 const READY_WITHIN_MS = 60_000;
 const POLL_MS = 100;
+/** Beyond the instances, which are numbered from 1. */
+const PLATFORM_HOST = 254;
 
 /** Owns the stand-ins and the processes. */
 export class World {
@@ -44,6 +47,7 @@
   readonly instances: Instance[] = [];
   readonly endpoints: Endpoint[] = [];
   private readonly random: () => number;
+  private readonly network = networkOf(process.pid);
   readonly nowMs = () => performance.now();
 
   constructor(private readonly options: WorldOptions) {
@@ -55,11 +59,11 @@
 
   /** Resolves when every instance is ready. */
   async start(): Promise<void> {
-    const storePort = await this.store.start();
-    const providerPort = await this.provider.start();
+    const storePort = await this.store.start(this.platformHost);
+    const providerPort = await this.provider.start(this.platformHost);
     this.operator.write();
     await this.addEndpoints();
-    await this.addInstances(storePort, `127.0.0.1:${providerPort}`);
+    await this.addInstances(storePort, `${this.platformHost}:${providerPort}`);
     await Promise.all(this.instances.map(instance => instance.start()));
     for (const instance of this.instances) await this.untilReady(instance);
   }
@@ -73,11 +77,17 @@
     this.history.dutyCalls.push(...this.provider.calls);
   }
 
+  /** Of the stand-ins and the ways to them. */
+  private get platformHost(): string {
+    return `${this.network}.${PLATFORM_HOST}`;
+  }
+
   private async addEndpoints(): Promise<void> {
     const {engines, services} = this.options;
     for (let index = 0; index < engines + services; index += 1) {
       const isEngine = index < engines;
       const endpoint = new Endpoint({
+        host: this.platformHost,
         place: isEngine ? `engine-${index}` : `booking-${index}`,
         service: isEngine ? ENGINES : BOOKINGS,
         dataCentre: DATA_CENTRES[index % this.options.dataCentres],
@@ -98,10 +108,13 @@
     storePort: number,
     providerAddress: string,
   ): Promise<void> {
-    const network = this.drawNetwork();
     for (let index = 0; index < this.options.instances; index += 1) {
       const dataCentre = DATA_CENTRES[index % this.options.dataCentres];
-      const storeWay = new Link({targetPort: storePort});
+      const storeWay = new Link({
+        host: this.platformHost,
+        targetHost: this.platformHost,
+        targetPort: storePort,
+      });
       // Its address is known once it listens.
       await storeWay.start();
       const [callersPort, readinessPort, peerPort] = await pickFreePorts(3);
@@ -110,7 +123,7 @@
           settings: {
             instance: brandAs<InstanceId>(`${dataCentre}-${index + 1}`),
             dataCentre,
-            host: `${network}.${index + 1}`,
+            host: `${this.network}.${index + 1}`,
             callersPort,
             readinessPort,
             storeAddress: storeWay.address,
@@ -128,12 +141,6 @@
     }
   }
 
-  /** Runs side by side must not meet: the process's id tells them apart. */
-  private drawNetwork(): string {
-    const [low, high] = [process.pid % 250, Math.floor(process.pid / 250)];
-    return `127.${2 + (high % 250)}.${low}`;
-  }
-
   private async untilReady(instance: Instance): Promise<void> {
     const startedAtMs = this.nowMs();
     while (!(await instance.isReady())) {
