List what the soak shows since its stops come in turns

The checks stay as they are.

A test holds the finding's words on stop and connection, which tell the two faults apart.

--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -229,6 +229,21 @@
   t.deepEqual(findersOf(early, [makeRun()], stoppedAt(8000)), []);
 });
 
+test('a request that was cut off is told with its stop and its connection', t => {
+  // A caller loses its answer: either the instance still took its connection
+  // seconds after it had been told to stop, or it took the request over one that
+  // had been open before. These are two faults.
+  const request = makeRequest({
+    outcome: {kind: 'broken'},
+    endedAtMs: 10_500,
+    connectedAtMs: 9000,
+  });
+  const history = makeHistory([request], [makeRun()]);
+  history.disturb(INSTANCE, 'terminated', 3000);
+  const [{what}] = checkAll(history);
+  t.regex(what, /sent 7000 ms after a stop, connected 6000 ms after it/);
+});
+
 test('processes that end by themselves, late or with an error are found', t => {
   const end = {
     instance: INSTANCE,
