Add mutants for the retry budget and for callers that leave

Two checks had no mutant, so nothing showed that they find anything in a run.

Further attempts stay within their budget as long as an instance avoids endpoints that refuse: with two of ten refusing, few requests meet them.

No single edit sends a request on after its caller has left: the attempt is cancelled, and what follows looks whether the caller is there. For it 10% of the callers leave rather than 5%, and more of them soon than late, as people do who press a button twice.

--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -18,6 +18,7 @@
 const STOPS = ['instance_terminate'] as const;
 const CHANGES = ['add_marker', 'withdraw_key'] as const;
 const KILLS = ['instance_kill'] as const;
+const FULL_ENDPOINTS = ['endpoint_full'] as const;
 const BROKEN_ENDPOINTS = [
   'endpoint_failing',
   'endpoint_resetting',
@@ -114,6 +115,43 @@
       },
     ],
   },
+  {
+    name: 'asks_again_without_a_budget',
+    check: 'retry_budget',
+    kinds: FULL_ENDPOINTS,
+    edits: [
+      {
+        module: 'routing/dist/window_budget.js',
+        from: 'if (this.extras.length + 1 > this.allowance())',
+        to: 'if (false)',
+      },
+      // An endpoint that refuses is asked on, and looks idle.
+      {
+        module: 'routing/dist/endpoint_monitor.js',
+        from: "if (sign === 'rejected')",
+        to: 'if (false)',
+      },
+    ],
+  },
+  {
+    name: 'does_not_see_callers_leave',
+    check: 'nothing_for_nobody',
+    kinds: ['endpoint_silent'],
+    seriesEveryMs: 500,
+    faultsForMs: 40_000,
+    edits: [
+      {
+        module: 'gateway/dist/exchange.js',
+        from: 'cancel() {\n        this.current?.cancel();',
+        to: 'cancel() {',
+      },
+      {
+        module: 'gateway/dist/answer_writer.js',
+        from: 'return this.ended || this.callerLeft;',
+        to: 'return this.ended;',
+      },
+    ],
+  },
   {
     name: 'hands_on_a_minute',
     check: 'time_handed_on',
--- a/packages/soak/src/world/request_draw.ts
+++ b/packages/soak/src/world/request_draw.ts
@@ -30,7 +30,7 @@
 }
 
 const MARKER_SHARE = 0.1;
-const LEAVING_SHARE = 0.05;
+const LEAVING_SHARE = 0.1;
 /** Some wait for longer than an instance that stops may go on. */
 const PATIENCES_MS = [1500, 2500, 9000] as const;
 const [, , LONGEST_PATIENCE_MS] = PATIENCES_MS;
@@ -62,9 +62,11 @@
     const drawn = isLong
       ? this.drawLongStream(instance, route)
       : this.drawShort(instance, route);
-    return source() < LEAVING_SHARE
-      ? {...drawn, leavesAfterMs: source() * drawn.request.waitsForMs}
-      : drawn;
+    if (source() >= LEAVING_SHARE) return drawn;
+    // More leave soon than late: before another endpoint is asked for them.
+    const shareOfWait = source() * source();
+    const leavesAfterMs = shareOfWait * drawn.request.waitsForMs;
+    return {...drawn, leavesAfterMs};
   }
 
   /** A stream of some seconds, whose caller waits until its end. */
