--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -6,6 +6,8 @@
 /** A mutation, what has to happen for it to show, and who is to find it. */
 export interface Mutant extends Mutation {
   readonly check: string;
+  /** What the finding has to say, where faults of another kind would show too. */
+  readonly says?: RegExp;
   /** The faults under which it shows; all when absent. */
   readonly kinds?: readonly FaultKind[];
   /** Mean time between two series of them, where it matters. */
@@ -16,6 +18,7 @@
 const STOPS = ['instance_terminate'] as const;
 const CHANGES = ['add_marker', 'withdraw_key'] as const;
 const KILLS = ['instance_kill'] as const;
+const FULL_ENDPOINTS = ['endpoint_full'] as const;
 const BROKEN_ENDPOINTS = [
   'endpoint_failing',
   'endpoint_resetting',
@@ -112,6 +115,43 @@
       },
     ],
   },
+  {
+    name: 'asks_again_without_a_budget',
+    check: 'retry_budget',
+    kinds: FULL_ENDPOINTS,
+    edits: [
+      {
+        module: 'routing/dist/window_budget.js',
+        from: 'if (this.extras.length + 1 > this.allowance())',
+        to: 'if (false)',
+      },
+      // An endpoint that refuses is asked on, and looks idle.
+      {
+        module: 'routing/dist/endpoint_monitor.js',
+        from: "if (sign === 'rejected')",
+        to: 'if (false)',
+      },
+    ],
+  },
+  {
+    name: 'does_not_see_callers_leave',
+    check: 'nothing_for_nobody',
+    kinds: ['endpoint_silent'],
+    seriesEveryMs: 500,
+    faultsForMs: 40_000,
+    edits: [
+      {
+        module: 'gateway/dist/exchange.js',
+        from: 'cancel() {\n        this.current?.cancel();',
+        to: 'cancel() {',
+      },
+      {
+        module: 'gateway/dist/answer_writer.js',
+        from: 'return this.ended || this.callerLeft;',
+        to: 'return this.ended;',
+      },
+    ],
+  },
   {
     name: 'hands_on_a_minute',
     check: 'time_handed_on',
@@ -229,6 +269,20 @@
       },
     ],
   },
+  {
+    name: 'listens_to_the_end',
+    check: 'nothing_lost',
+    // Connections from before show another fault than listening.
+    says: /connected [3-9]\d{3} ms after/,
+    kinds: STOPS,
+    edits: [
+      {
+        module: 'gateway/dist/callers_server.js',
+        from: 'if (this.server.listening)',
+        to: 'if (false)',
+      },
+    ],
+  },
   {
     name: 'ends_with_an_error',
     check: 'proper_ends',
