Tests: requests that a stopping instance takes and cannot finish

Callers saw: an answer that broke off, or a refusal that says it may have run, for a request that came after the instance had been told to stop. It came in four ways: on a new connection during the balancer's lag, as the first request on a connection opened earlier, from the queue for an engine, and after the last request had ended, while the usage was being written.

--- /dev/null
+++ b/packages/entry/src/sessions/stopping.test.ts
@@ -0,0 +1,160 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {CallerConnection} from './caller_connection.js';
+import {TestWorld, waitUntil, type Answer} from './test_world.js';
+
+/** Forty seconds at an engine, longer than any of these instances has left. */
+const ENDLESS_TOKENS = 4000;
+const NO_LAG = {balancerLagMs: 0};
+
+test('a late first request on an early connection is refused, not cut', async t => {
+  // A shop's app opens a connection ahead of need. The instance is told to stop
+  // and goes on for a long answer; the shop's first request comes then. Were it
+  // taken, the quote would break off when the instance ends seconds later.
+  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 4000}});
+  const early = await CallerConnection.open(world.entries[0].callersUrl);
+  const held = holdUp(world, ENDLESS_TOKENS);
+  await waitForPhases(world, ['answering']);
+  const {exited} = await stop(world);
+  early.sendChat(ENDLESS_TOKENS);
+  await early.waitFor('\r\n\r\n');
+  assertRefused(t, early);
+  t.is(await runsAtEngines(world), 1);
+  await held;
+  t.is((await exited).code, 0);
+});
+
+test('what the balancer still sends is taken only if it can be finished', async t => {
+  // Until the balancer has noticed a stop, new connections go on coming. A
+  // lookup that ends within its five seconds is served; a request that may
+  // take twenty is sent elsewhere at once rather than cut after twelve.
+  const world = await start(t, {
+    shutdown: {balancerLagMs: 6000, graceMs: 6000},
+  });
+  const {exited} = await stop(world);
+  const lookup = await world.call(0, '/services/booking/stock/tent');
+  t.is(lookup.status, 200);
+  t.is(lookup.headers.connection, 'close');
+  const late = await CallerConnection.open(world.entries[0].callersUrl);
+  late.sendChat(ENDLESS_TOKENS);
+  await late.waitFor('\r\n\r\n');
+  assertRefused(t, late);
+  t.is(await runsAtEngines(world), 0);
+  t.is((await exited).code, 0);
+});
+
+test('a request that waits for an engine is refused at the stop, not cut', async t => {
+  // The only place at the engine is taken when the instance is told to stop.
+  // Were the waiting request kept, it would get the place shortly before the
+  // end, run, and be cut; its caller could not even repeat it safely.
+  const world = await start(
+    t,
+    {shutdown: {...NO_LAG, graceMs: 6000}},
+    {maxConcurrency: 1},
+  );
+  let hasFinished = false;
+  const first = holdUp(world, 300);
+  void first.then(() => (hasFinished = true));
+  await waitForPhases(world, ['answering']);
+  const waiting = world.chat(0, 'next', {tokens: 8});
+  await waitForPhases(world, ['answering', 'waiting']);
+  const {exited} = await stop(world);
+  const refusal = await waiting;
+  t.false(hasFinished, 'it was left to wait');
+  assertRefusal(t, refusal);
+  t.true((await first).body.endsWith('data: [DONE]\n\n'));
+  t.is(await runsAtEngines(world), 1);
+  t.is((await exited).code, 0);
+});
+
+test('a stream that outlasts the grace time ends with the reason', async t => {
+  // An answer is longer than the instance may go on. A caller that only saw the
+  // connection close could not tell a stop from a fault.
+  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 1000}});
+  const stream = world.chat(0, 'all', {tokens: ENDLESS_TOKENS, stream: true});
+  await waitForPhases(world, ['answering']);
+  const {exited} = await stop(world);
+  const {body} = await stream;
+  t.regex(body, /"code":"shutting_down","verdict":"may_have_run"/);
+  t.is((await exited).code, 0);
+});
+
+test('a request that comes while the last figures are written is refused', async t => {
+  // Nothing runs any more, but the store is slow to take the usage. A request
+  // that comes then on an open connection would run for a caller who never
+  // gets the answer, as the sockets are about to be closed.
+  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 60_000}});
+  const early = await CallerConnection.open(world.entries[0].callersUrl);
+  t.is((await world.chat(0, 'counted')).status, 200);
+  const faults = {table: {mode: 'down', keyPrefix: 'usage/'}};
+  await world.control(world.platform, {faults});
+  const {exited} = await stop(world);
+  await waitUntil(async () => (await phases(world)).length === 0);
+  await delay(500);
+  early.sendChat(ENDLESS_TOKENS);
+  await early.waitFor('\r\n\r\n');
+  assertRefused(t, early);
+  t.is(await runsAtEngines(world), 1);
+  t.is((await exited).code, 0);
+});
+
+async function start(
+  t: ExecutionContext,
+  settings: {readonly shutdown: object},
+  options: {readonly maxConcurrency?: number} = {},
+): Promise<TestWorld> {
+  const world = await TestWorld.start({...options, settings});
+  t.teardown(() => world.close());
+  return world;
+}
+
+/** A streamed answer that keeps the instance from ending. */
+function holdUp(world: TestWorld, tokens: number): Promise<Answer> {
+  const answer = world.chat(0, 'hold', {tokens, stream: true});
+  // A test that fails before it reads the answer is to fail by itself only.
+  answer.catch(() => {});
+  return answer;
+}
+
+/** Tells the instance to stop and waits until it has begun to. */
+async function stop(
+  world: TestWorld,
+): Promise<{readonly exited: Promise<{readonly code: number | null}>}> {
+  const {process} = world.entries[0];
+  const exited = process.terminate();
+  await waitUntil(() => process.stderr.includes('shutdown_begun'));
+  return {exited};
+}
+
+async function phases(world: TestWorld): Promise<string[]> {
+  const {inFlight} = (await world.dump(0)) as {
+    inFlight: Array<{phase: string}>;
+  };
+  return inFlight.map(({phase}) => phase).sort();
+}
+
+async function waitForPhases(
+  world: TestWorld,
+  expected: readonly string[],
+): Promise<void> {
+  const wanted = expected.join();
+  await waitUntil(async () => (await phases(world)).join() === wanted);
+}
+
+async function runsAtEngines(world: TestWorld): Promise<number> {
+  const {runsByRequestId} = await world.log(world.engines);
+  return Object.keys(runsByRequestId as object).length;
+}
+
+function assertRefused(t: ExecutionContext, caller: CallerConnection): void {
+  t.is(caller.status, 503, caller.received.slice(0, 300));
+  t.regex(caller.received, /retry-after: \d/i);
+  t.regex(caller.received, /connection: close/i);
+  t.regex(caller.received, /"code":"shutting_down","verdict":"not_run"/);
+}
+
+function assertRefusal(t: ExecutionContext, answer: Answer): void {
+  t.is(answer.status, 503, answer.body);
+  t.regex(answer.headers['retry-after'] ?? '', /^\d+$/);
+  t.regex(answer.body, /"code":"shutting_down","verdict":"not_run"/);
+}
