Start nothing during a stop that the instance can't finish

Callers saw: an answer that broke off, or a refusal that says it may have run, for a request that came after the instance had been told to stop.

Requests reach it then on new connections until the balancer has noticed, on connections that were open before (one that never carried a request isn't closed by Node.js' closeIdleConnections), from its own queue, and while it writes its last figures, when nobody waits for requests any more and the sockets are about to close.

Change: each start passes a gate, at the head of a request and again with each permit. A pure decision (policy/stop_admission.ts) lets it start if its limit, the class's deadline or the service's timeout, lies a second before the end; all else is refused at once as shutting_down, not_run, with Retry-After. What waits is judged anew at the stop and refused when its last moment passes. The end counts from the signal, so that leases that are slow to be given up don't put it off; once the last request has ended, it is now.

Not measured: how many requests are refused that would have ended in time.

--- a/packages/entry/src/choose/permits.ts
+++ b/packages/entry/src/choose/permits.ts
@@ -1,5 +1,6 @@
 /** Leave to run an attempt at an endpoint. */
 
+import type {AttemptLimit} from '@snipestage/policy/stop_admission.js';
 import type {
   ClientAccount,
   Endpoint,
@@ -22,6 +23,8 @@
   readonly expectedTokens: number;
   /** Time left until starting it is worthless. */
   readonly remainingMs: number;
+  /** When the attempt has ended at the latest, by a monotonic clock. */
+  readonly limit: AttemptLimit;
   readonly prefixHash?: string;
   readonly fingerprint: Fingerprint;
   /** It was in flight at a crash and must run alone; false if absent. */
--- a/packages/entry/src/choose/suspect_guard.test.ts
+++ b/packages/entry/src/choose/suspect_guard.test.ts
@@ -39,6 +39,7 @@
   const request = {
     fingerprint: brandAs('poison'),
     remainingMs: 60_000,
+    limit: {kind: 'timeout', timeoutMs: 60_000},
   } as unknown as PermitRequest;
   const crash = {outcome: 'crashed', brokeOff: true} as const;
   (await guard.acquire(request, signal)).release(crash);
--- a/packages/entry/src/compose/bind_handlers.ts
+++ b/packages/entry/src/compose/bind_handlers.ts
@@ -10,6 +10,7 @@
 import {InFlightRequests} from '../admit/in_flight_requests.js';
 import {KeptAnswers} from '../admit/kept_answers.js';
 import {RequestIntake} from '../admit/request_intake.js';
+import {StopGate} from '../admit/stop_gate.js';
 import {ClusterView} from '../choose/cluster_view.js';
 import {monotonicNowMs} from '../clock.js';
 import {ConfigurationStore} from '../configure/configuration_store.js';
@@ -53,15 +54,21 @@
   container
     .bind(ModelHandler)
     .toResolvedValue(
-      (store, runner, claims, usage) =>
-        new ModelHandler({store, runner, claims, usage, maxBodyBytes}),
-      [ConfigurationStore, ModelRunner, ClaimDesk, UsageCounterTask],
+      (store, runner, claims, gate, usage) =>
+        new ModelHandler({store, runner, claims, gate, usage, maxBodyBytes}),
+      [ConfigurationStore, ModelRunner, ClaimDesk, StopGate, UsageCounterTask],
     );
   container
     .bind(ServiceHandler)
     .toResolvedValue(
-      (store, runner, claims, usage) =>
-        new ServiceHandler({store, runner, claims, usage, maxBodyBytes}),
-      [ConfigurationStore, ServiceRunner, ClaimDesk, UsageCounterTask],
+      (store, runner, claims, gate, usage) =>
+        new ServiceHandler({store, runner, claims, gate, usage, maxBodyBytes}),
+      [
+        ConfigurationStore,
+        ServiceRunner,
+        ClaimDesk,
+        StopGate,
+        UsageCounterTask,
+      ],
     );
 }
--- a/packages/entry/src/compose/bind_permits.ts
+++ b/packages/entry/src/compose/bind_permits.ts
@@ -4,6 +4,7 @@
 import {PeerNetwork} from '@snipestage/peer/peer_network.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import type {Container} from 'inversify';
+import {StopGate} from '../admit/stop_gate.js';
 import {CellClients} from '../choose/cell_clients.js';
 import {CellOwners} from '../choose/cell_owners.js';
 import {CellPermits} from '../choose/cell_permits.js';
@@ -11,6 +12,7 @@
 import {MeteredPermits} from '../choose/metered_permits.js';
 import {PermitRouter} from '../choose/permit_router.js';
 import {Permits} from '../choose/permits.js';
+import {StoppingPermits} from '../choose/stopping_permits.js';
 import {SuspectTrials} from '../choose/suspect_trials.js';
 import {SuspectGuard} from '../choose/suspect_guard.js';
 import {monotonicNowMs} from '../clock.js';
@@ -92,10 +94,13 @@
       }),
     [CellPermits, SuspectTrials, PeerNetwork],
   );
-  container
-    .bind(Permits)
-    .toResolvedValue(
-      (permits, metrics) => new MeteredPermits({permits, metrics, clock}),
-      [SuspectGuard, Metrics],
-    );
+  container.bind(Permits).toResolvedValue(
+    (guarded, gate, metrics) =>
+      new MeteredPermits({
+        permits: new StoppingPermits({permits: guarded, gate}),
+        metrics,
+        clock,
+      }),
+    [SuspectGuard, StopGate, Metrics],
+  );
 }
--- a/packages/entry/src/compose/container.ts
+++ b/packages/entry/src/compose/container.ts
@@ -6,7 +6,8 @@
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import {Container} from 'inversify';
 import {InFlightRequests} from '../admit/in_flight_requests.js';
-
+import {StopGate} from '../admit/stop_gate.js';
+import {monotonicNowMs} from '../clock.js';
 import {ConfigurationStore} from '../configure/configuration_store.js';
 import {StateDump} from '../operate/state_dump.js';
 import {bindEndpoints} from './bind_endpoints.js';
@@ -40,6 +41,9 @@
   );
   container.bind(Metrics).toConstantValue(createMetrics(settings));
   container.bind(InFlightRequests).toConstantValue(new InFlightRequests());
+  container
+    .bind(StopGate)
+    .toConstantValue(new StopGate({clock: monotonicNowMs}));
   container.bind(ConfigurationStore).toConstantValue(new ConfigurationStore());
   container.bind(StateDump).toConstantValue(new StateDump());
   bindPlatform(container, settings);
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -15,6 +15,7 @@
 import {ClaimDesk} from './admit/claim_desk.js';
 import {InFlightRequests} from './admit/in_flight_requests.js';
 import {RequestIntake} from './admit/request_intake.js';
+import {StopGate} from './admit/stop_gate.js';
 import {CellOwners} from './choose/cell_owners.js';
 import {CellPermits} from './choose/cell_permits.js';
 import {ClusterView} from './choose/cluster_view.js';
@@ -149,6 +150,8 @@
       balancerLagMs,
       graceMs,
       inFlight: this.container.get(InFlightRequests),
+      gate: this.container.get(StopGate),
+      clock: monotonicNowMs,
       logger: this.logger.forComponent('shutdown'),
       onBegin: () => this.callers.beginDraining(),
       onNoNewWork: async () => {
--- a/packages/entry/src/listen/model_handler.ts
+++ b/packages/entry/src/listen/model_handler.ts
@@ -2,11 +2,13 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {RequestError} from '@snipestage/errors/request_error.js';
+import type {AttemptLimit} from '@snipestage/policy/stop_admission.js';
 import type {Model} from '@snipestage/types/configuration.js';
 import type {UsageCounterTask} from '../account/usage_counter_task.js';
 import type {ClaimDesk} from '../admit/claim_desk.js';
 import {idempotencyKeyOf} from '../identify/idempotency_key.js';
 import type {AdmittedRequest} from '../admit/request_intake.js';
+import type {StopGate} from '../admit/stop_gate.js';
 import type {AnswerSink} from '../answer/answer_sink.js';
 import {refusalOf} from '../answer/refusal_response.js';
 import {StreamSink} from '../answer/stream_sink.js';
@@ -26,6 +28,7 @@
   readonly store: ConfigurationStore;
   readonly runner: ModelRunner;
   readonly claims: ClaimDesk;
+  readonly gate: StopGate;
   readonly usage: UsageCounterTask;
   readonly maxBodyBytes: number;
 }
@@ -48,6 +51,7 @@
     response: ServerResponse,
     admitted: AdmittedRequest,
   ): Promise<void> {
+    this.options.gate.check(limitOf(admitted));
     const bodyBytes = await readBody(request, this.options.maxBodyBytes);
     const body = parseJsonObject(bodyBytes);
     const model = this.findModel(body);
@@ -137,6 +141,12 @@
   return new StreamSink({response, requestId, includeUsage});
 }
 
+/** An answer is worthless after its deadline. */
+function limitOf({arrivedAtMs, caller}: AdmittedRequest): AttemptLimit {
+  const {deadlineMs} = caller.requestClass;
+  return {kind: 'deadline', atMs: arrivedAtMs + deadlineMs};
+}
+
 function workOf(parsed: ModelRequest, admitted: AdmittedRequest): ModelWork {
   const {clientAccount, requestClass} = admitted.caller;
   const {model, body} = parsed;
@@ -165,6 +175,7 @@
       expectedTokens,
       prefixHash: prefixHashOf(body),
       fingerprint: promptFingerprintOf(clientAccount.id, body),
+      limit: limitOf(admitted),
       repeatable: true,
     },
   };
--- a/packages/entry/src/listen/service_handler.ts
+++ b/packages/entry/src/listen/service_handler.ts
@@ -2,12 +2,14 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {RequestError} from '@snipestage/errors/request_error.js';
+import type {AttemptLimit} from '@snipestage/policy/stop_admission.js';
 import type {Service} from '@snipestage/types/configuration.js';
 import type {UsageCounterTask} from '../account/usage_counter_task.js';
 import type {ClaimDesk} from '../admit/claim_desk.js';
 import {mayDiscard} from '../admit/response_recorder.js';
 import {idempotencyKeyOf} from '../identify/idempotency_key.js';
 import type {AdmittedRequest} from '../admit/request_intake.js';
+import type {StopGate} from '../admit/stop_gate.js';
 import type {ConfigurationStore} from '../configure/configuration_store.js';
 import {fingerprintOf} from '../identify/fingerprint.js';
 import {forwardedRequestHeaders} from '../send/forwarded_headers.js';
@@ -21,6 +23,7 @@
   readonly store: ConfigurationStore;
   readonly runner: ServiceRunner;
   readonly claims: ClaimDesk;
+  readonly gate: StopGate;
   readonly usage: UsageCounterTask;
   readonly maxBodyBytes: number;
 }
@@ -36,6 +39,7 @@
   ): Promise<void> {
     const {serviceName, path} = parseServicePath(request.url ?? '');
     const service = this.findService(serviceName);
+    this.options.gate.check(limitOf(service));
     const body = await readBody(request, this.options.maxBodyBytes);
     const work = composeWork({request, admitted, service, path, body});
     const idempotencyKey = idempotencyKeyOf(request.headers);
@@ -116,11 +120,16 @@
       requestClass,
       expectedTokens: 1,
       fingerprint: fingerprintOf(clientAccount.id, method, path, body),
+      limit: limitOf(service),
       repeatable: operation?.idempotent === true,
     },
   };
 }
 
+function limitOf({timeoutMs}: Service): AttemptLimit {
+  return {kind: 'timeout', timeoutMs};
+}
+
 function keyOf(request: IncomingMessage): string {
   const [, key = ''] = (request.headers.authorization ?? '').split(/ +/);
   return key;
--- a/packages/entry/src/operate/shutdown.ts
+++ b/packages/entry/src/operate/shutdown.ts
@@ -1,8 +1,10 @@
 /** Ends the process without cutting a request. */
 
-import {RequestError} from '@snipestage/errors/request_error.js';
 import type {Logger} from '@snipestage/log/logger.js';
+import {STOP_RETRY_AFTER_MS} from '@snipestage/policy/stop_admission.js';
 import type {InFlightRequests} from '../admit/in_flight_requests.js';
+import {shuttingDown, type StopGate} from '../admit/stop_gate.js';
+import type {MonotonicClock} from '../clock.js';
 
 /** A step of the shutdown that some task has to do. */
 export type ShutdownStep = () => void | Promise<void>;
@@ -12,6 +14,8 @@
   readonly balancerLagMs: number;
   readonly graceMs: number;
   readonly inFlight: InFlightRequests;
+  readonly gate: StopGate;
+  readonly clock: MonotonicClock;
   readonly logger: Logger;
   /** Not ready from here on; answers ask to close connections. */
   readonly onBegin: ShutdownStep;
@@ -24,7 +28,8 @@
 /**
  * Not ready first, then the balancer's lag, since until it has noticed it goes
  * on sending new connections, and closing the listener at once would refuse
- * them. Then the listener closes, and what runs finishes.
+ * them. Then the listener closes, and what runs finishes. From the first moment
+ * nothing starts that could not be finished by the end.
  */
 export class Shutdown {
   private started: Promise<void> | undefined;
@@ -42,30 +47,27 @@
   }
 
   private async run(): Promise<void> {
-    const {inFlight, logger} = this.options;
+    const {inFlight, gate, clock, logger} = this.options;
+    const {balancerLagMs, graceMs} = this.options;
     logger.info('shutdown_begun', {inFlight: inFlight.count});
+    const endsAtMs = clock() + balancerLagMs + graceMs;
+    gate.close(endsAtMs);
     await this.options.onBegin();
-    await sleep(this.options.balancerLagMs);
+    const timer = setTimeout(() => this.endAll(), endsAtMs - clock());
+    await sleep(balancerLagMs);
     await this.options.onNoNewWork();
-    await this.waitForRequests();
+    await inFlight.whenNone();
+    clearTimeout(timer);
+    // Nobody waits for requests any more: one that came now would be cut.
+    gate.close(clock());
     await this.options.onIdle();
     logger.info('shutdown_done');
   }
 
-  private async waitForRequests(): Promise<void> {
-    const {inFlight, graceMs, logger} = this.options;
-    const timer = setTimeout(() => {
-      logger.warn('shutdown_grace_over', {inFlight: inFlight.count});
-      inFlight.endAll(
-        new RequestError('The instance is shutting down.', {
-          code: 'shutting_down',
-          verdict: 'not_run',
-          retryAfterMs: 1000,
-        }),
-      );
-    }, graceMs);
-    await inFlight.whenNone();
-    clearTimeout(timer);
+  private endAll(): void {
+    const {inFlight, logger} = this.options;
+    logger.warn('shutdown_grace_over', {inFlight: inFlight.count});
+    inFlight.endAll(shuttingDown(STOP_RETRY_AFTER_MS));
   }
 }
 
--- a/packages/entry/src/send/model_runner.test.ts
+++ b/packages/entry/src/send/model_runner.test.ts
@@ -123,6 +123,7 @@
       requestClass: REQUEST_CLASS,
       expectedTokens: 5,
       fingerprint: brandAs('f'),
+      limit: {kind: 'deadline', atMs: 60_000},
       repeatable: true,
     },
   };
