Test: a connection whose answer began before a stop stays open

Callers saw: a connection that goes on to a stopping instance. The head of a streamed answer goes out, then the instance is told to stop; the answer ends whole, and the connection waits for another request, which only the stopping instance can get.

--- a/packages/entry/src/sessions/stopping.test.ts
+++ b/packages/entry/src/sessions/stopping.test.ts
@@ -24,6 +24,23 @@
   t.is((await exited).code, 0);
 });
 
+test('a connection whose answer began before the stop closes with it', async t => {
+  // The head of a streamed answer went out before the stop, so that nothing in
+  // it asks the caller to close. Were the connection kept, the caller's next
+  // request would come to an instance that is about to end.
+  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 30_000}});
+  const kept = await CallerConnection.open(world.entries[0].callersUrl);
+  kept.sendChat(100);
+  const held = holdUp(world, 800);
+  await waitForPhases(world, ['answering', 'answering']);
+  const {exited} = await stop(world);
+  await kept.waitFor('data: [DONE]');
+  await Promise.race([waitUntil(() => kept.hasClosed), delay(2000)]);
+  t.true(kept.hasClosed, 'it was left open for another request');
+  t.true((await held).body.endsWith('data: [DONE]\n\n'));
+  t.is((await exited).code, 0);
+});
+
 test('what the balancer still sends is taken only if it can be finished', async t => {
   // Until the balancer has noticed a stop, new connections go on coming. A
   // lookup that ends within its five seconds is served; a request that may
