Close a connection with its answer though its head went out before the stop

Callers saw: after an answer that ended whole, a connection that still went to the stopping instance, for up to 65 s. The next request on it is refused there, or lost when the sockets close at the moment it is sent.

Cause: only the header Connection: close, set when a request came during a stop, closed connections. An answer that had begun, or a request that had come before, carries no such header, and Node.js closes only those connections that rest at the moment the listener closes.

Change: the server follows its open answers. At the stop those whose head is still to go out get the header; the others' connections are closed when their last bytes are with the kernel, unless another request of the same connection has an answer to come.

Ruled out: closing all connections at the stop, which would cut answers.

--- a/packages/entry/src/listen/callers_server.ts
+++ b/packages/entry/src/listen/callers_server.ts
@@ -7,6 +7,7 @@
 import type {ConfigurationStore} from '../configure/configuration_store.js';
 import type {CompletionPath} from '../send/engine_driver.js';
 import type {ModelHandler} from './model_handler.js';
+import {OpenAnswers} from './open_answers.js';
 import type {ServiceHandler} from './service_handler.js';
 
 const METHODS = ['get', 'post', 'put', 'patch', 'del', 'head', 'opts'] as const;
@@ -32,7 +33,7 @@
 /** Owns the callers' sockets. */
 export class CallersServer {
   private readonly server = restify.createServer({name: 'snipestage'});
-  private draining = false;
+  private readonly answers = new OpenAnswers(this.server.server);
 
   constructor(private readonly options: CallersServerOptions) {
     this.server.server.keepAliveTimeout = 65_000;
@@ -50,9 +51,9 @@
     return this.server.address() as AddressInfo;
   }
 
-  /** From now on each answer asks its caller to close the connection. */
+  /** From now on connections close with their answers. */
   beginDraining(): void {
-    this.draining = true;
+    this.answers.closeWithAnswers();
   }
 
   /** Takes no new connections and closes those with no request on them. */
@@ -110,7 +111,6 @@
     response: ServerResponse,
     handler: RequestHandler,
   ): Promise<void> {
-    if (this.draining) response.setHeader('connection', 'close');
     await this.options.intake.serve(request, response, handler);
   }
 
