Test: a caller that stalls in its body holds up the end of an instance

Operators saw: an instance that doesn't end though its grace time is long over. A caller has sent half of its body and no more; it is not answered, and the instance waits for it (by the documentation of Node.js for up to five minutes, which was not waited for). Whatever replaces the instance kills it then, with all that it has.

--- a/packages/entry/src/sessions/stopping.test.ts
+++ b/packages/entry/src/sessions/stopping.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {CallerConnection} from './caller_connection.js';
+import {CallerConnection, chatBody} from './caller_connection.js';
 import {TestWorld, waitUntil, type Answer} from './test_world.js';
 
 /** Forty seconds at an engine, longer than any of these instances has left. */
@@ -96,6 +96,23 @@
   t.is((await exited).code, 0);
 });
 
+test('a caller that stalls in its body does not hold up the end', async t => {
+  // A tablet loses its network in the middle of an upload. The instance waits
+  // for the rest; whoever replaces it has to kill it, with all that runs there.
+  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 1000}});
+  const stalled = await CallerConnection.open(world.entries[0].callersUrl);
+  const body = chatBody(4);
+  stalled.send('POST /v1/chat/completions', {
+    body: body.slice(0, 10),
+    contentLength: body.length,
+  });
+  await waitForPhases(world, ['waiting']);
+  const {exited} = await stop(world);
+  const ended = await Promise.race([exited, delay(8000)]);
+  t.truthy(ended, 'it is still there');
+  assertRefused(t, stalled);
+});
+
 test('a request that comes while the last figures are written is refused', async t => {
   // Nothing runs any more, but the store is slow to take the usage. A request
   // that comes then on an open connection would run for a caller who never
