End the wait for a body with its request

Operators saw: an instance that doesn't end though its grace time is long over, since a caller has sent half of its body and no more.

Cause: reading a body knew nothing of the request's end. At the end of the grace time all requests are ended by their signals; this one waited for bytes instead.

Change: the wait for a body ends when its request does, and passes the stop's gate as the wait for a permit does: a request that can't be finished any more is refused at once, as shutting_down and not run. The withdrawal of a key ends such a request by the same signal.

Not tried: the withdrawal of a key during a body.

--- a/packages/entry/src/listen/model_handler.ts
+++ b/packages/entry/src/listen/model_handler.ts
@@ -51,8 +51,12 @@
     response: ServerResponse,
     admitted: AdmittedRequest,
   ): Promise<void> {
-    this.options.gate.check(limitOf(admitted));
-    const bodyBytes = await readBody(request, this.options.maxBodyBytes);
+    const {gate, maxBodyBytes} = this.options;
+    const bodyBytes = await gate.whileStartable(
+      limitOf(admitted),
+      admitted.signal,
+      signal => readBody(request, maxBodyBytes, signal),
+    );
     const body = parseJsonObject(bodyBytes);
     const model = this.findModel(body);
     const parsed: ModelRequest = {path, model, body, bodyBytes};
--- a/packages/entry/src/listen/read_body.ts
+++ b/packages/entry/src/listen/read_body.ts
@@ -4,16 +4,29 @@
 import {RequestError} from '@snipestage/errors/request_error.js';
 
 /**
- * Collects the body.
+ * Collects the body, until the signal aborts: a caller that sends half of it
+ * and no more would otherwise hold the request open for minutes, through the
+ * withdrawal of its key and past the grace time of a stop.
  *
  * @throws RequestError `body_too_large` past the limit, `invalid_request` when
- * the caller stops midway; verdict `not_run`.
+ * the caller stops midway, and the signal's reason if it is one; verdict
+ * `not_run`.
  * @example
- * const body = await readBody(request, 1_048_576);
+ * const body = await readBody(request, 1_048_576, signal);
  */
 export async function readBody(
   request: IncomingMessage,
   maxBytes: number,
+  signal?: AbortSignal,
+): Promise<Buffer> {
+  const body = collect(request, maxBytes);
+  if (signal === undefined) return body;
+  return Promise.race([body, rejectWhenAborted(signal)]);
+}
+
+async function collect(
+  request: IncomingMessage,
+  maxBytes: number,
 ): Promise<Buffer> {
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
   if (declaredBytes > maxBytes) throw tooLarge(maxBytes);
@@ -27,11 +40,7 @@
     }
   } catch (error) {
     if (error instanceof RequestError) throw error;
-    throw new RequestError('The body ended before it was whole.', {
-      code: 'invalid_request',
-      verdict: 'not_run',
-      cause: error,
-    });
+    throw endedEarly(error);
   }
   return Buffer.concat(parts);
 }
@@ -63,6 +72,25 @@
   return parsed as Record<string, unknown>;
 }
 
+function rejectWhenAborted(signal: AbortSignal): Promise<never> {
+  return new Promise((_, reject) => {
+    const fail = () => {
+      const reason: unknown = signal.reason;
+      reject(reason instanceof RequestError ? reason : endedEarly(reason));
+    };
+    if (signal.aborted) fail();
+    else signal.addEventListener('abort', fail, {once: true});
+  });
+}
+
+function endedEarly(cause: unknown): RequestError {
+  return new RequestError('The body ended before it was whole.', {
+    code: 'invalid_request',
+    verdict: 'not_run',
+    cause,
+  });
+}
+
 function tooLarge(maxBytes: number): RequestError {
   return new RequestError(`The body is larger than ${maxBytes} bytes.`, {
     code: 'body_too_large',
--- a/packages/entry/src/listen/service_handler.ts
+++ b/packages/entry/src/listen/service_handler.ts
@@ -39,8 +39,12 @@
   ): Promise<void> {
     const {serviceName, path} = parseServicePath(request.url ?? '');
     const service = this.findService(serviceName);
-    this.options.gate.check(limitOf(service));
-    const body = await readBody(request, this.options.maxBodyBytes);
+    const {gate, maxBodyBytes} = this.options;
+    const body = await gate.whileStartable(
+      limitOf(service),
+      admitted.signal,
+      signal => readBody(request, maxBodyBytes, signal),
+    );
     const work = composeWork({request, admitted, service, path, body});
     const idempotencyKey = idempotencyKeyOf(request.headers);
     admitted.inFlight.mayBeCut =
