Test: a stop cuts an answer that is still on its way to a slow caller

Callers saw: an answer that breaks off in the middle, though the instance had minutes of grace time left. The caller's line was slow, so that the end of the answer still lay in the instance when its last request counted as done.

--- a/packages/entry/src/sessions/stopping.test.ts
+++ b/packages/entry/src/sessions/stopping.test.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {got} from 'got';
 import test, {type ExecutionContext} from 'ava';
 import {CallerConnection, chatBody} from './caller_connection.js';
 import {TestWorld, waitUntil, type Answer} from './test_world.js';
@@ -113,6 +114,27 @@
   assertRefused(t, stalled);
 });
 
+test('an answer that is still on its way to its caller is not cut', async t => {
+  // A caller on a slow line reads a long list. The instance has written it all
+  // and has nothing else to do; were it to end then, the list would break off.
+  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 20_000}});
+  const note = 'x'.repeat(24 * 1024 * 1024);
+  await got.post(`${world.service.url}/bookings`, {json: {note}});
+  const slow = await CallerConnection.open(world.entries[0].callersUrl);
+  slow.send('GET /services/booking/bookings');
+  await slow.waitFor('\r\n\r\n');
+  slow.socket.pause();
+  await waitUntil(async () => (await phases(world)).length === 0);
+  const {exited} = await stop(world);
+  await delay(1000);
+  slow.socket.resume();
+  await exited;
+  await waitUntil(() => slow.hasClosed);
+  const [head, body] = slow.received.split('\r\n\r\n');
+  const promised = Number(/content-length: (\d+)/i.exec(head)?.[1]);
+  t.is(body.length, promised);
+});
+
 test('a request that comes while the last figures are written is refused', async t => {
   // Nothing runs any more, but the store is slow to take the usage. A request
   // that comes then on an open connection would run for a caller who never
