Let answers go out whole before a stop closes their connections

Callers saw: an answer that breaks off in the middle, though the instance had minutes of grace time left, when their line was slow.

Cause, in two places. A request counted as done when its handler had written the answer, and the sockets were closed after the last one, while the end of the answer still lay in the process. And the listener's close destroyed such connections at once: Node.js takes a connection for idle when the end of its answer has been written, sent or not.

Change: the end waits, within the grace time, until the kernel has every answer whole. The listener is closed alone, and resting connections while no answer is half sent.

Ruled out: only one of the two.

--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -159,6 +159,7 @@
         this.container.get(PeerTask).leave();
         await Promise.all(this.leases().map(lease => lease.retire()));
       },
+      whenAnswered: () => this.callers.whenAnswered(),
       onIdle: () => this.closeAll(),
     });
   }
--- a/packages/entry/src/listen/callers_server.ts
+++ b/packages/entry/src/listen/callers_server.ts
@@ -56,10 +56,14 @@
     this.answers.closeWithAnswers();
   }
 
+  /** Resolves when all answers have gone out. */
+  whenAnswered(): Promise<void> {
+    return this.answers.whenNone();
+  }
+
   /** Takes no new connections and closes those with no request on them. */
   stopListening(): void {
-    this.server.server.close();
-    this.server.server.closeIdleConnections();
+    this.answers.stopListening();
   }
 
   closeAllConnections(): void {
--- a/packages/entry/src/listen/open_answers.ts
+++ b/packages/entry/src/listen/open_answers.ts
@@ -1,7 +1,7 @@
 /** The answers of a server that have not gone out whole. */
 
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 
 /**
  * Follows each answer from its request on, and lets connections close with
@@ -14,9 +14,11 @@
  */
 export class OpenAnswers {
   private readonly sockets = new Map<ServerResponse, Socket>();
+  private readonly waitersForNone: Array<() => void> = [];
   private isClosing = false;
+  private hasRestingToClose = false;
 
-  constructor(server: Server) {
+  constructor(private readonly server: Server) {
     // Before the router, which may answer at once.
     server.prependListener('request', (request, response) =>
       this.follow(request, response),
@@ -29,15 +31,55 @@
     for (const response of this.sockets.keys()) askToClose(response);
   }
 
+  /**
+   * Takes no new connections and closes those that rest. The `close` of an HTTP
+   * server would also destroy connections whose answer is written but not sent
+   * (Node.js takes them for idle once `end` was called), so that a caller who
+   * reads slowly sees its answer break off. So the listener is closed alone,
+   * and resting connections while no such answer is under way.
+   */
+  stopListening(): void {
+    NetServer.prototype.close.call(this.server);
+    this.hasRestingToClose = true;
+    this.closeResting();
+  }
+
+  /**
+   * Resolves when the kernel has the last byte of every answer, or their
+   * callers have hung up. What a handler has written may still lie in this
+   * process, and would be lost with it, when a caller reads slowly.
+   */
+  async whenNone(): Promise<void> {
+    if (this.sockets.size === 0) return;
+    await new Promise<void>(resolve => this.waitersForNone.push(resolve));
+  }
+
   private follow(request: IncomingMessage, response: ServerResponse): void {
     const {socket} = request;
     this.sockets.set(response, socket);
     if (this.isClosing) askToClose(response);
     response.once('finish', () => {
-      this.sockets.delete(response);
+      this.forget(response);
       if (this.isClosing) this.closeIfUnused(socket);
     });
-    response.once('close', () => this.sockets.delete(response));
+    response.once('close', () => this.forget(response));
+  }
+
+  private forget(response: ServerResponse): void {
+    this.sockets.delete(response);
+    this.closeResting();
+    if (this.sockets.size > 0) return;
+    for (const resolve of this.waitersForNone.splice(0)) resolve();
+  }
+
+  private closeResting(): void {
+    if (!this.hasRestingToClose) return;
+    const isSending = [...this.sockets.keys()].some(
+      response => response.writableEnded,
+    );
+    if (isSending) return;
+    this.hasRestingToClose = false;
+    this.server.closeIdleConnections();
   }
 
   /** Requests sent one upon the other have answers to come. */
--- a/packages/entry/src/operate/shutdown.ts
+++ b/packages/entry/src/operate/shutdown.ts
@@ -21,6 +21,8 @@
   readonly onBegin: ShutdownStep;
   /** The balancer has noticed: no new connections, roles handed over. */
   readonly onNoNewWork: ShutdownStep;
+  /** Resolves when every answer has left the process. */
+  readonly whenAnswered: () => Promise<void>;
   /** Nothing runs any more: counters written, peers told, sockets closed. */
   readonly onIdle: ShutdownStep;
 }
@@ -33,6 +35,7 @@
  */
 export class Shutdown {
   private started: Promise<void> | undefined;
+  private hasEnded = false;
 
   constructor(private readonly options: ShutdownOptions) {}
 
@@ -53,19 +56,30 @@
     const endsAtMs = clock() + balancerLagMs + graceMs;
     gate.close(endsAtMs);
     await this.options.onBegin();
-    const timer = setTimeout(() => this.endAll(), endsAtMs - clock());
+    const graceOver = sleep(endsAtMs - clock()).then(() => this.endAll());
     await sleep(balancerLagMs);
     await this.options.onNoNewWork();
+    await Promise.race([this.whenServed(), graceOver]);
     await inFlight.whenNone();
-    clearTimeout(timer);
+    this.hasEnded = true;
     // Nobody waits for requests any more: one that came now would be cut.
     gate.close(clock());
     await this.options.onIdle();
     logger.info('shutdown_done');
   }
 
+  /** While the last answer goes out, another request may have come. */
+  private async whenServed(): Promise<void> {
+    const {inFlight, whenAnswered} = this.options;
+    do {
+      await inFlight.whenNone();
+      await whenAnswered();
+    } while (inFlight.count > 0);
+  }
+
   private endAll(): void {
     const {inFlight, logger} = this.options;
+    if (this.hasEnded) return;
     logger.warn('shutdown_grace_over', {inFlight: inFlight.count});
     inFlight.endAll(shuttingDown(STOP_RETRY_AFTER_MS));
   }
