Test: a ticket under way when an instance ends is given up

Operators saw: a closed connection in place of the outcome of a ticket, so that they can't tell whether it is in force until they send it again.

--- a/packages/entry/src/sessions/stopping.test.ts
+++ b/packages/entry/src/sessions/stopping.test.ts
@@ -154,6 +154,23 @@
   t.is((await exited).code, 0);
 });
 
+test('an operator hears what became of a ticket sent during a stop', async t => {
+  // A ticket goes to an instance that ends while the store is slow. Were the
+  // connection closed, the operator could not tell whether it is in force.
+  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 1000}});
+  const keyPrefix = 'configuration/tickets/';
+  const faults = {table: {mode: 'slow', delayMs: 1200, keyPrefix}};
+  await world.control(world.platform, {faults});
+  const submitted = world.submit([
+    {kind: 'client_account', id: 'new', state: null},
+  ]);
+  await delay(500);
+  const {exited} = await stop(world);
+  const answer = await submitted.catch((error: Error) => error.message);
+  t.is(typeof answer, 'object', String(answer));
+  t.is((await exited).code, 0);
+});
+
 async function start(
   t: ExecutionContext,
   settings: {readonly shutdown: object},
