Give tickets under way their outcome before an instance ends

Operators saw: a closed connection in place of the outcome of a ticket, so that they can't tell whether it is in force until they send it again.

Cause: the end of the process waited for requests, claims and figures, not for tickets, and took new ones until its last moment.

Change: once the last request has ended, the instance takes no more tickets (unavailable: nothing took effect, and the command goes on to the next instance) and waits for those under way. Each gets no attempt after the running one, or the next if it waits for it, so that a store that is down holds up the end by a few calls with their timeouts.

Ruled out: refusing tickets from the signal on; until the last request has ended there is time for them, and at the smallest sizes there may be no other instance to turn to.

Not tried: a store that is silent for the whole of the end.

--- a/packages/agreement/src/tickets.test.ts
+++ b/packages/agreement/src/tickets.test.ts
@@ -6,7 +6,12 @@
 import test from 'ava';
 import {measureTickets} from './models/measure_tickets.js';
 import {carryOut, EMPTY_TABLE, type TableModel} from './models/table_model.js';
-import {beginTicket, transitionTicket, type TicketStep} from './tickets.js';
+import {
+  beginTicket,
+  limitToThisAttempt,
+  transitionTicket,
+  type TicketStep,
+} from './tickets.js';
 
 type Loss = 'before' | 'after';
 
@@ -140,3 +145,24 @@
     t.true(operators === 1 || global.retried > 0);
   }
 });
+
+test('an instance that stops tells what its last attempt came to', t => {
+  // The store is down while an instance ends. Seven more attempts would outlast
+  // it; the operator has to hear that the ticket may be in force, and not see
+  // the connection close.
+  const ticket = ticketOf(5, modelChange('repair', 100));
+  let {state, effects} = beginTicket({ticket});
+  ({state, effects} = transitionTicket(
+    state,
+    carryOut(EMPTY_TABLE, effects[0], 0).event,
+  ));
+  t.is(effects[0].kind, 'transact');
+  ({state, effects} = transitionTicket(limitToThisAttempt(state), {
+    kind: 'transaction_answered',
+    call: effects[0].call,
+    result: {kind: 'unknown', reason: 'no answer'},
+    nowMs: 0,
+  }));
+  t.deepEqual(effects, []);
+  t.deepEqual(state.outcome, {kind: 'unknown'});
+});
--- a/packages/agreement/src/tickets.ts
+++ b/packages/agreement/src/tickets.ts
@@ -118,6 +118,18 @@
   }
 }
 
+/**
+ * The same ticket without further attempts: the one under way decides. For an
+ * instance that stops, where eight attempts at a store that is down would take
+ * longer than its last writes may.
+ *
+ * @example
+ * ({state, effects} = transitionTicket(limitToThisAttempt(state), event));
+ */
+export function limitToThisAttempt(state: TicketState): TicketState {
+  return {...state, maxAttempts: state.attempt};
+}
+
 function startAttempt(state: TicketState): TicketStep {
   const {attempt, call} = state;
   const next = {...state, attempt: attempt + 1, call: call + 1, rows: []};
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -165,8 +165,10 @@
   }
 
   private async closeAll(): Promise<void> {
+    const ticketsDone = this.container.get(TicketDesk).close();
     await this.container.get(ClaimDesk).whenSettled();
     await this.container.get(UsageCounterTask).stop(LAST_WRITES_PATIENCE_MS);
+    await ticketsDone;
     this.container.get(RevisionTask).stop();
     this.container.get(CellPermits).stop();
     for (const task of this.backgroundTasks()) task.stop();
--- a/packages/entry/src/operate/ticket_desk.ts
+++ b/packages/entry/src/operate/ticket_desk.ts
@@ -2,6 +2,7 @@
 
 import {
   beginTicket,
+  limitToThisAttempt,
   transitionTicket,
   type TicketOutcome,
 } from '@snipestage/agreement/tickets.js';
@@ -42,6 +43,9 @@
 
 /** Each call is one operator's; they may race with any others. */
 export class TicketDesk {
+  private readonly underWay = new Set<Promise<SubmitOutcome>>();
+  private isClosing = false;
+
   constructor(private readonly options: TicketDeskOptions) {}
 
   /** All that is wrong with a ticket, as far as this instance can tell. */
@@ -57,6 +61,28 @@
    * against the table, for the truth.
    */
   async submit(input: unknown): Promise<SubmitOutcome> {
+    if (this.isClosing) return {kind: 'unavailable'};
+    const outcome = this.accept(input);
+    this.underWay.add(outcome);
+    try {
+      return await outcome;
+    } finally {
+      this.underWay.delete(outcome);
+    }
+  }
+
+  /**
+   * Takes no more tickets, and resolves when each one that is under way has its
+   * outcome: after the calls of two attempts at the most, each of which has a
+   * timeout. A process that ended before would leave the operator with a closed
+   * connection, which doesn't tell whether the ticket is in force.
+   */
+  async close(): Promise<void> {
+    this.isClosing = true;
+    await Promise.allSettled(this.underWay);
+  }
+
+  private async accept(input: unknown): Promise<SubmitOutcome> {
     const checked = checkTicket(input);
     if ('faults' in checked) return {kind: 'malformed', faults: checked.faults};
     const shared = this.checkShared(checked.ticket);
@@ -64,7 +90,11 @@
     let step = beginTicket({ticket: checked.ticket});
     while (step.state.outcome === undefined) {
       const event = await this.options.executor.carryOut(step.effects[0]);
-      step = transitionTicket(step.state, event);
+      const {state} = step;
+      step = transitionTicket(
+        this.isClosing ? limitToThisAttempt(state) : state,
+        event,
+      );
     }
     this.options.revisions.poll();
     return step.state.outcome;
--- a/packages/entry/src/sessions/stopping.test.ts
+++ b/packages/entry/src/sessions/stopping.test.ts
@@ -171,6 +171,23 @@
   t.is((await exited).code, 0);
 });
 
+test('a ticket sent while the last figures are written is not taken', async t => {
+  // An operator's command goes to an instance that is about to end. It hears
+  // that nothing took effect, and turns to the next instance.
+  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 60_000}});
+  t.is((await world.chat(0, 'counted')).status, 200);
+  const faults = {table: {mode: 'down', keyPrefix: 'usage/'}};
+  await world.control(world.platform, {faults});
+  const {exited} = await stop(world);
+  await delay(500);
+  const {status, body} = await world.submit([
+    {kind: 'client_account', id: 'new', state: null},
+  ]);
+  t.is(status, 503);
+  t.deepEqual(JSON.parse(body), {outcome: 'unavailable'});
+  t.is((await exited).code, 0);
+});
+
 async function start(
   t: ExecutionContext,
   settings: {readonly shutdown: object},
