Test: requests go on when the owner of their cell is told to stop

Ruled out by it: that a stopping owner of a cell refuses, or takes along, what waits or runs for other instances.

--- a/packages/entry/src/sessions/failover.test.ts
+++ b/packages/entry/src/sessions/failover.test.ts
@@ -44,6 +44,23 @@
   for (const {status, body} of await answers) t.is(status, 200, body);
 });
 
+test('requests go on when the owner of their cell is told to stop', async t => {
+  // The instance that decides which request runs next is replaced while requests
+  // of another instance wait and run. They are not its own to refuse.
+  const world = await TestWorld.start({
+    ...THREE_ENTRIES,
+    settings: {shutdown: {balancerLagMs: 0, graceMs: 1000}},
+  });
+  t.teardown(() => world.close());
+  const owner = await findOwner(world, 3);
+  const other = (owner + 1) % 3;
+  const answers = burst(world, other);
+  await delay(100);
+  const exited = world.entries[owner].process.terminate();
+  for (const {status, body} of await answers) t.is(status, 200, body);
+  t.is((await exited).code, 0);
+});
+
 test('requests go on when the owner of their cell freezes', async t => {
   // The owner's machine stops for a while without closing a connection, then
   // comes back and takes itself for the owner still.
