Test: a keyed booking at a stopping instance is said to be lost

Callers saw: asked again under its key, a booking that still ran at an instance on its way out was answered with outcome_unknown, which says that asking again won't tell, while the booking was made and its answer kept seconds later.

--- a/packages/entry/src/sessions/at_most_once.test.ts
+++ b/packages/entry/src/sessions/at_most_once.test.ts
@@ -99,6 +99,40 @@
   });
 });
 
+test('a booking that runs at a stopping instance is in progress', async t => {
+  // An instance is told to stop while a booking runs there; its app has lost the
+  // connection and asks another instance. Told that nobody will ever know, the
+  // shop would ring the customer about a booking that is made a second later.
+  const world = await TestWorld.start({entries: ['akl-a', 'akl-a']});
+  t.teardown(() => world.close());
+  await world.control(world.service, {
+    faults: {records: {mode: 'slow', delayMs: 4000}},
+  });
+  const key = uniqueKey();
+  const first = world.book(0, {tent: 7}, key);
+  first.catch(() => {});
+  await waitUntil(async () => {
+    const dump = await world.dump(0);
+    return JSON.stringify(dump.inFlight).includes('running');
+  });
+  const exited = world.entries[0].process.terminate();
+  await waitUntil(async () => {
+    const {members} = (await world.status(1)) as {
+      members: Array<{state: string}>;
+    };
+    return members.some(({state}) => state === 'leaving');
+  });
+  const again = await world.book(1, {tent: 7}, key);
+  t.is(again.status, 409, again.body);
+  t.is(JSON.parse(again.body).error.code, 'idempotency_in_progress');
+  t.is((await first).status, 201);
+  t.is((await exited).code, 0);
+  const replayed = await world.book(1, {tent: 7}, key);
+  t.is(replayed.status, 201);
+  t.is(replayed.headers['idempotency-replayed'], 'true');
+  t.is(await bookings(world), 1);
+});
+
 test('without the store keyed bookings are refused as not run', async t => {
   // The platform's table is down. A keyed booking sent all the same could be
   // made twice, since no instance would know of the other's.
