A key whose request runs at a leaving instance is in progress

Callers saw: outcome_unknown for a booking that still ran at an instance on its way out, though it was made and its answer kept seconds later.

Cause: to tell a claim in progress from one whose holder is gone, the instance that is asked compared the holder with the members that take on new work. A leaving one doesn't, but finishes what it has.

Change: it compares with all members that are there. Neither answer runs the request, so that it still runs at most once.

Ruled out: the claim itself, which no leaving instance gives up while it runs.

Measured: at_most_once.test.ts: 502 outcome_unknown before; after, 409 idempotency_in_progress, then the kept answer, one booking.

--- a/packages/entry/src/admit/claim_desk.ts
+++ b/packages/entry/src/admit/claim_desk.ts
@@ -108,7 +108,9 @@
         incarnation: view.self.incarnation,
         expiresAtEpochMs: Date.now() + RETENTION_MS,
       },
-      liveIncarnations: view.live().map(member => member.incarnation),
+      // Leaving ones too: what runs there is still finished, and its caller
+      // would be told that its outcome will never be known.
+      liveIncarnations: view.present().map(member => member.incarnation),
     });
     for (;;) {
       const decision = decisionIn(step);
