Tests: the last instance of a data centre and a silent store at a stop

Ruled out by them: that requests which wait at the only instance of a data centre lose their queue when it leaves, and that leases, claims and figures which can't be written hold up the end.

--- a/packages/entry/src/sessions/stopping.test.ts
+++ b/packages/entry/src/sessions/stopping.test.ts
@@ -188,6 +188,37 @@
   t.is((await exited).code, 0);
 });
 
+test('the last instance of a data centre serves what waits there', async t => {
+  // The only instance there is told to stop while more requests wait than run.
+  // No other instance takes over its cells; it has time for all of them.
+  const world = await start(
+    t,
+    {shutdown: {...NO_LAG, graceMs: 40_000}},
+    {maxConcurrency: 2},
+  );
+  const answers = Array.from({length: 6}, () => holdUp(world, 60));
+  const held = ['answering', 'answering', ...Array<string>(4).fill('waiting')];
+  await waitForPhases(world, held);
+  const {exited} = await stop(world);
+  for (const {status, body} of await Promise.all(answers)) {
+    t.is(status, 200, body);
+    t.true(body.endsWith('data: [DONE]\n\n'));
+  }
+  t.is((await exited).code, 0);
+});
+
+test('a store that does not answer holds up the end for seconds only', async t => {
+  // The store is silent when an instance is told to stop. Leases, claims and
+  // figures can't be written; an instance that waited for them would be killed
+  // with the answers that it still gives.
+  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 1000}});
+  t.is((await world.chat(0, 'counted')).status, 200);
+  await world.control(world.platform, {faults: {table: {mode: 'silent'}}});
+  const {exited} = await stop(world);
+  const ended = await Promise.race([exited, delay(20_000)]);
+  t.truthy(ended, 'it is still there');
+});
+
 async function start(
   t: ExecutionContext,
   settings: {readonly shutdown: object},
