Test: a second SIGTERM cuts what a stopping instance still finishes

Callers saw: a stream that broke off in the middle. The instance had been told to stop, went on for the stream as it should, and got the signal once more.

--- a/packages/entry/src/sessions/stopping.test.ts
+++ b/packages/entry/src/sessions/stopping.test.ts
@@ -188,6 +188,20 @@
   t.is((await exited).code, 0);
 });
 
+test('a stop that is asked for again cuts nothing', async t => {
+  // An operator drains an instance, the supervisor sends its signal, and sends
+  // it once more since the instance is still there: it finishes a long answer.
+  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 40_000}});
+  const held = holdUp(world, 300);
+  await waitForPhases(world, ['answering']);
+  t.is((await world.admin(0, 'POST', 'drain')).status, 202);
+  const {exited} = await stop(world);
+  await world.dump(0);
+  void world.entries[0].process.terminate();
+  t.true((await held).body.endsWith('data: [DONE]\n\n'));
+  t.is((await exited).code, 0);
+});
+
 test('the last instance of a data centre serves what waits there', async t => {
   // The only instance there is told to stop while more requests wait than run.
   // No other instance takes over its cells; it has time for all of them.
