Go on with a stop when it is asked for again

Callers saw: a stream that broke off in the middle when its instance, which was finishing it, got SIGTERM a second time.

Cause: the handler was registered for one signal. With none left, Node.js ends the process at the next one.

Change: each SIGTERM asks for the same stop. For SIGINT the second one still ends the process (by Node.js' default; not tried), as a person at a terminal expects.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -23,7 +23,10 @@
     // What is left then are sockets that nobody waits for.
     void entry.stop().then(() => process.exit(0));
   };
-  process.once('SIGTERM', stop);
+  // A supervisor may send it again while the instance finishes a long answer.
+  // With the handler gone, Node.js would end at once and cut all that runs.
+  process.on('SIGTERM', stop);
+  // A person who presses Ctrl-C a second time doesn't want to wait.
   process.once('SIGINT', stop);
   await entry.start();
 }
