Go on with an answer that breaks off during a stop

Callers saw: half an answer and a refusal, when an engine died while a stopping instance finished its answers, though another engine could have gone on. It came with the gate for starts: before it, such answers went on.

Cause: the gate judged further attempts as it does first ones, by the whole deadline of the class. A request that may have run can't be refused as not run, so that the refusal gained nothing.

Change: the gate judges a request until an attempt may have run. What still runs at the end of the grace time is cut as before and told so.

Ruled out: judging further attempts by the time that the rest of the answer is expected to take; a wrong guess would refuse what could be finished, and a right one gains nothing.

--- a/packages/entry/src/choose/acquire_permit.ts
+++ b/packages/entry/src/choose/acquire_permit.ts
@@ -20,7 +20,8 @@
   verdictSoFar: Verdict,
 ): Promise<Permit> {
   try {
-    return await permits.acquire(request, signal);
+    const mayHaveRun = verdictSoFar !== 'not_run';
+    return await permits.acquire({...request, mayHaveRun}, signal);
   } catch (error) {
     if (!(error instanceof RequestError)) throw error;
     throw withVerdict(error, verdictSoFar);
--- a/packages/entry/src/choose/permits.ts
+++ b/packages/entry/src/choose/permits.ts
@@ -23,8 +23,10 @@
   readonly expectedTokens: number;
   /** Time left until starting it is worthless. */
   readonly remainingMs: number;
-  /** When the attempt has ended at the latest, by a monotonic clock. */
+  /** When the request has ended at the latest, by a monotonic clock. */
   readonly limit: AttemptLimit;
+  /** Whether an earlier attempt of it may have run; false if absent. */
+  readonly mayHaveRun?: boolean;
   readonly prefixHash?: string;
   readonly fingerprint: Fingerprint;
   /** It was in flight at a crash and must run alone; false if absent. */
--- a/packages/entry/src/sessions/stopping.test.ts
+++ b/packages/entry/src/sessions/stopping.test.ts
@@ -202,6 +202,27 @@
   t.is((await exited).code, 0);
 });
 
+test('an answer that breaks off during a stop goes on at another engine', async t => {
+  // An engine dies while the instance finishes its answers. It may not have time
+  // for the whole deadline of their class, but most answers need a part of it,
+  // and whoever has read half an answer gains nothing by a refusal.
+  const world = await start(
+    t,
+    {shutdown: {...NO_LAG, graceMs: 12_000}},
+    {engines: ['akl-a', 'akl-b']},
+  );
+  const answers = Array.from({length: 4}, () => holdUp(world, 200));
+  await waitForPhases(world, Array<string>(4).fill('answering'));
+  const {exited} = await stop(world);
+  const crash = {crash: {restartAfterMs: null}};
+  // The crash resets the connection that orders it, too.
+  await world.control({url: world.engines.urls[0]}, crash).catch(() => {});
+  for (const {body} of await Promise.all(answers)) {
+    t.true(body.endsWith('data: [DONE]\n\n'), body.slice(-300));
+  }
+  t.is((await exited).code, 0);
+});
+
 test('the last instance of a data centre serves what waits there', async t => {
   // The only instance there is told to stop while more requests wait than run.
   // No other instance takes over its cells; it has time for all of them.
@@ -236,7 +257,10 @@
 async function start(
   t: ExecutionContext,
   settings: {readonly shutdown: object},
-  options: {readonly maxConcurrency?: number} = {},
+  options: {
+    readonly maxConcurrency?: number;
+    readonly engines?: readonly string[];
+  } = {},
 ): Promise<TestWorld> {
   const world = await TestWorld.start({...options, settings});
   t.teardown(() => world.close());
