--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -15,6 +15,7 @@
 import {ClaimDesk} from './admit/claim_desk.js';
 import {InFlightRequests} from './admit/in_flight_requests.js';
 import {RequestIntake} from './admit/request_intake.js';
+import {StopGate} from './admit/stop_gate.js';
 import {CellOwners} from './choose/cell_owners.js';
 import {CellPermits} from './choose/cell_permits.js';
 import {ClusterView} from './choose/cluster_view.js';
@@ -149,6 +150,8 @@
       balancerLagMs,
       graceMs,
       inFlight: this.container.get(InFlightRequests),
+      gate: this.container.get(StopGate),
+      clock: monotonicNowMs,
       logger: this.logger.forComponent('shutdown'),
       onBegin: () => this.callers.beginDraining(),
       onNoNewWork: async () => {
@@ -156,13 +159,16 @@
         this.container.get(PeerTask).leave();
         await Promise.all(this.leases().map(lease => lease.retire()));
       },
+      whenAnswered: () => this.callers.whenAnswered(),
       onIdle: () => this.closeAll(),
     });
   }
 
   private async closeAll(): Promise<void> {
+    const ticketsDone = this.container.get(TicketDesk).close();
     await this.container.get(ClaimDesk).whenSettled();
     await this.container.get(UsageCounterTask).stop(LAST_WRITES_PATIENCE_MS);
+    await ticketsDone;
     this.container.get(RevisionTask).stop();
     this.container.get(CellPermits).stop();
     for (const task of this.backgroundTasks()) task.stop();
--- a/packages/entry/src/listen/service_handler.ts
+++ b/packages/entry/src/listen/service_handler.ts
@@ -2,12 +2,14 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {RequestError} from '@snipestage/errors/request_error.js';
+import type {AttemptLimit} from '@snipestage/policy/stop_admission.js';
 import type {Service} from '@snipestage/types/configuration.js';
 import type {UsageCounterTask} from '../account/usage_counter_task.js';
 import type {ClaimDesk} from '../admit/claim_desk.js';
 import {mayDiscard} from '../admit/response_recorder.js';
 import {idempotencyKeyOf} from '../identify/idempotency_key.js';
 import type {AdmittedRequest} from '../admit/request_intake.js';
+import type {StopGate} from '../admit/stop_gate.js';
 import type {ConfigurationStore} from '../configure/configuration_store.js';
 import {fingerprintOf} from '../identify/fingerprint.js';
 import {forwardedRequestHeaders} from '../send/forwarded_headers.js';
@@ -21,6 +23,7 @@
   readonly store: ConfigurationStore;
   readonly runner: ServiceRunner;
   readonly claims: ClaimDesk;
+  readonly gate: StopGate;
   readonly usage: UsageCounterTask;
   readonly maxBodyBytes: number;
 }
@@ -36,7 +39,12 @@
   ): Promise<void> {
     const {serviceName, path} = parseServicePath(request.url ?? '');
     const service = this.findService(serviceName);
-    const body = await readBody(request, this.options.maxBodyBytes);
+    const {gate, maxBodyBytes} = this.options;
+    const body = await gate.whileStartable(
+      limitOf(service),
+      admitted.signal,
+      signal => readBody(request, maxBodyBytes, signal),
+    );
     const work = composeWork({request, admitted, service, path, body});
     const idempotencyKey = idempotencyKeyOf(request.headers);
     admitted.inFlight.mayBeCut =
@@ -116,11 +124,16 @@
       requestClass,
       expectedTokens: 1,
       fingerprint: fingerprintOf(clientAccount.id, method, path, body),
+      limit: limitOf(service),
       repeatable: operation?.idempotent === true,
     },
   };
 }
 
+function limitOf({timeoutMs}: Service): AttemptLimit {
+  return {kind: 'timeout', timeoutMs};
+}
+
 function keyOf(request: IncomingMessage): string {
   const [, key = ''] = (request.headers.authorization ?? '').split(/ +/);
   return key;
