--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -280,24 +280,16 @@
 
   /** What the process knows and believes; no keys. */
   private dump(): object {
-    const nowMs = performance.now();
-    const {directory, monitor, table} = this.state;
     return {
       instance: this.options.settings.instance,
       incarnation: this.incarnation,
       isReady: this.isReady,
       isStopping: this.shutdown.isStopping,
       inProgress: this.handler.inProgress,
-      configurationVersion: table?.configuration.version,
+      configurationVersion: this.configurationVersion,
       ...this.duties.snapshot(),
       relays: this.relays.snapshot(),
-      endpoints: directory.readAll().map(endpoint => ({
-        ...endpoint,
-        isDown: monitor.isDown(endpoint.id, nowMs),
-        load: monitor.estimateLoad(endpoint.id, nowMs),
-        failureShare: monitor.failureShare(endpoint.id, nowMs),
-        inFlight: monitor.inFlight(endpoint.id),
-      })),
+      endpoints: this.state.describeEndpoints(performance.now()),
     };
   }
 }
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -84,6 +84,18 @@
     return delay;
   }
 
+  /** What is known of each endpoint, for the dump of state. */
+  describeEndpoints(nowMs: number): readonly object[] {
+    const {directory, monitor} = this;
+    return directory.readAll().map(endpoint => ({
+      ...endpoint,
+      isDown: monitor.isDown(endpoint.id, nowMs),
+      load: monitor.estimateLoad(endpoint.id, nowMs),
+      failureShare: monitor.failureShare(endpoint.id, nowMs),
+      inFlight: monitor.inFlight(endpoint.id),
+    }));
+  }
+
   /** New settings; what was spent in the window before is forgotten. */
   changeRetry(retry: WindowBudgetOptions): void {
     const isSame =
