Give each process of tests ports that no other one picks

Cause: seen once in a whole run: an entry process of failover.test.ts ended with "listen EADDRINUSE: address already in use 127.0.0.1:21678". The port lies outside of the range of ephemeral ports, so only pickFreePorts gives it out. It chose at random among 20,000 ports on which nobody listened. The process that is told a port listens on it much later, and a picker in another process of tests finds it free until then.

The sighting itself is not replayed.

Whoever picks from a block listens on its first port for as long as it lives; nobody picks from a block whose first port is taken. The system lets go of it with the process.

Ruled out: a probe by another process that holds the port for the moment of a bind (now excluded as well, as nobody probes in another's block); an outgoing connection on the port (other range). Tried: nothing else. A loopback address for each process needs aliases where only 127.0.0.1 is there; lock files outlive a crash.

--- /dev/null
+++ b/packages/stand_ins/src/launch/free_ports.test.ts
@@ -0,0 +1,76 @@
+import {createServer} from 'node:net';
+import {fileURLToPath} from 'node:url';
+import test from 'ava';
+import {listenOn} from '../http/listen.js';
+import {pickFreePorts, PortPicker} from './free_ports.js';
+import {Launcher} from './launcher.js';
+
+const CHILD = fileURLToPath(
+  new URL('./test_support/pick_ports_child.js', import.meta.url),
+);
+const PROCESSES = 8;
+const PORTS_PER_PROCESS = 250;
+
+/** A process that has picked ports and holds them. */
+async function startPicker(launcher: Launcher, ...args: readonly number[]) {
+  const picker = launcher.launch({script: CHILD, args: args.map(String)});
+  const {ports} = await picker.firstJsonLine<{ports: number[]}>();
+  return {process: picker, ports};
+}
+
+test('processes that pick ports at the same time never pick the same ones', async t => {
+  // Files of tests run beside each other, and the processes that they start take
+  // seconds until they listen. If another file has picked the same port by then,
+  // one of the two processes ends with EADDRINUSE and its test fails for no
+  // fault of the product.
+  const launcher = new Launcher();
+  t.teardown(() => launcher.close());
+  const pickers = await Promise.all(
+    Array.from({length: PROCESSES}, () =>
+      startPicker(launcher, PORTS_PER_PROCESS),
+    ),
+  );
+  const ports = pickers.flatMap(picker => picker.ports);
+  t.is(new Set(ports).size, PROCESSES * PORTS_PER_PROCESS);
+});
+
+/** The lower one of two neighbouring ports that are this process's alone. */
+async function pickNeighbours(): Promise<number> {
+  for (;;) {
+    const [lower, upper] = await pickFreePorts(2);
+    if (upper === lower + 1) return lower;
+  }
+}
+
+test('ports of a process that was killed can be picked again', async t => {
+  // Test runs are broken off all the time. Did what they held outlive them, each
+  // would leave fewer ports, until no test that starts processes can run.
+  const launcher = new Launcher();
+  t.teardown(() => launcher.close());
+  const lowestPort = await pickNeighbours();
+  const onlyBlock = {lowestPort, blocks: 1, portsPerBlock: 2};
+  const holder = await startPicker(launcher, 1, lowestPort, 1, 2);
+  t.deepEqual(holder.ports, [lowestPort + 1]);
+  await t.throwsAsync(new PortPicker(onlyBlock).pick(1), {
+    message: /all blocks/,
+  });
+  await holder.process.kill();
+  t.deepEqual(await new PortPicker(onlyBlock).pick(1), [lowestPort + 1]);
+});
+
+test('a port on which somebody listens is left out', async t => {
+  // A process outlives the test that started it and was killed. Given its port,
+  // the next process would not start.
+  const lowestPort = await pickNeighbours();
+  const stranger = createServer();
+  t.teardown(() => stranger.close());
+  await listenOn(stranger, lowestPort + 1, '127.0.0.1');
+  const picker = new PortPicker({lowestPort, blocks: 1, portsPerBlock: 2});
+  await t.throwsAsync(picker.pick(1), {message: /all blocks/});
+});
+
+test('picks of one process at the same time are different ports', async t => {
+  const picks = Array.from({length: 70}, () => pickFreePorts(3));
+  const ports = (await Promise.all(picks)).flat();
+  t.is(new Set(ports).size, 210);
+});
