Take the gateway tests' ports from the common picker

Cause: free_port.ts took an ephemeral port, closed it and hoped: until the test listened, the system could give it to any other listener or outgoing connection. No test was seen to fail by it.

--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -8,6 +8,8 @@
   RoutingConfiguration,
 } from '@snipestage/routing/route.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
+import {listenOn} from '@snipestage/stand_ins/http/listen.js';
+import {pickFreePorts} from '@snipestage/stand_ins/launch/free_ports.js';
 import {
   brandAs,
   type DataCentreId,
@@ -24,7 +26,6 @@
   type TableReading,
 } from './table_follower.js';
 import {MemoryPlatform} from './test_support/memory_platform.js';
-import {freePort} from './test_support/free_port.js';
 import {NoOutput} from './test_support/no_output.js';
 import {PlainProtocol} from './test_support/plain_protocol.js';
 
@@ -112,7 +113,7 @@
 }
 
 async function startGateway() {
-  const [callers, readiness] = [await freePort(), await freePort()];
+  const [callers, readiness] = await pickFreePorts(2);
   const configuration = new TestTable('configuration');
   const endpoints = new TestTable('endpoints');
   const gateway = new Gateway({
@@ -219,8 +220,7 @@
       response.end('done');
     }, answerAfterMs);
   });
-  const port = await freePort();
-  await new Promise<void>(done => server.listen(port, '127.0.0.1', done));
+  const port = await listenOn(server, 0, '127.0.0.1');
   return {server, begun, address: `127.0.0.1:${port}`};
 }
 
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -1,7 +1,7 @@
 import test, {type ExecutionContext} from 'ava';
+import {pickFreePorts} from '@snipestage/stand_ins/launch/free_ports.js';
 import {brandAs, type InstanceId} from '@snipestage/types/ids.js';
 import {MemoryPlatform} from '../test_support/memory_platform.js';
-import {freePort} from '../test_support/free_port.js';
 import {NoOutput} from '../test_support/no_output.js';
 import {RelayClient} from './relay_client.js';
 import {RelayServer} from './relay_server.js';
@@ -9,7 +9,8 @@
 import {WriteGatherer} from './write_gatherer.js';
 
 async function startPair(t: ExecutionContext, silentAfterMs: number) {
-  const address = `127.0.0.1:${await freePort()}`;
+  const [port] = await pickFreePorts(1);
+  const address = `127.0.0.1:${port}`;
   const copies = {
     configuration: new TableCopy(),
     endpoints: new TableCopy(),
