Time each step of opening a link, not all steps together

Cause: a dial was given up when connection, proof of the secret and hello together took more than two heartbeat intervals. Two instances that answer slowly never met: each dial ended shortly before it was done, and what waited for it was handed back. Or the accepted side held a link already that the dialling side had just given up, and records sent over it were lost.

Change: the two intervals count from the other side's last sign. One that is gone, silent or frozen gives none, so it is found as soon as before. The accepted side waits ten intervals for a hello, since nothing waits there.

Ruled out: a port taken by another process (the listeners of that test bind port 0 and hold it). Tried in thought only: a limit that grows with each failed dial; it is forgotten with an instance that was never met, and reset by the half-open links, which are the trouble.

--- a/packages/peer/src/dialled_link.ts
+++ b/packages/peer/src/dialled_link.ts
@@ -41,7 +41,7 @@
   readonly credentials: ChannelCredentials;
   readonly sharedSecret: string;
   readonly service: ServiceDefinition;
-  readonly nowMs: number;
+  readonly readNowMs: () => number;
   readonly heartbeatMs: number;
   /** Called when the listener has proven itself: time to say hello. */
   readonly onProven: (link: DialledLink) => void;
@@ -74,16 +74,21 @@
   private readonly call: ClientDuplexStream<WireFrame, WireFrameOutput>;
 
   constructor(options: DialOptions) {
-    super(options.owner, options.nowMs);
+    super(options.owner, options.readNowMs());
     const PeerClient = makeGenericClientConstructor(options.service, 'Peer');
     this.client = new PeerClient(options.address, options.credentials, {
       ...CHANNEL_OPTIONS,
       ...describeKeepalive(options.heartbeatMs),
     }) as unknown as ExchangeClient;
+    const noteSign = () => (this.lastHeardMs = options.readNowMs());
+    this.client.waitForReady(Infinity, error => {
+      if (error === undefined) noteSign();
+    });
     const shown = proveCaller(options.sharedSecret);
     this.call = this.client.Exchange(shown);
     this.attach(this.call);
     this.call.on('metadata', (answer: Metadata) => {
+      noteSign();
       if (isListenerProven(options.sharedSecret, shown, answer)) {
         options.onProven(this);
       } else {
--- a/packages/peer/src/link_keeper.ts
+++ b/packages/peer/src/link_keeper.ts
@@ -12,7 +12,18 @@
 import type {LinkEnd, LinkOwner, PeerLink} from './peer_link.js';
 
 const SILENT_AFTER_BEATS = 3.5;
+/**
+ * For each step of opening a link: connection, proof, hello. An instance that is
+ * gone or frozen gives no sign after the first or none at all. One that is busy
+ * or far away takes its time with each: were the time for all of them together,
+ * each dial to it would be given up and what waits for it handed back, again and
+ * again, and a request would get no permit though its owner is there.
+ */
 const CONNECT_TIMEOUT_BEATS = 2;
+/** Nothing waits for a link whose other side has yet to say hello. */
+const HELLO_TIMEOUT_BEATS = 10;
+/** For how long a duplicate is still read. */
+const LINGER_BEATS = 2;
 /** A stream over which records went may well be used again. */
 const IDLE_CLOSE_MS = 60_000;
 /** One that was opened to find members has done its part. */
@@ -83,7 +94,7 @@
       credentials: credentials.channel,
       sharedSecret,
       service,
-      nowMs,
+      readNowMs: events.readNowMs,
       heartbeatMs: this.options.heartbeatMs,
       onProven: proven => events.sayHello(proven),
     });
@@ -130,15 +141,10 @@
   /** Ends what has gone silent, timed out or is no longer used. */
   sweep(neighbours: ReadonlySet<InstanceId>): void {
     const {events, heartbeatMs} = this.options;
-    const connectTimeoutMs = heartbeatMs * CONNECT_TIMEOUT_BEATS;
     const silentAfterMs = heartbeatMs * SILENT_AFTER_BEATS;
     const nowMs = events.readNowMs();
-    const opening = [...this.anonymous, ...this.dialledTo.keys()];
-    for (const link of opening) {
-      if (link.peer !== undefined) continue;
-      if (nowMs - link.openedMs < connectTimeoutMs) continue;
-      link.end('connect_timeout');
-    }
+    this.endUnopened(this.dialledTo.keys(), CONNECT_TIMEOUT_BEATS);
+    this.endUnopened(this.anonymous, HELLO_TIMEOUT_BEATS);
     for (const [link, endMs] of this.retiring) {
       if (nowMs >= endMs) link.end('duplicate');
     }
@@ -154,6 +160,16 @@
     }
   }
 
+  /** Ends links whose other side takes too long with the next step. */
+  private endUnopened(links: Iterable<PeerLink>, timeoutBeats: number): void {
+    const {events, heartbeatMs} = this.options;
+    const sinceMs = events.readNowMs() - heartbeatMs * timeoutBeats;
+    for (const link of [...links]) {
+      if (link.peer !== undefined || link.lastHeardMs > sinceMs) continue;
+      link.end('connect_timeout');
+    }
+  }
+
   private isIdle(link: PeerLink, nowMs: number): boolean {
     if (link.lastRecordMs !== undefined) {
       return nowMs - link.lastRecordMs > IDLE_CLOSE_MS;
@@ -189,7 +205,7 @@
    */
   private retire(link: PeerLink): void {
     const {events, heartbeatMs} = this.options;
-    const lingerMs = heartbeatMs * CONNECT_TIMEOUT_BEATS;
+    const lingerMs = heartbeatMs * LINGER_BEATS;
     this.retiring.set(link, events.readNowMs() + lingerMs);
   }
 
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -39,6 +39,7 @@
   abstract readonly isDialled: boolean;
   /** Set once the other side has said who it is. */
   peer?: Hello;
+  /** When the other side last gave a sign; at first when it was opened. */
   lastHeardMs: number;
   lastSentMs = -Infinity;
   /** When a record last went over it, either way; absent when none has. */
--- a/packages/peer/src/test_support/networks.ts
+++ b/packages/peer/src/test_support/networks.ts
@@ -74,3 +74,8 @@
     .map(member => member.id)
     .sort();
 }
+
+/** Whether both hold a stream to the other; one may give up what it opens. */
+export function areConnected(one: PeerNetwork, other: PeerNetwork): boolean {
+  return one.isConnected(other.self().id) && other.isConnected(one.self().id);
+}
--- a/packages/peer/src/test_support/relay.ts
+++ b/packages/peer/src/test_support/relay.ts
@@ -1,4 +1,4 @@
-/** A TCP relay that can lose track of the connections through it. */
+/** A TCP relay that can be slow or lose track of the connections through it. */
 
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 
@@ -16,6 +16,8 @@
   readonly connections: Connection[] = [];
   /** How connections that come later start. */
   passageOfNew: Passage = 'both';
+  /** How much longer bytes are under way because of it, each way. */
+  delayMs = 0;
   private targetPort = 0;
   private readonly server = createServer(caller => this.take(caller));
 
@@ -51,8 +53,13 @@
     this.connections.push(connection);
     const passes = (way: Passage) =>
       connection.passage === 'both' || connection.passage === way;
-    caller.on('data', bytes => passes('to_target') && target.write(bytes));
-    target.on('data', bytes => passes('to_caller') && caller.write(bytes));
+    const pass = (bytes: Buffer, way: Passage, to: Socket) => {
+      if (!passes(way)) return;
+      if (this.delayMs === 0) to.write(bytes);
+      else setTimeout(() => to.write(bytes), this.delayMs);
+    };
+    caller.on('data', bytes => pass(bytes, 'to_target', target));
+    target.on('data', bytes => pass(bytes, 'to_caller', caller));
     caller.on('close', () => passes('to_target') && target.destroy());
     target.on('close', () => passes('to_caller') && caller.destroy());
     caller.on('error', () => undefined);
