End a stream that yields to another once all of it is read

Cause: of two streams dialled at the same moment both sides keep the same one. Each ended the other two heartbeat intervals after it had seen both. What the other side had sent over it by then and was still under way was lost, and nobody was told: a request waits for a permit that nobody heard it ask for.

Change: whoever dialled the stream that yields closes its half. The other side ends the stream when it has read up to that, behind its own last record. After ten intervals the stream ends anyway, as the other side may be gone.

Ruled out: a longer fixed time for reading on; any is too short for some way. Cost: the side that has not seen the better stream yet is without one until its hello comes; what is sent meanwhile waits for it.

--- a/packages/peer/src/dialled_link.ts
+++ b/packages/peer/src/dialled_link.ts
@@ -97,6 +97,10 @@
     });
   }
 
+  finishSending(): void {
+    this.call.end();
+  }
+
   protected release(): void {
     this.call.cancel();
     this.client.close();
--- a/packages/peer/src/link_keeper.ts
+++ b/packages/peer/src/link_keeper.ts
@@ -22,8 +22,8 @@
 const CONNECT_TIMEOUT_BEATS = 2;
 /** Nothing waits for a link whose other side has yet to say hello. */
 const HELLO_TIMEOUT_BEATS = 10;
-/** For how long a duplicate is still read. */
-const LINGER_BEATS = 2;
+/** A duplicate that its dialler hasn't closed by then leads nowhere any more. */
+const LONGEST_LINGER_BEATS = 10;
 /** A stream over which records went may well be used again. */
 const IDLE_CLOSE_MS = 60_000;
 /** One that was opened to find members has done its part. */
@@ -199,13 +199,16 @@
 
   /**
    * Both sides choose the same stream of two, though not at the same moment:
-   * until it has seen both, one may send over the one that is to go. Ended at
-   * once, the loser would take those records along, and a request would wait
-   * for an answer to what was never heard. So it is read for a little longer.
+   * until it has seen both, one may send over the one that is to go. Ended by
+   * this side, the loser would take along what is still under way, and a request
+   * would wait for an answer to what was never heard. So its dialler only says
+   * that nothing more will come, and the other side, once it has read all up to
+   * that, ends the stream behind its own last record.
    */
   private retire(link: PeerLink): void {
     const {events, heartbeatMs} = this.options;
-    const lingerMs = heartbeatMs * LINGER_BEATS;
+    link.finishSending();
+    const lingerMs = heartbeatMs * LONGEST_LINGER_BEATS;
     this.retiring.set(link, events.readNowMs() + lingerMs);
   }
 
--- a/packages/peer/src/peer_faults.test.ts
+++ b/packages/peer/src/peer_faults.test.ts
@@ -230,26 +230,50 @@
   t.true(first.snapshot().pausedMs > 19_000);
 });
 
+/** Beats that leave time for a slow relay. */
+const SLOW_SETTINGS = {
+  ...FAST_SETTINGS,
+  heartbeatMs: 400,
+  suspectAfterMs: 1600,
+  deadAfterMs: 4000,
+};
+
 // Two instances are far from each other or busy: each step of opening a stream
 // takes a while, and the steps together more than two beats. Were all of them
 // given that time together, every dial would be given up shortly before it is
 // done. The two would never meet; requests of one would not get at the permits
 // of the other.
 test('instances that answer slowly still meet', async t => {
-  const settings = {
-    ...FAST_SETTINGS,
-    heartbeatMs: 400,
-    suspectAfterMs: 1600,
-    deadAfterMs: 4000,
-  };
   const relays = [new Relay(), new Relay()];
-  for (const relay of relays) relay.delayMs = 300;
-  const first = await startBehind(t, relays[0], 'akl-a-1', settings);
-  const second = await startBehind(t, relays[1], 'akl-a-2', settings);
+  for (const {delayMs} of relays) delayMs.to_target = delayMs.to_caller = 300;
+  const first = await startBehind(t, relays[0], 'akl-a-1', SLOW_SETTINGS);
+  const second = await startBehind(t, relays[1], 'akl-a-2', SLOW_SETTINGS);
+  let received = 0;
+  second.onRecords(() => (received += 1));
+  first.seed(listOf([second]));
+  await waitUntil('a stream', () => areConnected(first, second));
+  first.send(second.self().id, GRANT);
+  await waitUntil('a record', () => received > 0);
+  t.is(received, 1);
+});
+
+// Two instances dial each other at the same moment. One sends over the stream
+// that will have to go, since it can't know of the better one yet, and its
+// records are long under way. Were the stream ended meanwhile, they would be
+// lost: a request would wait for a permit that nobody heard it ask for.
+test('a record under way on a stream that yields to another arrives', async t => {
+  const relays = [new Relay(), new Relay()];
+  const [toFirst, toSecond] = relays;
+  const first = await startBehind(t, toFirst, 'akl-a-1', SLOW_SETTINGS);
+  const second = await startBehind(t, toSecond, 'akl-a-2', SLOW_SETTINGS);
   let received = 0;
   second.onRecords(() => (received += 1));
+  // What the lower id dials takes the place of the other stream, but later.
+  toSecond.delayMs.to_target = toSecond.delayMs.to_caller = 300;
   first.seed(listOf([second]));
+  second.seed(listOf([first]));
   await waitUntil('a stream', () => areConnected(first, second));
+  toFirst.delayMs.to_caller = 2500;
   first.send(second.self().id, GRANT);
   await waitUntil('a record', () => received > 0);
   t.is(received, 1);
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -57,6 +57,9 @@
     this.lastHeardMs = openedMs;
   }
 
+  /** Tells the other side that no more frames come, where that can be told. */
+  abstract finishSending(): void;
+
   /** Ends the stream and closes its socket. */
   protected abstract release(): void;
 
--- a/packages/peer/src/peer_listener.ts
+++ b/packages/peer/src/peer_listener.ts
@@ -30,6 +30,9 @@
     call.on('cancelled', () => this.end('closed'));
   }
 
+  /** gRPC's listener can't: its end is the end of the stream. */
+  finishSending(): void {}
+
   protected release(): void {
     this.call.end();
   }
--- a/packages/peer/src/test_support/relay.ts
+++ b/packages/peer/src/test_support/relay.ts
@@ -16,8 +16,8 @@
   readonly connections: Connection[] = [];
   /** How connections that come later start. */
   passageOfNew: Passage = 'both';
-  /** How much longer bytes are under way because of it, each way. */
-  delayMs = 0;
+  /** How much longer bytes are under way because of it. */
+  readonly delayMs = {to_target: 0, to_caller: 0};
   private targetPort = 0;
   private readonly server = createServer(caller => this.take(caller));
 
@@ -53,10 +53,15 @@
     this.connections.push(connection);
     const passes = (way: Passage) =>
       connection.passage === 'both' || connection.passage === way;
-    const pass = (bytes: Buffer, way: Passage, to: Socket) => {
+    const pass = (
+      bytes: Buffer,
+      way: 'to_target' | 'to_caller',
+      to: Socket,
+    ) => {
       if (!passes(way)) return;
-      if (this.delayMs === 0) to.write(bytes);
-      else setTimeout(() => to.write(bytes), this.delayMs);
+      const delayMs = this.delayMs[way];
+      if (delayMs === 0) to.write(bytes);
+      else setTimeout(() => to.write(bytes), delayMs);
     };
     caller.on('data', bytes => pass(bytes, 'to_target', target));
     target.on('data', bytes => pass(bytes, 'to_caller', caller));
