--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -9,6 +9,8 @@
   RoutingConfiguration,
 } from '@snipestage/routing/route.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
+import {listenOn} from '@snipestage/stand_ins/http/listen.js';
+import {pickFreePorts} from '@snipestage/stand_ins/launch/free_ports.js';
 import {
   brandAs,
   type DataCentreId,
@@ -24,7 +26,6 @@
   type FollowedRow,
   type TableReading,
 } from '../table_follower.js';
-import {freePort} from './free_port.js';
 import {MemoryPlatform} from './memory_platform.js';
 import {NoOutput} from './no_output.js';
 import {PlainProtocol} from './plain_protocol.js';
@@ -134,7 +135,7 @@
  */
 export async function startGateway(options: TestGatewayOptions = {}) {
   const {graceMs = 4000, routes = [SLOW_ROUTE]} = options;
-  const [callers, readiness] = [await freePort(), await freePort()];
+  const [callers, readiness] = await pickFreePorts(2);
   const configuration = new TestTable('configuration');
   const endpoints = new TestTable('endpoints');
   const {logger, lines} = new NoOutput();
@@ -209,9 +210,7 @@
   }
 
   async start(): Promise<void> {
-    this.port = await freePort();
-    const {server, port} = this;
-    await new Promise<void>(done => server.listen(port, '127.0.0.1', done));
+    this.port = await listenOn(this.server, 0, '127.0.0.1');
   }
 
   get address(): string {
