--- a/packages/entry/src/listen/callers_server.ts
+++ b/packages/entry/src/listen/callers_server.ts
@@ -1,9 +1,9 @@
 /** The listener that callers reach. */
 
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import restify from 'restify';
-import type {RequestHandler, RequestIntake} from '../admit/request_intake.js';
+import type {RequestIntake} from '../admit/request_intake.js';
 import type {ConfigurationStore} from '../configure/configuration_store.js';
 import type {CompletionPath} from '../send/engine_driver.js';
 import type {ModelHandler} from './model_handler.js';
@@ -83,7 +83,7 @@
 
   private addModelRoutes(): void {
     this.server.get('/v1/models', async (request, response) => {
-      await this.take(request, response, async () => {
+      await this.options.intake.serve(request, response, async () => {
         const models = [...this.options.store.current.models.keys()];
         this.sendJson(response, 200, {
           object: 'list',
@@ -93,7 +93,7 @@
     });
     for (const path of MODEL_PATHS) {
       this.server.post(path, async (request, response) => {
-        await this.take(request, response, admitted =>
+        await this.options.intake.serve(request, response, admitted =>
           this.options.models.handle(path, request, response, admitted),
         );
       });
@@ -103,21 +103,13 @@
   private addServiceRoutes(): void {
     for (const method of METHODS) {
       this.server[method]('/services/*', async (request, response) => {
-        await this.take(request, response, admitted =>
+        await this.options.intake.serve(request, response, admitted =>
           this.options.services.handle(request, response, admitted),
         );
       });
     }
   }
 
-  private async take(
-    request: IncomingMessage,
-    response: ServerResponse,
-    handler: RequestHandler,
-  ): Promise<void> {
-    await this.options.intake.serve(request, response, handler);
-  }
-
   private sendJson(
     response: ServerResponse,
     status: number,
