--- a/packages/peer/src/peer_network.test.ts
+++ b/packages/peer/src/peer_network.test.ts
@@ -113,6 +113,21 @@
   };
 }
 
+test('every kind of record arrives whole and in order', async t => {
+  const first = await startNetwork(t, 'akl-a-1', {log: logTo(t, 'first')});
+  const second = await startNetwork(t, 'akl-a-2', {log: logTo(t, 'second')});
+  const received: PeerRecord[] = [];
+  second.onRecords(record => received.push(record));
+  first.seed(listOf([second]));
+  await waitUntil('two members', () => aliveIn(first).length === 2);
+  for (const record of EVERY_RECORD) {
+    t.true(first.send(second.self().id, record));
+  }
+  await waitUntil('all', () => received.length === EVERY_RECORD.length);
+  t.deepEqual(received, EVERY_RECORD);
+  t.false(first.send('nobody' as InstanceId, EVERY_RECORD[1]));
+});
+
 /** Beats so long that a busy machine ends no link. */
 const PATIENT_SETTINGS = {
   ...FAST_SETTINGS,
@@ -121,7 +136,7 @@
   deadAfterMs: 10_000,
 };
 
-test('every kind of record arrives whole and in order', async t => {
+test('over an open stream every kind of record arrives whole and in order', async t => {
   const settings = PATIENT_SETTINGS;
   const [first, second] = [
     await startNetwork(t, 'akl-a-1', {settings, log: logTo(t, 'first')}),
