Tell endpoints a request's urgency by account, then by route

What callers saw: in a burst on all routes, callers of a summary got nothing while quotes of the same account, which the operator put behind summaries, were served.

Cause: a request's priority was its account's tier, or its route's where the account has none. Here every account has one, so all routes of an account went out with one priority, and engines with full queues took them in the order in which they came.

The log names `urgencyRank` in place of `tier`.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -10,7 +10,8 @@
   readonly route: Route;
   readonly service: ServiceId;
   readonly clientAccount: ClientAccountId | undefined;
-  readonly tier: number;
+  /** By account and route; 0 goes first. */
+  readonly urgencyRank: number;
 }
 
 /** Or why it may not. */
@@ -54,7 +55,7 @@
       route,
       service: pickTarget(route, input.random),
       clientAccount: account?.id,
-      tier: account?.tier ?? route.tier,
+      urgencyRank: table.urgencyScale.rankRequest(route, account),
     },
   };
 }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -48,7 +48,7 @@
         endpoint: placed.endpoint.id,
         clientAccount: request.admission.clientAccount,
         timeLeftMs,
-        tier: request.admission.tier,
+        urgencyRank: request.admission.urgencyRank,
         lastEventId: writer.lastEventId ?? request.caller.lastEventId,
         cacheSource: placed.cacheSource?.address,
         bodyBytes: request.body?.length,
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -27,7 +27,7 @@
   readonly clientAccount: ClientAccountId | undefined;
   readonly timeLeftMs: number;
   /** 0 is served first. */
-  readonly tier: number;
+  readonly urgencyRank: number;
   /** A stream goes on after this event. */
   readonly lastEventId: string | undefined;
   /** Whose cache may have the start of the prompt. */
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -96,7 +96,7 @@
     const {admission} = admitted;
     line.route = admission.route.id;
     line.account = admission.clientAccount;
-    line.tier = admission.tier;
+    line.urgencyRank = admission.urgencyRank;
     const body = await readRequestBody(request, maxBodyBytes);
     if (body === 'too_large') {
       line.reason = 'body_too_large';
--- a/packages/routing/src/route_table.test.ts
+++ b/packages/routing/src/route_table.test.ts
@@ -2,26 +2,20 @@
 import {brandAs, type ClientAccountId} from '@snipestage/types/ids.js';
 import type {RouteId, RoutingConfiguration} from './route.js';
 import {RouteTable} from './route_table.js';
-import {makeRoute} from './test_support/fixtures.js';
+import {makeConfiguration, makeRoute} from './test_support/fixtures.js';
 
 function makeTable(changes: Partial<RoutingConfiguration> = {}): RouteTable {
   const route = (id: string, pathPrefix: string) =>
     makeRoute({id: brandAs<RouteId>(id), pathPrefix});
-  return new RouteTable({
-    version: 1,
-    routes: [route('root', '/'), route('a', '/a/'), route('ab', '/a/b/')],
-    services: [],
-    limits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-    clientAccounts: [
-      {id: brandAs<ClientAccountId>('shop'), keys: ['k'], tier: undefined},
-    ],
-    ...changes,
-  });
+  return new RouteTable(
+    makeConfiguration({
+      routes: [route('root', '/'), route('a', '/a/'), route('ab', '/a/b/')],
+      clientAccounts: [
+        {id: brandAs<ClientAccountId>('shop'), keys: ['k'], tier: undefined},
+      ],
+      ...changes,
+    }),
+  );
 }
 
 test('the longest prefix that begins the path wins', t => {
--- a/packages/routing/src/route_table.ts
+++ b/packages/routing/src/route_table.ts
@@ -7,6 +7,7 @@
   RoutingConfiguration,
   Service,
 } from './route.js';
+import {UrgencyScale} from './urgency_scale.js';
 
 /**
  * A configuration indexed for look-ups; a new one is made for each version.
@@ -18,8 +19,10 @@
   private readonly byHost = new Map<string, Map<string, Route>>();
   private readonly byKey = new Map<string, ClientAccountKeys>();
   private readonly services = new Map<ServiceId, Service>();
+  readonly urgencyScale: UrgencyScale;
 
   constructor(readonly configuration: RoutingConfiguration) {
+    this.urgencyScale = new UrgencyScale(configuration);
     for (const route of configuration.routes) this.addRoute(route);
     for (const account of configuration.clientAccounts ?? []) {
       for (const key of account.keys) this.byKey.set(key, account);
--- a/packages/routing/src/test_support/fixtures.ts
+++ b/packages/routing/src/test_support/fixtures.ts
@@ -7,7 +7,7 @@
   type ServiceId,
 } from '@snipestage/types/ids.js';
 import type {Prompt, PromptPartId} from '../prompt.js';
-import type {Route, RouteId} from '../route.js';
+import type {Route, RouteId, RoutingConfiguration} from '../route.js';
 import type {EndpointAddress, ServingEndpoint} from '../serving_endpoint.js';
 
 export const REPAIR = brandAs<ServiceId>('repair');
@@ -32,6 +32,25 @@
   };
 }
 
+/** A first version with one route and no accounts, with changes. */
+export function makeConfiguration(
+  changes: Partial<RoutingConfiguration> = {},
+): RoutingConfiguration {
+  return {
+    version: 1,
+    routes: [makeRoute()],
+    services: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+    clientAccounts: undefined,
+    ...changes,
+  };
+}
+
 /** An endpoint of {@link REPAIR} in {@link AKL_A}, with changes. */
 export function makeEndpoint(
   id: string,
