Let the soak's leaving endpoints finish their streams

An endpoint that was replaced was shut 2.6 s after its notice, which cut off streams of three to five seconds that had begun before; the instance could do nothing about it. Its entry goes as before, the endpoint itself six seconds later, so that what comes too late is still seen.

--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -39,6 +39,11 @@
 
 /** Served on after the notice, and a little longer. */
 const LINGER_MS = 600;
+/**
+ * The longest streams last five seconds: an endpoint that leaves finishes them.
+ * Cut off by it they would count as lost by the instance that passes them on.
+ */
+const LAST_RUN_MS = 6000;
 /** An entry goes with its writer, after some silence. */
 const ENTRY_LAPSES_AFTER_MS = 1500;
 
@@ -105,10 +110,9 @@
     await this.start();
     writeEndpoint(store, leaving);
     history.leavingNotices.set(id, nowMs());
-    setTimeout(() => {
-      removeEndpoint(store, id);
-      standIn.stop();
-    }, history.bounds.drainMs + LINGER_MS);
+    const goneAfterMs = history.bounds.drainMs + LINGER_MS;
+    setTimeout(() => removeEndpoint(store, id), goneAfterMs);
+    setTimeout(() => standIn.stop(), goneAfterMs + LAST_RUN_MS);
   }
 
   /** Closes all lives and hands over what they saw. */
