--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -18,6 +18,12 @@
 const STOPS = ['instance_terminate'] as const;
 const CHANGES = ['add_marker', 'withdraw_key'] as const;
 const KILLS = ['instance_kill'] as const;
+/** A stop refuses what it can't finish, whatever it still listens to. */
+const TAKES_EVERYTHING = {
+  module: 'routing/dist/shutdown.js',
+  from: 'endsAtMs <= graceEndsAtMs',
+  to: 'true',
+} as const;
 const FULL_ENDPOINTS = ['endpoint_full'] as const;
 const BROKEN_ENDPOINTS = [
   'endpoint_failing',
@@ -281,8 +287,15 @@
         from: 'if (this.server.listening)',
         to: 'if (false)',
       },
+      TAKES_EVERYTHING,
     ],
   },
+  {
+    name: 'takes_what_it_cannot_finish',
+    check: 'nothing_lost',
+    kinds: STOPS,
+    edits: [TAKES_EVERYTHING],
+  },
   {
     name: 'ends_with_an_error',
     check: 'proper_ends',
