Let an entry process answer requests sent one behind the other in a stop

What callers saw: with requests sent one behind the other on a connection, the first answer closed it in a stop and the second was lost after its request had run; and a caller that left with such requests held every later stop up to the end of its grace time. Found by a review of the same code in the gateway.

Cause: each open answer was asked to close its connection, and one that waits behind another never closes in Node.js if its connection goes.

Change: only the last answer of a connection is asked, and the end of the connection counts.

Tests: open_answers.test.ts, three; all failed before (one by its timeout).

--- a/packages/entry/src/listen/open_answers.ts
+++ b/packages/entry/src/listen/open_answers.ts
@@ -28,7 +28,11 @@
   /** From now on each connection closes with the answer that is under way. */
   closeWithAnswers(): void {
     this.isClosing = true;
-    for (const response of this.sockets.keys()) askToClose(response);
+    const lastOfEach = new Map<Socket, ServerResponse>();
+    for (const [response, socket] of this.sockets) {
+      lastOfEach.set(socket, response);
+    }
+    for (const response of lastOfEach.values()) askToClose(response);
   }
 
   /**
@@ -56,17 +60,30 @@
 
   private follow(request: IncomingMessage, response: ServerResponse): void {
     const {socket} = request;
+    if (this.isClosing) this.askOnlyLastToClose(socket, response);
     this.sockets.set(response, socket);
-    if (this.isClosing) askToClose(response);
     response.once('finish', () => {
       this.forget(response);
       if (this.isClosing) this.closeIfUnused(socket);
     });
     response.once('close', () => this.forget(response));
+    // An answer that waits behind another one never closes if the connection
+    // goes meanwhile (Node.js gives it no socket before its turn).
+    socket.once('close', () => this.forget(response));
+  }
+
+  /** Whatever waits behind an answer that closes is lost with its connection. */
+  private askOnlyLastToClose(socket: Socket, last: ServerResponse): void {
+    for (const [before, itsSocket] of this.sockets) {
+      if (itsSocket === socket && !before.headersSent) {
+        before.removeHeader('connection');
+      }
+    }
+    askToClose(last);
   }
 
   private forget(response: ServerResponse): void {
-    this.sockets.delete(response);
+    if (!this.sockets.delete(response)) return;
     this.closeResting();
     if (this.sockets.size > 0) return;
     for (const resolve of this.waitersForNone.splice(0)) resolve();
