Let the soak's ways lose no bytes in the middle of a connection

Cause, by the bodies: each had run at an endpoint whose way lost bytes in one direction for a second or less while the stream was under way, and went on with later bytes afterwards (ids 1 to 13 and then 18 to 21). No TCP connection does that: what is lost is sent again until it is acknowledged. The program passes on what it reads; the framing was sound, as whole chunks were missing. It did not show while streams lasted well under a second.

Change: what is under way when a way fails is held, and arrives in order once it is whole.

Test: link.test.ts, 'loses nothing', fails before ('first third') and passes after.

--- a/packages/stand_ins/src/link/link.test.ts
+++ b/packages/stand_ins/src/link/link.test.ts
@@ -1,5 +1,8 @@
+import {once} from 'node:events';
+import {connect, createServer, type Socket} from 'node:net';
 import test from 'ava';
 import {request, Agent} from 'node:http';
+import {listenOn} from '../http/listen.js';
 import {ServiceStandIn} from '../service/service_stand_in.js';
 import {Link} from './link.js';
 
@@ -69,3 +72,35 @@
   t.deepEqual(outcome, {failure: 'SILENT'});
   await stop();
 });
+
+test('a connection that outlives a failure of one way loses nothing', async t => {
+  // A stream runs while packets one way are lost. TCP sends them again; were
+  // some of its bytes left out and later ones passed, its caller would get a
+  // whole answer with a hole in it, which no network does.
+  const server = createServer(socket => sockets.push(socket));
+  const sockets: Socket[] = [];
+  const port = await listenOn(server, 0, '127.0.0.1');
+  const link = new Link({targetPort: port});
+  await link.start();
+  const [host, linkPort] = link.address.split(':');
+  const client = connect({host, port: Number(linkPort)});
+  t.teardown(async () => {
+    client.destroy();
+    await link.stop();
+    server.close();
+  });
+  let received = '';
+  client.on('data', data => (received += data.toString()));
+  await once(server, 'connection');
+  const [target] = sockets;
+  for (const [text, mode] of [
+    ['first ', 'pass'],
+    ['second ', 'drop_to_client'],
+    ['third', 'pass'],
+  ] as const) {
+    await link.setMode(mode);
+    target.write(text);
+    await new Promise(done => setTimeout(done, 50));
+  }
+  t.is(received, 'first second third');
+});
--- a/packages/stand_ins/src/link/link.ts
+++ b/packages/stand_ins/src/link/link.ts
@@ -19,7 +19,9 @@
  * - `refuse`: new connections are refused; old ones go on.
  * - `silent_existing`: connections that are open now carry nothing any more,
  *   for good and without a reset; new ones work.
- * - `drop_to_target`, `drop_to_client`: bytes one way vanish.
+ * - `drop_to_target`, `drop_to_client`: bytes one way don't arrive. A connection
+ *   that lives on has them when the way is whole again, as TCP sends them until
+ *   they are acknowledged: it never loses some in the middle.
  */
 export const LINK_MODES = [
   'pass',
@@ -37,6 +39,8 @@
   readonly target: Socket;
   /** Lost track of by something between the ends. */
   isSilent: boolean;
+  /** Under way when the way failed, in order. */
+  readonly held: Record<Direction, Array<() => void>>;
 }
 
 type Direction = 'to_target' | 'to_client';
@@ -106,6 +110,16 @@
     if (mode === 'silent_existing') {
       for (const relay of this.relays) relay.isSilent = true;
     }
+    this.sendHeld('to_target');
+    this.sendHeld('to_client');
+  }
+
+  private sendHeld(direction: Direction): void {
+    if (this.currentMode === `drop_${direction}`) return;
+    for (const relay of this.relays) {
+      const acts = relay.held[direction].splice(0);
+      for (const act of acts) this.later(relay, direction, act);
+    }
   }
 
   private accept(client: Socket): void {
@@ -118,7 +132,8 @@
       port: this.options.targetPort,
       allowHalfOpen: true,
     });
-    const relay = {client, target, isSilent: false};
+    const held = {to_target: [], to_client: []};
+    const relay: Relay = {client, target, isSilent: false, held};
     this.relays.add(relay);
     this.pump(relay, client, target, 'to_target');
     this.pump(relay, target, client, 'to_client');
@@ -147,7 +162,11 @@
 
   /** The path's state counts when the bytes arrive at it. */
   private later(relay: Relay, direction: Direction, act: () => void): void {
-    if (relay.isSilent || this.currentMode === `drop_${direction}`) return;
+    if (relay.isSilent) return;
+    if (this.currentMode === `drop_${direction}`) {
+      relay.held[direction].push(act);
+      return;
+    }
     if (this.latencyMs === 0) act();
     else setTimeout(act, this.latencyMs);
   }
