--- a/packages/stand_ins/src/link/link.test.ts
+++ b/packages/stand_ins/src/link/link.test.ts
@@ -77,8 +77,12 @@
   // A stream runs while packets one way are lost. TCP sends them again; were
   // some of its bytes left out and later ones passed, its caller would get a
   // whole answer with a hole in it, which no network does.
-  const server = createServer(socket => sockets.push(socket));
   const sockets: Socket[] = [];
+  const server = createServer(socket => {
+    // The link resets what is open when it stops.
+    socket.on('error', () => undefined);
+    sockets.push(socket);
+  });
   const port = await listenOn(server, 0, '127.0.0.1');
   const link = new Link({targetPort: port});
   await link.start();
