Don't hold a connection that went silent for a caller left alone

The instance got nothing and is in touch by then; whoever holds such a connection finds out by a timeout of its own. It did not show while callers opened connections only when they had something to send.

Change: the check passes over a request whose connection was open when those to its instance went silent, and over no other.

--- a/packages/soak/src/checks/answers.ts
+++ b/packages/soak/src/checks/answers.ts
@@ -118,12 +118,31 @@
       const dueMs = sentAtMs + waitsForMs + LATE_ANSWER_MS;
       const isLate =
         outcome?.kind === 'unanswered' &&
-        history.isInTouch(instance, sentAtMs, dueMs);
+        history.isInTouch(instance, sentAtMs, dueMs) &&
+        !wentSilent(history, request);
       return isLate ? [this.foundFor(request, 'no final answer')] : [];
     });
   }
 }
 
+/**
+ * Whether the caller's connection was open when those to its instance went
+ * silent: it carries nothing for good, and the instance gets no request on it,
+ * however long ago that was.
+ */
+function wentSilent(
+  history: History,
+  {instance, connectedAtMs}: SentRequest,
+): boolean {
+  return history.disturbances.some(
+    ({subject, kind, fromMs}) =>
+      subject === instance &&
+      kind === 'callers_way_silent' &&
+      connectedAtMs !== undefined &&
+      connectedAtMs <= fromMs,
+  );
+}
+
 /** Statuses with which a proper request is turned away for what it asks. */
 const DENIALS: ReadonlySet<number> = new Set([401, 403, 404]);
 
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -99,6 +99,19 @@
   t.deepEqual(findersOf(unanswered, [makeRun()], cut), []);
 });
 
+test('a caller whose connection went silent long ago is not held for left alone', t => {
+  // It opened the connection ahead of need and sends its first request seconds
+  // after all that were open had gone silent; the instance gets nothing.
+  const goSilent = (history: History) => {
+    history.disturb(INSTANCE, 'callers_way_silent', 2000).toMs = 2500;
+  };
+  const unanswered = {outcome: {kind: 'unanswered'}} as const;
+  const early = {...unanswered, connectedAtMs: 1500};
+  t.deepEqual(findersOf(early, [makeRun()], goSilent), []);
+  const later = {...unanswered, connectedAtMs: 2600};
+  t.deepEqual(findersOf(later, [makeRun()], goSilent), ['answer_in_time']);
+});
+
 test('a proper request that is denied is found', t => {
   const outcome = {...REFUSED, status: 401};
   t.deepEqual(findersOf({outcome}, []), ['no_false_denial']);
