Draw on the retry budget for requests that an endpoint turned away

Cause: an answer of 421 was taken for an endpoint that can't be reached, and what can't be reached drew nothing from the budget. But the request had arrived, and counts. While many endpoints are replaced at once most requests meet one or two of these. Ruled out: the share of the budget that an instance takes without agreement; a ratio of one's own requests adds up to the ratio of all, and the floor of one a window to 60 of the 160 allowed on top.

Whether something has arrived is now told by the attempt itself, and the decision about what follows says whether it needs budget; it did before too, and nobody asked it. A connection that never stood still costs nothing.

The test of the pure decision and the one at the door (a misdirected request with the budget spent is refused as not run, with when to come back) fail on the code before.

--- a/packages/gateway/src/answers.test.ts
+++ b/packages/gateway/src/answers.test.ts
@@ -148,6 +148,21 @@
   }
 });
 
+test('with the budget spent a misdirected request is refused, not sent on', async t => {
+  // Engines are replaced faster than the list tells. Each request is turned away
+  // by the new owners of some addresses. Sent on without end, the requests of a
+  // burst arrive several times each at engines that are full already.
+  const misdirected: Script = socket =>
+    socket.end('HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n');
+  const door = await TestDoor.start({}, [misdirected, misdirected]);
+  t.teardown(() => door.close());
+  door.state.changeRetry({ratio: 0, windowMs: 10_000, floor: 0});
+  const answer = await door.call('one', {body: 'order'});
+  t.is(answer.status, 503);
+  t.true(Number(answer.headers['retry-after']) > 0);
+  t.is(door.received.length, 1);
+});
+
 test('when all are full the refusal is true and says when to return', async t => {
   const full: Script = socket =>
     socket.end(
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -97,23 +97,24 @@
     readonly reason: CallFailureReason;
     readonly verdict: Verdict;
   }): AttemptResult {
+    const hasArrived = head.verdict !== 'not_run';
     if (this.silence.hasFired) {
       // Given up before the connection stood: nobody was silent, there was no
       // way, as with a connect timeout of our own.
-      const hadNoWay = head.verdict === 'not_run';
       return {
         kind: 'failed',
         verdict: head.verdict,
-        sign: hadNoWay ? 'unreachable' : 'silent',
-        reason: hadNoWay ? 'connect_timeout' : 'silent',
+        sign: hasArrived ? 'silent' : 'unreachable',
+        reason: hasArrived ? 'silent' : 'connect_timeout',
+        hasArrived,
       };
     }
     const {reason, verdict} = head;
     if (reason === 'cancelled') {
-      return {kind: 'failed', verdict, sign: undefined, reason};
+      return {kind: 'failed', verdict, sign: undefined, reason, hasArrived};
     }
     const sign = reason === 'broken' ? 'failed' : 'unreachable';
-    return {kind: 'failed', verdict, sign, reason};
+    return {kind: 'failed', verdict, sign, reason, hasArrived};
   }
 
   private async takeHead(response: IncomingMessage): Promise<AttemptResult> {
@@ -138,7 +139,13 @@
       this.call.cancel();
       const sign = head.isMisdirected ? 'unreachable' : 'rejected';
       const reason = head.isMisdirected ? 'misdirected' : 'rejected';
-      return {kind: 'failed', verdict: 'not_run', sign, reason};
+      return {
+        kind: 'failed',
+        verdict: 'not_run',
+        sign,
+        reason,
+        hasArrived: true,
+      };
     }
     if (body === undefined) return this.brokenAnswer();
     if (!isOwn || !head.isSigned) {
@@ -147,6 +154,7 @@
         verdict: 'ran',
         sign: 'failed',
         reason: 'foreign_answer',
+        hasArrived: true,
       };
     }
     return this.takeWhole(head, response, body);
@@ -161,7 +169,11 @@
    */
   private brokenAnswer(): FailedResult {
     const {context, request} = this.options;
-    const failed = {kind: 'failed', verdict: 'ran'} as const;
+    const failed = {
+      kind: 'failed',
+      verdict: 'ran',
+      hasArrived: true,
+    } as const;
     const {hasFired, isSilent} = this.silence;
     if (hasFired) return {...failed, sign: 'silent', reason: 'silent'};
     const isLate = context.nowMs() >= request.endsAtMs;
@@ -192,6 +204,7 @@
       verdict: 'ran',
       sign: 'failed',
       reason: `status_${head.status}`,
+      hasArrived: true,
       answer: PROMISING_STATUSES.has(head.status) ? undefined : answer,
     };
   }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -151,11 +151,10 @@
       deliveredEvents: this.writer.events,
       leftMs: this.request.endsAtMs - nowMs(),
       untried,
+      hasArrived: result.hasArrived,
     });
     if (decision.kind === 'give_up') return false;
-    // Without a connection the endpoint got nothing: that is no arrival.
-    if (result.sign === 'unreachable') return true;
-    return state.budgetFor(service).tryTake(nowMs());
+    return !decision.needsBudget || state.budgetFor(service).tryTake(nowMs());
   }
 
   private async attempt(placed: Placed): Promise<AttemptResult> {
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -52,6 +52,8 @@
   readonly verdict: Verdict;
   readonly sign: EndpointSign | undefined;
   readonly reason: string;
+  /** The endpoint got the request, whatever it made of it. */
+  readonly hasArrived: boolean;
   /** The endpoint's own failure, which the caller may be given. */
   readonly answer?: WholeAnswer;
 };
--- a/packages/routing/src/attempt_policy.test.ts
+++ b/packages/routing/src/attempt_policy.test.ts
@@ -15,7 +15,11 @@
 const LOOKUP = makeRoute({kind: 'idempotent', maxAttempts: 2});
 
 function fail(changes: Partial<FailedAttempt>): string {
-  return decideAfterFailure({
+  return decideAfterFailure(makeFailed(changes)).kind;
+}
+
+function makeFailed(changes: Partial<FailedAttempt>): FailedAttempt {
+  return {
     route: LOOKUP,
     verdict: 'may_have_run',
     runs: 1,
@@ -23,8 +27,9 @@
     deliveredEvents: 0,
     leftMs: 1000,
     untried: 2,
+    hasArrived: true,
     ...changes,
-  }).kind;
+  };
 }
 
 test('a booking whose outcome is unknown is never sent again', t => {
@@ -53,6 +58,21 @@
   t.is(fail({verdict: 'not_run', runs: 0, offers: 4}), 'give_up');
 });
 
+test('what an endpoint turned away comes out of the budget', t => {
+  // A third of the engines is replaced at once while the list lags. Each request
+  // meets two or three that answer that they are others by now. Seen: these
+  // didn't count, and engines got a quarter more than their callers had sent.
+  const turnedAway = makeFailed({verdict: 'not_run', runs: 0});
+  t.deepEqual(decideAfterFailure(turnedAway), {
+    kind: 'retry',
+    needsBudget: true,
+  });
+  t.deepEqual(decideAfterFailure({...turnedAway, hasArrived: false}), {
+    kind: 'retry',
+    needsBudget: false,
+  });
+});
+
 test('only what has not run is answered with the promise of it', t => {
   // A caller that reads 503 books again. If the first booking had run, that
   // would be the second.
--- a/packages/routing/src/attempt_policy.ts
+++ b/packages/routing/src/attempt_policy.ts
@@ -18,11 +18,13 @@
   readonly leftMs: number;
   /** Endpoints that have not been asked yet. */
   readonly untried: number;
+  /** The endpoint got the request, whatever it made of it. */
+  readonly hasArrived: boolean;
 }
 
 /** The next step. */
 export type AttemptDecision =
-  /** Ask another endpoint; `isArrival` when it counts as a further one. */
+  /** Ask another endpoint, if the budget has room where it is needed. */
   | {readonly kind: 'retry'; readonly needsBudget: boolean}
   | {readonly kind: 'give_up'};
 
@@ -42,14 +44,16 @@
  * const next = decideAfterFailure(failed);
  */
 export function decideAfterFailure(failed: FailedAttempt): AttemptDecision {
-  const {route, verdict, runs, offers, leftMs, untried} = failed;
+  const {route, verdict, runs, offers, leftMs, untried, hasArrived} = failed;
   const isOver = untried === 0 || offers >= MAX_OFFERS || leftMs < MIN_LEFT_MS;
   if (isOver) return {kind: 'give_up'};
-  if (verdict === 'not_run') return {kind: 'retry', needsBudget: true};
-  if (!mayRunAgain(route) || runs >= route.maxAttempts) {
-    return {kind: 'give_up'};
-  }
-  return {kind: 'retry', needsBudget: true};
+  const mayRun = mayRunAgain(route) && runs < route.maxAttempts;
+  if (verdict !== 'not_run' && !mayRun) return {kind: 'give_up'};
+  // An endpoint that turns a request away has spent work on it all the same.
+  // Where many are replaced at once most answer that they are others by now;
+  // left out of the budget, these alone make a service's traffic half as much
+  // again. Without a connection nothing has arrived, and nothing is spent.
+  return {kind: 'retry', needsBudget: hasArrived};
 }
 
 /** Whether a request of the route may run more than once. */
