Rank requests by their route first, then by their account

So the route goes first, and among requests of one route the account's tier decides as before. Where there are too few ranks it is accounts that share one.

--- a/packages/routing/src/urgency_scale.ts
+++ b/packages/routing/src/urgency_scale.ts
@@ -11,13 +11,14 @@
 const DEFAULT_RANK_COUNT = 10;
 
 /**
- * Ranks requests by the tier of their client account, and those of equal
- * accounts by the tier of their route. Rank 0 goes first.
+ * Ranks requests by the tier of their route, and those of equal routes by the
+ * tier of their client account. Rank 0 goes first.
  *
- * An engine knows one number. Told the account's tier alone, it cannot tell the
- * routes of an account apart: while it is full, short prompts queue behind long
- * generations, and an account's more urgent callers get nothing while its less
- * urgent ones are served.
+ * An engine knows one number. If accounts went first, a burst of a favoured
+ * account's long prompts would preempt the short answers that all others wait
+ * for: the engine reads those again from the start, and their callers leave. If
+ * accounts did not count at all, a favoured account's callers would wait behind
+ * those of the others on the same route.
  *
  * Ranks are places among the tiers that a configuration mentions, not among the
  * pairs in use. So they stay as they are when accounts and routes come and go,
@@ -27,7 +28,7 @@
   private readonly accountTiers: readonly number[];
   private readonly routeTiers: readonly number[];
   private readonly rankCount: number;
-  private readonly ranksPerAccountTier: number;
+  private readonly ranksPerRouteTier: number;
 
   constructor(
     configuration: RoutingConfiguration,
@@ -36,12 +37,12 @@
     this.rankCount = options.rankCount ?? DEFAULT_RANK_COUNT;
     this.accountTiers = sortDistinct(listAccountTiers(configuration));
     this.routeTiers = sortDistinct(configuration.routes.map(({tier}) => tier));
-    // Where there are too few ranks, accounts keep theirs and the least urgent
-    // routes of each share one.
-    const room = Math.floor(this.rankCount / this.accountTiers.length);
-    this.ranksPerAccountTier = Math.max(
+    // Where there are too few ranks, routes keep theirs and the least urgent
+    // accounts of each share one.
+    const room = Math.floor(this.rankCount / this.routeTiers.length);
+    this.ranksPerRouteTier = Math.max(
       1,
-      Math.min(this.routeTiers.length, room),
+      Math.min(this.accountTiers.length, room),
     );
   }
 
@@ -57,8 +58,8 @@
     const accountPlace = placeAmong(this.accountTiers, accountTier);
     const routePlace = placeAmong(this.routeTiers, route.tier);
     const rank =
-      accountPlace * this.ranksPerAccountTier +
-      Math.min(routePlace, this.ranksPerAccountTier - 1);
+      routePlace * this.ranksPerRouteTier +
+      Math.min(accountPlace, this.ranksPerRouteTier - 1);
     return Math.min(rank, this.rankCount - 1);
   }
 }
