Let the split of the engines follow a burst while it lasts

Hypothesis: short questions are lost to the split. The instances agree upon the shares of work once a window, so that a burst of five seconds was told when it was over.

Change: an instance goes by its own requests of the last seconds once their mix differs from the agreed one by more than chance would have it (two standard deviations of a share of so few requests); the work of a request is the agreed mean of its route. The split has a module of its own.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -46,8 +46,7 @@
     const {service, route} = this.request.admission;
     state.budgetFor(service).countRequest(nowMs());
     const {prompt} = this.request.caller;
-    state.demand.count(service, route, prompt, nowMs());
-    state.demandToTell.count(service, route, prompt, nowMs());
+    state.countDemand(service, route, prompt, nowMs());
     const leftMs = Math.max(0, this.request.endsAtMs - nowMs());
     const timer = setTimeout(() => this.expire(), leftMs);
     try {
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -12,8 +12,10 @@
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {LeastLoadedPlacement} from '@snipestage/routing/least_loaded_placement.js';
 import type {Placement} from '@snipestage/routing/placement.js';
+import type {Prompt} from '@snipestage/routing/prompt.js';
 import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
 import {RefusalDelay} from '@snipestage/routing/refusal_delay.js';
+import type {Route} from '@snipestage/routing/route.js';
 import type {RouteTable} from '@snipestage/routing/route_table.js';
 import {UsualDurations} from '@snipestage/routing/usual_durations.js';
 import {
@@ -25,6 +27,9 @@
 /** About as long as a burst; over all instances the figures are steady. */
 const TOLD_DEMAND_HALF_LIFE_MS = 5000;
 
+/** Long enough for some dozen requests, short beside a burst of seconds. */
+const RECENT_DEMAND_HALF_LIFE_MS = 1500;
+
 /** Made anew with each process. */
 export class RoutingState {
   /** Undefined until the first configuration is known. */
@@ -39,6 +44,10 @@
   readonly demandToTell = new DemandMeter({
     halfLifeMs: TOLD_DEMAND_HALF_LIFE_MS,
   });
+  /** Shows a burst while it lasts. */
+  readonly recentDemand = new DemandMeter({
+    halfLifeMs: RECENT_DEMAND_HALF_LIFE_MS,
+  });
   readonly agreedDemand = new AgreedDemand({own: this.demand});
   readonly suspects = new SuspectTable();
   readonly crashes = new CrashWatch();
@@ -49,9 +58,26 @@
   private readonly refusalDelays = new Map<ServiceId, RefusalDelay>();
 
   constructor(private retry: WindowBudgetOptions) {
-    const {monitor, reach, agreedDemand: demand} = this;
+    const {monitor, reach, agreedDemand: demand, recentDemand: recent} = this;
     this.plainPlacement = new LeastLoadedPlacement({monitor, reach});
-    this.promptPlacement = new PromptPlacement({monitor, reach, demand});
+    this.promptPlacement = new PromptPlacement({
+      monitor,
+      reach,
+      demand,
+      recent,
+    });
+  }
+
+  /** A request arrived. */
+  countDemand(
+    service: ServiceId,
+    route: Route,
+    prompt: Prompt | undefined,
+    nowMs: number,
+  ): void {
+    for (const meter of [this.demand, this.demandToTell, this.recentDemand]) {
+      meter.count(service, route, prompt, nowMs);
+    }
   }
 
   /** What this instance sees of each engine service's routes. */
--- a/packages/routing/src/demand_meter.ts
+++ b/packages/routing/src/demand_meter.ts
@@ -92,6 +92,21 @@
     });
   }
 
+  /**
+   * Requests of each route, the latest in full and earlier ones faded.
+   *
+   * @example
+   * const counts = meter.countRecent(service, nowMs);
+   */
+  countRecent(service: ServiceId, nowMs: number): ReadonlyMap<RouteId, number> {
+    const counts = new Map<RouteId, number>();
+    for (const demand of this.demands.get(service)?.values() ?? []) {
+      this.fade(demand, nowMs);
+      counts.set(demand.route.id, demand.requests);
+    }
+    return counts;
+  }
+
   private of(service: ServiceId, route: Route, nowMs: number): Demand {
     const routes = this.demands.get(service) ?? new Map<RouteId, Demand>();
     this.demands.set(service, routes);
--- /dev/null
+++ b/packages/routing/src/engine_split.ts
@@ -0,0 +1,159 @@
+/** How the engines of a service are split between short and long work. */
+
+import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
+import type {DataCentreId} from '@snipestage/types/ids.js';
+import type {RouteDemand} from './demand_meter.js';
+import type {RouteId} from './route.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
+
+/** All instances order the engines alike by this key. */
+const PARTITION_KEY = 'short-pauses';
+/**
+ * A route counts as one of short pauses when it may pause for at most this
+ * share of what the most patient route of its service may. An engine that reads
+ * long prompts pauses for some 35 to 55 ms a token, whatever its requests need.
+ */
+const SHORT_PAUSE_SHARE = 0.5;
+/** Prompts of at most this share of the mean disturb little. */
+const SHORT_PROMPT_SHARE = 0.5;
+/** Chance alone goes beyond this once in forty looks. */
+const DEVIATIONS_OF_A_BURST = 2;
+
+/**
+ * Routes that need short pauses and bring short prompts.
+ *
+ * @example
+ * const short = findShortRoutes(demand.read(service, nowMs));
+ */
+export function findShortRoutes(
+  demands: readonly RouteDemand[],
+): ReadonlySet<RouteId> {
+  const pauses = demands.map(({pauseTargetMs}) => pauseTargetMs ?? 0);
+  const longestPauseMs = Math.max(0, ...pauses);
+  const requests = demands.reduce((sum, each) => sum + each.requestsPerS, 0);
+  const tokens = demands.reduce(
+    (sum, each) => sum + each.meanPromptTokens * each.requestsPerS,
+    0,
+  );
+  const meanTokens = tokens / Math.max(1e-9, requests);
+  const short = demands.filter(
+    ({pauseTargetMs, meanPromptTokens}) =>
+      pauseTargetMs !== undefined &&
+      pauseTargetMs <= longestPauseMs * SHORT_PAUSE_SHARE &&
+      meanPromptTokens <= meanTokens * SHORT_PROMPT_SHARE,
+  );
+  return new Set(short.map(({route}) => route));
+}
+
+/**
+ * An order that all instances share, with each data centre's engines spread
+ * evenly over it. When a data centre is lost, both sides lose the same share of
+ * their engines and hardly any engine changes sides: one that does has none of
+ * the prompts that it gets from then on in its cache.
+ *
+ * @example
+ * const shortSide = orderForSplit(engines).slice(0, 3);
+ */
+export function orderForSplit(
+  engines: readonly ServingEndpoint[],
+): readonly ServingEndpoint[] {
+  const byId = new Map(engines.map(engine => [engine.id, engine]));
+  const sizes = new Map<DataCentreId, number>();
+  for (const {dataCentre} of engines) {
+    sizes.set(dataCentre, (sizes.get(dataCentre) ?? 0) + 1);
+  }
+  const seen = new Map<DataCentreId, number>();
+  const placed = rankByRendezvous(PARTITION_KEY, byId.keys()).map(id => {
+    const engine = byId.get(id)!;
+    const before = seen.get(engine.dataCentre) ?? 0;
+    seen.set(engine.dataCentre, before + 1);
+    return {engine, place: (before + 0.5) / sizes.get(engine.dataCentre)!};
+  });
+  // The sort is stable: equal places stay in the order of their ranks.
+  placed.sort((left, right) => left.place - right.place);
+  return placed.map(({engine}) => engine);
+}
+
+/** What {@link shareOfShortRoutes} goes by. */
+export interface SplitInput {
+  /** As all instances agree upon them, some seconds old. */
+  readonly demands: readonly RouteDemand[];
+  readonly shortRoutes: ReadonlySet<RouteId>;
+  /** Requests of each route that this instance has seen of late. */
+  readonly recentCounts: ReadonlyMap<RouteId, number>;
+}
+
+/**
+ * The share of work that the short side brings.
+ *
+ * The agreed demand is some seconds old. When a burst of one side begins, that
+ * side's requests queue before a few full engines while the others have places
+ * free, until the next figures are agreed. So an instance goes by its own
+ * requests of the last seconds once their mix differs from the agreed one by
+ * more than chance would have it; all see the burst at about the same time.
+ *
+ * @example
+ * const share = shareOfShortRoutes({demands, shortRoutes, recentCounts});
+ */
+export function shareOfShortRoutes(input: SplitInput): number {
+  const {demands, shortRoutes, recentCounts} = input;
+  const agreed = measureShare(demands, shortRoutes, each => each.requestsPerS);
+  const recent = measureShare(
+    demands,
+    shortRoutes,
+    ({route}) => recentCounts.get(route) ?? 0,
+  );
+  const difference = Math.abs(recent.share - agreed.share);
+  return difference > DEVIATIONS_OF_A_BURST * recent.deviation
+    ? recent.share
+    : agreed.share;
+}
+
+interface MeasuredShare {
+  readonly share: number;
+  /** By which the share of so few requests wavers. */
+  readonly deviation: number;
+}
+
+/** With the agreed work of a request of each route: single sizes vary widely. */
+function measureShare(
+  demands: readonly RouteDemand[],
+  shortRoutes: ReadonlySet<RouteId>,
+  countOf: (demand: RouteDemand) => number,
+): MeasuredShare {
+  const parts = demands.map(demand => ({
+    count: countOf(demand),
+    workEach: demand.workPerS / Math.max(1e-9, demand.requestsPerS),
+    isShort: shortRoutes.has(demand.route) ? 1 : 0,
+  }));
+  const total = sumOver(parts, ({count, workEach}) => count * workEach);
+  if (total <= 0) return {share: 0, deviation: Number.POSITIVE_INFINITY};
+  const short = sumOver(
+    parts,
+    ({count, workEach, isShort}) => count * workEach * isShort,
+  );
+  const share = short / total;
+  const variance = sumOver(
+    parts,
+    ({count, workEach, isShort}) =>
+      count * ((workEach * (isShort - share)) / total) ** 2,
+  );
+  return {share, deviation: Math.sqrt(variance)};
+}
+
+function sumOver<Item>(
+  items: readonly Item[],
+  valueOf: (item: Item) => number,
+): number {
+  return items.reduce((sum, item) => sum + valueOf(item), 0);
+}
+
+/**
+ * How many of the engines serve the short side; neither side is ever empty.
+ *
+ * @example
+ * splitCount(8, 0.4); // 3
+ */
+export function splitCount(engines: number, share: number): number {
+  return Math.min(engines - 1, Math.max(1, Math.round(engines * share)));
+}
--- a/packages/routing/src/prompt_placement.test.ts
+++ b/packages/routing/src/prompt_placement.test.ts
@@ -8,14 +8,8 @@
 import {DemandMeter} from './demand_meter.js';
 import {EndpointMonitor} from './endpoint_monitor.js';
 import type {Prompt} from './prompt.js';
-import {
-  findShortRoutes,
-  orderForSplit,
-  PromptPlacement,
-  splitCount,
-} from './prompt_placement.js';
+import {PromptPlacement} from './prompt_placement.js';
 import type {Route, RouteId} from './route.js';
-import type {ServingEndpoint} from './serving_endpoint.js';
 import {
   AKL_A,
   makeEndpoint,
@@ -42,7 +36,14 @@
     demand.count(REPAIR, COUNTER, makePrompt('c', 300, 1100), nowMs);
   }
   const reach = new DataCentreReach();
-  return new PromptPlacement({monitor, reach, demand, random: () => 0});
+  const recent = new DemandMeter();
+  return new PromptPlacement({
+    monitor,
+    reach,
+    demand,
+    recent,
+    random: () => 0,
+  });
 }
 
 function place(
@@ -94,18 +95,6 @@
   t.not(place(placement, QUOTE, prompt), home);
 });
 
-test('neither side of the split is ever empty', t => {
-  t.is(splitCount(8, 0.01), 1);
-  t.is(splitCount(8, 0.99), 7);
-  t.is(splitCount(8, 0.4), 3);
-});
-
-test('one route alone uses all engines', t => {
-  const demand = new DemandMeter();
-  demand.count(REPAIR, COUNTER, makePrompt('c', 300, 1100), 0);
-  t.is(findShortRoutes(demand.read(REPAIR, 0)).size, 0);
-});
-
 test('a failing home engine is passed over', t => {
   const monitor = new EndpointMonitor();
   const placement = makePlacement(monitor);
@@ -133,35 +122,3 @@
   const without = ENGINES.filter(({id}) => id !== placed.endpoint.id);
   t.is(placed.cacheSource?.id, placement.choose(without, request)?.endpoint.id);
 });
-
-/** Engines of three data centres, under the names of one of many days. */
-function nameEngines(day: number): ServingEndpoint[] {
-  return Array.from({length: 15}, (_, index) =>
-    makeEndpoint(`i-${day}-${index}`, {
-      dataCentre: brandAs<DataCentreId>(`centre-${index % 3}`),
-    }),
-  );
-}
-
-test('hardly an engine changes sides when a data centre is lost', t => {
-  // A data centre is cut off. The engines that are left are split anew; each that
-  // changes sides has to read the prompts that it gets from their beginnings, at
-  // the very moment at which a third of the engines is missing.
-  let moved = 0;
-  for (let day = 0; day < 200; day += 1) {
-    const engines = nameEngines(day);
-    const left = engines.filter(({dataCentre}) => dataCentre !== 'centre-0');
-    const before = new Set(orderForSplit(engines).slice(0, 5));
-    const after = new Set(orderForSplit(left).slice(0, 3));
-    moved += left.filter(each => before.has(each) !== after.has(each)).length;
-  }
-  // By rank alone 0.66 engines of 10 changed sides.
-  t.true(moved / 200 < 0.4, `${moved / 200}`);
-});
-
-test('no data centre has one side alone', t => {
-  for (let day = 0; day < 200; day += 1) {
-    const short = orderForSplit(nameEngines(day)).slice(0, 5);
-    t.is(new Set(short.map(({dataCentre}) => dataCentre)).size, 3);
-  }
-});
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -1,9 +1,15 @@
 /** Placement of prompts on model engines. */
 
 import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
-import type {DataCentreId, EndpointId} from '@snipestage/types/ids.js';
-import type {DemandSource, RouteDemand} from './demand_meter.js';
+import type {EndpointId} from '@snipestage/types/ids.js';
+import type {DemandMeter, DemandSource} from './demand_meter.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
+import {
+  findShortRoutes,
+  orderForSplit,
+  shareOfShortRoutes,
+  splitCount,
+} from './engine_split.js';
 import {
   findUsable,
   leastBy,
@@ -13,26 +19,17 @@
   type PlacementRequest,
 } from './placement.js';
 import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
-import type {RouteId} from './route.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** What a {@link PromptPlacement} is made from. */
 export interface PromptPlacementOptions extends PlacementBeliefs {
   readonly demand: DemandSource;
+  /** What this instance alone has seen in the last seconds. */
+  readonly recent: DemandMeter;
   /** At least 0 and below 1. */
   readonly random?: () => number;
 }
 
-/** All instances order the engines alike by this key. */
-const PARTITION_KEY = 'short-pauses';
-/**
- * A route counts as one of short pauses when it may pause for at most this
- * share of what the most patient route of its service may. An engine that reads
- * long prompts pauses for some 35 to 55 ms a token, whatever its requests need.
- */
-const SHORT_PAUSE_SHARE = 0.5;
-/** Prompts of at most this share of the mean disturb little. */
-const SHORT_PROMPT_SHARE = 0.5;
 /** An engine takes at most so many times the mean load for its prefixes. */
 const LOAD_BOUND = 1.5;
 /**
@@ -94,12 +91,17 @@
     request: PlacementRequest,
   ): readonly ServingEndpoint[] {
     const service = usable[0].service;
-    const demands = this.demand.read(service, request.nowMs);
+    const {demand, options} = this;
+    const demands = demand.read(service, request.nowMs);
     const shortRoutes = findShortRoutes(demands);
     if (shortRoutes.size === 0 || shortRoutes.size === demands.length) {
       return usable;
     }
-    const share = shareOfWork(demands, shortRoutes);
+    const share = shareOfShortRoutes({
+      demands,
+      shortRoutes,
+      recentCounts: options.recent.countRecent(service, request.nowMs),
+    });
     const shortCount = splitCount(usable.length, share);
     const ordered = orderForSplit(usable);
     return shortRoutes.has(request.route.id)
@@ -156,79 +158,3 @@
     );
   }
 }
-
-/**
- * Routes that need short pauses and bring short prompts.
- *
- * @example
- * const short = findShortRoutes(demand.read(service, nowMs));
- */
-export function findShortRoutes(
-  demands: readonly RouteDemand[],
-): ReadonlySet<RouteId> {
-  const pauses = demands.map(({pauseTargetMs}) => pauseTargetMs ?? 0);
-  const longestPauseMs = Math.max(0, ...pauses);
-  const requests = demands.reduce((sum, each) => sum + each.requestsPerS, 0);
-  const tokens = demands.reduce(
-    (sum, each) => sum + each.meanPromptTokens * each.requestsPerS,
-    0,
-  );
-  const meanTokens = tokens / Math.max(1e-9, requests);
-  const short = demands.filter(
-    ({pauseTargetMs, meanPromptTokens}) =>
-      pauseTargetMs !== undefined &&
-      pauseTargetMs <= longestPauseMs * SHORT_PAUSE_SHARE &&
-      meanPromptTokens <= meanTokens * SHORT_PROMPT_SHARE,
-  );
-  return new Set(short.map(({route}) => route));
-}
-
-/**
- * An order that all instances share, with each data centre's engines spread
- * evenly over it. When a data centre is lost, both sides lose the same share of
- * their engines and hardly any engine changes sides: one that does has none of
- * the prompts that it gets from then on in its cache.
- *
- * @example
- * const shortSide = orderForSplit(engines).slice(0, 3);
- */
-export function orderForSplit(
-  engines: readonly ServingEndpoint[],
-): readonly ServingEndpoint[] {
-  const byId = new Map(engines.map(engine => [engine.id, engine]));
-  const sizes = new Map<DataCentreId, number>();
-  for (const {dataCentre} of engines) {
-    sizes.set(dataCentre, (sizes.get(dataCentre) ?? 0) + 1);
-  }
-  const seen = new Map<DataCentreId, number>();
-  const placed = rankByRendezvous(PARTITION_KEY, byId.keys()).map(id => {
-    const engine = byId.get(id)!;
-    const before = seen.get(engine.dataCentre) ?? 0;
-    seen.set(engine.dataCentre, before + 1);
-    return {engine, place: (before + 0.5) / sizes.get(engine.dataCentre)!};
-  });
-  // The sort is stable: equal places stay in the order of their ranks.
-  placed.sort((left, right) => left.place - right.place);
-  return placed.map(({engine}) => engine);
-}
-
-function shareOfWork(
-  demands: readonly RouteDemand[],
-  routes: ReadonlySet<RouteId>,
-): number {
-  const total = demands.reduce((sum, each) => sum + each.workPerS, 0);
-  const own = demands
-    .filter(({route}) => routes.has(route))
-    .reduce((sum, each) => sum + each.workPerS, 0);
-  return own / Math.max(1e-9, total);
-}
-
-/**
- * How many of the engines serve the short side; neither side is ever empty.
- *
- * @example
- * splitCount(8, 0.4); // 3
- */
-export function splitCount(engines: number, share: number): number {
-  return Math.min(engines - 1, Math.max(1, Math.round(engines * share)));
-}
