Fetch shared beginnings from the engine that has them

Hypothesis: a part of the shared tokens that are read again lies at an engine that this instance knows. Until now only long beginnings named a place to fetch from, the next in rank; short ones go to the engine with least to do and were read at each.

Change: each instance remembers to which engine it sent a shared part last, and names that one.

--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -18,6 +18,7 @@
   type PlacementBeliefs,
   type PlacementRequest,
 } from './placement.js';
+import {PrefixHolders} from './prefix_holders.js';
 import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
@@ -62,6 +63,7 @@
   private readonly monitor: EndpointMonitor;
   private readonly demand: DemandSource;
   private readonly random: () => number;
+  private readonly holders = new PrefixHolders();
 
   constructor(private readonly options: PromptPlacementOptions) {
     super();
@@ -78,11 +80,32 @@
     if (usable.length === 0) return undefined;
     const group = this.groupFor(usable, request);
     const {prompt} = request;
-    const hasPrefix =
-      prompt !== undefined && countSharedTokens(prompt) >= MIN_SHARED_TOKENS;
-    if (hasPrefix) return this.chooseByPrefix(group, request, prompt);
-    const endpoint = this.chooseByLoad(group, request);
-    return endpoint && {endpoint};
+    if (prompt === undefined) return this.chooseByLoad(group, request);
+    const placed =
+      countSharedTokens(prompt) >= MIN_SHARED_TOKENS
+        ? this.chooseByPrefix(group, request, prompt)
+        : this.chooseByLoad(group, request);
+    return placed && this.fetchFromHolder(placed, usable, prompt);
+  }
+
+  /**
+   * Prefers the engine that is known to have the beginning as the place to fetch
+   * it from. Which one comes next in rank is only a guess: short beginnings go
+   * wherever there is least to do, and long ones have spilled over or changed
+   * sides.
+   */
+  private fetchFromHolder(
+    placed: Placed,
+    usable: readonly ServingEndpoint[],
+    prompt: Prompt,
+  ): Placed {
+    const {endpoint} = placed;
+    const byId = new Map(usable.map(each => [each.id, each]));
+    const holder = this.holders.find(prompt, id => byId.has(id));
+    this.holders.note(prompt, endpoint.id);
+    if (holder === undefined) return placed;
+    if (holder === endpoint.id) return {endpoint};
+    return {endpoint, cacheSource: byId.get(holder)};
   }
 
   /** The engines of the request's side of the split. */
@@ -124,10 +147,8 @@
     const sound = ranked.filter(
       ({id}) => this.monitor.failureShare(id, nowMs) < MAX_FAILURE_SHARE,
     );
-    const endpoint =
-      sound.find(({id}) => loads.get(id)! < bound) ??
-      this.chooseByLoad(group, request);
-    if (endpoint === undefined) return undefined;
+    const endpoint = sound.find(({id}) => loads.get(id)! < bound);
+    if (endpoint === undefined) return this.chooseByLoad(group, request);
     // The first of the others: its home when the prompt spills over, else who
     // was its home before an endpoint came.
     return {endpoint, cacheSource: sound.find(({id}) => id !== endpoint.id)};
@@ -148,13 +169,14 @@
   private chooseByLoad(
     group: readonly ServingEndpoint[],
     {nowMs}: PlacementRequest,
-  ): ServingEndpoint | undefined {
-    return leastBy(
+  ): Placed | undefined {
+    const endpoint = leastBy(
       group,
       ({id}) =>
         this.monitor.estimateLoad(id, nowMs) +
         this.monitor.failureShare(id, nowMs) * FAILURE_COST_IN_REQUESTS +
         this.random() * RANDOM_COST_IN_REQUESTS,
     );
+    return endpoint && {endpoint};
   }
 }
