Order endpoints by the demand of the moment, elsewhere when they can't be had

Hypothesis: when the cheap endpoints of a data centre are reclaimed and no more are to be had there, others have to be ordered at once; a boot takes 4 s.

Change: what can't be had counts as what is there; the rest is ordered of other data centres, cheap ones for the usual room, regular ones (several times as dear) for what the requests at the engines need. The plan is looked at twice a second, and again at once after a refusal.

--- a/packages/gateway/src/capacity_duty.ts
+++ b/packages/gateway/src/capacity_duty.ts
@@ -8,7 +8,9 @@
   planCapacity,
   type CapacityTarget,
 } from '@snipestage/routing/capacity_plan.js';
+import {EngineNeed} from '@snipestage/routing/engine_need.js';
 import type {Service} from '@snipestage/routing/route.js';
+import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import {
   brandAs,
   type DataCentreId,
@@ -16,6 +18,7 @@
   type OrderId,
   type ServiceId,
 } from '@snipestage/types/ids.js';
+import type {OrderResult} from '@snipestage/types/platform_messages.js';
 import type {DutyTerm} from './duty_term.js';
 import type {RoutingState} from './routing_state.js';
 
@@ -28,7 +31,8 @@
   readonly logger: Logger;
 }
 
-const TICK_MS = 1000;
+/** A reclaim leaves some two seconds; what is planned costs no call. */
+const TICK_MS = 500;
 /**
  * The list of endpoints has to be unchanged for so long before what is there is
  * taken for all that operators began with: endpoints write their rows one after
@@ -37,6 +41,8 @@
 const SETTLED_AFTER_MS = 2500;
 /** How long after a refusal the same is asked for again: each call is priced. */
 const REFUSED_FOR_MS = 2500;
+/** After the last refusal endpoints may still have to be ordered and listed. */
+const SCARCE_BEYOND_BOOT_MS = REFUSED_FOR_MS + 1000;
 /** An order that isn't met so long after the boot time is given again. */
 const REPEAT_AFTER_BOOT_MS = 3000;
 
@@ -58,6 +64,7 @@
   private readonly ordered = new Map<string, Ordered>();
   private readonly refusedAtMs = new Map<string, number>();
   private readonly needed = new Map<ServiceId, number>();
+  private readonly needs = new Map<ServiceId, EngineNeed>();
   private orders = 0;
 
   constructor(private readonly options: CapacityDutyOptions) {}
@@ -76,13 +83,25 @@
     try {
       for (const service of this.scaledServices()) {
         await this.learnNeeded(service.id);
-        for (const target of this.plan(service)) await this.order(target);
+        const isRefused = await this.orderAll(service);
+        // What was refused is ordered elsewhere at once: callers wait meanwhile.
+        if (isRefused) await this.orderAll(service);
       }
     } finally {
       this.isBusy = false;
     }
   }
 
+  /** @returns whether an order was refused. */
+  private async orderAll(service: Service): Promise<boolean> {
+    let isRefused = false;
+    for (const target of this.plan(service)) {
+      const outcome = await this.order(target);
+      isRefused ||= outcome === 'refused';
+    }
+    return isRefused;
+  }
+
   private scaledServices(): readonly Service[] {
     const {table} = this.options.state;
     const services = table?.configuration.services ?? [];
@@ -90,23 +109,55 @@
   }
 
   private plan(service: Service): readonly CapacityTarget[] {
-    const {state} = this.options;
-    const {scaling} = service;
-    if (scaling === undefined) return [];
-    const endpoints = state.directory
+    const {scaling, id} = service;
+    const needed = this.needed.get(id);
+    if (scaling === undefined || needed === undefined) return [];
+    const endpoints = this.options.state.directory
       .readAll()
-      .filter(endpoint => endpoint.service === service.id);
+      .filter(endpoint => endpoint.service === id);
     const dataCentres = this.dataCentresOf(endpoints);
-    const needed = this.needed.get(service.id);
-    if (needed === undefined) return [];
     return planCapacity({
-      service: service.id,
+      service: id,
       scaling,
       dataCentres,
       needed,
+      neededNow: this.countNeededNow(service, endpoints),
+      cheapLeft: this.countCheapLeft(service, dataCentres),
     });
   }
 
+  private countNeededNow(
+    {id, engine}: Service,
+    endpoints: readonly ServingEndpoint[],
+  ): number {
+    if (engine === undefined) return 0;
+    const {state, nowMs} = this.options;
+    const need = this.needs.get(id) ?? new EngineNeed();
+    this.needs.set(id, need);
+    const requests = endpoints.reduce(
+      (sum, each) => sum + state.monitor.estimateLoad(each.id, nowMs()),
+      0,
+    );
+    return need.update({requests, batchSize: engine.batchSize}, nowMs());
+  }
+
+  /** Where cheap ones were refused a moment ago, those that are still there. */
+  private countCheapLeft(
+    {id: service, scaling}: Service,
+    dataCentres: readonly DataCentreId[],
+  ): ReadonlyMap<DataCentreId, number> {
+    const {state, nowMs} = this.options;
+    const scarceForMs = (scaling?.bootMs ?? 0) + SCARCE_BEYOND_BOOT_MS;
+    const left = new Map<DataCentreId, number>();
+    for (const dataCentre of dataCentres) {
+      const place = {service, dataCentre, isCheap: true};
+      const refusedAtMs = this.refusedAtMs.get(keyOf(place)) ?? -Infinity;
+      if (nowMs() - refusedAtMs > scarceForMs) continue;
+      left.set(dataCentre, countPresent(state.directory.readAll(), place));
+    }
+    return left;
+  }
+
   /**
    * What the operators began with is what they held to be needed. The first
    * holder writes it down, or the next would take what is left of its orders
@@ -144,10 +195,12 @@
     return [...this.seenDataCentres].sort();
   }
 
-  private async order(target: CapacityTarget): Promise<void> {
+  private async order(
+    target: CapacityTarget,
+  ): Promise<OrderResult['kind'] | 'not_due'> {
     const {platform, term, nowMs, logger} = this.options;
     const {token} = term;
-    if (token === undefined || !this.isDue(target, token)) return;
+    if (token === undefined || !this.isDue(target, token)) return 'not_due';
     const place = `${target.service}/${target.dataCentre}`;
     this.orders += 1;
     const result = await platform.orderEndpoints(
@@ -174,6 +227,7 @@
       this.ordered.set(keyOf(target), ordered);
     }
     if (result.kind === 'refused') this.refusedAtMs.set(keyOf(target), nowMs());
+    return result.kind;
   }
 
   private isDue(target: CapacityTarget, token: number): boolean {
@@ -190,6 +244,10 @@
   }
 }
 
-function keyOf({service, dataCentre, isCheap}: CapacityTarget): string {
+function keyOf({
+  service,
+  dataCentre,
+  isCheap,
+}: Omit<CapacityTarget, 'count'>): string {
   return `${service}/${dataCentre}/${isCheap ? 'cheap' : 'regular'}`;
 }
--- /dev/null
+++ b/packages/routing/src/capacity_plan.test.ts
@@ -0,0 +1,192 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {brandAs, type DataCentreId} from '@snipestage/types/ids.js';
+import {
+  planCapacity,
+  type CapacityInput,
+  type CapacityTarget,
+} from './capacity_plan.js';
+import {EngineNeed} from './engine_need.js';
+import type {ScalingLimits} from './route.js';
+import {REPAIR} from './test_support/fixtures.js';
+
+const [A, B, C] = ['a', 'b', 'c'].map(name => brandAs<DataCentreId>(name));
+const LIMITS: ScalingLimits = {
+  minCount: 1,
+  maxCount: 12,
+  bootMs: 4000,
+  cheapPriceRatio: 0.22,
+  priceByDataCentre: new Map([
+    [A, 1],
+    [B, 1.2],
+    [C, 0.9],
+  ]),
+};
+
+function plan(changes: Partial<CapacityInput> = {}): readonly CapacityTarget[] {
+  return planCapacity({
+    service: REPAIR,
+    scaling: LIMITS,
+    dataCentres: [A, B, C],
+    needed: 10,
+    ...changes,
+  });
+}
+
+/** Counts of the targets of one kind, by data centre. */
+function countsOf(
+  targets: readonly CapacityTarget[],
+  isCheap: boolean,
+): readonly number[] {
+  return targets
+    .filter(target => target.isCheap === isCheap)
+    .map(({count}) => count);
+}
+
+test('the plan bears the loss of any one data centre of cheap endpoints', t => {
+  // All cheap endpoints of a data centre are reclaimed at once. What is left
+  // has to carry the demand, or the callers wait until new ones have booted.
+  fc.assert(
+    fc.property(
+      fc.integer({min: 2, max: 5}),
+      fc.integer({min: 1, max: 20}),
+      (centres, needed) => {
+        const dataCentres = Array.from({length: centres}, (_, index) =>
+          brandAs<DataCentreId>(`dc-${index}`),
+        );
+        const targets = planCapacity({
+          service: REPAIR,
+          scaling: {
+            minCount: 1,
+            maxCount: 50,
+            bootMs: 4000,
+            cheapPriceRatio: 0.2,
+            priceByDataCentre: new Map(),
+          },
+          dataCentres,
+          needed,
+        });
+        for (const lost of dataCentres) {
+          const left = targets.filter(
+            target => !(target.isCheap && target.dataCentre === lost),
+          );
+          const count = left.reduce((sum, target) => sum + target.count, 0);
+          if (count < needed) return false;
+        }
+        return true;
+      },
+    ),
+  );
+  t.pass();
+});
+
+test('the plan keeps to the limits of a data centre', t => {
+  const targets = planCapacity({
+    service: REPAIR,
+    scaling: {
+      minCount: 1,
+      maxCount: 4,
+      bootMs: 0,
+      cheapPriceRatio: 0.2,
+      priceByDataCentre: new Map(),
+    },
+    dataCentres: [brandAs<DataCentreId>('a'), brandAs<DataCentreId>('b')],
+    needed: 40,
+  });
+  const inA = targets.filter(({dataCentre}) => dataCentre === 'a');
+  t.is(
+    inA.reduce((sum, {count}) => sum + count, 0),
+    4,
+  );
+});
+
+test('two reclaims one after the other are made up for by regular endpoints', t => {
+  // The cheap endpoints of two data centres are reclaimed within five seconds,
+  // and no more are to be had there. Seen: the same was asked for again and again
+  // while a third of the endpoints carried everything, and a quarter of the most
+  // urgent callers left.
+  const usual = plan();
+  t.deepEqual(countsOf(usual, true), [7, 7, 7]);
+  t.deepEqual(countsOf(usual, false), [1, 1, 1]);
+  const cheapLeft = new Map([
+    [B, 0],
+    [C, 0],
+  ]);
+  const scarce = plan({cheapLeft, neededNow: 16});
+  // As many cheap ones as the third data centre may have, then regular ones
+  // where they cost least; the cheap ones are still asked for.
+  t.deepEqual(countsOf(scarce, true), [11, 7, 7]);
+  t.deepEqual(countsOf(scarce, false), [1, 1, 3]);
+});
+
+test('regular endpoints take the room that cheap ones leave', t => {
+  // Operators allow a data centre no more than it usually runs. Seen: nothing
+  // was ordered in place of what was reclaimed, since what was asked for in vain
+  // counted as if it were there.
+  const scaling = {...LIMITS, maxCount: 8};
+  const cheapLeft = new Map([[C, 0]]);
+  const targets = plan({scaling, needed: 13, neededNow: 21, cheapLeft});
+  t.deepEqual(countsOf(targets, true), [7, 7, 3]);
+  t.deepEqual(countsOf(targets, false), [1, 1, 5]);
+  const all = plan({scaling, needed: 13, neededNow: 50, cheapLeft});
+  t.deepEqual(countsOf(all, true), [7, 7, 1]);
+  t.deepEqual(countsOf(all, false), [1, 1, 7]);
+});
+
+test('a reclaim that leaves enough is not made up for', t => {
+  // Regular endpoints cost several times as much. Ordered for room that a calm
+  // day doesn't use, they would double its price for nothing.
+  t.deepEqual(plan({cheapLeft: new Map([[B, 0]]), neededNow: 10}), plan());
+  const calm = plan({
+    cheapLeft: new Map([
+      [B, 0],
+      [C, 0],
+    ]),
+    neededNow: 6,
+  });
+  t.deepEqual(countsOf(calm, false), [1, 1, 1]);
+});
+
+test('a burst orders more at once, cheap ones first', t => {
+  // Three times the usual load comes for some seconds. What is ordered when the
+  // first requests wait serves half of it; endpoints take seconds to boot.
+  const targets = plan({neededNow: 30});
+  t.deepEqual(countsOf(targets, true), [9, 9, 9]);
+  t.deepEqual(countsOf(targets, false), [1, 1, 1]);
+  const most = plan({neededNow: 100});
+  t.deepEqual(countsOf(most, true), [11, 11, 11]);
+});
+
+test('no data centre gets more than its limit, whatever is missing', t => {
+  fc.assert(
+    fc.property(
+      fc.integer({min: 0, max: 60}),
+      fc.integer({min: 0, max: 120}),
+      fc.array(fc.integer({min: 0, max: 11}), {maxLength: 3}),
+      (needed, neededNow, left) => {
+        const cheapLeft = new Map(
+          left.map((count, index) => [[A, B, C][index], count]),
+        );
+        const targets = plan({needed, neededNow, cheapLeft});
+        return [A, B, C].every(dataCentre => {
+          const own = targets.filter(each => each.dataCentre === dataCentre);
+          const total = own.reduce((sum, {count}) => sum + count, 0);
+          return total <= LIMITS.maxCount && own.every(({count}) => count >= 0);
+        });
+      },
+    ),
+  );
+  t.pass();
+});
+
+test('a peak is provided for until it has faded', t => {
+  // Waves of one burst come seconds apart. Endpoints that were given back between
+  // two of them would be booting when the second one comes.
+  const need = new EngineNeed({halfLifeMs: 5000});
+  const at = (requests: number, nowMs: number): number =>
+    need.update({requests, batchSize: 32}, nowMs);
+  const peak = at(400, 0);
+  t.true(peak > 20);
+  t.true(at(40, 3000) > peak / 2);
+  t.true(at(40, 30_000) < peak / 5);
+});
--- a/packages/routing/src/capacity_plan.ts
+++ b/packages/routing/src/capacity_plan.ts
@@ -18,8 +18,24 @@
   readonly scaling: ScalingLimits;
   /** Data centres in which the service runs. */
   readonly dataCentres: readonly DataCentreId[];
-  /** Endpoints that the demand needs, in endpoints of one kind. */
+  /** Endpoints that the usual demand needs. */
   readonly needed: number;
+  /** Endpoints that the demand of these seconds needs (0). */
+  readonly neededNow?: number;
+  /**
+   * Where no more cheap endpoints are to be had at the moment, those that are
+   * still there.
+   */
+  readonly cheapLeft?: ReadonlyMap<DataCentreId, number>;
+}
+
+/** Both kinds of one data centre. */
+interface Share {
+  readonly dataCentre: DataCentreId;
+  /** Undefined where as many as are ordered can be had. */
+  readonly cheapLeft: number | undefined;
+  regular: number;
+  cheap: number;
 }
 
 /**
@@ -31,21 +47,27 @@
  * data centres, a reclaim takes one share of them. The regular floor is one
  * endpoint in each data centre, or what the limits ask for.
  *
+ * What a data centre can't give at the moment is ordered of the others: cheap
+ * ones for the usual room, regular ones, several times as dear, for what the
+ * demand of the moment still lacks. They are given back once the cheap ones can
+ * be had again. Left out, two reclaims one after the other leave a third of the
+ * endpoints to carry everything.
+ *
  * @example
  * const targets = planCapacity(input);
  */
 export function planCapacity(input: CapacityInput): readonly CapacityTarget[] {
-  const {service, scaling, dataCentres} = input;
-  if (dataCentres.length === 0) return [];
-  const regularEach = Math.max(1, scaling.minCount);
-  const cheapEach = cheapInEach(input, regularEach);
-  return dataCentres.flatMap(dataCentre => {
-    const cheap = Math.min(cheapEach, scaling.maxCount - regularEach);
-    return [
-      {service, dataCentre, isCheap: false, count: regularEach},
-      {service, dataCentre, isCheap: true, count: Math.max(0, cheap)},
-    ];
-  });
+  const {service, scaling} = input;
+  if (input.dataCentres.length === 0) return [];
+  const neededNow = input.neededNow ?? 0;
+  const shares = planUsual(input);
+  const wanted = Math.max(countWanted(input), neededNow);
+  addCheap(shares, wanted - countExpected(shares), scaling);
+  addRegular(shares, neededNow - countExpected(shares), scaling);
+  return shares.flatMap(({dataCentre, regular, cheap}) => [
+    {service, dataCentre, isCheap: false, count: regular},
+    {service, dataCentre, isCheap: true, count: cheap},
+  ]);
 }
 
 /**
@@ -55,13 +77,81 @@
  */
 const BURST_HEADROOM = 1.6;
 
-/** Enough for the demand when one data centre's cheap ones are away. */
-function cheapInEach(input: CapacityInput, regularEach: number): number {
-  const centres = input.dataCentres.length;
-  const wanted = Math.ceil(input.needed * BURST_HEADROOM);
-  const missing = Math.max(0, wanted - regularEach * centres);
-  const lossProof = centres > 1 ? centres - 1 : 1;
-  return Math.ceil(missing / lossProof);
+function countWanted({needed}: CapacityInput): number {
+  return Math.ceil(needed * BURST_HEADROOM);
+}
+
+/** Enough for the usual demand when one data centre's cheap ones are away. */
+function planUsual(input: CapacityInput): Share[] {
+  const {scaling, dataCentres, cheapLeft} = input;
+  const regular = Math.max(1, scaling.minCount);
+  const missing = countWanted(input) - regular * dataCentres.length;
+  const lossProof = Math.max(1, dataCentres.length - 1);
+  const cheapEach = Math.ceil(Math.max(0, missing) / lossProof);
+  const cheap = Math.max(0, Math.min(cheapEach, scaling.maxCount - regular));
+  return dataCentres.map(dataCentre => ({
+    dataCentre,
+    cheapLeft: cheapLeft?.get(dataCentre),
+    regular,
+    cheap,
+  }));
+}
+
+/** Endpoints that will serve, not those that are asked for in vain. */
+function countExpected(shares: readonly Share[]): number {
+  return shares.reduce(
+    (sum, {regular, cheap, cheapLeft}) =>
+      sum + regular + Math.min(cheap, cheapLeft ?? cheap),
+    0,
+  );
+}
+
+/** One more in each data centre in turn, as long as there is room. */
+function addCheap(
+  shares: readonly Share[],
+  missing: number,
+  scaling: ScalingLimits,
+): void {
+  let left = missing;
+  while (left > 0) {
+    const open = shares.filter(
+      share => share.cheapLeft === undefined && hasRoom(share, scaling),
+    );
+    if (open.length === 0) return;
+    for (const share of open.slice(0, left)) {
+      share.cheap += 1;
+      left -= 1;
+    }
+  }
+}
+
+/**
+ * Where they cost least. Where cheap ones can't be had, regular ones take their
+ * room, but for one that is still asked for: it shows when they can be had again.
+ */
+function addRegular(
+  shares: readonly Share[],
+  missing: number,
+  scaling: ScalingLimits,
+): void {
+  const priceOf = ({dataCentre}: Share): number =>
+    scaling.priceByDataCentre.get(dataCentre) ?? 0;
+  const cheapestFirst = shares.toSorted(
+    (one, other) => priceOf(one) - priceOf(other),
+  );
+  let left = missing;
+  for (const share of cheapestFirst) {
+    const kept = Math.max(share.cheapLeft ?? share.cheap, 1);
+    const room = scaling.maxCount - share.regular - Math.min(kept, share.cheap);
+    const added = Math.max(0, Math.min(left, room));
+    share.regular += added;
+    share.cheap = Math.min(share.cheap, scaling.maxCount - share.regular);
+    left -= added;
+  }
+}
+
+function hasRoom({regular, cheap}: Share, {maxCount}: ScalingLimits): boolean {
+  return regular + cheap < maxCount;
 }
 
 /** Endpoints of a kind that a data centre runs and keeps. */
