Let no instance save up retries of a burst for its end

Cause: each instance kept to its ratio in the ten seconds before each further attempt, which bounds every window only while requests keep coming. When the burst ended, its first second (some 1,400 requests) still paid for attempts in seconds after it, so that a window that began with the second one held up to 0.2 x 1,400 more than its own requests allow.

Now what may be saved up is bounded: over all instances by most of what the deployment allows beyond its ratio, a share each by the number of instances, which all know from the table; one while nobody has counted them.

--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -5,17 +5,24 @@
 /** `<IP number>:<port>`. */
 export type ListenAddress = string;
 
+/** Bounds on attempts beyond the first of a request, over all instances. */
+export interface RetrySettings {
+  /** Further attempts for each request. */
+  readonly ratio: number;
+  readonly windowMs: number;
+  /** Further attempts in a window beyond the ratio. */
+  readonly slack: number;
+  /** See {@link WindowBudgetOptions}. */
+  readonly floor?: number;
+}
+
 export interface GatewaySettings {
   readonly instance: InstanceId;
   readonly dataCentre: DataCentreId;
   readonly callersAddress: ListenAddress;
   readonly readinessAddress: ListenAddress;
   readonly metricsAddress: ListenAddress | undefined;
-  readonly retry: {
-    /** Further attempts for each request, over all instances. */
-    readonly ratio: number;
-    readonly windowMs: number;
-  };
+  readonly retry: RetrySettings;
   readonly changes: {
     /** A change has to be known so soon, also over a connection that broke. */
     readonly knownWithinMs: number;
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -18,11 +18,9 @@
 import type {Route} from '@snipestage/routing/route.js';
 import type {RouteTable} from '@snipestage/routing/route_table.js';
 import {UsualDurations} from '@snipestage/routing/usual_durations.js';
-import {
-  WindowBudget,
-  type WindowBudgetOptions,
-} from '@snipestage/routing/window_budget.js';
+import {maxSavedEach, WindowBudget} from '@snipestage/routing/window_budget.js';
 import type {ServiceId} from '@snipestage/types/ids.js';
+import type {RetrySettings} from './gateway_settings.js';
 
 /** About as long as a burst; over all instances the figures are steady. */
 const TOLD_DEMAND_HALF_LIFE_MS = 5000;
@@ -57,7 +55,7 @@
   private readonly budgets = new Map<ServiceId, WindowBudget>();
   private readonly refusalDelays = new Map<ServiceId, RefusalDelay>();
 
-  constructor(private retry: WindowBudgetOptions) {
+  constructor(private retry: RetrySettings) {
     const {monitor, reach, agreedDemand: demand, recentDemand: recent} = this;
     this.plainPlacement = new LeastLoadedPlacement({monitor, reach});
     this.promptPlacement = new PromptPlacement({
@@ -97,7 +95,11 @@
   budgetFor(service: ServiceId): WindowBudget {
     const existing = this.budgets.get(service);
     if (existing !== undefined) return existing;
-    const budget = new WindowBudget(this.retry);
+    const {slack} = this.retry;
+    const budget = new WindowBudget({
+      ...this.retry,
+      readMaxSaved: () => maxSavedEach(slack, this.instances),
+    });
     this.budgets.set(service, budget);
     return budget;
   }
@@ -123,10 +125,11 @@
   }
 
   /** New settings; what was spent in the window before is forgotten. */
-  changeRetry(retry: WindowBudgetOptions): void {
+  changeRetry(retry: RetrySettings): void {
     const isSame =
       retry.ratio === this.retry.ratio &&
-      retry.windowMs === this.retry.windowMs;
+      retry.windowMs === this.retry.windowMs &&
+      retry.slack === this.retry.slack;
     if (isSame) return;
     this.retry = retry;
     this.budgets.clear();
--- a/packages/gateway/src/test_support/test_door.ts
+++ b/packages/gateway/src/test_support/test_door.ts
@@ -76,7 +76,12 @@
 
 /** One door; its endpoints see raw bytes and answer with raw bytes. */
 export class TestDoor {
-  readonly state = new RoutingState({ratio: 1, windowMs: 10_000, floor: 10});
+  readonly state = new RoutingState({
+    ratio: 1,
+    windowMs: 10_000,
+    slack: 50,
+    floor: 10,
+  });
   /** First lines and headers that endpoints received, by endpoint. */
   readonly received: Array<{endpoint: string; request: string}> = [];
   readonly begun: Admission[] = [];
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -146,7 +146,7 @@
       callersAddress: `127.0.0.1:${callers}`,
       readinessAddress: `127.0.0.1:${readiness}`,
       metricsAddress: undefined,
-      retry: {ratio: 0.2, windowMs: 10_000},
+      retry: {ratio: 0.2, windowMs: 10_000, slack: 50},
       changes: {knownWithinMs: 500, inForceWithinMs: 200},
       relays: {address: undefined, dataCentres: 1, strength: 1},
       shutdown: {graceMs},
--- a/packages/routing/src/window_budget.ts
+++ b/packages/routing/src/window_budget.ts
@@ -10,10 +10,35 @@
   readonly windowMs: number;
   /** Allowed whatever the number of requests (1). */
   readonly floor?: number;
+  /**
+   * Further attempts that may be saved up for later, at this moment (no limit).
+   */
+  readonly readMaxSaved?: () => number;
 }
 
 const DEFAULT_FLOOR = 1;
 
+/**
+ * What each instance may save up, if all of them together are to stay within
+ * what a deployment allows beyond its ratio.
+ *
+ * @param slack further attempts allowed beyond the ratio, over all instances.
+ * @param instances undefined while nobody has counted them.
+ * @example
+ * maxSavedEach(52, 6); // 6.1
+ */
+export function maxSavedEach(
+  slack: number,
+  instances: number | undefined,
+): number {
+  if (instances === undefined) return DEFAULT_FLOOR;
+  const beyondFloors = slack / instances - DEFAULT_FLOOR;
+  return Math.max(DEFAULT_FLOOR, beyondFloors * SAVED_SHARE);
+}
+
+/** Some instances are gone or not counted yet. */
+const SAVED_SHARE = 0.8;
+
 /**
  * Sliding window over an instance's own requests and further attempts.
  *
@@ -22,19 +47,30 @@
  * however many there are and whoever is cut off. The floor lets an instance
  * with few requests repeat one; it is well inside the slack that deployments
  * allow on top, which is many times the number of instances.
+ *
+ * The window alone holds only while requests keep coming. When a burst ends, or
+ * callers leave, what its first second left unspent would be spent in its last
+ * one and after it, and windows that begin in between see further attempts
+ * without the requests that paid for them. So only a little may be saved up.
  */
 export class WindowBudget {
   private readonly requests: number[] = [];
   private readonly extras: number[] = [];
   private readonly floor: number;
+  private readonly readMaxSaved: () => number;
+  /** Further attempts that requests have paid for and nobody has made. */
+  private saved: number;
 
   constructor(private readonly options: WindowBudgetOptions) {
     this.floor = options.floor ?? DEFAULT_FLOOR;
+    this.readMaxSaved = options.readMaxSaved ?? (() => Number.MAX_VALUE);
+    this.saved = this.readMaxSaved();
   }
 
   /** A request came in. */
   countRequest(nowMs: number): void {
     this.requests.push(nowMs);
+    this.saved = Math.min(this.readMaxSaved(), this.saved + this.options.ratio);
     this.forget(nowMs);
   }
 
@@ -45,20 +81,22 @@
    * if (!budget.tryTake(nowMs)) giveUp();
    */
   tryTake(nowMs: number): boolean {
-    this.forget(nowMs);
-    if (this.extras.length + 1 > this.allowance()) return false;
+    if (!this.hasRoom(nowMs)) return false;
     this.extras.push(nowMs);
+    this.saved = Math.max(0, this.saved - 1);
     return true;
   }
 
   /** Whether {@link tryTake} would be granted now. */
   hasRoom(nowMs: number): boolean {
     this.forget(nowMs);
-    return this.extras.length + 1 <= this.allowance();
+    const next = this.extras.length + 1;
+    if (next <= this.floor) return true;
+    return next <= this.allowance() && this.saved >= 1;
   }
 
   private allowance(): number {
-    return Math.max(this.floor, this.options.ratio * this.requests.length);
+    return this.options.ratio * this.requests.length;
   }
 
   private forget(nowMs: number): void {
