--- a/packages/routing/src/engine_split.ts
+++ b/packages/routing/src/engine_split.ts
@@ -16,8 +16,8 @@
 const SHORT_PAUSE_SHARE = 0.5;
 /** Prompts of at most this share of the mean disturb little. */
 const SHORT_PROMPT_SHARE = 0.5;
-/** Chance alone goes beyond this once in forty looks. */
-const DEVIATIONS_OF_A_BURST = 2;
+/** Callers come in clumps, and a false alarm moves prompts from their homes. */
+const DEVIATIONS_OF_A_BURST = 3;
 
 /**
  * Routes that need short pauses and bring short prompts.
