--- a/packages/agreement/src/models/lease_model_process.ts
+++ b/packages/agreement/src/models/lease_model_process.ts
@@ -8,12 +8,8 @@
 } from '@snipestage/types/ids.js';
 import {beginLease, transitionLease, type LeaseEvent} from '../lease.js';
 import type {OrderContent} from '../order_rows.js';
-import {
-  beginOrders,
-  transitionOrders,
-  type OrdersEvent,
-  type OrdersStep,
-} from '../orders.js';
+import {beginOrders, transitionOrders} from '../orders.js';
+import type {OrdersEvent, OrdersStep} from '../order_messages.js';
 import type {LeaseModelOptions, Process} from './lease_world.js';
 
 export const LEASE_NAME = brandAs<LeaseName>('orders/akl-a');
--- a/packages/agreement/src/models/lease_model_sending.ts
+++ b/packages/agreement/src/models/lease_model_sending.ts
@@ -2,7 +2,7 @@
 
 import {leaseInForce} from '../lease.js';
 import type {Order} from '../order_rows.js';
-import type {OrderAnswer} from '../orders.js';
+import type {OrderAnswer} from '../order_messages.js';
 import {onOrders} from './lease_model_process.js';
 import {
   replaceProcess,
--- a/packages/agreement/src/models/lease_world.ts
+++ b/packages/agreement/src/models/lease_world.ts
@@ -4,7 +4,7 @@
 
 import type {LeaseState, LeaseStep} from '../lease.js';
 import type {Order} from '../order_rows.js';
-import type {OrdersEvent, OrdersState} from '../orders.js';
+import type {OrdersEvent, OrdersState} from '../order_messages.js';
 import type {TableEffect} from '../table_effects.js';
 import {type Delivery, type LateAction, type World} from './world_model.js';
 
--- a/packages/agreement/src/models/usage_model.ts
+++ b/packages/agreement/src/models/usage_model.ts
@@ -13,13 +13,12 @@
 } from '@snipestage/types/ids.js';
 import {fenceKey} from '../lease_rows.js';
 import type {TableEffect} from '../table_effects.js';
-import {
-  beginReporter,
-  transitionReporter,
-  type ReporterEffect,
-  type ReporterEvent,
-  type ReporterState,
-} from '../usage.js';
+import {beginReporter, transitionReporter} from '../usage.js';
+import type {
+  ReporterEffect,
+  ReporterEvent,
+  ReporterState,
+} from '../usage_reporter_messages.js';
 import {
   beginCounters,
   listCopies,
--- a/packages/agreement/src/models/usage_world.ts
+++ b/packages/agreement/src/models/usage_world.ts
@@ -1,7 +1,11 @@
 /** What there is in the specification of usage windows, and what may happen. */
 
 import type {TableEffect} from '../table_effects.js';
-import type {ReporterEffect, ReporterState, ReporterStep} from '../usage.js';
+import type {
+  ReporterEffect,
+  ReporterState,
+  ReporterStep,
+} from '../usage_reporter_messages.js';
 import type {CountersState, listCopies} from '../usage_counters.js';
 import type {Delivery, LateAction, World} from './world_model.js';
 
--- a/packages/agreement/src/orders.test.ts
+++ b/packages/agreement/src/orders.test.ts
@@ -10,13 +10,8 @@
 import {createLeaseModel} from './models/lease_model.js';
 import {carryOut, EMPTY_TABLE, type TableModel} from './models/table_model.js';
 import type {OrderContent} from './order_rows.js';
-import {
-  beginOrders,
-  transitionOrders,
-  type OrderAnswer,
-  type OrdersEvent,
-  type OrdersState,
-} from './orders.js';
+import {beginOrders, transitionOrders} from './orders.js';
+import type {OrderAnswer, OrdersEvent, OrdersState} from './order_messages.js';
 
 const LIMIT = 300_000;
 const HELD = {fencingToken: brandAs<FencingToken>(1), fenceVersion: 0};
--- a/packages/agreement/src/outstanding_orders.ts
+++ b/packages/agreement/src/outstanding_orders.ts
@@ -12,7 +12,7 @@
   targetOf,
   type OrderContent,
 } from './order_rows.js';
-import type {CurrentOrder, OrdersState} from './orders.js';
+import type {CurrentOrder, OrdersState} from './order_messages.js';
 
 /** The next content to order; undefined when all is as desired. */
 export function findOutstanding(state: OrdersState): OrderContent | undefined {
--- a/packages/agreement/src/usage.test.ts
+++ b/packages/agreement/src/usage.test.ts
@@ -17,12 +17,8 @@
 } from './models/table_model.js';
 import {createUsageModel} from './models/usage_model.js';
 import type {TableEffect} from './table_effects.js';
-import {
-  beginReporter,
-  transitionReporter,
-  type ReporterState,
-  type ReporterStep,
-} from './usage.js';
+import {beginReporter, transitionReporter} from './usage.js';
+import type {ReporterState, ReporterStep} from './usage_reporter_messages.js';
 import {
   areCountersWritten,
   beginCounters,
--- a/packages/agreement/src/usage.ts
+++ b/packages/agreement/src/usage.ts
@@ -11,26 +11,23 @@
  * has about `n a` lines of some 100 bytes.
  */
 
-import type {LeaseName, UsageWindowId} from '@snipestage/types/ids.js';
-import type {
-  ReportResult,
-  UsageReport,
-} from '@snipestage/types/platform_messages.js';
+import type {ReportResult} from '@snipestage/types/platform_messages.js';
 import type {ReadResult, Row} from '@snipestage/types/table.js';
 import {fenceKey, type LeaseTerm} from './lease_rows.js';
-import {
-  findRow,
-  startCall,
-  type Step,
-  type TableEffect,
-  type TableEvent,
-} from './table_effects.js';
+import {findRow, startCall} from './table_effects.js';
 import {
   advanceReported,
   chooseTask,
   composeProgressWrite,
 } from './usage_progress.js';
-import {composeReport, composeSeal} from './usage_seal.js';
+import type {
+  ReporterEffect,
+  ReporterEvent,
+  ReporterOptions,
+  ReporterPhase,
+  ReporterState,
+  ReporterStep,
+} from './usage_reporter_messages.js';
 import {
   accountedKey,
   COUNTERS_PREFIX,
@@ -41,71 +38,7 @@
   type ProgressValue,
   type SealValue,
 } from './usage_rows.js';
-
-/** How windows are cut and reported. */
-export interface ReporterOptions {
-  readonly lease: LeaseName;
-  readonly windowMs: number;
-  /** How long after its end a window waits for counters. */
-  readonly graceMs: number;
-  /** See {@link SealOptions}; ten windows if absent. */
-  readonly keepCountersMs?: number;
-  /** See {@link SealOptions}; seven days if absent. */
-  readonly keepAccountedMs?: number;
-}
-
-/** Where the reporter stands; each phase awaits the call numbered `call`. */
-export type ReporterPhase =
-  | {readonly kind: 'idle'}
-  | {readonly kind: 'reading_progress'; readonly nowEpochMs: number}
-  | {
-      readonly kind: 'scanning_counters';
-      readonly progress: Row;
-    }
-  | {
-      readonly kind: 'reading_accounted';
-      readonly progress: Row;
-      readonly counters: readonly Row[];
-    }
-  | {readonly kind: 'writing'}
-  | {readonly kind: 'reading_seal'; readonly progress: Row}
-  | {readonly kind: 'reporting'; readonly progress: Row};
-
-export interface ReporterState {
-  readonly options: ReporterOptions;
-  readonly term: LeaseTerm | undefined;
-  readonly call: number;
-  readonly phase: ReporterPhase;
-}
-
-export type ReporterEvent =
-  | TableEvent
-  | {readonly kind: 'acquired'; readonly held: LeaseTerm}
-  | {readonly kind: 'lost'}
-  /** To be given every second or so; `nowEpochMs` only says what has ended. */
-  | {readonly kind: 'tick'; readonly nowEpochMs: number}
-  | {
-      readonly kind: 'report_answered';
-      readonly call: number;
-      /** `not_sent`: the guard said no. */
-      readonly result: ReportResult | {readonly kind: 'not_sent'};
-    };
-
-export type ReporterEffect =
-  | TableEffect
-  /** Send it if `leaseInForce` in the turn in which its bytes leave. */
-  | {
-      readonly kind: 'report';
-      readonly call: number;
-      readonly report: UsageReport;
-    }
-  | {
-      readonly kind: 'report_refused';
-      readonly window: UsageWindowId;
-      readonly reason: string;
-    };
-
-export type ReporterStep = Step<ReporterState, ReporterEffect>;
+import {composeReport, composeSeal} from './usage_seal.js';
 
 /**
  * @example
--- a/packages/entry/src/account/usage_report_task.ts
+++ b/packages/entry/src/account/usage_report_task.ts
@@ -3,10 +3,12 @@
 import {
   beginReporter,
   transitionReporter,
-  type ReporterEffect,
-  type ReporterEvent,
-  type ReporterState,
 } from '@snipestage/agreement/usage.js';
+import type {
+  ReporterEffect,
+  ReporterEvent,
+  ReporterState,
+} from '@snipestage/agreement/usage_reporter_messages.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import type {LeaseName} from '@snipestage/types/ids.js';
--- a/packages/entry/src/agree/order_task.ts
+++ b/packages/entry/src/agree/order_task.ts
@@ -1,13 +1,12 @@
 /** Gives the orders of one data centre while its lease is held. */
 
-import {
-  beginOrders,
-  transitionOrders,
-  type OrderAnswer,
-  type OrdersEffect,
-  type OrdersEvent,
-  type OrdersState,
-} from '@snipestage/agreement/orders.js';
+import {beginOrders, transitionOrders} from '@snipestage/agreement/orders.js';
+import type {
+  OrderAnswer,
+  OrdersEffect,
+  OrdersEvent,
+  OrdersState,
+} from '@snipestage/agreement/order_messages.js';
 import type {Order, OrderContent} from '@snipestage/agreement/order_rows.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
--- a/packages/entry/src/send/engine_orders.ts
+++ b/packages/entry/src/send/engine_orders.ts
@@ -1,6 +1,6 @@
 /** Sends orders to model engines. */
 
-import type {OrderAnswer} from '@snipestage/agreement/orders.js';
+import type {OrderAnswer} from '@snipestage/agreement/order_messages.js';
 import type {EngineOrder} from '@snipestage/agreement/order_rows.js';
 import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import type {SendGuard} from '@snipestage/platform/platform.js';
