Fetch long beginnings from their home, short ones from where they went

Hypothesis: with 60 instances, one sees each long beginning so rarely that the engine it sent it to last no longer has it, while the next in rank has.

Change: only beginnings that are too short for a home of their own are fetched from where they went last; and long ones that no home has room for name their home again.

--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -81,18 +81,18 @@
     const group = this.groupFor(usable, request);
     const {prompt} = request;
     if (prompt === undefined) return this.chooseByLoad(group, request);
-    const placed =
-      countSharedTokens(prompt) >= MIN_SHARED_TOKENS
-        ? this.chooseByPrefix(group, request, prompt)
-        : this.chooseByLoad(group, request);
+    if (countSharedTokens(prompt) >= MIN_SHARED_TOKENS) {
+      return this.chooseByPrefix(group, request, prompt);
+    }
+    const placed = this.chooseByLoad(group, request);
     return placed && this.fetchFromHolder(placed, usable, prompt);
   }
 
   /**
-   * Prefers the engine that is known to have the beginning as the place to fetch
-   * it from. Which one comes next in rank is only a guess: short beginnings go
-   * wherever there is least to do, and long ones have spilled over or changed
-   * sides.
+   * Names the engine that this instance sent the beginning to last as the place
+   * to fetch it from. Short beginnings go wherever there is least to do; read
+   * anew at each engine that they come to, they would cost as much as the
+   * questions behind them. Long ones have a home that all instances know.
    */
   private fetchFromHolder(
     placed: Placed,
@@ -147,8 +147,10 @@
     const sound = ranked.filter(
       ({id}) => this.monitor.failureShare(id, nowMs) < MAX_FAILURE_SHARE,
     );
-    const endpoint = sound.find(({id}) => loads.get(id)! < bound);
-    if (endpoint === undefined) return this.chooseByLoad(group, request);
+    const endpoint =
+      sound.find(({id}) => loads.get(id)! < bound) ??
+      this.chooseByLoad(group, request)?.endpoint;
+    if (endpoint === undefined) return undefined;
     // The first of the others: its home when the prompt spills over, else who
     // was its home before an endpoint came.
     return {endpoint, cacheSource: sound.find(({id}) => id !== endpoint.id)};
