--- a/packages/routing/src/engine_split.test.ts
+++ b/packages/routing/src/engine_split.test.ts
@@ -7,21 +7,15 @@
   shareOfShortRoutes,
   splitCount,
 } from './engine_split.js';
-import type {RouteId} from './route.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 import {
+  COUNTER,
   makeEndpoint,
   makePrompt,
-  makeRoute,
+  QUOTE,
   REPAIR,
 } from './test_support/fixtures.js';
 
-const QUOTE = makeRoute({id: brandAs<RouteId>('quote'), pauseTargetMs: 600});
-const COUNTER = makeRoute({
-  id: brandAs<RouteId>('counter'),
-  pauseTargetMs: 150,
-});
-
 test('neither side of the split is ever empty', t => {
   t.is(splitCount(8, 0.01), 1);
   t.is(splitCount(8, 0.99), 7);
--- a/packages/routing/src/prompt_placement.test.ts
+++ b/packages/routing/src/prompt_placement.test.ts
@@ -9,20 +9,16 @@
 import {EndpointMonitor} from './endpoint_monitor.js';
 import type {Prompt} from './prompt.js';
 import {PromptPlacement} from './prompt_placement.js';
-import type {Route, RouteId} from './route.js';
+import type {Route} from './route.js';
 import {
   AKL_A,
+  COUNTER,
   makeEndpoint,
   makePrompt,
-  makeRoute,
+  QUOTE,
   REPAIR,
 } from './test_support/fixtures.js';
 
-const QUOTE = makeRoute({id: brandAs<RouteId>('quote'), pauseTargetMs: 600});
-const COUNTER = makeRoute({
-  id: brandAs<RouteId>('counter'),
-  pauseTargetMs: 150,
-});
 const ENGINES = Array.from({length: 8}, (_, index) =>
   makeEndpoint(`engine-${index}`),
 );
--- a/packages/routing/src/test_support/fixtures.ts
+++ b/packages/routing/src/test_support/fixtures.ts
@@ -85,3 +85,15 @@
     ],
   };
 }
+
+/** Long prompts whose callers are patient between events. */
+export const QUOTE = makeRoute({
+  id: brandAs<RouteId>('quote'),
+  pauseTargetMs: 600,
+});
+
+/** Short questions whose callers are not. */
+export const COUNTER = makeRoute({
+  id: brandAs<RouteId>('counter'),
+  pauseTargetMs: 150,
+});
