--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -46,8 +46,7 @@
 const RENEWALS_PER_TERM = 2.5;
 /**
  * Each poll is a priced call. It has to come before a lease that was seen last
- * seems to have lapsed, or each challenger writes in vain once a term: at two
- * terms, half of all calls were such writes and the reads after them.
+ * seems to have lapsed, or each challenger writes in vain once a term.
  */
 const POLL_TERMS = 1;
 /** Share of a window after which its counts so far are written. */
--- a/packages/routing/src/agreed_demand.ts
+++ b/packages/routing/src/agreed_demand.ts
@@ -22,9 +22,8 @@
 /**
  * Instances that go by the same figures split the engines alike. By their own
  * figures, a request or two of a route a second each, they disagree on some
- * engines, which then get long prompts from one and short pauses from another:
- * of streams with short pauses one in ten was late by that, against one in
- * twenty-four with the same figures everywhere.
+ * engines, which then get long prompts from one and short pauses from another,
+ * and the streams on them stutter.
  */
 export class AgreedDemand extends DemandSource {
   private readonly told = new Map<ServiceId, Told>();
--- a/packages/routing/src/engine_split.ts
+++ b/packages/routing/src/engine_split.ts
@@ -11,7 +11,7 @@
 /**
  * A route counts as one of short pauses when it may pause for at most this
  * share of what the most patient route of its service may. An engine that reads
- * long prompts pauses for some 35 to 55 ms a token, whatever its requests need.
+ * long prompts pauses between tokens, whatever its other requests need.
  */
 const SHORT_PAUSE_SHARE = 0.5;
 /** Prompts of at most this share of the mean disturb little. */
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -25,7 +25,7 @@
 /** What a {@link PromptPlacement} is made from. */
 export interface PromptPlacementOptions extends PlacementBeliefs {
   readonly demand: DemandSource;
-  /** What this instance alone has seen in the last seconds. */
+  /** What this instance alone has seen in the last seconds; shows bursts. */
   readonly recent: DemandMeter;
   /** At least 0 and below 1. */
   readonly random?: () => number;
@@ -34,9 +34,8 @@
 /** An engine takes at most so many times the mean load for its prefixes. */
 const LOAD_BOUND = 1.5;
 /**
- * Requests above the bounded mean before it holds. With few requests an engine
- * the estimates waver by some; at 3, one shared prompt in six was read again
- * where the engine that had it would have served, at 8 one in seven.
+ * Requests above the bounded mean before it holds: with few requests an engine,
+ * the estimates waver by some, and prompts would leave their homes for nothing.
  */
 const LOAD_SLACK = 8;
 /** Below this a cached prefix saves less than an uneven load costs. */
