Let the soak tell a reload before a process's first line from a crash

Until a process has run its first line, SIGHUP ends it as the system does by default: four processes of the bundled program that were signalled 2, 8, 10 and 30 ms after their start all ended by SIGHUP.

Ruled out: a crash of the program (no code, no output), memory (the signal would be another). Nothing can be mended in the program, which isn't running yet, and nothing was taken.

--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -263,6 +263,7 @@
     life: 1,
     cause: 'terminated',
     code: 0,
+    signal: null,
     wasReady: true,
     tookMs: 3000,
     atMs: 20_000,
@@ -280,6 +281,11 @@
   t.deepEqual(ends({code: null}), ['proper_ends']);
   t.deepEqual(ends({code: null, wasReady: false}), []);
   t.deepEqual(ends({code: 1, wasReady: false}), ['proper_ends']);
+  const reloaded = {cause: undefined, code: null, signal: 'SIGHUP'};
+  t.deepEqual(ends({...reloaded, wasReady: false}), []);
+  t.deepEqual(ends(reloaded), ['proper_ends']);
+  const crashed = {...reloaded, signal: 'SIGSEGV', wasReady: false};
+  t.deepEqual(ends(crashed), ['proper_ends']);
   t.deepEqual(ends({tookMs: 9000}), ['proper_ends']);
 });
 
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -79,6 +79,8 @@
   /** Undefined when nobody had ended it. */
   readonly cause: 'terminated' | 'killed' | undefined;
   readonly code: number | null;
+  /** Which signal ended it, if one did. */
+  readonly signal: NodeJS.Signals | null;
   /** It had said that it was ready, and may have had requests. */
   readonly wasReady: boolean;
   /** From the signal to the end. */
--- a/packages/soak/src/world/instance.ts
+++ b/packages/soak/src/world/instance.ts
@@ -10,7 +10,10 @@
   composeSettings,
   type InstanceSettings,
 } from '@snipestage/platform_stand_ins/settings_text.js';
-import {LaunchedProcess} from '@snipestage/stand_ins/launch/launched_process.js';
+import {
+  LaunchedProcess,
+  type Exit,
+} from '@snipestage/stand_ins/launch/launched_process.js';
 import {Link} from '@snipestage/stand_ins/link/link.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 import type {Disturbance, History, ProcessEnd} from '../history.js';
@@ -198,11 +201,11 @@
       },
     });
     this.process = launched;
-    void launched.exited.then(({code}) => this.noteEnd(launched, code));
+    void launched.exited.then(exit => this.noteEnd(launched, exit));
     void this.waitUntilReady(launched);
   }
 
-  private noteEnd(launched: LaunchedProcess, code: number | null): void {
+  private noteEnd(launched: LaunchedProcess, {code, signal}: Exit): void {
     if (this.isClosing) return;
     const {history, nowMs} = this.options;
     const atMs = nowMs();
@@ -211,6 +214,7 @@
       life: this.life,
       cause: this.cause,
       code,
+      signal,
       wasReady: this.wasReady,
       tookMs: this.cause === undefined ? 0 : atMs - this.signalledAtMs,
       atMs,
