Relay before the instances are counted

In the first twelve seconds each instance polled three tables by itself (585 + 195 + 243 polls for endpoints alone), all 195 read, wrote and lost the duties lease (583 reads, 197 writes of which 194 in vain, 194 reads of the fence), and each wrote its counts alone.

Cause: relays, lease candidates and gathered counts all wait for the number of instances, and that was first known when the first usage window had been sealed, nine seconds after the start.

Ruled out: followers that go on asking the store once they have a relay (they don't; the relays themselves do, at their pace); checks of leases by the eight candidates (2 a second).

- The first seat of a data centre is taken while the number is unknown; the relay counts its followers and tells an estimate after 2.5 s, or after 6 s that there are few, which ends relaying.
- A relay asks at its quick pace only from three followers on.
- Instances stand for the lease one after the other while they aren't counted.
- The first poll after a whole read waits like one after a change.

--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -4,8 +4,8 @@
 import {TableExecutor} from '@snipestage/entry/configure/table_executor.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
-import {hashText} from '@snipestage/policy/rendezvous.js';
 import type {AgreedClock} from '@snipestage/routing/agreed_clock.js';
+import {standsForLease} from '@snipestage/routing/lease_candidates.js';
 import {UsageWindows} from '@snipestage/routing/usage_windows.js';
 import {
   brandAs,
@@ -51,10 +51,6 @@
 const POLL_TERMS = 1;
 /** Share of a window after which its counts so far are written. */
 const USAGE_WRITE_SHARE = 0.5;
-/** Some may be cut off from the store, or killed, and one is to be left. */
-const LEASE_CANDIDATES = 8;
-/** Hashes are 32 bits. */
-const HASH_RANGE = 2 ** 32;
 
 /** Owns the lease and the tasks that are done in its name. */
 export class Duties {
@@ -65,11 +61,13 @@
   private readonly writer: UsageWriter;
   private readonly reporter: UsageReporter;
   private readonly capacity: CapacityDuty;
+  private readonly startedAtMs: number;
 
   constructor(private readonly options: DutiesOptions) {
     const {settings, platform, state, clock, facts, nowMs} = options;
     const {windowMs, dueAfterMs} = settings.usage;
     const logger = options.logger.forComponent('usage');
+    this.startedAtMs = nowMs();
     this.windows = new UsageWindows(windowMs);
     this.keeper = new ClockKeeper(platform, clock, logger);
     this.lease = this.createLease();
@@ -173,16 +171,14 @@
     });
   }
 
-  /**
-   * A few stand for the lease; each of them polls its row. By a hash of their
-   * names, which instances share without a call; all while none has counted.
-   */
   private standsForLease(): boolean {
-    const {instances} = this.options.state;
-    if (instances === undefined) return true;
-    const {instance} = this.options.settings;
-    const place = hashText(`${DUTIES_LEASE}/${instance}`) / HASH_RANGE;
-    return place < LEASE_CANDIDATES / instances;
+    const {settings, state, nowMs} = this.options;
+    return standsForLease({
+      instance: settings.instance,
+      lease: DUTIES_LEASE,
+      instances: state.instances,
+      upForMs: nowMs() - this.startedAtMs,
+    });
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -90,6 +90,7 @@
       logger: logger.forComponent('relay'),
       nowMs,
       countInstances: () => this.state.instances,
+      onEstimate: instances => void facts.tellEstimate(instances),
     });
     this.duties = new Duties({
       settings,
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -52,9 +52,8 @@
     });
   }
 
-  /** Whether anybody follows this relay. */
-  get hasFollowers(): boolean {
-    return this.followers.size > 0;
+  get followerCount(): number {
+    return this.followers.size;
   }
 
   /** Rejects when the port can't be had. */
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -2,6 +2,7 @@
 
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
+import {InstanceEstimate} from '@snipestage/routing/instance_estimate.js';
 import {
   RelayRoster,
   type RelayHolder,
@@ -11,7 +12,7 @@
 import type {FollowedTable, FollowPace} from '../table_follower.js';
 import type {RelayClient, RelayEnd} from './relay_client.js';
 import {RELAYED_TABLES, type RelayedTableName} from './relay_messages.js';
-import type {RelayServer} from './relay_server.js';
+import {RelayHost} from './relay_host.js';
 import {RelayedFeed} from './relayed_feed.js';
 import {RelayedTable} from './relayed_table.js';
 import {seatKey, type SeatValue} from './seat_rows.js';
@@ -34,6 +35,8 @@
   readonly nowMs: () => number;
   /** How many instances there are, as far as it is known. */
   readonly countInstances: () => number | undefined;
+  /** Told how many there seem to be, while it isn't known. */
+  readonly onEstimate: (instances: number) => void;
 }
 
 /**
@@ -63,7 +66,9 @@
   private readonly copies: Record<RelayedTableName, TableCopy>;
   private readonly feeds: Record<RelayedTableName, RelayedFeed>;
   private readonly writes: WriteGatherer;
-  private server: RelayServer | undefined;
+  private readonly estimate: InstanceEstimate;
+  private readonly host: RelayHost;
+  private hasEstimated = false;
   private client: RelayClient | undefined;
   private timer: NodeJS.Timeout | undefined;
   private isBusy = false;
@@ -71,9 +76,15 @@
 
   constructor(private readonly options: RelaysOptions) {
     this.roster = new RelayRoster(options);
+    this.estimate = new InstanceEstimate({
+      dataCentres: options.dataCentres,
+      relaysPayFrom: this.roster.paysFrom,
+    });
     this.writes = new WriteGatherer(options.platform);
     const freshForMs = options.inForceWithinMs * FRESH_SHARE;
     this.copies = perTable(() => new TableCopy());
+    const {copies, writes} = this;
+    this.host = new RelayHost({...options, copies, writes});
     this.feeds = perTable(
       name =>
         new RelayedFeed(name === 'shared' ? FACTS_FRESH_FOR_MS : freshForMs),
@@ -89,14 +100,8 @@
   async stop(): Promise<void> {
     this.isStopping = true;
     clearInterval(this.timer);
-    this.client?.close();
-    this.stopServing();
-    const seat = this.roster.ownSeat;
-    if (seat === undefined) return;
-    await this.options.platform.transact({
-      checks: [{key: seatKey(seat), version: seat.version}],
-      writes: [{key: seatKey(seat), value: null}],
-    });
+    this.host.close();
+    await this.leave();
   }
 
   /** The table as it is to be followed: by way of a relay where one is. */
@@ -107,8 +112,10 @@
   /** How a relay asks for a table; undefined: as everybody does. */
   paceOf(name: RelayedTableName): FollowPace | undefined {
     // Facts may be known later; their feed stays fresh for longer. A relay that
-    // nobody follows stands by for the others, and needn't ask more often.
-    if (!this.server?.hasFollowers || name === 'shared') return undefined;
+    // hardly anybody follows stands by, and needn't ask more often.
+    const {followers} = this.host.sight;
+    const isSlow = name === 'shared' || !this.roster.isWorthwhile(followers);
+    if (isSlow) return undefined;
     const {inForceWithinMs} = this.options;
     return {
       waitMs: inForceWithinMs * RELAY_WAIT_SHARE,
@@ -123,7 +130,7 @@
 
   /** The store itself, not a relay, has just been heard of a table. */
   confirm(name: RelayedTableName): void {
-    this.server?.confirm(name);
+    this.host.confirm(name);
   }
 
   /**
@@ -132,7 +139,7 @@
    * @returns whether the store has it; if not, write it in another way.
    */
   async write(key: string, value: unknown): Promise<boolean> {
-    if (this.server !== undefined) {
+    if (this.host.isServing) {
       return this.writes.add({key, value}, () => true);
     }
     return (await this.client?.write({key, value})) ?? false;
@@ -144,62 +151,76 @@
 
   snapshot(): object {
     return {
-      isRelay: this.server !== undefined,
+      isRelay: this.host.isServing,
       follows: this.client !== undefined,
       seat: this.roster.ownSeat?.number,
     };
   }
 
   private async tick(): Promise<void> {
-    const {roster, options} = this;
-    if (this.isBusy || !roster.pays(options.countInstances())) return;
+    // Seats and the number of instances are rows of this table.
+    const areSeatsKnown = this.copies.shared.version !== undefined;
+    if (this.isBusy || !areSeatsKnown) return;
     this.isBusy = true;
     try {
-      await this.matchServer();
-      const nowMs = options.nowMs();
-      const seat = roster.seatToClaim(nowMs);
-      if (seat !== undefined) await this.claim(seat);
-      else if (!roster.isRelay && this.client === undefined) {
-        const relay = roster.choose(nowMs);
-        if (relay !== undefined) await this.follow(relay);
+      const instances = this.options.countInstances();
+      const isUnknown = instances === undefined;
+      if (isUnknown || this.roster.pays(instances)) {
+        await this.takePart(isUnknown);
+      } else {
+        await this.leave();
       }
     } finally {
       this.isBusy = false;
     }
   }
 
+  private async takePart(isUnknown: boolean): Promise<void> {
+    const {roster, options} = this;
+    await this.matchServer();
+    const nowMs = options.nowMs();
+    const seat = roster.seatToClaim(nowMs, isUnknown);
+    if (seat !== undefined) await this.claim(seat);
+    else if (!roster.isRelay && this.client === undefined) {
+      const relay = roster.choose(nowMs);
+      if (relay !== undefined) await this.follow(relay);
+    }
+    if (isUnknown) this.estimateInstances();
+  }
+
+  private estimateInstances(): void {
+    if (!this.host.isServing || this.hasEstimated) return;
+    const instances = this.estimate.read(this.host.sight);
+    if (instances === undefined) return;
+    this.hasEstimated = true;
+    this.options.onEstimate(instances);
+  }
+
+  /** Neither relays nor follows: each instance asks the store by itself. */
+  private async leave(): Promise<void> {
+    this.client?.close();
+    this.host.stop();
+    const seat = this.roster.ownSeat;
+    if (seat === undefined) return;
+    const key = seatKey(seat);
+    const result = await this.options.platform.transact({
+      checks: [{key, version: seat.version}],
+      writes: [{key, value: null}],
+    });
+    if (result.kind !== 'committed') return;
+    const version = result.versions[key];
+    this.roster.learn({...seat, holder: undefined, version});
+  }
+
   /** Serves while this instance has a seat, and only then. */
   private async matchServer(): Promise<void> {
     if (this.roster.isRelay) await this.serve();
-    else this.stopServing();
+    else this.host.stop();
   }
 
   private async serve(): Promise<boolean> {
-    const {address, logger} = this.options;
-    if (this.server !== undefined) return true;
-    if (address === undefined || this.isStopping) return false;
-    this.client?.close();
-    // Loaded where it is used: every start would pay for it.
-    const {RelayServer} = await import('./relay_server.js');
-    const {copies, writes} = this;
-    const server = new RelayServer({address, copies, writes, logger});
-    try {
-      await server.start();
-      if (this.isStopping) {
-        server.stop();
-        return false;
-      }
-    } catch (error) {
-      logger.error('relay_not_started', {address, error: String(error)});
-      return false;
-    }
-    this.server = server;
-    return true;
-  }
-
-  private stopServing(): void {
-    this.server?.stop();
-    this.server = undefined;
+    if (!this.host.isServing) this.client?.close();
+    return this.host.start();
   }
 
   /** Listens first: whoever reads the row connects at once. */
@@ -218,7 +239,7 @@
       outcome: result.kind,
     });
     if (result.kind !== 'committed') {
-      this.stopServing();
+      this.host.stop();
       return;
     }
     const version = result.versions[key];
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -67,6 +67,19 @@
     await this.write('crash', rows);
   }
 
+  /** Tells an estimate of the number of instances, unless a count is there. */
+  async tellEstimate(count: number): Promise<void> {
+    const key = `shared/${INSTANCES}`;
+    const result = await this.options.platform.transact({
+      checks: [{key, version: 0}],
+      writes: [{key, value: {count}}],
+    });
+    this.options.logger.info('instances_estimated', {
+      count,
+      outcome: result.kind,
+    });
+  }
+
   /** Adds up what all instances wrote, and tells it where it has changed. */
   async tellSeen(rows: readonly CountsValue[]): Promise<void> {
     const changed = [...this.newCount(rows), ...this.newDemands(rows)];
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -51,8 +51,9 @@
   /** How long a poll may last. */
   readonly waitMs: number;
   /**
-   * Pause after changes came: what comes meanwhile is in the next answer.
-   * Endpoints register one by one, and each change answers every instance's poll.
+   * Pause after a whole read and after changes: what comes meanwhile is in the
+   * next answer. Endpoints register one by one, and each change answers every
+   * instance's poll.
    */
   readonly gatherMs: number;
 }
@@ -189,7 +190,7 @@
       version: reading.version,
       rows: reading.rows.length,
     });
-    return 0;
+    return this.options.pace().gatherMs;
   }
 
   private fail(reason: string): number {
--- a/packages/routing/src/relay_roster.ts
+++ b/packages/routing/src/relay_roster.ts
@@ -57,11 +57,13 @@
 export class RelayRoster {
   private readonly seats = new Map<number, RelaySeat>();
   private readonly suspectedAtMs = new Map<InstanceId, number>();
+  private readonly minFollowers: number;
   /** The seat that could be claimed, and since when. */
   private open:
     {readonly seat: RelaySeat; readonly sinceMs: number} | undefined;
 
   constructor(private readonly options: RelayRosterOptions) {
+    this.minFollowers = options.minFollowers ?? DEFAULT_MIN_FOLLOWERS;
     const count = options.seats ?? DEFAULT_SEATS;
     for (let number = 0; number < count; number += 1) {
       this.seats.set(number, this.vacant(number, 0));
@@ -74,9 +76,17 @@
    * @param instances undefined while nobody has counted them.
    */
   pays(instances: number | undefined): boolean {
-    const perSeat = this.options.minFollowers ?? DEFAULT_MIN_FOLLOWERS;
-    const needed = this.seats.size * perSeat * this.options.dataCentres;
-    return instances !== undefined && instances >= needed;
+    return instances !== undefined && instances >= this.paysFrom;
+  }
+
+  /** The number of instances from which relays pay. */
+  get paysFrom(): number {
+    return this.seats.size * this.minFollowers * this.options.dataCentres;
+  }
+
+  /** Whether a relay with so many followers saves more polls than it makes. */
+  isWorthwhile(followers: number): boolean {
+    return followers >= this.minFollowers;
   }
 
   /** Takes in a seat as the store has it; seats elsewhere don't matter. */
@@ -119,9 +129,12 @@
   /**
    * A seat that this instance should take now: one that nobody has, or any when
    * no relay has been sound for a while.
+   *
+   * @param onlyFirst one relay in each data centre is enough to count the others.
    */
-  seatToClaim(nowMs: number): RelaySeat | undefined {
-    const seat = this.isRelay ? undefined : this.findOpenSeat(nowMs);
+  seatToClaim(nowMs: number, onlyFirst = false): RelaySeat | undefined {
+    const open = this.isRelay ? undefined : this.findOpenSeat(nowMs);
+    const seat = onlyFirst && open?.number !== 0 ? undefined : open;
     if (seat === undefined) {
       this.open = undefined;
       return undefined;
