Tell endpoints' loads among instances by way of the relays

Cause: an instance of 60 hears of an engine every 20 s or so, one of 195 every 40 s, and a told load fades within seconds; so each load is taken for nothing, and so are the bound on affinity and the plan's demand of the moment.

Change: followers tell their relay what engines told them, twice a second; the relay merges by the newest and tells its followers, and the relays of the other data centres what its own data centre heard of. Readings have their age with them; older than 3 s, from the future, of no known engine or malformed ones are dropped and counted. An instance without a relay goes by its own answers as before. Plain services are left out: what they do is over before it is told. With a shared view instances take the better of two engines drawn by free places. Request lines tell the age of the load that was gone by. The monitor forgets endpoints that are gone (it never did).

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -125,7 +125,8 @@
       response.headers,
     );
     if (head.load !== undefined) {
-      state.monitor.noteLoad(placed.endpoint.id, head.load, nowMs());
+      const endpoint = placed.endpoint.id;
+      state.loads.noteOwn({endpoint, load: head.load, atMs: nowMs()});
     }
     const isOwn =
       head.requestId === request.caller.requestId && !head.isEncoded;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -33,6 +33,7 @@
   private lastReason = 'none';
   /** What the last endpoint seemed to have, and how old that was. */
   private loadWhenChosen: number | undefined;
+  private loadAgeWhenChosenMs: number | undefined;
 
   constructor(
     private readonly context: ExchangeContext,
@@ -76,6 +77,7 @@
     const {firstEventAtMs, longestPauseMs, events} = this.writer;
     const firstMs =
       firstEventAtMs && Math.round(firstEventAtMs - this.request.arrivedAtMs);
+    const loadAgeMs = this.loadAgeWhenChosenMs;
     return {
       verdict: this.verdict,
       offers: this.offers,
@@ -86,6 +88,7 @@
       firstEventMs: firstMs,
       longestPauseMs: events > 0 ? Math.round(longestPauseMs) : undefined,
       load: this.loadWhenChosen,
+      loadAgeMs: loadAgeMs && Math.round(loadAgeMs),
       endpoint: [...this.excluded].at(-1),
     };
   }
@@ -166,9 +169,13 @@
     this.loadWhenChosen = Math.round(
       state.monitor.estimateLoad(endpoint.id, nowMs()),
     );
-    state.monitor.begin(endpoint.id, work);
-    state.reach.noteTrial(endpoint.dataCentre, nowMs());
     const startedAtMs = nowMs();
+    this.loadAgeWhenChosenMs = state.monitor.loadAgeMs(
+      endpoint.id,
+      startedAtMs,
+    );
+    state.monitor.begin(endpoint.id, work, startedAtMs);
+    state.reach.noteTrial(endpoint.dataCentre, startedAtMs);
     let result: AttemptResult;
     try {
       this.current = this.createAttempt(placed);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -87,6 +87,8 @@
       ...settings.relays,
       inForceWithinMs: settings.changes.inForceWithinMs,
       platform,
+      loads: this.state.loads,
+      metrics: options.metrics,
       logger: logger.forComponent('relay'),
       nowMs,
       countInstances: () => this.state.instances,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -35,6 +35,12 @@
     labelNames: ['call', 'outcome'],
     registers: [this.registry],
   });
+  private readonly loads = new Counter({
+    name: 'snipestage_endpoint_loads_total',
+    help: 'Loads of endpoints told by other instances, by what became of them.',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
   private readonly version = new Gauge({
     name: 'snipestage_configuration_version',
     help: 'Version of the configuration in force.',
@@ -59,6 +65,11 @@
     this.storeCalls.inc({call, outcome});
   }
 
+  /** @param outcome `taken`, or why they were dropped. */
+  countLoads(outcome: string, count: number): void {
+    this.loads.inc({outcome}, count);
+  }
+
   setConfigurationVersion(version: number): void {
     this.version.set(version);
   }
--- /dev/null
+++ b/packages/gateway/src/relay/load_exchange.test.ts
@@ -0,0 +1,64 @@
+import test from 'ava';
+import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
+import {LoadView} from '@snipestage/routing/load_view.js';
+import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
+import {GatewayMetrics} from '../gateway_metrics.js';
+import {NoOutput} from '../test_support/no_output.js';
+import {LoadExchange} from './load_exchange.js';
+import type {LoadReport} from './load_report.js';
+
+const ENGINE = brandAs<EndpointId>('engine');
+
+function makeExchange() {
+  const clock = {nowMs: 1000};
+  const monitor = new EndpointMonitor();
+  const view = new LoadView({monitor, isShared: () => true});
+  const metrics = new GatewayMetrics();
+  const output = new NoOutput();
+  const {logger} = output;
+  const nowMs = () => clock.nowMs;
+  const exchange = new LoadExchange({view, metrics, logger, nowMs});
+  return {clock, monitor, view, metrics, output, exchange};
+}
+
+function noteOwn(view: LoadView, running: number, atMs: number): void {
+  const load = {running, waiting: 0, capacity: 24};
+  view.noteOwn({endpoint: ENGINE, load, atMs});
+}
+
+test('what one instance was told reaches one of another data centre', t => {
+  // Guards against instances that know an engine's load by their own answers only.
+  const follower = makeExchange();
+  const relay = makeExchange();
+  const remoteRelay = makeExchange();
+  const remote = makeExchange();
+  noteOwn(follower.view, 20, 900);
+  relay.exchange.take(follower.exchange.takeForRelay()!, 'near');
+  remoteRelay.exchange.take(relay.exchange.takeAsRelay().toRelays, 'far');
+  const told = remoteRelay.exchange.takeAsRelay();
+  remote.exchange.take(told.toFollowers, 'far');
+  t.is(remote.monitor.loadAgeMs(ENGINE, 1000), 100);
+  t.true(remote.monitor.estimateLoad(ENGINE, 1000) > 15);
+  t.is(told.toRelays.lines.length, 0, 'and does not come back');
+});
+
+test('nothing is told twice', t => {
+  const {view, exchange} = makeExchange();
+  noteOwn(view, 20, 900);
+  t.is(exchange.takeForRelay()?.lines.length, 1);
+  t.is(exchange.takeForRelay(), undefined);
+});
+
+test('malformed reports are counted, and logged now and then', async t => {
+  // Guards against a flood of log lines by one broken process.
+  const {clock, exchange, metrics, monitor, output} = makeExchange();
+  const broken = {kind: 'loads', lines: ['x']} as unknown as LoadReport;
+  for (let count = 0; count < 50; count += 1) exchange.take(broken, 'near');
+  clock.nowMs += 10_000;
+  exchange.take(broken, 'near');
+  const page = await metrics.render();
+  t.regex(page, /loads_total\{outcome="malformed"\} 51/);
+  const lines = output.lines.filter(line => line.includes('loads_malformed'));
+  t.is(lines.length, 2);
+  t.false(monitor.isViewShared(clock.nowMs));
+});
--- /dev/null
+++ b/packages/gateway/src/relay/load_exchange.ts
@@ -0,0 +1,82 @@
+/** Tells other instances what endpoints told of their load, and learns it. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {
+  LoadDrop,
+  LoadOrigin,
+  LoadView,
+} from '@snipestage/routing/load_view.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
+import {readLoadReport, toLoadReport, type LoadReport} from './load_report.js';
+
+/** What a {@link LoadExchange} is made from. */
+export interface LoadExchangeOptions {
+  readonly view: LoadView;
+  readonly metrics: Pick<GatewayMetrics, 'countLoads'>;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+}
+
+/** Malformed reports are logged at most so often. */
+const LOG_EVERY_MS = 10_000;
+
+/**
+ * Owns what has been told already. What it learns lapses by itself: an instance
+ * without a relay goes by its own answers, and by nothing older than the view
+ * keeps.
+ */
+export class LoadExchange {
+  private toFollowersMark = 0;
+  private toRelaysMark = 0;
+  private toRelayMark = 0;
+  private loggedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: LoadExchangeOptions) {}
+
+  /** What a follower tells its relay; undefined when there is nothing new. */
+  takeForRelay(): LoadReport | undefined {
+    const {view, nowMs} = this.options;
+    const atMs = nowMs();
+    const changes = view.changesSince(this.toRelayMark, ['own'], atMs);
+    this.toRelayMark = changes.mark;
+    const {readings} = changes;
+    return readings.length === 0 ? undefined : toLoadReport(readings, atMs);
+  }
+
+  /** What a relay tells: all to its followers, its data centre's to the others. */
+  takeAsRelay(): {toFollowers: LoadReport; toRelays: LoadReport} {
+    const {view, nowMs} = this.options;
+    const atMs = nowMs();
+    const all = view.changesSince(
+      this.toFollowersMark,
+      ['own', 'near', 'far'],
+      atMs,
+    );
+    const near = view.changesSince(this.toRelaysMark, ['own', 'near'], atMs);
+    this.toFollowersMark = all.mark;
+    this.toRelaysMark = near.mark;
+    return {
+      toFollowers: toLoadReport(all.readings, atMs),
+      toRelays: toLoadReport(near.readings, atMs),
+    };
+  }
+
+  /** Another process told loads; they may be anything. */
+  take(report: LoadReport, origin: LoadOrigin): void {
+    const {view, metrics, nowMs} = this.options;
+    const atMs = nowMs();
+    const {readings, malformed} = readLoadReport(report, atMs);
+    if (malformed > 0) this.noteMalformed(malformed, atMs);
+    for (const reading of readings) {
+      const drop: LoadDrop | undefined = view.take(reading, origin, atMs);
+      metrics.countLoads(drop ?? 'taken', 1);
+    }
+  }
+
+  private noteMalformed(count: number, atMs: number): void {
+    this.options.metrics.countLoads('malformed', count);
+    if (atMs - this.loggedAtMs < LOG_EVERY_MS) return;
+    this.loggedAtMs = atMs;
+    this.options.logger.warn('loads_malformed', {count});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/relay/load_report.ts
@@ -0,0 +1,75 @@
+/** Loads of endpoints as they travel between instances. */
+
+import type {LoadReading} from '@snipestage/routing/load_view.js';
+import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
+
+/** Endpoint, running, waiting, capacity, and how long ago that was, in ms. */
+export type LoadLine = readonly [string, number, number, number, number];
+
+/** Readings that are new to the receiver. */
+export interface LoadReport {
+  readonly kind: 'loads';
+  readonly lines: readonly LoadLine[];
+}
+
+/** A report has at most so many lines. */
+const MOST_LINES = 1000;
+
+/**
+ * @example
+ * stream.write(toLoadReport(readings, nowMs));
+ */
+export function toLoadReport(
+  readings: readonly LoadReading[],
+  nowMs: number,
+): LoadReport {
+  const newest = readings
+    .toSorted((one, other) => other.atMs - one.atMs)
+    .slice(0, MOST_LINES);
+  const lines = newest.map(({endpoint, load, atMs}): LoadLine => {
+    const {running, waiting, capacity} = load;
+    return [endpoint, running, waiting, capacity, Math.round(nowMs - atMs)];
+  });
+  return {kind: 'loads', lines};
+}
+
+/** What could be read of a report. */
+export interface ReadLoads {
+  readonly readings: readonly LoadReading[];
+  /** Lines that are no readings. */
+  readonly malformed: number;
+}
+
+/**
+ * Reads what another process sent; it may be anything.
+ *
+ * @example
+ * const {readings, malformed} = readLoadReport(message, nowMs);
+ */
+export function readLoadReport(message: unknown, nowMs: number): ReadLoads {
+  const lines = (message as Partial<LoadReport> | undefined)?.lines;
+  if (!Array.isArray(lines) || lines.length > MOST_LINES) {
+    return {readings: [], malformed: 1};
+  }
+  const readings = lines.filter(isLoadLine).map(line => toReading(line, nowMs));
+  return {readings, malformed: lines.length - readings.length};
+}
+
+function toReading(line: LoadLine, nowMs: number): LoadReading {
+  const [endpoint, running, waiting, capacity, ageMs] = line;
+  return {
+    endpoint: brandAs<EndpointId>(endpoint),
+    load: {running, waiting, capacity},
+    atMs: nowMs - ageMs,
+  };
+}
+
+function isLoadLine(line: unknown): line is LoadLine {
+  if (!Array.isArray(line) || line.length !== 5) return false;
+  const [endpoint, running, waiting, capacity, ageMs] = line as unknown[];
+  const counts = [running, waiting, capacity];
+  const areCounts = counts.every(
+    count => Number.isInteger(count) && (count as number) >= 0,
+  );
+  return typeof endpoint === 'string' && areCounts && Number.isFinite(ageMs);
+}
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -10,13 +10,16 @@
 import {
   fromRelayedRow,
   RELAY_SERVICE,
+  type ExchangeRequest,
   type FollowerMessage,
   type FollowRequest,
   type RelayedTableName,
+  type RelayMessage,
   type RelayUpdate,
   type WriteAnswer,
   type WriteRequest,
 } from './relay_messages.js';
+import type {LoadReport} from './load_report.js';
 import type {TableChanges} from './table_copy.js';
 
 /** Why a stream ended. */
@@ -30,13 +33,14 @@
 export interface RelayClientOptions {
   /** `<IP number>:<port>` */
   readonly address: string;
-  readonly request: FollowRequest;
+  readonly request: FollowRequest | ExchangeRequest;
   /** Changes that show the store as it was at this time, or later. */
   readonly onChanges: (
     table: RelayedTableName,
     changes: TableChanges,
     asOfMs: number,
   ) => void;
+  readonly onLoads: (report: LoadReport) => void;
   readonly pingEveryMs: number;
   readonly nowMs: () => number;
   /** Called once. */
@@ -51,7 +55,7 @@
 }
 
 interface FollowClient extends Client {
-  follow(): ClientDuplexStream<FollowerMessage, RelayUpdate>;
+  follow(): ClientDuplexStream<FollowerMessage, RelayMessage>;
   write(
     request: WriteRequest,
     options: {deadline: number},
@@ -66,7 +70,7 @@
 /** A new one for each stream. */
 export class RelayClient {
   private readonly client: FollowClient;
-  private readonly stream: ClientDuplexStream<FollowerMessage, RelayUpdate>;
+  private readonly stream: ClientDuplexStream<FollowerMessage, RelayMessage>;
   private readonly pings: SentPing[] = [];
   private pingCount = 0;
   private readonly pinging: NodeJS.Timeout;
@@ -82,7 +86,7 @@
     this.stream = this.client.follow();
     this.stream.write(request);
     this.pinging = setInterval(() => this.ping(), options.pingEveryMs);
-    this.stream.on('data', (update: RelayUpdate) => this.take(update));
+    this.stream.on('data', (message: RelayMessage) => this.take(message));
     this.stream.on('error', error => this.end(error.message));
     this.stream.on('end', () => this.end('ended by the relay'));
     this.watchSilence();
@@ -102,6 +106,11 @@
     });
   }
 
+  /** Loads are worth nothing later: what can't be sent now is left out. */
+  tellLoads(report: LoadReport): void {
+    if (!this.stream.writableNeedDrain) this.stream.write(report);
+  }
+
   private ping(): void {
     this.pingCount += 1;
     const number = this.pingCount;
@@ -109,9 +118,14 @@
     this.stream.write({kind: 'ping', number});
   }
 
-  private take({ping, table, since, version, rows}: RelayUpdate): void {
+  private take(message: RelayMessage): void {
     if (this.hasEnded) return;
     this.watchSilence();
+    if (message.kind === 'loads') this.options.onLoads(message);
+    else this.takeRows(message);
+  }
+
+  private takeRows({ping, table, since, version, rows}: RelayUpdate): void {
     const changes = {since, version, rows: rows.map(fromRelayedRow)};
     this.options.onChanges(table, changes, this.sentAt(ping));
   }
--- a/packages/gateway/src/relay/relay_host.ts
+++ b/packages/gateway/src/relay/relay_host.ts
@@ -38,6 +38,11 @@
     this.server?.confirm(name);
   }
 
+  /** Loads that came since the last time. */
+  tellLoads(loads: Parameters<RelayServer['tellLoads']>[0]): void {
+    this.server?.tellLoads(loads);
+  }
+
   /** @returns whether it serves now. */
   async start(): Promise<boolean> {
     const {address, logger} = this.options;
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -9,6 +9,7 @@
 } from '@grpc/grpc-js';
 import type {InstanceId} from '@snipestage/types/ids.js';
 import type {FollowedRow} from '../table_follower.js';
+import type {LoadReport} from './load_report.js';
 
 /** The tables that are relayed. */
 export const RELAYED_TABLES = ['configuration', 'endpoints', 'shared'] as const;
@@ -29,10 +30,18 @@
   readonly number: number;
 }
 
-export type FollowerMessage = FollowRequest | Ping;
+/** Asks for the loads that a relay's data centre hears of; sent by relays. */
+export interface ExchangeRequest {
+  readonly kind: 'exchange';
+  readonly instance: InstanceId;
+}
+
+export type FollowerMessage =
+  FollowRequest | ExchangeRequest | Ping | LoadReport;
 
 /** Changes of one table, or the word that there were none. */
 export interface RelayUpdate {
+  readonly kind: 'rows';
   /** The last ping that had arrived before it was made; 0: none. */
   readonly ping: number;
   readonly table: RelayedTableName;
@@ -41,6 +50,8 @@
   readonly rows: readonly RelayedRow[];
 }
 
+export type RelayMessage = RelayUpdate | LoadReport;
+
 /** A row as it travels. */
 export interface RelayedRow {
   readonly key: string;
@@ -62,11 +73,11 @@
 
 export type WriteCall = ServerUnaryCall<WriteRequest, WriteAnswer>;
 export type WriteReply = sendUnaryData<WriteAnswer>;
-export type FollowCall = ServerDuplexStream<FollowerMessage, RelayUpdate>;
+export type FollowCall = ServerDuplexStream<FollowerMessage, RelayMessage>;
 
 /** A service whose messages are JSON: its rows are such already. */
 export const RELAY_SERVICE: ServiceDefinition<{
-  follow: MethodDefinition<FollowerMessage, RelayUpdate>;
+  follow: MethodDefinition<FollowerMessage, RelayMessage>;
   write: MethodDefinition<WriteRequest, WriteAnswer>;
 }> = {
   follow: {
@@ -76,7 +87,7 @@
     requestSerialize: serialize,
     requestDeserialize: deserialize<FollowerMessage>,
     responseSerialize: serialize,
-    responseDeserialize: deserialize<RelayUpdate>,
+    responseDeserialize: deserialize<RelayMessage>,
   },
   write: {
     path: '/snipestage.Relay/Write',
@@ -100,8 +111,17 @@
   return {key, version, data: bytes};
 }
 
+/** A report goes to dozens of followers as it is. */
+const serializedReports = new WeakMap<object, Buffer>();
+
 function serialize(message: object): Buffer {
-  return Buffer.from(JSON.stringify(message));
+  const known = serializedReports.get(message);
+  if (known !== undefined) return known;
+  const bytes = Buffer.from(JSON.stringify(message));
+  if ('kind' in message && message.kind === 'loads') {
+    serializedReports.set(message, bytes);
+  }
+  return bytes;
 }
 
 function deserialize<Message>(bytes: Buffer): Message {
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -6,13 +6,16 @@
   RELAY_SERVICE,
   RELAYED_TABLES,
   toRelayedRow,
+  type ExchangeRequest,
   type FollowCall,
   type FollowerMessage,
   type FollowRequest,
   type RelayedTableName,
+  type RelayMessage,
   type WriteCall,
   type WriteReply,
 } from './relay_messages.js';
+import type {LoadReport} from './load_report.js';
 import type {TableCopy} from './table_copy.js';
 import type {WriteGatherer} from './write_gatherer.js';
 
@@ -22,6 +25,8 @@
   readonly address: string;
   readonly copies: Readonly<Record<RelayedTableName, TableCopy>>;
   readonly writes: WriteGatherer;
+  /** A follower says what endpoints told it. */
+  readonly onLoads: (report: LoadReport) => void;
   readonly logger: Logger;
 }
 
@@ -42,6 +47,8 @@
 export class RelayServer {
   private readonly server = new Server();
   private readonly followers = new Set<Follower>();
+  /** Streams of the relays of other data centres. */
+  private readonly exchanges = new Set<FollowCall>();
 
   constructor(private readonly options: RelayServerOptions) {
     this.server.addService(RELAY_SERVICE, {
@@ -72,7 +79,9 @@
   /** Ends all streams; their followers ask somebody else. */
   stop(): void {
     for (const {call} of this.followers) call.end();
+    for (const call of this.exchanges) call.end();
     this.followers.clear();
+    this.exchanges.clear();
     this.server.forceShutdown();
     this.options.logger.info('relay_stopped');
   }
@@ -82,6 +91,19 @@
     for (const follower of this.followers) this.tell(follower, table);
   }
 
+  /** Loads that came since the last time; whoever is behind is left out. */
+  tellLoads(loads: {
+    readonly toFollowers: LoadReport;
+    readonly toRelays: LoadReport;
+  }): void {
+    const {toFollowers, toRelays} = loads;
+    if (toFollowers.lines.length > 0) {
+      for (const {call} of this.followers) writeUnlessBehind(call, toFollowers);
+    }
+    // Also when there are none: a stream without messages counts as silent.
+    for (const call of this.exchanges) writeUnlessBehind(call, toRelays);
+  }
+
   private async write(call: WriteCall, reply: WriteReply): Promise<void> {
     const isWanted = () => !call.cancelled;
     const isWritten = await this.options.writes.add(call.request, isWanted);
@@ -91,8 +113,19 @@
   private accept(call: FollowCall): void {
     let follower: Follower | undefined;
     call.on('data', (message: FollowerMessage) => {
-      if (message.kind === 'follow') follower ??= this.add(call, message);
-      else if (follower !== undefined) follower.ping = message.number;
+      switch (message.kind) {
+        case 'follow':
+          follower ??= this.add(call, message);
+          return;
+        case 'exchange':
+          this.addExchange(call, message);
+          return;
+        case 'loads':
+          this.options.onLoads(message);
+          return;
+        case 'ping':
+          if (follower !== undefined) follower.ping = message.number;
+      }
     });
     call.on('end', () => call.end());
   }
@@ -101,24 +134,48 @@
     const told = new Map(RELAYED_TABLES.map(table => [table, known[table]]));
     const follower = {call, told, ping: 0};
     this.followers.add(follower);
-    const end = () => {
+    onceOver(call, () => {
       const wasThere = this.followers.delete(follower);
       if (wasThere) this.options.logger.info('follower_lost', {instance});
-    };
-    call.on('cancelled', end);
-    call.on('close', end);
-    call.on('error', end);
+    });
     this.options.logger.info('follower_came', {instance});
     return follower;
   }
 
+  private addExchange(call: FollowCall, {instance}: ExchangeRequest): void {
+    this.exchanges.add(call);
+    onceOver(call, () => this.exchanges.delete(call));
+    this.options.logger.info('exchange_begun', {instance});
+  }
+
   private tell(follower: Follower, table: RelayedTableName): void {
     const {call, told, ping} = follower;
     const copy = this.options.copies[table];
-    const isBehind = call.writableLength > MOST_BUFFERED_BYTES;
-    if (copy.version === undefined || isBehind) return;
+    if (copy.version === undefined || isBehind(call)) return;
     const {since, version, rows} = copy.changesSince(told.get(table) ?? 0);
     told.set(table, version);
-    call.write({ping, table, since, version, rows: rows.map(toRelayedRow)});
+    call.write({
+      kind: 'rows',
+      ping,
+      table,
+      since,
+      version,
+      rows: rows.map(toRelayedRow),
+    });
   }
 }
+
+function isBehind(call: FollowCall): boolean {
+  return call.writableLength > MOST_BUFFERED_BYTES;
+}
+
+function writeUnlessBehind(call: FollowCall, message: RelayMessage): void {
+  if (!isBehind(call)) call.write(message);
+}
+
+/** However a stream ends; it may be told more than once. */
+function onceOver(call: FollowCall, end: () => void): void {
+  call.on('cancelled', end);
+  call.on('close', end);
+  call.on('error', end);
+}
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -3,6 +3,7 @@
 import {brandAs, type InstanceId} from '@snipestage/types/ids.js';
 import {MemoryPlatform} from '../test_support/memory_platform.js';
 import {NoOutput} from '../test_support/no_output.js';
+import type {LoadReport} from './load_report.js';
 import {RelayClient} from './relay_client.js';
 import {RelayServer} from './relay_server.js';
 import {TableCopy, type TableChanges} from './table_copy.js';
@@ -20,7 +21,9 @@
   const {logger} = new NoOutput();
   const platform = new MemoryPlatform();
   const writes = new WriteGatherer(platform);
-  const server = new RelayServer({address, copies, writes, logger});
+  const reports: LoadReport[] = [];
+  const onLoads = (report: LoadReport) => void reports.push(report);
+  const server = new RelayServer({address, copies, writes, onLoads, logger});
   await server.start();
   t.teardown(() => server.stop());
   const told: TableChanges[] = [];
@@ -40,10 +43,11 @@
       told.push(changes);
       times.push(asOfMs);
     },
+    onLoads,
     onEnd: ({reason}) => ends.push(reason),
   });
   t.teardown(() => client.close());
-  return {server, copies, told, times, ends, client, platform};
+  return {server, copies, told, times, ends, client, platform, reports};
 }
 
 async function waitUntil(condition: () => boolean): Promise<void> {
--- a/packages/gateway/src/relay/relays.test.ts
+++ b/packages/gateway/src/relay/relays.test.ts
@@ -5,6 +5,8 @@
   type DataCentreId,
   type InstanceId,
 } from '@snipestage/types/ids.js';
+import {GatewayMetrics} from '../gateway_metrics.js';
+import {RoutingState} from '../routing_state.js';
 import {MemoryPlatform} from '../test_support/memory_platform.js';
 import {NoOutput} from '../test_support/no_output.js';
 import {Relays} from './relays.js';
@@ -56,6 +58,8 @@
       address,
       inForceWithinMs: 4000,
       platform: this.platform,
+      loads: new RoutingState({ratio: 0, windowMs: 1000, slack: 0}).loads,
+      metrics: new GatewayMetrics(),
       logger,
       nowMs: () => performance.now() * CLOCK_RATE,
       countInstances: () => this.instances,
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -1,6 +1,7 @@
 /** Takes part in relaying: as a relay, as a follower of one, or not at all. */
 
 import type {Logger} from '@snipestage/log/logger.js';
+import type {LoadView} from '@snipestage/routing/load_view.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import {InstanceEstimate} from '@snipestage/routing/instance_estimate.js';
 import {
@@ -9,10 +10,13 @@
   type RelaySeat,
 } from '@snipestage/routing/relay_roster.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {FollowedTable, FollowPace} from '../table_follower.js';
 import type {RelayClient, RelayEnd} from './relay_client.js';
 import {RELAYED_TABLES, type RelayedTableName} from './relay_messages.js';
+import {LoadExchange} from './load_exchange.js';
 import {RelayHost} from './relay_host.js';
+import {RelayPeers} from './relay_peers.js';
 import {RelayedFeed} from './relayed_feed.js';
 import {RelayedTable} from './relayed_table.js';
 import {seatKey, type SeatValue} from './seat_rows.js';
@@ -31,6 +35,8 @@
   /** A change has to be in force so soon after the store has taken it. */
   readonly inForceWithinMs: number;
   readonly platform: Platform;
+  readonly loads: LoadView;
+  readonly metrics: Pick<GatewayMetrics, 'countLoads'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** How many instances there are, as far as it is known. */
@@ -68,6 +74,8 @@
   private readonly writes: WriteGatherer;
   private readonly estimate: InstanceEstimate;
   private readonly host: RelayHost;
+  private readonly peers: RelayPeers;
+  private readonly loads: LoadExchange;
   private hasEstimated = false;
   private client: RelayClient | undefined;
   private timer: NodeJS.Timeout | undefined;
@@ -84,7 +92,17 @@
     const freshForMs = options.inForceWithinMs * FRESH_SHARE;
     this.copies = perTable(() => new TableCopy());
     const {copies, writes} = this;
-    this.host = new RelayHost({...options, copies, writes});
+    this.loads = new LoadExchange({...options, view: options.loads});
+    this.host = new RelayHost({
+      ...options,
+      copies,
+      writes,
+      onLoads: report => this.loads.take(report, 'near'),
+    });
+    this.peers = new RelayPeers({
+      ...options,
+      onLoads: report => this.loads.take(report, 'far'),
+    });
     this.feeds = perTable(
       name =>
         new RelayedFeed(name === 'shared' ? FACTS_FRESH_FOR_MS : freshForMs),
@@ -145,8 +163,14 @@
     return (await this.client?.write({key, value})) ?? false;
   }
 
+  /** Whether rows are written together with those of others now. */
+  get writesForOthers(): boolean {
+    return this.host.isServing || this.client !== undefined;
+  }
+
   learnSeat(seat: RelaySeat): void {
     this.roster.learn(seat);
+    this.peers.learn(seat);
   }
 
   snapshot(): object {
@@ -158,6 +182,7 @@
   }
 
   private async tick(): Promise<void> {
+    this.tellLoads();
     // Seats and the number of instances are rows of this table.
     const areSeatsKnown = this.copies.shared.version !== undefined;
     if (this.isBusy || !areSeatsKnown) return;
@@ -188,6 +213,21 @@
     if (isUnknown) this.estimateInstances();
   }
 
+  /** Loads are worth telling only while they are new. */
+  private tellLoads(): void {
+    if (this.host.isServing) {
+      this.host.tellLoads(this.loads.takeAsRelay());
+      return;
+    }
+    const report = this.client && this.loads.takeForRelay();
+    if (report !== undefined) this.client?.tellLoads(report);
+  }
+
+  private stopServing(): void {
+    this.peers.close();
+    this.host.stop();
+  }
+
   private estimateInstances(): void {
     if (!this.host.isServing || this.hasEstimated) return;
     const instances = this.estimate.read(this.host.sight);
@@ -199,7 +239,7 @@
   /** Neither relays nor follows: each instance asks the store by itself. */
   private async leave(): Promise<void> {
     this.client?.close();
-    this.host.stop();
+    this.stopServing();
     const seat = this.roster.ownSeat;
     if (seat === undefined) return;
     const key = seatKey(seat);
@@ -214,8 +254,9 @@
 
   /** Serves while this instance has a seat, and only then. */
   private async matchServer(): Promise<void> {
-    if (this.roster.isRelay) await this.serve();
-    else this.host.stop();
+    if (this.roster.isRelay && (await this.serve())) {
+      await this.peers.connect();
+    } else this.stopServing();
   }
 
   private async serve(): Promise<boolean> {
@@ -239,7 +280,7 @@
       outcome: result.kind,
     });
     if (result.kind !== 'committed') {
-      this.host.stop();
+      this.stopServing();
       return;
     }
     const version = result.versions[key];
@@ -267,6 +308,7 @@
       nowMs,
       onChanges: (table, changes, asOfMs) =>
         this.feeds[table].take(changes, asOfMs),
+      onLoads: report => this.loads.take(report, 'far'),
       onEnd: reason => this.loseRelay(relay, reason),
     });
     this.client = client;
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -10,6 +10,7 @@
 } from '@snipestage/routing/demand_meter.js';
 import {EndpointDirectory} from '@snipestage/routing/endpoint_directory.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
+import {LoadView} from '@snipestage/routing/load_view.js';
 import {LeastLoadedPlacement} from '@snipestage/routing/least_loaded_placement.js';
 import type {Placement} from '@snipestage/routing/placement.js';
 import type {Prompt} from '@snipestage/routing/prompt.js';
@@ -19,7 +20,7 @@
 import type {RouteTable} from '@snipestage/routing/route_table.js';
 import {UsualDurations} from '@snipestage/routing/usual_durations.js';
 import {maxSavedEach, WindowBudget} from '@snipestage/routing/window_budget.js';
-import type {ServiceId} from '@snipestage/types/ids.js';
+import type {EndpointId, ServiceId} from '@snipestage/types/ids.js';
 import type {RetrySettings} from './gateway_settings.js';
 
 /** About as long as a burst; over all instances the figures are steady. */
@@ -36,6 +37,10 @@
   /** As the holder of the duties counted them; undefined until it is known. */
   instances: number | undefined;
   readonly monitor = new EndpointMonitor();
+  readonly loads = new LoadView({
+    monitor: this.monitor,
+    isShared: id => this.isEngine(id),
+  });
   readonly reach = new DataCentreReach();
   readonly demand = new DemandMeter();
   /** Shorter-lived: it is added up over all instances. */
@@ -66,6 +71,26 @@
     });
   }
 
+  /**
+   * Plain services answer within tens of milliseconds: their loads are over
+   * before others could hear of them.
+   */
+  private isEngine(id: EndpointId): boolean {
+    const service = this.directory.find(id)?.service;
+    return service !== undefined && this.placesPrompts(service);
+  }
+
+  private placesPrompts(service: ServiceId): boolean {
+    return this.table?.findService(service)?.engine !== undefined;
+  }
+
+  /** Beliefs would grow with each life of an endpoint. */
+  forgetUnlisted(): void {
+    const listed = this.directory.readAll().map(({id}) => id);
+    this.monitor.retain(new Set(listed));
+    this.loads.prune();
+  }
+
   /** A request arrived. */
   countDemand(
     service: ServiceId,
@@ -88,8 +113,9 @@
   }
 
   placementFor(service: ServiceId): Placement {
-    const isEngine = this.table?.findService(service)?.engine !== undefined;
-    return isEngine ? this.promptPlacement : this.plainPlacement;
+    return this.placesPrompts(service)
+      ? this.promptPlacement
+      : this.plainPlacement;
   }
 
   budgetFor(service: ServiceId): WindowBudget {
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -179,6 +179,7 @@
       return change.kind === 'listed' ? [change.endpoint] : [];
     });
     this.options.state.directory.replace(endpoints, this.options.nowMs());
+    this.options.state.forgetUnlisted();
     this.hasEndpoints = true;
     this.options.logger.info('endpoints_read', {count: endpoints.length});
   }
@@ -196,6 +197,7 @@
       }
     }
     this.options.state.directory.apply(changes, this.options.nowMs());
+    this.options.state.forgetUnlisted();
   }
 
   private noteNewLife(endpoint: ServingEndpoint): void {
--- a/packages/routing/src/endpoint_monitor.test.ts
+++ b/packages/routing/src/endpoint_monitor.test.ts
@@ -28,10 +28,10 @@
 
 test('a told load counts the requests of others, and fades', t => {
   const monitor = new EndpointMonitor({loadHalfLifeMs: 1000});
-  monitor.begin(ONE, 1);
+  monitor.begin(ONE, 1, 0);
   monitor.noteLoad(ONE, {running: 5, waiting: 2, capacity: 8}, 0);
   t.is(monitor.estimateLoad(ONE, 0), 7);
-  monitor.begin(ONE, 1);
+  monitor.begin(ONE, 1, 0);
   t.is(monitor.estimateLoad(ONE, 0), 8);
   t.is(monitor.estimateLoad(ONE, 1000), 5);
   monitor.end(ONE, 1);
--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -46,6 +46,8 @@
 const SIGN_WEIGHT = 0.3;
 /** Weight of one new duration in the mean. */
 const DURATION_WEIGHT = 0.2;
+/** Loads that others told are news for so long. */
+const SHARED_FOR_MS = 3000;
 
 interface Belief {
   inFlight: number;
@@ -58,6 +60,8 @@
   rejectedAtMs: number;
   load: ReportedLoad | undefined;
   loadAtMs: number;
+  /** When one's own latest attempt began. */
+  begunAtMs: number;
   /** One's own requests that the told load already counts. */
   countedInLoad: number;
   meanDurationMs: number | undefined;
@@ -70,6 +74,7 @@
   private readonly firstBackoffMs: number;
   private readonly maxBackoffMs: number;
   private readonly loadHalfLifeMs: number;
+  private toldAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: EndpointMonitorOptions = {}) {
     this.failureHalfLifeMs =
@@ -80,8 +85,9 @@
   }
 
   /** An attempt begins; {@link end} has to follow. */
-  begin(id: EndpointId, work: number): void {
+  begin(id: EndpointId, work: number, nowMs: number): void {
     const belief = this.of(id);
+    belief.begunAtMs = nowMs;
     belief.inFlight += 1;
     belief.workInFlight += work;
   }
@@ -127,6 +133,37 @@
     belief.countedInLoad = belief.inFlight;
   }
 
+  /**
+   * The endpoint told its load to another instance. What this one has sent since
+   * isn't in it.
+   */
+  noteToldLoad(id: EndpointId, load: ReportedLoad, atMs: number): void {
+    const belief = this.of(id);
+    this.toldAtMs = Math.max(this.toldAtMs, atMs);
+    if (belief.load !== undefined && belief.loadAtMs >= atMs) return;
+    belief.load = load;
+    belief.loadAtMs = atMs;
+    const isInFlightNew = belief.begunAtMs > atMs;
+    belief.countedInLoad = Math.max(
+      0,
+      belief.inFlight - (isInFlightNew ? 1 : 0),
+    );
+  }
+
+  /**
+   * Whether other instances told loads a moment ago. They then know the same, and
+   * what looks best to one looks best to all.
+   */
+  isViewShared(nowMs: number): boolean {
+    return nowMs - this.toldAtMs < SHARED_FOR_MS;
+  }
+
+  /** How old the last load is that the endpoint told anybody. */
+  loadAgeMs(id: EndpointId, nowMs: number): number | undefined {
+    const belief = this.beliefs.get(id);
+    return belief?.load && nowMs - belief.loadAtMs;
+  }
+
   /** How long an answer took that the endpoint gave in one piece. */
   noteDuration(id: EndpointId, durationMs: number): void {
     const belief = this.of(id);
@@ -211,6 +248,7 @@
       rejectedAtMs: Number.NEGATIVE_INFINITY,
       load: undefined,
       loadAtMs: 0,
+      begunAtMs: Number.NEGATIVE_INFINITY,
       countedInLoad: 0,
       meanDurationMs: undefined,
     };
--- /dev/null
+++ b/packages/routing/src/load_view.test.ts
@@ -0,0 +1,80 @@
+import test from 'ava';
+import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
+import {EndpointMonitor} from './endpoint_monitor.js';
+import {LoadView, type LoadReading} from './load_view.js';
+
+const ENGINE = brandAs<EndpointId>('engine');
+const GONE = brandAs<EndpointId>('gone');
+
+function reading(
+  running: number,
+  atMs: number,
+  endpoint = ENGINE,
+): LoadReading {
+  return {endpoint, load: {running, waiting: 0, capacity: 24}, atMs};
+}
+
+function makeView() {
+  const monitor = new EndpointMonitor();
+  const known = new Set([ENGINE]);
+  const view = new LoadView({monitor, isShared: id => known.has(id)});
+  return {monitor, view, known};
+}
+
+test('an instance knows the load of an engine that it never asked', t => {
+  // Guards against urgent requests at full engines beside idle ones.
+  const {monitor, view} = makeView();
+  t.is(view.take(reading(20, 1000), 'far', 1000), undefined);
+  t.is(monitor.estimateLoad(ENGINE, 1000), 20);
+  t.is(monitor.loadAgeMs(ENGINE, 1400), 400);
+  t.true(monitor.isViewShared(1400));
+});
+
+test('the newest reading holds, whoever had it', t => {
+  // Guards against reports that overtake each other on their way.
+  const {monitor, view} = makeView();
+  view.take(reading(3, 900), 'near', 1000);
+  t.is(view.take(reading(20, 800), 'far', 1000), 'older');
+  view.noteOwn(reading(5, 950));
+  t.is(view.take(reading(7, 940), 'far', 1000), 'older');
+  t.is(monitor.estimateLoad(ENGINE, 950), 5);
+});
+
+test('what is old, from the future or of no known engine is dropped', t => {
+  // Guards against a process that sends anything.
+  const {monitor, view} = makeView();
+  t.is(view.take(reading(20, 2000), 'far', 6000), 'too_old');
+  t.is(view.take(reading(20, 7000), 'far', 6000), 'from_the_future');
+  t.is(view.take(reading(20, 6000, GONE), 'far', 6000), 'not_shared');
+  t.is(monitor.estimateLoad(ENGINE, 6000), 0);
+  t.is(monitor.estimateLoad(GONE, 6000), 0);
+});
+
+test('without reports an instance is back to its own answers', t => {
+  // Guards against choosing by the last report of a relay that is gone.
+  const {monitor, view} = makeView();
+  view.take(reading(20, 0), 'far', 0);
+  t.false(monitor.isViewShared(3001));
+  t.true(monitor.estimateLoad(ENGINE, 9000) < 0.5);
+});
+
+test('requests sent after the told load count on top of it', t => {
+  // Guards against a second request to an engine because the first isn't told.
+  const {monitor, view} = makeView();
+  monitor.begin(ENGINE, 1, 500);
+  view.take(reading(4, 400), 'far', 600);
+  t.true(monitor.estimateLoad(ENGINE, 400) > 4.9);
+});
+
+test('each reading is told once, to those that do not have it', t => {
+  // Guards against relays of two data centres that echo each other's readings.
+  const {view, known} = makeView();
+  view.take(reading(4, 900), 'far', 1000);
+  t.is(view.changesSince(0, ['own', 'near'], 1000).readings.length, 0);
+  const {readings, mark} = view.changesSince(0, ['own', 'near', 'far'], 1000);
+  t.is(readings.length, 1);
+  t.is(view.changesSince(mark, ['far'], 1000).readings.length, 0);
+  known.delete(ENGINE);
+  view.prune();
+  t.is(view.changesSince(0, ['far'], 1000).readings.length, 0);
+});
--- /dev/null
+++ b/packages/routing/src/load_view.ts
@@ -0,0 +1,121 @@
+/** What endpoints told of their load, to any instance. */
+
+import type {EndpointId} from '@snipestage/types/ids.js';
+import type {EndpointMonitor, ReportedLoad} from './endpoint_monitor.js';
+
+/** A load that an endpoint told with an answer. */
+export interface LoadReading {
+  readonly endpoint: EndpointId;
+  readonly load: ReportedLoad;
+  /** When it was told, by this instance's clock. */
+  readonly atMs: number;
+}
+
+/** Who got the answer: this instance, one of its data centre, or one elsewhere. */
+export type LoadOrigin = 'own' | 'near' | 'far';
+
+/** What a {@link LoadView} is made from; defaults in the brackets. */
+export interface LoadViewOptions {
+  readonly monitor: EndpointMonitor;
+  /** Whether an endpoint is known, and its load worth telling. */
+  readonly isShared: (endpoint: EndpointId) => boolean;
+  /** Readings that are older are dropped (3,000 ms). */
+  readonly maxAgeMs?: number;
+}
+
+/** Readings that came since a mark, and the next mark. */
+export interface LoadChanges {
+  readonly readings: readonly LoadReading[];
+  readonly mark: number;
+}
+
+/** Why readings of others were dropped. */
+export type LoadDrop = 'older' | 'too_old' | 'from_the_future' | 'not_shared';
+
+const DEFAULT_MAX_AGE_MS = 3000;
+
+interface Kept {
+  readonly reading: LoadReading;
+  readonly origin: LoadOrigin;
+  /** Rises with each reading that is taken in. */
+  readonly number: number;
+}
+
+/**
+ * Load pattern: hundreds of instances before a hundred engines. An instance gets
+ * an answer of each engine every half a minute, and by its own answers alone it
+ * sends urgent requests to full engines beside idle ones. Together the instances
+ * hear of each engine about every second; this is what they tell each other.
+ */
+export class LoadView {
+  private readonly kept = new Map<EndpointId, Kept>();
+  private readonly maxAgeMs: number;
+  private count = 0;
+
+  constructor(private readonly options: LoadViewOptions) {
+    this.maxAgeMs = options.maxAgeMs ?? DEFAULT_MAX_AGE_MS;
+  }
+
+  /** An endpoint told this instance its load. */
+  noteOwn(reading: LoadReading): void {
+    const {endpoint, load, atMs} = reading;
+    this.options.monitor.noteLoad(endpoint, load, atMs);
+    if (this.options.isShared(endpoint)) this.keep(reading, 'own');
+  }
+
+  /**
+   * Takes in what another instance was told.
+   *
+   * @returns why it was dropped; undefined when it was taken in.
+   * @example
+   * const drop = view.take(reading, 'near', nowMs);
+   */
+  take(
+    reading: LoadReading,
+    origin: LoadOrigin,
+    nowMs: number,
+  ): LoadDrop | undefined {
+    const {endpoint, load, atMs} = reading;
+    if (atMs > nowMs) return 'from_the_future';
+    if (nowMs - atMs > this.maxAgeMs) return 'too_old';
+    if (!this.options.isShared(endpoint)) return 'not_shared';
+    const known = this.kept.get(endpoint);
+    if (known !== undefined && known.reading.atMs >= atMs) return 'older';
+    this.options.monitor.noteToldLoad(endpoint, load, atMs);
+    this.keep(reading, origin);
+    return undefined;
+  }
+
+  /**
+   * Readings that were taken in since a mark, but for those that are too old.
+   *
+   * @param mark 0 at first, then that of the changes before.
+   * @example
+   * const {readings, mark} = view.changesSince(before, ['own'], nowMs);
+   */
+  changesSince(
+    mark: number,
+    origins: readonly LoadOrigin[],
+    nowMs: number,
+  ): LoadChanges {
+    const readings: LoadReading[] = [];
+    for (const {reading, origin, number} of this.kept.values()) {
+      const isNew = number > mark && origins.includes(origin);
+      if (isNew && nowMs - reading.atMs <= this.maxAgeMs)
+        readings.push(reading);
+    }
+    return {readings, mark: this.count};
+  }
+
+  /** Forgets endpoints that are no longer known. */
+  prune(): void {
+    for (const endpoint of this.kept.keys()) {
+      if (!this.options.isShared(endpoint)) this.kept.delete(endpoint);
+    }
+  }
+
+  private keep(reading: LoadReading, origin: LoadOrigin): void {
+    this.count += 1;
+    this.kept.set(reading.endpoint, {reading, origin, number: this.count});
+  }
+}
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -20,6 +20,7 @@
 } from './placement.js';
 import {PrefixHolders} from './prefix_holders.js';
 import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
+import {chooseBySample} from './sampled_choice.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** What a {@link PromptPlacement} is made from. */
@@ -171,13 +172,20 @@
     group: readonly ServingEndpoint[],
     {nowMs}: PlacementRequest,
   ): Placed | undefined {
-    const endpoint = leastBy(
-      group,
-      ({id}) =>
-        this.monitor.estimateLoad(id, nowMs) +
-        this.monitor.failureShare(id, nowMs) * FAILURE_COST_IN_REQUESTS +
-        this.random() * RANDOM_COST_IN_REQUESTS,
-    );
+    const {monitor, random} = this;
+    const loadOf = ({id}: ServingEndpoint) => monitor.estimateLoad(id, nowMs);
+    const costOf = (each: ServingEndpoint) =>
+      loadOf(each) +
+      monitor.failureShare(each.id, nowMs) * FAILURE_COST_IN_REQUESTS +
+      random() * RANDOM_COST_IN_REQUESTS;
+    const endpoint = monitor.isViewShared(nowMs)
+      ? chooseBySample({
+          items: group,
+          costOf,
+          roomOf: each => each.capacity - costOf(each),
+          random,
+        })
+      : leastBy(group, costOf);
     return endpoint && {endpoint};
   }
 }
