Bill what killed instances had counted, and remove what was reported

Cause: from 21 instances on none wrote a running window's counts, since one holds less than a twentieth; many that are killed together hold more. Relays did not write them, since a row given to a relay may be written later than a newer one.

Change: counts so far have a row of their own, which the whole replaces when the window is added up. Relays write them for dozens with one call, three times a window; where relays fail they are left out. The rows of a window that was reported are removed with the reporter's progress; the table kept them for good.

The loss of power of all machines still takes up to 1.5 s of counts with it.

--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -32,7 +32,7 @@
   readonly state: RoutingState;
   readonly clock: AgreedClock;
   readonly facts: SharedFacts;
-  readonly relays: Pick<Relays, 'write'>;
+  readonly relays: Pick<Relays, 'write' | 'writesForOthers'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** Only a ready instance stands for the lease. */
@@ -51,6 +51,8 @@
 const POLL_TERMS = 1;
 /** Share of a window after which its counts so far are written. */
 const USAGE_WRITE_SHARE = 0.5;
+/** The same where a relay writes for dozens with one call. */
+const RELAYED_WRITE_SHARE = 0.3;
 
 /** Owns the lease and the tasks that are done in its name. */
 export class Duties {
@@ -87,6 +89,7 @@
       nowMs,
       logger,
       writeTogether: (key, value) => options.relays.write(key, value),
+      writesTogether: () => options.relays.writesForOthers,
       readDemands: () => state.readDemands(nowMs()),
     });
     this.reporter = new UsageReporter({
@@ -183,11 +186,15 @@
 
   /**
    * What a killed instance takes with it of a window that runs. Where one holds
-   * less than reports may be off by, it isn't worth a call of each.
+   * less than reports may be off by, it isn't worth a call of each; many that are
+   * killed together hold more, so that relays write for all of them.
    */
   private get usageWriteEveryMs(): number {
     const {windowMs, tolerance} = this.options.settings.usage;
     const {instances} = this.options.state;
+    if (this.options.relays.writesForOthers) {
+      return windowMs * RELAYED_WRITE_SHARE;
+    }
     const isNegligible = instances !== undefined && 1 / instances < tolerance;
     return isNegligible ? windowMs : windowMs * USAGE_WRITE_SHARE;
   }
--- a/packages/gateway/src/usage_reporter.test.ts
+++ b/packages/gateway/src/usage_reporter.test.ts
@@ -9,7 +9,7 @@
 import type {DutyTerm} from './duty_term.js';
 import {MemoryPlatform} from './test_support/memory_platform.js';
 import {NoOutput} from './test_support/no_output.js';
-import {countsKey} from './usage_rows.js';
+import {countsKey, countsSoFarKey} from './usage_rows.js';
 import {UsageReporter, type UsageReporterOptions} from './usage_reporter.js';
 
 const LEASE = brandAs<LeaseName>('duties');
@@ -184,3 +184,38 @@
   t.deepEqual(figures(platform), ['100: 7', '101: 3']);
   t.deepEqual(told, [2]);
 });
+
+test('of an instance that was killed what it had counted so far is billed', async t => {
+  // Guards against windows that are off by all that many killed instances held.
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  await writeCounts(platform, 100, 'sound', 3);
+  const killed = countsSoFarKey(100 as WindowNumber, 'killed');
+  const both = countsSoFarKey(100 as WindowNumber, 'sound');
+  const value = {counts: {shop: 2}, isFinal: false};
+  const writes = [killed, both].map(key => ({key, value}));
+  await platform.transact({checks: [], writes});
+  const early = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
+  for (let tick = 0; tick < 12; tick++) await early.tick();
+  t.deepEqual(figures(platform), [], 'the killed one might write its whole');
+  const late = makeReporter(platform, 1, 101 * WINDOW_MS + 9000);
+  for (let tick = 0; tick < 12; tick++) await late.tick();
+  t.deepEqual(figures(platform), ['100: 5']);
+});
+
+test('counts of a reported window are removed, in as many steps as it takes', async t => {
+  // Guards against a table that grows by hundreds of rows every few seconds.
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  for (let writer = 0; writer < 200; writer += 1) {
+    await writeCounts(platform, 100, `i${writer}`, 1);
+  }
+  const reporter = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
+  for (let tick = 0; tick < 12; tick++) await reporter.tick();
+  t.deepEqual(figures(platform), ['100: 200']);
+  const counts = [...platform.rows.values()].filter(
+    ({key, value}) => key.startsWith('usage/') && value !== null,
+  );
+  t.deepEqual(counts, []);
+  t.not(platform.rows.get('seals/100'), undefined);
+});
--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -16,7 +16,6 @@
   type LeaseName,
   type UsageWindowId,
 } from '@snipestage/types/ids.js';
-import type {Row} from '@snipestage/types/table.js';
 import type {LeaseTask} from '@snipestage/entry/agree/lease_task.js';
 import type {DutyTerm} from './duty_term.js';
 import {
@@ -24,9 +23,9 @@
   PROGRESS_KEY,
   type ProgressValue,
   fromCountsValue,
+  latestByWriter,
   sealKey,
   toCountsValue,
-  writerOf,
   type CountsValue,
 } from './usage_rows.js';
 
@@ -58,6 +57,8 @@
  * the store and write as soon as they are back. The rest is for the report.
  */
 const PATIENCE_SHARE = 0.65;
+/** The store takes so many rows in one transaction. */
+const MOST_ROWS = 90;
 /** A new holder looks so far back for windows that nobody has reported. */
 const LOOK_BACK_DUES = 3;
 
@@ -72,6 +73,8 @@
   private pausedUntilMs = 0;
   private nextWindow: WindowNumber | undefined;
   private tokenOfNext: number | undefined;
+  /** Rows from which the last seal was made. */
+  private countedKeys: readonly string[] = [];
   /** Who wrote the window before; they are expected to write again. */
   private writers: ReadonlySet<string> = new Set();
 
@@ -125,12 +128,20 @@
     return (row.value as ProgressValue | null)?.next ?? 0;
   }
 
-  /** Only saves a successor time: a report that is repeated does no harm. */
-  private async writeProgress(next: WindowNumber): Promise<void> {
-    await this.options.platform.transact({
-      checks: [],
-      writes: [{key: PROGRESS_KEY, value: {next}}],
-    });
+  /**
+   * Tells a successor how far reports have come, and removes what they were made
+   * from; the seal stays. A row that is left over does no harm, and neither does
+   * a report that is repeated.
+   */
+  private async finish(window: WindowNumber): Promise<void> {
+    const next: ProgressValue = {next: window + 1};
+    const removals = this.countedKeys.map(key => ({key, value: null}));
+    this.countedKeys = [];
+    const writes = [{key: PROGRESS_KEY, value: next}, ...removals];
+    for (let begin = 0; begin < writes.length; begin += MOST_ROWS) {
+      const batch = writes.slice(begin, begin + MOST_ROWS);
+      await this.options.platform.transact({checks: [], writes: batch});
+    }
   }
 
   private async handle(window: WindowNumber): Promise<void> {
@@ -142,7 +153,7 @@
     if (!isDone) return;
     const next = (window + 1) as WindowNumber;
     this.nextWindow = next;
-    if (sealed.size > 0) await this.writeProgress(next);
+    if (sealed.size > 0) await this.finish(window);
   }
 
   private async readSeal(
@@ -166,14 +177,16 @@
     const result = await platform.scanRows(countsPrefix(window));
     const {held} = lease;
     if (result.kind === 'unavailable' || held === undefined) return undefined;
-    const readiness = this.judge(window, result.rows);
+    const byWriter = latestByWriter(result.rows);
+    const readiness = this.judge(window, byWriter);
     if (readiness === 'waiting') return undefined;
-    const parts = result.rows.map(row => fromCountsValue(row.value));
+    const values = [...byWriter.values()];
+    const parts = values.map(fromCountsValue);
     if (parts.length === 0) return new Map();
     // The demand of some of the instances would shift the split of the engines
     // for all of them, and back again when the rest has written.
     if (readiness === 'complete') {
-      this.options.onRows?.(result.rows.map(row => row.value as CountsValue));
+      this.options.onRows?.(values);
     }
     const total = sumCounts(parts.filter(part => part !== undefined));
     const key = sealKey(window);
@@ -188,24 +201,27 @@
       outcome: outcome.kind,
       requests: [...total.values()].reduce((sum, count) => sum + count, 0),
     });
-    return outcome.kind === 'committed' ? total : undefined;
+    if (outcome.kind !== 'committed') return undefined;
+    this.countedKeys = result.rows.map(row => row.key);
+    return total;
   }
 
   /** Whether everybody has written, or it is too late to wait for the rest. */
-  private judge(window: WindowNumber, rows: readonly Row[]): Readiness {
+  private judge(
+    window: WindowNumber,
+    byWriter: ReadonlyMap<string, CountsValue>,
+  ): Readiness {
     const {clock, nowMs, windowMs, dueAfterMs} = this.options;
-    const final = rows.filter(({value}) => (value as CountsValue).isFinal);
-    const finished = new Set(final.map(({key}) => writerOf(key)));
-    const isAllThere =
-      final.length === rows.length &&
-      [...this.writers].every(writer => finished.has(writer));
+    const isFinal = (writer: string) => byWriter.get(writer)?.isFinal === true;
+    const expected = [...byWriter.keys(), ...this.writers];
+    const isAllThere = expected.every(isFinal);
     const endedAtMs = (window + 1) * windowMs;
     const waitedMs = clock.epochAt(nowMs()) - endedAtMs;
     if (!isAllThere && waitedMs < PATIENCE_SHARE * dueAfterMs) {
       this.pausedUntilMs = nowMs() + PAUSE_MS;
       return 'waiting';
     }
-    this.writers = new Set(rows.map(({key}) => writerOf(key)));
+    this.writers = new Set(byWriter.keys());
     return isAllThere ? 'complete' : 'late';
   }
 
--- a/packages/gateway/src/usage_rows.ts
+++ b/packages/gateway/src/usage_rows.ts
@@ -6,6 +6,7 @@
   WindowNumber,
 } from '@snipestage/routing/usage_windows.js';
 import type {ClientAccountId} from '@snipestage/types/ids.js';
+import type {Row} from '@snipestage/types/table.js';
 
 /** Value of a row of counts, and of a seal. */
 export interface CountsValue {
@@ -16,6 +17,9 @@
   readonly demands?: Readonly<Record<string, readonly RouteDemand[]>>;
 }
 
+/** Ends the keys of counts that are not whole. */
+const SO_FAR = '~';
+
 /**
  * Key of what one life of an instance counted in a window.
  *
@@ -26,6 +30,18 @@
   return `${countsPrefix(window)}${writer}`;
 }
 
+/**
+ * Key of what one life of an instance had counted when a window was running. It
+ * is another one than that of the whole: a write that was given to a relay, or
+ * whose answer stayed out, may take effect after a later one.
+ *
+ * @example
+ * countsSoFarKey(window, 'akl-a-1.k3x9'); // 'usage/353445120/akl-a-1.k3x9~'
+ */
+export function countsSoFarKey(window: WindowNumber, writer: string): string {
+  return `${countsKey(window, writer)}${SO_FAR}`;
+}
+
 /** Start of the keys of all that was counted in a window. */
 export function countsPrefix(window: WindowNumber): string {
   return `usage/${window}/`;
@@ -44,9 +60,25 @@
   return {counts: Object.fromEntries(counts), isFinal, demands};
 }
 
-/** Who wrote a row of counts. */
-export function writerOf(key: string): string {
-  return key.slice(key.lastIndexOf('/') + 1);
+/**
+ * What each life of an instance counted: the whole where it was written, else
+ * what it had counted so far.
+ *
+ * @example
+ * const byWriter = latestByWriter(rows);
+ */
+export function latestByWriter(
+  rows: readonly Row[],
+): ReadonlyMap<string, CountsValue> {
+  const latest = new Map<string, CountsValue>();
+  for (const {key, value} of rows) {
+    const name = key.slice(key.lastIndexOf('/') + 1);
+    const isWhole = !name.endsWith(SO_FAR);
+    const writer = isWhole ? name : name.slice(0, -SO_FAR.length);
+    if (value === null || (!isWhole && latest.has(writer))) continue;
+    latest.set(writer, value as CountsValue);
+  }
+  return latest;
 }
 
 /** @returns undefined when the value is of another form. */
--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -5,10 +5,16 @@
 import type {AgreedClock} from '@snipestage/routing/agreed_clock.js';
 import {
   windowAt,
+  type UsageCounts,
   type UsageWindows,
   type WindowNumber,
 } from '@snipestage/routing/usage_windows.js';
-import {countsKey, toCountsValue, type CountsValue} from './usage_rows.js';
+import {
+  countsKey,
+  countsSoFarKey,
+  toCountsValue,
+  type CountsValue,
+} from './usage_rows.js';
 
 /** What a {@link UsageWriter} is made from. */
 export interface UsageWriterOptions {
@@ -24,6 +30,8 @@
   readonly logger: Logger;
   /** Writes a row with those of others; false: it has to be written alone. */
   readonly writeTogether?: (key: string, value: unknown) => Promise<boolean>;
+  /** Whether others write for this instance now, so that a row is no call. */
+  readonly writesTogether?: () => boolean;
   /** What this instance sees of each service's routes. */
   readonly readDemands: () => CountsValue['demands'];
 }
@@ -113,42 +121,66 @@
 
   /** @returns whether the store has it. */
   private async write(window: WindowNumber): Promise<boolean> {
-    const {platform, windows, writer, nowMs, logger} = this.options;
+    const {windows, nowMs, logger} = this.options;
     const counts = windows.read(window);
     const total = totalOf(counts);
     const isFinal = this.isStopping || this.hasEnded(window);
     const written = this.written.get(window);
     if (written?.total === total && written.isFinal) return true;
-    const key = countsKey(window, writer);
-    const value = toCountsValue(counts, isFinal, this.options.readDemands());
-    const result = (await this.writeTogether(key, value))
-      ? ({kind: 'committed'} as const)
-      : await platform.transact({checks: [], writes: [{key, value}]});
-    if (result.kind === 'committed') {
+    const isWritten = isFinal
+      ? await this.writeWhole(window, counts)
+      : await this.writeSoFar(window, counts);
+    if (isWritten) {
       this.written.set(window, {total, isFinal, atMs: nowMs()});
       return true;
     }
     this.pausedUntilMs = nowMs() + PAUSE_AFTER_FAILURE_MS;
-    logger.warn('usage_not_written', {
-      window,
-      total,
-      reason: result.kind === 'unknown' ? result.reason : result.kind,
-    });
+    logger.warn('usage_not_written', {window, total});
     return false;
   }
 
-  /**
-   * Only what stays as it is: a row that was given to another instance may be
-   * written later than a newer one.
-   */
+  private async writeWhole(
+    window: WindowNumber,
+    counts: UsageCounts,
+  ): Promise<boolean> {
+    const {writer, readDemands} = this.options;
+    const key = countsKey(window, writer);
+    const value = toCountsValue(counts, true, readDemands());
+    // An instance that stops can't wait for those that write later.
+    const isTogether =
+      !this.isStopping && (await this.writeTogether(key, value));
+    return isTogether || this.writeAlone(key, value);
+  }
+
+  private async writeSoFar(
+    window: WindowNumber,
+    counts: UsageCounts,
+  ): Promise<boolean> {
+    const {writer, writesTogether} = this.options;
+    const key = countsSoFarKey(window, writer);
+    const value = toCountsValue(counts, false);
+    // Where a relay fails, dozens would write alone what is written soon anyway.
+    if (writesTogether?.() !== true) return this.writeAlone(key, value);
+    await this.writeTogether(key, value);
+    return true;
+  }
+
   private async writeTogether(
     key: string,
     value: CountsValue,
   ): Promise<boolean> {
-    if (!value.isFinal || this.isStopping) return false;
     return (await this.options.writeTogether?.(key, value)) ?? false;
   }
 
+  private async writeAlone(key: string, value: CountsValue): Promise<boolean> {
+    const {platform} = this.options;
+    const result = await platform.transact({
+      checks: [],
+      writes: [{key, value}],
+    });
+    return result.kind === 'committed';
+  }
+
   private forget(): void {
     const {windows} = this.options;
     const current = this.currentWindow();
