Keep following a relay apart from taking part, and tell standby relays loads

A relay that stands by in a data centre served nobody and followed nobody, and so learnt loads from other data centres only, not from its own. It now has a stream to the other relay of its own one as well.

--- /dev/null
+++ b/packages/gateway/src/relay/relay_follower.ts
@@ -0,0 +1,97 @@
+/** Follows the relay of this instance's data centre. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {RelayHolder} from '@snipestage/routing/relay_roster.js';
+import type {InstanceId} from '@snipestage/types/ids.js';
+import type {LoadReport} from './load_report.js';
+import type {RelayClient, RelayEnd} from './relay_client.js';
+import type {RelayedTableName, WriteRequest} from './relay_messages.js';
+import type {RelayedFeed} from './relayed_feed.js';
+import type {TableCopy} from './table_copy.js';
+
+/** What a {@link RelayFollower} is made from. */
+export interface RelayFollowerOptions {
+  readonly instance: InstanceId;
+  readonly copies: Readonly<Record<RelayedTableName, TableCopy>>;
+  readonly feeds: Readonly<Record<RelayedTableName, RelayedFeed>>;
+  readonly pingEveryMs: number;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  readonly onLoads: (report: LoadReport) => void;
+  /** The relay could not be reached, or has gone silent. */
+  readonly onFailed: (relay: InstanceId) => void;
+}
+
+/**
+ * A stream over which nothing has come for so long is given up. Until then the
+ * store is asked instead; a relay that had no followers answers its own poll of
+ * some seconds first.
+ */
+const SILENT_AFTER_MS = 10_000;
+
+/** Owns the stream while there is one. */
+export class RelayFollower {
+  private client: RelayClient | undefined;
+  private isClosed = false;
+
+  constructor(private readonly options: RelayFollowerOptions) {}
+
+  get isFollowing(): boolean {
+    return this.client !== undefined;
+  }
+
+  async follow(relay: RelayHolder): Promise<void> {
+    const {instance, feeds, logger, pingEveryMs, nowMs, onLoads} = this.options;
+    // Loaded where it is used: every start would pay for it.
+    const {RelayClient} = await import('./relay_client.js');
+    if (this.isClosed) return;
+    this.client = new RelayClient({
+      address: relay.address,
+      request: {kind: 'follow', instance, known: this.readVersions()},
+      silentAfterMs: SILENT_AFTER_MS,
+      pingEveryMs,
+      nowMs,
+      onChanges: (table, changes, asOfMs) => feeds[table].take(changes, asOfMs),
+      onLoads,
+      onEnd: reason => this.lose(relay, reason),
+    });
+    logger.info('relay_followed', {relay: relay.instance});
+  }
+
+  /** @returns whether the store has the row, as far as is known. */
+  async write(row: WriteRequest): Promise<boolean> {
+    return (await this.client?.write(row)) ?? false;
+  }
+
+  tellLoads(report: LoadReport): void {
+    this.client?.tellLoads(report);
+  }
+
+  /** Ends the stream; another may be followed. */
+  leave(): void {
+    this.client?.close();
+  }
+
+  /** Ends it for good. */
+  close(): void {
+    this.isClosed = true;
+    this.leave();
+  }
+
+  private readVersions(): Record<RelayedTableName, number> {
+    const {configuration, endpoints, shared} = this.options.copies;
+    return {
+      configuration: configuration.version ?? 0,
+      endpoints: endpoints.version ?? 0,
+      shared: shared.version ?? 0,
+    };
+  }
+
+  private lose({instance}: RelayHolder, reason: RelayEnd): void {
+    const {logger, feeds, onFailed} = this.options;
+    this.client = undefined;
+    logger.warn('relay_lost', {relay: instance, ...reason});
+    if (!reason.isOwn) onFailed(instance);
+    for (const feed of Object.values(feeds)) feed.close();
+  }
+}
--- a/packages/gateway/src/relay/relay_peers.ts
+++ b/packages/gateway/src/relay/relay_peers.ts
@@ -1,4 +1,4 @@
-/** Streams of a relay to the relays of other data centres. */
+/** Streams of a relay to other relays: one in each data centre. */
 
 import {
   RelayRoster,
@@ -22,7 +22,7 @@
 /** Nothing is concluded from what comes back. */
 const PING_EVERY_MS = 2000;
 
-/** Owns one stream to each other data centre that has a relay. */
+/** Owns the streams; in its own data centre there may be a second relay. */
 export class RelayPeers {
   private readonly rosters = new Map<DataCentreId, RelayRoster>();
   private readonly clients = new Map<DataCentreId, RelayClient>();
@@ -31,13 +31,13 @@
 
   /** Takes in a seat of any data centre. */
   learn(seat: RelaySeat): void {
-    const {dataCentre} = seat;
-    if (dataCentre === this.options.dataCentre) return;
+    const {dataCentre, holder} = seat;
     const roster =
       this.rosters.get(dataCentre) ??
       new RelayRoster({...this.options, dataCentre});
     this.rosters.set(dataCentre, roster);
-    roster.learn(seat);
+    const isOwn = holder?.instance === this.options.instance;
+    roster.learn(isOwn ? {...seat, holder: undefined} : seat);
   }
 
   /** Connects where a stream is missing. */
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -4,15 +4,11 @@
 import type {LoadView} from '@snipestage/routing/load_view.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import {InstanceEstimate} from '@snipestage/routing/instance_estimate.js';
-import {
-  RelayRoster,
-  type RelayHolder,
-  type RelaySeat,
-} from '@snipestage/routing/relay_roster.js';
+import {RelayRoster, type RelaySeat} from '@snipestage/routing/relay_roster.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {FollowedTable, FollowPace} from '../table_follower.js';
-import type {RelayClient, RelayEnd} from './relay_client.js';
+import {RelayFollower} from './relay_follower.js';
 import {RELAYED_TABLES, type RelayedTableName} from './relay_messages.js';
 import {LoadExchange} from './load_exchange.js';
 import {RelayHost} from './relay_host.js';
@@ -58,12 +54,6 @@
 const FRESH_SHARE = 0.65;
 /** Facts are polled for eight seconds at a time. */
 const FACTS_FRESH_FOR_MS = 10_000;
-/**
- * A stream over which nothing has come for so long is given up. Until then the
- * store is asked instead; a relay that had no followers answers its own poll of
- * some seconds first.
- */
-const SILENT_AFTER_MS = 10_000;
 const TICK_MS = 500;
 
 /** Owns the roster and whatever socket the part in it needs. */
@@ -74,13 +64,12 @@
   private readonly writes: WriteGatherer;
   private readonly estimate: InstanceEstimate;
   private readonly host: RelayHost;
+  private readonly follower: RelayFollower;
   private readonly peers: RelayPeers;
   private readonly loads: LoadExchange;
   private hasEstimated = false;
-  private client: RelayClient | undefined;
   private timer: NodeJS.Timeout | undefined;
   private isBusy = false;
-  private isStopping = false;
 
   constructor(private readonly options: RelaysOptions) {
     this.roster = new RelayRoster(options);
@@ -89,9 +78,13 @@
       relaysPayFrom: this.roster.paysFrom,
     });
     this.writes = new WriteGatherer(options.platform);
-    const freshForMs = options.inForceWithinMs * FRESH_SHARE;
     this.copies = perTable(() => new TableCopy());
-    const {copies, writes} = this;
+    const freshForMs = options.inForceWithinMs * FRESH_SHARE;
+    this.feeds = perTable(
+      name =>
+        new RelayedFeed(name === 'shared' ? FACTS_FRESH_FOR_MS : freshForMs),
+    );
+    const {copies, feeds, writes} = this;
     this.loads = new LoadExchange({...options, view: options.loads});
     this.host = new RelayHost({
       ...options,
@@ -103,10 +96,14 @@
       ...options,
       onLoads: report => this.loads.take(report, 'far'),
     });
-    this.feeds = perTable(
-      name =>
-        new RelayedFeed(name === 'shared' ? FACTS_FRESH_FOR_MS : freshForMs),
-    );
+    this.follower = new RelayFollower({
+      ...options,
+      copies,
+      feeds,
+      pingEveryMs: options.inForceWithinMs * PING_SHARE,
+      onLoads: report => this.loads.take(report, 'far'),
+      onFailed: relay => this.roster.noteFailed(relay, options.nowMs()),
+    });
   }
 
   start(): void {
@@ -116,9 +113,9 @@
 
   /** Leaves the seat to others and closes what is open. */
   async stop(): Promise<void> {
-    this.isStopping = true;
     clearInterval(this.timer);
     this.host.close();
+    this.follower.close();
     await this.leave();
   }
 
@@ -160,12 +157,12 @@
     if (this.host.isServing) {
       return this.writes.add({key, value}, () => true);
     }
-    return (await this.client?.write({key, value})) ?? false;
+    return this.follower.write({key, value});
   }
 
   /** Whether rows are written together with those of others now. */
   get writesForOthers(): boolean {
-    return this.host.isServing || this.client !== undefined;
+    return this.host.isServing || this.follower.isFollowing;
   }
 
   learnSeat(seat: RelaySeat): void {
@@ -176,7 +173,7 @@
   snapshot(): object {
     return {
       isRelay: this.host.isServing,
-      follows: this.client !== undefined,
+      follows: this.follower.isFollowing,
       seat: this.roster.ownSeat?.number,
     };
   }
@@ -206,9 +203,9 @@
     const nowMs = options.nowMs();
     const seat = roster.seatToClaim(nowMs, isUnknown);
     if (seat !== undefined) await this.claim(seat);
-    else if (!roster.isRelay && this.client === undefined) {
+    else if (!roster.isRelay && !this.follower.isFollowing) {
       const relay = roster.choose(nowMs);
-      if (relay !== undefined) await this.follow(relay);
+      if (relay !== undefined) await this.follower.follow(relay);
     }
     if (isUnknown) this.estimateInstances();
   }
@@ -219,8 +216,9 @@
       this.host.tellLoads(this.loads.takeAsRelay());
       return;
     }
-    const report = this.client && this.loads.takeForRelay();
-    if (report !== undefined) this.client?.tellLoads(report);
+    if (!this.follower.isFollowing) return;
+    const report = this.loads.takeForRelay();
+    if (report !== undefined) this.follower.tellLoads(report);
   }
 
   private stopServing(): void {
@@ -238,7 +236,7 @@
 
   /** Neither relays nor follows: each instance asks the store by itself. */
   private async leave(): Promise<void> {
-    this.client?.close();
+    this.follower.leave();
     this.stopServing();
     const seat = this.roster.ownSeat;
     if (seat === undefined) return;
@@ -260,7 +258,7 @@
   }
 
   private async serve(): Promise<boolean> {
-    if (!this.host.isServing) this.client?.close();
+    if (!this.host.isServing) this.follower.leave();
     return this.host.start();
   }
 
@@ -286,42 +284,6 @@
     const version = result.versions[key];
     this.roster.learn({...seat, holder: value, version});
   }
-
-  private async follow(relay: RelayHolder): Promise<void> {
-    const {instance, logger, inForceWithinMs, nowMs} = this.options;
-    const {RelayClient} = await import('./relay_client.js');
-    if (this.isStopping) return;
-    const known = (name: RelayedTableName) => this.copies[name].version ?? 0;
-    const client = new RelayClient({
-      address: relay.address,
-      request: {
-        kind: 'follow',
-        instance,
-        known: {
-          configuration: known('configuration'),
-          endpoints: known('endpoints'),
-          shared: known('shared'),
-        },
-      },
-      silentAfterMs: SILENT_AFTER_MS,
-      pingEveryMs: inForceWithinMs * PING_SHARE,
-      nowMs,
-      onChanges: (table, changes, asOfMs) =>
-        this.feeds[table].take(changes, asOfMs),
-      onLoads: report => this.loads.take(report, 'far'),
-      onEnd: reason => this.loseRelay(relay, reason),
-    });
-    this.client = client;
-    logger.info('relay_followed', {relay: relay.instance});
-  }
-
-  private loseRelay({instance}: RelayHolder, reason: RelayEnd): void {
-    const {logger, nowMs} = this.options;
-    logger.warn('relay_lost', {relay: instance, ...reason});
-    if (!reason.isOwn) this.roster.noteFailed(instance, nowMs());
-    for (const feed of Object.values(this.feeds)) feed.close();
-    this.client = undefined;
-  }
 }
 
 function perTable<Item>(
