Let the first polls after a start wait until a relay may be found

They now come after 0.8 of the time in which a change has to be in force, as counted from the whole read; an instance that starts isn't held to it sooner.

Ruled out: relays that are asked before the first whole read (an instance would not be ready before it has found one); shorter polls (as many calls).

--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -70,6 +70,8 @@
  * hundred milliseconds, and each answer is a priced call of every instance.
  */
 const GATHER_SHARE = 0.35;
+/** Share of that time which the first poll after a start may wait for a relay. */
+const AFTER_START_SHARE = 0.8;
 
 /** Owns the followers. */
 export class StateFollower {
@@ -123,7 +125,14 @@
     listener: TableListener,
   ): void {
     const {tables, relays, inForceWithinMs} = this.options;
-    const own = {waitMs, gatherMs: inForceWithinMs * GATHER_SHARE};
+    const own = {
+      waitMs,
+      gatherMs: inForceWithinMs * GATHER_SHARE,
+      // The rows that say who relays are in this table.
+      ...(name === 'shared'
+        ? {}
+        : {afterStartMs: inForceWithinMs * AFTER_START_SHARE}),
+    };
     this.followers.push(
       new TableFollower({
         table: relays.wrap(name, tables[name]),
--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -34,7 +34,11 @@
   return {kind: 'rows', rows: list, version, clock: undefined};
 }
 
-async function follow(readings: TableReading[], gatherMs = 0) {
+async function follow(
+  readings: TableReading[],
+  gatherMs = 0,
+  afterStartMs?: number,
+) {
   const table = new ScriptedTable([...readings]);
   const told: string[] = [];
   const keysOf = (list: readonly FollowedRow[]) =>
@@ -42,7 +46,7 @@
   const output = new NoOutput();
   const follower = new TableFollower({
     table,
-    pace: () => ({waitMs: 1000, gatherMs}),
+    pace: () => ({waitMs: 1000, gatherMs, afterStartMs}),
     logger: output.logger,
     random: () => 1,
     listener: {
@@ -103,6 +107,13 @@
   t.deepEqual(pauses, [300, 300, 0]);
 });
 
+test('the first poll after a start waits until a relay may be found', async t => {
+  // Guards against a poll of each of hundreds of instances that start together.
+  const gone: TableReading = {kind: 'history_gone'};
+  const {pauses} = await follow([rows(5, 'a'), gone, rows(9, 'b')], 300, 900);
+  t.deepEqual(pauses, [900, 0, 300]);
+});
+
 test('while the store is away it asks shortly', async t => {
   // An instance is cut off for some seconds. A long poll that was sent into the
   // cut would hang on for seconds after it has healed, and endpoints that have
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -56,6 +56,12 @@
    * instance's poll.
    */
   readonly gatherMs: number;
+  /**
+   * Pause after the first whole read, in which a relay may be found (as after
+   * any other). Hundreds of instances that start together would else poll once
+   * before they follow it.
+   */
+  readonly afterStartMs?: number;
 }
 
 /** Rows that came, in the order of their versions. */
@@ -91,6 +97,7 @@
   private version: number | undefined;
   private minVersion = 0;
   private failures = 0;
+  private hasReadWhole = false;
   private isStopped = false;
   private readonly random: () => number;
 
@@ -190,7 +197,10 @@
       version: reading.version,
       rows: reading.rows.length,
     });
-    return this.options.pace().gatherMs;
+    const {gatherMs, afterStartMs} = this.options.pace();
+    const isFirst = !this.hasReadWhole;
+    this.hasReadWhole = true;
+    return isFirst ? (afterStartMs ?? gatherMs) : gatherMs;
   }
 
   private fail(reason: string): number {
