Keep requests without a home in their data centre while it has room

Requests that have no home (short prompts, and prompts that spill over) went to any engine.

With a shared view they go to engines of their own data centre unless these have over one request more each than all; it needs four of them to choose from. Where no view is shared nothing changes.

Left alone: plain services (a third of the requests stay, the noise of measured durations outweighs the cost of another data centre) and homes by data centre (five times as many beginnings in memory).

--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -10,6 +10,7 @@
   shareOfShortRoutes,
   splitCount,
 } from './engine_split.js';
+import {preferNear} from './near_engines.js';
 import {
   findUsable,
   leastBy,
@@ -170,7 +171,7 @@
 
   private chooseByLoad(
     group: readonly ServingEndpoint[],
-    {nowMs}: PlacementRequest,
+    {dataCentre, nowMs}: PlacementRequest,
   ): Placed | undefined {
     const {monitor, random} = this;
     const loadOf = ({id}: ServingEndpoint) => monitor.estimateLoad(id, nowMs);
@@ -180,7 +181,7 @@
       random() * RANDOM_COST_IN_REQUESTS;
     const endpoint = monitor.isViewShared(nowMs)
       ? chooseBySample({
-          items: group,
+          items: preferNear(group, {dataCentre, loadOf}),
           costOf,
           roomOf: each => each.capacity - costOf(each),
           random,
