Wait for counts that still come in after an outage of the store

Change: the patience of 0.65 of the time until a report is due is 0.85 at the first look, and as long as more instances have written at each look.

Ruled out: counts lost at instances (60 wrote the window before and after). Left: the two windows that were due in the outage came late; nobody could say them.

--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -59,6 +59,11 @@
 const PATIENCE_SHARE = 0.65;
 /** The store takes so many rows in one transaction. */
 const MOST_ROWS = 90;
+/**
+ * The same while counts still come in, as they do when the store is just back:
+ * sealed at its return, a window would lack whatever was counted in the outage.
+ */
+const LONG_PATIENCE_SHARE = 0.85;
 /** A new holder looks so far back for windows that nobody has reported. */
 const LOOK_BACK_DUES = 3;
 
@@ -73,6 +78,9 @@
   private pausedUntilMs = 0;
   private nextWindow: WindowNumber | undefined;
   private tokenOfNext: number | undefined;
+  /** Instances that had written the whole at the last look. */
+  private seen:
+    {readonly window: WindowNumber; readonly final: number} | undefined;
   /** Rows from which the last seal was made. */
   private countedKeys: readonly string[] = [];
   /** Who wrote the window before; they are expected to write again. */
@@ -217,7 +225,11 @@
     const isAllThere = expected.every(isFinal);
     const endedAtMs = (window + 1) * windowMs;
     const waitedMs = clock.epochAt(nowMs()) - endedAtMs;
-    if (!isAllThere && waitedMs < PATIENCE_SHARE * dueAfterMs) {
+    const final = [...byWriter.keys()].filter(isFinal).length;
+    const stillCome = this.seen?.window !== window || final > this.seen.final;
+    this.seen = {window, final};
+    const patience = stillCome ? LONG_PATIENCE_SHARE : PATIENCE_SHARE;
+    if (!isAllThere && waitedMs < patience * dueAfterMs) {
       this.pausedUntilMs = nowMs() + PAUSE_MS;
       return 'waiting';
     }
