Let one follower of each instance ask a store that is away

Change: of an instance's followers the one that lost the store first asks; the others ask a third as often, and at once when it has the store back.

Ruled out: longer pauses for all (endpoints that leave in an outage would be known of later); relays that ask for their followers (the store may turn away some machines and serve the others).

--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -21,6 +21,7 @@
 import type {Relays} from './relay/relays.js';
 import type {RoutingState} from './routing_state.js';
 import type {SharedFacts} from './shared_facts.js';
+import type {StoreRecovery} from './store_recovery.js';
 import {UsageReporter} from './usage_reporter.js';
 import {UsageWriter} from './usage_writer.js';
 
@@ -32,6 +33,7 @@
   readonly state: RoutingState;
   readonly clock: AgreedClock;
   readonly facts: SharedFacts;
+  readonly recovery: Pick<StoreRecovery, 'isAway'>;
   readonly relays: Pick<Relays, 'write' | 'writesForOthers'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
@@ -89,6 +91,7 @@
       nowMs,
       logger,
       writeTogether: (key, value) => options.relays.write(key, value),
+      isStoreAway: () => options.recovery.isAway,
       writesTogether: () => options.relays.writesForOthers,
       readDemands: () => state.readDemands(nowMs()),
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import {RequestHandler} from './request_handler.js';
 import {RoutingState} from './routing_state.js';
 import {SharedFacts} from './shared_facts.js';
+import {StoreRecovery} from './store_recovery.js';
 import {
   StateFollower,
   type FollowedTables,
@@ -69,6 +70,7 @@
     this.state = new RoutingState(settings.retry);
     this.shutdown = new Shutdown(settings.shutdown);
     this.clock = new AgreedClock(nowMs(), Date.now());
+    const recovery = new StoreRecovery();
     const facts = new SharedFacts({
       platform,
       logger: logger.forComponent('facts'),
@@ -101,6 +103,7 @@
       state: this.state,
       clock: this.clock,
       facts,
+      recovery,
       relays: this.relays,
       logger,
       nowMs,
@@ -114,6 +117,7 @@
     });
     this.follower = new StateFollower({
       relays: this.relays,
+      recovery,
       tables: options.tables,
       decoder: options.decoder,
       state: this.state,
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -12,6 +12,7 @@
 import type {Relays} from './relay/relays.js';
 import {readSeat} from './relay/seat_rows.js';
 import {readFact} from './shared_facts.js';
+import type {StoreRecovery} from './store_recovery.js';
 import {
   TableFollower,
   type FollowedRow,
@@ -45,6 +46,7 @@
   readonly clock: AgreedClock;
   readonly crashes: CrashReporter;
   readonly relays: Relays;
+  readonly recovery: StoreRecovery;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** A change has to be known so soon, also over a connection that broke. */
@@ -124,7 +126,7 @@
     waitMs: number,
     listener: TableListener,
   ): void {
-    const {tables, relays, inForceWithinMs} = this.options;
+    const {tables, relays, recovery, inForceWithinMs} = this.options;
     const own = {
       waitMs,
       gatherMs: inForceWithinMs * GATHER_SHARE,
@@ -137,6 +139,7 @@
       new TableFollower({
         table: relays.wrap(name, tables[name]),
         listener,
+        recovery,
         logger: this.options.logger.forComponent('store'),
         pace: () => relays.paceOf(name) ?? own,
         onClock: this.options.clock.noteReading.bind(this.options.clock),
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -2,6 +2,7 @@
 
 import type {StoreClockReading} from '@snipestage/routing/agreed_clock.js';
 import type {Logger} from '@snipestage/log/logger.js';
+import {StoreRecovery} from './store_recovery.js';
 
 /** A row that exists, or one that is gone. */
 export interface FollowedRow {
@@ -77,6 +78,8 @@
   readonly onClock?: (reading: StoreClockReading) => void;
   /** Told of each answer that was taken in, also of one without rows. */
   readonly onReading?: (reading: RowsReading, isWhole: boolean) => void;
+  /** Shared by the followers of one store (its own). */
+  readonly recovery?: StoreRecovery;
   /** First pause after a failure (100 ms); doubles. */
   readonly firstBackoffMs?: number;
   /** Longest pause (800 ms). */
@@ -100,9 +103,11 @@
   private hasReadWhole = false;
   private isStopped = false;
   private readonly random: () => number;
+  private readonly recovery: StoreRecovery;
 
   constructor(private readonly options: TableFollowerOptions) {
     this.random = options.random ?? Math.random;
+    this.recovery = options.recovery ?? new StoreRecovery();
   }
 
   get isDisturbed(): boolean {
@@ -125,10 +130,16 @@
   private async run(): Promise<void> {
     while (!this.isStopped) {
       const pauseMs = await this.readOnce();
-      if (pauseMs > 0) await new Promise(done => setTimeout(done, pauseMs));
+      if (pauseMs > 0) await this.pause(pauseMs);
     }
   }
 
+  private pause(pauseMs: number): Promise<void> {
+    return this.isDisturbed
+      ? this.recovery.wait(pauseMs)
+      : new Promise(done => setTimeout(done, pauseMs));
+  }
+
   /** @returns the pause before the next read. */
   async readOnce(): Promise<number> {
     const {table} = this.options;
@@ -213,7 +224,7 @@
     const firstMs = this.options.firstBackoffMs ?? DEFAULT_FIRST_BACKOFF_MS;
     const maxMs = this.options.maxBackoffMs ?? DEFAULT_MAX_BACKOFF_MS;
     const backoffMs = Math.min(maxMs, firstMs * 2 ** (this.failures - 1));
-    return backoffMs * (0.5 + this.random() / 2);
+    return this.recovery.lose(this, backoffMs * (0.5 + this.random() / 2));
   }
 
   private recover(): void {
@@ -223,5 +234,6 @@
       failures: this.failures,
     });
     this.failures = 0;
+    this.recovery.regain(this);
   }
 }
--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -30,6 +30,8 @@
   readonly logger: Logger;
   /** Writes a row with those of others; false: it has to be written alone. */
   readonly writeTogether?: (key: string, value: unknown) => Promise<boolean>;
+  /** Nothing is written while the store is known to be away (never). */
+  readonly isStoreAway?: () => boolean;
   /** Whether others write for this instance now, so that a row is no call. */
   readonly writesTogether?: () => boolean;
   /** What this instance sees of each service's routes. */
@@ -75,8 +77,9 @@
   }
 
   private async tick(): Promise<void> {
-    const {nowMs} = this.options;
-    if (this.isWriting || nowMs() < this.pausedUntilMs) return;
+    const {nowMs, isStoreAway} = this.options;
+    const isPaused = nowMs() < this.pausedUntilMs || isStoreAway?.() === true;
+    if (this.isWriting || isPaused) return;
     this.isWriting = true;
     // An instance without requests says so: the reporter would wait for it.
     this.options.windows.open(this.currentWindow());
