--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,20 +15,21 @@
 import {CallersServer} from './callers_server.js';
 import {CrashReporter} from './crash_reporter.js';
 import {Duties} from './duties.js';
-import {GatewayMetrics} from './gateway_metrics.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
+import {createPages} from './gateway_pages.js';
 import type {GatewaySettings} from './gateway_settings.js';
-import {OperationsServer, type OperationsPage} from './operations_server.js';
+import type {OperationsServer} from './operations_server.js';
 import type {PassThroughProtocol} from './pass_through_protocol.js';
 import {Relays} from './relay/relays.js';
 import {RequestHandler} from './request_handler.js';
 import {RoutingState} from './routing_state.js';
 import {SharedFacts} from './shared_facts.js';
-import {StoreRecovery} from './store_recovery.js';
 import {
   StateFollower,
   type FollowedTables,
   type RowDecoder,
 } from './state_follower.js';
+import {StoreRecovery} from './store_recovery.js';
 
 /** What a {@link Gateway} is made from. */
 export interface GatewayOptions {
@@ -55,7 +56,7 @@
   private readonly state: RoutingState;
   private readonly handler: RequestHandler;
   private readonly callers: CallersServer;
-  private readonly operations: OperationsServer[] = [];
+  private readonly operations: readonly OperationsServer[];
   private readonly clock: AgreedClock;
   private readonly follower: StateFollower;
   private readonly duties: Duties;
@@ -128,7 +129,11 @@
       ...settings.changes,
       onConfiguration: configuration => this.applyConfiguration(configuration),
     });
-    this.addOperations();
+    this.operations = createPages({
+      ...options,
+      isReady: () => this.isReady,
+      dump: () => this.dump(),
+    });
   }
 
   /** Ready as soon as the configuration and the endpoints are known. */
@@ -265,30 +270,6 @@
     this.options.metrics.setConfigurationVersion(version);
   }
 
-  private addOperations(): void {
-    const {settings, metrics, output} = this.options;
-    const readiness = async (): Promise<OperationsPage> => ({
-      status: this.isReady ? 200 : 503,
-      type: 'text/plain',
-      body: this.isReady ? 'ready\n' : 'not ready\n',
-    });
-    this.operations.push(
-      new OperationsServer(settings.readinessAddress, readiness),
-    );
-    if (settings.metricsAddress === undefined) return;
-    const pages = async (path: string): Promise<OperationsPage | undefined> => {
-      if (path === '/metrics') {
-        metrics.setDroppedLines(output.dropped);
-        const body = await metrics.render();
-        return {status: 200, type: 'text/plain; version=0.0.4', body};
-      }
-      if (path !== '/state') return undefined;
-      const body = JSON.stringify(this.dump(), null, 2);
-      return {status: 200, type: 'application/json', body};
-    };
-    this.operations.push(new OperationsServer(settings.metricsAddress, pages));
-  }
-
   /** What the process knows and believes; no keys. */
   private dump(): object {
     return {
--- /dev/null
+++ b/packages/gateway/src/gateway_pages.ts
@@ -0,0 +1,63 @@
+/** What the operations addresses of a gateway serve. */
+
+import type {BoundedOutput} from '@snipestage/log/bounded_output.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
+import type {GatewaySettings} from './gateway_settings.js';
+import {OperationsServer, type OperationsPage} from './operations_server.js';
+
+/** What the pages show. */
+export interface GatewayPagesOptions {
+  readonly settings: Pick<
+    GatewaySettings,
+    'readinessAddress' | 'metricsAddress'
+  >;
+  readonly metrics: GatewayMetrics;
+  readonly output: Pick<BoundedOutput, 'dropped'>;
+  readonly isReady: () => boolean;
+  /** What the process knows and believes; no keys. */
+  readonly dump: () => object;
+}
+
+/**
+ * Readiness on one address; metrics and the dump of state on another, where the
+ * settings have one.
+ *
+ * @example
+ * for (const server of createPages(options)) await server.start();
+ */
+export function createPages(
+  options: GatewayPagesOptions,
+): readonly OperationsServer[] {
+  const {readinessAddress, metricsAddress} = options.settings;
+  const readiness = new OperationsServer(readinessAddress, async () =>
+    showReadiness(options),
+  );
+  if (metricsAddress === undefined) return [readiness];
+  const pages = new OperationsServer(metricsAddress, path =>
+    showPage(options, path),
+  );
+  return [readiness, pages];
+}
+
+function showReadiness({isReady}: GatewayPagesOptions): OperationsPage {
+  const ready = isReady();
+  return {
+    status: ready ? 200 : 503,
+    type: 'text/plain',
+    body: ready ? 'ready\n' : 'not ready\n',
+  };
+}
+
+async function showPage(
+  {metrics, output, dump}: GatewayPagesOptions,
+  path: string,
+): Promise<OperationsPage | undefined> {
+  if (path === '/metrics') {
+    metrics.setDroppedLines(output.dropped);
+    const body = await metrics.render();
+    return {status: 200, type: 'text/plain; version=0.0.4', body};
+  }
+  if (path !== '/state') return undefined;
+  const body = JSON.stringify(dump(), null, 2);
+  return {status: 200, type: 'application/json', body};
+}
