Pass over homes without a free place, and believe told loads for longer

Cause: the bound on affinity is 1.5 times the mean load and 8 more, which is above the 16 requests that an engine of this deployment runs; and a told load faded to a half within 1.5 s, so that a full engine looked half empty a second later. That half-life is right for what one instance hears alone; where all tell, a newer answer would be known.

Change: the bound is at most what an engine runs at once; loads that others tell too fade by half in 5 s while reports come.

--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -46,6 +46,8 @@
 const SIGN_WEIGHT = 0.3;
 /** Weight of one new duration in the mean. */
 const DURATION_WEIGHT = 0.2;
+/** Half-life of a load that any instance would have told since. */
+const SHARED_LOAD_HALF_LIFE_MS = 5000;
 /** Loads that others told are news for so long. */
 const SHARED_FOR_MS = 3000;
 
@@ -62,6 +64,8 @@
   loadAtMs: number;
   /** When one's own latest attempt began. */
   begunAtMs: number;
+  /** Others tell this endpoint's loads too. */
+  isShared: boolean;
   /** One's own requests that the told load already counts. */
   countedInLoad: number;
   meanDurationMs: number | undefined;
@@ -141,6 +145,7 @@
     const belief = this.of(id);
     this.toldAtMs = Math.max(this.toldAtMs, atMs);
     if (belief.load !== undefined && belief.loadAtMs >= atMs) return;
+    belief.isShared = true;
     belief.load = load;
     belief.loadAtMs = atMs;
     const isInFlightNew = belief.begunAtMs > atMs;
@@ -208,16 +213,14 @@
     const {load, inFlight, countedInLoad} = belief;
     if (load === undefined) return inFlight;
     const others = Math.max(0, load.running + load.waiting - countedInLoad);
-    const fade = 0.5 ** ((nowMs - belief.loadAtMs) / this.loadHalfLifeMs);
-    return inFlight + others * fade;
+    return inFlight + others * this.fadeOf(belief, nowMs);
   }
 
   /** Requests that waited there when it last told its load, faded. */
   estimateWaiting(id: EndpointId, nowMs: number): number {
     const belief = this.beliefs.get(id);
     if (belief?.load === undefined) return 0;
-    const fade = 0.5 ** ((nowMs - belief.loadAtMs) / this.loadHalfLifeMs);
-    return belief.load.waiting * fade;
+    return belief.load.waiting * this.fadeOf(belief, nowMs);
   }
 
   /** It said that it was full this long ago. */
@@ -235,6 +238,18 @@
     }
   }
 
+  /**
+   * Where others tell loads too, the last one is news for longer: had there been
+   * an answer since, it would be known.
+   */
+  private fadeOf({isShared, loadAtMs}: Belief, nowMs: number): number {
+    const halfLifeMs =
+      isShared && this.isViewShared(nowMs)
+        ? SHARED_LOAD_HALF_LIFE_MS
+        : this.loadHalfLifeMs;
+    return 0.5 ** ((nowMs - loadAtMs) / halfLifeMs);
+  }
+
   private of(id: EndpointId): Belief {
     const existing = this.beliefs.get(id);
     if (existing !== undefined) return existing;
@@ -249,6 +264,7 @@
       load: undefined,
       loadAtMs: 0,
       begunAtMs: Number.NEGATIVE_INFINITY,
+      isShared: false,
       countedInLoad: 0,
       meanDurationMs: undefined,
     };
--- a/packages/routing/src/load_view.test.ts
+++ b/packages/routing/src/load_view.test.ts
@@ -58,6 +58,16 @@
   t.true(monitor.estimateLoad(ENGINE, 9000) < 0.5);
 });
 
+test('a load that others tell holds while none of them has a newer one', t => {
+  // Guards against full engines that look half empty a second later.
+  const {monitor, view} = makeView();
+  view.take(reading(20, 0), 'far', 0);
+  t.true(monitor.estimateLoad(ENGINE, 1500) > 15);
+  const own = makeView();
+  own.view.noteOwn(reading(20, 0));
+  t.true(own.monitor.estimateLoad(ENGINE, 1500) < 11);
+});
+
 test('requests sent after the told load count on top of it', t => {
   // Guards against a second request to an engine because the first isn't told.
   const {monitor, view} = makeView();
--- a/packages/routing/src/prompt_placement.test.ts
+++ b/packages/routing/src/prompt_placement.test.ts
@@ -91,6 +91,21 @@
   t.not(place(placement, QUOTE, prompt), home);
 });
 
+test('a home without a free place is passed over while others have some', t => {
+  // Guards against queues and preemptions at full homes on busy days: there the
+  // bound by the mean load is above what an engine can run.
+  const monitor = new EndpointMonitor();
+  const placement = makePlacement(monitor);
+  const engines = ENGINES.map(({id}) => makeEndpoint(id, {capacity: 16}));
+  const prompt = makePrompt('manual-7', 13_000, 3700);
+  const home = place(placement, QUOTE, prompt, engines)!;
+  for (const {id} of engines) {
+    const running = id === home ? 16 : 12;
+    monitor.noteLoad(id, {running, waiting: 0, capacity: 16}, 5000);
+  }
+  t.not(place(placement, QUOTE, prompt, engines), home);
+});
+
 test('a failing home engine is passed over', t => {
   const monitor = new EndpointMonitor();
   const placement = makePlacement(monitor);
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -148,9 +148,10 @@
     const sound = ranked.filter(
       ({id}) => this.monitor.failureShare(id, nowMs) < MAX_FAILURE_SHARE,
     );
+    const hasRoom = ({id, capacity}: ServingEndpoint) =>
+      loads.get(id)! < Math.min(bound, capacity);
     const endpoint =
-      sound.find(({id}) => loads.get(id)! < bound) ??
-      this.chooseByLoad(group, request)?.endpoint;
+      sound.find(hasRoom) ?? this.chooseByLoad(group, request)?.endpoint;
     if (endpoint === undefined) return undefined;
     // The first of the others: its home when the prompt spills over, else who
     // was its home before an endpoint came.
