Let relays write counts only, and bound what they are sent

Whoever reached a relay's port could have it write any row: a lease, the plan, the configuration of seats (found by reading). A relay now writes the rows of counts that followers own and answers PERMISSION_DENIED to all else, with a bounded log line; a message of over 256 KB is refused by the transport. Not done: proving who a caller is.

--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -1,6 +1,6 @@
 /** Tells other instances what a relay learns from the store. */
 
-import {Server, ServerCredentials} from '@grpc/grpc-js';
+import {Server, ServerCredentials, status} from '@grpc/grpc-js';
 import type {Logger} from '@snipestage/log/logger.js';
 import {
   RELAY_SERVICE,
@@ -15,6 +15,7 @@
   type WriteCall,
   type WriteReply,
 } from './relay_messages.js';
+import {isCountsKey} from '../usage_rows.js';
 import type {LoadReport} from './load_report.js';
 import type {TableCopy} from './table_copy.js';
 import type {WriteGatherer} from './write_gatherer.js';
@@ -37,6 +38,11 @@
  */
 const MOST_BUFFERED_BYTES = 64 * 1024;
 
+/** Counts of an instance, or loads of all engines, come to a tenth of it. */
+const MAX_MESSAGE_BYTES = 256 * 1024;
+/** Refused writes are logged at most so often. */
+const LOG_REFUSAL_EVERY_MS = 10_000;
+
 interface Follower {
   readonly call: FollowCall;
   readonly told: Map<RelayedTableName, number>;
@@ -45,7 +51,10 @@
 
 /** Owns the listening socket and the streams. */
 export class RelayServer {
-  private readonly server = new Server();
+  private readonly server = new Server({
+    'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+  });
+  private refusalLoggedAtMs = Number.NEGATIVE_INFINITY;
   private readonly followers = new Set<Follower>();
   /** Streams of the relays of other data centres. */
   private readonly exchanges = new Set<FollowCall>();
@@ -104,12 +113,26 @@
     for (const call of this.exchanges) writeUnlessBehind(call, toRelays);
   }
 
+  /** Leases, plans and seats are rows too, and nobody else's to write. */
   private async write(call: WriteCall, reply: WriteReply): Promise<void> {
+    if (!isCountsKey(call.request?.key)) {
+      this.logRefusal(call);
+      const details = 'relays write counts only';
+      reply({code: status.PERMISSION_DENIED, details});
+      return;
+    }
     const isWanted = () => !call.cancelled;
     const isWritten = await this.options.writes.add(call.request, isWanted);
     reply(null, {isWritten});
   }
 
+  private logRefusal(call: WriteCall): void {
+    const nowMs = performance.now();
+    if (nowMs - this.refusalLoggedAtMs < LOG_REFUSAL_EVERY_MS) return;
+    this.refusalLoggedAtMs = nowMs;
+    this.options.logger.warn('write_refused', {sender: call.getPeer()});
+  }
+
   private accept(call: FollowCall): void {
     let follower: Follower | undefined;
     call.on('data', (message: FollowerMessage) => {
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -121,3 +121,24 @@
   t.true(times[count] >= last);
   t.true(times[count] <= madeAtMs);
 });
+
+test('a relay writes no rows but counts', async t => {
+  // Guards against a process on the relay's port that overwrites a lease.
+  const {client, platform} = await startPair(t, 20_000);
+  for (const key of ['leases/duties', 'shared/relay/akl-a/0', 'usage/x/y']) {
+    t.false(await client.write({key, value: {}}));
+  }
+  t.deepEqual([...platform.rows.keys()], []);
+});
+
+test('who sends too much at once harms no other follower', async t => {
+  // Guards against a process on the relay's port that fills its memory.
+  const {client, server, told, platform} = await startPair(t, 20_000);
+  const counts = Object.fromEntries(
+    Array.from({length: 40_000}, (_, index) => [`account-${index}`, index]),
+  );
+  t.false(await client.write({key: 'usage/1/flood', value: {counts}}));
+  await confirmUntil(server, () => told.length > 0);
+  t.true(await client.write({key: 'usage/1/sound', value: {counts: {}}}));
+  t.deepEqual([...platform.rows.keys()], ['usage/1/sound']);
+});
--- a/packages/gateway/src/usage_rows.ts
+++ b/packages/gateway/src/usage_rows.ts
@@ -19,6 +19,7 @@
 
 /** Ends the keys of counts that are not whole. */
 const SO_FAR = '~';
+const COUNTS_KEY = /^usage\/\d+\/[^/]+$/;
 
 /**
  * Key of what one life of an instance counted in a window.
@@ -42,6 +43,16 @@
   return `${countsKey(window, writer)}${SO_FAR}`;
 }
 
+/**
+ * Whether a row holds what one instance counted: what relays write for others.
+ *
+ * @example
+ * isCountsKey('usage/353445120/akl-a-1.k3x9'); // true
+ */
+export function isCountsKey(key: unknown): key is string {
+  return typeof key === 'string' && COUNTS_KEY.test(key);
+}
+
 /** Start of the keys of all that was counted in a window. */
 export function countsPrefix(window: WindowNumber): string {
   return `usage/${window}/`;
