--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -95,7 +95,7 @@
       logger: logger.forComponent('relay'),
       nowMs,
       countInstances: () => this.state.instances,
-      onEstimate: instances => void facts.tellEstimate(instances),
+      onEstimate: instances => void facts.publishEstimate(instances),
     });
     this.duties = new Duties({
       settings,
--- a/packages/gateway/src/relay/load_exchange.test.ts
+++ b/packages/gateway/src/relay/load_exchange.test.ts
@@ -33,10 +33,13 @@
   const remoteRelay = makeExchange();
   const remote = makeExchange();
   noteOwn(follower.view, 20, 900);
-  relay.exchange.take(follower.exchange.takeForRelay()!, 'near');
-  remoteRelay.exchange.take(relay.exchange.takeAsRelay().toRelays, 'far');
-  const told = remoteRelay.exchange.takeAsRelay();
-  remote.exchange.take(told.toFollowers, 'far');
+  relay.exchange.receive(follower.exchange.collectForRelay()!, 'local');
+  remoteRelay.exchange.receive(
+    relay.exchange.collectForOthers().toRelays,
+    'remote',
+  );
+  const told = remoteRelay.exchange.collectForOthers();
+  remote.exchange.receive(told.toFollowers, 'remote');
   t.is(remote.monitor.loadAgeMs(ENGINE, 1000), 100);
   t.true(remote.monitor.estimateLoad(ENGINE, 1000) > 15);
   t.is(told.toRelays.lines.length, 0, 'and does not come back');
@@ -45,20 +48,20 @@
 test('nothing is told twice', t => {
   const {view, exchange} = makeExchange();
   noteOwn(view, 20, 900);
-  t.is(exchange.takeForRelay()?.lines.length, 1);
-  t.is(exchange.takeForRelay(), undefined);
+  t.is(exchange.collectForRelay()?.lines.length, 1);
+  t.is(exchange.collectForRelay(), undefined);
 });
 
 test('malformed reports are counted, and logged now and then', async t => {
   // Guards against a flood of log lines by one broken process.
   const {clock, exchange, metrics, monitor, output} = makeExchange();
   const broken = {kind: 'loads', lines: ['x']} as unknown as LoadReport;
-  for (let count = 0; count < 50; count += 1) exchange.take(broken, 'near');
+  for (let count = 0; count < 50; count += 1) exchange.receive(broken, 'local');
   clock.nowMs += 10_000;
-  exchange.take(broken, 'near');
+  exchange.receive(broken, 'local');
   const page = await metrics.render();
   t.regex(page, /loads_total\{outcome="malformed"\} 51/);
   const lines = output.lines.filter(line => line.includes('loads_malformed'));
   t.is(lines.length, 2);
-  t.false(monitor.isViewShared(clock.nowMs));
+  t.false(monitor.hasRecentReports(clock.nowMs));
 });
--- a/packages/gateway/src/relay/load_exchange.ts
+++ b/packages/gateway/src/relay/load_exchange.ts
@@ -34,7 +34,7 @@
   constructor(private readonly options: LoadExchangeOptions) {}
 
   /** What a follower tells its relay; undefined when there is nothing new. */
-  takeForRelay(): LoadReport | undefined {
+  collectForRelay(): LoadReport | undefined {
     const {view, nowMs} = this.options;
     const atMs = nowMs();
     const changes = view.changesSince(this.toRelayMark, ['own'], atMs);
@@ -44,25 +44,25 @@
   }
 
   /** What a relay tells: all to its followers, its data centre's to the others. */
-  takeAsRelay(): {toFollowers: LoadReport; toRelays: LoadReport} {
+  collectForOthers(): {toFollowers: LoadReport; toRelays: LoadReport} {
     const {view, nowMs} = this.options;
     const atMs = nowMs();
     const all = view.changesSince(
       this.toFollowersMark,
-      ['own', 'near', 'far'],
+      ['own', 'local', 'remote'],
       atMs,
     );
-    const near = view.changesSince(this.toRelaysMark, ['own', 'near'], atMs);
+    const local = view.changesSince(this.toRelaysMark, ['own', 'local'], atMs);
     this.toFollowersMark = all.mark;
-    this.toRelaysMark = near.mark;
+    this.toRelaysMark = local.mark;
     return {
       toFollowers: toLoadReport(all.readings, atMs),
-      toRelays: toLoadReport(near.readings, atMs),
+      toRelays: toLoadReport(local.readings, atMs),
     };
   }
 
   /** Another process told loads; they may be anything. */
-  take(report: LoadReport, origin: LoadOrigin): void {
+  receive(report: LoadReport, origin: LoadOrigin): void {
     const {view, metrics, nowMs} = this.options;
     const atMs = nowMs();
     const {readings, malformed} = readLoadReport(report, atMs);
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -107,7 +107,7 @@
   }
 
   /** Loads are worth nothing later: what can't be sent now is left out. */
-  tellLoads(report: LoadReport): void {
+  sendLoads(report: LoadReport): void {
     if (!this.stream.writableNeedDrain) this.stream.write(report);
   }
 
--- a/packages/gateway/src/relay/relay_follower.ts
+++ b/packages/gateway/src/relay/relay_follower.ts
@@ -63,8 +63,8 @@
     return (await this.client?.write(row)) ?? false;
   }
 
-  tellLoads(report: LoadReport): void {
-    this.client?.tellLoads(report);
+  sendLoads(report: LoadReport): void {
+    this.client?.sendLoads(report);
   }
 
   /** Ends the stream; another may be followed. */
--- a/packages/gateway/src/relay/relay_host.ts
+++ b/packages/gateway/src/relay/relay_host.ts
@@ -1,7 +1,7 @@
 /** Starts and stops the server of an instance that relays. */
 
 import type {Logger} from '@snipestage/log/logger.js';
-import type {RelaySight} from '@snipestage/routing/instance_estimate.js';
+import type {FollowerStats} from '@snipestage/routing/instance_estimate.js';
 import type {RelayServer, RelayServerOptions} from './relay_server.js';
 import type {RelayedTableName} from './relay_messages.js';
 
@@ -26,7 +26,7 @@
   }
 
   /** Who follows, and for how long they could; nobody while it doesn't serve. */
-  get sight(): RelaySight {
+  get stats(): FollowerStats {
     const {server, servingSinceMs} = this;
     if (server === undefined) return {followers: 0, servingForMs: 0};
     const servingForMs = this.options.nowMs() - servingSinceMs;
@@ -39,8 +39,8 @@
   }
 
   /** Loads that came since the last time. */
-  tellLoads(loads: Parameters<RelayServer['tellLoads']>[0]): void {
-    this.server?.tellLoads(loads);
+  sendLoads(loads: Parameters<RelayServer['sendLoads']>[0]): void {
+    this.server?.sendLoads(loads);
   }
 
   /** @returns whether it serves now. */
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -101,7 +101,7 @@
   }
 
   /** Loads that came since the last time; whoever is behind is left out. */
-  tellLoads(loads: {
+  sendLoads(loads: {
     readonly toFollowers: LoadReport;
     readonly toRelays: LoadReport;
   }): void {
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -90,18 +90,18 @@
       ...options,
       copies,
       writes,
-      onLoads: report => this.loads.take(report, 'near'),
+      onLoads: report => this.loads.receive(report, 'local'),
     });
     this.peers = new RelayPeers({
       ...options,
-      onLoads: report => this.loads.take(report, 'far'),
+      onLoads: report => this.loads.receive(report, 'remote'),
     });
     this.follower = new RelayFollower({
       ...options,
       copies,
       feeds,
       pingEveryMs: options.inForceWithinMs * PING_SHARE,
-      onLoads: report => this.loads.take(report, 'far'),
+      onLoads: report => this.loads.receive(report, 'remote'),
       onFailed: relay => this.roster.noteFailed(relay, options.nowMs()),
     });
   }
@@ -128,7 +128,7 @@
   paceOf(name: RelayedTableName): FollowPace | undefined {
     // Facts may be known later; their feed stays fresh for longer. A relay that
     // hardly anybody follows stands by, and needn't ask more often.
-    const {followers} = this.host.sight;
+    const {followers} = this.host.stats;
     const isSlow = name === 'shared' || !this.roster.isWorthwhile(followers);
     if (isSlow) return undefined;
     const {inForceWithinMs} = this.options;
@@ -179,7 +179,7 @@
   }
 
   private async tick(): Promise<void> {
-    this.tellLoads();
+    this.sendLoads();
     // Seats and the number of instances are rows of this table.
     const areSeatsKnown = this.copies.shared.version !== undefined;
     if (this.isBusy || !areSeatsKnown) return;
@@ -211,14 +211,14 @@
   }
 
   /** Loads are worth telling only while they are new. */
-  private tellLoads(): void {
+  private sendLoads(): void {
     if (this.host.isServing) {
-      this.host.tellLoads(this.loads.takeAsRelay());
+      this.host.sendLoads(this.loads.collectForOthers());
       return;
     }
     if (!this.follower.isFollowing) return;
-    const report = this.loads.takeForRelay();
-    if (report !== undefined) this.follower.tellLoads(report);
+    const report = this.loads.collectForRelay();
+    if (report !== undefined) this.follower.sendLoads(report);
   }
 
   private stopServing(): void {
@@ -228,7 +228,7 @@
 
   private estimateInstances(): void {
     if (!this.host.isServing || this.hasEstimated) return;
-    const instances = this.estimate.read(this.host.sight);
+    const instances = this.estimate.read(this.host.stats);
     if (instances === undefined) return;
     this.hasEstimated = true;
     this.options.onEstimate(instances);
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -68,7 +68,7 @@
   }
 
   /** Tells an estimate of the number of instances, unless a count is there. */
-  async tellEstimate(count: number): Promise<void> {
+  async publishEstimate(count: number): Promise<void> {
     const key = `shared/${INSTANCES}`;
     const result = await this.options.platform.transact({
       checks: [{key, version: 0}],
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -73,7 +73,7 @@
  */
 const GATHER_SHARE = 0.35;
 /** Share of that time which the first poll after a start may wait for a relay. */
-const AFTER_START_SHARE = 0.8;
+const INITIAL_DELAY_SHARE = 0.8;
 
 /** Owns the followers. */
 export class StateFollower {
@@ -133,7 +133,7 @@
       // The rows that say who relays are in this table.
       ...(name === 'shared'
         ? {}
-        : {afterStartMs: inForceWithinMs * AFTER_START_SHARE}),
+        : {initialDelayMs: inForceWithinMs * INITIAL_DELAY_SHARE}),
     };
     this.followers.push(
       new TableFollower({
--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -37,7 +37,7 @@
 async function follow(
   readings: TableReading[],
   gatherMs = 0,
-  afterStartMs?: number,
+  initialDelayMs?: number,
 ) {
   const table = new ScriptedTable([...readings]);
   const told: string[] = [];
@@ -46,7 +46,7 @@
   const output = new NoOutput();
   const follower = new TableFollower({
     table,
-    pace: () => ({waitMs: 1000, gatherMs, afterStartMs}),
+    pace: () => ({waitMs: 1000, gatherMs, initialDelayMs}),
     logger: output.logger,
     random: () => 1,
     listener: {
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -62,7 +62,7 @@
    * any other). Hundreds of instances that start together would else poll once
    * before they follow it.
    */
-  readonly afterStartMs?: number;
+  readonly initialDelayMs?: number;
 }
 
 /** Rows that came, in the order of their versions. */
@@ -208,10 +208,10 @@
       version: reading.version,
       rows: reading.rows.length,
     });
-    const {gatherMs, afterStartMs} = this.options.pace();
+    const {gatherMs, initialDelayMs} = this.options.pace();
     const isFirst = !this.hasReadWhole;
     this.hasReadWhole = true;
-    return isFirst ? (afterStartMs ?? gatherMs) : gatherMs;
+    return isFirst ? (initialDelayMs ?? gatherMs) : gatherMs;
   }
 
   private fail(reason: string): number {
--- a/packages/gateway/src/usage_reporter.test.ts
+++ b/packages/gateway/src/usage_reporter.test.ts
@@ -9,7 +9,7 @@
 import type {DutyTerm} from './duty_term.js';
 import {MemoryPlatform} from './test_support/memory_platform.js';
 import {NoOutput} from './test_support/no_output.js';
-import {countsKey, countsSoFarKey} from './usage_rows.js';
+import {countsKey, partialCountsKey} from './usage_rows.js';
 import {UsageReporter, type UsageReporterOptions} from './usage_reporter.js';
 
 const LEASE = brandAs<LeaseName>('duties');
@@ -221,8 +221,8 @@
   const platform = new MemoryPlatform();
   await takeFence(platform);
   await writeCounts(platform, 100, 'sound', 3);
-  const killed = countsSoFarKey(100 as WindowNumber, 'killed');
-  const both = countsSoFarKey(100 as WindowNumber, 'sound');
+  const killed = partialCountsKey(100 as WindowNumber, 'killed');
+  const both = partialCountsKey(100 as WindowNumber, 'sound');
   const value = {counts: {shop: 2}, isFinal: false};
   const writes = [killed, both].map(key => ({key, value}));
   await platform.transact({checks: [], writes});
--- a/packages/gateway/src/usage_rows.ts
+++ b/packages/gateway/src/usage_rows.ts
@@ -18,7 +18,7 @@
 }
 
 /** Ends the keys of counts that are not whole. */
-const SO_FAR = '~';
+const PARTIAL = '~';
 const COUNTS_KEY = /^usage\/\d+\/[^/]+$/;
 
 /**
@@ -37,10 +37,10 @@
  * whose answer stayed out, may take effect after a later one.
  *
  * @example
- * countsSoFarKey(window, 'akl-a-1.k3x9'); // 'usage/353445120/akl-a-1.k3x9~'
+ * partialCountsKey(window, 'akl-a-1.k3x9'); // 'usage/353445120/akl-a-1.k3x9~'
  */
-export function countsSoFarKey(window: WindowNumber, writer: string): string {
-  return `${countsKey(window, writer)}${SO_FAR}`;
+export function partialCountsKey(window: WindowNumber, writer: string): string {
+  return `${countsKey(window, writer)}${PARTIAL}`;
 }
 
 /**
@@ -84,8 +84,8 @@
   const latest = new Map<string, CountsValue>();
   for (const {key, value} of rows) {
     const name = key.slice(key.lastIndexOf('/') + 1);
-    const isWhole = !name.endsWith(SO_FAR);
-    const writer = isWhole ? name : name.slice(0, -SO_FAR.length);
+    const isWhole = !name.endsWith(PARTIAL);
+    const writer = isWhole ? name : name.slice(0, -PARTIAL.length);
     if (value === null || (!isWhole && latest.has(writer))) continue;
     latest.set(writer, value as CountsValue);
   }
--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -11,7 +11,7 @@
 } from '@snipestage/routing/usage_windows.js';
 import {
   countsKey,
-  countsSoFarKey,
+  partialCountsKey,
   toCountsValue,
   type CountsValue,
 } from './usage_rows.js';
@@ -131,8 +131,8 @@
     const written = this.written.get(window);
     if (written?.total === total && written.isFinal) return true;
     const isWritten = isFinal
-      ? await this.writeWhole(window, counts)
-      : await this.writeSoFar(window, counts);
+      ? await this.writeFinal(window, counts)
+      : await this.writePartial(window, counts);
     if (isWritten) {
       this.written.set(window, {total, isFinal, atMs: nowMs()});
       return true;
@@ -142,7 +142,7 @@
     return false;
   }
 
-  private async writeWhole(
+  private async writeFinal(
     window: WindowNumber,
     counts: UsageCounts,
   ): Promise<boolean> {
@@ -155,12 +155,12 @@
     return isTogether || this.writeAlone(key, value);
   }
 
-  private async writeSoFar(
+  private async writePartial(
     window: WindowNumber,
     counts: UsageCounts,
   ): Promise<boolean> {
     const {writer, writesTogether} = this.options;
-    const key = countsSoFarKey(window, writer);
+    const key = partialCountsKey(window, writer);
     const value = toCountsValue(counts, false);
     // Where a relay fails, dozens would write alone what is written soon anyway.
     if (writesTogether?.() !== true) return this.writeAlone(key, value);
--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -78,7 +78,7 @@
   private readonly firstBackoffMs: number;
   private readonly maxBackoffMs: number;
   private readonly loadHalfLifeMs: number;
-  private toldAtMs = Number.NEGATIVE_INFINITY;
+  private reportedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: EndpointMonitorOptions = {}) {
     this.failureHalfLifeMs =
@@ -141,9 +141,9 @@
    * The endpoint told its load to another instance. What this one has sent since
    * isn't in it.
    */
-  noteToldLoad(id: EndpointId, load: ReportedLoad, atMs: number): void {
+  noteReportedLoad(id: EndpointId, load: ReportedLoad, atMs: number): void {
     const belief = this.of(id);
-    this.toldAtMs = Math.max(this.toldAtMs, atMs);
+    this.reportedAtMs = Math.max(this.reportedAtMs, atMs);
     if (belief.load !== undefined && belief.loadAtMs >= atMs) return;
     belief.isShared = true;
     belief.load = load;
@@ -159,8 +159,8 @@
    * Whether other instances told loads a moment ago. They then know the same, and
    * what looks best to one looks best to all.
    */
-  isViewShared(nowMs: number): boolean {
-    return nowMs - this.toldAtMs < SHARED_FOR_MS;
+  hasRecentReports(nowMs: number): boolean {
+    return nowMs - this.reportedAtMs < SHARED_FOR_MS;
   }
 
   /** How old the last load is that the endpoint told anybody. */
@@ -244,7 +244,7 @@
    */
   private fadeOf({isShared, loadAtMs}: Belief, nowMs: number): number {
     const halfLifeMs =
-      isShared && this.isViewShared(nowMs)
+      isShared && this.hasRecentReports(nowMs)
         ? SHARED_LOAD_HALF_LIFE_MS
         : this.loadHalfLifeMs;
     return 0.5 ** ((nowMs - loadAtMs) / halfLifeMs);
--- a/packages/routing/src/instance_estimate.ts
+++ b/packages/routing/src/instance_estimate.ts
@@ -12,7 +12,7 @@
 }
 
 /** What one relay sees of the instances of its data centre. */
-export interface RelaySight {
+export interface FollowerStats {
   readonly followers: number;
   readonly servingForMs: number;
 }
@@ -34,7 +34,7 @@
    * @example
    * const instances = estimate.read({followers: 38, servingForMs: 3000});
    */
-  read({followers, servingForMs}: RelaySight): number | undefined {
+  read({followers, servingForMs}: FollowerStats): number | undefined {
     const {dataCentres, relaysPayFrom, manyAfterMs, fewAfterMs} = this.options;
     const instances = (followers + 1) * dataCentres;
     const waitMs =
--- a/packages/routing/src/load_view.test.ts
+++ b/packages/routing/src/load_view.test.ts
@@ -24,28 +24,28 @@
 test('an instance knows the load of an engine that it never asked', t => {
   // Guards against urgent requests at full engines beside idle ones.
   const {monitor, view} = makeView();
-  t.is(view.take(reading(20, 1000), 'far', 1000), undefined);
+  t.is(view.take(reading(20, 1000), 'remote', 1000), undefined);
   t.is(monitor.estimateLoad(ENGINE, 1000), 20);
   t.is(monitor.loadAgeMs(ENGINE, 1400), 400);
-  t.true(monitor.isViewShared(1400));
+  t.true(monitor.hasRecentReports(1400));
 });
 
 test('the newest reading holds, whoever had it', t => {
   // Guards against reports that overtake each other on their way.
   const {monitor, view} = makeView();
-  view.take(reading(3, 900), 'near', 1000);
-  t.is(view.take(reading(20, 800), 'far', 1000), 'older');
+  view.take(reading(3, 900), 'local', 1000);
+  t.is(view.take(reading(20, 800), 'remote', 1000), 'older');
   view.noteOwn(reading(5, 950));
-  t.is(view.take(reading(7, 940), 'far', 1000), 'older');
+  t.is(view.take(reading(7, 940), 'remote', 1000), 'older');
   t.is(monitor.estimateLoad(ENGINE, 950), 5);
 });
 
 test('what is old, from the future or of no known engine is dropped', t => {
   // Guards against a process that sends anything.
   const {monitor, view} = makeView();
-  t.is(view.take(reading(20, 2000), 'far', 6000), 'too_old');
-  t.is(view.take(reading(20, 7000), 'far', 6000), 'from_the_future');
-  t.is(view.take(reading(20, 6000, GONE), 'far', 6000), 'not_shared');
+  t.is(view.take(reading(20, 2000), 'remote', 6000), 'too_old');
+  t.is(view.take(reading(20, 7000), 'remote', 6000), 'from_the_future');
+  t.is(view.take(reading(20, 6000, GONE), 'remote', 6000), 'not_shared');
   t.is(monitor.estimateLoad(ENGINE, 6000), 0);
   t.is(monitor.estimateLoad(GONE, 6000), 0);
 });
@@ -53,15 +53,15 @@
 test('without reports an instance is back to its own answers', t => {
   // Guards against choosing by the last report of a relay that is gone.
   const {monitor, view} = makeView();
-  view.take(reading(20, 0), 'far', 0);
-  t.false(monitor.isViewShared(3001));
+  view.take(reading(20, 0), 'remote', 0);
+  t.false(monitor.hasRecentReports(3001));
   t.true(monitor.estimateLoad(ENGINE, 9000) < 0.5);
 });
 
 test('a load that others tell holds while none of them has a newer one', t => {
   // Guards against full engines that look half empty a second later.
   const {monitor, view} = makeView();
-  view.take(reading(20, 0), 'far', 0);
+  view.take(reading(20, 0), 'remote', 0);
   t.true(monitor.estimateLoad(ENGINE, 1500) > 15);
   const own = makeView();
   own.view.noteOwn(reading(20, 0));
@@ -72,19 +72,23 @@
   // Guards against a second request to an engine because the first isn't told.
   const {monitor, view} = makeView();
   monitor.begin(ENGINE, 1, 500);
-  view.take(reading(4, 400), 'far', 600);
+  view.take(reading(4, 400), 'remote', 600);
   t.true(monitor.estimateLoad(ENGINE, 400) > 4.9);
 });
 
 test('each reading is told once, to those that do not have it', t => {
   // Guards against relays of two data centres that echo each other's readings.
   const {view, known} = makeView();
-  view.take(reading(4, 900), 'far', 1000);
-  t.is(view.changesSince(0, ['own', 'near'], 1000).readings.length, 0);
-  const {readings, mark} = view.changesSince(0, ['own', 'near', 'far'], 1000);
+  view.take(reading(4, 900), 'remote', 1000);
+  t.is(view.changesSince(0, ['own', 'local'], 1000).readings.length, 0);
+  const {readings, mark} = view.changesSince(
+    0,
+    ['own', 'local', 'remote'],
+    1000,
+  );
   t.is(readings.length, 1);
-  t.is(view.changesSince(mark, ['far'], 1000).readings.length, 0);
+  t.is(view.changesSince(mark, ['remote'], 1000).readings.length, 0);
   known.delete(ENGINE);
   view.prune();
-  t.is(view.changesSince(0, ['far'], 1000).readings.length, 0);
+  t.is(view.changesSince(0, ['remote'], 1000).readings.length, 0);
 });
--- a/packages/routing/src/load_view.ts
+++ b/packages/routing/src/load_view.ts
@@ -12,7 +12,7 @@
 }
 
 /** Who got the answer: this instance, one of its data centre, or one elsewhere. */
-export type LoadOrigin = 'own' | 'near' | 'far';
+export type LoadOrigin = 'own' | 'local' | 'remote';
 
 /** What a {@link LoadView} is made from; defaults in the brackets. */
 export interface LoadViewOptions {
@@ -68,7 +68,7 @@
    *
    * @returns why it was dropped; undefined when it was taken in.
    * @example
-   * const drop = view.take(reading, 'near', nowMs);
+   * const drop = view.take(reading, 'local', nowMs);
    */
   take(
     reading: LoadReading,
@@ -81,7 +81,7 @@
     if (!this.options.isShared(endpoint)) return 'not_shared';
     const known = this.kept.get(endpoint);
     if (known !== undefined && known.reading.atMs >= atMs) return 'older';
-    this.options.monitor.noteToldLoad(endpoint, load, atMs);
+    this.options.monitor.noteReportedLoad(endpoint, load, atMs);
     this.keep(reading, origin);
     return undefined;
   }
--- a/packages/routing/src/near_engines.test.ts
+++ b/packages/routing/src/local_engines.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {brandAs, type DataCentreId} from '@snipestage/types/ids.js';
-import {preferNear} from './near_engines.js';
+import {preferLocal} from './local_engines.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 import {AKL_A, makeEndpoint} from './test_support/fixtures.js';
 
@@ -20,7 +20,7 @@
 ): number {
   const loadOf = (each: ServingEndpoint) =>
     each.dataCentre === AKL_A ? loadAtA : 4;
-  return preferNear(engines, {dataCentre: AKL_A, loadOf}).length;
+  return preferLocal(engines, {dataCentre: AKL_A, loadOf}).length;
 }
 
 test('requests stay in their data centre while its engines have room', t => {
--- a/packages/routing/src/near_engines.ts
+++ b/packages/routing/src/local_engines.ts
@@ -3,17 +3,17 @@
 import type {DataCentreId} from '@snipestage/types/ids.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
-/** What {@link preferNear} goes by. */
-export interface NearOptions {
+/** What {@link preferLocal} goes by. */
+export interface LocalOptions {
   readonly dataCentre: DataCentreId;
   /** Requests at an engine, of all instances. */
   readonly loadOf: (engine: ServingEndpoint) => number;
 }
 
 /** With fewer of them there is too little to choose from. */
-const MIN_NEAR = 4;
+const MIN_LOCAL_ENGINES = 4;
 /** Requests an engine by which the near ones may be fuller than all. */
-const MAX_EXCESS = 1;
+const MAX_EXCESS_LOAD = 1;
 
 /**
  * Bytes between data centres are dear, and a way between them may be cut. So
@@ -21,16 +21,16 @@
  * centre; its engines are fuller than the others then, and all are used.
  *
  * @example
- * const group = preferNear(engines, {dataCentre, loadOf});
+ * const group = preferLocal(engines, {dataCentre, loadOf});
  */
-export function preferNear(
+export function preferLocal(
   engines: readonly ServingEndpoint[],
-  {dataCentre, loadOf}: NearOptions,
+  {dataCentre, loadOf}: LocalOptions,
 ): readonly ServingEndpoint[] {
-  const near = engines.filter(each => each.dataCentre === dataCentre);
-  if (near.length < MIN_NEAR) return engines;
-  const excess = meanOf(near, loadOf) - meanOf(engines, loadOf);
-  return excess > MAX_EXCESS ? engines : near;
+  const local = engines.filter(each => each.dataCentre === dataCentre);
+  if (local.length < MIN_LOCAL_ENGINES) return engines;
+  const excess = meanOf(local, loadOf) - meanOf(engines, loadOf);
+  return excess > MAX_EXCESS_LOAD ? engines : local;
 }
 
 function meanOf<Item>(
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -10,7 +10,7 @@
   shareOfShortRoutes,
   splitCount,
 } from './engine_split.js';
-import {preferNear} from './near_engines.js';
+import {preferLocal} from './local_engines.js';
 import {
   findUsable,
   leastBy,
@@ -180,9 +180,9 @@
       loadOf(each) +
       monitor.failureShare(each.id, nowMs) * FAILURE_COST_IN_REQUESTS +
       random() * RANDOM_COST_IN_REQUESTS;
-    const endpoint = monitor.isViewShared(nowMs)
+    const endpoint = monitor.hasRecentReports(nowMs)
       ? chooseBySample({
-          items: preferNear(group, {dataCentre, loadOf}),
+          items: preferLocal(group, {dataCentre, loadOf}),
           costOf,
           roomOf: each => each.capacity - costOf(each),
           random,
