--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -53,7 +53,7 @@
 const POLL_TERMS = 1;
 /** Share of a window after which its counts so far are written. */
 const USAGE_WRITE_SHARE = 0.5;
-/** The same where a relay writes for dozens with one call. */
+/** The same where a relay writes in batches. */
 const RELAYED_WRITE_SHARE = 0.3;
 
 /** Owns the lease and the tasks that are done in its name. */
@@ -188,9 +188,9 @@
   }
 
   /**
-   * What a killed instance takes with it of a window that runs. Where one holds
-   * less than reports may be off by, it isn't worth a call of each; many that are
-   * killed together hold more, so that relays write for all of them.
+   * Interval of partial counts, which limits what a killed instance loses. With
+   * many instances each holds less than the tolerance, so that partial counts
+   * are only worth a batched write.
    */
   private get usageWriteEveryMs(): number {
     const {windowMs, tolerance} = this.options.settings.usage;
--- a/packages/gateway/src/relay/load_exchange.ts
+++ b/packages/gateway/src/relay/load_exchange.ts
@@ -1,4 +1,4 @@
-/** Tells other instances what endpoints told of their load, and learns it. */
+/** Exchanges load readings with other instances. */
 
 import type {Logger} from '@snipestage/log/logger.js';
 import type {
@@ -21,9 +21,8 @@
 const LOG_EVERY_MS = 10_000;
 
 /**
- * Owns what has been told already. What it learns lapses by itself: an instance
- * without a relay goes by its own answers, and by nothing older than the view
- * keeps.
+ * Tracks which readings were sent. Received readings expire in the view, so an
+ * instance that loses its relay falls back to its own answers.
  */
 export class LoadExchange {
   private toFollowersMark = 0;
@@ -33,7 +32,7 @@
 
   constructor(private readonly options: LoadExchangeOptions) {}
 
-  /** What a follower tells its relay; undefined when there is nothing new. */
+  /** New readings of this instance; undefined when there are none. */
   collectForRelay(): LoadReport | undefined {
     const {view, nowMs} = this.options;
     const atMs = nowMs();
@@ -43,7 +42,7 @@
     return readings.length === 0 ? undefined : toLoadReport(readings, atMs);
   }
 
-  /** What a relay tells: all to its followers, its data centre's to the others. */
+  /** All new readings for followers, those of this data centre for other relays. */
   collectForOthers(): {toFollowers: LoadReport; toRelays: LoadReport} {
     const {view, nowMs} = this.options;
     const atMs = nowMs();
@@ -61,7 +60,7 @@
     };
   }
 
-  /** Another process told loads; they may be anything. */
+  /** Takes in a report of another process. */
   receive(report: LoadReport, origin: LoadOrigin): void {
     const {view, metrics, nowMs} = this.options;
     const atMs = nowMs();
--- a/packages/gateway/src/relay/load_report.ts
+++ b/packages/gateway/src/relay/load_report.ts
@@ -1,9 +1,9 @@
-/** Loads of endpoints as they travel between instances. */
+/** Wire format of load readings between instances. */
 
 import type {LoadReading} from '@snipestage/routing/load_view.js';
 import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
 
-/** Endpoint, running, waiting, capacity, and how long ago that was, in ms. */
+/** Endpoint, running, waiting, capacity, and the reading's age in ms. */
 export type LoadLine = readonly [string, number, number, number, number];
 
 /** Readings that are new to the receiver. */
@@ -12,7 +12,7 @@
   readonly lines: readonly LoadLine[];
 }
 
-/** A report has at most so many lines. */
+/** Longer reports are rejected. */
 const MOST_LINES = 1000;
 
 /**
@@ -33,15 +33,15 @@
   return {kind: 'loads', lines};
 }
 
-/** What could be read of a report. */
+/** Result of {@link readLoadReport}. */
 export interface ReadLoads {
   readonly readings: readonly LoadReading[];
-  /** Lines that are no readings. */
+  /** Number of lines that could not be read. */
   readonly malformed: number;
 }
 
 /**
- * Reads what another process sent; it may be anything.
+ * Validates and reads a report of another process.
  *
  * @example
  * const {readings, malformed} = readLoadReport(message, nowMs);
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -106,7 +106,7 @@
     });
   }
 
-  /** Loads are worth nothing later: what can't be sent now is left out. */
+  /** Drops the report when the stream is congested: it would arrive outdated. */
   sendLoads(report: LoadReport): void {
     if (!this.stream.writableNeedDrain) this.stream.write(report);
   }
--- a/packages/gateway/src/relay/relay_follower.ts
+++ b/packages/gateway/src/relay/relay_follower.ts
@@ -1,4 +1,4 @@
-/** Follows the relay of this instance's data centre. */
+/** The stream of an instance to the relay of its data centre. */
 
 import type {Logger} from '@snipestage/log/logger.js';
 import type {RelayHolder} from '@snipestage/routing/relay_roster.js';
@@ -18,7 +18,7 @@
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly onLoads: (report: LoadReport) => void;
-  /** The relay could not be reached, or has gone silent. */
+  /** The relay could not be reached or stopped responding. */
   readonly onFailed: (relay: InstanceId) => void;
 }
 
@@ -42,7 +42,7 @@
 
   async follow(relay: RelayHolder): Promise<void> {
     const {instance, feeds, logger, pingEveryMs, nowMs, onLoads} = this.options;
-    // Loaded where it is used: every start would pay for it.
+    // Loading gRPC takes processor time that most starts don't need.
     const {RelayClient} = await import('./relay_client.js');
     if (this.isClosed) return;
     this.client = new RelayClient({
@@ -58,7 +58,7 @@
     logger.info('relay_followed', {relay: relay.instance});
   }
 
-  /** @returns whether the store has the row, as far as is known. */
+  /** @returns whether the row is known to be in the store. */
   async write(row: WriteRequest): Promise<boolean> {
     return (await this.client?.write(row)) ?? false;
   }
@@ -67,12 +67,12 @@
     this.client?.sendLoads(report);
   }
 
-  /** Ends the stream; another may be followed. */
+  /** Ends the stream; another relay may be followed. */
   leave(): void {
     this.client?.close();
   }
 
-  /** Ends it for good. */
+  /** Ends the stream and refuses new ones. */
   close(): void {
     this.isClosed = true;
     this.leave();
--- a/packages/gateway/src/relay/relay_host.ts
+++ b/packages/gateway/src/relay/relay_host.ts
@@ -1,4 +1,4 @@
-/** Starts and stops the server of an instance that relays. */
+/** Starts and stops the server of a relay. */
 
 import type {Logger} from '@snipestage/log/logger.js';
 import type {FollowerStats} from '@snipestage/routing/instance_estimate.js';
@@ -7,7 +7,7 @@
 
 /** What a {@link RelayHost} is made from. */
 export interface RelayHostOptions extends Omit<RelayServerOptions, 'address'> {
-  /** `<IP number>:<port>`; undefined: it can't serve. */
+  /** `<IP number>:<port>`; undefined: this instance never relays. */
   readonly address: string | undefined;
   readonly logger: Logger;
   readonly nowMs: () => number;
@@ -25,7 +25,7 @@
     return this.server !== undefined;
   }
 
-  /** Who follows, and for how long they could; nobody while it doesn't serve. */
+  /** Number of followers, and for how long the server has been up. */
   get stats(): FollowerStats {
     const {server, servingSinceMs} = this;
     if (server === undefined) return {followers: 0, servingForMs: 0};
@@ -38,17 +38,17 @@
     this.server?.confirm(name);
   }
 
-  /** Loads that came since the last time. */
+  /** Sends new readings to all followers and connected relays. */
   sendLoads(loads: Parameters<RelayServer['sendLoads']>[0]): void {
     this.server?.sendLoads(loads);
   }
 
-  /** @returns whether it serves now. */
+  /** @returns whether the server is up. */
   async start(): Promise<boolean> {
     const {address, logger} = this.options;
     if (this.server !== undefined) return true;
     if (address === undefined || this.isClosed) return false;
-    // Loaded where it is used: every start would pay for it.
+    // Loading gRPC takes processor time that most starts don't need.
     const {RelayServer} = await import('./relay_server.js');
     const server = new RelayServer({...this.options, address});
     try {
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -30,7 +30,7 @@
   readonly number: number;
 }
 
-/** Asks for the loads that a relay's data centre hears of; sent by relays. */
+/** Asks for the load readings of a relay's data centre; sent by other relays. */
 export interface ExchangeRequest {
   readonly kind: 'exchange';
   readonly instance: InstanceId;
@@ -111,7 +111,7 @@
   return {key, version, data: bytes};
 }
 
-/** A report goes to dozens of followers as it is. */
+/** The same report goes to dozens of followers. */
 const serializedReports = new WeakMap<object, Buffer>();
 
 function serialize(message: object): Buffer {
--- a/packages/gateway/src/relay/relay_peers.ts
+++ b/packages/gateway/src/relay/relay_peers.ts
@@ -1,4 +1,4 @@
-/** Streams of a relay to other relays: one in each data centre. */
+/** Streams of a relay to one relay in each data centre. */
 
 import {
   RelayRoster,
@@ -13,16 +13,16 @@
 /** What {@link RelayPeers} are made from. */
 export interface RelayPeersOptions extends RelayRosterOptions {
   readonly nowMs: () => number;
-  /** A relay elsewhere says what its data centre hears of loads. */
+  /** Readings of another relay's data centre. */
   readonly onLoads: (report: LoadReport) => void;
 }
 
-/** Reports come every half a second, empty ones too. */
+/** Reports arrive every 500 ms, even when empty. */
 const SILENT_AFTER_MS = 5000;
-/** Nothing is concluded from what comes back. */
+/** Only keeps the stream busy. */
 const PING_EVERY_MS = 2000;
 
-/** Owns the streams; in its own data centre there may be a second relay. */
+/** Owns the streams; its own data centre may have a second relay. */
 export class RelayPeers {
   private readonly rosters = new Map<DataCentreId, RelayRoster>();
   private readonly clients = new Map<DataCentreId, RelayClient>();
@@ -40,7 +40,7 @@
     roster.learn(isOwn ? {...seat, holder: undefined} : seat);
   }
 
-  /** Connects where a stream is missing. */
+  /** Opens missing streams. */
   async connect(): Promise<void> {
     for (const [dataCentre, roster] of this.rosters) {
       if (this.clients.has(dataCentre)) continue;
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -26,7 +26,7 @@
   readonly address: string;
   readonly copies: Readonly<Record<RelayedTableName, TableCopy>>;
   readonly writes: WriteGatherer;
-  /** A follower says what endpoints told it. */
+  /** A follower has sent readings. */
   readonly onLoads: (report: LoadReport) => void;
   readonly logger: Logger;
 }
@@ -38,9 +38,9 @@
  */
 const MOST_BUFFERED_BYTES = 64 * 1024;
 
-/** Counts of an instance, or loads of all engines, come to a tenth of it. */
+/** Ten times the size of the largest regular message. */
 const MAX_MESSAGE_BYTES = 256 * 1024;
-/** Refused writes are logged at most so often. */
+/** Interval between log lines on refused writes. */
 const LOG_REFUSAL_EVERY_MS = 10_000;
 
 interface Follower {
@@ -100,7 +100,7 @@
     for (const follower of this.followers) this.tell(follower, table);
   }
 
-  /** Loads that came since the last time; whoever is behind is left out. */
+  /** Sends new readings, except to peers that read too slowly. */
   sendLoads(loads: {
     readonly toFollowers: LoadReport;
     readonly toRelays: LoadReport;
@@ -109,11 +109,11 @@
     if (toFollowers.lines.length > 0) {
       for (const {call} of this.followers) writeUnlessBehind(call, toFollowers);
     }
-    // Also when there are none: a stream without messages counts as silent.
+    // Empty reports too: a stream without messages counts as lost.
     for (const call of this.exchanges) writeUnlessBehind(call, toRelays);
   }
 
-  /** Leases, plans and seats are rows too, and nobody else's to write. */
+  /** Only counts: leases and plans are rows of the same store. */
   private async write(call: WriteCall, reply: WriteReply): Promise<void> {
     if (!isCountsKey(call.request?.key)) {
       this.logRefusal(call);
@@ -196,7 +196,7 @@
   if (!isBehind(call)) call.write(message);
 }
 
-/** However a stream ends; it may be told more than once. */
+/** Calls `end` when a stream is over, possibly more than once. */
 function onceOver(call: FollowCall, end: () => void): void {
   call.on('cancelled', end);
   call.on('close', end);
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -37,7 +37,7 @@
   readonly nowMs: () => number;
   /** How many instances there are, as far as it is known. */
   readonly countInstances: () => number | undefined;
-  /** Told how many there seem to be, while it isn't known. */
+  /** Receives an estimate while the number isn't known. */
   readonly onEstimate: (instances: number) => void;
 }
 
@@ -160,7 +160,7 @@
     return this.follower.write({key, value});
   }
 
-  /** Whether rows are written together with those of others now. */
+  /** Whether a relay writes this instance's rows in batches. */
   get writesForOthers(): boolean {
     return this.host.isServing || this.follower.isFollowing;
   }
@@ -210,7 +210,6 @@
     if (isUnknown) this.estimateInstances();
   }
 
-  /** Loads are worth telling only while they are new. */
   private sendLoads(): void {
     if (this.host.isServing) {
       this.host.sendLoads(this.loads.collectForOthers());
@@ -234,7 +233,7 @@
     this.options.onEstimate(instances);
   }
 
-  /** Neither relays nor follows: each instance asks the store by itself. */
+  /** Stops relaying and following; the store is polled directly. */
   private async leave(): Promise<void> {
     this.follower.leave();
     this.stopServing();
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -72,8 +72,8 @@
   }
 
   /**
-   * Plain services answer within tens of milliseconds: their loads are over
-   * before others could hear of them.
+   * Loads of plain services are not shared: they answer within tens of
+   * milliseconds, before a report arrives.
    */
   private isEngine(id: EndpointId): boolean {
     const service = this.directory.find(id)?.service;
@@ -84,7 +84,7 @@
     return this.table?.findService(service)?.engine !== undefined;
   }
 
-  /** Beliefs would grow with each life of an endpoint. */
+  /** Drops state of removed endpoints. */
   forgetUnlisted(): void {
     const listed = this.directory.readAll().map(({id}) => id);
     this.monitor.retain(new Set(listed));
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -67,7 +67,7 @@
     await this.write('crash', rows);
   }
 
-  /** Tells an estimate of the number of instances, unless a count is there. */
+  /** Publishes an estimated number of instances unless a count exists. */
   async publishEstimate(count: number): Promise<void> {
     const key = `shared/${INSTANCES}`;
     const result = await this.options.platform.transact({
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -72,7 +72,7 @@
  * hundred milliseconds, and each answer is a priced call of every instance.
  */
 const GATHER_SHARE = 0.35;
-/** Share of that time which the first poll after a start may wait for a relay. */
+/** Share of that time by which the first poll is delayed to find a relay. */
 const INITIAL_DELAY_SHARE = 0.8;
 
 /** Owns the followers. */
@@ -130,7 +130,7 @@
     const own = {
       waitMs,
       gatherMs: inForceWithinMs * GATHER_SHARE,
-      // The rows that say who relays are in this table.
+      // The shared table has the rows of the relays.
       ...(name === 'shared'
         ? {}
         : {initialDelayMs: inForceWithinMs * INITIAL_DELAY_SHARE}),
--- a/packages/gateway/src/store_recovery.ts
+++ b/packages/gateway/src/store_recovery.ts
@@ -1,29 +1,29 @@
-/** Who asks a store that is away, and who waits for its return. */
+/** Limits retries of several followers against one unavailable store. */
 
-/** Others ask so many times as seldom as the first that lost the store. */
+/** Backoff factor of followers that are not the first to fail. */
 const STANDBY_FACTOR = 3;
 
 /**
- * Load pattern: the store is away for seconds, and each of hundreds of instances
- * asks it for three tables, again and again. The follower that lost it first asks
- * for all; when it has it back, the others ask at once. They still ask now and
- * then by themselves: a store may fail for one table alone.
+ * Load pattern: the store is unavailable for seconds, and each of hundreds of
+ * instances retries three tables. Only the first follower that failed retries at
+ * the normal pace; when it succeeds, the others retry at once. They also retry
+ * slowly by themselves, since a single table may fail.
  */
 export class StoreRecovery {
-  /** In the order in which they lost it. */
+  /** Followers without the store, in the order in which they failed. */
   private readonly lost = new Set<object>();
   private readonly waiting = new Set<() => void>();
 
-  /** Whether anybody has lost the store and not regained it. */
+  /** Whether any follower's last call failed. */
   get isAway(): boolean {
     return this.lost.size > 0;
   }
 
   /**
-   * A follower got no answer.
+   * Records a failed call.
    *
-   * @param pauseMs after which it would ask again if it were alone.
-   * @returns after which it should.
+   * @param pauseMs the follower's own backoff.
+   * @returns the pause before its next call.
    * @example
    * const pauseMs = recovery.lose(this, backoffMs);
    */
@@ -33,13 +33,13 @@
     return first === follower ? pauseMs : pauseMs * STANDBY_FACTOR;
   }
 
-  /** A follower got an answer again: those that wait ask now. */
+  /** Records a successful call and wakes the waiting followers. */
   regain(follower: object): void {
     if (!this.lost.delete(follower)) return;
     for (const wake of [...this.waiting]) wake();
   }
 
-  /** Resolves after the pause, or when another follower has regained the store. */
+  /** Resolves after the pause, or as soon as another follower succeeds. */
   wait(pauseMs: number): Promise<void> {
     return new Promise(resolve => {
       const finish = () => {
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -58,9 +58,8 @@
    */
   readonly gatherMs: number;
   /**
-   * Pause after the first whole read, in which a relay may be found (as after
-   * any other). Hundreds of instances that start together would else poll once
-   * before they follow it.
+   * Pause after the first whole read (`gatherMs`): hundreds of instances that
+   * start together find a relay in this time and needn't poll.
    */
   readonly initialDelayMs?: number;
 }
@@ -78,7 +77,7 @@
   readonly onClock?: (reading: StoreClockReading) => void;
   /** Told of each answer that was taken in, also of one without rows. */
   readonly onReading?: (reading: RowsReading, isWhole: boolean) => void;
-  /** Shared by the followers of one store (its own). */
+  /** Shared by all followers of a store (its own). */
   readonly recovery?: StoreRecovery;
   /** First pause after a failure (100 ms); doubles. */
   readonly firstBackoffMs?: number;
--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -60,8 +60,8 @@
 /** The store takes so many rows in one transaction. */
 const MOST_ROWS = 90;
 /**
- * The same while counts still come in, as they do when the store is just back:
- * sealed at its return, a window would lack whatever was counted in the outage.
+ * The same while more counts arrive, as after an outage of the store: a window
+ * sealed at its return would lack what was counted meanwhile.
  */
 const LONG_PATIENCE_SHARE = 0.85;
 /** A new holder looks so far back for windows that nobody has reported. */
@@ -78,10 +78,10 @@
   private pausedUntilMs = 0;
   private nextWindow: WindowNumber | undefined;
   private tokenOfNext: number | undefined;
-  /** Instances that had written the whole at the last look. */
+  /** Number of final rows at the last look. */
   private seen:
     {readonly window: WindowNumber; readonly final: number} | undefined;
-  /** Rows from which the last seal was made. */
+  /** Keys of the counts in the last seal. */
   private countedKeys: readonly string[] = [];
   /** Who wrote the window before; they are expected to write again. */
   private writers: ReadonlySet<string> = new Set();
@@ -137,9 +137,8 @@
   }
 
   /**
-   * Tells a successor how far reports have come, and removes what they were made
-   * from; the seal stays. A row that is left over does no harm, and neither does
-   * a report that is repeated.
+   * Saves the progress for a successor and removes the counts; the seal stays.
+   * Failures are harmless: a repeated report is ignored.
    */
   private async finish(window: WindowNumber): Promise<void> {
     const next: ProgressValue = {next: window + 1};
--- a/packages/gateway/src/usage_rows.ts
+++ b/packages/gateway/src/usage_rows.ts
@@ -17,7 +17,7 @@
   readonly demands?: Readonly<Record<string, readonly RouteDemand[]>>;
 }
 
-/** Ends the keys of counts that are not whole. */
+/** Suffix of the keys of partial counts. */
 const PARTIAL = '~';
 const COUNTS_KEY = /^usage\/\d+\/[^/]+$/;
 
@@ -32,9 +32,9 @@
 }
 
 /**
- * Key of what one life of an instance had counted when a window was running. It
- * is another one than that of the whole: a write that was given to a relay, or
- * whose answer stayed out, may take effect after a later one.
+ * Key of the partial counts of a running window. It differs from the key of the
+ * final counts: a write by way of a relay, or one without an answer, may take
+ * effect after a later one.
  *
  * @example
  * partialCountsKey(window, 'akl-a-1.k3x9'); // 'usage/353445120/akl-a-1.k3x9~'
@@ -44,7 +44,7 @@
 }
 
 /**
- * Whether a row holds what one instance counted: what relays write for others.
+ * Whether a key is one of counts, which relays write for their followers.
  *
  * @example
  * isCountsKey('usage/353445120/akl-a-1.k3x9'); // true
@@ -72,8 +72,7 @@
 }
 
 /**
- * What each life of an instance counted: the whole where it was written, else
- * what it had counted so far.
+ * Counts by writer: the final ones where they exist, else the partial ones.
  *
  * @example
  * const byWriter = latestByWriter(rows);
--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -30,9 +30,9 @@
   readonly logger: Logger;
   /** Writes a row with those of others; false: it has to be written alone. */
   readonly writeTogether?: (key: string, value: unknown) => Promise<boolean>;
-  /** Nothing is written while the store is known to be away (never). */
+  /** Nothing is written while the store is unavailable (never). */
   readonly isStoreAway?: () => boolean;
-  /** Whether others write for this instance now, so that a row is no call. */
+  /** Whether a relay writes this instance's rows in batches. */
   readonly writesTogether?: () => boolean;
   /** What this instance sees of each service's routes. */
   readonly readDemands: () => CountsValue['demands'];
@@ -149,7 +149,7 @@
     const {writer, readDemands} = this.options;
     const key = countsKey(window, writer);
     const value = toCountsValue(counts, true, readDemands());
-    // An instance that stops can't wait for those that write later.
+    // An instance that stops can't wait for a batch.
     const isTogether =
       !this.isStopping && (await this.writeTogether(key, value));
     return isTogether || this.writeAlone(key, value);
@@ -162,7 +162,7 @@
     const {writer, writesTogether} = this.options;
     const key = partialCountsKey(window, writer);
     const value = toCountsValue(counts, false);
-    // Where a relay fails, dozens would write alone what is written soon anyway.
+    // If the relay fails, the final counts follow soon anyway.
     if (writesTogether?.() !== true) return this.writeAlone(key, value);
     await this.writeTogether(key, value);
     return true;
--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -46,9 +46,9 @@
 const SIGN_WEIGHT = 0.3;
 /** Weight of one new duration in the mean. */
 const DURATION_WEIGHT = 0.2;
-/** Half-life of a load that any instance would have told since. */
+/** Half-life of a shared load. */
 const SHARED_LOAD_HALF_LIFE_MS = 5000;
-/** Loads that others told are news for so long. */
+/** Shared loads count as recent for so long. */
 const SHARED_FOR_MS = 3000;
 
 interface Belief {
@@ -64,7 +64,7 @@
   loadAtMs: number;
   /** When one's own latest attempt began. */
   begunAtMs: number;
-  /** Others tell this endpoint's loads too. */
+  /** Whether other instances share this endpoint's loads. */
   isShared: boolean;
   /** One's own requests that the told load already counts. */
   countedInLoad: number;
@@ -138,8 +138,8 @@
   }
 
   /**
-   * The endpoint told its load to another instance. What this one has sent since
-   * isn't in it.
+   * Records a load reported to another instance. Requests that this instance
+   * sent later are not included in it.
    */
   noteReportedLoad(id: EndpointId, load: ReportedLoad, atMs: number): void {
     const belief = this.of(id);
@@ -156,14 +156,14 @@
   }
 
   /**
-   * Whether other instances told loads a moment ago. They then know the same, and
-   * what looks best to one looks best to all.
+   * Whether other instances have shared loads recently. All instances then know
+   * the same loads and would choose the same endpoint.
    */
   hasRecentReports(nowMs: number): boolean {
     return nowMs - this.reportedAtMs < SHARED_FOR_MS;
   }
 
-  /** How old the last load is that the endpoint told anybody. */
+  /** Age of the latest known load. */
   loadAgeMs(id: EndpointId, nowMs: number): number | undefined {
     const belief = this.beliefs.get(id);
     return belief?.load && nowMs - belief.loadAtMs;
@@ -239,8 +239,8 @@
   }
 
   /**
-   * Where others tell loads too, the last one is news for longer: had there been
-   * an answer since, it would be known.
+   * A shared load stays valid for longer: a newer answer to any instance would
+   * have replaced it.
    */
   private fadeOf({isShared, loadAtMs}: Belief, nowMs: number): number {
     const halfLifeMs =
--- a/packages/routing/src/instance_estimate.ts
+++ b/packages/routing/src/instance_estimate.ts
@@ -1,9 +1,9 @@
-/** How many instances there are, before their usage has been counted. */
+/** Estimates the number of instances before the first count is known. */
 
 /** What an {@link InstanceEstimate} is made from; defaults in the brackets. */
 export interface InstanceEstimateOptions {
   readonly dataCentres: number;
-  /** From so many instances on, relays pay. */
+  /** Number of instances from which relays save calls. */
   readonly relaysPayFrom: number;
   /** How long a relay waits for many followers (2,500 ms). */
   readonly manyAfterMs?: number;
@@ -11,7 +11,7 @@
   readonly fewAfterMs?: number;
 }
 
-/** What one relay sees of the instances of its data centre. */
+/** Followers of a relay. */
 export interface FollowerStats {
   readonly followers: number;
   readonly servingForMs: number;
@@ -21,16 +21,15 @@
 const DEFAULT_FEW_AFTER_MS = 6000;
 
 /**
- * Load pattern: hundreds of instances start within a second, and each of them
- * polls the store by itself until the first usage window has been counted, ten
- * seconds later. A relay knows its followers seconds after the start; the other
- * data centres are taken to be as large as its own.
+ * Load pattern: hundreds of instances start within a second, and the first count
+ * of them comes with the first usage window, ten seconds later. A relay knows its
+ * followers after two seconds. Other data centres are assumed to be as large.
  */
 export class InstanceEstimate {
   constructor(private readonly options: InstanceEstimateOptions) {}
 
   /**
-   * @returns undefined while followers may still come.
+   * @returns undefined while more followers may connect.
    * @example
    * const instances = estimate.read({followers: 38, servingForMs: 3000});
    */
--- a/packages/routing/src/lease_candidates.ts
+++ b/packages/routing/src/lease_candidates.ts
@@ -1,30 +1,30 @@
-/** Which instances stand for a lease that all of them could hold. */
+/** Selects the instances that compete for a lease. */
 
 import {hashText} from '@snipestage/policy/rendezvous.js';
 import type {InstanceId} from '@snipestage/types/ids.js';
 
-/** One instance before one lease. */
+/** An instance that may compete for a lease. */
 export interface LeaseCandidate {
   readonly instance: InstanceId;
   readonly lease: string;
-  /** Undefined while nobody has counted them. */
+  /** Undefined while not known. */
   readonly instances: number | undefined;
-  /** Since its process has started. */
+  /** Time since the process started. */
   readonly upForMs: number;
 }
 
-/** Some may be cut off from the store, or killed, and one is to be left. */
+/** Enough that one is left when some are killed or cut off. */
 const CANDIDATES = 8;
-/** While the number of instances isn't known, all have stood after so long. */
+/** While the number of instances is unknown, all compete after this time. */
 const ALL_STAND_AFTER_MS = 10_000;
 /** Hashes are 32 bits. */
 const HASH_RANGE = 2 ** 32;
 
 /**
- * A few stand for a lease, since each of them polls its row. They are chosen by
- * a hash of their names, which needs no call. Load pattern: hundreds of
- * instances start within a second and don't know of each other. They stand one
- * after the other, so that a dozen have written when the first has the lease.
+ * Whether an instance competes for a lease. Each candidate polls the lease's row,
+ * so only a few do, chosen by a hash of their names. Load pattern: hundreds of
+ * instances start within a second and don't know how many they are; they join
+ * one after the other until the lease is taken.
  *
  * @example
  * const stands = standsForLease({instance, lease, instances, upForMs});
--- a/packages/routing/src/load_view.ts
+++ b/packages/routing/src/load_view.ts
@@ -1,35 +1,35 @@
-/** What endpoints told of their load, to any instance. */
+/** The latest load of each endpoint, as reported to any instance. */
 
 import type {EndpointId} from '@snipestage/types/ids.js';
 import type {EndpointMonitor, ReportedLoad} from './endpoint_monitor.js';
 
-/** A load that an endpoint told with an answer. */
+/** A load that an endpoint reported with an answer. */
 export interface LoadReading {
   readonly endpoint: EndpointId;
   readonly load: ReportedLoad;
-  /** When it was told, by this instance's clock. */
+  /** Time of the answer by this instance's clock. */
   readonly atMs: number;
 }
 
-/** Who got the answer: this instance, one of its data centre, or one elsewhere. */
+/** Which instance got the answer: this one, one of its data centre, or another. */
 export type LoadOrigin = 'own' | 'local' | 'remote';
 
 /** What a {@link LoadView} is made from; defaults in the brackets. */
 export interface LoadViewOptions {
   readonly monitor: EndpointMonitor;
-  /** Whether an endpoint is known, and its load worth telling. */
+  /** Whether the loads of an endpoint are exchanged; false for unknown ones. */
   readonly isShared: (endpoint: EndpointId) => boolean;
   /** Readings that are older are dropped (3,000 ms). */
   readonly maxAgeMs?: number;
 }
 
-/** Readings that came since a mark, and the next mark. */
+/** Readings since a mark, and the mark for the next call. */
 export interface LoadChanges {
   readonly readings: readonly LoadReading[];
   readonly mark: number;
 }
 
-/** Why readings of others were dropped. */
+/** Why a reading of another instance was dropped. */
 export type LoadDrop = 'older' | 'too_old' | 'from_the_future' | 'not_shared';
 
 const DEFAULT_MAX_AGE_MS = 3000;
@@ -42,10 +42,10 @@
 }
 
 /**
- * Load pattern: hundreds of instances before a hundred engines. An instance gets
- * an answer of each engine every half a minute, and by its own answers alone it
- * sends urgent requests to full engines beside idle ones. Together the instances
- * hear of each engine about every second; this is what they tell each other.
+ * Load pattern: hundreds of instances in front of a hundred engines. Each
+ * instance gets an answer from each engine every half a minute, so its own answers
+ * don't show which engines are full. Together the instances get one about every
+ * second; they exchange these readings.
  */
 export class LoadView {
   private readonly kept = new Map<EndpointId, Kept>();
@@ -56,7 +56,7 @@
     this.maxAgeMs = options.maxAgeMs ?? DEFAULT_MAX_AGE_MS;
   }
 
-  /** An endpoint told this instance its load. */
+  /** Records a load reported to this instance. */
   noteOwn(reading: LoadReading): void {
     const {endpoint, load, atMs} = reading;
     this.options.monitor.noteLoad(endpoint, load, atMs);
@@ -64,7 +64,7 @@
   }
 
   /**
-   * Takes in what another instance was told.
+   * Takes in a reading of another instance.
    *
    * @returns why it was dropped; undefined when it was taken in.
    * @example
@@ -87,7 +87,7 @@
   }
 
   /**
-   * Readings that were taken in since a mark, but for those that are too old.
+   * Readings taken in since a mark, without those that have become too old.
    *
    * @param mark 0 at first, then that of the changes before.
    * @example
--- a/packages/routing/src/local_engines.ts
+++ b/packages/routing/src/local_engines.ts
@@ -1,4 +1,4 @@
-/** Engines of one's own data centre, as long as they have room. */
+/** Preference for the engines of the instance's own data centre. */
 
 import type {DataCentreId} from '@snipestage/types/ids.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
@@ -6,19 +6,20 @@
 /** What {@link preferLocal} goes by. */
 export interface LocalOptions {
   readonly dataCentre: DataCentreId;
-  /** Requests at an engine, of all instances. */
+  /** Requests of all instances at an engine. */
   readonly loadOf: (engine: ServingEndpoint) => number;
 }
 
-/** With fewer of them there is too little to choose from. */
+/** With fewer local engines, balancing among them is too coarse. */
 const MIN_LOCAL_ENGINES = 4;
-/** Requests an engine by which the near ones may be fuller than all. */
+/** Requests per engine by which the local mean may exceed the overall mean. */
 const MAX_EXCESS_LOAD = 1;
 
 /**
- * Bytes between data centres are dear, and a way between them may be cut. So
- * what may go anywhere stays near. Load pattern: clients move to one data
- * centre; its engines are fuller than the others then, and all are used.
+ * The local engines, or all of them when the local ones are more loaded.
+ *
+ * Traffic between data centres is expensive and may be cut off. Load pattern:
+ * clients move to one data centre, whose engines fill up while others are idle.
  *
  * @example
  * const group = preferLocal(engines, {dataCentre, loadOf});
--- a/packages/routing/src/relay_roster.ts
+++ b/packages/routing/src/relay_roster.ts
@@ -130,7 +130,7 @@
    * A seat that this instance should take now: one that nobody has, or any when
    * no relay has been sound for a while.
    *
-   * @param onlyFirst one relay in each data centre is enough to count the others.
+   * @param onlyFirst whether to consider only the first seat.
    */
   seatToClaim(nowMs: number, onlyFirst = false): RelaySeat | undefined {
     const open = this.isRelay ? undefined : this.findOpenSeat(nowMs);
--- a/packages/routing/src/sampled_choice.ts
+++ b/packages/routing/src/sampled_choice.ts
@@ -1,27 +1,27 @@
-/** Choice among many by figures that are somewhat out of date. */
+/** Power of two choices, for loads that are slightly out of date. */
 
 import {leastBy} from './placement.js';
 
 /** How the items of a {@link chooseBySample} are judged. */
 export interface SampledItems<Item> {
   readonly items: readonly Item[];
-  /** The less, the better. */
+  /** Lower is better. */
   readonly costOf: (item: Item) => number;
-  /** What is left of an item; it is looked at in proportion to this. */
+  /** Free capacity; items are sampled in proportion to it. */
   readonly roomOf: (item: Item) => number;
   /** At least 0 and below 1. */
   readonly random: () => number;
 }
 
-/** Items that are looked at. */
+/** Number of candidates that are compared. */
 const SAMPLE_SIZE = 2;
-/** A full item is looked at now and then: what is known of it may be wrong. */
+/** Full items are still sampled sometimes, as their load may be outdated. */
 const MIN_ROOM = 0.25;
 
 /**
- * The better of two random items. Load pattern: hundreds of instances know the
- * same loads, half a second old. If each took the least loaded engine of all,
- * they would all take the same one until the next report.
+ * The better of two random items. Load pattern: hundreds of instances share one
+ * load report, half a second old. If each chose the least loaded engine, all of
+ * them would choose the same one until the next report (herding).
  *
  * @returns undefined when there are no items.
  * @example
