--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,7 +1,8 @@
 /** Command line of the soak. */
 
 import {Command} from 'commander';
-import {MUTANTS, type Mutant} from './mutations.js';
+import type {Mutant} from './mutant.js';
+import {MUTANTS} from './mutations.js';
 import {REGRESSIONS} from './regressions.js';
 import {runSoak, type SoakResult} from './soak.js';
 import {buildProgram} from './world/program.js';
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,29 +1,10 @@
 /** Seeded faults of the program; a soak of each must find it. */
 
-import type {FaultKind} from './fault_plan.js';
-import type {Mutation} from './world/program.js';
+import type {Mutant} from './mutant.js';
+import {STOP_MUTANTS} from './stop_mutations.js';
 
-/** A mutation, what has to happen for it to show, and who is to find it. */
-export interface Mutant extends Mutation {
-  readonly check: string;
-  /** What the finding has to say, where faults of another kind would show too. */
-  readonly says?: RegExp;
-  /** The faults under which it shows; all when absent. */
-  readonly kinds?: readonly FaultKind[];
-  /** Mean time between two series of them, where it matters. */
-  readonly seriesEveryMs?: number;
-  readonly faultsForMs?: number;
-}
-
-const STOPS = ['instance_terminate'] as const;
 const CHANGES = ['add_marker', 'withdraw_key'] as const;
 const KILLS = ['instance_kill'] as const;
-/** A stop refuses what it can't finish, whatever it still listens to. */
-const TAKES_EVERYTHING = {
-  module: 'routing/dist/shutdown.js',
-  from: 'endsAtMs <= graceEndsAtMs',
-  to: 'true',
-} as const;
 const FULL_ENDPOINTS = ['endpoint_full'] as const;
 const BROKEN_ENDPOINTS = [
   'endpoint_failing',
@@ -111,8 +92,8 @@
     edits: [
       {
         module: 'routing/dist/attempt_policy.js',
-        from: 'runs >= route.maxAttempts',
-        to: 'runs >= 9',
+        from: 'runs < route.maxAttempts',
+        to: 'runs < 9',
       },
       {
         module: 'routing/dist/endpoint_monitor.js',
@@ -128,8 +109,8 @@
     edits: [
       {
         module: 'routing/dist/window_budget.js',
-        from: 'if (this.extras.length + 1 > this.allowance())',
-        to: 'if (false)',
+        from: 'return next <= this.allowance() && this.saved >= 1;',
+        to: 'return true;',
       },
       // An endpoint that refuses is asked on, and looks idle.
       {
@@ -263,61 +244,5 @@
       },
     ],
   },
-  {
-    name: 'stops_at_once',
-    check: 'nothing_lost',
-    kinds: STOPS,
-    edits: [
-      {
-        module: 'gateway/dist/gateway.js',
-        from: 'await this.drain(beganAtMs);',
-        to: '',
-      },
-    ],
-  },
-  {
-    name: 'listens_to_the_end',
-    check: 'nothing_lost',
-    // Connections from before show another fault than listening.
-    says: /connected [3-9]\d{3} ms after/,
-    kinds: STOPS,
-    edits: [
-      {
-        module: 'gateway/dist/callers_server.js',
-        from: 'if (this.server.listening)',
-        to: 'if (false)',
-      },
-      TAKES_EVERYTHING,
-    ],
-  },
-  {
-    name: 'takes_what_it_cannot_finish',
-    check: 'nothing_lost',
-    kinds: STOPS,
-    edits: [TAKES_EVERYTHING],
-  },
-  {
-    name: 'ends_with_an_error',
-    check: 'proper_ends',
-    kinds: STOPS,
-    edits: [
-      {
-        module: 'platform/dist/main.js',
-        from: 'process.exit(0)',
-        to: 'process.exit(3)',
-      },
-    ],
-  },
-  {
-    name: 'never_listens_again',
-    check: 'serves_again',
-    kinds: ['instance_reload'],
-    edits: [
-      {
-        module: 'platform/dist/main.js',
-        from: "process.on('SIGHUP', () => reload(gateway, path));",
-        to: "process.on('SIGHUP', () => { gateway.callers.stopListening(); gateway.callers.closeAll(); });",
-      },
-    ],
-  },
+  ...STOP_MUTANTS,
 ];
