--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -24,12 +24,10 @@
   EngineEvent,
 } from './engine_driver.js';
 import {outcomeOf} from './attempt_outcome.js';
+import {delay, firstTokenTimeoutMs} from './attempt_times.js';
 import {timeToStartMs} from './time_to_start.js';
 import type {RetryDecision, RetryPolicy} from './retry_policy.js';
 
-const SLOWEST_FIRST_TOKEN_FACTOR = 10;
-const MIN_FIRST_TOKEN_TIMEOUT_MS = 5000;
-
 /** What has to be run for a caller. */
 export interface ModelWork {
   readonly requestId: RequestId;
@@ -277,28 +275,9 @@
   return isLinkFault && meter.outputTokens > 0;
 }
 
-function firstTokenTimeoutMs(requestClass: RequestClass): number {
-  return Math.max(
-    MIN_FIRST_TOKEN_TIMEOUT_MS,
-    requestClass.firstTokenTargetMs * SLOWEST_FIRST_TOKEN_FACTOR,
-  );
-}
-
 /** The abort's own refusal, with the verdict as it really is. */
 function abortReason(signal: AbortSignal, verdict: Verdict): RequestError {
   const reason: unknown = signal.reason;
   if (reason instanceof RequestError) return withVerdict(reason, verdict);
   return new RequestError('The caller hung up.', {code: 'internal', verdict});
 }
-
-function delay(ms: number, signal: AbortSignal): Promise<void> {
-  if (ms <= 0) return Promise.resolve();
-  return new Promise(resolve => {
-    const timer = setTimeout(resolve, ms);
-    const stop = () => {
-      clearTimeout(timer);
-      resolve();
-    };
-    signal.addEventListener('abort', stop, {once: true});
-  });
-}
