Refuse messages to a relay that lack their fields

A message of a follower without its versions threw in the handler of the stream, which ends the process (found by reading; the test doesn't come to its end on the code before). Messages are checked now, refused with INVALID_ARGUMENT and logged within bounds. Lines of load reports are checked one by one as before.

--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -111,6 +111,40 @@
   return {key, version, data: bytes};
 }
 
+/**
+ * Reads what a process on the relay's port sent.
+ *
+ * @returns undefined when it is no message of a follower.
+ * @example
+ * const message = readFollowerMessage(JSON.parse(text));
+ */
+export function readFollowerMessage(
+  message: unknown,
+): FollowerMessage | undefined {
+  const fields = (message ?? {}) as Record<string, unknown>;
+  return isFollowerMessage(fields) ? (message as FollowerMessage) : undefined;
+}
+
+function isFollowerMessage(fields: Record<string, unknown>): boolean {
+  const {kind, instance, known, number} = fields;
+  switch (kind) {
+    case 'follow':
+      return typeof instance === 'string' && areVersions(known);
+    case 'exchange':
+      return typeof instance === 'string';
+    case 'ping':
+      return Number.isInteger(number);
+    default:
+      // The lines of a report are read one by one.
+      return kind === 'loads';
+  }
+}
+
+function areVersions(known: unknown): boolean {
+  const versions = (known ?? {}) as Record<string, unknown>;
+  return RELAYED_TABLES.every(table => Number.isInteger(versions[table]));
+}
+
 /** The same report goes to dozens of followers. */
 const serializedReports = new WeakMap<object, Buffer>();
 
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -3,12 +3,12 @@
 import {Server, ServerCredentials, status} from '@grpc/grpc-js';
 import type {Logger} from '@snipestage/log/logger.js';
 import {
+  readFollowerMessage,
   RELAY_SERVICE,
   RELAYED_TABLES,
   toRelayedRow,
   type ExchangeRequest,
   type FollowCall,
-  type FollowerMessage,
   type FollowRequest,
   type RelayedTableName,
   type RelayMessage,
@@ -40,7 +40,7 @@
 
 /** Ten times the size of the largest regular message. */
 const MAX_MESSAGE_BYTES = 256 * 1024;
-/** Interval between log lines on refused writes. */
+/** Interval between log lines on refused writes and messages. */
 const LOG_REFUSAL_EVERY_MS = 10_000;
 
 interface Follower {
@@ -116,7 +116,7 @@
   /** Only counts: leases and plans are rows of the same store. */
   private async write(call: WriteCall, reply: WriteReply): Promise<void> {
     if (!isCountsKey(call.request?.key)) {
-      this.logRefusal(call);
+      this.logRefused('write_refused', call);
       const details = 'relays write counts only';
       reply({code: status.PERMISSION_DENIED, details});
       return;
@@ -126,17 +126,18 @@
     reply(null, {isWritten});
   }
 
-  private logRefusal(call: WriteCall): void {
+  private logRefused(event: string, call: FollowCall | WriteCall): void {
     const nowMs = performance.now();
     if (nowMs - this.refusalLoggedAtMs < LOG_REFUSAL_EVERY_MS) return;
     this.refusalLoggedAtMs = nowMs;
-    this.options.logger.warn('write_refused', {sender: call.getPeer()});
+    this.options.logger.warn(event, {sender: call.getPeer()});
   }
 
   private accept(call: FollowCall): void {
     let follower: Follower | undefined;
-    call.on('data', (message: FollowerMessage) => {
-      switch (message.kind) {
+    call.on('data', (data: unknown) => {
+      const message = readFollowerMessage(data);
+      switch (message?.kind) {
         case 'follow':
           follower ??= this.add(call, message);
           return;
@@ -148,6 +149,10 @@
           return;
         case 'ping':
           if (follower !== undefined) follower.ping = message.number;
+          return;
+        case undefined:
+          this.logRefused('message_refused', call);
+          call.emit('error', {code: status.INVALID_ARGUMENT});
       }
     });
     call.on('end', () => call.end());
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -1,3 +1,9 @@
+import {
+  credentials,
+  makeGenericClientConstructor,
+  status,
+  type ServiceError,
+} from '@grpc/grpc-js';
 import test, {type ExecutionContext} from 'ava';
 import {pickFreePorts} from '@snipestage/stand_ins/launch/free_ports.js';
 import {brandAs, type InstanceId} from '@snipestage/types/ids.js';
@@ -5,6 +11,7 @@
 import {NoOutput} from '../test_support/no_output.js';
 import type {LoadReport} from './load_report.js';
 import {RelayClient} from './relay_client.js';
+import {RELAY_SERVICE} from './relay_messages.js';
 import {RelayServer} from './relay_server.js';
 import {TableCopy, type TableChanges} from './table_copy.js';
 import {WriteGatherer} from './write_gatherer.js';
@@ -47,7 +54,17 @@
     onEnd: ({reason}) => ends.push(reason),
   });
   t.teardown(() => client.close());
-  return {server, copies, told, times, ends, client, platform, reports};
+  return {
+    server,
+    address,
+    copies,
+    told,
+    times,
+    ends,
+    client,
+    platform,
+    reports,
+  };
 }
 
 async function waitUntil(condition: () => boolean): Promise<void> {
@@ -142,3 +159,22 @@
   t.true(await client.write({key: 'usage/1/sound', value: {counts: {}}}));
   t.deepEqual([...platform.rows.keys()], ['usage/1/sound']);
 });
+
+test('messages that are none end their stream and nothing else', async t => {
+  // Guards against a process on the relay's port that ends the relay by a message without its fields.
+  const {server, address, told} = await startPair(t, 20_000);
+  const RawStub = makeGenericClientConstructor(RELAY_SERVICE, 'Relay');
+  for (const message of [{}, {kind: 'follow'}, {kind: 'other'}]) {
+    const raw = new RawStub(address, credentials.createInsecure());
+    const stream = raw.follow();
+    const ended = new Promise<ServiceError>(resolve =>
+      stream.on('error', resolve),
+    );
+    stream.on('data', () => undefined);
+    stream.write(message);
+    t.is((await ended).code, status.INVALID_ARGUMENT);
+    raw.close();
+  }
+  t.is(server.followerCount, 1);
+  await confirmUntil(server, () => told.length > 0);
+});
