--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -124,7 +124,7 @@
 
   /** @returns whether the store has it. */
   private async write(window: WindowNumber): Promise<boolean> {
-    const {windows, nowMs, logger} = this.options;
+    const {windows, nowMs} = this.options;
     const counts = windows.read(window);
     const total = totalOf(counts);
     const isFinal = this.isStopping || this.hasEnded(window);
@@ -138,7 +138,6 @@
       return true;
     }
     this.pausedUntilMs = nowMs() + PAUSE_AFTER_FAILURE_MS;
-    logger.warn('usage_not_written', {window, total});
     return false;
   }
 
@@ -176,12 +175,15 @@
   }
 
   private async writeAlone(key: string, value: CountsValue): Promise<boolean> {
-    const {platform} = this.options;
+    const {platform, logger} = this.options;
     const result = await platform.transact({
       checks: [],
       writes: [{key, value}],
     });
-    return result.kind === 'committed';
+    if (result.kind === 'committed') return true;
+    const reason = result.kind === 'unknown' ? result.reason : result.kind;
+    logger.warn('usage_not_written', {key, reason});
+    return false;
   }
 
   private forget(): void {
