--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -34,7 +34,7 @@
   readonly clock: AgreedClock;
   readonly facts: SharedFacts;
   readonly recovery: Pick<StoreRecovery, 'isAway'>;
-  readonly relays: Pick<Relays, 'write' | 'writesForOthers'>;
+  readonly relays: Pick<Relays, 'write' | 'hasBatchedWrites'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** Only a ready instance stands for the lease. */
@@ -90,9 +90,9 @@
       writeEveryMs: () => this.usageWriteEveryMs,
       nowMs,
       logger,
-      writeTogether: (key, value) => options.relays.write(key, value),
+      writeBatched: (key, value) => options.relays.write(key, value),
       isStoreAway: () => options.recovery.isAway,
-      writesTogether: () => options.relays.writesForOthers,
+      hasBatchedWrites: () => options.relays.hasBatchedWrites,
       readDemands: () => state.readDemands(nowMs()),
     });
     this.reporter = new UsageReporter({
@@ -195,7 +195,7 @@
   private get usageWriteEveryMs(): number {
     const {windowMs, tolerance} = this.options.settings.usage;
     const {instances} = this.options.state;
-    if (this.options.relays.writesForOthers) {
+    if (this.options.relays.hasBatchedWrites) {
       return windowMs * RELAYED_WRITE_SHARE;
     }
     const isNegligible = instances !== undefined && 1 / instances < tolerance;
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -161,7 +161,7 @@
   }
 
   /** Whether a relay writes this instance's rows in batches. */
-  get writesForOthers(): boolean {
+  get hasBatchedWrites(): boolean {
     return this.host.isServing || this.follower.isFollowing;
   }
 
--- a/packages/gateway/src/usage_writer.test.ts
+++ b/packages/gateway/src/usage_writer.test.ts
@@ -51,8 +51,8 @@
   // Guards against counts that are gone with many instances killed at once.
   const given: string[] = [];
   const {platform, writer} = makeWriter({
-    writesTogether: () => true,
-    writeTogether: async key => {
+    hasBatchedWrites: () => true,
+    writeBatched: async key => {
       given.push(key);
       return true;
     },
@@ -66,8 +66,8 @@
 test('a relay that fails costs no call for counts of a window that runs', async t => {
   // Guards against dozens of instances that write alone when their relay is lost.
   const {platform, writer} = makeWriter({
-    writesTogether: () => true,
-    writeTogether: async () => false,
+    hasBatchedWrites: () => true,
+    writeBatched: async () => false,
   });
   await runFor(writer, SOME_TICKS_MS);
   t.is(platform.rows.size, 0);
--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -29,11 +29,11 @@
   readonly nowMs: () => number;
   readonly logger: Logger;
   /** Writes a row with those of others; false: it has to be written alone. */
-  readonly writeTogether?: (key: string, value: unknown) => Promise<boolean>;
+  readonly writeBatched?: (key: string, value: unknown) => Promise<boolean>;
   /** Nothing is written while the store is unavailable (never). */
   readonly isStoreAway?: () => boolean;
   /** Whether a relay writes this instance's rows in batches. */
-  readonly writesTogether?: () => boolean;
+  readonly hasBatchedWrites?: () => boolean;
   /** What this instance sees of each service's routes. */
   readonly readDemands: () => CountsValue['demands'];
 }
@@ -149,29 +149,28 @@
     const key = countsKey(window, writer);
     const value = toCountsValue(counts, true, readDemands());
     // An instance that stops can't wait for a batch.
-    const isTogether =
-      !this.isStopping && (await this.writeTogether(key, value));
-    return isTogether || this.writeAlone(key, value);
+    const isBatched = !this.isStopping && (await this.writeBatched(key, value));
+    return isBatched || this.writeAlone(key, value);
   }
 
   private async writePartial(
     window: WindowNumber,
     counts: UsageCounts,
   ): Promise<boolean> {
-    const {writer, writesTogether} = this.options;
+    const {writer, hasBatchedWrites} = this.options;
     const key = partialCountsKey(window, writer);
     const value = toCountsValue(counts, false);
     // If the relay fails, the final counts follow soon anyway.
-    if (writesTogether?.() !== true) return this.writeAlone(key, value);
-    await this.writeTogether(key, value);
+    if (hasBatchedWrites?.() !== true) return this.writeAlone(key, value);
+    await this.writeBatched(key, value);
     return true;
   }
 
-  private async writeTogether(
+  private async writeBatched(
     key: string,
     value: CountsValue,
   ): Promise<boolean> {
-    return (await this.options.writeTogether?.(key, value)) ?? false;
+    return (await this.options.writeBatched?.(key, value)) ?? false;
   }
 
   private async writeAlone(key: string, value: CountsValue): Promise<boolean> {
