--- a/packages/gateway/src/relay/relays.test.ts
+++ b/packages/gateway/src/relay/relays.test.ts
@@ -1,12 +1,14 @@
 import test, {type ExecutionContext} from 'ava';
+import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
+import {LoadView} from '@snipestage/routing/load_view.js';
 import {pickFreePorts} from '@snipestage/stand_ins/launch/free_ports.js';
 import {
   brandAs,
   type DataCentreId,
+  type EndpointId,
   type InstanceId,
 } from '@snipestage/types/ids.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
-import {RoutingState} from '../routing_state.js';
 import {MemoryPlatform} from '../test_support/memory_platform.js';
 import {NoOutput} from '../test_support/no_output.js';
 import {Relays} from './relays.js';
@@ -20,6 +22,8 @@
 class StartedInstances {
   readonly platform = new MemoryPlatform();
   readonly relays: Relays[] = [];
+  readonly views: LoadView[] = [];
+  readonly monitors: EndpointMonitor[] = [];
   instances: number | undefined;
 
   async start(t: ExecutionContext, count: number): Promise<void> {
@@ -48,6 +52,14 @@
     ).length;
   }
 
+  private makeView(): LoadView {
+    const monitor = new EndpointMonitor();
+    const view = new LoadView({monitor, isShared: () => true});
+    this.monitors.push(monitor);
+    this.views.push(view);
+    return view;
+  }
+
   private make(instance: string, address: string): Relays {
     const {logger} = new NoOutput();
     return new Relays({
@@ -58,7 +70,7 @@
       address,
       inForceWithinMs: 4000,
       platform: this.platform,
-      loads: new RoutingState({ratio: 0, windowMs: 1000, slack: 0}).loads,
+      loads: this.makeView(),
       metrics: new GatewayMetrics(),
       logger,
       nowMs: () => performance.now() * CLOCK_RATE,
@@ -103,3 +115,21 @@
   await waitUntil(() => started.countSeats() === 0);
   t.pass();
 });
+
+test('all instances of a data centre know what one of them heard of an engine', async t => {
+  // Guards against full engines that look idle to all instances but one.
+  const started = new StartedInstances();
+  await started.start(t, 8);
+  await waitUntil(() => started.instances !== undefined);
+  const endpoint = brandAs<EndpointId>('engine');
+  const load = {running: 20, waiting: 4, capacity: 24};
+  const nowMs = () => performance.now() * CLOCK_RATE;
+  const isKnown = (monitor: EndpointMonitor) =>
+    monitor.estimateLoad(endpoint, nowMs()) > 0;
+  await waitUntil(() => {
+    // Answers keep coming; each is exchanged once.
+    started.views[3].noteOwn({endpoint, load, atMs: nowMs()});
+    return started.monitors.every(isKnown);
+  });
+  t.true(started.monitors[0].hasRecentReports(nowMs()));
+});
