--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -47,6 +47,8 @@
   readonly onEnd: (end: RelayEnd) => void;
   /** Ends the stream when nothing has come for so long. */
   readonly silentAfterMs: number;
+  /** How long a write may take (1,000 ms). */
+  readonly writeTimeoutMs?: number;
 }
 
 interface SentPing {
@@ -64,7 +66,7 @@
 }
 
 /** Gathering, a transaction and as much again. */
-const WRITE_TIMEOUT_MS = 1000;
+const DEFAULT_WRITE_TIMEOUT_MS = 1000;
 const RelayStub = makeGenericClientConstructor(RELAY_SERVICE, 'Relay');
 
 /** A new one for each stream. */
@@ -98,7 +100,8 @@
 
   /** @returns whether the store has the row, as far as is known. */
   write(request: WriteRequest): Promise<boolean> {
-    const deadline = Date.now() + WRITE_TIMEOUT_MS;
+    const {writeTimeoutMs = DEFAULT_WRITE_TIMEOUT_MS} = this.options;
+    const deadline = Date.now() + writeTimeoutMs;
     return new Promise(resolve => {
       this.client.write(request, {deadline}, (error, answer) =>
         resolve(error === null && answer?.isWritten === true),
