Send nothing to evacuated data centres

Cause: only the row of the configuration was read from the operators' table. Evacuations are rows of the same table; they now come with it, by way of the relays too, and the directory of endpoints leaves out an evacuated data centre, so that first attempts, retries, resumed streams and cache fetches keep away from it alike. A whole read replaces what is known, a change adds to it. What a service began with is counted without regard to evacuations.

Ruled out: a table of its own for evacuations; it would be one more poll of each relay and follower.

--- a/packages/gateway/src/capacity_duty.ts
+++ b/packages/gateway/src/capacity_duty.ts
@@ -176,7 +176,9 @@
     }
     const {directory} = state;
     if (nowMs() - directory.changedAtMs < SETTLED_AFTER_MS) return;
-    const endpoints = directory.findServing(service, nowMs()).length;
+    const endpoints = directory
+      .readAll()
+      .filter(each => each.service === service && !each.isLeaving).length;
     if (endpoints === 0) return;
     // Lost against another holder or an outage: the next tick reads it.
     await platform.transact({
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -41,3 +41,21 @@
   t.is(gateway.configurationVersion, 9);
   await gateway.stop();
 });
+
+test('a change of the configuration leaves evacuations in force', async t => {
+  // Guards against a reread or an unrelated change that reopens a data centre.
+  const {gateway, configuration} = await startGateway();
+  configuration.put('evacuate/akl-a');
+  configuration.put('1');
+  await waitUntil(() => gateway.isReady);
+  t.deepEqual(gateway.evacuated, ['akl-a']);
+  configuration.put('2');
+  await waitUntil(() => gateway.configurationVersion === 2);
+  t.deepEqual(gateway.evacuated, ['akl-a']);
+  configuration.put('evacuate/akl-b');
+  await waitUntil(() => gateway.evacuated.length === 2);
+  configuration.remove('evacuate/akl-a');
+  await waitUntil(() => gateway.evacuated.length === 1);
+  t.deepEqual(gateway.evacuated, ['akl-b']);
+  await gateway.stop();
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,7 +11,7 @@
 import {ConnectPatience} from '@snipestage/routing/connect_patience.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
 import {Shutdown} from '@snipestage/routing/shutdown.js';
-import type {FencingToken} from '@snipestage/types/ids.js';
+import type {DataCentreId, FencingToken} from '@snipestage/types/ids.js';
 import {CallersServer} from './callers_server.js';
 import {CrashReporter} from './crash_reporter.js';
 import {Duties} from './duties.js';
@@ -146,6 +146,11 @@
     return this.state.table?.configuration.version;
   }
 
+  /** Data centres that operators have evacuated, as far as it is known here. */
+  get evacuated(): readonly DataCentreId[] {
+    return this.state.directory.listEvacuated();
+  }
+
   async start(): Promise<void> {
     this.follower.start();
     for (const server of this.operations) await server.start();
@@ -279,6 +284,7 @@
       isStopping: this.shutdown.isStopping,
       inProgress: this.handler.inProgress,
       configurationVersion: this.configurationVersion,
+      evacuated: this.evacuated,
       ...this.duties.snapshot(),
       relays: this.relays.snapshot(),
       endpoints: this.state.describeEndpoints(performance.now()),
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -6,6 +6,7 @@
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
 import {RouteTable} from '@snipestage/routing/route_table.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import type {DataCentreId} from '@snipestage/types/ids.js';
 import type {CrashReporter} from './crash_reporter.js';
 import type {RoutingState} from './routing_state.js';
 import type {RelayedTableName} from './relay/relay_messages.js';
@@ -21,12 +22,23 @@
   type TableListener,
 } from './table_follower.js';
 
+/** What a row of the operators' table says. */
+export type OperatorRow =
+  | {
+      readonly kind: 'configuration';
+      readonly configuration: RoutingConfiguration;
+    }
+  | {
+      readonly kind: 'evacuation';
+      readonly dataCentre: DataCentreId;
+      /** False when the row was removed: the data centre is restored. */
+      readonly isEvacuated: boolean;
+    }
+  | {readonly kind: 'unreadable'};
+
 /** Turns rows of the platform's tables into the product's types. */
 export abstract class RowDecoder {
-  /** @returns undefined when the row is no configuration. */
-  abstract decodeConfiguration(
-    row: FollowedRow,
-  ): RoutingConfiguration | undefined;
+  abstract decodeOperatorRow(row: FollowedRow): OperatorRow;
   abstract decodeEndpoint(row: FollowedRow): EndpointChange;
 }
 
@@ -99,12 +111,13 @@
 
   private addFollowers(): void {
     const {knownWithinMs} = this.options;
-    const apply = (rows: readonly FollowedRow[]) =>
-      this.applyConfiguration(rows);
     const waitMs = knownWithinMs * FOLLOW_WAIT_SHARE;
     this.follow('configuration', waitMs, {
-      replaced: apply,
-      changed: apply,
+      replaced: rows => this.applyOperatorRows(rows, new Set()),
+      changed: rows => {
+        const {directory} = this.options.state;
+        this.applyOperatorRows(rows, new Set(directory.listEvacuated()));
+      },
       disturbed: () => undefined,
     });
     this.follow('endpoints', waitMs, {
@@ -161,28 +174,61 @@
     if (isRelayed !== true) relays.confirm(name);
   }
 
-  /** A version only rises; an older one is a read that came late. */
-  private applyConfiguration(rows: readonly FollowedRow[]): void {
+  /** @param evacuated the data centres that were evacuated before these rows. */
+  private applyOperatorRows(
+    rows: readonly FollowedRow[],
+    evacuated: Set<DataCentreId>,
+  ): void {
     for (const row of rows) {
-      const configuration = this.options.decoder.decodeConfiguration(row);
-      const current = this.options.state.table?.configuration.version ?? -1;
-      if (configuration === undefined) {
-        this.options.logger.error('configuration_unreadable', {
-          rowVersion: row.version,
-          inForce: current,
-        });
-        continue;
+      const operatorRow = this.options.decoder.decodeOperatorRow(row);
+      switch (operatorRow.kind) {
+        case 'configuration':
+          this.applyConfiguration(operatorRow.configuration, row.version);
+          break;
+        case 'evacuation':
+          if (operatorRow.isEvacuated) evacuated.add(operatorRow.dataCentre);
+          else evacuated.delete(operatorRow.dataCentre);
+          break;
+        case 'unreadable':
+          this.options.logger.error('configuration_unreadable', {
+            key: row.key,
+            rowVersion: row.version,
+            inForce: this.options.state.table?.configuration.version,
+          });
+          break;
       }
-      if (configuration.version <= current) continue;
-      this.options.state.table = new RouteTable(configuration);
-      this.options.onConfiguration(configuration);
-      this.options.logger.info('configuration_applied', {
-        version: configuration.version,
-        before: current,
-        rowVersion: row.version,
-        routes: configuration.routes.length,
-      });
     }
+    this.applyEvacuations(evacuated);
+  }
+
+  /** A version only rises; an older one is a read that came late. */
+  private applyConfiguration(
+    configuration: RoutingConfiguration,
+    rowVersion: number,
+  ): void {
+    const before = this.options.state.table?.configuration.version ?? -1;
+    if (configuration.version <= before) return;
+    this.options.state.table = new RouteTable(configuration);
+    this.options.onConfiguration(configuration);
+    this.options.logger.info('configuration_applied', {
+      version: configuration.version,
+      before,
+      rowVersion,
+      routes: configuration.routes.length,
+    });
+  }
+
+  private applyEvacuations(evacuated: ReadonlySet<DataCentreId>): void {
+    const {directory} = this.options.state;
+    const before = directory.listEvacuated();
+    const isSame =
+      before.length === evacuated.size && before.every(id => evacuated.has(id));
+    if (isSame) return;
+    directory.setEvacuated(evacuated);
+    this.options.logger.info('evacuations_applied', {
+      evacuated: [...evacuated],
+      before,
+    });
   }
 
   private replaceEndpoints(rows: readonly FollowedRow[]): void {
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -20,7 +20,7 @@
 } from '@snipestage/types/ids.js';
 import {Gateway} from '../gateway.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
-import {RowDecoder} from '../state_follower.js';
+import {RowDecoder, type OperatorRow} from '../state_follower.js';
 import {
   FollowedTable,
   type FollowedRow,
@@ -57,8 +57,16 @@
   }
 
   put(key: string): void {
+    this.add(key, Buffer.from(key));
+  }
+
+  remove(key: string): void {
+    this.rows = this.rows.filter(row => row.key !== key);
+    this.add(key, undefined);
+  }
+
+  private add(key: string, data: Buffer | undefined): void {
     this.version += 1;
-    const data = Buffer.from(key);
     this.rows.push({key, version: this.version, data});
     this.wake?.();
   }
@@ -80,13 +88,27 @@
   }
 }
 
-/** Rows stand for versions `1`, `2`, ... and for endpoints by their address. */
+const EVACUATION_PREFIX = 'evacuate/';
+
+/**
+ * Rows stand for versions `1`, `2`, ..., for evacuations `evacuate/<data centre>`
+ * and for endpoints by their address.
+ */
 class TestDecoder extends RowDecoder {
   constructor(private readonly routes: readonly Route[]) {
     super();
   }
 
-  decodeConfiguration({key}: FollowedRow): RoutingConfiguration {
+  decodeOperatorRow({key, data}: FollowedRow): OperatorRow {
+    if (key.startsWith(EVACUATION_PREFIX)) {
+      const id = key.slice(EVACUATION_PREFIX.length);
+      const dataCentre = brandAs<DataCentreId>(id);
+      return {kind: 'evacuation', dataCentre, isEvacuated: data !== undefined};
+    }
+    return {kind: 'configuration', configuration: this.configurationOf(key)};
+  }
+
+  private configurationOf(key: string): RoutingConfiguration {
     return {
       version: Number(key),
       routes: this.routes,
--- a/packages/routing/src/endpoint_directory.test.ts
+++ b/packages/routing/src/endpoint_directory.test.ts
@@ -1,8 +1,14 @@
 import test from 'ava';
 import {EndpointDirectory} from './endpoint_directory.js';
+import {
+  brandAs,
+  type DataCentreId,
+  type EndpointId,
+} from '@snipestage/types/ids.js';
 import {makeEndpoint, REPAIR} from './test_support/fixtures.js';
 
 const ONE = makeEndpoint('one');
+const AKL_B = brandAs<DataCentreId>('akl-b');
 
 function idsAt(directory: EndpointDirectory, nowMs: number): string[] {
   return directory.findServing(REPAIR, nowMs).map(({id}) => id);
@@ -76,3 +82,17 @@
   directory.apply([{kind: 'unreadable', id: ONE.id}], 1);
   t.deepEqual(idsAt(directory, 1), ['two']);
 });
+
+test('endpoints of an evacuated data centre get nothing until it is restored', t => {
+  // Guards against requests to a data centre that its operator is emptying.
+  const directory = new EndpointDirectory();
+  const other = {...ONE, id: brandAs<EndpointId>('two'), dataCentre: AKL_B};
+  directory.replace([ONE, other], 0);
+  directory.setEvacuated(new Set([ONE.dataCentre]));
+  t.deepEqual(idsAt(directory, 1), ['two']);
+  const late = {...ONE, id: brandAs<EndpointId>('late')};
+  directory.apply([{kind: 'listed', endpoint: late}], 2);
+  t.deepEqual(idsAt(directory, 2), ['two']);
+  directory.setEvacuated(new Set());
+  t.deepEqual(idsAt(directory, 3), ['one', 'two', 'late']);
+});
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -1,6 +1,10 @@
 /** The endpoints that may get requests, from the changes of their list. */
 
-import type {EndpointId, ServiceId} from '@snipestage/types/ids.js';
+import type {
+  DataCentreId,
+  EndpointId,
+  ServiceId,
+} from '@snipestage/types/ids.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** A row of the list that changed. */
@@ -37,6 +41,7 @@
 export class EndpointDirectory {
   private readonly endpoints = new Map<EndpointId, ServingEndpoint>();
   private readonly vanished = new Set<EndpointId>();
+  private evacuated: ReadonlySet<DataCentreId> = new Set();
   private byService = new Map<ServiceId, ServingEndpoint[]>();
   private disturbedAtMs = Number.NEGATIVE_INFINITY;
   private readonly keepVanishedMs: number;
@@ -81,6 +86,27 @@
     this.changedAtMs = nowMs;
   }
 
+  /**
+   * Sets the data centres that an operator has evacuated. Their endpoints get no
+   * new requests until they are restored.
+   *
+   * @example
+   * directory.setEvacuated(new Set([dataCentre]));
+   */
+  setEvacuated(dataCentres: ReadonlySet<DataCentreId>): void {
+    this.evacuated = dataCentres;
+    this.index();
+  }
+
+  isEvacuated(dataCentre: DataCentreId): boolean {
+    return this.evacuated.has(dataCentre);
+  }
+
+  /** Evacuated data centres. */
+  listEvacuated(): readonly DataCentreId[] {
+    return [...this.evacuated];
+  }
+
   /**
    * Endpoints of a service that may get new requests.
    *
@@ -145,7 +171,9 @@
   private index(): void {
     this.byService = new Map();
     for (const endpoint of this.endpoints.values()) {
-      if (endpoint.isLeaving) continue;
+      const isClosed =
+        endpoint.isLeaving || this.evacuated.has(endpoint.dataCentre);
+      if (isClosed) continue;
       const others = this.byService.get(endpoint.service);
       if (others === undefined) {
         this.byService.set(endpoint.service, [endpoint]);
