Go to another data centre after two refused connections

Cause: requests stay in their data centre while it has room, its dead engines are listed for seconds, and four refused connections used up the offers of a request. An endpoint that could not be reached has cost nothing: up to twelve of these don't count as offers. After two in a data centre the request goes to another; after three in a row without an answer from there the instance holds the data centre for unreachable, as it did for silent connections only.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -5,10 +5,10 @@
   failureFor,
   mayRunAgain,
 } from '@snipestage/routing/attempt_policy.js';
+import {AttemptHistory} from '@snipestage/routing/attempt_history.js';
 import {workOf} from '@snipestage/routing/prompt.js';
 import type {Placed} from '@snipestage/routing/placement.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
-import type {DataCentreId, EndpointId} from '@snipestage/types/ids.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
 import {Attempt} from './attempt.js';
@@ -21,11 +21,8 @@
 
 /** Owns the attempts of one request; at most one is under way. */
 export class Exchange {
-  private readonly excluded = new Set<EndpointId>();
-  private readonly avoided = new Set<DataCentreId>();
+  private readonly history = new AttemptHistory();
   private verdict: Verdict = 'not_run';
-  private runs = 0;
-  private offers = 0;
   private current: Attempt | undefined;
   private hasExpired = false;
   private hasBegunRun = false;
@@ -80,8 +77,9 @@
     const loadAgeMs = this.loadAgeWhenChosenMs;
     return {
       verdict: this.verdict,
-      offers: this.offers,
-      runs: this.runs,
+      offers: this.history.offers,
+      runs: this.history.runs,
+      unreached: this.history.unreached || undefined,
       reason: this.lastReason,
       expired: this.hasExpired || undefined,
       events: events || undefined,
@@ -89,7 +87,7 @@
       longestPauseMs: events > 0 ? Math.round(longestPauseMs) : undefined,
       load: this.loadWhenChosen,
       loadAgeMs: loadAgeMs && Math.round(loadAgeMs),
-      endpoint: [...this.excluded].at(-1),
+      endpoint: [...this.history.excluded].at(-1),
     };
   }
 
@@ -114,7 +112,8 @@
       if (this.writer.isOver) return;
       const placed = this.choose();
       if (placed === undefined) {
-        this.lastReason = this.offers === 0 ? 'no_endpoint' : this.lastReason;
+        const isFirst = this.history.excluded.size === 0;
+        this.lastReason = isFirst ? 'no_endpoint' : this.lastReason;
         return this.fail();
       }
       const result = await this.attempt(placed);
@@ -132,8 +131,8 @@
       route,
       prompt: this.request.caller.prompt,
       dataCentre,
-      excluded: this.excluded,
-      avoided: this.avoided,
+      excluded: this.history.excluded,
+      avoided: this.history.avoided,
       nowMs: atMs,
     });
   }
@@ -144,12 +143,14 @@
     this.lastReason = result.reason;
     this.lastFailure = result.answer ?? this.lastFailure;
     const candidates = state.directory.findServing(service, nowMs());
-    const untried = candidates.filter(({id}) => !this.excluded.has(id)).length;
+    const {excluded, runs, offers, unreached} = this.history;
+    const untried = candidates.filter(({id}) => !excluded.has(id)).length;
     const decision = decideAfterFailure({
       route,
       verdict: result.verdict,
-      runs: this.runs,
-      offers: this.offers,
+      runs,
+      offers,
+      unreached,
       deliveredEvents: this.writer.events,
       leftMs: this.request.endsAtMs - nowMs(),
       untried,
@@ -164,8 +165,7 @@
     const {state, nowMs} = this.context;
     const {prompt} = this.request.caller;
     const work = prompt === undefined ? 1 : workOf(prompt, true);
-    this.offers += 1;
-    this.excluded.add(endpoint.id);
+    this.history.begin(endpoint);
     this.loadWhenChosen = Math.round(
       state.monitor.estimateLoad(endpoint.id, nowMs()),
     );
@@ -204,9 +204,10 @@
   private maySwitch(): boolean {
     const {route, service} = this.request.admission;
     const {state, nowMs} = this.context;
-    if (!mayRunAgain(route) || this.runs + 1 >= route.maxAttempts) return false;
+    if (!mayRunAgain(route) || this.history.runs + 1 >= route.maxAttempts)
+      return false;
     const candidates = state.directory.findServing(service, nowMs());
-    const hasOther = candidates.some(({id}) => !this.excluded.has(id));
+    const hasOther = candidates.some(({id}) => !this.history.excluded.has(id));
     return hasOther && state.budgetFor(service).hasRoom(nowMs());
   }
 
@@ -238,7 +239,8 @@
       return;
     }
     this.verdict = worseVerdict(this.verdict, result.verdict);
-    if (result.verdict !== 'not_run') this.runs += 1;
+    const hasTimedOut = result.reason === 'connect_timeout';
+    this.history.fail(endpoint, {...result, hasTimedOut});
     metrics.countAttempt(admission.service, result.reason);
     if (result.sign !== undefined) {
       state.monitor.note(endpoint.id, result.sign, atMs);
@@ -263,11 +265,12 @@
     nowMs: number,
   ): void {
     const {reach} = this.context.state;
-    if (result.kind === 'failed' && result.reason === 'connect_timeout') {
-      reach.noteUnreached(endpoint.dataCentre, endpoint.id, nowMs);
-      this.avoided.add(endpoint.dataCentre);
-    } else if (result.kind === 'answered') {
-      reach.noteReached(endpoint.dataCentre);
+    const {dataCentre, id} = endpoint;
+    if (result.kind === 'answered') reach.noteReached(dataCentre);
+    else if (result.reason === 'connect_timeout') {
+      reach.noteUnreached(dataCentre, id, nowMs);
+    } else if (result.reason === 'unreachable') {
+      reach.noteRefused(dataCentre, id, nowMs);
     }
   }
 
--- /dev/null
+++ b/packages/routing/src/attempt_history.ts
@@ -0,0 +1,83 @@
+/** What one request has found out about endpoints and data centres. */
+
+import type {DataCentreId, EndpointId} from '@snipestage/types/ids.js';
+import type {Verdict} from '@snipestage/types/verdict.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
+
+/** A failed attempt, as far as it counts for the next one. */
+export interface FailedTry {
+  readonly verdict: Verdict;
+  /** The endpoint got the request, whatever it made of it. */
+  readonly hasArrived: boolean;
+  /** Nothing came back while the connection was opened. */
+  readonly hasTimedOut: boolean;
+}
+
+/**
+ * Refused connections to endpoints of one data centre after which a request
+ * goes to another. One refusal is a restart; two suggest an outage of all.
+ */
+const REFUSALS_TO_AVOID = 2;
+
+/** Counts the attempts of one request. */
+export class AttemptHistory {
+  private readonly tried = new Set<EndpointId>();
+  private readonly avoidedCentres = new Set<DataCentreId>();
+  private readonly refusals = new Map<DataCentreId, number>();
+  private runCount = 0;
+  private offerCount = 0;
+  private unreachedCount = 0;
+
+  /** Endpoints that were asked, in that order. */
+  get excluded(): ReadonlySet<EndpointId> {
+    return this.tried;
+  }
+
+  /** Data centres whose endpoints could not be reached. */
+  get avoided(): ReadonlySet<DataCentreId> {
+    return this.avoidedCentres;
+  }
+
+  /** Endpoints that may have run the request. */
+  get runs(): number {
+    return this.runCount;
+  }
+
+  /** Endpoints that got the request. */
+  get offers(): number {
+    return this.offerCount;
+  }
+
+  /** Endpoints to which no connection could be opened. */
+  get unreached(): number {
+    return this.unreachedCount;
+  }
+
+  begin(endpoint: ServingEndpoint): void {
+    this.tried.add(endpoint.id);
+  }
+
+  /**
+   * Records how an attempt failed.
+   *
+   * @example
+   * history.fail(endpoint, {verdict, hasArrived: true, hasTimedOut: false});
+   */
+  fail(endpoint: ServingEndpoint, failed: FailedTry): void {
+    if (failed.verdict !== 'not_run') this.runCount += 1;
+    if (failed.hasArrived) {
+      this.offerCount += 1;
+      return;
+    }
+    this.unreachedCount += 1;
+    this.avoidUnreached(endpoint.dataCentre, failed.hasTimedOut);
+  }
+
+  private avoidUnreached(dataCentre: DataCentreId, hasTimedOut: boolean): void {
+    const refusals = (this.refusals.get(dataCentre) ?? 0) + 1;
+    this.refusals.set(dataCentre, refusals);
+    if (hasTimedOut || refusals >= REFUSALS_TO_AVOID) {
+      this.avoidedCentres.add(dataCentre);
+    }
+  }
+}
--- a/packages/routing/src/attempt_policy.test.ts
+++ b/packages/routing/src/attempt_policy.test.ts
@@ -24,6 +24,7 @@
     verdict: 'may_have_run',
     runs: 1,
     offers: 1,
+    unreached: 0,
     deliveredEvents: 0,
     leftMs: 1000,
     untried: 2,
@@ -56,6 +57,7 @@
   t.is(fail({untried: 0}), 'give_up');
   t.is(fail({leftMs: 10}), 'give_up');
   t.is(fail({verdict: 'not_run', runs: 0, offers: 4}), 'give_up');
+  t.is(fail({verdict: 'not_run', runs: 0, unreached: 12}), 'give_up');
 });
 
 test('what an endpoint turned away comes out of the budget', t => {
--- a/packages/routing/src/attempt_policy.ts
+++ b/packages/routing/src/attempt_policy.ts
@@ -10,8 +10,10 @@
   readonly verdict: Verdict;
   /** Endpoints that may have run the request, this one included. */
   readonly runs: number;
-  /** Endpoints asked so far, reached or not. */
+  /** Endpoints that got the request, whatever they made of it. */
   readonly offers: number;
+  /** Endpoints to which no connection could be opened. */
+  readonly unreached: number;
   /** Events of a stream that the caller has already. */
   readonly deliveredEvents: number;
   /** Until the caller or the operator's limit gives up. */
@@ -30,6 +32,11 @@
 
 /** More offers than this only add load when everything is full. */
 const MAX_OFFERS = 4;
+/**
+ * Endpoints that may be found unreachable by one request. A refused connection
+ * takes a round trip and costs the endpoint nothing.
+ */
+const MAX_UNREACHED = 12;
 /** Less time than this is no offer to an endpoint. */
 const MIN_LEFT_MS = 30;
 
@@ -44,9 +51,8 @@
  * const next = decideAfterFailure(failed);
  */
 export function decideAfterFailure(failed: FailedAttempt): AttemptDecision {
-  const {route, verdict, runs, offers, leftMs, untried, hasArrived} = failed;
-  const isOver = untried === 0 || offers >= MAX_OFFERS || leftMs < MIN_LEFT_MS;
-  if (isOver) return {kind: 'give_up'};
+  const {route, verdict, runs, hasArrived} = failed;
+  if (isExhausted(failed)) return {kind: 'give_up'};
   const mayRun = mayRunAgain(route) && runs < route.maxAttempts;
   if (verdict !== 'not_run' && !mayRun) return {kind: 'give_up'};
   // An endpoint that turns a request away has spent work on it all the same.
@@ -56,6 +62,16 @@
   return {kind: 'retry', needsBudget: hasArrived};
 }
 
+function isExhausted(failed: FailedAttempt): boolean {
+  const {offers, unreached, leftMs, untried} = failed;
+  return (
+    untried === 0 ||
+    offers >= MAX_OFFERS ||
+    unreached >= MAX_UNREACHED ||
+    leftMs < MIN_LEFT_MS
+  );
+}
+
 /** Whether a request of the route may run more than once. */
 export function mayRunAgain(route: Route): boolean {
   return (
--- a/packages/routing/src/data_centre_reach.ts
+++ b/packages/routing/src/data_centre_reach.ts
@@ -6,6 +6,8 @@
 export interface DataCentreReachOptions {
   /** Endpoints in a row that could not be reached (2): one may be down. */
   readonly afterEndpoints?: number;
+  /** Endpoints in a row that refused a connection (3): several may restart. */
+  readonly afterRefusals?: number;
   /** How long its endpoints are left alone before one is tried (600 ms). */
   readonly pauseMs?: number;
   /** The pause doubles up to this (2,400 ms): cuts last for seconds. */
@@ -13,6 +15,7 @@
 }
 
 const DEFAULT_AFTER_ENDPOINTS = 2;
+const DEFAULT_AFTER_REFUSALS = 3;
 const DEFAULT_PAUSE_MS = 600;
 const DEFAULT_MAX_PAUSE_MS = 2400;
 /** A trial has failed by then: connections are waited for no longer. */
@@ -20,6 +23,7 @@
 
 interface Reach {
   readonly unreached: Set<EndpointId>;
+  readonly refused: Set<EndpointId>;
   cutUntilMs: number;
   /** Somebody is finding out whether the way is open again. */
   trialUntilMs: number;
@@ -31,15 +35,21 @@
  * unreachable by a request of its own, which waits out a whole connect timeout
  * for that. Two in a row without an answer from there tell about the others;
  * after a pause, which doubles, the next request tries again.
+ *
+ * When all endpoints of a data centre go down at once, their machines refuse
+ * connections, and the list still names them for seconds. Refusals come back
+ * within milliseconds, so that a few more of them are waited for.
  */
 export class DataCentreReach {
   private readonly centres = new Map<DataCentreId, Reach>();
   private readonly afterEndpoints: number;
+  private readonly afterRefusals: number;
   private readonly pauseMs: number;
   private readonly maxPauseMs: number;
 
   constructor(options: DataCentreReachOptions = {}) {
     this.afterEndpoints = options.afterEndpoints ?? DEFAULT_AFTER_ENDPOINTS;
+    this.afterRefusals = options.afterRefusals ?? DEFAULT_AFTER_REFUSALS;
     this.pauseMs = options.pauseMs ?? DEFAULT_PAUSE_MS;
     this.maxPauseMs = options.maxPauseMs ?? DEFAULT_MAX_PAUSE_MS;
   }
@@ -65,20 +75,20 @@
     endpoint: EndpointId,
     nowMs: number,
   ): void {
-    const reach = this.centres.get(dataCentre) ?? {
-      unreached: new Set<EndpointId>(),
-      cutUntilMs: 0,
-      trialUntilMs: 0,
-      nextPauseMs: this.pauseMs,
-    };
+    const reach = this.of(dataCentre);
     reach.unreached.add(endpoint);
-    // Requests that were under way when it was held for cut are no new tries.
-    const isNews = nowMs >= reach.cutUntilMs;
-    if (this.isSuspected(reach) && isNews) {
-      reach.cutUntilMs = nowMs + reach.nextPauseMs;
-      reach.nextPauseMs = Math.min(this.maxPauseMs, 2 * reach.nextPauseMs);
-    }
-    this.centres.set(dataCentre, reach);
+    this.suspect(reach, nowMs);
+  }
+
+  /** An endpoint there refused a connection. */
+  noteRefused(
+    dataCentre: DataCentreId,
+    endpoint: EndpointId,
+    nowMs: number,
+  ): void {
+    const reach = this.of(dataCentre);
+    reach.refused.add(endpoint);
+    this.suspect(reach, nowMs);
   }
 
   /**
@@ -91,7 +101,32 @@
     return nowMs < Math.max(reach.cutUntilMs, reach.trialUntilMs);
   }
 
-  private isSuspected({unreached}: Reach): boolean {
-    return unreached.size >= this.afterEndpoints;
+  private of(dataCentre: DataCentreId): Reach {
+    const existing = this.centres.get(dataCentre);
+    if (existing !== undefined) return existing;
+    const reach = {
+      unreached: new Set<EndpointId>(),
+      refused: new Set<EndpointId>(),
+      cutUntilMs: 0,
+      trialUntilMs: 0,
+      nextPauseMs: this.pauseMs,
+    };
+    this.centres.set(dataCentre, reach);
+    return reach;
+  }
+
+  private suspect(reach: Reach, nowMs: number): void {
+    // Requests that were under way when it was held for cut are no new tries.
+    const isNews = nowMs >= reach.cutUntilMs;
+    if (!this.isSuspected(reach) || !isNews) return;
+    reach.cutUntilMs = nowMs + reach.nextPauseMs;
+    reach.nextPauseMs = Math.min(this.maxPauseMs, 2 * reach.nextPauseMs);
+  }
+
+  private isSuspected({unreached, refused}: Reach): boolean {
+    return (
+      unreached.size >= this.afterEndpoints ||
+      refused.size >= this.afterRefusals
+    );
   }
 }
