Limit what cold engines get from all instances together

Engines say how long they stay cold; after an evacuation they are presumed cold until they say otherwise. Cold engines are left out as long as a warm one has room. Beyond that each instance draws, second by second, whether it may send one a request, with a probability that keeps the sum of all below the limit by five deviations, also with twice as many instances as were counted. No message is needed, so that a partition changes nothing.

Ruled out: shares dealt by relays, since two relays of a partitioned data centre would deal the same share twice; a few instances chosen by rendezvous, since no instance knows who the others are, only how many.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -175,6 +175,7 @@
       startedAtMs,
     );
     state.monitor.begin(endpoint.id, work, startedAtMs);
+    state.warmup.noteSent(endpoint, startedAtMs);
     state.reach.noteTrial(endpoint.dataCentre, startedAtMs);
     let result: AttemptResult;
     try {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -68,7 +68,7 @@
   constructor(private readonly options: GatewayOptions) {
     const {settings, platform, logger} = options;
     const nowMs = () => performance.now();
-    this.state = new RoutingState(settings.retry);
+    this.state = new RoutingState(settings.retry, settings.warmup);
     this.shutdown = new Shutdown(settings.shutdown);
     this.clock = new AgreedClock(nowMs(), Date.now());
     const recovery = new StoreRecovery();
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -1,5 +1,6 @@
 /** Settings of the pass-through door. */
 
+import type {WarmupTolerance} from '@snipestage/routing/warmup_gate.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 
 /** `<IP number>:<port>`. */
@@ -36,6 +37,8 @@
     /** 0 to 1: how well this instance's machine can serve others. */
     readonly strength: number;
   };
+  /** By how much the rate of a cold endpoint may be exceeded. */
+  readonly warmup?: WarmupTolerance;
   readonly shutdown: {
     /** After this the process is killed. */
     readonly graceMs: number;
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -19,6 +19,10 @@
 import type {Route} from '@snipestage/routing/route.js';
 import type {RouteTable} from '@snipestage/routing/route_table.js';
 import {UsualDurations} from '@snipestage/routing/usual_durations.js';
+import {
+  WarmupGate,
+  type WarmupTolerance,
+} from '@snipestage/routing/warmup_gate.js';
 import {maxSavedEach, WindowBudget} from '@snipestage/routing/window_budget.js';
 import type {EndpointId, ServiceId} from '@snipestage/types/ids.js';
 import type {RetrySettings} from './gateway_settings.js';
@@ -55,17 +59,28 @@
   readonly suspects = new SuspectTable();
   readonly crashes = new CrashWatch();
   readonly durations = new UsualDurations();
+  readonly warmup: WarmupGate;
   private readonly plainPlacement: Placement;
   private readonly promptPlacement: Placement;
   private readonly budgets = new Map<ServiceId, WindowBudget>();
   private readonly refusalDelays = new Map<ServiceId, RefusalDelay>();
 
-  constructor(private retry: RetrySettings) {
-    const {monitor, reach, agreedDemand: demand, recentDemand: recent} = this;
-    this.plainPlacement = new LeastLoadedPlacement({monitor, reach});
+  constructor(
+    private retry: RetrySettings,
+    tolerance?: WarmupTolerance,
+  ) {
+    this.warmup = new WarmupGate({
+      limitOf: service => this.table?.findService(service)?.warmup,
+      readInstances: () => this.instances,
+      tolerance,
+    });
+    const {monitor, reach, warmup} = this;
+    const {agreedDemand: demand, recentDemand: recent} = this;
+    this.plainPlacement = new LeastLoadedPlacement({monitor, reach, warmup});
     this.promptPlacement = new PromptPlacement({
       monitor,
       reach,
+      warmup,
       demand,
       recent,
     });
@@ -86,8 +101,9 @@
 
   /** Drops state of removed endpoints. */
   forgetUnlisted(): void {
-    const listed = this.directory.readAll().map(({id}) => id);
-    this.monitor.retain(new Set(listed));
+    const listed = new Set(this.directory.readAll().map(({id}) => id));
+    this.monitor.retain(listed);
+    this.warmup.retain(listed);
     this.loads.prune();
   }
 
@@ -144,6 +160,7 @@
     return directory.readAll().map(endpoint => ({
       ...endpoint,
       isDown: monitor.isDown(endpoint.id, nowMs),
+      isCold: this.warmup.isCold(endpoint.id, nowMs),
       load: monitor.estimateLoad(endpoint.id, nowMs),
       failureShare: monitor.failureShare(endpoint.id, nowMs),
       inFlight: monitor.inFlight(endpoint.id),
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -225,12 +225,22 @@
       before.length === evacuated.size && before.every(id => evacuated.has(id));
     if (isSame) return;
     directory.setEvacuated(evacuated);
+    this.presumeCold(before.filter(id => !evacuated.has(id)));
     this.options.logger.info('evacuations_applied', {
       evacuated: [...evacuated],
       before,
     });
   }
 
+  /** Endpoints may have become cold while their data centre was evacuated. */
+  private presumeCold(restored: readonly DataCentreId[]): void {
+    const {state, nowMs} = this.options;
+    for (const endpoint of state.directory.readAll()) {
+      if (!restored.includes(endpoint.dataCentre)) continue;
+      state.warmup.presumeCold(endpoint, nowMs());
+    }
+  }
+
   private replaceEndpoints(rows: readonly FollowedRow[]): void {
     const endpoints = rows.flatMap(row => {
       const change = this.options.decoder.decodeEndpoint(row);
@@ -238,6 +248,7 @@
     });
     this.options.state.directory.replace(endpoints, this.options.nowMs());
     this.options.state.forgetUnlisted();
+    this.noteWarmups(endpoints);
     this.hasEndpoints = true;
     this.options.logger.info('endpoints_read', {count: endpoints.length});
   }
@@ -256,6 +267,18 @@
     }
     this.options.state.directory.apply(changes, this.options.nowMs());
     this.options.state.forgetUnlisted();
+    this.noteWarmups(
+      changes.flatMap(change =>
+        change.kind === 'listed' ? [change.endpoint] : [],
+      ),
+    );
+  }
+
+  private noteWarmups(endpoints: readonly ServingEndpoint[]): void {
+    const {state, nowMs} = this.options;
+    for (const {id, warmupLeftMs = 0} of endpoints) {
+      state.warmup.noteWarmup(id, warmupLeftMs, nowMs());
+    }
   }
 
   private noteNewLife(endpoint: ServingEndpoint): void {
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -6,6 +6,7 @@
 import type {Prompt} from './prompt.js';
 import type {Route} from './route.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
+import type {WarmupGate} from './warmup_gate.js';
 
 /** A request that needs an endpoint. */
 export interface PlacementRequest {
@@ -40,11 +41,14 @@
 export interface PlacementBeliefs {
   readonly monitor: EndpointMonitor;
   readonly reach: DataCentreReach;
+  /** Limits what cold endpoints get; without it none counts as cold. */
+  readonly warmup?: WarmupGate;
 }
 
 /**
  * Candidates that were not asked yet and could be reached lately. When none
- * could, all that were not asked: a wrong belief must not refuse a request.
+ * could, all that were not asked: a wrong belief must not refuse a request. Cold
+ * ones are left out as long as a warm one has room.
  *
  * @example
  * const usable = findUsable(candidates, request, {monitor, reach});
@@ -52,10 +56,32 @@
 export function findUsable(
   candidates: readonly ServingEndpoint[],
   request: PlacementRequest,
-  {monitor, reach}: PlacementBeliefs,
+  beliefs: PlacementBeliefs,
 ): readonly ServingEndpoint[] {
-  const {excluded, avoided, nowMs} = request;
+  const {monitor, warmup} = beliefs;
+  const {excluded, nowMs} = request;
   const untried = candidates.filter(({id}) => !excluded.has(id));
+  const warm =
+    warmup === undefined
+      ? untried
+      : untried.filter(({id}) => !warmup.isCold(id, nowMs));
+  const usable = findReachable(warm, request, beliefs);
+  if (warmup === undefined || warm.length === untried.length) return usable;
+  const hasRoom = ({id, capacity}: ServingEndpoint): boolean =>
+    !monitor.isDown(id, nowMs) && monitor.estimateLoad(id, nowMs) < capacity;
+  if (usable.some(hasRoom)) return usable;
+  const admitted = untried.filter(
+    each => warmup.isCold(each.id, nowMs) && warmup.mayAdmit(each, nowMs),
+  );
+  const reachable = findReachable(admitted, request, beliefs);
+  return reachable.length > 0 ? reachable : usable;
+}
+
+function findReachable(
+  untried: readonly ServingEndpoint[],
+  {avoided, nowMs}: PlacementRequest,
+  {monitor, reach}: PlacementBeliefs,
+): readonly ServingEndpoint[] {
   const up = untried.filter(
     ({id, dataCentre}) =>
       !monitor.isDown(id, nowMs) && !reach.isCut(dataCentre, nowMs),
--- a/packages/routing/src/route.ts
+++ b/packages/routing/src/route.ts
@@ -68,8 +68,17 @@
   readonly cacheTokens: number;
 }
 
+/** What endpoints of a service bear while they are cold after a start. */
+export interface WarmupLimit {
+  readonly durationMs: number;
+  /** Requests a second that one cold endpoint bears. */
+  readonly requestsPerS: number;
+}
+
 export interface Service {
   readonly id: ServiceId;
+  /** Undefined where endpoints bear their full load at once. */
+  readonly warmup?: WarmupLimit;
   readonly engine: EngineDescription | undefined;
   readonly scaling: ScalingLimits | undefined;
 }
--- a/packages/routing/src/serving_endpoint.ts
+++ b/packages/routing/src/serving_endpoint.ts
@@ -25,4 +25,6 @@
    * knows nothing of before.
    */
   readonly bornEpochMs: number | undefined;
+  /** How long it stays cold, counted from when it said so (0). */
+  readonly warmupLeftMs?: number;
 }
