Order elsewhere what an evacuated data centre served

The plan went on to order endpoints in an evacuated data centre and counted them as serving. They are left as they are now, without a new order: given back, they would have to boot again when the data centre is restored. The others make up for them as far as the limits allow.

--- a/packages/gateway/src/capacity_duty.ts
+++ b/packages/gateway/src/capacity_duty.ts
@@ -123,6 +123,7 @@
       needed,
       neededNow: this.countNeededNow(service, endpoints),
       cheapLeft: this.countCheapLeft(service, dataCentres),
+      evacuated: new Set(this.options.state.directory.listEvacuated()),
     });
   }
 
--- a/packages/routing/src/capacity_plan.test.ts
+++ b/packages/routing/src/capacity_plan.test.ts
@@ -190,3 +190,35 @@
   t.true(at(40, 3000) > peak / 2);
   t.true(at(40, 30_000) < peak / 5);
 });
+
+test('load pattern: a data centre is evacuated under its usual demand', t => {
+  // Guards against callers that wait because nobody replaces evacuated engines.
+  const usual = plan();
+  const targets = plan({evacuated: new Set([A])});
+  t.false(
+    targets.some(({dataCentre}) => dataCentre === A),
+    'none ordered there',
+  );
+  const total = targets.reduce((sum, {count}) => sum + count, 0);
+  t.true(total >= 16, 'the others carry the usual demand and its bursts');
+  const before = usual.filter(({dataCentre}) => dataCentre !== A);
+  t.true(total >= before.reduce((sum, {count}) => sum + count, 0));
+});
+
+test('nothing is ordered while every data centre is evacuated', t => {
+  t.deepEqual(plan({evacuated: new Set([A, B, C])}), []);
+});
+
+test('load pattern: one of two open data centres also loses its cheap engines', t => {
+  // Guards against a reclaim during an evacuation that is not made up for.
+  const targets = plan({
+    needed: 10,
+    neededNow: 12,
+    evacuated: new Set([A]),
+    cheapLeft: new Map([[B, 0]]),
+  });
+  const serving = targets
+    .filter(({dataCentre, isCheap}) => dataCentre === C || !isCheap)
+    .reduce((sum, {count}) => sum + count, 0);
+  t.true(serving >= 12);
+});
--- a/packages/routing/src/capacity_plan.ts
+++ b/packages/routing/src/capacity_plan.ts
@@ -27,6 +27,8 @@
    * still there.
    */
   readonly cheapLeft?: ReadonlyMap<DataCentreId, number>;
+  /** Data centres that get no requests at the moment (none). */
+  readonly evacuated?: ReadonlySet<DataCentreId>;
 }
 
 /** Both kinds of one data centre. */
@@ -53,12 +55,15 @@
  * be had again. Left out, two reclaims one after the other leave a third of the
  * endpoints to carry everything.
  *
+ * An evacuated data centre gets no order: its endpoints stay as they are, and the
+ * others make up for them. Given back, they would have to boot again when it is
+ * restored.
+ *
  * @example
  * const targets = planCapacity(input);
  */
 export function planCapacity(input: CapacityInput): readonly CapacityTarget[] {
   const {service, scaling} = input;
-  if (input.dataCentres.length === 0) return [];
   const neededNow = input.neededNow ?? 0;
   const shares = planUsual(input);
   const wanted = Math.max(countWanted(input), neededNow);
@@ -83,13 +88,14 @@
 
 /** Enough for the usual demand when one data centre's cheap ones are away. */
 function planUsual(input: CapacityInput): Share[] {
-  const {scaling, dataCentres, cheapLeft} = input;
+  const {scaling, dataCentres, cheapLeft, evacuated} = input;
+  const open = dataCentres.filter(id => evacuated?.has(id) !== true);
   const regular = Math.max(1, scaling.minCount);
-  const missing = countWanted(input) - regular * dataCentres.length;
+  const missing = countWanted(input) - regular * open.length;
   const lossProof = Math.max(1, dataCentres.length - 1);
   const cheapEach = Math.ceil(Math.max(0, missing) / lossProof);
   const cheap = Math.max(0, Math.min(cheapEach, scaling.maxCount - regular));
-  return dataCentres.map(dataCentre => ({
+  return open.map(dataCentre => ({
     dataCentre,
     cheapLeft: cheapLeft?.get(dataCentre),
     regular,
