Evacuate and restore a data centre by command

snipestage evacuate DATA_CENTRE and restore DATA_CENTRE submit a ticket that sets or clears one field of the data centre and keeps its others, under the next number. Its endpoints then count as leaving for all instances, and the plan treats it like a data centre that can't be ordered from: nothing new there, its demand goes to the others.

--- a/packages/cli/src/composition.ts
+++ b/packages/cli/src/composition.ts
@@ -5,6 +5,7 @@
 import type {CliCommand} from './commands/cli_command.js';
 import {Drain} from './commands/drain/drain.js';
 import {Dump} from './commands/dump/dump.js';
+import {Evacuate, Restore} from './commands/evacuation/evacuation.js';
 import {KeysHash} from './commands/keys_hash/keys_hash.js';
 import {SettingsCheck} from './commands/settings_check/settings_check.js';
 import {Status} from './commands/status/status.js';
@@ -26,6 +27,8 @@
   Dump,
   Usage,
   Drain,
+  Evacuate,
+  Restore,
   KeysHash,
   SettingsCheck,
 ];
--- a/packages/configuration/src/object_schemas.ts
+++ b/packages/configuration/src/object_schemas.ts
@@ -31,6 +31,7 @@
   id: nameSchema,
   region: nameSchema,
   leaveByEpochMs: z.int().positive().optional(),
+  evacuated: z.boolean().optional(),
 });
 
 const requestClass = z.strictObject({
--- a/packages/entry/src/endpoints/endpoint_directory.ts
+++ b/packages/entry/src/endpoints/endpoint_directory.ts
@@ -19,7 +19,8 @@
 
 /**
  * An endpoint leaves by ticket, by the platform's list or by the plan,
- * whichever comes first; from then on it gets no new work.
+ * whichever comes first; from then on it gets no new work. The same holds while
+ * its data centre is evacuated.
  */
 export class EndpointDirectory {
   private readonly lists = new Map<DataCentreId, EndpointList>();
@@ -80,6 +81,10 @@
       const endpoint = merged.get(id);
       if (endpoint) merged.set(id, {...endpoint, leaving: true});
     }
+    for (const [id, endpoint] of merged) {
+      const centre = current.dataCentres.get(endpoint.dataCentre);
+      if (centre?.evacuated) merged.set(id, {...endpoint, leaving: true});
+    }
     this.merged = merged;
     for (const listener of this.listeners) listener();
   }
--- a/packages/entry/src/endpoints/plan_task.ts
+++ b/packages/entry/src/endpoints/plan_task.ts
@@ -84,7 +84,8 @@
       nowEpochMs: nowEpochMs(),
       dataCentres: [...dataCentres.values()].map(each => ({
         ...each,
-        reachable: isReachable(each.id),
+        // Nothing is ordered there; the others take over its demand.
+        reachable: isReachable(each.id) && each.evacuated !== true,
       })),
       pools: [...endpointPools.values()],
       demand: demand.lines(),
--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -22,6 +22,8 @@
   readonly region: RegionId;
   /** By when every endpoint must have left, as milliseconds since the epoch. */
   readonly leaveByEpochMs?: number;
+  /** Its endpoints get no new requests until it is restored (false). */
+  readonly evacuated?: boolean;
 }
 
 /** A service level: its place in the priority order and its targets. */
