Use the field's terms in the gateway and routing

Slots for relays instead of seats, publish and decode instead of tell and read, and comments without figures of speech. Behaviour unchanged.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -32,7 +32,7 @@
   readonly onBegun: () => void;
 }
 
-/** Owns the call; tells how it ended and leaves what follows to its owner. */
+/** Owns the call; its owner decides what follows when it has ended. */
 export class Attempt {
   private readonly call: EndpointCall;
   private readonly silence: SilenceWatch;
@@ -62,7 +62,7 @@
     this.silence = new SilenceWatch(limits, () => this.leaveSilent());
   }
 
-  /** Whether the request may have run, as far as its sending tells. */
+  /** Whether the request may have run, judged by how far it was sent. */
   get verdict(): Verdict {
     return this.call.verdict;
   }
@@ -72,7 +72,7 @@
     this.call.cancel();
   }
 
-  /** Passes the answer on, or tells why there is none to pass on. */
+  /** Passes the answer on, or returns why there is none. */
   async run(): Promise<AttemptResult> {
     const head = await this.call.head;
     const result =
@@ -99,8 +99,8 @@
   }): AttemptResult {
     const hasArrived = head.verdict !== 'not_run';
     if (this.silence.hasFired) {
-      // Given up before the connection stood: nobody was silent, there was no
-      // way, as with a connect timeout of our own.
+      // Cancelled before the connection was established; not a timeout of the
+      // endpoint.
       return {
         kind: 'failed',
         verdict: head.verdict,
--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -1,4 +1,4 @@
-/** Learns of crashes, tells other instances, and judges requests by them. */
+/** Records crashes, publishes them, and judges requests by them. */
 
 import type {Logger} from '@snipestage/log/logger.js';
 import type {
@@ -16,7 +16,7 @@
   readonly incarnation: string;
   readonly logger: Logger;
   readonly nowMs: () => number;
-  /** Tells all instances; failures are logged by it. */
+  /** Publishes to all instances; logs its own failures. */
   readonly publish: (crashes: readonly ReportedCrash[]) => void;
 }
 
@@ -63,11 +63,11 @@
     this.publishChanges();
   }
 
-  /** Crashes that another instance told. */
+  /** Crashes that another instance published. */
   learn(crashes: readonly ReportedCrash[]): void {
     const {state, nowMs} = this.options;
     state.suspects.merge(crashes, nowMs());
-    // What came from others is not to be told again.
+    // What came from others is not published again.
     state.suspects.takeChanges(nowMs());
   }
 
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -105,7 +105,7 @@
       dueAfterMs,
       nowMs,
       logger,
-      onRows: rows => void facts.tellSeen(rows),
+      onRows: rows => void facts.publishSeen(rows),
     });
     this.capacity = new CapacityDuty({
       platform,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -60,7 +60,7 @@
     this.current?.cancel();
   }
 
-  /** The instance ends before an answer has come: tells what is known. */
+  /** The instance ends before an answer has come: answers with what is known. */
   giveUp(reason: string): void {
     if (this.writer.isOver) return;
     this.lastReason = reason;
@@ -218,7 +218,7 @@
     this.context.onBegun(this.request.admission, this.context.nowMs());
   }
 
-  /** Draws what an attempt tells of its endpoint and of the request. */
+  /** Records what an attempt shows of its endpoint and of the request. */
   private settle(
     endpoint: ServingEndpoint,
     result: AttemptResult,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -82,7 +82,7 @@
       incarnation: this.incarnation,
       logger: logger.forComponent('crashes'),
       nowMs,
-      publish: reported => void facts.tellCrashes(reported),
+      publish: reported => void facts.publishCrashes(reported),
     });
     this.relays = new Relays({
       instance: settings.instance,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -37,7 +37,7 @@
   });
   private readonly loads = new Counter({
     name: 'snipestage_endpoint_loads_total',
-    help: 'Loads of endpoints told by other instances, by what became of them.',
+    help: 'Loads of endpoints reported by other instances, by outcome.',
     labelNames: ['outcome'],
     registers: [this.registry],
   });
--- a/packages/gateway/src/parse_json.ts
+++ b/packages/gateway/src/parse_json.ts
@@ -1,4 +1,4 @@
-/** Reads JSON that somebody else wrote. */
+/** Parses JSON from other processes. */
 
 /**
  * @returns undefined when there are no bytes, or when they are no JSON; whoever
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -21,7 +21,7 @@
   readonly lastEventId: string | undefined;
 }
 
-/** What the system itself tells an endpoint about a request. */
+/** What the system adds to a request for its endpoint. */
 export interface ForwardedRequest {
   readonly endpoint: EndpointId;
   readonly clientAccount: ClientAccountId | undefined;
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -1,4 +1,4 @@
-/** What instances say to a relay and what it tells them. */
+/** Messages between a relay and its followers. */
 
 import type {
   MethodDefinition,
--- a/packages/gateway/src/relay/relay_peers.ts
+++ b/packages/gateway/src/relay/relay_peers.ts
@@ -4,7 +4,7 @@
   RelayRoster,
   type RelayHolder,
   type RelayRosterOptions,
-  type RelaySeat,
+  type RelaySlot,
 } from '@snipestage/routing/relay_roster.js';
 import type {DataCentreId} from '@snipestage/types/ids.js';
 import type {LoadReport} from './load_report.js';
@@ -29,15 +29,15 @@
 
   constructor(private readonly options: RelayPeersOptions) {}
 
-  /** Takes in a seat of any data centre. */
-  learn(seat: RelaySeat): void {
-    const {dataCentre, holder} = seat;
+  /** Takes in a slot of any data centre. */
+  learn(slot: RelaySlot): void {
+    const {dataCentre, holder} = slot;
     const roster =
       this.rosters.get(dataCentre) ??
       new RelayRoster({...this.options, dataCentre});
     this.rosters.set(dataCentre, roster);
     const isOwn = holder?.instance === this.options.instance;
-    roster.learn(isOwn ? {...seat, holder: undefined} : seat);
+    roster.learn(isOwn ? {...slot, holder: undefined} : slot);
   }
 
   /** Opens missing streams. */
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -1,4 +1,4 @@
-/** Tells other instances what a relay learns from the store. */
+/** Publishes changes of the store to a relay's followers. */
 
 import {Server, ServerCredentials, status} from '@grpc/grpc-js';
 import type {Logger} from '@snipestage/log/logger.js';
@@ -45,7 +45,7 @@
 
 interface Follower {
   readonly call: FollowCall;
-  readonly told: Map<RelayedTableName, number>;
+  readonly sentVersions: Map<RelayedTableName, number>;
   ping: number;
 }
 
@@ -85,7 +85,7 @@
     logger.info('relay_started', {address});
   }
 
-  /** Ends all streams; their followers ask somebody else. */
+  /** Ends all streams; their followers turn to another relay. */
   stop(): void {
     for (const {call} of this.followers) call.end();
     for (const call of this.exchanges) call.end();
@@ -97,7 +97,7 @@
 
   /** The store has been asked about a table: what came, or that nothing did. */
   confirm(table: RelayedTableName): void {
-    for (const follower of this.followers) this.tell(follower, table);
+    for (const follower of this.followers) this.publish(follower, table);
   }
 
   /** Sends new readings, except to peers that read too slowly. */
@@ -159,8 +159,10 @@
   }
 
   private add(call: FollowCall, {instance, known}: FollowRequest): Follower {
-    const told = new Map(RELAYED_TABLES.map(table => [table, known[table]]));
-    const follower = {call, told, ping: 0};
+    const sentVersions = new Map(
+      RELAYED_TABLES.map(table => [table, known[table]]),
+    );
+    const follower = {call, sentVersions, ping: 0};
     this.followers.add(follower);
     onceOver(call, () => {
       const wasThere = this.followers.delete(follower);
@@ -176,12 +178,14 @@
     this.options.logger.info('exchange_begun', {instance});
   }
 
-  private tell(follower: Follower, table: RelayedTableName): void {
-    const {call, told, ping} = follower;
+  private publish(follower: Follower, table: RelayedTableName): void {
+    const {call, sentVersions, ping} = follower;
     const copy = this.options.copies[table];
     if (copy.version === undefined || isBehind(call)) return;
-    const {since, version, rows} = copy.changesSince(told.get(table) ?? 0);
-    told.set(table, version);
+    const {since, version, rows} = copy.changesSince(
+      sentVersions.get(table) ?? 0,
+    );
+    sentVersions.set(table, version);
     call.write({
       kind: 'rows',
       ping,
--- a/packages/gateway/src/relay/relayed_feed.ts
+++ b/packages/gateway/src/relay/relayed_feed.ts
@@ -1,4 +1,4 @@
-/** What a relay tells of one table, until it is taken in. */
+/** Queue of a relay's updates of one table. */
 
 import type {FollowedRow} from '../table_follower.js';
 import type {TableChanges} from './table_copy.js';
--- a/packages/gateway/src/relay/relays.test.ts
+++ b/packages/gateway/src/relay/relays.test.ts
@@ -12,7 +12,7 @@
 import {MemoryPlatform} from '../test_support/memory_platform.js';
 import {NoOutput} from '../test_support/no_output.js';
 import {Relays} from './relays.js';
-import {readSeat} from './seat_rows.js';
+import {readSlot} from './slot_rows.js';
 
 /** The instances' clocks run so much faster than the test's. */
 const CLOCK_RATE = 2;
@@ -34,7 +34,7 @@
       relays.start();
       this.relays.push(relays);
     }
-    const timer = setInterval(() => this.learnSeats(), LOOK_EVERY_MS);
+    const timer = setInterval(() => this.learnSlots(), LOOK_EVERY_MS);
     t.teardown(async () => {
       clearInterval(timer);
       await Promise.all(this.relays.map(each => each.stop()));
@@ -46,7 +46,7 @@
     return snapshots.filter(each => 'isRelay' in each && each.isRelay).length;
   }
 
-  countSeats(): number {
+  countSlots(): number {
     return [...this.platform.rows.values()].filter(
       ({key, value}) => key.startsWith('shared/relay/') && value !== null,
     ).length;
@@ -81,13 +81,13 @@
     });
   }
 
-  private learnSeats(): void {
+  private learnSlots(): void {
     for (const {key, version, value} of this.platform.rows.values()) {
       const data =
         value === null ? undefined : Buffer.from(JSON.stringify(value));
-      const seat = readSeat({key: key.replace('shared/', ''), version, data});
-      if (seat === undefined) continue;
-      for (const relays of this.relays) relays.learnSeat(seat);
+      const slot = readSlot({key: key.replace('shared/', ''), version, data});
+      if (slot === undefined) continue;
+      for (const relays of this.relays) relays.learnSlot(slot);
     }
   }
 }
@@ -105,14 +105,14 @@
   t.is(started.countServing(), 1);
 });
 
-test('a few instances give the relay up and leave no seat taken', async t => {
+test('a few instances give the relay up and leave no slot taken', async t => {
   // Guards against relays that poll more often than their two followers would.
   const started = new StartedInstances();
   await started.start(t, 2);
   await waitUntil(() => started.instances !== undefined);
   t.true(started.instances! < 6, `${started.instances}`);
   await waitUntil(() => started.countServing() === 0);
-  await waitUntil(() => started.countSeats() === 0);
+  await waitUntil(() => started.countSlots() === 0);
   t.pass();
 });
 
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -4,7 +4,7 @@
 import type {LoadView} from '@snipestage/routing/load_view.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import {InstanceEstimate} from '@snipestage/routing/instance_estimate.js';
-import {RelayRoster, type RelaySeat} from '@snipestage/routing/relay_roster.js';
+import {RelayRoster, type RelaySlot} from '@snipestage/routing/relay_roster.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {FollowedTable, FollowPace} from '../table_follower.js';
@@ -15,7 +15,7 @@
 import {RelayPeers} from './relay_peers.js';
 import {RelayedFeed} from './relayed_feed.js';
 import {RelayedTable} from './relayed_table.js';
-import {seatKey, type SeatValue} from './seat_rows.js';
+import {slotKey, type SlotValue} from './slot_rows.js';
 import {TableCopy} from './table_copy.js';
 import {WriteGatherer} from './write_gatherer.js';
 
@@ -111,7 +111,7 @@
     this.timer = setInterval(() => void this.tick(), TICK_MS);
   }
 
-  /** Leaves the seat to others and closes what is open. */
+  /** Leaves the slot to others and closes what is open. */
   async stop(): Promise<void> {
     clearInterval(this.timer);
     this.host.close();
@@ -124,7 +124,7 @@
     return new RelayedTable(store, this.feeds[name], this.options.nowMs);
   }
 
-  /** How a relay asks for a table; undefined: as everybody does. */
+  /** How a relay polls a table; undefined: like all other instances. */
   paceOf(name: RelayedTableName): FollowPace | undefined {
     // Facts may be known later; their feed stays fresh for longer. A relay that
     // hardly anybody follows stands by, and needn't ask more often.
@@ -165,24 +165,24 @@
     return this.host.isServing || this.follower.isFollowing;
   }
 
-  learnSeat(seat: RelaySeat): void {
-    this.roster.learn(seat);
-    this.peers.learn(seat);
+  learnSlot(slot: RelaySlot): void {
+    this.roster.learn(slot);
+    this.peers.learn(slot);
   }
 
   snapshot(): object {
     return {
       isRelay: this.host.isServing,
       follows: this.follower.isFollowing,
-      seat: this.roster.ownSeat?.number,
+      slot: this.roster.ownSlot?.number,
     };
   }
 
   private async tick(): Promise<void> {
     this.sendLoads();
-    // Seats and the number of instances are rows of this table.
-    const areSeatsKnown = this.copies.shared.version !== undefined;
-    if (this.isBusy || !areSeatsKnown) return;
+    // Slots and the number of instances are rows of this table.
+    const areSlotsKnown = this.copies.shared.version !== undefined;
+    if (this.isBusy || !areSlotsKnown) return;
     this.isBusy = true;
     try {
       const instances = this.options.countInstances();
@@ -201,8 +201,8 @@
     const {roster, options} = this;
     await this.matchServer();
     const nowMs = options.nowMs();
-    const seat = roster.seatToClaim(nowMs, isUnknown);
-    if (seat !== undefined) await this.claim(seat);
+    const slot = roster.slotToClaim(nowMs, isUnknown);
+    if (slot !== undefined) await this.claim(slot);
     else if (!roster.isRelay && !this.follower.isFollowing) {
       const relay = roster.choose(nowMs);
       if (relay !== undefined) await this.follower.follow(relay);
@@ -237,19 +237,19 @@
   private async leave(): Promise<void> {
     this.follower.leave();
     this.stopServing();
-    const seat = this.roster.ownSeat;
-    if (seat === undefined) return;
-    const key = seatKey(seat);
+    const slot = this.roster.ownSlot;
+    if (slot === undefined) return;
+    const key = slotKey(slot);
     const result = await this.options.platform.transact({
-      checks: [{key, version: seat.version}],
+      checks: [{key, version: slot.version}],
       writes: [{key, value: null}],
     });
     if (result.kind !== 'committed') return;
     const version = result.versions[key];
-    this.roster.learn({...seat, holder: undefined, version});
+    this.roster.learn({...slot, holder: undefined, version});
   }
 
-  /** Serves while this instance has a seat, and only then. */
+  /** Serves while this instance has a slot, and only then. */
   private async matchServer(): Promise<void> {
     if (this.roster.isRelay && (await this.serve())) {
       await this.peers.connect();
@@ -261,19 +261,19 @@
     return this.host.start();
   }
 
-  /** Listens first: whoever reads the row connects at once. */
-  private async claim(seat: RelaySeat): Promise<void> {
+  /** Listens first: followers connect as soon as they read the row. */
+  private async claim(slot: RelaySlot): Promise<void> {
     const {platform, instance, address = '', logger} = this.options;
     if (!(await this.serve())) return;
-    const key = seatKey(seat);
-    const value: SeatValue = {instance, address};
+    const key = slotKey(slot);
+    const value: SlotValue = {instance, address};
     const result = await platform.transact({
-      checks: [{key, version: seat.version}],
+      checks: [{key, version: slot.version}],
       writes: [{key, value}],
     });
     logger.info('relay_claimed', {
-      seat: seat.number,
-      before: seat.holder?.instance,
+      slot: slot.number,
+      before: slot.holder?.instance,
       outcome: result.kind,
     });
     if (result.kind !== 'committed') {
@@ -281,7 +281,7 @@
       return;
     }
     const version = result.versions[key];
-    this.roster.learn({...seat, holder: value, version});
+    this.roster.learn({...slot, holder: value, version});
   }
 }
 
--- a/packages/gateway/src/relay/seat_rows.ts
+++ b/packages/gateway/src/relay/slot_rows.ts
@@ -1,6 +1,6 @@
 /** Rows that say who relays. */
 
-import type {RelaySeat} from '@snipestage/routing/relay_roster.js';
+import type {RelaySlot} from '@snipestage/routing/relay_roster.js';
 import {
   brandAs,
   type DataCentreId,
@@ -9,36 +9,36 @@
 import {parseJson} from '../parse_json.js';
 import type {FollowedRow} from '../table_follower.js';
 
-/** Value of a seat's row. */
-export interface SeatValue {
+/** Value of a slot's row. */
+export interface SlotValue {
   readonly instance: InstanceId;
   /** `<IP number>:<port>` */
   readonly address: string;
 }
 
-const SEAT = 'relay/';
-const SEAT_KEY = /^relay\/(.+)\/(\d+)$/;
+const SLOT = 'relay/';
+const SLOT_KEY = /^relay\/(.+)\/(\d+)$/;
 
 /**
  * @example
- * seatKey({dataCentre, number: 0}); // 'shared/relay/akl-a/0'
+ * slotKey({dataCentre, number: 0}); // 'shared/relay/akl-a/0'
  */
-export function seatKey({
+export function slotKey({
   dataCentre,
   number,
-}: Pick<RelaySeat, 'dataCentre' | 'number'>): string {
-  return `shared/${SEAT}${dataCentre}/${number}`;
+}: Pick<RelaySlot, 'dataCentre' | 'number'>): string {
+  return `shared/${SLOT}${dataCentre}/${number}`;
 }
 
 /**
  * @returns undefined when the row is about something else.
  * @example
- * const seat = readSeat(row);
+ * const slot = readSlot(row);
  */
-export function readSeat(row: FollowedRow): RelaySeat | undefined {
-  const match = SEAT_KEY.exec(row.key);
+export function readSlot(row: FollowedRow): RelaySlot | undefined {
+  const match = SLOT_KEY.exec(row.key);
   if (match === null) return undefined;
-  const value = parseJson(row.data) as SeatValue | undefined;
+  const value = parseJson(row.data) as SlotValue | undefined;
   const isWhole =
     typeof value?.instance === 'string' && typeof value.address === 'string';
   return {
--- a/packages/gateway/src/relay/table_copy.ts
+++ b/packages/gateway/src/relay/table_copy.ts
@@ -1,4 +1,4 @@
-/** A relay's copy of a table, from which others are told what changed. */
+/** A relay's copy of a table, from which changes are published. */
 
 import type {FollowedRow} from '../table_follower.js';
 
@@ -10,7 +10,7 @@
   readonly rows: readonly FollowedRow[];
 }
 
-/** Removed rows that are remembered; whoever missed more reads the store. */
+/** Removed rows that are kept; followers that missed more read the store. */
 const MOST_REMOVED_ROWS = 500;
 
 /** Rows by key; removed ones are kept for a while. */
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -28,7 +28,7 @@
 import type {RetrySettings} from './gateway_settings.js';
 
 /** About as long as a burst; over all instances the figures are steady. */
-const TOLD_DEMAND_HALF_LIFE_MS = 5000;
+const PUBLISHED_DEMAND_HALF_LIFE_MS = 5000;
 
 /** Long enough for some dozen requests, short beside a burst of seconds. */
 const RECENT_DEMAND_HALF_LIFE_MS = 1500;
@@ -48,8 +48,8 @@
   readonly reach = new DataCentreReach();
   readonly demand = new DemandMeter();
   /** Shorter-lived: it is added up over all instances. */
-  readonly demandToTell = new DemandMeter({
-    halfLifeMs: TOLD_DEMAND_HALF_LIFE_MS,
+  readonly demandToPublish = new DemandMeter({
+    halfLifeMs: PUBLISHED_DEMAND_HALF_LIFE_MS,
   });
   /** Shows a burst while it lasts. */
   readonly recentDemand = new DemandMeter({
@@ -114,17 +114,24 @@
     prompt: Prompt | undefined,
     nowMs: number,
   ): void {
-    for (const meter of [this.demand, this.demandToTell, this.recentDemand]) {
+    for (const meter of [
+      this.demand,
+      this.demandToPublish,
+      this.recentDemand,
+    ]) {
       meter.count(service, route, prompt, nowMs);
     }
   }
 
   /** What this instance sees of each engine service's routes. */
   readDemands(nowMs: number): Record<string, readonly RouteDemand[]> {
-    const services = this.demandToTell
+    const services = this.demandToPublish
       .listServices()
       .filter(id => this.table?.findService(id)?.engine !== undefined);
-    const entries = services.map(id => [id, this.demandToTell.read(id, nowMs)]);
+    const entries = services.map(id => [
+      id,
+      this.demandToPublish.read(id, nowMs),
+    ]);
     return Object.fromEntries(entries);
   }
 
--- a/packages/gateway/src/shared_facts.test.ts
+++ b/packages/gateway/src/shared_facts.test.ts
@@ -7,7 +7,7 @@
 } from '@snipestage/types/ids.js';
 import type {RouteDemand} from '@snipestage/routing/demand_meter.js';
 import type {RouteId} from '@snipestage/routing/route.js';
-import {readFact, SharedFacts} from './shared_facts.js';
+import {decodeFact, SharedFacts} from './shared_facts.js';
 import {MemoryPlatform} from './test_support/memory_platform.js';
 import {NoOutput} from './test_support/no_output.js';
 
@@ -25,21 +25,21 @@
 function read(platform: MemoryPlatform, key: string) {
   const row = platform.rows.get(`shared/${key}`)!;
   const data = Buffer.from(JSON.stringify(row.value));
-  return readFact({key, version: row.version, data});
+  return decodeFact({key, version: row.version, data});
 }
 
 test('what all instances saw is added up and told once', async t => {
   const platform = new MemoryPlatform();
   const {logger} = new NoOutput();
   const facts = new SharedFacts({platform, logger});
-  await facts.tellSeen([written(10), written(30)]);
+  await facts.publishSeen([written(10), written(30)]);
   const fact = read(platform, 'demand/repair');
   t.like(fact, {kind: 'demand', service: 'repair'});
   t.deepEqual(read(platform, 'instances'), {kind: 'instances', count: 2});
   const {version} = platform.rows.get('shared/demand/repair')!;
-  await facts.tellSeen([written(20), written(60)]);
+  await facts.publishSeen([written(20), written(60)]);
   t.is(platform.rows.get('shared/demand/repair')!.version, version);
-  await facts.tellSeen([written(20), written(60), written(1)]);
+  await facts.publishSeen([written(20), written(60), written(1)]);
   t.deepEqual(read(platform, 'instances'), {kind: 'instances', count: 3});
 });
 
@@ -50,7 +50,7 @@
   const platform = new MemoryPlatform();
   const facts = new SharedFacts({platform, logger: new NoOutput().logger});
   const idle = {counts: {}, isFinal: true, demands: {}};
-  void facts.tellSeen([idle, idle, idle]);
+  void facts.publishSeen([idle, idle, idle]);
   t.deepEqual(read(platform, 'instances'), {kind: 'instances', count: 3});
 });
 
@@ -67,13 +67,13 @@
     inFlight: [brandAs<Fingerprint>('f')],
     cleared: [],
   };
-  await facts.tellCrashes([crash]);
+  await facts.publishCrashes([crash]);
   t.deepEqual(read(platform, 'crash/a/1/1'), {kind: 'crash', crash});
 });
 
 test('rows of another form are no facts', t => {
   const row = (key: string, text: string) =>
-    readFact({key, version: 1, data: Buffer.from(text)});
+    decodeFact({key, version: 1, data: Buffer.from(text)});
   t.is(row('demand/repair', '[]'), undefined);
   t.is(row('crash/x', '{"id": 1}'), undefined);
   t.is(row('crash/x', 'no json'), undefined);
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -1,4 +1,4 @@
-/** What instances tell each other by rows of one table that all follow. */
+/** Facts that instances publish in a table that all of them follow. */
 
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
@@ -33,7 +33,7 @@
   readonly demands: readonly RouteDemand[];
 }
 
-/** Value of the row that tells how many instances there are. */
+/** Value of the row with the number of instances. */
 interface InstancesValue {
   readonly count: number;
 }
@@ -54,12 +54,15 @@
 
 /** Writes facts; a write that fails is logged and left to the next one. */
 export class SharedFacts {
-  private readonly told = new Map<ServiceId, readonly RouteDemand[]>();
-  private toldCount: number | undefined;
+  private readonly publishedDemands = new Map<
+    ServiceId,
+    readonly RouteDemand[]
+  >();
+  private publishedCount: number | undefined;
 
   constructor(private readonly options: SharedFactsOptions) {}
 
-  async tellCrashes(crashes: readonly ReportedCrash[]): Promise<void> {
+  async publishCrashes(crashes: readonly ReportedCrash[]): Promise<void> {
     const rows = crashes.map(crash => ({
       key: `shared/${CRASH}${crash.id}`,
       value: crash,
@@ -80,19 +83,19 @@
     });
   }
 
-  /** Adds up what all instances wrote, and tells it where it has changed. */
-  async tellSeen(rows: readonly CountsValue[]): Promise<void> {
+  /** Adds up what all instances wrote, and publishes what has changed. */
+  async publishSeen(rows: readonly CountsValue[]): Promise<void> {
     const changed = [...this.newCount(rows), ...this.newDemands(rows)];
     if (changed.length > 0) await this.write('demand', changed);
   }
 
   private newCount({length: count}: readonly CountsValue[]): FactRow[] {
-    const before = this.toldCount;
+    const before = this.publishedCount;
     const isKnown =
       before !== undefined &&
       Math.abs(count - before) <= INSTANCES_CHANGE * before;
     if (isKnown || count === 0) return [];
-    this.toldCount = count;
+    this.publishedCount = count;
     return [{key: `shared/${INSTANCES}`, value: {count}}];
   }
 
@@ -103,8 +106,8 @@
     return [...services].flatMap(name => {
       const service = brandAs<ServiceId>(name);
       const total = sumDemands(rows.map(({demands}) => demands?.[name] ?? []));
-      if (!hasMoved(this.told.get(service), total)) return [];
-      this.told.set(service, total);
+      if (!hasMoved(this.publishedDemands.get(service), total)) return [];
+      this.publishedDemands.set(service, total);
       return [{key: `shared/${DEMAND}${name}`, value: {demands: total}}];
     });
   }
@@ -125,9 +128,9 @@
 /**
  * @returns undefined when the row is gone or can't be read.
  * @example
- * const fact = readFact(row);
+ * const fact = decodeFact(row);
  */
-export function readFact(row: FollowedRow): SharedFact | undefined {
+export function decodeFact(row: FollowedRow): SharedFact | undefined {
   const value = parseJson(row.data);
   if (row.key.startsWith(CRASH)) {
     const crash = value as ReportedCrash | undefined;
@@ -139,9 +142,9 @@
     const count = (value as InstancesValue | undefined)?.count;
     return typeof count === 'number' ? {kind: 'instances', count} : undefined;
   }
-  const told = value as DemandValue | undefined;
-  const isDemand = row.key.startsWith(DEMAND) && Array.isArray(told?.demands);
+  const demand = value as DemandValue | undefined;
+  const isDemand = row.key.startsWith(DEMAND) && Array.isArray(demand?.demands);
   if (!isDemand) return undefined;
   const service = brandAs<ServiceId>(row.key.slice(DEMAND.length));
-  return {kind: 'demand', service, demands: told.demands};
+  return {kind: 'demand', service, demands: demand.demands};
 }
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -11,8 +11,8 @@
 import type {RoutingState} from './routing_state.js';
 import type {RelayedTableName} from './relay/relay_messages.js';
 import type {Relays} from './relay/relays.js';
-import {readSeat} from './relay/seat_rows.js';
-import {readFact} from './shared_facts.js';
+import {readSlot} from './relay/slot_rows.js';
+import {decodeFact} from './shared_facts.js';
 import type {StoreRecovery} from './store_recovery.js';
 import {
   TableFollower,
@@ -46,7 +46,7 @@
 export interface FollowedTables {
   readonly configuration: FollowedTable;
   readonly endpoints: FollowedTable;
-  /** Ours, for what instances tell each other. */
+  /** For facts that instances publish to each other. */
   readonly shared: FollowedTable;
 }
 
@@ -289,10 +289,10 @@
   }
 
   private learnFacts(rows: readonly FollowedRow[]): void {
-    for (const seat of rows.map(readSeat)) {
-      if (seat !== undefined) this.options.relays.learnSeat(seat);
+    for (const slot of rows.map(readSlot)) {
+      if (slot !== undefined) this.options.relays.learnSlot(slot);
     }
-    const facts = rows.map(readFact).filter(fact => fact !== undefined);
+    const facts = rows.map(decodeFact).filter(fact => fact !== undefined);
     for (const fact of facts) {
       if (fact.kind === 'crash') {
         this.options.crashes.learn([fact.crash]);
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -20,7 +20,7 @@
       /** The store's version that the rows show. */
       readonly version: number;
       readonly clock: StoreClockReading | undefined;
-      /** Told by another instance, not by the store itself. */
+      /** Received from a relay, not from the store itself. */
       readonly isRelayed?: boolean;
     }
   /** The history since the version asked for is no longer there. */
@@ -38,7 +38,7 @@
   ): Promise<TableReading>;
 }
 
-/** Is told what changed. */
+/** Receives changes of a table. */
 export interface TableListener {
   /** All rows of the table. */
   replaced(rows: readonly FollowedRow[]): void;
@@ -75,7 +75,7 @@
   /** Asked before each poll. */
   readonly pace: () => FollowPace;
   readonly onClock?: (reading: StoreClockReading) => void;
-  /** Told of each answer that was taken in, also of one without rows. */
+  /** Called after each answer that was taken in, also one without rows. */
   readonly onReading?: (reading: RowsReading, isWhole: boolean) => void;
   /** Shared by all followers of a store (its own). */
   readonly recovery?: StoreRecovery;
@@ -187,7 +187,7 @@
       this.version = reading.version;
       if (reading.rows.length > 0) listener.changed(reading.rows);
       this.options.onReading?.(reading, false);
-      // Whoever relays has gathered already, and nobody pays for its word.
+      // Relays batch updates themselves; followers need no extra delay.
       const isGathered = reading.rows.length === 0 || reading.isRelayed;
       return isGathered ? 0 : this.options.pace().gatherMs;
     }
--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -40,7 +40,7 @@
   readonly dueAfterMs: number;
   readonly nowMs: () => number;
   readonly logger: Logger;
-  /** Told what all instances saw, once each has written a window's counts. */
+  /** Called with all instances' rows, once each has written a window's counts. */
   readonly onRows?: (rows: readonly CountsValue[]) => void;
 }
 
@@ -64,12 +64,12 @@
  * sealed at its return would lack what was counted meanwhile.
  */
 const LONG_PATIENCE_SHARE = 0.85;
-/** A new holder looks so far back for windows that nobody has reported. */
+/** A new holder looks so far back for windows that were not reported. */
 const LOOK_BACK_DUES = 3;
 
 /**
  * The figure is sealed in the store before it is sent, in a transaction that
- * checks the lease's fence. Whoever comes later reports the same seal, so that
+ * checks the lease's fence. Later holders report the same seal, so that
  * no window ever gets two figures, and a repeat is the exact same.
  */
 export class UsageReporter {
@@ -213,7 +213,7 @@
     return total;
   }
 
-  /** Whether everybody has written, or it is too late to wait for the rest. */
+  /** Whether all instances have written, or it is too late to wait for the rest. */
   private judge(
     window: WindowNumber,
     byWriter: ReadonlyMap<string, CountsValue>,
--- a/packages/routing/src/agreed_demand.ts
+++ b/packages/routing/src/agreed_demand.ts
@@ -14,7 +14,7 @@
 
 const DEFAULT_VALID_FOR_MS = 60_000;
 
-interface Told {
+interface Agreed {
   readonly demands: readonly RouteDemand[];
   readonly atMs: number;
 }
@@ -26,7 +26,7 @@
  * and the streams on them stutter.
  */
 export class AgreedDemand extends DemandSource {
-  private readonly told = new Map<ServiceId, Told>();
+  private readonly agreed = new Map<ServiceId, Agreed>();
   private readonly own: DemandSource;
   private readonly validForMs: number;
 
@@ -47,13 +47,14 @@
     demands: readonly RouteDemand[],
     nowMs: number,
   ): void {
-    this.told.set(service, {demands, atMs: nowMs});
+    this.agreed.set(service, {demands, atMs: nowMs});
   }
 
   read(service: ServiceId, nowMs: number): readonly RouteDemand[] {
-    const told = this.told.get(service);
-    const isValid = told !== undefined && nowMs - told.atMs < this.validForMs;
-    return isValid ? told.demands : this.own.read(service, nowMs);
+    const agreed = this.agreed.get(service);
+    const isValid =
+      agreed !== undefined && nowMs - agreed.atMs < this.validForMs;
+    return isValid ? agreed.demands : this.own.read(service, nowMs);
   }
 }
 
@@ -93,7 +94,7 @@
  * Whether shares have moved so far that others should hear of it.
  *
  * @example
- * if (hasMoved(told, now)) tellAll(now);
+ * if (hasMoved(published, now)) publish(now);
  */
 export function hasMoved(
   before: readonly RouteDemand[] | undefined,
--- a/packages/routing/src/crash_watch.ts
+++ b/packages/routing/src/crash_watch.ts
@@ -1,4 +1,4 @@
-/** Tells crashes of endpoints from answers that were merely lost. */
+/** Distinguishes crashes of endpoints from answers that were merely lost. */
 
 import type {EndpointId, Fingerprint} from '@snipestage/types/ids.js';
 
--- a/packages/routing/src/data_centre_reach.ts
+++ b/packages/routing/src/data_centre_reach.ts
@@ -25,7 +25,7 @@
   readonly unreached: Set<EndpointId>;
   readonly refused: Set<EndpointId>;
   cutUntilMs: number;
-  /** Somebody is finding out whether the way is open again. */
+  /** A request is probing whether the path works again. */
   trialUntilMs: number;
   nextPauseMs: number;
 }
@@ -33,8 +33,8 @@
 /**
  * When the way to a data centre is cut, each of its endpoints has to be found
  * unreachable by a request of its own, which waits out a whole connect timeout
- * for that. Two in a row without an answer from there tell about the others;
- * after a pause, which doubles, the next request tries again.
+ * for that. After two in a row without an answer from there, all of them count as
+ * unreachable; after a pause, which doubles, the next request tries again.
  *
  * When all endpoints of a data centre go down at once, their machines refuse
  * connections, and the list still names them for seconds. Refusals come back
--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -6,14 +6,14 @@
 
 import type {EndpointId} from '@snipestage/types/ids.js';
 
-/** The load that an endpoint tells with an answer. */
+/** The load that an endpoint reports with an answer. */
 export interface ReportedLoad {
   readonly running: number;
   readonly waiting: number;
   readonly capacity: number;
 }
 
-/** How an attempt ended, as far as it tells of the endpoint. */
+/** How an attempt ended, as far as it shows the endpoint's health. */
 export type EndpointSign =
   /** Answered, whatever the status, as a sound endpoint would. */
   | 'answered'
@@ -28,13 +28,13 @@
 
 /** What a {@link EndpointMonitor} is made from; defaults in the brackets. */
 export interface EndpointMonitorOptions {
-  /** Half-life of what failures tell (2,000 ms). */
+  /** Half-life of the failure share (2,000 ms). */
   readonly failureHalfLifeMs?: number;
   /** First pause after it could not be reached (250 ms); doubles. */
   readonly firstBackoffMs?: number;
   /** Longest pause (2,000 ms): endpoints are back after some seconds. */
   readonly maxBackoffMs?: number;
-  /** Half-life of a told load (1,500 ms): others add to it unseen. */
+  /** Half-life of a reported load (1,500 ms): others add to it unseen. */
   readonly loadHalfLifeMs?: number;
 }
 
@@ -66,7 +66,7 @@
   begunAtMs: number;
   /** Whether other instances share this endpoint's loads. */
   isShared: boolean;
-  /** One's own requests that the told load already counts. */
+  /** Own requests that the reported load already includes. */
   countedInLoad: number;
   meanDurationMs: number | undefined;
 }
@@ -129,7 +129,7 @@
     }
   }
 
-  /** The endpoint told its load with an answer. */
+  /** The endpoint reported its load with an answer. */
   noteLoad(id: EndpointId, load: ReportedLoad, nowMs: number): void {
     const belief = this.of(id);
     belief.load = load;
@@ -204,7 +204,7 @@
   }
 
   /**
-   * Requests at the endpoint, of all instances: what it told last, faded, and
+   * Requests at the endpoint, of all instances: what it reported last, faded, and
    * those of one's own that came later.
    */
   estimateLoad(id: EndpointId, nowMs: number): number {
@@ -216,7 +216,7 @@
     return inFlight + others * this.fadeOf(belief, nowMs);
   }
 
-  /** Requests that waited there when it last told its load, faded. */
+  /** Requests that waited there when it last reported its load, faded. */
   estimateWaiting(id: EndpointId, nowMs: number): number {
     const belief = this.beliefs.get(id);
     if (belief?.load === undefined) return 0;
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -44,7 +44,7 @@
 const MIN_SHARED_TOKENS = 1000;
 const FAILURE_COST_IN_REQUESTS = 12;
 const RANDOM_COST_IN_REQUESTS = 0.5;
-/** An engine that fails every second request is nobody's home. */
+/** Engines above this error rate are skipped for prefix affinity. */
 const MAX_FAILURE_SHARE = 0.5;
 
 /**
--- a/packages/routing/src/refusal_delay.ts
+++ b/packages/routing/src/refusal_delay.ts
@@ -16,7 +16,7 @@
 /**
  * Advises by how fast a service serves: with `n` refused in the last seconds
  * and `r` served a second, the last of them finds room after `n / r`. Those
- * refused first are told the shortest time, so that they return in the order
+ * refused first get the shortest time, so that they return in the order
  * in which they came.
  */
 export class RefusalDelay {
--- a/packages/routing/src/relay_roster.test.ts
+++ b/packages/routing/src/relay_roster.test.ts
@@ -4,7 +4,7 @@
   type DataCentreId,
   type InstanceId,
 } from '@snipestage/types/ids.js';
-import {RelayRoster, type RelaySeat} from './relay_roster.js';
+import {RelayRoster, type RelaySlot} from './relay_roster.js';
 
 const HERE = brandAs<DataCentreId>('akl-a');
 
@@ -17,7 +17,7 @@
   });
 }
 
-function seat(number: number, holder: string, version = 1): RelaySeat {
+function slot(number: number, holder: string, version = 1): RelaySlot {
   const instance = brandAs<InstanceId>(holder);
   return {
     dataCentre: HERE,
@@ -34,16 +34,16 @@
   t.true(roster.pays(18));
 });
 
-test('of those that might take a vacant seat one comes first', t => {
+test('of those that might take a vacant slot one comes first', t => {
   // Two dozen instances start at the same moment. If all wrote at once, all but
   // one of these writes would be in vain.
   const rosters = Array.from({length: 24}, (_, index) =>
     makeRoster(`akl-a-${index}`, index / 24),
   );
-  for (const roster of rosters) roster.seatToClaim(0);
+  for (const roster of rosters) roster.slotToClaim(0);
   const firstAt = rosters.map(roster => {
     for (let nowMs = 0; ; nowMs += 20) {
-      if (roster.seatToClaim(nowMs) !== undefined) return nowMs;
+      if (roster.slotToClaim(nowMs) !== undefined) return nowMs;
     }
   });
   const earliest = Math.min(...firstAt);
@@ -53,20 +53,20 @@
   t.true(firstAt.indexOf(earliest) >= 12, 'a strong machine comes first');
 });
 
-test('whoever has a seat claims no other, and seats elsewhere do not matter', t => {
+test('whoever has a slot claims no other, and slots elsewhere do not matter', t => {
   const roster = makeRoster('one');
-  roster.learn(seat(0, 'one'));
+  roster.learn(slot(0, 'one'));
   t.true(roster.isRelay);
-  t.is(roster.seatToClaim(60_000), undefined);
+  t.is(roster.slotToClaim(60_000), undefined);
   const other = makeRoster('two');
-  other.learn({...seat(0, 'far'), dataCentre: brandAs<DataCentreId>('akl-b')});
+  other.learn({...slot(0, 'far'), dataCentre: brandAs<DataCentreId>('akl-b')});
   t.is(other.choose(0), undefined);
 });
 
 test('an instance moves on from a relay that failed, and comes back later', t => {
   const roster = makeRoster('one');
-  roster.learn(seat(0, 'first'));
-  roster.learn(seat(1, 'second'));
+  roster.learn(slot(0, 'first'));
+  roster.learn(slot(1, 'second'));
   const before = roster.choose(0)!.instance;
   roster.noteFailed(before, 0);
   const after = roster.choose(0)!.instance;
@@ -74,26 +74,26 @@
   t.is(roster.choose(7000)!.instance, before);
 });
 
-test('a seat whose relay has gone is taken over when none is left', t => {
+test('a slot whose relay has gone is taken over when none is left', t => {
   // Both relays of a data centre were killed. Everyone follows the store alone
-  // until somebody takes a seat.
+  // until somebody takes a slot.
   const roster = makeRoster('one');
-  roster.learn(seat(0, 'first', 4));
-  roster.learn(seat(1, 'second', 5));
-  t.is(roster.seatToClaim(0), undefined);
+  roster.learn(slot(0, 'first', 4));
+  roster.learn(slot(1, 'second', 5));
+  t.is(roster.slotToClaim(0), undefined);
   roster.noteFailed(brandAs<InstanceId>('first'), 1000);
-  t.is(roster.seatToClaim(5000), undefined);
+  t.is(roster.slotToClaim(5000), undefined);
   roster.noteFailed(brandAs<InstanceId>('first'), 6000);
   roster.noteFailed(brandAs<InstanceId>('second'), 6000);
-  roster.seatToClaim(6000);
-  t.is(roster.seatToClaim(9001)?.version, 4);
+  roster.slotToClaim(6000);
+  t.is(roster.slotToClaim(9001)?.version, 4);
 });
 
-test('an older row does not give a seat back', t => {
+test('an older row does not give a slot back', t => {
   const roster = makeRoster('one');
-  roster.learn(seat(0, 'one', 9));
-  roster.learn(seat(0, 'two', 8));
+  roster.learn(slot(0, 'one', 9));
+  roster.learn(slot(0, 'two', 8));
   t.true(roster.isRelay);
-  roster.learn(seat(0, 'two', 10));
+  roster.learn(slot(0, 'two', 10));
   t.false(roster.isRelay);
 });
--- a/packages/routing/src/relay_roster.ts
+++ b/packages/routing/src/relay_roster.ts
@@ -3,8 +3,8 @@
 import {hashText} from '@snipestage/policy/rendezvous.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 
-/** A seat for a relay, and who has taken it. */
-export interface RelaySeat {
+/** A slot for a relay, and who has taken it. */
+export interface RelaySlot {
   readonly dataCentre: DataCentreId;
   readonly number: number;
   readonly holder: RelayHolder | undefined;
@@ -26,18 +26,18 @@
   /** 0 to 1: how well this instance's machine can serve others. */
   readonly strength: number;
   /** Relays in each data centre (2): one may be killed, cut off or busy. */
-  readonly seats?: number;
+  readonly slots?: number;
   /** Instances for each relay before it pays to have one (3). */
   readonly minFollowers?: number;
   /** How long a relay that failed is left alone (6,000 ms). */
   readonly suspectForMs?: number;
 }
 
-const DEFAULT_SEATS = 2;
+const DEFAULT_SLOTS = 2;
 const DEFAULT_MIN_FOLLOWERS = 3;
 const DEFAULT_SUSPECT_FOR_MS = 6000;
 /**
- * Candidates for a seat come one after the other over this time, so that mostly
+ * Candidates for a slot come one after the other over this time, so that mostly
  * one writes and the others see it: each write is a priced call.
  */
 const CLAIM_SPREAD_MS = 3000;
@@ -51,29 +51,29 @@
 
 /**
  * Each instance that follows the store asks it again after each change. Where
- * dozens do, it is cheaper that two in each data centre ask and tell the others.
+ * dozens do, it is cheaper that two in each data centre poll and publish to the others.
  * Sixty-seven instances made 8,000 calls in 95 s by themselves.
  */
 export class RelayRoster {
-  private readonly seats = new Map<number, RelaySeat>();
+  private readonly slots = new Map<number, RelaySlot>();
   private readonly suspectedAtMs = new Map<InstanceId, number>();
   private readonly minFollowers: number;
-  /** The seat that could be claimed, and since when. */
+  /** The slot that could be claimed, and since when. */
   private open:
-    {readonly seat: RelaySeat; readonly sinceMs: number} | undefined;
+    {readonly slot: RelaySlot; readonly sinceMs: number} | undefined;
 
   constructor(private readonly options: RelayRosterOptions) {
     this.minFollowers = options.minFollowers ?? DEFAULT_MIN_FOLLOWERS;
-    const count = options.seats ?? DEFAULT_SEATS;
+    const count = options.slots ?? DEFAULT_SLOTS;
     for (let number = 0; number < count; number += 1) {
-      this.seats.set(number, this.vacant(number, 0));
+      this.slots.set(number, this.vacant(number, 0));
     }
   }
 
   /**
    * Whether there are enough instances for relays.
    *
-   * @param instances undefined while nobody has counted them.
+   * @param instances undefined until they were counted.
    */
   pays(instances: number | undefined): boolean {
     return instances !== undefined && instances >= this.paysFrom;
@@ -81,7 +81,7 @@
 
   /** The number of instances from which relays pay. */
   get paysFrom(): number {
-    return this.seats.size * this.minFollowers * this.options.dataCentres;
+    return this.slots.size * this.minFollowers * this.options.dataCentres;
   }
 
   /** Whether a relay with so many followers saves more polls than it makes. */
@@ -89,21 +89,21 @@
     return followers >= this.minFollowers;
   }
 
-  /** Takes in a seat as the store has it; seats elsewhere don't matter. */
-  learn(seat: RelaySeat): void {
-    if (seat.dataCentre !== this.options.dataCentre) return;
-    const known = this.seats.get(seat.number);
-    if (known === undefined || known.version >= seat.version) return;
-    this.seats.set(seat.number, seat);
+  /** Takes in a slot as the store has it; slots elsewhere don't matter. */
+  learn(slot: RelaySlot): void {
+    if (slot.dataCentre !== this.options.dataCentre) return;
+    const known = this.slots.get(slot.number);
+    if (known === undefined || known.version >= slot.version) return;
+    this.slots.set(slot.number, slot);
   }
 
-  /** Whether this instance has a seat. */
+  /** Whether this instance has a slot. */
   get isRelay(): boolean {
-    return this.ownSeat !== undefined;
+    return this.ownSlot !== undefined;
   }
 
-  get ownSeat(): RelaySeat | undefined {
-    return [...this.seats.values()].find(
+  get ownSlot(): RelaySlot | undefined {
+    return [...this.slots.values()].find(
       ({holder}) => holder?.instance === this.options.instance,
     );
   }
@@ -120,40 +120,40 @@
    * @returns undefined when there is none that is sound.
    */
   choose(nowMs: number): RelayHolder | undefined {
-    return [...this.seats.values()]
+    return [...this.slots.values()]
       .map(({holder}) => holder)
       .filter(holder => holder !== undefined)
       .find(({instance}) => !this.isSuspected(instance, nowMs));
   }
 
   /**
-   * A seat that this instance should take now: one that nobody has, or any when
+   * A slot that this instance should take now: a vacant one, or any when
    * no relay has been sound for a while.
    *
-   * @param onlyFirst whether to consider only the first seat.
+   * @param onlyFirst whether to consider only the first slot.
    */
-  seatToClaim(nowMs: number, onlyFirst = false): RelaySeat | undefined {
-    const open = this.isRelay ? undefined : this.findOpenSeat(nowMs);
-    const seat = onlyFirst && open?.number !== 0 ? undefined : open;
-    if (seat === undefined) {
+  slotToClaim(nowMs: number, onlyFirst = false): RelaySlot | undefined {
+    const open = this.isRelay ? undefined : this.findOpenSlot(nowMs);
+    const slot = onlyFirst && open?.number !== 0 ? undefined : open;
+    if (slot === undefined) {
       this.open = undefined;
       return undefined;
     }
-    if (this.open?.seat !== seat) this.open = {seat, sinceMs: nowMs};
-    if (nowMs - this.open.sinceMs < this.turnMs(seat)) return undefined;
+    if (this.open?.slot !== slot) this.open = {slot, sinceMs: nowMs};
+    if (nowMs - this.open.sinceMs < this.turnMs(slot)) return undefined;
     this.open = undefined;
-    return seat;
+    return slot;
   }
 
-  private findOpenSeat(nowMs: number): RelaySeat | undefined {
-    const seats = [...this.seats.values()];
-    const vacant = seats.find(({holder}) => holder === undefined);
+  private findOpenSlot(nowMs: number): RelaySlot | undefined {
+    const slots = [...this.slots.values()];
+    const vacant = slots.find(({holder}) => holder === undefined);
     const isServed = this.choose(nowMs) !== undefined;
-    return vacant ?? (isServed ? undefined : seats[0]);
+    return vacant ?? (isServed ? undefined : slots[0]);
   }
 
-  private turnMs(seat: RelaySeat): number {
-    const hash = hashText(`${seat.number}/${this.options.instance}`);
+  private turnMs(slot: RelaySlot): number {
+    const hash = hashText(`${slot.number}/${this.options.instance}`);
     const weakness = 1 - this.options.strength;
     const share =
       STRENGTH_SHARE * weakness + (1 - STRENGTH_SHARE) * (hash / HASH_RANGE);
@@ -166,7 +166,7 @@
     return nowMs - atMs < forMs;
   }
 
-  private vacant(number: number, version: number): RelaySeat {
+  private vacant(number: number, version: number): RelaySlot {
     const {dataCentre} = this.options;
     return {dataCentre, number, holder: undefined, version};
   }
--- a/packages/routing/src/simulation/load_view_simulation.ts
+++ b/packages/routing/src/simulation/load_view_simulation.ts
@@ -10,7 +10,7 @@
   | 'least_reported'
   /** The least of a few random ones by the last report. */
   | 'sampled'
-  /** The least loaded at this moment, which nobody knows. */
+  /** The least loaded at this moment, which no instance knows. */
   | 'perfect';
 
 /** What is simulated. */
--- a/packages/routing/src/usual_durations.ts
+++ b/packages/routing/src/usual_durations.ts
@@ -4,7 +4,7 @@
 
 /** Of each route: enough for a share of nine in ten, few enough to be recent. */
 const KEPT = 64;
-/** Fewer tell nothing of one in ten. */
+/** Fewer say nothing about the slowest tenth. */
 const MIN_KNOWN = 10;
 const USUAL_SHARE = 0.9;
 
--- a/packages/routing/src/warmup_gate.ts
+++ b/packages/routing/src/warmup_gate.ts
@@ -44,7 +44,7 @@
  *
  * Instances agree without a message: in each second, each one draws whether it
  * may send, with a probability that leaves the sum over all instances below the
- * limit. A network partition changes nothing, since nobody depends on others.
+ * limit. A network partition changes nothing, since no message is needed.
  */
 export class WarmupGate {
   private readonly coldUntilMs = new Map<EndpointId, number>();
--- a/packages/routing/src/window_budget.ts
+++ b/packages/routing/src/window_budget.ts
@@ -1,6 +1,6 @@
 /**
  * Budget for attempts beyond the first, which all instances share without
- * telling each other.
+ * exchanging messages.
  */
 
 /** What a {@link WindowBudget} is made from. */
@@ -23,7 +23,7 @@
  * what a deployment allows beyond its ratio.
  *
  * @param slack further attempts allowed beyond the ratio, over all instances.
- * @param instances undefined while nobody has counted them.
+ * @param instances undefined until they were counted.
  * @example
  * maxSavedEach(52, 6); // 6.1
  */
@@ -58,7 +58,7 @@
   private readonly extras: number[] = [];
   private readonly floor: number;
   private readonly readMaxSaved: () => number;
-  /** Further attempts that requests have paid for and nobody has made. */
+  /** Further attempts that requests have paid for and that were not made. */
   private saved: number;
 
   constructor(private readonly options: WindowBudgetOptions) {
