--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -77,7 +77,7 @@
     const loadAgeMs = this.loadAgeWhenChosenMs;
     return {
       verdict: this.verdict,
-      offers: this.history.offers,
+      offers: this.history.excluded.size,
       runs: this.history.runs,
       unreached: this.history.unreached || undefined,
       reason: this.lastReason,
