--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,11 +24,8 @@
 import {RequestHandler} from './request_handler.js';
 import {RoutingState} from './routing_state.js';
 import {SharedFacts} from './shared_facts.js';
-import {
-  StateFollower,
-  type FollowedTables,
-  type RowDecoder,
-} from './state_follower.js';
+import type {RowDecoder} from './row_decoder.js';
+import {StateFollower, type FollowedTables} from './state_follower.js';
 import {StoreRecovery} from './store_recovery.js';
 
 /** What a {@link Gateway} is made from. */
--- /dev/null
+++ b/packages/gateway/src/operator_rows.ts
@@ -0,0 +1,101 @@
+/** Puts into force what operators write. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {RoutingConfiguration} from '@snipestage/routing/route.js';
+import {RouteTable} from '@snipestage/routing/route_table.js';
+import type {DataCentreId} from '@snipestage/types/ids.js';
+import type {RoutingState} from './routing_state.js';
+import type {RowDecoder} from './row_decoder.js';
+import type {FollowedRow} from './table_follower.js';
+
+/** What an {@link OperatorRows} is made from. */
+export interface OperatorRowsOptions {
+  readonly decoder: RowDecoder;
+  readonly state: RoutingState;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+  readonly onConfiguration: (configuration: RoutingConfiguration) => void;
+}
+
+/** Applies configurations and evacuations. */
+export class OperatorRows {
+  constructor(private readonly options: OperatorRowsOptions) {}
+
+  /** The whole table: what it lacks is not evacuated. */
+  replace(rows: readonly FollowedRow[]): void {
+    this.apply(rows, new Set());
+  }
+
+  /** Rows that changed. */
+  change(rows: readonly FollowedRow[]): void {
+    const {directory} = this.options.state;
+    this.apply(rows, new Set(directory.listEvacuated()));
+  }
+
+  /** @param evacuated the data centres that were evacuated before these rows. */
+  private apply(
+    rows: readonly FollowedRow[],
+    evacuated: Set<DataCentreId>,
+  ): void {
+    for (const row of rows) {
+      const operatorRow = this.options.decoder.decodeOperatorRow(row);
+      switch (operatorRow.kind) {
+        case 'configuration':
+          this.applyConfiguration(operatorRow.configuration, row.version);
+          break;
+        case 'evacuation':
+          if (operatorRow.isEvacuated) evacuated.add(operatorRow.dataCentre);
+          else evacuated.delete(operatorRow.dataCentre);
+          break;
+        case 'unreadable':
+          this.options.logger.error('configuration_unreadable', {
+            key: row.key,
+            rowVersion: row.version,
+            inForce: this.options.state.table?.configuration.version,
+          });
+          break;
+      }
+    }
+    this.applyEvacuations(evacuated);
+  }
+
+  /** A version only rises; an older one is a read that came late. */
+  private applyConfiguration(
+    configuration: RoutingConfiguration,
+    rowVersion: number,
+  ): void {
+    const before = this.options.state.table?.configuration.version ?? -1;
+    if (configuration.version <= before) return;
+    this.options.state.table = new RouteTable(configuration);
+    this.options.onConfiguration(configuration);
+    this.options.logger.info('configuration_applied', {
+      version: configuration.version,
+      before,
+      rowVersion,
+      routes: configuration.routes.length,
+    });
+  }
+
+  private applyEvacuations(evacuated: ReadonlySet<DataCentreId>): void {
+    const {directory} = this.options.state;
+    const before = directory.listEvacuated();
+    const isSame =
+      before.length === evacuated.size && before.every(id => evacuated.has(id));
+    if (isSame) return;
+    directory.setEvacuated(evacuated);
+    this.presumeCold(before.filter(id => !evacuated.has(id)));
+    this.options.logger.info('evacuations_applied', {
+      evacuated: [...evacuated],
+      before,
+    });
+  }
+
+  /** Endpoints may have become cold while their data centre was evacuated. */
+  private presumeCold(restored: readonly DataCentreId[]): void {
+    const {state, nowMs} = this.options;
+    for (const endpoint of state.directory.readAll()) {
+      if (!restored.includes(endpoint.dataCentre)) continue;
+      state.warmup.presumeCold(endpoint, nowMs());
+    }
+  }
+}
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -2,13 +2,12 @@
 
 import type {Logger} from '@snipestage/log/logger.js';
 import type {AgreedClock} from '@snipestage/routing/agreed_clock.js';
-import type {EndpointChange} from '@snipestage/routing/endpoint_directory.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
-import {RouteTable} from '@snipestage/routing/route_table.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
-import type {DataCentreId} from '@snipestage/types/ids.js';
 import type {CrashReporter} from './crash_reporter.js';
+import {OperatorRows} from './operator_rows.js';
 import type {RoutingState} from './routing_state.js';
+import type {RowDecoder} from './row_decoder.js';
 import type {RelayedTableName} from './relay/relay_messages.js';
 import type {Relays} from './relay/relays.js';
 import {readSlot} from './relay/slot_rows.js';
@@ -22,26 +21,6 @@
   type TableListener,
 } from './table_follower.js';
 
-/** What a row of the operators' table says. */
-export type OperatorRow =
-  | {
-      readonly kind: 'configuration';
-      readonly configuration: RoutingConfiguration;
-    }
-  | {
-      readonly kind: 'evacuation';
-      readonly dataCentre: DataCentreId;
-      /** False when the row was removed: the data centre is restored. */
-      readonly isEvacuated: boolean;
-    }
-  | {readonly kind: 'unreadable'};
-
-/** Turns rows of the platform's tables into the product's types. */
-export abstract class RowDecoder {
-  abstract decodeOperatorRow(row: FollowedRow): OperatorRow;
-  abstract decodeEndpoint(row: FollowedRow): EndpointChange;
-}
-
 /** The tables that an instance follows. */
 export interface FollowedTables {
   readonly configuration: FollowedTable;
@@ -90,9 +69,11 @@
 /** Owns the followers. */
 export class StateFollower {
   private readonly followers: TableFollower[] = [];
+  private readonly operatorRows: OperatorRows;
   private hasEndpoints = false;
 
   constructor(private readonly options: StateFollowerOptions) {
+    this.operatorRows = new OperatorRows(options);
     this.addFollowers();
   }
 
@@ -113,11 +94,8 @@
     const {knownWithinMs} = this.options;
     const waitMs = knownWithinMs * FOLLOW_WAIT_SHARE;
     this.follow('configuration', waitMs, {
-      replaced: rows => this.applyOperatorRows(rows, new Set()),
-      changed: rows => {
-        const {directory} = this.options.state;
-        this.applyOperatorRows(rows, new Set(directory.listEvacuated()));
-      },
+      replaced: rows => this.operatorRows.replace(rows),
+      changed: rows => this.operatorRows.change(rows),
       disturbed: () => undefined,
     });
     this.follow('endpoints', waitMs, {
@@ -174,73 +152,6 @@
     if (isRelayed !== true) relays.confirm(name);
   }
 
-  /** @param evacuated the data centres that were evacuated before these rows. */
-  private applyOperatorRows(
-    rows: readonly FollowedRow[],
-    evacuated: Set<DataCentreId>,
-  ): void {
-    for (const row of rows) {
-      const operatorRow = this.options.decoder.decodeOperatorRow(row);
-      switch (operatorRow.kind) {
-        case 'configuration':
-          this.applyConfiguration(operatorRow.configuration, row.version);
-          break;
-        case 'evacuation':
-          if (operatorRow.isEvacuated) evacuated.add(operatorRow.dataCentre);
-          else evacuated.delete(operatorRow.dataCentre);
-          break;
-        case 'unreadable':
-          this.options.logger.error('configuration_unreadable', {
-            key: row.key,
-            rowVersion: row.version,
-            inForce: this.options.state.table?.configuration.version,
-          });
-          break;
-      }
-    }
-    this.applyEvacuations(evacuated);
-  }
-
-  /** A version only rises; an older one is a read that came late. */
-  private applyConfiguration(
-    configuration: RoutingConfiguration,
-    rowVersion: number,
-  ): void {
-    const before = this.options.state.table?.configuration.version ?? -1;
-    if (configuration.version <= before) return;
-    this.options.state.table = new RouteTable(configuration);
-    this.options.onConfiguration(configuration);
-    this.options.logger.info('configuration_applied', {
-      version: configuration.version,
-      before,
-      rowVersion,
-      routes: configuration.routes.length,
-    });
-  }
-
-  private applyEvacuations(evacuated: ReadonlySet<DataCentreId>): void {
-    const {directory} = this.options.state;
-    const before = directory.listEvacuated();
-    const isSame =
-      before.length === evacuated.size && before.every(id => evacuated.has(id));
-    if (isSame) return;
-    directory.setEvacuated(evacuated);
-    this.presumeCold(before.filter(id => !evacuated.has(id)));
-    this.options.logger.info('evacuations_applied', {
-      evacuated: [...evacuated],
-      before,
-    });
-  }
-
-  /** Endpoints may have become cold while their data centre was evacuated. */
-  private presumeCold(restored: readonly DataCentreId[]): void {
-    const {state, nowMs} = this.options;
-    for (const endpoint of state.directory.readAll()) {
-      if (!restored.includes(endpoint.dataCentre)) continue;
-      state.warmup.presumeCold(endpoint, nowMs());
-    }
-  }
-
   private replaceEndpoints(rows: readonly FollowedRow[]): void {
     const endpoints = rows.flatMap(row => {
       const change = this.options.decoder.decodeEndpoint(row);
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -20,7 +20,7 @@
 } from '@snipestage/types/ids.js';
 import {Gateway} from '../gateway.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
-import {RowDecoder, type OperatorRow} from '../state_follower.js';
+import {RowDecoder, type OperatorRow} from '../row_decoder.js';
 import {
   FollowedTable,
   type FollowedRow,
