Replace regular endpoints by cheap ones in two steps

Cause, by the log of its instances: its cheap engines had been reclaimed at 23 s and regular ones had stood in for them. Eighteen seconds later cheap ones could be had again, and all the regular ones were given back in that moment: 33 rows leaving at 40 s, 26 and 30 new engines listed at 39 and 48 s. The cut at 41.5 s found two engines.

Now half of a data centre's endpoints stay until as many cheap ones are there, while there is demand; before the first request nothing is held back.

Ruled out: that more instances chose engines that can't be reached; they were left alone after two, and 500 of 650 rejections came from one local engine.

The world of the duty's tests kept the regular endpoints that the duty had given back; they go now, and its checks are as they were. The log line of a listed endpoint names its data centre.

--- a/packages/gateway/src/capacity_duty.test.ts
+++ b/packages/gateway/src/capacity_duty.test.ts
@@ -82,11 +82,19 @@
     }
   }
 
-  /** All endpoints of a kind in a data centre are taken away. */
+  /** All cheap endpoints of a data centre are taken away. */
   remove(dataCentre: DataCentreId): void {
+    this.removeSome(dataCentre, true, 0);
+  }
+
+  /** Endpoints of a kind in a data centre are taken away but for some. */
+  removeSome(dataCentre: DataCentreId, isCheap: boolean, kept: number): void {
     const gone = this.state.directory
       .readAll()
-      .filter(each => each.isCheap && each.dataCentre === dataCentre);
+      .filter(
+        each => each.isCheap === isCheap && each.dataCentre === dataCentre,
+      )
+      .slice(kept);
     const changes = gone.map(({id}) => ({kind: 'removed', id}) as const);
     this.state.directory.apply(changes, this.nowMs);
   }
@@ -116,7 +124,11 @@
   // The first tick writes down what operators began with, the second reads it.
   await world.tick();
   await world.tick();
-  for (const dataCentre of DATA_CENTRES) world.list(dataCentre, true, 7);
+  // What was ordered is there, and what was given back is gone.
+  for (const dataCentre of DATA_CENTRES) {
+    world.list(dataCentre, true, 7);
+    world.removeSome(dataCentre, false, 1);
+  }
   world.nowMs += 10_000;
   return world;
 }
--- a/packages/gateway/src/capacity_duty.ts
+++ b/packages/gateway/src/capacity_duty.ts
@@ -7,6 +7,7 @@
   countPresent,
   planCapacity,
   type CapacityTarget,
+  type PresentEndpoints,
 } from '@snipestage/routing/capacity_plan.js';
 import {EngineNeed} from '@snipestage/routing/engine_need.js';
 import type {Service} from '@snipestage/routing/route.js';
@@ -123,6 +124,7 @@
       needed,
       neededNow: this.countNeededNow(service, endpoints),
       cheapLeft: this.countCheapLeft(service, dataCentres),
+      present: this.countPresent(id, dataCentres),
       evacuated: new Set(this.options.state.directory.listEvacuated()),
     });
   }
@@ -142,6 +144,21 @@
     return need.update({requests, batchSize: engine.batchSize}, nowMs());
   }
 
+  private countPresent(
+    service: ServiceId,
+    dataCentres: readonly DataCentreId[],
+  ): ReadonlyMap<DataCentreId, PresentEndpoints> {
+    const endpoints = this.options.state.directory.readAll();
+    const countOf = (dataCentre: DataCentreId, isCheap: boolean): number =>
+      countPresent(endpoints, {service, dataCentre, isCheap});
+    return new Map(
+      dataCentres.map(id => [
+        id,
+        {regular: countOf(id, false), cheap: countOf(id, true)},
+      ]),
+    );
+  }
+
   /** Where cheap ones were refused a moment ago, those that are still there. */
   private countCheapLeft(
     {id: service, scaling}: Service,
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -171,7 +171,12 @@
       if (change.kind === 'listed') {
         const {id, isLeaving, service} = change.endpoint;
         this.noteNewLife(change.endpoint);
-        logger.info('endpoint_listed', {endpoint: id, isLeaving, service});
+        logger.info('endpoint_listed', {
+          endpoint: id,
+          dataCentre: change.endpoint.dataCentre,
+          isLeaving,
+          service,
+        });
       } else {
         logger.info(`endpoint_${change.kind}`, {endpoint: change.id});
       }
--- a/packages/routing/src/capacity_plan.test.ts
+++ b/packages/routing/src/capacity_plan.test.ts
@@ -222,3 +222,24 @@
     .reduce((sum, {count}) => sum + count, 0);
   t.true(serving >= 12);
 });
+
+test('load pattern: cheap endpoints can be had again where regular ones stand in', t => {
+  // Guards against a data centre that gives back all that serves there at once.
+  const full = {needed: 18, neededNow: 5};
+  const at = (regular: number, cheap: number) =>
+    plan({...full, present: new Map([[A, {regular, cheap}]])})
+      .filter(({dataCentre}) => dataCentre === A)
+      .map(({count}) => count);
+  const [, usualCheap] = at(1, 11);
+  t.is(usualCheap, 11);
+  t.deepEqual(at(11, 1), [5, 7], 'half of the places serve on');
+  t.deepEqual(at(5, 1), [5, 7], 'and wait for the others to boot');
+  t.deepEqual(at(5, 7), [1, 11], 'then the rest is replaced');
+});
+
+test('nothing is held back before the first request', t => {
+  // Guards against paying for regular endpoints that nobody uses yet.
+  const present = new Map([[A, {regular: 12, cheap: 0}]]);
+  const [first] = plan({needed: 18, present});
+  t.is(first.count, 1);
+});
--- a/packages/routing/src/capacity_plan.ts
+++ b/packages/routing/src/capacity_plan.ts
@@ -29,6 +29,14 @@
   readonly cheapLeft?: ReadonlyMap<DataCentreId, number>;
   /** Data centres that get no requests at the moment (none). */
   readonly evacuated?: ReadonlySet<DataCentreId>;
+  /** Endpoints that each data centre runs and keeps (none). */
+  readonly present?: ReadonlyMap<DataCentreId, PresentEndpoints>;
+}
+
+/** Endpoints of a data centre by kind. */
+export interface PresentEndpoints {
+  readonly regular: number;
+  readonly cheap: number;
 }
 
 /** Both kinds of one data centre. */
@@ -69,6 +77,9 @@
   const wanted = Math.max(countWanted(input), neededNow);
   addCheap(shares, wanted - countExpected(shares), scaling);
   addRegular(shares, neededNow - countExpected(shares), scaling);
+  if (neededNow > 0) {
+    for (const share of shares) keepUntilReplaced(share, input);
+  }
   return shares.flatMap(({dataCentre, regular, cheap}) => [
     {service, dataCentre, isCheap: false, count: regular},
     {service, dataCentre, isCheap: true, count: cheap},
@@ -156,6 +167,28 @@
   }
 }
 
+/** Share of a data centre's endpoints that serves while the rest is replaced. */
+const KEPT_SHARE = 0.5;
+
+/**
+ * Load pattern: cheap endpoints can be had again in a data centre that regular
+ * ones have filled meanwhile. Given back all at once, it would serve with next to
+ * none until the cheap ones have booted, and a data centre that is cut off then
+ * refuses its callers. So they are replaced in two steps.
+ */
+function keepUntilReplaced(
+  share: Share,
+  {present, scaling}: CapacityInput,
+): void {
+  const now = present?.get(share.dataCentre);
+  if (now === undefined) return;
+  const kept = Math.ceil((share.regular + share.cheap) * KEPT_SHARE);
+  const regular = Math.min(now.regular, kept - now.cheap);
+  if (regular <= share.regular) return;
+  share.regular = regular;
+  share.cheap = Math.min(share.cheap, scaling.maxCount - regular);
+}
+
 function hasRoom({regular, cheap}: Share, {maxCount}: ScalingLimits): boolean {
   return regular + cheap < maxCount;
 }
