Form the sides of the split with the cold engines in them

While cold engines were left out before the engines were split between short and long work, both sides changed engines when some came back and again when they were warm: more short questions were late by their pauses.

Cold engines are now left out within their side, as long as a warm one of it, or of all engines, has room.

--- a/packages/routing/src/least_loaded_placement.ts
+++ b/packages/routing/src/least_loaded_placement.ts
@@ -4,6 +4,7 @@
 import {
   findUsable,
   leastBy,
+  leaveOutCold,
   Placement,
   type Placed,
   type PlacementBeliefs,
@@ -41,7 +42,8 @@
     candidates: readonly ServingEndpoint[],
     request: PlacementRequest,
   ): Placed | undefined {
-    const usable = findUsable(candidates, request, this.options);
+    const all = findUsable(candidates, request, this.options);
+    const usable = leaveOutCold(all, all, request, this.options);
     const typicalMs = this.typicalDurationMs(usable);
     const endpoint = leastBy(usable, each =>
       this.costOf(each, request, typicalMs),
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -47,8 +47,7 @@
 
 /**
  * Candidates that were not asked yet and could be reached lately. When none
- * could, all that were not asked: a wrong belief must not refuse a request. Cold
- * ones are left out as long as a warm one has room.
+ * could, all that were not asked: a wrong belief must not refuse a request.
  *
  * @example
  * const usable = findUsable(candidates, request, {monitor, reach});
@@ -56,32 +55,10 @@
 export function findUsable(
   candidates: readonly ServingEndpoint[],
   request: PlacementRequest,
-  beliefs: PlacementBeliefs,
-): readonly ServingEndpoint[] {
-  const {monitor, warmup} = beliefs;
-  const {excluded, nowMs} = request;
-  const untried = candidates.filter(({id}) => !excluded.has(id));
-  const warm =
-    warmup === undefined
-      ? untried
-      : untried.filter(({id}) => !warmup.isCold(id, nowMs));
-  const usable = findReachable(warm, request, beliefs);
-  if (warmup === undefined || warm.length === untried.length) return usable;
-  const hasRoom = ({id, capacity}: ServingEndpoint): boolean =>
-    !monitor.isDown(id, nowMs) && monitor.estimateLoad(id, nowMs) < capacity;
-  if (usable.some(hasRoom)) return usable;
-  const admitted = untried.filter(
-    each => warmup.isCold(each.id, nowMs) && warmup.mayAdmit(each, nowMs),
-  );
-  const reachable = findReachable(admitted, request, beliefs);
-  return reachable.length > 0 ? reachable : usable;
-}
-
-function findReachable(
-  untried: readonly ServingEndpoint[],
-  {avoided, nowMs}: PlacementRequest,
   {monitor, reach}: PlacementBeliefs,
 ): readonly ServingEndpoint[] {
+  const {excluded, avoided, nowMs} = request;
+  const untried = candidates.filter(({id}) => !excluded.has(id));
   const up = untried.filter(
     ({id, dataCentre}) =>
       !monitor.isDown(id, nowMs) && !reach.isCut(dataCentre, nowMs),
@@ -91,6 +68,36 @@
   return up.length > 0 ? up : untried;
 }
 
+/**
+ * The endpoints of a group without the cold ones, as long as a warm one has room:
+ * in the group, or else among all that are usable. Then cold ones get what they
+ * bear. The group is formed with the cold ones, so that it stays the same while
+ * they warm up.
+ *
+ * @example
+ * const admitted = leaveOutCold(group, usable, request, beliefs);
+ */
+export function leaveOutCold(
+  group: readonly ServingEndpoint[],
+  usable: readonly ServingEndpoint[],
+  {nowMs}: PlacementRequest,
+  {monitor, warmup}: PlacementBeliefs,
+): readonly ServingEndpoint[] {
+  if (warmup === undefined) return group;
+  const isWarm = ({id}: ServingEndpoint): boolean => !warmup.isCold(id, nowMs);
+  const warm = group.filter(isWarm);
+  if (warm.length === group.length) return group;
+  const hasRoom = ({id, capacity}: ServingEndpoint): boolean =>
+    !monitor.isDown(id, nowMs) && monitor.estimateLoad(id, nowMs) < capacity;
+  if (warm.some(hasRoom)) return warm;
+  const others = usable.filter(isWarm);
+  const free = others.filter(hasRoom);
+  if (free.length > 0) return free;
+  const cold = usable.filter(each => !isWarm(each));
+  const admitted = cold.filter(each => warmup.mayAdmit(each, nowMs));
+  return admitted.length > 0 ? admitted : others;
+}
+
 /**
  * The item with the least cost; the first of equals.
  *
--- a/packages/routing/src/prompt_placement.test.ts
+++ b/packages/routing/src/prompt_placement.test.ts
@@ -18,13 +18,17 @@
   QUOTE,
   REPAIR,
 } from './test_support/fixtures.js';
+import {WarmupGate} from './warmup_gate.js';
 
 const ENGINES = Array.from({length: 8}, (_, index) =>
   makeEndpoint(`engine-${index}`),
 );
 
 /** Many requests of both routes, over some seconds. */
-function makePlacement(monitor = new EndpointMonitor()): PromptPlacement {
+function makePlacement(
+  monitor = new EndpointMonitor(),
+  warmup?: WarmupGate,
+): PromptPlacement {
   const demand = new DemandMeter();
   for (let index = 0; index < 100; index++) {
     const nowMs = index * 50;
@@ -38,6 +42,7 @@
     reach,
     demand,
     recent,
+    warmup,
     random: () => 0,
   });
 }
@@ -133,3 +138,26 @@
   const without = ENGINES.filter(({id}) => id !== placed.endpoint.id);
   t.is(placed.cacheSource?.id, placement.choose(without, request)?.endpoint.id);
 });
+
+test('load pattern: engines of one side of the split come back cold', t => {
+  // Guards against long prompts that move to the engines of short pauses meanwhile.
+  const warmup = new WarmupGate({
+    limitOf: () => ({durationMs: 3000, requestsPerS: 7}),
+    readInstances: () => 65,
+    random: () => 0.99,
+  });
+  const sidesOf = (placement: PromptPlacement) => {
+    const quotes = Array.from({length: 100}, (_, index) =>
+      place(placement, QUOTE, makePrompt(`q${index}`, 13_000, 3700)),
+    );
+    const counter = place(placement, COUNTER, makePrompt('c', 300, 1100));
+    return {quotes: new Set(quotes), counter};
+  };
+  const before = sidesOf(makePlacement(undefined, warmup));
+  const [cold] = before.quotes;
+  warmup.noteWarmup(brandAs<EndpointId>(cold ?? ''), 60_000, 5000);
+  const after = sidesOf(makePlacement(undefined, warmup));
+  t.is(after.counter, before.counter);
+  t.false(after.quotes.has(cold));
+  t.false(after.quotes.has(before.counter));
+});
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -14,6 +14,7 @@
 import {
   findUsable,
   leastBy,
+  leaveOutCold,
   Placement,
   type Placed,
   type PlacementBeliefs,
@@ -79,7 +80,9 @@
   ): Placed | undefined {
     const usable = findUsable(candidates, request, this.options);
     if (usable.length === 0) return undefined;
-    const group = this.groupFor(usable, request);
+    const side = this.groupFor(usable, request);
+    const group = leaveOutCold(side, usable, request, this.options);
+    if (group.length === 0) return undefined;
     const {prompt} = request;
     if (prompt === undefined) return this.chooseByLoad(group, request);
     if (countSharedTokens(prompt) >= MIN_SHARED_TOKENS) {
--- a/packages/routing/src/warmup_gate.test.ts
+++ b/packages/routing/src/warmup_gate.test.ts
@@ -1,8 +1,12 @@
 import test from 'ava';
-import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
+import {
+  brandAs,
+  type DataCentreId,
+  type EndpointId,
+} from '@snipestage/types/ids.js';
 import {DataCentreReach} from './data_centre_reach.js';
 import {EndpointMonitor} from './endpoint_monitor.js';
-import {findUsable} from './placement.js';
+import {findUsable, leaveOutCold} from './placement.js';
 import {AKL_A, makeEndpoint, makeRoute} from './test_support/fixtures.js';
 import {WarmupGate} from './warmup_gate.js';
 
@@ -123,19 +127,18 @@
     monitor.noteLoad(id, load, 0);
   }
   gate.noteWarmup(ENGINE.id, 3000, 0);
-  const usable = findUsable(
-    [...engines, ENGINE],
-    {
-      route: makeRoute(),
-      prompt: undefined,
-      dataCentre: AKL_A,
-      excluded: new Set(),
-      avoided: new Set(),
-      nowMs: 1,
-    },
-    {monitor, reach: new DataCentreReach(), warmup: gate},
-  );
-  return usable.map(({id}) => id);
+  const request = {
+    route: makeRoute(),
+    prompt: undefined,
+    dataCentre: AKL_A,
+    excluded: new Set<EndpointId>(),
+    avoided: new Set<DataCentreId>(),
+    nowMs: 1,
+  };
+  const beliefs = {monitor, reach: new DataCentreReach(), warmup: gate};
+  const usable = findUsable([...engines, ENGINE], request, beliefs);
+  const admitted = leaveOutCold(usable, usable, request, beliefs);
+  return admitted.map(({id}) => id);
 }
 
 test('load pattern: a data centre comes back cold beside warm engines', t => {
