Say why no endpoint could be asked, and when to come back

A request for which every data centre is evacuated, or every engine cold and at its limit, was refused like one whose service has no endpoints, with the usual delay. The log says evacuated or warming_up now; with cold engines Retry-After is at least the time until the first of them is warm. A gauge counts the evacuated data centres.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -28,6 +28,8 @@
   private hasBegunRun = false;
   private lastFailure: WholeAnswer | undefined;
   private lastReason = 'none';
+  /** Coming back sooner is of no use. */
+  private minRetryAfterMs = 0;
   /** What the last endpoint seemed to have, and how old that was. */
   private loadWhenChosen: number | undefined;
   private loadAgeWhenChosenMs: number | undefined;
@@ -112,8 +114,7 @@
       if (this.writer.isOver) return;
       const placed = this.choose();
       if (placed === undefined) {
-        const isFirst = this.history.excluded.size === 0;
-        this.lastReason = isFirst ? 'no_endpoint' : this.lastReason;
+        if (this.history.excluded.size === 0) this.noteNone();
         return this.fail();
       }
       const result = await this.attempt(placed);
@@ -122,6 +123,15 @@
     }
   }
 
+  /** No endpoint could be asked at all. */
+  private noteNone(): void {
+    const {state, nowMs} = this.context;
+    const {service} = this.request.admission;
+    const {reason, retryAfterMs} = state.explainNone(service, nowMs());
+    this.lastReason = reason;
+    this.minRetryAfterMs = retryAfterMs;
+  }
+
   private choose(): Placed | undefined {
     const {state, dataCentre, nowMs} = this.context;
     const {route, service} = this.request.admission;
@@ -289,7 +299,10 @@
       this.current?.verdict ?? 'not_run',
     );
     this.verdict = verdict;
-    const retryAfterMs = state.refusalDelayFor(service).adviseMs(nowMs());
+    const retryAfterMs = Math.max(
+      this.minRetryAfterMs,
+      state.refusalDelayFor(service).adviseMs(nowMs()),
+    );
     const failure = failureFor(verdict, {
       timedOut: this.hasExpired,
       retryAfterMs,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -125,6 +125,7 @@
       nowMs,
       ...settings.changes,
       onConfiguration: configuration => this.applyConfiguration(configuration),
+      onEvacuated: ({length}) => options.metrics.setEvacuated(length),
     });
     this.operations = createPages({
       ...options,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -46,6 +46,11 @@
     help: 'Version of the configuration in force.',
     registers: [this.registry],
   });
+  private readonly evacuated = new Gauge({
+    name: 'snipestage_evacuated_data_centres',
+    help: 'Data centres that get no requests by order of an operator.',
+    registers: [this.registry],
+  });
   private readonly lines = new Gauge({
     name: 'snipestage_log_lines_dropped',
     help: 'Log lines left out since the start.',
@@ -74,6 +79,10 @@
     this.version.set(version);
   }
 
+  setEvacuated(dataCentres: number): void {
+    this.evacuated.set(dataCentres);
+  }
+
   setDroppedLines(count: number): void {
     this.lines.set(count);
   }
--- a/packages/gateway/src/operator_rows.ts
+++ b/packages/gateway/src/operator_rows.ts
@@ -15,6 +15,7 @@
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly onConfiguration: (configuration: RoutingConfiguration) => void;
+  readonly onEvacuated: (dataCentres: readonly DataCentreId[]) => void;
 }
 
 /** Applies configurations and evacuations. */
@@ -83,6 +84,7 @@
       before.length === evacuated.size && before.every(id => evacuated.has(id));
     if (isSame) return;
     directory.setEvacuated(evacuated);
+    this.options.onEvacuated([...evacuated]);
     this.presumeCold(before.filter(id => !evacuated.has(id)));
     this.options.logger.info('evacuations_applied', {
       evacuated: [...evacuated],
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -33,6 +33,18 @@
 /** Long enough for some dozen requests, short beside a burst of seconds. */
 const RECENT_DEMAND_HALF_LIFE_MS = 1500;
 
+/** Why a request was offered to no endpoint. */
+export interface NoEndpoint {
+  /**
+   * - `no_endpoint`: none is listed.
+   * - `evacuated`: all that are listed are in evacuated data centres.
+   * - `warming_up`: all are cold and get what they bear already.
+   */
+  readonly reason: 'no_endpoint' | 'evacuated' | 'warming_up';
+  /** When the first may take requests again, if that is known; else 0. */
+  readonly retryAfterMs: number;
+}
+
 /** Made anew with each process. */
 export class RoutingState {
   /** Undefined until the first configuration is known. */
@@ -161,6 +173,23 @@
     return delay;
   }
 
+  /** Why no endpoint of a service could be chosen. */
+  explainNone(service: ServiceId, nowMs: number): NoEndpoint {
+    const serving = this.directory.findServing(service, nowMs);
+    if (serving.length > 0) {
+      const left = serving.map(({id}) => this.warmup.leftMs(id, nowMs));
+      return {reason: 'warming_up', retryAfterMs: Math.min(...left)};
+    }
+    const isEvacuated = this.directory
+      .readAll()
+      .some(
+        each =>
+          each.service === service &&
+          this.directory.isEvacuated(each.dataCentre),
+      );
+    return {reason: isEvacuated ? 'evacuated' : 'no_endpoint', retryAfterMs: 0};
+  }
+
   /** What is known of each endpoint, for the dump of state. */
   describeEndpoints(nowMs: number): readonly object[] {
     const {directory, monitor} = this;
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -4,6 +4,7 @@
 import type {AgreedClock} from '@snipestage/routing/agreed_clock.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import type {DataCentreId} from '@snipestage/types/ids.js';
 import type {CrashReporter} from './crash_reporter.js';
 import {OperatorRows} from './operator_rows.js';
 import type {RoutingState} from './routing_state.js';
@@ -45,6 +46,7 @@
   /** A change has to be in force so soon after the store has taken it. */
   readonly inForceWithinMs: number;
   readonly onConfiguration: (configuration: RoutingConfiguration) => void;
+  readonly onEvacuated: (dataCentres: readonly DataCentreId[]) => void;
 }
 
 /**
--- a/packages/routing/src/warmup_gate.ts
+++ b/packages/routing/src/warmup_gate.ts
@@ -82,6 +82,11 @@
     return false;
   }
 
+  /** How long an endpoint stays cold; 0: it is warm. */
+  leftMs(id: EndpointId, nowMs: number): number {
+    return this.isCold(id, nowMs) ? this.coldUntilMs.get(id)! - nowMs : 0;
+  }
+
   /** Whether this instance may send a cold endpoint a request now. */
   mayAdmit(endpoint: ServingEndpoint, nowMs: number): boolean {
     return this.admissionOf(endpoint, nowMs).left > 0;
