--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -12,6 +12,7 @@
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
 import {Attempt} from './attempt.js';
+import {recordOutcome} from './record_outcome.js';
 import type {
   AttemptResult,
   ExchangeContext,
@@ -228,61 +229,20 @@
     this.context.onBegun(this.request.admission, this.context.nowMs());
   }
 
-  /** Records what an attempt shows of its endpoint and of the request. */
+  /** Records how an attempt ended. */
   private settle(
     endpoint: ServingEndpoint,
     result: AttemptResult,
     durationMs: number,
   ): void {
-    const {state, crashes, metrics, nowMs} = this.context;
-    const {fingerprint, admission} = this.request;
-    const atMs = nowMs();
-    this.noteReach(endpoint, result, atMs);
+    recordOutcome(this.context, this.request, {endpoint, result, durationMs});
     if (result.kind === 'answered') {
       this.verdict = 'ran';
-      state.monitor.note(endpoint.id, 'answered', atMs);
-      state.refusalDelayFor(admission.service).noteServed(atMs);
-      crashes.noteSound(endpoint, fingerprint);
-      if (admission.route.kind !== 'stream') {
-        state.monitor.noteDuration(endpoint.id, durationMs);
-      }
-      metrics.countAttempt(admission.service, 'answered');
       return;
     }
     this.verdict = worseVerdict(this.verdict, result.verdict);
     const hasTimedOut = result.reason === 'connect_timeout';
     this.history.fail(endpoint, {...result, hasTimedOut});
-    metrics.countAttempt(admission.service, result.reason);
-    if (result.sign !== undefined) {
-      state.monitor.note(endpoint.id, result.sign, atMs);
-    }
-    if (result.reason === 'unreachable') crashes.noteUnreachable(endpoint);
-    if (result.reason === 'broken' && fingerprint !== undefined) {
-      crashes.noteBroken(endpoint, fingerprint);
-    }
-    this.context.logger.info('attempt_failed', {
-      requestId: this.request.caller.requestId,
-      endpoint: endpoint.id,
-      reason: result.reason,
-      verdict: result.verdict,
-      durationMs: Math.round(durationMs),
-      load: Math.round(state.monitor.estimateLoad(endpoint.id, atMs)),
-    });
-  }
-
-  private noteReach(
-    endpoint: ServingEndpoint,
-    result: AttemptResult,
-    nowMs: number,
-  ): void {
-    const {reach} = this.context.state;
-    const {dataCentre, id} = endpoint;
-    if (result.kind === 'answered') reach.noteReached(dataCentre);
-    else if (result.reason === 'connect_timeout') {
-      reach.noteUnreached(dataCentre, id, nowMs);
-    } else if (result.reason === 'unreachable') {
-      reach.noteRefused(dataCentre, id, nowMs);
-    }
   }
 
   /** The final answer when no endpoint gives one. */
--- /dev/null
+++ b/packages/gateway/src/record_outcome.ts
@@ -0,0 +1,87 @@
+/** What an attempt shows of its endpoint and of the request. */
+
+import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import type {
+  AttemptResult,
+  ExchangeContext,
+  FailedResult,
+  ReadRequest,
+} from './exchange_context.js';
+
+/** An attempt that has ended. */
+export interface AttemptOutcome {
+  readonly endpoint: ServingEndpoint;
+  readonly result: AttemptResult;
+  readonly durationMs: number;
+}
+
+/**
+ * Records an attempt with everything that later requests are placed by.
+ *
+ * @example
+ * recordOutcome(context, request, {endpoint, result, durationMs});
+ */
+export function recordOutcome(
+  context: ExchangeContext,
+  request: ReadRequest,
+  {endpoint, result, durationMs}: AttemptOutcome,
+): void {
+  if (result.kind === 'answered') {
+    recordAnswer(context, request, {endpoint, durationMs});
+    return;
+  }
+  recordFailure(context, request, {endpoint, result, durationMs});
+}
+
+function recordAnswer(
+  {state, crashes, metrics, nowMs}: ExchangeContext,
+  {fingerprint, admission}: ReadRequest,
+  {endpoint, durationMs}: Omit<AttemptOutcome, 'result'>,
+): void {
+  const atMs = nowMs();
+  state.reach.noteReached(endpoint.dataCentre);
+  state.monitor.note(endpoint.id, 'answered', atMs);
+  state.refusalDelayFor(admission.service).noteServed(atMs);
+  crashes.noteSound(endpoint, fingerprint);
+  if (admission.route.kind !== 'stream') {
+    state.monitor.noteDuration(endpoint.id, durationMs);
+  }
+  metrics.countAttempt(admission.service, 'answered');
+}
+
+function recordFailure(
+  context: ExchangeContext,
+  {fingerprint, admission, caller}: ReadRequest,
+  {endpoint, result, durationMs}: AttemptOutcome & {result: FailedResult},
+): void {
+  const {state, crashes, metrics, nowMs} = context;
+  const atMs = nowMs();
+  const {reason, verdict, sign} = result;
+  recordReach(context, endpoint, reason);
+  metrics.countAttempt(admission.service, reason);
+  if (sign !== undefined) state.monitor.note(endpoint.id, sign, atMs);
+  if (reason === 'unreachable') crashes.noteUnreachable(endpoint);
+  if (reason === 'broken' && fingerprint !== undefined) {
+    crashes.noteBroken(endpoint, fingerprint);
+  }
+  context.logger.info('attempt_failed', {
+    requestId: caller.requestId,
+    endpoint: endpoint.id,
+    reason,
+    verdict,
+    durationMs: Math.round(durationMs),
+    load: Math.round(state.monitor.estimateLoad(endpoint.id, atMs)),
+  });
+}
+
+function recordReach(
+  {state, nowMs}: ExchangeContext,
+  {dataCentre, id}: ServingEndpoint,
+  reason: string,
+): void {
+  if (reason === 'connect_timeout') {
+    state.reach.noteUnreached(dataCentre, id, nowMs());
+  } else if (reason === 'unreachable') {
+    state.reach.noteRefused(dataCentre, id, nowMs());
+  }
+}
