--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -157,9 +157,9 @@
     kinds: CHANGES,
     edits: [
       {
-        module: 'gateway/dist/state_follower.js',
-        from: 'if (configuration.version <= current)',
-        to: 'if (current > 2)',
+        module: 'gateway/dist/operator_rows.js',
+        from: 'if (configuration.version <= before)',
+        to: 'if (before > 2)',
       },
     ],
   },
@@ -169,9 +169,9 @@
     kinds: ['withdraw_key'],
     edits: [
       {
-        module: 'gateway/dist/state_follower.js',
-        from: 'if (configuration.version <= current)',
-        to: 'if (current > 2)',
+        module: 'gateway/dist/operator_rows.js',
+        from: 'if (configuration.version <= before)',
+        to: 'if (before > 2)',
       },
     ],
   },
@@ -181,11 +181,11 @@
     kinds: ['add_marker'],
     edits: [
       {
-        module: 'gateway/dist/state_follower.js',
+        module: 'gateway/dist/operator_rows.js',
         from: 'this.options.onConfiguration(configuration);',
-        to: `const before = this.options.state.table;
-          setTimeout(() => { this.options.state.table = this.first ?? before; }, 900);
-          this.first ??= before;
+        to: `const former = this.options.state.table;
+          setTimeout(() => { this.options.state.table = this.first ?? former; }, 900);
+          this.first ??= former;
           this.options.onConfiguration(configuration);`,
       },
     ],
@@ -197,8 +197,8 @@
     edits: [
       {
         module: 'routing/dist/endpoint_directory.js',
-        from: 'if (endpoint.isLeaving)',
-        to: 'if (false)',
+        from: 'endpoint.isLeaving ||',
+        to: 'false ||',
       },
     ],
   },
