--- a/packages/routing/src/engine_split.ts
+++ b/packages/routing/src/engine_split.ts
@@ -16,7 +16,7 @@
 const SHORT_PAUSE_SHARE = 0.5;
 /** Prompts of at most this share of the mean disturb little. */
 const SHORT_PROMPT_SHARE = 0.5;
-/** Callers come in clumps, and a false alarm moves prompts from their homes. */
+/** Arrivals are bursty, and a false alarm moves prompts to cold caches. */
 const DEVIATIONS_OF_A_BURST = 3;
 
 /**
--- a/packages/routing/src/prompt_placement.test.ts
+++ b/packages/routing/src/prompt_placement.test.ts
@@ -90,38 +90,38 @@
   const monitor = new EndpointMonitor();
   const placement = makePlacement(monitor);
   const prompt = makePrompt('hot', 13_000, 3700);
-  const home = place(placement, QUOTE, prompt)!;
+  const primary = place(placement, QUOTE, prompt)!;
   const busy = {running: 60, waiting: 10, capacity: 64};
-  monitor.noteLoad(brandAs<EndpointId>(home), busy, 5000);
-  t.not(place(placement, QUOTE, prompt), home);
+  monitor.noteLoad(brandAs<EndpointId>(primary), busy, 5000);
+  t.not(place(placement, QUOTE, prompt), primary);
 });
 
-test('a home without a free place is passed over while others have some', t => {
-  // Guards against queues and preemptions at full homes on busy days: there the
+test('a primary engine without a free place is passed over while others have some', t => {
+  // Guards against queues and preemptions at full primary engines on busy days: there the
   // bound by the mean load is above what an engine can run.
   const monitor = new EndpointMonitor();
   const placement = makePlacement(monitor);
   const engines = ENGINES.map(({id}) => makeEndpoint(id, {capacity: 16}));
   const prompt = makePrompt('manual-7', 13_000, 3700);
-  const home = place(placement, QUOTE, prompt, engines)!;
+  const primary = place(placement, QUOTE, prompt, engines)!;
   for (const {id} of engines) {
-    const running = id === home ? 16 : 12;
+    const running = id === primary ? 16 : 12;
     monitor.noteLoad(id, {running, waiting: 0, capacity: 16}, 5000);
   }
-  t.not(place(placement, QUOTE, prompt, engines), home);
+  t.not(place(placement, QUOTE, prompt, engines), primary);
 });
 
-test('a failing home engine is passed over', t => {
+test('a failing primary engine is passed over', t => {
   const monitor = new EndpointMonitor();
   const placement = makePlacement(monitor);
   const prompt = makePrompt('manual-7', 13_000, 3700);
-  const home = brandAs<EndpointId>(place(placement, QUOTE, prompt)!);
-  for (let count = 0; count < 5; count++) monitor.note(home, 'failed', 5000);
-  t.not(place(placement, QUOTE, prompt), home);
+  const primary = brandAs<EndpointId>(place(placement, QUOTE, prompt)!);
+  for (let count = 0; count < 5; count++) monitor.note(primary, 'failed', 5000);
+  t.not(place(placement, QUOTE, prompt), primary);
 });
 
 test('an engine that lacks a beginning can fetch it from the next in rank', t => {
-  // An engine has just booted and is the home of a seventh of all manuals from
+  // An engine has just booted and is the primary engine of a seventh of all manuals from
   // now on. Reading them anew would hold up everything else on it, while the
   // engines that served them until now have them in their caches.
   const placement = makePlacement();
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -38,7 +38,7 @@
 const LOAD_BOUND = 1.5;
 /**
  * Requests above the bounded mean before it holds: with few requests an engine,
- * the estimates waver by some, and prompts would leave their homes for nothing.
+ * the estimates vary by some, and prompts would spill over for nothing.
  */
 const LOAD_SLACK = 8;
 /** Below this a cached prefix saves less than an uneven load costs. */
@@ -96,7 +96,7 @@
    * Names the engine that this instance sent the beginning to last as the place
    * to fetch it from. Short beginnings go wherever there is least to do; read
    * anew at each engine that they come to, they would cost as much as the
-   * questions behind them. Long ones have a home that all instances know.
+   * questions behind them. Long ones have a primary engine that all instances know.
    */
   private fetchFromHolder(
     placed: Placed,
@@ -156,8 +156,8 @@
     const endpoint =
       sound.find(hasRoom) ?? this.chooseByLoad(group, request)?.endpoint;
     if (endpoint === undefined) return undefined;
-    // The first of the others: its home when the prompt spills over, else who
-    // was its home before an endpoint came.
+    // The first of the others: the primary engine when the prompt spills over,
+    // else the one that was primary before an endpoint was added.
     return {endpoint, cacheSource: sound.find(({id}) => id !== endpoint.id)};
   }
 
