Evacuate data centres in the soak

Operators evacuate one data centre after the other beside the faults that a seed draws, which stay the same; no request of an instance in touch may reach an endpoint there later than a configuration may take. A mutant whose directory leaves evacuated data centres in goes with it.

--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -10,6 +10,7 @@
   UnchangedRequest,
 } from './answers.js';
 import {
+  EvacuatedDataCentres,
   LeavingEndpoints,
   RisingConfiguration,
   TimelyConfiguration,
@@ -38,6 +39,7 @@
   new NothingForNobody(),
   new WithdrawnKeys(),
   new LeavingEndpoints(),
+  new EvacuatedDataCentres(),
   new TimelyConfiguration(),
   new RisingConfiguration(),
   new OneFigure(),
--- a/packages/soak/src/checks/changes.ts
+++ b/packages/soak/src/checks/changes.ts
@@ -52,6 +52,31 @@
   }
 }
 
+/** An evacuated data centre gets no new requests until it is restored. */
+export class EvacuatedDataCentres extends Check {
+  readonly name = 'evacuated_data_centres';
+
+  find(history: History): readonly Finding[] {
+    const known = new Map(history.requests.map(each => [each.requestId, each]));
+    return history.runs.flatMap(run => {
+      const request = known.get(run.requestId);
+      if (request === undefined) return [];
+      const {arrivedAtMs, endpoint} = run;
+      const dataCentre = history.endpointPlaces.get(endpoint);
+      const isEvacuated = history.evacuations.some(
+        each =>
+          each.dataCentre === dataCentre &&
+          arrivedAtMs > each.fromMs + history.bounds.configurationMs &&
+          arrivedAtMs < each.toMs,
+      );
+      const isBound = history.isInTouch(request.instance, arrivedAtMs);
+      return isEvacuated && isBound
+        ? [this.foundFor(request, `reached ${endpoint} in ${dataCentre}`)]
+        : [];
+    });
+  }
+}
+
 /** A new version is in force in time where the store can be reached. */
 export class TimelyConfiguration extends Check {
   readonly name = 'timely_configuration';
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -1,3 +1,4 @@
+import {brandAs, type DataCentreId} from '@snipestage/types/ids.js';
 import test from 'ava';
 import type {History, SentRequest} from '../history.js';
 import {
@@ -175,6 +176,18 @@
   t.deepEqual(findersOf({}, [makeRun()], noticed(8500)), []);
 });
 
+test('a request that reaches an evacuated data centre is found', t => {
+  const evacuated = (fromMs: number, toMs: number) => (history: History) => {
+    const dataCentre = brandAs<DataCentreId>('akl-b');
+    history.endpointPlaces.set('booking-0.1', dataCentre);
+    history.evacuations.push({dataCentre, fromMs, toMs});
+  };
+  const found = ['evacuated_data_centres'];
+  t.deepEqual(findersOf({}, [makeRun()], evacuated(7900, 12_000)), found);
+  t.deepEqual(findersOf({}, [makeRun()], evacuated(8500, 12_000)), []);
+  t.deepEqual(findersOf({}, [makeRun()], evacuated(5000, 10_000)), []);
+});
+
 test('a configuration that comes late or goes back is found', t => {
   const unknown = {marker: 3, outcome: {...REFUSED, status: 404}};
   const added = (atMs: number) => (history: History) => {
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -50,7 +50,10 @@
   'withdraw_key',
 ] as const;
 
-export type FaultKind = (typeof FAULT_KINDS)[number];
+/** Drawn beside the others, so that these stay the same for a seed. */
+export const EVACUATE = 'evacuate';
+
+export type FaultKind = (typeof FAULT_KINDS)[number] | typeof EVACUATE;
 
 /** One fault. */
 export interface PlannedFault {
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -3,6 +3,7 @@
 import type {RouteKind} from '@snipestage/routing/route.js';
 import type {
   ClientAccountId,
+  DataCentreId,
   EndpointId,
   InstanceId,
 } from '@snipestage/types/ids.js';
@@ -89,6 +90,15 @@
   readonly lastError: string;
 }
 
+/** A data centre was to get no requests. */
+export interface Evacuation {
+  readonly dataCentre: DataCentreId;
+  /** When the store had it. */
+  readonly fromMs: number;
+  /** Infinite until the data centre is restored. */
+  toMs: number;
+}
+
 /** Times are of one steady clock. */
 export class History {
   readonly requests: SentRequest[] = [];
@@ -99,6 +109,9 @@
   readonly markers = new Map<number, number>();
   /** When the store had an endpoint's notice that it leaves. */
   readonly leavingNotices = new Map<string, number>();
+  readonly evacuations: Evacuation[] = [];
+  /** Of every life of an endpoint. */
+  readonly endpointPlaces = new Map<string, DataCentreId>();
   readonly dutyCalls: DutyCall[] = [];
   readonly ends: ProcessEnd[] = [];
   /** From here on nothing is disturbed any more. */
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,5 +1,6 @@
 /** Seeded faults of the program; a soak of each must find it. */
 
+import {EVACUATE} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
 
@@ -202,6 +203,18 @@
       },
     ],
   },
+  {
+    name: 'uses_evacuated_data_centres',
+    check: 'evacuated_data_centres',
+    kinds: [EVACUATE],
+    edits: [
+      {
+        module: 'routing/dist/endpoint_directory.js',
+        from: 'this.evacuated.has(endpoint.dataCentre)',
+        to: 'false',
+      },
+    ],
+  },
   {
     name: 'seals_again',
     check: 'one_figure',
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -2,8 +2,10 @@
 
 import {checkAll} from './checks/all_checks.js';
 import type {Finding} from './checks/check.js';
+import {drawEvacuations} from './evacuations.js';
 import {
   drawFaultPlan,
+  EVACUATE,
   type FaultKind,
   type PlannedFault,
 } from './fault_plan.js';
@@ -110,14 +112,20 @@
   }
 }
 
-/** Stops in turn come beside the other faults, where stops may come. */
+/** Evacuations and stops in turn come beside the others, where they may. */
 function drawPlan(
   options: SoakOptions,
   forMs: number,
-  {instances}: World,
+  world: World,
 ): PlannedFault[] {
+  const {instances} = world;
   const {seed, seriesEveryMs, stopTurnsEveryMs, kinds} = options;
-  const faults = drawFaultPlan({seed, forMs, seriesEveryMs, kinds});
+  const drawn = drawFaultPlan({seed, forMs, seriesEveryMs, kinds});
+  const evacuations =
+    kinds?.includes(EVACUATE) === false
+      ? []
+      : drawEvacuations({seed, forMs, dataCentres: world.dataCentres.length});
+  const faults = [...drawn, ...evacuations];
   if (kinds?.includes('instance_terminate') === false) return faults;
   const dataCentres = [...new Set(instances.map(each => each.dataCentre))];
   const places = dataCentres.map(dataCentre =>
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -85,7 +85,9 @@
       void way.stop();
       this.options.history.addRuns(standIn.runs);
     });
-    writeEndpoint(this.options.store, this.describe(false));
+    const {history, dataCentre, store} = this.options;
+    history.endpointPlaces.set(this.id, dataCentre);
+    writeEndpoint(store, this.describe(false));
   }
 
   setFault(fault: EndpointFault): void {
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -3,7 +3,7 @@
 import type {EndpointFault} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
 import type {ServerFault} from '@snipestage/platform_stand_ins/faulty_server.js';
 import type {Link, LinkMode} from '@snipestage/stand_ins/link/link.js';
-import type {FaultKind, PlannedFault} from '../fault_plan.js';
+import {EVACUATE, type FaultKind, type PlannedFault} from '../fault_plan.js';
 import type {Subject} from '../history.js';
 import type {Endpoint} from './endpoint.js';
 import type {Instance} from './instance.js';
@@ -81,6 +81,8 @@
       this.note(kind, 'store');
       if (kind === 'add_marker') operator.addMarker();
       else operator.withdrawKey(target);
+    } else if (kind === EVACUATE) {
+      this.evacuate(fault);
     } else if (kind.startsWith('store_way') || kind.startsWith('callers_way')) {
       this.disturbWay(fault, instances[target % instances.length]);
     } else if (kind.startsWith('instance')) {
@@ -103,6 +105,19 @@
     }
   }
 
+  /** No disturbance: all promises hold meanwhile. */
+  private evacuate({kind, target, forMs}: PlannedFault): void {
+    const {dataCentres, operator} = this.world;
+    const restore = operator.evacuate(dataCentres[target % dataCentres.length]);
+    if (restore === undefined) return;
+    this.note(kind, 'store', forMs);
+    const end = () => {
+      if (this.undos.delete(end)) restore();
+    };
+    this.undos.add(end);
+    this.timers.add(setTimeout(end, forMs));
+  }
+
   private disturbInstance(fault: PlannedFault, instance: Instance): void {
     const {kind, forMs, target} = fault;
     if (!instance.isUp) return;
--- a/packages/soak/src/world/operator.ts
+++ b/packages/soak/src/world/operator.ts
@@ -1,6 +1,9 @@
 /** The operator: routes, keys and their changes. */
 
-import {writeConfiguration} from '@snipestage/platform_stand_ins/operator_rows.js';
+import {
+  writeConfiguration,
+  writeEvacuation,
+} from '@snipestage/platform_stand_ins/operator_rows.js';
 import type {StoreStandIn} from '@snipestage/platform_stand_ins/store_stand_in.js';
 import type {
   Route,
@@ -11,6 +14,7 @@
 import {
   brandAs,
   type ClientAccountId,
+  type DataCentreId,
   type ServiceId,
 } from '@snipestage/types/ids.js';
 import type {History} from '../history.js';
@@ -115,6 +119,27 @@
     this.history.keyWithdrawals.set(key, this.nowMs());
   }
 
+  /**
+   * Evacuates a data centre.
+   *
+   * @returns restores it; undefined when it is evacuated already.
+   */
+  evacuate(dataCentre: DataCentreId): (() => void) | undefined {
+    const {history, nowMs, store} = this;
+    const isEvacuated = history.evacuations.some(
+      each => each.dataCentre === dataCentre && each.toMs > nowMs(),
+    );
+    if (isEvacuated) return undefined;
+    writeEvacuation(store, dataCentre, true);
+    const toMs = Number.POSITIVE_INFINITY;
+    const evacuation = {dataCentre, fromMs: nowMs(), toMs};
+    history.evacuations.push(evacuation);
+    return () => {
+      evacuation.toMs = nowMs();
+      writeEvacuation(store, dataCentre, false);
+    };
+  }
+
   private markerRoutes(): Route[] {
     return Array.from({length: this.markers}, (_, index) => ({
       ...describeRoute(`marker-${index + 1}`, 'idempotent', BOOKINGS),
--- a/packages/soak/src/world/world.ts
+++ b/packages/soak/src/world/world.ts
@@ -57,6 +57,10 @@
     this.operator = new Operator(this.store, this.history, this.nowMs);
   }
 
+  get dataCentres(): readonly DataCentreId[] {
+    return DATA_CENTRES.slice(0, this.options.dataCentres);
+  }
+
   /** Resolves when every instance is ready. */
   async start(): Promise<void> {
     const storePort = await this.store.start(this.platformHost);
@@ -129,7 +133,7 @@
             storeAddress: storeWay.address,
             providerAddress,
             bounds: BOUNDS,
-            dataCentres: DATA_CENTRES.slice(0, this.options.dataCentres),
+            dataCentres: this.dataCentres,
             peerPort,
           },
           program: this.options.program,
