--- a/packages/cli/src/commands/evacuation/evacuation.ts
+++ b/packages/cli/src/commands/evacuation/evacuation.ts
@@ -4,7 +4,7 @@
 import type {Command} from 'commander';
 import {injectFromBase, injectable} from 'inversify';
 import {ticketsAnswer} from '../../admin/admin_answers.js';
-import {readAnswer} from '../../admin/admin_client.js';
+import {readAnswer, type AdminClient} from '../../admin/admin_client.js';
 import {CommandError} from '../../command_error.js';
 import {EXIT_OK, EXIT_REFUSED, type ExitCode} from '../../exit_codes.js';
 import {
@@ -61,23 +61,30 @@
           `${dataCentre} is ${evacuated ? '' : 'not '}evacuated already.\n`,
         );
         return EXIT_OK;
-      case 'ticket': {
-        const checked = checkTicket(plan.ticket);
-        if ('faults' in checked) {
-          const message = 'The ticket has faults; nothing was sent.';
-          return reportFaults(context.reporter, message, checked.faults);
-        }
-        const outcome = await submitTicket(checked.ticket, {
-          client,
-          sleep: delayMs => context.terminal.sleep(delayMs),
-          onProgress: text => context.reporter.progress(text),
-        });
-        return reportOutcome(checked.ticket, outcome, context);
-      }
+      case 'ticket':
+        return submit(plan.ticket, client, context);
     }
   }
 }
 
+async function submit(
+  ticket: object,
+  client: AdminClient,
+  context: CommandContext,
+): Promise<ExitCode> {
+  const checked = checkTicket(ticket);
+  if ('faults' in checked) {
+    const message = 'The ticket has faults; nothing was sent.';
+    return reportFaults(context.reporter, message, checked.faults);
+  }
+  const outcome = await submitTicket(checked.ticket, {
+    client,
+    sleep: delayMs => context.terminal.sleep(delayMs),
+    onProgress: text => context.reporter.progress(text),
+  });
+  return reportOutcome(checked.ticket, outcome, context);
+}
+
 /** New requests keep away from the data centre's endpoints. */
 @injectable()
 @injectFromBase()
--- a/packages/routing/src/attempt_history.ts
+++ b/packages/routing/src/attempt_history.ts
@@ -5,7 +5,7 @@
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** A failed attempt, as far as it counts for the next one. */
-export interface FailedTry {
+export interface AttemptFailure {
   readonly verdict: Verdict;
   /** The endpoint got the request, whatever it made of it. */
   readonly hasArrived: boolean;
@@ -63,14 +63,14 @@
    * @example
    * history.fail(endpoint, {verdict, hasArrived: true, hasTimedOut: false});
    */
-  fail(endpoint: ServingEndpoint, failed: FailedTry): void {
-    if (failed.verdict !== 'not_run') this.runCount += 1;
-    if (failed.hasArrived) {
+  fail(endpoint: ServingEndpoint, failure: AttemptFailure): void {
+    if (failure.verdict !== 'not_run') this.runCount += 1;
+    if (failure.hasArrived) {
       this.offerCount += 1;
       return;
     }
     this.unreachedCount += 1;
-    this.avoidUnreached(endpoint.dataCentre, failed.hasTimedOut);
+    this.avoidUnreached(endpoint.dataCentre, failure.hasTimedOut);
   }
 
   private avoidUnreached(dataCentre: DataCentreId, hasTimedOut: boolean): void {
