--- a/packages/cli/src/commands/evacuation/evacuation.test.ts
+++ b/packages/cli/src/commands/evacuation/evacuation.test.ts
@@ -66,7 +66,7 @@
   t.is(admin.seen.length, 1);
 });
 
-test('an unknown data centre is told, and nothing is sent', async t => {
+test('an unknown data centre is reported, and nothing is sent', async t => {
   const admin = await startAdmin(t);
   const run = await runCommand(['evacuate', 'akl-x', '--admin-url', admin.url]);
   t.is(run.exitCode, 4);
--- a/packages/gateway/src/no_endpoint.test.ts
+++ b/packages/gateway/src/no_endpoint.test.ts
@@ -27,7 +27,7 @@
   t.is((await door.call('two', {body: 'order'})).status, 200);
 });
 
-test('with every endpoint cold callers are told to return when one is warm', async t => {
+test('with every endpoint cold Retry-After lasts until one is warm', async t => {
   // Guards against refused callers that come back before anything has changed.
   const door = await TestDoor.start({}, [answerWhole]);
   t.teardown(() => door.close());
--- a/packages/gateway/src/relay/load_exchange.test.ts
+++ b/packages/gateway/src/relay/load_exchange.test.ts
@@ -26,7 +26,7 @@
   view.noteOwn({endpoint: ENGINE, load, atMs});
 }
 
-test('what one instance was told reaches one of another data centre', t => {
+test('a load reported to one instance reaches one of another data centre', t => {
   // Guards against instances that know an engine's load by their own answers only.
   const follower = makeExchange();
   const relay = makeExchange();
@@ -38,14 +38,14 @@
     relay.exchange.collectForOthers().toRelays,
     'remote',
   );
-  const told = remoteRelay.exchange.collectForOthers();
-  remote.exchange.receive(told.toFollowers, 'remote');
+  const reports = remoteRelay.exchange.collectForOthers();
+  remote.exchange.receive(reports.toFollowers, 'remote');
   t.is(remote.monitor.loadAgeMs(ENGINE, 1000), 100);
   t.true(remote.monitor.estimateLoad(ENGINE, 1000) > 15);
-  t.is(told.toRelays.lines.length, 0, 'and does not come back');
+  t.is(reports.toRelays.lines.length, 0, 'and does not come back');
 });
 
-test('nothing is told twice', t => {
+test('no reading is published twice', t => {
   const {view, exchange} = makeExchange();
   noteOwn(view, 20, 900);
   t.is(exchange.collectForRelay()?.lines.length, 1);
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -37,7 +37,7 @@
   const server = new RelayServer({address, copies, writes, onLoads, logger});
   await server.start();
   t.teardown(() => server.stop());
-  const told: TableChanges[] = [];
+  const received: TableChanges[] = [];
   const times: number[] = [];
   const ends: string[] = [];
   const client = new RelayClient({
@@ -52,7 +52,7 @@
     writeTimeoutMs,
     nowMs: () => performance.now(),
     onChanges: (_table, changes, asOfMs) => {
-      told.push(changes);
+      received.push(changes);
       times.push(asOfMs);
     },
     onLoads,
@@ -63,7 +63,7 @@
     server,
     address,
     copies,
-    told,
+    received,
     times,
     ends,
     client,
@@ -88,24 +88,24 @@
 }
 
 test('a follower hears each change once, and that there were none', async t => {
-  const {server, copies, told} = await startPair(t, 20_000);
-  await confirmUntil(server, () => told.length > 0);
-  t.deepEqual(told[0], {since: 3, version: 3, rows: []});
+  const {server, copies, received} = await startPair(t, 20_000);
+  await confirmUntil(server, () => received.length > 0);
+  t.deepEqual(received[0], {since: 3, version: 3, rows: []});
   const data = Buffer.from('x');
   copies.endpoints.apply([{key: 'a', version: 4, data}], 4);
   copies.endpoints.apply([{key: 'b', version: 5, data: undefined}], 5);
   server.confirm('endpoints');
-  await waitUntil(() => told.some(({version}) => version === 5));
-  const rows = told.flatMap(changes => changes.rows);
+  await waitUntil(() => received.some(({version}) => version === 5));
+  const rows = received.flatMap(changes => changes.rows);
   t.deepEqual(rows, [
     {key: 'a', version: 4, data},
     {key: 'b', version: 5, data: undefined},
   ]);
 });
 
-test('a follower is told when its relay stops', async t => {
-  const {server, told, ends} = await startPair(t, 20_000);
-  await confirmUntil(server, () => told.length > 0);
+test('a follower notices when its relay stops', async t => {
+  const {server, received, ends} = await startPair(t, 20_000);
+  await confirmUntil(server, () => received.length > 0);
   server.stop();
   await waitUntil(() => ends.length > 0);
   t.is(ends.length, 1);
@@ -137,15 +137,15 @@
   // Updates wait for seconds behind others on the relay's link. Were each taken
   // for the state of the store at its arrival, an endpoint that has long said
   // that it leaves would go on getting requests.
-  const {server, told, times} = await startPair(t, 20_000);
+  const {server, received, times} = await startPair(t, 20_000);
   await confirmUntil(server, () => times.some(Number.isFinite));
   const last = times.at(-1)!;
-  const count = told.length;
+  const count = received.length;
   // The relay makes an update, and nothing is read until much later.
   server.confirm('endpoints');
   const madeAtMs = performance.now();
   while (performance.now() - madeAtMs < 300);
-  await waitUntil(() => told.length > count);
+  await waitUntil(() => received.length > count);
   t.true(times[count] >= last);
   t.true(times[count] <= madeAtMs);
 });
@@ -161,19 +161,19 @@
 
 test('who sends too much at once harms no other follower', async t => {
   // Guards against a process on the relay's port that fills its memory.
-  const {client, server, told, platform} = await startPair(t, 20_000);
+  const {client, server, received, platform} = await startPair(t, 20_000);
   const counts = Object.fromEntries(
     Array.from({length: 40_000}, (_, index) => [`account-${index}`, index]),
   );
   t.false(await client.write({key: 'usage/1/flood', value: {counts}}));
-  await confirmUntil(server, () => told.length > 0);
+  await confirmUntil(server, () => received.length > 0);
   t.true(await client.write({key: 'usage/1/sound', value: {counts: {}}}));
   t.deepEqual([...platform.rows.keys()], ['usage/1/sound']);
 });
 
 test('messages that are none end their stream and nothing else', async t => {
   // Guards against a process on the relay's port that ends the relay by a message without its fields.
-  const {server, address, told} = await startPair(t, 20_000);
+  const {server, address, received} = await startPair(t, 20_000);
   const RawStub = makeGenericClientConstructor(RELAY_SERVICE, 'Relay');
   for (const message of [{}, {kind: 'follow'}, {kind: 'other'}]) {
     const raw = new RawStub(address, credentials.createInsecure());
@@ -187,5 +187,5 @@
     raw.close();
   }
   t.is(server.followerCount, 1);
-  await confirmUntil(server, () => told.length > 0);
+  await confirmUntil(server, () => received.length > 0);
 });
--- a/packages/gateway/src/relay/write_gatherer.test.ts
+++ b/packages/gateway/src/relay/write_gatherer.test.ts
@@ -47,7 +47,7 @@
   t.deepEqual([...platform.rows.keys()], ['usage/1/kept']);
 });
 
-test('whoever cannot be sure of its row is told so', async t => {
+test('a writer whose row may be lost gets a failure', async t => {
   const platform = new CountedPlatform();
   platform.losses.push('lose_answer');
   const gatherer = new WriteGatherer(platform);
--- a/packages/routing/src/relay_roster.test.ts
+++ b/packages/routing/src/relay_roster.test.ts
@@ -53,7 +53,7 @@
   t.true(firstAt.indexOf(earliest) >= 12, 'a strong machine comes first');
 });
 
-test('whoever has a slot claims no other, and slots elsewhere do not matter', t => {
+test('an instance that holds a slot claims no other, and ignores other data centres', t => {
   const roster = makeRoster('one');
   roster.learn(slot(0, 'one'));
   t.true(roster.isRelay);
@@ -76,7 +76,7 @@
 
 test('a slot whose relay has gone is taken over when none is left', t => {
   // Both relays of a data centre were killed. Everyone follows the store alone
-  // until somebody takes a slot.
+  // until an instance takes a slot.
   const roster = makeRoster('one');
   roster.learn(slot(0, 'first', 4));
   roster.learn(slot(1, 'second', 5));
