--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -7,7 +7,7 @@
 } from '@snipestage/routing/attempt_policy.js';
 import {AttemptHistory} from '@snipestage/routing/attempt_history.js';
 import {workOf} from '@snipestage/routing/prompt.js';
-import type {Placed} from '@snipestage/routing/placement.js';
+import type {Placed, PlacementGroup} from '@snipestage/routing/placement.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
@@ -34,6 +34,7 @@
   /** What the last endpoint seemed to have, and how old that was. */
   private loadWhenChosen: number | undefined;
   private loadAgeWhenChosenMs: number | undefined;
+  private lastGroup: PlacementGroup | undefined;
 
   constructor(
     private readonly context: ExchangeContext,
@@ -91,6 +92,9 @@
       load: this.loadWhenChosen,
       loadAgeMs: loadAgeMs && Math.round(loadAgeMs),
       endpoint: [...this.history.excluded].at(-1),
+      side: this.lastGroup?.side,
+      sideEndpoints: this.lastGroup?.endpoints,
+      usableEndpoints: this.lastGroup?.usable,
     };
   }
 
@@ -172,9 +176,11 @@
   }
 
   private async attempt(placed: Placed): Promise<AttemptResult> {
-    const {endpoint} = placed;
-    const {state, nowMs} = this.context;
+    const {endpoint, group} = placed;
+    const {state, nowMs, metrics} = this.context;
     const {prompt} = this.request.caller;
+    this.lastGroup = group;
+    if (group !== undefined) metrics.notePlacement(endpoint.service, group);
     const work = prompt === undefined ? 1 : workOf(prompt, true);
     this.history.begin(endpoint);
     this.loadWhenChosen = Math.round(
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -1,5 +1,6 @@
 /** Counters and latency histograms, served as text. */
 
+import type {PlacementGroup} from '@snipestage/routing/placement.js';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** From a millisecond to the longest time that callers wait. */
@@ -41,6 +42,18 @@
     labelNames: ['outcome'],
     registers: [this.registry],
   });
+  private readonly placements = new Counter({
+    name: 'snipestage_placements_total',
+    help: 'Attempts at engines by service and side of the split.',
+    labelNames: ['service', 'side'],
+    registers: [this.registry],
+  });
+  private readonly sideEndpoints = new Gauge({
+    name: 'snipestage_side_endpoints',
+    help: 'Engines of a side of the split at the latest attempt.',
+    labelNames: ['service', 'side'],
+    registers: [this.registry],
+  });
   private readonly version = new Gauge({
     name: 'snipestage_configuration_version',
     help: 'Version of the configuration in force.',
@@ -75,6 +88,11 @@
     this.loads.inc({outcome}, count);
   }
 
+  notePlacement(service: string, {side, endpoints}: PlacementGroup): void {
+    this.placements.inc({service, side});
+    this.sideEndpoints.set({service, side}, endpoints);
+  }
+
   setConfigurationVersion(version: number): void {
     this.version.set(version);
   }
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -21,9 +21,20 @@
   readonly nowMs: number;
 }
 
+/** The endpoints among which a request's endpoint was chosen. */
+export interface PlacementGroup {
+  /** Side of the split of engines; `all` where there is none. */
+  readonly side: 'short' | 'long' | 'all';
+  readonly endpoints: number;
+  /** Endpoints of the service that could be used. */
+  readonly usable: number;
+}
+
 /** Where a request goes. */
 export interface Placed {
   readonly endpoint: ServingEndpoint;
+  /** Undefined for services whose endpoints are never split. */
+  readonly group?: PlacementGroup;
   /** Another endpoint that may have the start of the prompt in its cache. */
   readonly cacheSource?: ServingEndpoint;
 }
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -18,6 +18,7 @@
   Placement,
   type Placed,
   type PlacementBeliefs,
+  type PlacementGroup,
   type PlacementRequest,
 } from './placement.js';
 import {PrefixHolders} from './prefix_holders.js';
@@ -34,6 +35,11 @@
   readonly random?: () => number;
 }
 
+interface SplitSide {
+  readonly side: PlacementGroup['side'];
+  readonly engines: readonly ServingEndpoint[];
+}
+
 /** An engine takes at most so many times the mean load for its prefixes. */
 const LOAD_BOUND = 1.5;
 /**
@@ -80,9 +86,20 @@
   ): Placed | undefined {
     const usable = findUsable(candidates, request, this.options);
     if (usable.length === 0) return undefined;
-    const side = this.groupFor(usable, request);
-    const group = leaveOutCold(side, usable, request, this.options);
+    const {side, engines} = this.groupFor(usable, request);
+    const group = leaveOutCold(engines, usable, request, this.options);
     if (group.length === 0) return undefined;
+    const placed = this.chooseIn(group, usable, request);
+    if (placed === undefined) return undefined;
+    const endpoints = group.length;
+    return {...placed, group: {side, endpoints, usable: usable.length}};
+  }
+
+  private chooseIn(
+    group: readonly ServingEndpoint[],
+    usable: readonly ServingEndpoint[],
+    request: PlacementRequest,
+  ): Placed | undefined {
     const {prompt} = request;
     if (prompt === undefined) return this.chooseByLoad(group, request);
     if (countSharedTokens(prompt) >= MIN_SHARED_TOKENS) {
@@ -116,13 +133,13 @@
   private groupFor(
     usable: readonly ServingEndpoint[],
     request: PlacementRequest,
-  ): readonly ServingEndpoint[] {
+  ): SplitSide {
     const service = usable[0].service;
     const {demand, options} = this;
     const demands = demand.read(service, request.nowMs);
     const shortRoutes = findShortRoutes(demands);
     if (shortRoutes.size === 0 || shortRoutes.size === demands.length) {
-      return usable;
+      return {side: 'all', engines: usable};
     }
     const share = shareOfShortRoutes({
       demands,
@@ -132,8 +149,8 @@
     const shortCount = splitCount(usable.length, share);
     const ordered = orderForSplit(usable);
     return shortRoutes.has(request.route.id)
-      ? ordered.slice(0, shortCount)
-      : ordered.slice(shortCount);
+      ? {side: 'short', engines: ordered.slice(0, shortCount)}
+      : {side: 'long', engines: ordered.slice(shortCount)};
   }
 
   private chooseByPrefix(
