--- /dev/null
+++ b/packages/routing/src/simulation/split_simulation.test.ts
@@ -0,0 +1,114 @@
+import test from 'ava';
+import {createSeededRandom} from '@snipestage/policy/random_source.js';
+import {brandAs} from '@snipestage/types/ids.js';
+import type {RouteId} from '../route.js';
+import {COUNTER, makeRoute, QUOTE} from '../test_support/fixtures.js';
+import {
+  simulateSplit,
+  type SimulatedTraffic,
+  type SplitOutcome,
+} from './split_simulation.js';
+
+const SUMMARY = makeRoute({id: brandAs<RouteId>('summary')});
+
+interface Rates {
+  readonly counter: number;
+  readonly quote: number;
+  readonly summary: number;
+}
+
+interface PlayedRates {
+  readonly rates: Rates;
+  readonly agreed: Rates;
+  readonly instances?: number;
+  readonly engines?: number;
+  readonly seed: number;
+}
+
+/** Short urgent questions, long patient quotes, and summaries in between. */
+function describeTraffic(rates: Rates, agreed: Rates): SimulatedTraffic[] {
+  return [
+    {
+      route: {...COUNTER, tier: 0},
+      promptTokens: 1460,
+      sharedTokens: 350,
+      outputTokens: 170,
+      durationMs: 1100,
+      patienceMs: 2000,
+      requestsPerS: rates.counter,
+      agreedPerS: agreed.counter,
+    },
+    {
+      route: {...QUOTE, tier: 2},
+      promptTokens: 17_020,
+      sharedTokens: 13_300,
+      outputTokens: 120,
+      durationMs: 1600,
+      patienceMs: 10_000,
+      requestsPerS: rates.quote,
+      agreedPerS: agreed.quote,
+    },
+    {
+      route: {...SUMMARY, tier: 1, pauseTargetMs: 400},
+      promptTokens: 9190,
+      sharedTokens: 6300,
+      outputTokens: 50,
+      durationMs: 700,
+      patienceMs: 6000,
+      requestsPerS: rates.summary,
+      agreedPerS: agreed.summary,
+    },
+  ];
+}
+
+function play(options: PlayedRates): readonly SplitOutcome[] {
+  const {rates, agreed, instances = 66, engines = 60, seed} = options;
+  return simulateSplit({
+    instances,
+    engines,
+    dataCentres: 3,
+    capacity: 16,
+    traffic: describeTraffic(rates, agreed),
+    reportEveryMs: 500,
+    durationMs: 6000,
+    random: createSeededRandom(seed),
+  });
+}
+
+/** Share of a route's requests that may get nothing while others begin. */
+const MAX_LOST = 1 / 12;
+/** When the answer to a counter question should begin. */
+const COUNTER_TARGET_MS = 411;
+const CALM: Rates = {counter: 55, quote: 90, summary: 50};
+
+for (const seed of [1, 2, 3]) {
+  test(`load pattern: urgent short requests triple right after a burst of long prompts (seed ${seed})`, t => {
+    // Guards against urgent requests that get nothing at the few engines of a stale split.
+    const [counter] = play({
+      rates: {counter: 145, quote: 90, summary: 50},
+      agreed: {counter: 55, quote: 280, summary: 50},
+      seed,
+    });
+    t.true(counter.lost <= counter.sent * MAX_LOST, JSON.stringify(counter));
+    t.true(counter.meanWaitMs <= COUNTER_TARGET_MS, JSON.stringify(counter));
+  });
+
+  test(`load pattern: long prompts triple right after a burst of short requests (seed ${seed})`, t => {
+    // Guards against long prompts that wait while the other side of the split is idle.
+    const [counter, quote] = play({
+      rates: {counter: 55, quote: 240, summary: 50},
+      agreed: {counter: 200, quote: 90, summary: 50},
+      seed,
+    });
+    t.true(quote.lost <= quote.sent * MAX_LOST, JSON.stringify(quote));
+    t.true(counter.lost <= counter.sent * MAX_LOST, JSON.stringify(counter));
+  });
+
+  test(`calm load: the split keeps both sides without waiting (seed ${seed})`, t => {
+    const outcomes = play({rates: CALM, agreed: CALM, seed});
+    for (const {lost, meanWaitMs} of outcomes) {
+      t.is(lost, 0);
+      t.true(meanWaitMs < 50, `${meanWaitMs}`);
+    }
+  });
+}
--- /dev/null
+++ b/packages/routing/src/simulation/split_simulation.ts
@@ -0,0 +1,267 @@
+/** Instances that place prompts on engines by load reports of a given age. */
+
+import {
+  brandAs,
+  type DataCentreId,
+  type EndpointId,
+  type ServiceId,
+} from '@snipestage/types/ids.js';
+import {DataCentreReach} from '../data_centre_reach.js';
+import {DemandMeter, DemandSource, type RouteDemand} from '../demand_meter.js';
+import {EndpointMonitor} from '../endpoint_monitor.js';
+import type {Prompt, PromptPartId} from '../prompt.js';
+import {PromptPlacement} from '../prompt_placement.js';
+import type {Route} from '../route.js';
+import type {EndpointAddress, ServingEndpoint} from '../serving_endpoint.js';
+import {SimulatedEngine, type SimulatedRequest} from './simulated_engine.js';
+
+/** A kind of request and how much of it comes. */
+export interface SimulatedTraffic {
+  readonly route: Route;
+  readonly promptTokens: number;
+  readonly sharedTokens: number;
+  readonly outputTokens: number;
+  /** How long an engine with free places works on one. */
+  readonly durationMs: number;
+  /** Callers leave when nothing has begun after this time. */
+  readonly patienceMs: number;
+  readonly requestsPerS: number;
+  /** What instances last agreed upon; differs from what comes in a burst. */
+  readonly agreedPerS: number;
+}
+
+export interface SplitScenario {
+  readonly instances: number;
+  readonly engines: number;
+  readonly dataCentres: number;
+  /** Requests that an engine works on at once. */
+  readonly capacity: number;
+  readonly traffic: readonly SimulatedTraffic[];
+  /** How often the loads that engines gave with answers reach all instances. */
+  readonly reportEveryMs: number;
+  readonly durationMs: number;
+  /** At least 0 and below 1. */
+  readonly random: () => number;
+}
+
+/** What became of the requests of a route. */
+export interface SplitOutcome {
+  readonly sent: number;
+  /** Callers left before an engine had begun. */
+  readonly lost: number;
+  /** Of those that began. */
+  readonly meanWaitMs: number;
+  /** Most requests that an engine got within a second. */
+  readonly mostInASecond: number;
+}
+
+const SERVICE = brandAs<ServiceId>('engines');
+/** Prompts that share a beginning. */
+const TOPICS = 40;
+const SECOND_MS = 1000;
+
+/** Demand that instances agreed upon before the simulated time. */
+class FixedDemand extends DemandSource {
+  constructor(private readonly traffic: readonly SimulatedTraffic[]) {
+    super();
+  }
+
+  read(): readonly RouteDemand[] {
+    return this.traffic.map(each => ({
+      route: each.route.id,
+      pauseTargetMs: each.route.pauseTargetMs,
+      workPerS:
+        (each.promptTokens - each.sharedTokens + 10 * each.outputTokens) *
+        each.agreedPerS,
+      requestsPerS: each.agreedPerS,
+      meanPromptTokens: each.promptTokens,
+    }));
+  }
+}
+
+interface Instance {
+  readonly dataCentre: DataCentreId;
+  readonly monitor: EndpointMonitor;
+  readonly recent: DemandMeter;
+  readonly placement: PromptPlacement;
+}
+
+/**
+ * Plays a scenario with the production placement.
+ *
+ * @returns outcomes by route, in the order of the traffic.
+ * @example
+ * const [counter, quote] = simulateSplit(scenario);
+ */
+export function simulateSplit(
+  scenario: SplitScenario,
+): readonly SplitOutcome[] {
+  return new SplitSimulation(scenario).run();
+}
+
+class SplitSimulation {
+  private readonly endpoints: readonly ServingEndpoint[];
+  private readonly engines = new Map<EndpointId, SimulatedEngine>();
+  private readonly instances: readonly Instance[];
+  private readonly requests: SimulatedRequest[][];
+
+  constructor(private readonly scenario: SplitScenario) {
+    this.endpoints = Array.from({length: scenario.engines}, (_, index) =>
+      describeEngine(scenario, index),
+    );
+    for (const {id} of this.endpoints) {
+      this.engines.set(id, new SimulatedEngine(scenario.capacity));
+    }
+    this.instances = Array.from({length: scenario.instances}, (_, index) =>
+      this.createInstance(index),
+    );
+    this.requests = scenario.traffic.map(() => []);
+  }
+
+  run(): readonly SplitOutcome[] {
+    const {durationMs, reportEveryMs} = this.scenario;
+    let reportAtMs = 0;
+    for (const {atMs, kind} of this.drawArrivals()) {
+      while (reportAtMs <= atMs) {
+        this.report(reportAtMs);
+        reportAtMs += reportEveryMs;
+      }
+      this.place(kind, atMs);
+    }
+    for (const engine of this.engines.values()) {
+      engine.advance(durationMs + 60 * SECOND_MS);
+    }
+    return this.requests.map(each => this.summarise(each));
+  }
+
+  private createInstance(index: number): Instance {
+    const {traffic, random, dataCentres} = this.scenario;
+    const monitor = new EndpointMonitor();
+    const recent = new DemandMeter({halfLifeMs: 1500});
+    const placement = new PromptPlacement({
+      monitor,
+      recent,
+      reach: new DataCentreReach(),
+      demand: new FixedDemand(traffic),
+      random,
+    });
+    return {
+      dataCentre: nameDataCentre(index % dataCentres),
+      monitor,
+      recent,
+      placement,
+    };
+  }
+
+  private drawArrivals(): {atMs: number; kind: number}[] {
+    const {traffic, durationMs, random} = this.scenario;
+    const arrivals: {atMs: number; kind: number}[] = [];
+    for (const [kind, {requestsPerS}] of traffic.entries()) {
+      let atMs = 0;
+      for (;;) {
+        atMs += (-SECOND_MS * Math.log(1 - random())) / requestsPerS;
+        if (atMs >= durationMs) break;
+        arrivals.push({atMs, kind});
+      }
+    }
+    return arrivals.sort((left, right) => left.atMs - right.atMs);
+  }
+
+  /** What engines said with their latest answers reaches every instance. */
+  private report(nowMs: number): void {
+    for (const [id, engine] of this.engines) {
+      engine.advance(nowMs);
+      const {answered} = engine;
+      if (answered === undefined) continue;
+      for (const {monitor} of this.instances) {
+        monitor.noteReportedLoad(id, answered.load, answered.atMs);
+      }
+    }
+  }
+
+  private place(kind: number, atMs: number): void {
+    const {traffic, random, instances} = this.scenario;
+    const {route, durationMs, patienceMs} = traffic[kind];
+    const instance = this.instances[Math.floor(random() * instances)];
+    const prompt = drawPrompt(traffic[kind], random);
+    instance.recent.count(SERVICE, route, prompt, atMs);
+    const placed = instance.placement.choose(this.endpoints, {
+      route,
+      prompt,
+      dataCentre: instance.dataCentre,
+      excluded: new Set(),
+      avoided: new Set(),
+      nowMs: atMs,
+    });
+    if (placed === undefined) throw new Error('no engine was chosen');
+    const {id} = placed.endpoint;
+    const request: SimulatedRequest = {
+      endpoint: id,
+      tier: route.tier,
+      atMs,
+      leavesAtMs: atMs + patienceMs,
+      durationMs,
+      begunAtMs: undefined,
+      onOver: () => instance.monitor.end(id, 1),
+    };
+    instance.monitor.begin(id, 1, atMs);
+    this.requests[kind].push(request);
+    this.engines.get(id)!.add(request);
+  }
+
+  private summarise(requests: readonly SimulatedRequest[]): SplitOutcome {
+    const begun = requests.filter(each => each.begunAtMs !== undefined);
+    const waits = begun.map(({begunAtMs, atMs}) => begunAtMs! - atMs);
+    const counts = new Map<string, number>();
+    for (const {endpoint, atMs} of requests) {
+      const key = `${endpoint} ${Math.floor(atMs / SECOND_MS)}`;
+      counts.set(key, (counts.get(key) ?? 0) + 1);
+    }
+    return {
+      sent: requests.length,
+      lost: requests.length - begun.length,
+      meanWaitMs:
+        waits.reduce((sum, wait) => sum + wait, 0) / Math.max(1, begun.length),
+      mostInASecond: Math.max(0, ...counts.values()),
+    };
+  }
+}
+
+function nameDataCentre(index: number): DataCentreId {
+  return brandAs<DataCentreId>(`centre-${index}`);
+}
+
+function describeEngine(
+  {capacity, dataCentres}: SplitScenario,
+  index: number,
+): ServingEndpoint {
+  return {
+    id: brandAs<EndpointId>(`engine-${index}`),
+    service: SERVICE,
+    address: brandAs<EndpointAddress>('127.0.0.1:1'),
+    dataCentre: nameDataCentre(index % dataCentres),
+    capacity,
+    isLeaving: false,
+    isCheap: false,
+    bornEpochMs: 1,
+  };
+}
+
+function drawPrompt(
+  {route, promptTokens, sharedTokens, outputTokens}: SimulatedTraffic,
+  random: () => number,
+): Prompt {
+  const topic = `${route.id}-${Math.floor(random() * TOPICS)}`;
+  return {
+    tokens: promptTokens,
+    maxOutputTokens: outputTokens,
+    expectedOutputTokens: undefined,
+    parts: [
+      {id: brandAs<PromptPartId>(topic), tokens: sharedTokens},
+      {
+        id: brandAs<PromptPartId>(`${topic}-own`),
+        tokens: promptTokens - sharedTokens,
+      },
+    ],
+  };
+}
