--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -128,6 +128,7 @@
       const endpoint = placed.endpoint.id;
       state.loads.noteOwn({endpoint, load: head.load, atMs: nowMs()});
     }
+    this.noteLimit(head);
     const isOwn =
       head.requestId === request.caller.requestId && !head.isEncoded;
     const isSuccess = head.status >= 200 && head.status < 300;
@@ -161,6 +162,19 @@
     return this.takeWhole(head, response, body);
   }
 
+  /** Only a signed answer lifts a limit: others may have lost their headers. */
+  private noteLimit({limitPerS, isSigned}: AnswerHead): void {
+    if (limitPerS === undefined && !isSigned) return;
+    const {context, placed} = this.options;
+    const {id} = placed.endpoint;
+    const change = context.state.limits.note(id, limitPerS);
+    if (change === undefined) return;
+    context.logger.info(`endpoint_limit_${change}`, {
+      endpoint: id,
+      requestsPerS: limitPerS,
+    });
+  }
+
   /**
    * A caller that leaves, or an instance that ends, breaks off answers of sound
    * endpoints: held against them, a wave of callers that give up would turn the
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -182,6 +182,9 @@
     const {prompt} = this.request.caller;
     this.lastGroup = group;
     if (group !== undefined) metrics.notePlacement(endpoint.service, group);
+    if (state.limits.find(endpoint.id) !== undefined) {
+      metrics.countLimitedAttempt(endpoint.service);
+    }
     const work = prompt === undefined ? 1 : workOf(prompt, true);
     this.history.begin(endpoint);
     this.loadWhenChosen = Math.round(
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -60,6 +60,12 @@
     labelNames: ['service', 'side'],
     registers: [this.registry],
   });
+  private readonly limitedAttempts = new Counter({
+    name: 'snipestage_limited_attempts_total',
+    help: 'Attempts at endpoints that had named a limit, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   private readonly version = new Gauge({
     name: 'snipestage_configuration_version',
     help: 'Version of the configuration in force.',
@@ -103,6 +109,10 @@
     this.candidateEngines.set({service, side}, candidates);
   }
 
+  countLimitedAttempt(service: string): void {
+    this.limitedAttempts.inc({service});
+  }
+
   setConfigurationVersion(version: number): void {
     this.version.set(version);
   }
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -49,6 +49,8 @@
   /** The body isn't the endpoint's bytes as they were. */
   readonly isEncoded: boolean;
   readonly load: ReportedLoad | undefined;
+  /** Requests a second that it takes from all instances together, if limited. */
+  readonly limitPerS: number | undefined;
 }
 
 /** Header names and values as `name, value, name, value, ...`. */
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -9,6 +9,7 @@
   type RouteDemand,
 } from '@snipestage/routing/demand_meter.js';
 import {EndpointDirectory} from '@snipestage/routing/endpoint_directory.js';
+import {EndpointLimits} from '@snipestage/routing/endpoint_limits.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {LoadView} from '@snipestage/routing/load_view.js';
 import {LeastLoadedPlacement} from '@snipestage/routing/least_loaded_placement.js';
@@ -71,6 +72,7 @@
   readonly suspects = new SuspectTable();
   readonly crashes = new CrashWatch();
   readonly durations = new UsualDurations();
+  readonly limits = new EndpointLimits();
   readonly warmup: WarmupGate;
   private readonly plainPlacement: Placement;
   private readonly promptPlacement: Placement;
@@ -116,6 +118,7 @@
     const listed = new Set(this.directory.readAll().map(({id}) => id));
     this.monitor.retain(listed);
     this.warmup.retain(listed);
+    this.limits.retain(listed);
     this.loads.prune();
   }
 
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -49,6 +49,10 @@
       isMisdirected: status === 421,
       isEncoded: headers['content-encoding'] !== undefined,
       load: undefined,
+      limitPerS:
+        headers['x-limit'] === undefined
+          ? undefined
+          : Number(headers['x-limit']),
     };
   }
 
