--- /dev/null
+++ b/packages/gateway/src/endpoint_limit.test.ts
@@ -0,0 +1,25 @@
+import test from 'ava';
+import {answerBytes, TestDoor, type Script} from './test_support/test_door.js';
+
+/** What an endpoint with a limit of 1 a second may get in 4 s. */
+const MOST_IN_4_S = 11;
+
+const answerLimited: Script = (socket, request) => {
+  const id = /x-request-id: (\S+)/i.exec(request)?.[1] ?? '';
+  socket.end(answerBytes(id, {headers: ['X-Limit: 1']}));
+};
+
+test('load pattern: callers want more of a limited endpoint than it takes', async t => {
+  // Guards against an endpoint in need that gets its usual share of requests.
+  const door = await TestDoor.start({}, [answerLimited]);
+  t.teardown(() => door.close());
+  door.state.instances = 1;
+  await door.call('first', {body: 'order'});
+  for (let count = 0; count < 30; count++) {
+    const answer = await door.call(`${count}`, {body: 'order'});
+    if (answer.status === 200) continue;
+    t.is(answer.status, 503);
+    t.true(Number(answer.headers['retry-after']) > 0);
+  }
+  t.true(door.received.length <= MOST_IN_4_S, `${door.received.length}`);
+});
