--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -167,7 +167,7 @@
     if (limitPerS === undefined && !isSigned) return;
     const {context, placed} = this.options;
     const {id} = placed.endpoint;
-    const change = context.state.limits.note(id, limitPerS);
+    const change = context.state.limits.note(id, limitPerS, context.nowMs());
     if (change === undefined) return;
     context.logger.info(`endpoint_limit_${change}`, {
       endpoint: id,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -197,6 +197,7 @@
     );
     state.monitor.begin(endpoint.id, work, startedAtMs);
     state.warmup.noteSent(endpoint, startedAtMs);
+    state.limits.noteSent(endpoint.id, startedAtMs);
     state.reach.noteTrial(endpoint.dataCentre, startedAtMs);
     let result: AttemptResult;
     try {
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -40,8 +40,9 @@
    * - `no_endpoint`: none is listed.
    * - `evacuated`: all that are listed are in evacuated data centres.
    * - `warming_up`: all are cold and get what they bear already.
+   * - `limited`: all get what they bear already, and some have named a limit.
    */
-  readonly reason: 'no_endpoint' | 'evacuated' | 'warming_up';
+  readonly reason: 'no_endpoint' | 'evacuated' | 'warming_up' | 'limited';
   /** When the first may take requests again, if that is known; else 0. */
   readonly retryAfterMs: number;
 }
@@ -72,7 +73,7 @@
   readonly suspects = new SuspectTable();
   readonly crashes = new CrashWatch();
   readonly durations = new UsualDurations();
-  readonly limits = new EndpointLimits();
+  readonly limits = new EndpointLimits({readInstances: () => this.instances});
   readonly warmup: WarmupGate;
   private readonly plainPlacement: Placement;
   private readonly promptPlacement: Placement;
@@ -88,16 +89,11 @@
       readInstances: () => this.instances,
       tolerance,
     });
-    const {monitor, reach, warmup} = this;
+    const {monitor, reach, warmup, limits} = this;
+    const beliefs = {monitor, reach, warmup, limits};
     const {agreedDemand: demand, recentDemand: recent} = this;
-    this.plainPlacement = new LeastLoadedPlacement({monitor, reach, warmup});
-    this.promptPlacement = new PromptPlacement({
-      monitor,
-      reach,
-      warmup,
-      demand,
-      recent,
-    });
+    this.plainPlacement = new LeastLoadedPlacement(beliefs);
+    this.promptPlacement = new PromptPlacement({...beliefs, demand, recent});
   }
 
   /**
@@ -180,8 +176,16 @@
   explainNone(service: ServiceId, nowMs: number): NoEndpoint {
     const serving = this.directory.findServing(service, nowMs);
     if (serving.length > 0) {
-      const left = serving.map(({id}) => this.warmup.leftMs(id, nowMs));
-      return {reason: 'warming_up', retryAfterMs: Math.min(...left)};
+      const waits = serving.map(({id}) =>
+        Math.max(this.warmup.leftMs(id, nowMs), this.limits.intervalMs(id)),
+      );
+      const isLimited = serving.some(
+        ({id}) => this.limits.find(id) !== undefined,
+      );
+      return {
+        reason: isLimited ? 'limited' : 'warming_up',
+        retryAfterMs: Math.min(...waits),
+      };
     }
     const isEvacuated = this.directory
       .readAll()
@@ -200,6 +204,7 @@
       ...endpoint,
       isDown: monitor.isDown(endpoint.id, nowMs),
       isCold: this.warmup.isCold(endpoint.id, nowMs),
+      limitPerS: this.limits.find(endpoint.id),
       load: monitor.estimateLoad(endpoint.id, nowMs),
       failureShare: monitor.failureShare(endpoint.id, nowMs),
       inFlight: monitor.inFlight(endpoint.id),
--- a/packages/routing/src/least_loaded_placement.ts
+++ b/packages/routing/src/least_loaded_placement.ts
@@ -5,6 +5,7 @@
   findUsable,
   leastBy,
   leaveOutCold,
+  leaveOutLimited,
   Placement,
   type Placed,
   type PlacementBeliefs,
@@ -43,7 +44,8 @@
     request: PlacementRequest,
   ): Placed | undefined {
     const all = findUsable(candidates, request, this.options);
-    const usable = leaveOutCold(all, all, request, this.options);
+    const open = leaveOutLimited(all, all, request, this.options);
+    const usable = leaveOutCold(open, open, request, this.options);
     const typicalMs = this.typicalDurationMs(usable);
     const endpoint = leastBy(usable, each =>
       this.costOf(each, request, typicalMs),
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -2,6 +2,7 @@
 
 import type {DataCentreId, EndpointId} from '@snipestage/types/ids.js';
 import type {DataCentreReach} from './data_centre_reach.js';
+import type {EndpointLimits} from './endpoint_limits.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
 import type {Prompt} from './prompt.js';
 import type {Route} from './route.js';
@@ -57,6 +58,8 @@
   readonly reach: DataCentreReach;
   /** Limits what cold endpoints get; without it none counts as cold. */
   readonly warmup?: WarmupGate;
+  /** What endpoints in need take; without it none is limited. */
+  readonly limits?: EndpointLimits;
 }
 
 /**
@@ -82,6 +85,26 @@
   return up.length > 0 ? up : untried;
 }
 
+/**
+ * The endpoints of a group that may get a request by the limits that they named;
+ * when none may, those of all that are usable. Limits hold also where nothing else
+ * is left.
+ *
+ * @example
+ * const open = leaveOutLimited(group, usable, request, beliefs);
+ */
+export function leaveOutLimited(
+  group: readonly ServingEndpoint[],
+  usable: readonly ServingEndpoint[],
+  {nowMs}: PlacementRequest,
+  {limits}: PlacementBeliefs,
+): readonly ServingEndpoint[] {
+  if (limits === undefined) return group;
+  const mayAdmit = ({id}: ServingEndpoint) => limits.mayAdmit(id, nowMs);
+  const open = group.filter(mayAdmit);
+  return open.length > 0 ? open : usable.filter(mayAdmit);
+}
+
 /**
  * The endpoints of a group without the cold ones, as long as a warm one has room:
  * in the group, or else among all that are usable. Then cold ones get what they
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -16,6 +16,7 @@
   findUsable,
   leastBy,
   leaveOutCold,
+  leaveOutLimited,
   Placement,
   type Placed,
   type PlacementBeliefs,
@@ -103,10 +104,18 @@
     const usable = findUsable(candidates, request, this.options);
     if (usable.length === 0) return undefined;
     const split = this.sideFor(usable, request);
-    const group = leaveOutCold(split.engines, usable, request, this.options);
-    const widened = leaveOutCold(split.widened, usable, request, this.options);
+    const open = leaveOutLimited(usable, usable, request, this.options);
+    const admit = (engines: readonly ServingEndpoint[]) =>
+      leaveOutCold(
+        leaveOutLimited(engines, usable, request, this.options),
+        open,
+        request,
+        this.options,
+      );
+    const group = admit(split.engines);
+    const widened = admit(split.widened);
     if (widened.length === 0) return undefined;
-    const placed = this.chooseAmong({group, widened, usable}, request);
+    const placed = this.chooseAmong({group, widened, usable: open}, request);
     if (placed === undefined) return undefined;
     return {
       ...placed,
