--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -124,11 +124,13 @@
       response.statusCode ?? 0,
       response.headers,
     );
+    this.noteLimit(head);
     if (head.load !== undefined) {
       const endpoint = placed.endpoint.id;
-      state.loads.noteOwn({endpoint, load: head.load, atMs: nowMs()});
+      const limitPerS = state.limits.find(endpoint);
+      const {load} = head;
+      state.loads.noteOwn({endpoint, load, limitPerS, atMs: nowMs()});
     }
-    this.noteLimit(head);
     const isOwn =
       head.requestId === request.caller.requestId && !head.isEncoded;
     const isSuccess = head.status >= 200 && head.status < 300;
--- a/packages/gateway/src/relay/load_report.ts
+++ b/packages/gateway/src/relay/load_report.ts
@@ -3,8 +3,18 @@
 import type {LoadReading} from '@snipestage/routing/load_view.js';
 import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
 
-/** Endpoint, running, waiting, capacity, and the reading's age in ms. */
-export type LoadLine = readonly [string, number, number, number, number];
+/**
+ * Endpoint, running, waiting, capacity, the reading's age in ms, and the requests
+ * a second that the endpoint takes, if it is limited.
+ */
+export type LoadLine = readonly [
+  string,
+  number,
+  number,
+  number,
+  number,
+  number?,
+];
 
 /** Readings that are new to the receiver. */
 export interface LoadReport {
@@ -26,9 +36,12 @@
   const newest = readings
     .toSorted((one, other) => other.atMs - one.atMs)
     .slice(0, MOST_LINES);
-  const lines = newest.map(({endpoint, load, atMs}): LoadLine => {
+  const lines = newest.map(({endpoint, load, limitPerS, atMs}): LoadLine => {
     const {running, waiting, capacity} = load;
-    return [endpoint, running, waiting, capacity, Math.round(nowMs - atMs)];
+    const ageMs = Math.round(nowMs - atMs);
+    return limitPerS === undefined
+      ? [endpoint, running, waiting, capacity, ageMs]
+      : [endpoint, running, waiting, capacity, ageMs, limitPerS];
   });
   return {kind: 'loads', lines};
 }
@@ -56,20 +69,28 @@
 }
 
 function toReading(line: LoadLine, nowMs: number): LoadReading {
-  const [endpoint, running, waiting, capacity, ageMs] = line;
+  const [endpoint, running, waiting, capacity, ageMs, limitPerS] = line;
   return {
     endpoint: brandAs<EndpointId>(endpoint),
     load: {running, waiting, capacity},
+    ...(limitPerS === undefined ? {} : {limitPerS}),
     atMs: nowMs - ageMs,
   };
 }
 
 function isLoadLine(line: unknown): line is LoadLine {
-  if (!Array.isArray(line) || line.length !== 5) return false;
-  const [endpoint, running, waiting, capacity, ageMs] = line as unknown[];
+  if (!Array.isArray(line) || line.length < 5 || line.length > 6) return false;
+  const [endpoint, running, waiting, capacity, ageMs, limitPerS = 0] =
+    line as unknown[];
   const counts = [running, waiting, capacity];
   const areCounts = counts.every(
     count => Number.isInteger(count) && (count as number) >= 0,
   );
-  return typeof endpoint === 'string' && areCounts && Number.isFinite(ageMs);
+  const isLimit = Number.isFinite(limitPerS) && (limitPerS as number) >= 0;
+  return (
+    typeof endpoint === 'string' &&
+    areCounts &&
+    Number.isFinite(ageMs) &&
+    isLimit
+  );
 }
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -55,8 +55,10 @@
   /** As the holder of the duties counted them; undefined until it is known. */
   instances: number | undefined;
   readonly monitor = new EndpointMonitor();
+  readonly limits = new EndpointLimits({readInstances: () => this.instances});
   readonly loads = new LoadView({
     monitor: this.monitor,
+    limits: this.limits,
     isShared: id => this.isEngine(id),
   });
   readonly reach = new DataCentreReach();
@@ -73,7 +75,6 @@
   readonly suspects = new SuspectTable();
   readonly crashes = new CrashWatch();
   readonly durations = new UsualDurations();
-  readonly limits = new EndpointLimits({readInstances: () => this.instances});
   readonly warmup: WarmupGate;
   private readonly plainPlacement: Placement;
   private readonly promptPlacement: Placement;
