--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -20,6 +20,7 @@
 import {OneFigure, OneHolder} from './duties.js';
 import {
   MaxAttempts,
+  NamedLimits,
   NothingForNobody,
   RetryBudget,
   TimeHandedOn,
@@ -37,6 +38,7 @@
   new TimeHandedOn(),
   new RetryBudget(),
   new NothingForNobody(),
+  new NamedLimits(),
   new WithdrawnKeys(),
   new LeavingEndpoints(),
   new EvacuatedDataCentres(),
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -1,4 +1,8 @@
-import {brandAs, type DataCentreId} from '@snipestage/types/ids.js';
+import {
+  brandAs,
+  type DataCentreId,
+  type EndpointId,
+} from '@snipestage/types/ids.js';
 import test from 'ava';
 import type {History, SentRequest} from '../history.js';
 import {
@@ -8,6 +12,7 @@
   makeRun,
 } from '../test_support/small_history.js';
 import {ALL_CHECKS, checkAll} from './all_checks.js';
+import {NamedLimits} from './limits.js';
 
 const REFUSED = {
   kind: 'answered',
@@ -188,6 +193,29 @@
   t.deepEqual(findersOf({}, [makeRun()], evacuated(5000, 10_000)), []);
 });
 
+test('an endpoint that gets more than it named is found', t => {
+  const requests = Array.from({length: 13}, (_, index) =>
+    makeRequest({requestId: `limited-${index}`}),
+  );
+  const runs = requests.map(({requestId}, index) =>
+    makeRun({
+      requestId,
+      arrivedAtMs: 10_000 + index * 250,
+      toldLimitAtMs: index === 0 ? 9000 : undefined,
+    }),
+  );
+  const findersOfLimit = (fromMs: number, toMs: number, count = 13) => {
+    const history = makeHistory(requests, runs.slice(0, count));
+    const endpoint = brandAs<EndpointId>('booking-0.1');
+    history.limits.push({endpoint, limitPerS: 1, fromMs, toMs});
+    return new NamedLimits().find(history).length;
+  };
+  t.is(findersOfLimit(6000, 20_000), 1);
+  t.is(findersOfLimit(6000, 20_000, 11), 0);
+  t.is(findersOfLimit(6000, 12_000), 0);
+  t.is(findersOfLimit(9000, 20_000), 0);
+});
+
 test('a configuration that comes late or goes back is found', t => {
   const unknown = {marker: 3, outcome: {...REFUSED, status: 404}};
   const added = (atMs: number) => (history: History) => {
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -52,8 +52,11 @@
 
 /** Drawn beside the others, so that these stay the same for a seed. */
 export const EVACUATE = 'evacuate';
+/** An endpoint names a limit in its answers. */
+export const LIMIT = 'limit';
 
-export type FaultKind = (typeof FAULT_KINDS)[number] | typeof EVACUATE;
+export type FaultKind =
+  (typeof FAULT_KINDS)[number] | typeof EVACUATE | typeof LIMIT;
 
 /** One fault. */
 export interface PlannedFault {
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -99,6 +99,16 @@
   toMs: number;
 }
 
+/** An endpoint named a limit in its answers. */
+export interface NamedLimit {
+  readonly endpoint: EndpointId;
+  /** From all instances together. */
+  readonly limitPerS: number;
+  readonly fromMs: number;
+  /** Infinite until it is lifted. */
+  toMs: number;
+}
+
 /** Times are of one steady clock. */
 export class History {
   readonly requests: SentRequest[] = [];
@@ -110,6 +120,7 @@
   /** When the store had an endpoint's notice that it leaves. */
   readonly leavingNotices = new Map<string, number>();
   readonly evacuations: Evacuation[] = [];
+  readonly limits: NamedLimit[] = [];
   /** Of every life of an endpoint. */
   readonly endpointPlaces = new Map<string, DataCentreId>();
   readonly dutyCalls: DutyCall[] = [];
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,6 +1,6 @@
 /** Seeded faults of the program; a soak of each must find it. */
 
-import {EVACUATE} from './fault_plan.js';
+import {EVACUATE, LIMIT} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
 
@@ -215,6 +215,18 @@
       },
     ],
   },
+  {
+    name: 'ignores_named_limits',
+    check: 'named_limits',
+    kinds: [LIMIT],
+    edits: [
+      {
+        module: 'routing/dist/placement.js',
+        from: 'if (limits === undefined)',
+        to: 'if (true)',
+      },
+    ],
+  },
   {
     name: 'seals_again',
     check: 'one_figure',
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -6,10 +6,12 @@
 import {
   drawFaultPlan,
   EVACUATE,
+  LIMIT,
   type FaultKind,
   type PlannedFault,
 } from './fault_plan.js';
 import type {History} from './history.js';
+import {drawNamedLimits} from './named_limits.js';
 import {drawStopTurns} from './stop_turns.js';
 import {FaultInjector} from './world/fault_injector.js';
 import {StallWatch} from './world/stall_watch.js';
@@ -112,20 +114,24 @@
   }
 }
 
-/** Evacuations and stops in turn come beside the others, where they may. */
+/** Evacuations, named limits and stops in turn come beside the others, where they may. */
 function drawPlan(
   options: SoakOptions,
   forMs: number,
   world: World,
 ): PlannedFault[] {
-  const {instances} = world;
+  const {instances, endpoints} = world;
   const {seed, seriesEveryMs, stopTurnsEveryMs, kinds} = options;
   const drawn = drawFaultPlan({seed, forMs, seriesEveryMs, kinds});
   const evacuations =
     kinds?.includes(EVACUATE) === false
       ? []
       : drawEvacuations({seed, forMs, dataCentres: world.dataCentres.length});
-  const faults = [...drawn, ...evacuations];
+  const limits =
+    kinds?.includes(LIMIT) === false
+      ? []
+      : drawNamedLimits({seed, forMs, endpoints: endpoints.length});
+  const faults = [...drawn, ...evacuations, ...limits];
   if (kinds?.includes('instance_terminate') === false) return faults;
   const dataCentres = [...new Set(instances.map(each => each.dataCentre))];
   const places = dataCentres.map(dataCentre =>
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -94,6 +94,24 @@
     this.standIn.fault = fault;
   }
 
+  /**
+   * Names a limit in the answers of this life.
+   *
+   * @returns lifts it.
+   */
+  limit(limitPerS: number): () => void {
+    const {id, standIn} = this;
+    const {history, nowMs} = this.options;
+    const toMs = Number.POSITIVE_INFINITY;
+    const limit = {endpoint: id, limitPerS, fromMs: nowMs(), toMs};
+    history.limits.push(limit);
+    standIn.limitPerS = limitPerS;
+    return () => {
+      standIn.limitPerS = undefined;
+      limit.toMs = nowMs();
+    };
+  }
+
   /** Gone without a word; another life begins, and the entry lapses. */
   async kill(): Promise<void> {
     const {store} = this.options;
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -3,7 +3,12 @@
 import type {EndpointFault} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
 import type {ServerFault} from '@snipestage/platform_stand_ins/faulty_server.js';
 import type {Link, LinkMode} from '@snipestage/stand_ins/link/link.js';
-import {EVACUATE, type FaultKind, type PlannedFault} from '../fault_plan.js';
+import {
+  EVACUATE,
+  LIMIT,
+  type FaultKind,
+  type PlannedFault,
+} from '../fault_plan.js';
 import type {Subject} from '../history.js';
 import type {Endpoint} from './endpoint.js';
 import type {Instance} from './instance.js';
@@ -44,6 +49,8 @@
 };
 const SLOW_WAY_MS = 300;
 const LONGEST_CLOCK_JUMP_MS = 8000;
+/** What a limited endpoint takes: less than its usual share. */
+const LIMIT_PER_S = 1;
 /** Writes of a store that does them late come so long after the fault. */
 const LATE_WRITES_MS = 3000;
 /** Endpoints with a fault at a time: the others have to carry the load. */
@@ -83,6 +90,8 @@
       else operator.withdrawKey(target);
     } else if (kind === EVACUATE) {
       this.evacuate(fault);
+    } else if (kind === LIMIT) {
+      this.limit(fault, endpoints[target % endpoints.length]);
     } else if (kind.startsWith('store_way') || kind.startsWith('callers_way')) {
       this.disturbWay(fault, instances[target % instances.length]);
     } else if (kind.startsWith('instance')) {
@@ -111,8 +120,18 @@
     const restore = operator.evacuate(dataCentres[target % dataCentres.length]);
     if (restore === undefined) return;
     this.note(kind, 'store', forMs);
+    this.endAfter(forMs, restore);
+  }
+
+  /** No disturbance either. */
+  private limit({kind, forMs}: PlannedFault, endpoint: Endpoint): void {
+    this.note(kind, endpoint.id, forMs);
+    this.endAfter(forMs, endpoint.limit(LIMIT_PER_S));
+  }
+
+  private endAfter(forMs: number, undo: () => void): void {
     const end = () => {
-      if (this.undos.delete(end)) restore();
+      if (this.undos.delete(end)) undo();
     };
     this.undos.add(end);
     this.timers.add(setTimeout(end, forMs));
