--- a/packages/routing/src/engine_split.ts
+++ b/packages/routing/src/engine_split.ts
@@ -174,8 +174,7 @@
  * still describes the other's. The side is too small for it, and loads are a
  * second old: the little room that is left on it is taken many times over.
  *
- * @param ordered engines in the shared order, from the inside of the side to the
- * far end of the other one.
+ * @param ordered engines in the shared order; those of the side come first.
  * @param count engines of the side itself.
  * @example
  * const engines = widenSide(ordered, shortCount, {loadOf, maxUtilization: 0.5});
