--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -124,12 +124,12 @@
       response.statusCode ?? 0,
       response.headers,
     );
-    this.noteLimit(head);
+    this.noteRateLimit(head);
     if (head.load !== undefined) {
       const endpoint = placed.endpoint.id;
-      const limitPerS = state.limits.find(endpoint);
+      const rateLimitPerS = state.rateLimits.find(endpoint);
       const {load} = head;
-      state.loads.noteOwn({endpoint, load, limitPerS, atMs: nowMs()});
+      state.loads.noteOwn({endpoint, load, rateLimitPerS, atMs: nowMs()});
     }
     const isOwn =
       head.requestId === request.caller.requestId && !head.isEncoded;
@@ -164,16 +164,20 @@
     return this.takeWhole(head, response, body);
   }
 
-  /** Only a signed answer lifts a limit: others may have lost their headers. */
-  private noteLimit({limitPerS, isSigned}: AnswerHead): void {
-    if (limitPerS === undefined && !isSigned) return;
+  /** Only a signed answer ends a limit: others may have lost their headers. */
+  private noteRateLimit({rateLimitPerS, isSigned}: AnswerHead): void {
+    if (rateLimitPerS === undefined && !isSigned) return;
     const {context, placed} = this.options;
     const {id} = placed.endpoint;
-    const change = context.state.limits.note(id, limitPerS, context.nowMs());
+    const change = context.state.rateLimits.note(
+      id,
+      rateLimitPerS,
+      context.nowMs(),
+    );
     if (change === undefined) return;
-    context.logger.info(`endpoint_limit_${change}`, {
+    context.logger.info(`endpoint_rate_limit_${change}`, {
       endpoint: id,
-      requestsPerS: limitPerS,
+      requestsPerS: rateLimitPerS,
     });
   }
 
--- a/packages/gateway/src/endpoint_limit.test.ts
+++ b/packages/gateway/src/endpoint_rate_limit.test.ts
@@ -2,17 +2,17 @@
 import test from 'ava';
 import {answerBytes, TestDoor, type Script} from './test_support/test_door.js';
 
-/** What an endpoint with a limit of 1 a second may get in 4 s. */
+/** Tolerated in 4 s with a limit of 1 a second. */
 const MOST_IN_4_S = 11;
 
-const answerLimited: Script = (socket, request) => {
+const answerWithLimit: Script = (socket, request) => {
   const id = /x-request-id: (\S+)/i.exec(request)?.[1] ?? '';
   socket.end(answerBytes(id, {headers: ['X-Limit: 1']}));
 };
 
-test('load pattern: callers want more of a limited endpoint than it takes', async t => {
-  // Guards against an endpoint in need that gets its usual share of requests.
-  const door = await TestDoor.start({}, [answerLimited]);
+test('load pattern: callers want more of a rate-limited endpoint than it allows', async t => {
+  // Guards against an overloaded endpoint that gets its usual share of requests.
+  const door = await TestDoor.start({}, [answerWithLimit]);
   t.teardown(() => door.close());
   door.state.instances = 1;
   await door.call('first', {body: 'order'});
@@ -25,7 +25,7 @@
   t.true(door.received.length <= MOST_IN_4_S, `${door.received.length}`);
 });
 
-test('a slow endpoint is not left where the others take nothing now', async t => {
+test('a slow endpoint is kept while the others are rate limited', async t => {
   // Guards against a stream that is cut off and has nowhere to go.
   const answerLate: Script = (socket, request) => {
     const id = /x-request-id: (\S+)/i.exec(request)?.[1] ?? '';
@@ -39,7 +39,7 @@
   const door = await TestDoor.start(route, [answerLate, answerLate]);
   t.teardown(() => door.close());
   const limited = brandAs<EndpointId>('endpoint-1');
-  door.state.limits.note(limited, 0.1, performance.now());
+  door.state.rateLimits.note(limited, 0.1, performance.now());
   const answer = await door.call('one');
   t.is(answer.status, 200);
   t.deepEqual(
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -180,8 +180,8 @@
     const {prompt} = this.request.caller;
     this.lastGroup = group;
     if (group !== undefined) metrics.notePlacement(endpoint.service, group);
-    if (state.limits.find(endpoint.id) !== undefined) {
-      metrics.countLimitedAttempt(endpoint.service);
+    if (state.rateLimits.find(endpoint.id) !== undefined) {
+      metrics.countRateLimitedAttempt(endpoint.service);
     }
     const work = prompt === undefined ? 1 : workOf(prompt, true);
     this.history.begin(endpoint);
@@ -195,7 +195,7 @@
     );
     state.monitor.begin(endpoint.id, work, startedAtMs);
     state.warmup.noteSent(endpoint, startedAtMs);
-    state.limits.noteSent(endpoint.id, startedAtMs);
+    state.rateLimits.noteSent(endpoint.id, startedAtMs);
     state.reach.noteTrial(endpoint.dataCentre, startedAtMs);
     let result: AttemptResult;
     try {
@@ -231,7 +231,7 @@
     return hasOther && state.budgetFor(service).hasRoom(nowMs());
   }
 
-  /** Endpoints that were not asked and may get a request by their limits. */
+  /** Endpoints that were not asked and whose rate limits admit a request. */
   private listUntried(): readonly ServingEndpoint[] {
     const {state, nowMs} = this.context;
     const {service} = this.request.admission;
@@ -240,7 +240,7 @@
       .findServing(service, atMs)
       .filter(
         ({id}) =>
-          !this.history.excluded.has(id) && state.limits.mayAdmit(id, atMs),
+          !this.history.excluded.has(id) && state.rateLimits.mayAdmit(id, atMs),
       );
   }
 
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -60,9 +60,9 @@
     labelNames: ['service', 'side'],
     registers: [this.registry],
   });
-  private readonly limitedAttempts = new Counter({
-    name: 'snipestage_limited_attempts_total',
-    help: 'Attempts at endpoints that had named a limit, by service.',
+  private readonly rateLimitedAttempts = new Counter({
+    name: 'snipestage_rate_limited_attempts_total',
+    help: 'Attempts at rate-limited endpoints by service.',
     labelNames: ['service'],
     registers: [this.registry],
   });
@@ -109,8 +109,8 @@
     this.candidateEngines.set({service, side}, candidates);
   }
 
-  countLimitedAttempt(service: string): void {
-    this.limitedAttempts.inc({service});
+  countRateLimitedAttempt(service: string): void {
+    this.rateLimitedAttempts.inc({service});
   }
 
   setConfigurationVersion(version: number): void {
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -50,7 +50,7 @@
   readonly isEncoded: boolean;
   readonly load: ReportedLoad | undefined;
   /** Requests a second that it takes from all instances together, if limited. */
-  readonly limitPerS: number | undefined;
+  readonly rateLimitPerS: number | undefined;
 }
 
 /** Header names and values as `name, value, name, value, ...`. */
--- a/packages/gateway/src/relay/load_exchange.test.ts
+++ b/packages/gateway/src/relay/load_exchange.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
-import {EndpointLimits} from '@snipestage/routing/endpoint_limits.js';
+import {EndpointRateLimits} from '@snipestage/routing/endpoint_rate_limits.js';
 import {LoadView} from '@snipestage/routing/load_view.js';
 import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
@@ -13,14 +13,17 @@
 function makeExchange() {
   const clock = {nowMs: 1000};
   const monitor = new EndpointMonitor();
-  const limits = new EndpointLimits({readInstances: () => 9, random: () => 0});
-  const view = new LoadView({monitor, limits, isShared: () => true});
+  const rateLimits = new EndpointRateLimits({
+    readInstances: () => 9,
+    random: () => 0,
+  });
+  const view = new LoadView({monitor, rateLimits, isShared: () => true});
   const metrics = new GatewayMetrics();
   const output = new NoOutput();
   const {logger} = output;
   const nowMs = () => clock.nowMs;
   const exchange = new LoadExchange({view, metrics, logger, nowMs});
-  return {clock, monitor, limits, view, metrics, output, exchange};
+  return {clock, monitor, rateLimits, view, metrics, output, exchange};
 }
 
 function noteOwn(view: LoadView, running: number, atMs: number): void {
@@ -68,16 +71,16 @@
   t.false(monitor.hasRecentReports(clock.nowMs));
 });
 
-test('a limit named to one instance holds at the others until it is lifted', t => {
-  // Guards against an endpoint in need that has to tell each instance by itself.
-  const [told, other] = [makeExchange(), makeExchange()];
+test('a rate limit learnt by one instance holds at the others until it ends', t => {
+  // Guards against an overloaded endpoint that has to announce its limit to each instance.
+  const [source, other] = [makeExchange(), makeExchange()];
   const load = {running: 1, waiting: 0, capacity: 24};
   const send = () =>
-    other.exchange.receive(told.exchange.collectForRelay()!, 'remote');
-  told.view.noteOwn({endpoint: ENGINE, load, limitPerS: 1, atMs: 900});
+    other.exchange.receive(source.exchange.collectForRelay()!, 'remote');
+  source.view.noteOwn({endpoint: ENGINE, load, rateLimitPerS: 1, atMs: 900});
   send();
-  t.is(other.limits.find(ENGINE), 1);
-  told.view.noteOwn({endpoint: ENGINE, load, atMs: 950});
+  t.is(other.rateLimits.find(ENGINE), 1);
+  source.view.noteOwn({endpoint: ENGINE, load, atMs: 950});
   send();
-  t.is(other.limits.find(ENGINE), undefined);
+  t.is(other.rateLimits.find(ENGINE), undefined);
 });
--- a/packages/gateway/src/relay/load_report.ts
+++ b/packages/gateway/src/relay/load_report.ts
@@ -36,13 +36,15 @@
   const newest = readings
     .toSorted((one, other) => other.atMs - one.atMs)
     .slice(0, MOST_LINES);
-  const lines = newest.map(({endpoint, load, limitPerS, atMs}): LoadLine => {
-    const {running, waiting, capacity} = load;
-    const ageMs = Math.round(nowMs - atMs);
-    return limitPerS === undefined
-      ? [endpoint, running, waiting, capacity, ageMs]
-      : [endpoint, running, waiting, capacity, ageMs, limitPerS];
-  });
+  const lines = newest.map(
+    ({endpoint, load, rateLimitPerS, atMs}): LoadLine => {
+      const {running, waiting, capacity} = load;
+      const ageMs = Math.round(nowMs - atMs);
+      return rateLimitPerS === undefined
+        ? [endpoint, running, waiting, capacity, ageMs]
+        : [endpoint, running, waiting, capacity, ageMs, rateLimitPerS];
+    },
+  );
   return {kind: 'loads', lines};
 }
 
@@ -69,24 +71,25 @@
 }
 
 function toReading(line: LoadLine, nowMs: number): LoadReading {
-  const [endpoint, running, waiting, capacity, ageMs, limitPerS] = line;
+  const [endpoint, running, waiting, capacity, ageMs, rateLimitPerS] = line;
   return {
     endpoint: brandAs<EndpointId>(endpoint),
     load: {running, waiting, capacity},
-    ...(limitPerS === undefined ? {} : {limitPerS}),
+    ...(rateLimitPerS === undefined ? {} : {rateLimitPerS}),
     atMs: nowMs - ageMs,
   };
 }
 
 function isLoadLine(line: unknown): line is LoadLine {
   if (!Array.isArray(line) || line.length < 5 || line.length > 6) return false;
-  const [endpoint, running, waiting, capacity, ageMs, limitPerS = 0] =
+  const [endpoint, running, waiting, capacity, ageMs, rateLimitPerS = 0] =
     line as unknown[];
   const counts = [running, waiting, capacity];
   const areCounts = counts.every(
     count => Number.isInteger(count) && (count as number) >= 0,
   );
-  const isLimit = Number.isFinite(limitPerS) && (limitPerS as number) >= 0;
+  const isLimit =
+    Number.isFinite(rateLimitPerS) && (rateLimitPerS as number) >= 0;
   return (
     typeof endpoint === 'string' &&
     areCounts &&
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -9,7 +9,7 @@
   type RouteDemand,
 } from '@snipestage/routing/demand_meter.js';
 import {EndpointDirectory} from '@snipestage/routing/endpoint_directory.js';
-import {EndpointLimits} from '@snipestage/routing/endpoint_limits.js';
+import {EndpointRateLimits} from '@snipestage/routing/endpoint_rate_limits.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {LoadView} from '@snipestage/routing/load_view.js';
 import {LeastLoadedPlacement} from '@snipestage/routing/least_loaded_placement.js';
@@ -40,9 +40,9 @@
    * - `no_endpoint`: none is listed.
    * - `evacuated`: all that are listed are in evacuated data centres.
    * - `warming_up`: all are cold and get what they bear already.
-   * - `limited`: all get what they bear already, and some have named a limit.
+   * - `rate_limited`: all get what they bear already, and some have a rate limit.
    */
-  readonly reason: 'no_endpoint' | 'evacuated' | 'warming_up' | 'limited';
+  readonly reason: 'no_endpoint' | 'evacuated' | 'warming_up' | 'rate_limited';
   /** When the first may take requests again, if that is known; else 0. */
   readonly retryAfterMs: number;
 }
@@ -55,10 +55,12 @@
   /** As the holder of the duties counted them; undefined until it is known. */
   instances: number | undefined;
   readonly monitor = new EndpointMonitor();
-  readonly limits = new EndpointLimits({readInstances: () => this.instances});
+  readonly rateLimits = new EndpointRateLimits({
+    readInstances: () => this.instances,
+  });
   readonly loads = new LoadView({
     monitor: this.monitor,
-    limits: this.limits,
+    rateLimits: this.rateLimits,
     isShared: id => this.isEngine(id),
   });
   readonly reach = new DataCentreReach();
@@ -90,8 +92,8 @@
       readInstances: () => this.instances,
       tolerance,
     });
-    const {monitor, reach, warmup, limits} = this;
-    const beliefs = {monitor, reach, warmup, limits};
+    const {monitor, reach, warmup, rateLimits} = this;
+    const beliefs = {monitor, reach, warmup, rateLimits};
     const {agreedDemand: demand, recentDemand: recent} = this;
     this.plainPlacement = new LeastLoadedPlacement(beliefs);
     this.promptPlacement = new PromptPlacement({...beliefs, demand, recent});
@@ -115,7 +117,7 @@
     const listed = new Set(this.directory.readAll().map(({id}) => id));
     this.monitor.retain(listed);
     this.warmup.retain(listed);
-    this.limits.retain(listed);
+    this.rateLimits.retain(listed);
     this.loads.prune();
   }
 
@@ -178,13 +180,13 @@
     const serving = this.directory.findServing(service, nowMs);
     if (serving.length > 0) {
       const waits = serving.map(({id}) =>
-        Math.max(this.warmup.leftMs(id, nowMs), this.limits.intervalMs(id)),
+        Math.max(this.warmup.leftMs(id, nowMs), this.rateLimits.intervalMs(id)),
       );
       const isLimited = serving.some(
-        ({id}) => this.limits.find(id) !== undefined,
+        ({id}) => this.rateLimits.find(id) !== undefined,
       );
       return {
-        reason: isLimited ? 'limited' : 'warming_up',
+        reason: isLimited ? 'rate_limited' : 'warming_up',
         retryAfterMs: Math.min(...waits),
       };
     }
@@ -205,7 +207,7 @@
       ...endpoint,
       isDown: monitor.isDown(endpoint.id, nowMs),
       isCold: this.warmup.isCold(endpoint.id, nowMs),
-      limitPerS: this.limits.find(endpoint.id),
+      rateLimitPerS: this.rateLimits.find(endpoint.id),
       load: monitor.estimateLoad(endpoint.id, nowMs),
       failureShare: monitor.failureShare(endpoint.id, nowMs),
       inFlight: monitor.inFlight(endpoint.id),
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -49,7 +49,7 @@
       isMisdirected: status === 421,
       isEncoded: headers['content-encoding'] !== undefined,
       load: undefined,
-      limitPerS:
+      rateLimitPerS:
         headers['x-limit'] === undefined
           ? undefined
           : Number(headers['x-limit']),
--- a/packages/routing/src/endpoint_limits.test.ts
+++ b/packages/routing/src/endpoint_rate_limits.test.ts
@@ -1,29 +1,33 @@
 import test from 'ava';
 import {createSeededRandom} from '@snipestage/policy/random_source.js';
 import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
-import {EndpointLimits} from './endpoint_limits.js';
+import {EndpointRateLimits} from './endpoint_rate_limits.js';
 
-const ENDPOINT = brandAs<EndpointId>('limited');
+const ENDPOINT = brandAs<EndpointId>('rate-limited');
 const SPAN_MS = 4000;
 
-/** What an endpoint bears in {@link SPAN_MS}: half more than named, and a few. */
-function mostInSpan(limitPerS: number): number {
-  return 1.5 * limitPerS * (SPAN_MS / 1000) + 5;
+/** Tolerated in {@link SPAN_MS}: half more than the limit, and a few requests. */
+function mostInSpan(rateLimitPerS: number): number {
+  return 1.5 * rateLimitPerS * (SPAN_MS / 1000) + 5;
 }
 
 interface Simulated {
-  readonly limitPerS: number;
+  readonly rateLimitPerS: number;
   /** What each instance believes of the number of instances. */
   readonly counted: readonly number[];
   readonly seed: number;
 }
 
 /** When the endpoint gets requests while all instances want it all the time. */
-function simulate({limitPerS, counted, seed}: Simulated): readonly number[] {
+function simulate({
+  rateLimitPerS,
+  counted,
+  seed,
+}: Simulated): readonly number[] {
   const random = createSeededRandom(seed);
   const instances = counted.map(count => {
-    const limits = new EndpointLimits({readInstances: () => count, random});
-    limits.note(ENDPOINT, limitPerS, 0);
+    const limits = new EndpointRateLimits({readInstances: () => count, random});
+    limits.note(ENDPOINT, rateLimitPerS, 0);
     return limits;
   });
   const arrivals: number[] = [];
@@ -52,14 +56,14 @@
 }
 
 for (const instances of [1, 9, 66, 195]) {
-  test(`load pattern: ${instances} instances want one limited endpoint`, t => {
-    // Guards against an endpoint in need that gets more than it takes.
-    for (const limitPerS of [0.25, 1, 5, 20]) {
+  test(`load pattern: ${instances} instances want one rate-limited endpoint`, t => {
+    // Guards against an overloaded endpoint that gets more than its limit.
+    for (const rateLimitPerS of [0.25, 1, 5, 20]) {
       for (let seed = 1; seed <= 5; seed++) {
         const counted = sameCount(instances);
-        const arrivals = simulate({limitPerS, counted, seed});
+        const arrivals = simulate({rateLimitPerS, counted, seed});
         const most = mostInAnySpan(arrivals);
-        t.true(most <= mostInSpan(limitPerS), `${limitPerS}: ${most}`);
+        t.true(most <= mostInSpan(rateLimitPerS), `${rateLimitPerS}: ${most}`);
         t.true(arrivals.length > 0, 'the endpoint is used at all');
       }
     }
@@ -74,7 +78,7 @@
   ]) {
     for (let seed = 1; seed <= 5; seed++) {
       const each = sameCount(instances, counted);
-      const arrivals = simulate({limitPerS: 1, counted: each, seed});
+      const arrivals = simulate({rateLimitPerS: 1, counted: each, seed});
       t.true(mostInAnySpan(arrivals) <= mostInSpan(1), `seed ${seed}`);
     }
   }
@@ -84,15 +88,18 @@
   // Guards against a sum over two sides of a partition that goes by two counts.
   const counted = [...sameCount(6), ...sameCount(3, 9)];
   for (let seed = 1; seed <= 5; seed++) {
-    const arrivals = simulate({limitPerS: 1, counted, seed});
+    const arrivals = simulate({rateLimitPerS: 1, counted, seed});
     t.true(mostInAnySpan(arrivals) <= mostInSpan(1), `seed ${seed}`);
   }
 });
 
 test('a limit holds until an answer comes without one', t => {
-  const limits = new EndpointLimits({readInstances: () => 9, random: () => 0});
+  const limits = new EndpointRateLimits({
+    readInstances: () => 9,
+    random: () => 0,
+  });
   t.true(limits.mayAdmit(ENDPOINT, 0));
-  t.is(limits.note(ENDPOINT, 1, 0), 'named');
+  t.is(limits.note(ENDPOINT, 1, 0), 'announced');
   t.is(limits.note(ENDPOINT, 1, 10), undefined);
   t.false(limits.mayAdmit(ENDPOINT, 20));
   t.is(limits.note(ENDPOINT, 2, 30), 'changed');
@@ -102,14 +109,14 @@
 });
 
 test('an endpoint with the limit 0 still gets a request now and then', t => {
-  // Guards against a limit that nobody sees lifted.
-  const arrivals = simulate({limitPerS: 0, counted: sameCount(9), seed: 1});
+  // Guards against a limit whose end no instance would notice.
+  const arrivals = simulate({rateLimitPerS: 0, counted: sameCount(9), seed: 1});
   t.true(arrivals.length > 0);
   t.true(mostInAnySpan(arrivals) <= mostInSpan(0));
 });
 
-test('an instance that doesn’t know how many there are sends little', t => {
-  const limits = new EndpointLimits({
+test('an instance that doesn’t know the number of instances sends little', t => {
+  const limits = new EndpointRateLimits({
     readInstances: () => undefined,
     random: () => 0,
   });
@@ -119,7 +126,10 @@
 });
 
 test('gone endpoints are forgotten', t => {
-  const limits = new EndpointLimits({readInstances: () => 9, random: () => 0});
+  const limits = new EndpointRateLimits({
+    readInstances: () => 9,
+    random: () => 0,
+  });
   limits.note(ENDPOINT, 1, 0);
   limits.retain(new Set());
   t.true(limits.mayAdmit(ENDPOINT, 1));
--- a/packages/routing/src/least_loaded_placement.ts
+++ b/packages/routing/src/least_loaded_placement.ts
@@ -5,7 +5,7 @@
   findUsable,
   leastBy,
   leaveOutCold,
-  leaveOutLimited,
+  leaveOutRateLimited,
   Placement,
   type Placed,
   type PlacementBeliefs,
@@ -44,7 +44,7 @@
     request: PlacementRequest,
   ): Placed | undefined {
     const all = findUsable(candidates, request, this.options);
-    const open = leaveOutLimited(all, all, request, this.options);
+    const open = leaveOutRateLimited(all, all, request, this.options);
     const usable = leaveOutCold(open, open, request, this.options);
     const typicalMs = this.typicalDurationMs(usable);
     const endpoint = leastBy(usable, each =>
--- a/packages/routing/src/load_view.ts
+++ b/packages/routing/src/load_view.ts
@@ -1,7 +1,7 @@
 /** The latest load of each endpoint, as reported to any instance. */
 
 import type {EndpointId} from '@snipestage/types/ids.js';
-import type {EndpointLimits} from './endpoint_limits.js';
+import type {EndpointRateLimits} from './endpoint_rate_limits.js';
 import type {EndpointMonitor, ReportedLoad} from './endpoint_monitor.js';
 
 /** A load that an endpoint reported with an answer. */
@@ -9,7 +9,7 @@
   readonly endpoint: EndpointId;
   readonly load: ReportedLoad;
   /** Requests a second that the endpoint takes from all instances, if limited. */
-  readonly limitPerS?: number;
+  readonly rateLimitPerS?: number;
   /** Time of the answer by this instance's clock. */
   readonly atMs: number;
 }
@@ -20,8 +20,8 @@
 /** What a {@link LoadView} is made from; defaults in the brackets. */
 export interface LoadViewOptions {
   readonly monitor: EndpointMonitor;
-  /** Learns limits that other instances were told; without it none is learnt. */
-  readonly limits?: EndpointLimits;
+  /** Receives rate limits that other instances have learnt. */
+  readonly rateLimits?: EndpointRateLimits;
   /** Whether the loads of an endpoint are exchanged; false for unknown ones. */
   readonly isShared: (endpoint: EndpointId) => boolean;
   /** Readings that are older are dropped (3,000 ms). */
@@ -80,14 +80,14 @@
     origin: LoadOrigin,
     nowMs: number,
   ): LoadDrop | undefined {
-    const {endpoint, load, limitPerS, atMs} = reading;
+    const {endpoint, load, rateLimitPerS, atMs} = reading;
     if (atMs > nowMs) return 'from_the_future';
     if (nowMs - atMs > this.maxAgeMs) return 'too_old';
     if (!this.options.isShared(endpoint)) return 'not_shared';
     const known = this.kept.get(endpoint);
     if (known !== undefined && known.reading.atMs >= atMs) return 'older';
     this.options.monitor.noteReportedLoad(endpoint, load, atMs);
-    this.options.limits?.note(endpoint, limitPerS, nowMs);
+    this.options.rateLimits?.note(endpoint, rateLimitPerS, nowMs);
     this.keep(reading, origin);
     return undefined;
   }
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -2,7 +2,7 @@
 
 import type {DataCentreId, EndpointId} from '@snipestage/types/ids.js';
 import type {DataCentreReach} from './data_centre_reach.js';
-import type {EndpointLimits} from './endpoint_limits.js';
+import type {EndpointRateLimits} from './endpoint_rate_limits.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
 import type {Prompt} from './prompt.js';
 import type {Route} from './route.js';
@@ -58,8 +58,8 @@
   readonly reach: DataCentreReach;
   /** Limits what cold endpoints get; without it none counts as cold. */
   readonly warmup?: WarmupGate;
-  /** What endpoints in need take; without it none is limited. */
-  readonly limits?: EndpointLimits;
+  /** Rate limits of endpoints; without it none is limited. */
+  readonly rateLimits?: EndpointRateLimits;
 }
 
 /**
@@ -86,21 +86,21 @@
 }
 
 /**
- * The endpoints of a group that may get a request by the limits that they named;
- * when none may, those of all that are usable. Limits hold also where nothing else
- * is left.
+ * The endpoints of a group whose rate limits admit a request, or else those of all
+ * usable ones. The result may be empty: a limit holds even when nothing else is
+ * left.
  *
  * @example
- * const open = leaveOutLimited(group, usable, request, beliefs);
+ * const open = leaveOutRateLimited(group, usable, request, beliefs);
  */
-export function leaveOutLimited(
+export function leaveOutRateLimited(
   group: readonly ServingEndpoint[],
   usable: readonly ServingEndpoint[],
   {nowMs}: PlacementRequest,
-  {limits}: PlacementBeliefs,
+  {rateLimits}: PlacementBeliefs,
 ): readonly ServingEndpoint[] {
-  if (limits === undefined) return group;
-  const mayAdmit = ({id}: ServingEndpoint) => limits.mayAdmit(id, nowMs);
+  if (rateLimits === undefined) return group;
+  const mayAdmit = ({id}: ServingEndpoint) => rateLimits.mayAdmit(id, nowMs);
   const open = group.filter(mayAdmit);
   return open.length > 0 ? open : usable.filter(mayAdmit);
 }
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -16,7 +16,7 @@
   findUsable,
   leastBy,
   leaveOutCold,
-  leaveOutLimited,
+  leaveOutRateLimited,
   Placement,
   type Placed,
   type PlacementBeliefs,
@@ -104,10 +104,10 @@
     const usable = findUsable(candidates, request, this.options);
     if (usable.length === 0) return undefined;
     const split = this.sideFor(usable, request);
-    const open = leaveOutLimited(usable, usable, request, this.options);
+    const open = leaveOutRateLimited(usable, usable, request, this.options);
     const admit = (engines: readonly ServingEndpoint[]) =>
       leaveOutCold(
-        leaveOutLimited(engines, usable, request, this.options),
+        leaveOutRateLimited(engines, usable, request, this.options),
         open,
         request,
         this.options,
--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -20,11 +20,11 @@
 import {OneFigure, OneHolder} from './duties.js';
 import {
   MaxAttempts,
-  NamedLimits,
   NothingForNobody,
   RetryBudget,
   TimeHandedOn,
 } from './limits.js';
+import {RateLimits} from './rate_limits.js';
 import {NothingLost, ProperEnds, ServesAgain} from './stops.js';
 
 export const ALL_CHECKS: readonly Check[] = [
@@ -38,7 +38,7 @@
   new TimeHandedOn(),
   new RetryBudget(),
   new NothingForNobody(),
-  new NamedLimits(),
+  new RateLimits(),
   new WithdrawnKeys(),
   new LeavingEndpoints(),
   new EvacuatedDataCentres(),
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -12,7 +12,7 @@
   makeRun,
 } from '../test_support/small_history.js';
 import {ALL_CHECKS, checkAll} from './all_checks.js';
-import {NamedLimits} from './limits.js';
+import {RateLimits} from './rate_limits.js';
 
 const REFUSED = {
   kind: 'answered',
@@ -193,7 +193,7 @@
   t.deepEqual(findersOf({}, [makeRun()], evacuated(5000, 10_000)), []);
 });
 
-test('an endpoint that gets more than it named is found', t => {
+test('an endpoint that gets more than its rate limit is found', t => {
   const requests = Array.from({length: 13}, (_, index) =>
     makeRequest({requestId: `limited-${index}`}),
   );
@@ -201,14 +201,14 @@
     makeRun({
       requestId,
       arrivedAtMs: 10_000 + index * 250,
-      toldLimitAtMs: index === 0 ? 9000 : undefined,
+      rateLimitSentAtMs: index === 0 ? 9000 : undefined,
     }),
   );
   const findersOfLimit = (fromMs: number, toMs: number, count = 13) => {
     const history = makeHistory(requests, runs.slice(0, count));
     const endpoint = brandAs<EndpointId>('booking-0.1');
-    history.limits.push({endpoint, limitPerS: 1, fromMs, toMs});
-    return new NamedLimits().find(history).length;
+    history.rateLimits.push({endpoint, rateLimitPerS: 1, fromMs, toMs});
+    return new RateLimits().find(history).length;
   };
   t.is(findersOfLimit(6000, 20_000), 1);
   t.is(findersOfLimit(6000, 20_000, 11), 0);
--- a/packages/soak/src/checks/limits.ts
+++ b/packages/soak/src/checks/limits.ts
@@ -1,6 +1,6 @@
 /** Bounds on further attempts, on time handed on and on work for nobody. */
 
-import type {History, NamedLimit, SentRequest} from '../history.js';
+import type {History, SentRequest} from '../history.js';
 import {Check, type Finding} from './check.js';
 
 /** A request runs on at most as many endpoints as its route allows. */
@@ -112,68 +112,8 @@
   }
 }
 
-const LIMIT_SPAN_MS = 4000;
-const LIMIT_OVERAGE = 1.5;
-const LIMIT_SLACK = 5;
-/** An instance is bound by a limit so long after it was told. */
-const TOLD_AFTER_MS = 500;
-
-/** A limited endpoint gets little more than it named from those that it told. */
-export class NamedLimits extends Check {
-  readonly name = 'named_limits';
-
-  find(history: History): readonly Finding[] {
-    const known = new Map(history.requests.map(each => [each.requestId, each]));
-    return history.limits.flatMap(limit => {
-      const arrivals = listBound(history, known, limit);
-      const {endpoint, limitPerS} = limit;
-      const most =
-        LIMIT_OVERAGE * limitPerS * (LIMIT_SPAN_MS / 1000) + LIMIT_SLACK;
-      const fromMs = arrivals.find(
-        atMs => countWithin(arrivals, atMs, atMs + LIMIT_SPAN_MS) > most,
-      );
-      if (fromMs === undefined) return [];
-      const count = countWithin(arrivals, fromMs, fromMs + LIMIT_SPAN_MS);
-      return [this.found(`${count} requests in 4 s at ${endpoint}`, fromMs)];
-    });
-  }
-}
-
-/** When a limited endpoint got requests of undisturbed instances it had told. */
-function listBound(
-  history: History,
-  known: ReadonlyMap<string, SentRequest>,
-  {endpoint, fromMs, toMs}: NamedLimit,
-): readonly number[] {
-  const runs = history.runs
-    .filter(run => run.endpoint === endpoint && run.arrivedAtMs < toMs)
-    .sort((left, right) => left.arrivedAtMs - right.arrivedAtMs);
-  const toldAtMs = new Map<string, number>();
-  for (const {requestId, toldLimitAtMs} of runs) {
-    const request = known.get(requestId);
-    if (request === undefined || toldLimitAtMs === undefined) continue;
-    const life = nameLife(request);
-    const before = toldAtMs.get(life) ?? Number.POSITIVE_INFINITY;
-    toldAtMs.set(life, Math.min(before, toldLimitAtMs));
-  }
-  const {contactMs} = history.bounds;
-  return runs.flatMap(({requestId, arrivedAtMs}) => {
-    const request = known.get(requestId);
-    const told = request && toldAtMs.get(nameLife(request));
-    if (request === undefined || told === undefined) return [];
-    const isBound =
-      arrivedAtMs > fromMs + contactMs &&
-      arrivedAtMs > told + TOLD_AFTER_MS &&
-      history.isCalm([request.instance], told, arrivedAtMs);
-    return isBound ? [arrivedAtMs] : [];
-  });
-}
-
-function nameLife({instance, life}: SentRequest): string {
-  return `${instance} ${life}`;
-}
-
-function countWithin(
+/** Moments in a half-open span. */
+export function countWithin(
   times: readonly number[],
   fromMs: number,
   toMs: number,
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -52,11 +52,11 @@
 
 /** Drawn beside the others, so that these stay the same for a seed. */
 export const EVACUATE = 'evacuate';
-/** An endpoint names a limit in its answers. */
-export const LIMIT = 'limit';
+/** An endpoint announces a rate limit in its answers. */
+export const RATE_LIMIT = 'rate_limit';
 
 export type FaultKind =
-  (typeof FAULT_KINDS)[number] | typeof EVACUATE | typeof LIMIT;
+  (typeof FAULT_KINDS)[number] | typeof EVACUATE | typeof RATE_LIMIT;
 
 /** One fault. */
 export interface PlannedFault {
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -99,11 +99,11 @@
   toMs: number;
 }
 
-/** An endpoint named a limit in its answers. */
-export interface NamedLimit {
+/** An endpoint announced a rate limit in its answers. */
+export interface AnnouncedRateLimit {
   readonly endpoint: EndpointId;
   /** From all instances together. */
-  readonly limitPerS: number;
+  readonly rateLimitPerS: number;
   readonly fromMs: number;
   /** Infinite until it is lifted. */
   toMs: number;
@@ -120,7 +120,7 @@
   /** When the store had an endpoint's notice that it leaves. */
   readonly leavingNotices = new Map<string, number>();
   readonly evacuations: Evacuation[] = [];
-  readonly limits: NamedLimit[] = [];
+  readonly rateLimits: AnnouncedRateLimit[] = [];
   /** Of every life of an endpoint. */
   readonly endpointPlaces = new Map<string, DataCentreId>();
   readonly dutyCalls: DutyCall[] = [];
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,6 +1,6 @@
 /** Seeded faults of the program; a soak of each must find it. */
 
-import {EVACUATE, LIMIT} from './fault_plan.js';
+import {EVACUATE, RATE_LIMIT} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
 
@@ -216,13 +216,13 @@
     ],
   },
   {
-    name: 'ignores_named_limits',
-    check: 'named_limits',
-    kinds: [LIMIT],
+    name: 'ignores_rate_limits',
+    check: 'rate_limits',
+    kinds: [RATE_LIMIT],
     edits: [
       {
         module: 'routing/dist/placement.js',
-        from: 'if (limits === undefined)',
+        from: 'if (rateLimits === undefined)',
         to: 'if (true)',
       },
     ],
--- a/packages/soak/src/named_limits.ts
+++ b/packages/soak/src/rate_limits.ts
@@ -1,12 +1,12 @@
-/** When endpoints name limits. */
+/** When endpoints announce rate limits. */
 
 import {drawInTurn} from './drawn_in_turn.js';
-import {LIMIT, type PlannedFault} from './fault_plan.js';
+import {RATE_LIMIT, type PlannedFault} from './fault_plan.js';
 
 /** What the limits are drawn from. */
-export interface NamedLimitsOptions {
+export interface RateLimitsOptions {
   readonly seed: number;
-  /** Limits are named within this time. */
+  /** Limits begin within this time. */
   readonly forMs: number;
   readonly endpoints: number;
 }
@@ -15,12 +15,12 @@
  * One endpoint after the other, each for longer than instances may take to act.
  *
  * @example
- * const faults = drawNamedLimits({seed: 7, forMs: 20_000, endpoints: 10});
+ * const faults = drawRateLimits({seed: 7, forMs: 20_000, endpoints: 10});
  */
-export function drawNamedLimits(options: NamedLimitsOptions): PlannedFault[] {
+export function drawRateLimits(options: RateLimitsOptions): PlannedFault[] {
   const {seed, forMs, endpoints} = options;
   return drawInTurn({
-    kind: LIMIT,
+    kind: RATE_LIMIT,
     seed,
     forMs,
     targets: endpoints,
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -6,12 +6,12 @@
 import {
   drawFaultPlan,
   EVACUATE,
-  LIMIT,
+  RATE_LIMIT,
   type FaultKind,
   type PlannedFault,
 } from './fault_plan.js';
 import type {History} from './history.js';
-import {drawNamedLimits} from './named_limits.js';
+import {drawRateLimits} from './rate_limits.js';
 import {drawStopTurns} from './stop_turns.js';
 import {FaultInjector} from './world/fault_injector.js';
 import {StallWatch} from './world/stall_watch.js';
@@ -114,7 +114,7 @@
   }
 }
 
-/** Evacuations, named limits and stops in turn come beside the others, where they may. */
+/** Evacuations, rate limits and stops in turn come beside the others. */
 function drawPlan(
   options: SoakOptions,
   forMs: number,
@@ -128,9 +128,9 @@
       ? []
       : drawEvacuations({seed, forMs, dataCentres: world.dataCentres.length});
   const limits =
-    kinds?.includes(LIMIT) === false
+    kinds?.includes(RATE_LIMIT) === false
       ? []
-      : drawNamedLimits({seed, forMs, endpoints: endpoints.length});
+      : drawRateLimits({seed, forMs, endpoints: endpoints.length});
   const faults = [...drawn, ...evacuations, ...limits];
   if (kinds?.includes('instance_terminate') === false) return faults;
   const dataCentres = [...new Set(instances.map(each => each.dataCentre))];
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -95,19 +95,19 @@
   }
 
   /**
-   * Names a limit in the answers of this life.
+   * Announces a rate limit in the answers of this life.
    *
-   * @returns lifts it.
+   * @returns ends the limit.
    */
-  limit(limitPerS: number): () => void {
+  limitRate(rateLimitPerS: number): () => void {
     const {id, standIn} = this;
     const {history, nowMs} = this.options;
     const toMs = Number.POSITIVE_INFINITY;
-    const limit = {endpoint: id, limitPerS, fromMs: nowMs(), toMs};
-    history.limits.push(limit);
-    standIn.limitPerS = limitPerS;
+    const limit = {endpoint: id, rateLimitPerS, fromMs: nowMs(), toMs};
+    history.rateLimits.push(limit);
+    standIn.rateLimitPerS = rateLimitPerS;
     return () => {
-      standIn.limitPerS = undefined;
+      standIn.rateLimitPerS = undefined;
       limit.toMs = nowMs();
     };
   }
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -5,7 +5,7 @@
 import type {Link, LinkMode} from '@snipestage/stand_ins/link/link.js';
 import {
   EVACUATE,
-  LIMIT,
+  RATE_LIMIT,
   type FaultKind,
   type PlannedFault,
 } from '../fault_plan.js';
@@ -49,8 +49,8 @@
 };
 const SLOW_WAY_MS = 300;
 const LONGEST_CLOCK_JUMP_MS = 8000;
-/** What a limited endpoint takes: less than its usual share. */
-const LIMIT_PER_S = 1;
+/** Less than the usual share of an endpoint. */
+const RATE_LIMIT_PER_S = 1;
 /** Writes of a store that does them late come so long after the fault. */
 const LATE_WRITES_MS = 3000;
 /** Endpoints with a fault at a time: the others have to carry the load. */
@@ -90,8 +90,8 @@
       else operator.withdrawKey(target);
     } else if (kind === EVACUATE) {
       this.evacuate(fault);
-    } else if (kind === LIMIT) {
-      this.limit(fault, endpoints[target % endpoints.length]);
+    } else if (kind === RATE_LIMIT) {
+      this.limitRate(fault, endpoints[target % endpoints.length]);
     } else if (kind.startsWith('store_way') || kind.startsWith('callers_way')) {
       this.disturbWay(fault, instances[target % instances.length]);
     } else if (kind.startsWith('instance')) {
@@ -124,9 +124,9 @@
   }
 
   /** No disturbance either. */
-  private limit({kind, forMs}: PlannedFault, endpoint: Endpoint): void {
+  private limitRate({kind, forMs}: PlannedFault, endpoint: Endpoint): void {
     this.note(kind, endpoint.id, forMs);
-    this.endAfter(forMs, endpoint.limit(LIMIT_PER_S));
+    this.endAfter(forMs, endpoint.limitRate(RATE_LIMIT_PER_S));
   }
 
   private endAfter(forMs: number, undo: () => void): void {
