--- a/packages/entry/src/sessions/failover.test.ts
+++ b/packages/entry/src/sessions/failover.test.ts
@@ -110,7 +110,8 @@
   for (const {status, body} of await answers) {
     t.is(status, 200);
     t.true(body.endsWith('data: [DONE]\n\n'));
-    const numbers = [...body.matchAll(/-(\d+)"/g)].map(([, n]) => Number(n));
+    const tokens = body.matchAll(/"content":"[^"]*-(\d+)"/g);
+    const numbers = [...tokens].map(([, number]) => Number(number));
     t.deepEqual(
       numbers,
       Array.from({length: 60}, (_, index) => index),
