Log and count answers in which an endpoint announces its leaving

The logs of the incident can't tell an announcement that nobody read from one that was known and lost: no line says which answers carried it. Each such answer is logged now, with what the list of endpoints said at that moment, and counted. No request is placed differently.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -135,6 +135,7 @@
       response.statusCode ?? 0,
       response.headers,
     );
+    if (head.isLeaving) this.recordLeaving();
     this.noteRateLimit(head);
     if (head.load !== undefined) {
       const endpoint = placed.endpoint.id;
@@ -175,6 +176,17 @@
     return this.handleWholeAnswer(head, response, body);
   }
 
+  private recordLeaving(): void {
+    const {context, request, placed} = this.options;
+    const {id, service} = placed.endpoint;
+    context.metrics.countLeavingAnswer(service);
+    context.logger.info('endpoint_leaving_announced', {
+      requestId: request.caller.requestId,
+      endpoint: id,
+      isListedAsLeaving: context.state.directory.find(id)?.isLeaving,
+    });
+  }
+
   /**
    * An answer without a limit lifts the endpoint's limit only if it is signed:
    * others may have lost their headers.
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -66,6 +66,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  private readonly leavingAnswers = new Counter({
+    name: 'snipestage_leaving_answers_total',
+    help: 'Answers in which an endpoint announced its leaving, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   private readonly version = new Gauge({
     name: 'snipestage_configuration_version',
     help: 'Version of the configuration in force.',
@@ -113,6 +119,10 @@
     this.rateLimitedAttempts.inc({service});
   }
 
+  countLeavingAnswer(service: string): void {
+    this.leavingAnswers.inc({service});
+  }
+
   setConfigurationVersion(version: number): void {
     this.version.set(version);
   }
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -53,6 +53,8 @@
    * Requests a second that it accepts from all instances together, if limited.
    */
   readonly rateLimitPerS: number | undefined;
+  /** Whether the endpoint states that it is about to stop. */
+  readonly isLeaving: boolean;
 }
 
 /** Header names and values as `name, value, name, value, ...`. */
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -53,6 +53,7 @@
         headers['x-limit'] === undefined
           ? undefined
           : Number(headers['x-limit']),
+      isLeaving: headers['x-leaving'] !== undefined,
     };
   }
 
