Send nothing to an endpoint whose answer has announced its leaving

Callers saw nothing yet: their requests were answered by an endpoint that was about to stop, up to 7,005 ms after an answer through the same instance had said so; a little later they would have broken off.

Cause: only the list of endpoints told an instance who leaves, and the list comes from the store. In the incident the store took the endpoint's row thirteen seconds late. What the endpoint said of itself in its answers was read by nobody.

Ruled out: a delay between placement and arrival (5 to 8 ms in the record), and an announcement that was known and lost (no state held one).

The directory, by which first attempts, retries, resumed streams, cache sources and the capacity plan go, now merges the announcement into what it knows of the endpoint. It holds for that start of it: a row that still calls the endpoint ready, a row that was lost and came back, and an answer to an earlier start change nothing; another start clears it. An answer of another endpoint at the address (421) is not taken for the announcement.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -135,7 +135,7 @@
       response.statusCode ?? 0,
       response.headers,
     );
-    if (head.isLeaving) this.recordLeaving();
+    if (head.isLeaving && !head.isMisdirected) this.recordLeaving();
     this.noteRateLimit(head);
     if (head.load !== undefined) {
       const endpoint = placed.endpoint.id;
@@ -178,12 +178,16 @@
 
   private recordLeaving(): void {
     const {context, request, placed} = this.options;
-    const {id, service} = placed.endpoint;
-    context.metrics.countLeavingAnswer(service);
+    const {endpoint} = placed;
+    const {directory} = context.state;
+    const isListedAsLeaving = directory.find(endpoint.id)?.isLeaving;
+    context.metrics.countLeavingAnswer(endpoint.service);
+    const isNew = directory.noteLeaving(endpoint, context.nowMs());
+    if (!isNew) return;
     context.logger.info('endpoint_leaving_announced', {
       requestId: request.caller.requestId,
-      endpoint: id,
-      isListedAsLeaving: context.state.directory.find(id)?.isLeaving,
+      endpoint: endpoint.id,
+      isListedAsLeaving,
     });
   }
 
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -44,12 +44,14 @@
   /**
    * - `no_endpoint`: none is serving, and none is in an evacuated data centre.
    * - `evacuated`: none is serving, and some are in evacuated data centres.
+   * - `leaving`: none is serving, and some are leaving.
    * - `warming_up`: all are cold and already get the requests that they can
    *   take.
    * - `rate_limited`: all already get the requests that they can take, and some
    *   have a rate limit.
    */
-  readonly reason: 'no_endpoint' | 'evacuated' | 'warming_up' | 'rate_limited';
+  readonly reason:
+    'no_endpoint' | 'evacuated' | 'leaving' | 'warming_up' | 'rate_limited';
   /** Time until the first one may take requests again; 0 if not known. */
   readonly retryAfterMs: number;
 }
@@ -197,14 +199,17 @@
         retryAfterMs: Math.min(...waits),
       };
     }
-    const isEvacuated = this.directory
+    return {reason: this.explainNoneServing(service), retryAfterMs: 0};
+  }
+
+  private explainNoneServing(service: ServiceId): NoEndpoint['reason'] {
+    const listed = this.directory
       .readAll()
-      .some(
-        each =>
-          each.service === service &&
-          this.directory.isEvacuated(each.dataCentre),
-      );
-    return {reason: isEvacuated ? 'evacuated' : 'no_endpoint', retryAfterMs: 0};
+      .filter(each => each.service === service);
+    if (listed.some(each => this.directory.isEvacuated(each.dataCentre))) {
+      return 'evacuated';
+    }
+    return listed.length > 0 ? 'leaving' : 'no_endpoint';
   }
 
   /** Known and estimated state of each endpoint, for the dump of state. */
--- a/packages/routing/src/endpoint_directory.test.ts
+++ b/packages/routing/src/endpoint_directory.test.ts
@@ -96,3 +96,40 @@
   directory.setEvacuated(new Set());
   t.deepEqual(idsAt(directory, 3), ['one', 'two', 'late']);
 });
+
+test('an announced leaving holds for one start of an endpoint only', t => {
+  // Guards against a new start that gets nothing because the answer of the one
+  // before arrived late.
+  const directory = new EndpointDirectory();
+  const started = {...ONE, bornEpochMs: 2};
+  directory.replace([ONE], 0);
+  t.true(directory.noteLeaving(ONE, 1));
+  t.false(directory.noteLeaving(ONE, 2));
+  t.deepEqual(idsAt(directory, 2), []);
+  directory.replace([started], 3);
+  t.false(directory.noteLeaving(ONE, 4));
+  t.deepEqual(idsAt(directory, 4), ['one']);
+});
+
+test('an announced leaving holds while the start of an endpoint is not listed', t => {
+  // Guards against requests to an endpoint that is about to stop, after a row
+  // that lacks its start.
+  const directory = new EndpointDirectory();
+  directory.replace([ONE], 0);
+  directory.noteLeaving(ONE, 1);
+  directory.replace([{...ONE, bornEpochMs: undefined}], 2);
+  t.deepEqual(idsAt(directory, 2), []);
+});
+
+test('announcements of endpoints that are gone are forgotten after a while', t => {
+  // Guards against memory that grows with each endpoint that leaves.
+  const directory = new EndpointDirectory();
+  directory.replace([ONE], 0);
+  directory.noteLeaving(ONE, 1);
+  directory.replace([], 2);
+  directory.replace([ONE], 500_000);
+  t.deepEqual(idsAt(directory, 500_000), []);
+  directory.replace([], 600_002);
+  directory.replace([ONE], 600_003);
+  t.deepEqual(idsAt(directory, 600_003), ['one']);
+});
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -1,4 +1,7 @@
-/** Keeps the endpoints that may get requests, from changes of their list. */
+/**
+ * Keeps the endpoints that may get requests, from changes of their list and
+ * from announcements in their answers.
+ */
 
 import type {
   DataCentreId,
@@ -29,6 +32,17 @@
 }
 
 const DEFAULT_KEEP_MISSING_MS = 2300;
+/**
+ * Announcements of endpoints that are no longer listed are kept for this long:
+ * a list that is out of date may name them again.
+ */
+const KEEP_ANNOUNCED_MS = 600_000;
+
+interface AnnouncedLeaving {
+  /** The start of the endpoint that announced it. */
+  readonly bornEpochMs: number | undefined;
+  readonly atMs: number;
+}
 
 /**
  * Keeps endpoints by service.
@@ -41,6 +55,7 @@
 export class EndpointDirectory {
   private readonly endpoints = new Map<EndpointId, ServingEndpoint>();
   private readonly missing = new Set<EndpointId>();
+  private readonly announcedLeaving = new Map<EndpointId, AnnouncedLeaving>();
   private evacuated: ReadonlySet<DataCentreId> = new Set();
   private byService = new Map<ServiceId, ServingEndpoint[]>();
   private disturbedAtMs = Number.NEGATIVE_INFINITY;
@@ -66,6 +81,7 @@
    */
   apply(changes: readonly EndpointChange[], nowMs: number): void {
     for (const change of changes) this.applyOne(change, nowMs);
+    this.evictAnnouncements(nowMs);
     this.index();
     this.changedAtMs = nowMs;
   }
@@ -82,10 +98,32 @@
       if (!listed.has(id)) this.handleMissing(id, nowMs);
     }
     for (const endpoint of endpoints) this.list(endpoint);
+    this.evictAnnouncements(nowMs);
     this.index();
     this.changedAtMs = nowMs;
   }
 
+  /**
+   * Records that an endpoint announced its leaving in an answer. It gets no new
+   * requests from then on, whatever the list says of this start of it.
+   *
+   * @param endpoint as it was listed when the answered request was sent.
+   * @returns whether this is new.
+   * @example
+   * if (head.isLeaving) directory.noteLeaving(placed.endpoint, nowMs);
+   */
+  noteLeaving(endpoint: ServingEndpoint, nowMs: number): boolean {
+    const {id, bornEpochMs} = endpoint;
+    const listed = this.endpoints.get(id);
+    if (listed !== undefined && isOtherStart(listed, endpoint)) return false;
+    const isKnown = this.announcedLeaving.has(id);
+    this.announcedLeaving.set(id, {bornEpochMs, atMs: nowMs});
+    if (listed === undefined || listed.isLeaving) return !isKnown;
+    this.endpoints.set(id, {...listed, isLeaving: true});
+    this.index();
+    return true;
+  }
+
   /**
    * Sets the data centres that an operator has evacuated. Their endpoints get
    * no new requests until they are restored.
@@ -142,8 +180,23 @@
   }
 
   private list(endpoint: ServingEndpoint): void {
-    this.missing.delete(endpoint.id);
-    this.endpoints.set(endpoint.id, endpoint);
+    const {id} = endpoint;
+    this.missing.delete(id);
+    const announced = this.announcedLeaving.get(id);
+    if (announced !== undefined && isOtherStart(announced, endpoint)) {
+      this.announcedLeaving.delete(id);
+    }
+    const isLeaving = endpoint.isLeaving || this.announcedLeaving.has(id);
+    this.endpoints.set(id, {...endpoint, isLeaving});
+  }
+
+  private evictAnnouncements(nowMs: number): void {
+    for (const [id, {atMs}] of this.announcedLeaving) {
+      const isListed = this.endpoints.has(id);
+      if (!isListed && nowMs - atMs > KEEP_ANNOUNCED_MS) {
+        this.announcedLeaving.delete(id);
+      }
+    }
   }
 
   private handleMissing(id: EndpointId, nowMs: number): void {
@@ -183,3 +236,15 @@
     }
   }
 }
+
+/** A start that isn't known may be the same one. */
+function isOtherStart(
+  one: {readonly bornEpochMs: number | undefined},
+  other: {readonly bornEpochMs: number | undefined},
+): boolean {
+  return (
+    one.bornEpochMs !== undefined &&
+    other.bornEpochMs !== undefined &&
+    one.bornEpochMs !== other.bornEpochMs
+  );
+}
