Let the soak's endpoints announce their leaving before their entry does

No stand-in sent the announcement, so that neither tests nor soaks could meet an endpoint whose entry is out of date. The new check holds whether or not the store can be reached; a restart or freeze of the instance excuses.

--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -1,6 +1,7 @@
 /** All checks of a soak, one for each guarantee. */
 
 import type {History} from '../history.js';
+import {AnnouncedLeavings} from './announcements.js';
 import {
   AnswerInTime,
   AtMostOnce,
@@ -41,6 +42,7 @@
   new RateLimits(),
   new WithdrawnKeys(),
   new LeavingEndpoints(),
+  new AnnouncedLeavings(),
   new EvacuatedDataCentres(),
   new TimelyConfiguration(),
   new RisingConfiguration(),
--- /dev/null
+++ b/packages/soak/src/checks/announcements.ts
@@ -0,0 +1,67 @@
+/** Instances heed what endpoints announce in their answers. */
+
+import type {Run} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
+import type {History, SentRequest} from '../history.js';
+import {Check, type Finding} from './check.js';
+
+const FREEZE = 'instance_freeze';
+
+/**
+ * An endpoint gets no requests from an instance that passed on an answer in
+ * which it announced its leaving, whether or not the store can be reached.
+ */
+export class AnnouncedLeavings extends Check {
+  readonly name = 'announced_leavings';
+
+  find(history: History): readonly Finding[] {
+    const known = new Map(history.requests.map(each => [each.requestId, each]));
+    const firstKnownAtMs = new Map<string, number>();
+    for (const run of history.runs) {
+      const request = known.get(run.requestId);
+      if (request === undefined || !wasPassedOn(run, request)) continue;
+      const key = keyOf(request, run);
+      const before = firstKnownAtMs.get(key) ?? Number.POSITIVE_INFINITY;
+      const {endedAtMs = Number.POSITIVE_INFINITY} = request;
+      firstKnownAtMs.set(key, Math.min(before, endedAtMs));
+    }
+    return history.runs.flatMap(run => {
+      const request = known.get(run.requestId);
+      const knownAtMs = request && firstKnownAtMs.get(keyOf(request, run));
+      if (request === undefined || knownAtMs === undefined) return [];
+      const lateMs = request.sentAtMs - knownAtMs - history.bounds.drainMs;
+      const isBound =
+        lateMs > 0 && !wasFrozen(history, request, knownAtMs, run.arrivedAtMs);
+      if (!isBound) return [];
+      const message = `reached ${run.endpoint} ${Math.round(lateMs)} ms too late`;
+      return [this.foundFor(request, message)];
+    });
+  }
+}
+
+function wasPassedOn(run: Run, {outcome}: SentRequest): boolean {
+  return (
+    run.hasAnnouncedLeaving === true &&
+    outcome?.kind === 'answered' &&
+    outcome.signature === run.signature
+  );
+}
+
+function wasFrozen(
+  {disturbances}: History,
+  {instance}: SentRequest,
+  fromMs: number,
+  toMs: number,
+): boolean {
+  return disturbances.some(each => {
+    const isFreeze = each.subject === instance && each.kind === FREEZE;
+    const isOverlapping = each.fromMs <= toMs && each.toMs >= fromMs;
+    return isOverlapping && (isFreeze || each.subject === 'machine');
+  });
+}
+
+function keyOf(
+  {instance, processNumber}: SentRequest,
+  {endpoint}: Run,
+): string {
+  return `${instance} ${processNumber} ${endpoint}`;
+}
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -173,6 +173,34 @@
   t.deepEqual(findersOf({}, [makeRun()], withdrawn(9000)), []);
 });
 
+test('a request to an endpoint that announced its leaving in an answer is found', t => {
+  const announced = makeRun({hasAnnouncedLeaving: true});
+  const later = (changes: Partial<SentRequest> = {}) => {
+    const requestId = 'r2';
+    const request = makeRequest({requestId, sentAtMs: 13_000, ...changes});
+    const run = makeRun({requestId, arrivedAtMs: 13_010, signature: 's2'});
+    return {request, run};
+  };
+  const findersAfter = (
+    {request, run}: ReturnType<typeof later>,
+    prepare: (history: History) => void = () => undefined,
+  ) => {
+    const history = makeHistory([makeRequest(), request], [announced, run]);
+    prepare(history);
+    return checkAll(history).filter(({check}) => check === 'announced_leavings')
+      .length;
+  };
+  t.is(findersAfter(later()), 1);
+  t.is(findersAfter(later({sentAtMs: 12_000})), 0);
+  t.is(findersAfter(later({processNumber: 2})), 0);
+  const freeze = (history: History) =>
+    void history.recordDisturbance(INSTANCE, 'instance_freeze', 11_000);
+  t.is(findersAfter(later(), freeze), 0);
+  const outage = (history: History) =>
+    void history.recordDisturbance('store', 'store_silent', 11_000);
+  t.is(findersAfter(later(), outage), 1);
+});
+
 test('a request to an endpoint long after its leaving notice is found', t => {
   const noticed = (atMs: number) => (history: History) => {
     history.leavingNotices.set('booking-0.1', atMs);
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -57,9 +57,14 @@
 export const EVACUATE = 'evacuate';
 /** An endpoint announces a rate limit in its answers. */
 export const RATE_LIMIT = 'rate_limit';
+/** An endpoint is replaced, and its entry says so later than its answers. */
+export const UNLISTED_LEAVING = 'unlisted_leaving';
 
 export type FaultKind =
-  (typeof FAULT_KINDS)[number] | typeof EVACUATE | typeof RATE_LIMIT;
+  | (typeof FAULT_KINDS)[number]
+  | typeof EVACUATE
+  | typeof RATE_LIMIT
+  | typeof UNLISTED_LEAVING;
 
 /** One fault of a plan. */
 export interface PlannedFault {
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,6 +1,6 @@
 /** Seeded faults of the program; a soak must find each of them. */
 
-import {EVACUATE, RATE_LIMIT} from './fault_plan.js';
+import {EVACUATE, RATE_LIMIT, UNLISTED_LEAVING} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
 
@@ -203,6 +203,18 @@
       },
     ],
   },
+  {
+    name: 'does_not_read_announced_leavings',
+    check: 'announced_leavings',
+    kinds: [UNLISTED_LEAVING],
+    edits: [
+      {
+        module: 'gateway/dist/attempt.js',
+        from: 'if (head.isLeaving &&',
+        to: 'if (false &&',
+      },
+    ],
+  },
   {
     name: 'uses_evacuated_data_centres',
     check: 'evacuated_data_centres',
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,5 +1,6 @@
 /** Runs real processes under traffic and faults and checks what was seen. */
 
+import {drawUnlistedLeavings} from './announcements.js';
 import {checkAll} from './checks/all_checks.js';
 import type {Finding} from './checks/check.js';
 import {drawEvacuations} from './evacuations.js';
@@ -7,6 +8,7 @@
   drawFaultPlan,
   EVACUATE,
   RATE_LIMIT,
+  UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
 } from './fault_plan.js';
@@ -118,7 +120,8 @@
 }
 
 /**
- * Evacuations, rate limits and turns of stops are drawn apart from the others.
+ * Evacuations, announcements of endpoints and turns of stops are drawn apart
+ * from the others.
  */
 function drawPlan(
   options: SoakOptions,
@@ -136,7 +139,11 @@
     kinds?.includes(RATE_LIMIT) === false
       ? []
       : drawRateLimits({seed, forMs, endpoints: endpoints.length});
-  const faults = [...drawn, ...evacuations, ...limits];
+  const leavings =
+    kinds?.includes(UNLISTED_LEAVING) === false
+      ? []
+      : drawUnlistedLeavings({seed, forMs, endpoints: endpoints.length});
+  const faults = [...drawn, ...evacuations, ...limits, ...leavings];
   if (kinds?.includes('instance_terminate') === false) return faults;
   const dataCentres = [...new Set(instances.map(each => each.dataCentre))];
   const places = dataCentres.map(dataCentre =>
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -127,16 +127,20 @@
   }
 
   /**
-   * Starts the next generation; this one announces its leaving and stops later.
+   * Starts the next generation; this one announces its leaving in its answers
+   * from now on, in its entry after `listAfterMs`, and stops later.
    */
-  async replace(): Promise<void> {
+  async replace(listAfterMs = 0): Promise<void> {
     const {store, history, nowMs} = this.options;
     const {id, standIn} = this;
     const leaving = this.describe(true);
+    standIn.isLeaving = true;
     await this.start();
-    writeEndpoint(store, leaving);
-    history.leavingNotices.set(id, nowMs());
-    const goneAfterMs = history.bounds.drainMs + DRAIN_MARGIN_MS;
+    setTimeout(() => {
+      writeEndpoint(store, leaving);
+      history.leavingNotices.set(id, nowMs());
+    }, listAfterMs);
+    const goneAfterMs = listAfterMs + history.bounds.drainMs + DRAIN_MARGIN_MS;
     setTimeout(() => removeEndpoint(store, id), goneAfterMs);
     setTimeout(() => standIn.stop(), goneAfterMs + FINISH_STREAMS_MS);
   }
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -6,6 +6,7 @@
 import {
   EVACUATE,
   RATE_LIMIT,
+  UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
 } from '../fault_plan.js';
@@ -58,7 +59,7 @@
 
 /**
  * Holds at most one lasting fault of a part at a time and skips others.
- * Evacuations and rate limits don't count: they overlap with faults.
+ * What endpoints announce and evacuations don't count: they overlap with faults.
  */
 export class FaultInjector {
   private readonly timers = new Set<NodeJS.Timeout>();
@@ -95,6 +96,8 @@
       this.evacuate(fault);
     } else if (kind === RATE_LIMIT) {
       this.limitRate(fault, endpoints[target % endpoints.length]);
+    } else if (kind === UNLISTED_LEAVING) {
+      this.replaceUnlisted(fault, endpoints[target % endpoints.length]);
     } else if (kind.startsWith('store_way') || kind.startsWith('callers_way')) {
       this.applyLinkFault(fault, instances[target % instances.length]);
     } else if (kind.startsWith('instance')) {
@@ -135,6 +138,16 @@
     this.endAfter(durationMs, endpoint.limitRate(RATE_LIMIT_PER_S));
   }
 
+  /** Only its answers say meanwhile that the endpoint leaves. */
+  private replaceUnlisted(
+    {kind, durationMs}: PlannedFault,
+    endpoint: Endpoint,
+  ): void {
+    if (this.faultyParts.has(endpoint)) return;
+    this.logFault(kind, endpoint.id, durationMs);
+    void endpoint.replace(durationMs);
+  }
+
   private endAfter(durationMs: number, undo: () => void): void {
     const end = () => {
       if (this.undos.delete(end)) undo();
