Log and count refusals in which an endpoint asks for rest

The logs of the incident show refusals, but not which of them asked for rest nor for how long, so that a request nobody read can't be told from one that was read too late. No request is placed differently.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -136,6 +136,7 @@
       response.headers,
     );
     if (head.isLeaving && !head.isMisdirected) this.recordLeaving();
+    if (head.restMs !== undefined) this.recordRest(head.restMs);
     this.noteRateLimit(head);
     if (head.load !== undefined) {
       const endpoint = placed.endpoint.id;
@@ -191,6 +192,17 @@
     });
   }
 
+  private recordRest(restMs: number): void {
+    const {context, request, placed} = this.options;
+    const {id, service} = placed.endpoint;
+    context.metrics.countRestRequest(service);
+    context.logger.info('endpoint_rest_requested', {
+      requestId: request.caller.requestId,
+      endpoint: id,
+      restMs,
+    });
+  }
+
   /**
    * An answer without a limit lifts the endpoint's limit only if it is signed:
    * others may have lost their headers.
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -72,6 +72,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  private readonly restRequests = new Counter({
+    name: 'snipestage_rest_requests_total',
+    help: 'Refusals in which an endpoint asked for rest, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   private readonly version = new Gauge({
     name: 'snipestage_configuration_version',
     help: 'Version of the configuration in force.',
@@ -123,6 +129,10 @@
     this.leavingAnswers.inc({service});
   }
 
+  countRestRequest(service: string): void {
+    this.restRequests.inc({service});
+  }
+
   setConfigurationVersion(version: number): void {
     this.version.set(version);
   }
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -55,6 +55,11 @@
   readonly rateLimitPerS: number | undefined;
   /** Whether the endpoint states that it is about to stop. */
   readonly isLeaving: boolean;
+  /**
+   * Time for which the endpoint wants no requests from this instance; undefined
+   * unless it refused the request and said so.
+   */
+  readonly restMs: number | undefined;
 }
 
 /** Header names and values as `name, value, name, value, ...`. */
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -54,6 +54,10 @@
           ? undefined
           : Number(headers['x-limit']),
       isLeaving: headers['x-leaving'] !== undefined,
+      restMs:
+        headers['x-rest-ms'] === undefined
+          ? undefined
+          : Number(headers['x-rest-ms']),
     };
   }
 
