--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -12,7 +12,7 @@
   type ServiceId,
 } from '@snipestage/types/ids.js';
 import {ConnectTimeout} from '@snipestage/routing/connect_timeout.js';
-import type {Route, RouteId} from '@snipestage/routing/route.js';
+import type {Route, RouteId, Service} from '@snipestage/routing/route.js';
 import {RouteTable} from '@snipestage/routing/route_table.js';
 import {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
@@ -113,8 +113,8 @@
     for (const server of this.servers) server.close();
   }
 
-  /** Puts one route in force. */
-  configure(changes: Partial<Route>): void {
+  /** Puts one route in force, whose service has these properties. */
+  configure(changes: Partial<Route>, service: Partial<Service> = {}): void {
     const route: Route = {
       id: brandAs<RouteId>('route'),
       host: 'test',
@@ -133,7 +133,9 @@
     this.state.table = new RouteTable({
       version: 1,
       routes: [route],
-      services: [{id: SERVICE, engine: undefined, scaling: undefined}],
+      services: [
+        {id: SERVICE, engine: undefined, scaling: undefined, ...service},
+      ],
       limits: {
         maxHeaderBytes: 16_384,
         maxBodyBytes: 1000,
