--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -8,6 +8,7 @@
   EndpointId,
   ServiceId,
 } from '@snipestage/types/ids.js';
+import {EndpointAnnouncements, isOtherStart} from './endpoint_announcements.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** A row of the list that changed. */
@@ -32,17 +33,6 @@
 }
 
 const DEFAULT_KEEP_MISSING_MS = 2300;
-/**
- * Announcements of endpoints that are no longer listed are kept for this long:
- * a list that is out of date may name them again.
- */
-const KEEP_ANNOUNCED_MS = 600_000;
-
-interface AnnouncedLeaving {
-  /** The start of the endpoint that announced it. */
-  readonly bornEpochMs: number | undefined;
-  readonly atMs: number;
-}
 
 /**
  * Keeps endpoints by service.
@@ -55,7 +45,7 @@
 export class EndpointDirectory {
   private readonly endpoints = new Map<EndpointId, ServingEndpoint>();
   private readonly missing = new Set<EndpointId>();
-  private readonly announcedLeaving = new Map<EndpointId, AnnouncedLeaving>();
+  private readonly announcements = new EndpointAnnouncements();
   private evacuated: ReadonlySet<DataCentreId> = new Set();
   private byService = new Map<ServiceId, ServingEndpoint[]>();
   private disturbedAtMs = Number.NEGATIVE_INFINITY;
@@ -81,7 +71,7 @@
    */
   apply(changes: readonly EndpointChange[], nowMs: number): void {
     for (const change of changes) this.applyOne(change, nowMs);
-    this.evictAnnouncements(nowMs);
+    this.announcements.evict(id => this.endpoints.has(id), nowMs);
     this.index();
     this.changedAtMs = nowMs;
   }
@@ -98,7 +88,7 @@
       if (!listed.has(id)) this.handleMissing(id, nowMs);
     }
     for (const endpoint of endpoints) this.list(endpoint);
-    this.evictAnnouncements(nowMs);
+    this.announcements.evict(id => this.endpoints.has(id), nowMs);
     this.index();
     this.changedAtMs = nowMs;
   }
@@ -113,12 +103,11 @@
    * if (head.isLeaving) directory.noteLeaving(placed.endpoint, nowMs);
    */
   noteLeaving(endpoint: ServingEndpoint, nowMs: number): boolean {
-    const {id, bornEpochMs} = endpoint;
+    const {id} = endpoint;
     const listed = this.endpoints.get(id);
     if (listed !== undefined && isOtherStart(listed, endpoint)) return false;
-    const isKnown = this.announcedLeaving.has(id);
-    this.announcedLeaving.set(id, {bornEpochMs, atMs: nowMs});
-    if (listed === undefined || listed.isLeaving) return !isKnown;
+    const isNew = this.announcements.noteLeaving(endpoint, nowMs);
+    if (listed === undefined || listed.isLeaving) return isNew;
     this.endpoints.set(id, {...listed, isLeaving: true});
     this.index();
     return true;
@@ -182,23 +171,11 @@
   private list(endpoint: ServingEndpoint): void {
     const {id} = endpoint;
     this.missing.delete(id);
-    const announced = this.announcedLeaving.get(id);
-    if (announced !== undefined && isOtherStart(announced, endpoint)) {
-      this.announcedLeaving.delete(id);
-    }
-    const isLeaving = endpoint.isLeaving || this.announcedLeaving.has(id);
+    const isLeaving =
+      endpoint.isLeaving || this.announcements.isLeaving(endpoint);
     this.endpoints.set(id, {...endpoint, isLeaving});
   }
 
-  private evictAnnouncements(nowMs: number): void {
-    for (const [id, {atMs}] of this.announcedLeaving) {
-      const isListed = this.endpoints.has(id);
-      if (!isListed && nowMs - atMs > KEEP_ANNOUNCED_MS) {
-        this.announcedLeaving.delete(id);
-      }
-    }
-  }
-
   private handleMissing(id: EndpointId, nowMs: number): void {
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined) return;
@@ -236,15 +213,3 @@
     }
   }
 }
-
-/** A start that isn't known may be the same one. */
-function isOtherStart(
-  one: {readonly bornEpochMs: number | undefined},
-  other: {readonly bornEpochMs: number | undefined},
-): boolean {
-  return (
-    one.bornEpochMs !== undefined &&
-    other.bornEpochMs !== undefined &&
-    one.bornEpochMs !== other.bornEpochMs
-  );
-}
