Send nothing to an endpoint while the rest that it asked for lasts

Callers saw refusals: requests went on to engines that had asked for rest, were refused there and then by the instance, while other engines served.

Cause: nothing read Retry-After in an endpoint's refusal. A refusal only ended the attempt; the next request chose the endpoint again, the sooner as an engine that refuses reports little load.

Ruled out: requests on their way when the refusal came (5 to 8 ms in the record) and retries of one request (each endpoint is tried once for it).

The directory offers a resting endpoint neither to first attempts nor to retries, resumed streams or as cache source; a request whose connection opened while its endpoint began to rest or announced its leaving is not sent and goes elsewhere, outside the retry budget, as nothing has arrived. A shorter rest doesn't end a longer one, another start of the endpoint does. With all endpoints of a service resting, callers get 503 at once with the time until the first is back, also when their own request was the last to be refused.

The test of a connection that opens meanwhile is new and fails without the check before the request is sent.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -42,7 +42,7 @@
 
   constructor(private readonly options: AttemptOptions) {
     const {context, request, writer, placed} = options;
-    const {protocol, nowMs, connectTimeout} = context;
+    const {protocol, state, nowMs, connectTimeout} = context;
     const timeLeftMs = Math.max(1, Math.floor(request.endsAtMs - nowMs()));
     this.call = new EndpointCall({
       address: placed.endpoint.address,
@@ -60,6 +60,8 @@
       body: request.body,
       connectTimeoutMs: Math.min(connectTimeout.timeoutMs, timeLeftMs),
       onConnected: tookMs => connectTimeout.note(tookMs),
+      mayStillSend: () =>
+        state.directory.mayStillSend(placed.endpoint, nowMs()),
     });
     const limits = limitsOnSilence(request.admission.route, timeLeftMs);
     this.silence = new SilenceWatch(limits, () => this.cancelOnSilence());
@@ -115,7 +117,7 @@
       };
     }
     const {reason, verdict} = head;
-    if (reason === 'cancelled') {
+    if (reason === 'cancelled' || reason === 'withheld') {
       return {
         kind: 'failed',
         verdict,
@@ -136,7 +138,9 @@
       response.headers,
     );
     if (head.isLeaving && !head.isMisdirected) this.recordLeaving();
-    if (head.restMs !== undefined) this.recordRest(head.restMs);
+    if (head.restMs !== undefined && !head.isMisdirected) {
+      this.recordRest(head.restMs);
+    }
     this.noteRateLimit(head);
     if (head.load !== undefined) {
       const endpoint = placed.endpoint.id;
@@ -194,11 +198,12 @@
 
   private recordRest(restMs: number): void {
     const {context, request, placed} = this.options;
-    const {id, service} = placed.endpoint;
-    context.metrics.countRestRequest(service);
+    const {endpoint} = placed;
+    context.state.directory.noteRest(endpoint, restMs, context.nowMs());
+    context.metrics.countRestRequest(endpoint.service);
     context.logger.info('endpoint_rest_requested', {
       requestId: request.caller.requestId,
-      endpoint: id,
+      endpoint: endpoint.id,
       restMs,
     });
   }
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -20,6 +20,8 @@
   readonly connectTimeoutMs: number;
   /** Called with the time that it took to establish the connection. */
   readonly onConnected?: (tookMs: number) => void;
+  /** Asked once the connection is open, before the request is sent. */
+  readonly mayStillSend?: () => boolean;
 }
 
 /**
@@ -29,9 +31,11 @@
  * - `connect_timeout`: the connection wasn't established in time.
  * - `broken`: the connection ended before an answer.
  * - `cancelled`: the call was ended from this side.
+ * - `withheld`: nothing was sent, as the endpoint had announced meanwhile that
+ *   it wants no requests.
  */
 export type CallFailureReason =
-  'unreachable' | 'connect_timeout' | 'broken' | 'cancelled';
+  'unreachable' | 'connect_timeout' | 'broken' | 'cancelled' | 'withheld';
 
 /** The head of the answer, or why there is none. */
 export type CallHead =
@@ -109,6 +113,10 @@
     this.connection = connection;
     this.closedCleanly = closesCleanly(connection.createConnection());
     if (this.isCancelled) return this.failed('broken', '');
+    if (this.options.mayStillSend?.() === false) {
+      connection.reset();
+      return this.failed('withheld', 'the endpoint wants no requests');
+    }
     return this.send(connection);
   }
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -275,7 +275,8 @@
     }
     this.verdict = worseVerdict(this.verdict, result.verdict);
     const hasTimedOut = result.reason === 'connect_timeout';
-    this.history.fail(endpoint, {...result, hasTimedOut});
+    const wasWithheld = result.reason === 'withheld';
+    this.history.fail(endpoint, {...result, hasTimedOut, wasWithheld});
   }
 
   /**
@@ -298,6 +299,7 @@
     this.verdict = verdict;
     const retryAfterMs = Math.max(
       this.minRetryAfterMs,
+      state.restLeftMs(service, nowMs()),
       state.refusalDelayFor(service).adviseMs(nowMs()),
     );
     const failure = failureFor(verdict, {
--- a/packages/gateway/src/resting_endpoint.test.ts
+++ b/packages/gateway/src/resting_endpoint.test.ts
@@ -118,6 +118,25 @@
   t.is(proxy.received.length, 2);
 });
 
+test('a request whose connection opens while its endpoint begins to rest goes elsewhere', async t => {
+  // Guards against requests that were placed before the rest was known, and
+  // reach the endpoint long afterwards over a slow connection.
+  const proxy = await TestProxy.start({}, [answerWhole, answerLater]);
+  t.teardown(() => proxy.close());
+  const {directory, monitor} = proxy.state;
+  const begin = monitor.begin.bind(monitor);
+  monitor.begin = (id, work, nowMs) => {
+    begin(id, work, nowMs);
+    const endpoint = directory.find(id)!;
+    if (id === 'endpoint-0') directory.noteRest(endpoint, 60_000, nowMs);
+  };
+  for (let count = 0; count < 10; count += 1) {
+    const answer = await proxy.call(`${count}`, {body: 'order'});
+    t.is(answer.status, 200);
+  }
+  t.is(countAt(proxy, 'endpoint-0'), 0);
+});
+
 test('an endpoint that started again under its id does not rest', async t => {
   // Guards against an endpoint that stays without requests after its restart.
   const proxy = await TestProxy.start({}, [askForRest(60_000)]);
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -18,6 +18,7 @@
 import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
 import {RefusalDelay} from '@snipestage/routing/refusal_delay.js';
 import type {Route} from '@snipestage/routing/route.js';
+import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {RouteTable} from '@snipestage/routing/route_table.js';
 import {RecentDurations} from '@snipestage/routing/recent_durations.js';
 import {
@@ -47,11 +48,17 @@
    * - `leaving`: none is serving, and some are leaving.
    * - `warming_up`: all are cold and already get the requests that they can
    *   take.
+   * - `resting`: all that could take requests have asked for rest.
    * - `rate_limited`: all already get the requests that they can take, and some
    *   have a rate limit.
    */
   readonly reason:
-    'no_endpoint' | 'evacuated' | 'leaving' | 'warming_up' | 'rate_limited';
+    | 'no_endpoint'
+    | 'evacuated'
+    | 'leaving'
+    | 'warming_up'
+    | 'resting'
+    | 'rate_limited';
   /** Time until the first one may take requests again; 0 if not known. */
   readonly retryAfterMs: number;
 }
@@ -186,22 +193,44 @@
 
   /** Why no endpoint of a service could be chosen. */
   explainNoEndpoint(service: ServiceId, nowMs: number): NoEndpoint {
-    const serving = this.directory.findServing(service, nowMs);
+    const serving = this.directory.findServingOrResting(service, nowMs);
     if (serving.length > 0) {
-      const waits = serving.map(({id}) =>
-        Math.max(this.warmup.leftMs(id, nowMs), this.rateLimits.intervalMs(id)),
-      );
-      const isLimited = serving.some(
-        ({id}) => this.rateLimits.find(id) !== undefined,
+      const waits = serving.map(each =>
+        Math.max(
+          this.warmup.leftMs(each.id, nowMs),
+          this.rateLimits.intervalMs(each.id),
+          this.directory.restLeftMs(each, nowMs),
+        ),
       );
       return {
-        reason: isLimited ? 'rate_limited' : 'warming_up',
+        reason: this.explainNoneOpen(serving, nowMs),
         retryAfterMs: Math.min(...waits),
       };
     }
     return {reason: this.explainNoneServing(service), retryAfterMs: 0};
   }
 
+  /** Time until an endpoint of a service doesn't rest; 0 without endpoints. */
+  restLeftMs(service: ServiceId, nowMs: number): number {
+    const serving = this.directory.findServingOrResting(service, nowMs);
+    if (serving.length === 0) return 0;
+    const rests = serving.map(each => this.directory.restLeftMs(each, nowMs));
+    return Math.min(...rests);
+  }
+
+  private explainNoneOpen(
+    serving: readonly ServingEndpoint[],
+    nowMs: number,
+  ): NoEndpoint['reason'] {
+    if (serving.some(each => this.directory.restLeftMs(each, nowMs) > 0)) {
+      return 'resting';
+    }
+    const isLimited = serving.some(
+      ({id}) => this.rateLimits.find(id) !== undefined,
+    );
+    return isLimited ? 'rate_limited' : 'warming_up';
+  }
+
   private explainNoneServing(service: ServiceId): NoEndpoint['reason'] {
     const listed = this.directory
       .readAll()
@@ -220,6 +249,7 @@
       isDown: monitor.isDown(endpoint.id, nowMs),
       isCold: this.warmup.isCold(endpoint.id, nowMs),
       rateLimitPerS: this.rateLimits.find(endpoint.id),
+      restLeftMs: Math.round(directory.restLeftMs(endpoint, nowMs)),
       load: monitor.estimateLoad(endpoint.id, nowMs),
       failureShare: monitor.failureShare(endpoint.id, nowMs),
       inFlight: monitor.inFlight(endpoint.id),
--- a/packages/routing/src/attempt_history.ts
+++ b/packages/routing/src/attempt_history.ts
@@ -11,6 +11,8 @@
   readonly hasArrived: boolean;
   /** The connection attempt got no answer. */
   readonly hasTimedOut: boolean;
+  /** The connection was opened, but nothing was sent over it (false). */
+  readonly wasWithheld?: boolean;
 }
 
 /**
@@ -70,6 +72,7 @@
       this.offerCount += 1;
       return;
     }
+    if (failure.wasWithheld === true) return;
     this.unreachedCount += 1;
     this.avoidUnreached(endpoint.dataCentre, failure.hasTimedOut);
   }
--- a/packages/routing/src/endpoint_announcements.ts
+++ b/packages/routing/src/endpoint_announcements.ts
@@ -12,6 +12,7 @@
 interface Announced {
   readonly start: EndpointStart;
   isLeaving: boolean;
+  restUntilMs: number;
   atMs: number;
 }
 
@@ -41,10 +42,27 @@
     return this.find(start)?.isLeaving ?? false;
   }
 
+  /**
+   * Records that an endpoint wants no requests from this instance for a time. A
+   * shorter rest doesn't end a longer one: refusals may overtake each other.
+   */
+  noteRest(start: EndpointStart, restMs: number, nowMs: number): void {
+    const announced = this.of(start, nowMs);
+    const restUntilMs = nowMs + restMs;
+    announced.restUntilMs = Math.max(announced.restUntilMs, restUntilMs);
+  }
+
+  /** Time until it may get requests again; 0 when it doesn't rest. */
+  restLeftMs(start: EndpointStart, nowMs: number): number {
+    const {restUntilMs = nowMs} = this.find(start) ?? {};
+    return Math.max(0, restUntilMs - nowMs);
+  }
+
   /** Forgets endpoints that have been unlisted for a while. */
   evict(isListed: (id: EndpointId) => boolean, nowMs: number): void {
-    for (const [id, {atMs}] of this.announced) {
-      if (!isListed(id) && nowMs - atMs > KEEP_UNLISTED_MS) {
+    for (const [id, {atMs, restUntilMs}] of this.announced) {
+      const isOver = nowMs - Math.max(atMs, restUntilMs) > KEEP_UNLISTED_MS;
+      if (!isListed(id) && isOver) {
         this.announced.delete(id);
       }
     }
@@ -62,6 +80,7 @@
     const announced = this.find(start) ?? {
       start,
       isLeaving: false,
+      restUntilMs: Number.NEGATIVE_INFINITY,
       atMs: nowMs,
     };
     announced.atMs = nowMs;
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -113,6 +113,40 @@
     return true;
   }
 
+  /**
+   * Records that an endpoint asked for rest in an answer. It gets no requests
+   * of this instance until the rest is over or it starts again.
+   *
+   * @param endpoint as it was listed when the answered request was sent.
+   * @example
+   * directory.noteRest(placed.endpoint, head.restMs, nowMs);
+   */
+  noteRest(endpoint: ServingEndpoint, restMs: number, nowMs: number): void {
+    const listed = this.endpoints.get(endpoint.id);
+    if (listed !== undefined && isOtherStart(listed, endpoint)) return;
+    this.announcements.noteRest(endpoint, restMs, nowMs);
+  }
+
+  /** Time until an endpoint's rest is over; 0 when it doesn't rest. */
+  restLeftMs(endpoint: ServingEndpoint, nowMs: number): number {
+    return this.announcements.restLeftMs(endpoint, nowMs);
+  }
+
+  /**
+   * Whether a request that was placed on an endpoint may still be sent: by its
+   * own announcements it neither leaves nor rests.
+   *
+   * @example
+   * const mayStillSend = () => directory.mayStillSend(endpoint, nowMs());
+   */
+  mayStillSend(endpoint: ServingEndpoint, nowMs: number): boolean {
+    const {announcements} = this;
+    return (
+      !announcements.isLeaving(endpoint) &&
+      announcements.restLeftMs(endpoint, nowMs) === 0
+    );
+  }
+
   /**
    * Sets the data centres that an operator has evacuated. Their endpoints get
    * no new requests until they are restored.
@@ -141,6 +175,16 @@
    * const candidates = directory.findServing(service, nowMs);
    */
   findServing(service: ServiceId, nowMs: number): readonly ServingEndpoint[] {
+    return this.findServingOrResting(service, nowMs).filter(
+      each => this.restLeftMs(each, nowMs) === 0,
+    );
+  }
+
+  /** Endpoints of a service that may get new requests now or after a rest. */
+  findServingOrResting(
+    service: ServiceId,
+    nowMs: number,
+  ): readonly ServingEndpoint[] {
     this.removeExpired(nowMs);
     return this.byService.get(service) ?? [];
   }
