Bind what endpoints report to one start of them, not to their row

A row that the store lost in an outage and got back freed its endpoint from the limit that it had announced; an endpoint that started again under its id was bound by the limit, load and failures of the start before.

The directory tracks the starts of endpoints, also while their rows are missing, and all that endpoints report is kept or forgotten by them; readings of other instances that are older than the new start are dropped. Two tests of announcements_of_starts.test.ts failed before.

--- a/packages/gateway/src/announcements_of_starts.test.ts
+++ b/packages/gateway/src/announcements_of_starts.test.ts
@@ -43,6 +43,39 @@
   t.false(proxy.state.directory.find(ENDPOINT)?.isLeaving);
 });
 
+test('a rate limit holds while the row of its endpoint is missing', async t => {
+  // Guards against a burst at an overloaded endpoint whose row the store lost
+  // in an outage.
+  const proxy = await TestProxy.start({}, [answerWith(200, LIMIT)]);
+  t.teardown(() => proxy.close());
+  await proxy.call('one', {body: 'order'});
+  const {state} = proxy;
+  const endpoints = state.directory.readAll();
+  state.directory.replace([], 1);
+  state.evictStale(performance.now());
+  state.directory.replace(endpoints, 2);
+  state.evictStale(performance.now());
+  t.is(state.rateLimits.find(ENDPOINT), 0);
+});
+
+test('a start is not bound by the limit and load of the one before', async t => {
+  // Guards against an endpoint that gets too few requests after a restart.
+  const proxy = await TestProxy.start({}, [answerWith(200, LIMIT)]);
+  t.teardown(() => proxy.close());
+  await proxy.call('one', {body: 'order'});
+  const {state} = proxy;
+  const atMs = performance.now();
+  const load = {running: 4, waiting: 9, capacity: 4};
+  const reading = {endpoint: ENDPOINT, load, rateLimitPerS: 0, atMs};
+  state.loads.noteOwn(reading);
+  const [endpoint] = state.directory.readAll();
+  state.directory.replace([{...endpoint, bornEpochMs: 2}], 2);
+  state.evictStale(performance.now());
+  t.is(state.rateLimits.find(ENDPOINT), undefined);
+  t.is(state.monitor.estimateLoad(ENDPOINT, performance.now()), 0);
+  t.is((await proxy.call('two', {body: 'order'})).status, 200);
+});
+
 test('a late answer of the start before does not bind the new one', async t => {
   // Guards against a new start that is taken for leaving, limited or resting.
   let answer: (() => void) | undefined;
--- a/packages/gateway/src/record_announcements.ts
+++ b/packages/gateway/src/record_announcements.ts
@@ -37,12 +37,12 @@
 }
 
 function recordLeaving(
-  {state, metrics, logger, nowMs}: ExchangeContext,
+  {state, metrics, logger}: ExchangeContext,
   {request, endpoint}: AnsweredAttempt,
 ): void {
   const isListedAsLeaving = state.directory.find(endpoint.id)?.isLeaving;
   metrics.countLeavingAnswer(endpoint.service);
-  const isNew = state.directory.noteLeaving(endpoint, nowMs());
+  const isNew = state.directory.noteLeaving(endpoint);
   if (!isNew) return;
   logger.info('endpoint_leaving_announced', {
     requestId: request.caller.requestId,
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -128,12 +128,20 @@
     return this.table?.findService(service)?.engine !== undefined;
   }
 
-  /** Drops state of removed endpoints. */
-  evictUnlisted(): void {
-    const listed = new Set(this.directory.readAll().map(({id}) => id));
-    this.monitor.retain(listed);
-    this.warmup.retain(listed);
-    this.rateLimits.retain(listed);
+  /**
+   * Drops state of endpoints that are gone, and what earlier starts of endpoints
+   * reported.
+   */
+  evictStale(nowMs: number): void {
+    const known = this.directory.listKnownIds();
+    this.monitor.retain(known);
+    this.warmup.retain(known);
+    this.rateLimits.retain(known);
+    for (const id of this.directory.takeRestarted()) {
+      this.monitor.forgetReports(id);
+      this.rateLimits.forget(id);
+      this.loads.forget(id, nowMs);
+    }
     this.loads.prune();
   }
 
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -167,7 +167,7 @@
       return change.kind === 'listed' ? [change.endpoint] : [];
     });
     this.options.state.directory.replace(endpoints, this.options.nowMs());
-    this.options.state.evictUnlisted();
+    this.options.state.evictStale(this.options.nowMs());
     this.noteWarmups(endpoints);
     this.hasEndpoints = true;
     this.options.logger.info('endpoints_read', {count: endpoints.length});
@@ -191,7 +191,7 @@
       }
     }
     this.options.state.directory.apply(changes, this.options.nowMs());
-    this.options.state.evictUnlisted();
+    this.options.state.evictStale(this.options.nowMs());
     this.noteWarmups(
       changes.flatMap(change =>
         change.kind === 'listed' ? [change.endpoint] : [],
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -8,7 +8,8 @@
   EndpointId,
   ServiceId,
 } from '@snipestage/types/ids.js';
-import {EndpointAnnouncements, isOtherStart} from './endpoint_announcements.js';
+import {EndpointAnnouncements} from './endpoint_announcements.js';
+import {EndpointStarts, isOtherStart} from './endpoint_starts.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** A row of the list that changed. */
@@ -46,6 +47,8 @@
   private readonly endpoints = new Map<EndpointId, ServingEndpoint>();
   private readonly missing = new Set<EndpointId>();
   private readonly announcements = new EndpointAnnouncements();
+  private readonly starts = new EndpointStarts();
+  private readonly restarted = new Set<EndpointId>();
   private evacuated: ReadonlySet<DataCentreId> = new Set();
   private byService = new Map<ServiceId, ServingEndpoint[]>();
   private disturbedAtMs = Number.NEGATIVE_INFINITY;
@@ -71,9 +74,7 @@
    */
   apply(changes: readonly EndpointChange[], nowMs: number): void {
     for (const change of changes) this.applyOne(change, nowMs);
-    this.announcements.evict(id => this.endpoints.has(id), nowMs);
-    this.index();
-    this.changedAtMs = nowMs;
+    this.noteChange(nowMs);
   }
 
   /**
@@ -88,9 +89,7 @@
       if (!listed.has(id)) this.handleMissing(id, nowMs);
     }
     for (const endpoint of endpoints) this.list(endpoint);
-    this.announcements.evict(id => this.endpoints.has(id), nowMs);
-    this.index();
-    this.changedAtMs = nowMs;
+    this.noteChange(nowMs);
   }
 
   /**
@@ -111,13 +110,13 @@
    * @param endpoint as it was listed when the answered request was sent.
    * @returns whether this is new.
    * @example
-   * if (head.isLeaving) directory.noteLeaving(placed.endpoint, nowMs);
+   * if (head.isLeaving) directory.noteLeaving(placed.endpoint);
    */
-  noteLeaving(endpoint: ServingEndpoint, nowMs: number): boolean {
+  noteLeaving(endpoint: ServingEndpoint): boolean {
     if (!this.isCurrentStart(endpoint)) return false;
     const {id} = endpoint;
     const listed = this.endpoints.get(id);
-    const isNew = this.announcements.noteLeaving(endpoint, nowMs);
+    const isNew = this.announcements.noteLeaving(endpoint);
     if (listed === undefined || listed.isLeaving) return isNew;
     this.endpoints.set(id, {...listed, isLeaving: true});
     this.index();
@@ -208,6 +207,26 @@
     return [...this.endpoints.values()];
   }
 
+  /** Endpoints that are listed, or were until some minutes ago. */
+  listKnownIds(): ReadonlySet<EndpointId> {
+    return this.starts.ids;
+  }
+
+  /** Endpoints listed with another start since the last call. */
+  takeRestarted(): readonly EndpointId[] {
+    const restarted = [...this.restarted];
+    this.restarted.clear();
+    return restarted;
+  }
+
+  private noteChange(nowMs: number): void {
+    const restarted = this.starts.update(this.readAll(), nowMs);
+    for (const id of restarted) this.restarted.add(id);
+    this.announcements.retain(this.starts.ids);
+    this.index();
+    this.changedAtMs = nowMs;
+  }
+
   private applyOne(change: EndpointChange, nowMs: number): void {
     switch (change.kind) {
       case 'listed':
--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -71,6 +71,22 @@
   meanDurationMs: number | undefined;
 }
 
+const NEW_ENDPOINT: Readonly<TrackedEndpoint> = {
+  inFlight: 0,
+  workInFlight: 0,
+  failureShare: 0,
+  failureAtMs: 0,
+  unreachableCount: 0,
+  downUntilMs: 0,
+  rejectedAtMs: Number.NEGATIVE_INFINITY,
+  load: undefined,
+  loadAtMs: 0,
+  begunAtMs: Number.NEGATIVE_INFINITY,
+  isShared: false,
+  countedInLoad: 0,
+  meanDurationMs: undefined,
+};
+
 /** Times are milliseconds of one monotonic clock. */
 export class EndpointMonitor {
   private readonly trackedEndpoints = new Map<EndpointId, TrackedEndpoint>();
@@ -233,6 +249,17 @@
       : nowMs - tracked.rejectedAtMs;
   }
 
+  /**
+   * Forgets the load and failures of an endpoint that has started again; its
+   * attempts in flight remain counted until they end.
+   */
+  forgetReports(id: EndpointId): void {
+    const tracked = this.trackedEndpoints.get(id);
+    if (tracked === undefined) return;
+    const {inFlight, workInFlight} = tracked;
+    this.trackedEndpoints.set(id, {...NEW_ENDPOINT, inFlight, workInFlight});
+  }
+
   /** Forgets endpoints that are gone; else memory grows with each restart. */
   retain(ids: ReadonlySet<EndpointId>): void {
     for (const [id, tracked] of this.trackedEndpoints) {
@@ -259,21 +286,7 @@
   private of(id: EndpointId): TrackedEndpoint {
     const existing = this.trackedEndpoints.get(id);
     if (existing !== undefined) return existing;
-    const tracked: TrackedEndpoint = {
-      inFlight: 0,
-      workInFlight: 0,
-      failureShare: 0,
-      failureAtMs: 0,
-      unreachableCount: 0,
-      downUntilMs: 0,
-      rejectedAtMs: Number.NEGATIVE_INFINITY,
-      load: undefined,
-      loadAtMs: 0,
-      begunAtMs: Number.NEGATIVE_INFINITY,
-      isShared: false,
-      countedInLoad: 0,
-      meanDurationMs: undefined,
-    };
+    const tracked: TrackedEndpoint = {...NEW_ENDPOINT};
     this.trackedEndpoints.set(id, tracked);
     return tracked;
   }
--- a/packages/routing/src/endpoint_rate_limits.ts
+++ b/packages/routing/src/endpoint_rate_limits.ts
@@ -109,6 +109,11 @@
       : SECOND_MS / Math.max(MIN_LIMIT_PER_S, rateLimitPerS);
   }
 
+  /** Forgets the limit of an endpoint that has started again. */
+  forget(id: EndpointId): void {
+    this.buckets.delete(id);
+  }
+
   /** Forgets endpoints that are gone. */
   retain(ids: ReadonlySet<EndpointId>): void {
     for (const id of this.buckets.keys()) {
--- a/packages/routing/src/load_view.ts
+++ b/packages/routing/src/load_view.ts
@@ -60,6 +60,7 @@
  */
 export class LoadView {
   private readonly kept = new Map<EndpointId, KeptReading>();
+  private readonly restartedAtMs = new Map<EndpointId, number>();
   private readonly maxAgeMs: number;
   private count = 0;
 
@@ -92,6 +93,7 @@
     if (!this.options.isShared(endpoint)) return 'not_shared';
     const known = this.kept.get(endpoint);
     if (known !== undefined && known.reading.atMs >= atMs) return 'older';
+    if (atMs < (this.restartedAtMs.get(endpoint) ?? -Infinity)) return 'older';
     this.options.monitor.noteReportedLoad(endpoint, load, atMs);
     this.options.rateLimits?.note(endpoint, rateLimitPerS, nowMs);
     this.keep(reading, origin);
@@ -119,10 +121,21 @@
     return {readings, mark: this.count};
   }
 
+  /**
+   * Forgets the load of an endpoint that has started again. Older readings of
+   * other instances are dropped from now on.
+   */
+  forget(endpoint: EndpointId, nowMs: number): void {
+    this.kept.delete(endpoint);
+    this.restartedAtMs.set(endpoint, nowMs);
+  }
+
   /** Forgets endpoints that are no longer known. */
   prune(): void {
-    for (const endpoint of this.kept.keys()) {
-      if (!this.options.isShared(endpoint)) this.kept.delete(endpoint);
+    for (const map of [this.kept, this.restartedAtMs]) {
+      for (const endpoint of map.keys()) {
+        if (!this.options.isShared(endpoint)) map.delete(endpoint);
+      }
     }
   }
 
