Break a stream off when the endpoint that resumes it answers with an error

Found by reading. An error such as 404 from the endpoint that was to resume a stream was passed on as a whole answer although events had been sent; writing the head a second time threw, and the request was logged as failed in the router. Callers saw the stream break off, as they do now, but on purpose. The test failed before for the logged error.

--- a/packages/gateway/src/answers.test.ts
+++ b/packages/gateway/src/answers.test.ts
@@ -316,6 +316,29 @@
   t.is(proxy.received.length, 4);
 });
 
+test('an error of the endpoint that resumes a stream breaks it off', async t => {
+  // Guards against the head of an error in the middle of a stream that has
+  // begun.
+  const beginOrFail: Script = (socket, request) => {
+    if (/last-event-id/i.test(request)) {
+      socket.end(answerBytes(idOf(request), {status: 404}));
+      return;
+    }
+    socket.write(streamHead(idOf(request)));
+    socket.write(chunk('id: 1\ndata: a\n\n'), () => socket.resetAndDestroy());
+  };
+  const route = {kind: 'stream', isResumable: true, maxAttempts: 2} as const;
+  const proxy = await TestProxy.start(route, [beginOrFail, beginOrFail]);
+  t.teardown(() => proxy.close());
+  const answer = await proxy.call('one', {body: 'prompt'});
+  t.like(answer, {status: 200, isComplete: false, body: 'id: 1\ndata: a\n\n'});
+  t.is(proxy.received.length, 2);
+  t.deepEqual(
+    proxy.log.lines.filter(line => line.includes('request_failed')),
+    [],
+  );
+});
+
 test('a body over the limit is refused, and an answer while stopping closes its connection', async t => {
   const proxy = await TestProxy.start({}, [answerWhole]);
   t.teardown(() => proxy.close());
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -281,14 +281,15 @@
 
   /**
    * Sends the final answer when no endpoint gives one: the latest error answer
-   * of an endpoint unless the request's time is over, else a status of this
-   * system's own.
+   * of an endpoint unless the request's time is over or a stream has begun, else
+   * a status of this system's own.
    */
   private fail(): void {
     if (this.writer.isOver) return;
     const {state, protocol, nowMs} = this.context;
     const {service} = this.request.admission;
-    if (this.lastFailure !== undefined && !this.hasExpired) {
+    const mayPassOn = !this.hasExpired && !this.writer.hasBegun;
+    if (this.lastFailure !== undefined && mayPassOn) {
       this.writer.sendWhole(this.lastFailure);
       return;
     }
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -88,6 +88,7 @@
   /** Requests as endpoints received them, bodies included. */
   readonly received: Array<{endpoint: string; request: string}> = [];
   readonly begun: Admission[] = [];
+  readonly log = new CapturedLog();
   /** Endpoints of connections that were closed, one entry per connection. */
   readonly closed: string[] = [];
   readonly shutdown = new Shutdown({graceMs: 8000});
@@ -224,7 +225,7 @@
   }
 
   private async listen(): Promise<void> {
-    const logger = new CapturedLog().logger;
+    const {logger} = this.log;
     const handler = new RequestHandler({
       state: this.state,
       protocol: new PlainProtocol(),
