Apply the configured limit on callers' headers

Found by reading. The limit of 64 KiB was fixed at the start of the server, so that callers got 431 below a higher configured limit and were served above a lower one. Each request is checked against the configuration in force; the server itself accepts up to 256 KiB.

--- a/packages/gateway/src/answers.test.ts
+++ b/packages/gateway/src/answers.test.ts
@@ -339,6 +339,18 @@
   );
 });
 
+test('headers over the configured limit are refused with 431', async t => {
+  const proxy = await TestProxy.start({}, [answerWhole]);
+  t.teardown(() => proxy.close());
+  const padding = (bytes: number) => ({'X-Padding': 'x'.repeat(bytes)});
+  const within = await proxy.call('one', {headers: padding(15_000)});
+  t.is(within.status, 200);
+  const refused = await proxy.call('two', {headers: padding(17_000)});
+  t.is(refused.status, 431);
+  t.is(refused.headers.connection, 'close');
+  t.is(proxy.received.length, 1);
+});
+
 test('a body over the limit is refused, and an answer while stopping closes its connection', async t => {
   const proxy = await TestProxy.start({}, [answerWhole]);
   t.teardown(() => proxy.close());
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -15,10 +15,10 @@
 }
 
 /**
- * Node.js's default limit. Four times as much is accepted, also when a
- * configuration with another `maxHeaderBytes` is in force.
+ * More than operators configure: Node.js takes a limit only at the start, so
+ * that the configured one is checked for each request.
  */
-const NODE_MAX_HEADER_BYTES = 16_384;
+export const MAX_HEADER_BYTES = 262_144;
 /**
  * Added to the timeouts of callers, so that a request that was sent in time
  * doesn't cross the closing of its connection.
@@ -38,7 +38,7 @@
     this.server = createServer(
       {
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
-        maxHeaderSize: NODE_MAX_HEADER_BYTES * 4,
+        maxHeaderSize: MAX_HEADER_BYTES,
         noDelay: true,
       },
       (request, response) => void handler.handle(request, response),
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -7,6 +7,7 @@
 import {admit, type Admission} from './admission.js';
 import {AnswerWriter} from './answer_writer.js';
 import {CallerConnections} from './caller_connections.js';
+import {MAX_HEADER_BYTES} from './callers_server.js';
 import {readRequestBody} from './read_request_body.js';
 import {Exchange} from './exchange.js';
 import type {ExchangeContext} from './exchange_context.js';
@@ -22,6 +23,7 @@
 /** For a caller that states no timeout; its route's timeout applies. */
 const NO_LIMIT_MS = Number.POSITIVE_INFINITY;
 const PAYLOAD_TOO_LARGE = 413;
+const HEADERS_TOO_LARGE = 431;
 const UNAVAILABLE = 503;
 /** Without a configuration: about the time that an instance's start takes. */
 const DEFAULT_RETRY_AFTER_MS = 500;
@@ -132,7 +134,13 @@
     const caller = protocol.readRequest(request.headers);
     line.requestId = caller.requestId;
     line.version = table?.configuration.version;
-    const maxBodyBytes = table?.configuration.limits.maxBodyBytes ?? 0;
+    const {maxHeaderBytes = MAX_HEADER_BYTES, maxBodyBytes = 0} =
+      table?.configuration.limits ?? {};
+    if (countHeaderBytes(request.rawHeaders) > maxHeaderBytes) {
+      line.reason = 'headers_too_large';
+      writer.fail(HEADERS_TOO_LARGE, {Connection: 'close'});
+      return undefined;
+    }
     const admitted = admit({
       table,
       host: request.headers.host ?? '',
@@ -248,6 +256,11 @@
   }
 }
 
+/** Bytes of names and values; Node.js decodes each byte to a character. */
+function countHeaderBytes(rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((bytes, text) => bytes + text.length, 0);
+}
+
 function timeLimitMs(caller: CallerRequest, {route}: Admission): number {
   return Math.min(caller.callerTimeoutMs ?? NO_LIMIT_MS, route.timeoutMs);
 }
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -17,6 +17,7 @@
 import {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
 import type {Admission} from '../admission.js';
+import {MAX_HEADER_BYTES} from '../callers_server.js';
 import {CrashReporter} from '../crash_reporter.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
 import {RequestHandler} from '../request_handler.js';
@@ -246,6 +247,7 @@
       shutdown: this.shutdown,
     });
     const server = http.createServer(
+      {maxHeaderSize: MAX_HEADER_BYTES},
       (request, response) => void handler.handle(request, response),
     );
     server.listen(0, '127.0.0.1');
