Heed the rest that an endpoint asks for in the entry process, too

An engine or a plain service that refused with 503 and asked for rest got the next request of the same instance at once.

A decorator of the permits withholds resting endpoints from all attempts, returns a permit whose endpoint began to rest while the request waited, and refuses at once with the time until the first is back when all rest. Stand-ins can refuse with Retry-After.

Not covered: a rest that begins while a connection of the entry process opens.

--- a/packages/entry/src/choose/cell_map.ts
+++ b/packages/entry/src/choose/cell_map.ts
@@ -112,7 +112,16 @@
   }
 }
 
-function isSameTarget(left: EndpointTarget, right: EndpointTarget): boolean {
+/**
+ * Whether two targets are the same model or the same service.
+ *
+ * @example
+ * isSameTarget(endpoint.serves, request.target);
+ */
+export function isSameTarget(
+  left: EndpointTarget,
+  right: EndpointTarget,
+): boolean {
   if (left.kind === 'model') {
     return right.kind === 'model' && left.model === right.model;
   }
--- a/packages/entry/src/choose/permits.ts
+++ b/packages/entry/src/choose/permits.ts
@@ -49,6 +49,8 @@
    * endpoint crashes.
    */
   readonly connectionBroke?: boolean;
+  /** Time for which the endpoint wants nothing from this instance. */
+  readonly restMs?: number;
   readonly promptTokens?: number;
   readonly outputTokens?: number;
   readonly firstTokenMs?: number;
--- a/packages/entry/src/compose/bind_permits.ts
+++ b/packages/entry/src/compose/bind_permits.ts
@@ -12,6 +12,7 @@
 import {MeteredPermits} from '../choose/metered_permits.js';
 import {PermitRouter} from '../choose/permit_router.js';
 import {Permits} from '../choose/permits.js';
+import {RestingPermits} from '../choose/resting_permits.js';
 import {StoppingPermits} from '../choose/stopping_permits.js';
 import {SuspectTrials} from '../choose/suspect_trials.js';
 import {SuspectGuard} from '../choose/suspect_guard.js';
@@ -86,16 +87,20 @@
     [PeerNetwork],
   );
   container.bind(SuspectGuard).toResolvedValue(
-    (permits, trials, network) =>
+    (permits, trials, network, directory) =>
       new SuspectGuard({
-        permits,
+        permits: new RestingPermits({
+          permits,
+          listEndpoints: () => directory.endpoints.values(),
+          clock,
+        }),
         trials,
         self,
         incarnation: () => network.self().incarnation,
         clock,
         publish: crashes => network.broadcast(toSuspectRecord(crashes)),
       }),
-    [CellPermits, SuspectTrials, PeerNetwork],
+    [CellPermits, SuspectTrials, PeerNetwork, EndpointDirectory],
   );
   container.bind(Permits).toResolvedValue(
     (guarded, gate, metrics) =>
--- a/packages/entry/src/send/endpoint_error.ts
+++ b/packages/entry/src/send/endpoint_error.ts
@@ -29,6 +29,8 @@
   readonly kind?: EndpointErrorKind;
   readonly verdict?: Verdict;
   readonly status?: number;
+  /** Time for which the endpoint wants nothing from this instance. */
+  readonly restMs?: number;
 }
 
 /**
@@ -45,12 +47,14 @@
     readonly kind: EndpointErrorKind;
     readonly verdict: Verdict;
     readonly status?: number;
+    readonly restMs?: number;
 
     constructor(message: string, options: EndpointErrorOptions = {}) {
       super(message, options);
       this.kind = options.kind ?? 'broken';
       this.verdict = options.verdict ?? 'may_have_run';
       this.status = options.status;
+      this.restMs = options.restMs;
     }
   },
 });
--- a/packages/entry/src/send/http_engine_driver.ts
+++ b/packages/entry/src/send/http_engine_driver.ts
@@ -2,6 +2,7 @@
  * Driver for OpenAI-compatible engines, as docs/INTERFACES.md describes them.
  */
 
+import type {IncomingHttpHeaders} from 'node:http';
 import type {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import type {AttemptId} from '@snipestage/types/ids.js';
 import {got, type Request} from 'got';
@@ -13,6 +14,7 @@
 } from './engine_driver.js';
 import {EventReader} from './event_reader.js';
 import {openEndpoint} from './open_endpoint.js';
+import {readRestMs} from './read_rest.js';
 import {SilenceTimer} from './silence_timer.js';
 
 const ENDED_EARLY = 'The stream ended before its end mark.';
@@ -173,7 +175,7 @@
   const response = request.response;
   if (response === undefined) return;
   const status = response.statusCode;
-  if (status !== OK) throw statusError(status);
+  if (status !== OK) throw statusError(response);
   const echoed = response.headers['x-request-id'];
   if (echoed !== attempt) {
     throw new EndpointError('The answer is to another request.', {
@@ -183,7 +185,11 @@
   }
 }
 
-function statusError(status: number): EndpointError {
+function statusError(response: {
+  readonly statusCode: number;
+  readonly headers: IncomingHttpHeaders;
+}): EndpointError {
+  const {statusCode: status, headers} = response;
   const didNoWork =
     status === TOO_MANY_REQUESTS ||
     status === UNAVAILABLE ||
@@ -192,6 +198,7 @@
     kind: didNoWork ? 'refused' : 'errored',
     verdict: didNoWork ? 'not_run' : 'may_have_run',
     status,
+    restMs: readRestMs(status, headers['retry-after']),
   });
 }
 
--- a/packages/entry/src/send/http_service_driver.ts
+++ b/packages/entry/src/send/http_service_driver.ts
@@ -5,6 +5,7 @@
 import {EndpointError} from './endpoint_error.js';
 import {forwardedResponseHeaders} from './forwarded_headers.js';
 import {openEndpoint} from './open_endpoint.js';
+import {readRestMs} from './read_rest.js';
 import {
   ServiceDriver,
   type ServiceAnswer,
@@ -43,6 +44,10 @@
         status: response.statusCode,
         headers: forwardedResponseHeaders(response.headers),
         body: response.rawBody,
+        restMs: readRestMs(
+          response.statusCode,
+          response.headers['retry-after'],
+        ),
       };
     } catch (error) {
       throw errorOf(error, call, connection, timeout);
--- a/packages/entry/src/send/service_driver.ts
+++ b/packages/entry/src/send/service_driver.ts
@@ -21,6 +21,8 @@
   readonly status: number;
   readonly headers: PlainHeaders;
   readonly body: Buffer;
+  /** Time for which the service wants nothing from this instance. */
+  readonly restMs?: number;
 }
 
 /** Makes attempts at one kind of plain service. */
--- a/packages/entry/src/send/service_runner.ts
+++ b/packages/entry/src/send/service_runner.ts
@@ -108,7 +108,7 @@
         timeoutMs: work.timeoutMs,
       });
       const firstTokenMs = this.options.clock() - startedAtMs;
-      permit.release({outcome: 'ok', firstTokenMs});
+      permit.release({outcome: 'ok', firstTokenMs, restMs: answer.restMs});
       return {kind: 'answered', answer};
     } catch (error) {
       if (!(error instanceof EndpointError)) {
--- a/packages/stand_ins/src/http/faults.ts
+++ b/packages/stand_ins/src/http/faults.ts
@@ -25,6 +25,8 @@
 export const faultSchema = z.strictObject({
   mode: z.enum(FAULT_MODES),
   delayMs: z.number().min(0).optional(),
+  /** With `error`: the `Retry-After` of the answer. */
+  retryAfterS: z.number().min(0).optional(),
   /** Number of calls affected; every call until the next change when absent. */
   count: z.int().positive().optional(),
   /** Limits the fault to calls that touch a key with this prefix. */
--- a/packages/stand_ins/src/http/stand_in_server.ts
+++ b/packages/stand_ins/src/http/stand_in_server.ts
@@ -183,7 +183,7 @@
  * @returns whether the call is to be carried out.
  */
 async function applyEarlyFault(call: Call): Promise<boolean> {
-  const {mode, delayMs = 0} = call.fault;
+  const {mode, delayMs = 0, retryAfterS} = call.fault;
   switch (mode) {
     case 'down':
       resetSocket(call);
@@ -191,6 +191,9 @@
     case 'silent':
       return false;
     case 'error':
+      if (retryAfterS !== undefined) {
+        call.response.setHeader('Retry-After', String(retryAfterS));
+      }
       sendJson(call.response, 503, {reason: 'The fault `error` is set.'});
       return false;
     case 'slow':
