Let the soak's endpoints ask for rest

No stand-in asked for rest, so that neither tests nor soaks could meet it. Up to three endpoints at a time refuse all requests and ask for what is left of their rest, overlapping with replacements, restarts, cuts and outages; now and then all endpoints of the plain service do. The new check holds the bound of the rule; a disturbance of the instance or of its way to the endpoint excuses.

--- a/packages/soak/src/announcements.ts
+++ b/packages/soak/src/announcements.ts
@@ -1,9 +1,9 @@
 /** Draws when endpoints announce something in their answers. */
 
 import {drawSequentialFaults} from './sequential_faults.js';
-import {UNLISTED_LEAVING, type PlannedFault} from './fault_plan.js';
+import {REST, UNLISTED_LEAVING, type PlannedFault} from './fault_plan.js';
 
-/** Options of {@link drawUnlistedLeavings}. */
+/** Options of {@link drawUnlistedLeavings} and {@link drawRests}. */
 export interface AnnouncementsOptions {
   readonly seed: number;
   /** Announcements start within this time. */
@@ -32,3 +32,28 @@
     intervalRangeMs: [500, 3000],
   });
 }
+
+/** Endpoints that may rest at the same time. */
+const RESTS_AT_A_TIME = 3;
+
+/**
+ * Draws endpoints that rest, a few at the same time, so that now and then all
+ * endpoints of a service do.
+ *
+ * @example
+ * const faults = drawRests({seed: 7, forMs: 20_000, endpoints: 10});
+ */
+export function drawRests(options: AnnouncementsOptions): PlannedFault[] {
+  const {seed, forMs, endpoints} = options;
+  return Array.from({length: RESTS_AT_A_TIME}, (_, sequence) =>
+    drawSequentialFaults({
+      kind: REST,
+      seed: seed + sequence,
+      forMs,
+      targetCount: endpoints,
+      firstAtMs: 1000,
+      durationRangeMs: [1500, 5000],
+      intervalRangeMs: [300, 4000],
+    }),
+  ).flat();
+}
--- a/packages/soak/src/checks/announcements.ts
+++ b/packages/soak/src/checks/announcements.ts
@@ -1,8 +1,10 @@
 /** Instances heed what endpoints announce in their answers. */
 
 import type {Run} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
+import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
 import type {History, SentRequest} from '../history.js';
 import {Check, type Finding} from './check.js';
+import {countWithin} from './limits.js';
 
 const FREEZE = 'instance_freeze';
 
@@ -38,6 +40,47 @@
   }
 }
 
+/** From then on an instance has to heed a rest that it was asked for. */
+const REST_APPLIES_AFTER_MS = 500;
+const MAX_REQUESTS_WITHIN_REST = 2;
+
+/** An endpoint that asked an instance for rest gets hardly anything from it. */
+export class Rests extends Check {
+  readonly name = 'rests';
+
+  find(history: History): readonly Finding[] {
+    const known = new Map(history.requests.map(each => [each.requestId, each]));
+    const arrivals = new Map<string, number[]>();
+    for (const run of history.runs) {
+      const request = known.get(run.requestId);
+      if (request === undefined) continue;
+      const key = keyOf(request, run);
+      const times = arrivals.get(key) ?? [];
+      times.push(run.arrivedAtMs);
+      arrivals.set(key, times);
+    }
+    return history.runs.flatMap(run => {
+      const request = known.get(run.requestId);
+      if (request === undefined || run.askedRest === undefined) return [];
+      const {atMs, restMs} = run.askedRest;
+      const endsAtMs = atMs + restMs;
+      const count = countWithin(
+        arrivals.get(keyOf(request, run)) ?? [],
+        atMs + REST_APPLIES_AFTER_MS,
+        endsAtMs,
+      );
+      const isBound = history.isUndisturbed(
+        [request.instance, brandAs<EndpointId>(run.endpoint)],
+        atMs,
+        endsAtMs,
+      );
+      if (count <= MAX_REQUESTS_WITHIN_REST || !isBound) return [];
+      const message = `${count} further requests reached ${run.endpoint} within ${Math.round(restMs)} ms of rest`;
+      return [this.foundFor(request, message)];
+    });
+  }
+}
+
 function wasPassedOn(run: Run, {outcome}: SentRequest): boolean {
   return (
     run.hasAnnouncedLeaving === true &&
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -201,6 +201,37 @@
   t.is(findersAfter(later(), outage), 1);
 });
 
+test('more than two requests to an endpoint within its rest are found', t => {
+  const findersAfter = (
+    atMs: readonly number[],
+    prepare: (history: History) => void = () => undefined,
+  ) => {
+    const askedRest = {atMs: 10_010, restMs: 3000};
+    const refused = makeRun({hasRun: false, askedRest});
+    const later = atMs.map((arrivedAtMs, index) => {
+      const requestId = `later-${index}`;
+      const kind = 'idempotent' as const;
+      return {
+        request: makeRequest({requestId, sentAtMs: arrivedAtMs, kind}),
+        run: makeRun({requestId, arrivedAtMs, hasRun: false}),
+      };
+    });
+    const history = makeHistory(
+      [makeRequest(), ...later.map(({request}) => request)],
+      [refused, ...later.map(({run}) => run)],
+    );
+    prepare(history);
+    return checkAll(history).filter(({check}) => check === 'rests').length;
+  };
+  t.is(findersAfter([10_600, 11_000, 12_900]), 1);
+  t.is(findersAfter([10_600, 11_000]), 0);
+  t.is(findersAfter([10_400, 10_450, 10_500]), 0);
+  t.is(findersAfter([13_020, 13_030, 13_040]), 0);
+  const freeze = (history: History) =>
+    void history.recordDisturbance(INSTANCE, 'instance_freeze', 11_000);
+  t.is(findersAfter([10_600, 11_000, 12_900], freeze), 0);
+});
+
 test('a request to an endpoint long after its leaving notice is found', t => {
   const noticed = (atMs: number) => (history: History) => {
     history.leavingNotices.set('booking-0.1', atMs);
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,6 +1,6 @@
 /** Seeded faults of the program; a soak must find each of them. */
 
-import {EVACUATE, RATE_LIMIT, UNLISTED_LEAVING} from './fault_plan.js';
+import {EVACUATE, RATE_LIMIT, REST, UNLISTED_LEAVING} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
 
@@ -215,6 +215,18 @@
       },
     ],
   },
+  {
+    name: 'does_not_read_rests',
+    check: 'rests',
+    kinds: [REST],
+    edits: [
+      {
+        module: 'gateway/dist/record_announcements.js',
+        from: 'if (head.restMs !== undefined)',
+        to: 'if (false)',
+      },
+    ],
+  },
   {
     name: 'uses_evacuated_data_centres',
     check: 'evacuated_data_centres',
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,6 +1,6 @@
 /** Runs real processes under traffic and faults and checks what was seen. */
 
-import {drawUnlistedLeavings} from './announcements.js';
+import {drawRests, drawUnlistedLeavings} from './announcements.js';
 import {checkAll} from './checks/all_checks.js';
 import type {Finding} from './checks/check.js';
 import {drawEvacuations} from './evacuations.js';
@@ -8,6 +8,7 @@
   drawFaultPlan,
   EVACUATE,
   RATE_LIMIT,
+  REST,
   UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
@@ -130,20 +131,23 @@
 ): PlannedFault[] {
   const {instances, endpoints} = world;
   const {seed, seriesEveryMs, stopTurnsEveryMs, kinds} = options;
-  const drawn = drawFaultPlan({seed, forMs, seriesEveryMs, kinds});
-  const evacuations =
-    kinds?.includes(EVACUATE) === false
-      ? []
-      : drawEvacuations({seed, forMs, dataCentres: world.dataCentres.length});
-  const limits =
-    kinds?.includes(RATE_LIMIT) === false
-      ? []
-      : drawRateLimits({seed, forMs, endpoints: endpoints.length});
-  const leavings =
-    kinds?.includes(UNLISTED_LEAVING) === false
-      ? []
-      : drawUnlistedLeavings({seed, forMs, endpoints: endpoints.length});
-  const faults = [...drawn, ...evacuations, ...limits, ...leavings];
+  const announcing = {seed, forMs, endpoints: endpoints.length};
+  const drawnApart: ReadonlyArray<[FaultKind, () => PlannedFault[]]> = [
+    [
+      EVACUATE,
+      () =>
+        drawEvacuations({seed, forMs, dataCentres: world.dataCentres.length}),
+    ],
+    [RATE_LIMIT, () => drawRateLimits(announcing)],
+    [UNLISTED_LEAVING, () => drawUnlistedLeavings(announcing)],
+    [REST, () => drawRests(announcing)],
+  ];
+  const faults = [
+    ...drawFaultPlan({seed, forMs, seriesEveryMs, kinds}),
+    ...drawnApart
+      .filter(([kind]) => kinds?.includes(kind) !== false)
+      .flatMap(([, draw]) => draw()),
+  ];
   if (kinds?.includes('instance_terminate') === false) return faults;
   const dataCentres = [...new Set(instances.map(each => each.dataCentre))];
   const places = dataCentres.map(dataCentre =>
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -114,6 +114,17 @@
     };
   }
 
+  /**
+   * Lets the current generation refuse all requests and ask for rest.
+   *
+   * @returns a function that ends the rest.
+   */
+  rest(durationMs: number): () => void {
+    const {standIn} = this;
+    standIn.restUntilMs = this.options.nowMs() + durationMs;
+    return () => (standIn.restUntilMs = Number.NEGATIVE_INFINITY);
+  }
+
   /**
    * Stops without notice, starts the next generation; the entry expires later.
    */
