Let a waiting suspect not hold up the one that holds an endpoint

Found by reading. All suspected requests of a cell shared one placement key, so that a more urgent one without a claim made the dispatcher pass over the one whose claim kept the endpoint free: callers of both were refused at their deadline. Each suspect has a key of its own; there is still one claim at a time. The test got no grant before.

--- a/packages/policy/src/cell_dispatch.ts
+++ b/packages/policy/src/cell_dispatch.ts
@@ -78,9 +78,10 @@
 
 /**
  * Requests with equal keys are treated as equally placeable: once one of them
- * can't be placed, the others are skipped. All suspects share one key.
+ * can't be placed, the others are skipped. Each suspect has its own key: only the
+ * one that holds a claim on an endpoint can be placed.
  */
 function placementKeyOf(ask: CellPermitRequest): string {
-  if (ask.suspect) return 'suspect';
+  if (ask.suspect) return `suspect ${ask.attempt}`;
   return `${ask.cheapAllowed} ${ask.excluded.join(' ')}`;
 }
--- a/packages/policy/src/cell_owner.test.ts
+++ b/packages/policy/src/cell_owner.test.ts
@@ -161,6 +161,23 @@
   t.is(owner.snapshot(1).waiting, 2);
 });
 
+test('a suspect that has to wait does not hold up the one that holds an endpoint', t => {
+  // Guards against suspects that are all refused at their deadline: the more
+  // urgent one can't be placed, and the other is passed over.
+  const owner = createOwner([makeEndpoint('e1', {maxConcurrency: 1})]);
+  owner.receive({kind: 'ask', ask: makePermitRequest('running')}, 0);
+  const holder = makePermitRequest('holder', {suspect: true, tier: 1});
+  const urgent = makePermitRequest('urgent', {suspect: true, tier: 0});
+  t.deepEqual(grantedOf(owner.receive({kind: 'ask', ask: holder}, 1)), []);
+  t.deepEqual(grantedOf(owner.receive({kind: 'ask', ask: urgent}, 2)), []);
+  const release = makeRelease('running', 'e1');
+  const input = {kind: 'release', instance: FIRST, release} as const;
+  t.deepEqual(grantedOf(owner.receive(input, 3)), ['holder']);
+  const second = makeRelease('holder', 'e1');
+  const next = {kind: 'release', instance: FIRST, release: second} as const;
+  t.deepEqual(grantedOf(owner.receive(next, 4)), ['urgent']);
+});
+
 test('a new owner sends a message to each instance that joins', t => {
   const owner = createOwner([makeEndpoint('e1')], {graceMs: 1500});
   const joined = {kind: 'instance_joined', instance: FIRST} as const;
