Release a permit that is granted when its search has just ended

Found by reading. Of two permits granted in one turn of the event loop, or of one granted in the turn in which its caller left, the later was neither used nor returned: its place at the endpoint stayed taken until the owner missed it in the reports, and callers waited behind it. It is released at once.

--- a/packages/entry/src/choose/permit_search.ts
+++ b/packages/entry/src/choose/permit_search.ts
@@ -44,6 +44,7 @@
   private readonly open = new Set<CandidateCell>();
   private next = 0;
   private lastRefusal: PermitRefusal | undefined;
+  private isOver = false;
   private timer: NodeJS.Timeout | undefined;
   private settle: (result: SearchResult) => void = () => {};
   private fail: (error: RequestError) => void = () => {};
@@ -58,7 +59,10 @@
    * @throws RequestError, verdict `not_run`, when the signal aborts.
    */
   async run(signal: AbortSignal): Promise<SearchResult> {
-    const onAbort = () => this.fail(abortError(signal));
+    const onAbort = () => {
+      this.isOver = true;
+      this.fail(abortError(signal));
+    };
     try {
       return await new Promise<SearchResult>((resolve, reject) => {
         this.settle = resolve;
@@ -100,6 +104,11 @@
   private handleResult(candidate: CandidateCell, result: PermitResult): void {
     this.open.delete(candidate);
     if (result.kind === 'start') {
+      if (this.isOver) {
+        this.returnPermit(candidate, result.endpoint);
+        return;
+      }
+      this.isOver = true;
       const found = {...candidate, endpointId: result.endpoint};
       this.settle({kind: 'found', found});
       return;
@@ -108,6 +117,18 @@
     this.requestNext();
   }
 
+  /** The search has ended in the same turn of the event loop. */
+  private returnPermit({cell, ask}: CandidateCell, endpoint: EndpointId): void {
+    this.options.clients.release({
+      attempt: ask.attempt,
+      cell,
+      endpoint,
+      outcome: 'cancelled',
+      outputTokens: 0,
+      promptTokens: 0,
+    });
+  }
+
   private refuseIfNoneIsOpen(): void {
     if (this.open.size > 0 || this.lastRefusal === undefined) return;
     this.settle({kind: 'refused', refusal: this.lastRefusal});
