Don't say not_run when the claim of a key can't be read

Found by reading. While the table is away, a request under an idempotency key was refused as never run, although an earlier one under the same key may have run: a caller that trusts the verdict would book again under another key. The verdict is may_have_run.

--- a/packages/entry/src/admit/keyed_request_runner.ts
+++ b/packages/entry/src/admit/keyed_request_runner.ts
@@ -238,7 +238,8 @@
     case 'unavailable':
       return new RequestError('The Idempotency-Key can not be claimed now.', {
         code: 'idempotency_unavailable',
-        verdict: 'not_run',
+        // An earlier attempt under the key is unknown as long as the claim is.
+        verdict: 'may_have_run',
         retryAfterMs: decision.retryAfterMs,
       });
   }
