Let tests hold the final write of usage for as long as they need

How long the final write may take is a setting now (5 s as before); the tests set a minute and let the store accept the write once they are done.

--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -44,8 +44,6 @@
 import {StateDump} from './operate/state_dump.js';
 import {TicketService} from './operate/ticket_service.js';
 
-const FINAL_WRITES_TIMEOUT_MS = 5000;
-
 /** One running instance. */
 export class EntryProcess {
   private readonly container: Container;
@@ -170,7 +168,8 @@
   private async closeAll(): Promise<void> {
     const ticketsDone = this.container.get(TicketService).close();
     await this.container.get(KeyedRequestRunner).whenSettled();
-    await this.container.get(UsageCounterTask).stop(FINAL_WRITES_TIMEOUT_MS);
+    const {finalWritesTimeoutMs} = this.settings.shutdown;
+    await this.container.get(UsageCounterTask).stop(finalWritesTimeoutMs);
     await ticketsDone;
     this.container.get(RevisionTask).stop();
     this.container.get(CellPermits).stop();
--- a/packages/entry/src/sessions/stopping.test.ts
+++ b/packages/entry/src/sessions/stopping.test.ts
@@ -7,6 +7,12 @@
 /** Takes about 40 s at an engine, longer than the stopping instances have left. */
 const LONG_ANSWER_TOKENS = 4000;
 const NO_LAG = {balancerLagMs: 0};
+/** The final write of usage ends when the test lets the store accept it. */
+const HELD_FINAL_WRITE = {
+  ...NO_LAG,
+  graceMs: 60_000,
+  finalWritesTimeoutMs: 60_000,
+};
 
 test('a first request on an open connection during a stop is refused, not cut', async t => {
   // A caller opens a connection without sending a request. The instance is told
@@ -145,7 +151,7 @@
   // No request runs any more, but the store does not accept the usage yet. A
   // request that arrives then on an open connection would run, but its caller
   // would not get the answer, since the sockets are about to be closed.
-  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 60_000}});
+  const world = await start(t, {shutdown: HELD_FINAL_WRITE});
   const early = await CallerConnection.open(world.entries[0].callersUrl);
   t.is((await world.chat(0, 'counted')).status, 200);
   const faults = {table: {mode: 'down', keyPrefix: 'usage/'}};
@@ -156,6 +162,7 @@
   await early.waitFor('\r\n\r\n');
   assertRefused(t, early);
   t.is(await runsAtEngines(world), 1);
+  await world.control(world.platform, {faults: {table: {mode: 'ok'}}});
   t.is((await exited).code, 0);
 });
 
@@ -180,7 +187,7 @@
 test('a ticket submitted during the final write of usage is refused', async t => {
   // An operator's command reaches an instance that is about to exit. The answer
   // says that nothing took effect, so that the command can try another instance.
-  const world = await start(t, {shutdown: {...NO_LAG, graceMs: 60_000}});
+  const world = await start(t, {shutdown: HELD_FINAL_WRITE});
   t.is((await world.chat(0, 'counted')).status, 200);
   const faults = {table: {mode: 'down', keyPrefix: 'usage/'}};
   await world.control(world.platform, {faults});
@@ -191,6 +198,7 @@
   ]);
   t.is(status, 503);
   t.deepEqual(JSON.parse(body), {outcome: 'unavailable'});
+  await world.control(world.platform, {faults: {table: {mode: 'ok'}}});
   t.is((await exited).code, 0);
 });
 
--- a/packages/settings/src/entry_settings.ts
+++ b/packages/settings/src/entry_settings.ts
@@ -123,6 +123,9 @@
   graceMs: durationMs
     .default(120_000)
     .describe('how long what runs may take to finish'),
+  finalWritesTimeoutMs: durationMs
+    .default(5000)
+    .describe('how long the final write of usage may take after that'),
 });
 
 const metrics = z.strictObject({
