--- a/packages/entry/src/choose/resting_permits.test.ts
+++ b/packages/entry/src/choose/backoff_permits.test.ts
@@ -3,7 +3,7 @@
 import {brandAs, type AttemptId} from '@snipestage/types/ids.js';
 import test from 'ava';
 import {Permits, type Permit, type PermitRequest} from './permits.js';
-import {RestingPermits} from './resting_permits.js';
+import {BackoffPermits} from './backoff_permits.js';
 
 const MODEL = {kind: 'model', model: 'repair'};
 const ONE = {id: 'one', url: 'http://10.0.0.1:1', serves: MODEL};
@@ -42,7 +42,7 @@
 function createPermits(endpoints: readonly object[]) {
   const inner = new FirstPermits(endpoints);
   const clock = {nowMs: 0};
-  const permits = new RestingPermits({
+  const permits = new BackoffPermits({
     permits: inner,
     listEndpoints: () => endpoints as readonly Endpoint[],
     clock: () => clock.nowMs,
@@ -51,10 +51,10 @@
   return {inner, clock, acquire};
 }
 
-test('an endpoint is excluded until its rest is over', async t => {
+test('an endpoint is excluded until its backoff is over', async t => {
   const {clock, acquire} = createPermits([ONE, TWO]);
   const first = await acquire();
-  first.release({outcome: 'failed', restMs: 1000});
+  first.release({outcome: 'failed', backoffMs: 1000});
   t.is(idOf(await acquire()), 'two');
   clock.nowMs = 999;
   t.is(idOf(await acquire()), 'two');
@@ -62,12 +62,12 @@
   t.is(idOf(await acquire()), 'one');
 });
 
-test('a permit for an endpoint whose rest began while the request waited is returned', async t => {
-  // Guards against requests that were queued before the rest was known.
+test('a permit for an endpoint whose backoff began while the request waited is returned', async t => {
+  // Guards against requests that were queued before the backoff was known.
   const {inner, acquire} = createPermits([ONE, TWO]);
   const first = await acquire();
   const waiting = acquire();
-  first.release({outcome: 'failed', restMs: 1000});
+  first.release({outcome: 'failed', backoffMs: 1000});
   t.is(idOf(await waiting), 'two');
   t.deepEqual(inner.released, ['one failed', 'one cancelled']);
   t.deepEqual(
@@ -76,13 +76,13 @@
   );
 });
 
-test('with all endpoints resting a request is refused until the first is back', async t => {
+test('with all endpoints in backoff a request is refused until the first is back', async t => {
   const {inner, clock, acquire} = createPermits([ONE, TWO]);
   const one = await acquire();
-  one.release({outcome: 'failed', restMs: 3000});
+  one.release({outcome: 'failed', backoffMs: 3000});
   const two = await acquire();
-  two.release({outcome: 'failed', restMs: 2000});
-  two.release({outcome: 'failed', restMs: 1});
+  two.release({outcome: 'failed', backoffMs: 2000});
+  two.release({outcome: 'failed', backoffMs: 1});
   clock.nowMs = 500;
   const error = await t.throwsAsync(acquire(), {instanceOf: RequestError});
   t.like(error.refusal, {
@@ -93,11 +93,11 @@
   t.is(inner.requests.length, 2);
 });
 
-test('an endpoint that started again at another address does not rest', async t => {
+test('an endpoint that restarted at another address is not in backoff', async t => {
   const endpoints = [{...ONE}];
   const {acquire} = createPermits(endpoints);
   const first = await acquire();
-  first.release({outcome: 'failed', restMs: 60_000});
+  first.release({outcome: 'failed', backoffMs: 60_000});
   endpoints[0].url = 'http://10.0.0.1:2';
   t.is(idOf(await acquire()), 'one');
 });
--- a/packages/entry/src/choose/resting_permits.ts
+++ b/packages/entry/src/choose/backoff_permits.ts
@@ -1,4 +1,4 @@
-/** Withholds endpoints that have asked for rest. */
+/** Withholds endpoints that have requested backoff. */
 
 import {RequestError} from '@snipestage/errors/request_error.js';
 import type {
@@ -15,28 +15,28 @@
   type PermitRequest,
 } from './permits.js';
 
-/** Options of {@link RestingPermits}. */
-export interface RestingPermitsOptions {
+/** Options of {@link BackoffPermits}. */
+export interface BackoffPermitsOptions {
   readonly permits: Permits;
   readonly listEndpoints: () => Iterable<Endpoint>;
   readonly clock: MonotonicClock;
 }
 
 /**
- * An endpoint that refuses an attempt may ask for rest. It then gets nothing
- * from this instance until the rest is over: other instances may not have been
+ * An endpoint that refuses an attempt may request backoff. It then gets nothing
+ * from this instance until then: other instances may not have been
  * asked, so that owners of cells don't know of it.
  */
-export class RestingPermits extends Permits {
-  /** End of the rest by the endpoint's URL, which is new with each start. */
-  private readonly restUntilMs = new Map<string, number>();
+export class BackoffPermits extends Permits {
+  /** End of the backoff by the endpoint's URL, which changes with each restart. */
+  private readonly backoffUntilMs = new Map<string, number>();
 
-  constructor(private readonly options: RestingPermitsOptions) {
+  constructor(private readonly options: BackoffPermitsOptions) {
     super();
   }
 
   /**
-   * @throws RequestError `no_endpoint` at once when all endpoints rest, with the
+   * @throws RequestError `no_endpoint` at once when all endpoints are in backoff, with the
    * time until the first is back.
    */
   async acquire(request: PermitRequest, signal: AbortSignal): Promise<Permit> {
@@ -48,30 +48,34 @@
           ...request,
           attempt: nameRound(request.attempt, round),
           remainingMs: request.remainingMs - (clock() - startedAtMs),
-          excluded: [...request.excluded, ...this.listResting(request.target)],
+          excluded: [
+            ...request.excluded,
+            ...this.listBackingOff(request.target),
+          ],
         },
         signal,
       );
-      // Its rest may have begun while the request waited.
-      if (this.restLeftMs(permit.endpoint) === 0) return this.observe(permit);
+      // Its backoff may have begun while the request waited.
+      if (this.backoffLeftMs(permit.endpoint) === 0)
+        return this.observe(permit);
       permit.release({outcome: 'cancelled'});
     }
   }
 
-  private listResting(target: EndpointTarget): readonly Endpoint['id'][] {
+  private listBackingOff(target: EndpointTarget): readonly Endpoint['id'][] {
     this.forgetEnded();
-    if (this.restUntilMs.size === 0) return [];
+    if (this.backoffUntilMs.size === 0) return [];
     const serving = [...this.options.listEndpoints()].filter(
       each => isSameTarget(each.serves, target) && !each.leaving,
     );
-    const lefts = serving.map(each => this.restLeftMs(each));
+    const lefts = serving.map(each => this.backoffLeftMs(each));
     const firstBackMs = Math.min(...lefts);
-    if (serving.length > 0 && firstBackMs > 0) throw allResting(firstBackMs);
+    if (serving.length > 0 && firstBackMs > 0) throw allBackingOff(firstBackMs);
     return serving.filter((_, index) => lefts[index] > 0).map(({id}) => id);
   }
 
-  private restLeftMs({url}: Endpoint): number {
-    const untilMs = this.restUntilMs.get(url) ?? Number.NEGATIVE_INFINITY;
+  private backoffLeftMs({url}: Endpoint): number {
+    const untilMs = this.backoffUntilMs.get(url) ?? Number.NEGATIVE_INFINITY;
     return Math.max(0, untilMs - this.options.clock());
   }
 
@@ -80,24 +84,24 @@
       endpoint: permit.endpoint,
       progress: tokens => permit.progress(tokens),
       release: report => {
-        this.noteRest(permit.endpoint, report);
+        this.noteBackoff(permit.endpoint, report);
         permit.release(report);
       },
     };
   }
 
-  /** A shorter rest doesn't end a longer one: refusals may overtake others. */
-  private noteRest({url}: Endpoint, {restMs}: AttemptReport): void {
-    if (restMs === undefined) return;
-    const before = this.restUntilMs.get(url) ?? Number.NEGATIVE_INFINITY;
-    const untilMs = this.options.clock() + restMs;
-    this.restUntilMs.set(url, Math.max(before, untilMs));
+  /** A shorter backoff doesn't end a longer one: refusals may overtake others. */
+  private noteBackoff({url}: Endpoint, {backoffMs}: AttemptReport): void {
+    if (backoffMs === undefined) return;
+    const before = this.backoffUntilMs.get(url) ?? Number.NEGATIVE_INFINITY;
+    const untilMs = this.options.clock() + backoffMs;
+    this.backoffUntilMs.set(url, Math.max(before, untilMs));
   }
 
   private forgetEnded(): void {
     const nowMs = this.options.clock();
-    for (const [url, untilMs] of this.restUntilMs) {
-      if (untilMs <= nowMs) this.restUntilMs.delete(url);
+    for (const [url, untilMs] of this.backoffUntilMs) {
+      if (untilMs <= nowMs) this.backoffUntilMs.delete(url);
     }
   }
 }
@@ -107,8 +111,8 @@
   return round === 0 ? attempt : brandAs<AttemptId>(`${attempt}+${round}`);
 }
 
-function allResting(firstBackMs: number): RequestError {
-  return new RequestError('All endpoints have asked for rest.', {
+function allBackingOff(firstBackMs: number): RequestError {
+  return new RequestError('All endpoints have requested backoff.', {
     code: 'no_endpoint',
     verdict: 'not_run',
     retryAfterMs: firstBackMs,
--- a/packages/entry/src/choose/permits.ts
+++ b/packages/entry/src/choose/permits.ts
@@ -50,7 +50,7 @@
    */
   readonly connectionBroke?: boolean;
   /** Time for which the endpoint wants nothing from this instance. */
-  readonly restMs?: number;
+  readonly backoffMs?: number;
   readonly promptTokens?: number;
   readonly outputTokens?: number;
   readonly firstTokenMs?: number;
--- a/packages/entry/src/compose/bind_permits.ts
+++ b/packages/entry/src/compose/bind_permits.ts
@@ -12,7 +12,7 @@
 import {MeteredPermits} from '../choose/metered_permits.js';
 import {PermitRouter} from '../choose/permit_router.js';
 import {Permits} from '../choose/permits.js';
-import {RestingPermits} from '../choose/resting_permits.js';
+import {BackoffPermits} from '../choose/backoff_permits.js';
 import {StoppingPermits} from '../choose/stopping_permits.js';
 import {SuspectTrials} from '../choose/suspect_trials.js';
 import {SuspectGuard} from '../choose/suspect_guard.js';
@@ -89,7 +89,7 @@
   container.bind(SuspectGuard).toResolvedValue(
     (permits, trials, network, directory) =>
       new SuspectGuard({
-        permits: new RestingPermits({
+        permits: new BackoffPermits({
           permits,
           listEndpoints: () => directory.endpoints.values(),
           clock,
--- a/packages/entry/src/send/endpoint_error.ts
+++ b/packages/entry/src/send/endpoint_error.ts
@@ -30,7 +30,7 @@
   readonly verdict?: Verdict;
   readonly status?: number;
   /** Time for which the endpoint wants nothing from this instance. */
-  readonly restMs?: number;
+  readonly backoffMs?: number;
 }
 
 /**
@@ -47,14 +47,14 @@
     readonly kind: EndpointErrorKind;
     readonly verdict: Verdict;
     readonly status?: number;
-    readonly restMs?: number;
+    readonly backoffMs?: number;
 
     constructor(message: string, options: EndpointErrorOptions = {}) {
       super(message, options);
       this.kind = options.kind ?? 'broken';
       this.verdict = options.verdict ?? 'may_have_run';
       this.status = options.status;
-      this.restMs = options.restMs;
+      this.backoffMs = options.backoffMs;
     }
   },
 });
--- a/packages/entry/src/send/http_engine_driver.ts
+++ b/packages/entry/src/send/http_engine_driver.ts
@@ -14,7 +14,7 @@
 } from './engine_driver.js';
 import {EventReader} from './event_reader.js';
 import {openEndpoint} from './open_endpoint.js';
-import {readRestMs} from './read_rest.js';
+import {readRetryAfterMs} from './read_retry_after.js';
 import {SilenceTimer} from './silence_timer.js';
 
 const ENDED_EARLY = 'The stream ended before its end mark.';
@@ -198,7 +198,7 @@
     kind: didNoWork ? 'refused' : 'errored',
     verdict: didNoWork ? 'not_run' : 'may_have_run',
     status,
-    restMs: readRestMs(status, headers['retry-after']),
+    backoffMs: readRetryAfterMs(status, headers['retry-after']),
   });
 }
 
--- a/packages/entry/src/send/http_service_driver.ts
+++ b/packages/entry/src/send/http_service_driver.ts
@@ -5,7 +5,7 @@
 import {EndpointError} from './endpoint_error.js';
 import {forwardedResponseHeaders} from './forwarded_headers.js';
 import {openEndpoint} from './open_endpoint.js';
-import {readRestMs} from './read_rest.js';
+import {readRetryAfterMs} from './read_retry_after.js';
 import {
   ServiceDriver,
   type ServiceAnswer,
@@ -44,7 +44,7 @@
         status: response.statusCode,
         headers: forwardedResponseHeaders(response.headers),
         body: response.rawBody,
-        restMs: readRestMs(
+        backoffMs: readRetryAfterMs(
           response.statusCode,
           response.headers['retry-after'],
         ),
--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -135,7 +135,7 @@
     const meter = new AttemptMeter(this.options.clock);
     let outcome: AttemptOutcome = 'failed';
     let connectionBroke = false;
-    let restMs: number | undefined;
+    let backoffMs: number | undefined;
     try {
       const error = await this.readOrResume(
         work,
@@ -146,14 +146,14 @@
       );
       outcome = error === undefined ? 'ok' : outcomeOf(error);
       connectionBroke = error?.kind === 'broken';
-      restMs = error?.restMs;
+      backoffMs = error?.backoffMs;
       if (error?.kind === 'cancelled') this.cancel(work, permit, progress);
       return error;
     } finally {
       permit.release({
         outcome,
         connectionBroke,
-        restMs,
+        backoffMs,
         promptTokens: progress.promptTokens,
         outputTokens: meter.outputTokens,
         firstTokenMs: meter.firstTokenMs,
--- /dev/null
+++ b/packages/entry/src/send/read_retry_after.test.ts
@@ -0,0 +1,19 @@
+import test from 'ava';
+import {readRetryAfterMs} from './read_retry_after.js';
+
+test('a refusal requests backoff in seconds or until a date', t => {
+  t.is(readRetryAfterMs(503, '3'), 3000);
+  t.is(readRetryAfterMs(503, '0.5'), 500);
+  const inAMinute = new Date(Date.now() + 60_000).toUTCString();
+  const backoffMs = readRetryAfterMs(503, inAMinute)!;
+  t.true(backoffMs > 55_000 && backoffMs <= 60_000, String(backoffMs));
+  t.is(readRetryAfterMs(503, 'Thu, 01 Jan 1970 00:00:00 GMT'), 0);
+});
+
+test('other answers and unreadable values request none', t => {
+  t.is(readRetryAfterMs(200, '3'), undefined);
+  t.is(readRetryAfterMs(503, undefined), undefined);
+  for (const value of ['', ' ', '-1', 'soon', 'Infinity']) {
+    t.is(readRetryAfterMs(503, value), undefined, value);
+  }
+});
--- a/packages/entry/src/send/read_rest.ts
+++ b/packages/entry/src/send/read_retry_after.ts
@@ -7,11 +7,11 @@
  * The time in `Retry-After` of a 503, given in seconds or as a date (RFC 9110,
  * section 10.2.3).
  *
- * @returns milliseconds; undefined when the endpoint doesn't ask for rest.
+ * @returns milliseconds; undefined when the endpoint doesn't request backoff.
  * @example
- * const restMs = readRestMs(503, response.headers['retry-after']);
+ * const backoffMs = readRetryAfterMs(503, response.headers['retry-after']);
  */
-export function readRestMs(
+export function readRetryAfterMs(
   status: number,
   retryAfter: string | undefined,
 ): number | undefined {
--- a/packages/entry/src/send/service_driver.ts
+++ b/packages/entry/src/send/service_driver.ts
@@ -22,7 +22,7 @@
   readonly headers: PlainHeaders;
   readonly body: Buffer;
   /** Time for which the service wants nothing from this instance. */
-  readonly restMs?: number;
+  readonly backoffMs?: number;
 }
 
 /** Makes attempts at one kind of plain service. */
--- a/packages/entry/src/send/service_runner.ts
+++ b/packages/entry/src/send/service_runner.ts
@@ -108,7 +108,11 @@
         timeoutMs: work.timeoutMs,
       });
       const firstTokenMs = this.options.clock() - startedAtMs;
-      permit.release({outcome: 'ok', firstTokenMs, restMs: answer.restMs});
+      permit.release({
+        outcome: 'ok',
+        firstTokenMs,
+        backoffMs: answer.backoffMs,
+      });
       return {kind: 'answered', answer};
     } catch (error) {
       if (!(error instanceof EndpointError)) {
--- a/packages/entry/src/sessions/resting.test.ts
+++ b/packages/entry/src/sessions/backoff.test.ts
@@ -22,7 +22,7 @@
   t.is((await world.chat(0, 'three')).status, 200);
 });
 
-test('while one engine rests, another serves', async t => {
+test('while one engine is in backoff, another serves', async t => {
   // Guards against refusals while an engine has room.
   const world = await TestWorld.start({engines: ['akl-a', 'akl-a']});
   t.teardown(() => world.close());
--- a/packages/gateway/src/announcements_of_starts.test.ts
+++ b/packages/gateway/src/announcements.test.ts
@@ -9,7 +9,7 @@
 const ENDPOINT = brandAs<EndpointId>('endpoint-0');
 const LIMIT = 'X-Limit: 0';
 const LEAVING = 'X-Leaving: 1';
-const REST = 'X-Rest-Ms: 60000';
+const BACKOFF = 'X-Retry-After-Ms: 60000';
 
 function idOf(request: string): string {
   return /x-request-id: (\S+)/i.exec(request)?.[1] ?? '';
@@ -23,7 +23,7 @@
 test('what another endpoint at the address announces counts for nobody', async t => {
   // Guards against endpoints that get too few requests since another one has
   // used their address.
-  const misdirect = answerWith(421, LIMIT, LEAVING, REST);
+  const misdirect = answerWith(421, LIMIT, LEAVING, BACKOFF);
   const proxy = await TestProxy.start({}, [misdirect]);
   t.teardown(() => proxy.close());
   await proxy.call('one', {body: 'order'});
@@ -58,7 +58,7 @@
   t.is(state.rateLimits.find(ENDPOINT), 0);
 });
 
-test('a start is not bound by the limit and load of the one before', async t => {
+test('an incarnation is not bound by the limit and load of the one before', async t => {
   // Guards against an endpoint that gets too few requests after a restart.
   const proxy = await TestProxy.start({}, [answerWith(200, LIMIT)]);
   t.teardown(() => proxy.close());
@@ -76,8 +76,8 @@
   t.is((await proxy.call('two', {body: 'order'})).status, 200);
 });
 
-test('a late answer of the start before does not bind the new one', async t => {
-  // Guards against a new start that is taken for leaving, limited or resting.
+test('a late answer of the former incarnation does not bind the new one', async t => {
+  // Guards against a new incarnation that is taken for leaving, limited or in backoff.
   let answer: (() => void) | undefined;
   const answerLate: Script = (socket, request) => {
     answer = () => answerWith(200, LIMIT, LEAVING)(socket, request);
--- a/packages/gateway/src/resting_endpoint.test.ts
+++ b/packages/gateway/src/endpoint_backoff.test.ts
@@ -7,7 +7,7 @@
   type Script,
 } from './test_support/test_proxy.js';
 
-const REST_MS = 800;
+const BACKOFF_MS = 800;
 const ENGINE = {engine: {batchSize: 4, cacheTokens: 1000}};
 
 const answerWhole: Script = (socket, request) => {
@@ -19,9 +19,9 @@
   setTimeout(() => answerWhole(socket, request), 20);
 };
 
-const askForRest = (restMs: number, status = 503): Script => {
+const requestBackoff = (backoffMs: number, status = 503): Script => {
   return (socket, request) => {
-    const headers = ['X-Not-Run: 1', `X-Rest-Ms: ${restMs}`];
+    const headers = ['X-Not-Run: 1', `X-Retry-After-Ms: ${backoffMs}`];
     socket.end(answerBytes(idOf(request), {status, headers}));
   };
 };
@@ -40,10 +40,10 @@
 
 for (const service of [{}, ENGINE]) {
   const kind = 'engine' in service ? 'an engine' : 'an endpoint';
-  test(`${kind} gets nothing while it rests, and requests again afterwards`, async t => {
+  test(`${kind} gets nothing during its backoff, and requests again afterwards`, async t => {
     // Guards against an endpoint that is asked again and again while it wants
     // to recover.
-    const scripts = [askForRest(REST_MS), answerLater];
+    const scripts = [requestBackoff(BACKOFF_MS), answerLater];
     const proxy = await TestProxy.start({}, scripts);
     t.teardown(() => proxy.close());
     proxy.configure({}, service);
@@ -55,7 +55,7 @@
       t.is(answer.status, 200);
     }
     t.is(countAt(proxy, 'endpoint-0'), 1);
-    await pause(REST_MS);
+    await pause(BACKOFF_MS);
     for (let count = 0; count < 15; count += 1) {
       await proxy.call(`after-${count}`, {body: 'order'});
     }
@@ -63,14 +63,17 @@
   });
 }
 
-test('neither retries nor resumed streams go to an endpoint that rests', async t => {
+test('neither retries nor resumed streams go to an endpoint in backoff', async t => {
   // Guards against retries that pile up at an endpoint that wants to recover.
   const breakOff: Script = (socket, request) => {
     socket.write(streamHead(idOf(request)));
     socket.write(chunk('id: 1\ndata: a\n\n'), () => socket.resetAndDestroy());
   };
   const route = {kind: 'stream', isResumable: true, maxAttempts: 2} as const;
-  const proxy = await TestProxy.start(route, [breakOff, askForRest(60_000)]);
+  const proxy = await TestProxy.start(route, [
+    breakOff,
+    requestBackoff(60_000),
+  ]);
   t.teardown(() => proxy.close());
   while (countAt(proxy, 'endpoint-1') === 0) {
     await proxy.call(`before-${proxy.received.length}`);
@@ -81,10 +84,10 @@
   t.is(countAt(proxy, 'endpoint-1'), 1);
 });
 
-test('with every endpoint resting, Retry-After lasts until the first is back', async t => {
+test('with every endpoint in backoff, Retry-After lasts until the first is back', async t => {
   // Refused callers must not wait for an answer, nor come back before anything
   // has changed.
-  const scripts = [askForRest(5000), askForRest(4000)];
+  const scripts = [requestBackoff(5000), requestBackoff(4000)];
   const proxy = await TestProxy.start({}, scripts);
   t.teardown(() => proxy.close());
   for (const [id, isTried] of [
@@ -100,26 +103,26 @@
   }
 });
 
-test('a shorter rest that is asked for later does not end a longer one', async t => {
+test('a shorter backoff that is requested later does not end a longer one', async t => {
   // Guards against requests in the time of the first refusal, when refusals
   // overtake each other.
-  let restMs = 60_000;
+  let backoffMs = 60_000;
   const refuse: Script = (socket, request) =>
-    setTimeout(() => askForRest(restMs)(socket, request), 50);
+    setTimeout(() => requestBackoff(backoffMs)(socket, request), 50);
   const proxy = await TestProxy.start({}, [refuse]);
   t.teardown(() => proxy.close());
   const first = proxy.call('one', {body: 'order'});
   const second = proxy.call('two', {body: 'order'});
   await first;
-  restMs = 1;
+  backoffMs = 1;
   await second;
   await pause(20);
   await proxy.call('three', {body: 'order'});
   t.is(proxy.received.length, 2);
 });
 
-test('a request whose connection opens while its endpoint begins to rest goes elsewhere', async t => {
-  // Guards against requests that were placed before the rest was known, and
+test('a request whose connection opens while the backoff of its endpoint begins goes elsewhere', async t => {
+  // Guards against requests that were placed before the backoff was known, and
   // reach the endpoint long afterwards over a slow connection.
   const proxy = await TestProxy.start({}, [answerWhole, answerLater]);
   t.teardown(() => proxy.close());
@@ -128,7 +131,7 @@
   monitor.begin = (id, work, nowMs) => {
     begin(id, work, nowMs);
     const endpoint = directory.find(id)!;
-    if (id === 'endpoint-0') directory.noteRest(endpoint, 60_000, nowMs);
+    if (id === 'endpoint-0') directory.noteBackoff(endpoint, 60_000, nowMs);
   };
   for (let count = 0; count < 10; count += 1) {
     const answer = await proxy.call(`${count}`, {body: 'order'});
@@ -137,9 +140,9 @@
   t.is(countAt(proxy, 'endpoint-0'), 0);
 });
 
-test('an endpoint that started again under its id does not rest', async t => {
+test('an endpoint that restarted under its id is not in backoff', async t => {
   // Guards against an endpoint that stays without requests after its restart.
-  const proxy = await TestProxy.start({}, [askForRest(60_000)]);
+  const proxy = await TestProxy.start({}, [requestBackoff(60_000)]);
   t.teardown(() => proxy.close());
   await proxy.call('one', {body: 'order'});
   const {directory} = proxy.state;
@@ -149,9 +152,9 @@
   t.is(proxy.received.length, 2);
 });
 
-test('a rest that another endpoint at the address asks for counts for nobody', async t => {
+test('a backoff that another endpoint at the address requests counts for nobody', async t => {
   // Guards against endpoints shut out since an address was used again.
-  const misdirect = askForRest(60_000, 421);
+  const misdirect = requestBackoff(60_000, 421);
   const proxy = await TestProxy.start({}, [misdirect]);
   t.teardown(() => proxy.close());
   await proxy.call('one', {body: 'order'});
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -300,7 +300,7 @@
     this.verdict = verdict;
     const retryAfterMs = Math.max(
       this.minRetryAfterMs,
-      state.restLeftMs(service, nowMs()),
+      state.backoffLeftMs(service, nowMs()),
       state.refusalDelayFor(service).adviseMs(nowMs()),
     );
     const failure = failureFor(verdict, {
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -72,9 +72,9 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
-  private readonly restRequests = new Counter({
-    name: 'snipestage_rest_requests_total',
-    help: 'Refusals in which an endpoint asked for rest, by service.',
+  private readonly backoffRequests = new Counter({
+    name: 'snipestage_backoff_requests_total',
+    help: 'Refusals in which an endpoint requested backoff, by service.',
     labelNames: ['service'],
     registers: [this.registry],
   });
@@ -129,8 +129,8 @@
     this.leavingAnswers.inc({service});
   }
 
-  countRestRequest(service: string): void {
-    this.restRequests.inc({service});
+  countBackoffRequest(service: string): void {
+    this.backoffRequests.inc({service});
   }
 
   setConfigurationVersion(version: number): void {
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -59,7 +59,7 @@
    * Time for which the endpoint wants no requests from this instance; undefined
    * unless it refused the request and said so.
    */
-  readonly restMs: number | undefined;
+  readonly backoffMs: number | undefined;
 }
 
 /** Header names and values as `name, value, name, value, ...`. */
--- a/packages/gateway/src/record_announcements.ts
+++ b/packages/gateway/src/record_announcements.ts
@@ -13,9 +13,9 @@
 }
 
 /**
- * Records the leaving, rest, rate limit and load in an answer, in the state by
+ * Records the leaving, backoff, rate limit and load in an answer, in the state by
  * which all further attempts of this instance are placed. Another endpoint at
- * the address, an answer to another request and an earlier start of the
+ * the address, an answer to another request and an earlier incarnation of the
  * endpoint say nothing of it.
  *
  * @example
@@ -29,9 +29,10 @@
   const isToOther =
     head.requestId !== undefined && head.requestId !== request.caller.requestId;
   if (head.isMisdirected || isToOther) return;
-  if (!context.state.directory.isCurrentStart(endpoint)) return;
+  if (!context.state.directory.isCurrentIncarnation(endpoint)) return;
   if (head.isLeaving) recordLeaving(context, answered);
-  if (head.restMs !== undefined) recordRest(context, answered, head.restMs);
+  if (head.backoffMs !== undefined)
+    recordBackoff(context, answered, head.backoffMs);
   recordRateLimit(context, answered);
   recordLoad(context, answered);
 }
@@ -51,17 +52,17 @@
   });
 }
 
-function recordRest(
+function recordBackoff(
   {state, metrics, logger, nowMs}: ExchangeContext,
   {request, endpoint}: AnsweredAttempt,
-  restMs: number,
+  backoffMs: number,
 ): void {
-  state.directory.noteRest(endpoint, restMs, nowMs());
-  metrics.countRestRequest(endpoint.service);
-  logger.info('endpoint_rest_requested', {
+  state.directory.noteBackoff(endpoint, backoffMs, nowMs());
+  metrics.countBackoffRequest(endpoint.service);
+  logger.info('endpoint_backoff_requested', {
     requestId: request.caller.requestId,
     endpoint: endpoint.id,
-    restMs,
+    backoffMs,
   });
 }
 
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -48,7 +48,7 @@
    * - `leaving`: none is serving, and some are leaving.
    * - `warming_up`: all are cold and already get the requests that they can
    *   take.
-   * - `resting`: all that could take requests have asked for rest.
+   * - `backing_off`: all that could take requests have requested backoff.
    * - `rate_limited`: all already get the requests that they can take, and some
    *   have a rate limit.
    */
@@ -57,7 +57,7 @@
     | 'evacuated'
     | 'leaving'
     | 'warming_up'
-    | 'resting'
+    | 'backing_off'
     | 'rate_limited';
   /** Time until the first one may take requests again; 0 if not known. */
   readonly retryAfterMs: number;
@@ -129,7 +129,7 @@
   }
 
   /**
-   * Drops state of endpoints that are gone, and what earlier starts of endpoints
+   * Drops state of endpoints that are gone, and what earlier incarnations of endpoints
    * reported.
    */
   evictStale(nowMs: number): void {
@@ -201,13 +201,13 @@
 
   /** Why no endpoint of a service could be chosen. */
   explainNoEndpoint(service: ServiceId, nowMs: number): NoEndpoint {
-    const serving = this.directory.findServingOrResting(service, nowMs);
+    const serving = this.directory.findServingOrBackingOff(service, nowMs);
     if (serving.length > 0) {
       const waits = serving.map(each =>
         Math.max(
           this.warmup.leftMs(each.id, nowMs),
           this.rateLimits.intervalMs(each.id),
-          this.directory.restLeftMs(each, nowMs),
+          this.directory.backoffLeftMs(each, nowMs),
         ),
       );
       return {
@@ -218,20 +218,22 @@
     return {reason: this.explainNoneServing(service), retryAfterMs: 0};
   }
 
-  /** Time until an endpoint of a service doesn't rest; 0 without endpoints. */
-  restLeftMs(service: ServiceId, nowMs: number): number {
-    const serving = this.directory.findServingOrResting(service, nowMs);
+  /** Time until an endpoint of a service isn't in backoff; 0 without endpoints. */
+  backoffLeftMs(service: ServiceId, nowMs: number): number {
+    const serving = this.directory.findServingOrBackingOff(service, nowMs);
     if (serving.length === 0) return 0;
-    const rests = serving.map(each => this.directory.restLeftMs(each, nowMs));
-    return Math.min(...rests);
+    const lefts = serving.map(each =>
+      this.directory.backoffLeftMs(each, nowMs),
+    );
+    return Math.min(...lefts);
   }
 
   private explainNoneOpen(
     serving: readonly ServingEndpoint[],
     nowMs: number,
   ): NoEndpoint['reason'] {
-    if (serving.some(each => this.directory.restLeftMs(each, nowMs) > 0)) {
-      return 'resting';
+    if (serving.some(each => this.directory.backoffLeftMs(each, nowMs) > 0)) {
+      return 'backing_off';
     }
     const isLimited = serving.some(
       ({id}) => this.rateLimits.find(id) !== undefined,
@@ -257,7 +259,7 @@
       isDown: monitor.isDown(endpoint.id, nowMs),
       isCold: this.warmup.isCold(endpoint.id, nowMs),
       rateLimitPerS: this.rateLimits.find(endpoint.id),
-      restLeftMs: Math.round(directory.restLeftMs(endpoint, nowMs)),
+      backoffLeftMs: Math.round(directory.backoffLeftMs(endpoint, nowMs)),
       load: monitor.estimateLoad(endpoint.id, nowMs),
       failureShare: monitor.failureShare(endpoint.id, nowMs),
       inFlight: monitor.inFlight(endpoint.id),
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -54,10 +54,10 @@
           ? undefined
           : Number(headers['x-limit']),
       isLeaving: headers['x-leaving'] !== undefined,
-      restMs:
-        headers['x-rest-ms'] === undefined
+      backoffMs:
+        headers['x-retry-after-ms'] === undefined
           ? undefined
-          : Number(headers['x-rest-ms']),
+          : Number(headers['x-retry-after-ms']),
     };
   }
 
--- a/packages/routing/src/endpoint_announcements.ts
+++ b/packages/routing/src/endpoint_announcements.ts
@@ -1,15 +1,18 @@
 /** Keeps what endpoints announce of themselves in their answers. */
 
 import type {EndpointId} from '@snipestage/types/ids.js';
-import {isOtherStart, type EndpointStart} from './endpoint_starts.js';
+import {
+  isOtherIncarnation,
+  type EndpointIncarnation,
+} from './endpoint_incarnations.js';
 
 interface Announced {
-  readonly start: EndpointStart;
+  readonly incarnation: EndpointIncarnation;
   isLeaving: boolean;
-  restUntilMs: number;
+  backoffUntilMs: number;
 }
 
-/** What an endpoint announces holds until it starts again. */
+/** What an endpoint announces holds until it restarts. */
 export class EndpointAnnouncements {
   private readonly announced = new Map<EndpointId, Announced>();
 
@@ -18,31 +21,38 @@
    *
    * @returns whether this is new.
    */
-  noteLeaving(start: EndpointStart): boolean {
-    const announced = this.of(start);
+  noteLeaving(incarnation: EndpointIncarnation): boolean {
+    const announced = this.of(incarnation);
     const isNew = !announced.isLeaving;
     announced.isLeaving = true;
     return isNew;
   }
 
-  isLeaving(start: EndpointStart): boolean {
-    return this.find(start)?.isLeaving ?? false;
+  isLeaving(incarnation: EndpointIncarnation): boolean {
+    return this.find(incarnation)?.isLeaving ?? false;
   }
 
   /**
    * Records that an endpoint wants no requests from this instance for a time. A
-   * shorter rest doesn't end a longer one: refusals may overtake each other.
+   * shorter backoff doesn't end a longer one: refusals may overtake each other.
    */
-  noteRest(start: EndpointStart, restMs: number, nowMs: number): void {
-    const announced = this.of(start);
-    const restUntilMs = nowMs + restMs;
-    announced.restUntilMs = Math.max(announced.restUntilMs, restUntilMs);
+  noteBackoff(
+    incarnation: EndpointIncarnation,
+    backoffMs: number,
+    nowMs: number,
+  ): void {
+    const announced = this.of(incarnation);
+    const backoffUntilMs = nowMs + backoffMs;
+    announced.backoffUntilMs = Math.max(
+      announced.backoffUntilMs,
+      backoffUntilMs,
+    );
   }
 
-  /** Time until it may get requests again; 0 when it doesn't rest. */
-  restLeftMs(start: EndpointStart, nowMs: number): number {
-    const {restUntilMs = nowMs} = this.find(start) ?? {};
-    return Math.max(0, restUntilMs - nowMs);
+  /** Time until it may get requests again; 0 when it isn't in backoff. */
+  backoffLeftMs(incarnation: EndpointIncarnation, nowMs: number): number {
+    const {backoffUntilMs = nowMs} = this.find(incarnation) ?? {};
+    return Math.max(0, backoffUntilMs - nowMs);
   }
 
   /** Forgets endpoints that are gone. */
@@ -52,21 +62,22 @@
     }
   }
 
-  private find(start: EndpointStart): Announced | undefined {
-    const announced = this.announced.get(start.id);
+  private find(incarnation: EndpointIncarnation): Announced | undefined {
+    const announced = this.announced.get(incarnation.id);
     const isSame =
-      announced !== undefined && !isOtherStart(announced.start, start);
+      announced !== undefined &&
+      !isOtherIncarnation(announced.incarnation, incarnation);
     return isSame ? announced : undefined;
   }
 
-  /** Replaces what an earlier start has announced. */
-  private of(start: EndpointStart): Announced {
-    const announced = this.find(start) ?? {
-      start,
+  /** Replaces what an earlier incarnation has announced. */
+  private of(incarnation: EndpointIncarnation): Announced {
+    const announced = this.find(incarnation) ?? {
+      incarnation,
       isLeaving: false,
-      restUntilMs: Number.NEGATIVE_INFINITY,
+      backoffUntilMs: Number.NEGATIVE_INFINITY,
     };
-    this.announced.set(start.id, announced);
+    this.announced.set(incarnation.id, announced);
     return announced;
   }
 }
--- a/packages/routing/src/endpoint_directory.test.ts
+++ b/packages/routing/src/endpoint_directory.test.ts
@@ -97,8 +97,8 @@
   t.deepEqual(idsAt(directory, 3), ['one', 'two', 'late']);
 });
 
-test('an announced leaving holds for one start of an endpoint only', t => {
-  // Guards against a new start that gets nothing because the answer of the one
+test('an announced leaving holds for one incarnation of an endpoint only', t => {
+  // Guards against a new incarnation that gets nothing because the answer of the one
   // before arrived late.
   const directory = new EndpointDirectory();
   const started = {...ONE, bornEpochMs: 2};
@@ -111,9 +111,9 @@
   t.deepEqual(idsAt(directory, 4), ['one']);
 });
 
-test('an announced leaving holds while the start of an endpoint is not listed', t => {
+test('an announced leaving holds while the incarnation of an endpoint is not listed', t => {
   // Guards against requests to an endpoint that is about to stop, after a row
-  // that lacks its start.
+  // that lacks its incarnation.
   const directory = new EndpointDirectory();
   directory.replace([ONE], 0);
   directory.noteLeaving(ONE);
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -9,7 +9,10 @@
   ServiceId,
 } from '@snipestage/types/ids.js';
 import {EndpointAnnouncements} from './endpoint_announcements.js';
-import {EndpointStarts, isOtherStart} from './endpoint_starts.js';
+import {
+  EndpointIncarnations,
+  isOtherIncarnation,
+} from './endpoint_incarnations.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** A row of the list that changed. */
@@ -47,7 +50,7 @@
   private readonly endpoints = new Map<EndpointId, ServingEndpoint>();
   private readonly missing = new Set<EndpointId>();
   private readonly announcements = new EndpointAnnouncements();
-  private readonly starts = new EndpointStarts();
+  private readonly incarnations = new EndpointIncarnations();
   private readonly restarted = new Set<EndpointId>();
   private evacuated: ReadonlySet<DataCentreId> = new Set();
   private byService = new Map<ServiceId, ServingEndpoint[]>();
@@ -93,19 +96,19 @@
   }
 
   /**
-   * Whether an endpoint has not been listed with another start since.
+   * Whether an endpoint has not been listed with another incarnation since.
    *
    * @example
-   * if (!directory.isCurrentStart(placed.endpoint)) return;
+   * if (!directory.isCurrentIncarnation(placed.endpoint)) return;
    */
-  isCurrentStart(endpoint: ServingEndpoint): boolean {
+  isCurrentIncarnation(endpoint: ServingEndpoint): boolean {
     const listed = this.endpoints.get(endpoint.id);
-    return listed === undefined || !isOtherStart(listed, endpoint);
+    return listed === undefined || !isOtherIncarnation(listed, endpoint);
   }
 
   /**
    * Records that an endpoint announced its leaving in an answer. It gets no new
-   * requests from then on, whatever the list says of this start of it.
+   * requests from then on, whatever the list says of this incarnation.
    *
    * @param endpoint as it was listed when the answered request was sent.
    * @returns whether this is new.
@@ -113,7 +116,7 @@
    * if (head.isLeaving) directory.noteLeaving(placed.endpoint);
    */
   noteLeaving(endpoint: ServingEndpoint): boolean {
-    if (!this.isCurrentStart(endpoint)) return false;
+    if (!this.isCurrentIncarnation(endpoint)) return false;
     const {id} = endpoint;
     const listed = this.endpoints.get(id);
     const isNew = this.announcements.noteLeaving(endpoint);
@@ -124,26 +127,30 @@
   }
 
   /**
-   * Records that an endpoint asked for rest in an answer. It gets no requests
-   * of this instance until the rest is over or it starts again.
+   * Records that an endpoint requested backoff in an answer. It gets no requests
+   * of this instance until the backoff is over or it restarts.
    *
    * @param endpoint as it was listed when the answered request was sent.
    * @example
-   * directory.noteRest(placed.endpoint, head.restMs, nowMs);
+   * directory.noteBackoff(placed.endpoint, head.backoffMs, nowMs);
    */
-  noteRest(endpoint: ServingEndpoint, restMs: number, nowMs: number): void {
-    if (!this.isCurrentStart(endpoint)) return;
-    this.announcements.noteRest(endpoint, restMs, nowMs);
+  noteBackoff(
+    endpoint: ServingEndpoint,
+    backoffMs: number,
+    nowMs: number,
+  ): void {
+    if (!this.isCurrentIncarnation(endpoint)) return;
+    this.announcements.noteBackoff(endpoint, backoffMs, nowMs);
   }
 
-  /** Time until an endpoint's rest is over; 0 when it doesn't rest. */
-  restLeftMs(endpoint: ServingEndpoint, nowMs: number): number {
-    return this.announcements.restLeftMs(endpoint, nowMs);
+  /** Time until an endpoint's backoff is over; 0 when there is none. */
+  backoffLeftMs(endpoint: ServingEndpoint, nowMs: number): number {
+    return this.announcements.backoffLeftMs(endpoint, nowMs);
   }
 
   /**
    * Whether a request that was placed on an endpoint may still be sent: by its
-   * own announcements it neither leaves nor rests.
+   * own announcements it is neither leaving nor in backoff.
    *
    * @example
    * const mayStillSend = () => directory.mayStillSend(endpoint, nowMs());
@@ -152,7 +159,7 @@
     const {announcements} = this;
     return (
       !announcements.isLeaving(endpoint) &&
-      announcements.restLeftMs(endpoint, nowMs) === 0
+      announcements.backoffLeftMs(endpoint, nowMs) === 0
     );
   }
 
@@ -184,13 +191,13 @@
    * const candidates = directory.findServing(service, nowMs);
    */
   findServing(service: ServiceId, nowMs: number): readonly ServingEndpoint[] {
-    return this.findServingOrResting(service, nowMs).filter(
-      each => this.restLeftMs(each, nowMs) === 0,
+    return this.findServingOrBackingOff(service, nowMs).filter(
+      each => this.backoffLeftMs(each, nowMs) === 0,
     );
   }
 
-  /** Endpoints of a service that may get new requests now or after a rest. */
-  findServingOrResting(
+  /** Endpoints of a service that may get new requests now or after a backoff. */
+  findServingOrBackingOff(
     service: ServiceId,
     nowMs: number,
   ): readonly ServingEndpoint[] {
@@ -209,10 +216,10 @@
 
   /** Endpoints that are listed, or were until some minutes ago. */
   listKnownIds(): ReadonlySet<EndpointId> {
-    return this.starts.ids;
+    return this.incarnations.ids;
   }
 
-  /** Endpoints listed with another start since the last call. */
+  /** Endpoints listed with another incarnation since the last call. */
   takeRestarted(): readonly EndpointId[] {
     const restarted = [...this.restarted];
     this.restarted.clear();
@@ -220,9 +227,9 @@
   }
 
   private noteChange(nowMs: number): void {
-    const restarted = this.starts.update(this.readAll(), nowMs);
+    const restarted = this.incarnations.update(this.readAll(), nowMs);
     for (const id of restarted) this.restarted.add(id);
-    this.announcements.retain(this.starts.ids);
+    this.announcements.retain(this.incarnations.ids);
     this.index();
     this.changedAtMs = nowMs;
   }
--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -250,7 +250,7 @@
   }
 
   /**
-   * Forgets the load and failures of an endpoint that has started again; its
+   * Forgets the load and failures of an endpoint that has restarted; its
    * attempts in flight remain counted until they end.
    */
   forgetReports(id: EndpointId): void {
--- a/packages/routing/src/endpoint_rate_limits.ts
+++ b/packages/routing/src/endpoint_rate_limits.ts
@@ -109,7 +109,7 @@
       : SECOND_MS / Math.max(MIN_LIMIT_PER_S, rateLimitPerS);
   }
 
-  /** Forgets the limit of an endpoint that has started again. */
+  /** Forgets the limit of an endpoint that has restarted. */
   forget(id: EndpointId): void {
     this.buckets.delete(id);
   }
--- a/packages/routing/src/load_view.ts
+++ b/packages/routing/src/load_view.ts
@@ -122,7 +122,7 @@
   }
 
   /**
-   * Forgets the load of an endpoint that has started again. Older readings of
+   * Forgets the load of an endpoint that has restarted. Older readings of
    * other instances are dropped from now on.
    */
   forget(endpoint: EndpointId, nowMs: number): void {
--- a/packages/soak/src/announcements.ts
+++ b/packages/soak/src/announcements.ts
@@ -1,9 +1,9 @@
 /** Draws when endpoints announce something in their answers. */
 
 import {drawSequentialFaults} from './sequential_faults.js';
-import {REST, UNLISTED_LEAVING, type PlannedFault} from './fault_plan.js';
+import {BACKOFF, UNLISTED_LEAVING, type PlannedFault} from './fault_plan.js';
 
-/** Options of {@link drawUnlistedLeavings} and {@link drawRests}. */
+/** Options of {@link drawUnlistedLeavings} and {@link drawBackoffs}. */
 export interface AnnouncementsOptions {
   readonly seed: number;
   /** Announcements start within this time. */
@@ -33,23 +33,23 @@
   });
 }
 
-/** Endpoints that may rest at the same time. */
-const RESTS_AT_A_TIME = 3;
+/** Endpoints that may be in backoff at the same time. */
+const BACKOFFS_AT_A_TIME = 3;
 /** The generator draws similar numbers from neighbouring seeds. */
 const SEED_DISTANCE = 12_345;
 
 /**
- * Draws endpoints that rest, a few at the same time, so that now and then all
+ * Draws endpoints that request backoff, a few at the same time, so that now and then all
  * endpoints of a service do.
  *
  * @example
- * const faults = drawRests({seed: 7, forMs: 20_000, endpoints: 10});
+ * const faults = drawBackoffs({seed: 7, forMs: 20_000, endpoints: 10});
  */
-export function drawRests(options: AnnouncementsOptions): PlannedFault[] {
+export function drawBackoffs(options: AnnouncementsOptions): PlannedFault[] {
   const {seed, forMs, endpoints} = options;
-  return Array.from({length: RESTS_AT_A_TIME}, (_, sequence) =>
+  return Array.from({length: BACKOFFS_AT_A_TIME}, (_, sequence) =>
     drawSequentialFaults({
-      kind: REST,
+      kind: BACKOFF,
       seed: seed + sequence * SEED_DISTANCE,
       forMs,
       targetCount: endpoints,
--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -1,7 +1,7 @@
 /** All checks of a soak, one for each guarantee. */
 
 import type {History} from '../history.js';
-import {AnnouncedLeavings, Rests} from './announcements.js';
+import {AnnouncedLeavings, Backoffs} from './announcements.js';
 import {
   AnswerInTime,
   AtMostOnce,
@@ -40,7 +40,7 @@
   new RetryBudget(),
   new NothingForNobody(),
   new RateLimits(),
-  new Rests(),
+  new Backoffs(),
   new WithdrawnKeys(),
   new LeavingEndpoints(),
   new AnnouncedLeavings(),
--- a/packages/soak/src/checks/announcements.ts
+++ b/packages/soak/src/checks/announcements.ts
@@ -40,13 +40,13 @@
   }
 }
 
-/** From then on an instance has to heed a rest that it was asked for. */
-const REST_APPLIES_AFTER_MS = 500;
-const MAX_REQUESTS_WITHIN_REST = 2;
+/** From then on an instance has to respect a requested backoff. */
+const BACKOFF_APPLIES_AFTER_MS = 500;
+const MAX_REQUESTS_WITHIN_BACKOFF = 2;
 
-/** An endpoint that asked an instance for rest gets hardly anything from it. */
-export class Rests extends Check {
-  readonly name = 'rests';
+/** An endpoint that requested backoff of an instance gets hardly anything from it. */
+export class Backoffs extends Check {
+  readonly name = 'backoffs';
 
   find(history: History): readonly Finding[] {
     const known = new Map(history.requests.map(each => [each.requestId, each]));
@@ -61,12 +61,13 @@
     }
     return history.runs.flatMap(run => {
       const request = known.get(run.requestId);
-      if (request === undefined || run.askedRest === undefined) return [];
-      const {atMs, restMs} = run.askedRest;
-      const endsAtMs = atMs + restMs;
+      if (request === undefined || run.requestedBackoff === undefined)
+        return [];
+      const {atMs, backoffMs} = run.requestedBackoff;
+      const endsAtMs = atMs + backoffMs;
       const count = countWithin(
         arrivals.get(keyOf(request, run)) ?? [],
-        atMs + REST_APPLIES_AFTER_MS,
+        atMs + BACKOFF_APPLIES_AFTER_MS,
         endsAtMs,
       );
       const isBound = history.isUndisturbed(
@@ -74,8 +75,8 @@
         atMs,
         endsAtMs,
       );
-      if (count <= MAX_REQUESTS_WITHIN_REST || !isBound) return [];
-      const message = `${count} further requests reached ${run.endpoint} within ${Math.round(restMs)} ms of rest`;
+      if (count <= MAX_REQUESTS_WITHIN_BACKOFF || !isBound) return [];
+      const message = `${count} further requests reached ${run.endpoint} within ${Math.round(backoffMs)} ms of backoff`;
       return [this.foundFor(request, message)];
     });
   }
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -201,13 +201,13 @@
   t.is(findersAfter(later(), outage), 1);
 });
 
-test('more than two requests to an endpoint within its rest are found', t => {
+test('more than two requests to an endpoint within its backoff are found', t => {
   const findersAfter = (
     atMs: readonly number[],
     prepare: (history: History) => void = () => undefined,
   ) => {
-    const askedRest = {atMs: 10_010, restMs: 3000};
-    const refused = makeRun({hasRun: false, askedRest});
+    const requestedBackoff = {atMs: 10_010, backoffMs: 3000};
+    const refused = makeRun({hasRun: false, requestedBackoff});
     const later = atMs.map((arrivedAtMs, index) => {
       const requestId = `later-${index}`;
       const kind = 'idempotent' as const;
@@ -221,7 +221,7 @@
       [refused, ...later.map(({run}) => run)],
     );
     prepare(history);
-    return checkAll(history).filter(({check}) => check === 'rests').length;
+    return checkAll(history).filter(({check}) => check === 'backoffs').length;
   };
   t.is(findersAfter([10_600, 11_000, 12_900]), 1);
   t.is(findersAfter([10_600, 11_000]), 0);
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -59,15 +59,15 @@
 export const RATE_LIMIT = 'rate_limit';
 /** An endpoint is replaced, and its entry says so later than its answers. */
 export const UNLISTED_LEAVING = 'unlisted_leaving';
-/** An endpoint refuses requests and asks for rest. */
-export const REST = 'rest';
+/** An endpoint refuses requests and requests backoff. */
+export const BACKOFF = 'backoff';
 
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | typeof EVACUATE
   | typeof RATE_LIMIT
   | typeof UNLISTED_LEAVING
-  | typeof REST;
+  | typeof BACKOFF;
 
 /** One fault of a plan. */
 export interface PlannedFault {
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,6 +1,6 @@
 /** Seeded faults of the program; a soak must find each of them. */
 
-import {EVACUATE, RATE_LIMIT, REST, UNLISTED_LEAVING} from './fault_plan.js';
+import {EVACUATE, RATE_LIMIT, BACKOFF, UNLISTED_LEAVING} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
 
@@ -216,13 +216,13 @@
     ],
   },
   {
-    name: 'does_not_read_rests',
-    check: 'rests',
-    kinds: [REST],
+    name: 'does_not_read_backoffs',
+    check: 'backoffs',
+    kinds: [BACKOFF],
     edits: [
       {
         module: 'gateway/dist/record_announcements.js',
-        from: 'if (head.restMs !== undefined)',
+        from: 'if (head.backoffMs !== undefined)',
         to: 'if (false)',
       },
     ],
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,6 +1,6 @@
 /** Runs real processes under traffic and faults and checks what was seen. */
 
-import {drawRests, drawUnlistedLeavings} from './announcements.js';
+import {drawBackoffs, drawUnlistedLeavings} from './announcements.js';
 import {checkAll} from './checks/all_checks.js';
 import type {Finding} from './checks/check.js';
 import {drawEvacuations} from './evacuations.js';
@@ -8,7 +8,7 @@
   drawFaultPlan,
   EVACUATE,
   RATE_LIMIT,
-  REST,
+  BACKOFF,
   UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
@@ -140,7 +140,7 @@
     ],
     [RATE_LIMIT, () => drawRateLimits(announcing)],
     [UNLISTED_LEAVING, () => drawUnlistedLeavings(announcing)],
-    [REST, () => drawRests(announcing)],
+    [BACKOFF, () => drawBackoffs(announcing)],
   ];
   const faults = [
     ...drawFaultPlan({seed, forMs, seriesEveryMs, kinds}),
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -115,14 +115,14 @@
   }
 
   /**
-   * Lets the current generation refuse all requests and ask for rest.
+   * Lets the current generation refuse all requests and request backoff.
    *
-   * @returns a function that ends the rest.
+   * @returns a function that ends the backoff.
    */
-  rest(durationMs: number): () => void {
+  backOff(durationMs: number): () => void {
     const {standIn} = this;
-    standIn.restUntilMs = this.options.nowMs() + durationMs;
-    return () => (standIn.restUntilMs = Number.NEGATIVE_INFINITY);
+    standIn.backoffUntilMs = this.options.nowMs() + durationMs;
+    return () => (standIn.backoffUntilMs = Number.NEGATIVE_INFINITY);
   }
 
   /**
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -6,7 +6,7 @@
 import {
   EVACUATE,
   RATE_LIMIT,
-  REST,
+  BACKOFF,
   UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
@@ -97,8 +97,8 @@
       this.evacuate(fault);
     } else if (kind === RATE_LIMIT) {
       this.limitRate(fault, endpoints[target % endpoints.length]);
-    } else if (kind === REST) {
-      this.rest(fault, endpoints[target % endpoints.length]);
+    } else if (kind === BACKOFF) {
+      this.backOff(fault, endpoints[target % endpoints.length]);
     } else if (kind === UNLISTED_LEAVING) {
       this.replaceUnlisted(fault, endpoints[target % endpoints.length]);
     } else if (kind.startsWith('store_way') || kind.startsWith('callers_way')) {
@@ -141,10 +141,10 @@
     this.endAfter(durationMs, endpoint.limitRate(RATE_LIMIT_PER_S));
   }
 
-  /** Not recorded as a disturbance: a refusal with a rest is no failure. */
-  private rest({kind, durationMs}: PlannedFault, endpoint: Endpoint): void {
+  /** Not recorded as a disturbance: a refusal that requests backoff is no failure. */
+  private backOff({kind, durationMs}: PlannedFault, endpoint: Endpoint): void {
     this.logFault(kind, endpoint.id, durationMs);
-    this.endAfter(durationMs, endpoint.rest(durationMs));
+    this.endAfter(durationMs, endpoint.backOff(durationMs));
   }
 
   /** Only its answers say meanwhile that the endpoint leaves. */
