Check the backoff of an engine again when a connection has opened

An attempt of the entry process that got its permit before its engine or service requested backoff was sent all the same, and so was the resumption of a broken stream, which takes no new permit. The permit tells whether its endpoint still takes requests; the drivers ask once the connection is open. Such an attempt counts as not run and as no failure of the endpoint, and goes elsewhere at once.

--- a/packages/entry/src/choose/backoff_permits.test.ts
+++ b/packages/entry/src/choose/backoff_permits.test.ts
@@ -76,6 +76,15 @@
   );
 });
 
+test('a permit tells when the backoff of its endpoint has begun', async t => {
+  const {acquire} = createPermits([ONE, TWO]);
+  const first = await acquire();
+  const second = await acquire();
+  t.true(second.mayStillSend?.());
+  first.release({outcome: 'failed', backoffMs: 1000});
+  t.false(second.mayStillSend?.());
+});
+
 test('with all endpoints in backoff a request is refused until the first is back', async t => {
   const {inner, clock, acquire} = createPermits([ONE, TWO]);
   const one = await acquire();
--- a/packages/entry/src/choose/backoff_permits.ts
+++ b/packages/entry/src/choose/backoff_permits.ts
@@ -82,6 +82,7 @@
   private observe(permit: Permit): Permit {
     return {
       endpoint: permit.endpoint,
+      mayStillSend: () => this.backoffLeftMs(permit.endpoint) === 0,
       progress: tokens => permit.progress(tokens),
       release: report => {
         this.noteBackoff(permit.endpoint, report);
--- a/packages/entry/src/choose/metered_permits.ts
+++ b/packages/entry/src/choose/metered_permits.ts
@@ -32,6 +32,7 @@
     metrics.timing('queue_wait_ms', waitMs, {class: requestClass.id});
     return {
       endpoint: permit.endpoint,
+      mayStillSend: permit.mayStillSend,
       progress: tokens => permit.progress(tokens),
       release: report => {
         this.measure(requestClass, permit, report);
--- a/packages/entry/src/choose/permits.ts
+++ b/packages/entry/src/choose/permits.ts
@@ -60,6 +60,8 @@
 /** Held while an attempt runs; must be released exactly once. */
 export interface Permit {
   readonly endpoint: Endpoint;
+  /** Whether the endpoint still takes requests of this instance (true). */
+  readonly mayStillSend?: () => boolean;
   /** Reports how many output tokens have been received so far. */
   progress(outputTokens: number): void;
   release(report: AttemptReport): void;
--- a/packages/entry/src/choose/suspect_guard.ts
+++ b/packages/entry/src/choose/suspect_guard.ts
@@ -63,6 +63,7 @@
     this.addInFlight(endpoint, fingerprint);
     return {
       endpoint: permit.endpoint,
+      mayStillSend: permit.mayStillSend,
       progress: tokens => permit.progress(tokens),
       release: report => {
         this.recordOutcome(permit, {fingerprint, alone: suspect}, report);
--- a/packages/entry/src/send/attempt_outcome.ts
+++ b/packages/entry/src/send/attempt_outcome.ts
@@ -10,6 +10,7 @@
   refused: 'failed',
   errored: 'failed',
   mismatched: 'failed',
+  withheld: 'cancelled',
   cancelled: 'cancelled',
 };
 
--- a/packages/entry/src/send/endpoint_error.ts
+++ b/packages/entry/src/send/endpoint_error.ts
@@ -13,6 +13,8 @@
  * - `refused`: the endpoint answered with an error before doing any work.
  * - `errored`: the endpoint answered with an error.
  * - `mismatched`: the answer was to another request.
+ * - `withheld`: nothing was sent, as the endpoint had requested backoff while
+ *   the connection was opened.
  * - `cancelled`: the router aborted the attempt.
  */
 export type EndpointErrorKind =
@@ -22,6 +24,7 @@
   | 'refused'
   | 'errored'
   | 'mismatched'
+  | 'withheld'
   | 'cancelled';
 
 /** Options of {@link EndpointError}. */
--- a/packages/entry/src/send/engine_driver.ts
+++ b/packages/entry/src/send/engine_driver.ts
@@ -15,6 +15,8 @@
   /** Priority; 0 is served first. */
   readonly tier: number;
   readonly signal: AbortSignal;
+  /** Asked once the connection is open, before anything is sent. */
+  readonly mayStillSend?: () => boolean;
   readonly firstTokenTimeoutMs: number;
   /** Longest time between two chunks. */
   readonly chunkTimeoutMs: number;
--- a/packages/entry/src/send/http_engine_driver.test.ts
+++ b/packages/entry/src/send/http_engine_driver.test.ts
@@ -115,6 +115,20 @@
   t.is(error.kind, 'silent');
 });
 
+test('nothing is sent to an engine that wants no requests any more', async t => {
+  // Guards against attempts and resumed streams that reach an engine long after
+  // it requested backoff, over a connection that opened slowly.
+  let requests = 0;
+  const url = await startEngine(t, response => {
+    requests += 1;
+    response.end();
+  });
+  const call = callTo(url, {mayStillSend: () => false});
+  const error = await t.throwsAsync(read(call), {instanceOf: EndpointError});
+  t.like(error, {kind: 'withheld', verdict: 'not_run'});
+  t.is(requests, 0);
+});
+
 test('a request that an engine refuses counts as not run', async t => {
   const url = await startEngine(t, response => {
     response.writeHead(503);
--- a/packages/entry/src/send/http_engine_driver.ts
+++ b/packages/entry/src/send/http_engine_driver.ts
@@ -45,6 +45,7 @@
       url: call.url,
       connectTimeoutMs: this.connectTimeoutMs,
       signal: call.signal,
+      mayStillSend: call.mayStillSend,
     });
     const silence = new SilenceTimer(call.firstTokenTimeoutMs, () =>
       connection.reset(),
--- a/packages/entry/src/send/http_service_driver.ts
+++ b/packages/entry/src/send/http_service_driver.ts
@@ -34,6 +34,7 @@
       url: call.url,
       connectTimeoutMs: this.connectTimeoutMs,
       signal: call.signal,
+      mayStillSend: call.mayStillSend,
     });
     const timeout = AbortSignal.timeout(call.timeoutMs);
     timeout.addEventListener('abort', () => connection.reset());
--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -199,6 +199,7 @@
       body: continuationBody(work.path, work.body, progress),
       tier: work.requestClass.tier,
       signal: work.signal,
+      mayStillSend: permit.mayStillSend,
       firstTokenTimeoutMs: firstTokenTimeoutMs(work.requestClass),
       chunkTimeoutMs: this.options.chunkTimeoutMs,
       resumeOffset,
--- a/packages/entry/src/send/service_driver.ts
+++ b/packages/entry/src/send/service_driver.ts
@@ -13,6 +13,8 @@
   readonly body: Buffer;
   readonly attempt: AttemptId;
   readonly signal: AbortSignal;
+  /** Asked once the connection is open, before anything is sent. */
+  readonly mayStillSend?: () => boolean;
   readonly timeoutMs: number;
 }
 
--- a/packages/entry/src/send/service_runner.ts
+++ b/packages/entry/src/send/service_runner.ts
@@ -105,6 +105,7 @@
         body: work.body,
         attempt,
         signal: work.signal,
+        mayStillSend: permit.mayStillSend,
         timeoutMs: work.timeoutMs,
       });
       const firstTokenMs = this.options.clock() - startedAtMs;
--- a/packages/policy/src/retry_budget.ts
+++ b/packages/policy/src/retry_budget.ts
@@ -18,6 +18,7 @@
  * - `refused`: the endpoint answered with an error before doing any work.
  * - `errored`: the endpoint answered with an error.
  * - `mismatched`: the answer was to another request.
+ * - `withheld`: nothing was sent, as the endpoint had requested backoff.
  * - `cancelled`: the caller ended it, or its key was withdrawn.
  */
 export type FailureCause =
@@ -27,6 +28,7 @@
   | 'refused'
   | 'errored'
   | 'mismatched'
+  | 'withheld'
   | 'cancelled';
 
 /** A failed attempt, and its request. */
@@ -102,6 +104,7 @@
   'broken',
   'silent',
   'mismatched',
+  'withheld',
 ]);
 
 /**
