--- a/packages/entry/src/choose/backoff_permits.ts
+++ b/packages/entry/src/choose/backoff_permits.ts
@@ -28,7 +28,7 @@
  * asked, so that owners of cells don't know of it.
  */
 export class BackoffPermits extends Permits {
-  /** End of the backoff by the endpoint's URL, which changes with each restart. */
+  /** End of the backoff by the endpoint's URL, which is new after a restart. */
   private readonly backoffUntilMs = new Map<string, number>();
 
   constructor(private readonly options: BackoffPermitsOptions) {
@@ -91,7 +91,7 @@
     };
   }
 
-  /** A shorter backoff doesn't end a longer one: refusals may overtake others. */
+  /** A shorter backoff doesn't end a longer one. */
   private noteBackoff({url}: Endpoint, {backoffMs}: AttemptReport): void {
     if (backoffMs === undefined) return;
     const before = this.backoffUntilMs.get(url) ?? Number.NEGATIVE_INFINITY;
--- a/packages/gateway/src/announcements.test.ts
+++ b/packages/gateway/src/announcements.test.ts
@@ -77,7 +77,7 @@
 });
 
 test('a late answer of the former incarnation does not bind the new one', async t => {
-  // Guards against a new incarnation that is taken for leaving, limited or in backoff.
+  // Guards against a new incarnation that gets too few requests.
   let answer: (() => void) | undefined;
   const answerLate: Script = (socket, request) => {
     answer = () => answerWith(200, LIMIT, LEAVING)(socket, request);
--- a/packages/gateway/src/record_announcements.ts
+++ b/packages/gateway/src/record_announcements.ts
@@ -13,10 +13,10 @@
 }
 
 /**
- * Records the leaving, backoff, rate limit and load in an answer, in the state by
- * which all further attempts of this instance are placed. Another endpoint at
- * the address, an answer to another request and an earlier incarnation of the
- * endpoint say nothing of it.
+ * Records the leaving, backoff, rate limit and load in an answer, in the state
+ * by which all further attempts of this instance are placed. Another endpoint
+ * at the address, an answer to another request and an earlier incarnation of
+ * the endpoint say nothing of it.
  *
  * @example
  * recordAnnouncements(context, {head, request, endpoint: placed.endpoint});
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -129,8 +129,8 @@
   }
 
   /**
-   * Drops state of endpoints that are gone, and what earlier incarnations of endpoints
-   * reported.
+   * Drops state of endpoints that are gone, and what earlier incarnations of
+   * the others reported.
    */
   evictStale(nowMs: number): void {
     const known = this.directory.listKnownIds();
@@ -218,7 +218,7 @@
     return {reason: this.explainNoneServing(service), retryAfterMs: 0};
   }
 
-  /** Time until an endpoint of a service isn't in backoff; 0 without endpoints. */
+  /** Time until an endpoint of a service isn't in backoff; 0 if there is none. */
   backoffLeftMs(service: ServiceId, nowMs: number): number {
     const serving = this.directory.findServingOrBackingOff(service, nowMs);
     if (serving.length === 0) return 0;
--- a/packages/policy/src/cell_dispatch.ts
+++ b/packages/policy/src/cell_dispatch.ts
@@ -78,8 +78,8 @@
 
 /**
  * Requests with equal keys are treated as equally placeable: once one of them
- * can't be placed, the others are skipped. Each suspect has its own key: only the
- * one that holds a claim on an endpoint can be placed.
+ * can't be placed, the others are skipped. Each suspect has its own key: only
+ * the one that holds a claim on an endpoint can be placed.
  */
 function placementKeyOf(ask: CellPermitRequest): string {
   if (ask.suspect) return `suspect ${ask.attempt}`;
--- a/packages/routing/src/endpoint_announcements.ts
+++ b/packages/routing/src/endpoint_announcements.ts
@@ -20,6 +20,8 @@
    * Records that an endpoint is about to stop.
    *
    * @returns whether this is new.
+   * @example
+   * const isNew = announcements.noteLeaving(endpoint);
    */
   noteLeaving(incarnation: EndpointIncarnation): boolean {
     const announced = this.of(incarnation);
@@ -35,6 +37,9 @@
   /**
    * Records that an endpoint wants no requests from this instance for a time. A
    * shorter backoff doesn't end a longer one: refusals may overtake each other.
+   *
+   * @example
+   * announcements.noteBackoff(endpoint, head.backoffMs, nowMs);
    */
   noteBackoff(
     incarnation: EndpointIncarnation,
--- a/packages/routing/src/endpoint_directory.test.ts
+++ b/packages/routing/src/endpoint_directory.test.ts
@@ -98,8 +98,8 @@
 });
 
 test('an announced leaving holds for one incarnation of an endpoint only', t => {
-  // Guards against a new incarnation that gets nothing because the answer of the one
-  // before arrived late.
+  // Guards against a new incarnation that gets nothing because the answer of
+  // the one before arrived late.
   const directory = new EndpointDirectory();
   const started = {...ONE, bornEpochMs: 2};
   directory.replace([ONE], 0);
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -196,7 +196,7 @@
     );
   }
 
-  /** Endpoints of a service that may get new requests now or after a backoff. */
+  /** Endpoints that may get new requests now or after their backoff. */
   findServingOrBackingOff(
     service: ServiceId,
     nowMs: number,
--- a/packages/routing/src/endpoint_incarnations.ts
+++ b/packages/routing/src/endpoint_incarnations.ts
@@ -65,8 +65,8 @@
 }
 
 /**
- * Whether two incarnations of an endpoint differ; one that isn't known may be the
- * same.
+ * Whether two incarnations of an endpoint differ; one that isn't known may be
+ * the same.
  *
  * @example
  * if (isOtherIncarnation(listed, placed)) return;
--- a/packages/soak/src/announcements.ts
+++ b/packages/soak/src/announcements.ts
@@ -39,8 +39,8 @@
 const SEED_DISTANCE = 12_345;
 
 /**
- * Draws endpoints that request backoff, a few at the same time, so that now and then all
- * endpoints of a service do.
+ * Draws endpoints that request backoff, a few at the same time, so that now and
+ * then all endpoints of a service do.
  *
  * @example
  * const faults = drawBackoffs({seed: 7, forMs: 20_000, endpoints: 10});
