Let the mutant that uses leaving endpoints change the index again

The text that it replaces had come to stand earlier in the file, where the list is merged with announcements; the mutant was found there, too (30 times), but no longer did what its name says.

--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -198,8 +198,8 @@
     edits: [
       {
         module: 'routing/dist/endpoint_directory.js',
-        from: 'endpoint.isLeaving ||',
-        to: 'false ||',
+        from: 'endpoint.isLeaving || this.evacuated',
+        to: 'this.evacuated',
       },
     ],
   },
