--- a/packages/entry/src/choose/backoff_permits.ts
+++ b/packages/entry/src/choose/backoff_permits.ts
@@ -23,12 +23,12 @@
 }
 
 /**
- * An endpoint that refuses an attempt may request backoff. It then gets nothing
- * from this instance until then: other instances may not have been
- * asked, so that owners of cells don't know of it.
+ * An endpoint that refuses an attempt may request backoff, and then gets nothing
+ * from this instance until it is over. The request concerns this instance alone,
+ * so the owners of cells, which decide for all instances, don't know of it.
  */
 export class BackoffPermits extends Permits {
-  /** End of the backoff by the endpoint's URL, which is new after a restart. */
+  /** End of the backoff by URL; an endpoint with another URL has restarted. */
   private readonly backoffUntilMs = new Map<string, number>();
 
   constructor(private readonly options: BackoffPermitsOptions) {
@@ -36,8 +36,8 @@
   }
 
   /**
-   * @throws RequestError `no_endpoint` at once when all endpoints are in backoff, with the
-   * time until the first is back.
+   * @throws RequestError `no_endpoint` at once when all endpoints are in backoff,
+   * with the time until the first is back.
    */
   async acquire(request: PermitRequest, signal: AbortSignal): Promise<Permit> {
     const {permits, clock} = this.options;
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -141,7 +141,7 @@
     this.endAfter(durationMs, endpoint.limitRate(RATE_LIMIT_PER_S));
   }
 
-  /** Not recorded as a disturbance: a refusal that requests backoff is no failure. */
+  /** Not recorded as a disturbance, as callers may retry elsewhere. */
   private backOff({kind, durationMs}: PlannedFault, endpoint: Endpoint): void {
     this.logFault(kind, endpoint.id, durationMs);
     this.endAfter(durationMs, endpoint.backOff(durationMs));
