Log which request an attempt belonged to and how suspects were classified

A failed attempt now names its request's fingerprint, an instance logs the crashes that it learns from others, and each classification of a suspect says by how many reports, crashes and reclaims. Two metrics count crashes by observer and suspects by decision.

--- a/packages/entry/src/identify/fingerprint.ts
+++ b/packages/entry/src/identify/fingerprint.ts
@@ -9,6 +9,7 @@
 
 const PREFIX_CHARACTERS = 2048;
 const PREFIX_HASH_DIGITS = 16;
+const LOGGED_DIGITS = 12;
 
 /**
  * Fingerprint of a request's content within its client account.
@@ -25,6 +26,16 @@
   return brandAs<Fingerprint>(hash.digest('hex'));
 }
 
+/**
+ * Leading digits of a fingerprint, enough to recognize it in logs.
+ *
+ * @example
+ * logger.info('attempt_failed', {fingerprint: abbreviate(fingerprint)});
+ */
+export function abbreviate(fingerprint: Fingerprint): string {
+  return fingerprint.slice(0, LOGGED_DIGITS);
+}
+
 /**
  * Fingerprint of a model and prompt within a client account. It leaves out the
  * sampling parameters: a prompt that crashes engines does so whatever output
--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -1,5 +1,6 @@
 /** Records and publishes crashes of endpoints, and judges requests by them. */
 
+import {abbreviate} from '@snipestage/entry/identify/fingerprint.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {
   ReportedCrash,
@@ -7,6 +8,7 @@
 } from '@snipestage/policy/suspects.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {Fingerprint, InstanceId} from '@snipestage/types/ids.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
 import type {RoutingState} from './routing_state.js';
 
 /** Options of {@link CrashReporter}. */
@@ -15,6 +17,7 @@
   readonly instance: InstanceId;
   readonly incarnation: string;
   readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
   readonly nowMs: () => number;
   /** Publishes to all instances; logs its own failures. */
   readonly publish: (crashes: readonly ReportedCrash[]) => void;
@@ -30,10 +33,19 @@
   constructor(private readonly options: CrashReporterOptions) {}
 
   classify(fingerprint: Fingerprint): SuspectDecision {
-    return this.options.state.suspects.classify(
-      fingerprint,
-      this.options.nowMs(),
-    );
+    const {state, nowMs, logger, metrics} = this.options;
+    const atMs = nowMs();
+    const decision = state.suspects.classify(fingerprint, atMs);
+    const history = state.suspects.describe(fingerprint);
+    if (history !== undefined) {
+      metrics.countSuspect(decision.kind);
+      logger.info('suspect_classified', {
+        fingerprint: abbreviate(fingerprint),
+        decision: decision.kind,
+        ...history,
+      });
+    }
+    return decision;
   }
 
   noteBroken(endpoint: ServingEndpoint, fingerprint: Fingerprint): void {
@@ -54,7 +66,7 @@
 
   /** Handles an endpoint that refused a connection or was restarted. */
   noteUnreachable(endpoint: ServingEndpoint): void {
-    const {state, nowMs, instance, incarnation, logger} = this.options;
+    const {state, nowMs, instance, incarnation, logger, metrics} = this.options;
     const inFlight = state.crashes.confirmCrash(endpoint.id, nowMs());
     if (inFlight.length === 0) return;
     this.count += 1;
@@ -62,16 +74,28 @@
     const {dataCentre} = endpoint;
     const crash = {id, endpoint: endpoint.id, dataCentre, ageMs: 0};
     state.suspects.merge([{...crash, inFlight, cleared: []}], nowMs());
+    metrics.countCrash('here');
     logger.warn('endpoint_crashed', {
       endpoint: endpoint.id,
       suspects: inFlight.length,
+      fingerprints: inFlight.map(abbreviate),
     });
     this.publishChanges();
   }
 
   /** Merges crashes that another instance published. */
   mergePublished(crashes: readonly ReportedCrash[]): void {
-    const {state, nowMs} = this.options;
+    const {state, nowMs, logger, metrics} = this.options;
+    for (const {id, endpoint, ageMs, inFlight} of crashes) {
+      if (state.suspects.has(id)) continue;
+      metrics.countCrash('elsewhere');
+      logger.info('crash_learnt', {
+        id,
+        endpoint,
+        ageMs: Math.round(ageMs),
+        suspects: inFlight.length,
+      });
+    }
     state.suspects.merge(crashes, nowMs());
     // Changes that came from other instances are not published again.
     state.suspects.takeChanges(nowMs());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -83,6 +83,7 @@
       instance: settings.instance,
       incarnation: this.incarnation,
       logger: logger.forComponent('crashes'),
+      metrics: options.metrics,
       nowMs,
       publish: reported => void facts.publishCrashes(reported),
     });
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -78,6 +78,18 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  private readonly crashes = new Counter({
+    name: 'snipestage_endpoint_crashes_total',
+    help: 'Crashes of endpoints by where they were observed.',
+    labelNames: ['observed'],
+    registers: [this.registry],
+  });
+  private readonly suspects = new Counter({
+    name: 'snipestage_suspect_requests_total',
+    help: 'Requests that were in flight at a crash, by how they were treated.',
+    labelNames: ['decision'],
+    registers: [this.registry],
+  });
   private readonly version = new Gauge({
     name: 'snipestage_configuration_version',
     help: 'Version of the configuration in force.',
@@ -133,6 +145,15 @@
     this.backoffRequests.inc({service});
   }
 
+  /** @param observed `here`, or `elsewhere` by another instance. */
+  countCrash(observed: 'here' | 'elsewhere'): void {
+    this.crashes.inc({observed});
+  }
+
+  countSuspect(decision: string): void {
+    this.suspects.inc({decision});
+  }
+
   setConfigurationVersion(version: number): void {
     this.version.set(version);
   }
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -1,5 +1,6 @@
 /** Records what an attempt shows of its endpoint and of the request. */
 
+import {abbreviate} from '@snipestage/entry/identify/fingerprint.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {
   AttemptResult,
@@ -68,6 +69,7 @@
   }
   context.logger.info('attempt_failed', {
     requestId: caller.requestId,
+    fingerprint: fingerprint && abbreviate(fingerprint),
     endpoint: endpoint.id,
     reason,
     verdict,
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -233,6 +233,7 @@
 
   private async listen(): Promise<void> {
     const {logger} = this.log;
+    const metrics = new GatewayMetrics();
     const handler = new RequestHandler({
       state: this.state,
       protocol: new PlainProtocol(),
@@ -242,11 +243,12 @@
         instance: brandAs<InstanceId>('test'),
         incarnation: '1',
         logger,
+        metrics,
         nowMs: () => this.nowMs(),
         publish: () => undefined,
       }),
       logger,
-      metrics: new GatewayMetrics(),
+      metrics,
       nowMs: () => this.nowMs(),
       connectTimeout: new ConnectTimeout({maxMs: 1000}),
       onBegun: admission => this.begun.push(admission),
--- a/packages/policy/src/suspects.ts
+++ b/packages/policy/src/suspects.ts
@@ -38,6 +38,16 @@
   | {readonly kind: 'run_alone'}
   | {readonly kind: 'refuse'; readonly retryAfterMs: number};
 
+/** Crashes with a request in flight. */
+export interface SuspectHistory {
+  /** Reports of crashes; several instances may report the same crash. */
+  readonly reports: number;
+  /** Crashes since the request last finished. */
+  readonly crashes: number;
+  /** Those of them that count as reclaims of endpoints. */
+  readonly reclaims: number;
+}
+
 /** Options of a {@link SuspectTable}; defaults in brackets. */
 export interface SuspectTableOptions {
   /** How long after its last crash a request is refused (10 minutes). */
@@ -98,6 +108,30 @@
     return this.crashes.size;
   }
 
+  /** Whether a crash is stored already. */
+  has(id: string): boolean {
+    return this.crashes.has(id);
+  }
+
+  /**
+   * What is known of a request's crashes; undefined when there were none.
+   *
+   * @example
+   * logger.info('suspect_classified', {...table.describe(fingerprint)});
+   */
+  describe(fingerprint: Fingerprint): SuspectHistory | undefined {
+    const crashes = this.byFingerprint.get(fingerprint);
+    if (crashes === undefined) return undefined;
+    const all = [...crashes];
+    const open = all.filter(crash => !crash.cleared.has(fingerprint));
+    const reclaims = open.filter(crash => this.isReclaim(crash, fingerprint));
+    return {
+      reports: all.length,
+      crashes: countDistinct(open),
+      reclaims: countDistinct(reclaims),
+    };
+  }
+
   /**
    * Merges crashes seen here or reported by other instances; merging a crash
    * again has no effect.
