--- a/packages/gateway/src/shared_facts.test.ts
+++ b/packages/gateway/src/shared_facts.test.ts
@@ -79,3 +79,23 @@
   t.is(row('crash/x', 'no json'), undefined);
   t.is(row('other', '{}'), undefined);
 });
+
+test('a crash is published again until its write has succeeded', async t => {
+  // Guards against crashes that only the instances that saw them know, since
+  // the store was away in that moment.
+  const platform = new MemoryPlatform();
+  const {logger} = new CapturedLog();
+  const facts = new SharedFacts({platform, logger});
+  const crash = {
+    id: 'a/1/1',
+    endpoint: brandAs<EndpointId>('e'),
+    dataCentre: brandAs<DataCentreId>('akl-a'),
+    ageMs: 0,
+    inFlight: [brandAs<Fingerprint>('f')],
+    cleared: [],
+  };
+  platform.nextFaults.push('away', 'away');
+  await facts.publishCrashes([crash]);
+  await new Promise(done => setTimeout(done, 3000));
+  t.true(platform.rows.has('shared/crash/a/1/1'));
+});
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -97,6 +97,9 @@
   readonly shutdown = new Shutdown({graceMs: 8000});
   private readonly servers: Array<http.Server | net.Server> = [];
   private readonly sockets = new Set<Socket>();
+  private readonly endpoints = new Map<string, net.Server>();
+  private readonly ports = new Map<string, AddressInfo>();
+  private readonly socketsOf = new Map<string, Set<Socket>>();
   private port = 0;
 
   static async start(
@@ -104,12 +107,20 @@
     scripts: readonly Script[],
   ): Promise<TestProxy> {
     const proxy = new TestProxy();
-    await proxy.listen();
+    await proxy.begin(route, scripts);
+    return proxy;
+  }
+
+  /** Starts a proxy that was created before, so that its scripts can use it. */
+  async begin(
+    route: Partial<Route>,
+    scripts: readonly Script[],
+  ): Promise<void> {
+    await this.listen();
     for (const [index, script] of scripts.entries()) {
-      await proxy.addEndpoint(`endpoint-${index}`, script);
+      await this.addEndpoint(`endpoint-${index}`, script);
     }
-    proxy.configure(route);
-    return proxy;
+    this.configure(route);
   }
 
   nowMs(): number {
@@ -194,9 +205,28 @@
     });
   }
 
-  async addEndpoint(id: string, script: Script): Promise<void> {
+  /** Ends an endpoint with all its connections, as a crash does. */
+  crash(id: string): void {
+    this.endpoints.get(id)?.close();
+    for (const socket of this.socketsOf.get(id) ?? []) socket.resetAndDestroy();
+  }
+
+  /** Starts a crashed endpoint again at its address, under another id. */
+  async restart(id: string, newId: string, script: Script): Promise<void> {
+    const {port} = this.ports.get(id)!;
+    this.state.directory.apply(
+      [{kind: 'removed', id: brandAs<EndpointId>(id)}],
+      this.nowMs(),
+    );
+    await this.addEndpoint(newId, script, port);
+  }
+
+  async addEndpoint(id: string, script: Script, port = 0): Promise<void> {
+    const sockets = new Set<Socket>();
+    this.socketsOf.set(id, sockets);
     const server = net.createServer(socket => {
       this.sockets.add(socket);
+      sockets.add(socket);
       let text = '';
       socket.on('data', data => {
         text += data.toString('latin1');
@@ -209,11 +239,13 @@
       socket.on('error', () => undefined);
       socket.on('close', () => this.closed.push(id));
     });
-    server.listen(0, '127.0.0.1');
+    server.listen(port, '127.0.0.1');
     await once(server, 'listening');
     this.servers.push(server);
-    const {port} = server.address() as AddressInfo;
-    this.list(id, `127.0.0.1:${port}`);
+    this.endpoints.set(id, server);
+    const address = server.address() as AddressInfo;
+    this.ports.set(id, address);
+    this.list(id, `127.0.0.1:${address.port}`);
   }
 
   /** Lists an endpoint under an address. */
--- a/packages/policy/src/suspects.test.ts
+++ b/packages/policy/src/suspects.test.ts
@@ -201,3 +201,28 @@
   t.is(table.classify(brandAs('poison'), 1100).kind, 'refuse');
   t.is(table.classify(brandAs('innocent'), 1100).kind, 'run_alone');
 });
+
+test('two requests that crash endpoints side by side don’t acquit each other', t => {
+  // Guards against two such requests that are at the same endpoints each time,
+  // so that each may be the cause for ever.
+  const table = new SuspectTable();
+  for (const endpoint of ['e1', 'e2', 'e3']) {
+    table.merge([crashOf(endpoint, 'p', 'q')], 0);
+  }
+  t.deepEqual(decisionsOf(table, 0, 'p', 'q'), ['refuse', 'refuse']);
+});
+
+test('crashes of a request in several data centres are no reclaims', t => {
+  // Guards against a request whose crashes are taken for reclaims since other
+  // endpoints of each data centre end beside it.
+  const table = new SuspectTable();
+  for (const dataCentre of ['akl-a', 'akl-b', 'akl-c']) {
+    const crash = (name: string, ...inFlight: string[]) => ({
+      ...crashOf(`${dataCentre}/${name}`, ...inFlight),
+      dataCentre: brandAs<DataCentreId>(dataCentre),
+    });
+    const others = [crash('2', 'a'), crash('3', 'b')];
+    table.merge([crash('1', 'p'), ...others], 0);
+  }
+  t.deepEqual(decisionsOf(table, 0, 'p'), ['refuse']);
+});
