--- a/packages/entry/src/choose/suspect_guard.test.ts
+++ b/packages/entry/src/choose/suspect_guard.test.ts
@@ -34,6 +34,8 @@
     self,
     incarnation: () => brandAs('life'),
     clock,
+    isReachable: () => Promise.resolve(false),
+    onError: (endpoint, error) => t.fail(String(error)),
     publish: () => {},
   });
   const {signal} = new AbortController();
--- a/packages/entry/src/choose/suspect_guard.ts
+++ b/packages/entry/src/choose/suspect_guard.ts
@@ -1,7 +1,9 @@
 /** Prevents requests that crash endpoints from crashing one after the other. */
 
 import {RequestError} from '@snipestage/errors/request_error.js';
-import {SuspectTable, type ReportedCrash} from '@snipestage/policy/suspects.js';
+import type {ReportedCrash} from '@snipestage/policy/crash_records.js';
+import {SuspectTable} from '@snipestage/policy/suspects.js';
+import type {Endpoint} from '@snipestage/types/configuration.js';
 import type {
   EndpointId,
   Fingerprint,
@@ -9,6 +11,7 @@
   InstanceId,
 } from '@snipestage/types/ids.js';
 import type {MonotonicClock} from '../clock.js';
+import {CrashCheck} from './crash_check.js';
 import {
   Permits,
   type AttemptReport,
@@ -19,6 +22,13 @@
 
 const TRIAL_RETRY_AFTER_MS = 5000;
 
+/** A request that held a permit. */
+interface Ran {
+  readonly fingerprint: Fingerprint;
+  readonly alone: boolean;
+  readonly sentAtMs: number;
+}
+
 /** Options of {@link SuspectGuard}. */
 export interface SuspectGuardOptions {
   readonly permits: Permits;
@@ -26,6 +36,9 @@
   readonly incarnation: () => Incarnation;
   readonly clock: MonotonicClock;
   readonly trials: SuspectTrials;
+  /** Whether an endpoint accepts connections. */
+  readonly isReachable: (endpoint: Endpoint) => Promise<boolean>;
+  readonly onError: (endpoint: EndpointId, error: unknown) => void;
   /** Sends new or changed crashes to the other instances. */
   readonly publish: (crashes: readonly ReportedCrash[]) => void;
 }
@@ -41,11 +54,24 @@
   private readonly table = new SuspectTable();
   private readonly inFlight = new Map<EndpointId, Fingerprint[]>();
   private readonly trials: SuspectTrials;
+  /** Endpoints whose connections broke. */
+  private readonly watched = new Map<EndpointId, Endpoint>();
+  private readonly check: CrashCheck;
   private crashes = 0;
 
   constructor(private readonly options: SuspectGuardOptions) {
     super();
     this.trials = options.trials;
+    this.check = new CrashCheck({
+      look: async (id, mayConnect) => {
+        const endpoint = this.watched.get(id);
+        if (!mayConnect || endpoint === undefined) return 'open';
+        return (await options.isReachable(endpoint)) ? 'open' : 'down';
+      },
+      isOpen: id => this.mayHaveCrashed(id),
+      onDown: id => this.noteDown(id),
+      onError: options.onError,
+    });
   }
 
   async acquire(request: PermitRequest, signal: AbortSignal): Promise<Permit> {
@@ -60,14 +86,17 @@
       throw error;
     }
     const endpoint = permit.endpoint.id;
+    const sentAtMs = this.options.clock();
     this.addInFlight(endpoint, fingerprint);
     return {
       endpoint: permit.endpoint,
       mayStillSend: permit.mayStillSend,
       progress: tokens => permit.progress(tokens),
       release: report => {
-        this.recordOutcome(permit, {fingerprint, alone: suspect}, report);
-        if (suspect) this.trials.end(fingerprint);
+        const ran = {fingerprint, alone: suspect, sentAtMs};
+        void this.recordOutcome(permit, ran, report).then(() => {
+          if (suspect) this.trials.end(fingerprint);
+        });
         this.removeInFlight(endpoint, fingerprint);
         permit.release(report);
       },
@@ -103,9 +132,8 @@
   /** Merges crashes reported by another instance. */
   mergeCrashes(crashes: readonly ReportedCrash[]): void {
     const nowMs = this.options.clock();
-    this.table.merge(crashes, nowMs);
-    // Not published again: only crashes observed here are published from here.
-    this.table.takeChanges(nowMs);
+    this.table.mergePublished(crashes, nowMs);
+    this.publishChanges();
   }
 
   /** Returns all known crashes, for an instance that has just started. */
@@ -117,31 +145,53 @@
     return {crashes: this.readAll()};
   }
 
-  private recordOutcome(
-    permit: Permit,
-    ran: {readonly fingerprint: Fingerprint; readonly alone: boolean},
-    report: AttemptReport,
-  ): void {
-    if (report.outcome === 'ok') this.table.markFinished(ran.fingerprint);
-    if (report.connectionBroke === true) this.reportCrash(permit, ran.alone);
+  /** Resolves when it is known whether a request that ran alone crashed it. */
+  private async recordOutcome(
+    {endpoint}: Permit,
+    ran: Ran,
+    {outcome, connectionBroke = false}: AttemptReport,
+  ): Promise<void> {
     const nowMs = this.options.clock();
-    const changes = this.table.takeChanges(nowMs);
-    if (changes.length > 0) this.options.publish(changes);
+    if (outcome === 'ok') {
+      this.table.noteAnswered(endpoint.id, ran.sentAtMs);
+      this.table.markFinished(ran.fingerprint, nowMs);
+    }
+    if (connectionBroke) this.noteBroken(endpoint, ran.alone);
+    else if (outcome === 'crashed') this.noteDown(endpoint.id);
+    this.publishChanges();
+    if (connectionBroke) await this.check.start(endpoint.id);
   }
 
-  private reportCrash({endpoint}: Permit, alone: boolean): void {
+  private noteBroken(endpoint: Endpoint, alone: boolean): void {
     const {self, incarnation, clock} = this.options;
-    this.crashes += 1;
-    const crash: ReportedCrash = {
-      id: `${self}/${incarnation()}/${this.crashes}`,
-      endpoint: endpoint.id,
-      dataCentre: endpoint.dataCentre,
-      ageMs: 0,
-      inFlight: [...new Set(this.inFlight.get(endpoint.id))],
-      alone,
-      cleared: [],
-    };
-    this.table.merge([crash], clock());
+    this.watched.set(endpoint.id, endpoint);
+    this.table.noteBroken(
+      {
+        newId: () => `${self}/${incarnation()}/${(this.crashes += 1)}`,
+        endpoint: endpoint.id,
+        dataCentre: endpoint.dataCentre,
+        inFlight: [...new Set(this.inFlight.get(endpoint.id))],
+        alone,
+      },
+      clock(),
+    );
+  }
+
+  private noteDown(id: EndpointId): void {
+    this.watched.delete(id);
+    this.table.noteDown(id, this.options.clock());
+    this.publishChanges();
+  }
+
+  private mayHaveCrashed(id: EndpointId): boolean {
+    const isOpen = this.table.mayHaveCrashed(id, this.options.clock());
+    if (!isOpen) this.watched.delete(id);
+    return isOpen;
+  }
+
+  private publishChanges(): void {
+    const changes = this.table.takeChanges(this.options.clock());
+    if (changes.length > 0) this.options.publish(changes);
   }
 
   private addInFlight(endpoint: EndpointId, fingerprint: Fingerprint): void {
--- a/packages/entry/src/compose/bind_permits.ts
+++ b/packages/entry/src/compose/bind_permits.ts
@@ -1,5 +1,7 @@
 /** Binds permits, through which endpoints are chosen. */
 
+import {acceptsConnections} from '@snipestage/connection/reachability.js';
+import {Logger} from '@snipestage/log/logger.js';
 import {Metrics} from '@snipestage/log/metrics.js';
 import {PeerNetwork} from '@snipestage/peer/peer_network.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
@@ -87,7 +89,7 @@
     [PeerNetwork],
   );
   container.bind(SuspectGuard).toResolvedValue(
-    (permits, trials, network, directory) =>
+    (permits, trials, network, directory, logger) =>
       new SuspectGuard({
         permits: new BackoffPermits({
           permits,
@@ -98,9 +100,17 @@
         self,
         incarnation: () => network.self().incarnation,
         clock,
+        isReachable: ({url}) => {
+          const {hostname, port} = new URL(url);
+          return acceptsConnections({host: hostname, port: Number(port)});
+        },
+        onError: (endpoint, error) =>
+          logger
+            .forComponent('crashes')
+            .error('crash_check_failed', {endpoint, error: String(error)}),
         publish: crashes => network.broadcast(toSuspectRecord(crashes)),
       }),
-    [CellPermits, SuspectTrials, PeerNetwork, EndpointDirectory],
+    [CellPermits, SuspectTrials, PeerNetwork, EndpointDirectory, Logger],
   );
   container.bind(Permits).toResolvedValue(
     (guarded, gate, metrics) =>
--- a/packages/entry/src/peers/suspect_records.ts
+++ b/packages/entry/src/peers/suspect_records.ts
@@ -2,7 +2,7 @@
 
 import type {PeerNetwork} from '@snipestage/peer/peer_network.js';
 import type {PeerRecord} from '@snipestage/peer/records.js';
-import type {ReportedCrash} from '@snipestage/policy/suspects.js';
+import type {ReportedCrash} from '@snipestage/policy/crash_records.js';
 import type {SuspectGuard} from '../choose/suspect_guard.js';
 import type {SuspectTrials, TrialUpdate} from '../choose/suspect_trials.js';
 import type {PeerTask} from './peer_task.js';
--- a/packages/gateway/src/answers.test.ts
+++ b/packages/gateway/src/answers.test.ts
@@ -401,7 +401,7 @@
   t.teardown(() => proxy.close());
   const {id} = await leaveStream(proxy, 0);
   t.is(proxy.state.monitor.failureShare(id, performance.now()), 0);
-  t.deepEqual(proxy.state.crashes.confirmCrash(id, performance.now()), []);
+  t.false(proxy.state.suspects.mayHaveCrashed(id, performance.now()));
 });
 
 test('a caller that disconnects from a silent endpoint counts against it', async t => {
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -43,7 +43,7 @@
 
   constructor(private readonly options: AttemptOptions) {
     const {context, request, writer, placed} = options;
-    const {protocol, state, nowMs, connectTimeout} = context;
+    const {protocol, state, crashes, nowMs, connectTimeout} = context;
     const timeLeftMs = Math.max(1, Math.floor(request.endsAtMs - nowMs()));
     this.call = new EndpointCall({
       address: placed.endpoint.address,
@@ -62,7 +62,8 @@
       connectTimeoutMs: Math.min(connectTimeout.timeoutMs, timeLeftMs),
       onConnected: tookMs => connectTimeout.note(tookMs),
       mayStillSend: () =>
-        state.directory.mayStillSend(placed.endpoint, nowMs()),
+        state.directory.mayStillSend(placed.endpoint, nowMs()) &&
+        crashes.mayRun(request.fingerprint),
     });
     const limits = limitsOnSilence(request.admission.route, timeLeftMs);
     this.silence = new SilenceWatch(limits, () => this.cancelOnSilence());
@@ -128,7 +129,15 @@
       };
     }
     const endpointOutcome = reason === 'broken' ? 'failed' : 'unreachable';
-    return {kind: 'failed', verdict, endpointOutcome, reason, hasArrived};
+    const connectionBroke = reason === 'broken';
+    return {
+      kind: 'failed',
+      verdict,
+      endpointOutcome,
+      reason,
+      hasArrived,
+      connectionBroke,
+    };
   }
 
   private async handleHead(response: IncomingMessage): Promise<AttemptResult> {
@@ -191,8 +200,10 @@
     if (hasFired)
       return {...failed, endpointOutcome: 'silent', reason: 'silent'};
     const isLate = context.nowMs() >= request.endsAtMs;
-    if (!this.call.isCancelled || isLate) {
-      return {...failed, endpointOutcome: 'failed', reason: 'broken'};
+    const connectionBroke = !this.call.isCancelled;
+    if (connectionBroke || isLate) {
+      const outcome = {endpointOutcome: 'failed', reason: 'broken'} as const;
+      return {...failed, ...outcome, connectionBroke};
     }
     const endpointOutcome = isSilent ? 'silent' : undefined;
     return {...failed, endpointOutcome, reason: 'cancelled'};
--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -1,13 +1,24 @@
 /** Records and publishes crashes of endpoints, and judges requests by them. */
 
+import {acceptsConnections} from '@snipestage/connection/reachability.js';
+import {
+  CrashCheck,
+  type EndpointCondition,
+} from '@snipestage/entry/choose/crash_check.js';
 import {abbreviate} from '@snipestage/entry/identify/fingerprint.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {
+  CrashRecord,
   ReportedCrash,
-  SuspectDecision,
-} from '@snipestage/policy/suspects.js';
+} from '@snipestage/policy/crash_records.js';
+import type {SuspectDecision} from '@snipestage/policy/suspects.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
-import type {Fingerprint, InstanceId} from '@snipestage/types/ids.js';
+import type {
+  EndpointId,
+  Fingerprint,
+  InstanceId,
+} from '@snipestage/types/ids.js';
+import {splitAddress} from './endpoint_call.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {RoutingState} from './routing_state.js';
 
@@ -25,17 +36,30 @@
 
 /**
  * Gives the crashes seen by this instance ids that are unique over all
- * instances.
+ * instances. Only confirmed crashes are published.
  */
 export class CrashReporter {
   private count = 0;
+  /** Endpoints whose answers broke off, as they were listed then. */
+  private readonly watched = new Map<EndpointId, ServingEndpoint>();
+  private readonly check: CrashCheck;
 
-  constructor(private readonly options: CrashReporterOptions) {}
+  constructor(private readonly options: CrashReporterOptions) {
+    this.check = new CrashCheck({
+      look: (id, mayConnect) => this.look(id, mayConnect),
+      isOpen: id => this.mayHaveCrashed(id),
+      onDown: id => this.noteDown(id),
+      onError: (endpoint, error) =>
+        options.logger.error('crash_check_failed', {
+          endpoint,
+          error: String(error),
+        }),
+    });
+  }
 
   classify(fingerprint: Fingerprint): SuspectDecision {
     const {state, nowMs, logger, metrics} = this.options;
-    const atMs = nowMs();
-    const decision = state.suspects.classify(fingerprint, atMs);
+    const decision = state.suspects.classify(fingerprint, nowMs());
     const history = state.suspects.describe(fingerprint);
     if (history !== undefined) {
       metrics.countSuspect(decision.kind);
@@ -48,37 +72,57 @@
     return decision;
   }
 
-  noteBroken(endpoint: ServingEndpoint, fingerprint: Fingerprint): void {
+  /** Whether a request may still be sent, by the crashes known now. */
+  mayRun(fingerprint: Fingerprint): boolean {
     const {state, nowMs} = this.options;
-    state.crashes.noteBroken(endpoint.id, fingerprint, nowMs());
+    return state.suspects.classify(fingerprint, nowMs()).kind !== 'refuse';
+  }
+
+  /** An answer broke off; whether the endpoint crashed is then looked at. */
+  noteBroken(endpoint: ServingEndpoint, fingerprint: Fingerprint): void {
+    const {state, nowMs, instance, incarnation} = this.options;
+    this.watched.set(endpoint.id, endpoint);
+    state.suspects.noteBroken(
+      {
+        newId: () => `${instance}/${incarnation}/${(this.count += 1)}`,
+        endpoint: endpoint.id,
+        endpointIncarnation: endpoint.bornEpochMs,
+        dataCentre: endpoint.dataCentre,
+        inFlight: [fingerprint],
+      },
+      nowMs(),
+    );
+    this.publishChanges();
+    void this.check.start(endpoint.id);
   }
 
-  noteHealthy(
+  /**
+   * @param sentAtMs when the answered request was sent; an answer to an earlier
+   * one may only be read after the crash.
+   */
+  noteAnswered(
     endpoint: ServingEndpoint,
-    fingerprint: Fingerprint | undefined,
+    fingerprint: Fingerprint,
+    sentAtMs: number,
   ): void {
-    const {state} = this.options;
-    state.crashes.noteAnswered(endpoint.id);
-    if (fingerprint === undefined) return;
-    state.suspects.markFinished(fingerprint);
+    const {state, nowMs} = this.options;
+    state.suspects.noteAnswered(endpoint.id, sentAtMs);
+    state.suspects.markFinished(fingerprint, nowMs());
     this.publishChanges();
   }
 
-  /** Handles an endpoint that refused a connection or was restarted. */
-  noteUnreachable(endpoint: ServingEndpoint): void {
-    const {state, nowMs, instance, incarnation, logger, metrics} = this.options;
-    const inFlight = state.crashes.confirmCrash(endpoint.id, nowMs());
-    if (inFlight.length === 0) return;
-    this.count += 1;
-    const id = `${instance}/${incarnation}/${this.count}`;
-    const {dataCentre} = endpoint;
-    const crash = {id, endpoint: endpoint.id, dataCentre, ageMs: 0};
-    state.suspects.merge([{...crash, inFlight, cleared: []}], nowMs());
+  /** Handles an endpoint that is unreachable, was restarted or replaced. */
+  noteDown(id: EndpointId): void {
+    const {state, nowMs, logger, metrics} = this.options;
+    const crashes = state.suspects.noteDown(id, nowMs());
+    this.watched.delete(id);
+    if (crashes.length === 0) return;
+    const fingerprints = listFingerprints(crashes);
     metrics.countCrash('here');
     logger.warn('endpoint_crashed', {
-      endpoint: endpoint.id,
-      suspects: inFlight.length,
-      fingerprints: inFlight.map(abbreviate),
+      endpoint: id,
+      suspects: fingerprints.length,
+      fingerprints: fingerprints.map(abbreviate),
     });
     this.publishChanges();
   }
@@ -96,14 +140,47 @@
         suspects: inFlight.length,
       });
     }
-    state.suspects.merge(crashes, nowMs());
-    // Changes that came from other instances are not published again.
-    state.suspects.takeChanges(nowMs());
+    state.suspects.mergePublished(crashes, nowMs());
+    this.publishChanges();
+  }
+
+  stop(): void {
+    this.check.stop();
+  }
+
+  private mayHaveCrashed(id: EndpointId): boolean {
+    const {state, nowMs} = this.options;
+    const isOpen = state.suspects.mayHaveCrashed(id, nowMs());
+    if (!isOpen) this.watched.delete(id);
+    return isOpen;
+  }
+
+  private async look(
+    id: EndpointId,
+    mayConnect: boolean,
+  ): Promise<EndpointCondition> {
+    const watched = this.watched.get(id);
+    if (watched === undefined) return 'open';
+    const {directory} = this.options.state;
+    const last = directory.isCurrentIncarnation(watched)
+      ? (directory.find(id) ?? watched)
+      : watched;
+    this.watched.set(id, last);
+    if (directory.isReplaced(last)) return 'gone';
+    if (!mayConnect) return 'open';
+    const [host, port] = splitAddress(last.address);
+    return (await acceptsConnections({host, port})) ? 'open' : 'down';
   }
 
   private publishChanges(): void {
     const {state, nowMs, publish} = this.options;
-    const changes = state.suspects.takeChanges(nowMs());
+    const changes = state.suspects
+      .takeChanges(nowMs())
+      .filter(crash => crash.isConfirmed !== false);
     if (changes.length > 0) publish(changes);
   }
 }
+
+function listFingerprints(crashes: readonly CrashRecord[]): Fingerprint[] {
+  return [...new Set(crashes.flatMap(({inFlight}) => [...inFlight]))];
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -134,10 +134,20 @@
       }
       const result = await this.attempt(placed);
       if (result.kind === 'answered' || this.writer.isOver) return;
+      if (this.isRefusedAsSuspect()) return this.fail();
       if (!this.mayRetry(result)) return this.fail();
     }
   }
 
+  /** Whether the request has crashed endpoints, by what is known meanwhile. */
+  private isRefusedAsSuspect(): boolean {
+    const decision = this.context.crashes.classify(this.request.fingerprint);
+    if (decision.kind !== 'refuse') return false;
+    this.lastReason = 'suspected_crash';
+    this.minRetryAfterMs = decision.retryAfterMs;
+    return true;
+  }
+
   /** Records why no endpoint could be tried at all. */
   private noteNoEndpoint(): void {
     const {state, nowMs} = this.context;
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -37,7 +37,7 @@
   readonly path: string;
   readonly rawHeaders: readonly string[];
   readonly body: Buffer | undefined;
-  readonly fingerprint: Fingerprint | undefined;
+  readonly fingerprint: Fingerprint;
   readonly arrivedAtMs: number;
   /** Deadline: the caller's or the route's timeout, whichever is shorter. */
   readonly endsAtMs: number;
@@ -55,6 +55,8 @@
   readonly reason: string;
   /** The endpoint got the request, whether or not it ran it. */
   readonly hasArrived: boolean;
+  /** The endpoint ended the connection before its answer was complete (false). */
+  readonly connectionBroke?: boolean;
   /** The endpoint's own failure, which may be passed on to the caller. */
   readonly answer?: WholeAnswer;
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -63,6 +63,7 @@
   private readonly follower: StateFollower;
   private readonly duties: Duties;
   private readonly relays: Relays;
+  private readonly crashes: CrashReporter;
   private readonly incarnation = randomUUID().slice(0, 8);
   private readonly shutdown: Shutdown;
   private stopped: Promise<void> | undefined;
@@ -78,7 +79,7 @@
       platform,
       logger: logger.forComponent('facts'),
     });
-    const crashes = new CrashReporter({
+    const crashes = (this.crashes = new CrashReporter({
       state: this.state,
       instance: settings.instance,
       incarnation: this.incarnation,
@@ -86,7 +87,7 @@
       metrics: options.metrics,
       nowMs,
       publish: reported => void facts.publishCrashes(reported),
-    });
+    }));
     this.relays = new Relays({
       instance: settings.instance,
       dataCentre: settings.dataCentre,
@@ -251,6 +252,7 @@
     );
     await Promise.race([this.duties.finishUsage(), limit]);
     this.follower.stop();
+    this.crashes.stop();
   }
 
   private createHandler(
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -9,6 +9,13 @@
   ReadRequest,
 } from './exchange_context.js';
 
+/** Failures after which an endpoint whose answers broke off has crashed. */
+const MEANS_DOWN: ReadonlySet<string> = new Set([
+  'unreachable',
+  'connect_timeout',
+  'misdirected',
+]);
+
 /** Endpoint, result and duration of an attempt that has ended. */
 export interface AttemptOutcome {
   readonly endpoint: ServingEndpoint;
@@ -44,7 +51,7 @@
   state.reach.noteReached(endpoint.dataCentre);
   state.monitor.note(endpoint.id, 'answered', atMs);
   state.refusalDelayFor(admission.service).noteServed(atMs);
-  crashes.noteHealthy(endpoint, fingerprint);
+  crashes.noteAnswered(endpoint, fingerprint, atMs - durationMs);
   if (admission.route.kind !== 'stream') {
     state.monitor.noteDuration(endpoint.id, durationMs);
   }
@@ -58,18 +65,16 @@
 ): void {
   const {state, crashes, metrics, nowMs} = context;
   const atMs = nowMs();
-  const {reason, verdict, endpointOutcome} = result;
+  const {reason, verdict, endpointOutcome, connectionBroke = false} = result;
   recordReach(context, endpoint, reason);
   metrics.countAttempt(admission.service, reason);
   if (endpointOutcome !== undefined)
     state.monitor.note(endpoint.id, endpointOutcome, atMs);
-  if (reason === 'unreachable') crashes.noteUnreachable(endpoint);
-  if (reason === 'broken' && fingerprint !== undefined) {
-    crashes.noteBroken(endpoint, fingerprint);
-  }
+  if (MEANS_DOWN.has(reason)) crashes.noteDown(endpoint.id);
+  if (connectionBroke) crashes.noteBroken(endpoint, fingerprint);
   context.logger.info('attempt_failed', {
     requestId: caller.requestId,
-    fingerprint: fingerprint && abbreviate(fingerprint),
+    fingerprint: abbreviate(fingerprint),
     endpoint: endpoint.id,
     reason,
     verdict,
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -31,6 +31,7 @@
 const RETRY_ELSEWHERE_AFTER_MS = 0;
 /** For fingerprints of requests without an account, on public routes. */
 const NO_ACCOUNT = '' as ClientAccountId;
+const NO_BODY = Buffer.alloc(0);
 
 /** Handles requests and counts those in progress. */
 export class RequestHandler {
@@ -213,22 +214,18 @@
     return shutdown.mayAdmit({nowMs: nowMs(), endsAtMs, p90Ms});
   }
 
-  /** Undefined without a body: such requests are too alike to be recognized. */
   private fingerprint(
     request: IncomingMessage,
-    admission: Admission,
-    body: Buffer | undefined,
-  ): Fingerprint | undefined {
-    if (body === undefined || body.length === 0) return undefined;
-    const account = admission.clientAccount ?? NO_ACCOUNT;
-    return fingerprintOf(account, request.url ?? '/', body);
+    {clientAccount = NO_ACCOUNT}: Admission,
+    body: Buffer = NO_BODY,
+  ): Fingerprint {
+    return fingerprintOf(clientAccount, request.url ?? '/', body);
   }
 
   private isRefusedAsSuspect(
-    fingerprint: Fingerprint | undefined,
+    fingerprint: Fingerprint,
     writer: AnswerWriter,
   ): boolean {
-    if (fingerprint === undefined) return false;
     const decision = this.options.crashes.classify(fingerprint);
     if (decision.kind !== 'refuse') return false;
     const {protocol} = this.options;
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -2,7 +2,6 @@
 
 import {SuspectTable} from '@snipestage/policy/suspects.js';
 import {AgreedDemand} from '@snipestage/routing/agreed_demand.js';
-import {CrashDetector} from '@snipestage/routing/crash_detector.js';
 import {DataCentreReach} from '@snipestage/routing/data_centre_reach.js';
 import {
   DemandMeter,
@@ -91,7 +90,6 @@
   });
   readonly agreedDemand = new AgreedDemand({own: this.demand});
   readonly suspects = new SuspectTable();
-  readonly crashes = new CrashDetector();
   readonly durations = new RecentDurations();
   readonly warmup: WarmupGate;
   private readonly plainPlacement: Placement;
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -2,7 +2,7 @@
 
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
-import type {ReportedCrash} from '@snipestage/policy/suspects.js';
+import type {ReportedCrash} from '@snipestage/policy/crash_records.js';
 import {
   haveSharesChanged,
   sumDemands,
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -212,7 +212,7 @@
     const known = this.options.state.directory.find(endpoint.id);
     if (known === undefined) return;
     const isRestarted = known.bornEpochMs !== endpoint.bornEpochMs;
-    if (isRestarted) this.options.crashes.noteUnreachable(endpoint);
+    if (isRestarted) this.options.crashes.noteDown(endpoint.id);
   }
 
   private learnFacts(rows: readonly FollowedRow[]): void {
--- a/packages/policy/src/suspects.test.ts
+++ b/packages/policy/src/suspects.test.ts
@@ -6,7 +6,8 @@
 } from '@snipestage/types/ids.js';
 import test from 'ava';
 import fc from 'fast-check';
-import {SuspectTable, type ReportedCrash} from './suspects.js';
+import type {ReportedCrash} from './crash_records.js';
+import {SuspectTable} from './suspects.js';
 
 const SEED = 20_261_202;
 const MINUTE_MS = 60_000;
@@ -41,7 +42,7 @@
     'run_alone',
     'clear',
   ]);
-  table.markFinished(print('a'));
+  table.markFinished(print('a'), 0);
   table.merge([crashOf('e2', 'poison')], 8000);
   t.deepEqual(decisionsOf(table, 8000, 'poison', 'a', 'b'), [
     'refuse',
@@ -68,7 +69,7 @@
   const table = new SuspectTable();
   table.merge([crashOf('e1', 'p', 'a'), crashOf('e2', 'p', 'a')], 0);
   t.deepEqual(decisionsOf(table, 0, 'p', 'a'), ['run_alone', 'run_alone']);
-  table.markFinished(print('a'));
+  table.markFinished(print('a'), 0);
   t.deepEqual(decisionsOf(table, 0, 'p', 'a'), ['refuse', 'clear']);
 });
 
@@ -127,7 +128,7 @@
   other.merge(table.takeChanges(1500), 500_000);
   t.deepEqual(decisionsOf(other, 500_000, 'p'), ['run_alone']);
   t.deepEqual(table.takeChanges(1600), []);
-  table.markFinished(print('a'));
+  table.markFinished(print('a'), 1700);
   other.merge(table.takeChanges(1700), 500_300);
   t.deepEqual(decisionsOf(other, 500_300, 'a'), ['clear']);
   t.is(other.readAll(500_300)[0].ageMs, 800);
@@ -226,3 +227,99 @@
   }
   t.deepEqual(decisionsOf(table, 0, 'p'), ['refuse']);
 });
+
+function brokenAt(endpoint: string, ...inFlight: string[]) {
+  return {
+    newId: () => `here/${endpoint}/${inFlight.join()}`,
+    endpoint: brandAs<EndpointId>(endpoint),
+    dataCentre: brandAs<DataCentreId>('akl-a'),
+    inFlight: inFlight.map(print),
+  };
+}
+
+test('a broken answer alone is no crash', t => {
+  // Guards against refusing callers that repeat a request because a network
+  // loses answers of a healthy endpoint.
+  const table = new SuspectTable({confirmWithinMs: 1000});
+  const one = brandAs<EndpointId>('one');
+  table.noteBroken(brokenAt('one', 'f'), 0);
+  table.noteAnswered(one, 50);
+  t.deepEqual(table.noteDown(one, 100), []);
+  table.noteBroken(brokenAt('one', 'f'), 200);
+  t.is(table.noteDown(one, 300).length, 1);
+  table.noteBroken(brokenAt('two', 'f'), 400);
+  t.deepEqual(table.noteDown(brandAs<EndpointId>('two'), 1500), []);
+});
+
+test('lost answers at any number of endpoints don’t suffice for a refusal', t => {
+  // Guards against refusing a request whose answers a network has lost.
+  const table = new SuspectTable();
+  for (const endpoint of ['e1', 'e2', 'e3', 'e4']) {
+    table.noteBroken(brokenAt(endpoint, 'f'), 0);
+  }
+  t.deepEqual(decisionsOf(table, 0, 'f'), ['run_alone']);
+  t.deepEqual(decisionsOf(table, 10_000, 'f'), ['clear']);
+});
+
+test('an answer to a request from before a crash does not refute it', t => {
+  // Guards against losing the evidence of a crash to an answer that was sent
+  // before it and read after it.
+  const table = new SuspectTable();
+  const one = brandAs<EndpointId>('one');
+  table.noteBroken(brokenAt('one', 'f'), 100);
+  table.noteAnswered(one, 90);
+  t.is(table.noteDown(one, 200).length, 1);
+});
+
+test('requests that break off at one endpoint share one crash', t => {
+  // Guards against one crash that counts once for each request that breaks off.
+  const table = new SuspectTable();
+  table.noteBroken(brokenAt('e1', 'a'), 0);
+  table.noteBroken(brokenAt('e1', 'b'), 10);
+  t.is(table.size, 1);
+  t.is(table.noteDown(brandAs<EndpointId>('e1'), 20).length, 1);
+  t.deepEqual(decisionsOf(table, 20, 'a', 'b'), ['run_alone', 'run_alone']);
+});
+
+test('restarts of an endpoint under its id are crashes of their own', t => {
+  // Guards against a request that crashes the same endpoint again and again
+  // within the time in which several instances report one crash.
+  const table = new SuspectTable();
+  for (const endpointIncarnation of [1, 2]) {
+    const crash = crashOf('e1', 'p');
+    const id = `${crash.id}/${endpointIncarnation}`;
+    table.merge([{...crash, id, endpointIncarnation}], 0);
+  }
+  t.deepEqual(decisionsOf(table, 0, 'p'), ['refuse']);
+});
+
+test('a request that keeps finishing elsewhere is not suspected', t => {
+  // Guards against refusing requests that look alike, as those without a body
+  // do, because some of them were at endpoints that crashed.
+  const table = new SuspectTable();
+  table.markFinished(print('alike'), 0);
+  table.merge([crashOf('e1', 'alike'), crashOf('e2', 'alike')], 500);
+  t.deepEqual(decisionsOf(table, 500, 'alike'), ['clear']);
+});
+
+test('what is published again is only what others don’t know', t => {
+  // Guards against instances that send each other the same crashes for ever.
+  const table = new SuspectTable();
+  table.mergePublished([crashOf('e1', 'a')], 0);
+  t.deepEqual(table.takeChanges(0), []);
+  table.markFinished(print('b'), 0);
+  table.mergePublished([crashOf('e2', 'b')], 0);
+  t.deepEqual(table.takeChanges(0)[0].cleared, [print('b')]);
+});
+
+test('a full table keeps the crashes of requests that were in several', t => {
+  // Guards against forgetting a refused request because many endpoints crash
+  // for another reason.
+  const table = new SuspectTable({maxCrashes: 4});
+  table.merge([crashOf('e1', 'p')], 0);
+  table.merge([crashOf('e2', 'p')], 10_000);
+  for (let number = 3; number < 10; number += 1) {
+    table.merge([crashOf(`e${number}`, `a${number}`)], number * 10_000);
+  }
+  t.deepEqual(decisionsOf(table, 100_000, 'p'), ['refuse']);
+});
--- a/packages/policy/src/suspects.ts
+++ b/packages/policy/src/suspects.ts
@@ -5,8 +5,9 @@
  * at a crash are suspect and run alone, so that another crash affects no other
  * request and identifies the cause.
  *
- * Only crashes are stored; everything else is derived from them. Instances send
- * each other their crashes, and decide alike in whatever order these arrive.
+ * An answer that breaks off is a crash only once the endpoint is found to be
+ * down: networks lose answers of healthy endpoints too. Instances send each
+ * other their crashes, and decide alike in whatever order these arrive.
  */
 
 import type {
@@ -14,22 +15,17 @@
   EndpointId,
   Fingerprint,
 } from '@snipestage/types/ids.js';
-
-/** A crash of an endpoint, as one instance saw it and reports it to others. */
-export interface ReportedCrash {
-  /** Unique: `<instance>/<incarnation>/<number>`. */
-  readonly id: string;
-  readonly endpoint: EndpointId;
-  readonly dataCentre: DataCentreId;
-  /** An age instead of a time, since clocks differ between instances. */
-  readonly ageMs: number;
-  /** Requests that this instance had in flight there. */
-  readonly inFlight: readonly Fingerprint[];
-  /** The request in flight ran alone at the endpoint; false if absent. */
-  readonly alone?: boolean;
-  /** Those of them that have since finished. */
-  readonly cleared: readonly Fingerprint[];
-}
+import {
+  countDistinct,
+  isConfirmed,
+  SAME_CRASH_WINDOW_MS,
+} from './crash_count.js';
+import {
+  CrashRecords,
+  type CrashRecord,
+  type CrashRecordsOptions,
+  type ReportedCrash,
+} from './crash_records.js';
 
 /** How to treat a request. */
 export type SuspectDecision =
@@ -46,71 +42,64 @@
   readonly crashes: number;
   /** Those of them that count as reclaims of endpoints. */
   readonly reclaims: number;
+  /** Those of them in which the endpoint was found to be down. */
+  readonly confirmed: number;
+}
+
+/** Answers of an endpoint that broke off. */
+export interface BrokenRuns {
+  /** Unique over all instances; used if the crash isn't stored yet. */
+  readonly newId: () => string;
+  readonly endpoint: EndpointId;
+  readonly endpointIncarnation?: number;
+  readonly dataCentre: DataCentreId;
+  readonly inFlight: readonly Fingerprint[];
+  readonly alone?: boolean;
 }
 
 /** Options of a {@link SuspectTable}; defaults in brackets. */
-export interface SuspectTableOptions {
+export interface SuspectTableOptions extends CrashRecordsOptions {
   /** How long after its last crash a request is refused (10 minutes). */
   readonly refuseForMs?: number;
-  /** How long a crash is stored (20 minutes). */
-  readonly retainForMs?: number;
-  /** The oldest crashes beyond this number are evicted (256). */
-  readonly maxCrashes?: number;
 }
 
-const MINUTE_MS = 60_000;
-const DEFAULT_REFUSE_FOR_MS = 10 * MINUTE_MS;
-const DEFAULT_RETAIN_FOR_MS = 20 * MINUTE_MS;
-const DEFAULT_MAX_CRASHES = 256;
-const REFUSAL_CRASH_COUNT = 2;
-/**
- * Several instances see one crash of an endpoint at nearly the same time; what
- * they see within this time counts as one crash.
- */
-const SAME_CRASH_WINDOW_MS = 5000;
+const DEFAULT_REFUSE_FOR_MS = 600_000;
+/** Crashes after which a request is refused if it alone can be the cause. */
+const SOLE_SUSPECT_CRASH_COUNT = 2;
+/** Crashes after which a request is refused whatever else was in flight. */
+const MAX_CRASH_COUNT = 3;
 /**
  * At least this many endpoints of a data centre that crash within
  * {@link RECLAIM_WINDOW_MS} count as reclaimed.
  */
 const RECLAIM_ENDPOINT_COUNT = 3;
 const RECLAIM_WINDOW_MS = 5000;
-
-interface Crash {
-  readonly id: string;
-  readonly endpoint: EndpointId;
-  readonly dataCentre: DataCentreId;
-  atMs: number;
-  readonly inFlight: ReadonlySet<Fingerprint>;
-  readonly alone: boolean;
-  readonly cleared: Set<Fingerprint>;
-}
+/** How long a request that has run to its end is known not to crash endpoints. */
+const REMEMBER_FINISHED_MS = 10_000;
 
 /**
  * Stores recent crashes and decides on requests by them. Times are milliseconds
  * of one monotonic clock.
  */
 export class SuspectTable {
-  private readonly crashes = new Map<string, Crash>();
-  private readonly byFingerprint = new Map<Fingerprint, Set<Crash>>();
-  private readonly changed = new Set<Crash>();
+  private readonly records: CrashRecords;
+  /** When requests last finished, oldest first. */
+  private readonly finishedAtMs = new Map<Fingerprint, number>();
   private readonly refuseForMs: number;
-  private readonly retainForMs: number;
-  private readonly maxCrashes: number;
 
   constructor(options: SuspectTableOptions = {}) {
+    this.records = new CrashRecords(options);
     this.refuseForMs = options.refuseForMs ?? DEFAULT_REFUSE_FOR_MS;
-    this.retainForMs = options.retainForMs ?? DEFAULT_RETAIN_FOR_MS;
-    this.maxCrashes = options.maxCrashes ?? DEFAULT_MAX_CRASHES;
   }
 
   /** Number of stored crashes. */
   get size(): number {
-    return this.crashes.size;
+    return this.records.size;
   }
 
   /** Whether a crash is stored already. */
   has(id: string): boolean {
-    return this.crashes.has(id);
+    return this.records.has(id);
   }
 
   /**
@@ -120,38 +109,93 @@
    * logger.info('suspect_classified', {...table.describe(fingerprint)});
    */
   describe(fingerprint: Fingerprint): SuspectHistory | undefined {
-    const crashes = this.byFingerprint.get(fingerprint);
-    if (crashes === undefined) return undefined;
-    const all = [...crashes];
-    const open = all.filter(crash => !crash.cleared.has(fingerprint));
+    const all = this.records.listCrashesOf(fingerprint);
+    if (all.length === 0) return undefined;
+    const open = this.listOpenCrashesOf(fingerprint);
     const reclaims = open.filter(crash => this.isReclaim(crash, fingerprint));
     return {
       reports: all.length,
       crashes: countDistinct(open),
       reclaims: countDistinct(reclaims),
+      confirmed: countDistinct(open.filter(isConfirmed)),
     };
   }
 
   /**
-   * Merges crashes seen here or reported by other instances; merging a crash
-   * again has no effect.
+   * Merges crashes; merging a crash again has no effect.
    *
    * @example
    * table.merge([{id, endpoint, dataCentre, ageMs: 0, inFlight, cleared: []}], nowMs);
    */
   merge(reported: readonly ReportedCrash[], nowMs: number): void {
+    for (const crash of reported) this.mergeOne(crash, nowMs);
+    this.records.evict(nowMs);
+  }
+
+  /**
+   * Merges crashes that another instance published. Only what is known here
+   * beyond its reports is published again.
+   */
+  mergePublished(reported: readonly ReportedCrash[], nowMs: number): void {
     for (const crash of reported) {
-      if (crash.ageMs < this.retainForMs) this.mergeOne(crash, nowMs);
+      const hadChanges = this.records.hasChanges(crash.id);
+      const knowsMore = this.mergeOne(crash, nowMs);
+      if (!hadChanges && !knowsMore) this.records.markPublished(crash.id);
     }
-    this.evictOld(nowMs);
+    this.records.evict(nowMs);
+  }
+
+  /**
+   * Records answers that broke off. They count as one crash with those of the
+   * same endpoint before, unless it has restarted.
+   *
+   * @example
+   * table.noteBroken({newId, endpoint, dataCentre, inFlight: [fingerprint]}, nowMs);
+   */
+  noteBroken({newId, ...runs}: BrokenRuns, nowMs: number): void {
+    const known = runs.alone ? undefined : this.findCurrent(runs, nowMs);
+    const report = {
+      ...runs,
+      id: known?.id ?? newId(),
+      ageMs: known === undefined ? 0 : nowMs - known.atMs,
+      isConfirmed: known?.isConfirmed ?? false,
+      cleared: [],
+    };
+    this.merge([report], nowMs);
+  }
+
+  /** An endpoint answered a request that was sent at this time. */
+  noteAnswered(endpoint: EndpointId, sentAtMs: number): void {
+    this.records.refute(endpoint, sentAtMs);
+  }
+
+  /**
+   * The endpoint was found to be down, restarted or replaced: answers of it
+   * that broke off shortly before were crashes.
+   *
+   * @returns the crashes that are confirmed by it.
+   * @example
+   * const crashes = table.noteDown(endpoint.id, nowMs);
+   */
+  noteDown(endpoint: EndpointId, nowMs: number): readonly CrashRecord[] {
+    this.records.evict(nowMs);
+    return this.records.confirmAll(endpoint);
+  }
+
+  /** Whether answers of an endpoint broke off and it may have crashed. */
+  mayHaveCrashed(endpoint: EndpointId, nowMs: number): boolean {
+    this.records.evict(nowMs);
+    return this.records.hasUnconfirmed(endpoint);
   }
 
   /** The request has run to its end, so its crashes had another cause. */
-  markFinished(fingerprint: Fingerprint): void {
-    for (const crash of this.byFingerprint.get(fingerprint) ?? []) {
-      if (crash.cleared.has(fingerprint)) continue;
-      crash.cleared.add(fingerprint);
-      this.changed.add(crash);
+  markFinished(fingerprint: Fingerprint, nowMs: number): void {
+    this.records.clear(fingerprint);
+    this.finishedAtMs.delete(fingerprint);
+    this.finishedAtMs.set(fingerprint, nowMs);
+    for (const [oldest, atMs] of this.finishedAtMs) {
+      if (nowMs - atMs < REMEMBER_FINISHED_MS) break;
+      this.finishedAtMs.delete(oldest);
     }
   }
 
@@ -163,75 +207,93 @@
    * if (decision.kind === 'refuse') refuse('suspected_crash', decision);
    */
   classify(fingerprint: Fingerprint, nowMs: number): SuspectDecision {
-    if (!this.byFingerprint.has(fingerprint)) return {kind: 'clear'};
-    this.evictOld(nowMs);
-    const crashes = this.suspectedCrashesOf(fingerprint);
+    if (this.records.listCrashesOf(fingerprint).length === 0) {
+      return {kind: 'clear'};
+    }
+    this.records.evict(nowMs);
+    const crashes = this.listOpenCrashesOf(fingerprint);
     if (crashes.length === 0) return {kind: 'clear'};
     const lastAtMs = Math.max(...crashes.map(crash => crash.atMs));
     const retryAfterMs = lastAtMs + this.refuseForMs - nowMs;
     if (retryAfterMs > 0 && this.mustRefuse(fingerprint, crashes)) {
       return {kind: 'refuse', retryAfterMs};
     }
-    return {kind: 'run_alone'};
+    const suspected = this.listSuspectedCrashesOf(fingerprint);
+    return {kind: suspected.length > 0 ? 'run_alone' : 'clear'};
   }
 
   /** Changes since the last call, for the next frame to other instances. */
   takeChanges(nowMs: number): ReportedCrash[] {
-    this.evictOld(nowMs);
-    const changes = [...this.changed].map(crash => report(crash, nowMs));
-    this.changed.clear();
-    return changes;
+    this.records.evict(nowMs);
+    return this.records.takeChanges(nowMs);
   }
 
   /** All stored crashes, for an instance that has just joined. */
   readAll(nowMs: number): ReportedCrash[] {
-    this.evictOld(nowMs);
-    return [...this.crashes.values()].map(crash => report(crash, nowMs));
+    this.records.evict(nowMs);
+    return this.records.readAll(nowMs);
   }
 
-  private mergeOne(reported: ReportedCrash, nowMs: number): void {
-    const atMs = nowMs - reported.ageMs;
-    const crash = this.crashes.get(reported.id) ?? this.add(reported, atMs);
-    // An age lacks the time in transit, so the earliest time is most accurate.
-    crash.atMs = Math.min(crash.atMs, atMs);
-    for (const fingerprint of reported.cleared) {
-      if (crash.cleared.has(fingerprint)) continue;
-      crash.cleared.add(fingerprint);
-      this.changed.add(crash);
-    }
+  private mergeOne(crash: ReportedCrash, nowMs: number): boolean {
+    const cleared = crash.inFlight.filter(
+      fingerprint =>
+        !crash.cleared.includes(fingerprint) &&
+        this.hasJustFinished(fingerprint, nowMs - crash.ageMs),
+    );
+    const known = {...crash, cleared: [...crash.cleared, ...cleared]};
+    return this.records.merge(known, nowMs) || cleared.length > 0;
   }
 
-  private add(reported: ReportedCrash, atMs: number): Crash {
-    const {id, endpoint, dataCentre, alone = false} = reported;
-    const inFlight = new Set(reported.inFlight);
-    const cleared = new Set<Fingerprint>();
-    const crash = {id, endpoint, dataCentre, atMs, inFlight, alone, cleared};
-    this.crashes.set(id, crash);
-    this.changed.add(crash);
-    for (const fingerprint of inFlight) {
-      const known = this.byFingerprint.get(fingerprint) ?? new Set();
-      this.byFingerprint.set(fingerprint, known.add(crash));
-    }
-    return crash;
+  private hasJustFinished(fingerprint: Fingerprint, atMs: number): boolean {
+    const finishedAtMs = this.finishedAtMs.get(fingerprint);
+    if (finishedAtMs === undefined) return false;
+    return atMs - finishedAtMs < REMEMBER_FINISHED_MS;
+  }
+
+  /** The stored crash that broken answers belong to. */
+  private findCurrent(
+    {endpoint, endpointIncarnation}: Omit<BrokenRuns, 'newId'>,
+    nowMs: number,
+  ): CrashRecord | undefined {
+    return this.records
+      .all()
+      .find(
+        crash =>
+          crash.endpoint === endpoint &&
+          crash.endpointIncarnation === endpointIncarnation &&
+          !crash.alone &&
+          (endpointIncarnation !== undefined ||
+            nowMs - crash.atMs <= SAME_CRASH_WINDOW_MS),
+      );
   }
 
   /**
-   * A request that was in at least two crashes is refused, unless each of them
+   * A request is refused after three crashes, and after two unless each of them
    * also involved another request that was in at least two: then either may be
-   * the cause, and both run alone until one finishes or crashes alone.
+   * the cause, and both run alone until one finishes or crashes alone. Answers
+   * that were merely lost don't suffice.
    */
   private mustRefuse(
     fingerprint: Fingerprint,
-    crashes: readonly Crash[],
+    crashes: readonly CrashRecord[],
   ): boolean {
-    if (countDistinct(crashes) < REFUSAL_CRASH_COUNT) return false;
-    return crashes.some(crash =>
-      this.requestsInFlightAt(crash).every(
-        other =>
-          other === fingerprint ||
-          countDistinct(this.suspectedCrashesOf(other)) < REFUSAL_CRASH_COUNT,
-      ),
-    );
+    const confirmed = crashes.filter(isConfirmed);
+    const isRepeated = countDistinct(confirmed) >= SOLE_SUSPECT_CRASH_COUNT;
+    if (isRepeated && countDistinct(crashes) >= MAX_CRASH_COUNT) return true;
+    const suspected = this.listSuspectedCrashesOf(fingerprint);
+    if (countDistinct(suspected) < SOLE_SUSPECT_CRASH_COUNT) return false;
+    return suspected
+      .filter(isConfirmed)
+      .some(crash =>
+        this.requestsInFlightAt(crash).every(
+          other => other === fingerprint || !this.isRepeatedSuspect(other),
+        ),
+      );
+  }
+
+  private isRepeatedSuspect(fingerprint: Fingerprint): boolean {
+    const suspected = this.listSuspectedCrashesOf(fingerprint);
+    return countDistinct(suspected) >= SOLE_SUSPECT_CRASH_COUNT;
   }
 
   /**
@@ -239,23 +301,28 @@
    * pieces, by each instance and as each attempt breaks off; by the last piece
    * alone, the attempt that broke off last would seem to have run there alone.
    */
-  private requestsInFlightAt(crash: Crash): Fingerprint[] {
+  private requestsInFlightAt(crash: CrashRecord): Fingerprint[] {
     if (crash.alone) return [...crash.inFlight];
-    const pieces = [...this.crashes.values()].filter(
-      other =>
-        !other.alone &&
-        other.endpoint === crash.endpoint &&
-        Math.abs(other.atMs - crash.atMs) <= SAME_CRASH_WINDOW_MS,
-    );
+    const pieces = this.records
+      .all()
+      .filter(
+        other =>
+          !other.alone &&
+          other.endpoint === crash.endpoint &&
+          Math.abs(other.atMs - crash.atMs) <= SAME_CRASH_WINDOW_MS,
+      );
     return pieces.flatMap(piece => [...piece.inFlight]);
   }
 
-  private suspectedCrashesOf(fingerprint: Fingerprint): Crash[] {
-    const crashes = this.byFingerprint.get(fingerprint);
-    if (crashes === undefined) return [];
-    return [...crashes].filter(
-      crash =>
-        !crash.cleared.has(fingerprint) && !this.isReclaim(crash, fingerprint),
+  private listOpenCrashesOf(fingerprint: Fingerprint): CrashRecord[] {
+    return this.records
+      .listCrashesOf(fingerprint)
+      .filter(crash => !crash.cleared.has(fingerprint));
+  }
+
+  private listSuspectedCrashesOf(fingerprint: Fingerprint): CrashRecord[] {
+    return this.listOpenCrashesOf(fingerprint).filter(
+      crash => !this.isReclaim(crash, fingerprint),
     );
   }
 
@@ -265,67 +332,18 @@
    * endpoints are short. Only a request that was at several of these endpoints
    * stays suspect.
    */
-  private isReclaim(crash: Crash, fingerprint: Fingerprint): boolean {
-    const others = [...this.crashes.values()].filter(
-      other =>
-        other.endpoint !== crash.endpoint &&
-        other.dataCentre === crash.dataCentre &&
-        Math.abs(other.atMs - crash.atMs) <= RECLAIM_WINDOW_MS,
-    );
+  private isReclaim(crash: CrashRecord, fingerprint: Fingerprint): boolean {
+    const others = this.records
+      .all()
+      .filter(
+        other =>
+          other.isConfirmed &&
+          other.endpoint !== crash.endpoint &&
+          other.dataCentre === crash.dataCentre &&
+          Math.abs(other.atMs - crash.atMs) <= RECLAIM_WINDOW_MS,
+      );
     const endpoints = new Set(others.map(other => other.endpoint));
     if (endpoints.size + 1 < RECLAIM_ENDPOINT_COUNT) return false;
     return !others.some(other => other.inFlight.has(fingerprint));
   }
-
-  private evictOld(nowMs: number): void {
-    const oldestFirst = [...this.crashes.values()];
-    oldestFirst.sort((left, right) => left.atMs - right.atMs);
-    const surplus = oldestFirst.length - this.maxCrashes;
-    oldestFirst.forEach((crash, index) => {
-      const isOld = nowMs - crash.atMs >= this.retainForMs;
-      if (isOld || index < surplus) this.remove(crash);
-    });
-  }
-
-  private remove(crash: Crash): void {
-    this.crashes.delete(crash.id);
-    this.changed.delete(crash);
-    for (const fingerprint of crash.inFlight) {
-      const known = this.byFingerprint.get(fingerprint);
-      known?.delete(crash);
-      if (known?.size === 0) this.byFingerprint.delete(fingerprint);
-    }
-  }
-}
-
-/** Counts crashes; one that several instances saw counts once. */
-function countDistinct(crashes: readonly Crash[]): number {
-  const inOrder = [...crashes].sort((left, right) => left.atMs - right.atMs);
-  const lastAtMs = new Map<EndpointId, number>();
-  let count = 0;
-  for (const {endpoint, atMs, alone} of inOrder) {
-    // No other request was there whose end could report the same crash, and the
-    // endpoint may have come back so soon that this crash would otherwise be
-    // taken for the previous one.
-    if (alone) {
-      count += 1;
-      continue;
-    }
-    const last = lastAtMs.get(endpoint);
-    if (last === undefined || atMs - last > SAME_CRASH_WINDOW_MS) count += 1;
-    lastAtMs.set(endpoint, atMs);
-  }
-  return count;
-}
-
-function report(crash: Crash, nowMs: number): ReportedCrash {
-  return {
-    id: crash.id,
-    endpoint: crash.endpoint,
-    dataCentre: crash.dataCentre,
-    ageMs: Math.max(0, nowMs - crash.atMs),
-    inFlight: [...crash.inFlight],
-    alone: crash.alone,
-    cleared: [...crash.cleared],
-  };
 }
--- a/packages/routing/src/duties.test.ts
+++ b/packages/routing/src/duties.test.ts
@@ -1,12 +1,6 @@
 import test from 'ava';
-import {
-  brandAs,
-  type ClientAccountId,
-  type EndpointId,
-  type Fingerprint,
-} from '@snipestage/types/ids.js';
+import {brandAs, type ClientAccountId} from '@snipestage/types/ids.js';
 import {AgreedClock} from './agreed_clock.js';
-import {CrashDetector} from './crash_detector.js';
 import {RefusalDelay} from './refusal_delay.js';
 import {SuspensionDetector} from './suspension_detector.js';
 import {sumCounts, UsageWindows, windowAt} from './usage_windows.js';
@@ -41,21 +35,6 @@
   t.false(detector.hasJumped(5002, 9001));
 });
 
-test('a broken answer alone is no crash', t => {
-  // Guards against refusing callers that repeat a request because a network
-  // loses answers of a healthy endpoint.
-  const detector = new CrashDetector({confirmWithinMs: 1000});
-  const one = brandAs<EndpointId>('one');
-  const request = brandAs<Fingerprint>('f');
-  detector.noteBroken(one, request, 0);
-  detector.noteAnswered(one);
-  t.deepEqual(detector.confirmCrash(one, 100), []);
-  detector.noteBroken(one, request, 200);
-  t.deepEqual(detector.confirmCrash(one, 300), [request]);
-  detector.noteBroken(one, request, 400);
-  t.deepEqual(detector.confirmCrash(one, 1500), []);
-});
-
 test('counts of windows add up over instances', t => {
   const shop = brandAs<ClientAccountId>('shop');
   const one = new UsageWindows(5000);
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -209,6 +209,20 @@
     return this.endpoints.get(id);
   }
 
+  /**
+   * Whether an endpoint has restarted, or was removed without having announced
+   * its leaving.
+   *
+   * @param endpoint as it was last listed.
+   * @example
+   * if (directory.isReplaced(watched)) crashes.noteDown(watched.id);
+   */
+  isReplaced(endpoint: ServingEndpoint): boolean {
+    const listed = this.endpoints.get(endpoint.id);
+    if (listed !== undefined) return isOtherIncarnation(listed, endpoint);
+    return !endpoint.isLeaving && !this.announcements.isLeaving(endpoint);
+  }
+
   /** All listed endpoints, including those that are leaving. */
   readAll(): readonly ServingEndpoint[] {
     return [...this.endpoints.values()];
