Publish a crash again until the store has accepted it

A crash that was written while the store was away stayed known to the instance that saw it: a failed write was logged and given up. Crashes are now kept until their write has succeeded, with pauses of 200 ms to 2 s, fifty rows a transaction; their age grows meanwhile. A later report of the same crash replaces the earlier one.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -63,6 +63,7 @@
   private readonly follower: StateFollower;
   private readonly duties: Duties;
   private readonly relays: Relays;
+  private readonly facts: SharedFacts;
   private readonly crashes: CrashReporter;
   private readonly incarnation = randomUUID().slice(0, 8);
   private readonly shutdown: Shutdown;
@@ -75,10 +76,11 @@
     this.shutdown = new Shutdown(settings.shutdown);
     this.clock = new AgreedClock(nowMs(), Date.now());
     const recovery = new StoreRecovery();
-    const facts = new SharedFacts({
+    const facts = (this.facts = new SharedFacts({
       platform,
       logger: logger.forComponent('facts'),
-    });
+      nowMs,
+    }));
     const crashes = (this.crashes = new CrashReporter({
       state: this.state,
       instance: settings.instance,
@@ -86,7 +88,7 @@
       logger: logger.forComponent('crashes'),
       metrics: options.metrics,
       nowMs,
-      publish: reported => void facts.publishCrashes(reported),
+      publish: reported => facts.publishCrashes(reported),
     }));
     this.relays = new Relays({
       instance: settings.instance,
@@ -253,6 +255,7 @@
     await Promise.race([this.duties.finishUsage(), limit]);
     this.follower.stop();
     this.crashes.stop();
+    this.facts.stop();
   }
 
   private createHandler(
--- a/packages/gateway/src/shared_facts.test.ts
+++ b/packages/gateway/src/shared_facts.test.ts
@@ -31,7 +31,7 @@
 test('demand of all instances is summed, and published only when it changes', async t => {
   const platform = new MemoryPlatform();
   const {logger} = new CapturedLog();
-  const facts = new SharedFacts({platform, logger});
+  const facts = new SharedFacts({platform, logger, nowMs: () => 0});
   await facts.publishTotals([written(10), written(30)]);
   const fact = read(platform, 'demand/repair');
   t.like(fact, {kind: 'demand', service: 'repair'});
@@ -47,7 +47,8 @@
   // Dozens of instances start long before the first request. While their number
   // is unknown, each competes for the lease and follows the store directly.
   const platform = new MemoryPlatform();
-  const facts = new SharedFacts({platform, logger: new CapturedLog().logger});
+  const {logger} = new CapturedLog();
+  const facts = new SharedFacts({platform, logger, nowMs: () => 0});
   const idle = {counts: {}, isFinal: true, demands: {}};
   void facts.publishTotals([idle, idle, idle]);
   t.deepEqual(read(platform, 'instances'), {kind: 'instances', count: 3});
@@ -58,7 +59,8 @@
   // arrives at a different instance each time: no instance alone sees more than
   // one crash.
   const platform = new MemoryPlatform();
-  const facts = new SharedFacts({platform, logger: new CapturedLog().logger});
+  const {logger} = new CapturedLog();
+  const facts = new SharedFacts({platform, logger, nowMs: () => 0});
   const crash = {
     id: 'a/1/1',
     endpoint: brandAs<EndpointId>('e'),
@@ -67,7 +69,8 @@
     inFlight: [brandAs<Fingerprint>('f')],
     cleared: [],
   };
-  await facts.publishCrashes([crash]);
+  facts.publishCrashes([crash]);
+  await Promise.resolve();
   t.deepEqual(read(platform, 'crash/a/1/1'), {kind: 'crash', crash});
 });
 
@@ -85,7 +88,7 @@
   // the store was away in that moment.
   const platform = new MemoryPlatform();
   const {logger} = new CapturedLog();
-  const facts = new SharedFacts({platform, logger});
+  const facts = new SharedFacts({platform, logger, nowMs: () => 0});
   const crash = {
     id: 'a/1/1',
     endpoint: brandAs<EndpointId>('e'),
@@ -95,7 +98,7 @@
     cleared: [],
   };
   platform.nextFaults.push('away', 'away');
-  await facts.publishCrashes([crash]);
+  facts.publishCrashes([crash]);
   await new Promise(done => setTimeout(done, 3000));
   t.true(platform.rows.has('shared/crash/a/1/1'));
 });
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -48,29 +48,54 @@
 export interface SharedFactsOptions {
   readonly platform: Platform;
   readonly logger: Logger;
+  readonly nowMs: () => number;
 }
 
+/** A crash to be published; its age grows until then. */
+interface PendingCrash {
+  readonly crash: ReportedCrash;
+  readonly reportedAtMs: number;
+}
+
+const FIRST_RETRY_MS = 200;
+const MAX_RETRY_MS = 2000;
+/** Rows of one transaction; the platform allows no more than 100. */
+const MAX_ROWS = 50;
+
 interface FactRow {
   readonly key: string;
   readonly value: unknown;
 }
 
-/** Publishes facts; a write that fails is logged and not repeated. */
+/**
+ * Publishes facts. Crashes are written again until the store has accepted them;
+ * another write that fails is logged and not repeated, since the next window's
+ * figures replace it.
+ */
 export class SharedFacts {
   private readonly publishedDemands = new Map<
     ServiceId,
     readonly RouteDemand[]
   >();
   private publishedCount: number | undefined;
+  private readonly pending = new Map<string, PendingCrash>();
+  private failures = 0;
+  private isWriting = false;
+  private isStopped = false;
 
   constructor(private readonly options: SharedFactsOptions) {}
 
-  async publishCrashes(crashes: readonly ReportedCrash[]): Promise<void> {
-    const rows = crashes.map(crash => ({
-      key: `shared/${CRASH}${crash.id}`,
-      value: crash,
-    }));
-    await this.write('crash', rows);
+  /** Publishes crashes; a later report of a crash replaces an earlier one. */
+  publishCrashes(crashes: readonly ReportedCrash[]): void {
+    const reportedAtMs = this.options.nowMs();
+    for (const crash of crashes) {
+      this.pending.set(crash.id, {crash, reportedAtMs});
+    }
+    void this.writePending();
+  }
+
+  stop(): void {
+    this.isStopped = true;
   }
 
   /** Publishes an estimated number of instances unless a count exists. */
@@ -118,16 +143,53 @@
     });
   }
 
+  private async writePending(): Promise<void> {
+    if (this.isWriting) return;
+    this.isWriting = true;
+    while (this.pending.size > 0 && !this.isStopped) {
+      const batch = [...this.pending.values()].slice(0, MAX_ROWS);
+      const isCommitted = await this.write(
+        'crash',
+        batch.map(pending => this.crashRow(pending)),
+      );
+      if (isCommitted) this.forgetWritten(batch);
+      this.failures = isCommitted ? 0 : this.failures + 1;
+      if (!isCommitted) await this.waitForRetry();
+    }
+    this.isWriting = false;
+  }
+
+  private crashRow({crash, reportedAtMs}: PendingCrash): FactRow {
+    const ageMs = crash.ageMs + this.options.nowMs() - reportedAtMs;
+    return {key: `shared/${CRASH}${crash.id}`, value: {...crash, ageMs}};
+  }
+
+  /** Keeps crashes that were reported again during the write. */
+  private forgetWritten(batch: readonly PendingCrash[]): void {
+    for (const pending of batch) {
+      const {id} = pending.crash;
+      if (this.pending.get(id) === pending) this.pending.delete(id);
+    }
+  }
+
+  private waitForRetry(): Promise<void> {
+    const delayMs = FIRST_RETRY_MS * 2 ** (this.failures - 1);
+    return new Promise(resolve => {
+      setTimeout(resolve, Math.min(MAX_RETRY_MS, delayMs)).unref();
+    });
+  }
+
   private async write(
     kind: SharedFact['kind'],
     writes: readonly FactRow[],
-  ): Promise<void> {
+  ): Promise<boolean> {
     const result = await this.options.platform.transact({checks: [], writes});
     this.options.logger.info('fact_told', {
       kind,
       rows: writes.length,
       outcome: result.kind,
     });
+    return result.kind === 'committed';
   }
 }
 
