Let the soak's callers repeat requests that crash endpoints

No stand-in crashed by a request and no check counted such crashes, so the soak could not have found the incident. The check counts what instances in touch with the store send later than the contact bound after the third crash.

--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -18,6 +18,7 @@
   WithdrawnKeys,
 } from './changes.js';
 import type {Check, Finding} from './check.js';
+import {CrashingRequests} from './crashing_requests.js';
 import {OneFigure, OneHolder} from './duties.js';
 import {
   MaxAttempts,
@@ -40,6 +41,7 @@
   new RetryBudget(),
   new NothingForNobody(),
   new RateLimits(),
+  new CrashingRequests(),
   new Backoffs(),
   new WithdrawnKeys(),
   new LeavingEndpoints(),
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -397,3 +397,40 @@
   history.faultsEndedAtMs = 20_000;
   t.deepEqual(findersIn(history), ['serves_again']);
 });
+
+test('a request that is still sent on after it crashed endpoints is found', t => {
+  // Guards against one caller that takes down an endpoint after the other.
+  const crashing = Array.from({length: 9}, (_, index) => ({
+    request: makeRequest({
+      requestId: `c${index}`,
+      sentAtMs: 10_000 + index * 1000,
+      endedAtMs: 10_050 + index * 1000,
+      outcome: {kind: 'left'},
+    }),
+    run: makeRun({
+      requestId: `c${index}`,
+      arrivedAtMs: 10_010 + index * 1000,
+      crashedAtMs: 10_020 + index * 1000,
+    }),
+  }));
+  const findersOfFirst = (count: number) => {
+    const some = crashing.slice(0, count);
+    return findersIn(
+      makeHistory(
+        some.map(({request}) => request),
+        some.map(({run}) => run),
+      ),
+    );
+  };
+  // The third crash is at 12.02 s; what is sent from 15.02 s on is late.
+  t.deepEqual(findersOfFirst(8), []);
+  t.deepEqual(findersOfFirst(9), []);
+  const history = makeHistory(
+    crashing.map(({request}) => request),
+    crashing.map(({run}) => run),
+  );
+  const tenth = {requestId: 'c9', sentAtMs: 19_000, endedAtMs: 19_050};
+  history.requests.push(makeRequest({...tenth, outcome: {kind: 'left'}}));
+  history.addRuns([makeRun({requestId: 'c9', arrivedAtMs: 19_010})]);
+  t.deepEqual(findersIn(history), ['crashing_requests']);
+});
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -62,12 +62,16 @@
 /** An endpoint refuses requests and requests backoff. */
 export const BACKOFF = 'backoff';
 
+/** A caller repeats a request that crashes each endpoint that runs it. */
+export const CRASHING_REQUEST = 'crashing_request';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | typeof EVACUATE
   | typeof RATE_LIMIT
   | typeof UNLISTED_LEAVING
-  | typeof BACKOFF;
+  | typeof BACKOFF
+  | typeof CRASHING_REQUEST;
 
 /** One fault of a plan. */
 export interface PlannedFault {
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,6 +1,12 @@
 /** Seeded faults of the program; a soak must find each of them. */
 
-import {EVACUATE, RATE_LIMIT, BACKOFF, UNLISTED_LEAVING} from './fault_plan.js';
+import {
+  EVACUATE,
+  RATE_LIMIT,
+  BACKOFF,
+  CRASHING_REQUEST,
+  UNLISTED_LEAVING,
+} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
 
@@ -251,6 +257,35 @@
       },
     ],
   },
+  {
+    name: 'runs_requests_that_crash_endpoints',
+    check: 'crashing_requests',
+    kinds: [CRASHING_REQUEST],
+    edits: [
+      {
+        module: 'policy/dist/suspects.js',
+        from: 'if (retryAfterMs > 0 &&',
+        to: 'if (false &&',
+      },
+    ],
+  },
+  {
+    name: 'recognizes_crashes_by_chance',
+    check: 'crashing_requests',
+    kinds: [CRASHING_REQUEST],
+    edits: [
+      {
+        module: 'gateway/dist/crash_reporter.js',
+        from: 'void this.check.start(endpoint.id);',
+        to: '',
+      },
+      {
+        module: 'gateway/dist/record_outcome.js',
+        from: 'if (MEANS_DOWN.has(reason))',
+        to: 'if (false)',
+      },
+    ],
+  },
   {
     name: 'seals_again',
     check: 'one_figure',
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -3,12 +3,14 @@
 import {drawBackoffs, drawUnlistedLeavings} from './announcements.js';
 import {checkAll} from './checks/all_checks.js';
 import type {Finding} from './checks/check.js';
+import {drawCrashingRequests} from './crashing_requests.js';
 import {drawEvacuations} from './evacuations.js';
 import {
   drawFaultPlan,
   EVACUATE,
   RATE_LIMIT,
   BACKOFF,
+  CRASHING_REQUEST,
   UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
@@ -100,7 +102,7 @@
       history,
       nowMs,
     });
-    const injector = new FaultInjector(world, startedAtMs);
+    const injector = new FaultInjector(world, traffic, startedAtMs);
     const stalls = new StallWatch(history, nowMs);
     stalls.start();
     traffic.start();
@@ -141,6 +143,7 @@
     [RATE_LIMIT, () => drawRateLimits(announcing)],
     [UNLISTED_LEAVING, () => drawUnlistedLeavings(announcing)],
     [BACKOFF, () => drawBackoffs(announcing)],
+    [CRASHING_REQUEST, () => drawCrashingRequests({seed, forMs})],
   ];
   const faults = [
     ...drawFaultPlan({seed, forMs, seriesEveryMs, kinds}),
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -49,11 +49,17 @@
  */
 const ENTRY_EXPIRY_MS = 1500;
 
+/** Time within which a crashed endpoint is back. */
+const MAX_RESTART_MS = 2500;
+const CRASH = 'endpoint_crash';
+
 /** Owns the stand-ins of its generations and the links to them. */
 export class Endpoint {
   private generation = 0;
   private standIn!: EndpointStandIn;
   private way!: Link;
+  /** Crashed, and not started again yet. */
+  private isDown = false;
   private readonly closeCallbacks: Array<() => void> = [];
 
   constructor(private readonly options: EndpointOptions) {}
@@ -66,20 +72,22 @@
     return this.way;
   }
 
-  /** Starts a new generation, with a new id and address. */
-  async start(): Promise<void> {
+  /** Starts a new generation, with a new id, at a new port unless given. */
+  async start(port?: number): Promise<void> {
     this.generation += 1;
+    const {id} = this;
     const {service, capacity, isEngine, random, host} = this.options;
-    const standIn = new EndpointStandIn({
-      id: this.id,
+    const standIn: EndpointStandIn = new EndpointStandIn({
+      id,
       service,
       capacity,
       isEngine,
       random,
+      onCrash: () => void this.crash(id, standIn, way),
     });
     this.standIn = standIn;
     const targetPort = await standIn.start(host);
-    const way = new Link({host, targetHost: host, targetPort});
+    const way: Link = new Link({host, port, targetHost: host, targetPort});
     await way.start();
     this.way = way;
     this.closeCallbacks.push(() => {
@@ -88,7 +96,7 @@
       this.options.history.addRuns(standIn.runs);
     });
     const {history, dataCentre, store} = this.options;
-    history.endpointDataCentres.set(this.id, dataCentre);
+    history.endpointDataCentres.set(id, dataCentre);
     writeEndpoint(store, this.describe(false));
   }
 
@@ -125,10 +133,35 @@
     return () => (standIn.backoffUntilMs = Number.NEGATIVE_INFINITY);
   }
 
+  /**
+   * Ends a generation as a request that crashes it does. The current one is
+   * back at its address some time later, under another id.
+   */
+  private async crash(
+    id: EndpointId,
+    standIn: EndpointStandIn,
+    way: Link,
+  ): Promise<void> {
+    const {store, history, nowMs, random} = this.options;
+    const disturbance = history.recordDisturbance(id, CRASH, nowMs());
+    const isCurrent = standIn === this.standIn && !this.isDown;
+    if (isCurrent) this.isDown = true;
+    standIn.stop();
+    await way.stop();
+    setTimeout(() => removeEndpoint(store, id), ENTRY_EXPIRY_MS);
+    if (isCurrent) {
+      await pause(random() * MAX_RESTART_MS);
+      await this.start(way.port);
+      this.isDown = false;
+    }
+    disturbance.toMs = nowMs();
+  }
+
   /**
    * Stops without notice, starts the next generation; the entry expires later.
    */
   async kill(): Promise<void> {
+    if (this.isDown) return;
     const {store} = this.options;
     const {id, standIn, way} = this;
     standIn.stop();
@@ -142,6 +175,7 @@
    * from now on, in its entry after `listAfterMs`, and stops later.
    */
   async replace(listAfterMs = 0): Promise<void> {
+    if (this.isDown) return;
     const {store, history, nowMs} = this.options;
     const {id, standIn} = this;
     const leaving = this.describe(true);
@@ -175,3 +209,7 @@
     };
   }
 }
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -7,6 +7,7 @@
   EVACUATE,
   RATE_LIMIT,
   BACKOFF,
+  CRASHING_REQUEST,
   UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
@@ -14,6 +15,7 @@
 import type {Subject} from '../history.js';
 import type {Endpoint} from './endpoint.js';
 import type {Instance} from './instance.js';
+import type {Traffic} from './traffic.js';
 import type {World} from './world.js';
 
 /** Ends a fault; undefined where it ends by itself. */
@@ -71,6 +73,7 @@
 
   constructor(
     private readonly world: World,
+    private readonly traffic: Traffic,
     private readonly startedAtMs: number,
   ) {}
 
@@ -99,6 +102,9 @@
       this.limitRate(fault, endpoints[target % endpoints.length]);
     } else if (kind === BACKOFF) {
       this.backOff(fault, endpoints[target % endpoints.length]);
+    } else if (kind === CRASHING_REQUEST) {
+      this.logFault(kind, 'store', durationMs);
+      this.endAfter(durationMs, this.traffic.repeatCrashing());
     } else if (kind === UNLISTED_LEAVING) {
       this.replaceUnlisted(fault, endpoints[target % endpoints.length]);
     } else if (kind.startsWith('store_way') || kind.startsWith('callers_way')) {
--- a/packages/soak/src/world/request_draw.ts
+++ b/packages/soak/src/world/request_draw.ts
@@ -2,6 +2,7 @@
 
 import {randomInt} from 'd3-random';
 import {
+  CRASH_PARAMETER,
   digest,
   STREAM_DURATION_PARAMETER,
 } from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
@@ -94,6 +95,26 @@
     return {...drawn, isLong: true};
   }
 
+  /** Draws a request that crashes each endpoint that runs it. */
+  drawCrashing(instance: Instance): DrawnRequest {
+    const query = `&${CRASH_PARAMETER}=1`;
+    const timeoutMs = this.pick(CALLER_TIMEOUTS_MS);
+    return this.compose(instance, this.pick(ROUTES), query, timeoutMs);
+  }
+
+  /** The same request, sent again to an instance. */
+  repeat(drawn: DrawnRequest, instance: Instance): DrawnRequest {
+    this.drawnCount += 1;
+    const request: SentRequest = {
+      ...drawn.request,
+      requestId: `r${this.options.seed}-${this.drawnCount}`,
+      instance: instance.id,
+      processNumber: instance.processNumber,
+      sentAtMs: this.options.nowMs(),
+    };
+    return {...drawn, request};
+  }
+
   private drawShort(instance: Instance, route: Route): DrawnRequest {
     return this.compose(instance, route, '', this.pick(CALLER_TIMEOUTS_MS));
   }
--- a/packages/soak/src/world/traffic.ts
+++ b/packages/soak/src/world/traffic.ts
@@ -36,6 +36,8 @@
  */
 const IMMEDIATE_NEXT_SHARE = 0.5;
 
+const CRASHING_EVERY_MS = 350;
+
 /** Draws arrivals and sends the requests; owns the callers. */
 export class Traffic {
   private readonly callers: Caller[];
@@ -77,6 +79,34 @@
     for (const caller of this.callers) caller.close();
   }
 
+  /**
+   * Repeats a request that crashes endpoints at any instance.
+   *
+   * @returns a function that ends it.
+   */
+  repeatCrashing(): () => void {
+    const {instances} = this.options;
+    const drawn = this.draw.drawCrashing(instances[0]);
+    const timer = setInterval(() => {
+      const instance = this.pick(instances);
+      const sending = this.sendOnce(instance, drawn);
+      this.inFlight.add(sending);
+      void sending.finally(() => this.inFlight.delete(sending));
+    }, CRASHING_EVERY_MS);
+    return () => clearInterval(timer);
+  }
+
+  private async sendOnce(
+    instance: Instance,
+    drawn: DrawnRequest,
+  ): Promise<void> {
+    const caller = new Caller(this.options.nowMs);
+    if (await caller.connectTo(instance)) {
+      await this.send(caller, this.draw.repeat(drawn, instance));
+    }
+    caller.close();
+  }
+
   private scheduleNext(): void {
     this.timer = setTimeout(() => {
       this.scheduleNext();
--- a/packages/stand_ins/src/link/link.ts
+++ b/packages/stand_ins/src/link/link.ts
@@ -58,13 +58,13 @@
   private readonly host: string;
   private readonly relays = new Set<Relay>();
   private readonly server: Server;
-  private port: number;
+  private listenPort: number;
   private currentMode: LinkMode = 'pass';
 
   constructor(options: LinkOptions) {
     this.options = options;
     this.host = options.host ?? DEFAULT_HOST;
-    this.port = options.port ?? 0;
+    this.listenPort = options.port ?? 0;
     this.latencyMs = options.latencyMs ?? 0;
     this.server = createServer({allowHalfOpen: true}, client => {
       this.accept(client);
@@ -75,8 +75,13 @@
     return this.currentMode;
   }
 
+  /** Port on which it listens; 0 before the start. */
+  get port(): number {
+    return this.listenPort;
+  }
+
   get address(): string {
-    return `${this.host}:${this.port}`;
+    return `${this.host}:${this.listenPort}`;
   }
 
   get url(): string {
@@ -188,7 +193,7 @@
 
   private async listen(): Promise<void> {
     if (this.server.listening) return;
-    this.port = await listenOn(this.server, this.port, this.host);
+    this.listenPort = await listenOn(this.server, this.listenPort, this.host);
   }
 
   /** Doesn't wait for the server's close: connections may stay open. */
