--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -95,6 +95,11 @@
     help: 'Version of the configuration in force.',
     registers: [this.registry],
   });
+  private readonly storeEra = new Gauge({
+    name: 'snipestage_store_era',
+    help: 'How often the store was set back to a copy, as it says itself.',
+    registers: [this.registry],
+  });
   private readonly evacuated = new Gauge({
     name: 'snipestage_evacuated_data_centres',
     help: 'Data centres that get no requests by order of an operator.',
@@ -158,6 +163,10 @@
     this.version.set(version);
   }
 
+  setStoreEra(era: number): void {
+    this.storeEra.set(era);
+  }
+
   setEvacuated(dataCentres: number): void {
     this.evacuated.set(dataCentres);
   }
