--- /dev/null
+++ b/packages/gateway/src/store_set_back.test.ts
@@ -0,0 +1,81 @@
+import {LeaseTask} from '@snipestage/entry/agree/lease_task.js';
+import {TableExecutor} from '@snipestage/entry/configure/table_executor.js';
+import {
+  brandAs,
+  type Incarnation,
+  type InstanceId,
+  type LeaseName,
+} from '@snipestage/types/ids.js';
+import test from 'ava';
+import {CapturedLog} from './test_support/captured_log.js';
+import {MemoryPlatform} from './test_support/memory_platform.js';
+
+const TERM_MS = 300;
+const MARGIN_MS = 40;
+
+function startLease(
+  platform: MemoryPlatform,
+  name: string,
+  t: {teardown(run: () => Promise<void>): void},
+) {
+  const clock = () => performance.now();
+  const task = new LeaseTask({
+    lease: {
+      name: brandAs<LeaseName>('duties'),
+      instance: brandAs<InstanceId>(name),
+      incarnation: brandAs<Incarnation>(name),
+      termMs: TERM_MS,
+      marginMs: MARGIN_MS,
+      renewEveryMs: 100,
+      pollEveryMs: 50,
+    },
+    executor: new TableExecutor({platform, clock}),
+    clock,
+    logger: new CapturedLog().logger,
+    isCandidate: () => true,
+  });
+  task.start();
+  t.teardown(() => task.retire());
+  return task;
+}
+
+async function waitForLease(task: LeaseTask): Promise<number> {
+  while (task.held === undefined) {
+    await new Promise(done => setTimeout(done, 5));
+  }
+  return task.held.fencingToken;
+}
+
+test('a fencing token is never given out twice', async t => {
+  // Guards against two holders with one token, since the store was set back to
+  // a copy from before the first of them.
+  const platform = new MemoryPlatform();
+  const first = startLease(platform, 'first', t);
+  await waitForLease(first);
+  await first.retire();
+  const copy = platform.copy();
+  const second = startLease(platform, 'second', t);
+  const token = await waitForLease(second);
+  await second.retire();
+  platform.setBack(copy);
+  const third = startLease(platform, 'third', t);
+  t.true((await waitForLease(third)) > token);
+});
+
+test('nobody acts while a holder of the former era may still do', async t => {
+  // Guards against two holders at a time, since the copy says that the lease is
+  // free.
+  const platform = new MemoryPlatform();
+  const copy = platform.copy();
+  const holder = startLease(platform, 'holder', t);
+  const waiting = startLease(platform, 'waiting', t);
+  await Promise.race([waitForLease(holder), waitForLease(waiting)]);
+  const [held, other] =
+    holder.held === undefined ? [waiting, holder] : [holder, waiting];
+  platform.setBack(copy);
+  const endsAtMs = performance.now() + 2 * TERM_MS;
+  while (performance.now() < endsAtMs) {
+    t.false(held.held !== undefined && other.held !== undefined);
+    await new Promise(done => setTimeout(done, 1));
+  }
+});
--- a/packages/gateway/src/test_support/memory_platform.ts
+++ b/packages/gateway/src/test_support/memory_platform.ts
@@ -20,6 +20,12 @@
   TransactionResult,
 } from '@snipestage/types/table.js';
 
+/** Content of the platform's tables at one moment. */
+export interface StoredCopy {
+  readonly rows: ReadonlyMap<string, Row>;
+  readonly version: number;
+}
+
 export class MemoryPlatform extends Platform {
   readonly rows = new Map<string, Row>();
   readonly reports: UsageReport[] = [];
@@ -34,6 +40,17 @@
   readonly refusals: OrderResult[] = [];
   private version = 0;
 
+  /** Goes back to what was stored at an earlier version. */
+  setBack({rows, version}: StoredCopy): void {
+    this.rows.clear();
+    for (const [key, row] of rows) this.rows.set(key, row);
+    this.version = version;
+  }
+
+  copy(): StoredCopy {
+    return {rows: new Map(this.rows), version: this.version};
+  }
+
   readRows(keys: readonly string[]): Promise<ReadResult> {
     return this.read(key => keys.includes(key));
   }
--- a/packages/gateway/src/usage_reporter.test.ts
+++ b/packages/gateway/src/usage_reporter.test.ts
@@ -256,3 +256,20 @@
   t.deepEqual(counts, []);
   t.not(platform.rows.get('seals/100'), undefined);
 });
+
+test('a window whose seal the store has lost gets no second figure', async t => {
+  // Guards against billing a window twice with different figures, since the
+  // store was set back to a copy from before it was sealed.
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  await writeCounts(platform, 100, 'a', 3);
+  const copy = platform.copy();
+  const first = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
+  for (let tick = 0; tick < 12; tick++) await first.tick();
+  platform.setBack(copy);
+  await writeCounts(platform, 100, 'late', 5);
+  await takeFence(platform);
+  const second = makeReporter(platform, 2, 101 * WINDOW_MS + 9000);
+  for (let tick = 0; tick < 12; tick++) await second.tick();
+  t.deepEqual(figures(platform), ['100: 3']);
+});
--- a/packages/routing/src/endpoint_directory.test.ts
+++ b/packages/routing/src/endpoint_directory.test.ts
@@ -134,3 +134,16 @@
   directory.replace([ONE], 1_100_003);
   t.deepEqual(idsAt(directory, 1_100_003), ['one']);
 });
+
+test('an endpoint that said that it leaves is not taken for ready by an older list', t => {
+  // Guards against requests to endpoints that are about to stop, since the
+  // store was set back to a copy that lists them as ready.
+  const directory = new EndpointDirectory();
+  directory.replace([ONE], 0);
+  directory.apply([{kind: 'listed', endpoint: {...ONE, isLeaving: true}}], 1);
+  directory.replace([ONE], 2);
+  t.deepEqual(idsAt(directory, 2), []);
+  const bornEpochMs = (ONE.bornEpochMs ?? 0) + 1;
+  directory.replace([{...ONE, bornEpochMs}], 3);
+  t.deepEqual(idsAt(directory, 3), ['one']);
+});
