Compare versions of the store only within their era

Callers got answers by withdrawn keys and from endpoints that had said seconds ago that they leave, for up to eight seconds after the store had come back from an older copy.

Cause: the store gives its versions out again after it was set back, and followers took each answer for a stale read until the versions had passed those of before. The same comparison let a condition hold for another row content that had the old version by chance.

A row that doesn't exist states the era in which it doesn't. A skipped stale read is logged in both places.

Ruled out: reads that the store served late (its versions rose steadily, and 410 said that it didn't have the old ones); relays (instances without one were late, too).

--- a/packages/agreement/src/claim.test.ts
+++ b/packages/agreement/src/claim.test.ts
@@ -1,3 +1,4 @@
+import {composeStoreVersion} from '@snipestage/types/store_version.js';
 import {brandAs} from '@snipestage/types/ids.js';
 import test from 'ava';
 import {
@@ -112,7 +113,13 @@
       state.phase === 'claiming' &&
       event.kind === 'transaction_answered' &&
       event.result.kind === 'unknown'
-        ? {...event, result: {kind: 'committed', versions: {[state.key]: 1}}}
+        ? {
+            ...event,
+            result: {
+              kind: 'committed',
+              versions: {[state.key]: composeStoreVersion({era: 0, number: 1})},
+            },
+          }
         : event,
   });
   const {violation, trace} = explore(mutant, 2_000_000);
--- a/packages/agreement/src/claim.ts
+++ b/packages/agreement/src/claim.ts
@@ -9,6 +9,7 @@
  * instance.
  */
 
+import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import type {
   ClientAccountId,
   IdempotencyKey,
@@ -84,7 +85,7 @@
   readonly phase: 'claiming' | 'held' | 'settling' | 'done';
   readonly goal: ClaimStatus;
   /** The version that the last transaction checked. */
-  readonly version: number;
+  readonly version: StoreVersion;
 }
 
 export type ClaimStep = Step<ClaimState, ClaimEffect>;
@@ -113,7 +114,7 @@
     tries: 0,
     phase: 'claiming',
     goal: {kind: 'claimed'},
-    version: 0,
+    version: ABSENT,
   });
 }
 
@@ -227,7 +228,10 @@
 }
 
 /** Goes on once the row has the goal. */
-function handleGoalReached(state: ClaimState, version: number): ClaimStep {
+function handleGoalReached(
+  state: ClaimState,
+  version: StoreVersion,
+): ClaimStep {
   if (state.phase === 'settling') {
     return {state: {...state, phase: 'done', version}, effects: []};
   }
--- a/packages/agreement/src/lease_answers.ts
+++ b/packages/agreement/src/lease_answers.ts
@@ -3,6 +3,7 @@
  * of this instance started or renewed a term.
  */
 
+import type {StoreVersion} from '@snipestage/types/store_version.js';
 import type {
   ReadResult,
   Row,
@@ -74,7 +75,7 @@
 function settleWrite(
   state: LeaseState,
   row: Row,
-  fenceVersion: number | undefined,
+  fenceVersion: StoreVersion | undefined,
   nowMs: number,
 ): LeaseStep {
   const {pending} = state;
@@ -96,7 +97,7 @@
 function startTerm(
   state: LeaseState,
   {wanted, takes, sentAtMs, followsRelease}: PendingLeaseWrite,
-  fenceVersion: number | undefined,
+  fenceVersion: StoreVersion | undefined,
   nowMs: number,
 ): LeaseStep {
   const {termMs, marginMs} = state.options;
--- a/packages/agreement/src/lease_rows.ts
+++ b/packages/agreement/src/lease_rows.ts
@@ -3,6 +3,7 @@
  * `fences/<name>`, which changes only when the lease changes hands.
  */
 
+import type {StoreVersion} from '@snipestage/types/store_version.js';
 import type {
   FencingToken,
   Incarnation,
@@ -31,7 +32,7 @@
 export interface LeaseTerm {
   readonly fencingToken: FencingToken;
   /** Version of the fence row, which a guarded transaction checks. */
-  readonly fenceVersion: number;
+  readonly fenceVersion: StoreVersion;
 }
 
 /**
@@ -60,7 +61,10 @@
  * @example
  * const fenceVersion = matchingFenceVersion(fence, row);
  */
-export function matchingFenceVersion(fence: Row, row: Row): number | undefined {
+export function matchingFenceVersion(
+  fence: Row,
+  row: Row,
+): StoreVersion | undefined {
   const token = (fence.value as FenceValue | null)?.fencingToken;
   const own = (row.value as LeaseValue | null)?.fencingToken === token;
   return own ? fence.version : undefined;
--- a/packages/agreement/src/models/table_model.ts
+++ b/packages/agreement/src/models/table_model.ts
@@ -1,5 +1,7 @@
 /** The platform's table as a pure value, for models, measurements and tests. */
 
+import {brandAs} from '@snipestage/types/ids.js';
+import type {StoreVersion} from '@snipestage/types/store_version.js';
 import type {
   Row,
   TableTransaction,
@@ -56,9 +58,9 @@
     return {table, result: {kind: 'conflict', rows: failed}};
   }
   const next: Record<string, Row> = {...table};
-  const versions: Record<string, number> = {};
+  const versions: Record<string, StoreVersion> = {};
   for (const {key, value} of transaction.writes) {
-    const version = (table[key]?.version ?? 0) + 1;
+    const version = brandAs<StoreVersion>((table[key]?.version ?? 0) + 1);
     versions[key] = version;
     if (value === null) {
       delete next[key];
--- a/packages/agreement/src/models/usage_model.ts
+++ b/packages/agreement/src/models/usage_model.ts
@@ -7,6 +7,7 @@
  * and never more than what was counted.
  */
 
+import type {StoreVersion} from '@snipestage/types/store_version.js';
 import {
   brandAs,
   type FencingToken,
@@ -113,7 +114,7 @@
 
 function createReporterInTerm(token: number): Reporter {
   const fencingToken = brandAs<FencingToken>(token);
-  const held = {fencingToken, fenceVersion: token};
+  const held = {fencingToken, fenceVersion: brandAs<StoreVersion>(token)};
   const {state} = transitionReporter(createIdleState(), {
     kind: 'acquired',
     held,
--- a/packages/agreement/src/order_messages.ts
+++ b/packages/agreement/src/order_messages.ts
@@ -1,5 +1,6 @@
 /** Events, effects and state of the protocol that sends orders. */
 
+import type {StoreVersion} from '@snipestage/types/store_version.js';
 import type {LeaseName} from '@snipestage/types/ids.js';
 import type {OrderResult} from '@snipestage/types/platform_messages.js';
 import type {LeaseTerm} from './lease_rows.js';
@@ -41,7 +42,7 @@
   readonly order: Order;
   readonly phase: 'recording' | 'sending' | 'clearing';
   /** Version of its intent row; 0 if it has none, or none yet. */
-  readonly version: number;
+  readonly version: StoreVersion;
   readonly recorded: boolean;
   /** Undefined for an order of a predecessor. */
   readonly content: OrderContent | undefined;
--- a/packages/agreement/src/order_rows.ts
+++ b/packages/agreement/src/order_rows.ts
@@ -1,5 +1,6 @@
 /** Orders to the platform and to engines, and the rows that announce them. */
 
+import type {StoreVersion} from '@snipestage/types/store_version.js';
 import type {
   EndpointId,
   FencingToken,
@@ -88,13 +89,13 @@
  * if the lease has not changed hands and the row is still at `version`.
  *
  * @example
- * composeIntentWrite({lease, fenceVersion, id, version: 0, value: {order}});
+ * composeIntentWrite({lease, fenceVersion, id, version: ABSENT, value: {order}});
  */
 export function composeIntentWrite(options: {
   readonly lease: LeaseName;
-  readonly fenceVersion: number;
+  readonly fenceVersion: StoreVersion;
   readonly id: OrderId;
-  readonly version: number;
+  readonly version: StoreVersion;
   readonly value: IntentValue | null;
 }): TableTransaction {
   const {lease, fenceVersion, id, version, value} = options;
--- a/packages/agreement/src/orders.test.ts
+++ b/packages/agreement/src/orders.test.ts
@@ -1,3 +1,4 @@
+import {ABSENT} from '@snipestage/types/store_version.js';
 import {
   brandAs,
   type EndpointId,
@@ -14,7 +15,7 @@
 import type {OrderAnswer, OrdersEvent, OrdersState} from './order_messages.js';
 
 const LIMIT = 300_000;
-const HELD = {fencingToken: brandAs<FencingToken>(1), fenceVersion: 0};
+const HELD = {fencingToken: brandAs<FencingToken>(1), fenceVersion: ABSENT};
 
 function engineContent(checksFencing: boolean): OrderContent {
   const endpoint = brandAs<EndpointId>('akl-a-1');
--- a/packages/agreement/src/orders.ts
+++ b/packages/agreement/src/orders.ts
@@ -15,6 +15,7 @@
  * one scan for each change of holder.
  */
 
+import type {StoreVersion} from '@snipestage/types/store_version.js';
 import type {LeaseName} from '@snipestage/types/ids.js';
 import type {ReadResult, TransactionResult} from '@snipestage/types/table.js';
 import {fenceKey} from './lease_rows.js';
@@ -212,7 +213,7 @@
 }
 
 /** Goes on after the intent row was written or deleted. */
-function advance(state: OrdersState, version: number): OrdersStep {
+function advance(state: OrdersState, version: StoreVersion): OrdersStep {
   const current = state.current!;
   if (current.phase === 'recording') {
     const sending = {...current, phase: 'sending', version, tries: 0} as const;
--- a/packages/agreement/src/outstanding_orders.ts
+++ b/packages/agreement/src/outstanding_orders.ts
@@ -3,6 +3,7 @@
  * were refused since the last `desired` event.
  */
 
+import {ABSENT} from '@snipestage/types/store_version.js';
 import {canonicalJson} from './canonical_json.js';
 import type {LeaseTerm} from './lease_rows.js';
 import {
@@ -37,7 +38,7 @@
   const current = {
     order,
     phase,
-    version: 0,
+    version: ABSENT,
     recorded,
     content,
     tries: 0,
--- a/packages/agreement/src/table_effects.ts
+++ b/packages/agreement/src/table_effects.ts
@@ -4,6 +4,7 @@
  * carries out each effect and feeds its result back under the same call number.
  */
 
+import {ABSENT} from '@snipestage/types/store_version.js';
 import type {
   ReadResult,
   Row,
@@ -64,13 +65,15 @@
 }
 
 /**
- * The row of a key among rows read; an absent row has version 0.
+ * The row of a key among rows read; an absent row has no version.
  *
  * @example
- * findRow([], 'leases/orders'); // {key: 'leases/orders', version: 0, value: null}
+ * findRow([], 'leases/orders'); // {key: 'leases/orders', version: ABSENT, value: null}
  */
 export function findRow(rows: readonly Row[], key: string): Row {
-  return rows.find(row => row.key === key) ?? {key, version: 0, value: null};
+  return (
+    rows.find(row => row.key === key) ?? {key, version: ABSENT, value: null}
+  );
 }
 
 /**
--- a/packages/agreement/src/tickets.test.ts
+++ b/packages/agreement/src/tickets.test.ts
@@ -91,7 +91,7 @@
   for (const loss of ['before', 'after'] as const) {
     const {table, outcome} = submit(EMPTY_TABLE, ticket, [loss]);
     t.deepEqual(outcome, {kind: 'accepted', revision: brandAs(1)}, loss);
-    t.is(table['configuration/head'].version, 1);
+    t.is(Number(table['configuration/head'].version), 1);
   }
   const allLost = Array.from({length: 8}, () => 'before' as const);
   t.is(submit(EMPTY_TABLE, ticket, allLost).outcome.kind, 'unknown');
--- a/packages/agreement/src/usage.test.ts
+++ b/packages/agreement/src/usage.test.ts
@@ -1,3 +1,4 @@
+import {ABSENT} from '@snipestage/types/store_version.js';
 import {
   brandAs,
   type FencingToken,
@@ -65,7 +66,7 @@
     windowMs: 100,
     graceMs: 10,
   };
-  const held = {fencingToken: brandAs<FencingToken>(1), fenceVersion: 0};
+  const held = {fencingToken: brandAs<FencingToken>(1), fenceVersion: ABSENT};
   const acquired = {kind: 'acquired', held} as const;
   let state: ReporterState = beginReporter(options);
   state = transitionReporter(state, acquired).state;
@@ -144,7 +145,7 @@
   const [copy] = listCopies(one.state);
   const two = flush(one.table, count(one.state, 60, 2));
   const sealed = reportAll(two.table, 1110).table;
-  const absent = {key: copy.key, version: 0, value: null};
+  const absent = {key: copy.key, version: ABSENT, value: null};
   const written = commitTo(sealed, planCopyWrite(absent, copy.value)!).table;
   const {reports} = reportAll(written, 1210);
   t.deepEqual(
--- a/packages/agreement/src/usage_counters.ts
+++ b/packages/agreement/src/usage_counters.ts
@@ -8,6 +8,7 @@
  * second while they serve, and read only after a write that did not commit.
  */
 
+import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import type {
   Incarnation,
   InstanceId,
@@ -41,7 +42,7 @@
   readonly value: CounterValue;
   /** Sequence and version of the row; a write under way is taken as written. */
   readonly writtenSequence: number;
-  readonly version: number;
+  readonly version: StoreVersion;
 }
 
 /** An instance's counters; the newest window is last. */
@@ -146,7 +147,7 @@
       key,
       value: {sequence: 1, lines: [line]},
       writtenSequence: 0,
-      version: 0,
+      version: ABSENT,
     };
     return {...state, windows: [...state.windows, fresh]};
   }
--- a/packages/agreement/src/usage_seal.ts
+++ b/packages/agreement/src/usage_seal.ts
@@ -13,6 +13,7 @@
  * progress row.
  */
 
+import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import type {UsageWindowId} from '@snipestage/types/ids.js';
 import type {
   UsageLine,
@@ -44,7 +45,7 @@
   readonly counters: readonly Row[];
   readonly accounted: readonly Row[];
   readonly progress: Row;
-  readonly fence: {readonly key: string; readonly version: number};
+  readonly fence: {readonly key: string; readonly version: StoreVersion};
   /**
    * How long after its window's start a counter row whose value is in seals is
    * kept; ten windows if absent.
@@ -93,7 +94,7 @@
     checks: [
       {key: fence.key, version: fence.version},
       {key: PROGRESS_KEY, version: progress.version},
-      {key: sealKey(window), version: 0},
+      {key: sealKey(window), version: ABSENT},
       ...old.map(({key, version}) => ({key, version})),
     ],
     writes: [
--- a/packages/gateway/src/capacity_duty.ts
+++ b/packages/gateway/src/capacity_duty.ts
@@ -1,5 +1,6 @@
 /** Orders endpoints according to the capacity plan while the lease is held. */
 
+import {ABSENT} from '@snipestage/types/store_version.js';
 import {findRow} from '@snipestage/agreement/table_effects.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
@@ -217,7 +218,7 @@
     // If another holder's write came first or this one failed, the next tick
     // reads the row.
     await platform.transact({
-      checks: [{key, version: 0}],
+      checks: [{key, version: ABSENT}],
       writes: [{key, value: {endpoints}}],
     });
   }
--- a/packages/gateway/src/clock_tie_task.ts
+++ b/packages/gateway/src/clock_tie_task.ts
@@ -1,5 +1,6 @@
 /** Ties the store's clock to the time of day, once for all instances. */
 
+import {ABSENT} from '@snipestage/types/store_version.js';
 import {findRow} from '@snipestage/agreement/table_effects.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
@@ -50,7 +51,7 @@
     // If another instance's write came first or this one failed, the next try
     // reads the row.
     await this.platform.transact({
-      checks: [{key: TIE_KEY, version: 0}],
+      checks: [{key: TIE_KEY, version: ABSENT}],
       writes: [{key: TIE_KEY, value: {tieMs}}],
     });
   }
--- a/packages/gateway/src/duty_term.test.ts
+++ b/packages/gateway/src/duty_term.test.ts
@@ -1,3 +1,4 @@
+import {ABSENT} from '@snipestage/types/store_version.js';
 import test from 'ava';
 import type {HeldLease} from '@snipestage/agreement/lease.js';
 import {brandAs, type FencingToken} from '@snipestage/types/ids.js';
@@ -15,7 +16,7 @@
   acquire(token: number, atMs: number, followsRelease = false): void {
     this.held = {
       fencingToken: brandAs<FencingToken>(token),
-      fenceVersion: 1,
+      fenceVersion: ABSENT,
       termEndsAtMs: atMs + 3000,
       renewedAtMs: atMs,
       followsRelease,
--- a/packages/gateway/src/relay/relay_follower.ts
+++ b/packages/gateway/src/relay/relay_follower.ts
@@ -1,5 +1,6 @@
 /** The stream of an instance to the relay of its data centre. */
 
+import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {RelayHolder} from '@snipestage/routing/relay_roster.js';
 import type {InstanceId} from '@snipestage/types/ids.js';
@@ -78,12 +79,12 @@
     this.leave();
   }
 
-  private readVersions(): Record<RelayedTableName, number> {
+  private readVersions(): Record<RelayedTableName, StoreVersion> {
     const {configuration, endpoints, shared} = this.options.copies;
     return {
-      configuration: configuration.version ?? 0,
-      endpoints: endpoints.version ?? 0,
-      shared: shared.version ?? 0,
+      configuration: configuration.version ?? ABSENT,
+      endpoints: endpoints.version ?? ABSENT,
+      shared: shared.version ?? ABSENT,
     };
   }
 
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -1,5 +1,6 @@
 /** Messages between a relay and its followers. */
 
+import type {StoreVersion} from '@snipestage/types/store_version.js';
 import type {
   MethodDefinition,
   sendUnaryData,
@@ -20,7 +21,7 @@
   readonly kind: 'follow';
   readonly instance: InstanceId;
   /** Versions that are known; 0 where the table was not read yet. */
-  readonly known: Readonly<Record<RelayedTableName, number>>;
+  readonly known: Readonly<Record<RelayedTableName, StoreVersion>>;
 }
 
 /** Its number comes back with the updates that were made after its arrival. */
@@ -49,8 +50,8 @@
    */
   readonly ping: number;
   readonly table: RelayedTableName;
-  readonly since: number;
-  readonly version: number;
+  readonly since: StoreVersion;
+  readonly version: StoreVersion;
   readonly rows: readonly RelayedRow[];
 }
 
@@ -59,7 +60,7 @@
 /** Wire format of a row. */
 export interface RelayedRow {
   readonly key: string;
-  readonly version: number;
+  readonly version: StoreVersion;
   /** Base64; absent when the row was removed. */
   readonly data?: string;
 }
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -1,5 +1,6 @@
 /** Publishes changes of the store to a relay's followers. */
 
+import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import {Server, ServerCredentials, status} from '@grpc/grpc-js';
 import type {Logger} from '@snipestage/log/logger.js';
 import {
@@ -45,7 +46,7 @@
 
 interface Follower {
   readonly call: FollowCall;
-  readonly sentVersions: Map<RelayedTableName, number>;
+  readonly sentVersions: Map<RelayedTableName, StoreVersion>;
   ping: number;
 }
 
@@ -188,7 +189,7 @@
     const copy = this.options.copies[table];
     if (copy.version === undefined || isBehind(call)) return;
     const {since, version, rows} = copy.changesSince(
-      sentVersions.get(table) ?? 0,
+      sentVersions.get(table) ?? ABSENT,
     );
     sentVersions.set(table, version);
     call.write({
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -1,3 +1,7 @@
+import {
+  composeStoreVersion,
+  type StoreVersion,
+} from '@snipestage/types/store_version.js';
 import {
   credentials,
   makeGenericClientConstructor,
@@ -16,6 +20,11 @@
 import {TableCopy, type TableChanges} from './table_copy.js';
 import {WriteBatcher} from './write_batcher.js';
 
+/** A version of the first era. */
+function versionOf(number: number): StoreVersion {
+  return composeStoreVersion({era: 0, number});
+}
+
 async function startPair(
   t: ExecutionContext,
   silentAfterMs: number,
@@ -28,7 +37,7 @@
     endpoints: new TableCopy(),
     shared: new TableCopy(),
   };
-  copies.endpoints.replace([], 3);
+  copies.endpoints.replace([], versionOf(3));
   const {logger} = new CapturedLog();
   const platform = new MemoryPlatform();
   const writes = new WriteBatcher(platform);
@@ -45,7 +54,11 @@
     request: {
       kind: 'follow',
       instance: brandAs<InstanceId>('follower'),
-      known: {configuration: 0, endpoints: 3, shared: 0},
+      known: {
+        configuration: versionOf(0),
+        endpoints: versionOf(3),
+        shared: versionOf(0),
+      },
     },
     silentAfterMs,
     pingEveryMs: 10,
@@ -90,16 +103,26 @@
 test('a follower receives each change once, and confirmations without changes', async t => {
   const {server, copies, received} = await startPair(t, 20_000);
   await confirmUntil(server, () => received.length > 0);
-  t.deepEqual(received[0], {since: 3, version: 3, rows: []});
+  t.deepEqual(received[0], {
+    since: versionOf(3),
+    version: versionOf(3),
+    rows: [],
+  });
   const data = Buffer.from('x');
-  copies.endpoints.apply([{key: 'a', version: 4, data}], 4);
-  copies.endpoints.apply([{key: 'b', version: 5, data: undefined}], 5);
+  copies.endpoints.apply(
+    [{key: 'a', version: versionOf(4), data}],
+    versionOf(4),
+  );
+  copies.endpoints.apply(
+    [{key: 'b', version: versionOf(5), data: undefined}],
+    versionOf(5),
+  );
   server.confirm('endpoints');
-  await waitUntil(() => received.some(({version}) => version === 5));
+  await waitUntil(() => received.some(({version}) => version === versionOf(5)));
   const rows = received.flatMap(changes => changes.rows);
   t.deepEqual(rows, [
-    {key: 'a', version: 4, data},
-    {key: 'b', version: 5, data: undefined},
+    {key: 'a', version: versionOf(4), data},
+    {key: 'b', version: versionOf(5), data: undefined},
   ]);
 });
 
--- a/packages/gateway/src/relay/relayed_feed.ts
+++ b/packages/gateway/src/relay/relayed_feed.ts
@@ -1,5 +1,10 @@
 /** Queue of a relay's updates of one table. */
 
+import {
+  ABSENT,
+  latestVersion,
+  type StoreVersion,
+} from '@snipestage/types/store_version.js';
 import type {FollowedRow} from '../table_follower.js';
 import type {TableChanges} from './table_copy.js';
 
@@ -11,7 +16,7 @@
 export class RelayedFeed {
   private rows: FollowedRow[] = [];
   private coveredFrom = Number.POSITIVE_INFINITY;
-  private version = 0;
+  private version = ABSENT;
   private confirmedAtMs = Number.NEGATIVE_INFINITY;
   private waiting = new Set<() => void>();
 
@@ -23,7 +28,7 @@
   }
 
   /** Whether the feed has missed no change after the version. */
-  covers(version: number): boolean {
+  covers(version: StoreVersion): boolean {
     return version >= this.coveredFrom;
   }
 
@@ -53,11 +58,11 @@
   }
 
   /** Empties the feed and returns its rows after the version. */
-  drain(known: number): TableChanges {
+  drain(known: StoreVersion): TableChanges {
     const rows = this.rows.filter(row => row.version > known);
     this.rows = [];
-    this.coveredFrom = Math.max(known, this.version);
-    return {since: known, version: Math.max(known, this.version), rows};
+    this.coveredFrom = latestVersion(known, this.version);
+    return {since: known, version: latestVersion(known, this.version), rows};
   }
 
   get hasRows(): boolean {
--- a/packages/gateway/src/relay/relayed_table.test.ts
+++ b/packages/gateway/src/relay/relayed_table.test.ts
@@ -1,3 +1,7 @@
+import {
+  composeStoreVersion,
+  type StoreVersion,
+} from '@snipestage/types/store_version.js';
 import test from 'ava';
 import {
   FollowedTable,
@@ -10,10 +14,15 @@
 
 const FRESH_FOR_MS = 60;
 
+/** A version of the first era. */
+function versionOf(number: number): StoreVersion {
+  return composeStoreVersion({era: 0, number});
+}
+
 function row(key: string, version: number, text?: string): FollowedRow {
   return {
     key,
-    version,
+    version: versionOf(version),
     data: text === undefined ? undefined : Buffer.from(text),
   };
 }
@@ -27,13 +36,13 @@
     return Promise.resolve({kind: 'history_gone'});
   }
 
-  waitForChanges(since: number, waitMs: number): Promise<TableReading> {
+  waitForChanges(since: StoreVersion, waitMs: number): Promise<TableReading> {
     this.waits.push(waitMs);
     const rows = [row('from the store', since + 1, 'x')];
     return Promise.resolve({
       kind: 'rows',
       rows,
-      version: since + 1,
+      version: versionOf(since + 1),
       clock: undefined,
     });
   }
@@ -52,15 +61,18 @@
 
 test('changes come from the relay, without a call to the store', async t => {
   const {store, feed, table} = makeTable();
-  feed.take({since: 5, version: 5, rows: []}, performance.now());
-  const waiting = table.waitForChanges(5, 1000);
   feed.take(
-    {since: 5, version: 7, rows: [row('a', 7, 'x')]},
+    {since: versionOf(5), version: versionOf(5), rows: []},
+    performance.now(),
+  );
+  const waiting = table.waitForChanges(versionOf(5), 1000);
+  feed.take(
+    {since: versionOf(5), version: versionOf(7), rows: [row('a', 7, 'x')]},
     performance.now(),
   );
   const reading = await waiting;
   t.deepEqual(keysOf(reading), ['a']);
-  t.like(reading, {version: 7, isRelayed: true});
+  t.like(reading, {version: versionOf(7), isRelayed: true});
   t.deepEqual(store.waits, []);
 });
 
@@ -69,16 +81,22 @@
   // its departure; without a poll of the store it would get requests for ever,
   // and with a long one over a silent connection for seconds.
   const {store, feed, table} = makeTable();
-  feed.take({since: 5, version: 5, rows: []}, performance.now());
-  const reading = await table.waitForChanges(5, 10_000);
+  feed.take(
+    {since: versionOf(5), version: versionOf(5), rows: []},
+    performance.now(),
+  );
+  const reading = await table.waitForChanges(versionOf(5), 10_000);
   t.deepEqual(keysOf(reading), ['from the store']);
   t.deepEqual(store.waits, [0]);
 });
 
 test('when the relay is lost, the store is polled at once', async t => {
   const {store, feed, table} = makeTable();
-  feed.take({since: 5, version: 5, rows: []}, performance.now());
-  const waiting = table.waitForChanges(5, 10_000);
+  feed.take(
+    {since: versionOf(5), version: versionOf(5), rows: []},
+    performance.now(),
+  );
+  const waiting = table.waitForChanges(versionOf(5), 10_000);
   feed.close();
   t.deepEqual(keysOf(await waiting), ['from the store']);
   t.deepEqual(store.waits, [0]);
@@ -88,27 +106,35 @@
   // A change came between the last poll and the start of the stream. The relay
   // sends only later changes; the gap must not be skipped.
   const {store, feed, table} = makeTable();
-  feed.take({since: 9, version: 9, rows: []}, performance.now());
-  t.deepEqual(keysOf(await table.waitForChanges(5, 1000)), ['from the store']);
+  feed.take(
+    {since: versionOf(9), version: versionOf(9), rows: []},
+    performance.now(),
+  );
+  t.deepEqual(keysOf(await table.waitForChanges(versionOf(5), 1000)), [
+    'from the store',
+  ]);
   t.deepEqual(store.waits, [0]);
 });
 
 test('a gap is detected when a relay has lost its own history', async t => {
   const {store, feed, table} = makeTable();
   feed.take(
-    {since: 5, version: 6, rows: [row('a', 6, 'x')]},
+    {since: versionOf(5), version: versionOf(6), rows: [row('a', 6, 'x')]},
+    performance.now(),
+  );
+  feed.take(
+    {since: versionOf(9), version: versionOf(9), rows: []},
     performance.now(),
   );
-  feed.take({since: 9, version: 9, rows: []}, performance.now());
-  await table.waitForChanges(6, 1000);
+  await table.waitForChanges(versionOf(6), 1000);
   t.deepEqual(store.waits, [0]);
 });
 
 test('a copy returns changes since a version, removed rows included', t => {
   const copy = new TableCopy();
-  copy.replace([row('a', 3, 'x'), row('b', 4, 'x')], 4);
-  copy.apply([row('a', 5), row('c', 6, 'x')], 6);
-  const changes = copy.changesSince(4);
+  copy.replace([row('a', 3, 'x'), row('b', 4, 'x')], versionOf(4));
+  copy.apply([row('a', 5), row('c', 6, 'x')], versionOf(6));
+  const changes = copy.changesSince(versionOf(4));
   t.deepEqual(
     changes.rows.map(({key, data}) => [key, data !== undefined]),
     [
@@ -116,32 +142,40 @@
       ['c', true],
     ],
   );
-  t.like(changes, {since: 4, version: 6});
+  t.like(changes, {since: versionOf(4), version: versionOf(6)});
 });
 
 test('a copy returns no changes from before its first read', t => {
   const copy = new TableCopy();
-  copy.replace([row('a', 3, 'x')], 4);
-  t.deepEqual(copy.changesSince(2), {since: 4, version: 4, rows: []});
-  t.deepEqual(copy.changesSince(7), {since: 4, version: 4, rows: []});
+  copy.replace([row('a', 3, 'x')], versionOf(4));
+  t.deepEqual(copy.changesSince(versionOf(2)), {
+    since: versionOf(4),
+    version: versionOf(4),
+    rows: [],
+  });
+  t.deepEqual(copy.changesSince(versionOf(7)), {
+    since: versionOf(4),
+    version: versionOf(4),
+    rows: [],
+  });
 });
 
 test('a copy drops old removals and raises the version it is complete since', t => {
   const copy = new TableCopy();
-  copy.replace([], 1);
+  copy.replace([], versionOf(1));
   for (let version = 2; version < 700; version += 1) {
-    copy.apply([row(`key-${version}`, version)], version);
+    copy.apply([row(`key-${version}`, version)], versionOf(version));
   }
-  t.is(copy.changesSince(2).since, 699);
-  t.is(copy.changesSince(650).rows.length, 49);
+  t.is(copy.changesSince(versionOf(2)).since, versionOf(699));
+  t.is(copy.changesSince(versionOf(650)).rows.length, 49);
 });
 
 test('an update that was delayed for long does not make the feed fresh', async t => {
   const {store, feed, table} = makeTable();
   feed.take(
-    {since: 5, version: 5, rows: []},
+    {since: versionOf(5), version: versionOf(5), rows: []},
     performance.now() - 2 * FRESH_FOR_MS,
   );
-  await table.waitForChanges(5, 10_000);
+  await table.waitForChanges(versionOf(5), 10_000);
   t.deepEqual(store.waits, [10_000]);
 });
--- a/packages/gateway/src/relay/relayed_table.ts
+++ b/packages/gateway/src/relay/relayed_table.ts
@@ -1,5 +1,6 @@
 /** A table that is followed through a relay while there is one. */
 
+import type {StoreVersion} from '@snipestage/types/store_version.js';
 import {FollowedTable, type TableReading} from '../table_follower.js';
 import type {RelayedFeed} from './relayed_feed.js';
 
@@ -24,7 +25,7 @@
   }
 
   async waitForChanges(
-    sinceVersion: number,
+    sinceVersion: StoreVersion,
     waitMs: number,
   ): Promise<TableReading> {
     const endsAtMs = this.nowMs() + waitMs;
@@ -43,7 +44,7 @@
     return this.store.waitForChanges(sinceVersion, wasFresh ? 0 : waitMs);
   }
 
-  private drainFeed(sinceVersion: number): TableReading {
+  private drainFeed(sinceVersion: StoreVersion): TableReading {
     const {rows, version} = this.feed.drain(sinceVersion);
     return {kind: 'rows', rows, version, clock: undefined, isRelayed: true};
   }
--- a/packages/gateway/src/relay/relays.test.ts
+++ b/packages/gateway/src/relay/relays.test.ts
@@ -1,3 +1,4 @@
+import {composeStoreVersion} from '@snipestage/types/store_version.js';
 import test, {type ExecutionContext} from 'ava';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {LoadView} from '@snipestage/routing/load_view.js';
@@ -32,7 +33,9 @@
     const ports = await pickFreePorts(count);
     for (const [index, port] of ports.entries()) {
       const relays = this.make(`akl-a-${index}`, `127.0.0.1:${port}`);
-      relays.copyOf('shared').replace([], 1);
+      relays
+        .copyOf('shared')
+        .replace([], composeStoreVersion({era: 0, number: 1}));
       relays.start();
       this.relays.push(relays);
     }
--- a/packages/gateway/src/relay/table_copy.ts
+++ b/packages/gateway/src/relay/table_copy.ts
@@ -1,12 +1,13 @@
 /** A relay's copy of a table, from which changes are published. */
 
+import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import type {FollowedRow} from '../table_follower.js';
 
 /** What changed in a table, and up to which version. */
 export interface TableChanges {
   /** The rows include all changes after this version. */
-  readonly since: number;
-  readonly version: number;
+  readonly since: StoreVersion;
+  readonly version: StoreVersion;
   readonly rows: readonly FollowedRow[];
 }
 
@@ -20,16 +21,16 @@
 export class TableCopy {
   private rows = new Map<string, FollowedRow>();
   private removed: FollowedRow[] = [];
-  private completeSince = 0;
-  private currentVersion: number | undefined;
+  private completeSince = ABSENT;
+  private currentVersion: StoreVersion | undefined;
 
   /** Undefined until the table was read. */
-  get version(): number | undefined {
+  get version(): StoreVersion | undefined {
     return this.currentVersion;
   }
 
   /** Replaces the whole table; earlier removals are not known. */
-  replace(rows: readonly FollowedRow[], version: number): void {
+  replace(rows: readonly FollowedRow[], version: StoreVersion): void {
     this.rows = new Map(rows.map(row => [row.key, row]));
     this.removed = [];
     this.completeSince = version;
@@ -37,7 +38,7 @@
   }
 
   /** Applies changes in their order, up to a version. */
-  apply(rows: readonly FollowedRow[], version: number): void {
+  apply(rows: readonly FollowedRow[], version: StoreVersion): void {
     for (const row of rows) this.applyOne(row);
     this.currentVersion = version;
     const forgotten = this.removed.splice(
@@ -54,8 +55,8 @@
    * @example
    * const {since, rows} = copy.changesSince(known);
    */
-  changesSince(known: number): TableChanges {
-    const version = this.currentVersion ?? 0;
+  changesSince(known: StoreVersion): TableChanges {
+    const version = this.currentVersion ?? ABSENT;
     if (known < this.completeSince || known > version) {
       return {since: version, version, rows: []};
     }
--- a/packages/gateway/src/shared_facts.test.ts
+++ b/packages/gateway/src/shared_facts.test.ts
@@ -1,3 +1,4 @@
+import {composeStoreVersion} from '@snipestage/types/store_version.js';
 import test from 'ava';
 import {
   brandAs,
@@ -76,7 +77,11 @@
 
 test('malformed and other rows are not decoded as facts', t => {
   const row = (key: string, text: string) =>
-    decodeFact({key, version: 1, data: Buffer.from(text)});
+    decodeFact({
+      key,
+      version: composeStoreVersion({era: 0, number: 1}),
+      data: Buffer.from(text),
+    });
   t.is(row('demand/repair', '[]'), undefined);
   t.is(row('crash/x', '{"id": 1}'), undefined);
   t.is(row('crash/x', 'no json'), undefined);
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -1,5 +1,6 @@
 /** Facts that instances publish in a table that all of them follow. */
 
+import {ABSENT} from '@snipestage/types/store_version.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import type {ReportedCrash} from '@snipestage/policy/crash_records.js';
@@ -102,7 +103,7 @@
   async publishEstimate(count: number): Promise<void> {
     const key = `shared/${INSTANCES}`;
     const result = await this.options.platform.transact({
-      checks: [{key, version: 0}],
+      checks: [{key, version: ABSENT}],
       writes: [{key, value: {count}}],
     });
     this.options.logger.info('instances_estimated', {
--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -1,3 +1,7 @@
+import {
+  composeStoreVersion,
+  type StoreVersion,
+} from '@snipestage/types/store_version.js';
 import test from 'ava';
 import {
   FollowedTable,
@@ -22,7 +26,7 @@
     return Promise.resolve(this.readings.shift()!);
   }
 
-  waitForChanges(since: number, waitMs: number): Promise<TableReading> {
+  waitForChanges(since: StoreVersion, waitMs: number): Promise<TableReading> {
     this.calls.push(`since ${since}`);
     this.waits.push(waitMs);
     return Promise.resolve(this.readings.shift()!);
@@ -30,8 +34,13 @@
 }
 
 function rows(version: number, ...keys: string[]): TableReading {
-  const list = keys.map(key => ({key, version, data: Buffer.from('')}));
-  return {kind: 'rows', rows: list, version, clock: undefined};
+  return rowsOf(0, version, ...keys);
+}
+
+function rowsOf(era: number, version: number, ...keys: string[]): TableReading {
+  const at = composeStoreVersion({era, number: version});
+  const list = keys.map(key => ({key, version: at, data: Buffer.from('')}));
+  return {kind: 'rows', rows: list, version: at, clock: undefined};
 }
 
 async function follow(
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -1,5 +1,13 @@
 /** Follows a table of the platform by long polls. */
 
+import {
+  ABSENT,
+  eraOf,
+  isOlderVersion,
+  latestVersion,
+  numberOf,
+  type StoreVersion,
+} from '@snipestage/types/store_version.js';
 import type {StoreClockReading} from '@snipestage/routing/agreed_clock.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import {StoreRecovery} from './store_recovery.js';
@@ -7,7 +15,7 @@
 /** A row that exists or was removed. */
 export interface FollowedRow {
   readonly key: string;
-  readonly version: number;
+  readonly version: StoreVersion;
   /** Undefined when the row was removed. */
   readonly data: Buffer | undefined;
 }
@@ -18,7 +26,7 @@
       readonly kind: 'rows';
       readonly rows: readonly FollowedRow[];
       /** Version of the store that the rows reflect. */
-      readonly version: number;
+      readonly version: StoreVersion;
       readonly clock: StoreClockReading | undefined;
       /** Received from a relay, not from the store itself. */
       readonly isRelayed?: boolean;
@@ -35,7 +43,7 @@
    * Resolves as soon as something has changed, at the latest after the wait.
    */
   abstract waitForChanges(
-    sinceVersion: number,
+    sinceVersion: StoreVersion,
     waitMs: number,
   ): Promise<TableReading>;
 }
@@ -100,8 +108,8 @@
 
 /** Owns the polling loop; never goes back to an older version. */
 export class TableFollower {
-  private version: number | undefined;
-  private minVersion = 0;
+  private version: StoreVersion | undefined;
+  private minVersion = ABSENT;
   private failures = 0;
   /** Pause after the latest read. */
   private pauseMs = 0;
@@ -123,7 +131,7 @@
    * Known version of the store; undefined before the first whole read, and
    * while one is needed because the history is gone.
    */
-  get knownVersion(): number | undefined {
+  get knownVersion(): StoreVersion | undefined {
     return this.version;
   }
 
@@ -171,7 +179,7 @@
       : waitMs;
   }
 
-  private take(reading: TableReading, since: number | undefined): number {
+  private take(reading: TableReading, since: StoreVersion | undefined): number {
     switch (reading.kind) {
       case 'unavailable':
         return this.fail(reading.reason);
@@ -189,16 +197,20 @@
   }
 
   /** Requests a whole read, which must not be older than the known version. */
-  private rereadWhole(since: number | undefined): number {
-    this.minVersion = Math.max(this.minVersion, since ?? 0);
+  private rereadWhole(since: StoreVersion | undefined): number {
+    this.minVersion = latestVersion(this.minVersion, since ?? ABSENT);
     this.version = undefined;
     return 0;
   }
 
-  private takeRows(reading: RowsReading, since: number | undefined): number {
+  private takeRows(
+    reading: RowsReading,
+    since: StoreVersion | undefined,
+  ): number {
     const {listener, table, logger} = this.options;
     if (since !== undefined) {
-      if (reading.version < since) return STALE_READ_PAUSE_MS;
+      if (isOlderVersion(reading.version, since))
+        return this.skipStale(reading);
       this.version = reading.version;
       if (reading.rows.length > 0) listener.changed(reading.rows);
       this.options.onReading?.(reading, false);
@@ -206,13 +218,8 @@
       const isGathered = reading.rows.length === 0 || reading.isRelayed;
       return isGathered ? 0 : this.options.pace().gatherMs;
     }
-    if (reading.version < this.minVersion) {
-      logger.warn('table_read_stale', {
-        table: table.name,
-        version: reading.version,
-        knownVersion: this.minVersion,
-      });
-      return STALE_READ_PAUSE_MS;
+    if (isOlderVersion(reading.version, this.minVersion)) {
+      return this.skipStale(reading);
     }
     this.version = reading.version;
     listener.replaced(reading.rows);
@@ -228,6 +235,18 @@
     return isFirst ? (initialDelayMs ?? gatherMs) : gatherMs;
   }
 
+  private skipStale({version}: RowsReading): number {
+    const known = latestVersion(this.minVersion, this.version ?? ABSENT);
+    this.options.logger.warn('table_read_stale', {
+      table: this.options.table.name,
+      era: eraOf(version),
+      version: numberOf(version),
+      knownEra: eraOf(known),
+      knownVersion: numberOf(known),
+    });
+    return STALE_READ_PAUSE_MS;
+  }
+
   private fail(reason: string): number {
     const {table, logger, listener} = this.options;
     if (this.failures === 0) {
--- a/packages/gateway/src/test_support/memory_platform.ts
+++ b/packages/gateway/src/test_support/memory_platform.ts
@@ -1,5 +1,11 @@
 /** An in-memory platform whose answers tests can lose. */
 
+import {
+  ABSENT,
+  composeStoreVersion,
+  numberOf,
+  type StoreVersion,
+} from '@snipestage/types/store_version.js';
 import {
   Platform,
   type ListResult,
@@ -16,6 +22,7 @@
 import type {
   ReadResult,
   Row,
+  RowCheck,
   TableTransaction,
   TransactionResult,
 } from '@snipestage/types/table.js';
@@ -23,7 +30,7 @@
 /** Content of the platform's tables at one moment. */
 export interface StoredCopy {
   readonly rows: ReadonlyMap<string, Row>;
-  readonly version: number;
+  readonly number: number;
 }
 
 export class MemoryPlatform extends Platform {
@@ -38,42 +45,58 @@
   readonly nextFaults: Array<'lose_answer' | 'away'> = [];
   /** Results of the next orders and reports, instead of acceptance. */
   readonly refusals: OrderResult[] = [];
-  private version = 0;
-
-  /** Goes back to what was stored at an earlier version. */
-  setBack({rows, version}: StoredCopy): void {
+  private era = 0;
+  /** Counter of the transactions in this era. */
+  private number = 0;
+
+  /** Goes back to what was stored earlier; a new era begins. */
+  setBack({rows, number}: StoredCopy): void {
+    this.era += 1;
+    this.number = number;
     this.rows.clear();
-    for (const [key, row] of rows) this.rows.set(key, row);
-    this.version = version;
+    for (const [key, row] of rows) {
+      const version = this.versionOf(numberOf(row.version));
+      this.rows.set(key, {...row, version});
+    }
   }
 
   copy(): StoredCopy {
-    return {rows: new Map(this.rows), version: this.version};
+    return {rows: new Map(this.rows), number: this.number};
+  }
+
+  private versionOf(number: number): StoreVersion {
+    return composeStoreVersion({era: this.era, number});
+  }
+
+  private find(key: string): Row {
+    return this.rows.get(key) ?? {key, version: this.versionOf(0), value: null};
   }
 
   readRows(keys: readonly string[]): Promise<ReadResult> {
-    return this.read(key => keys.includes(key));
+    return this.read(() => keys.map(key => this.find(key)));
   }
 
   scanRows(prefix: string): Promise<ReadResult> {
-    return this.read(key => key.startsWith(prefix));
+    return this.read(() =>
+      [...this.rows.values()].filter(({key}) => key.startsWith(prefix)),
+    );
   }
 
   transact({checks, writes}: TableTransaction): Promise<TransactionResult> {
     const fault = this.nextFaults.shift();
     const unknown = {kind: 'unknown', reason: 'lost'} as const;
     if (fault === 'away') return Promise.resolve(unknown);
-    const failed = checks.filter(
-      ({key, version}) => (this.rows.get(key)?.version ?? 0) !== version,
-    );
+    const failed = checks.filter(check => !this.holds(check));
     if (failed.length > 0) {
-      const rows = failed.flatMap(({key}) => this.rows.get(key) ?? []);
+      const rows = failed.map(({key}) => this.find(key));
       return Promise.resolve({kind: 'conflict', rows});
     }
-    this.version += 1;
-    const {version} = this;
-    for (const {key, value} of writes)
-      this.rows.set(key, {key, version, value});
+    this.number += 1;
+    const version = this.versionOf(this.number);
+    for (const {key, value} of writes) {
+      if (value === null) this.rows.delete(key);
+      else this.rows.set(key, {key, version, value});
+    }
     if (fault === 'lose_answer') return Promise.resolve(unknown);
     const versions = writes.map(({key}) => [key, version]);
     return Promise.resolve({
@@ -106,12 +129,17 @@
     return Promise.resolve({kind: 'listed', items: []});
   }
 
-  private read(matches: (key: string) => boolean): Promise<ReadResult> {
+  /** A row that must not exist may be absent in any era. */
+  private holds({key, version}: RowCheck): boolean {
+    const row = this.find(key);
+    return version === ABSENT ? row.value === null : row.version === version;
+  }
+
+  private read(find: () => readonly Row[]): Promise<ReadResult> {
     if (this.nextFaults.shift() !== undefined) {
       return Promise.resolve({kind: 'unavailable', reason: 'away'});
     }
-    const rows = [...this.rows.values()].filter(({key}) => matches(key));
-    return Promise.resolve({kind: 'rows', rows});
+    return Promise.resolve({kind: 'rows', rows: find()});
   }
 
   private callProvider(
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -2,6 +2,12 @@
  * A complete gateway on loopback whose tables and endpoints a test controls.
  */
 
+import {
+  ABSENT,
+  composeStoreVersion,
+  numberOf,
+  type StoreVersion,
+} from '@snipestage/types/store_version.js';
 import http from 'node:http';
 import {BoundedOutput} from '@snipestage/log/bounded_output.js';
 import type {EndpointChange} from '@snipestage/routing/endpoint_directory.js';
@@ -50,7 +56,7 @@
 
 /** A table to which a test adds rows; a poll waits for the next one. */
 class TestTable extends FollowedTable {
-  private version = 1;
+  private version = composeStoreVersion({era: 0, number: 1});
   private rows: FollowedRow[] = [];
   private wake: (() => void) | undefined;
 
@@ -68,23 +74,24 @@
   }
 
   private add(key: string, data: Buffer | undefined): void {
-    this.version += 1;
+    const number = numberOf(this.version) + 1;
+    this.version = composeStoreVersion({era: 0, number});
     this.rows.push({key, version: this.version, data});
     this.wake?.();
   }
 
   readAll(): Promise<TableReading> {
-    return Promise.resolve(this.reading(0));
+    return Promise.resolve(this.reading(ABSENT));
   }
 
-  async waitForChanges(since: number): Promise<TableReading> {
+  async waitForChanges(since: StoreVersion): Promise<TableReading> {
     if (since === this.version) {
       await new Promise<void>(resolve => (this.wake = resolve));
     }
     return this.reading(since);
   }
 
-  private reading(since: number): TableReading {
+  private reading(since: StoreVersion): TableReading {
     const rows = this.rows.filter(({version}) => version > since);
     return {kind: 'rows', rows, version: this.version, clock: undefined};
   }
--- a/packages/gateway/src/usage_reporter.test.ts
+++ b/packages/gateway/src/usage_reporter.test.ts
@@ -1,3 +1,4 @@
+import {ABSENT} from '@snipestage/types/store_version.js';
 import test from 'ava';
 import {AgreedClock} from '@snipestage/routing/agreed_clock.js';
 import type {WindowNumber} from '@snipestage/routing/usage_windows.js';
@@ -32,7 +33,7 @@
     token: fencingToken,
     guard: () => ({mayStillSend: () => true, signal}),
   } as unknown as DutyTerm;
-  const version = platform.rows.get('fences/duties')?.version ?? 0;
+  const version = platform.rows.get('fences/duties')?.version ?? ABSENT;
   return new UsageReporter({
     platform,
     lease: {
--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -1,5 +1,6 @@
 /** Reports the usage of each window with a single, fixed figure. */
 
+import {ABSENT} from '@snipestage/types/store_version.js';
 import {fenceKey} from '@snipestage/agreement/lease_rows.js';
 import {findRow} from '@snipestage/agreement/table_effects.js';
 import type {Logger} from '@snipestage/log/logger.js';
@@ -218,7 +219,7 @@
     const key = sealKey(window);
     const fence = {key: fenceKey(leaseName), version: held.fenceVersion};
     const outcome = await platform.transact({
-      checks: [{key, version: 0}, fence],
+      checks: [{key, version: ABSENT}, fence],
       writes: [{key, value: toCountsValue(total, true)}],
     });
     logger.info('usage_sealed', {
--- a/packages/routing/src/relay_roster.test.ts
+++ b/packages/routing/src/relay_roster.test.ts
@@ -1,3 +1,4 @@
+import {composeStoreVersion} from '@snipestage/types/store_version.js';
 import test from 'ava';
 import {
   brandAs,
@@ -23,7 +24,7 @@
     dataCentre: HERE,
     number,
     holder: {instance, address: `${holder}:1`},
-    version,
+    version: composeStoreVersion({era: 0, number: version}),
   };
 }
 
@@ -86,7 +87,7 @@
   roster.noteFailed(brandAs<InstanceId>('first'), 6000);
   roster.noteFailed(brandAs<InstanceId>('second'), 6000);
   roster.slotToClaim(6000);
-  t.is(roster.slotToClaim(9001)?.version, 4);
+  t.is(Number(roster.slotToClaim(9001)?.version), 4);
 });
 
 test('an older row does not give a slot back', t => {
--- a/packages/routing/src/relay_roster.ts
+++ b/packages/routing/src/relay_roster.ts
@@ -1,5 +1,6 @@
 /** Tracks which instances relay changes of the platform's store to others. */
 
+import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import {hashText} from '@snipestage/policy/rendezvous.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 
@@ -9,7 +10,7 @@
   readonly number: number;
   readonly holder: RelayHolder | undefined;
   /** The store's version of the row; 0 while there is none. */
-  readonly version: number;
+  readonly version: StoreVersion;
 }
 
 /** A relay, and the address at which others reach it: `<IP address>:<port>`. */
@@ -66,7 +67,7 @@
     this.minFollowers = options.minFollowers ?? DEFAULT_MIN_FOLLOWERS;
     const count = options.slots ?? DEFAULT_SLOT_COUNT;
     for (let number = 0; number < count; number += 1) {
-      this.slots.set(number, this.vacant(number, 0));
+      this.slots.set(number, this.vacant(number, ABSENT));
     }
   }
 
@@ -166,7 +167,7 @@
     return nowMs - atMs < forMs;
   }
 
-  private vacant(number: number, version: number): RelaySlot {
+  private vacant(number: number, version: StoreVersion): RelaySlot {
     const {dataCentre} = this.options;
     return {dataCentre, number, holder: undefined, version};
   }
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -301,7 +301,7 @@
       },
       {
         module: 'gateway/dist/usage_reporter.js',
-        from: 'checks: [{ key, version: 0 }, fence],',
+        from: 'checks: [{ key, version: ABSENT }, fence],',
         to: 'checks: [],',
       },
       {
--- a/packages/stand_ins/src/platform/table.ts
+++ b/packages/stand_ins/src/platform/table.ts
@@ -1,18 +1,23 @@
 /** The transactional table of the platform stand-in, in memory. */
 
+import {
+  ABSENT,
+  composeStoreVersion,
+  type StoreVersion,
+} from '@snipestage/types/store_version.js';
 import type {Row, TableTransaction} from '@snipestage/types/table.js';
 
 /** How a transaction ended. */
 export type TableOutcome =
   | {
       readonly kind: 'committed';
-      readonly versions: Readonly<Record<string, number>>;
+      readonly versions: Readonly<Record<string, StoreVersion>>;
     }
   | {readonly kind: 'conflict'; readonly rows: readonly Row[]};
 
 interface StoredRow {
   /** Keeps increasing when the row is deleted and written again. */
-  version: number;
+  version: StoreVersion;
   value: unknown;
 }
 
@@ -48,7 +53,7 @@
    *
    * @example
    * table.transact({
-   *   checks: [{key: 'lease/orders', version: 0}],
+   *   checks: [{key: 'lease/orders', version: ABSENT}],
    *   writes: [{key: 'lease/orders', value: {holder: 'akl-a-1'}}],
    * });
    */
@@ -57,9 +62,10 @@
       .filter(check => this.rowOf(check.key).version !== check.version)
       .map(check => this.rowOf(check.key));
     if (failed.length > 0) return {kind: 'conflict', rows: failed};
-    const versions: Record<string, number> = {};
+    const versions: Record<string, StoreVersion> = {};
     for (const {key, value} of transaction.writes) {
-      const version = (this.storedRows.get(key)?.version ?? 0) + 1;
+      const number = (this.storedRows.get(key)?.version ?? 0) + 1;
+      const version = composeStoreVersion({era: 0, number});
       this.storedRows.set(key, {version, value});
       versions[key] = version;
     }
@@ -69,7 +75,7 @@
   private rowOf(key: string): Row {
     const row = this.storedRows.get(key);
     if (row === undefined || row.value === null) {
-      return {key, version: 0, value: null};
+      return {key, version: ABSENT, value: null};
     }
     return {key, version: row.version, value: row.value};
   }
--- a/packages/types/src/table.ts
+++ b/packages/types/src/table.ts
@@ -3,17 +3,19 @@
  * with versions, and transactions that combine checks and writes.
  */
 
+import type {StoreVersion} from './store_version.js';
+
 /** A row; its version starts at 1 and increases with each write. */
 export interface Row {
   readonly key: string;
-  readonly version: number;
+  readonly version: StoreVersion;
   readonly value: unknown;
 }
 
 /** Requires that the row has this version; 0 requires that it is absent. */
 export interface RowCheck {
   readonly key: string;
-  readonly version: number;
+  readonly version: StoreVersion;
 }
 
 /** Sets the value of a row; `null` deletes the row. */
@@ -38,7 +40,7 @@
   | {
       readonly kind: 'committed';
       /** The new version of each row that was written. */
-      readonly versions: Readonly<Record<string, number>>;
+      readonly versions: Readonly<Record<string, StoreVersion>>;
     }
   | {
       readonly kind: 'conflict';
