Keep what endpoints and operators said before the store was set back

Requests reached endpoints that had said that they leave, or had gone, since the copy listed them as ready; a data centre that was evacuated after the copy was made would have got requests until the operator's row was back.

Cause: a whole read replaced everything, whatever era it came from.

Change: a whole read says whether the store was set back. That an endpoint is leaving holds for its incarnation, also by its row. A row that names an incarnation that is gone, or precedes the known one, counts only once it is written again, as an endpoint that is alive does with each heartbeat. Missing rows are kept as after an outage. Evacuations in force stay, those of the copy are added, and five seconds later the tables are read whole once more and taken as they are. The configuration in force was never replaced by an older one.

--- a/packages/gateway/src/operator_rows.ts
+++ b/packages/gateway/src/operator_rows.ts
@@ -6,7 +6,7 @@
 import type {DataCentreId} from '@snipestage/types/ids.js';
 import type {RoutingState} from './routing_state.js';
 import type {RowDecoder} from './row_decoder.js';
-import type {FollowedRow} from './table_follower.js';
+import type {FollowedRow, WholeRead} from './table_follower.js';
 
 /** Options of {@link OperatorRows}. */
 export interface OperatorRowsOptions {
@@ -22,9 +22,13 @@
 export class OperatorRows {
   constructor(private readonly options: OperatorRowsOptions) {}
 
-  /** Applies the whole table; data centres without a row are not evacuated. */
-  replace(rows: readonly FollowedRow[]): void {
-    this.apply(rows, new Set());
+  /**
+   * Applies the whole table; data centres without a row are not evacuated. After
+   * the store was set back, a row may be missing until it is written again.
+   */
+  replace(rows: readonly FollowedRow[], {isSetBack}: WholeRead): void {
+    const {directory} = this.options.state;
+    this.apply(rows, new Set(isSetBack ? directory.listEvacuated() : []));
   }
 
   /** Applies changed rows. */
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -7,6 +7,7 @@
 import type {DataCentreId} from '@snipestage/types/ids.js';
 import type {CrashReporter} from './crash_reporter.js';
 import {OperatorRows} from './operator_rows.js';
+import {OutdatedRows, type ListedEndpoint} from './outdated_rows.js';
 import type {RoutingState} from './routing_state.js';
 import type {RowDecoder} from './row_decoder.js';
 import type {RelayedTableName} from './relay/relay_messages.js';
@@ -20,6 +21,7 @@
   type FollowedTable,
   type RowsReading,
   type TableListener,
+  type WholeRead,
 } from './table_follower.js';
 
 /** The tables that an instance follows. */
@@ -78,6 +80,7 @@
 export class StateFollower {
   private readonly followers: TableFollower[] = [];
   private readonly operatorRows: OperatorRows;
+  private readonly outdated = new OutdatedRows();
   private hasEndpoints = false;
 
   constructor(private readonly options: StateFollowerOptions) {
@@ -102,12 +105,12 @@
     const {knownWithinMs} = this.options;
     const waitMs = knownWithinMs * FOLLOW_WAIT_SHARE;
     this.follow('configuration', waitMs, {
-      replaced: rows => this.operatorRows.replace(rows),
+      replaced: (rows, read) => this.operatorRows.replace(rows, read),
       changed: rows => this.operatorRows.change(rows),
       disturbed: () => undefined,
     });
     this.follow('endpoints', waitMs, {
-      replaced: rows => this.replaceEndpoints(rows),
+      replaced: (rows, read) => this.replaceEndpoints(rows, read),
       changed: rows => this.changeEndpoints(rows),
       disturbed: () =>
         this.options.state.directory.noteDisturbance(this.options.nowMs()),
@@ -163,11 +166,19 @@
     if (isRelayed !== true) relays.confirm(name);
   }
 
-  private replaceEndpoints(rows: readonly FollowedRow[]): void {
-    const endpoints = rows.flatMap(row => {
+  private replaceEndpoints(
+    rows: readonly FollowedRow[],
+    {isSetBack}: WholeRead,
+  ): void {
+    const listed = rows.flatMap(row => {
       const change = this.options.decoder.decodeEndpoint(row);
-      return change.kind === 'listed' ? [change.endpoint] : [];
+      const {version} = row;
+      return change.kind === 'listed'
+        ? [{endpoint: change.endpoint, version}]
+        : [];
     });
+    if (isSetBack) this.handleSetBack(listed);
+    const endpoints = this.outdated.dropFrom(listed);
     this.options.state.directory.replace(endpoints, this.options.nowMs());
     this.options.state.evictStale(this.options.nowMs());
     this.noteWarmups(endpoints);
@@ -175,6 +186,20 @@
     this.options.logger.info('endpoints_read', {count: endpoints.length});
   }
 
+  /** Rows that are missing or outdated may be written again within seconds. */
+  private handleSetBack(listed: readonly ListedEndpoint[]): void {
+    const {directory} = this.options.state;
+    directory.noteDisturbance(this.options.nowMs());
+    const outdated = listed.filter(({endpoint}) =>
+      directory.isOutdated(endpoint),
+    );
+    this.outdated.replace(outdated);
+    this.options.logger.warn('endpoints_set_back', {
+      count: listed.length,
+      outdated: outdated.length,
+    });
+  }
+
   private changeEndpoints(rows: readonly FollowedRow[]): void {
     const changes = rows.map(row => this.options.decoder.decodeEndpoint(row));
     const {logger} = this.options;
--- a/packages/gateway/src/store_set_back.test.ts
+++ b/packages/gateway/src/store_set_back.test.ts
@@ -2,6 +2,7 @@
 import {TableExecutor} from '@snipestage/entry/configure/table_executor.js';
 import {
   brandAs,
+  type DataCentreId,
   type Incarnation,
   type InstanceId,
   type LeaseName,
@@ -9,6 +10,7 @@
 import test from 'ava';
 import {CapturedLog} from './test_support/captured_log.js';
 import {MemoryPlatform} from './test_support/memory_platform.js';
+import {startGateway, waitUntil} from './test_support/test_gateway.js';
 
 const TERM_MS = 300;
 const MARGIN_MS = 40;
@@ -79,3 +81,19 @@
     await new Promise(done => setTimeout(done, 1));
   }
 });
+
+test('an evacuation stays in force when the copy lacks it', async t => {
+  // Guards against requests to a data centre that was evacuated after the copy
+  // was made, until the operator has written the evacuation again.
+  const {gateway, configuration, lines} = await startGateway({graceMs: 1});
+  t.teardown(() => gateway.stop());
+  configuration.put('1');
+  configuration.put('evacuate/akl-a');
+  await waitUntil(() => gateway.evacuated.length === 1);
+  configuration.setBack(['1']);
+  await waitUntil(() => lines.some(line => line.includes('"isSetBack":true')));
+  t.deepEqual(gateway.evacuated, [brandAs<DataCentreId>('akl-a')]);
+  configuration.remove('evacuate/akl-a');
+  await waitUntil(() => gateway.evacuated.length === 0);
+  t.is(gateway.configurationVersion, 1);
+});
--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -59,7 +59,10 @@
     logger: output.logger,
     random: () => 1,
     listener: {
-      replaced: list => notifications.push(`replaced ${keysOf(list)}`),
+      replaced: (list, {isSetBack}) =>
+        notifications.push(
+          `${isSetBack ? 'set back' : 'replaced'} ${keysOf(list)}`,
+        ),
       changed: list => notifications.push(`changed ${keysOf(list)}`),
       disturbed: () => notifications.push('disturbed'),
     },
@@ -168,3 +171,16 @@
   t.deepEqual(pauses, [1600, 700, 0, 0]);
   t.deepEqual(table.waits, [700, 1600, 2300]);
 });
+
+test('a store that was set back is read whole although its versions are lower', async t => {
+  // Guards against followers that wait until the versions of a new era have
+  // passed those of the former one.
+  const {notifications} = await follow([
+    rows(502, 'a'),
+    {kind: 'history_gone'},
+    rowsOf(1, 480, 'b'),
+    rowsOf(1, 481, 'c'),
+    rowsOf(0, 600, 'of the former era'),
+  ]);
+  t.deepEqual(notifications, ['replaced a', 'set back b', 'changed c']);
+});
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -48,10 +48,19 @@
   ): Promise<TableReading>;
 }
 
+/** How a whole read came about. */
+export interface WholeRead {
+  /**
+   * The store was set back since the last read: the rows are from an older copy,
+   * and what operators and endpoints wrote since may be missing for a while.
+   */
+  readonly isSetBack: boolean;
+}
+
 /** Receives changes of a table. */
 export interface TableListener {
   /** Receives all rows of the table. */
-  replaced(rows: readonly FollowedRow[]): void;
+  replaced(rows: readonly FollowedRow[], read: WholeRead): void;
   changed(rows: readonly FollowedRow[]): void;
   /** The store did not answer, or only with a failure. */
   disturbed(): void;
@@ -103,6 +112,11 @@
 const DEFAULT_MAX_BACKOFF_MS = 800;
 /** Wait of a poll after a failure, until a call succeeds. */
 const PROBE_WAIT_MS = 100;
+/**
+ * Time within which operators and endpoints write their rows again after the
+ * store was set back.
+ */
+const REWRITTEN_WITHIN_MS = 5000;
 /** Pause after a reading that is older than the known version. */
 const STALE_READ_PAUSE_MS = 250;
 
@@ -110,6 +124,9 @@
 export class TableFollower {
   private version: StoreVersion | undefined;
   private minVersion = ABSENT;
+  /** Era of the last whole read. */
+  private era = 0;
+  private isRereadDue = false;
   private failures = 0;
   /** Pause after the latest read. */
   private pauseMs = 0;
@@ -162,6 +179,7 @@
     // After a failure the poll is short: a long poll sent while the network is
     // cut off would hang for its whole wait after the connection is back.
     const waitMs = this.isDisturbed ? PROBE_WAIT_MS : this.waitMs();
+    if (this.isRereadDue) this.rereadWhole(this.version);
     const since = this.version;
     const reading =
       since === undefined
@@ -200,6 +218,7 @@
   private rereadWhole(since: StoreVersion | undefined): number {
     this.minVersion = latestVersion(this.minVersion, since ?? ABSENT);
     this.version = undefined;
+    this.isRereadDue = false;
     return 0;
   }
 
@@ -221,13 +240,17 @@
     if (isOlderVersion(reading.version, this.minVersion)) {
       return this.skipStale(reading);
     }
+    const isSetBack = this.hasReadWhole && eraOf(reading.version) > this.era;
+    if (isSetBack) this.scheduleReread();
+    this.era = eraOf(reading.version);
     this.version = reading.version;
-    listener.replaced(reading.rows);
+    listener.replaced(reading.rows, {isSetBack});
     this.options.onReading?.(reading, true);
     logger.info('table_read', {
       table: table.name,
       version: reading.version,
       rows: reading.rows.length,
+      isSetBack,
     });
     const {gatherMs, initialDelayMs} = this.options.pace();
     const isFirst = !this.hasReadWhole;
@@ -235,6 +258,11 @@
     return isFirst ? (initialDelayMs ?? gatherMs) : gatherMs;
   }
 
+  /** Reads the table whole again once what was lost has been written again. */
+  private scheduleReread(): void {
+    setTimeout(() => (this.isRereadDue = true), REWRITTEN_WITHIN_MS).unref();
+  }
+
   private skipStale({version}: RowsReading): number {
     const known = latestVersion(this.minVersion, this.version ?? ABSENT);
     this.options.logger.warn('table_read_stale', {
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -5,6 +5,7 @@
 import {
   ABSENT,
   composeStoreVersion,
+  eraOf,
   numberOf,
   type StoreVersion,
 } from '@snipestage/types/store_version.js';
@@ -68,14 +69,24 @@
     this.add(key, Buffer.from(key));
   }
 
+  /** Goes back to rows of an older copy; a new era begins. */
+  setBack(keys: readonly string[]): void {
+    const era = eraOf(this.version) + 1;
+    this.version = composeStoreVersion({era, number: 1});
+    const {version} = this;
+    this.rows = keys.map(key => ({key, version, data: Buffer.from(key)}));
+    this.wake?.();
+  }
+
   remove(key: string): void {
     this.rows = this.rows.filter(row => row.key !== key);
     this.add(key, undefined);
   }
 
   private add(key: string, data: Buffer | undefined): void {
+    const era = eraOf(this.version);
     const number = numberOf(this.version) + 1;
-    this.version = composeStoreVersion({era: 0, number});
+    this.version = composeStoreVersion({era, number});
     this.rows.push({key, version: this.version, data});
     this.wake?.();
   }
@@ -88,6 +99,7 @@
     if (since === this.version) {
       await new Promise<void>(resolve => (this.wake = resolve));
     }
+    if (eraOf(since) < eraOf(this.version)) return {kind: 'history_gone'};
     return this.reading(since);
   }
 
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -223,6 +223,17 @@
     return !endpoint.isLeaving && !this.announcements.isLeaving(endpoint);
   }
 
+  /**
+   * Whether a row describes an endpoint as it was before: one that has been
+   * removed since, or an earlier start of it.
+   *
+   * @example
+   * const outdated = listed.filter(each => directory.isOutdated(each));
+   */
+  isOutdated(endpoint: ServingEndpoint): boolean {
+    return this.incarnations.isOutdated(endpoint);
+  }
+
   /** All listed endpoints, including those that are leaving. */
   readAll(): readonly ServingEndpoint[] {
     return [...this.endpoints.values()];
@@ -265,6 +276,8 @@
   private list(endpoint: ServingEndpoint): void {
     const {id} = endpoint;
     this.missing.delete(id);
+    // Holds for this incarnation, even if an older list is read afterwards.
+    if (endpoint.isLeaving) this.announcements.noteLeaving(endpoint);
     const isLeaving =
       endpoint.isLeaving || this.announcements.isLeaving(endpoint);
     this.endpoints.set(id, {...endpoint, isLeaving});
--- a/packages/routing/src/endpoint_incarnations.test.ts
+++ b/packages/routing/src/endpoint_incarnations.test.ts
@@ -34,3 +34,18 @@
   incarnations.update([], 1_300_001);
   t.false(incarnations.ids.has(ONE.id));
 });
+
+test('a row of an incarnation that is gone, or was followed by another, is outdated', t => {
+  // Guards against requests to endpoints that an older copy of the store lists.
+  const incarnations = new EndpointIncarnations();
+  t.false(incarnations.isOutdated(ONE));
+  incarnations.update([ONE], 0);
+  t.false(incarnations.isOutdated(ONE));
+  t.false(incarnations.isOutdated(AGAIN));
+  incarnations.update([AGAIN], 1);
+  t.true(incarnations.isOutdated(ONE));
+  t.false(incarnations.isOutdated(AGAIN));
+  incarnations.update([], 2);
+  t.true(incarnations.isOutdated(AGAIN));
+  t.true(incarnations.isOutdated(UNKNOWN));
+});
--- a/packages/routing/src/endpoint_incarnations.ts
+++ b/packages/routing/src/endpoint_incarnations.ts
@@ -58,6 +58,22 @@
     return new Set(this.known.keys());
   }
 
+  /**
+   * Whether an incarnation is known to be gone, or precedes the known one.
+   *
+   * @example
+   * if (incarnations.isOutdated(listed)) return;
+   */
+  isOutdated({id, bornEpochMs}: EndpointIncarnation): boolean {
+    const known = this.known.get(id);
+    if (known === undefined) return false;
+    const {incarnation, unlistedAtMs} = known;
+    if (isOtherIncarnation(incarnation, {bornEpochMs})) {
+      return Number(bornEpochMs) < Number(incarnation.bornEpochMs);
+    }
+    return unlistedAtMs !== undefined;
+  }
+
   private hasRestarted(incarnation: EndpointIncarnation): boolean {
     const before = this.known.get(incarnation.id)?.incarnation;
     return before !== undefined && isOtherIncarnation(before, incarnation);
