Give each era of the store fencing tokens and terms of its own

After the store was set back, the row of a lease could say that it is free, or held under an old token, while its last holder was still in its term: two instances held it, and the next token was one that had been given out before.

Cause: the next token was the one of the row plus one, and a row that was released, absent or one's own was taken for a free lease at once.

Change: tokens of an era start above all of the eras before it. A term ends with its era, and a write of a former era that lands in this one starts none. Nobody takes a lease until a term and a margin have passed since it first saw the era, by when no former term is in force. A store that counts no eras, or has never been set back, changes nothing: its era is 0.

The model writes conditions of an older era by their numbers, as the store does.

--- a/packages/agreement/src/lease.test.ts
+++ b/packages/agreement/src/lease.test.ts
@@ -166,3 +166,32 @@
   t.log(violation, 'after', trace.length, 'actions');
   t.is(violation, 'two instances act as the holder');
 });
+
+const SET_BACK = {
+  orders: false,
+  lastToken: 1,
+  losses: 0,
+  driftMs: 0,
+  setBacks: 1,
+} as const;
+
+test('a store that is set back gives a lease no second holder', t => {
+  // Guards against a holder that is in its term while the copy says that the
+  // lease is free, or held by another.
+  const {states, violation, trace} = explore(createLeaseModel(SET_BACK), LIMIT);
+  t.log(states, 'states');
+  t.is(violation, undefined, JSON.stringify(trace));
+});
+
+/** Takes a lease as if the era of the store had been known for long. */
+function trustNewEra({state, effects}: LeaseStep): LeaseStep {
+  const era = state.era && {...state.era, sinceMs: Number.NEGATIVE_INFINITY};
+  return {state: {...state, era}, effects};
+}
+
+test('the model catches a lease that is taken at once in a new era', t => {
+  const mutant = createLeaseModel({...SET_BACK, mutateLease: trustNewEra});
+  const {violation, trace} = explore(mutant, LIMIT);
+  t.log(violation, 'after', trace.length, 'actions');
+  t.is(violation, 'two instances act as the holder');
+});
--- a/packages/agreement/src/lease.ts
+++ b/packages/agreement/src/lease.ts
@@ -60,6 +60,8 @@
   readonly pending: PendingLeaseCall | undefined;
   /** The row as last read or written, and since when its version is known. */
   readonly seen: {readonly row: Row; readonly sinceMs: number} | undefined;
+  /** The store's era, and since when it is known; see {@link isSettled}. */
+  readonly era: {readonly number: number; readonly sinceMs: number} | undefined;
   readonly polledAtMs: number | undefined;
   readonly held: HeldLease | undefined;
   /** Releases the lease and does not take it again. */
@@ -107,6 +109,7 @@
     call: 0,
     pending: undefined,
     seen: undefined,
+    era: undefined,
     polledAtMs: undefined,
     held: undefined,
     retiring: false,
@@ -212,19 +215,28 @@
 }
 
 function isFree(
-  {options}: LeaseState,
+  state: LeaseState,
   seen: NonNullable<LeaseState['seen']>,
   nowMs: number,
 ): boolean {
+  const {options} = state;
   const value = seen.row.value as LeaseValue | null;
   // A former term of this instance is over, as none is held: no need to wait.
   const own = value?.incarnation === options.incarnation;
-  return (
-    value === null ||
-    value.released ||
-    own ||
-    nowMs - seen.sinceMs >= options.termMs + options.marginMs
-  );
+  const hasLapsed = nowMs - seen.sinceMs >= options.termMs + options.marginMs;
+  const isVacant = value === null || value.released || own || hasLapsed;
+  return isVacant && isSettled(state, nowMs);
+}
+
+/**
+ * Whether no term of a former era can be in force. After the store was set back,
+ * the row tells nothing of the last holder; its term has ended once a term and a
+ * margin have passed since the new era was first seen. An instance that has just
+ * started can't tell whether the era is new.
+ */
+function isSettled({options, era}: LeaseState, nowMs: number): boolean {
+  if (era === undefined || era.number === 0) return true;
+  return nowMs - era.sinceMs >= options.termMs + options.marginMs;
 }
 
 function poll(state: LeaseState, nowMs: number): LeaseStep {
--- a/packages/agreement/src/lease_answers.ts
+++ b/packages/agreement/src/lease_answers.ts
@@ -3,7 +3,7 @@
  * of this instance started or renewed a term.
  */
 
-import type {StoreVersion} from '@snipestage/types/store_version.js';
+import {eraOf, type StoreVersion} from '@snipestage/types/store_version.js';
 import type {
   ReadResult,
   Row,
@@ -18,6 +18,7 @@
 import {
   fenceKey,
   leaseKey,
+  isTokenOfEra,
   matchingFenceVersion,
   type LeaseValue,
 } from './lease_rows.js';
@@ -68,7 +69,11 @@
     const fence = findRow(result.rows, fenceKey(name));
     return settleWrite(state, row, matchingFenceVersion(fence, row), nowMs);
   }
-  return {state: noteRow(state, row, nowMs), effects: []};
+  const noted = noteRow(state, row, nowMs);
+  const {held} = noted;
+  const isHeldInEra =
+    held === undefined || isTokenOfEra(held.fencingToken, row.version);
+  return isHeldInEra ? {state: noted, effects: []} : endHeldTerm(noted);
 }
 
 /** Applies the row known after a write; a term counts from before its sending. */
@@ -87,6 +92,10 @@
   if (value === null || value.incarnation !== pending.wanted.incarnation) {
     return endHeldTerm(noted);
   }
+  // A write of a former era may land in this one, under a token of the former.
+  if (!isTokenOfEra(pending.wanted.fencingToken, row.version)) {
+    return endHeldTerm(noted);
+  }
   const tookEffect = value.renewals === pending.wanted.renewals;
   if (!tookEffect || value.released) {
     return {state: noted, effects: []};
@@ -122,5 +131,8 @@
 function noteRow(state: LeaseState, row: Row, nowMs: number): LeaseState {
   const unchanged = state.seen?.row.version === row.version;
   const seen = unchanged ? state.seen : {row, sinceMs: nowMs};
-  return {...state, seen, pending: undefined};
+  const number = eraOf(row.version);
+  const era =
+    state.era?.number === number ? state.era : {number, sinceMs: nowMs};
+  return {...state, seen, era, pending: undefined};
 }
--- a/packages/agreement/src/lease_rows.ts
+++ b/packages/agreement/src/lease_rows.ts
@@ -3,12 +3,13 @@
  * `fences/<name>`, which changes only when the lease changes hands.
  */
 
-import type {StoreVersion} from '@snipestage/types/store_version.js';
-import type {
-  FencingToken,
-  Incarnation,
-  InstanceId,
-  LeaseName,
+import {eraOf, type StoreVersion} from '@snipestage/types/store_version.js';
+import {
+  brandAs,
+  type FencingToken,
+  type Incarnation,
+  type InstanceId,
+  type LeaseName,
 } from '@snipestage/types/ids.js';
 import type {Row, TableTransaction} from '@snipestage/types/table.js';
 
@@ -23,6 +24,32 @@
   readonly released: boolean;
 }
 
+/** Tokens of one era of the store. */
+export const TOKENS_PER_ERA = 1_000_000;
+
+/**
+ * The token after a former one. The row may have been lost with tokens that were
+ * given out since, so that each era of the store has tokens of its own.
+ *
+ * @example
+ * const fencingToken = nextToken(value?.fencingToken, row.version);
+ */
+export function nextToken(
+  former: FencingToken | undefined,
+  rowVersion: StoreVersion,
+): FencingToken {
+  const beforeFirst = eraOf(rowVersion) * TOKENS_PER_ERA;
+  return brandAs<FencingToken>(Math.max(former ?? 0, beforeFirst) + 1);
+}
+
+/** Whether a token was given out in the era of a row as it was read. */
+export function isTokenOfEra(
+  token: FencingToken,
+  rowVersion: StoreVersion,
+): boolean {
+  return Math.floor((token - 1) / TOKENS_PER_ERA) === eraOf(rowVersion);
+}
+
 /** Value of a fence row, which changes only when the lease changes hands. */
 export interface FenceValue {
   readonly fencingToken: FencingToken;
--- a/packages/agreement/src/lease_writes.ts
+++ b/packages/agreement/src/lease_writes.ts
@@ -1,9 +1,8 @@
 /** The writes of a lease row: taking, renewing and releasing it. */
 
-import {brandAs, type FencingToken} from '@snipestage/types/ids.js';
 import type {Row} from '@snipestage/types/table.js';
 import type {LeaseState, LeaseStep} from './lease.js';
-import {composeLeaseWrite, type LeaseValue} from './lease_rows.js';
+import {composeLeaseWrite, nextToken, type LeaseValue} from './lease_rows.js';
 
 /** Ends the term that this instance holds, if any, without a write. */
 export function endHeldTerm(state: LeaseState): LeaseStep {
@@ -23,12 +22,12 @@
   row: Row,
   nowMs: number,
 ): LeaseStep {
-  const former = (row.value as LeaseValue | null)?.fencingToken ?? 0;
+  const former = (row.value as LeaseValue | null)?.fencingToken;
   const {instance: holder, incarnation} = state.options;
   const wanted = {
     holder,
     incarnation,
-    fencingToken: brandAs<FencingToken>(former + 1),
+    fencingToken: nextToken(former, row.version),
     released: false,
   };
   return write(state, row, {wanted, takes: true, nowMs});
--- a/packages/agreement/src/models/lease_model.ts
+++ b/packages/agreement/src/models/lease_model.ts
@@ -7,7 +7,7 @@
  */
 
 import {leaseInForce} from '../lease.js';
-import {leaseKey, type LeaseValue} from '../lease_rows.js';
+import {leaseKey, TOKENS_PER_ERA, type LeaseValue} from '../lease_rows.js';
 import type {Model} from './explore.js';
 import {serializeLeaseWorld} from './lease_model_key.js';
 import {
@@ -24,7 +24,7 @@
   type LeaseWorld,
   type Process,
 } from './lease_world.js';
-import {EMPTY_TABLE} from './table_model.js';
+import {EMPTY_TABLE, setBackTo} from './table_model.js';
 import {
   deliver,
   deliverLate,
@@ -53,6 +53,8 @@
       carriedOut: [],
       tokens: [],
       driftLeftMs: options.driftMs ?? 1,
+      setBacksLeft: options.setBacks ?? 0,
+      copy: undefined,
     },
     listActions: state =>
       listLeaseActions(state, lastToken, options.retire ?? false),
@@ -69,7 +71,7 @@
 ): readonly LeaseAction[] {
   const actions: LeaseAction[] = [];
   const lease = state.world.table[LEASE_KEY]?.value as LeaseValue | undefined;
-  if ((lease?.fencingToken ?? 0) > lastToken) {
+  if ((lease?.fencingToken ?? 0) % TOKENS_PER_ERA > lastToken) {
     return [];
   }
   actions.push({type: 'time_passes'});
@@ -77,6 +79,9 @@
     actions.push({type: 'time_passes', fasterBy: 0});
     actions.push({type: 'time_passes', fasterBy: 1});
   }
+  if (state.setBacksLeft > 0) {
+    actions.push({type: state.copy === undefined ? 'copy' : 'set_back'});
+  }
   actions.push(...listLate(state.world));
   state.sent.forEach((_, index) => {
     actions.push({type: 'arrive', index, answered: true});
@@ -125,6 +130,10 @@
   switch (action.type) {
     case 'time_passes':
       return passTime(state, action.fasterBy);
+    case 'copy':
+      return {...state, copy: state.world.table};
+    case 'set_back':
+      return setBack(state);
     case 'late':
       return {...state, world: deliverLate(state.world, action.index)};
     case 'arrive':
@@ -157,6 +166,17 @@
   }
 }
 
+function setBack(state: LeaseWorld): LeaseWorld {
+  const {world, copy = EMPTY_TABLE, setBacksLeft} = state;
+  const table = setBackTo(copy, 1);
+  return {
+    ...state,
+    world: {...world, table},
+    copy: undefined,
+    setBacksLeft: setBacksLeft - 1,
+  };
+}
+
 /**
  * Answers a poll at once. This leaves out no behaviour: a later answer that shows
  * the row as it still is equals a later poll, and one that shows an older row
--- a/packages/agreement/src/models/lease_model_key.ts
+++ b/packages/agreement/src/models/lease_model_key.ts
@@ -41,7 +41,7 @@
 
 function serializeTimes(process: Process): unknown {
   const {lease, nowMs} = process;
-  const {options, held, seen, pending, polledAtMs} = lease;
+  const {options, held, seen, era, pending, polledAtMs} = lease;
   const age = (sinceMs: number | undefined, mostMs: number) =>
     sinceMs === undefined ? undefined : Math.min(nowMs - sinceMs, mostMs);
   return {
@@ -61,6 +61,11 @@
         ...seen,
         sinceMs: age(seen.sinceMs, options.termMs + options.marginMs),
       },
+      era: era && {
+        ...era,
+        sinceMs:
+          era.number > 0 && age(era.sinceMs, options.termMs + options.marginMs),
+      },
       pending:
         pending?.kind === 'poll' || pending === undefined
           ? pending
--- a/packages/agreement/src/models/lease_world.ts
+++ b/packages/agreement/src/models/lease_world.ts
@@ -4,6 +4,7 @@
 import type {Order} from '../order_rows.js';
 import type {OrdersEvent, OrdersState} from '../order_messages.js';
 import type {TableEffect} from '../table_effects.js';
+import type {TableModel} from './table_model.js';
 import {type Delivery, type LateAction, type World} from './world_model.js';
 
 /** An order that awaits its answer under `call`. */
@@ -35,9 +36,15 @@
   readonly carriedOut: readonly string[];
   readonly tokens: readonly number[];
   readonly driftLeftMs: number;
+  /** Times that the store may still be set back. */
+  readonly setBacksLeft: number;
+  /** The copy to which it is set back, once one was made. */
+  readonly copy: TableModel | undefined;
 }
 
 export type LeaseAction =
+  | {readonly type: 'copy'}
+  | {readonly type: 'set_back'}
   | {readonly type: 'time_passes'; readonly fasterBy?: number}
   | {readonly type: 'tick'; readonly process: number}
   | {readonly type: 'retire'; readonly process: number}
@@ -66,6 +73,8 @@
   readonly orders?: boolean;
   readonly retire?: boolean;
   readonly renewals?: boolean;
+  /** How often the store may be set back (0). */
+  readonly setBacks?: number;
   readonly mutateLease?: (step: LeaseStep) => LeaseStep;
   readonly mutateOrders?: (
     event: OrdersEvent,
--- a/packages/agreement/src/models/table_model.ts
+++ b/packages/agreement/src/models/table_model.ts
@@ -1,19 +1,80 @@
 /** The platform's table as a pure value, for models, measurements and tests. */
 
-import {brandAs} from '@snipestage/types/ids.js';
-import type {StoreVersion} from '@snipestage/types/store_version.js';
+import {
+  ABSENT,
+  composeStoreVersion,
+  eraOf,
+  numberOf,
+  type StoreVersion,
+} from '@snipestage/types/store_version.js';
 import type {
   Row,
+  RowCheck,
   TableTransaction,
   TransactionResult,
 } from '@snipestage/types/table.js';
-import {findRow, type TableEffect, type TableEvent} from '../table_effects.js';
+import type {TableEffect, TableEvent} from '../table_effects.js';
 
 /** Rows by key. */
 export type TableModel = Readonly<Record<string, Row>>;
 
 export const EMPTY_TABLE: TableModel = {};
 
+/** Its version states the era of a table that was set back. */
+const ERA_KEY = '';
+
+/**
+ * A table that was set back to a copy of itself; a new era begins.
+ *
+ * @example
+ * const table = setBackTo(copy, 1);
+ */
+export function setBackTo(copy: TableModel, era: number): TableModel {
+  const rows = Object.values(copy).map(row => [
+    row.key,
+    {
+      ...row,
+      version: composeStoreVersion({era, number: numberOf(row.version)}),
+    },
+  ]);
+  const version = composeStoreVersion({era, number: 0});
+  const marker = {key: ERA_KEY, version, value: null};
+  return {...Object.fromEntries(rows), [ERA_KEY]: marker};
+}
+
+function eraOfTable(table: TableModel): number {
+  return eraOf(table[ERA_KEY]?.version ?? ABSENT);
+}
+
+function lookUp(table: TableModel, key: string): Row {
+  const version = composeStoreVersion({era: eraOfTable(table), number: 0});
+  return table[key] ?? {key, version, value: null};
+}
+
+/**
+ * Whether the store takes a condition for fulfilled: it knows numbers only. A row
+ * that must not exist may be absent in any era.
+ */
+function holds(table: TableModel, {key, version}: RowCheck): boolean {
+  return numberOf(lookUp(table, key).version) === numberOf(version);
+}
+
+/**
+ * Whether a transaction was composed for an older era than the table's. Its
+ * sender then learns of the new one by the answer.
+ *
+ * @example
+ * if (isOutdatedIn(table, transaction)) return unknown;
+ */
+export function isOutdatedIn(
+  table: TableModel,
+  {checks}: TableTransaction,
+): boolean {
+  return checks.some(
+    ({version}) => version !== ABSENT && eraOf(version) < eraOfTable(table),
+  );
+}
+
 /**
  * @example
  * readTable(table, ['configuration/head']);
@@ -22,7 +83,9 @@
   table: TableModel,
   keys: readonly string[],
 ): readonly Row[] {
-  return keys.filter(key => key in table).map(key => table[key]);
+  // A row that doesn't exist states the era, if there is one.
+  const isListed = (key: string) => key in table || ERA_KEY in table;
+  return keys.filter(isListed).map(key => lookUp(table, key));
 }
 
 /**
@@ -51,16 +114,17 @@
   transaction: TableTransaction,
 ): CommitStep {
   const failed = transaction.checks
-    .map(check => ({check, row: findRow(Object.values(table), check.key)}))
-    .filter(({check, row}) => row.version !== check.version)
-    .map(({row}) => row);
+    .filter(check => !holds(table, check))
+    .map(({key}) => lookUp(table, key));
   if (failed.length > 0) {
     return {table, result: {kind: 'conflict', rows: failed}};
   }
   const next: Record<string, Row> = {...table};
   const versions: Record<string, StoreVersion> = {};
   for (const {key, value} of transaction.writes) {
-    const version = brandAs<StoreVersion>((table[key]?.version ?? 0) + 1);
+    const {version: before} = lookUp(table, key);
+    const number = numberOf(before) + 1;
+    const version = composeStoreVersion({era: eraOfTable(table), number});
     versions[key] = version;
     if (value === null) {
       delete next[key];
--- a/packages/agreement/src/models/world_model.ts
+++ b/packages/agreement/src/models/world_model.ts
@@ -2,7 +2,12 @@
 
 import type {TableTransaction} from '@snipestage/types/table.js';
 import type {TableEffect, TableEvent} from '../table_effects.js';
-import {carryOut, commitTo, type TableModel} from './table_model.js';
+import {
+  carryOut,
+  commitTo,
+  isOutdatedIn,
+  type TableModel,
+} from './table_model.js';
 
 /** The table, delayed transactions, and the number of losses still allowed. */
 export interface World {
@@ -58,8 +63,11 @@
   nowMs: number,
 ): DeliveryStep {
   const done = carryOut(world.table, effect, nowMs);
+  const isOutdated =
+    effect.kind === 'transact' && isOutdatedIn(world.table, effect.transaction);
   if (delivery === 'answered') {
-    return {world: {...world, table: done.table}, event: done.event};
+    const event = isOutdated ? unknown(effect.call, nowMs) : done.event;
+    return {world: {...world, table: done.table}, event};
   }
   const lossesLeft = world.lossesLeft - 1;
   const {call} = effect;
@@ -68,8 +76,7 @@
     const event = {kind: 'read_answered', call, result, nowMs} as const;
     return {world: {...world, lossesLeft}, event};
   }
-  const result = {kind: 'unknown', reason: 'lost'} as const;
-  const event = {kind: 'transaction_answered', call, result, nowMs} as const;
+  const event = unknown(call, nowMs);
   const next =
     delivery === 'answer_lost'
       ? {...world, lossesLeft, table: done.table}
@@ -77,6 +84,11 @@
   return {world: next, event};
 }
 
+function unknown(call: number, nowMs: number): TableEvent {
+  const result = {kind: 'unknown', reason: 'lost'} as const;
+  return {kind: 'transaction_answered', call, result, nowMs};
+}
+
 /**
  * Lets a delayed transaction arrive.
  *
