Never report a usage window whose seal the store may have lost

A window that was sealed and reported got a second figure after the store was set back to a copy from before the seal: the row that fixes the figure was gone, and counts had come in since.

Cause: that a seal isn't there was taken for 'never sealed'.

Change: the first instance that sees a new era writes when that was. A window that could have been sealed before, and has no seal, is skipped, except by the process that sealed it, which remembers its last eight figures and writes the seal again. What it costs: windows whose seal is lost together with the process that wrote it are missing from the bill; they can't be told from reported ones.

Two tests are new; the tests' lease states the fence as it is, so that a reporter can be followed into a new era.

--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -19,6 +19,7 @@
 import {CapacityDuty} from './capacity_duty.js';
 import {ClockTieTask} from './clock_tie_task.js';
 import {DutyTerm} from './duty_term.js';
+import {EraStart} from './era_start.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import type {Relays} from './relay/relays.js';
 import type {RoutingState} from './routing_state.js';
@@ -73,6 +74,7 @@
   private readonly term: DutyTerm;
   private readonly writer: UsageWriter;
   private readonly reporter: UsageReporter;
+  private readonly eraStart: EraStart;
   private readonly capacity: CapacityDuty;
   private readonly startedAtMs: number;
 
@@ -104,12 +106,14 @@
       hasBatchedWrites: () => options.relays.hasBatchedWrites,
       readDemands: () => state.readDemands(nowMs()),
     });
+    this.eraStart = new EraStart({platform, clock, nowMs});
     this.reporter = new UsageReporter({
       platform,
       lease: this.lease,
       leaseName: DUTIES_LEASE,
       term: this.term,
       clock,
+      eraStart: this.eraStart,
       windowMs,
       dueAfterMs,
       nowMs,
--- a/packages/gateway/src/usage_reporter.test.ts
+++ b/packages/gateway/src/usage_reporter.test.ts
@@ -1,4 +1,4 @@
-import {ABSENT} from '@snipestage/types/store_version.js';
+import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import test from 'ava';
 import {AgreedClock} from '@snipestage/routing/agreed_clock.js';
 import type {WindowNumber} from '@snipestage/routing/usage_windows.js';
@@ -8,6 +8,7 @@
   type LeaseName,
 } from '@snipestage/types/ids.js';
 import type {DutyTerm} from './duty_term.js';
+import {EraStart} from './era_start.js';
 import {MemoryPlatform} from './test_support/memory_platform.js';
 import {CapturedLog} from './test_support/captured_log.js';
 import {countsKey, partialCountsKey} from './usage_rows.js';
@@ -16,13 +17,22 @@
 const LEASE = brandAs<LeaseName>('duties');
 const WINDOW_MS = 5000;
 
-/** Creates a reporter that holds the lease under a token, at a time of day. */
+function fenceOf(platform: MemoryPlatform): StoreVersion {
+  return platform.rows.get('fences/duties')?.version ?? ABSENT;
+}
+
+/**
+ * Creates a reporter that holds the lease under a token, at a time of day.
+ *
+ * @param renewsFence whether it takes the lease again when the fence changes.
+ */
 function makeReporter(
   platform: MemoryPlatform,
   token: number,
   epochMs: number,
   onRows?: UsageReporterOptions['onRows'],
   nowMs: () => number = () => 0,
+  renewsFence = false,
 ) {
   const clock = new AgreedClock(0, epochMs);
   clock.noteReading({storeMs: 0, sentAtMs: 0, receivedAtMs: 0});
@@ -33,21 +43,24 @@
     token: fencingToken,
     guard: () => ({mayStillSend: () => true, signal}),
   } as unknown as DutyTerm;
-  const version = platform.rows.get('fences/duties')?.version ?? ABSENT;
+  const taken = fenceOf(platform);
   return new UsageReporter({
     platform,
     lease: {
-      held: {
-        fencingToken,
-        fenceVersion: version,
-        termEndsAtMs: 9e9,
-        renewedAtMs: 0,
-        followsRelease: false,
+      get held() {
+        return {
+          fencingToken,
+          fenceVersion: renewsFence ? fenceOf(platform) : taken,
+          termEndsAtMs: 9e9,
+          renewedAtMs: 0,
+          followsRelease: false,
+        };
       },
     },
     leaseName: LEASE,
     term,
     clock,
+    eraStart: new EraStart({platform, clock, nowMs}),
     windowMs: WINDOW_MS,
     dueAfterMs: 10_000,
     nowMs,
@@ -274,3 +287,38 @@
   for (let tick = 0; tick < 12; tick++) await second.tick();
   t.deepEqual(figures(platform), ['100: 3']);
 });
+
+test('the one that sealed a window reports the same figure after the seal is lost', async t => {
+  // Guards against a window that is missing from the bill although its figure is
+  // known to the process that sealed it.
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  await writeCounts(platform, 100, 'a', 3);
+  const copy = platform.copy();
+  const epochMs = 101 * WINDOW_MS + 4000;
+  const clock = () => 0;
+  const reporter = makeReporter(platform, 1, epochMs, undefined, clock, true);
+  platform.refusals.push({kind: 'not_sent', reason: 'away'});
+  const hasSealed = () => platform.rows.has('seals/100');
+  for (let tick = 0; tick < 12 && !hasSealed(); tick++) await reporter.tick();
+  t.deepEqual(figures(platform), []);
+  platform.setBack(copy);
+  await writeCounts(platform, 100, 'late', 5);
+  for (let tick = 0; tick < 12; tick++) await reporter.tick();
+  t.deepEqual(figures(platform), ['100: 3']);
+});
+
+test('windows that could not be sealed before the store was set back are reported', async t => {
+  // Guards against windows that are missing from the bill for longer than a
+  // window and the time until its counts are collected.
+  const platform = new MemoryPlatform();
+  await takeFence(platform);
+  platform.setBack(platform.copy());
+  const clock = new AgreedClock(0, 101 * WINDOW_MS + 1000);
+  await new EraStart({platform, clock, nowMs: () => 0}).note();
+  await writeCounts(platform, 99, 'a', 2);
+  await writeCounts(platform, 100, 'a', 3);
+  const reporter = makeReporter(platform, 1, 101 * WINDOW_MS + 4000);
+  for (let tick = 0; tick < 12; tick++) await reporter.tick();
+  t.deepEqual(figures(platform), ['100: 3']);
+});
--- a/packages/gateway/src/usage_reporter.ts
+++ b/packages/gateway/src/usage_reporter.ts
@@ -1,6 +1,7 @@
 /** Reports the usage of each window with a single, fixed figure. */
 
-import {ABSENT} from '@snipestage/types/store_version.js';
+import {ABSENT, eraOf} from '@snipestage/types/store_version.js';
+import type {Row} from '@snipestage/types/table.js';
 import {fenceKey} from '@snipestage/agreement/lease_rows.js';
 import {findRow} from '@snipestage/agreement/table_effects.js';
 import type {Logger} from '@snipestage/log/logger.js';
@@ -19,6 +20,7 @@
 } from '@snipestage/types/ids.js';
 import type {LeaseTask} from '@snipestage/entry/agree/lease_task.js';
 import type {DutyTerm} from './duty_term.js';
+import type {EraStart} from './era_start.js';
 import {
   countsPrefix,
   PROGRESS_KEY,
@@ -37,6 +39,7 @@
   readonly leaseName: LeaseName;
   readonly term: DutyTerm;
   readonly clock: AgreedClock;
+  readonly eraStart: Pick<EraStart, 'read'>;
   readonly windowMs: number;
   readonly dueAfterMs: number;
   readonly nowMs: () => number;
@@ -74,6 +77,8 @@
  * what was counted during the outage.
  */
 const EXTENDED_WAIT_SHARE = 0.85;
+/** Own seals that are remembered; earlier windows are past their due time. */
+const REMEMBERED_SEAL_COUNT = 8;
 /** A new holder looks back this many `dueAfterMs` for unreported windows. */
 const LOOK_BACK_DUE_TIMES = 3;
 
@@ -93,6 +98,8 @@
     {readonly window: WindowNumber; readonly final: number} | undefined;
   /** Keys of the counts in the last seal. */
   private countedKeys: readonly string[] = [];
+  /** Figures that this process has sealed, also in a former era of the store. */
+  private readonly ownSeals = new Map<WindowNumber, UsageCounts>();
   /** Writers of the previous window, which are expected to write again. */
   private writers: ReadonlySet<string> = new Set();
 
@@ -170,7 +177,7 @@
 
   private async handle(window: WindowNumber): Promise<void> {
     const guard = this.options.term.guard();
-    const sealed = (await this.readSeal(window)) ?? (await this.seal(window));
+    const sealed = await this.findOrSeal(window);
     if (sealed === undefined) return;
     const isDone =
       sealed.size === 0 || (await this.report(window, sealed, guard));
@@ -180,9 +187,44 @@
     if (sealed.size > 0) await this.finish(window);
   }
 
-  private async readSeal(
+  /**
+   * The figure of a window; empty if there is none to report.
+   *
+   * @returns undefined when it isn't known yet.
+   */
+  private async findOrSeal(
     window: WindowNumber,
   ): Promise<UsageCounts | undefined> {
+    const row = await this.readSeal(window);
+    if (row === undefined) return undefined;
+    const stored = fromCountsValue(row.value);
+    if (stored !== undefined) return stored;
+    const own = this.ownSeals.get(window);
+    if (own !== undefined) return this.writeSeal(window, own);
+    const sinceEpochMs = await this.options.eraStart.read(eraOf(row.version));
+    if (sinceEpochMs === undefined) return undefined;
+    if (!this.mayHaveBeenSealedBefore(window, sinceEpochMs)) {
+      return this.seal(window);
+    }
+    this.options.logger.warn('usage_window_skipped', {
+      window,
+      reason: 'its seal may have been lost',
+    });
+    return new Map();
+  }
+
+  /** No window is sealed before its counts may be collected. */
+  private mayHaveBeenSealedBefore(
+    window: WindowNumber,
+    epochMs: number,
+  ): boolean {
+    const {windowMs, dueAfterMs} = this.options;
+    const endsAtMs = (window + 1) * windowMs;
+    return endsAtMs + COLLECT_SHARE * dueAfterMs <= epochMs;
+  }
+
+  /** @returns undefined when the store is unavailable. */
+  private async readSeal(window: WindowNumber): Promise<Row | undefined> {
     const key = sealKey(window);
     const result = await this.options.platform.readRows([key]);
     if (result.kind === 'unavailable') {
@@ -192,7 +234,7 @@
       });
       return undefined;
     }
-    return fromCountsValue(findRow(result.rows, key).value);
+    return findRow(result.rows, key);
   }
 
   /**
@@ -200,10 +242,8 @@
    *   reads the seal first.
    */
   private async seal(window: WindowNumber): Promise<UsageCounts | undefined> {
-    const {platform, lease, leaseName, logger} = this.options;
-    const result = await platform.scanRows(countsPrefix(window));
-    const {held} = lease;
-    if (result.kind === 'unavailable' || held === undefined) return undefined;
+    const result = await this.options.platform.scanRows(countsPrefix(window));
+    if (result.kind === 'unavailable') return undefined;
     const byWriter = latestByWriter(result.rows);
     const readiness = this.assessReadiness(window, byWriter);
     if (readiness === 'waiting') return undefined;
@@ -216,6 +256,22 @@
       this.options.onRows?.(values);
     }
     const total = sumCounts(parts.filter(part => part !== undefined));
+    const sealed = await this.writeSeal(window, total, parts.length);
+    if (sealed !== undefined) {
+      this.countedKeys = result.rows.map(row => row.key);
+    }
+    return sealed;
+  }
+
+  /** @returns undefined when the window isn't known to be sealed. */
+  private async writeSeal(
+    window: WindowNumber,
+    total: UsageCounts,
+    writers?: number,
+  ): Promise<UsageCounts | undefined> {
+    const {platform, lease, leaseName, logger} = this.options;
+    const {held} = lease;
+    if (held === undefined) return undefined;
     const key = sealKey(window);
     const fence = {key: fenceKey(leaseName), version: held.fenceVersion};
     const outcome = await platform.transact({
@@ -224,15 +280,22 @@
     });
     logger.info('usage_sealed', {
       window,
-      writers: parts.length,
+      writers,
       outcome: outcome.kind,
       requests: [...total.values()].reduce((sum, count) => sum + count, 0),
     });
     if (outcome.kind !== 'committed') return undefined;
-    this.countedKeys = result.rows.map(row => row.key);
+    this.rememberSeal(window, total);
     return total;
   }
 
+  private rememberSeal(window: WindowNumber, total: UsageCounts): void {
+    this.ownSeals.set(window, total);
+    for (const sealed of this.ownSeals.keys()) {
+      if (sealed + REMEMBERED_SEAL_COUNT < window) this.ownSeals.delete(sealed);
+    }
+  }
+
   /** Judges whether to seal a window; pauses further reads if not. */
   private assessReadiness(
     window: WindowNumber,
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -296,8 +296,13 @@
     edits: [
       {
         module: 'gateway/dist/usage_reporter.js',
-        from: '(await this.readSeal(window)) ??',
-        to: 'undefined ??',
+        from: 'if (stored !== undefined)',
+        to: 'if (false)',
+      },
+      {
+        module: 'gateway/dist/usage_reporter.js',
+        from: 'if (own !== undefined)',
+        to: 'if (false)',
       },
       {
         module: 'gateway/dist/usage_reporter.js',
