Write again what the store lost when it was set back

Crashes, totals of demand, the number of instances, relays' slots, counts of usage and the tie of the clock were written once; after the store was set back to a copy without them, instances that started later never learned them, a relay's slot could neither be seen nor claimed, and a second tie would have moved requests between windows that were counted already.

A relay claims its slot again if the store doesn't have it; others may claim it once that relay fails.

Not covered: crashes that only an instance which has ended since had published, and the number of endpoints that the plan began with, if the copy is from the first seconds. Four tests are new.

--- a/packages/gateway/src/clock_tie_task.ts
+++ b/packages/gateway/src/clock_tie_task.ts
@@ -20,6 +20,7 @@
  */
 export class ClockTieTask {
   private timer: NodeJS.Timeout | undefined;
+  private known: number | undefined;
 
   constructor(
     private readonly platform: Platform,
@@ -27,7 +28,9 @@
     private readonly logger: Logger,
   ) {}
 
+  /** Reads the row, or writes it if it is missing; may be called again. */
   start(): void {
+    clearInterval(this.timer);
     this.timer = setInterval(() => void this.tryOnce(), TRY_EVERY_MS);
     void this.tryOnce();
   }
@@ -41,12 +44,12 @@
     if (result.kind === 'unavailable') return;
     const value = findRow(result.rows, TIE_KEY).value as TieValue | null;
     if (value !== null) {
-      this.clock.tie(value.tieMs);
       this.stop();
-      this.logger.info('clock_tied', {tieMs: value.tieMs});
+      this.tie(value.tieMs);
       return;
     }
-    const tieMs = this.clock.proposeTie();
+    // The store may have lost the row since it was read.
+    const tieMs = this.known ?? this.clock.proposeTie();
     if (tieMs === undefined) return;
     // If another instance's write came first or this one failed, the next try
     // reads the row.
@@ -55,4 +58,16 @@
       writes: [{key: TIE_KEY, value: {tieMs}}],
     });
   }
+
+  private tie(tieMs: number): void {
+    const before = this.known;
+    if (before !== undefined) {
+      if (before === tieMs) return;
+      this.logger.error('clock_tie_differs', {tieMs, known: before});
+      return;
+    }
+    this.known = tieMs;
+    this.clock.tie(tieMs);
+    this.logger.info('clock_tied', {tieMs});
+  }
 }
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -77,6 +77,7 @@
   private readonly eraStart: EraStart;
   private readonly capacity: CapacityDuty;
   private readonly startedAtMs: number;
+  private isHandedOver = false;
 
   constructor(private readonly options: DutiesOptions) {
     const {settings, platform, state, clock, facts, nowMs} = options;
@@ -152,12 +153,22 @@
 
   /** Retires from the lease for a successor; usage counts are still written. */
   handOver(): void {
+    this.isHandedOver = true;
     this.clockTieTask.stop();
     this.reporter.stop();
     this.capacity.stop();
     void this.lease.retire();
   }
 
+  /** Writes again what the store may have lost when it was set back. */
+  noteSetBack(): void {
+    const {reportsUsage} = this.options.settings.duties;
+    if (!reportsUsage || this.isHandedOver) return;
+    void this.eraStart.note();
+    this.clockTieTask.start();
+    this.writer.rewrite();
+  }
+
   /** Writes what was counted and not yet written. */
   finishUsage(): Promise<void> {
     return this.writer.stop();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -135,6 +135,10 @@
       ...settings.changes,
       onConfiguration: configuration => this.applyConfiguration(configuration),
       onEvacuated: ({length}) => options.metrics.setEvacuated(length),
+      onSetBack: () => {
+        this.facts.republish();
+        this.duties.noteSetBack();
+      },
     });
     this.operations = createPages({
       ...options,
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -181,6 +181,11 @@
     this.peers.learn(slot);
   }
 
+  /** The store was set back: it may have lost the rows of slots. */
+  noteSetBack(): void {
+    this.roster.noteSetBack();
+  }
+
   snapshot(): object {
     return {
       isRelay: this.host.isServing,
@@ -212,7 +217,8 @@
     const {roster, options} = this;
     await this.syncServer();
     const nowMs = options.nowMs();
-    const slot = roster.slotToClaim(nowMs, isUnknown);
+    const slot =
+      roster.slotToClaimAgain ?? roster.slotToClaim(nowMs, isUnknown);
     if (slot !== undefined) await this.claim(slot);
     else if (!roster.isRelay && !this.follower.isFollowing) {
       const relay = roster.choose(nowMs);
--- a/packages/gateway/src/shared_facts.test.ts
+++ b/packages/gateway/src/shared_facts.test.ts
@@ -107,3 +107,30 @@
   await new Promise(done => setTimeout(done, 3000));
   t.true(platform.rows.has('shared/crash/a/1/1'));
 });
+
+test('what the store has lost is published again', async t => {
+  // Guards against crashes, demand and the number of instances that new
+  // instances never learn, since the store was set back after the only write.
+  const platform = new MemoryPlatform();
+  const {logger} = new CapturedLog();
+  const facts = new SharedFacts({platform, logger, nowMs: () => 0});
+  const copy = platform.copy();
+  const crash = {
+    id: 'a/1/1',
+    endpoint: brandAs<EndpointId>('e'),
+    dataCentre: brandAs<DataCentreId>('akl-a'),
+    ageMs: 0,
+    inFlight: [brandAs<Fingerprint>('f')],
+    cleared: [],
+  };
+  facts.publishCrashes([crash]);
+  await facts.publishTotals([written(10)]);
+  platform.setBack(copy);
+  facts.republish();
+  await facts.publishTotals([written(10)]);
+  t.deepEqual([...platform.rows.keys()].sort(), [
+    'shared/crash/a/1/1',
+    'shared/demand/repair',
+    'shared/instances',
+  ]);
+});
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -60,6 +60,8 @@
 
 const FIRST_RETRY_MS = 200;
 const MAX_RETRY_MS = 2000;
+/** Written crashes that are remembered; the oldest ones matter least. */
+const MAX_REMEMBERED_CRASHES = 100;
 /** Rows of one transaction; the platform allows no more than 100. */
 const MAX_ROWS = 50;
 
@@ -80,6 +82,8 @@
   >();
   private publishedCount: number | undefined;
   private readonly pending = new Map<string, PendingCrash>();
+  /** The latest crashes that were written, to be written again if lost. */
+  private readonly written = new Map<string, PendingCrash>();
   private failures = 0;
   private isWriting = false;
   private isStopped = false;
@@ -95,6 +99,19 @@
     void this.writePending();
   }
 
+  /**
+   * Publishes again what the store may have lost; totals follow with the next
+   * window.
+   */
+  republish(): void {
+    this.publishedDemands.clear();
+    this.publishedCount = undefined;
+    for (const [id, crash] of this.written) {
+      if (!this.pending.has(id)) this.pending.set(id, crash);
+    }
+    void this.writePending();
+  }
+
   stop(): void {
     this.isStopped = true;
   }
@@ -170,6 +187,12 @@
     for (const pending of batch) {
       const {id} = pending.crash;
       if (this.pending.get(id) === pending) this.pending.delete(id);
+      this.written.delete(id);
+      this.written.set(id, pending);
+    }
+    for (const id of this.written.keys()) {
+      if (this.written.size <= MAX_REMEMBERED_CRASHES) break;
+      this.written.delete(id);
     }
   }
 
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -51,6 +51,8 @@
   readonly inForceWithinMs: number;
   readonly onConfiguration: (configuration: RoutingConfiguration) => void;
   readonly onEvacuated: (dataCentres: readonly DataCentreId[]) => void;
+  /** The store was set back and answers again. */
+  readonly onSetBack: () => void;
 }
 
 /**
@@ -115,10 +117,13 @@
       disturbed: () =>
         this.options.state.directory.noteDisturbance(this.options.nowMs()),
     });
-    const learn = (rows: readonly FollowedRow[]) => this.learnFacts(rows);
     this.follow('shared', FOLLOW_FACTS_WAIT_MS, {
-      replaced: learn,
-      changed: learn,
+      replaced: (rows, {isSetBack}) => {
+        if (isSetBack) this.options.relays.noteSetBack();
+        this.learnFacts(rows);
+        if (isSetBack) this.options.onSetBack();
+      },
+      changed: rows => this.learnFacts(rows),
       disturbed: () => undefined,
     });
   }
--- a/packages/gateway/src/store_set_back.test.ts
+++ b/packages/gateway/src/store_set_back.test.ts
@@ -1,5 +1,6 @@
 import {LeaseTask} from '@snipestage/entry/agree/lease_task.js';
 import {TableExecutor} from '@snipestage/entry/configure/table_executor.js';
+import {AgreedClock} from '@snipestage/routing/agreed_clock.js';
 import {
   brandAs,
   type DataCentreId,
@@ -8,6 +9,7 @@
   type LeaseName,
 } from '@snipestage/types/ids.js';
 import test from 'ava';
+import {ClockTieTask} from './clock_tie_task.js';
 import {CapturedLog} from './test_support/captured_log.js';
 import {MemoryPlatform} from './test_support/memory_platform.js';
 import {startGateway, waitUntil} from './test_support/test_gateway.js';
@@ -97,3 +99,27 @@
   await waitUntil(() => gateway.evacuated.length === 0);
   t.is(gateway.configurationVersion, 1);
 });
+
+function makeClock(epochMs: number): AgreedClock {
+  const clock = new AgreedClock(0, epochMs);
+  clock.noteReading({storeMs: 0, sentAtMs: 0, receivedAtMs: 0});
+  return clock;
+}
+
+test('the tie of the clock is written again as it was', async t => {
+  // Guards against instances that count usage by different clocks, since one
+  // that started after the store was set back found no tie and wrote its own.
+  const platform = new MemoryPlatform();
+  const {logger, lines} = new CapturedLog();
+  const copy = platform.copy();
+  const task = new ClockTieTask(platform, makeClock(1000), logger);
+  await task.tryOnce();
+  await task.tryOnce();
+  platform.setBack(copy);
+  await task.tryOnce();
+  const late = makeClock(9000);
+  await new ClockTieTask(platform, late, logger).tryOnce();
+  t.is(late.epochAt(0), 1000);
+  await task.tryOnce();
+  t.false(lines.some(line => line.includes('clock_tie_differs')));
+});
--- a/packages/gateway/src/usage_writer.test.ts
+++ b/packages/gateway/src/usage_writer.test.ts
@@ -100,3 +100,18 @@
   t.is(lines.length, 1);
   t.true(lines[0].includes('"reason":"lost"'));
 });
+
+test('counts are written again after the store was set back', async t => {
+  // Guards against windows that lack what was counted shortly before the store
+  // was set back.
+  const {platform, writer} = makeWriter({random: () => 0});
+  const copy = platform.copy();
+  await runFor(writer, SOME_TICKS_MS);
+  const key = partialCountsKey(WINDOW, 'one');
+  t.true(platform.rows.has(key));
+  platform.setBack(copy);
+  writer.rewrite();
+  await new Promise(done => setTimeout(done, SOME_TICKS_MS));
+  t.true(platform.rows.has(key));
+  await writer.stop();
+});
--- a/packages/gateway/src/usage_writer.ts
+++ b/packages/gateway/src/usage_writer.ts
@@ -34,6 +34,8 @@
   readonly isStoreUnavailable?: () => boolean;
   /** Whether a relay writes this instance's rows in batches. */
   readonly hasBatchedWrites?: () => boolean;
+  /** At least 0 and below 1 (`Math.random`). */
+  readonly random?: () => number;
   /** Demand on each service's routes as this instance measures it. */
   readonly readDemands: () => CountsValue['demands'];
 }
@@ -43,6 +45,11 @@
 /** Number of past windows whose counts are kept in memory. */
 const KEPT_WINDOW_COUNT = 6;
 
+/** Windows whose counts are written again; earlier ones are sealed. */
+const REWRITTEN_WINDOW_COUNT = 3;
+/** Share of a window over which instances rewrite their counts. */
+const REWRITE_SPREAD_SHARE = 0.4;
+
 /** Pause after a failed write, which limits warnings about the store. */
 const PAUSE_AFTER_FAILURE_MS = 1000;
 
@@ -69,6 +76,20 @@
     this.timer = setInterval(() => void this.tick(), TICK_MS);
   }
 
+  /**
+   * Writes the counts of recent windows again, as the store may have lost them.
+   * Instances do so one after the other.
+   */
+  rewrite(): void {
+    const {nowMs, windowMs, random = Math.random} = this.options;
+    const current = this.currentWindow();
+    for (const window of [...this.written.keys()]) {
+      if (window + REWRITTEN_WINDOW_COUNT > current)
+        this.written.delete(window);
+    }
+    this.pausedUntilMs = nowMs() + random() * windowMs * REWRITE_SPREAD_SHARE;
+  }
+
   /** Writes everything that is not written yet. */
   async stop(): Promise<void> {
     clearInterval(this.timer);
--- a/packages/routing/src/relay_roster.test.ts
+++ b/packages/routing/src/relay_roster.test.ts
@@ -98,3 +98,22 @@
   roster.learn(slot(0, 'two', 10));
   t.false(roster.isRelay);
 });
+
+test('a relay claims its slot again when the store has lost the row', t => {
+  // Guards against slots whose holder no new instance learns, and that nobody
+  // else can claim.
+  const roster = new RelayRoster({
+    instance: brandAs<InstanceId>('me'),
+    dataCentre: HERE,
+    dataCentres: 1,
+    strength: 1,
+  });
+  roster.learn(slot(0, 'me', 7));
+  roster.learn(slot(1, 'other', 8));
+  t.is(roster.slotToClaimAgain, undefined);
+  roster.noteSetBack();
+  t.is(roster.slotToClaimAgain?.number, 0);
+  t.is(roster.choose(0)?.instance, brandAs<InstanceId>('me'));
+  roster.learn(slot(0, 'me', 3));
+  t.is(roster.slotToClaimAgain, undefined);
+});
--- a/packages/routing/src/relay_roster.ts
+++ b/packages/routing/src/relay_roster.ts
@@ -98,6 +98,22 @@
     this.slots.set(slot.number, slot);
   }
 
+  /**
+   * The store was set back: holders stay, but the rows may be missing. What the
+   * store still has is learned afterwards.
+   */
+  noteSetBack(): void {
+    for (const [number, slot] of this.slots) {
+      this.slots.set(number, {...slot, version: ABSENT});
+    }
+  }
+
+  /** This instance's slot, if its row is missing since the store was set back. */
+  get slotToClaimAgain(): RelaySlot | undefined {
+    const own = this.ownSlot;
+    return own?.version === ABSENT ? own : undefined;
+  }
+
   /** Whether this instance has a slot. */
   get isRelay(): boolean {
     return this.ownSlot !== undefined;
