Set the store back in the soak, beside all other faults

The store's stand-in keeps copies of the last five seconds; it goes away for 0.1 to 1.2 s, ends all connections and comes back from one of them, now and then twice in quick succession. The operator, the endpoints and what they removed write their rows again within 1.8 s.

The checks of backoffs and of announced leavings leave out requests that were for an endpoint which had the address before and got 421, as the platform's page says.

--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -230,6 +230,12 @@
   const freeze = (history: History) =>
     void history.recordDisturbance(INSTANCE, 'instance_freeze', 11_000);
   t.is(findersAfter([10_600, 11_000, 12_900], freeze), 0);
+  const misdirect = (history: History) => {
+    for (const run of history.runs.slice(1)) {
+      Object.assign(run, {isMisdirected: true});
+    }
+  };
+  t.is(findersAfter([10_600, 11_000, 12_900], misdirect), 0);
 });
 
 test('a request to an endpoint long after its leaving notice is found', t => {
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -65,13 +65,17 @@
 /** A caller repeats a request that crashes each endpoint that runs it. */
 export const CRASHING_REQUEST = 'crashing_request';
 
+/** The store comes back from a copy some seconds old. */
+export const STORE_SET_BACK = 'store_set_back';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | typeof EVACUATE
   | typeof RATE_LIMIT
   | typeof UNLISTED_LEAVING
   | typeof BACKOFF
-  | typeof CRASHING_REQUEST;
+  | typeof CRASHING_REQUEST
+  | typeof STORE_SET_BACK;
 
 /** One fault of a plan. */
 export interface PlannedFault {
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -5,6 +5,7 @@
   RATE_LIMIT,
   BACKOFF,
   CRASHING_REQUEST,
+  STORE_SET_BACK,
   UNLISTED_LEAVING,
 } from './fault_plan.js';
 import type {Mutant} from './mutant.js';
@@ -321,6 +322,56 @@
       },
     ],
   },
+  {
+    name: 'ignores_the_era_of_the_store',
+    check: 'timely_configuration',
+    kinds: [STORE_SET_BACK, 'add_marker'],
+    edits: [
+      {
+        module: 'platform/dist/store_client.js',
+        from: 'Number.isSafeInteger(era) && era > 0',
+        to: 'false',
+      },
+    ],
+  },
+  {
+    name: 'gives_tokens_out_twice',
+    check: 'one_holder',
+    kinds: [STORE_SET_BACK, 'instance_terminate'],
+    seriesEveryMs: 20_000,
+    faultsForMs: 60_000,
+    edits: [
+      {
+        module: 'agreement/dist/lease_rows.js',
+        from: 'Math.max(former ?? 0, beforeFirst)',
+        to: '(former ?? 0)',
+      },
+      {
+        module: 'agreement/dist/lease_rows.js',
+        from: 'return Math.floor((token - 1) / TOKENS_PER_ERA) === eraOf(rowVersion);',
+        to: 'return true;',
+      },
+    ],
+  },
+  {
+    name: 'seals_windows_again_after_a_set_back',
+    check: 'one_figure',
+    kinds: [STORE_SET_BACK, 'instance_terminate'],
+    seriesEveryMs: 20_000,
+    faultsForMs: 60_000,
+    edits: [
+      {
+        module: 'gateway/dist/usage_reporter.js',
+        from: 'if (!this.mayHaveBeenSealedBefore(window, sinceEpochMs))',
+        to: 'if (true)',
+      },
+      {
+        module: 'gateway/dist/usage_reporter.js',
+        from: 'if (own !== undefined)',
+        to: 'if (false)',
+      },
+    ],
+  },
   {
     name: 'holds_a_lease_of_its_own',
     check: 'one_holder',
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -11,6 +11,7 @@
   RATE_LIMIT,
   BACKOFF,
   CRASHING_REQUEST,
+  STORE_SET_BACK,
   UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
@@ -18,6 +19,7 @@
 import type {History} from './history.js';
 import {drawRateLimits} from './rate_limits.js';
 import {drawStopTurns} from './stop_turns.js';
+import {drawStoreSetBacks} from './store_set_backs.js';
 import {FaultInjector} from './world/fault_injector.js';
 import {StallWatch} from './world/stall_watch.js';
 import {Traffic} from './world/traffic.js';
@@ -144,6 +146,7 @@
     [UNLISTED_LEAVING, () => drawUnlistedLeavings(announcing)],
     [BACKOFF, () => drawBackoffs(announcing)],
     [CRASHING_REQUEST, () => drawCrashingRequests({seed, forMs})],
+    [STORE_SET_BACK, () => drawStoreSetBacks({seed, forMs})],
   ];
   const faults = [
     ...drawFaultPlan({seed, forMs, seriesEveryMs, kinds}),
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -8,6 +8,7 @@
   RATE_LIMIT,
   BACKOFF,
   CRASHING_REQUEST,
+  STORE_SET_BACK,
   UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
@@ -57,6 +58,8 @@
 const RATE_LIMIT_PER_S = 1;
 /** Longer than the `late` fault of the store delays writes. */
 const LATE_WRITES_MS = 3000;
+/** Time within which rows are written again after the store was set back. */
+const REWRITE_WITHIN_MS = 1800;
 /** Endpoints with a fault at a time; the others have to take the load. */
 const MAX_FAULTY_ENDPOINTS = 2;
 
@@ -102,6 +105,8 @@
       this.limitRate(fault, endpoints[target % endpoints.length]);
     } else if (kind === BACKOFF) {
       this.backOff(fault, endpoints[target % endpoints.length]);
+    } else if (kind === STORE_SET_BACK) {
+      this.setBackStore(fault);
     } else if (kind === CRASHING_REQUEST) {
       this.logFault(kind, 'store', durationMs);
       this.endAfter(durationMs, this.traffic.repeatCrashing());
@@ -129,6 +134,25 @@
     }
   }
 
+  /**
+   * The store is away for the duration of the fault and comes back from a copy;
+   * operators and endpoints write again what it lost. Overlaps with its other
+   * faults.
+   */
+  private setBackStore({kind, target, durationMs}: PlannedFault): void {
+    const {copies, store, operator, endpoints, history, nowMs} = this.world;
+    this.logFault(kind, 'store', durationMs);
+    const disturbance = history.recordDisturbance('store', kind, nowMs());
+    store.beginAway();
+    this.endAfter(durationMs, () => {
+      copies.setBack(target);
+      for (const writer of [operator, ...endpoints]) {
+        setTimeout(() => writer.rewrite(), Math.random() * REWRITE_WITHIN_MS);
+      }
+      disturbance.toMs = nowMs() + REWRITE_WITHIN_MS;
+    });
+  }
+
   /** Not recorded as a disturbance: all guarantees hold meanwhile. */
   private evacuate({kind, target, durationMs}: PlannedFault): void {
     const {dataCentres, operator} = this.world;
--- a/packages/soak/src/world/operator.ts
+++ b/packages/soak/src/world/operator.ts
@@ -88,6 +88,18 @@
   /** Writes the configuration to the store, under a new version. */
   write(): void {
     this.version += 1 + (this.version % 3);
+    this.writeVersion();
+  }
+
+  /** Writes again what the store may have lost, as it was. */
+  rewrite(): void {
+    this.writeVersion();
+    for (const {dataCentre, toMs} of this.history.evacuations) {
+      writeEvacuation(this.store, dataCentre, toMs > this.nowMs());
+    }
+  }
+
+  private writeVersion(): void {
     writeConfiguration(this.store, {
       version: this.version,
       routes: [...ROUTES, ...this.markerRoutes()],
--- a/packages/soak/src/world/world.ts
+++ b/packages/soak/src/world/world.ts
@@ -16,6 +16,8 @@
 import {Instance} from './instance.js';
 import {BOOKINGS, ENGINES, Operator} from './operator.js';
 import {networkOf} from './own_network.js';
+import {COPY_AGE_STEPS} from '../store_set_backs.js';
+import {StoreCopies} from './store_copies.js';
 
 /** Options of {@link World}. */
 export interface WorldOptions {
@@ -42,6 +44,7 @@
 export class World {
   readonly history = new History(BOUNDS);
   readonly store: StoreStandIn;
+  readonly copies: StoreCopies;
   readonly provider: ProviderStandIn;
   readonly operator: Operator;
   readonly instances: Instance[] = [];
@@ -53,6 +56,7 @@
   constructor(private readonly options: WorldOptions) {
     this.random = randomLcg(options.seed + 1);
     this.store = new StoreStandIn(this.random);
+    this.copies = new StoreCopies(this.store, COPY_AGE_STEPS);
     this.provider = new ProviderStandIn(this.random);
     this.operator = new Operator(this.store, this.history, this.nowMs);
   }
@@ -70,12 +74,14 @@
     await this.addInstances(storePort, `${this.platformHost}:${providerPort}`);
     await Promise.all(this.instances.map(instance => instance.start()));
     for (const instance of this.instances) await this.waitUntilReady(instance);
+    this.copies.start();
   }
 
   /** Stops all processes and stand-ins and collects what they recorded. */
   async close(): Promise<void> {
     await Promise.all(this.instances.map(instance => instance.close()));
     for (const endpoint of this.endpoints) endpoint.close();
+    this.copies.stop();
     this.store.stop();
     this.provider.stop();
     this.history.dutyCalls.push(...this.provider.calls);
