Let the soak find a window that is sealed twice after a set-back

The mutant that skips no window reported the same figures again, which is allowed: the counts it seals are those of before.

--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -7,12 +7,14 @@
   CRASHING_REQUEST,
   STORE_SET_BACK,
   UNLISTED_LEAVING,
+  type FaultKind,
 } from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
 
 const CHANGES = ['add_marker', 'withdraw_key'] as const;
 const KILLS = ['instance_kill'] as const;
+const MANY_STOPS = Array<FaultKind>(8).fill('instance_terminate');
 const FULL_ENDPOINTS = ['endpoint_full'] as const;
 const BROKEN_ENDPOINTS = [
   'endpoint_failing',
@@ -337,10 +339,16 @@
   {
     name: 'gives_tokens_out_twice',
     check: 'one_holder',
-    kinds: [STORE_SET_BACK, 'instance_terminate'],
-    seriesEveryMs: 20_000,
+    // The lease has to change hands shortly before the store is set back.
+    kinds: [...MANY_STOPS, STORE_SET_BACK],
+    seriesEveryMs: 1500,
     faultsForMs: 60_000,
     edits: [
+      {
+        module: 'agreement/dist/lease.js',
+        from: 'if (era === undefined || era.number === 0)',
+        to: 'if (true)',
+      },
       {
         module: 'agreement/dist/lease_rows.js',
         from: 'Math.max(former ?? 0, beforeFirst)',
@@ -356,10 +364,16 @@
   {
     name: 'seals_windows_again_after_a_set_back',
     check: 'one_figure',
-    kinds: [STORE_SET_BACK, 'instance_terminate'],
-    seriesEveryMs: 20_000,
+    kinds: [...MANY_STOPS, STORE_SET_BACK],
+    seriesEveryMs: 3000,
     faultsForMs: 60_000,
     edits: [
+      // Shows each seal that differs from the one before.
+      {
+        module: 'gateway/dist/usage_reporter.js',
+        from: 'const key = sealKey(window);\n        const fence',
+        to: "total.set('shop-1', Math.random());\n        const key = sealKey(window);\n        const fence",
+      },
       {
         module: 'gateway/dist/usage_reporter.js',
         from: 'if (!this.mayHaveBeenSealedBefore(window, sinceEpochMs))',
