Let the soak's clock jumps spare instances that are still starting

The signal by which the soak moves a clock came before the process had run its first line, where it ends any process; akl-b-4 had been told to stop shortly before. It goes to instances that have been ready now.

--- a/packages/soak/src/world/instance.ts
+++ b/packages/soak/src/world/instance.ts
@@ -131,7 +131,8 @@
   /** Sets the offset of the process's time of day from that of the machine. */
   setClockOffset(offsetMs: number): void {
     writeFileSync(this.clockPath, String(offsetMs));
-    this.signal('SIGUSR2');
+    // Before its first line has run, the signal would end the process.
+    if (this.wasReady) this.signal('SIGUSR2');
   }
 
   /** Whether callers' connections are not refused. */
