Log and count when an instance can connect to no endpoint

Callers of instances that had lost their links to all endpoints got 503.

Change: InstanceIsolation counts endpoints that could not be reached without a connection to any in between; nothing is decided by it yet. Log lines when it begins and ends, a gauge, connections by outcome, and hasReachedOthers in endpoint_crashed.

Ruled out: data_centre_reach, which suspects one data centre and forgets only when an answer has come.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -14,6 +14,7 @@
 } from './exchange_context.js';
 import type {AnswerHead} from './pass_through_protocol.js';
 import {readAnswerBody} from './read_answer_body.js';
+import {recordConnected, recordConnectFailed} from './record_connection.js';
 import {recordAnnouncements} from './record_announcements.js';
 import {limitsOnSilence} from './silence_limits.js';
 import {SilenceWatch} from './silence_watch.js';
@@ -60,7 +61,12 @@
       }),
       body: request.body,
       connectTimeoutMs: Math.min(connectTimeout.timeoutMs, timeLeftMs),
-      onConnected: tookMs => connectTimeout.note(tookMs),
+      onConnected: tookMs => {
+        connectTimeout.note(tookMs);
+        recordConnected(context);
+      },
+      onConnectFailed: failed =>
+        recordConnectFailed(context, placed.endpoint, failed),
       mayStillSend: () =>
         state.directory.mayStillSend(placed.endpoint, nowMs()) &&
         crashes.mayRun(request.fingerprint),
--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -42,6 +42,7 @@
   private count = 0;
   /** Endpoints whose answers broke off, as they were listed then. */
   private readonly watched = new Map<EndpointId, ServingEndpoint>();
+  private readonly brokenAtMs = new Map<EndpointId, number>();
   private readonly check: CrashCheck;
 
   constructor(private readonly options: CrashReporterOptions) {
@@ -82,6 +83,7 @@
   noteBroken(endpoint: ServingEndpoint, fingerprint: Fingerprint): void {
     const {state, nowMs, instance, incarnation} = this.options;
     this.watched.set(endpoint.id, endpoint);
+    this.brokenAtMs.set(endpoint.id, nowMs());
     state.suspects.noteBroken(
       {
         newId: () => `${instance}/${incarnation}/${(this.count += 1)}`,
@@ -115,12 +117,14 @@
   noteDown(id: EndpointId): void {
     const {state, nowMs, logger, metrics} = this.options;
     const crashes = state.suspects.noteDown(id, nowMs());
-    this.watched.delete(id);
+    const hasReachedOthers = this.hasReachedOthers(id);
+    this.forget(id);
     if (crashes.length === 0) return;
     const fingerprints = listFingerprints(crashes);
     metrics.countCrash('here');
     logger.warn('endpoint_crashed', {
       endpoint: id,
+      hasReachedOthers,
       suspects: fingerprints.length,
       fingerprints: fingerprints.map(abbreviate),
     });
@@ -151,10 +155,22 @@
   private mayHaveCrashed(id: EndpointId): boolean {
     const {state, nowMs} = this.options;
     const isOpen = state.suspects.mayHaveCrashed(id, nowMs());
-    if (!isOpen) this.watched.delete(id);
+    if (!isOpen) this.forget(id);
     return isOpen;
   }
 
+  /** Whether this instance has connected to an endpoint since the break. */
+  private hasReachedOthers(id: EndpointId): boolean {
+    const atMs = this.brokenAtMs.get(id);
+    if (atMs === undefined) return true;
+    return this.options.state.isolation.hasConnectedSince(atMs);
+  }
+
+  private forget(id: EndpointId): void {
+    this.watched.delete(id);
+    this.brokenAtMs.delete(id);
+  }
+
   private async look(
     id: EndpointId,
     mayConnect: boolean,
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -20,6 +20,11 @@
   readonly connectTimeoutMs: number;
   /** Called with the time that it took to establish the connection. */
   readonly onConnected?: (tookMs: number) => void;
+  /** Called when no connection could be opened, unless it was cancelled. */
+  readonly onConnectFailed?: (failed: {
+    readonly tookMs: number;
+    readonly hasTimedOut: boolean;
+  }) => void;
   /** Asked once the connection is open, before the request is sent. */
   readonly mayStillSend?: () => boolean;
 }
@@ -106,6 +111,7 @@
       signal: this.cancellation.signal,
     });
     if (connection.kind === 'failed') {
+      this.noteConnectFailed(startedAtMs, connection.timedOut);
       const reason = connection.timedOut ? 'connect_timeout' : 'unreachable';
       return this.failed(reason, connection.reason);
     }
@@ -120,6 +126,12 @@
     return this.send(connection);
   }
 
+  private noteConnectFailed(startedAtMs: number, hasTimedOut: boolean): void {
+    if (this.isCancelled) return;
+    const tookMs = performance.now() - startedAtMs;
+    this.options.onConnectFailed?.({tookMs, hasTimedOut});
+  }
+
   private send(connection: FreshConnection): Promise<CallHead> {
     const {method, path, headers, body} = this.options;
     const request = httpRequest({
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -90,6 +90,17 @@
     labelNames: ['decision'],
     registers: [this.registry],
   });
+  private readonly connections = new Counter({
+    name: 'snipestage_endpoint_connections_total',
+    help: 'Connections to endpoints by outcome.',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+  private readonly isolated = new Gauge({
+    name: 'snipestage_isolated',
+    help: 'Whether this instance can connect to no endpoint (1) or not (0).',
+    registers: [this.registry],
+  });
   private readonly version = new Gauge({
     name: 'snipestage_configuration_version',
     help: 'Version of the configuration in force.',
@@ -159,6 +170,14 @@
     this.suspects.inc({decision});
   }
 
+  countConnection(outcome: 'open' | 'refused' | 'timed_out'): void {
+    this.connections.inc({outcome});
+  }
+
+  setIsolated(isIsolated: boolean): void {
+    this.isolated.set(isIsolated ? 1 : 0);
+  }
+
   setConfigurationVersion(version: number): void {
     this.version.set(version);
   }
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -10,6 +10,7 @@
 import {EndpointDirectory} from '@snipestage/routing/endpoint_directory.js';
 import {EndpointRateLimits} from '@snipestage/routing/endpoint_rate_limits.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
+import {InstanceIsolation} from '@snipestage/routing/instance_isolation.js';
 import {LoadView} from '@snipestage/routing/load_view.js';
 import {LeastLoadedPlacement} from '@snipestage/routing/least_loaded_placement.js';
 import type {Placement} from '@snipestage/routing/placement.js';
@@ -79,6 +80,7 @@
     isShared: id => this.isEngine(id),
   });
   readonly reach = new DataCentreReach();
+  readonly isolation = new InstanceIsolation();
   readonly demand = new DemandMeter();
   /** Published, and summed over all instances; hence the shorter half-life. */
   readonly demandToPublish = new DemandMeter({
