Reproduce how instances without links refuse their callers

- an instance that has lost its links answers 503, whether connections are refused or reset, for requests that may be repeated and for others, though two other instances reach every endpoint;
- three of four instances without links, likewise;
- an instance whose links are reset reports endpoint_crashed for endpoints that never went down (six lines, hasReachedOthers false in each).

--- /dev/null
+++ b/packages/gateway/src/isolated_instance.test.ts
@@ -0,0 +1,122 @@
+import type {ServerResponse} from 'node:http';
+import test, {type ExecutionContext} from 'ava';
+import type {Route} from '@snipestage/routing/route.js';
+import type {LinkMode} from '@snipestage/stand_ins/link/link.js';
+import {startCluster} from './test_support/test_cluster.js';
+import {get, SLOW_ROUTE, waitUntil} from './test_support/test_gateway.js';
+
+const SAFE_ROUTE: Route = {
+  ...SLOW_ROUTE,
+  host: '127.0.0.1',
+  kind: 'idempotent',
+  timeoutMs: 3000,
+  maxAttempts: 3,
+};
+const UNSAFE_ROUTE: Route = {
+  ...SAFE_ROUTE,
+  kind: 'non_idempotent',
+  maxAttempts: 1,
+};
+const CALLS = 20;
+const HELD_FOR_MS = 800;
+/** An endpoint whose answer broke off is looked at twice within this time. */
+const CRASH_CHECK_MS = 1300;
+
+function answer(response: ServerResponse, id: string): void {
+  response.setHeader('X-Request-Id', id);
+  response.setHeader('X-Signature', 'proof');
+  response.end('whole');
+}
+
+async function start(t: ExecutionContext, instances: number, route: Route) {
+  const cluster = await startCluster({instances, endpoints: 3, route, answer});
+  t.teardown(() => cluster.stop());
+  return cluster;
+}
+
+/** Statuses of requests that are sent one after the other. */
+async function callRepeatedly(port: number, name: string) {
+  const statuses: Array<number | undefined> = [];
+  for (let number = 0; number < CALLS; number += 1) {
+    const headers = {Host: '127.0.0.1', 'X-Request-Id': `${name}-${number}`};
+    statuses.push((await get(port, undefined, headers)).statusCode);
+  }
+  return statuses;
+}
+
+for (const mode of ['refuse', 'cut'] satisfies LinkMode[]) {
+  for (const route of [SAFE_ROUTE, UNSAFE_ROUTE]) {
+    test(`an isolated instance serves ${route.kind} requests through others (${mode})`, async t => {
+      // Guards against refusing callers of an instance that has lost its own
+      // links to all endpoints while other instances reach them.
+      const cluster = await start(t, 3, route);
+      const [isolated, other] = cluster.members;
+      await callRepeatedly(isolated.callers, 'before');
+      await cluster.cut(0, mode);
+      const statuses = await callRepeatedly(isolated.callers, 'isolated');
+      t.deepEqual(statuses, Array(CALLS).fill(200));
+      t.deepEqual(
+        await callRepeatedly(other.callers, 'other'),
+        Array(CALLS).fill(200),
+      );
+      const begun = cluster.endpoints.flatMap(each => each.begun);
+      t.is(begun.length, new Set(begun).size);
+    });
+  }
+}
+
+test('a whole data centre without links serves through the other instances', async t => {
+  // Guards against instances without links that pass requests to one another.
+  const cluster = await start(t, 4, SAFE_ROUTE);
+  for (const index of [0, 1, 2]) await cluster.cut(index, 'refuse');
+  for (const index of [0, 1, 2]) {
+    const {callers} = cluster.members[index];
+    const statuses = await callRepeatedly(callers, `isolated-${index}`);
+    t.deepEqual(statuses, Array(CALLS).fill(200));
+  }
+});
+
+test('an instance that reaches no endpoint reports no crash of one', async t => {
+  // Guards against refusing a request everywhere because instances that lost
+  // their links took the endpoints that they couldn't reach for crashed.
+  const cluster = await startCluster({
+    instances: 3,
+    endpoints: 3,
+    route: SAFE_ROUTE,
+    answer: (response, id) => {
+      if (!id.startsWith('held')) answer(response, id);
+    },
+  });
+  t.teardown(() => cluster.stop());
+  for (const index of [0, 1]) {
+    const {callers} = cluster.members[index];
+    const held = [0, 1, 2].map(number =>
+      callWithSameContent(callers, `held-${index}-${number}`),
+    );
+    await waitUntil(
+      () =>
+        cluster.endpoints.flatMap(({begun}) => begun).length >= 3 + 3 * index,
+    );
+    await cluster.cut(index, 'cut');
+    await Promise.all(held);
+  }
+  await new Promise(done => setTimeout(done, CRASH_CHECK_MS));
+  const lines = cluster.members.flatMap(member => member.lines);
+  t.deepEqual(
+    lines.filter(line => line.includes('"endpoint_crashed"')),
+    [],
+  );
+  const {callers} = cluster.members[2];
+  const healthy = await callWithSameContent(callers, 'again');
+  t.is(healthy, 200);
+});
+
+/** Requests of one caller for one path look alike. */
+async function callWithSameContent(port: number, id: string) {
+  const headers = {
+    Host: '127.0.0.1',
+    'X-Request-Id': id,
+    'X-Waits-Ms': String(HELD_FOR_MS),
+  };
+  return (await get(port, undefined, headers)).statusCode;
+}
--- /dev/null
+++ b/packages/gateway/src/test_support/test_cluster.ts
@@ -0,0 +1,85 @@
+/**
+ * Gateways with one store and the same endpoints, each with links of its own to
+ * them that a test can cut.
+ */
+
+import type {Route} from '@snipestage/routing/route.js';
+import {Link, type LinkMode} from '@snipestage/stand_ins/link/link.js';
+import {MemoryPlatform} from './memory_platform.js';
+import {startGateway, TestEndpoint, waitUntil} from './test_gateway.js';
+
+/** Options of {@link startCluster}. */
+export interface TestClusterOptions {
+  readonly instances: number;
+  readonly endpoints: number;
+  readonly route: Route;
+  readonly answer: ConstructorParameters<typeof TestEndpoint>[0];
+}
+
+/**
+ * Starts the gateways and waits until all of them are ready.
+ *
+ * @example
+ * const cluster = await startCluster({instances: 2, endpoints: 3, ...rest});
+ * await cluster.cut(0, 'refuse');
+ */
+export async function startCluster(options: TestClusterOptions) {
+  const platform = new MemoryPlatform();
+  const endpoints = await startEndpoints(options);
+  const members = await Promise.all(
+    Array.from({length: options.instances}, (_, index) =>
+      startMember(`instance-${index}`, {...options, platform, endpoints}),
+    ),
+  );
+  return {
+    endpoints,
+    members,
+    /** Sets the mode of all links between an instance and the endpoints. */
+    cut: (index: number, mode: LinkMode) =>
+      Promise.all(members[index].links.map(link => link.setMode(mode))),
+    stop: async () => {
+      for (const endpoint of endpoints) endpoint.close();
+      await Promise.all(members.map(({gateway}) => gateway.stop()));
+      await Promise.all(
+        members.flatMap(({links}) => links.map(link => link.stop())),
+      );
+    },
+  };
+}
+
+function startEndpoints({endpoints, answer}: TestClusterOptions) {
+  return Promise.all(
+    Array.from({length: endpoints}, async () => {
+      const endpoint = new TestEndpoint(answer);
+      await endpoint.start();
+      return endpoint;
+    }),
+  );
+}
+
+async function startMember(
+  instance: string,
+  options: {
+    readonly route: Route;
+    readonly platform: MemoryPlatform;
+    readonly endpoints: readonly TestEndpoint[];
+  },
+) {
+  const {route, platform, endpoints} = options;
+  const member = await startGateway({
+    instance,
+    platform,
+    graceMs: 1500,
+    routes: [route],
+  });
+  const links: Link[] = [];
+  for (const [index, endpoint] of endpoints.entries()) {
+    const link = new Link({targetPort: endpoint.port});
+    await link.start();
+    links.push(link);
+    member.endpoints.put(`endpoint-${index}@${link.address}`);
+  }
+  member.configuration.put('1');
+  await waitUntil(() => member.gateway.isReady);
+  return {...member, links};
+}
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -56,7 +56,7 @@
 };
 
 /** A table to which a test adds rows; a poll waits for the next one. */
-class TestTable extends FollowedTable {
+export class TestTable extends FollowedTable {
   private version = composeStoreVersion({era: 0, number: 1});
   private rows: FollowedRow[] = [];
   private wake: (() => void) | undefined;
@@ -113,7 +113,8 @@
 
 /**
  * Decodes rows by their keys: `1`, `2`, ... are versions of the configuration,
- * `evacuate/<data centre>` are evacuations, and addresses are endpoints.
+ * `evacuate/<data centre>` are evacuations, and `<id>@<address>` or only an
+ * address are endpoints.
  */
 class TestDecoder extends RowDecoder {
   constructor(private readonly routes: readonly Route[]) {
@@ -145,12 +146,13 @@
   }
 
   decodeEndpoint({key}: FollowedRow): EndpointChange {
+    const [id, address = id] = key.split('@');
     return {
       kind: 'listed',
       endpoint: {
-        id: brandAs<EndpointId>(key),
+        id: brandAs<EndpointId>(id),
         service: brandAs<ServiceId>('s'),
-        address: brandAs<EndpointAddress>(key),
+        address: brandAs<EndpointAddress>(address),
         dataCentre: brandAs<DataCentreId>('akl-a'),
         capacity: 1,
         isLeaving: false,
@@ -167,6 +169,10 @@
   readonly graceMs?: number;
   /** Routes of each version of the configuration ({@link SLOW_ROUTE}). */
   readonly routes?: readonly Route[];
+  /** Name of the instance (`one`). */
+  readonly instance?: string;
+  /** Store of the instance's own rows (one of its own). */
+  readonly platform?: MemoryPlatform;
 }
 
 /**
@@ -178,13 +184,14 @@
  */
 export async function startGateway(options: TestGatewayOptions = {}) {
   const {graceMs = 4000, routes = [SLOW_ROUTE]} = options;
+  const {instance = 'one', platform = new MemoryPlatform()} = options;
   const [callers, readiness] = await pickFreePorts(2);
   const configuration = new TestTable('configuration');
   const endpoints = new TestTable('endpoints');
   const {logger, lines} = new CapturedLog();
   const gateway = new Gateway({
     settings: {
-      instance: brandAs<InstanceId>('one'),
+      instance: brandAs<InstanceId>(instance),
       dataCentre: brandAs<DataCentreId>('akl-a'),
       callersAddress: `127.0.0.1:${callers}`,
       readinessAddress: `127.0.0.1:${readiness}`,
@@ -197,7 +204,7 @@
       usage: {windowMs: 5000, dueAfterMs: 10_000, tolerance: 0.05},
       duties: {reportsUsage: false, ordersEndpoints: false},
     },
-    platform: new MemoryPlatform(),
+    platform,
     protocol: new PlainProtocol(),
     decoder: new TestDecoder(routes),
     tables: {
@@ -241,8 +248,8 @@
 export class TestEndpoint {
   /** Ids of the requests that it has begun. */
   readonly begun: string[] = [];
+  port = 0;
   private readonly server: http.Server;
-  private port = 0;
 
   constructor(answer: (response: http.ServerResponse, id: string) => void) {
     this.server = http.createServer((request, response) => {
