Connect through another instance where an instance reaches no endpoint

They got 503, after 1.2 s where connections timed out, after 40 ms where they were refused.

Cause: an instance had no other path to an endpoint than its own connection, and took each failure for one of the endpoint.

Change: an instance counts as isolated after failures at two endpoints (three, where connections are refused) without a connection to any in between, or at the last endpoint that a request may try. It then opens the connection through another instance: a gRPC stream carries the bytes of one connection. What is decided (endpoint, retries, budget, deadline, usage) stays with the instance that has the request, and nothing is sent before the endpoint's handshake, so that the verdict is as true as before. A forwarder connects only by itself (one hop), only to endpoints that it lists itself, named by id and start, and not while it stops or is isolated. While isolated, one connection in the background every 400 ms finds out whether the links are back; no caller waits for it. What was concluded from lost connections (pauses of endpoints and data centres) is forgotten. With no forwarder left a request is refused at once, until the next probe.

Addresses are rows of a table that nobody follows: written once at the first start, read at the start and while isolated.

Ruled out: becoming unready (with half of a data centre out of rotation the balancer uses all of them again); passing whole requests to the callers' port (retry budget, demand and usage would count twice or need a trusted header).

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -5,6 +5,7 @@
 import type {Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter} from './answer_writer.js';
 import {EndpointCall, type CallFailureReason} from './endpoint_call.js';
+import type {ConnectionPath} from './endpoint_connection.js';
 import {EventRelay} from './event_relay.js';
 import type {
   AttemptResult,
@@ -14,7 +15,6 @@
 } from './exchange_context.js';
 import type {AnswerHead} from './pass_through_protocol.js';
 import {readAnswerBody} from './read_answer_body.js';
-import {recordConnected, recordConnectFailed} from './record_connection.js';
 import {recordAnnouncements} from './record_announcements.js';
 import {limitsOnSilence} from './silence_limits.js';
 import {SilenceWatch} from './silence_watch.js';
@@ -25,6 +25,14 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Failures that aren't the endpoint's. */
+const SAYS_NOTHING_OF_ENDPOINT: ReadonlySet<CallFailureReason> = new Set([
+  'cancelled',
+  'withheld',
+  'isolated',
+  'path_broken',
+]);
+
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
   readonly context: ExchangeContext;
@@ -33,6 +41,8 @@
   readonly placed: Placed;
   /** Whether another endpoint may be tried if this one is silent. */
   readonly maySwitch: () => boolean;
+  /** Whether no other endpoint is left to try. */
+  readonly isLast: () => boolean;
   /** Called, possibly repeatedly, once the endpoint has begun the request. */
   readonly onBegun: () => void;
 }
@@ -47,7 +57,6 @@
     const {protocol, state, crashes, nowMs, connectTimeout} = context;
     const timeLeftMs = Math.max(1, Math.floor(request.endsAtMs - nowMs()));
     this.call = new EndpointCall({
-      address: placed.endpoint.address,
       method: request.method,
       path: request.path,
       headers: protocol.composeForwarded(request.rawHeaders, {
@@ -60,13 +69,13 @@
         bodyBytes: request.body?.length,
       }),
       body: request.body,
-      connectTimeoutMs: Math.min(connectTimeout.timeoutMs, timeLeftMs),
-      onConnected: tookMs => {
-        connectTimeout.note(tookMs);
-        recordConnected(context);
-      },
-      onConnectFailed: failed =>
-        recordConnectFailed(context, placed.endpoint, failed),
+      connect: signal =>
+        context.connector.open({
+          endpoint: placed.endpoint,
+          timeoutMs: Math.min(connectTimeout.timeoutMs, timeLeftMs),
+          isLast: options.isLast(),
+          signal,
+        }),
       mayStillSend: () =>
         state.directory.mayStillSend(placed.endpoint, nowMs()) &&
         crashes.mayRun(request.fingerprint),
@@ -80,6 +89,11 @@
     return this.call.verdict;
   }
 
+  /** How it was connected to the endpoint; undefined while it isn't. */
+  get path(): ConnectionPath | undefined {
+    return this.call.path;
+  }
+
   /** Closes the connection, upon which the endpoint stops its work. */
   cancel(): void {
     this.call.cancel();
@@ -125,7 +139,7 @@
       };
     }
     const {reason, verdict} = head;
-    if (reason === 'cancelled' || reason === 'withheld') {
+    if (SAYS_NOTHING_OF_ENDPOINT.has(reason)) {
       return {
         kind: 'failed',
         verdict,
@@ -203,6 +217,8 @@
       hasArrived: true,
     } as const;
     const {hasFired, isSilent} = this.silence;
+    if (this.call.hasPathBroken)
+      return {...failed, endpointOutcome: undefined, reason: 'path_broken'};
     if (hasFired)
       return {...failed, endpointOutcome: 'silent', reason: 'silent'};
     const isLate = context.nowMs() >= request.endsAtMs;
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -4,7 +4,7 @@
 import {Server as TcpServer} from 'node:net';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {CallerLimits} from '@snipestage/routing/route.js';
-import {splitAddress} from './endpoint_call.js';
+import {splitAddress} from './split_address.js';
 import type {RequestHandler} from './request_handler.js';
 
 /** Options of {@link CallersServer}. */
--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -18,7 +18,7 @@
   Fingerprint,
   InstanceId,
 } from '@snipestage/types/ids.js';
-import {splitAddress} from './endpoint_call.js';
+import {splitAddress} from './split_address.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {RoutingState} from './routing_state.js';
 
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -5,26 +5,23 @@
   type ClientRequest,
   type IncomingMessage,
 } from 'node:http';
-import type {Socket} from 'node:net';
-import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
-import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
+import type {
+  ConnectionPath,
+  EndpointConnectFailure,
+  EndpointConnection,
+} from './endpoint_connection.js';
 
 /** Options of {@link EndpointCall}: the request and how to connect. */
 export interface EndpointCallOptions {
-  readonly address: EndpointAddress;
   readonly method: string;
   readonly path: string;
   readonly headers: string[];
   readonly body: Buffer | undefined;
-  readonly connectTimeoutMs: number;
-  /** Called with the time that it took to establish the connection. */
-  readonly onConnected?: (tookMs: number) => void;
-  /** Called when no connection could be opened, unless it was cancelled. */
-  readonly onConnectFailed?: (failed: {
-    readonly tookMs: number;
-    readonly hasTimedOut: boolean;
-  }) => void;
+  /** Opens the connection that carries the request. */
+  readonly connect: (
+    signal: AbortSignal,
+  ) => Promise<EndpointConnection | EndpointConnectFailure>;
   /** Asked once the connection is open, before the request is sent. */
   readonly mayStillSend?: () => boolean;
 }
@@ -38,9 +35,26 @@
  * - `cancelled`: the call was ended from this side.
  * - `withheld`: nothing was sent, as the endpoint had announced meanwhile that
  *   it wants no requests.
+ * - `isolated`: this instance reaches no endpoint, by no path.
+ * - `path_broken`: the instance that forwarded the connection was lost.
  */
 export type CallFailureReason =
-  'unreachable' | 'connect_timeout' | 'broken' | 'cancelled' | 'withheld';
+  | 'unreachable'
+  | 'connect_timeout'
+  | 'broken'
+  | 'cancelled'
+  | 'withheld'
+  | 'isolated'
+  | 'path_broken';
+
+const CONNECT_FAILURE_REASONS: Readonly<
+  Record<EndpointConnectFailure['reason'], CallFailureReason>
+> = {
+  refused: 'unreachable',
+  timed_out: 'connect_timeout',
+  not_serving: 'withheld',
+  isolated: 'isolated',
+};
 
 /** The head of the answer, or why there is none. */
 export type CallHead =
@@ -60,9 +74,8 @@
  */
 export class EndpointCall {
   private readonly cancellation = new AbortController();
-  private connection: FreshConnection | undefined;
+  private connection: EndpointConnection | undefined;
   private request: ClientRequest | undefined;
-  private closedCleanly: Promise<boolean> = Promise.resolve(false);
   readonly head: Promise<CallHead>;
 
   constructor(private readonly options: EndpointCallOptions) {
@@ -78,7 +91,7 @@
    * Whether an answer that has ended is complete.
    *
    * An answer without a length ends with its connection, and Node.js (20)
-   * accepts a reset as that end, too; {@link closesCleanly} distinguishes a
+   * accepts a reset as that end, too; the connection distinguishes a
    * crash in the middle of the answer from a regular end.
    */
   async isWhole(response: IncomingMessage): Promise<boolean> {
@@ -87,7 +100,7 @@
     const hasLength =
       headers['content-length'] !== undefined ||
       headers['transfer-encoding'] !== undefined;
-    return hasLength || this.closedCleanly;
+    return hasLength || (this.connection?.closedCleanly ?? false);
   }
 
   /** Whether the call was ended from this side. */
@@ -95,65 +108,67 @@
     return this.cancellation.signal.aborted;
   }
 
+  /** Whether the connection broke without the endpoint's doing. */
+  get hasPathBroken(): boolean {
+    return this.connection?.hasPathBroken === true;
+  }
+
+  /** Undefined until a connection is open. */
+  get path(): ConnectionPath | undefined {
+    return this.connection?.path;
+  }
+
   /** Closes the connection, upon which the endpoint stops its work. */
   cancel(): void {
     this.cancellation.abort();
     this.request?.destroy();
+    this.connection?.reset();
   }
 
   private async run(): Promise<CallHead> {
-    const [host, port] = splitAddress(this.options.address);
-    const startedAtMs = performance.now();
-    const connection = await FreshConnection.open({
-      host,
-      port,
-      connectTimeoutMs: this.options.connectTimeoutMs,
-      signal: this.cancellation.signal,
-    });
+    const {connect, mayStillSend} = this.options;
+    const connection = await connect(this.cancellation.signal);
     if (connection.kind === 'failed') {
-      this.noteConnectFailed(startedAtMs, connection.timedOut);
-      const reason = connection.timedOut ? 'connect_timeout' : 'unreachable';
-      return this.failed(reason, connection.reason);
+      return this.failed(CONNECT_FAILURE_REASONS[connection.reason], '');
     }
-    this.options.onConnected?.(performance.now() - startedAtMs);
     this.connection = connection;
-    this.closedCleanly = closesCleanly(connection.createConnection());
-    if (this.isCancelled) return this.failed('broken', '');
-    if (this.options.mayStillSend?.() === false) {
+    if (this.isCancelled) {
+      connection.reset();
+      return this.failed('broken', '');
+    }
+    if (mayStillSend?.() === false) {
       connection.reset();
       return this.failed('withheld', 'the endpoint wants no requests');
     }
     return this.send(connection);
   }
 
-  private noteConnectFailed(startedAtMs: number, hasTimedOut: boolean): void {
-    if (this.isCancelled) return;
-    const tookMs = performance.now() - startedAtMs;
-    this.options.onConnectFailed?.({tookMs, hasTimedOut});
-  }
-
-  private send(connection: FreshConnection): Promise<CallHead> {
+  private send(connection: EndpointConnection): Promise<CallHead> {
     const {method, path, headers, body} = this.options;
     const request = httpRequest({
       method,
       path,
       headers,
       setHost: false,
-      createConnection: connection.createConnection,
+      createConnection: () => connection.createConnection(),
     });
     this.request = request;
     return new Promise(resolve => {
       request.once('response', response => resolve({kind: 'head', response}));
       request.on('error', error =>
-        resolve(this.failed('broken', error.message)),
+        resolve(this.failed(this.breakReason, error.message)),
       );
       request.once('close', () =>
-        resolve(this.failed('broken', 'closed without an answer')),
+        resolve(this.failed(this.breakReason, 'closed without an answer')),
       );
       request.end(body);
     });
   }
 
+  private get breakReason(): CallFailureReason {
+    return this.hasPathBroken ? 'path_broken' : 'broken';
+  }
+
   private failed(reason: CallFailureReason, message: string): CallHead {
     const {isCancelled} = this;
     return {
@@ -164,33 +179,3 @@
     };
   }
 }
-
-/**
- * Resolves at the end of a connection, with whether its peer closed rather than
- * reset it.
- *
- * libuv reports a reset that arrives together with the last bytes as an end of
- * the stream, without an error. At that moment the kernel no longer knows a
- * peer address of a reset connection, while a closed one still has one.
- * `remoteAddress` must not have been read before, since Node.js caches it.
- */
-function closesCleanly(socket: Socket): Promise<boolean> {
-  let hadPeerAtEnd = false;
-  socket.prependListener('end', () => {
-    hadPeerAtEnd = socket.remoteAddress !== undefined;
-  });
-  return new Promise(resolve =>
-    socket.once('close', hadError => resolve(!hadError && hadPeerAtEnd)),
-  );
-}
-
-/**
- * Splits an address into host and port.
- *
- * @example
- * splitAddress('10.0.0.1:80'); // ['10.0.0.1', 80]
- */
-export function splitAddress(address: string): [string, number] {
-  const colon = address.lastIndexOf(':');
-  return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
--- /dev/null
+++ b/packages/gateway/src/endpoint_connection.ts
@@ -0,0 +1,82 @@
+/** An open connection to an endpoint that carries one request. */
+
+import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+import type {FreshConnection} from '@snipestage/connection/fresh_connection.js';
+import type {Verdict} from '@snipestage/types/verdict.js';
+
+/** Whether a connection leads to the endpoint itself or through an instance. */
+export type ConnectionPath = 'direct' | 'forwarded';
+
+/** Why no connection was opened; nothing was sent. */
+export interface EndpointConnectFailure {
+  readonly kind: 'failed';
+  readonly path: ConnectionPath;
+  /**
+   * - `refused`, `timed_out`: the endpoint could not be reached.
+   * - `not_serving`: by what the forwarder knows, it must get no requests.
+   * - `isolated`: this instance reaches no endpoint, by no path.
+   */
+  readonly reason: 'refused' | 'timed_out' | 'not_serving' | 'isolated';
+}
+
+/** Never shared or reused. */
+export abstract class EndpointConnection {
+  readonly kind = 'open';
+  abstract readonly path: ConnectionPath;
+  /** Resolves at its end, with whether the endpoint closed without a reset. */
+  abstract readonly closedCleanly: Promise<boolean>;
+  /** `not_run` until bytes have been written. */
+  abstract get verdict(): Verdict;
+  /** Whether it broke between the two instances: nothing is known of the endpoint. */
+  abstract get hasPathBroken(): boolean;
+  /** Value for the `createConnection` option of `http.request`. */
+  abstract createConnection(): Duplex;
+  abstract reset(): void;
+}
+
+/** A TCP connection to the endpoint. */
+export class DirectConnection extends EndpointConnection {
+  readonly path = 'direct';
+  readonly hasPathBroken = false;
+  readonly closedCleanly: Promise<boolean>;
+
+  constructor(private readonly connection: FreshConnection) {
+    super();
+    this.closedCleanly = closesCleanly(connection.createConnection());
+  }
+
+  get verdict(): Verdict {
+    return this.connection.verdict;
+  }
+
+  createConnection(): Duplex {
+    return this.connection.createConnection();
+  }
+
+  reset(): void {
+    this.connection.reset();
+  }
+}
+
+/**
+ * Resolves at the end of a connection, with whether its peer closed rather than
+ * reset it.
+ *
+ * libuv reports a reset that arrives together with the last bytes as an end of
+ * the stream, without an error. At that moment the kernel no longer knows a
+ * peer address of a reset connection, while a closed one still has one.
+ * `remoteAddress` must not have been read before, since Node.js caches it.
+ *
+ * @example
+ * const isWhole = await closesCleanly(socket);
+ */
+export function closesCleanly(socket: Socket): Promise<boolean> {
+  let hadPeerAtEnd = false;
+  socket.prependListener('end', () => {
+    hadPeerAtEnd = socket.remoteAddress !== undefined;
+  });
+  return new Promise(resolve =>
+    socket.once('close', hadError => resolve(!hadError && hadPeerAtEnd)),
+  );
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -12,7 +12,8 @@
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
 import {Attempt} from './attempt.js';
-import {recordOutcome} from './record_outcome.js';
+import type {ConnectionPath} from './endpoint_connection.js';
+import {recordOutcome, type AttemptOutcome} from './record_outcome.js';
 import type {
   AttemptResult,
   ExchangeContext,
@@ -37,6 +38,7 @@
   private loadWhenChosen: number | undefined;
   private loadAgeWhenChosenMs: number | undefined;
   private lastGroup: PlacementGroup | undefined;
+  private lastPath: ConnectionPath | undefined;
 
   constructor(
     private readonly context: ExchangeContext,
@@ -98,6 +100,7 @@
       events: events || undefined,
       firstEventMs: firstMs,
       longestPauseMs: events > 0 ? Math.round(longestPauseMs) : undefined,
+      path: this.lastPath,
       load: this.loadWhenChosen,
       loadAgeMs: loadAgeMs && Math.round(loadAgeMs),
       endpoint: [...this.history.excluded].at(-1),
@@ -187,6 +190,7 @@
       deliveredEvents: this.writer.events,
       leftMs: this.request.endsAtMs - nowMs(),
       untried: this.listUntried().length,
+      isIsolated: result.reason === 'isolated',
       hasArrived: result.hasArrived,
     });
     if (decision.kind === 'give_up') return false;
@@ -216,15 +220,17 @@
     state.warmup.noteSent(endpoint, startedAtMs);
     state.rateLimits.noteSent(endpoint.id, startedAtMs);
     state.reach.noteTrial(endpoint.dataCentre, startedAtMs);
+    const attempt = (this.current = this.createAttempt(placed));
     let result: AttemptResult;
     try {
-      this.current = this.createAttempt(placed);
-      result = await this.current.run();
+      result = await attempt.run();
     } finally {
       state.monitor.end(endpoint.id, work);
       this.current = undefined;
     }
-    this.settle(endpoint, result, nowMs() - startedAtMs);
+    const {path} = attempt;
+    const durationMs = nowMs() - startedAtMs;
+    this.settle({endpoint, result, durationMs, path});
     return result;
   }
 
@@ -236,6 +242,7 @@
       writer,
       placed,
       maySwitch: () => this.maySwitch(),
+      isLast: () => this.listUntried().length === 0,
       onBegun: () => this.noteBegun(),
     });
   }
@@ -273,17 +280,19 @@
   }
 
   /** Records the result of an attempt. */
-  private settle(
-    endpoint: ServingEndpoint,
-    result: AttemptResult,
-    durationMs: number,
-  ): void {
-    recordOutcome(this.context, this.request, {endpoint, result, durationMs});
+  private settle(outcome: AttemptOutcome): void {
+    const {endpoint, result} = outcome;
+    recordOutcome(this.context, this.request, outcome);
+    this.lastPath = outcome.path ?? this.lastPath;
     if (result.kind === 'answered') {
       this.verdict = 'ran';
       return;
     }
     this.verdict = worseVerdict(this.verdict, result.verdict);
+    if (result.reason === 'isolated') {
+      const {state, nowMs} = this.context;
+      this.minRetryAfterMs = state.isolation.probeLeftMs(nowMs());
+    }
     const hasTimedOut = result.reason === 'connect_timeout';
     const wasWithheld = result.reason === 'withheld';
     this.history.fail(endpoint, {...result, hasTimedOut, wasWithheld});
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -8,6 +8,7 @@
 import type {Admission} from './admission.js';
 import type {WholeAnswer} from './answer_writer.js';
 import type {CrashReporter} from './crash_reporter.js';
+import type {EndpointConnector} from './endpoint_connector.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {
   CallerRequest,
@@ -25,6 +26,7 @@
   readonly metrics: GatewayMetrics;
   readonly nowMs: () => number;
   readonly connectTimeout: ConnectTimeout;
+  readonly connector: EndpointConnector;
   /** Called when a request began to run; `atMs` is on this instance's clock. */
   readonly onBegun: (admission: Admission, atMs: number) => void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,13 +10,13 @@
   AgreedClock,
   type StoreClockReading,
 } from '@snipestage/routing/agreed_clock.js';
-import {ConnectTimeout} from '@snipestage/routing/connect_timeout.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
 import {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {DataCentreId, FencingToken} from '@snipestage/types/ids.js';
 import {CallersServer} from './callers_server.js';
 import {CrashReporter} from './crash_reporter.js';
 import {Duties} from './duties.js';
+import {EndpointPaths} from './endpoint_paths.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createPages} from './gateway_pages.js';
 import type {GatewaySettings} from './gateway_settings.js';
@@ -63,6 +63,7 @@
   private readonly follower: StateFollower;
   private readonly duties: Duties;
   private readonly relays: Relays;
+  private readonly paths: EndpointPaths;
   private readonly facts: SharedFacts;
   private readonly crashes: CrashReporter;
   private readonly incarnation = randomUUID().slice(0, 8);
@@ -116,6 +117,12 @@
       nowMs,
       isReady: () => this.isReady,
     });
+    this.paths = new EndpointPaths({
+      ...options,
+      state: this.state,
+      nowMs,
+      isStopping: () => this.shutdown.isStopping,
+    });
     this.handler = this.createHandler(crashes, nowMs);
     this.callers = new CallersServer({
       address: settings.callersAddress,
@@ -168,6 +175,7 @@
     await this.callers.start();
     this.duties.start();
     this.relays.start();
+    await this.paths.start();
     this.options.logger.info('started', {
       instance: this.options.settings.instance,
       incarnation: this.incarnation,
@@ -190,6 +198,11 @@
     this.clock.noteReading(reading);
   }
 
+  /** Number of other instances that may forward connections. */
+  get knownForwarders(): number {
+    return this.paths.knownForwarders;
+  }
+
   /** Fencing token under which duties are carried out now, if they are. */
   get dutyToken(): FencingToken | undefined {
     return this.duties.token;
@@ -238,7 +251,7 @@
       // Requests on new connections might not finish within the grace time.
       this.callers.stopListening();
       this.callers.closeIdle();
-      if (this.handler.inProgress === 0) return;
+      if (this.handler.inProgress + this.paths.inProgress === 0) return;
     }
   }
 
@@ -257,6 +270,7 @@
       setTimeout(done, FINISH_USAGE_TIMEOUT_MS),
     );
     await Promise.race([this.duties.finishUsage(), limit]);
+    this.paths.stop();
     this.follower.stop();
     this.crashes.stop();
     this.facts.stop();
@@ -275,7 +289,8 @@
       logger: logger.forComponent('callers'),
       metrics,
       nowMs,
-      connectTimeout: new ConnectTimeout(),
+      connectTimeout: this.paths.connectTimeout,
+      connector: this.paths.connector,
       onBegun: ({clientAccount}, atMs) => {
         if (clientAccount === undefined) return;
         this.duties.countUsage(clientAccount, atMs);
@@ -303,6 +318,8 @@
       evacuated: this.evacuated,
       ...this.duties.snapshot(),
       relays: this.relays.snapshot(),
+      isIsolated: this.state.isolation.isIsolated,
+      knownForwarders: this.knownForwarders,
       endpoints: this.state.describeEndpoints(performance.now()),
     };
   }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -1,6 +1,7 @@
 /** Counters and latency histograms, served as text. */
 
 import type {PlacementGroup} from '@snipestage/routing/placement.js';
+import type {ConnectionPath} from './endpoint_connection.js';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** From one millisecond to the longest time that callers wait. */
@@ -92,8 +93,8 @@
   });
   private readonly connections = new Counter({
     name: 'snipestage_endpoint_connections_total',
-    help: 'Connections to endpoints by outcome.',
-    labelNames: ['outcome'],
+    help: 'Connections to endpoints, direct or forwarded, by outcome.',
+    labelNames: ['path', 'outcome'],
     registers: [this.registry],
   });
   private readonly isolated = new Gauge({
@@ -170,8 +171,9 @@
     this.suspects.inc({decision});
   }
 
-  countConnection(outcome: 'open' | 'refused' | 'timed_out'): void {
-    this.connections.inc({outcome});
+  /** @param outcome `open`, or why there was none. */
+  countConnection(path: ConnectionPath, outcome: string): void {
+    this.connections.inc({path, outcome});
   }
 
   setIsolated(isIsolated: boolean): void {
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -39,6 +39,12 @@
     /** 0 to 1: how well this instance's machine can serve others. */
     readonly strength: number;
   };
+  readonly forwarding: {
+    /** Address for other instances; undefined: this one takes no part. */
+    readonly address: ListenAddress | undefined;
+    /** See {@link ForwarderListOptions}. */
+    readonly publishWithinMs?: number;
+  };
   /** By how much the rate of a cold endpoint may be exceeded. */
   readonly warmup?: WarmupTolerance;
   readonly shutdown: {
--- a/packages/gateway/src/isolated_instance.test.ts
+++ b/packages/gateway/src/isolated_instance.test.ts
@@ -97,7 +97,7 @@
       () =>
         cluster.endpoints.flatMap(({begun}) => begun).length >= 3 + 3 * index,
     );
-    await cluster.cut(index, 'cut');
+    await cluster.partition(index);
     await Promise.all(held);
   }
   await new Promise(done => setTimeout(done, CRASH_CHECK_MS));
--- a/packages/gateway/src/operations_server.ts
+++ b/packages/gateway/src/operations_server.ts
@@ -1,7 +1,7 @@
 /** A small HTTP server for readiness, metrics and a dump of state. */
 
 import {createServer, type Server} from 'node:http';
-import {splitAddress} from './endpoint_call.js';
+import {splitAddress} from './split_address.js';
 
 /** Renders the page of a path; undefined when there is none. */
 export type PageRenderer = (
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -2,6 +2,7 @@
 
 import {abbreviate} from '@snipestage/entry/identify/fingerprint.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import type {ConnectionPath} from './endpoint_connection.js';
 import type {
   AttemptResult,
   ExchangeContext,
@@ -21,6 +22,8 @@
   readonly endpoint: ServingEndpoint;
   readonly result: AttemptResult;
   readonly durationMs: number;
+  /** Undefined when no connection was opened. */
+  readonly path: ConnectionPath | undefined;
 }
 
 /**
@@ -33,22 +36,21 @@
 export function recordOutcome(
   context: ExchangeContext,
   request: ReadRequest,
-  {endpoint, result, durationMs}: AttemptOutcome,
+  outcome: AttemptOutcome,
 ): void {
-  if (result.kind === 'answered') {
-    recordAnswer(context, request, {endpoint, durationMs});
-    return;
-  }
-  recordFailure(context, request, {endpoint, result, durationMs});
+  const {result} = outcome;
+  if (result.kind === 'answered') recordAnswer(context, request, outcome);
+  else recordFailure(context, request, {...outcome, result});
 }
 
 function recordAnswer(
   {state, crashes, metrics, nowMs}: ExchangeContext,
   {fingerprint, admission}: ReadRequest,
-  {endpoint, durationMs}: Omit<AttemptOutcome, 'result'>,
+  {endpoint, durationMs, path}: AttemptOutcome,
 ): void {
   const atMs = nowMs();
-  state.reach.noteReached(endpoint.dataCentre);
+  // Another instance's connection proves nothing of the links of this one.
+  if (path === 'direct') state.reach.noteReached(endpoint.dataCentre);
   state.monitor.note(endpoint.id, 'answered', atMs);
   state.refusalDelayFor(admission.service).noteServed(atMs);
   crashes.noteAnswered(endpoint, fingerprint, atMs - durationMs);
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -173,6 +173,12 @@
     return Object.fromEntries(entries);
   }
 
+  /** Forgets what was concluded from connections that this instance lost. */
+  forgetUnreachable(): void {
+    this.monitor.forgetUnreachable();
+    this.reach.clear();
+  }
+
   placementFor(service: ServiceId): Placement {
     return this.placesPrompts(service)
       ? this.promptPlacement
--- a/packages/gateway/src/test_support/test_cluster.ts
+++ b/packages/gateway/src/test_support/test_cluster.ts
@@ -31,12 +31,23 @@
       startMember(`instance-${index}`, {...options, platform, endpoints}),
     ),
   );
+  await waitUntil(() =>
+    members.every(
+      ({gateway}) => gateway.knownForwarders === options.instances - 1,
+    ),
+  );
+  /** Sets the mode of all links between an instance and the endpoints. */
+  const cut = (index: number, mode: LinkMode) =>
+    Promise.all(members[index].links.map(link => link.setMode(mode)));
   return {
     endpoints,
     members,
-    /** Sets the mode of all links between an instance and the endpoints. */
-    cut: (index: number, mode: LinkMode) =>
-      Promise.all(members[index].links.map(link => link.setMode(mode))),
+    cut,
+    /** Resets open connections, and refuses new ones before any is accepted. */
+    partition: async (index: number) => {
+      await cut(index, 'cut');
+      await cut(index, 'refuse');
+    },
     stop: async () => {
       for (const endpoint of endpoints) endpoint.close();
       await Promise.all(members.map(({gateway}) => gateway.stop()));
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -163,6 +163,8 @@
   }
 }
 
+const PUBLISH_WITHIN_MS = 30;
+
 /** Options of {@link startGateway}; defaults in the brackets. */
 export interface TestGatewayOptions {
   /** Grace time of a stop (4,000 ms). */
@@ -185,7 +187,7 @@
 export async function startGateway(options: TestGatewayOptions = {}) {
   const {graceMs = 4000, routes = [SLOW_ROUTE]} = options;
   const {instance = 'one', platform = new MemoryPlatform()} = options;
-  const [callers, readiness] = await pickFreePorts(2);
+  const [callers, readiness, forwarding] = await pickFreePorts(3);
   const configuration = new TestTable('configuration');
   const endpoints = new TestTable('endpoints');
   const {logger, lines} = new CapturedLog();
@@ -199,6 +201,10 @@
       retry: {ratio: 0.2, windowMs: 10_000, slack: 50},
       changes: {knownWithinMs: 500, inForceWithinMs: 200},
       relays: {address: undefined, dataCentres: 1, strength: 1},
+      forwarding: {
+        address: `127.0.0.1:${forwarding}`,
+        publishWithinMs: PUBLISH_WITHIN_MS,
+      },
       shutdown: {graceMs},
       lease: {termMs: 3000},
       usage: {windowMs: 5000, dueAfterMs: 10_000, tolerance: 0.05},
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -19,6 +19,8 @@
 import type {Admission} from '../admission.js';
 import {MAX_HEADER_BYTES} from '../callers_server.js';
 import {CrashReporter} from '../crash_reporter.js';
+import {DirectConnector} from '../direct_connector.js';
+import {EndpointConnector} from '../endpoint_connector.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
 import {RequestHandler} from '../request_handler.js';
 import {RoutingState} from '../routing_state.js';
@@ -266,6 +268,7 @@
   private async listen(): Promise<void> {
     const {logger} = this.log;
     const metrics = new GatewayMetrics();
+    const connectTimeout = new ConnectTimeout({maxMs: 1000});
     const handler = new RequestHandler({
       state: this.state,
       protocol: new PlainProtocol(),
@@ -282,7 +285,19 @@
       logger,
       metrics,
       nowMs: () => this.nowMs(),
-      connectTimeout: new ConnectTimeout({maxMs: 1000}),
+      connectTimeout,
+      connector: new EndpointConnector({
+        state: this.state,
+        direct: new DirectConnector({
+          state: this.state,
+          connectTimeout,
+          metrics,
+          logger,
+          nowMs: () => this.nowMs(),
+        }),
+        forwarded: undefined,
+        nowMs: () => this.nowMs(),
+      }),
       onBegun: admission => this.begun.push(admission),
       shutdown: this.shutdown,
     });
--- a/packages/routing/src/attempt_policy.ts
+++ b/packages/routing/src/attempt_policy.ts
@@ -22,6 +22,8 @@
   readonly untried: number;
   /** The endpoint received the request, whether or not it ran it. */
   readonly hasArrived: boolean;
+  /** This instance reaches no endpoint, by no path (false). */
+  readonly isIsolated?: boolean;
 }
 
 /** The next step. */
@@ -64,8 +66,9 @@
 }
 
 function isExhausted(failed: FailedAttempt): boolean {
-  const {offers, unreached, leftMs, untried} = failed;
+  const {offers, unreached, leftMs, untried, isIsolated = false} = failed;
   return (
+    isIsolated ||
     untried === 0 ||
     offers >= MAX_OFFERS ||
     unreached >= MAX_UNREACHED ||
--- a/packages/routing/src/data_centre_reach.ts
+++ b/packages/routing/src/data_centre_reach.ts
@@ -59,6 +59,11 @@
     this.centres.delete(dataCentre);
   }
 
+  /** Forgets all failures, which this instance's own links have caused. */
+  clear(): void {
+    this.centres.clear();
+  }
+
   /**
    * A request is sent to the data centre. If that is suspected to be cut off,
    * this request is a trial: until its result is known, others go elsewhere.
--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -249,6 +249,16 @@
       : nowMs - tracked.rejectedAtMs;
   }
 
+  /**
+   * Forgets failures to connect, which this instance's own links have caused.
+   */
+  forgetUnreachable(): void {
+    for (const tracked of this.trackedEndpoints.values()) {
+      tracked.unreachableCount = 0;
+      tracked.downUntilMs = 0;
+    }
+  }
+
   /**
    * Forgets the load and failures of an endpoint that has restarted; its
    * attempts in flight remain counted until they end.
