Take no endpoint for crashed that only this instance can't reach

What callers would see: a request whose answers broke off at two instances that had lost their links was refused by all instances for ten minutes, though no endpoint had crashed.

Cause: a refused connection after a broken answer confirmed a crash, whoever was cut off.

Change: it confirms one only if the instance has connected to another endpoint since the answer broke off; where it has not, the check of the endpoint tries two others. A 421 at the address, a new incarnation and a removed row confirm it as before.

--- a/packages/entry/src/choose/crash_check.ts
+++ b/packages/entry/src/choose/crash_check.ts
@@ -4,7 +4,7 @@
 
 /** What an endpoint whose answer broke off looks like some time later. */
 export type EndpointCondition =
-  /** It accepts connections. */
+  /** It accepts connections, or nothing can be said of it. */
   | 'open'
   /** It refuses connections, or no connection opens in time. */
   | 'down'
--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -22,6 +22,9 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {RoutingState} from './routing_state.js';
 
+/** Other endpoints that are tried when one can't be reached. */
+const MAX_WITNESSES = 2;
+
 /** Options of {@link CrashReporter}. */
 export interface CrashReporterOptions {
   readonly state: RoutingState;
@@ -113,18 +116,25 @@
     this.publishChanges();
   }
 
-  /** Handles an endpoint that is unreachable, was restarted or replaced. */
+  /**
+   * Handles a failure to connect. It is the endpoint's only if this instance has
+   * reached another one since the answer broke off: an instance that lost its
+   * own links would accuse the requests that broke off with them.
+   */
+  noteUnreachable(id: EndpointId): void {
+    if (this.hasReachedOthers(id)) this.noteDown(id);
+  }
+
+  /** Handles an endpoint that is down, was restarted or replaced. */
   noteDown(id: EndpointId): void {
     const {state, nowMs, logger, metrics} = this.options;
     const crashes = state.suspects.noteDown(id, nowMs());
-    const hasReachedOthers = this.hasReachedOthers(id);
     this.forget(id);
     if (crashes.length === 0) return;
     const fingerprints = listFingerprints(crashes);
     metrics.countCrash('here');
     logger.warn('endpoint_crashed', {
       endpoint: id,
-      hasReachedOthers,
       suspects: fingerprints.length,
       fingerprints: fingerprints.map(abbreviate),
     });
@@ -183,9 +193,21 @@
       : watched;
     this.watched.set(id, last);
     if (directory.isReplaced(last)) return 'gone';
-    if (!mayConnect) return 'open';
-    const [host, port] = splitAddress(last.address);
-    return (await acceptsConnections({host, port})) ? 'open' : 'down';
+    if (!mayConnect || (await isUp(last))) return 'open';
+    const isOwnFault =
+      !this.hasReachedOthers(id) && !(await this.reachesAnother(last));
+    return isOwnFault ? 'open' : 'down';
+  }
+
+  /** Whether any endpoint can be reached but this one. */
+  private async reachesAnother(down: ServingEndpoint): Promise<boolean> {
+    const others = this.options.state.directory
+      .readAll()
+      .filter(({id}) => id !== down.id);
+    if (others.length === 0) return true;
+    const tried = others.slice(0, MAX_WITNESSES);
+    const areUp = await Promise.all(tried.map(each => isUp(each)));
+    return areUp.includes(true);
   }
 
   private publishChanges(): void {
@@ -197,6 +219,11 @@
   }
 }
 
+function isUp({address}: ServingEndpoint): Promise<boolean> {
+  const [host, port] = splitAddress(address);
+  return acceptsConnections({host, port});
+}
+
 function listFingerprints(crashes: readonly CrashRecord[]): Fingerprint[] {
   return [...new Set(crashes.flatMap(({inFlight}) => [...inFlight]))];
 }
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -10,11 +10,10 @@
   ReadRequest,
 } from './exchange_context.js';
 
-/** Failures after which an endpoint whose answers broke off has crashed. */
-const MEANS_DOWN: ReadonlySet<string> = new Set([
+/** Failures after which an endpoint whose answers broke off may have crashed. */
+const MAY_MEAN_DOWN: ReadonlySet<string> = new Set([
   'unreachable',
   'connect_timeout',
-  'misdirected',
 ]);
 
 /** Endpoint, result and duration of an attempt that has ended. */
@@ -72,7 +71,8 @@
   metrics.countAttempt(admission.service, reason);
   if (endpointOutcome !== undefined)
     state.monitor.note(endpoint.id, endpointOutcome, atMs);
-  if (MEANS_DOWN.has(reason)) crashes.noteDown(endpoint.id);
+  if (reason === 'misdirected') crashes.noteDown(endpoint.id);
+  if (MAY_MEAN_DOWN.has(reason)) crashes.noteUnreachable(endpoint.id);
   if (connectionBroke) crashes.noteBroken(endpoint, fingerprint);
   context.logger.info('attempt_failed', {
     requestId: caller.requestId,
