Give endpoints the time that is left once the connection is open

Cause: headers were composed before the connection was opened. That took a connect timeout at most; finding a path through other instances takes several.

Change: headers are composed when the request is sent. The new test failed before (600 ms more than is left).

--- a/packages/gateway/src/answers.test.ts
+++ b/packages/gateway/src/answers.test.ts
@@ -415,3 +415,16 @@
   const {id} = await leaveStream(proxy, 300);
   t.true(proxy.state.monitor.failureShare(id, performance.now()) > 0);
 });
+
+test('an endpoint gets the time that is left once its connection is open', async t => {
+  // Guards against endpoints that work on for callers who have given up, since
+  // finding a path to them took long.
+  const proxy = await TestProxy.start({}, [answerWhole]);
+  t.teardown(() => proxy.close());
+  proxy.connectDelayMs = 600;
+  const headers = {'X-Waits-Ms': '2000'};
+  t.is((await proxy.call('late', {headers})).status, 200);
+  const [{request}] = proxy.received;
+  const timeLeftMs = Number(/x-time-left-ms: (\d+)/i.exec(request)?.[1]);
+  t.true(timeLeftMs > 0 && timeLeftMs <= 1400);
+});
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -54,20 +54,12 @@
 
   constructor(private readonly options: AttemptOptions) {
     const {context, request, writer, placed} = options;
-    const {protocol, state, crashes, nowMs, connectTimeout} = context;
-    const timeLeftMs = Math.max(1, Math.floor(request.endsAtMs - nowMs()));
+    const {state, crashes, nowMs, connectTimeout} = context;
+    const timeLeftMs = Math.max(1, request.endsAtMs - nowMs());
     this.call = new EndpointCall({
       method: request.method,
       path: request.path,
-      headers: protocol.composeForwarded(request.rawHeaders, {
-        endpoint: placed.endpoint.id,
-        clientAccount: request.admission.clientAccount,
-        timeLeftMs,
-        urgencyRank: request.admission.urgencyRank,
-        lastEventId: writer.lastEventId ?? request.caller.lastEventId,
-        cacheSource: placed.cacheSource?.address,
-        bodyBytes: request.body?.length,
-      }),
+      composeHeaders: () => this.composeHeaders(),
       body: request.body,
       connect: signal =>
         context.connector.open({
@@ -110,6 +102,20 @@
     return result;
   }
 
+  private composeHeaders(): string[] {
+    const {context, request, writer, placed} = this.options;
+    const leftMs = request.endsAtMs - context.nowMs();
+    return context.protocol.composeForwarded(request.rawHeaders, {
+      endpoint: placed.endpoint.id,
+      clientAccount: request.admission.clientAccount,
+      timeLeftMs: Math.max(1, Math.floor(leftMs)),
+      urgencyRank: request.admission.urgencyRank,
+      lastEventId: writer.lastEventId ?? request.caller.lastEventId,
+      cacheSource: placed.cacheSource?.address,
+      bodyBytes: request.body?.length,
+    });
+  }
+
   /**
    * Cancels the attempt after too long a silence if another endpoint may take
    * over; otherwise the attempt continues.
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -16,7 +16,8 @@
 export interface EndpointCallOptions {
   readonly method: string;
   readonly path: string;
-  readonly headers: string[];
+  /** Called once the connection is open: the time left is as of then. */
+  readonly composeHeaders: () => string[];
   readonly body: Buffer | undefined;
   /** Opens the connection that carries the request. */
   readonly connect: (
@@ -144,11 +145,11 @@
   }
 
   private send(connection: EndpointConnection): Promise<CallHead> {
-    const {method, path, headers, body} = this.options;
+    const {method, path, composeHeaders, body} = this.options;
     const request = httpRequest({
       method,
       path,
-      headers,
+      headers: composeHeaders(),
       setHost: false,
       createConnection: () => connection.createConnection(),
     });
--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -168,7 +168,12 @@
   return new EndpointCall({
     method: body === undefined ? 'GET' : 'POST',
     path: '/',
-    headers: ['Host', 'test', 'Content-Length', String(body?.length ?? 0)],
+    composeHeaders: () => [
+      'Host',
+      'test',
+      'Content-Length',
+      String(body?.length ?? 0),
+    ],
     body,
     connect: signal =>
       connector.open({endpoint, timeoutMs: TIMEOUT_MS, signal, isLast: true}),
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -11,6 +11,7 @@
   type InstanceId,
   type ServiceId,
 } from '@snipestage/types/ids.js';
+import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import {ConnectTimeout} from '@snipestage/routing/connect_timeout.js';
 import type {Route, RouteId, Service} from '@snipestage/routing/route.js';
 import {RouteTable} from '@snipestage/routing/route_table.js';
@@ -94,6 +95,8 @@
   readonly log = new CapturedLog();
   /** Added to the clock; lets a test skip time. */
   skippedMs = 0;
+  /** Added to the time that connections to endpoints take. */
+  connectDelayMs = 0;
   /** Endpoints of connections that were closed, one entry per connection. */
   readonly closed: string[] = [];
   readonly shutdown = new Shutdown({graceMs: 8000});
@@ -294,6 +297,10 @@
           metrics,
           logger,
           nowMs: () => this.nowMs(),
+          open: async options => {
+            await new Promise(done => setTimeout(done, this.connectDelayMs));
+            return FreshConnection.open(options);
+          },
         }),
         forwarded: undefined,
         nowMs: () => this.nowMs(),
