Cut single instances off from all endpoints in the soak

A kind of its own, beside all other faults: some instances anywhere, or most or all of a data centre, lose their links to all endpoints and to nothing else; open links hang, are reset, or live on while new ones are refused. Cut instances stay bound by every guarantee.

served_when_cut compares, from the contact bound after the cut began, how often requests are served there and at the others, by the bound of the rule.

nothing_lost leaves out requests that ran when instances lost their links. Before and after it nothing is left out (test).

Mutant recognizes_crashes_by_chance follows a renamed constant.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -53,7 +53,7 @@
   private readonly silence: SilenceWatch;
 
   constructor(private readonly options: AttemptOptions) {
-    const {context, request, writer, placed} = options;
+    const {context, request, placed} = options;
     const {state, crashes, nowMs, connectTimeout} = context;
     const timeLeftMs = Math.max(1, request.endsAtMs - nowMs());
     this.call = new EndpointCall({
--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -20,6 +20,7 @@
 import type {Check, Finding} from './check.js';
 import {CrashingRequests} from './crashing_requests.js';
 import {OneFigure, OneHolder} from './duties.js';
+import {ServedWhenCut} from './instance_cuts.js';
 import {
   MaxAttempts,
   NothingForNobody,
@@ -53,6 +54,7 @@
   new OneHolder(),
   new NothingLost(),
   new ProperEnds(),
+  new ServedWhenCut(),
   new ServesAgain(),
 ];
 
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -2,6 +2,7 @@
   brandAs,
   type DataCentreId,
   type EndpointId,
+  type InstanceId,
 } from '@snipestage/types/ids.js';
 import test from 'ava';
 import type {History, SentRequest} from '../history.js';
@@ -12,6 +13,7 @@
   makeRun,
 } from '../test_support/small_history.js';
 import {ALL_CHECKS, checkAll} from './all_checks.js';
+import {ServedWhenCut} from './instance_cuts.js';
 import {RateLimits} from './rate_limits.js';
 
 const REFUSED = {
@@ -440,3 +442,49 @@
   history.addRuns([makeRun({requestId: 'c9', arrivedAtMs: 19_010})]);
   t.deepEqual(findersIn(history), ['crashing_requests']);
 });
+
+/** Requests 4 s after the cut began, at an instance with and one without links. */
+function makeCutHistory(servedAtCutOff: number): History {
+  const elsewhere = brandAs<InstanceId>('akl-a-2');
+  const requests = Array.from({length: 80}, (_, index) =>
+    makeRequest({
+      requestId: `cut-${index}`,
+      kind: 'idempotent',
+      instance: index < 40 ? INSTANCE : elsewhere,
+      outcome: index < 40 && index >= servedAtCutOff ? REFUSED : SOUND_ANSWER,
+    }),
+  );
+  const history = makeHistory(requests, []);
+  history.instanceCuts.push({
+    instances: [INSTANCE],
+    state: 'hang',
+    fromMs: 6000,
+    toMs: 12_000,
+  });
+  return history;
+}
+
+test('an instance without links that refuses its callers is found', t => {
+  // Guards against callers served only where they happen to be sent.
+  const check = new ServedWhenCut();
+  t.is(check.find(makeCutHistory(10)).length, 1);
+  t.is(check.find(makeCutHistory(38)).length, 0);
+  const disturbed = makeCutHistory(10);
+  disturbed.recordDisturbance(INSTANCE, 'instance_kill', 9000).toMs = 9500;
+  t.is(check.find(disturbed).length, 0);
+});
+
+test('a request may be lost that ran when links were cut, and no other', t => {
+  const broken = {outcome: {kind: 'broken'}} as const;
+  const cutAt = (fromMs: number) => (history: History) => {
+    history.instanceCuts.push({
+      instances: [INSTANCE],
+      state: 'reset',
+      fromMs,
+      toMs: 20_000,
+    });
+  };
+  t.deepEqual(findersOf(broken, undefined, cutAt(10_020)), []);
+  t.deepEqual(findersOf(broken, undefined, cutAt(9990)), ['nothing_lost']);
+  t.deepEqual(findersOf(broken, undefined, cutAt(10_060)), ['nothing_lost']);
+});
--- a/packages/soak/src/checks/stops.ts
+++ b/packages/soak/src/checks/stops.ts
@@ -31,6 +31,7 @@
         TERMINATED,
       ]);
       if (!isFair || this.wasCutByGrace(history, request)) return [];
+      if (lostItsLinks(history, request)) return [];
       const fault = this.describeFault(history, request);
       if (fault === undefined) return [];
       return [
@@ -79,6 +80,19 @@
   }
 }
 
+/**
+ * Whether instances lost their links to endpoints while the request ran: it may
+ * have run over one of them, at its instance or at one that forwarded it.
+ */
+function lostItsLinks(
+  {instanceCuts}: History,
+  {sentAtMs, endedAtMs = Infinity}: SentRequest,
+): boolean {
+  return instanceCuts.some(
+    ({fromMs}) => sentAtMs <= fromMs && fromMs <= endedAtMs,
+  );
+}
+
 /** Times since the stop, which tell new connections from earlier ones. */
 function describeStop(history: History, request: SentRequest): string {
   const {instance, sentAtMs, connectedAtMs} = request;
--- a/packages/soak/src/crash_mutations.ts
+++ b/packages/soak/src/crash_mutations.ts
@@ -28,7 +28,7 @@
       },
       {
         module: 'gateway/dist/record_outcome.js',
-        from: 'if (MEANS_DOWN.has(reason))',
+        from: 'if (MAY_MEAN_DOWN.has(reason))',
         to: 'if (false)',
       },
     ],
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -68,6 +68,9 @@
 /** The store comes back from a copy some seconds old. */
 export const STORE_SET_BACK = 'store_set_back';
 
+/** Instances lose their links to all endpoints, and to nothing else. */
+export const INSTANCE_CUT = 'instance_cut';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | typeof EVACUATE
@@ -75,7 +78,8 @@
   | typeof UNLISTED_LEAVING
   | typeof BACKOFF
   | typeof CRASHING_REQUEST
-  | typeof STORE_SET_BACK;
+  | typeof STORE_SET_BACK
+  | typeof INSTANCE_CUT;
 
 /** One fault of a plan. */
 export interface PlannedFault {
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -112,6 +112,15 @@
   toMs: number;
 }
 
+/** A period in which instances had no links to endpoints. */
+export interface InstanceCutRecord {
+  readonly instances: readonly InstanceId[];
+  readonly state: string;
+  readonly fromMs: number;
+  /** Infinite until the links are back. */
+  toMs: number;
+}
+
 /** Record of one run; all times are of one monotonic clock. */
 export class History {
   readonly requests: SentRequest[] = [];
@@ -124,6 +133,7 @@
   readonly leavingNotices = new Map<string, number>();
   readonly evacuations: Evacuation[] = [];
   readonly rateLimits: AnnouncedRateLimit[] = [];
+  readonly instanceCuts: InstanceCutRecord[] = [];
   /** Data centre of every generation of an endpoint, by its id. */
   readonly endpointDataCentres = new Map<string, DataCentreId>();
   readonly dutyCalls: DutyCall[] = [];
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -2,6 +2,7 @@
 
 import {EVACUATE, RATE_LIMIT, BACKOFF, UNLISTED_LEAVING} from './fault_plan.js';
 import {CRASH_MUTANTS} from './crash_mutations.js';
+import {FORWARDING_MUTANTS} from './forwarding_mutations.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
 import {STORE_MUTANTS} from './store_mutations.js';
@@ -303,4 +304,5 @@
   ...STOP_MUTANTS,
   ...CRASH_MUTANTS,
   ...STORE_MUTANTS,
+  ...FORWARDING_MUTANTS,
 ];
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -11,11 +11,13 @@
   RATE_LIMIT,
   BACKOFF,
   CRASHING_REQUEST,
+  INSTANCE_CUT,
   STORE_SET_BACK,
   UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
 } from './fault_plan.js';
+import {drawInstanceCuts} from './instance_cuts.js';
 import type {History} from './history.js';
 import {drawRateLimits} from './rate_limits.js';
 import {drawStopTurns} from './stop_turns.js';
@@ -147,6 +149,7 @@
     [BACKOFF, () => drawBackoffs(announcing)],
     [CRASHING_REQUEST, () => drawCrashingRequests({seed, forMs})],
     [STORE_SET_BACK, () => drawStoreSetBacks({seed, forMs})],
+    [INSTANCE_CUT, () => drawInstanceCuts({seed, forMs})],
   ];
   const faults = [
     ...drawFaultPlan({seed, forMs, seriesEveryMs, kinds}),
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -8,12 +8,14 @@
   RATE_LIMIT,
   BACKOFF,
   CRASHING_REQUEST,
+  INSTANCE_CUT,
   STORE_SET_BACK,
   UNLISTED_LEAVING,
   type FaultKind,
   type PlannedFault,
 } from '../fault_plan.js';
 import type {Subject} from '../history.js';
+import {readInstanceCut} from '../instance_cuts.js';
 import type {Endpoint} from './endpoint.js';
 import type {Instance} from './instance.js';
 import type {Traffic} from './traffic.js';
@@ -71,6 +73,8 @@
   private readonly timers = new Set<NodeJS.Timeout>();
   private readonly undos = new Set<() => void>();
   private readonly faultyParts = new Set<object>();
+  /** Whether instances have no links to endpoints; one cut at a time. */
+  private isAnyCutOff = false;
   /** Applied faults with their times, for the report. */
   readonly log: string[] = [];
 
@@ -107,6 +111,8 @@
       this.backOff(fault, endpoints[target % endpoints.length]);
     } else if (kind === STORE_SET_BACK) {
       this.setBackStore(fault);
+    } else if (kind === INSTANCE_CUT) {
+      this.cutInstances(fault);
     } else if (kind === CRASHING_REQUEST) {
       this.logFault(kind, 'store', durationMs);
       this.endAfter(durationMs, this.traffic.repeatCrashing());
@@ -153,6 +159,35 @@
     });
   }
 
+  /** Not recorded as a disturbance: instances stay bound by all guarantees. */
+  private cutInstances({kind, target, durationMs}: PlannedFault): void {
+    const {instances, dataCentres, history, nowMs} = this.world;
+    if (this.isAnyCutOff) return;
+    this.isAnyCutOff = true;
+    const places = dataCentres.map(dataCentre =>
+      [...instances.keys()].filter(
+        index => instances[index].dataCentre === dataCentre,
+      ),
+    );
+    const cut = readInstanceCut(target, places);
+    const affected = cut.instances.map(index => instances[index]);
+    const ids = affected.map(({id}) => id);
+    this.logFault(kind, `${cut.state} ${ids.join(' ')}`, durationMs);
+    const record = {
+      instances: ids,
+      state: cut.state,
+      fromMs: nowMs(),
+      toMs: Number.POSITIVE_INFINITY,
+    };
+    history.instanceCuts.push(record);
+    for (const instance of affected) instance.setEndpointLinks(cut.state);
+    this.endAfter(durationMs, () => {
+      for (const instance of affected) instance.setEndpointLinks('pass');
+      record.toMs = nowMs();
+      this.isAnyCutOff = false;
+    });
+  }
+
   /** Not recorded as a disturbance: all guarantees hold meanwhile. */
   private evacuate({kind, target, durationMs}: PlannedFault): void {
     const {dataCentres, operator} = this.world;
@@ -303,7 +338,7 @@
     this.timers.add(setTimeout(end, durationMs));
   }
 
-  private logFault(kind: FaultKind, subject: Subject, durationMs = 0): void {
+  private logFault(kind: FaultKind, subject: string, durationMs = 0): void {
     const atMs = Math.round(this.world.nowMs() - this.startedAtMs);
     this.log.push(`${atMs} ms: ${kind} ${subject} for ${durationMs} ms`);
   }
--- a/packages/soak/src/world/instance.ts
+++ b/packages/soak/src/world/instance.ts
@@ -17,6 +17,11 @@
 import {Link} from '@snipestage/stand_ins/link/link.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 import type {Disturbance, History, ProcessEnd} from '../history.js';
+import {
+  LINKS_FILE_VARIABLE,
+  type LinkState,
+  type ProcessLinks,
+} from './link_preamble.js';
 import {CLOCK_FILE_VARIABLE} from './program.js';
 
 /** Options of {@link Instance}. */
@@ -26,6 +31,8 @@
   readonly history: History;
   /** The link between this instance and the store. */
   readonly storeLink: Link;
+  /** Where endpoints listen. */
+  readonly endpointLinks: Omit<ProcessLinks, 'state'>;
   readonly nowMs: () => number;
 }
 
@@ -86,6 +93,7 @@
     await this.storeLink.start();
     writeFileSync(this.settingsPath, composeSettings(this.options.settings));
     writeFileSync(this.clockPath, '0');
+    this.writeLinks('pass');
     this.launch();
   }
 
@@ -128,9 +136,24 @@
     this.signal('SIGHUP');
   }
 
+  /** Cuts the links to all endpoints, or restores them. */
+  setEndpointLinks(state: LinkState): void {
+    this.writeLinks(state);
+    this.signalPreamble();
+  }
+
   /** Sets the offset of the process's time of day from that of the machine. */
   setClockOffset(offsetMs: number): void {
     writeFileSync(this.clockPath, String(offsetMs));
+    this.signalPreamble();
+  }
+
+  private writeLinks(state: LinkState): void {
+    const links: ProcessLinks = {...this.options.endpointLinks, state};
+    writeFileSync(this.linksPath, JSON.stringify(links));
+  }
+
+  private signalPreamble(): void {
     // Before its first line has run, the signal would end the process.
     if (this.wasReady) this.signal('SIGUSR2');
   }
@@ -175,6 +198,10 @@
     return join(this.folder, 'settings');
   }
 
+  private get linksPath(): string {
+    return join(this.folder, 'links');
+  }
+
   private get clockPath(): string {
     return join(this.folder, 'clock');
   }
@@ -203,6 +230,7 @@
       env: {
         [SETTINGS_VARIABLE]: this.settingsPath,
         [CLOCK_FILE_VARIABLE]: this.clockPath,
+        [LINKS_FILE_VARIABLE]: this.linksPath,
       },
     });
     this.process = launched;
@@ -241,6 +269,8 @@
     }
     if (!launched.isRunning) return;
     this.wasReady = true;
+    // The links may have changed while it started.
+    this.signalPreamble();
     if (this.restartDisturbance === undefined) return;
     this.restartDisturbance.toMs = this.options.nowMs();
     this.restartDisturbance = undefined;
--- a/packages/soak/src/world/program.ts
+++ b/packages/soak/src/world/program.ts
@@ -4,6 +4,7 @@
 
 import {mkdirSync, readFileSync} from 'node:fs';
 import {build, type Plugin} from 'esbuild';
+import {LINK_PREAMBLE} from './link_preamble.js';
 
 /** A seeded fault of the program, to test that a check finds it. */
 export interface Mutation {
@@ -27,16 +28,18 @@
 const PARENT_CHECK_EVERY_MS = 1000;
 /**
  * Code put before the program, which is otherwise unchanged. The time of day of
- * one process can't be set from outside, so a signal makes its clock jump. And
- * an instance whose soak was killed would run for ever, so it exits as well.
+ * one process can't be set from outside, so a signal makes its clock jump, and
+ * cuts its links. And an instance whose soak was killed would run for ever, so it exits as well.
  */
 const PREAMBLE = `{
+  ${LINK_PREAMBLE}
   const now = Date.now;
   let offsetMs = 0;
   Date.now = () => now() + offsetMs;
   process.on('SIGUSR2', () => {
     const file = process.env.${CLOCK_FILE_VARIABLE};
-    offsetMs = Number(require('fs').readFileSync(file, 'utf8'));
+    offsetMs = Number(fs.readFileSync(file, 'utf8'));
+    readLinks();
   });
   const parent = process.ppid;
   setInterval(() => {
