Offer brittle endpoints hardly any request that they would reject

What callers and operators would see: endpoints that bear few rejections a second fall over under requests that several instances send to full ones, and their load takes the next ones along.

BrittleEndpoints divides the rejections by the number of instances: none to an endpoint known to be full, one to a nearly full one in the instance's share of the time, none for as long after a rejection unless a newer load shows room. One function, mayOffer, decides for prompts and plain services, first attempts and others. Requests without an endpoint left are refused at once (no_room).

Ruled out: a bound for each instance alone (adds up), a hold that nothing ends early (an endpoint with room would stand idle for minutes at 380 instances).

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -7,7 +7,11 @@
 } from '@snipestage/routing/attempt_policy.js';
 import {AttemptHistory} from '@snipestage/routing/attempt_history.js';
 import {workOf} from '@snipestage/routing/prompt.js';
-import type {Placed, PlacementGroup} from '@snipestage/routing/placement.js';
+import {
+  mayOffer,
+  type Placed,
+  type PlacementGroup,
+} from '@snipestage/routing/placement.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
@@ -219,6 +223,7 @@
     state.monitor.begin(endpoint.id, work, startedAtMs);
     state.warmup.noteSent(endpoint, startedAtMs);
     state.rateLimits.noteSent(endpoint.id, startedAtMs);
+    state.brittle.noteSent(endpoint, startedAtMs);
     state.reach.noteTrial(endpoint.dataCentre, startedAtMs);
     const attempt = (this.current = this.createAttempt(placed));
     let result: AttemptResult;
@@ -260,7 +265,7 @@
     return hasOther && state.budgetFor(service).hasRoom(nowMs());
   }
 
-  /** Endpoints not tried yet whose rate limits admit a request. */
+  /** Endpoints not tried yet that may be offered a request. */
   private listUntried(): readonly ServingEndpoint[] {
     const {state, nowMs} = this.context;
     const {service} = this.request.admission;
@@ -268,8 +273,8 @@
     return state.directory
       .findServing(service, atMs)
       .filter(
-        ({id}) =>
-          !this.history.excluded.has(id) && state.rateLimits.mayAdmit(id, atMs),
+        each =>
+          !this.history.excluded.has(each.id) && mayOffer(each, atMs, state),
       );
   }
 
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -53,6 +53,11 @@
    * Requests a second that it accepts from all instances together, if limited.
    */
   readonly rateLimitPerS: number | undefined;
+  /**
+   * Requests a second, of all instances together, that it can reject for want of
+   * room without falling over, if it says so.
+   */
+  readonly maxRejectionsPerS: number | undefined;
   /** Whether the endpoint states that it is about to stop. */
   readonly isLeaving: boolean;
   /**
--- a/packages/gateway/src/record_announcements.ts
+++ b/packages/gateway/src/record_announcements.ts
@@ -13,7 +13,7 @@
 }
 
 /**
- * Records the leaving, backoff, rate limit and load in an answer, in the state
+ * Records the leaving, backoff, limits and load in an answer, in the state
  * by which all further attempts of this instance are placed. Another endpoint
  * at the address, an answer to another request and an earlier incarnation of
  * the endpoint say nothing of it.
@@ -34,6 +34,7 @@
   if (head.backoffMs !== undefined)
     recordBackoff(context, answered, head.backoffMs);
   recordRateLimit(context, answered);
+  recordBrittleness(context, answered);
   recordLoad(context, answered);
 }
 
@@ -85,6 +86,19 @@
   });
 }
 
+/** As with rate limits, only a signed answer can lift it. */
+function recordBrittleness(
+  {state, logger, nowMs}: ExchangeContext,
+  {head, endpoint}: AnsweredAttempt,
+): void {
+  const {maxRejectionsPerS, isSigned} = head;
+  if (maxRejectionsPerS === undefined && !isSigned) return;
+  const {id} = endpoint;
+  const change = state.brittle.note(id, maxRejectionsPerS, nowMs());
+  if (change === undefined) return;
+  logger.info(`endpoint_brittle_${change}`, {endpoint: id, maxRejectionsPerS});
+}
+
 function recordLoad(
   {state, nowMs}: ExchangeContext,
   {head, endpoint: {id}}: AnsweredAttempt,
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -71,6 +71,8 @@
   metrics.countAttempt(admission.service, reason);
   if (endpointOutcome !== undefined)
     state.monitor.note(endpoint.id, endpointOutcome, atMs);
+  if (endpointOutcome === 'rejected')
+    state.brittle.noteRejected(endpoint.id, atMs);
   if (reason === 'misdirected') crashes.noteDown(endpoint.id);
   if (MAY_MEAN_DOWN.has(reason)) crashes.noteUnreachable(endpoint.id);
   if (connectionBroke) crashes.noteBroken(endpoint, fingerprint);
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -2,6 +2,7 @@
 
 import {SuspectTable} from '@snipestage/policy/suspects.js';
 import {AgreedDemand} from '@snipestage/routing/agreed_demand.js';
+import {BrittleEndpoints} from '@snipestage/routing/brittle_endpoints.js';
 import {DataCentreReach} from '@snipestage/routing/data_centre_reach.js';
 import {
   DemandMeter,
@@ -51,6 +52,8 @@
    * - `backing_off`: all that could take requests have requested backoff.
    * - `rate_limited`: all already get the requests that they can take, and some
    *   have a rate limit.
+   * - `no_room`: all are full or have just rejected requests, and some bear few
+   *   rejections.
    */
   readonly reason:
     | 'no_endpoint'
@@ -58,7 +61,8 @@
     | 'leaving'
     | 'warming_up'
     | 'backing_off'
-    | 'rate_limited';
+    | 'rate_limited'
+    | 'no_room';
   /** Time until the first one may take requests again; 0 if not known. */
   readonly retryAfterMs: number;
 }
@@ -74,6 +78,10 @@
   readonly rateLimits = new EndpointRateLimits({
     readInstances: () => this.instances,
   });
+  readonly brittle = new BrittleEndpoints({
+    monitor: this.monitor,
+    readInstances: () => this.instances,
+  });
   readonly loads = new LoadView({
     monitor: this.monitor,
     rateLimits: this.rateLimits,
@@ -108,8 +116,8 @@
       readInstances: () => this.instances,
       tolerance,
     });
-    const {monitor, reach, warmup, rateLimits} = this;
-    const estimates = {monitor, reach, warmup, rateLimits};
+    const {monitor, reach, warmup, rateLimits, brittle} = this;
+    const estimates = {monitor, reach, warmup, rateLimits, brittle};
     const {agreedDemand: demand, recentDemand: recent} = this;
     this.plainPlacement = new LeastLoadedPlacement(estimates);
     this.promptPlacement = new PromptPlacement({...estimates, demand, recent});
@@ -137,9 +145,11 @@
     this.monitor.retain(known);
     this.warmup.retain(known);
     this.rateLimits.retain(known);
+    this.brittle.retain(known);
     for (const id of this.directory.takeRestarted()) {
       this.monitor.forgetReports(id);
       this.rateLimits.forget(id);
+      this.brittle.forget(id);
       this.loads.forget(id, nowMs);
     }
     this.loads.prune();
@@ -213,6 +223,7 @@
         Math.max(
           this.warmup.leftMs(each.id, nowMs),
           this.rateLimits.intervalMs(each.id),
+          this.brittle.holdLeftMs(each.id, nowMs),
           this.directory.backoffLeftMs(each, nowMs),
         ),
       );
@@ -244,7 +255,11 @@
     const isLimited = serving.some(
       ({id}) => this.rateLimits.find(id) !== undefined,
     );
-    return isLimited ? 'rate_limited' : 'warming_up';
+    if (isLimited) return 'rate_limited';
+    const isBrittle = serving.some(
+      ({id}) => this.brittle.find(id) !== undefined,
+    );
+    return isBrittle ? 'no_room' : 'warming_up';
   }
 
   private explainNoneServing(service: ServiceId): NoEndpoint['reason'] {
@@ -265,6 +280,7 @@
       isDown: monitor.isDown(endpoint.id, nowMs),
       isCold: this.warmup.isCold(endpoint.id, nowMs),
       rateLimitPerS: this.rateLimits.find(endpoint.id),
+      maxRejectionsPerS: this.brittle.find(endpoint.id),
       backoffLeftMs: Math.round(directory.backoffLeftMs(endpoint, nowMs)),
       load: monitor.estimateLoad(endpoint.id, nowMs),
       failureShare: monitor.failureShare(endpoint.id, nowMs),
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -53,6 +53,10 @@
         headers['x-limit'] === undefined
           ? undefined
           : Number(headers['x-limit']),
+      maxRejectionsPerS:
+        headers['x-brittle'] === undefined
+          ? undefined
+          : Number(headers['x-brittle']),
       isLeaving: headers['x-leaving'] !== undefined,
       backoffMs:
         headers['x-retry-after-ms'] === undefined
--- a/packages/routing/src/least_loaded_placement.ts
+++ b/packages/routing/src/least_loaded_placement.ts
@@ -5,7 +5,7 @@
   findUsable,
   leastBy,
   leaveOutCold,
-  leaveOutRateLimited,
+  leaveOutLimited,
   Placement,
   type Placed,
   type PlacementState,
@@ -48,7 +48,7 @@
     request: PlacementRequest,
   ): Placed | undefined {
     const all = findUsable(candidates, request, this.options);
-    const open = leaveOutRateLimited(all, all, request, this.options);
+    const open = leaveOutLimited(all, all, request, this.options);
     const usable = leaveOutCold(open, open, request, this.options);
     const typicalMs = this.typicalDurationMs(usable);
     const endpoint = leastBy(usable, each =>
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -1,6 +1,7 @@
 /** Chooses the endpoint of a request. */
 
 import type {DataCentreId, EndpointId} from '@snipestage/types/ids.js';
+import type {BrittleEndpoints} from './brittle_endpoints.js';
 import type {DataCentreReach} from './data_centre_reach.js';
 import type {EndpointRateLimits} from './endpoint_rate_limits.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
@@ -63,6 +64,8 @@
   readonly warmup?: WarmupGate;
   /** Rate limits of endpoints; without it none is limited. */
   readonly rateLimits?: EndpointRateLimits;
+  /** Endpoints that bear few rejections; without it none is brittle. */
+  readonly brittle?: BrittleEndpoints;
 }
 
 /**
@@ -90,23 +93,38 @@
 }
 
 /**
- * The endpoints of a group whose rate limits admit a request, or else those of
- * all usable ones. The result may be empty: a limit holds even when nothing
- * else is left.
+ * Whether an endpoint may be offered a request, by its rate limit and by the
+ * rejections that it bears.
  *
  * @example
- * const open = leaveOutRateLimited(group, usable, request, state);
+ * const open = endpoints.filter(each => mayOffer(each, nowMs, state));
  */
-export function leaveOutRateLimited(
+export function mayOffer(
+  endpoint: ServingEndpoint,
+  nowMs: number,
+  {rateLimits, brittle}: Pick<PlacementState, 'rateLimits' | 'brittle'>,
+): boolean {
+  const isWithinRate = rateLimits?.mayAdmit(endpoint.id, nowMs) ?? true;
+  return isWithinRate && (brittle?.mayAdmit(endpoint, nowMs) ?? true);
+}
+
+/**
+ * The endpoints of a group that may be offered a request, or else those of all
+ * usable ones. The result may be empty: limits hold even when nothing else is
+ * left.
+ *
+ * @example
+ * const open = leaveOutLimited(group, usable, request, state);
+ */
+export function leaveOutLimited(
   group: readonly ServingEndpoint[],
   usable: readonly ServingEndpoint[],
   {nowMs}: PlacementRequest,
-  {rateLimits}: PlacementState,
+  state: PlacementState,
 ): readonly ServingEndpoint[] {
-  if (rateLimits === undefined) return group;
-  const mayAdmit = ({id}: ServingEndpoint) => rateLimits.mayAdmit(id, nowMs);
-  const open = group.filter(mayAdmit);
-  return open.length > 0 ? open : usable.filter(mayAdmit);
+  const isOpen = (each: ServingEndpoint) => mayOffer(each, nowMs, state);
+  const open = group.filter(isOpen);
+  return open.length > 0 ? open : usable.filter(isOpen);
 }
 
 /**
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -16,7 +16,7 @@
   findUsable,
   leastBy,
   leaveOutCold,
-  leaveOutRateLimited,
+  leaveOutLimited,
   Placement,
   type Placed,
   type PlacementState,
@@ -106,10 +106,10 @@
     const usable = findUsable(candidates, request, this.options);
     if (usable.length === 0) return undefined;
     const split = this.sideFor(usable, request);
-    const open = leaveOutRateLimited(usable, usable, request, this.options);
+    const open = leaveOutLimited(usable, usable, request, this.options);
     const admit = (engines: readonly ServingEndpoint[]) =>
       leaveOutCold(
-        leaveOutRateLimited(engines, usable, request, this.options),
+        leaveOutLimited(engines, usable, request, this.options),
         open,
         request,
         this.options,
