Let services become brittle in the soak

Endpoints announce how many rejections a second they bear, and crash beyond that; all other faults go on. few_falls bounds the falls of a period by the rule.

--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -10,6 +10,7 @@
   TrueRefusal,
   UnchangedRequest,
 } from './answers.js';
+import {FewFalls} from './brittle_services.js';
 import {
   EvacuatedDataCentres,
   LeavingEndpoints,
@@ -42,6 +43,7 @@
   new RetryBudget(),
   new NothingForNobody(),
   new RateLimits(),
+  new FewFalls(),
   new CrashingRequests(),
   new Backoffs(),
   new WithdrawnKeys(),
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -13,6 +13,7 @@
   makeRun,
 } from '../test_support/small_history.js';
 import {ALL_CHECKS, checkAll} from './all_checks.js';
+import {FewFalls} from './brittle_services.js';
 import {ServedWhenCut} from './instance_cuts.js';
 import {RateLimits} from './rate_limits.js';
 
@@ -488,3 +489,25 @@
   t.deepEqual(findersOf(broken, undefined, cutAt(9990)), ['nothing_lost']);
   t.deepEqual(findersOf(broken, undefined, cutAt(10_060)), ['nothing_lost']);
 });
+
+test('endpoints that fall over too often are found', t => {
+  // Guards against requests that brittle endpoints have to reject.
+  const countFindings = (falls: number) => {
+    const run = makeRun();
+    const history = makeHistory([makeRequest()], [run]);
+    history.brittlePeriods.push({
+      service: run.service,
+      endpoints: 10,
+      maxRejectionsPerS: 2,
+      fromMs: 10_000,
+      toMs: 20_000,
+    });
+    const endpoint = brandAs<EndpointId>(run.endpoint);
+    for (let count = 0; count < falls; count += 1) {
+      history.falls.push({endpoint, atMs: 11_000});
+    }
+    return new FewFalls().find(history).length;
+  };
+  t.is(countFindings(3), 0);
+  t.is(countFindings(4), 1);
+});
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -71,6 +71,9 @@
 /** Instances lose their links to all endpoints, and to nothing else. */
 export const INSTANCE_CUT = 'instance_cut';
 
+/** The endpoints of a service fall over when they have to reject too much. */
+export const BRITTLE_SERVICE = 'brittle_service';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | typeof EVACUATE
@@ -79,7 +82,8 @@
   | typeof BACKOFF
   | typeof CRASHING_REQUEST
   | typeof STORE_SET_BACK
-  | typeof INSTANCE_CUT;
+  | typeof INSTANCE_CUT
+  | typeof BRITTLE_SERVICE;
 
 /** One fault of a plan. */
 export interface PlannedFault {
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -9,6 +9,7 @@
   DataCentreId,
   EndpointId,
   InstanceId,
+  ServiceId,
 } from '@snipestage/types/ids.js';
 import type {Run} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
 import type {DutyCall} from '@snipestage/platform_stand_ins/provider_stand_in.js';
@@ -121,6 +122,22 @@
   toMs: number;
 }
 
+/** A period in which the endpoints of a service bear few rejections. */
+export interface BrittlePeriod {
+  readonly service: ServiceId;
+  readonly endpoints: number;
+  readonly maxRejectionsPerS: number;
+  readonly fromMs: number;
+  /** Infinite until it has ended. */
+  toMs: number;
+}
+
+/** A brittle endpoint that had to reject too much. */
+export interface Fall {
+  readonly endpoint: EndpointId;
+  readonly atMs: number;
+}
+
 /** Record of one run; all times are of one monotonic clock. */
 export class History {
   readonly requests: SentRequest[] = [];
@@ -134,6 +151,8 @@
   readonly evacuations: Evacuation[] = [];
   readonly rateLimits: AnnouncedRateLimit[] = [];
   readonly instanceCuts: InstanceCutRecord[] = [];
+  readonly brittlePeriods: BrittlePeriod[] = [];
+  readonly falls: Fall[] = [];
   /** Data centre of every generation of an endpoint, by its id. */
   readonly endpointDataCentres = new Map<string, DataCentreId>();
   readonly dutyCalls: DutyCall[] = [];
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -2,6 +2,7 @@
 
 import {EVACUATE, RATE_LIMIT, BACKOFF, UNLISTED_LEAVING} from './fault_plan.js';
 import {CRASH_MUTANTS} from './crash_mutations.js';
+import {BRITTLE_MUTANTS} from './brittle_mutations.js';
 import {FORWARDING_MUTANTS} from './forwarding_mutations.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
@@ -249,8 +250,8 @@
     edits: [
       {
         module: 'routing/dist/placement.js',
-        from: 'if (rateLimits === undefined)',
-        to: 'if (true)',
+        from: 'rateLimits?.mayAdmit(endpoint.id, nowMs) ?? true',
+        to: 'true',
       },
     ],
   },
@@ -305,4 +306,5 @@
   ...CRASH_MUTANTS,
   ...STORE_MUTANTS,
   ...FORWARDING_MUTANTS,
+  ...BRITTLE_MUTANTS,
 ];
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,6 +1,7 @@
 /** Runs real processes under traffic and faults and checks what was seen. */
 
 import {drawBackoffs, drawUnlistedLeavings} from './announcements.js';
+import {drawBrittleServices} from './brittle_services.js';
 import {checkAll} from './checks/all_checks.js';
 import type {Finding} from './checks/check.js';
 import {drawCrashingRequests} from './crashing_requests.js';
@@ -11,6 +12,7 @@
   RATE_LIMIT,
   BACKOFF,
   CRASHING_REQUEST,
+  BRITTLE_SERVICE,
   INSTANCE_CUT,
   STORE_SET_BACK,
   UNLISTED_LEAVING,
@@ -149,6 +151,7 @@
     [BACKOFF, () => drawBackoffs(announcing)],
     [CRASHING_REQUEST, () => drawCrashingRequests({seed, forMs})],
     [STORE_SET_BACK, () => drawStoreSetBacks({seed, forMs})],
+    [BRITTLE_SERVICE, () => drawBrittleServices({seed, forMs})],
     [INSTANCE_CUT, () => drawInstanceCuts({seed, forMs})],
   ];
   const faults = [
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -64,6 +64,7 @@
   private readonly unlisted = new Set<EndpointId>();
   /** Crashed, and not started again yet. */
   private isDown = false;
+  private maxRejectionsPerS: number | undefined;
   private readonly closeCallbacks: Array<() => void> = [];
 
   constructor(private readonly options: EndpointOptions) {}
@@ -81,7 +82,7 @@
     this.generation += 1;
     this.bornEpochMs = Date.now();
     const {id} = this;
-    const {service, capacity, isEngine, random, host} = this.options;
+    const {service, capacity, isEngine, random, host, nowMs} = this.options;
     const standIn: EndpointStandIn = new EndpointStandIn({
       id,
       service,
@@ -89,8 +90,13 @@
       isEngine,
       random,
       onCrash: () => void this.crash(id, standIn, way),
+      onFall: () => {
+        this.options.history.falls.push({endpoint: id, atMs: nowMs()});
+        void this.crash(id, standIn, way);
+      },
     });
     this.standIn = standIn;
+    standIn.maxRejectionsPerS = this.maxRejectionsPerS;
     const targetPort = await standIn.start(host);
     const way = await this.openWay(targetPort, port);
     this.way = way;
@@ -137,6 +143,16 @@
     return () => (standIn.backoffUntilMs = Number.NEGATIVE_INFINITY);
   }
 
+  /** Makes all generations brittle; undefined ends it. */
+  setBrittle(maxRejectionsPerS: number | undefined): void {
+    this.maxRejectionsPerS = maxRejectionsPerS;
+    this.standIn.maxRejectionsPerS = maxRejectionsPerS;
+  }
+
+  get service(): ServiceId {
+    return this.options.service;
+  }
+
   /**
    * Ends a generation as a request that crashes it does. The current one is
    * back at its address some time later, under another id.
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -8,6 +8,7 @@
   RATE_LIMIT,
   BACKOFF,
   CRASHING_REQUEST,
+  BRITTLE_SERVICE,
   INSTANCE_CUT,
   STORE_SET_BACK,
   UNLISTED_LEAVING,
@@ -56,6 +57,7 @@
 };
 const SLOW_LINK_LATENCY_MS = 300;
 const MAX_CLOCK_JUMP_MS = 8000;
+const MIN_REJECTIONS_PER_S = 2;
 /** Below the usual request rate of an endpoint. */
 const RATE_LIMIT_PER_S = 1;
 /** Longer than the `late` fault of the store delays writes. */
@@ -111,6 +113,8 @@
       this.backOff(fault, endpoints[target % endpoints.length]);
     } else if (kind === STORE_SET_BACK) {
       this.setBackStore(fault);
+    } else if (kind === BRITTLE_SERVICE) {
+      this.makeBrittle(fault);
     } else if (kind === INSTANCE_CUT) {
       this.cutInstances(fault);
     } else if (kind === CRASHING_REQUEST) {
@@ -159,6 +163,32 @@
     });
   }
 
+  /** Not recorded as a disturbance: falls are, as endpoints crash. */
+  private makeBrittle({kind, target, durationMs}: PlannedFault): void {
+    const {endpoints, history, nowMs} = this.world;
+    const {service} = endpoints[target % endpoints.length];
+    const own = endpoints.filter(each => each.service === service);
+    const maxRejectionsPerS = MIN_REJECTIONS_PER_S + (target % 3);
+    const isBrittle = history.brittlePeriods.some(
+      each => each.service === service && each.toMs > nowMs(),
+    );
+    if (isBrittle) return;
+    this.logFault(kind, `${service} ${maxRejectionsPerS}`, durationMs);
+    const period = {
+      service,
+      endpoints: own.length,
+      maxRejectionsPerS,
+      fromMs: nowMs(),
+      toMs: Number.POSITIVE_INFINITY,
+    };
+    history.brittlePeriods.push(period);
+    for (const endpoint of own) endpoint.setBrittle(maxRejectionsPerS);
+    this.endAfter(durationMs, () => {
+      for (const endpoint of own) endpoint.setBrittle(undefined);
+      period.toMs = nowMs();
+    });
+  }
+
   /** Not recorded as a disturbance: instances stay bound by all guarantees. */
   private cutInstances({kind, target, durationMs}: PlannedFault): void {
     const {instances, dataCentres, history, nowMs} = this.world;
