Let a healthy endpoint be silent for a second

What callers would see: an engine that pauses for a second with dozens of streams lost all of those whose route allows pauses of 150 or 200 ms to other engines at once (after 750 and 1,000 ms), which had to read their prompts again; and each of them counted as a failure, so that the engine was avoided for seconds.

Change: no stream leaves its endpoint before 1,250 ms without an event, and silences of one endpoint within 1.5 s count once.

--- a/packages/gateway/src/silence_limits.ts
+++ b/packages/gateway/src/silence_limits.ts
@@ -21,6 +21,8 @@
  */
 const NEXT_LIMIT_PAUSE_FACTOR = 5;
 const DEFAULT_PAUSE_TARGET_MS = 1000;
+/** A healthy endpoint may send nothing for about a second and then go on. */
+const MIN_NEXT_LIMIT_MS = 1250;
 
 /**
  * Computes the limits of an attempt with this much time left.
@@ -37,8 +39,10 @@
       FIRST_LIMIT_TARGET_FACTOR * route.latencyTargetMs,
       FIRST_LIMIT_TIME_LEFT_SHARE * timeLeftMs,
     ),
-    nextMs:
+    nextMs: Math.max(
+      MIN_NEXT_LIMIT_MS,
       NEXT_LIMIT_PAUSE_FACTOR *
-      (route.pauseTargetMs ?? DEFAULT_PAUSE_TARGET_MS),
+        (route.pauseTargetMs ?? DEFAULT_PAUSE_TARGET_MS),
+    ),
   };
 }
--- a/packages/routing/src/endpoint_monitor.test.ts
+++ b/packages/routing/src/endpoint_monitor.test.ts
@@ -45,3 +45,15 @@
   monitor.retain(new Set());
   t.false(monitor.isDown(ONE, 1));
 });
+
+test('all requests that notice one silence of an endpoint count once', t => {
+  // Guards against avoiding an engine that paused for a second with dozens of
+  // streams.
+  const monitor = new EndpointMonitor();
+  for (let count = 0; count < 30; count++) {
+    monitor.note(ONE, 'silent', count * 10);
+  }
+  t.true(monitor.failureShare(ONE, 300) < 0.31);
+  monitor.note(ONE, 'silent', 1600);
+  t.true(monitor.failureShare(ONE, 1600) > 0.31);
+});
--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -44,6 +44,11 @@
 const DEFAULT_LOAD_HALF_LIFE_MS = 1500;
 /** Weight of one new attempt in the share of failures. */
 const OUTCOME_WEIGHT = 0.3;
+/**
+ * Silences of one endpoint within this time count as one: a healthy endpoint may
+ * pause for about a second, and all its requests notice at once.
+ */
+const SAME_SILENCE_MS = 1500;
 /** Weight of one new duration in the mean. */
 const DURATION_WEIGHT = 0.2;
 /** Half-life of a load that other instances have shared. */
@@ -57,6 +62,8 @@
   workInFlight: number;
   failureShare: number;
   failureAtMs: number;
+  /** When the latest silence that counted was noticed. */
+  silentAtMs: number;
   unreachableCount: number;
   downUntilMs: number;
   rejectedAtMs: number;
@@ -76,6 +83,7 @@
   workInFlight: 0,
   failureShare: 0,
   failureAtMs: 0,
+  silentAtMs: Number.NEGATIVE_INFINITY,
   unreachableCount: 0,
   downUntilMs: 0,
   rejectedAtMs: Number.NEGATIVE_INFINITY,
@@ -130,7 +138,10 @@
     const tracked = this.of(id);
     const share = this.failureShare(id, nowMs);
     const isFailure = outcome === 'failed' || outcome === 'silent';
-    if (isFailure || outcome === 'answered') {
+    const isSameSilence =
+      outcome === 'silent' && nowMs - tracked.silentAtMs < SAME_SILENCE_MS;
+    if (outcome === 'silent' && !isSameSilence) tracked.silentAtMs = nowMs;
+    if ((isFailure && !isSameSilence) || outcome === 'answered') {
       tracked.failureShare =
         share + OUTCOME_WEIGHT * ((isFailure ? 1 : 0) - share);
       tracked.failureAtMs = nowMs;
