Write the rows of forwarders once, and read their list rarely

Load pattern: hundreds of instances start together; each read the list of all twice within seconds (about 60 KB of rows at 300 instances, reckoned, not measured) to see whether its own row was there. Each reads its own row now and the list once, some seconds after the start, and again every minute, less often the more instances there are; instances that came later were known before only once somebody was isolated.

--- a/packages/gateway/src/forwarding/forwarder_list.ts
+++ b/packages/gateway/src/forwarding/forwarder_list.ts
@@ -1,5 +1,6 @@
 /** Publishes where this instance forwards connections, and reads the others. */
 
+import {isDeepStrictEqual} from 'node:util';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import type {Forwarder} from '@snipestage/routing/forwarder_choice.js';
@@ -16,18 +17,24 @@
   readonly platform: Platform;
   readonly logger: Logger;
   readonly nowMs: () => number;
+  /** Number of instances; undefined while not known. */
+  readonly countInstances: () => number | undefined;
   /** Receives all others. */
   readonly onRead: (others: readonly Forwarder[]) => void;
   /**
    * Hundreds of instances may start together and publish within this time,
-   * counted from their start (3,000 ms). The list is read again after it.
+   * counted from their start (3,000 ms).
    */
   readonly publishWithinMs?: number;
 }
 
 const DEFAULT_PUBLISH_WITHIN_MS = 3000;
-/** Pause after a failed call, and between reads while isolated. */
 const RETRY_AFTER_MS = 2000;
+/** Times of reads, as multiples of the time within which rows are written. */
+const FIRST_READ_FACTOR = 2;
+const READ_EVERY_FACTOR = 20;
+/** With more instances the list is longer, and each reads it less often. */
+const INSTANCES_AT_FULL_PACE = 30;
 
 /**
  * The list is kept: an instance may lose its links while the store is away. Rows
@@ -54,42 +61,62 @@
 
   /** Reads the list again, unless that was done a moment ago. */
   refresh(): void {
-    if (this.options.nowMs() - this.readAtMs < RETRY_AFTER_MS) return;
-    void this.read();
+    if (this.options.nowMs() - this.readAtMs >= RETRY_AFTER_MS) {
+      void this.read();
+    }
   }
 
   /** Writes the own row, unless it is there already, as after a restart. */
   private async publish(): Promise<void> {
-    const rows = await this.read();
+    if (!(await this.isPublished()) && !(await this.write())) {
+      this.schedule(RETRY_AFTER_MS, () => this.publish());
+      return;
+    }
+    // By then, all instances that started together have published theirs.
+    const delayMs = FIRST_READ_FACTOR * this.publishWithinMs;
+    this.schedule(delayMs, () => this.readRegularly());
+  }
+
+  private async isPublished(): Promise<boolean> {
+    const {own, platform} = this.options;
+    const result = await platform.readRows([forwarderKey(own.instance)]);
+    const rows = result.kind === 'rows' ? result.rows : [];
+    return rows.map(readForwarder).some(known => isDeepStrictEqual(known, own));
+  }
+
+  /** @returns whether the row is known to be in the store. */
+  private async write(): Promise<boolean> {
     const {own, platform, logger} = this.options;
     const {instance, dataCentre, address} = own;
-    const known = rows?.find(each => each.instance === instance);
-    if (known?.address === address && known.dataCentre === dataCentre) return;
     const value: ForwarderValue = {dataCentre, address};
     const writes = [{key: forwarderKey(instance), value}];
-    const result = rows && (await platform.transact({checks: [], writes}));
-    if (result?.kind !== 'committed') {
-      this.schedule(RETRY_AFTER_MS, () => this.publish());
-      return;
-    }
+    const result = await platform.transact({checks: [], writes});
+    if (result.kind !== 'committed') return false;
     logger.info('forwarder_published', {address});
-    // By then, all instances that started together have published theirs.
-    this.schedule(2 * this.publishWithinMs, async () => {
-      await this.read();
-    });
+    return true;
   }
 
-  /** @returns undefined when the store could not be read. */
-  private async read(): Promise<readonly Forwarder[] | undefined> {
+  private async readRegularly(): Promise<void> {
+    const isRead = await this.read();
+    const instances = this.options.countInstances() ?? 1;
+    const pace = Math.max(1, instances / INSTANCES_AT_FULL_PACE);
+    const delayMs = READ_EVERY_FACTOR * this.publishWithinMs * pace;
+    this.schedule(isRead ? delayMs : RETRY_AFTER_MS, () =>
+      this.readRegularly(),
+    );
+  }
+
+  /** @returns false when the store could not be read. */
+  private async read(): Promise<boolean> {
     this.readAtMs = this.options.nowMs();
     const result = await this.options.platform.scanRows(FORWARDERS_PREFIX);
-    if (result.kind === 'unavailable') return undefined;
+    if (result.kind === 'unavailable') return false;
+    const {own, onRead} = this.options;
     const forwarders = result.rows
       .map(readForwarder)
       .filter(each => each !== undefined);
-    const {own, onRead} = this.options;
     onRead(forwarders.filter(({instance}) => instance !== own.instance));
-    return forwarders;
+    return true;
   }
 
   private schedule(delayMs: number, act: () => Promise<void>): void {
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -61,6 +61,7 @@
         dataCentre,
         address: brandAs<ForwarderAddress>(address),
       },
+      countInstances: () => options.state.instances,
       onRead: others => this.choice.learn(others),
     });
   }
