End tunnels without a reset of their stream

Cause: each tunnel ended with RST_STREAM, since the forwarder ended the call before the other side had. HTTP/2 servers of Node.js bear 1,000 resets and 33 a second, a guard against clients that open and reset streams, and close the link then.

Change: the forwarder reports the end of its connection, the other side ends its half, then the forwarder its own; either waits a second at most. Only what is cancelled is still reset.

--- a/packages/gateway/src/forwarding/forwarder_client.ts
+++ b/packages/gateway/src/forwarding/forwarder_client.ts
@@ -87,7 +87,7 @@
       signal.removeEventListener('abort', abort);
       resolve(result);
     };
-    const fail = (reason: TunnelFailure['reason']) => {
+    const fail = (reason: 'no_answer' | 'aborted') => {
       stream.cancel();
       settle({kind: 'failed', reason});
     };
@@ -100,9 +100,13 @@
     // Kept for the whole stream: an error without a listener ends the process.
     stream.on('error', () => settle({kind: 'failed', reason: 'no_answer'}));
     stream.once('data', (reply: TunnelReply) => {
+      if (reply.kind === 'refused') {
+        stream.end();
+        settle({kind: 'failed', reason: reply.reason});
+        return;
+      }
       stream.pause();
-      if (reply.kind === 'refused') fail(reply.reason);
-      else settle(new Tunnel(stream));
+      settle(new Tunnel(stream));
     });
     stream.write({
       kind: 'open',
--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -34,6 +34,9 @@
 const DATA_CENTRE = brandAs<DataCentreId>('akl-a');
 const SIGNAL = new AbortController().signal;
 const TIMEOUT_MS = 300;
+/** Beyond the resets that Node.js (20) allows on one link. */
+const MANY_TUNNELS = 2000;
+const PARALLEL_TUNNELS = 20;
 const LARGE_BYTES = 3_000_000;
 
 const nowMs = () => performance.now();
@@ -386,3 +389,27 @@
   await direct.head;
   t.is(direct.path, 'direct');
 });
+
+test('a forwarder serves any number of tunnels over one link', async t => {
+  // Guards against tunnels that end with a reset: HTTP/2 servers close a link
+  // with many resets, and all its tunnels break.
+  const endpoint = await listen(t, socket =>
+    onRequest(socket, () => {
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+    }),
+  );
+  const [isolated] = await startMembers(t, 2, [endpoint]);
+  isolated.hasLinks = false;
+  const results = new Map<string, number>();
+  for (let count = 0; count < MANY_TUNNELS; count += PARALLEL_TUNNELS) {
+    const calls = Array.from({length: PARALLEL_TUNNELS}, async () => {
+      const call = callThrough(isolated, endpoint);
+      const head = await call.head;
+      if (head.kind === 'head') await readBody(head.response);
+      const result = head.kind === 'failed' ? head.reason : `${call.path}`;
+      results.set(result, (results.get(result) ?? 0) + 1);
+    });
+    await Promise.all(calls);
+  }
+  t.deepEqual([...results], [['forwarded', MANY_TUNNELS]]);
+});
--- a/packages/gateway/src/forwarding/tunnel.ts
+++ b/packages/gateway/src/forwarding/tunnel.ts
@@ -9,12 +9,16 @@
 export type TunnelStream = ClientDuplexStream<TunnelRequest, TunnelReply>;
 
 const MAX_CHUNK_BYTES = 64 * 1024;
+/** Time for the end of the connection once nothing more is to be sent. */
+const CLOSE_TIMEOUT_MS = 1000;
 
 /** The bytes of a tunnel as a stream that `http.request` can use. */
 class TunnelSocket extends Duplex {
   hasWrittenBytes = false;
   hasPathBroken = false;
+  /** Whether the forwarder has reported the end of its connection. */
   private hasEnded = false;
+  private closing: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly stream: TunnelStream,
@@ -45,6 +49,8 @@
 
   override _final(done: (error?: Error | null) => void): void {
     this.stream.end();
+    this.closing = setTimeout(() => this.destroy(), CLOSE_TIMEOUT_MS);
+    this.closing.unref();
     done();
   }
 
@@ -52,7 +58,11 @@
     error: Error | null,
     done: (error: Error | null) => void,
   ): void {
-    this.stream.cancel();
+    clearTimeout(this.closing);
+    // A stream that both sides end needs no reset: servers close a link on which
+    // they get many resets.
+    if (this.hasEnded) this.stream.end();
+    else this.stream.cancel();
     this.onOver(this.hasEnded && error === null);
     done(error);
   }
@@ -74,6 +84,7 @@
       if (!this.push(reply.bytes)) this.stream.pause();
     } else if (reply.kind === 'closed') {
       this.hasEnded = true;
+      this.stream.end();
       this.push(null);
     } else if (reply.kind === 'reset') {
       this.hasEnded = true;
--- a/packages/gateway/src/forwarding/tunnel_server.ts
+++ b/packages/gateway/src/forwarding/tunnel_server.ts
@@ -17,6 +17,7 @@
   type TunnelCall,
   type TunnelRefusal,
   type TunnelRequest,
+  type TunnelSignal,
 } from './tunnel_messages.js';
 
 /** Options of {@link TunnelServer}. */
@@ -38,6 +39,8 @@
  * endpoint's, not this instance's.
  */
 const RECENT_CONNECTION_MS = 2000;
+/** Time for the other side to end a call after the last message. */
+const END_TIMEOUT_MS = 1000;
 const MAX_MESSAGE_BYTES = 256 * 1024;
 
 /** Owns the listening socket and the tunnels. */
@@ -106,8 +109,7 @@
     const socket = connection.createConnection();
     void closesCleanly(socket).then(isClean => {
       this.calls.delete(call);
-      call.write({kind: isClean ? 'closed' : 'reset'});
-      call.end();
+      finish(call, {kind: isClean ? 'closed' : 'reset'});
     });
     if (call.cancelled) {
       connection.reset();
@@ -166,9 +168,26 @@
   }
 
   private refuse(call: TunnelCall, reason: TunnelRefusal): void {
-    call.write({kind: 'refused', reason});
+    finish(call, {kind: 'refused', reason});
+  }
+}
+
+/**
+ * Sends the last message and ends the call once the other side has ended it: if
+ * this side were first, the other one would have to reset the stream.
+ */
+function finish(call: TunnelCall, last: TunnelSignal): void {
+  call.write(last);
+  if (call.readableEnded) {
     call.end();
+    return;
   }
+  const timer = setTimeout(() => call.end(), END_TIMEOUT_MS);
+  call.once('end', () => {
+    clearTimeout(timer);
+    call.end();
+  });
+  call.resume();
 }
 
 /** Passes bytes in both directions, no faster than they are read. */
