--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -65,6 +65,7 @@
   /** Crashed, and not started again yet. */
   private isDown = false;
   private maxRejectionsPerS: number | undefined;
+  private fallsFromMs = Number.NEGATIVE_INFINITY;
   private readonly closeCallbacks: Array<() => void> = [];
 
   constructor(private readonly options: EndpointOptions) {}
@@ -97,6 +98,7 @@
     });
     this.standIn = standIn;
     standIn.maxRejectionsPerS = this.maxRejectionsPerS;
+    standIn.fallsFromMs = this.fallsFromMs;
     const targetPort = await standIn.start(host);
     const way = await this.openWay(targetPort, port);
     this.way = way;
@@ -143,10 +145,16 @@
     return () => (standIn.backoffUntilMs = Number.NEGATIVE_INFINITY);
   }
 
-  /** Makes all generations brittle; undefined ends it. */
+  /**
+   * Makes all generations brittle; they say so for the contact bound before they
+   * may fall over. Undefined ends it.
+   */
   setBrittle(maxRejectionsPerS: number | undefined): void {
+    const {history, nowMs} = this.options;
     this.maxRejectionsPerS = maxRejectionsPerS;
+    this.fallsFromMs = nowMs() + history.bounds.contactMs;
     this.standIn.maxRejectionsPerS = maxRejectionsPerS;
+    this.standIn.fallsFromMs = this.fallsFromMs;
   }
 
   get service(): ServiceId {
