--- a/packages/gateway/src/endpoint_connector.ts
+++ b/packages/gateway/src/endpoint_connector.ts
@@ -7,22 +7,14 @@
   type EndpointConnection,
 } from './endpoint_connection.js';
 import type {ConnectRequest, DirectConnector} from './direct_connector.js';
-
-/** Connects through other instances. */
-export interface ForwardedConnector {
-  /** Whether any other instance is known that may forward connections. */
-  readonly isAvailable: boolean;
-  open(
-    request: ConnectRequest,
-  ): Promise<EndpointConnection | EndpointConnectFailure>;
-}
+import type {Forwarding} from './forwarding/forwarding.js';
 
 /** Options of {@link EndpointConnector}. */
 export interface EndpointConnectorOptions {
   readonly state: RoutingState;
   readonly direct: DirectConnector;
   /** Undefined where instances don't connect to one another. */
-  readonly forwarded: ForwardedConnector | undefined;
+  readonly forwarded: Pick<Forwarding, 'isAvailable' | 'open'> | undefined;
   readonly nowMs: () => number;
 }
 
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -17,7 +17,6 @@
   EndpointConnectFailure,
   EndpointConnection,
 } from '../endpoint_connection.js';
-import type {ForwardedConnector} from '../endpoint_connector.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {RoutingState} from '../routing_state.js';
 import {ForwarderList} from './forwarder_list.js';
@@ -45,7 +44,7 @@
 const MAX_FORWARDERS = 4;
 
 /** Owns the server, the list of the others and a client for each one used. */
-export class Forwarding implements ForwardedConnector {
+export class Forwarding {
   private readonly choice: ForwarderChoice;
   private readonly list: ForwarderList;
   private readonly clients = new Map<ForwarderAddress, ForwarderClient>();
@@ -66,6 +65,7 @@
     });
   }
 
+  /** Whether any other instance is known that may forward connections. */
   get isAvailable(): boolean {
     return this.choice.count > 0;
   }
@@ -109,6 +109,12 @@
     this.list.refresh();
   }
 
+  /**
+   * Opens a connection through another instance; nothing is sent over it yet.
+   *
+   * @example
+   * const connection = await forwarding.open({endpoint, timeoutMs, signal});
+   */
   async open(
     request: ConnectRequest,
   ): Promise<EndpointConnection | EndpointConnectFailure> {
