--- a/packages/gateway/src/forwarding/tunnel_messages.ts
+++ b/packages/gateway/src/forwarding/tunnel_messages.ts
@@ -32,7 +32,7 @@
  *
  * - `refused`, `timed_out`: it couldn't reach the endpoint, but reaches others.
  * - `not_serving`: it doesn't know the endpoint, or knows that it is leaving.
- * - `isolated`: it can't tell, since it reaches no other endpoint either.
+ * - `isolated`: the cause is unknown, as it reaches no other endpoint either.
  * - `unavailable`: it is stopping or has too many tunnels.
  */
 export type TunnelRefusal =
