Keep the forwarders that a store that was set back has lost

Nothing wrote the rows again.

Change: a list never takes forwarders away (rows are not removed, and one that is gone costs a refused connection), and instances write their rows again after a set-back.

--- a/packages/gateway/src/endpoint_paths.ts
+++ b/packages/gateway/src/endpoint_paths.ts
@@ -67,6 +67,11 @@
     await this.forwarding?.start();
   }
 
+  /** The store was set back to a copy of itself. */
+  noteSetBack(): void {
+    this.forwarding?.noteSetBack();
+  }
+
   stop(): void {
     this.forwarding?.stop();
   }
--- a/packages/gateway/src/forwarding/forwarder_list.test.ts
+++ b/packages/gateway/src/forwarding/forwarder_list.test.ts
@@ -70,3 +70,18 @@
   for (const list of lists) list.stop();
   t.true(many.scans <= 2, `${many.scans}`);
 });
+
+test('a row that the store has lost is written again', t => {
+  // Guards against instances that nobody finds after the store was set back.
+  const platform = new CountingPlatform();
+  const empty = platform.copy();
+  const list = createList(platform, 3);
+  list.start();
+  return waitUntil(() => platform.writes === 1).then(async () => {
+    platform.setBack(empty);
+    list.republish();
+    await waitUntil(() => platform.writes === 2);
+    list.stop();
+    t.is(platform.rows.size, 1);
+  });
+});
--- a/packages/gateway/src/forwarding/forwarder_list.ts
+++ b/packages/gateway/src/forwarding/forwarder_list.ts
@@ -59,6 +59,11 @@
     clearTimeout(this.timer);
   }
 
+  /** Writes the own row again, which a store that was set back may have lost. */
+  republish(): void {
+    this.start();
+  }
+
   /** Reads the list again, unless that was done a moment ago. */
   refresh(): void {
     if (this.options.nowMs() - this.readAtMs >= RETRY_AFTER_MS) {
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -104,6 +104,11 @@
     for (const client of this.clients.values()) client.close();
   }
 
+  /** The store was set back: it may have lost the row of this instance. */
+  noteSetBack(): void {
+    this.list.republish();
+  }
+
   /** Reads the list of forwarders again. */
   refresh(): void {
     this.list.refresh();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -144,6 +144,7 @@
       onEvacuated: ({length}) => options.metrics.setEvacuated(length),
       onSetBack: () => {
         this.facts.republish();
+        this.paths.noteSetBack();
         this.duties.noteSetBack();
       },
     });
--- a/packages/routing/src/forwarder_choice.ts
+++ b/packages/routing/src/forwarder_choice.ts
@@ -61,12 +61,11 @@
     return this.tracked.size;
   }
 
-  /** Replaces the known forwarders; what is known of the same ones stays. */
+  /**
+   * Adds forwarders; what is known of the same ones stays. Those that are missing
+   * stay too: a store that was set back may have lost their rows.
+   */
   learn(forwarders: readonly Forwarder[]): void {
-    const listed = new Set(forwarders.map(({instance}) => instance));
-    for (const instance of this.tracked.keys()) {
-      if (!listed.has(instance)) this.tracked.delete(instance);
-    }
     for (const forwarder of forwarders) {
       const known = this.tracked.get(forwarder.instance);
       if (known?.forwarder.address === forwarder.address) continue;
