Log how answers of endpoints ended

The record of two cut-short streams can't tell whether their connections were closed or reset, nor whether bytes of an event were left. Both lines of a request now say framing and end, and a counter does.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a request at one endpoint. */
 
 import type {IncomingMessage} from 'node:http';
+import type {AnswerEnding} from '@snipestage/connection/answer_end.js';
 import type {Placed} from '@snipestage/routing/placement.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter} from './answer_writer.js';
@@ -86,6 +87,11 @@
     return this.call.path;
   }
 
+  /** How its answer ended; undefined if none was read up to its end. */
+  get ending(): AnswerEnding | undefined {
+    return this.call.ending;
+  }
+
   /** Closes the connection, upon which the endpoint stops its work. */
   cancel(): void {
     this.call.cancel();
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -5,6 +5,12 @@
   type ClientRequest,
   type IncomingMessage,
 } from 'node:http';
+import {
+  classifyAnswerEnd,
+  framingOf,
+  type AnswerEnding,
+  type EventsRead,
+} from '@snipestage/connection/answer_end.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import type {
   ConnectionPath,
@@ -88,6 +94,9 @@
     return this.connection?.verdict ?? 'not_run';
   }
 
+  /** How an answer ended that was read up to its end; undefined until then. */
+  ending: AnswerEnding | undefined;
+
   /**
    * Whether an answer that has ended is complete.
    *
@@ -95,13 +104,20 @@
    * accepts a reset as that end, too; the connection distinguishes a
    * crash in the middle of the answer from a regular end.
    */
-  async isWhole(response: IncomingMessage): Promise<boolean> {
-    if (!response.complete) return false;
-    const {headers} = response;
-    const hasLength =
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined;
-    return hasLength || (this.connection?.closedCleanly ?? false);
+  async isWhole(
+    response: IncomingMessage,
+    events?: EventsRead,
+  ): Promise<boolean> {
+    const framing = framingOf(response.headers);
+    const isFramingComplete = response.complete;
+    const hasClosedCleanly =
+      framing === 'close' &&
+      isFramingComplete &&
+      ((await this.connection?.closedCleanly) ?? false);
+    const answer = {framing, isFramingComplete, hasClosedCleanly, events};
+    const end = classifyAnswerEnd(answer);
+    this.ending = {framing, end};
+    return end !== 'cut_short' && end !== 'reset';
   }
 
   /** Whether the call was ended from this side. */
--- a/packages/gateway/src/event_relay.ts
+++ b/packages/gateway/src/event_relay.ts
@@ -1,6 +1,7 @@
 /** Forwards a stream of events to the caller as they arrive. */
 
 import type {IncomingMessage} from 'node:http';
+import type {EventsRead} from '@snipestage/connection/answer_end.js';
 import type {AnswerWriter} from './answer_writer.js';
 import type {EndpointCall} from './endpoint_call.js';
 import {EventSplitter, type ServerSentEvent} from './event_splitter.js';
@@ -37,7 +38,7 @@
       let hasEnded = false;
       response.on('end', () => {
         hasEnded = true;
-        void call.isWhole(response).then(isWhole => {
+        void call.isWhole(response, this.eventsRead).then(isWhole => {
           if (isWhole) this.finish();
           resolve(isWhole);
         });
@@ -49,6 +50,14 @@
     });
   }
 
+  private get eventsRead(): EventsRead {
+    const {splitter} = this;
+    return {
+      count: splitter.eventCount,
+      hasPartialEvent: splitter.hasPartialEvent,
+    };
+  }
+
   private finish(): void {
     const {writer} = this.options;
     this.begin();
--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -18,6 +18,13 @@
  */
 export class EventSplitter {
   private rest: Buffer = Buffer.alloc(0);
+  /** Number of complete events so far. */
+  eventCount = 0;
+
+  /** Whether bytes have arrived of an event that is not complete. */
+  get hasPartialEvent(): boolean {
+    return this.rest.length > 0;
+  }
 
   /**
    * Adds bytes and returns the events that are complete now.
@@ -41,6 +48,7 @@
       begin = end;
     }
     this.rest = bytes.subarray(begin);
+    this.eventCount += events.length;
     return events;
   }
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -5,6 +5,7 @@
   failureFor,
   mayRunAgain,
 } from '@snipestage/routing/attempt_policy.js';
+import type {AnswerEnding} from '@snipestage/connection/answer_end.js';
 import {AttemptHistory} from '@snipestage/routing/attempt_history.js';
 import {workOf} from '@snipestage/routing/prompt.js';
 import {
@@ -43,6 +44,7 @@
   private loadAgeWhenChosenMs: number | undefined;
   private lastGroup: PlacementGroup | undefined;
   private lastPath: ConnectionPath | undefined;
+  private lastEnding: AnswerEnding | undefined;
 
   constructor(
     private readonly context: ExchangeContext,
@@ -105,6 +107,7 @@
       firstEventMs: firstMs,
       longestPauseMs: events > 0 ? Math.round(longestPauseMs) : undefined,
       path: this.lastPath,
+      ...this.lastEnding,
       load: this.loadWhenChosen,
       loadAgeMs: loadAgeMs && Math.round(loadAgeMs),
       endpoint: [...this.history.excluded].at(-1),
@@ -233,9 +236,9 @@
       state.monitor.end(endpoint.id, work);
       this.current = undefined;
     }
-    const {path} = attempt;
+    const {path, ending} = attempt;
     const durationMs = nowMs() - startedAtMs;
-    this.settle({endpoint, result, durationMs, path});
+    this.settle({endpoint, result, durationMs, path, ending});
     return result;
   }
 
@@ -289,6 +292,7 @@
     const {endpoint, result} = outcome;
     recordOutcome(this.context, this.request, outcome);
     this.lastPath = outcome.path ?? this.lastPath;
+    this.lastEnding = outcome.ending;
     if (result.kind === 'answered') {
       this.verdict = 'ran';
       return;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -1,5 +1,6 @@
 /** Counters and latency histograms, served as text. */
 
+import type {AnswerEnding} from '@snipestage/connection/answer_end.js';
 import type {PlacementGroup} from '@snipestage/routing/placement.js';
 import type {ConnectionPath} from './endpoint_connection.js';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
@@ -24,6 +25,12 @@
     labelNames: ['service', 'outcome'],
     registers: [this.registry],
   });
+  private readonly answerEnds = new Counter({
+    name: 'snipestage_answer_ends_total',
+    help: 'Answers of endpoints by service, framing and how they ended.',
+    labelNames: ['service', 'framing', 'end'],
+    registers: [this.registry],
+  });
   private readonly latency = new Histogram({
     name: 'snipestage_request_duration_ms',
     help: 'Time from the head of a request to the end of its answer.',
@@ -132,6 +139,10 @@
     this.attempts.inc({service, outcome});
   }
 
+  countAnswerEnd(service: string, {framing, end}: AnswerEnding): void {
+    this.answerEnds.inc({service, framing, end});
+  }
+
   countStoreCall(call: string, outcome: string): void {
     this.storeCalls.inc({call, outcome});
   }
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -1,6 +1,7 @@
 /** Records what an attempt shows of its endpoint and of the request. */
 
 import {abbreviate} from '@snipestage/entry/identify/fingerprint.js';
+import type {AnswerEnding} from '@snipestage/connection/answer_end.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {ConnectionPath} from './endpoint_connection.js';
 import type {
@@ -23,6 +24,8 @@
   readonly durationMs: number;
   /** Undefined when no connection was opened. */
   readonly path: ConnectionPath | undefined;
+  /** Undefined when no answer was read up to its end. */
+  readonly ending: AnswerEnding | undefined;
 }
 
 /**
@@ -37,7 +40,9 @@
   request: ReadRequest,
   outcome: AttemptOutcome,
 ): void {
-  const {result} = outcome;
+  const {result, ending} = outcome;
+  if (ending !== undefined)
+    context.metrics.countAnswerEnd(request.admission.service, ending);
   if (result.kind === 'answered') recordAnswer(context, request, outcome);
   else recordFailure(context, request, {...outcome, result});
 }
@@ -62,9 +67,10 @@
 function recordFailure(
   context: ExchangeContext,
   {fingerprint, admission, caller}: ReadRequest,
-  {endpoint, result, durationMs}: AttemptOutcome & {result: FailedResult},
+  outcome: AttemptOutcome & {result: FailedResult},
 ): void {
   const {state, crashes, metrics, nowMs} = context;
+  const {endpoint, result, durationMs, ending} = outcome;
   const atMs = nowMs();
   const {reason, verdict, endpointOutcome, connectionBroke = false} = result;
   recordReach(context, endpoint, reason);
@@ -82,6 +88,7 @@
     endpoint: endpoint.id,
     reason,
     verdict,
+    ...ending,
     durationMs: Math.round(durationMs),
     load: Math.round(state.monitor.estimateLoad(endpoint.id, atMs)),
   });
