Reproduce answers cut short that look complete

All three hypotheses but the second show: a stream that ends inside an event, or before its first one, is passed on as complete with each framing; a close without framing counts as complete when the endpoint is gone; a caller of HTTP/1.0 sees a broken stream end properly; lines that end with a carriage return never end an event; and the driver of plain services takes a reset for an end. A reset was never taken for a close on direct connections.

--- /dev/null
+++ b/packages/entry/src/send/http_service_driver.test.ts
@@ -0,0 +1,62 @@
+import net, {type AddressInfo, type Socket} from 'node:net';
+import {brandAs} from '@snipestage/types/ids.js';
+import test, {type ExecutionContext} from 'ava';
+import {EndpointError} from './endpoint_error.js';
+import {HttpServiceDriver} from './http_service_driver.js';
+
+const HALF = 'HTTP/1.1 200 OK\r\n\r\nhalf of it';
+
+/** @param answer is called for each connection once a request has arrived. */
+async function startService(
+  t: ExecutionContext,
+  answer: (socket: Socket, server: net.Server) => void,
+): Promise<string> {
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => answer(socket, server));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function call(url: string) {
+  return new HttpServiceDriver().call({
+    url,
+    method: 'GET',
+    path: '/x',
+    headers: {},
+    body: Buffer.alloc(0),
+    attempt: brandAs('r.1'),
+    signal: new AbortController().signal,
+    timeoutMs: 5000,
+  });
+}
+
+test('an answer without a length is whole when its connection closes', async t => {
+  const url = await startService(t, socket => socket.end(HALF));
+  t.is((await call(url)).body.toString(), 'half of it');
+});
+
+for (const delayMs of [0, 30]) {
+  test(`an answer without a length is broken when its connection is reset (${delayMs} ms later)`, async t => {
+    // Guards against half an answer from a service that crashes.
+    const url = await startService(t, socket => {
+      socket.write(HALF);
+      if (delayMs === 0) socket.resetAndDestroy();
+      else setTimeout(() => socket.resetAndDestroy(), delayMs);
+    });
+    const error = await t.throwsAsync(call(url), {instanceOf: EndpointError});
+    t.is((error as EndpointError).kind, 'broken');
+  });
+}
+
+test('an answer without a length is broken when its service is gone', async t => {
+  // Guards against a crash whose close doesn't differ from that of an answer.
+  const url = await startService(t, (socket, server) => {
+    server.close();
+    socket.end(HALF);
+  });
+  const error = await t.throwsAsync(call(url), {instanceOf: EndpointError});
+  t.is((error as EndpointError).kind, 'broken');
+});
--- /dev/null
+++ b/packages/gateway/src/answer_ends.test.ts
@@ -0,0 +1,231 @@
+import net from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import type {Route} from '@snipestage/routing/route.js';
+import {startCluster} from './test_support/test_cluster.js';
+import {get, SLOW_ROUTE} from './test_support/test_gateway.js';
+import {
+  chunk,
+  streamHead,
+  TestProxy,
+  type Script,
+} from './test_support/test_proxy.js';
+
+const FRAMINGS = ['close', 'chunks', 'length'] as const;
+type Framing = (typeof FRAMINGS)[number];
+
+const STREAM: Partial<Route> = {kind: 'stream'};
+const RESUMABLE: Partial<Route> = {
+  kind: 'stream',
+  isResumable: true,
+  maxAttempts: 2,
+};
+const FIRST_EVENT = 'id: 1\ndata: a\n\n';
+const SECOND_EVENT = 'id: 2\ndata: b\n\n';
+/** Beginnings of an event. */
+const PIECES = {
+  'half a line': 'id: 2\nda',
+  'no blank line': 'id: 2\ndata: b\n',
+};
+
+const idOf = (request: string): string =>
+  /x-request-id: (\S+)/i.exec(request)?.[1] ?? '';
+
+/** A signed answer whose end is marked in one of three ways. */
+function answerText(id: string, framing: Framing, body: string): string {
+  if (framing === 'chunks') return streamHead(id) + chunk(body) + chunk('');
+  const headers = ['HTTP/1.1 200 OK', `X-Request-Id: ${id}`, 'X-Signature: p'];
+  if (framing === 'length') headers.push(`Content-Length: ${body.length}`);
+  return `${headers.join('\r\n')}\r\n\r\n${body}`;
+}
+
+/** Answers with a body and closes the connection without a reset. */
+const answerWith =
+  (framing: Framing, body: string): Script =>
+  (socket, request) =>
+    socket.end(answerText(idOf(request), framing, body));
+
+/** Streams what begins a stream, or else what resumes it. */
+const streamInTwoParts =
+  (first: Script, second: Script): Script =>
+  (socket, request) =>
+    (/last-event-id/i.test(request) ? second : first)(socket, request);
+
+async function start(
+  t: ExecutionContext,
+  route: Partial<Route>,
+  scripts: readonly Script[],
+): Promise<TestProxy> {
+  const proxy = await TestProxy.start(route, scripts);
+  t.teardown(() => proxy.close());
+  return proxy;
+}
+
+for (const framing of FRAMINGS) {
+  for (const [name, piece] of Object.entries(PIECES)) {
+    test(`a stream that ends inside an event does not look complete (${framing}, ${name})`, async t => {
+      // Guards against a crashed endpoint's answer that its caller takes for
+      // complete.
+      const proxy = await start(t, STREAM, [
+        answerWith(framing, FIRST_EVENT + piece),
+      ]);
+      const answer = await proxy.call('one', {body: 'prompt'});
+      t.like(answer, {status: 200, body: FIRST_EVENT, isComplete: false});
+    });
+  }
+
+  test(`a resumable stream that ends inside an event goes on elsewhere (${framing})`, async t => {
+    // Guards against streams that end early although another endpoint could
+    // resume them.
+    const engine = streamInTwoParts(
+      answerWith(framing, `${FIRST_EVENT}id: 2\ndata: b\n`),
+      answerWith(framing, SECOND_EVENT),
+    );
+    const proxy = await start(t, RESUMABLE, [engine, engine]);
+    const answer = await proxy.call('one', {body: 'prompt'});
+    t.like(answer, {body: FIRST_EVENT + SECOND_EVENT, isComplete: true});
+  });
+}
+
+test('a stream that ends inside an event counts as broken', async t => {
+  // Guards against crashes that are not held against their endpoint.
+  const proxy = await start(t, STREAM, [answerWith('close', 'id: 1\nda')]);
+  t.is((await proxy.call('one', {body: 'prompt'})).status, 502);
+  const [{id}] = proxy.state.directory.readAll();
+  const nowMs = performance.now();
+  t.true(proxy.state.monitor.failureShare(id, nowMs) > 0);
+  t.true(proxy.state.suspects.mayHaveCrashed(id, nowMs));
+  const line = proxy.log.lines.find(each => each.includes('attempt_failed'));
+  t.regex(line ?? '', /"reason":"broken"/);
+  t.regex(line ?? '', /"framing":"close","end":"inside_event"/);
+});
+
+test('a stream that closes before its first event is not an answer', async t => {
+  // Guards against an empty success where an endpoint ended too early.
+  const proxy = await start(t, STREAM, [answerWith('close', '')]);
+  t.is((await proxy.call('one', {body: 'prompt'})).status, 502);
+});
+
+test('a stream that closes before its first event begins elsewhere', async t => {
+  // Guards against giving up before another endpoint was tried.
+  const attempted = new Set<string>();
+  const emptyAtFirst: Script = (socket, request) => {
+    const isFirst = !attempted.has(idOf(request));
+    attempted.add(idOf(request));
+    const body = isFirst ? ': starting\n\n' : FIRST_EVENT;
+    socket.end(answerText(idOf(request), 'close', body));
+  };
+  const proxy = await start(t, RESUMABLE, [emptyAtFirst, emptyAtFirst]);
+  const answer = await proxy.call('one', {body: 'prompt'});
+  t.like(answer, {status: 200, body: FIRST_EVENT, isComplete: true});
+});
+
+test('a stream that closes between events is complete while its endpoint is up', async t => {
+  const proxy = await start(t, STREAM, [
+    answerWith('close', FIRST_EVENT + SECOND_EVENT),
+  ]);
+  const answer = await proxy.call('one', {body: 'prompt'});
+  t.like(answer, {body: FIRST_EVENT + SECOND_EVENT, isComplete: true});
+});
+
+test('a stream that closes between events is incomplete when its endpoint is gone', async t => {
+  // Guards against a crash between two events: the close alone doesn't differ
+  // from that of a complete stream.
+  const proxy = new TestProxy();
+  t.teardown(() => proxy.close());
+  const script: Script = (socket, request) => {
+    proxy.stopListening('endpoint-0');
+    socket.end(answerText(idOf(request), 'close', FIRST_EVENT));
+  };
+  await proxy.begin(STREAM, [script]);
+  const answer = await proxy.call('one', {body: 'prompt'});
+  t.like(answer, {status: 200, body: FIRST_EVENT, isComplete: false});
+});
+
+test('an answer without a length is incomplete when its endpoint is gone', async t => {
+  // Guards against half a confirmation that is taken for all of it.
+  const proxy = new TestProxy();
+  t.teardown(() => proxy.close());
+  const script: Script = (socket, request) => {
+    proxy.stopListening('endpoint-0');
+    socket.end(answerText(idOf(request), 'close', 'half of it'));
+  };
+  await proxy.begin({}, [script]);
+  t.is((await proxy.call('one', {body: 'order'})).status, 502);
+});
+
+test('answers that end together share one look at their endpoint', async t => {
+  // Guards against a connection of its own for each answer without a length.
+  const waiting: Array<() => void> = [];
+  const together: Script = (socket, request) => {
+    const text = answerText(idOf(request), 'close', FIRST_EVENT);
+    waiting.push(() => socket.end(text));
+    if (waiting.length === 8) for (const end of waiting) end();
+  };
+  const proxy = await start(t, STREAM, [together]);
+  const ids = Array.from({length: 8}, (_, index) => `request-${index}`);
+  const answers = await Promise.all(
+    ids.map(id => proxy.call(id, {body: 'prompt'})),
+  );
+  t.true(answers.every(({isComplete}) => isComplete));
+  t.true(proxy.opened <= ids.length + 3);
+});
+
+for (const framing of ['chunks', 'close'] as const) {
+  test(`a resumed stream without new events is complete only by its framing (${framing})`, async t => {
+    // Guards against guessing that nothing was left of a stream.
+    const engine = streamInTwoParts(
+      (socket, request) => {
+        socket.write(streamHead(idOf(request)));
+        socket.write(chunk(FIRST_EVENT), () => socket.resetAndDestroy());
+      },
+      answerWith(framing, ''),
+    );
+    const proxy = await start(t, RESUMABLE, [engine, engine]);
+    const answer = await proxy.call('one', {body: 'prompt'});
+    t.like(answer, {body: FIRST_EVENT, isComplete: framing === 'chunks'});
+  });
+}
+
+test('a JSON answer without a length that ends early is not passed on', async t => {
+  // Guards against half a document from an endpoint that is back at once.
+  const script: Script = (socket, request) => {
+    const head = answerText(idOf(request), 'close', '').trimEnd();
+    const type = 'Content-Type: application/json';
+    socket.end(`${head}\r\n${type}\r\n\r\n{"booked":`);
+  };
+  const proxy = await start(t, {}, [script]);
+  t.is((await proxy.call('one', {body: 'order'})).status, 502);
+});
+
+test('a broken stream is reset for a caller that knows no chunks', async t => {
+  // Guards against HTTP/1.0 callers, to whom a close is a proper end.
+  const proxy = await start(t, STREAM, [
+    answerWith('close', `${FIRST_EVENT}id: 2\nda`),
+  ]);
+  const socket = net.connect(proxy.callersPort, '127.0.0.1');
+  socket.write('POST /r/x HTTP/1.0\r\nHost: test\r\nX-Request-Id: one\r\n\r\n');
+  const error = await new Promise<NodeJS.ErrnoException | undefined>(done => {
+    socket.on('error', done);
+    socket.on('close', () => done(undefined));
+    socket.resume();
+  });
+  t.is(error?.code, 'ECONNRESET');
+});
+
+test('a stream through another instance that ends inside an event does not look complete', async t => {
+  // Guards against a rule that holds for direct connections only.
+  const cluster = await startCluster({
+    instances: 2,
+    endpoints: 3,
+    route: {...SLOW_ROUTE, host: '127.0.0.1', kind: 'stream'},
+    answer: (response, id) => {
+      const body = `${FIRST_EVENT}id: 2\nda`;
+      response.socket?.end(answerText(id, 'close', body));
+    },
+  });
+  t.teardown(() => cluster.stop());
+  await cluster.cut(0, 'refuse');
+  const [{callers}] = cluster.members;
+  const headers = {Host: '127.0.0.1', 'X-Request-Id': 'one'};
+  await t.throwsAsync(get(callers, undefined, headers));
+});
--- a/packages/gateway/src/event_splitter.test.ts
+++ b/packages/gateway/src/event_splitter.test.ts
@@ -2,6 +2,55 @@
 import fc from 'fast-check';
 import {EventSplitter} from './event_splitter.js';
 
+const LINE_ENDINGS = ['\n', '\r\n', '\r'];
+
+test('events end with a blank line, whatever the line endings', t => {
+  // Guards against streams that never seem to have an event, or never to be
+  // inside one, since their endpoint ends its lines with a carriage return.
+  const ending = fc.constantFrom(...LINE_ENDINGS);
+  const endings = fc.array(ending, {minLength: 6, maxLength: 6});
+  fc.assert(
+    fc.property(endings, fc.boolean(), ([a, b, c, d, e, f], hasMark) => {
+      const mark = hasMark ? '\u{feff}' : '';
+      const text = `${mark}id: 1${a}data: x${b}${c}id: 2${d}data: y${e}${f}`;
+      const splitter = new EventSplitter();
+      const bytes = Buffer.from(text);
+      const events = [...bytes].flatMap(byte => splitter.push(Buffer.of(byte)));
+      const out = events.map(each => each.bytes.toString()).join('');
+      const ids = events.map(each => each.id);
+      return (
+        ids.join() === '1,2' &&
+        !splitter.hasPartialEvent &&
+        out + splitter.takeRest().toString() === text
+      );
+    }),
+  );
+  t.pass();
+});
+
+test('whole comment lines and blank lines at the end are no part of an event', t => {
+  const rests: ReadonlyArray<readonly [string, boolean]> = [
+    ['', false],
+    ['\n', false],
+    [': ping\n', false],
+    [': pi', true],
+    ['id: 2', true],
+    ['id: 2\n', true],
+    ['id: 2\r\ndata: b\r', true],
+  ];
+  for (const [rest, isPartial] of rests) {
+    const splitter = new EventSplitter();
+    splitter.push(Buffer.from(`data: a\n\n${rest}`));
+    t.is(splitter.hasPartialEvent, isPartial, JSON.stringify(rest));
+  }
+});
+
+test('a block without data or an id is no event', t => {
+  const splitter = new EventSplitter();
+  splitter.push(Buffer.from(': hello\n\nretry: 100\n\n'));
+  t.is(splitter.eventCount, 0);
+});
+
 test('events are complete however the bytes are split', t => {
   const events = ['id: 1\ndata: a\n\n', 'id: 2\r\ndata: bb\r\n\r\n', ': c\n\n'];
   const bytes = Buffer.from(events.join(''));
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -226,7 +226,7 @@
   return {gateway, configuration, endpoints, callers, readiness, lines};
 }
 
-/** Sends a GET request; resolves once the complete answer was received. */
+/** Sends a GET request; rejects unless the complete answer was received. */
 export function get(
   port: number,
   agent?: http.Agent,
@@ -239,6 +239,7 @@
         response => {
           response.resume();
           response.on('end', () => resolve(response));
+          response.on('error', reject);
         },
       )
       .on('error', reject);
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -97,6 +97,8 @@
   skippedMs = 0;
   /** Added to the time that connections to endpoints take. */
   connectDelayMs = 0;
+  /** Number of connections that endpoints have accepted. */
+  opened = 0;
   /** Endpoints of connections that were closed, one entry per connection. */
   readonly closed: string[] = [];
   readonly shutdown = new Shutdown({graceMs: 8000});
@@ -210,6 +212,15 @@
     });
   }
 
+  get callersPort(): number {
+    return this.port;
+  }
+
+  /** Lets an endpoint refuse connections; open ones stay. */
+  stopListening(id: string): void {
+    this.endpoints.get(id)?.close();
+  }
+
   /** Ends an endpoint with all its connections, as a crash does. */
   crash(id: string): void {
     this.endpoints.get(id)?.close();
@@ -230,6 +241,7 @@
     const sockets = new Set<Socket>();
     this.socketsOf.set(id, sockets);
     const server = net.createServer(socket => {
+      this.opened += 1;
       this.sockets.add(socket);
       sockets.add(socket);
       let text = '';
