--- a/packages/gateway/src/event_relay.ts
+++ b/packages/gateway/src/event_relay.ts
@@ -21,10 +21,13 @@
  * Forwards one endpoint's stream. The head is sent with the first event, so
  * that until then another endpoint may take over with its own head. A stream
  * that is resumed keeps the head of its first endpoint, and events that the
- * caller has already received are skipped.
+ * caller has already received are skipped. An event that isn't complete is never
+ * forwarded: a stream that ends inside one has been broken off.
  */
 export class EventRelay {
   private readonly splitter = new EventSplitter();
+  /** Blocks before the first event; they commit this endpoint to nothing. */
+  private readonly preamble: Buffer[] = [];
 
   constructor(private readonly options: EventRelayOptions) {}
 
@@ -38,6 +41,7 @@
       let hasEnded = false;
       response.on('end', () => {
         hasEnded = true;
+        for (const event of this.splitter.end()) this.forward(event);
         void call.isWhole(response, this.eventsRead).then(isWhole => {
           if (isWhole) this.finish();
           resolve(isWhole);
@@ -69,9 +73,15 @@
   private forward(event: ServerSentEvent): void {
     const {response, writer} = this.options;
     if (isRepeated(event, writer.lastEventId)) return;
+    if (!event.isEvent && !writer.hasBegun) {
+      this.preamble.push(event.bytes);
+      return;
+    }
     this.begin();
-    this.options.onEvent();
-    writer.noteEvent(event.id, performance.now());
+    if (event.isEvent) {
+      this.options.onEvent();
+      writer.noteEvent(event.id, performance.now());
+    }
     if (writer.write(event.bytes)) return;
     response.pause();
     writer.whenDrained(() => response.resume());
@@ -79,7 +89,9 @@
 
   private begin(): void {
     const {writer, status, headers} = this.options;
-    if (!writer.hasBegun) writer.beginStream(status, headers);
+    if (writer.hasBegun) return;
+    writer.beginStream(status, headers);
+    for (const bytes of this.preamble) writer.write(bytes);
   }
 }
 
