Take a stream that ends inside an event for broken off

Callers got streams as complete whose endpoint had crashed: the end of the connection, or of the framing, alone decided, and the bytes of an unfinished event were passed on as the end. Now one rule (answer_end.ts) decides for streams and whole answers, direct and forwarded: an answer is whole if its framing is complete and no event is unfinished, or, with neither length nor chunks, if its connection closed without a reset, no event is unfinished and there was at least one.

What isn't whole is broken off as any other: resumed or begun elsewhere where the route allows it, else refused or cut off, and held against the endpoint.

--- a/packages/connection/src/answer_end.ts
+++ b/packages/connection/src/answer_end.ts
@@ -72,3 +72,14 @@
   if (isFramed) return 'framed';
   return events?.count === 0 ? 'without_event' : 'closed';
 }
+
+/**
+ * Whether an answer with this end is whole. What isn't known to be whole is
+ * broken off, on every path.
+ *
+ * @example
+ * if (!isWholeEnd(end)) return breakOff();
+ */
+export function isWholeEnd(end: AnswerEnd): boolean {
+  return end === 'framed' || end === 'closed';
+}
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -8,6 +8,7 @@
 import {
   classifyAnswerEnd,
   framingOf,
+  isWholeEnd,
   type AnswerEnding,
   type EventsRead,
 } from '@snipestage/connection/answer_end.js';
@@ -117,7 +118,7 @@
     const answer = {framing, isFramingComplete, hasClosedCleanly, events};
     const end = classifyAnswerEnd(answer);
     this.ending = {framing, end};
-    return end !== 'cut_short' && end !== 'reset';
+    return isWholeEnd(end);
   }
 
   /** Whether the call was ended from this side. */
