Look at the endpoint of an answer that only its close has ended

With neither length nor chunks, the close of an endpoint's connection is that of a complete answer and that of a process that ended between two events alike. Such an answer is complete only if its endpoint accepts a connection begun after that; answers that end together share one look, and an instance without links looks through another. What the look can't find out counts as broken off. A JSON document that doesn't parse is broken off without a look. Costs one connection for each such answer at most, none for the others.

--- /dev/null
+++ b/packages/connection/src/answer_end.test.ts
@@ -0,0 +1,52 @@
+import test from 'ava';
+import {
+  classifyAnswerEnd,
+  isPartialDocument,
+  type AnswerContent,
+  type AnswerEnd,
+  type AnswerFraming,
+} from './answer_end.js';
+
+const DOCUMENT: AnswerContent = {kind: 'document', isPartial: false};
+const HALF: AnswerContent = {kind: 'document', isPartial: true};
+const EVENTS: AnswerContent = {
+  kind: 'events',
+  count: 2,
+  hasPartialEvent: false,
+};
+const NO_EVENTS: AnswerContent = {...EVENTS, count: 0};
+const PARTIAL: AnswerContent = {...EVENTS, hasPartialEvent: true};
+
+/** Framing, whether it is complete, whether the close was clean, content. */
+type Row = readonly [AnswerFraming, boolean, boolean, AnswerContent, AnswerEnd];
+
+const ROWS: readonly Row[] = [
+  ['length', true, false, DOCUMENT, 'framed'],
+  ['chunks', true, false, NO_EVENTS, 'framed'],
+  ['chunks', false, true, EVENTS, 'cut_short'],
+  ['length', true, false, PARTIAL, 'inside_event'],
+  ['close', true, true, EVENTS, 'closed'],
+  ['close', true, true, PARTIAL, 'inside_event'],
+  ['close', true, true, NO_EVENTS, 'without_event'],
+  ['close', true, false, PARTIAL, 'reset'],
+  ['close', false, true, EVENTS, 'reset'],
+  ['close', true, true, HALF, 'inside_document'],
+  ['length', true, true, HALF, 'framed'],
+];
+
+test('framing, connection and content tell how an answer ended', t => {
+  for (const row of ROWS) {
+    const [framing, isFramingComplete, hasClosedCleanly, content, end] = row;
+    const answer = {framing, isFramingComplete, hasClosedCleanly, content};
+    t.is(classifyAnswerEnd(answer), end, JSON.stringify(row));
+  }
+});
+
+test('only a JSON document can be less than its media type needs', t => {
+  const half = Buffer.from('{"a":');
+  t.true(isPartialDocument('application/json; charset=utf-8', half));
+  t.true(isPartialDocument('application/problem+json', half));
+  t.false(isPartialDocument('application/json', Buffer.from('{}')));
+  t.false(isPartialDocument('text/plain', half));
+  t.false(isPartialDocument(undefined, half));
+});
--- a/packages/connection/src/answer_end.ts
+++ b/packages/connection/src/answer_end.ts
@@ -5,13 +5,20 @@
 /** What says where an answer ends: its length, its chunks or its connection. */
 export type AnswerFraming = 'length' | 'chunks' | 'close';
 
-/** The events that were read of a stream. */
-export interface EventsRead {
-  /** Number of complete events. */
-  readonly count: number;
-  /** Whether bytes of another event had arrived at the end. */
-  readonly hasPartialEvent: boolean;
-}
+/** What was read of an answer. */
+export type AnswerContent =
+  | {
+      readonly kind: 'events';
+      /** Number of complete events. */
+      readonly count: number;
+      /** Whether bytes of another event had arrived at the end. */
+      readonly hasPartialEvent: boolean;
+    }
+  | {
+      readonly kind: 'document';
+      /** Whether it is less than its media type needs. */
+      readonly isPartial: boolean;
+    };
 
 /** An answer whose last byte has been read. */
 export interface EndedAnswer {
@@ -20,17 +27,18 @@
   readonly isFramingComplete: boolean;
   /** Whether the endpoint closed the connection rather than reset it. */
   readonly hasClosedCleanly: boolean;
-  /** Undefined for answers that are no streams. */
-  readonly events: EventsRead | undefined;
+  readonly content: AnswerContent;
 }
 
 /**
  * - `framed`: complete by its length or its chunks.
- * - `closed`: complete as far as its bytes tell; its connection was closed.
+ * - `closed`: its connection was closed and nothing shows that more was to come.
  * - `cut_short`: the connection ended before its length or its last chunk.
  * - `reset`: it has neither, and the connection was reset.
  * - `inside_event`: the stream ended before the end of an event.
  * - `without_event`: the connection closed before the first event.
+ * - `inside_document`: it has neither length nor chunks and is half a document.
+ * - `endpoint_gone`: as `closed`, but its endpoint accepts no connections.
  */
 export type AnswerEnd =
   | 'framed'
@@ -38,7 +46,9 @@
   | 'cut_short'
   | 'reset'
   | 'inside_event'
-  | 'without_event';
+  | 'without_event'
+  | 'inside_document'
+  | 'endpoint_gone';
 
 /** Framing and end of an answer, for logs and metrics. */
 export interface AnswerEnding {
@@ -58,19 +68,46 @@
 }
 
 /**
- * Classifies the end of an answer.
+ * Classifies the end of an answer by its bytes and its connection. With neither
+ * length nor chunks these can't tell `closed` from `endpoint_gone`.
  *
  * @example
  * const end = classifyAnswerEnd({framing: 'close', ...rest});
  */
 export function classifyAnswerEnd(answer: EndedAnswer): AnswerEnd {
-  const {framing, isFramingComplete, hasClosedCleanly, events} = answer;
+  const {framing, isFramingComplete, hasClosedCleanly, content} = answer;
   const isFramed = framing !== 'close';
   if (isFramed && !isFramingComplete) return 'cut_short';
   if (!isFramed && !(isFramingComplete && hasClosedCleanly)) return 'reset';
-  if (events?.hasPartialEvent === true) return 'inside_event';
+  if (content.kind === 'events' && content.hasPartialEvent) {
+    return 'inside_event';
+  }
   if (isFramed) return 'framed';
-  return events?.count === 0 ? 'without_event' : 'closed';
+  if (content.kind === 'events') {
+    return content.count === 0 ? 'without_event' : 'closed';
+  }
+  return content.isPartial ? 'inside_document' : 'closed';
+}
+
+const JSON_TYPE = /^application\/(?:[^;]+\+)?json\b/i;
+
+/**
+ * Whether a body is less than its media type needs; only JSON tells.
+ *
+ * @example
+ * isPartialDocument('application/json', Buffer.from('{"a":')); // true
+ */
+export function isPartialDocument(
+  contentType: string | undefined,
+  body: Buffer,
+): boolean {
+  if (contentType === undefined || !JSON_TYPE.test(contentType)) return false;
+  try {
+    JSON.parse(body.toString());
+    return false;
+  } catch {
+    return true;
+  }
 }
 
 /**
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -72,6 +72,7 @@
       mayStillSend: () =>
         state.directory.mayStillSend(placed.endpoint, nowMs()) &&
         crashes.mayRun(request.fingerprint),
+      isStillUp: () => context.probes.isUp(placed.endpoint),
     });
     const limits = limitsOnSilence(request.admission.route, timeLeftMs);
     this.silence = new SilenceWatch(limits, () => this.cancelOnSilence());
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -9,8 +9,9 @@
   classifyAnswerEnd,
   framingOf,
   isWholeEnd,
+  type AnswerContent,
+  type AnswerEnd,
   type AnswerEnding,
-  type EventsRead,
 } from '@snipestage/connection/answer_end.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import type {
@@ -32,6 +33,8 @@
   ) => Promise<EndpointConnection | EndpointConnectFailure>;
   /** Asked once the connection is open, before the request is sent. */
   readonly mayStillSend?: () => boolean;
+  /** Whether the endpoint accepts connections now. */
+  readonly isStillUp: () => Promise<boolean>;
 }
 
 /**
@@ -101,13 +104,14 @@
   /**
    * Whether an answer that has ended is complete.
    *
-   * An answer without a length ends with its connection, and Node.js (20)
-   * accepts a reset as that end, too; the connection distinguishes a
-   * crash in the middle of the answer from a regular end.
+   * An answer with neither length nor chunks ends with its connection. Node.js
+   * (20) accepts a reset as that end, too, and the system closes the connections
+   * of a process that ends: the connection distinguishes the one, a new one to
+   * the endpoint the other.
    */
   async isWhole(
     response: IncomingMessage,
-    events?: EventsRead,
+    content: AnswerContent,
   ): Promise<boolean> {
     const framing = framingOf(response.headers);
     const isFramingComplete = response.complete;
@@ -115,12 +119,17 @@
       framing === 'close' &&
       isFramingComplete &&
       ((await this.connection?.closedCleanly) ?? false);
-    const answer = {framing, isFramingComplete, hasClosedCleanly, events};
-    const end = classifyAnswerEnd(answer);
+    const answer = {framing, isFramingComplete, hasClosedCleanly, content};
+    const end = await this.distinguishClose(classifyAnswerEnd(answer));
     this.ending = {framing, end};
     return isWholeEnd(end);
   }
 
+  private async distinguishClose(end: AnswerEnd): Promise<AnswerEnd> {
+    if (end !== 'closed') return end;
+    return (await this.options.isStillUp()) ? 'closed' : 'endpoint_gone';
+  }
+
   /** Whether the call was ended from this side. */
   get isCancelled(): boolean {
     return this.cancellation.signal.aborted;
--- /dev/null
+++ b/packages/gateway/src/endpoint_probes.ts
@@ -0,0 +1,65 @@
+/** Finds out whether endpoints still accept connections. */
+
+import type {ConnectTimeout} from '@snipestage/routing/connect_timeout.js';
+import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import type {EndpointId} from '@snipestage/types/ids.js';
+import type {EndpointConnector} from './endpoint_connector.js';
+
+/** Options of {@link EndpointProbes}. */
+export interface EndpointProbesOptions {
+  readonly connector: Pick<EndpointConnector, 'open'>;
+  readonly connectTimeout: ConnectTimeout;
+}
+
+interface RunningProbe {
+  readonly current: Promise<boolean>;
+  /** Begins when the current one has ended. */
+  next?: Promise<boolean>;
+}
+
+/**
+ * Opens at most one connection to each endpoint at a time, however many
+ * requests ask.
+ */
+export class EndpointProbes {
+  private readonly running = new Map<EndpointId, RunningProbe>();
+
+  constructor(private readonly options: EndpointProbesOptions) {}
+
+  /**
+   * Whether the endpoint accepts a connection that is begun after this call: one
+   * that was begun before says nothing of a crash in between.
+   *
+   * @example
+   * if (!(await probes.isUp(endpoint))) return breakOff();
+   */
+  isUp(endpoint: ServingEndpoint): Promise<boolean> {
+    const running = this.running.get(endpoint.id);
+    if (running === undefined) return this.start(endpoint);
+    running.next ??= running.current.then(() => this.start(endpoint));
+    return running.next;
+  }
+
+  private start(endpoint: ServingEndpoint): Promise<boolean> {
+    const current = this.connect(endpoint);
+    const probe: RunningProbe = {current};
+    this.running.set(endpoint.id, probe);
+    void current.then(() => {
+      if (probe.next === undefined) this.running.delete(endpoint.id);
+    });
+    return current;
+  }
+
+  private async connect(endpoint: ServingEndpoint): Promise<boolean> {
+    const {connector, connectTimeout} = this.options;
+    const connection = await connector.open({
+      endpoint,
+      timeoutMs: connectTimeout.timeoutMs,
+      isLast: true,
+      signal: new AbortController().signal,
+    });
+    if (connection.kind === 'failed') return false;
+    connection.reset();
+    return true;
+  }
+}
--- a/packages/gateway/src/event_relay.ts
+++ b/packages/gateway/src/event_relay.ts
@@ -1,7 +1,7 @@
 /** Forwards a stream of events to the caller as they arrive. */
 
 import type {IncomingMessage} from 'node:http';
-import type {EventsRead} from '@snipestage/connection/answer_end.js';
+import type {AnswerContent} from '@snipestage/connection/answer_end.js';
 import type {AnswerWriter} from './answer_writer.js';
 import type {EndpointCall} from './endpoint_call.js';
 import {EventSplitter, type ServerSentEvent} from './event_splitter.js';
@@ -42,7 +42,7 @@
       response.on('end', () => {
         hasEnded = true;
         for (const event of this.splitter.end()) this.forward(event);
-        void call.isWhole(response, this.eventsRead).then(isWhole => {
+        void call.isWhole(response, this.content).then(isWhole => {
           if (isWhole) this.finish();
           resolve(isWhole);
         });
@@ -54,9 +54,10 @@
     });
   }
 
-  private get eventsRead(): EventsRead {
+  private get content(): AnswerContent {
     const {splitter} = this;
     return {
+      kind: 'events',
       count: splitter.eventCount,
       hasPartialEvent: splitter.hasPartialEvent,
     };
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -9,6 +9,7 @@
 import type {WholeAnswer} from './answer_writer.js';
 import type {CrashReporter} from './crash_reporter.js';
 import type {EndpointConnector} from './endpoint_connector.js';
+import type {EndpointProbes} from './endpoint_probes.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {
   CallerRequest,
@@ -27,6 +28,7 @@
   readonly nowMs: () => number;
   readonly connectTimeout: ConnectTimeout;
   readonly connector: EndpointConnector;
+  readonly probes: EndpointProbes;
   /** Called when a request began to run; `atMs` is on this instance's clock. */
   readonly onBegun: (admission: Admission, atMs: number) => void;
 }
--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -32,6 +32,7 @@
 import {Forwarding} from './forwarding.js';
 
 const DATA_CENTRE = brandAs<DataCentreId>('akl-a');
+const DOCUMENT = {kind: 'document', isPartial: false} as const;
 const SIGNAL = new AbortController().signal;
 /** Nothing waits for it but on a machine that is very busy. */
 const TIMEOUT_MS = 20_000;
@@ -181,6 +182,7 @@
     body,
     connect: signal =>
       connector.open({endpoint, timeoutMs: TIMEOUT_MS, signal, isLast: true}),
+    isStillUp: () => Promise.resolve(true),
   });
 }
 
@@ -215,7 +217,7 @@
   t.is(call.path, 'forwarded');
   await new Promise(done => setTimeout(done, 100));
   t.is(await readBody(head.response), LARGE_BYTES);
-  t.true(await call.isWhole(head.response));
+  t.true(await call.isWhole(head.response, DOCUMENT));
 });
 
 test('an answer without a length that is reset doesn’t look complete', async t => {
@@ -240,7 +242,7 @@
     response.resume();
     response.on('error', () => undefined);
     await once(response, 'close');
-    t.is(await call.isWhole(response), !isReset);
+    t.is(await call.isWhole(response, DOCUMENT), !isReset);
     t.false(call.hasPathBroken);
   }
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import {CrashReporter} from './crash_reporter.js';
 import {Duties} from './duties.js';
 import {EndpointPaths} from './endpoint_paths.js';
+import {EndpointProbes} from './endpoint_probes.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createPages} from './gateway_pages.js';
 import type {GatewaySettings} from './gateway_settings.js';
@@ -292,6 +293,7 @@
       nowMs,
       connectTimeout: this.paths.connectTimeout,
       connector: this.paths.connector,
+      probes: new EndpointProbes(this.paths),
       onBegun: ({clientAccount}, atMs) => {
         if (clientAccount === undefined) return;
         this.duties.countUsage(clientAccount, atMs);
--- a/packages/gateway/src/read_answer_body.ts
+++ b/packages/gateway/src/read_answer_body.ts
@@ -1,6 +1,7 @@
 /** Reads the complete body of an answer of an endpoint. */
 
 import type {IncomingMessage} from 'node:http';
+import {isPartialDocument} from '@snipestage/connection/answer_end.js';
 import type {EndpointCall} from './endpoint_call.js';
 
 /**
@@ -18,9 +19,12 @@
     let hasEnded = false;
     response.on('end', () => {
       hasEnded = true;
+      const body = Buffer.concat(chunks);
+      const contentType = response.headers['content-type'];
+      const isPartial = isPartialDocument(contentType, body);
       void call
-        .isWhole(response)
-        .then(isWhole => resolve(isWhole ? Buffer.concat(chunks) : undefined));
+        .isWhole(response, {kind: 'document', isPartial})
+        .then(isWhole => resolve(isWhole ? body : undefined));
     });
     response.on('error', () => resolve(undefined));
     response.on('close', () => {
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -22,6 +22,7 @@
 import {CrashReporter} from '../crash_reporter.js';
 import {DirectConnector} from '../direct_connector.js';
 import {EndpointConnector} from '../endpoint_connector.js';
+import {EndpointProbes} from '../endpoint_probes.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
 import {RequestHandler} from '../request_handler.js';
 import {RoutingState} from '../routing_state.js';
@@ -284,6 +285,22 @@
     const {logger} = this.log;
     const metrics = new GatewayMetrics();
     const connectTimeout = new ConnectTimeout({maxMs: 1000});
+    const connector = new EndpointConnector({
+      state: this.state,
+      direct: new DirectConnector({
+        state: this.state,
+        connectTimeout,
+        metrics,
+        logger,
+        nowMs: () => this.nowMs(),
+        open: async options => {
+          await new Promise(done => setTimeout(done, this.connectDelayMs));
+          return FreshConnection.open(options);
+        },
+      }),
+      forwarded: undefined,
+      nowMs: () => this.nowMs(),
+    });
     const handler = new RequestHandler({
       state: this.state,
       protocol: new PlainProtocol(),
@@ -301,22 +318,8 @@
       metrics,
       nowMs: () => this.nowMs(),
       connectTimeout,
-      connector: new EndpointConnector({
-        state: this.state,
-        direct: new DirectConnector({
-          state: this.state,
-          connectTimeout,
-          metrics,
-          logger,
-          nowMs: () => this.nowMs(),
-          open: async options => {
-            await new Promise(done => setTimeout(done, this.connectDelayMs));
-            return FreshConnection.open(options);
-          },
-        }),
-        forwarded: undefined,
-        nowMs: () => this.nowMs(),
-      }),
+      connector,
+      probes: new EndpointProbes({connector, connectTimeout}),
       onBegun: admission => this.begun.push(admission),
       shutdown: this.shutdown,
     });
