Reset a broken stream of a caller that knows no chunks

An HTTP/1.0 caller gets a stream without chunks, which ends with its connection: a stream that was broken off was closed and so looked complete. The test failed before.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -95,11 +95,14 @@
 
   /**
    * Destroys the connection, so that an incomplete answer doesn't look
-   * complete.
+   * complete. A caller of HTTP/1.0 gets an answer without chunks, which a close
+   * would end properly.
    */
   abort(): void {
     if (this.isOver) return;
     this.ended = true;
+    const {socket, chunkedEncoding} = this.response;
+    if (!chunkedEncoding) socket?.resetAndDestroy();
     this.response.destroy();
   }
 
