Hold answers of plain services to the same rule of wholeness

The driver of the entry process took an answer with neither length nor chunks for complete whose connection had been reset together with its last bytes, or whose service was gone. It now asks the same rule as the gateway.

--- a/packages/entry/src/send/http_service_driver.ts
+++ b/packages/entry/src/send/http_service_driver.ts
@@ -1,6 +1,14 @@
 /** Calls plain services over HTTP. */
 
+import {
+  classifyAnswerEnd,
+  framingOf,
+  isPartialDocument,
+  isWholeEnd,
+} from '@snipestage/connection/answer_end.js';
+import {closesCleanly} from '@snipestage/connection/closes_cleanly.js';
 import type {FreshConnection} from '@snipestage/connection/fresh_connection.js';
+import {acceptsConnections} from '@snipestage/connection/reachability.js';
 import {got, type Method, type Response} from 'got';
 import {EndpointError} from './endpoint_error.js';
 import {forwardedResponseHeaders} from './forwarded_headers.js';
@@ -39,8 +47,10 @@
     const timeout = AbortSignal.timeout(call.timeoutMs);
     timeout.addEventListener('abort', () => connection.reset());
     try {
+      const closedCleanly = closesCleanly(connection.createConnection());
       const response = await send(call, connection);
       checkEcho(response, call);
+      await checkEnd(response, call, closedCleanly);
       return {
         status: response.statusCode,
         headers: forwardedResponseHeaders(response.headers),
@@ -89,6 +99,35 @@
   });
 }
 
+/**
+ * Rejects an answer that isn't whole. One with neither length nor chunks ends
+ * with its connection: it is whole only if that was closed and the service still
+ * accepts connections.
+ */
+async function checkEnd(
+  response: Response<Buffer>,
+  call: ServiceCall,
+  closedCleanly: Promise<boolean>,
+): Promise<void> {
+  const {headers, complete, rawBody} = response;
+  const framing = framingOf(headers);
+  const isPartial = isPartialDocument(headers['content-type'], rawBody);
+  const end = classifyAnswerEnd({
+    framing,
+    isFramingComplete: complete,
+    hasClosedCleanly: framing === 'close' && (await closedCleanly),
+    content: {kind: 'document', isPartial},
+  });
+  const {hostname: host, port} = new URL(call.url);
+  const isGone =
+    end === 'closed' && !(await acceptsConnections({host, port: Number(port)}));
+  if (isWholeEnd(end) && !isGone) return;
+  throw new EndpointError(
+    `The answer is incomplete: ${isGone ? 'endpoint_gone' : end}.`,
+    {kind: 'broken', verdict: 'may_have_run'},
+  );
+}
+
 function errorOf(
   error: unknown,
   call: ServiceCall,
--- a/packages/gateway/src/endpoint_connection.ts
+++ b/packages/gateway/src/endpoint_connection.ts
@@ -1,7 +1,7 @@
 /** An open connection to an endpoint that carries one request. */
 
-import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
+import {closesCleanly} from '@snipestage/connection/closes_cleanly.js';
 import type {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 
@@ -58,25 +58,3 @@
     this.connection.reset();
   }
 }
-
-/**
- * Resolves at the end of a connection, with whether its peer closed rather than
- * reset it.
- *
- * libuv reports a reset that arrives together with the last bytes as an end of
- * the stream, without an error. At that moment the kernel no longer knows a
- * peer address of a reset connection, while a closed one still has one.
- * `remoteAddress` must not have been read before, since Node.js caches it.
- *
- * @example
- * const isWhole = await closesCleanly(socket);
- */
-export function closesCleanly(socket: Socket): Promise<boolean> {
-  let hadPeerAtEnd = false;
-  socket.prependListener('end', () => {
-    hadPeerAtEnd = socket.remoteAddress !== undefined;
-  });
-  return new Promise(resolve =>
-    socket.once('close', hadError => resolve(!hadError && hadPeerAtEnd)),
-  );
-}
--- a/packages/gateway/src/forwarding/tunnel_server.ts
+++ b/packages/gateway/src/forwarding/tunnel_server.ts
@@ -2,12 +2,12 @@
 
 import {Metadata, Server, ServerCredentials, status} from '@grpc/grpc-js';
 import type {Socket} from 'node:net';
+import {closesCleanly} from '@snipestage/connection/closes_cleanly.js';
 import type {
   ConnectFailure,
   FreshConnection,
 } from '@snipestage/connection/fresh_connection.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
-import {closesCleanly} from '../endpoint_connection.js';
 import type {DirectConnector} from '../direct_connector.js';
 import type {RoutingState} from '../routing_state.js';
 import {
