Let endpoints of the soak answer with neither length nor chunks

Every second generation does, and is cut short by a close inside an event, by a reset, or by the end of its process, which now refuses connections and closes the open ones instead of resetting them.

--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -54,6 +54,30 @@
       },
     ],
   },
+  {
+    name: 'passes_on_half_events',
+    check: 'own_whole_answer',
+    kinds: ['endpoint_truncating'],
+    edits: [
+      {
+        module: 'connection/dist/answer_end.js',
+        from: "content.kind === 'events' && content.hasPartialEvent",
+        to: 'false',
+      },
+    ],
+  },
+  {
+    name: 'trusts_any_close',
+    check: 'own_whole_answer',
+    kinds: ['endpoint_kill'],
+    edits: [
+      {
+        module: 'gateway/dist/endpoint_call.js',
+        from: "if (end !== 'closed')",
+        to: 'if (true)',
+      },
+    ],
+  },
   {
     name: 'passes_keys_on',
     check: 'unchanged_request',
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -49,6 +49,8 @@
  */
 const ENTRY_EXPIRY_MS = 1500;
 
+/** An endpoint that ends closes its connections before their links go down. */
+const CLOSE_MS = 50;
 /** Time within which a crashed endpoint is back. */
 const MAX_RESTART_MS = 2500;
 const CRASH = 'endpoint_crash';
@@ -74,6 +76,12 @@
     return brandAs<EndpointId>(`${this.options.place}.${this.generation}`);
   }
 
+  /** Neighbours and successive generations differ. */
+  private get isUnframed(): boolean {
+    const number = Number(/\d+$/.exec(this.options.place)?.[0] ?? 0);
+    return (number + this.generation) % 2 === 0;
+  }
+
   get link(): Link {
     return this.way;
   }
@@ -89,6 +97,7 @@
       service,
       capacity,
       isEngine,
+      isUnframed: this.isUnframed,
       random,
       onCrash: () => void this.crash(id, standIn, way),
       onFall: () => {
@@ -174,8 +183,7 @@
     const disturbance = history.recordDisturbance(id, CRASH, nowMs());
     const isCurrent = standIn === this.standIn && !this.isDown;
     if (isCurrent) this.isDown = true;
-    standIn.stop();
-    await way.stop();
+    await endProcess(standIn, way);
     setTimeout(() => this.unlist(id), ENTRY_EXPIRY_MS);
     if (isCurrent) {
       await pause(random() * MAX_RESTART_MS);
@@ -191,8 +199,7 @@
   async kill(): Promise<void> {
     if (this.isDown) return;
     const {id, standIn, way} = this;
-    standIn.stop();
-    await way.stop();
+    await endProcess(standIn, way);
     setTimeout(() => this.unlist(id), ENTRY_EXPIRY_MS);
     await this.start();
   }
@@ -271,6 +278,17 @@
   }
 }
 
+/**
+ * Ends a process as an operating system does: it refuses new connections and
+ * closes the open ones, without a reset.
+ */
+async function endProcess(standIn: EndpointStandIn, way: Link): Promise<void> {
+  await way.setMode('refuse');
+  standIn.stop();
+  await pause(CLOSE_MS);
+  await way.stop();
+}
+
 function pause(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
