--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -14,6 +14,7 @@
   type PlacementGroup,
 } from '@snipestage/routing/placement.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import type {SoftwareVersion} from '@snipestage/types/ids.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
 import {Attempt} from './attempt.js';
@@ -44,6 +45,7 @@
   private loadAgeWhenChosenMs: number | undefined;
   private lastGroup: PlacementGroup | undefined;
   private lastPath: ConnectionPath | undefined;
+  private lastVersion: SoftwareVersion | undefined;
   private lastEnding: AnswerEnding | undefined;
 
   constructor(
@@ -111,6 +113,7 @@
       load: this.loadWhenChosen,
       loadAgeMs: loadAgeMs && Math.round(loadAgeMs),
       endpoint: [...this.history.excluded].at(-1),
+      softwareVersion: this.lastVersion,
       side: this.lastGroup?.side,
       sideEngines: this.lastGroup?.engines,
       candidateEngines: this.lastGroup?.candidates,
@@ -292,6 +295,7 @@
     const {endpoint, result} = outcome;
     recordOutcome(this.context, this.request, outcome);
     this.lastPath = outcome.path ?? this.lastPath;
+    this.lastVersion = endpoint.softwareVersion;
     this.lastEnding = outcome.ending;
     if (result.kind === 'answered') {
       this.verdict = 'ran';
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -19,6 +19,8 @@
   readonly prompt: Prompt | undefined;
   /** The caller resumes a stream after this event. */
   readonly lastEventId: string | undefined;
+  /** The caller's attempt that brought the first event of that stream. */
+  readonly resumes: RequestId | undefined;
 }
 
 /** Data for the headers that are added to a request for its endpoint. */
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -86,6 +86,7 @@
     requestId: caller.requestId,
     fingerprint: abbreviate(fingerprint),
     endpoint: endpoint.id,
+    softwareVersion: endpoint.softwareVersion,
     reason,
     verdict,
     ...ending,
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -134,6 +134,8 @@
     const path = request.url ?? '/';
     const caller = protocol.readRequest(request.headers);
     line.requestId = caller.requestId;
+    line.lastEventId = caller.lastEventId;
+    line.resumes = caller.resumes;
     line.version = table?.configuration.version;
     const {maxHeaderBytes = MAX_HEADER_BYTES, maxBodyBytes = 0} =
       table?.configuration.limits ?? {};
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -217,6 +217,7 @@
           dataCentre: change.endpoint.dataCentre,
           isLeaving,
           service,
+          softwareVersion: change.endpoint.softwareVersion,
         });
       } else {
         logger.info(`endpoint_${change.kind}`, {endpoint: change.id});
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -18,7 +18,8 @@
       callerTimeoutMs: waits === undefined ? undefined : Number(waits),
       key: headers['x-key'] as string | undefined,
       prompt: undefined,
-      lastEventId: undefined,
+      lastEventId: headers['last-event-id'] as string | undefined,
+      resumes: headers['x-continues'] as RequestId | undefined,
     };
   }
 
--- a/packages/routing/src/serving_endpoint.ts
+++ b/packages/routing/src/serving_endpoint.ts
@@ -5,6 +5,7 @@
   DataCentreId,
   EndpointId,
   ServiceId,
+  SoftwareVersion,
 } from '@snipestage/types/ids.js';
 
 /** `<IP address>:<port>`. */
@@ -15,6 +16,8 @@
   readonly service: ServiceId;
   readonly address: EndpointAddress;
   readonly dataCentre: DataCentreId;
+  /** Undefined where the platform doesn't state it. */
+  readonly softwareVersion?: SoftwareVersion;
   /** Requests that it processes at once. */
   readonly capacity: number;
   readonly isLeaving: boolean;
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -21,6 +21,8 @@
 export type ModelId = Branded<string, 'ModelId'>;
 export type ServiceId = Branded<string, 'ServiceId'>;
 export type EndpointId = Branded<string, 'EndpointId'>;
+/** Version of the software of an endpoint, not of its model's weights. */
+export type SoftwareVersion = Branded<string, 'SoftwareVersion'>;
 /** A group of endpoints of one model or service in one data centre. */
 export type CellId = Branded<string, 'CellId'>;
 export type RequestId = Branded<string, 'RequestId'>;
