--- /dev/null
+++ b/packages/gateway/src/stream_versions.test.ts
@@ -0,0 +1,267 @@
+import http from 'node:http';
+import test, {type ExecutionContext} from 'ava';
+import type {Route} from '@snipestage/routing/route.js';
+import {MemoryPlatform} from './test_support/memory_platform.js';
+import {
+  SLOW_ROUTE,
+  startGateway,
+  TestEndpoint,
+  waitUntil,
+} from './test_support/test_gateway.js';
+import {
+  chunk,
+  streamHead,
+  TestProxy,
+  type Script,
+} from './test_support/test_proxy.js';
+
+const RESUMABLE: Partial<Route> = {
+  kind: 'stream',
+  isResumable: true,
+  maxAttempts: 3,
+};
+const CALLS = 12;
+
+const idOf = (request: string): string =>
+  /x-request-id: (\S+)/i.exec(request)?.[1] ?? '';
+
+/** Versions of the endpoints whose events an answer holds. */
+const versionsIn = (body: string): readonly string[] => [
+  ...new Set([...body.matchAll(/data: (v\d)/g)].map(([, version]) => version)),
+];
+
+/** An engine that crashes after its first event, and ends a resumed stream. */
+const crashingEngine =
+  (version: string): Script =>
+  (socket, request) => {
+    const event = (id: number) => chunk(`id: ${id}\ndata: ${version}\n\n`);
+    socket.write(streamHead(idOf(request)));
+    if (/last-event-id/i.test(request)) socket.end(event(2) + chunk(''));
+    else socket.write(event(1), () => socket.resetAndDestroy());
+  };
+
+async function startEngines(
+  t: ExecutionContext,
+  versions: readonly string[],
+  engine: (version: string) => Script = crashingEngine,
+): Promise<TestProxy> {
+  const proxy = new TestProxy();
+  t.teardown(() => proxy.close());
+  proxy.versionOf = id => versions[Number(id.split('-')[1])];
+  await proxy.begin(RESUMABLE, versions.map(engine));
+  return proxy;
+}
+
+test('an answer goes on only at the software version that began it', async t => {
+  // Guards against answers that join what two versions wrote.
+  const proxy = await startEngines(t, ['v1', 'v2', 'v1', 'v2', 'v1', 'v2']);
+  for (let call = 0; call < CALLS; call += 1) {
+    const {body, isComplete} = await proxy.call(`call-${call}`, {body: 'p'});
+    t.true(isComplete);
+    t.is(versionsIn(body).length, 1, body);
+  }
+});
+
+test('an answer whose software version is gone is broken off', async t => {
+  // Guards against another version that takes over since no other is left.
+  const proxy = await startEngines(t, ['v1', 'v2']);
+  const {body, isComplete} = await proxy.call('one', {body: 'p'});
+  t.false(isComplete);
+  t.is(versionsIn(body).length, 1);
+  t.is(proxy.received.length, 1);
+});
+
+test('before its first event an answer may change to another version', async t => {
+  const failFirst = (version: string): Script => {
+    return (socket, request) => {
+      if (proxy.received.length === 1) socket.resetAndDestroy();
+      else
+        socket.end(
+          `${streamHead(idOf(request))}${chunk(`id: 1\ndata: ${version}\n\n`)}${chunk('')}`,
+        );
+    };
+  };
+  const proxy = await startEngines(t, ['v1', 'v2'], failFirst);
+  t.true((await proxy.call('one', {body: 'p'})).isComplete);
+  t.is(proxy.received.length, 2);
+});
+
+interface Answer {
+  readonly status: number;
+  readonly retryAfter: string | undefined;
+  readonly body: string;
+  readonly isComplete: boolean;
+}
+
+/** Sends a request; leaves after the first event if told so. */
+function stream(
+  port: number,
+  id: string,
+  options: {readonly resumes?: string; readonly leaves?: boolean} = {},
+): Promise<Answer> {
+  const {resumes, leaves = false} = options;
+  const headers: Record<string, string> = {Host: 'slow.example'};
+  headers['X-Request-Id'] = id;
+  if (resumes !== undefined) headers['Last-Event-Id'] = '1';
+  if (resumes !== undefined && resumes !== '') headers['X-Continues'] = resumes;
+  return new Promise((resolve, reject) => {
+    const request = http.get(
+      {host: '127.0.0.1', port, path: '/x', agent: false, headers},
+      response => {
+        let body = '';
+        const settle = () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            retryAfter: response.headers['retry-after'],
+            body,
+            isComplete: response.complete,
+          });
+        response.on('data', (data: Buffer) => {
+          body += data.toString();
+          if (leaves && body.endsWith('\n\n')) response.destroy();
+        });
+        response.on('error', settle);
+        response.on('close', settle);
+      },
+    );
+    request.on('error', reject);
+  });
+}
+
+/** An engine that never ends a stream that it begins, but a resumed one. */
+async function startEngine(t: ExecutionContext, version: string) {
+  const engine = new TestEndpoint((response, id, request) => {
+    response.writeHead(200, {'X-Request-Id': id, 'X-Signature': 'proof'});
+    if (request.headers['last-event-id'] === undefined) {
+      response.write(`id: 1\ndata: ${version}\n\n`);
+    } else response.end(`id: 2\ndata: ${version}\n\n`);
+  });
+  await engine.start();
+  t.teardown(() => engine.close());
+  return engine;
+}
+
+interface Cluster {
+  readonly platform: MemoryPlatform;
+  readonly ports: readonly number[];
+  readonly engines: readonly TestEndpoint[];
+  /** Starts one more instance. */
+  readonly add: () => Promise<number>;
+}
+
+/** Instances of one store, which serve streams of these versions. */
+async function startInstances(
+  t: ExecutionContext,
+  versions: readonly string[],
+): Promise<Cluster> {
+  const platform = new MemoryPlatform();
+  const engines = await Promise.all(
+    versions.map(version => startEngine(t, version)),
+  );
+  let count = 0;
+  const add = async (): Promise<number> => {
+    const member = await startGateway({
+      instance: `instance-${(count += 1)}`,
+      platform,
+      graceMs: 1500,
+      routes: [{...SLOW_ROUTE, ...RESUMABLE}],
+    });
+    t.teardown(() => member.gateway.stop());
+    for (const [index, {address}] of engines.entries()) {
+      const version = versions[index];
+      member.endpoints.put(`engine-${index}@${address}@${version}`);
+    }
+    member.configuration.put('1');
+    await waitUntil(() => member.gateway.isReady);
+    await begin(member.callers, `warm-up-${count}`);
+    return member.callers;
+  };
+  const ports = [await add(), await add()];
+  return {platform, ports, engines, add};
+}
+
+/** Begins a stream and leaves it; repeats it until it is served. */
+async function begin(port: number, name: string): Promise<[string, string]> {
+  for (let attempt = 0; ; attempt += 1) {
+    const id = `${name}-${attempt}`;
+    const {status, body} = await stream(port, id, {leaves: true});
+    if (status === 200) return [id, versionsIn(body)[0]];
+    await new Promise(done => setTimeout(done, 50));
+  }
+}
+
+const countBegun = ({engines}: Cluster): number =>
+  engines.reduce((sum, {begun}) => sum + begun.length, 0);
+
+test("a caller's next try goes on at the version that began the stream, whichever instance it asks", async t => {
+  // Guards against instances that resume the streams of others anywhere.
+  const {ports} = await startInstances(t, ['v1', 'v2']);
+  for (let call = 0; call < CALLS; call += 1) {
+    const [resumes, version] = await begin(ports[call % 2], `call-${call}`);
+    const answer = await stream(ports[(call + 1) % 2], `next-${call}`, {
+      resumes,
+    });
+    t.like(answer, {status: 200, isComplete: true});
+    t.deepEqual(versionsIn(answer.body), [version]);
+  }
+});
+
+test('a third try names the attempt that brought the first event', async t => {
+  // Guards against records that only the second try finds.
+  const {ports, add} = await startInstances(t, ['v1', 'v2']);
+  for (let call = 0; call < CALLS / 2; call += 1) {
+    const [resumes, version] = await begin(ports[0], `call-${call}`);
+    await stream(ports[1], `second-${call}`, {resumes, leaves: true});
+    const port = call === 0 ? await add() : ports[1];
+    const answer = await stream(port, `third-${call}`, {resumes});
+    t.deepEqual(versionsIn(answer.body), [version]);
+  }
+});
+
+test('a stream of an unknown version is refused and sent nowhere', async t => {
+  // Guards against a guess between two versions.
+  const cluster = await startInstances(t, ['v1', 'v2']);
+  const begunBefore = countBegun(cluster);
+  for (const resumes of ['never-seen', '', 'x'.repeat(4000)]) {
+    const answer = await stream(cluster.ports[0], 'lost', {resumes});
+    t.is(answer.status, 503);
+    t.true(Number(answer.retryAfter) > 0);
+  }
+  t.is(countBegun(cluster), begunBefore);
+});
+
+test('while the store is away a stream goes on where it began, and is refused elsewhere', async t => {
+  // Guards against a guess of an instance that is cut off.
+  const cluster = await startInstances(t, ['v1', 'v2']);
+  const {ports, platform} = cluster;
+  const [resumes, version] = await begin(ports[0], 'call');
+  platform.isAway = true;
+  const elsewhere = await stream(ports[1], 'elsewhere', {resumes});
+  t.is(elsewhere.status, 503);
+  t.true(Number(elsewhere.retryAfter) > 0);
+  const here = await stream(ports[0], 'here', {resumes});
+  t.deepEqual(versionsIn(here.body), [version]);
+});
+
+test('a stream that began while the store was away is known once it is back', async t => {
+  // Guards against records that are given up with the first failed write.
+  const {ports, platform} = await startInstances(t, ['v1', 'v2']);
+  platform.isAway = true;
+  const [resumes, version] = await begin(ports[0], 'call');
+  await new Promise(done => setTimeout(done, 100));
+  platform.isAway = false;
+  let answer: Answer;
+  do answer = await stream(ports[1], 'later', {resumes});
+  while (answer.status === 503);
+  t.deepEqual(versionsIn(answer.body), [version]);
+});
+
+test('with a single version streams go on without a record', async t => {
+  // Guards against refusals, and against writes, on days without a release.
+  const {ports, platform} = await startInstances(t, ['v1', 'v1']);
+  const written = platform.rows.size;
+  const answer = await stream(ports[0], 'one', {resumes: 'never-seen'});
+  t.like(answer, {status: 200, isComplete: true});
+  await begin(ports[1], 'two');
+  t.is(platform.rows.size, written);
+});
--- a/packages/gateway/src/test_support/memory_platform.ts
+++ b/packages/gateway/src/test_support/memory_platform.ts
@@ -45,6 +45,8 @@
   readonly nextFaults: Array<'lose_answer' | 'away'> = [];
   /** Results of the next orders and reports, instead of acceptance. */
   readonly refusals: OrderResult[] = [];
+  /** Whether no call to tables has an effect or an answer. */
+  isAway = false;
   private era = 0;
   /** Counter of the transactions in this era. */
   private number = 0;
@@ -85,7 +87,7 @@
   transact({checks, writes}: TableTransaction): Promise<TransactionResult> {
     const fault = this.nextFaults.shift();
     const unknown = {kind: 'unknown', reason: 'lost'} as const;
-    if (fault === 'away') return Promise.resolve(unknown);
+    if (this.isAway || fault === 'away') return Promise.resolve(unknown);
     const failed = checks.filter(check => !this.holds(check));
     if (failed.length > 0) {
       const rows = failed.map(({key}) => this.find(key));
@@ -136,7 +138,7 @@
   }
 
   private read(find: () => readonly Row[]): Promise<ReadResult> {
-    if (this.nextFaults.shift() !== undefined) {
+    if (this.nextFaults.shift() !== undefined || this.isAway) {
       return Promise.resolve({kind: 'unavailable', reason: 'away'});
     }
     return Promise.resolve({kind: 'rows', rows: find()});
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -26,6 +26,7 @@
   type EndpointId,
   type InstanceId,
   type ServiceId,
+  type SoftwareVersion,
 } from '@snipestage/types/ids.js';
 import {Gateway} from '../gateway.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
@@ -113,8 +114,8 @@
 
 /**
  * Decodes rows by their keys: `1`, `2`, ... are versions of the configuration,
- * `evacuate/<data centre>` are evacuations, and `<id>@<address>` or only an
- * address are endpoints.
+ * `evacuate/<data centre>` are evacuations, and `<id>@<address>@<version>`,
+ * `<id>@<address>` or only an address are endpoints.
  */
 class TestDecoder extends RowDecoder {
   constructor(private readonly routes: readonly Route[]) {
@@ -146,7 +147,7 @@
   }
 
   decodeEndpoint({key}: FollowedRow): EndpointChange {
-    const [id, address = id] = key.split('@');
+    const [id, address = id, version = 'v1'] = key.split('@');
     return {
       kind: 'listed',
       endpoint: {
@@ -154,6 +155,7 @@
         service: brandAs<ServiceId>('s'),
         address: brandAs<EndpointAddress>(address),
         dataCentre: brandAs<DataCentreId>('akl-a'),
+        softwareVersion: brandAs<SoftwareVersion>(version),
         capacity: 1,
         isLeaving: false,
         isCheap: false,
@@ -258,11 +260,17 @@
   port = 0;
   private readonly server: http.Server;
 
-  constructor(answer: (response: http.ServerResponse, id: string) => void) {
+  constructor(
+    answer: (
+      response: http.ServerResponse,
+      id: string,
+      request: http.IncomingMessage,
+    ) => void,
+  ) {
     this.server = http.createServer((request, response) => {
       const id = String(request.headers['x-request-id']);
       this.begun.push(id);
-      answer(response, id);
+      answer(response, id, request);
     });
   }
 
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -10,6 +10,7 @@
   type EndpointId,
   type InstanceId,
   type ServiceId,
+  type SoftwareVersion,
 } from '@snipestage/types/ids.js';
 import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import {ConnectTimeout} from '@snipestage/routing/connect_timeout.js';
@@ -266,6 +267,9 @@
     this.list(id, `127.0.0.1:${address.port}`);
   }
 
+  /** Software version under which an endpoint is listed. */
+  versionOf: (id: string) => string = () => 'v1';
+
   /** Lists an endpoint under an address. */
   list(id: string, address: string): void {
     const endpoint = {
@@ -273,6 +277,7 @@
       service: SERVICE,
       address: brandAs<EndpointAddress>(address),
       dataCentre: DATA_CENTRE,
+      softwareVersion: brandAs<SoftwareVersion>(this.versionOf(id)),
       capacity: 4,
       isLeaving: false,
       isCheap: false,
