Let an answer go on only at the software version that began it

Callers got events of two versions in one answer: once its endpoint had crashed, the exchange chose among all endpoints of the service. With its first event sent, an answer now belongs to the version of that endpoint as it was listed; every choice of a further endpoint, and whether there is one, goes by it. A request whose endpoint is listed with another start once its connection opens is not sent, and caches are fetched within a version only. Before the first event any version may serve.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -3,6 +3,8 @@
 import type {IncomingMessage} from 'node:http';
 import type {AnswerEnding} from '@snipestage/connection/answer_end.js';
 import type {Placed} from '@snipestage/routing/placement.js';
+import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
+import {sharesCache} from '@snipestage/routing/stream_origin.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter} from './answer_writer.js';
 import {EndpointCall, type CallFailureReason} from './endpoint_call.js';
@@ -46,6 +48,8 @@
   readonly isLast: () => boolean;
   /** Called, possibly repeatedly, once the endpoint has begun the request. */
   readonly onBegun: () => void;
+  /** Called before an event of a stream is sent to the caller. */
+  readonly onEvent: () => void;
 }
 
 /** Owns the call to the endpoint; its owner decides what follows a failure. */
@@ -71,6 +75,7 @@
         }),
       mayStillSend: () =>
         state.directory.mayStillSend(placed.endpoint, nowMs()) &&
+        state.directory.isCurrentIncarnation(placed.endpoint) &&
         crashes.mayRun(request.fingerprint),
       isStillUp: () => context.probes.isUp(placed.endpoint),
     });
@@ -118,11 +123,17 @@
       timeLeftMs: Math.max(1, Math.floor(leftMs)),
       urgencyRank: request.admission.urgencyRank,
       lastEventId: writer.lastEventId ?? request.caller.lastEventId,
-      cacheSource: placed.cacheSource?.address,
+      cacheSource: this.findCacheSource(),
       bodyBytes: request.body?.length,
     });
   }
 
+  private findCacheSource(): EndpointAddress | undefined {
+    const {endpoint, cacheSource} = this.options.placed;
+    if (cacheSource === undefined) return undefined;
+    return sharesCache(cacheSource, endpoint) ? cacheSource.address : undefined;
+  }
+
   /**
    * Cancels the attempt after too long a silence if another endpoint may take
    * over; otherwise the attempt continues.
@@ -273,7 +284,7 @@
     response: IncomingMessage,
     head: AnswerHead,
   ): Promise<AttemptResult> {
-    const {context, writer, onBegun} = this.options;
+    const {context, writer, onBegun, onEvent} = this.options;
     const relay = new EventRelay({
       call: this.call,
       response,
@@ -283,6 +294,7 @@
       onEvent: () => {
         this.silence.restart();
         onBegun();
+        onEvent();
       },
     });
     const isWhole = await relay.run();
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -14,6 +14,10 @@
   type PlacementGroup,
 } from '@snipestage/routing/placement.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import {
+  mayContinue,
+  type StreamOrigin,
+} from '@snipestage/routing/stream_origin.js';
 import type {SoftwareVersion} from '@snipestage/types/ids.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
@@ -34,6 +38,8 @@
   private current: Attempt | undefined;
   private hasExpired = false;
   private hasBegunRun = false;
+  /** Set once an event of the stream has been sent to a caller. */
+  private origin: StreamOrigin | undefined;
   private lastFailure: WholeAnswer | undefined;
   private lastReason = 'none';
   /**
@@ -174,7 +180,7 @@
     const {state, dataCentre, nowMs} = this.context;
     const {route, service} = this.request.admission;
     const atMs = nowMs();
-    const candidates = state.directory.findServing(service, atMs);
+    const candidates = this.findCandidates(atMs);
     return state.placementFor(service).choose(candidates, {
       route,
       prompt: this.request.caller.prompt,
@@ -245,6 +251,15 @@
     return result;
   }
 
+  /** Endpoints that may get the request, also those tried already. */
+  private findCandidates(atMs: number): readonly ServingEndpoint[] {
+    const {service} = this.request.admission;
+    const serving = this.context.state.directory.findServing(service, atMs);
+    const {origin} = this;
+    if (origin === undefined) return serving;
+    return serving.filter(each => mayContinue(each, origin));
+  }
+
   private createAttempt(placed: Placed): Attempt {
     const {context, request, writer} = this;
     return new Attempt({
@@ -255,6 +270,7 @@
       maySwitch: () => this.maySwitch(),
       isLast: () => this.listUntried().length === 0,
       onBegun: () => this.noteBegun(),
+      onEvent: () => this.noteEvent(placed.endpoint),
     });
   }
 
@@ -274,14 +290,16 @@
   /** Endpoints not tried yet that may be offered a request. */
   private listUntried(): readonly ServingEndpoint[] {
     const {state, nowMs} = this.context;
-    const {service} = this.request.admission;
     const atMs = nowMs();
-    return state.directory
-      .findServing(service, atMs)
-      .filter(
-        each =>
-          !this.history.excluded.has(each.id) && mayOffer(each, atMs, state),
-      );
+    return this.findCandidates(atMs).filter(
+      each =>
+        !this.history.excluded.has(each.id) && mayOffer(each, atMs, state),
+    );
+  }
+
+  /** The stream belongs to the version of its first event's endpoint. */
+  private noteEvent({service, softwareVersion}: ServingEndpoint): void {
+    this.origin ??= {service, softwareVersion};
   }
 
   private noteBegun(): void {
