Resume a stream only at the version that is known to have begun it

A caller that took a stream up was served by any version: an instance knew nothing of the streams that others, or it before a restart, had begun, and didn't read which attempt the caller names.

A software version is now published, in a row that all instances follow, before any stream that may be resumed begins at it. While one version is published the streams of a service need no record. Otherwise the version is recorded in the store, written once, at its first event, without a caller waiting for it. Whoever is asked looks in its memory, then reads both rows; a stream that is still unknown is refused as not run, with when to come back, and sent nowhere. Entries of endpoints without a version name no endpoint.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -58,7 +58,9 @@
     private readonly context: ExchangeContext,
     private readonly request: ReadRequest,
     private readonly writer: AnswerWriter,
-  ) {}
+  ) {
+    this.origin = request.origin;
+  }
 
   /** Resolves when the final answer is written or the caller is gone. */
   async run(): Promise<void> {
@@ -172,7 +174,10 @@
     const {state, nowMs} = this.context;
     const {service} = this.request.admission;
     const {reason, retryAfterMs} = state.explainNoEndpoint(service, nowMs());
-    this.lastReason = reason;
+    const isOfOtherVersion =
+      state.directory.findServing(service, nowMs()).length > 0 &&
+      this.findCandidates(nowMs()).length === 0;
+    this.lastReason = isOfOtherVersion ? 'no_endpoint_of_version' : reason;
     this.minRetryAfterMs = retryAfterMs;
   }
 
@@ -253,11 +258,15 @@
 
   /** Endpoints that may get the request, also those tried already. */
   private findCandidates(atMs: number): readonly ServingEndpoint[] {
-    const {service} = this.request.admission;
-    const serving = this.context.state.directory.findServing(service, atMs);
+    const {service, route} = this.request.admission;
+    const {directory, versions} = this.context.state;
+    const serving = directory.findServing(service, atMs);
     const {origin} = this;
-    if (origin === undefined) return serving;
-    return serving.filter(each => mayContinue(each, origin));
+    if (origin !== undefined) {
+      return serving.filter(each => mayContinue(each, origin));
+    }
+    if (!route.isResumable) return serving;
+    return serving.filter(each => versions.mayBegin(each));
   }
 
   private createAttempt(placed: Placed): Attempt {
@@ -299,7 +308,13 @@
 
   /** The stream belongs to the version of its first event's endpoint. */
   private noteEvent({service, softwareVersion}: ServingEndpoint): void {
-    this.origin ??= {service, softwareVersion};
+    if (this.origin !== undefined) return;
+    this.origin = {service, softwareVersion};
+    const {admission, caller} = this.request;
+    if (!admission.route.isResumable) return;
+    const {clientAccount} = admission;
+    const {streams} = this.context;
+    streams.noteBegun(clientAccount, caller.requestId, this.origin);
   }
 
   private noteBegun(): void {
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '@snipestage/log/logger.js';
 import type {ConnectTimeout} from '@snipestage/routing/connect_timeout.js';
 import type {EndpointOutcome} from '@snipestage/routing/endpoint_monitor.js';
+import type {StreamOrigin} from '@snipestage/routing/stream_origin.js';
 import type {DataCentreId, Fingerprint} from '@snipestage/types/ids.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import type {Admission} from './admission.js';
@@ -16,6 +17,7 @@
   PassThroughProtocol,
 } from './pass_through_protocol.js';
 import type {RoutingState} from './routing_state.js';
+import type {Streams} from './streams/streams.js';
 
 /** Shared by all exchanges. */
 export interface ExchangeContext {
@@ -29,6 +31,7 @@
   readonly connectTimeout: ConnectTimeout;
   readonly connector: EndpointConnector;
   readonly probes: EndpointProbes;
+  readonly streams: Pick<Streams, 'noteBegun' | 'resolve'>;
   /** Called when a request began to run; `atMs` is on this instance's clock. */
   readonly onBegun: (admission: Admission, atMs: number) => void;
 }
@@ -42,6 +45,8 @@
   readonly rawHeaders: readonly string[];
   readonly body: Buffer | undefined;
   readonly fingerprint: Fingerprint;
+  /** Of the stream that the caller takes up; undefined if it takes up none. */
+  readonly origin: StreamOrigin | undefined;
   readonly arrivedAtMs: number;
   /** Deadline: the caller's or the route's timeout, whichever is shorter. */
   readonly endsAtMs: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import {Relays} from './relay/relays.js';
 import {RequestHandler} from './request_handler.js';
 import {RoutingState} from './routing_state.js';
+import {Streams} from './streams/streams.js';
 import {SharedFacts} from './shared_facts.js';
 import type {RowDecoder} from './row_decoder.js';
 import {StateFollower, type FollowedTables} from './state_follower.js';
@@ -66,6 +67,7 @@
   private readonly relays: Relays;
   private readonly paths: EndpointPaths;
   private readonly facts: SharedFacts;
+  private readonly streams: Streams;
   private readonly crashes: CrashReporter;
   private readonly incarnation = randomUUID().slice(0, 8);
   private readonly shutdown: Shutdown;
@@ -124,6 +126,12 @@
       nowMs,
       isStopping: () => this.shutdown.isStopping,
     });
+    this.streams = new Streams({
+      platform,
+      state: this.state,
+      logger: logger.forComponent('streams'),
+      nowMs,
+    });
     this.handler = this.createHandler(crashes, nowMs);
     this.callers = new CallersServer({
       address: settings.callersAddress,
@@ -133,6 +141,7 @@
     this.follower = new StateFollower({
       relays: this.relays,
       recovery,
+      streams: this.streams,
       tables: options.tables,
       decoder: options.decoder,
       state: this.state,
@@ -147,6 +156,7 @@
         this.facts.republish();
         this.paths.noteSetBack();
         this.duties.noteSetBack();
+        this.streams.noteSetBack();
       },
     });
     this.operations = createPages({
@@ -173,6 +183,7 @@
 
   async start(): Promise<void> {
     this.follower.start();
+    this.streams.start();
     for (const server of this.operations) await server.start();
     await this.callers.start();
     this.duties.start();
@@ -276,6 +287,7 @@
     this.follower.stop();
     this.crashes.stop();
     this.facts.stop();
+    this.streams.stop();
   }
 
   private createHandler(
@@ -294,6 +306,7 @@
       connectTimeout: this.paths.connectTimeout,
       connector: this.paths.connector,
       probes: new EndpointProbes(this.paths),
+      streams: this.streams,
       onBegun: ({clientAccount}, atMs) => {
         if (clientAccount === undefined) return;
         this.duties.countUsage(clientAccount, atMs);
@@ -323,6 +336,7 @@
       relays: this.relays.snapshot(),
       isIsolated: this.state.isolation.isIsolated,
       knownForwarders: this.knownForwarders,
+      unrecordedStreams: this.streams.unrecorded,
       endpoints: this.state.describeEndpoints(performance.now()),
     };
   }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -31,6 +31,12 @@
     labelNames: ['service', 'framing', 'end'],
     registers: [this.registry],
   });
+  private readonly resumptions = new Counter({
+    name: 'snipestage_stream_resumptions_total',
+    help: 'Streams that callers take up, by service and how their version is known.',
+    labelNames: ['service', 'outcome'],
+    registers: [this.registry],
+  });
   private readonly latency = new Histogram({
     name: 'snipestage_request_duration_ms',
     help: 'Time from the head of a request to the end of its answer.',
@@ -143,6 +149,11 @@
     this.answerEnds.inc({service, framing, end});
   }
 
+  /** @param outcome how the stream's version is known, or why it isn't. */
+  countResumption(service: string, outcome: string): void {
+    this.resumptions.inc({service, outcome});
+  }
+
   countStoreCall(call: string, outcome: string): void {
     this.storeCalls.inc({call, outcome});
   }
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {fingerprintOf} from '@snipestage/entry/identify/fingerprint.js';
 import type {Shutdown} from '@snipestage/routing/shutdown.js';
+import type {StreamOrigin} from '@snipestage/routing/stream_origin.js';
 import type {ClientAccountId, Fingerprint} from '@snipestage/types/ids.js';
 import {admit, type Admission} from './admission.js';
 import {AnswerWriter} from './answer_writer.js';
@@ -29,6 +30,8 @@
 const DEFAULT_RETRY_AFTER_MS = 500;
 /** While this instance stops, another one can take the request at once. */
 const RETRY_ELSEWHERE_AFTER_MS = 0;
+/** A record of the stream may arrive, or the store may be back, by then. */
+const STREAM_UNKNOWN_RETRY_AFTER_MS = 500;
 /** For fingerprints of requests without an account, on public routes. */
 const NO_ACCOUNT = '' as ClientAccountId;
 const NO_BODY = Buffer.alloc(0);
@@ -185,11 +188,20 @@
       line.reason = 'suspected_crash';
       return undefined;
     }
+    const origin = await this.findOrigin(caller, admission, line);
+    if (origin === 'unknown') {
+      writer.fail(
+        UNAVAILABLE,
+        protocol.composeRetryAfter(STREAM_UNKNOWN_RETRY_AFTER_MS),
+      );
+      return undefined;
+    }
     return new Exchange(
       this.options,
       {
         caller,
-        admission,
+        admission: origin ? {...admission, service: origin.service} : admission,
+        origin,
         method: request.method ?? 'GET',
         path,
         rawHeaders: request.rawHeaders,
@@ -202,6 +214,33 @@
     );
   }
 
+  /**
+   * Origin of the stream that a caller takes up; undefined if it takes up none.
+   * An unknown stream could only be resumed by guessing its version.
+   */
+  private async findOrigin(
+    {lastEventId, resumes}: CallerRequest,
+    {route, service, clientAccount}: Admission,
+    line: Record<string, unknown>,
+  ): Promise<StreamOrigin | 'unknown' | undefined> {
+    const isResumption = route.isResumable && lastEventId !== undefined;
+    if (!isResumption) return undefined;
+    const {streams, metrics} = this.options;
+    const resolved = await streams.resolve({clientAccount, resumes, service});
+    const isTarget =
+      resolved.kind === 'known' &&
+      route.targets.some(each => each.service === resolved.origin.service);
+    if (resolved.kind === 'known' && isTarget) {
+      line.originKnownBy = resolved.source;
+      metrics.countResumption(service, resolved.source);
+      return resolved.origin;
+    }
+    line.reason =
+      resolved.kind === 'known' ? 'stream_of_other_service' : resolved.reason;
+    metrics.countResumption(service, String(line.reason));
+    return 'unknown';
+  }
+
   private turnAway(writer: AnswerWriter, status: number): void {
     const headers =
       status === UNAVAILABLE
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -18,6 +18,7 @@
 import type {Prompt} from '@snipestage/routing/prompt.js';
 import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
 import {RefusalDelay} from '@snipestage/routing/refusal_delay.js';
+import {ServiceVersions} from '@snipestage/routing/service_versions.js';
 import type {Route} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {RouteTable} from '@snipestage/routing/route_table.js';
@@ -101,6 +102,7 @@
   readonly agreedDemand = new AgreedDemand({own: this.demand});
   readonly suspects = new SuspectTable();
   readonly durations = new RecentDurations();
+  readonly versions = new ServiceVersions();
   readonly warmup: WarmupGate;
   private readonly plainPlacement: Placement;
   private readonly promptPlacement: Placement;
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -1,6 +1,6 @@
 /** Facts that instances publish in a table that all of them follow. */
 
-import {ABSENT} from '@snipestage/types/store_version.js';
+import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import type {ReportedCrash} from '@snipestage/policy/crash_records.js';
@@ -9,8 +9,13 @@
   sumDemands,
 } from '@snipestage/routing/agreed_demand.js';
 import type {RouteDemand} from '@snipestage/routing/demand_meter.js';
-import {brandAs, type ServiceId} from '@snipestage/types/ids.js';
+import {
+  brandAs,
+  type ServiceId,
+  type SoftwareVersion,
+} from '@snipestage/types/ids.js';
 import {parseJson} from './parse_json.js';
+import {decodeVersions, readVersionsKey} from './streams/stream_rows.js';
 import type {FollowedRow} from './table_follower.js';
 import type {CountsValue} from './usage_rows.js';
 
@@ -26,6 +31,13 @@
       readonly kind: 'instances';
       /** Instances that wrote their counts of a window, or an estimate. */
       readonly count: number;
+    }
+  | {
+      readonly kind: 'versions';
+      readonly service: ServiceId;
+      /** Software versions at which streams may begin. */
+      readonly versions: readonly SoftwareVersion[];
+      readonly rowVersion: StoreVersion;
     };
 
 const CRASH = 'crash/';
@@ -234,6 +246,18 @@
     const count = (value as InstancesValue | undefined)?.count;
     return typeof count === 'number' ? {kind: 'instances', count} : undefined;
   }
+  const versionsOf = readVersionsKey(row.key);
+  if (versionsOf !== undefined) {
+    const versions = decodeVersions(value);
+    return versions === undefined
+      ? undefined
+      : {
+          kind: 'versions',
+          service: versionsOf,
+          versions,
+          rowVersion: row.version,
+        };
+  }
   const demand = value as DemandValue | undefined;
   const isDemand = row.key.startsWith(DEMAND) && Array.isArray(demand?.demands);
   if (!isDemand) return undefined;
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -15,6 +15,7 @@
 import {readSlot} from './relay/slot_rows.js';
 import {decodeFact} from './shared_facts.js';
 import type {StoreRecovery} from './store_recovery.js';
+import type {Streams} from './streams/streams.js';
 import {
   TableFollower,
   type FollowedRow,
@@ -41,6 +42,7 @@
   readonly crashes: CrashReporter;
   readonly relays: Relays;
   readonly recovery: StoreRecovery;
+  readonly streams: Streams;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /**
@@ -187,6 +189,7 @@
     this.options.state.directory.replace(endpoints, this.options.nowMs());
     this.options.state.evictStale(this.options.nowMs());
     this.noteWarmups(endpoints);
+    this.options.streams.noteEndpoints();
     this.hasEndpoints = true;
     this.options.logger.info('endpoints_read', {count: endpoints.length});
   }
@@ -230,6 +233,7 @@
         change.kind === 'listed' ? [change.endpoint] : [],
       ),
     );
+    this.options.streams.noteEndpoints();
   }
 
   private noteWarmups(endpoints: readonly ServingEndpoint[]): void {
@@ -256,6 +260,11 @@
         this.options.crashes.mergePublished([fact.crash]);
         continue;
       }
+      if (fact.kind === 'versions') {
+        const {service, versions, rowVersion} = fact;
+        this.options.streams.learnVersions(service, versions, rowVersion);
+        continue;
+      }
       if (fact.kind === 'instances') {
         this.options.state.instances = fact.count;
         this.options.logger.info('instances_learnt', {count: fact.count});
--- a/packages/gateway/src/stream_versions.test.ts
+++ b/packages/gateway/src/stream_versions.test.ts
@@ -1,6 +1,16 @@
 import http from 'node:http';
 import test, {type ExecutionContext} from 'ava';
 import type {Route} from '@snipestage/routing/route.js';
+import {
+  brandAs,
+  type ClientAccountId,
+  type RequestId,
+  type ServiceId,
+  type SoftwareVersion,
+} from '@snipestage/types/ids.js';
+import {RoutingState} from './routing_state.js';
+import {Streams} from './streams/streams.js';
+import {CapturedLog} from './test_support/captured_log.js';
 import {MemoryPlatform} from './test_support/memory_platform.js';
 import {
   SLOW_ROUTE,
@@ -256,6 +266,26 @@
   t.deepEqual(versionsIn(answer.body), [version]);
 });
 
+test('a stream of another client account is unknown', async t => {
+  // Guards against callers that learn of the streams of others, or take them up.
+  const platform = new MemoryPlatform();
+  const streams = new Streams({
+    platform,
+    state: new RoutingState({ratio: 1, windowMs: 1, slack: 1, floor: 1}),
+    logger: new CapturedLog().logger,
+    nowMs: () => performance.now(),
+  });
+  const [own, other] = ['own', 'other'].map(id => brandAs<ClientAccountId>(id));
+  const resumes = brandAs<RequestId>('one');
+  const service = brandAs<ServiceId>('s');
+  const softwareVersion = brandAs<SoftwareVersion>('v1');
+  streams.noteBegun(own, resumes, {service, softwareVersion});
+  const find = (clientAccount: ClientAccountId) =>
+    streams.resolve({clientAccount, resumes, service});
+  t.like(await find(own), {kind: 'known', source: 'memory'});
+  t.is((await find(other)).kind, 'unknown');
+});
+
 test('with a single version streams go on without a record', async t => {
   // Guards against refusals, and against writes, on days without a release.
   const {ports, platform} = await startInstances(t, ['v1', 'v1']);
--- /dev/null
+++ b/packages/gateway/src/streams/streams.ts
@@ -0,0 +1,286 @@
+/** Knows at which software version the streams of callers have begun. */
+
+import type {Logger} from '@snipestage/log/logger.js';
+import type {Platform} from '@snipestage/platform/platform.js';
+import type {StreamOrigin} from '@snipestage/routing/stream_origin.js';
+import type {
+  ClientAccountId,
+  RequestId,
+  ServiceId,
+  SoftwareVersion,
+} from '@snipestage/types/ids.js';
+import type {StoreVersion} from '@snipestage/types/store_version.js';
+import type {RoutingState} from '../routing_state.js';
+import {KnownStreams} from './known_streams.js';
+import {StreamRecorder} from './stream_recorder.js';
+import {
+  decodeOrigin,
+  decodeVersions,
+  streamKeyOf,
+  streamRowKey,
+  versionsRowKey,
+  type RecordedOrigin,
+  type StreamKey,
+} from './stream_rows.js';
+import {VersionPublisher} from './version_publisher.js';
+
+/** Options of {@link Streams}. */
+export interface StreamsOptions {
+  readonly platform: Platform;
+  readonly state: RoutingState;
+  readonly logger: Logger;
+  readonly nowMs: () => number;
+}
+
+/** A caller takes up a stream. */
+export interface Resumption {
+  readonly clientAccount: ClientAccountId | undefined;
+  /** The attempt that brought the first event, as the caller names it. */
+  readonly resumes: RequestId | undefined;
+  /** Service to which the route leads now. */
+  readonly service: ServiceId;
+}
+
+/**
+ * How the origin of a stream is known:
+ *
+ * - `memory`: this instance began it, or has resumed it before.
+ * - `record`: another instance has recorded it.
+ * - `single_version`: no stream of the service can belong to another version.
+ */
+export type OriginSource = 'memory' | 'record' | 'single_version';
+
+export type ResolvedOrigin =
+  | {
+      readonly kind: 'known';
+      readonly origin: StreamOrigin;
+      readonly source: OriginSource;
+    }
+  | {
+      readonly kind: 'unknown';
+      readonly reason: 'stream_unknown' | 'stream_not_looked_up';
+    };
+
+/** What was read of a stream and of the published versions. */
+interface LookUp {
+  readonly isAvailable: boolean;
+  readonly recorded?: RecordedOrigin;
+  readonly versions?: readonly SoftwareVersion[];
+}
+
+/** Longer than the longest timeouts of streams and their callers. */
+const KEEP_MS = 120_000;
+const LOOK_UP_TIMEOUT_MS = 400;
+/** A record may be on its way to the store. */
+const SECOND_LOOK_AFTER_MS = 120;
+/** Made-up attempts must not keep the store busy. */
+const MAX_LOOK_UPS = 64;
+const UNAVAILABLE: LookUp = {isAvailable: false};
+const STREAM_UNKNOWN = {kind: 'unknown', reason: 'stream_unknown'} as const;
+const NOT_LOOKED_UP = {
+  kind: 'unknown',
+  reason: 'stream_not_looked_up',
+} as const;
+
+/**
+ * A stream belongs to the version of the endpoint that sent its first event.
+ * Streams of a service of one version need no record. Otherwise each is recorded
+ * in the store, so that any instance can resume it once this one is gone. A
+ * stream whose version isn't known for certain is never resumed.
+ */
+export class Streams {
+  private readonly known: KnownStreams;
+  private readonly recorder: StreamRecorder;
+  private readonly publisher: VersionPublisher;
+  private lookUps = 0;
+
+  constructor(private readonly options: StreamsOptions) {
+    const {state} = options;
+    const shared = {
+      ...options,
+      keepMs: KEEP_MS,
+      countInstances: () => state.instances,
+    };
+    this.known = new KnownStreams({nowMs: options.nowMs, keepMs: KEEP_MS});
+    this.recorder = new StreamRecorder(shared);
+    this.publisher = new VersionPublisher({
+      ...shared,
+      directory: state.directory,
+      versions: state.versions,
+      onChange: service => this.recordUnrecorded(service),
+    });
+  }
+
+  start(): void {
+    this.publisher.start();
+    this.recorder.start();
+  }
+
+  stop(): void {
+    this.publisher.stop();
+    this.recorder.stop();
+  }
+
+  /** Number of streams that aren't known to be recorded. */
+  get unrecorded(): number {
+    return this.recorder.waiting;
+  }
+
+  /** The list of endpoints has changed. */
+  noteEndpoints(): void {
+    this.publisher.check();
+  }
+
+  /** Takes the published versions of a service. */
+  learnVersions(
+    service: ServiceId,
+    versions: readonly SoftwareVersion[],
+    rowVersion: StoreVersion,
+  ): void {
+    this.publisher.learn(service, versions, rowVersion);
+  }
+
+  /** The store was set back: it may have lost records. */
+  noteSetBack(): void {
+    this.known.forgetRecorded();
+    for (const service of this.known.listServices()) {
+      this.recordUnrecorded(service);
+    }
+  }
+
+  /**
+   * Called before the first event of a new stream is sent to its caller. Nothing
+   * waits for the record: a stream whose record is lost is refused.
+   */
+  noteBegun(
+    clientAccount: ClientAccountId | undefined,
+    attempt: RequestId,
+    origin: StreamOrigin,
+  ): void {
+    const key = streamKeyOf(clientAccount, attempt);
+    if (key === undefined || origin.softwareVersion === undefined) return;
+    this.known.remember(key, origin);
+    if (this.options.state.versions.isMixed(origin.service)) this.record(key);
+  }
+
+  /**
+   * Finds out which version has begun a stream that a caller takes up.
+   *
+   * @example
+   * const resolved = await streams.resolve({clientAccount, resumes, service});
+   */
+  async resolve(resumption: Resumption): Promise<ResolvedOrigin> {
+    const {clientAccount, resumes, service} = resumption;
+    const key = streamKeyOf(clientAccount, resumes);
+    const remembered = key && this.known.find(key);
+    if (remembered !== undefined) return toResolved(remembered, 'memory');
+    if (this.lookUps >= MAX_LOOK_UPS) return NOT_LOOKED_UP;
+    this.lookUps += 1;
+    try {
+      return await this.lookUpTwice(key, service);
+    } finally {
+      this.lookUps -= 1;
+    }
+  }
+
+  private async lookUpTwice(
+    key: StreamKey | undefined,
+    service: ServiceId,
+  ): Promise<ResolvedOrigin> {
+    const first = await this.lookUpOrigin(key, service);
+    if (first.kind === 'known' || key === undefined) return first;
+    await new Promise(done => setTimeout(done, SECOND_LOOK_AFTER_MS));
+    return this.lookUpOrigin(key, service);
+  }
+
+  private async lookUpOrigin(
+    key: StreamKey | undefined,
+    service: ServiceId,
+  ): Promise<ResolvedOrigin> {
+    const lookUp = await withTimeout(this.read(key, service), UNAVAILABLE);
+    const {isAvailable, recorded, versions} = lookUp;
+    if (!isAvailable) return NOT_LOOKED_UP;
+    if (recorded !== undefined) {
+      if (key !== undefined) this.known.learn(key, recorded);
+      return toResolved(recorded, 'record');
+    }
+    const only = this.findOnlyVersion(service, versions);
+    if (only === undefined) return STREAM_UNKNOWN;
+    const origin = {service, softwareVersion: only};
+    if (key !== undefined) this.known.remember(key, origin);
+    return {kind: 'known', origin, source: 'single_version'};
+  }
+
+  /**
+   * The version is published before any stream begins at it, and the row is read
+   * after the stream has begun: a single version in it is that of the stream. A
+   * store that was set back may have lost versions that are known here.
+   */
+  private findOnlyVersion(
+    service: ServiceId,
+    versions: readonly SoftwareVersion[] | undefined,
+  ): SoftwareVersion | undefined {
+    if (versions?.length !== 1) return undefined;
+    const [only] = versions;
+    const {state} = this.options;
+    const listed = state.directory
+      .readAll()
+      .filter(each => each.service === service)
+      .map(({softwareVersion}) => softwareVersion);
+    const others = [...state.versions.find(service), ...listed].filter(
+      each => each !== undefined && each !== only,
+    );
+    return others.length === 0 ? only : undefined;
+  }
+
+  private async read(
+    key: StreamKey | undefined,
+    service: ServiceId,
+  ): Promise<LookUp> {
+    const {platform} = this.options;
+    const streamKey = key && streamRowKey(key);
+    const versionsKey = versionsRowKey(service);
+    const keys = streamKey ? [streamKey, versionsKey] : [versionsKey];
+    const result = await platform.readRows(keys);
+    if (result.kind === 'unavailable') return UNAVAILABLE;
+    const valueOf = (name: string | undefined): unknown =>
+      result.rows.find(row => row.key === name)?.value;
+    return {
+      isAvailable: true,
+      recorded: decodeOrigin(valueOf(streamKey)),
+      versions: decodeVersions(valueOf(versionsKey)),
+    };
+  }
+
+  private recordUnrecorded(service: ServiceId): void {
+    if (!this.options.state.versions.isMixed(service)) return;
+    for (const key of this.known.listUnrecorded(service)) this.record(key);
+  }
+
+  private record(key: StreamKey): void {
+    const recorded = this.known.find(key);
+    if (recorded === undefined) return;
+    this.recorder.add(key, recorded);
+    this.known.markRecorded(key);
+  }
+}
+
+function toResolved(
+  recorded: RecordedOrigin,
+  source: OriginSource,
+): ResolvedOrigin {
+  if (recorded.kind === 'ambiguous') return STREAM_UNKNOWN;
+  return {kind: 'known', origin: recorded.origin, source};
+}
+
+/** A store that doesn't answer must not keep a caller waiting. */
+function withTimeout<Value>(
+  value: Promise<Value>,
+  otherwise: Value,
+): Promise<Value> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<Value>(resolve => {
+    timer = setTimeout(() => resolve(otherwise), LOOK_UP_TIMEOUT_MS);
+  });
+  return Promise.race([value, timeout]).finally(() => clearTimeout(timer));
+}
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -27,6 +27,8 @@
 import {GatewayMetrics} from '../gateway_metrics.js';
 import {RequestHandler} from '../request_handler.js';
 import {RoutingState} from '../routing_state.js';
+import {Streams} from '../streams/streams.js';
+import {MemoryPlatform} from './memory_platform.js';
 import {PlainProtocol} from './plain_protocol.js';
 
 const SERVICE = brandAs<ServiceId>('service');
@@ -284,6 +286,9 @@
       bornEpochMs: 1,
     };
     this.state.directory.apply([{kind: 'listed', endpoint}], 0);
+    const {softwareVersion} = endpoint;
+    const published = this.state.versions.find(SERVICE);
+    this.state.versions.learn(SERVICE, [...published, softwareVersion]);
   }
 
   private async listen(): Promise<void> {
@@ -325,6 +330,12 @@
       connectTimeout,
       connector,
       probes: new EndpointProbes({connector, connectTimeout}),
+      streams: new Streams({
+        platform: new MemoryPlatform(),
+        state: this.state,
+        logger,
+        nowMs: () => this.nowMs(),
+      }),
       onBegun: admission => this.begun.push(admission),
       shutdown: this.shutdown,
     });
