Spread the publication of versions over instances that start together

Before the number of instances is known, all of them would write the row of a service within 5 ms; the store accepts 200 transactions a second.

--- a/packages/gateway/src/streams/version_publisher.ts
+++ b/packages/gateway/src/streams/version_publisher.ts
@@ -32,6 +32,8 @@
 /** Instances wait for one another: the first one writes for all. */
 const JITTER_PER_INSTANCE_MS = 5;
 const MAX_JITTER_MS = 1500;
+/** Assumed while many instances that start together may not be counted yet. */
+const UNKNOWN_INSTANCES = 100;
 const RETRY_AFTER_MS = 200;
 const CHECK_EVERY_MS = 10_000;
 
@@ -61,7 +63,7 @@
   /** Publishes what is missing; called when the list of endpoints changes. */
   check(): void {
     if (this.listChanges().size === 0) return;
-    const instances = this.options.countInstances() ?? 1;
+    const instances = this.options.countInstances() ?? UNKNOWN_INSTANCES;
     const {random = Math.random} = this.options;
     const jitterMs = Math.min(
       MAX_JITTER_MS,
