Release engines of other software versions in the soak

Half of the engines are replaced by engines of another version, again and again, beside all other faults; each event names the version that wrote it, and callers take broken streams up at other instances. Checks: one_version and streams_go_on.

--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -29,12 +29,15 @@
   TimeHandedOn,
 } from './limits.js';
 import {RateLimits} from './rate_limits.js';
+import {OneVersion, StreamsGoOn} from './streams.js';
 import {NothingLost, ProperEnds, ServesAgain} from './stops.js';
 
 export const ALL_CHECKS: readonly Check[] = [
   new AtMostOnce(),
   new TrueRefusal(),
   new OwnWholeAnswer(),
+  new OneVersion(),
+  new StreamsGoOn(),
   new UnchangedRequest(),
   new AnswerInTime(),
   new NoFalseDenial(),
--- a/packages/soak/src/checks/answers.ts
+++ b/packages/soak/src/checks/answers.ts
@@ -1,9 +1,7 @@
 /** Answers that callers get are true, complete and to their own requests. */
 
-import {
-  digest,
-  completeStreamText,
-} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
+import {digest} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
+import {completeStreamText} from '@snipestage/platform_stand_ins/stream_text.js';
 import type {History, Outcome, SentRequest} from '../history.js';
 import {Check, mayRunOnlyOnce, type Finding} from './check.js';
 
@@ -78,7 +76,9 @@
     }
     const expected =
       request.kind === 'stream' && isSuccess
-        ? digest(completeStreamText(request.requestId, request.path))
+        ? digest(
+            completeStreamText({...run, after: request.takesUp?.lastEventId}),
+          )
         : run.answerDigest;
     return bodyDigest === expected ? undefined : 'not the whole answer';
   }
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -74,6 +74,9 @@
 /** The endpoints of a service fall over when they have to reject too much. */
 export const BRITTLE_SERVICE = 'brittle_service';
 
+/** Half of the engines are replaced by engines of another software version. */
+export const VERSION_RELEASE = 'version_release';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | typeof EVACUATE
@@ -83,7 +86,8 @@
   | typeof CRASHING_REQUEST
   | typeof STORE_SET_BACK
   | typeof INSTANCE_CUT
-  | typeof BRITTLE_SERVICE;
+  | typeof BRITTLE_SERVICE
+  | typeof VERSION_RELEASE;
 
 /** One fault of a plan. */
 export interface PlannedFault {
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -12,6 +12,8 @@
   ServiceId,
 } from '@snipestage/types/ids.js';
 import type {Run} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
+import type {TakenUpStream} from '@snipestage/platform_stand_ins/caller_headers.js';
+import type {ReadEvents} from '@snipestage/platform_stand_ins/stream_text.js';
 import type {DutyCall} from '@snipestage/platform_stand_ins/provider_stand_in.js';
 import type {Bounds} from '@snipestage/platform_stand_ins/settings_text.js';
 
@@ -75,6 +77,10 @@
   lastByteAtMs?: number;
   endedAtMs?: number;
   outcome?: Outcome;
+  /** The stream that it takes up, if any. */
+  readonly takesUp?: TakenUpStream;
+  /** Of a stream: what the caller has read of it in this attempt. */
+  events?: ReadEvents;
 }
 
 /** The end of an instance's process. */
@@ -132,6 +138,14 @@
   toMs: number;
 }
 
+/** A software version and the time for which an endpoint served with it. */
+export interface ServedVersion {
+  readonly version: string;
+  readonly fromMs: number;
+  /** Infinite until it leaves or ends. */
+  toMs: number;
+}
+
 /** A brittle endpoint that had to reject too much. */
 export interface Fall {
   readonly endpoint: EndpointId;
@@ -155,6 +169,8 @@
   readonly falls: Fall[] = [];
   /** Data centre of every generation of an endpoint, by its id. */
   readonly endpointDataCentres = new Map<string, DataCentreId>();
+  /** Software versions of engines, by endpoint. */
+  readonly engineVersions = new Map<string, ServedVersion>();
   readonly dutyCalls: DutyCall[] = [];
   readonly ends: ProcessEnd[] = [];
   /** No fault is applied after this time; infinite until the last has ended. */
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -6,6 +6,7 @@
 import {FORWARDING_MUTANTS} from './forwarding_mutations.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
+import {STREAM_MUTANTS} from './stream_mutations.js';
 import {STORE_MUTANTS} from './store_mutations.js';
 
 const CHANGES = ['add_marker', 'withdraw_key'] as const;
@@ -330,5 +331,6 @@
   ...CRASH_MUTANTS,
   ...STORE_MUTANTS,
   ...FORWARDING_MUTANTS,
+  ...STREAM_MUTANTS,
   ...BRITTLE_MUTANTS,
 ];
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -16,6 +16,7 @@
   INSTANCE_CUT,
   STORE_SET_BACK,
   UNLISTED_LEAVING,
+  VERSION_RELEASE,
   type FaultKind,
   type PlannedFault,
 } from './fault_plan.js';
@@ -24,6 +25,7 @@
 import {drawRateLimits} from './rate_limits.js';
 import {drawStopTurns} from './stop_turns.js';
 import {drawStoreSetBacks} from './store_set_backs.js';
+import {drawVersionReleases} from './version_releases.js';
 import {FaultInjector} from './world/fault_injector.js';
 import {StallWatch} from './world/stall_watch.js';
 import {Traffic} from './world/traffic.js';
@@ -153,6 +155,7 @@
     [STORE_SET_BACK, () => drawStoreSetBacks({seed, forMs})],
     [BRITTLE_SERVICE, () => drawBrittleServices({seed, forMs})],
     [INSTANCE_CUT, () => drawInstanceCuts({seed, forMs})],
+    [VERSION_RELEASE, () => drawVersionReleases({seed, forMs})],
   ];
   const faults = [
     ...drawFaultPlan({seed, forMs, seriesEveryMs, kinds}),
--- a/packages/soak/src/test_support/small_history.ts
+++ b/packages/soak/src/test_support/small_history.ts
@@ -53,6 +53,7 @@
     arrivedAtMs: 10_010,
     timeLeftMs: 1480,
     signature: 's1',
+    softwareVersion: 'v1',
     hasRun: true,
     answerDigest: 'answer',
     status: 200,
--- a/packages/soak/src/world/caller.ts
+++ b/packages/soak/src/world/caller.ts
@@ -8,7 +8,8 @@
 } from '@snipestage/platform_stand_ins/caller_headers.js';
 import {digest} from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
 import {brandAs, type RequestId} from '@snipestage/types/ids.js';
-import type {Outcome} from '../history.js';
+import {readEvents} from '@snipestage/platform_stand_ins/stream_text.js';
+import type {Outcome, SentRequest} from '../history.js';
 import {CallerConnection} from './caller_connection.js';
 import type {Instance} from './instance.js';
 import {HOST} from './operator.js';
@@ -79,6 +80,7 @@
           callerTimeoutMs: request.callerTimeoutMs,
           key: request.key,
           promptTokens,
+          takesUp: request.takesUp,
         }),
       });
       const end = (outcome: Outcome) => {
@@ -99,19 +101,27 @@
         hasSent = true;
         request.lastByteAtMs = this.nowMs();
       });
-      call.on('response', response => void readAnswer(response).then(end));
+      call.on(
+        'response',
+        response => void readAnswer(response, request).then(end),
+      );
       call.on('error', () => end({kind: hasSent ? 'broken' : 'not_connected'}));
       call.end(body);
     });
   }
 }
 
-async function readAnswer(response: IncomingMessage): Promise<Outcome> {
+async function readAnswer(
+  response: IncomingMessage,
+  request: SentRequest,
+): Promise<Outcome> {
   const chunks: Buffer[] = [];
   try {
     for await (const chunk of response) chunks.push(chunk as Buffer);
   } catch {
     return {kind: 'broken'};
+  } finally {
+    request.events = readEvents(Buffer.concat(chunks).toString());
   }
   if (!response.complete) return {kind: 'broken'};
   return {
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -19,6 +19,7 @@
   type DataCentreId,
   type EndpointId,
   type ServiceId,
+  type SoftwareVersion,
 } from '@snipestage/types/ids.js';
 import type {History} from '../history.js';
 
@@ -58,6 +59,7 @@
 /** Owns the stand-ins of its generations and the links to them. */
 export class Endpoint {
   private generation = 0;
+  private softwareVersion = 'v1';
   private bornEpochMs = 0;
   private standIn!: EndpointStandIn;
   private way!: Link;
@@ -98,6 +100,7 @@
       capacity,
       isEngine,
       isUnframed: this.isUnframed,
+      softwareVersion: this.softwareVersion,
       random,
       onCrash: () => void this.crash(id, standIn, way),
       onFall: () => {
@@ -118,6 +121,13 @@
     });
     const {history, dataCentre} = this.options;
     history.endpointDataCentres.set(id, dataCentre);
+    if (isEngine) {
+      history.engineVersions.set(id, {
+        version: this.softwareVersion,
+        fromMs: nowMs(),
+        toMs: Number.POSITIVE_INFINITY,
+      });
+    }
     this.list(this.describe(false));
   }
 
@@ -180,6 +190,7 @@
     way: Link,
   ): Promise<void> {
     const {history, nowMs, random} = this.options;
+    this.endService(id);
     const disturbance = history.recordDisturbance(id, CRASH, nowMs());
     const isCurrent = standIn === this.standIn && !this.isDown;
     if (isCurrent) this.isDown = true;
@@ -199,6 +210,7 @@
   async kill(): Promise<void> {
     if (this.isDown) return;
     const {id, standIn, way} = this;
+    this.endService(id);
     await endProcess(standIn, way);
     setTimeout(() => this.unlist(id), ENTRY_EXPIRY_MS);
     await this.start();
@@ -208,11 +220,16 @@
    * Starts the next generation; this one announces its leaving in its answers
    * from now on, in its entry after `listAfterMs`, and stops later.
    */
-  async replace(listAfterMs = 0): Promise<void> {
+  async replace(
+    listAfterMs = 0,
+    softwareVersion = this.softwareVersion,
+  ): Promise<void> {
     if (this.isDown) return;
     const {history, nowMs} = this.options;
     const {id, standIn} = this;
     const leaving = this.describe(true);
+    this.endService(id);
+    this.softwareVersion = softwareVersion;
     standIn.isLeaving = true;
     await this.start();
     setTimeout(() => {
@@ -247,6 +264,11 @@
     }, ENTRY_EXPIRY_MS);
   }
 
+  private endService(id: EndpointId): void {
+    const served = this.options.history.engineVersions.get(id);
+    if (served !== undefined) served.toMs = this.options.nowMs();
+  }
+
   private list(row: ServingEndpoint): void {
     this.listed.set(row.id, row);
     writeEndpoint(this.options.store, row);
@@ -270,6 +292,7 @@
       service,
       address: brandAs<EndpointAddress>(this.way.address),
       dataCentre,
+      softwareVersion: brandAs<SoftwareVersion>(this.softwareVersion),
       capacity,
       isLeaving,
       isCheap: false,
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -12,6 +12,7 @@
   INSTANCE_CUT,
   STORE_SET_BACK,
   UNLISTED_LEAVING,
+  VERSION_RELEASE,
   type FaultKind,
   type PlannedFault,
 } from '../fault_plan.js';
@@ -19,6 +20,7 @@
 import {readInstanceCut} from '../instance_cuts.js';
 import type {Endpoint} from './endpoint.js';
 import type {Instance} from './instance.js';
+import {ENGINES} from './operator.js';
 import type {Traffic} from './traffic.js';
 import type {World} from './world.js';
 
@@ -77,6 +79,7 @@
   private readonly faultyParts = new Set<object>();
   /** Whether instances have no links to endpoints; one cut at a time. */
   private isAnyCutOff = false;
+  private releases = 0;
   /** Applied faults with their times, for the report. */
   readonly log: string[] = [];
 
@@ -120,6 +123,8 @@
     } else if (kind === CRASHING_REQUEST) {
       this.logFault(kind, 'store', durationMs);
       this.endAfter(durationMs, this.traffic.repeatCrashing());
+    } else if (kind === VERSION_RELEASE) {
+      this.release(fault);
     } else if (kind === UNLISTED_LEAVING) {
       this.replaceUnlisted(fault, endpoints[target % endpoints.length]);
     } else if (kind.startsWith('store_way') || kind.startsWith('callers_way')) {
@@ -242,6 +247,23 @@
     this.endAfter(durationMs, endpoint.backOff(durationMs));
   }
 
+  /** Not recorded as a disturbance: planned work. */
+  private release({kind, target, durationMs}: PlannedFault): void {
+    this.releases += 1;
+    const version = `v1.${this.releases}`;
+    this.logFault(kind, version, durationMs);
+    const engines = this.world.endpoints.filter(
+      (each, index) => each.service === ENGINES && index % 2 === target,
+    );
+    for (const [index, engine] of engines.entries()) {
+      const afterMs = (index * durationMs) / engines.length;
+      const replace = () => {
+        if (!this.faultyParts.has(engine)) void engine.replace(0, version);
+      };
+      this.timers.add(setTimeout(replace, afterMs));
+    }
+  }
+
   /** Only its answers say meanwhile that the endpoint leaves. */
   private replaceUnlisted(
     {kind, durationMs}: PlannedFault,
--- a/packages/soak/src/world/request_draw.ts
+++ b/packages/soak/src/world/request_draw.ts
@@ -4,9 +4,10 @@
 import {
   CRASH_PARAMETER,
   digest,
-  STREAM_DURATION_PARAMETER,
 } from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
+import {STREAM_DURATION_PARAMETER} from '@snipestage/platform_stand_ins/stream_text.js';
 import type {Route} from '@snipestage/routing/route.js';
+import type {TakenUpStream} from '@snipestage/platform_stand_ins/caller_headers.js';
 import type {SentRequest} from '../history.js';
 import type {Instance} from './instance.js';
 import {HOST, markerPath, ROUTES, type Operator} from './operator.js';
@@ -36,6 +37,9 @@
 const CALLER_TIMEOUTS_MS = [1500, 2500, 9000] as const;
 const [, , LONGEST_CALLER_TIMEOUT_MS] = CALLER_TIMEOUTS_MS;
 const MAX_BODY_CHARACTERS = 600;
+/** With less time left a caller gives up. */
+const MIN_TAKE_UP_MS = 300;
+const REFUSED = 503;
 const PROMPT_TOKEN_COUNTS = [400, 1500, 6000] as const;
 /**
  * Of the streams: each instance has some, which keep it running while it stops.
@@ -115,6 +119,33 @@
     return {...drawn, request};
   }
 
+  /**
+   * The next try of a caller whose stream was broken off, or whose last try was
+   * refused; undefined when there is nothing to take up or no time left.
+   */
+  takeUp(drawn: DrawnRequest, instance: Instance): DrawnRequest | undefined {
+    const {request} = drawn;
+    const stream = findStream(request);
+    const elapsedMs = this.options.nowMs() - request.sentAtMs;
+    const callerTimeoutMs = Math.round(request.callerTimeoutMs - elapsedMs);
+    if (stream === undefined || callerTimeoutMs < MIN_TAKE_UP_MS) {
+      return undefined;
+    }
+    const next = this.repeat(drawn, instance).request;
+    return {
+      ...drawn,
+      hangsUpAfterMs: undefined,
+      request: {
+        ...next,
+        callerTimeoutMs,
+        takesUp: stream,
+        outcome: undefined,
+        endedAtMs: undefined,
+        events: undefined,
+      },
+    };
+  }
+
   private drawShort(instance: Instance, route: Route): DrawnRequest {
     return this.compose(instance, route, '', this.pick(CALLER_TIMEOUTS_MS));
   }
@@ -172,3 +203,15 @@
     return items[Math.floor(this.options.source() * items.length)];
   }
 }
+
+/** The stream that a caller may take up after this attempt. */
+function findStream(request: SentRequest): TakenUpStream | undefined {
+  const {outcome, events, takesUp, isResumable, requestId} = request;
+  const mayTakeUp =
+    outcome?.kind === 'broken' ||
+    (outcome?.kind === 'answered' && outcome.status === REFUSED);
+  if (!isResumable || !mayTakeUp) return undefined;
+  const lastEventId = events?.lastId || (takesUp?.lastEventId ?? 0);
+  if (lastEventId === 0) return undefined;
+  return {firstAttempt: takesUp?.firstAttempt ?? requestId, lastEventId};
+}
--- a/packages/soak/src/world/traffic.ts
+++ b/packages/soak/src/world/traffic.ts
@@ -36,6 +36,9 @@
  */
 const IMMEDIATE_NEXT_SHARE = 0.5;
 
+const MAX_TAKE_UPS = 5;
+/** The pause of a caller whose try was refused. */
+const TAKE_UP_RETRY_MS = 500;
 const CRASHING_EVERY_MS = 350;
 
 /** Draws arrivals and sends the requests; owns the callers. */
@@ -47,6 +50,7 @@
   private readonly draw: RequestDraw;
   private readonly stopping = new AbortController();
   private timer: NodeJS.Timeout | undefined;
+  private takeUps = 0;
   private readonly inFlight = new Set<Promise<void>>();
 
   constructor(private readonly options: TrafficOptions) {
@@ -170,6 +174,28 @@
   private async send(caller: Caller, drawn: DrawnRequest): Promise<void> {
     this.options.history.requests.push(drawn.request);
     await caller.send(drawn);
+    if (drawn.request.takesUp === undefined) await this.takeUp(drawn);
+  }
+
+  /** Takes up a stream that was broken off, at one instance after another. */
+  private async takeUp(drawn: DrawnRequest): Promise<void> {
+    const {instances, nowMs} = this.options;
+    let last = drawn;
+    for (let tries = 0; tries < MAX_TAKE_UPS; tries += 1) {
+      this.takeUps += 1;
+      const instance = instances[this.takeUps % instances.length];
+      const next = this.draw.takeUp(last, instance);
+      if (next === undefined) return;
+      if (last.request.outcome?.kind === 'answered') {
+        await pause(TAKE_UP_RETRY_MS);
+      }
+      const caller = new Caller(nowMs);
+      if (await caller.connectTo(instance)) {
+        await this.send(caller, next);
+        last = next;
+      }
+      caller.close();
+    }
   }
 
   /**
