Give the links of each test process a loopback address of its own

A link that refuses connections frees its port. Another test process could get it, and a test of an instance without links then reached a foreign server.

--- a/packages/gateway/src/test_support/test_cluster.ts
+++ b/packages/gateway/src/test_support/test_cluster.ts
@@ -8,6 +8,12 @@
 import {MemoryPlatform} from './memory_platform.js';
 import {startGateway, TestEndpoint, waitUntil} from './test_gateway.js';
 
+/**
+ * A loopback address of this process alone. While a link refuses connections its
+ * port is free, and another process could get it and answer in its place.
+ */
+const LINK_HOST = `127.1.${(process.pid >> 8) & 0xff}.${process.pid & 0xff}`;
+
 /** Options of {@link startCluster}. */
 export interface TestClusterOptions {
   readonly instances: number;
@@ -85,7 +91,7 @@
   });
   const links: Link[] = [];
   for (const [index, endpoint] of endpoints.entries()) {
-    const link = new Link({targetPort: endpoint.port});
+    const link = new Link({host: LINK_HOST, targetPort: endpoint.port});
     await link.start();
     links.push(link);
     member.endpoints.put(`endpoint-${index}@${link.address}`);
