Look at no endpoint because of its rejection

A rejection with neither length nor chunks was looked at like an answer: one more connection to an endpoint that is full, and a wait for it before the request went elsewhere. Its body says nothing and is no longer read. The test failed before. Found by reading the mend; no run showed it.

--- a/packages/gateway/src/answer_ends.test.ts
+++ b/packages/gateway/src/answer_ends.test.ts
@@ -170,6 +170,16 @@
   t.true(proxy.opened <= ids.length + 3);
 });
 
+test('a rejection without a length costs no look at its endpoint', async t => {
+  // Guards against more connections to endpoints that are full already.
+  const full: Script = socket =>
+    socket.end('HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n\r\n');
+  const proxy = await start(t, {}, [full]);
+  t.is((await proxy.call('one', {body: 'order'})).status, 503);
+  await new Promise(done => setTimeout(done, 50));
+  t.is(proxy.opened, 1);
+});
+
 for (const framing of ['chunks', 'close'] as const) {
   test(`a resumed stream without new events is complete only by its framing (${framing})`, async t => {
     // Guards against guessing that nothing was left of a stream.
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -199,19 +199,10 @@
     if (isStream && isSuccess && isOwn && head.isSigned) {
       return this.relay(response, head);
     }
-    const body = await readAnswerBody(this.call, response);
     if (head.isNotRun || head.isMisdirected) {
-      this.call.cancel();
-      const endpointOutcome = head.isMisdirected ? 'unreachable' : 'rejected';
-      const reason = head.isMisdirected ? 'misdirected' : 'rejected';
-      return {
-        kind: 'failed',
-        verdict: 'not_run',
-        endpointOutcome,
-        reason,
-        hasArrived: true,
-      };
+      return this.rejectedAnswer(head, response);
     }
+    const body = await readAnswerBody(this.call, response);
     if (body === undefined) return this.brokenAnswer();
     if (!isOwn || !head.isSigned) {
       return {
@@ -225,6 +216,22 @@
     return this.handleWholeAnswer(head, response, body);
   }
 
+  /** Its body says nothing, so that it doesn't matter how it ends. */
+  private rejectedAnswer(
+    {isMisdirected}: AnswerHead,
+    response: IncomingMessage,
+  ): FailedResult {
+    response.on('error', () => undefined);
+    this.call.cancel();
+    return {
+      kind: 'failed',
+      verdict: 'not_run',
+      endpointOutcome: isMisdirected ? 'unreachable' : 'rejected',
+      reason: isMisdirected ? 'misdirected' : 'rejected',
+      hasArrived: true,
+    };
+  }
+
   /**
    * Result of an answer that ended early. If this side cancelled it, because
    * the caller disconnected or this instance ends, it doesn't count against the
