--- a/packages/gateway/src/stream_versions.test.ts
+++ b/packages/gateway/src/stream_versions.test.ts
@@ -266,6 +266,29 @@
   t.deepEqual(versionsIn(answer.body), [version]);
 });
 
+test('a store that does not answer is asked once', async t => {
+  // Guards against callers that wait for an answer that nothing can give.
+  const platform = new MemoryPlatform();
+  let calls = 0;
+  platform.readRows = () => {
+    calls += 1;
+    return new Promise(() => undefined);
+  };
+  const streams = new Streams({
+    platform,
+    state: new RoutingState({ratio: 1, windowMs: 1, slack: 1, floor: 1}),
+    logger: new CapturedLog().logger,
+    nowMs: () => performance.now(),
+  });
+  const resolved = await streams.resolve({
+    clientAccount: undefined,
+    resumes: brandAs<RequestId>('one'),
+    service: brandAs<ServiceId>('s'),
+  });
+  t.deepEqual(resolved, {kind: 'unknown', reason: 'stream_not_looked_up'});
+  t.is(calls, 1);
+});
+
 test('a stream of another client account is unknown', async t => {
   // Guards against callers that learn of the streams of others, or take them up.
   const platform = new MemoryPlatform();
--- a/packages/gateway/src/streams/streams.ts
+++ b/packages/gateway/src/streams/streams.ts
@@ -188,7 +188,7 @@
     service: ServiceId,
   ): Promise<ResolvedOrigin> {
     const first = await this.lookUpOrigin(key, service);
-    if (first.kind === 'known' || key === undefined) return first;
+    if (first !== STREAM_UNKNOWN || key === undefined) return first;
     await new Promise(done => setTimeout(done, SECOND_LOOK_AFTER_MS));
     return this.lookUpOrigin(key, service);
   }
