Give the look at an endpoint a second

Whole streams were cut off at their end on a busy machine: the look had the timeout of requests, 100 to 350 ms, and one that wasn't answered in time counted as a crash. That a timeout was the cause is inferred, as nothing refused connections there.

--- a/packages/gateway/src/endpoint_probes.ts
+++ b/packages/gateway/src/endpoint_probes.ts
@@ -1,6 +1,5 @@
 /** Finds out whether endpoints still accept connections. */
 
-import type {ConnectTimeout} from '@snipestage/routing/connect_timeout.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {EndpointId} from '@snipestage/types/ids.js';
 import type {EndpointConnector} from './endpoint_connector.js';
@@ -8,9 +7,14 @@
 /** Options of {@link EndpointProbes}. */
 export interface EndpointProbesOptions {
   readonly connector: Pick<EndpointConnector, 'open'>;
-  readonly connectTimeout: ConnectTimeout;
 }
 
+/**
+ * Longer than the timeouts of requests: a connection that takes its time shows
+ * that the endpoint is up, and nothing else waits for it.
+ */
+const TIMEOUT_MS = 1000;
+
 interface RunningProbe {
   readonly current: Promise<boolean>;
   /** Begins when the current one has ended. */
@@ -51,10 +55,9 @@
   }
 
   private async connect(endpoint: ServingEndpoint): Promise<boolean> {
-    const {connector, connectTimeout} = this.options;
-    const connection = await connector.open({
+    const connection = await this.options.connector.open({
       endpoint,
-      timeoutMs: connectTimeout.timeoutMs,
+      timeoutMs: TIMEOUT_MS,
       isLast: true,
       signal: new AbortController().signal,
     });
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -329,7 +329,7 @@
       nowMs: () => this.nowMs(),
       connectTimeout,
       connector,
-      probes: new EndpointProbes({connector, connectTimeout}),
+      probes: new EndpointProbes({connector}),
       streams: new Streams({
         platform: new MemoryPlatform(),
         state: this.state,
