--- a/packages/gateway/src/direct_connector.ts
+++ b/packages/gateway/src/direct_connector.ts
@@ -30,6 +30,8 @@
   readonly endpoint: ServingEndpoint;
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
+  /** No request follows: the endpoint may be leaving (false). */
+  readonly isProbe?: boolean;
 }
 
 /** Connects without another instance in between. */
--- a/packages/gateway/src/endpoint_probes.test.ts
+++ b/packages/gateway/src/endpoint_probes.test.ts
@@ -25,8 +25,9 @@
 /** Beyond the timeout of a connection that carries a request. */
 const SLOW_CONNECT_MS = 500;
 
-test('an endpoint that takes a while to accept is up', async t => {
-  // Guards against whole answers that are cut off on a busy machine.
+test('an endpoint that takes a while to accept is up, also while it leaves', async t => {
+  // Guards against whole answers that are cut off on a busy machine, or since
+  // their endpoint gets no further requests.
   const asked: EndpointConnectRequest[] = [];
   const probes = new EndpointProbes({
     connector: {
@@ -40,4 +41,5 @@
   });
   t.false(await probes.isUp(ENDPOINT));
   t.true(asked[0].timeoutMs >= SLOW_CONNECT_MS);
+  t.true(asked[0].isProbe);
 });
--- a/packages/gateway/src/endpoint_probes.ts
+++ b/packages/gateway/src/endpoint_probes.ts
@@ -59,6 +59,7 @@
       endpoint,
       timeoutMs: TIMEOUT_MS,
       isLast: true,
+      isProbe: true,
       signal: new AbortController().signal,
     });
     if (connection.kind === 'failed') return false;
--- a/packages/gateway/src/forwarding/forwarder_client.ts
+++ b/packages/gateway/src/forwarding/forwarder_client.ts
@@ -20,6 +20,7 @@
   /** Applies to the answer of the forwarder, and again to its connection. */
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
+  readonly isProbe?: boolean;
 }
 
 /** Why there is no tunnel; nothing was sent to the endpoint. */
@@ -78,7 +79,7 @@
 
 function openTunnel(
   stream: TunnelStream,
-  {endpoint, timeoutMs, signal}: OpenTunnelOptions,
+  {endpoint, timeoutMs, signal, isProbe}: OpenTunnelOptions,
 ): Promise<Tunnel | TunnelFailure> {
   return new Promise(resolve => {
     let timer = setTimeout(() => fail('no_answer'), timeoutMs);
@@ -113,6 +114,7 @@
       endpoint: endpoint.id,
       bornEpochMs: endpoint.bornEpochMs ?? null,
       connectTimeoutMs: timeoutMs,
+      isProbe,
     });
   });
 }
--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -23,6 +23,7 @@
 import {DirectConnector} from '../direct_connector.js';
 import {EndpointCall} from '../endpoint_call.js';
 import {EndpointConnector} from '../endpoint_connector.js';
+import {EndpointProbes} from '../endpoint_probes.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
 import {RoutingState} from '../routing_state.js';
 import {CapturedLog} from '../test_support/captured_log.js';
@@ -340,6 +341,16 @@
   t.like(await client.open(request), refusal);
 });
 
+test('an instance looks at a leaving endpoint through another', async t => {
+  // Guards against whole answers of leaving endpoints that are cut off at
+  // instances without links.
+  const endpoint = await listen(t, socket => socket.end());
+  const [isolated, other] = await startMembers(t, 2, [endpoint]);
+  isolated.hasLinks = false;
+  other.state.directory.noteLeaving(endpoint);
+  t.true(await new EndpointProbes(isolated).isUp(endpoint));
+});
+
 test('an endpoint that the forwarder can’t reach either is down', async t => {
   const up = await listen(t, socket => socket.end());
   const down = describeEndpoint('down', '127.0.0.1:1');
--- a/packages/gateway/src/forwarding/tunnel_messages.ts
+++ b/packages/gateway/src/forwarding/tunnel_messages.ts
@@ -19,6 +19,8 @@
   /** Start of the endpoint's incarnation; null where it isn't listed. */
   readonly bornEpochMs: number | null;
   readonly connectTimeoutMs: number;
+  /** No request follows, so that the endpoint may be leaving (false). */
+  readonly isProbe?: boolean;
 }
 
 /** Bytes in either direction. */
--- a/packages/gateway/src/forwarding/tunnel_server.ts
+++ b/packages/gateway/src/forwarding/tunnel_server.ts
@@ -123,13 +123,15 @@
   private findEndpoint({
     endpoint,
     bornEpochMs,
+    isProbe = false,
   }: OpenTunnel): ServingEndpoint | undefined {
     const {state, nowMs} = this.options;
     const found = state.directory.find(endpoint);
     if (found === undefined || (found.bornEpochMs ?? null) !== bornEpochMs) {
       return undefined;
     }
-    return state.directory.mayStillSend(found, nowMs()) ? found : undefined;
+    const isServing = state.directory.mayStillSend(found, nowMs());
+    return isServing || isProbe ? found : undefined;
   }
 
   private explainRefusal(
