Look at an endpoint by every path, and again unless it refuses

Whole streams were cut off at their end: an instance that took itself for isolated, since several endpoints had crashed at once, looked at the endpoint through other instances only, which took themselves for isolated too.

--- a/packages/gateway/src/endpoint_connector.ts
+++ b/packages/gateway/src/endpoint_connector.ts
@@ -42,7 +42,8 @@
   ): Promise<EndpointConnection | EndpointConnectFailure> {
     const {state, forwarded} = this.options;
     if (forwarded?.isAvailable !== true) return this.openDirectly(request);
-    if (state.isolation.isIsolated) {
+    // Whatever is believed of the links, a look may still succeed by itself.
+    if (state.isolation.isIsolated && request.isProbe !== true) {
       this.probe(request);
       return forwarded.open(request);
     }
--- a/packages/gateway/src/endpoint_probes.ts
+++ b/packages/gateway/src/endpoint_probes.ts
@@ -14,6 +14,9 @@
  * that the endpoint is up, and nothing else waits for it.
  */
 const TIMEOUT_MS = 1000;
+/** Unless the endpoint refuses, nothing is known of it after one look. */
+const MAX_LOOKS = 3;
+const LOOK_AGAIN_AFTER_MS = 300;
 
 interface RunningProbe {
   readonly current: Promise<boolean>;
@@ -55,6 +58,17 @@
   }
 
   private async connect(endpoint: ServingEndpoint): Promise<boolean> {
+    for (let look = 1; ; look += 1) {
+      const result = await this.look(endpoint);
+      if (result === 'up') return true;
+      if (result === 'refused' || look === MAX_LOOKS) return false;
+      await new Promise(done => setTimeout(done, LOOK_AGAIN_AFTER_MS));
+    }
+  }
+
+  private async look(
+    endpoint: ServingEndpoint,
+  ): Promise<'up' | 'refused' | 'unknown'> {
     const connection = await this.options.connector.open({
       endpoint,
       timeoutMs: TIMEOUT_MS,
@@ -62,8 +76,10 @@
       isProbe: true,
       signal: new AbortController().signal,
     });
-    if (connection.kind === 'failed') return false;
+    if (connection.kind === 'failed') {
+      return connection.reason === 'refused' ? 'refused' : 'unknown';
+    }
     connection.reset();
-    return true;
+    return 'up';
   }
 }
