--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -52,7 +52,8 @@
 
 /** An endpoint that ends closes its connections before their links go down. */
 const CLOSE_MS = 50;
-/** Time within which a crashed endpoint is back. */
+/** Time within which a crashed endpoint is back; a process takes a while. */
+const MIN_RESTART_MS = 1000;
 const MAX_RESTART_MS = 2500;
 const CRASH = 'endpoint_crash';
 
@@ -197,7 +198,8 @@
     await endProcess(standIn, way);
     setTimeout(() => this.unlist(id), ENTRY_EXPIRY_MS);
     if (isCurrent) {
-      await pause(random() * MAX_RESTART_MS);
+      const range = MAX_RESTART_MS - MIN_RESTART_MS;
+      await pause(MIN_RESTART_MS + random() * range);
       await this.start(way.port);
       this.isDown = false;
     }
@@ -226,7 +228,7 @@
   ): Promise<void> {
     if (this.isDown) return;
     const {history, nowMs} = this.options;
-    const {id, standIn} = this;
+    const {id, standIn, way} = this;
     const leaving = this.describe(true);
     this.endService(id);
     this.softwareVersion = softwareVersion;
@@ -238,7 +240,10 @@
     }, listAfterMs);
     const goneAfterMs = listAfterMs + history.bounds.drainMs + DRAIN_MARGIN_MS;
     setTimeout(() => this.unlist(id), goneAfterMs);
-    setTimeout(() => standIn.stop(), goneAfterMs + FINISH_STREAMS_MS);
+    setTimeout(
+      () => void endProcess(standIn, way),
+      goneAfterMs + FINISH_STREAMS_MS,
+    );
   }
 
   /** Another process may have got the port meanwhile; then it is a new one. */
--- a/packages/soak/src/world/request_draw.ts
+++ b/packages/soak/src/world/request_draw.ts
@@ -204,6 +204,11 @@
   }
 }
 
+/** Whether a caller may take up a stream after this attempt. */
+export function mayTakeUp(request: SentRequest): boolean {
+  return findStream(request) !== undefined;
+}
+
 /** The stream that a caller may take up after this attempt. */
 function findStream(request: SentRequest): TakenUpStream | undefined {
   const {outcome, events, takesUp, isResumable, requestId} = request;
--- a/packages/soak/src/world/traffic.ts
+++ b/packages/soak/src/world/traffic.ts
@@ -9,7 +9,7 @@
 import {Caller} from './caller.js';
 import type {Instance} from './instance.js';
 import type {Operator} from './operator.js';
-import {RequestDraw, type DrawnRequest} from './request_draw.js';
+import {mayTakeUp, RequestDraw, type DrawnRequest} from './request_draw.js';
 import {Rotation} from './rotation.js';
 
 /** Options of {@link Traffic}. */
@@ -184,17 +184,17 @@
     for (let tries = 0; tries < MAX_TAKE_UPS; tries += 1) {
       this.takeUps += 1;
       const instance = instances[this.takeUps % instances.length];
-      const next = this.draw.takeUp(last, instance);
-      if (next === undefined) return;
+      if (!mayTakeUp(last.request)) return;
       if (last.request.outcome?.kind === 'answered') {
         await pause(TAKE_UP_RETRY_MS);
       }
       const caller = new Caller(nowMs);
-      if (await caller.connectTo(instance)) {
-        await this.send(caller, next);
-        last = next;
-      }
+      const isConnected = await caller.connectTo(instance);
+      const next = this.draw.takeUp(last, instance);
+      if (isConnected && next !== undefined) await this.send(caller, next);
       caller.close();
+      if (next === undefined) return;
+      if (isConnected) last = next;
     }
   }
 
