Take an endpoint whose address has a new owner for gone

A stream was passed on as complete though its endpoint had crashed eight seconds before: the links of the instance had gone silent, so that it read the close only when they were back, and the look found the endpoint that had started at the address meanwhile. The test failed before.

--- a/packages/gateway/src/answer_ends.test.ts
+++ b/packages/gateway/src/answer_ends.test.ts
@@ -1,6 +1,7 @@
 import net from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import type {Route} from '@snipestage/routing/route.js';
+import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
 import {startCluster} from './test_support/test_cluster.js';
 import {get, SLOW_ROUTE} from './test_support/test_gateway.js';
 import {
@@ -153,6 +154,26 @@
   t.is((await proxy.call('one', {body: 'order'})).status, 502);
 });
 
+test('a stream is incomplete when its address has a new owner', async t => {
+  // Guards against a crash whose close is read late: the connection had gone
+  // silent, and another endpoint has started at the address meanwhile.
+  const proxy = new TestProxy();
+  t.teardown(() => proxy.close());
+  const script: Script = (socket, request) => {
+    const [listed] = proxy.state.directory.readAll();
+    const endpoint = {
+      ...listed,
+      id: brandAs<EndpointId>('next'),
+      bornEpochMs: 2,
+    };
+    proxy.state.directory.apply([{kind: 'listed', endpoint}], 0);
+    socket.end(answerText(idOf(request), 'close', FIRST_EVENT));
+  };
+  await proxy.begin(STREAM, [script]);
+  const answer = await proxy.call('one', {body: 'prompt'});
+  t.like(answer, {status: 200, body: FIRST_EVENT, isComplete: false});
+});
+
 test('answers that end together share one look at their endpoint', async t => {
   // Guards against a connection of its own for each answer without a length.
   const waiting: Array<() => void> = [];
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -77,7 +77,7 @@
         state.directory.mayStillSend(placed.endpoint, nowMs()) &&
         state.directory.isCurrentIncarnation(placed.endpoint) &&
         crashes.mayRun(request.fingerprint),
-      isStillUp: () => context.probes.isUp(placed.endpoint),
+      isStillUp: () => this.isEndpointUp(),
     });
     const limits = limitsOnSilence(request.admission.route, timeLeftMs);
     this.silence = new SilenceWatch(limits, () => this.cancelOnSilence());
@@ -128,6 +128,13 @@
     });
   }
 
+  private async isEndpointUp(): Promise<boolean> {
+    const {context, placed} = this.options;
+    if (!(await context.probes.isUp(placed.endpoint))) return false;
+    // The close of a connection that went silent may be read long afterwards.
+    return !context.state.directory.hasNewOwner(placed.endpoint);
+  }
+
   private findCacheSource(): EndpointAddress | undefined {
     const {endpoint, cacheSource} = this.options.placed;
     if (cacheSource === undefined) return undefined;
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -223,6 +223,21 @@
     return !endpoint.isLeaving && !this.announcements.isLeaving(endpoint);
   }
 
+  /**
+   * Whether an endpoint that started later is listed at the address of another.
+   *
+   * @example
+   * if (directory.hasNewOwner(endpoint)) return 'endpoint_gone';
+   */
+  hasNewOwner({address, bornEpochMs}: ServingEndpoint): boolean {
+    const isLater = (each: ServingEndpoint): boolean =>
+      (each.bornEpochMs ?? Number.POSITIVE_INFINITY) >
+      (bornEpochMs ?? Number.POSITIVE_INFINITY);
+    return this.readAll().some(
+      each => each.address === address && isLater(each),
+    );
+  }
+
   /**
    * Whether a row describes an endpoint as it was before: one that has been
    * removed since, or an earlier start of it.
