--- a/packages/stand_ins/src/link/link.test.ts
+++ b/packages/stand_ins/src/link/link.test.ts
@@ -121,3 +121,22 @@
   await link.setMode('pass');
   t.is(successor.port, link.port);
 });
+
+test('a reset that comes with the last bytes stays a reset', async t => {
+  // Guards against endpoints that crash in the middle of an answer and seem to
+  // have closed their connection behind a link.
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.write('half of it');
+    socket.resetAndDestroy();
+  });
+  const link = new Link({targetPort: await listenOn(server, 0, '127.0.0.1')});
+  await link.start();
+  t.teardown(async () => {
+    await link.stop();
+    server.close();
+  });
+  const socket = connect(link.port, '127.0.0.1').resume();
+  const [error] = (await once(socket, 'error')) as [NodeJS.ErrnoException];
+  t.is(error.code, 'ECONNRESET');
+});
