--- a/packages/soak/src/world/instance.ts
+++ b/packages/soak/src/world/instance.ts
@@ -1,6 +1,6 @@
 /** One instance: a real process that is restarted whenever it ends. */
 
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, renameSync, rmSync, writeFileSync} from 'node:fs';
 import {get} from 'node:http';
 import {connect} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -91,8 +91,8 @@
   async start(): Promise<void> {
     await this.callerLink.start();
     await this.storeLink.start();
-    writeFileSync(this.settingsPath, composeSettings(this.options.settings));
-    writeFileSync(this.clockPath, '0');
+    replaceFile(this.settingsPath, composeSettings(this.options.settings));
+    replaceFile(this.clockPath, '0');
     this.writeLinks('pass');
     this.launch();
   }
@@ -132,7 +132,7 @@
 
   /** Writes the settings file again and signals the process to reload it. */
   reload(): void {
-    writeFileSync(this.settingsPath, composeSettings(this.options.settings));
+    replaceFile(this.settingsPath, composeSettings(this.options.settings));
     this.signal('SIGHUP');
   }
 
@@ -144,13 +144,13 @@
 
   /** Sets the offset of the process's time of day from that of the machine. */
   setClockOffset(offsetMs: number): void {
-    writeFileSync(this.clockPath, String(offsetMs));
+    replaceFile(this.clockPath, String(offsetMs));
     this.signalPreamble();
   }
 
   private writeLinks(state: LinkState): void {
     const links: ProcessLinks = {...this.options.endpointLinks, state};
-    writeFileSync(this.linksPath, JSON.stringify(links));
+    replaceFile(this.linksPath, JSON.stringify(links));
   }
 
   private signalPreamble(): void {
@@ -276,3 +276,10 @@
     this.restartDisturbance = undefined;
   }
 }
+
+/** A process that starts meanwhile must not read half of a file. */
+function replaceFile(path: string, text: string): void {
+  const newPath = `${path}.new`;
+  writeFileSync(newPath, text);
+  renameSync(newPath, path);
+}
