--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -5,6 +5,7 @@
 import {MUTANTS} from './mutations.js';
 import {REGRESSIONS} from './regressions.js';
 import {runSoak, type SoakResult} from './soak.js';
+import {writeTrace} from './trace.js';
 import {buildProgram} from './world/program.js';
 
 const PRINTED_FINDINGS = 12;
@@ -49,6 +50,7 @@
   readonly rate: string;
   readonly mutant?: string;
   readonly regressions?: boolean;
+  readonly trace?: string;
 }
 
 /** Runs one mutant. @returns whether its check has found it. */
@@ -105,6 +107,7 @@
     const seed = Number(options.seed) + run;
     const result = await runSoak({...sizesOf(options), seed, program});
     isClean = report(result) && isClean;
+    if (options.trace !== undefined) writeTrace(options.trace, result);
   }
   return isClean;
 }
@@ -133,6 +136,7 @@
     .option('--rate <number>', 'requests a second', '60')
     .option('--mutant <name>', `run a program with a seeded fault, or ${ALL}`)
     .option('--regressions', 'the runs that once found something')
+    .option('--trace <folder>', 'where to keep the logs of runs with findings')
     .parse();
   const options = command.opts<Options>();
   process.exitCode = (await run(options)) ? 0 : 1;
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,5 +1,6 @@
 /** Runs real processes under traffic and faults and checks what was seen. */
 
+import type {InstanceId} from '@snipestage/types/ids.js';
 import {drawBackoffs, drawUnlistedLeavings} from './announcements.js';
 import {drawBrittleServices} from './brittle_services.js';
 import {checkAll} from './checks/all_checks.js';
@@ -64,6 +65,8 @@
   readonly faults: readonly string[];
   /** Start of the traffic, on the same clock as the times of findings. */
   readonly startedAtMs: number;
+  /** Log lines of all processes of each instance. */
+  readonly logs: ReadonlyMap<InstanceId, string>;
 }
 
 const DEFAULT_FAULTS_FOR_MS = 20_000;
@@ -123,7 +126,8 @@
     stalls.stop();
     await world.close();
     const findings = checkAll(history);
-    return {seed, findings, history, faults: injector.log, startedAtMs};
+    const logs = new Map(instances.map(({id, output}) => [id, output]));
+    return {seed, findings, history, faults: injector.log, startedAtMs, logs};
   } catch (error) {
     await world.close();
     throw error;
--- /dev/null
+++ b/packages/soak/src/trace.ts
@@ -0,0 +1,36 @@
+/** Keeps what is needed to trace the findings of a run. */
+
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import type {SoakResult} from './soak.js';
+
+/**
+ * Writes the findings with their requests and runs, all disturbances and the
+ * logs of all instances into a new folder; nothing where nothing was found.
+ *
+ * @example
+ * writeTrace('traces', result);
+ */
+export function writeTrace(folder: string, result: SoakResult): void {
+  const {seed, findings, history, faults, startedAtMs, logs} = result;
+  if (findings.length === 0) return;
+  const own = join(folder, `${seed}-${process.pid}`);
+  mkdirSync(own, {recursive: true});
+  const known = new Map(history.requests.map(each => [each.requestId, each]));
+  const trace = {
+    /** Added to a time of the history, gives the time of the log lines. */
+    clockOffsetMs: performance.timeOrigin,
+    startedAtMs,
+    findings: findings.map(finding => ({
+      ...finding,
+      request: known.get(finding.requestId ?? ''),
+      arrivals: history.arrivalsOf(finding.requestId ?? ''),
+    })),
+    disturbances: history.disturbances,
+    instanceCuts: history.instanceCuts,
+    ends: history.ends,
+    faults,
+  };
+  writeFileSync(join(own, 'trace.json'), JSON.stringify(trace, undefined, 1));
+  for (const [id, text] of logs) writeFileSync(join(own, `${id}.log`), text);
+}
--- a/packages/soak/src/world/instance.ts
+++ b/packages/soak/src/world/instance.ts
@@ -52,6 +52,7 @@
   /** Number of its process, counted from 1; 0 before the first. */
   processNumber = 0;
   private process: LaunchedProcess | undefined;
+  private readonly earlierOutput: string[] = [];
   private cause: ProcessEnd['cause'];
   private signalledAtMs = 0;
   private isClosing = false;
@@ -83,9 +84,9 @@
     return this.process?.isRunning === true && this.cause === undefined;
   }
 
-  /** Standard output of its latest process. */
+  /** Standard output of all its processes so far. */
   get output(): string {
-    return this.process?.stdout ?? '';
+    return [...this.earlierOutput, this.process?.stdout ?? ''].join('');
   }
 
   async start(): Promise<void> {
@@ -222,6 +223,8 @@
   }
 
   private launch(): void {
+    if (this.process !== undefined)
+      this.earlierOutput.push(this.process.stdout);
     this.processNumber += 1;
     this.cause = undefined;
     this.wasReady = false;
