Ask an endpoint for its identity before its close ends an answer

Cause: an answer that ends with its connection counted as whole when something accepted a connection at the endpoint's address afterwards. The next endpoint there accepts as well, and hasNewOwner knows it only once it is listed here. It is met when the close is read late (the instance stood still, or its links were silent) and when the look is late: with links that hang, the first one waits a second for a direct connection.

Change: a look asks over the connection that it opens, engines for their report and others for their health, and compares id or start. What states neither is unknown, is looked at again twice, and then counts as broken off.

Two of the new tests failed before: half of an answer was passed on as 200 when another endpoint, or a later start of it, had the address.

--- a/packages/gateway/src/answer_ends.test.ts
+++ b/packages/gateway/src/answer_ends.test.ts
@@ -174,6 +174,51 @@
   t.like(answer, {status: 200, body: FIRST_EVENT, isComplete: false});
 });
 
+/** Services whose endpoints state their id, by that path. */
+const HEALTH_PATH = '/health';
+const isHealthCheck = (request: string): boolean =>
+  request.startsWith(`GET ${HEALTH_PATH} `);
+
+/** Answers health checks with an id and a start, other requests by a script. */
+const withIdentity =
+  (id: string, born: number, script: Script): Script =>
+  (socket, request) => {
+    if (!isHealthCheck(request)) return script(socket, request);
+    const identity = `X-Endpoint: ${id}\r\nX-Born: ${born}`;
+    const head = `HTTP/1.1 200 OK\r\n${identity}\r\nContent-Length: 0`;
+    socket.end(`${head}\r\n\r\n`);
+  };
+
+for (const [name, id, born] of [
+  ['another endpoint', 'endpoint-1', 2],
+  ['a later start of it', 'endpoint-0', 2],
+] as const) {
+  test(`an answer is incomplete when ${name} has the address and isn't listed yet`, async t => {
+    // Guards against half of an answer that is passed on as whole: its endpoint
+    // crashed, and what accepts connections at its address isn't that endpoint.
+    const proxy = new TestProxy();
+    t.teardown(() => proxy.close());
+    const next = withIdentity(id, born, socket => socket.end());
+    const script: Script = (socket, request) => {
+      void proxy
+        .replaceAtAddress('endpoint-0', next)
+        .then(() => socket.end(answerText(idOf(request), 'close', 'half')));
+    };
+    await proxy.begin({}, [script]);
+    proxy.configure({}, {healthPath: HEALTH_PATH});
+    t.is((await proxy.call('one', {body: 'order'})).status, 502);
+  });
+}
+
+test('an answer is complete while its endpoint states its own id', async t => {
+  const script: Script = (socket, request) =>
+    socket.end(answerText(idOf(request), 'close', 'whole'));
+  const proxy = await start(t, {}, [withIdentity('endpoint-0', 1, script)]);
+  proxy.configure({}, {healthPath: HEALTH_PATH});
+  const answer = await proxy.call('one', {body: 'order'});
+  t.like(answer, {status: 200, body: 'whole', isComplete: true});
+});
+
 test('answers that end together share one look at their endpoint', async t => {
   // Guards against a connection of its own for each answer without a length.
   const waiting: Array<() => void> = [];
--- a/packages/gateway/src/endpoint_probes.ts
+++ b/packages/gateway/src/endpoint_probes.ts
@@ -1,12 +1,29 @@
-/** Finds out whether endpoints still accept connections. */
+/** Finds out whether endpoints still run. */
 
+import type {Logger} from '@snipestage/log/logger.js';
+import type {IdentityMatch} from '@snipestage/routing/endpoint_identity.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {EndpointId} from '@snipestage/types/ids.js';
+import type {
+  ConnectionPath,
+  EndpointConnection,
+} from './endpoint_connection.js';
 import type {EndpointConnector} from './endpoint_connector.js';
 
-/** Options of {@link EndpointProbes}. */
+/** Options of {@link EndpointProbes}; defaults in the brackets. */
 export interface EndpointProbesOptions {
   readonly connector: Pick<EndpointConnector, 'open'>;
+  /**
+   * Whether what has accepted a connection is the endpoint, and not another one
+   * that got its address; closes the connection (any is taken for it).
+   */
+  readonly identify?: (
+    endpoint: ServingEndpoint,
+    connection: EndpointConnection,
+    timeoutMs: number,
+  ) => Promise<IdentityMatch>;
+  /** (nothing is logged) */
+  readonly logger?: Logger;
 }
 
 /**
@@ -14,10 +31,23 @@
  * that the endpoint is up, and nothing else waits for it.
  */
 const TIMEOUT_MS = 1000;
-/** Unless the endpoint refuses, nothing is known of it after one look. */
+/** Unless it is known to be gone, nothing is known of it after one look. */
 const MAX_LOOKS = 3;
 const LOOK_AGAIN_AFTER_MS = 300;
 
+/**
+ * - `up`: the endpoint itself has answered.
+ * - `refused`: nothing accepts connections at its address.
+ * - `replaced`: another endpoint has its address.
+ */
+type LookResult = 'up' | 'refused' | 'replaced' | 'unknown';
+
+const LOOK_RESULTS: Readonly<Record<IdentityMatch, LookResult>> = {
+  same: 'up',
+  other: 'replaced',
+  unknown: 'unknown',
+};
+
 interface RunningProbe {
   readonly current: Promise<boolean>;
   /** Begins when the current one has ended. */
@@ -34,8 +64,8 @@
   constructor(private readonly options: EndpointProbesOptions) {}
 
   /**
-   * Whether the endpoint accepts a connection that is begun after this call: one
-   * that was begun before says nothing of a crash in between.
+   * Whether the endpoint answers on a connection that is begun after this call:
+   * one that was begun before says nothing of a crash in between.
    *
    * @example
    * if (!(await probes.isUp(endpoint))) return breakOff();
@@ -59,27 +89,50 @@
 
   private async connect(endpoint: ServingEndpoint): Promise<boolean> {
     for (let look = 1; ; look += 1) {
-      const result = await this.look(endpoint);
+      const result = await this.look(endpoint, look);
       if (result === 'up') return true;
-      if (result === 'refused' || look === MAX_LOOKS) return false;
+      if (result !== 'unknown' || look === MAX_LOOKS) return false;
       await new Promise(done => setTimeout(done, LOOK_AGAIN_AFTER_MS));
     }
   }
 
   private async look(
     endpoint: ServingEndpoint,
-  ): Promise<'up' | 'refused' | 'unknown'> {
-    const connection = await this.options.connector.open({
+    look: number,
+  ): Promise<LookResult> {
+    const startedAtMs = performance.now();
+    const {path, result} = await this.connectAndIdentify(endpoint);
+    this.options.logger?.info('endpoint_looked_at', {
+      endpoint: endpoint.id,
+      look,
+      path,
+      result,
+      durationMs: Math.round(performance.now() - startedAtMs),
+    });
+    return result;
+  }
+
+  private async connectAndIdentify(
+    endpoint: ServingEndpoint,
+  ): Promise<{path: ConnectionPath; result: LookResult}> {
+    const {connector, identify} = this.options;
+    const connection = await connector.open({
       endpoint,
       timeoutMs: TIMEOUT_MS,
       isLast: true,
       isProbe: true,
       signal: new AbortController().signal,
     });
+    const {path} = connection;
     if (connection.kind === 'failed') {
-      return connection.reason === 'refused' ? 'refused' : 'unknown';
+      const isRefused = connection.reason === 'refused';
+      return {path, result: isRefused ? 'refused' : 'unknown'};
+    }
+    if (identify === undefined) {
+      connection.reset();
+      return {path, result: 'up'};
     }
-    connection.reset();
-    return 'up';
+    const match = await identify(endpoint, connection, TIMEOUT_MS);
+    return {path, result: LOOK_RESULTS[match]};
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import {CrashReporter} from './crash_reporter.js';
 import {Duties} from './duties.js';
 import {EndpointPaths} from './endpoint_paths.js';
+import {identifyEndpoint} from './identify_endpoint.js';
 import {EndpointProbes} from './endpoint_probes.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createPages} from './gateway_pages.js';
@@ -305,7 +306,18 @@
       nowMs,
       connectTimeout: this.paths.connectTimeout,
       connector: this.paths.connector,
-      probes: new EndpointProbes(this.paths),
+      probes: new EndpointProbes({
+        connector: this.paths.connector,
+        identify: (endpoint, connection, timeoutMs) =>
+          identifyEndpoint({
+            endpoint,
+            service: this.state.table?.findService(endpoint.service),
+            connection,
+            protocol,
+            timeoutMs,
+          }),
+        logger: logger.forComponent('callers'),
+      }),
       streams: this.streams,
       onBegun: ({clientAccount}, atMs) => {
         if (clientAccount === undefined) return;
--- /dev/null
+++ b/packages/gateway/src/identify_endpoint.ts
@@ -0,0 +1,119 @@
+/** Finds out whether what accepted a connection is the endpoint itself. */
+
+import {request as httpRequest, type IncomingMessage} from 'node:http';
+import {
+  compareIdentity,
+  type IdentityMatch,
+  type StatedIdentity,
+} from '@snipestage/routing/endpoint_identity.js';
+import type {Service} from '@snipestage/routing/route.js';
+import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import type {EndpointConnection} from './endpoint_connection.js';
+import type {
+  IdentityRequest,
+  PassThroughProtocol,
+} from './pass_through_protocol.js';
+
+/** Options of {@link identifyEndpoint}. */
+export interface IdentifyEndpointOptions {
+  readonly endpoint: ServingEndpoint;
+  /** Undefined when the configuration doesn't have it any more. */
+  readonly service: Service | undefined;
+  /** Accepted by what has the endpoint's address; it is reset afterwards. */
+  readonly connection: EndpointConnection;
+  readonly protocol: PassThroughProtocol;
+  readonly timeoutMs: number;
+}
+
+interface Question {
+  readonly request: IdentityRequest;
+  readonly connection: EndpointConnection;
+  readonly protocol: PassThroughProtocol;
+}
+
+const MAX_BODY_BYTES = 64 * 1024;
+const NOTHING_STATED: StatedIdentity = {};
+
+/**
+ * Asks over an open connection. An address may belong to another endpoint by
+ * now, before that one is listed here. Endpoints that state nothing of
+ * themselves can only be told by their address: any that accepts is the same.
+ *
+ * @example
+ * const match = await identifyEndpoint({endpoint, connection, ...rest});
+ */
+export async function identifyEndpoint(
+  options: IdentifyEndpointOptions,
+): Promise<IdentityMatch> {
+  const {endpoint, service, connection, protocol, timeoutMs} = options;
+  const request = service && protocol.composeIdentityRequest(service, endpoint);
+  if (request === undefined) {
+    connection.reset();
+    return 'same';
+  }
+  const question = {request, connection, protocol};
+  const stated = await resolveWithin(timeoutMs, ask(question));
+  connection.reset();
+  return compareIdentity(endpoint, stated ?? NOTHING_STATED);
+}
+
+/** @returns undefined when the time is over first. */
+async function resolveWithin<Value>(
+  timeoutMs: number,
+  pending: Promise<Value>,
+): Promise<Value | undefined> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<undefined>(resolve => {
+    timer = setTimeout(() => resolve(undefined), timeoutMs);
+  });
+  const value = await Promise.race([pending, timeout]);
+  clearTimeout(timer);
+  return value;
+}
+
+/** Resolves with nothing stated when there is no complete answer. */
+function ask({
+  request,
+  connection,
+  protocol,
+}: Question): Promise<StatedIdentity> {
+  return new Promise(resolve => {
+    const call = httpRequest({
+      method: 'GET',
+      path: request.path,
+      headers: [...request.headers],
+      setHost: false,
+      createConnection: () => connection.createConnection(),
+    });
+    call.once('response', response => {
+      void readBody(response).then(body => {
+        const isComplete = body !== undefined;
+        resolve(
+          isComplete
+            ? protocol.readIdentity({headers: response.headers, body})
+            : NOTHING_STATED,
+        );
+      });
+    });
+    call.on('error', () => resolve(NOTHING_STATED));
+    call.end();
+  });
+}
+
+/** @returns undefined when the body is too long or incomplete. */
+async function readBody(
+  response: IncomingMessage,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+      bytes += chunk.length;
+      if (bytes > MAX_BODY_BYTES) return undefined;
+      chunks.push(chunk);
+    }
+  } catch {
+    return undefined;
+  }
+  return response.complete ? Buffer.concat(chunks) : undefined;
+}
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -2,7 +2,12 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import type {ReportedLoad} from '@snipestage/routing/endpoint_monitor.js';
-import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
+import type {Service} from '@snipestage/routing/route.js';
+import type {
+  EndpointAddress,
+  ServingEndpoint,
+} from '@snipestage/routing/serving_endpoint.js';
+import type {StatedIdentity} from '@snipestage/routing/endpoint_identity.js';
 import type {Prompt} from '@snipestage/routing/prompt.js';
 import type {
   ClientAccountId,
@@ -72,6 +77,18 @@
 /** Header names and values as `name, value, name, value, ...`. */
 export type FlatHeaders = readonly string[];
 
+/** A GET request that asks an endpoint which one it is. */
+export interface IdentityRequest {
+  readonly path: string;
+  readonly headers: FlatHeaders;
+}
+
+/** The answer to an {@link IdentityRequest}. */
+export interface IdentityAnswer {
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
 /** Translates headers at the boundary; makes no decisions. */
 export abstract class PassThroughProtocol {
   abstract readRequest(headers: IncomingHttpHeaders): CallerRequest;
@@ -87,6 +104,14 @@
 
   abstract readAnswer(status: number, headers: IncomingHttpHeaders): AnswerHead;
 
+  /** Undefined where endpoints of the service can't be asked. */
+  abstract composeIdentityRequest(
+    service: Service,
+    endpoint: ServingEndpoint,
+  ): IdentityRequest | undefined;
+
+  abstract readIdentity(answer: IdentityAnswer): StatedIdentity;
+
   /** The endpoint's headers without hop-by-hop ones. */
   abstract composeAnswer(rawHeaders: FlatHeaders): string[];
 
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -1,13 +1,21 @@
 /** A protocol with few headers, for tests. */
 
 import type {IncomingHttpHeaders} from 'node:http';
-import {brandAs, type RequestId} from '@snipestage/types/ids.js';
+import type {StatedIdentity} from '@snipestage/routing/endpoint_identity.js';
+import type {Service} from '@snipestage/routing/route.js';
+import {
+  brandAs,
+  type EndpointId,
+  type RequestId,
+} from '@snipestage/types/ids.js';
 import {
   PassThroughProtocol,
   type AnswerHead,
   type CallerRequest,
   type FlatHeaders,
   type ForwardedRequest,
+  type IdentityAnswer,
+  type IdentityRequest,
 } from '../pass_through_protocol.js';
 
 export class PlainProtocol extends PassThroughProtocol {
@@ -66,6 +74,20 @@
     };
   }
 
+  composeIdentityRequest({healthPath}: Service): IdentityRequest | undefined {
+    if (healthPath === undefined) return undefined;
+    return {path: healthPath, headers: ['Host', 'test']};
+  }
+
+  readIdentity({headers}: IdentityAnswer): StatedIdentity {
+    const id = headers['x-endpoint'];
+    const born = headers['x-born'];
+    return {
+      id: id === undefined ? undefined : brandAs<EndpointId>(String(id)),
+      bornEpochMs: born === undefined ? undefined : Number(born),
+    };
+  }
+
   composeAnswer(rawHeaders: FlatHeaders): string[] {
     const kept: string[] = [];
     for (let index = 0; index < rawHeaders.length; index += 2) {
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -23,6 +23,7 @@
 import {CrashReporter} from '../crash_reporter.js';
 import {DirectConnector} from '../direct_connector.js';
 import {EndpointConnector} from '../endpoint_connector.js';
+import {identifyEndpoint} from '../identify_endpoint.js';
 import {EndpointProbes} from '../endpoint_probes.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
 import {RequestHandler} from '../request_handler.js';
@@ -241,7 +242,24 @@
     await this.addEndpoint(newId, script, port);
   }
 
+  /** Starts another, unlisted endpoint at an address; open connections stay. */
+  async replaceAtAddress(id: string, script: Script): Promise<void> {
+    this.stopListening(id);
+    const {port} = this.ports.get(id)!;
+    await this.startEndpoint(`${id}-next`, script, port);
+  }
+
   async addEndpoint(id: string, script: Script, port = 0): Promise<void> {
+    const address = await this.startEndpoint(id, script, port);
+    this.list(id, address);
+  }
+
+  /** @returns its address. */
+  private async startEndpoint(
+    id: string,
+    script: Script,
+    port: number,
+  ): Promise<string> {
     const sockets = new Set<Socket>();
     this.socketsOf.set(id, sockets);
     const server = net.createServer(socket => {
@@ -266,7 +284,7 @@
     this.endpoints.set(id, server);
     const address = server.address() as AddressInfo;
     this.ports.set(id, address);
-    this.list(id, `127.0.0.1:${address.port}`);
+    return `127.0.0.1:${address.port}`;
   }
 
   /** Software version under which an endpoint is listed. */
@@ -294,6 +312,7 @@
   private async listen(): Promise<void> {
     const {logger} = this.log;
     const metrics = new GatewayMetrics();
+    const protocol = new PlainProtocol();
     const connectTimeout = new ConnectTimeout({maxMs: 1000});
     const connector = new EndpointConnector({
       state: this.state,
@@ -313,7 +332,7 @@
     });
     const handler = new RequestHandler({
       state: this.state,
-      protocol: new PlainProtocol(),
+      protocol,
       dataCentre: DATA_CENTRE,
       crashes: new CrashReporter({
         state: this.state,
@@ -329,7 +348,17 @@
       nowMs: () => this.nowMs(),
       connectTimeout,
       connector,
-      probes: new EndpointProbes({connector}),
+      probes: new EndpointProbes({
+        connector,
+        identify: (endpoint, connection, timeoutMs) =>
+          identifyEndpoint({
+            endpoint,
+            service: this.state.table?.findService(endpoint.service),
+            connection,
+            protocol,
+            timeoutMs,
+          }),
+      }),
       streams: new Streams({
         platform: new MemoryPlatform(),
         state: this.state,
--- a/packages/routing/src/route.ts
+++ b/packages/routing/src/route.ts
@@ -80,6 +80,8 @@
   /** Undefined if endpoints can take their full load from the start. */
   readonly warmup?: WarmupLimit;
   readonly engine: EngineDescription | undefined;
+  /** Path at which its endpoints state their id; undefined: they state none. */
+  readonly healthPath?: string;
   readonly scaling: ScalingLimits | undefined;
 }
 
--- a/packages/soak/src/world/endpoint.ts
+++ b/packages/soak/src/world/endpoint.ts
@@ -99,6 +99,7 @@
       id,
       service,
       capacity,
+      bornEpochMs: this.bornEpochMs,
       isEngine,
       isUnframed: this.isUnframed,
       softwareVersion: this.softwareVersion,
--- a/packages/soak/src/world/operator.ts
+++ b/packages/soak/src/world/operator.ts
@@ -1,5 +1,6 @@
 /** The operator: routes, keys, evacuations and their changes. */
 
+import {HEALTH_PATH} from '@snipestage/platform_stand_ins/identity_answers.js';
 import {
   writeConfiguration,
   writeEvacuation,
@@ -105,7 +106,12 @@
       routes: [...ROUTES, ...this.markerRoutes()],
       services: [
         this.engines(),
-        {id: BOOKINGS, engine: undefined, scaling: undefined},
+        {
+          id: BOOKINGS,
+          healthPath: HEALTH_PATH,
+          engine: undefined,
+          scaling: undefined,
+        },
       ],
       limits: LIMITS,
       clientAccounts: this.accounts(),
@@ -161,6 +167,7 @@
   private engines(): Service {
     return {
       id: ENGINES,
+      healthPath: HEALTH_PATH,
       engine: {batchSize: ENGINE_BATCH_SIZE, cacheTokens: ENGINE_CACHE_TOKENS},
       scaling: {
         minCount: 1,
