Look at an endpoint by both paths at once while isolated

Cause: an isolated instance looked directly first. Where its links hang, that takes a second of timeout before the look goes through another instance.

Change: an isolated instance opens a look's connection directly and through another instance at once and takes the first. A request does the same whenever a probe of its own links is due, and so uses the link that is back instead of closing it and asking a forwarder.

The new test failed before: it waited for a direct connection that never answers.

--- a/packages/gateway/src/endpoint_connector.ts
+++ b/packages/gateway/src/endpoint_connector.ts
@@ -26,7 +26,7 @@
 
 /**
  * Prefers a connection of its own. An isolated instance connects through others
- * without delay, and finds out in the background whether its links are back.
+ * without delay, and finds out beside that whether its links are back.
  */
 export class EndpointConnector {
   constructor(private readonly options: EndpointConnectorOptions) {}
@@ -42,10 +42,8 @@
   ): Promise<EndpointConnection | EndpointConnectFailure> {
     const {state, forwarded} = this.options;
     if (forwarded?.isAvailable !== true) return this.openDirectly(request);
-    // Whatever is believed of the links, a look may still succeed by itself.
-    if (state.isolation.isIsolated && request.isProbe !== true) {
-      this.probe(request);
-      return forwarded.open(request);
+    if (state.isolation.isIsolated) {
+      return this.openWhileIsolated(request, forwarded);
     }
     const direct = await this.openDirectly(request);
     const mustForward = state.isolation.isIsolated || request.isLast;
@@ -55,6 +53,27 @@
     return isNoPath && !state.isolation.isIsolated ? direct : result;
   }
 
+  /**
+   * Connects through others and, from time to time, directly as well: the links
+   * of this instance may be back. A look always tries both, as a whole answer
+   * waits for it.
+   *
+   * @returns the first connection; if there is none, why not through others.
+   */
+  private async openWhileIsolated(
+    request: EndpointConnectRequest,
+    forwarded: Pick<Forwarding, 'open'>,
+  ): Promise<EndpointConnection | EndpointConnectFailure> {
+    const {state, nowMs} = this.options;
+    const openings = [forwarded.open(request)];
+    if (request.isProbe === true || state.isolation.takeProbe(nowMs())) {
+      openings.push(this.openDirectly(request));
+    }
+    const first = await firstOpen(openings);
+    for (const opening of openings) void resetUnless(first, opening);
+    return first ?? openings[0];
+  }
+
   private async openDirectly(
     request: ConnectRequest,
   ): Promise<EndpointConnection | EndpointConnectFailure> {
@@ -63,13 +82,31 @@
     const reason = connection.timedOut ? 'timed_out' : 'refused';
     return {kind: 'failed', path: 'direct', reason};
   }
+}
 
-  private probe({endpoint, timeoutMs}: ConnectRequest): void {
-    const {state, direct, nowMs} = this.options;
-    if (!state.isolation.takeProbe(nowMs())) return;
-    const {signal} = new AbortController();
-    void direct.open({endpoint, timeoutMs, signal}).then(connection => {
-      if (connection.kind === 'open') connection.reset();
-    });
+type OpenResult = EndpointConnection | EndpointConnectFailure;
+
+/** @returns undefined when all have failed. */
+async function firstOpen(
+  openings: ReadonlyArray<Promise<OpenResult>>,
+): Promise<EndpointConnection | undefined> {
+  const opened = openings.map(async opening => {
+    const result = await opening;
+    if (result.kind === 'failed') throw new Error(result.reason);
+    return result;
+  });
+  try {
+    return await Promise.any(opened);
+  } catch {
+    return undefined;
   }
 }
+
+/** Runs on until the connection is open: that shows which path works. */
+async function resetUnless(
+  chosen: EndpointConnection | undefined,
+  opening: Promise<OpenResult>,
+): Promise<void> {
+  const result = await opening;
+  if (result.kind === 'open' && result !== chosen) result.reset();
+}
--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -91,6 +91,8 @@
   readonly connector: EndpointConnector;
   isStopping: boolean;
   hasLinks: boolean;
+  /** Whether direct connections get no answer at all, not even a timeout. */
+  hangsDirectly: boolean;
 }
 
 /** An instance as far as it connects to endpoints. */
@@ -112,8 +114,12 @@
     metrics,
     logger,
     nowMs,
-    open: request =>
-      member.hasLinks ? FreshConnection.open(request) : neverConnect(request),
+    open: request => {
+      if (member.hangsDirectly) return new Promise(() => undefined);
+      return member.hasLinks
+        ? FreshConnection.open(request)
+        : neverConnect(request);
+    },
   });
   const [port] = await pickFreePorts(1);
   const address = `127.0.0.1:${port}`;
@@ -143,6 +149,7 @@
     connector,
     isStopping: false,
     hasLinks: true,
+    hangsDirectly: false,
   };
   await forwarding.start();
   t.teardown(() => forwarding.stop());
@@ -351,6 +358,25 @@
   t.true(await new EndpointProbes(isolated).isUp(endpoint));
 });
 
+test('a look from an isolated instance doesn’t wait for its own links', async t => {
+  // Guards against whole answers that are cut off at their deadline, since a
+  // direct connection that hangs is tried before the one through another.
+  const endpoint = await listen(t, socket => socket.end());
+  const [isolated] = await startMembers(t, 2, [endpoint]);
+  isolated.hasLinks = false;
+  await callThrough(isolated, endpoint).head;
+  t.true(isolated.state.isolation.isIsolated);
+  isolated.hangsDirectly = true;
+  const connection = await isolated.connector.open({
+    endpoint,
+    timeoutMs: TIMEOUT_MS,
+    signal: SIGNAL,
+    isLast: true,
+    isProbe: true,
+  });
+  t.like(connection, {kind: 'open', path: 'forwarded'});
+});
+
 test('an endpoint that the forwarder can’t reach either is down', async t => {
   const up = await listen(t, socket => socket.end());
   const down = describeEndpoint('down', '127.0.0.1:1');
