Forward looks at endpoints that were removed a short while ago

Cause: a leaving endpoint finishes its streams after its row is removed. A forwarder connects only to endpoints that it lists, so each look ended with `not_serving`, which is unknown, and three unknown looks break the answer off. The log has 91 such looks through others, most within 60 ms.

Change: the directory remembers endpoints for a minute after their removal; a forwarder uses that for looks alone, by id and start.

--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -358,6 +358,18 @@
   t.true(await new EndpointProbes(isolated).isUp(endpoint));
 });
 
+test('an instance looks through another at an endpoint that was removed', async t => {
+  // Guards against whole streams that are cut off at instances without links,
+  // since their endpoint finishes them after its row was removed.
+  const endpoint = await listen(t, socket => socket.end());
+  const [isolated, other] = await startMembers(t, 2, [endpoint]);
+  isolated.hasLinks = false;
+  other.state.directory.apply([{kind: 'removed', id: endpoint.id}], nowMs());
+  t.true(await new EndpointProbes(isolated).isUp(endpoint));
+  const reborn = {...endpoint, bornEpochMs: 8};
+  t.false(await new EndpointProbes(isolated).isUp(reborn));
+});
+
 test('a look from an isolated instance doesn’t wait for its own links', async t => {
   // Guards against whole answers that are cut off at their deadline, since a
   // direct connection that hangs is tried before the one through another.
--- a/packages/gateway/src/forwarding/tunnel_server.ts
+++ b/packages/gateway/src/forwarding/tunnel_server.ts
@@ -126,7 +126,10 @@
     isProbe = false,
   }: OpenTunnel): ServingEndpoint | undefined {
     const {state, nowMs} = this.options;
-    const found = state.directory.find(endpoint);
+    // A leaving endpoint still finishes answers after it was removed.
+    const found = isProbe
+      ? state.directory.findRecent(endpoint)
+      : state.directory.find(endpoint);
     if (found === undefined || (found.bornEpochMs ?? null) !== bornEpochMs) {
       return undefined;
     }
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -13,6 +13,7 @@
   EndpointIncarnations,
   isOtherIncarnation,
 } from './endpoint_incarnations.js';
+import {RemovedEndpoints} from './removed_endpoints.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** A row of the list that changed. */
@@ -49,6 +50,7 @@
 export class EndpointDirectory {
   private readonly endpoints = new Map<EndpointId, ServingEndpoint>();
   private readonly missing = new Set<EndpointId>();
+  private readonly removed = new RemovedEndpoints();
   private readonly announcements = new EndpointAnnouncements();
   private readonly incarnations = new EndpointIncarnations();
   private readonly restarted = new Set<EndpointId>();
@@ -209,6 +211,11 @@
     return this.endpoints.get(id);
   }
 
+  /** As {@link find}; also one that was removed a short while ago. */
+  findRecent(id: EndpointId): ServingEndpoint | undefined {
+    return this.endpoints.get(id) ?? this.removed.find(id);
+  }
+
   /**
    * Whether an endpoint has restarted, or was removed without having announced
    * its leaving.
@@ -283,7 +290,7 @@
         this.handleMissing(change.id, nowMs);
         return;
       case 'unreadable':
-        this.remove(change.id);
+        this.remove(change.id, nowMs);
         return;
     }
   }
@@ -302,7 +309,7 @@
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined) return;
     if (this.mayHaveExpired(nowMs) && !endpoint.isLeaving) this.missing.add(id);
-    else this.remove(id);
+    else this.remove(id, nowMs);
   }
 
   private mayHaveExpired(nowMs: number): boolean {
@@ -311,11 +318,13 @@
 
   private removeExpired(nowMs: number): void {
     if (this.missing.size === 0 || this.mayHaveExpired(nowMs)) return;
-    for (const id of this.missing) this.remove(id);
+    for (const id of this.missing) this.remove(id, nowMs);
     this.index();
   }
 
-  private remove(id: EndpointId): void {
+  private remove(id: EndpointId, nowMs: number): void {
+    const endpoint = this.endpoints.get(id);
+    if (endpoint !== undefined) this.removed.add(endpoint, nowMs);
     this.missing.delete(id);
     this.endpoints.delete(id);
   }
