Resume a stream at its endpoint when only the path to it broke

Cause: the forwarder akl-a-5 was frozen from 12.63 s, and its link was given up 1.7 to 1.8 s later (path_broken at 14.3 to 14.4 s in each of three traces). The engine counted as tried by then, and no other engine of its version took requests: all were in backoff or gone. Ruled out: a planned stop. The times of findings are those at which requests were sent; the streams of 8.2 to 9.6 s ended at 14.3 to 14.4 s, and the instances told to stop at 3.0 and 3.5 s had ended at 7.4 to 9.4 s.

Change: a broken path leaves its endpoint open for another attempt, within the route's attempts and the retry budget; the forwarder pauses as after any failure. The test with two gateways needs the link that is back, too.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -106,7 +106,7 @@
     return {
       verdict: this.verdict,
       // Endpoints tried, also those not reached, unlike the history's `offers`.
-      offers: this.history.excluded.size,
+      offers: this.history.tried.size,
       // Failed attempts that may have run the request.
       runs: this.history.runs,
       // Failed attempts in which no endpoint received the request.
@@ -120,7 +120,7 @@
       ...this.lastEnding,
       load: this.loadWhenChosen,
       loadAgeMs: loadAgeMs && Math.round(loadAgeMs),
-      endpoint: [...this.history.excluded].at(-1),
+      endpoint: [...this.history.tried].at(-1),
       softwareVersion: this.lastVersion,
       side: this.lastGroup?.side,
       sideEngines: this.lastGroup?.engines,
@@ -150,7 +150,7 @@
       if (this.writer.isOver) return;
       const placed = this.choose();
       if (placed === undefined) {
-        if (this.history.excluded.size === 0) this.noteNoEndpoint();
+        if (this.history.tried.size === 0) this.noteNoEndpoint();
         return this.fail();
       }
       const result = await this.attempt(placed);
@@ -341,7 +341,13 @@
     }
     const hasTimedOut = result.reason === 'connect_timeout';
     const wasWithheld = result.reason === 'withheld';
-    this.history.fail(endpoint, {...result, hasTimedOut, wasWithheld});
+    const hasPathBroken = result.reason === 'path_broken';
+    this.history.fail(endpoint, {
+      ...result,
+      hasTimedOut,
+      wasWithheld,
+      hasPathBroken,
+    });
   }
 
   /**
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -153,7 +153,10 @@
     );
     if (result.kind === 'open') {
       this.choice.noteOpened(forwarder);
-      void result.closedCleanly.then(() => this.choice.end(forwarder));
+      void result.closedCleanly.then(() => {
+        this.choice.end(forwarder);
+        if (result.hasPathBroken) this.choice.noteFailed(forwarder, nowMs());
+      });
       return result;
     }
     this.choice.end(forwarder);
--- a/packages/gateway/src/isolated_instance.test.ts
+++ b/packages/gateway/src/isolated_instance.test.ts
@@ -65,6 +65,36 @@
   }
 }
 
+test('a resumable stream goes on at its endpoint when its forwarder is lost', async t => {
+  // Guards against streams that break off with an instance that only forwarded
+  // them, while their endpoint, the last of its version, still serves.
+  const cluster = await startCluster({
+    instances: 2,
+    endpoints: 1,
+    route: {...SAFE_ROUTE, kind: 'stream', isResumable: true, maxAttempts: 2},
+    answer: (response, id, request) => {
+      response.setHeader('X-Request-Id', id);
+      response.setHeader('X-Signature', 'proof');
+      if (request.headers['last-event-id'] === undefined) {
+        response.write('id: 1\ndata: a\n\n');
+      } else response.end('id: 2\ndata: b\n\n');
+    },
+  });
+  t.teardown(() => cluster.stop());
+  const [isolated, forwarder] = cluster.members;
+  await waitUntil(() =>
+    isolated.lines.some(line => line.includes('software_versions_learnt')),
+  );
+  await cluster.cut(0, 'refuse');
+  const headers = {Host: '127.0.0.1', 'X-Request-Id': 'one'};
+  const answer = get(isolated.callers, undefined, headers);
+  await waitUntil(() => cluster.endpoints[0].begun.length === 1);
+  await cluster.cut(0, 'pass');
+  await forwarder.gateway.stop();
+  t.is((await answer).statusCode, 200);
+  t.deepEqual(cluster.endpoints[0].begun, ['one', 'one']);
+});
+
 test('a whole data centre without links serves through the other instances', async t => {
   // Guards against instances without links that pass requests to one another.
   const cluster = await start(t, 4, SAFE_ROUTE);
--- a/packages/routing/src/attempt_history.test.ts
+++ b/packages/routing/src/attempt_history.test.ts
@@ -34,6 +34,27 @@
   );
 }
 
+test('an endpoint is tried again after only the path to it broke', t => {
+  // Guards against streams that end although their endpoint, the only one of
+  // its version, can be reached without the forwarder that was lost.
+  const endpoint = makeEndpoint('one');
+  const history = new AttemptHistory();
+  const broken = {
+    verdict: 'ran',
+    hasArrived: true,
+    hasTimedOut: false,
+  } as const;
+  history.begin(endpoint);
+  t.true(history.excluded.has(endpoint.id));
+  history.fail(endpoint, {...broken, hasPathBroken: true});
+  t.false(history.excluded.has(endpoint.id));
+  t.deepEqual([...history.tried], [endpoint.id]);
+  t.is(history.runs, 1);
+  history.begin(endpoint);
+  history.fail(endpoint, broken);
+  t.true(history.excluded.has(endpoint.id));
+});
+
 /** One instance; decides on its requests as the gateway does. */
 class Instance {
   private readonly monitor = new EndpointMonitor();
--- a/packages/routing/src/attempt_history.ts
+++ b/packages/routing/src/attempt_history.ts
@@ -13,6 +13,11 @@
   readonly hasTimedOut: boolean;
   /** The connection was opened, but nothing was sent over it (false). */
   readonly wasWithheld?: boolean;
+  /**
+   * The connection broke between this instance and the one that forwarded it,
+   * without the endpoint's doing (false).
+   */
+  readonly hasPathBroken?: boolean;
 }
 
 /**
@@ -24,7 +29,8 @@
 
 /** Counts the attempts of one request. */
 export class AttemptHistory {
-  private readonly tried = new Set<EndpointId>();
+  private readonly triedIds = new Set<EndpointId>();
+  private readonly excludedIds = new Set<EndpointId>();
   private readonly avoidedCentres = new Set<DataCentreId>();
   private readonly refusals = new Map<DataCentreId, number>();
   private runCount = 0;
@@ -32,8 +38,13 @@
   private unreachedCount = 0;
 
   /** Endpoints that were tried, in the order of the attempts. */
+  get tried(): ReadonlySet<EndpointId> {
+    return this.triedIds;
+  }
+
+  /** Endpoints that must not be tried again. */
   get excluded(): ReadonlySet<EndpointId> {
-    return this.tried;
+    return this.excludedIds;
   }
 
   /** Data centres with a connection time-out or repeated refusals. */
@@ -57,7 +68,8 @@
   }
 
   begin(endpoint: ServingEndpoint): void {
-    this.tried.add(endpoint.id);
+    this.triedIds.add(endpoint.id);
+    this.excludedIds.add(endpoint.id);
   }
 
   /**
@@ -68,6 +80,8 @@
    */
   fail(endpoint: ServingEndpoint, failure: AttemptFailure): void {
     if (failure.verdict !== 'not_run') this.runCount += 1;
+    // The endpoint may still be reached by another path.
+    if (failure.hasPathBroken === true) this.excludedIds.delete(endpoint.id);
     if (failure.hasArrived) {
       this.offerCount += 1;
       return;
