Keep tunnels through a forwarder that stands still for some seconds

Cause: the forwarder was frozen for 4.8 s; the link to it was closed after a second without an answer to a ping that is sent each second. Nothing else can bring that answer, so closing the link only lost it. What may go elsewhere leaves a silent stream after 1,250 ms by itself.

Change: five seconds instead of one. A forwarder whose process ends is noticed at once as before; one whose machine is lost now costs its requests, which nobody could repeat, four seconds more.

The new test failed before.

--- a/packages/gateway/src/forwarding/forwarder_client.ts
+++ b/packages/gateway/src/forwarding/forwarder_client.ts
@@ -36,9 +36,14 @@
 
 /** Time for the reply of a forwarder whose own connection has timed out. */
 const REPLY_MARGIN_MS = 50;
-/** A link that is silent this long is closed while tunnels use it. */
+/**
+ * A link that is silent for both times together is closed while tunnels use it.
+ * Answers that only its tunnels can bring are lost then, and a forwarder that
+ * stands still for some seconds goes on with them. Requests that may go elsewhere
+ * don't wait for that.
+ */
 const KEEPALIVE_EVERY_MS = 1000;
-const KEEPALIVE_TIMEOUT_MS = 1000;
+const KEEPALIVE_TIMEOUT_MS = 5000;
 const TunnelStub = makeGenericClientConstructor(TUNNEL_SERVICE, 'Forwarder');
 
 /** Owns one HTTP/2 connection, which its tunnels share. */
--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -40,6 +40,8 @@
 /** Beyond the resets that Node.js (20) allows on one link. */
 const MANY_TUNNELS = 2000;
 const PARALLEL_TUNNELS = 20;
+/** About as long as a machine stands still that goes on afterwards. */
+const STANDSTILL_MS = 3500;
 const LARGE_BYTES = 3_000_000;
 
 const nowMs = () => performance.now();
@@ -399,6 +401,66 @@
   t.is(head.kind === 'failed' ? head.reason : '', 'unreachable');
 });
 
+/** Passes connections on to a port; while it is held, nothing gets through. */
+async function startHoldingProxy(t: ExecutionContext, port: number) {
+  const sockets: Socket[] = [];
+  const server = net.createServer(client => {
+    const target = net.connect(port, '127.0.0.1');
+    sockets.push(client, target);
+    for (const socket of [client, target]) {
+      socket.on('error', () => undefined);
+    }
+    client.pipe(target).pipe(client);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    hold: () => {
+      for (const socket of sockets) socket.pause();
+    },
+    release: () => {
+      for (const socket of sockets) socket.resume();
+    },
+  };
+}
+
+test('an answer comes through a forwarder that stood still for some seconds', async t => {
+  // Guards against streams that can't go elsewhere and end with a forwarder that
+  // is frozen for as long as a machine may be.
+  let respond: (socket: Socket) => void = () => undefined;
+  const endpoint = await listen(t, socket =>
+    onRequest(socket, () => respond(socket)),
+  );
+  const [, other] = await startMembers(t, 2, [endpoint]);
+  const proxy = await startHoldingProxy(t, Number(other.address.split(':')[1]));
+  const client = new ForwarderClient(brandAs<ForwarderAddress>(proxy.address));
+  t.teardown(() => client.close());
+  respond = socket => {
+    proxy.hold();
+    setTimeout(() => proxy.release(), STANDSTILL_MS);
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+  };
+  const call = new EndpointCall({
+    method: 'GET',
+    path: '/',
+    composeHeaders: () => ['Host', 'test'],
+    body: undefined,
+    connect: async signal => {
+      const request = {endpoint, timeoutMs: TIMEOUT_MS, signal};
+      const opened = await client.open(request);
+      if (opened.kind === 'open') return opened;
+      return {kind: 'failed', path: 'forwarded', reason: 'timed_out'};
+    },
+    isStillUp: () => Promise.resolve(true),
+  });
+  t.is((await call.head).kind, 'head');
+});
+
 test('a forwarder that is gone costs one wait, not one for each request', async t => {
   // Guards against callers waiting for forwarders that no longer exist.
   const endpoint = await listen(t, socket =>
