Ask the next forwarder when one doesn't know the endpoint of a look

Cause: `not_serving` ended a look, though it says only that this forwarder doesn't list the endpoint. One that has started after the endpoint left never listed it. For a request that answer holds; for a look the next forwarder may know more.

--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -372,6 +372,19 @@
   t.false(await new EndpointProbes(isolated).isUp(reborn));
 });
 
+test('a look goes on through the next instance when one doesn’t know the endpoint', async t => {
+  // Guards against whole streams that are cut off since the first forwarder asked
+  // has started after their endpoint left.
+  const endpoint = await listen(t, socket => socket.end());
+  const [isolated, ...others] = await startMembers(t, 5, [endpoint]);
+  isolated.hasLinks = false;
+  const next = {...endpoint, bornEpochMs: 8};
+  for (const {state} of others.slice(1)) {
+    state.directory.apply([{kind: 'listed', endpoint: next}], nowMs());
+  }
+  t.true(await new EndpointProbes(isolated).isUp(endpoint));
+});
+
 test('a look from an isolated instance doesn’t wait for its own links', async t => {
   // Guards against whole answers that are cut off at their deadline, since a
   // direct connection that hangs is tried before the one through another.
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -129,7 +129,7 @@
       if (forwarder === undefined) break;
       const result = await this.openThrough(forwarder, request);
       if (result.kind === 'open') return result;
-      const reason = explainFailure(result);
+      const reason = explainFailure(result, request);
       if (reason !== undefined) {
         return {kind: 'failed', path: 'forwarded', reason};
       }
@@ -178,14 +178,17 @@
 }
 
 /** @returns undefined when another forwarder may succeed. */
-function explainFailure({
-  reason,
-}: TunnelFailure): EndpointConnectFailure['reason'] | undefined {
+function explainFailure(
+  {reason}: TunnelFailure,
+  {isProbe = false}: ConnectRequest,
+): EndpointConnectFailure['reason'] | undefined {
   switch (reason) {
     case 'refused':
     case 'timed_out':
-    case 'not_serving':
       return reason;
+    case 'not_serving':
+      // One that started lately doesn't know endpoints that have left.
+      return isProbe ? undefined : reason;
     default:
       return undefined;
   }
