Look through a forwarder that has just failed when no other is left

Cause: its three looks ended after 59, 1 and 1 ms without asking anybody: all forwarders were in the pause that follows a failure. The pause spares requests the wait; a look has nobody else to ask.

The new test failed before (it does not compile without the parameter).

--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -125,7 +125,11 @@
   ): Promise<EndpointConnection | EndpointConnectFailure> {
     const failed = new Set<InstanceId>();
     while (failed.size < MAX_FORWARDERS && !request.signal.aborted) {
-      const forwarder = this.choice.choose(failed, this.options.nowMs());
+      const forwarder = this.choice.choose(
+        failed,
+        this.options.nowMs(),
+        request.isProbe,
+      );
       if (forwarder === undefined) break;
       const result = await this.openThrough(forwarder, request);
       if (result.kind === 'open') return result;
--- a/packages/routing/src/forwarder_choice.test.ts
+++ b/packages/routing/src/forwarder_choice.test.ts
@@ -58,6 +58,17 @@
   t.is(choice.choose(new Set(), 749), NEAR);
 });
 
+test('a look goes through a paused forwarder rather than through none', t => {
+  // Guards against whole answers that are cut off unseen, since all forwarders
+  // have just failed for requests.
+  const choice = choiceOf(NEAR, FAR);
+  choice.noteFailed(NEAR, 0);
+  t.is(choice.choose(new Set(), 1, true), FAR);
+  choice.noteFailed(FAR, 0);
+  t.is(choice.choose(new Set(), 1), undefined);
+  t.is(choice.choose(new Set(), 1, true), NEAR);
+});
+
 test('a list that lacks forwarders doesn’t take them away', t => {
   // Guards against isolated instances that know no path after the store was set
   // back to a copy without the rows.
--- a/packages/routing/src/forwarder_choice.ts
+++ b/packages/routing/src/forwarder_choice.ts
@@ -80,6 +80,7 @@
 
   /**
    * @param excluded instances that failed for this request.
+   * @param includesPaused also one that has just failed, if no other is left.
    * @returns undefined when none is left that might succeed.
    * @example
    * const forwarder = choice.choose(new Set(), nowMs);
@@ -87,12 +88,14 @@
   choose(
     excluded: ReadonlySet<InstanceId>,
     nowMs: number,
+    includesPaused = false,
   ): Forwarder | undefined {
-    const open = [...this.tracked.values()].filter(
-      ({forwarder, pausedUntilMs}) =>
-        pausedUntilMs <= nowMs && !excluded.has(forwarder.instance),
+    const left = [...this.tracked.values()].filter(
+      ({forwarder}) => !excluded.has(forwarder.instance),
     );
-    return leastBy(open, each => this.costOf(each))?.forwarder;
+    const open = left.filter(({pausedUntilMs}) => pausedUntilMs <= nowMs);
+    const candidates = open.length === 0 && includesPaused ? left : open;
+    return leastBy(candidates, each => this.costOf(each))?.forwarder;
   }
 
   /** A connection through the forwarder begins; {@link end} must follow. */
