Use own links while only refusals make an instance look isolated

Cause: three refused connections without one that opens in between make an instance isolated. Where the few endpoints of one service crash, instances with sound links get there within milliseconds. They then sent all their requests through others and didn't try their own links but every 400 ms; the others were isolated as well and refused, so that all refused.

Change: only silent links, on which each attempt costs a timeout, are left unused while isolated. A refusal costs a round trip: the own links are tried first, and a forwarder does so for others. Where no path is found, a request goes to the next endpoint; a look learns nothing from the refusal.

Three of the new tests failed before: an instance with three dead and one sound endpoint refused the request for the sound one.

--- a/packages/gateway/src/endpoint_connector.ts
+++ b/packages/gateway/src/endpoint_connector.ts
@@ -25,8 +25,8 @@
 }
 
 /**
- * Prefers a connection of its own. An isolated instance connects through others
- * without delay, and finds out beside that whether its links are back.
+ * Prefers a connection of its own. An isolated instance connects through others,
+ * at once where its own links are silent.
  */
 export class EndpointConnector {
   constructor(private readonly options: EndpointConnectorOptions) {}
@@ -42,25 +42,27 @@
   ): Promise<EndpointConnection | EndpointConnectFailure> {
     const {state, forwarded} = this.options;
     if (forwarded?.isAvailable !== true) return this.openDirectly(request);
-    if (state.isolation.isIsolated) {
-      return this.openWhileIsolated(request, forwarded);
+    if (state.isolation.hasSilentLinks) {
+      return this.openWhileSilent(request, forwarded);
     }
     const direct = await this.openDirectly(request);
     const mustForward = state.isolation.isIsolated || request.isLast;
     if (direct.kind === 'open' || !mustForward) return direct;
     const result = await forwarded.open(request);
-    const isNoPath = result.kind === 'failed' && result.reason === 'isolated';
-    return isNoPath && !state.isolation.isIsolated ? direct : result;
+    const hasNoPath = result.kind === 'failed' && result.reason === 'isolated';
+    // A request may then go to the next endpoint; a look learns nothing.
+    const isSettled = !state.isolation.isIsolated || request.isProbe !== true;
+    return hasNoPath && isSettled ? direct : result;
   }
 
   /**
-   * Connects through others and, from time to time, directly as well: the links
-   * of this instance may be back. A look always tries both, as a whole answer
+   * Connects through others without waiting for the own links and, from time to
+   * time, directly as well: these may be back. A look always tries both, as a whole answer
    * waits for it.
    *
    * @returns the first connection; if there is none, why not through others.
    */
-  private async openWhileIsolated(
+  private async openWhileSilent(
     request: EndpointConnectRequest,
     forwarded: Pick<Forwarding, 'open'>,
   ): Promise<EndpointConnection | EndpointConnectFailure> {
--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -404,6 +404,48 @@
   t.like(connection, {kind: 'open', path: 'forwarded'});
 });
 
+test('instances that several endpoints refuse still use their own links', async t => {
+  // Guards against refusing callers while endpoints serve: the endpoints of one
+  // service are down, and instances pass requests for the others to one another.
+  const up = await listen(t, socket =>
+    onRequest(socket, () => {
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+    }),
+  );
+  const down = ['a', 'b', 'c'].map(name =>
+    describeEndpoint(name, '127.0.0.1:1'),
+  );
+  const members = await startMembers(t, 2, [up, ...down]);
+  for (const member of members) {
+    for (const endpoint of down) await callThrough(member, endpoint).head;
+    t.true(member.state.isolation.isIsolated);
+  }
+  const call = callThrough(members[0], up);
+  t.is((await call.head).kind, 'head');
+  t.is(call.path, 'direct');
+});
+
+test('a look from an isolated instance learns nothing from a refusal', async t => {
+  // Guards against whole answers that are cut off, since an instance whose own
+  // links refuse everything takes the endpoint for gone.
+  const endpoint = await listen(t, socket => socket.end());
+  const down = ['a', 'b', 'c'].map(name =>
+    describeEndpoint(name, '127.0.0.1:1'),
+  );
+  const members = await startMembers(t, 2, [endpoint, ...down]);
+  const [isolated, other] = members;
+  for (const each of down) await callThrough(isolated, each).head;
+  t.true(isolated.state.isolation.isIsolated);
+  other.isStopping = true;
+  const look = {endpoint: down[0], timeoutMs: TIMEOUT_MS, signal: SIGNAL};
+  const failure = await isolated.connector.open({
+    ...look,
+    isLast: true,
+    isProbe: true,
+  });
+  t.like(failure, {kind: 'failed', reason: 'isolated'});
+});
+
 test('an endpoint that the forwarder can’t reach either is down', async t => {
   const up = await listen(t, socket => socket.end());
   const down = describeEndpoint('down', '127.0.0.1:1');
--- a/packages/gateway/src/forwarding/tunnel_server.ts
+++ b/packages/gateway/src/forwarding/tunnel_server.ts
@@ -142,9 +142,7 @@
   ): TunnelRefusal | undefined {
     const {isOpen, state} = this.options;
     if (!isOpen() || this.calls.size >= MAX_TUNNELS) return 'unavailable';
-    // Forwards only over connections of its own: two isolated instances would
-    // otherwise pass requests to one another.
-    if (state.isolation.isIsolated) return 'isolated';
+    if (state.isolation.hasSilentLinks) return 'isolated';
     return endpoint === undefined ? 'not_serving' : undefined;
   }
 
--- a/packages/routing/src/instance_isolation.test.ts
+++ b/packages/routing/src/instance_isolation.test.ts
@@ -52,6 +52,20 @@
   t.false(isolation.hasConnectedSince(361));
 });
 
+test('refusals alone don’t make links silent', t => {
+  // Guards against instances that leave their own links unused, since the
+  // endpoints of one service have crashed.
+  const isolation = new InstanceIsolation();
+  for (const name of ['a', 'b', 'c']) {
+    isolation.noteFailed(failed(name, 0, false), 1);
+  }
+  t.true(isolation.isIsolated);
+  t.false(isolation.hasSilentLinks);
+  isolation.noteFailed(failed('d', 1), 200);
+  isolation.noteFailed(failed('e', 1), 201);
+  t.true(isolation.hasSilentLinks);
+});
+
 test('one probe per interval while isolated', t => {
   // Guards against all requests trying a link that is back at the same moment.
   const isolation = new InstanceIsolation({probeEveryMs: 400});
--- a/packages/routing/src/instance_isolation.ts
+++ b/packages/routing/src/instance_isolation.ts
@@ -38,6 +38,7 @@
   private connectedAtMs = Number.NEGATIVE_INFINITY;
   private isolatedAtMs: number | undefined;
   private nextProbeAtMs = 0;
+  private areConnectionsSilent = false;
   private readonly afterTimeouts: number;
   private readonly afterRefusals: number;
   private readonly probeEveryMs: number;
@@ -52,6 +53,15 @@
     return this.isolatedAtMs !== undefined;
   }
 
+  /**
+   * Whether connections time out while it is isolated, so that each attempt is
+   * expensive. A refusal costs a round trip, and may as well mean that the few
+   * endpoints that were tried are down.
+   */
+  get hasSilentLinks(): boolean {
+    return this.isIsolated && this.areConnectionsSilent;
+  }
+
   /**
    * Records a connection to an endpoint.
    *
@@ -66,6 +76,7 @@
     this.timedOut.clear();
     this.refused.clear();
     this.isolatedAtMs = undefined;
+    this.areConnectionsSilent = false;
     return isolatedAtMs === undefined ? undefined : nowMs - isolatedAtMs;
   }
 
@@ -80,6 +91,7 @@
     // Since then, a connection to another endpoint was opened.
     if (failed.startedAtMs < this.connectedAtMs) return false;
     (failed.hasTimedOut ? this.timedOut : this.refused).add(failed.endpoint);
+    this.areConnectionsSilent = this.haveEnoughTimedOut(failed.knownEndpoints);
     if (this.isIsolated || !this.isSuspected(failed.knownEndpoints)) {
       return false;
     }
@@ -112,11 +124,14 @@
   }
 
   private isSuspected(knownEndpoints: number): boolean {
-    const {timedOut, refused} = this;
-    const failed = new Set([...timedOut, ...refused]);
+    const failed = new Set([...this.timedOut, ...this.refused]);
     return (
-      timedOut.size >= Math.min(this.afterTimeouts, knownEndpoints) ||
+      this.haveEnoughTimedOut(knownEndpoints) ||
       failed.size >= Math.min(this.afterRefusals, knownEndpoints)
     );
   }
+
+  private haveEnoughTimedOut(knownEndpoints: number): boolean {
+    return this.timedOut.size >= Math.min(this.afterTimeouts, knownEndpoints);
+  }
 }
