Read the list of forwarders again while none is known

Cause: instances publish their addresses within three seconds of their start and read the list three to six seconds later. One that was isolated before knew nobody. It asked once, when its isolation began, and then not until the regular read, as only a failed forwarder made it ask again.

--- a/packages/gateway/src/endpoint_connector.ts
+++ b/packages/gateway/src/endpoint_connector.ts
@@ -14,7 +14,8 @@
   readonly state: RoutingState;
   readonly direct: DirectConnector;
   /** Undefined where instances don't connect to one another. */
-  readonly forwarded: Pick<Forwarding, 'isAvailable' | 'open'> | undefined;
+  readonly forwarded:
+    Pick<Forwarding, 'isAvailable' | 'open' | 'refresh'> | undefined;
   readonly nowMs: () => number;
 }
 
@@ -41,7 +42,12 @@
     request: EndpointConnectRequest,
   ): Promise<EndpointConnection | EndpointConnectFailure> {
     const {state, forwarded} = this.options;
-    if (forwarded?.isAvailable !== true) return this.openDirectly(request);
+    if (forwarded === undefined) return this.openDirectly(request);
+    if (!forwarded.isAvailable) {
+      // The others may not have published their addresses at the last read.
+      if (state.isolation.isIsolated) forwarded.refresh();
+      return this.openDirectly(request);
+    }
     if (state.isolation.hasSilentLinks) {
       return this.openWhileSilent(request, forwarded);
     }
