Tell a forwarder's own trouble from that of an endpoint

Cause: a forwarder that was refused and had not connected to another endpoint for two seconds called itself isolated, and was then left out for 0.25 to 2 s. With engines and services crashing, all three were left out most of the time, and their callers were refused unasked. One that had connected within two seconds took any refusal for the endpoint's, also when it was isolated since.

Change: `unconfirmed` is neither: the next forwarder is asked, in another data centre first, and nobody is left out for it. A forwarder that is isolated never calls an endpoint down.

Each of the three new tests failed before.

--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -446,6 +446,43 @@
   t.like(failure, {kind: 'failed', reason: 'isolated'});
 });
 
+test('a forwarder that has just lost its links doesn’t call an endpoint down', async t => {
+  // Guards against whole answers that are cut off when several instances lose
+  // their links at once and look through one another.
+  const up = await listen(t, socket => socket.end());
+  const down = ['a', 'b', 'c'].map(name =>
+    describeEndpoint(name, '127.0.0.1:1'),
+  );
+  const [isolated, other] = await startMembers(t, 2, [up, ...down]);
+  isolated.hasLinks = false;
+  await callThrough(other, up).head;
+  for (const each of down) await callThrough(other, each).head;
+  t.true(other.state.isolation.isIsolated);
+  const failure = await isolated.connector.open({
+    endpoint: down[0],
+    timeoutMs: TIMEOUT_MS,
+    signal: SIGNAL,
+    isLast: true,
+    isProbe: true,
+  });
+  t.like(failure, {kind: 'failed', reason: 'isolated'});
+});
+
+test('a forwarder that can’t tell why it was refused is asked again at once', async t => {
+  // Guards against instances without links that refuse all callers for a while
+  // after an endpoint was down, though their forwarders reach others.
+  const up = await listen(t, socket =>
+    onRequest(socket, () => {
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+    }),
+  );
+  const down = describeEndpoint('down', '127.0.0.1:1');
+  const [isolated] = await startMembers(t, 2, [up, down]);
+  isolated.hasLinks = false;
+  t.is((await callThrough(isolated, down).head).kind, 'failed');
+  t.is((await callThrough(isolated, up).head).kind, 'head');
+});
+
 test('an endpoint that the forwarder can’t reach either is down', async t => {
   const up = await listen(t, socket => socket.end());
   const down = describeEndpoint('down', '127.0.0.1:1');
--- a/packages/gateway/src/forwarding/tunnel_messages.ts
+++ b/packages/gateway/src/forwarding/tunnel_messages.ts
@@ -34,11 +34,18 @@
  *
  * - `refused`, `timed_out`: it couldn't reach the endpoint, but reaches others.
  * - `not_serving`: it doesn't know the endpoint, or knows that it is leaving.
- * - `isolated`: the cause is unknown, as it reaches no other endpoint either.
+ * - `unconfirmed`: as these, but it has reached no other endpoint lately, so that
+ *   the cause may be either.
+ * - `isolated`: its own links are silent.
  * - `unavailable`: it is stopping or has too many tunnels.
  */
 export type TunnelRefusal =
-  'refused' | 'timed_out' | 'not_serving' | 'isolated' | 'unavailable';
+  | 'refused'
+  | 'timed_out'
+  | 'unconfirmed'
+  | 'not_serving'
+  | 'isolated'
+  | 'unavailable';
 
 /** A reply without bytes. */
 export type TunnelSignal =
--- a/packages/gateway/src/forwarding/tunnel_server.ts
+++ b/packages/gateway/src/forwarding/tunnel_server.ts
@@ -165,8 +165,11 @@
 
   private explainFailure({timedOut}: ConnectFailure): TunnelRefusal {
     const {state, nowMs} = this.options;
-    const sinceMs = nowMs() - RECENT_CONNECTION_MS;
-    if (!state.isolation.hasConnectedSince(sinceMs)) return 'isolated';
+    const {isolation} = state;
+    const reachesOthers =
+      !isolation.isIsolated &&
+      isolation.hasConnectedSince(nowMs() - RECENT_CONNECTION_MS);
+    if (!reachesOthers) return 'unconfirmed';
     return timedOut ? 'timed_out' : 'refused';
   }
 
--- a/packages/routing/src/forwarder_choice.test.ts
+++ b/packages/routing/src/forwarder_choice.test.ts
@@ -69,6 +69,15 @@
   t.is(choice.choose(new Set(), 1, true), NEAR);
 });
 
+test('after a failure in the own data centre, another one is tried next', t => {
+  // Guards against trying one forwarder after the other in a data centre that
+  // has lost its links as a whole.
+  const next = forwarder('next', OWN);
+  const choice = choiceOf(NEAR, next, FAR);
+  t.is(choice.choose(new Set([NEAR.instance]), 0), FAR);
+  t.is(choice.choose(new Set([NEAR.instance, FAR.instance]), 0), next);
+});
+
 test('a list that lacks forwarders doesn’t take them away', t => {
   // Guards against isolated instances that know no path after the store was set
   // back to a copy without the rows.
--- a/packages/routing/src/forwarder_choice.ts
+++ b/packages/routing/src/forwarder_choice.ts
@@ -39,6 +39,8 @@
  * others: traffic between data centres is expensive.
  */
 const REMOTE_COST_IN_CONNECTIONS = 8;
+/** More than for a remote one: a whole data centre may have lost its links. */
+const FAILED_CENTRE_COST_IN_CONNECTIONS = 16;
 
 /**
  * Prefers forwarders of the own data centre with few connections of this
@@ -95,7 +97,9 @@
     );
     const open = left.filter(({pausedUntilMs}) => pausedUntilMs <= nowMs);
     const candidates = open.length === 0 && includesPaused ? left : open;
-    return leastBy(candidates, each => this.costOf(each))?.forwarder;
+    const failedCentres = this.listDataCentres(excluded);
+    return leastBy(candidates, each => this.costOf(each, failedCentres))
+      ?.forwarder;
   }
 
   /** A connection through the forwarder begins; {@link end} must follow. */
@@ -129,9 +133,25 @@
     tracked.failures += 1;
   }
 
-  private costOf({forwarder, inFlight}: TrackedForwarder): number {
-    const isRemote = forwarder.dataCentre !== this.options.dataCentre;
+  private listDataCentres(
+    instances: ReadonlySet<InstanceId>,
+  ): ReadonlySet<DataCentreId | undefined> {
+    const centres = [...instances].map(
+      id => this.tracked.get(id)?.forwarder.dataCentre,
+    );
+    return new Set(centres);
+  }
+
+  private costOf(
+    {forwarder, inFlight}: TrackedForwarder,
+    failedCentres: ReadonlySet<DataCentreId | undefined>,
+  ): number {
+    const {dataCentre} = forwarder;
+    const isRemote = dataCentre !== this.options.dataCentre;
     const remoteCost = isRemote ? REMOTE_COST_IN_CONNECTIONS : 0;
-    return inFlight + remoteCost + this.random();
+    const failedCost = failedCentres.has(dataCentre)
+      ? FAILED_CENTRE_COST_IN_CONNECTIONS
+      : 0;
+    return inFlight + remoteCost + failedCost + this.random();
   }
 }
