Count a request and a stop from when they may have come

Cause: both are counted from the moment at which the event loop reads them. The kernel doesn't say since when a request or a signal waits.

Change: a tick each 100 ms tells when the loop stood still. What is read in the two turns after that may have come at its beginning: the time left of a request and the grace time of a stop count from there, the time in which the balancer notices a stop as before. A request whose time may be over is refused as not run. The log says `heldUpMs`.

What it doesn't mend: hold-ups shorter than 150 ms, and those on the way.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,11 +17,12 @@
 import {CrashReporter} from './crash_reporter.js';
 import {Duties} from './duties.js';
 import {EndpointPaths} from './endpoint_paths.js';
-import {identifyEndpoint} from './identify_endpoint.js';
 import {EndpointProbes} from './endpoint_probes.js';
+import {EventLoopWatch} from './event_loop_watch.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createPages} from './gateway_pages.js';
 import type {GatewaySettings} from './gateway_settings.js';
+import {identifyEndpoint} from './identify_endpoint.js';
 import type {OperationsServer} from './operations_server.js';
 import type {PassThroughProtocol} from './pass_through_protocol.js';
 import {Relays} from './relay/relays.js';
@@ -72,6 +73,7 @@
   private readonly crashes: CrashReporter;
   private readonly incarnation = randomUUID().slice(0, 8);
   private readonly shutdown: Shutdown;
+  private readonly loopWatch: EventLoopWatch;
   private stopped: Promise<void> | undefined;
 
   constructor(private readonly options: GatewayOptions) {
@@ -79,6 +81,7 @@
     const nowMs = () => performance.now();
     this.state = new RoutingState(settings.retry, settings.warmup);
     this.shutdown = new Shutdown(settings.shutdown);
+    this.loopWatch = new EventLoopWatch({nowMs});
     this.clock = new AgreedClock(nowMs(), Date.now());
     const recovery = new StoreRecovery();
     const facts = (this.facts = new SharedFacts({
@@ -183,6 +186,7 @@
   }
 
   async start(): Promise<void> {
+    this.loopWatch.start();
     this.follower.start();
     this.streams.start();
     for (const server of this.operations) await server.start();
@@ -236,9 +240,11 @@
 
   private async stopOnce(): Promise<void> {
     const beganAtMs = performance.now();
-    this.shutdown.begin(beganAtMs);
+    const signalledAtMs = this.loopWatch.earliestArrivalMs();
+    this.shutdown.begin(beganAtMs, signalledAtMs);
     this.options.logger.info('stopping', {
       inProgress: this.handler.inProgress,
+      heldUpMs: Math.round(beganAtMs - signalledAtMs) || undefined,
     });
     this.duties.handOver();
     void this.relays.stop();
@@ -284,6 +290,7 @@
       setTimeout(done, FINISH_USAGE_TIMEOUT_MS),
     );
     await Promise.race([this.duties.finishUsage(), limit]);
+    this.loopWatch.stop();
     this.paths.stop();
     this.follower.stop();
     this.crashes.stop();
@@ -324,6 +331,7 @@
         this.duties.countUsage(clientAccount, atMs);
       },
       shutdown: this.shutdown,
+      earliestArrivalMs: () => this.loopWatch.earliestArrivalMs(),
     });
   }
 
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -19,6 +19,14 @@
   readonly shutdown: Shutdown;
   /** At least 0 and below 1 (`Math.random`). */
   readonly random?: () => number;
+  /** When what is read now may have come (now). */
+  readonly earliestArrivalMs?: () => number;
+}
+
+/** When a request was read, and when it may have come. */
+interface Arrival {
+  readonly readAtMs: number;
+  readonly earliestMs: number;
 }
 
 /** For a caller that states no timeout; its route's timeout applies. */
@@ -69,7 +77,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const arrivedAtMs = this.options.nowMs();
+    const arrival = this.noteArrival();
     let exchange: Exchange | undefined;
     const {shutdown} = this.options;
     const writer = new AnswerWriter(
@@ -79,13 +87,13 @@
       () => exchange?.cancel(),
     );
     this.count += 1;
-    const line = this.describeArrival(request, arrivedAtMs);
+    const line = this.describeArrival(request, arrival);
     this.connections.followAnswer(request, response, () => {
       this.count -= 1;
       writer.noteDisconnected();
     });
     try {
-      exchange = await this.prepare(request, writer, arrivedAtMs, line);
+      exchange = await this.prepare(request, writer, arrival, line);
       if (exchange !== undefined) await this.run(exchange);
     } catch (error) {
       this.options.logger.error('request_failed', {
@@ -94,7 +102,7 @@
       });
       writer.fail(502, {});
     } finally {
-      this.account(writer, response, exchange, arrivedAtMs, line);
+      this.account(writer, response, exchange, arrival.readAtMs, line);
     }
   }
 
@@ -107,20 +115,29 @@
     }
   }
 
+  private noteArrival(): Arrival {
+    const {nowMs, earliestArrivalMs = nowMs} = this.options;
+    const readAtMs = nowMs();
+    return {readAtMs, earliestMs: Math.min(readAtMs, earliestArrivalMs())};
+  }
+
   /**
-   * Log fields of a request that arrives while the instance stops: how long
-   * after the signal, and on what kind of connection.
+   * Log fields of a request that may have waited to be read, or arrives while
+   * the instance stops: how long after the signal, and on what kind of
+   * connection.
    */
   private describeArrival(
     request: IncomingMessage,
-    nowMs: number,
+    {readAtMs, earliestMs}: Arrival,
   ): Record<string, unknown> {
-    const facts = this.connections.noteRequest(request, nowMs);
-    const sinceStopMs = this.options.shutdown.sinceMs(nowMs);
-    if (sinceStopMs === undefined) return {};
+    const facts = this.connections.noteRequest(request, readAtMs);
+    const heldUpMs = Math.round(readAtMs - earliestMs) || undefined;
+    const sinceStopMs = this.options.shutdown.sinceMs(readAtMs);
+    if (sinceStopMs === undefined) return {heldUpMs};
     return {
+      heldUpMs,
       sinceStopMs: Math.round(sinceStopMs),
-      connectionAgeMs: Math.round(nowMs - facts.openedAtMs),
+      connectionAgeMs: Math.round(readAtMs - facts.openedAtMs),
       connectionRequests: facts.requests,
     };
   }
@@ -129,7 +146,7 @@
   private async prepare(
     request: IncomingMessage,
     writer: AnswerWriter,
-    arrivedAtMs: number,
+    {readAtMs, earliestMs}: Arrival,
     line: Record<string, unknown>,
   ): Promise<Exchange | undefined> {
     const {protocol, state} = this.options;
@@ -174,7 +191,12 @@
       line.reason = 'caller_left';
       return undefined;
     }
-    const endsAtMs = arrivedAtMs + timeLimitMs(caller, admission);
+    const endsAtMs = earliestMs + timeLimitMs(caller, admission);
+    if (endsAtMs <= readAtMs) {
+      line.reason = 'held_up';
+      this.turnAway(writer, UNAVAILABLE);
+      return undefined;
+    }
     if (!this.mayAdmit(admission, endsAtMs)) {
       line.reason = 'stopping';
       writer.fail(
@@ -207,7 +229,7 @@
         rawHeaders: request.rawHeaders,
         body,
         fingerprint,
-        arrivedAtMs,
+        arrivedAtMs: readAtMs,
         endsAtMs,
       },
       writer,
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -102,6 +102,8 @@
   skippedMs = 0;
   /** Added to the time that connections to endpoints take. */
   connectDelayMs = 0;
+  /** For how long requests may have waited when they are read. */
+  heldUpMs = 0;
   /** Number of connections that endpoints have accepted. */
   opened = 0;
   /** Endpoints of connections that were closed, one entry per connection. */
@@ -367,6 +369,7 @@
       }),
       onBegun: admission => this.begun.push(admission),
       shutdown: this.shutdown,
+      earliestArrivalMs: () => this.nowMs() - this.heldUpMs,
     });
     const server = http.createServer(
       {maxHeaderSize: MAX_HEADER_BYTES},
--- a/packages/routing/src/shutdown.test.ts
+++ b/packages/routing/src/shutdown.test.ts
@@ -57,6 +57,16 @@
   t.true(shutdown.isGraceOver(SIGNAL_MS + 7400));
 });
 
+test('the grace time counts from when the signal may have been sent', t => {
+  // Guards against a process that is killed with requests unanswered, since it
+  // stood still when it was told to stop.
+  const shutdown = new Shutdown(SHUTDOWN);
+  shutdown.begin(SIGNAL_MS + 4000, SIGNAL_MS);
+  t.is(shutdown.leftMs(SIGNAL_MS + 5000), 2400);
+  t.false(shutdown.hasBalancerNoticed(SIGNAL_MS + 5000));
+  t.true(shutdown.isGraceOver(SIGNAL_MS + 7400));
+});
+
 test('within a grace time shorter than the balancer needs only requests that usually end in it are admitted', t => {
   // Guards against answers that are cut because they usually take longer than
   // what is left: the balancer still sends requests when the grace time is
--- a/packages/routing/src/shutdown.ts
+++ b/packages/routing/src/shutdown.ts
@@ -23,18 +23,27 @@
 /** Measures time from the signal to stop; before it everything is admitted. */
 export class Shutdown {
   private beganAtMs: number | undefined;
+  private signalledAtMs = 0;
 
   constructor(private readonly options: ShutdownOptions) {}
 
-  begin(nowMs: number): void {
-    this.beganAtMs ??= nowMs;
+  /**
+   * @param signalledAtMs from which the grace time counts: a process that stood
+   *   still receives the signal late, and is ended all the same.
+   * @example
+   * shutdown.begin(nowMs, watch.earliestArrivalMs());
+   */
+  begin(nowMs: number, signalledAtMs = nowMs): void {
+    if (this.beganAtMs !== undefined) return;
+    this.beganAtMs = nowMs;
+    this.signalledAtMs = signalledAtMs;
   }
 
   get isStopping(): boolean {
     return this.beganAtMs !== undefined;
   }
 
-  /** Time since the signal; undefined before it. */
+  /** Time since the signal was received; undefined before it. */
   sinceMs(nowMs: number): number | undefined {
     return this.beganAtMs === undefined ? undefined : nowMs - this.beganAtMs;
   }
@@ -51,8 +60,8 @@
 
   /** Time left for requests; infinite before the signal. */
   leftMs(nowMs: number): number {
-    const sinceMs = this.sinceMs(nowMs);
-    if (sinceMs === undefined) return Number.POSITIVE_INFINITY;
+    if (!this.isStopping) return Number.POSITIVE_INFINITY;
+    const sinceMs = nowMs - this.signalledAtMs;
     return this.options.graceMs - GRACE_MARGIN_MS - sinceMs;
   }
 
