Publish changes to followers once, compressed

Its busiest instance sends 15 MB a second, 1.7 at 100 instances (power 1.9). A relay made each update anew for each follower: a thousand changed rows have 358 KB (2 ms of an unburdened core), 36 MB for a hundred followers, which is two seconds of the strongest link, and a follower that isn't confirmed meanwhile reads the same rows from the store over its own link.

Change: an update is made once for all followers that have the same version, and compressed for those that read it so (25 KB for 358 in 5 ms); the ping, which is each follower's own, goes in a confirmation after it. Followers of an earlier build get text.

--- a/packages/gateway/src/relay/relay_follower.ts
+++ b/packages/gateway/src/relay/relay_follower.ts
@@ -48,7 +48,12 @@
     if (this.isClosed) return;
     this.client = new RelayClient({
       address: relay.address,
-      request: {kind: 'follow', instance, known: this.readVersions()},
+      request: {
+        kind: 'follow',
+        instance,
+        known: this.readVersions(),
+        readsCompressed: true,
+      },
       silentAfterMs: SILENT_AFTER_MS,
       pingEveryMs,
       nowMs,
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -1,5 +1,6 @@
 /** Messages between a relay and its followers. */
 
+import {constants, deflateSync, inflateSync} from 'node:zlib';
 import type {StoreVersion} from '@snipestage/types/store_version.js';
 import type {
   MethodDefinition,
@@ -22,6 +23,8 @@
   readonly instance: InstanceId;
   /** Versions that are known; 0 where the table was not read yet. */
   readonly known: Readonly<Record<RelayedTableName, StoreVersion>>;
+  /** Whether it reads compressed updates (false). */
+  readonly readsCompressed?: boolean;
 }
 
 /** Its number comes back with the updates that were made after its arrival. */
@@ -47,6 +50,7 @@
   readonly kind: 'rows';
   /**
    * Number of the last ping that arrived before the update was made; 0: none.
+   * Updates with rows have none: the same one goes to all followers.
    */
   readonly ping: number;
   readonly table: RelayedTableName;
@@ -57,6 +61,12 @@
 
 export type RelayMessage = RelayUpdate | LoadReport;
 
+/** An update that is written as it is. */
+export interface SerializedUpdate {
+  readonly kind: 'serialized';
+  readonly bytes: Buffer;
+}
+
 /** Wire format of a row. */
 export interface RelayedRow {
   readonly key: string;
@@ -78,7 +88,10 @@
 
 export type WriteCall = ServerUnaryCall<WriteRequest, WriteAnswer>;
 export type WriteReply = sendUnaryData<WriteAnswer>;
-export type FollowCall = ServerDuplexStream<FollowerMessage, RelayMessage>;
+export type FollowCall = ServerDuplexStream<
+  FollowerMessage,
+  RelayMessage | SerializedUpdate
+>;
 
 /** A gRPC service whose messages are JSON, as the rows are JSON already. */
 export const RELAY_SERVICE: ServiceDefinition<{
@@ -92,7 +105,7 @@
     requestSerialize: serialize,
     requestDeserialize: deserialize<FollowerMessage>,
     responseSerialize: serialize,
-    responseDeserialize: deserialize<RelayMessage>,
+    responseDeserialize: deserializeUpdate,
   },
   write: {
     path: '/snipestage.Relay/Write',
@@ -153,7 +166,34 @@
 /** Caches serialized reports: the same report goes to dozens of followers. */
 const serializedReports = new WeakMap<object, Buffer>();
 
+/** Smaller updates gain nothing. */
+const MIN_COMPRESSED_BYTES = 2000;
+/** First byte of JSON text; compressed bytes begin with another one. */
+const JSON_BRACE = '{'.charCodeAt(0);
+
+/**
+ * Serializes an update for many followers. Rows of endpoints are much alike, so
+ * that compression saves nine tenths of what a relay sends when many change.
+ *
+ * @example
+ * const forAll = serializeUpdate(update, {isCompressed: true});
+ */
+export function serializeUpdate(
+  update: RelayUpdate,
+  {isCompressed}: {readonly isCompressed: boolean},
+): SerializedUpdate {
+  const text = Buffer.from(JSON.stringify(update));
+  const isWorthwhile = isCompressed && text.length >= MIN_COMPRESSED_BYTES;
+  const bytes = isWorthwhile
+    ? deflateSync(text, {level: constants.Z_BEST_SPEED})
+    : text;
+  return {kind: 'serialized', bytes};
+}
+
 function serialize(message: object): Buffer {
+  if ('kind' in message && message.kind === 'serialized') {
+    return (message as SerializedUpdate).bytes;
+  }
   const known = serializedReports.get(message);
   if (known !== undefined) return known;
   const bytes = Buffer.from(JSON.stringify(message));
@@ -163,6 +203,11 @@
   return bytes;
 }
 
+function deserializeUpdate(bytes: Buffer): RelayMessage {
+  const text = bytes[0] === JSON_BRACE ? bytes : inflateSync(bytes);
+  return JSON.parse(text.toString()) as RelayMessage;
+}
+
 function deserialize<Message>(bytes: Buffer): Message {
   return JSON.parse(bytes.toString()) as Message;
 }
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -7,7 +7,6 @@
   readFollowerMessage,
   RELAY_SERVICE,
   RELAYED_TABLES,
-  toRelayedRow,
   type ExchangeRequest,
   type FollowCall,
   type FollowRequest,
@@ -19,6 +18,7 @@
 import {isCountsKey} from '../usage_rows.js';
 import type {LoadReport} from './load_report.js';
 import type {TableCopy} from './table_copy.js';
+import {UpdateBatch} from './update_batch.js';
 import type {WriteBatcher} from './write_batcher.js';
 
 /** Options of {@link RelayServer}. */
@@ -47,6 +47,7 @@
 interface Follower {
   readonly call: FollowCall;
   readonly sentVersions: Map<RelayedTableName, StoreVersion>;
+  readonly readsCompressed: boolean;
   ping: number;
 }
 
@@ -101,7 +102,10 @@
    * none.
    */
   confirm(table: RelayedTableName): void {
-    for (const follower of this.followers) this.publish(follower, table);
+    const batch = new UpdateBatch({table, copy: this.options.copies[table]});
+    for (const follower of this.followers) {
+      this.publish(follower, table, batch);
+    }
   }
 
   /** Sends new readings, except to peers that read too slowly. */
@@ -164,11 +168,14 @@
     call.on('end', () => call.end());
   }
 
-  private add(call: FollowCall, {instance, known}: FollowRequest): Follower {
+  private add(
+    call: FollowCall,
+    {instance, known, readsCompressed = false}: FollowRequest,
+  ): Follower {
     const sentVersions = new Map(
       RELAYED_TABLES.map(table => [table, known[table]]),
     );
-    const follower = {call, sentVersions, ping: 0};
+    const follower = {call, sentVersions, readsCompressed, ping: 0};
     this.followers.add(follower);
     onStreamOver(call, () => {
       const wasThere = this.followers.delete(follower);
@@ -184,22 +191,21 @@
     this.options.logger.info('exchange_begun', {instance});
   }
 
-  private publish(follower: Follower, table: RelayedTableName): void {
-    const {call, sentVersions, ping} = follower;
-    const copy = this.options.copies[table];
-    if (copy.version === undefined || isBehind(call)) return;
-    const {since, version, rows} = copy.changesSince(
-      sentVersions.get(table) ?? ABSENT,
-    );
+  private publish(
+    {call, sentVersions, readsCompressed, ping}: Follower,
+    table: RelayedTableName,
+    batch: UpdateBatch,
+  ): void {
+    const {version} = this.options.copies[table];
+    if (version === undefined || isBehind(call)) return;
+    const known = sentVersions.get(table) ?? ABSENT;
+    const form = {isCompressed: readsCompressed};
+    const {rows} = batch.changesSince(known, form);
     sentVersions.set(table, version);
-    call.write({
-      kind: 'rows',
-      ping,
-      table,
-      since,
-      version,
-      rows: rows.map(toRelayedRow),
-    });
+    if (rows !== undefined) call.write(rows);
+    // Confirms what was sent before; the ping is the follower's own.
+    const since = rows === undefined ? known : version;
+    call.write({kind: 'rows', ping, table, since, version, rows: []});
   }
 }
 
