Log which instance forwarded a request

After `path_broken` the log named the instance that had lost the path and not the one that forwarded it, so that a finding could not be told from the kill or freeze of a third instance. The line of a request gives the forwarder's address.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -93,6 +93,11 @@
     return this.call.path;
   }
 
+  /** Address of the instance that forwarded its connection, if any. */
+  get forwarder(): string | undefined {
+    return this.call.forwarder;
+  }
+
   /** How its answer ended; undefined if none was read up to its end. */
   get ending(): AnswerEnding | undefined {
     return this.call.ending;
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -145,6 +145,11 @@
     return this.connection?.path;
   }
 
+  /** Address of the instance that forwards the connection, if any. */
+  get forwarder(): string | undefined {
+    return this.connection?.forwarder;
+  }
+
   /** Closes the connection, upon which the endpoint stops its work. */
   cancel(): void {
     this.cancellation.abort();
--- a/packages/gateway/src/endpoint_connection.ts
+++ b/packages/gateway/src/endpoint_connection.ts
@@ -24,6 +24,8 @@
 export abstract class EndpointConnection {
   readonly kind = 'open';
   abstract readonly path: ConnectionPath;
+  /** Address of the instance that forwards it, if any. */
+  readonly forwarder: string | undefined = undefined;
   /** Resolves at its end, with whether the endpoint closed without a reset. */
   abstract readonly closedCleanly: Promise<boolean>;
   /** `not_run` until bytes have been written. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -51,6 +51,7 @@
   private loadAgeWhenChosenMs: number | undefined;
   private lastGroup: PlacementGroup | undefined;
   private lastPath: ConnectionPath | undefined;
+  private lastForwarder: string | undefined;
   private lastVersion: SoftwareVersion | undefined;
   private lastEnding: AnswerEnding | undefined;
 
@@ -117,6 +118,7 @@
       firstEventMs: firstMs,
       longestPauseMs: events > 0 ? Math.round(longestPauseMs) : undefined,
       path: this.lastPath,
+      forwarder: this.lastForwarder,
       ...this.lastEnding,
       load: this.loadWhenChosen,
       loadAgeMs: loadAgeMs && Math.round(loadAgeMs),
@@ -251,6 +253,7 @@
       this.current = undefined;
     }
     const {path, ending} = attempt;
+    this.lastForwarder = attempt.forwarder;
     const durationMs = nowMs() - startedAtMs;
     this.settle({endpoint, result, durationMs, path, ending});
     return result;
--- a/packages/gateway/src/forwarding/forwarder_client.ts
+++ b/packages/gateway/src/forwarding/forwarder_client.ts
@@ -61,7 +61,8 @@
   async open(options: OpenTunnelOptions): Promise<Tunnel | TunnelFailure> {
     if (options.signal.aborted) return {kind: 'failed', reason: 'aborted'};
     const client = (this.client ??= this.createClient());
-    const result = await openTunnel(client.connect(), options);
+    const stream = client.connect();
+    const result = await openTunnel(stream, options, this.address);
     const isGone = result.kind === 'failed' && result.reason === 'no_answer';
     // The next tunnel gets a new connection; this one may have gone silent.
     if (isGone && this.client === client) this.client = undefined;
@@ -85,6 +86,7 @@
 function openTunnel(
   stream: TunnelStream,
   {endpoint, timeoutMs, signal, isProbe}: OpenTunnelOptions,
+  forwarder: ForwarderAddress,
 ): Promise<Tunnel | TunnelFailure> {
   return new Promise(resolve => {
     let timer = setTimeout(() => fail('no_answer'), timeoutMs);
@@ -112,7 +114,7 @@
         return;
       }
       stream.pause();
-      settle(new Tunnel(stream));
+      settle(new Tunnel(stream, forwarder));
     });
     stream.write({
       kind: 'open',
--- a/packages/gateway/src/forwarding/tunnel.ts
+++ b/packages/gateway/src/forwarding/tunnel.ts
@@ -2,6 +2,7 @@
 
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import {Duplex} from 'node:stream';
+import type {ForwarderAddress} from '@snipestage/routing/forwarder_choice.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import {EndpointConnection} from '../endpoint_connection.js';
 import type {TunnelReply, TunnelRequest} from './tunnel_messages.js';
@@ -105,7 +106,10 @@
   readonly closedCleanly: Promise<boolean>;
   private readonly socket: TunnelSocket;
 
-  constructor(stream: TunnelStream) {
+  constructor(
+    stream: TunnelStream,
+    override readonly forwarder: ForwarderAddress,
+  ) {
     super();
     let settle: (isClean: boolean) => void = () => undefined;
     this.closedCleanly = new Promise(resolve => (settle = resolve));
