Keep the order of routes across versions with other account tiers

Between route tiers lay as many ranks as there were account tiers, so that a third account tier moved SUMMARY of the new version (5) behind QUOTE of the old one (5), and engines compare the two for as long as requests of both run.

Change: the block of a route tier has all ranks that fit, whatever accounts there are.

--- a/packages/routing/src/urgency_scale.ts
+++ b/packages/routing/src/urgency_scale.ts
@@ -20,9 +20,10 @@
  * their callers leave. If accounts were ignored, a preferred account's callers
  * would wait behind those of others on the same route.
  *
- * Ranks are positions among the tiers that a configuration mentions, not among
- * the pairs in use. So they don't change when accounts and routes with known
- * tiers come and go, and requests sent under two versions compare correctly.
+ * Each route tier has a block of ranks whose size depends only on the number of
+ * route tiers. So requests of two routes compare correctly when they were sent
+ * under two versions between which accounts, or routes with known tiers, came
+ * and went.
  */
 export class UrgencyScale {
   private readonly accountTiers: readonly number[];
@@ -39,11 +40,9 @@
     this.routeTiers = sortDistinct(configuration.routes.map(({tier}) => tier));
     // With too few ranks, route tiers keep theirs and the least urgent account
     // tiers of each share one.
-    const room = Math.floor(this.rankCount / this.routeTiers.length);
-    this.ranksPerRouteTier = Math.max(
-      1,
-      Math.min(this.accountTiers.length, room),
-    );
+    const blocks = Math.max(1, this.routeTiers.length);
+    const room = Math.floor(this.rankCount / blocks);
+    this.ranksPerRouteTier = Math.max(1, room);
   }
 
   /**
