Record in the soak's traces how long the soak itself stood still

Callers, endpoints and all links between them run in the soak's process. A stall of it below 300 ms counts as no disturbance, and a request passes it four times on its way to an endpoint. A trace gives the sum of its own delays between the sending of a request and its last arrival, so that findings of time_handed_on can be told from those. No check uses it.

--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -152,6 +152,12 @@
   readonly atMs: number;
 }
 
+/** A time in which the soak's own process stood still. */
+export interface OwnDelay {
+  readonly atMs: number;
+  readonly lateMs: number;
+}
+
 /** Record of one run; all times are of one monotonic clock. */
 export class History {
   readonly requests: SentRequest[] = [];
@@ -171,6 +177,8 @@
   readonly endpointDataCentres = new Map<string, DataCentreId>();
   /** Software versions of engines, by endpoint. */
   readonly engineVersions = new Map<string, ServedVersion>();
+  /** Callers, endpoints and the links between all run in the soak's process. */
+  readonly ownDelays: OwnDelay[] = [];
   readonly dutyCalls: DutyCall[] = [];
   readonly ends: ProcessEnd[] = [];
   /** No fault is applied after this time; infinite until the last has ended. */
@@ -179,6 +187,13 @@
 
   constructor(readonly bounds: Bounds) {}
 
+  /** For how long the soak's own process stood still within a period. */
+  ownDelayMs(fromMs: number, toMs: number): number {
+    return this.ownDelays
+      .filter(({atMs, lateMs}) => atMs >= fromMs && atMs - lateMs <= toMs)
+      .reduce((sum, {lateMs}) => sum + lateMs, 0);
+  }
+
   /** Adds requests that reached endpoints. */
   addRuns(runs: readonly Run[]): void {
     for (const run of runs) {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,6 +1,7 @@
 /** Command line of the soak. */
 
 import {Command} from 'commander';
+import type {FaultKind} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 import {MUTANTS} from './mutations.js';
 import {REGRESSIONS} from './regressions.js';
@@ -51,6 +52,7 @@
   readonly mutant?: string;
   readonly regressions?: boolean;
   readonly trace?: string;
+  readonly kinds?: string;
 }
 
 /** Runs one mutant. @returns whether its check has found it. */
@@ -120,6 +122,7 @@
     services: Number(options.services),
     dataCentres: Number(options.dataCentres),
     requestsPerS: Number(options.rate),
+    kinds: options.kinds?.split(',') as FaultKind[] | undefined,
   };
 }
 
@@ -135,6 +138,7 @@
     .option('--data-centres <number>', 'data centres, at most three', '2')
     .option('--rate <number>', 'requests a second', '60')
     .option('--mutant <name>', `run a program with a seeded fault, or ${ALL}`)
+    .option('--kinds <names>', 'kinds of faults, separated by commas (all)')
     .option('--regressions', 'the runs that once found something')
     .option('--trace <folder>', 'where to keep the logs of runs with findings')
     .parse();
--- a/packages/soak/src/trace.ts
+++ b/packages/soak/src/trace.ts
@@ -2,6 +2,7 @@
 
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
+import type {History, SentRequest} from './history.js';
 import type {SoakResult} from './soak.js';
 
 /**
@@ -25,6 +26,10 @@
       ...finding,
       request: known.get(finding.requestId ?? ''),
       arrivals: history.arrivalsOf(finding.requestId ?? ''),
+      ownDelayMs: ownDelayUntilArrival(
+        history,
+        known.get(finding.requestId ?? ''),
+      ),
     })),
     disturbances: history.disturbances,
     instanceCuts: history.instanceCuts,
@@ -34,3 +39,13 @@
   writeFileSync(join(own, 'trace.json'), JSON.stringify(trace, undefined, 1));
   for (const [id, text] of logs) writeFileSync(join(own, `${id}.log`), text);
 }
+
+/** How long the soak itself held up a request on its way to its last endpoint. */
+function ownDelayUntilArrival(
+  history: History,
+  request: SentRequest | undefined,
+): number | undefined {
+  const last = history.arrivalsOf(request?.requestId ?? '').at(-1);
+  if (request === undefined || last === undefined) return undefined;
+  return history.ownDelayMs(request.sentAtMs, last.arrivedAtMs);
+}
--- a/packages/soak/src/world/stall_watch.ts
+++ b/packages/soak/src/world/stall_watch.ts
@@ -3,6 +3,8 @@
 import type {History} from '../history.js';
 
 const TICK_MS = 50;
+/** Ticks are a few milliseconds late on any machine. */
+const MIN_DELAY_MS = 10;
 /** Ticks further apart than this show that processes got no processor time. */
 const STALL_THRESHOLD_MS = 300;
 
@@ -32,6 +34,10 @@
 
   private tick(): void {
     const nowMs = this.nowMs();
+    const lateMs = nowMs - this.lastMs - TICK_MS;
+    if (lateMs >= MIN_DELAY_MS) {
+      this.history.ownDelays.push({atMs: nowMs, lateMs});
+    }
     if (nowMs - this.lastMs > STALL_THRESHOLD_MS) {
       const stall = this.history.recordDisturbance(
         'machine',
