Count what is read as held up until the loop waits for events again

Cause: the watch took two turns of the loop for catching up. Node.js 20 accepts one connection in a turn, so that after the standstill of akl-a-5 (27.03 to 28.06 s) requests that had waited were read one after the other until 28.43 s; the first was known as held up for 1,033 ms, the next ones not.

Change: a standstill lasts until the loop has waited for events, which shows that all has been read, and for a second at most.

The changed test failed before.

--- a/packages/gateway/src/event_loop_watch.test.ts
+++ b/packages/gateway/src/event_loop_watch.test.ts
@@ -1,15 +1,16 @@
 import test from 'ava';
 import {EventLoopWatch} from './event_loop_watch.js';
 
-/** A watch whose clock and turns of the event loop a test drives. */
+/** A watch whose clock, idle time and timers a test drives. */
 function startWatch() {
-  const clock = {nowMs: 0};
+  const clock = {nowMs: 0, idleMs: 0};
   let waiting: Array<() => void> = [];
   const watch = new EventLoopWatch({
     nowMs: () => clock.nowMs,
-    afterTurn: callback => waiting.push(callback),
+    readIdleMs: () => clock.idleMs,
+    later: callback => waiting.push(callback),
   });
-  const endTurn = () => {
+  const check = () => {
     const callbacks = waiting;
     waiting = [];
     for (const callback of callbacks) callback();
@@ -18,7 +19,7 @@
     clock.nowMs = atMs;
     watch.tick();
   };
-  return {watch, clock, endTurn, tickAt};
+  return {watch, clock, check, tickAt};
 }
 
 test('what is read while the loop runs has just come', t => {
@@ -29,18 +30,30 @@
 });
 
 test('what is read after a standstill may have come at its beginning', t => {
-  // Guards against handing on time that a caller doesn't have any more.
-  const {watch, clock, endTurn, tickAt} = startWatch();
+  // Guards against handing on time that a caller doesn't have any more: requests
+  // on new connections are read one by one, in many turns of the loop.
+  const {watch, clock, check, tickAt} = startWatch();
   tickAt(100);
   tickAt(1300);
-  t.is(watch.earliestArrivalMs(), 100);
-  endTurn();
-  clock.nowMs = 1310;
-  // Read on a connection that was accepted in the turn before.
-  t.is(watch.earliestArrivalMs(), 100);
-  endTurn();
-  clock.nowMs = 1320;
-  t.is(watch.earliestArrivalMs(), 1320);
+  for (const nowMs of [1300, 1340, 1380]) {
+    clock.nowMs = nowMs;
+    check();
+    t.is(watch.earliestArrivalMs(), 100);
+  }
+  clock.idleMs += 1;
+  check();
+  t.is(watch.earliestArrivalMs(), 1380);
+});
+
+test('a loop that never waits counts what it reads as new after a while', t => {
+  // Guards against refusing every request of an overloaded instance as too old.
+  const {watch, clock, check, tickAt} = startWatch();
+  tickAt(100);
+  tickAt(1300);
+  clock.nowMs = 2300;
+  check();
+  watch.tick();
+  t.not(watch.earliestArrivalMs(), 100);
 });
 
 test('a standstill is known before the timer fires', t => {
@@ -51,18 +64,16 @@
   t.is(watch.earliestArrivalMs(), 100);
 });
 
-test('a long turn after a standstill doesn’t shorten it', t => {
-  // Guards against counting from the second of two standstills what the first
-  // had held up: reading all that waits takes time itself.
-  const {watch, clock, endTurn, tickAt} = startWatch();
+test('a second standstill doesn’t hide the first', t => {
+  // Guards against counting from the second what the first had held up: reading
+  // all that waits takes time itself.
+  const {watch, clock, check, tickAt} = startWatch();
   tickAt(100);
   tickAt(1300);
-  endTurn();
+  check();
   tickAt(1600);
   t.is(watch.earliestArrivalMs(), 100);
-  endTurn();
-  clock.nowMs = 1610;
-  t.is(watch.earliestArrivalMs(), 1300);
-  endTurn();
-  t.is(watch.earliestArrivalMs(), 1610);
+  clock.idleMs += 1;
+  check();
+  t.is(watch.earliestArrivalMs(), 1600);
 });
--- a/packages/gateway/src/event_loop_watch.ts
+++ b/packages/gateway/src/event_loop_watch.ts
@@ -3,8 +3,10 @@
 /** Options of {@link EventLoopWatch}; defaults in the brackets. */
 export interface EventLoopWatchOptions {
   readonly nowMs: () => number;
-  /** Runs a callback once the current turn has read its events (`setImmediate`). */
-  readonly afterTurn?: (callback: () => void) => void;
+  /** For how long the loop has waited for events since the start (Node.js). */
+  readonly readIdleMs?: () => number;
+  /** Runs a callback some milliseconds later (`setTimeout`). */
+  readonly later?: (callback: () => void) => void;
 }
 
 /** A time in which nothing was read, as far as known. */
@@ -16,8 +18,14 @@
 const TICK_MS = 100;
 /** A tick that is later than this shows that the loop stood still. */
 const LATE_TICK_MS = 50;
-/** What waits is read in one turn, and on new connections in the next. */
-const TURNS_TO_CATCH_UP = 2;
+/**
+ * Node.js accepts one connection in a turn of the loop, so that reading all that
+ * waits takes many turns. A loop that waits for events has read everything.
+ */
+const CAUGHT_UP_IDLE_MS = 0.5;
+const CHECK_EVERY_MS = 5;
+/** A loop that never waits is overloaded; what it reads is new all the same. */
+const MAX_CATCH_UP_MS = 1000;
 
 /**
  * A process that is frozen, or gets no processor time, reads requests and
@@ -30,10 +38,15 @@
   private lastTickMs: number;
   /** Those after which not everything has been read yet, the earliest first. */
   private readonly standstills: Standstill[] = [];
-  private readonly afterTurn: (callback: () => void) => void;
+  private readonly readIdleMs: () => number;
+  private readonly later: (callback: () => void) => void;
 
   constructor(private readonly options: EventLoopWatchOptions) {
-    this.afterTurn = options.afterTurn ?? setImmediate;
+    this.readIdleMs =
+      options.readIdleMs ?? (() => performance.nodeTiming.idleTime);
+    this.later =
+      options.later ??
+      (callback => setTimeout(callback, CHECK_EVERY_MS).unref());
     this.lastTickMs = options.nowMs();
   }
 
@@ -76,15 +89,14 @@
   private noteStandstill(fromMs: number): void {
     const standstill = {fromMs};
     this.standstills.push(standstill);
-    this.afterTurns(TURNS_TO_CATCH_UP, () => {
-      this.standstills.splice(this.standstills.indexOf(standstill), 1);
-    });
-  }
-
-  private afterTurns(turns: number, callback: () => void): void {
-    this.afterTurn(() => {
-      if (turns === 1) callback();
-      else this.afterTurns(turns - 1, callback);
-    });
+    const idleAtMs = this.readIdleMs();
+    const endsAtMs = this.options.nowMs() + MAX_CATCH_UP_MS;
+    const check = () => {
+      const hasCaughtUp = this.readIdleMs() - idleAtMs >= CAUGHT_UP_IDLE_MS;
+      if (hasCaughtUp || this.options.nowMs() >= endsAtMs) {
+        this.standstills.splice(this.standstills.indexOf(standstill), 1);
+      } else this.later(check);
+    };
+    this.later(check);
   }
 }
