--- a/packages/gateway/src/endpoint_probes.ts
+++ b/packages/gateway/src/endpoint_probes.ts
@@ -9,6 +9,7 @@
   EndpointConnection,
 } from './endpoint_connection.js';
 import type {EndpointConnector} from './endpoint_connector.js';
+import type {IdentifyEndpoint} from './identify_endpoint.js';
 
 /** Options of {@link EndpointProbes}; defaults in the brackets. */
 export interface EndpointProbesOptions {
@@ -17,11 +18,7 @@
    * Whether what has accepted a connection is the endpoint, and not another one
    * that got its address; closes the connection (any is taken for it).
    */
-  readonly identify?: (
-    endpoint: ServingEndpoint,
-    connection: EndpointConnection,
-    timeoutMs: number,
-  ) => Promise<IdentityMatch>;
+  readonly identify?: IdentifyEndpoint;
   /** (nothing is logged) */
   readonly logger?: Logger;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,7 +22,7 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createPages} from './gateway_pages.js';
 import type {GatewaySettings} from './gateway_settings.js';
-import {identifyEndpoint} from './identify_endpoint.js';
+import {identifyBy} from './identify_endpoint.js';
 import type {OperationsServer} from './operations_server.js';
 import type {PassThroughProtocol} from './pass_through_protocol.js';
 import {Relays} from './relay/relays.js';
@@ -315,14 +315,7 @@
       connector: this.paths.connector,
       probes: new EndpointProbes({
         connector: this.paths.connector,
-        identify: (endpoint, connection, timeoutMs) =>
-          identifyEndpoint({
-            endpoint,
-            service: this.state.table?.findService(endpoint.service),
-            connection,
-            protocol,
-            timeoutMs,
-          }),
+        identify: identifyBy({state: this.state, protocol}),
         logger: logger.forComponent('callers'),
       }),
       streams: this.streams,
--- a/packages/gateway/src/identify_endpoint.ts
+++ b/packages/gateway/src/identify_endpoint.ts
@@ -9,6 +9,7 @@
 import type {Service} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {EndpointConnection} from './endpoint_connection.js';
+import type {RoutingState} from './routing_state.js';
 import type {
   IdentityRequest,
   PassThroughProtocol,
@@ -25,6 +26,36 @@
   readonly timeoutMs: number;
 }
 
+/** Asks whether what has accepted a connection is the endpoint. */
+export type IdentifyEndpoint = (
+  endpoint: ServingEndpoint,
+  connection: EndpointConnection,
+  timeoutMs: number,
+) => Promise<IdentityMatch>;
+
+/**
+ * Returns a function that asks by the configuration in force.
+ *
+ * @example
+ * const probes = new EndpointProbes({
+ *   connector,
+ *   identify: identifyBy({state, protocol}),
+ * });
+ */
+export function identifyBy({
+  state,
+  protocol,
+}: {
+  readonly state: RoutingState;
+  readonly protocol: PassThroughProtocol;
+}): IdentifyEndpoint {
+  return (endpoint, connection, timeoutMs) => {
+    const service = state.table?.findService(endpoint.service);
+    const asked = {endpoint, service, connection};
+    return identifyEndpoint({...asked, protocol, timeoutMs});
+  };
+}
+
 interface Question {
   readonly request: IdentityRequest;
   readonly connection: EndpointConnection;
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -23,7 +23,7 @@
 import {CrashReporter} from '../crash_reporter.js';
 import {DirectConnector} from '../direct_connector.js';
 import {EndpointConnector} from '../endpoint_connector.js';
-import {identifyEndpoint} from '../identify_endpoint.js';
+import {identifyBy} from '../identify_endpoint.js';
 import {EndpointProbes} from '../endpoint_probes.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
 import {RequestHandler} from '../request_handler.js';
@@ -352,14 +352,7 @@
       connector,
       probes: new EndpointProbes({
         connector,
-        identify: (endpoint, connection, timeoutMs) =>
-          identifyEndpoint({
-            endpoint,
-            service: this.state.table?.findService(endpoint.service),
-            connection,
-            protocol,
-            timeoutMs,
-          }),
+        identify: identifyBy({state: this.state, protocol}),
       }),
       streams: new Streams({
         platform: new MemoryPlatform(),
