--- a/packages/gateway/src/endpoint_probes.ts
+++ b/packages/gateway/src/endpoint_probes.ts
@@ -4,10 +4,7 @@
 import type {IdentityMatch} from '@snipestage/routing/endpoint_identity.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {EndpointId} from '@snipestage/types/ids.js';
-import type {
-  ConnectionPath,
-  EndpointConnection,
-} from './endpoint_connection.js';
+import type {ConnectionPath} from './endpoint_connection.js';
 import type {EndpointConnector} from './endpoint_connector.js';
 import type {IdentifyEndpoint} from './identify_endpoint.js';
 
@@ -39,6 +36,7 @@
  */
 type LookResult = 'up' | 'refused' | 'replaced' | 'unknown';
 
+/** By what the endpoint states of itself. */
 const LOOK_RESULTS: Readonly<Record<IdentityMatch, LookResult>> = {
   same: 'up',
   other: 'replaced',
