--- a/packages/soak/src/forwarding_mutations.ts
+++ b/packages/soak/src/forwarding_mutations.ts
@@ -11,7 +11,7 @@
     edits: [
       {
         module: 'gateway/dist/endpoint_connector.js',
-        from: 'if (forwarded?.isAvailable !== true)',
+        from: 'if (forwarded === undefined)',
         to: 'if (true)',
       },
     ],
