--- a/packages/gateway/src/endpoint_connector.ts
+++ b/packages/gateway/src/endpoint_connector.ts
@@ -56,15 +56,15 @@
     if (direct.kind === 'open' || !mustForward) return direct;
     const result = await forwarded.open(request);
     const hasNoPath = result.kind === 'failed' && result.reason === 'isolated';
-    // A request may then go to the next endpoint; a look learns nothing.
+    // A request may go to the next endpoint then; a look learns nothing.
     const isSettled = !state.isolation.isIsolated || request.isProbe !== true;
     return hasNoPath && isSettled ? direct : result;
   }
 
   /**
-   * Connects through others without waiting for the own links and, from time to
-   * time, directly as well: these may be back. A look always tries both, as a whole answer
-   * waits for it.
+   * Connects through others without waiting for its own links. From time to time
+   * it connects directly as well, as these may be back. A look always tries both:
+   * a whole answer waits for it.
    *
    * @returns the first connection; if there is none, why not through others.
    */
@@ -110,7 +110,7 @@
   }
 }
 
-/** Runs on until the connection is open: that shows which path works. */
+/** Lets a connection open that isn't needed: that shows which path works. */
 async function resetUnless(
   chosen: EndpointConnection | undefined,
   opening: Promise<OpenResult>,
