Leave a short time to requests that may have waited too long

Cause: an instance that gets little processor time stands still again and again and doesn't catch up for a second each time. Whatever it read then counted as come up to 1.5 s before, which is all the time that a plain request has. It couldn't know, and refused those that had just come.

--- a/packages/gateway/src/event_loop_watch.ts
+++ b/packages/gateway/src/event_loop_watch.ts
@@ -25,7 +25,7 @@
 const CAUGHT_UP_IDLE_MS = 0.5;
 const CHECK_EVERY_MS = 5;
 /** A loop that never waits is overloaded; what it reads is new all the same. */
-const MAX_CATCH_UP_MS = 1000;
+const MAX_CATCH_UP_MS = 500;
 
 /**
  * A process that is frozen, or gets no processor time, reads requests and
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -29,6 +29,8 @@
   readonly earliestMs: number;
 }
 
+/** Endpoints may be handed half a second more than a caller has left. */
+const MIN_TIME_LEFT_MS = 400;
 /** For a caller that states no timeout; its route's timeout applies. */
 const NO_LIMIT_MS = Number.POSITIVE_INFINITY;
 const PAYLOAD_TOO_LARGE = 413;
@@ -146,7 +148,7 @@
   private async prepare(
     request: IncomingMessage,
     writer: AnswerWriter,
-    {readAtMs, earliestMs}: Arrival,
+    arrival: Arrival,
     line: Record<string, unknown>,
   ): Promise<Exchange | undefined> {
     const {protocol, state} = this.options;
@@ -191,12 +193,7 @@
       line.reason = 'caller_left';
       return undefined;
     }
-    const endsAtMs = earliestMs + timeLimitMs(caller, admission);
-    if (endsAtMs <= readAtMs) {
-      line.reason = 'held_up';
-      this.turnAway(writer, UNAVAILABLE);
-      return undefined;
-    }
+    const endsAtMs = deadlineOf(arrival, timeLimitMs(caller, admission));
     if (!this.mayAdmit(admission, endsAtMs)) {
       line.reason = 'stopping';
       writer.fail(
@@ -229,7 +226,7 @@
         rawHeaders: request.rawHeaders,
         body,
         fingerprint,
-        arrivedAtMs: readAtMs,
+        arrivedAtMs: arrival.readAtMs,
         endsAtMs,
       },
       writer,
@@ -321,6 +318,15 @@
   return rawHeaders.reduce((bytes, text) => bytes + text.length, 0);
 }
 
+/**
+ * Counts from when a request may have come. It may as well have come just now,
+ * so that some time is left to it whatever it may have waited.
+ */
+function deadlineOf({readAtMs, earliestMs}: Arrival, limitMs: number): number {
+  const minLeftMs = Math.min(limitMs, MIN_TIME_LEFT_MS);
+  return Math.max(earliestMs + limitMs, readAtMs + minLeftMs);
+}
+
 function timeLimitMs(caller: CallerRequest, {route}: Admission): number {
   return Math.min(caller.callerTimeoutMs ?? NO_LIMIT_MS, route.timeoutMs);
 }
