--- a/packages/gateway/src/endpoint_probes.ts
+++ b/packages/gateway/src/endpoint_probes.ts
@@ -25,7 +25,7 @@
  * that the endpoint is up, and nothing else waits for it.
  */
 const TIMEOUT_MS = 1000;
-/** Unless it is known to be gone, nothing is known of it after one look. */
+/** An endpoint that could not be reached or identified is looked at again. */
 const MAX_LOOKS = 3;
 const LOOK_AGAIN_AFTER_MS = 300;
 
--- a/packages/gateway/src/event_loop_watch.ts
+++ b/packages/gateway/src/event_loop_watch.ts
@@ -1,4 +1,4 @@
-/** Tells how long something may have waited before this process read it. */
+/** Estimates how long something may have waited before it was read. */
 
 /** Options of {@link EventLoopWatch}; defaults in the brackets. */
 export interface EventLoopWatchOptions {
--- a/packages/gateway/src/identify_endpoint.ts
+++ b/packages/gateway/src/identify_endpoint.ts
@@ -68,7 +68,7 @@
 /**
  * Asks over an open connection. An address may belong to another endpoint by
  * now, before that one is listed here. Endpoints that state nothing of
- * themselves can only be told by their address: any that accepts is the same.
+ * themselves can only be recognized by their address.
  *
  * @example
  * const match = await identifyEndpoint({endpoint, connection, ...rest});
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -319,8 +319,8 @@
 }
 
 /**
- * Counts from when a request may have come. It may as well have come just now,
- * so that some time is left to it whatever it may have waited.
+ * Deadline of a request, counted from its earliest possible arrival. As it may
+ * also have arrived just now, it always gets a minimum of time.
  */
 function deadlineOf({readAtMs, earliestMs}: Arrival, limitMs: number): number {
   const minLeftMs = Math.min(limitMs, MIN_TIME_LEFT_MS);
--- a/packages/routing/src/endpoint_identity.ts
+++ b/packages/routing/src/endpoint_identity.ts
@@ -1,4 +1,4 @@
-/** Tells an endpoint from another one that has its address now. */
+/** Distinguishes an endpoint from another one that has its address now. */
 
 import type {EndpointId} from '@snipestage/types/ids.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
@@ -15,7 +15,7 @@
 
 /**
  * Whether what answers at the address of an endpoint is that endpoint. The time
- * of its start also tells it from a later start under the same id.
+ * of its start also distinguishes it from a later start under the same id.
  *
  * @example
  * if (compareIdentity(endpoint, stated) === 'other') return 'gone';
