--- a/packages/gateway/src/relay/update_batch.test.ts
+++ b/packages/gateway/src/relay/update_batch.test.ts
@@ -26,7 +26,7 @@
   const value = {
     service: 'huvo11a',
     address: `10.128.${index >> 8}.${index & 255}:8080`,
-    zone: 'akl-a',
+    dataCentre: 'akl-a',
     version: 'v1',
     capacity: 64,
     state,
