Tell in logs and metrics where a request waits and what is believed of its endpoint

The line of a request that got nothing said which endpoint it went to, but not whether it waited for the connection or at the endpoint, whether the load by which the endpoint was chosen was true, or whether it wasn't tried elsewhere as the budget for retries was spent. Three hypotheses on urgent requests that got nothing couldn't be told apart.

The line gives connectMs, headMs, answeredRunning, answeredWaiting and isRetryBudgetSpent; three metrics give the same by side, rank and service. What the exchange keeps for its line moved to a record of its own. No decision changes.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,14 +1,15 @@
 /** One attempt of a request at one endpoint. */
 
 import type {IncomingMessage} from 'node:http';
-import type {AnswerEnding} from '@snipestage/connection/answer_end.js';
+import type {ReportedLoad} from '@snipestage/routing/endpoint_monitor.js';
 import type {Placed} from '@snipestage/routing/placement.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
 import {sharesCache} from '@snipestage/routing/stream_origin.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter} from './answer_writer.js';
+import type {ProgressRecord} from './attempt_record.js';
+import {AttemptTiming} from './attempt_timing.js';
 import {EndpointCall, type CallFailureReason} from './endpoint_call.js';
-import type {ConnectionPath} from './endpoint_connection.js';
 import {EventRelay} from './event_relay.js';
 import type {
   AttemptResult,
@@ -56,11 +57,14 @@
 export class Attempt {
   private readonly call: EndpointCall;
   private readonly silence: SilenceWatch;
+  private readonly timing: AttemptTiming;
+  private answeredLoad: ReportedLoad | undefined;
 
   constructor(private readonly options: AttemptOptions) {
     const {context, request, placed} = options;
     const {state, crashes, nowMs, connectTimeout} = context;
     const timeLeftMs = Math.max(1, request.endsAtMs - nowMs());
+    this.timing = new AttemptTiming(nowMs);
     this.call = new EndpointCall({
       method: request.method,
       path: request.path,
@@ -73,10 +77,14 @@
           isLast: options.isLast(),
           signal,
         }),
-      mayStillSend: () =>
-        state.directory.mayStillSend(placed.endpoint, nowMs()) &&
-        state.directory.isCurrentIncarnation(placed.endpoint) &&
-        crashes.mayRun(request.fingerprint),
+      mayStillSend: () => {
+        this.timing.noteConnected();
+        return (
+          state.directory.mayStillSend(placed.endpoint, nowMs()) &&
+          state.directory.isCurrentIncarnation(placed.endpoint) &&
+          crashes.mayRun(request.fingerprint)
+        );
+      },
       isStillUp: () => this.isEndpointUp(),
     });
     const limits = limitsOnSilence(request.admission.route, timeLeftMs);
@@ -88,19 +96,18 @@
     return this.call.verdict;
   }
 
-  /** How it was connected to the endpoint; undefined while it isn't. */
-  get path(): ConnectionPath | undefined {
-    return this.call.path;
-  }
-
-  /** Address of the instance that forwarded its connection, if any. */
-  get forwarder(): string | undefined {
-    return this.call.forwarder;
-  }
-
-  /** How its answer ended; undefined if none was read up to its end. */
-  get ending(): AnswerEnding | undefined {
-    return this.call.ending;
+  /** How far it has come, for the log and for what is learnt from it. */
+  describeProgress(): ProgressRecord {
+    const {call, timing} = this;
+    return {
+      path: call.path,
+      forwarder: call.forwarder,
+      softwareVersion: this.options.placed.endpoint.softwareVersion,
+      ending: call.ending,
+      connectMs: timing.connectMs,
+      headMs: timing.headMs,
+      answeredLoad: this.answeredLoad,
+    };
   }
 
   /** Closes the connection, upon which the endpoint stops its work. */
@@ -111,6 +118,7 @@
   /** Passes the answer on to the caller, or returns why there is none. */
   async run(): Promise<AttemptResult> {
     const head = await this.call.head;
+    if (head.kind === 'head') this.timing.noteHead();
     const result =
       head.kind === 'failed'
         ? this.failedWithoutHead(head)
@@ -203,6 +211,7 @@
       response.statusCode ?? 0,
       response.headers,
     );
+    this.answeredLoad = head.load;
     recordAnnouncements(context, {head, request, endpoint: placed.endpoint});
     const isOwn =
       head.requestId === request.caller.requestId && !head.isEncoded;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -5,24 +5,18 @@
   failureFor,
   mayRunAgain,
 } from '@snipestage/routing/attempt_policy.js';
-import type {AnswerEnding} from '@snipestage/connection/answer_end.js';
 import {AttemptHistory} from '@snipestage/routing/attempt_history.js';
 import {workOf} from '@snipestage/routing/prompt.js';
-import {
-  mayOffer,
-  type Placed,
-  type PlacementGroup,
-} from '@snipestage/routing/placement.js';
+import {mayOffer, type Placed} from '@snipestage/routing/placement.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import {
   mayContinue,
   type StreamOrigin,
 } from '@snipestage/routing/stream_origin.js';
-import type {SoftwareVersion} from '@snipestage/types/ids.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
 import {Attempt} from './attempt.js';
-import type {ConnectionPath} from './endpoint_connection.js';
+import {AttemptRecord} from './attempt_record.js';
 import {recordOutcome, type AttemptOutcome} from './record_outcome.js';
 import type {
   AttemptResult,
@@ -46,14 +40,9 @@
    * No endpoint takes a request before this time has passed, as far as known.
    */
   private minRetryAfterMs = 0;
-  /** Estimated load of the last endpoint when it was chosen, and its age. */
-  private loadWhenChosen: number | undefined;
-  private loadAgeWhenChosenMs: number | undefined;
-  private lastGroup: PlacementGroup | undefined;
-  private lastPath: ConnectionPath | undefined;
-  private lastForwarder: string | undefined;
-  private lastVersion: SoftwareVersion | undefined;
-  private lastEnding: AnswerEnding | undefined;
+  /** Whether a retry was given up as the budget for retries was spent. */
+  private isRetryBudgetSpent = false;
+  private readonly record = new AttemptRecord();
 
   constructor(
     private readonly context: ExchangeContext,
@@ -77,6 +66,7 @@
     } finally {
       clearTimeout(timer);
       this.noteDuration();
+      this.noteUnbegun();
     }
   }
 
@@ -103,7 +93,6 @@
     const {firstEventAtMs, longestPauseMs, events} = this.writer;
     const firstMs =
       firstEventAtMs && Math.round(firstEventAtMs - this.request.arrivedAtMs);
-    const loadAgeMs = this.loadAgeWhenChosenMs;
     return {
       verdict: this.verdict,
       // Endpoints tried, also those not reached, unlike the history's `offers`.
@@ -117,17 +106,9 @@
       events: events || undefined,
       firstEventMs: firstMs,
       longestPauseMs: events > 0 ? Math.round(longestPauseMs) : undefined,
-      path: this.lastPath,
-      forwarder: this.lastForwarder,
-      ...this.lastEnding,
-      load: this.loadWhenChosen,
-      loadAgeMs: loadAgeMs && Math.round(loadAgeMs),
+      isRetryBudgetSpent: this.isRetryBudgetSpent || undefined,
       endpoint: [...this.history.tried].at(-1),
-      softwareVersion: this.lastVersion,
-      side: this.lastGroup?.side,
-      sideEngines: this.lastGroup?.engines,
-      candidateEngines: this.lastGroup?.candidates,
-      usableEngines: this.lastGroup?.usable,
+      ...this.record.describe(),
     };
   }
 
@@ -147,6 +128,12 @@
     state.durations.note(admission.route.id, nowMs() - arrivedAtMs);
   }
 
+  private noteUnbegun(): void {
+    const {service, route, urgencyRank} = this.request.admission;
+    if (route.kind !== 'stream' || this.writer.events > 0) return;
+    this.context.metrics.countUnbegunStream(service, urgencyRank);
+  }
+
   private async attemptUntilAnswered(): Promise<void> {
     for (;;) {
       if (this.writer.isOver) return;
@@ -217,28 +204,29 @@
       hasArrived: result.hasArrived,
     });
     if (decision.kind === 'give_up') return false;
-    return !decision.needsBudget || state.budgetFor(service).tryTake(nowMs());
+    if (!decision.needsBudget) return true;
+    if (state.budgetFor(service).tryTake(nowMs())) return true;
+    this.isRetryBudgetSpent = true;
+    this.context.metrics.countUnaffordableRetry(service);
+    return false;
   }
 
   private async attempt(placed: Placed): Promise<AttemptResult> {
     const {endpoint, group} = placed;
     const {state, nowMs, metrics} = this.context;
     const {prompt} = this.request.caller;
-    this.lastGroup = group;
     if (group !== undefined) metrics.notePlacement(endpoint.service, group);
     if (state.rateLimits.find(endpoint.id) !== undefined) {
       metrics.countRateLimitedAttempt(endpoint.service);
     }
     const work = prompt === undefined ? 1 : workOf(prompt, true);
     this.history.begin(endpoint);
-    this.loadWhenChosen = Math.round(
-      state.monitor.estimateLoad(endpoint.id, nowMs()),
-    );
     const startedAtMs = nowMs();
-    this.loadAgeWhenChosenMs = state.monitor.loadAgeMs(
-      endpoint.id,
-      startedAtMs,
-    );
+    this.record.noteChoice({
+      load: state.monitor.estimateLoad(endpoint.id, startedAtMs),
+      loadAgeMs: state.monitor.loadAgeMs(endpoint.id, startedAtMs),
+      group,
+    });
     state.monitor.begin(endpoint.id, work, startedAtMs);
     state.warmup.noteSent(endpoint, startedAtMs);
     state.rateLimits.noteSent(endpoint.id, startedAtMs);
@@ -252,8 +240,11 @@
       state.monitor.end(endpoint.id, work);
       this.current = undefined;
     }
-    const {path, ending} = attempt;
-    this.lastForwarder = attempt.forwarder;
+    const progress = attempt.describeProgress();
+    this.record.noteProgress(progress);
+    const {path, ending, headMs} = progress;
+    if (headMs !== undefined)
+      metrics.observeHeadWait(endpoint.service, group?.side ?? 'none', headMs);
     const durationMs = nowMs() - startedAtMs;
     this.settle({endpoint, result, durationMs, path, ending});
     return result;
@@ -330,9 +321,6 @@
   private settle(outcome: AttemptOutcome): void {
     const {endpoint, result} = outcome;
     recordOutcome(this.context, this.request, outcome);
-    this.lastPath = outcome.path ?? this.lastPath;
-    this.lastVersion = endpoint.softwareVersion;
-    this.lastEnding = outcome.ending;
     if (result.kind === 'answered') {
       this.verdict = 'ran';
       return;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -74,6 +74,25 @@
     labelNames: ['service', 'side'],
     registers: [this.registry],
   });
+  private readonly unaffordableRetries = new Counter({
+    name: 'snipestage_unaffordable_retries_total',
+    help: 'Retries given up as the retry budget was spent, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+  private readonly unbegunStreams = new Counter({
+    name: 'snipestage_unbegun_streams_total',
+    help: 'Streams that ended without an event, by service and urgency rank.',
+    labelNames: ['service', 'rank'],
+    registers: [this.registry],
+  });
+  private readonly headWait = new Histogram({
+    name: 'snipestage_endpoint_head_wait_ms',
+    help: 'Time from sending a request to the head of its answer.',
+    labelNames: ['service', 'side'],
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [this.registry],
+  });
   private readonly rateLimitedAttempts = new Counter({
     name: 'snipestage_rate_limited_attempts_total',
     help: 'Attempts at rate-limited endpoints by service.',
@@ -172,6 +191,20 @@
     this.candidateEngines.set({service, side}, candidates);
   }
 
+  countUnaffordableRetry(service: string): void {
+    this.unaffordableRetries.inc({service});
+  }
+
+  /** @param rank urgency of the request; 0 is served first. */
+  countUnbegunStream(service: string, rank: number): void {
+    this.unbegunStreams.inc({service, rank: String(rank)});
+  }
+
+  /** @param side side of the split of engines, or `none`. */
+  observeHeadWait(service: string, side: string, waitMs: number): void {
+    this.headWait.observe({service, side}, waitMs);
+  }
+
   countRateLimitedAttempt(service: string): void {
     this.rateLimitedAttempts.inc({service});
   }
