Count an engine that lets a request wait too long as full at all instances

What callers saw: urgent requests got nothing at engines that began none, while larger and less urgent ones began elsewhere.

Cause: an engine reports its load with the head of an answer, that is when a request begins. One that begins nothing looks as it did before, or emptier, as its last load decays, and gets further requests from all instances. Only its own silent requests told an instance, and each of 65 instances has one of them in some seconds.

Mend: when a request has waited for twice its route's usual time (at most twice its target, half of it at least) without an event on a direct connection, the instance records the engine as full. Other instances know within some 50 ms through the relays; the next answer of the engine replaces it. An instance that stood still and has not read everything yet blames no engine.

The other new tests failed before for want of what they test.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,6 +4,10 @@
 import type {ReportedLoad} from '@snipestage/routing/endpoint_monitor.js';
 import type {Placed} from '@snipestage/routing/placement.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
+import {
+  limitsOnSilence,
+  overdueAfterMs,
+} from '@snipestage/routing/silence_limits.js';
 import {sharesCache} from '@snipestage/routing/stream_origin.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter} from './answer_writer.js';
@@ -11,6 +15,7 @@
 import {AttemptTiming} from './attempt_timing.js';
 import {EndpointCall, type CallFailureReason} from './endpoint_call.js';
 import {EventRelay} from './event_relay.js';
+import {OverdueWatch} from './overdue_watch.js';
 import type {
   AttemptResult,
   ExchangeContext,
@@ -20,7 +25,6 @@
 import type {AnswerHead} from './pass_through_protocol.js';
 import {readAnswerBody} from './read_answer_body.js';
 import {recordAnnouncements} from './record_announcements.js';
-import {limitsOnSilence} from './silence_limits.js';
 import {SilenceWatch} from './silence_watch.js';
 
 /**
@@ -58,6 +62,7 @@
   private readonly call: EndpointCall;
   private readonly silence: SilenceWatch;
   private readonly timing: AttemptTiming;
+  private readonly overdue: OverdueWatch;
   private answeredLoad: ReportedLoad | undefined;
 
   constructor(private readonly options: AttemptOptions) {
@@ -65,6 +70,7 @@
     const {state, crashes, nowMs, connectTimeout} = context;
     const timeLeftMs = Math.max(1, request.endsAtMs - nowMs());
     this.timing = new AttemptTiming(nowMs);
+    this.overdue = this.createOverdueWatch();
     this.call = new EndpointCall({
       method: request.method,
       path: request.path,
@@ -79,6 +85,7 @@
         }),
       mayStillSend: () => {
         this.timing.noteConnected();
+        if (request.admission.route.kind === 'stream') this.overdue.start();
         return (
           state.directory.mayStillSend(placed.endpoint, nowMs()) &&
           state.directory.isCurrentIncarnation(placed.endpoint) &&
@@ -124,6 +131,7 @@
         ? this.failedWithoutHead(head)
         : await this.handleHead(head.response);
     this.silence.stop();
+    this.overdue.stop();
     return result;
   }
 
@@ -141,6 +149,40 @@
     });
   }
 
+  private createOverdueWatch(): OverdueWatch {
+    const {context, request} = this.options;
+    const {state, nowMs, earliestArrivalMs = nowMs} = context;
+    const {route} = request.admission;
+    return new OverdueWatch({
+      limitMs: overdueAfterMs(route, state.waits.p90Ms(route.id)),
+      isBehind: () => {
+        const atMs = nowMs();
+        return earliestArrivalMs() < atMs;
+      },
+      onOverdue: () => this.noteOverdue(),
+    });
+  }
+
+  /** A forwarded connection may be what is slow. */
+  private noteOverdue(): void {
+    const {context, request, placed} = this.options;
+    const {state, metrics, logger, nowMs} = context;
+    const {endpoint} = placed;
+    const isEndpointSlow =
+      this.call.path === 'direct' &&
+      state.directory.isCurrentIncarnation(endpoint);
+    const load = state.monitor.estimateLoad(endpoint.id, nowMs());
+    const isNoted = isEndpointSlow && state.loads.noteSilent(endpoint, nowMs());
+    if (!isNoted) return;
+    metrics.countOverdueRequest(endpoint.service);
+    logger.info('endpoint_overdue', {
+      requestId: request.caller.requestId,
+      route: request.admission.route.id,
+      endpoint: endpoint.id,
+      load: Math.round(load),
+    });
+  }
+
   private async isEndpointUp(): Promise<boolean> {
     const {context, placed} = this.options;
     if (!(await context.probes.isUp(placed.endpoint))) return false;
@@ -321,6 +363,7 @@
       headers: context.protocol.composeAnswer(response.rawHeaders),
       onEvent: () => {
         this.silence.restart();
+        this.overdue.stop();
         onBegun();
         onEvent();
       },
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -67,6 +67,7 @@
       clearTimeout(timer);
       this.noteDuration();
       this.noteUnbegun();
+      this.noteWait();
     }
   }
 
@@ -134,6 +135,15 @@
     this.context.metrics.countUnbegunStream(service, urgencyRank);
   }
 
+  /** Of those that never begin, the time until they are given up counts. */
+  private noteWait(): void {
+    const {state, nowMs} = this.context;
+    const {admission, arrivedAtMs} = this.request;
+    if (admission.route.kind !== 'stream' || this.verdict === 'not_run') return;
+    const untilMs = this.writer.firstEventAtMs ?? nowMs();
+    state.waits.note(admission.route.id, untilMs - arrivedAtMs);
+  }
+
   private async attemptUntilAnswered(): Promise<void> {
     for (;;) {
       if (this.writer.isOver) return;
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -28,6 +28,8 @@
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   readonly nowMs: () => number;
+  /** When what is read now may have come (now). */
+  readonly earliestArrivalMs?: () => number;
   readonly connectTimeout: ConnectTimeout;
   readonly connector: EndpointConnector;
   readonly probes: EndpointProbes;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -331,7 +331,7 @@
   private applyConfiguration(configuration: RoutingConfiguration): void {
     const {limits, routes, version} = configuration;
     this.callers.applyLimits(limits);
-    this.state.durations.retain(new Set(routes.map(({id}) => id)));
+    this.state.retainRoutes(new Set(routes.map(({id}) => id)));
     this.options.metrics.setConfigurationVersion(version);
   }
 
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -86,6 +86,12 @@
     labelNames: ['service', 'rank'],
     registers: [this.registry],
   });
+  private readonly overdueRequests = new Counter({
+    name: 'snipestage_overdue_requests_total',
+    help: 'Requests that waited too long for an answer to begin, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   private readonly headWait = new Histogram({
     name: 'snipestage_endpoint_head_wait_ms',
     help: 'Time from sending a request to the head of its answer.',
@@ -195,6 +201,10 @@
     this.unaffordableRetries.inc({service});
   }
 
+  countOverdueRequest(service: string): void {
+    this.overdueRequests.inc({service});
+  }
+
   /** @param rank urgency of the request; 0 is served first. */
   countUnbegunStream(service: string, rank: number): void {
     this.unbegunStreams.inc({service, rank: String(rank)});
--- a/packages/gateway/src/relay/load_exchange.ts
+++ b/packages/gateway/src/relay/load_exchange.ts
@@ -46,6 +46,16 @@
    * All new readings for followers, those of this data centre for other relays.
    */
   collectForOthers(): {toFollowers: LoadReport; toRelays: LoadReport} {
+    const {view, nowMs} = this.options;
+    const atMs = nowMs();
+    const toFollowers = this.collectForFollowers();
+    const local = view.changesSince(this.toRelaysMark, ['own', 'local'], atMs);
+    this.toRelaysMark = local.mark;
+    return {toFollowers, toRelays: toLoadReport(local.readings, atMs)};
+  }
+
+  /** All new readings for followers. */
+  collectForFollowers(): LoadReport {
     const {view, nowMs} = this.options;
     const atMs = nowMs();
     const all = view.changesSince(
@@ -53,13 +63,8 @@
       ['own', 'local', 'remote'],
       atMs,
     );
-    const local = view.changesSince(this.toRelaysMark, ['own', 'local'], atMs);
     this.toFollowersMark = all.mark;
-    this.toRelaysMark = local.mark;
-    return {
-      toFollowers: toLoadReport(all.readings, atMs),
-      toRelays: toLoadReport(local.readings, atMs),
-    };
+    return toLoadReport(all.readings, atMs);
   }
 
   /**
--- a/packages/gateway/src/relay/load_report.ts
+++ b/packages/gateway/src/relay/load_report.ts
@@ -20,6 +20,8 @@
 export interface LoadReport {
   readonly kind: 'loads';
   readonly lines: readonly LoadLine[];
+  /** Whether a relay passes it on at once (false). */
+  readonly isUrgent?: boolean;
 }
 
 /** Lines in a report; longer reports are rejected. */
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -111,12 +111,14 @@
   /** Sends new readings, except to peers that read too slowly. */
   sendLoads(loads: {
     readonly toFollowers: LoadReport;
-    readonly toRelays: LoadReport;
+    /** Undefined: nothing is sent to them. */
+    readonly toRelays?: LoadReport;
   }): void {
     const {toFollowers, toRelays} = loads;
     if (toFollowers.lines.length > 0) {
       for (const {call} of this.followers) writeUnlessBehind(call, toFollowers);
     }
+    if (toRelays === undefined) return;
     // Empty reports too: a stream without messages counts as lost.
     for (const call of this.exchanges) writeUnlessBehind(call, toRelays);
   }
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -11,6 +11,7 @@
 import {RelayFollower} from './relay_follower.js';
 import {RELAYED_TABLES, type RelayedTableName} from './relay_messages.js';
 import {LoadExchange} from './load_exchange.js';
+import {LoadSender} from './load_sender.js';
 import {RelayHost} from './relay_host.js';
 import {RelayPeers} from './relay_peers.js';
 import {RelayedFeed} from './relayed_feed.js';
@@ -70,7 +71,7 @@
   private readonly host: RelayHost;
   private readonly follower: RelayFollower;
   private readonly peers: RelayPeers;
-  private readonly loads: LoadExchange;
+  private readonly loads: LoadSender;
   private hasEstimated = false;
   private timer: NodeJS.Timeout | undefined;
   private isBusy = false;
@@ -89,7 +90,6 @@
         new RelayedFeed(name === 'shared' ? FACTS_FRESH_FOR_MS : freshForMs),
     );
     const {copies, feeds, writes} = this;
-    this.loads = new LoadExchange({...options, view: options.loads});
     this.host = new RelayHost({
       ...options,
       copies,
@@ -108,6 +108,12 @@
       onLoads: report => this.loads.receive(report, 'remote'),
       onFailed: relay => this.roster.noteFailed(relay, options.nowMs()),
     });
+    this.loads = new LoadSender({
+      exchange: new LoadExchange({...options, view: options.loads}),
+      host: this.host,
+      follower: this.follower,
+    });
+    options.loads.watchSilences(() => this.loads.sendSoon());
   }
 
   start(): void {
@@ -195,7 +201,7 @@
   }
 
   private async tick(): Promise<void> {
-    this.sendLoads();
+    this.loads.send();
     // Slots and the number of instances are rows of this table.
     const areSlotsKnown = this.copies.shared.version !== undefined;
     if (this.isBusy || !areSlotsKnown) return;
@@ -227,16 +233,6 @@
     if (isUnknown) this.estimateInstances();
   }
 
-  private sendLoads(): void {
-    if (this.host.isServing) {
-      this.host.sendLoads(this.loads.collectForOthers());
-      return;
-    }
-    if (!this.follower.isFollowing) return;
-    const report = this.loads.collectForRelay();
-    if (report !== undefined) this.follower.sendLoads(report);
-  }
-
   private stopServing(): void {
     this.peers.close();
     this.host.stop();
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -19,8 +19,6 @@
   readonly shutdown: Shutdown;
   /** At least 0 and below 1 (`Math.random`). */
   readonly random?: () => number;
-  /** When what is read now may have come (now). */
-  readonly earliestArrivalMs?: () => number;
 }
 
 /** When a request was read, and when it may have come. */
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -19,7 +19,7 @@
 import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
 import {RefusalDelay} from '@snipestage/routing/refusal_delay.js';
 import {ServiceVersions} from '@snipestage/routing/service_versions.js';
-import type {Route} from '@snipestage/routing/route.js';
+import type {Route, RouteId} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {RouteTable} from '@snipestage/routing/route_table.js';
 import {RecentDurations} from '@snipestage/routing/recent_durations.js';
@@ -102,6 +102,8 @@
   readonly agreedDemand = new AgreedDemand({own: this.demand});
   readonly suspects = new SuspectTable();
   readonly durations = new RecentDurations();
+  /** Times until streams begin, with those after which callers left. */
+  readonly waits = new RecentDurations();
   readonly versions = new ServiceVersions();
   readonly warmup: WarmupGate;
   private readonly plainPlacement: Placement;
@@ -191,6 +193,12 @@
     this.reach.clear();
   }
 
+  /** Forgets routes that are gone. */
+  retainRoutes(routes: ReadonlySet<RouteId>): void {
+    this.durations.retain(routes);
+    this.waits.retain(routes);
+  }
+
   placementFor(service: ServiceId): Placement {
     return this.placesPrompts(service)
       ? this.promptPlacement
--- a/packages/gateway/src/silence_watch.ts
+++ b/packages/gateway/src/silence_watch.ts
@@ -1,6 +1,6 @@
 /** Timer for the silence of an endpoint. */
 
-import type {SilenceLimits} from './silence_limits.js';
+import type {SilenceLimits} from '@snipestage/routing/silence_limits.js';
 
 /** Calls back when an endpoint exceeds its {@link SilenceLimits}. */
 export class SilenceWatch {
--- a/packages/routing/src/load_view.test.ts
+++ b/packages/routing/src/load_view.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
 import {EndpointMonitor} from './endpoint_monitor.js';
+import {EndpointRateLimits} from './endpoint_rate_limits.js';
 import {LoadView, type LoadReading} from './load_view.js';
 
 const ENGINE = brandAs<EndpointId>('engine');
@@ -93,3 +94,42 @@
   view.prune();
   t.is(view.changesSince(0, ['remote'], 1000).readings.length, 0);
 });
+
+test('a silent endpoint counts as full at all instances until it answers', t => {
+  // Guards against requests that all instances go on sending to an endpoint
+  // which begins none: its last answer shows it nearly idle.
+  const {monitor, view} = makeView();
+  const other = makeView();
+  const told: string[] = [];
+  view.watchSilences(() => told.push('silent'));
+  view.noteOwn(reading(3, 1000));
+  other.view.addReported(reading(3, 1000), 'remote', 1000);
+  t.true(view.noteSilent({id: ENGINE, capacity: 24}, 1500));
+  const {readings} = view.changesSince(0, ['own'], 1500);
+  other.view.addReported(readings[0], 'remote', 1520);
+  t.deepEqual(told, ['silent']);
+  t.is(monitor.estimateLoad(ENGINE, 1500), 24);
+  t.true(other.monitor.estimateLoad(ENGINE, 1520) > 23);
+  other.view.noteOwn(reading(4, 1600));
+  t.is(other.monitor.estimateLoad(ENGINE, 1600), 4);
+});
+
+test('the silence of a plain service isn’t recorded as a load', t => {
+  const {view} = makeView();
+  t.false(view.noteSilent({id: GONE, capacity: 6}, 1500));
+});
+
+test('a silent endpoint keeps its rate limit at other instances', t => {
+  // Guards against a limit that ends since an endpoint answers too late.
+  const limits = new EndpointRateLimits({readInstances: () => 1});
+  const monitor = new EndpointMonitor();
+  const view = new LoadView({
+    monitor,
+    rateLimits: limits,
+    isShared: () => true,
+  });
+  limits.note(ENGINE, 2, 1000);
+  view.noteSilent({id: ENGINE, capacity: 24}, 1500);
+  const {readings} = view.changesSince(0, ['own'], 1500);
+  t.is(readings[0].rateLimitPerS, 2);
+});
--- a/packages/routing/src/load_view.ts
+++ b/packages/routing/src/load_view.ts
@@ -3,6 +3,7 @@
 import type {EndpointId} from '@snipestage/types/ids.js';
 import type {EndpointRateLimits} from './endpoint_rate_limits.js';
 import type {EndpointMonitor, ReportedLoad} from './endpoint_monitor.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** A load that an endpoint reported with an answer. */
 export interface LoadReading {
@@ -63,6 +64,7 @@
   private readonly restartedAtMs = new Map<EndpointId, number>();
   private readonly maxAgeMs: number;
   private count = 0;
+  private onSilence: (() => void) | undefined;
 
   constructor(private readonly options: LoadViewOptions) {
     this.maxAgeMs = options.maxAgeMs ?? DEFAULT_MAX_AGE_MS;
@@ -75,6 +77,33 @@
     if (this.options.isShared(endpoint)) this.keep(reading, 'own');
   }
 
+  /**
+   * Records that an endpoint has let a request wait without an answer. Until an
+   * answer to any instance is newer it counts as full: endpoints report their
+   * load with answers only, so one that begins nothing would look as it did
+   * before, and get further requests from all instances.
+   *
+   * @returns false where the endpoint's load isn't exchanged.
+   * @example
+   * view.noteSilent(endpoint, nowMs);
+   */
+  noteSilent(
+    {id, capacity}: Pick<ServingEndpoint, 'id' | 'capacity'>,
+    nowMs: number,
+  ): boolean {
+    if (!this.options.isShared(id)) return false;
+    const load = {running: capacity, waiting: 0, capacity};
+    const rateLimitPerS = this.options.rateLimits?.find(id);
+    this.noteOwn({endpoint: id, load, rateLimitPerS, atMs: nowMs});
+    this.onSilence?.();
+    return true;
+  }
+
+  /** Calls back when this instance has recorded a silent endpoint. */
+  watchSilences(onSilence: () => void): void {
+    this.onSilence = onSilence;
+  }
+
   /**
    * Records a reading of another instance.
    *
--- a/packages/gateway/src/silence_limits.ts
+++ b/packages/routing/src/silence_limits.ts
@@ -1,6 +1,6 @@
 /** How long an endpoint may be silent before another one is tried. */
 
-import type {Route} from '@snipestage/routing/route.js';
+import type {Route} from './route.js';
 
 /**
  * Limits until the first event, or the end of an answer without events, and
@@ -46,3 +46,31 @@
     ),
   };
 }
+
+/** A wait that is longer than usual by this factor shows a busy endpoint. */
+const USUAL_WAIT_FACTOR = 2;
+const MIN_OVERDUE_TARGET_SHARE = 0.5;
+const MAX_OVERDUE_TARGET_SHARE = 2;
+
+/**
+ * Time after which a request that waits for its answer to begin shows that its
+ * endpoint is full, or stands still. The request itself goes on waiting.
+ *
+ * @param usualWaitMs 90th percentile of the route's recent waits; undefined
+ *   while not known.
+ * @example
+ * const limitMs = overdueAfterMs(route, waits.p90Ms(route.id));
+ */
+export function overdueAfterMs(
+  {latencyTargetMs}: Pick<Route, 'latencyTargetMs'>,
+  usualWaitMs: number | undefined,
+): number {
+  if (usualWaitMs === undefined) return latencyTargetMs;
+  return Math.min(
+    MAX_OVERDUE_TARGET_SHARE * latencyTargetMs,
+    Math.max(
+      MIN_OVERDUE_TARGET_SHARE * latencyTargetMs,
+      USUAL_WAIT_FACTOR * usualWaitMs,
+    ),
+  );
+}
--- a/packages/routing/src/simulation/split_simulation.ts
+++ b/packages/routing/src/simulation/split_simulation.ts
@@ -9,10 +9,13 @@
 import {DataCentreReach} from '../data_centre_reach.js';
 import {DemandMeter, DemandSource, type RouteDemand} from '../demand_meter.js';
 import {EndpointMonitor} from '../endpoint_monitor.js';
+import {LoadView} from '../load_view.js';
 import type {Prompt, PromptPartId} from '../prompt.js';
 import {PromptPlacement} from '../prompt_placement.js';
 import type {Route} from '../route.js';
 import type {EndpointAddress, ServingEndpoint} from '../serving_endpoint.js';
+import {RecentDurations} from '../recent_durations.js';
+import {overdueAfterMs} from '../silence_limits.js';
 import {
   SimulatedEngine,
   type SimulatedRequest,
@@ -98,9 +101,19 @@
   }
 }
 
+/** A request that is overdue if it hasn't begun by then. */
+interface OverdueCheck {
+  readonly atMs: number;
+  readonly route: Route;
+  readonly request: SimulatedRequest;
+  readonly instance: Instance;
+}
+
 interface Instance {
   readonly dataCentre: DataCentreId;
   readonly monitor: EndpointMonitor;
+  readonly loads: LoadView;
+  readonly waits: RecentDurations;
   readonly recent: DemandMeter;
   readonly placement: PromptPlacement;
 }
@@ -123,6 +136,8 @@
   private readonly engines = new Map<EndpointId, SimulatedEngine>();
   private readonly instances: readonly Instance[];
   private readonly requests: SimulatedRequest[][];
+  /** In the order of their times. */
+  private checks: OverdueCheck[] = [];
 
   constructor(private readonly scenario: SplitScenario) {
     this.endpoints = Array.from({length: scenario.engines}, (_, index) =>
@@ -146,6 +161,7 @@
         hasStalled = true;
         this.stall(stalls);
       }
+      this.checkOverdue(atMs);
       while (reportAtMs <= atMs) {
         this.report(reportAtMs);
         reportAtMs += reportEveryMs;
@@ -182,6 +198,8 @@
     return {
       dataCentre: nameDataCentre(index % dataCentres),
       monitor,
+      loads: new LoadView({monitor, isShared: () => true}),
+      waits: new RecentDurations(),
       recent,
       placement,
     };
@@ -207,8 +225,27 @@
       engine.advance(nowMs);
       const {answered} = engine;
       if (answered === undefined) continue;
-      for (const {monitor} of this.instances) {
-        monitor.noteReportedLoad(id, answered.load, answered.atMs);
+      const reading = {endpoint: id, ...answered};
+      for (const {loads} of this.instances) {
+        loads.addReported(reading, 'remote', nowMs);
+      }
+    }
+  }
+
+  /** Records overdue requests, and passes them on to every instance. */
+  private checkOverdue(untilMs: number): void {
+    while (this.checks.length > 0 && this.checks[0].atMs <= untilMs) {
+      const {atMs, route, request, instance} = this.checks.shift()!;
+      this.engines.get(request.endpoint)!.advance(atMs);
+      const waitUntilMs = request.begunAtMs ?? atMs;
+      instance.waits.note(route.id, waitUntilMs - request.atMs);
+      if (request.begunAtMs !== undefined) continue;
+      const {capacity} = this.scenario;
+      instance.loads.noteSilent({id: request.endpoint, capacity}, atMs);
+      const {readings} = instance.loads.changesSince(0, ['own'], atMs);
+      for (const other of this.instances) {
+        for (const reading of readings)
+          other.loads.addReported(reading, 'remote', atMs);
       }
     }
   }
@@ -242,6 +279,9 @@
     instance.monitor.begin(id, 1, atMs);
     this.requests[kind].push(request);
     this.engines.get(id)!.add(request);
+    const limitMs = overdueAfterMs(route, instance.waits.p90Ms(route.id));
+    this.checks.push({atMs: atMs + limitMs, route, request, instance});
+    this.checks.sort((left, right) => left.atMs - right.atMs);
   }
 
   private summarise(requests: readonly SimulatedRequest[]): SplitOutcome {
