Let old loads decide the less, the more requests have come since

What callers saw: of the urgent requests of a service a quarter to two fifths went to one of four or five engines within a second, and were lost together when that engine began none.

Cause: the better of two engines was chosen by loads that all instances share and that are one to two seconds old. The engine that had least to do then got two fifths of what came until the next report, however much that was.

Mend: an engine is chosen with the probability by which the requests that all instances send within the age of the loads fill the engines up to one level. A burst, or loads that come late, even the choice out; with fresh loads the least loaded engine is chosen, as before.

--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -198,6 +198,12 @@
     return tracked?.load && nowMs - tracked.loadAtMs;
   }
 
+  /** Mean age of the latest known loads; 0 when none is known. */
+  meanLoadAgeMs(ids: readonly EndpointId[], nowMs: number): number {
+    const ages = ids.flatMap(id => this.loadAgeMs(id, nowMs) ?? []);
+    return ages.reduce((sum, age) => sum + age, 0) / Math.max(1, ages.length);
+  }
+
   /** Records how long an answer took that is not a stream. */
   noteDuration(id: EndpointId, durationMs: number): void {
     const tracked = this.of(id);
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -25,7 +25,7 @@
 } from './placement.js';
 import {PrefixHolders} from './prefix_holders.js';
 import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
-import {chooseBySample} from './sampled_choice.js';
+import {chooseByFill} from './fill_choice.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** Options of {@link PromptPlacement}. */
@@ -65,6 +65,11 @@
 /** Waiting requests whose cost equals that of a failed one. */
 const FAILURE_COST_IN_REQUESTS = 12;
 const RANDOM_COST_IN_REQUESTS = 0.5;
+/**
+ * Many instances learn a load at the same moment, and know no newer one for at
+ * least this long.
+ */
+const MIN_LOAD_AGE_MS = 500;
 /** Utilization of the short side above which it is widened. */
 const MAX_SHORT_UTILIZATION = 0.35;
 /** Engines above this error rate are skipped for prefix affinity. */
@@ -242,14 +247,30 @@
       loadOf(each) +
       monitor.failureShare(each.id, nowMs) * FAILURE_COST_IN_REQUESTS +
       random() * RANDOM_COST_IN_REQUESTS;
-    const endpoint = monitor.hasRecentReports(nowMs)
-      ? chooseBySample({
-          items: preferLocal(group, {dataCentre, loadOf}),
-          costOf,
-          roomOf: each => each.capacity - costOf(each),
-          random,
-        })
-      : leastBy(group, costOf);
+    if (!monitor.hasRecentReports(nowMs)) {
+      const endpoint = leastBy(group, costOf);
+      return endpoint && {endpoint};
+    }
+    const items = preferLocal(group, {dataCentre, loadOf});
+    const expectedRequests = this.countUnseen(items, nowMs);
+    const endpoint = chooseByFill({items, costOf, expectedRequests, random});
     return endpoint && {endpoint};
   }
+
+  /**
+   * How many requests all instances send to these engines, at most, while they
+   * know no newer loads than this one does.
+   */
+  private countUnseen(
+    engines: readonly ServingEndpoint[],
+    nowMs: number,
+  ): number {
+    const [first] = engines;
+    if (first === undefined) return 0;
+    const demands = this.demand.read(first.service, nowMs);
+    const perS = demands.reduce((sum, each) => sum + each.requestsPerS, 0);
+    const ids = engines.map(({id}) => id);
+    const ageMs = this.monitor.meanLoadAgeMs(ids, nowMs);
+    return (perS * Math.max(MIN_LOAD_AGE_MS, ageMs)) / 1000;
+  }
 }
--- a/packages/routing/src/simulation/load_view_simulation.ts
+++ b/packages/routing/src/simulation/load_view_simulation.ts
@@ -1,15 +1,15 @@
 /** Simulates instances that place requests by a load view of a given age. */
 
+import {chooseByFill} from '../fill_choice.js';
 import {leastBy} from '../placement.js';
-import {chooseBySample} from '../sampled_choice.js';
 
 /** How an instance chooses an engine. */
 export type SimulatedChoice =
   | 'random'
   /** The least loaded by the last report and its own requests since. */
   | 'least_reported'
-  /** The least loaded of a few random ones by the last report. */
-  | 'sampled'
+  /** Random, so that expected requests even out the last report. */
+  | 'filled'
   /** The least loaded at the moment, which no instance knows. */
   | 'perfect';
 
@@ -34,15 +34,13 @@
 }
 
 const P99_QUANTILE = 0.99;
-/** Requests that an engine processes at once. */
-const ENGINE_CAPACITY = 24;
 
 /**
  * Load pattern: the same report reaches hundreds of instances at once, and each
  * of them chooses the least loaded engine.
  *
  * @example
- * const {p99} = simulateLoadView({...scenario, choice: 'sampled'});
+ * const {p99} = simulateLoadView({...scenario, choice: 'filled'});
  */
 export function simulateLoadView(scenario: LoadViewScenario): LoadViewOutcome {
   const world = new SimulatedEngines(scenario);
@@ -88,7 +86,8 @@
   }
 
   private choose(instance: number): number {
-    const {choice, random, engines} = this.scenario;
+    const {choice, random, engines, requestsPerS, reportEveryMs} =
+      this.scenario;
     const sent = this.sentBy(instance);
     const known = (engine: number) =>
       this.reported[engine] + (sent.get(engine) ?? 0) + random();
@@ -97,11 +96,11 @@
         return Math.floor(random() * engines);
       case 'least_reported':
         return leastBy(this.numbers, known)!;
-      case 'sampled':
-        return chooseBySample({
+      case 'filled':
+        return chooseByFill({
           items: this.numbers,
           costOf: known,
-          roomOf: engine => ENGINE_CAPACITY - known(engine),
+          expectedRequests: (requestsPerS * reportEveryMs) / 1000,
           random,
         })!;
       case 'perfect':
--- a/packages/routing/src/simulation/measure_load_view.ts
+++ b/packages/routing/src/simulation/measure_load_view.ts
@@ -9,7 +9,7 @@
 const CHOICES: readonly SimulatedChoice[] = [
   'random',
   'least_reported',
-  'sampled',
+  'filled',
   'perfect',
 ];
 const REPORT_EVERY_MS = [200, 500, 1000, 2000];
