Hold requests briefly while an instance catches up, and take the most urgent first

Cause: after a standstill an instance reads what came meanwhile connection by connection, and sent each request on as it was read: before a close that came later on the same connection, and in the order of arrival.

Mend: while the event loop is behind, requests are held until everything has been read, 50 ms at most; then those of the most urgent rank go first, and those whose callers have left go nowhere.

--- a/packages/gateway/src/held_up_request.test.ts
+++ b/packages/gateway/src/held_up_request.test.ts
@@ -8,6 +8,8 @@
 const TIMEOUT_MS = 3000;
 /** By which an endpoint may be handed more than the caller has left. */
 const MAX_EXCESS_MS = 500;
+const LEAVES_AFTER_MS = 15;
+const AFTER_CATCH_UP_MS = 150;
 const HEADERS = {'X-Waits-Ms': String(TIMEOUT_MS)};
 
 const idOf = (request: string): string =>
@@ -42,3 +44,19 @@
   const timeLeftMs = Number(/x-time-left-ms: (\d+)/i.exec(request)?.[1]);
   t.true(timeLeftMs > 0 && timeLeftMs <= MAX_EXCESS_MS);
 });
+
+test('a request whose caller has left before it was all read is sent nowhere', async t => {
+  // Guards against work for nobody: an instance stood still, and reads a request
+  // before the close that came long after it on the same connection.
+  const proxy = await TestProxy.start({}, [answer]);
+  t.teardown(() => proxy.close());
+  proxy.heldUpMs = 1200;
+  const caller = new AbortController();
+  const call = proxy.call('one', {body: 'order', signal: caller.signal});
+  setTimeout(() => caller.abort(), LEAVES_AFTER_MS);
+  await t.throwsAsync(call);
+  await new Promise(done => setTimeout(done, AFTER_CATCH_UP_MS));
+  t.deepEqual(proxy.received, []);
+  const line = proxy.log.lines.find(each => each.includes('"event":"request"'));
+  t.regex(line ?? '', /"reason":"caller_left"/);
+});
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -7,6 +7,7 @@
 import type {ClientAccountId, Fingerprint} from '@snipestage/types/ids.js';
 import {admit, type Admission} from './admission.js';
 import {AnswerWriter} from './answer_writer.js';
+import {CatchUpGate} from './catch_up_gate.js';
 import {CallerConnections} from './caller_connections.js';
 import {MAX_HEADER_BYTES} from './callers_server.js';
 import {readRequestBody} from './read_request_body.js';
@@ -50,9 +51,15 @@
   private count = 0;
   private readonly exchanges = new Set<Exchange>();
   private readonly random: () => number;
+  private readonly gate: CatchUpGate;
 
   constructor(private readonly options: RequestHandlerOptions) {
     this.random = options.random ?? Math.random;
+    const isBehind = () => {
+      const {readAtMs, earliestMs} = this.readArrival();
+      return earliestMs < readAtMs;
+    };
+    this.gate = new CatchUpGate({isBehind});
   }
 
   /**
@@ -77,7 +84,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const arrival = this.noteArrival();
+    const arrival = this.readArrival();
     let exchange: Exchange | undefined;
     const {shutdown} = this.options;
     const writer = new AnswerWriter(
@@ -115,7 +122,7 @@
     }
   }
 
-  private noteArrival(): Arrival {
+  private readArrival(): Arrival {
     const {nowMs, earliestArrivalMs = nowMs} = this.options;
     const readAtMs = nowMs();
     return {readAtMs, earliestMs: Math.min(readAtMs, earliestArrivalMs())};
@@ -191,6 +198,11 @@
       line.reason = 'caller_left';
       return undefined;
     }
+    await this.gate.pass(admission.urgencyRank);
+    if (writer.hasCallerLeft) {
+      line.reason = 'caller_left';
+      return undefined;
+    }
     const endsAtMs = deadlineOf(arrival, timeLimitMs(caller, admission));
     if (!this.mayAdmit(admission, endsAtMs)) {
       line.reason = 'stopping';
