--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -4,6 +4,7 @@
 import type {FaultKind} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 import {MUTANTS} from './mutations.js';
+import {parseCount} from './parse_count.js';
 import {REGRESSIONS} from './regressions.js';
 import {runSoak, type SoakResult} from './soak.js';
 import {writeTrace} from './trace.js';
@@ -41,14 +42,14 @@
 }
 
 interface Options {
-  readonly seed: string;
-  readonly runs: string;
-  readonly seconds: string;
-  readonly instances: string;
-  readonly engines: string;
-  readonly services: string;
-  readonly dataCentres: string;
-  readonly rate: string;
+  readonly seed: number;
+  readonly runs: number;
+  readonly seconds: number;
+  readonly instances: number;
+  readonly engines: number;
+  readonly services: number;
+  readonly dataCentres: number;
+  readonly rate: number;
   readonly mutant?: string;
   readonly regressions?: boolean;
   readonly trace?: string;
@@ -62,7 +63,7 @@
     ...(mutant.faultsForMs === undefined
       ? {}
       : {faultsForMs: mutant.faultsForMs}),
-    seed: Number(options.seed),
+    seed: options.seed,
     program: await buildProgram(mutant),
     kinds: mutant.kinds,
     seriesEveryMs: mutant.seriesEveryMs ?? MUTANT_SERIES_EVERY_MS,
@@ -105,8 +106,8 @@
 async function runSeeds(options: Options): Promise<boolean> {
   const program = await buildProgram();
   let isClean = true;
-  for (let run = 0; run < Number(options.runs); run += 1) {
-    const seed = Number(options.seed) + run;
+  for (let run = 0; run < options.runs; run += 1) {
+    const seed = options.seed + run;
     const result = await runSoak({...sizesOf(options), seed, program});
     isClean = report(result) && isClean;
     if (options.trace !== undefined) writeTrace(options.trace, result);
@@ -116,12 +117,12 @@
 
 function sizesOf(options: Options) {
   return {
-    faultsForMs: Number(options.seconds) * SECOND_MS,
-    instances: Number(options.instances),
-    engines: Number(options.engines),
-    services: Number(options.services),
-    dataCentres: Number(options.dataCentres),
-    requestsPerS: Number(options.rate),
+    faultsForMs: options.seconds * SECOND_MS,
+    instances: options.instances,
+    engines: options.engines,
+    services: options.services,
+    dataCentres: options.dataCentres,
+    requestsPerS: options.rate,
     kinds: options.kinds?.split(',') as FaultKind[] | undefined,
   };
 }
@@ -129,14 +130,24 @@
 async function main(): Promise<void> {
   const command = new Command('soak')
     .description('Runs real processes under random faults and checks them.')
-    .option('--seed <number>', 'first seed', '1')
-    .option('--runs <number>', 'runs, each with the next seed', '1')
-    .option('--seconds <number>', 'how long faults come', '20')
-    .option('--instances <number>', 'processes of the program', '6')
-    .option('--engines <number>', 'model engines', '6')
-    .option('--services <number>', 'endpoints of the plain service', '4')
-    .option('--data-centres <number>', 'data centres, at most three', '2')
-    .option('--rate <number>', 'requests a second', '60')
+    .option('--seed <number>', 'first seed', parseCount, 1)
+    .option('--runs <number>', 'runs, each with the next seed', parseCount, 1)
+    .option('--seconds <number>', 'how long faults come', parseCount, 20)
+    .option('--instances <number>', 'processes of the program', parseCount, 6)
+    .option('--engines <number>', 'model engines', parseCount, 6)
+    .option(
+      '--services <number>',
+      'endpoints of the plain service',
+      parseCount,
+      4,
+    )
+    .option(
+      '--data-centres <number>',
+      'data centres, at most three',
+      parseCount,
+      2,
+    )
+    .option('--rate <number>', 'requests a second', parseCount, 60)
     .option('--mutant <name>', `run a program with a seeded fault, or ${ALL}`)
     .option('--kinds <names>', 'kinds of faults, separated by commas (all)')
     .option('--regressions', 'the runs that once found something')
