Count an engine that lets requests wait as full, whatever slots are free

What callers saw: in the first second after an engine had joined the engines of the short side, urgent requests waited 0.6 s there, beside engines that began them after 0.1 s.

Cause: fullness was measured in slots. An engine whose memory is full, or which has long prompts to read, lets requests wait while most of its slots are free: it reported 23 running and 10 waiting of 64 slots, counted as less loaded than its neighbours with 15 to 20 requests each, and was chosen the more often.

Of the answers of the long side 14 to 17 in 100 report waiting requests; prompts with a primary engine are placed as before. The new test fails without the mend.

The choice by load and the widening of the short side go by it; nothing else does.

--- a/packages/routing/src/prompt_placement.test.ts
+++ b/packages/routing/src/prompt_placement.test.ts
@@ -190,3 +190,18 @@
   }
   t.is(place(placement, COUNTER, prompt), primary);
 });
+
+test('an engine that lets requests wait counts as full though it has free slots', t => {
+  // Guards against urgent requests at an engine whose memory is full, or which
+  // reads long prompts, since it runs fewer requests than the others.
+  const monitor = new EndpointMonitor();
+  const placement = makePlacement(monitor);
+  const prompt = makePrompt('c', 300, 1100);
+  const chosen = brandAs<EndpointId>(place(placement, COUNTER, prompt)!);
+  for (const {id} of ENGINES) {
+    const isBusy = id === chosen;
+    const load = {running: isBusy ? 5 : 20, waiting: isBusy ? 3 : 0};
+    monitor.noteLoad(id, {...load, capacity: 64}, 5000);
+  }
+  t.not(place(placement, COUNTER, prompt), chosen);
+});
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -193,7 +193,7 @@
       return {side: 'long', engines, widened: engines};
     }
     const widened = widenSide(ordered, shortCount, {
-      loadOf: ({id}) => this.monitor.estimateLoad(id, request.nowMs),
+      loadOf: each => this.fillOf(each, request.nowMs),
       maxUtilization: MAX_SHORT_UTILIZATION,
     });
     return {side: 'short', engines: ordered.slice(0, shortCount), widened};
@@ -242,7 +242,7 @@
     {dataCentre, nowMs}: PlacementRequest,
   ): Placed | undefined {
     const {monitor, random} = this;
-    const loadOf = ({id}: ServingEndpoint) => monitor.estimateLoad(id, nowMs);
+    const loadOf = (each: ServingEndpoint) => this.fillOf(each, nowMs);
     const costOf = (each: ServingEndpoint) =>
       loadOf(each) +
       monitor.failureShare(each.id, nowMs) * FAILURE_COST_IN_REQUESTS +
@@ -257,6 +257,17 @@
     return endpoint && {endpoint};
   }
 
+  /**
+   * Requests at an engine; one that lets requests wait counts as full. Its
+   * memory may be full, or it may have long prompts to read, while most of its
+   * slots are free.
+   */
+  private fillOf({id, capacity}: ServingEndpoint, nowMs: number): number {
+    const load = this.monitor.estimateLoad(id, nowMs);
+    const waiting = Math.min(1, this.monitor.estimateWaiting(id, nowMs));
+    return load + Math.max(0, capacity - load) * waiting;
+  }
+
   /**
    * How many requests all instances send to these engines, at most, while they
    * know no newer loads than this one does.
