--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -13,8 +13,13 @@
 import type {AnswerWriter} from './answer_writer.js';
 import type {ProgressRecord} from './attempt_record.js';
 import {AttemptTiming} from './attempt_timing.js';
-import {EndpointCall, type CallFailureReason} from './endpoint_call.js';
+import {EndpointCall} from './endpoint_call.js';
 import {EventRelay} from './event_relay.js';
+import {
+  failedWithBrokenAnswer,
+  failedWithoutHead,
+  FOREIGN_ANSWER,
+} from './failed_result.js';
 import {OverdueWatch} from './overdue_watch.js';
 import type {
   AttemptResult,
@@ -33,14 +38,6 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Failures that aren't the endpoint's. */
-const SAYS_NOTHING_OF_ENDPOINT: ReadonlySet<CallFailureReason> = new Set([
-  'cancelled',
-  'withheld',
-  'isolated',
-  'path_broken',
-]);
-
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
   readonly context: ExchangeContext;
@@ -128,7 +125,7 @@
     if (head.kind === 'head') this.timing.noteHead();
     const result =
       head.kind === 'failed'
-        ? this.failedWithoutHead(head)
+        ? failedWithoutHead({...head, wasSilent: this.silence.hasFired})
         : await this.handleHead(head.response);
     this.silence.stop();
     this.overdue.stop();
@@ -208,44 +205,6 @@
     return true;
   }
 
-  private failedWithoutHead(head: {
-    readonly reason: CallFailureReason;
-    readonly verdict: Verdict;
-  }): AttemptResult {
-    const hasArrived = head.verdict !== 'not_run';
-    if (this.silence.hasFired) {
-      // If cancelled before the connection was established, the endpoint was
-      // unreachable, not silent.
-      return {
-        kind: 'failed',
-        verdict: head.verdict,
-        endpointOutcome: hasArrived ? 'silent' : 'unreachable',
-        reason: hasArrived ? 'silent' : 'connect_timeout',
-        hasArrived,
-      };
-    }
-    const {reason, verdict} = head;
-    if (SAYS_NOTHING_OF_ENDPOINT.has(reason)) {
-      return {
-        kind: 'failed',
-        verdict,
-        endpointOutcome: undefined,
-        reason,
-        hasArrived,
-      };
-    }
-    const endpointOutcome = reason === 'broken' ? 'failed' : 'unreachable';
-    const connectionBroke = reason === 'broken';
-    return {
-      kind: 'failed',
-      verdict,
-      endpointOutcome,
-      reason,
-      hasArrived,
-      connectionBroke,
-    };
-  }
-
   private async handleHead(response: IncomingMessage): Promise<AttemptResult> {
     const {context, request, placed} = this.options;
     const {protocol} = context;
@@ -267,15 +226,7 @@
     }
     const body = await readAnswerBody(this.call, response);
     if (body === undefined) return this.brokenAnswer();
-    if (!isOwn || !head.isSigned) {
-      return {
-        kind: 'failed',
-        verdict: 'ran',
-        endpointOutcome: 'failed',
-        reason: 'foreign_answer',
-        hasArrived: true,
-      };
-    }
+    if (!isOwn || !head.isSigned) return FOREIGN_ANSWER;
     return this.handleWholeAnswer(head, response, body);
   }
 
@@ -295,34 +246,15 @@
     };
   }
 
-  /**
-   * Result of an answer that ended early. If this side cancelled it, because
-   * the caller disconnected or this instance ends, it doesn't count against the
-   * endpoint: otherwise many callers that give up at once would divert traffic
-   * from healthy endpoints, and mark requests as ones that crash endpoints. It
-   * does count if the stream had gone silent before, or if the answer isn't
-   * complete by the request's deadline.
-   */
   private brokenAnswer(): FailedResult {
     const {context, request} = this.options;
-    const failed = {
-      kind: 'failed',
-      verdict: 'ran',
-      hasArrived: true,
-    } as const;
-    const {hasFired, isSilent} = this.silence;
-    if (this.call.hasPathBroken)
-      return {...failed, endpointOutcome: undefined, reason: 'path_broken'};
-    if (hasFired)
-      return {...failed, endpointOutcome: 'silent', reason: 'silent'};
-    const isLate = context.nowMs() >= request.endsAtMs;
-    const connectionBroke = !this.call.isCancelled;
-    if (connectionBroke || isLate) {
-      const outcome = {endpointOutcome: 'failed', reason: 'broken'} as const;
-      return {...failed, ...outcome, connectionBroke};
-    }
-    const endpointOutcome = isSilent ? 'silent' : undefined;
-    return {...failed, endpointOutcome, reason: 'cancelled'};
+    return failedWithBrokenAnswer({
+      hasPathBroken: this.call.hasPathBroken,
+      wasSilent: this.silence.hasFired,
+      isSilent: this.silence.isSilent,
+      isCancelled: this.call.isCancelled,
+      isLate: context.nowMs() >= request.endsAtMs,
+    });
   }
 
   private handleWholeAnswer(
