Bound how often relays pass on urgent load readings

Load pattern: while many engines are full, dozens of overdue requests a second are recorded by a hundred followers of a relay. Each went to all followers of all relays within 20 ms: up to 5,000 messages a second over a link of a few Mbit/s.

An instance sends the first urgent reading at once, and further ones at most every 100 ms in one report. Relays treat those of other relays alike.

--- a/packages/gateway/src/relay/load_report.ts
+++ b/packages/gateway/src/relay/load_report.ts
@@ -20,7 +20,7 @@
 export interface LoadReport {
   readonly kind: 'loads';
   readonly lines: readonly LoadLine[];
-  /** Whether a relay passes it on at once (false). */
+  /** Whether a relay passes it on soon, without waiting for its turn (false). */
   readonly isUrgent?: boolean;
 }
 
--- a/packages/gateway/src/relay/load_sender.ts
+++ b/packages/gateway/src/relay/load_sender.ts
@@ -11,20 +11,29 @@
   readonly exchange: LoadExchange;
   readonly host: Pick<RelayHost, 'isServing' | 'sendLoads'>;
   readonly follower: Pick<RelayFollower, 'isFollowing' | 'sendLoads'>;
+  readonly nowMs: () => number;
   /** Runs a callback after a time in ms (`setTimeout`). */
   readonly later?: (callback: () => void, delayMs: number) => void;
 }
 
-/** Urgent readings that come within this time go out together. */
-const URGENT_DELAY_MS = 20;
+/**
+ * Least time between two urgent sendings. While many engines are full, a relay
+ * gets dozens of urgent readings a second, and has a hundred followers.
+ */
+const URGENT_EVERY_MS = 100;
+
+/** Whom a relay sends urgent readings to. */
+type Audience = 'followers' | 'all';
 
 /**
  * Sends readings at regular times, and at once those of an endpoint that has
  * gone silent: until other instances know them, they send further requests to
- * it. A relay passes them on at once as well.
+ * it. A relay passes them on soon as well.
  */
 export class LoadSender {
-  private isUrgentPending = false;
+  /** Undefined while no urgent reading waits to be sent. */
+  private pending: Audience | undefined;
+  private sentUrgentAtMs = Number.NEGATIVE_INFINITY;
   private readonly later: (callback: () => void, delayMs: number) => void;
 
   constructor(private readonly options: LoadSenderOptions) {
@@ -45,14 +54,9 @@
     if (report !== undefined) follower.sendLoads(report);
   }
 
-  /** Sends what is new shortly, marked to be passed on at once. */
+  /** Sends what is new shortly, marked to be passed on shortly as well. */
   sendSoon(): void {
-    if (this.isUrgentPending) return;
-    this.isUrgentPending = true;
-    this.later(() => {
-      this.isUrgentPending = false;
-      this.sendUrgent();
-    }, URGENT_DELAY_MS);
+    this.schedule('all');
   }
 
   /** Adds the readings of a report, and passes on urgent ones. */
@@ -61,12 +65,27 @@
     exchange.receive(report, origin);
     if (report.isUrgent !== true || !host.isServing) return;
     // Those of another relay have reached the other data centres already.
-    if (origin === 'local') this.sendSoon();
-    else host.sendLoads({toFollowers: exchange.collectForFollowers()});
+    this.schedule(origin === 'local' ? 'all' : 'followers');
+  }
+
+  private schedule(audience: Audience): void {
+    const isScheduled = this.pending !== undefined;
+    this.pending = audience === 'all' ? audience : (this.pending ?? audience);
+    if (isScheduled) return;
+    const dueAtMs = this.sentUrgentAtMs + URGENT_EVERY_MS;
+    const delayMs = Math.max(0, dueAtMs - this.options.nowMs());
+    this.later(() => this.sendUrgent(), delayMs);
   }
 
   private sendUrgent(): void {
     const {exchange, host, follower} = this.options;
+    const audience = this.pending;
+    this.pending = undefined;
+    this.sentUrgentAtMs = this.options.nowMs();
+    if (host.isServing && audience === 'followers') {
+      host.sendLoads({toFollowers: exchange.collectForFollowers()});
+      return;
+    }
     if (host.isServing) {
       const {toFollowers, toRelays} = exchange.collectForOthers();
       host.sendLoads({toFollowers, toRelays: markUrgent(toRelays)});
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -112,6 +112,7 @@
       exchange: new LoadExchange({...options, view: options.loads}),
       host: this.host,
       follower: this.follower,
+      nowMs: options.nowMs,
     });
     options.loads.watchSilences(() => this.loads.sendSoon());
   }
