Date no older answer of the store by a ping that was read after a standstill

Cause, by reading: a follower's updates are dated by the last ping that its relay has read. A relay that stood still reads what came meanwhile connection by connection: a new ping before an older answer of the store, which it then confirms to the follower as current, by as much as it stood still.

Mend: while the relay's event loop is behind, pings are held until everything has been read, half a second at most.

Evidence: the new test of relay_stream.test.ts fails with the hold taken out of the compiled server. What tells whether a loop is behind is one function now, for requests, overdue waits and pings.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -14,6 +14,7 @@
 import type {ProgressRecord} from './attempt_record.js';
 import {AttemptTiming} from './attempt_timing.js';
 import {EndpointCall} from './endpoint_call.js';
+import {isBehind} from './event_loop_watch.js';
 import {EventRelay} from './event_relay.js';
 import {
   failedWithBrokenAnswer,
@@ -148,14 +149,11 @@
 
   private createOverdueWatch(): OverdueWatch {
     const {context, request} = this.options;
-    const {state, nowMs, earliestArrivalMs = nowMs} = context;
+    const {state} = context;
     const {route} = request.admission;
     return new OverdueWatch({
       limitMs: overdueAfterMs(route, state.waits.p90Ms(route.id)),
-      isBehind: () => {
-        const atMs = nowMs();
-        return earliestArrivalMs() < atMs;
-      },
+      isBehind: () => isBehind(context),
       onOverdue: () => this.noteOverdue(),
     });
   }
--- a/packages/gateway/src/event_loop_watch.ts
+++ b/packages/gateway/src/event_loop_watch.ts
@@ -100,3 +100,21 @@
     this.later(check);
   }
 }
+
+/** A clock, and when what is read now may have come (now). */
+export interface ArrivalClock {
+  readonly nowMs: () => number;
+  readonly earliestArrivalMs?: () => number;
+}
+
+/**
+ * Whether something that came during a standstill may not be read yet.
+ *
+ * @example
+ * if (isBehind({nowMs, earliestArrivalMs})) return;
+ */
+export function isBehind(clock: ArrivalClock): boolean {
+  const {nowMs, earliestArrivalMs = nowMs} = clock;
+  const atMs = nowMs();
+  return earliestArrivalMs() < atMs;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,7 @@
 import {Duties} from './duties.js';
 import {EndpointPaths} from './endpoint_paths.js';
 import {EndpointProbes} from './endpoint_probes.js';
-import {EventLoopWatch} from './event_loop_watch.js';
+import {EventLoopWatch, isBehind} from './event_loop_watch.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createPages} from './gateway_pages.js';
 import type {GatewaySettings} from './gateway_settings.js';
@@ -108,6 +108,11 @@
       metrics: options.metrics,
       logger: logger.forComponent('relay'),
       nowMs,
+      isBehind: () =>
+        isBehind({
+          nowMs,
+          earliestArrivalMs: () => this.loopWatch.earliestArrivalMs(),
+        }),
       countInstances: () => this.state.instances,
       onEstimate: instances => void facts.publishEstimate(instances),
     });
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -15,6 +15,7 @@
   type WriteCall,
   type WriteReply,
 } from './relay_messages.js';
+import {CatchUpGate} from '../catch_up_gate.js';
 import {isCountsKey} from '../usage_rows.js';
 import type {LoadReport} from './load_report.js';
 import type {TableCopy} from './table_copy.js';
@@ -30,6 +31,10 @@
   /** Receives the readings that a follower or another relay has sent. */
   readonly onLoads: (report: LoadReport) => void;
   readonly logger: Logger;
+  /**
+   * Whether something that came during a standstill may not be read yet (no).
+   */
+  readonly isBehind?: () => boolean;
 }
 
 /**
@@ -41,6 +46,8 @@
 
 /** Ten times the size of the largest regular message. */
 const MAX_MESSAGE_BYTES = 256 * 1024;
+/** Longest time for which a ping is held while the relay catches up. */
+const MAX_PING_HELD_MS = 500;
 /** Interval between log lines on refused writes and messages. */
 const LOG_REFUSAL_EVERY_MS = 10_000;
 
@@ -60,8 +67,11 @@
   private readonly followers = new Set<Follower>();
   /** Streams of the relays of other data centres. */
   private readonly exchanges = new Set<FollowCall>();
+  private readonly pings: CatchUpGate;
 
   constructor(private readonly options: RelayServerOptions) {
+    const {isBehind = () => false} = options;
+    this.pings = new CatchUpGate({isBehind, maxHeldMs: MAX_PING_HELD_MS});
     this.server.addService(RELAY_SERVICE, {
       follow: (call: FollowCall) => this.accept(call),
       write: (call: WriteCall, reply: WriteReply) => {
@@ -160,7 +170,7 @@
           this.options.onLoads(message);
           return;
         case 'ping':
-          if (follower !== undefined) follower.ping = message.number;
+          if (follower !== undefined) this.notePing(follower, message.number);
           return;
         case undefined:
           this.logRefused('message_refused', call);
@@ -187,6 +197,16 @@
     return follower;
   }
 
+  /**
+   * After a standstill a ping may be read before an answer of the store that
+   * came earlier. That answer must not be confirmed as newer than the ping.
+   */
+  private notePing(follower: Follower, number: number): void {
+    void this.pings
+      .pass(0)
+      .then(() => (follower.ping = Math.max(follower.ping, number)));
+  }
+
   private addExchange(call: FollowCall, {instance}: ExchangeRequest): void {
     this.exchanges.add(call);
     onStreamOver(call, () => this.exchanges.delete(call));
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -43,7 +43,15 @@
   const writes = new WriteBatcher(platform);
   const reports: LoadReport[] = [];
   const onLoads = (report: LoadReport) => void reports.push(report);
-  const server = new RelayServer({address, copies, writes, onLoads, logger});
+  const loop = {isBehind: false};
+  const server = new RelayServer({
+    address,
+    copies,
+    writes,
+    onLoads,
+    logger,
+    isBehind: () => loop.isBehind,
+  });
   await server.start();
   t.teardown(() => server.stop());
   const received: TableChanges[] = [];
@@ -74,6 +82,7 @@
   t.teardown(() => client.close());
   return {
     server,
+    loop,
     address,
     copies,
     received,
@@ -173,6 +182,22 @@
   t.true(times[count] <= madeAtMs);
 });
 
+test('a ping that is read after a standstill doesn’t date an older answer of the store', async t => {
+  // Guards against requests to an endpoint that has left: a relay that stood
+  // still reads a new ping before an old answer, and confirms that as current.
+  const {server, loop, received, times} = await startPair(t, 20_000);
+  await confirmUntil(server, () => times.some(Number.isFinite));
+  loop.isBehind = true;
+  const behindSinceMs = performance.now();
+  await new Promise(done => setTimeout(done, 150));
+  const count = received.length;
+  server.confirm('endpoints');
+  await waitUntil(() => received.length > count);
+  t.true(times[count] <= behindSinceMs);
+  loop.isBehind = false;
+  await confirmUntil(server, () => times.at(-1)! > behindSinceMs);
+});
+
 test('a relay writes only rows of counts', async t => {
   // Guards against a process on the relay's port that overwrites a lease.
   const {client, platform} = await startPair(t, 20_000);
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -36,6 +36,8 @@
   readonly metrics: Pick<GatewayMetrics, 'countLoads'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
+  /** Whether something that came during a standstill may not be read yet (no). */
+  readonly isBehind?: () => boolean;
   /** Number of instances; undefined while not known. */
   readonly countInstances: () => number | undefined;
   /** Receives an estimate while the number of instances isn't known. */
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -9,6 +9,7 @@
 import {AnswerWriter} from './answer_writer.js';
 import {CatchUpGate} from './catch_up_gate.js';
 import {CallerConnections} from './caller_connections.js';
+import {isBehind} from './event_loop_watch.js';
 import {MAX_HEADER_BYTES} from './callers_server.js';
 import {readRequestBody} from './read_request_body.js';
 import {Exchange} from './exchange.js';
@@ -55,11 +56,7 @@
 
   constructor(private readonly options: RequestHandlerOptions) {
     this.random = options.random ?? Math.random;
-    const isBehind = () => {
-      const {readAtMs, earliestMs} = this.readArrival();
-      return earliestMs < readAtMs;
-    };
-    this.gate = new CatchUpGate({isBehind});
+    this.gate = new CatchUpGate({isBehind: () => isBehind(options)});
   }
 
   /**
@@ -84,7 +81,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const arrival = this.readArrival();
+    const arrival = this.noteArrival();
     let exchange: Exchange | undefined;
     const {shutdown} = this.options;
     const writer = new AnswerWriter(
@@ -122,7 +119,7 @@
     }
   }
 
-  private readArrival(): Arrival {
+  private noteArrival(): Arrival {
     const {nowMs, earliestArrivalMs = nowMs} = this.options;
     const readAtMs = nowMs();
     return {readAtMs, earliestMs: Math.min(readAtMs, earliestArrivalMs())};
