Don't even out failures by the requests that are on their way

Found by reading the diff, before landing: the choice that evens out old loads added 12 requests for an engine that fails everything. In a burst, with 30 and more requests expected at each engine, such an engine got nearly its share.

The cost of a failure grows with the expected requests. The new test fails without the mend: 38 of 400 requests at an engine whose last eight had failed, now none.

--- a/packages/routing/src/prompt_placement.test.ts
+++ b/packages/routing/src/prompt_placement.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {createSeededRandom} from '@snipestage/policy/random_source.js';
 import {
   brandAs,
   type DataCentreId,
@@ -205,3 +206,34 @@
   }
   t.not(place(placement, COUNTER, prompt), chosen);
 });
+
+test('a failing engine gets no more requests the more are on their way', t => {
+  // Guards against lost requests at an engine that fails them, in a burst or
+  // while loads are old: those even out loads, but not failures.
+  const monitor = new EndpointMonitor();
+  const demand = new DemandMeter({halfLifeMs: 1000});
+  for (let count = 0; count < 600; count += 1) {
+    demand.count(REPAIR, COUNTER, makePrompt('c', 300, 1100), 5000);
+  }
+  const placement = new PromptPlacement({
+    monitor,
+    reach: new DataCentreReach(),
+    demand,
+    recent: new DemandMeter(),
+    random: createSeededRandom(1),
+  });
+  for (const {id} of ENGINES) {
+    const load = {running: 3, waiting: 0, capacity: 64};
+    monitor.noteReportedLoad(id, load, 4000);
+  }
+  const [failing] = ENGINES;
+  for (let count = 0; count < 8; count += 1) {
+    monitor.note(failing.id, 'failed', 5000);
+  }
+  const prompt = makePrompt('c', 300, 1100);
+  const chosen = Array.from({length: 400}, () =>
+    place(placement, COUNTER, prompt),
+  );
+  t.is(chosen.filter(id => id === failing.id).length, 0);
+  t.is(new Set(chosen).size, ENGINES.length - 1);
+});
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -64,6 +64,8 @@
 const MIN_SHARED_TOKENS = 1000;
 /** Waiting requests whose cost equals that of a failed one. */
 const FAILURE_COST_IN_REQUESTS = 12;
+/** Least cost of a failed request, in expected requests of an engine. */
+const MIN_FAILURE_COST_RATIO = 2;
 const RANDOM_COST_IN_REQUESTS = 0.5;
 /**
  * Many instances learn a load at the same moment, and know no newer one for at
@@ -243,16 +245,22 @@
   ): Placed | undefined {
     const {monitor, random} = this;
     const loadOf = (each: ServingEndpoint) => this.fillOf(each, nowMs);
-    const costOf = (each: ServingEndpoint) =>
+    const costsWith = (failureCost: number) => (each: ServingEndpoint) =>
       loadOf(each) +
-      monitor.failureShare(each.id, nowMs) * FAILURE_COST_IN_REQUESTS +
+      monitor.failureShare(each.id, nowMs) * failureCost +
       random() * RANDOM_COST_IN_REQUESTS;
     if (!monitor.hasRecentReports(nowMs)) {
-      const endpoint = leastBy(group, costOf);
+      const endpoint = leastBy(group, costsWith(FAILURE_COST_IN_REQUESTS));
       return endpoint && {endpoint};
     }
     const items = preferLocal(group, {dataCentre, loadOf});
     const expectedRequests = this.countUnseen(items, nowMs);
+    // However many requests are on their way, they don't even out failures.
+    const failureCost = Math.max(
+      FAILURE_COST_IN_REQUESTS,
+      (MIN_FAILURE_COST_RATIO * expectedRequests) / Math.max(1, items.length),
+    );
+    const costOf = costsWith(failureCost);
     const endpoint = chooseByFill({items, costOf, expectedRequests, random});
     return endpoint && {endpoint};
   }
