--- a/packages/gateway/src/relay/load_sender.ts
+++ b/packages/gateway/src/relay/load_sender.ts
@@ -22,7 +22,7 @@
  */
 const URGENT_EVERY_MS = 100;
 
-/** Whom a relay sends urgent readings to. */
+/** Whom urgent readings go to; `all`: other relays too. */
 type Audience = 'followers' | 'all';
 
 /**
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -195,7 +195,7 @@
       return {side: 'long', engines, widened: engines};
     }
     const widened = widenSide(ordered, shortCount, {
-      loadOf: each => this.fillOf(each, request.nowMs),
+      loadOf: each => this.effectiveLoadOf(each, request.nowMs),
       maxUtilization: MAX_SHORT_UTILIZATION,
     });
     return {side: 'short', engines: ordered.slice(0, shortCount), widened};
@@ -244,7 +244,7 @@
     {dataCentre, nowMs}: PlacementRequest,
   ): Placed | undefined {
     const {monitor, random} = this;
-    const loadOf = (each: ServingEndpoint) => this.fillOf(each, nowMs);
+    const loadOf = (each: ServingEndpoint) => this.effectiveLoadOf(each, nowMs);
     const costsWith = (failureCost: number) => (each: ServingEndpoint) =>
       loadOf(each) +
       monitor.failureShare(each.id, nowMs) * failureCost +
@@ -254,7 +254,7 @@
       return endpoint && {endpoint};
     }
     const items = preferLocal(group, {dataCentre, loadOf});
-    const expectedRequests = this.countUnseen(items, nowMs);
+    const expectedRequests = this.countExpectedRequests(items, nowMs);
     // However many requests are on their way, they don't even out failures.
     const failureCost = Math.max(
       FAILURE_COST_IN_REQUESTS,
@@ -270,7 +270,7 @@
    * memory may be full, or it may have long prompts to read, while most of its
    * slots are free.
    */
-  private fillOf({id, capacity}: ServingEndpoint, nowMs: number): number {
+  private effectiveLoadOf({id, capacity}: ServingEndpoint, nowMs: number): number {
     const load = this.monitor.estimateLoad(id, nowMs);
     const waiting = Math.min(1, this.monitor.estimateWaiting(id, nowMs));
     return load + Math.max(0, capacity - load) * waiting;
@@ -280,7 +280,7 @@
    * How many requests all instances send to these engines, at most, while they
    * know no newer loads than this one does.
    */
-  private countUnseen(
+  private countExpectedRequests(
     engines: readonly ServingEndpoint[],
     nowMs: number,
   ): number {
--- a/packages/routing/src/silence_limits.ts
+++ b/packages/routing/src/silence_limits.ts
@@ -1,4 +1,7 @@
-/** How long an endpoint may be silent before another one is tried. */
+/**
+ * How long an endpoint may be silent before it counts as full, and before
+ * another one is tried.
+ */
 
 import type {Route} from './route.js';
 
