--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -270,7 +270,10 @@
    * memory may be full, or it may have long prompts to read, while most of its
    * slots are free.
    */
-  private effectiveLoadOf({id, capacity}: ServingEndpoint, nowMs: number): number {
+  private effectiveLoadOf(
+    {id, capacity}: ServingEndpoint,
+    nowMs: number,
+  ): number {
     const load = this.monitor.estimateLoad(id, nowMs);
     const waiting = Math.min(1, this.monitor.estimateWaiting(id, nowMs));
     return load + Math.max(0, capacity - load) * waiting;
