Count the requests of a side only, where they even out its old loads

Cause, by reading: the requests that even out old loads were those of all routes of the service, three times those of the short side. With twenty expected at each engine of 16 slots, loads didn't matter any more, and engines were chosen at random.

Mend: the requests of the routes of the side count, and for the engines of one data centre its share of them.

--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -2,7 +2,7 @@
 
 import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
 import type {EndpointId} from '@snipestage/types/ids.js';
-import type {DemandMeter, DemandSource} from './demand_meter.js';
+import type {DemandMeter, DemandSource, RouteDemand} from './demand_meter.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
 import {
   findShortRoutes,
@@ -42,6 +42,8 @@
   readonly engines: readonly ServingEndpoint[];
   /** Includes engines of the other side while this one has too little room. */
   readonly widened: readonly ServingEndpoint[];
+  /** Rate of the routes of this side over all instances. */
+  readonly requestsPerS: number;
 }
 
 /** Engines that may get a request. */
@@ -51,6 +53,8 @@
   /** Engines for a request without a primary engine that has room. */
   readonly widened: readonly ServingEndpoint[];
   readonly usable: readonly ServingEndpoint[];
+  /** Rate of the requests that may get the engines of the group. */
+  readonly requestsPerS: number;
 }
 
 /** Up to this multiple of the mean load, an engine gets prompts by prefix. */
@@ -72,6 +76,8 @@
  * least this long.
  */
 const MIN_LOAD_AGE_MS = 500;
+/** Interval between two loads of an engine, in mean ages of the known ones. */
+const REPORT_INTERVAL_AGES = 1.5;
 /** Utilization of the short side above which it is widened. */
 const MAX_SHORT_UTILIZATION = 0.35;
 /** Engines above this error rate are skipped for prefix affinity. */
@@ -124,7 +130,10 @@
     const group = admit(split.engines);
     const widened = admit(split.widened);
     if (widened.length === 0) return undefined;
-    const placed = this.chooseAmong({group, widened, usable: open}, request);
+    const placed = this.chooseAmong(
+      {group, widened, usable: open, requestsPerS: split.requestsPerS},
+      request,
+    );
     if (placed === undefined) return undefined;
     return {
       ...placed,
@@ -142,12 +151,14 @@
     request: PlacementRequest,
   ): Placed | undefined {
     const {prompt} = request;
-    const {widened, usable} = candidates;
-    if (prompt === undefined) return this.chooseByLoad(widened, request);
+    const {widened, usable, requestsPerS} = candidates;
+    const chooseByLoad = () =>
+      this.chooseByLoad(widened, request, requestsPerS);
+    if (prompt === undefined) return chooseByLoad();
     if (countSharedTokens(prompt) >= MIN_SHARED_TOKENS) {
       return this.chooseByPrefix(candidates, request, prompt);
     }
-    const placed = this.chooseByLoad(widened, request);
+    const placed = chooseByLoad();
     return placed && this.fetchFromHolder(placed, usable, prompt);
   }
 
@@ -181,7 +192,8 @@
     const demands = demand.read(service, request.nowMs);
     const shortRoutes = findShortRoutes(demands);
     if (shortRoutes.size === 0 || shortRoutes.size === demands.length) {
-      return {side: 'all', engines: usable, widened: usable};
+      const requestsPerS = sumRequests(demands);
+      return {side: 'all', engines: usable, widened: usable, requestsPerS};
     }
     const share = shareOfShortRoutes({
       demands,
@@ -190,19 +202,24 @@
     });
     const shortCount = splitCount(usable.length, share);
     const ordered = orderForSplit(usable);
-    if (!shortRoutes.has(request.route.id)) {
+    const isShort = shortRoutes.has(request.route.id);
+    const requestsPerS = sumRequests(
+      demands.filter(({route}) => shortRoutes.has(route) === isShort),
+    );
+    if (!isShort) {
       const engines = ordered.slice(shortCount);
-      return {side: 'long', engines, widened: engines};
+      return {side: 'long', engines, widened: engines, requestsPerS};
     }
     const widened = widenSide(ordered, shortCount, {
       loadOf: each => this.effectiveLoadOf(each, request.nowMs),
       maxUtilization: MAX_SHORT_UTILIZATION,
     });
-    return {side: 'short', engines: ordered.slice(0, shortCount), widened};
+    const engines = ordered.slice(0, shortCount);
+    return {side: 'short', engines, widened, requestsPerS};
   }
 
   private chooseByPrefix(
-    {group, widened}: Candidates,
+    {group, widened, requestsPerS}: Candidates,
     request: PlacementRequest,
     prompt: Prompt,
   ): Placed | undefined {
@@ -220,7 +237,8 @@
     const hasRoom = ({id, capacity}: ServingEndpoint) =>
       loads.get(id)! < Math.min(bound, capacity);
     const endpoint =
-      healthy.find(hasRoom) ?? this.chooseByLoad(widened, request)?.endpoint;
+      healthy.find(hasRoom) ??
+      this.chooseByLoad(widened, request, requestsPerS)?.endpoint;
     if (endpoint === undefined) return undefined;
     // The first other engine: the primary one when the prompt spills over, else
     // the one that was primary before an endpoint was added.
@@ -242,6 +260,7 @@
   private chooseByLoad(
     group: readonly ServingEndpoint[],
     {dataCentre, nowMs}: PlacementRequest,
+    requestsPerS: number,
   ): Placed | undefined {
     const {monitor, random} = this;
     const loadOf = (each: ServingEndpoint) => this.effectiveLoadOf(each, nowMs);
@@ -254,7 +273,9 @@
       return endpoint && {endpoint};
     }
     const items = preferLocal(group, {dataCentre, loadOf});
-    const expectedRequests = this.countExpectedRequests(items, nowMs);
+    // Instances of other data centres prefer their own engines likewise.
+    const itemsPerS = (requestsPerS * items.length) / Math.max(1, group.length);
+    const expectedRequests = itemsPerS * this.unseenForS(items, nowMs);
     // However many requests are on their way, they don't even out failures.
     const failureCost = Math.max(
       FAILURE_COST_IN_REQUESTS,
@@ -279,20 +300,17 @@
     return load + Math.max(0, capacity - load) * waiting;
   }
 
-  /**
-   * How many requests all instances send to these engines, at most, while they
-   * know no newer loads than this one does.
-   */
-  private countExpectedRequests(
+  /** Time until newer loads of these engines than the known ones are known. */
+  private unseenForS(
     engines: readonly ServingEndpoint[],
     nowMs: number,
   ): number {
-    const [first] = engines;
-    if (first === undefined) return 0;
-    const demands = this.demand.read(first.service, nowMs);
-    const perS = demands.reduce((sum, each) => sum + each.requestsPerS, 0);
     const ids = engines.map(({id}) => id);
     const ageMs = this.monitor.meanLoadAgeMs(ids, nowMs);
-    return (perS * Math.max(MIN_LOAD_AGE_MS, ageMs)) / 1000;
+    return (Math.max(MIN_LOAD_AGE_MS, ageMs) * REPORT_INTERVAL_AGES) / 1000;
   }
 }
+
+function sumRequests(demands: readonly RouteDemand[]): number {
+  return demands.reduce((sum, {requestsPerS}) => sum + requestsPerS, 0);
+}
