Let a silent engine count as one with a waiting request, not as one without slots

Cause, by reading: an engine that let one request wait counted as full for all purposes. Long prompts left the engine that has their prefix in its cache, and were read again elsewhere, which makes further requests wait.

Mend: a silent engine counts as one at which a request waits. The choice by load avoids it as before; prompts with a primary engine are placed by its requests.

--- a/packages/routing/src/load_view.ts
+++ b/packages/routing/src/load_view.ts
@@ -79,9 +79,9 @@
 
   /**
    * Records that an endpoint has let a request wait without an answer. Until an
-   * answer to any instance is newer it counts as full: endpoints report their
-   * load with answers only, so one that begins nothing would look as it did
-   * before, and get further requests from all instances.
+   * answer to any instance is newer it counts as one with a waiting request:
+   * endpoints report their load with answers only, so one that begins nothing
+   * would look as it did before, and get further requests from all instances.
    *
    * @returns false where the endpoint's load isn't exchanged.
    * @example
@@ -92,7 +92,12 @@
     nowMs: number,
   ): boolean {
     if (!this.options.isShared(id)) return false;
-    const load = {running: capacity, waiting: 0, capacity};
+    const known = this.kept.get(id)?.reading.load;
+    const load = {
+      running: known?.running ?? 0,
+      waiting: Math.max(1, known?.waiting ?? 0),
+      capacity,
+    };
     const rateLimitPerS = this.options.rateLimits?.find(id);
     this.noteOwn({endpoint: id, load, rateLimitPerS, atMs: nowMs});
     this.onSilence?.();
