Widen the short side by the requests at its engines again

Cause, supposed: engines of 16 slots often let a request wait, so that the side counted as full and short requests went to engines that read long prompts.

The choice among the engines still avoids those that let requests wait.

--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -211,7 +211,7 @@
       return {side: 'long', engines, widened: engines, requestsPerS};
     }
     const widened = widenSide(ordered, shortCount, {
-      loadOf: each => this.effectiveLoadOf(each, request.nowMs),
+      loadOf: ({id}) => this.monitor.estimateLoad(id, request.nowMs),
       maxUtilization: MAX_SHORT_UTILIZATION,
     });
     const engines = ordered.slice(0, shortCount);
