--- a/packages/routing/src/load_view.test.ts
+++ b/packages/routing/src/load_view.test.ts
@@ -100,14 +100,14 @@
   // which begins none: its last answer shows it nearly idle.
   const {monitor, view} = makeView();
   const other = makeView();
-  const told: string[] = [];
-  view.watchSilences(() => told.push('silent'));
+  const silences: string[] = [];
+  view.watchSilences(() => silences.push('silent'));
   view.noteOwn(reading(3, 1000));
   other.view.addReported(reading(3, 1000), 'remote', 1000);
   t.true(view.noteSilent({id: ENGINE, capacity: 24}, 1500));
   const {readings} = view.changesSince(0, ['own'], 1500);
   other.view.addReported(readings[0], 'remote', 1520);
-  t.deepEqual(told, ['silent']);
+  t.deepEqual(silences, ['silent']);
   t.is(monitor.estimateWaiting(ENGINE, 1500), 1);
   t.is(monitor.estimateLoad(ENGINE, 1500), 4);
   t.true(other.monitor.estimateWaiting(ENGINE, 1520) > 0.99);
--- a/packages/routing/src/simulation/split_simulation.ts
+++ b/packages/routing/src/simulation/split_simulation.ts
@@ -80,7 +80,7 @@
 const TOPIC_COUNT = 40;
 const SECOND_MS = 1000;
 /** Time until other instances know that an engine is silent. */
-const SILENCE_SHARED_AFTER_MS = 50;
+const SILENCE_SHARED_AFTER_MS = 200;
 const LOSS_WINDOW_MS = 5000;
 const LOSS_WINDOW_STEP_MS = 250;
 
