Log by which path a configuration came and how old it was

Lines didn't tell why an instance went by an old configuration: whether its relay's confirmations were late, the poll after their expiry failed, or the version had arrived and waited. configuration_applied gives path, age and the time for which the rows waited; relay_expired and poll_late show the fallback and late answers, and a histogram shows the age of confirmations at arrival.

--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -56,6 +56,13 @@
     labelNames: ['outcome'],
     registers: [this.registry],
   });
+  private readonly updateAge = new Histogram({
+    name: 'snipestage_relay_update_age_ms',
+    help: "Age of a relay's confirmations at their arrival, by table.",
+    labelNames: ['table'],
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [this.registry],
+  });
   private readonly placements = new Counter({
     name: 'snipestage_placements_total',
     help: 'Attempts at engines by service and side of the split.',
@@ -188,6 +195,11 @@
     this.loads.inc({outcome}, count);
   }
 
+  /** Ignores updates without a date, such as those with rows. */
+  observeUpdateAge(table: string, ageMs: number): void {
+    if (Number.isFinite(ageMs)) this.updateAge.observe({table}, ageMs);
+  }
+
   notePlacement(
     service: string,
     {side, engines, candidates}: PlacementGroup,
--- a/packages/gateway/src/operator_rows.ts
+++ b/packages/gateway/src/operator_rows.ts
@@ -6,7 +6,7 @@
 import type {DataCentreId} from '@snipestage/types/ids.js';
 import type {RoutingState} from './routing_state.js';
 import type {RowDecoder} from './row_decoder.js';
-import type {FollowedRow, WholeRead} from './table_follower.js';
+import type {FollowedRow, RowsOrigin, WholeRead} from './table_follower.js';
 
 /** Options of {@link OperatorRows}. */
 export interface OperatorRowsOptions {
@@ -26,15 +26,16 @@
    * Applies the whole table; data centres without a row are not evacuated. After
    * the store was set back, a row may be missing until it is written again.
    */
-  replace(rows: readonly FollowedRow[], {isSetBack}: WholeRead): void {
+  replace(rows: readonly FollowedRow[], {isSetBack, origin}: WholeRead): void {
     const {directory} = this.options.state;
-    this.apply(rows, new Set(isSetBack ? directory.listEvacuated() : []));
+    const evacuated = isSetBack ? directory.listEvacuated() : [];
+    this.apply(rows, new Set(evacuated), origin);
   }
 
   /** Applies changed rows. */
-  change(rows: readonly FollowedRow[]): void {
+  change(rows: readonly FollowedRow[], origin: RowsOrigin): void {
     const {directory} = this.options.state;
-    this.apply(rows, new Set(directory.listEvacuated()));
+    this.apply(rows, new Set(directory.listEvacuated()), origin);
   }
 
   /**
@@ -43,12 +44,13 @@
   private apply(
     rows: readonly FollowedRow[],
     evacuated: Set<DataCentreId>,
+    origin: RowsOrigin,
   ): void {
     for (const row of rows) {
       const operatorRow = this.options.decoder.decodeOperatorRow(row);
       switch (operatorRow.kind) {
         case 'configuration':
-          this.applyConfiguration(operatorRow.configuration, row.version);
+          this.applyConfiguration(operatorRow.configuration, row, origin);
           break;
         case 'evacuation':
           if (operatorRow.isEvacuated) evacuated.add(operatorRow.dataCentre);
@@ -71,7 +73,8 @@
    */
   private applyConfiguration(
     configuration: RoutingConfiguration,
-    rowVersion: number,
+    row: FollowedRow,
+    origin: RowsOrigin,
   ): void {
     const before = this.options.state.table?.configuration.version ?? -1;
     if (configuration.version <= before) return;
@@ -80,8 +83,9 @@
     this.options.logger.info('configuration_applied', {
       version: configuration.version,
       before,
-      rowVersion,
+      rowVersion: row.version,
       routes: configuration.routes.length,
+      ...origin,
     });
   }
 
--- a/packages/gateway/src/relay/relay_follower.ts
+++ b/packages/gateway/src/relay/relay_follower.ts
@@ -2,6 +2,7 @@
 
 import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import type {Logger} from '@snipestage/log/logger.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {RelayHolder} from '@snipestage/routing/relay_roster.js';
 import type {InstanceId} from '@snipestage/types/ids.js';
 import type {LoadReport} from './load_report.js';
@@ -16,6 +17,7 @@
   readonly copies: Readonly<Record<RelayedTableName, TableCopy>>;
   readonly feeds: Readonly<Record<RelayedTableName, RelayedFeed>>;
   readonly pingEveryMs: number;
+  readonly metrics: Pick<GatewayMetrics, 'observeUpdateAge'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly onLoads: (report: LoadReport) => void;
@@ -42,7 +44,8 @@
   }
 
   async follow(relay: RelayHolder): Promise<void> {
-    const {instance, feeds, logger, pingEveryMs, nowMs, onLoads} = this.options;
+    const {instance, feeds, logger, pingEveryMs, nowMs, onLoads, metrics} =
+      this.options;
     // Loading gRPC takes processor time that most starts don't need.
     const {RelayClient} = await import('./relay_client.js');
     if (this.isClosed) return;
@@ -57,7 +60,11 @@
       silentAfterMs: SILENT_AFTER_MS,
       pingEveryMs,
       nowMs,
-      onChanges: (table, changes, asOfMs) => feeds[table].take(changes, asOfMs),
+      onChanges: (table, changes, asOfMs) => {
+        const arrivedAtMs = nowMs();
+        metrics.observeUpdateAge(table, arrivedAtMs - asOfMs);
+        feeds[table].take(changes, asOfMs, arrivedAtMs);
+      },
       onLoads,
       onEnd: reason => this.handleEnd(relay, reason),
     });
--- a/packages/gateway/src/relay/relayed_feed.ts
+++ b/packages/gateway/src/relay/relayed_feed.ts
@@ -17,14 +17,31 @@
   private rows: FollowedRow[] = [];
   private coveredFrom = Number.POSITIVE_INFINITY;
   private version = ABSENT;
-  private confirmedAtMs = Number.NEGATIVE_INFINITY;
+  private confirmedMs = Number.NEGATIVE_INFINITY;
+  private updatedMs = Number.NEGATIVE_INFINITY;
+  private rowsSinceMs: number | undefined;
   private waiting = new Set<() => void>();
 
   /** @param freshForMs how long a confirmation is valid. */
   constructor(readonly freshForMs: number) {}
 
   isFresh(nowMs: number): boolean {
-    return nowMs - this.confirmedAtMs < this.freshForMs;
+    return nowMs - this.confirmedMs < this.freshForMs;
+  }
+
+  /** The updates reflect the store as of this time, or later. */
+  get confirmedAtMs(): number {
+    return this.confirmedMs;
+  }
+
+  /** Arrival of the last update. */
+  get updatedAtMs(): number {
+    return this.updatedMs;
+  }
+
+  /** Arrival of the first row that waits to be drained. */
+  get rowsArrivedAtMs(): number | undefined {
+    return this.rowsSinceMs;
   }
 
   /** Whether the feed has missed no change after the version. */
@@ -37,15 +54,22 @@
    * none.
    *
    * @param asOfMs the update reflects the store as of this time, or later.
+   * @param arrivedAtMs arrival of the update, for logs.
    */
-  take(changes: TableChanges, asOfMs: number): void {
+  take(
+    changes: TableChanges,
+    asOfMs: number,
+    arrivedAtMs = performance.now(),
+  ): void {
+    this.updatedMs = arrivedAtMs;
+    if (changes.rows.length > 0) this.rowsSinceMs ??= arrivedAtMs;
     if (changes.since > this.version || !this.covers(changes.since)) {
       this.rows = [];
       this.coveredFrom = changes.since;
     }
     this.rows.push(...changes.rows);
     this.version = changes.version;
-    this.confirmedAtMs = Math.max(this.confirmedAtMs, asOfMs);
+    this.confirmedMs = Math.max(this.confirmedMs, asOfMs);
     this.wake();
   }
 
@@ -53,7 +77,8 @@
   close(): void {
     this.rows = [];
     this.coveredFrom = Number.POSITIVE_INFINITY;
-    this.confirmedAtMs = Number.NEGATIVE_INFINITY;
+    this.confirmedMs = Number.NEGATIVE_INFINITY;
+    this.rowsSinceMs = undefined;
     this.wake();
   }
 
@@ -61,6 +86,7 @@
   drain(known: StoreVersion): TableChanges {
     const rows = this.rows.filter(row => row.version > known);
     this.rows = [];
+    this.rowsSinceMs = undefined;
     this.coveredFrom = latestVersion(known, this.version);
     return {since: known, version: latestVersion(known, this.version), rows};
   }
--- a/packages/gateway/src/relay/relayed_table.ts
+++ b/packages/gateway/src/relay/relayed_table.ts
@@ -1,5 +1,6 @@
 /** A table that is followed through a relay while there is one. */
 
+import type {Logger} from '@snipestage/log/logger.js';
 import type {StoreVersion} from '@snipestage/types/store_version.js';
 import {FollowedTable, type TableReading} from '../table_follower.js';
 import type {RelayedFeed} from './relayed_feed.js';
@@ -12,6 +13,7 @@
     private readonly store: FollowedTable,
     private readonly feed: RelayedFeed,
     private readonly nowMs: () => number,
+    private readonly logger?: Logger,
   ) {
     super();
   }
@@ -41,11 +43,38 @@
     }
     // The store was last read before the relay fell silent, and the connection
     // to it may be gone: a long poll would detect that too late.
-    return this.store.waitForChanges(sinceVersion, wasFresh ? 0 : waitMs);
+    return wasFresh
+      ? this.fallBack(sinceVersion)
+      : this.store.waitForChanges(sinceVersion, waitMs);
+  }
+
+  private async fallBack(sinceVersion: StoreVersion): Promise<TableReading> {
+    const sentAtMs = this.nowMs();
+    const {confirmedAtMs, updatedAtMs} = this.feed;
+    const reading = await this.store.waitForChanges(sinceVersion, 0);
+    // A closed feed has no time of confirmation.
+    const isExpired = Number.isFinite(confirmedAtMs);
+    this.logger?.info('relay_expired', {
+      table: this.name,
+      ageMs: isExpired ? Math.round(sentAtMs - confirmedAtMs) : undefined,
+      updatedAgoMs: Math.round(sentAtMs - updatedAtMs),
+      outcome: reading.kind,
+      tookMs: Math.round(this.nowMs() - sentAtMs),
+    });
+    return reading;
   }
 
   private drainFeed(sinceVersion: StoreVersion): TableReading {
+    const {confirmedAtMs: asOfMs, rowsArrivedAtMs: arrivedAtMs} = this.feed;
     const {rows, version} = this.feed.drain(sinceVersion);
-    return {kind: 'rows', rows, version, clock: undefined, isRelayed: true};
+    return {
+      kind: 'rows',
+      rows,
+      version,
+      clock: undefined,
+      isRelayed: true,
+      asOfMs,
+      arrivedAtMs,
+    };
   }
 }
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -33,7 +33,7 @@
   readonly inForceWithinMs: number;
   readonly platform: Platform;
   readonly loads: LoadView;
-  readonly metrics: Pick<GatewayMetrics, 'countLoads'>;
+  readonly metrics: Pick<GatewayMetrics, 'countLoads' | 'observeUpdateAge'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** Whether something that came during a standstill may not be read yet (no). */
@@ -136,7 +136,8 @@
    * Wraps a table of the store to follow it through a relay where there is one.
    */
   wrap(name: RelayedTableName, store: FollowedTable): FollowedTable {
-    return new RelayedTable(store, this.feeds[name], this.options.nowMs);
+    const {nowMs, logger} = this.options;
+    return new RelayedTable(store, this.feeds[name], nowMs, logger);
   }
 
   /**
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -110,7 +110,7 @@
     const waitMs = knownWithinMs * FOLLOW_WAIT_SHARE;
     this.follow('configuration', waitMs, {
       replaced: (rows, read) => this.operatorRows.replace(rows, read),
-      changed: rows => this.operatorRows.change(rows),
+      changed: (rows, origin) => this.operatorRows.change(rows, origin),
       disturbed: () => undefined,
     });
     this.follow('endpoints', waitMs, {
@@ -154,6 +154,7 @@
         pace: () => relays.paceOf(name) ?? own,
         onClock: this.options.clock.noteReading.bind(this.options.clock),
         onReading: (reading, isWhole) => this.copy(name, reading, isWhole),
+        nowMs: this.options.nowMs,
       }),
     );
   }
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -30,6 +30,10 @@
       readonly clock: StoreClockReading | undefined;
       /** Received from a relay, not from the store itself. */
       readonly isRelayed?: boolean;
+      /** The rows reflect the store as of this time or later, as far as known. */
+      readonly asOfMs?: number;
+      /** When the first of the rows arrived, where they waited to be read. */
+      readonly arrivedAtMs?: number;
     }
   /** The store no longer has the history since the requested version. */
   | {readonly kind: 'history_gone'}
@@ -48,6 +52,15 @@
   ): Promise<TableReading>;
 }
 
+/** By which path rows came, for logs. */
+export interface RowsOrigin {
+  readonly path: 'relay' | 'store';
+  /** How long ago the store is known to have had these rows or older ones. */
+  readonly ageMs: number | undefined;
+  /** How long the rows waited in this instance. */
+  readonly heldMs: number;
+}
+
 /** How a whole read came about. */
 export interface WholeRead {
   /**
@@ -55,13 +68,14 @@
    * and what operators and endpoints wrote since may be missing for a while.
    */
   readonly isSetBack: boolean;
+  readonly origin: RowsOrigin;
 }
 
 /** Receives changes of a table. */
 export interface TableListener {
   /** Receives all rows of the table. */
   replaced(rows: readonly FollowedRow[], read: WholeRead): void;
-  changed(rows: readonly FollowedRow[]): void;
+  changed(rows: readonly FollowedRow[], origin: RowsOrigin): void;
   /** The store did not answer, or only with a failure. */
   disturbed(): void;
 }
@@ -106,6 +120,8 @@
   readonly maxBackoffMs?: number;
   /** At least 0 and below 1. */
   readonly random?: () => number;
+  /** Steady clock (`performance.now`). */
+  readonly nowMs?: () => number;
 }
 
 const DEFAULT_FIRST_BACKOFF_MS = 100;
@@ -117,6 +133,8 @@
  * store was set back.
  */
 const REWRITTEN_WITHIN_MS = 5000;
+/** A poll that ends later than this after its wait is logged. */
+const LATE_POLL_MS = 250;
 /** Pause after a reading that is older than the known version. */
 const STALE_READ_PAUSE_MS = 250;
 
@@ -133,10 +151,12 @@
   private hasReadWhole = false;
   private isStopped = false;
   private readonly random: () => number;
+  private readonly nowMs: () => number;
   private readonly recovery: StoreRecovery;
 
   constructor(private readonly options: TableFollowerOptions) {
     this.random = options.random ?? Math.random;
+    this.nowMs = options.nowMs ?? (() => performance.now());
     this.recovery = options.recovery ?? new StoreRecovery();
   }
 
@@ -181,15 +201,42 @@
     const waitMs = this.isDisturbed ? PROBE_WAIT_MS : this.waitMs();
     if (this.isRereadDue) this.rereadWhole(this.version);
     const since = this.version;
+    const sentAtMs = this.nowMs();
     const reading =
       since === undefined
         ? await table.readAll()
         : await table.waitForChanges(since, waitMs);
     if (this.isStopped) return 0;
+    this.logLatePoll(reading, waitMs, this.nowMs() - sentAtMs);
     this.pauseMs = this.take(reading, since);
     return this.pauseMs;
   }
 
+  private logLatePoll(
+    {kind}: TableReading,
+    waitMs: number,
+    tookMs: number,
+  ): void {
+    if (tookMs < waitMs + LATE_POLL_MS) return;
+    const {table, logger} = this.options;
+    logger.info('poll_late', {
+      table: table.name,
+      outcome: kind,
+      waitMs: Math.round(waitMs),
+      tookMs: Math.round(tookMs),
+    });
+  }
+
+  private originOf({isRelayed, asOfMs, arrivedAtMs}: RowsReading): RowsOrigin {
+    const nowMs = this.nowMs();
+    const isDated = asOfMs !== undefined && Number.isFinite(asOfMs);
+    return {
+      path: isRelayed === true ? 'relay' : 'store',
+      ageMs: isDated ? Math.round(nowMs - asOfMs) : undefined,
+      heldMs: Math.round(nowMs - (arrivedAtMs ?? nowMs)),
+    };
+  }
+
   private waitMs(): number {
     const {waitMs, includesPause = false} = this.options.pace();
     return includesPause
@@ -231,7 +278,9 @@
       if (isOlderVersion(reading.version, since))
         return this.skipStale(reading);
       this.version = reading.version;
-      if (reading.rows.length > 0) listener.changed(reading.rows);
+      if (reading.rows.length > 0) {
+        listener.changed(reading.rows, this.originOf(reading));
+      }
       this.options.onReading?.(reading, false);
       // Relays batch updates themselves; followers need no extra delay.
       const isGathered = reading.rows.length === 0 || reading.isRelayed;
@@ -244,7 +293,8 @@
     if (isSetBack) this.scheduleReread();
     this.era = eraOf(reading.version);
     this.version = reading.version;
-    listener.replaced(reading.rows, {isSetBack});
+    const origin = this.originOf(reading);
+    listener.replaced(reading.rows, {isSetBack, origin});
     this.options.onReading?.(reading, true);
     logger.info('table_read', {
       table: table.name,
@@ -296,6 +346,7 @@
     this.options.logger.info('store_regained', {
       table: this.options.table.name,
       failures: this.failures,
+      lastPauseMs: Math.round(this.pauseMs),
     });
     this.failures = 0;
     this.recovery.noteSuccess(this);
