--- /dev/null
+++ b/packages/gateway/src/relay/change_deadline.test.ts
@@ -0,0 +1,385 @@
+import {ABSENT, composeStoreVersion} from '@snipestage/types/store_version.js';
+import type {StoreVersion} from '@snipestage/types/store_version.js';
+import test, {type ExecutionContext} from 'ava';
+import {pickFreePorts} from '@snipestage/stand_ins/launch/free_ports.js';
+import {brandAs, type InstanceId} from '@snipestage/types/ids.js';
+import {StoreRecovery} from '../store_recovery.js';
+import {
+  FollowedTable,
+  TableFollower,
+  type FollowedRow,
+  type FollowPace,
+  type TableReading,
+} from '../table_follower.js';
+import {CapturedLog} from '../test_support/captured_log.js';
+import {MemoryPlatform} from '../test_support/memory_platform.js';
+import {RelayClient} from './relay_client.js';
+import {RelayedFeed} from './relayed_feed.js';
+import {RelayedTable} from './relayed_table.js';
+import {RelayServer} from './relay_server.js';
+import {TableCopy} from './table_copy.js';
+import {WriteBatcher} from './write_batcher.js';
+
+/** Time within which a change accepted by the store has to be in force. */
+const IN_FORCE_WITHIN_MS = 3000;
+/** The shares of that time by which relays and followers keep their pace. */
+const RELAY_PACE: FollowPace = {
+  waitMs: 0.3 * IN_FORCE_WITHIN_MS,
+  gatherMs: 0.15 * IN_FORCE_WITHIN_MS,
+};
+const OWN_PACE: FollowPace = {
+  waitMs: 3080,
+  includesPause: true,
+  gatherMs: 0.35 * IN_FORCE_WITHIN_MS,
+};
+const PING_EVERY_MS = 0.1 * IN_FORCE_WITHIN_MS;
+const FRESH_FOR_MS = 0.65 * IN_FORCE_WITHIN_MS;
+/** Time allowed for the answer to a poll beyond its wait. */
+const POLL_MARGIN_MS = 500;
+const REFUSED: TableReading = {kind: 'unavailable', reason: 'status 429'};
+const TIMED_OUT: TableReading = {kind: 'unavailable', reason: 'timeout'};
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise(done => setTimeout(done, delayMs));
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(5);
+}
+
+/** A sound store with one table, whose rows are named by their numbers. */
+class TestStore {
+  readonly acceptedAtMs = new Map<StoreVersion, number>();
+  private number = 1;
+  private readonly waiting = new Set<() => void>();
+
+  get version(): StoreVersion {
+    return composeStoreVersion({era: 0, number: this.number});
+  }
+
+  accept(): StoreVersion {
+    this.number += 1;
+    this.acceptedAtMs.set(this.version, performance.now());
+    for (const wake of [...this.waiting]) wake();
+    return this.version;
+  }
+
+  /** Resolves at the next change, at the latest after the wait. */
+  async waitForChange(since: StoreVersion, waitMs: number): Promise<void> {
+    if (this.version > since) return;
+    await new Promise<void>(resolve => {
+      const finish = () => {
+        clearTimeout(timer);
+        this.waiting.delete(finish);
+        resolve();
+      };
+      const timer = setTimeout(finish, waitMs);
+      this.waiting.add(finish);
+    });
+  }
+
+  rowsSince(since: StoreVersion): FollowedRow[] {
+    return [...this.acceptedAtMs.keys()]
+      .filter(version => version > since)
+      .map(version => ({key: 'row', version, data: Buffer.from('x')}));
+  }
+}
+
+/** How the store answers an instance. */
+interface StoreLink {
+  /** Time that answers are under way. */
+  delayMs: number;
+  /** Polls that begin are refused, or never answered. */
+  fault: 'none' | 'refuses' | 'silent';
+}
+
+/** Reads a {@link TestStore}; its polls time out. */
+class TestStoreTable extends FollowedTable {
+  readonly name = 'configuration';
+  polls = 0;
+
+  constructor(
+    private readonly store: TestStore,
+    private readonly link: StoreLink,
+  ) {
+    super();
+  }
+
+  async readAll(): Promise<TableReading> {
+    return this.readingSince(ABSENT);
+  }
+
+  async waitForChanges(
+    since: StoreVersion,
+    waitMs: number,
+  ): Promise<TableReading> {
+    this.polls += 1;
+    const {fault} = this.link;
+    if (fault === 'refuses') return REFUSED;
+    const timedOut = sleep(waitMs + POLL_MARGIN_MS).then(() => TIMED_OUT);
+    if (fault === 'silent') return timedOut;
+    return Promise.race([this.answer(since, waitMs), timedOut]);
+  }
+
+  private async answer(
+    since: StoreVersion,
+    waitMs: number,
+  ): Promise<TableReading> {
+    await this.store.waitForChange(since, waitMs);
+    const reading = this.readingSince(since);
+    await sleep(this.link.delayMs);
+    return reading;
+  }
+
+  private readingSince(since: StoreVersion): TableReading {
+    const {version} = this.store;
+    const rows = this.store.rowsSince(since);
+    return {kind: 'rows', rows, version, clock: undefined};
+  }
+}
+
+/** An update as its follower has dated it. */
+interface DatedUpdate {
+  readonly version: StoreVersion;
+  readonly asOfMs: number;
+}
+
+/** A relay and one follower of it, with the store and the links of both. */
+class RelayChain {
+  readonly store = new TestStore();
+  readonly relayLink: StoreLink = {delayMs: 1, fault: 'none'};
+  readonly followerLink: StoreLink = {delayMs: 1, fault: 'none'};
+  readonly followerTable = new TestStoreTable(this.store, this.followerLink);
+  /** Shared by the tables of the follower. */
+  readonly recovery = new StoreRecovery();
+  readonly updates: DatedUpdate[] = [];
+  readonly inForceAtMs = new Map<StoreVersion, number>();
+  /** Time that updates are under way to the follower. */
+  updateDelayMs = 0;
+  /** A frozen relay sends nothing, and its connections stay open. */
+  isRelayFrozen = false;
+  private readonly feed = new RelayedFeed(FRESH_FOR_MS);
+
+  async start(t: ExecutionContext): Promise<void> {
+    const [port] = await pickFreePorts(1);
+    const address = `127.0.0.1:${port}`;
+    const {logger} = new CapturedLog();
+    const copies = {
+      configuration: new TableCopy(),
+      endpoints: new TableCopy(),
+      shared: new TableCopy(),
+    };
+    const server = new RelayServer({
+      address,
+      copies,
+      writes: new WriteBatcher(new MemoryPlatform()),
+      onLoads: () => undefined,
+      logger,
+    });
+    await server.start();
+    const copy = copies.configuration;
+    const relay = new TableFollower({
+      table: new TestStoreTable(this.store, this.relayLink),
+      listener: this.listen(() => undefined),
+      logger,
+      pace: () => RELAY_PACE,
+      onReading: ({rows, version}, isWhole) => {
+        if (this.isRelayFrozen) return;
+        if (isWhole) copy.replace(rows, version);
+        else copy.apply(rows, version);
+        server.confirm('configuration');
+      },
+    });
+    const client = this.connect(address);
+    const follower = new TableFollower({
+      table: new RelayedTable(this.followerTable, this.feed, () =>
+        performance.now(),
+      ),
+      listener: this.listen(rows => this.noteInForce(rows)),
+      logger,
+      pace: () => OWN_PACE,
+      recovery: this.recovery,
+      random: () => 1,
+    });
+    relay.start();
+    follower.start();
+    t.teardown(() => {
+      relay.stop();
+      follower.stop();
+      client.close();
+      server.stop();
+    });
+    await waitUntil(() => this.feed.isFresh(performance.now()));
+  }
+
+  /** The store accepts a change; its follower and the relay go on as they are. */
+  accept(): StoreVersion {
+    return this.store.accept();
+  }
+
+  /** Time from the acceptance of a version until it was in force. */
+  async delayOf(version: StoreVersion): Promise<number> {
+    await waitUntil(() => this.inForceAtMs.has(version));
+    const acceptedAtMs = this.store.acceptedAtMs.get(version)!;
+    return this.inForceAtMs.get(version)! - acceptedAtMs;
+  }
+
+  /** Resolves when the follower has got another update. */
+  async nextUpdate(): Promise<void> {
+    const count = this.updates.length;
+    await waitUntil(() => this.updates.length > count);
+  }
+
+  /** Updates dated later than the acceptance of a version that they lack. */
+  findMisdated(): DatedUpdate[] {
+    return this.updates.filter(({version, asOfMs}) =>
+      [...this.store.acceptedAtMs].some(
+        ([accepted, atMs]) => accepted > version && atMs < asOfMs,
+      ),
+    );
+  }
+
+  private listen(take: (rows: readonly FollowedRow[]) => void) {
+    return {replaced: take, changed: take, disturbed: () => undefined};
+  }
+
+  private noteInForce(rows: readonly FollowedRow[]): void {
+    for (const {version} of rows) {
+      this.inForceAtMs.set(version, performance.now());
+    }
+  }
+
+  private connect(address: string): RelayClient {
+    return new RelayClient({
+      address,
+      request: {
+        kind: 'follow',
+        instance: brandAs<InstanceId>('follower'),
+        known: {
+          configuration: this.store.version,
+          endpoints: ABSENT,
+          shared: ABSENT,
+        },
+      },
+      silentAfterMs: 10_000,
+      pingEveryMs: PING_EVERY_MS,
+      nowMs: () => performance.now(),
+      onChanges: (_table, changes, asOfMs) => {
+        setTimeout(() => {
+          this.updates.push({version: changes.version, asOfMs});
+          this.feed.take(changes, asOfMs);
+        }, this.updateDelayMs);
+      },
+      onLoads: () => undefined,
+      onEnd: () => undefined,
+    });
+  }
+}
+
+async function startChain(t: ExecutionContext): Promise<RelayChain> {
+  const chain = new RelayChain();
+  await chain.start(t);
+  return chain;
+}
+
+// Guards against a bound that not even a sound relay keeps.
+test('a change is in force in time by way of a sound relay', async t => {
+  const chain = await startChain(t);
+  for (let count = 0; count < 3; count += 1) {
+    const delayMs = await chain.delayOf(chain.accept());
+    t.true(delayMs < IN_FORCE_WITHIN_MS / 2, `${delayMs}`);
+    await chain.nextUpdate();
+  }
+  t.deepEqual(chain.findMisdated(), []);
+});
+
+// Guards against a withdrawn key that is honoured as its relay froze.
+test('a change is in force in time when the relay freezes before it', async t => {
+  const chain = await startChain(t);
+  await chain.nextUpdate();
+  chain.isRelayFrozen = true;
+  const delayMs = await chain.delayOf(chain.accept());
+  t.true(delayMs < IN_FORCE_WITHIN_MS, `${delayMs}`);
+});
+
+// Guards against a withdrawn key that is honoured after one lost answer.
+test('a change is in force in time when the first poll after the expiry gets no answer', async t => {
+  const chain = await startChain(t);
+  await chain.nextUpdate();
+  chain.isRelayFrozen = true;
+  const version = chain.accept();
+  const before = chain.followerTable.polls;
+  chain.followerLink.fault = 'silent';
+  await waitUntil(() => chain.followerTable.polls > before);
+  chain.followerLink.fault = 'none';
+  const delayMs = await chain.delayOf(version);
+  t.true(delayMs < IN_FORCE_WITHIN_MS, `${delayMs}`);
+});
+
+// Guards against a withdrawn key that is honoured as the relay's updates came late.
+test('a change is in force in time when the relay freezes after delayed updates', async t => {
+  const chain = await startChain(t);
+  chain.updateDelayMs = 1300;
+  await sleep(3000);
+  await chain.nextUpdate();
+  // The updates that were sent before are still under way.
+  chain.isRelayFrozen = true;
+  const delayMs = await chain.delayOf(chain.accept());
+  t.true(delayMs < IN_FORCE_WITHIN_MS, `${delayMs}`);
+});
+
+// Guards against an old state taken for current as the store's answer was late.
+test('an update is not dated later than the answer of the store that it passes on', async t => {
+  const chain = await startChain(t);
+  await chain.nextUpdate();
+  chain.relayLink.delayMs = 1200;
+  // The first change ends the relay's poll; its answer lacks the second one.
+  const first = chain.accept();
+  const second = chain.accept();
+  await chain.delayOf(first);
+  await chain.delayOf(second);
+  t.deepEqual(chain.findMisdated(), []);
+});
+
+// Guards against a withdrawn key that is honoured as its relay read late.
+test('a change is in force in time when the relay freezes after a late answer of the store', async t => {
+  const chain = await startChain(t);
+  await sleep(2 * RELAY_PACE.waitMs);
+  chain.relayLink.delayMs = 1300;
+  const first = chain.accept();
+  const second = chain.accept();
+  await chain.delayOf(first);
+  chain.isRelayFrozen = true;
+  const delayMs = await chain.delayOf(second);
+  t.true(delayMs < IN_FORCE_WITHIN_MS, `${delayMs}`);
+});
+
+// Guards against a withdrawn key that is honoured although the relay has sent the change.
+test('a change from the relay is in force while a poll of the store gets no answer', async t => {
+  const chain = await startChain(t);
+  chain.isRelayFrozen = true;
+  const before = chain.followerTable.polls;
+  // The poll at the expiry is answered, the long one after it isn't.
+  await waitUntil(() => chain.followerTable.polls > before);
+  chain.followerLink.fault = 'silent';
+  await waitUntil(() => chain.followerTable.polls > before + 1);
+  chain.isRelayFrozen = false;
+  await chain.nextUpdate();
+  const delayMs = await chain.delayOf(chain.accept());
+  t.true(delayMs < IN_FORCE_WITHIN_MS / 2, `${delayMs}`);
+});
+
+// Guards against a withdrawn key that is honoured while an instance backs off from the store.
+test('a change from the relay is in force while the store refuses polls', async t => {
+  const chain = await startChain(t);
+  // Another table of the instance was refused first.
+  chain.recovery.noteFailure({}, 100);
+  chain.followerLink.fault = 'refuses';
+  chain.isRelayFrozen = true;
+  const before = chain.followerTable.polls;
+  await waitUntil(() => chain.followerTable.polls > before + 3);
+  chain.isRelayFrozen = false;
+  await chain.nextUpdate();
+  const delayMs = await chain.delayOf(chain.accept());
+  t.true(delayMs < IN_FORCE_WITHIN_MS / 2, `${delayMs}`);
+});
