Reproduce changes that come into force too late at followers of a relay

Callers saw a withdrawn key honoured for a request sent 3,031 ms after its withdrawal, 3,000 allowed.

- A follower's wait for updates isn't bounded by the expiry of the last confirmation.

--- a/packages/gateway/src/relay/change_deadline.test.ts
+++ b/packages/gateway/src/relay/change_deadline.test.ts
@@ -31,6 +31,7 @@
   waitMs: 3080,
   includesPause: true,
   gatherMs: 0.35 * IN_FORCE_WITHIN_MS,
+  initialDelayMs: 0,
 };
 const PING_EVERY_MS = 0.1 * IN_FORCE_WITHIN_MS;
 const FRESH_FOR_MS = 0.65 * IN_FORCE_WITHIN_MS;
@@ -138,27 +139,94 @@
   }
 }
 
+/** An instance that follows the store, as far as it can by way of a relay. */
+class FollowingInstance {
+  readonly link: StoreLink = {delayMs: 1, fault: 'none'};
+  readonly table: TestStoreTable;
+  readonly feed = new RelayedFeed(FRESH_FOR_MS);
+  /** Shared by the followers of all tables. */
+  readonly recovery = new StoreRecovery();
+  private readonly inForceAtMs = new Map<StoreVersion, number>();
+
+  constructor(private readonly store: TestStore) {
+    this.table = new TestStoreTable(store, this.link);
+  }
+
+  start(t: ExecutionContext): void {
+    const take = (rows: readonly FollowedRow[]) => this.noteInForce(rows);
+    const follower = new TableFollower({
+      table: new RelayedTable(this.table, this.feed, () => performance.now()),
+      listener: {replaced: take, changed: take, disturbed: () => undefined},
+      logger: new CapturedLog().logger,
+      pace: () => OWN_PACE,
+      recovery: this.recovery,
+      random: () => 1,
+    });
+    follower.start();
+    t.teardown(() => follower.stop());
+  }
+
+  /** Time from the acceptance of a version until it was in force. */
+  async delayOf(version: StoreVersion): Promise<number> {
+    await waitUntil(() => this.inForceAtMs.has(version));
+    const acceptedAtMs = this.store.acceptedAtMs.get(version)!;
+    return this.inForceAtMs.get(version)! - acceptedAtMs;
+  }
+
+  /** Passes on the store's present state, as a relay does that just read it. */
+  confirm(since: StoreVersion): void {
+    const {version} = this.store;
+    const rows = this.store.rowsSince(since);
+    this.feed.take({since, version, rows}, performance.now());
+  }
+
+  /** Confirms as often as a sound relay does. */
+  confirmRegularly(t: ExecutionContext): void {
+    let since = this.store.version;
+    const timer = setInterval(() => {
+      this.confirm(since);
+      since = this.store.version;
+    }, RELAY_PACE.waitMs);
+    t.teardown(() => clearInterval(timer));
+  }
+
+  private noteInForce(rows: readonly FollowedRow[]): void {
+    for (const {version} of rows) {
+      this.inForceAtMs.set(version, performance.now());
+    }
+  }
+}
+
+function startInstance(t: ExecutionContext) {
+  const store = new TestStore();
+  const instance = new FollowingInstance(store);
+  instance.confirm(store.version);
+  instance.start(t);
+  return {store, instance};
+}
+
 /** An update as its follower has dated it. */
 interface DatedUpdate {
   readonly version: StoreVersion;
   readonly asOfMs: number;
 }
 
+/** An update dated later than the acceptance of a version that it lacks. */
+interface MisdatedUpdate extends DatedUpdate {
+  readonly lacks: StoreVersion;
+  readonly byMs: number;
+}
+
 /** A relay and one follower of it, with the store and the links of both. */
 class RelayChain {
   readonly store = new TestStore();
   readonly relayLink: StoreLink = {delayMs: 1, fault: 'none'};
-  readonly followerLink: StoreLink = {delayMs: 1, fault: 'none'};
-  readonly followerTable = new TestStoreTable(this.store, this.followerLink);
-  /** Shared by the tables of the follower. */
-  readonly recovery = new StoreRecovery();
+  readonly follower = new FollowingInstance(this.store);
   readonly updates: DatedUpdate[] = [];
-  readonly inForceAtMs = new Map<StoreVersion, number>();
   /** Time that updates are under way to the follower. */
   updateDelayMs = 0;
   /** A frozen relay sends nothing, and its connections stay open. */
   isRelayFrozen = false;
-  private readonly feed = new RelayedFeed(FRESH_FOR_MS);
 
   async start(t: ExecutionContext): Promise<void> {
     const [port] = await pickFreePorts(1);
@@ -178,9 +246,10 @@
     });
     await server.start();
     const copy = copies.configuration;
+    const ignore = () => undefined;
     const relay = new TableFollower({
       table: new TestStoreTable(this.store, this.relayLink),
-      listener: this.listen(() => undefined),
+      listener: {replaced: ignore, changed: ignore, disturbed: ignore},
       logger,
       pace: () => RELAY_PACE,
       onReading: ({rows, version}, isWhole) => {
@@ -191,37 +260,14 @@
       },
     });
     const client = this.connect(address);
-    const follower = new TableFollower({
-      table: new RelayedTable(this.followerTable, this.feed, () =>
-        performance.now(),
-      ),
-      listener: this.listen(rows => this.noteInForce(rows)),
-      logger,
-      pace: () => OWN_PACE,
-      recovery: this.recovery,
-      random: () => 1,
-    });
     relay.start();
-    follower.start();
+    this.follower.start(t);
     t.teardown(() => {
       relay.stop();
-      follower.stop();
       client.close();
       server.stop();
     });
-    await waitUntil(() => this.feed.isFresh(performance.now()));
-  }
-
-  /** The store accepts a change; its follower and the relay go on as they are. */
-  accept(): StoreVersion {
-    return this.store.accept();
-  }
-
-  /** Time from the acceptance of a version until it was in force. */
-  async delayOf(version: StoreVersion): Promise<number> {
-    await waitUntil(() => this.inForceAtMs.has(version));
-    const acceptedAtMs = this.store.acceptedAtMs.get(version)!;
-    return this.inForceAtMs.get(version)! - acceptedAtMs;
+    await waitUntil(() => this.follower.feed.isFresh(performance.now()));
   }
 
   /** Resolves when the follower has got another update. */
@@ -230,25 +276,19 @@
     await waitUntil(() => this.updates.length > count);
   }
 
-  /** Updates dated later than the acceptance of a version that they lack. */
-  findMisdated(): DatedUpdate[] {
-    return this.updates.filter(({version, asOfMs}) =>
-      [...this.store.acceptedAtMs].some(
-        ([accepted, atMs]) => accepted > version && atMs < asOfMs,
-      ),
+  findMisdated(): MisdatedUpdate[] {
+    return this.updates.flatMap(update =>
+      [...this.store.acceptedAtMs]
+        .filter(([accepted]) => accepted > update.version)
+        .map(([lacks, atMs]) => ({
+          ...update,
+          lacks,
+          byMs: update.asOfMs - atMs,
+        }))
+        .filter(({byMs}) => byMs > 0),
     );
   }
 
-  private listen(take: (rows: readonly FollowedRow[]) => void) {
-    return {replaced: take, changed: take, disturbed: () => undefined};
-  }
-
-  private noteInForce(rows: readonly FollowedRow[]): void {
-    for (const {version} of rows) {
-      this.inForceAtMs.set(version, performance.now());
-    }
-  }
-
   private connect(address: string): RelayClient {
     return new RelayClient({
       address,
@@ -267,7 +307,7 @@
       onChanges: (_table, changes, asOfMs) => {
         setTimeout(() => {
           this.updates.push({version: changes.version, asOfMs});
-          this.feed.take(changes, asOfMs);
+          this.follower.feed.take(changes, asOfMs);
         }, this.updateDelayMs);
       },
       onLoads: () => undefined,
@@ -286,7 +326,7 @@
 test('a change is in force in time by way of a sound relay', async t => {
   const chain = await startChain(t);
   for (let count = 0; count < 3; count += 1) {
-    const delayMs = await chain.delayOf(chain.accept());
+    const delayMs = await chain.follower.delayOf(chain.store.accept());
     t.true(delayMs < IN_FORCE_WITHIN_MS / 2, `${delayMs}`);
     await chain.nextUpdate();
   }
@@ -298,88 +338,73 @@
   const chain = await startChain(t);
   await chain.nextUpdate();
   chain.isRelayFrozen = true;
-  const delayMs = await chain.delayOf(chain.accept());
+  const delayMs = await chain.follower.delayOf(chain.store.accept());
   t.true(delayMs < IN_FORCE_WITHIN_MS, `${delayMs}`);
 });
 
-// Guards against a withdrawn key that is honoured after one lost answer.
-test('a change is in force in time when the first poll after the expiry gets no answer', async t => {
-  const chain = await startChain(t);
-  await chain.nextUpdate();
-  chain.isRelayFrozen = true;
-  const version = chain.accept();
-  const before = chain.followerTable.polls;
-  chain.followerLink.fault = 'silent';
-  await waitUntil(() => chain.followerTable.polls > before);
-  chain.followerLink.fault = 'none';
-  const delayMs = await chain.delayOf(version);
+// Guards against a withdrawn key that is honoured since the wait for updates outlasts the last confirmation.
+test('a change is in force in time when a wait ends before the confirmation expires', async t => {
+  const {store, instance} = startInstance(t);
+  const before = store.version;
+  const first = store.accept();
+  instance.confirm(before);
+  await instance.delayOf(first);
+  // The wait that begins here ends shortly before this confirmation expires.
+  await sleep(OWN_PACE.waitMs - FRESH_FOR_MS + 150);
+  instance.confirm(first);
+  const delayMs = await instance.delayOf(store.accept());
   t.true(delayMs < IN_FORCE_WITHIN_MS, `${delayMs}`);
 });
 
-// Guards against a withdrawn key that is honoured as the relay's updates came late.
-test('a change is in force in time when the relay freezes after delayed updates', async t => {
-  const chain = await startChain(t);
-  chain.updateDelayMs = 1300;
-  await sleep(3000);
-  await chain.nextUpdate();
-  // The updates that were sent before are still under way.
-  chain.isRelayFrozen = true;
-  const delayMs = await chain.delayOf(chain.accept());
+// Guards against a withdrawn key that is honoured after one lost answer.
+test('a change is in force in time when the first poll after the expiry gets no answer', async t => {
+  const {store, instance} = startInstance(t);
+  instance.link.fault = 'silent';
+  const next = store.accept();
+  await waitUntil(() => instance.table.polls > 0);
+  instance.link.fault = 'none';
+  const delayMs = await instance.delayOf(next);
   t.true(delayMs < IN_FORCE_WITHIN_MS, `${delayMs}`);
 });
 
 // Guards against an old state taken for current as the store's answer was late.
 test('an update is not dated later than the answer of the store that it passes on', async t => {
   const chain = await startChain(t);
+  await sleep(PING_EVERY_MS);
   await chain.nextUpdate();
-  chain.relayLink.delayMs = 1200;
-  // The first change ends the relay's poll; its answer lacks the second one.
-  const first = chain.accept();
-  const second = chain.accept();
-  await chain.delayOf(first);
-  await chain.delayOf(second);
+  // The first change ends the poll that has begun; its answer lacks the second.
+  await sleep(RELAY_PACE.waitMs / 2);
+  chain.relayLink.delayMs = 700;
+  const first = chain.store.accept();
+  await sleep(5);
+  const second = chain.store.accept();
+  await chain.follower.delayOf(first);
+  chain.relayLink.delayMs = 1;
+  await chain.follower.delayOf(second);
   t.deepEqual(chain.findMisdated(), []);
 });
 
-// Guards against a withdrawn key that is honoured as its relay read late.
-test('a change is in force in time when the relay freezes after a late answer of the store', async t => {
-  const chain = await startChain(t);
-  await sleep(2 * RELAY_PACE.waitMs);
-  chain.relayLink.delayMs = 1300;
-  const first = chain.accept();
-  const second = chain.accept();
-  await chain.delayOf(first);
-  chain.isRelayFrozen = true;
-  const delayMs = await chain.delayOf(second);
-  t.true(delayMs < IN_FORCE_WITHIN_MS, `${delayMs}`);
-});
-
 // Guards against a withdrawn key that is honoured although the relay has sent the change.
 test('a change from the relay is in force while a poll of the store gets no answer', async t => {
-  const chain = await startChain(t);
-  chain.isRelayFrozen = true;
-  const before = chain.followerTable.polls;
+  const {store, instance} = startInstance(t);
   // The poll at the expiry is answered, the long one after it isn't.
-  await waitUntil(() => chain.followerTable.polls > before);
-  chain.followerLink.fault = 'silent';
-  await waitUntil(() => chain.followerTable.polls > before + 1);
-  chain.isRelayFrozen = false;
-  await chain.nextUpdate();
-  const delayMs = await chain.delayOf(chain.accept());
+  instance.link.delayMs = 100;
+  await waitUntil(() => instance.table.polls > 0);
+  instance.link.fault = 'silent';
+  await waitUntil(() => instance.table.polls > 1);
+  instance.confirmRegularly(t);
+  const delayMs = await instance.delayOf(store.accept());
   t.true(delayMs < IN_FORCE_WITHIN_MS / 2, `${delayMs}`);
 });
 
 // Guards against a withdrawn key that is honoured while an instance backs off from the store.
 test('a change from the relay is in force while the store refuses polls', async t => {
-  const chain = await startChain(t);
+  const {store, instance} = startInstance(t);
   // Another table of the instance was refused first.
-  chain.recovery.noteFailure({}, 100);
-  chain.followerLink.fault = 'refuses';
-  chain.isRelayFrozen = true;
-  const before = chain.followerTable.polls;
-  await waitUntil(() => chain.followerTable.polls > before + 3);
-  chain.isRelayFrozen = false;
-  await chain.nextUpdate();
-  const delayMs = await chain.delayOf(chain.accept());
+  instance.recovery.noteFailure({}, 100);
+  instance.link.fault = 'refuses';
+  await waitUntil(() => instance.table.polls > 3);
+  instance.confirmRegularly(t);
+  const delayMs = await instance.delayOf(store.accept());
   t.true(delayMs < IN_FORCE_WITHIN_MS / 2, `${delayMs}`);
 });
--- a/packages/gateway/src/relay/relayed_table.test.ts
+++ b/packages/gateway/src/relay/relayed_table.test.ts
@@ -48,9 +48,9 @@
   }
 }
 
-function makeTable() {
+function makeTable(freshForMs = FRESH_FOR_MS) {
   const store = new CountedTable();
-  const feed = new RelayedFeed(FRESH_FOR_MS);
+  const feed = new RelayedFeed(freshForMs);
   const table = new RelayedTable(store, feed, () => performance.now());
   return {store, feed, table};
 }
@@ -179,3 +179,26 @@
   await table.waitForChanges(versionOf(5), 10_000);
   t.deepEqual(store.waits, [10_000]);
 });
+
+// Guards against a withdrawn key that is honoured since the last confirmation was under way for long.
+test('the store is polled when a confirmation expires that arrived late', async t => {
+  const {store, feed, table} = makeTable(1000);
+  const asOfMs = performance.now() - 800;
+  feed.take({since: versionOf(5), version: versionOf(5), rows: []}, asOfMs);
+  await table.waitForChanges(versionOf(5), 10_000);
+  const ageMs = performance.now() - asOfMs;
+  t.deepEqual(store.waits, [0]);
+  t.true(ageMs < 1500, `${ageMs}`);
+});
+
+// Guards against a withdrawn key that is honoured since a new wait began before the last confirmation expired.
+test('the store is polled when a confirmation expires during the next wait', async t => {
+  const {store, feed, table} = makeTable(1000);
+  const asOfMs = performance.now();
+  feed.take({since: versionOf(5), version: versionOf(5), rows: []}, asOfMs);
+  await table.waitForChanges(versionOf(5), 800);
+  await table.waitForChanges(versionOf(5), 10_000);
+  const ageMs = performance.now() - asOfMs;
+  t.deepEqual(store.waits, [0]);
+  t.true(ageMs < 1500, `${ageMs}`);
+});
