Date what a relay passes on by the store's clock, and end each wait when it expires

Cause: a follower waited for its relay for as long as a confirmation is valid, counted from the beginning of each wait instead of from the confirmation. A wait that ended without news began another, however old the confirmation was. The confirmation in turn was dated by a ping that the relay had read before it handled the store's answer, not by when the store made that answer.

Now the store's own clock in its answer dates what was read. Relays pass it on, and each instance converts it with a bound that can't be later than the truth (StoreTimeline). The wait at a feed ends when what was confirmed expires. All waits on the ways of a change stand in one place, ChangeBudget, which adds them up: with a call lost and the backoff of a second table they come to the target at most. Pings no longer date anything, so that the hold of pings after a standstill goes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,9 @@
   AgreedClock,
   type StoreClockReading,
 } from '@snipestage/routing/agreed_clock.js';
+import {ChangeBudget} from '@snipestage/routing/change_budget.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
+import {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {DataCentreId, FencingToken} from '@snipestage/types/ids.js';
 import {CallersServer} from './callers_server.js';
@@ -18,7 +20,7 @@
 import {Duties} from './duties.js';
 import {EndpointPaths} from './endpoint_paths.js';
 import {EndpointProbes} from './endpoint_probes.js';
-import {EventLoopWatch, isBehind} from './event_loop_watch.js';
+import {EventLoopWatch} from './event_loop_watch.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createPages} from './gateway_pages.js';
 import type {GatewaySettings} from './gateway_settings.js';
@@ -64,6 +66,7 @@
   private readonly callers: CallersServer;
   private readonly operations: readonly OperationsServer[];
   private readonly clock: AgreedClock;
+  private readonly timeline = new StoreTimeline();
   private readonly follower: StateFollower;
   private readonly duties: Duties;
   private readonly relays: Relays;
@@ -83,6 +86,7 @@
     this.shutdown = new Shutdown(settings.shutdown);
     this.loopWatch = new EventLoopWatch({nowMs});
     this.clock = new AgreedClock(nowMs(), Date.now());
+    const budget = new ChangeBudget(settings.changes);
     const recovery = new StoreRecovery();
     const facts = (this.facts = new SharedFacts({
       platform,
@@ -102,17 +106,13 @@
       instance: settings.instance,
       dataCentre: settings.dataCentre,
       ...settings.relays,
-      inForceWithinMs: settings.changes.inForceWithinMs,
+      budget,
+      timeline: this.timeline,
       platform,
       loads: this.state.loads,
       metrics: options.metrics,
       logger: logger.forComponent('relay'),
       nowMs,
-      isBehind: () =>
-        isBehind({
-          nowMs,
-          earliestArrivalMs: () => this.loopWatch.earliestArrivalMs(),
-        }),
       countInstances: () => this.state.instances,
       onEstimate: instances => void facts.publishEstimate(instances),
     });
@@ -158,7 +158,8 @@
       crashes,
       logger: logger.forComponent('store'),
       nowMs,
-      ...settings.changes,
+      budget,
+      timeline: this.timeline,
       onConfiguration: configuration => this.applyConfiguration(configuration),
       onEvacuated: ({length}) => options.metrics.setEvacuated(length),
       onSetBack: () => {
@@ -219,6 +220,7 @@
   /** Takes a reading of the store's clock, from any answer of the store. */
   noteClock(reading: StoreClockReading): void {
     this.clock.noteReading(reading);
+    this.timeline.note(reading);
   }
 
   /** Number of other instances that may forward connections. */
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -195,9 +195,8 @@
     this.loads.inc({outcome}, count);
   }
 
-  /** Ignores updates without a date, such as those with rows. */
   observeUpdateAge(table: string, ageMs: number): void {
-    if (Number.isFinite(ageMs)) this.updateAge.observe({table}, ageMs);
+    this.updateAge.observe({table}, ageMs);
   }
 
   notePlacement(
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -34,15 +34,16 @@
   /** `<IP address>:<port>` */
   readonly address: string;
   readonly request: FollowRequest | ExchangeRequest;
-  /** Receives changes that reflect the store as of `asOfMs`, or later. */
+  /**
+   * Receives changes, which reflect the table as of the store's clock at
+   * `storeMs`; undefined: not known.
+   */
   readonly onChanges: (
     table: RelayedTableName,
     changes: TableChanges,
-    asOfMs: number,
+    storeMs: number | undefined,
   ) => void;
   readonly onLoads: (report: LoadReport) => void;
-  readonly pingEveryMs: number;
-  readonly nowMs: () => number;
   /** Called once. */
   readonly onEnd: (end: RelayEnd) => void;
   /** Ends the stream when no message has arrived for this long. */
@@ -51,11 +52,6 @@
   readonly writeTimeoutMs?: number;
 }
 
-interface SentPing {
-  readonly number: number;
-  readonly atMs: number;
-}
-
 interface FollowClient extends Client {
   follow(): ClientDuplexStream<FollowerMessage, RelayMessage>;
   write(
@@ -67,13 +63,14 @@
 
 /** Twice the time that the batching delay and a transaction take. */
 const DEFAULT_WRITE_TIMEOUT_MS = 1000;
+/** Pings keep a stream active that is quiet otherwise. */
+const PING_EVERY_MS = 2000;
 const RelayStub = makeGenericClientConstructor(RELAY_SERVICE, 'Relay');
 
 /** Client of a single stream; each stream needs a new one. */
 export class RelayClient {
   private readonly client: FollowClient;
   private readonly stream: ClientDuplexStream<FollowerMessage, RelayMessage>;
-  private readonly pings: SentPing[] = [];
   private pingCount = 0;
   private readonly pinging: NodeJS.Timeout;
   private silence: NodeJS.Timeout | undefined;
@@ -87,7 +84,7 @@
     ) as unknown as FollowClient;
     this.stream = this.client.follow();
     this.stream.write(request);
-    this.pinging = setInterval(() => this.ping(), options.pingEveryMs);
+    this.pinging = setInterval(() => this.ping(), PING_EVERY_MS);
     this.stream.on('data', (message: RelayMessage) => this.take(message));
     this.stream.on('error', error => this.end(error.message));
     this.stream.on('end', () => this.end('ended by the relay'));
@@ -118,9 +115,7 @@
 
   private ping(): void {
     this.pingCount += 1;
-    const number = this.pingCount;
-    this.pings.push({number, atMs: this.options.nowMs()});
-    this.stream.write({kind: 'ping', number});
+    this.stream.write({kind: 'ping', number: this.pingCount});
   }
 
   private take(message: RelayMessage): void {
@@ -130,22 +125,10 @@
     else this.takeRows(message);
   }
 
-  private takeRows({ping, table, since, version, rows}: RelayUpdate): void {
+  private takeRows(update: RelayUpdate): void {
+    const {table, since, version, rows, storeMs} = update;
     const changes = {since, version, rows: rows.map(fromRelayedRow)};
-    this.options.onChanges(table, changes, this.pingSentAt(ping));
-  }
-
-  /**
-   * Time at which a ping was sent; -Infinity when it isn't known. An update may
-   * have waited for seconds behind others. It reflects the store as it was
-   * after the ping whose number it carries; its arrival proves nothing newer.
-   */
-  private pingSentAt(number: number): number {
-    while (this.pings.length > 0 && this.pings[0].number < number) {
-      this.pings.shift();
-    }
-    const isKnown = this.pings[0]?.number === number;
-    return isKnown ? this.pings[0].atMs : Number.NEGATIVE_INFINITY;
+    this.options.onChanges(table, changes, storeMs);
   }
 
   /**
--- a/packages/gateway/src/relay/relay_follower.ts
+++ b/packages/gateway/src/relay/relay_follower.ts
@@ -4,19 +4,20 @@
 import type {Logger} from '@snipestage/log/logger.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {RelayHolder} from '@snipestage/routing/relay_roster.js';
+import type {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import type {InstanceId} from '@snipestage/types/ids.js';
 import type {LoadReport} from './load_report.js';
 import type {RelayClient, RelayEnd} from './relay_client.js';
 import type {RelayedTableName, WriteRequest} from './relay_messages.js';
 import type {RelayedFeed} from './relayed_feed.js';
-import type {TableCopy} from './table_copy.js';
+import type {TableChanges, TableCopy} from './table_copy.js';
 
 /** Options of {@link RelayFollower}. */
 export interface RelayFollowerOptions {
   readonly instance: InstanceId;
   readonly copies: Readonly<Record<RelayedTableName, TableCopy>>;
   readonly feeds: Readonly<Record<RelayedTableName, RelayedFeed>>;
-  readonly pingEveryMs: number;
+  readonly timeline: StoreTimeline;
   readonly metrics: Pick<GatewayMetrics, 'observeUpdateAge'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
@@ -44,8 +45,7 @@
   }
 
   async follow(relay: RelayHolder): Promise<void> {
-    const {instance, feeds, logger, pingEveryMs, nowMs, onLoads, metrics} =
-      this.options;
+    const {instance, logger, onLoads} = this.options;
     // Loading gRPC takes processor time that most starts don't need.
     const {RelayClient} = await import('./relay_client.js');
     if (this.isClosed) return;
@@ -58,13 +58,8 @@
         readsCompressed: true,
       },
       silentAfterMs: SILENT_AFTER_MS,
-      pingEveryMs,
-      nowMs,
-      onChanges: (table, changes, asOfMs) => {
-        const arrivedAtMs = nowMs();
-        metrics.observeUpdateAge(table, arrivedAtMs - asOfMs);
-        feeds[table].take(changes, asOfMs, arrivedAtMs);
-      },
+      onChanges: (table, changes, storeMs) =>
+        this.take(table, changes, storeMs),
       onLoads,
       onEnd: reason => this.handleEnd(relay, reason),
     });
@@ -91,6 +86,20 @@
     this.leave();
   }
 
+  /** An update may have waited for seconds behind others, here or there. */
+  private take(
+    table: RelayedTableName,
+    changes: TableChanges,
+    storeMs: number | undefined,
+  ): void {
+    const {feeds, timeline, metrics} = this.options;
+    const nowMs = this.options.nowMs();
+    const asOfMs =
+      storeMs === undefined ? undefined : timeline.dateOf(storeMs, nowMs);
+    if (asOfMs !== undefined) metrics.observeUpdateAge(table, nowMs - asOfMs);
+    feeds[table].take(changes, asOfMs ?? Number.NEGATIVE_INFINITY, nowMs);
+  }
+
   private readVersions(): Record<RelayedTableName, StoreVersion> {
     const {configuration, endpoints, shared} = this.options.copies;
     return {
--- a/packages/gateway/src/relay/relay_host.ts
+++ b/packages/gateway/src/relay/relay_host.ts
@@ -34,8 +34,8 @@
   }
 
   /** Publishes a table's state to followers after the store was read. */
-  confirm(name: RelayedTableName): void {
-    this.server?.confirm(name);
+  confirm(name: RelayedTableName, storeMs: number | undefined): void {
+    this.server?.confirm(name, storeMs);
   }
 
   /** Sends new readings to all followers and connected relays. */
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -27,10 +27,10 @@
   readonly readsCompressed?: boolean;
 }
 
-/** Its number comes back with the updates that were made after its arrival. */
+/** Keeps the stream active. */
 export interface Ping {
   readonly kind: 'ping';
-  /** Counts from 1. */
+  /** Older versions return it with their updates. */
   readonly number: number;
 }
 
@@ -48,11 +48,13 @@
 /** Changes of one table, or a confirmation that there were none. */
 export interface RelayUpdate {
   readonly kind: 'rows';
+  /** Followers of older versions date an update by it; 0: no date. */
+  readonly ping: 0;
   /**
-   * Number of the last ping that arrived before the update was made; 0: none.
-   * Updates with rows have none: the same one goes to all followers.
+   * The store's clock when it made the answer from which the update was made:
+   * the update reflects the table as of then. Undefined: not known.
    */
-  readonly ping: number;
+  readonly storeMs?: number;
   readonly table: RelayedTableName;
   readonly since: StoreVersion;
   readonly version: StoreVersion;
--- a/packages/gateway/src/relay/relay_peers.ts
+++ b/packages/gateway/src/relay/relay_peers.ts
@@ -19,8 +19,6 @@
 
 /** Reports arrive every 500 ms, even when empty. */
 const SILENT_AFTER_MS = 5000;
-/** These pings only keep the stream active. */
-const PING_EVERY_MS = 2000;
 
 /** Owns the streams; this relay's own data centre may have a second relay. */
 export class RelayPeers {
@@ -63,8 +61,6 @@
       address,
       request: {kind: 'exchange', instance},
       silentAfterMs: SILENT_AFTER_MS,
-      pingEveryMs: PING_EVERY_MS,
-      nowMs,
       onChanges: () => undefined,
       onLoads,
       onEnd: ({isOwn}) => {
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -15,7 +15,6 @@
   type WriteCall,
   type WriteReply,
 } from './relay_messages.js';
-import {CatchUpGate} from '../catch_up_gate.js';
 import {isCountsKey} from '../usage_rows.js';
 import type {LoadReport} from './load_report.js';
 import type {TableCopy} from './table_copy.js';
@@ -31,23 +30,17 @@
   /** Receives the readings that a follower or another relay has sent. */
   readonly onLoads: (report: LoadReport) => void;
   readonly logger: Logger;
-  /**
-   * Whether something that came during a standstill may not be read yet (no).
-   */
-  readonly isBehind?: () => boolean;
 }
 
 /**
  * A follower with more bytes buffered receives no further messages until it has
  * read. Later changes go out in one update; the follower polls the store
- * meanwhile, since its pings come back late.
+ * meanwhile, since what it has expires.
  */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
 /** Ten times the size of the largest regular message. */
 const MAX_MESSAGE_BYTES = 256 * 1024;
-/** Longest time for which a ping is held while the relay catches up. */
-const MAX_PING_HELD_MS = 500;
 /** Interval between log lines on refused writes and messages. */
 const LOG_REFUSAL_EVERY_MS = 10_000;
 
@@ -55,7 +48,6 @@
   readonly call: FollowCall;
   readonly sentVersions: Map<RelayedTableName, StoreVersion>;
   readonly readsCompressed: boolean;
-  ping: number;
 }
 
 /** Owns the listening socket and the streams. */
@@ -67,11 +59,8 @@
   private readonly followers = new Set<Follower>();
   /** Streams of the relays of other data centres. */
   private readonly exchanges = new Set<FollowCall>();
-  private readonly pings: CatchUpGate;
 
   constructor(private readonly options: RelayServerOptions) {
-    const {isBehind = () => false} = options;
-    this.pings = new CatchUpGate({isBehind, maxHeldMs: MAX_PING_HELD_MS});
     this.server.addService(RELAY_SERVICE, {
       follow: (call: FollowCall) => this.accept(call),
       write: (call: WriteCall, reply: WriteReply) => {
@@ -110,9 +99,12 @@
   /**
    * After the store was read, publishes a table's changes or that there are
    * none.
+   *
+   * @param storeMs the store's clock as it made the answer, if it states it.
    */
-  confirm(table: RelayedTableName): void {
-    const batch = new UpdateBatch({table, copy: this.options.copies[table]});
+  confirm(table: RelayedTableName, storeMs: number | undefined): void {
+    const copy = this.options.copies[table];
+    const batch = new UpdateBatch({table, copy, storeMs});
     for (const follower of this.followers) {
       this.publish(follower, table, batch);
     }
@@ -170,7 +162,6 @@
           this.options.onLoads(message);
           return;
         case 'ping':
-          if (follower !== undefined) this.notePing(follower, message.number);
           return;
         case undefined:
           this.logRefused('message_refused', call);
@@ -187,7 +178,7 @@
     const sentVersions = new Map(
       RELAYED_TABLES.map(table => [table, known[table]]),
     );
-    const follower = {call, sentVersions, readsCompressed, ping: 0};
+    const follower = {call, sentVersions, readsCompressed};
     this.followers.add(follower);
     onStreamOver(call, () => {
       const wasThere = this.followers.delete(follower);
@@ -197,16 +188,6 @@
     return follower;
   }
 
-  /**
-   * After a standstill a ping may be read before an answer of the store that
-   * came earlier. That answer must not be confirmed as newer than the ping.
-   */
-  private notePing(follower: Follower, number: number): void {
-    void this.pings
-      .pass(0)
-      .then(() => (follower.ping = Math.max(follower.ping, number)));
-  }
-
   private addExchange(call: FollowCall, {instance}: ExchangeRequest): void {
     this.exchanges.add(call);
     onStreamOver(call, () => this.exchanges.delete(call));
@@ -214,20 +195,15 @@
   }
 
   private publish(
-    {call, sentVersions, readsCompressed, ping}: Follower,
+    {call, sentVersions, readsCompressed}: Follower,
     table: RelayedTableName,
     batch: UpdateBatch,
   ): void {
     const {version} = this.options.copies[table];
     if (version === undefined || isBehind(call)) return;
     const known = sentVersions.get(table) ?? ABSENT;
-    const form = {isCompressed: readsCompressed};
-    const {rows} = batch.changesSince(known, form);
+    call.write(batch.updateSince(known, {isCompressed: readsCompressed}));
     sentVersions.set(table, version);
-    if (rows !== undefined) call.write(rows);
-    // Confirms what was sent before; the ping is the follower's own.
-    const since = rows === undefined ? known : version;
-    call.write({kind: 'rows', ping, table, since, version, rows: []});
   }
 }
 
--- a/packages/gateway/src/relay/relayed_feed.ts
+++ b/packages/gateway/src/relay/relayed_feed.ts
@@ -22,15 +22,20 @@
   private rowsSinceMs: number | undefined;
   private waiting = new Set<() => void>();
 
-  /** @param freshForMs how long a confirmation is valid. */
+  /** @param freshForMs how long a confirmation is valid, from its date. */
   constructor(readonly freshForMs: number) {}
 
   isFresh(nowMs: number): boolean {
-    return nowMs - this.confirmedMs < this.freshForMs;
+    return this.freshLeftMs(nowMs) > 0;
   }
 
-  /** The updates reflect the store as of this time, or later. */
-  get confirmedAtMs(): number {
+  /** Time until the latest confirmation expires; 0 when it has. */
+  freshLeftMs(nowMs: number): number {
+    return Math.max(0, this.confirmedMs + this.freshForMs - nowMs);
+  }
+
+  /** The time as of which the feed is known to be complete. */
+  get asOfMs(): number {
     return this.confirmedMs;
   }
 
--- a/packages/gateway/src/relay/relayed_table.ts
+++ b/packages/gateway/src/relay/relayed_table.ts
@@ -9,6 +9,9 @@
  * Falls back to the store as soon as the relay's last confirmation is stale.
  */
 export class RelayedTable extends FollowedTable {
+  /** Whether the feed was fresh at the last look. */
+  private followsFeed = false;
+
   constructor(
     private readonly store: FollowedTable,
     private readonly feed: RelayedFeed,
@@ -31,32 +34,35 @@
     waitMs: number,
   ): Promise<TableReading> {
     const endsAtMs = this.nowMs() + waitMs;
-    const wasFresh = this.feed.isFresh(this.nowMs());
     while (this.feed.isFresh(this.nowMs())) {
+      this.followsFeed = true;
       // Changes that the feed has missed are read from the store at once.
       if (!this.feed.covers(sinceVersion)) {
         return this.store.waitForChanges(sinceVersion, 0);
       }
       const leftMs = endsAtMs - this.nowMs();
       if (this.feed.hasRows || leftMs <= 0) return this.drainFeed(sinceVersion);
-      await this.feed.next(Math.min(leftMs, this.feed.freshForMs));
+      const freshLeftMs = this.feed.freshLeftMs(this.nowMs());
+      await this.feed.next(Math.min(leftMs, freshLeftMs));
     }
+    const isFirstPoll = this.followsFeed;
+    this.followsFeed = false;
     // The store was last read before the relay fell silent, and the connection
     // to it may be gone: a long poll would detect that too late.
-    return wasFresh
+    return isFirstPoll
       ? this.fallBack(sinceVersion)
       : this.store.waitForChanges(sinceVersion, waitMs);
   }
 
   private async fallBack(sinceVersion: StoreVersion): Promise<TableReading> {
     const sentAtMs = this.nowMs();
-    const {confirmedAtMs, updatedAtMs} = this.feed;
+    const {asOfMs, updatedAtMs} = this.feed;
     const reading = await this.store.waitForChanges(sinceVersion, 0);
     // A closed feed has no time of confirmation.
-    const isExpired = Number.isFinite(confirmedAtMs);
+    const isExpired = Number.isFinite(asOfMs);
     this.logger?.info('relay_expired', {
       table: this.name,
-      ageMs: isExpired ? Math.round(sentAtMs - confirmedAtMs) : undefined,
+      ageMs: isExpired ? Math.round(sentAtMs - asOfMs) : undefined,
       updatedAgoMs: Math.round(sentAtMs - updatedAtMs),
       outcome: reading.kind,
       tookMs: Math.round(this.nowMs() - sentAtMs),
@@ -65,7 +71,7 @@
   }
 
   private drainFeed(sinceVersion: StoreVersion): TableReading {
-    const {confirmedAtMs: asOfMs, rowsArrivedAtMs: arrivedAtMs} = this.feed;
+    const {asOfMs, rowsArrivedAtMs: arrivedAtMs} = this.feed;
     const {rows, version} = this.feed.drain(sinceVersion);
     return {
       kind: 'rows',
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -4,6 +4,8 @@
 import type {LoadView} from '@snipestage/routing/load_view.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import {InstanceEstimate} from '@snipestage/routing/instance_estimate.js';
+import type {ChangeBudget} from '@snipestage/routing/change_budget.js';
+import type {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import {RelayRoster, type RelaySlot} from '@snipestage/routing/relay_roster.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
@@ -29,33 +31,19 @@
   readonly strength: number;
   /** Address for other instances; undefined: this one takes no part. */
   readonly address: string | undefined;
-  /** Time within which a change accepted by the store has to be in force. */
-  readonly inForceWithinMs: number;
+  readonly budget: ChangeBudget;
+  readonly timeline: StoreTimeline;
   readonly platform: Platform;
   readonly loads: LoadView;
   readonly metrics: Pick<GatewayMetrics, 'countLoads' | 'observeUpdateAge'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
-  /** Whether something that came during a standstill may not be read yet (no). */
-  readonly isBehind?: () => boolean;
   /** Number of instances; undefined while not known. */
   readonly countInstances: () => number | undefined;
   /** Receives an estimate while the number of instances isn't known. */
   readonly onEstimate: (instances: number) => void;
 }
 
-/**
- * Shares of `inForceWithinMs`. A relay's poll lasts at most the first, and the
- * pause after it at most the second, so that a relay confirms within their sum.
- * A follower pings at intervals of the third. Together the three stay below the
- * fourth, for which a confirmation is valid, counted from the sending of the
- * ping whose number it carries. Then the follower polls the store, with the
- * rest of the time left for that.
- */
-const RELAY_WAIT_SHARE = 0.3;
-const RELAY_GATHER_SHARE = 0.15;
-const PING_SHARE = 0.1;
-const FRESH_SHARE = 0.65;
 /** A poll for facts lasts up to eight seconds. */
 const FACTS_FRESH_FOR_MS = 10_000;
 const TICK_MS = 500;
@@ -86,7 +74,7 @@
     });
     this.writes = new WriteBatcher(options.platform);
     this.copies = perTable(() => new TableCopy());
-    const freshForMs = options.inForceWithinMs * FRESH_SHARE;
+    const {freshForMs} = options.budget;
     this.feeds = perTable(
       name =>
         new RelayedFeed(name === 'shared' ? FACTS_FRESH_FOR_MS : freshForMs),
@@ -106,7 +94,6 @@
       ...options,
       copies,
       feeds,
-      pingEveryMs: options.inForceWithinMs * PING_SHARE,
       onLoads: report => this.loads.receive(report, 'remote'),
       onFailed: relay => this.roster.noteFailed(relay, options.nowMs()),
     });
@@ -150,11 +137,8 @@
     const isSlow =
       name === 'shared' || !this.roster.hasEnoughFollowers(followers);
     if (isSlow) return undefined;
-    const {inForceWithinMs} = this.options;
-    return {
-      waitMs: inForceWithinMs * RELAY_WAIT_SHARE,
-      gatherMs: inForceWithinMs * RELAY_GATHER_SHARE,
-    };
+    const {relayWaitMs, relayGatherMs} = this.options.budget;
+    return {waitMs: relayWaitMs, gatherMs: relayGatherMs};
   }
 
   /** This instance's copy of a table, from which its followers are updated. */
@@ -162,9 +146,13 @@
     return this.copies[name];
   }
 
-  /** Notifies followers that a table was just read from the store itself. */
-  confirm(name: RelayedTableName): void {
-    this.host.confirm(name);
+  /**
+   * Notifies followers that a table was just read from the store itself.
+   *
+   * @param storeMs the store's clock as it made the answer, if it states it.
+   */
+  confirm(name: RelayedTableName, storeMs: number | undefined): void {
+    this.host.confirm(name, storeMs);
   }
 
   /**
--- a/packages/gateway/src/relay/update_batch.ts
+++ b/packages/gateway/src/relay/update_batch.ts
@@ -9,17 +9,12 @@
 } from './relay_messages.js';
 import type {TableCopy} from './table_copy.js';
 
-/** What a follower is sent, and up to which version. */
-export interface PreparedUpdate {
-  readonly version: StoreVersion;
-  /** Undefined when nothing has changed. */
-  readonly rows: SerializedUpdate | undefined;
-}
-
 /** Options of {@link UpdateBatch}. */
 export interface UpdateBatchOptions {
   readonly table: RelayedTableName;
   readonly copy: TableCopy;
+  /** The store's clock as of which the copy is complete; undefined: not known. */
+  readonly storeMs?: number;
 }
 
 /**
@@ -28,20 +23,21 @@
  * in which a change has to be in force.
  */
 export class UpdateBatch {
-  private readonly prepared = new Map<string, PreparedUpdate>();
+  private readonly prepared = new Map<string, SerializedUpdate>();
 
   constructor(private readonly options: UpdateBatchOptions) {}
 
   /**
-   * The changes after a version that a follower has.
+   * The changes after a version that a follower has; also without any, since an
+   * update confirms that there were no others.
    *
    * @example
-   * const {rows, version} = batch.changesSince(sentVersion, {isCompressed});
+   * call.write(batch.updateSince(sentVersion, {isCompressed}));
    */
-  changesSince(
+  updateSince(
     known: StoreVersion,
     form: {readonly isCompressed: boolean},
-  ): PreparedUpdate {
+  ): SerializedUpdate {
     const key = `${known} ${form.isCompressed}`;
     const existing = this.prepared.get(key);
     if (existing !== undefined) return existing;
@@ -53,22 +49,18 @@
   private prepare(
     known: StoreVersion,
     form: {readonly isCompressed: boolean},
-  ): PreparedUpdate {
-    const {table, copy} = this.options;
+  ): SerializedUpdate {
+    const {table, copy, storeMs} = this.options;
     const {since, version, rows} = copy.changesSince(known);
-    // Also where the changes after `known` are lost: the follower has to see
-    // that its version isn't covered.
-    if (rows.length === 0 && since === known) {
-      return {version, rows: undefined};
-    }
-    const message = {
+    const update = {
       kind: 'rows',
       ping: 0,
+      storeMs,
       table,
       since,
       version,
       rows: rows.map(toRelayedRow),
     } as const;
-    return {version, rows: serializeUpdate(message, form)};
+    return serializeUpdate(update, form);
   }
 }
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -1,6 +1,8 @@
 /** Keeps an instance's routing state in step with the platform's tables. */
 
 import type {Logger} from '@snipestage/log/logger.js';
+import type {ChangeBudget} from '@snipestage/routing/change_budget.js';
+import type {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import type {AgreedClock} from '@snipestage/routing/agreed_clock.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
@@ -45,40 +47,16 @@
   readonly streams: Streams;
   readonly logger: Logger;
   readonly nowMs: () => number;
-  /**
-   * Time within which a change has to be known, even when a connection breaks.
-   */
-  readonly knownWithinMs: number;
-  /** Time within which a change accepted by the store has to be in force. */
-  readonly inForceWithinMs: number;
+  readonly budget: ChangeBudget;
+  readonly timeline: StoreTimeline;
   readonly onConfiguration: (configuration: RoutingConfiguration) => void;
   readonly onEvacuated: (dataCentres: readonly DataCentreId[]) => void;
   /** The store was set back and answers again. */
   readonly onSetBack: () => void;
 }
 
-/**
- * A long poll and the pause before it end after this share of `knownWithinMs`,
- * whatever happens to the connection. This detects a connection that has gone
- * silent, and leaves the rest of the time for the margin of the poll and for a
- * new connection.
- */
-const FOLLOW_WAIT_SHARE = 0.77;
 /** Crashes are rare, and a request's third crash may be known seconds later. */
 const FOLLOW_FACTS_WAIT_MS = 8000;
-/**
- * After a change, the next poll is delayed by this share of `inForceWithinMs`,
- * so that the changes that follow come in one answer. A poll sent then is
- * answered within milliseconds; the rest of the time is left for a slow store.
- * Endpoints that come and go in turn change a row every few hundred
- * milliseconds, and each answer is a priced call of every instance.
- */
-const GATHER_SHARE = 0.35;
-/**
- * Share of `inForceWithinMs` by which the first poll is delayed, so that the
- * instance can find a relay instead.
- */
-const INITIAL_DELAY_SHARE = 0.8;
 
 /** Owns the followers of the tables and applies what they read. */
 export class StateFollower {
@@ -106,14 +84,13 @@
   }
 
   private addFollowers(): void {
-    const {knownWithinMs} = this.options;
-    const waitMs = knownWithinMs * FOLLOW_WAIT_SHARE;
-    this.follow('configuration', waitMs, {
+    const {pollMs} = this.options.budget;
+    this.follow('configuration', pollMs, {
       replaced: (rows, read) => this.operatorRows.replace(rows, read),
       changed: (rows, origin) => this.operatorRows.change(rows, origin),
       disturbed: () => undefined,
     });
-    this.follow('endpoints', waitMs, {
+    this.follow('endpoints', pollMs, {
       replaced: (rows, read) => this.replaceEndpoints(rows, read),
       changed: rows => this.changeEndpoints(rows),
       disturbed: () =>
@@ -135,15 +112,14 @@
     waitMs: number,
     listener: TableListener,
   ): void {
-    const {tables, relays, recovery, inForceWithinMs} = this.options;
+    const {tables, relays, recovery, budget, timeline} = this.options;
+    const {gatherMs, initialDelayMs, firstBackoffMs} = budget;
     const own = {
       waitMs,
       includesPause: true,
-      gatherMs: inForceWithinMs * GATHER_SHARE,
+      gatherMs,
       // No initial delay for the shared table: it holds the relays' rows.
-      ...(name === 'shared'
-        ? {}
-        : {initialDelayMs: inForceWithinMs * INITIAL_DELAY_SHARE}),
+      ...(name === 'shared' ? {} : {initialDelayMs}),
     };
     this.followers.push(
       new TableFollower({
@@ -152,7 +128,13 @@
         recovery,
         logger: this.options.logger.forComponent('store'),
         pace: () => relays.paceOf(name) ?? own,
-        onClock: this.options.clock.noteReading.bind(this.options.clock),
+        firstBackoffMs,
+        onClock: reading => {
+          this.options.clock.noteReading(reading);
+          timeline.note(reading);
+        },
+        dateOf: ({storeMs, sentAtMs, receivedAtMs}) =>
+          timeline.dateOf(storeMs, receivedAtMs) ?? sentAtMs,
         onReading: (reading, isWhole) => this.copy(name, reading, isWhole),
         nowMs: this.options.nowMs,
       }),
@@ -164,14 +146,14 @@
    */
   private copy(
     name: RelayedTableName,
-    {rows, version, isRelayed}: RowsReading,
+    {rows, version, isRelayed, clock}: RowsReading,
     isWhole: boolean,
   ): void {
     const {relays} = this.options;
     const copy = relays.copyOf(name);
     if (isWhole) copy.replace(rows, version);
     else copy.apply(rows, version);
-    if (isRelayed !== true) relays.confirm(name);
+    if (isRelayed !== true) relays.confirm(name, clock?.storeMs);
   }
 
   private replaceEndpoints(
--- a/packages/gateway/src/store_recovery.ts
+++ b/packages/gateway/src/store_recovery.ts
@@ -1,7 +1,6 @@
 /** Limits retries of several followers against one unavailable store. */
 
-/** Backoff factor of followers that are not the first to fail. */
-const STANDBY_FACTOR = 3;
+import {STANDBY_FACTOR} from '@snipestage/routing/change_budget.js';
 
 /**
  * Load pattern: the store is unavailable for seconds, and each of hundreds of
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -27,10 +27,11 @@
       readonly rows: readonly FollowedRow[];
       /** Version of the store that the rows reflect. */
       readonly version: StoreVersion;
+      /** The store's clock as it made the answer; undefined: not stated. */
       readonly clock: StoreClockReading | undefined;
       /** Received from a relay, not from the store itself. */
       readonly isRelayed?: boolean;
-      /** The rows reflect the store as of this time or later, as far as known. */
+      /** The time as of which a relay's rows are complete, or later. */
       readonly asOfMs?: number;
       /** When the first of the rows arrived, where they waited to be read. */
       readonly arrivedAtMs?: number;
@@ -110,6 +111,8 @@
   /** Called for the timing of each poll and each pause. */
   readonly pace: () => FollowPace;
   readonly onClock?: (reading: StoreClockReading) => void;
+  /** When the store's clock showed a reading, or earlier (when it was sent). */
+  readonly dateOf?: (reading: StoreClockReading) => number;
   /** Called after each reading that was applied, also one without rows. */
   readonly onReading?: (reading: RowsReading, isWhole: boolean) => void;
   /** Shared by all followers of a store (one for this follower alone). */
@@ -145,6 +148,7 @@
   /** Era of the last whole read. */
   private era = 0;
   private isRereadDue = false;
+  private currentAsOfMs = Number.NEGATIVE_INFINITY;
   private failures = 0;
   /** Pause after the latest read. */
   private pauseMs = 0;
@@ -172,6 +176,14 @@
     return this.version;
   }
 
+  /**
+   * The time as of which the rows are known to be complete: the store has
+   * accepted no other change before. -Infinity when it isn't known.
+   */
+  get asOfMs(): number {
+    return this.currentAsOfMs;
+  }
+
   start(): void {
     void this.run();
   }
@@ -227,12 +239,13 @@
     });
   }
 
-  private originOf({isRelayed, asOfMs, arrivedAtMs}: RowsReading): RowsOrigin {
+  private originOf(reading: RowsReading): RowsOrigin {
+    const {isRelayed, arrivedAtMs} = reading;
     const nowMs = this.nowMs();
-    const isDated = asOfMs !== undefined && Number.isFinite(asOfMs);
+    const asOfMs = this.dateOf(reading);
     return {
       path: isRelayed === true ? 'relay' : 'store',
-      ageMs: isDated ? Math.round(nowMs - asOfMs) : undefined,
+      ageMs: Number.isFinite(asOfMs) ? Math.round(nowMs - asOfMs) : undefined,
       heldMs: Math.round(nowMs - (arrivedAtMs ?? nowMs)),
     };
   }
@@ -278,6 +291,7 @@
       if (isOlderVersion(reading.version, since))
         return this.skipStale(reading);
       this.version = reading.version;
+      this.noteDate(reading);
       if (reading.rows.length > 0) {
         listener.changed(reading.rows, this.originOf(reading));
       }
@@ -293,6 +307,7 @@
     if (isSetBack) this.scheduleReread();
     this.era = eraOf(reading.version);
     this.version = reading.version;
+    this.noteDate(reading);
     const origin = this.originOf(reading);
     listener.replaced(reading.rows, {isSetBack, origin});
     this.options.onReading?.(reading, true);
@@ -308,6 +323,17 @@
     return isFirst ? (initialDelayMs ?? gatherMs) : gatherMs;
   }
 
+  private noteDate(reading: RowsReading): void {
+    this.currentAsOfMs = Math.max(this.currentAsOfMs, this.dateOf(reading));
+  }
+
+  /** The time as of which rows are complete, or earlier; -Infinity: unknown. */
+  private dateOf({clock, asOfMs}: RowsReading): number {
+    const {dateOf = ({sentAtMs}: StoreClockReading) => sentAtMs} = this.options;
+    const dateMs = clock === undefined ? asOfMs : dateOf(clock);
+    return dateMs ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Reads the table whole again once what was lost has been written again. */
   private scheduleReread(): void {
     setTimeout(() => (this.isRereadDue = true), REWRITTEN_WITHIN_MS).unref();
--- /dev/null
+++ b/packages/routing/src/change_budget.test.ts
@@ -0,0 +1,16 @@
+import test from 'ava';
+import {ChangeBudget} from './change_budget.js';
+
+for (const inForceWithinMs of [500, 1000, 2000, 3000, 4000, 10_000]) {
+  for (const knownWithinMs of [inForceWithinMs, inForceWithinMs + 1000]) {
+    const targets = {knownWithinMs, inForceWithinMs};
+    test(`the waits on each way of a change add up to its target at most (${inForceWithinMs}, ${knownWithinMs})`, t => {
+      // Guards against changes in force too late though no single wait is.
+      const paths = new ChangeBudget(targets).listPaths();
+      t.true(paths.length >= 6);
+      for (const {name, longestMs, targetMs} of paths) {
+        t.true(longestMs <= targetMs, `${name}: ${longestMs} of ${targetMs}`);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/routing/src/store_timeline.ts
@@ -0,0 +1,40 @@
+/** Dates what the store stated, in the time of an instance's own clock. */
+
+import type {StoreClockReading} from './agreed_clock.js';
+
+/** Largest difference allowed for between the rates of two machines' clocks. */
+const MAX_DRIFT = 200 / 1_000_000;
+
+/**
+ * An answer of the store reflects its tables as of the reading of its clock that
+ * the answer states, however long the answer or a copy of it was on its way.
+ *
+ * A call is sent before the store reads its clock for the answer. So each answer
+ * to an own call gives a bound: no reading of the store's clock was taken
+ * earlier, in the time of the own clock, than the bound says.
+ */
+export class StoreTimeline {
+  /** Latest bound of the difference between the clocks, as of time 0. */
+  private boundMs = Number.NEGATIVE_INFINITY;
+
+  /** Records the answer to an own call. */
+  note({storeMs, sentAtMs, receivedAtMs}: StoreClockReading): void {
+    const boundMs = sentAtMs - storeMs + sentAtMs * MAX_DRIFT;
+    const isContradicted = this.dateOf(storeMs, receivedAtMs) === undefined;
+    this.boundMs = isContradicted ? boundMs : Math.max(this.boundMs, boundMs);
+  }
+
+  /**
+   * A time by our clock at which, or after which, the store's clock showed
+   * `storeMs`.
+   *
+   * @returns undefined when no bound is known, or it is wrong since the store's
+   *   clock has jumped.
+   * @example
+   * const asOfMs = timeline.dateOf(update.storeMs, nowMs);
+   */
+  dateOf(storeMs: number, nowMs: number): number | undefined {
+    const atMs = storeMs + this.boundMs - nowMs * MAX_DRIFT;
+    return Number.isFinite(atMs) && atMs <= nowMs ? atMs : undefined;
+  }
+}
