Read what has arrived before a timeout counts

After a standstill an instance took store calls for lost, endpoints for silent and requests for expired although the answers had arrived: Node.js runs timers before it reads sockets.

--- a/packages/connection/src/fresh_connection.ts
+++ b/packages/connection/src/fresh_connection.ts
@@ -9,6 +9,7 @@
  */
 
 import net from 'node:net';
+import {ReadFirstTimeout} from './read_first_timeout.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
@@ -148,9 +149,12 @@
   timeoutMs: number,
 ): Promise<string | undefined> {
   return new Promise(resolve => {
-    const timer = setTimeout(() => resolve(CONNECT_TIMEOUT_REASON), timeoutMs);
+    const timeout = new ReadFirstTimeout(
+      () => resolve(CONNECT_TIMEOUT_REASON),
+      timeoutMs,
+    );
     const settle = (reason?: string) => {
-      clearTimeout(timer);
+      timeout.cancel();
       resolve(reason);
     };
     socket.once('connect', () => settle());
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -5,6 +5,7 @@
   failureFor,
   mayRunAgain,
 } from '@snipestage/routing/attempt_policy.js';
+import {ReadFirstTimeout} from '@snipestage/connection/read_first_timeout.js';
 import {AttemptHistory} from '@snipestage/routing/attempt_history.js';
 import {workOf} from '@snipestage/routing/prompt.js';
 import {mayOffer, type Placed} from '@snipestage/routing/placement.js';
@@ -60,11 +61,11 @@
     const {prompt} = this.request.caller;
     state.countDemand(service, route, prompt, nowMs());
     const leftMs = Math.max(0, this.request.endsAtMs - nowMs());
-    const timer = setTimeout(() => this.expire(), leftMs);
+    const timeout = new ReadFirstTimeout(() => this.expire(), leftMs);
     try {
       await this.attemptUntilAnswered();
     } finally {
-      clearTimeout(timer);
+      timeout.cancel();
       this.noteDuration();
       this.noteUnbegun();
       this.noteWait();
--- a/packages/gateway/src/forwarding/forwarder_client.ts
+++ b/packages/gateway/src/forwarding/forwarder_client.ts
@@ -5,6 +5,7 @@
   makeGenericClientConstructor,
   type Client,
 } from '@grpc/grpc-js';
+import {ReadFirstTimeout} from '@snipestage/connection/read_first_timeout.js';
 import type {ForwarderAddress} from '@snipestage/routing/forwarder_choice.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import {Tunnel, type TunnelStream} from './tunnel.js';
@@ -89,9 +90,9 @@
   forwarder: ForwarderAddress,
 ): Promise<Tunnel | TunnelFailure> {
   return new Promise(resolve => {
-    let timer = setTimeout(() => fail('no_answer'), timeoutMs);
+    let timeout = new ReadFirstTimeout(() => fail('no_answer'), timeoutMs);
     const settle = (result: Tunnel | TunnelFailure) => {
-      clearTimeout(timer);
+      timeout.cancel();
       signal.removeEventListener('abort', abort);
       resolve(result);
     };
@@ -102,8 +103,11 @@
     const abort = () => fail('aborted');
     signal.addEventListener('abort', abort, {once: true});
     stream.once('metadata', () => {
-      clearTimeout(timer);
-      timer = setTimeout(() => fail('no_answer'), timeoutMs + REPLY_MARGIN_MS);
+      timeout.cancel();
+      timeout = new ReadFirstTimeout(
+        () => fail('no_answer'),
+        timeoutMs + REPLY_MARGIN_MS,
+      );
     });
     // Kept for the whole stream: an error without a listener ends the process.
     stream.on('error', () => settle({kind: 'failed', reason: 'no_answer'}));
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -7,6 +7,7 @@
   type ClientDuplexStream,
   type ServiceError,
 } from '@grpc/grpc-js';
+import {ReadFirstTimeout} from '@snipestage/connection/read_first_timeout.js';
 import {
   fromRelayedRow,
   RELAY_SERVICE,
@@ -73,7 +74,7 @@
   private readonly stream: ClientDuplexStream<FollowerMessage, RelayMessage>;
   private pingCount = 0;
   private readonly pinging: NodeJS.Timeout;
-  private silence: NodeJS.Timeout | undefined;
+  private silence: ReadFirstTimeout | undefined;
   private hasEnded = false;
 
   constructor(private readonly options: RelayClientOptions) {
@@ -135,15 +136,18 @@
    * Restarts the time-out of a stream, which may go silent without an error.
    */
   private watchSilence(): void {
-    clearTimeout(this.silence);
+    this.silence?.cancel();
     const {silentAfterMs} = this.options;
-    this.silence = setTimeout(() => this.end('silent'), silentAfterMs);
+    this.silence = new ReadFirstTimeout(
+      () => this.end('silent'),
+      silentAfterMs,
+    );
   }
 
   private end(reason: string, isOwn = false): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
-    clearTimeout(this.silence);
+    this.silence?.cancel();
     clearInterval(this.pinging);
     this.stream.cancel();
     this.client.close();
--- a/packages/gateway/src/silence_watch.ts
+++ b/packages/gateway/src/silence_watch.ts
@@ -1,10 +1,11 @@
 /** Timer for the silence of an endpoint. */
 
+import {ReadFirstTimeout} from '@snipestage/connection/read_first_timeout.js';
 import type {SilenceLimits} from '@snipestage/routing/silence_limits.js';
 
 /** Calls back when an endpoint exceeds its {@link SilenceLimits}. */
 export class SilenceWatch {
-  private timer: NodeJS.Timeout | undefined;
+  private timeout: ReadFirstTimeout | undefined;
   /** Whether the attempt was cancelled because of silence. */
   hasFired = false;
   /** Whether the current silence has exceeded its limit. */
@@ -23,13 +24,13 @@
   }
 
   stop(): void {
-    clearTimeout(this.timer);
+    this.timeout?.cancel();
   }
 
   private arm(delayMs: number): void {
-    clearTimeout(this.timer);
+    this.timeout?.cancel();
     this.isSilent = false;
-    this.timer = setTimeout(() => {
+    this.timeout = new ReadFirstTimeout(() => {
       this.isSilent = true;
       this.hasFired = this.onSilent();
     }, delayMs);
