Show for how long a change of a table may have been missed

No log, metric or page told how old what an instance goes by is, so that a change known after 2,900 of 3,000 ms looked like one known after 30. `tableAgesMs` in /state and snipestage_table_age_ms give the time since when each table is known to have been complete.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -172,6 +172,7 @@
     this.operations = createPages({
       ...options,
       isReady: () => this.isReady,
+      readTableAges: () => this.follower.readAges(),
       dump: () => this.dump(),
     });
   }
@@ -351,6 +352,7 @@
       isStopping: this.shutdown.isStopping,
       inProgress: this.handler.inProgress,
       configurationVersion: this.configurationVersion,
+      tableAgesMs: Object.fromEntries(this.follower.readAges()),
       evacuated: this.evacuated,
       ...this.duties.snapshot(),
       relays: this.relays.snapshot(),
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -147,6 +147,12 @@
     help: 'Whether this instance can connect to no endpoint (1) or not (0).',
     registers: [this.registry],
   });
+  private readonly tableAge = new Gauge({
+    name: 'snipestage_table_age_ms',
+    help: 'Time since when a table of the store is known to have been complete.',
+    labelNames: ['table'],
+    registers: [this.registry],
+  });
   private readonly version = new Gauge({
     name: 'snipestage_configuration_version',
     help: 'Version of the configuration in force.',
@@ -256,6 +262,13 @@
     this.isolated.set(isIsolated ? 1 : 0);
   }
 
+  /** Sets the age of each table; unknown ones are left out. */
+  setTableAges(ages: ReadonlyMap<string, number>): void {
+    for (const [table, ageMs] of ages) {
+      if (Number.isFinite(ageMs)) this.tableAge.set({table}, ageMs);
+    }
+  }
+
   setConfigurationVersion(version: number): void {
     this.version.set(version);
   }
--- a/packages/gateway/src/gateway_pages.ts
+++ b/packages/gateway/src/gateway_pages.ts
@@ -14,6 +14,8 @@
   readonly metrics: GatewayMetrics;
   readonly output: Pick<BoundedOutput, 'dropped'>;
   readonly isReady: () => boolean;
+  /** For how long a change of each table may have been missed, in ms. */
+  readonly readTableAges: () => ReadonlyMap<string, number>;
   /** Known and estimated state of the process, without callers' keys. */
   readonly dump: () => object;
 }
@@ -49,11 +51,12 @@
 }
 
 async function showPage(
-  {metrics, output, dump}: GatewayPagesOptions,
+  {metrics, output, dump, readTableAges}: GatewayPagesOptions,
   path: string,
 ): Promise<OperationsPage | undefined> {
   if (path === '/metrics') {
     metrics.setDroppedLines(output.dropped);
+    metrics.setTableAges(readTableAges());
     const body = await metrics.render();
     return {status: 200, type: 'text/plain; version=0.0.4', body};
   }
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -57,7 +57,7 @@
 
 /** Owns the followers of the tables and applies what they read. */
 export class StateFollower {
-  private readonly followers: TableFollower[] = [];
+  private readonly followers = new Map<RelayedTableName, TableFollower>();
   private readonly operatorRows: OperatorRows;
   private readonly outdated = new OutdatedRows();
   private hasEndpoints = false;
@@ -73,11 +73,23 @@
   }
 
   start(): void {
-    for (const follower of this.followers) follower.start();
+    for (const follower of this.followers.values()) follower.start();
   }
 
   stop(): void {
-    for (const follower of this.followers) follower.stop();
+    for (const follower of this.followers.values()) follower.stop();
+  }
+
+  /**
+   * For how long a change of each table may have been missed, in ms: the time
+   * since when the table is known to have been complete. Infinity: not known.
+   */
+  readAges(): ReadonlyMap<RelayedTableName, number> {
+    const nowMs = this.options.nowMs();
+    const ages = [...this.followers].map(
+      ([name, {asOfMs}]) => [name, nowMs - asOfMs] as const,
+    );
+    return new Map(ages);
   }
 
   private addFollowers(): void {
@@ -118,7 +130,8 @@
       // No initial delay for the shared table: it holds the relays' rows.
       ...(name === 'shared' ? {} : {initialDelayMs}),
     };
-    this.followers.push(
+    this.followers.set(
+      name,
       new TableFollower({
         table: relays.wrap(name, tables[name]),
         listener,
