Use what a relay has sent while the store doesn't answer

Changes of the relay now end a long poll and each pause. A relay's update doesn't count as an answer of the store, so that the other tables don't retry it.

--- a/packages/gateway/src/relay/relayed_feed.ts
+++ b/packages/gateway/src/relay/relayed_feed.ts
@@ -100,18 +100,27 @@
     return this.rows.length > 0;
   }
 
+  /** Whether it has changes after the version, and has missed none. */
+  hasNews(since: StoreVersion, nowMs: number): boolean {
+    const hasNewer = this.rows.some(({version}) => version > since);
+    return hasNewer && this.covers(since) && this.isFresh(nowMs);
+  }
+
   /**
-   * Resolves at the next update, when the feed is closed, or after `waitMs`.
+   * Resolves at the next update, when the feed is closed, when the wait is
+   * aborted, or after `waitMs`.
    */
-  next(waitMs: number): Promise<void> {
+  next(waitMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise(resolve => {
       const finish = () => {
         clearTimeout(timer);
         this.waiting.delete(finish);
+        signal?.removeEventListener('abort', finish);
         resolve();
       };
       const timer = setTimeout(finish, waitMs);
       this.waiting.add(finish);
+      signal?.addEventListener('abort', finish);
     });
   }
 
--- a/packages/gateway/src/relay/relayed_table.ts
+++ b/packages/gateway/src/relay/relayed_table.ts
@@ -51,7 +51,41 @@
     // to it may be gone: a long poll would detect that too late.
     return isFirstPoll
       ? this.fallBack(sinceVersion)
-      : this.store.waitForChanges(sinceVersion, waitMs);
+      : this.pollStore(sinceVersion, waitMs);
+  }
+
+  override async waitForNews(
+    sinceVersion: StoreVersion,
+    waitMs: number,
+  ): Promise<void> {
+    const endsAtMs = this.nowMs() + waitMs;
+    for (;;) {
+      const leftMs = endsAtMs - this.nowMs();
+      if (leftMs <= 0 || this.feed.hasNews(sinceVersion, this.nowMs())) return;
+      await this.feed.next(leftMs);
+    }
+  }
+
+  /** Polls the store until the relay has sent changes; the poll may hang. */
+  private async pollStore(
+    sinceVersion: StoreVersion,
+    waitMs: number,
+  ): Promise<TableReading> {
+    const ending = new AbortController();
+    let reading: TableReading | undefined;
+    const polled = this.store
+      .waitForChanges(sinceVersion, waitMs, ending.signal)
+      .then(result => (reading = result))
+      .finally(() => ending.abort());
+    while (reading === undefined) {
+      if (this.feed.hasNews(sinceVersion, this.nowMs())) {
+        ending.abort();
+        return this.drainFeed(sinceVersion);
+      }
+      const isNews = this.feed.next(waitMs, ending.signal);
+      await Promise.race([polled, isNews]);
+    }
+    return reading;
   }
 
   private async fallBack(sinceVersion: StoreVersion): Promise<TableReading> {
--- a/packages/gateway/src/store_recovery.ts
+++ b/packages/gateway/src/store_recovery.ts
@@ -32,6 +32,11 @@
     return first === follower ? pauseMs : pauseMs * STANDBY_FACTOR;
   }
 
+  /** Records that a follower no longer depends on the store. */
+  noteLeft(follower: object): void {
+    this.lost.delete(follower);
+  }
+
   /** Records a successful call and wakes the waiting followers. */
   noteSuccess(follower: object): void {
     if (!this.lost.delete(follower)) return;
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -50,7 +50,16 @@
   abstract waitForChanges(
     sinceVersion: StoreVersion,
     waitMs: number,
+    signal?: AbortSignal,
   ): Promise<TableReading>;
+
+  /**
+   * Resolves when {@link waitForChanges} would return changes without a call to
+   * the store, at the latest after the wait.
+   */
+  waitForNews(_sinceVersion: StoreVersion, waitMs: number): Promise<void> {
+    return new Promise(done => setTimeout(done, waitMs));
+  }
 }
 
 /** By which path rows came, for logs. */
@@ -199,10 +208,15 @@
     }
   }
 
-  private pause(pauseMs: number): Promise<void> {
-    return this.isDisturbed
-      ? this.recovery.wait(pauseMs)
-      : new Promise(done => setTimeout(done, pauseMs));
+  private async pause(pauseMs: number): Promise<void> {
+    const pauses: Promise<void>[] = [];
+    if (this.version !== undefined) {
+      pauses.push(this.options.table.waitForNews(this.version, pauseMs));
+    }
+    if (this.isDisturbed || this.version === undefined) {
+      pauses.push(this.recovery.wait(pauseMs));
+    }
+    await Promise.race(pauses);
   }
 
   /** @returns the pause before the next read. */
@@ -268,7 +282,8 @@
         });
         return this.rereadWhole(since);
       case 'rows':
-        this.recover();
+        if (reading.isRelayed === true) this.leaveStore();
+        else this.recover();
         if (reading.clock !== undefined) this.options.onClock?.(reading.clock);
         return this.takeRows(reading, since);
     }
@@ -367,6 +382,12 @@
     );
   }
 
+  /** What a relay sends doesn't show that the store can be reached from here. */
+  private leaveStore(): void {
+    this.failures = 0;
+    this.recovery.noteLeft(this);
+  }
+
   private recover(): void {
     if (this.failures === 0) return;
     this.options.logger.info('store_regained', {
