Count the time for which a load report was under way

A load that another instance had read looked as new at its arrival as when the report was made, however long the report had waited in a stream; it could replace a newer one. Reports now state the store's clock at their making, and each instance dates them by its own bound of that clock. Reports of older versions count from their arrival as before.

The new test of load_exchange gives an age of 100 ms for a reading that is 700 ms old without the mend.

--- a/packages/gateway/src/relay/load_exchange.test.ts
+++ b/packages/gateway/src/relay/load_exchange.test.ts
@@ -2,6 +2,7 @@
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {EndpointRateLimits} from '@snipestage/routing/endpoint_rate_limits.js';
 import {LoadView} from '@snipestage/routing/load_view.js';
+import {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
 import {CapturedLog} from '../test_support/captured_log.js';
@@ -22,8 +23,18 @@
   const output = new CapturedLog();
   const {logger} = output;
   const nowMs = () => clock.nowMs;
-  const exchange = new LoadExchange({view, metrics, logger, nowMs});
-  return {clock, monitor, rateLimits, view, metrics, output, exchange};
+  const timeline = new StoreTimeline();
+  const exchange = new LoadExchange({view, metrics, logger, nowMs, timeline});
+  return {
+    timeline,
+    clock,
+    monitor,
+    rateLimits,
+    view,
+    metrics,
+    output,
+    exchange,
+  };
 }
 
 function noteOwn(view: LoadView, running: number, atMs: number): void {
@@ -86,3 +97,18 @@
   send();
   t.is(other.rateLimits.find(ENGINE), undefined);
 });
+
+test('the age of a reading includes the time for which its report was under way', t => {
+  // Guards against engines that look as they were before the report was delayed.
+  const sender = makeExchange();
+  const receiver = makeExchange();
+  sender.timeline.note({storeMs: 70_001, sentAtMs: 1000, receivedAtMs: 1002});
+  receiver.timeline.note({storeMs: 69_001, sentAtMs: 400, receivedAtMs: 402});
+  noteOwn(sender.view, 20, 900);
+  const report = sender.exchange.collectForRelay()!;
+  receiver.clock.nowMs = 2000;
+  receiver.exchange.receive(report, 'local');
+  // Made at 1,400 by the receiver's clock, from a reading 100 ms before.
+  const ageMs = receiver.monitor.loadAgeMs(ENGINE, 2000)!;
+  t.true(ageMs >= 700 && ageMs < 710, `${ageMs}`);
+});
--- a/packages/gateway/src/relay/load_exchange.ts
+++ b/packages/gateway/src/relay/load_exchange.ts
@@ -4,8 +4,10 @@
 import type {
   LoadDrop,
   LoadOrigin,
+  LoadReading,
   LoadView,
 } from '@snipestage/routing/load_view.js';
+import type {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import {readLoadReport, toLoadReport, type LoadReport} from './load_report.js';
 
@@ -15,6 +17,7 @@
   readonly metrics: Pick<GatewayMetrics, 'countLoads'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
+  readonly timeline: StoreTimeline;
 }
 
 /** Minimum interval between log lines about malformed reports. */
@@ -39,7 +42,7 @@
     const changes = view.changesSince(this.toRelayMark, ['own'], atMs);
     this.toRelayMark = changes.mark;
     const {readings} = changes;
-    return readings.length === 0 ? undefined : toLoadReport(readings, atMs);
+    return readings.length === 0 ? undefined : this.report(readings, atMs);
   }
 
   /**
@@ -51,7 +54,7 @@
     const toFollowers = this.collectForFollowers();
     const local = view.changesSince(this.toRelaysMark, ['own', 'local'], atMs);
     this.toRelaysMark = local.mark;
-    return {toFollowers, toRelays: toLoadReport(local.readings, atMs)};
+    return {toFollowers, toRelays: this.report(local.readings, atMs)};
   }
 
   /** All new readings for followers. */
@@ -64,7 +67,7 @@
       atMs,
     );
     this.toFollowersMark = all.mark;
-    return toLoadReport(all.readings, atMs);
+    return this.report(all.readings, atMs);
   }
 
   /**
@@ -73,7 +76,10 @@
   receive(report: LoadReport, origin: LoadOrigin): void {
     const {view, metrics, nowMs} = this.options;
     const atMs = nowMs();
-    const {readings, malformed} = readLoadReport(report, atMs);
+    const {readings, malformed} = readLoadReport(
+      report,
+      this.dateOf(report, atMs),
+    );
     if (malformed > 0) this.noteMalformed(malformed, atMs);
     for (const reading of readings) {
       const drop: LoadDrop | undefined = view.addReported(
@@ -85,6 +91,21 @@
     }
   }
 
+  private report(readings: readonly LoadReading[], atMs: number): LoadReport {
+    const {timeline} = this.options;
+    return toLoadReport(readings, atMs, timeline.storeClockAt(atMs));
+  }
+
+  /** When a report was made; its arrival where that isn't known. */
+  private dateOf({storeMs}: LoadReport, arrivedAtMs: number): number {
+    const {timeline} = this.options;
+    const madeAtMs =
+      typeof storeMs === 'number'
+        ? timeline.dateOf(storeMs, arrivedAtMs)
+        : undefined;
+    return madeAtMs ?? arrivedAtMs;
+  }
+
   private noteMalformed(count: number, atMs: number): void {
     this.options.metrics.countLoads('malformed', count);
     if (atMs - this.loggedAtMs < LOG_EVERY_MS) return;
--- a/packages/gateway/src/relay/load_report.ts
+++ b/packages/gateway/src/relay/load_report.ts
@@ -20,6 +20,11 @@
 export interface LoadReport {
   readonly kind: 'loads';
   readonly lines: readonly LoadLine[];
+  /**
+   * The store's clock when the report was made, or less; undefined: not known.
+   * A report may be under way for long.
+   */
+  readonly storeMs?: number;
   /** Whether a relay passes it on soon, without waiting for its turn (false). */
   readonly isUrgent?: boolean;
 }
@@ -28,12 +33,14 @@
 const MAX_LINES = 1000;
 
 /**
+ * @param storeMs the store's clock, or less; undefined: not known.
  * @example
- * stream.write(toLoadReport(readings, nowMs));
+ * stream.write(toLoadReport(readings, nowMs, timeline.storeClockAt(nowMs)));
  */
 export function toLoadReport(
   readings: readonly LoadReading[],
   nowMs: number,
+  storeMs?: number,
 ): LoadReport {
   const newest = readings
     .toSorted((one, other) => other.atMs - one.atMs)
@@ -47,7 +54,7 @@
         : [endpoint, running, waiting, capacity, ageMs, rateLimitPerS];
     },
   );
-  return {kind: 'loads', lines};
+  return {kind: 'loads', storeMs, lines};
 }
 
 /** Result of {@link readLoadReport}. */
@@ -60,25 +67,28 @@
 /**
  * Validates and reads a report of another process.
  *
+ * @param madeAtMs when the report was made.
  * @example
- * const {readings, malformed} = readLoadReport(message, nowMs);
+ * const {readings, malformed} = readLoadReport(message, madeAtMs);
  */
-export function readLoadReport(message: unknown, nowMs: number): ReadLoads {
+export function readLoadReport(message: unknown, madeAtMs: number): ReadLoads {
   const lines = (message as Partial<LoadReport> | undefined)?.lines;
   if (!Array.isArray(lines) || lines.length > MAX_LINES) {
     return {readings: [], malformed: 1};
   }
-  const readings = lines.filter(isLoadLine).map(line => toReading(line, nowMs));
+  const readings = lines
+    .filter(isLoadLine)
+    .map(line => toReading(line, madeAtMs));
   return {readings, malformed: lines.length - readings.length};
 }
 
-function toReading(line: LoadLine, nowMs: number): LoadReading {
+function toReading(line: LoadLine, madeAtMs: number): LoadReading {
   const [endpoint, running, waiting, capacity, ageMs, rateLimitPerS] = line;
   return {
     endpoint: brandAs<EndpointId>(endpoint),
     load: {running, waiting, capacity},
     ...(rateLimitPerS === undefined ? {} : {rateLimitPerS}),
-    atMs: nowMs - ageMs,
+    atMs: madeAtMs - ageMs,
   };
 }
 
--- a/packages/gateway/src/relay/load_sender.test.ts
+++ b/packages/gateway/src/relay/load_sender.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
+import {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import {LoadView} from '@snipestage/routing/load_view.js';
 import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
@@ -22,6 +23,7 @@
     metrics: new GatewayMetrics(),
     logger,
     nowMs: () => NOW_MS,
+    timeline: new StoreTimeline(),
   });
   const toRelay: LoadReport[] = [];
   const toFollowers: LoadReport[] = [];
--- a/packages/routing/src/store_timeline.test.ts
+++ b/packages/routing/src/store_timeline.test.ts
@@ -61,3 +61,15 @@
   const dateMs = timeline.dateOf(510, 2600)!;
   t.true(dateMs <= 2500 && dateMs > 2490, `${dateMs}`);
 });
+
+test('the clock of the store is never said to show more than it does', t => {
+  // Guards against reports that look newer than they are.
+  const timeline = new StoreTimeline();
+  t.is(timeline.storeClockAt(0), undefined);
+  answered(timeline, 1000);
+  answered(timeline, 1500, 400);
+  const storeMs = timeline.storeClockAt(3000)!;
+  t.true(storeMs <= AHEAD_MS + 3000 && storeMs > AHEAD_MS + 2990, `${storeMs}`);
+  timeline.note({storeMs: 10, sentAtMs: 4000, receivedAtMs: 4004});
+  t.true(timeline.storeClockAt(5000)! <= 1010);
+});
--- a/packages/routing/src/store_timeline.ts
+++ b/packages/routing/src/store_timeline.ts
@@ -16,12 +16,31 @@
 export class StoreTimeline {
   /** Latest bound of the difference between the clocks, as of time 0. */
   private boundMs = Number.NEGATIVE_INFINITY;
+  /** Latest bound of the opposite difference, as of time 0. */
+  private storeBoundMs = Number.NEGATIVE_INFINITY;
 
   /** Records the answer to an own call. */
   note({storeMs, sentAtMs, receivedAtMs}: StoreClockReading): void {
     const boundMs = sentAtMs - storeMs + sentAtMs * MAX_DRIFT;
     const isContradicted = this.dateOf(storeMs, receivedAtMs) === undefined;
     this.boundMs = isContradicted ? boundMs : Math.max(this.boundMs, boundMs);
+    const storeBoundMs = storeMs - receivedAtMs + receivedAtMs * MAX_DRIFT;
+    const isSetBack = (this.storeClockAt(sentAtMs) ?? storeMs) > storeMs;
+    this.storeBoundMs = isSetBack
+      ? storeBoundMs
+      : Math.max(this.storeBoundMs, storeBoundMs);
+  }
+
+  /**
+   * What the store's clock showed at a time by our clock, or less.
+   *
+   * @returns undefined before the store has answered.
+   * @example
+   * const storeMs = timeline.storeClockAt(nowMs);
+   */
+  storeClockAt(atMs: number): number | undefined {
+    const storeMs = atMs + this.storeBoundMs - atMs * MAX_DRIFT;
+    return Number.isFinite(storeMs) ? storeMs : undefined;
   }
 
   /**
