Read what has arrived before a look-up or an identity counts as missing

A stream that a caller took up again was refused, and an endpoint taken for another, when the instance stood still until the limit of the look-up was over though its answer had arrived.

--- a/packages/connection/src/read_first_timeout.ts
+++ b/packages/connection/src/read_first_timeout.ts
@@ -24,3 +24,27 @@
     clearImmediate(this.afterReading);
   }
 }
+
+/** Options of {@link resolveWithin}. */
+export interface ResolveWithinOptions<Value> {
+  readonly timeoutMs: number;
+  /** Result when the time is over first. */
+  readonly otherwise: Value;
+}
+
+/**
+ * Waits for a promise that may never settle.
+ *
+ * @example
+ * const rows = await resolveWithin(read(), {timeoutMs: 400, otherwise: []});
+ */
+export async function resolveWithin<Value>(
+  pending: Promise<Value>,
+  {timeoutMs, otherwise}: ResolveWithinOptions<Value>,
+): Promise<Value> {
+  let timeout: ReadFirstTimeout | undefined;
+  const timedOut = new Promise<Value>(resolve => {
+    timeout = new ReadFirstTimeout(() => resolve(otherwise), timeoutMs);
+  });
+  return Promise.race([pending, timedOut]).finally(() => timeout?.cancel());
+}
--- a/packages/gateway/src/identify_endpoint.ts
+++ b/packages/gateway/src/identify_endpoint.ts
@@ -1,5 +1,6 @@
 /** Finds out whether what accepted a connection is the endpoint itself. */
 
+import {resolveWithin} from '@snipestage/connection/read_first_timeout.js';
 import {request as httpRequest, type IncomingMessage} from 'node:http';
 import {
   compareIdentity,
@@ -83,23 +84,12 @@
     return 'same';
   }
   const question = {request, connection, protocol};
-  const stated = await resolveWithin(timeoutMs, ask(question));
-  connection.reset();
-  return compareIdentity(endpoint, stated ?? NOTHING_STATED);
-}
-
-/** @returns undefined when the time is over first. */
-async function resolveWithin<Value>(
-  timeoutMs: number,
-  pending: Promise<Value>,
-): Promise<Value | undefined> {
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<undefined>(resolve => {
-    timer = setTimeout(() => resolve(undefined), timeoutMs);
+  const stated = await resolveWithin(ask(question), {
+    timeoutMs,
+    otherwise: NOTHING_STATED,
   });
-  const value = await Promise.race([pending, timeout]);
-  clearTimeout(timer);
-  return value;
+  connection.reset();
+  return compareIdentity(endpoint, stated);
 }
 
 /** Resolves with nothing stated when there is no complete answer. */
--- a/packages/gateway/src/streams/streams.ts
+++ b/packages/gateway/src/streams/streams.ts
@@ -1,5 +1,6 @@
 /** Knows at which software version the streams of callers have begun. */
 
+import {resolveWithin} from '@snipestage/connection/read_first_timeout.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import type {StreamOrigin} from '@snipestage/routing/stream_origin.js';
@@ -197,7 +198,10 @@
     key: StreamKey | undefined,
     service: ServiceId,
   ): Promise<ResolvedOrigin> {
-    const lookUp = await withTimeout(this.read(key, service), UNAVAILABLE);
+    const lookUp = await resolveWithin(this.read(key, service), {
+      timeoutMs: LOOK_UP_TIMEOUT_MS,
+      otherwise: UNAVAILABLE,
+    });
     const {isAvailable, recorded, versions} = lookUp;
     if (!isAvailable) return NOT_LOOKED_UP;
     if (recorded !== undefined) {
@@ -272,15 +276,3 @@
   if (recorded.kind === 'ambiguous') return STREAM_UNKNOWN;
   return {kind: 'known', origin: recorded.origin, source};
 }
-
-/** A store that doesn't answer must not keep a caller waiting. */
-function withTimeout<Value>(
-  value: Promise<Value>,
-  otherwise: Value,
-): Promise<Value> {
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<Value>(resolve => {
-    timer = setTimeout(() => resolve(otherwise), LOOK_UP_TIMEOUT_MS);
-  });
-  return Promise.race([value, timeout]).finally(() => clearTimeout(timer));
-}
