Bound the waits of a change also where the contact time is the shorter target

All waits are shares of the shorter target now, and a pause leaves room for the shortest poll. The test has such targets. The simulation takes the longest backoff, has another table fail first, and dates by the follower's own calls alone.

--- a/packages/gateway/src/relay/change_paths.test.ts
+++ b/packages/gateway/src/relay/change_paths.test.ts
@@ -13,7 +13,9 @@
   type FollowedTable,
   type FollowPace,
   type RowsReading,
+  type TableFollowerOptions,
 } from '../table_follower.js';
+import {StoreRecovery} from '../store_recovery.js';
 import {RelayedFeed} from './relayed_feed.js';
 import {RelayedTable} from './relayed_table.js';
 import {TableCopy} from './table_copy.js';
@@ -28,6 +30,12 @@
   readonly losesCall: boolean;
 }
 
+interface FollowOptions extends Partial<
+  Pick<TableFollowerOptions, 'onReading' | 'onClock' | 'recovery'>
+> {
+  readonly onNumber?: (number: number) => void;
+}
+
 const STEP_MS = 5;
 const WAY_MS = 5;
 /** The relay has its pace, and confirms regularly. */
@@ -40,7 +48,9 @@
   private readonly store: SimulatedStore;
   private readonly copy = new TableCopy();
   private readonly feed: RelayedFeed;
+  /** Of the follower; the relay's calls date nothing here. */
   private readonly timeline = new StoreTimeline();
+  private readonly recovery = new StoreRecovery();
   private readonly followers: TableFollower[] = [];
   private sent = composeStoreVersion({era: 0, number: 0});
   private callsAlone = 0;
@@ -56,6 +66,8 @@
     const nowMs = () => this.atMs;
     this.store = new SimulatedStore({nowMs, wayMs: WAY_MS, callMarginMs});
     this.feed = new RelayedFeed(freshForMs);
+    // Another table of the follower has failed before: its backoff is longer.
+    this.recovery.noteFailure({}, 0);
     this.startRelay();
     this.startFollower();
   }
@@ -88,8 +100,7 @@
     this.follow(
       this.store.connect(),
       {waitMs, gatherMs},
-      () => undefined,
-      (reading, isWhole) => this.publish(reading, isWhole),
+      {onReading: (reading, isWhole) => this.publish(reading, isWhole)},
     );
   }
 
@@ -120,19 +131,21 @@
     this.follow(
       new RelayedTable(store, this.feed, () => this.atMs),
       {waitMs: pollMs, includesPause: true, gatherMs, initialDelayMs},
-      number => (this.inForce = number),
-      () => undefined,
+      {
+        onNumber: number => (this.inForce = number),
+        onClock: reading => this.timeline.note(reading),
+        recovery: this.recovery,
+      },
     );
   }
 
   private follow(
     table: FollowedTable,
     pace: FollowPace,
-    onNumber: (number: number) => void,
-    onReading: (reading: RowsReading, isWhole: boolean) => void,
+    {onNumber, ...options}: FollowOptions,
   ): void {
     const learn = (rows: RowsReading['rows']) => {
-      for (const {data} of rows) onNumber(Number(data));
+      for (const {data} of rows) onNumber?.(Number(data));
     };
     const follower = new TableFollower({
       table,
@@ -140,8 +153,8 @@
       logger: new CapturedLog().logger,
       pace: () => pace,
       firstBackoffMs: this.budget.firstBackoffMs,
-      onClock: reading => this.timeline.note(reading),
-      onReading,
+      random: () => 1,
+      ...options,
     });
     this.followers.push(follower);
     follower.start();
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -9,6 +9,7 @@
   type StoreVersion,
 } from '@snipestage/types/store_version.js';
 import type {StoreClockReading} from '@snipestage/routing/agreed_clock.js';
+import {PROBE_WAIT_MS} from '@snipestage/routing/change_budget.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import {StoreRecovery} from './store_recovery.js';
 
@@ -138,8 +139,6 @@
 
 const DEFAULT_FIRST_BACKOFF_MS = 100;
 const DEFAULT_MAX_BACKOFF_MS = 800;
-/** Wait of a poll after a failure, until a call succeeds. */
-const PROBE_WAIT_MS = 100;
 /**
  * Time within which operators and endpoints write their rows again after the
  * store was set back.
--- a/packages/routing/src/change_budget.test.ts
+++ b/packages/routing/src/change_budget.test.ts
@@ -2,7 +2,8 @@
 import {ChangeBudget} from './change_budget.js';
 
 for (const inForceWithinMs of [500, 1000, 2000, 3000, 4000, 10_000]) {
-  for (const knownWithinMs of [inForceWithinMs, inForceWithinMs + 1000]) {
+  for (const factor of [0.4, 1, 1.4, 3]) {
+    const knownWithinMs = Math.round(factor * inForceWithinMs);
     const targets = {knownWithinMs, inForceWithinMs};
     test(`the waits on each way of a change add up to its target at most (${inForceWithinMs}, ${knownWithinMs})`, t => {
       // Guards against changes in force too late though no single wait is.
--- a/packages/routing/src/change_budget.ts
+++ b/packages/routing/src/change_budget.ts
@@ -20,6 +20,8 @@
 
 const MAX_CALL_MARGIN_MS = 500;
 const MAX_FIRST_BACKOFF_MS = 100;
+/** Shortest poll: after a failure, and after a pause that took up its time. */
+export const PROBE_WAIT_MS = 100;
 /** By how much a backoff is longer while another table's call has failed. */
 export const STANDBY_FACTOR = 3;
 
@@ -31,7 +33,12 @@
  * const {freshForMs} = new ChangeBudget({knownWithinMs, inForceWithinMs});
  */
 export class ChangeBudget {
-  constructor(private readonly targets: ChangeTargets) {}
+  /** The shorter target, of which all waits but the poll are shares. */
+  private readonly baseMs: number;
+
+  constructor(private readonly targets: ChangeTargets) {
+    this.baseMs = Math.min(targets.knownWithinMs, targets.inForceWithinMs);
+  }
 
   /**
    * The budget of what instances publish to each other, such as crashes that a
@@ -44,12 +51,12 @@
 
   /** Longest poll of a relay: without changes it confirms at this interval. */
   get relayWaitMs(): number {
-    return 0.3 * this.targets.inForceWithinMs;
+    return 0.3 * this.baseMs;
   }
 
   /** A relay's pause after changes, so that the next come in one answer. */
   get relayGatherMs(): number {
-    return 0.15 * this.targets.inForceWithinMs;
+    return 0.15 * this.baseMs;
   }
 
   /**
@@ -57,7 +64,7 @@
    * from when the store made it. Then they poll the store themselves.
    */
   get freshForMs(): number {
-    return 0.6 * this.targets.inForceWithinMs;
+    return 0.6 * this.baseMs;
   }
 
   /**
@@ -67,22 +74,22 @@
    * call of every instance.
    */
   get gatherMs(): number {
-    return 0.35 * this.targets.inForceWithinMs;
+    return Math.min(0.35 * this.baseMs, this.longestPauseMs);
   }
 
   /** Pause before the first poll, in which an instance can find a relay. */
   get initialDelayMs(): number {
-    return 0.8 * this.targets.inForceWithinMs;
+    return Math.min(0.8 * this.baseMs, this.longestPauseMs);
   }
 
   /** Time allowed for the answer to a poll beyond its wait. */
   get callMarginMs(): number {
-    return Math.min(MAX_CALL_MARGIN_MS, 0.2 * this.targets.inForceWithinMs);
+    return Math.min(MAX_CALL_MARGIN_MS, 0.2 * this.baseMs);
   }
 
   /** Backoff after the first failure of a table. */
   get firstBackoffMs(): number {
-    return Math.min(MAX_FIRST_BACKOFF_MS, 0.05 * this.targets.inForceWithinMs);
+    return Math.min(MAX_FIRST_BACKOFF_MS, 0.05 * this.baseMs);
   }
 
   /**
@@ -115,15 +122,25 @@
       },
       {
         name: 'connection lost',
-        longestMs: this.pollMs + lostCallMs + answerMs,
+        longestMs: this.longestPollMs + lostCallMs + answerMs,
         targetMs: knownWithinMs,
       },
     ];
   }
 
+  /** A pause and the poll after it. */
+  private get longestPollMs(): number {
+    const longestPauseMs = Math.max(this.gatherMs, this.initialDelayMs);
+    return Math.max(this.pollMs, longestPauseMs + PROBE_WAIT_MS);
+  }
+
+  private get longestPauseMs(): number {
+    return Math.max(0, this.pollMs - PROBE_WAIT_MS);
+  }
+
   /** An answer that is on its way, and its use. */
   private get answerMs(): number {
-    return 0.05 * this.targets.inForceWithinMs;
+    return 0.05 * this.baseMs;
   }
 
   /**
