--- a/packages/routing/src/agreed_clock.ts
+++ b/packages/routing/src/agreed_clock.ts
@@ -11,6 +11,8 @@
 /** A reading of the store's monotonic clock, between two of our own clock. */
 export interface StoreClockReading {
   readonly storeMs: number;
+  /** How often the store was set back; 0 if it doesn't say (0). */
+  readonly era?: number;
   readonly sentAtMs: number;
   readonly receivedAtMs: number;
 }
--- a/packages/routing/src/store_timeline.test.ts
+++ b/packages/routing/src/store_timeline.test.ts
@@ -73,3 +73,18 @@
   timeline.note({storeMs: 10, sentAtMs: 4000, receivedAtMs: 4004});
   t.true(timeline.storeClockAt(5000)! <= 1010);
 });
+
+test('the clock of an older era dates nothing once the store was set back', t => {
+  // Guards against a copy of the store whose clock is a little ahead.
+  const timeline = new StoreTimeline();
+  answered(timeline, 1000);
+  const aheadMs = AHEAD_MS + 700;
+  timeline.note({
+    storeMs: aheadMs + 2005,
+    era: 1,
+    sentAtMs: 2000,
+    receivedAtMs: 2010,
+  });
+  const dateMs = timeline.dateOf(aheadMs + 3000, 4000)!;
+  t.true(dateMs <= 3000 && dateMs > 2990, `${dateMs}`);
+});
--- a/packages/routing/src/store_timeline.ts
+++ b/packages/routing/src/store_timeline.ts
@@ -19,8 +19,12 @@
   /** Latest bound of the opposite difference, as of time 0. */
   private storeBoundMs = Number.NEGATIVE_INFINITY;
 
+  /** The era of the readings; the clock of another one may be another. */
+  private era = 0;
+
   /** Records the answer to an own call. */
-  note({storeMs, sentAtMs, receivedAtMs}: StoreClockReading): void {
+  note({storeMs, era = 0, sentAtMs, receivedAtMs}: StoreClockReading): void {
+    if (era !== this.era) this.forget(era);
     const boundMs = sentAtMs - storeMs + sentAtMs * MAX_DRIFT;
     const isContradicted = this.dateOf(storeMs, receivedAtMs) === undefined;
     this.boundMs = isContradicted ? boundMs : Math.max(this.boundMs, boundMs);
@@ -31,6 +35,12 @@
       : Math.max(this.storeBoundMs, storeBoundMs);
   }
 
+  private forget(era: number): void {
+    this.era = era;
+    this.boundMs = Number.NEGATIVE_INFINITY;
+    this.storeBoundMs = Number.NEGATIVE_INFINITY;
+  }
+
   /**
    * What the store's clock showed at a time by our clock, or less.
    *
