Apply a relay's changes whatever their date, and keep none that are known

Changes that are newer than what is known are applied now, however old they are, and those that the store has given are dropped. A date that isn't a number counts as none.

--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -129,7 +129,8 @@
   private takeRows(update: RelayUpdate): void {
     const {table, since, version, rows, storeMs} = update;
     const changes = {since, version, rows: rows.map(fromRelayedRow)};
-    this.options.onChanges(table, changes, storeMs);
+    const isStated = Number.isFinite(storeMs);
+    this.options.onChanges(table, changes, isStated ? storeMs : undefined);
   }
 
   /**
--- a/packages/gateway/src/relay/relayed_feed.ts
+++ b/packages/gateway/src/relay/relayed_feed.ts
@@ -100,10 +100,18 @@
     return this.rows.length > 0;
   }
 
-  /** Whether it has changes after the version, and has missed none. */
-  hasNews(since: StoreVersion, nowMs: number): boolean {
-    const hasNewer = this.rows.some(({version}) => version > since);
-    return hasNewer && this.covers(since) && this.isFresh(nowMs);
+  /**
+   * Whether it has changes after the version, and has missed none. They are
+   * newer than what is known, however old they are.
+   */
+  hasNews(since: StoreVersion): boolean {
+    return this.covers(since) && this.rows.some(({version}) => version > since);
+  }
+
+  /** Drops rows up to a version, which is known from the store. */
+  dropUntil(known: StoreVersion): void {
+    this.rows = this.rows.filter(({version}) => version > known);
+    if (!this.hasRows) this.rowsSinceMs = undefined;
   }
 
   /**
--- a/packages/gateway/src/relay/relayed_table.test.ts
+++ b/packages/gateway/src/relay/relayed_table.test.ts
@@ -202,3 +202,25 @@
   t.deepEqual(store.waits, [0]);
   t.true(ageMs < 1500, `${ageMs}`);
 });
+
+test('updates without a date are applied and not kept', async t => {
+  // Guards against memory that fills with the updates of a relay of an older
+  // version, which don't say how old they are.
+  const {feed, table} = makeTable();
+  for (let number = 5; number < 500; number += 1) {
+    const rows = [row('a', number + 1, 'x')];
+    feed.take(
+      {since: versionOf(number), version: versionOf(number + 1), rows},
+      Number.NEGATIVE_INFINITY,
+    );
+  }
+  const reading = await table.waitForChanges(versionOf(5), 1000);
+  t.like(reading, {isRelayed: true, version: versionOf(500)});
+  t.false(feed.hasRows);
+  feed.take(
+    {since: versionOf(500), version: versionOf(501), rows: [row('a', 501)]},
+    Number.NEGATIVE_INFINITY,
+  );
+  await table.waitForChanges(versionOf(600), 1000);
+  t.false(feed.hasRows);
+});
--- a/packages/gateway/src/relay/relayed_table.ts
+++ b/packages/gateway/src/relay/relayed_table.ts
@@ -34,6 +34,7 @@
     waitMs: number,
   ): Promise<TableReading> {
     const endsAtMs = this.nowMs() + waitMs;
+    this.feed.dropUntil(sinceVersion);
     while (this.feed.isFresh(this.nowMs())) {
       this.followsFeed = true;
       // Changes that the feed has missed are read from the store at once.
@@ -61,7 +62,7 @@
     const endsAtMs = this.nowMs() + waitMs;
     for (;;) {
       const leftMs = endsAtMs - this.nowMs();
-      if (leftMs <= 0 || this.feed.hasNews(sinceVersion, this.nowMs())) return;
+      if (leftMs <= 0 || this.feed.hasNews(sinceVersion)) return;
       await this.feed.next(leftMs);
     }
   }
@@ -78,7 +79,7 @@
       .then(result => (reading = result))
       .finally(() => ending.abort());
     while (reading === undefined) {
-      if (this.feed.hasNews(sinceVersion, this.nowMs())) {
+      if (this.feed.hasNews(sinceVersion)) {
         ending.abort();
         return this.drainFeed(sinceVersion);
       }
