--- a/packages/routing/src/agreed_clock.ts
+++ b/packages/routing/src/agreed_clock.ts
@@ -8,6 +8,9 @@
  * day, and every instance counts usage by their sum.
  */
 
+/** Largest difference allowed for between the rates of two machines' clocks. */
+export const MAX_CLOCK_DRIFT = 200 / 1_000_000;
+
 /** A reading of the store's monotonic clock, between two of our own clock. */
 export interface StoreClockReading {
   readonly storeMs: number;
@@ -25,6 +28,8 @@
   private ownOffsetMs: number;
   private storeOffsetMs: number | undefined;
   private uncertaintyMs = Number.POSITIVE_INFINITY;
+  /** When the reading in use was received. */
+  private readAtMs = 0;
   private tieMs: number | undefined;
 
   /**
@@ -36,15 +41,18 @@
   }
 
   /**
-   * Records a reading; one with a longer round trip than the best is ignored.
+   * Records a reading; one that is less certain than that in use is ignored. A
+   * reading gets less certain with time, as clocks differ in rate.
    *
    * @example
    * clock.noteReading({storeMs, sentAtMs, receivedAtMs});
    */
   noteReading(reading: StoreClockReading): void {
     const roundTripMs = reading.receivedAtMs - reading.sentAtMs;
-    if (roundTripMs > this.uncertaintyMs) return;
+    const driftMs = (reading.receivedAtMs - this.readAtMs) * MAX_CLOCK_DRIFT;
+    if (roundTripMs > this.uncertaintyMs + driftMs) return;
     this.uncertaintyMs = roundTripMs;
+    this.readAtMs = reading.receivedAtMs;
     const middleMs = reading.sentAtMs + roundTripMs / 2;
     this.storeOffsetMs = reading.storeMs - middleMs;
   }
--- a/packages/routing/src/store_timeline.ts
+++ b/packages/routing/src/store_timeline.ts
@@ -1,9 +1,6 @@
 /** Dates what the store stated, in the time of an instance's own clock. */
 
-import type {StoreClockReading} from './agreed_clock.js';
-
-/** Largest difference allowed for between the rates of two machines' clocks. */
-const MAX_DRIFT = 200 / 1_000_000;
+import {MAX_CLOCK_DRIFT, type StoreClockReading} from './agreed_clock.js';
 
 /**
  * An answer of the store reflects its tables as of the reading of its clock that
@@ -25,10 +22,11 @@
   /** Records the answer to an own call. */
   note({storeMs, era = 0, sentAtMs, receivedAtMs}: StoreClockReading): void {
     if (era !== this.era) this.forget(era);
-    const boundMs = sentAtMs - storeMs + sentAtMs * MAX_DRIFT;
+    const boundMs = sentAtMs - storeMs + sentAtMs * MAX_CLOCK_DRIFT;
     const isContradicted = this.dateOf(storeMs, receivedAtMs) === undefined;
     this.boundMs = isContradicted ? boundMs : Math.max(this.boundMs, boundMs);
-    const storeBoundMs = storeMs - receivedAtMs + receivedAtMs * MAX_DRIFT;
+    const storeBoundMs =
+      storeMs - receivedAtMs + receivedAtMs * MAX_CLOCK_DRIFT;
     const isSetBack = (this.storeClockAt(sentAtMs) ?? storeMs) > storeMs;
     this.storeBoundMs = isSetBack
       ? storeBoundMs
@@ -49,7 +47,7 @@
    * const storeMs = timeline.storeClockAt(nowMs);
    */
   storeClockAt(atMs: number): number | undefined {
-    const storeMs = atMs + this.storeBoundMs - atMs * MAX_DRIFT;
+    const storeMs = atMs + this.storeBoundMs - atMs * MAX_CLOCK_DRIFT;
     return Number.isFinite(storeMs) ? storeMs : undefined;
   }
 
@@ -63,7 +61,7 @@
    * const asOfMs = timeline.dateOf(update.storeMs, nowMs);
    */
   dateOf(storeMs: number, nowMs: number): number | undefined {
-    const atMs = storeMs + this.boundMs - nowMs * MAX_DRIFT;
+    const atMs = storeMs + this.boundMs - nowMs * MAX_CLOCK_DRIFT;
     return Number.isFinite(atMs) && atMs <= nowMs ? atMs : undefined;
   }
 }
