Close the client of a forwarder that didn't answer

What operators saw: nothing yet; found by reading. An instance that stays isolated made a new gRPC client for each failure of a forwarder that is gone, about one every two seconds, and closed none of those before.

Cause: the client was only dropped. gRPC went on connecting for it, and kept a connection that had gone silent.

Mend: the client is closed with the failure. gRPC closes a connection gracefully, so that its other tunnels go on (a further test of forwarding.test.ts, which passed before too). A closed client still connects once more: 1 s later by default, 100 ms now, so that it seldom meets a forwarder that came back. A connection whose HTTP/2 settings never arrived is closed when they do, or when the system gives it up.

--- a/packages/gateway/src/forwarding/forwarder_client.ts
+++ b/packages/gateway/src/forwarding/forwarder_client.ts
@@ -45,6 +45,11 @@
  */
 const KEEPALIVE_EVERY_MS = 1000;
 const KEEPALIVE_TIMEOUT_MS = 5000;
+/**
+ * A client that is closed after a failure connects once more all the same, and
+ * would keep a connection to a forwarder that had come back by then.
+ */
+const RECONNECT_AFTER_MS = 100;
 const TunnelStub = makeGenericClientConstructor(TUNNEL_SERVICE, 'Forwarder');
 
 /** Owns one HTTP/2 connection, which its tunnels share. */
@@ -65,8 +70,9 @@
     const stream = client.connect();
     const result = await openTunnel(stream, options, this.address);
     const isGone = result.kind === 'failed' && result.reason === 'no_answer';
-    // The next tunnel gets a new connection; this one may have gone silent.
-    if (isGone && this.client === client) this.client = undefined;
+    // The next tunnel gets a new connection; this one may have gone silent. Its
+    // other tunnels go on.
+    if (isGone && this.client === client) this.close();
     return result;
   }
 
@@ -80,6 +86,7 @@
       'grpc.use_local_subchannel_pool': 1,
       'grpc.keepalive_time_ms': KEEPALIVE_EVERY_MS,
       'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
+      'grpc.initial_reconnect_backoff_ms': RECONNECT_AFTER_MS,
     }) as unknown as TunnelClient;
   }
 }
--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -510,9 +510,14 @@
     for (const socket of sockets) socket.destroy();
     server.close();
   });
+  let isHeld = false;
   return {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    get isHeld() {
+      return isHeld;
+    },
     hold: () => {
+      isHeld = true;
       for (const socket of sockets) socket.pause();
     },
     release: () => {
@@ -553,6 +558,31 @@
   t.is((await call.head).kind, 'head');
 });
 
+test('a tunnel goes on when another one got no answer', async t => {
+  // Guards against streams cut off by closing the connection that they share.
+  const endpoint = await listen(t, socket =>
+    onRequest(socket, () => {
+      proxy.hold();
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+    }),
+  );
+  const [, other] = await startMembers(t, 2, [endpoint]);
+  const proxy = await startHoldingProxy(t, Number(other.address.split(':')[1]));
+  const client = new ForwarderClient(brandAs<ForwarderAddress>(proxy.address));
+  t.teardown(() => client.close());
+  const request = {endpoint, timeoutMs: TIMEOUT_MS, signal: SIGNAL};
+  const tunnel = await client.open(request);
+  if (tunnel.kind === 'failed') return t.fail(tunnel.reason);
+  const socket = tunnel.createConnection();
+  socket.write('GET / HTTP/1.1\r\nHost: test\r\n\r\n');
+  await waitUntil(() => proxy.isHeld);
+  const failure = await client.open({...request, timeoutMs: 300});
+  t.like(failure, {kind: 'failed', reason: 'no_answer'});
+  proxy.release();
+  const [bytes] = (await once(socket, 'data')) as [Buffer];
+  t.true(bytes.toString().endsWith('ok'));
+});
+
 test('a forwarder that is gone costs one wait, not one for each request', async t => {
   // Guards against callers waiting for forwarders that no longer exist.
   const endpoint = await listen(t, socket =>
