Let an isolated instance look for its links without requests

What other instances saw: an instance that had lost its links refused to forward for them for as long as it got no request of its own, after the links were back. Found by reading.

Cause: only requests connected directly while the instance was isolated.

--- a/packages/gateway/src/endpoint_paths.ts
+++ b/packages/gateway/src/endpoint_paths.ts
@@ -8,6 +8,7 @@
 import {Forwarding} from './forwarding/forwarding.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {GatewaySettings} from './gateway_settings.js';
+import {LinkProbes} from './link_probes.js';
 import type {RoutingState} from './routing_state.js';
 
 /** Options of {@link EndpointPaths}. */
@@ -26,6 +27,7 @@
   readonly connectTimeout = new ConnectTimeout();
   readonly connector: EndpointConnector;
   private readonly forwarding: Forwarding | undefined;
+  private readonly probes: LinkProbes;
 
   constructor(options: EndpointPathsOptions) {
     const {settings} = options;
@@ -33,6 +35,8 @@
     const {connectTimeout} = this;
     const logger = options.logger.forComponent('forwarding');
     const direct = new DirectConnector({...options, logger, connectTimeout});
+    const probes = new LinkProbes({...options, direct, connectTimeout});
+    this.probes = probes;
     const {address, publishWithinMs} = forwarding;
     if (address !== undefined) {
       this.forwarding = new Forwarding({
@@ -44,7 +48,10 @@
         direct,
         logger,
       });
-      direct.onIsolated = () => this.forwarding?.refresh();
+      direct.onIsolated = () => {
+        this.forwarding?.refresh();
+        probes.begin();
+      };
     }
     this.connector = new EndpointConnector({
       ...options,
@@ -73,6 +80,7 @@
   }
 
   stop(): void {
+    this.probes.stop();
     this.forwarding?.stop();
   }
 }
--- a/packages/gateway/src/isolated_instance.test.ts
+++ b/packages/gateway/src/isolated_instance.test.ts
@@ -95,6 +95,20 @@
   t.deepEqual(cluster.endpoints[0].begun, ['one', 'one']);
 });
 
+test('an instance without requests finds out that its links are back', async t => {
+  // Guards against an instance that refuses to forward for others after that.
+  const cluster = await start(t, 2, SAFE_ROUTE);
+  const [isolated] = cluster.members;
+  await cluster.cut(0, 'refuse');
+  await callRepeatedly(isolated.callers, 'isolated');
+  const hasLogged = (event: string) =>
+    isolated.lines.some(line => line.includes(`"${event}"`));
+  t.true(hasLogged('isolation_began'));
+  t.false(hasLogged('isolation_ended'));
+  await cluster.cut(0, 'pass');
+  await waitUntil(() => hasLogged('isolation_ended'));
+});
+
 test('a whole data centre without links serves through the other instances', async t => {
   // Guards against instances without links that pass requests to one another.
   const cluster = await start(t, 4, SAFE_ROUTE);
