Count totals as published only once their write has succeeded

What instances saw: a sum of demands or number of instances whose only write failed was learnt by nobody, until it changed by enough. Found by reading.

Cause: what was published was noted before the write. And a number of instances without a demand was logged with the kind `demand`.

Evidence: shared_facts.test.ts, two tests that failed before: after a write to a store that is away the same totals weren't written again (no row), and the log didn't name the kind `instances`.

Mend: what was published is noted after the commit, unless the store was set back meanwhile (a third test, which passed before too). The next window repeats a write that failed, or whose outcome isn't known; the rows are overwritten. A number that is written together with a demand is logged as `demand`, two rows, as before.

--- a/packages/gateway/src/shared_facts.test.ts
+++ b/packages/gateway/src/shared_facts.test.ts
@@ -44,6 +44,45 @@
   t.deepEqual(read(platform, 'instances'), {kind: 'instances', count: 3});
 });
 
+test('totals are written again after a write that failed', async t => {
+  // Guards against a demand and a number that no instance ever learns, since the
+  // store was away in that moment and they didn't change again.
+  const platform = new MemoryPlatform();
+  const {logger} = new CapturedLog();
+  const facts = new SharedFacts({platform, logger, nowMs: () => 0});
+  platform.nextFaults.push('away');
+  await facts.publishTotals([written(10), written(30)]);
+  t.is(platform.rows.size, 0);
+  await facts.publishTotals([written(10), written(30)]);
+  t.like(read(platform, 'demand/repair'), {kind: 'demand'});
+  t.deepEqual(read(platform, 'instances'), {kind: 'instances', count: 2});
+});
+
+test('totals are written again when the store was set back during their write', async t => {
+  // Guards against a demand that the store has lost and no instance learns.
+  const platform = new MemoryPlatform();
+  const {logger} = new CapturedLog();
+  const facts = new SharedFacts({platform, logger, nowMs: () => 0});
+  const copy = platform.copy();
+  const writing = facts.publishTotals([written(10)]);
+  platform.setBack(copy);
+  facts.republish();
+  await writing;
+  await facts.publishTotals([written(10)]);
+  t.like(read(platform, 'demand/repair'), {kind: 'demand'});
+});
+
+test('a number of instances without demand is logged as such', async t => {
+  // Guards against logs that tell of a demand where there is none.
+  const platform = new MemoryPlatform();
+  const log = new CapturedLog();
+  const {logger} = log;
+  const facts = new SharedFacts({platform, logger, nowMs: () => 0});
+  await facts.publishTotals([{counts: {}, isFinal: true, demands: {}}]);
+  t.true(log.lines.some(line => line.includes('"kind":"instances"')));
+  t.false(log.lines.some(line => line.includes('"kind":"demand"')));
+});
+
 test('the number of instances is published before there is any demand', t => {
   // Dozens of instances start long before the first request. While their number
   // is unknown, each competes for the lease and follows the store directly.
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -82,10 +82,15 @@
   readonly value: unknown;
 }
 
+interface TotalRow extends FactRow {
+  readonly kind: 'demand' | 'instances';
+  /** Called once the store has accepted the row. */
+  readonly notePublished: () => void;
+}
+
 /**
  * Publishes facts. Crashes are written again until the store has accepted them;
- * another write that fails is logged and not repeated, since the next window's
- * figures replace it.
+ * totals whose write fails follow with the next window.
  */
 export class SharedFacts {
   private readonly publishedDemands = new Map<
@@ -93,6 +98,8 @@
     readonly RouteDemand[]
   >();
   private publishedCount: number | undefined;
+  /** Number of times that the store was set back. */
+  private setBacks = 0;
   private readonly pending = new Map<string, PendingCrash>();
   /** The latest crashes that were written, to be written again if lost. */
   private readonly written = new Map<string, PendingCrash>();
@@ -116,6 +123,7 @@
    * window.
    */
   republish(): void {
+    this.setBacks += 1;
     this.publishedDemands.clear();
     this.publishedCount = undefined;
     for (const [id, crash] of this.written) {
@@ -145,21 +153,33 @@
    * Adds up the rows of all instances and publishes totals that have changed.
    */
   async publishTotals(rows: readonly CountsValue[]): Promise<void> {
-    const changed = [...this.changedCount(rows), ...this.changedDemands(rows)];
-    if (changed.length > 0) await this.write('demand', changed);
+    const changed = [...this.changedDemands(rows), ...this.changedCount(rows)];
+    if (changed.length === 0) return;
+    const {setBacks} = this;
+    const writes = changed.map(({key, value}) => ({key, value}));
+    const isCommitted = await this.write(changed[0].kind, writes);
+    // A store that was set back during the write may have lost it.
+    if (!isCommitted || setBacks !== this.setBacks) return;
+    for (const row of changed) row.notePublished();
   }
 
-  private changedCount({length: count}: readonly CountsValue[]): FactRow[] {
+  private changedCount({length: count}: readonly CountsValue[]): TotalRow[] {
     const before = this.publishedCount;
     const isKnown =
       before !== undefined &&
       Math.abs(count - before) <= INSTANCE_COUNT_CHANGE_SHARE * before;
     if (isKnown || count === 0) return [];
-    this.publishedCount = count;
-    return [{key: `shared/${INSTANCES}`, value: {count}}];
+    return [
+      {
+        kind: 'instances',
+        key: `shared/${INSTANCES}`,
+        value: {count},
+        notePublished: () => (this.publishedCount = count),
+      },
+    ];
   }
 
-  private changedDemands(rows: readonly CountsValue[]): FactRow[] {
+  private changedDemands(rows: readonly CountsValue[]): TotalRow[] {
     const services = new Set(
       rows.flatMap(({demands}) => Object.keys(demands ?? {})),
     );
@@ -168,8 +188,14 @@
       const total = sumDemands(rows.map(({demands}) => demands?.[name] ?? []));
       if (!haveSharesChanged(this.publishedDemands.get(service), total))
         return [];
-      this.publishedDemands.set(service, total);
-      return [{key: `shared/${DEMAND}${name}`, value: {demands: total}}];
+      return [
+        {
+          kind: 'demand',
+          key: `shared/${DEMAND}${name}`,
+          value: {demands: total},
+          notePublished: () => this.publishedDemands.set(service, total),
+        },
+      ];
     });
   }
 
