Scan open intents less and less often while scans fail

What the store saw: while it answered no scans, each holder of an order lease asked for its open intents ten times a second.

Cause: each failure was taken for the first one, so that the delay was always 100 ms.

Evidence: orders.test.ts, "scans of open intents are repeated less and less often": seven delays of 100 ms before; 100, 200, 400, 800, 1,600, 2,000 and 2,000 ms now, as for the other calls.

Mend: the state counts the failed scans. A takeover settles intents at most 2 s after the store is back, instead of 0.1 s. The models of the lease pass as before.

--- a/packages/agreement/src/order_messages.ts
+++ b/packages/agreement/src/order_messages.ts
@@ -56,6 +56,8 @@
   readonly call: number;
   readonly sequence: number;
   readonly scanning: boolean;
+  /** Scans that failed since the term began. */
+  readonly failedScans: number;
   /** Orders of predecessors whose intents are still to be settled. */
   readonly open: readonly CurrentOrder[];
   readonly current: CurrentOrder | undefined;
--- a/packages/agreement/src/orders.test.ts
+++ b/packages/agreement/src/orders.test.ts
@@ -77,6 +77,30 @@
   t.is(again.state.term, undefined);
 });
 
+test('scans of open intents are repeated less and less often', t => {
+  // Guards against a table that is asked by each holder ten times a second while
+  // it is away.
+  let step = transitionOrders(beginOrders(brandAs('orders/akl-a')), {
+    kind: 'acquired',
+    held: HELD,
+  });
+  const delays: number[] = [];
+  for (let count = 0; count < 7; count += 1) {
+    step = transitionOrders(step.state, {
+      kind: 'read_answered',
+      call: step.state.call,
+      result: {kind: 'unavailable', reason: 'down'},
+      nowMs: 0,
+    });
+    const [effect] = step.effects;
+    if (effect.kind === 'wait') delays.push(effect.delayMs);
+    const {call} = step.state;
+    step = transitionOrders(step.state, {kind: 'waited', call, nowMs: 0});
+    t.is(step.effects[0].kind, 'scan');
+  }
+  t.deepEqual(delays, [100, 200, 400, 800, 1600, 2000, 2000]);
+});
+
 // A holder is paused with an order under way, another instance takes over and
 // orders something else, then the first order arrives. It would, for example,
 // order endpoints again that the later holder has just released.
--- a/packages/agreement/src/orders.ts
+++ b/packages/agreement/src/orders.ts
@@ -51,6 +51,7 @@
     call: 0,
     sequence: 0,
     scanning: false,
+    failedScans: 0,
     open: [],
     current: undefined,
     desired: [],
@@ -123,7 +124,8 @@
 
 function handleOpenIntents(state: OrdersState, result: ReadResult): OrdersStep {
   if (result.kind === 'unavailable') {
-    return scheduleRetry(state, 1);
+    const failedScans = state.failedScans + 1;
+    return scheduleRetry({...state, failedScans}, failedScans);
   }
   const open = result.rows.map(({value, version}): CurrentOrder => ({
     order: (value as IntentValue).order,
@@ -133,7 +135,7 @@
     content: undefined,
     tries: 0,
   }));
-  return startNext({...state, scanning: false, open});
+  return startNext({...state, scanning: false, failedScans: 0, open});
 }
 
 function startNext(state: OrdersState): OrdersStep {
