Show that a submitted ticket's references are checked

docs/FINDINGS.md said that `submit` checks none. It does, in its transaction: planTicket refuses a reference to an object that the table doesn't hold. The new test of tickets.test.ts shows it for a pool, an endpoint and an account's default request class; it passed before, and no code changes. The finding is taken out.

--- a/packages/agreement/src/tickets.test.ts
+++ b/packages/agreement/src/tickets.test.ts
@@ -137,6 +137,41 @@
   }
 });
 
+test('a ticket that refers to a missing object is refused', t => {
+  // Guards against endpoint pools, endpoints and accounts without what they need.
+  const endpoint = {
+    kind: 'endpoint',
+    id: 'e',
+    state: {
+      id: 'e',
+      dataCentre: 'akl-a',
+      serves: {kind: 'service', service: 'missing'},
+    },
+  } as unknown as ObjectChange;
+  const account = {
+    kind: 'client_account',
+    id: 'a',
+    state: {id: 'a', requestClasses: ['x'], defaultRequestClass: 'missing'},
+  } as unknown as ObjectChange;
+  const requestClass = {
+    kind: 'request_class',
+    id: 'x',
+    state: {id: 'x'},
+  } as unknown as ObjectChange;
+  const base = [DATA_CENTRE, requestClass];
+  const {table} = submit(EMPTY_TABLE, ticketOf(1, ...base));
+  const missing = [
+    [POOL, 'refers to model/repair, which does not exist'],
+    [endpoint, 'refers to service/missing, which does not exist'],
+    [account, 'refers to request_class/missing, which does not exist'],
+  ] as const;
+  for (const [index, [change, message]] of missing.entries()) {
+    const {outcome} = submit(table, ticketOf(2 + index, change));
+    const faults = [{path: 'changes[0].state', message}];
+    t.deepEqual(outcome, {kind: 'invalid', faults});
+  }
+});
+
 test('tickets on different objects do not conflict', t => {
   for (const operators of [1, 4, 16]) {
     const options = {operators, rounds: 50, seed: 1};
