--- a/packages/types/src/store_version.ts
+++ b/packages/types/src/store_version.ts
@@ -19,9 +19,12 @@
   readonly number: number;
 }
 
-/** Versions of one era; the product with the era stays an exact integer. */
+/** Versions of one era. */
 const NUMBERS_PER_ERA = 2 ** 40;
 
+/** Versions of later eras aren't all exact integers. */
+export const MAX_ERA = Math.floor(Number.MAX_SAFE_INTEGER / NUMBERS_PER_ERA);
+
 /** Version of a row that doesn't exist, in whichever era. */
 export const ABSENT = brandAs<StoreVersion>(0);
 
