Find answers that come after their timeout in soaks

A caller of the soak waits 1.5 s beyond its timeout, and what it got in that time counted as answered, so that the check `answer_in_time` could never find an answer that was up to 1.5 s late. Found by reading.

Evidence: checks.test.ts, "an answer well past its timeout is found, unless the soak stood still", which failed before (no finding at 600 ms after the timeout).

Mend: an answer that comes more than 500 ms after the timeout is found, as long as its instance and the store weren't disturbed until then. Time in which the soak's own process stood still is taken off.

The second half of the finding stays: the check of the retry budget allows 30 requests of slack and instances are given 58. With 58 the check would be weaker, and how instances with 30 keep the other checks was not run.

--- a/packages/soak/src/checks/answers.ts
+++ b/packages/soak/src/checks/answers.ts
@@ -110,12 +110,10 @@
   }
 }
 
-/**
- * Disturbances up to this long after the caller's timeout excuse its instance.
- */
+/** An answer may come this long after the caller's timeout. */
 const ANSWER_SLACK_MS = 500;
 
-/** A caller gets a final answer even when its request is given up. */
+/** A caller gets a final answer in time, even when its request is given up. */
 export class AnswerInTime extends Check {
   readonly name = 'answer_in_time';
 
@@ -123,15 +121,31 @@
     return history.requests.flatMap(request => {
       const {sentAtMs, callerTimeoutMs, outcome, instance} = request;
       const dueMs = sentAtMs + callerTimeoutMs + ANSWER_SLACK_MS;
-      const isLate =
-        outcome?.kind === 'unanswered' &&
-        history.hadStoreContact(instance, sentAtMs, dueMs) &&
+      const lateMs = answeredAfterMs(history, request) - dueMs;
+      const message =
+        outcome?.kind === 'unanswered'
+          ? 'no final answer'
+          : `answered ${Math.round(lateMs + ANSWER_SLACK_MS)} ms too late`;
+      const isLate = outcome?.kind === 'unanswered' || lateMs > 0;
+      const untilMs = Math.max(dueMs, request.endedAtMs ?? dueMs);
+      const isBound =
+        history.hadStoreContact(instance, sentAtMs, untilMs) &&
         !wentSilent(history, request);
-      return isLate ? [this.foundFor(request, 'no final answer')] : [];
+      return isLate && isBound ? [this.foundFor(request, message)] : [];
     });
   }
 }
 
+/** When it was answered, without the time in which the soak stood still. */
+function answeredAfterMs(
+  history: History,
+  {outcome, sentAtMs, endedAtMs = sentAtMs}: SentRequest,
+): number {
+  return outcome?.kind === 'answered'
+    ? endedAtMs - history.ownDelayMs(sentAtMs, endedAtMs)
+    : Number.NEGATIVE_INFINITY;
+}
+
 /**
  * Whether the caller's connection was open when those to its instance went
  * silent. Such a connection carries nothing ever after, so the instance gets no
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -108,6 +108,20 @@
   t.deepEqual(findersOf(unanswered, [makeRun()], cut), []);
 });
 
+test('an answer well past its timeout is found, unless the soak stood still', t => {
+  // Guards against answers for which no caller waits any more.
+  t.deepEqual(findersOf({endedAtMs: 12_100}), ['answer_in_time']);
+  t.deepEqual(findersOf({endedAtMs: 11_900}), []);
+  const standStill = (history: History) => {
+    history.ownDelays.push({atMs: 11_000, lateMs: 200});
+  };
+  t.deepEqual(findersOf({endedAtMs: 12_100}, [makeRun()], standStill), []);
+  const cut = (history: History) => {
+    history.recordDisturbance(INSTANCE, 'store_way_cut', 12_050);
+  };
+  t.deepEqual(findersOf({endedAtMs: 12_100}, [makeRun()], cut), []);
+});
+
 test('a missing answer on a connection that went silent earlier is no finding', t => {
   // Guards against a false finding: a caller sends its first request over a
   // connection that went silent seconds before, so the instance gets nothing.
