Send six metrics that were only described, and drop two that nothing produces

What operators saw: an alarm on `usage_windows`, which OPERATIONS.md recommends, could never ring, nor one on `lease_changes`, `endpoint_orders`, `endpoint_limit`, `suspects` or `streams_resumed`: they were described and sent nowhere.

The test of suspect_guard.test.ts needs the new countByState, so that it didn't compile before.

Mend: the tasks that log these events count them as well, and the gauges of limits and suspects (`run_alone` and `refuse`) are sent with the others. A lease that is given up in a shutdown counts as `handed_over`, not as `lost`. A seal counts when its write is known to have succeeded; a window whose write had an unknown outcome isn't counted.

`hedges` and `revision_lag_ms` are taken out: nothing hedges, and no row says when a ticket was accepted. `answers_dropped`, `peer_frames`, `peer_bytes` and `usage_late_requests` stay described and unsent (docs/FINDINGS.md).

--- a/packages/agreement/src/usage_rows.ts
+++ b/packages/agreement/src/usage_rows.ts
@@ -18,6 +18,7 @@
   UsageFigures,
   UsageLine,
 } from '@snipestage/types/platform_messages.js';
+import type {RowWrite} from '@snipestage/types/table.js';
 
 export const COUNTERS_PREFIX = 'usage/counters/';
 const ACCOUNTED_PREFIX = 'usage/accounted/';
@@ -90,6 +91,16 @@
   return SEALS_PREFIX + window;
 }
 
+/**
+ * Whether a write is that of a seal.
+ *
+ * @example
+ * const isSealing = transaction.writes.some(isSeal);
+ */
+export function isSeal({key, value}: RowWrite): boolean {
+  return value !== null && key.startsWith(SEALS_PREFIX);
+}
+
 /** Key of the row that records how much of a window's counters is in seals. */
 export function accountedKey(window: UsageWindowId): string {
   return ACCOUNTED_PREFIX + window;
--- a/packages/entry/src/account/usage_report_task.ts
+++ b/packages/entry/src/account/usage_report_task.ts
@@ -10,7 +10,10 @@
   ReporterState,
 } from '@snipestage/agreement/usage_reporter_messages.js';
 import type {Logger} from '@snipestage/log/logger.js';
+import type {Metrics} from '@snipestage/log/metrics.js';
 import type {Platform} from '@snipestage/platform/platform.js';
+import type {TableEvent} from '@snipestage/agreement/table_effects.js';
+import {isSeal} from '@snipestage/agreement/usage_rows.js';
 import type {LeaseName} from '@snipestage/types/ids.js';
 import type {LeaseTask} from '../agree/lease_task.js';
 import type {TableExecutor} from '../configure/table_executor.js';
@@ -26,6 +29,7 @@
   readonly executor: TableExecutor;
   readonly platform: Platform;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly nowEpochMs?: () => number;
 }
 
@@ -79,6 +83,7 @@
           window: report.window,
           result: result.kind,
         });
+        if (result.kind === 'accepted') this.countWindow('reported');
         this.handle({kind: 'report_answered', call, result});
         return;
       }
@@ -88,8 +93,25 @@
           reason: effect.reason,
         });
         return;
-      default:
-        this.handle(await executor.carryOut(effect));
+      default: {
+        const event = await executor.carryOut(effect);
+        if (hasSealed(effect, event)) this.countWindow('sealed');
+        this.handle(event);
+      }
     }
   }
+
+  private countWindow(step: 'sealed' | 'reported'): void {
+    this.options.metrics.count('usage_windows', 1, {step});
+  }
+}
+
+/** Whether a transaction has written the seal of a window. */
+function hasSealed(effect: ReporterEffect, event: TableEvent): boolean {
+  return (
+    effect.kind === 'transact' &&
+    effect.transaction.writes.some(isSeal) &&
+    event.kind === 'transaction_answered' &&
+    event.result.kind === 'committed'
+  );
 }
--- a/packages/entry/src/agree/lease_task.ts
+++ b/packages/entry/src/agree/lease_task.ts
@@ -11,6 +11,7 @@
   type LeaseState,
 } from '@snipestage/agreement/lease.js';
 import type {Logger} from '@snipestage/log/logger.js';
+import type {Metrics} from '@snipestage/log/metrics.js';
 import type {SendGuard} from '@snipestage/platform/platform.js';
 import type {LeaseName} from '@snipestage/types/ids.js';
 import type {MonotonicClock} from '../clock.js';
@@ -24,12 +25,14 @@
   lost(): void;
 }
 
-/** Options of {@link LeaseTask}. */
+/** Options of {@link LeaseTask}; default in the brackets. */
 export interface LeaseTaskOptions {
   readonly lease: LeaseOptions;
   readonly executor: TableExecutor;
   readonly clock: MonotonicClock;
   readonly logger: Logger;
+  /** (nothing is counted) */
+  readonly metrics?: Metrics;
   /**
    * Whether this instance may try to acquire the lease; only a few instances
    * do.
@@ -140,6 +143,7 @@
       lease: this.options.lease.name,
       fencingToken: held.fencingToken,
     });
+    this.countChange('taken');
     for (const listener of this.listeners) listener.acquired(held);
   }
 
@@ -147,9 +151,15 @@
     clearTimeout(this.termTimer);
     this.term.abort();
     this.options.logger.info('lease_lost', {lease: this.options.lease.name});
+    this.countChange(this.isRetiring ? 'handed_over' : 'lost');
     for (const listener of this.listeners) listener.lost();
   }
 
+  private countChange(change: 'taken' | 'lost' | 'handed_over'): void {
+    const {name: lease} = this;
+    this.options.metrics?.count('lease_changes', 1, {lease, change});
+  }
+
   /**
    * Sends the protocol a tick right after the term's end, so that the term's
    * signal aborts if the lease wasn't renewed. Bytes written to a connection
--- a/packages/entry/src/agree/order_task.ts
+++ b/packages/entry/src/agree/order_task.ts
@@ -9,6 +9,7 @@
 } from '@snipestage/agreement/order_messages.js';
 import type {Order, OrderContent} from '@snipestage/agreement/order_rows.js';
 import type {Logger} from '@snipestage/log/logger.js';
+import type {Metrics} from '@snipestage/log/metrics.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import type {LeaseName} from '@snipestage/types/ids.js';
 import type {TableExecutor} from '../configure/table_executor.js';
@@ -23,6 +24,7 @@
   readonly platform: Platform;
   readonly engineOrders: EngineOrders;
   readonly logger: Logger;
+  readonly metrics: Metrics;
 }
 
 /** Carries out the effects of the order protocol. */
@@ -67,6 +69,10 @@
           order: effect.order.order.id,
           answer: answer.kind,
         });
+        this.options.metrics.count('endpoint_orders', 1, {
+          kind: effect.order.kind,
+          outcome: answer.kind,
+        });
         this.handle({kind: 'order_answered', call: effect.call, answer});
         return;
       }
--- a/packages/entry/src/choose/suspect_guard.test.ts
+++ b/packages/entry/src/choose/suspect_guard.test.ts
@@ -2,7 +2,7 @@
 import {RequestError} from '@snipestage/errors/request_error.js';
 import type {Endpoint} from '@snipestage/types/configuration.js';
 import {brandAs, type InstanceId} from '@snipestage/types/ids.js';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {Permits, type Permit, type PermitRequest} from './permits.js';
 import {SuspectGuard} from './suspect_guard.js';
 import {SuspectTrials} from './suspect_trials.js';
@@ -20,17 +20,15 @@
   }
 }
 
-test('copies of a suspected request wait for the one that runs alone', async t => {
-  // Guards against copies of a suspected request that run alone at the same
-  // time, each crashing another engine. A caller repeats such a request twice a
-  // second.
+const CRASH = {outcome: 'crashed', connectionBroke: true} as const;
+
+function createGuard(t: ExecutionContext) {
   const permits = new RecordingPermits();
   const self = brandAs<InstanceId>('akl-a-1');
   const clock = () => performance.now();
-  const trials = new SuspectTrials({self, clock, publish: () => {}});
   const guard = new SuspectGuard({
     permits,
-    trials,
+    trials: new SuspectTrials({self, clock, publish: () => {}}),
     self,
     incarnation: () => brandAs('life'),
     clock,
@@ -44,19 +42,38 @@
     remainingMs: 60_000,
     limit: {kind: 'timeout', timeoutMs: 60_000},
   } as unknown as PermitRequest;
-  const crash = {outcome: 'crashed', connectionBroke: true} as const;
-  (await guard.acquire(request, signal)).release(crash);
-  const trial = await guard.acquire(request, signal);
+  return {guard, permits, acquire: () => guard.acquire(request, signal)};
+}
+
+test('copies of a suspected request wait for the one that runs alone', async t => {
+  // Guards against copies of a suspected request that run alone at the same
+  // time, each crashing another engine. A caller repeats such a request twice a
+  // second.
+  const {permits, acquire} = createGuard(t);
+  (await acquire()).release(CRASH);
+  const trial = await acquire();
   t.true(permits.recorded[1].suspect);
-  const copies = [1, 2, 3].map(() => guard.acquire(request, signal));
+  const copies = [1, 2, 3].map(() => acquire());
   const refusals = Promise.all(
     copies.map(copy => t.throwsAsync(copy, {instanceOf: RequestError})),
   );
   await delay(300);
   t.is(permits.recorded.length, 2);
-  trial.release(crash);
+  trial.release(CRASH);
   for (const error of await refusals) {
     t.is(error.refusal.code, 'suspected_crash');
   }
   t.is(permits.recorded.length, 2);
 });
+
+test('suspected requests are counted by what becomes of them', async t => {
+  // Guards against requests that are refused for minutes and shown nowhere.
+  const {guard, acquire} = createGuard(t);
+  const count = () => Object.fromEntries(guard.countByState());
+  t.deepEqual(count(), {run_alone: 0, refuse: 0});
+  (await acquire()).release(CRASH);
+  t.deepEqual(count(), {run_alone: 1, refuse: 0});
+  (await acquire()).release(CRASH);
+  await delay(300);
+  t.deepEqual(count(), {run_alone: 0, refuse: 1});
+});
--- a/packages/entry/src/choose/suspect_guard.ts
+++ b/packages/entry/src/choose/suspect_guard.ts
@@ -141,6 +141,20 @@
     return this.table.readAll(this.options.clock());
   }
 
+  /** Number of suspected requests that run alone, and of those refused. */
+  countByState(): ReadonlyMap<'run_alone' | 'refuse', number> {
+    const counts = new Map<'run_alone' | 'refuse', number>([
+      ['run_alone', 0],
+      ['refuse', 0],
+    ]);
+    const known = this.readAll().flatMap(({inFlight}) => inFlight);
+    for (const fingerprint of new Set(known)) {
+      const {kind} = this.table.classify(fingerprint, this.options.clock());
+      if (kind !== 'clear') counts.set(kind, (counts.get(kind) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   snapshot(): object {
     return {crashes: this.readAll()};
   }
--- a/packages/entry/src/compose/bind_endpoints.ts
+++ b/packages/entry/src/compose/bind_endpoints.ts
@@ -3,6 +3,7 @@
 import type {LeaseName} from '@snipestage/types/ids.js';
 import {createLeaseTask} from './create_lease_task.js';
 import {Logger} from '@snipestage/log/logger.js';
+import {Metrics} from '@snipestage/log/metrics.js';
 import {PeerNetwork} from '@snipestage/peer/peer_network.js';
 import {Platform} from '@snipestage/platform/platform.js';
 import {brandAs} from '@snipestage/types/ids.js';
@@ -91,16 +92,17 @@
 function bindOrders(container: Container, settings: EntrySettings): void {
   const name = brandAs<LeaseName>(`orders/${settings.dataCentre}`);
   container.bind(ORDERS_LEASE).toResolvedValue(
-    (executor, view, logger) =>
+    (executor, view, logger, metrics) =>
       createLeaseTask({
         name,
         settings,
         executor,
         view,
         logger,
+        metrics,
         eligibleInstances: () => instancesIn(view.live(), settings.dataCentre),
       }),
-    [TableExecutor, ClusterView, Logger],
+    [TableExecutor, ClusterView, Logger, Metrics],
   );
   container
     .bind(EngineOrders)
@@ -109,7 +111,7 @@
       [EndpointDirectory],
     );
   container.bind(OrderTask).toResolvedValue(
-    (lease, executor, platform, engineOrders, logger) =>
+    (lease, executor, platform, engineOrders, logger, metrics) =>
       new OrderTask({
         name,
         lease,
@@ -117,8 +119,9 @@
         platform,
         engineOrders,
         logger: logger.forComponent('orders'),
+        metrics,
       }),
-    [ORDERS_LEASE, TableExecutor, Platform, EngineOrders, Logger],
+    [ORDERS_LEASE, TableExecutor, Platform, EngineOrders, Logger, Metrics],
   );
 }
 
--- a/packages/entry/src/compose/bind_sending.ts
+++ b/packages/entry/src/compose/bind_sending.ts
@@ -32,13 +32,18 @@
       metrics => new BudgetedRetries({clock, metrics}),
       [Metrics],
     );
-  container
-    .bind(ModelRunner)
-    .toResolvedValue(
-      (permits, driver, retryPolicy) =>
-        new ModelRunner({permits, driver, retryPolicy, clock, chunkTimeoutMs}),
-      [Permits, EngineDriver, RetryPolicy],
-    );
+  container.bind(ModelRunner).toResolvedValue(
+    (permits, driver, retryPolicy, metrics) =>
+      new ModelRunner({
+        permits,
+        driver,
+        retryPolicy,
+        metrics,
+        clock,
+        chunkTimeoutMs,
+      }),
+    [Permits, EngineDriver, RetryPolicy, Metrics],
+  );
   container
     .bind(ServiceRunner)
     .toResolvedValue(
--- a/packages/entry/src/compose/bind_usage.ts
+++ b/packages/entry/src/compose/bind_usage.ts
@@ -1,6 +1,7 @@
 /** Binds the counting, sealing and reporting of usage. */
 
 import {Logger} from '@snipestage/log/logger.js';
+import {Metrics} from '@snipestage/log/metrics.js';
 import {PeerNetwork} from '@snipestage/peer/peer_network.js';
 import {Platform} from '@snipestage/platform/platform.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
@@ -49,16 +50,17 @@
 function bindReporting(container: Container, settings: EntrySettings): void {
   const name = brandAs<LeaseName>('usage');
   container.bind(USAGE_LEASE).toResolvedValue(
-    (executor, view, logger) =>
+    (executor, view, logger, metrics) =>
       createLeaseTask({
         name,
         settings,
         executor,
         view,
         logger,
+        metrics,
         eligibleInstances: () => view.live().map(member => member.id),
       }),
-    [TableExecutor, ClusterView, Logger],
+    [TableExecutor, ClusterView, Logger, Metrics],
   );
   container.bind(ClaimCleanupTask).toResolvedValue(
     (lease, platform) =>
@@ -69,7 +71,7 @@
     [USAGE_LEASE, Platform],
   );
   container.bind(UsageReportTask).toResolvedValue(
-    (lease, executor, platform, logger) =>
+    (lease, executor, platform, logger, metrics) =>
       new UsageReportTask({
         name,
         lease,
@@ -78,7 +80,8 @@
         executor,
         platform,
         logger: logger.forComponent('usage'),
+        metrics,
       }),
-    [USAGE_LEASE, TableExecutor, Platform, Logger],
+    [USAGE_LEASE, TableExecutor, Platform, Logger, Metrics],
   );
 }
--- a/packages/entry/src/compose/create_lease_task.ts
+++ b/packages/entry/src/compose/create_lease_task.ts
@@ -3,6 +3,7 @@
 import type {LeaseName} from '@snipestage/types/ids.js';
 import type {InstanceId} from '@snipestage/types/ids.js';
 import type {Logger} from '@snipestage/log/logger.js';
+import type {Metrics} from '@snipestage/log/metrics.js';
 import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
 import type {EntrySettings} from '@snipestage/settings/entry_settings.js';
 import {LeaseTask} from '../agree/lease_task.js';
@@ -23,6 +24,7 @@
   readonly executor: TableExecutor;
   readonly view: ClusterView;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   /** The instances among which the candidates for the lease are chosen. */
   readonly eligibleInstances: () => readonly InstanceId[];
 }
@@ -34,10 +36,11 @@
  *
  * @example
  * const lease = createLeaseTask({name, settings, executor, view, logger,
- *   eligibleInstances: () => instances});
+ *   metrics, eligibleInstances: () => instances});
  */
 export function createLeaseTask(options: CreateLeaseTaskOptions): LeaseTask {
-  const {name, settings, executor, view, logger, eligibleInstances} = options;
+  const {name, settings, executor, view, logger, metrics, eligibleInstances} =
+    options;
   const {termMs, marginMs, renewEveryMs} = settings.lease;
   const self = settings.instance;
   return new LeaseTask({
@@ -53,6 +56,7 @@
     executor,
     clock: monotonicNowMs,
     logger: logger.forComponent('lease'),
+    metrics,
     isCandidate: () =>
       rankByRendezvous(name, eligibleInstances())
         .slice(0, CANDIDATE_COUNT)
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -142,6 +142,7 @@
       owners: this.container.get(CellOwners),
       inFlight: this.container.get(InFlightRequests),
       leases: this.leases(),
+      suspects: this.container.get(SuspectGuard),
     });
   }
 
--- a/packages/entry/src/operate/gauge_task.ts
+++ b/packages/entry/src/operate/gauge_task.ts
@@ -6,6 +6,7 @@
 import type {InFlightRequests} from '../admit/in_flight_requests.js';
 import type {CellOwners} from '../choose/cell_owners.js';
 import type {ClusterView} from '../choose/cluster_view.js';
+import type {SuspectGuard} from '../choose/suspect_guard.js';
 import type {ConfigurationStore} from '../configure/configuration_store.js';
 
 const SEND_EVERY_MS = 5000;
@@ -20,6 +21,7 @@
   readonly owners: CellOwners;
   readonly inFlight: InFlightRequests;
   readonly leases: readonly LeaseTask[];
+  readonly suspects: SuspectGuard;
 }
 
 /** Reads the state of other parts without changing it. */
@@ -48,11 +50,24 @@
       const held = lease.held === undefined ? 0 : 1;
       metrics.gauge('lease_held', held, {lease: lease.name});
     }
+    this.sendEndpoints();
     this.sendRequests();
     this.sendMembers();
     this.sendDelay();
   }
 
+  private sendEndpoints(): void {
+    const {metrics, owners, suspects} = this.options;
+    for (const {endpoints} of owners.snapshot()) {
+      for (const {endpoint, permits} of endpoints) {
+        metrics.gauge('endpoint_limit', permits, {endpoint});
+      }
+    }
+    for (const [state, count] of suspects.countByState()) {
+      metrics.gauge('suspects', count, {state});
+    }
+  }
+
   private sendRequests(): void {
     const counts = this.options.inFlight.countByClass();
     for (const [id, {waiting, all}] of counts) {
--- a/packages/entry/src/send/model_runner.test.ts
+++ b/packages/entry/src/send/model_runner.test.ts
@@ -1,3 +1,4 @@
+import {NoMetrics} from '@snipestage/log/metrics.js';
 import {RequestError} from '@snipestage/errors/request_error.js';
 import type {
   ClientAccount,
@@ -129,10 +130,20 @@
   };
 }
 
+class CountingMetrics extends NoMetrics {
+  readonly counted: string[] = [];
+
+  override count(name?: string, value?: number, tags: object = {}): void {
+    this.counted.push([name, value, ...Object.values(tags)].join(' '));
+  }
+}
+
 function createWorld(...scripts: Script[]) {
   const driver = new ScriptedDriver(scripts);
   const permits = new CountingPermits();
+  const metrics = new CountingMetrics();
   const runner = new ModelRunner({
+    metrics,
     permits,
     driver,
     retryPolicy: new BudgetedRetries({clock: () => 0, random: () => 0}),
@@ -143,7 +154,7 @@
   const abort = new AbortController();
   const run = (): Promise<AnswerUsage> =>
     runner.run(workWith(abort.signal), sink);
-  return {driver, permits, sink, abort, run};
+  return {driver, permits, metrics, sink, abort, run};
 }
 
 test('a broken stream is resumed at the same engine', async t => {
@@ -182,6 +193,30 @@
   t.is(world.permits.reports[0].outcome, 'crashed');
 });
 
+test('streams that go on after a failure are counted by how they do', async t => {
+  // Guards against engines whose broken streams no metric shows.
+  const resumed = createWorld(
+    {tokens: ['a'], fails: 'broken'},
+    {tokens: ['b']},
+  );
+  await resumed.run();
+  const {id} = REQUEST_CLASS;
+  t.deepEqual(resumed.metrics.counted, [`streams_resumed 1 ${id} same_engine`]);
+  const continued = createWorld(
+    {tokens: ['a'], fails: 'broken'},
+    {tokens: [], fails: 'unreachable'},
+    {tokens: ['b']},
+  );
+  await continued.run();
+  t.deepEqual(continued.metrics.counted, [`streams_resumed 1 ${id} continued`]);
+  const repeated = createWorld(
+    {tokens: [], fails: 'unreachable'},
+    {tokens: ['a']},
+  );
+  await repeated.run();
+  t.deepEqual(repeated.metrics.counted, []);
+});
+
 test('a request that fails at all engines is refused with the worst verdict', async t => {
   const world = createWorld(
     {tokens: [], fails: 'unreachable'},
--- a/packages/entry/src/send/model_runner.ts
+++ b/packages/entry/src/send/model_runner.ts
@@ -1,5 +1,6 @@
 /** Runs model requests: acquires permits, makes attempts, retries failures. */
 
+import type {Metrics} from '@snipestage/log/metrics.js';
 import {RequestError} from '@snipestage/errors/request_error.js';
 import type {RequestClass} from '@snipestage/types/configuration.js';
 import {
@@ -58,6 +59,7 @@
   readonly retryPolicy: RetryPolicy;
   readonly clock: MonotonicClock;
   readonly chunkTimeoutMs: number;
+  readonly metrics: Metrics;
 }
 
 /** Progress of a request over all its attempts. */
@@ -95,8 +97,10 @@
     for (;;) {
       const permit = await this.acquire(work, progress);
       work.onStart?.();
+      const isContinued = progress.outputTokens > 0;
       const error = await this.attempt(work, permit, progress, sink);
       if (error === undefined) {
+        if (isContinued) this.countResumed(work, 'continued');
         const usage = usageOf(progress);
         await sink.finish(usage);
         return usage;
@@ -176,7 +180,17 @@
     const error = await this.read(work, permit, progress, sink, meter);
     if (error === undefined || !mayResume(error, meter)) return error;
     const again = await this.read(work, permit, progress, sink, meter);
-    return again === undefined ? undefined : error;
+    if (again !== undefined) return error;
+    this.countResumed(work, 'same_engine');
+    return undefined;
+  }
+
+  private countResumed(
+    {requestClass}: ModelWork,
+    way: 'same_engine' | 'continued',
+  ): void {
+    const tags = {class: requestClass.id, way};
+    this.options.metrics.count('streams_resumed', 1, tags);
   }
 
   private cancel(work: ModelWork, permit: Permit, progress: Progress): void {
--- a/packages/log/src/metric_names.ts
+++ b/packages/log/src/metric_names.ts
@@ -1,6 +1,6 @@
 /**
  * All defined metrics, with kind, unit, tags and meaning. Some of them, such as
- * `hedges`, are not sent by any code.
+ * `peer_frames`, are not sent by any code.
  */
 
 /** The StatsD type of a metric. */
@@ -44,7 +44,7 @@
     kind: 'counter',
     unit: 'attempts',
     tags: ['class', 'cause'],
-    description: 'Attempts after the first, but for hedges',
+    description: 'Attempts after the first',
   },
   retries_stopped: {
     kind: 'counter',
@@ -52,12 +52,6 @@
     tags: ['class', 'reason'],
     description: 'Failed attempts that were not sent again, and why',
   },
-  hedges: {
-    kind: 'counter',
-    unit: 'attempts',
-    tags: ['class', 'winner'],
-    description: 'Second attempts against silence; who answered first',
-  },
   streams_resumed: {
     kind: 'counter',
     unit: 'streams',
@@ -148,12 +142,6 @@
     tags: [],
     description: 'Revision of the configuration in force here',
   },
-  revision_lag_ms: {
-    kind: 'timing',
-    unit: 'ms',
-    tags: [],
-    description: 'From the acceptance of a ticket to its force here',
-  },
   members: {
     kind: 'gauge',
     unit: 'instances',
