Exclude endpoints whose addresses answer for another one

What callers saw: 503 after four attempts that were answered 421, at instances whose list of endpoints was stale, while other endpoints ran.

Cause: a 421 counted as a failed connection. The endpoint was down for 250 ms to 2 s, and was tried also then when all others were down, since an old failure must not cause a refusal. But none of its attempts can succeed: its process is gone.

Mend: a 421 to this request, or a look that finds another endpoint at the address, excludes that start of the endpoint at that address for 10 s. Another start under the same id, another address and the next owner of the address are not affected. Where the start isn't known it holds for 2 s, as the endpoint may be back under its id. It ends though no start comes back: one spoiled answer must not exclude an endpoint for good. Requests whose connection is being opened go elsewhere. Where nothing else is listed requests are refused at once (reason `gone`), and draw nothing on the retry budget.

Three tests changed: "what another endpoint at the address announces counts for nobody" and its like for backoffs and leavings took the second request at the address as proof that nothing was noted. It isn't sent at once any more. They skip the 10 s, within the backoff of 60 s and a leaving that holds for good, keep their count, and check the state itself right after the first answer. With the announcements of a 421 recorded all three fail.

--- a/packages/gateway/src/announcements.test.ts
+++ b/packages/gateway/src/announcements.test.ts
@@ -28,6 +28,9 @@
   t.teardown(() => proxy.close());
   await proxy.call('one', {body: 'order'});
   t.is(proxy.state.rateLimits.find(ENDPOINT), undefined);
+  t.false(proxy.state.directory.find(ENDPOINT)?.isLeaving);
+  // Longer than the endpoint counts as gone, shorter than the backoff.
+  proxy.skippedMs = 10_000;
   await proxy.call('two', {body: 'order'});
   t.is(proxy.received.length, 2);
 });
--- a/packages/gateway/src/endpoint_backoff.test.ts
+++ b/packages/gateway/src/endpoint_backoff.test.ts
@@ -159,6 +159,10 @@
   const proxy = await TestProxy.start({}, [misdirect]);
   t.teardown(() => proxy.close());
   await proxy.call('one', {body: 'order'});
+  const {directory} = proxy.state;
+  t.is(directory.backoffLeftMs(directory.readAll()[0], proxy.nowMs()), 0);
+  // Longer than the endpoint counts as gone, shorter than the backoff.
+  proxy.skippedMs = 10_000;
   await proxy.call('two', {body: 'order'});
   t.is(proxy.received.length, 2);
 });
--- a/packages/gateway/src/endpoint_probes.ts
+++ b/packages/gateway/src/endpoint_probes.ts
@@ -16,6 +16,8 @@
    * that got its address; closes the connection (any is taken for it).
    */
   readonly identify?: IdentifyEndpoint;
+  /** Called when another endpoint has the address (nothing is done). */
+  readonly onReplaced?: (endpoint: ServingEndpoint) => void;
   /** (nothing is logged) */
   readonly logger?: Logger;
 }
@@ -128,6 +130,7 @@
       return {path, result: 'up'};
     }
     const match = await identify(endpoint, connection, TIMEOUT_MS);
+    if (match === 'other') this.options.onReplaced?.(endpoint);
     return {path, result: LOOK_RESULTS[match]};
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -324,6 +324,7 @@
       probes: new EndpointProbes({
         connector: this.paths.connector,
         identify: identifyBy({state: this.state, protocol}),
+        onReplaced: each => this.state.directory.noteGone(each, nowMs()),
         logger: logger.forComponent('callers'),
       }),
       streams: this.streams,
--- a/packages/gateway/src/leaving_endpoint.test.ts
+++ b/packages/gateway/src/leaving_endpoint.test.ts
@@ -112,6 +112,9 @@
   const proxy = await TestProxy.start({}, [misdirect]);
   t.teardown(() => proxy.close());
   await proxy.call('one', {body: 'order'});
+  t.false(proxy.state.directory.readAll()[0].isLeaving);
+  // Longer than the endpoint counts as gone; it would count as leaving for good.
+  proxy.skippedMs = 10_000;
   await proxy.call('two', {body: 'order'});
   t.is(proxy.received.length, 2);
 });
--- a/packages/gateway/src/record_announcements.ts
+++ b/packages/gateway/src/record_announcements.ts
@@ -1,4 +1,4 @@
-/** Records what an endpoint announces of itself in the head of an answer. */
+/** Records what the head of an answer shows of its endpoint. */
 
 import type {Placed} from '@snipestage/routing/placement.js';
 import type {ExchangeContext, ReadRequest} from './exchange_context.js';
@@ -14,9 +14,9 @@
 
 /**
  * Records the leaving, backoff, limits and load in an answer, in the state
- * by which all further attempts of this instance are placed. Another endpoint
- * at the address, an answer to another request and an earlier incarnation of
- * the endpoint say nothing of it.
+ * by which all further attempts of this instance are placed. An answer to
+ * another request and an earlier incarnation of the endpoint say nothing of it;
+ * another endpoint at its address only that it is gone.
  *
  * @example
  * recordAnnouncements(context, {head, request, endpoint: placed.endpoint});
@@ -28,7 +28,8 @@
   const {head, request, endpoint} = answered;
   const isToOther =
     head.requestId !== undefined && head.requestId !== request.caller.requestId;
-  if (head.isMisdirected || isToOther) return;
+  if (isToOther) return;
+  if (head.isMisdirected) return recordGone(context, answered);
   if (!context.state.directory.isCurrentIncarnation(endpoint)) return;
   if (head.isLeaving) recordLeaving(context, answered);
   if (head.backoffMs !== undefined)
@@ -38,6 +39,18 @@
   recordLoad(context, answered);
 }
 
+function recordGone(
+  {state, logger, nowMs}: ExchangeContext,
+  {request, endpoint}: AnsweredAttempt,
+): void {
+  if (!state.directory.noteGone(endpoint, nowMs())) return;
+  logger.info('endpoint_found_gone', {
+    requestId: request.caller.requestId,
+    endpoint: endpoint.id,
+    address: endpoint.address,
+  });
+}
+
 function recordLeaving(
   {state, metrics, logger}: ExchangeContext,
   {request, endpoint}: AnsweredAttempt,
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -48,6 +48,7 @@
    * - `no_endpoint`: none is serving, and none is in an evacuated data centre.
    * - `evacuated`: none is serving, and some are in evacuated data centres.
    * - `leaving`: none is serving, and some are leaving.
+   * - `gone`: as `leaving`, and other endpoints have the addresses of some.
    * - `warming_up`: all are cold and already get the requests that they can
    *   take.
    * - `backing_off`: all that could take requests have requested backoff.
@@ -60,6 +61,7 @@
     | 'no_endpoint'
     | 'evacuated'
     | 'leaving'
+    | 'gone'
     | 'warming_up'
     | 'backing_off'
     | 'rate_limited'
@@ -242,7 +244,7 @@
         retryAfterMs: Math.min(...waits),
       };
     }
-    return {reason: this.explainNoneServing(service), retryAfterMs: 0};
+    return {reason: this.explainNoneServing(service, nowMs), retryAfterMs: 0};
   }
 
   /** Time until an endpoint of a service isn't in backoff; 0 if there is none. */
@@ -272,13 +274,17 @@
     return isBrittle ? 'no_room' : 'warming_up';
   }
 
-  private explainNoneServing(service: ServiceId): NoEndpoint['reason'] {
+  private explainNoneServing(
+    service: ServiceId,
+    nowMs: number,
+  ): NoEndpoint['reason'] {
     const listed = this.directory
       .readAll()
       .filter(each => each.service === service);
     if (listed.some(each => this.directory.isEvacuated(each.dataCentre))) {
       return 'evacuated';
     }
+    if (listed.some(each => this.directory.isGone(each, nowMs))) return 'gone';
     return listed.length > 0 ? 'leaving' : 'no_endpoint';
   }
 
@@ -288,6 +294,7 @@
     return directory.readAll().map(endpoint => ({
       ...endpoint,
       isDown: monitor.isDown(endpoint.id, nowMs),
+      isGone: directory.isGone(endpoint, nowMs),
       isCold: this.warmup.isCold(endpoint.id, nowMs),
       rateLimitPerS: this.rateLimits.find(endpoint.id),
       maxRejectionsPerS: this.brittle.find(endpoint.id),
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -353,6 +353,7 @@
       probes: new EndpointProbes({
         connector,
         identify: identifyBy({state: this.state, protocol}),
+        onReplaced: each => this.state.directory.noteGone(each, this.nowMs()),
       }),
       streams: new Streams({
         platform: new MemoryPlatform(),
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -13,6 +13,7 @@
   EndpointIncarnations,
   isOtherIncarnation,
 } from './endpoint_incarnations.js';
+import {GoneEndpoints} from './gone_endpoints.js';
 import {RemovedEndpoints} from './removed_endpoints.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
@@ -52,6 +53,7 @@
   private readonly missing = new Set<EndpointId>();
   private readonly removed = new RemovedEndpoints();
   private readonly announcements = new EndpointAnnouncements();
+  private readonly gone = new GoneEndpoints();
   private readonly incarnations = new EndpointIncarnations();
   private readonly restarted = new Set<EndpointId>();
   private evacuated: ReadonlySet<DataCentreId> = new Set();
@@ -151,15 +153,36 @@
   }
 
   /**
-   * Whether a request that was placed on an endpoint may still be sent: by its
-   * own announcements it is neither leaving nor in backoff.
+   * Records that another endpoint answers at the address of this one. It gets no
+   * requests for a time, unless it is listed with another start or address.
+   *
+   * @param endpoint as it was listed when the answered request was sent.
+   * @returns whether this is new.
+   * @example
+   * if (head.isMisdirected) directory.noteGone(placed.endpoint, nowMs);
+   */
+  noteGone(endpoint: ServingEndpoint, nowMs: number): boolean {
+    return (
+      this.isCurrentIncarnation(endpoint) && this.gone.note(endpoint, nowMs)
+    );
+  }
+
+  /** Whether another endpoint was found at the address of this one. */
+  isGone(endpoint: ServingEndpoint, nowMs: number): boolean {
+    return this.gone.isGone(endpoint, nowMs);
+  }
+
+  /**
+   * Whether a request that was placed on an endpoint may still be sent: it
+   * hasn't been found gone, nor announced that it is leaving or in backoff.
    *
    * @example
    * const mayStillSend = () => directory.mayStillSend(endpoint, nowMs());
    */
   mayStillSend(endpoint: ServingEndpoint, nowMs: number): boolean {
-    const {announcements} = this;
+    const {announcements, gone} = this;
     return (
+      !gone.isGone(endpoint, nowMs) &&
       !announcements.isLeaving(endpoint) &&
       announcements.backoffLeftMs(endpoint, nowMs) === 0
     );
@@ -204,7 +227,7 @@
     nowMs: number,
   ): readonly ServingEndpoint[] {
     this.removeExpired(nowMs);
-    return this.byService.get(service) ?? [];
+    return this.gone.leaveOut(this.byService.get(service) ?? [], nowMs);
   }
 
   find(id: EndpointId): ServingEndpoint | undefined {
@@ -277,6 +300,7 @@
     const restarted = this.incarnations.update(this.readAll(), nowMs);
     for (const id of restarted) this.restarted.add(id);
     this.announcements.retain(this.incarnations.ids);
+    this.gone.retain(this.incarnations.ids);
     this.index();
     this.changedAtMs = nowMs;
   }
