Let a late answer to a ping end no stream between instances

What callers saw: nothing was reported by callers. Two instances that reach each other lose their stream with the records on it, a permit among them, and one suspects the other where it can't dial it again at once.

Cause: pings of HTTP/2 are there for sockets that carry no stream any more. One that had no answer after four heartbeat intervals ended the connection with all its streams, though frames went on arriving. gRPC measures by the wall clock, and its timer runs before the answer is read in a process that stood still; heartbeats are judged on a clock that leaves this out.

Mend: a ping may take 40 heartbeat intervals, 20 s by default. Streams are judged by their heartbeats alone; a dead socket without a stream is destroyed after 40 s, not 22.

--- a/packages/peer/src/dialled_link.ts
+++ b/packages/peer/src/dialled_link.ts
@@ -33,8 +33,13 @@
 
 /** Time between two pings, in intervals of `heartbeatMs`. */
 const KEEPALIVE_INTERVALS = 40;
-/** Time allowed for the answer to a ping, in intervals of `heartbeatMs`. */
-const KEEPALIVE_TIMEOUT_INTERVALS = 4;
+/**
+ * Time allowed for the answer to a ping, in intervals of `heartbeatMs`. Much
+ * longer than streams may be silent: a ping that is overdue ends the streams of
+ * its connection too, also when only the answer is late, or was not yet read by
+ * a process that stood still.
+ */
+const KEEPALIVE_TIMEOUT_INTERVALS = 40;
 
 /** Options of {@link DialledLink}. */
 export interface DialOptions {
--- a/packages/peer/src/peer_faults.test.ts
+++ b/packages/peer/src/peer_faults.test.ts
@@ -57,6 +57,14 @@
   return counts.reduce((sum, count) => sum + count, 0);
 }
 
+/** Longer than from one ping of a connection to the next one's time-out. */
+const PING_MS = 60 * FAST_SETTINGS.heartbeatMs;
+
+async function pause(durationMs: number): Promise<void> {
+  const endMs = LOOP_CLOCK.readMs() + durationMs;
+  await waitUntil('the end of a pause', () => LOOP_CLOCK.readMs() >= endMs);
+}
+
 function stateIn(network: PeerNetwork, other: PeerNetwork): MemberState {
   const {id} = other.self();
   return network.members().find(member => member.id === id)!.state;
@@ -235,6 +243,28 @@
   t.true(first.snapshot().pausedMs > 19_000);
 });
 
+// The answer to an HTTP/2 ping is late, as both instances are busy, while frames
+// go on arriving. If the ping ended the connection, a stream that works would be
+// lost with its records, and its other end be suspected if it can't be dialled.
+test('a late answer to a ping does not end a stream that carries frames', async t => {
+  const relay = new Relay();
+  const first = await startNetwork(t, 'akl-a-1');
+  const second = await startBehindRelay(t, relay, 'akl-a-2');
+  first.seed(listOf([second]));
+  await waitUntil('a stream', () => areConnected(first, second));
+  const endsBefore = countEnds(first) + countEnds(second);
+  const framesBefore = second.snapshot().framesReceived;
+  // Slowly, so that the longest time between two frames stays short.
+  for (let delayMs = 25; delayMs <= 300; delayMs += 25) {
+    await pause(150);
+    relay.delayMs.to_target = relay.delayMs.to_caller = delayMs;
+  }
+  await pause(PING_MS);
+  t.is(countEnds(first) + countEnds(second), endsBefore);
+  t.true(areConnected(first, second));
+  t.true(second.snapshot().framesReceived - framesBefore > 20);
+});
+
 /** Heartbeats that leave time for a slow relay. */
 const SLOW_SETTINGS = {
   ...FAST_SETTINGS,
