Let the caller of a test leave once its request has been read

The caller left 15 ms after its call began, and on the busy machine that was before it had sent anything; the endpoint got nothing all the same. It leaves 15 ms after its request was read now, so that the case is always the one that the test is about. All asserts are as before.

--- a/packages/gateway/src/held_up_request.test.ts
+++ b/packages/gateway/src/held_up_request.test.ts
@@ -52,8 +52,8 @@
   t.teardown(() => proxy.close());
   proxy.heldUpMs = 1200;
   const caller = new AbortController();
+  proxy.onRequest = () => setTimeout(() => caller.abort(), LEAVES_AFTER_MS);
   const call = proxy.call('one', {body: 'order', signal: caller.signal});
-  setTimeout(() => caller.abort(), LEAVES_AFTER_MS);
   await t.throwsAsync(call);
   await new Promise(done => setTimeout(done, AFTER_CATCH_UP_MS));
   t.deepEqual(proxy.received, []);
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -104,6 +104,8 @@
   connectDelayMs = 0;
   /** For how long requests may have waited when they are read. */
   heldUpMs = 0;
+  /** Called when a request has been read. */
+  onRequest: () => void = () => undefined;
   /** Number of connections that endpoints have accepted. */
   opened = 0;
   /** Endpoints of connections that were closed, one entry per connection. */
@@ -367,7 +369,10 @@
     });
     const server = http.createServer(
       {maxHeaderSize: MAX_HEADER_BYTES},
-      (request, response) => void handler.handle(request, response),
+      (request, response) => {
+        this.onRequest();
+        void handler.handle(request, response);
+      },
     );
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
