--- a/packages/soak/src/store_mutations.ts
+++ b/packages/soak/src/store_mutations.ts
@@ -13,7 +13,7 @@
     edits: [
       {
         module: 'platform/dist/store_client.js',
-        from: 'Number.isSafeInteger(era) && era > 0',
+        from: 'Number.isInteger(era) && era > 0',
         to: 'false',
       },
     ],
