--- a/packages/gateway/src/forwarding/forwarder_client.ts
+++ b/packages/gateway/src/forwarding/forwarder_client.ts
@@ -5,6 +5,7 @@
   makeGenericClientConstructor,
   type Client,
 } from '@grpc/grpc-js';
+import {ReadFirstTimeout} from '@snipestage/connection/read_first_timeout.js';
 import type {ForwarderAddress} from '@snipestage/routing/forwarder_choice.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import {Tunnel, type TunnelStream} from './tunnel.js';
@@ -44,6 +45,11 @@
  */
 const KEEPALIVE_EVERY_MS = 1000;
 const KEEPALIVE_TIMEOUT_MS = 5000;
+/**
+ * A client that is closed after a failure connects once more all the same, and
+ * would keep a connection to a forwarder that had come back by then.
+ */
+const RECONNECT_AFTER_MS = 100;
 const TunnelStub = makeGenericClientConstructor(TUNNEL_SERVICE, 'Forwarder');
 
 /** Owns one HTTP/2 connection, which its tunnels share. */
@@ -64,8 +70,9 @@
     const stream = client.connect();
     const result = await openTunnel(stream, options, this.address);
     const isGone = result.kind === 'failed' && result.reason === 'no_answer';
-    // The next tunnel gets a new connection; this one may have gone silent.
-    if (isGone && this.client === client) this.client = undefined;
+    // The next tunnel gets a new connection; this one may have gone silent. Its
+    // other tunnels go on.
+    if (isGone && this.client === client) this.close();
     return result;
   }
 
@@ -79,6 +86,7 @@
       'grpc.use_local_subchannel_pool': 1,
       'grpc.keepalive_time_ms': KEEPALIVE_EVERY_MS,
       'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
+      'grpc.initial_reconnect_backoff_ms': RECONNECT_AFTER_MS,
     }) as unknown as TunnelClient;
   }
 }
@@ -89,9 +97,9 @@
   forwarder: ForwarderAddress,
 ): Promise<Tunnel | TunnelFailure> {
   return new Promise(resolve => {
-    let timer = setTimeout(() => fail('no_answer'), timeoutMs);
+    let timeout = new ReadFirstTimeout(() => fail('no_answer'), timeoutMs);
     const settle = (result: Tunnel | TunnelFailure) => {
-      clearTimeout(timer);
+      timeout.cancel();
       signal.removeEventListener('abort', abort);
       resolve(result);
     };
@@ -102,8 +110,11 @@
     const abort = () => fail('aborted');
     signal.addEventListener('abort', abort, {once: true});
     stream.once('metadata', () => {
-      clearTimeout(timer);
-      timer = setTimeout(() => fail('no_answer'), timeoutMs + REPLY_MARGIN_MS);
+      timeout.cancel();
+      timeout = new ReadFirstTimeout(
+        () => fail('no_answer'),
+        timeoutMs + REPLY_MARGIN_MS,
+      );
     });
     // Kept for the whole stream: an error without a listener ends the process.
     stream.on('error', () => settle({kind: 'failed', reason: 'no_answer'}));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -172,6 +172,7 @@
     this.operations = createPages({
       ...options,
       isReady: () => this.isReady,
+      readTableAges: () => this.follower.readAges(),
       dump: () => this.dump(),
     });
   }
@@ -323,6 +324,7 @@
       probes: new EndpointProbes({
         connector: this.paths.connector,
         identify: identifyBy({state: this.state, protocol}),
+        onReplaced: each => this.state.directory.noteGone(each, nowMs()),
         logger: logger.forComponent('callers'),
       }),
       streams: this.streams,
@@ -351,6 +353,7 @@
       isStopping: this.shutdown.isStopping,
       inProgress: this.handler.inProgress,
       configurationVersion: this.configurationVersion,
+      tableAgesMs: Object.fromEntries(this.follower.readAges()),
       evacuated: this.evacuated,
       ...this.duties.snapshot(),
       relays: this.relays.snapshot(),
--- a/packages/gateway/src/relay/relayed_feed.ts
+++ b/packages/gateway/src/relay/relayed_feed.ts
@@ -101,17 +101,34 @@
   }
 
   /**
-   * Resolves at the next update, when the feed is closed, or after `waitMs`.
+   * Whether it has changes after the version, and has missed none. They are
+   * newer than what is known, however old they are.
    */
-  next(waitMs: number): Promise<void> {
+  hasNews(since: StoreVersion): boolean {
+    return this.covers(since) && this.rows.some(({version}) => version > since);
+  }
+
+  /** Drops rows up to a version, which is known from the store. */
+  dropUntil(known: StoreVersion): void {
+    this.rows = this.rows.filter(({version}) => version > known);
+    if (!this.hasRows) this.rowsSinceMs = undefined;
+  }
+
+  /**
+   * Resolves at the next update, when the feed is closed, when the wait is
+   * aborted, or after `waitMs`.
+   */
+  next(waitMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise(resolve => {
       const finish = () => {
         clearTimeout(timer);
         this.waiting.delete(finish);
+        signal?.removeEventListener('abort', finish);
         resolve();
       };
       const timer = setTimeout(finish, waitMs);
       this.waiting.add(finish);
+      signal?.addEventListener('abort', finish);
     });
   }
 
--- a/packages/gateway/src/relay/relayed_table.ts
+++ b/packages/gateway/src/relay/relayed_table.ts
@@ -34,6 +34,7 @@
     waitMs: number,
   ): Promise<TableReading> {
     const endsAtMs = this.nowMs() + waitMs;
+    this.feed.dropUntil(sinceVersion);
     while (this.feed.isFresh(this.nowMs())) {
       this.followsFeed = true;
       // Changes that the feed has missed are read from the store at once.
@@ -51,7 +52,41 @@
     // to it may be gone: a long poll would detect that too late.
     return isFirstPoll
       ? this.fallBack(sinceVersion)
-      : this.store.waitForChanges(sinceVersion, waitMs);
+      : this.pollStore(sinceVersion, waitMs);
+  }
+
+  override async waitForNews(
+    sinceVersion: StoreVersion,
+    waitMs: number,
+  ): Promise<void> {
+    const endsAtMs = this.nowMs() + waitMs;
+    for (;;) {
+      const leftMs = endsAtMs - this.nowMs();
+      if (leftMs <= 0 || this.feed.hasNews(sinceVersion)) return;
+      await this.feed.next(leftMs);
+    }
+  }
+
+  /** Polls the store until the relay has sent changes; the poll may hang. */
+  private async pollStore(
+    sinceVersion: StoreVersion,
+    waitMs: number,
+  ): Promise<TableReading> {
+    const ending = new AbortController();
+    let reading: TableReading | undefined;
+    const polled = this.store
+      .waitForChanges(sinceVersion, waitMs, ending.signal)
+      .then(result => (reading = result))
+      .finally(() => ending.abort());
+    while (reading === undefined) {
+      if (this.feed.hasNews(sinceVersion)) {
+        ending.abort();
+        return this.drainFeed(sinceVersion);
+      }
+      const isNews = this.feed.next(waitMs, ending.signal);
+      await Promise.race([polled, isNews]);
+    }
+    return reading;
   }
 
   private async fallBack(sinceVersion: StoreVersion): Promise<TableReading> {
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -9,6 +9,7 @@
   type StoreVersion,
 } from '@snipestage/types/store_version.js';
 import type {StoreClockReading} from '@snipestage/routing/agreed_clock.js';
+import {PROBE_WAIT_MS} from '@snipestage/routing/change_budget.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import {StoreRecovery} from './store_recovery.js';
 
@@ -50,7 +51,16 @@
   abstract waitForChanges(
     sinceVersion: StoreVersion,
     waitMs: number,
+    signal?: AbortSignal,
   ): Promise<TableReading>;
+
+  /**
+   * Resolves when {@link waitForChanges} would return changes without a call to
+   * the store, at the latest after the wait.
+   */
+  waitForNews(_sinceVersion: StoreVersion, waitMs: number): Promise<void> {
+    return new Promise(done => setTimeout(done, waitMs));
+  }
 }
 
 /** By which path rows came, for logs. */
@@ -129,8 +139,6 @@
 
 const DEFAULT_FIRST_BACKOFF_MS = 100;
 const DEFAULT_MAX_BACKOFF_MS = 800;
-/** Wait of a poll after a failure, until a call succeeds. */
-const PROBE_WAIT_MS = 100;
 /**
  * Time within which operators and endpoints write their rows again after the
  * store was set back.
@@ -199,10 +207,15 @@
     }
   }
 
-  private pause(pauseMs: number): Promise<void> {
-    return this.isDisturbed
-      ? this.recovery.wait(pauseMs)
-      : new Promise(done => setTimeout(done, pauseMs));
+  private async pause(pauseMs: number): Promise<void> {
+    const pauses: Promise<void>[] = [];
+    if (this.version !== undefined) {
+      pauses.push(this.options.table.waitForNews(this.version, pauseMs));
+    }
+    if (this.isDisturbed || this.version === undefined) {
+      pauses.push(this.recovery.wait(pauseMs));
+    }
+    await Promise.race(pauses);
   }
 
   /** @returns the pause before the next read. */
@@ -268,7 +281,8 @@
         });
         return this.rereadWhole(since);
       case 'rows':
-        this.recover();
+        if (reading.isRelayed === true) this.leaveStore();
+        else this.recover();
         if (reading.clock !== undefined) this.options.onClock?.(reading.clock);
         return this.takeRows(reading, since);
     }
@@ -367,6 +381,12 @@
     );
   }
 
+  /** What a relay sends doesn't show that the store can be reached from here. */
+  private leaveStore(): void {
+    this.failures = 0;
+    this.recovery.noteLeft(this);
+  }
+
   private recover(): void {
     if (this.failures === 0) return;
     this.options.logger.info('store_regained', {
