Say what requests met that a soak didn't serve at its end

"6 of 9 served at the end" can't be traced: the finding names no request, and a trace keeps none of them. It says now what the others met ("503: 22", "not_connected: 2"), and a trace has all requests since the last fault. What is found, and when, is as before.

--- a/packages/soak/src/checks/check.ts
+++ b/packages/soak/src/checks/check.ts
@@ -36,7 +36,8 @@
   return kind === 'non_idempotent' || (kind === 'stream' && !isResumable);
 }
 
-function describeOutcome({outcome}: SentRequest): string {
+/** What a request met: the status of its answer, or why it has none. */
+export function describeOutcome({outcome}: SentRequest): string {
   if (outcome === undefined) return 'not ended';
   return outcome.kind === 'answered' ? `${outcome.status}` : outcome.kind;
 }
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -421,6 +421,20 @@
   t.deepEqual(findersIn(history), ['serves_again']);
 });
 
+test('the finding that service does not come back names what requests met', t => {
+  // Guards against a run whose refusals can't be told from lost connections.
+  const outcomes = ['not_connected', 'broken', 'not_connected'] as const;
+  const history = makeHistory(
+    outcomes.map(kind => makeRequest({sentAtMs: 30_000, outcome: {kind}})),
+    [],
+  );
+  history.faultsEndedAtMs = 20_000;
+  const messages = checkAll(history).map(({message}) => message);
+  t.deepEqual(messages, [
+    '0 of 3 served at the end (others: not_connected: 2, broken: 1)',
+  ]);
+});
+
 test('a request that is still sent on after it crashed endpoints is found', t => {
   // Guards against one caller that takes down an endpoint after the other.
   const crashing = Array.from({length: 9}, (_, index) => ({
--- a/packages/soak/src/checks/stops.ts
+++ b/packages/soak/src/checks/stops.ts
@@ -4,7 +4,7 @@
 
 import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
 import type {History, ProcessEnd, SentRequest} from '../history.js';
-import {Check, type Finding} from './check.js';
+import {Check, describeOutcome, type Finding} from './check.js';
 
 const TERMINATED = 'terminated';
 const RELOAD_SIGNAL = 'SIGHUP';
@@ -154,12 +154,25 @@
         marker === undefined &&
         !history.keyWithdrawals.has(key),
     );
-    const served = late.filter(
-      ({outcome}) => outcome?.kind === 'answered' && outcome.status === 200,
-    );
+    const served = late.filter(wasServed);
     if (late.length === 0) return [];
     if (served.length >= MIN_SERVED_SHARE * late.length) return [];
-    const message = `${served.length} of ${late.length} served at the end`;
+    const others = countOutcomes(late.filter(each => !wasServed(each)));
+    const message = `${served.length} of ${late.length} served at the end (others: ${others})`;
     return [this.found(message, fromMs)];
   }
 }
+
+function wasServed({outcome}: SentRequest): boolean {
+  return outcome?.kind === 'answered' && outcome.status === 200;
+}
+
+/** What requests met and how many each, as in `503: 2, broken: 1`. */
+function countOutcomes(requests: readonly SentRequest[]): string {
+  const counts = new Map<string, number>();
+  for (const request of requests) {
+    const met = describeOutcome(request);
+    counts.set(met, (counts.get(met) ?? 0) + 1);
+  }
+  return [...counts].map(([met, count]) => `${met}: ${count}`).join(', ');
+}
--- a/packages/soak/src/trace.ts
+++ b/packages/soak/src/trace.ts
@@ -31,6 +31,13 @@
         known.get(finding.requestId ?? ''),
       ),
     })),
+    /** Sent since the last fault. */
+    lastRequests: history.requests
+      .filter(({sentAtMs}) => sentAtMs >= history.faultsEndedAtMs)
+      .map(request => ({
+        ...request,
+        arrivals: history.arrivalsOf(request.requestId),
+      })),
     disturbances: history.disturbances,
     instanceCuts: history.instanceCuts,
     ends: history.ends,
