--- a/packages/routing/src/change_budget.test.ts
+++ b/packages/routing/src/change_budget.test.ts
@@ -5,7 +5,7 @@
   for (const factor of [0.4, 1, 1.4, 3]) {
     const knownWithinMs = Math.round(factor * inForceWithinMs);
     const targets = {knownWithinMs, inForceWithinMs};
-    test(`the waits on each way of a change add up to its target at most (${inForceWithinMs}, ${knownWithinMs})`, t => {
+    test(`the waits on each path of a change add up to its target at most (${inForceWithinMs}, ${knownWithinMs})`, t => {
       // Guards against changes in force too late though no single wait is.
       const paths = new ChangeBudget(targets).listPaths();
       t.true(paths.length >= 6);
--- a/packages/routing/src/change_budget.ts
+++ b/packages/routing/src/change_budget.ts
@@ -10,7 +10,7 @@
   readonly inForceWithinMs: number;
 }
 
-/** A way on which a change becomes known, and the longest time that it takes. */
+/** A path by which a change becomes known, and the longest time that it takes. */
 export interface ChangePath {
   readonly name: string;
   /** From the store's acceptance to the last answer's arrival, at most. */
@@ -26,8 +26,8 @@
 export const STANDBY_FACTOR = 3;
 
 /**
- * Waits on the ways from the store to an instance. All that follow one another
- * on a way are set here, so that their sum can be compared with its target.
+ * Waits on the paths from the store to an instance. All that follow one another
+ * on a path are set here, so that their sum can be compared with its target.
  *
  * @example
  * const {freshForMs} = new ChangeBudget({knownWithinMs, inForceWithinMs});
@@ -82,7 +82,7 @@
     return Math.min(0.8 * this.baseMs, this.longestPauseMs);
   }
 
-  /** Time allowed for the answer to a poll beyond its wait. */
+  /** Time allowed for the answer to a poll beyond the poll's wait. */
   get callMarginMs(): number {
     return Math.min(MAX_CALL_MARGIN_MS, 0.2 * this.baseMs);
   }
@@ -100,7 +100,7 @@
     return this.targets.knownWithinMs - this.lostCallMs - this.answerMs;
   }
 
-  /** Lists each way with the longest time that a change takes on it. */
+  /** Lists each path with the longest time that a change takes on it. */
   listPaths(): readonly ChangePath[] {
     const {knownWithinMs, inForceWithinMs} = this.targets;
     const {answerMs, lostCallMs} = this;
--- a/packages/routing/src/store_timeline.ts
+++ b/packages/routing/src/store_timeline.ts
@@ -15,8 +15,7 @@
   private boundMs = Number.NEGATIVE_INFINITY;
   /** Latest bound of the opposite difference, as of time 0. */
   private storeBoundMs = Number.NEGATIVE_INFINITY;
-
-  /** The era of the readings; the clock of another one may be another. */
+  /** Of the readings; another era of the store may have another clock. */
   private era = 0;
 
   /** Records the answer to an own call. */
@@ -52,8 +51,8 @@
   }
 
   /**
-   * A time by our clock at which, or after which, the store's clock showed
-   * `storeMs`.
+   * A time by our clock before which the store's clock did not show `storeMs`:
+   * what the store stated with that reading was true then or later.
    *
    * @returns undefined when no bound is known, or it is wrong since the store's
    *   clock has jumped.
