Excuse no missing answer by a disturbance after its time in soaks

A missing answer is judged until it was due again, as before; a late one until it came.

The new test fails without this (no finding). Three comments of tests name their failure more plainly.

--- a/packages/agreement/src/orders.test.ts
+++ b/packages/agreement/src/orders.test.ts
@@ -78,8 +78,8 @@
 });
 
 test('scans of open intents are repeated less and less often', t => {
-  // Guards against a table that is asked by each holder ten times a second while
-  // it is away.
+  // Guards against ten scans a second by each lease holder while the table is
+  // unavailable.
   let step = transitionOrders(beginOrders(brandAs('orders/akl-a')), {
     kind: 'acquired',
     held: HELD,
--- a/packages/gateway/src/shared_facts.test.ts
+++ b/packages/gateway/src/shared_facts.test.ts
@@ -73,7 +73,7 @@
 });
 
 test('a number of instances without demand is logged as such', async t => {
-  // Guards against logs that tell of a demand where there is none.
+  // Guards against log lines with the kind `demand` for a number of instances.
   const platform = new MemoryPlatform();
   const log = new CapturedLog();
   const {logger} = log;
--- a/packages/soak/src/checks/answers.ts
+++ b/packages/soak/src/checks/answers.ts
@@ -127,7 +127,8 @@
           ? 'no final answer'
           : `answered ${Math.round(lateMs + ANSWER_SLACK_MS)} ms too late`;
       const isLate = outcome?.kind === 'unanswered' || lateMs > 0;
-      const untilMs = Math.max(dueMs, request.endedAtMs ?? dueMs);
+      const untilMs =
+        lateMs > 0 ? Math.max(dueMs, request.endedAtMs ?? dueMs) : dueMs;
       const isBound =
         history.hadStoreContact(instance, sentAtMs, untilMs) &&
         !wentSilent(history, request);
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -122,6 +122,18 @@
   t.deepEqual(findersOf({endedAtMs: 12_100}, [makeRun()], cut), []);
 });
 
+test('a disturbance after the time for an answer excuses no missing one', t => {
+  // Guards against missing answers that go unnoticed since a fault came later.
+  const unanswered = {
+    outcome: {kind: 'unanswered'},
+    endedAtMs: 13_000,
+  } as const;
+  const cut = (history: History) => {
+    history.recordDisturbance(INSTANCE, 'store_way_cut', 12_500);
+  };
+  t.deepEqual(findersOf(unanswered, [makeRun()], cut), ['answer_in_time']);
+});
+
 test('a missing answer on a connection that went silent earlier is no finding', t => {
   // Guards against a false finding: a caller sends its first request over a
   // connection that went silent seconds before, so the instance gets nothing.
@@ -422,7 +434,7 @@
 });
 
 test('the finding that service does not come back names what requests met', t => {
-  // Guards against a run whose refusals can't be told from lost connections.
+  // Guards against a finding that counts refusals and lost connections as one.
   const outcomes = ['not_connected', 'broken', 'not_connected'] as const;
   const history = makeHistory(
     outcomes.map(kind => makeRequest({sentAtMs: 30_000, outcome: {kind}})),
