Log the shared parts of prompts whose answers break off

The logs of the incident tell that each crashed request had a fingerprint of its own, and that each crash was known to all instances 0.1 s after it was confirmed. They don't tell what these requests have in common.

--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -2,6 +2,7 @@
 
 import {abbreviate} from '@snipestage/entry/identify/fingerprint.js';
 import type {AnswerEnding} from '@snipestage/connection/answer_end.js';
+import {listSharedParts} from '@snipestage/routing/prompt.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {ConnectionPath} from './endpoint_connection.js';
 import type {
@@ -90,6 +91,7 @@
     reason,
     verdict,
     ...ending,
+    ...(connectionBroke ? {parts: listSharedParts(caller.prompt)} : {}),
     durationMs: Math.round(durationMs),
     load: Math.round(state.monitor.estimateLoad(endpoint.id, atMs)),
   });
--- a/packages/routing/src/prompt.ts
+++ b/packages/routing/src/prompt.ts
@@ -30,6 +30,19 @@
   return prompt.parts[prompt.parts.length - 2];
 }
 
+/**
+ * Ids of the parts that other requests may share, each once.
+ *
+ * @example
+ * logger.info('attempt_failed', {parts: listSharedParts(prompt)});
+ */
+export function listSharedParts(
+  prompt: Prompt | undefined,
+): readonly PromptPartId[] {
+  const shared = prompt?.parts.slice(0, -1) ?? [];
+  return [...new Set(shared.map(({id}) => id))];
+}
+
 /** Tokens before the last part: what a warm cache saves. */
 export function countSharedTokens(prompt: Prompt): number {
   const shared = prompt.parts.slice(0, -1);
