--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import type {StatedIdentity} from '@snipestage/routing/endpoint_identity.js';
+import type {Prompt, PromptPartId} from '@snipestage/routing/prompt.js';
 import type {Service} from '@snipestage/routing/route.js';
 import {
   brandAs,
@@ -25,7 +26,7 @@
       requestId: brandAs<RequestId>(String(headers['x-request-id'] ?? '')),
       callerTimeoutMs: waits === undefined ? undefined : Number(waits),
       key: headers['x-key'] as string | undefined,
-      prompt: undefined,
+      prompt: readPrompt(headers['x-parts']),
       lastEventId: headers['last-event-id'] as string | undefined,
       resumes: headers['x-continues'] as RequestId | undefined,
     };
@@ -40,6 +41,10 @@
     );
     const headers = ['X-Request-Id', rawHeaders[id + 1], 'Host', 'test'];
     headers.push('X-Time-Left-Ms', String(forwarded.timeLeftMs));
+    const parts = rawHeaders.findIndex(
+      (name, index) => index % 2 === 0 && name.toLowerCase() === 'x-parts',
+    );
+    if (parts >= 0) headers.push('X-Parts', rawHeaders[parts + 1]);
     if (forwarded.lastEventId !== undefined) {
       headers.push('Last-Event-Id', forwarded.lastEventId);
     }
@@ -105,3 +110,17 @@
     return {'Retry-After': String(retryAfterMs / 1000)};
   }
 }
+
+/** Ids of parts, separated by commas. */
+function readPrompt(header: string | string[] | undefined): Prompt | undefined {
+  if (typeof header !== 'string') return undefined;
+  const parts = header
+    .split(',')
+    .map(id => ({id: brandAs<PromptPartId>(id), tokens: 100}));
+  return {
+    tokens: 100 * parts.length,
+    maxOutputTokens: 10,
+    expectedOutputTokens: undefined,
+    parts,
+  };
+}
