Refuse prompts with a part that crashes endpoints

Cause: a crash is held against the whole request, recognized by account, path and body. Requests that share only one part of their prompts are each a first offence. All crashes were known everywhere within 0.2 s, with nothing to connect them.

A crash now also names the shared parts of the prompts whose answers hadn't got beyond their first event there. An answer that does clears its parts of all earlier crashes, at any instance. The fewest parts that explain three crashes or more are refused; what was beside them at the same crashes isn't.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -9,6 +9,7 @@
   overdueAfterMs,
 } from '@snipestage/routing/silence_limits.js';
 import {sharesCache} from '@snipestage/routing/stream_origin.js';
+import type {PromptPartId} from '@snipestage/types/ids.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter} from './answer_writer.js';
 import type {ProgressRecord} from './attempt_record.js';
@@ -39,12 +40,17 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** An endpoint that crashes as it begins an answer may send one event. */
+const EVENTS_OF_BEGUN_ANSWER = 2;
+
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
   readonly context: ExchangeContext;
   readonly request: ReadRequest;
   readonly writer: AnswerWriter;
   readonly placed: Placed;
+  /** Suspect parts of the prompt of which the attempt is a trial. */
+  readonly trial: readonly PromptPartId[];
   /** Whether another endpoint may be tried if this one is silent. */
   readonly maySwitch: () => boolean;
   /** Whether no other endpoint is left to try. */
@@ -62,6 +68,8 @@
   private readonly timing: AttemptTiming;
   private readonly overdue: OverdueWatch;
   private answeredLoad: ReportedLoad | undefined;
+  /** Events that this endpoint sent. */
+  private events = 0;
 
   constructor(private readonly options: AttemptOptions) {
     const {context, request, placed} = options;
@@ -87,7 +95,7 @@
         return (
           state.directory.mayStillSend(placed.endpoint, nowMs()) &&
           state.directory.isCurrentIncarnation(placed.endpoint) &&
-          crashes.mayRun(request.fingerprint)
+          crashes.mayRun(request.content, options.trial)
         );
       },
       isStillUp: () => this.isEndpointUp(),
@@ -101,6 +109,11 @@
     return this.call.verdict;
   }
 
+  /** Whether the endpoint's answer got beyond its first event. */
+  get hasBegun(): boolean {
+    return this.events >= EVENTS_OF_BEGUN_ANSWER;
+  }
+
   /** How far it has come, for the log and for what is learnt from it. */
   describeProgress(): ProgressRecord {
     const {call, timing} = this;
@@ -203,6 +216,13 @@
     return true;
   }
 
+  private countEvent(): void {
+    const {context, request, trial} = this.options;
+    this.events += 1;
+    if (this.events !== EVENTS_OF_BEGUN_ANSWER) return;
+    context.crashes.noteBegun(request.content, trial);
+  }
+
   private async handleHead(response: IncomingMessage): Promise<AttemptResult> {
     const {context, request, placed} = this.options;
     const {protocol} = context;
@@ -294,6 +314,7 @@
       onEvent: () => {
         this.silence.restart();
         this.overdue.stop();
+        this.countEvent();
         onBegun();
         onEvent();
       },
--- a/packages/gateway/src/crash_reporter.ts
+++ b/packages/gateway/src/crash_reporter.ts
@@ -17,9 +17,11 @@
   EndpointId,
   Fingerprint,
   InstanceId,
+  PromptPartId,
 } from '@snipestage/types/ids.js';
 import {splitAddress} from './split_address.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
+import type {PartGuard} from './part_guard.js';
 import type {RoutingState} from './routing_state.js';
 
 /** Other endpoints that are tried when one can't be reached. */
@@ -32,11 +34,19 @@
   readonly incarnation: string;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
+  readonly parts: PartGuard;
   readonly nowMs: () => number;
   /** Publishes to all instances; logs its own failures. */
   readonly publish: (crashes: readonly ReportedCrash[]) => void;
 }
 
+/** By what requests that crash endpoints are recognized. */
+export interface RequestContent {
+  readonly fingerprint: Fingerprint;
+  /** Parts of the prompt that other requests may share. */
+  readonly parts: readonly PromptPartId[];
+}
+
 /**
  * Gives the crashes seen by this instance ids that are unique over all
  * instances. Only confirmed crashes are published.
@@ -47,8 +57,10 @@
   private readonly watched = new Map<EndpointId, ServingEndpoint>();
   private readonly brokenAtMs = new Map<EndpointId, number>();
   private readonly check: CrashCheck;
+  readonly parts: PartGuard;
 
   constructor(private readonly options: CrashReporterOptions) {
+    this.parts = options.parts;
     this.check = new CrashCheck({
       look: (id, mayConnect) => this.look(id, mayConnect),
       isOpen: id => this.mayHaveCrashed(id),
@@ -76,14 +88,30 @@
     return decision;
   }
 
-  /** Whether a request may still be sent, by the crashes known now. */
-  mayRun(fingerprint: Fingerprint): boolean {
+  /**
+   * Whether a request may still be sent, by the crashes known now.
+   *
+   * @param trial suspect parts of which it is a trial.
+   */
+  mayRun(
+    {fingerprint, parts}: RequestContent,
+    trial: readonly PromptPartId[],
+  ): boolean {
     const {state, nowMs} = this.options;
-    return state.suspects.classify(fingerprint, nowMs()).kind !== 'refuse';
+    const {kind} = state.suspects.classify(fingerprint, nowMs());
+    return kind !== 'refuse' && this.parts.mayRun(parts, trial);
   }
 
-  /** An answer broke off; whether the endpoint crashed is then looked at. */
-  noteBroken(endpoint: ServingEndpoint, fingerprint: Fingerprint): void {
+  /**
+   * An answer broke off; whether the endpoint crashed is then looked at.
+   *
+   * @param hasBegun whether it had got beyond its first event.
+   */
+  noteBroken(
+    endpoint: ServingEndpoint,
+    {fingerprint, parts}: RequestContent,
+    hasBegun: boolean,
+  ): void {
     const {state, nowMs, instance, incarnation} = this.options;
     this.watched.set(endpoint.id, endpoint);
     this.brokenAtMs.set(endpoint.id, nowMs());
@@ -94,6 +122,7 @@
         endpointIncarnation: endpoint.bornEpochMs,
         dataCentre: endpoint.dataCentre,
         inFlight: [fingerprint],
+        parts: hasBegun ? [] : parts,
       },
       nowMs(),
     );
@@ -107,15 +136,27 @@
    */
   noteAnswered(
     endpoint: ServingEndpoint,
-    fingerprint: Fingerprint,
+    {fingerprint, parts}: RequestContent,
     sentAtMs: number,
   ): void {
     const {state, nowMs} = this.options;
     state.suspects.noteAnswered(endpoint.id, sentAtMs);
     state.suspects.markFinished(fingerprint, nowMs());
+    state.suspects.parts.noteBegun(parts, nowMs());
     this.publishChanges();
   }
 
+  /**
+   * An answer got beyond its first event.
+   *
+   * @param trial suspect parts of which the request is a trial.
+   */
+  noteBegun({parts}: RequestContent, trial: readonly PromptPartId[]): void {
+    const {state, nowMs} = this.options;
+    if (state.suspects.parts.noteBegun(parts, nowMs())) this.publishChanges();
+    if (trial.length > 0) void this.parts.passTrial(trial);
+  }
+
   /**
    * Handles a failure to connect. It is the endpoint's only if this instance has
    * reached another one since the answer broke off: an instance that lost its
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -162,10 +162,17 @@
 
   /** Whether the request has crashed endpoints, by what is known meanwhile. */
   private isRefusedAsSuspect(): boolean {
-    const decision = this.context.crashes.classify(this.request.fingerprint);
-    if (decision.kind !== 'refuse') return false;
-    this.lastReason = 'suspected_crash';
-    this.minRetryAfterMs = decision.retryAfterMs;
+    const {crashes} = this.context;
+    const {fingerprint, parts} = this.request.content;
+    const decision = crashes.classify(fingerprint);
+    if (decision.kind === 'refuse') {
+      this.lastReason = 'suspected_crash';
+      this.minRetryAfterMs = decision.retryAfterMs;
+      return true;
+    }
+    // A trial is one attempt.
+    if (crashes.parts.mayRun(parts)) return false;
+    this.lastReason = 'suspected_part';
     return true;
   }
 
@@ -257,7 +264,8 @@
     if (headMs !== undefined)
       metrics.observeHeadWait(endpoint.service, group?.side ?? 'none', headMs);
     const durationMs = nowMs() - startedAtMs;
-    this.settle({endpoint, result, durationMs, path, ending});
+    const {hasBegun} = attempt;
+    this.settle({endpoint, result, durationMs, path, ending, hasBegun});
     return result;
   }
 
@@ -281,6 +289,7 @@
       request,
       writer,
       placed,
+      trial: request.trial,
       maySwitch: () => this.maySwitch(),
       isLast: () => this.listUntried().length === 0,
       onBegun: () => this.noteBegun(),
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -4,11 +4,11 @@
 import type {ConnectTimeout} from '@snipestage/routing/connect_timeout.js';
 import type {EndpointOutcome} from '@snipestage/routing/endpoint_monitor.js';
 import type {StreamOrigin} from '@snipestage/routing/stream_origin.js';
-import type {DataCentreId, Fingerprint} from '@snipestage/types/ids.js';
+import type {DataCentreId, PromptPartId} from '@snipestage/types/ids.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import type {Admission} from './admission.js';
 import type {WholeAnswer} from './answer_writer.js';
-import type {CrashReporter} from './crash_reporter.js';
+import type {CrashReporter, RequestContent} from './crash_reporter.js';
 import type {EndpointConnector} from './endpoint_connector.js';
 import type {EndpointProbes} from './endpoint_probes.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
@@ -46,7 +46,9 @@
   readonly path: string;
   readonly rawHeaders: readonly string[];
   readonly body: Buffer | undefined;
-  readonly fingerprint: Fingerprint;
+  readonly content: RequestContent;
+  /** Suspect parts of the prompt of which the request is a trial. */
+  readonly trial: readonly PromptPartId[];
   /** Of the stream that the caller takes up; undefined if it takes up none. */
   readonly origin: StreamOrigin | undefined;
   readonly arrivedAtMs: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import type {DataCentreId, FencingToken} from '@snipestage/types/ids.js';
 import {CallersServer} from './callers_server.js';
 import {CrashReporter} from './crash_reporter.js';
+import {PartGuard} from './part_guard.js';
 import {Duties} from './duties.js';
 import {EndpointPaths} from './endpoint_paths.js';
 import {EndpointProbes} from './endpoint_probes.js';
@@ -93,8 +94,16 @@
       logger: logger.forComponent('facts'),
       nowMs,
     }));
+    const parts = new PartGuard({
+      suspects: this.state.suspects.parts,
+      platform,
+      logger: logger.forComponent('crashes'),
+      metrics: options.metrics,
+      nowMs,
+    });
     const crashes = (this.crashes = new CrashReporter({
       state: this.state,
+      parts,
       instance: settings.instance,
       incarnation: this.incarnation,
       logger: logger.forComponent('crashes'),
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -130,6 +130,12 @@
     labelNames: ['observed'],
     registers: [this.registry],
   });
+  private readonly suspectParts = new Counter({
+    name: 'snipestage_suspect_parts_total',
+    help: 'Requests with parts of prompts that may crash endpoints, by decision.',
+    labelNames: ['decision'],
+    registers: [this.registry],
+  });
   private readonly suspects = new Counter({
     name: 'snipestage_suspect_requests_total',
     help: 'Requests that were in flight at a crash, by how they were treated.',
@@ -253,6 +259,10 @@
     this.suspects.inc({decision});
   }
 
+  countSuspectParts(decision: 'refuse' | 'trial'): void {
+    this.suspectParts.inc({decision});
+  }
+
   /** @param outcome `open`, or why there was none. */
   countConnection(path: ConnectionPath, outcome: string): void {
     this.connections.inc({path, outcome});
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -2,7 +2,6 @@
 
 import {abbreviate} from '@snipestage/entry/identify/fingerprint.js';
 import type {AnswerEnding} from '@snipestage/connection/answer_end.js';
-import {listSharedParts} from '@snipestage/routing/prompt.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {ConnectionPath} from './endpoint_connection.js';
 import type {
@@ -27,6 +26,8 @@
   readonly path: ConnectionPath | undefined;
   /** Undefined when no answer was read up to its end. */
   readonly ending: AnswerEnding | undefined;
+  /** Whether the answer got beyond its first event. */
+  readonly hasBegun: boolean;
 }
 
 /**
@@ -50,7 +51,7 @@
 
 function recordAnswer(
   {state, crashes, metrics, nowMs}: ExchangeContext,
-  {fingerprint, admission}: ReadRequest,
+  {content, admission}: ReadRequest,
   {endpoint, durationMs, path}: AttemptOutcome,
 ): void {
   const atMs = nowMs();
@@ -58,7 +59,7 @@
   if (path === 'direct') state.reach.noteReached(endpoint.dataCentre);
   state.monitor.note(endpoint.id, 'answered', atMs);
   state.refusalDelayFor(admission.service).noteServed(atMs);
-  crashes.noteAnswered(endpoint, fingerprint, atMs - durationMs);
+  crashes.noteAnswered(endpoint, content, atMs - durationMs);
   if (admission.route.kind !== 'stream') {
     state.monitor.noteDuration(endpoint.id, durationMs);
   }
@@ -67,11 +68,11 @@
 
 function recordFailure(
   context: ExchangeContext,
-  {fingerprint, admission, caller}: ReadRequest,
+  {content, admission, caller}: ReadRequest,
   outcome: AttemptOutcome & {result: FailedResult},
 ): void {
   const {state, crashes, metrics, nowMs} = context;
-  const {endpoint, result, durationMs, ending} = outcome;
+  const {endpoint, result, durationMs, ending, hasBegun} = outcome;
   const atMs = nowMs();
   const {reason, verdict, endpointOutcome, connectionBroke = false} = result;
   recordReach(context, endpoint, reason);
@@ -82,16 +83,16 @@
     state.brittle.noteRejected(endpoint.id, atMs);
   if (reason === 'misdirected') crashes.noteDown(endpoint.id);
   if (MAY_MEAN_DOWN.has(reason)) crashes.noteUnreachable(endpoint.id);
-  if (connectionBroke) crashes.noteBroken(endpoint, fingerprint);
+  if (connectionBroke) crashes.noteBroken(endpoint, content, hasBegun);
   context.logger.info('attempt_failed', {
     requestId: caller.requestId,
-    fingerprint: abbreviate(fingerprint),
+    fingerprint: abbreviate(content.fingerprint),
     endpoint: endpoint.id,
     softwareVersion: endpoint.softwareVersion,
     reason,
     verdict,
     ...ending,
-    ...(connectionBroke ? {parts: listSharedParts(caller.prompt)} : {}),
+    ...(connectionBroke ? {parts: content.parts, hasBegun} : {}),
     durationMs: Math.round(durationMs),
     load: Math.round(state.monitor.estimateLoad(endpoint.id, atMs)),
   });
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {fingerprintOf} from '@snipestage/entry/identify/fingerprint.js';
+import {listSharedParts} from '@snipestage/routing/prompt.js';
 import type {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {StreamOrigin} from '@snipestage/routing/stream_origin.js';
 import type {ClientAccountId, Fingerprint} from '@snipestage/types/ids.js';
@@ -222,6 +223,17 @@
       );
       return undefined;
     }
+    const parts = listSharedParts(caller.prompt);
+    const admittedParts = await this.options.crashes.parts.admit(parts);
+    if (admittedParts.kind === 'refused') {
+      line.reason = 'suspected_part';
+      line.suspectParts = admittedParts.parts;
+      writer.fail(
+        UNAVAILABLE,
+        protocol.composeRetryAfter(admittedParts.retryAfterMs),
+      );
+      return undefined;
+    }
     return new Exchange(
       this.options,
       {
@@ -232,7 +244,8 @@
         path,
         rawHeaders: request.rawHeaders,
         body,
-        fingerprint,
+        content: {fingerprint, parts},
+        trial: admittedParts.trial,
         arrivedAtMs: arrival.readAtMs,
         endsAtMs,
       },
--- a/packages/gateway/src/shared_facts.ts
+++ b/packages/gateway/src/shared_facts.ts
@@ -14,14 +14,17 @@
   type ServiceId,
   type SoftwareVersion,
 } from '@snipestage/types/ids.js';
+import type {TrialCount} from '@snipestage/policy/part_trials.js';
 import {parseJson} from './parse_json.js';
 import {decodeVersions, readVersionsKey} from './streams/stream_rows.js';
 import type {FollowedRow} from './table_follower.js';
+import {decodeTrialRow} from './trial_rows.js';
 import type {CountsValue} from './usage_rows.js';
 
 /** A fact that an instance published. */
 export type SharedFact =
   | {readonly kind: 'crash'; readonly crash: ReportedCrash}
+  | {readonly kind: 'trial'; readonly trial: TrialCount}
   | {
       readonly kind: 'demand';
       readonly service: ServiceId;
@@ -272,6 +275,8 @@
     const count = (value as InstancesValue | undefined)?.count;
     return typeof count === 'number' ? {kind: 'instances', count} : undefined;
   }
+  const trial = decodeTrialRow(row.key, value, row.version);
+  if (trial !== undefined) return {kind: 'trial', trial};
   const versionsOf = readVersionsKey(row.key);
   if (versionsOf !== undefined) {
     const versions = decodeVersions(value);
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -107,7 +107,10 @@
     });
     this.follow('shared', pollMs, {
       replaced: (rows, {isSetBack}) => {
-        if (isSetBack) this.options.relays.noteSetBack();
+        if (isSetBack) {
+          this.options.relays.noteSetBack();
+          this.options.crashes.parts.noteSetBack();
+        }
         this.learnFacts(rows);
         if (isSetBack) this.options.onSetBack();
       },
@@ -253,6 +256,10 @@
         this.options.crashes.mergePublished([fact.crash]);
         continue;
       }
+      if (fact.kind === 'trial') {
+        this.options.crashes.parts.learn(fact.trial);
+        continue;
+      }
       if (fact.kind === 'versions') {
         const {service, versions, rowVersion} = fact;
         this.options.streams.learnVersions(service, versions, rowVersion);
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -2,11 +2,12 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import type {StatedIdentity} from '@snipestage/routing/endpoint_identity.js';
-import type {Prompt, PromptPartId} from '@snipestage/routing/prompt.js';
+import type {Prompt} from '@snipestage/routing/prompt.js';
 import type {Service} from '@snipestage/routing/route.js';
 import {
   brandAs,
   type EndpointId,
+  type PromptPartId,
   type RequestId,
 } from '@snipestage/types/ids.js';
 import {
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -26,6 +26,7 @@
 import {identifyBy} from '../identify_endpoint.js';
 import {EndpointProbes} from '../endpoint_probes.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
+import {PartGuard} from '../part_guard.js';
 import {RequestHandler} from '../request_handler.js';
 import {RoutingState} from '../routing_state.js';
 import {Streams} from '../streams/streams.js';
@@ -334,12 +335,21 @@
       forwarded: undefined,
       nowMs: () => this.nowMs(),
     });
+    const platform = new MemoryPlatform();
+    const parts = new PartGuard({
+      suspects: this.state.suspects.parts,
+      platform,
+      logger,
+      metrics,
+      nowMs: () => this.nowMs(),
+    });
     const handler = new RequestHandler({
       state: this.state,
       protocol,
       dataCentre: DATA_CENTRE,
       crashes: new CrashReporter({
         state: this.state,
+        parts,
         instance: brandAs<InstanceId>('test'),
         incarnation: '1',
         logger,
@@ -358,7 +368,7 @@
         onReplaced: each => this.state.directory.noteGone(each, this.nowMs()),
       }),
       streams: new Streams({
-        platform: new MemoryPlatform(),
+        platform,
         state: this.state,
         logger,
         nowMs: () => this.nowMs(),
--- a/packages/policy/src/crash_count.ts
+++ b/packages/policy/src/crash_count.ts
@@ -26,25 +26,50 @@
  * if (countDistinct(crashes) >= 3) refuse();
  */
 export function countDistinct(crashes: readonly CrashRecord[]): number {
+  return groupByCrash(crashes).length;
+}
+
+/**
+ * Groups what several instances saw of one crash.
+ *
+ * @example
+ * const groups = groupByCrash(records.all());
+ */
+export function groupByCrash(
+  crashes: readonly CrashRecord[],
+): readonly CrashRecord[][] {
   const inOrder = [...crashes].sort((left, right) => left.atMs - right.atMs);
-  const lastAtMs = new Map<EndpointId, number>();
-  const incarnations = new Set<string>();
-  let count = 0;
-  for (const {endpoint, endpointIncarnation, atMs, alone} of inOrder) {
+  const groups: CrashRecord[][] = [];
+  const latest = new Map<EndpointId, CrashRecord[]>();
+  const incarnations = new Map<string, CrashRecord[]>();
+  const begin = (crash: CrashRecord): CrashRecord[] => {
+    const group = [crash];
+    groups.push(group);
+    return group;
+  };
+  for (const crash of inOrder) {
+    const {endpoint, endpointIncarnation, atMs, alone} = crash;
     // No other request was there whose end could report the same crash, and the
     // endpoint may have come back so soon that this crash would otherwise be
     // taken for the previous one.
     if (alone) {
-      count += 1;
+      begin(crash);
       continue;
     }
     if (endpointIncarnation !== undefined) {
-      incarnations.add(`${endpoint}/${endpointIncarnation}`);
+      const key = `${endpoint}/${endpointIncarnation}`;
+      const known = incarnations.get(key);
+      if (known !== undefined) known.push(crash);
+      else incarnations.set(key, begin(crash));
       continue;
     }
-    const last = lastAtMs.get(endpoint);
-    if (last === undefined || atMs - last > SAME_CRASH_WINDOW_MS) count += 1;
-    lastAtMs.set(endpoint, atMs);
+    const known = latest.get(endpoint);
+    const lastAtMs = known?.[known.length - 1].atMs ?? Number.NEGATIVE_INFINITY;
+    if (known !== undefined && atMs - lastAtMs <= SAME_CRASH_WINDOW_MS) {
+      known.push(crash);
+    } else {
+      latest.set(endpoint, begin(crash));
+    }
   }
-  return count + incarnations.size;
+  return groups;
 }
--- a/packages/policy/src/crash_records.ts
+++ b/packages/policy/src/crash_records.ts
@@ -4,7 +4,9 @@
   DataCentreId,
   EndpointId,
   Fingerprint,
+  PromptPartId,
 } from '@snipestage/types/ids.js';
+import {CrashIndex} from './crash_index.js';
 
 /** A crash of an endpoint, as one instance saw it and reports it to others. */
 export interface ReportedCrash {
@@ -18,6 +20,11 @@
   readonly ageMs: number;
   /** Requests that this instance had in flight there. */
   readonly inFlight: readonly Fingerprint[];
+  /**
+   * Parts of prompts whose answers hadn't got beyond their first event; none if
+   * absent.
+   */
+  readonly parts?: readonly PromptPartId[];
   /** The request in flight ran alone at the endpoint; false if absent. */
   readonly alone?: boolean;
   /**
@@ -27,6 +34,8 @@
   readonly isConfirmed?: boolean;
   /** Those of the requests that have since finished. */
   readonly cleared: readonly Fingerprint[];
+  /** Those of the parts with which an answer has begun since; none if absent. */
+  readonly clearedParts?: readonly PromptPartId[];
 }
 
 /** Options of {@link CrashRecords}; defaults in brackets. */
@@ -47,22 +56,28 @@
   readonly dataCentre: DataCentreId;
   readonly atMs: number;
   readonly inFlight: ReadonlySet<Fingerprint>;
+  readonly parts: ReadonlySet<PromptPartId>;
   readonly alone: boolean;
   readonly isConfirmed: boolean;
   readonly cleared: ReadonlySet<Fingerprint>;
+  readonly clearedParts: ReadonlySet<PromptPartId>;
 }
 
 interface StoredCrash extends CrashRecord {
   atMs: number;
   isConfirmed: boolean;
   readonly inFlight: Set<Fingerprint>;
+  readonly parts: Set<PromptPartId>;
   readonly cleared: Set<Fingerprint>;
+  readonly clearedParts: Set<PromptPartId>;
 }
 
 const MINUTE_MS = 60_000;
 const DEFAULT_RETAIN_FOR_MS = 20 * MINUTE_MS;
 const DEFAULT_CONFIRM_WITHIN_MS = 10_000;
 const DEFAULT_MAX_CRASHES = 256;
+/** Bounds a crash's row, whatever number of parts a caller makes up. */
+const MAX_PARTS_OF_CRASH = 256;
 
 /**
  * Merges reports so that instances store the same crashes in whatever order
@@ -70,11 +85,13 @@
  */
 export class CrashRecords {
   private readonly crashes = new Map<string, StoredCrash>();
-  private readonly byFingerprint = new Map<Fingerprint, Set<StoredCrash>>();
+  private readonly byFingerprint = new CrashIndex<Fingerprint, StoredCrash>();
+  private readonly byPart = new CrashIndex<PromptPartId, StoredCrash>();
   private readonly changed = new Set<StoredCrash>();
   private readonly retainForMs: number;
   private readonly confirmWithinMs: number;
   private readonly maxCrashes: number;
+  private changes = 0;
 
   constructor(options: CrashRecordsOptions = {}) {
     this.retainForMs = options.retainForMs ?? DEFAULT_RETAIN_FOR_MS;
@@ -86,6 +103,11 @@
     return this.crashes.size;
   }
 
+  /** Differs after each change; lets callers cache what they work out. */
+  get revision(): number {
+    return this.changes;
+  }
+
   has(id: string): boolean {
     return this.crashes.has(id);
   }
@@ -96,7 +118,12 @@
 
   /** Crashes with a request in flight, those that it is cleared of included. */
   listCrashesOf(fingerprint: Fingerprint): readonly CrashRecord[] {
-    return [...(this.byFingerprint.get(fingerprint) ?? [])];
+    return this.byFingerprint.list(fingerprint);
+  }
+
+  /** Whether a part of a prompt was in any stored crash. */
+  hasCrashesOfPart(part: PromptPartId): boolean {
+    return this.byPart.count(part) > 0;
   }
 
   /**
@@ -118,13 +145,19 @@
       if (!crash.inFlight.has(fingerprint))
         this.addInFlight(crash, fingerprint);
     }
+    for (const part of reported.parts ?? []) this.addPart(crash, part);
     for (const fingerprint of reported.cleared) {
       this.clearOf(crash, fingerprint);
     }
+    for (const part of reported.clearedParts ?? []) {
+      this.clearPartOf(crash, part);
+    }
     if (reported.isConfirmed ?? true) this.confirm(crash);
     return (
       crash.inFlight.size > reported.inFlight.length ||
       crash.cleared.size > reported.cleared.length ||
+      crash.parts.size > (reported.parts ?? []).length ||
+      crash.clearedParts.size > (reported.clearedParts ?? []).length ||
       (crash.isConfirmed && reported.isConfirmed === false)
     );
   }
@@ -143,11 +176,18 @@
 
   /** Clears a request of all stored crashes. */
   clear(fingerprint: Fingerprint): void {
-    for (const crash of this.byFingerprint.get(fingerprint) ?? []) {
+    for (const crash of this.byFingerprint.list(fingerprint)) {
       this.clearOf(crash, fingerprint);
     }
   }
 
+  /** Clears a part of a prompt of all stored crashes up to a time. */
+  clearPart(part: PromptPartId, untilMs: number): void {
+    for (const crash of this.byPart.list(part)) {
+      if (crash.atMs <= untilMs) this.clearPartOf(crash, part);
+    }
+  }
+
   /** Confirms all crashes of an endpoint that aren't confirmed yet. */
   confirmAll(endpoint: EndpointId): readonly CrashRecord[] {
     const found = this.listUnconfirmed(endpoint);
@@ -205,9 +245,11 @@
 
   private weigh(crash: StoredCrash): number {
     if (!crash.isConfirmed) return 0;
-    const isRepeated = [...crash.inFlight].some(
-      fingerprint => (this.byFingerprint.get(fingerprint)?.size ?? 0) > 1,
-    );
+    const isRepeated =
+      [...crash.inFlight].some(each => this.byFingerprint.count(each) > 1) ||
+      [...crash.parts].some(
+        each => !crash.clearedParts.has(each) && this.byPart.count(each) > 1,
+      );
     return isRepeated ? 2 : 1;
   }
 
@@ -225,42 +267,62 @@
       dataCentre: reported.dataCentre,
       atMs,
       inFlight: new Set(),
+      parts: new Set(),
       alone: reported.alone ?? false,
       isConfirmed: reported.isConfirmed ?? true,
       cleared: new Set(),
+      clearedParts: new Set(),
     };
     this.crashes.set(crash.id, crash);
-    this.changed.add(crash);
+    this.noteChange(crash);
     return crash;
   }
 
   private addInFlight(crash: StoredCrash, fingerprint: Fingerprint): void {
     crash.inFlight.add(fingerprint);
-    const known = this.byFingerprint.get(fingerprint) ?? new Set();
-    this.byFingerprint.set(fingerprint, known.add(crash));
-    this.changed.add(crash);
+    this.byFingerprint.add(fingerprint, crash);
+    this.noteChange(crash);
+  }
+
+  private addPart(crash: StoredCrash, part: PromptPartId): void {
+    const isFull = crash.parts.size >= MAX_PARTS_OF_CRASH;
+    if (isFull || crash.parts.has(part)) return;
+    crash.parts.add(part);
+    this.byPart.add(part, crash);
+    this.noteChange(crash);
   }
 
   private clearOf(crash: StoredCrash, fingerprint: Fingerprint): void {
     if (crash.cleared.has(fingerprint)) return;
     crash.cleared.add(fingerprint);
-    this.changed.add(crash);
+    this.noteChange(crash);
+  }
+
+  private clearPartOf(crash: StoredCrash, part: PromptPartId): void {
+    if (!crash.parts.has(part) || crash.clearedParts.has(part)) return;
+    crash.clearedParts.add(part);
+    this.noteChange(crash);
   }
 
   private confirm(crash: StoredCrash): void {
     if (crash.isConfirmed) return;
     crash.isConfirmed = true;
+    this.noteChange(crash);
+  }
+
+  private noteChange(crash: StoredCrash): void {
     this.changed.add(crash);
+    this.changes += 1;
   }
 
   private remove(crash: StoredCrash): void {
     this.crashes.delete(crash.id);
     this.changed.delete(crash);
+    this.changes += 1;
     for (const fingerprint of crash.inFlight) {
-      const known = this.byFingerprint.get(fingerprint);
-      known?.delete(crash);
-      if (known?.size === 0) this.byFingerprint.delete(fingerprint);
+      this.byFingerprint.remove(fingerprint, crash);
     }
+    for (const part of crash.parts) this.byPart.remove(part, crash);
   }
 }
 
@@ -275,5 +337,13 @@
     alone: crash.alone,
     isConfirmed: crash.isConfirmed,
     cleared: [...crash.cleared],
+    ...(crash.parts.size === 0 ? {} : partsOf(crash)),
   };
 }
+
+function partsOf({
+  parts,
+  clearedParts,
+}: CrashRecord): Pick<ReportedCrash, 'parts' | 'clearedParts'> {
+  return {parts: [...parts], clearedParts: [...clearedParts]};
+}
--- a/packages/policy/src/suspects.ts
+++ b/packages/policy/src/suspects.ts
@@ -14,6 +14,7 @@
   DataCentreId,
   EndpointId,
   Fingerprint,
+  PromptPartId,
 } from '@snipestage/types/ids.js';
 import {
   countDistinct,
@@ -26,6 +27,7 @@
   type CrashRecordsOptions,
   type ReportedCrash,
 } from './crash_records.js';
+import {PartSuspects} from './part_suspects.js';
 
 /** How to treat a request. */
 export type SuspectDecision =
@@ -54,6 +56,8 @@
   readonly endpointIncarnation?: number;
   readonly dataCentre: DataCentreId;
   readonly inFlight: readonly Fingerprint[];
+  /** Parts of prompts whose answers hadn't got beyond their first event. */
+  readonly parts?: readonly PromptPartId[];
   readonly alone?: boolean;
 }
 
@@ -82,6 +86,8 @@
  * of one monotonic clock.
  */
 export class SuspectTable {
+  /** Parts of prompts that different requests share. */
+  readonly parts: PartSuspects;
   private readonly records: CrashRecords;
   /** When requests last finished, oldest first. */
   private readonly finishedAtMs = new Map<Fingerprint, number>();
@@ -89,6 +95,7 @@
 
   constructor(options: SuspectTableOptions = {}) {
     this.records = new CrashRecords(options);
+    this.parts = new PartSuspects(this.records, options);
     this.refuseForMs = options.refuseForMs ?? DEFAULT_REFUSE_FOR_MS;
   }
 
@@ -240,8 +247,16 @@
         !crash.cleared.includes(fingerprint) &&
         this.hasJustFinished(fingerprint, nowMs - crash.ageMs),
     );
-    const known = {...crash, cleared: [...crash.cleared, ...cleared]};
-    return this.records.merge(known, nowMs) || cleared.length > 0;
+    const clearedParts = this.parts
+      .findBegunSince(crash.parts ?? [], nowMs - crash.ageMs)
+      .filter(part => !crash.clearedParts?.includes(part));
+    const known = {
+      ...crash,
+      cleared: [...crash.cleared, ...cleared],
+      clearedParts: [...(crash.clearedParts ?? []), ...clearedParts],
+    };
+    const knowsMore = this.records.merge(known, nowMs);
+    return knowsMore || cleared.length > 0 || clearedParts.length > 0;
   }
 
   private hasJustFinished(fingerprint: Fingerprint, atMs: number): boolean {
--- a/packages/routing/src/prefix_holders.test.ts
+++ b/packages/routing/src/prefix_holders.test.ts
@@ -1,7 +1,11 @@
 import test from 'ava';
-import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
+import {
+  brandAs,
+  type EndpointId,
+  type PromptPartId,
+} from '@snipestage/types/ids.js';
 import {PrefixHolders} from './prefix_holders.js';
-import type {Prompt, PromptPartId} from './prompt.js';
+import type {Prompt} from './prompt.js';
 
 const ONE = brandAs<EndpointId>('one');
 const OTHER = brandAs<EndpointId>('other');
--- a/packages/routing/src/prefix_holders.ts
+++ b/packages/routing/src/prefix_holders.ts
@@ -1,7 +1,7 @@
 /** Remembers to which engine each shared part of a prompt was last sent. */
 
-import type {EndpointId} from '@snipestage/types/ids.js';
-import type {Prompt, PromptPartId} from './prompt.js';
+import type {EndpointId, PromptPartId} from '@snipestage/types/ids.js';
+import type {Prompt} from './prompt.js';
 
 /** Options of {@link PrefixHolders}; default in brackets. */
 export interface PrefixHoldersOptions {
--- a/packages/routing/src/prompt.ts
+++ b/packages/routing/src/prompt.ts
@@ -1,9 +1,6 @@
 /** Description of a prompt by the request for a model engine. */
 
-import type {Branded} from '@snipestage/types/ids.js';
-
-/** Identifies a part of a prompt; requests share parts. */
-export type PromptPartId = Branded<string, 'PromptPartId'>;
+import type {PromptPartId} from '@snipestage/types/ids.js';
 
 export interface PromptPart {
   readonly id: PromptPartId;
--- a/packages/routing/src/simulation/split_simulation.ts
+++ b/packages/routing/src/simulation/split_simulation.ts
@@ -4,13 +4,14 @@
   brandAs,
   type DataCentreId,
   type EndpointId,
+  type PromptPartId,
   type ServiceId,
 } from '@snipestage/types/ids.js';
 import {DataCentreReach} from '../data_centre_reach.js';
 import {DemandMeter, DemandSource, type RouteDemand} from '../demand_meter.js';
 import {EndpointMonitor} from '../endpoint_monitor.js';
 import {LoadView, type LoadReading} from '../load_view.js';
-import type {Prompt, PromptPartId} from '../prompt.js';
+import type {Prompt} from '../prompt.js';
 import {PromptPlacement} from '../prompt_placement.js';
 import type {Route} from '../route.js';
 import type {EndpointAddress, ServingEndpoint} from '../serving_endpoint.js';
--- a/packages/routing/src/test_support/fixtures.ts
+++ b/packages/routing/src/test_support/fixtures.ts
@@ -4,9 +4,10 @@
   brandAs,
   type DataCentreId,
   type EndpointId,
+  type PromptPartId,
   type ServiceId,
 } from '@snipestage/types/ids.js';
-import type {Prompt, PromptPartId} from '../prompt.js';
+import type {Prompt} from '../prompt.js';
 import type {Route, RouteId, RoutingConfiguration} from '../route.js';
 import type {EndpointAddress, ServingEndpoint} from '../serving_endpoint.js';
 
--- a/packages/types/src/ids.ts
+++ b/packages/types/src/ids.ts
@@ -33,6 +33,8 @@
 export type KeyHash = Branded<string, 'KeyHash'>;
 /** Hash of the client account and the content of a request. */
 export type Fingerprint = Branded<string, 'Fingerprint'>;
+/** Identifies a part of a prompt; different requests may share parts. */
+export type PromptPartId = Branded<string, 'PromptPartId'>;
 export type OrderId = Branded<string, 'OrderId'>;
 export type LeaseName = Branded<string, 'LeaseName'>;
 export type UsageWindowId = Branded<string, 'UsageWindowId'>;
