--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -69,6 +69,7 @@
       this.noteDuration();
       this.noteUnbegun();
       this.noteWait();
+      this.returnTrial();
     }
   }
 
@@ -170,12 +171,23 @@
       this.minRetryAfterMs = decision.retryAfterMs;
       return true;
     }
-    // A trial is one attempt.
-    if (crashes.parts.mayRun(parts)) return false;
+    const trial = this.hasReachedEndpoint ? [] : this.request.trial;
+    if (crashes.parts.mayRun(parts, trial)) return false;
     this.lastReason = 'suspected_part';
     return true;
   }
 
+  private get hasReachedEndpoint(): boolean {
+    return this.verdict !== 'not_run' || this.history.offers > 0;
+  }
+
+  /** A trial that no endpoint got has shown nothing. */
+  private returnTrial(): void {
+    const {trial} = this.request;
+    if (trial.length === 0 || this.hasReachedEndpoint) return;
+    void this.context.crashes.parts.returnTrial(trial);
+  }
+
   /** Records why no endpoint could be tried at all. */
   private noteNoEndpoint(): void {
     const {state, nowMs} = this.context;
--- a/packages/gateway/src/part_guard.ts
+++ b/packages/gateway/src/part_guard.ts
@@ -72,11 +72,22 @@
 
   /** The trial's answer has begun; later trials count from the first again. */
   async passTrial(parts: readonly PromptPartId[]): Promise<void> {
+    await this.lower(parts, () => 0);
+  }
+
+  /** No endpoint got the trial; another request may be it. */
+  async returnTrial(parts: readonly PromptPartId[]): Promise<void> {
+    await this.lower(parts, count => count - 1);
+  }
+
+  private async lower(
+    parts: readonly PromptPartId[],
+    change: (count: number) => number,
+  ): Promise<void> {
     const counts = parts
       .map(part => this.trials.readCount(part))
       .filter(({count}) => count > 0);
-    if (counts.length === 0) return;
-    await this.write(counts, () => 0);
+    if (counts.length > 0) await this.write(counts, change);
   }
 
   learn(count: TrialCount): void {
