Accuse parts that answers have begun with after all others

Instances now publish with a crash which of its parts answers have begun with before. Those are accused of crashes that no other suspect explains: after three in which nothing else can be the cause, or six. A trial of such a part that crashes beside a more likely cause doesn't count, and there are three trials, the last one after half a minute.

--- a/packages/gateway/src/part_guard.ts
+++ b/packages/gateway/src/part_guard.ts
@@ -4,13 +4,15 @@
 import type {Platform} from '@snipestage/platform/platform.js';
 import type {PartSuspects} from '@snipestage/policy/part_suspects.js';
 import {PartTrials, type TrialCount} from '@snipestage/policy/part_trials.js';
-import type {PromptPartId} from '@snipestage/types/ids.js';
+import type {EndpointId, PromptPartId} from '@snipestage/types/ids.js';
 import type {RowCheck} from '@snipestage/types/table.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {composeTrialRow, decodeTrialRow} from './trial_rows.js';
 
 /** Time in which a trial begins an answer or crashes its endpoint. */
 const TRIAL_RETRY_AFTER_MS = 1000;
+/** Time in which all instances have reported a crash. */
+const REVIEW_AFTER_MS = 1500;
 const NO_PARTS: readonly PromptPartId[] = [];
 
 /** Whether a request may be sent, by the parts of its prompt. */
@@ -75,6 +77,23 @@
     await this.lower(parts, () => 0);
   }
 
+  /**
+   * The trial's answer broke off. If its endpoint may have crashed for another
+   * reason, it has shown nothing; what was there is known once all instances
+   * have reported it.
+   */
+  async reviewTrial(
+    parts: readonly PromptPartId[],
+    endpoint: EndpointId,
+  ): Promise<void> {
+    await new Promise(resolve => {
+      setTimeout(resolve, REVIEW_AFTER_MS).unref();
+    });
+    if (this.options.suspects.isInDoubt(parts, endpoint)) {
+      await this.returnTrial(parts);
+    }
+  }
+
   /** No endpoint got the trial; another request may be it. */
   async returnTrial(parts: readonly PromptPartId[]): Promise<void> {
     await this.lower(parts, count => count - 1);
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -68,7 +68,7 @@
 
 function recordFailure(
   context: ExchangeContext,
-  {content, admission, caller}: ReadRequest,
+  {content, trial, admission, caller}: ReadRequest,
   outcome: AttemptOutcome & {result: FailedResult},
 ): void {
   const {state, crashes, metrics, nowMs} = context;
@@ -83,7 +83,11 @@
     state.brittle.noteRejected(endpoint.id, atMs);
   if (reason === 'misdirected') crashes.noteDown(endpoint.id);
   if (MAY_MEAN_DOWN.has(reason)) crashes.noteUnreachable(endpoint.id);
-  if (connectionBroke) crashes.noteBroken(endpoint, content, hasBegun);
+  if (connectionBroke) {
+    crashes.noteBroken(endpoint, content, hasBegun);
+    if (trial.length > 0 && !hasBegun)
+      void crashes.parts.reviewTrial(trial, endpoint.id);
+  }
   context.logger.info('attempt_failed', {
     requestId: caller.requestId,
     fingerprint: abbreviate(content.fingerprint),
--- a/packages/policy/src/crash_records.ts
+++ b/packages/policy/src/crash_records.ts
@@ -36,6 +36,8 @@
   readonly cleared: readonly Fingerprint[];
   /** Those of the parts with which an answer has begun since; none if absent. */
   readonly clearedParts?: readonly PromptPartId[];
+  /** Those of the parts with which answers had begun before; none if absent. */
+  readonly provenParts?: readonly PromptPartId[];
 }
 
 /** Options of {@link CrashRecords}; defaults in brackets. */
@@ -61,6 +63,7 @@
   readonly isConfirmed: boolean;
   readonly cleared: ReadonlySet<Fingerprint>;
   readonly clearedParts: ReadonlySet<PromptPartId>;
+  readonly provenParts: ReadonlySet<PromptPartId>;
 }
 
 interface StoredCrash extends CrashRecord {
@@ -70,6 +73,7 @@
   readonly parts: Set<PromptPartId>;
   readonly cleared: Set<Fingerprint>;
   readonly clearedParts: Set<PromptPartId>;
+  readonly provenParts: Set<PromptPartId>;
 }
 
 const MINUTE_MS = 60_000;
@@ -152,12 +156,14 @@
     for (const part of reported.clearedParts ?? []) {
       this.clearPartOf(crash, part);
     }
+    for (const part of reported.provenParts ?? []) this.prove(crash, part);
     if (reported.isConfirmed ?? true) this.confirm(crash);
     return (
       crash.inFlight.size > reported.inFlight.length ||
       crash.cleared.size > reported.cleared.length ||
       crash.parts.size > (reported.parts ?? []).length ||
       crash.clearedParts.size > (reported.clearedParts ?? []).length ||
+      crash.provenParts.size > (reported.provenParts ?? []).length ||
       (crash.isConfirmed && reported.isConfirmed === false)
     );
   }
@@ -272,6 +278,7 @@
       isConfirmed: reported.isConfirmed ?? true,
       cleared: new Set(),
       clearedParts: new Set(),
+      provenParts: new Set(),
     };
     this.crashes.set(crash.id, crash);
     this.noteChange(crash);
@@ -304,6 +311,12 @@
     this.noteChange(crash);
   }
 
+  private prove(crash: StoredCrash, part: PromptPartId): void {
+    if (!crash.parts.has(part) || crash.provenParts.has(part)) return;
+    crash.provenParts.add(part);
+    this.noteChange(crash);
+  }
+
   private confirm(crash: StoredCrash): void {
     if (crash.isConfirmed) return;
     crash.isConfirmed = true;
@@ -344,6 +357,11 @@
 function partsOf({
   parts,
   clearedParts,
-}: CrashRecord): Pick<ReportedCrash, 'parts' | 'clearedParts'> {
-  return {parts: [...parts], clearedParts: [...clearedParts]};
+  provenParts,
+}: CrashRecord): Pick<ReportedCrash, 'parts' | 'clearedParts' | 'provenParts'> {
+  return {
+    parts: [...parts],
+    clearedParts: [...clearedParts],
+    provenParts: [...provenParts],
+  };
 }
--- a/packages/policy/src/part_suspects.test.ts
+++ b/packages/policy/src/part_suspects.test.ts
@@ -102,6 +102,34 @@
   t.deepEqual(refused(table, 0, 'rare', 'bad'), ['bad']);
 });
 
+test('what answers have begun with is accused after what none has', t => {
+  // Guards against refusing all prompts, as their first part was in the crashes
+  // of several bad ones.
+  const table = new SuspectTable();
+  table.parts.noteBegun([part('all')], 0);
+  const crashes = ['bad', 'bad', 'bad', 'worse', 'worse', 'worst'].map(
+    (name, index) => crashOf(`e${index}`, ['all', name]),
+  );
+  table.merge(crashes, 10);
+  t.deepEqual(refused(table, 10, 'all', 'bad', 'worse'), ['bad']);
+  const known = table.readAll(10);
+  t.deepEqual(known[0].provenParts, [part('all')]);
+  const isInDoubt = (name: string, endpoint: string) =>
+    table.parts.isInDoubt([part(name)], brandAs<EndpointId>(endpoint));
+  t.true(isInDoubt('all', 'e0'));
+  t.false(isInDoubt('bad', 'e0'));
+  t.false(isInDoubt('all', 'e5'), 'beside a part that came once');
+});
+
+test('a part that begins to crash endpoints is found beside new ones', t => {
+  // Guards against explaining all crashes by parts that come only once.
+  const table = new SuspectTable();
+  table.parts.noteBegun([part('turned')], 0);
+  for (let index = 0; index < 6; index += 1)
+    table.merge([crashOf(`e${index}`, ['turned', `new-${index}`])], 10);
+  t.deepEqual(refused(table, 10, 'turned', 'new-1'), ['turned']);
+});
+
 test('two parts that crash endpoints are both found', t => {
   // Guards against explaining crashes by the first part that is found.
   const table = new SuspectTable();
--- a/packages/policy/src/part_suspects.ts
+++ b/packages/policy/src/part_suspects.ts
@@ -5,12 +5,17 @@
  * sound requests, which must not be refused with them.
  */
 
-import type {PromptPartId} from '@snipestage/types/ids.js';
+import type {EndpointId, PromptPartId} from '@snipestage/types/ids.js';
 import {groupByCrash, isConfirmed} from './crash_count.js';
 import type {CrashRecord, CrashRecords} from './crash_records.js';
 
 /** Crashes from which on a part is refused. */
 const MAX_CRASH_COUNT = 3;
+/**
+ * Crashes from which on a part is refused with which answers have begun, though
+ * parts that no answer has begun with were at each of these crashes too.
+ */
+const MAX_DOUBTFUL_CRASH_COUNT = 6;
 /** Those of them in which the endpoint has to have been found down. */
 const MIN_CONFIRMED_COUNT = 2;
 
@@ -40,6 +45,8 @@
   readonly atMs: number;
   readonly isConfirmed: boolean;
   readonly parts: ReadonlySet<PromptPartId>;
+  /** Those of them with which an answer had begun before. */
+  readonly proven: ReadonlySet<PromptPartId>;
 }
 
 /** Times are milliseconds of one monotonic clock. */
@@ -80,6 +87,28 @@
     return this.records.revision !== revision;
   }
 
+  /** Those of the parts with which an answer has begun at some time. */
+  findProven(parts: readonly PromptPartId[]): readonly PromptPartId[] {
+    return parts.filter(part => this.begunAtMs.has(part));
+  }
+
+  /**
+   * Whether these parts, with which answers have begun, are less likely the
+   * cause of an endpoint's latest crash than another part: one that was in
+   * several crashes, and that no answer has begun with.
+   */
+  isInDoubt(parts: readonly PromptPartId[], endpoint: EndpointId): boolean {
+    const all = this.records.all();
+    const crashes = all.filter(crash => crash.endpoint === endpoint);
+    const latest = listIncidents(crashes).at(-1);
+    if (latest === undefined) return false;
+    if (!parts.every(part => latest.proven.has(part))) return false;
+    const counted = countByPart(listIncidents(all));
+    return listUnproven(latest).some(part =>
+      counted.some(each => each.part === part && each.incidents.length > 1),
+    );
+  }
+
   /** Those of the parts with which an answer has begun since a crash. */
   findBegunSince(
     parts: readonly PromptPartId[],
@@ -136,7 +165,9 @@
 /**
  * The fewest parts that explain all repeated crashes: the one in most crashes
  * first, then the one in most of the crashes left, and so on. What was beside it
- * at the same crashes isn't accused, unless it was at all of them.
+ * at the same crashes isn't accused, unless it was at all of them. Parts with
+ * which answers have begun come last: most of what sound requests share is in
+ * all crashes.
  *
  * @returns the time of the last crash of each of them.
  * @example
@@ -145,15 +176,41 @@
 export function findSuspectParts(
   crashes: readonly CrashRecord[],
 ): ReadonlyMap<PromptPartId, number> {
+  const incidents = listIncidents(crashes);
+  const proven = new Set(incidents.flatMap(each => [...each.proven]));
   const found = new Map<PromptPartId, number>();
-  let unexplained = listIncidents(crashes);
+  const rest = explain(incidents, found, each => !proven.has(each.part));
+  explain(
+    rest,
+    found,
+    each =>
+      each.incidents.length >= MAX_DOUBTFUL_CRASH_COUNT ||
+      isCause({
+        ...each,
+        incidents: each.incidents.filter(
+          incident => listUnproven(incident).length === 0,
+        ),
+      }),
+  );
+  return found;
+}
+
+/** @returns the crashes that are left unexplained. */
+function explain(
+  incidents: readonly Incident[],
+  found: Map<PromptPartId, number>,
+  mayAccuse: (counted: PartIncidents) => boolean,
+): readonly Incident[] {
+  let unexplained = incidents;
   for (;;) {
-    const counted = countByPart(unexplained).filter(isCause);
-    if (counted.length === 0) return found;
-    const most = Math.max(...counted.map(({incidents}) => incidents.length));
+    const counted = countByPart(unexplained).filter(
+      each => isCause(each) && mayAccuse(each),
+    );
+    if (counted.length === 0) return unexplained;
+    const most = Math.max(...counted.map(each => each.incidents.length));
     const likeliest = counted.filter(each => each.incidents.length === most);
-    for (const {part, incidents} of likeliest) {
-      found.set(part, Math.max(...incidents.map(({atMs}) => atMs)));
+    for (const each of likeliest) {
+      found.set(each.part, Math.max(...each.incidents.map(({atMs}) => atMs)));
     }
     unexplained = unexplained.filter(
       ({parts}) => !likeliest.some(({part}) => parts.has(part)),
@@ -161,6 +218,10 @@
   }
 }
 
+function listUnproven({parts, proven}: Incident): PromptPartId[] {
+  return [...parts].filter(part => !proven.has(part));
+}
+
 interface PartIncidents {
   readonly part: PromptPartId;
   readonly incidents: readonly Incident[];
@@ -195,6 +256,7 @@
       atMs: Math.max(...pieces.map(({atMs}) => atMs)),
       isConfirmed: pieces.some(isConfirmed),
       parts: new Set(all.filter(part => !cleared.has(part))),
+      proven: new Set(pieces.flatMap(piece => [...piece.provenParts])),
     };
   });
 }
--- a/packages/policy/src/part_trials.test.ts
+++ b/packages/policy/src/part_trials.test.ts
@@ -23,8 +23,8 @@
   t.is(trials.waitMs([BAD], 1100), 4000);
   t.is(trials.waitMs([BAD, OTHER], 5100), 0);
   trials.learn(counted(2, 6), 5100);
-  t.is(trials.waitMs([BAD], 5100), 600_000);
-  trials.learn(counted(3, 7), 605_100);
+  t.is(trials.waitMs([BAD], 5100), 30_000);
+  trials.learn(counted(3, 7), 35_100);
   t.is(trials.waitMs([BAD], 10_000_000), undefined);
 });
 
--- a/packages/policy/src/part_trials.ts
+++ b/packages/policy/src/part_trials.ts
@@ -18,12 +18,12 @@
 export interface PartTrialsOptions {
   /**
    * Time from one trial to the next; there are no more of them (none before the
-   * first, 5 seconds, 10 minutes).
+   * first, 5 seconds, 30 seconds).
    */
   readonly delaysMs?: readonly number[];
 }
 
-const DEFAULT_DELAYS_MS: readonly number[] = [0, 5000, 600_000];
+const DEFAULT_DELAYS_MS: readonly number[] = [0, 5000, 30_000];
 
 interface KnownCount {
   readonly count: number;
--- a/packages/policy/src/suspects.ts
+++ b/packages/policy/src/suspects.ts
@@ -254,6 +254,10 @@
       ...crash,
       cleared: [...crash.cleared, ...cleared],
       clearedParts: [...(crash.clearedParts ?? []), ...clearedParts],
+      provenParts: [
+        ...(crash.provenParts ?? []),
+        ...this.parts.findProven(crash.parts ?? []),
+      ],
     };
     const knowsMore = this.records.merge(known, nowMs);
     return knowsMore || cleared.length > 0 || clearedParts.length > 0;
--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -19,6 +19,7 @@
   WithdrawnKeys,
 } from './changes.js';
 import type {Check, Finding} from './check.js';
+import {CrashingParts, SoundBesideCrashingParts} from './crashing_parts.js';
 import {CrashingRequests} from './crashing_requests.js';
 import {OneFigure, OneHolder} from './duties.js';
 import {ServedWhenCut} from './instance_cuts.js';
@@ -48,6 +49,8 @@
   new RateLimits(),
   new FewFalls(),
   new CrashingRequests(),
+  new CrashingParts(),
+  new SoundBesideCrashingParts(),
   new Backoffs(),
   new WithdrawnKeys(),
   new LeavingEndpoints(),
--- a/packages/soak/src/crash_mutations.ts
+++ b/packages/soak/src/crash_mutations.ts
@@ -1,6 +1,6 @@
 /** Seeded faults in the handling of requests that crash endpoints. */
 
-import {CRASHING_REQUEST} from './fault_plan.js';
+import {CRASHING_PART, CRASHING_REQUEST} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 
 export const CRASH_MUTANTS: readonly Mutant[] = [
@@ -33,4 +33,50 @@
       },
     ],
   },
+  {
+    name: 'holds_crashes_against_whole_prompts',
+    check: 'crashing_parts',
+    kinds: [CRASHING_PART],
+    edits: [
+      {
+        module: 'gateway/dist/crash_reporter.js',
+        from: 'parts: hasBegun ? [] : parts,',
+        to: 'parts: [],',
+      },
+    ],
+  },
+  {
+    name: 'never_clears_parts',
+    check: 'sound_beside_crashing_parts',
+    kinds: [CRASHING_PART],
+    edits: [
+      {
+        module: 'policy/dist/part_suspects.js',
+        from: 'this.records.clearPart(part, nowMs);',
+        to: '',
+      },
+      {
+        module: 'policy/dist/suspects.js',
+        from: '.findBegunSince(crash.parts ?? [], nowMs - crash.ageMs)',
+        to: '.findBegunSince([], nowMs - crash.ageMs)',
+      },
+    ],
+  },
+  {
+    name: 'tries_suspect_parts_without_end',
+    check: 'crashing_parts',
+    kinds: [CRASHING_PART],
+    edits: [
+      {
+        module: 'policy/dist/part_trials.js',
+        from: 'return undefined;',
+        to: 'return 0;',
+      },
+      {
+        module: 'policy/dist/part_trials.js',
+        from: '[0, 5000, 600_000]',
+        to: '[]',
+      },
+    ],
+  },
 ];
--- a/packages/soak/src/crashing_requests.ts
+++ b/packages/soak/src/crashing_requests.ts
@@ -1,6 +1,10 @@
 /** Draws when callers repeat requests that crash endpoints. */
 
-import {CRASHING_REQUEST, type PlannedFault} from './fault_plan.js';
+import {
+  CRASHING_PART,
+  CRASHING_REQUEST,
+  type PlannedFault,
+} from './fault_plan.js';
 import {drawSequentialFaults} from './sequential_faults.js';
 
 /** Options of {@link drawCrashingRequests}. */
@@ -14,6 +18,7 @@
 const REQUESTS_AT_A_TIME = 2;
 /** The generator draws similar numbers from neighbouring seeds. */
 const SEED_DISTANCE = 54_321;
+const PART_SEED_DISTANCE = 98_765;
 
 /**
  * Draws requests that crash endpoints, each repeated for longer than it may
@@ -38,3 +43,24 @@
     }),
   ).flat();
 }
+
+/**
+ * Draws when prompts come with a part that crashes engines, for longer than it
+ * may take until all instances have to refuse it.
+ *
+ * @example
+ * const faults = drawCrashingParts({seed: 7, forMs: 20_000});
+ */
+export function drawCrashingParts(
+  options: CrashingRequestsOptions,
+): PlannedFault[] {
+  return drawSequentialFaults({
+    kind: CRASHING_PART,
+    seed: options.seed + PART_SEED_DISTANCE,
+    forMs: options.forMs,
+    targetCount: 1,
+    firstAtMs: 1500,
+    durationRangeMs: [10_000, 14_000],
+    intervalRangeMs: [2000, 5000],
+  });
+}
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -65,6 +65,9 @@
 /** A caller repeats a request that crashes each endpoint that runs it. */
 export const CRASHING_REQUEST = 'crashing_request';
 
+/** Callers send different prompts with a part that crashes each engine. */
+export const CRASHING_PART = 'crashing_part';
+
 /** The store comes back from a copy some seconds old. */
 export const STORE_SET_BACK = 'store_set_back';
 
@@ -84,6 +87,7 @@
   | typeof UNLISTED_LEAVING
   | typeof BACKOFF
   | typeof CRASHING_REQUEST
+  | typeof CRASHING_PART
   | typeof STORE_SET_BACK
   | typeof INSTANCE_CUT
   | typeof BRITTLE_SERVICE
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -70,6 +70,8 @@
   /** The configuration's marker whose route it uses, if any. */
   readonly marker: number | undefined;
   readonly callerTimeoutMs: number;
+  /** Parts of its prompt that other requests share (none). */
+  readonly sharedParts?: readonly string[];
   readonly sentAtMs: number;
   /** When the connection that carried it was opened. */
   connectedAtMs?: number;
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,13 +5,14 @@
 import {drawBrittleServices} from './brittle_services.js';
 import {checkAll} from './checks/all_checks.js';
 import type {Finding} from './checks/check.js';
-import {drawCrashingRequests} from './crashing_requests.js';
+import {drawCrashingParts, drawCrashingRequests} from './crashing_requests.js';
 import {drawEvacuations} from './evacuations.js';
 import {
   drawFaultPlan,
   EVACUATE,
   RATE_LIMIT,
   BACKOFF,
+  CRASHING_PART,
   CRASHING_REQUEST,
   BRITTLE_SERVICE,
   INSTANCE_CUT,
@@ -156,6 +157,7 @@
     [UNLISTED_LEAVING, () => drawUnlistedLeavings(announcing)],
     [BACKOFF, () => drawBackoffs(announcing)],
     [CRASHING_REQUEST, () => drawCrashingRequests({seed, forMs})],
+    [CRASHING_PART, () => drawCrashingParts({seed, forMs})],
     [STORE_SET_BACK, () => drawStoreSetBacks({seed, forMs})],
     [BRITTLE_SERVICE, () => drawBrittleServices({seed, forMs})],
     [INSTANCE_CUT, () => drawInstanceCuts({seed, forMs})],
--- a/packages/soak/src/world/caller.ts
+++ b/packages/soak/src/world/caller.ts
@@ -80,6 +80,7 @@
           callerTimeoutMs: request.callerTimeoutMs,
           key: request.key,
           promptTokens,
+          promptParts: composeParts(request),
           takesUp: request.takesUp,
         }),
       });
@@ -132,3 +133,7 @@
     bodyDigest: digest(Buffer.concat(chunks)),
   };
 }
+
+function composeParts({sharedParts = [], requestId}: SentRequest): string[] {
+  return sharedParts.length === 0 ? [] : [...sharedParts, requestId];
+}
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -7,6 +7,7 @@
   EVACUATE,
   RATE_LIMIT,
   BACKOFF,
+  CRASHING_PART,
   CRASHING_REQUEST,
   BRITTLE_SERVICE,
   INSTANCE_CUT,
@@ -123,6 +124,9 @@
     } else if (kind === CRASHING_REQUEST) {
       this.logFault(kind, 'store', durationMs);
       this.endAfter(durationMs, this.traffic.repeatCrashing());
+    } else if (kind === CRASHING_PART) {
+      this.logFault(kind, 'store', durationMs);
+      this.endAfter(durationMs, this.traffic.sendCrashingPart());
     } else if (kind === VERSION_RELEASE) {
       this.release(fault);
     } else if (kind === UNLISTED_LEAVING) {
--- a/packages/soak/src/world/request_draw.ts
+++ b/packages/soak/src/world/request_draw.ts
@@ -51,8 +51,14 @@
  */
 const LONGEST_LONG_STREAM_MS = 5000;
 
+/** First part of all prompts, and the number of the parts that follow it. */
+const FIRST_PART = 'system';
+const TOPICS = 4;
+
 /** Draws and numbers the requests of a run. */
 export class RequestDraw {
+  /** Whether prompts are sent with their parts. */
+  sendsParts = false;
   private drawnCount = 0;
 
   constructor(private readonly options: RequestDrawOptions) {}
@@ -106,6 +112,16 @@
     return this.compose(instance, this.pick(ROUTES), query, timeoutMs);
   }
 
+  /** Draws a prompt with a part that crashes each engine that begins it. */
+  drawCrashingPart(instance: Instance, part: string): DrawnRequest {
+    const query = `&${CRASH_PARAMETER}=1`;
+    const [route] = ROUTES.filter(({kind}) => kind === 'stream');
+    const timeoutMs = this.pick(CALLER_TIMEOUTS_MS);
+    const drawn = this.compose(instance, route, query, timeoutMs);
+    const sharedParts = [...(drawn.request.sharedParts ?? []), part];
+    return {...drawn, request: {...drawn.request, sharedParts}};
+  }
+
   /** The same request, sent again to an instance. */
   repeat(drawn: DrawnRequest, instance: Instance): DrawnRequest {
     this.drawnCount += 1;
@@ -167,6 +183,7 @@
   ): DrawnRequest {
     const {operator, nowMs, seed} = this.options;
     const body = route.kind === 'idempotent' ? '' : this.drawBody();
+    const isStream = route.kind === 'stream';
     this.drawnCount += 1;
     const request: SentRequest = {
       requestId: `r${seed}-${this.drawnCount}`,
@@ -180,9 +197,11 @@
       ...this.pick(operator.keys),
       marker: undefined,
       callerTimeoutMs,
+      ...(isStream && this.sendsParts
+        ? {sharedParts: [FIRST_PART, `topic-${this.drawnCount % TOPICS}`]}
+        : {}),
       sentAtMs: nowMs(),
     };
-    const isStream = route.kind === 'stream';
     const promptTokens = isStream ? this.pick(PROMPT_TOKEN_COUNTS) : undefined;
     return {
       request,
--- a/packages/soak/src/world/traffic.ts
+++ b/packages/soak/src/world/traffic.ts
@@ -51,6 +51,7 @@
   private readonly stopping = new AbortController();
   private timer: NodeJS.Timeout | undefined;
   private takeUps = 0;
+  private crashingParts = 0;
   private readonly inFlight = new Set<Promise<void>>();
 
   constructor(private readonly options: TrafficOptions) {
@@ -100,6 +101,27 @@
     return () => clearInterval(timer);
   }
 
+  /**
+   * Sends prompts with a part that crashes engines, no two alike, to any
+   * instance.
+   *
+   * @returns a function that ends it.
+   */
+  sendCrashingPart(): () => void {
+    const {instances} = this.options;
+    this.draw.sendsParts = true;
+    this.crashingParts += 1;
+    const part = `crashing-${this.crashingParts}`;
+    const timer = setInterval(() => {
+      const instance = this.pick(instances);
+      const drawn = this.draw.drawCrashingPart(instance, part);
+      const sending = this.sendOnce(instance, drawn);
+      this.inFlight.add(sending);
+      void sending.finally(() => this.inFlight.delete(sending));
+    }, CRASHING_EVERY_MS);
+    return () => clearInterval(timer);
+  }
+
   private async sendOnce(
     instance: Instance,
     drawn: DrawnRequest,
