Let soaks bring crashing parts, and most new connections to one instance

Two more kinds of faults, each with its check. crashing_part sends different prompts that share a part under which each engine crashes; crashing_parts and sound_beside_crashing_parts check both sides of it. one_instance lets 0.9 of the new connections, of three times the requests, go to one instance; served_in_a_crowd compares what that one has read with the seconds before.

--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -551,3 +551,76 @@
   t.is(countFindings(3), 0);
   t.is(countFindings(4), 1);
 });
+
+test('prompts with a part that crashed five endpoints are found when they come late', t => {
+  // Guards against parts that crash one endpoint after the other.
+  const prompts = Array.from({length: 12}, (_, index) => ({
+    requestId: `bad-${index}`,
+    sharedParts: ['system', 'crashing-1'],
+    sentAtMs: 1000 * index,
+  }));
+  const findersIfStoppedAfter = (count: number) => {
+    const stopped = prompts.slice(0, count);
+    const runs = stopped.map(({requestId, sentAtMs}) =>
+      makeRun({requestId, arrivedAtMs: sentAtMs, crashedAtMs: sentAtMs + 10}),
+    );
+    const requests = stopped.map(each =>
+      makeRequest({...each, outcome: {kind: 'broken'}}),
+    );
+    return findersIn(makeHistory(requests, runs));
+  };
+  t.false(findersIfStoppedAfter(8).includes('crashing_parts'));
+  t.true(findersIfStoppedAfter(12).includes('crashing_parts'));
+});
+
+test('sound prompts that no longer begin beside a crashing part are found', t => {
+  // Guards against refusing all prompts that share the first part.
+  const bad = Array.from({length: 30}, (_, index) =>
+    makeRequest({
+      requestId: `bad-${index}`,
+      sharedParts: ['system', 'crashing-1'],
+      sentAtMs: 1000 * index,
+      outcome: {kind: 'broken'},
+    }),
+  );
+  const runs = bad
+    .slice(0, 5)
+    .map(({requestId, sentAtMs}) =>
+      makeRun({requestId, arrivedAtMs: sentAtMs, crashedAtMs: sentAtMs + 10}),
+    );
+  const sound = Array.from({length: 120}, (_, index) =>
+    makeRequest({
+      requestId: `sound-${index}`,
+      sharedParts: ['system'],
+      sentAtMs: 500 * index,
+      events: {lastId: 1, versions: ['v1']},
+    }),
+  );
+  const begun = sound.map(({requestId}) => makeRun({requestId}));
+  const isFound = (requests: typeof sound) =>
+    findersIn(makeHistory([...bad, ...requests], [...runs, ...begun])).includes(
+      'sound_beside_crashing_parts',
+    );
+  t.false(isFound(sound));
+  const refused = sound.map(each =>
+    each.sentAtMs < 30_000 ? {...each, events: undefined} : each,
+  );
+  t.true(isFound(refused));
+});
+
+test('requests that fail where most new connections go are found', t => {
+  // Guards against an instance that can't serve what it reads in a crowd.
+  const requests = Array.from({length: 200}, (_, index) =>
+    makeRequest({requestId: `r${index}`, sentAtMs: 100 * index}),
+  );
+  const isFound = (sent: typeof requests) => {
+    const history = makeHistory(sent, []);
+    history.concentrations.push({fromMs: 8000, toMs: 20_000});
+    return findersIn(history).includes('served_in_a_crowd');
+  };
+  t.false(isFound(requests));
+  const refused = requests.map(each =>
+    each.sentAtMs < 12_000 ? each : {...each, outcome: REFUSED},
+  );
+  t.true(isFound(refused));
+});
--- a/packages/soak/src/checks/instance_cuts.ts
+++ b/packages/soak/src/checks/instance_cuts.ts
@@ -65,7 +65,13 @@
   };
 }
 
-function mayBeServed(
+/**
+ * Whether nothing about the request itself keeps it from being served.
+ *
+ * @example
+ * const owed = history.requests.filter(each => mayBeServed(history, each));
+ */
+export function mayBeServed(
   {keyWithdrawals}: History,
   {outcome, marker, key, path}: SentRequest,
 ): boolean {
@@ -77,7 +83,11 @@
   );
 }
 
-function countServed(requests: readonly SentRequest[]): ServedCount {
+/**
+ * @example
+ * const {sent, served} = countServed(requests);
+ */
+export function countServed(requests: readonly SentRequest[]): ServedCount {
   const served = requests.filter(
     ({outcome}) => outcome?.kind === 'answered' && outcome.status === 200,
   );
--- a/packages/soak/src/crash_mutations.ts
+++ b/packages/soak/src/crash_mutations.ts
@@ -3,6 +3,15 @@
 import {CRASHING_PART, CRASHING_REQUEST} from './fault_plan.js';
 import type {Mutant} from './mutant.js';
 
+/** With harmless ones beside it, since engines are back too late otherwise. */
+const CRASHING_PARTS = [
+  CRASHING_PART,
+  'add_marker',
+  'instance_reload',
+  'provider_busy',
+  'provider_silent',
+] as const;
+
 export const CRASH_MUTANTS: readonly Mutant[] = [
   {
     name: 'runs_requests_that_crash_endpoints',
@@ -36,7 +45,7 @@
   {
     name: 'holds_crashes_against_whole_prompts',
     check: 'crashing_parts',
-    kinds: [CRASHING_PART],
+    kinds: CRASHING_PARTS,
     edits: [
       {
         module: 'gateway/dist/crash_reporter.js',
@@ -48,7 +57,7 @@
   {
     name: 'never_clears_parts',
     check: 'sound_beside_crashing_parts',
-    kinds: [CRASHING_PART],
+    kinds: CRASHING_PARTS,
     edits: [
       {
         module: 'policy/dist/part_suspects.js',
@@ -65,17 +74,12 @@
   {
     name: 'tries_suspect_parts_without_end',
     check: 'crashing_parts',
-    kinds: [CRASHING_PART],
+    kinds: CRASHING_PARTS,
     edits: [
       {
         module: 'policy/dist/part_trials.js',
-        from: 'return undefined;',
-        to: 'return 0;',
-      },
-      {
-        module: 'policy/dist/part_trials.js',
-        from: '[0, 5000, 600_000]',
-        to: '[]',
+        from: 'const delayMs = this.delaysMs[count];',
+        to: 'const delayMs = 0;',
       },
     ],
   },
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -68,6 +68,9 @@
 /** Callers send different prompts with a part that crashes each engine. */
 export const CRASHING_PART = 'crashing_part';
 
+/** The balancer hands most new connections to one instance. */
+export const ONE_INSTANCE = 'one_instance';
+
 /** The store comes back from a copy some seconds old. */
 export const STORE_SET_BACK = 'store_set_back';
 
@@ -88,6 +91,7 @@
   | typeof BACKOFF
   | typeof CRASHING_REQUEST
   | typeof CRASHING_PART
+  | typeof ONE_INSTANCE
   | typeof STORE_SET_BACK
   | typeof INSTANCE_CUT
   | typeof BRITTLE_SERVICE
--- a/packages/soak/src/history.ts
+++ b/packages/soak/src/history.ts
@@ -130,6 +130,13 @@
   toMs: number;
 }
 
+/** A period in which most new connections went to one instance. */
+export interface Concentration {
+  readonly fromMs: number;
+  /** Infinite until it has ended. */
+  toMs: number;
+}
+
 /** A period in which the endpoints of a service bear few rejections. */
 export interface BrittlePeriod {
   readonly service: ServiceId;
@@ -182,6 +189,7 @@
   /** Callers, endpoints and the links between all run in the soak's process. */
   readonly ownDelays: OwnDelay[] = [];
   readonly dutyCalls: DutyCall[] = [];
+  readonly concentrations: Concentration[] = [];
   readonly ends: ProcessEnd[] = [];
   /** No fault is applied after this time; infinite until the last has ended. */
   faultsEndedAtMs = Number.POSITIVE_INFINITY;
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,6 +5,7 @@
 import {drawBrittleServices} from './brittle_services.js';
 import {checkAll} from './checks/all_checks.js';
 import type {Finding} from './checks/check.js';
+import {drawConnectionsAtOne} from './connections_at_one.js';
 import {drawCrashingParts, drawCrashingRequests} from './crashing_requests.js';
 import {drawEvacuations} from './evacuations.js';
 import {
@@ -16,6 +17,7 @@
   CRASHING_REQUEST,
   BRITTLE_SERVICE,
   INSTANCE_CUT,
+  ONE_INSTANCE,
   STORE_SET_BACK,
   UNLISTED_LEAVING,
   VERSION_RELEASE,
@@ -158,6 +160,7 @@
     [BACKOFF, () => drawBackoffs(announcing)],
     [CRASHING_REQUEST, () => drawCrashingRequests({seed, forMs})],
     [CRASHING_PART, () => drawCrashingParts({seed, forMs})],
+    [ONE_INSTANCE, () => drawConnectionsAtOne({seed, forMs})],
     [STORE_SET_BACK, () => drawStoreSetBacks({seed, forMs})],
     [BRITTLE_SERVICE, () => drawBrittleServices({seed, forMs})],
     [INSTANCE_CUT, () => drawInstanceCuts({seed, forMs})],
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -11,6 +11,7 @@
   CRASHING_REQUEST,
   BRITTLE_SERVICE,
   INSTANCE_CUT,
+  ONE_INSTANCE,
   STORE_SET_BACK,
   UNLISTED_LEAVING,
   VERSION_RELEASE,
@@ -124,6 +125,8 @@
     } else if (kind === CRASHING_REQUEST) {
       this.logFault(kind, 'store', durationMs);
       this.endAfter(durationMs, this.traffic.repeatCrashing());
+    } else if (kind === ONE_INSTANCE) {
+      this.concentrate(fault);
     } else if (kind === CRASHING_PART) {
       this.logFault(kind, 'store', durationMs);
       this.endAfter(durationMs, this.traffic.sendCrashingPart());
@@ -153,6 +156,19 @@
     }
   }
 
+  /** Not a disturbance: an instance has to bear it. */
+  private concentrate({kind, target, durationMs}: PlannedFault): void {
+    const {history, nowMs} = this.world;
+    this.logFault(kind, 'store', durationMs);
+    const period = {fromMs: nowMs(), toMs: Number.POSITIVE_INFINITY};
+    history.concentrations.push(period);
+    const end = this.traffic.concentrate(target);
+    this.endAfter(durationMs, () => {
+      end();
+      period.toMs = nowMs();
+    });
+  }
+
   /**
    * The store is away for the duration of the fault and comes back from a copy;
    * operators and endpoints write again what it lost. Overlaps with its other
--- a/packages/soak/src/world/traffic.ts
+++ b/packages/soak/src/world/traffic.ts
@@ -36,6 +36,11 @@
  */
 const IMMEDIATE_NEXT_SHARE = 0.5;
 
+/** While most of them go to one instance; also their share that does. */
+const CROWDED_CONNECTION_SHARE = 0.9;
+/** Times as many requests as usual come then. */
+const CROWD_FACTOR = 3;
+
 const MAX_TAKE_UPS = 5;
 /** The pause of a caller whose try was refused. */
 const TAKE_UP_RETRY_MS = 500;
@@ -53,6 +58,8 @@
   private takeUps = 0;
   private crashingParts = 0;
   private readonly inFlight = new Set<Promise<void>>();
+  /** Chooses the instance of most new connections, if there is such. */
+  private favourite: number | undefined;
 
   constructor(private readonly options: TrafficOptions) {
     const {seed, operator, nowMs, instances, requestsPerS} = options;
@@ -101,6 +108,17 @@
     return () => clearInterval(timer);
   }
 
+  /**
+   * Lets most new connections go to one of the instances in rotation, and
+   * callers open more of them: those of a data centre, or of all.
+   *
+   * @returns a function that ends it.
+   */
+  concentrate(target: number): () => void {
+    this.favourite = target;
+    return () => (this.favourite = undefined);
+  }
+
   /**
    * Sends prompts with a part that crashes engines, no two alike, to any
    * instance.
@@ -134,12 +152,15 @@
   }
 
   private scheduleNext(): void {
-    this.timer = setTimeout(() => {
-      this.scheduleNext();
-      const sending = this.sendOne();
-      this.inFlight.add(sending);
-      void sending.finally(() => this.inFlight.delete(sending));
-    }, this.nextArrivalMs());
+    this.timer = setTimeout(
+      () => {
+        this.scheduleNext();
+        const sending = this.sendOne();
+        this.inFlight.add(sending);
+        void sending.finally(() => this.inFlight.delete(sending));
+      },
+      this.nextArrivalMs() / (this.favourite === undefined ? 1 : CROWD_FACTOR),
+    );
   }
 
   private async sendOne(): Promise<void> {
@@ -155,7 +176,7 @@
   /** Keeps the caller's connection or opens one; false when it was refused. */
   private async ensureConnection(caller: Caller): Promise<boolean> {
     const isKept =
-      caller.hasConnection && this.source() >= NEW_CONNECTION_SHARE;
+      caller.hasConnection && this.source() >= this.newConnectionShare;
     if (isKept) return true;
     if (!(await this.connect(caller))) return false;
     if (this.source() >= EARLY_CONNECTION_SHARE) return true;
@@ -163,6 +184,22 @@
     return caller.hasConnection || this.connect(caller);
   }
 
+  private get newConnectionShare(): number {
+    return this.favourite === undefined
+      ? NEW_CONNECTION_SHARE
+      : CROWDED_CONNECTION_SHARE;
+  }
+
+  /** The instance for a new connection of a caller. */
+  private chooseInstance(candidates: readonly Instance[]): Instance {
+    const {favourite} = this;
+    if (favourite === undefined || this.source() >= CROWDED_CONNECTION_SHARE)
+      return this.pick(candidates);
+    const isOfAll = favourite % 2 === 0;
+    const chosenFrom = isOfAll ? this.rotation.candidatesFor(0) : candidates;
+    return chosenFrom[favourite % chosenFrom.length];
+  }
+
   private async waitBeforeFirstRequest(): Promise<void> {
     const {signal} = this.stopping;
     await pause(this.source() * MAX_FIRST_REQUEST_DELAY_MS, undefined, {
@@ -175,7 +212,7 @@
     const candidates = this.rotation.candidatesFor(
       this.callers.indexOf(caller),
     );
-    const first = this.pick(candidates);
+    const first = this.chooseInstance(candidates);
     if (await caller.connectTo(first)) return true;
     const isElsewhere = (instance: Instance) => instance !== first;
     const others = candidates.filter(isElsewhere);
