Say when to come back to prompts refused after a failed attempt

A request that was refused for a suspect part after its first attempt was told to come back at once, and a trial whose answer had a single event or none kept its count. Also splits the admission of parts off the handler's longest function. part_guard.test.ts covers both.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -174,6 +174,7 @@
     const trial = this.hasReachedEndpoint ? [] : this.request.trial;
     if (crashes.parts.mayRun(parts, trial)) return false;
     this.lastReason = 'suspected_part';
+    this.minRetryAfterMs = crashes.parts.retryAfterMs(parts);
     return true;
   }
 
--- a/packages/gateway/src/part_guard.test.ts
+++ b/packages/gateway/src/part_guard.test.ts
@@ -99,3 +99,14 @@
   table.parts.noteBegun([BAD], 10);
   t.true(guard.mayRun([ALL, BAD]));
 });
+
+test('a trial that passes lets the next suspicion be tried at once', async t => {
+  // Guards against parts that are cleared and keep their used-up trials.
+  const {guard, table} = makeGuard(new MemoryPlatform());
+  t.like(await guard.admit([BAD]), {kind: 'admitted', trial: [BAD]});
+  t.is(guard.retryAfterMs([BAD]), 5000);
+  await guard.passTrial([BAD]);
+  t.like(await guard.admit([BAD]), {kind: 'admitted', trial: [BAD]});
+  table.parts.noteBegun([BAD], 10);
+  t.is(guard.retryAfterMs([BAD]), 0);
+});
--- a/packages/gateway/src/part_guard.ts
+++ b/packages/gateway/src/part_guard.ts
@@ -49,16 +49,25 @@
     const {suspects, metrics, nowMs} = this.options;
     const decision = suspects.classify(parts, nowMs());
     if (decision.kind === 'clear') return {kind: 'admitted', trial: NO_PARTS};
-    const {parts: refused, retryAfterMs} = decision;
-    const waitMs = this.trials.waitMs(refused, nowMs());
-    const isTrial = waitMs === 0 && (await this.claim(refused));
+    const {parts: suspect} = decision;
+    const mayTry = this.trials.waitMs(suspect, nowMs()) === 0;
+    const isTrial = mayTry && (await this.claim(suspect));
     metrics.countSuspectParts(isTrial ? 'trial' : 'refuse');
-    if (isTrial) return {kind: 'admitted', trial: refused};
-    return {
-      kind: 'refused',
-      parts: refused,
-      retryAfterMs: Math.max(TRIAL_RETRY_AFTER_MS, waitMs ?? retryAfterMs),
-    };
+    if (isTrial) return {kind: 'admitted', trial: suspect};
+    // Another request is the trial; its outcome is known soon.
+    const retryAfterMs = mayTry
+      ? TRIAL_RETRY_AFTER_MS
+      : this.retryAfterMs(parts);
+    return {kind: 'refused', parts: suspect, retryAfterMs};
+  }
+
+  /** Time until a request with suspect parts may be tried, or is let through. */
+  retryAfterMs(parts: readonly PromptPartId[]): number {
+    const {suspects, nowMs} = this.options;
+    const decision = suspects.classify(parts, nowMs());
+    if (decision.kind === 'clear') return 0;
+    const waitMs = this.trials.waitMs(decision.parts, nowMs());
+    return Math.max(TRIAL_RETRY_AFTER_MS, waitMs ?? decision.retryAfterMs);
   }
 
   /** Whether a request may still be sent, by the crashes known now. */
@@ -99,6 +108,15 @@
     await this.lower(parts, count => count - 1);
   }
 
+  learn(count: TrialCount): void {
+    this.trials.learn(count, this.options.nowMs());
+  }
+
+  /** The store was set back; counts are learnt from it again. */
+  noteSetBack(): void {
+    this.trials.clear();
+  }
+
   private async lower(
     parts: readonly PromptPartId[],
     change: (count: number) => number,
@@ -109,15 +127,6 @@
     if (counts.length > 0) await this.write(counts, change);
   }
 
-  learn(count: TrialCount): void {
-    this.trials.learn(count, this.options.nowMs());
-  }
-
-  /** The store was set back; counts are learnt from it again. */
-  noteSetBack(): void {
-    this.trials.clear();
-  }
-
   private async claim(parts: readonly PromptPartId[]): Promise<boolean> {
     if (parts.some(part => this.claiming.has(part))) return false;
     for (const part of parts) this.claiming.add(part);
--- a/packages/gateway/src/record_outcome.ts
+++ b/packages/gateway/src/record_outcome.ts
@@ -51,8 +51,8 @@
 
 function recordAnswer(
   {state, crashes, metrics, nowMs}: ExchangeContext,
-  {content, admission}: ReadRequest,
-  {endpoint, durationMs, path}: AttemptOutcome,
+  {content, trial, admission}: ReadRequest,
+  {endpoint, durationMs, path, hasBegun}: AttemptOutcome,
 ): void {
   const atMs = nowMs();
   // Another instance's connection proves nothing of the links of this one.
@@ -60,6 +60,7 @@
   state.monitor.note(endpoint.id, 'answered', atMs);
   state.refusalDelayFor(admission.service).noteServed(atMs);
   crashes.noteAnswered(endpoint, content, atMs - durationMs);
+  if (trial.length > 0 && !hasBegun) void crashes.parts.passTrial(trial);
   if (admission.route.kind !== 'stream') {
     state.monitor.noteDuration(endpoint.id, durationMs);
   }
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -5,7 +5,11 @@
 import {listSharedParts} from '@snipestage/routing/prompt.js';
 import type {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {StreamOrigin} from '@snipestage/routing/stream_origin.js';
-import type {ClientAccountId, Fingerprint} from '@snipestage/types/ids.js';
+import type {
+  ClientAccountId,
+  Fingerprint,
+  PromptPartId,
+} from '@snipestage/types/ids.js';
 import {admit, type Admission} from './admission.js';
 import {AnswerWriter} from './answer_writer.js';
 import {CatchUpGate} from './catch_up_gate.js';
@@ -224,16 +228,8 @@
       return undefined;
     }
     const parts = listSharedParts(caller.prompt);
-    const admittedParts = await this.options.crashes.parts.admit(parts);
-    if (admittedParts.kind === 'refused') {
-      line.reason = 'suspected_part';
-      line.suspectParts = admittedParts.parts;
-      writer.fail(
-        UNAVAILABLE,
-        protocol.composeRetryAfter(admittedParts.retryAfterMs),
-      );
-      return undefined;
-    }
+    const trial = await this.admitParts(parts, writer, line);
+    if (trial === undefined) return undefined;
     return new Exchange(
       this.options,
       {
@@ -245,7 +241,7 @@
         rawHeaders: request.rawHeaders,
         body,
         content: {fingerprint, parts},
-        trial: admittedParts.trial,
+        trial,
         arrivedAtMs: arrival.readAtMs,
         endsAtMs,
       },
@@ -313,6 +309,25 @@
     return true;
   }
 
+  /**
+   * @returns suspect parts of which the request is a trial; undefined when it
+   * was refused for its parts.
+   */
+  private async admitParts(
+    parts: readonly PromptPartId[],
+    writer: AnswerWriter,
+    line: Record<string, unknown>,
+  ): Promise<readonly PromptPartId[] | undefined> {
+    const {crashes, protocol} = this.options;
+    const admission = await crashes.parts.admit(parts);
+    if (admission.kind === 'admitted') return admission.trial;
+    line.reason = 'suspected_part';
+    line.suspectParts = admission.parts;
+    const {retryAfterMs} = admission;
+    writer.fail(UNAVAILABLE, protocol.composeRetryAfter(retryAfterMs));
+    return undefined;
+  }
+
   private account(
     writer: AnswerWriter,
     response: ServerResponse,
