Excuse the end of a begun stream at its caller’s time limit in soaks

The rule doesn’t count a time limit that was reached, and after an event nothing but closing is left. Streams without an event, or closed earlier, are still found; three cases of a test say so.

--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -552,6 +552,21 @@
   t.is(countFindings(4), 1);
 });
 
+test('a stream that is closed before its caller’s time is over is found', t => {
+  // Guards against excusing more than the end of a stream at its time limit.
+  const closed = (endedAtMs: number, lastId: number) =>
+    findersOf({
+      kind: 'stream',
+      outcome: {kind: 'broken'},
+      callerTimeoutMs: 1500,
+      events: {lastId, versions: ['v1']},
+      endedAtMs,
+    });
+  t.deepEqual(closed(11_490, 4), ['nothing_lost']);
+  t.deepEqual(closed(11_510, 0), ['nothing_lost']);
+  t.deepEqual(closed(11_510, 4), []);
+});
+
 test('prompts with a part that crashed five endpoints are found when they come late', t => {
   // Guards against parts that crash one endpoint after the other.
   const prompts = Array.from({length: 12}, (_, index) => ({
--- a/packages/soak/src/checks/stops.ts
+++ b/packages/soak/src/checks/stops.ts
@@ -32,6 +32,7 @@
       ]);
       if (!isFair || this.wasCutByGrace(history, request)) return [];
       if (lostItsLinks(history, request)) return [];
+      if (hasRunOutOfTime(request)) return [];
       const fault = this.describeFault(history, request);
       if (fault === undefined) return [];
       return [
@@ -80,6 +81,13 @@
   }
 }
 
+/** A stream that has begun can only be closed when its caller's time is over. */
+function hasRunOutOfTime(request: SentRequest): boolean {
+  const {events, sentAtMs, callerTimeoutMs, endedAtMs = Infinity} = request;
+  const hasBegun = events !== undefined && events.lastId > 0;
+  return hasBegun && endedAtMs >= sentAtMs + callerTimeoutMs;
+}
+
 /**
  * Whether instances lost their links to endpoints while the request ran: it may
  * have run over one of them, at its instance or at one that forwarded it.
