--- a/packages/soak/src/checks/all_checks.ts
+++ b/packages/soak/src/checks/all_checks.ts
@@ -21,7 +21,7 @@
 import type {Check, Finding} from './check.js';
 import {CrashingParts, SoundBesideCrashingParts} from './crashing_parts.js';
 import {CrashingRequests} from './crashing_requests.js';
-import {ServedInACrowd} from './connections_at_one.js';
+import {ServedWithMostConnections} from './connections_at_one.js';
 import {OneFigure, OneHolder} from './duties.js';
 import {ServedWhenCut} from './instance_cuts.js';
 import {
@@ -64,7 +64,7 @@
   new NothingLost(),
   new ProperEnds(),
   new ServedWhenCut(),
-  new ServedInACrowd(),
+  new ServedWithMostConnections(),
   new ServesAgain(),
 ];
 
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -632,7 +632,7 @@
   const isFound = (sent: typeof requests) => {
     const history = makeHistory(sent, []);
     history.concentrations.push({fromMs: 8000, toMs: 20_000});
-    return findersIn(history).includes('served_in_a_crowd');
+    return findersIn(history).includes('served_with_most_connections');
   };
   t.false(isFound(requests));
   const refused = requests.map(each =>
--- a/packages/soak/src/checks/connections_at_one.ts
+++ b/packages/soak/src/checks/connections_at_one.ts
@@ -13,19 +13,19 @@
  * the first attempt about as often as in the seconds before. Beside other
  * faults, they are compared with those at other instances.
  */
-export class ServedInACrowd extends Check {
-  readonly name = 'served_in_a_crowd';
+export class ServedWithMostConnections extends Check {
+  readonly name = 'served_with_most_connections';
 
   find(history: History): readonly Finding[] {
     return history.concentrations.flatMap(period => {
-      const crowded = listRead(history, {
+      const read = listRead(history, {
         fromMs: period.fromMs + history.bounds.contactMs,
         toMs: period.toMs,
       });
-      const instances = [...new Set(crowded.map(({instance}) => instance))];
+      const instances = [...new Set(read.map(({instance}) => instance))];
       return instances.flatMap(instance => {
         const isHere = (each: SentRequest) => each.instance === instance;
-        const here = countServed(crowded.filter(isHere));
+        const here = countServed(read.filter(isHere));
         const usual = countUsual(history, period, each => !isHere(each));
         const isTooFew = here.sent < MIN_SAMPLE || usual.sent < MIN_SAMPLE;
         if (isTooFew || shareOf(here) >= MIN_SHARE_RATIO * shareOf(usual))
--- a/packages/soak/src/world/traffic.ts
+++ b/packages/soak/src/world/traffic.ts
@@ -37,9 +37,9 @@
 const IMMEDIATE_NEXT_SHARE = 0.5;
 
 /** While most of them go to one instance; also their share that does. */
-const CROWDED_CONNECTION_SHARE = 0.9;
+const CONCENTRATED_SHARE = 0.9;
 /** Times as many requests as usual come then. */
-const CROWD_FACTOR = 3;
+const CONCENTRATED_RATE_FACTOR = 3;
 
 const MAX_TAKE_UPS = 5;
 /** The pause of a caller whose try was refused. */
@@ -59,7 +59,7 @@
   private crashingParts = 0;
   private readonly inFlight = new Set<Promise<void>>();
   /** Chooses the instance of most new connections, if there is such. */
-  private favourite: number | undefined;
+  private concentratedOn: number | undefined;
 
   constructor(private readonly options: TrafficOptions) {
     const {seed, operator, nowMs, instances, requestsPerS} = options;
@@ -115,8 +115,8 @@
    * @returns a function that ends it.
    */
   concentrate(target: number): () => void {
-    this.favourite = target;
-    return () => (this.favourite = undefined);
+    this.concentratedOn = target;
+    return () => (this.concentratedOn = undefined);
   }
 
   /**
@@ -159,7 +159,8 @@
         this.inFlight.add(sending);
         void sending.finally(() => this.inFlight.delete(sending));
       },
-      this.nextArrivalMs() / (this.favourite === undefined ? 1 : CROWD_FACTOR),
+      this.nextArrivalMs() /
+        (this.concentratedOn === undefined ? 1 : CONCENTRATED_RATE_FACTOR),
     );
   }
 
@@ -185,19 +186,19 @@
   }
 
   private get newConnectionShare(): number {
-    return this.favourite === undefined
+    return this.concentratedOn === undefined
       ? NEW_CONNECTION_SHARE
-      : CROWDED_CONNECTION_SHARE;
+      : CONCENTRATED_SHARE;
   }
 
   /** The instance for a new connection of a caller. */
   private chooseInstance(candidates: readonly Instance[]): Instance {
-    const {favourite} = this;
-    if (favourite === undefined || this.source() >= CROWDED_CONNECTION_SHARE)
+    const {concentratedOn} = this;
+    if (concentratedOn === undefined || this.source() >= CONCENTRATED_SHARE)
       return this.pick(candidates);
-    const isOfAll = favourite % 2 === 0;
+    const isOfAll = concentratedOn % 2 === 0;
     const chosenFrom = isOfAll ? this.rotation.candidatesFor(0) : candidates;
-    return chosenFrom[favourite % chosenFrom.length];
+    return chosenFrom[concentratedOn % chosenFrom.length];
   }
 
   private async waitBeforeFirstRequest(): Promise<void> {
