Prepare placements and admission for controls of scarce capacity

Requests are placed by how many an endpoint has, and admitted without regard to others. A service whose capacity is scarce or uneven needs more: a load correction changes how loaded an endpoint counts, and a load shedder may refuse a request before an endpoint is chosen. Both apply only where the settings say that capacity is scarce or endpoints say that they share their machines; there are none yet, so that nothing changes. The fill of less loaded engines can take account of steps of unlike size.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -8,6 +8,10 @@
 import {ReadFirstTimeout} from '@snipestage/connection/read_first_timeout.js';
 import {AttemptHistory} from '@snipestage/routing/attempt_history.js';
 import {workOf} from '@snipestage/routing/prompt.js';
+import type {
+  ArrivedRequest,
+  ShedDecision,
+} from '@snipestage/routing/load_shedder.js';
 import {mayOffer, type Placed} from '@snipestage/routing/placement.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import {
@@ -62,10 +66,14 @@
     state.countDemand(service, route, prompt, nowMs());
     const leftMs = Math.max(0, this.request.endsAtMs - nowMs());
     const timeout = new ReadFirstTimeout(() => this.expire(), leftMs);
+    const arrived = this.describeArrived();
+    const decision = state.shed(arrived);
     try {
-      await this.attemptUntilAnswered();
+      if (decision.kind === 'refuse') this.refuse(decision);
+      else await this.attemptUntilAnswered();
     } finally {
       timeout.cancel();
+      if (decision.kind === 'admit') state.endShed(arrived, nowMs());
       this.noteDuration();
       this.noteUnbegun();
       this.noteWait();
@@ -146,6 +154,33 @@
     state.waits.note(admission.route.id, untilMs - arrivedAtMs);
   }
 
+  private describeArrived(): ArrivedRequest {
+    const {admission, caller, arrivedAtMs, endsAtMs} = this.request;
+    const {service, route, clientAccount, urgencyRank} = admission;
+    const atMs = this.context.nowMs();
+    return {
+      service,
+      route,
+      prompt: caller.prompt,
+      clientAccount,
+      urgencyRank,
+      candidates: this.findCandidates(atMs),
+      arrivedAtMs,
+      endsAtMs,
+      nowMs: atMs,
+    };
+  }
+
+  private refuse(decision: Extract<ShedDecision, {kind: 'refuse'}>): void {
+    this.lastReason = decision.reason;
+    this.minRetryAfterMs = decision.retryAfterMs;
+    this.context.metrics.countShed(
+      this.request.admission.service,
+      decision.reason,
+    );
+    this.fail();
+  }
+
   private async attemptUntilAnswered(): Promise<void> {
     for (;;) {
       if (this.writer.isOver) return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -83,7 +83,11 @@
   constructor(private readonly options: GatewayOptions) {
     const {settings, platform, logger} = options;
     const nowMs = () => performance.now();
-    this.state = new RoutingState(settings.retry, settings.warmup);
+    this.state = new RoutingState(
+      settings.retry,
+      settings.warmup,
+      settings.loadControls,
+    );
     this.shutdown = new Shutdown(settings.shutdown);
     this.loopWatch = new EventLoopWatch({nowMs});
     this.clock = new AgreedClock(nowMs(), Date.now());
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -87,6 +87,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  private readonly shedRequests = new Counter({
+    name: 'snipestage_shed_requests_total',
+    help: 'Requests refused before an endpoint was chosen, by service and reason.',
+    labelNames: ['service', 'reason'],
+    registers: [this.registry],
+  });
   private readonly unbegunStreams = new Counter({
     name: 'snipestage_unbegun_streams_total',
     help: 'Streams that ended without an event, by service and urgency rank.',
@@ -220,6 +226,10 @@
     this.candidateEngines.set({service, side}, candidates);
   }
 
+  countShed(service: string, reason: string): void {
+    this.shedRequests.inc({service, reason});
+  }
+
   countUnaffordableRetry(service: string): void {
     this.unaffordableRetries.inc({service});
   }
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -1,5 +1,6 @@
 /** Settings of the pass-through gateway. */
 
+import type {LoadControlsOptions} from '@snipestage/routing/load_controls.js';
 import type {WarmupTolerance} from '@snipestage/routing/warmup_gate.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
 
@@ -47,6 +48,8 @@
   };
   /** By how much the rate of a cold endpoint may be exceeded. */
   readonly warmup?: WarmupTolerance;
+  /** Controls for scarce or uneven capacity; off without it. */
+  readonly loadControls?: LoadControlsOptions;
   readonly shutdown: {
     /** Time from the signal to stop until the process is killed. */
     readonly graceMs: number;
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -12,6 +12,18 @@
 import {EndpointRateLimits} from '@snipestage/routing/endpoint_rate_limits.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {InstanceIsolation} from '@snipestage/routing/instance_isolation.js';
+import {
+  LoadControls,
+  type LoadControlsOptions,
+} from '@snipestage/routing/load_controls.js';
+import {CombinedCorrection} from '@snipestage/routing/load_correction.js';
+import {
+  ADMIT,
+  decideByAll,
+  type ArrivedRequest,
+  type LoadShedder,
+  type ShedDecision,
+} from '@snipestage/routing/load_shedder.js';
 import {LoadView} from '@snipestage/routing/load_view.js';
 import {LeastLoadedPlacement} from '@snipestage/routing/least_loaded_placement.js';
 import type {Placement} from '@snipestage/routing/placement.js';
@@ -108,6 +120,13 @@
   readonly waits = new RecentDurations();
   readonly versions = new ServiceVersions();
   readonly warmup: WarmupGate;
+  readonly controls: LoadControls;
+  /** In the order in which they are applied. */
+  private readonly correction = new CombinedCorrection([]);
+  /** In the order in which they decide. */
+  private readonly shedders: readonly LoadShedder[] = [];
+  /** Requests in progress that the shedders have admitted. */
+  private readonly counted = new Set<ArrivedRequest>();
   private readonly plainPlacement: Placement;
   private readonly promptPlacement: Placement;
   private readonly budgets = new Map<ServiceId, WindowBudget>();
@@ -116,14 +135,25 @@
   constructor(
     private retry: RetrySettings,
     tolerance?: WarmupTolerance,
+    controls?: LoadControlsOptions,
   ) {
+    this.controls = new LoadControls(controls);
     this.warmup = new WarmupGate({
       limitOf: service => this.table?.findService(service)?.warmup,
       readInstances: () => this.instances,
       tolerance,
     });
     const {monitor, reach, warmup, rateLimits, brittle} = this;
-    const estimates = {monitor, reach, warmup, rateLimits, brittle};
+    const {correction} = this;
+    const estimates = {
+      monitor,
+      reach,
+      warmup,
+      rateLimits,
+      brittle,
+      controls: this.controls,
+      correction,
+    };
     const {agreedDemand: demand, recentDemand: recent} = this;
     this.plainPlacement = new LeastLoadedPlacement(estimates);
     this.promptPlacement = new PromptPlacement({...estimates, demand, recent});
@@ -152,15 +182,32 @@
     this.warmup.retain(known);
     this.rateLimits.retain(known);
     this.brittle.retain(known);
+    this.correction.retain(known);
     for (const id of this.directory.takeRestarted()) {
       this.monitor.forgetReports(id);
       this.rateLimits.forget(id);
       this.brittle.forget(id);
+      this.correction.forget(id);
       this.loads.forget(id, nowMs);
     }
     this.loads.prune();
   }
 
+  /** Whether a request is refused for the sake of others; see {@link endShed}. */
+  shed(request: ArrivedRequest): ShedDecision {
+    if (!this.controls.isOn(request.service)) return ADMIT;
+    const decision = decideByAll(this.shedders, request);
+    if (decision.kind === 'admit') this.counted.add(request);
+    return decision;
+  }
+
+  /** A request that {@link shed} admitted has ended. */
+  endShed(request: ArrivedRequest, nowMs: number): void {
+    // The controls may have been off when it was admitted.
+    if (!this.counted.delete(request)) return;
+    for (const shedder of this.shedders) shedder.noteEnded(request, nowMs);
+  }
+
   /** Counts a request that arrived. */
   countDemand(
     service: ServiceId,
--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -11,6 +11,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly capacity: number;
+  /**
+   * How long work takes on the endpoint's machine at the moment, relative to
+   * usual; undefined where it doesn't state that.
+   */
+  readonly workTimeRatio?: number;
 }
 
 /** How an attempt ended, as far as it shows the endpoint's health. */
--- a/packages/routing/src/fill_choice.ts
+++ b/packages/routing/src/fill_choice.ts
@@ -5,6 +5,8 @@
   readonly items: readonly Item[];
   /** Load as last known, in requests. */
   readonly costOf: (item: Item) => number;
+  /** By how much one more request raises the cost (1); above 0. */
+  readonly stepOf?: (item: Item) => number;
   /**
    * Requests that all choosers together send to the items while they know
    * nothing newer; at least 1 is used.
@@ -32,27 +34,34 @@
 export function chooseByFill<Item>(
   options: FillOptions<Item>,
 ): Item | undefined {
-  const {items, costOf, expectedRequests, random} = options;
-  const costs = items.map(costOf);
+  const {items, costOf, stepOf = () => 1, expectedRequests, random} = options;
+  const targets = items.map(item => ({cost: costOf(item), step: stepOf(item)}));
   const requests = Math.max(MIN_EXPECTED_REQUESTS, expectedRequests);
-  const level = findLevel(costs, requests);
+  const level = findLevel(targets, requests);
   let point = random() * requests;
-  const index = costs.findIndex(cost => {
-    point -= Math.max(0, level - cost);
+  const index = targets.findIndex(({cost, step}) => {
+    point -= Math.max(0, level - cost) / step;
     return point < 0;
   });
   return items.at(index);
 }
 
+interface FillTarget {
+  readonly cost: number;
+  readonly step: number;
+}
+
 /** Level up to which the requests fill the lowest costs. */
-function findLevel(costs: readonly number[], requests: number): number {
-  const ascending = costs.toSorted((one, other) => one - other);
+function findLevel(targets: readonly FillTarget[], requests: number): number {
+  const ascending = targets.toSorted((one, other) => one.cost - other.cost);
   let sum = requests;
-  for (const [index, cost] of ascending.entries()) {
-    sum += cost;
-    const level = sum / (index + 1);
+  let perStep = 0;
+  for (const [index, {cost, step}] of ascending.entries()) {
+    sum += cost / step;
+    perStep += 1 / step;
+    const level = sum / perStep;
     const next = ascending.at(index + 1);
-    if (next === undefined || level <= next) return level;
+    if (next === undefined || level <= next.cost) return level;
   }
   return Number.POSITIVE_INFINITY;
 }
--- /dev/null
+++ b/packages/routing/src/load_correction.ts
@@ -0,0 +1,62 @@
+/** Corrects what a count of requests doesn't show of an endpoint's load. */
+
+import type {EndpointId} from '@snipestage/types/ids.js';
+import type {PlacementRequest} from './placement.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
+
+/**
+ * One aspect of endpoints by which placements correct their loads. It applies
+ * only to services whose load controls are on.
+ */
+export abstract class LoadCorrection {
+  /** Duration of work there, relative to the other endpoints; 1: as usual. */
+  abstract slownessOf(endpoint: ServingEndpoint, nowMs: number): number;
+
+  /** Requests by which its load counts as higher than reported; 0: none. */
+  abstract extraLoadOf(endpoint: ServingEndpoint, nowMs: number): number;
+
+  /** Whether it has room for the request, and the request time there. */
+  abstract hasRoomFor(
+    endpoint: ServingEndpoint,
+    request: PlacementRequest,
+  ): boolean;
+
+  /** Forgets endpoints that are gone. */
+  abstract retain(ids: ReadonlySet<EndpointId>): void;
+
+  /** Forgets an endpoint that has restarted. */
+  abstract forget(id: EndpointId): void;
+}
+
+/** Applies several corrections as one. */
+export class CombinedCorrection extends LoadCorrection {
+  constructor(private readonly corrections: readonly LoadCorrection[]) {
+    super();
+  }
+
+  slownessOf(endpoint: ServingEndpoint, nowMs: number): number {
+    return this.corrections.reduce(
+      (product, each) => product * each.slownessOf(endpoint, nowMs),
+      1,
+    );
+  }
+
+  extraLoadOf(endpoint: ServingEndpoint, nowMs: number): number {
+    return this.corrections.reduce(
+      (sum, each) => sum + each.extraLoadOf(endpoint, nowMs),
+      0,
+    );
+  }
+
+  hasRoomFor(endpoint: ServingEndpoint, request: PlacementRequest): boolean {
+    return this.corrections.every(each => each.hasRoomFor(endpoint, request));
+  }
+
+  retain(ids: ReadonlySet<EndpointId>): void {
+    for (const each of this.corrections) each.retain(ids);
+  }
+
+  forget(id: EndpointId): void {
+    for (const each of this.corrections) each.forget(id);
+  }
+}
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -1,10 +1,16 @@
 /** Chooses the endpoint of a request. */
 
-import type {DataCentreId, EndpointId} from '@snipestage/types/ids.js';
+import type {
+  DataCentreId,
+  EndpointId,
+  ServiceId,
+} from '@snipestage/types/ids.js';
 import type {BrittleEndpoints} from './brittle_endpoints.js';
 import type {DataCentreReach} from './data_centre_reach.js';
 import type {EndpointRateLimits} from './endpoint_rate_limits.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
+import type {LoadControls} from './load_controls.js';
+import type {LoadCorrection} from './load_correction.js';
 import type {Prompt} from './prompt.js';
 import type {Route} from './route.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
@@ -66,6 +72,22 @@
   readonly rateLimits?: EndpointRateLimits;
   /** Endpoints that bear few rejections; without it none is brittle. */
   readonly brittle?: BrittleEndpoints;
+  /** Services to which corrections apply; without it they apply to none. */
+  readonly controls?: LoadControls;
+  readonly correction?: LoadCorrection;
+}
+
+/**
+ * The correction that applies to a service; undefined where there is none.
+ *
+ * @example
+ * const slowness = findCorrection(service, state)?.slownessOf(engine, nowMs);
+ */
+export function findCorrection(
+  service: ServiceId,
+  {controls, correction}: Pick<PlacementState, 'controls' | 'correction'>,
+): LoadCorrection | undefined {
+  return controls?.isOn(service) ? correction : undefined;
 }
 
 /**
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -13,6 +13,7 @@
 } from './engine_split.js';
 import {preferLocal} from './local_engines.js';
 import {
+  findCorrection,
   findUsable,
   leastBy,
   leaveOutCold,
@@ -226,7 +227,7 @@
     const ranked = this.rankByPrefix(group, prompt);
     const {nowMs} = request;
     const loads = new Map<EndpointId, number>(
-      ranked.map(({id}) => [id, this.monitor.estimateLoad(id, nowMs)]),
+      ranked.map(each => [each.id, this.correctedLoadOf(each, nowMs)]),
     );
     const total = [...loads.values()].reduce((sum, load) => sum + load, 0);
     const bound =
@@ -234,8 +235,9 @@
     const healthy = ranked.filter(
       ({id}) => this.monitor.failureShare(id, nowMs) < MAX_FAILURE_SHARE,
     );
-    const hasRoom = ({id, capacity}: ServingEndpoint) =>
-      loads.get(id)! < Math.min(bound, capacity);
+    const hasRoom = (each: ServingEndpoint) =>
+      loads.get(each.id)! < Math.min(bound, each.capacity) &&
+      this.hasRoomFor(each, request);
     const endpoint =
       healthy.find(hasRoom) ??
       this.chooseByLoad(widened, request, requestsPerS)?.endpoint;
@@ -258,11 +260,14 @@
   }
 
   private chooseByLoad(
-    group: readonly ServingEndpoint[],
-    {dataCentre, nowMs}: PlacementRequest,
+    all: readonly ServingEndpoint[],
+    request: PlacementRequest,
     requestsPerS: number,
   ): Placed | undefined {
     const {monitor, random} = this;
+    const {dataCentre, nowMs} = request;
+    const withRoom = all.filter(each => this.hasRoomFor(each, request));
+    const group = withRoom.length > 0 ? withRoom : all;
     const loadOf = (each: ServingEndpoint) => this.effectiveLoadOf(each, nowMs);
     const costsWith = (failureCost: number) => (each: ServingEndpoint) =>
       loadOf(each) +
@@ -282,7 +287,14 @@
       (MIN_FAILURE_COST_RATIO * expectedRequests) / Math.max(1, items.length),
     );
     const costOf = costsWith(failureCost);
-    const endpoint = chooseByFill({items, costOf, expectedRequests, random});
+    const stepOf = (each: ServingEndpoint) => this.slownessOf(each, nowMs);
+    const endpoint = chooseByFill({
+      items,
+      costOf,
+      stepOf,
+      expectedRequests,
+      random,
+    });
     return endpoint && {endpoint};
   }
 
@@ -291,15 +303,35 @@
    * memory may be full, or it may have long prompts to read, while most of its
    * slots are free.
    */
-  private effectiveLoadOf(
-    {id, capacity}: ServingEndpoint,
-    nowMs: number,
-  ): number {
-    const load = this.monitor.estimateLoad(id, nowMs);
+  private effectiveLoadOf(engine: ServingEndpoint, nowMs: number): number {
+    const {id, capacity} = engine;
+    const load = this.correctedLoadOf(engine, nowMs);
     const waiting = Math.min(1, this.monitor.estimateWaiting(id, nowMs));
     return load + Math.max(0, capacity - load) * waiting;
   }
 
+  /** Requests at an engine, in requests of an engine of usual speed. */
+  private correctedLoadOf(engine: ServingEndpoint, nowMs: number): number {
+    const load = this.monitor.estimateLoad(engine.id, nowMs);
+    const correction = findCorrection(engine.service, this.options);
+    if (correction === undefined) return load;
+    const extra = correction.extraLoadOf(engine, nowMs);
+    return (load + extra) * correction.slownessOf(engine, nowMs);
+  }
+
+  private slownessOf(engine: ServingEndpoint, nowMs: number): number {
+    const correction = findCorrection(engine.service, this.options);
+    return correction?.slownessOf(engine, nowMs) ?? 1;
+  }
+
+  private hasRoomFor(
+    engine: ServingEndpoint,
+    request: PlacementRequest,
+  ): boolean {
+    const correction = findCorrection(engine.service, this.options);
+    return correction?.hasRoomFor(engine, request) ?? true;
+  }
+
   /** Time until newer loads of these engines than the known ones are known. */
   private unseenForS(
     engines: readonly ServingEndpoint[],
