Report each attempt to the load correction

Corrections learn from attempts what an endpoint can do: which prompts it holds, when their first event came, and the pauses of their streams. Each attempt of a service whose load controls are on is reported at its start, its first event and its end.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import type {ReportedLoad} from '@snipestage/routing/endpoint_monitor.js';
+import type {AttemptEnd} from '@snipestage/routing/load_correction.js';
 import type {Placed} from '@snipestage/routing/placement.js';
 import type {EndpointAddress} from '@snipestage/routing/serving_endpoint.js';
 import {
@@ -42,6 +43,8 @@
 
 /** An endpoint that crashes as it begins an answer may send one event. */
 const EVENTS_OF_BEGUN_ANSWER = 2;
+/** Pauses of a stream that are kept; they are enough to tell its pace. */
+const MAX_PAUSES = 64;
 
 /** Options of {@link Attempt}. */
 export interface AttemptOptions {
@@ -70,6 +73,8 @@
   private answeredLoad: ReportedLoad | undefined;
   /** Events that this endpoint sent. */
   private events = 0;
+  private lastEventAtMs = 0;
+  private readonly pausesMs: number[] = [];
 
   constructor(private readonly options: AttemptOptions) {
     const {context, request, placed} = options;
@@ -216,8 +221,23 @@
     return true;
   }
 
+  /** What it has shown of its endpoint, once its result is known. */
+  describeEnd(result: AttemptResult): AttemptEnd {
+    return {
+      isAnswered: result.kind === 'answered',
+      outcome: result.kind === 'answered' ? 'answered' : result.endpointOutcome,
+      pausesMs: this.pausesMs,
+      workTimeRatio: this.answeredLoad?.workTimeRatio,
+    };
+  }
+
   private countEvent(): void {
     const {context, request, trial} = this.options;
+    const atMs = context.nowMs();
+    if (this.events > 0 && this.pausesMs.length < MAX_PAUSES) {
+      this.pausesMs.push(atMs - this.lastEventAtMs);
+    }
+    this.lastEventAtMs = atMs;
     this.events += 1;
     if (this.events !== EVENTS_OF_BEGUN_ANSWER) return;
     context.crashes.noteBegun(request.content, trial);
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -22,6 +22,7 @@
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
 import {Attempt} from './attempt.js';
 import {AttemptRecord} from './attempt_record.js';
+import {AttemptObservation, NOTHING_SHOWN} from './attempt_observation.js';
 import {recordOutcome, type AttemptOutcome} from './record_outcome.js';
 import type {
   AttemptResult,
@@ -298,11 +299,19 @@
     state.rateLimits.noteSent(endpoint.id, startedAtMs);
     state.brittle.noteSent(endpoint, startedAtMs);
     state.reach.noteTrial(endpoint.dataCentre, startedAtMs);
-    const attempt = (this.current = this.createAttempt(placed));
+    const observation = new AttemptObservation(state, {
+      endpoint,
+      route: this.request.admission.route,
+      prompt,
+      sentAtMs: startedAtMs,
+    });
+    const attempt = (this.current = this.createAttempt(placed, observation));
     let result: AttemptResult;
     try {
       result = await attempt.run();
+      observation.end(attempt.describeEnd(result), nowMs());
     } finally {
+      observation.end(NOTHING_SHOWN, nowMs());
       state.monitor.end(endpoint.id, work);
       this.current = undefined;
     }
@@ -330,7 +339,10 @@
     return serving.filter(each => versions.mayBegin(each));
   }
 
-  private createAttempt(placed: Placed): Attempt {
+  private createAttempt(
+    placed: Placed,
+    observation: AttemptObservation,
+  ): Attempt {
     const {context, request, writer} = this;
     return new Attempt({
       context,
@@ -341,7 +353,10 @@
       maySwitch: () => this.maySwitch(),
       isLast: () => this.listUntried().length === 0,
       onBegun: () => this.noteBegun(),
-      onEvent: () => this.noteEvent(placed.endpoint),
+      onEvent: () => {
+        observation.noteEvent(context.nowMs());
+        this.noteEvent(placed.endpoint);
+      },
     });
   }
 
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -122,7 +122,7 @@
   readonly warmup: WarmupGate;
   readonly controls: LoadControls;
   /** In the order in which they are applied. */
-  private readonly correction = new CombinedCorrection([]);
+  readonly correction = new CombinedCorrection([]);
   /** In the order in which they decide. */
   private readonly shedders: readonly LoadShedder[] = [];
   /** Requests in progress that the shedders have admitted. */
--- a/packages/routing/src/load_correction.test.ts
+++ b/packages/routing/src/load_correction.test.ts
@@ -39,6 +39,12 @@
     return id !== 'usual';
   }
 
+  noteSent(): void {}
+
+  noteFirstEvent(): void {}
+
+  noteEnded(): void {}
+
   retain(): void {}
 
   forget(): void {}
--- a/packages/routing/src/load_correction.ts
+++ b/packages/routing/src/load_correction.ts
@@ -1,9 +1,31 @@
 /** Corrects what a count of requests doesn't show of an endpoint's load. */
 
 import type {EndpointId} from '@snipestage/types/ids.js';
+import type {EndpointOutcome} from './endpoint_monitor.js';
 import type {PlacementRequest} from './placement.js';
+import type {Prompt} from './prompt.js';
+import type {Route} from './route.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
+/** An attempt at an endpoint; the same object from its start to its end. */
+export interface ObservedAttempt {
+  readonly endpoint: ServingEndpoint;
+  readonly route: Route;
+  readonly prompt: Prompt | undefined;
+  readonly sentAtMs: number;
+}
+
+/** What an attempt has shown of its endpoint. */
+export interface AttemptEnd {
+  readonly isAnswered: boolean;
+  /** Undefined when it shows nothing of the endpoint's health. */
+  readonly outcome: EndpointOutcome | undefined;
+  /** Pauses between the events of its stream, in order. */
+  readonly pausesMs: readonly number[];
+  /** As the endpoint stated with the head of its answer. */
+  readonly workTimeRatio: number | undefined;
+}
+
 /**
  * One aspect of endpoints by which placements correct their loads. It applies
  * only to services whose load controls are on.
@@ -21,6 +43,18 @@
     request: PlacementRequest,
   ): boolean;
 
+  /** An attempt is sent to an endpoint; {@link noteEnded} follows. */
+  abstract noteSent(attempt: ObservedAttempt): void;
+
+  /** The endpoint has sent the first event of its stream. */
+  abstract noteFirstEvent(attempt: ObservedAttempt, nowMs: number): void;
+
+  abstract noteEnded(
+    attempt: ObservedAttempt,
+    end: AttemptEnd,
+    nowMs: number,
+  ): void;
+
   /** Forgets endpoints that are gone. */
   abstract retain(ids: ReadonlySet<EndpointId>): void;
 
@@ -52,6 +86,18 @@
     return this.corrections.every(each => each.hasRoomFor(endpoint, request));
   }
 
+  noteSent(attempt: ObservedAttempt): void {
+    for (const each of this.corrections) each.noteSent(attempt);
+  }
+
+  noteFirstEvent(attempt: ObservedAttempt, nowMs: number): void {
+    for (const each of this.corrections) each.noteFirstEvent(attempt, nowMs);
+  }
+
+  noteEnded(attempt: ObservedAttempt, end: AttemptEnd, nowMs: number): void {
+    for (const each of this.corrections) each.noteEnded(attempt, end, nowMs);
+  }
+
   retain(ids: ReadonlySet<EndpointId>): void {
     for (const each of this.corrections) each.retain(ids);
   }
