Share the demand of the last seconds between instances

Cause: instances disagreed on which engines serve short requests. The size of the short side lay between 11 and 31 of 65 engines at the same moment, from a tenth to nine tenths of the requests, as the demand that is summed up in the store was known only 28 s into the traffic (its holder was replaced and the store was away) and each instance used its own two or three requests a second.

Change: instances report what arrived since their last report with their loads, relays add the reports up and pass the sums on. Where load controls are on, the split follows these sums. Engines that have just come from the long side serve short requests last until their long prompts are done.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -123,6 +123,7 @@
       timeline: this.timeline,
       platform,
       loads: this.state.loads,
+      demand: this.state.sharedDemand,
       metrics: options.metrics,
       logger: logger.forComponent('relay'),
       nowMs,
--- a/packages/gateway/src/relay/load_exchange.ts
+++ b/packages/gateway/src/relay/load_exchange.ts
@@ -7,13 +7,22 @@
   LoadReading,
   LoadView,
 } from '@snipestage/routing/load_view.js';
+import type {SharedDemand} from '@snipestage/routing/shared_demand.js';
 import type {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
-import {readLoadReport, toLoadReport, type LoadReport} from './load_report.js';
+import {DemandExchange} from './demand_exchange.js';
+import {
+  readLoadReport,
+  toLoadReport,
+  type DemandLine,
+  type LoadReport,
+} from './load_report.js';
 
 /** Options of {@link LoadExchange}. */
 export interface LoadExchangeOptions {
   readonly view: LoadView;
+  /** Demand is exchanged with the readings; without it none is. */
+  readonly demand?: SharedDemand;
   readonly metrics: Pick<GatewayMetrics, 'countLoads'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
@@ -33,7 +42,12 @@
   private toRelayMark = 0;
   private loggedAtMs = Number.NEGATIVE_INFINITY;
 
-  constructor(private readonly options: LoadExchangeOptions) {}
+  private readonly demands: DemandExchange | undefined;
+
+  constructor(private readonly options: LoadExchangeOptions) {
+    const {demand} = options;
+    this.demands = demand && new DemandExchange(demand);
+  }
 
   /** New readings of this instance; undefined when there are none. */
   collectForRelay(): LoadReport | undefined {
@@ -42,7 +56,9 @@
     const changes = view.changesSince(this.toRelayMark, ['own'], atMs);
     this.toRelayMark = changes.mark;
     const {readings} = changes;
-    return readings.length === 0 ? undefined : this.report(readings, atMs);
+    const demands = this.demands?.collectForRelay(atMs);
+    const isEmpty = readings.length === 0 && demands === undefined;
+    return isEmpty ? undefined : this.report(readings, atMs, demands);
   }
 
   /**
@@ -51,10 +67,14 @@
   collectForOthers(): {toFollowers: LoadReport; toRelays: LoadReport} {
     const {view, nowMs} = this.options;
     const atMs = nowMs();
+    const demands = this.demands?.collectForRelays(atMs);
     const toFollowers = this.collectForFollowers();
     const local = view.changesSince(this.toRelaysMark, ['own', 'local'], atMs);
     this.toRelaysMark = local.mark;
-    return {toFollowers, toRelays: this.report(local.readings, atMs)};
+    return {
+      toFollowers,
+      toRelays: this.report(local.readings, atMs, demands),
+    };
   }
 
   /** All new readings for followers. */
@@ -67,7 +87,8 @@
       atMs,
     );
     this.toFollowersMark = all.mark;
-    return this.report(all.readings, atMs);
+    const demands = this.demands?.collectForFollowers();
+    return this.report(all.readings, atMs, demands);
   }
 
   /**
@@ -80,6 +101,7 @@
       report,
       this.dateOf(report, atMs),
     );
+    this.demands?.receive(report, origin, atMs);
     if (malformed > 0) this.noteMalformed(malformed, atMs);
     for (const reading of readings) {
       const drop: LoadDrop | undefined = view.addReported(
@@ -91,9 +113,14 @@
     }
   }
 
-  private report(readings: readonly LoadReading[], atMs: number): LoadReport {
+  private report(
+    readings: readonly LoadReading[],
+    atMs: number,
+    demands: readonly DemandLine[] | undefined,
+  ): LoadReport {
     const {timeline} = this.options;
-    return toLoadReport(readings, atMs, timeline.storeClockAt(atMs));
+    const report = toLoadReport(readings, atMs, timeline.storeClockAt(atMs));
+    return demands === undefined ? report : {...report, demands};
   }
 
   /** When a report was made; its arrival where that isn't known. */
--- a/packages/gateway/src/relay/load_report.ts
+++ b/packages/gateway/src/relay/load_report.ts
@@ -1,7 +1,13 @@
 /** Wire format of load readings between instances. */
 
 import type {LoadReading} from '@snipestage/routing/load_view.js';
-import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
+import type {RouteId} from '@snipestage/routing/route.js';
+import type {DemandIncrement} from '@snipestage/routing/shared_demand.js';
+import {
+  brandAs,
+  type EndpointId,
+  type ServiceId,
+} from '@snipestage/types/ids.js';
 
 /**
  * Endpoint, running, waiting, capacity, the reading's age in ms, and the
@@ -16,6 +22,9 @@
   number?,
 ];
 
+/** Service, route, requests, work and prompt tokens. */
+export type DemandLine = readonly [string, string, number, number, number];
+
 /** Readings that are new to the receiver. */
 export interface LoadReport {
   readonly kind: 'loads';
@@ -25,12 +34,16 @@
    * A report may be under way for long.
    */
   readonly storeMs?: number;
+  /** Requests that arrived since the report before; older versions lack them. */
+  readonly demands?: readonly DemandLine[];
   /** Whether a relay passes it on soon, without waiting for its turn (false). */
   readonly isUrgent?: boolean;
 }
 
 /** Lines in a report; longer reports are rejected. */
 const MAX_LINES = 1000;
+/** More requests of a route than this in one report are malformed. */
+const MAX_REQUESTS = 1e6;
 
 /**
  * @param storeMs the store's clock, or less; undefined: not known.
@@ -109,3 +122,56 @@
     isLimit
   );
 }
+
+/**
+ * @example
+ * const report = {...toLoadReport(readings, nowMs), demands: toDemandLines(sums)};
+ */
+export function toDemandLines(
+  increments: readonly DemandIncrement[],
+): readonly DemandLine[] | undefined {
+  if (increments.length === 0) return undefined;
+  return increments
+    .slice(0, MAX_LINES)
+    .map(({service, route, requests, work, promptTokens}) => [
+      service,
+      route,
+      requests,
+      Math.round(work),
+      Math.round(promptTokens),
+    ]);
+}
+
+/**
+ * Validates and reads the demand in a report of another process.
+ *
+ * @example
+ * demand.addReported(readDemandLines(report), nowMs);
+ */
+export function readDemandLines(message: unknown): readonly DemandIncrement[] {
+  const lines = (message as Partial<LoadReport> | undefined)?.demands;
+  if (!Array.isArray(lines) || lines.length > MAX_LINES) return [];
+  return lines
+    .filter(isDemandLine)
+    .map(([service, route, requests, work, promptTokens]) => ({
+      service: brandAs<ServiceId>(service),
+      route: brandAs<RouteId>(route),
+      requests,
+      work,
+      promptTokens,
+    }));
+}
+
+function isDemandLine(line: unknown): line is DemandLine {
+  if (!Array.isArray(line) || line.length !== 5) return false;
+  const [service, route, requests, ...sums] = line as unknown[];
+  const areSums = [requests, ...sums].every(
+    sum => Number.isFinite(sum) && (sum as number) >= 0,
+  );
+  return (
+    typeof service === 'string' &&
+    typeof route === 'string' &&
+    areSums &&
+    (requests as number) <= MAX_REQUESTS
+  );
+}
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -117,7 +117,9 @@
     readonly toRelays?: LoadReport;
   }): void {
     const {toFollowers, toRelays} = loads;
-    if (toFollowers.lines.length > 0) {
+    const isEmpty =
+      toFollowers.lines.length === 0 && toFollowers.demands === undefined;
+    if (!isEmpty) {
       for (const {call} of this.followers) writeUnlessBehind(call, toFollowers);
     }
     if (toRelays === undefined) return;
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -4,6 +4,7 @@
 import type {LoadView} from '@snipestage/routing/load_view.js';
 import type {Platform} from '@snipestage/platform/platform.js';
 import {InstanceEstimate} from '@snipestage/routing/instance_estimate.js';
+import type {SharedDemand} from '@snipestage/routing/shared_demand.js';
 import type {ChangeBudget} from '@snipestage/routing/change_budget.js';
 import type {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import {RelayRoster, type RelaySlot} from '@snipestage/routing/relay_roster.js';
@@ -35,6 +36,8 @@
   readonly timeline: StoreTimeline;
   readonly platform: Platform;
   readonly loads: LoadView;
+  /** Exchanged with the loads; without it no demand is. */
+  readonly demand?: SharedDemand;
   readonly metrics: Pick<GatewayMetrics, 'countLoads' | 'observeUpdateAge'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -33,6 +33,8 @@
 import {ServiceVersions} from '@snipestage/routing/service_versions.js';
 import type {Route, RouteId} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
+import {SharedDemand} from '@snipestage/routing/shared_demand.js';
+import {SideHistory} from '@snipestage/routing/side_history.js';
 import type {RouteTable} from '@snipestage/routing/route_table.js';
 import {RecentDurations} from '@snipestage/routing/recent_durations.js';
 import {
@@ -114,6 +116,10 @@
     halfLifeMs: RECENT_DEMAND_HALF_LIFE_MS,
   });
   readonly agreedDemand = new AgreedDemand({own: this.demand});
+  readonly sharedDemand = new SharedDemand({
+    findRoute: id => this.table?.configuration.routes.find(r => r.id === id),
+  });
+  private readonly sides = new SideHistory();
   readonly suspects = new SuspectTable();
   readonly durations = new RecentDurations();
   /** Times until streams begin, with those after which callers left. */
@@ -155,8 +161,15 @@
       correction,
     };
     const {agreedDemand: demand, recentDemand: recent} = this;
+    const {sharedDemand: shared, sides} = this;
     this.plainPlacement = new LeastLoadedPlacement(estimates);
-    this.promptPlacement = new PromptPlacement({...estimates, demand, recent});
+    this.promptPlacement = new PromptPlacement({
+      ...estimates,
+      demand,
+      recent,
+      shared,
+      sides,
+    });
   }
 
   /**
@@ -183,6 +196,7 @@
     this.rateLimits.retain(known);
     this.brittle.retain(known);
     this.correction.retain(known);
+    this.sides.retain(known);
     for (const id of this.directory.takeRestarted()) {
       this.monitor.forgetReports(id);
       this.rateLimits.forget(id);
@@ -222,6 +236,9 @@
     ]) {
       meter.count(service, route, prompt, nowMs);
     }
+    if (prompt !== undefined && this.controls.isOn(service)) {
+      this.sharedDemand.noteOwn(service, route.id, prompt);
+    }
   }
 
   /** Demand of each engine service's routes as seen by this instance. */
@@ -246,6 +263,7 @@
   retainRoutes(routes: ReadonlySet<RouteId>): void {
     this.durations.retain(routes);
     this.waits.retain(routes);
+    this.sharedDemand.retain(routes);
   }
 
   placementFor(service: ServiceId): Placement {
--- a/packages/routing/src/demand_meter.ts
+++ b/packages/routing/src/demand_meter.ts
@@ -62,12 +62,37 @@
     prompt: Prompt | undefined,
     nowMs: number,
   ): void {
-    const demand = this.of(service, route, nowMs);
+    const work = prompt === undefined ? 1 : workOf(prompt, true);
+    const promptTokens = prompt?.tokens ?? 0;
+    this.add(route, {service, requests: 1, work, promptTokens}, nowMs);
+  }
+
+  /** Several requests of one route arrived. */
+  add(
+    route: Route,
+    arrived: {
+      readonly service: ServiceId;
+      readonly requests: number;
+      readonly work: number;
+      readonly promptTokens: number;
+    },
+    nowMs: number,
+  ): void {
+    const demand = this.of(arrived.service, route, nowMs);
     this.decay(demand, nowMs);
     demand.route = route;
-    demand.requests += 1;
-    demand.work += prompt === undefined ? 1 : workOf(prompt, true);
-    demand.promptTokens += prompt?.tokens ?? 0;
+    demand.requests += arrived.requests;
+    demand.work += arrived.work;
+    demand.promptTokens += arrived.promptTokens;
+  }
+
+  /** Forgets routes that are gone. */
+  retain(ids: ReadonlySet<RouteId>): void {
+    for (const routes of this.demands.values()) {
+      for (const id of routes.keys()) {
+        if (!ids.has(id)) routes.delete(id);
+      }
+    }
   }
 
   /** Services that have had requests. */
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -1,7 +1,7 @@
 /** Places prompts on model engines. */
 
 import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
-import type {EndpointId} from '@snipestage/types/ids.js';
+import type {EndpointId, ServiceId} from '@snipestage/types/ids.js';
 import type {DemandMeter, DemandSource, RouteDemand} from './demand_meter.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
 import {
@@ -28,12 +28,18 @@
 import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
 import {chooseByFill} from './fill_choice.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
+import type {SharedDemand} from './shared_demand.js';
+import type {SideHistory} from './side_history.js';
 
 /** Options of {@link PromptPlacement}. */
 export interface PromptPlacementOptions extends PlacementState {
   readonly demand: DemandSource;
   /** Demand of the last seconds at this instance alone; shows bursts. */
-  readonly recent: DemandMeter;
+  readonly recent: Pick<DemandMeter, 'countRecent'>;
+  /** Demand of all instances, used where load controls are on. */
+  readonly shared?: SharedDemand;
+  /** Engines that have lately changed sides; used likewise. */
+  readonly sides?: SideHistory;
   /** At least 0 and below 1. */
   readonly random?: () => number;
 }
@@ -189,8 +195,9 @@
     request: PlacementRequest,
   ): SplitSide {
     const service = usable[0].service;
-    const {demand, options} = this;
-    const demands = demand.read(service, request.nowMs);
+    const {nowMs} = request;
+    const {demand, recent} = this.sourcesFor(service, nowMs);
+    const demands = demand.read(service, nowMs);
     const shortRoutes = findShortRoutes(demands);
     if (shortRoutes.size === 0 || shortRoutes.size === demands.length) {
       const requestsPerS = sumRequests(demands);
@@ -199,26 +206,59 @@
     const share = shareOfShortRoutes({
       demands,
       shortRoutes,
-      recentCounts: options.recent.countRecent(service, request.nowMs),
+      recentCounts: recent.countRecent(service, nowMs),
     });
     const shortCount = splitCount(usable.length, share);
-    const ordered = orderForSplit(usable);
+    const ordered = this.settledFirst(orderForSplit(usable), shortCount, nowMs);
     const isShort = shortRoutes.has(request.route.id);
     const requestsPerS = sumRequests(
       demands.filter(({route}) => shortRoutes.has(route) === isShort),
     );
     if (!isShort) {
-      const engines = ordered.slice(shortCount);
+      const engines = ordered.engines.slice(shortCount);
       return {side: 'long', engines, widened: engines, requestsPerS};
     }
-    const widened = widenSide(ordered, shortCount, {
-      loadOf: ({id}) => this.monitor.estimateLoad(id, request.nowMs),
+    const widened = widenSide(ordered.engines, ordered.settled, {
+      loadOf: ({id}) => this.monitor.estimateLoad(id, nowMs),
       maxUtilization: MAX_SHORT_UTILIZATION,
     });
-    const engines = ordered.slice(0, shortCount);
+    const engines = widened.slice(0, shortCount);
     return {side: 'short', engines, widened, requestsPerS};
   }
 
+  private sourcesFor(
+    service: ServiceId,
+    nowMs: number,
+  ): Pick<PromptPlacementOptions, 'demand' | 'recent'> {
+    const {shared, controls, demand, recent} = this.options;
+    const isShared =
+      shared !== undefined &&
+      controls?.isOn(service) === true &&
+      shared.isKnown(nowMs);
+    return isShared ? {demand: shared, recent: shared} : {demand, recent};
+  }
+
+  /**
+   * Where controls are on, those of the first engines that were on the long side
+   * lately come last among them.
+   */
+  private settledFirst(
+    engines: readonly ServingEndpoint[],
+    shortCount: number,
+    nowMs: number,
+  ): {readonly engines: readonly ServingEndpoint[]; readonly settled: number} {
+    const {sides, controls} = this.options;
+    const isOn = controls?.isOn(engines[0].service) === true;
+    if (sides === undefined || !isOn) return {engines, settled: shortCount};
+    const long = engines.slice(shortCount);
+    sides.noteLong(long, nowMs);
+    const {ordered, settled} = sides.order(engines.slice(0, shortCount), nowMs);
+    return {
+      engines: [...ordered, ...long],
+      settled: settled === 0 ? shortCount : settled,
+    };
+  }
+
   private chooseByPrefix(
     {group, widened, requestsPerS}: Candidates,
     request: PlacementRequest,
