Learn how fast endpoints are and place by it

Cause: requests are placed by count although endpoints differ in speed, so that streams on slow engines are late by their pauses. Change: EndpointRates learns from the pauses of streams and the durations of plain answers; instances exchange samples in the field `paces` of the load reports; placement uses the rates for fill, split, prefix ranks, local engines and plain services.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -123,6 +123,7 @@
       timeline: this.timeline,
       platform,
       loads: this.state.loads,
+      paces: this.state.paces,
       metrics: options.metrics,
       logger: logger.forComponent('relay'),
       nowMs,
@@ -186,6 +187,7 @@
       ...options,
       isReady: () => this.isReady,
       readTableAges: () => this.follower.readAges(),
+      countSlow: () => this.state.countSlow(performance.now()),
       dump: () => this.dump(),
     });
   }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -56,6 +56,24 @@
     labelNames: ['outcome'],
     registers: [this.registry],
   });
+  private readonly paces = new Counter({
+    name: 'snipestage_endpoint_paces_total',
+    help: 'Paces of endpoints reported by other instances, by outcome.',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+  private readonly invalidWorkTimes = new Counter({
+    name: 'snipestage_invalid_work_times_total',
+    help: 'Answers that state a work time that is ignored, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+  private readonly slowEndpoints = new Gauge({
+    name: 'snipestage_slow_endpoints',
+    help: 'Endpoints that this instance treats as slow, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   private readonly updateAge = new Histogram({
     name: 'snipestage_relay_update_age_ms',
     help: "Age of a relay's confirmations at their arrival, by table.",
@@ -213,6 +231,22 @@
     this.loads.inc({outcome}, count);
   }
 
+  /** @param outcome `taken`, or why the paces were dropped. */
+  countPaces(outcome: string, count: number): void {
+    this.paces.inc({outcome}, count);
+  }
+
+  countInvalidWorkTime(service: string): void {
+    this.invalidWorkTimes.inc({service});
+  }
+
+  /** Sets the number of slow endpoints of each service. */
+  setSlowEndpoints(counts: ReadonlyMap<string, number>): void {
+    for (const [service, count] of counts) {
+      this.slowEndpoints.set({service}, count);
+    }
+  }
+
   observeUpdateAge(table: string, ageMs: number): void {
     this.updateAge.observe({table}, ageMs);
   }
--- a/packages/gateway/src/gateway_pages.ts
+++ b/packages/gateway/src/gateway_pages.ts
@@ -16,6 +16,8 @@
   readonly isReady: () => boolean;
   /** For how long a change of each table may have been missed, in ms. */
   readonly readTableAges: () => ReadonlyMap<string, number>;
+  /** Slow endpoints of each service whose load controls are on. */
+  readonly countSlow: () => ReadonlyMap<string, number>;
   /** Known and estimated state of the process, without callers' keys. */
   readonly dump: () => object;
 }
@@ -51,12 +53,13 @@
 }
 
 async function showPage(
-  {metrics, output, dump, readTableAges}: GatewayPagesOptions,
+  {metrics, output, dump, readTableAges, countSlow}: GatewayPagesOptions,
   path: string,
 ): Promise<OperationsPage | undefined> {
   if (path === '/metrics') {
     metrics.setDroppedLines(output.dropped);
     metrics.setTableAges(readTableAges());
+    metrics.setSlowEndpoints(countSlow());
     const body = await metrics.render();
     return {status: 200, type: 'text/plain; version=0.0.4', body};
   }
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -56,6 +56,8 @@
   /** Whether the body is encoded, so that it isn't the endpoint's own bytes. */
   readonly isEncoded: boolean;
   readonly load: ReportedLoad | undefined;
+  /** Whether it states a work time that can't be right (false). */
+  readonly hasInvalidWorkTime?: boolean;
   /**
    * Requests a second that it accepts from all instances together, if limited.
    */
--- a/packages/gateway/src/record_announcements.ts
+++ b/packages/gateway/src/record_announcements.ts
@@ -112,11 +112,27 @@
   logger.info(`endpoint_brittle_${change}`, {endpoint: id, maxRejectionsPerS});
 }
 
-function recordLoad(
-  {state, nowMs}: ExchangeContext,
-  {head, endpoint: {id}}: AnsweredAttempt,
+/** A valid work time switches the load controls of the service on. */
+function recordWorkTime(
+  {state, metrics, logger}: ExchangeContext,
+  {head, endpoint: {id, service}}: AnsweredAttempt,
 ): void {
-  const {load} = head;
+  if (head.load?.workTimeRatio !== undefined)
+    state.controls.noteSharedMachine(service);
+  if (head.hasInvalidWorkTime !== true) return;
+  metrics.countInvalidWorkTime(service);
+  if (state.withInvalidWorkTime.has(id)) return;
+  state.withInvalidWorkTime.add(id);
+  logger.warn('work_time_invalid', {endpoint: id, service});
+}
+
+function recordLoad(context: ExchangeContext, answered: AnsweredAttempt): void {
+  const {state, nowMs} = context;
+  const {
+    head: {load},
+    endpoint: {id},
+  } = answered;
+  recordWorkTime(context, answered);
   if (load === undefined) return;
   const rateLimitPerS = state.rateLimits.find(id);
   state.loads.noteOwn({endpoint: id, load, rateLimitPerS, atMs: nowMs()});
--- a/packages/gateway/src/relay/load_exchange.ts
+++ b/packages/gateway/src/relay/load_exchange.ts
@@ -1,86 +1,89 @@
-/** Exchanges load readings with other instances. */
+/** Exchanges load readings and paces with other instances. */
 
 import type {Logger} from '@snipestage/log/logger.js';
 import type {
   LoadDrop,
   LoadOrigin,
-  LoadReading,
   LoadView,
 } from '@snipestage/routing/load_view.js';
+import type {PaceView} from '@snipestage/routing/pace_view.js';
 import type {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
-import {readLoadReport, toLoadReport, type LoadReport} from './load_report.js';
+import {
+  isEmptyReport,
+  readLoadReport,
+  readPaces,
+  toLoadReport,
+  withPaces,
+  type LoadReport,
+} from './load_report.js';
 
 /** Options of {@link LoadExchange}. */
 export interface LoadExchangeOptions {
   readonly view: LoadView;
-  readonly metrics: Pick<GatewayMetrics, 'countLoads'>;
+  /** Paces are exchanged beside the loads; without it none are. */
+  readonly paces?: PaceView;
+  readonly metrics: Pick<GatewayMetrics, 'countLoads' | 'countPaces'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly timeline: StoreTimeline;
 }
 
+/** What was sent before, to one kind of receiver. */
+interface Marks {
+  loads: number;
+  paces: number;
+}
+
 /** Minimum interval between log lines about malformed reports. */
 const LOG_EVERY_MS = 10_000;
 
 /**
- * Tracks which readings were sent. Received readings expire in the view, so an
+ * Tracks which readings and paces were sent. Received readings expire in the view, so an
  * instance that loses its relay falls back to its own answers.
  */
 export class LoadExchange {
-  private toFollowersMark = 0;
-  private toRelaysMark = 0;
-  private toRelayMark = 0;
+  private readonly toFollowers: Marks = {loads: 0, paces: 0};
+  private readonly toRelays: Marks = {loads: 0, paces: 0};
+  private readonly toRelay: Marks = {loads: 0, paces: 0};
   private loggedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: LoadExchangeOptions) {}
 
-  /** New readings of this instance; undefined when there are none. */
+  /** What is new of this instance; undefined when nothing is. */
   collectForRelay(): LoadReport | undefined {
-    const {view, nowMs} = this.options;
-    const atMs = nowMs();
-    const changes = view.changesSince(this.toRelayMark, ['own'], atMs);
-    this.toRelayMark = changes.mark;
-    const {readings} = changes;
-    return readings.length === 0 ? undefined : this.report(readings, atMs);
+    const report = this.collect(this.toRelay, ['own']);
+    return isEmptyReport(report) ? undefined : report;
   }
 
   /**
-   * All new readings for followers, those of this data centre for other relays.
+   * All that is new for followers, that of this data centre for other relays.
    */
   collectForOthers(): {toFollowers: LoadReport; toRelays: LoadReport} {
-    const {view, nowMs} = this.options;
-    const atMs = nowMs();
     const toFollowers = this.collectForFollowers();
-    const local = view.changesSince(this.toRelaysMark, ['own', 'local'], atMs);
-    this.toRelaysMark = local.mark;
-    return {toFollowers, toRelays: this.report(local.readings, atMs)};
+    const toRelays = this.collect(this.toRelays, ['own', 'local']);
+    return {toFollowers, toRelays};
   }
 
-  /** All new readings for followers. */
+  /** All that is new for followers. */
   collectForFollowers(): LoadReport {
-    const {view, nowMs} = this.options;
-    const atMs = nowMs();
-    const all = view.changesSince(
-      this.toFollowersMark,
-      ['own', 'local', 'remote'],
-      atMs,
-    );
-    this.toFollowersMark = all.mark;
-    return this.report(all.readings, atMs);
+    return this.collect(this.toFollowers, ['own', 'local', 'remote']);
   }
 
   /**
-   * Validates a report of another process and adds its readings to the view.
+   * Validates a report of another process and adds its readings and paces to
+   * the views.
    */
   receive(report: LoadReport, origin: LoadOrigin): void {
     const {view, metrics, nowMs} = this.options;
     const atMs = nowMs();
-    const {readings, malformed} = readLoadReport(
-      report,
-      this.dateOf(report, atMs),
-    );
-    if (malformed > 0) this.noteMalformed(malformed, atMs);
+    const madeAtMs = this.dateOf(report, atMs);
+    this.receivePaces(report, origin, madeAtMs);
+    const {readings, malformed} = readLoadReport(report, madeAtMs);
+    if (malformed > 0) {
+      metrics.countLoads('malformed', malformed);
+      this.logMalformed('loads_malformed', malformed, atMs);
+    }
     for (const reading of readings) {
       const drop: LoadDrop | undefined = view.addReported(
         reading,
@@ -91,9 +94,36 @@
     }
   }
 
-  private report(readings: readonly LoadReading[], atMs: number): LoadReport {
-    const {timeline} = this.options;
-    return toLoadReport(readings, atMs, timeline.storeClockAt(atMs));
+  private receivePaces(
+    report: LoadReport,
+    origin: LoadOrigin,
+    madeAtMs: number,
+  ): void {
+    const {paces, metrics, nowMs} = this.options;
+    if (paces === undefined) return;
+    const atMs = nowMs();
+    const {samples, malformed} = readPaces(report, madeAtMs);
+    if (malformed > 0) {
+      metrics.countPaces('malformed', malformed);
+      this.logMalformed('paces_malformed', malformed, atMs);
+    }
+    for (const sample of samples) {
+      const drop = paces.addReported(sample, origin, atMs);
+      metrics.countPaces(drop ?? 'taken', 1);
+    }
+  }
+
+  /** What is new since the marks, which are moved. */
+  private collect(marks: Marks, origins: readonly LoadOrigin[]): LoadReport {
+    const {view, paces, timeline, nowMs} = this.options;
+    const atMs = nowMs();
+    const loads = view.changesSince(marks.loads, origins, atMs);
+    marks.loads = loads.mark;
+    const storeMs = timeline.storeClockAt(atMs);
+    const report = toLoadReport(loads.readings, atMs, storeMs);
+    const changes = paces?.changesSince(marks.paces, origins, atMs);
+    marks.paces = changes?.mark ?? marks.paces;
+    return withPaces(report, changes?.samples ?? [], atMs);
   }
 
   /** When a report was made; its arrival where that isn't known. */
@@ -106,10 +136,9 @@
     return madeAtMs ?? arrivedAtMs;
   }
 
-  private noteMalformed(count: number, atMs: number): void {
-    this.options.metrics.countLoads('malformed', count);
+  private logMalformed(event: string, count: number, atMs: number): void {
     if (atMs - this.loggedAtMs < LOG_EVERY_MS) return;
     this.loggedAtMs = atMs;
-    this.options.logger.warn('loads_malformed', {count});
+    this.options.logger.warn(event, {count});
   }
 }
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -16,7 +16,7 @@
   type WriteReply,
 } from './relay_messages.js';
 import {isCountsKey} from '../usage_rows.js';
-import type {LoadReport} from './load_report.js';
+import {isEmptyReport, type LoadReport} from './load_report.js';
 import type {TableCopy} from './table_copy.js';
 import {UpdateBatch} from './update_batch.js';
 import type {WriteBatcher} from './write_batcher.js';
@@ -117,7 +117,7 @@
     readonly toRelays?: LoadReport;
   }): void {
     const {toFollowers, toRelays} = loads;
-    if (toFollowers.lines.length > 0) {
+    if (!isEmptyReport(toFollowers)) {
       for (const {call} of this.followers) writeUnlessBehind(call, toFollowers);
     }
     if (toRelays === undefined) return;
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -5,6 +5,7 @@
 import type {Platform} from '@snipestage/platform/platform.js';
 import {InstanceEstimate} from '@snipestage/routing/instance_estimate.js';
 import type {ChangeBudget} from '@snipestage/routing/change_budget.js';
+import type {PaceView} from '@snipestage/routing/pace_view.js';
 import type {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import {RelayRoster, type RelaySlot} from '@snipestage/routing/relay_roster.js';
 import type {DataCentreId, InstanceId} from '@snipestage/types/ids.js';
@@ -35,7 +36,12 @@
   readonly timeline: StoreTimeline;
   readonly platform: Platform;
   readonly loads: LoadView;
-  readonly metrics: Pick<GatewayMetrics, 'countLoads' | 'observeUpdateAge'>;
+  /** Without it no paces are exchanged. */
+  readonly paces?: PaceView;
+  readonly metrics: Pick<
+    GatewayMetrics,
+    'countLoads' | 'countPaces' | 'observeUpdateAge'
+  >;
   readonly logger: Logger;
   readonly nowMs: () => number;
   /** Number of instances; undefined while not known. */
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -10,6 +10,7 @@
 } from '@snipestage/routing/demand_meter.js';
 import {EndpointDirectory} from '@snipestage/routing/endpoint_directory.js';
 import {EndpointRateLimits} from '@snipestage/routing/endpoint_rate_limits.js';
+import {EndpointRates} from '@snipestage/routing/endpoint_rates.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {InstanceIsolation} from '@snipestage/routing/instance_isolation.js';
 import {
@@ -26,6 +27,7 @@
 } from '@snipestage/routing/load_shedder.js';
 import {LoadView} from '@snipestage/routing/load_view.js';
 import {LeastLoadedPlacement} from '@snipestage/routing/least_loaded_placement.js';
+import {PaceView, type PaceSample} from '@snipestage/routing/pace_view.js';
 import type {Placement} from '@snipestage/routing/placement.js';
 import type {Prompt} from '@snipestage/routing/prompt.js';
 import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
@@ -102,6 +104,19 @@
     rateLimits: this.rateLimits,
     isShared: id => this.isEngine(id),
   });
+  readonly rates = new EndpointRates({
+    runningAt: (id, nowMs) =>
+      this.monitor.estimateLoad(id, nowMs) -
+      this.monitor.estimateWaiting(id, nowMs),
+    onSample: sample => this.paces.noteOwn(sample),
+  });
+  /** Unlike loads, samples of plain services are shared too. */
+  readonly paces = new PaceView({
+    isKnown: id => this.directory.find(id) !== undefined,
+    onReported: sample => this.noteReportedPace(sample),
+  });
+  /** Endpoints whose invalid work times have been logged. */
+  readonly withInvalidWorkTime = new Set<EndpointId>();
   readonly reach = new DataCentreReach();
   readonly isolation = new InstanceIsolation();
   readonly demand = new DemandMeter();
@@ -122,7 +137,7 @@
   readonly warmup: WarmupGate;
   readonly controls: LoadControls;
   /** In the order in which they are applied. */
-  readonly correction = new CombinedCorrection([]);
+  readonly correction = new CombinedCorrection([this.rates]);
   /** In the order in which they decide. */
   private readonly shedders: readonly LoadShedder[] = [];
   /** Requests in progress that the shedders have admitted. */
@@ -183,14 +198,30 @@
     this.rateLimits.retain(known);
     this.brittle.retain(known);
     this.correction.retain(known);
+    for (const id of this.withInvalidWorkTime) {
+      if (!known.has(id)) this.withInvalidWorkTime.delete(id);
+    }
     for (const id of this.directory.takeRestarted()) {
       this.monitor.forgetReports(id);
       this.rateLimits.forget(id);
       this.brittle.forget(id);
       this.correction.forget(id);
       this.loads.forget(id, nowMs);
+      this.paces.forget(id, nowMs);
     }
     this.loads.prune();
+    this.paces.prune();
+  }
+
+  /**
+   * Others share paces only of services whose controls are on. An instance that
+   * has just started learns so within a second, before it has an answer.
+   */
+  private noteReportedPace(sample: PaceSample): void {
+    const service = this.directory.find(sample.endpoint)?.service;
+    if (service === undefined) return;
+    this.controls.noteSharedMachine(service);
+    this.rates.noteReported(sample, service);
   }
 
   /** Whether a request is refused for the sake of others; see {@link endShed}. */
@@ -337,7 +368,7 @@
 
   /** Known and estimated state of each endpoint, for the dump of state. */
   describeEndpoints(nowMs: number): readonly object[] {
-    const {directory, monitor} = this;
+    const {directory, monitor, rates} = this;
     return directory.readAll().map(endpoint => ({
       ...endpoint,
       isDown: monitor.isDown(endpoint.id, nowMs),
@@ -349,9 +380,22 @@
       load: monitor.estimateLoad(endpoint.id, nowMs),
       failureShare: monitor.failureShare(endpoint.id, nowMs),
       inFlight: monitor.inFlight(endpoint.id),
+      ...rates.describe(endpoint, nowMs),
     }));
   }
 
+  /** Slow endpoints of each service whose load controls are on. */
+  countSlow(nowMs: number): ReadonlyMap<ServiceId, number> {
+    const counts = new Map<ServiceId, number>();
+    for (const endpoint of this.directory.readAll()) {
+      const {service} = endpoint;
+      if (!this.controls.isOn(service)) continue;
+      const slow = this.rates.isSlow(endpoint, nowMs) ? 1 : 0;
+      counts.set(service, (counts.get(service) ?? 0) + slow);
+    }
+    return counts;
+  }
+
   /**
    * Applies new settings; if ratio, window or slack changed, attempts spent
    * earlier in the window are forgotten.
--- a/packages/routing/src/engine_split.ts
+++ b/packages/routing/src/engine_split.ts
@@ -77,6 +77,22 @@
   return placed.map(({engine}) => engine);
 }
 
+/**
+ * Sorts the engines as {@link orderForSplit} does, slow ones after all others.
+ *
+ * @example
+ * const ordered = orderSlowLast(engines, each => rates.isSlow(each, nowMs));
+ */
+export function orderSlowLast(
+  engines: readonly ServingEndpoint[],
+  isSlow: (engine: ServingEndpoint) => boolean,
+): readonly ServingEndpoint[] {
+  const slow = new Set(engines.filter(isSlow));
+  if (slow.size === 0) return orderForSplit(engines);
+  const others = engines.filter(each => !slow.has(each));
+  return [...orderForSplit(others), ...orderForSplit([...slow])];
+}
+
 /** Inputs of {@link shareOfShortRoutes}. */
 export interface SplitInput {
   /** Demand over all instances, some seconds old. */
@@ -164,10 +180,35 @@
   return Math.min(engines - 1, Math.max(1, Math.round(engines * share)));
 }
 
+/**
+ * Number of engines, from the first, whose capacity is nearest to a share of
+ * that of all; with equal capacities the same as {@link splitCount}.
+ *
+ * @example
+ * const count = splitByCapacity(ordered, 0.4, each => 1 / slownessOf(each));
+ */
+export function splitByCapacity(
+  ordered: readonly ServingEndpoint[],
+  share: number,
+  capacityOf: (engine: ServingEndpoint) => number,
+): number {
+  let left = share * sumOver(ordered, capacityOf);
+  let count = 0;
+  for (const engine of ordered) {
+    const capacity = capacityOf(engine);
+    if (left < capacity / 2) break;
+    left -= capacity;
+    count += 1;
+  }
+  return Math.min(ordered.length - 1, Math.max(1, count));
+}
+
 /** Options of {@link widenSide}. */
 export interface WidenOptions {
   /** Requests of all instances at an engine. */
   readonly loadOf: (engine: ServingEndpoint) => number;
+  /** Requests that it can work on as fast as a usual engine (its capacity). */
+  readonly capacityOf?: (engine: ServingEndpoint) => number;
   /** Utilization of a side above which it is widened. */
   readonly maxUtilization: number;
 }
@@ -188,7 +229,7 @@
 export function widenSide(
   ordered: readonly ServingEndpoint[],
   count: number,
-  {loadOf, maxUtilization}: WidenOptions,
+  {loadOf, maxUtilization, capacityOf = each => each.capacity}: WidenOptions,
 ): readonly ServingEndpoint[] {
   let load = 0;
   let capacity = 0;
@@ -197,7 +238,7 @@
       return ordered.slice(0, index);
     }
     load += loadOf(engine);
-    capacity += engine.capacity;
+    capacity += capacityOf(engine);
   }
   return ordered;
 }
--- a/packages/routing/src/least_loaded_placement.ts
+++ b/packages/routing/src/least_loaded_placement.ts
@@ -2,6 +2,7 @@
 
 import type {EndpointMonitor} from './endpoint_monitor.js';
 import {
+  findCorrection,
   findUsable,
   leastBy,
   leaveOutCold,
@@ -50,9 +51,9 @@
     const all = findUsable(candidates, request, this.options);
     const open = leaveOutLimited(all, all, request, this.options);
     const usable = leaveOutCold(open, open, request, this.options);
-    const typicalMs = this.typicalDurationMs(usable);
+    const slownessOf = this.relativeTo(usable, request.nowMs);
     const endpoint = leastBy(usable, each =>
-      this.costOf(each, request, typicalMs),
+      this.costOf(each, request, slownessOf(each)),
     );
     return endpoint && {endpoint};
   }
@@ -60,12 +61,10 @@
   private costOf(
     endpoint: ServingEndpoint,
     {dataCentre, nowMs}: PlacementRequest,
-    typicalMs: number,
+    slowness: number,
   ): number {
     const {id} = endpoint;
     const load = this.monitor.estimateLoad(id, nowMs);
-    const ownMs = this.monitor.meanDurationMs(id) ?? typicalMs;
-    const slowness = Math.max(1, ownMs / typicalMs);
     const failures = this.monitor.failureShare(id, nowMs);
     return (
       (load + 1) * slowness +
@@ -75,6 +74,30 @@
     );
   }
 
+  /**
+   * Durations relative to the fastest endpoint: learned by all instances where
+   * load controls are on, else by this one.
+   */
+  private relativeTo(
+    usable: readonly ServingEndpoint[],
+    nowMs: number,
+  ): (endpoint: ServingEndpoint) => number {
+    const correction =
+      usable.length > 0
+        ? findCorrection(usable[0].service, this.options)
+        : undefined;
+    if (correction !== undefined) {
+      const all = usable.map(each => correction.slownessOf(each, nowMs));
+      const least = Math.min(...all);
+      return each => correction.slownessOf(each, nowMs) / least;
+    }
+    const typicalMs = this.typicalDurationMs(usable);
+    return ({id}) => {
+      const ownMs = this.monitor.meanDurationMs(id) ?? typicalMs;
+      return Math.max(1, ownMs / typicalMs);
+    };
+  }
+
   /** The least mean duration: that of a healthy endpoint. */
   private typicalDurationMs(endpoints: readonly ServingEndpoint[]): number {
     const means = endpoints
--- a/packages/routing/src/load_correction.ts
+++ b/packages/routing/src/load_correction.ts
@@ -43,6 +43,21 @@
     request: PlacementRequest,
   ): boolean;
 
+  /** Whether it is permanently slow, so that fast ones go before it (false). */
+  isSlow(endpoint: ServingEndpoint, nowMs: number): boolean;
+  isSlow(): boolean {
+    return false;
+  }
+
+  /**
+   * Share of such requests that pauses make late there and not at an endpoint of
+   * usual speed (0).
+   */
+  lateShareOf(endpoint: ServingEndpoint, request: PlacementRequest): number;
+  lateShareOf(): number {
+    return 0;
+  }
+
   /** An attempt is sent to an endpoint; {@link noteEnded} follows. */
   abstract noteSent(attempt: ObservedAttempt): void;
 
@@ -86,6 +101,20 @@
     return this.corrections.every(each => each.hasRoomFor(endpoint, request));
   }
 
+  override isSlow(endpoint: ServingEndpoint, nowMs: number): boolean {
+    return this.corrections.some(each => each.isSlow(endpoint, nowMs));
+  }
+
+  override lateShareOf(
+    endpoint: ServingEndpoint,
+    request: PlacementRequest,
+  ): number {
+    const shares = this.corrections.map(each =>
+      each.lateShareOf(endpoint, request),
+    );
+    return Math.max(0, ...shares);
+  }
+
   noteSent(attempt: ObservedAttempt): void {
     for (const each of this.corrections) each.noteSent(attempt);
   }
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -1,13 +1,14 @@
 /** Places prompts on model engines. */
 
-import {rankByRendezvous} from '@snipestage/policy/rendezvous.js';
+import {hashText, rankByRendezvous} from '@snipestage/policy/rendezvous.js';
 import type {EndpointId} from '@snipestage/types/ids.js';
 import type {DemandMeter, DemandSource, RouteDemand} from './demand_meter.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
 import {
   findShortRoutes,
-  orderForSplit,
+  orderSlowLast,
   shareOfShortRoutes,
+  splitByCapacity,
   splitCount,
   widenSide,
 } from './engine_split.js';
@@ -81,6 +82,11 @@
 const REPORT_INTERVAL_AGES = 1.5;
 /** Utilization of the short side above which it is widened. */
 const MAX_SHORT_UTILIZATION = 0.35;
+/**
+ * An engine at which pauses make more than this share of such requests late
+ * gets one by prefix only when no other engine has room.
+ */
+const MAX_LATE_SHARE = 0.1;
 /** Engines above this error rate are skipped for prefix affinity. */
 const MAX_FAILURE_SHARE = 0.5;
 
@@ -201,8 +207,16 @@
       shortRoutes,
       recentCounts: options.recent.countRecent(service, request.nowMs),
     });
-    const shortCount = splitCount(usable.length, share);
-    const ordered = orderForSplit(usable);
+    const {nowMs} = request;
+    const correction = findCorrection(service, options);
+    const ordered = orderSlowLast(
+      usable,
+      each => correction?.isSlow(each, nowMs) ?? false,
+    );
+    const shortCount =
+      correction === undefined
+        ? splitCount(ordered.length, share)
+        : splitByCapacity(ordered, share, each => this.speedOf(each, nowMs));
     const isShort = shortRoutes.has(request.route.id);
     const requestsPerS = sumRequests(
       demands.filter(({route}) => shortRoutes.has(route) === isShort),
@@ -212,7 +226,8 @@
       return {side: 'long', engines, widened: engines, requestsPerS};
     }
     const widened = widenSide(ordered, shortCount, {
-      loadOf: ({id}) => this.monitor.estimateLoad(id, request.nowMs),
+      loadOf: ({id}) => this.monitor.estimateLoad(id, nowMs),
+      capacityOf: each => each.capacity * this.speedOf(each, nowMs),
       maxUtilization: MAX_SHORT_UTILIZATION,
     });
     const engines = ordered.slice(0, shortCount);
@@ -224,8 +239,8 @@
     request: PlacementRequest,
     prompt: Prompt,
   ): Placed | undefined {
-    const ranked = this.rankByPrefix(group, prompt);
     const {nowMs} = request;
+    const ranked = this.rankByPrefix(group, prompt, nowMs);
     const loads = new Map<EndpointId, number>(
       ranked.map(each => [each.id, this.correctedLoadOf(each, nowMs)]),
     );
@@ -236,10 +251,15 @@
       ({id}) => this.monitor.failureShare(id, nowMs) < MAX_FAILURE_SHARE,
     );
     const hasRoom = (each: ServingEndpoint) =>
-      loads.get(each.id)! < Math.min(bound, each.capacity) &&
+      loads.get(each.id)! < bound &&
+      this.monitor.estimateLoad(each.id, nowMs) < each.capacity &&
       this.hasRoomFor(each, request);
+    const withRoom = healthy.filter(hasRoom);
     const endpoint =
-      healthy.find(hasRoom) ??
+      withRoom.find(
+        each => this.lateShareOf(each, request) <= MAX_LATE_SHARE,
+      ) ??
+      withRoom.at(0) ??
       this.chooseByLoad(widened, request, requestsPerS)?.endpoint;
     if (endpoint === undefined) return undefined;
     // The first other engine: the primary one when the prompt spills over, else
@@ -247,16 +267,27 @@
     return {endpoint, cacheSource: healthy.find(({id}) => id !== endpoint.id)};
   }
 
-  /** Ranks engines for a shared prefix in the same order on all instances. */
+  /**
+   * Ranks engines for a shared prefix in the same order on all instances. A slow
+   * engine is ranked last for part of the prefixes, so that it is the primary
+   * engine of as many as it has speed for. The part is drawn from a hash: a
+   * small change of its speed moves few prefixes.
+   */
   private rankByPrefix(
     group: readonly ServingEndpoint[],
     prompt: Prompt,
+    nowMs: number,
   ): readonly ServingEndpoint[] {
-    const part = deepestSharedPart(prompt);
+    const key = deepestSharedPart(prompt)?.id ?? '';
     const byId = new Map(group.map(endpoint => [endpoint.id, endpoint]));
-    return rankByRendezvous(part?.id ?? '', byId.keys()).map(id =>
-      byId.get(id)!,
-    );
+    const ranked = rankByRendezvous(key, byId.keys()).map(id => byId.get(id)!);
+    const correction = findCorrection(group[0].service, this.options);
+    if (correction === undefined) return ranked;
+    const isLast = (each: ServingEndpoint) =>
+      correction.isSlow(each, nowMs) &&
+      drawShare(key, each.id) >= this.speedOf(each, nowMs);
+    const last = ranked.filter(isLast);
+    return [...ranked.filter(each => !last.includes(each)), ...last];
   }
 
   private chooseByLoad(
@@ -271,15 +302,20 @@
     const loadOf = (each: ServingEndpoint) => this.effectiveLoadOf(each, nowMs);
     const costsWith = (failureCost: number) => (each: ServingEndpoint) =>
       loadOf(each) +
+      // An idle slow engine is as good as a usual one with some requests.
+      (this.slownessOf(each, nowMs) - 1) +
+      this.lateShareOf(each, request) * FAILURE_COST_IN_REQUESTS +
       monitor.failureShare(each.id, nowMs) * failureCost +
       random() * RANDOM_COST_IN_REQUESTS;
     if (!monitor.hasRecentReports(nowMs)) {
       const endpoint = leastBy(group, costsWith(FAILURE_COST_IN_REQUESTS));
       return endpoint && {endpoint};
     }
-    const items = preferLocal(group, {dataCentre, loadOf});
+    const capacityOf = (each: ServingEndpoint) => this.speedOf(each, nowMs);
+    const items = preferLocal(group, {dataCentre, loadOf, capacityOf});
     // Instances of other data centres prefer their own engines likewise.
-    const itemsPerS = (requestsPerS * items.length) / Math.max(1, group.length);
+    const itemsPerS =
+      (requestsPerS * sumOf(items, capacityOf)) / sumOf(group, capacityOf);
     const expectedRequests = itemsPerS * this.unseenForS(items, nowMs);
     // However many requests are on their way, they don't even out failures.
     const failureCost = Math.max(
@@ -306,8 +342,9 @@
   private effectiveLoadOf(engine: ServingEndpoint, nowMs: number): number {
     const {id, capacity} = engine;
     const load = this.correctedLoadOf(engine, nowMs);
+    const full = capacity * this.slownessOf(engine, nowMs);
     const waiting = Math.min(1, this.monitor.estimateWaiting(id, nowMs));
-    return load + Math.max(0, capacity - load) * waiting;
+    return load + Math.max(0, full - load) * waiting;
   }
 
   /** Requests at an engine, in requests of an engine of usual speed. */
@@ -324,6 +361,19 @@
     return correction?.slownessOf(engine, nowMs) ?? 1;
   }
 
+  /** Relative to an engine of usual speed. */
+  private speedOf(engine: ServingEndpoint, nowMs: number): number {
+    return 1 / this.slownessOf(engine, nowMs);
+  }
+
+  private lateShareOf(
+    engine: ServingEndpoint,
+    request: PlacementRequest,
+  ): number {
+    const correction = findCorrection(engine.service, this.options);
+    return correction?.lateShareOf(engine, request) ?? 0;
+  }
+
   private hasRoomFor(
     engine: ServingEndpoint,
     request: PlacementRequest,
@@ -346,3 +396,15 @@
 function sumRequests(demands: readonly RouteDemand[]): number {
   return demands.reduce((sum, {requestsPerS}) => sum + requestsPerS, 0);
 }
+
+function sumOf<Item>(
+  items: readonly Item[],
+  valueOf: (item: Item) => number,
+): number {
+  return items.reduce((sum, item) => sum + valueOf(item), 0);
+}
+
+/** From 0 to 1, the same on all instances. */
+function drawShare(key: string, id: EndpointId): number {
+  return hashText(`${key}\nshare\n${id}`) / 2 ** 32;
+}
