Keep learned rates apart from queues, and the split from false bursts

Streams at engines with a queue made the whole long side look slow. Change: where load controls are on, chance is measured around the agreed share; streams that waited for their first event are not learned from; streams of all routes stand for those of a rare one.

--- a/packages/routing/src/endpoint_rates.ts
+++ b/packages/routing/src/endpoint_rates.ts
@@ -28,10 +28,10 @@
  */
 const WEIGHT_OF_SHORTER = 0.3;
 const WEIGHT_OF_LONGER = 0.15;
-/** A sample counts as at most this far from the mean, as a logarithm. */
-const MAX_DEVIATION = Math.log(1.6);
-/** Samples after which a mean is firm enough for that bound. */
-const FIRM_COUNT = 3;
+/** A longer sample counts as at most this multiple of the mean. */
+const MAX_LOG_EXCESS = Math.log(1.6);
+/** Samples without which an endpoint doesn't become slow. */
+const MIN_COUNT_OF_SLOW = 3;
 /** Growth of pauses per running request, measured on the uneven deployment. */
 const GROWTH_PER_REQUEST = 0.015;
 const HALF_LIFE_MS = 60_000;
@@ -45,6 +45,12 @@
  * the endpoint: it may be over before the moment is.
  */
 const MAX_MOMENT_RATIO = 1.25;
+/**
+ * A stream that waited longer, in parts of its target, shows a queue: an engine
+ * with one reads prompts between all its steps, which lengthens every pause.
+ * Without this limit the long side looked slow in a burst, and the split changed.
+ */
+const MAX_WAIT_SHARE = 0.5;
 
 interface LearnedRate {
   readonly service: ServiceId;
@@ -67,6 +73,8 @@
   private readonly medians = new Map<ServiceId, number>();
   private readonly moments = new WorkTimeRatios();
   private readonly stretch = new PauseStretch();
+  /** Streams that waited for their first event. */
+  private readonly held = new WeakSet<ObservedAttempt>();
 
   constructor(private readonly options: EndpointRatesOptions) {
     super();
@@ -91,14 +99,16 @@
     if (rate === undefined) return false;
     const ratio = Math.exp(this.relativeLog(id, nowMs));
     if (ratio < STOPS_BEING_SLOW) rate.isSlow = false;
-    else if (ratio >= BECOMES_SLOW && rate.count >= FIRM_COUNT)
+    else if (ratio >= BECOMES_SLOW && rate.count >= MIN_COUNT_OF_SLOW)
       rate.isSlow = true;
     return rate.isSlow;
   }
 
   /**
    * The longest pause to expect is the endpoint's pace times the stretch that
-   * the route's streams have shown; it is compared with the pause target.
+   * the route's streams have shown; it is compared with the pause target. The
+   * more streams are late at usual endpoints too, the less is gained by avoiding
+   * slow ones, and the more it crowds the others.
    */
   override lateShareOf(
     {id, service}: ServingEndpoint,
@@ -110,12 +120,17 @@
     const multiple = pauseTargetMs / Math.exp(medianLog);
     const ratio = bound(Math.exp(this.relativeLog(id, nowMs)));
     const late = this.stretch.shareAbove(route.id, multiple / ratio);
-    return Math.max(0, late - this.stretch.shareAbove(route.id, multiple));
+    const usual = this.stretch.shareAbove(route.id, multiple);
+    return Math.max(0, late - 2 * usual);
   }
 
   noteSent(): void {}
 
-  noteFirstEvent(): void {}
+  noteFirstEvent(attempt: ObservedAttempt, nowMs: number): void {
+    const {latencyTargetMs} = attempt.route;
+    const waitMs = nowMs - attempt.sentAtMs;
+    if (waitMs > latencyTargetMs * MAX_WAIT_SHARE) this.held.add(attempt);
+  }
 
   noteEnded(attempt: ObservedAttempt, end: AttemptEnd, nowMs: number): void {
     const {endpoint, route, prompt, sentAtMs} = attempt;
@@ -164,16 +179,18 @@
   }
 
   private noteStream(
-    {endpoint, route}: ObservedAttempt,
+    attempt: ObservedAttempt,
     {pausesMs}: AttemptEnd,
     moment: number,
     nowMs: number,
   ): void {
+    const {endpoint, route} = attempt;
     const measuredMs = findPaceMs(pausesMs);
     if (measuredMs === undefined) return;
+    const isDisturbed = moment > MAX_MOMENT_RATIO || this.held.has(attempt);
     const running = Math.max(0, this.options.runningAt(endpoint.id, nowMs));
     const paceMs = measuredMs / (1 + GROWTH_PER_REQUEST * running);
-    if (moment <= MAX_MOMENT_RATIO) this.noteOwn(endpoint, paceMs, nowMs);
+    if (!isDisturbed) this.noteOwn(endpoint, paceMs, nowMs);
     const rate = this.rates.get(endpoint.id);
     if (rate === undefined) return;
     const longestMs = Math.max(...pausesMs);
@@ -207,11 +224,9 @@
     }
     const ageMs = Math.max(0, atMs - rate.atMs);
     const count = rate.count * 0.5 ** (ageMs / HALF_LIFE_MS);
-    const isFirm = count >= FIRM_COUNT;
-    const least = log < rate.meanLog ? WEIGHT_OF_SHORTER : WEIGHT_OF_LONGER;
-    const weight = Math.max(least, 1 / (count + 1));
-    const difference = log - rate.meanLog;
-    rate.meanLog += weight * (isFirm ? clamp(difference) : difference);
+    const excess = Math.min(MAX_LOG_EXCESS, log - rate.meanLog);
+    const least = excess < 0 ? WEIGHT_OF_SHORTER : WEIGHT_OF_LONGER;
+    rate.meanLog += excess * Math.max(least, 1 / (count + 1));
     rate.count = count + 1;
     rate.atMs = Math.max(rate.atMs, atMs);
   }
@@ -239,10 +254,6 @@
   }
 }
 
-function clamp(difference: number): number {
-  return Math.max(-MAX_DEVIATION, Math.min(MAX_DEVIATION, difference));
-}
-
 function bound(slowness: number): number {
   return Math.max(MIN_SLOWNESS, Math.min(MAX_SLOWNESS, slowness));
 }
--- a/packages/routing/src/engine_split.ts
+++ b/packages/routing/src/engine_split.ts
@@ -100,6 +100,12 @@
   readonly shortRoutes: ReadonlySet<RouteId>;
   /** Recent requests of each route at this instance. */
   readonly recentCounts: ReadonlyMap<RouteId, number>;
+  /**
+   * Whether chance is measured around the agreed share (false). Around the
+   * recent share it is 0 while all recent requests are of one side, so that a
+   * few of them count as a burst and long prompts go to the short side.
+   */
+  readonly isChanceByAgreed?: boolean;
 }
 
 /**
@@ -115,13 +121,16 @@
  * const share = shareOfShortRoutes({demands, shortRoutes, recentCounts});
  */
 export function shareOfShortRoutes(input: SplitInput): number {
-  const {demands, shortRoutes, recentCounts} = input;
-  const agreed = measureShare(demands, shortRoutes, each => each.requestsPerS);
-  const recent = measureShare(
-    demands,
+  const {demands, shortRoutes, recentCounts, isChanceByAgreed = false} = input;
+  const agreed = measureShare(demands, {
     shortRoutes,
-    ({route}) => recentCounts.get(route) ?? 0,
-  );
+    countOf: each => each.requestsPerS,
+  });
+  const recent = measureShare(demands, {
+    shortRoutes,
+    countOf: ({route}) => recentCounts.get(route) ?? 0,
+    expectedShare: isChanceByAgreed ? agreed.share : undefined,
+  });
   const difference = Math.abs(recent.share - agreed.share);
   return difference > BURST_DEVIATION_COUNT * recent.deviation
     ? recent.share
@@ -140,9 +149,14 @@
  */
 function measureShare(
   demands: readonly RouteDemand[],
-  shortRoutes: ReadonlySet<RouteId>,
-  countOf: (demand: RouteDemand) => number,
+  options: {
+    readonly shortRoutes: ReadonlySet<RouteId>;
+    readonly countOf: (demand: RouteDemand) => number;
+    /** The share around which it varies by chance (the measured one). */
+    readonly expectedShare?: number;
+  },
 ): MeasuredShare {
+  const {shortRoutes, countOf, expectedShare} = options;
   const parts = demands.map(demand => ({
     count: countOf(demand),
     workEach: demand.workPerS / Math.max(1e-9, demand.requestsPerS),
@@ -155,10 +169,11 @@
     ({count, workEach, isShort}) => count * workEach * isShort,
   );
   const share = short / total;
+  const centre = expectedShare ?? share;
   const variance = sumOver(
     parts,
     ({count, workEach, isShort}) =>
-      count * ((workEach * (isShort - share)) / total) ** 2,
+      count * ((workEach * (isShort - centre)) / total) ** 2,
   );
   return {share, deviation: Math.sqrt(variance)};
 }
--- a/packages/routing/src/pause_stretch.ts
+++ b/packages/routing/src/pause_stretch.ts
@@ -14,23 +14,28 @@
  */
 export class PauseStretch {
   private readonly byRoute = new Map<RouteId, number[]>();
+  private readonly ofAll: number[] = [];
 
   note(route: RouteId, stretch: number): void {
-    const kept = this.byRoute.get(route) ?? [];
-    kept.push(stretch);
-    if (kept.length > KEPT_COUNT) kept.shift();
-    this.byRoute.set(route, kept);
+    const ofRoute = this.byRoute.get(route) ?? [];
+    this.byRoute.set(route, ofRoute);
+    for (const kept of [ofRoute, this.ofAll]) {
+      kept.push(stretch);
+      if (kept.length > KEPT_COUNT) kept.shift();
+    }
   }
 
   /**
    * Share of the route's streams whose longest pause exceeds this multiple of
-   * the pace; 0 while too few are known.
+   * the pace. While few are known, those of all routes stand for them: an
+   * instance sees a stream of a rare route every few seconds.
    *
    * @example
    * const late = stretch.shareAbove(route.id, pauseTargetMs / paceMs);
    */
   shareAbove(route: RouteId, multiple: number): number {
-    const kept = this.byRoute.get(route) ?? [];
+    const ofRoute = this.byRoute.get(route) ?? [];
+    const kept = ofRoute.length < MIN_COUNT ? this.ofAll : ofRoute;
     if (kept.length < MIN_COUNT) return 0;
     return kept.filter(each => each > multiple).length / kept.length;
   }
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -202,13 +202,14 @@
       const requestsPerS = sumRequests(demands);
       return {side: 'all', engines: usable, widened: usable, requestsPerS};
     }
+    const {nowMs} = request;
+    const correction = findCorrection(service, options);
     const share = shareOfShortRoutes({
       demands,
       shortRoutes,
       recentCounts: options.recent.countRecent(service, request.nowMs),
+      isChanceByAgreed: correction !== undefined,
     });
-    const {nowMs} = request;
-    const correction = findCorrection(service, options);
     const ordered = orderSlowLast(
       usable,
       each => correction?.isSlow(each, nowMs) ?? false,
