--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -124,6 +124,7 @@
       platform,
       loads: this.state.loads,
       demand: this.state.sharedDemand,
+      paces: this.state.paces,
       metrics: options.metrics,
       logger: logger.forComponent('relay'),
       nowMs,
@@ -187,6 +188,7 @@
       ...options,
       isReady: () => this.isReady,
       readTableAges: () => this.follower.readAges(),
+      countSlow: () => this.state.countSlow(performance.now()),
       dump: () => this.dump(),
     });
   }
--- a/packages/gateway/src/relay/demand_exchange.test.ts
+++ b/packages/gateway/src/relay/demand_exchange.test.ts
@@ -3,11 +3,8 @@
 import {SharedDemand} from '@snipestage/routing/shared_demand.js';
 import {brandAs, type ServiceId} from '@snipestage/types/ids.js';
 import {DemandExchange} from './demand_exchange.js';
-import {
-  readDemandLines,
-  type DemandLine,
-  type LoadReport,
-} from './load_report.js';
+import {readDemandLines} from './demand_report.js';
+import type {DemandLine, LoadReport} from './load_report.js';
 
 const ENGINES = brandAs<ServiceId>('engines');
 const ROUTE = brandAs<RouteId>('counter');
--- a/packages/gateway/src/relay/demand_exchange.ts
+++ b/packages/gateway/src/relay/demand_exchange.ts
@@ -6,12 +6,8 @@
   type SharedDemand,
 } from '@snipestage/routing/shared_demand.js';
 import type {LoadOrigin} from '@snipestage/routing/load_view.js';
-import {
-  readDemandLines,
-  toDemandLines,
-  type DemandLine,
-  type LoadReport,
-} from './load_report.js';
+import {readDemandLines, toDemandLines} from './demand_report.js';
+import type {DemandLine, LoadReport} from './load_report.js';
 
 /**
  * A follower reports to its relay only, and hears of its own requests with those
--- a/packages/gateway/src/relay/load_exchange.ts
+++ b/packages/gateway/src/relay/load_exchange.ts
@@ -1,19 +1,22 @@
-/** Exchanges load readings with other instances. */
+/** Exchanges load readings and paces with other instances. */
 
 import type {Logger} from '@snipestage/log/logger.js';
 import type {
   LoadDrop,
   LoadOrigin,
-  LoadReading,
   LoadView,
 } from '@snipestage/routing/load_view.js';
 import type {SharedDemand} from '@snipestage/routing/shared_demand.js';
+import type {PaceView} from '@snipestage/routing/pace_view.js';
 import type {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 import {DemandExchange} from './demand_exchange.js';
 import {
+  isEmptyReport,
   readLoadReport,
+  readPaces,
   toLoadReport,
+  withPaces,
   type DemandLine,
   type LoadReport,
 } from './load_report.js';
@@ -21,25 +24,33 @@
 /** Options of {@link LoadExchange}. */
 export interface LoadExchangeOptions {
   readonly view: LoadView;
-  /** Demand is exchanged with the readings; without it none is. */
+  /** Demand is exchanged beside the loads; without it none is. */
   readonly demand?: SharedDemand;
-  readonly metrics: Pick<GatewayMetrics, 'countLoads'>;
+  /** Paces are exchanged beside the loads; without it none are. */
+  readonly paces?: PaceView;
+  readonly metrics: Pick<GatewayMetrics, 'countLoads' | 'countPaces'>;
   readonly logger: Logger;
   readonly nowMs: () => number;
   readonly timeline: StoreTimeline;
 }
 
+/** What was sent before, to one kind of receiver. */
+interface Marks {
+  loads: number;
+  paces: number;
+}
+
 /** Minimum interval between log lines about malformed reports. */
 const LOG_EVERY_MS = 10_000;
 
 /**
- * Tracks which readings were sent. Received readings expire in the view, so an
+ * Tracks which readings and paces were sent. Received readings expire in the view, so an
  * instance that loses its relay falls back to its own answers.
  */
 export class LoadExchange {
-  private toFollowersMark = 0;
-  private toRelaysMark = 0;
-  private toRelayMark = 0;
+  private readonly toFollowers: Marks = {loads: 0, paces: 0};
+  private readonly toRelays: Marks = {loads: 0, paces: 0};
+  private readonly toRelay: Marks = {loads: 0, paces: 0};
   private loggedAtMs = Number.NEGATIVE_INFINITY;
 
   private readonly demands: DemandExchange | undefined;
@@ -49,60 +60,45 @@
     this.demands = demand && new DemandExchange(demand);
   }
 
-  /** New readings of this instance; undefined when there are none. */
+  /** What is new of this instance; undefined when nothing is. */
   collectForRelay(): LoadReport | undefined {
-    const {view, nowMs} = this.options;
-    const atMs = nowMs();
-    const changes = view.changesSince(this.toRelayMark, ['own'], atMs);
-    this.toRelayMark = changes.mark;
-    const {readings} = changes;
-    const demands = this.demands?.collectForRelay(atMs);
-    const isEmpty = readings.length === 0 && demands === undefined;
-    return isEmpty ? undefined : this.report(readings, atMs, demands);
+    const demands = this.demands?.collectForRelay(this.options.nowMs());
+    const report = this.collect(this.toRelay, ['own'], demands);
+    return isEmptyReport(report) ? undefined : report;
   }
 
   /**
-   * All new readings for followers, those of this data centre for other relays.
+   * All that is new for followers, that of this data centre for other relays.
    */
   collectForOthers(): {toFollowers: LoadReport; toRelays: LoadReport} {
-    const {view, nowMs} = this.options;
-    const atMs = nowMs();
-    const demands = this.demands?.collectForRelays(atMs);
+    const demands = this.demands?.collectForRelays(this.options.nowMs());
     const toFollowers = this.collectForFollowers();
-    const local = view.changesSince(this.toRelaysMark, ['own', 'local'], atMs);
-    this.toRelaysMark = local.mark;
-    return {
-      toFollowers,
-      toRelays: this.report(local.readings, atMs, demands),
-    };
+    const toRelays = this.collect(this.toRelays, ['own', 'local'], demands);
+    return {toFollowers, toRelays};
   }
 
-  /** All new readings for followers. */
+  /** All that is new for followers. */
   collectForFollowers(): LoadReport {
-    const {view, nowMs} = this.options;
-    const atMs = nowMs();
-    const all = view.changesSince(
-      this.toFollowersMark,
-      ['own', 'local', 'remote'],
-      atMs,
-    );
-    this.toFollowersMark = all.mark;
     const demands = this.demands?.collectForFollowers();
-    return this.report(all.readings, atMs, demands);
+    const origins = ['own', 'local', 'remote'] as const;
+    return this.collect(this.toFollowers, origins, demands);
   }
 
   /**
-   * Validates a report of another process and adds its readings to the view.
+   * Validates a report of another process and adds its readings and paces to
+   * the views.
    */
   receive(report: LoadReport, origin: LoadOrigin): void {
     const {view, metrics, nowMs} = this.options;
     const atMs = nowMs();
-    const {readings, malformed} = readLoadReport(
-      report,
-      this.dateOf(report, atMs),
-    );
+    const madeAtMs = this.dateOf(report, atMs);
+    this.receivePaces(report, origin, madeAtMs);
     this.demands?.receive(report, origin, atMs);
-    if (malformed > 0) this.noteMalformed(malformed, atMs);
+    const {readings, malformed} = readLoadReport(report, madeAtMs);
+    if (malformed > 0) {
+      metrics.countLoads('malformed', malformed);
+      this.logMalformed('loads_malformed', malformed, atMs);
+    }
     for (const reading of readings) {
       const drop: LoadDrop | undefined = view.addReported(
         reading,
@@ -113,14 +109,41 @@
     }
   }
 
-  private report(
-    readings: readonly LoadReading[],
-    atMs: number,
+  private receivePaces(
+    report: LoadReport,
+    origin: LoadOrigin,
+    madeAtMs: number,
+  ): void {
+    const {paces, metrics, nowMs} = this.options;
+    if (paces === undefined) return;
+    const atMs = nowMs();
+    const {samples, malformed} = readPaces(report, madeAtMs);
+    if (malformed > 0) {
+      metrics.countPaces('malformed', malformed);
+      this.logMalformed('paces_malformed', malformed, atMs);
+    }
+    for (const sample of samples) {
+      const drop = paces.addReported(sample, origin, atMs);
+      metrics.countPaces(drop ?? 'taken', 1);
+    }
+  }
+
+  /** What is new since the marks, which are moved. */
+  private collect(
+    marks: Marks,
+    origins: readonly LoadOrigin[],
     demands: readonly DemandLine[] | undefined,
   ): LoadReport {
-    const {timeline} = this.options;
-    const report = toLoadReport(readings, atMs, timeline.storeClockAt(atMs));
-    return demands === undefined ? report : {...report, demands};
+    const {view, paces, timeline, nowMs} = this.options;
+    const atMs = nowMs();
+    const loads = view.changesSince(marks.loads, origins, atMs);
+    marks.loads = loads.mark;
+    const storeMs = timeline.storeClockAt(atMs);
+    const report = toLoadReport(loads.readings, atMs, storeMs);
+    const changes = paces?.changesSince(marks.paces, origins, atMs);
+    marks.paces = changes?.mark ?? marks.paces;
+    const withAll = withPaces(report, changes?.samples ?? [], atMs);
+    return demands === undefined ? withAll : {...withAll, demands};
   }
 
   /** When a report was made; its arrival where that isn't known. */
@@ -133,10 +156,9 @@
     return madeAtMs ?? arrivedAtMs;
   }
 
-  private noteMalformed(count: number, atMs: number): void {
-    this.options.metrics.countLoads('malformed', count);
+  private logMalformed(event: string, count: number, atMs: number): void {
     if (atMs - this.loggedAtMs < LOG_EVERY_MS) return;
     this.loggedAtMs = atMs;
-    this.options.logger.warn('loads_malformed', {count});
+    this.options.logger.warn(event, {count});
   }
 }
--- a/packages/routing/src/engine_split.ts
+++ b/packages/routing/src/engine_split.ts
@@ -77,6 +77,22 @@
   return placed.map(({engine}) => engine);
 }
 
+/**
+ * Sorts the engines as {@link orderForSplit} does, slow ones after all others.
+ *
+ * @example
+ * const ordered = orderSlowLast(engines, each => rates.isSlow(each, nowMs));
+ */
+export function orderSlowLast(
+  engines: readonly ServingEndpoint[],
+  isSlow: (engine: ServingEndpoint) => boolean,
+): readonly ServingEndpoint[] {
+  const slow = new Set(engines.filter(isSlow));
+  if (slow.size === 0) return orderForSplit(engines);
+  const others = engines.filter(each => !slow.has(each));
+  return [...orderForSplit(others), ...orderForSplit([...slow])];
+}
+
 /** Inputs of {@link shareOfShortRoutes}. */
 export interface SplitInput {
   /** Demand over all instances, some seconds old. */
@@ -84,6 +100,12 @@
   readonly shortRoutes: ReadonlySet<RouteId>;
   /** Recent requests of each route at this instance. */
   readonly recentCounts: ReadonlyMap<RouteId, number>;
+  /**
+   * Whether chance is measured around the agreed share (false). Around the
+   * recent share it is 0 while all recent requests are of one side, so that a
+   * few of them count as a burst and long prompts go to the short side.
+   */
+  readonly isChanceByAgreed?: boolean;
 }
 
 /**
@@ -99,13 +121,16 @@
  * const share = shareOfShortRoutes({demands, shortRoutes, recentCounts});
  */
 export function shareOfShortRoutes(input: SplitInput): number {
-  const {demands, shortRoutes, recentCounts} = input;
-  const agreed = measureShare(demands, shortRoutes, each => each.requestsPerS);
-  const recent = measureShare(
-    demands,
+  const {demands, shortRoutes, recentCounts, isChanceByAgreed = false} = input;
+  const agreed = measureShare(demands, {
     shortRoutes,
-    ({route}) => recentCounts.get(route) ?? 0,
-  );
+    countOf: each => each.requestsPerS,
+  });
+  const recent = measureShare(demands, {
+    shortRoutes,
+    countOf: ({route}) => recentCounts.get(route) ?? 0,
+    expectedShare: isChanceByAgreed ? agreed.share : undefined,
+  });
   const difference = Math.abs(recent.share - agreed.share);
   return difference > BURST_DEVIATION_COUNT * recent.deviation
     ? recent.share
@@ -124,9 +149,14 @@
  */
 function measureShare(
   demands: readonly RouteDemand[],
-  shortRoutes: ReadonlySet<RouteId>,
-  countOf: (demand: RouteDemand) => number,
+  options: {
+    readonly shortRoutes: ReadonlySet<RouteId>;
+    readonly countOf: (demand: RouteDemand) => number;
+    /** The share around which it varies by chance (the measured one). */
+    readonly expectedShare?: number;
+  },
 ): MeasuredShare {
+  const {shortRoutes, countOf, expectedShare} = options;
   const parts = demands.map(demand => ({
     count: countOf(demand),
     workEach: demand.workPerS / Math.max(1e-9, demand.requestsPerS),
@@ -139,10 +169,11 @@
     ({count, workEach, isShort}) => count * workEach * isShort,
   );
   const share = short / total;
+  const centre = expectedShare ?? share;
   const variance = sumOver(
     parts,
     ({count, workEach, isShort}) =>
-      count * ((workEach * (isShort - share)) / total) ** 2,
+      count * ((workEach * (isShort - centre)) / total) ** 2,
   );
   return {share, deviation: Math.sqrt(variance)};
 }
@@ -164,10 +195,35 @@
   return Math.min(engines - 1, Math.max(1, Math.round(engines * share)));
 }
 
+/**
+ * Number of engines, from the first, whose capacity is nearest to a share of
+ * that of all; with equal capacities the same as {@link splitCount}.
+ *
+ * @example
+ * const count = splitByCapacity(ordered, 0.4, each => 1 / slownessOf(each));
+ */
+export function splitByCapacity(
+  ordered: readonly ServingEndpoint[],
+  share: number,
+  capacityOf: (engine: ServingEndpoint) => number,
+): number {
+  let left = share * sumOver(ordered, capacityOf);
+  let count = 0;
+  for (const engine of ordered) {
+    const capacity = capacityOf(engine);
+    if (left < capacity / 2) break;
+    left -= capacity;
+    count += 1;
+  }
+  return Math.min(ordered.length - 1, Math.max(1, count));
+}
+
 /** Options of {@link widenSide}. */
 export interface WidenOptions {
   /** Requests of all instances at an engine. */
   readonly loadOf: (engine: ServingEndpoint) => number;
+  /** Requests that it can work on as fast as a usual engine (its capacity). */
+  readonly capacityOf?: (engine: ServingEndpoint) => number;
   /** Utilization of a side above which it is widened. */
   readonly maxUtilization: number;
 }
@@ -188,7 +244,7 @@
 export function widenSide(
   ordered: readonly ServingEndpoint[],
   count: number,
-  {loadOf, maxUtilization}: WidenOptions,
+  {loadOf, maxUtilization, capacityOf = each => each.capacity}: WidenOptions,
 ): readonly ServingEndpoint[] {
   let load = 0;
   let capacity = 0;
@@ -197,7 +253,7 @@
       return ordered.slice(0, index);
     }
     load += loadOf(engine);
-    capacity += engine.capacity;
+    capacity += capacityOf(engine);
   }
   return ordered;
 }
