Give starting and recovered endpoints a growing share (in progress)

Cause: new engines get most requests until their next loads are shared. Change: StartPace, shares in both placements, wiring, log lines, a metric. Tests are not complete.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import type {BoundedOutput} from '@snipestage/log/bounded_output.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
+import type {PaceChange} from '@snipestage/routing/start_pace.js';
 import {
   AgreedClock,
   type StoreClockReading,
@@ -148,6 +149,7 @@
       nowMs,
       isStopping: () => this.shutdown.isStopping,
     });
+    this.state.watchPace(change => this.recordPaceChange(change));
     this.streams = new Streams({
       platform,
       state: this.state,
@@ -259,6 +261,19 @@
     return this.stopped;
   }
 
+  private recordPaceChange(change: PaceChange): void {
+    const {kind, endpoint, cause, share, afterMs} = change;
+    const {id, service} = endpoint;
+    this.options.metrics.countPaceChange(service, kind);
+    this.options.logger.info(`start_pace_${kind}`, {
+      endpoint: id,
+      service,
+      cause,
+      share,
+      afterMs: Math.round(afterMs),
+    });
+  }
+
   private async stopOnce(): Promise<void> {
     const beganAtMs = performance.now();
     const signalledAtMs = this.loopWatch.earliestArrivalMs();
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -69,6 +69,12 @@
     labelNames: ['service', 'side'],
     registers: [this.registry],
   });
+  private readonly paceChanges = new Counter({
+    name: 'snipestage_start_pace_changes_total',
+    help: 'Changes of the share of starting endpoints by service and kind.',
+    labelNames: ['service', 'change'],
+    registers: [this.registry],
+  });
   private readonly sideEngines = new Gauge({
     name: 'snipestage_side_engines',
     help: 'Engines of a side of the split at the latest attempt.',
@@ -226,6 +232,11 @@
     this.candidateEngines.set({service, side}, candidates);
   }
 
+  /** @param change `begun`, `halved` or `ended`. */
+  countPaceChange(service: string, change: string): void {
+    this.paceChanges.inc({service, change});
+  }
+
   countShed(service: string, reason: string): void {
     this.shedRequests.inc({service, reason});
   }
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -30,6 +30,7 @@
 import type {Prompt} from '@snipestage/routing/prompt.js';
 import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
 import {RefusalDelay} from '@snipestage/routing/refusal_delay.js';
+import {StartPace, type PaceChange} from '@snipestage/routing/start_pace.js';
 import {ServiceVersions} from '@snipestage/routing/service_versions.js';
 import type {Route, RouteId} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
@@ -101,6 +102,7 @@
     monitor: this.monitor,
     rateLimits: this.rateLimits,
     isShared: id => this.isEngine(id),
+    onReported: (reading, nowMs) => this.pace.noteReported(reading, nowMs),
   });
   readonly reach = new DataCentreReach();
   readonly isolation = new InstanceIsolation();
@@ -122,7 +124,9 @@
   readonly warmup: WarmupGate;
   readonly controls: LoadControls;
   /** In the order in which they are applied. */
-  readonly correction = new CombinedCorrection([]);
+  readonly correction: CombinedCorrection;
+  private readonly pace: StartPace;
+  private onPaceChange: ((change: PaceChange) => void) | undefined;
   /** In the order in which they decide. */
   private readonly shedders: readonly LoadShedder[] = [];
   /** Requests in progress that the shedders have admitted. */
@@ -143,6 +147,16 @@
       readInstances: () => this.instances,
       tolerance,
     });
+    this.pace = new StartPace({
+      monitor: this.monitor,
+      isOn: service => this.controls.isOn(service),
+      findServing: (service, nowMs) =>
+        this.directory.findServing(service, nowMs),
+      warmup: this.warmup,
+      rateLimits: this.rateLimits,
+      onChange: change => this.onPaceChange?.(change),
+    });
+    this.correction = new CombinedCorrection([this.pace]);
     const {monitor, reach, warmup, rateLimits, brittle} = this;
     const {correction} = this;
     const estimates = {
@@ -183,16 +197,25 @@
     this.rateLimits.retain(known);
     this.brittle.retain(known);
     this.correction.retain(known);
-    for (const id of this.directory.takeRestarted()) {
+    const restarted = this.directory.takeRestarted();
+    for (const id of restarted) {
       this.monitor.forgetReports(id);
       this.rateLimits.forget(id);
       this.brittle.forget(id);
       this.correction.forget(id);
       this.loads.forget(id, nowMs);
     }
+    const disturbedSinceMs = this.directory.disturbedSinceMs(nowMs);
+    const listed = this.directory.readAll();
+    this.pace.noteListed(listed, {restarted, disturbedSinceMs}, nowMs);
     this.loads.prune();
   }
 
+  /** Calls back when the share of a starting endpoint begins, halves or ends. */
+  watchPace(onChange: (change: PaceChange) => void): void {
+    this.onPaceChange = onChange;
+  }
+
   /** Whether a request is refused for the sake of others; see {@link endShed}. */
   shed(request: ArrivedRequest): ShedDecision {
     if (!this.controls.isOn(request.service)) return ADMIT;
@@ -239,6 +262,7 @@
   /** Forgets what was concluded from connections that this instance lost. */
   forgetUnreachable(): void {
     this.monitor.forgetUnreachable();
+    this.pace.forgetFailures();
     this.reach.clear();
   }
 
@@ -343,6 +367,7 @@
       isDown: monitor.isDown(endpoint.id, nowMs),
       isGone: directory.isGone(endpoint, nowMs),
       isCold: this.warmup.isCold(endpoint.id, nowMs),
+      startShare: this.pace.find(endpoint, nowMs),
       rateLimitPerS: this.rateLimits.find(endpoint.id),
       maxRejectionsPerS: this.brittle.find(endpoint.id),
       backoffLeftMs: Math.round(directory.backoffLeftMs(endpoint, nowMs)),
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -39,6 +39,8 @@
 }
 
 const DEFAULT_KEEP_MISSING_MS = 2300;
+/** Failed polls of the list are at most this far apart while it is cut off. */
+const MAX_DISTURBANCE_GAP_MS = 5000;
 
 /**
  * Keeps endpoints by service.
@@ -59,6 +61,8 @@
   private evacuated: ReadonlySet<DataCentreId> = new Set();
   private byService = new Map<ServiceId, ServingEndpoint[]>();
   private disturbedAtMs = Number.NEGATIVE_INFINITY;
+  /** When the first failure of the latest disturbance was noted. */
+  private disturbanceBeganAtMs = Number.NEGATIVE_INFINITY;
   private readonly keepMissingMs: number;
 
   constructor(options: EndpointDirectoryOptions = {}) {
@@ -70,9 +74,15 @@
 
   /** The store of the list did not answer, or answered with an error. */
   noteDisturbance(nowMs: number): void {
+    if (!this.wasDisturbed(nowMs)) this.disturbanceBeganAtMs = nowMs;
     this.disturbedAtMs = nowMs;
   }
 
+  /** Since when the list is or was lately disturbed; undefined if it wasn't. */
+  disturbedSinceMs(nowMs: number): number | undefined {
+    return this.wasDisturbed(nowMs) ? this.disturbanceBeganAtMs : undefined;
+  }
+
   /**
    * Applies changes in order.
    *
@@ -336,6 +346,10 @@
     else this.remove(id, nowMs);
   }
 
+  private wasDisturbed(nowMs: number): boolean {
+    return nowMs - this.disturbedAtMs < MAX_DISTURBANCE_GAP_MS;
+  }
+
   private mayHaveExpired(nowMs: number): boolean {
     return nowMs - this.disturbedAtMs < this.keepMissingMs;
   }
--- a/packages/routing/src/endpoint_monitor.ts
+++ b/packages/routing/src/endpoint_monitor.ts
@@ -70,7 +70,11 @@
   /** When the latest silence that counted was noticed. */
   silentAtMs: number;
   unreachableCount: number;
+  /** When the latest failure to connect was noticed. */
+  unreachableAtMs: number;
   downUntilMs: number;
+  /** Whether a pause was ended early since this instance last reached it. */
+  hasEndedPause: boolean;
   rejectedAtMs: number;
   load: ReportedLoad | undefined;
   loadAtMs: number;
@@ -90,7 +94,9 @@
   failureAtMs: 0,
   silentAtMs: Number.NEGATIVE_INFINITY,
   unreachableCount: 0,
+  unreachableAtMs: Number.NEGATIVE_INFINITY,
   downUntilMs: 0,
+  hasEndedPause: false,
   rejectedAtMs: Number.NEGATIVE_INFINITY,
   load: undefined,
   loadAtMs: 0,
@@ -156,12 +162,28 @@
       const backoffMs = this.firstBackoffMs * 2 ** tracked.unreachableCount;
       tracked.downUntilMs = nowMs + Math.min(this.maxBackoffMs, backoffMs);
       tracked.unreachableCount += 1;
+      tracked.unreachableAtMs = nowMs;
     } else {
       tracked.unreachableCount = 0;
+      tracked.hasEndedPause = false;
       tracked.downUntilMs = 0;
     }
   }
 
+  /**
+   * Another instance was answered at a time: ends the pause after an earlier
+   * failure to connect. Happens once until this instance reaches the endpoint
+   * itself: if the next attempt fails too, this instance's own link is at fault.
+   */
+  endPause(id: EndpointId, answeredAtMs: number): void {
+    const tracked = this.trackedEndpoints.get(id);
+    if (tracked === undefined || tracked.hasEndedPause) return;
+    if (tracked.unreachableCount === 0) return;
+    if (answeredAtMs <= tracked.unreachableAtMs) return;
+    tracked.hasEndedPause = true;
+    tracked.downUntilMs = 0;
+  }
+
   /** The endpoint reported its load with an answer. */
   noteLoad(id: EndpointId, load: ReportedLoad, nowMs: number): void {
     const tracked = this.of(id);
--- a/packages/routing/src/least_loaded_placement.ts
+++ b/packages/routing/src/least_loaded_placement.ts
@@ -2,10 +2,12 @@
 
 import type {EndpointMonitor} from './endpoint_monitor.js';
 import {
+  findCorrection,
   findUsable,
   leastBy,
   leaveOutCold,
   leaveOutLimited,
+  leaveOutPaced,
   Placement,
   type Placed,
   type PlacementState,
@@ -51,21 +53,44 @@
     const open = leaveOutLimited(all, all, request, this.options);
     const usable = leaveOutCold(open, open, request, this.options);
     const typicalMs = this.typicalDurationMs(usable);
-    const endpoint = leastBy(usable, each =>
+    const endpoint = leastBy(this.findOffered(usable, request), each =>
       this.costOf(each, request, typicalMs),
     );
     return endpoint && {endpoint};
   }
 
+  /** The endpoints with room, if any, without those that get a small share. */
+  private findOffered(
+    usable: readonly ServingEndpoint[],
+    request: PlacementRequest,
+  ): readonly ServingEndpoint[] {
+    const {options, random} = this;
+    const withRoom = usable.filter(
+      each =>
+        findCorrection(each.service, options)?.hasRoomFor(each, request) ??
+        true,
+    );
+    const group = withRoom.length > 0 ? withRoom : usable;
+    return leaveOutPaced(group, request, options, random);
+  }
+
   private costOf(
     endpoint: ServingEndpoint,
     {dataCentre, nowMs}: PlacementRequest,
     typicalMs: number,
   ): number {
     const {id} = endpoint;
-    const load = this.monitor.estimateLoad(id, nowMs);
+    const correction = findCorrection(endpoint.service, this.options);
+    const load =
+      this.monitor.estimateLoad(id, nowMs) +
+      (correction?.extraLoadOf(endpoint, nowMs) ?? 0);
     const ownMs = this.monitor.meanDurationMs(id) ?? typicalMs;
-    const slowness = Math.max(1, ownMs / typicalMs);
+    // Both show the same slowness; their product would count it twice.
+    const slowness = Math.max(
+      1,
+      ownMs / typicalMs,
+      correction?.slownessOf(endpoint, nowMs) ?? 1,
+    );
     const failures = this.monitor.failureShare(id, nowMs);
     return (
       (load + 1) * slowness +
--- a/packages/routing/src/load_correction.ts
+++ b/packages/routing/src/load_correction.ts
@@ -37,6 +37,14 @@
   /** Requests by which its load counts as higher than reported; 0: none. */
   abstract extraLoadOf(endpoint: ServingEndpoint, nowMs: number): number;
 
+  /**
+   * Share of the requests that it would get otherwise, above 0 and at most 1. A
+   * small share is not slowness: what it gets, it answers as usual.
+   */
+  shareOf(_endpoint: ServingEndpoint, _nowMs: number): number {
+    return 1;
+  }
+
   /** Whether it has room for the request, and the request time there. */
   abstract hasRoomFor(
     endpoint: ServingEndpoint,
@@ -82,6 +90,13 @@
     );
   }
 
+  override shareOf(endpoint: ServingEndpoint, nowMs: number): number {
+    return this.corrections.reduce(
+      (product, each) => product * each.shareOf(endpoint, nowMs),
+      1,
+    );
+  }
+
   hasRoomFor(endpoint: ServingEndpoint, request: PlacementRequest): boolean {
     return this.corrections.every(each => each.hasRoomFor(endpoint, request));
   }
--- a/packages/routing/src/load_view.ts
+++ b/packages/routing/src/load_view.ts
@@ -31,6 +31,8 @@
    * Whether loads of an endpoint are exchanged; false for unknown endpoints.
    */
   readonly isShared: (endpoint: EndpointId) => boolean;
+  /** Receives each load that another instance has read from an answer. */
+  readonly onReported?: (reading: LoadReading, nowMs: number) => void;
   /** Older readings are dropped (3,000 ms). */
   readonly maxAgeMs?: number;
 }
@@ -131,6 +133,7 @@
     this.options.monitor.noteReportedLoad(endpoint, load, atMs);
     this.options.rateLimits?.note(endpoint, rateLimitPerS, nowMs);
     this.keep(reading, origin);
+    this.options.onReported?.(reading, nowMs);
     return undefined;
   }
 
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -77,6 +77,9 @@
   readonly correction?: LoadCorrection;
 }
 
+/** From this estimate on, an endpoint counts as one that lets requests wait. */
+export const MIN_WAITING = 0.5;
+
 /**
  * The correction that applies to a service; undefined where there is none.
  *
@@ -180,6 +183,33 @@
   return admitted.length > 0 ? admitted : others;
 }
 
+/**
+ * Leaves each endpoint with a small share out of all but that share of the
+ * requests, by chance. All are kept when the rest lets requests wait, or when
+ * none would be left.
+ *
+ * @example
+ * const group = leaveOutPaced(usable, request, state, random);
+ */
+export function leaveOutPaced(
+  endpoints: readonly ServingEndpoint[],
+  {nowMs}: PlacementRequest,
+  state: PlacementState,
+  random: () => number,
+): readonly ServingEndpoint[] {
+  const {monitor} = state;
+  const kept = endpoints.filter(each => {
+    const share =
+      findCorrection(each.service, state)?.shareOf(each, nowMs) ?? 1;
+    return share >= 1 || random() < share;
+  });
+  if (kept.length === endpoints.length) return endpoints;
+  const isFree = ({id, capacity}: ServingEndpoint): boolean =>
+    monitor.estimateWaiting(id, nowMs) < MIN_WAITING &&
+    monitor.estimateLoad(id, nowMs) < capacity;
+  return kept.some(isFree) ? kept : endpoints;
+}
+
 /**
  * The item with the least cost; the first of equals.
  *
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -18,6 +18,7 @@
   leastBy,
   leaveOutCold,
   leaveOutLimited,
+  leaveOutPaced,
   Placement,
   type Placed,
   type PlacementState,
@@ -274,7 +275,8 @@
       monitor.failureShare(each.id, nowMs) * failureCost +
       random() * RANDOM_COST_IN_REQUESTS;
     if (!monitor.hasRecentReports(nowMs)) {
-      const endpoint = leastBy(group, costsWith(FAILURE_COST_IN_REQUESTS));
+      const offered = leaveOutPaced(group, request, this.options, random);
+      const endpoint = leastBy(offered, costsWith(FAILURE_COST_IN_REQUESTS));
       return endpoint && {endpoint};
     }
     const items = preferLocal(group, {dataCentre, loadOf});
@@ -287,7 +289,7 @@
       (MIN_FAILURE_COST_RATIO * expectedRequests) / Math.max(1, items.length),
     );
     const costOf = costsWith(failureCost);
-    const stepOf = (each: ServingEndpoint) => this.slownessOf(each, nowMs);
+    const stepOf = (each: ServingEndpoint) => this.stepOf(each, nowMs);
     const endpoint = chooseByFill({
       items,
       costOf,
@@ -310,18 +312,25 @@
     return load + Math.max(0, capacity - load) * waiting;
   }
 
-  /** Requests at an engine, in requests of an engine of usual speed. */
+  /**
+   * Requests at an engine, in requests of an engine of usual speed that gets
+   * its whole share.
+   */
   private correctedLoadOf(engine: ServingEndpoint, nowMs: number): number {
     const load = this.monitor.estimateLoad(engine.id, nowMs);
     const correction = findCorrection(engine.service, this.options);
     if (correction === undefined) return load;
     const extra = correction.extraLoadOf(engine, nowMs);
-    return (load + extra) * correction.slownessOf(engine, nowMs);
+    return (load + extra) * this.stepOf(engine, nowMs);
   }
 
-  private slownessOf(engine: ServingEndpoint, nowMs: number): number {
+  /** By how much one more request raises the corrected load. */
+  private stepOf(engine: ServingEndpoint, nowMs: number): number {
     const correction = findCorrection(engine.service, this.options);
-    return correction?.slownessOf(engine, nowMs) ?? 1;
+    if (correction === undefined) return 1;
+    return (
+      correction.slownessOf(engine, nowMs) / correction.shareOf(engine, nowMs)
+    );
   }
 
   private hasRoomFor(
--- /dev/null
+++ b/packages/routing/src/signs_of_life.ts
@@ -0,0 +1,103 @@
+/** Notices endpoints that answer again after they couldn't be reached. */
+
+import type {EndpointId} from '@snipestage/types/ids.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
+
+/**
+ * A shorter silence is usual: between two loads of an engine there is about a
+ * second, and an instance learns them a second late.
+ */
+const GAP_MS = 3000;
+/** A single failed attempt says little about an endpoint. */
+const MIN_FAILURES = 2;
+
+interface Signs {
+  latestMs: number;
+  /** Since when there was no gap between them. */
+  steadySinceMs: number;
+  /** Own failures since the latest sign. */
+  failures: number;
+}
+
+/**
+ * A sign of life is an answer to this instance or a load that was reported to
+ * any instance. An endpoint has recovered when a sign follows a gap in which
+ * its peers were heard, or in which own attempts have failed. When the loads of
+ * all endpoints were missing, it was this instance or its links that paused.
+ */
+export class SignsOfLife {
+  private readonly signs = new Map<EndpointId, Signs>();
+
+  /** An attempt of this instance has failed. */
+  noteFailure(id: EndpointId): void {
+    const signs = this.signs.get(id);
+    if (signs !== undefined) signs.failures += 1;
+  }
+
+  /**
+   * Records a sign of life.
+   *
+   * @returns whether the endpoint has recovered with it.
+   * @example
+   * if (signs.note(id, peers, atMs)) begin('recovered');
+   */
+  note(
+    id: EndpointId,
+    peers: readonly Pick<ServingEndpoint, 'id'>[],
+    atMs: number,
+  ): boolean {
+    const before = this.signs.get(id);
+    if (before === undefined) {
+      this.signs.set(id, {latestMs: atMs, steadySinceMs: atMs, failures: 0});
+      return false;
+    }
+    if (atMs <= before.latestMs) return false;
+    const hasGap = atMs - before.latestMs > GAP_MS;
+    const isRecovered =
+      hasGap &&
+      (before.failures >= MIN_FAILURES ||
+        this.wereHeard(
+          peers.map(peer => peer.id).filter(peer => peer !== id),
+          before.latestMs,
+          atMs,
+        ));
+    this.signs.set(id, {
+      latestMs: atMs,
+      steadySinceMs: hasGap ? atMs : before.steadySinceMs,
+      failures: 0,
+    });
+    return isRecovered;
+  }
+
+  /** Forgets failures that this instance's own links have caused. */
+  forgetFailures(): void {
+    for (const signs of this.signs.values()) signs.failures = 0;
+  }
+
+  forget(id: EndpointId): void {
+    this.signs.delete(id);
+  }
+
+  retain(ids: ReadonlySet<EndpointId>): void {
+    for (const id of this.signs.keys()) {
+      if (!ids.has(id)) this.signs.delete(id);
+    }
+  }
+
+  /** Whether most peers had no gap in a period. */
+  private wereHeard(
+    peers: readonly EndpointId[],
+    fromMs: number,
+    untilMs: number,
+  ): boolean {
+    const heard = peers.filter(id => {
+      const signs = this.signs.get(id);
+      return (
+        signs !== undefined &&
+        signs.steadySinceMs <= fromMs &&
+        untilMs - signs.latestMs <= GAP_MS
+      );
+    });
+    return heard.length * 2 > peers.length;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/start_pace.ts
@@ -0,0 +1,326 @@
+/** Gives endpoints that have just started or recovered a growing share. */
+
+import {hashText} from '@snipestage/policy/rendezvous.js';
+import type {EndpointId, ServiceId} from '@snipestage/types/ids.js';
+import {AnswerTimes} from './answer_times.js';
+import type {EndpointMonitor} from './endpoint_monitor.js';
+import type {EndpointRateLimits} from './endpoint_rate_limits.js';
+import {
+  LoadCorrection,
+  type AttemptEnd,
+  type ObservedAttempt,
+} from './load_correction.js';
+import type {LoadReading} from './load_view.js';
+import type {PlacementRequest} from './placement.js';
+import {countSharedTokens, deepestSharedPart} from './prompt.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
+import {LATE_RATIO, SettledPeers} from './settled_peers.js';
+import {SignsOfLife} from './signs_of_life.js';
+import {StartRamp, type RampCause, type RampSign} from './start_ramp.js';
+import type {WarmupGate} from './warmup_gate.js';
+
+/** A change of an endpoint's share, for logs and metrics. */
+export interface PaceChange {
+  readonly kind: 'begun' | 'halved' | 'ended';
+  readonly endpoint: ServingEndpoint;
+  readonly cause: RampCause;
+  readonly share: number;
+  /** Time since the ramp began. */
+  readonly afterMs: number;
+}
+
+/** Options of {@link StartPace}; defaults in brackets. */
+export interface StartPaceOptions {
+  readonly monitor: EndpointMonitor;
+  /** Whether the load controls of a service are on. */
+  readonly isOn: (service: ServiceId) => boolean;
+  /** Endpoints of a service that may get requests. */
+  readonly findServing: (
+    service: ServiceId,
+    nowMs: number,
+  ) => readonly ServingEndpoint[];
+  /** Goes first: a cold endpoint has no share of its own (none is cold). */
+  readonly warmup?: WarmupGate;
+  /** Go first: as with {@link warmup} (none is limited). */
+  readonly rateLimits?: EndpointRateLimits;
+  /** Receives each change (none). */
+  readonly onChange?: (change: PaceChange) => void;
+}
+
+/** What is known of a list of endpoints besides the endpoints. */
+export interface ListedContext {
+  /** Endpoints listed with another incarnation than before. */
+  readonly restarted: readonly EndpointId[];
+  /** Since when the list could not be read; undefined if it could be. */
+  readonly disturbedSinceMs: number | undefined;
+}
+
+interface Ramping {
+  endpoint: ServingEndpoint;
+  readonly ramp: StartRamp;
+  /** Attempts of this instance that have no first event yet. */
+  readonly pending: Set<ObservedAttempt>;
+  /** Time of the latest load that was judged. */
+  judgedLoadAtMs: number;
+}
+
+/**
+ * Load pattern: an engine starts with an empty cache, and dozens of instances
+ * see it idle at the same moment. Their fill gives it most requests until newer
+ * loads are known, and each long prompt costs it several times the tokens.
+ *
+ * Such an endpoint begins with a small share; see {@link StartRamp}. Of the
+ * prompts for which it is the primary engine it gets the same share, chosen by a
+ * hash, so that all instances send it the same prefixes and its cache fills with
+ * those first. All instances reach about the same share without a message of its
+ * own: from the list of endpoints and the loads that all of them know.
+ */
+export class StartPace extends LoadCorrection {
+  private readonly known = new Map<EndpointId, ServiceId>();
+  private readonly ramping = new Map<EndpointId, Ramping>();
+  private readonly times = new AnswerTimes();
+  private readonly signs = new SignsOfLife();
+  private readonly peers: SettledPeers;
+
+  constructor(private readonly options: StartPaceOptions) {
+    super();
+    this.peers = new SettledPeers({
+      ...options,
+      isRamping: id => this.ramping.has(id),
+    });
+  }
+
+  /**
+   * Takes the list of endpoints. Those of a service that wasn't known before are
+   * not new. After a disturbance, when endpoints have started isn't known; they
+   * count as started when it began, so that none is new after a long one.
+   *
+   * @example
+   * pace.noteListed(directory.readAll(), {restarted, disturbedSinceMs}, nowMs);
+   */
+  noteListed(
+    listed: readonly ServingEndpoint[],
+    {restarted, disturbedSinceMs}: ListedContext,
+    nowMs: number,
+  ): void {
+    const services = new Set(this.known.values());
+    const sinceMs = disturbedSinceMs ?? nowMs;
+    for (const endpoint of listed) {
+      const {id, service} = endpoint;
+      const isNew = !this.known.has(id) && services.has(service);
+      this.known.set(id, service);
+      const isRestarted = restarted.includes(id);
+      if (!isNew && !isRestarted) continue;
+      const cause = isRestarted ? 'restarted' : 'new';
+      this.begin(endpoint, new StartRamp(cause, sinceMs), nowMs);
+    }
+  }
+
+  /** Another instance has read a load from an answer of an endpoint. */
+  noteReported({endpoint: id, load, atMs}: LoadReading, nowMs: number): void {
+    const service = this.known.get(id);
+    if (service === undefined || !this.options.isOn(service)) return;
+    const serving = this.options.findServing(service, nowMs);
+    const endpoint = serving.find(each => each.id === id);
+    if (endpoint !== undefined) this.noteSign(endpoint, serving, atMs, nowMs);
+    // A silent endpoint is reported as one with waiting requests.
+    if (load.waiting === 0) this.options.monitor.endPause(id, atMs);
+  }
+
+  /** Forgets failures that this instance's own links have caused. */
+  forgetFailures(): void {
+    this.signs.forgetFailures();
+  }
+
+  /**
+   * Share of an endpoint while it has a small one.
+   *
+   * @example
+   * const startShare = pace.find(endpoint, nowMs);
+   */
+  find(endpoint: ServingEndpoint, nowMs: number): number | undefined {
+    const ramping = this.ramping.get(endpoint.id);
+    if (ramping === undefined) return undefined;
+    ramping.endpoint = endpoint;
+    this.judge(ramping, nowMs);
+    const share = ramping.ramp.shareAt(nowMs);
+    if (share < 1) return share;
+    this.ramping.delete(endpoint.id);
+    this.tell('ended', ramping, nowMs);
+    return undefined;
+  }
+
+  slownessOf(): number {
+    return 1;
+  }
+
+  extraLoadOf(): number {
+    return 0;
+  }
+
+  override shareOf(endpoint: ServingEndpoint, nowMs: number): number {
+    const share = this.find(endpoint, nowMs);
+    if (share === undefined) return 1;
+    const {warmup, rateLimits} = this.options;
+    if (warmup?.isCold(endpoint.id, nowMs)) return 1;
+    if (rateLimits?.find(endpoint.id) !== undefined) return 1;
+    return Math.min(1, Math.max(share, this.peers.leastShare(endpoint, nowMs)));
+  }
+
+  /** Whether the prompt's prefix is among those that it gets already. */
+  hasRoomFor(endpoint: ServingEndpoint, request: PlacementRequest): boolean {
+    const {prompt, nowMs} = request;
+    const part = prompt && deepestSharedPart(prompt);
+    const share = this.shareOf(endpoint, nowMs);
+    if (part === undefined || share >= 1) return true;
+    const place = hashText(`${endpoint.id}\n${part.id}\nstart`) / 2 ** 32;
+    return place < share || this.peers.doAllWait(endpoint, nowMs);
+  }
+
+  noteSent(attempt: ObservedAttempt): void {
+    this.ramping.get(attempt.endpoint.id)?.pending.add(attempt);
+  }
+
+  noteFirstEvent(attempt: ObservedAttempt, nowMs: number): void {
+    const {endpoint} = attempt;
+    const {id, service} = endpoint;
+    const serving = this.options.findServing(service, nowMs);
+    this.noteSign(endpoint, serving, nowMs, nowMs);
+    const ramping = this.ramping.get(id);
+    ramping?.pending.delete(attempt);
+    const waitMs = nowMs - attempt.sentAtMs;
+    if (ramping === undefined) {
+      this.times.noteFirstEvent(service, waitMs, readTokensOf(attempt, true));
+      return;
+    }
+    const readTokens = readTokensOf(attempt, false);
+    const ratio = this.times.compareFirstEvent(service, waitMs, readTokens);
+    this.noteRatio(ramping, ratio, attempt.sentAtMs, nowMs);
+  }
+
+  noteEnded(attempt: ObservedAttempt, end: AttemptEnd, nowMs: number): void {
+    const {endpoint, prompt, sentAtMs} = attempt;
+    const {id, service} = endpoint;
+    const {outcome, pausesMs} = end;
+    // Whole answers have no first event.
+    if (prompt === undefined && end.isAnswered && pausesMs.length === 0)
+      this.noteFirstEvent(attempt, nowMs);
+    const ramping = this.ramping.get(id);
+    ramping?.pending.delete(attempt);
+    if (outcome !== undefined && outcome !== 'answered') {
+      if (outcome !== 'rejected') this.signs.noteFailure(id);
+      if (ramping !== undefined)
+        this.noteRampSign(ramping, 'late', sentAtMs, nowMs);
+      return;
+    }
+    if (ramping === undefined) this.times.notePauses(service, pausesMs);
+    else {
+      const ratio = this.times.comparePauses(service, pausesMs);
+      this.noteRatio(ramping, ratio, sentAtMs, nowMs);
+    }
+  }
+
+  retain(ids: ReadonlySet<EndpointId>): void {
+    this.signs.retain(ids);
+    for (const id of this.known.keys()) {
+      if (ids.has(id)) continue;
+      this.known.delete(id);
+      this.ramping.delete(id);
+    }
+  }
+
+  forget(id: EndpointId): void {
+    this.signs.forget(id);
+    this.ramping.delete(id);
+  }
+
+  private begin(
+    endpoint: ServingEndpoint,
+    ramp: StartRamp,
+    nowMs: number,
+  ): void {
+    const {id, service} = endpoint;
+    if (!this.options.isOn(service) || endpoint.isLeaving) return;
+    if (this.ramping.has(id) || ramp.shareAt(nowMs) >= 1) return;
+    const ramping: Ramping = {
+      endpoint,
+      ramp,
+      pending: new Set(),
+      judgedLoadAtMs: ramp.sinceMs,
+    };
+    this.ramping.set(id, ramping);
+    this.tell('begun', ramping, nowMs);
+  }
+
+  private noteSign(
+    endpoint: ServingEndpoint,
+    serving: readonly ServingEndpoint[],
+    atMs: number,
+    nowMs: number,
+  ): void {
+    if (!this.signs.note(endpoint.id, serving, atMs)) return;
+    this.begin(endpoint, new StartRamp('recovered', atMs), nowMs);
+  }
+
+  /** Judges the latest load, and attempts that have waited too long. */
+  private judge(ramping: Ramping, nowMs: number): void {
+    const {endpoint, pending} = ramping;
+    const {id, service} = endpoint;
+    for (const attempt of pending) {
+      const waitMs = nowMs - attempt.sentAtMs;
+      const readTokens = readTokensOf(attempt, false);
+      const ratio = this.times.compareFirstEvent(service, waitMs, readTokens);
+      if (ratio === undefined || ratio <= LATE_RATIO) continue;
+      pending.delete(attempt);
+      this.noteRampSign(ramping, 'late', attempt.sentAtMs, nowMs);
+    }
+    const ageMs = this.options.monitor.loadAgeMs(id, nowMs);
+    if (ageMs === undefined || nowMs - ageMs <= ramping.judgedLoadAtMs) return;
+    ramping.judgedLoadAtMs = nowMs - ageMs;
+    const share = ramping.ramp.shareAt(nowMs);
+    const sign = this.peers.judgeLoad(endpoint, share, nowMs);
+    if (sign !== undefined)
+      this.noteRampSign(ramping, sign, nowMs - ageMs, nowMs);
+  }
+
+  private noteRatio(
+    ramping: Ramping,
+    ratio: number | undefined,
+    sentAtMs: number,
+    nowMs: number,
+  ): void {
+    if (ratio === undefined) return;
+    const sign = ratio > LATE_RATIO ? 'late' : 'equal';
+    this.noteRampSign(ramping, sign, sentAtMs, nowMs);
+  }
+
+  private noteRampSign(
+    ramping: Ramping,
+    sign: RampSign,
+    observedAtMs: number,
+    nowMs: number,
+  ): void {
+    const isHalved = ramping.ramp.note(sign, observedAtMs, nowMs);
+    if (isHalved) this.tell('halved', ramping, nowMs);
+  }
+
+  private tell(
+    kind: PaceChange['kind'],
+    {endpoint, ramp}: Ramping,
+    nowMs: number,
+  ): void {
+    this.options.onChange?.({
+      kind,
+      endpoint,
+      cause: ramp.cause,
+      share: ramp.shareAt(nowMs),
+      afterMs: Math.max(0, nowMs - ramp.sinceMs),
+    });
+  }
+}
+
+/** Tokens that the endpoint had to process before the first event. */
+function readTokensOf({prompt}: ObservedAttempt, isCached: boolean): number {
+  if (prompt === undefined) return 0;
+  return prompt.tokens - (isCached ? countSharedTokens(prompt) : 0);
+}
