--- a/packages/routing/src/load_correction.test.ts
+++ b/packages/routing/src/load_correction.test.ts
@@ -35,6 +35,10 @@
     return 0;
   }
 
+  shareOf(): number {
+    return 1;
+  }
+
   hasRoomFor({id}: ServingEndpoint): boolean {
     return id !== 'usual';
   }
--- a/packages/routing/src/load_correction.ts
+++ b/packages/routing/src/load_correction.ts
@@ -41,9 +41,7 @@
    * Share of the requests that it would get otherwise, above 0 and at most 1. A
    * small share is not slowness: what it gets, it answers as usual.
    */
-  shareOf(_endpoint: ServingEndpoint, _nowMs: number): number {
-    return 1;
-  }
+  abstract shareOf(endpoint: ServingEndpoint, nowMs: number): number;
 
   /** Whether it has room for the request, and the request time there. */
   abstract hasRoomFor(
@@ -90,7 +88,7 @@
     );
   }
 
-  override shareOf(endpoint: ServingEndpoint, nowMs: number): number {
+  shareOf(endpoint: ServingEndpoint, nowMs: number): number {
     return this.corrections.reduce(
       (product, each) => product * each.shareOf(endpoint, nowMs),
       1,
--- a/packages/routing/src/prompt.ts
+++ b/packages/routing/src/prompt.ts
@@ -2,6 +2,9 @@
 
 import type {PromptPartId} from '@snipestage/types/ids.js';
 
+/** Below this a cached prefix saves less than an uneven load costs. */
+const MIN_SHARED_TOKENS = 1000;
+
 export interface PromptPart {
   readonly id: PromptPartId;
   readonly tokens: number;
@@ -46,6 +49,16 @@
   return shared.reduce((sum, part) => sum + part.tokens, 0);
 }
 
+/**
+ * Whether requests that share its prefix are sent to the same engine.
+ *
+ * @example
+ * if (hasLongPrefix(prompt)) return this.chooseByPrefix(prompt);
+ */
+export function hasLongPrefix(prompt: Prompt): boolean {
+  return countSharedTokens(prompt) >= MIN_SHARED_TOKENS;
+}
+
 /**
  * Work in units of prompt tokens. A generated token takes a whole step of the
  * batch, which an engine shares between its requests; the platform's price for
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -26,7 +26,7 @@
   type PlacementRequest,
 } from './placement.js';
 import {PrefixHolders} from './prefix_holders.js';
-import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
+import {deepestSharedPart, hasLongPrefix, type Prompt} from './prompt.js';
 import {chooseByFill} from './fill_choice.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
@@ -66,8 +66,6 @@
  * by some, and prompts would spill over needlessly.
  */
 const LOAD_SLACK_REQUESTS = 8;
-/** Below this a cached prefix saves less than an uneven load costs. */
-const MIN_SHARED_TOKENS = 1000;
 /** Waiting requests whose cost equals that of a failed one. */
 const FAILURE_COST_IN_REQUESTS = 12;
 /** Least cost of a failed request, in expected requests of an engine. */
@@ -157,7 +155,7 @@
     const chooseByLoad = () =>
       this.chooseByLoad(widened, request, requestsPerS);
     if (prompt === undefined) return chooseByLoad();
-    if (countSharedTokens(prompt) >= MIN_SHARED_TOKENS) {
+    if (hasLongPrefix(prompt)) {
       return this.chooseByPrefix(candidates, request, prompt);
     }
     const placed = chooseByLoad();
--- a/packages/routing/src/signs_of_life.ts
+++ b/packages/routing/src/signs_of_life.ts
@@ -8,11 +8,21 @@
  * second, and an instance learns them a second late.
  */
 const GAP_MS = 3000;
+/**
+ * A gap is also at least this many times as long as usual between two signs of
+ * the endpoint: slow ones with few requests answer every second or two.
+ */
+const GAP_INTERVALS = 5;
+const INTERVAL_WEIGHT = 0.1;
+/** Assumed of an endpoint that was not heard before. */
+const FIRST_INTERVAL_MS = 1000;
 /** A single failed attempt says little about an endpoint. */
 const MIN_FAILURES = 2;
 
 interface Signs {
   latestMs: number;
+  /** Mean time between two signs without a gap. */
+  intervalMs: number;
   /** Since when there was no gap between them. */
   steadySinceMs: number;
   /** Own failures since the latest sign. */
@@ -48,25 +58,27 @@
   ): boolean {
     const before = this.signs.get(id);
     if (before === undefined) {
-      this.signs.set(id, {latestMs: atMs, steadySinceMs: atMs, failures: 0});
+      this.signs.set(id, {
+        latestMs: atMs,
+        intervalMs: FIRST_INTERVAL_MS,
+        steadySinceMs: atMs,
+        failures: 0,
+      });
       return false;
     }
-    if (atMs <= before.latestMs) return false;
-    const hasGap = atMs - before.latestMs > GAP_MS;
-    const isRecovered =
-      hasGap &&
-      (before.failures >= MIN_FAILURES ||
-        this.wereHeard(
-          peers.map(peer => peer.id).filter(peer => peer !== id),
-          before.latestMs,
-          atMs,
-        ));
-    this.signs.set(id, {
-      latestMs: atMs,
-      steadySinceMs: hasGap ? atMs : before.steadySinceMs,
-      failures: 0,
-    });
-    return isRecovered;
+    const {latestMs, intervalMs, failures} = before;
+    const sinceMs = atMs - latestMs;
+    if (sinceMs <= 0) return false;
+    const hasGap = sinceMs > Math.max(GAP_MS, GAP_INTERVALS * intervalMs);
+    before.latestMs = atMs;
+    before.failures = 0;
+    if (!hasGap) {
+      before.intervalMs += INTERVAL_WEIGHT * (sinceMs - intervalMs);
+      return false;
+    }
+    before.steadySinceMs = atMs;
+    const others = peers.map(peer => peer.id).filter(peer => peer !== id);
+    return failures >= MIN_FAILURES || this.wereHeard(others, latestMs, atMs);
   }
 
   /** Forgets failures that this instance's own links have caused. */
--- a/packages/routing/src/start_pace.ts
+++ b/packages/routing/src/start_pace.ts
@@ -12,11 +12,12 @@
 } from './load_correction.js';
 import type {LoadReading} from './load_view.js';
 import type {PlacementRequest} from './placement.js';
-import {countSharedTokens, deepestSharedPart} from './prompt.js';
+import {deepestSharedPart, hasLongPrefix} from './prompt.js';
+import {countReadTokens, RampingEndpoint} from './ramping_endpoint.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
-import {LATE_RATIO, SettledPeers} from './settled_peers.js';
+import {SettledPeers} from './settled_peers.js';
 import {SignsOfLife} from './signs_of_life.js';
-import {StartRamp, type RampCause, type RampSign} from './start_ramp.js';
+import {StartRamp, type RampCause} from './start_ramp.js';
 import type {WarmupGate} from './warmup_gate.js';
 
 /** A change of an endpoint's share, for logs and metrics. */
@@ -55,15 +56,6 @@
   readonly disturbedSinceMs: number | undefined;
 }
 
-interface Ramping {
-  endpoint: ServingEndpoint;
-  readonly ramp: StartRamp;
-  /** Attempts of this instance that have no first event yet. */
-  readonly pending: Set<ObservedAttempt>;
-  /** Time of the latest load that was judged. */
-  judgedLoadAtMs: number;
-}
-
 /**
  * Load pattern: an engine starts with an empty cache, and dozens of instances
  * see it idle at the same moment. Their fill gives it most requests until newer
@@ -77,7 +69,7 @@
  */
 export class StartPace extends LoadCorrection {
   private readonly known = new Map<EndpointId, ServiceId>();
-  private readonly ramping = new Map<EndpointId, Ramping>();
+  private readonly ramping = new Map<EndpointId, RampingEndpoint>();
   private readonly times = new AnswerTimes();
   private readonly signs = new SignsOfLife();
   private readonly peers: SettledPeers;
@@ -141,12 +133,11 @@
   find(endpoint: ServingEndpoint, nowMs: number): number | undefined {
     const ramping = this.ramping.get(endpoint.id);
     if (ramping === undefined) return undefined;
-    ramping.endpoint = endpoint;
-    this.judge(ramping, nowMs);
+    ramping.judge(nowMs);
     const share = ramping.ramp.shareAt(nowMs);
     if (share < 1) return share;
     this.ramping.delete(endpoint.id);
-    this.tell('ended', ramping, nowMs);
+    this.tell('ended', endpoint, ramping.ramp, nowMs);
     return undefined;
   }
 
@@ -158,7 +149,7 @@
     return 0;
   }
 
-  override shareOf(endpoint: ServingEndpoint, nowMs: number): number {
+  shareOf(endpoint: ServingEndpoint, nowMs: number): number {
     const share = this.find(endpoint, nowMs);
     if (share === undefined) return 1;
     const {warmup, rateLimits} = this.options;
@@ -170,15 +161,16 @@
   /** Whether the prompt's prefix is among those that it gets already. */
   hasRoomFor(endpoint: ServingEndpoint, request: PlacementRequest): boolean {
     const {prompt, nowMs} = request;
-    const part = prompt && deepestSharedPart(prompt);
+    if (prompt === undefined || !hasLongPrefix(prompt)) return true;
     const share = this.shareOf(endpoint, nowMs);
-    if (part === undefined || share >= 1) return true;
-    const place = hashText(`${endpoint.id}\n${part.id}\nstart`) / 2 ** 32;
+    if (share >= 1) return true;
+    const prefix = deepestSharedPart(prompt)?.id;
+    const place = hashText(`${endpoint.id}\n${prefix}\nstart`) / 2 ** 32;
     return place < share || this.peers.doAllWait(endpoint, nowMs);
   }
 
   noteSent(attempt: ObservedAttempt): void {
-    this.ramping.get(attempt.endpoint.id)?.pending.add(attempt);
+    this.ramping.get(attempt.endpoint.id)?.noteSent(attempt);
   }
 
   noteFirstEvent(attempt: ObservedAttempt, nowMs: number): void {
@@ -187,36 +179,28 @@
     const serving = this.options.findServing(service, nowMs);
     this.noteSign(endpoint, serving, nowMs, nowMs);
     const ramping = this.ramping.get(id);
-    ramping?.pending.delete(attempt);
-    const waitMs = nowMs - attempt.sentAtMs;
-    if (ramping === undefined) {
-      this.times.noteFirstEvent(service, waitMs, readTokensOf(attempt, true));
-      return;
+    if (ramping !== undefined) ramping.noteFirstEvent(attempt, nowMs);
+    else {
+      const waitMs = nowMs - attempt.sentAtMs;
+      this.times.noteFirstEvent(service, waitMs, countReadTokens(attempt));
     }
-    const readTokens = readTokensOf(attempt, false);
-    const ratio = this.times.compareFirstEvent(service, waitMs, readTokens);
-    this.noteRatio(ramping, ratio, attempt.sentAtMs, nowMs);
   }
 
   noteEnded(attempt: ObservedAttempt, end: AttemptEnd, nowMs: number): void {
-    const {endpoint, prompt, sentAtMs} = attempt;
-    const {id, service} = endpoint;
+    const {endpoint, route} = attempt;
     const {outcome, pausesMs} = end;
-    // Whole answers have no first event.
-    if (prompt === undefined && end.isAnswered && pausesMs.length === 0)
+    // Only streams have a first event.
+    if (end.isAnswered && route.kind !== 'stream')
       this.noteFirstEvent(attempt, nowMs);
-    const ramping = this.ramping.get(id);
-    ramping?.pending.delete(attempt);
+    const ramping = this.ramping.get(endpoint.id);
+    ramping?.noteEnded(attempt);
     if (outcome !== undefined && outcome !== 'answered') {
-      if (outcome !== 'rejected') this.signs.noteFailure(id);
-      if (ramping !== undefined)
-        this.noteRampSign(ramping, 'late', sentAtMs, nowMs);
-      return;
-    }
-    if (ramping === undefined) this.times.notePauses(service, pausesMs);
-    else {
-      const ratio = this.times.comparePauses(service, pausesMs);
-      this.noteRatio(ramping, ratio, sentAtMs, nowMs);
+      if (outcome !== 'rejected') this.signs.noteFailure(endpoint.id);
+      ramping?.noteFailure(attempt, nowMs);
+    } else if (ramping !== undefined) {
+      ramping.notePauses(attempt, pausesMs, nowMs);
+    } else {
+      this.times.notePauses(endpoint.service, pausesMs);
     }
   }
 
@@ -242,14 +226,14 @@
     const {id, service} = endpoint;
     if (!this.options.isOn(service) || endpoint.isLeaving) return;
     if (this.ramping.has(id) || ramp.shareAt(nowMs) >= 1) return;
-    const ramping: Ramping = {
-      endpoint,
-      ramp,
-      pending: new Set(),
-      judgedLoadAtMs: ramp.sinceMs,
-    };
+    const {times, peers} = this;
+    const {monitor} = this.options;
+    const onHalved = (atMs: number) =>
+      this.tell('halved', endpoint, ramp, atMs);
+    const options = {ramp, times, peers, monitor, onHalved};
+    const ramping = new RampingEndpoint(endpoint, options);
     this.ramping.set(id, ramping);
-    this.tell('begun', ramping, nowMs);
+    this.tell('begun', endpoint, ramp, nowMs);
   }
 
   private noteSign(
@@ -262,65 +246,15 @@
     this.begin(endpoint, new StartRamp('recovered', atMs), nowMs);
   }
 
-  /** Judges the latest load, and attempts that have waited too long. */
-  private judge(ramping: Ramping, nowMs: number): void {
-    const {endpoint, pending} = ramping;
-    const {id, service} = endpoint;
-    for (const attempt of pending) {
-      const waitMs = nowMs - attempt.sentAtMs;
-      const readTokens = readTokensOf(attempt, false);
-      const ratio = this.times.compareFirstEvent(service, waitMs, readTokens);
-      if (ratio === undefined || ratio <= LATE_RATIO) continue;
-      pending.delete(attempt);
-      this.noteRampSign(ramping, 'late', attempt.sentAtMs, nowMs);
-    }
-    const ageMs = this.options.monitor.loadAgeMs(id, nowMs);
-    if (ageMs === undefined || nowMs - ageMs <= ramping.judgedLoadAtMs) return;
-    ramping.judgedLoadAtMs = nowMs - ageMs;
-    const share = ramping.ramp.shareAt(nowMs);
-    const sign = this.peers.judgeLoad(endpoint, share, nowMs);
-    if (sign !== undefined)
-      this.noteRampSign(ramping, sign, nowMs - ageMs, nowMs);
-  }
-
-  private noteRatio(
-    ramping: Ramping,
-    ratio: number | undefined,
-    sentAtMs: number,
-    nowMs: number,
-  ): void {
-    if (ratio === undefined) return;
-    const sign = ratio > LATE_RATIO ? 'late' : 'equal';
-    this.noteRampSign(ramping, sign, sentAtMs, nowMs);
-  }
-
-  private noteRampSign(
-    ramping: Ramping,
-    sign: RampSign,
-    observedAtMs: number,
-    nowMs: number,
-  ): void {
-    const isHalved = ramping.ramp.note(sign, observedAtMs, nowMs);
-    if (isHalved) this.tell('halved', ramping, nowMs);
-  }
-
   private tell(
     kind: PaceChange['kind'],
-    {endpoint, ramp}: Ramping,
+    endpoint: ServingEndpoint,
+    ramp: StartRamp,
     nowMs: number,
   ): void {
-    this.options.onChange?.({
-      kind,
-      endpoint,
-      cause: ramp.cause,
-      share: ramp.shareAt(nowMs),
-      afterMs: Math.max(0, nowMs - ramp.sinceMs),
-    });
+    const share = ramp.shareAt(nowMs);
+    const afterMs = Math.max(0, nowMs - ramp.sinceMs);
+    const {cause} = ramp;
+    this.options.onChange?.({kind, endpoint, cause, share, afterMs});
   }
 }
-
-/** Tokens that the endpoint had to process before the first event. */
-function readTokensOf({prompt}: ObservedAttempt, isCached: boolean): number {
-  if (prompt === undefined) return 0;
-  return prompt.tokens - (isCached ? countSharedTokens(prompt) : 0);
-}
