Test slow start under its load patterns and failures

Cause: the component had no tests; loads were judged at the next request only. Change: tests of the pace, of the lists and of simulated starts; a load of a starting endpoint is judged as it arrives, alike at all instances.

--- a/packages/routing/src/simulation/start_simulation.test.ts
+++ b/packages/routing/src/simulation/start_simulation.test.ts
@@ -66,32 +66,80 @@
   return waits[Math.floor(waits.length * 0.9)];
 }
 
-for (const [name, pattern] of Object.entries<StartPattern>({
-  burst: {settled: 20, started: 1, ...BURST},
-  ten: {settled: 30, started: 10, ...BURST},
-  calm: {settled: 20, started: 1, ...CALM},
-  slow: {settled: 20, started: 1, ...CALM, startedSlowness: 2.5},
-  'slow 5': {settled: 20, started: 1, ...CALM, startedSlowness: 6},
-  together: {settled: 20, started: 1, ...CALM, slowness: 2.5},
-  recovery: {settled: 20, started: 1, ...BURST, isRecovery: true},
-})) {
-  test(name, t => {
-    for (const on of [false, true]) {
-      const m = measure(pattern, on);
-      t.log(
-        on,
-        m.sentPerS.map(x => x.toFixed(1)).join(' '),
-        'wait',
-        Math.round(m.waitMs),
-        'others',
-        Math.round(m.otherWaitMs),
-        'shares',
-        m.shares
-          .filter((_, i) => i % 5 === 0)
-          .map(x => x.toFixed(2))
-          .join(' '),
-      );
-    }
-    t.pass();
-  });
+/** Mean of the share within a second after the start. */
+function shareAfter({shares}: Measured, second: number): number {
+  const within = shares.slice(second * 10, second * 10 + 10);
+  return within.reduce((sum, share) => sum + share, 0) / within.length;
 }
+
+test('load pattern: an engine starts with an empty cache in a burst', t => {
+  // Guards against a new engine that is flooded: all instances see it idle, and
+  // their fill gives it most requests until they know its next load. Its
+  // callers would wait for the long prompts in front of theirs.
+  const pattern = {settled: 20, started: 1, ...BURST};
+  const before = measure(pattern, false);
+  const paced = measure(pattern, true);
+  t.true(before.sentPerS[0] > 6, `${before.sentPerS[0]}`);
+  t.true(paced.sentPerS[0] < 3, `${paced.sentPerS[0]}`);
+  t.true(paced.waitMs < before.waitMs * 0.75, `${paced.waitMs}`);
+  t.true(paced.waitMs < paced.otherWaitMs * 1.1, `${paced.otherWaitMs}`);
+  t.true(paced.otherWaitMs < before.otherWaitMs * 1.15);
+});
+
+test('load pattern: an engine that starts in a burst is not left idle', t => {
+  // Guards against a new engine that holds still while its peers are at half of
+  // their limit: each of those is sent four requests a second.
+  const paced = measure({settled: 20, started: 1, ...BURST}, true);
+  for (const sentPerS of paced.sentPerS.slice(0, 3)) t.true(sentPerS >= 1);
+  for (const sentPerS of paced.sentPerS.slice(3)) t.true(sentPerS >= 2.5);
+  t.is(shareAfter(paced, 4), 1);
+});
+
+test('load pattern: ten engines start at once in a burst', t => {
+  // Guards against engines that count as equals of each other while all of them
+  // are flooded, and against settled ones that have to bear too much meanwhile.
+  const pattern = {settled: 30, started: 10, ...BURST};
+  const before = measure(pattern, false);
+  const paced = measure(pattern, true);
+  t.true(paced.sentPerS[0] < before.sentPerS[0] / 2);
+  t.true(paced.waitMs < before.waitMs * 0.8, `${paced.waitMs}`);
+  t.true(paced.otherWaitMs < before.otherWaitMs * 1.25);
+  t.true(paced.sentPerS[3] >= 2);
+  t.true(shareAfter(paced, 4) > 0.99);
+});
+
+test('load pattern: an engine starts while work takes longer at all of them', t => {
+  // Guards against comparing absolute times: the new engine would be held back
+  // for what happens to its peers as well.
+  const pattern = {settled: 20, started: 1, ...CALM};
+  const paced = measure({...pattern, slowness: 2.5}, true);
+  const usual = measure(pattern, true);
+  for (const second of [1, 2, 3]) {
+    const share = shareAfter(paced, second);
+    t.true(share > shareAfter(usual, second) - 0.1, `${second}: ${share}`);
+  }
+  t.is(shareAfter(paced, 4), 1);
+});
+
+test('load pattern: an engine starts that is slow for good', t => {
+  // Guards against a ramp without an end: that the engine is slow is learned by
+  // its rate, and it is needed at its own speed.
+  const pattern = {settled: 20, started: 1, ...CALM, startedSlowness: 6};
+  const before = measure(pattern, false);
+  const paced = measure(pattern, true);
+  t.true(paced.waitMs < before.waitMs / 2, `${paced.waitMs}`);
+  t.true(shareAfter(paced, 2) < 0.6);
+  t.true(shareAfter(paced, 6) > 0.9);
+});
+
+test('load pattern: an engine recovers after four seconds without connections', t => {
+  // Guards against an engine that is left idle after an outage, and against one
+  // that all instances send their requests at once.
+  const pattern = {settled: 20, started: 1, ...BURST, isRecovery: true};
+  const before = measure(pattern, false);
+  const paced = measure(pattern, true);
+  t.true(shareAfter(paced, 1) < 0.8);
+  t.true(paced.waitMs < before.waitMs * 1.05, `${paced.waitMs}`);
+  for (const sentPerS of paced.sentPerS) t.true(sentPerS >= 1.5);
+  t.is(shareAfter(paced, 5), 1);
+});
--- a/packages/routing/src/simulation/start_simulation.ts
+++ b/packages/routing/src/simulation/start_simulation.ts
@@ -200,9 +200,10 @@
     return id.startsWith('started');
   }
 
-  /** The first 500 ms let all instances know all engines. */
   private isDown(id: EndpointId): boolean {
-    return this.isStarted(id) && this.nowMs >= 500 && this.nowMs < STARTS_AT_MS;
+    const downSinceMs = STARTS_AT_MS - DOWN_MS;
+    const isDown = this.nowMs >= downSinceMs && this.nowMs < STARTS_AT_MS;
+    return isDown && this.isStarted(id);
   }
 
   private advance(): void {
--- a/packages/routing/src/start_pace.ts
+++ b/packages/routing/src/start_pace.ts
@@ -115,6 +115,9 @@
     const serving = this.options.findServing(service, nowMs);
     const endpoint = serving.find(each => each.id === id);
     if (endpoint !== undefined) this.noteSign(endpoint, serving, atMs, nowMs);
+    // Judged as it arrives: between two requests of an instance may be a second,
+    // and the instances would change the share apart from each other.
+    this.ramping.get(id)?.judge(nowMs);
     // A silent endpoint is reported as one with waiting requests.
     if (load.waiting === 0) this.options.monitor.endPause(id, atMs);
   }
