Pace endpoints that are missing before they answer again

Cause: in a simulated recovery the first second was not paced (4.6 requests), since the ramp began with the first load that others reported. Change: an endpoint without signs for long, while its peers showed some, gets the first share at once.

--- a/packages/routing/src/signs_of_life.ts
+++ b/packages/routing/src/signs_of_life.ts
@@ -49,11 +49,11 @@
    *
    * @returns whether the endpoint has recovered with it.
    * @example
-   * if (signs.note(id, peers, atMs)) begin('recovered');
+   * if (signs.note(id, () => peers, atMs)) begin('recovered');
    */
   note(
     id: EndpointId,
-    peers: readonly Pick<ServingEndpoint, 'id'>[],
+    peers: () => readonly Pick<ServingEndpoint, 'id'>[],
     atMs: number,
   ): boolean {
     const before = this.signs.get(id);
@@ -66,19 +66,36 @@
       });
       return false;
     }
-    const {latestMs, intervalMs, failures} = before;
-    const sinceMs = atMs - latestMs;
-    if (sinceMs <= 0) return false;
-    const hasGap = sinceMs > Math.max(GAP_MS, GAP_INTERVALS * intervalMs);
+    const {latestMs, intervalMs} = before;
+    if (atMs <= latestMs) return false;
+    const isRecovered = this.isMissing(id, peers, atMs);
+    const hasGap = this.hasGap(before, atMs);
+    if (hasGap) before.steadySinceMs = atMs;
+    else before.intervalMs += INTERVAL_WEIGHT * (atMs - latestMs - intervalMs);
     before.latestMs = atMs;
     before.failures = 0;
-    if (!hasGap) {
-      before.intervalMs += INTERVAL_WEIGHT * (sinceMs - intervalMs);
-      return false;
-    }
-    before.steadySinceMs = atMs;
-    const others = peers.map(peer => peer.id).filter(peer => peer !== id);
-    return failures >= MIN_FAILURES || this.wereHeard(others, latestMs, atMs);
+    return isRecovered;
+  }
+
+  /**
+   * Whether an endpoint has shown no sign for long while its peers did, or while
+   * own attempts failed.
+   *
+   * @example
+   * if (signs.isMissing(endpoint.id, () => peers, nowMs)) return FIRST_SHARE;
+   */
+  isMissing(
+    id: EndpointId,
+    peers: () => readonly Pick<ServingEndpoint, 'id'>[],
+    nowMs: number,
+  ): boolean {
+    const signs = this.signs.get(id);
+    if (signs === undefined || !this.hasGap(signs, nowMs)) return false;
+    if (signs.failures >= MIN_FAILURES) return true;
+    const others = peers()
+      .map(peer => peer.id)
+      .filter(peer => peer !== id);
+    return this.wereHeard(others, signs.latestMs, nowMs);
   }
 
   /** Forgets failures that this instance's own links have caused. */
@@ -96,6 +113,10 @@
     }
   }
 
+  private hasGap({latestMs, intervalMs}: Signs, nowMs: number): boolean {
+    return nowMs - latestMs > Math.max(GAP_MS, GAP_INTERVALS * intervalMs);
+  }
+
   /** Whether most peers had no gap in a period. */
   private wereHeard(
     peers: readonly EndpointId[],
--- a/packages/routing/src/start_pace.ts
+++ b/packages/routing/src/start_pace.ts
@@ -17,7 +17,7 @@
 import type {ServingEndpoint} from './serving_endpoint.js';
 import {SettledPeers} from './settled_peers.js';
 import {SignsOfLife} from './signs_of_life.js';
-import {StartRamp, type RampCause} from './start_ramp.js';
+import {FIRST_SHARE, StartRamp, type RampCause} from './start_ramp.js';
 import type {WarmupGate} from './warmup_gate.js';
 
 /** A change of an endpoint's share, for logs and metrics. */
@@ -112,9 +112,10 @@
   noteReported({endpoint: id, load, atMs}: LoadReading, nowMs: number): void {
     const service = this.known.get(id);
     if (service === undefined || !this.options.isOn(service)) return;
-    const serving = this.options.findServing(service, nowMs);
-    const endpoint = serving.find(each => each.id === id);
-    if (endpoint !== undefined) this.noteSign(endpoint, serving, atMs, nowMs);
+    const endpoint = this.options
+      .findServing(service, nowMs)
+      .find(each => each.id === id);
+    if (endpoint !== undefined) this.noteSign(endpoint, atMs, nowMs);
     // Judged as it arrives: between two requests of an instance may be a second,
     // and the instances would change the share apart from each other.
     this.ramping.get(id)?.judge(nowMs);
@@ -152,12 +153,18 @@
     return 0;
   }
 
+  /**
+   * An endpoint that is missing counts as one that has just recovered: the first
+   * requests are sent before any instance knows that it answers again.
+   */
   shareOf(endpoint: ServingEndpoint, nowMs: number): number {
-    const share = this.find(endpoint, nowMs);
-    if (share === undefined) return 1;
-    const {warmup, rateLimits} = this.options;
-    if (warmup?.isCold(endpoint.id, nowMs)) return 1;
-    if (rateLimits?.find(endpoint.id) !== undefined) return 1;
+    const {warmup, rateLimits, findServing} = this.options;
+    const {id, service} = endpoint;
+    const isMissing = (): boolean =>
+      this.signs.isMissing(id, () => findServing(service, nowMs), nowMs);
+    const share = this.find(endpoint, nowMs) ?? (isMissing() ? FIRST_SHARE : 1);
+    if (share >= 1 || warmup?.isCold(id, nowMs)) return 1;
+    if (rateLimits?.find(id) !== undefined) return 1;
     return Math.min(1, Math.max(share, this.peers.leastShare(endpoint, nowMs)));
   }
 
@@ -179,8 +186,7 @@
   noteFirstEvent(attempt: ObservedAttempt, nowMs: number): void {
     const {endpoint} = attempt;
     const {id, service} = endpoint;
-    const serving = this.options.findServing(service, nowMs);
-    this.noteSign(endpoint, serving, nowMs, nowMs);
+    this.noteSign(endpoint, nowMs, nowMs);
     const ramping = this.ramping.get(id);
     if (ramping !== undefined) ramping.noteFirstEvent(attempt, nowMs);
     else {
@@ -241,11 +247,11 @@
 
   private noteSign(
     endpoint: ServingEndpoint,
-    serving: readonly ServingEndpoint[],
     atMs: number,
     nowMs: number,
   ): void {
-    if (!this.signs.note(endpoint.id, serving, atMs)) return;
+    const peers = () => this.options.findServing(endpoint.service, nowMs);
+    if (!this.signs.note(endpoint.id, peers, atMs)) return;
     this.begin(endpoint, new StartRamp('recovered', atMs), nowMs);
   }
 
--- a/packages/routing/src/start_ramp.ts
+++ b/packages/routing/src/start_ramp.ts
@@ -12,7 +12,7 @@
  * as much as its peers. With an eighth it got one request in three seconds in
  * the simulated burst.
  */
-const FIRST_SHARE = 1 / 4;
+export const FIRST_SHARE = 1 / 4;
 /** Answers must keep coming, or nothing would ever show that it can take more. */
 const MIN_SHARE = 1 / 16;
 /** By time alone the first share is doubled twice within 4 s. */
