--- a/packages/routing/src/start_pace.test.ts
+++ b/packages/routing/src/start_pace.test.ts
@@ -2,6 +2,7 @@
 import {createSeededRandom} from '@snipestage/policy/random_source.js';
 import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
 import {DataCentreReach} from './data_centre_reach.js';
+import {DemandMeter} from './demand_meter.js';
 import {EndpointMonitor} from './endpoint_monitor.js';
 import {EndpointRateLimits} from './endpoint_rate_limits.js';
 import {LeastLoadedPlacement} from './least_loaded_placement.js';
@@ -9,6 +10,10 @@
 import type {AttemptEnd, ObservedAttempt} from './load_correction.js';
 import type {PlacementRequest} from './placement.js';
 import type {Prompt} from './prompt.js';
+import {
+  PromptPlacement,
+  type PromptPlacementOptions,
+} from './prompt_placement.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 import {StartPace, type ListedContext, type PaceChange} from './start_pace.js';
 import {
@@ -361,6 +366,53 @@
   t.true(fixture.monitor.isDown(id, 1600));
 });
 
+/** Engines of 300 long and medium prompts, of a seeded choice. */
+function choosePrompts(
+  fixture: Fixture,
+  changes: Partial<PromptPlacementOptions>,
+): readonly (EndpointId | undefined)[] {
+  const demand = new DemandMeter();
+  for (let atMs = 0; atMs < STARTS_AT_MS; atMs += 20) {
+    demand.count(STARTED.service, QUOTE, makePrompt('d', 13_300, 3720), atMs);
+  }
+  const placement = new PromptPlacement({
+    monitor: fixture.monitor,
+    reach: new DataCentreReach(),
+    demand,
+    recent: demand,
+    random: createSeededRandom(3),
+    ...changes,
+  });
+  return Array.from({length: 300}, (_, index) => {
+    const shared = index % 2 === 0 ? 13_300 : 0;
+    const prompt = makePrompt(`prompt-${index}`, shared, 3720);
+    const request = requestAt(STARTS_AT_MS + 10, prompt);
+    return placement.choose(fixture.listed, request)?.endpoint.id;
+  });
+}
+
+for (const hasReports of [true, false]) {
+  const loads = hasReports ? 'with loads of others' : 'with own loads only';
+  test(`prompts are placed as before without controls, ${loads}`, t => {
+    // Guards against a share that reaches deployments without load controls.
+    const fixture = new Fixture().start();
+    for (const each of hasReports ? SETTLED : []) {
+      fixture.report(each, STARTS_AT_MS - 500);
+    }
+    const {pace: correction} = fixture;
+    const before = choosePrompts(fixture, {});
+    const off = {correction, controls: new LoadControls()};
+    t.deepEqual(choosePrompts(fixture, off), before);
+    const on = {
+      correction,
+      controls: new LoadControls({isCapacityScarce: true}),
+    };
+    const countOf = (chosen: readonly (EndpointId | undefined)[]) =>
+      chosen.filter(id => id === STARTED.id).length;
+    t.true(countOf(choosePrompts(fixture, on)) < countOf(before) / 2);
+  });
+}
+
 /** Counts requests of a plain service at the endpoint that starts. */
 function countPlain(fixture: Fixture, controls: LoadControls): number {
   const placement = new LeastLoadedPlacement({
