--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -32,6 +32,7 @@
 import type {Prompt} from '@snipestage/routing/prompt.js';
 import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
 import {RefusalDelay} from '@snipestage/routing/refusal_delay.js';
+import {StartPace, type PaceChange} from '@snipestage/routing/start_pace.js';
 import {ServiceVersions} from '@snipestage/routing/service_versions.js';
 import type {Route, RouteId} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
@@ -105,6 +106,7 @@
     monitor: this.monitor,
     rateLimits: this.rateLimits,
     isShared: id => this.isEngine(id),
+    onReported: (reading, nowMs) => this.pace.noteReported(reading, nowMs),
   });
   readonly rates = new EndpointRates({
     runningAt: (id, nowMs) =>
@@ -143,7 +145,9 @@
   readonly warmup: WarmupGate;
   readonly controls: LoadControls;
   /** In the order in which they are applied. */
-  readonly correction = new CombinedCorrection([this.rates]);
+  readonly correction: CombinedCorrection;
+  private readonly pace: StartPace;
+  private onPaceChange: ((change: PaceChange) => void) | undefined;
   /** In the order in which they decide. */
   private readonly shedders: readonly LoadShedder[] = [];
   /** Requests in progress that the shedders have admitted. */
@@ -164,6 +168,16 @@
       readInstances: () => this.instances,
       tolerance,
     });
+    this.pace = new StartPace({
+      monitor: this.monitor,
+      isOn: service => this.controls.isOn(service),
+      findServing: (service, nowMs) =>
+        this.directory.findServing(service, nowMs),
+      warmup: this.warmup,
+      rateLimits: this.rateLimits,
+      onChange: change => this.onPaceChange?.(change),
+    });
+    this.correction = new CombinedCorrection([this.rates, this.pace]);
     const {monitor, reach, warmup, rateLimits, brittle} = this;
     const {correction} = this;
     const estimates = {
@@ -215,7 +229,8 @@
     for (const id of this.withInvalidWorkTime) {
       if (!known.has(id)) this.withInvalidWorkTime.delete(id);
     }
-    for (const id of this.directory.takeRestarted()) {
+    const restarted = this.directory.takeRestarted();
+    for (const id of restarted) {
       this.monitor.forgetReports(id);
       this.rateLimits.forget(id);
       this.brittle.forget(id);
@@ -223,6 +238,9 @@
       this.loads.forget(id, nowMs);
       this.paces.forget(id, nowMs);
     }
+    const disturbedSinceMs = this.directory.disturbedSinceMs(nowMs);
+    const listed = this.directory.readAll();
+    this.pace.noteListed(listed, {restarted, disturbedSinceMs}, nowMs);
     this.loads.prune();
     this.paces.prune();
   }
@@ -238,6 +256,11 @@
     this.rates.noteReported(sample, service);
   }
 
+  /** Calls back when the share of a starting endpoint begins, halves or ends. */
+  watchPace(onChange: (change: PaceChange) => void): void {
+    this.onPaceChange = onChange;
+  }
+
   /** Whether a request is refused for the sake of others; see {@link endShed}. */
   shed(request: ArrivedRequest): ShedDecision {
     if (!this.controls.isOn(request.service)) return ADMIT;
@@ -287,6 +310,7 @@
   /** Forgets what was concluded from connections that this instance lost. */
   forgetUnreachable(): void {
     this.monitor.forgetUnreachable();
+    this.pace.forgetFailures();
     this.reach.clear();
   }
 
@@ -392,6 +416,7 @@
       isDown: monitor.isDown(endpoint.id, nowMs),
       isGone: directory.isGone(endpoint, nowMs),
       isCold: this.warmup.isCold(endpoint.id, nowMs),
+      startShare: this.pace.find(endpoint, nowMs),
       rateLimitPerS: this.rateLimits.find(endpoint.id),
       maxRejectionsPerS: this.brittle.find(endpoint.id),
       backoffLeftMs: Math.round(directory.backoffLeftMs(endpoint, nowMs)),
--- a/packages/routing/src/endpoint_rates.ts
+++ b/packages/routing/src/endpoint_rates.ts
@@ -90,6 +90,10 @@
     return 0;
   }
 
+  shareOf(): number {
+    return 1;
+  }
+
   hasRoomFor(): boolean {
     return true;
   }
--- a/packages/routing/src/least_loaded_placement.ts
+++ b/packages/routing/src/least_loaded_placement.ts
@@ -7,6 +7,7 @@
   leastBy,
   leaveOutCold,
   leaveOutLimited,
+  leaveOutPaced,
   Placement,
   type Placed,
   type PlacementState,
@@ -52,19 +53,37 @@
     const open = leaveOutLimited(all, all, request, this.options);
     const usable = leaveOutCold(open, open, request, this.options);
     const slownessOf = this.relativeTo(usable, request.nowMs);
-    const endpoint = leastBy(usable, each =>
+    const endpoint = leastBy(this.findOffered(usable, request), each =>
       this.costOf(each, request, slownessOf(each)),
     );
     return endpoint && {endpoint};
   }
 
+  /** The endpoints with room, if any, without those that get a small share. */
+  private findOffered(
+    usable: readonly ServingEndpoint[],
+    request: PlacementRequest,
+  ): readonly ServingEndpoint[] {
+    const {options, random} = this;
+    const withRoom = usable.filter(
+      each =>
+        findCorrection(each.service, options)?.hasRoomFor(each, request) ??
+        true,
+    );
+    const group = withRoom.length > 0 ? withRoom : usable;
+    return leaveOutPaced(group, request, options, random);
+  }
+
   private costOf(
     endpoint: ServingEndpoint,
     {dataCentre, nowMs}: PlacementRequest,
     slowness: number,
   ): number {
     const {id} = endpoint;
-    const load = this.monitor.estimateLoad(id, nowMs);
+    const correction = findCorrection(endpoint.service, this.options);
+    const load =
+      this.monitor.estimateLoad(id, nowMs) +
+      (correction?.extraLoadOf(endpoint, nowMs) ?? 0);
     const failures = this.monitor.failureShare(id, nowMs);
     return (
       (load + 1) * slowness +
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -19,6 +19,7 @@
   leastBy,
   leaveOutCold,
   leaveOutLimited,
+  leaveOutPaced,
   Placement,
   type Placed,
   type PlacementState,
@@ -26,7 +27,7 @@
   type PlacementRequest,
 } from './placement.js';
 import {PrefixHolders} from './prefix_holders.js';
-import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
+import {deepestSharedPart, hasLongPrefix, type Prompt} from './prompt.js';
 import {chooseByFill} from './fill_choice.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 import type {SharedDemand} from './shared_demand.js';
@@ -72,8 +73,6 @@
  * by some, and prompts would spill over needlessly.
  */
 const LOAD_SLACK_REQUESTS = 8;
-/** Below this a cached prefix saves less than an uneven load costs. */
-const MIN_SHARED_TOKENS = 1000;
 /** Waiting requests whose cost equals that of a failed one. */
 const FAILURE_COST_IN_REQUESTS = 12;
 /** Least cost of a failed request, in expected requests of an engine. */
@@ -168,7 +167,7 @@
     const chooseByLoad = () =>
       this.chooseByLoad(widened, request, requestsPerS);
     if (prompt === undefined) return chooseByLoad();
-    if (countSharedTokens(prompt) >= MIN_SHARED_TOKENS) {
+    if (hasLongPrefix(prompt)) {
       return this.chooseByPrefix(candidates, request, prompt);
     }
     const placed = chooseByLoad();
@@ -349,7 +348,8 @@
       monitor.failureShare(each.id, nowMs) * failureCost +
       random() * RANDOM_COST_IN_REQUESTS;
     if (!monitor.hasRecentReports(nowMs)) {
-      const endpoint = leastBy(group, costsWith(FAILURE_COST_IN_REQUESTS));
+      const offered = leaveOutPaced(group, request, this.options, random);
+      const endpoint = leastBy(offered, costsWith(FAILURE_COST_IN_REQUESTS));
       return endpoint && {endpoint};
     }
     const capacityOf = (each: ServingEndpoint) => this.speedOf(each, nowMs);
@@ -364,7 +364,7 @@
       (MIN_FAILURE_COST_RATIO * expectedRequests) / Math.max(1, items.length),
     );
     const costOf = costsWith(failureCost);
-    const stepOf = (each: ServingEndpoint) => this.slownessOf(each, nowMs);
+    const stepOf = (each: ServingEndpoint) => this.stepOf(each, nowMs);
     const endpoint = chooseByFill({
       items,
       costOf,
@@ -383,18 +383,30 @@
   private effectiveLoadOf(engine: ServingEndpoint, nowMs: number): number {
     const {id, capacity} = engine;
     const load = this.correctedLoadOf(engine, nowMs);
-    const full = capacity * this.slownessOf(engine, nowMs);
+    const full = capacity * this.stepOf(engine, nowMs);
     const waiting = Math.min(1, this.monitor.estimateWaiting(id, nowMs));
     return load + Math.max(0, full - load) * waiting;
   }
 
-  /** Requests at an engine, in requests of an engine of usual speed. */
+  /**
+   * Requests at an engine, in requests of an engine of usual speed that gets
+   * its whole share.
+   */
   private correctedLoadOf(engine: ServingEndpoint, nowMs: number): number {
     const load = this.monitor.estimateLoad(engine.id, nowMs);
     const correction = findCorrection(engine.service, this.options);
     if (correction === undefined) return load;
     const extra = correction.extraLoadOf(engine, nowMs);
-    return (load + extra) * correction.slownessOf(engine, nowMs);
+    return (load + extra) * this.stepOf(engine, nowMs);
+  }
+
+  /** By how much one more request raises the corrected load. */
+  private stepOf(engine: ServingEndpoint, nowMs: number): number {
+    const correction = findCorrection(engine.service, this.options);
+    if (correction === undefined) return 1;
+    return (
+      correction.slownessOf(engine, nowMs) / correction.shareOf(engine, nowMs)
+    );
   }
 
   private slownessOf(engine: ServingEndpoint, nowMs: number): number {
