Move streams away from engines that are about to leave

Change: a pure decision chooses the streams that would be cut and where they go; the gateway copies their memory, stops the run with a final call and continues the same request at the target with the handle. Active only where the load controls are on and the service says that its engines move requests.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -23,6 +23,7 @@
   failedWithoutHead,
   FOREIGN_ANSWER,
 } from './failed_result.js';
+import type {MovedRun} from './migration/moved_run.js';
 import {OverdueWatch} from './overdue_watch.js';
 import type {
   AttemptResult,
@@ -62,6 +63,10 @@
   readonly onBegun: () => void;
   /** Called before an event of a stream is sent to the caller. */
   readonly onEvent: () => void;
+  /** A stopped run that the attempt continues; undefined: it begins one. */
+  readonly movedRun: MovedRun | undefined;
+  /** Whether the run may have been stopped on this instance's demand. */
+  readonly mayBeStopped: () => Promise<boolean>;
 }
 
 /** Owns the call to the endpoint; its owner decides what follows a failure. */
@@ -97,9 +102,12 @@
       mayStillSend: () => {
         this.timing.noteConnected();
         if (request.admission.route.kind === 'stream') this.overdue.start();
+        if (!state.directory.isCurrentIncarnation(placed.endpoint))
+          return false;
+        // The run goes on where it was: the engine leaves, but has its memory.
+        if (options.movedRun?.isAtSource) return true;
         return (
           state.directory.mayStillSend(placed.endpoint, nowMs()) &&
-          state.directory.isCurrentIncarnation(placed.endpoint) &&
           crashes.mayRun(request.content, options.trial)
         );
       },
@@ -161,6 +169,7 @@
       urgencyRank: request.admission.urgencyRank,
       lastEventId: writer.lastEventId ?? request.caller.lastEventId,
       cacheSource: this.findCacheSource(),
+      copiedMemory: this.options.movedRun?.memory,
       bodyBytes: request.body?.length,
     });
   }
@@ -197,7 +206,9 @@
   }
 
   private async isEndpointUp(): Promise<boolean> {
-    const {context, placed} = this.options;
+    const {context, placed, mayBeStopped} = this.options;
+    // A run that was stopped may close its stream as one that has ended does.
+    if (await mayBeStopped()) return false;
     if (!(await context.probes.isUp(placed.endpoint))) return false;
     // The close of a connection that went silent may be read long afterwards.
     return !context.state.directory.hasNewOwner(placed.endpoint);
@@ -325,6 +336,7 @@
     head: AnswerHead,
   ): Promise<AttemptResult> {
     const {context, writer, onBegun, onEvent} = this.options;
+    this.options.movedRun?.noteContinued();
     const relay = new EventRelay({
       call: this.call,
       response,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -23,6 +23,8 @@
 import {Attempt} from './attempt.js';
 import {AttemptRecord} from './attempt_record.js';
 import {AttemptObservation, NOTHING_SHOWN} from './attempt_observation.js';
+import type {FollowedStream} from './migration/followed_stream.js';
+import type {MovedRun} from './migration/moved_run.js';
 import {recordOutcome, type AttemptOutcome} from './record_outcome.js';
 import type {
   AttemptResult,
@@ -31,6 +33,19 @@
   ReadRequest,
 } from './exchange_context.js';
 
+/** The run was stopped at its engine and goes on from a copy of its memory. */
+interface MovedResult {
+  readonly kind: 'moved';
+  readonly run: MovedRun;
+}
+
+/** What belongs to one attempt. */
+interface AttemptParts {
+  readonly observation: AttemptObservation;
+  readonly followed: FollowedStream | undefined;
+  readonly movedRun: MovedRun | undefined;
+}
+
 /** Owns the attempts of one request; at most one is in progress. */
 export class Exchange {
   private readonly history = new AttemptHistory();
@@ -191,12 +206,32 @@
         return this.fail();
       }
       const result = await this.attempt(placed);
+      if (result.kind === 'moved') return this.continueMoved(result.run);
       if (result.kind === 'answered' || this.writer.isOver) return;
       if (this.isRefusedAsSuspect()) return this.fail();
       if (!this.mayRetry(result)) return this.fail();
     }
   }
 
+  /**
+   * Continues a stopped run until it ends. The request is sent nowhere without
+   * the handle any more: that would be another run.
+   */
+  private async continueMoved(first: MovedRun): Promise<void> {
+    for (let run = first; ;) {
+      if (this.writer.isOver) return run.release('abandoned');
+      const result = await this.attempt({endpoint: run.endpoint}, run);
+      if (result.kind === 'moved') {
+        run = result.run;
+        continue;
+      }
+      const isOver = result.kind === 'answered' || this.writer.isOver;
+      if (isOver) return run.release('abandoned');
+      this.lastReason = result.reason;
+      if (!run.noteFailed(result.verdict)) return this.fail();
+    }
+  }
+
   /** Whether the request has crashed endpoints, by what is known meanwhile. */
   private isRefusedAsSuspect(): boolean {
     const {crashes} = this.context;
@@ -278,7 +313,11 @@
     return false;
   }
 
-  private async attempt(placed: Placed): Promise<AttemptResult> {
+  /** @param movedRun a stopped run that is continued. */
+  private async attempt(
+    placed: Placed,
+    movedRun?: MovedRun,
+  ): Promise<AttemptResult | MovedResult> {
     const {endpoint, group} = placed;
     const {state, nowMs, metrics} = this.context;
     const {prompt} = this.request.caller;
@@ -305,7 +344,12 @@
       prompt,
       sentAtMs: startedAtMs,
     });
-    const attempt = (this.current = this.createAttempt(placed, observation));
+    const followed = this.followStream(endpoint, movedRun);
+    const attempt = (this.current = this.createAttempt(placed, {
+      observation,
+      followed,
+      movedRun,
+    }));
     let result: AttemptResult;
     try {
       result = await attempt.run();
@@ -315,6 +359,7 @@
       state.monitor.end(endpoint.id, work);
       this.current = undefined;
     }
+    const settled = await followed?.end(result.kind === 'answered');
     const progress = attempt.describeProgress();
     this.record.noteProgress(progress);
     const {path, ending, headMs} = progress;
@@ -322,6 +367,12 @@
       metrics.observeHeadWait(endpoint.service, group?.side ?? 'none', headMs);
     const durationMs = nowMs() - startedAtMs;
     const {hasBegun} = attempt;
+    if (settled?.kind === 'moved') {
+      this.verdict = worseVerdict(this.verdict, 'ran');
+      metrics.countAttempt(endpoint.service, 'moved');
+      return settled;
+    }
+    if (settled?.kind === 'unknown') result = excuse(result);
     this.settle({endpoint, result, durationMs, path, ending, hasBegun});
     return result;
   }
@@ -339,9 +390,30 @@
     return serving.filter(each => versions.mayBegin(each));
   }
 
+  /** Undefined for what is never moved to another engine. */
+  private followStream(
+    endpoint: ServingEndpoint,
+    movedRun: MovedRun | undefined,
+  ): FollowedStream | undefined {
+    // It was brought back to an engine that leaves since others had no room.
+    if (movedRun?.isAtSource) return undefined;
+    const {admission, caller, endsAtMs} = this.request;
+    const {route, urgencyRank} = admission;
+    return this.context.mover.follow({
+      requestId: caller.requestId,
+      prompt: caller.prompt,
+      route,
+      urgencyRank,
+      endsAtMs,
+      endpoint,
+      writer: this.writer,
+      close: () => this.current?.cancel(),
+    });
+  }
+
   private createAttempt(
     placed: Placed,
-    observation: AttemptObservation,
+    {observation, followed, movedRun}: AttemptParts,
   ): Attempt {
     const {context, request, writer} = this;
     return new Attempt({
@@ -353,8 +425,11 @@
       maySwitch: () => this.maySwitch(),
       isLast: () => this.listUntried().length === 0,
       onBegun: () => this.noteBegun(),
+      movedRun,
+      mayBeStopped: async () => (await followed?.mayBeStopped()) ?? false,
       onEvent: () => {
         observation.noteEvent(context.nowMs());
+        followed?.noteEvent(context.nowMs());
         this.noteEvent(placed.endpoint);
       },
     });
@@ -459,3 +534,17 @@
     this.writer.fail(failure.status, headers);
   }
 }
+
+/**
+ * A stream that ended after a call to stop it shows no failure of its endpoint,
+ * even if the answer to that call is lost.
+ */
+function excuse(result: AttemptResult): AttemptResult {
+  if (result.kind === 'answered' || !result.connectionBroke) return result;
+  return {
+    ...result,
+    endpointOutcome: undefined,
+    connectionBroke: false,
+    reason: 'move_lost',
+  };
+}
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -16,6 +16,7 @@
   CallerRequest,
   PassThroughProtocol,
 } from './pass_through_protocol.js';
+import type {StreamMover} from './migration/stream_mover.js';
 import type {RoutingState} from './routing_state.js';
 import type {Streams} from './streams/streams.js';
 
@@ -33,6 +34,7 @@
   readonly connectTimeout: ConnectTimeout;
   readonly connector: EndpointConnector;
   readonly probes: EndpointProbes;
+  readonly mover: Pick<StreamMover, 'follow'>;
   readonly streams: Pick<Streams, 'noteBegun' | 'resolve'>;
   /** Called when a request began to run; `atMs` is on this instance's clock. */
   readonly onBegun: (admission: Admission, atMs: number) => void;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,8 @@
 import {identifyBy} from './identify_endpoint.js';
 import type {OperationsServer} from './operations_server.js';
 import type {PassThroughProtocol} from './pass_through_protocol.js';
+import {MemoryClient} from './migration/memory_client.js';
+import {StreamMover} from './migration/stream_mover.js';
 import {Relays} from './relay/relays.js';
 import {RequestHandler} from './request_handler.js';
 import {RoutingState} from './routing_state.js';
@@ -340,6 +342,17 @@
         onReplaced: each => this.state.directory.noteGone(each, nowMs()),
         logger: logger.forComponent('callers'),
       }),
+      mover: new StreamMover({
+        state: this.state,
+        client: new MemoryClient({
+          protocol,
+          connector: this.paths.connector,
+          connectTimeout: this.paths.connectTimeout,
+        }),
+        metrics,
+        logger: logger.forComponent('migration'),
+        nowMs,
+      }),
       streams: this.streams,
       onBegun: ({clientAccount}, atMs) => {
         if (clientAccount === undefined) return;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -124,6 +124,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  private readonly migrations = new Counter({
+    name: 'snipestage_stream_moves_total',
+    help: 'Moves of streams from engines that leave, by service and outcome.',
+    labelNames: ['service', 'outcome'],
+    registers: [this.registry],
+  });
   private readonly backoffRequests = new Counter({
     name: 'snipestage_backoff_requests_total',
     help: 'Refusals in which an endpoint requested backoff, by service.',
@@ -256,6 +262,11 @@
     this.leavingAnswers.inc({service});
   }
 
+  /** @param outcome how the move ended, or why the stream stayed. */
+  countMigration(service: string, outcome: string): void {
+    this.migrations.inc({service, outcome});
+  }
+
   countBackoffRequest(service: string): void {
     this.backoffRequests.inc({service});
   }
--- a/packages/gateway/src/pass_through_protocol.ts
+++ b/packages/gateway/src/pass_through_protocol.ts
@@ -10,6 +10,7 @@
 import type {StatedIdentity} from '@snipestage/routing/endpoint_identity.js';
 import type {Prompt} from '@snipestage/routing/prompt.js';
 import type {
+  Branded,
   ClientAccountId,
   EndpointId,
   RequestId,
@@ -40,6 +41,49 @@
   /** Another endpoint whose cache may have the start of the prompt. */
   readonly cacheSource: EndpointAddress | undefined;
   readonly bodyBytes: number | undefined;
+  /** A stopped run is continued from the copy of its memory (none). */
+  readonly copiedMemory?: CopiedMemory;
+}
+
+/** Identifies the copy of a request's memory at the engine that made it. */
+export type MemoryHandle = Branded<string, 'MemoryHandle'>;
+
+/** Memory of a request that was copied or is kept for its continuation. */
+export interface CopiedMemory {
+  /** The engine that ran the request. */
+  readonly source: EndpointAddress;
+  readonly handle: MemoryHandle;
+}
+
+/** Asks an engine to copy the memory of a request that it runs. */
+export interface MemoryCopyRequest {
+  readonly requestId: RequestId;
+  readonly source: ServingEndpoint;
+  readonly target: ServingEndpoint;
+  /** The engine stops the run first; it can then go on from the copy only. */
+  readonly isFinal: boolean;
+}
+
+/** What an engine answers to a {@link MemoryCopyRequest}. */
+export type MemoryCopyAnswer =
+  | {readonly kind: 'copied'; readonly handle: MemoryHandle}
+  /** Nothing was copied; with a handle, the run has stopped at its engine. */
+  | {readonly kind: 'no_room'; readonly handle: MemoryHandle | undefined}
+  /** It doesn't run the request. */
+  | {readonly kind: 'no_run'}
+  /** Another copy of the same request is in progress. */
+  | {readonly kind: 'busy'}
+  /** Another endpoint has the address now. */
+  | {readonly kind: 'misdirected'}
+  /** Nothing that is known: what the engine did isn't known either. */
+  | {readonly kind: 'unreadable'};
+
+/** A call of an engine that is no caller's request. */
+export interface EngineCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: FlatHeaders;
+  readonly body: Buffer | undefined;
 }
 
 /** Status of an answer and contents of its headers. */
@@ -112,6 +156,16 @@
 
   abstract readIdentity(answer: IdentityAnswer): StatedIdentity;
 
+  abstract composeMemoryCopy(request: MemoryCopyRequest): EngineCall;
+
+  abstract readMemoryCopy(status: number, body: Buffer): MemoryCopyAnswer;
+
+  /** Frees a copy of memory at both engines. */
+  abstract composeRelease(
+    source: ServingEndpoint,
+    handle: MemoryHandle,
+  ): EngineCall;
+
   /** The endpoint's headers without hop-by-hop ones. */
   abstract composeAnswer(rawHeaders: FlatHeaders): string[];
 
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -8,6 +8,7 @@
   DemandMeter,
   type RouteDemand,
 } from '@snipestage/routing/demand_meter.js';
+import {EngineDepartures} from '@snipestage/routing/engine_departures.js';
 import {EndpointDirectory} from '@snipestage/routing/endpoint_directory.js';
 import {EndpointRateLimits} from '@snipestage/routing/endpoint_rate_limits.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
@@ -87,6 +88,7 @@
   /** Undefined until the first configuration is known. */
   table: RouteTable | undefined;
   readonly directory = new EndpointDirectory();
+  readonly departures = new EngineDepartures();
   /** Number of instances, published by one of them; undefined until known. */
   instances: number | undefined;
   readonly monitor = new EndpointMonitor();
@@ -178,6 +180,7 @@
    */
   evictStale(nowMs: number): void {
     const known = this.directory.listKnownIds();
+    this.departures.retain(known);
     this.monitor.retain(known);
     this.warmup.retain(known);
     this.rateLimits.retain(known);
--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -4,6 +4,7 @@
 import type {StatedIdentity} from '@snipestage/routing/endpoint_identity.js';
 import type {Prompt} from '@snipestage/routing/prompt.js';
 import type {Service} from '@snipestage/routing/route.js';
+import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import {
   brandAs,
   type EndpointId,
@@ -14,10 +15,14 @@
   PassThroughProtocol,
   type AnswerHead,
   type CallerRequest,
+  type EngineCall,
   type FlatHeaders,
   type ForwardedRequest,
   type IdentityAnswer,
   type IdentityRequest,
+  type MemoryCopyAnswer,
+  type MemoryCopyRequest,
+  type MemoryHandle,
 } from '../pass_through_protocol.js';
 
 export class PlainProtocol extends PassThroughProtocol {
@@ -49,6 +54,10 @@
     if (forwarded.lastEventId !== undefined) {
       headers.push('Last-Event-Id', forwarded.lastEventId);
     }
+    if (forwarded.copiedMemory !== undefined) {
+      const {source, handle} = forwarded.copiedMemory;
+      headers.push('X-Memory', `${source}/${handle}`);
+    }
     if (forwarded.bodyBytes !== undefined) {
       headers.push('Content-Length', String(forwarded.bodyBytes));
     }
@@ -94,6 +103,43 @@
     };
   }
 
+  /** The path holds the request's id, the target's address and the kind. */
+  composeMemoryCopy({
+    requestId,
+    target,
+    isFinal,
+  }: MemoryCopyRequest): EngineCall {
+    const kind = isFinal ? 'final' : 'early';
+    return {
+      method: 'POST',
+      path: `/copy/${requestId}/${target.address}/${kind}`,
+      headers: ['Host', 'test', 'Content-Length', '0'],
+      body: undefined,
+    };
+  }
+
+  /** The body is the handle. */
+  readMemoryCopy(status: number, body: Buffer): MemoryCopyAnswer {
+    const text = body.toString();
+    const handle = text === '' ? undefined : brandAs<MemoryHandle>(text);
+    if (status === 404) return {kind: 'no_run'};
+    if (status === 409) return {kind: 'busy'};
+    if (status === 421) return {kind: 'misdirected'};
+    if (status === 503) return {kind: 'no_room', handle};
+    if (status !== 200 || handle === undefined) return {kind: 'unreadable'};
+    return {kind: 'copied', handle};
+  }
+
+  composeRelease(_source: ServingEndpoint, handle: MemoryHandle): EngineCall {
+    const headers = ['Host', 'test'];
+    return {
+      method: 'DELETE',
+      path: `/copy/${handle}`,
+      headers,
+      body: undefined,
+    };
+  }
+
   composeAnswer(rawHeaders: FlatHeaders): string[] {
     const kept: string[] = [];
     for (let index = 0; index < rawHeaders.length; index += 2) {
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -26,6 +26,8 @@
 import {identifyBy} from '../identify_endpoint.js';
 import {EndpointProbes} from '../endpoint_probes.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
+import {MemoryClient} from '../migration/memory_client.js';
+import {StreamMover} from '../migration/stream_mover.js';
 import {PartGuard} from '../part_guard.js';
 import {RequestHandler} from '../request_handler.js';
 import {RoutingState} from '../routing_state.js';
@@ -367,6 +369,13 @@
         identify: identifyBy({state: this.state, protocol}),
         onReplaced: each => this.state.directory.noteGone(each, this.nowMs()),
       }),
+      mover: new StreamMover({
+        state: this.state,
+        client: new MemoryClient({connector, protocol, connectTimeout}),
+        metrics,
+        logger,
+        nowMs: () => this.nowMs(),
+      }),
       streams: new Streams({
         platform,
         state: this.state,
--- a/packages/routing/src/route.ts
+++ b/packages/routing/src/route.ts
@@ -66,6 +66,10 @@
   /** Requests that one engine works on at once. */
   readonly batchSize: number;
   readonly cacheTokens: number;
+  /** Whether its engines move running requests to one another (false). */
+  readonly migratesRequests?: boolean;
+  /** How long the copy of a request's memory is kept (not known). */
+  readonly handleTtlMs?: number;
 }
 
 /** Load that endpoints of a service can take while cold after a start. */
--- a/packages/routing/src/serving_endpoint.ts
+++ b/packages/routing/src/serving_endpoint.ts
@@ -21,6 +21,8 @@
   /** Requests that it processes at once. */
   readonly capacity: number;
   readonly isLeaving: boolean;
+  /** Time until it is taken away, counted from its report (not known). */
+  readonly leavesInMs?: number;
   /** May be taken away at short notice. */
   readonly isCheap: boolean;
   /**
