--- a/packages/gateway/src/test_support/plain_protocol.ts
+++ b/packages/gateway/src/test_support/plain_protocol.ts
@@ -32,7 +32,7 @@
       requestId: brandAs<RequestId>(String(headers['x-request-id'] ?? '')),
       callerTimeoutMs: waits === undefined ? undefined : Number(waits),
       key: headers['x-key'] as string | undefined,
-      prompt: readPrompt(headers['x-parts']),
+      prompt: readPrompt(headers['x-parts'], headers['x-output']),
       lastEventId: headers['last-event-id'] as string | undefined,
       resumes: headers['x-continues'] as RequestId | undefined,
     };
@@ -158,16 +158,22 @@
   }
 }
 
-/** Ids of parts, separated by commas. */
-function readPrompt(header: string | string[] | undefined): Prompt | undefined {
+/**
+ * @param header ids of parts, separated by commas.
+ * @param output expected tokens of the answer (not known).
+ */
+function readPrompt(
+  header: string | string[] | undefined,
+  output: string | string[] | undefined,
+): Prompt | undefined {
   if (typeof header !== 'string') return undefined;
   const parts = header
     .split(',')
     .map(id => ({id: brandAs<PromptPartId>(id), tokens: 100}));
   return {
     tokens: 100 * parts.length,
-    maxOutputTokens: 10,
-    expectedOutputTokens: undefined,
+    maxOutputTokens: output === undefined ? 10 : 2 * Number(output),
+    expectedOutputTokens: output === undefined ? undefined : Number(output),
     parts,
   };
 }
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -120,6 +120,7 @@
   private readonly ports = new Map<string, AddressInfo>();
   private readonly socketsOf = new Map<string, Set<Socket>>();
   private port = 0;
+  private handler: RequestHandler | undefined;
 
   static async start(
     route: Partial<Route>,
@@ -228,6 +229,11 @@
     return this.port;
   }
 
+  /** Ends all requests in progress, as an instance does that stops. */
+  giveUpAll(): void {
+    this.handler?.giveUpAll();
+  }
+
   /** Lets an endpoint refuse connections; open ones stay. */
   stopListening(id: string): void {
     this.endpoints.get(id)?.close();
@@ -345,7 +351,7 @@
       metrics,
       nowMs: () => this.nowMs(),
     });
-    const handler = new RequestHandler({
+    const handler = (this.handler = new RequestHandler({
       state: this.state,
       protocol,
       dataCentre: DATA_CENTRE,
@@ -385,7 +391,7 @@
       onBegun: admission => this.begun.push(admission),
       shutdown: this.shutdown,
       earliestArrivalMs: () => this.nowMs() - this.heldUpMs,
-    });
+    }));
     const server = http.createServer(
       {maxHeaderSize: MAX_HEADER_BYTES},
       (request, response) => {
