--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -25,6 +25,7 @@
 import {AttemptObservation, NOTHING_SHOWN} from './attempt_observation.js';
 import type {FollowedStream} from './migration/followed_stream.js';
 import type {MovedRun} from './migration/moved_run.js';
+import type {SettledMove} from './migration/stream_move.js';
 import {recordOutcome, type AttemptOutcome} from './record_outcome.js';
 import type {
   AttemptResult,
@@ -63,6 +64,8 @@
   private minRetryAfterMs = 0;
   /** Whether a retry was given up as the budget for retries was spent. */
   private isRetryBudgetSpent = false;
+  /** How often its run was stopped to go on elsewhere. */
+  private moves = 0;
   private readonly record = new AttemptRecord();
 
   constructor(
@@ -134,6 +137,7 @@
       firstEventMs: firstMs,
       longestPauseMs: events > 0 ? Math.round(longestPauseMs) : undefined,
       isRetryBudgetSpent: this.isRetryBudgetSpent || undefined,
+      moves: this.moves || undefined,
       endpoint: [...this.history.tried].at(-1),
       ...this.record.describe(),
     };
@@ -351,15 +355,19 @@
       movedRun,
     }));
     let result: AttemptResult;
+    let settled: SettledMove | undefined;
     try {
       result = await attempt.run();
+      settled = await followed?.end(result.kind === 'answered');
+      if (settled !== undefined && settled.kind !== 'none') {
+        result = excuse(result);
+      }
       observation.end(attempt.describeEnd(result), nowMs());
     } finally {
       observation.end(NOTHING_SHOWN, nowMs());
       state.monitor.end(endpoint.id, work);
       this.current = undefined;
     }
-    const settled = await followed?.end(result.kind === 'answered');
     const progress = attempt.describeProgress();
     this.record.noteProgress(progress);
     const {path, ending, headMs} = progress;
@@ -369,10 +377,10 @@
     const {hasBegun} = attempt;
     if (settled?.kind === 'moved') {
       this.verdict = worseVerdict(this.verdict, 'ran');
+      this.moves += 1;
       metrics.countAttempt(endpoint.service, 'moved');
       return settled;
     }
-    if (settled?.kind === 'unknown') result = excuse(result);
     this.settle({endpoint, result, durationMs, path, ending, hasBegun});
     return result;
   }
@@ -540,11 +548,12 @@
  * even if the answer to that call is lost.
  */
 function excuse(result: AttemptResult): AttemptResult {
-  if (result.kind === 'answered' || !result.connectionBroke) return result;
+  if (result.kind === 'answered') return result;
+  const {connectionBroke = false, reason} = result;
   return {
     ...result,
     endpointOutcome: undefined,
     connectionBroke: false,
-    reason: 'move_lost',
+    reason: connectionBroke ? 'move_lost' : reason,
   };
 }
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -33,6 +33,7 @@
 import {RoutingState} from '../routing_state.js';
 import {Streams} from '../streams/streams.js';
 import {MemoryPlatform} from './memory_platform.js';
+import type {PassThroughProtocol} from '../pass_through_protocol.js';
 import {PlainProtocol} from './plain_protocol.js';
 
 const SERVICE = brandAs<ServiceId>('service');
@@ -101,6 +102,8 @@
   readonly received: Array<{endpoint: string; request: string}> = [];
   readonly begun: Admission[] = [];
   readonly log = new CapturedLog();
+  /** Of callers and endpoints; set before the start. */
+  protocol: PassThroughProtocol = new PlainProtocol();
   /** Added to the clock; lets a test skip time. */
   skippedMs = 0;
   /** Added to the time that connections to endpoints take. */
@@ -189,18 +192,19 @@
   call(
     id: string,
     options: {
+      readonly path?: string;
       readonly body?: string;
       readonly headers?: Record<string, string>;
       readonly signal?: AbortSignal;
     } = {},
   ): Promise<CallerAnswer> {
-    const {body, headers, signal} = options;
+    const {path = '/r/x', body, headers, signal} = options;
     return new Promise((resolve, reject) => {
       const request = http.request(
         {
           host: '127.0.0.1',
           port: this.port,
-          path: '/r/x',
+          path,
           method: body === undefined ? 'GET' : 'POST',
           headers: {Host: 'test', 'X-Request-Id': id, ...headers},
           agent: false,
@@ -325,7 +329,7 @@
   private async listen(): Promise<void> {
     const {logger} = this.log;
     const metrics = new GatewayMetrics();
-    const protocol = new PlainProtocol();
+    const {protocol} = this;
     const connectTimeout = new ConnectTimeout({maxMs: 1000});
     const connector = new EndpointConnector({
       state: this.state,
