Test the retry budget of moves and continuations that may have run

Cause: two rules could be broken by hand without a failing test: the retry taken from the budget, and that a continuation that may have run goes nowhere else. One test depended on the speed of the machine. Change: tests for both; the streams of the tests leave a second of slack.

--- a/packages/gateway/src/test_support/moving_engine.ts
+++ b/packages/gateway/src/test_support/moving_engine.ts
@@ -21,9 +21,11 @@
   staysOpen: boolean;
   /** Whether it refuses all continuations, unrun (false). */
   refuses: boolean;
+  /** Whether it resets continuations without an answer (false). */
+  resets: boolean;
   /** Whether streams end with their connections (false). */
   isUnframed: boolean;
-  /** Time between two events of a run that begins (20 ms). */
+  /** Time between two events of a run that begins (25 ms). */
   intervalMs: number;
   /** Called when a copy begins. */
   onCopy: (kind: 'early' | 'final') => void;
@@ -73,8 +75,9 @@
     isStopped: undefined,
     staysOpen: false,
     refuses: false,
+    resets: false,
     isUnframed: false,
-    intervalMs: 20,
+    intervalMs: 25,
     onCopy: () => undefined,
   };
   readonly runs: EngineRun[] = [];
@@ -156,7 +159,8 @@
       endedAtMs: undefined,
     };
     this.runs.push(run);
-    this.stream(socket, run);
+    if (memory !== undefined && behaviour.resets) socket.resetAndDestroy();
+    else this.stream(socket, run);
   }
 
   private stream(socket: Socket, run: EngineRun): void {
