--- a/packages/gateway/src/migration/moved_run.ts
+++ b/packages/gateway/src/migration/moved_run.ts
@@ -56,7 +56,7 @@
     const {context, source, expiresAtMs} = this.options;
     if (this.isSettled) return false;
     if (verdict !== 'not_run') {
-      this.settle('lost');
+      this.settle('broken');
       return false;
     }
     const atMs = context.nowMs();
--- a/packages/gateway/src/migration/stream_mover.test.ts
+++ b/packages/gateway/src/migration/stream_mover.test.ts
@@ -345,7 +345,7 @@
   checkCut(t, await answer);
   t.is(deployment.target.runs.length, 1);
   t.is(deployment.source.runs.length, 1);
-  t.deepEqual(deployment.continuations(), ['lost']);
+  t.deepEqual(deployment.continuations(), ['broken']);
 });
 
 test('a handle that is refused is used at the source', async t => {
--- a/packages/gateway/src/state_follower.ts
+++ b/packages/gateway/src/state_follower.ts
@@ -215,6 +215,7 @@
           endpoint: id,
           dataCentre: change.endpoint.dataCentre,
           isLeaving,
+          leavesInMs: change.endpoint.leavesInMs,
           service,
           softwareVersion: change.endpoint.softwareVersion,
         });
