Keep an error in a move from ending the process

Cause: an exception inside a call to an engine would have been an unhandled rejection. Change: the client answers it as lost; whatever else fails is logged.

--- a/packages/gateway/src/migration/memory_client.ts
+++ b/packages/gateway/src/migration/memory_client.ts
@@ -99,14 +99,14 @@
       connection.reset();
       return 'not_sent';
     }
-    const answer = send(connection, call);
+    const answer = send(connection, call).catch(() => 'lost' as const);
     const result = await resolveWithin(answer, {timeoutMs, otherwise: 'lost'});
     connection.reset();
     return result;
   }
 }
 
-function send(
+async function send(
   connection: EndpointConnection,
   {method, path, headers, body}: EngineCall,
 ): Promise<RawAnswer | 'lost'> {
--- a/packages/gateway/src/migration/stream_mover.ts
+++ b/packages/gateway/src/migration/stream_mover.ts
@@ -174,7 +174,13 @@
       closeStream: close,
     });
     this.moves.add(move);
-    void followed.begin(move).finally(() => this.moves.delete(move));
+    void followed
+      .begin(move)
+      .catch(error => {
+        const fields = {requestId, error: String(error)};
+        this.context.logger.error('stream_move_failed', fields);
+      })
+      .finally(() => this.moves.delete(move));
   }
 
   private isNeeded(
