Test a stream that is moved twice

Cause: nothing showed that the second engine of a stream may leave as well. Change: a test with three engines.

--- a/packages/gateway/src/migration/stream_mover.test.ts
+++ b/packages/gateway/src/migration/stream_mover.test.ts
@@ -66,9 +66,9 @@
     return {answer};
   }
 
-  announceLeaving(leavesInMs?: number): void {
+  announceLeaving(leavesInMs?: number, id = this.sourceId): void {
     const {directory} = this.proxy.state;
-    const listed = directory.find(brandAs<EndpointId>(this.sourceId))!;
+    const listed = directory.find(brandAs<EndpointId>(id))!;
     const endpoint = {...listed, isLeaving: true, leavesInMs};
     directory.apply([{kind: 'listed', endpoint}], this.proxy.nowMs());
   }
@@ -156,6 +156,28 @@
   t.is(line.runs, 0);
 });
 
+test('a stream is moved again when its second engine leaves as well', async t => {
+  // Guards against handles and numbers of events of the first move that are used
+  // for the second one.
+  const deployment = await Deployment.start(t);
+  const {answer} = await deployment.call();
+  const {target, targetId, proxy} = deployment;
+  target.behaviour.intervalMs = 25;
+  target.behaviour.early = {status: 200, handle: 'second'};
+  target.behaviour.final = {status: 200, handle: 'second'};
+  deployment.announceLeaving(2500);
+  await until(() => target.runs.length > 0);
+  const third = new MovingEngine();
+  await proxy.addEndpoint('endpoint-2', third.script);
+  deployment.announceLeaving(1300, targetId);
+  checkWhole(t, await answer);
+  t.is(third.runs.length, 1);
+  t.regex(String(third.runs[0].memory), /\/second$/);
+  t.true(Number(target.runs[0].endedAtMs) <= third.runs[0].beganAtMs);
+  t.deepEqual(deployment.continuations(), ['moved', 'moved']);
+  t.is(deployment.linesOf('request')[0].moves, 2);
+});
+
 test('without the switch nothing is moved', async t => {
   // Guards against changes for deployments that are in service.
   for (const options of [{isOn: false}, {migratesRequests: false}]) {
