--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -26,11 +26,14 @@
 import {identifyBy} from '../identify_endpoint.js';
 import {EndpointProbes} from '../endpoint_probes.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
+import {MemoryClient} from '../migration/memory_client.js';
+import {StreamMover} from '../migration/stream_mover.js';
 import {PartGuard} from '../part_guard.js';
 import {RequestHandler} from '../request_handler.js';
 import {RoutingState} from '../routing_state.js';
 import {Streams} from '../streams/streams.js';
 import {MemoryPlatform} from './memory_platform.js';
+import type {PassThroughProtocol} from '../pass_through_protocol.js';
 import {PlainProtocol} from './plain_protocol.js';
 
 const SERVICE = brandAs<ServiceId>('service');
@@ -99,6 +102,8 @@
   readonly received: Array<{endpoint: string; request: string}> = [];
   readonly begun: Admission[] = [];
   readonly log = new CapturedLog();
+  /** Of callers and endpoints; set before the start. */
+  protocol: PassThroughProtocol = new PlainProtocol();
   /** Added to the clock; lets a test skip time. */
   skippedMs = 0;
   /** Added to the time that connections to endpoints take. */
@@ -118,6 +123,7 @@
   private readonly ports = new Map<string, AddressInfo>();
   private readonly socketsOf = new Map<string, Set<Socket>>();
   private port = 0;
+  private handler: RequestHandler | undefined;
 
   static async start(
     route: Partial<Route>,
@@ -186,18 +192,19 @@
   call(
     id: string,
     options: {
+      readonly path?: string;
       readonly body?: string;
       readonly headers?: Record<string, string>;
       readonly signal?: AbortSignal;
     } = {},
   ): Promise<CallerAnswer> {
-    const {body, headers, signal} = options;
+    const {path = '/r/x', body, headers, signal} = options;
     return new Promise((resolve, reject) => {
       const request = http.request(
         {
           host: '127.0.0.1',
           port: this.port,
-          path: '/r/x',
+          path,
           method: body === undefined ? 'GET' : 'POST',
           headers: {Host: 'test', 'X-Request-Id': id, ...headers},
           agent: false,
@@ -226,6 +233,11 @@
     return this.port;
   }
 
+  /** Ends all requests in progress, as an instance does that stops. */
+  giveUpAll(): void {
+    this.handler?.giveUpAll();
+  }
+
   /** Lets an endpoint refuse connections; open ones stay. */
   stopListening(id: string): void {
     this.endpoints.get(id)?.close();
@@ -317,7 +329,7 @@
   private async listen(): Promise<void> {
     const {logger} = this.log;
     const metrics = new GatewayMetrics();
-    const protocol = new PlainProtocol();
+    const {protocol} = this;
     const connectTimeout = new ConnectTimeout({maxMs: 1000});
     const connector = new EndpointConnector({
       state: this.state,
@@ -343,7 +355,7 @@
       metrics,
       nowMs: () => this.nowMs(),
     });
-    const handler = new RequestHandler({
+    const handler = (this.handler = new RequestHandler({
       state: this.state,
       protocol,
       dataCentre: DATA_CENTRE,
@@ -367,6 +379,13 @@
         identify: identifyBy({state: this.state, protocol}),
         onReplaced: each => this.state.directory.noteGone(each, this.nowMs()),
       }),
+      mover: new StreamMover({
+        state: this.state,
+        client: new MemoryClient({connector, protocol, connectTimeout}),
+        metrics,
+        logger,
+        nowMs: () => this.nowMs(),
+      }),
       streams: new Streams({
         platform,
         state: this.state,
@@ -376,7 +395,7 @@
       onBegun: admission => this.begun.push(admission),
       shutdown: this.shutdown,
       earliestArrivalMs: () => this.nowMs() - this.heldUpMs,
-    });
+    }));
     const server = http.createServer(
       {maxHeaderSize: MAX_HEADER_BYTES},
       (request, response) => {
