Bound the bytes that an instance holds for callers

Cause: bodies and unread answers were held without a bound; 60 bodies of 4 MB fill an instance of 250 MB. A caller that doesn't read paused its endpoint, which then cut the answer off. An endpoint that doesn't read a body held the request until its time was over.

Change: the ledger HeldBytes counts bodies and unread answers by client account or caller address; a quarter of `limits.memory_mb` is the bound. Bodies without room get 503, and beyond the bound the account that holds most loses its largest answer. Streams are read on up to 1 MB. An attempt ends as `unread` when its endpoint takes nothing of the body for 5 s. Without the setting nothing is counted.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -1,6 +1,8 @@
 /** Writes one answer to one caller. */
 
 import type {ServerResponse} from 'node:http';
+import {AnswerQueue} from './answer_queue.js';
+import type {HeldMemory} from './memory_guard.js';
 import type {FlatHeaders} from './pass_through_protocol.js';
 
 /** A complete answer of an endpoint. */
@@ -20,6 +22,8 @@
   longestPauseMs = 0;
   private lastEventAtMs = 0;
   lastEventId: string | undefined;
+  private held: HeldMemory | undefined;
+  private queue: AnswerQueue | undefined;
 
   constructor(
     private readonly response: ServerResponse,
@@ -32,6 +36,17 @@
     response.on('error', () => response.destroy());
   }
 
+  /** Counts what the caller has not read yet, and reads on within its bound. */
+  limitMemory(held: HeldMemory): void {
+    this.held = held;
+    this.queue = new AnswerQueue(this.response, held);
+  }
+
+  /** Counts the part that has been read of an answer sent as a whole. */
+  noteReadAhead(bytes: number): void {
+    this.held?.set(bytes, 'whole_answer');
+  }
+
   /** Handles the end of the connection: an unfinished answer is abandoned. */
   noteDisconnected(): void {
     if (this.isOver) return;
@@ -81,11 +96,12 @@
   /** @returns false when the write buffer is full; see {@link whenDrained}. */
   write(bytes: Buffer): boolean {
     if (this.isOver) return true;
-    return this.response.write(bytes);
+    return this.queue?.write(bytes) ?? this.response.write(bytes);
   }
 
   whenDrained(resume: () => void): void {
-    this.response.once('drain', resume);
+    if (this.queue === undefined) this.response.once('drain', resume);
+    else this.queue.whenDrained(resume);
   }
 
   finish(): void {
@@ -99,8 +115,17 @@
    * would end properly.
    */
   abort(): void {
-    if (this.isOver) return;
+    if (!this.isOver) this.destroy();
+  }
+
+  /** Aborts also a complete answer of which the caller has not read the end. */
+  abandon(): void {
+    if (!this.callerLeft && !this.response.writableFinished) this.destroy();
+  }
+
+  private destroy(): void {
     this.ended = true;
+    this.queue?.discard();
     const {socket, chunkedEncoding} = this.response;
     if (!chunkedEncoding) socket?.resetAndDestroy();
     this.response.destroy();
@@ -131,7 +156,9 @@
   private end(body?: Buffer): void {
     this.ended = true;
     if (this.mustClose()) this.closeAfterAnswer();
-    this.response.end(body);
+    if (this.queue === undefined) this.response.end(body);
+    else if (body === undefined) this.queue.end();
+    else this.queue.endWhole(body);
   }
 
   /**
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -15,6 +15,7 @@
 import type {AnswerWriter} from './answer_writer.js';
 import type {ProgressRecord} from './attempt_record.js';
 import {AttemptTiming} from './attempt_timing.js';
+import {UNREAD_BODY_TIMEOUT_MS} from './body_sending.js';
 import {EndpointCall} from './endpoint_call.js';
 import {isBehind} from './event_loop_watch.js';
 import {EventRelay} from './event_relay.js';
@@ -79,6 +80,7 @@
   constructor(private readonly options: AttemptOptions) {
     const {context, request, placed} = options;
     const {state, crashes, nowMs, connectTimeout} = context;
+    const {unreadBodyTimeoutMs = UNREAD_BODY_TIMEOUT_MS} = context;
     const timeLeftMs = Math.max(1, request.endsAtMs - nowMs());
     this.timing = new AttemptTiming(nowMs);
     this.overdue = this.createOverdueWatch();
@@ -103,6 +105,7 @@
           crashes.mayRun(request.content, options.trial)
         );
       },
+      unreadTimeoutMs: Math.min(unreadBodyTimeoutMs, timeLeftMs),
       isStillUp: () => this.isEndpointUp(),
     });
     const limits = limitsOnSilence(request.admission.route, timeLeftMs);
@@ -262,7 +265,9 @@
     if (head.isNotRun || head.isMisdirected) {
       return this.rejectedAnswer(head, response);
     }
-    const body = await readAnswerBody(this.call, response);
+    const body = await readAnswerBody(this.call, response, bytes =>
+      this.options.writer.noteReadAhead(bytes),
+    );
     if (body === undefined) return this.brokenAnswer();
     if (!isOwn || !head.isSigned) return FOREIGN_ANSWER;
     return this.handleWholeAnswer(head, response, body);
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -14,13 +14,17 @@
   type AnswerEnding,
 } from '@snipestage/connection/answer_end.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
+import {BodySending, UNREAD_BODY_TIMEOUT_MS} from './body_sending.js';
 import type {
   ConnectionPath,
   EndpointConnectFailure,
   EndpointConnection,
 } from './endpoint_connection.js';
 
-/** Options of {@link EndpointCall}: the request and how to connect. */
+/**
+ * Options of {@link EndpointCall}: the request and how to connect; default in
+ * the brackets.
+ */
 export interface EndpointCallOptions {
   readonly method: string;
   readonly path: string;
@@ -33,6 +37,11 @@
   ) => Promise<EndpointConnection | EndpointConnectFailure>;
   /** Asked once the connection is open, before the request is sent. */
   readonly mayStillSend?: () => boolean;
+  /**
+   * Longest time in which the endpoint takes nothing of the body
+   * ({@link UNREAD_BODY_TIMEOUT_MS}).
+   */
+  readonly unreadTimeoutMs?: number;
   /** Whether the endpoint accepts connections now. */
   readonly isStillUp: () => Promise<boolean>;
 }
@@ -47,6 +56,7 @@
  * - `withheld`: nothing was sent, as the endpoint had announced meanwhile that
  *   it wants no requests.
  * - `isolated`: this instance reaches no endpoint, by no path.
+ * - `unread`: the endpoint did not read the request's body.
  * - `path_broken`: the instance that forwarded the connection was lost.
  */
 export type CallFailureReason =
@@ -56,6 +66,7 @@
   | 'cancelled'
   | 'withheld'
   | 'isolated'
+  | 'unread'
   | 'path_broken';
 
 const CONNECT_FAILURE_REASONS: Readonly<
@@ -87,6 +98,7 @@
   private readonly cancellation = new AbortController();
   private connection: EndpointConnection | undefined;
   private request: ClientRequest | undefined;
+  private wasUnread = false;
   readonly head: Promise<CallHead>;
 
   constructor(private readonly options: EndpointCallOptions) {
@@ -185,19 +197,35 @@
       createConnection: () => connection.createConnection(),
     });
     this.request = request;
+    const sending = new BodySending(request, body, {
+      timeoutMs: this.options.unreadTimeoutMs ?? UNREAD_BODY_TIMEOUT_MS,
+      onTimeout: () => this.endUnread(),
+    });
     return new Promise(resolve => {
-      request.once('response', response => resolve({kind: 'head', response}));
+      request.once('response', response => {
+        sending.stopTimeout();
+        resolve({kind: 'head', response});
+      });
       request.on('error', error =>
         resolve(this.failed(this.breakReason, error.message)),
       );
-      request.once('close', () =>
-        resolve(this.failed(this.breakReason, 'closed without an answer')),
-      );
-      request.end(body);
+      request.once('close', () => {
+        sending.stopTimeout();
+        resolve(this.failed(this.breakReason, 'closed without an answer'));
+      });
+      sending.begin();
     });
   }
 
+  /** The endpoint may run what it has read so far: the verdict says so. */
+  private endUnread(): void {
+    this.wasUnread = true;
+    this.request?.destroy();
+    this.connection?.reset();
+  }
+
   private get breakReason(): CallFailureReason {
+    if (this.wasUnread) return 'unread';
     return this.hasPathBroken ? 'path_broken' : 'broken';
   }
 
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -19,7 +19,7 @@
 import type {RoutingState} from './routing_state.js';
 import type {Streams} from './streams/streams.js';
 
-/** Shared by all exchanges. */
+/** Shared by all exchanges; defaults in brackets. */
 export interface ExchangeContext {
   readonly state: RoutingState;
   readonly protocol: PassThroughProtocol;
@@ -34,6 +34,8 @@
   readonly connector: EndpointConnector;
   readonly probes: EndpointProbes;
   readonly streams: Pick<Streams, 'noteBegun' | 'resolve'>;
+  /** See {@link UNREAD_BODY_TIMEOUT_MS}, which is the default. */
+  readonly unreadBodyTimeoutMs?: number;
   /** Called when a request began to run; `atMs` is on this instance's clock. */
   readonly onBegun: (admission: Admission, atMs: number) => void;
 }
--- a/packages/gateway/src/failed_result.ts
+++ b/packages/gateway/src/failed_result.ts
@@ -53,6 +53,8 @@
   if (SAYS_NOTHING_OF_ENDPOINT.has(reason)) {
     return {...failed, endpointOutcome: undefined};
   }
+  // The endpoint did not break the connection: this side has closed it.
+  if (reason === 'unread') return {...failed, endpointOutcome: 'silent'};
   const connectionBroke = reason === 'broken';
   return {
     ...failed,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 } from '@snipestage/routing/agreed_clock.js';
 import {ChangeBudget} from '@snipestage/routing/change_budget.js';
 import type {RoutingConfiguration} from '@snipestage/routing/route.js';
+import {HeldBytes} from '@snipestage/routing/held_bytes.js';
 import {StoreTimeline} from '@snipestage/routing/store_timeline.js';
 import {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {DataCentreId, FencingToken} from '@snipestage/types/ids.js';
@@ -26,6 +27,7 @@
 import {createPages} from './gateway_pages.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {identifyBy} from './identify_endpoint.js';
+import {MemoryGuard} from './memory_guard.js';
 import type {OperationsServer} from './operations_server.js';
 import type {PassThroughProtocol} from './pass_through_protocol.js';
 import {Relays} from './relay/relays.js';
@@ -346,6 +348,14 @@
         this.duties.countUsage(clientAccount, atMs);
       },
       shutdown: this.shutdown,
+      memory:
+        settings.memory &&
+        new MemoryGuard({
+          ledger: HeldBytes.forMemory(settings.memory.limitBytes),
+          metrics,
+          logger: logger.forComponent('callers'),
+          nowMs,
+        }),
       earliestArrivalMs: () => this.loopWatch.earliestArrivalMs(),
     });
   }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -165,6 +165,19 @@
     labelNames: ['table'],
     registers: [this.registry],
   });
+  /** Read when the metrics are rendered: the value changes with each event. */
+  readHeldBytes: () => number = () => 0;
+  private readonly heldBytes = new Gauge({
+    name: 'snipestage_held_bytes',
+    help: 'Bytes of requests and answers that are held for callers.',
+    registers: [this.registry],
+  });
+  private readonly memoryAborts = new Counter({
+    name: 'snipestage_memory_aborts_total',
+    help: 'Bodies refused and answers aborted for lack of memory, by reason.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
   private readonly version = new Gauge({
     name: 'snipestage_configuration_version',
     help: 'Version of the configuration in force.',
@@ -289,6 +302,11 @@
     }
   }
 
+  /** @param reason what was given up, or `refused_body`. */
+  countMemoryAbort(reason: string): void {
+    this.memoryAborts.inc({reason});
+  }
+
   setConfigurationVersion(version: number): void {
     this.version.set(version);
   }
@@ -307,6 +325,7 @@
 
   /** Prometheus text format. */
   render(): Promise<string> {
+    this.heldBytes.set(this.readHeldBytes());
     return this.registry.metrics();
   }
 }
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -50,6 +50,11 @@
   readonly warmup?: WarmupTolerance;
   /** Controls for scarce or uneven capacity; off without it. */
   readonly loadControls?: LoadControlsOptions;
+  /** Bounds what is held for callers; without it, there is no bound. */
+  readonly memory?: {
+    /** Memory of the process; a quarter of it may be held. */
+    readonly limitBytes: number;
+  };
   readonly shutdown: {
     /** Time from the signal to stop until the process is killed. */
     readonly graceMs: number;
--- a/packages/gateway/src/read_answer_body.ts
+++ b/packages/gateway/src/read_answer_body.ts
@@ -5,17 +5,24 @@
 import type {EndpointCall} from './endpoint_call.js';
 
 /**
+ * @param onBytes called with the number of bytes read so far.
  * @returns undefined when the answer ended before it was complete.
  * @example
- * const body = await readAnswerBody(call, response);
+ * const body = await readAnswerBody(call, response, () => undefined);
  */
 export function readAnswerBody(
   call: EndpointCall,
   response: IncomingMessage,
+  onBytes: (bytes: number) => void,
 ): Promise<Buffer | undefined> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
-    response.on('data', (chunk: Buffer) => chunks.push(chunk));
+    let size = 0;
+    response.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      size += chunk.length;
+      onBytes(size);
+    });
     let hasEnded = false;
     response.on('end', () => {
       hasEnded = true;
--- a/packages/gateway/src/read_request_body.ts
+++ b/packages/gateway/src/read_request_body.ts
@@ -1,42 +1,62 @@
 /** Reads the body of a caller's request. */
 
 import type {IncomingMessage} from 'node:http';
+import type {HeldMemory} from './memory_guard.js';
 
 /** The body; undefined for a request without one; or why it was not read. */
-export type RequestBody = Buffer | undefined | 'too_large' | 'broken';
+export type RequestBody =
+  Buffer | undefined | 'too_large' | 'broken' | 'no_memory';
+
+/** Options of {@link readRequestBody}. */
+export interface ReadRequestBodyOptions {
+  readonly maxBytes: number;
+  /** Counts the body; undefined where no bound is set. */
+  readonly held?: HeldMemory;
+}
 
 /**
  * Reads the whole body before an endpoint is chosen: an endpoint that answers
  * before it has read the body still gets the rest, and the same bytes can be
- * sent to another endpoint.
+ * sent to another endpoint. A stated length is reserved before anything is read.
  *
  * @example
- * const body = await readRequestBody(request, limits.maxBodyBytes);
+ * const body = await readRequestBody(request, {maxBytes: limits.maxBodyBytes});
  */
 export function readRequestBody(
   request: IncomingMessage,
-  maxBytes: number,
+  {maxBytes, held}: ReadRequestBodyOptions,
 ): Promise<RequestBody> {
   const {headers} = request;
-  const hasBody =
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined;
-  if (!hasBody) {
+  const statedLength = headers['content-length'];
+  const isChunked = headers['transfer-encoding'] !== undefined;
+  if (statedLength === undefined && !isChunked) {
     request.resume();
     return Promise.resolve(undefined);
   }
+  const reservedBytes = Math.min(Number(statedLength ?? 0), maxBytes);
+  if (held?.tryAdd(reservedBytes) === false) {
+    request.resume();
+    return Promise.resolve('no_memory');
+  }
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
+    let chunks: Buffer[] = [];
     let size = 0;
+    const giveUp = (reason: 'too_large' | 'no_memory') => {
+      resolve(reason);
+      request.removeAllListeners('data');
+      request.resume();
+      chunks = [];
+    };
+    if (held !== undefined) held.onAborted = () => giveUp('no_memory');
     request.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size > maxBytes) {
-        resolve('too_large');
-        request.removeAllListeners('data');
-        request.resume();
-        return;
+        giveUp('too_large');
+      } else if (size > reservedBytes && held?.tryAdd(chunk.length) === false) {
+        giveUp('no_memory');
+      } else {
+        chunks.push(chunk);
       }
-      chunks.push(chunk);
     });
     request.on('end', () => resolve(Buffer.concat(chunks)));
     request.on('error', () => resolve('broken'));
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -16,7 +16,8 @@
 import {CallerConnections} from './caller_connections.js';
 import {isBehind} from './event_loop_watch.js';
 import {MAX_HEADER_BYTES} from './callers_server.js';
-import {readRequestBody} from './read_request_body.js';
+import type {MemoryGuard} from './memory_guard.js';
+import {RequestMemory} from './request_memory.js';
 import {Exchange} from './exchange.js';
 import type {ExchangeContext} from './exchange_context.js';
 import type {CallerRequest} from './pass_through_protocol.js';
@@ -24,6 +25,8 @@
 /** Options of {@link RequestHandler}; default in the brackets. */
 export interface RequestHandlerOptions extends ExchangeContext {
   readonly shutdown: Shutdown;
+  /** Bounds what is held for callers; undefined: no bound. */
+  readonly memory?: MemoryGuard;
   /** At least 0 and below 1 (`Math.random`). */
   readonly random?: () => number;
 }
@@ -47,6 +50,8 @@
 const RETRY_ELSEWHERE_AFTER_MS = 0;
 /** A record of the stream may arrive, or the store may be back, by then. */
 const STREAM_UNKNOWN_RETRY_AFTER_MS = 500;
+/** Aborted answers and answered requests free memory within about that time. */
+const NO_MEMORY_RETRY_AFTER_MS = 1000;
 /** For fingerprints of requests without an account, on public routes. */
 const NO_ACCOUNT = '' as ClientAccountId;
 const NO_BODY = Buffer.alloc(0);
@@ -88,7 +93,7 @@
   ): Promise<void> {
     const arrival = this.noteArrival();
     let exchange: Exchange | undefined;
-    const {shutdown} = this.options;
+    const {shutdown, memory: guard} = this.options;
     const writer = new AnswerWriter(
       response,
       // Pipelined answers behind one that closes the connection would be lost.
@@ -96,13 +101,17 @@
       () => exchange?.cancel(),
     );
     this.count += 1;
+    const memory = new RequestMemory(guard, writer, reason =>
+      exchange?.giveUp(reason),
+    );
     const line = this.describeArrival(request, arrival);
     this.connections.followAnswer(request, response, () => {
       this.count -= 1;
       writer.noteDisconnected();
+      memory.closeAnswer();
     });
     try {
-      exchange = await this.prepare(request, writer, arrival, line);
+      exchange = await this.prepare(request, writer, memory, arrival, line);
       if (exchange !== undefined) await this.run(exchange);
     } catch (error) {
       this.options.logger.error('request_failed', {
@@ -111,6 +120,7 @@
       });
       writer.fail(502, {});
     } finally {
+      memory.closeBody();
       this.account(writer, response, exchange, arrival.readAtMs, line);
     }
   }
@@ -155,6 +165,7 @@
   private async prepare(
     request: IncomingMessage,
     writer: AnswerWriter,
+    memory: RequestMemory,
     arrival: Arrival,
     line: Record<string, unknown>,
   ): Promise<Exchange | undefined> {
@@ -190,7 +201,20 @@
     line.route = admission.route.id;
     line.account = admission.clientAccount;
     line.urgencyRank = admission.urgencyRank;
-    const body = await readRequestBody(request, maxBodyBytes);
+    memory.begin(
+      caller.requestId,
+      admission.clientAccount,
+      request.socket.remoteAddress,
+    );
+    const body = await memory.readBody(request, maxBodyBytes);
+    if (body === 'no_memory') {
+      line.reason = 'no_memory';
+      writer.fail(
+        UNAVAILABLE,
+        protocol.composeRetryAfter(NO_MEMORY_RETRY_AFTER_MS),
+      );
+      return undefined;
+    }
     if (body === 'too_large') {
       line.reason = 'body_too_large';
       writer.fail(PAYLOAD_TOO_LARGE, {Connection: 'close'});
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -14,6 +14,7 @@
 } from '@snipestage/types/ids.js';
 import {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import {ConnectTimeout} from '@snipestage/routing/connect_timeout.js';
+import type {HeldBytes} from '@snipestage/routing/held_bytes.js';
 import type {Route, RouteId, Service} from '@snipestage/routing/route.js';
 import {RouteTable} from '@snipestage/routing/route_table.js';
 import {Shutdown} from '@snipestage/routing/shutdown.js';
@@ -26,6 +27,7 @@
 import {identifyBy} from '../identify_endpoint.js';
 import {EndpointProbes} from '../endpoint_probes.js';
 import {GatewayMetrics} from '../gateway_metrics.js';
+import {MemoryGuard} from '../memory_guard.js';
 import {PartGuard} from '../part_guard.js';
 import {RequestHandler} from '../request_handler.js';
 import {RoutingState} from '../routing_state.js';
@@ -112,6 +114,12 @@
   /** Endpoints of connections that were closed, one entry per connection. */
   readonly closed: string[] = [];
   readonly shutdown = new Shutdown({graceMs: 8000});
+  /** Set before {@link begin}: bounds what is held. */
+  memory: HeldBytes | undefined;
+  /** Set before {@link begin}: see {@link ExchangeContext}. */
+  unreadBodyTimeoutMs: number | undefined;
+  maxBodyBytes = 1000;
+  readonly metrics = new GatewayMetrics();
   private readonly servers: Array<http.Server | net.Server> = [];
   private readonly sockets = new Set<Socket>();
   private readonly endpoints = new Map<string, net.Server>();
@@ -174,7 +182,7 @@
       ],
       limits: {
         maxHeaderBytes: 16_384,
-        maxBodyBytes: 1000,
+        maxBodyBytes: this.maxBodyBytes,
         headerTimeoutMs: 3000,
         idleTimeoutMs: 15_000,
       },
@@ -316,7 +324,7 @@
 
   private async listen(): Promise<void> {
     const {logger} = this.log;
-    const metrics = new GatewayMetrics();
+    const {metrics} = this;
     const protocol = new PlainProtocol();
     const connectTimeout = new ConnectTimeout({maxMs: 1000});
     const connector = new EndpointConnector({
@@ -375,6 +383,15 @@
       }),
       onBegun: admission => this.begun.push(admission),
       shutdown: this.shutdown,
+      unreadBodyTimeoutMs: this.unreadBodyTimeoutMs,
+      memory:
+        this.memory &&
+        new MemoryGuard({
+          ledger: this.memory,
+          metrics,
+          logger,
+          nowMs: () => this.nowMs(),
+        }),
       earliestArrivalMs: () => this.nowMs() - this.heldUpMs,
     });
     const server = http.createServer(
