--- a/packages/gateway/src/answer_queue.ts
+++ b/packages/gateway/src/answer_queue.ts
@@ -19,13 +19,16 @@
   private queuedBytes = 0;
   private isFull = false;
   private hasEnded = false;
+  private isWhole = false;
   private waiting: Array<() => void> = [];
 
   constructor(
     private readonly response: ServerResponse,
     private readonly held: HeldMemory,
   ) {
-    response.on('drain', () => this.flush());
+    response.on('drain', () => {
+      if (!this.isWhole) this.flush();
+    });
   }
 
   /** @returns false when no more should be read; see {@link whenDrained}. */
@@ -53,6 +56,7 @@
    * a part of a buffer can't be freed.
    */
   endWhole(body: Buffer): void {
+    this.isWhole = true;
     this.held.set(body.length, 'whole_answer');
     if (body.length <= PART_BYTES) this.response.end(body);
     else this.writePart(body, 0);
