End polls of the store when a gateway stops

Cause: a stopped follower left its poll in progress. While the store does not answer, RelayedTable.pollStore waits for the relay again and again, each time with a new timer, which kept the process of a test from exiting; its store never answers a poll. A real process waited for the end of its poll or was ended by its main function.

Change: TableFollower.stop aborts the poll by a signal, which RelayedTable and the store's table observe.

Ruled out: letting the test's table answer after the wait; it would hide the poll that a stopped gateway leaves open.

--- a/packages/gateway/src/relay/relayed_table.test.ts
+++ b/packages/gateway/src/relay/relayed_table.test.ts
@@ -226,3 +226,34 @@
   await table.waitForChanges(versionOf(600), 1000);
   t.false(feed.hasRows);
 });
+
+test('an aborted poll ends although the store never answers', async t => {
+  // Guards against a stopped instance whose process can't exit: its poll would
+  // wait again and again for a relay.
+  class SilentTable extends CountedTable {
+    override waitForChanges(): Promise<TableReading> {
+      return new Promise(() => undefined);
+    }
+  }
+  const feed = new RelayedFeed(FRESH_FOR_MS);
+  const table = new RelayedTable(new SilentTable(), feed, () =>
+    performance.now(),
+  );
+  const stopping = new AbortController();
+  const polled = table.waitForChanges(versionOf(5), 60_000, stopping.signal);
+  stopping.abort();
+  t.like(await polled, {kind: 'unavailable'});
+});
+
+test('an aborted wait for the relay ends at once', async t => {
+  const {store, feed, table} = makeTable(60_000);
+  feed.take(
+    {since: versionOf(5), version: versionOf(5), rows: []},
+    performance.now(),
+  );
+  const stopping = new AbortController();
+  const polled = table.waitForChanges(versionOf(5), 60_000, stopping.signal);
+  stopping.abort();
+  t.like(await polled, {kind: 'unavailable'});
+  t.deepEqual(store.waits, []);
+});
--- a/packages/gateway/src/relay/relayed_table.ts
+++ b/packages/gateway/src/relay/relayed_table.ts
@@ -5,6 +5,9 @@
 import {FollowedTable, type TableReading} from '../table_follower.js';
 import type {RelayedFeed} from './relayed_feed.js';
 
+/** Result of a poll that was aborted; its caller is no longer interested. */
+const STOPPED: TableReading = {kind: 'unavailable', reason: 'stopped'};
+
 /**
  * Falls back to the store as soon as the relay's last confirmation is stale.
  */
@@ -32,6 +35,7 @@
   async waitForChanges(
     sinceVersion: StoreVersion,
     waitMs: number,
+    signal?: AbortSignal,
   ): Promise<TableReading> {
     const endsAtMs = this.nowMs() + waitMs;
     this.feed.dropUntil(sinceVersion);
@@ -44,7 +48,8 @@
       const leftMs = endsAtMs - this.nowMs();
       if (this.feed.hasRows || leftMs <= 0) return this.drainFeed(sinceVersion);
       const freshLeftMs = this.feed.freshLeftMs(this.nowMs());
-      await this.feed.next(Math.min(leftMs, freshLeftMs));
+      await this.feed.next(Math.min(leftMs, freshLeftMs), signal);
+      if (signal?.aborted) return STOPPED;
     }
     const isFirstPoll = this.followsFeed;
     this.followsFeed = false;
@@ -52,7 +57,7 @@
     // to it may be gone: a long poll would detect that too late.
     return isFirstPoll
       ? this.fallBack(sinceVersion)
-      : this.pollStore(sinceVersion, waitMs);
+      : this.pollStore(sinceVersion, waitMs, signal);
   }
 
   override async waitForNews(
@@ -71,6 +76,7 @@
   private async pollStore(
     sinceVersion: StoreVersion,
     waitMs: number,
+    signal?: AbortSignal,
   ): Promise<TableReading> {
     const ending = new AbortController();
     let reading: TableReading | undefined;
@@ -78,7 +84,11 @@
       .waitForChanges(sinceVersion, waitMs, ending.signal)
       .then(result => (reading = result))
       .finally(() => ending.abort());
+    signal?.addEventListener('abort', () => ending.abort(), {
+      signal: ending.signal,
+    });
     while (reading === undefined) {
+      if (signal?.aborted) return STOPPED;
       if (this.feed.hasNews(sinceVersion)) {
         ending.abort();
         return this.drainFeed(sinceVersion);
--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -184,3 +184,28 @@
   ]);
   t.deepEqual(notifications, ['replaced a', 'set back b', 'changed c']);
 });
+
+test('a stop aborts the poll in progress', async t => {
+  // Guards against a process that can't exit before its long poll has ended.
+  const table = new ScriptedTable([rows(5, 'a')]);
+  let polled: AbortSignal | undefined;
+  table.waitForChanges = (_since, _waitMs, signal?: AbortSignal) => {
+    polled = signal;
+    return new Promise(() => undefined);
+  };
+  const follower = new TableFollower({
+    table,
+    pace: () => ({waitMs: 60_000, gatherMs: 0}),
+    logger: new CapturedLog().logger,
+    listener: {
+      replaced: () => undefined,
+      changed: () => undefined,
+      disturbed: () => undefined,
+    },
+  });
+  follower.start();
+  while (polled === undefined) await new Promise(done => setImmediate(done));
+  t.false(polled.aborted);
+  follower.stop();
+  t.true(polled.aborted);
+});
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -46,7 +46,8 @@
   abstract readonly name: string;
   abstract readAll(): Promise<TableReading>;
   /**
-   * Resolves as soon as something has changed, at the latest after the wait.
+   * Resolves as soon as something has changed, at the latest after the wait, or
+   * when it is aborted.
    */
   abstract waitForChanges(
     sinceVersion: StoreVersion,
@@ -161,7 +162,7 @@
   /** Pause after the latest read. */
   private pauseMs = 0;
   private hasReadWhole = false;
-  private isStopped = false;
+  private readonly stopping = new AbortController();
   private readonly random: () => number;
   private readonly nowMs: () => number;
   private readonly recovery: StoreRecovery;
@@ -196,8 +197,13 @@
     void this.run();
   }
 
+  /** Ends a poll in progress, too: it would keep the process from exiting. */
   stop(): void {
-    this.isStopped = true;
+    this.stopping.abort();
+  }
+
+  private get isStopped(): boolean {
+    return this.stopping.signal.aborted;
   }
 
   private async run(): Promise<void> {
@@ -230,7 +236,7 @@
     const reading =
       since === undefined
         ? await table.readAll()
-        : await table.waitForChanges(since, waitMs);
+        : await table.waitForChanges(since, waitMs, this.stopping.signal);
     if (this.isStopped) return 0;
     this.logLatePoll(reading, waitMs, this.nowMs() - sentAtMs);
     this.pauseMs = this.take(reading, since);
