Don't count an endpoint as silent while its caller doesn't read

Cause: the limit on silence went on while the endpoint was paused for a slow caller. Its stream was run again elsewhere, and the endpoint counted as silent.

Change: the limit is suspended while the relay pauses the endpoint, and begins anew when it goes on.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -343,6 +343,9 @@
         onBegun();
         onEvent();
       },
+      // Its endpoint isn't silent while this instance doesn't read it.
+      onPaused: () => this.silence.pause(),
+      onResumed: () => this.silence.restart(),
     });
     const isWhole = await relay.run();
     if (isWhole) return {kind: 'answered'};
--- a/packages/gateway/src/event_relay.ts
+++ b/packages/gateway/src/event_relay.ts
@@ -15,6 +15,9 @@
   readonly status: number;
   readonly headers: FlatHeaders;
   readonly onEvent: () => void;
+  /** Called when the endpoint isn't read, as its caller doesn't read. */
+  readonly onPaused: () => void;
+  readonly onResumed: () => void;
 }
 
 /**
@@ -72,7 +75,7 @@
   }
 
   private forward(event: ServerSentEvent): void {
-    const {response, writer} = this.options;
+    const {response, writer, onPaused, onResumed} = this.options;
     if (isRepeated(event, writer.lastEventId)) return;
     if (!event.isEvent && !writer.hasBegun) {
       this.preamble.push(event.bytes);
@@ -85,7 +88,11 @@
     }
     if (writer.write(event.bytes)) return;
     response.pause();
-    writer.whenDrained(() => response.resume());
+    onPaused();
+    writer.whenDrained(() => {
+      response.resume();
+      onResumed();
+    });
   }
 
   private begin(): void {
--- a/packages/gateway/src/silence_watch.ts
+++ b/packages/gateway/src/silence_watch.ts
@@ -6,6 +6,7 @@
 /** Calls back when an endpoint exceeds its {@link SilenceLimits}. */
 export class SilenceWatch {
   private timeout: ReadFirstTimeout | undefined;
+  private isStopped = false;
   /** Whether the attempt was cancelled because of silence. */
   hasFired = false;
   /** Whether the current silence has exceeded its limit. */
@@ -19,14 +20,21 @@
     this.arm(limits.firstMs);
   }
 
+  /** Begins anew after an event or a {@link pause}; no effect once stopped. */
   restart(): void {
-    this.arm(this.limits.nextMs);
+    if (!this.isStopped) this.arm(this.limits.nextMs);
   }
 
-  stop(): void {
+  /** Doesn't count the time until {@link restart}. */
+  pause(): void {
     this.timeout?.cancel();
   }
 
+  stop(): void {
+    this.isStopped = true;
+    this.pause();
+  }
+
   private arm(delayMs: number): void {
     this.timeout?.cancel();
     this.isSilent = false;
--- a/packages/gateway/src/slow_readers.test.ts
+++ b/packages/gateway/src/slow_readers.test.ts
@@ -27,7 +27,11 @@
 
 /** Streams a number of events, and aborts an answer that isn't read. */
 const streamOf =
-  (events: number, eventBytes = 1000): Script =>
+  (
+    events: number,
+    eventBytes = 1000,
+    unreadTimeoutMs = UNREAD_ANSWER_TIMEOUT_MS,
+  ): Script =>
   (socket, request) => {
     const padding = 'x'.repeat(eventBytes);
     socket.write(streamHead(idOf(request)));
@@ -37,7 +41,7 @@
         if (socket.write(chunk(event))) continue;
         const drained = await Promise.race([
           once(socket, 'drain').catch(() => undefined),
-          sleep(UNREAD_ANSWER_TIMEOUT_MS),
+          sleep(unreadTimeoutMs),
         ]);
         if (drained === undefined) return socket.resetAndDestroy();
       }
@@ -186,6 +190,24 @@
   t.true(peak() < 1.3 * MB);
 });
 
+test('an endpoint that is paused for a slow caller does not count as silent', async t => {
+  // Guards against sound endpoints that are avoided, and streams that run a
+  // second time, since a caller doesn't read.
+  const patient = streamOf(2000, 16_000, 10_000);
+  const route = {...STREAM, isResumable: true, maxAttempts: 3};
+  const {proxy, held} = await start(t, route, patient, 40 * MB);
+  await proxy.addEndpoint('endpoint-other', patient);
+  proxy.configure({...route, pauseTargetMs: 100});
+  const caller = new RawCaller(t, proxy.callersPort);
+  caller.socket.pause();
+  caller.send('one');
+  await waitUntil(() => held.totalBytes >= MB);
+  // Longer than the limit on silence between two events.
+  await sleep(1700);
+  t.is(proxy.received.length, 1);
+  t.false(proxy.log.lines.some(line => line.includes('attempt_failed')));
+});
+
 for (const [name, read] of [
   ['read nothing', () => undefined],
   ['read some bytes a second', (socket: Socket) => socket.read(1)],
