Run the tests of whole gateways with a bound on memory

Cause: the tests of complete gateways ran without the setting that deployments have. Change: the test gateway has 250 MB, as most instances.

--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -207,6 +207,7 @@
         address: `127.0.0.1:${forwarding}`,
         publishWithinMs: PUBLISH_WITHIN_MS,
       },
+      memory: {limitBytes: 250_000_000},
       shutdown: {graceMs},
       lease: {termMs: 3000},
       usage: {windowMs: 5000, dueAfterMs: 10_000, tolerance: 0.05},
