--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -20,7 +20,7 @@
 import type {RoutingState} from './routing_state.js';
 import type {Streams} from './streams/streams.js';
 
-/** Shared by all exchanges. */
+/** Shared by all exchanges; defaults in brackets. */
 export interface ExchangeContext {
   readonly state: RoutingState;
   readonly protocol: PassThroughProtocol;
@@ -36,6 +36,8 @@
   readonly probes: EndpointProbes;
   readonly mover: Pick<StreamMover, 'follow'>;
   readonly streams: Pick<Streams, 'noteBegun' | 'resolve'>;
+  /** See {@link UNREAD_BODY_TIMEOUT_MS}, which is the default. */
+  readonly unreadBodyTimeoutMs?: number;
   /** Called when a request began to run; `atMs` is on this instance's clock. */
   readonly onBegun: (admission: Admission, atMs: number) => void;
 }
