Record crashes while the table of crashes is full

Cause: a full table evicted crashes that aren't confirmed yet first. Each crash begins unconfirmed, so once 256 confirmed crashes of parts that were in several are stored, an instance loses each new crash it sees before it can confirm and publish it. Parts that begin to crash endpoints then are never refused, for the 20 minutes that crashes are retained. Each instance that sees a crash stores one of its own, so six instances and six engines are enough within 20 s.

Change: crashes that aren't confirmed go first only while they are over a quarter of the table; then the least useful confirmed ones go, as before.

Measured: the two new tests of part_suspects.test.ts fail without the change.

--- a/packages/policy/src/crash_records.ts
+++ b/packages/policy/src/crash_records.ts
@@ -80,6 +80,11 @@
 const DEFAULT_RETAIN_FOR_MS = 20 * MINUTE_MS;
 const DEFAULT_CONFIRM_WITHIN_MS = 10_000;
 const DEFAULT_MAX_CRASHES = 256;
+/**
+ * Share of the stored crashes that may be unconfirmed: a quarter, so that
+ * answers that break off in masses leave room for confirmed crashes.
+ */
+const MAX_UNCONFIRMED_SHARE = 1 / 4;
 /** Bounds a crash's row, whatever number of parts a caller makes up. */
 const MAX_PARTS_OF_CRASH = 256;
 
@@ -224,8 +229,10 @@
   }
 
   /**
-   * Evicts old crashes, and beyond the maximum the least useful ones first: those
-   * that aren't confirmed, then those without a request that was in several.
+   * Evicts old crashes, and beyond the maximum the least useful ones first: the
+   * oldest of those that aren't confirmed while these are over a quarter, then
+   * those without a request or part that was in several. If all that aren't
+   * confirmed went first, a full table could never confirm another crash.
    */
   evict(nowMs: number): void {
     for (const crash of this.crashes.values()) {
@@ -233,15 +240,24 @@
     }
     const surplus = this.crashes.size - this.maxCrashes;
     if (surplus <= 0) return;
-    const ranked = [...this.crashes.values()].map(crash => ({
-      crash,
-      weight: this.weigh(crash),
-    }));
+    const all = [...this.crashes.values()];
+    const unconfirmed = all.filter(each => !each.isConfirmed).sort(byAge);
+    const excess =
+      unconfirmed.length - Math.floor(this.maxCrashes * MAX_UNCONFIRMED_SHARE);
+    const first = unconfirmed.slice(0, Math.min(Math.max(0, excess), surplus));
+    for (const crash of first) this.remove(crash);
+    this.removeLeastUseful(surplus - first.length);
+  }
+
+  private removeLeastUseful(count: number): void {
+    const ranked = [...this.crashes.values()]
+      .filter(({isConfirmed}) => isConfirmed)
+      .map(crash => ({crash, weight: this.weigh(crash)}));
     ranked.sort(
       (left, right) =>
-        left.weight - right.weight || left.crash.atMs - right.crash.atMs,
+        left.weight - right.weight || byAge(left.crash, right.crash),
     );
-    for (const {crash} of ranked.slice(0, surplus)) this.remove(crash);
+    for (const {crash} of ranked.slice(0, count)) this.remove(crash);
   }
 
   private isExpired(crash: StoredCrash, nowMs: number): boolean {
@@ -250,13 +266,12 @@
   }
 
   private weigh(crash: StoredCrash): number {
-    if (!crash.isConfirmed) return 0;
     const isRepeated =
       [...crash.inFlight].some(each => this.byFingerprint.count(each) > 1) ||
       [...crash.parts].some(
         each => !crash.clearedParts.has(each) && this.byPart.count(each) > 1,
       );
-    return isRepeated ? 2 : 1;
+    return isRepeated ? 1 : 0;
   }
 
   private listUnconfirmed(endpoint: EndpointId): StoredCrash[] {
@@ -339,6 +354,10 @@
   }
 }
 
+function byAge(left: CrashRecord, right: CrashRecord): number {
+  return left.atMs - right.atMs;
+}
+
 function report(crash: CrashRecord, nowMs: number): ReportedCrash {
   return {
     id: crash.id,
--- a/packages/policy/src/part_suspects.test.ts
+++ b/packages/policy/src/part_suspects.test.ts
@@ -121,6 +121,45 @@
   t.false(isInDoubt('all', 'e5'), 'beside a part that came once');
 });
 
+test('a full table still takes a crash that is confirmed later', t => {
+  // Guards against parts that crash one endpoint after the other unnoticed,
+  // after many crashes by others: what was not confirmed at once was evicted.
+  const table = new SuspectTable({maxCrashes: 8});
+  for (let index = 0; index < 8; index += 1)
+    table.merge([crashOf(`old-${index}`, ['old'])], index);
+  for (const [index, name] of ['e1', 'e2', 'e3'].entries()) {
+    const endpoint = brandAs<EndpointId>(name);
+    const atMs = 1000 * (index + 1);
+    table.noteBroken(
+      {
+        newId: () => name,
+        endpoint,
+        dataCentre: brandAs<DataCentreId>('akl-a'),
+        inFlight: [],
+        parts: [part('bad')],
+      },
+      atMs,
+    );
+    t.is(table.noteDown(endpoint, atMs + 100).length, 1);
+  }
+  t.deepEqual(refused(table, 4000, 'old', 'bad'), ['old', 'bad']);
+});
+
+test('broken answers take a quarter of a full table at most', t => {
+  // Guards against a network that loses answers and makes the crashes of
+  // refused parts forgotten.
+  const table = new SuspectTable({maxCrashes: 8});
+  for (let index = 0; index < 8; index += 1)
+    table.merge([crashOf(`e${index}`, ['bad'])], index);
+  for (let index = 0; index < 20; index += 1) {
+    const lost = crashOf(`lost-${index}`, ['all'], {isConfirmed: false});
+    table.merge([lost], 100);
+  }
+  t.is(table.size, 8);
+  const confirmed = table.readAll(100).filter(each => each.isConfirmed);
+  t.is(confirmed.length, 6);
+});
+
 test('a part that begins to crash endpoints is found beside new ones', t => {
   // Guards against explaining all crashes by parts that come only once.
   const table = new SuspectTable();
