Test bodies that an endpoint does not read

Cause: unread bodies of many requests were tested for single requests only. Change: 60 bodies of 1 MB to an endpoint that reads none, beside requests of another caller.

--- a/packages/gateway/src/slow_readers.test.ts
+++ b/packages/gateway/src/slow_readers.test.ts
@@ -380,6 +380,52 @@
   });
 }
 
+test('bodies that an endpoint does not read leave room for other requests', async t => {
+  // Guards against an endpoint whose unread bodies fill the memory, and against
+  // other callers that are refused for it.
+  const limitBytes = 10 * MB;
+  const server = net.createServer(socket => {
+    let text = '';
+    socket.on('error', () => undefined);
+    t.teardown(() => socket.destroy());
+    socket.on('data', data => {
+      text += data.toString('latin1');
+      if (idOf(text).startsWith('slow')) socket.pause();
+      else if (text.endsWith('END')) socket.end(answerBytes(idOf(text)));
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.teardown(() => server.close());
+  const started = await start(
+    t,
+    {timeoutMs: 3000},
+    () => undefined,
+    limitBytes,
+  );
+  const {proxy, held, peak} = started;
+  proxy.crash('endpoint-0');
+  proxy.list(
+    'endpoint-0',
+    `127.0.0.1:${(server.address() as AddressInfo).port}`,
+  );
+  const callers = Array.from({length: 60}, (_, index) => {
+    const caller = new RawCaller(t, proxy.callersPort, '127.0.0.2');
+    caller.send(`slow-${index}`, 'x'.repeat(MB));
+    return caller.readAll(text => text.includes('\r\n\r\n'));
+  });
+  await waitUntil(() => held.totalBytes >= 5 * MB);
+  for (let index = 0; index < 10; index += 1) {
+    const body = `${'x'.repeat(MB / 2)}END`;
+    t.is((await proxy.call(`quick-${index}`, {body})).status, 200);
+  }
+  const statuses = (await Promise.all(callers)).map(text => text.slice(9, 12));
+  t.true(statuses.includes('503'));
+  t.true(statuses.every(each => ['502', '503', '504'].includes(each)));
+  t.true(peak() <= limitBytes);
+  t.is(held.totalBytes, 0);
+});
+
 test('an endpoint that reads a body slowly is not given up', async t => {
   // Guards against a limit on the whole time instead of on standstill.
   const server = net.createServer(socket => {
