Find the largest holding without sorting all of them

Cause: each abort sorted all holdings, about 1 ms with 2,000 streams, which is several on a quarter of a core. Change: the first one to go is searched; all are sorted only if it isn't enough.

--- a/packages/routing/src/held_bytes.ts
+++ b/packages/routing/src/held_bytes.ts
@@ -211,9 +211,18 @@
     },
   ): readonly Holding[] | undefined {
     if (excessBytes <= 0) return [];
+    const candidates = this.listCandidates(rule.mayLose);
+    const compare = (a: Holding, b: Holding) =>
+      this.compareLoss(a, b, rule.nowMs);
+    // One is enough nearly always. Sorting takes about 1 ms with 2,000 streams.
+    const first = candidates.reduce<Holding | undefined>(
+      (best, each) => (best && compare(best, each) <= 0 ? best : each),
+      undefined,
+    );
+    if (first !== undefined && first.bytes >= excessBytes) return [first];
     const victims: Holding[] = [];
     let leftBytes = excessBytes;
-    for (const holding of this.listByLoss(rule)) {
+    for (const holding of candidates.sort(compare)) {
       victims.push(holding);
       leftBytes -= holding.bytes;
       if (leftBytes <= 0) return victims;
@@ -221,25 +230,25 @@
     return undefined;
   }
 
-  /** What may be aborted, in that order. */
-  private listByLoss({
-    nowMs,
-    mayLose,
-  }: {
-    readonly nowMs: number;
-    readonly mayLose: (holder: HolderKey, bytes: number) => boolean;
-  }): readonly Holding[] {
-    return [...this.holdings]
-      .filter(({kind, bytes}) => kind !== 'request_body' && bytes > 0)
-      .filter(({holder}) => mayLose(holder, this.heldBy(holder)))
-      .sort(
-        (a, b) =>
-          this.heldBy(b.holder) - this.heldBy(a.holder) ||
-          compareHolders(a, b) ||
-          Number(a.isAnswerBeingRead(nowMs)) -
-            Number(b.isAnswerBeingRead(nowMs)) ||
-          b.bytes - a.bytes,
-      );
+  private listCandidates(
+    mayLose: (holder: HolderKey, bytes: number) => boolean,
+  ): Holding[] {
+    return [...this.holdings].filter(
+      ({kind, bytes, holder}) =>
+        kind !== 'request_body' &&
+        bytes > 0 &&
+        mayLose(holder, this.heldBy(holder)),
+    );
+  }
+
+  /** Orders what may be aborted; negative if the first one goes first. */
+  private compareLoss(a: Holding, b: Holding, nowMs: number): number {
+    return (
+      this.heldBy(b.holder) - this.heldBy(a.holder) ||
+      compareHolders(a, b) ||
+      Number(a.isAnswerBeingRead(nowMs)) - Number(b.isAnswerBeingRead(nowMs)) ||
+      b.bytes - a.bytes
+    );
   }
 }
 
