Avoid late pauses only while other engines have room

Cause: prompts kept away from slow engines crowded the others in bursts, so that more of them were late than without the controls. Change: an engine at which pauses would be late is avoided unless the alternative has so many more requests that it costs as much; the margin is 30 requests for a late one.

--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -82,10 +82,9 @@
 const REPORT_INTERVAL_AGES = 1.5;
 /** Utilization of the short side above which it is widened. */
 const MAX_SHORT_UTILIZATION = 0.35;
-/**
- * An engine at which pauses make more than this share of such requests late
- * gets one by prefix only when no other engine has room.
- */
+/** Requests ahead whose cost equals that of a late one. */
+const LATE_COST_IN_REQUESTS = 30;
+/** Engines at which pauses make more of such requests late are avoided. */
 const MAX_LATE_SHARE = 0.1;
 /** Engines above this error rate are skipped for prefix affinity. */
 const MAX_FAILURE_SHARE = 0.5;
@@ -210,10 +209,7 @@
       recentCounts: options.recent.countRecent(service, request.nowMs),
       isChanceByAgreed: correction !== undefined,
     });
-    const ordered = orderSlowLast(
-      usable,
-      each => correction?.isSlow(each, nowMs) ?? false,
-    );
+    const ordered = orderSlowLast(usable, each => this.isSlow(each, nowMs));
     const shortCount =
       correction === undefined
         ? splitCount(ordered.length, share)
@@ -257,10 +253,7 @@
       this.hasRoomFor(each, request);
     const withRoom = healthy.filter(hasRoom);
     const endpoint =
-      withRoom.find(
-        each => this.lateShareOf(each, request) <= MAX_LATE_SHARE,
-      ) ??
-      withRoom.at(0) ??
+      this.avoidLate(withRoom, request, loads) ??
       this.chooseByLoad(widened, request, requestsPerS)?.endpoint;
     if (endpoint === undefined) return undefined;
     // The first other engine: the primary one when the prompt spills over, else
@@ -268,6 +261,24 @@
     return {endpoint, cacheSource: healthy.find(({id}) => id !== endpoint.id)};
   }
 
+  /**
+   * The first engine, or else the first one at which few such requests are late
+   * by pauses, unless it has so many more requests that it would be late as well.
+   */
+  private avoidLate(
+    ranked: readonly ServingEndpoint[],
+    request: PlacementRequest,
+    loads: ReadonlyMap<EndpointId, number>,
+  ): ServingEndpoint | undefined {
+    const first = ranked.at(0);
+    const lateAt = (each: ServingEndpoint) => this.lateShareOf(each, request);
+    const better = ranked.find(each => lateAt(each) <= MAX_LATE_SHARE);
+    if (first === undefined || better === undefined) return first;
+    const costOf = (each: ServingEndpoint) =>
+      loads.get(each.id)! + lateAt(each) * LATE_COST_IN_REQUESTS;
+    return costOf(better) <= costOf(first) ? better : first;
+  }
+
   /**
    * Ranks engines for a shared prefix in the same order on all instances. A slow
    * engine is ranked last for part of the prefixes, so that it is the primary
@@ -282,10 +293,8 @@
     const key = deepestSharedPart(prompt)?.id ?? '';
     const byId = new Map(group.map(endpoint => [endpoint.id, endpoint]));
     const ranked = rankByRendezvous(key, byId.keys()).map(id => byId.get(id)!);
-    const correction = findCorrection(group[0].service, this.options);
-    if (correction === undefined) return ranked;
     const isLast = (each: ServingEndpoint) =>
-      correction.isSlow(each, nowMs) &&
+      this.isSlow(each, nowMs) &&
       drawShare(key, each.id) >= this.speedOf(each, nowMs);
     const last = ranked.filter(isLast);
     return [...ranked.filter(each => !last.includes(each)), ...last];
@@ -305,7 +314,7 @@
       loadOf(each) +
       // An idle slow engine is as good as a usual one with some requests.
       (this.slownessOf(each, nowMs) - 1) +
-      this.lateShareOf(each, request) * FAILURE_COST_IN_REQUESTS +
+      this.lateShareOf(each, request) * LATE_COST_IN_REQUESTS +
       monitor.failureShare(each.id, nowMs) * failureCost +
       random() * RANDOM_COST_IN_REQUESTS;
     if (!monitor.hasRecentReports(nowMs)) {
@@ -362,6 +371,11 @@
     return correction?.slownessOf(engine, nowMs) ?? 1;
   }
 
+  private isSlow(engine: ServingEndpoint, nowMs: number): boolean {
+    const correction = findCorrection(engine.service, this.options);
+    return correction?.isSlow(engine, nowMs) ?? false;
+  }
+
   /** Relative to an engine of usual speed. */
   private speedOf(engine: ServingEndpoint, nowMs: number): number {
     return 1 / this.slownessOf(engine, nowMs);
--- a/packages/routing/src/simulation/uneven_simulation.ts
+++ b/packages/routing/src/simulation/uneven_simulation.ts
@@ -28,6 +28,8 @@
   readonly topics: number;
   readonly meanEvents: number;
   readonly requestsPerS: number;
+  /** A time of more requests, with shared parts that no engine has (none). */
+  readonly burst?: {readonly fromMs: number; readonly factor: number};
 }
 
 export interface UnevenScenario {
@@ -139,8 +141,9 @@
       for (const engine of this.engines.values()) engine.advance(nowMs);
       if (nowMs % REPORT_EVERY_MS === 0) this.collect(nowMs);
       this.deliver(nowMs);
-      for (const [kind, {requestsPerS}] of traffic.entries()) {
-        const expected = (requestsPerS * STEP_MS) / 1000;
+      for (const [kind, {requestsPerS, burst}] of traffic.entries()) {
+        const factor = nowMs >= (burst?.fromMs ?? Infinity) ? burst!.factor : 1;
+        const expected = (requestsPerS * factor * STEP_MS) / 1000;
         for (let left = expected - random(); left > 0; left -= 1)
           this.send(kind, nowMs);
       }
@@ -205,10 +208,12 @@
 
   private send(kind: number, nowMs: number): void {
     const {traffic, random} = this.scenario;
-    const {route, topics, meanEvents} = traffic[kind];
+    const {route, topics, meanEvents, burst} = traffic[kind];
     const instance = this.pickInstance(nowMs);
     const {monitor, rates} = instance;
-    const prompt = composePrompt(traffic[kind], Math.floor(random() * topics));
+    const isCold = nowMs >= (burst?.fromMs ?? Infinity);
+    const topic = Math.floor(random() * topics) + (isCold ? topics : 0);
+    const prompt = composePrompt(traffic[kind], topic);
     instance.recent.count(REPAIR, route, prompt, nowMs);
     const placed = instance.placement.choose(this.endpoints, {
       route,
