--- a/packages/routing/src/endpoint_rates.ts
+++ b/packages/routing/src/endpoint_rates.ts
@@ -30,8 +30,8 @@
 const WEIGHT_OF_LONGER = 0.15;
 /** A longer sample counts as at most this multiple of the mean. */
 const MAX_LOG_EXCESS = Math.log(1.6);
-/** Samples without which an endpoint doesn't become slow. */
-const MIN_COUNT_OF_SLOW = 3;
+/** Samples without which an endpoint doesn't become slow: three recent ones. */
+const MIN_COUNT_OF_SLOW = 2.5;
 /** Growth of pauses per running request, measured on the uneven deployment. */
 const GROWTH_PER_REQUEST = 0.015;
 const HALF_LIFE_MS = 60_000;
@@ -49,6 +49,8 @@
  * A stream that waited longer, in parts of its target, shows a queue: an engine
  * with one reads prompts between all its steps, which lengthens every pause.
  * Without this limit the long side looked slow in a burst, and the split changed.
+ * An endpoint of which little is known is learned from in spite of it: one that
+ * isn't known to be slow gets too many requests, and has a queue all the time.
  */
 const MAX_WAIT_SHARE = 0.5;
 
@@ -81,7 +83,6 @@
   }
 
   slownessOf({id}: ServingEndpoint, nowMs: number): number {
-    // Of engines none is fresh: their streams end long after the head.
     const momentRatio = this.moments.findFresh(id, nowMs);
     return bound(Math.exp(this.relativeLog(id, nowMs)) * momentRatio);
   }
@@ -134,7 +135,10 @@
 
   noteEnded(attempt: ObservedAttempt, end: AttemptEnd, nowMs: number): void {
     const {endpoint, route, prompt, sentAtMs} = attempt;
-    const moment = this.moments.note(endpoint.id, end.workTimeRatio, nowMs);
+    // The head of a stream, which states the ratio, is old when the stream ends.
+    const statedAtMs = route.kind === 'stream' ? -Infinity : nowMs;
+    const {workTimeRatio} = end;
+    const moment = this.moments.note(endpoint.id, workTimeRatio, statedAtMs);
     if (route.kind === 'stream') this.noteStream(attempt, end, moment, nowMs);
     // An engine's whole answers take as long as they are; only pauses compare.
     else if (end.isAnswered && prompt === undefined)
@@ -187,7 +191,9 @@
     const {endpoint, route} = attempt;
     const measuredMs = findPaceMs(pausesMs);
     if (measuredMs === undefined) return;
-    const isDisturbed = moment > MAX_MOMENT_RATIO || this.held.has(attempt);
+    const count = this.rates.get(endpoint.id)?.count ?? 0;
+    const isQueued = this.held.has(attempt) && count >= MIN_COUNT_OF_SLOW;
+    const isDisturbed = moment > MAX_MOMENT_RATIO || isQueued;
     const running = Math.max(0, this.options.runningAt(endpoint.id, nowMs));
     const paceMs = measuredMs / (1 + GROWTH_PER_REQUEST * running);
     if (!isDisturbed) this.noteOwn(endpoint, paceMs, nowMs);
