Account for the tokens at engines

Cause: requests are placed by count. In a burst of long prompts some engines have to read several times as much text as others, and all streams beside it pause; nothing keeps the requests at an engine below its memory. Change: EngineRoom accounts for the memory and the unread tokens of each engine, exactly for this instance's requests, and by the latest load and the sizes of this instance's own requests for those of others.

--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -10,6 +10,7 @@
 } from '@snipestage/routing/demand_meter.js';
 import {EndpointDirectory} from '@snipestage/routing/endpoint_directory.js';
 import {EndpointRateLimits} from '@snipestage/routing/endpoint_rate_limits.js';
+import {EngineRoom} from '@snipestage/routing/engine_room.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {InstanceIsolation} from '@snipestage/routing/instance_isolation.js';
 import {
@@ -121,8 +122,16 @@
   readonly versions = new ServiceVersions();
   readonly warmup: WarmupGate;
   readonly controls: LoadControls;
+  readonly room: EngineRoom = new EngineRoom({
+    monitor: this.monitor,
+    findEngine: service => this.table?.findService(service)?.engine,
+    readInstances: () => this.instances,
+    countEngines: service => this.directory.countServing(service),
+    slownessOf: (endpoint, nowMs) =>
+      this.correction.slownessOf(endpoint, nowMs),
+  });
   /** In the order in which they are applied. */
-  readonly correction = new CombinedCorrection([]);
+  readonly correction = new CombinedCorrection([this.room]);
   /** In the order in which they decide. */
   private readonly shedders: readonly LoadShedder[] = [];
   /** Requests in progress that the shedders have admitted. */
@@ -349,9 +358,22 @@
       load: monitor.estimateLoad(endpoint.id, nowMs),
       failureShare: monitor.failureShare(endpoint.id, nowMs),
       inFlight: monitor.inFlight(endpoint.id),
+      ...this.describeRoom(endpoint, nowMs),
     }));
   }
 
+  /** Tokens at an engine, where the load controls of its service are on. */
+  private describeRoom(endpoint: ServingEndpoint, nowMs: number): object {
+    if (!this.controls.isOn(endpoint.service)) return {};
+    const tokens = this.room.readTokens(endpoint, nowMs);
+    if (tokens === undefined) return {};
+    return {
+      tokensHeld: Math.round(tokens.held),
+      tokensUnread: Math.round(tokens.unread),
+      isRoomKnown: tokens.isKnown,
+    };
+  }
+
   /**
    * Applies new settings; if ratio, window or slack changed, attempts spent
    * earlier in the window are forgotten.
--- a/packages/routing/src/endpoint_directory.ts
+++ b/packages/routing/src/endpoint_directory.ts
@@ -230,6 +230,11 @@
     return this.gone.leaveOut(this.byService.get(service) ?? [], nowMs);
   }
 
+  /** Number of endpoints of a service that may get requests. */
+  countServing(service: ServiceId): number {
+    return this.byService.get(service)?.length ?? 0;
+  }
+
   find(id: EndpointId): ServingEndpoint | undefined {
     return this.endpoints.get(id);
   }
