Refuse requests that engines can't begin in time, and accounts above their share

Cause: in a burst above what engines can read nothing is refused; queues grow to ten seconds, and requests of more urgent ranks are late with all others. Change: RoomPressure measures how long a request waits at the engine that begins it first, by loads of at most 2 s; RoomShedder refuses what can't begin within the caller's time or would make more urgent requests late; FairShares refuses accounts above their max-min share while no engine has room.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -46,6 +46,11 @@
    * No endpoint takes a request before this time has passed, as far as known.
    */
   private minRetryAfterMs = 0;
+  /**
+   * Set when a shedder has refused the request. It knows the time that the
+   * caller has left, which other delays may exceed.
+   */
+  private shedRetryAfterMs: number | undefined;
   /** Whether a retry was given up as the budget for retries was spent. */
   private isRetryBudgetSpent = false;
   private readonly record = new AttemptRecord();
@@ -174,7 +179,7 @@
 
   private refuse(decision: Extract<ShedDecision, {kind: 'refuse'}>): void {
     this.lastReason = decision.reason;
-    this.minRetryAfterMs = decision.retryAfterMs;
+    this.shedRetryAfterMs = decision.retryAfterMs;
     this.context.metrics.countShed(
       this.request.admission.service,
       decision.reason,
@@ -443,11 +448,13 @@
       this.current?.verdict ?? 'not_run',
     );
     this.verdict = verdict;
-    const retryAfterMs = Math.max(
-      this.minRetryAfterMs,
-      state.backoffLeftMs(service, nowMs()),
-      state.refusalDelayFor(service).adviseMs(nowMs()),
-    );
+    const retryAfterMs =
+      this.shedRetryAfterMs ??
+      Math.max(
+        this.minRetryAfterMs,
+        state.backoffLeftMs(service, nowMs()),
+        state.refusalDelayFor(service).adviseMs(nowMs()),
+      );
     const failure = failureFor(verdict, {
       timedOut: this.hasExpired,
       retryAfterMs,
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -13,6 +13,7 @@
 import {EngineRoom} from '@snipestage/routing/engine_room.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {InstanceIsolation} from '@snipestage/routing/instance_isolation.js';
+import {FairShares} from '@snipestage/routing/fair_shares.js';
 import {
   LoadControls,
   type LoadControlsOptions,
@@ -31,6 +32,9 @@
 import type {Prompt} from '@snipestage/routing/prompt.js';
 import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
 import {RefusalDelay} from '@snipestage/routing/refusal_delay.js';
+import {RefusedSessions} from '@snipestage/routing/refused_sessions.js';
+import {RoomPressure} from '@snipestage/routing/room_pressure.js';
+import {RoomShedder} from '@snipestage/routing/room_shedder.js';
 import {ServiceVersions} from '@snipestage/routing/service_versions.js';
 import type {Route, RouteId} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
@@ -133,11 +137,11 @@
   /** In the order in which they are applied. */
   readonly correction = new CombinedCorrection([this.room]);
   /** In the order in which they decide. */
-  private readonly shedders: readonly LoadShedder[] = [];
+  private readonly shedders: readonly LoadShedder[];
   /** Requests in progress that the shedders have admitted. */
   private readonly counted = new Set<ArrivedRequest>();
   private readonly plainPlacement: Placement;
-  private readonly promptPlacement: Placement;
+  private readonly promptPlacement: PromptPlacement;
   private readonly budgets = new Map<ServiceId, WindowBudget>();
   private readonly refusalDelays = new Map<ServiceId, RefusalDelay>();
 
@@ -166,6 +170,24 @@
     const {agreedDemand: demand, recentDemand: recent} = this;
     this.plainPlacement = new LeastLoadedPlacement(estimates);
     this.promptPlacement = new PromptPlacement({...estimates, demand, recent});
+    this.shedders = this.createShedders();
+  }
+
+  private createShedders(): readonly LoadShedder[] {
+    const {room, monitor} = this;
+    const pressure = new RoomPressure({
+      room,
+      listEligible: (candidates, route, nowMs) =>
+        this.promptPlacement.listEligible(candidates, route, nowMs),
+      isDown: ({id}, nowMs) => monitor.isDown(id, nowMs),
+    });
+    const sessions = new RefusedSessions({
+      epochAt: nowMs => performance.timeOrigin + nowMs,
+    });
+    const shares = new FairShares({pressure, sessions});
+    const readShedShare = (request: ArrivedRequest) =>
+      shares.readShedShare(request);
+    return [shares, new RoomShedder({pressure, sessions, readShedShare})];
   }
 
   /**
--- a/packages/routing/src/engine_room.ts
+++ b/packages/routing/src/engine_room.ts
@@ -8,7 +8,6 @@
 } from './engine_ledger.js';
 import {
   estimateOtherTokens,
-  judgeCached,
   shareRequests,
   type OtherTokens,
 } from './engine_estimates.js';
@@ -20,8 +19,8 @@
 } from './load_correction.js';
 import type {PlacementRequest} from './placement.js';
 import type {Prompt} from './prompt.js';
-import {ReadRate} from './read_rate.js';
-import {RouteSamples, type RouteMeans} from './route_samples.js';
+import type {RouteMeans} from './route_samples.js';
+import {ServiceSamples} from './service_samples.js';
 import type {EngineDescription, RouteId} from './route.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
@@ -58,12 +57,6 @@
 const MEMORY_SHARE = 0.95;
 /** A single output counts at most as this share of an engine's memory. */
 const MAX_OUTPUT_SHARE = 1 / 32;
-/** Processing of prompts on both deployments, for placement until learned. */
-const USUAL_TOKENS_PER_MS = 60;
-/** Until durations are known: about those of both deployments. */
-const USUAL_STAY_MS = 1000;
-/** A slow mean: in a burst requests stay longer because engines are full. */
-const STAY_WEIGHT = 0.005;
 
 const NO_TOKENS: OtherTokens = {held: 0, unread: 0};
 
@@ -78,12 +71,6 @@
   hasBegun: boolean;
 }
 
-interface ServiceState {
-  readonly samples: RouteSamples;
-  readonly rate: ReadRate;
-  stayMs: number;
-}
-
 /**
  * Load pattern: bursts of long prompts. Engines with equal numbers of requests
  * have very different amounts of text to read, and read it one prompt after
@@ -96,7 +83,7 @@
  */
 export class EngineRoom extends LoadCorrection {
   private readonly ledgers = new Map<EndpointId, EngineLedger>();
-  private readonly services = new Map<ServiceId, ServiceState>();
+  private readonly services = new Map<ServiceId, ServiceSamples>();
   private readonly sent = new Map<ObservedAttempt, SentRequest>();
 
   constructor(private readonly options: EngineRoomOptions) {
@@ -118,9 +105,8 @@
   extraLoadOf(endpoint: ServingEndpoint, nowMs: number): number {
     const tokens = this.readTokens(endpoint, nowMs);
     if (tokens === undefined) return 0;
-    const {rate, stayMs} = this.serviceOf(endpoint.service);
-    const readMs = tokens.unread / (rate.tokensPerMs ?? USUAL_TOKENS_PER_MS);
-    return (endpoint.capacity * readMs) / stayMs;
+    const {tokensPerMs, stayMs} = this.serviceOf(endpoint.service);
+    return (endpoint.capacity * tokens.unread) / (tokensPerMs * stayMs);
   }
 
   hasRoomFor(endpoint: ServingEndpoint, request: PlacementRequest): boolean {
@@ -142,12 +128,16 @@
   ): boolean {
     const tokens = this.readTokens(endpoint, nowMs);
     if (tokens === undefined || prompt === undefined) return true;
-    const needed = this.ledgerOf(endpoint.id).neededTokens(
-      this.describe(endpoint.service, prompt),
-    );
+    const needed = this.neededTokens(endpoint, prompt);
     return tokens.held + needed <= tokens.limit;
   }
 
+  /** Whether a load that is recent enough shows an engine's queue. */
+  isKnown(endpoint: ServingEndpoint, nowMs: number): boolean {
+    const ageMs = this.options.monitor.loadAgeMs(endpoint.id, nowMs);
+    return ageMs !== undefined && ageMs <= MAX_LOAD_AGE_MS;
+  }
+
   /**
    * Time until an engine has read what it holds; 0 until it is known how fast
    * engines read.
@@ -157,9 +147,38 @@
    */
   waitMs(endpoint: ServingEndpoint, nowMs: number): number {
     const tokens = this.readTokens(endpoint, nowMs);
-    const {tokensPerMs} = this.serviceOf(endpoint.service).rate;
-    if (tokens === undefined || tokensPerMs === undefined) return 0;
-    return (tokens.unread / tokensPerMs) * this.slowness(endpoint, nowMs);
+    const {learnedTokensPerMs} = this.serviceOf(endpoint.service);
+    if (tokens === undefined || learnedTokensPerMs === undefined) return 0;
+    return (
+      (tokens.unread / learnedTokensPerMs) * this.slowness(endpoint, nowMs)
+    );
+  }
+
+  /**
+   * Time after which an engine can begin a prompt; 0 unless a recent load shows
+   * its queue.
+   *
+   * @example
+   * const waits = engines.map(each => room.beginsAfterMs(each, prompt, nowMs));
+   */
+  beginsAfterMs(
+    endpoint: ServingEndpoint,
+    prompt: Prompt,
+    nowMs: number,
+  ): number {
+    const tokens = this.readTokens(endpoint, nowMs);
+    if (tokens === undefined || !tokens.isKnown) return 0;
+    const needed = this.neededTokens(endpoint, prompt);
+    const excess = Math.max(0, tokens.held + needed - tokens.limit);
+    // All that is held is replaced within the time that requests stay.
+    const freeAfterMs =
+      (excess * this.stayMs(endpoint.service)) / Math.max(1, tokens.held);
+    return Math.max(freeAfterMs, this.waitMs(endpoint, nowMs));
+  }
+
+  /** How long requests usually stay at an engine of a service. */
+  stayMs(service: ServiceId): number {
+    return this.serviceOf(service).stayMs;
   }
 
   /**
@@ -170,11 +189,11 @@
    * const beginsAtMs = nowMs + waitMs + room.readMs(service, route.id, prompt);
    */
   readMs(service: ServiceId, route: RouteId, prompt: Prompt): number {
-    const {samples, rate} = this.serviceOf(service);
-    if (rate.tokensPerMs === undefined) return 0;
+    const {routes, learnedTokensPerMs} = this.serviceOf(service);
+    if (learnedTokensPerMs === undefined) return 0;
     const {ownTokens, sharedTokens} = this.describe(service, prompt);
-    const uncached = sharedTokens * (1 - samples.cachedShareOf(route));
-    return (ownTokens + uncached) / rate.tokensPerMs;
+    const uncached = sharedTokens * (1 - routes.cachedShareOf(route));
+    return (ownTokens + uncached) / learnedTokensPerMs;
   }
 
   /** Means of the requests of a service, by this instance's own. */
@@ -182,7 +201,7 @@
     service: ServiceId,
     nowMs: number,
   ): ReadonlyMap<RouteId, RouteMeans> {
-    return this.serviceOf(service).samples.read(nowMs);
+    return this.serviceOf(service).routes.read(nowMs);
   }
 
   /** Undefined where endpoints are no engines. */
@@ -213,13 +232,13 @@
     const {id, service} = endpoint;
     if (prompt === undefined) return;
     if (this.options.findEngine(service) === undefined) return;
-    const {samples} = this.serviceOf(service);
+    const {routes} = this.serviceOf(service);
     const ledger = this.ledgerOf(id);
     const tokens = this.describe(service, prompt);
     const wasSentBefore = ledger.hasSent(tokens.sharedPart);
     const uncachedShare = wasSentBefore
       ? 0
-      : 1 - samples.cachedShareOf(route.id);
+      : 1 - routes.cachedShareOf(route.id);
     const unreadTokens = tokens.ownTokens + tokens.sharedTokens * uncachedShare;
     this.sent.set(attempt, {
       tokens,
@@ -232,26 +251,22 @@
     });
     ledger.addRequest(route.id, tokens, sentAtMs);
     ledger.unreadTokens += unreadTokens;
-    samples.noteSent(route.id, tokens, sentAtMs);
+    routes.noteSent(route.id, tokens, sentAtMs);
   }
 
   noteFirstEvent(attempt: ObservedAttempt, nowMs: number): void {
     const sent = this.sent.get(attempt);
     if (sent === undefined || sent.hasBegun) return;
-    const {samples, rate} = this.serviceOf(attempt.endpoint.service);
+    const samples = this.serviceOf(attempt.endpoint.service);
     sent.hasBegun = true;
     sent.ledger.unreadTokens -= sent.unreadTokens;
-    const {id} = attempt.route;
-    const elapsedMs = (nowMs - attempt.sentAtMs) / sent.slowness;
-    samples.noteBegun(id, nowMs);
-    rate.note(sent.tokens.ownTokens, elapsedMs);
-    if (sent.wasSentBefore) return;
-    const isCached = judgeCached({
-      ...sent.tokens,
+    samples.noteBegun(attempt.route.id, {
+      tokens: sent.tokens,
       aheadTokens: sent.aheadTokens,
-      readTokens: elapsedMs * (rate.tokensPerMs ?? USUAL_TOKENS_PER_MS),
+      wasSentBefore: sent.wasSentBefore,
+      elapsedMs: (nowMs - attempt.sentAtMs) / sent.slowness,
+      nowMs,
     });
-    if (isCached !== undefined) samples.noteCached(id, isCached, nowMs);
   }
 
   noteEnded(attempt: ObservedAttempt, end: AttemptEnd, nowMs: number): void {
@@ -262,10 +277,9 @@
     const {ledger, tokens, hasBegun, unreadTokens} = sent;
     if (!hasBegun) ledger.unreadTokens -= unreadTokens;
     ledger.removeRequest(tokens);
-    const state = this.serviceOf(endpoint.service);
-    state.samples.noteEnded(route.id, hasBegun, nowMs);
-    if (!end.isAnswered) return;
-    state.stayMs += STAY_WEIGHT * (nowMs - sentAtMs - state.stayMs);
+    const samples = this.serviceOf(endpoint.service);
+    samples.routes.noteEnded(route.id, hasBegun, nowMs);
+    if (end.isAnswered) samples.noteStay(nowMs - sentAtMs);
   }
 
   retain(ids: ReadonlySet<EndpointId>): void {
@@ -287,8 +301,7 @@
     const {monitor, readInstances, countEngines} = this.options;
     const load = monitor.estimateLoad(id, nowMs);
     const requests = Math.max(0, load - monitor.inFlight(id));
-    const {samples} = this.serviceOf(service);
-    const means = samples.read(nowMs);
+    const means = this.readMeans(service, nowMs);
     return estimateOtherTokens({
       requests,
       waiting: Math.min(requests, monitor.estimateWaiting(id, nowMs)),
@@ -301,6 +314,10 @@
     });
   }
 
+  private neededTokens({id, service}: ServingEndpoint, prompt: Prompt): number {
+    return this.ledgerOf(id).neededTokens(this.describe(service, prompt));
+  }
+
   private describe(service: ServiceId, prompt: Prompt): RequestTokens {
     const memory = this.options.findEngine(service)?.cacheTokens ?? 0;
     return describeTokens(prompt, {maxOutputTokens: memory * MAX_OUTPUT_SHARE});
@@ -318,15 +335,11 @@
     return ledger;
   }
 
-  private serviceOf(service: ServiceId): ServiceState {
+  private serviceOf(service: ServiceId): ServiceSamples {
     const existing = this.services.get(service);
     if (existing !== undefined) return existing;
-    const state = {
-      samples: new RouteSamples(),
-      rate: new ReadRate(),
-      stayMs: USUAL_STAY_MS,
-    };
-    this.services.set(service, state);
-    return state;
+    const samples = new ServiceSamples();
+    this.services.set(service, samples);
+    return samples;
   }
 }
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -27,6 +27,7 @@
 import {PrefixHolders} from './prefix_holders.js';
 import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
 import {chooseByFill} from './fill_choice.js';
+import type {Route} from './route.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** Options of {@link PromptPlacement}. */
@@ -147,6 +148,21 @@
     };
   }
 
+  /**
+   * The engines that may get requests of a route by the split.
+   *
+   * @example
+   * const eligible = placement.listEligible(candidates, route, nowMs);
+   */
+  listEligible(
+    candidates: readonly ServingEndpoint[],
+    route: Route,
+    nowMs: number,
+  ): readonly ServingEndpoint[] {
+    if (candidates.length === 0) return candidates;
+    return this.sideFor(candidates, {route, nowMs}).widened;
+  }
+
   private chooseAmong(
     candidates: Candidates,
     request: PlacementRequest,
@@ -186,7 +202,7 @@
   /** The engines of the request's side of the split. */
   private sideFor(
     usable: readonly ServingEndpoint[],
-    request: PlacementRequest,
+    request: Pick<PlacementRequest, 'route' | 'nowMs'>,
   ): SplitSide {
     const service = usable[0].service;
     const {demand, options} = this;
--- a/packages/routing/src/route_samples.ts
+++ b/packages/routing/src/route_samples.ts
@@ -77,8 +77,10 @@
   }
 
   /** Whether an engine had a shared part that this instance had not sent. */
-  noteCached(route: RouteId, isCached: boolean, nowMs: number): void {
-    const sums = this.of(route, nowMs);
+  noteCached(route: RouteId, isCached: boolean): void {
+    const sums = this.routes.get(route);
+    if (sums === undefined) return;
+    this.latest = undefined;
     sums.cachedShare += CACHED_WEIGHT * ((isCached ? 1 : 0) - sums.cachedShare);
   }
 
