Estimate unread prompts by how fast engines can begin streams

Cause: the share of own requests without a first event says little about a single engine; estimates were half of the real queues at the slowest engines. Leaving engines without room out of the choice sent everything to the few others. Change: what an engine can't have begun by its reading rate counts as unread (Little's law); queues grow by the surplus since the load was reported; engines without room count as full instead of being left out; protective refusals follow the lower quartile of the waits.

--- a/packages/routing/src/account_tokens.ts
+++ b/packages/routing/src/account_tokens.ts
@@ -7,19 +7,19 @@
   /** Accounts that are counted (256). */
   readonly maxAccounts?: number;
   /**
-   * Half-life of the counts (5,000 ms). An instance sees a few requests a
+   * Half-life of the counts (8,000 ms). An instance sees a few requests a
    * second; over less time usual accounts look like large ones by chance.
    */
   readonly halfLifeMs?: number;
 }
 
 const DEFAULT_MAX_ACCOUNTS = 256;
-const DEFAULT_HALF_LIFE_MS = 5000;
+const DEFAULT_HALF_LIFE_MS = 8000;
 /**
  * Standard deviations that are in an account's favour. Counts of an instance
  * are a sample, and one large prompt doesn't show that an account is large.
  */
-const FAVOURED_DEVIATIONS = 1;
+const FAVOURED_DEVIATIONS = 1.5;
 
 interface Asked {
   tokens: number;
--- a/packages/routing/src/engine_estimates.ts
+++ b/packages/routing/src/engine_estimates.ts
@@ -9,7 +9,13 @@
   readonly requests: number;
   /** Of these, those that waited. */
   readonly waiting: number;
+  /** Requests of this instance there whose streams have not begun. */
+  readonly ownUnread: number;
+  /** All requests of this instance there. */
+  readonly ownRequests: number;
   readonly loadAgeMs: number;
+  /** Speed at which the engine reads. */
+  readonly tokensPerMs: number;
   /** Means over this instance's own requests. */
   readonly means: ReadonlyMap<RouteId, RouteMeans>;
   /** Share of each route in the requests that the engine gets. */
@@ -41,32 +47,63 @@
  * const {held, unread} = estimateOtherTokens(input);
  */
 export function estimateOtherTokens(input: OthersInput): OtherTokens {
-  const {requests, waiting, means, mix, cacheTokens} = input;
+  const {requests, means, mix, cacheTokens} = input;
   let held = 0;
   let common = 0;
-  let unread = 0;
+  let unreadEach = 0;
+  let streamMs = 0;
   for (const [route, mean] of means) {
     const share = mix.get(route) ?? 0;
-    const unbegun = Math.max(waiting, requests * mean.unreadShare);
     held += share * requests * mean.heldTokens;
     common += share * requests * mean.commonTokens;
-    unread += share * unbegun * mean.unreadTokens;
+    unreadEach += share * mean.unreadTokens;
+    streamMs += share * mean.streamMs;
   }
+  const unread =
+    unreadEach * countUnread(input, {unreadEach, streamMs}) +
+    unreadSince(input);
   held += Math.min(common, cacheTokens * COMMON_MEMORY_SHARE);
   return {held: held + heldSince(input), unread};
 }
 
-function heldSince({
-  means,
-  loadAgeMs,
-  otherInstances,
-  engines,
-}: OthersInput): number {
+/**
+ * Requests of other instances whose streams have not begun. Streams begin at
+ * most as fast as prompts are read, so that no more than those of their
+ * duration can be running (Little's law); all others are still to be read.
+ */
+function countUnread(
+  {requests, waiting, ownRequests, ownUnread, tokensPerMs}: OthersInput,
+  mean: {readonly unreadEach: number; readonly streamMs: number},
+): number {
+  const readMs = Math.max(1e-9, mean.unreadEach / tokensPerMs);
+  const begun = mean.streamMs / readMs;
+  const unread = requests + ownRequests - begun - ownUnread;
+  // Without a queue, requests are unread for the time of their own reading.
+  const usual = requests * (readMs / (readMs + mean.streamMs));
+  return Math.min(requests, Math.max(waiting, unread, usual));
+}
+
+/** Tokens that other instances send to each engine in a millisecond. */
+function arrivingTokensPerMs(
+  {means, otherInstances, engines}: OthersInput,
+  tokensOf: (means: RouteMeans) => number,
+): number {
   let tokensPerS = 0;
-  for (const {requestsPerS, heldTokens} of means.values())
-    tokensPerS += requestsPerS * heldTokens;
+  for (const mean of means.values())
+    tokensPerS += mean.requestsPerS * tokensOf(mean);
   const others = Math.max(0, otherInstances);
-  return (tokensPerS * others * loadAgeMs) / (1000 * Math.max(1, engines));
+  return (tokensPerS * others) / (1000 * Math.max(1, engines));
+}
+
+/** Tokens by which queues have grown since the load was reported. */
+function unreadSince(input: OthersInput): number {
+  const arriving = arrivingTokensPerMs(input, mean => mean.unreadTokens);
+  return Math.max(0, arriving - input.tokensPerMs) * input.loadAgeMs;
+}
+
+function heldSince(input: OthersInput): number {
+  const arriving = arrivingTokensPerMs(input, mean => mean.heldTokens);
+  return arriving * input.loadAgeMs;
 }
 
 /** Input of {@link judgeCached}; all in tokens. */
--- a/packages/routing/src/engine_ledger.ts
+++ b/packages/routing/src/engine_ledger.ts
@@ -36,6 +36,8 @@
 export class EngineLedger {
   /** Tokens of prompts whose streams have not begun. */
   unreadTokens = 0;
+  /** Number of these prompts. */
+  unreadCount = 0;
   private ownHeldTokens = 0;
   /** Shared parts of requests in progress. */
   private readonly used = new Map<PromptPartId, {tokens: number; by: number}>();
@@ -89,6 +91,18 @@
     }
   }
 
+  /** The engine has to read a prompt; {@link noteRead} follows. */
+  noteUnread(tokens: number): void {
+    this.unreadTokens += tokens;
+    this.unreadCount += 1;
+  }
+
+  /** It has read the prompt, or the request has ended before. */
+  noteRead(tokens: number): void {
+    this.unreadTokens -= tokens;
+    this.unreadCount -= 1;
+  }
+
   removeRequest({ownTokens, outputTokens, sharedPart}: RequestTokens): void {
     this.ownHeldTokens -= ownTokens + outputTokens;
     if (sharedPart === undefined) return;
--- a/packages/routing/src/engine_room.ts
+++ b/packages/routing/src/engine_room.ts
@@ -68,7 +68,7 @@
   readonly aheadTokens: number;
   readonly wasSentBefore: boolean;
   readonly slowness: number;
-  hasBegun: boolean;
+  begunAtMs: number | undefined;
 }
 
 /**
@@ -109,6 +109,24 @@
     return (endpoint.capacity * tokens.unread) / (tokensPerMs * stayMs);
   }
 
+  /**
+   * A request counts with its own unread text too. With less than that, all
+   * instances would fill the same few engines until newer loads are known.
+   */
+  override loadPerRequest(
+    {id, service, capacity}: ServingEndpoint,
+    nowMs: number,
+  ): number {
+    if (this.options.findEngine(service) === undefined) return 1;
+    const means = this.readMeans(service, nowMs);
+    const mix = this.ledgerOf(id).readMix(shareRequests(means), nowMs);
+    let tokens = 0;
+    for (const [route, {unreadTokens}] of means)
+      tokens += (mix.get(route) ?? 0) * unreadTokens;
+    const {tokensPerMs, stayMs} = this.serviceOf(service);
+    return 1 + (capacity * tokens) / (tokensPerMs * stayMs);
+  }
+
   hasRoomFor(endpoint: ServingEndpoint, request: PlacementRequest): boolean {
     const {route, prompt, nowMs} = request;
     if (!this.hasMemoryFor(endpoint, prompt, nowMs)) return false;
@@ -247,25 +265,24 @@
       aheadTokens: this.readTokens(endpoint, sentAtMs)?.unread ?? 0,
       wasSentBefore,
       slowness: this.slowness(endpoint, sentAtMs),
-      hasBegun: false,
+      begunAtMs: undefined,
     });
     ledger.addRequest(route.id, tokens, sentAtMs);
-    ledger.unreadTokens += unreadTokens;
+    ledger.noteUnread(unreadTokens);
     routes.noteSent(route.id, tokens, sentAtMs);
   }
 
   noteFirstEvent(attempt: ObservedAttempt, nowMs: number): void {
     const sent = this.sent.get(attempt);
-    if (sent === undefined || sent.hasBegun) return;
+    if (sent?.begunAtMs !== undefined || sent === undefined) return;
     const samples = this.serviceOf(attempt.endpoint.service);
-    sent.hasBegun = true;
-    sent.ledger.unreadTokens -= sent.unreadTokens;
+    sent.begunAtMs = nowMs;
+    sent.ledger.noteRead(sent.unreadTokens);
     samples.noteBegun(attempt.route.id, {
       tokens: sent.tokens,
       aheadTokens: sent.aheadTokens,
       wasSentBefore: sent.wasSentBefore,
       elapsedMs: (nowMs - attempt.sentAtMs) / sent.slowness,
-      nowMs,
     });
   }
 
@@ -274,12 +291,14 @@
     if (sent === undefined) return;
     this.sent.delete(attempt);
     const {route, endpoint, sentAtMs} = attempt;
-    const {ledger, tokens, hasBegun, unreadTokens} = sent;
-    if (!hasBegun) ledger.unreadTokens -= unreadTokens;
+    const {ledger, tokens, begunAtMs, unreadTokens} = sent;
+    if (begunAtMs === undefined) ledger.noteRead(unreadTokens);
     ledger.removeRequest(tokens);
     const samples = this.serviceOf(endpoint.service);
-    samples.routes.noteEnded(route.id, hasBegun, nowMs);
-    if (end.isAnswered) samples.noteStay(nowMs - sentAtMs);
+    if (!end.isAnswered) return;
+    samples.noteStay(nowMs - sentAtMs);
+    if (begunAtMs !== undefined)
+      samples.routes.noteStream(route.id, nowMs - begunAtMs);
   }
 
   retain(ids: ReadonlySet<EndpointId>): void {
@@ -294,20 +313,26 @@
   }
 
   private estimateOthers(
-    {id, service}: ServingEndpoint,
+    endpoint: ServingEndpoint,
     engine: EngineDescription,
     nowMs: number,
   ): OtherTokens {
+    const {id, service} = endpoint;
     const {monitor, readInstances, countEngines} = this.options;
+    const ledger = this.ledgerOf(id);
+    const {tokensPerMs} = this.serviceOf(service);
     const load = monitor.estimateLoad(id, nowMs);
     const requests = Math.max(0, load - monitor.inFlight(id));
     const means = this.readMeans(service, nowMs);
     return estimateOtherTokens({
       requests,
+      ownUnread: ledger.unreadCount,
+      ownRequests: monitor.inFlight(id),
+      tokensPerMs: tokensPerMs / this.slowness(endpoint, nowMs),
       waiting: Math.min(requests, monitor.estimateWaiting(id, nowMs)),
       loadAgeMs: monitor.loadAgeMs(id, nowMs) ?? 0,
       means,
-      mix: this.ledgerOf(id).readMix(shareRequests(means), nowMs),
+      mix: ledger.readMix(shareRequests(means), nowMs),
       cacheTokens: engine.cacheTokens,
       otherInstances: (readInstances?.() ?? 1) - 1,
       engines: countEngines?.(service) ?? 1,
--- a/packages/routing/src/fair_shares.ts
+++ b/packages/routing/src/fair_shares.ts
@@ -103,10 +103,10 @@
   request: ArrivedRequest,
   measured: Pressure,
 ): {readonly share: number; readonly drainMs: number} | undefined {
-  const {waitMs, targetMs} = measured;
+  const {waitMs, typicalWaitMs, targetMs} = measured;
   const shortage = findShortage(request, measured);
   if (request.urgencyRank === 0 || !(waitMs > targetMs)) return shortage;
-  const lateMs = waitMs - targetMs;
+  const lateMs = typicalWaitMs - targetMs;
   const share = Math.min(1, lateMs / Math.max(1, targetMs));
   return {
     share: Math.max(share, shortage?.share ?? 0),
--- a/packages/routing/src/load_correction.ts
+++ b/packages/routing/src/load_correction.ts
@@ -37,6 +37,12 @@
   /** Requests by which its load counts as higher than reported; 0: none. */
   abstract extraLoadOf(endpoint: ServingEndpoint, nowMs: number): number;
 
+  /** Requests by which one more request raises that load. */
+  // eslint-disable-next-line @typescript-eslint/no-unused-vars
+  loadPerRequest(endpoint: ServingEndpoint, nowMs: number): number {
+    return 1;
+  }
+
   /** Whether it has room for the request, and the request time there. */
   abstract hasRoomFor(
     endpoint: ServingEndpoint,
@@ -82,6 +88,13 @@
     );
   }
 
+  override loadPerRequest(endpoint: ServingEndpoint, nowMs: number): number {
+    return this.corrections.reduce(
+      (sum, each) => sum + each.loadPerRequest(endpoint, nowMs) - 1,
+      1,
+    );
+  }
+
   hasRoomFor(endpoint: ServingEndpoint, request: PlacementRequest): boolean {
     return this.corrections.every(each => each.hasRoomFor(endpoint, request));
   }
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -82,6 +82,8 @@
 const REPORT_INTERVAL_AGES = 1.5;
 /** Utilization of the short side above which it is widened. */
 const MAX_SHORT_UTILIZATION = 0.35;
+/** Engines that a long prefix may have while load controls are on. */
+const MAX_HOLDERS = 2;
 /** Engines above this error rate are skipped for prefix affinity. */
 const MAX_FAILURE_SHARE = 0.5;
 
@@ -255,7 +257,7 @@
       loads.get(each.id)! < Math.min(bound, each.capacity) &&
       this.hasRoomFor(each, request);
     const endpoint =
-      healthy.find(hasRoom) ??
+      this.holdersOf(healthy).find(hasRoom) ??
       this.chooseByLoad(widened, request, requestsPerS)?.endpoint;
     if (endpoint === undefined) return undefined;
     // The first other engine: the primary one when the prompt spills over, else
@@ -263,6 +265,20 @@
     return {endpoint, cacheSource: healthy.find(({id}) => id !== endpoint.id)};
   }
 
+  /**
+   * The engines that get a prompt by its prefix. While room is short, the whole
+   * ranking would lead to the few engines that had room a second ago.
+   */
+  private holdersOf(
+    ranked: readonly ServingEndpoint[],
+  ): readonly ServingEndpoint[] {
+    const [first] = ranked;
+    if (first === undefined) return ranked;
+    const isCorrected =
+      findCorrection(first.service, this.options) !== undefined;
+    return isCorrected ? ranked.slice(0, MAX_HOLDERS) : ranked;
+  }
+
   /** Ranks engines for a shared prefix in the same order on all instances. */
   private rankByPrefix(
     group: readonly ServingEndpoint[],
@@ -276,15 +292,19 @@
   }
 
   private chooseByLoad(
-    all: readonly ServingEndpoint[],
+    group: readonly ServingEndpoint[],
     request: PlacementRequest,
     requestsPerS: number,
   ): Placed | undefined {
     const {monitor, random} = this;
     const {dataCentre, nowMs} = request;
-    const withRoom = all.filter(each => this.hasRoomFor(each, request));
-    const group = withRoom.length > 0 ? withRoom : all;
-    const loadOf = (each: ServingEndpoint) => this.effectiveLoadOf(each, nowMs);
+    // Engines without room count as full. If they were left out, all instances
+    // would send everything to the few that had room a second ago.
+    const full = group.filter(each => !this.hasRoomFor(each, request));
+    const fullIds = new Set(full.map(({id}) => id));
+    const loadOf = (each: ServingEndpoint) =>
+      this.effectiveLoadOf(each, nowMs) +
+      (fullIds.has(each.id) ? each.capacity : 0);
     const costsWith = (failureCost: number) => (each: ServingEndpoint) =>
       loadOf(each) +
       monitor.failureShare(each.id, nowMs) * failureCost +
@@ -303,7 +323,8 @@
       (MIN_FAILURE_COST_RATIO * expectedRequests) / Math.max(1, items.length),
     );
     const costOf = costsWith(failureCost);
-    const stepOf = (each: ServingEndpoint) => this.slownessOf(each, nowMs);
+    const stepOf = (each: ServingEndpoint) =>
+      this.slownessOf(each, nowMs) * this.loadPerRequest(each, nowMs);
     const endpoint = chooseByFill({
       items,
       costOf,
@@ -340,6 +361,11 @@
     return correction?.slownessOf(engine, nowMs) ?? 1;
   }
 
+  private loadPerRequest(engine: ServingEndpoint, nowMs: number): number {
+    const correction = findCorrection(engine.service, this.options);
+    return correction?.loadPerRequest(engine, nowMs) ?? 1;
+  }
+
   private hasRoomFor(
     engine: ServingEndpoint,
     request: PlacementRequest,
--- a/packages/routing/src/read_rate.ts
+++ b/packages/routing/src/read_rate.ts
@@ -4,12 +4,12 @@
 export interface ReadRateOptions {
   /** Samples that are kept (128): those of about a minute. */
   readonly maxSamples?: number;
-  /** Samples without which no rate counts as known (16). */
+  /** Samples without which no rate counts as known (8). */
   readonly minSamples?: number;
 }
 
 const DEFAULT_MAX_SAMPLES = 128;
-const DEFAULT_MIN_SAMPLES = 16;
+const DEFAULT_MIN_SAMPLES = 8;
 /**
  * Shorter texts are read in less time than the network and the first
  * generation step take, and would show a rate that is too low.
--- a/packages/routing/src/room_pressure.ts
+++ b/packages/routing/src/room_pressure.ts
@@ -20,10 +20,18 @@
   readonly isDown?: (endpoint: ServingEndpoint, nowMs: number) => boolean;
 }
 
-/** How long a request has to wait at the engine that begins it first. */
+/** How long a request has to wait. */
 export interface Pressure {
-  /** 0 while an engine has free room or isn't known well enough. */
+  /**
+   * At the engine that begins it first; 0 while an engine has free room or
+   * isn't known well enough.
+   */
   readonly waitMs: number;
+  /**
+   * At the lower quartile of the engines. Loads are about a second old, and an
+   * engine that was emptier than all others then gets requests of all instances.
+   */
+  readonly typicalWaitMs: number;
   /** Wait at which the request still gets its answer in time. */
   readonly leftMs: number;
   /** Wait at which its first event is just on time. */
@@ -48,8 +56,11 @@
 /** Time for which a kind of request counts as present after its last one. */
 const PRESENT_MS = 20_000;
 
+const TYPICAL_QUANTILE = 0.25;
+
 const NO_PRESSURE: Pressure = {
   waitMs: 0,
+  typicalWaitMs: 0,
   leftMs: Number.POSITIVE_INFINITY,
   targetMs: Number.POSITIVE_INFINITY,
   urgentMs: Number.POSITIVE_INFINITY,
@@ -90,10 +101,12 @@
     this.noteKind(request, prompt);
     const eligible = this.listEligible(request, route);
     if (eligible.length === 0) return NO_PRESSURE;
-    const waitMs = this.shortestWaitMs(eligible, prompt, nowMs);
+    const waits = this.waitsMs(eligible, prompt, nowMs);
+    const [waitMs] = waits;
     const readMs = this.room.readMs(service, route.id, prompt);
     return {
       waitMs,
+      typicalWaitMs: waits[Math.floor(waits.length * TYPICAL_QUANTILE)],
       leftMs: endsAtMs - nowMs - this.room.stayMs(service),
       targetMs: route.latencyTargetMs - readMs,
       urgentMs: waitMs === 0 ? NO_PRESSURE.urgentMs : this.urgentMs(request),
@@ -118,27 +131,23 @@
       const engines = this.listEligible(request, kind.route);
       const others = engines.filter(each => !shared.has(each));
       // With room elsewhere they aren't delayed by this request.
-      const elsewhereMs = this.shortestWaitMs(others, kind.prompt, nowMs);
+      const [elsewhereMs] = this.waitsMs(others, kind.prompt, nowMs);
       const usesShared = others.length < engines.length;
-      if (usesShared && elsewhereMs > spareMs)
-        shortestMs = Math.min(shortestMs, spareMs);
+      const hasNoOther = elsewhereMs === undefined || elsewhereMs > spareMs;
+      if (usesShared && hasNoOther) shortestMs = Math.min(shortestMs, spareMs);
     }
     return shortestMs;
   }
 
-  /** Infinite without engines. */
-  private shortestWaitMs(
+  /** The shortest first. */
+  private waitsMs(
     engines: readonly ServingEndpoint[],
     prompt: Prompt,
     nowMs: number,
-  ): number {
-    let shortestMs = Number.POSITIVE_INFINITY;
-    for (const engine of engines) {
-      const waitMs = this.room.beginsAfterMs(engine, prompt, nowMs);
-      if (waitMs < shortestMs) shortestMs = waitMs;
-      if (shortestMs === 0) return 0;
-    }
-    return shortestMs;
+  ): readonly number[] {
+    return engines
+      .map(each => this.room.beginsAfterMs(each, prompt, nowMs))
+      .sort((one, other) => one - other);
   }
 
   private listEligible(
--- a/packages/routing/src/room_shedder.ts
+++ b/packages/routing/src/room_shedder.ts
@@ -88,7 +88,7 @@
   request: ArrivedRequest,
   measured: Pressure,
 ): Shortage | undefined {
-  const {waitMs, leftMs, urgentMs, hasMemory} = measured;
+  const {waitMs, typicalWaitMs, leftMs, urgentMs, hasMemory} = measured;
   if (request.urgencyRank === 0 || waitMs <= 0) return undefined;
   if (waitMs > leftMs)
     return {reason: 'no_room', share: 1, drainMs: waitMs - Math.max(0, leftMs)};
@@ -97,8 +97,8 @@
   if (!(waitMs > fromMs)) return undefined;
   // All instances see the same queue: if all refused everything above a limit,
   // engines would run idle until newer loads are known.
-  const share = Math.min(1, (waitMs - fromMs) / Math.max(1, urgentMs));
-  return {reason: 'room_for_urgent', share, drainMs: waitMs - fromMs};
+  const share = Math.min(1, (typicalWaitMs - fromMs) / Math.max(1, urgentMs));
+  return {reason: 'room_for_urgent', share, drainMs: typicalWaitMs - fromMs};
 }
 
 /**
--- a/packages/routing/src/route_samples.ts
+++ b/packages/routing/src/route_samples.ts
@@ -13,8 +13,8 @@
   readonly heldTokens: number;
   /** Memory of the shared parts that other requests use as well. */
   readonly commonTokens: number;
-  /** Share of the requests at engines whose streams have not begun. */
-  readonly unreadShare: number;
+  /** Time from the first event of a stream to its end. */
+  readonly streamMs: number;
 }
 
 /**
@@ -22,8 +22,10 @@
  * instance sees some dozen requests within that time.
  */
 const SIZE_HALF_LIFE_MS = 5000;
-/** Half-life of the requests in progress: about that of a queue. */
-const PROGRESS_HALF_LIFE_MS = 1000;
+/** Weight of one stream in the mean duration. */
+const STREAM_WEIGHT = 0.1;
+/** Until the first stream has ended. */
+const FIRST_STREAM_MS = 700;
 /** Weight of one request in the share of cached prompts. */
 const CACHED_WEIGHT = 0.15;
 /** Share of cached prompts that is assumed at first. */
@@ -36,12 +38,7 @@
   sharedTokens: number;
   outputTokens: number;
   sizesAtMs: number;
-  /** Requests in progress, and their mean over the last time. */
-  unread: number;
-  inProgress: number;
-  meanUnread: number;
-  meanInProgress: number;
-  progressAtMs: number;
+  streamMs: number;
   cachedShare: number;
 }
 
@@ -63,17 +60,14 @@
     sums.ownTokens += tokens.ownTokens;
     sums.sharedTokens += tokens.sharedTokens;
     sums.outputTokens += tokens.outputTokens;
-    this.change(sums, {unread: 1, inProgress: 1}, nowMs);
   }
 
-  /** The stream of a request has begun. */
-  noteBegun(route: RouteId, nowMs: number): void {
-    this.change(this.of(route, nowMs), {unread: -1, inProgress: 0}, nowMs);
-  }
-
-  noteEnded(route: RouteId, hasBegun: boolean, nowMs: number): void {
-    const unread = hasBegun ? 0 : -1;
-    this.change(this.of(route, nowMs), {unread, inProgress: -1}, nowMs);
+  /** A stream has ended, so long after its first event. */
+  noteStream(route: RouteId, streamMs: number): void {
+    const sums = this.routes.get(route);
+    if (sums === undefined) return;
+    this.latest = undefined;
+    sums.streamMs += STREAM_WEIGHT * (streamMs - sums.streamMs);
   }
 
   /** Whether an engine had a shared part that this instance had not sent. */
@@ -101,8 +95,7 @@
     const result = new Map<RouteId, RouteMeans>();
     for (const [route, sums] of this.routes) {
       decaySizes(sums, nowMs);
-      this.change(sums, {unread: 0, inProgress: 0}, nowMs);
-      if (sums.requests < MIN_REQUESTS && sums.inProgress === 0) {
+      if (sums.requests < MIN_REQUESTS) {
         this.routes.delete(route);
         continue;
       }
@@ -113,21 +106,6 @@
     return result;
   }
 
-  private change(
-    sums: RouteSums,
-    by: {readonly unread: number; readonly inProgress: number},
-    nowMs: number,
-  ): void {
-    const passedMs = Math.max(0, nowMs - sums.progressAtMs);
-    const kept = 0.5 ** (passedMs / PROGRESS_HALF_LIFE_MS);
-    sums.meanUnread = sums.meanUnread * kept + sums.unread * (1 - kept);
-    sums.meanInProgress =
-      sums.meanInProgress * kept + sums.inProgress * (1 - kept);
-    sums.unread += by.unread;
-    sums.inProgress += by.inProgress;
-    sums.progressAtMs = Math.max(sums.progressAtMs, nowMs);
-  }
-
   private of(route: RouteId, nowMs: number): RouteSums {
     this.latest = undefined;
     const existing = this.routes.get(route);
@@ -138,11 +116,7 @@
       sharedTokens: 0,
       outputTokens: 0,
       sizesAtMs: nowMs,
-      unread: 0,
-      inProgress: 0,
-      meanUnread: 0,
-      meanInProgress: 0,
-      progressAtMs: nowMs,
+      streamMs: FIRST_STREAM_MS,
       cachedShare: FIRST_CACHED_SHARE,
     };
     this.routes.set(route, sums);
@@ -173,6 +147,6 @@
     unreadTokens: own + uncachedShared,
     heldTokens: own + uncachedShared + sums.outputTokens / count,
     commonTokens: shared * sums.cachedShare,
-    unreadShare: sums.meanUnread / Math.max(1e-9, sums.meanInProgress),
+    streamMs: sums.streamMs,
   };
 }
--- a/packages/routing/src/service_samples.ts
+++ b/packages/routing/src/service_samples.ts
@@ -15,9 +15,10 @@
   readonly wasSentBefore: boolean;
   /** Since it was sent, at an engine of usual speed. */
   readonly elapsedMs: number;
-  readonly nowMs: number;
 }
 
+/** Shared tokens of unknown state that count as read, by those that were. */
+const MAX_UNSURE_SHARE = 1 / 3;
 /** Processing of prompts on both deployments, for placement until learned. */
 const USUAL_TOKENS_PER_MS = 60;
 /** Until durations are known: about those of both deployments. */
@@ -52,9 +53,11 @@
    * samples.noteBegun(route.id, begun);
    */
   noteBegun(route: RouteId, begun: BegunStream): void {
-    const {tokens, aheadTokens, wasSentBefore, elapsedMs, nowMs} = begun;
-    this.routes.noteBegun(route, nowMs);
-    this.rate.note(tokens.ownTokens, elapsedMs);
+    const {tokens, aheadTokens, wasSentBefore, elapsedMs} = begun;
+    const {ownTokens, sharedTokens} = tokens;
+    // A small shared part changes the rate little, whether or not it was cached.
+    const isSmall = sharedTokens <= ownTokens * MAX_UNSURE_SHARE;
+    this.rate.note(ownTokens + (isSmall ? sharedTokens : 0), elapsedMs);
     if (wasSentBefore) return;
     const readTokens = elapsedMs * this.tokensPerMs;
     const isCached = judgeCached({...tokens, aheadTokens, readTokens});
