Take the mix of requests at an engine from the split

Cause: engines that had just changed sides counted as engines with short prompts, so that estimates of their queues were a tenth of the real ones, and they got most of a burst. Change: the routes that an engine gets follow the split instead of what this instance has sent there.

--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -36,6 +36,7 @@
 import {RoomPressure} from '@snipestage/routing/room_pressure.js';
 import {RoomShedder} from '@snipestage/routing/room_shedder.js';
 import {ServiceVersions} from '@snipestage/routing/service_versions.js';
+import {SplitRoutes} from '@snipestage/routing/split_routes.js';
 import type {Route, RouteId} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {RouteTable} from '@snipestage/routing/route_table.js';
@@ -126,11 +127,19 @@
   readonly versions = new ServiceVersions();
   readonly warmup: WarmupGate;
   readonly controls: LoadControls;
+  private readonly splitRoutes = new SplitRoutes({
+    readSplit: (service, nowMs) =>
+      this.promptPlacement.listRoutes(
+        this.directory.findServing(service, nowMs),
+        nowMs,
+      ),
+  });
   readonly room: EngineRoom = new EngineRoom({
     monitor: this.monitor,
     findEngine: service => this.table?.findService(service)?.engine,
     readInstances: () => this.instances,
     countEngines: service => this.directory.countServing(service),
+    routesAt: (endpoint, nowMs) => this.splitRoutes.routesAt(endpoint, nowMs),
     slownessOf: (endpoint, nowMs) =>
       this.correction.slownessOf(endpoint, nowMs),
   });
--- a/packages/routing/src/engine_estimates.ts
+++ b/packages/routing/src/engine_estimates.ts
@@ -139,17 +139,22 @@
 }
 
 /**
- * Share of each route in the requests of a service.
+ * Share of each route in the requests of a service, or in those of some of its
+ * routes.
  *
  * @example
- * const mix = shareRequests(samples.read(nowMs));
+ * const mix = shareRequests(samples.read(nowMs), split.routesAt(engine, nowMs));
  */
 export function shareRequests(
   means: ReadonlyMap<RouteId, RouteMeans>,
+  routes?: ReadonlySet<RouteId>,
 ): ReadonlyMap<RouteId, number> {
+  const all = [...means];
+  const some = all.filter(([route]) => routes?.has(route) ?? true);
+  const included = some.length > 0 ? some : all;
   let total = 0;
-  for (const {requestsPerS} of means.values()) total += requestsPerS;
-  const shares = [...means].map(
+  for (const [, {requestsPerS}] of included) total += requestsPerS;
+  const shares = included.map(
     ([route, {requestsPerS}]) =>
       [route, requestsPerS / Math.max(1e-9, total)] as const,
   );
--- a/packages/routing/src/engine_ledger.ts
+++ b/packages/routing/src/engine_ledger.ts
@@ -2,7 +2,6 @@
 
 import type {PromptPartId} from '@snipestage/types/ids.js';
 import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
-import type {RouteId} from './route.js';
 
 /** What a request adds to an engine. */
 export interface RequestTokens {
@@ -21,17 +20,6 @@
 }
 
 const DEFAULT_MAX_PARTS = 128;
-/** Half-life of the counts of requests by route. */
-const MIX_HALF_LIFE_MS = 30_000;
-/** Weight, in requests, of the mix of the whole service. */
-const PRIOR_REQUESTS = 0.25;
-
-/** Decayed number of requests of a route. */
-interface RouteCount {
-  count: number;
-  atMs: number;
-}
-
 /** Accounts for requests from their sending to their end. */
 export class EngineLedger {
   /** Tokens of prompts whose streams have not begun. */
@@ -43,7 +31,6 @@
   private readonly used = new Map<PromptPartId, {tokens: number; by: number}>();
   /** Shared parts that were sent, the latest last. */
   private readonly sent = new Set<PromptPartId>();
-  private readonly routes = new Map<RouteId, RouteCount>();
   private readonly maxParts: number;
 
   constructor(options: EngineLedgerOptions = {}) {
@@ -75,10 +62,9 @@
   }
 
   /** A request is sent; {@link removeRequest} follows. */
-  addRequest(route: RouteId, request: RequestTokens, nowMs: number): void {
+  addRequest(request: RequestTokens): void {
     const {ownTokens, outputTokens, sharedTokens, sharedPart} = request;
     this.ownHeldTokens += ownTokens + outputTokens;
-    this.countRoute(route, nowMs);
     if (sharedPart === undefined) return;
     const use = this.used.get(sharedPart) ?? {tokens: sharedTokens, by: 0};
     use.by += 1;
@@ -111,42 +97,6 @@
     use.by -= 1;
     if (use.by === 0) this.used.delete(sharedPart);
   }
-
-  /**
-   * Share of each route in the requests that the engine gets. An engine serves
-   * one side of the split, so that the mix of the service is a weak guess.
-   *
-   * @param overall shares in the requests of the service.
-   * @example
-   * const mix = ledger.readMix(overall, nowMs);
-   */
-  readMix(
-    overall: ReadonlyMap<RouteId, number>,
-    nowMs: number,
-  ): ReadonlyMap<RouteId, number> {
-    const counts = new Map<RouteId, number>();
-    let total = 0;
-    for (const [route, share] of overall) {
-      const known = this.routes.get(route);
-      const own = known === undefined ? 0 : decayCount(known, nowMs);
-      const count = own + PRIOR_REQUESTS * share;
-      counts.set(route, count);
-      total += count;
-    }
-    for (const [route, count] of counts)
-      counts.set(route, count / Math.max(1e-9, total));
-    return counts;
-  }
-
-  private countRoute(route: RouteId, nowMs: number): void {
-    const known = this.routes.get(route);
-    const count = known === undefined ? 0 : decayCount(known, nowMs);
-    this.routes.set(route, {count: count + 1, atMs: nowMs});
-  }
-}
-
-function decayCount({count, atMs}: RouteCount, nowMs: number): number {
-  return count * 0.5 ** ((nowMs - atMs) / MIX_HALF_LIFE_MS);
 }
 
 /**
--- a/packages/routing/src/engine_room.ts
+++ b/packages/routing/src/engine_room.ts
@@ -36,6 +36,11 @@
   readonly readInstances?: () => number | undefined;
   /** Number of engines that serve (1). */
   readonly countEngines?: (service: ServiceId) => number;
+  /** Routes whose requests an engine gets by the split (all). */
+  readonly routesAt?: (
+    endpoint: ServingEndpoint,
+    nowMs: number,
+  ) => ReadonlySet<RouteId> | undefined;
   /** Duration of work at an endpoint, by all corrections (1). */
   readonly slownessOf?: (endpoint: ServingEndpoint, nowMs: number) => number;
 }
@@ -113,13 +118,11 @@
    * A request counts with its own unread text too. With less than that, all
    * instances would fill the same few engines until newer loads are known.
    */
-  override loadPerRequest(
-    {id, service, capacity}: ServingEndpoint,
-    nowMs: number,
-  ): number {
+  override loadPerRequest(endpoint: ServingEndpoint, nowMs: number): number {
+    const {service, capacity} = endpoint;
     if (this.options.findEngine(service) === undefined) return 1;
     const means = this.readMeans(service, nowMs);
-    const mix = this.ledgerOf(id).readMix(shareRequests(means), nowMs);
+    const mix = this.mixAt(endpoint, nowMs);
     let tokens = 0;
     for (const [route, {unreadTokens}] of means)
       tokens += (mix.get(route) ?? 0) * unreadTokens;
@@ -267,7 +270,7 @@
       slowness: this.slowness(endpoint, sentAtMs),
       begunAtMs: undefined,
     });
-    ledger.addRequest(route.id, tokens, sentAtMs);
+    ledger.addRequest(tokens);
     ledger.noteUnread(unreadTokens);
     routes.noteSent(route.id, tokens, sentAtMs);
   }
@@ -332,7 +335,7 @@
       waiting: Math.min(requests, monitor.estimateWaiting(id, nowMs)),
       loadAgeMs: monitor.loadAgeMs(id, nowMs) ?? 0,
       means,
-      mix: ledger.readMix(shareRequests(means), nowMs),
+      mix: this.mixAt(endpoint, nowMs),
       cacheTokens: engine.cacheTokens,
       otherInstances: (readInstances?.() ?? 1) - 1,
       engines: countEngines?.(service) ?? 1,
@@ -343,6 +346,15 @@
     return this.ledgerOf(id).neededTokens(this.describe(service, prompt));
   }
 
+  /** Share of each route in the requests that an engine gets. */
+  private mixAt(
+    endpoint: ServingEndpoint,
+    nowMs: number,
+  ): ReadonlyMap<RouteId, number> {
+    const means = this.readMeans(endpoint.service, nowMs);
+    return shareRequests(means, this.options.routesAt?.(endpoint, nowMs));
+  }
+
   private describe(service: ServiceId, prompt: Prompt): RequestTokens {
     const memory = this.options.findEngine(service)?.cacheTokens ?? 0;
     return describeTokens(prompt, {maxOutputTokens: memory * MAX_OUTPUT_SHARE});
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -27,7 +27,7 @@
 import {PrefixHolders} from './prefix_holders.js';
 import {countSharedTokens, deepestSharedPart, type Prompt} from './prompt.js';
 import {chooseByFill} from './fill_choice.js';
-import type {Route} from './route.js';
+import type {Route, RouteId} from './route.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
 /** Options of {@link PromptPlacement}. */
@@ -165,6 +165,26 @@
     return this.sideFor(candidates, {route, nowMs}).widened;
   }
 
+  /**
+   * Routes whose requests each engine gets by the split.
+   *
+   * @example
+   * const routes = placement.listRoutes(engines, nowMs).get(engine.id);
+   */
+  listRoutes(
+    engines: readonly ServingEndpoint[],
+    nowMs: number,
+  ): ReadonlyMap<EndpointId, ReadonlySet<RouteId>> {
+    const byEngine = new Map(engines.map(({id}) => [id, new Set<RouteId>()]));
+    const [first] = engines;
+    if (first === undefined) return byEngine;
+    for (const {route: id} of this.demand.read(first.service, nowMs)) {
+      const side = this.sideFor(engines, {route: {id}, nowMs});
+      for (const engine of side.engines) byEngine.get(engine.id)?.add(id);
+    }
+    return byEngine;
+  }
+
   private chooseAmong(
     candidates: Candidates,
     request: PlacementRequest,
@@ -204,7 +224,7 @@
   /** The engines of the request's side of the split. */
   private sideFor(
     usable: readonly ServingEndpoint[],
-    request: Pick<PlacementRequest, 'route' | 'nowMs'>,
+    request: {readonly route: Pick<Route, 'id'>; readonly nowMs: number},
   ): SplitSide {
     const service = usable[0].service;
     const {demand, options} = this;
--- a/packages/routing/src/simulation/room_simulation.ts
+++ b/packages/routing/src/simulation/room_simulation.ts
@@ -24,6 +24,7 @@
 import {RoomPressure} from '../room_pressure.js';
 import {RoomShedder} from '../room_shedder.js';
 import type {Route} from '../route.js';
+import {SplitRoutes} from '../split_routes.js';
 import type {ServingEndpoint} from '../serving_endpoint.js';
 import {AKL_A, makeEndpoint} from '../test_support/fixtures.js';
 import {TokenEngine} from './token_engine.js';
@@ -181,14 +182,15 @@
     const {random, areControlsOn, memoryTokens, slots} = this.scenario;
     const monitor = new EndpointMonitor();
     const engine = {batchSize: slots, cacheTokens: memoryTokens};
-    const room = new EngineRoom({
+    const room: EngineRoom = new EngineRoom({
       monitor,
       findEngine: () => engine,
       readInstances: () => this.scenario.instances,
       countEngines: () => this.scenario.engines,
+      routesAt: (endpoint, nowMs) => split.routesAt(endpoint, nowMs),
     });
     const recent = new DemandMeter({halfLifeMs: 1500});
-    const placement = new PromptPlacement({
+    const placement: PromptPlacement = new PromptPlacement({
       monitor,
       recent,
       reach: new DataCentreReach(),
@@ -197,6 +199,9 @@
       correction: new CombinedCorrection([room]),
       random,
     });
+    const split: SplitRoutes = new SplitRoutes({
+      readSplit: (_, nowMs) => placement.listRoutes(this.endpoints, nowMs),
+    });
     const pressure = new RoomPressure({
       room,
       listEligible: (candidates, route, nowMs) =>
