Let prompts stay with their primary engine while it has room

Cause: with unread text in the bound of prefix affinity, prompts left primary engines for shorter queues and were read as a whole elsewhere, which made all queues longer. Change: the bound compares requests by speed; unread text counts through hasRoomFor only.

--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -265,7 +265,7 @@
     const ranked = this.rankByPrefix(group, prompt);
     const {nowMs} = request;
     const loads = new Map<EndpointId, number>(
-      ranked.map(each => [each.id, this.correctedLoadOf(each, nowMs)]),
+      ranked.map(each => [each.id, this.relativeLoadOf(each, nowMs)]),
     );
     const total = [...loads.values()].reduce((sum, load) => sum + load, 0);
     const bound =
@@ -367,6 +367,17 @@
     return load + Math.max(0, capacity - load) * waiting;
   }
 
+  /**
+   * Requests at an engine, by its speed, without what corrections add: a prompt
+   * that leaves its primary engine for a shorter queue is read as a whole at the
+   * other one, which makes all queues longer. Queues that are too long for its
+   * target count by {@link hasRoomFor}.
+   */
+  private relativeLoadOf(engine: ServingEndpoint, nowMs: number): number {
+    const load = this.monitor.estimateLoad(engine.id, nowMs);
+    return load * this.slownessOf(engine, nowMs);
+  }
+
   /** Requests at an engine, in requests of an engine of usual speed. */
   private correctedLoadOf(engine: ServingEndpoint, nowMs: number): number {
     const load = this.monitor.estimateLoad(engine.id, nowMs);
