Never refuse an account below the mean as above its share

Change: an account that asks for no more than the mean isn't above its share; silent accounts are forgotten.

--- a/packages/routing/src/account_tokens.ts
+++ b/packages/routing/src/account_tokens.ts
@@ -15,6 +15,8 @@
 
 const DEFAULT_MAX_ACCOUNTS = 256;
 const DEFAULT_HALF_LIFE_MS = 8000;
+/** After that time an account's last request is an eighth of itself. */
+const MAX_SILENT_HALF_LIVES = 3;
 /**
  * Standard deviations that are in an account's favour. Counts of an instance
  * are a sample, and one large prompt doesn't show that an account is large.
@@ -25,14 +27,21 @@
   tokens: number;
   /** Sum of the squares, decayed likewise: the variance of the sum. */
   squares: number;
+  /** Of the latest decay. */
   atMs: number;
+  askedAtMs: number;
 }
 
 /** Counts of one service and urgency rank. */
 export class AccountTokens {
   /** The account that asked last is last. */
   private readonly asked = new Map<ClientAccountId, Asked>();
-  private readonly refused: Asked = {tokens: 0, squares: 0, atMs: 0};
+  private readonly refused: Asked = {
+    tokens: 0,
+    squares: 0,
+    atMs: 0,
+    askedAtMs: 0,
+  };
   private readonly maxAccounts: number;
   private readonly halfLifeMs: number;
 
@@ -47,8 +56,14 @@
 
   noteAsked(account: ClientAccountId, tokens: number, nowMs: number): void {
     const known = this.asked.get(account);
-    const asked = known ?? {tokens: 0, squares: 0, atMs: nowMs};
+    const asked = known ?? {
+      tokens: 0,
+      squares: 0,
+      atMs: nowMs,
+      askedAtMs: nowMs,
+    };
     this.add(asked, tokens, nowMs);
+    asked.askedAtMs = nowMs;
     this.asked.delete(account);
     this.asked.set(account, asked);
     for (const oldest of this.asked.keys()) {
@@ -74,7 +89,8 @@
 
   /**
    * Part of an account's tokens that is above its share; 0 where that could be
-   * chance.
+   * chance. However little can be served, an account that asks for no more than
+   * the mean isn't above its share.
    *
    * @param servedShare of the tokens of all accounts that can be served.
    * @example
@@ -87,15 +103,28 @@
   ): number {
     const asked = this.asked.get(account);
     if (asked === undefined) return 0;
+    this.forgetSilent(nowMs);
     for (const each of this.asked.values()) this.decay(each, nowMs);
     const demands = [...this.asked.values()].map(({tokens}) => tokens);
     const total = demands.reduce((sum, tokens) => sum + tokens, 0);
-    const share = maxMinShare(demands, total * servedShare);
+    const share = Math.max(
+      maxMinShare(demands, total * servedShare),
+      total / demands.length,
+    );
     const deviation = Math.sqrt(asked.squares);
     const certain = asked.tokens - FAVOURED_DEVIATIONS * deviation;
     return certain > share ? 1 - share / asked.tokens : 0;
   }
 
+  /** Silent accounts use no share. */
+  private forgetSilent(nowMs: number): void {
+    const maxSilentMs = MAX_SILENT_HALF_LIVES * this.halfLifeMs;
+    for (const [account, {askedAtMs}] of this.asked) {
+      if (nowMs - askedAtMs <= maxSilentMs) return;
+      this.asked.delete(account);
+    }
+  }
+
   private add(asked: Asked, tokens: number, nowMs: number): void {
     this.decay(asked, nowMs);
     asked.tokens += tokens;
--- a/packages/routing/src/room_shedder.test.ts
+++ b/packages/routing/src/room_shedder.test.ts
@@ -83,6 +83,20 @@
   t.like(decision, {kind: 'refuse', reason: 'no_room'});
 });
 
+test('a session that was refused twice gets in though room is short', t => {
+  // Guards against sessions that are never served while a burst lasts.
+  const bench = makeRoomBench();
+  learnRate(bench);
+  reportLoads(bench, {running: 30, waiting: 100});
+  const shedder = makeShedder(bench);
+  const kinds = [0, 1, 2].map(
+    index =>
+      shedder.decide(makeArrived(bench.engines, {nowMs: NOW_MS + index * 300}))
+        .kind,
+  );
+  t.deepEqual(kinds, ['refuse', 'refuse', 'admit']);
+});
+
 test('the most urgent rank is never refused', t => {
   // Guards against breaking the order of urgency for want of room.
   const bench = makeRoomBench();
