--- a/packages/routing/src/engine_room.test.ts
+++ b/packages/routing/src/engine_room.test.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
+import {createSeededRandom} from '@snipestage/policy/random_source.js';
 import {brandAs, type PromptPartId} from '@snipestage/types/ids.js';
+import {DataCentreReach} from './data_centre_reach.js';
+import {DemandMeter} from './demand_meter.js';
+import {LoadControls} from './load_controls.js';
+import type {LoadCorrection} from './load_correction.js';
 import type {PlacementRequest} from './placement.js';
+import {PromptPlacement} from './prompt_placement.js';
 import {AKL_A} from './test_support/fixtures.js';
 import {
   ANSWERED,
@@ -177,3 +183,26 @@
   room.noteSent(attempt);
   t.is(room.readTokens(engines[0], NOW_MS)?.unread, 3700);
 });
+
+test('without load controls requests are placed as before', t => {
+  // Guards against room that changes a deployment that didn't ask for it.
+  const choose = (correction: LoadCorrection | undefined): string[] => {
+    const bench = makeRoomBench();
+    learnRate(bench);
+    reportLoads(bench, {running: 20, waiting: 1});
+    const placement = new PromptPlacement({
+      monitor: bench.monitor,
+      reach: new DataCentreReach(),
+      demand: new DemandMeter(),
+      recent: new DemandMeter(),
+      controls: new LoadControls(),
+      correction: correction && bench.room,
+      random: createSeededRandom(4),
+    });
+    return Array.from({length: 100}, (_, index) => {
+      const prompt = makeLongPrompt(`topic-${index}`);
+      return placement.choose(bench.engines, placing({prompt}))!.endpoint.id;
+    });
+  };
+  t.deepEqual(choose(makeRoomBench().room), choose(undefined));
+});
