--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -124,6 +124,8 @@
       firstEventMs: firstMs,
       longestPauseMs: events > 0 ? Math.round(longestPauseMs) : undefined,
       isRetryBudgetSpent: this.isRetryBudgetSpent || undefined,
+      shedRetryAfterMs:
+        this.shedRetryAfterMs && Math.round(this.shedRetryAfterMs),
       endpoint: [...this.history.tried].at(-1),
       ...this.record.describe(),
     };
--- a/packages/routing/src/room_shedder.test.ts
+++ b/packages/routing/src/room_shedder.test.ts
@@ -80,7 +80,7 @@
   const shedder = makeShedder(bench);
   t.is(countRefused(shedder, bench), 200);
   const decision = shedder.decide(makeArrived(bench.engines));
-  t.like(decision, {kind: 'refuse', reason: 'no_room'});
+  t.like(decision, {kind: 'refuse', reason: 'begins_too_late'});
 });
 
 test('a session that was refused twice gets in though room is short', t => {
--- a/packages/routing/src/room_shedder.ts
+++ b/packages/routing/src/room_shedder.ts
@@ -21,7 +21,7 @@
 
 /** A request that is to be refused, and when room is free again. */
 export interface Shortage {
-  readonly reason: 'no_room' | 'no_memory' | 'room_for_urgent';
+  readonly reason: 'begins_too_late' | 'memory_full' | 'room_for_urgent';
   /** Share of requests like this one to be refused. */
   readonly share: number;
   /** Time after which the queue is short enough. */
@@ -91,8 +91,12 @@
   const {waitMs, typicalWaitMs, leftMs, urgentMs, hasMemory} = measured;
   if (request.urgencyRank === 0 || waitMs <= 0) return undefined;
   if (waitMs > leftMs)
-    return {reason: 'no_room', share: 1, drainMs: waitMs - Math.max(0, leftMs)};
-  if (!hasMemory) return {reason: 'no_memory', share: 1, drainMs: waitMs};
+    return {
+      reason: 'begins_too_late',
+      share: 1,
+      drainMs: waitMs - Math.max(0, leftMs),
+    };
+  if (!hasMemory) return {reason: 'memory_full', share: 1, drainMs: waitMs};
   const fromMs = urgentMs * RESERVED_SHARE;
   if (!(waitMs > fromMs)) return undefined;
   // All instances see the same queue: if all refused everything above a limit,
