--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -62,6 +62,11 @@
    * No endpoint takes a request before this time has passed, as far as known.
    */
   private minRetryAfterMs = 0;
+  /**
+   * Set when a shedder has refused the request. It knows the time that the
+   * caller has left, which other delays may exceed.
+   */
+  private shedRetryAfterMs: number | undefined;
   /** Whether a retry was given up as the budget for retries was spent. */
   private isRetryBudgetSpent = false;
   /** How often its run was stopped to go on elsewhere. */
@@ -138,6 +143,8 @@
       longestPauseMs: events > 0 ? Math.round(longestPauseMs) : undefined,
       isRetryBudgetSpent: this.isRetryBudgetSpent || undefined,
       moves: this.moves || undefined,
+      shedRetryAfterMs:
+        this.shedRetryAfterMs && Math.round(this.shedRetryAfterMs),
       endpoint: [...this.history.tried].at(-1),
       ...this.record.describe(),
     };
@@ -193,7 +200,7 @@
 
   private refuse(decision: Extract<ShedDecision, {kind: 'refuse'}>): void {
     this.lastReason = decision.reason;
-    this.minRetryAfterMs = decision.retryAfterMs;
+    this.shedRetryAfterMs = decision.retryAfterMs;
     this.context.metrics.countShed(
       this.request.admission.service,
       decision.reason,
@@ -526,11 +533,13 @@
       this.current?.verdict ?? 'not_run',
     );
     this.verdict = verdict;
-    const retryAfterMs = Math.max(
-      this.minRetryAfterMs,
-      state.backoffLeftMs(service, nowMs()),
-      state.refusalDelayFor(service).adviseMs(nowMs()),
-    );
+    const retryAfterMs =
+      this.shedRetryAfterMs ??
+      Math.max(
+        this.minRetryAfterMs,
+        state.backoffLeftMs(service, nowMs()),
+        state.refusalDelayFor(service).adviseMs(nowMs()),
+      );
     const failure = failureFor(verdict, {
       timedOut: this.hasExpired,
       retryAfterMs,
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -12,8 +12,10 @@
 import {EndpointDirectory} from '@snipestage/routing/endpoint_directory.js';
 import {EndpointRateLimits} from '@snipestage/routing/endpoint_rate_limits.js';
 import {EndpointRates} from '@snipestage/routing/endpoint_rates.js';
+import {EngineRoom} from '@snipestage/routing/engine_room.js';
 import {EndpointMonitor} from '@snipestage/routing/endpoint_monitor.js';
 import {InstanceIsolation} from '@snipestage/routing/instance_isolation.js';
+import {FairShares} from '@snipestage/routing/fair_shares.js';
 import {
   LoadControls,
   type LoadControlsOptions,
@@ -34,7 +36,11 @@
 import {PromptPlacement} from '@snipestage/routing/prompt_placement.js';
 import {RefusalDelay} from '@snipestage/routing/refusal_delay.js';
 import {StartPace, type PaceChange} from '@snipestage/routing/start_pace.js';
+import {RefusedSessions} from '@snipestage/routing/refused_sessions.js';
+import {RoomPressure} from '@snipestage/routing/room_pressure.js';
+import {RoomShedder} from '@snipestage/routing/room_shedder.js';
 import {ServiceVersions} from '@snipestage/routing/service_versions.js';
+import {SplitRoutes} from '@snipestage/routing/split_routes.js';
 import type {Route, RouteId} from '@snipestage/routing/route.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import {SharedDemand} from '@snipestage/routing/shared_demand.js';
@@ -146,16 +152,32 @@
   readonly versions = new ServiceVersions();
   readonly warmup: WarmupGate;
   readonly controls: LoadControls;
+  private readonly splitRoutes = new SplitRoutes({
+    readSplit: (service, nowMs) =>
+      this.promptPlacement.listRoutes(
+        this.directory.findServing(service, nowMs),
+        nowMs,
+      ),
+  });
+  readonly room: EngineRoom = new EngineRoom({
+    monitor: this.monitor,
+    findEngine: service => this.table?.findService(service)?.engine,
+    readInstances: () => this.instances,
+    countEngines: service => this.directory.countServing(service),
+    routesAt: (endpoint, nowMs) => this.splitRoutes.routesAt(endpoint, nowMs),
+    slownessOf: (endpoint, nowMs) =>
+      this.correction.slownessOf(endpoint, nowMs),
+  });
   /** In the order in which they are applied. */
   readonly correction: CombinedCorrection;
   private readonly pace: StartPace;
   private onPaceChange: ((change: PaceChange) => void) | undefined;
   /** In the order in which they decide. */
-  private readonly shedders: readonly LoadShedder[] = [];
+  private readonly shedders: readonly LoadShedder[];
   /** Requests in progress that the shedders have admitted. */
   private readonly counted = new Set<ArrivedRequest>();
   private readonly plainPlacement: Placement;
-  private readonly promptPlacement: Placement;
+  private readonly promptPlacement: PromptPlacement;
   private readonly budgets = new Map<ServiceId, WindowBudget>();
   private readonly refusalDelays = new Map<ServiceId, RefusalDelay>();
 
@@ -179,7 +201,11 @@
       rateLimits: this.rateLimits,
       onChange: change => this.onPaceChange?.(change),
     });
-    this.correction = new CombinedCorrection([this.rates, this.pace]);
+    this.correction = new CombinedCorrection([
+      this.room,
+      this.rates,
+      this.pace,
+    ]);
     const {monitor, reach, warmup, rateLimits, brittle} = this;
     const {correction} = this;
     const estimates = {
@@ -201,6 +227,24 @@
       shared,
       sides,
     });
+    this.shedders = this.createShedders();
+  }
+
+  private createShedders(): readonly LoadShedder[] {
+    const {room, monitor} = this;
+    const pressure = new RoomPressure({
+      room,
+      listEligible: (candidates, route, nowMs) =>
+        this.promptPlacement.listEligible(candidates, route, nowMs),
+      isDown: ({id}, nowMs) => monitor.isDown(id, nowMs),
+    });
+    const sessions = new RefusedSessions({
+      epochAt: nowMs => performance.timeOrigin + nowMs,
+    });
+    const shares = new FairShares({pressure, sessions});
+    const readShedShare = (request: ArrivedRequest) =>
+      shares.readShedShare(request);
+    return [shares, new RoomShedder({pressure, sessions, readShedShare})];
   }
 
   /**
@@ -427,6 +471,7 @@
       failureShare: monitor.failureShare(endpoint.id, nowMs),
       inFlight: monitor.inFlight(endpoint.id),
       ...rates.describe(endpoint, nowMs),
+      ...this.describeRoom(endpoint, nowMs),
     }));
   }
 
@@ -442,6 +487,18 @@
     return counts;
   }
 
+  /** Tokens at an engine, where the load controls of its service are on. */
+  private describeRoom(endpoint: ServingEndpoint, nowMs: number): object {
+    if (!this.controls.isOn(endpoint.service)) return {};
+    const tokens = this.room.readTokens(endpoint, nowMs);
+    if (tokens === undefined) return {};
+    return {
+      tokensHeld: Math.round(tokens.held),
+      tokensUnread: Math.round(tokens.unread),
+      isRoomKnown: tokens.isKnown,
+    };
+  }
+
   /**
    * Applies new settings; if ratio, window or slack changed, attempts spent
    * earlier in the window are forgotten.
--- a/packages/routing/src/endpoint_rates.ts
+++ b/packages/routing/src/endpoint_rates.ts
@@ -91,6 +91,10 @@
     return 0;
   }
 
+  loadPerRequest(): number {
+    return 1;
+  }
+
   shareOf(): number {
     return 1;
   }
--- a/packages/routing/src/load_correction.test.ts
+++ b/packages/routing/src/load_correction.test.ts
@@ -39,6 +39,10 @@
     return 1;
   }
 
+  loadPerRequest(): number {
+    return 1;
+  }
+
   hasRoomFor({id}: ServingEndpoint): boolean {
     return id !== 'usual';
   }
--- a/packages/routing/src/load_correction.ts
+++ b/packages/routing/src/load_correction.ts
@@ -43,6 +43,9 @@
    */
   abstract shareOf(endpoint: ServingEndpoint, nowMs: number): number;
 
+  /** Requests by which one more request raises that load; 1: as usual. */
+  abstract loadPerRequest(endpoint: ServingEndpoint, nowMs: number): number;
+
   /** Whether it has room for the request, and the request time there. */
   abstract hasRoomFor(
     endpoint: ServingEndpoint,
@@ -110,6 +113,13 @@
     );
   }
 
+  loadPerRequest(endpoint: ServingEndpoint, nowMs: number): number {
+    return this.corrections.reduce(
+      (sum, each) => sum + each.loadPerRequest(endpoint, nowMs) - 1,
+      1,
+    );
+  }
+
   hasRoomFor(endpoint: ServingEndpoint, request: PlacementRequest): boolean {
     return this.corrections.every(each => each.hasRoomFor(endpoint, request));
   }
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -29,6 +29,7 @@
 import {PrefixHolders} from './prefix_holders.js';
 import {deepestSharedPart, hasLongPrefix, type Prompt} from './prompt.js';
 import {chooseByFill} from './fill_choice.js';
+import type {Route, RouteId} from './route.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 import type {SharedDemand} from './shared_demand.js';
 import type {SideHistory} from './side_history.js';
@@ -93,6 +94,8 @@
 const LATE_COST_IN_REQUESTS = 30;
 /** Engines at which pauses make more of such requests late are avoided. */
 const MAX_LATE_SHARE = 0.1;
+/** Engines that a long prefix may have while load controls are on. */
+const MAX_HOLDERS = 2;
 /** Engines above this error rate are skipped for prefix affinity. */
 const MAX_FAILURE_SHARE = 0.5;
 
@@ -159,6 +162,41 @@
     };
   }
 
+  /**
+   * The engines that may get requests of a route by the split.
+   *
+   * @example
+   * const eligible = placement.listEligible(candidates, route, nowMs);
+   */
+  listEligible(
+    candidates: readonly ServingEndpoint[],
+    route: Route,
+    nowMs: number,
+  ): readonly ServingEndpoint[] {
+    if (candidates.length === 0) return candidates;
+    return this.sideFor(candidates, {route, nowMs}).widened;
+  }
+
+  /**
+   * Routes whose requests each engine gets by the split.
+   *
+   * @example
+   * const routes = placement.listRoutes(engines, nowMs).get(engine.id);
+   */
+  listRoutes(
+    engines: readonly ServingEndpoint[],
+    nowMs: number,
+  ): ReadonlyMap<EndpointId, ReadonlySet<RouteId>> {
+    const byEngine = new Map(engines.map(({id}) => [id, new Set<RouteId>()]));
+    const [first] = engines;
+    if (first === undefined) return byEngine;
+    for (const {route: id} of this.demand.read(first.service, nowMs)) {
+      const side = this.sideFor(engines, {route: {id}, nowMs});
+      for (const engine of side.engines) byEngine.get(engine.id)?.add(id);
+    }
+    return byEngine;
+  }
+
   private chooseAmong(
     candidates: Candidates,
     request: PlacementRequest,
@@ -198,7 +236,7 @@
   /** The engines of the request's side of the split. */
   private sideFor(
     usable: readonly ServingEndpoint[],
-    request: PlacementRequest,
+    request: {readonly route: Pick<Route, 'id'>; readonly nowMs: number},
   ): SplitSide {
     const service = usable[0].service;
     const {nowMs} = request;
@@ -280,7 +318,7 @@
     const {nowMs} = request;
     const ranked = this.rankByPrefix(group, prompt, nowMs);
     const loads = new Map<EndpointId, number>(
-      ranked.map(each => [each.id, this.correctedLoadOf(each, nowMs)]),
+      ranked.map(each => [each.id, this.relativeLoadOf(each, nowMs)]),
     );
     const total = [...loads.values()].reduce((sum, load) => sum + load, 0);
     const bound =
@@ -293,7 +331,7 @@
       this.monitor.estimateLoad(each.id, nowMs) < each.capacity &&
       !(this.isSlow(each, nowMs) && this.letsWait(each, nowMs)) &&
       this.hasRoomFor(each, request);
-    const withRoom = healthy.filter(hasRoom);
+    const withRoom = this.holdersOf(healthy).filter(hasRoom);
     const endpoint =
       this.avoidLate(withRoom, request, loads) ??
       this.chooseByLoad(widened, request, requestsPerS)?.endpoint;
@@ -321,6 +359,20 @@
     return costOf(better) <= costOf(first) ? better : first;
   }
 
+  /**
+   * The engines that get a prompt by its prefix. While room is short, the whole
+   * ranking would lead to the few engines that had room a second ago.
+   */
+  private holdersOf(
+    ranked: readonly ServingEndpoint[],
+  ): readonly ServingEndpoint[] {
+    const [first] = ranked;
+    if (first === undefined) return ranked;
+    const isCorrected =
+      findCorrection(first.service, this.options) !== undefined;
+    return isCorrected ? ranked.slice(0, MAX_HOLDERS) : ranked;
+  }
+
   /**
    * Ranks engines for a shared prefix in the same order on all instances. A slow
    * engine is ranked last for part of the prefixes, so that it is the primary
@@ -343,15 +395,19 @@
   }
 
   private chooseByLoad(
-    all: readonly ServingEndpoint[],
+    group: readonly ServingEndpoint[],
     request: PlacementRequest,
     requestsPerS: number,
   ): Placed | undefined {
     const {monitor, random} = this;
     const {dataCentre, nowMs} = request;
-    const withRoom = all.filter(each => this.hasRoomFor(each, request));
-    const group = withRoom.length > 0 ? withRoom : all;
-    const loadOf = (each: ServingEndpoint) => this.effectiveLoadOf(each, nowMs);
+    // Engines without room count as full. If they were left out, all instances
+    // would send everything to the few that had room a second ago.
+    const full = group.filter(each => !this.hasRoomFor(each, request));
+    const fullIds = new Set(full.map(({id}) => id));
+    const loadOf = (each: ServingEndpoint) =>
+      this.effectiveLoadOf(each, nowMs) +
+      (fullIds.has(each.id) ? each.capacity : 0);
     const costsWith = (failureCost: number) => (each: ServingEndpoint) =>
       loadOf(each) +
       // An idle slow engine is as good as a usual one with some requests.
@@ -376,7 +432,8 @@
       (MIN_FAILURE_COST_RATIO * expectedRequests) / Math.max(1, items.length),
     );
     const costOf = costsWith(failureCost);
-    const stepOf = (each: ServingEndpoint) => this.stepOf(each, nowMs);
+    const stepOf = (each: ServingEndpoint) =>
+      this.stepOf(each, nowMs) * this.loadPerRequest(each, nowMs);
     const endpoint = chooseByFill({
       items,
       costOf,
@@ -400,6 +457,17 @@
     return load + Math.max(0, full - load) * waiting;
   }
 
+  /**
+   * Requests at an engine, by its speed, without what corrections add: a prompt
+   * that leaves its primary engine for a shorter queue is read as a whole at the
+   * other one, which makes all queues longer. Queues that are too long for its
+   * target count by {@link hasRoomFor}.
+   */
+  private relativeLoadOf(engine: ServingEndpoint, nowMs: number): number {
+    const load = this.monitor.estimateLoad(engine.id, nowMs);
+    return load * this.stepOf(engine, nowMs);
+  }
+
   /**
    * Requests at an engine, in requests of an engine of usual speed that gets
    * its whole share.
@@ -448,6 +516,11 @@
     return correction?.lateShareOf(engine, request) ?? 0;
   }
 
+  private loadPerRequest(engine: ServingEndpoint, nowMs: number): number {
+    const correction = findCorrection(engine.service, this.options);
+    return correction?.loadPerRequest(engine, nowMs) ?? 1;
+  }
+
   private hasRoomFor(
     engine: ServingEndpoint,
     request: PlacementRequest,
--- a/packages/routing/src/start_pace.ts
+++ b/packages/routing/src/start_pace.ts
@@ -153,6 +153,10 @@
     return 0;
   }
 
+  loadPerRequest(): number {
+    return 1;
+  }
+
   /**
    * An endpoint that is missing counts as one that has just recovered: the first
    * requests are sent before any instance knows that it answers again.
