--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -82,8 +82,6 @@
 const REPORT_INTERVAL_AGES = 1.5;
 /** Utilization of the short side above which it is widened. */
 const MAX_SHORT_UTILIZATION = 0.35;
-/** Waiting requests, decayed since they were reported, that show a queue. */
-const MIN_WAITING = 0.5;
 /** Requests ahead whose cost equals that of a late one. */
 const LATE_COST_IN_REQUESTS = 30;
 /** Engines at which pauses make more of such requests late are avoided. */
@@ -252,7 +250,6 @@
     const hasRoom = (each: ServingEndpoint) =>
       loads.get(each.id)! < bound &&
       this.monitor.estimateLoad(each.id, nowMs) < each.capacity &&
-      !(this.isSlow(each, nowMs) && this.letsWait(each, nowMs)) &&
       this.hasRoomFor(each, request);
     const withRoom = healthy.filter(hasRoom);
     const endpoint =
@@ -374,10 +371,6 @@
     return correction?.slownessOf(engine, nowMs) ?? 1;
   }
 
-  private letsWait({id}: ServingEndpoint, nowMs: number): boolean {
-    return this.monitor.estimateWaiting(id, nowMs) >= MIN_WAITING;
-  }
-
   private isSlow(engine: ServingEndpoint, nowMs: number): boolean {
     const correction = findCorrection(engine.service, this.options);
     return correction?.isSlow(engine, nowMs) ?? false;
