--- a/packages/routing/src/route_table.ts
+++ b/packages/routing/src/route_table.ts
@@ -79,7 +79,12 @@
   }
 }
 
-/** Host names are compared without case and port (RFC 9110, section 4.2.3). */
-function normaliseHost(host: string): string {
+/**
+ * Host names are compared without case and port (RFC 9110, section 4.2.3).
+ *
+ * @example
+ * normaliseHost('Shop.example:443'); // shop.example
+ */
+export function normaliseHost(host: string): string {
   return host.replace(/:\d*$/, '').toLowerCase();
 }
