Add the command that checks a configuration

Cause: errors of a configuration showed only once it was in force. Ruled out: a copy of the schema in packages/cli, which would fall behind.

--- a/packages/cli/src/commands/cli_command.ts
+++ b/packages/cli/src/commands/cli_command.ts
@@ -20,6 +20,7 @@
 const GROUPS = {
   ticket: 'change the configuration by numbered tickets',
   keys: 'keys of client accounts and operators',
+  configuration: 'configuration of the pass-through gateway',
   settings: 'settings of snipestage-entry',
 } as const;
 
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,6 +9,7 @@
   EXIT_USAGE,
   type ExitCode,
 } from './exit_codes.js';
+import type {ConfigurationReader} from './input/configuration_reader.js';
 import {addGlobalOptions} from './options.js';
 import {ProcessTerminal, type Terminal} from './terminal.js';
 
@@ -16,6 +17,7 @@
  * Runs one command line.
  *
  * @param args without the names of the runtime and the program.
+ * @param reader of the platform's configuration; see {@link assembleCommands}.
  * @returns the exit code.
  * @example
  * process.exitCode = await runCommandLine(['status', '--json']);
@@ -23,11 +25,13 @@
 export async function runCommandLine(
   args: readonly string[],
   terminal: Terminal = new ProcessTerminal(),
+  reader?: ConfigurationReader,
 ): Promise<ExitCode> {
   let exitCode: ExitCode = EXIT_INTERNAL;
-  const program = assembleProgram(terminal, code => {
+  const finish = (code: ExitCode): void => {
     exitCode = code;
-  });
+  };
+  const program = assembleProgram(terminal, finish, reader);
   try {
     await program.parseAsync([...args], {from: 'user'});
   } catch (error) {
@@ -41,6 +45,7 @@
 function assembleProgram(
   terminal: Terminal,
   finish: (exitCode: ExitCode) => void,
+  reader: ConfigurationReader | undefined,
 ): Command {
   const program = addGlobalOptions(new Command('snipestage'))
     .description('operate a snipestage router')
@@ -51,7 +56,7 @@
     .showHelpAfterError('(use --help to show the usage)')
     .exitOverride()
     .addHelpText('after', describeExitCodes());
-  for (const command of assembleCommands(terminal)) {
+  for (const command of assembleCommands(terminal, reader)) {
     command.addTo(program, finish);
   }
   return program;
--- a/packages/cli/src/test_support/fake_admin.ts
+++ b/packages/cli/src/test_support/fake_admin.ts
@@ -5,6 +5,7 @@
 import type {AddressInfo} from 'node:net';
 import {text} from 'node:stream/consumers';
 import type {ExitCode} from '../exit_codes.js';
+import type {ConfigurationReader} from '../input/configuration_reader.js';
 import {runCommandLine} from '../main.js';
 import {Terminal} from '../terminal.js';
 
@@ -107,11 +108,12 @@
 export async function runCommand(
   args: readonly string[],
   input = '',
+  reader?: ConfigurationReader,
 ): Promise<CommandRun> {
   const terminal = new FakeTerminal(input, {
     SNIPESTAGE_OPERATOR_KEY: 'the-operator-key',
   });
-  const exitCode = await runCommandLine(args, terminal);
+  const exitCode = await runCommandLine(args, terminal, reader);
   const {out, error, delaysMs} = terminal;
   return {exitCode, out, error, delaysMs};
 }
