Learn speeds of machines that state that they are always slow

An instance related it to a median that began with two values of 1, so that it took the first three streams of each slow engine for slow moments and left them out. It sees a stream of an engine about every ten seconds.

Change: the figure is related to the lower quartile of the endpoint's own ones, as moments only lengthen work. The request log has the figure as `answeredWorkTime`.

Result: a new test learns a slow engine from its first four streams; it fails with the median. 13 tests of rates pass.

--- a/packages/gateway/src/attempt_record.ts
+++ b/packages/gateway/src/attempt_record.ts
@@ -63,6 +63,7 @@
       loadAgeMs: ageMs && Math.round(ageMs),
       answeredRunning: progress?.answeredLoad?.running,
       answeredWaiting: progress?.answeredLoad?.waiting,
+      answeredWorkTime: progress?.answeredLoad?.workTimeRatio,
       softwareVersion: progress?.softwareVersion,
       side: choice?.group?.side,
       sideEngines: choice?.group?.engines,
--- a/packages/routing/src/endpoint_rates.test.ts
+++ b/packages/routing/src/endpoint_rates.test.ts
@@ -80,6 +80,19 @@
   t.false(rates.isSlow(FAST, 5000));
 });
 
+test('an engine that is slow for good is learned from its first streams', t => {
+  // Guards against a slow machine whose streams are all taken for slow moments:
+  // an instance sees one of them each ten seconds.
+  const rates = makeRates();
+  for (let atMs = 500; atMs <= 2000; atMs += 500) {
+    stream(rates, FAST, {pauseMs: 14, workTimeRatio: 0.7, atMs});
+    stream(rates, USUAL, {pauseMs: 14, workTimeRatio: 0.7, atMs});
+    stream(rates, SLOW, {pauseMs: 34, workTimeRatio: 1.7, atMs});
+  }
+  t.true(rates.isSlow(SLOW, 2000));
+  t.true(rates.slownessOf(SLOW, 2000) > 2);
+});
+
 test('an endpoint that has restarted begins at the usual speed', t => {
   // Guards against a new process that is judged by the machine of the old one.
   const rates = makeRates();
--- a/packages/routing/src/work_time_ratios.ts
+++ b/packages/routing/src/work_time_ratios.ts
@@ -3,11 +3,6 @@
 import type {EndpointId} from '@snipestage/types/ids.js';
 
 const KEPT_COUNT = 9;
-/**
- * Values of 1 that count as seen before the first stated ones, so that a first
- * value from a slow moment isn't taken for the usual one.
- */
-const ASSUMED_COUNT = 2;
 /** A ratio changes many times per second; an older one says nothing. */
 const FRESH_MS = 50;
 
@@ -20,9 +15,9 @@
 }
 
 /**
- * Relates each stated ratio to the median of the endpoint's own ones. Whether
- * the figure of a machine that is always slow is about 1 or always higher, what
- * remains is the slowness of the moment.
+ * Relates each stated ratio to the lower quartile of the endpoint's own ones,
+ * as moments only lengthen work. The figure of a machine that is always slow is
+ * always higher, also the first one: what remains is the slowness of the moment.
  */
 export class WorkTimeRatios {
   private readonly stated = new Map<EndpointId, Stated>();
@@ -37,9 +32,8 @@
     const ratios = this.stated.get(id)?.ratios ?? [];
     ratios.push(ratio);
     if (ratios.length > KEPT_COUNT) ratios.shift();
-    const assumed = Array.from({length: ASSUMED_COUNT}, () => 1);
-    const ascending = [...assumed, ...ratios].toSorted((a, b) => a - b);
-    const latest = ratio / ascending[Math.floor((ascending.length - 1) / 2)];
+    const ascending = ratios.toSorted((a, b) => a - b);
+    const latest = ratio / ascending[Math.floor((ascending.length - 1) / 4)];
     this.stated.set(id, {ratios, latest, atMs: nowMs});
     return latest;
   }
