--- a/packages/gateway/src/relay/pace_exchange.test.ts
+++ b/packages/gateway/src/relay/pace_exchange.test.ts
@@ -126,7 +126,7 @@
   t.is(output.lines.filter(line => line.includes('paces_malformed')).length, 1);
 });
 
-test('an instance of an older version is told and tells loads as before', t => {
+test('an instance of an older version exchanges loads as before', t => {
   // Guards against a rolling update in which older relays reject reports.
   const {exchange, state} = makeInstance();
   exchange.receive({kind: 'loads', lines: [['engine', 9, 0, 64, 5]]}, 'local');
--- a/packages/gateway/src/start_pace_lists.test.ts
+++ b/packages/gateway/src/start_pace_lists.test.ts
@@ -37,7 +37,7 @@
 }
 
 test('a listed endpoint that is new or restarted is paced and reported', t => {
-  // Guards against a pace that is never told of the list.
+  // Guards against a slow start that doesn't learn the list of endpoints.
   const state = startState(true);
   const changes: PaceChange[] = [];
   state.watchPace(change => changes.push(change));
--- a/packages/routing/src/refused_sessions.ts
+++ b/packages/routing/src/refused_sessions.ts
@@ -19,7 +19,7 @@
 
 const DEFAULT_MAX_ACCOUNTS = 128;
 const DEFAULT_MAX_SESSIONS = 64;
-/** A session that is asked for four times within this time is served. */
+/** A session with four requests within this time is served. */
 const TURN_MS = 8000;
 /** Refusals within that time after which a session is let in. */
 const MAX_REFUSALS = 2;
--- a/packages/routing/src/start_pace.test.ts
+++ b/packages/routing/src/start_pace.test.ts
@@ -40,7 +40,7 @@
   workTimeRatio: undefined,
 };
 
-/** A pace of one service, with what it reads and tells. */
+/** The slow start of one service, with its inputs and the changes that it reports. */
 class Fixture {
   readonly monitor = new EndpointMonitor();
   readonly changes: PaceChange[] = [];
--- a/packages/routing/src/start_pace.ts
+++ b/packages/routing/src/start_pace.ts
@@ -141,7 +141,7 @@
     const share = ramping.ramp.shareAt(nowMs);
     if (share < 1) return share;
     this.ramping.delete(endpoint.id);
-    this.tell('ended', endpoint, ramping.ramp, nowMs);
+    this.report('ended', endpoint, ramping.ramp, nowMs);
     return undefined;
   }
 
@@ -242,11 +242,11 @@
     const {times, peers} = this;
     const {monitor} = this.options;
     const onHalved = (atMs: number) =>
-      this.tell('halved', endpoint, ramp, atMs);
+      this.report('halved', endpoint, ramp, atMs);
     const options = {ramp, times, peers, monitor, onHalved};
     const ramping = new RampingEndpoint(endpoint, options);
     this.ramping.set(id, ramping);
-    this.tell('begun', endpoint, ramp, nowMs);
+    this.report('begun', endpoint, ramp, nowMs);
   }
 
   private noteSign(
@@ -259,7 +259,7 @@
     this.begin(endpoint, new StartRamp('recovered', atMs), nowMs);
   }
 
-  private tell(
+  private report(
     kind: PaceChange['kind'],
     endpoint: ServingEndpoint,
     ramp: StartRamp,
