Move the choice of a side and the corrected loads out of the placement of prompts

No decision changes but one: the routes that engines serve, from which room estimates what others have sent, are read from the shared demand, as the split itself is.

--- /dev/null
+++ b/packages/routing/src/corrected_loads.ts
@@ -0,0 +1,75 @@
+/** Loads of engines as placements compare them, with the corrections applied. */
+
+import {
+  findCorrection,
+  type PlacementRequest,
+  type PlacementState,
+} from './placement.js';
+import type {ServingEndpoint} from './serving_endpoint.js';
+
+/** Neutral for services whose load controls are off. */
+export class CorrectedLoads {
+  constructor(private readonly state: PlacementState) {}
+
+  /**
+   * Requests at an engine, by its speed, without what corrections add: a prompt
+   * that leaves its primary engine for a shorter queue is read as a whole at the
+   * other one, which makes all queues longer. Queues that are too long for its
+   * target count by {@link hasRoomFor}.
+   */
+  relativeLoadOf(engine: ServingEndpoint, nowMs: number): number {
+    const load = this.state.monitor.estimateLoad(engine.id, nowMs);
+    return load * this.stepOf(engine, nowMs);
+  }
+
+  /**
+   * Requests at an engine, in requests of an engine of usual speed that gets
+   * its whole share.
+   */
+  correctedLoadOf(engine: ServingEndpoint, nowMs: number): number {
+    const load = this.state.monitor.estimateLoad(engine.id, nowMs);
+    const correction = findCorrection(engine.service, this.state);
+    if (correction === undefined) return load;
+    const extra = correction.extraLoadOf(engine, nowMs);
+    return (load + extra) * this.stepOf(engine, nowMs);
+  }
+
+  /** By how much one more request raises the corrected load. */
+  stepOf(engine: ServingEndpoint, nowMs: number): number {
+    const correction = findCorrection(engine.service, this.state);
+    if (correction === undefined) return 1;
+    return (
+      correction.slownessOf(engine, nowMs) / correction.shareOf(engine, nowMs)
+    );
+  }
+
+  slownessOf(engine: ServingEndpoint, nowMs: number): number {
+    const correction = findCorrection(engine.service, this.state);
+    return correction?.slownessOf(engine, nowMs) ?? 1;
+  }
+
+  isSlow(engine: ServingEndpoint, nowMs: number): boolean {
+    const correction = findCorrection(engine.service, this.state);
+    return correction?.isSlow(engine, nowMs) ?? false;
+  }
+
+  /** Relative to an engine of usual speed. */
+  speedOf(engine: ServingEndpoint, nowMs: number): number {
+    return 1 / this.slownessOf(engine, nowMs);
+  }
+
+  lateShareOf(engine: ServingEndpoint, request: PlacementRequest): number {
+    const correction = findCorrection(engine.service, this.state);
+    return correction?.lateShareOf(engine, request) ?? 0;
+  }
+
+  loadPerRequest(engine: ServingEndpoint, nowMs: number): number {
+    const correction = findCorrection(engine.service, this.state);
+    return correction?.loadPerRequest(engine, nowMs) ?? 1;
+  }
+
+  hasRoomFor(engine: ServingEndpoint, request: PlacementRequest): boolean {
+    const correction = findCorrection(engine.service, this.state);
+    return correction?.hasRoomFor(engine, request) ?? true;
+  }
+}
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -1,17 +1,9 @@
 /** Places prompts on model engines. */
 
 import {hashText, rankByRendezvous} from '@snipestage/policy/rendezvous.js';
-import type {EndpointId, ServiceId} from '@snipestage/types/ids.js';
-import type {DemandMeter, DemandSource, RouteDemand} from './demand_meter.js';
+import type {EndpointId} from '@snipestage/types/ids.js';
+import {CorrectedLoads} from './corrected_loads.js';
 import type {EndpointMonitor} from './endpoint_monitor.js';
-import {
-  findShortRoutes,
-  orderSlowLast,
-  shareOfShortRoutes,
-  splitByCapacity,
-  splitCount,
-  widenSide,
-} from './engine_split.js';
 import {preferLocal} from './local_engines.js';
 import {
   findCorrection,
@@ -22,8 +14,6 @@
   leaveOutPaced,
   Placement,
   type Placed,
-  type PlacementState,
-  type PlacementGroup,
   type PlacementRequest,
 } from './placement.js';
 import {PrefixHolders} from './prefix_holders.js';
@@ -31,31 +21,14 @@
 import {chooseByFill} from './fill_choice.js';
 import type {Route, RouteId} from './route.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
-import type {SharedDemand} from './shared_demand.js';
-import type {SideHistory} from './side_history.js';
+import {SideChoice, type SideChoiceOptions} from './side_choice.js';
 
 /** Options of {@link PromptPlacement}. */
-export interface PromptPlacementOptions extends PlacementState {
-  readonly demand: DemandSource;
-  /** Demand of the last seconds at this instance alone; shows bursts. */
-  readonly recent: Pick<DemandMeter, 'countRecent'>;
-  /** Demand of all instances, used where load controls are on. */
-  readonly shared?: SharedDemand;
-  /** Engines that have lately changed sides; used likewise. */
-  readonly sides?: SideHistory;
+export interface PromptPlacementOptions extends SideChoiceOptions {
   /** At least 0 and below 1. */
   readonly random?: () => number;
 }
 
-interface SplitSide {
-  readonly side: PlacementGroup['side'];
-  readonly engines: readonly ServingEndpoint[];
-  /** Includes engines of the other side while this one has too little room. */
-  readonly widened: readonly ServingEndpoint[];
-  /** Rate of the routes of this side over all instances. */
-  readonly requestsPerS: number;
-}
-
 /** Engines that may get a request. */
 interface Candidates {
   /** Engines among which prompts with long prefixes are distributed. */
@@ -86,8 +59,6 @@
 const MIN_LOAD_AGE_MS = 500;
 /** Interval between two loads of an engine, in mean ages of the known ones. */
 const REPORT_INTERVAL_AGES = 1.5;
-/** Utilization of the short side above which it is widened. */
-const MAX_SHORT_UTILIZATION = 0.35;
 /** Requests ahead whose cost equals that of a late one. */
 const LATE_COST_IN_REQUESTS = 30;
 /** Engines at which pauses make more of such requests late are avoided. */
@@ -115,14 +86,16 @@
  */
 export class PromptPlacement extends Placement {
   private readonly monitor: EndpointMonitor;
-  private readonly demand: DemandSource;
+  private readonly loads: CorrectedLoads;
+  private readonly sides: SideChoice;
   private readonly random: () => number;
   private readonly holders = new PrefixHolders();
 
   constructor(private readonly options: PromptPlacementOptions) {
     super();
     this.monitor = options.monitor;
-    this.demand = options.demand;
+    this.loads = new CorrectedLoads(options);
+    this.sides = new SideChoice(options);
     this.random = options.random ?? Math.random;
   }
 
@@ -132,7 +105,7 @@
   ): Placed | undefined {
     const usable = findUsable(candidates, request, this.options);
     if (usable.length === 0) return undefined;
-    const split = this.sideFor(usable, request);
+    const split = this.sides.choose(usable, request);
     const open = leaveOutLimited(usable, usable, request, this.options);
     const admit = (engines: readonly ServingEndpoint[]) =>
       leaveOutCold(
@@ -172,7 +145,7 @@
     nowMs: number,
   ): readonly ServingEndpoint[] {
     if (candidates.length === 0) return candidates;
-    return this.sideFor(candidates, {route, nowMs}).widened;
+    return this.sides.choose(candidates, {route, nowMs}).widened;
   }
 
   /**
@@ -188,8 +161,9 @@
     const byEngine = new Map(engines.map(({id}) => [id, new Set<RouteId>()]));
     const [first] = engines;
     if (first === undefined) return byEngine;
-    for (const {route: id} of this.demand.read(first.service, nowMs)) {
-      const side = this.sideFor(engines, {route: {id}, nowMs});
+    const {demand} = this.sides.sourcesFor(first.service, nowMs);
+    for (const {route: id} of demand.read(first.service, nowMs)) {
+      const side = this.sides.choose(engines, {route: {id}, nowMs});
       for (const engine of side.engines) byEngine.get(engine.id)?.add(id);
     }
     return byEngine;
@@ -231,83 +205,6 @@
     return {endpoint, cacheSource: byId.get(holder)};
   }
 
-  /** The engines of the request's side of the split. */
-  private sideFor(
-    usable: readonly ServingEndpoint[],
-    request: {readonly route: Pick<Route, 'id'>; readonly nowMs: number},
-  ): SplitSide {
-    const service = usable[0].service;
-    const {nowMs} = request;
-    const {demand, recent} = this.sourcesFor(service, nowMs);
-    const demands = demand.read(service, nowMs);
-    const shortRoutes = findShortRoutes(demands);
-    if (shortRoutes.size === 0 || shortRoutes.size === demands.length) {
-      const requestsPerS = sumRequests(demands);
-      return {side: 'all', engines: usable, widened: usable, requestsPerS};
-    }
-    const correction = findCorrection(service, this.options);
-    const share = shareOfShortRoutes({
-      demands,
-      shortRoutes,
-      recentCounts: recent.countRecent(service, nowMs),
-      isChanceByAgreed: correction !== undefined,
-    });
-    const inOrder = orderSlowLast(usable, each => this.isSlow(each, nowMs));
-    const shortCount =
-      correction === undefined
-        ? splitCount(inOrder.length, share)
-        : splitByCapacity(inOrder, share, each => this.speedOf(each, nowMs));
-    const ordered = this.settledFirst(inOrder, shortCount, nowMs);
-    const isShort = shortRoutes.has(request.route.id);
-    const requestsPerS = sumRequests(
-      demands.filter(({route}) => shortRoutes.has(route) === isShort),
-    );
-    if (!isShort) {
-      const engines = ordered.engines.slice(shortCount);
-      return {side: 'long', engines, widened: engines, requestsPerS};
-    }
-    const widened = widenSide(ordered.engines, ordered.settled, {
-      loadOf: ({id}) => this.monitor.estimateLoad(id, nowMs),
-      capacityOf: each => each.capacity * this.speedOf(each, nowMs),
-      maxUtilization: MAX_SHORT_UTILIZATION,
-    });
-    const engines = widened.slice(0, shortCount);
-    return {side: 'short', engines, widened, requestsPerS};
-  }
-
-  private sourcesFor(
-    service: ServiceId,
-    nowMs: number,
-  ): Pick<PromptPlacementOptions, 'demand' | 'recent'> {
-    const {shared, controls, demand, recent} = this.options;
-    const isShared =
-      shared !== undefined &&
-      controls?.isOn(service) === true &&
-      shared.isKnown(nowMs);
-    return isShared ? {demand: shared, recent: shared} : {demand, recent};
-  }
-
-  /**
-   * Where controls are on, those of the first engines that were on the long side
-   * lately come last among them.
-   */
-  private settledFirst(
-    engines: readonly ServingEndpoint[],
-    shortCount: number,
-    nowMs: number,
-  ): {readonly engines: readonly ServingEndpoint[]; readonly settled: number} {
-    const {sides, controls} = this.options;
-    const isOn = controls?.isOn(engines[0].service) === true;
-    if (sides === undefined || !isOn) return {engines, settled: shortCount};
-    const long = engines.slice(shortCount);
-    sides.noteLong(long, nowMs);
-    const {ordered, settled} = sides.order(engines.slice(0, shortCount), nowMs);
-    return {
-      engines: [...ordered, ...long],
-      settled: settled === 0 ? shortCount : settled,
-    };
-  }
-
   private chooseByPrefix(
     {group, widened, requestsPerS}: Candidates,
     request: PlacementRequest,
@@ -316,7 +213,7 @@
     const {nowMs} = request;
     const ranked = this.rankByPrefix(group, prompt, nowMs);
     const loads = new Map<EndpointId, number>(
-      ranked.map(each => [each.id, this.relativeLoadOf(each, nowMs)]),
+      ranked.map(each => [each.id, this.loads.relativeLoadOf(each, nowMs)]),
     );
     const total = [...loads.values()].reduce((sum, load) => sum + load, 0);
     const bound =
@@ -327,7 +224,7 @@
     const hasRoom = (each: ServingEndpoint) =>
       loads.get(each.id)! < bound &&
       this.monitor.estimateLoad(each.id, nowMs) < each.capacity &&
-      this.hasRoomFor(each, request);
+      this.loads.hasRoomFor(each, request);
     const withRoom = this.holdersOf(healthy).filter(hasRoom);
     const endpoint =
       this.avoidLate(withRoom, request, loads) ??
@@ -348,7 +245,8 @@
     loads: ReadonlyMap<EndpointId, number>,
   ): ServingEndpoint | undefined {
     const first = ranked.at(0);
-    const lateAt = (each: ServingEndpoint) => this.lateShareOf(each, request);
+    const lateAt = (each: ServingEndpoint) =>
+      this.loads.lateShareOf(each, request);
     const better = ranked.find(each => lateAt(each) <= MAX_LATE_SHARE);
     if (first === undefined || better === undefined) return first;
     const costOf = (each: ServingEndpoint) =>
@@ -385,8 +283,8 @@
     const byId = new Map(group.map(endpoint => [endpoint.id, endpoint]));
     const ranked = rankByRendezvous(key, byId.keys()).map(id => byId.get(id)!);
     const isLast = (each: ServingEndpoint) =>
-      this.isSlow(each, nowMs) &&
-      drawShare(key, each.id) >= this.speedOf(each, nowMs);
+      this.loads.isSlow(each, nowMs) &&
+      drawShare(key, each.id) >= this.loads.speedOf(each, nowMs);
     const last = ranked.filter(isLast);
     return [...ranked.filter(each => !last.includes(each)), ...last];
   }
@@ -400,7 +298,7 @@
     const {dataCentre, nowMs} = request;
     // Engines without room count as full. If they were left out, all instances
     // would send everything to the few that had room a second ago.
-    const full = group.filter(each => !this.hasRoomFor(each, request));
+    const full = group.filter(each => !this.loads.hasRoomFor(each, request));
     const fullIds = new Set(full.map(({id}) => id));
     const loadOf = (each: ServingEndpoint) =>
       this.effectiveLoadOf(each, nowMs) +
@@ -408,8 +306,8 @@
     const costsWith = (failureCost: number) => (each: ServingEndpoint) =>
       loadOf(each) +
       // An idle slow engine is as good as a usual one with some requests.
-      (this.slownessOf(each, nowMs) - 1) +
-      this.lateShareOf(each, request) * LATE_COST_IN_REQUESTS +
+      (this.loads.slownessOf(each, nowMs) - 1) +
+      this.loads.lateShareOf(each, request) * LATE_COST_IN_REQUESTS +
       monitor.failureShare(each.id, nowMs) * failureCost +
       random() * RANDOM_COST_IN_REQUESTS;
     if (!monitor.hasRecentReports(nowMs)) {
@@ -417,7 +315,8 @@
       const endpoint = leastBy(offered, costsWith(FAILURE_COST_IN_REQUESTS));
       return endpoint && {endpoint};
     }
-    const capacityOf = (each: ServingEndpoint) => this.speedOf(each, nowMs);
+    const capacityOf = (each: ServingEndpoint) =>
+      this.loads.speedOf(each, nowMs);
     const items = preferLocal(group, {dataCentre, loadOf, capacityOf});
     // Instances of other data centres prefer their own engines likewise.
     const itemsPerS =
@@ -430,7 +329,7 @@
     );
     const costOf = costsWith(failureCost);
     const stepOf = (each: ServingEndpoint) =>
-      this.stepOf(each, nowMs) * this.loadPerRequest(each, nowMs);
+      this.loads.stepOf(each, nowMs) * this.loads.loadPerRequest(each, nowMs);
     const endpoint = chooseByFill({
       items,
       costOf,
@@ -448,80 +347,12 @@
    */
   private effectiveLoadOf(engine: ServingEndpoint, nowMs: number): number {
     const {id, capacity} = engine;
-    const load = this.correctedLoadOf(engine, nowMs);
-    const full = capacity * this.stepOf(engine, nowMs);
+    const load = this.loads.correctedLoadOf(engine, nowMs);
+    const full = capacity * this.loads.stepOf(engine, nowMs);
     const waiting = Math.min(1, this.monitor.estimateWaiting(id, nowMs));
     return load + Math.max(0, full - load) * waiting;
   }
 
-  /**
-   * Requests at an engine, by its speed, without what corrections add: a prompt
-   * that leaves its primary engine for a shorter queue is read as a whole at the
-   * other one, which makes all queues longer. Queues that are too long for its
-   * target count by {@link hasRoomFor}.
-   */
-  private relativeLoadOf(engine: ServingEndpoint, nowMs: number): number {
-    const load = this.monitor.estimateLoad(engine.id, nowMs);
-    return load * this.stepOf(engine, nowMs);
-  }
-
-  /**
-   * Requests at an engine, in requests of an engine of usual speed that gets
-   * its whole share.
-   */
-  private correctedLoadOf(engine: ServingEndpoint, nowMs: number): number {
-    const load = this.monitor.estimateLoad(engine.id, nowMs);
-    const correction = findCorrection(engine.service, this.options);
-    if (correction === undefined) return load;
-    const extra = correction.extraLoadOf(engine, nowMs);
-    return (load + extra) * this.stepOf(engine, nowMs);
-  }
-
-  /** By how much one more request raises the corrected load. */
-  private stepOf(engine: ServingEndpoint, nowMs: number): number {
-    const correction = findCorrection(engine.service, this.options);
-    if (correction === undefined) return 1;
-    return (
-      correction.slownessOf(engine, nowMs) / correction.shareOf(engine, nowMs)
-    );
-  }
-
-  private slownessOf(engine: ServingEndpoint, nowMs: number): number {
-    const correction = findCorrection(engine.service, this.options);
-    return correction?.slownessOf(engine, nowMs) ?? 1;
-  }
-
-  private isSlow(engine: ServingEndpoint, nowMs: number): boolean {
-    const correction = findCorrection(engine.service, this.options);
-    return correction?.isSlow(engine, nowMs) ?? false;
-  }
-
-  /** Relative to an engine of usual speed. */
-  private speedOf(engine: ServingEndpoint, nowMs: number): number {
-    return 1 / this.slownessOf(engine, nowMs);
-  }
-
-  private lateShareOf(
-    engine: ServingEndpoint,
-    request: PlacementRequest,
-  ): number {
-    const correction = findCorrection(engine.service, this.options);
-    return correction?.lateShareOf(engine, request) ?? 0;
-  }
-
-  private loadPerRequest(engine: ServingEndpoint, nowMs: number): number {
-    const correction = findCorrection(engine.service, this.options);
-    return correction?.loadPerRequest(engine, nowMs) ?? 1;
-  }
-
-  private hasRoomFor(
-    engine: ServingEndpoint,
-    request: PlacementRequest,
-  ): boolean {
-    const correction = findCorrection(engine.service, this.options);
-    return correction?.hasRoomFor(engine, request) ?? true;
-  }
-
   /** Time until newer loads of these engines than the known ones are known. */
   private unseenForS(
     engines: readonly ServingEndpoint[],
@@ -533,10 +364,6 @@
   }
 }
 
-function sumRequests(demands: readonly RouteDemand[]): number {
-  return demands.reduce((sum, {requestsPerS}) => sum + requestsPerS, 0);
-}
-
 function sumOf<Item>(
   items: readonly Item[],
   valueOf: (item: Item) => number,
