--- a/packages/gateway/src/room_controls.test.ts
+++ b/packages/gateway/src/room_controls.test.ts
@@ -8,7 +8,7 @@
   learnRate,
   LONG,
   makeArrived,
-  makeRoomBench,
+  makeRoomFixture,
   MEMORY_TOKENS,
   NOW_MS,
   reportLoads,
@@ -27,7 +27,7 @@
     }),
   );
   const {monitor, room} = state;
-  const {engines} = makeRoomBench();
+  const {engines} = makeRoomFixture();
   const changes = engines.map(
     endpoint => ({kind: 'listed', endpoint}) as const,
   );
--- a/packages/routing/src/engine_room.test.ts
+++ b/packages/routing/src/engine_room.test.ts
@@ -14,7 +14,7 @@
   LONG,
   makeAttempt,
   makeLongPrompt,
-  makeRoomBench,
+  makeRoomFixture,
   MEMORY_TOKENS,
   NOW_MS,
   reportLoads,
@@ -35,7 +35,7 @@
 
 test('a shared part is held once, however many requests use it', t => {
   // Guards against taking engines for full whose requests share their text.
-  const {room, engines} = makeRoomBench();
+  const {room, engines} = makeRoomFixture();
   const [engine] = engines;
   for (let index = 0; index < 10; index++)
     room.noteSent(makeAttempt(engine, makeLongPrompt(), NOW_MS));
@@ -44,7 +44,7 @@
 
 test('what an attempt holds is free after its end, read or not', t => {
   // Guards against engines that fill up with requests that were cancelled.
-  const {room, engines} = makeRoomBench();
+  const {room, engines} = makeRoomFixture();
   const [engine] = engines;
   const read = makeAttempt(engine, makeLongPrompt('read'), NOW_MS);
   const cancelled = makeAttempt(engine, makeLongPrompt('left'), NOW_MS);
@@ -61,7 +61,7 @@
 test('an unread prompt of 17,000 tokens outweighs a dozen running requests', t => {
   // Guards against placement by count: in bursts of long prompts the slowest
   // fifth of the engines paused for 65 to 210 ms between events.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   const {room, engines} = bench;
   room.noteSent(makeAttempt(engines[0], makeLongPrompt('unread'), NOW_MS));
@@ -72,7 +72,7 @@
 
 test('the rate of reading is learned from streams, in spite of queues', t => {
   // Guards against taking queues for slow engines, and refusing because of it.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   const {room, engines} = bench;
   t.is(room.readMs(engines[0].service, LONG.id, makeLongPrompt()), 0);
   learnRate(bench);
@@ -90,7 +90,7 @@
 
 test('an engine has no room when its queue takes longer than the target', t => {
   // Guards against long queues at engines with free slots.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   reportLoads(bench, {running: 8});
   t.true(bench.room.hasRoomFor(bench.engines[0], placing()));
@@ -100,7 +100,7 @@
 
 test('an engine has no room when its memory is full', t => {
   // Guards against engines that crash as their requests exceed their memory.
-  const {room, engines} = makeRoomBench();
+  const {room, engines} = makeRoomFixture();
   for (let index = 0; index < 34; index++)
     room.noteSent(makeAttempt(engines[0], makeLongPrompt(`${index}`), NOW_MS));
   t.true(room.hasMemoryFor(engines[0], makeLongPrompt('33'), NOW_MS));
@@ -112,7 +112,7 @@
 
 test('without loads of others only own requests count', t => {
   // Guards against taking engines for full whose load isn't known.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   const {room, engines} = bench;
   t.like(room.readTokens(engines[0], NOW_MS), {unread: 0, isKnown: false});
@@ -123,7 +123,7 @@
 
 test('loads older than two seconds do not count', t => {
   // Guards against queues that have been read since they were reported.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   reportLoads(bench, {running: 60, waiting: 20}, NOW_MS - 2100);
   t.like(bench.room.readTokens(bench.engines[0], NOW_MS), {
@@ -136,7 +136,7 @@
 test('an engine that restarts holds nothing', t => {
   // Guards against room that is never free again: requests in progress at the
   // restart end later, and must not be subtracted from the new account.
-  const {room, engines} = makeRoomBench();
+  const {room, engines} = makeRoomFixture();
   const [engine] = engines;
   const before = makeAttempt(engine, makeLongPrompt(), NOW_MS);
   room.noteSent(before);
@@ -152,7 +152,7 @@
 
 test('a wrong output estimate takes up a bounded share of the memory', t => {
   // Guards against callers who state huge outputs and fill engines on paper.
-  const {room, engines} = makeRoomBench();
+  const {room, engines} = makeRoomFixture();
   const prompt = makeLongPrompt('wrong', {
     maxOutputTokens: 1e9,
     expectedOutputTokens: 1e9,
@@ -165,7 +165,7 @@
 
 test('made-up shared parts are remembered up to a bound', t => {
   // Guards against memory that grows with the parts that callers make up.
-  const {room, engines} = makeRoomBench();
+  const {room, engines} = makeRoomFixture();
   for (let index = 0; index < 1000; index++) {
     const attempt = makeAttempt(engines[0], makeLongPrompt(`${index}`), NOW_MS);
     room.noteSent(attempt);
@@ -187,7 +187,7 @@
 test('without load controls requests are placed as before', t => {
   // Guards against room that changes a deployment that didn't ask for it.
   const choose = (correction: LoadCorrection | undefined): string[] => {
-    const bench = makeRoomBench();
+    const bench = makeRoomFixture();
     learnRate(bench);
     reportLoads(bench, {running: 20, waiting: 1});
     const placement = new PromptPlacement({
@@ -204,5 +204,5 @@
       return placement.choose(bench.engines, placing({prompt}))!.endpoint.id;
     });
   };
-  t.deepEqual(choose(makeRoomBench().room), choose(undefined));
+  t.deepEqual(choose(makeRoomFixture().room), choose(undefined));
 });
--- a/packages/routing/src/fair_shares.test.ts
+++ b/packages/routing/src/fair_shares.test.ts
@@ -13,23 +13,23 @@
   learnRate,
   makeArrived,
   makeLongPrompt,
-  makeRoomBench,
+  makeRoomFixture,
   NOW_MS,
   reportLoads,
-  type RoomBench,
+  type RoomFixture,
 } from './test_support/room_fixtures.js';
 
 const USUAL_COUNT = 22;
 /** Two of 24 accounts send six times their usual. */
 const WEIGHTS = [6, 6, ...Array<number>(USUAL_COUNT).fill(1)];
 
-interface Bench extends RoomBench {
+interface Bench extends RoomFixture {
   readonly shares: FairShares;
   readonly sessions: RefusedSessions;
 }
 
 function makeBench(running: number): Bench {
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   reportLoads(bench, {running}, NOW_MS - 500);
   const random = createSeededRandom(9);
--- a/packages/routing/src/room_shedder.test.ts
+++ b/packages/routing/src/room_shedder.test.ts
@@ -7,14 +7,14 @@
   learnRate,
   makeArrived,
   makeLongPrompt,
-  makeRoomBench,
+  makeRoomFixture,
   MEDIUM,
   NOW_MS,
   reportLoads,
-  type RoomBench,
+  type RoomFixture,
 } from './test_support/room_fixtures.js';
 
-function makeShedder({room}: RoomBench): RoomShedder {
+function makeShedder({room}: RoomFixture): RoomShedder {
   const random = createSeededRandom(5);
   return new RoomShedder({
     pressure: new RoomPressure({room}),
@@ -26,7 +26,7 @@
 /** Number of requests of different sessions that are refused, of 200. */
 function countRefused(
   shedder: RoomShedder,
-  bench: RoomBench,
+  bench: RoomFixture,
   changes: Parameters<typeof makeArrived>[1] = {},
 ): number {
   let refused = 0;
@@ -40,7 +40,7 @@
 
 test('nothing is refused while an engine has free room', t => {
   // Guards against refusals beside an idle engine.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   reportLoads(bench, {running: 100, waiting: 40});
   const [{id}] = bench.engines;
@@ -51,20 +51,20 @@
 
 test('nothing is refused on unknown or stale loads, or before the rate is known', t => {
   // Guards against refusals while relays are cut off or an instance starts.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   const shedder = makeShedder(bench);
   reportLoads(bench, {running: 30, waiting: 40}, NOW_MS - 500);
   t.is(countRefused(shedder, bench), 0, 'no rate');
   learnRate(bench);
   t.is(countRefused(shedder, bench, {nowMs: NOW_MS + 1600}), 0, 'stale');
-  const other = makeRoomBench();
+  const other = makeRoomFixture();
   learnRate(other);
   t.is(countRefused(makeShedder(other), other), 0, 'unknown');
 });
 
 test('a request is late rather than refused while its caller waits for it', t => {
   // Guards against refusing what is worth most of its value when late.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   reportLoads(bench, {running: 30});
   const shedder = makeShedder(bench);
@@ -74,7 +74,7 @@
 
 test('a request is refused when no engine can begin it in time', t => {
   // Guards against streams that are begun when their callers have left.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   reportLoads(bench, {running: 30, waiting: 100});
   const shedder = makeShedder(bench);
@@ -85,7 +85,7 @@
 
 test('a session that was refused twice gets in though room is short', t => {
   // Guards against sessions that are never served while a burst lasts.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   reportLoads(bench, {running: 30, waiting: 100});
   const shedder = makeShedder(bench);
@@ -99,7 +99,7 @@
 
 test('the most urgent rank is never refused', t => {
   // Guards against breaking the order of urgency for want of room.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   reportLoads(bench, {running: 30, waiting: 100});
   t.is(countRefused(makeShedder(bench), bench, {urgencyRank: 0}), 0);
@@ -108,7 +108,7 @@
 test('less urgent requests are refused before more urgent ones are late', t => {
   // Guards against long prompts that make requests beside them late: medium
   // prompts have a target of 800 ms.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   reportLoads(bench, {running: 12});
   const shedder = makeShedder(bench);
@@ -123,7 +123,7 @@
 
 test('of two requests of a rank, the one with less time left is refused', t => {
   // Guards against beginning what is given up before its end.
-  const bench = makeRoomBench();
+  const bench = makeRoomFixture();
   learnRate(bench);
   reportLoads(bench, {running: 30});
   const shedder = makeShedder(bench);
@@ -152,7 +152,7 @@
   // Guards against instances that refuse what others admit. Their own requests
   // differ, and their estimates with them.
   const shares = [1, 2, 3].map(seed => {
-    const bench = makeRoomBench();
+    const bench = makeRoomFixture();
     learnRate(bench, 40 + 8 * seed);
     reportLoads(bench, {running: 12});
     const shedder = makeShedder(bench);
--- a/packages/routing/src/test_support/room_fixtures.ts
+++ b/packages/routing/src/test_support/room_fixtures.ts
@@ -56,14 +56,14 @@
 }
 
 /** A monitor and the room of four engines with 128 slots. */
-export interface RoomBench {
+export interface RoomFixture {
   readonly monitor: EndpointMonitor;
   readonly room: EngineRoom;
   readonly engines: readonly ServingEndpoint[];
 }
 
 /** Creates a bench of 64 instances whose rate of reading is known. */
-export function makeRoomBench(): RoomBench {
+export function makeRoomFixture(): RoomFixture {
   const monitor = new EndpointMonitor();
   const engines = ['one', 'two', 'three', 'four'].map(id =>
     makeEndpoint(id, {capacity: 128}),
@@ -76,7 +76,7 @@
 }
 
 /** Sends requests that are read without a queue, with an empty cache. */
-export function learnRate({room, engines}: RoomBench, count = 40): void {
+export function learnRate({room, engines}: RoomFixture, count = 40): void {
   for (let index = 0; index < count; index++) {
     const sentAtMs = NOW_MS - 8000 + index * 100;
     // The first half shows the rate, the other half that caches are empty.
@@ -106,7 +106,7 @@
 
 /** Reports the same load of all engines. */
 export function reportLoads(
-  {monitor, engines}: RoomBench,
+  {monitor, engines}: RoomFixture,
   load: Partial<ReportedLoad>,
   atMs = NOW_MS - 900,
 ): void {
