Account for room only where settings ask for it, and correct each load once

Change: room and fair shares need the setting `loadControls.accountsForRoom`, which nothing sets so far.

--- a/packages/gateway/src/room_controls.test.ts
+++ b/packages/gateway/src/room_controls.test.ts
@@ -18,7 +18,10 @@
 /** All engines are full, by loads that all instances know. */
 function createFullState(isCapacityScarce: boolean): RoutingState {
   const retry = {ratio: 0.1, windowMs: 10_000, slack: 1};
-  const state = new RoutingState(retry, undefined, {isCapacityScarce});
+  const state = new RoutingState(retry, undefined, {
+    isCapacityScarce,
+    accountsForRoom: true,
+  });
   const engine = {batchSize: 128, cacheTokens: MEMORY_TOKENS};
   state.table = new RouteTable(
     makeConfiguration({
@@ -47,6 +50,14 @@
   t.false('tokensHeld' in described);
 });
 
+test('load controls alone neither refuse for want of room nor account for it', t => {
+  // Guards against processor time that a deployment hasn't asked for.
+  const retry = {ratio: 0.1, windowMs: 10_000, slack: 1};
+  const state = new RoutingState(retry, undefined, {isCapacityScarce: true});
+  const {engines} = makeRoomFixture();
+  t.is(state.shed(makeArrived(engines)).kind, 'admit');
+});
+
 test('with load controls the dump of state shows why a request is refused', t => {
   // Guards against refusals that operators can't explain.
   const state = createFullState(true);
--- a/packages/gateway/src/routing_state.ts
+++ b/packages/gateway/src/routing_state.ts
@@ -168,6 +168,7 @@
     slownessOf: (endpoint, nowMs) =>
       this.correction.slownessOf(endpoint, nowMs),
   });
+  private readonly accountsForRoom: boolean;
   /** In the order in which they are applied. */
   readonly correction: CombinedCorrection;
   private readonly pace: StartPace;
@@ -201,8 +202,10 @@
       rateLimits: this.rateLimits,
       onChange: change => this.onPaceChange?.(change),
     });
+    this.accountsForRoom = controls?.accountsForRoom ?? false;
+    const {accountsForRoom} = this;
     this.correction = new CombinedCorrection([
-      this.room,
+      ...(accountsForRoom ? [this.room] : []),
       this.rates,
       this.pace,
     ]);
@@ -227,7 +230,7 @@
       shared,
       sides,
     });
-    this.shedders = this.createShedders();
+    this.shedders = accountsForRoom ? this.createShedders() : [];
   }
 
   private createShedders(): readonly LoadShedder[] {
@@ -489,7 +492,8 @@
 
   /** Tokens at an engine, where the load controls of its service are on. */
   private describeRoom(endpoint: ServingEndpoint, nowMs: number): object {
-    if (!this.controls.isOn(endpoint.service)) return {};
+    if (!this.accountsForRoom || !this.controls.isOn(endpoint.service))
+      return {};
     const tokens = this.room.readTokens(endpoint, nowMs);
     if (tokens === undefined) return {};
     return {
--- a/packages/routing/src/corrected_loads.ts
+++ b/packages/routing/src/corrected_loads.ts
@@ -1,5 +1,6 @@
 /** Loads of engines as placements compare them, with the corrections applied. */
 
+import type {EndpointId} from '@snipestage/types/ids.js';
 import {
   findCorrection,
   type PlacementRequest,
@@ -7,10 +8,22 @@
 } from './placement.js';
 import type {ServingEndpoint} from './serving_endpoint.js';
 
-/** Neutral for services whose load controls are off. */
+/**
+ * Neutral for services whose load controls are off. A placement compares each
+ * engine several times, so that corrections are computed once for it.
+ */
 export class CorrectedLoads {
+  private readonly slowness = new Map<EndpointId, number>();
+  private readonly steps = new Map<EndpointId, number>();
+
   constructor(private readonly state: PlacementState) {}
 
+  /** Begins the placement of a request. */
+  refresh(): void {
+    this.slowness.clear();
+    this.steps.clear();
+  }
+
   /**
    * Requests at an engine, by its speed, without what corrections add: a prompt
    * that leaves its primary engine for a shorter queue is read as a whole at the
@@ -36,16 +49,24 @@
 
   /** By how much one more request raises the corrected load. */
   stepOf(engine: ServingEndpoint, nowMs: number): number {
+    const known = this.steps.get(engine.id);
+    if (known !== undefined) return known;
     const correction = findCorrection(engine.service, this.state);
     if (correction === undefined) return 1;
-    return (
-      correction.slownessOf(engine, nowMs) / correction.shareOf(engine, nowMs)
-    );
+    const share = correction.shareOf(engine, nowMs);
+    const step = this.slownessOf(engine, nowMs) / share;
+    this.steps.set(engine.id, step);
+    return step;
   }
 
   slownessOf(engine: ServingEndpoint, nowMs: number): number {
+    const known = this.slowness.get(engine.id);
+    if (known !== undefined) return known;
     const correction = findCorrection(engine.service, this.state);
-    return correction?.slownessOf(engine, nowMs) ?? 1;
+    if (correction === undefined) return 1;
+    const slowness = correction.slownessOf(engine, nowMs);
+    this.slowness.set(engine.id, slowness);
+    return slowness;
   }
 
   isSlow(engine: ServingEndpoint, nowMs: number): boolean {
--- a/packages/routing/src/load_controls.ts
+++ b/packages/routing/src/load_controls.ts
@@ -6,6 +6,11 @@
 export interface LoadControlsOptions {
   /** Whether callers compete for scarce capacity, by the settings (false). */
   readonly isCapacityScarce?: boolean;
+  /**
+   * Whether requests are placed and refused by tokens and shares as well
+   * (false). It takes several times the processor time of a placement.
+   */
+  readonly accountsForRoom?: boolean;
 }
 
 /**
--- a/packages/routing/src/prompt_placement.ts
+++ b/packages/routing/src/prompt_placement.ts
@@ -95,7 +95,7 @@
     super();
     this.monitor = options.monitor;
     this.loads = new CorrectedLoads(options);
-    this.sides = new SideChoice(options);
+    this.sides = new SideChoice(options, this.loads);
     this.random = options.random ?? Math.random;
   }
 
--- a/packages/routing/src/side_choice.ts
+++ b/packages/routing/src/side_choice.ts
@@ -1,7 +1,7 @@
 /** Chooses the side of the split of engines that serves a request. */
 
 import type {ServiceId} from '@snipestage/types/ids.js';
-import {CorrectedLoads} from './corrected_loads.js';
+import type {CorrectedLoads} from './corrected_loads.js';
 import type {DemandMeter, DemandSource, RouteDemand} from './demand_meter.js';
 import {
   findShortRoutes,
@@ -56,11 +56,10 @@
 
 /** See {@link PromptPlacement}. */
 export class SideChoice {
-  private readonly loads: CorrectedLoads;
-
-  constructor(private readonly options: SideChoiceOptions) {
-    this.loads = new CorrectedLoads(options);
-  }
+  constructor(
+    private readonly options: SideChoiceOptions,
+    private readonly loads: CorrectedLoads,
+  ) {}
 
   /**
    * The engines of the request's side of the split.
@@ -72,6 +71,7 @@
     usable: readonly ServingEndpoint[],
     request: {readonly route: Pick<Route, 'id'>; readonly nowMs: number},
   ): SplitSide {
+    this.loads.refresh();
     const service = usable[0].service;
     const {nowMs} = request;
     const {demand, recent} = this.sourcesFor(service, nowMs);
