--- a/review/lib/worker.js
+++ b/review/lib/worker.js
@@ -132,6 +132,8 @@
   }
 
   async stream(run, response, {events = 8, everyMs = 15} = {}) {
+    // Without chunks the answer ends with its channel.
+    response.useChunkedEncodingByDefault = !this.options.isUnframed;
     response.writeHead(200, {
       ...this.headersOf(run),
       'Content-Type': 'text/event-stream',
@@ -143,6 +145,7 @@
       await wait(everyMs);
     }
     response.end();
+    run.isWhole = true;
   }
 }
 
