Bound what is read of one answer of an endpoint

Callers saw: an endpoint answered one stream with lines that are no events, without end.

Cause: until the first event, EventRelay kept each block without an event as an object of its own, without a bound and uncounted. EventSplitter kept the bytes after the last event the same way, copied and searched them again with each part, and matched them with a nested expression at the end, which overflows the stack for 8 MB of line feeds. The same cause on related paths: the body of a whole answer (kept in its parts, one object for each byte of an answer in chunks of one byte, bounded only where a memory limit is set), the parsing of a whole JSON document to learn whether it is cut, blank lines and interim answers before a head, the events and bodies that the entry process reads, and one 'drain' listener for each event of a paused stream.

Change: a stream is given up once 1 MB has come without an event for its caller, whether that is a part of an event, comments, repeated events or anything else; a whole answer after 64 MB, a head after 64 kB. Parts are copied into blocks, each byte of a stream is read once, and bytes that wait for their event count in the memory of the instance. What a listener of an answer throws ends the request and not the process. Another endpoint takes over where the request may run again.

--- a/packages/connection/src/answer_end.ts
+++ b/packages/connection/src/answer_end.ts
@@ -1,6 +1,7 @@
 /** How the answer of an endpoint ended, and whether it is whole. */
 
 import type {IncomingHttpHeaders} from 'node:http';
+import {endsInsideJson} from './json_end.js';
 
 /** What says where an answer ends: its length, its chunks or its connection. */
 export type AnswerFraming = 'length' | 'chunks' | 'close';
@@ -89,6 +90,8 @@
   return content.isPartial ? 'inside_document' : 'closed';
 }
 
+/** Parsed, a document may occupy many times its size. */
+const MAX_PARSED_BYTES = 1_048_576;
 const JSON_TYPE = /^application\/(?:[^;]+\+)?json\b/i;
 
 /**
@@ -102,6 +105,7 @@
   body: Buffer,
 ): boolean {
   if (contentType === undefined || !JSON_TYPE.test(contentType)) return false;
+  if (body.length > MAX_PARSED_BYTES) return endsInsideJson(body);
   try {
     JSON.parse(body.toString());
     return false;
--- a/packages/entry/src/send/http_engine_driver.test.ts
+++ b/packages/entry/src/send/http_engine_driver.test.ts
@@ -153,3 +153,21 @@
   t.is(headers['x-request-priority'], '3');
   t.is(headers.authorization, undefined);
 });
+
+test('a stream without events that doesn’t end is given up', async t => {
+  // Guards against one answer that takes all memory of the process.
+  for (const block of ['x', '\n', 'no event\n\n', ': comment\n\n']) {
+    const part = block.repeat(10_000);
+    const url = await startEngine(t, response => {
+      const repeat = () => {
+        if (!response.destroyed) response.write(part, repeat);
+      };
+      response.writeHead(200, OWN_HEADERS);
+      repeat();
+    });
+    const error = await t.throwsAsync(read(callTo(url)), {
+      instanceOf: EndpointError,
+    });
+    t.is(error.kind, 'broken', JSON.stringify(block));
+  }
+});
--- a/packages/entry/src/send/http_service_driver.test.ts
+++ b/packages/entry/src/send/http_service_driver.test.ts
@@ -4,6 +4,8 @@
 import {EndpointError} from './endpoint_error.js';
 import {HttpServiceDriver} from './http_service_driver.js';
 
+/** Beyond the time that any answer takes that is given up. */
+const LONG_MS = 60_000;
 const HALF = 'HTTP/1.1 200 OK\r\n\r\nhalf of it';
 
 /** @param answer is called for each connection once a request has arrived. */
@@ -20,7 +22,7 @@
   return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-function call(url: string) {
+function call(url: string, timeoutMs = 5000) {
   return new HttpServiceDriver().call({
     url,
     method: 'GET',
@@ -29,7 +31,7 @@
     body: Buffer.alloc(0),
     attempt: brandAs('r.1'),
     signal: new AbortController().signal,
-    timeoutMs: 5000,
+    timeoutMs,
   });
 }
 
@@ -60,3 +62,18 @@
   const error = await t.throwsAsync(call(url), {instanceOf: EndpointError});
   t.is((error as EndpointError).kind, 'broken');
 });
+
+test('an answer that doesn’t end is given up', async t => {
+  // Guards against one answer that takes all memory of the process.
+  const part = 'x'.repeat(1_000_000);
+  const url = await startService(t, socket => {
+    const repeat = () => {
+      if (!socket.destroyed) socket.write(part, repeat);
+    };
+    socket.write('HTTP/1.1 200 OK\r\n\r\n', repeat);
+  });
+  const answer = call(url, LONG_MS);
+  const error = await t.throwsAsync(answer, {instanceOf: EndpointError});
+  t.like(error, {kind: 'broken', verdict: 'may_have_run'});
+  t.regex(error.message, /too long/);
+});
--- a/packages/entry/src/send/http_service_driver.ts
+++ b/packages/entry/src/send/http_service_driver.ts
@@ -6,6 +6,7 @@
   isPartialDocument,
   isWholeEnd,
 } from '@snipestage/connection/answer_end.js';
+import {MAX_ANSWER_BYTES} from '@snipestage/connection/answer_limits.js';
 import {closesCleanly} from '@snipestage/connection/closes_cleanly.js';
 import type {FreshConnection} from '@snipestage/connection/fresh_connection.js';
 import {acceptsConnections} from '@snipestage/connection/reachability.js';
@@ -68,11 +69,11 @@
   }
 }
 
-function send(
+async function send(
   call: ServiceCall,
   connection: FreshConnection,
 ): Promise<Response<Buffer>> {
-  return got(new URL(call.path, call.url), {
+  const answer = got(new URL(call.path, call.url), {
     method: call.method as Method,
     headers: {...call.headers, 'x-request-id': call.attempt},
     body: call.body.length > 0 ? call.body : undefined,
@@ -84,6 +85,19 @@
     throwHttpErrors: false,
     decompress: false,
   });
+  void answer.on('downloadProgress', ({transferred}) => {
+    if (transferred > MAX_ANSWER_BYTES) answer.cancel();
+  });
+  try {
+    return await answer;
+  } catch (error) {
+    if (!answer.isCanceled) throw error;
+    throw new EndpointError('The answer is too long.', {
+      kind: 'broken',
+      verdict: 'may_have_run',
+      cause: error,
+    });
+  }
 }
 
 /**
--- a/packages/gateway/src/answer_queue.ts
+++ b/packages/gateway/src/answer_queue.ts
@@ -17,6 +17,8 @@
   /** Bytes used of the last block. */
   private usedBytes = 0;
   private queuedBytes = 0;
+  /** Bytes read that aren't queued yet, such as a part of an event. */
+  private unsentBytes = 0;
   private isFull = false;
   private hasEnded = false;
   private isWhole = false;
@@ -44,6 +46,13 @@
     this.waiting.push(resume);
   }
 
+  /** Counts bytes that were read and are not queued yet. */
+  setUnsent(bytes: number): void {
+    if (bytes === this.unsentBytes) return;
+    this.unsentBytes = bytes;
+    this.measure();
+  }
+
   /** Ends a stream after what is queued. */
   end(): void {
     this.hasEnded = true;
@@ -122,6 +131,7 @@
   /** Counts whole blocks: that is what they occupy. */
   private readonly measure = (): void => {
     const blockBytes = this.blocks.length * BLOCK_BYTES;
-    this.held.set(this.response.writableLength + blockBytes, 'stream');
+    const queuedBytes = this.response.writableLength + blockBytes;
+    this.held.set(queuedBytes + this.unsentBytes, 'stream');
   };
 }
--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -47,6 +47,11 @@
     this.held?.set(bytes, 'whole_answer');
   }
 
+  /** Counts what has been read of a stream and can't be written yet. */
+  noteUnsent(bytes: number): void {
+    this.queue?.setUnsent(bytes);
+  }
+
   /** Handles the end of the connection: an unfinished answer is abandoned. */
   noteDisconnected(): void {
     if (this.isOver) return;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -23,6 +23,8 @@
   failedWithBrokenAnswer,
   failedWithoutHead,
   FOREIGN_ANSWER,
+  NO_EVENT_STREAM,
+  OVERSIZED_ANSWER,
 } from './failed_result.js';
 import type {MovedRun} from './migration/moved_run.js';
 import {OverdueWatch} from './overdue_watch.js';
@@ -151,15 +153,17 @@
 
   /** Passes the answer on to the caller, or returns why there is none. */
   async run(): Promise<AttemptResult> {
-    const head = await this.call.head;
-    if (head.kind === 'head') this.timing.noteHead();
-    const result =
-      head.kind === 'failed'
-        ? failedWithoutHead({...head, wasSilent: this.silence.hasFired})
-        : await this.handleHead(head.response);
-    this.silence.stop();
-    this.overdue.stop();
-    return result;
+    try {
+      const head = await this.call.head;
+      if (head.kind === 'head') return await this.handleHead(head.response);
+      return failedWithoutHead({...head, wasSilent: this.silence.hasFired});
+    } catch (error) {
+      this.call.cancel();
+      throw error;
+    } finally {
+      this.silence.stop();
+      this.overdue.stop();
+    }
   }
 
   private composeHeaders(): string[] {
@@ -258,6 +262,7 @@
   }
 
   private async handleHead(response: IncomingMessage): Promise<AttemptResult> {
+    this.timing.noteHead();
     const {context, request, placed} = this.options;
     const {protocol} = context;
     const head = protocol.readAnswer(
@@ -279,25 +284,34 @@
     const body = await readAnswerBody(this.call, response, bytes =>
       this.options.writer.noteReadAhead(bytes),
     );
-    if (body === undefined) return this.brokenAnswer();
+    if (body === 'broken') return this.brokenAnswer();
+    if (body === 'too_long') return this.refuse(OVERSIZED_ANSWER, response);
     if (!isOwn || !head.isSigned) return FOREIGN_ANSWER;
     return this.handleWholeAnswer(head, response, body);
   }
 
-  /** Its body says nothing, so that it doesn't matter how it ends. */
   private rejectedAnswer(
     {isMisdirected}: AnswerHead,
     response: IncomingMessage,
   ): FailedResult {
-    response.on('error', () => undefined);
-    this.call.cancel();
-    return {
+    const rejected: FailedResult = {
       kind: 'failed',
       verdict: 'not_run',
       endpointOutcome: isMisdirected ? 'unreachable' : 'rejected',
       reason: isMisdirected ? 'misdirected' : 'rejected',
       hasArrived: true,
     };
+    return this.refuse(rejected, response);
+  }
+
+  /** The rest of the answer says nothing: it doesn't matter how it ends. */
+  private refuse(
+    result: FailedResult,
+    response: IncomingMessage,
+  ): FailedResult {
+    response.on('error', () => undefined);
+    this.call.cancel();
+    return result;
   }
 
   private brokenAnswer(): FailedResult {
@@ -359,8 +373,10 @@
       onPaused: () => this.silence.pause(),
       onResumed: () => this.silence.restart(),
     });
-    const isWhole = await relay.run();
-    if (isWhole) return {kind: 'answered'};
+    const end = await relay.run();
+    writer.noteUnsent(0);
+    if (end === 'whole') return {kind: 'answered'};
+    if (end === 'no_event') return this.refuse(NO_EVENT_STREAM, response);
     const result = this.brokenAnswer();
     this.call.cancel();
     return result;
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -88,6 +88,9 @@
       readonly message: string;
     };
 
+/** Bytes before the end of the head, with interim answers and blank lines. */
+const MAX_HEAD_BYTES = 65_536;
+
 /**
  * Sends one request on a connection that is never shared or reused. An idle
  * connection may have gone dead, or may deliver a late answer to an earlier
@@ -197,6 +200,7 @@
       createConnection: () => connection.createConnection(),
     });
     this.request = request;
+    this.limitHead(request);
     const sending = new BodySending(request, body, {
       timeoutMs: this.options.unreadTimeoutMs ?? UNREAD_BODY_TIMEOUT_MS,
       onTimeout: () => this.endUnread(),
@@ -217,6 +221,24 @@
     });
   }
 
+  /** Node.js limits the head itself, but not what may come before it. */
+  private limitHead(request: ClientRequest): void {
+    request.once('socket', socket => {
+      let bytes = 0;
+      let hasHead = false;
+      const count = (part: Buffer) => {
+        bytes += part.length;
+        if (hasHead || bytes <= MAX_HEAD_BYTES) return;
+        request.destroy(new Error('more bytes than a head may have'));
+      };
+      socket.on('data', count);
+      request.once('response', () => {
+        hasHead = true;
+        socket.off('data', count);
+      });
+    });
+  }
+
   /** The endpoint may run what it has read so far: the verdict says so. */
   private endUnread(): void {
     this.wasUnread = true;
--- a/packages/gateway/src/event_relay.ts
+++ b/packages/gateway/src/event_relay.ts
@@ -2,6 +2,8 @@
 
 import type {IncomingMessage} from 'node:http';
 import type {AnswerContent} from '@snipestage/connection/answer_end.js';
+import {MAX_EVENT_BYTES} from '@snipestage/connection/answer_limits.js';
+import {CollectedBytes} from '@snipestage/connection/collected_bytes.js';
 import type {AnswerWriter} from './answer_writer.js';
 import type {EndpointCall} from './endpoint_call.js';
 import {EventSplitter, type ServerSentEvent} from './event_splitter.js';
@@ -20,6 +22,12 @@
   readonly onResumed: () => void;
 }
 
+/**
+ * How a stream ended: `whole`, `broken` off by its endpoint, or not read any
+ * further since what comes is `no_event`.
+ */
+export type StreamEnd = 'whole' | 'broken' | 'no_event';
+
 /**
  * Forwards one endpoint's stream. The head is sent with the first event, so
  * that until then another endpoint may take over with its own head. A stream
@@ -30,33 +38,61 @@
 export class EventRelay {
   private readonly splitter = new EventSplitter();
   /** Blocks before the first event; they commit this endpoint to nothing. */
-  private readonly preamble: Buffer[] = [];
+  private readonly preamble = new CollectedBytes();
+  private bytesSinceEvent = 0;
+  private isPaused = false;
+  private isOver = false;
 
   constructor(private readonly options: EventRelayOptions) {}
 
-  /** @returns whether the stream was complete. */
-  run(): Promise<boolean> {
-    const {call, response} = this.options;
-    return new Promise(resolve => {
-      response.on('data', (chunk: Buffer) => {
-        for (const event of this.splitter.push(chunk)) this.forward(event);
-      });
+  /**
+   * Resolves at the end of the stream. Rejects when reading it throws, which no
+   * listener of its response catches.
+   */
+  run(): Promise<StreamEnd> {
+    const {response} = this.options;
+    return new Promise((resolve, reject) => {
+      const settle = (end: StreamEnd) => {
+        this.isOver = true;
+        resolve(end);
+      };
+      const attempt = (read: () => void) => {
+        if (this.isOver) return;
+        try {
+          read();
+        } catch (error) {
+          this.isOver = true;
+          reject(error as Error);
+        }
+      };
+      response.on('data', (chunk: Buffer) =>
+        attempt(() => {
+          if (!this.take(chunk)) settle('no_event');
+        }),
+      );
       let hasEnded = false;
       response.on('end', () => {
         hasEnded = true;
-        for (const event of this.splitter.end()) this.forward(event);
-        void call.isWhole(response, this.content).then(isWhole => {
-          if (isWhole) this.finish();
-          resolve(isWhole);
+        attempt(() => {
+          this.forwardAll(this.splitter.end());
+          void this.end().then(settle, reject);
         });
       });
-      response.on('error', () => resolve(false));
+      response.on('error', () => settle('broken'));
       response.on('close', () => {
-        if (!hasEnded) resolve(false);
+        if (!hasEnded) settle('broken');
       });
     });
   }
 
+  private async end(): Promise<StreamEnd> {
+    const {call, response} = this.options;
+    const isWhole = await call.isWhole(response, this.content);
+    if (!isWhole) return 'broken';
+    this.finish();
+    return 'whole';
+  }
+
   private get content(): AnswerContent {
     const {splitter} = this;
     return {
@@ -74,22 +110,55 @@
     writer.finish();
   }
 
-  private forward(event: ServerSentEvent): void {
-    const {response, writer, onPaused, onResumed} = this.options;
-    if (isRepeated(event, writer.lastEventId)) return;
+  /** @returns false for bytes that can't belong to a stream of events. */
+  private take(chunk: Buffer): boolean {
+    const {writer} = this.options;
+    this.bytesSinceEvent += chunk.length;
+    this.forwardAll(this.splitter.push(chunk));
+    if (this.bytesSinceEvent > MAX_EVENT_BYTES) return false;
+    writer.noteUnsent(this.splitter.restBytes + this.preamble.length);
+    return true;
+  }
+
+  private forwardAll(events: readonly ServerSentEvent[]): void {
+    const forwarded: Buffer[] = [];
+    for (const event of events) {
+      if (this.accept(event)) forwarded.push(event.bytes);
+    }
+    // One write, as each costs several objects, however short the events are.
+    if (forwarded.length > 0) this.write(Buffer.concat(forwarded));
+  }
+
+  /** @returns whether it is to be written now. */
+  private accept(event: ServerSentEvent): boolean {
+    const {writer} = this.options;
+    if (isRepeated(event, writer.lastEventId)) return false;
     if (!event.isEvent && !writer.hasBegun) {
-      this.preamble.push(event.bytes);
-      return;
+      this.preamble.append(event.bytes);
+      return false;
     }
     this.begin();
     if (event.isEvent) {
+      this.bytesSinceEvent = this.splitter.restBytes;
       this.options.onEvent();
       writer.noteEvent(event.id, performance.now());
     }
-    if (writer.write(event.bytes)) return;
+    return true;
+  }
+
+  private write(bytes: Buffer): void {
+    if (!this.options.writer.write(bytes)) this.pause();
+  }
+
+  /** Stops reading until the caller has read. */
+  private pause(): void {
+    if (this.isPaused) return;
+    const {response, writer, onPaused, onResumed} = this.options;
+    this.isPaused = true;
     response.pause();
     onPaused();
     writer.whenDrained(() => {
+      this.isPaused = false;
       response.resume();
       onResumed();
     });
@@ -99,7 +168,7 @@
     const {writer, status, headers} = this.options;
     if (writer.hasBegun) return;
     writer.beginStream(status, headers);
-    for (const bytes of this.preamble) writer.write(bytes);
+    if (this.preamble.length > 0) writer.write(this.preamble.take());
   }
 }
 
--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -1,5 +1,7 @@
 /** Splits a stream of bytes into complete server-sent events. */
 
+import {CollectedBytes} from '@snipestage/connection/collected_bytes.js';
+
 /** A block of lines, including the blank line that ends it. */
 export interface ServerSentEvent {
   readonly bytes: Buffer;
@@ -14,24 +16,41 @@
 const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
 const ID_FIELD = /(?:^|[\r\n])id: ?([^\r\n]*)/;
 const DATA_FIELD = /(?:^|[\r\n])data(?:[:\r\n]|$)/;
-/** Blank lines and complete comment lines. */
-const NO_PART_OF_EVENT = /^(?:(?::[^\r\n]*)?[\r\n])*$/;
+/** A line that is neither blank nor a comment. */
+const FIELD_LINE = /(?:^|[\r\n])[^:\r\n]/;
+const ENDS_INSIDE_LINE = /[^\r\n]$/;
+const NO_BYTES = Buffer.alloc(0);
 
 /**
  * Emits complete events only. If an endpoint stops in the middle of an event,
  * the caller's stream still ends at the end of an event, so that it can be
  * resumed. Lines end with a line feed, a carriage return or both (HTML Living
  * Standard, section 9.2.6).
+ *
+ * Each byte is read once, however the bytes are split.
  */
 export class EventSplitter {
-  private rest: Buffer = Buffer.alloc(0);
+  private readonly rest = new CollectedBytes();
   private isAtStart = true;
+  private isLineBlank = true;
+  /** Whether the block has a line that isn't blank. */
+  private hasLine = false;
+  /** Whether the line before ended with a carriage return alone. */
+  private endsWithReturn = false;
+  /** The last byte is a carriage return; a line feed may belong to it. */
+  private isReturnOpen = false;
   /** Number of complete events so far. */
   eventCount = 0;
 
   /** Whether bytes have arrived of an event that is not complete. */
   get hasPartialEvent(): boolean {
-    return !NO_PART_OF_EVENT.test(this.readText(this.rest, this.isAtStart));
+    const text = this.readText(this.rest.toBuffer());
+    return FIELD_LINE.test(text) || ENDS_INSIDE_LINE.test(text);
+  }
+
+  /** Number of bytes after the last complete event. */
+  get restBytes(): number {
+    return this.rest.length;
   }
 
   /**
@@ -41,83 +60,91 @@
    * for (const event of splitter.push(chunk)) response.write(event.bytes);
    */
   push(chunk: Buffer): ServerSentEvent[] {
-    const bytes =
-      this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
-    return this.takeBlocks(bytes, false);
+    const events: ServerSentEvent[] = [];
+    let begin = 0;
+    for (;;) {
+      const end = this.findBlockEnd(chunk, begin);
+      if (end === undefined) break;
+      events.push(this.takeBlock(chunk.subarray(begin, end)));
+      begin = end;
+    }
+    this.rest.append(chunk.subarray(begin));
+    return events;
   }
 
-  /** Returns the events that are complete since no more bytes come. */
+  /** Returns the event that is complete since no more bytes come, if any. */
   end(): ServerSentEvent[] {
-    return this.takeBlocks(this.rest, true);
+    const isComplete = this.isReturnOpen && this.isLineBlank && this.hasLine;
+    return isComplete ? [this.takeBlock(NO_BYTES)] : [];
   }
 
   /** Removes and returns the bytes after the last complete event. */
   takeRest(): Buffer {
-    const rest = this.rest;
-    this.rest = Buffer.alloc(0);
-    return rest;
+    return this.rest.take();
   }
 
-  private takeBlocks(bytes: Buffer, isLast: boolean): ServerSentEvent[] {
-    const events: ServerSentEvent[] = [];
-    let begin = 0;
-    for (;;) {
-      const end = findBlockEnd(bytes, begin, isLast);
-      if (end === undefined) break;
-      events.push(this.readBlock(bytes.subarray(begin, end)));
-      begin = end;
+  /**
+   * Position after the blank line that ends the block; undefined if missing.
+   * Blank lines before the block's first line belong to it.
+   *
+   * A carriage return at the end of the bytes may be the first half of a line
+   * ending. It ends the block only if the line before ended with one alone: such
+   * endpoints would otherwise have each event held up until the next one.
+   */
+  private findBlockEnd(bytes: Buffer, begin: number): number | undefined {
+    for (let position = begin; position < bytes.length; position += 1) {
+      const byte = bytes[position];
+      if (this.isReturnOpen) {
+        const hasBoth = byte === LINE_FEED;
+        const end = hasBoth ? position + 1 : position;
+        if (this.endLine(!hasBoth)) return end;
+        if (hasBoth) continue;
+      }
+      if (byte === CARRIAGE_RETURN) this.isReturnOpen = true;
+      else if (byte !== LINE_FEED) this.isLineBlank = false;
+      else if (this.endLine(false)) return position + 1;
     }
-    this.rest = bytes.subarray(begin);
-    return events;
+    const isEnd =
+      this.isReturnOpen &&
+      this.isLineBlank &&
+      this.hasLine &&
+      this.endsWithReturn &&
+      begin < bytes.length;
+    return isEnd ? bytes.length : undefined;
   }
 
-  private readBlock(bytes: Buffer): ServerSentEvent {
-    const text = this.readText(bytes, this.isAtStart);
+  /** @returns whether the line ends its block. */
+  private endLine(endsWithReturn: boolean): boolean {
+    this.isReturnOpen = false;
+    const isEnd = this.isLineBlank && this.hasLine;
+    if (!this.isLineBlank) this.hasLine = true;
+    this.isLineBlank = true;
+    this.endsWithReturn = endsWithReturn;
+    return isEnd;
+  }
+
+  private takeBlock(end: Buffer): ServerSentEvent {
+    const bytes = this.restBytes === 0 ? end : this.takeWith(end);
+    const text = this.readText(bytes);
     this.isAtStart = false;
+    this.isReturnOpen = false;
+    this.isLineBlank = true;
+    this.hasLine = false;
+    this.endsWithReturn = false;
     const id = ID_FIELD.exec(text)?.[1];
     const isEvent = id !== undefined || DATA_FIELD.test(text);
     if (isEvent) this.eventCount += 1;
     return {bytes, id, isEvent};
   }
 
-  private readText(bytes: Buffer, isAtStart: boolean): string {
-    const text = bytes.toString('latin1');
-    const hasMark = isAtStart && text.startsWith(BYTE_ORDER_MARK);
-    return hasMark ? text.slice(BYTE_ORDER_MARK.length) : text;
+  private takeWith(end: Buffer): Buffer {
+    this.rest.append(end);
+    return this.rest.take();
   }
-}
 
-/**
- * Position after the blank line that ends the block; undefined if missing. Blank
- * lines before the block's first line belong to it.
- *
- * A carriage return at the end of the bytes may be the first half of a line
- * ending. It ends the block only if the line before ended with one alone: such
- * endpoints would otherwise have each event held up until the next one.
- */
-function findBlockEnd(
-  bytes: Buffer,
-  begin: number,
-  isLast: boolean,
-): number | undefined {
-  let lineStart = begin;
-  let hasLine = false;
-  let endsWithReturn = false;
-  for (let position = begin; position < bytes.length; position += 1) {
-    const byte = bytes[position];
-    if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) continue;
-    const isBlank = position === lineStart;
-    const isReturn = byte === CARRIAGE_RETURN;
-    const hasBoth = isReturn && bytes[position + 1] === LINE_FEED;
-    const isAmbiguous = isReturn && position + 1 === bytes.length;
-    if (hasBoth) position += 1;
-    if (isBlank && hasLine) {
-      const isEnd = !isAmbiguous || isLast || endsWithReturn;
-      return isEnd ? position + 1 : undefined;
-    }
-    if (!isBlank) hasLine = true;
-    endsWithReturn = isReturn && !hasBoth;
-    lineStart = position + 1;
+  private readText(bytes: Buffer): string {
+    const text = bytes.toString('latin1');
+    const hasMark = this.isAtStart && text.startsWith(BYTE_ORDER_MARK);
+    return hasMark ? text.slice(BYTE_ORDER_MARK.length) : text;
   }
-  return undefined;
 }
--- a/packages/gateway/src/failed_result.ts
+++ b/packages/gateway/src/failed_result.ts
@@ -21,6 +21,18 @@
   hasArrived: true,
 };
 
+/** An answer that isn't read any further, as it exceeds a bound. */
+export const OVERSIZED_ANSWER: FailedResult = {
+  ...FOREIGN_ANSWER,
+  reason: 'oversized_answer',
+};
+
+/** A stream that isn't read any further, as what comes is no event. */
+export const NO_EVENT_STREAM: FailedResult = {
+  ...FOREIGN_ANSWER,
+  reason: 'no_event',
+};
+
 /** A call that ended before the head of an answer. */
 export interface EndWithoutHead {
   readonly reason: CallFailureReason;
