Reject answers whose head can't be forwarded

Callers saw: an engine answered one stream with a space in the name of a header field.

Cause: Node.js parses field names that are empty or contain spaces, and final answers with status 0 to 99, but throws when they are written. The head of a stream is written in a listener, where nothing caught it. The same holds for the id of an event with a control character: the request that resumes the stream after it can't be written, and its connection stayed open. A `Retry-After` of 1e306 seconds left its endpoint out until its restart and went on to callers as `Infinity`.

Change: such a head is no answer, and nothing in it is believed; such an event breaks its stream off; no endpoint is left out for more than an hour.

Before, the test file of the gateway ended with ERR_INVALID_HTTP_TOKEN in the first of the new tests.

--- a/packages/entry/src/send/read_retry_after.test.ts
+++ b/packages/entry/src/send/read_retry_after.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {MAX_BACKOFF_MS} from '@snipestage/types/backoff.js';
 import {readRetryAfterMs} from './read_retry_after.js';
 
 test('a refusal requests backoff in seconds or until a date', t => {
@@ -17,3 +18,9 @@
     t.is(readRetryAfterMs(503, value), undefined, value);
   }
 });
+
+test('no endpoint is left out for longer than an hour', t => {
+  // Guards against one answer that excludes its endpoint until it restarts.
+  t.is(readRetryAfterMs(503, '1e306'), MAX_BACKOFF_MS);
+  t.is(readRetryAfterMs(503, 'Fri, 31 Dec 9999 23:59:59 GMT'), MAX_BACKOFF_MS);
+});
--- a/packages/entry/src/send/read_retry_after.ts
+++ b/packages/entry/src/send/read_retry_after.ts
@@ -1,5 +1,7 @@
 /** Reads for how long an endpoint that refuses wants no requests. */
 
+import {MAX_BACKOFF_MS} from '@snipestage/types/backoff.js';
+
 const UNAVAILABLE = 503;
 const SECOND_MS = 1000;
 
@@ -7,7 +9,7 @@
  * The time in `Retry-After` of a 503, given in seconds or as a date (RFC 9110,
  * section 10.2.3).
  *
- * @returns milliseconds; undefined when the endpoint doesn't request backoff.
+ * @returns milliseconds, at most {@link MAX_BACKOFF_MS}; undefined when the endpoint doesn't request backoff.
  * @example
  * const backoffMs = readRetryAfterMs(503, response.headers['retry-after']);
  */
@@ -19,9 +21,11 @@
   if (retryAfter.trim() === '') return undefined;
   const seconds = Number(retryAfter);
   if (Number.isFinite(seconds)) {
-    return seconds >= 0 ? seconds * SECOND_MS : undefined;
+    if (seconds < 0) return undefined;
+    return Math.min(seconds * SECOND_MS, MAX_BACKOFF_MS);
   }
   const atEpochMs = Date.parse(retryAfter);
   if (Number.isNaN(atEpochMs)) return undefined;
-  return Math.max(0, atEpochMs - Date.now());
+  const leftMs = Math.max(0, atEpochMs - Date.now());
+  return Math.min(leftMs, MAX_BACKOFF_MS);
 }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a request at one endpoint. */
 
 import type {IncomingMessage} from 'node:http';
+import {isWellFormedHead} from '@snipestage/connection/answer_head.js';
 import type {ReportedLoad} from '@snipestage/routing/endpoint_monitor.js';
 import type {AttemptEnd} from '@snipestage/routing/load_correction.js';
 import type {Placed} from '@snipestage/routing/placement.js';
@@ -23,6 +24,7 @@
   failedWithBrokenAnswer,
   failedWithoutHead,
   FOREIGN_ANSWER,
+  MALFORMED_HEAD,
   NO_EVENT_STREAM,
   OVERSIZED_ANSWER,
 } from './failed_result.js';
@@ -263,6 +265,8 @@
 
   private async handleHead(response: IncomingMessage): Promise<AttemptResult> {
     this.timing.noteHead();
+    if (!isWellFormedHead(response))
+      return this.refuse(MALFORMED_HEAD, response);
     const {context, request, placed} = this.options;
     const {protocol} = context;
     const head = protocol.readAnswer(
--- a/packages/gateway/src/endless_answers.test.ts
+++ b/packages/gateway/src/endless_answers.test.ts
@@ -210,6 +210,43 @@
   t.is(answer.body.length, bytes);
 });
 
+const MALFORMED_HEADS: Readonly<Record<string, string>> = {
+  'a space in a field name': 'HTTP/1.1 200 OK\r\nX Header: 1',
+  'an empty field name': 'HTTP/1.1 200 OK\r\n: 1',
+  'status 0': 'HTTP/1.1 000 None',
+  'status 99': 'HTTP/1.1 099 None',
+};
+
+for (const [name, head] of Object.entries(MALFORMED_HEADS)) {
+  for (const route of [STREAM, PLAIN]) {
+    test(`an answer with ${name} is no answer (${route.kind})`, async t => {
+      // Guards against an exception that ends the process when the head is
+      // forwarded, and against trusting what such an answer states.
+      const script: Script = (socket, request) =>
+        socket.end(
+          `${head}\r\nX-Request-Id: ${idOf(request)}\r\nX-Signature: p\r\n` +
+            `X-Not-Run: 1\r\n\r\n${EVENT}`,
+        );
+      const proxy = await start(t, route, [script]);
+      t.is((await proxy.call('one', {body: 'prompt'})).status, 502);
+      const line = proxy.log.lines.find(each =>
+        each.includes('attempt_failed'),
+      );
+      t.regex(line ?? '', /"reason":"malformed_head"/);
+    });
+  }
+}
+
+test('an event whose id can’t be sent in a header breaks its stream off', async t => {
+  // Guards against a stream that can't be resumed, and whose failed resumption
+  // leaves a connection open.
+  const script: Script = (socket, request) =>
+    socket.end(unframedHead(idOf(request)) + EVENT + 'id: 2\x00\ndata: b\n\n');
+  const proxy = await start(t, RESUMABLE, [script, script]);
+  const answer = await proxy.call('one', {body: 'prompt'});
+  t.like(answer, {status: 200, body: EVENT, isComplete: false});
+});
+
 test('an answer of one endpoint leaves the answers of others alone', async t => {
   // Guards against a process that ends, or stands still, for one bad answer.
   const whole: Script = (socket, request) =>
--- a/packages/gateway/src/event_relay.ts
+++ b/packages/gateway/src/event_relay.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import type {AnswerContent} from '@snipestage/connection/answer_end.js';
+import {isFieldValue} from '@snipestage/connection/answer_head.js';
 import {MAX_EVENT_BYTES} from '@snipestage/connection/answer_limits.js';
 import {CollectedBytes} from '@snipestage/connection/collected_bytes.js';
 import type {AnswerWriter} from './answer_writer.js';
@@ -74,8 +75,8 @@
       response.on('end', () => {
         hasEnded = true;
         attempt(() => {
-          this.forwardAll(this.splitter.end());
-          void this.end().then(settle, reject);
+          if (!this.forwardAll(this.splitter.end())) settle('no_event');
+          else void this.end().then(settle, reject);
         });
       });
       response.on('error', () => settle('broken'));
@@ -114,19 +115,24 @@
   private take(chunk: Buffer): boolean {
     const {writer} = this.options;
     this.bytesSinceEvent += chunk.length;
-    this.forwardAll(this.splitter.push(chunk));
+    if (!this.forwardAll(this.splitter.push(chunk))) return false;
     if (this.bytesSinceEvent > MAX_EVENT_BYTES) return false;
     writer.noteUnsent(this.splitter.restBytes + this.preamble.length);
     return true;
   }
 
-  private forwardAll(events: readonly ServerSentEvent[]): void {
+  /** @returns false if one of them can't be forwarded. */
+  private forwardAll(events: readonly ServerSentEvent[]): boolean {
     const forwarded: Buffer[] = [];
-    for (const event of events) {
+    // An id has to fit into a header when the stream is resumed after it.
+    const isValid = events.every(event => {
+      if (event.id !== undefined && !isFieldValue(event.id)) return false;
       if (this.accept(event)) forwarded.push(event.bytes);
-    }
+      return true;
+    });
     // One write, as each costs several objects, however short the events are.
     if (forwarded.length > 0) this.write(Buffer.concat(forwarded));
+    return isValid;
   }
 
   /** @returns whether it is to be written now. */
--- a/packages/gateway/src/failed_result.ts
+++ b/packages/gateway/src/failed_result.ts
@@ -21,6 +21,12 @@
   hasArrived: true,
 };
 
+/** An answer whose head breaks the protocol; nothing in it is believed. */
+export const MALFORMED_HEAD: FailedResult = {
+  ...FOREIGN_ANSWER,
+  reason: 'malformed_head',
+};
+
 /** An answer that isn't read any further, as it exceeds a bound. */
 export const OVERSIZED_ANSWER: FailedResult = {
   ...FOREIGN_ANSWER,
--- a/packages/routing/src/endpoint_announcements.ts
+++ b/packages/routing/src/endpoint_announcements.ts
@@ -1,5 +1,6 @@
 /** Keeps what endpoints announce of themselves in their answers. */
 
+import {MAX_BACKOFF_MS} from '@snipestage/types/backoff.js';
 import type {EndpointId} from '@snipestage/types/ids.js';
 import {
   isOtherIncarnation,
@@ -47,7 +48,7 @@
     nowMs: number,
   ): void {
     const announced = this.of(incarnation);
-    const backoffUntilMs = nowMs + backoffMs;
+    const backoffUntilMs = nowMs + Math.min(backoffMs, MAX_BACKOFF_MS);
     announced.backoffUntilMs = Math.max(
       announced.backoffUntilMs,
       backoffUntilMs,
