Plan the retry of a silent stream before giving up its attempt

Callers saw: sound engines fell silent for a second or more while the configuration changed, and streams of resumable routes were broken off in the middle, at times several at once at one instance. Their callers had to take them up again.

Cause: when an endpoint was silent for too long, its attempt was cancelled if the retry budget had room; the retry was taken from the budget later, once the attempt had failed. All streams of a pause reach the limit within moments, so that several of them saw the same last retry: one went on elsewhere, the others had lost their sound endpoint and were broken off. Other bounds of a retry, such as the number of offers and the time left, and whether an endpoint could be chosen, were also looked at only after the attempt had been cancelled.

Change: the next endpoint is chosen and its retry is taken before the attempt is cancelled; without both, the attempt goes on. An endpoint's silence alone no longer ends an answer.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -60,8 +60,13 @@
   readonly placed: Placed;
   /** Suspect parts of the prompt of which the attempt is a trial. */
   readonly trial: readonly PromptPartId[];
-  /** Whether another endpoint may be tried if this one is silent. */
-  readonly maySwitch: () => boolean;
+  /**
+   * Plans an attempt at another endpoint since this one is silent; returns
+   * whether there is one.
+   *
+   * @param hasArrived whether the endpoint may have received the request.
+   */
+  readonly planTakeover: (hasArrived: boolean) => boolean;
   /** Whether no other endpoint is left to try. */
   readonly isLast: () => boolean;
   /** Called, possibly repeatedly, once the endpoint has begun the request. */
@@ -236,7 +241,7 @@
    * @returns whether it was cancelled.
    */
   private cancelOnSilence(): boolean {
-    if (!this.options.maySwitch()) return false;
+    if (!this.options.planTakeover(this.verdict !== 'not_run')) return false;
     this.call.cancel();
     return true;
   }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -4,6 +4,7 @@
   decideAfterFailure,
   failureFor,
   mayRunAgain,
+  type AttemptDecision,
 } from '@snipestage/routing/attempt_policy.js';
 import {ReadFirstTimeout} from '@snipestage/connection/read_first_timeout.js';
 import {AttemptHistory} from '@snipestage/routing/attempt_history.js';
@@ -40,6 +41,13 @@
   readonly run: MovedRun;
 }
 
+/** The attempt that replaces one whose endpoint is silent. */
+interface Takeover {
+  readonly placed: Placed;
+  /** Whether its retry has been taken from the budget. */
+  readonly isPaid: boolean;
+}
+
 /** What belongs to one attempt. */
 interface AttemptParts {
   readonly observation: AttemptObservation;
@@ -52,6 +60,7 @@
   private readonly history = new AttemptHistory();
   private verdict: Verdict = 'not_run';
   private current: Attempt | undefined;
+  private takeover: Takeover | undefined;
   private hasExpired = false;
   private hasBegunRun = false;
   /** Set once an event of the stream has been sent to a caller. */
@@ -211,7 +220,7 @@
   private async attemptUntilAnswered(): Promise<void> {
     for (;;) {
       if (this.writer.isOver) return;
-      const placed = this.choose();
+      const placed = this.takePlanned() ?? this.choose();
       if (placed === undefined) {
         if (this.history.tried.size === 0) this.noteNoEndpoint();
         return this.fail();
@@ -298,26 +307,21 @@
     });
   }
 
+  private takePlanned(): Placed | undefined {
+    const {takeover} = this;
+    this.takeover = undefined;
+    return takeover?.placed;
+  }
+
   private mayRetry(result: FailedResult): boolean {
     const {state, nowMs} = this.context;
-    const {route, service} = this.request.admission;
+    const {service} = this.request.admission;
     this.lastReason = result.reason;
     this.lastFailure = result.answer ?? this.lastFailure;
     const {runs, offers, unreached} = this.history;
-    const decision = decideAfterFailure({
-      route,
-      verdict: result.verdict,
-      runs,
-      offers,
-      unreached,
-      deliveredEvents: this.writer.events,
-      leftMs: this.request.endsAtMs - nowMs(),
-      untried: this.listUntried().length,
-      isIsolated: result.reason === 'isolated',
-      hasArrived: result.hasArrived,
-    });
+    const decision = this.decide(result, {runs, offers, unreached});
     if (decision.kind === 'give_up') return false;
-    if (!decision.needsBudget) return true;
+    if (!decision.needsBudget || this.takeover?.isPaid === true) return true;
     if (state.budgetFor(service).tryTake(nowMs())) return true;
     this.isRetryBudgetSpent = true;
     this.context.metrics.countUnaffordableRetry(service);
@@ -437,7 +441,7 @@
       writer,
       placed,
       trial: request.trial,
-      maySwitch: () => this.maySwitch(),
+      planTakeover: hasArrived => this.planTakeover(hasArrived),
       isLast: () => this.listUntried().length === 0,
       onBegun: () => this.noteBegun(),
       movedRun,
@@ -450,17 +454,48 @@
     });
   }
 
+  /** @param counts of attempts, that of the failure included. */
+  private decide(
+    failure: Pick<FailedResult, 'verdict' | 'reason' | 'hasArrived'>,
+    counts: Pick<AttemptHistory, 'runs' | 'offers' | 'unreached'>,
+  ): AttemptDecision {
+    return decideAfterFailure({
+      ...counts,
+      route: this.request.admission.route,
+      verdict: failure.verdict,
+      deliveredEvents: this.writer.events,
+      leftMs: this.request.endsAtMs - this.context.nowMs(),
+      untried: this.listUntried().length,
+      isIsolated: failure.reason === 'isolated',
+      hasArrived: failure.hasArrived,
+    });
+  }
+
   /**
-   * Whether the request may run on another endpoint too, one is left to try,
-   * and the retry budget has room.
+   * Plans the attempt that replaces the current one, whose endpoint is silent. A
+   * sound endpoint goes on after a pause: nothing is given up before another one
+   * is chosen and the retry is taken from the budget.
    */
-  private maySwitch(): boolean {
+  private planTakeover(hasArrived: boolean): boolean {
     const {route, service} = this.request.admission;
     const {state, nowMs} = this.context;
-    if (!mayRunAgain(route) || this.history.runs + 1 >= route.maxAttempts)
-      return false;
-    const hasOther = this.listUntried().length > 0;
-    return hasOther && state.budgetFor(service).hasRoom(nowMs());
+    const {runs, offers, unreached} = this.history;
+    if (!mayRunAgain(route) || runs + 1 >= route.maxAttempts) return false;
+    const verdict = hasArrived ? 'may_have_run' : 'not_run';
+    const silent = {verdict, reason: 'silent', hasArrived} as const;
+    const decision = this.decide(silent, {
+      runs: hasArrived ? runs + 1 : runs,
+      offers: hasArrived ? offers + 1 : offers,
+      unreached: hasArrived ? unreached : unreached + 1,
+    });
+    if (decision.kind === 'give_up') return false;
+    const budget = state.budgetFor(service);
+    if (decision.needsBudget && !budget.hasRoom(nowMs())) return false;
+    const placed = this.choose();
+    if (placed === undefined) return false;
+    const isPaid = decision.needsBudget && budget.tryTake(nowMs());
+    this.takeover = {placed, isPaid};
+    return true;
   }
 
   /** Endpoints not tried yet that may be offered a request. */
