Give a slow store more time to tell a stream's version

Callers saw: streams that had broken off were refused with 503 when they were taken up, while new ones began.

Cause: whoever is asked to go on with a stream that another instance began reads its version from the store, and refused after 400 ms without an answer. A store that answers a little later, as when many instances read a new configuration on a busy machine, thus loses streams whose callers come back once.

Change: the look-up may take a quarter of the caller's time left, from 400 to 1,500 ms.

The new test fails with the old limit: its store answers after 700 ms.

--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -243,7 +243,7 @@
       line.reason = 'suspected_crash';
       return undefined;
     }
-    const origin = await this.findOrigin(caller, admission, line);
+    const origin = await this.findOrigin(caller, admission, endsAtMs, line);
     if (origin === 'unknown') {
       writer.fail(
         UNAVAILABLE,
@@ -280,12 +280,18 @@
   private async findOrigin(
     {lastEventId, resumes}: CallerRequest,
     {route, service, clientAccount}: Admission,
+    endsAtMs: number,
     line: Record<string, unknown>,
   ): Promise<StreamOrigin | 'unknown' | undefined> {
     const isResumption = route.isResumable && lastEventId !== undefined;
     if (!isResumption) return undefined;
-    const {streams, metrics} = this.options;
-    const resolved = await streams.resolve({clientAccount, resumes, service});
+    const {streams, metrics, nowMs} = this.options;
+    const resolved = await streams.resolve({
+      clientAccount,
+      resumes,
+      service,
+      timeLeftMs: endsAtMs - nowMs(),
+    });
     const isTarget =
       resolved.kind === 'known' &&
       route.targets.some(each => each.service === resolved.origin.service);
--- a/packages/gateway/src/stream_versions.test.ts
+++ b/packages/gateway/src/stream_versions.test.ts
@@ -9,6 +9,7 @@
   type SoftwareVersion,
 } from '@snipestage/types/ids.js';
 import {RoutingState} from './routing_state.js';
+import {encodeVersions, versionsRowKey} from './streams/stream_rows.js';
 import {Streams} from './streams/streams.js';
 import {CapturedLog} from './test_support/captured_log.js';
 import {MemoryPlatform} from './test_support/memory_platform.js';
@@ -289,6 +290,45 @@
   t.is(calls, 1);
 });
 
+test('a stream is looked up in a slow store while its caller has time', async t => {
+  // Guards against refusing streams that could go on, as the store takes longer
+  // to answer while many instances read a new configuration.
+  const platform = new MemoryPlatform();
+  const service = brandAs<ServiceId>('s');
+  const readRows = platform.readRows.bind(platform);
+  platform.readRows = async keys => {
+    await new Promise(done => setTimeout(done, 700));
+    return readRows(keys);
+  };
+  const streams = new Streams({
+    platform,
+    state: new RoutingState({ratio: 1, windowMs: 1, slack: 1, floor: 1}),
+    logger: new CapturedLog().logger,
+    nowMs: () => performance.now(),
+  });
+  await platform.transact({
+    checks: [],
+    writes: [
+      {
+        key: versionsRowKey(service),
+        value: encodeVersions(new Set([brandAs<SoftwareVersion>('v1')])),
+      },
+    ],
+  });
+  const resumption = {
+    clientAccount: undefined,
+    resumes: brandAs<RequestId>('one'),
+    service,
+  };
+  t.like(await streams.resolve({...resumption, timeLeftMs: 1000}), {
+    kind: 'unknown',
+  });
+  t.like(await streams.resolve({...resumption, timeLeftMs: 6000}), {
+    kind: 'known',
+    source: 'single_version',
+  });
+});
+
 test('a stream of another client account is unknown', async t => {
   // Guards against callers that learn of the streams of others, or take them up.
   const platform = new MemoryPlatform();
--- a/packages/gateway/src/streams/streams.ts
+++ b/packages/gateway/src/streams/streams.ts
@@ -40,6 +40,8 @@
   readonly resumes: RequestId | undefined;
   /** Service to which the route leads now. */
   readonly service: ServiceId;
+  /** Until the caller's time is over (0). */
+  readonly timeLeftMs?: number;
 }
 
 /**
@@ -62,6 +64,13 @@
       readonly reason: 'stream_unknown' | 'stream_not_looked_up';
     };
 
+/** What is asked of the store. */
+interface Question {
+  readonly key: StreamKey | undefined;
+  readonly service: ServiceId;
+  readonly timeoutMs: number;
+}
+
 /** What was read of a stream and of the published versions. */
 interface LookUp {
   readonly isAvailable: boolean;
@@ -71,7 +80,13 @@
 
 /** Longer than the longest timeouts of streams and their callers. */
 const KEEP_MS = 120_000;
-const LOOK_UP_TIMEOUT_MS = 400;
+/**
+ * Share of the caller's time left that a slow store may take, within bounds: a
+ * stream that is refused may be lost, as callers don't come back often.
+ */
+const LOOK_UP_TIME_LEFT_SHARE = 0.25;
+const MIN_LOOK_UP_TIMEOUT_MS = 400;
+const MAX_LOOK_UP_TIMEOUT_MS = 1500;
 /** A record may be on its way to the store. */
 const SECOND_LOOK_AFTER_MS = 120;
 /** Made-up attempts must not keep the store busy. */
@@ -171,35 +186,34 @@
    * const resolved = await streams.resolve({clientAccount, resumes, service});
    */
   async resolve(resumption: Resumption): Promise<ResolvedOrigin> {
-    const {clientAccount, resumes, service} = resumption;
+    const {clientAccount, resumes, service, timeLeftMs = 0} = resumption;
     const key = streamKeyOf(clientAccount, resumes);
     const remembered = key && this.known.find(key);
     if (remembered !== undefined) return toResolved(remembered, 'memory');
     if (this.lookUps >= MAX_LOOK_UPS) return NOT_LOOKED_UP;
     this.lookUps += 1;
     try {
-      return await this.lookUpTwice(key, service);
+      const timeoutMs = lookUpTimeoutMs(timeLeftMs);
+      return await this.lookUpTwice({key, service, timeoutMs});
     } finally {
       this.lookUps -= 1;
     }
   }
 
-  private async lookUpTwice(
-    key: StreamKey | undefined,
-    service: ServiceId,
-  ): Promise<ResolvedOrigin> {
-    const first = await this.lookUpOrigin(key, service);
-    if (first !== STREAM_UNKNOWN || key === undefined) return first;
+  private async lookUpTwice(question: Question): Promise<ResolvedOrigin> {
+    const first = await this.lookUpOrigin(question);
+    if (first !== STREAM_UNKNOWN || question.key === undefined) return first;
     await new Promise(done => setTimeout(done, SECOND_LOOK_AFTER_MS));
-    return this.lookUpOrigin(key, service);
+    return this.lookUpOrigin(question);
   }
 
-  private async lookUpOrigin(
-    key: StreamKey | undefined,
-    service: ServiceId,
-  ): Promise<ResolvedOrigin> {
+  private async lookUpOrigin({
+    key,
+    service,
+    timeoutMs,
+  }: Question): Promise<ResolvedOrigin> {
     const lookUp = await resolveWithin(this.read(key, service), {
-      timeoutMs: LOOK_UP_TIMEOUT_MS,
+      timeoutMs,
       otherwise: UNAVAILABLE,
     });
     const {isAvailable, recorded, versions} = lookUp;
@@ -269,6 +283,14 @@
   }
 }
 
+function lookUpTimeoutMs(timeLeftMs: number): number {
+  const shareMs = LOOK_UP_TIME_LEFT_SHARE * timeLeftMs;
+  return Math.min(
+    MAX_LOOK_UP_TIMEOUT_MS,
+    Math.max(MIN_LOOK_UP_TIMEOUT_MS, shareMs),
+  );
+}
+
 function toResolved(
   recorded: RecordedOrigin,
   source: OriginSource,
