Test streams that are taken up after all instances were lost

Report of other operators: clients took up streams after all instances had been killed at once, while two software versions served or the old one had just left, and were answered with the rest of the new version's text.

Here the version of a stream is known by its record, or by the single version that the service has published; both are in the store and outlast the instances. An instance that starts keeps every published version for as long as callers may come back, and with two of them a stream without a record is refused and sent nowhere.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -308,9 +308,13 @@
   }
 
   private takePlanned(): Placed | undefined {
-    const {takeover} = this;
+    const {takeover, origin} = this;
     this.takeover = undefined;
-    return takeover?.placed;
+    if (takeover === undefined) return undefined;
+    // It may have been chosen before the first event of the stream came.
+    const {placed} = takeover;
+    const isFit = origin === undefined || mayContinue(placed.endpoint, origin);
+    return isFit ? placed : undefined;
   }
 
   private mayRetry(result: FailedResult): boolean {
--- a/packages/gateway/src/stream_versions.test.ts
+++ b/packages/gateway/src/stream_versions.test.ts
@@ -241,6 +241,70 @@
   t.is(countBegun(cluster), begunBefore);
 });
 
+/** Starts an instance of a store which lists these engines. */
+async function startMember(
+  t: ExecutionContext,
+  platform: MemoryPlatform,
+  listed: Readonly<Record<string, TestEndpoint>>,
+) {
+  const member = await startGateway({
+    platform,
+    graceMs: 200,
+    routes: [{...SLOW_ROUTE, ...RESUMABLE}],
+  });
+  t.teardown(() => member.gateway.stop());
+  const list = (version: string, {address}: TestEndpoint) =>
+    member.endpoints.put(`engine-${version}@${address}@${version}`);
+  for (const [version, engine] of Object.entries(listed)) list(version, engine);
+  member.configuration.put('1');
+  await waitUntil(() => member.gateway.isReady);
+  return {...member, list};
+}
+
+for (const [name, hasOldLeft] of [
+  ['serves beside it', false],
+  ['has just left', true],
+] as const) {
+  for (const isPublished of [true, false]) {
+    const when = isPublished ? 'after' : 'before';
+    test(`no stream goes on at a new version when all instances were lost ${when} they published it and the old one ${name}`, async t => {
+      // Guards against streams that are joined from two versions since nothing
+      // that has outlasted the instances names the old one.
+      const platform = new MemoryPlatform();
+      const [v1, v2] = [await startEngine(t, 'v1'), await startEngine(t, 'v2')];
+      const first = await startMember(t, platform, {v1});
+      const begun: string[] = [];
+      for (let call = 0; call < CALLS; call += 1) {
+        begun.push((await begin(first.callers, `call-${call}`))[0]);
+      }
+      if (!isPublished) platform.isAway = true;
+      first.list('v2', v2);
+      if (isPublished) await waitUntil(() => first.lines.some(learntBoth));
+      platform.isAway = true;
+      await first.gateway.stop();
+      platform.isAway = false;
+      const listed: Record<string, TestEndpoint> = hasOldLeft ? {v2} : {v1, v2};
+      const second = await startMember(t, platform, listed);
+      const countBefore = v2.begun.length;
+      for (const resumes of begun) {
+        const answer = await stream(second.callers, `next-${resumes}`, {
+          resumes,
+        });
+        t.deepEqual(
+          versionsIn(answer.body),
+          answer.status === 200 ? ['v1'] : [],
+        );
+        t.true(answer.status === 200 || answer.status === 503);
+        if (hasOldLeft) t.is(answer.status, 503);
+      }
+      t.is(v2.begun.length, countBefore);
+    });
+  }
+}
+
+const learntBoth = (line: string): boolean =>
+  line.includes('software_versions_learnt') && line.includes('"v2"');
+
 test('while the store is away a stream goes on where it began, and is refused elsewhere', async t => {
   // Guards against a guess of an instance that is cut off.
   const cluster = await startInstances(t, ['v1', 'v2']);
