Test answers that end inside their head

Report of other operators: an endpoint stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole.

Here such an answer never has a head: Node.js reports the close and the reset alike as an error of the call, over direct and forwarded connections.

--- a/packages/entry/src/send/http_service_driver.test.ts
+++ b/packages/entry/src/send/http_service_driver.test.ts
@@ -77,3 +77,15 @@
   t.like(error, {kind: 'broken', verdict: 'may_have_run'});
   t.regex(error.message, /too long/);
 });
+
+test('a head that ends midway is no answer', async t => {
+  // Guards against a success without a body for a service that stopped inside
+  // its head.
+  const head = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n';
+  for (let cutAt = 0; cutAt < head.length; cutAt += 1) {
+    const part = head.slice(0, cutAt);
+    const url = await startService(t, socket => socket.end(part));
+    const error = await t.throwsAsync(call(url), {instanceOf: EndpointError});
+    t.like(error, {kind: 'broken', verdict: 'may_have_run'}, String(cutAt));
+  }
+});
--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -257,6 +257,22 @@
   }
 });
 
+test('a head that ends midway is no answer through another instance either', async t => {
+  // Guards against a success without a body for an endpoint that stopped inside
+  // its head, behind a forwarder that ends the connection in good order.
+  const head = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n';
+  for (const cutAt of [0, 8, 17, 20, 36, head.length - 2, head.length - 1]) {
+    const endpoint = await listen(t, socket =>
+      onRequest(socket, () => socket.end(head.slice(0, cutAt))),
+    );
+    const [isolated] = await startMembers(t, 2, [endpoint]);
+    isolated.hasLinks = false;
+    const call = callThrough(isolated, endpoint);
+    t.is((await call.head).kind, 'failed', String(cutAt));
+    t.is(call.path, 'forwarded');
+  }
+});
+
 test('a caller that leaves ends the work at the endpoint', async t => {
   // Guards against an endpoint that works on behind a forwarder for nobody.
   let hasArrived = false;
