Take only chunks as the last transfer coding for framing

Found while looking at answers whose head or body is cut: an answer with a transfer coding other than chunks (`gzip`, `identity`) ends with its connection (RFC 9112, section 6.3), but counted as complete by its chunks. When its endpoint reset the connection or was gone, what had come was passed on as whole.

Result: the new test fails on the code before ('chunks' for `gzip`) and passes now.

--- a/packages/connection/src/answer_end.test.ts
+++ b/packages/connection/src/answer_end.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {
   classifyAnswerEnd,
+  framingOf,
   isPartialDocument,
   type AnswerContent,
   type AnswerEnd,
@@ -42,6 +43,16 @@
   }
 });
 
+test('chunks delimit an answer only as its last transfer coding', t => {
+  // Guards against an answer that ends with its connection, and so may be cut,
+  // but is taken for one that is complete by its chunks.
+  t.is(framingOf({'transfer-encoding': 'chunked'}), 'chunks');
+  t.is(framingOf({'transfer-encoding': 'gzip, Chunked'}), 'chunks');
+  t.is(framingOf({'transfer-encoding': 'gzip'}), 'close');
+  t.is(framingOf({'transfer-encoding': 'chunked, gzip'}), 'close');
+  t.is(framingOf({'transfer-encoding': 'identity'}), 'close');
+});
+
 test('only a JSON document can be less than its media type needs', t => {
   const half = Buffer.from('{"a":');
   t.true(isPartialDocument('application/json; charset=utf-8', half));
--- a/packages/connection/src/answer_end.ts
+++ b/packages/connection/src/answer_end.ts
@@ -57,6 +57,8 @@
   readonly end: AnswerEnd;
 }
 
+const ENDS_CHUNKED = /(?:^|,)\s*chunked\s*$/i;
+
 /**
  * Reads from the headers what ends an answer (RFC 9112, section 6.3).
  *
@@ -64,7 +66,10 @@
  * framingOf({'content-length': '12'}); // 'length'
  */
 export function framingOf(headers: IncomingHttpHeaders): AnswerFraming {
-  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  const codings = headers['transfer-encoding'];
+  // With another last coding, the answer ends with its connection.
+  if (codings !== undefined)
+    return ENDS_CHUNKED.test(codings) ? 'chunks' : 'close';
   return headers['content-length'] === undefined ? 'close' : 'length';
 }
 
