--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -50,8 +50,8 @@
     edits: [
       {
         module: 'gateway/dist/event_relay.js',
-        from: "response.on('error', () => resolve(false));",
-        to: "response.on('error', () => { this.finish(); resolve(true); });",
+        from: "response.on('error', () => settle('broken'));",
+        to: "response.on('error', () => { this.finish(); settle('whole'); });",
       },
     ],
   },
