Choose after a failed connection with what it has shown

Cause: the retry of a silent attempt is planned before the attempt is cancelled. For one that is still connecting, the endpoint was thus chosen before the failure was recorded against its data centre, possibly in the same one that can't be reached.

Change: only an attempt that may have reached its endpoint has its retry planned; it is what can be lost. After a failure to connect the choice is made as before.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -41,13 +41,6 @@
   readonly run: MovedRun;
 }
 
-/** The attempt that replaces one whose endpoint is silent. */
-interface Takeover {
-  readonly placed: Placed;
-  /** Whether its retry has been taken from the budget. */
-  readonly isPaid: boolean;
-}
-
 /** What belongs to one attempt. */
 interface AttemptParts {
   readonly observation: AttemptObservation;
@@ -60,7 +53,11 @@
   private readonly history = new AttemptHistory();
   private verdict: Verdict = 'not_run';
   private current: Attempt | undefined;
-  private takeover: Takeover | undefined;
+  /**
+   * Replaces an attempt whose endpoint is silent; its retry has been taken from
+   * the budget.
+   */
+  private takeover: Placed | undefined;
   private hasExpired = false;
   private hasBegunRun = false;
   /** Set once an event of the stream has been sent to a caller. */
@@ -310,11 +307,9 @@
   private takePlanned(): Placed | undefined {
     const {takeover, origin} = this;
     this.takeover = undefined;
-    if (takeover === undefined) return undefined;
+    if (takeover === undefined || origin === undefined) return takeover;
     // It may have been chosen before the first event of the stream came.
-    const {placed} = takeover;
-    const isFit = origin === undefined || mayContinue(placed.endpoint, origin);
-    return isFit ? placed : undefined;
+    return mayContinue(takeover.endpoint, origin) ? takeover : undefined;
   }
 
   private mayRetry(result: FailedResult): boolean {
@@ -325,7 +320,7 @@
     const {runs, offers, unreached} = this.history;
     const decision = this.decide(result, {runs, offers, unreached});
     if (decision.kind === 'give_up') return false;
-    if (!decision.needsBudget || this.takeover?.isPaid === true) return true;
+    if (!decision.needsBudget || this.takeover !== undefined) return true;
     if (state.budgetFor(service).tryTake(nowMs())) return true;
     this.isRetryBudgetSpent = true;
     this.context.metrics.countUnaffordableRetry(service);
@@ -494,12 +489,13 @@
     });
     if (decision.kind === 'give_up') return false;
     const budget = state.budgetFor(service);
-    if (decision.needsBudget && !budget.hasRoom(nowMs())) return false;
+    if (!budget.hasRoom(nowMs())) return false;
+    // The choice after a failure to connect goes by that failure, too.
+    if (!decision.needsBudget) return true;
     const placed = this.choose();
     if (placed === undefined) return false;
-    const isPaid = decision.needsBudget && budget.tryTake(nowMs());
-    this.takeover = {placed, isPaid};
-    return true;
+    this.takeover = placed;
+    return budget.tryTake(nowMs());
   }
 
   /** Endpoints not tried yet that may be offered a request. */
