--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -490,7 +490,7 @@
     if (decision.kind === 'give_up') return false;
     const budget = state.budgetFor(service);
     if (!budget.hasRoom(nowMs())) return false;
-    // The choice after a failure to connect goes by that failure, too.
+    // After a failed connection the placement avoids its data centre.
     if (!decision.needsBudget) return true;
     const placed = this.choose();
     if (placed === undefined) return false;
--- a/packages/gateway/src/streams/streams.ts
+++ b/packages/gateway/src/streams/streams.ts
@@ -64,7 +64,7 @@
       readonly reason: 'stream_unknown' | 'stream_not_looked_up';
     };
 
-/** What is asked of the store. */
+/** A stream whose version is looked up in the store, and the timeout. */
 interface Question {
   readonly key: StreamKey | undefined;
   readonly service: ServiceId;
