Let a soak limit the processor time of instances and connect callers directly

A proxy in front of an instance accepts and buffers for it, so that no soak showed what a busy instance does to connections that wait; and instances of a soak got as much processor time as they asked for.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -50,6 +50,8 @@
   readonly services: number;
   readonly dataCentres: number;
   readonly rate: number;
+  readonly quota?: number;
+  readonly direct?: boolean;
   readonly mutant?: string;
   readonly regressions?: boolean;
   readonly trace?: string;
@@ -123,6 +125,8 @@
     services: options.services,
     dataCentres: options.dataCentres,
     requestsPerS: options.rate,
+    quotaMs: options.quota,
+    connectsDirectly: options.direct,
     kinds: options.kinds?.split(',') as FaultKind[] | undefined,
   };
 }
@@ -148,6 +152,12 @@
       2,
     )
     .option('--rate <number>', 'requests a second', parseCount, 60)
+    .option(
+      '--quota <number>',
+      'processor time of most instances in each 100 ms (not limited)',
+      parseCount,
+    )
+    .option('--direct', 'callers connect without a proxy in between')
     .option('--mutant <name>', `run a program with a seeded fault, or ${ALL}`)
     .option('--kinds <names>', 'kinds of faults, separated by commas (all)')
     .option('--regressions', 'the runs that once found something')
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -57,6 +57,10 @@
   readonly seriesEveryMs?: number;
   /** Mean time between turns of stops in a data centre, in ms (15,000). */
   readonly stopTurnsEveryMs?: number;
+  /** Processor time of most instances in each 100 ms (no limit). */
+  readonly quotaMs?: number;
+  /** Callers connect to instances without a link in between (false). */
+  readonly connectsDirectly?: boolean;
   /** Kinds of faults to apply (all). */
   readonly kinds?: readonly FaultKind[];
 }
@@ -104,6 +108,8 @@
     engines: options.engines ?? DEFAULT_ENGINES,
     services: options.services ?? DEFAULT_SERVICES,
     dataCentres: options.dataCentres ?? DEFAULT_DATA_CENTRES,
+    quotaMs: options.quotaMs,
+    connectsDirectly: options.connectsDirectly,
   });
   const {history, nowMs, instances, operator} = world;
   try {
--- a/packages/soak/src/world/caller.ts
+++ b/packages/soak/src/world/caller.ts
@@ -47,7 +47,7 @@
     this.current = instance;
     // The link in front of an instance accepts even when the instance refuses.
     if (!(await instance.isListening())) return false;
-    const connection = new CallerConnection(instance.callerLink.address);
+    const connection = new CallerConnection(instance.callersAddress);
     this.connection = connection;
     this.connectedAtMs = this.nowMs();
     return connection.opened();
--- a/packages/soak/src/world/instance.ts
+++ b/packages/soak/src/world/instance.ts
@@ -22,6 +22,7 @@
   type LinkState,
   type ProcessLinks,
 } from './link_preamble.js';
+import type {ProcessorQuota} from './processor_quota.js';
 import {CLOCK_FILE_VARIABLE} from './program.js';
 
 /** Options of {@link Instance}. */
@@ -34,6 +35,10 @@
   /** Where endpoints listen. */
   readonly endpointLinks: Omit<ProcessLinks, 'state'>;
   readonly nowMs: () => number;
+  /** Limits its processes (no limit). */
+  readonly quota?: ProcessorQuota;
+  /** Callers connect without a link in between (false). */
+  readonly connectsDirectly?: boolean;
 }
 
 const RESTART_AFTER_MS = 300;
@@ -71,6 +76,13 @@
     });
   }
 
+  /** Where callers connect to. */
+  get callersAddress(): string {
+    const {settings, connectsDirectly = false} = this.options;
+    if (!connectsDirectly) return this.callerLink.address;
+    return `${settings.host}:${settings.callersPort}`;
+  }
+
   get dataCentre(): DataCentreId {
     return this.options.settings.dataCentre;
   }
@@ -124,11 +136,13 @@
   }
 
   freeze(): void {
+    this.releaseFromQuota();
     this.process?.freeze();
   }
 
   thaw(): void {
     this.process?.thaw();
+    this.limitToQuota();
   }
 
   /** Writes the settings file again and signals the process to reload it. */
@@ -207,6 +221,15 @@
     return join(this.folder, 'clock');
   }
 
+  private limitToQuota(): void {
+    if (this.process?.isRunning) this.options.quota?.limit(this.process.pid);
+  }
+
+  private releaseFromQuota(): void {
+    if (this.process !== undefined)
+      this.options.quota?.release(this.process.pid);
+  }
+
   private signal(name: NodeJS.Signals): void {
     if (this.process?.isRunning) process.kill(this.process.pid, name);
   }
@@ -237,6 +260,7 @@
       },
     });
     this.process = launched;
+    this.limitToQuota();
     void launched.exited.then(exit => this.noteEnd(launched, exit));
     void this.waitUntilReady(launched);
   }
--- a/packages/soak/src/world/world.ts
+++ b/packages/soak/src/world/world.ts
@@ -16,6 +16,7 @@
 import {Instance} from './instance.js';
 import {BOOKINGS, ENGINES, Operator} from './operator.js';
 import {networkOf} from './own_network.js';
+import {ProcessorQuota} from './processor_quota.js';
 import {COPY_AGE_STEPS} from '../store_set_backs.js';
 import {StoreCopies} from './store_copies.js';
 
@@ -28,6 +29,12 @@
   readonly services: number;
   /** At most three. */
   readonly dataCentres: number;
+  /**
+   * Processor time of most instances in each 100 ms; undefined: not limited.
+   */
+  readonly quotaMs?: number;
+  /** Whether callers connect to instances without a link in between. */
+  readonly connectsDirectly?: boolean;
 }
 
 const DATA_CENTRES = ['akl-a', 'akl-b', 'akl-c'].map(name =>
@@ -37,6 +44,8 @@
 const SERVICE_CAPACITY = 12;
 const READY_WITHIN_MS = 60_000;
 const POLL_MS = 100;
+/** One instance in that many has no quota, as on uneven machines. */
+const INSTANCES_PER_LARGE_ONE = 8;
 /** Last number of the stand-ins' address; those of instances count from 1. */
 const PLATFORM_HOST = 254;
 
@@ -51,6 +60,7 @@
   readonly endpoints: Endpoint[] = [];
   private readonly random: () => number;
   private readonly network = networkOf(process.pid);
+  private readonly quota: ProcessorQuota | undefined;
   readonly nowMs = () => performance.now();
 
   constructor(private readonly options: WorldOptions) {
@@ -59,6 +69,8 @@
     this.copies = new StoreCopies(this.store, COPY_AGE_STEPS);
     this.provider = new ProviderStandIn(this.random);
     this.operator = new Operator(this.store, this.history, this.nowMs);
+    const {quotaMs} = options;
+    if (quotaMs !== undefined) this.quota = new ProcessorQuota(quotaMs);
   }
 
   get dataCentres(): readonly DataCentreId[] {
@@ -79,6 +91,7 @@
 
   /** Stops all processes and stand-ins and collects what they recorded. */
   async close(): Promise<void> {
+    this.quota?.close();
     await Promise.all(this.instances.map(instance => instance.close()));
     for (const endpoint of this.endpoints) endpoint.close();
     this.copies.stop();
@@ -155,6 +168,11 @@
             exemptPorts: [storePort, storeLink.port, providerPort],
           },
           nowMs: this.nowMs,
+          connectsDirectly: this.options.connectsDirectly,
+          quota:
+            (index + 1) % INSTANCES_PER_LARGE_ONE === 0
+              ? undefined
+              : this.quota,
         }),
       );
     }
