Log which side closed a connection, its age, and how long it may have waited

A request whose connection closed without an answer was logged with status 0, whichever side had closed it, and the age of its connection only during a stop; the wait of a connection in the queue of the kernel and what broke the path to a forwarder weren't known at all. Losses couldn't be told from callers that leave.

--- /dev/null
+++ b/packages/gateway/src/accept_queue_watch.ts
@@ -0,0 +1,51 @@
+/** Estimates how long connections may have waited to be accepted. */
+
+/** Options of {@link AcceptQueueWatch}; default in the brackets. */
+export interface AcceptQueueWatchOptions {
+  readonly nowMs: () => number;
+  /** Runs a callback once sockets have been polled (`setImmediate`). */
+  readonly afterPoll?: (callback: () => void) => void;
+}
+
+/**
+ * Node.js (20) accepts one connection in a turn of the event loop, and the kernel
+ * doesn't say since when one has waited. A turn that accepts none shows that none
+ * waits: what is accepted later came after it.
+ */
+export class AcceptQueueWatch {
+  /** The first of the turns without a break that have accepted one. */
+  private queueSinceMs: number | undefined;
+  private hasAccepted = false;
+  private readonly afterPoll: (callback: () => void) => void;
+
+  constructor(private readonly options: AcceptQueueWatchOptions) {
+    this.afterPoll = options.afterPoll ?? setImmediate;
+  }
+
+  /**
+   * Called for each connection that is accepted.
+   *
+   * @returns the longest time for which it may have waited, in ms, apart from
+   *   the turn in which it was accepted.
+   * @example
+   * server.on('connection', () => watch.noteAccepted());
+   */
+  noteAccepted(): number {
+    const nowMs = this.options.nowMs();
+    this.hasAccepted = true;
+    if (this.queueSinceMs === undefined) {
+      this.queueSinceMs = nowMs;
+      this.check();
+    }
+    return nowMs - this.queueSinceMs;
+  }
+
+  private check(): void {
+    this.afterPoll(() => {
+      if (this.hasAccepted) {
+        this.hasAccepted = false;
+        this.check();
+      } else this.queueSinceMs = undefined;
+    });
+  }
+}
--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -16,6 +16,7 @@
 export class AnswerWriter {
   private callerLeft = false;
   private ended = false;
+  private wasAborted = false;
   events = 0;
   /** When the first event was written, and the longest pause between events. */
   firstEventAtMs: number | undefined;
@@ -68,6 +69,11 @@
     return this.ended || this.callerLeft;
   }
 
+  /** Whether the connection was closed before the end of the answer. */
+  get isUnfinished(): boolean {
+    return this.callerLeft || this.wasAborted;
+  }
+
   get hasCallerLeft(): boolean {
     return this.callerLeft;
   }
@@ -130,6 +136,7 @@
 
   private destroy(): void {
     this.ended = true;
+    this.wasAborted = true;
     this.queue?.discard();
     const {socket, chunkedEncoding} = this.response;
     if (!chunkedEncoding) socket?.resetAndDestroy();
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -156,6 +156,7 @@
     return {
       path: call.path,
       forwarder: call.forwarder,
+      pathError: call.pathError,
       softwareVersion: this.options.placed.endpoint.softwareVersion,
       ending: call.ending,
       connectMs: timing.connectMs,
--- a/packages/gateway/src/attempt_record.test.ts
+++ b/packages/gateway/src/attempt_record.test.ts
@@ -5,6 +5,7 @@
 const NO_PROGRESS: ProgressRecord = {
   path: undefined,
   forwarder: undefined,
+  pathError: undefined,
   softwareVersion: undefined,
   ending: undefined,
   connectMs: undefined,
--- a/packages/gateway/src/attempt_record.ts
+++ b/packages/gateway/src/attempt_record.ts
@@ -19,6 +19,8 @@
 export interface ProgressRecord {
   readonly path: ConnectionPath | undefined;
   readonly forwarder: string | undefined;
+  /** What broke the path to the forwarder. */
+  readonly pathError: string | undefined;
   readonly softwareVersion: SoftwareVersion | undefined;
   readonly ending: AnswerEnding | undefined;
   readonly connectMs: number | undefined;
@@ -56,6 +58,7 @@
     return {
       path: progress?.path,
       forwarder: progress?.forwarder,
+      pathError: progress?.pathError,
       ...progress?.ending,
       connectMs: progress?.connectMs,
       headMs: progress?.headMs,
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -6,13 +6,21 @@
 /** State of a connection as of its latest request. */
 export interface ConnectionFacts {
   readonly openedAtMs: number;
+  /** The longest time for which it may have waited to be accepted. */
+  readonly maxQueuedMs: number;
   /** Requests received on it, the latest included. */
   readonly requests: number;
 }
 
+/** The side that ended a connection. */
+export type ClosingSide = 'caller' | 'instance';
+
 interface Connection {
   readonly openedAtMs: number;
+  readonly maxQueuedMs: number;
   requests: number;
+  /** Whether its caller has closed or reset it. */
+  isClosedByCaller: boolean;
   /** Answers whose last byte hasn't been handed to the kernel yet. */
   openAnswers: number;
 }
@@ -31,10 +39,21 @@
     return this.readCount;
   }
 
-  noteOpened(socket: Socket, nowMs: number): void {
+  /** @param maxQueuedMs for which it may have waited to be accepted. */
+  noteOpened(socket: Socket, nowMs: number, maxQueuedMs = 0): void {
     this.readCount += 1;
-    const connection = {openedAtMs: nowMs, requests: 0, openAnswers: 0};
+    const connection: Connection = {
+      openedAtMs: nowMs,
+      maxQueuedMs,
+      requests: 0,
+      isClosedByCaller: false,
+      openAnswers: 0,
+    };
     this.bySocket.set(socket, connection);
+    const noteClosedByCaller = () => (connection.isClosedByCaller = true);
+    socket.once('end', noteClosedByCaller);
+    // An error is the caller's reset, or a silence that the kernel gave up on.
+    socket.once('error', noteClosedByCaller);
     socket.once('close', () => this.bySocket.delete(socket));
   }
 
@@ -42,11 +61,24 @@
   noteRequest({socket}: IncomingMessage, nowMs: number): ConnectionFacts {
     this.readCount += 1;
     const connection = this.bySocket.get(socket);
-    if (connection === undefined) return {openedAtMs: nowMs, requests: 1};
+    if (connection === undefined)
+      return {openedAtMs: nowMs, maxQueuedMs: 0, requests: 1};
     connection.requests += 1;
     return {...connection};
   }
 
+  /**
+   * Finds which side has closed a connection; this one as long as nothing has
+   * been read of the other's close.
+   *
+   * @returns a function, as a closed connection is not kept here.
+   */
+  watchClosingSide({socket}: IncomingMessage): () => ClosingSide {
+    const connection = this.bySocket.get(socket);
+    return () =>
+      connection?.isClosedByCaller === true ? 'caller' : 'instance';
+  }
+
   /**
    * Calls `onOver` once the kernel has the last byte of an answer, or its
    * connection has closed. A pipelined answer that waits behind another one has
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -4,6 +4,7 @@
 import {Server as TcpServer} from 'node:net';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {CallerLimits} from '@snipestage/routing/route.js';
+import {AcceptQueueWatch} from './accept_queue_watch.js';
 import {splitAddress} from './split_address.js';
 import type {RequestHandler} from './request_handler.js';
 
@@ -51,8 +52,10 @@
       (request, response) => void handler.handle(request, response),
     );
     this.server.requestTimeout = 0;
+    const nowMs = () => performance.now();
+    const queue = new AcceptQueueWatch({nowMs});
     this.server.on('connection', socket =>
-      handler.connections.noteOpened(socket, performance.now()),
+      handler.connections.noteOpened(socket, nowMs(), queue.noteAccepted()),
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       logger.debug('caller_connection_error', {error: error.code});
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -165,6 +165,11 @@
     return this.connection?.forwarder;
   }
 
+  /** What broke the path to the forwarder, if it has broken. */
+  get pathError(): string | undefined {
+    return this.connection?.pathError;
+  }
+
   /** Closes the connection, upon which the endpoint stops its work. */
   cancel(): void {
     this.cancellation.abort();
--- a/packages/gateway/src/endpoint_connection.ts
+++ b/packages/gateway/src/endpoint_connection.ts
@@ -32,6 +32,10 @@
   abstract get verdict(): Verdict;
   /** Whether it broke between the two instances: nothing is known of the endpoint. */
   abstract get hasPathBroken(): boolean;
+  /** What broke the path between the two instances, for the log. */
+  get pathError(): string | undefined {
+    return undefined;
+  }
   /** Value for the `createConnection` option of `http.request`. */
   abstract createConnection(): Duplex;
   abstract reset(): void;
--- a/packages/gateway/src/forwarding/tunnel.ts
+++ b/packages/gateway/src/forwarding/tunnel.ts
@@ -17,6 +17,7 @@
 class TunnelSocket extends Duplex {
   hasWrittenBytes = false;
   hasPathBroken = false;
+  pathError: string | undefined;
   /** Whether the forwarder has reported the end of its connection. */
   private hasEnded = false;
   private closing: NodeJS.Timeout | undefined;
@@ -96,6 +97,7 @@
   private breakPath(error: Error): void {
     if (this.hasEnded || this.destroyed) return;
     this.hasPathBroken = true;
+    this.pathError = error.message;
     this.destroy(error);
   }
 }
@@ -124,6 +126,10 @@
     return this.socket.hasPathBroken;
   }
 
+  override get pathError(): string | undefined {
+    return this.socket.pathError;
+  }
+
   createConnection(): Duplex {
     return this.socket;
   }
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -107,6 +107,7 @@
       exchange?.giveUp(reason),
     );
     const line = this.describeArrival(request, arrival);
+    const closingSide = this.connections.watchClosingSide(request);
     this.connections.followAnswer(request, response, () => {
       this.count -= 1;
       writer.noteDisconnected();
@@ -123,6 +124,7 @@
       writer.fail(502, {});
     } finally {
       memory.closeBody();
+      if (writer.isUnfinished) line.closedBy = closingSide();
       this.account(writer, response, exchange, arrival.readAtMs, line);
     }
   }
@@ -143,9 +145,8 @@
   }
 
   /**
-   * Log fields of a request that may have waited to be read, or arrives while
-   * the instance stops: how long after the signal, and on what kind of
-   * connection.
+   * Log fields of a request: whether it may have waited to be read, how long
+   * after the signal to stop it came, and on what kind of connection.
    */
   private describeArrival(
     request: IncomingMessage,
@@ -154,10 +155,10 @@
     const facts = this.connections.noteRequest(request, readAtMs);
     const heldUpMs = Math.round(readAtMs - earliestMs) || undefined;
     const sinceStopMs = this.options.shutdown.sinceMs(readAtMs);
-    if (sinceStopMs === undefined) return {heldUpMs};
     return {
       heldUpMs,
-      sinceStopMs: Math.round(sinceStopMs),
+      acceptedAfterMs: Math.round(facts.maxQueuedMs) || undefined,
+      sinceStopMs: sinceStopMs && Math.round(sinceStopMs),
       connectionAgeMs: Math.round(readAtMs - facts.openedAtMs),
       connectionRequests: facts.requests,
     };
--- a/packages/gateway/src/stop.test.ts
+++ b/packages/gateway/src/stop.test.ts
@@ -350,3 +350,38 @@
   t.is((await answering).statusCode, 200);
   t.true(lines.some(line => line.includes('task_failed')));
 });
+
+test('the log shows which side has closed a connection without an answer', async t => {
+  // Guards against losses that can't be told from callers that leave.
+  const endpoint = new TestEndpoint((response, id) => {
+    response.writeHead(200, {'X-Request-Id': id, 'X-Signature': 'proof'});
+    response.write('id: 1\ndata: a\n\n');
+  });
+  const {gateway, callers, lines} = await startWithEndpoint(endpoint, {
+    kind: 'stream',
+  });
+  t.teardown(() => endpoint.close());
+  t.teardown(() => gateway.stop());
+  const leaving = net.connect(callers, '127.0.0.1');
+  leaving.write(requestBytes('leaves'));
+  await waitUntil(() => endpoint.begun.length === 1);
+  leaving.destroy();
+  const reset = net.connect(callers, '127.0.0.1');
+  reset.write(requestBytes('resets'));
+  await waitUntil(() => endpoint.begun.length === 2);
+  reset.resetAndDestroy();
+  const cut = net.connect(callers, '127.0.0.1');
+  cut.write(requestBytes('is cut'));
+  await once(cut, 'data');
+  await gateway.endAfter(new TypeError('unexpected'));
+  await waitUntil(() => lines.some(line => line.includes('"is cut"')));
+  const ends = lines
+    .map(text => JSON.parse(text))
+    .filter(({event}) => event === 'request')
+    .map(({requestId, closedBy}) => [requestId, closedBy]);
+  t.deepEqual(ends, [
+    ['leaves', 'caller'],
+    ['resets', 'caller'],
+    ['is cut', 'instance'],
+  ]);
+});
