Answer 408 to a connection past its header timeout, and read before closing it

A caller that opened a connection ahead of need and sent nothing got 400 at the end of the header timeout. A first request that crossed that answer, or that had arrived while the process stood still, was answered 400 as if it were malformed, so that its caller didn't repeat it; one on a kept connection was closed unread by the idle timeout after a standstill.

Cause: Node.js checks both limits by timers, which run before sockets are read, and a listener of clientError that knew 431 and 400 only. Both limits now read what has arrived first, and a header timeout is answered 408, which promises that nothing has run.

--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -67,6 +67,11 @@
     return {...connection};
   }
 
+  /** Requests received so far on a connection. */
+  countRequests(socket: Socket): number {
+    return this.bySocket.get(socket)?.requests ?? 0;
+  }
+
   /**
    * Finds which side has closed a connection; this one as long as nothing has
    * been read of the other's close.
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -1,7 +1,7 @@
 /** The HTTP server for callers' requests. */
 
 import {createServer, type Server} from 'node:http';
-import {Server as TcpServer} from 'node:net';
+import {Server as TcpServer, type Socket} from 'node:net';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {CallerLimits} from '@snipestage/routing/route.js';
 import {AcceptQueueWatch} from './accept_queue_watch.js';
@@ -37,6 +37,13 @@
 /** After a longer turn, more may have arrived since its sockets were read. */
 const QUICK_TURN_MS = 20;
 
+const HEADER_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
+const ERROR_STATUSES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  // Unlike a 400, it lets a caller repeat a request that crosses it.
+  [HEADER_TIMEOUT_CODE]: '408 Request Timeout',
+};
+
 /** Owns the listening socket. */
 export class CallersServer {
   private readonly server: Server;
@@ -59,12 +66,12 @@
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       logger.debug('caller_connection_error', {error: error.code});
-      if (!socket.writable || error.code === 'ECONNRESET') {
-        socket.destroy();
-        return;
-      }
-      socket.end(composeErrorAnswer(error.code));
+      if (error.code === HEADER_TIMEOUT_CODE) {
+        void this.endOverdue(socket as Socket);
+      } else endWithError(socket as Socket, error.code);
     });
+    // Without a listener, Node.js closes at once what has timed out.
+    this.server.on('timeout', socket => void this.closeIdleOne(socket));
   }
 
   async start(): Promise<void> {
@@ -113,6 +120,25 @@
     }
   }
 
+  /** Ends a connection past its header timeout, unless a request has arrived. */
+  private async endOverdue(socket: Socket): Promise<void> {
+    const {connections} = this.options.handler;
+    const {bytesRead} = socket;
+    const requests = connections.countRequests(socket);
+    await this.readArrived();
+    // Node.js limits the time of a first head that has begun only now.
+    const hasBegun = bytesRead === 0 && socket.bytesRead > 0;
+    const hasArrived = connections.countRequests(socket) > requests;
+    if (!hasBegun && !hasArrived) endWithError(socket, HEADER_TIMEOUT_CODE);
+  }
+
+  /** Closes a connection past its idle timeout, unless something has arrived. */
+  private async closeIdleOne(socket: Socket): Promise<void> {
+    const {bytesRead} = socket;
+    await this.readArrived();
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  }
+
   get isListening(): boolean {
     return this.server.listening;
   }
@@ -138,10 +164,12 @@
   return new Promise(done => setImmediate(done));
 }
 
-function composeErrorAnswer(code: string | undefined): string {
-  const status =
-    code === 'HPE_HEADER_OVERFLOW'
-      ? '431 Request Header Fields Too Large'
-      : '400 Bad Request';
+function endWithError(socket: Socket, code: string | undefined): void {
+  if (!socket.writable || code === 'ECONNRESET') socket.destroy();
+  else socket.end(composeErrorAnswer(code));
+}
+
+function composeErrorAnswer(code = ''): string {
+  const status = ERROR_STATUSES[code] ?? '400 Bad Request';
   return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
--- a/packages/gateway/src/test_support/test_gateway.ts
+++ b/packages/gateway/src/test_support/test_gateway.ts
@@ -13,6 +13,7 @@
 import {BoundedOutput} from '@snipestage/log/bounded_output.js';
 import type {EndpointChange} from '@snipestage/routing/endpoint_directory.js';
 import type {
+  CallerLimits,
   Route,
   RouteId,
   RoutingConfiguration,
@@ -118,7 +119,10 @@
  * `<id>@<address>` or only an address are endpoints.
  */
 class TestDecoder extends RowDecoder {
-  constructor(private readonly routes: readonly Route[]) {
+  constructor(
+    private readonly routes: readonly Route[],
+    private readonly limits: Partial<CallerLimits>,
+  ) {
     super();
   }
 
@@ -141,6 +145,7 @@
         maxBodyBytes: 1000,
         headerTimeoutMs: 3000,
         idleTimeoutMs: 15_000,
+        ...this.limits,
       },
       clientAccounts: undefined,
     };
@@ -173,6 +178,8 @@
   readonly graceMs?: number;
   /** Routes of each version of the configuration ({@link SLOW_ROUTE}). */
   readonly routes?: readonly Route[];
+  /** Limits on callers that differ from the usual ones (none). */
+  readonly limits?: Partial<CallerLimits>;
   /** Name of the instance (`one`). */
   readonly instance?: string;
   /** Store of the instance's own rows (one of its own). */
@@ -187,7 +194,7 @@
  * configuration.put('1');
  */
 export async function startGateway(options: TestGatewayOptions = {}) {
-  const {graceMs = 4000, routes = [SLOW_ROUTE]} = options;
+  const {graceMs = 4000, routes = [SLOW_ROUTE], limits = {}} = options;
   const {instance = 'one', platform = new MemoryPlatform()} = options;
   const [callers, readiness, forwarding] = await pickFreePorts(3);
   const configuration = new TestTable('configuration');
@@ -215,7 +222,7 @@
     },
     platform,
     protocol: new PlainProtocol(),
-    decoder: new TestDecoder(routes),
+    decoder: new TestDecoder(routes, limits),
     tables: {
       configuration,
       endpoints,
