Show that a stop of a busy instance can outlast its grace time

Fails: a stop looks for what has arrived until two turns of the event loop are quick and read nothing. Where each turn takes 30 ms, it still does so after 8 s of grace time, when the process would be killed with all that it holds.

--- a/packages/gateway/src/unread_requests.test.ts
+++ b/packages/gateway/src/unread_requests.test.ts
@@ -10,6 +10,9 @@
 /** When a stopping instance closes its idle connections. */
 const CLOSES_AFTER_MS = 2200;
 const STANDS_STILL_FOR_MS = 500;
+const GRACE_MS = 8000;
+/** Longer than a turn in which nothing more is taken to arrive. */
+const SLOW_TURN_MS = 30;
 /** Within that time, and longer before its end than a crossing takes. */
 const SENT_AFTER_MS = CLOSES_AFTER_MS + 100;
 
@@ -19,7 +22,7 @@
     response.end(`answer to ${id}`);
   });
   await endpoint.start();
-  const started = await startGateway({graceMs: 8000});
+  const started = await startGateway({graceMs: GRACE_MS});
   started.configuration.put('1');
   started.endpoints.put(endpoint.address);
   await waitUntil(() => started.gateway.isReady);
@@ -80,3 +83,25 @@
     ids,
   );
 });
+
+test('a stop of an instance whose event loop is always slow ends within the grace time', async t => {
+  // Guards against instances that are killed with the requests they hold, as they
+  // wait for a moment at which nothing is left to read.
+  const {gateway, endpoint} = await startAnswering();
+  t.teardown(() => endpoint.close());
+  let isBusy = true;
+  const beBusy = () => {
+    standStill(SLOW_TURN_MS);
+    if (isBusy) setImmediate(beBusy);
+  };
+  beBusy();
+  const tookTooLong = new Promise(done => setTimeout(done, GRACE_MS, 'late'));
+  const stopped = gateway.stop();
+  const first = await Promise.race([
+    stopped.then(() => 'stopped'),
+    tookTooLong,
+  ]);
+  isBusy = false;
+  await stopped;
+  t.is(first, 'stopped');
+});
