Limit how long a stop looks for requests that it hasn't read

A stopping instance closes idle connections in a turn of the event loop in which nothing was left to read. Where every turn is slow, as on a small machine at its limit, it looked up to 1,024 times: the stop outlasted the grace time, and the process was killed with the requests that it still held.

Now it looks on while connections wait to be accepted and the grace time lasts, and ten times more.

--- a/packages/gateway/src/accept_queue_watch.ts
+++ b/packages/gateway/src/accept_queue_watch.ts
@@ -40,6 +40,11 @@
     return nowMs - this.queueSinceMs;
   }
 
+  /** Whether connections wait to be accepted, as far as known. */
+  get hasWaiting(): boolean {
+    return this.queueSinceMs !== undefined;
+  }
+
   private check(): void {
     this.afterPoll(() => {
       if (this.hasAccepted) {
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -30,10 +30,10 @@
 /** More pending connections than a burst at one instance causes. */
 const LISTEN_BACKLOG_COUNT = 1024;
 /**
- * As many as pending connections take; not a time, which may pass while the
- * process stands still.
+ * Looks for what has arrived, once no connection waits to be accepted; not a
+ * time, which may pass while the process stands still.
  */
-const MAX_READS = LISTEN_BACKLOG_COUNT;
+const MAX_LOOKS = 10;
 /** After a longer turn, more may have arrived since its sockets were read. */
 const QUICK_TURN_MS = 20;
 
@@ -47,6 +47,9 @@
 /** Owns the listening socket. */
 export class CallersServer {
   private readonly server: Server;
+  private readonly queue = new AcceptQueueWatch({
+    nowMs: () => performance.now(),
+  });
 
   constructor(private readonly options: CallersServerOptions) {
     const {handler, logger} = options;
@@ -59,10 +62,12 @@
       (request, response) => void handler.handle(request, response),
     );
     this.server.requestTimeout = 0;
-    const nowMs = () => performance.now();
-    const queue = new AcceptQueueWatch({nowMs});
     this.server.on('connection', socket =>
-      handler.connections.noteOpened(socket, nowMs(), queue.noteAccepted()),
+      handler.connections.noteOpened(
+        socket,
+        performance.now(),
+        this.queue.noteAccepted(),
+      ),
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       logger.debug('caller_connection_error', {error: error.code});
@@ -106,10 +111,15 @@
    * Node.js (20) runs timers before it reads sockets, and accepts one connection
    * in a turn of the event loop. Callers that wait for a process without
    * processor time would be cut off, their requests whole and unanswered.
+   *
+   * Where every turn is slow, it resolves all the same after some of them.
+   *
+   * @param mayGoOn whether there is still time to wait for connections that have
+   *   not been accepted.
    */
-  async readArrived(): Promise<void> {
+  async readArrived(mayGoOn: () => boolean = () => true): Promise<void> {
     const {connections} = this.options.handler;
-    for (let reads = 0; reads < MAX_READS; reads += 1) {
+    for (let looks = 0; looks < MAX_LOOKS && mayGoOn();) {
       const before = connections.readSoFar;
       // The current turn may have read its sockets already.
       await nextTurn();
@@ -117,6 +127,7 @@
       await nextTurn();
       const isQuick = performance.now() - beganAtMs < QUICK_TURN_MS;
       if (isQuick && connections.readSoFar === before) return;
+      if (!this.queue.hasWaiting) looks += 1;
     }
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -365,7 +365,9 @@
   /** Closes what is idle, and listens no longer. */
   private async closeIdleCallers(nowMs: number): Promise<void> {
     const heldUpMs = Math.round(nowMs - this.loopWatch.earliestArrivalMs());
-    await this.callers.readArrived();
+    await this.callers.readArrived(
+      () => !this.shutdown.isGraceOver(performance.now()),
+    );
     const wasListening = this.callers.isListening;
     this.callers.stopListening();
     const closed = this.callers.closeIdle();
