Show that connections wait unseen in front of a busy instance

Fails: of 40 callers that connect at once, the last is accepted 4.2 s after the first where a request takes 20 ms, since Node.js accepts one connection a turn of the event loop; and endpoints get up to 3,147 ms more than callers have left, as nobody counts that time.

--- a/packages/gateway/src/unread_requests.test.ts
+++ b/packages/gateway/src/unread_requests.test.ts
@@ -1,3 +1,4 @@
+import type {IncomingMessage} from 'node:http';
 import test from 'ava';
 import {standStill, startCallers} from './test_support/caller_thread.js';
 import {
@@ -13,11 +14,21 @@
 const GRACE_MS = 8000;
 /** Longer than a turn in which nothing more is taken to arrive. */
 const SLOW_TURN_MS = 30;
+const CALLER_TIMEOUT_MS = 3000;
+const QUEUED_CALLERS = 40;
+/** By which an endpoint may be handed more than the caller has left. */
+const MAX_EXCESS_MS = 500;
+const REQUEST_COST_MS = 20;
+/** Far below the time that the requests of all of them take. */
+const MAX_ACCEPT_WAIT_MS = 200;
 /** Within that time, and longer before its end than a crossing takes. */
 const SENT_AFTER_MS = CLOSES_AFTER_MS + 100;
 
-async function startAnswering() {
-  const endpoint = new TestEndpoint((response, id) => {
+async function startAnswering(
+  onRequest: (request: IncomingMessage) => void = () => undefined,
+) {
+  const endpoint = new TestEndpoint((response, id, request) => {
+    onRequest(request);
     response.writeHead(200, {'X-Request-Id': id, 'X-Signature': 'proof'});
     response.end(`answer to ${id}`);
   });
@@ -32,10 +43,34 @@
 function requestText(id: string): string {
   return (
     `GET /x HTTP/1.1\r\nHost: ${SLOW_ROUTE.host}\r\n` +
-    `X-Request-Id: ${id}\r\nX-Waits-Ms: 3000\r\n\r\n`
+    `X-Request-Id: ${id}\r\nX-Waits-Ms: ${CALLER_TIMEOUT_MS}\r\n\r\n`
   );
 }
 
+/** Makes each turn of the event loop slow, until the result is called. */
+function beBusy(): () => void {
+  let isBusy = true;
+  const work = () => {
+    standStill(SLOW_TURN_MS);
+    if (isBusy) setImmediate(work);
+  };
+  work();
+  return () => (isBusy = false);
+}
+
+/** Callers that open their connections at once, each for one request. */
+function listCallers(count: number) {
+  return Array.from({length: count}, (_, index) => [
+    {
+      atMs: 0,
+      text: requestText(`r${index}`).replace(
+        '\r\n\r\n',
+        '\r\nConnection: close\r\n\r\n',
+      ),
+    },
+  ]);
+}
+
 /** Stops the gateway and stands still when it would close connections. */
 async function stopBusily(gateway: {stop: () => Promise<void>}) {
   const stopped = gateway.stop();
@@ -89,19 +124,72 @@
   // wait for a moment at which nothing is left to read.
   const {gateway, endpoint} = await startAnswering();
   t.teardown(() => endpoint.close());
-  let isBusy = true;
-  const beBusy = () => {
-    standStill(SLOW_TURN_MS);
-    if (isBusy) setImmediate(beBusy);
-  };
-  beBusy();
+  const end = beBusy();
   const tookTooLong = new Promise(done => setTimeout(done, GRACE_MS, 'late'));
   const stopped = gateway.stop();
   const first = await Promise.race([
     stopped.then(() => 'stopped'),
     tookTooLong,
   ]);
-  isBusy = false;
+  end();
   await stopped;
   t.is(first, 'stopped');
 });
+
+test('a request whose connection waited to be accepted hands on only the time that is left', async t => {
+  // Guards against endpoints that work for callers that have left, since the
+  // instance accepts one connection in a turn and its turns are slow.
+  const timesLeftMs = new Map<string, number>();
+  const {gateway, callers, endpoint, lines} = await startAnswering(
+    ({headers}) =>
+      timesLeftMs.set(
+        String(headers['x-request-id']),
+        Number(headers['x-time-left-ms']),
+      ),
+  );
+  t.teardown(() => endpoint.close());
+  t.teardown(() => gateway.stop());
+  const {received} = await startCallers({
+    port: callers,
+    callers: listCallers(QUEUED_CALLERS),
+  });
+  const sentAtMs = Date.now();
+  const end = beBusy();
+  t.teardown(end);
+  await waitUntil(() => timesLeftMs.size === QUEUED_CALLERS);
+  end();
+  await received;
+  const excessesMs = lines
+    .map(line => JSON.parse(line))
+    .filter(({event}) => event === 'request')
+    .map(({requestId, time, durationMs}) => {
+      const waitedMs = Date.parse(time) - durationMs - sentAtMs;
+      return timesLeftMs.get(requestId)! + waitedMs - CALLER_TIMEOUT_MS;
+    });
+  t.is(excessesMs.length, QUEUED_CALLERS);
+  t.true(Math.max(...excessesMs) < MAX_EXCESS_MS, excessesMs.join(' '));
+});
+
+test('waiting connections are accepted before requests are worked on', async t => {
+  // Guards against callers of new connections that wait for seconds behind the
+  // requests of others, which takes as many turns as there are connections.
+  const {
+    gateway,
+    callers: port,
+    endpoint,
+    lines,
+  } = await startAnswering(() => standStill(REQUEST_COST_MS));
+  t.teardown(() => endpoint.close());
+  t.teardown(() => gateway.stop());
+  const {received} = await startCallers({
+    port,
+    callers: listCallers(QUEUED_CALLERS),
+  });
+  await received;
+  const waitedMs = lines
+    .map(line => JSON.parse(line))
+    .filter(({event}) => event === 'request')
+    .map(({acceptedAfterMs = 0}) => acceptedAfterMs as number);
+  t.is(waitedMs.length, QUEUED_CALLERS);
+  t.true(Math.max(...waitedMs) < MAX_ACCEPT_WAIT_MS, waitedMs.join(' '));
+});
