Accept waiting connections first, and count the time that they waited

Callers of a busy instance waited for seconds before it read their requests, and were answered too late or not at all, or their requests went to endpoints with up to 8.4 s more than they had left, also after they had left.

Cause: Node.js (20) accepts one connection in a turn of the event loop. Where turns are long since each reads and works, connections wait in the kernel's queue as long as there are turns to come; and an instance knew only of times in which its loop stood still. Each new connection of a burst lengthened the wait of the next, so that an instance at its limit never caught up.

A turn that accepts none shows that none waits. While some have waited for 20 ms or more, requests are held as they are after a standstill, so that turns stay short until all are accepted, and a first request that was read with its connection may have come as early as that wait began.

--- a/packages/gateway/src/accept_queue_watch.ts
+++ b/packages/gateway/src/accept_queue_watch.ts
@@ -1,5 +1,8 @@
 /** Estimates how long connections may have waited to be accepted. */
 
+/** Connections that come together are accepted within that time. */
+const MIN_BACKLOG_MS = 20;
+
 /** Options of {@link AcceptQueueWatch}; default in the brackets. */
 export interface AcceptQueueWatchOptions {
   readonly nowMs: () => number;
@@ -45,6 +48,13 @@
     return this.queueSinceMs !== undefined;
   }
 
+  /** Whether some have waited for longer than it takes to accept a few. */
+  get isBehind(): boolean {
+    const {queueSinceMs} = this;
+    if (queueSinceMs === undefined) return false;
+    return this.options.nowMs() - queueSinceMs >= MIN_BACKLOG_MS;
+  }
+
   private check(): void {
     this.afterPoll(() => {
       if (this.hasAccepted) {
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -2,11 +2,12 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {AcceptQueueWatch} from './accept_queue_watch.js';
 
 /** State of a connection as of its latest request. */
 export interface ConnectionFacts {
   readonly openedAtMs: number;
-  /** The longest time for which it may have waited to be accepted. */
+  /** The longest time for which the request may have waited with it. */
   readonly maxQueuedMs: number;
   /** Requests received on it, the latest included. */
   readonly requests: number;
@@ -17,7 +18,8 @@
 
 interface Connection {
   readonly openedAtMs: number;
-  readonly maxQueuedMs: number;
+  /** 0 once what came with the connection has been read. */
+  maxQueuedMs: number;
   requests: number;
   /** Whether its caller has closed or reset it. */
   isClosedByCaller: boolean;
@@ -31,25 +33,31 @@
  * connection, on a kept one, or on one that was opened ahead of need.
  */
 export class CallerConnections {
+  readonly queue: AcceptQueueWatch;
   private readonly bySocket = new Map<Socket, Connection>();
   private readCount = 0;
 
+  constructor(private readonly nowMs: () => number) {
+    this.queue = new AcceptQueueWatch({nowMs});
+  }
+
   /** Connections and requests read so far. */
   get readSoFar(): number {
     return this.readCount;
   }
 
-  /** @param maxQueuedMs for which it may have waited to be accepted. */
-  noteOpened(socket: Socket, nowMs: number, maxQueuedMs = 0): void {
+  noteOpened(socket: Socket): void {
     this.readCount += 1;
     const connection: Connection = {
-      openedAtMs: nowMs,
-      maxQueuedMs,
+      openedAtMs: this.nowMs(),
+      maxQueuedMs: this.queue.noteAccepted(),
       requests: 0,
       isClosedByCaller: false,
       openAnswers: 0,
     };
     this.bySocket.set(socket, connection);
+    // The next turn reads what has waited with the connection.
+    setImmediate(() => setImmediate(() => (connection.maxQueuedMs = 0)));
     const noteClosedByCaller = () => (connection.isClosedByCaller = true);
     socket.once('end', noteClosedByCaller);
     // An error is the caller's reset, or a silence that the kernel gave up on.
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -4,7 +4,6 @@
 import {Server as TcpServer, type Socket} from 'node:net';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {CallerLimits} from '@snipestage/routing/route.js';
-import {AcceptQueueWatch} from './accept_queue_watch.js';
 import {splitAddress} from './split_address.js';
 import type {RequestHandler} from './request_handler.js';
 
@@ -47,9 +46,6 @@
 /** Owns the listening socket. */
 export class CallersServer {
   private readonly server: Server;
-  private readonly queue = new AcceptQueueWatch({
-    nowMs: () => performance.now(),
-  });
 
   constructor(private readonly options: CallersServerOptions) {
     const {handler, logger} = options;
@@ -63,11 +59,7 @@
     );
     this.server.requestTimeout = 0;
     this.server.on('connection', socket =>
-      handler.connections.noteOpened(
-        socket,
-        performance.now(),
-        this.queue.noteAccepted(),
-      ),
+      handler.connections.noteOpened(socket),
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       logger.debug('caller_connection_error', {error: error.code});
@@ -127,7 +119,7 @@
       await nextTurn();
       const isQuick = performance.now() - beganAtMs < QUICK_TURN_MS;
       if (isQuick && connections.readSoFar === before) return;
-      if (!this.queue.hasWaiting) looks += 1;
+      if (!connections.queue.hasWaiting) looks += 1;
     }
   }
 
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -13,7 +13,7 @@
 import {admit, type Admission} from './admission.js';
 import {AnswerWriter} from './answer_writer.js';
 import {CatchUpGate} from './catch_up_gate.js';
-import {CallerConnections} from './caller_connections.js';
+import {CallerConnections, type ConnectionFacts} from './caller_connections.js';
 import {isBehind} from './event_loop_watch.js';
 import {MAX_HEADER_BYTES} from './callers_server.js';
 import type {MemoryGuard} from './memory_guard.js';
@@ -58,7 +58,7 @@
 
 /** Handles requests and counts those in progress. */
 export class RequestHandler {
-  readonly connections = new CallerConnections();
+  readonly connections: CallerConnections;
   private count = 0;
   private readonly exchanges = new Set<Exchange>();
   private readonly random: () => number;
@@ -66,7 +66,11 @@
 
   constructor(private readonly options: RequestHandlerOptions) {
     this.random = options.random ?? Math.random;
-    this.gate = new CatchUpGate({isBehind: () => isBehind(options)});
+    this.connections = new CallerConnections(options.nowMs);
+    const {queue} = this.connections;
+    this.gate = new CatchUpGate({
+      isBehind: () => queue.isBehind || isBehind(options),
+    });
   }
 
   /**
@@ -93,7 +97,9 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const arrival = this.noteArrival();
+    const readAtMs = this.options.nowMs();
+    const facts = this.connections.noteRequest(request, readAtMs);
+    const arrival = this.estimateArrival(readAtMs, facts);
     let exchange: Exchange | undefined;
     const {shutdown, memory: guard} = this.options;
     const writer = new AnswerWriter(
@@ -106,7 +112,7 @@
     const memory = new RequestMemory(guard, writer, reason =>
       exchange?.giveUp(reason),
     );
-    const line = this.describeArrival(request, arrival);
+    const line = this.describeArrival(arrival, facts);
     const closingSide = this.connections.watchClosingSide(request);
     this.connections.followAnswer(request, response, () => {
       this.count -= 1;
@@ -138,10 +144,15 @@
     }
   }
 
-  private noteArrival(): Arrival {
-    const {nowMs, earliestArrivalMs = nowMs} = this.options;
-    const readAtMs = nowMs();
-    return {readAtMs, earliestMs: Math.min(readAtMs, earliestArrivalMs())};
+  /** A request may have waited in its connection, and that to be accepted. */
+  private estimateArrival(
+    readAtMs: number,
+    {openedAtMs, maxQueuedMs}: ConnectionFacts,
+  ): Arrival {
+    const {earliestArrivalMs = () => readAtMs} = this.options;
+    const readSinceMs = Math.min(readAtMs, earliestArrivalMs());
+    const queuedSinceMs = maxQueuedMs > 0 ? openedAtMs - maxQueuedMs : readAtMs;
+    return {readAtMs, earliestMs: Math.min(readSinceMs, queuedSinceMs)};
   }
 
   /**
@@ -149,10 +160,9 @@
    * after the signal to stop it came, and on what kind of connection.
    */
   private describeArrival(
-    request: IncomingMessage,
     {readAtMs, earliestMs}: Arrival,
+    facts: ConnectionFacts,
   ): Record<string, unknown> {
-    const facts = this.connections.noteRequest(request, readAtMs);
     const heldUpMs = Math.round(readAtMs - earliestMs) || undefined;
     const sinceStopMs = this.options.shutdown.sinceMs(readAtMs);
     return {
--- a/packages/gateway/src/test_support/test_proxy.ts
+++ b/packages/gateway/src/test_support/test_proxy.ts
@@ -423,7 +423,7 @@
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     server.on('connection', (socket: Socket) => {
-      handler.connections.noteOpened(socket, performance.now());
+      handler.connections.noteOpened(socket);
       this.sockets.add(socket);
     });
     this.servers.push(server);
--- a/packages/gateway/src/unread_requests.test.ts
+++ b/packages/gateway/src/unread_requests.test.ts
@@ -81,115 +81,131 @@
   await stopped;
 }
 
-test('a stopping instance answers a request that has arrived on an idle connection', async t => {
-  // Guards against connections that are closed with a request in the kernel's
-  // buffer, which a process that is short of processor time reads late.
-  const {gateway, callers: port, endpoint, lines} = await startAnswering();
-  t.teardown(() => endpoint.close());
-  const {received} = await startCallers({
-    port,
-    callers: [
-      [
-        {atMs: 0, text: requestText('before')},
-        {atMs: SENT_AFTER_MS, text: requestText('late')},
+// One after the other, as they share an event loop that they hold up.
+test.serial(
+  'a stopping instance answers a request that has arrived on an idle connection',
+  async t => {
+    // Guards against connections that are closed with a request in the kernel's
+    // buffer, which a process that is short of processor time reads late.
+    const {gateway, callers: port, endpoint, lines} = await startAnswering();
+    t.teardown(() => endpoint.close());
+    const {received} = await startCallers({
+      port,
+      callers: [
+        [
+          {atMs: 0, text: requestText('before')},
+          {atMs: SENT_AFTER_MS, text: requestText('late')},
+        ],
       ],
-    ],
-  });
-  // Before that, its answer would say that the connection closes.
-  await waitUntil(() => lines.some(line => line.includes('"request"')));
-  await stopBusily(gateway);
-  const [answers] = await received;
-  t.regex(answers, /answer to before[^]*answer to late/);
-});
+    });
+    // Before that, its answer would say that the connection closes.
+    await waitUntil(() => lines.some(line => line.includes('"request"')));
+    await stopBusily(gateway);
+    const [answers] = await received;
+    t.regex(answers, /answer to before[^]*answer to late/);
+  },
+);
 
-test('a stopping instance answers a request on a connection that waits to be accepted', async t => {
-  // Guards against connections that are reset with the listening socket while
-  // they wait for a process that is short of processor time.
-  const {gateway, callers: port, endpoint} = await startAnswering();
-  t.teardown(() => endpoint.close());
-  const ids = ['one', 'two', 'three'];
-  const {received} = await startCallers({
-    port,
-    callers: ids.map(id => [{atMs: SENT_AFTER_MS, text: requestText(id)}]),
-  });
-  await stopBusily(gateway);
-  t.deepEqual(
-    (await received).map(text => /answer to (\w+)/.exec(text)?.[1]),
-    ids,
-  );
-});
+test.serial(
+  'a stopping instance answers a request on a connection that waits to be accepted',
+  async t => {
+    // Guards against connections that are reset with the listening socket while
+    // they wait for a process that is short of processor time.
+    const {gateway, callers: port, endpoint} = await startAnswering();
+    t.teardown(() => endpoint.close());
+    const ids = ['one', 'two', 'three'];
+    const {received} = await startCallers({
+      port,
+      callers: ids.map(id => [{atMs: SENT_AFTER_MS, text: requestText(id)}]),
+    });
+    await stopBusily(gateway);
+    t.deepEqual(
+      (await received).map(text => /answer to (\w+)/.exec(text)?.[1]),
+      ids,
+    );
+  },
+);
 
-test('a stop of an instance whose event loop is always slow ends within the grace time', async t => {
-  // Guards against instances that are killed with the requests they hold, as they
-  // wait for a moment at which nothing is left to read.
-  const {gateway, endpoint} = await startAnswering();
-  t.teardown(() => endpoint.close());
-  const end = beBusy();
-  const tookTooLong = new Promise(done => setTimeout(done, GRACE_MS, 'late'));
-  const stopped = gateway.stop();
-  const first = await Promise.race([
-    stopped.then(() => 'stopped'),
-    tookTooLong,
-  ]);
-  end();
-  await stopped;
-  t.is(first, 'stopped');
-});
+test.serial(
+  'a stop of an instance whose event loop is always slow ends within the grace time',
+  async t => {
+    // Guards against instances that are killed with the requests they hold, as they
+    // wait for a moment at which nothing is left to read.
+    const {gateway, endpoint} = await startAnswering();
+    t.teardown(() => endpoint.close());
+    const end = beBusy();
+    const tookTooLong = new Promise(done => setTimeout(done, GRACE_MS, 'late'));
+    const stopped = gateway.stop();
+    const first = await Promise.race([
+      stopped.then(() => 'stopped'),
+      tookTooLong,
+    ]);
+    end();
+    await stopped;
+    t.is(first, 'stopped');
+  },
+);
 
-test('a request whose connection waited to be accepted hands on only the time that is left', async t => {
-  // Guards against endpoints that work for callers that have left, since the
-  // instance accepts one connection in a turn and its turns are slow.
-  const timesLeftMs = new Map<string, number>();
-  const {gateway, callers, endpoint, lines} = await startAnswering(
-    ({headers}) =>
-      timesLeftMs.set(
-        String(headers['x-request-id']),
-        Number(headers['x-time-left-ms']),
-      ),
-  );
-  t.teardown(() => endpoint.close());
-  t.teardown(() => gateway.stop());
-  const {received} = await startCallers({
-    port: callers,
-    callers: listCallers(QUEUED_CALLERS),
-  });
-  const sentAtMs = Date.now();
-  const end = beBusy();
-  t.teardown(end);
-  await waitUntil(() => timesLeftMs.size === QUEUED_CALLERS);
-  end();
-  await received;
-  const excessesMs = lines
-    .map(line => JSON.parse(line))
-    .filter(({event}) => event === 'request')
-    .map(({requestId, time, durationMs}) => {
-      const waitedMs = Date.parse(time) - durationMs - sentAtMs;
-      return timesLeftMs.get(requestId)! + waitedMs - CALLER_TIMEOUT_MS;
+test.serial(
+  'a request whose connection waited to be accepted hands on only the time that is left',
+  async t => {
+    // Guards against endpoints that work for callers that have left, since the
+    // instance accepts one connection in a turn and its turns are slow.
+    const timesLeftMs = new Map<string, number>();
+    const {gateway, callers, endpoint, lines} = await startAnswering(
+      ({headers}) =>
+        timesLeftMs.set(
+          String(headers['x-request-id']),
+          Number(headers['x-time-left-ms']),
+        ),
+    );
+    t.teardown(() => endpoint.close());
+    t.teardown(() => gateway.stop());
+    const {received} = await startCallers({
+      port: callers,
+      callers: listCallers(QUEUED_CALLERS),
     });
-  t.is(excessesMs.length, QUEUED_CALLERS);
-  t.true(Math.max(...excessesMs) < MAX_EXCESS_MS, excessesMs.join(' '));
-});
+    const sentAtMs = Date.now();
+    const end = beBusy();
+    t.teardown(end);
+    await waitUntil(() => timesLeftMs.size === QUEUED_CALLERS);
+    end();
+    await received;
+    const excessesMs = lines
+      .map(line => JSON.parse(line))
+      .filter(({event}) => event === 'request')
+      .map(({requestId, time, durationMs}) => {
+        const waitedMs = Date.parse(time) - durationMs - sentAtMs;
+        return timesLeftMs.get(requestId)! + waitedMs - CALLER_TIMEOUT_MS;
+      });
+    t.is(excessesMs.length, QUEUED_CALLERS);
+    t.true(Math.max(...excessesMs) < MAX_EXCESS_MS, excessesMs.join(' '));
+  },
+);
 
-test('waiting connections are accepted before requests are worked on', async t => {
-  // Guards against callers of new connections that wait for seconds behind the
-  // requests of others, which takes as many turns as there are connections.
-  const {
-    gateway,
-    callers: port,
-    endpoint,
-    lines,
-  } = await startAnswering(() => standStill(REQUEST_COST_MS));
-  t.teardown(() => endpoint.close());
-  t.teardown(() => gateway.stop());
-  const {received} = await startCallers({
-    port,
-    callers: listCallers(QUEUED_CALLERS),
-  });
-  await received;
-  const waitedMs = lines
-    .map(line => JSON.parse(line))
-    .filter(({event}) => event === 'request')
-    .map(({acceptedAfterMs = 0}) => acceptedAfterMs as number);
-  t.is(waitedMs.length, QUEUED_CALLERS);
-  t.true(Math.max(...waitedMs) < MAX_ACCEPT_WAIT_MS, waitedMs.join(' '));
-});
+test.serial(
+  'waiting connections are accepted before requests are worked on',
+  async t => {
+    // Guards against callers of new connections that wait for seconds behind the
+    // requests of others, which takes as many turns as there are connections.
+    const {
+      gateway,
+      callers: port,
+      endpoint,
+      lines,
+    } = await startAnswering(() => standStill(REQUEST_COST_MS));
+    t.teardown(() => endpoint.close());
+    t.teardown(() => gateway.stop());
+    const {received} = await startCallers({
+      port,
+      callers: listCallers(QUEUED_CALLERS),
+    });
+    await received;
+    const waitedMs = lines
+      .map(line => JSON.parse(line))
+      .filter(({event}) => event === 'request')
+      .map(({acceptedAfterMs = 0}) => acceptedAfterMs as number);
+    t.is(waitedMs.length, QUEUED_CALLERS);
+    t.true(Math.max(...waitedMs) < MAX_ACCEPT_WAIT_MS, waitedMs.join(' '));
+  },
+);
