Refuse what is still being read when the grace time ends

A request whose body was still being read when a stop's grace time ended, or that waited for the origin of its stream, met a closed connection: only requests with a choice of an endpoint made got a final answer. None of it has been sent to an endpoint, so that it is refused as not run and may go elsewhere at once.

The test failed before (nothing received) and passes.

--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -61,6 +61,8 @@
   readonly connections: CallerConnections;
   private count = 0;
   private readonly exchanges = new Set<Exchange>();
+  /** Requests that nothing has been sent of, and their log lines. */
+  private readonly preparing = new Map<AnswerWriter, Record<string, unknown>>();
   private readonly random: () => number;
   private readonly gate: CatchUpGate;
 
@@ -91,6 +93,11 @@
    */
   giveUpAll(reason: string): void {
     for (const exchange of this.exchanges) exchange.giveUp(reason);
+    for (const [writer, line] of this.preparing) {
+      if (writer.isOver) continue;
+      line.reason = reason;
+      this.refuseElsewhere(writer);
+    }
   }
 
   async handle(
@@ -119,8 +126,10 @@
       writer.noteDisconnected();
       memory.closeAnswer();
     });
+    this.preparing.set(writer, line);
     try {
       exchange = await this.prepare(request, writer, memory, arrival, line);
+      this.preparing.delete(writer);
       if (exchange !== undefined) await this.run(exchange);
     } catch (error) {
       this.options.logger.error('request_failed', {
@@ -129,6 +138,7 @@
       });
       writer.fail(502, {});
     } finally {
+      this.preparing.delete(writer);
       memory.closeBody();
       if (writer.isUnfinished) line.closedBy = closingSide();
       this.account(writer, response, exchange, arrival.readAtMs, line);
@@ -234,12 +244,12 @@
       return undefined;
     }
     if (body === 'broken') {
-      line.reason = 'caller_left';
+      line.reason ??= 'caller_left';
       return undefined;
     }
     await this.gate.pass(admission.urgencyRank);
     if (writer.hasCallerLeft) {
-      line.reason = 'caller_left';
+      line.reason ??= 'caller_left';
       return undefined;
     }
     const limitMs = timeLimitMs(caller, admission);
@@ -247,10 +257,7 @@
     const latestEndsAtMs = arrival.readAtMs + limitMs;
     if (!this.mayAdmit(admission, latestEndsAtMs)) {
       line.reason = 'stopping';
-      writer.fail(
-        UNAVAILABLE,
-        protocol.composeRetryAfter(RETRY_ELSEWHERE_AFTER_MS),
-      );
+      this.refuseElsewhere(writer);
       return undefined;
     }
     const fingerprint = this.fingerprint(request, admission, body);
@@ -322,6 +329,14 @@
     return 'unknown';
   }
 
+  private refuseElsewhere(writer: AnswerWriter): void {
+    const {protocol} = this.options;
+    writer.fail(
+      UNAVAILABLE,
+      protocol.composeRetryAfter(RETRY_ELSEWHERE_AFTER_MS),
+    );
+  }
+
   private turnAway(writer: AnswerWriter, status: number): void {
     const headers =
       status === UNAVAILABLE
--- a/packages/gateway/src/stop.test.ts
+++ b/packages/gateway/src/stop.test.ts
@@ -385,3 +385,26 @@
     ['is cut', 'instance'],
   ]);
 });
+
+test('a request that is still being read at the end of the grace time is refused', async t => {
+  // Guards against connections that close without an answer at the end of a stop,
+  // as their requests have reached no endpoint yet.
+  const endpoint = new TestEndpoint(() => undefined);
+  const {gateway, callers, lines} = await startWithEndpoint(endpoint);
+  t.teardown(() => endpoint.close());
+  const slow = net.connect(callers, '127.0.0.1');
+  let answer = '';
+  slow.on('data', data => (answer += data.toString()));
+  const head = requestBytes('slow').replace('GET', 'POST').trimEnd();
+  slow.write(`${head}\r\nContent-Length: 100\r\n\r\nhalf of it`);
+  await once(slow, 'ready');
+  await pause(100);
+  await Promise.all([gateway.stop(), once(slow, 'close')]);
+  t.regex(answer, /^HTTP\/1.1 503 /);
+  await waitUntil(() => lines.some(each => each.includes('"request"')));
+  const line = lines
+    .map(text => JSON.parse(text))
+    .find(({event}) => event === 'request');
+  t.like(line, {status: 503, reason: 'grace_time_over'});
+  t.deepEqual(endpoint.begun, []);
+});
