Release held requests as soon as no connection waits, and hold from a few on

Holding from 20 ms of waiting connections let dozens of requests pass first, whose work then filled the turns in which the others had to be accepted; and held requests waited for a check each 5 ms. Requests are held from four connections in a row on, and pass in the turn in which none waits any more.

The refusal of what is still being read at the end of the grace time is logged: its test hung, as Node.js doesn't end a request whose answer came before its body.

--- a/packages/gateway/src/accept_queue_watch.test.ts
+++ b/packages/gateway/src/accept_queue_watch.test.ts
@@ -2,14 +2,17 @@
 import {AcceptQueueWatch} from './accept_queue_watch.js';
 
 function createWatch() {
+  let timesEmpty = 0;
   let nowMs = 0;
   let afterPoll: () => void = () => undefined;
   const watch = new AcceptQueueWatch({
     nowMs: () => nowMs,
+    onEmpty: () => (timesEmpty += 1),
     afterPoll: callback => (afterPoll = callback),
   });
   return {
     watch,
+    countTimesEmpty: () => timesEmpty,
     endTurn(tookMs: number) {
       nowMs += tookMs;
       const callback = afterPoll;
@@ -38,3 +41,18 @@
   endTurn(300);
   t.is(watch.noteAccepted(), 0);
 });
+
+test('a burst of connections is known until all are accepted', t => {
+  // Guards against requests that are worked on while others wait to be read.
+  const {watch, endTurn, countTimesEmpty} = createWatch();
+  for (let count = 0; count < 4; count += 1) {
+    t.false(watch.isBehind);
+    watch.noteAccepted();
+    endTurn(1);
+  }
+  t.true(watch.isBehind);
+  t.is(countTimesEmpty(), 0);
+  endTurn(1);
+  t.false(watch.isBehind);
+  t.is(countTimesEmpty(), 1);
+});
--- a/packages/gateway/src/accept_queue_watch.ts
+++ b/packages/gateway/src/accept_queue_watch.ts
@@ -1,11 +1,13 @@
 /** Estimates how long connections may have waited to be accepted. */
 
-/** Connections that come together are accepted within that time. */
-const MIN_BACKLOG_MS = 20;
+/** More connections in a row than come together by chance. */
+const MIN_BACKLOG_COUNT = 4;
 
-/** Options of {@link AcceptQueueWatch}; default in the brackets. */
+/** Options of {@link AcceptQueueWatch}; defaults in the brackets. */
 export interface AcceptQueueWatchOptions {
   readonly nowMs: () => number;
+  /** Called when no more connections wait (nothing). */
+  readonly onEmpty?: () => void;
   /** Runs a callback once sockets have been polled (`setImmediate`). */
   readonly afterPoll?: (callback: () => void) => void;
 }
@@ -19,6 +21,7 @@
   /** The first of the turns without a break that have accepted one. */
   private queueSinceMs: number | undefined;
   private hasAccepted = false;
+  private acceptedInRow = 0;
   private readonly afterPoll: (callback: () => void) => void;
 
   constructor(private readonly options: AcceptQueueWatchOptions) {
@@ -36,6 +39,7 @@
   noteAccepted(): number {
     const nowMs = this.options.nowMs();
     this.hasAccepted = true;
+    this.acceptedInRow += 1;
     if (this.queueSinceMs === undefined) {
       this.queueSinceMs = nowMs;
       this.check();
@@ -48,11 +52,9 @@
     return this.queueSinceMs !== undefined;
   }
 
-  /** Whether some have waited for longer than it takes to accept a few. */
+  /** Whether several have waited at the same time and others may still. */
   get isBehind(): boolean {
-    const {queueSinceMs} = this;
-    if (queueSinceMs === undefined) return false;
-    return this.options.nowMs() - queueSinceMs >= MIN_BACKLOG_MS;
+    return this.acceptedInRow >= MIN_BACKLOG_COUNT;
   }
 
   private check(): void {
@@ -60,7 +62,11 @@
       if (this.hasAccepted) {
         this.hasAccepted = false;
         this.check();
-      } else this.queueSinceMs = undefined;
+        return;
+      }
+      this.queueSinceMs = undefined;
+      this.acceptedInRow = 0;
+      this.options.onEmpty?.();
     });
   }
 }
--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -37,8 +37,12 @@
   private readonly bySocket = new Map<Socket, Connection>();
   private readCount = 0;
 
-  constructor(private readonly nowMs: () => number) {
-    this.queue = new AcceptQueueWatch({nowMs});
+  /** @param onAllAccepted called when no more connections wait. */
+  constructor(
+    private readonly nowMs: () => number,
+    onAllAccepted: () => void,
+  ) {
+    this.queue = new AcceptQueueWatch({nowMs, onEmpty: onAllAccepted});
   }
 
   /** Connections and requests read so far. */
--- a/packages/gateway/src/catch_up_gate.ts
+++ b/packages/gateway/src/catch_up_gate.ts
@@ -1,4 +1,4 @@
-/** Holds requests while the event loop catches up after a standstill. */
+/** Holds requests while the event loop catches up with what has come. */
 
 /** Options of {@link CatchUpGate}; defaults in the brackets. */
 export interface CatchUpGateOptions {
@@ -19,13 +19,14 @@
 const CHECK_EVERY_MS = 5;
 
 /**
- * After a standstill everything that came meanwhile is read in the order of its
+ * After a standstill, or while connections wait to be accepted, everything that came meanwhile is read in the order of its
  * connections. Held until all of it is read, the most urgent requests go first,
  * and those whose callers have left meanwhile are known.
  */
 export class CatchUpGate {
   private held: HeldRequest[] = [];
   private heldForMs = 0;
+  private hasCheck = false;
   private readonly maxHeldMs: number;
   private readonly later: (callback: () => void, delayMs: number) => void;
 
@@ -45,12 +46,20 @@
     if (!this.options.isBehind()) return;
     await new Promise<void>(resume => {
       this.held.push({urgencyRank, resume});
-      if (this.held.length === 1) this.scheduleCheck();
+      if (!this.hasCheck) this.scheduleCheck();
     });
   }
 
+  /** Releases what is held if the loop has caught up before the next check. */
+  recheck(): void {
+    if (this.held.length > 0 && !this.options.isBehind()) this.releaseAll();
+  }
+
   private scheduleCheck(): void {
+    this.hasCheck = true;
     this.later(() => {
+      this.hasCheck = false;
+      if (this.held.length === 0) return;
       this.heldForMs += CHECK_EVERY_MS;
       const isOver = this.heldForMs >= this.maxHeldMs;
       if (isOver || !this.options.isBehind()) this.releaseAll();
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -61,14 +61,16 @@
   readonly connections: CallerConnections;
   private count = 0;
   private readonly exchanges = new Set<Exchange>();
-  /** Requests that nothing has been sent of, and their log lines. */
-  private readonly preparing = new Map<AnswerWriter, Record<string, unknown>>();
+  /** Refuse requests that no endpoint has been chosen for yet. */
+  private readonly refusals = new Set<(reason: string) => void>();
   private readonly random: () => number;
   private readonly gate: CatchUpGate;
 
   constructor(private readonly options: RequestHandlerOptions) {
     this.random = options.random ?? Math.random;
-    this.connections = new CallerConnections(options.nowMs);
+    this.connections = new CallerConnections(options.nowMs, () =>
+      this.gate.recheck(),
+    );
     const {queue} = this.connections;
     this.gate = new CatchUpGate({
       isBehind: () => queue.isBehind || isBehind(options),
@@ -93,11 +95,7 @@
    */
   giveUpAll(reason: string): void {
     for (const exchange of this.exchanges) exchange.giveUp(reason);
-    for (const [writer, line] of this.preparing) {
-      if (writer.isOver) continue;
-      line.reason = reason;
-      this.refuseElsewhere(writer);
-    }
+    for (const refuse of this.refusals) refuse(reason);
   }
 
   async handle(
@@ -126,10 +124,17 @@
       writer.noteDisconnected();
       memory.closeAnswer();
     });
-    this.preparing.set(writer, line);
+    const refuse = (reason: string) => {
+      if (writer.isOver) return;
+      line.reason = reason;
+      // Node.js (20) doesn't end a request whose answer came before its body.
+      response.once('close', () => request.destroy());
+      this.refuseElsewhere(writer);
+    };
+    this.refusals.add(refuse);
     try {
       exchange = await this.prepare(request, writer, memory, arrival, line);
-      this.preparing.delete(writer);
+      this.refusals.delete(refuse);
       if (exchange !== undefined) await this.run(exchange);
     } catch (error) {
       this.options.logger.error('request_failed', {
@@ -138,7 +143,7 @@
       });
       writer.fail(502, {});
     } finally {
-      this.preparing.delete(writer);
+      this.refusals.delete(refuse);
       memory.closeBody();
       if (writer.isUnfinished) line.closedBy = closingSide();
       this.account(writer, response, exchange, arrival.readAtMs, line);
