Run no request that comes after the error answer of its connection

A connection that was past its header timeout, or had sent something malformed, got an error answer and half a close: its other half was read on. A first request that crossed the answer of an unused connection went to an endpoint and ran, though its caller had been told 408 (not run), or 400 before; its answer could not be sent any more. A caller of an unsafe request would send it again.

Such a connection is read on for two seconds, so that a reset doesn't discard the error, and what comes is dropped.

--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -1,6 +1,11 @@
 /** The HTTP server for callers' requests. */
 
-import {createServer, type Server} from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import {Server as TcpServer, type Socket} from 'node:net';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {CallerLimits} from '@snipestage/routing/route.js';
@@ -43,9 +48,14 @@
   [HEADER_TIMEOUT_CODE]: '408 Request Timeout',
 };
 
+/** Longest time for which a caller may take to close after an error. */
+const LINGER_MS = 2000;
+
 /** Owns the listening socket. */
 export class CallersServer {
   private readonly server: Server;
+  /** Connections on which an error was the last answer. */
+  private readonly ended = new WeakSet<Socket>();
 
   constructor(private readonly options: CallersServerOptions) {
     const {handler, logger} = options;
@@ -55,7 +65,7 @@
         maxHeaderSize: MAX_HEADER_BYTES,
         noDelay: true,
       },
-      (request, response) => void handler.handle(request, response),
+      (request, response) => this.receive(request, response),
     );
     this.server.requestTimeout = 0;
     this.server.on('connection', socket =>
@@ -65,7 +75,7 @@
       logger.debug('caller_connection_error', {error: error.code});
       if (error.code === HEADER_TIMEOUT_CODE) {
         void this.endOverdue(socket as Socket);
-      } else endWithError(socket as Socket, error.code);
+      } else this.endWithError(socket as Socket, error.code);
     });
     // Without a listener, Node.js closes at once what has timed out.
     this.server.on('timeout', socket => void this.closeIdleOne(socket));
@@ -123,6 +133,27 @@
     }
   }
 
+  private receive(request: IncomingMessage, response: ServerResponse): void {
+    // It has crossed the last answer of its connection.
+    if (this.ended.has(request.socket)) request.resume();
+    else void this.options.handler.handle(request, response);
+  }
+
+  /**
+   * Answers with an error and closes. What comes on the connection after that is
+   * read and dropped for a while: a reset could discard the answer.
+   */
+  private endWithError(socket: Socket, code: string | undefined): void {
+    if (!socket.writable || code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    this.ended.add(socket);
+    socket.end(composeErrorAnswer(code));
+    const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+    socket.once('close', () => clearTimeout(timer));
+  }
+
   /** Ends a connection past its header timeout, unless a request has arrived. */
   private async endOverdue(socket: Socket): Promise<void> {
     const {connections} = this.options.handler;
@@ -132,7 +163,8 @@
     // Node.js limits the time of a first head that has begun only now.
     const hasBegun = bytesRead === 0 && socket.bytesRead > 0;
     const hasArrived = connections.countRequests(socket) > requests;
-    if (!hasBegun && !hasArrived) endWithError(socket, HEADER_TIMEOUT_CODE);
+    if (hasBegun || hasArrived) return;
+    this.endWithError(socket, HEADER_TIMEOUT_CODE);
   }
 
   /** Closes a connection past its idle timeout, unless something has arrived. */
@@ -167,11 +199,6 @@
   return new Promise(done => setImmediate(done));
 }
 
-function endWithError(socket: Socket, code: string | undefined): void {
-  if (!socket.writable || code === 'ECONNRESET') socket.destroy();
-  else socket.end(composeErrorAnswer(code));
-}
-
 function composeErrorAnswer(code = ''): string {
   const status = ERROR_STATUSES[code] ?? '400 Bad Request';
   return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
--- a/packages/gateway/src/connection_limits.test.ts
+++ b/packages/gateway/src/connection_limits.test.ts
@@ -127,3 +127,27 @@
   const [answers] = await received;
   t.regex(answers, /answer to before[^]*answer to late/);
 });
+
+test('a request that comes after the error answer of its connection is not run', async t => {
+  // Guards against requests that run though their callers have been told that
+  // they didn't, on connections that only one side has closed.
+  const {gateway, callers, endpoint} = await startWithShortLimits();
+  t.teardown(() => endpoint.close());
+  t.teardown(() => gateway.stop());
+  const late = net.connect({
+    port: callers,
+    host: '127.0.0.1',
+    allowHalfOpen: true,
+  });
+  late.on('error', () => undefined);
+  let received = '';
+  late.on('data', data => (received += data.toString()));
+  await once(late, 'end');
+  late.write(requestText('late'));
+  const closed = once(late, 'close');
+  await new Promise(done => setTimeout(done, CHECK_EVERY_MS));
+  late.end();
+  await closed;
+  t.regex(received, /^HTTP\/1.1 408 /);
+  t.deepEqual(endpoint.begun, []);
+});
