Count a tunnel until the other instance has read the rest of its answer

A stopping instance that forwards connections counted one as over once the endpoint had closed. What a slow caller at the other instance hadn't read was still in transit: the stop ended with all links, and the answer was cut off (path_broken), though its endpoint had finished it.

--- a/packages/gateway/src/forwarding/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/forwarding.test.ts
@@ -43,6 +43,8 @@
 /** About as long as a machine stands still that goes on afterwards. */
 const STANDSTILL_MS = 3500;
 const LARGE_BYTES = 3_000_000;
+/** Sent at once by an endpoint, and more than a link takes unread. */
+const SOME_BYTES = 400_000;
 
 const nowMs = () => performance.now();
 
@@ -346,6 +348,28 @@
   t.pass();
 });
 
+test('a stopping instance forwards what its endpoint has finished already', async t => {
+  // Guards against answers that are cut off by a planned stop of the instance that
+  // forwards them, as a slow caller hasn't read them to their end.
+  const endpoint = await listen(t, socket =>
+    onRequest(socket, () => {
+      socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${SOME_BYTES}\r\n\r\n`);
+      socket.end(Buffer.alloc(SOME_BYTES));
+    }),
+  );
+  const [isolated, other] = await startMembers(t, 2, [endpoint]);
+  isolated.hasLinks = false;
+  const call = callThrough(isolated, endpoint);
+  const head = await call.head;
+  if (head.kind !== 'head') return t.fail(head.message);
+  other.isStopping = true;
+  await new Promise(done => setTimeout(done, 500));
+  t.is(other.forwarding.inProgress, 1);
+  t.is(await readBody(head.response), SOME_BYTES);
+  await waitUntil(() => other.forwarding.inProgress === 0);
+  t.true(await call.isWhole(head.response, DOCUMENT));
+});
+
 test('an instance connects only to endpoints that it lists itself', async t => {
   // Guards against a port that lets any process reach any address, and against
   // sending to endpoints that have left.
--- a/packages/gateway/src/forwarding/tunnel_server.ts
+++ b/packages/gateway/src/forwarding/tunnel_server.ts
@@ -56,7 +56,7 @@
     });
   }
 
-  /** Number of open tunnels. */
+  /** Tunnels that the other side may not have read to the end. */
   get inProgress(): number {
     return this.calls.size;
   }
@@ -100,17 +100,19 @@
       return;
     }
     this.calls.add(call);
+    // The other side may read the rest long after the endpoint has closed.
+    const remove = () => this.calls.delete(call);
+    call.once('finish', remove);
+    call.once('cancelled', remove);
     const connection = await this.connect(call, endpoint, open);
     if (connection.kind === 'failed') {
-      this.calls.delete(call);
       this.refuse(call, this.explainFailure(connection));
       return;
     }
     const socket = connection.createConnection();
-    void closesCleanly(socket).then(isClean => {
-      this.calls.delete(call);
-      finish(call, {kind: isClean ? 'closed' : 'reset'});
-    });
+    void closesCleanly(socket).then(isClean =>
+      finish(call, {kind: isClean ? 'closed' : 'reset'}),
+    );
     if (call.cancelled) {
       connection.reset();
       return;
