Refuse requests that have waited for all of their time to be accepted

An overloaded instance handed requests on whose time was over by what it knew, with 400 ms at least, as they might have come just now. That holds after a standstill, in which anything may have come at its end.

--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -35,6 +35,8 @@
 interface Arrival {
   readonly readAtMs: number;
   readonly earliestMs: number;
+  /** For which its connection may have waited to be accepted. */
+  readonly queuedMs: number;
 }
 
 /** Endpoints may be handed half a second more than a caller has left. */
@@ -44,7 +46,10 @@
 const PAYLOAD_TOO_LARGE = 413;
 const HEADERS_TOO_LARGE = 431;
 const UNAVAILABLE = 503;
-/** Without a configuration: about the time that an instance's start takes. */
+/**
+ * Without a configuration: about the time that an instance's start takes; with
+ * too many connections, that in which the balancer spreads new ones.
+ */
 const DEFAULT_RETRY_AFTER_MS = 500;
 /** While this instance stops, another one can take the request at once. */
 const RETRY_ELSEWHERE_AFTER_MS = 0;
@@ -167,7 +172,11 @@
     const {earliestArrivalMs = () => readAtMs} = this.options;
     const readSinceMs = Math.min(readAtMs, earliestArrivalMs());
     const queuedSinceMs = maxQueuedMs > 0 ? openedAtMs - maxQueuedMs : readAtMs;
-    return {readAtMs, earliestMs: Math.min(readSinceMs, queuedSinceMs)};
+    return {
+      readAtMs,
+      earliestMs: Math.min(readSinceMs, queuedSinceMs),
+      queuedMs: readAtMs - queuedSinceMs,
+    };
   }
 
   /**
@@ -258,6 +267,16 @@
       return undefined;
     }
     const limitMs = timeLimitMs(caller, admission);
+    // Connections are accepted in the order in which they came: it has waited
+    // for almost as long as it may have.
+    if (arrival.queuedMs >= limitMs) {
+      line.reason = 'waited_too_long';
+      writer.fail(
+        UNAVAILABLE,
+        protocol.composeRetryAfter(DEFAULT_RETRY_AFTER_MS),
+      );
+      return undefined;
+    }
     const endsAtMs = deadlineOf(arrival, limitMs);
     const latestEndsAtMs = arrival.readAtMs + limitMs;
     if (!this.mayAdmit(admission, latestEndsAtMs)) {
--- a/packages/gateway/src/unread_requests.test.ts
+++ b/packages/gateway/src/unread_requests.test.ts
@@ -16,6 +16,8 @@
 const SLOW_TURN_MS = 30;
 const CALLER_TIMEOUT_MS = 3000;
 const QUEUED_CALLERS = 40;
+/** Half of the time in which that many are accepted in slow turns. */
+const SHORT_TIMEOUT_MS = (QUEUED_CALLERS * SLOW_TURN_MS) / 2;
 /** By which an endpoint may be handed more than the caller has left. */
 const MAX_EXCESS_MS = 500;
 const REQUEST_COST_MS = 20;
@@ -43,10 +45,10 @@
   return {...started, endpoint};
 }
 
-function requestText(id: string): string {
+function requestText(id: string, timeoutMs = CALLER_TIMEOUT_MS): string {
   return (
     `GET /x HTTP/1.1\r\nHost: ${SLOW_ROUTE.host}\r\n` +
-    `X-Request-Id: ${id}\r\nX-Waits-Ms: ${CALLER_TIMEOUT_MS}\r\n\r\n`
+    `X-Request-Id: ${id}\r\nX-Waits-Ms: ${timeoutMs}\r\n\r\n`
   );
 }
 
@@ -62,11 +64,11 @@
 }
 
 /** Callers that open their connections at once, each for one request. */
-function listCallers(count: number) {
+function listCallers(count: number, timeoutMs?: number) {
   return Array.from({length: count}, (_, index) => [
     {
       atMs: 0,
-      text: requestText(`r${index}`).replace(
+      text: requestText(`r${index}`, timeoutMs).replace(
         '\r\n\r\n',
         '\r\nConnection: close\r\n\r\n',
       ),
@@ -74,6 +76,10 @@
   ]);
 }
 
+function countRequests(lines: readonly string[], pattern: RegExp): number {
+  return lines.filter(line => pattern.test(line)).length;
+}
+
 /** Stops the gateway and stands still when it would close connections. */
 async function stopBusily(gateway: {stop: () => Promise<void>}) {
   const stopped = gateway.stop();
@@ -174,11 +180,7 @@
     await waitUntil(() => timesLeftMs.size === QUEUED_CALLERS);
     end();
     await received;
-    await waitUntil(
-      () =>
-        lines.filter(line => line.includes('"request"')).length ===
-        QUEUED_CALLERS,
-    );
+    await waitUntil(() => countRequests(lines, /"request"/) === QUEUED_CALLERS);
     const excessesMs = lines
       .map(line => JSON.parse(line))
       .filter(({event}) => event === 'request')
@@ -191,6 +193,31 @@
   },
 );
 
+test.serial(
+  'a request that has waited for all of its time is refused instead of run',
+  async t => {
+    // Guards against an overloaded instance that works for callers that have left,
+    // and so never catches up with those that wait.
+    const {gateway, callers, endpoint, lines} = await startAnswering();
+    t.teardown(() => endpoint.close());
+    t.teardown(() => gateway.stop());
+    const {received} = await startCallers({
+      port: callers,
+      callers: listCallers(QUEUED_CALLERS, SHORT_TIMEOUT_MS),
+    });
+    const end = beBusy();
+    t.teardown(end);
+    const answers = await received;
+    end();
+    await waitUntil(() => countRequests(lines, /"request"/) === QUEUED_CALLERS);
+    const refused = answers.filter(text => text.startsWith('HTTP/1.1 503 '));
+    t.true(refused.length > 0);
+    t.true(refused.every(text => /\r\nRetry-After: /i.test(text)));
+    t.is(countRequests(lines, /"waited_too_long"/), refused.length);
+    t.is(endpoint.begun.length, QUEUED_CALLERS - refused.length);
+  },
+);
+
 test.serial(
   'waiting connections are accepted before requests are worked on',
   async t => {
