--- a/packages/soak/src/checks/answers.ts
+++ b/packages/soak/src/checks/answers.ts
@@ -165,8 +165,11 @@
   );
 }
 
-/** Statuses that deny a valid request for its key, its account or its path. */
-const DENIAL_STATUSES: ReadonlySet<number> = new Set([401, 403, 404]);
+/**
+ * Statuses that deny a valid request for its form, its key, its account or its
+ * path.
+ */
+const DENIAL_STATUSES: ReadonlySet<number> = new Set([400, 401, 403, 404]);
 
 /** A request that every configuration allows is never denied. */
 export class NoFalseDenial extends Check {
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -150,6 +150,8 @@
 test('a valid request that is denied is found', t => {
   const outcome = {...REFUSED, status: 401};
   t.deepEqual(findersOf({outcome}, []), ['no_false_denial']);
+  const malformed = {...REFUSED, status: 400};
+  t.deepEqual(findersOf({outcome: malformed}, []), ['no_false_denial']);
   const withdraw = (history: History) => {
     history.keyWithdrawals.set('key-1', 9000);
   };
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -65,6 +65,10 @@
     ...(mutant.faultsForMs === undefined
       ? {}
       : {faultsForMs: mutant.faultsForMs}),
+    ...(mutant.quotaMs === undefined ? {} : {quotaMs: mutant.quotaMs}),
+    ...(mutant.connectsDirectly === undefined
+      ? {}
+      : {connectsDirectly: mutant.connectsDirectly}),
     seed: options.seed,
     program: await buildProgram(mutant),
     kinds: mutant.kinds,
--- a/packages/soak/src/mutant.ts
+++ b/packages/soak/src/mutant.ts
@@ -15,4 +15,8 @@
   /** Mean time between two series of faults, where it matters. */
   readonly seriesEveryMs?: number;
   readonly faultsForMs?: number;
+  /** Processor time of most instances in each 100 ms (no limit). */
+  readonly quotaMs?: number;
+  /** Callers connect without a link in between (false). */
+  readonly connectsDirectly?: boolean;
 }
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -5,6 +5,7 @@
 import {BRITTLE_MUTANTS} from './brittle_mutations.js';
 import {FOREIGN_ROW_MUTANTS} from './foreign_row_mutations.js';
 import {FORWARDING_MUTANTS} from './forwarding_mutations.js';
+import {QUOTA_MUTANTS} from './quota_mutations.js';
 import type {Mutant} from './mutant.js';
 import {STOP_MUTANTS} from './stop_mutations.js';
 import {STREAM_MUTANTS} from './stream_mutations.js';
@@ -332,6 +333,7 @@
   ...CRASH_MUTANTS,
   ...STORE_MUTANTS,
   ...FORWARDING_MUTANTS,
+  ...QUOTA_MUTANTS,
   ...STREAM_MUTANTS,
   ...FOREIGN_ROW_MUTANTS,
   ...BRITTLE_MUTANTS,
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -28,6 +28,31 @@
   },
 );
 
+test.serial(
+  'instances with a quota of processor time lose no request around stops',
+  async t => {
+    // Guards against what waits unread in front of an instance that is short of
+    // processor time, which a proxy in front of it would take over.
+    t.timeout(120_000);
+    const program = await buildProgram();
+    const {findings, history} = await runSoak({
+      seed: 71_701,
+      program,
+      faultsForMs: 8000,
+      instances: 4,
+      dataCentres: 1,
+      engines: 3,
+      services: 3,
+      requestsPerS: 25,
+      quotaMs: 33,
+      connectsDirectly: true,
+      kinds: ['instance_terminate', 'instance_reload', 'add_marker'],
+    });
+    t.deepEqual(findings, []);
+    t.true(history.ends.length > 0);
+  },
+);
+
 test.serial(
   'rows of another writer end no process and lose no request',
   async t => {
