--- a/packages/gateway/src/catch_up_gate.test.ts
+++ b/packages/gateway/src/catch_up_gate.test.ts
@@ -3,11 +3,13 @@
 
 /** A gate whose event loop and timers a test drives. */
 function startGate() {
-  const loop = {isBehind: true};
+  const loop = {isBehind: true, hasBacklog: false};
   let due: Array<() => void> = [];
   const gate = new CatchUpGate({
     isBehind: () => loop.isBehind,
     maxHeldMs: 50,
+    hasBacklog: () => loop.hasBacklog,
+    maxBacklogHeldMs: 200,
     later: callback => due.push(callback),
   });
   const check = async () => {
@@ -68,3 +70,15 @@
   await check();
   t.deepEqual(passed, ['one'], 'and each batch for that time');
 });
+
+test('requests are held longer while connections wait to be accepted', async t => {
+  // Guards against work for some callers that keeps others from being accepted.
+  const {loop, check, pass, passed} = startGate();
+  loop.isBehind = false;
+  loop.hasBacklog = true;
+  pass('one', 0);
+  for (let count = 0; count < 39; count += 1) await check();
+  t.deepEqual(passed, []);
+  await check();
+  t.deepEqual(passed, ['one']);
+});
--- a/packages/gateway/src/catch_up_gate.ts
+++ b/packages/gateway/src/catch_up_gate.ts
@@ -6,6 +6,10 @@
   readonly isBehind: () => boolean;
   /** Longest time for which a request is held (50 ms). */
   readonly maxHeldMs?: number;
+  /** Whether connections wait to be accepted (never). */
+  readonly hasBacklog?: () => boolean;
+  /** Longest time for which a request is held while some wait (200 ms). */
+  readonly maxBacklogHeldMs?: number;
   /** Runs a callback after a time in ms (`setTimeout`). */
   readonly later?: (callback: () => void, delayMs: number) => void;
 }
@@ -16,6 +20,7 @@
 }
 
 const DEFAULT_MAX_HELD_MS = 50;
+const DEFAULT_MAX_BACKLOG_HELD_MS = 200;
 const CHECK_EVERY_MS = 5;
 
 /**
@@ -27,11 +32,9 @@
   private held: HeldRequest[] = [];
   private heldForMs = 0;
   private hasCheck = false;
-  private readonly maxHeldMs: number;
   private readonly later: (callback: () => void, delayMs: number) => void;
 
   constructor(private readonly options: CatchUpGateOptions) {
-    this.maxHeldMs = options.maxHeldMs ?? DEFAULT_MAX_HELD_MS;
     this.later = options.later ?? setTimeout;
   }
 
@@ -43,7 +46,7 @@
    * await gate.pass(admission.urgencyRank);
    */
   async pass(urgencyRank: number): Promise<void> {
-    if (!this.options.isBehind()) return;
+    if (!this.isBehind) return;
     await new Promise<void>(resume => {
       this.held.push({urgencyRank, resume});
       if (!this.hasCheck) this.scheduleCheck();
@@ -52,7 +55,21 @@
 
   /** Releases what is held if the loop has caught up before the next check. */
   recheck(): void {
-    if (this.held.length > 0 && !this.options.isBehind()) this.releaseAll();
+    if (this.held.length > 0 && !this.isBehind) this.releaseAll();
+  }
+
+  private get isBehind(): boolean {
+    return this.hasBacklog || this.options.isBehind();
+  }
+
+  private get hasBacklog(): boolean {
+    return this.options.hasBacklog?.() === true;
+  }
+
+  private get limitMs(): number {
+    const {maxHeldMs = DEFAULT_MAX_HELD_MS} = this.options;
+    const {maxBacklogHeldMs = DEFAULT_MAX_BACKLOG_HELD_MS} = this.options;
+    return this.hasBacklog ? maxBacklogHeldMs : maxHeldMs;
   }
 
   private scheduleCheck(): void {
@@ -61,8 +78,8 @@
       this.hasCheck = false;
       if (this.held.length === 0) return;
       this.heldForMs += CHECK_EVERY_MS;
-      const isOver = this.heldForMs >= this.maxHeldMs;
-      if (isOver || !this.options.isBehind()) this.releaseAll();
+      const isOver = this.heldForMs >= this.limitMs;
+      if (isOver || !this.isBehind) this.releaseAll();
       else this.scheduleCheck();
     }, CHECK_EVERY_MS);
   }
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -78,7 +78,8 @@
     );
     const {queue} = this.connections;
     this.gate = new CatchUpGate({
-      isBehind: () => queue.isBehind || isBehind(options),
+      isBehind: () => isBehind(options),
+      hasBacklog: () => queue.isBehind,
     });
   }
 
@@ -261,11 +262,6 @@
       line.reason ??= 'caller_left';
       return undefined;
     }
-    await this.gate.pass(admission.urgencyRank);
-    if (writer.hasCallerLeft) {
-      line.reason ??= 'caller_left';
-      return undefined;
-    }
     const limitMs = timeLimitMs(caller, admission);
     // Connections are accepted in the order in which they came: it has waited
     // for almost as long as it may have.
@@ -277,6 +273,11 @@
       );
       return undefined;
     }
+    await this.gate.pass(admission.urgencyRank);
+    if (writer.hasCallerLeft) {
+      line.reason ??= 'caller_left';
+      return undefined;
+    }
     const endsAtMs = deadlineOf(arrival, limitMs);
     const latestEndsAtMs = arrival.readAtMs + limitMs;
     if (!this.mayAdmit(admission, latestEndsAtMs)) {
