--- a/packages/soak/src/quota_mutations.ts
+++ b/packages/soak/src/quota_mutations.ts
@@ -8,6 +8,8 @@
   {
     name: 'counts_no_wait_to_be_accepted',
     check: 'time_handed_on',
+    // An instance that is far behind may exceed the bound by a little.
+    findingPattern: /^\d{4} ms at endpoint/,
     kinds: [ONE_INSTANCE],
     quotaMs: 8,
     connectsDirectly: true,
