Log stream records that reach the store late

A refused stream is one line, stream_unknown, whether its record came late or was there and not found. The recorder now says how long records took when that is 100 ms or more.

--- a/packages/gateway/src/streams/stream_recorder.test.ts
+++ b/packages/gateway/src/streams/stream_recorder.test.ts
@@ -88,3 +88,22 @@
   await waitUntil(() => valueOf(platform) === undefined);
   t.pass();
 });
+
+test('a record that comes late is logged with its delay', async t => {
+  // Guards against logs that can't tell a late record from one not found.
+  const platform = new MemoryPlatform();
+  const log = new CapturedLog();
+  const recorder = new StreamRecorder({
+    platform,
+    logger: log.logger,
+    nowMs: () => performance.now(),
+    countInstances: () => 1,
+    keepMs: 60_000,
+  });
+  platform.nextFaults.push('away');
+  recorder.add(KEY, originOf('v1'));
+  await waitUntil(() => recorder.waiting === 0);
+  const late = log.lines.filter(line => line.includes('stream_records_late'));
+  t.is(late.length, 1);
+  t.true(JSON.parse(late[0]).longestMs >= 100);
+});
--- a/packages/gateway/src/streams/stream_recorder.ts
+++ b/packages/gateway/src/streams/stream_recorder.ts
@@ -25,6 +25,7 @@
 
 interface PendingRecord {
   readonly recorded: RecordedOrigin;
+  readonly addedAtMs: number;
   /** Version of the row that is replaced. */
   readonly replaces: StoreVersion;
 }
@@ -39,6 +40,8 @@
 /** With more waiting than this, the oldest are given up. */
 const MAX_PENDING = 20_000;
 const REMOVE_EVERY_MS = 30_000;
+/** Streams may end, or their instance, before a record that takes longer. */
+const LATE_AFTER_MS = 100;
 
 /**
  * The first record of a while is written at once, those that follow in batches.
@@ -72,7 +75,8 @@
   }
 
   add(key: StreamKey, recorded: RecordedOrigin): void {
-    this.pending.set(key, {recorded, replaces: ABSENT});
+    const addedAtMs = this.options.nowMs();
+    this.pending.set(key, {recorded, replaces: ABSENT, addedAtMs});
     if (this.pending.size > MAX_PENDING) {
       const [oldest] = this.pending.keys();
       this.pending.delete(oldest);
@@ -122,8 +126,10 @@
     }));
     const result = await this.options.platform.transact({checks, writes});
     this.failures = result.kind === 'unknown' ? this.failures + 1 : 0;
-    if (result.kind === 'committed') this.noteWritten(batch, expired.length);
-    else if (result.kind === 'conflict') this.settle(batch, result.rows);
+    if (result.kind === 'committed') {
+      this.noteWritten(batch, expired.length);
+      this.logLate(batch);
+    } else if (result.kind === 'conflict') this.settle(batch, result.rows);
     else this.logFailure(result.reason);
   }
 
@@ -156,6 +162,20 @@
     }
   }
 
+  private logLate(
+    batch: ReadonlyArray<readonly [StreamKey, PendingRecord]>,
+  ): void {
+    const nowMs = this.options.nowMs();
+    const delaysMs = batch.map(([, {addedAtMs}]) => nowMs - addedAtMs);
+    const late = delaysMs.filter(delayMs => delayMs >= LATE_AFTER_MS);
+    if (late.length === 0) return;
+    this.options.logger.info('stream_records_late', {
+      records: batch.length,
+      late: late.length,
+      longestMs: Math.round(Math.max(...late)),
+    });
+  }
+
   private logFailure(reason: string): void {
     if (this.failures > 1) return;
     const waiting = this.pending.size;
@@ -173,8 +193,8 @@
 }
 
 /** A row that was removed meanwhile is written as if it had never been. */
-function replacementFor({recorded}: PendingRecord, row: Row): PendingRecord {
+function replacementFor(pending: PendingRecord, row: Row): PendingRecord {
   return row.value === null
-    ? {recorded, replaces: ABSENT}
-    : {recorded: {kind: 'ambiguous'}, replaces: row.version};
+    ? {...pending, replaces: ABSENT}
+    : {...pending, recorded: {kind: 'ambiguous'}, replaces: row.version};
 }
