Record the version of a stream when its request is sent

Callers saw streams refused with 503 to the end of their time after a kill of the instance that served them, while engines of their version served on: at 62 instances 5 of 13 tries went on, of new streams 2,778 of 2,807 began.

A record was queued at the first event, and each instance paused for 16 ms times the number of instances between two batches (992 ms at 62, 6 s at 380). Until then only the instance that served the stream knew its version, so that it ended with it. A record is now made when the request is sent, so that it is on its way while the engine reads the prompt; a relay writes those of its data centre, at a pace by data centres instead of instances, and what no relay takes is written by the instance, four in a burst. A request that goes to another version before its first event is marked as ambiguous first.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -19,6 +19,7 @@
   mayContinue,
   type StreamOrigin,
 } from '@snipestage/routing/stream_origin.js';
+import type {SoftwareVersion} from '@snipestage/types/ids.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
 import {Attempt} from './attempt.js';
@@ -61,6 +62,8 @@
   private hasExpired = false;
   private timeout: ReadFirstTimeout | undefined;
   private hasBegunRun = false;
+  /** Version at whose endpoint the stream may have begun. */
+  private sentTo: SoftwareVersion | undefined;
   /** Set once an event of the stream has been sent to a caller. */
   private origin: StreamOrigin | undefined;
   private lastFailure: WholeAnswer | undefined;
@@ -237,6 +240,15 @@
         if (this.history.tried.size === 0) this.noteNoEndpoint();
         return this.fail();
       }
+      const mayBegin = this.mayBeginAt(placed.endpoint);
+      // Nothing may change between the choice and the attempt otherwise.
+      if (mayBegin !== true) {
+        if (!(await mayBegin)) {
+          this.lastReason = 'stream_not_recorded';
+          return this.fail();
+        }
+        if (this.writer.isOver) return;
+      }
       const result = await this.attempt(placed);
       if (result.kind === 'moved') return this.continueMoved(result.run);
       if (result.kind === 'answered' || this.writer.isOver) return;
@@ -304,11 +316,40 @@
     this.minRetryAfterMs = retryAfterMs;
   }
 
+  /** Records the version of a stream that may begin at an endpoint. */
+  private mayBeginAt({
+    service,
+    softwareVersion,
+  }: ServingEndpoint): true | Promise<boolean> {
+    const {admission, caller} = this.request;
+    if (this.origin !== undefined || !admission.route.isResumable) return true;
+    this.sentTo = softwareVersion;
+    const {clientAccount} = admission;
+    const {streams} = this.context;
+    const origin = {service, softwareVersion};
+    return streams.noteSent(clientAccount, caller.requestId, origin);
+  }
+
   private choose(): Placed | undefined {
+    const candidates = this.findCandidates(this.context.nowMs());
+    const {sentTo, lastFailure} = this;
+    // Its record holds there. Other versions may do better after an error answer.
+    const ofSameVersion =
+      sentTo === undefined || lastFailure !== undefined
+        ? []
+        : candidates.filter(each => each.softwareVersion === sentTo);
+    const isRestricted =
+      ofSameVersion.length > 0 && ofSameVersion.length < candidates.length;
+    const placed = isRestricted ? this.chooseAmong(ofSameVersion) : undefined;
+    return placed ?? this.chooseAmong(candidates);
+  }
+
+  private chooseAmong(
+    candidates: readonly ServingEndpoint[],
+  ): Placed | undefined {
     const {state, dataCentre, nowMs} = this.context;
     const {route, service} = this.request.admission;
     const atMs = nowMs();
-    const candidates = this.findCandidates(atMs);
     return state.placementFor(service).choose(candidates, {
       route,
       prompt: this.request.caller.prompt,
--- a/packages/gateway/src/exchange_context.ts
+++ b/packages/gateway/src/exchange_context.ts
@@ -35,7 +35,7 @@
   readonly connector: EndpointConnector;
   readonly probes: EndpointProbes;
   readonly mover: Pick<StreamMover, 'follow'>;
-  readonly streams: Pick<Streams, 'noteBegun' | 'resolve'>;
+  readonly streams: Pick<Streams, 'noteSent' | 'noteBegun' | 'resolve'>;
   /** See {@link UNREAD_BODY_TIMEOUT_MS}, which is the default. */
   readonly unreadBodyTimeoutMs?: number;
   /** Called when a request began to run; `atMs` is on this instance's clock. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -168,6 +168,7 @@
       logger: logger.forComponent('streams'),
       nowMs,
       eraAgeMs: era => this.duties.eraAgeMs(era),
+      relayRecords: records => this.relays.record(records),
     });
     this.handler = this.createHandler(crashes, nowMs);
     this.callers = new CallersServer({
--- a/packages/gateway/src/relay/change_deadline.test.ts
+++ b/packages/gateway/src/relay/change_deadline.test.ts
@@ -16,6 +16,7 @@
 } from '../table_follower.js';
 import {CapturedLog} from '../test_support/captured_log.js';
 import {MemoryPlatform} from '../test_support/memory_platform.js';
+import {makeRecordBatcher} from '../test_support/make_record_batcher.js';
 import {RelayClient} from './relay_client.js';
 import {RelayedFeed} from './relayed_feed.js';
 import {RelayedTable} from './relayed_table.js';
@@ -257,6 +258,7 @@
       address,
       copies,
       writes: new WriteBatcher(new MemoryPlatform()),
+      records: makeRecordBatcher(new MemoryPlatform()),
       onLoads: () => undefined,
       logger,
     });
--- a/packages/gateway/src/relay/relay_client.ts
+++ b/packages/gateway/src/relay/relay_client.ts
@@ -13,6 +13,8 @@
   readRelayMessage,
   RELAY_SERVICE,
   type ExchangeRequest,
+  type RecordAnswer,
+  type RecordRequest,
   type FollowerMessage,
   type FollowRequest,
   type RelayedTableName,
@@ -52,6 +54,8 @@
   readonly silentAfterMs: number;
   /** How long a write may take (1,000 ms). */
   readonly writeTimeoutMs?: number;
+  /** How long the write of records may take (300 ms). */
+  readonly recordTimeoutMs?: number;
 }
 
 interface FollowClient extends Client {
@@ -61,10 +65,17 @@
     options: {deadline: number},
     done: (error: ServiceError | null, answer?: WriteAnswer) => void,
   ): void;
+  record(
+    request: RecordRequest,
+    options: {deadline: number},
+    done: (error: ServiceError | null, answer?: RecordAnswer) => void,
+  ): void;
 }
 
 /** Twice the time that the batching delay and a transaction take. */
 const DEFAULT_WRITE_TIMEOUT_MS = 1000;
+/** Whoever waits longer writes the records itself. */
+const DEFAULT_RECORD_TIMEOUT_MS = 300;
 /** Pings keep a stream active that is quiet otherwise. */
 const PING_EVERY_MS = 2000;
 const RelayStub = makeGenericClientConstructor(RELAY_SERVICE, 'Relay');
@@ -110,6 +121,21 @@
     });
   }
 
+  /**
+   * @returns for each record whether it is known to be in the store; undefined
+   *   when the relay gave no answer.
+   */
+  record(request: RecordRequest): Promise<readonly boolean[] | undefined> {
+    const {recordTimeoutMs = DEFAULT_RECORD_TIMEOUT_MS} = this.options;
+    const deadline = Date.now() + recordTimeoutMs;
+    return new Promise(resolve => {
+      this.client.record(request, {deadline}, (error, answer) => {
+        const areWritten = error === null ? answer?.areWritten : undefined;
+        resolve(Array.isArray(areWritten) ? areWritten : undefined);
+      });
+    });
+  }
+
   /**
    * Drops the report when the stream is congested: it would arrive outdated.
    */
--- a/packages/gateway/src/relay/relay_follower.test.ts
+++ b/packages/gateway/src/relay/relay_follower.test.ts
@@ -8,6 +8,7 @@
 import {brandAs, type InstanceId} from '@snipestage/types/ids.js';
 import {CapturedLog} from '../test_support/captured_log.js';
 import {MemoryPlatform} from '../test_support/memory_platform.js';
+import {makeRecordBatcher} from '../test_support/make_record_batcher.js';
 import {RelayedFeed} from './relayed_feed.js';
 import {RelayFollower} from './relay_follower.js';
 import {RelayServer} from './relay_server.js';
@@ -38,6 +39,7 @@
     address,
     copies,
     writes: new WriteBatcher(new MemoryPlatform()),
+    records: makeRecordBatcher(new MemoryPlatform()),
     onLoads: () => undefined,
     logger,
   });
--- a/packages/gateway/src/relay/relay_follower.ts
+++ b/packages/gateway/src/relay/relay_follower.ts
@@ -8,7 +8,11 @@
 import type {InstanceId} from '@snipestage/types/ids.js';
 import type {LoadReport} from './load_report.js';
 import type {RelayClient, RelayEnd} from './relay_client.js';
-import type {RelayedTableName, WriteRequest} from './relay_messages.js';
+import type {
+  RecordRequest,
+  RelayedTableName,
+  WriteRequest,
+} from './relay_messages.js';
 import type {RelayedFeed} from './relayed_feed.js';
 import type {TableChanges, TableCopy} from './table_copy.js';
 
@@ -71,6 +75,16 @@
     return (await this.client?.write(row)) ?? false;
   }
 
+  /**
+   * @returns for each record whether it is known to be in the store; undefined
+   *   without a relay that answers.
+   */
+  async record(
+    request: RecordRequest,
+  ): Promise<readonly boolean[] | undefined> {
+    return this.client?.record(request);
+  }
+
   sendLoads(report: LoadReport): void {
     this.client?.sendLoads(report);
   }
--- a/packages/gateway/src/relay/relay_messages.ts
+++ b/packages/gateway/src/relay/relay_messages.ts
@@ -88,6 +88,27 @@
   readonly isWritten: boolean;
 }
 
+/** A row with the record of a stream. */
+export interface RecordRow {
+  readonly key: string;
+  readonly value: unknown;
+}
+
+/**
+ * Asks the relay to write records of streams, whose rows don't exist yet, together
+ * with those of others.
+ */
+export interface RecordRequest {
+  readonly records: readonly RecordRow[];
+}
+
+/** For each record, whether it is known to be in the store. */
+export interface RecordAnswer {
+  readonly areWritten: readonly boolean[];
+}
+
+export type RecordCall = ServerUnaryCall<RecordRequest, RecordAnswer>;
+export type RecordReply = sendUnaryData<RecordAnswer>;
 export type WriteCall = ServerUnaryCall<WriteRequest, WriteAnswer>;
 export type WriteReply = sendUnaryData<WriteAnswer>;
 export type FollowCall = ServerDuplexStream<
@@ -99,6 +120,7 @@
 export const RELAY_SERVICE: ServiceDefinition<{
   follow: MethodDefinition<FollowerMessage, RelayMessage>;
   write: MethodDefinition<WriteRequest, WriteAnswer>;
+  record: MethodDefinition<RecordRequest, RecordAnswer>;
 }> = {
   follow: {
     path: '/snipestage.Relay/Follow',
@@ -118,6 +140,15 @@
     responseSerialize: serialize,
     responseDeserialize: deserialize<WriteAnswer>,
   },
+  record: {
+    path: '/snipestage.Relay/Record',
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: serialize,
+    requestDeserialize: deserialize<RecordRequest>,
+    responseSerialize: serialize,
+    responseDeserialize: deserialize<RecordAnswer>,
+  },
 };
 
 export function toRelayedRow({key, version, data}: FollowedRow): RelayedRow {
--- a/packages/gateway/src/relay/relay_server.ts
+++ b/packages/gateway/src/relay/relay_server.ts
@@ -11,6 +11,8 @@
   type FollowCall,
   type FollowRequest,
   type RelayedTableName,
+  type RecordCall,
+  type RecordReply,
   type RelayMessage,
   type WriteCall,
   type WriteReply,
@@ -19,6 +21,8 @@
 import {isEmptyReport, type LoadReport} from './load_report.js';
 import type {TableCopy} from './table_copy.js';
 import {UpdateBatch} from './update_batch.js';
+import type {RecordBatcher} from '../streams/record_batcher.js';
+import {readRecordRows} from '../streams/record_rows.js';
 import type {WriteBatcher} from './write_batcher.js';
 
 /** Options of {@link RelayServer}. */
@@ -27,6 +31,7 @@
   readonly address: string;
   readonly copies: Readonly<Record<RelayedTableName, TableCopy>>;
   readonly writes: WriteBatcher;
+  readonly records: RecordBatcher;
   /** Receives the readings that a follower or another relay has sent. */
   readonly onLoads: (report: LoadReport) => void;
   readonly logger: Logger;
@@ -66,6 +71,9 @@
       write: (call: WriteCall, reply: WriteReply) => {
         void this.write(call, reply);
       },
+      record: (call: RecordCall, reply: RecordReply) => {
+        void this.record(call, reply);
+      },
     });
   }
 
@@ -140,7 +148,22 @@
     reply(null, {isWritten});
   }
 
-  private logRefused(event: string, call: FollowCall | WriteCall): void {
+  /** Writes only records of streams, each to a row that doesn't exist yet. */
+  private async record(call: RecordCall, reply: RecordReply): Promise<void> {
+    const records = readRecordRows(call.request?.records);
+    if (records === undefined) {
+      this.logRefused('records_refused', call);
+      reply({code: status.INVALID_ARGUMENT, details: 'no records of streams'});
+      return;
+    }
+    const results = await this.options.records.write(records);
+    reply(null, {areWritten: results.map(({kind}) => kind === 'written')});
+  }
+
+  private logRefused(
+    event: string,
+    call: FollowCall | WriteCall | RecordCall,
+  ): void {
     const nowMs = performance.now();
     if (nowMs - this.refusalLoggedAtMs < LOG_REFUSAL_EVERY_MS) return;
     this.refusalLoggedAtMs = nowMs;
--- a/packages/gateway/src/relay/relay_stream.test.ts
+++ b/packages/gateway/src/relay/relay_stream.test.ts
@@ -12,6 +12,7 @@
 import {pickFreePorts} from '@snipestage/stand_ins/launch/free_ports.js';
 import {brandAs, type InstanceId} from '@snipestage/types/ids.js';
 import {MemoryPlatform} from '../test_support/memory_platform.js';
+import {makeRecordBatcher} from '../test_support/make_record_batcher.js';
 import {CapturedLog} from '../test_support/captured_log.js';
 import type {LoadReport} from './load_report.js';
 import {RelayClient} from './relay_client.js';
@@ -47,6 +48,7 @@
     address,
     copies,
     writes,
+    records: makeRecordBatcher(platform),
     onLoads,
     logger,
   });
@@ -164,6 +166,42 @@
   t.deepEqual([...platform.rows.keys()], []);
 });
 
+test('a relay writes records of streams for its follower', async t => {
+  const {client, server, platform} = await startPair(t, 20_000);
+  const value = {service: 's', version: 'v1'};
+  const records = ['a', 'b'].map(digit => ({
+    key: `streams/${digit.repeat(32)}`,
+    value,
+  }));
+  t.deepEqual(await client.record({records}), [true, true]);
+  t.deepEqual(platform.rows.get(records[0].key)?.value, value);
+  const other = {...records[0], value: {service: 's', version: 'v2'}};
+  t.deepEqual(await client.record({records: [other]}), [false]);
+  server.stop();
+  t.is(await client.record({records}), undefined);
+});
+
+test('a relay writes only records of streams as such', async t => {
+  // Guards against a process on the relay's port that overwrites a lease.
+  const {client, platform} = await startPair(t, 20_000);
+  const value = {service: 's', version: 'v1'};
+  for (const key of [
+    'leases/duties',
+    'streams/x',
+    `streams/${'A'.repeat(32)}`,
+  ]) {
+    t.is(await client.record({records: [{key, value}]}), undefined);
+  }
+  const key = `streams/${'a'.repeat(32)}`;
+  t.is(
+    await client.record({records: [{key, value: {holder: 'x'}}]}),
+    undefined,
+  );
+  const many = Array.from({length: 46}, () => ({key, value}));
+  t.is(await client.record({records: many}), undefined);
+  t.deepEqual([...platform.rows.keys()], []);
+});
+
 test('a message that is too large does not affect other followers', async t => {
   // Guards against a process on the relay's port that fills its memory.
   const {client, server, received, platform} = await startPair(t, 20_000);
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -22,6 +22,9 @@
 import {RelayedTable} from './relayed_table.js';
 import {slotKey, type SlotValue} from './slot_rows.js';
 import {TableCopy} from './table_copy.js';
+import {CallPace} from '../streams/call_pace.js';
+import {RecordBatcher, type StreamRecord} from '../streams/record_batcher.js';
+import {toRecordRow} from '../streams/record_rows.js';
 import {WriteBatcher} from './write_batcher.js';
 
 /** Options of {@link Relays}. */
@@ -54,6 +57,9 @@
 }
 
 const TICK_MS = 500;
+/** One relay of each data centre writes records of streams. */
+const RECORD_INTERVAL_PER_DATA_CENTRE_MS = 10;
+const RECORD_BURST = 4;
 
 /**
  * Owns the roster and what this instance's role needs: a relay's server and its
@@ -64,6 +70,7 @@
   private readonly copies: Record<RelayedTableName, TableCopy>;
   private readonly feeds: Record<RelayedTableName, RelayedFeed>;
   private readonly writes: WriteBatcher;
+  private readonly records: RecordBatcher;
   private readonly estimate: InstanceEstimate;
   private readonly host: RelayHost;
   private readonly follower: RelayFollower;
@@ -84,11 +91,21 @@
     this.feeds = perTable(
       name => new RelayedFeed(this.budgetOf(name).freshForMs),
     );
-    const {copies, feeds, writes} = this;
+    this.records = new RecordBatcher({
+      platform: options.platform,
+      pace: new CallPace({
+        nowMs: options.nowMs,
+        intervalMs: () =>
+          options.dataCentres * RECORD_INTERVAL_PER_DATA_CENTRE_MS,
+        burst: () => RECORD_BURST,
+      }),
+    });
+    const {copies, feeds, writes, records} = this;
     this.host = new RelayHost({
       ...options,
       copies,
       writes,
+      records,
       onLoads: report => this.loads.receive(report, 'local'),
     });
     this.peers = new RelayPeers({
@@ -176,6 +193,25 @@
     return this.follower.write({key, value});
   }
 
+  /**
+   * Writes records of streams, whose rows don't exist yet, in transactions with
+   * those of other instances.
+   *
+   * @returns for each record whether it is known to be in the store; undefined
+   *   without a relay that answers: the caller has to write them itself.
+   * @example
+   * const areWritten = await relays.record(records);
+   */
+  async record(
+    records: readonly StreamRecord[],
+  ): Promise<readonly boolean[] | undefined> {
+    if (!this.host.isServing) {
+      return this.follower.record({records: records.map(toRecordRow)});
+    }
+    const results = await this.records.write(records);
+    return results.map(({kind}) => kind === 'written');
+  }
+
   /** Whether a relay writes this instance's rows in batches. */
   get hasBatchedWrites(): boolean {
     return this.host.isServing || this.follower.isFollowing;
--- a/packages/gateway/src/stream_versions.test.ts
+++ b/packages/gateway/src/stream_versions.test.ts
@@ -125,6 +125,28 @@
   t.is(proxy.received.length, 2);
 });
 
+test('a request whose endpoint crashes is repeated at the version that is recorded', async t => {
+  // Guards against streams that no other instance can resume, as they may have
+  // begun at either of two versions.
+  const failFirst = (version: string): Script => {
+    return (socket, request) => {
+      if (proxy.received.length % 2 === 1) socket.resetAndDestroy();
+      else
+        socket.end(
+          `${streamHead(idOf(request))}${chunk(`id: 1\ndata: ${version}\n\n`)}${chunk('')}`,
+        );
+    };
+  };
+  const versions = ['v1', 'v2', 'v1', 'v2'];
+  const proxy = await startEngines(t, versions, failFirst);
+  for (let call = 0; call < CALLS; call += 1) {
+    await proxy.call(`call-${call}`, {body: 'p'});
+    const used = proxy.received.slice(-2).map(({endpoint}) => endpoint);
+    const indexes = used.map(endpoint => Number(endpoint.split('-')[1]));
+    t.is(new Set(indexes.map(index => versions[index])).size, 1);
+  }
+});
+
 interface Answer {
   readonly status: number;
   readonly retryAfter: string | undefined;
--- a/packages/gateway/src/streams/known_streams.ts
+++ b/packages/gateway/src/streams/known_streams.ts
@@ -54,6 +54,14 @@
     if (stream !== undefined) stream.isRecorded = true;
   }
 
+  /** Forgets streams of one version. @returns the ambiguous ones. */
+  forgetOrigins(): readonly StreamKey[] {
+    for (const [key, {recorded}] of this.streams) {
+      if (recorded.kind === 'origin') this.streams.delete(key);
+    }
+    return [...this.streams.keys()];
+  }
+
   /** All streams have to be recorded again. */
   forgetRecorded(): void {
     for (const stream of this.streams.values()) stream.isRecorded = false;
--- a/packages/gateway/src/streams/stream_recorder.ts
+++ b/packages/gateway/src/streams/stream_recorder.ts
@@ -1,13 +1,18 @@
-/** Writes which software version has begun a stream. */
+/** Records which software version a stream belongs to. */
 
-import {isDeepStrictEqual} from 'node:util';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {Platform} from '@snipestage/platform/platform.js';
-import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
-import type {Row, RowWrite} from '@snipestage/types/table.js';
+import {ABSENT} from '@snipestage/types/store_version.js';
+import type {Row} from '@snipestage/types/table.js';
+import {CallPace} from './call_pace.js';
+import {
+  MAX_RECORDS,
+  RecordBatcher,
+  type RecordResult,
+  type StreamRecord,
+} from './record_batcher.js';
 import {
   decodeOrigin,
-  encodeOrigin,
   streamRowKey,
   type RecordedOrigin,
   type StreamKey,
@@ -21,52 +26,81 @@
   readonly countInstances: () => number | undefined;
   /** How long a caller may come back for its stream. */
   readonly keepMs: number;
+  /**
+   * Writes rows that don't exist yet in transactions with those of other
+   * instances; undefined where nobody does so for this one (never).
+   *
+   * @returns for each record whether it is known to be in the store.
+   */
+  readonly relayRecords?: (
+    records: readonly StreamRecord[],
+  ) => Promise<readonly boolean[] | undefined>;
 }
 
-interface PendingRecord {
-  readonly recorded: RecordedOrigin;
+interface PendingRecord extends StreamRecord {
   readonly addedAtMs: number;
-  /** Version of the row that is replaced. */
-  readonly replaces: StoreVersion;
 }
 
-/** Half of what the store accepts in one transaction is left for removals. */
-const MAX_RECORDS = 45;
 /** Keeps the transactions of all instances far below the store's limit. */
-const PAUSE_PER_INSTANCE_MS = 16;
-const MIN_PAUSE_MS = 20;
+const INTERVAL_PER_INSTANCE_MS = 16;
+const MIN_INTERVAL_MS = 20;
+/** Transactions of all instances that may follow one another at once. */
+const BURST_OF_ALL = 240;
+const MAX_BURST = 4;
+const MAX_CALLS = 4;
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 1000;
 /** With more waiting than this, the oldest are given up. */
 const MAX_PENDING = 20_000;
 const REMOVE_EVERY_MS = 30_000;
+/** Removals take calls of their own. */
+const MIN_REMOVAL_INTERVAL_MS = 5000;
+const MAX_REMOVALS = 90;
 /** Streams may end, or their instance, before a record that takes longer. */
 const LATE_AFTER_MS = 100;
 
 /**
- * The first record of a while is written at once, those that follow in batches.
- * A record is written once: a row that exists is never replaced by another
- * version, but marked as ambiguous.
+ * Hands records to a relay, which writes those of many instances together, and
+ * writes itself what no relay takes. A record is written once: a row that exists
+ * is never replaced by another version, but marked as ambiguous.
  */
 export class StreamRecorder {
   private readonly pending = new Map<StreamKey, PendingRecord>();
+  private readonly inFlight = new Set<PendingRecord>();
+  /** Called when the record of a key is in the store. */
+  private readonly waiters = new Map<StreamKey, Array<() => void>>();
   /** Rows written here, oldest first, with the time at which to remove them. */
   private readonly written: Array<{key: StreamKey; removeAtMs: number}> = [];
-  private isWriting = false;
-  private isStopped = false;
+  private readonly direct: RecordBatcher;
+  private calls = 0;
   private failures = 0;
+  private isStopped = false;
+  private isRemoving = false;
+  private removedAtMs = Number.NEGATIVE_INFINITY;
+  private retry: NodeJS.Timeout | undefined;
   private timer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly options: StreamRecorderOptions) {}
+  constructor(private readonly options: StreamRecorderOptions) {
+    const {platform, nowMs} = options;
+    const pace = new CallPace({
+      nowMs,
+      intervalMs: () =>
+        Math.max(MIN_INTERVAL_MS, this.instances * INTERVAL_PER_INSTANCE_MS),
+      burst: () =>
+        Math.max(1, Math.min(MAX_BURST, BURST_OF_ALL / this.instances)),
+    });
+    this.direct = new RecordBatcher({platform, pace});
+  }
 
   start(): void {
-    this.timer = setInterval(() => void this.write(), REMOVE_EVERY_MS);
+    this.timer = setInterval(() => void this.removeExpired(), REMOVE_EVERY_MS);
     this.timer.unref();
   }
 
   stop(): void {
     this.isStopped = true;
     clearInterval(this.timer);
+    clearTimeout(this.retry);
   }
 
   /** Number of records that aren't known to be in the store. */
@@ -76,97 +110,153 @@
 
   add(key: StreamKey, recorded: RecordedOrigin): void {
     const addedAtMs = this.options.nowMs();
-    this.pending.set(key, {recorded, replaces: ABSENT, addedAtMs});
+    this.enqueue({key, recorded, replaces: ABSENT, addedAtMs});
     if (this.pending.size > MAX_PENDING) {
       const [oldest] = this.pending.keys();
       this.pending.delete(oldest);
     }
-    void this.write();
-  }
-
-  private async write(): Promise<void> {
-    if (this.isWriting) return;
-    this.isWriting = true;
-    try {
-      while (!this.isStopped && this.hasWork()) {
-        await this.writeBatch();
-        await this.pause();
-      }
-    } finally {
-      this.isWriting = false;
+    // Records of one turn of the event loop share a call.
+    queueMicrotask(() => this.writePending());
+  }
+
+  /**
+   * Resolves when the latest record of a stream is in the store.
+   *
+   * @example
+   * await recorder.whenWritten(key);
+   */
+  async whenWritten(key: StreamKey): Promise<void> {
+    if (!this.pending.has(key)) return;
+    await new Promise<void>(done => {
+      this.waiters.set(key, [...(this.waiters.get(key) ?? []), done]);
+    });
+  }
+
+  private get instances(): number {
+    return this.options.countInstances() ?? 1;
+  }
+
+  /** The newest records are at the end. */
+  private enqueue(record: PendingRecord): void {
+    this.pending.delete(record.key);
+    this.pending.set(record.key, record);
+  }
+
+  private writePending(): void {
+    if (this.isStopped || this.retry !== undefined) return;
+    while (this.calls < MAX_CALLS) {
+      const batch = [...this.pending.values()]
+        .filter(each => !this.inFlight.has(each))
+        .slice(-MAX_RECORDS);
+      if (batch.length === 0) return;
+      void this.writeBatch(batch);
     }
   }
 
-  private hasWork(): boolean {
-    return this.pending.size > 0 || this.listExpired().length > 0;
+  private async writeBatch(batch: readonly PendingRecord[]): Promise<void> {
+    this.calls += 1;
+    for (const each of batch) this.inFlight.add(each);
+    const results = await this.write(batch);
+    this.calls -= 1;
+    for (const [index, record] of batch.entries()) {
+      this.inFlight.delete(record);
+      this.settle(record, results[index]);
+    }
+    this.logLate(batch);
+    this.noteResults(results);
+    this.writePending();
+    const sinceMs = this.options.nowMs() - this.removedAtMs;
+    if (sinceMs >= MIN_REMOVAL_INTERVAL_MS) await this.removeExpired();
   }
 
-  private listExpired(): readonly StreamKey[] {
-    const nowMs = this.options.nowMs();
-    const end = this.written.findIndex(({removeAtMs}) => removeAtMs > nowMs);
-    const count = end < 0 ? this.written.length : end;
-    return this.written
-      .slice(0, Math.min(count, MAX_RECORDS))
-      .map(({key}) => key);
-  }
-
-  private async writeBatch(): Promise<void> {
-    const batch = [...this.pending].slice(0, MAX_RECORDS);
-    const expired = this.listExpired();
-    const writes: RowWrite[] = [
-      ...batch.map(([key, {recorded}]) => ({
-        key: streamRowKey(key),
-        value: encodeOrigin(recorded),
-      })),
-      ...expired.map(key => ({key: streamRowKey(key), value: null})),
-    ];
-    const checks = batch.map(([key, {replaces}]) => ({
-      key: streamRowKey(key),
-      version: replaces,
-    }));
-    const result = await this.options.platform.transact({checks, writes});
-    this.failures = result.kind === 'unknown' ? this.failures + 1 : 0;
-    if (result.kind === 'committed') {
-      this.noteWritten(batch, expired.length);
-      this.logLate(batch);
-    } else if (result.kind === 'conflict') this.settle(batch, result.rows);
-    else this.logFailure(result.reason);
-  }
-
-  private noteWritten(
-    batch: ReadonlyArray<readonly [StreamKey, PendingRecord]>,
-    removed: number,
-  ): void {
-    this.written.splice(0, removed);
+  private async write(
+    batch: readonly PendingRecord[],
+  ): Promise<readonly RecordResult[]> {
+    const {relayRecords} = this.options;
+    const isRelayable = batch.every(({replaces}) => replaces === ABSENT);
+    const areWritten = isRelayable ? await relayRecords?.(batch) : undefined;
+    const isLeft = (_: PendingRecord, index: number) =>
+      areWritten?.[index] !== true;
+    const left = batch.filter(isLeft);
+    if (left.length === 0) return batch.map(() => ({kind: 'written'}));
+    const results = await this.direct.write(left);
+    const resultOf = new Map(left.map((each, index) => [each, results[index]]));
+    return batch.map(each => resultOf.get(each) ?? {kind: 'written'});
+  }
+
+  private settle(record: PendingRecord, result: RecordResult): void {
+    // A later record of the stream is written by itself.
+    const isLatest = this.pending.get(record.key) === record;
+    if (result.kind === 'unknown') return;
+    if (result.kind === 'written') this.noteWritten(record, isLatest);
+    else if (isLatest) this.settleConflict(record, result.row);
+  }
+
+  /** A row that exists is ambiguous, or becomes it. */
+  private settleConflict(record: PendingRecord, row: Row): void {
+    const found = decodeOrigin(row.value);
+    if (found?.kind === 'ambiguous') this.noteWritten(record, true);
+    else this.enqueue({...record, ...replacementFor(record, row)});
+  }
+
+  private noteWritten({key}: PendingRecord, isLatest: boolean): void {
     const removeAtMs = this.options.nowMs() + this.options.keepMs;
-    for (const [key, record] of batch) {
-      if (this.pending.get(key) === record) this.pending.delete(key);
-      this.written.push({key, removeAtMs});
-    }
+    this.written.push({key, removeAtMs});
+    if (!isLatest) return;
+    this.pending.delete(key);
+    for (const done of this.waiters.get(key) ?? []) done();
+    this.waiters.delete(key);
   }
 
-  /** A row that exists is from an earlier try of this write, or ambiguous. */
-  private settle(
-    batch: ReadonlyArray<readonly [StreamKey, PendingRecord]>,
-    rows: readonly Row[],
-  ): void {
-    for (const [key, record] of batch) {
-      const row = rows.find(each => each.key === streamRowKey(key));
-      if (row === undefined) continue;
-      const found = decodeOrigin(row.value);
-      const isSettled =
-        found?.kind === 'ambiguous' ||
-        isDeepStrictEqual(found, record.recorded);
-      if (isSettled) this.noteWritten([[key, record]], 0);
-      else this.pending.set(key, replacementFor(record, row));
+  private noteResults(results: readonly RecordResult[]): void {
+    const failed = results.find(({kind}) => kind === 'unknown');
+    if (failed?.kind !== 'unknown') {
+      this.failures = 0;
+      return;
+    }
+    this.failures += 1;
+    if (this.failures === 1) {
+      const {reason} = failed;
+      const {waiting} = this;
+      this.options.logger.warn('stream_records_delayed', {reason, waiting});
     }
+    this.retryLater();
+  }
+
+  private retryLater(): void {
+    if (this.retry !== undefined || this.isStopped) return;
+    const delayMs = FIRST_RETRY_MS * 2 ** (this.failures - 1);
+    this.retry = setTimeout(
+      () => {
+        this.retry = undefined;
+        this.writePending();
+      },
+      Math.min(MAX_RETRY_MS, delayMs),
+    );
+    this.retry.unref();
   }
 
-  private logLate(
-    batch: ReadonlyArray<readonly [StreamKey, PendingRecord]>,
-  ): void {
+  /** Rows that aren't removed now are removed later. */
+  private async removeExpired(): Promise<void> {
     const nowMs = this.options.nowMs();
-    const delaysMs = batch.map(([, {addedAtMs}]) => nowMs - addedAtMs);
+    const end = this.written.findIndex(({removeAtMs}) => removeAtMs > nowMs);
+    const count = end < 0 ? this.written.length : end;
+    const expired = this.written.slice(0, Math.min(count, MAX_REMOVALS));
+    if (expired.length === 0 || this.isRemoving || this.isStopped) return;
+    this.isRemoving = true;
+    this.removedAtMs = nowMs;
+    const keys = new Set(expired.map(({key}) => streamRowKey(key)));
+    const writes = [...keys].map(key => ({key, value: null}));
+    const result = await this.options.platform.transact({checks: [], writes});
+    this.isRemoving = false;
+    if (result.kind === 'committed') this.written.splice(0, expired.length);
+  }
+
+  private logLate(batch: readonly PendingRecord[]): void {
+    const nowMs = this.options.nowMs();
+    const delaysMs = batch
+      .filter(({key}) => !this.pending.has(key))
+      .map(({addedAtMs}) => nowMs - addedAtMs);
     const late = delaysMs.filter(delayMs => delayMs >= LATE_AFTER_MS);
     if (late.length === 0) return;
     this.options.logger.info('stream_records_late', {
@@ -175,26 +265,14 @@
       longestMs: Math.round(Math.max(...late)),
     });
   }
-
-  private logFailure(reason: string): void {
-    if (this.failures > 1) return;
-    const waiting = this.pending.size;
-    this.options.logger.warn('stream_records_delayed', {reason, waiting});
-  }
-
-  private pause(): Promise<void> {
-    const instances = this.options.countInstances() ?? 1;
-    const paceMs = Math.max(MIN_PAUSE_MS, instances * PAUSE_PER_INSTANCE_MS);
-    const retryMs =
-      this.failures === 0 ? 0 : FIRST_RETRY_MS * 2 ** (this.failures - 1);
-    const pauseMs = Math.max(paceMs, Math.min(MAX_RETRY_MS, retryMs));
-    return new Promise(resolve => setTimeout(resolve, pauseMs).unref());
-  }
 }
 
 /** A row that was removed meanwhile is written as if it had never been. */
-function replacementFor(pending: PendingRecord, row: Row): PendingRecord {
+function replacementFor(
+  {recorded}: StreamRecord,
+  row: Row,
+): Pick<StreamRecord, 'recorded' | 'replaces'> {
   return row.value === null
-    ? {...pending, replaces: ABSENT}
-    : {...pending, recorded: {kind: 'ambiguous'}, replaces: row.version};
+    ? {recorded, replaces: ABSENT}
+    : {recorded: {kind: 'ambiguous'}, replaces: row.version};
 }
--- a/packages/gateway/src/streams/stream_rows.ts
+++ b/packages/gateway/src/streams/stream_rows.ts
@@ -19,6 +19,7 @@
 const SHARED = 'shared/';
 const MAX_ATTEMPT_ID_CHARACTERS = 200;
 const KEY_CHARACTERS = 32;
+const STREAM_ROW_KEY = /^streams\/[0-9a-f]{32}$/;
 
 /** What is recorded of a stream. */
 export type RecordedOrigin =
@@ -61,6 +62,14 @@
   return `${STREAMS}${key}`;
 }
 
+/** @returns undefined when it is no key of a row that records a stream. */
+export function readStreamKey(rowKey: unknown): StreamKey | undefined {
+  if (typeof rowKey !== 'string' || !STREAM_ROW_KEY.test(rowKey)) {
+    return undefined;
+  }
+  return brandAs<StreamKey>(rowKey.slice(STREAMS.length));
+}
+
 /** @returns the value of the row that records a stream. */
 export function encodeOrigin(recorded: RecordedOrigin): StreamValue {
   if (recorded.kind === 'ambiguous') return {isAmbiguous: true};
--- a/packages/gateway/src/streams/streams.ts
+++ b/packages/gateway/src/streams/streams.ts
@@ -18,7 +18,7 @@
 import type {RoutingState} from '../routing_state.js';
 import {FormerVersions} from './former_versions.js';
 import {KnownStreams} from './known_streams.js';
-import {StreamRecorder} from './stream_recorder.js';
+import {StreamRecorder, type StreamRecorderOptions} from './stream_recorder.js';
 import {
   decodeOrigin,
   decodeVersions,
@@ -41,6 +41,8 @@
    * known).
    */
   readonly eraAgeMs?: (era: number) => Promise<number | undefined>;
+  /** Writes records with those of other instances (never). */
+  readonly relayRecords?: StreamRecorderOptions['relayRecords'];
 }
 
 /** A caller takes up a stream. */
@@ -99,10 +101,13 @@
 const LOOK_UP_TIME_LEFT_SHARE = 0.25;
 const MIN_LOOK_UP_TIMEOUT_MS = 400;
 const MAX_LOOK_UP_TIMEOUT_MS = 1500;
+/** A request whose stream can't be marked as ambiguous waits so long. */
+const MAX_MARKING_MS = 500;
 /** A record may be on its way to the store. */
 const SECOND_LOOK_AFTER_MS = 120;
 /** Made-up attempts must not keep the store busy. */
 const MAX_LOOK_UPS = 64;
+const AMBIGUOUS: RecordedOrigin = {kind: 'ambiguous'};
 const UNAVAILABLE: LookUp = {isAvailable: false};
 const STREAM_UNKNOWN = {kind: 'unknown', reason: 'stream_unknown'} as const;
 const NOT_LOOKED_UP = {
@@ -117,7 +122,10 @@
  * stream whose version isn't known for certain is never resumed.
  */
 export class Streams {
+  /** Streams that have begun, or were read from the store. */
   private readonly known: KnownStreams;
+  /** What was recorded of streams that may begin. */
+  private readonly sent: KnownStreams;
   private readonly recorder: StreamRecorder;
   private readonly publisher: VersionPublisher;
   private readonly former: FormerVersions;
@@ -133,6 +141,7 @@
     const {eraAgeMs = () => Promise.resolve(undefined)} = options;
     this.former = new FormerVersions({...shared, eraAgeMs});
     this.known = new KnownStreams({nowMs: options.nowMs, keepMs: KEEP_MS});
+    this.sent = new KnownStreams({nowMs: options.nowMs, keepMs: KEEP_MS});
     this.recorder = new StreamRecorder(shared);
     this.publisher = new VersionPublisher({
       ...shared,
@@ -183,6 +192,9 @@
 
   /** The store was set back: it may have lost records. */
   noteSetBack(): void {
+    for (const key of this.sent.forgetOrigins()) {
+      this.recorder.add(key, AMBIGUOUS);
+    }
     this.known.forgetRecorded();
     for (const service of this.known.listServices()) {
       this.recordUnrecorded(service);
@@ -190,9 +202,38 @@
   }
 
   /**
-   * Called before the first event of a new stream is sent to its caller. Nothing
-   * waits for the record: a stream whose record is lost is refused.
+   * Called before a request is sent to an endpoint that may begin a new stream:
+   * the version is recorded while the endpoint reads the prompt, so that others
+   * know it when the first event comes. What was recorded of an earlier endpoint
+   * of another version must not be believed any more.
+   *
+   * @returns whether the stream may begin there; a promise where that depends on
+   *   the store.
+   * @example
+   * const mayBegin = await streams.noteSent(account, requestId, origin);
    */
+  noteSent(
+    clientAccount: ClientAccountId | undefined,
+    attempt: RequestId,
+    origin: StreamOrigin,
+  ): true | Promise<boolean> {
+    const key = streamKeyOf(clientAccount, attempt);
+    if (key === undefined || origin.softwareVersion === undefined) return true;
+    const before = this.sent.find(key);
+    const isMixed = this.options.state.versions.isMixed(origin.service);
+    if (before === undefined && !isMixed) return true;
+    this.sent.remember(key, origin);
+    const recorded = this.sent.find(key);
+    if (recorded === undefined) return true;
+    if (recorded !== before) this.recorder.add(key, recorded);
+    if (recorded.kind === 'origin') return true;
+    return resolveWithin(
+      this.recorder.whenWritten(key).then(() => true),
+      {timeoutMs: MAX_MARKING_MS, otherwise: false},
+    );
+  }
+
+  /** Called before the first event of a new stream is sent to its caller. */
   noteBegun(
     clientAccount: ClientAccountId | undefined,
     attempt: RequestId,
@@ -201,7 +242,10 @@
     const key = streamKeyOf(clientAccount, attempt);
     if (key === undefined || origin.softwareVersion === undefined) return;
     this.known.remember(key, origin);
-    if (this.options.state.versions.isMixed(origin.service)) this.record(key);
+    if (this.sent.find(key) !== undefined) this.known.markRecorded(key);
+    else if (this.options.state.versions.isMixed(origin.service)) {
+      this.record(key);
+    }
   }
 
   /**
