Show that misbehaving clients end an instance or take all its descriptors

One instance of the real program with 200 MB (128 MB of heap) and 500 descriptors, one crowd at a time. These tests run after all others, by themselves.

--- /dev/null
+++ b/ava.alone.config.js
@@ -0,0 +1,7 @@
+/** Tests that measure a process and run apart from all others. */
+export default {
+  files: ['packages/soak/dist/misbehaving_clients.test.js'],
+  workerThreads: false,
+  timeout: '60s',
+  concurrency: 1,
+};
--- a/ava.config.js
+++ b/ava.config.js
@@ -3,6 +3,8 @@
     'packages/*/dist/**/*.test.js',
     'platform/dist/**/*.test.js',
     'platform/stand_ins/dist/**/*.test.js',
+    // See ava.alone.config.js.
+    '!packages/soak/dist/misbehaving_clients.test.js',
   ],
   workerThreads: false,
   timeout: '60s',
--- a/packages/soak/src/world/instance.ts
+++ b/packages/soak/src/world/instance.ts
@@ -49,6 +49,8 @@
 const LISTEN_CHECK_TIMEOUT_MS = 300;
 const SETTINGS_VARIABLE = 'SNIPESTAGE_SETTINGS';
 const MAX_ERROR_CHARACTERS = 400;
+/** Part of a machine's memory that the heap of a process may take. */
+const HEAP_SHARE = 0.64;
 
 /** Owns the process, its links to callers and to the store, and its files. */
 export class Instance {
@@ -83,6 +85,17 @@
     return `${settings.host}:${settings.callersPort}`;
   }
 
+  /** Where readiness is asked. */
+  get readinessAddress(): string {
+    const {host, readinessPort} = this.options.settings;
+    return `${host}:${readinessPort}`;
+  }
+
+  /** Id of its current process; 0 without one. */
+  get processId(): number {
+    return this.process?.pid ?? 0;
+  }
+
   get dataCentre(): DataCentreId {
     return this.options.settings.dataCentre;
   }
@@ -257,6 +270,7 @@
         [SETTINGS_VARIABLE]: this.settingsPath,
         [CLOCK_FILE_VARIABLE]: this.clockPath,
         [LINKS_FILE_VARIABLE]: this.linksPath,
+        ...this.limitHeap(),
       },
     });
     this.process = launched;
@@ -290,6 +304,14 @@
     }, RESTART_AFTER_MS);
   }
 
+  /** As deployments do, which leave the rest to buffers. */
+  private limitHeap(): Readonly<Record<string, string>> {
+    const {limits} = this.options.settings;
+    if (limits === undefined) return {};
+    const heapMb = Math.floor(limits.memoryMb * HEAP_SHARE);
+    return {NODE_OPTIONS: `--max-old-space-size=${heapMb}`};
+  }
+
   private async waitUntilReady(launched: LaunchedProcess): Promise<void> {
     while (launched.isRunning && !(await this.isReady())) {
       await new Promise(done => setTimeout(done, POLL_MS));
--- a/packages/soak/src/world/world.ts
+++ b/packages/soak/src/world/world.ts
@@ -2,6 +2,7 @@
 
 import {randomLcg} from 'd3-random';
 import {ProviderStandIn} from '@snipestage/platform_stand_ins/provider_stand_in.js';
+import type {MachineLimits} from '@snipestage/platform_stand_ins/settings_text.js';
 import {StoreStandIn} from '@snipestage/platform_stand_ins/store_stand_in.js';
 import {pickFreePorts} from '@snipestage/stand_ins/launch/free_ports.js';
 import {Link} from '@snipestage/stand_ins/link/link.js';
@@ -35,6 +36,8 @@
   readonly quotaMs?: number;
   /** Whether callers connect to instances without a link in between. */
   readonly connectsDirectly?: boolean;
+  /** What machines allow each process; undefined: not stated. */
+  readonly limits?: MachineLimits;
 }
 
 const DATA_CENTRES = ['akl-a', 'akl-b', 'akl-c'].map(name =>
@@ -159,6 +162,7 @@
             bounds: BOUNDS,
             dataCentres: this.dataCentres,
             peerPort,
+            limits: this.options.limits,
           },
           program: this.options.program,
           history: this.history,
