Keep the parts of a request's body in few objects

Clients that sent bodies in chunks of one byte ended an instance: each chunk was kept as a Buffer of its own, some hundred bytes of heap each, while only its byte was counted. Parts are copied into blocks, as those of answers are. 16 clients with 300,000 chunks each: SIGABRT in 2 of 2 runs before, a peak of 79 MB in 2 of 2 after.

--- a/packages/gateway/src/read_request_body.ts
+++ b/packages/gateway/src/read_request_body.ts
@@ -1,6 +1,7 @@
 /** Reads the body of a caller's request. */
 
 import type {IncomingMessage} from 'node:http';
+import {CollectedBytes} from '@snipestage/connection/collected_bytes.js';
 import type {HeldMemory} from './memory_guard.js';
 
 /** The body; undefined for a request without one; or why it was not read. */
@@ -39,13 +40,13 @@
     return Promise.resolve('no_memory');
   }
   return new Promise(resolve => {
-    let chunks: Buffer[] = [];
+    const collected = new CollectedBytes();
     let size = 0;
     const giveUp = (reason: 'too_large' | 'no_memory') => {
       resolve(reason);
       request.removeAllListeners('data');
       request.resume();
-      chunks = [];
+      collected.take();
     };
     if (held !== undefined) held.onAborted = () => giveUp('no_memory');
     request.on('data', (chunk: Buffer) => {
@@ -55,10 +56,10 @@
       } else if (size > reservedBytes && held?.tryAdd(chunk.length) === false) {
         giveUp('no_memory');
       } else {
-        chunks.push(chunk);
+        collected.append(chunk);
       }
     });
-    request.on('end', () => resolve(Buffer.concat(chunks)));
+    request.on('end', () => resolve(collected.take()));
     request.on('error', () => resolve('broken'));
     request.on('close', () => resolve('broken'));
   });
