Bound the requests of one connection and of one instance in progress

Clients that sent thousands of requests ahead ended an instance, or kept it busy for 20 s: Node.js hands out each request of what it has read at once, and nothing counted what requests cost besides their bodies.

--- a/packages/gateway/src/caller_connections.ts
+++ b/packages/gateway/src/caller_connections.ts
@@ -84,6 +84,11 @@
     return this.bySocket.get(socket)?.requests ?? 0;
   }
 
+  /** Answers that are due on a connection. */
+  countOpenAnswers(socket: Socket): number {
+    return this.bySocket.get(socket)?.openAnswers ?? 0;
+  }
+
   /**
    * Finds which side has closed a connection; this one as long as nothing has
    * been read of the other's close.
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -9,6 +9,7 @@
 import {Server as TcpServer, type Socket} from 'node:net';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {CallerLimits} from '@snipestage/routing/route.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
 import {splitAddress} from './split_address.js';
 import type {RequestHandler} from './request_handler.js';
 
@@ -16,7 +17,10 @@
 export interface CallersServerOptions {
   readonly address: string;
   readonly handler: RequestHandler;
+  readonly metrics: Pick<GatewayMetrics, 'countOverload'>;
   readonly logger: Logger;
+  /** Requests on one connection whose answers are due (32). */
+  readonly maxRequestsAhead?: number;
 }
 
 /**
@@ -48,6 +52,7 @@
   [HEADER_TIMEOUT_CODE]: '408 Request Timeout',
 };
 
+const DEFAULT_MAX_REQUESTS_AHEAD = 32;
 /** Longest time for which a caller may take to close after an error. */
 const LINGER_MS = 2000;
 
@@ -134,9 +139,20 @@
   }
 
   private receive(request: IncomingMessage, response: ServerResponse): void {
+    const {socket} = request;
+    const {
+      handler,
+      metrics,
+      maxRequestsAhead = DEFAULT_MAX_REQUESTS_AHEAD,
+    } = this.options;
+    // Node.js hands out all requests of a read, also those after a close.
+    if (socket.destroyed) return;
     // It has crossed the last answer of its connection.
-    if (this.ended.has(request.socket)) request.resume();
-    else void this.options.handler.handle(request, response);
+    if (this.ended.has(socket)) request.resume();
+    else if (handler.connections.countOpenAnswers(socket) >= maxRequestsAhead) {
+      metrics.countOverload('requests_ahead');
+      socket.destroy();
+    } else void handler.handle(request, response);
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import {StreamMover} from './migration/stream_mover.js';
 import {Relays} from './relay/relays.js';
 import {RequestHandler} from './request_handler.js';
+import {RequestSlots} from '@snipestage/routing/request_slots.js';
 import {RoutingState} from './routing_state.js';
 import {Streams} from './streams/streams.js';
 import {SharedFacts} from './shared_facts.js';
@@ -174,6 +175,7 @@
     this.callers = new CallersServer({
       address: settings.callersAddress,
       handler: this.handler,
+      metrics: options.metrics,
       logger: logger.forComponent('callers'),
     });
     this.follower = new StateFollower({
@@ -451,6 +453,8 @@
           logger: logger.forComponent('callers'),
           nowMs,
         }),
+      slots:
+        settings.memory && RequestSlots.forMemory(settings.memory.limitBytes),
       earliestArrivalMs: () => this.loopWatch.earliestArrivalMs(),
     });
   }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -207,6 +207,12 @@
     help: 'Bytes of requests and answers that are held for callers.',
     registers: [this.registry],
   });
+  private readonly overloads = new Counter({
+    name: 'snipestage_overload_refusals_total',
+    help: 'Requests refused and connections closed, by the bound reached',
+    labelNames: ['bound'],
+    registers: [this.registry],
+  });
   private readonly memoryAborts = new Counter({
     name: 'snipestage_memory_aborts_total',
     help: 'Bodies refused and answers aborted for lack of memory, by reason.',
@@ -372,6 +378,13 @@
     this.memoryAborts.inc({reason});
   }
 
+  /** @param bound what of there was too much. */
+  countOverload(
+    bound: 'requests' | 'requests_ahead' | 'connections' | 'body_time',
+  ): void {
+    this.overloads.inc({bound});
+  }
+
   setConfigurationVersion(version: number): void {
     this.version.set(version);
   }
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {fingerprintOf} from '@snipestage/entry/identify/fingerprint.js';
 import {listSharedParts} from '@snipestage/routing/prompt.js';
+import type {RequestSlots} from '@snipestage/routing/request_slots.js';
 import type {Shutdown} from '@snipestage/routing/shutdown.js';
 import type {StreamOrigin} from '@snipestage/routing/stream_origin.js';
 import type {
@@ -27,6 +28,8 @@
   readonly shutdown: Shutdown;
   /** Bounds what is held for callers; undefined: no bound. */
   readonly memory?: MemoryGuard;
+  /** Bounds the requests in progress; undefined: no bound. */
+  readonly slots?: RequestSlots;
   /** At least 0 and below 1 (`Math.random`). */
   readonly random?: () => number;
 }
@@ -57,6 +60,8 @@
 const STREAM_UNKNOWN_RETRY_AFTER_MS = 500;
 /** Aborted answers and answered requests free memory within about that time. */
 const NO_MEMORY_RETRY_AFTER_MS = 1000;
+/** Slots are free again when requests have ended. */
+const NO_SLOT_RETRY_AFTER_MS = 1000;
 /** For fingerprints of requests without an account, on public routes. */
 const NO_ACCOUNT = '' as ClientAccountId;
 const NO_BODY = Buffer.alloc(0);
@@ -110,9 +115,13 @@
   ): Promise<void> {
     const readAtMs = this.options.nowMs();
     const facts = this.connections.noteRequest(request, readAtMs);
+    if (this.count >= (this.options.slots?.maxRequests ?? Infinity)) {
+      this.refuseUncounted(request, response);
+      return;
+    }
     const arrival = this.estimateArrival(readAtMs, facts);
     let exchange: Exchange | undefined;
-    const {shutdown, memory: guard} = this.options;
+    const {shutdown, memory: guard, slots} = this.options;
     const writer = new AnswerWriter(
       response,
       // Pipelined answers behind one that closes the connection would be lost.
@@ -120,7 +129,8 @@
       () => exchange?.cancel(),
     );
     this.count += 1;
-    const memory = new RequestMemory(guard, writer, reason =>
+    const bounds = {memory: guard, slots};
+    const memory = new RequestMemory(bounds, writer, reason =>
       exchange?.giveUp(reason),
     );
     const line = this.describeArrival(arrival, facts);
@@ -239,11 +249,20 @@
     line.route = admission.route.id;
     line.account = admission.clientAccount;
     line.urgencyRank = admission.urgencyRank;
-    memory.begin(
+    const hasSlot = memory.begin(
       caller.requestId,
       admission.clientAccount,
       request.socket.remoteAddress,
     );
+    if (!hasSlot) {
+      line.reason = 'too_many_requests';
+      request.resume();
+      writer.fail(
+        UNAVAILABLE,
+        protocol.composeRetryAfter(NO_SLOT_RETRY_AFTER_MS),
+      );
+      return undefined;
+    }
     const body = await memory.readBody(request, maxBodyBytes);
     if (body === 'no_memory') {
       line.reason = 'no_memory';
@@ -354,6 +373,22 @@
     return 'unknown';
   }
 
+  /** Takes as little as possible: there may be thousands of such requests. */
+  private refuseUncounted(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const {protocol, metrics} = this.options;
+    this.connections.followAnswer(request, response, () => undefined);
+    metrics.countOverload('requests');
+    request.resume();
+    response.writeHead(UNAVAILABLE, {
+      ...protocol.composeRetryAfter(NO_SLOT_RETRY_AFTER_MS),
+      'Content-Length': 0,
+    });
+    response.end();
+  }
+
   private refuseElsewhere(writer: AnswerWriter): void {
     const {protocol} = this.options;
     writer.fail(
