Bound the connections of callers and of the operations ports

Clients that opened connections took all descriptors of an instance, which then reached neither endpoints nor the store, and accepted nobody: nothing bounded them.

--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -9,6 +9,7 @@
 import {Server as TcpServer, type Socket} from 'node:net';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {CallerLimits} from '@snipestage/routing/route.js';
+import {ConnectionLimit} from './connection_limit.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {splitAddress} from './split_address.js';
 import type {RequestHandler} from './request_handler.js';
@@ -21,6 +22,8 @@
   readonly logger: Logger;
   /** Requests on one connection whose answers are due (32). */
   readonly maxRequestsAhead?: number;
+  /** Connections open at a time (no bound). */
+  readonly maxConnections?: number;
 }
 
 /**
@@ -61,9 +64,15 @@
   private readonly server: Server;
   /** Connections on which an error was the last answer. */
   private readonly ended = new WeakSet<Socket>();
+  private readonly limit: ConnectionLimit;
 
   constructor(private readonly options: CallersServerOptions) {
-    const {handler, logger} = options;
+    const {handler, logger, metrics} = options;
+    this.limit = new ConnectionLimit({
+      maxConnections: options.maxConnections ?? Infinity,
+      isIdle: socket => handler.connections.countOpenAnswers(socket) === 0,
+      onClosed: () => metrics.countOverload('connections'),
+    });
     this.server = createServer(
       {
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
@@ -73,6 +82,7 @@
       (request, response) => this.receive(request, response),
     );
     this.server.requestTimeout = 0;
+    this.limit.watch(this.server);
     this.server.on('connection', socket =>
       handler.connections.noteOpened(socket),
     );
@@ -152,7 +162,11 @@
     else if (handler.connections.countOpenAnswers(socket) >= maxRequestsAhead) {
       metrics.countOverload('requests_ahead');
       socket.destroy();
-    } else void handler.handle(request, response);
+    } else {
+      this.limit.noteActive(socket);
+      response.once('close', () => this.limit.noteActive(socket));
+      void handler.handle(request, response);
+    }
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -61,6 +61,8 @@
  * several round trips, and short compared with what is left of the grace time.
  */
 const FLUSH_WAIT_MS = 50;
+/** The rest is for endpoints, the store, other instances and files. */
+const CALLERS_SHARE_OF_DESCRIPTORS = 0.45;
 /** Time to read answers that arrived while the process was frozen. */
 const READ_PENDING_WAIT_MS = 20;
 /** Half of the grace time that is left after the last requests. */
@@ -72,6 +74,11 @@
     : String(error);
 }
 
+/** Each request in progress may take one for its endpoint as well. */
+function countConnections(maxDescriptors: number): number {
+  return Math.floor(maxDescriptors * CALLERS_SHARE_OF_DESCRIPTORS);
+}
+
 /** Owns all tasks of the process. */
 export class Gateway {
   private readonly state: RoutingState;
@@ -176,6 +183,8 @@
       address: settings.callersAddress,
       handler: this.handler,
       metrics: options.metrics,
+      maxConnections:
+        settings.maxDescriptors && countConnections(settings.maxDescriptors),
       logger: logger.forComponent('callers'),
     });
     this.follower = new StateFollower({
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -55,6 +55,8 @@
     /** Memory of the process; a quarter of it may be held. */
     readonly limitBytes: number;
   };
+  /** Descriptors that the process may have; without it, there is no bound. */
+  readonly maxDescriptors?: number;
   readonly shutdown: {
     /** Time from the signal to stop until the process is killed. */
     readonly graceMs: number;
--- a/packages/gateway/src/operations_server.ts
+++ b/packages/gateway/src/operations_server.ts
@@ -1,6 +1,8 @@
 /** A small HTTP server for readiness, metrics and a dump of state. */
 
 import {createServer, type Server} from 'node:http';
+import type {Socket} from 'node:net';
+import {ConnectionLimit} from './connection_limit.js';
 import {splitAddress} from './split_address.js';
 
 /** Renders the page of a path; undefined when there is none. */
@@ -20,15 +22,37 @@
   body: 'There is no such page.\n',
 };
 
+/** Machines that ask an instance keep few connections each. */
+const MAX_CONNECTIONS = 32;
+
 /** Serves pages for machines and operators on one address. */
 export class OperationsServer {
   private readonly server: Server;
 
+  /** Connections whose page is being rendered or sent. */
+  private readonly busy = new Set<Socket>();
+
   constructor(
     private readonly address: string,
     render: PageRenderer,
   ) {
+    const limit = new ConnectionLimit({
+      maxConnections: MAX_CONNECTIONS,
+      isIdle: socket => !this.busy.has(socket),
+      onClosed: () => undefined,
+    });
     this.server = createServer((request, response) => {
+      const {socket} = request;
+      // One page at a time: Node.js hands out all requests of a read.
+      if (this.busy.has(socket) || socket.destroyed) {
+        socket.destroy();
+        return;
+      }
+      this.busy.add(socket);
+      limit.noteActive(socket);
+      const end = () => this.busy.delete(socket);
+      response.once('close', end);
+      socket.once('close', end);
       void render(request.url ?? '/')
         .then(page => page ?? NO_PAGE)
         .catch((error: unknown): OperationsPage => {
@@ -40,6 +64,7 @@
           response.end(body);
         });
     });
+    limit.watch(this.server);
   }
 
   async start(): Promise<void> {
