Limit the time for which a request's body may be read

Clients whose bodies stopped just short of their end kept their connections and the memory of their bodies for good: the time of a request began to count once its body had been read, and an answered request was read on without end.

--- a/packages/gateway/src/caller_limits.test.ts
+++ b/packages/gateway/src/caller_limits.test.ts
@@ -78,3 +78,16 @@
   });
   t.is(answer.statusCode, 200);
 });
+
+test('a body that does not end in its time is answered 408', async t => {
+  // Guards against clients that hold a connection and its memory for good.
+  const {callers, lines} = await start(t);
+  const caller = new Caller(t, callers);
+  caller.socket.write(
+    `POST /x HTTP/1.1\r\nHost: ${SLOW_ROUTE.host}\r\nX-Request-Id: slow\r\n` +
+      'X-Waits-Ms: 300\r\nContent-Length: 10\r\n\r\n123456789',
+  );
+  await waitUntil(() => caller.isClosed);
+  t.regex(caller.text, /^HTTP\/1.1 408 /);
+  t.true(lines.some(line => line.includes('"reason":"body_too_slow"')));
+});
--- a/packages/gateway/src/read_request_body.ts
+++ b/packages/gateway/src/read_request_body.ts
@@ -2,15 +2,18 @@
 
 import type {IncomingMessage} from 'node:http';
 import {CollectedBytes} from '@snipestage/connection/collected_bytes.js';
+import {ReadFirstTimeout} from '@snipestage/connection/read_first_timeout.js';
 import type {HeldMemory} from './memory_guard.js';
 
 /** The body; undefined for a request without one; or why it was not read. */
 export type RequestBody =
-  Buffer | undefined | 'too_large' | 'broken' | 'no_memory';
+  Buffer | undefined | 'too_large' | 'broken' | 'no_memory' | 'timed_out';
 
 /** Options of {@link readRequestBody}. */
 export interface ReadRequestBodyOptions {
   readonly maxBytes: number;
+  /** Time within which its end has to come. */
+  readonly timeoutMs: number;
   /** Counts the body; undefined where no bound is set. */
   readonly held?: HeldMemory;
 }
@@ -25,7 +28,7 @@
  */
 export function readRequestBody(
   request: IncomingMessage,
-  {maxBytes, held}: ReadRequestBodyOptions,
+  {maxBytes, timeoutMs, held}: ReadRequestBodyOptions,
 ): Promise<RequestBody> {
   const {headers} = request;
   const statedLength = headers['content-length'];
@@ -42,12 +45,14 @@
   return new Promise(resolve => {
     const collected = new CollectedBytes();
     let size = 0;
-    const giveUp = (reason: 'too_large' | 'no_memory') => {
+    const giveUp = (reason: 'too_large' | 'no_memory' | 'timed_out') => {
+      timeout.cancel();
       resolve(reason);
       request.removeAllListeners('data');
       request.resume();
       collected.take();
     };
+    const timeout = new ReadFirstTimeout(() => giveUp('timed_out'), timeoutMs);
     if (held !== undefined) held.onAborted = () => giveUp('no_memory');
     request.on('data', (chunk: Buffer) => {
       size += chunk.length;
@@ -59,8 +64,14 @@
         collected.append(chunk);
       }
     });
-    request.on('end', () => resolve(collected.take()));
+    request.on('end', () => {
+      timeout.cancel();
+      resolve(collected.take());
+    });
     request.on('error', () => resolve('broken'));
-    request.on('close', () => resolve('broken'));
+    request.on('close', () => {
+      timeout.cancel();
+      resolve('broken');
+    });
   });
 }
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -46,6 +46,7 @@
 const MIN_TIME_LEFT_MS = 400;
 /** For a caller that states no timeout; its route's timeout applies. */
 const NO_LIMIT_MS = Number.POSITIVE_INFINITY;
+const REQUEST_TIMEOUT = 408;
 const PAYLOAD_TOO_LARGE = 413;
 const HEADERS_TOO_LARGE = 431;
 const UNAVAILABLE = 503;
@@ -62,6 +63,8 @@
 const NO_MEMORY_RETRY_AFTER_MS = 1000;
 /** Slots are free again when requests have ended. */
 const NO_SLOT_RETRY_AFTER_MS = 1000;
+/** Time for the rest of a body after the answer, enough for a slow link. */
+const UNREAD_BODY_LINGER_MS = 10_000;
 /** For fingerprints of requests without an account, on public routes. */
 const NO_ACCOUNT = '' as ClientAccountId;
 const NO_BODY = Buffer.alloc(0);
@@ -139,6 +142,7 @@
       this.count -= 1;
       writer.noteDisconnected();
       memory.closeAnswer();
+      closeUnlessRead(request);
     });
     const refuse = (reason: string) => {
       if (writer.isOver) return;
@@ -263,7 +267,17 @@
       );
       return undefined;
     }
-    const body = await memory.readBody(request, maxBodyBytes);
+    const limitMs = timeLimitMs(caller, admission);
+    const body = await memory.readBody(request, {
+      maxBytes: maxBodyBytes,
+      timeoutMs: limitMs,
+    });
+    if (body === 'timed_out') {
+      line.reason = 'body_too_slow';
+      this.options.metrics.countOverload('body_time');
+      writer.fail(REQUEST_TIMEOUT, {Connection: 'close'});
+      return undefined;
+    }
     if (body === 'no_memory') {
       line.reason = 'no_memory';
       writer.fail(
@@ -281,7 +295,6 @@
       line.reason ??= 'caller_left';
       return undefined;
     }
-    const limitMs = timeLimitMs(caller, admission);
     // Connections are accepted in the order in which they came: it has waited
     // for almost as long as it may have.
     if (arrival.queuedMs >= limitMs) {
@@ -379,7 +392,9 @@
     response: ServerResponse,
   ): void {
     const {protocol, metrics} = this.options;
-    this.connections.followAnswer(request, response, () => undefined);
+    this.connections.followAnswer(request, response, () =>
+      closeUnlessRead(request),
+    );
     metrics.countOverload('requests');
     request.resume();
     response.writeHead(UNAVAILABLE, {
@@ -469,6 +484,19 @@
   }
 }
 
+/**
+ * Closes the connection of an answered request whose body doesn't end. A close at
+ * once could discard the answer.
+ */
+function closeUnlessRead(request: IncomingMessage): void {
+  if (request.complete || request.destroyed) return;
+  const timer = setTimeout(() => request.destroy(), UNREAD_BODY_LINGER_MS);
+  timer.unref();
+  const cancel = () => clearTimeout(timer);
+  request.once('end', cancel);
+  request.once('close', cancel);
+}
+
 /** Bytes of names and values; Node.js decodes each byte to a character. */
 function countHeaderBytes(rawHeaders: readonly string[]): number {
   return rawHeaders.reduce((bytes, text) => bytes + text.length, 0);
--- a/packages/gateway/src/request_memory.ts
+++ b/packages/gateway/src/request_memory.ts
@@ -57,10 +57,10 @@
   /** Reads the body, which is held until {@link closeBody}. */
   async readBody(
     request: IncomingMessage,
-    maxBytes: number,
+    limits: {readonly maxBytes: number; readonly timeoutMs: number},
   ): Promise<RequestBody> {
     const {body: held} = this;
-    const body = await readRequestBody(request, {maxBytes, held});
+    const body = await readRequestBody(request, {...limits, held});
     held?.keep('request_body');
     return body;
   }
