Read heads up to the configured limit only

Clients whose heads didn't end filled the heap of an instance: each connection could hold 262 kB, the limit that the server is created with, whatever operators had configured.

--- a/packages/gateway/src/caller_limits.test.ts
+++ b/packages/gateway/src/caller_limits.test.ts
@@ -91,3 +91,13 @@
   t.regex(caller.text, /^HTTP\/1.1 408 /);
   t.true(lines.some(line => line.includes('"reason":"body_too_slow"')));
 });
+
+test('a head that has no end is refused near the configured limit', async t => {
+  // Guards against heads of which each connection may hold many times the limit.
+  const {callers} = await start(t, {limits: {maxHeaderBytes: 4000}});
+  const caller = new Caller(t, callers);
+  const line = `X-Filler: ${'x'.repeat(1000)}\r\n`;
+  caller.socket.write(`GET /x HTTP/1.1\r\n${line.repeat(30)}`);
+  await waitUntil(() => caller.isClosed);
+  t.regex(caller.text, /^HTTP\/1.1 431 /);
+});
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -26,11 +26,13 @@
   readonly maxConnections?: number;
 }
 
+/** Before a configuration is known, and more than operators configure. */
+export const MAX_HEADER_BYTES = 262_144;
 /**
- * More than operators configure: Node.js takes a limit only at the start, so
- * that the configured one is checked for each request.
+ * For the request line, and for what Node.js counts in a head beyond the names and
+ * values that a configured limit is about, which is checked for each request.
  */
-export const MAX_HEADER_BYTES = 262_144;
+const HEAD_MARGIN_BYTES = 16_384;
 /**
  * Added to the timeouts of callers, so that a request that was sent in time
  * doesn't cross the closing of its connection.
@@ -108,6 +110,12 @@
   applyLimits(limits: CallerLimits): void {
     this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
     this.server.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
+    // Node.js (20) reads it for each new connection.
+    const server = this.server as Server & {maxHeaderSize?: number};
+    server.maxHeaderSize = Math.min(
+      MAX_HEADER_BYTES,
+      limits.maxHeaderBytes + HEAD_MARGIN_BYTES,
+    );
   }
 
   /**
