Estimate the wait of a connection by one backlog at most

While connections came without a pause, the time for which each may have waited to be accepted was counted from the first of them: after a while every new request was refused as overdue, however soon it was read. A connection has waited behind one backlog at most, so that the wait is bounded by the time in which the last 1,026 were accepted. The test's last connection of 1,000, five ms apart with a backlog of 10, has waited for 50 to 60 ms by the estimate.

--- a/packages/gateway/src/accept_queue_watch.test.ts
+++ b/packages/gateway/src/accept_queue_watch.test.ts
@@ -1,12 +1,13 @@
 import test from 'ava';
 import {AcceptQueueWatch} from './accept_queue_watch.js';
 
-function createWatch() {
+function createWatch(maxWaiting?: number) {
   let timesEmpty = 0;
   let nowMs = 0;
   let afterPoll: () => void = () => undefined;
   const watch = new AcceptQueueWatch({
     nowMs: () => nowMs,
+    maxWaiting,
     onEmpty: () => (timesEmpty += 1),
     afterPoll: callback => (afterPoll = callback),
   });
@@ -56,3 +57,15 @@
   t.false(watch.isBehind);
   t.is(countTimesEmpty(), 1);
 });
+
+test('in a flood that never ends a connection has waited behind one backlog at most', t => {
+  // Guards against requests that are refused as overdue for as long as others
+  // open connections.
+  const {watch, endTurn} = createWatch(10);
+  let waitedMs = 0;
+  for (let count = 0; count < 1000; count += 1) {
+    waitedMs = watch.noteAccepted();
+    endTurn(5);
+  }
+  t.true(waitedMs >= 50 && waitedMs <= 60, `${waitedMs} ms`);
+});
--- a/packages/gateway/src/accept_queue_watch.ts
+++ b/packages/gateway/src/accept_queue_watch.ts
@@ -1,11 +1,17 @@
 /** Estimates how long connections may have waited to be accepted. */
 
+/** More pending connections than a burst at one instance causes. */
+export const LISTEN_BACKLOG_COUNT = 1024;
+/** The kernel takes one more than the backlog; another is being accepted. */
+const BACKLOG_MARGIN_COUNT = 2;
 /** More connections in a row than come together by chance. */
 const MIN_BACKLOG_COUNT = 4;
 
 /** Options of {@link AcceptQueueWatch}; defaults in the brackets. */
 export interface AcceptQueueWatchOptions {
   readonly nowMs: () => number;
+  /** Connections that the kernel lets wait at most (1024). */
+  readonly maxWaiting?: number;
   /** Called when no more connections wait (nothing). */
   readonly onEmpty?: () => void;
   /** Runs a callback once sockets have been polled (`setImmediate`). */
@@ -23,8 +29,14 @@
   private hasAccepted = false;
   private acceptedInRow = 0;
   private readonly afterPoll: (callback: () => void) => void;
+  /** When the latest connections were accepted, as a ring. */
+  private readonly acceptedAtMs: Float64Array;
+  private nextIndex = 0;
 
   constructor(private readonly options: AcceptQueueWatchOptions) {
+    const {maxWaiting = LISTEN_BACKLOG_COUNT} = options;
+    const count = maxWaiting + BACKLOG_MARGIN_COUNT;
+    this.acceptedAtMs = new Float64Array(count).fill(-Infinity);
     this.afterPoll = options.afterPoll ?? setImmediate;
   }
 
@@ -44,7 +56,12 @@
       this.queueSinceMs = nowMs;
       this.check();
     }
-    return nowMs - this.queueSinceMs;
+    // The queue was not full before it came: one accepted so many before it had
+    // left the queue by then.
+    const leftAtMs = this.acceptedAtMs[this.nextIndex];
+    this.acceptedAtMs[this.nextIndex] = nowMs;
+    this.nextIndex = (this.nextIndex + 1) % this.acceptedAtMs.length;
+    return nowMs - Math.max(this.queueSinceMs, leftAtMs);
   }
 
   /** Whether connections wait to be accepted, as far as known. */
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -9,6 +9,7 @@
 import {Server as TcpServer, type Socket} from 'node:net';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {CallerLimits} from '@snipestage/routing/route.js';
+import {LISTEN_BACKLOG_COUNT} from './accept_queue_watch.js';
 import {ConnectionLimit} from './connection_limit.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {splitAddress} from './split_address.js';
@@ -40,8 +41,6 @@
 const IDLE_MARGIN_MS = 2000;
 /** How often Node.js checks for connections past their header timeout. */
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
-/** More pending connections than a burst at one instance causes. */
-const LISTEN_BACKLOG_COUNT = 1024;
 /**
  * Looks for what has arrived, once no connection waits to be accepted; not a
  * time, which may pass while the process stands still.
