--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -151,7 +151,7 @@
     )
     .option(
       '--data-centres <number>',
-      'data centres, at most three',
+      'data centres, at most four',
       parseCount,
       2,
     )
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -49,7 +49,7 @@
   readonly engines?: number;
   /** Endpoints of the plain service (4). */
   readonly services?: number;
-  /** Data centres, at most three; instances in one relay to each other (2). */
+  /** Data centres, at most four; instances in one relay to each other (2). */
   readonly dataCentres?: number;
   /** Requests a second (60). */
   readonly requestsPerS?: number;
--- a/packages/soak/src/world/world.ts
+++ b/packages/soak/src/world/world.ts
@@ -28,7 +28,7 @@
   readonly instances: number;
   readonly engines: number;
   readonly services: number;
-  /** At most three. */
+  /** At most four. */
   readonly dataCentres: number;
   /**
    * Processor time of most instances in each 100 ms; undefined: not limited.
@@ -40,7 +40,7 @@
   readonly limits?: MachineLimits;
 }
 
-const DATA_CENTRES = ['akl-a', 'akl-b', 'akl-c'].map(name =>
+const DATA_CENTRES = ['akl-a', 'akl-b', 'akl-c', 'akl-d'].map(name =>
   brandAs<DataCentreId>(name),
 );
 const ENGINE_CAPACITY = 32;
@@ -66,7 +66,11 @@
   private readonly quota: ProcessorQuota | undefined;
   readonly nowMs = () => performance.now();
 
+  /** @throws RangeError for more data centres than there are names. */
   constructor(private readonly options: WorldOptions) {
+    if (options.dataCentres > DATA_CENTRES.length) {
+      throw new RangeError(`at most ${DATA_CENTRES.length} data centres`);
+    }
     this.random = randomLcg(options.seed + 1);
     this.store = new StoreStandIn(this.random);
     this.copies = new StoreCopies(this.store, COPY_AGE_STEPS);
