--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -83,6 +83,9 @@
 /** Half of the engines are replaced by engines of another software version. */
 export const VERSION_RELEASE = 'version_release';
 
+/** A third of the instances are killed at the same moment. */
+export const MASS_KILL = 'mass_kill';
+
 /** Another writer leaves a row that instances can't use. */
 export const FOREIGN_ROW = 'foreign_row';
 
@@ -99,7 +102,8 @@
   | typeof INSTANCE_CUT
   | typeof BRITTLE_SERVICE
   | typeof VERSION_RELEASE
-  | typeof FOREIGN_ROW;
+  | typeof FOREIGN_ROW
+  | typeof MASS_KILL;
 
 /** One fault of a plan. */
 export interface PlannedFault {
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -12,6 +12,7 @@
   drawFaultPlan,
   EVACUATE,
   FOREIGN_ROW,
+  MASS_KILL,
   RATE_LIMIT,
   BACKOFF,
   CRASHING_PART,
@@ -27,6 +28,7 @@
 } from './fault_plan.js';
 import {drawInstanceCuts} from './instance_cuts.js';
 import {drawForeignRows} from './foreign_rows.js';
+import {drawMassKills} from './mass_kills.js';
 import type {History, UnhandledError} from './history.js';
 import {drawRateLimits} from './rate_limits.js';
 import {drawStopTurns} from './stop_turns.js';
@@ -175,6 +177,7 @@
     [INSTANCE_CUT, () => drawInstanceCuts({seed, forMs})],
     [VERSION_RELEASE, () => drawVersionReleases({seed, forMs})],
     [FOREIGN_ROW, () => drawForeignRows({seed, forMs})],
+    [MASS_KILL, () => drawMassKills({seed, forMs})],
   ];
   const faults = [
     ...drawFaultPlan({seed, forMs, seriesEveryMs, kinds}),
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -8,6 +8,7 @@
 import {
   EVACUATE,
   FOREIGN_ROW,
+  MASS_KILL,
   RATE_LIMIT,
   BACKOFF,
   CRASHING_PART,
@@ -23,6 +24,7 @@
 } from '../fault_plan.js';
 import {readForeignRow} from '../foreign_rows.js';
 import type {Subject} from '../history.js';
+import {chooseKilled} from '../mass_kills.js';
 import {readInstanceCut} from '../instance_cuts.js';
 import type {Endpoint} from './endpoint.js';
 import type {Instance} from './instance.js';
@@ -136,6 +138,8 @@
       this.endAfter(durationMs, this.traffic.sendCrashingPart());
     } else if (kind === VERSION_RELEASE) {
       this.release(fault);
+    } else if (kind === MASS_KILL) {
+      this.killMany(fault);
     } else if (kind === FOREIGN_ROW) {
       this.writeForeignRow(fault);
     } else if (kind === UNLISTED_LEAVING) {
@@ -290,6 +294,13 @@
     }
   }
 
+  private killMany({kind, target}: PlannedFault): void {
+    const {instances} = this.world;
+    const killed = chooseKilled(instances.length, target);
+    this.logFault(kind, `${killed.length} instances`);
+    for (const index of killed) instances[index].kill();
+  }
+
   /** Not a disturbance: a row that can't be used must not change anything. */
   private writeForeignRow({kind, target, durationMs}: PlannedFault): void {
     const {store, endpoints, history} = this.world;
