Replace the record of a stream when its request goes to another version

Streams whose request had failed to reach an endpoint of one version and began at another were marked as ambiguous and refused at all other instances. A record names its request now: its own is replaced, that of another request for the same attempt becomes ambiguous as before.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -1,5 +1,6 @@
 /** One caller's request, from the choice of an endpoint to the final answer. */
 
+import {randomUUID} from 'node:crypto';
 import {
   decideAfterFailure,
   failureFor,
@@ -19,7 +20,7 @@
   mayContinue,
   type StreamOrigin,
 } from '@snipestage/routing/stream_origin.js';
-import type {SoftwareVersion} from '@snipestage/types/ids.js';
+import {brandAs, type SoftwareVersion} from '@snipestage/types/ids.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
 import {Attempt} from './attempt.js';
@@ -28,6 +29,7 @@
 import type {FollowedStream} from './migration/followed_stream.js';
 import type {MovedRun} from './migration/moved_run.js';
 import type {SettledMove} from './migration/stream_move.js';
+import type {StreamRun} from './streams/stream_rows.js';
 import {recordOutcome, type AttemptOutcome} from './record_outcome.js';
 import type {
   AttemptResult,
@@ -64,6 +66,8 @@
   private hasBegunRun = false;
   /** Version at whose endpoint the stream may have begun. */
   private sentTo: SoftwareVersion | undefined;
+  /** Names it in the record of its stream. */
+  private streamRun: StreamRun | undefined;
   /** Set once an event of the stream has been sent to a caller. */
   private origin: StreamOrigin | undefined;
   private lastFailure: WholeAnswer | undefined;
@@ -327,7 +331,13 @@
     const {clientAccount} = admission;
     const {streams} = this.context;
     const origin = {service, softwareVersion};
-    return streams.noteSent(clientAccount, caller.requestId, origin);
+    this.streamRun ??= brandAs<StreamRun>(randomUUID());
+    return streams.noteSent(
+      clientAccount,
+      caller.requestId,
+      origin,
+      this.streamRun,
+    );
   }
 
   private choose(): Placed | undefined {
--- a/packages/gateway/src/streams/known_streams.ts
+++ b/packages/gateway/src/streams/known_streams.ts
@@ -41,7 +41,17 @@
 
   /** Remembers a stream that was read from the store. */
   learn(key: StreamKey, recorded: RecordedOrigin): void {
-    this.add(key, {recorded, isRecorded: true, atMs: this.options.nowMs()});
+    const {kind} = recorded;
+    this.add(key, {
+      recorded: kind === 'origin' ? {kind, origin: recorded.origin} : recorded,
+      isRecorded: true,
+      atMs: this.options.nowMs(),
+    });
+  }
+
+  /** Replaces what is known of a stream that isn't recorded. */
+  replace(key: StreamKey, recorded: RecordedOrigin): void {
+    this.add(key, {recorded, isRecorded: false, atMs: this.options.nowMs()});
   }
 
   find(key: StreamKey): RecordedOrigin | undefined {
--- a/packages/gateway/src/streams/record_batcher.ts
+++ b/packages/gateway/src/streams/record_batcher.ts
@@ -1,6 +1,5 @@
 /** Writes records of streams to the store, many in one transaction. */
 
-import {isDeepStrictEqual} from 'node:util';
 import type {Platform} from '@snipestage/platform/platform.js';
 import {ABSENT, type StoreVersion} from '@snipestage/types/store_version.js';
 import type {Row, TransactionResult} from '@snipestage/types/table.js';
@@ -8,6 +7,7 @@
 import {
   decodeOrigin,
   encodeOrigin,
+  isSameOrigin,
   streamRowKey,
   type RecordedOrigin,
   type StreamKey,
@@ -150,8 +150,7 @@
   return batch.filter(({record, done}) => {
     const row = rowOf.get(streamRowKey(record.key));
     if (row === undefined || holds(record, row)) return true;
-    const found = decodeOrigin(row.value);
-    const isThere = isDeepStrictEqual(found, record.recorded);
+    const isThere = isSameOrigin(decodeOrigin(row.value), record.recorded);
     done(isThere ? WRITTEN : {kind: 'conflict', row});
     return false;
   });
--- a/packages/gateway/src/streams/stream_recorder.ts
+++ b/packages/gateway/src/streams/stream_recorder.ts
@@ -61,8 +61,8 @@
 
 /**
  * Hands records to a relay, which writes those of many instances together, and
- * writes itself what no relay takes. A record is written once: a row that exists
- * is never replaced by another version, but marked as ambiguous.
+ * writes itself what no relay takes. The row of another request is never replaced
+ * by another version, but marked as ambiguous.
  */
 export class StreamRecorder {
   private readonly pending = new Map<StreamKey, PendingRecord>();
@@ -192,7 +192,7 @@
     else if (isLatest) this.settleConflict(record, result.row);
   }
 
-  /** A row that exists is ambiguous, or becomes it. */
+  /** A row of another request is ambiguous, or becomes it. */
   private settleConflict(record: PendingRecord, row: Row): void {
     const found = decodeOrigin(row.value);
     if (found?.kind === 'ambiguous') this.noteWritten(record, true);
@@ -270,9 +270,19 @@
 /** A row that was removed meanwhile is written as if it had never been. */
 function replacementFor(
   {recorded}: StreamRecord,
-  row: Row,
+  {value, version}: Row,
 ): Pick<StreamRecord, 'recorded' | 'replaces'> {
-  return row.value === null
-    ? {recorded, replaces: ABSENT}
-    : {recorded: {kind: 'ambiguous'}, replaces: row.version};
+  if (value === null) return {recorded, replaces: ABSENT};
+  return isOfSameRun(decodeOrigin(value), recorded)
+    ? {recorded, replaces: version}
+    : {recorded: {kind: 'ambiguous'}, replaces: version};
+}
+
+/** The request has gone to another version before its first event. */
+function isOfSameRun(
+  found: RecordedOrigin | undefined,
+  recorded: RecordedOrigin,
+): boolean {
+  if (found?.kind !== 'origin' || recorded.kind !== 'origin') return false;
+  return found.run !== undefined && found.run === recorded.run;
 }
--- a/packages/gateway/src/streams/stream_rows.ts
+++ b/packages/gateway/src/streams/stream_rows.ts
@@ -1,6 +1,7 @@
 /** Rows for software versions of services and of streams. */
 
 import {createHash} from 'node:crypto';
+import {isDeepStrictEqual} from 'node:util';
 import type {StreamOrigin} from '@snipestage/routing/stream_origin.js';
 import {
   brandAs,
@@ -14,22 +15,32 @@
 /** Digest of a client account and of the attempt that began a stream. */
 export type StreamKey = Branded<string, 'StreamKey'>;
 
+/** One request that may begin a stream; others may name the same attempt. */
+export type StreamRun = Branded<string, 'StreamRun'>;
+
 const STREAMS = 'streams/';
 const VERSIONS = 'versions/';
 const SHARED = 'shared/';
 const MAX_ATTEMPT_ID_CHARACTERS = 200;
 const KEY_CHARACTERS = 32;
+const MAX_RUN_CHARACTERS = 64;
 const STREAM_ROW_KEY = /^streams\/[0-9a-f]{32}$/;
 
 /** What is recorded of a stream. */
 export type RecordedOrigin =
-  | {readonly kind: 'origin'; readonly origin: StreamOrigin}
+  | {
+      readonly kind: 'origin';
+      readonly origin: StreamOrigin;
+      /** The request that it was recorded for before it began, if any. */
+      readonly run?: StreamRun;
+    }
   /** Attempts of the same id have begun streams at different versions. */
   | {readonly kind: 'ambiguous'};
 
 interface StreamValue {
   readonly service?: string;
   readonly version?: string;
+  readonly run?: string;
   readonly isAmbiguous?: boolean;
 }
 
@@ -73,20 +84,40 @@
 /** @returns the value of the row that records a stream. */
 export function encodeOrigin(recorded: RecordedOrigin): StreamValue {
   if (recorded.kind === 'ambiguous') return {isAmbiguous: true};
-  const {service, softwareVersion} = recorded.origin;
-  return {service, version: softwareVersion};
+  const {origin, run} = recorded;
+  const {service, softwareVersion} = origin;
+  const value = {service, version: softwareVersion};
+  return run === undefined ? value : {...value, run};
+}
+
+/**
+ * Whether two records name the same version, whichever requests they are for.
+ *
+ * @example
+ * const isThere = isSameOrigin(decodeOrigin(row.value), recorded);
+ */
+export function isSameOrigin(
+  one: RecordedOrigin | undefined,
+  other: RecordedOrigin,
+): boolean {
+  if (one?.kind !== 'origin' || other.kind !== 'origin') {
+    return one?.kind === other.kind;
+  }
+  return isDeepStrictEqual(one.origin, other.origin);
 }
 
 /** @returns undefined when nothing is recorded, or nothing that is valid. */
 export function decodeOrigin(value: unknown): RecordedOrigin | undefined {
-  const {service, version, isAmbiguous} = (value ?? {}) as StreamValue;
+  const {service, version, run, isAmbiguous} = (value ?? {}) as StreamValue;
   if (isAmbiguous === true) return {kind: 'ambiguous'};
   if (typeof service !== 'string' || typeof version !== 'string') {
     return undefined;
   }
   const softwareVersion = brandAs<SoftwareVersion>(version);
   const origin = {service: brandAs<ServiceId>(service), softwareVersion};
-  return {kind: 'origin', origin};
+  return typeof run === 'string' && run.length <= MAX_RUN_CHARACTERS
+    ? {kind: 'origin', origin, run: brandAs<StreamRun>(run)}
+    : {kind: 'origin', origin};
 }
 
 /** Key of the row with the published versions of a service. */
--- a/packages/gateway/src/streams/streams.ts
+++ b/packages/gateway/src/streams/streams.ts
@@ -22,11 +22,13 @@
 import {
   decodeOrigin,
   decodeVersions,
+  isSameOrigin,
   streamKeyOf,
   streamRowKey,
   versionsRowKey,
   type RecordedOrigin,
   type StreamKey,
+  type StreamRun,
 } from './stream_rows.js';
 import {VersionPublisher} from './version_publisher.js';
 
@@ -101,8 +103,8 @@
 const LOOK_UP_TIME_LEFT_SHARE = 0.25;
 const MIN_LOOK_UP_TIMEOUT_MS = 400;
 const MAX_LOOK_UP_TIMEOUT_MS = 1500;
-/** A request whose stream can't be marked as ambiguous waits so long. */
-const MAX_MARKING_MS = 500;
+/** Time for which a request waits until its record is replaced. */
+const MAX_REPLACING_MS = 500;
 /** A record may be on its way to the store. */
 const SECOND_LOOK_AFTER_MS = 120;
 /** Made-up attempts must not keep the store busy. */
@@ -207,29 +209,38 @@
    * know it when the first event comes. What was recorded of an earlier endpoint
    * of another version must not be believed any more.
    *
+   * @param run the request, which may name the same attempt as others.
    * @returns whether the stream may begin there; a promise where that depends on
    *   the store.
    * @example
-   * const mayBegin = await streams.noteSent(account, requestId, origin);
+   * const mayBegin = await streams.noteSent(account, requestId, origin, run);
    */
   noteSent(
     clientAccount: ClientAccountId | undefined,
     attempt: RequestId,
     origin: StreamOrigin,
+    run: StreamRun,
   ): true | Promise<boolean> {
     const key = streamKeyOf(clientAccount, attempt);
     if (key === undefined || origin.softwareVersion === undefined) return true;
     const before = this.sent.find(key);
     const isMixed = this.options.state.versions.isMixed(origin.service);
     if (before === undefined && !isMixed) return true;
-    this.sent.remember(key, origin);
-    const recorded = this.sent.find(key);
-    if (recorded === undefined) return true;
-    if (recorded !== before) this.recorder.add(key, recorded);
-    if (recorded.kind === 'origin') return true;
+    const recorded = mergeSent(before, {kind: 'origin', origin, run});
+    if (recorded !== before) {
+      this.sent.replace(key, recorded);
+      this.recorder.add(key, recorded);
+    }
+    // Nothing else can be recorded of a stream that was sent to one version.
+    if (
+      before === undefined ||
+      isSameOrigin(before, {kind: 'origin', origin})
+    ) {
+      return true;
+    }
     return resolveWithin(
       this.recorder.whenWritten(key).then(() => true),
-      {timeoutMs: MAX_MARKING_MS, otherwise: false},
+      {timeoutMs: MAX_REPLACING_MS, otherwise: false},
     );
   }
 
@@ -365,6 +376,17 @@
   );
 }
 
+/** @param before what was recorded of the attempt so far. */
+function mergeSent(
+  before: RecordedOrigin | undefined,
+  sent: Extract<RecordedOrigin, {kind: 'origin'}>,
+): RecordedOrigin {
+  if (before === undefined) return sent;
+  if (before.kind === 'ambiguous') return before;
+  if (isSameOrigin(before, sent)) return before;
+  return before.run === sent.run ? sent : AMBIGUOUS;
+}
+
 function toResolved(
   recorded: RecordedOrigin,
   source: OriginSource,
