Record streams sent to an endpoint again after a set-back of the store

What was recorded when a request was sent was forgotten with a set-back: a store whose copy named the version of the request's first attempt could have been believed after the request had gone to another one. Shown by a test only.

--- a/packages/gateway/src/streams/known_streams.ts
+++ b/packages/gateway/src/streams/known_streams.ts
@@ -64,12 +64,10 @@
     if (stream !== undefined) stream.isRecorded = true;
   }
 
-  /** Forgets streams of one version. @returns the ambiguous ones. */
-  forgetOrigins(): readonly StreamKey[] {
-    for (const [key, {recorded}] of this.streams) {
-      if (recorded.kind === 'origin') this.streams.delete(key);
-    }
-    return [...this.streams.keys()];
+  /** All streams, the oldest first. */
+  list(): ReadonlyArray<readonly [StreamKey, RecordedOrigin]> {
+    this.evict();
+    return [...this.streams].map(([key, {recorded}]) => [key, recorded]);
   }
 
   /** All streams have to be recorded again. */
--- a/packages/gateway/src/streams/recorded_at_send.test.ts
+++ b/packages/gateway/src/streams/recorded_at_send.test.ts
@@ -115,3 +115,17 @@
   await waitUntil(() => streams.unrecorded === 0);
   t.is(calls, 1);
 });
+
+test('what was recorded at the send is recorded again after a set-back', async t => {
+  // Guards against a store whose copy names the version of an earlier attempt.
+  const platform = new MemoryPlatform();
+  const streams = startStreams(platform);
+  void streams.noteSent(undefined, ATTEMPT, originOf('v1'), RUN);
+  await waitUntil(() => platform.rows.has(ROW_KEY));
+  const copy = platform.copy();
+  t.true(await streams.noteSent(undefined, ATTEMPT, originOf('v2'), RUN));
+  platform.setBack(copy);
+  streams.noteSetBack();
+  await waitUntil(() => streams.unrecorded === 0);
+  t.like(await resolveAt(startStreams(platform)), {origin: originOf('v2')});
+});
--- a/packages/gateway/src/streams/streams.ts
+++ b/packages/gateway/src/streams/streams.ts
@@ -194,10 +194,11 @@
 
   /** The store was set back: it may have lost records. */
   noteSetBack(): void {
-    for (const key of this.sent.forgetOrigins()) {
-      this.recorder.add(key, AMBIGUOUS);
-    }
     this.known.forgetRecorded();
+    for (const [key, recorded] of this.sent.list()) {
+      this.recorder.add(key, recorded);
+      this.known.markRecorded(key);
+    }
     for (const service of this.known.listServices()) {
       this.recordUnrecorded(service);
     }
