--- a/packages/gateway/src/streams/stream_recorder.test.ts
+++ b/packages/gateway/src/streams/stream_recorder.test.ts
@@ -90,7 +90,7 @@
 });
 
 test('a record that comes late is logged with its delay', async t => {
-  // Guards against logs that can't tell a late record from one not found.
+  // Guards against logs that can't distinguish a late record from a missing one.
   const platform = new MemoryPlatform();
   const log = new CapturedLog();
   const recorder = new StreamRecorder({
--- a/packages/soak/src/misbehaving_clients.test.ts
+++ b/packages/soak/src/misbehaving_clients.test.ts
@@ -134,7 +134,7 @@
   }
 }
 
-/** Connections that send what they are told to and read nothing. */
+/** Connections that send the given bytes and read nothing. */
 class Crowd {
   readonly sockets: Socket[] = [];
 
--- a/packages/soak/src/world/instance.ts
+++ b/packages/soak/src/world/instance.ts
@@ -85,7 +85,7 @@
     return `${settings.host}:${settings.callersPort}`;
   }
 
-  /** Where readiness is asked. */
+  /** Address of its readiness page. */
   get readinessAddress(): string {
     const {host, readinessPort} = this.options.settings;
     return `${host}:${readinessPort}`;
