Close no connection whose request has been read meanwhile

The timer for the rest of a body after an answer closed the connection unless the end of the request was seen, which is only emitted if somebody reads: a later request on the connection would have been cut off. Found by reading; not seen.

--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -490,7 +490,10 @@
  */
 function closeUnlessRead(request: IncomingMessage): void {
   if (request.complete || request.destroyed) return;
-  const timer = setTimeout(() => request.destroy(), UNREAD_BODY_LINGER_MS);
+  const timer = setTimeout(() => {
+    // Its connection may carry another request once it is complete.
+    if (!request.complete) request.destroy();
+  }, UNREAD_BODY_LINGER_MS);
   timer.unref();
   const cancel = () => clearTimeout(timer);
   request.once('end', cancel);
