Show that half an answer passes as whole after a restart of its worker

A worker of a plain service is cut off, crashes in the middle of an answer without a length and starts again under its id. When the cut heals, the instance asks the health path, whose answer names the id only, takes the new start for the old one and passes the half answer on as a complete 200.

--- /dev/null
+++ b/review/lib-2/caller.js
@@ -0,0 +1,61 @@
+/** Sends a caller's request on a connection of its own. */
+
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import {request as httpRequest} from 'node:http';
+
+export function digest(bytes) {
+  return createHash('sha256').update(bytes).digest('hex').slice(0, 16);
+}
+
+/**
+ * Resolves with the status, the headers, the body and whether the answer is
+ * complete; with status 0 when the connection ended without an answer.
+ */
+export function send({
+  host,
+  port,
+  method = 'POST',
+  path,
+  id,
+  headers = {},
+  body = '',
+  limitMs,
+  agent = false,
+}) {
+  return new Promise(resolve => {
+    const failed = reason =>
+      resolve({status: 0, headers: {}, body: '', isComplete: false, reason});
+    const request = httpRequest(
+      {
+        host,
+        port,
+        method,
+        path,
+        agent,
+        headers: {
+          'X-Attempt-Id': id,
+          'X-Deadline-Ms': String(limitMs),
+          'Content-Length': body.length,
+          ...headers,
+        },
+      },
+      response => {
+        const chunks = [];
+        const finish = () =>
+          resolve({
+            status: response.statusCode,
+            headers: response.headers,
+            body: String(Buffer.concat(chunks)),
+            isComplete: response.complete,
+          });
+        response.on('data', chunk => chunks.push(chunk));
+        response.on('error', finish);
+        response.on('close', finish);
+      },
+    );
+    request.on('error', error => failed(error.code));
+    request.setTimeout(limitMs + 500, () => request.destroy());
+    request.end(body);
+  });
+}
