--- a/review/lib-2/plain_worker.js
+++ b/review/lib-2/plain_worker.js
@@ -1,7 +1,7 @@
 /**
- * A worker of a plain service, as a process of its own. Its answers have no
- * length and end with their channel. Options, as JSON: `id`, `host`, `port`,
- * `bytes` of an answer, `haltMs` in the middle of it.
+ * A worker of a plain service, as a process of its own. Options, as JSON: `id`,
+ * `host`, `port`, `bytes` of an answer, `haltMs` in the middle of it, `isFramed`:
+ * answers have a length; else they end with their channel.
  */
 
 import {createHash} from 'node:crypto';
@@ -14,6 +14,7 @@
   port = 0,
   bytes = 800,
   haltMs = 0,
+  isFramed = false,
 } = JSON.parse(process.argv[2]);
 
 function say(message) {
@@ -35,11 +36,13 @@
   const answer = `${attempt} `.padEnd(bytes, 'order filed ');
   say({ran: attempt, length, digest: hash(answer), bytes});
   response.useChunkedEncodingByDefault = false;
+  const framing = isFramed ? {'Content-Length': bytes} : {};
   response.writeHead(200, {
     'X-Attempt-Id': attempt,
     'X-Response-Signature': `${id}.${attempt}`,
     'Content-Type': 'text/plain',
     Connection: 'close',
+    ...framing,
   });
   response.write(answer.slice(0, bytes / 2));
   await pause(haltMs);
