Show that complete streams without a length are cut at a busy worker

A sound worker ends streams with their channel while its queue is long. The instance asks it on a new channel whether it still runs, is reset three times, takes it for gone and closes the clients' channels, also shortly after a SIGHUP.

Scripts with stand-ins on loopback addresses.

--- a/review/7/case.js
+++ b/review/7/case.js
@@ -94,7 +94,12 @@
   ];
   for (const worker of workers) {
     const {id, service} = worker;
-    const options = {id, host: world.host, isFramed: true, haltMs: HALT_MS};
+    const options = {
+      id,
+      host: world.host,
+      framedAnswers: ORDERS,
+      haltMs: HALT_MS,
+    };
     const {child, port} = await world.startProcess('plain_worker.js', options);
     worker.address = `${world.host}:${port}`;
     worker.born = Date.now();
--- a/review/lib-2/caller.js
+++ b/review/lib-2/caller.js
@@ -10,7 +10,9 @@
 
 /**
  * Resolves with the status, the headers, the body and whether the answer is
- * complete; with status 0 when the connection ended without an answer.
+ * complete; with status 0 when the connection ended without an answer. It is sent
+ * on the connection that `createConnection` returns, on one of the `agent`, or
+ * else on a new one.
  */
 export function send({
   host,
@@ -22,6 +24,7 @@
   body = '',
   limitMs,
   agent = false,
+  createConnection,
 }) {
   return new Promise(resolve => {
     const failed = reason =>
@@ -32,7 +35,7 @@
         port,
         method,
         path,
-        agent,
+        ...(createConnection === undefined ? {agent} : {createConnection}),
         headers: {
           'X-Attempt-Id': id,
           'X-Deadline-Ms': String(limitMs),
--- a/review/lib-2/model_worker.js
+++ b/review/lib-2/model_worker.js
@@ -2,9 +2,10 @@
  * A model worker, as a process of its own. It streams numbered events and goes
  * on after `Last-Event-Id`. When memory runs out, the newest of the least urgent
  * requests is preempted and read in again once there is room. Options, as JSON:
- * `id`, `host`, `born`, `slots` (further requests are shed), `memoryTokens`,
- * `firstMs` until the first event of a request that has been read in, `stepMs`
- * between events.
+ * `id`, `host`, `born`; `slots` and `queue`, beyond which requests are shed;
+ * `longQueue`, from which on new channels are reset; `memoryTokens`;
+ * `isUnframed`: answers end with their channel; `firstMs` until the first event
+ * of a request that has been read in, `stepMs` between events.
  */
 
 import {createServer} from 'node:http';
@@ -15,6 +16,9 @@
   host,
   born,
   slots = 64,
+  queue = 0,
+  longQueue = Infinity,
+  isUnframed = false,
   memoryTokens = 1e9,
   firstMs = 100,
   stepMs = 40,
@@ -22,6 +26,7 @@
 const LOOK_EVERY_MS = 5;
 const DEFAULT_PRIORITY = 5;
 const running = [];
+const waiting = [];
 
 function say(message) {
   process.stdout.write(`${JSON.stringify(message)}\n`);
@@ -45,8 +50,9 @@
     response.writeHead(421, {'X-Instance-Id': id}).end();
     return;
   }
-  const load = {'X-Instance-Load': `${running.length},0,${slots}`};
-  if (running.length >= slots) {
+  const counts = [running.length, waiting.length, slots];
+  const load = {'X-Instance-Load': counts.join()};
+  if (running.length >= slots && waiting.length >= queue) {
     say({shed: attempt});
     response.writeHead(503, {'X-Not-Executed': '1', ...load}).end();
     return;
@@ -62,16 +68,19 @@
     isClosed: false,
   };
   response.once('close', () => (run.isClosed = true));
+  if (running.length >= slots) await new Promise(go => waiting.push(go));
   running.push(run);
   say({runs: attempt, after: Number(headers['last-event-id'] ?? 0)});
   const last = await stream(run, response, headers, events, load);
   running.splice(running.indexOf(run), 1);
+  waiting.shift()?.();
   say({ends: attempt, last, events, isClosed: last < events});
 });
 
 async function stream(run, response, headers, events, load) {
   await makeRoom(run);
   await pause(firstMs);
+  response.useChunkedEncodingByDefault = !isUnframed;
   response.writeHead(200, {
     'X-Attempt-Id': run.attempt,
     'X-Response-Signature': `${id}.${run.attempt}`,
@@ -113,4 +122,8 @@
   run.isPreempted = false;
 }
 
+server.on('connection', socket => {
+  if (waiting.length >= longQueue) socket.resetAndDestroy();
+});
+
 server.listen(0, host, () => say({port: server.address().port}));
--- a/review/lib-2/plain_worker.js
+++ b/review/lib-2/plain_worker.js
@@ -1,7 +1,8 @@
 /**
  * A worker of a plain service, as a process of its own. Options, as JSON: `id`,
- * `host`, `port`, `bytes` of an answer, `haltMs` in the middle of it, `isFramed`:
- * answers have a length; else they end with their channel.
+ * `host`, `port`, `bytes` of an answer, `haltMs` in the middle of it,
+ * `framedAnswers`: so many answers have a length, later ones end with their
+ * channel.
  */
 
 import {createHash} from 'node:crypto';
@@ -14,9 +15,11 @@
   port = 0,
   bytes = 800,
   haltMs = 0,
-  isFramed = false,
+  framedAnswers = 0,
 } = JSON.parse(process.argv[2]);
 
+let answers = 0;
+
 function say(message) {
   process.stdout.write(`${JSON.stringify(message)}\n`);
 }
@@ -36,6 +39,8 @@
   const answer = `${attempt} `.padEnd(bytes, 'order filed ');
   say({ran: attempt, length, digest: hash(answer), bytes});
   response.useChunkedEncodingByDefault = false;
+  answers += 1;
+  const isFramed = answers <= framedAnswers;
   const framing = isFramed ? {'Content-Length': bytes} : {};
   response.writeHead(200, {
     'X-Attempt-Id': attempt,
