--- a/review/lib-2/caller.js
+++ b/review/lib-2/caller.js
@@ -1,13 +1,8 @@
 /** Sends a caller's request on a connection of its own. */
 
 import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
 import {request as httpRequest} from 'node:http';
 
-export function digest(bytes) {
-  return createHash('sha256').update(bytes).digest('hex').slice(0, 16);
-}
-
 /**
  * Resolves with the status, the headers, the body and whether the answer is
  * complete; with status 0 when the connection ended without an answer. It is sent
--- a/review/lib-2/plain_worker.js
+++ b/review/lib-2/plain_worker.js
@@ -1,24 +1,12 @@
 /**
  * A worker of a plain service, as a process of its own. Options, as JSON: `id`,
- * `host`, `port`, `bytes` of an answer, `haltMs` in the middle of it,
- * `framedAnswers`: so many answers have a length, later ones end with their
- * channel.
+ * `host`, and `workMs` for each request.
  */
 
-import {createHash} from 'node:crypto';
 import {createServer} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 
-const {
-  id,
-  host,
-  port = 0,
-  bytes = 800,
-  haltMs = 0,
-  framedAnswers = 0,
-} = JSON.parse(process.argv[2]);
-
-let answers = 0;
+const {id, host, workMs} = JSON.parse(process.argv[2]);
 
 function say(message) {
   process.stdout.write(`${JSON.stringify(message)}\n`);
@@ -29,33 +17,23 @@
     response.writeHead(200, {'X-Instance-Id': id}).end();
     return;
   }
-  let length = 0;
-  for await (const chunk of request) length += chunk.length;
+  for await (const chunk of request) void chunk;
   const attempt = request.headers['x-attempt-id'];
   if (request.headers['x-expected-instance'] !== id) {
     response.writeHead(421, {'X-Instance-Id': id}).end();
     return;
   }
-  const answer = `${attempt} `.padEnd(bytes, 'order filed ');
-  say({ran: attempt, length, digest: hash(answer), bytes});
-  response.useChunkedEncodingByDefault = false;
-  answers += 1;
-  const isFramed = answers <= framedAnswers;
-  const framing = isFramed ? {'Content-Length': bytes} : {};
+  say({ran: attempt});
+  await pause(workMs);
+  const answer = `${attempt} is done`;
   response.writeHead(200, {
     'X-Attempt-Id': attempt,
     'X-Response-Signature': `${id}.${attempt}`,
     'Content-Type': 'text/plain',
+    'Content-Length': answer.length,
     Connection: 'close',
-    ...framing,
   });
-  response.write(answer.slice(0, bytes / 2));
-  await pause(haltMs);
-  response.end(answer.slice(bytes / 2));
+  response.end(answer);
 });
 
-function hash(text) {
-  return createHash('sha256').update(text).digest('hex').slice(0, 16);
-}
-
-server.listen(port, host, () => say({port: server.address().port}));
+server.listen(0, host, () => say({port: server.address().port}));
