--- a/review/7/case.js
+++ b/review/7/case.js
@@ -6,6 +6,7 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as pause} from 'node:timers/promises';
+import {URL} from 'node:url';
 import {send} from '../lib-2/caller.js';
 import {Record} from '../lib-2/record.js';
 import {World} from '../lib-2/world.js';
@@ -204,7 +205,7 @@
   return cut > 0 ? 1 : 0;
 }
 
-const record = new Record(import.meta.url);
+const record = new Record(new URL('record.txt', import.meta.url));
 const world = new World(record);
 let code = 2;
 try {
--- a/review/lib-2/record.js
+++ b/review/lib-2/record.js
@@ -1,13 +1,13 @@
-/** Writes what was sent, answered and run to `record.txt` in a case's folder. */
+/** Writes what was sent, answered and run to a case's `record.txt`. */
 
 import {appendFileSync, writeFileSync} from 'node:fs';
 import {performance} from 'node:perf_hooks';
-import {fileURLToPath, URL} from 'node:url';
+import {fileURLToPath} from 'node:url';
 
 export class Record {
-  /** @param moduleUrl `import.meta.url` of the case. */
-  constructor(moduleUrl) {
-    this.path = fileURLToPath(new URL('record.txt', moduleUrl));
+  /** @param fileUrl The file's URL; what it held before is removed. */
+  constructor(fileUrl) {
+    this.path = fileURLToPath(fileUrl);
     this.startedAtMs = performance.now();
     writeFileSync(this.path, '');
   }
