Keep a silent endpoint's request until another endpoint has begun it

Cause: Exchange.planTakeover cancelled the attempt at the silent endpoint once another one was chosen and the retry was taken from the budget. What a full endpoint answers is known only after it was asked; the load view does not know what other instances have sent since its last look. The same held for streams and lookups before their answer began.

Now the request is sent to the other endpoint beside the current attempt. routing/takeover.ts decides on each event: a rejection keeps the current attempt and asks the next endpoint, the first bytes of the other answer cancel the current attempt at once, an event of the current one withdraws the other, a failure of the current one leaves the request to the other, and leaving callers, deadlines and stops cancel both. An endpoint whose queue the request has left may be asked again and counts once towards max_attempts. Before its first event a stream is offered only to endpoints of the version that its record names. A connection that isn't established is given up as before. Requests on trial for crashes reach one endpoint at a time.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -68,12 +68,17 @@
   /** Suspect parts of the prompt of which the attempt is a trial. */
   readonly trial: readonly PromptPartId[];
   /**
-   * Plans an attempt at another endpoint since this one is silent; returns
-   * whether there is one.
+   * Called when the endpoint has been silent for too long; returns whether the
+   * attempt has been cancelled for that.
    *
    * @param hasArrived whether the endpoint may have received the request.
    */
-  readonly planTakeover: (hasArrived: boolean) => boolean;
+  readonly onSilent: (hasArrived: boolean) => boolean;
+  /**
+   * Called when the answer begins and before each event; returns whether it may
+   * be passed on to the caller.
+   */
+  readonly mayDeliver: () => boolean;
   /** Whether no other endpoint is left to try. */
   readonly isLast: () => boolean;
   /** Called, possibly repeatedly, once the endpoint has begun the request. */
@@ -137,7 +142,9 @@
       isStillUp: () => this.isEndpointUp(),
     });
     const limits = limitsOnSilence(request.admission.route, timeLeftMs);
-    this.silence = new SilenceWatch(limits, () => this.cancelOnSilence());
+    this.silence = new SilenceWatch(limits, () =>
+      options.onSilent(this.verdict !== 'not_run'),
+    );
   }
 
   /** Whether the request may have run, judged by how much of it was sent. */
@@ -165,11 +172,22 @@
     };
   }
 
+  /** Whether its endpoint has been silent for too long. */
+  get isSilent(): boolean {
+    return this.silence.isSilent;
+  }
+
   /** Closes the connection, upon which the endpoint stops its work. */
   cancel(): void {
     this.call.cancel();
   }
 
+  /** Cancels it because of its endpoint's silence. */
+  cancelAsSilent(): void {
+    this.silence.hasFired = true;
+    this.call.cancel();
+  }
+
   /** Passes the answer on to the caller, or returns why there is none. */
   async run(): Promise<AttemptResult> {
     try {
@@ -255,18 +273,6 @@
     return sharesCache(cacheSource, endpoint) ? cacheSource.address : undefined;
   }
 
-  /**
-   * Cancels the attempt after too long a silence if another endpoint may take
-   * over; otherwise the attempt continues.
-   *
-   * @returns whether it was cancelled.
-   */
-  private cancelOnSilence(): boolean {
-    if (!this.options.planTakeover(this.verdict !== 'not_run')) return false;
-    this.call.cancel();
-    return true;
-  }
-
   /** What it has shown of its endpoint, once its result is known. */
   describeEnd(result: AttemptResult): AttemptEnd {
     return {
@@ -305,12 +311,14 @@
       head.requestId === request.caller.requestId && !head.isEncoded;
     const isSuccess = head.status >= 200 && head.status < 300;
     const isStream = request.admission.route.kind === 'stream';
-    if (isStream && isSuccess && isOwn && head.isSigned) {
-      return this.relay(response, head);
-    }
-    if (head.isNotRun || head.isMisdirected) {
-      return this.rejectedAnswer(head, response);
+    const isRelayed = isStream && isSuccess;
+    const isRejected = head.isNotRun || head.isMisdirected;
+    const isAccepted = isRelayed || (!isRejected && isFinalStatus(head.status));
+    if (isAccepted && isOwn && head.isSigned && !this.accept()) {
+      return this.refuse(this.describeCancelled(), response);
     }
+    if (isRelayed && isOwn && head.isSigned) return this.relay(response, head);
+    if (isRejected) return this.rejectedAnswer(head, response);
     const body = await readAnswerBody(this.call, response, bytes =>
       this.options.writer.noteReadAhead(bytes),
     );
@@ -320,6 +328,20 @@
     return this.handleWholeAnswer(head, response, body);
   }
 
+  /** @returns whether the answer that begins may be passed on. */
+  private accept(): boolean {
+    const mayDeliver = this.options.mayDeliver();
+    // It may have waited in a queue for longer than an answer may pause.
+    if (this.silence.isSilent) this.silence.restart();
+    return mayDeliver;
+  }
+
+  private describeCancelled(): FailedResult {
+    const {verdict} = this;
+    const reason = 'cancelled';
+    return failedWithoutHead({reason, verdict, wasSilent: false});
+  }
+
   private rejectedAnswer(
     {isMisdirected}: AnswerHead,
     response: IncomingMessage,
@@ -365,8 +387,7 @@
     onBegun();
     const headers = context.protocol.composeAnswer(response.rawHeaders);
     const answer = {status: head.status, headers, body};
-    const isFinal = head.status < 500 && !NOT_RUN_STATUSES.has(head.status);
-    if (isFinal && !writer.hasBegun) {
+    if (isFinalStatus(head.status) && !writer.hasBegun) {
       writer.sendWhole(answer);
       return {kind: 'answered'};
     }
@@ -393,6 +414,7 @@
       status: head.status,
       headers: context.protocol.composeAnswer(response.rawHeaders),
       onEvent: () => {
+        this.options.mayDeliver();
         this.silence.restart();
         this.overdue.stop();
         this.countEvent();
@@ -412,3 +434,8 @@
     return result;
   }
 }
+
+/** Whether an endpoint's answer of this status may be passed on at once. */
+function isFinalStatus(status: number): boolean {
+  return status < 500 && !NOT_RUN_STATUSES.has(status);
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -9,7 +9,6 @@
 } from '@snipestage/routing/attempt_policy.js';
 import {ReadFirstTimeout} from '@snipestage/connection/read_first_timeout.js';
 import {AttemptHistory} from '@snipestage/routing/attempt_history.js';
-import {workOf} from '@snipestage/routing/prompt.js';
 import type {
   ArrivedRequest,
   ShedDecision,
@@ -20,47 +19,38 @@
   mayContinue,
   type StreamOrigin,
 } from '@snipestage/routing/stream_origin.js';
-import {brandAs, type SoftwareVersion} from '@snipestage/types/ids.js';
+import type {TakeoverStep} from '@snipestage/routing/takeover.js';
+import {
+  brandAs,
+  type EndpointId,
+  type SoftwareVersion,
+} from '@snipestage/types/ids.js';
 import {worseVerdict, type Verdict} from '@snipestage/types/verdict.js';
 import type {AnswerWriter, WholeAnswer} from './answer_writer.js';
-import {Attempt} from './attempt.js';
 import {AttemptRecord} from './attempt_record.js';
-import {AttemptObservation, NOTHING_SHOWN} from './attempt_observation.js';
-import type {FollowedStream} from './migration/followed_stream.js';
 import type {MovedRun} from './migration/moved_run.js';
-import type {SettledMove} from './migration/stream_move.js';
 import type {StreamRun} from './streams/stream_rows.js';
-import {recordOutcome, type AttemptOutcome} from './record_outcome.js';
 import type {
-  AttemptResult,
   ExchangeContext,
   FailedResult,
   ReadRequest,
 } from './exchange_context.js';
+import {
+  TakeoverAttempts,
+  type AttemptHooks,
+  type EndedAttempt,
+  type UnreachedPlan,
+} from './takeover_attempts.js';
+import {TrackedAttempt} from './tracked_attempt.js';
 
-/** The run was stopped at its engine and goes on from a copy of its memory. */
-interface MovedResult {
-  readonly kind: 'moved';
-  readonly run: MovedRun;
-}
-
-/** What belongs to one attempt. */
-interface AttemptParts {
-  readonly observation: AttemptObservation;
-  readonly followed: FollowedStream | undefined;
-  readonly movedRun: MovedRun | undefined;
-}
-
-/** Owns the attempts of one request; at most one is in progress. */
+/**
+ * Decides what follows the attempts of one request. While an endpoint is
+ * silent, another one may be asked to take the request over.
+ */
 export class Exchange {
   private readonly history = new AttemptHistory();
   private verdict: Verdict = 'not_run';
-  private current: Attempt | undefined;
-  /**
-   * Replaces an attempt whose endpoint is silent; its retry has been taken from
-   * the budget.
-   */
-  private takeover: Placed | undefined;
+  private readonly attempts: TakeoverAttempts;
   private hasExpired = false;
   private timeout: ReadFirstTimeout | undefined;
   private hasBegunRun = false;
@@ -83,6 +73,9 @@
   private shedRetryAfterMs: number | undefined;
   /** Whether a retry was given up as the budget for retries was spent. */
   private isRetryBudgetSpent = false;
+  /** Steps at which another endpoint was asked, or the asked one answered. */
+  private readonly takeoverSteps: TakeoverStep[] = [];
+  private servedBy: EndpointId | undefined;
   /** How often its run was stopped to go on elsewhere. */
   private moves = 0;
   private readonly record = new AttemptRecord();
@@ -93,6 +86,17 @@
     private readonly writer: AnswerWriter,
   ) {
     this.origin = request.origin;
+    this.attempts = new TakeoverAttempts({
+      create: (placed, movedRun, hooks) =>
+        this.createAttempt(placed, movedRun, hooks),
+      planAsking: () => this.planAsking(),
+      planUnreached: () => this.planUnreached(),
+      isOver: () => this.writer.isOver,
+      onWithdrawn: attempt =>
+        this.history.withdraw(attempt.endpoint, attempt.verdict),
+      onEnd: ended => this.settle(ended),
+      onStep: step => this.noteTakeover(step),
+    });
   }
 
   /** Resolves when the final answer is written or the caller is gone. */
@@ -120,7 +124,7 @@
 
   /** Cancels the current attempt, as the caller has disconnected. */
   cancel(): void {
-    this.current?.cancel();
+    this.attempts.cancel();
   }
 
   /**
@@ -133,7 +137,7 @@
     // The answer is sent before the attempt is cancelled: once its connection
     // is closed, what the endpoint did is unknown.
     this.fail();
-    this.current?.cancel();
+    this.attempts.cancel();
   }
 
   /** Fields for the log line of the request. */
@@ -158,7 +162,8 @@
       moves: this.moves || undefined,
       shedRetryAfterMs:
         this.shedRetryAfterMs && Math.round(this.shedRetryAfterMs),
-      endpoint: [...this.history.tried].at(-1),
+      takeover: this.takeoverSteps.join() || undefined,
+      endpoint: this.servedBy ?? [...this.history.tried].at(-1),
       ...this.record.describe(),
     };
   }
@@ -239,7 +244,7 @@
   private async attemptUntilAnswered(): Promise<void> {
     for (;;) {
       if (this.writer.isOver) return;
-      const placed = this.takePlanned() ?? this.choose();
+      const placed = this.choose();
       if (placed === undefined) {
         if (this.history.tried.size === 0) this.noteNoEndpoint();
         return this.fail();
@@ -253,7 +258,7 @@
         }
         if (this.writer.isOver) return;
       }
-      const result = await this.attempt(placed);
+      const result = await this.attempts.run(placed);
       if (result.kind === 'moved') return this.continueMoved(result.run);
       if (result.kind === 'answered' || this.writer.isOver) return;
       if (this.isRefusedAsSuspect()) return this.fail();
@@ -268,7 +273,7 @@
   private async continueMoved(first: MovedRun): Promise<void> {
     for (let run = first; ;) {
       if (this.writer.isOver) return run.release('abandoned');
-      const result = await this.attempt({endpoint: run.endpoint}, run);
+      const result = await this.attempts.run({endpoint: run.endpoint}, run);
       if (result.kind === 'moved') {
         run = result.run;
         continue;
@@ -341,7 +346,7 @@
   }
 
   private choose(): Placed | undefined {
-    const candidates = this.findCandidates(this.context.nowMs());
+    const candidates = this.findAllowed(this.context.nowMs());
     const {sentTo, lastFailure} = this;
     // Its record holds there. Other versions may do better after an error answer.
     const ofSameVersion =
@@ -370,95 +375,40 @@
     });
   }
 
-  private takePlanned(): Placed | undefined {
-    const {takeover, origin} = this;
-    this.takeover = undefined;
-    if (takeover === undefined || origin === undefined) return takeover;
-    // It may have been chosen before the first event of the stream came.
-    return mayContinue(takeover.endpoint, origin) ? takeover : undefined;
-  }
-
   private mayRetry(result: FailedResult): boolean {
     const {state, nowMs} = this.context;
     const {service} = this.request.admission;
     this.lastReason = result.reason;
-    this.lastFailure = result.answer ?? this.lastFailure;
     const {runs, offers, unreached} = this.history;
     const decision = this.decide(result, {runs, offers, unreached});
     if (decision.kind === 'give_up') return false;
-    if (!decision.needsBudget || this.takeover !== undefined) return true;
+    if (!decision.needsBudget) return true;
     if (state.budgetFor(service).tryTake(nowMs())) return true;
     this.isRetryBudgetSpent = true;
     this.context.metrics.countUnaffordableRetry(service);
     return false;
   }
 
-  /** @param movedRun a stopped run that is continued. */
-  private async attempt(
+  private createAttempt(
     placed: Placed,
-    movedRun?: MovedRun,
-  ): Promise<AttemptResult | MovedResult> {
-    const {endpoint, group} = placed;
-    const {state, nowMs, metrics} = this.context;
-    const {prompt} = this.request.caller;
-    if (group !== undefined) metrics.notePlacement(endpoint.service, group);
-    if (state.rateLimits.find(endpoint.id) !== undefined) {
-      metrics.countRateLimitedAttempt(endpoint.service);
-    }
-    const work = prompt === undefined ? 1 : workOf(prompt, true);
-    this.history.begin(endpoint);
-    const startedAtMs = nowMs();
-    this.record.noteChoice({
-      load: state.monitor.estimateLoad(endpoint.id, startedAtMs),
-      loadAgeMs: state.monitor.loadAgeMs(endpoint.id, startedAtMs),
-      group,
-    });
-    state.monitor.begin(endpoint.id, work, startedAtMs);
-    state.warmup.noteSent(endpoint, startedAtMs);
-    state.rateLimits.noteSent(endpoint.id, startedAtMs);
-    state.brittle.noteSent(endpoint, startedAtMs);
-    state.reach.noteTrial(endpoint.dataCentre, startedAtMs);
-    const observation = new AttemptObservation(state, {
-      endpoint,
-      route: this.request.admission.route,
-      prompt,
-      sentAtMs: startedAtMs,
-    });
-    const followed = this.followStream(endpoint, movedRun);
-    const attempt = (this.current = this.createAttempt(placed, {
-      observation,
-      followed,
+    movedRun: MovedRun | undefined,
+    hooks: AttemptHooks,
+  ): TrackedAttempt {
+    const {context, request, writer, history, record} = this;
+    return new TrackedAttempt({
+      ...hooks,
+      context,
+      request,
+      writer,
+      history,
+      record,
+      placed,
       movedRun,
-    }));
-    let result: AttemptResult;
-    let settled: SettledMove | undefined;
-    try {
-      result = await attempt.run();
-      settled = await followed?.end(result.kind === 'answered');
-      if (settled !== undefined && settled.kind !== 'none') {
-        result = excuse(result);
-      }
-      observation.end(attempt.describeEnd(result), nowMs());
-    } finally {
-      observation.end(NOTHING_SHOWN, nowMs());
-      state.monitor.end(endpoint.id, work);
-      this.current = undefined;
-    }
-    const progress = attempt.describeProgress();
-    this.record.noteProgress(progress);
-    const {path, ending, headMs} = progress;
-    if (headMs !== undefined)
-      metrics.observeHeadWait(endpoint.service, group?.side ?? 'none', headMs);
-    const durationMs = nowMs() - startedAtMs;
-    const {hasBegun} = attempt;
-    if (settled?.kind === 'moved') {
-      this.verdict = worseVerdict(this.verdict, 'ran');
-      this.moves += 1;
-      metrics.countAttempt(endpoint.service, 'moved');
-      return settled;
-    }
-    this.settle({endpoint, result, durationMs, path, ending, hasBegun});
-    return result;
+      isContinuation: this.origin !== undefined && movedRun === undefined,
+      isLast: () => this.listUntried().length === 0,
+      onBegun: () => this.noteBegun(),
+      onEvent: endpoint => this.noteEvent(endpoint),
+    });
   }
 
   /** Endpoints that may get the request, also those tried already. */
@@ -474,50 +424,13 @@
     return serving.filter(each => versions.mayBegin(each));
   }
 
-  /** Undefined for what is never moved to another engine. */
-  private followStream(
-    endpoint: ServingEndpoint,
-    movedRun: MovedRun | undefined,
-  ): FollowedStream | undefined {
-    // It was brought back to an engine that leaves since others had no room.
-    if (movedRun?.isAtSource) return undefined;
-    const {admission, caller, endsAtMs} = this.request;
-    const {route, urgencyRank} = admission;
-    return this.context.mover.follow({
-      requestId: caller.requestId,
-      prompt: caller.prompt,
-      route,
-      urgencyRank,
-      endsAtMs,
-      endpoint,
-      writer: this.writer,
-      close: () => this.current?.cancel(),
-    });
-  }
-
-  private createAttempt(
-    placed: Placed,
-    {observation, followed, movedRun}: AttemptParts,
-  ): Attempt {
-    const {context, request, writer} = this;
-    return new Attempt({
-      context,
-      request,
-      writer,
-      placed,
-      trial: request.trial,
-      planTakeover: hasArrived => this.planTakeover(hasArrived),
-      isLast: () => this.listUntried().length === 0,
-      onBegun: () => this.noteBegun(),
-      isContinuation: this.origin !== undefined && movedRun === undefined,
-      movedRun,
-      mayBeStopped: async () => (await followed?.mayBeStopped()) ?? false,
-      onEvent: () => {
-        observation.noteEvent(context.nowMs());
-        followed?.noteEvent(context.nowMs());
-        this.noteEvent(placed.endpoint);
-      },
-    });
+  /** Candidates at which the request may still run, by the route's limit. */
+  private findAllowed(atMs: number): readonly ServingEndpoint[] {
+    const {maxAttempts} = this.request.admission.route;
+    const inProgress = this.attempts.runs;
+    return this.findCandidates(atMs).filter(({id}) =>
+      this.history.mayRunAt(id, {maxAttempts, inProgress}),
+    );
   }
 
   /** @param counts of attempts, that of the failure included. */
@@ -538,38 +451,64 @@
   }
 
   /**
-   * Plans the attempt that replaces the current one, whose endpoint is silent. A
-   * sound endpoint goes on after a pause: nothing is given up before another one
-   * is chosen and the retry is taken from the budget.
+   * Chooses an endpoint to ask while the current one is silent, and takes its
+   * retry from the budget. Requests on trial reach one endpoint at a time.
    */
-  private planTakeover(hasArrived: boolean): boolean {
-    const {route, service} = this.request.admission;
+  private planAsking(): Placed | undefined {
+    const {admission, trial} = this.request;
+    const {route, service} = admission;
     const {state, nowMs} = this.context;
+    if (!mayRunAgain(route) || trial.length > 0) return undefined;
+    const silent = {verdict: 'may_have_run', hasArrived: true} as const;
     const {runs, offers, unreached} = this.history;
-    if (!mayRunAgain(route) || runs + 1 >= route.maxAttempts) return false;
-    const verdict = hasArrived ? 'may_have_run' : 'not_run';
-    const silent = {verdict, reason: 'silent', hasArrived} as const;
-    const decision = this.decide(silent, {
-      runs: hasArrived ? runs + 1 : runs,
-      offers: hasArrived ? offers + 1 : offers,
-      unreached: hasArrived ? unreached : unreached + 1,
-    });
-    if (decision.kind === 'give_up') return false;
+    const decision = this.decide(
+      {...silent, reason: 'silent'},
+      {runs: runs + 1, offers: offers + 1, unreached},
+    );
     const budget = state.budgetFor(service);
-    if (!budget.hasRoom(nowMs())) return false;
-    // After a failed connection the placement avoids its data centre.
-    if (!decision.needsBudget) return true;
-    const placed = this.choose();
-    if (placed === undefined) return false;
-    this.takeover = placed;
-    return budget.tryTake(nowMs());
+    if (decision.kind === 'give_up' || !budget.hasRoom(nowMs()))
+      return undefined;
+    const placed = this.chooseAmong(this.findAskable());
+    if (placed === undefined || !budget.tryTake(nowMs())) return undefined;
+    return placed;
+  }
+
+  /**
+   * Until its first event, a stream may begin at the current endpoint: it is
+   * offered only to endpoints of the version that its record names.
+   */
+  private findAskable(): readonly ServingEndpoint[] {
+    const {sentTo, origin} = this;
+    const allowed = this.findAllowed(this.context.nowMs());
+    if (origin !== undefined || sentTo === undefined) return allowed;
+    return allowed.filter(({softwareVersion}) => softwareVersion === sentTo);
+  }
+
+  /** Nothing is lost by giving up a connection that isn't established. */
+  private planUnreached(): UnreachedPlan {
+    const {admission} = this.request;
+    const {state, nowMs} = this.context;
+    if (!mayRunAgain(admission.route)) return 'wait';
+    const {runs, offers, unreached} = this.history;
+    const decision = this.decide(
+      {verdict: 'not_run', reason: 'silent', hasArrived: false},
+      {runs, offers, unreached: unreached + 1},
+    );
+    const hasRoom = state.budgetFor(admission.service).hasRoom(nowMs());
+    return decision.kind === 'retry' && hasRoom ? 'try_next' : 'wait';
+  }
+
+  private noteTakeover(step: TakeoverStep): void {
+    const {service} = this.request.admission;
+    this.context.metrics.countTakeoverStep(service, step);
+    this.takeoverSteps.push(step);
   }
 
   /** Endpoints not tried yet that may be offered a request. */
   private listUntried(): readonly ServingEndpoint[] {
     const {state, nowMs} = this.context;
     const atMs = nowMs();
-    return this.findCandidates(atMs).filter(
+    return this.findAllowed(atMs).filter(
       each =>
         !this.history.excluded.has(each.id) && mayOffer(each, atMs, state),
     );
@@ -592,15 +531,21 @@
     this.context.onBegun(this.request.admission, this.context.nowMs());
   }
 
-  /** Records the result of an attempt. */
-  private settle(outcome: AttemptOutcome): void {
-    const {endpoint, result} = outcome;
-    recordOutcome(this.context, this.request, outcome);
+  /** Takes the result of an attempt into account. */
+  private settle({attempt, result, wasWithdrawn}: EndedAttempt): void {
+    if (result.kind === 'moved') {
+      this.verdict = worseVerdict(this.verdict, 'ran');
+      this.moves += 1;
+      return;
+    }
     if (result.kind === 'answered') {
+      this.servedBy = attempt.endpoint.id;
       this.verdict = 'ran';
       return;
     }
     this.verdict = worseVerdict(this.verdict, result.verdict);
+    this.lastFailure = result.answer ?? this.lastFailure;
+    if (wasWithdrawn) return;
     if (result.reason === 'isolated') {
       const {state, nowMs} = this.context;
       this.minRetryAfterMs = state.isolation.probeLeftMs(nowMs());
@@ -608,7 +553,7 @@
     const hasTimedOut = result.reason === 'connect_timeout';
     const wasWithheld = result.reason === 'withheld';
     const hasPathBroken = result.reason === 'path_broken';
-    this.history.fail(endpoint, {
+    this.history.fail(attempt.endpoint, {
       ...result,
       hasTimedOut,
       wasWithheld,
@@ -630,10 +575,7 @@
       this.writer.sendWhole(this.lastFailure);
       return;
     }
-    const verdict = worseVerdict(
-      this.verdict,
-      this.current?.verdict ?? 'not_run',
-    );
+    const verdict = worseVerdict(this.verdict, this.attempts.verdict);
     this.verdict = verdict;
     const retryAfterMs =
       this.shedRetryAfterMs ??
@@ -653,18 +595,3 @@
     this.writer.fail(failure.status, headers);
   }
 }
-
-/**
- * A stream that ended after a call to stop it shows no failure of its endpoint,
- * even if the answer to that call is lost.
- */
-function excuse(result: AttemptResult): AttemptResult {
-  if (result.kind === 'answered') return result;
-  const {connectionBroke = false, reason} = result;
-  return {
-    ...result,
-    endpointOutcome: undefined,
-    connectionBroke: false,
-    reason: connectionBroke ? 'move_lost' : reason,
-  };
-}
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -1,6 +1,7 @@
 /** Counters and latency histograms, served as text. */
 
 import type {AnswerEnding} from '@snipestage/connection/answer_end.js';
+import type {TakeoverStep} from '@snipestage/routing/takeover.js';
 import type {PlacementGroup} from '@snipestage/routing/placement.js';
 import type {ConnectionPath} from './endpoint_connection.js';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
@@ -110,6 +111,12 @@
     labelNames: ['service', 'side'],
     registers: [this.registry],
   });
+  private readonly takeovers = new Counter({
+    name: 'snipestage_takeovers_total',
+    help: 'Requests of silent endpoints by service and what became of them.',
+    labelNames: ['service', 'step'],
+    registers: [this.registry],
+  });
   private readonly unaffordableRetries = new Counter({
     name: 'snipestage_unaffordable_retries_total',
     help: 'Retries given up as the retry budget was spent, by service.',
@@ -313,6 +320,11 @@
     this.unaffordableRetries.inc({service});
   }
 
+  /** @param step of a request whose endpoint was silent. */
+  countTakeoverStep(service: string, step: TakeoverStep): void {
+    this.takeovers.inc({service, step});
+  }
+
   countOverdueRequest(service: string): void {
     this.overdueRequests.inc({service});
   }
