Break off an answer without a length that ends before its request was sent

Callers got half an answer as a complete one: an endpoint answers a long upload at once with a 200 without a length, sends half of the body, closes its side and resets the connection 20 ms later, while most of the request is unsent.

Cause: the end of the body was read as a clean close. Node.js ends its own side then, and the reset that follows isn't seen; the endpoint still accepts connections, so that the look for a crashed one finds nothing.

An answer that has neither length nor chunks counts as whole only if its request had been written when it ended. An endpoint that answers early and needn't read the rest keeps the connection, or states a length. The same holds for streams, through forwarders, and in the driver of plain services of the entry process.

Measured: four tests with sockets (an answer, a stream, through a forwarder, the driver) fail on the code before with a complete 200 and pass now; an early answer with a length is passed on before and after. A body that the system has taken as a whole but its endpoint hasn't read can't be told from one that was read.

--- a/packages/connection/src/answer_end.test.ts
+++ b/packages/connection/src/answer_end.test.ts
@@ -38,11 +38,30 @@
 test('framing, connection and content tell how an answer ended', t => {
   for (const row of ROWS) {
     const [framing, isFramingComplete, hasClosedCleanly, content, end] = row;
-    const answer = {framing, isFramingComplete, hasClosedCleanly, content};
+    const answer = {
+      framing,
+      isFramingComplete,
+      hasClosedCleanly,
+      content,
+      isRequestSent: true,
+    };
     t.is(classifyAnswerEnd(answer), end, JSON.stringify(row));
   }
 });
 
+test('what a close ends is whole only if its request was sent before', t => {
+  // Guards against half an answer whose connection is reset after its end.
+  const answer = {
+    isFramingComplete: true,
+    hasClosedCleanly: true,
+    isRequestSent: false,
+    content: DOCUMENT,
+  };
+  t.is(classifyAnswerEnd({...answer, framing: 'close'}), 'before_request');
+  t.is(classifyAnswerEnd({...answer, framing: 'length'}), 'framed');
+  t.is(classifyAnswerEnd({...answer, framing: 'chunks'}), 'framed');
+});
+
 test('chunks delimit an answer only as its last transfer coding', t => {
   // Guards against an answer that ends with its connection, and so may be cut,
   // but is taken for one that is complete by its chunks.
--- a/packages/connection/src/answer_end.ts
+++ b/packages/connection/src/answer_end.ts
@@ -28,6 +28,8 @@
   readonly isFramingComplete: boolean;
   /** Whether the endpoint closed the connection rather than reset it. */
   readonly hasClosedCleanly: boolean;
+  /** Whether the request had been written by then. */
+  readonly isRequestSent: boolean;
   readonly content: AnswerContent;
 }
 
@@ -36,6 +38,8 @@
  * - `closed`: its connection was closed and nothing shows that more was to come.
  * - `cut_short`: the connection ended before its length or its last chunk.
  * - `reset`: it has neither, and the connection was reset.
+ * - `before_request`: it has neither, and the request hadn't been written. A
+ *   reset that follows such a close isn't seen.
  * - `inside_event`: the stream ended before the end of an event.
  * - `without_event`: the connection closed before the first event.
  * - `inside_document`: it has neither length nor chunks and is half a document.
@@ -46,6 +50,7 @@
   | 'closed'
   | 'cut_short'
   | 'reset'
+  | 'before_request'
   | 'inside_event'
   | 'without_event'
   | 'inside_document'
@@ -85,6 +90,7 @@
   const isFramed = framing !== 'close';
   if (isFramed && !isFramingComplete) return 'cut_short';
   if (!isFramed && !(isFramingComplete && hasClosedCleanly)) return 'reset';
+  if (!isFramed && !answer.isRequestSent) return 'before_request';
   if (content.kind === 'events' && content.hasPartialEvent) {
     return 'inside_event';
   }
--- a/packages/entry/src/send/http_service_driver.test.ts
+++ b/packages/entry/src/send/http_service_driver.test.ts
@@ -22,13 +22,13 @@
   return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-function call(url: string, timeoutMs = 5000) {
+function call(url: string, timeoutMs = 5000, body = Buffer.alloc(0)) {
   return new HttpServiceDriver().call({
     url,
-    method: 'GET',
+    method: body.length > 0 ? 'POST' : 'GET',
     path: '/x',
     headers: {},
-    body: Buffer.alloc(0),
+    body,
     attempt: brandAs('r.1'),
     signal: new AbortController().signal,
     timeoutMs,
@@ -53,6 +53,18 @@
   });
 }
 
+test('an answer without a length is broken when its request was not sent', async t => {
+  // Guards against half an answer whose connection is reset after its end.
+  const url = await startService(t, socket => {
+    socket.pause();
+    socket.end(HALF);
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  const body = Buffer.alloc(16_777_216);
+  const error = await t.throwsAsync(call(url, 5000, body));
+  t.is((error as EndpointError).kind, 'broken');
+});
+
 test('an answer without a length is broken when its service is gone', async t => {
   // Guards against a crash whose close doesn't differ from that of an answer.
   const url = await startService(t, (socket, server) => {
--- a/packages/entry/src/send/http_service_driver.ts
+++ b/packages/entry/src/send/http_service_driver.ts
@@ -1,5 +1,6 @@
 /** Calls plain services over HTTP. */
 
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import {
   classifyAnswerEnd,
   framingOf,
@@ -49,9 +50,9 @@
     timeout.addEventListener('abort', () => connection.reset());
     try {
       const closedCleanly = closesCleanly(connection.createConnection());
-      const response = await send(call, connection);
+      const {response, isRequestSent} = await send(call, connection);
       checkEcho(response, call);
-      await checkEnd(response, call, closedCleanly);
+      await checkEnd(response, call, {closedCleanly, isRequestSent});
       return {
         status: response.statusCode,
         headers: forwardedResponseHeaders(response.headers),
@@ -69,10 +70,17 @@
   }
 }
 
+/** An answer that was read up to its end. */
+interface SentCall {
+  readonly response: Response<Buffer>;
+  /** Whether the request had been written by then. */
+  readonly isRequestSent: boolean;
+}
+
 async function send(
   call: ServiceCall,
   connection: FreshConnection,
-): Promise<Response<Buffer>> {
+): Promise<SentCall> {
   const answer = got(new URL(call.path, call.url), {
     method: call.method as Method,
     headers: {...call.headers, 'x-request-id': call.attempt},
@@ -88,8 +96,15 @@
   void answer.on('downloadProgress', ({transferred}) => {
     if (transferred > MAX_ANSWER_BYTES) answer.cancel();
   });
+  let isRequestSent = false;
+  void answer.on('request', (request: ClientRequest) => {
+    request.once('response', (response: IncomingMessage) => {
+      const noteEnd = () => (isRequestSent = request.writableFinished);
+      response.once('end', noteEnd);
+    });
+  });
   try {
-    return await answer;
+    return {response: await answer, isRequestSent};
   } catch (error) {
     if (!answer.isCanceled) throw error;
     throw new EndpointError('The answer is too long.', {
@@ -121,7 +136,10 @@
 async function checkEnd(
   response: Response<Buffer>,
   call: ServiceCall,
-  closedCleanly: Promise<boolean>,
+  connection: {
+    readonly closedCleanly: Promise<boolean>;
+    readonly isRequestSent: boolean;
+  },
 ): Promise<void> {
   const {headers, complete, rawBody} = response;
   const framing = framingOf(headers);
@@ -129,7 +147,8 @@
   const end = classifyAnswerEnd({
     framing,
     isFramingComplete: complete,
-    hasClosedCleanly: framing === 'close' && (await closedCleanly),
+    hasClosedCleanly: framing === 'close' && (await connection.closedCleanly),
+    isRequestSent: connection.isRequestSent,
     content: {kind: 'document', isPartial},
   });
   const {hostname: host, port} = new URL(call.url);
--- a/packages/gateway/src/answer_ends.test.ts
+++ b/packages/gateway/src/answer_ends.test.ts
@@ -1,4 +1,5 @@
-import net from 'node:net';
+import {once} from 'node:events';
+import net, {type AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import type {Route} from '@snipestage/routing/route.js';
 import {
@@ -178,6 +179,59 @@
   t.like(answer, {status: 200, body: FIRST_EVENT, isComplete: false});
 });
 
+/** More than the system takes of a body that isn't read. */
+const LARGE_BODY = 'x'.repeat(16_777_216);
+const RESET_AFTER_MS = 20;
+
+/** Answers before the body has come, closes its side, then resets. */
+async function startHastyEndpoint(
+  t: ExecutionContext,
+  framing: Framing,
+  body: string,
+): Promise<string> {
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', data => {
+      socket.pause();
+      socket.end(answerText(idOf(data.toString('latin1')), framing, body));
+      setTimeout(() => socket.resetAndDestroy(), RESET_AFTER_MS);
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.teardown(() => server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+for (const [name, route, body] of [
+  ['an answer', {}, 'half of it'],
+  ['a stream', STREAM, FIRST_EVENT],
+] as const) {
+  test(`${name} that ends before its request has been sent is incomplete`, async t => {
+    // Guards against half an answer whose connection is reset after its end.
+    const proxy = new TestProxy();
+    t.teardown(() => proxy.close());
+    proxy.maxBodyBytes = LARGE_BODY.length;
+    await proxy.begin(route, []);
+    proxy.list('hasty', await startHastyEndpoint(t, 'close', body));
+    const answer = await proxy.call('one', {body: LARGE_BODY});
+    t.false(answer.status === 200 && answer.isComplete);
+    const line = proxy.log.lines.find(each => each.includes('attempt_failed'));
+    t.regex(line ?? '', /"end":"before_request"/);
+  });
+}
+
+test('an early answer with a length is passed on', async t => {
+  // Guards against dropping answers of endpoints that needn't read the body.
+  const proxy = new TestProxy();
+  t.teardown(() => proxy.close());
+  proxy.maxBodyBytes = LARGE_BODY.length;
+  await proxy.begin({}, []);
+  proxy.list('hasty', await startHastyEndpoint(t, 'length', 'whole'));
+  const answer = await proxy.call('one', {body: LARGE_BODY});
+  t.like(answer, {status: 200, body: 'whole', isComplete: true});
+});
+
 /** Services whose endpoints state their id, by that path. */
 const HEALTH_PATH = '/health';
 const isHealthCheck = (request: string): boolean =>
@@ -336,3 +390,24 @@
   const headers = {Host: '127.0.0.1', 'X-Request-Id': 'one'};
   await t.throwsAsync(get(callers, undefined, headers));
 });
+
+test('an answer that a forwarder passes on before its request is incomplete', async t => {
+  // Guards against half an answer whose end and reset take two connections.
+  const cluster = await startCluster({
+    instances: 2,
+    endpoints: 1,
+    route: {...SLOW_ROUTE, host: '127.0.0.1'},
+    limits: {maxBodyBytes: LARGE_BODY.length},
+    answer: ({socket}, id) => {
+      socket?.end(answerText(id, 'close', 'half of it'));
+      setTimeout(() => socket?.resetAndDestroy(), RESET_AFTER_MS);
+    },
+  });
+  t.teardown(() => cluster.stop());
+  await cluster.cut(0, 'refuse');
+  const [{callers}] = cluster.members;
+  const headers = {Host: '127.0.0.1', 'X-Request-Id': 'one'};
+  const url = `http://127.0.0.1:${callers}/x`;
+  const answer = await fetch(url, {method: 'POST', headers, body: LARGE_BODY});
+  t.is(answer.status, 502);
+});
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -130,11 +130,18 @@
   ): Promise<boolean> {
     const framing = framingOf(response.headers);
     const isFramingComplete = response.complete;
+    const isRequestSent = this.request?.writableFinished === true;
     const hasClosedCleanly =
       framing === 'close' &&
       isFramingComplete &&
       ((await this.connection?.closedCleanly) ?? false);
-    const answer = {framing, isFramingComplete, hasClosedCleanly, content};
+    const answer = {
+      framing,
+      isFramingComplete,
+      hasClosedCleanly,
+      isRequestSent,
+      content,
+    };
     const end = await this.distinguishClose(classifyAnswerEnd(answer));
     this.ending = {framing, end};
     return isWholeEnd(end);
--- a/packages/gateway/src/test_support/test_cluster.ts
+++ b/packages/gateway/src/test_support/test_cluster.ts
@@ -3,7 +3,7 @@
  * them that a test can cut.
  */
 
-import type {Route} from '@snipestage/routing/route.js';
+import type {CallerLimits, Route} from '@snipestage/routing/route.js';
 import {Link, type LinkMode} from '@snipestage/stand_ins/link/link.js';
 import {MemoryPlatform} from './memory_platform.js';
 import {startGateway, TestEndpoint, waitUntil} from './test_gateway.js';
@@ -20,6 +20,8 @@
   readonly endpoints: number;
   readonly route: Route;
   readonly answer: ConstructorParameters<typeof TestEndpoint>[0];
+  /** Limits on callers that differ from the usual ones (none). */
+  readonly limits?: Partial<CallerLimits>;
 }
 
 /**
@@ -78,16 +80,18 @@
   instance: string,
   options: {
     readonly route: Route;
+    readonly limits?: Partial<CallerLimits>;
     readonly platform: MemoryPlatform;
     readonly endpoints: readonly TestEndpoint[];
   },
 ) {
-  const {route, platform, endpoints} = options;
+  const {route, limits, platform, endpoints} = options;
   const member = await startGateway({
     instance,
     platform,
     graceMs: 1500,
     routes: [route],
+    limits,
   });
   const links: Link[] = [];
   for (const [index, endpoint] of endpoints.entries()) {
