Reject answers whose status is none of HTTP

Callers got answers of 600 to 999 from endpoints in trouble, and in the entry process those of 000 and 099 as well: the gateway rejected numbers below 200 only, the driver of plain services none at all.

A final status is one of 200 to 599 (RFC 9110, section 15); others are answered 502, as broken answers are.

The clients of the store and of memory moves read no status as success but those that they name.

--- a/packages/connection/src/answer_head.ts
+++ b/packages/connection/src/answer_head.ts
@@ -7,7 +7,18 @@
 } from 'node:http';
 
 const MIN_STATUS = 200;
-const MAX_STATUS = 999;
+const MAX_STATUS = 599;
+
+/**
+ * Whether a status is one of a final answer (RFC 9110, section 15). Node.js
+ * parses any number of three digits, and the 000 of a broken endpoint.
+ *
+ * @example
+ * if (!isFinalStatus(statusCode)) return rejectAnswer();
+ */
+export function isFinalStatus(status: number): boolean {
+  return status >= MIN_STATUS && status <= MAX_STATUS;
+}
 
 /**
  * Node.js (20) parses answers whose status is no final one, or whose field names
@@ -20,7 +31,7 @@
   statusCode = 0,
   rawHeaders,
 }: Pick<IncomingMessage, 'statusCode' | 'rawHeaders'>): boolean {
-  if (statusCode < MIN_STATUS || statusCode > MAX_STATUS) return false;
+  if (!isFinalStatus(statusCode)) return false;
   return rawHeaders.every((text, index) =>
     index % 2 === 0
       ? isValid(() => validateHeaderName(text))
--- a/packages/entry/src/send/http_service_driver.test.ts
+++ b/packages/entry/src/send/http_service_driver.test.ts
@@ -65,6 +65,16 @@
   t.is((error as EndpointError).kind, 'broken');
 });
 
+for (const status of ['000', '099', '600', '999']) {
+  test(`an answer with the status ${status} is none`, async t => {
+    // Guards against passing on the answer of a service in trouble.
+    const head = `HTTP/1.1 ${status} None\r\nContent-Length: 0\r\n\r\n`;
+    const url = await startService(t, socket => socket.end(head));
+    const error = await t.throwsAsync(call(url));
+    t.is((error as EndpointError).kind, 'broken');
+  });
+}
+
 test('an answer without a length is broken when its service is gone', async t => {
   // Guards against a crash whose close doesn't differ from that of an answer.
   const url = await startService(t, (socket, server) => {
--- a/packages/entry/src/send/http_service_driver.ts
+++ b/packages/entry/src/send/http_service_driver.ts
@@ -7,6 +7,7 @@
   isPartialDocument,
   isWholeEnd,
 } from '@snipestage/connection/answer_end.js';
+import {isFinalStatus} from '@snipestage/connection/answer_head.js';
 import {MAX_ANSWER_BYTES} from '@snipestage/connection/answer_limits.js';
 import {closesCleanly} from '@snipestage/connection/closes_cleanly.js';
 import type {FreshConnection} from '@snipestage/connection/fresh_connection.js';
@@ -51,6 +52,7 @@
     try {
       const closedCleanly = closesCleanly(connection.createConnection());
       const {response, isRequestSent} = await send(call, connection);
+      checkStatus(response);
       checkEcho(response, call);
       await checkEnd(response, call, {closedCleanly, isRequestSent});
       return {
@@ -115,6 +117,15 @@
   }
 }
 
+/** Rejects a status that no answer can have (RFC 9110, section 15). */
+function checkStatus({statusCode}: Response<Buffer>): void {
+  if (isFinalStatus(statusCode)) return;
+  throw new EndpointError(`The answer has the status ${statusCode}.`, {
+    kind: 'broken',
+    verdict: 'may_have_run',
+  });
+}
+
 /**
  * Rejects an answer that echoes the id of another request. Services need not
  * echo the id.
--- a/packages/gateway/src/endless_answers.test.ts
+++ b/packages/gateway/src/endless_answers.test.ts
@@ -221,6 +221,8 @@
   'an empty field name': ['HTTP/1.1 200 OK\r\n: 1', MALFORMED_OR_NOT_PARSED],
   'status 0': ['HTTP/1.1 000 None', MALFORMED],
   'status 99': ['HTTP/1.1 099 None', MALFORMED],
+  'status 600': ['HTTP/1.1 600 None', MALFORMED],
+  'status 999': ['HTTP/1.1 999 None', MALFORMED],
 };
 
 for (const [name, [head, reason]] of Object.entries(MALFORMED_HEADS)) {
