Count bytes of an event once when it is written

Cause: when the rest of an event arrived, the bytes that had been read of it before still counted as unsent while the event was counted as written. The sum reached the bound for a moment, the endpoint was paused, and 998,710 bytes were held from then on (read in a run that printed them).

The unsent rest is set before the events are written.

--- a/packages/gateway/src/event_relay.ts
+++ b/packages/gateway/src/event_relay.ts
@@ -115,7 +115,10 @@
   private take(chunk: Buffer): boolean {
     const {writer} = this.options;
     this.bytesSinceEvent += chunk.length;
-    if (!this.forwardAll(this.splitter.push(chunk))) return false;
+    const events = this.splitter.push(chunk);
+    // Complete events count as written, and no longer as unsent.
+    writer.noteUnsent(this.splitter.restBytes + this.preamble.length);
+    if (!this.forwardAll(events)) return false;
     if (this.bytesSinceEvent > MAX_EVENT_BYTES) return false;
     writer.noteUnsent(this.splitter.restBytes + this.preamble.length);
     return true;
