Charge answers that are being read to their endpoint

Endless answers without a length took the memory of an instance: 233.8 MB of 200 allowed, with 80 requests of one route, and other requests of the same client account were refused for it.

Cause: what is read of a whole answer was charged to the caller's account, with a bound for all accounts together only, also for answers that are dropped in the end as they belong to another request.

What is read ahead counts for the endpoint, whose answers together get half of the memory that is held, but for a single one; the largest of them is given up first. An answer that isn't signed, or is to another request, is refused by its head. Blocks of bodies that are dropped are used again, as memory outside of the heap is freed late.

--- a/packages/gateway/src/answer_writer.ts
+++ b/packages/gateway/src/answer_writer.ts
@@ -1,6 +1,7 @@
 /** Writes one answer to one caller. */
 
 import type {ServerResponse} from 'node:http';
+import type {EndpointId} from '@snipestage/types/ids.js';
 import {AnswerQueue} from './answer_queue.js';
 import type {HeldMemory} from './memory_guard.js';
 import type {FlatHeaders} from './pass_through_protocol.js';
@@ -23,7 +24,7 @@
   longestPauseMs = 0;
   private lastEventAtMs = 0;
   lastEventId: string | undefined;
-  private held: HeldMemory | undefined;
+  private openHeld: ((endpoint: EndpointId) => HeldMemory) | undefined;
   private queue: AnswerQueue | undefined;
 
   constructor(
@@ -37,15 +38,26 @@
     response.on('error', () => response.destroy());
   }
 
-  /** Counts what the caller has not read yet, and reads on within its bound. */
-  limitMemory(held: HeldMemory): void {
-    this.held = held;
+  /**
+   * Counts what the caller has not read yet, and reads on within its bound.
+   *
+   * @param openReadAhead begins to count what is read of a whole answer.
+   */
+  limitMemory(
+    held: HeldMemory,
+    openReadAhead: (endpoint: EndpointId) => HeldMemory,
+  ): void {
+    this.openHeld = openReadAhead;
     this.queue = new AnswerQueue(this.response, held);
   }
 
-  /** Counts the part that has been read of an answer sent as a whole. */
-  noteReadAhead(bytes: number): void {
-    this.held?.set(bytes, 'whole_answer');
+  /**
+   * Begins to count what is read of an answer sent as a whole, until it is
+   * complete: an endpoint that sends without end must not use up the memory of
+   * the client account. Undefined where no bound is set.
+   */
+  openReadAhead(endpoint: EndpointId): HeldMemory | undefined {
+    return this.openHeld?.(endpoint);
   }
 
   /** Counts what has been read of a stream and can't be written yet. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -37,7 +37,7 @@
   ReadRequest,
 } from './exchange_context.js';
 import type {AnswerHead} from './pass_through_protocol.js';
-import {readAnswerBody} from './read_answer_body.js';
+import {readAnswerBody, type AnswerBody} from './read_answer_body.js';
 import {recordAnnouncements} from './record_announcements.js';
 import {SilenceWatch} from './silence_watch.js';
 
@@ -319,15 +319,26 @@
     }
     if (isRelayed && isOwn && head.isSigned) return this.relay(response, head);
     if (isRejected) return this.rejectedAnswer(head, response);
-    const body = await readAnswerBody(this.call, response, bytes =>
-      this.options.writer.noteReadAhead(bytes),
-    );
+    if (!isOwn || !head.isSigned) return this.refuse(FOREIGN_ANSWER, response);
+    const body = await this.readBody(response);
     if (body === 'broken') return this.brokenAnswer();
     if (body === 'too_long') return this.refuse(OVERSIZED_ANSWER, response);
-    if (!isOwn || !head.isSigned) return FOREIGN_ANSWER;
     return this.handleWholeAnswer(head, response, body);
   }
 
+  /** Too long is also what finds no room beside the answers of others. */
+  private async readBody(response: IncomingMessage): Promise<AnswerBody> {
+    const {writer, placed} = this.options;
+    const held = writer.openReadAhead(placed.endpoint.id);
+    if (held !== undefined) held.onAborted = () => this.call.cancel();
+    const body = await readAnswerBody(this.call, response, bytes =>
+      held?.set(bytes, 'read_ahead'),
+    );
+    const wasAborted = held?.isOver === true;
+    held?.close();
+    return wasAborted ? 'too_long' : body;
+  }
+
   /** @returns whether the answer that begins may be passed on. */
   private accept(): boolean {
     const mayDeliver = this.options.mayDeliver();
--- a/packages/gateway/src/read_answer_body.ts
+++ b/packages/gateway/src/read_answer_body.ts
@@ -16,7 +16,7 @@
 export type AnswerBody = Buffer | 'broken' | 'too_long';
 
 /**
- * @param onBytes called with the number of bytes read so far.
+ * @param onBytes called with the number of bytes held, whenever it grows.
  * @example
  * const body = await readAnswerBody(call, response, () => undefined);
  * if (body === 'broken') return brokenAnswer();
@@ -31,11 +31,13 @@
     response.on('data', (chunk: Buffer) => {
       if (collected.length + chunk.length > MAX_ANSWER_BYTES) {
         response.pause();
+        collected.discard();
         resolve('too_long');
         return;
       }
+      const before = collected.blockBytes;
       collected.append(chunk);
-      onBytes(collected.length);
+      if (collected.blockBytes > before) onBytes(collected.blockBytes);
     });
     let hasEnded = false;
     response.on('end', () => {
@@ -48,7 +50,9 @@
     });
     response.on('error', () => resolve('broken'));
     response.on('close', () => {
-      if (!hasEnded) resolve('broken');
+      if (hasEnded) return;
+      collected.discard();
+      resolve('broken');
     });
   });
 }
--- a/packages/gateway/src/request_memory.ts
+++ b/packages/gateway/src/request_memory.ts
@@ -50,7 +50,13 @@
     this.body = guard.open(holder, 'incoming_body', requestId);
     this.answer = guard.open(holder, 'stream', requestId);
     this.answer.onAborted = () => this.abortAnswer();
-    writer.limitMemory(this.answer);
+    writer.limitMemory(this.answer, endpoint =>
+      guard.open(
+        brandAs<HolderKey>(`endpoint:${endpoint}`),
+        'read_ahead',
+        requestId,
+      ),
+    );
     return true;
   }
 
--- a/packages/routing/src/held_bytes.test.ts
+++ b/packages/routing/src/held_bytes.test.ts
@@ -50,6 +50,20 @@
   t.true(held.totalBytes <= held.limitBytes);
 });
 
+test('answers read from one endpoint leave room for those of others', t => {
+  // Guards against an endpoint whose endless answers take all memory.
+  const held = new HeldBytes({maxBytes: 1000 * KB});
+  const others = held.open(OTHER, 'stream');
+  held.set(others, 450 * KB, NOW_MS);
+  const first = held.open(ONE, 'read_ahead');
+  const second = held.open(ONE, 'read_ahead');
+  held.set(first, 300 * KB, NOW_MS);
+  t.deepEqual(held.set(second, 190 * KB, NOW_MS), []);
+  t.deepEqual(held.set(second, 210 * KB, NOW_MS), [first]);
+  t.true(others.isOpen);
+  t.deepEqual(held.set(second, 540 * KB, NOW_MS), []);
+});
+
 test('a whole answer that is being read outlasts others of its holder', t => {
   const held = new HeldBytes({maxBytes: 1000 * KB});
   const read = held.open(ONE, 'whole_answer');
--- a/packages/routing/src/held_bytes.ts
+++ b/packages/routing/src/held_bytes.ts
@@ -2,7 +2,10 @@
 
 import type {Branded} from '@snipestage/types/ids.js';
 
-/** A client account, or the address of a caller without one. */
+/**
+ * A client account, the address of a caller without one, or an endpoint whose
+ * answers are being read.
+ */
 export type HolderKey = Branded<string, 'HolderKey'>;
 
 /**
@@ -11,9 +14,10 @@
  * - `incoming_body`: a request's body that is being read; nothing has run.
  * - `request_body`: a body that has been read, until the request's answer.
  * - `stream`, `whole_answer`: bytes that the caller has not read yet.
+ * - `read_ahead`: an answer that is being read from its endpoint.
  */
 export type HoldingKind =
-  'incoming_body' | 'request_body' | 'stream' | 'whole_answer';
+  'incoming_body' | 'request_body' | 'stream' | 'whole_answer' | 'read_ahead';
 
 /** Options of {@link HeldBytes}; default in the brackets. */
 export interface HeldBytesOptions {
@@ -28,7 +32,8 @@
 const SHARE_OF_MEMORY = 0.25;
 /**
  * Bodies of one holder get at most this share, so that a caller that sends
- * slowly on many connections leaves room for the requests of others.
+ * slowly on many connections leaves room for the requests of others. So do
+ * answers that are read from one endpoint, but for a single one.
  */
 const MAX_BODY_SHARE_OF_HOLDER = 0.5;
 /** A caller counts as reading for this long after it has read something. */
@@ -170,17 +175,27 @@
   set(holding: Holding, bytes: number, nowMs: number): readonly Holding[] {
     if (!holding.isOpen) return [];
     this.change(holding, bytes);
+    const {holder} = holding;
     const excessBytes = this.sumBytes - this.maxBytes;
-    if (excessBytes <= 0) return [];
-    const ownBytes = this.heldBy(holding.holder);
-    const victims = this.findVictims(excessBytes, {
+    const ownExcessBytes = this.excessReadAhead(holding);
+    if (excessBytes <= 0 && ownExcessBytes <= 0) return [];
+    const ownBytes = this.heldBy(holder);
+    const isOwnFault = ownExcessBytes > excessBytes;
+    const victims = this.findVictims(Math.max(excessBytes, ownExcessBytes), {
       nowMs,
-      mayLose: (_, otherBytes) => otherBytes >= ownBytes,
+      mayLose: (other, otherBytes) =>
+        isOwnFault ? other === holder : otherBytes >= ownBytes,
     }) ?? [holding];
     for (const victim of victims) this.close(victim);
     return victims;
   }
 
+  private excessReadAhead({kind, holder, bytes}: Holding): number {
+    const ownBytes = this.heldBy(holder);
+    if (kind !== 'read_ahead' || bytes === ownBytes) return 0;
+    return ownBytes - this.maxBytes * MAX_BODY_SHARE_OF_HOLDER;
+  }
+
   /** Ends a holding; no effect on one that has ended. */
   close(holding: Holding): void {
     if (!this.holdings.delete(holding)) return;
