Bound the processor time that the input of one connection takes

An ordinary request beside 80 answers in chunks of one byte was answered 503 after 12.2 s, beside 80 streams of 14-byte events 200 after 5.8 s; beside 10 request bodies in chunks of one byte after 3.4 s, beside 150 not within 20 s.

Cause: bytes were bounded, processor time wasn't. Parsing chunks of one byte takes many times what it takes to send them, Node.js reads up to 2 MB of a connection before it turns to the next one, and each chunk of a body was entered into the ledger of memory.

InputPacer passes on what connections of callers and endpoints receive, direct or forwarded, in parts whose size follows what they cost. A connection that has used more than its share waits; of those that wait, the one that has used least is next, and they get a quarter of the processor time together. Bodies are entered into the ledger in steps.

--- /dev/null
+++ b/packages/connection/src/input_pacer.test.ts
@@ -0,0 +1,61 @@
+import {PassThrough} from 'node:stream';
+import {setTimeout as pause} from 'node:timers/promises';
+import test from 'ava';
+import {InputPacer} from './input_pacer.js';
+
+const LARGE = Buffer.from('0123456789'.repeat(20_000));
+
+/** A clock on which each part that is read takes this long. */
+function startPacer(costMs: number) {
+  let nowMs = 0;
+  const pacer = new InputPacer(() => nowMs);
+  const connection = new PassThrough({highWaterMark: LARGE.length});
+  pacer.pace(connection);
+  const parts: Buffer[] = [];
+  const read = (part: Buffer) => {
+    nowMs += costMs;
+    parts.push(part);
+  };
+  return {connection, parts, read};
+}
+
+for (const costMs of [0, 10]) {
+  test(`all bytes arrive once, in order and before the end (${costMs} ms a part)`, async t => {
+    // Guards against a bound that drops, doubles or reorders what comes.
+    const {connection, parts, read} = startPacer(costMs);
+    connection.on('data', read);
+    const ended = new Promise(done => connection.once('end', done));
+    connection.write(LARGE);
+    connection.end(LARGE);
+    await ended;
+    t.true(Buffer.concat(parts).equals(Buffer.concat([LARGE, LARGE])));
+  });
+}
+
+test('a reader that pauses gets nothing until it resumes', async t => {
+  // Guards against bytes that pile up in front of a reader that has paused.
+  const {connection, parts, read} = startPacer(1);
+  connection.on('data', part => {
+    read(part as Buffer);
+    if (parts.length === 3) connection.pause();
+  });
+  connection.write(LARGE);
+  await pause(50);
+  t.is(parts.length, 3);
+  connection.resume();
+  await pause(500);
+  t.true(Buffer.concat(parts).equals(LARGE));
+});
+
+test('nothing of a closed connection is passed on', async t => {
+  // Guards against answers that are read after their request has ended.
+  const {connection, parts, read} = startPacer(10);
+  connection.on('data', read);
+  connection.write(LARGE);
+  await pause(0);
+  connection.destroy();
+  await pause(10);
+  const before = parts.length;
+  await pause(200);
+  t.is(parts.length, before);
+});
--- /dev/null
+++ b/packages/connection/src/input_shares.ts
@@ -0,0 +1,91 @@
+/** Decides whose input is read next when it takes much processor time. */
+
+/** Time that a connection's input may take at once. */
+const BURST_MS = 4;
+/** Processor time that each connection may use without waiting, per time. */
+const FREE_SHARE = 0.05;
+/** Of the processor time, for all connections together that have to wait. */
+const WAITING_SHARE = 0.25;
+/** A process that was suspended must not count for longer than this. */
+const MAX_DEBT_MS = 1000;
+/** Smallest and largest part of what was read that is parsed at once. */
+const MIN_PART_BYTES = 2048;
+const MAX_PART_BYTES = 65_536;
+/** A part that takes no longer than this may be followed by a larger one. */
+const CHEAP_PART_MS = 0.25;
+/** After this time in one turn of the event loop, parts are small. */
+const LONG_TURN_MS = 20;
+
+/** Processor time that the input of one connection has taken. */
+export class InputAccount {
+  private debtMs = 0;
+  private updatedAtMs = 0;
+  private bytes = MIN_PART_BYTES;
+
+  /**
+   * Size of the next part to parse.
+   *
+   * @param turnMs time that input has taken in this turn of the event loop.
+   */
+  partBytes(turnMs: number): number {
+    return turnMs < LONG_TURN_MS ? this.bytes : MIN_PART_BYTES;
+  }
+
+  /**
+   * Counts a part that has been parsed.
+   *
+   * @example
+   * account.charge(nowMs() - beganAtMs, nowMs());
+   */
+  charge(costMs: number, nowMs: number): void {
+    const isCheap = costMs <= CHEAP_PART_MS;
+    this.bytes = isCheap
+      ? Math.min(MAX_PART_BYTES, 2 * this.bytes)
+      : MIN_PART_BYTES;
+    this.debtMs = Math.min(MAX_DEBT_MS, this.readDebtMs(nowMs) + costMs);
+    this.updatedAtMs = nowMs;
+  }
+
+  /** What it has used beyond its free share. */
+  readDebtMs(nowMs: number): number {
+    const repaidMs = (nowMs - this.updatedAtMs) * FREE_SHARE;
+    return Math.max(0, this.debtMs - repaidMs);
+  }
+
+  /** Whether its next part has to wait for its turn. */
+  mustWait(nowMs: number): boolean {
+    return this.readDebtMs(nowMs) > BURST_MS;
+  }
+}
+
+/**
+ * The waiting connection whose input has taken the least time.
+ *
+ * @example
+ * const next = chooseInput(waiting, each => each.account, nowMs());
+ */
+export function chooseInput<Item>(
+  waiting: Iterable<Item>,
+  accountOf: (item: Item) => InputAccount,
+  nowMs: number,
+): Item | undefined {
+  let chosen: Item | undefined;
+  let leastMs = Number.POSITIVE_INFINITY;
+  for (const item of waiting) {
+    const debtMs = accountOf(item).readDebtMs(nowMs);
+    if (debtMs >= leastMs) continue;
+    chosen = item;
+    leastMs = debtMs;
+  }
+  return chosen;
+}
+
+/**
+ * Time for everything else after a part of a connection that had to wait.
+ *
+ * @example
+ * setTimeout(readNext, pauseAfter(costMs));
+ */
+export function pauseAfter(costMs: number): number {
+  return costMs * (1 / WAITING_SHARE - 1);
+}
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -7,6 +7,7 @@
   type ServerResponse,
 } from 'node:http';
 import {Server as TcpServer, type Socket} from 'node:net';
+import {INPUT_PACER} from '@snipestage/connection/input_pacer.js';
 import type {Logger} from '@snipestage/log/logger.js';
 import type {CallerLimits} from '@snipestage/routing/route.js';
 import {LISTEN_BACKLOG_COUNT} from './accept_queue_watch.js';
@@ -84,9 +85,12 @@
     );
     this.server.requestTimeout = 0;
     this.limit.watch(this.server);
-    this.server.on('connection', socket =>
-      handler.connections.noteOpened(socket),
-    );
+    this.server.on('connection', socket => {
+      handler.connections.noteOpened(socket);
+      // Without a listener, Node.js parses what it reads unseen.
+      socket.on('data', () => undefined);
+      INPUT_PACER.pace(socket);
+    });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       logger.debug('caller_connection_error', {error: error.code});
       if (error.code === HEADER_TIMEOUT_CODE) {
--- a/packages/gateway/src/endpoint_call.ts
+++ b/packages/gateway/src/endpoint_call.ts
@@ -13,6 +13,7 @@
   type AnswerEnd,
   type AnswerEnding,
 } from '@snipestage/connection/answer_end.js';
+import {INPUT_PACER} from '@snipestage/connection/input_pacer.js';
 import type {Verdict} from '@snipestage/types/verdict.js';
 import {BodySending, UNREAD_BODY_TIMEOUT_MS} from './body_sending.js';
 import type {
@@ -209,7 +210,11 @@
       path,
       headers: composeHeaders(),
       setHost: false,
-      createConnection: () => connection.createConnection(),
+      createConnection: () => {
+        const opened = connection.createConnection();
+        INPUT_PACER.pace(opened);
+        return opened;
+      },
     });
     this.request = request;
     this.limitHead(request);
--- a/packages/gateway/src/read_request_body.ts
+++ b/packages/gateway/src/read_request_body.ts
@@ -9,6 +9,9 @@
 export type RequestBody =
   Buffer | undefined | 'too_large' | 'broken' | 'no_memory' | 'timed_out';
 
+/** What a body without a stated length reserves at least. */
+const RESERVED_AT_ONCE_BYTES = 4096;
+
 /** Options of {@link readRequestBody}. */
 export interface ReadRequestBodyOptions {
   readonly maxBytes: number;
@@ -37,7 +40,7 @@
     request.resume();
     return Promise.resolve(undefined);
   }
-  const reservedBytes = Math.min(Number(statedLength ?? 0), maxBytes);
+  let reservedBytes = Math.min(Number(statedLength ?? 0), maxBytes);
   if (held?.tryAdd(reservedBytes) === false) {
     request.resume();
     return Promise.resolve('no_memory');
@@ -45,6 +48,16 @@
   return new Promise(resolve => {
     const collected = new CollectedBytes();
     let size = 0;
+    /** Chunks may have a byte each. */
+    const reserve = (): boolean => {
+      const wantedBytes = Math.max(
+        size,
+        reservedBytes + RESERVED_AT_ONCE_BYTES,
+      );
+      const bytes = Math.min(maxBytes, wantedBytes) - reservedBytes;
+      reservedBytes += bytes;
+      return held?.tryAdd(bytes) !== false;
+    };
     const giveUp = (reason: 'too_large' | 'no_memory' | 'timed_out') => {
       timeout.cancel();
       resolve(reason);
@@ -58,7 +71,7 @@
       size += chunk.length;
       if (size > maxBytes) {
         giveUp('too_large');
-      } else if (size > reservedBytes && held?.tryAdd(chunk.length) === false) {
+      } else if (size > reservedBytes && !reserve()) {
         giveUp('no_memory');
       } else {
         collected.append(chunk);
