Take in a stop only requests that are known to end in time

With real processes, a request each 100 ms and streams of 7 s, 17 (15 on kept connections) of the 20 to 22 streams taken were cut off at the end of the grace time: those sent 0.5 to 2.1 s after SIGTERM, or a little later.

Cause: until the balancer has noticed the stop, requests are admitted whose route usually ends in time, and a route of which nothing was known counted as taking 0 ms. For requests that may not be repeated, one in ten of a known route was left to chance as well.

A route of which too little is known takes no request whose limit lies beyond the grace time; for what may not run again the longest known duration counts instead of the 90th percentile.

--- a/packages/connection/src/input_pacer.ts
+++ b/packages/connection/src/input_pacer.ts
@@ -5,6 +5,7 @@
  * Node.js reads up to 2 MB of a connection before it turns to the next one.
  */
 
+import type {Server} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {chooseInput, InputAccount, pauseAfter} from './input_shares.js';
 
@@ -28,7 +29,7 @@
    * `data` possibly later and in smaller parts.
    *
    * @example
-   * server.on('connection', socket => pacer.pace(socket));
+   * pacer.pace(connection);
    */
   pace(connection: Duplex): void {
     new PacedInput(connection, {
@@ -45,6 +46,20 @@
     this.turnMs += costMs;
   }
 
+  /**
+   * Paces all connections that a server accepts from now on.
+   *
+   * @example
+   * pacer.paceServer(http.createServer(handle));
+   */
+  paceServer(server: Server): void {
+    server.on('connection', socket => {
+      // Without a listener, Node.js parses what it reads unseen.
+      socket.on('data', () => undefined);
+      this.pace(socket);
+    });
+  }
+
   private add(input: PacedInput): void {
     this.waiting.add(input);
     if (!this.isBusy) this.runAfter(0);
--- a/packages/gateway/src/callers_server.ts
+++ b/packages/gateway/src/callers_server.ts
@@ -85,12 +85,10 @@
     );
     this.server.requestTimeout = 0;
     this.limit.watch(this.server);
-    this.server.on('connection', socket => {
-      handler.connections.noteOpened(socket);
-      // Without a listener, Node.js parses what it reads unseen.
-      socket.on('data', () => undefined);
-      INPUT_PACER.pace(socket);
-    });
+    this.server.on('connection', socket =>
+      handler.connections.noteOpened(socket),
+    );
+    INPUT_PACER.paceServer(this.server);
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       logger.debug('caller_connection_error', {error: error.code});
       if (error.code === HEADER_TIMEOUT_CODE) {
--- a/packages/gateway/src/migration/memory_client.ts
+++ b/packages/gateway/src/migration/memory_client.ts
@@ -1,6 +1,7 @@
 /** Calls engines to copy the memory of requests, and to free copies. */
 
 import {request as httpRequest, type IncomingMessage} from 'node:http';
+import {INPUT_PACER} from '@snipestage/connection/input_pacer.js';
 import {resolveWithin} from '@snipestage/connection/read_first_timeout.js';
 import type {ServingEndpoint} from '@snipestage/routing/serving_endpoint.js';
 import type {EndpointConnection} from '../endpoint_connection.js';
@@ -116,7 +117,11 @@
       path,
       headers: [...headers],
       setHost: false,
-      createConnection: () => connection.createConnection(),
+      createConnection: () => {
+        const opened = connection.createConnection();
+        INPUT_PACER.pace(opened);
+        return opened;
+      },
     });
     const lose = () => resolve('lost');
     call.once('response', response => {
--- a/packages/gateway/src/operations_server.ts
+++ b/packages/gateway/src/operations_server.ts
@@ -1,6 +1,7 @@
 /** A small HTTP server for readiness, metrics and a dump of state. */
 
 import {createServer, type Server} from 'node:http';
+import {INPUT_PACER} from '@snipestage/connection/input_pacer.js';
 import type {Socket} from 'node:net';
 import {ConnectionLimit} from './connection_limit.js';
 import {splitAddress} from './split_address.js';
@@ -65,6 +66,7 @@
         });
     });
     limit.watch(this.server);
+    INPUT_PACER.paceServer(this.server);
   }
 
   async start(): Promise<void> {
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {fingerprintOf} from '@snipestage/entry/identify/fingerprint.js';
+import {mayRunAgain} from '@snipestage/routing/attempt_policy.js';
 import {listSharedParts} from '@snipestage/routing/prompt.js';
 import type {RequestSlots} from '@snipestage/routing/request_slots.js';
 import type {Shutdown} from '@snipestage/routing/shutdown.js';
@@ -422,8 +423,12 @@
 
   private mayAdmit({route}: Admission, endsAtMs: number): boolean {
     const {shutdown, state, nowMs} = this.options;
-    const p90Ms = state.durations.p90Ms(route.id);
-    return shutdown.mayAdmit({nowMs: nowMs(), endsAtMs, p90Ms});
+    const {durations} = state;
+    // What may not run again must not be cut off, however seldom.
+    const usualMs = mayRunAgain(route)
+      ? durations.p90Ms(route.id)
+      : durations.longestMs(route.id);
+    return shutdown.mayAdmit({nowMs: nowMs(), endsAtMs, usualMs});
   }
 
   private fingerprint(
--- a/packages/routing/src/recent_durations.ts
+++ b/packages/routing/src/recent_durations.ts
@@ -4,7 +4,7 @@
 
 /** Durations kept of each route: enough for a 90th percentile, but recent. */
 const KEPT_DURATION_COUNT = 64;
-/** With fewer durations the 90th percentile is meaningless. */
+/** Fewer durations say nothing of the next one. */
 const MIN_DURATION_COUNT = 10;
 const DURATION_QUANTILE = 0.9;
 
@@ -30,10 +30,24 @@
    * const p90Ms = durations.p90Ms(route.id);
    */
   p90Ms(route: RouteId): number | undefined {
+    const sorted = this.findEnough(route)?.toSorted((a, b) => a - b);
+    return sorted?.[Math.ceil(sorted.length * DURATION_QUANTILE) - 1];
+  }
+
+  /**
+   * The longest of the durations in ms; undefined while too few are known.
+   *
+   * @example
+   * const longestMs = durations.longestMs(route.id);
+   */
+  longestMs(route: RouteId): number | undefined {
+    const kept = this.findEnough(route);
+    return kept && Math.max(...kept);
+  }
+
+  private findEnough(route: RouteId): readonly number[] | undefined {
     const kept = this.byRoute.get(route) ?? [];
-    if (kept.length < MIN_DURATION_COUNT) return undefined;
-    const sorted = kept.toSorted((a, b) => a - b);
-    return sorted[Math.ceil(sorted.length * DURATION_QUANTILE) - 1];
+    return kept.length < MIN_DURATION_COUNT ? undefined : kept;
   }
 
   /** Forgets routes that are gone. */
--- a/packages/routing/src/shutdown.test.ts
+++ b/packages/routing/src/shutdown.test.ts
@@ -44,11 +44,27 @@
     const shutdown = new Shutdown(SHUTDOWN);
     if (atMs >= SIGNAL_MS) shutdown.begin(SIGNAL_MS);
     const endsAtMs = atMs + patienceMs;
-    const admitted = shutdown.mayAdmit({nowMs: atMs, endsAtMs, p90Ms: 2000});
+    const admitted = shutdown.mayAdmit({nowMs: atMs, endsAtMs, usualMs: 2000});
     t.is(admitted, isAdmitted);
   });
 }
 
+for (const [usualMs, isAdmitted] of [
+  [undefined, false],
+  [5000, true],
+  [6500, false],
+] as const) {
+  test(`a long request that may last ${usualMs ?? 'any number of'} ms is ${isAdmitted ? 'taken' : 'refused'} at once after the signal`, t => {
+    // Guards against requests that are cut off at the end of the grace time, as
+    // nothing was known of their route.
+    const shutdown = new Shutdown(SHUTDOWN);
+    shutdown.begin(SIGNAL_MS);
+    const nowMs = SIGNAL_MS + 1000;
+    const arrival = {nowMs, endsAtMs: nowMs + 60_000, usualMs};
+    t.is(shutdown.mayAdmit(arrival), isAdmitted);
+  });
+}
+
 test('a second signal does not restart the grace time', t => {
   const shutdown = new Shutdown(SHUTDOWN);
   shutdown.begin(SIGNAL_MS);
@@ -74,8 +90,8 @@
   const shutdown = new Shutdown({graceMs: 2000});
   shutdown.begin(0);
   const long = {nowMs: 500, endsAtMs: 10_500};
-  t.false(shutdown.mayAdmit({...long, p90Ms: 1500}));
-  t.true(shutdown.mayAdmit({...long, p90Ms: 300}));
-  t.true(shutdown.mayAdmit({...long, p90Ms: undefined}));
-  t.true(shutdown.mayAdmit({nowMs: 500, endsAtMs: 1300, p90Ms: 1500}));
+  t.false(shutdown.mayAdmit({...long, usualMs: 1500}));
+  t.true(shutdown.mayAdmit({...long, usualMs: 300}));
+  t.false(shutdown.mayAdmit({...long, usualMs: undefined}));
+  t.true(shutdown.mayAdmit({nowMs: 500, endsAtMs: 1300, usualMs: 1500}));
 });
--- a/packages/routing/src/shutdown.ts
+++ b/packages/routing/src/shutdown.ts
@@ -16,8 +16,8 @@
   readonly nowMs: number;
   /** When the caller's or the operator's limit ends. */
   readonly endsAtMs: number;
-  /** 90th percentile of its route's durations; undefined if not known. */
-  readonly p90Ms: number | undefined;
+  /** How long requests of its route may last; undefined if not known. */
+  readonly usualMs: number | undefined;
 }
 
 /** Measures time from the signal to stop; before it everything is admitted. */
@@ -74,16 +74,16 @@
    * may not be repeated doesn't know whether it ran; a refusal leads it to
    * another instance. Only requests whose limit ends in time are safe. Until
    * the balancer has noticed, it sends all requests here, and a refusal would
-   * cost each caller a second round trip: then requests that usually end in
+   * cost each caller a second round trip: then requests that are known to end in
    * time are admitted too.
    *
    * @example
-   * if (!shutdown.mayAdmit({nowMs, endsAtMs, p90Ms})) refuse();
+   * if (!shutdown.mayAdmit({nowMs, endsAtMs, usualMs})) refuse();
    */
-  mayAdmit({nowMs, endsAtMs, p90Ms = 0}: Arrival): boolean {
+  mayAdmit({nowMs, endsAtMs, usualMs}: Arrival): boolean {
     const graceEndsAtMs = nowMs + this.leftMs(nowMs);
     if (endsAtMs <= graceEndsAtMs) return true;
-    if (this.hasBalancerNoticed(nowMs)) return false;
-    return nowMs + p90Ms < graceEndsAtMs;
+    if (usualMs === undefined || this.hasBalancerNoticed(nowMs)) return false;
+    return nowMs + usualMs < graceEndsAtMs;
   }
 }
--- a/packages/soak/src/test_support/small_system.ts
+++ b/packages/soak/src/test_support/small_system.ts
@@ -96,6 +96,10 @@
     return this.world.operator.keys[0].key;
   }
 
+  signal(signal: NodeJS.Signals): void {
+    process.kill(this.instance.processId!, signal);
+  }
+
   /** Of another client account. */
   get otherKey(): string {
     return this.world.operator.keys.at(-1)!.key;
