Pause engines, flood, send odd statuses and late streams in the soak

A kind for each class of the review: engines that pause their streams, in half of the cases while all others are full (streams given up for a full endpoint), answers in chunks of one byte without end (input that costs more to parse than to send), status 000, and streams of 7 s to instances that may be about to stop (requests cut off late in a stop). They are drawn apart, so that the other kinds are drawn as before for a seed. An early answer cut during an upload has no kind: bodies of the soak fit into the system's buffers, where nothing tells what its endpoint has read.

--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -89,6 +89,18 @@
 /** Another writer leaves a row that instances can't use. */
 export const FOREIGN_ROW = 'foreign_row';
 
+/** An engine sends nothing of its streams for a while; others may be full. */
+export const ENGINE_PAUSE = 'engine_pause';
+
+/** An engine answers in chunks of one byte, without end. */
+export const ENGINE_FLOOD = 'engine_flood';
+
+/** An endpoint answers with a status that HTTP doesn't have. */
+export const ODD_STATUS = 'odd_status';
+
+/** Callers send streams that last nearly as long as the grace time. */
+export const LATE_STREAMS = 'late_streams';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | typeof EVACUATE
@@ -103,7 +115,11 @@
   | typeof BRITTLE_SERVICE
   | typeof VERSION_RELEASE
   | typeof FOREIGN_ROW
-  | typeof MASS_KILL;
+  | typeof MASS_KILL
+  | typeof ENGINE_PAUSE
+  | typeof ENGINE_FLOOD
+  | typeof ODD_STATUS
+  | typeof LATE_STREAMS;
 
 /** One fault of a plan. */
 export interface PlannedFault {
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,5 +1,6 @@
 /** Runs real processes under traffic and faults and checks what was seen. */
 
+import {drawAnswerFaults} from './answer_faults.js';
 import type {InstanceId} from '@snipestage/types/ids.js';
 import {drawBackoffs, drawUnlistedLeavings} from './announcements.js';
 import {drawBrittleServices} from './brittle_services.js';
@@ -12,7 +13,11 @@
   drawFaultPlan,
   EVACUATE,
   FOREIGN_ROW,
+  ENGINE_FLOOD,
+  ENGINE_PAUSE,
+  LATE_STREAMS,
   MASS_KILL,
+  ODD_STATUS,
   RATE_LIMIT,
   BACKOFF,
   CRASHING_PART,
@@ -80,6 +85,12 @@
   readonly logs: ReadonlyMap<InstanceId, string>;
 }
 
+const ANSWER_FAULTS = [
+  ENGINE_PAUSE,
+  ENGINE_FLOOD,
+  ODD_STATUS,
+  LATE_STREAMS,
+] as const;
 const DEFAULT_FAULTS_FOR_MS = 20_000;
 const DEFAULT_INSTANCES = 6;
 const DEFAULT_ENGINES = 6;
@@ -160,25 +171,29 @@
   const {instances, endpoints} = world;
   const {seed, seriesEveryMs, stopTurnsEveryMs, kinds} = options;
   const announcing = {seed, forMs, endpoints: endpoints.length};
-  const drawnApart: ReadonlyArray<[FaultKind, () => PlannedFault[]]> = [
+  const drawnApart: ReadonlyArray<readonly [FaultKind, () => PlannedFault[]]> =
     [
-      EVACUATE,
-      () =>
-        drawEvacuations({seed, forMs, dataCentres: world.dataCentres.length}),
-    ],
-    [RATE_LIMIT, () => drawRateLimits(announcing)],
-    [UNLISTED_LEAVING, () => drawUnlistedLeavings(announcing)],
-    [BACKOFF, () => drawBackoffs(announcing)],
-    [CRASHING_REQUEST, () => drawCrashingRequests({seed, forMs})],
-    [CRASHING_PART, () => drawCrashingParts({seed, forMs})],
-    [ONE_INSTANCE, () => drawConnectionsAtOne({seed, forMs})],
-    [STORE_SET_BACK, () => drawStoreSetBacks({seed, forMs})],
-    [BRITTLE_SERVICE, () => drawBrittleServices({seed, forMs})],
-    [INSTANCE_CUT, () => drawInstanceCuts({seed, forMs})],
-    [VERSION_RELEASE, () => drawVersionReleases({seed, forMs})],
-    [FOREIGN_ROW, () => drawForeignRows({seed, forMs})],
-    [MASS_KILL, () => drawMassKills({seed, forMs})],
-  ];
+      [
+        EVACUATE,
+        () =>
+          drawEvacuations({seed, forMs, dataCentres: world.dataCentres.length}),
+      ],
+      [RATE_LIMIT, () => drawRateLimits(announcing)],
+      [UNLISTED_LEAVING, () => drawUnlistedLeavings(announcing)],
+      [BACKOFF, () => drawBackoffs(announcing)],
+      [CRASHING_REQUEST, () => drawCrashingRequests({seed, forMs})],
+      [CRASHING_PART, () => drawCrashingParts({seed, forMs})],
+      [ONE_INSTANCE, () => drawConnectionsAtOne({seed, forMs})],
+      [STORE_SET_BACK, () => drawStoreSetBacks({seed, forMs})],
+      [BRITTLE_SERVICE, () => drawBrittleServices({seed, forMs})],
+      [INSTANCE_CUT, () => drawInstanceCuts({seed, forMs})],
+      [VERSION_RELEASE, () => drawVersionReleases({seed, forMs})],
+      [FOREIGN_ROW, () => drawForeignRows({seed, forMs})],
+      [MASS_KILL, () => drawMassKills({seed, forMs})],
+      ...ANSWER_FAULTS.map(
+        kind => [kind, () => drawAnswerFaults({kind, seed, forMs})] as const,
+      ),
+    ];
   const faults = [
     ...drawFaultPlan({seed, forMs, seriesEveryMs, kinds}),
     ...drawnApart
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -14,7 +14,11 @@
   CRASHING_PART,
   CRASHING_REQUEST,
   BRITTLE_SERVICE,
+  ENGINE_FLOOD,
+  ENGINE_PAUSE,
   INSTANCE_CUT,
+  LATE_STREAMS,
+  ODD_STATUS,
   ONE_INSTANCE,
   STORE_SET_BACK,
   UNLISTED_LEAVING,
@@ -22,6 +26,7 @@
   type FaultKind,
   type PlannedFault,
 } from '../fault_plan.js';
+import {areOthersFull} from '../answer_faults.js';
 import {readForeignRow} from '../foreign_rows.js';
 import type {Subject} from '../history.js';
 import {chooseKilled} from '../mass_kills.js';
@@ -42,6 +47,9 @@
   endpoint_truncating: 'truncating',
   endpoint_spoiling: 'spoiling',
   endpoint_full: 'full',
+  engine_pause: 'pausing',
+  engine_flood: 'flooding',
+  odd_status: 'odd_status',
 };
 const STORE_FAULTS: {readonly [Kind in FaultKind]?: ServerFault} = {
   store_silent: 'silent',
@@ -142,6 +150,13 @@
       this.killMany(fault);
     } else if (kind === FOREIGN_ROW) {
       this.writeForeignRow(fault);
+    } else if (kind === LATE_STREAMS) {
+      this.logFault(kind, 'store', durationMs);
+      this.endAfter(durationMs, this.traffic.sendLateStreams());
+    } else if (kind === ENGINE_PAUSE || kind === ENGINE_FLOOD) {
+      this.disturbEngine(fault);
+    } else if (kind === ODD_STATUS) {
+      this.applyEndpointFault(fault, endpoints[target % endpoints.length]);
     } else if (kind === UNLISTED_LEAVING) {
       this.replaceUnlisted(fault, endpoints[target % endpoints.length]);
     } else if (kind.startsWith('store_way') || kind.startsWith('callers_way')) {
@@ -315,6 +330,22 @@
     this.endAfter(durationMs, () => store.remove(place));
   }
 
+  private disturbEngine(fault: PlannedFault): void {
+    const engines = this.world.endpoints.filter(
+      ({service}) => service === ENGINES,
+    );
+    const engine = engines[fault.target % engines.length];
+    this.applyEndpointFault(fault, engine);
+    if (!areOthersFull(fault)) return;
+    for (const other of engines) {
+      if (other === engine) continue;
+      this.applyFor(other.id, fault.kind, other, fault.durationMs, () => {
+        other.setFault('full');
+        return () => other.setFault('none');
+      });
+    }
+  }
+
   /** Only its answers say meanwhile that the endpoint leaves. */
   private replaceUnlisted(
     {kind, durationMs}: PlannedFault,
--- a/packages/soak/src/world/request_draw.ts
+++ b/packages/soak/src/world/request_draw.ts
@@ -50,6 +50,7 @@
  * Started before the balancer notices a stop, it ends within the grace time.
  */
 const LONGEST_LONG_STREAM_MS = 5000;
+const LATE_STREAM_MS = 7000;
 
 /** First part of all prompts, and the number of the parts that follow it. */
 const FIRST_PART = 'system';
@@ -105,6 +106,15 @@
     return {...drawn, isLong: true};
   }
 
+  /** Draws a stream that takes nearly all of the grace time of a stop. */
+  drawLateStream(instance: Instance): DrawnRequest {
+    const route = this.pick(ROUTES.filter(({kind}) => kind === 'stream'));
+    const query = `&${STREAM_DURATION_PARAMETER}=${LATE_STREAM_MS}`;
+    const timeoutMs = LONGEST_CALLER_TIMEOUT_MS;
+    const drawn = this.compose(instance, route, query, timeoutMs);
+    return {...drawn, isLong: true};
+  }
+
   /** Draws a request that crashes each endpoint that runs it. */
   drawCrashing(instance: Instance): DrawnRequest {
     const query = `&${CRASH_PARAMETER}=1`;
--- a/packages/soak/src/world/traffic.ts
+++ b/packages/soak/src/world/traffic.ts
@@ -45,6 +45,7 @@
 /** The pause of a caller whose try was refused. */
 const TAKE_UP_RETRY_MS = 500;
 const CRASHING_EVERY_MS = 350;
+const LATE_STREAM_EVERY_MS = 300;
 
 /** Draws arrivals and sends the requests; owns the callers. */
 export class Traffic {
@@ -140,6 +141,23 @@
     return () => clearInterval(timer);
   }
 
+  /**
+   * Sends streams that last nearly as long as the grace time, to any instance.
+   *
+   * @returns a function that ends it.
+   */
+  sendLateStreams(): () => void {
+    const {instances} = this.options;
+    const timer = setInterval(() => {
+      const instance = this.pick(instances);
+      const drawn = this.draw.drawLateStream(instance);
+      const sending = this.sendOnce(instance, drawn);
+      this.inFlight.add(sending);
+      void sending.finally(() => this.inFlight.delete(sending));
+    }, LATE_STREAM_EVERY_MS);
+    return () => clearInterval(timer);
+  }
+
   private async sendOnce(
     instance: Instance,
     drawn: DrawnRequest,
