--- a/packages/gateway/src/slow_readers.test.ts
+++ b/packages/gateway/src/slow_readers.test.ts
@@ -244,7 +244,7 @@
     caller.send(`slow-${index}`);
     return caller;
   });
-  await sleep(500);
+  await waitUntil(() => hasAborted(proxy));
   const texts = await Promise.all(
     callers.map(caller => caller.readAll(isEndOfChunks)),
   );
