--- a/packages/gateway/src/takeover_attempts.ts
+++ b/packages/gateway/src/takeover_attempts.ts
@@ -1,4 +1,7 @@
-/** The attempts of a request of which a silent endpoint may lose it to another. */
+/**
+ * Attempts of one request: at its endpoint, and at another one that is asked to
+ * take it over while the first is silent.
+ */
 
 import type {Placed} from '@snipestage/routing/placement.js';
 import {
