--- a/packages/soak/src/answer_faults.ts
+++ b/packages/soak/src/answer_faults.ts
@@ -40,6 +40,15 @@
   [ODD_STATUS]: [300, 1000],
   [LATE_STREAMS]: [3000, 5000],
 };
+/** Between two of them; what pauses engines takes much of their capacity. */
+const INTERVAL_RANGES_MS: Readonly<
+  Record<AnswerFaultKind, readonly [number, number]>
+> = {
+  [ENGINE_PAUSE]: [6000, 10_000],
+  [ENGINE_FLOOD]: [2000, 6000],
+  [ODD_STATUS]: [2000, 6000],
+  [LATE_STREAMS]: [2000, 6000],
+};
 const TARGET_COUNT = 1000;
 
 /**
@@ -58,7 +67,7 @@
     targetCount: TARGET_COUNT,
     firstAtMs: 2000,
     durationRangeMs: DURATION_RANGES_MS[kind],
-    intervalRangeMs: [2000, 6000],
+    intervalRangeMs: INTERVAL_RANGES_MS[kind],
   });
 }
 
