--- a/packages/routing/src/attempt_history.test.ts
+++ b/packages/routing/src/attempt_history.test.ts
@@ -34,6 +34,34 @@
   );
 }
 
+test('an endpoint that was asked in vain counts once, however often it is asked', t => {
+  // Guards against streams that are cut although their endpoints were not more
+  // than allowed, and against sending a request to one more.
+  const [first, asked, other] = makeEndpoints(3, AKL_A);
+  const limits = {maxAttempts: 2, inProgress: 1};
+  const history = new AttemptHistory();
+  history.begin(first);
+  t.true(history.mayRunAt(asked.id, limits));
+  history.begin(asked);
+  history.withdraw(asked, 'may_have_run');
+  t.false(history.excluded.has(asked.id));
+  t.true(history.mayRunAt(asked.id, limits));
+  t.false(history.mayRunAt(other.id, limits));
+  history.begin(asked);
+  t.true(history.excluded.has(asked.id));
+  t.false(history.mayRunAt(other.id, {maxAttempts: 2, inProgress: 2}));
+});
+
+test('an endpoint that the request never reached leaves its attempt to others', t => {
+  // Guards against attempts that are lost to connections that never opened.
+  const [first, asked, other] = makeEndpoints(3, AKL_A);
+  const history = new AttemptHistory();
+  history.begin(first);
+  history.begin(asked);
+  history.withdraw(asked, 'not_run');
+  t.true(history.mayRunAt(other.id, {maxAttempts: 2, inProgress: 1}));
+});
+
 test('an endpoint is tried again after only the path to it broke', t => {
   // Guards against streams that end although their endpoint, the only one of
   // its version, can be reached without the forwarder that was lost.
