Let an asked endpoint take a stream over only with an answer that continues it

A stream of which its caller had events was given up when the asked endpoint answered with an error of the caller, such as 404, found by reading: the head counted as the beginning of an answer, which could then not be passed on.

Such an answer is a failure of the asked attempt now; the silent endpoint keeps the stream. takeover.test.ts has a test for it.

A test of held bytes asked for the whole of a second answer at the moment at which the first one is given up.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -308,24 +308,32 @@
     this.answeredLoad = head.load;
     recordAnnouncements(context, {head, request, endpoint: placed.endpoint});
     const isOwn =
-      head.requestId === request.caller.requestId && !head.isEncoded;
+      head.requestId === request.caller.requestId &&
+      !head.isEncoded &&
+      head.isSigned;
     const isSuccess = head.status >= 200 && head.status < 300;
     const isStream = request.admission.route.kind === 'stream';
-    const isRelayed = isStream && isSuccess;
+    const isRelayed = isOwn && isStream && isSuccess;
     const isRejected = head.isNotRun || head.isMisdirected;
-    const isAccepted = isRelayed || (!isRejected && isFinalStatus(head.status));
-    if (isAccepted && isOwn && head.isSigned && !this.accept()) {
+    if (isRejected && !isRelayed) return this.rejectedAnswer(head, response);
+    if (!isOwn) return this.refuse(FOREIGN_ANSWER, response);
+    const mayDeliver = isRelayed || this.mayPassOn(head);
+    if (mayDeliver && !this.accept()) {
       return this.refuse(this.describeCancelled(), response);
     }
-    if (isRelayed && isOwn && head.isSigned) return this.relay(response, head);
-    if (isRejected) return this.rejectedAnswer(head, response);
-    if (!isOwn || !head.isSigned) return this.refuse(FOREIGN_ANSWER, response);
+    if (isRelayed) return this.relay(response, head);
     const body = await this.readBody(response);
     if (body === 'broken') return this.brokenAnswer();
     if (body === 'too_long') return this.refuse(OVERSIZED_ANSWER, response);
     return this.handleWholeAnswer(head, response, body);
   }
 
+  /** Whether an answer that isn't relayed may be the caller's, as a whole. */
+  private mayPassOn({status}: AnswerHead): boolean {
+    const isFinal = status < 500 && !NOT_RUN_STATUSES.has(status);
+    return isFinal && !this.options.writer.hasBegun;
+  }
+
   /** Too long is also what finds no room beside the answers of others. */
   private async readBody(response: IncomingMessage): Promise<AnswerBody> {
     const {writer, placed} = this.options;
@@ -398,7 +406,7 @@
     onBegun();
     const headers = context.protocol.composeAnswer(response.rawHeaders);
     const answer = {status: head.status, headers, body};
-    if (isFinalStatus(head.status) && !writer.hasBegun) {
+    if (this.mayPassOn(head)) {
       writer.sendWhole(answer);
       return {kind: 'answered'};
     }
@@ -445,8 +453,3 @@
     return result;
   }
 }
-
-/** Whether an endpoint's answer of this status may be passed on at once. */
-function isFinalStatus(status: number): boolean {
-  return status < 500 && !NOT_RUN_STATUSES.has(status);
-}
--- a/packages/gateway/src/endless_answers.test.ts
+++ b/packages/gateway/src/endless_answers.test.ts
@@ -1,4 +1,5 @@
 import type {Socket} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {HeldBytes} from '@snipestage/routing/held_bytes.js';
 import type {Route} from '@snipestage/routing/route.js';
@@ -151,6 +152,8 @@
   t.is(answer.body.length, event.length);
 });
 
+const READ_WITHIN_MS = 2000;
+
 test('what is held of events that are not complete counts', async t => {
   // Guards against many streams that exceed the memory of the instance together.
   const memory = new HeldBytes({maxBytes: 150_000});
@@ -161,6 +164,10 @@
   const first = await Promise.race(answers);
   t.is(first.status, 502);
   t.true(proxy.log.lines.some(each => each.includes('memory_bound_reached')));
+  // The other answer is read in parts.
+  const endMs = performance.now() + READ_WITHIN_MS;
+  while (memory.totalBytes < 100_000 && performance.now() < endMs)
+    await pause(5);
   t.true(memory.totalBytes >= 100_000);
   proxy.giveUpAll();
   await Promise.all(answers);
--- a/packages/gateway/src/takeover.test.ts
+++ b/packages/gateway/src/takeover.test.ts
@@ -85,6 +85,18 @@
   t.is(proxy.received.length, 2);
 });
 
+test('a stream goes on at its endpoint when the other one knows it not', async t => {
+  // Guards against a stream that is cut for an answer that can't continue it.
+  const refuse: Script = (socket, request) => {
+    socket.end(answerBytes(idOf(request), {status: 404, body: 'unknown'}));
+  };
+  const proxy = await begin(t, ROUTE, inOrder(stream(LONG_PAUSE_MS), refuse));
+  const answer = await proxy.call('one', {body: 'prompt'});
+  t.true(answer.isComplete);
+  t.is(answer.body, EVENTS.join(''));
+  t.is(proxy.received.length, 2);
+});
+
 test('a rejected stream is offered to the next endpoint', async t => {
   // Guards against waiting for a dead endpoint while a third one has room.
   const scripts = inOrder(standStill, reject, stream(0));
