--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -161,7 +161,7 @@
     edits: [
       {
         module: 'gateway/dist/exchange.js',
-        from: 'cancel() {\n        this.current?.cancel();',
+        from: 'cancel() {\n        this.attempts.cancel();',
         to: 'cancel() {',
       },
       {
