--- a/packages/connection/src/input_shares.ts
+++ b/packages/connection/src/input_shares.ts
@@ -1,14 +1,14 @@
 /** Decides whose input is read next when it takes much processor time. */
 
-/** Time that a connection's input may take at once. */
+/** Processor time that the input of a connection may take at once. */
 const BURST_MS = 4;
-/** Processor time that each connection may use without waiting, per time. */
+/** Share of the processor that each connection may use without waiting. */
 const FREE_SHARE = 0.05;
-/** Of the processor time, for all connections together that have to wait. */
+/** Share of the processor for all connections together that have to wait. */
 const WAITING_SHARE = 0.25;
-/** A process that was suspended must not count for longer than this. */
+/** Bounds what the suspension of a process adds to one connection's debt. */
 const MAX_DEBT_MS = 1000;
-/** Smallest and largest part of what was read that is parsed at once. */
+/** Bytes of the smallest and the largest part that is parsed at once. */
 const MIN_PART_BYTES = 2048;
 const MAX_PART_BYTES = 65_536;
 /** A part that takes no longer than this may be followed by a larger one. */
--- a/packages/soak/src/late_in_a_stop.test.ts
+++ b/packages/soak/src/late_in_a_stop.test.ts
@@ -47,7 +47,6 @@
   options: {
     readonly id: string;
     readonly agent: Agent | false;
-    readonly body?: string;
   },
   sentAfterMs: number,
 ): Promise<Outcome> {
@@ -82,7 +81,7 @@
     call.on('error', (error: NodeJS.ErrnoException) =>
       resolve({sentAfterMs, result: error.code ?? '', isComplete: false}),
     );
-    call.end(options.body);
+    call.end();
   });
 }
 
