Name the headers of test endpoints in the platform's stand-ins

Three files of the soak's tests spelled headers of the platform; they read and compose them by platform/stand_ins/answer_headers.ts now. What they check is as before.

--- a/packages/soak/src/costly_input.test.ts
+++ b/packages/soak/src/costly_input.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import test, {type ExecutionContext} from 'ava';
+import {composeRequestIdLine} from '@snipestage/platform_stand_ins/answer_headers.js';
 import {composeHead, Crowd, SmallSystem} from './test_support/small_system.js';
 
 const FLOODING_ENDPOINT = fileURLToPath(
@@ -75,7 +76,7 @@
       composeHead(system, {
         path: '/write/x',
         key: system.otherKey,
-        lines: [`X-Attempt-Id: crowd-${index}`, 'Content-Length: 0'],
+        lines: [composeRequestIdLine(`crowd-${index}`), 'Content-Length: 0'],
       });
     const sent = crowd.send(CROWD, request);
     await pause(ORDINARY_EVERY_MS);
--- a/packages/soak/src/late_in_a_stop.test.ts
+++ b/packages/soak/src/late_in_a_stop.test.ts
@@ -2,6 +2,12 @@
 import type {AddressInfo} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import {
+  composeStreamHeaders,
+  readRequestId,
+} from '@snipestage/platform_stand_ins/answer_headers.js';
+import {composeCallerHeaders} from '@snipestage/platform_stand_ins/caller_headers.js';
+import {brandAs, type RequestId} from '@snipestage/types/ids.js';
 import {SmallSystem} from './test_support/small_system.js';
 import {HOST} from './world/operator.js';
 
@@ -23,13 +29,8 @@
 async function startSlowEngine(t: ExecutionContext): Promise<string> {
   const server: Server = createServer((incoming, response) => {
     incoming.resume();
-    const id = String(incoming.headers['x-attempt-id']);
-    response.writeHead(200, {
-      'X-Attempt-Id': id,
-      'X-Response-Signature': `${id}.slow`,
-      'X-Weight-Versions': '1',
-      'Content-Type': 'text/event-stream',
-    });
+    const id = readRequestId(incoming.headers);
+    response.writeHead(200, composeStreamHeaders(id));
     response.write('id: 1\ndata: x\n\n');
     const timer = setTimeout(() => response.end('id: 2\ndata: y\n\n'), WORK_MS);
     response.once('close', () => clearTimeout(timer));
@@ -59,11 +60,12 @@
         method: 'POST',
         path: '/write/x',
         agent: options.agent,
-        headers: {
-          Host: HOST,
-          Authorization: `Bearer ${system.key}`,
-          'X-Attempt-Id': options.id,
-        },
+        headers: composeCallerHeaders({
+          requestId: brandAs<RequestId>(options.id),
+          host: HOST,
+          callerTimeoutMs: ANSWERED_WITHIN_MS,
+          key: system.key,
+        }),
       },
       response => {
         response.resume();
--- a/packages/soak/src/test_support/flooding_endpoint.ts
+++ b/packages/soak/src/test_support/flooding_endpoint.ts
@@ -5,6 +5,10 @@
  */
 
 import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {
+  composeStreamHeaders,
+  findRequestId,
+} from '@snipestage/platform_stand_ins/answer_headers.js';
 
 interface Flood {
   /** Of the answer; the request's id is put in. */
@@ -16,10 +20,9 @@
 const own = (id: string, ...lines: readonly string[]): string =>
   [
     'HTTP/1.1 200 OK',
-    `X-Attempt-Id: ${id}`,
-    `X-Response-Signature: ${id}.flood`,
-    'X-Weight-Versions: 1',
-    'Content-Type: text/event-stream',
+    ...Object.entries(composeStreamHeaders(id)).map(
+      ([name, value]) => `${name}: ${value}`,
+    ),
     ...lines,
     '',
     '',
@@ -57,7 +60,7 @@
   socket.on('error', () => undefined);
   socket.once('data', data => {
     const request = data.toString('latin1');
-    const id = /x-attempt-id: (\S+)/i.exec(request)?.[1] ?? '';
+    const id = findRequestId(request);
     process.stdout.write(`${id}\n`);
     socket.write(head(id));
     const go = () => {
