Let the soak find early answers, and each class of the review

Cause: there was no kind for answers that come before their upload has been read (half of one, without a length, then an end and a reset), and no mutant showed that the other kinds find their class. odd_status sent only 000, which was rejected before as well; engine_pause filled the other engines so early that instances knew it and asked none; nothing_lost excused whatever an engine that only pauses ran.

--- a/packages/soak/src/answer_faults.test.ts
+++ b/packages/soak/src/answer_faults.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {areOthersFull, drawAnswerFaults} from './answer_faults.js';
 import {
+  EARLY_ANSWER,
   ENGINE_FLOOD,
   ENGINE_PAUSE,
   LATE_STREAMS,
@@ -8,7 +9,13 @@
 } from './fault_plan.js';
 
 test('a seed always draws the same faults, each kind its own', t => {
-  const kinds = [ENGINE_PAUSE, ENGINE_FLOOD, ODD_STATUS, LATE_STREAMS] as const;
+  const kinds = [
+    ENGINE_PAUSE,
+    ENGINE_FLOOD,
+    ODD_STATUS,
+    LATE_STREAMS,
+    EARLY_ANSWER,
+  ] as const;
   const draw = (kind: (typeof kinds)[number]) =>
     drawAnswerFaults({kind, seed: 7, forMs: 20_000});
   for (const kind of kinds) t.deepEqual(draw(kind), draw(kind));
--- a/packages/soak/src/answer_faults.ts
+++ b/packages/soak/src/answer_faults.ts
@@ -1,6 +1,7 @@
 /** Draws when endpoints answer oddly, and when callers send long streams. */
 
 import {
+  EARLY_ANSWER,
   ENGINE_FLOOD,
   ENGINE_PAUSE,
   LATE_STREAMS,
@@ -21,6 +22,7 @@
 export type AnswerFaultKind =
   | typeof ENGINE_PAUSE
   | typeof ENGINE_FLOOD
+  | typeof EARLY_ANSWER
   | typeof ODD_STATUS
   | typeof LATE_STREAMS;
 
@@ -29,6 +31,7 @@
   [ENGINE_PAUSE]: 31_337,
   [ENGINE_FLOOD]: 32_452,
   [ODD_STATUS]: 33_487,
+  [EARLY_ANSWER]: 35_603,
   [LATE_STREAMS]: 34_591,
 };
 /** Pauses exceed the silence after which another engine is asked. */
@@ -38,6 +41,7 @@
   [ENGINE_PAUSE]: [2100, 2800],
   [ENGINE_FLOOD]: [500, 1500],
   [ODD_STATUS]: [300, 1000],
+  [EARLY_ANSWER]: [1000, 2000],
   [LATE_STREAMS]: [3000, 5000],
 };
 /** Between two of them; what pauses engines takes much of their capacity. */
@@ -47,6 +51,7 @@
   [ENGINE_PAUSE]: [6000, 10_000],
   [ENGINE_FLOOD]: [2000, 6000],
   [ODD_STATUS]: [2000, 6000],
+  [EARLY_ANSWER]: [4000, 8000],
   [LATE_STREAMS]: [2000, 6000],
 };
 const TARGET_COUNT = 1000;
--- a/packages/soak/src/checks/checks.test.ts
+++ b/packages/soak/src/checks/checks.test.ts
@@ -367,6 +367,19 @@
   t.deepEqual(findersOf(lostOnClosing, [], stopped('terminated')), []);
 });
 
+test('a stream given up while its engine only pauses is found', t => {
+  // Guards against a working engine that is given up for one without room.
+  const broken = {outcome: {kind: 'broken'}, endedAtMs: 11_000} as const;
+  const disturbed = (kind: string) => (history: History) => {
+    const engine = brandAs<EndpointId>(makeRun().endpoint);
+    history.recordDisturbance(engine, kind, 10_500);
+  };
+  t.deepEqual(findersOf(broken, [makeRun()], disturbed('engine_pause')), [
+    'nothing_lost',
+  ]);
+  t.deepEqual(findersOf(broken, [makeRun()], disturbed('endpoint_kill')), []);
+});
+
 test('a request accepted late in the grace time and cut off is found', t => {
   // Guards against a stopping instance that accepts requests it can not finish.
   const broken = {outcome: {kind: 'broken'}, endedAtMs: 11_000} as const;
--- a/packages/soak/src/checks/stops.ts
+++ b/packages/soak/src/checks/stops.ts
@@ -3,6 +3,7 @@
  */
 
 import {brandAs, type EndpointId} from '@snipestage/types/ids.js';
+import {ENGINE_PAUSE} from '../fault_plan.js';
 import type {History, ProcessEnd, SentRequest} from '../history.js';
 import {Check, describeOutcome, type Finding} from './check.js';
 
@@ -55,6 +56,8 @@
       endpoints,
       request.sentAtMs - contactMs,
       endedAtMs,
+      // Its engine goes on, whether or not another one has room.
+      [ENGINE_PAUSE],
     );
     if (arrivals.length > 0) {
       return areEndpointsUndisturbed
--- a/packages/soak/src/fault_plan.ts
+++ b/packages/soak/src/fault_plan.ts
@@ -95,6 +95,9 @@
 /** An engine answers in chunks of one byte, without end. */
 export const ENGINE_FLOOD = 'engine_flood';
 
+/** An endpoint answers uploads before it has read them, and not to the end. */
+export const EARLY_ANSWER = 'early_answer';
+
 /** An endpoint answers with a status that HTTP doesn't have. */
 export const ODD_STATUS = 'odd_status';
 
@@ -118,6 +121,7 @@
   | typeof MASS_KILL
   | typeof ENGINE_PAUSE
   | typeof ENGINE_FLOOD
+  | typeof EARLY_ANSWER
   | typeof ODD_STATUS
   | typeof LATE_STREAMS;
 
--- a/packages/soak/src/mutations.ts
+++ b/packages/soak/src/mutations.ts
@@ -1,6 +1,7 @@
 /** Seeded faults of the program; a soak must find each of them. */
 
 import {EVACUATE, RATE_LIMIT, BACKOFF, UNLISTED_LEAVING} from './fault_plan.js';
+import {ANSWER_MUTANTS} from './answer_mutations.js';
 import {CRASH_MUTANTS} from './crash_mutations.js';
 import {BRITTLE_MUTANTS} from './brittle_mutations.js';
 import {FOREIGN_ROW_MUTANTS} from './foreign_row_mutations.js';
@@ -337,4 +338,5 @@
   ...STREAM_MUTANTS,
   ...FOREIGN_ROW_MUTANTS,
   ...BRITTLE_MUTANTS,
+  ...ANSWER_MUTANTS,
 ];
--- a/packages/soak/src/world/fault_injector.ts
+++ b/packages/soak/src/world/fault_injector.ts
@@ -14,6 +14,7 @@
   CRASHING_PART,
   CRASHING_REQUEST,
   BRITTLE_SERVICE,
+  EARLY_ANSWER,
   ENGINE_FLOOD,
   ENGINE_PAUSE,
   INSTANCE_CUT,
@@ -50,6 +51,7 @@
   engine_pause: 'pausing',
   engine_flood: 'flooding',
   odd_status: 'odd_status',
+  early_answer: 'answering_early',
 };
 const STORE_FAULTS: {readonly [Kind in FaultKind]?: ServerFault} = {
   store_silent: 'silent',
@@ -82,6 +84,8 @@
 const LATE_WRITES_MS = 3000;
 /** Time within which rows are written again after the store was set back. */
 const REWRITE_WITHIN_MS = 1800;
+/** Shortly before the silence of an engine is noticed. */
+const OTHERS_FULL_AFTER_MS = 1900;
 /** Endpoints with a fault at a time; the others have to take the load. */
 const MAX_FAULTY_ENDPOINTS = 2;
 
@@ -155,6 +159,8 @@
       this.endAfter(durationMs, this.traffic.sendLateStreams());
     } else if (kind === ENGINE_PAUSE || kind === ENGINE_FLOOD) {
       this.disturbEngine(fault);
+    } else if (kind === EARLY_ANSWER) {
+      this.answerUploads(fault);
     } else if (kind === ODD_STATUS) {
       this.applyEndpointFault(fault, endpoints[target % endpoints.length]);
     } else if (kind === UNLISTED_LEAVING) {
@@ -341,14 +347,36 @@
     const engine = engines[fault.target % engines.length];
     this.applyEndpointFault(fault, engine);
     // Brittle engines would fall by being full, whatever instances do.
+    const {durationMs} = fault;
     if (!areOthersFull(fault) || this.isBrittle(ENGINES)) return;
-    for (const other of engines) {
-      if (other === engine) continue;
-      this.applyFor(other.id, fault.kind, other, fault.durationMs, () => {
-        other.setFault('full');
-        return () => other.setFault('none');
+    if (durationMs <= OTHERS_FULL_AFTER_MS) return;
+    // Instances that have met full engines for a while ask none of them.
+    const fill = () => {
+      for (const other of engines) {
+        if (other !== engine) this.fillEngine(fault, other);
+      }
+    };
+    this.timers.add(setTimeout(fill, OTHERS_FULL_AFTER_MS));
+  }
+
+  private fillEngine({kind, durationMs}: PlannedFault, engine: Endpoint): void {
+    const leftMs = durationMs - OTHERS_FULL_AFTER_MS;
+    this.applyFor(engine.id, kind, engine, leftMs, () => {
+      engine.setFault('full');
+      return () => engine.setFault('none');
+    });
+  }
+
+  /** All other requests are answered as usual. */
+  private answerUploads({kind, durationMs}: PlannedFault): void {
+    for (const endpoint of this.world.endpoints) {
+      if (endpoint.service === ENGINES) continue;
+      this.applyFor(endpoint.id, kind, endpoint, durationMs, () => {
+        endpoint.setFault(ENDPOINT_FAULTS[kind]!);
+        return () => endpoint.setFault('none');
       });
     }
+    this.endAfter(durationMs, this.traffic.sendUploads());
   }
 
   /** Only its answers say meanwhile that the endpoint leaves. */
--- a/packages/soak/src/world/operator.ts
+++ b/packages/soak/src/world/operator.ts
@@ -38,7 +38,7 @@
 const MAX_ENGINE_COUNT = 4;
 const LIMITS = {
   maxHeaderBytes: 16_384,
-  maxBodyBytes: 1_000_000,
+  maxBodyBytes: 16_000_000,
   headerTimeoutMs: 5000,
   idleTimeoutMs: 30_000,
 };
--- a/packages/soak/src/world/request_draw.ts
+++ b/packages/soak/src/world/request_draw.ts
@@ -5,6 +5,7 @@
   CRASH_PARAMETER,
   digest,
 } from '@snipestage/platform_stand_ins/endpoint_stand_in.js';
+import {UPLOAD_PARAMETER} from '@snipestage/platform_stand_ins/early_answers.js';
 import {STREAM_DURATION_PARAMETER} from '@snipestage/platform_stand_ins/stream_text.js';
 import type {Route} from '@snipestage/routing/route.js';
 import type {TakenUpStream} from '@snipestage/platform_stand_ins/caller_headers.js';
@@ -23,7 +24,7 @@
 /** A request, what is sent with it, and when its caller hangs up. */
 export interface DrawnRequest {
   readonly request: SentRequest;
-  readonly body: string;
+  readonly body: string | Buffer;
   readonly promptTokens: number | undefined;
   /** Its answer is a stream of several seconds. */
   readonly isLong: boolean;
@@ -51,6 +52,9 @@
  */
 const LONGEST_LONG_STREAM_MS = 5000;
 const LATE_STREAM_MS = 7000;
+/** More than the system's buffers on the way to an endpoint take. */
+const UPLOAD = Buffer.alloc(16_000_000, 'x');
+const UPLOAD_DIGEST = digest(UPLOAD);
 
 /** First part of all prompts, and the number of the parts that follow it. */
 const FIRST_PART = 'system';
@@ -115,6 +119,18 @@
     return {...drawn, isLong: true};
   }
 
+  /** Draws a request with a large body. */
+  drawUpload(instance: Instance): DrawnRequest {
+    const route = this.pick(
+      ROUTES.filter(({kind}) => kind === 'non_idempotent'),
+    );
+    const query = `&${UPLOAD_PARAMETER}=${UPLOAD_DIGEST}`;
+    const timeoutMs = LONGEST_CALLER_TIMEOUT_MS;
+    const drawn = this.compose(instance, route, query, timeoutMs);
+    const request = {...drawn.request, bodyDigest: UPLOAD_DIGEST};
+    return {...drawn, request, body: UPLOAD};
+  }
+
   /** Draws a request that crashes each endpoint that runs it. */
   drawCrashing(instance: Instance): DrawnRequest {
     const query = `&${CRASH_PARAMETER}=1`;
--- a/packages/soak/src/world/traffic.ts
+++ b/packages/soak/src/world/traffic.ts
@@ -46,6 +46,7 @@
 const TAKE_UP_RETRY_MS = 500;
 const CRASHING_EVERY_MS = 350;
 const LATE_STREAM_EVERY_MS = 300;
+const UPLOAD_EVERY_MS = 700;
 
 /** Draws arrivals and sends the requests; owns the callers. */
 export class Traffic {
@@ -147,14 +148,32 @@
    * @returns a function that ends it.
    */
   sendLateStreams(): () => void {
-    const {instances} = this.options;
+    return this.sendEach(LATE_STREAM_EVERY_MS, instance =>
+      this.draw.drawLateStream(instance),
+    );
+  }
+
+  /**
+   * Sends requests with large bodies to any instance.
+   *
+   * @returns a function that ends it.
+   */
+  sendUploads(): () => void {
+    return this.sendEach(UPLOAD_EVERY_MS, instance =>
+      this.draw.drawUpload(instance),
+    );
+  }
+
+  private sendEach(
+    everyMs: number,
+    draw: (instance: Instance) => DrawnRequest,
+  ): () => void {
     const timer = setInterval(() => {
-      const instance = this.pick(instances);
-      const drawn = this.draw.drawLateStream(instance);
-      const sending = this.sendOnce(instance, drawn);
+      const instance = this.pick(this.options.instances);
+      const sending = this.sendOnce(instance, draw(instance));
       this.inFlight.add(sending);
       void sending.finally(() => this.inFlight.delete(sending));
-    }, LATE_STREAM_EVERY_MS);
+    }, everyMs);
     return () => clearInterval(timer);
   }
 
--- a/packages/stand_ins/src/link/link.ts
+++ b/packages/stand_ins/src/link/link.ts
@@ -161,8 +161,12 @@
   ): void {
     from.setNoDelay(true);
     from.on('data', chunk => {
-      this.deliver(relay, direction, () => to.write(chunk));
+      this.deliver(relay, direction, () => {
+        if (!to.write(chunk)) from.pause();
+      });
     });
+    to.on('drain', () => from.resume());
+    to.once('close', () => from.resume());
     from.on('end', () => {
       // libuv reports a reset that arrives with the last bytes as an end; the
       // kernel no longer knows a peer address then.
