Pass on input that need not wait at less cost

Cause: each part of each connection went through several objects and callbacks, and asked for a callback at the end of the turn, whether or not anything had to wait.

Change: a part that need not wait is passed on as it came; what one connection needs is one object; whether input keeps the process busy is counted over time, as its share of it, rather than in each turn.

--- a/packages/connection/src/input_pacer.ts
+++ b/packages/connection/src/input_pacer.ts
@@ -7,17 +7,21 @@
 
 import type {Server} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {chooseInput, InputAccount, pauseAfter} from './input_shares.js';
+import {
+  chooseInput,
+  InputAccount,
+  pauseAfter,
+  TotalInput,
+} from './input_shares.js';
 
 /** Passes what connections receive on in parts, in turns if they are costly. */
 export class InputPacer {
   private readonly waiting = new Set<PacedInput>();
-  private isBusy = false;
-  /** What input has taken in this turn of the event loop. */
-  private turnMs = 0;
+  private readonly total = new TotalInput();
+  private isRunning = false;
 
   constructor(
-    private readonly nowMs: () => number = () => performance.now(),
+    readonly nowMs: () => number = () => performance.now(),
     private readonly sleep: (run: () => void, delayMs: number) => void = (
       run,
       delayMs,
@@ -32,19 +36,7 @@
    * pacer.pace(connection);
    */
   pace(connection: Duplex): void {
-    new PacedInput(connection, {
-      nowMs: this.nowMs,
-      onWaiting: input => this.add(input),
-      onOver: input => this.waiting.delete(input),
-      countWaiting: () => this.waiting.size,
-      turnMs: () => this.turnMs,
-      onPassed: costMs => this.noteTurn(costMs),
-    });
-  }
-
-  private noteTurn(costMs: number): void {
-    if (this.turnMs === 0) setImmediate(() => (this.turnMs = 0));
-    this.turnMs += costMs;
+    new PacedInput(connection, this);
   }
 
   /**
@@ -56,18 +48,38 @@
   paceServer(server: Server): void {
     server.on('connection', socket => {
       // Without a listener, Node.js parses what it reads unseen.
-      socket.on('data', () => undefined);
+      socket.on('data', ignore);
       this.pace(socket);
     });
   }
 
-  private add(input: PacedInput): void {
+  /** Number of the connections that wait. */
+  get waitingCount(): number {
+    return this.waiting.size;
+  }
+
+  isBusy(nowMs: number): boolean {
+    return this.total.isBusy(nowMs);
+  }
+
+  /** Counts the time that a part of any connection has taken. */
+  noteCost(costMs: number, nowMs: number): void {
+    this.total.charge(costMs, nowMs);
+  }
+
+  /** Called when a connection has something for its reader and has to wait. */
+  add(input: PacedInput): void {
     this.waiting.add(input);
-    if (!this.isBusy) this.runAfter(0);
+    if (!this.isRunning) this.runAfter(0);
+  }
+
+  /** Called when nothing of a connection may be passed on for now. */
+  remove(input: PacedInput): void {
+    this.waiting.delete(input);
   }
 
   private runAfter(delayMs: number): void {
-    this.isBusy = true;
+    this.isRunning = true;
     this.sleep(() => this.runNext(), delayMs);
   }
 
@@ -78,7 +90,7 @@
       this.nowMs(),
     );
     if (input === undefined) {
-      this.isBusy = false;
+      this.isRunning = false;
       return;
     }
     this.waiting.delete(input);
@@ -86,19 +98,7 @@
   }
 }
 
-/** Options of {@link PacedInput}. */
-interface PacedInputOptions {
-  readonly nowMs: () => number;
-  /** Called when it has something for its reader and has to wait. */
-  readonly onWaiting: (input: PacedInput) => void;
-  /** Number of the connections that wait. */
-  readonly countWaiting: () => number;
-  /** Time that all input has taken in this turn of the event loop. */
-  readonly turnMs: () => number;
-  readonly onPassed: (costMs: number) => void;
-  /** Called when nothing of it may be passed on for now. */
-  readonly onOver: (input: PacedInput) => void;
-}
+function ignore(): void {}
 
 /** What one connection has received and its reader hasn't got yet. */
 class PacedInput {
@@ -109,12 +109,15 @@
   /** Whether the reader wants data while the connection is held. */
   private isFlowing = true;
   private readonly emit: Duplex['emit'];
+  private beganAtMs = 0;
+  private onPassed: ((costMs: number) => void) | undefined;
 
   constructor(
     private readonly connection: Duplex,
-    private readonly options: PacedInputOptions,
+    private readonly pacer: InputPacer,
   ) {
-    this.emit = connection.emit.bind(connection);
+    const {emit} = connection;
+    this.emit = emit;
     connection.emit = (event: string | symbol, ...args: unknown[]) => {
       if (event === 'data') {
         this.take(args[0] as Buffer);
@@ -122,56 +125,82 @@
       }
       if (event === 'end') this.passRest();
       if (event === 'close') this.drop();
-      return this.emit(event, ...args);
+      return emit.call(connection, event, ...args);
     };
   }
 
   /** Passes the next part on, and calls back with the time that it took. */
   passNext(onPassed: (costMs: number) => void): void {
-    this.passPart(costMs => {
-      onPassed(costMs);
-      this.goOn();
-    });
+    this.onPassed = onPassed;
+    if (this.held.length === 0) this.settle(0);
+    else this.passHeld();
   }
 
   private take(bytes: Buffer): void {
-    this.held.push(bytes);
-    if (this.isPassing || this.isHeld) return;
+    const {held, account, pacer} = this;
+    if (this.isPassing || this.isHeld || held.length > 0) {
+      held.push(bytes);
+      return;
+    }
+    const nowMs = pacer.nowMs();
+    const isPassable =
+      bytes.length <= account.partBytes(pacer.isBusy(nowMs)) &&
+      !account.mustWait(nowMs, pacer.waitingCount);
+    if (isPassable) {
+      this.passPart(bytes, nowMs);
+      return;
+    }
+    held.push(bytes);
     this.goOn();
   }
 
   /** Passes on what may be passed at once, and waits with the rest. */
   private goOn(): void {
-    const {connection, options} = this;
+    const {connection, pacer} = this;
     if (!this.isHeld) this.isFlowing = !connection.isPaused();
     if (this.held.length === 0) {
       this.release();
     } else if (!this.isFlowing) {
       this.hold();
-    } else if (this.account.mustWait(options.nowMs(), options.countWaiting())) {
+    } else if (this.account.mustWait(pacer.nowMs(), pacer.waitingCount)) {
       this.hold();
-      options.onWaiting(this);
-    } else this.passPart(() => this.goOn());
+      pacer.add(this);
+    } else this.passHeld();
+  }
+
+  private passHeld(): void {
+    const {held, account, pacer} = this;
+    const nowMs = pacer.nowMs();
+    const [first] = held;
+    const partBytes = account.partBytes(pacer.isBusy(nowMs));
+    if (first.length <= partBytes) held.shift();
+    else held[0] = first.subarray(partBytes);
+    this.passPart(first.subarray(0, partBytes), nowMs);
   }
 
   /** The time includes what the reader does right after its callbacks. */
-  private passPart(onPassed: (costMs: number) => void): void {
-    const {nowMs} = this.options;
-    const [first] = this.held;
-    if (first === undefined) return onPassed(0);
-    const partBytes = this.account.partBytes(this.options.turnMs());
-    if (first.length <= partBytes) this.held.shift();
-    else this.held[0] = first.subarray(partBytes);
-    const beganAtMs = nowMs();
+  private passPart(part: Buffer, nowMs: number): void {
+    this.beganAtMs = nowMs;
     this.isPassing = true;
-    this.emit('data', first.subarray(0, partBytes));
-    process.nextTick(() => {
-      this.isPassing = false;
-      const costMs = nowMs() - beganAtMs;
-      this.account.charge(costMs, nowMs());
-      this.options.onPassed(costMs);
-      onPassed(costMs);
-    });
+    this.emit.call(this.connection, 'data', part);
+    process.nextTick(settleInput, this);
+  }
+
+  /** Counts the part that has been passed on, and goes on with the rest. */
+  endPart(): void {
+    const nowMs = this.pacer.nowMs();
+    const costMs = nowMs - this.beganAtMs;
+    this.isPassing = false;
+    this.account.charge(costMs, nowMs);
+    this.pacer.noteCost(costMs, nowMs);
+    this.settle(costMs);
+  }
+
+  private settle(costMs: number): void {
+    const {onPassed} = this;
+    this.onPassed = undefined;
+    onPassed?.(costMs);
+    if (this.held.length > 0 || this.isHeld) this.goOn();
   }
 
   /** The reader's own pauses are remembered while the connection is held. */
@@ -182,7 +211,7 @@
     connection.pause();
     connection.pause = () => {
       this.isFlowing = false;
-      this.options.onOver(this);
+      this.pacer.remove(this);
       return connection;
     };
     connection.resume = () => {
@@ -205,14 +234,20 @@
 
   /** Nothing comes any more, so that nothing is left to pace. */
   private passRest(): void {
-    for (const bytes of this.held.splice(0)) this.emit('data', bytes);
+    for (const bytes of this.held.splice(0)) {
+      this.emit.call(this.connection, 'data', bytes);
+    }
   }
 
   private drop(): void {
     this.held.length = 0;
-    this.options.onOver(this);
+    this.pacer.remove(this);
   }
 }
 
+function settleInput(input: PacedInput): void {
+  input.endPart();
+}
+
 /** For all connections of this process. */
 export const INPUT_PACER = new InputPacer();
--- a/packages/connection/src/input_shares.test.ts
+++ b/packages/connection/src/input_shares.test.ts
@@ -1,5 +1,10 @@
 import test from 'ava';
-import {chooseInput, InputAccount, pauseAfter} from './input_shares.js';
+import {
+  chooseInput,
+  InputAccount,
+  pauseAfter,
+  TotalInput,
+} from './input_shares.js';
 
 test('input that takes little time never waits', t => {
   // Guards against ordinary callers that are held up by the bound.
@@ -30,16 +35,16 @@
   t.true(account.mustWait(0, 100));
 });
 
-test('parts grow while they are cheap, and are small in a long turn', t => {
+test('parts grow while they are cheap, and are small in a busy process', t => {
   // Guards against one read that is parsed for hundreds of milliseconds.
   const account = new InputAccount();
-  const smallest = account.partBytes(0);
+  const smallest = account.partBytes(false);
   for (let part = 0; part < 20; part += 1) account.charge(0, 0);
-  const largest = account.partBytes(0);
+  const largest = account.partBytes(false);
   t.true(largest > smallest && largest <= 65_536);
-  t.is(account.partBytes(100), smallest);
+  t.is(account.partBytes(true), smallest);
   account.charge(5, 0);
-  t.is(account.partBytes(0), smallest);
+  t.is(account.partBytes(false), smallest);
 });
 
 test('the connection that has used least is read next', t => {
@@ -62,3 +67,13 @@
 test('most of the time is left to everything else', t => {
   t.true(pauseAfter(10) >= 10);
 });
+
+test('input that takes most of the time keeps the process busy', t => {
+  // Guards against large parts of many connections in one turn of the event loop.
+  const total = new TotalInput();
+  for (let atMs = 1; atMs <= 30; atMs += 1) total.charge(0.3, atMs);
+  t.false(total.isBusy(30));
+  for (let atMs = 31; atMs <= 80; atMs += 1) total.charge(1, atMs);
+  t.true(total.isBusy(80));
+  t.false(total.isBusy(200));
+});
--- a/packages/connection/src/input_shares.ts
+++ b/packages/connection/src/input_shares.ts
@@ -16,8 +16,10 @@
 const MAX_PART_BYTES = 65_536;
 /** A part that takes no longer than this may be followed by a larger one. */
 const CHEAP_PART_MS = 0.25;
-/** After this time in one turn of the event loop, parts are small. */
-const LONG_TURN_MS = 20;
+/** Share of the time beyond which input as a whole keeps the process busy. */
+const BUSY_SHARE = 0.5;
+/** With more than this beyond that share, parts are small. */
+const BUSY_MS = 20;
 
 /** Processor time that the input of one connection has taken. */
 export class InputAccount {
@@ -25,13 +27,16 @@
   private updatedAtMs = 0;
   private bytes = MIN_PART_BYTES;
 
+  /** @param freeShare of the processor that it may use without a debt (0.05). */
+  constructor(private readonly freeShare = FREE_SHARE) {}
+
   /**
    * Size of the next part to parse.
    *
-   * @param turnMs time that input has taken in this turn of the event loop.
+   * @param isBusy whether input as a whole keeps the process busy.
    */
-  partBytes(turnMs: number): number {
-    return turnMs < LONG_TURN_MS ? this.bytes : MIN_PART_BYTES;
+  partBytes(isBusy: boolean): number {
+    return isBusy ? MIN_PART_BYTES : this.bytes;
   }
 
   /**
@@ -51,7 +56,7 @@
 
   /** What it has used beyond its free share. */
   readDebtMs(nowMs: number): number {
-    const repaidMs = (nowMs - this.updatedAtMs) * FREE_SHARE;
+    const repaidMs = (nowMs - this.updatedAtMs) * this.freeShare;
     return Math.max(0, this.debtMs - repaidMs);
   }
 
@@ -65,6 +70,25 @@
   }
 }
 
+/** Processor time that the input of all connections has taken. */
+export class TotalInput {
+  private readonly account = new InputAccount(BUSY_SHARE);
+
+  charge(costMs: number, nowMs: number): void {
+    this.account.charge(costMs, nowMs);
+  }
+
+  /**
+   * Whether input keeps the process busy.
+   *
+   * @example
+   * const bytes = account.partBytes(total.isBusy(nowMs()));
+   */
+  isBusy(nowMs: number): boolean {
+    return this.account.readDebtMs(nowMs) > BUSY_MS;
+  }
+}
+
 /**
  * The waiting connection whose input has taken the least time.
  *
