Let input wait only where it piles up, and for no time that nobody needs

Cause: a connection's time is measured, and on 0.12 of a core the handling of one ordinary request takes longer than the 4 ms that a connection may use at once. Ordinary connections had to wait, and all that waited together got a quarter of the time, whether or not anything else needed the rest.

Change: what waits gets one part in each turn of the event loop, so that no time is left to nobody; and what a connection has sent passes at once as long as it is no more than one small part. Requests and answers that come one at a time never wait then; costly input does, as it piles up.

--- a/packages/connection/src/input_pacer.test.ts
+++ b/packages/connection/src/input_pacer.test.ts
@@ -60,6 +60,34 @@
   t.is(parts.length, before);
 });
 
+test('connections that wait get one part in a turn of the event loop', async t => {
+  // Guards against costly input that leaves no time to everything else, and
+  // against time that is left to nobody.
+  const turns: Array<() => void> = [];
+  let nowMs = 0;
+  let parts = 0;
+  const pacer = new InputPacer(
+    () => nowMs,
+    run => void turns.push(run),
+  );
+  for (let index = 0; index < 5; index += 1) {
+    const connection = new PassThrough({highWaterMark: LARGE.length});
+    pacer.pace(connection);
+    connection.on('data', () => {
+      nowMs += 10;
+      parts += 1;
+    });
+    connection.write(LARGE);
+    await pause(0);
+  }
+  for (let turn = 0; turn < 20; turn += 1) {
+    const before = parts;
+    turns.shift()?.();
+    await pause(0);
+    t.is(parts, before + 1);
+  }
+});
+
 test('a crowd of new connections takes little more than one part each', async t => {
   // Guards against ordinary callers who wait until each connection of a crowd has
   // used a burst of its own.
--- a/packages/connection/src/input_pacer.ts
+++ b/packages/connection/src/input_pacer.ts
@@ -7,12 +7,7 @@
 
 import type {Server} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {
-  chooseInput,
-  InputAccount,
-  pauseAfter,
-  TotalInput,
-} from './input_shares.js';
+import {chooseInput, InputAccount, TotalInput} from './input_shares.js';
 
 /** Passes what connections receive on in parts, in turns if they are costly. */
 export class InputPacer {
@@ -22,10 +17,8 @@
 
   constructor(
     readonly nowMs: () => number = () => performance.now(),
-    private readonly sleep: (run: () => void, delayMs: number) => void = (
-      run,
-      delayMs,
-    ) => void setTimeout(run, delayMs),
+    /** Runs a callback in the next turn of the event loop. */
+    private readonly inNextTurn: (run: () => void) => void = setImmediate,
   ) {}
 
   /**
@@ -70,7 +63,7 @@
   /** Called when a connection has something for its reader and has to wait. */
   add(input: PacedInput): void {
     this.waiting.add(input);
-    if (!this.isRunning) this.runAfter(0);
+    if (!this.isRunning) this.scheduleNext();
   }
 
   /** Called when nothing of a connection may be passed on for now. */
@@ -78,12 +71,13 @@
     this.waiting.delete(input);
   }
 
-  private runAfter(delayMs: number): void {
+  private scheduleNext(): void {
     this.isRunning = true;
-    this.sleep(() => this.runNext(), delayMs);
+    this.inNextTurn(() => this.passNext());
   }
 
-  private runNext(): void {
+  /** One part in a turn, so that everything else gets its turn as well. */
+  private passNext(): void {
     const input = chooseInput(
       this.waiting,
       ({account}) => account,
@@ -94,7 +88,8 @@
       return;
     }
     this.waiting.delete(input);
-    input.passNext(costMs => this.runAfter(pauseAfter(costMs)));
+    input.passNext();
+    this.scheduleNext();
   }
 }
 
@@ -110,7 +105,6 @@
   private isFlowing = true;
   private readonly emit: Duplex['emit'];
   private beganAtMs = 0;
-  private onPassed: ((costMs: number) => void) | undefined;
 
   constructor(
     private readonly connection: Duplex,
@@ -129,10 +123,9 @@
     };
   }
 
-  /** Passes the next part on, and calls back with the time that it took. */
-  passNext(onPassed: (costMs: number) => void): void {
-    this.onPassed = onPassed;
-    if (this.held.length === 0) this.settle(0);
+  /** Passes the next part on. */
+  passNext(): void {
+    if (this.held.length === 0) this.goOn();
     else this.passHeld();
   }
 
@@ -143,10 +136,11 @@
       return;
     }
     const nowMs = pacer.nowMs();
-    const isPassable =
-      bytes.length <= account.partBytes(pacer.isBusy(nowMs)) &&
-      !account.mustWait(nowMs, pacer.waitingCount);
-    if (isPassable) {
+    const mayPass = account.mayPass(bytes.length, nowMs, {
+      waiting: pacer.waitingCount,
+      isBusy: pacer.isBusy(nowMs),
+    });
+    if (mayPass) {
       this.passPart(bytes, nowMs);
       return;
     }
@@ -193,13 +187,6 @@
     this.isPassing = false;
     this.account.charge(costMs, nowMs);
     this.pacer.noteCost(costMs, nowMs);
-    this.settle(costMs);
-  }
-
-  private settle(costMs: number): void {
-    const {onPassed} = this;
-    this.onPassed = undefined;
-    onPassed?.(costMs);
     if (this.held.length > 0 || this.isHeld) this.goOn();
   }
 
--- a/packages/connection/src/input_shares.ts
+++ b/packages/connection/src/input_shares.ts
@@ -7,8 +7,6 @@
 const BURST_MS = 4;
 /** Share of the processor that each connection may use without waiting. */
 const FREE_SHARE = 0.05;
-/** Share of the processor for all connections together that have to wait. */
-const WAITING_SHARE = 0.25;
 /** Bounds what the suspension of a process adds to one connection's debt. */
 const MAX_DEBT_MS = 1000;
 /** Bytes of the smallest and the largest part that is parsed at once. */
@@ -54,6 +52,23 @@
     this.updatedAtMs = nowMs;
   }
 
+  /**
+   * Whether all that has been read may be passed on at once. Requests and answers
+   * that come one at a time do, however slow the machine: a connection with little
+   * to read takes one small part in a turn of the event loop.
+   *
+   * @param waiting the number of other connections that wait.
+   * @param isBusy whether input as a whole keeps the process busy.
+   */
+  mayPass(
+    bytes: number,
+    nowMs: number,
+    {waiting, isBusy}: {readonly waiting: number; readonly isBusy: boolean},
+  ): boolean {
+    if (bytes <= MIN_PART_BYTES) return true;
+    return bytes <= this.partBytes(isBusy) && !this.mustWait(nowMs, waiting);
+  }
+
   /** What it has used beyond its free share. */
   readDebtMs(nowMs: number): number {
     const repaidMs = (nowMs - this.updatedAtMs) * this.freeShare;
@@ -110,13 +125,3 @@
   }
   return chosen;
 }
-
-/**
- * Time for everything else after a part of a connection that had to wait.
- *
- * @example
- * setTimeout(readNext, pauseAfter(costMs));
- */
-export function pauseAfter(costMs: number): number {
-  return costMs * (1 / WAITING_SHARE - 1);
-}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -89,7 +89,7 @@
     this.attempts = new TakeoverAttempts({
       create: (placed, movedRun, hooks) =>
         this.createAttempt(placed, movedRun, hooks),
-      planAsking: () => this.planAsking(),
+      planHedge: () => this.planHedge(),
       planUnreached: () => this.planUnreached(),
       isOver: () => this.writer.isOver,
       onWithdrawn: attempt => this.history.withdraw(attempt.verdict),
@@ -453,7 +453,7 @@
    * Chooses an endpoint to ask while the current one is silent, and takes its
    * retry from the budget. Requests on trial reach one endpoint at a time.
    */
-  private planAsking(): Placed | undefined {
+  private planHedge(): Placed | undefined {
     const {admission, trial} = this.request;
     const {route, service} = admission;
     const {state, nowMs} = this.context;
--- a/packages/gateway/src/takeover_attempts.ts
+++ b/packages/gateway/src/takeover_attempts.ts
@@ -48,7 +48,7 @@
    * Chooses an endpoint to ask while the current one is silent, and takes the
    * retry from the budget; undefined if none may be asked.
    */
-  readonly planAsking: () => Placed | undefined;
+  readonly planHedge: () => Placed | undefined;
   /** What to do while no connection to the current endpoint is open. */
   readonly planUnreached: () => UnreachedPlan;
   readonly isOver: () => boolean;
@@ -65,7 +65,7 @@
  */
 export class TakeoverAttempts {
   private current: TrackedAttempt | undefined;
-  private asked: TrackedAttempt | undefined;
+  private hedged: TrackedAttempt | undefined;
   /** Cancelled attempts that haven't ended yet. */
   private readonly withdrawn = new Set<TrackedAttempt>();
   private readonly replaced = new Set<TrackedAttempt>();
@@ -76,7 +76,7 @@
 
   /** Whether an attempt in progress may have run the request. */
   get verdict(): Verdict {
-    const verdicts = [this.current, this.asked].map(
+    const verdicts = [this.current, this.hedged].map(
       attempt => attempt?.verdict ?? 'not_run',
     );
     return worseVerdict(verdicts[0], verdicts[1]);
@@ -84,7 +84,7 @@
 
   /** Attempts in progress that may have run the request, but for withdrawn ones. */
   get runs(): number {
-    return [this.current, this.asked, ...this.replaced].filter(
+    return [this.current, this.hedged, ...this.replaced].filter(
       attempt => attempt !== undefined && attempt.verdict !== 'not_run',
     ).length;
   }
@@ -128,7 +128,7 @@
   /** @returns whether the attempt owns the request's answer. */
   private mayDeliver(attempt: TrackedAttempt): boolean {
     if (attempt === this.current) this.take('progress');
-    else if (attempt === this.asked) this.take('accepted');
+    else if (attempt === this.hedged) this.take('accepted');
     return attempt === this.current;
   }
 
@@ -149,8 +149,8 @@
     const wasWithdrawn = this.withdrawn.delete(attempt);
     this.replaced.delete(attempt);
     this.options.onEnd({attempt, result, wasWithdrawn});
-    if (attempt === this.asked) {
-      this.asked = undefined;
+    if (attempt === this.hedged) {
+      this.hedged = undefined;
       this.take('declined');
     } else if (attempt === this.current) {
       this.current = undefined;
@@ -164,15 +164,15 @@
     event: TakeoverEvent,
     isSilent = this.current?.isSilent === true,
   ): TakeoverStep {
-    const {asked, current} = this;
+    const {hedged, current} = this;
     // A rejected request may be offered to a further endpoint.
-    const isAsking = asked !== undefined || event === 'declined';
+    const isHedging = hedged !== undefined || event === 'declined';
     const isOver = this.options.isOver();
-    const step = decideTakeover(event, {isAsking, isSilent, isOver});
+    const step = decideTakeover(event, {isHedging, isSilent, isOver});
     if (REPORTED_STEPS.has(step)) this.options.onStep(step);
     switch (step) {
-      case 'ask':
-        this.ask();
+      case 'hedge':
+        this.hedge();
         break;
       case 'withdraw':
       case 'settle':
@@ -189,31 +189,31 @@
         break;
       case 'cancel':
         current?.cancel();
-        asked?.cancel();
+        hedged?.cancel();
         break;
       default:
     }
     return step;
   }
 
-  private ask(): void {
-    const placed = this.options.planAsking();
+  private hedge(): void {
+    const placed = this.options.planHedge();
     if (placed === undefined) return;
-    this.options.onStep('ask');
-    this.asked = this.start(placed, undefined);
+    this.options.onStep('hedge');
+    this.hedged = this.start(placed, undefined);
   }
 
   private promote(): void {
-    this.current = this.asked;
-    this.asked = undefined;
+    this.current = this.hedged;
+    this.hedged = undefined;
   }
 
   private withdraw(): void {
-    const {asked} = this;
-    if (asked === undefined) return;
-    this.asked = undefined;
-    this.withdrawn.add(asked);
-    this.options.onWithdrawn(asked);
-    asked.cancel();
+    const {hedged} = this;
+    if (hedged === undefined) return;
+    this.hedged = undefined;
+    this.withdrawn.add(hedged);
+    this.options.onWithdrawn(hedged);
+    hedged.cancel();
   }
 }
--- a/packages/routing/src/takeover.ts
+++ b/packages/routing/src/takeover.ts
@@ -24,7 +24,7 @@
 
 /**
  * - `keep`: nothing changes.
- * - `ask`: send the request to another endpoint, and keep the current attempt.
+ * - `hedge`: send the request to another endpoint, and keep the current attempt.
  * - `withdraw`: cancel the attempt at the asked endpoint.
  * - `hand_over`: cancel the current attempt; the asked one becomes current.
  * - `promote`: the asked attempt becomes current, as the other one has ended.
@@ -33,12 +33,12 @@
  * - `cancel`: cancel all attempts.
  */
 export type TakeoverStep =
-  'keep' | 'ask' | 'withdraw' | 'hand_over' | 'promote' | 'settle' | 'cancel';
+  'keep' | 'hedge' | 'withdraw' | 'hand_over' | 'promote' | 'settle' | 'cancel';
 
 /** State of a request when an event comes. */
 export interface TakeoverState {
   /** Another endpoint has been asked and hasn't answered yet. */
-  readonly isAsking: boolean;
+  readonly isHedging: boolean;
   /** The current endpoint has been silent for too long. */
   readonly isSilent: boolean;
   /** An endpoint has taken the request's end out of this decision's hands. */
@@ -52,24 +52,24 @@
  * two endpoints work on one stream.
  *
  * @example
- * const step = decideTakeover('silent', {isAsking: false, isSilent: true});
+ * const step = decideTakeover('silent', {isHedging: false, isSilent: true});
  */
 export function decideTakeover(
   event: TakeoverEvent,
-  {isAsking, isSilent, isOver}: TakeoverState,
+  {isHedging, isSilent, isOver}: TakeoverState,
 ): TakeoverStep {
   if (event === 'ended') return 'cancel';
   if (event === 'answered') return 'settle';
-  if (event === 'failed') return isAsking ? 'promote' : 'settle';
+  if (event === 'failed') return isHedging ? 'promote' : 'settle';
   if (isOver) return 'keep';
-  if (!isAsking) return event === 'silent' ? 'ask' : 'keep';
+  if (!isHedging) return event === 'silent' ? 'hedge' : 'keep';
   switch (event) {
     case 'progress':
       return 'withdraw';
     case 'accepted':
       return 'hand_over';
     case 'declined':
-      return isSilent ? 'ask' : 'keep';
+      return isSilent ? 'hedge' : 'keep';
     default:
       return 'keep';
   }
