Call an attempt beside a silent one a hedged attempt

A stranger had to look up what an endpoint that is asked means. The step of the log field takeover and of snipestage_takeovers_total is hedge rather than ask.

Measured: takeover.test.ts, routing/takeover.test.ts and mutations.test.ts, 22 of 22 pass; no step changes.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -45,7 +45,7 @@
 
 /**
  * Decides what follows the attempts of one request. While an endpoint is
- * silent, another one may be asked to take the request over.
+ * silent, a hedged attempt at another one may take the request over.
  */
 export class Exchange {
   private readonly history = new AttemptHistory();
@@ -73,7 +73,7 @@
   private shedRetryAfterMs: number | undefined;
   /** Whether a retry was given up as the budget for retries was spent. */
   private isRetryBudgetSpent = false;
-  /** Steps at which another endpoint was asked, or the asked one answered. */
+  /** Steps of hedged attempts. */
   private readonly takeoverSteps: TakeoverStep[] = [];
   private servedBy: EndpointId | undefined;
   /** How often its run was stopped to go on elsewhere. */
@@ -450,7 +450,7 @@
   }
 
   /**
-   * Chooses an endpoint to ask while the current one is silent, and takes its
+   * Chooses an endpoint for a hedged attempt while the current one is silent, and takes its
    * retry from the budget. Requests on trial reach one endpoint at a time.
    */
   private planHedge(): Placed | undefined {
--- a/packages/gateway/src/takeover.test.ts
+++ b/packages/gateway/src/takeover.test.ts
@@ -16,9 +16,9 @@
   pauseTargetMs: 150,
   latencyTargetMs: 100,
 };
-/** Longer than the silence after which another endpoint is asked. */
+/** Longer than the silence after which a hedged attempt begins. */
 const LONG_PAUSE_MS = 1700;
-/** After which an endpoint is asked, with some time for the connection. */
+/** After which a hedged attempt begins, with some time for the connection. */
 const ASKED_BY_MS = 1450;
 /** Longest time for which two endpoints may work on one stream. */
 const BOTH_WORK_FOR_MS = 400;
@@ -160,7 +160,7 @@
   t.is(proxy.received.length, 2);
 });
 
-test('the asked endpoint keeps a stream whose own endpoint breaks off', async t => {
+test('a hedged attempt keeps a stream whose own endpoint breaks off', async t => {
   // Guards against losing a stream that another endpoint has in its queue.
   const breaksOff: Script = (socket, request) => {
     standStill(socket, request);
@@ -175,7 +175,7 @@
   t.is(proxy.received.length, 2);
 });
 
-test('a second silence asks a third endpoint', async t => {
+test('a second silence begins an attempt at a third endpoint', async t => {
   // Guards against a stream that stays at the second of two dead endpoints.
   const scripts = inOrder(standStill, standStillAfterHead, stream(0));
   const proxy = await begin(t, {...ROUTE, maxAttempts: 3}, scripts);
--- a/packages/gateway/src/takeover_attempts.ts
+++ b/packages/gateway/src/takeover_attempts.ts
@@ -1,6 +1,6 @@
 /**
- * Attempts of one request: at its endpoint, and at another one that is asked to
- * take it over while the first is silent.
+ * Attempts of one request: at its endpoint, and a hedged one at
+ * another endpoint while the first is silent.
  */
 
 import type {Placed} from '@snipestage/routing/placement.js';
@@ -21,7 +21,7 @@
   readonly onSilent: (hasArrived: boolean) => boolean;
 }
 
-/** Result of an attempt, and whether it was withdrawn from an asked endpoint. */
+/** Result of an attempt, and whether it was a hedged one that was withdrawn. */
 export interface EndedAttempt {
   readonly attempt: TrackedAttempt;
   readonly result: TrackedResult;
@@ -45,8 +45,8 @@
     hooks: AttemptHooks,
   ) => TrackedAttempt;
   /**
-   * Chooses an endpoint to ask while the current one is silent, and takes the
-   * retry from the budget; undefined if none may be asked.
+   * Chooses an endpoint for a hedged attempt while the current one is silent, and
+   * takes the retry from the budget; undefined if there may be none.
    */
   readonly planHedge: () => Placed | undefined;
   /** What to do while no connection to the current endpoint is open. */
@@ -54,13 +54,13 @@
   readonly isOver: () => boolean;
   /** Called once for each attempt, in the order in which they end. */
   readonly onEnd: (ended: EndedAttempt) => void;
-  /** Called when an asked endpoint is no longer wanted, before its end. */
+  /** Called when a hedged attempt is no longer wanted, before its end. */
   readonly onWithdrawn: (attempt: TrackedAttempt) => void;
   readonly onStep: (step: TakeoverStep) => void;
 }
 
 /**
- * Runs an attempt, and asks another endpoint while its endpoint is silent; see
+ * Runs an attempt, and a hedged one while its endpoint is silent; see
  * {@link decideTakeover}.
  */
 export class TakeoverAttempts {
@@ -134,7 +134,7 @@
 
   /** @returns whether the attempt is cancelled. */
   private handleSilence(attempt: TrackedAttempt, hasArrived: boolean): boolean {
-    // One endpoint is asked at a time; its queue may be long.
+    // One attempt is hedged at a time; its endpoint's queue may be long.
     if (attempt !== this.current || this.options.isOver()) return false;
     if (!hasArrived) {
       const mayTryNext = this.options.planUnreached() === 'try_next';
--- a/packages/routing/src/takeover.test.ts
+++ b/packages/routing/src/takeover.test.ts
@@ -29,35 +29,35 @@
   t.is(decideTakeover('accepted', HEDGING), 'hand_over');
 });
 
-test('only one endpoint is asked at a time', t => {
+test('only one attempt is hedged at a time', t => {
   // Guards against a request that waits in the queues of many endpoints.
   t.is(decideTakeover('silent', HEDGING), 'keep');
 });
 
-test('the asked endpoint loses the request when the silent one goes on', t => {
+test('a hedged attempt ends when the silent endpoint goes on', t => {
   // Guards against two endpoints that work on one stream.
   t.is(decideTakeover('progress', HEDGING), 'withdraw');
   t.is(decideTakeover('answered', HEDGING), 'settle');
 });
 
-test('a rejection after the silence has ended asks no further endpoint', t => {
+test('a rejection after the silence has ended begins no further attempt', t => {
   // Guards against retries for requests whose endpoints work again.
   t.is(decideTakeover('declined', {...HEDGING, isSilent: false}), 'keep');
 });
 
-test('an asked endpoint keeps a request that its endpoint has lost', t => {
+test('a hedged attempt keeps a request that its endpoint has lost', t => {
   // Guards against a third run when the second one may be about to begin.
   t.is(decideTakeover('failed', HEDGING), 'promote');
   t.is(decideTakeover('failed', ALONE), 'settle');
 });
 
 test('without another endpoint, answers and events change nothing', t => {
-  // Guards against steps towards an endpoint that wasn't asked.
+  // Guards against steps towards an endpoint that has no attempt.
   const {progress, answered} = steps(ALONE);
   t.deepEqual({progress, answered}, {progress: 'keep', answered: 'settle'});
 });
 
-test('nothing is asked or handed over for a caller that has left', t => {
+test('nothing begins or is handed over for a caller that has left', t => {
   // Guards against requests that are sent on although nobody waits for them.
   for (const state of [ALONE, HEDGING]) {
     const over = steps({...state, isOver: true});
--- a/packages/routing/src/takeover.ts
+++ b/packages/routing/src/takeover.ts
@@ -1,15 +1,15 @@
 /** Decides which of two endpoints keeps a request while one of them is silent. */
 
 /**
- * What happens to a request that an endpoint has, the current one, while
- * another one may have been asked to take it over.
+ * What happens to a request that an endpoint has, the current one, while a hedged
+ * attempt at another endpoint may be in progress.
  *
  * - `silent`: the current endpoint has sent nothing for too long.
  * - `progress`: the current endpoint has begun its answer, or sent an event.
  * - `failed`: the attempt at the current endpoint has failed.
  * - `answered`: the answer of the current endpoint is complete.
- * - `accepted`: the asked endpoint has begun its answer.
- * - `declined`: the asked endpoint has rejected the request or failed.
+ * - `accepted`: the endpoint of the hedged attempt has begun its answer.
+ * - `declined`: that endpoint has rejected the request or failed.
  * - `ended`: the caller has left, the request's time is over, or this instance
  *   ends.
  */
@@ -25,11 +25,11 @@
 /**
  * - `keep`: nothing changes.
  * - `hedge`: send the request to another endpoint, and keep the current attempt.
- * - `withdraw`: cancel the attempt at the asked endpoint.
- * - `hand_over`: cancel the current attempt; the asked one becomes current.
- * - `promote`: the asked attempt becomes current, as the other one has ended.
+ * - `withdraw`: cancel the hedged attempt.
+ * - `hand_over`: cancel the current attempt; the hedged one becomes current.
+ * - `promote`: the hedged attempt becomes current, as the other one has ended.
  * - `settle`: the attempt at the current endpoint decides what follows; an
- *   asked one is cancelled.
+ *   hedged one is cancelled.
  * - `cancel`: cancel all attempts.
  */
 export type TakeoverStep =
@@ -37,7 +37,7 @@
 
 /** State of a request when an event comes. */
 export interface TakeoverState {
-  /** Another endpoint has been asked and hasn't answered yet. */
+  /** A hedged attempt is in progress and hasn't been answered yet. */
   readonly isHedging: boolean;
   /** The current endpoint has been silent for too long. */
   readonly isSilent: boolean;
@@ -48,7 +48,7 @@
 /**
  * Decides the next step. Until another endpoint has begun its answer, the
  * current attempt goes on: what a full endpoint answers is known only after it
- * was asked. From then on, the current attempt is cancelled at once, so that no
+ * got the request. From then on, the current attempt is cancelled at once, so that no
  * two endpoints work on one stream.
  *
  * @example
--- a/packages/soak/src/answer_faults.ts
+++ b/packages/soak/src/answer_faults.ts
@@ -34,7 +34,7 @@
   [EARLY_ANSWER]: 35_603,
   [LATE_STREAMS]: 34_591,
 };
-/** Pauses exceed the silence after which another engine is asked. */
+/** Pauses exceed the silence after which a hedged attempt begins. */
 const DURATION_RANGES_MS: Readonly<
   Record<AnswerFaultKind, readonly [number, number]>
 > = {
--- a/packages/soak/src/answer_mutations.ts
+++ b/packages/soak/src/answer_mutations.ts
@@ -20,8 +20,8 @@
     edits: [
       {
         module: 'gateway/dist/takeover_attempts.js',
-        from: 'this.asked = this.start(placed, undefined);',
-        to: "this.asked = this.start(placed, undefined); this.take('accepted');",
+        from: 'this.hedged = this.start(placed, undefined);',
+        to: "this.hedged = this.start(placed, undefined); this.take('accepted');",
       },
     ],
   },
