Give input that waits some time in each turn, not one part

Cause: one part in a turn is 2 kB where turns are long, for all connections that wait together, and whether parts are small was decided over time, so that they stayed small in a process that is busy with other work.

Change: what waits gets 4 ms of each turn together, and parts are small only after 20 ms of input in the same turn, as before.

--- a/packages/connection/src/input_pacer.ts
+++ b/packages/connection/src/input_pacer.ts
@@ -7,12 +7,13 @@
 
 import type {Server} from 'node:net';
 import type {Duplex} from 'node:stream';
-import {chooseInput, InputAccount, TotalInput} from './input_shares.js';
+import {chooseInput, InputAccount, WAITING_TURN_MS} from './input_shares.js';
 
 /** Passes what connections receive on in parts, in turns if they are costly. */
 export class InputPacer {
   private readonly waiting = new Set<PacedInput>();
-  private readonly total = new TotalInput();
+  /** What input has taken in this turn of the event loop. */
+  private currentTurnMs = 0;
   private isRunning = false;
 
   constructor(
@@ -51,13 +52,14 @@
     return this.waiting.size;
   }
 
-  isBusy(nowMs: number): boolean {
-    return this.total.isBusy(nowMs);
+  get turnMs(): number {
+    return this.currentTurnMs;
   }
 
   /** Counts the time that a part of any connection has taken. */
-  noteCost(costMs: number, nowMs: number): void {
-    this.total.charge(costMs, nowMs);
+  noteCost(costMs: number): void {
+    if (this.currentTurnMs === 0) setImmediate(() => (this.currentTurnMs = 0));
+    this.currentTurnMs += costMs;
   }
 
   /** Called when a connection has something for its reader and has to wait. */
@@ -73,11 +75,11 @@
 
   private scheduleNext(): void {
     this.isRunning = true;
-    this.inNextTurn(() => this.passNext());
+    this.inNextTurn(() => this.passNext(this.nowMs()));
   }
 
-  /** One part in a turn, so that everything else gets its turn as well. */
-  private passNext(): void {
+  /** For some time in a turn, so that everything else gets its turn as well. */
+  private passNext(turnBeganAtMs: number): void {
     const input = chooseInput(
       this.waiting,
       ({account}) => account,
@@ -88,8 +90,10 @@
       return;
     }
     this.waiting.delete(input);
-    input.passNext();
-    this.scheduleNext();
+    input.passNext(() => {
+      if (this.nowMs() - turnBeganAtMs >= WAITING_TURN_MS) this.scheduleNext();
+      else this.passNext(turnBeganAtMs);
+    });
   }
 }
 
@@ -105,6 +109,7 @@
   private isFlowing = true;
   private readonly emit: Duplex['emit'];
   private beganAtMs = 0;
+  private onPassed: (() => void) | undefined;
 
   constructor(
     private readonly connection: Duplex,
@@ -123,9 +128,10 @@
     };
   }
 
-  /** Passes the next part on. */
-  passNext(): void {
-    if (this.held.length === 0) this.goOn();
+  /** Passes the next part on, and calls back once it has been read. */
+  passNext(onPassed: () => void): void {
+    this.onPassed = onPassed;
+    if (this.held.length === 0) this.settle();
     else this.passHeld();
   }
 
@@ -138,7 +144,7 @@
     const nowMs = pacer.nowMs();
     const mayPass = account.mayPass(bytes.length, nowMs, {
       waiting: pacer.waitingCount,
-      isBusy: pacer.isBusy(nowMs),
+      turnMs: pacer.turnMs,
     });
     if (mayPass) {
       this.passPart(bytes, nowMs);
@@ -166,7 +172,7 @@
     const {held, account, pacer} = this;
     const nowMs = pacer.nowMs();
     const [first] = held;
-    const partBytes = account.partBytes(pacer.isBusy(nowMs));
+    const partBytes = account.partBytes(pacer.turnMs);
     if (first.length <= partBytes) held.shift();
     else held[0] = first.subarray(partBytes);
     this.passPart(first.subarray(0, partBytes), nowMs);
@@ -186,8 +192,15 @@
     const costMs = nowMs - this.beganAtMs;
     this.isPassing = false;
     this.account.charge(costMs, nowMs);
-    this.pacer.noteCost(costMs, nowMs);
+    this.pacer.noteCost(costMs);
+    this.settle();
+  }
+
+  private settle(): void {
+    const {onPassed} = this;
+    this.onPassed = undefined;
     if (this.held.length > 0 || this.isHeld) this.goOn();
+    onPassed?.();
   }
 
   /** The reader's own pauses are remembered while the connection is held. */
--- a/packages/connection/src/input_shares.ts
+++ b/packages/connection/src/input_shares.ts
@@ -14,10 +14,10 @@
 const MAX_PART_BYTES = 65_536;
 /** A part that takes no longer than this may be followed by a larger one. */
 const CHEAP_PART_MS = 0.25;
-/** Share of the time beyond which input as a whole keeps the process busy. */
-const BUSY_SHARE = 0.5;
-/** With more than this beyond that share, parts are small. */
-const BUSY_MS = 20;
+/** Time in a turn of the event loop for all connections that wait. */
+export const WAITING_TURN_MS = 4;
+/** After this time in one turn of the event loop, parts are small. */
+const LONG_TURN_MS = 20;
 
 /** Processor time that the input of one connection has taken. */
 export class InputAccount {
@@ -25,16 +25,13 @@
   private updatedAtMs = 0;
   private bytes = MIN_PART_BYTES;
 
-  /** @param freeShare of the processor that it may use without a debt (0.05). */
-  constructor(private readonly freeShare = FREE_SHARE) {}
-
   /**
    * Size of the next part to parse.
    *
-   * @param isBusy whether input as a whole keeps the process busy.
+   * @param turnMs time that input has taken in this turn of the event loop.
    */
-  partBytes(isBusy: boolean): number {
-    return isBusy ? MIN_PART_BYTES : this.bytes;
+  partBytes(turnMs: number): number {
+    return turnMs < LONG_TURN_MS ? this.bytes : MIN_PART_BYTES;
   }
 
   /**
@@ -58,20 +55,20 @@
    * to read takes one small part in a turn of the event loop.
    *
    * @param waiting the number of other connections that wait.
-   * @param isBusy whether input as a whole keeps the process busy.
+   * @param turnMs time that input has taken in this turn of the event loop.
    */
   mayPass(
     bytes: number,
     nowMs: number,
-    {waiting, isBusy}: {readonly waiting: number; readonly isBusy: boolean},
+    {waiting, turnMs}: {readonly waiting: number; readonly turnMs: number},
   ): boolean {
     if (bytes <= MIN_PART_BYTES) return true;
-    return bytes <= this.partBytes(isBusy) && !this.mustWait(nowMs, waiting);
+    return bytes <= this.partBytes(turnMs) && !this.mustWait(nowMs, waiting);
   }
 
   /** What it has used beyond its free share. */
   readDebtMs(nowMs: number): number {
-    const repaidMs = (nowMs - this.updatedAtMs) * this.freeShare;
+    const repaidMs = (nowMs - this.updatedAtMs) * FREE_SHARE;
     return Math.max(0, this.debtMs - repaidMs);
   }
 
@@ -85,25 +82,6 @@
   }
 }
 
-/** Processor time that the input of all connections has taken. */
-export class TotalInput {
-  private readonly account = new InputAccount(BUSY_SHARE);
-
-  charge(costMs: number, nowMs: number): void {
-    this.account.charge(costMs, nowMs);
-  }
-
-  /**
-   * Whether input keeps the process busy.
-   *
-   * @example
-   * const bytes = account.partBytes(total.isBusy(nowMs()));
-   */
-  isBusy(nowMs: number): boolean {
-    return this.account.readDebtMs(nowMs) > BUSY_MS;
-  }
-}
-
 /**
  * The waiting connection whose input has taken the least time.
  *
